Workspace, ports of the library and the configuration document

Cause: an empty repository; every part needs the same ports to be built side by side. Ruled out: stateright (refused by the registry); monoio::main, which would pick the io_uring driver. Before: nothing.

--- /dev/null
+++ b/crates/lilaccrank/src/document.rs
@@ -0,0 +1,283 @@
+//! The configuration document that operators write and publish.
+//!
+//! Unknown fields are errors everywhere, so that a misspelt condition never widens a rule.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{CustomerId, DataCentre, ModelId, PoolId, RuleId, TargetId, Tier};
+
+/// A whole configuration, without its generation.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Who may send requests.
+    pub customers: Vec<Customer>,
+    /// Who may publish and look.
+    pub operators: Vec<Operator>,
+    /// Groups of targets that serve the same requests.
+    pub pools: Vec<Pool>,
+    /// Ordered rules; the first match decides.
+    pub rules: Vec<Rule>,
+    /// Tier names, the most urgent first.
+    pub tiers: Vec<String>,
+}
+
+/// A customer and its keys.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Customer {
+    /// Name of the customer.
+    pub id: CustomerId,
+    /// SHA-256 of each bearer key, in hexadecimal.
+    pub key_sha256: Vec<String>,
+    /// Tiers it may wish for; a request without a wish gets the last one.
+    pub tiers: Vec<String>,
+    /// Share among customers of one tier, 1 by default.
+    #[serde(default = "one")]
+    pub weight: u32,
+}
+
+/// An operator and its keys.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operator {
+    /// Name of the operator.
+    pub id: String,
+    /// SHA-256 of each bearer key, in hexadecimal.
+    pub key_sha256: Vec<String>,
+}
+
+/// What the targets of a pool are.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PoolKind {
+    /// Model engines with continuous batching.
+    #[default]
+    #[display("engine")]
+    Engine,
+    /// Plain services, proxied with bodies untouched.
+    #[display("service")]
+    Service,
+}
+
+/// A group of targets that serve the same requests.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// Name of the pool.
+    pub id: PoolId,
+    /// What the targets are.
+    #[serde(default)]
+    pub kind: PoolKind,
+    /// Models served, none for services.
+    #[serde(default)]
+    pub models: Vec<ModelId>,
+    /// The targets, over all data centres.
+    pub targets: Vec<Target>,
+    /// Most requests that wait in one data centre's queue of this pool.
+    #[serde(default = "waiting_limit")]
+    pub waiting_limit: usize,
+}
+
+/// Whether a target checks the fencing number of an order.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fencing {
+    /// Refuses orders that carry an old number.
+    Checked,
+    /// Ignores the number.
+    #[default]
+    Ignored,
+}
+
+/// Whether a target may get new work.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TargetState {
+    /// Gets nothing new and finishes what it has.
+    #[display("draining")]
+    Draining,
+    /// Gets work.
+    #[default]
+    #[display("live")]
+    Live,
+}
+
+/// One engine or service instance.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// IP number and port.
+    pub address: String,
+    /// Where the target runs.
+    pub data_centre: DataCentre,
+    /// Whether it checks fencing numbers.
+    #[serde(default)]
+    pub fencing: Fencing,
+    /// Name of the target.
+    pub id: TargetId,
+    /// Requests it runs at once.
+    #[serde(default = "slots")]
+    pub slots: u32,
+    /// Whether it may get new work.
+    #[serde(default)]
+    pub state: TargetState,
+}
+
+/// One rule: when this holds, then do that.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rule {
+    /// Stable name of the rule.
+    pub id: RuleId,
+    /// What is done.
+    pub then: Then,
+    /// What must hold; an empty condition matches everything.
+    #[serde(default)]
+    pub when: When,
+}
+
+/// Conditions; all that are given must hold.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct When {
+    /// One of these customers.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub customer: Option<Vec<CustomerId>>,
+    /// Entry daemon in one of these data centres.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub data_centre: Option<Vec<DataCentre>>,
+    /// Each header (name in lower case) has this value.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub header: Option<IndexMap<String, String>>,
+    /// Hours of the day in UTC, from (inclusive) to (exclusive); may pass midnight.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub hours: Option<Hours>,
+    /// Whether the request may run more than once.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub idempotent: Option<bool>,
+    /// Requests waiting in the pool's queue here, at least.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub load: Option<Load>,
+    /// One of these models.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub model: Option<Vec<ModelId>>,
+    /// Path begins with this.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub path: Option<String>,
+    /// Prompt length in tokens.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub prompt_tokens: Option<Range>,
+    /// One of these tiers is wished for.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tier: Option<Vec<String>>,
+}
+
+/// Hours of the day in UTC.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Hours {
+    /// First hour, 0 to 23.
+    pub from: u8,
+    /// Hour after the last, 1 to 24.
+    pub to: u8,
+}
+
+/// A condition on the load of a pool.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    /// The pool looked at.
+    pub pool: PoolId,
+    /// At least this many requests wait there.
+    pub waiting_at_least: usize,
+}
+
+/// An inclusive range; an absent end is open.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Range {
+    /// Largest value that matches.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub max: Option<u32>,
+    /// Smallest value that matches.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub min: Option<u32>,
+}
+
+/// What a rule does; either `pool` or `refuse` is given.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Then {
+    /// Limits that the request must pass.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub limit: Option<Limit>,
+    /// Send it to this pool.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub pool: Option<PoolId>,
+    /// Refuse it with this reason.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub refuse: Option<String>,
+    /// Data centres to try when this one refuses, in order.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub spill: Vec<DataCentre>,
+    /// Set the tier.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tier: Option<String>,
+    /// Longest wait in the queue, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub wait_at_most_ms: Option<u64>,
+}
+
+/// Limits of one rule in one data centre.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limit {
+    /// Requests in progress at once.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub concurrency: Option<u32>,
+    /// Count each customer by itself.
+    pub per_customer: bool,
+    /// Requests per second, with a burst of one second's worth.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub rate_per_s: Option<f64>,
+}
+
+impl Document {
+    /// Position of a tier, `None` if it is not in the list.
+    #[must_use]
+    pub fn tier(&self, name: &str) -> Option<Tier> {
+        let position = self.tiers.iter().position(|tier| tier == name)?;
+        Tier::try_from(position).ok()
+    }
+
+    /// The pool with this name.
+    #[must_use]
+    pub fn pool(&self, id: &str) -> Option<&Pool> {
+        self.pools.iter().find(|pool| pool.id == id)
+    }
+}
+
+impl Then {
+    /// Longest wait in the queue.
+    #[must_use]
+    pub fn wait_at_most(&self) -> Option<Duration> {
+        self.wait_at_most_ms.map(Duration::from_millis)
+    }
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn slots() -> u32 {
+    8
+}
+
+fn waiting_limit() -> usize {
+    10_000
+}
--- /dev/null
+++ b/crates/lilaccrank/src/lib.rs
@@ -0,0 +1,15 @@
+//! Coordination parts of lilaccrank, a request scheduler for unlike engines.
+//!
+//! Everything here runs on ports (a [`clock`], a [`store`], [`peers`]) and can be embedded
+//! without the daemon. Sizes are in bytes, lengths in tokens, times in [`std::time::Duration`]
+//! unless a name says otherwise.
+
+pub mod backoff;
+pub mod clock;
+pub mod document;
+pub mod error_kind;
+pub mod ids;
+pub mod paused_clock;
+pub mod peers;
+pub mod request;
+pub mod store;
--- /dev/null
+++ b/crates/lilaccrank/src/store.rs
@@ -0,0 +1,86 @@
+//! The store port: the platform's object API with versions, conditional updates and watches.
+
+use std::future::Future;
+use std::time::Duration;
+
+use bytes::Bytes;
+use thiserror::Error;
+
+/// Version of an object: the store's revision at its last write.
+pub type Version = u64;
+/// Result of a store call.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Largest value the store takes, in bytes.
+pub const VALUE_LIMIT: usize = 1 << 20;
+
+/// Why a store call failed.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum Error {
+    /// The condition did not hold; the write had no effect.
+    #[error("the object is at version {current:?}, not at the expected one")]
+    Conflict {
+        /// Version found, `None` if the object does not exist.
+        current: Option<Version>,
+    },
+    /// The store asked for fewer calls; the call had no effect.
+    #[error("the store takes no more calls now, try again in {retry_after:?}")]
+    Throttled {
+        /// When to try again.
+        retry_after: Duration,
+    },
+    /// The value is over [`VALUE_LIMIT`].
+    #[error("a value of {size} bytes is over the store's limit of {VALUE_LIMIT}")]
+    TooLarge {
+        /// Size of the value in bytes.
+        size: usize,
+    },
+    /// The store could not be reached; the call had no effect.
+    #[error("the store can't be reached")]
+    Unavailable,
+    /// No answer came; a write may have taken effect.
+    #[error("the store did not answer, a write may have taken effect")]
+    Unknown,
+}
+
+/// Condition on a write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Expect {
+    /// The object does not exist.
+    Absent,
+    /// Whatever is there.
+    Any,
+    /// The object is at this version.
+    Version(Version),
+}
+
+/// A value and its version.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Versioned {
+    /// The object's content.
+    pub value: Bytes,
+    /// The object's version.
+    pub version: Version,
+}
+
+/// The platform's store.
+pub trait Store: Clone + 'static {
+    /// Reads an object; `None` if it does not exist.
+    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Versioned>>>;
+
+    /// Writes an object if `expect` holds and returns its new version.
+    fn put(&self, key: &str, value: Bytes, expect: Expect)
+    -> impl Future<Output = Result<Version>>;
+
+    /// Deletes an object if `expect` holds.
+    fn delete(&self, key: &str, expect: Expect) -> impl Future<Output = Result<()>>;
+
+    /// Waits until the object's version differs from `seen`, for at most `wait`; returns the
+    /// object as it then is. `None` if it does not exist.
+    fn watch(
+        &self,
+        key: &str,
+        seen: Option<Version>,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Option<Versioned>>>;
+}
--- /dev/null
+++ b/crates/lilaccrank/tests/suite.rs
@@ -0,0 +1,4 @@
+//! Tests of the library, in one crate; a folder beside this file holds them by subject.
+
+#[path = "suite/error_kind.rs"]
+mod error_kind;
