HTTP adapters: hyper server and client, peer links over monoio-http, store client

Cause: the thin path needs callers, targets, peers and the platform's store on monoio. Ruled out: monoio-http on streaming sides (its encoder holds a body back until 8 KiB are full); TCP_USER_TIMEOUT (needs a raw descriptor, unsafe code is forbidden): keepalive is the second net. Change: crate lilaccrank-http; prompt lengths and prefix digests in the library. Before: none. Conclusion: adapters stand behind the ports.

--- /dev/null
+++ b/crates/lilaccrank-http/src/client.rs
@@ -0,0 +1,190 @@
+//! Sends HTTP/1.1 requests over hyper, on pooled connections that are known to be alive.
+
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use indexmap::IndexMap;
+use monoio::net::TcpStream;
+use monoio_compat::hyper::MonoioIo;
+use thiserror::Error;
+
+use crate::body::Body;
+
+/// Result of sending.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// An idle connection is used again only this long after its last answer.
+///
+/// Something between the two ends may lose track of an idle connection without a word; a
+/// request sent on it then hangs, and whether it ran is unknown. Within this time the last
+/// answer is proof enough; after it a new connection proves itself by its handshake.
+const PROVED_FOR: Duration = Duration::from_secs(1);
+/// A silent connection is probed by the system after this long, as a second net.
+const KEEPALIVE: Duration = Duration::from_secs(5);
+/// Unanswered probes that end a connection.
+const KEEPALIVE_PROBES: u32 = 2;
+/// Most idle connections kept for each address.
+const IDLE_LIMIT: usize = 64;
+
+/// Why a request got no response head.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The connection could not be made; nothing was sent.
+    #[error("can't connect to {address}: {source}")]
+    Connect {
+        /// IP number and port.
+        address: String,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The connection failed after the request may have been sent.
+    #[error("the exchange with {address} failed: {source}")]
+    Exchange {
+        /// IP number and port.
+        address: String,
+        /// What hyper said.
+        source: hyper::Error,
+    },
+    /// No response head in time; the request may have been taken.
+    #[error("{address} did not answer within {limit:?}")]
+    Silent {
+        /// IP number and port.
+        address: String,
+        /// The limit that passed.
+        limit: Duration,
+    },
+}
+
+impl Error {
+    /// Whether the other end certainly got nothing.
+    #[must_use]
+    pub fn sent_nothing(&self) -> bool {
+        matches!(self, Self::Connect { .. })
+    }
+}
+
+/// Limits of one exchange.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Time for the connection.
+    pub connect: Duration,
+    /// Time from sending to the response head.
+    pub head: Duration,
+    /// Only a new connection will do, since the request can't be repeated.
+    pub fresh: bool,
+}
+
+/// A client; clones share the connections.
+#[derive(Clone, Default)]
+pub struct Client {
+    idle: Rc<RefCell<IndexMap<String, Vec<Idle>>>>,
+}
+
+struct Idle {
+    since: Instant,
+    sender: SendRequest<Body>,
+}
+
+/// A connection on loan from the client.
+///
+/// Give it back with [`Client::release`] once the body is read to its end. Dropping it closes
+/// the connection, which cancels what the other end still does for it.
+pub struct Connection {
+    address: String,
+    sender: SendRequest<Body>,
+}
+
+impl Client {
+    /// Sends `req` to `address` and waits for the response head.
+    ///
+    /// # Errors
+    ///
+    /// If the connection can't be made, fails, or stays silent.
+    pub async fn send(
+        &self,
+        address: &str,
+        req: Request<Body>,
+        limits: Limits,
+    ) -> Result<(Response<Incoming>, Connection)> {
+        let pooled = if limits.fresh {
+            None
+        } else {
+            self.take(address)
+        };
+        let mut sender = match pooled {
+            Some(sender) => sender,
+            None => connect(address, limits.connect).await?,
+        };
+        let answer = monoio::time::timeout(limits.head, sender.send_request(req)).await;
+        let res = match answer {
+            Err(_) => {
+                return Err(Error::Silent {
+                    address: address.to_owned(),
+                    limit: limits.head,
+                });
+            }
+            Ok(Err(source)) => {
+                return Err(Error::Exchange {
+                    address: address.to_owned(),
+                    source,
+                });
+            }
+            Ok(Ok(res)) => res,
+        };
+        let connection = Connection {
+            address: address.to_owned(),
+            sender,
+        };
+        Ok((res, connection))
+    }
+
+    /// Takes a connection back after a whole answer.
+    pub fn release(&self, connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.entry(connection.address).or_default();
+        if list.len() < IDLE_LIMIT {
+            list.push(Idle {
+                since: Instant::now(),
+                sender: connection.sender,
+            });
+        }
+    }
+
+    fn take(&self, address: &str) -> Option<SendRequest<Body>> {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(address)?;
+        list.retain(|idle| idle.since.elapsed() < PROVED_FOR && !idle.sender.is_closed());
+        let at = list.iter().rposition(|idle| idle.sender.is_ready())?;
+        Some(list.swap_remove(at).sender)
+    }
+}
+
+async fn connect(address: &str, limit: Duration) -> Result<SendRequest<Body>> {
+    let fail = |source| Error::Connect {
+        address: address.to_owned(),
+        source,
+    };
+    let stream = monoio::time::timeout(limit, TcpStream::connect(address))
+        .await
+        .map_err(|_| fail(io::ErrorKind::TimedOut.into()))?
+        .map_err(fail)?;
+    stream.set_nodelay(true).map_err(fail)?;
+    stream
+        .set_tcp_keepalive(Some(KEEPALIVE), Some(KEEPALIVE), Some(KEEPALIVE_PROBES))
+        .map_err(fail)?;
+    let io = monoio::io::IntoPollIo::into_poll_io(stream).map_err(fail)?;
+    let (sender, connection) = http1::handshake(MonoioIo::new(io))
+        .await
+        .map_err(|e| fail(io::Error::other(e)))?;
+    monoio::spawn(async move {
+        if let Err(e) = connection.await {
+            log::debug!("connection to a server ended: {e}");
+        }
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/crates/lilaccrank-http/src/peer_link.rs
@@ -0,0 +1,203 @@
+//! Calls to one peer: a task that sends what has gathered as one batch over monoio-http.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::channel::{mpsc, oneshot};
+use http::Method;
+use http::request::Builder;
+use lilaccrank::ids::VmId;
+use lilaccrank::peers::{Error, Result};
+use monoio::io::Splitable;
+use monoio::io::sink::SinkExt;
+use monoio::io::stream::Stream;
+use monoio::net::TcpStream;
+use monoio::net::tcp::{TcpOwnedReadHalf, TcpOwnedWriteHalf};
+use monoio_http::h1::codec::decoder::{FillPayload, ResponseDecoder};
+use monoio_http::h1::codec::encoder::GenericEncoder;
+use monoio_http::h1::payload::{FixedPayload, Payload, PayloadError};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Path of the one resource that peers post to.
+pub const PATH: &str = "/peer";
+/// Most calls in one batch.
+const BATCH_LIMIT: usize = 256;
+/// Time for a new connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for one batch. A peer that is alive answers in milliseconds; waiting longer would hold
+/// up every later call behind a connection that has silently died.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1000);
+/// An idle connection is trusted this long; see the client's `PROVED_FOR`.
+const PROVED_FOR: Duration = Duration::from_secs(2);
+
+struct Call<Req, Rep> {
+    req: Req,
+    tx: oneshot::Sender<Result<Rep>>,
+}
+
+/// A link to one peer; clones share its task, which ends with the last clone.
+pub struct PeerLink<Req, Rep> {
+    tx: mpsc::UnboundedSender<Call<Req, Rep>>,
+    vm: VmId,
+}
+
+impl<Req, Rep> Clone for PeerLink<Req, Rep> {
+    fn clone(&self) -> Self {
+        Self {
+            tx: self.tx.clone(),
+            vm: self.vm.clone(),
+        }
+    }
+}
+
+impl<Req, Rep> PeerLink<Req, Rep>
+where
+    Req: Serialize + 'static,
+    Rep: DeserializeOwned + 'static,
+{
+    /// Starts the task of the link to `vm` at `address`; connects at the first call.
+    #[must_use]
+    pub fn start(vm: VmId, address: String) -> Self {
+        let (tx, rx) = mpsc::unbounded();
+        let peer = Peer {
+            address,
+            connection: None,
+            vm: vm.clone(),
+        };
+        monoio::spawn(peer.run(rx));
+        Self { tx, vm }
+    }
+
+    /// Sends one request and waits for its reply.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] if nothing was sent, [`Error::NoAnswer`] if it may have been.
+    pub async fn call(&self, req: Req) -> Result<Rep> {
+        let (tx, rx) = oneshot::channel();
+        let unreachable = || Error::Unreachable(self.vm.clone());
+        self.tx
+            .unbounded_send(Call { req, tx })
+            .map_err(|_| unreachable())?;
+        rx.await.map_err(|_| unreachable())?
+    }
+}
+
+struct Connection {
+    decoder: ResponseDecoder<TcpOwnedReadHalf>,
+    encoder: GenericEncoder<TcpOwnedWriteHalf>,
+    proved: std::time::Instant,
+}
+
+struct Peer {
+    address: String,
+    connection: Option<Connection>,
+    vm: VmId,
+}
+
+impl Peer {
+    async fn run<Req, Rep>(mut self, mut rx: mpsc::UnboundedReceiver<Call<Req, Rep>>)
+    where
+        Req: Serialize,
+        Rep: DeserializeOwned,
+    {
+        while let Some(first) = rx.next().await {
+            let mut calls = VecDeque::from([first]);
+            while calls.len() < BATCH_LIMIT {
+                let Ok(call) = rx.try_recv() else { break };
+                calls.push_back(call);
+            }
+            // A caller that stopped waiting needs no reply; its message still goes out, since
+            // a cancel or a report must not depend on who waits.
+            let (reqs, txs): (Vec<_>, Vec<_>) = calls.into_iter().map(|c| (c.req, c.tx)).unzip();
+            match self.exchange(&reqs).await {
+                Ok(replies) => {
+                    for (tx, reply) in txs.into_iter().zip(replies) {
+                        let _ = tx.send(Ok(reply));
+                    }
+                }
+                Err(e) => {
+                    self.connection = None;
+                    log::debug!("call to a peer failed: {e}");
+                    for tx in txs {
+                        let _ = tx.send(Err(e.clone()));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn exchange<Req, Rep>(&mut self, reqs: &[Req]) -> Result<Vec<Rep>>
+    where
+        Req: Serialize,
+        Rep: DeserializeOwned,
+    {
+        let no_answer = || Error::NoAnswer(self.vm.clone());
+        let unreachable = || Error::Unreachable(self.vm.clone());
+        let Ok(buf) = rmp_serde::to_vec_named(reqs) else {
+            return Err(unreachable());
+        };
+        let kept = self
+            .connection
+            .take()
+            .filter(|c| c.proved.elapsed() < PROVED_FOR);
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => connect(&self.address).await.ok_or_else(unreachable)?,
+        };
+        let body = monoio::time::timeout(EXCHANGE_TIMEOUT, connection.post(buf))
+            .await
+            .ok()
+            .flatten()
+            .ok_or_else(no_answer)?;
+        let replies: Vec<Rep> = rmp_serde::from_slice(&body).map_err(|e| {
+            log::warn!("a peer's reply can't be read: {e}");
+            no_answer()
+        })?;
+        if replies.len() != reqs.len() {
+            return Err(no_answer());
+        }
+        connection.proved = std::time::Instant::now();
+        self.connection = Some(connection);
+        Ok(replies)
+    }
+}
+
+async fn connect(address: &str) -> Option<Connection> {
+    let stream = monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .ok()?
+        .ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (r, w) = stream.into_split();
+    Some(Connection {
+        decoder: ResponseDecoder::new(r),
+        encoder: GenericEncoder::new(w),
+        proved: std::time::Instant::now(),
+    })
+}
+
+impl Connection {
+    async fn post(&mut self, buf: Vec<u8>) -> Option<Bytes> {
+        let payload = FixedPayload::<Bytes, PayloadError>::new(buf.into());
+        let req = Builder::new()
+            .method(Method::POST)
+            .uri(PATH)
+            .header(http::header::HOST, "peer")
+            .body(Payload::Fixed(payload))
+            .ok()?;
+        self.encoder.send_and_flush(req).await.ok()?;
+        let res = self.decoder.next().await?.ok()?;
+        if !res.status().is_success() {
+            return None;
+        }
+        let Payload::Fixed(mut payload) = res.into_body() else {
+            return None;
+        };
+        self.decoder.fill_payload().await.ok()?;
+        payload.next().await?.ok()
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank-http/src/peer_server.rs
@@ -0,0 +1,100 @@
+//! Answers the calls of peers: one task for each connection, one handler call for each message.
+
+use std::future::Future;
+
+use bytes::Bytes;
+use futures::future;
+use http::StatusCode;
+use monoio::io::Splitable;
+use monoio::io::sink::SinkExt;
+use monoio::io::stream::Stream;
+use monoio::net::{TcpListener, TcpStream};
+use monoio_http::common::error::HttpError;
+use monoio_http::common::request::Request;
+use monoio_http::common::response::Response;
+use monoio_http::h1::codec::decoder::{FillPayload, RequestDecoder};
+use monoio_http::h1::codec::encoder::GenericEncoder;
+use monoio_http::h1::payload::{FixedPayload, Payload};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Accepts peers' connections for as long as the daemon runs.
+pub async fn serve<Req, Rep, H, F>(listener: TcpListener, handler: H)
+where
+    Req: DeserializeOwned + 'static,
+    Rep: Serialize + 'static,
+    H: Fn(Req) -> F + Clone + 'static,
+    F: Future<Output = Rep> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                monoio::spawn(serve_connection(stream, handler.clone()));
+            }
+            Err(e) => log::warn!("accept of a peer failed: {e}"),
+        }
+    }
+}
+
+async fn serve_connection<Req, Rep, H, F>(stream: TcpStream, handler: H)
+where
+    Req: DeserializeOwned,
+    Rep: Serialize,
+    H: Fn(Req) -> F,
+    F: Future<Output = Rep>,
+{
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let (r, w) = stream.into_split();
+    let mut encoder = GenericEncoder::new(w);
+    let mut decoder = RequestDecoder::new(r);
+    while let Some(Ok(req)) = decoder.next().await {
+        let Payload::Fixed(mut payload) = Request::into_body(req) else {
+            return;
+        };
+        if decoder.fill_payload().await.is_err() {
+            return;
+        }
+        let Some(Ok(body)) = payload.next().await else {
+            return;
+        };
+        let res = answer(&body, &handler).await;
+        if encoder.send_and_flush(res).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Handles the messages of a batch at the same time, so that one that waits for a third daemon
+/// does not hold up the others in their turn.
+async fn answer<Req, Rep, H, F>(body: &[u8], handler: &H) -> Response
+where
+    Req: DeserializeOwned,
+    Rep: Serialize,
+    H: Fn(Req) -> F,
+    F: Future<Output = Rep>,
+{
+    let reqs: Vec<Req> = match rmp_serde::from_slice(body) {
+        Ok(reqs) => reqs,
+        Err(e) => {
+            log::warn!("a peer's batch can't be read: {e}");
+            return respond(StatusCode::BAD_REQUEST, Vec::new());
+        }
+    };
+    let replies = future::join_all(reqs.into_iter().map(handler)).await;
+    match rmp_serde::to_vec_named(&replies) {
+        Ok(buf) => respond(StatusCode::OK, buf),
+        Err(e) => {
+            log::warn!("a reply can't be written: {e}");
+            respond(StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
+        }
+    }
+}
+
+fn respond(status: StatusCode, buf: Vec<u8>) -> Response {
+    let payload = FixedPayload::<Bytes, HttpError>::new(buf.into());
+    let mut res = Response::new(Payload::Fixed(payload));
+    *res.status_mut() = status;
+    res
+}
--- /dev/null
+++ b/crates/lilaccrank-http/src/store_client.rs
@@ -0,0 +1,183 @@
+//! The store port over the platform's object API.
+//!
+//! `GET`, `PUT` and `DELETE /v1/objects/KEY`; the version travels in the header `Version`,
+//! conditions in `If-Version: N` and `If-Absent: 1`. `GET /v1/watch/KEY?seen=N&wait_ms=M`
+//! answers when the object's version is another one, or 304 when the wait is over.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use lilaccrank::store::{self, Expect, Store, Version, Versioned};
+
+use crate::body;
+use crate::client::{Client, Limits};
+
+/// Name of the header that carries a version.
+pub const VERSION: &str = "version";
+/// Name of the header that asks for a version.
+pub const IF_VERSION: &str = "if-version";
+/// Name of the header that asks for absence.
+pub const IF_ABSENT: &str = "if-absent";
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// A store that works answers in milliseconds.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A client of the platform's store at one address.
+#[derive(Clone)]
+pub struct StoreClient {
+    address: String,
+    client: Client,
+}
+
+impl StoreClient {
+    /// A client of the store at `address` (IP number and port).
+    #[must_use]
+    pub fn new(address: String) -> Self {
+        Self {
+            address,
+            client: Client::default(),
+        }
+    }
+
+    /// Reads a resource beside the objects, such as the list of vms.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Store::get`].
+    pub async fn read(&self, path: &str) -> store::Result<Bytes> {
+        let req = request(Method::GET, path.to_owned(), Expect::Any, Bytes::new());
+        let (_, bytes) = self.exchange(req, HEAD_TIMEOUT).await?;
+        Ok(bytes)
+    }
+
+    async fn exchange(
+        &self,
+        req: Request<body::Body>,
+        head: Duration,
+    ) -> store::Result<(Response<()>, Bytes)> {
+        let limits = Limits {
+            connect: CONNECT_TIMEOUT,
+            fresh: false,
+            head,
+        };
+        let sent = self.client.send(&self.address, req, limits).await;
+        let (res, connection) = sent.map_err(|e| {
+            if e.sent_nothing() {
+                store::Error::Unavailable
+            } else {
+                store::Error::Unknown
+            }
+        })?;
+        let (parts, incoming): (_, Incoming) = res.into_parts();
+        let reading = body::read(incoming, store::VALUE_LIMIT);
+        let bytes = monoio::time::timeout(HEAD_TIMEOUT, reading)
+            .await
+            .map_err(|_| store::Error::Unknown)?
+            .map_err(|_| store::Error::Unknown)?;
+        self.client.release(connection);
+        Ok((Response::from_parts(parts, ()), bytes))
+    }
+}
+
+impl Store for StoreClient {
+    async fn get(&self, key: &str) -> store::Result<Option<Versioned>> {
+        let req = request(Method::GET, object(key), Expect::Any, Bytes::new());
+        let (res, value) = self.exchange(req, HEAD_TIMEOUT).await?;
+        found(&res, value)
+    }
+
+    async fn put(&self, key: &str, value: Bytes, expect: Expect) -> store::Result<Version> {
+        if value.len() > store::VALUE_LIMIT {
+            return Err(store::Error::TooLarge { size: value.len() });
+        }
+        let req = request(Method::PUT, object(key), expect, value);
+        let (res, _) = self.exchange(req, HEAD_TIMEOUT).await?;
+        written(&res)?;
+        version(&res).ok_or(store::Error::Unknown)
+    }
+
+    async fn delete(&self, key: &str, expect: Expect) -> store::Result<()> {
+        let req = request(Method::DELETE, object(key), expect, Bytes::new());
+        let (res, _) = self.exchange(req, HEAD_TIMEOUT).await?;
+        written(&res)
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        seen: Option<Version>,
+        wait: Duration,
+    ) -> store::Result<Option<Versioned>> {
+        let seen = seen.unwrap_or(0);
+        let path = format!("/v1/watch/{key}?seen={seen}&wait_ms={}", wait.as_millis());
+        let req = request(Method::GET, path, Expect::Any, Bytes::new());
+        let (res, value) = self.exchange(req, wait + HEAD_TIMEOUT).await?;
+        if res.status() == StatusCode::NOT_MODIFIED {
+            return self.get(key).await;
+        }
+        found(&res, value)
+    }
+}
+
+fn object(key: &str) -> String {
+    format!("/v1/objects/{key}")
+}
+
+fn request(method: Method, path: String, expect: Expect, value: Bytes) -> Request<body::Body> {
+    let mut req = Request::new(body::full(value));
+    *req.method_mut() = method;
+    *req.uri_mut() = path.parse().unwrap_or_default();
+    let headers = req.headers_mut();
+    headers.insert(
+        hyper::header::HOST,
+        "platform".parse().expect("a valid value"),
+    );
+    match expect {
+        Expect::Absent => {
+            headers.insert(IF_ABSENT, 1.into());
+        }
+        Expect::Any => {}
+        Expect::Version(version) => {
+            headers.insert(IF_VERSION, version.into());
+        }
+    }
+    req
+}
+
+fn version(res: &Response<()>) -> Option<Version> {
+    res.headers().get(VERSION)?.to_str().ok()?.parse().ok()
+}
+
+fn retry_after(res: &Response<()>) -> Duration {
+    res.headers()
+        .get(hyper::header::RETRY_AFTER)
+        .and_then(|value| value.to_str().ok()?.parse().ok())
+        .map_or(DEFAULT_RETRY_AFTER, Duration::from_secs)
+}
+
+fn found(res: &Response<()>, value: Bytes) -> store::Result<Option<Versioned>> {
+    if res.status() == StatusCode::NOT_FOUND {
+        return Ok(None);
+    }
+    written(res)?;
+    let version = version(res).ok_or(store::Error::Unknown)?;
+    Ok(Some(Versioned { value, version }))
+}
+
+fn written(res: &Response<()>) -> store::Result<()> {
+    match res.status() {
+        status if status.is_success() => Ok(()),
+        StatusCode::PRECONDITION_FAILED => Err(store::Error::Conflict {
+            current: version(res),
+        }),
+        StatusCode::TOO_MANY_REQUESTS => Err(store::Error::Throttled {
+            retry_after: retry_after(res),
+        }),
+        StatusCode::SERVICE_UNAVAILABLE => Err(store::Error::Unavailable),
+        _ => Err(store::Error::Unknown),
+    }
+}
--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod ids;
 pub mod paused_clock;
 pub mod peers;
+pub mod prompt;
 pub mod request;
 pub mod store;
