--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod peers;
 pub mod prompt;
 pub mod request;
+pub mod rules;
 pub mod store;
