Lab stand-ins: the platform and the model engine

Ruled out: faking a lost answer by a late close. hyper writes a head before it reads the body, so a handler can't close a connection bare; a body whose first frame is an error makes hyper drop the head unflushed, and the caller sees an empty reply (curl: exit 52, the write in effect at version 2). Dropping the sender of the HTTP crate's `body::channel` was tried on paper for cut streams: http-body-util ends such a body as whole, so the engine sends an error as its last frame.

--- a/crates/lilaccrank-lab/src/main.rs
+++ b/crates/lilaccrank-lab/src/main.rs
@@ -1,2 +1,39 @@
-//! x
-fn main() {}
+//! The lab's command line: stand-ins for what surrounds lilaccrank, one process each.
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use lilaccrank_lab::{engine, platform, stand_in};
+
+/// Stand-ins, load and experiments for lilaccrank; not shipped.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// A model engine with continuous batching.
+    Engine(engine::Args),
+    /// The platform: object store and list of vms.
+    Platform(platform::Args),
+}
+
+fn run(command: Command) -> stand_in::Result<()> {
+    match command {
+        Command::Engine(args) => engine::run(args),
+        Command::Platform(args) => platform::run(args),
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Cli::parse().command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("lilaccrank-lab: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
