--- /dev/null
+++ b/crates/lilaccrank-lab/src/cluster.rs
@@ -0,0 +1,312 @@
+//! A cluster of processes on loopback: platform, targets and daemons.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use lilaccrank::document::{Document, Target};
+use lilaccrank::store::{Expect, Store};
+use lilaccrank_http::body;
+use lilaccrank_http::client::{Client, Limits};
+use lilaccrank_http::store_client::StoreClient;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use crate::layout::{DataCentreLayout, EngineLayout, Layout, MODEL};
+use crate::ports;
+use crate::process::Process;
+use crate::stand_in::Result;
+
+/// Key of the thin form's configuration.
+const CONFIGURATION: &str = "configuration/thin";
+/// Time for all daemons to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// One daemon of the cluster.
+pub struct Daemon {
+    /// Operators' address.
+    pub admin: SocketAddr,
+    /// Callers' address.
+    pub callers: SocketAddr,
+    /// Where it runs.
+    pub data_centre: String,
+    /// Its process.
+    pub process: Process,
+    /// File of its settings.
+    settings: PathBuf,
+    /// Its vm.
+    pub vm: String,
+}
+
+/// A running cluster; dropping it kills its processes.
+pub struct Cluster {
+    /// For requests of the lab itself.
+    pub client: Client,
+    /// Daemons.
+    pub daemons: Vec<Daemon>,
+    /// The configuration that was published first.
+    pub document: Document,
+    /// Engines, by target.
+    pub engines: IndexMap<String, Process>,
+    folder: TempDir,
+    /// What it was built from.
+    pub layout: Layout,
+    /// The platform.
+    pub platform: Process,
+    /// Plain services, by target.
+    pub services: IndexMap<String, Process>,
+}
+
+struct Addresses {
+    admin: SocketAddr,
+    callers: SocketAddr,
+    gossip: SocketAddr,
+    peer: SocketAddr,
+    vm: String,
+}
+
+impl Cluster {
+    /// Starts everything, publishes the configuration and waits until all daemons are ready.
+    ///
+    /// # Errors
+    ///
+    /// If a process can't be started or does not get ready.
+    pub async fn start(layout: Layout) -> Result<Self> {
+        let folder = TempDir::new()?;
+        let platform = Process::stand_in(&["platform".to_owned()])?;
+        let mut engines = IndexMap::new();
+        let mut engine_targets = Vec::new();
+        let mut services = IndexMap::new();
+        let mut service_targets = Vec::new();
+        for data_centre in &layout.data_centres {
+            for (i, engine) in data_centre.engines.iter().enumerate() {
+                let process = Process::stand_in(&engine_args(engine, i))?;
+                let id = format!("{}-engine-{i}", data_centre.name);
+                engine_targets.push(target(&id, data_centre, &process, engine.slots));
+                engines.insert(id, process);
+            }
+            for i in 0..data_centre.services {
+                let process = Process::stand_in(&["service".to_owned()])?;
+                let id = format!("{}-service-{i}", data_centre.name);
+                service_targets.push(target(&id, data_centre, &process, 16));
+                services.insert(id, process);
+            }
+        }
+        let document = layout.document(engine_targets, service_targets);
+        let mut cluster = Self {
+            client: Client::default(),
+            daemons: Vec::new(),
+            document,
+            engines,
+            folder,
+            layout,
+            platform,
+            services,
+        };
+        cluster.publish_first().await?;
+        cluster.start_daemons()?;
+        cluster.ready().await?;
+        Ok(cluster)
+    }
+
+    async fn publish_first(&self) -> Result<()> {
+        let store = StoreClient::new(self.platform.address.clone());
+        let value = serde_json::to_vec(&self.document)?;
+        let put = store.put(CONFIGURATION, value.into(), Expect::Any).await;
+        put.map(|_| ()).map_err(std::io::Error::other)
+    }
+
+    fn start_daemons(&mut self) -> Result<()> {
+        let mut addresses: IndexMap<String, Vec<Addresses>> = IndexMap::new();
+        for data_centre in &self.layout.data_centres {
+            let list = (0..data_centre.daemons).map(|i| Addresses {
+                admin: ports::free(),
+                callers: ports::free(),
+                gossip: ports::free(),
+                peer: ports::free(),
+                vm: format!("{}-{i}", data_centre.name),
+            });
+            addresses.insert(data_centre.name.clone(), list.collect());
+        }
+        for (data_centre, list) in &addresses {
+            for own in list {
+                let cfg = self.settings(data_centre, own, &addresses);
+                let settings = self.folder.path().join(format!("{}.json", own.vm));
+                std::fs::write(&settings, cfg.to_string())?;
+                let log = self.folder.path().join(format!("{}.log", own.vm));
+                let process = Process::daemon(&settings, &log, own.callers.to_string())?;
+                self.daemons.push(Daemon {
+                    admin: own.admin,
+                    callers: own.callers,
+                    data_centre: data_centre.clone(),
+                    process,
+                    settings,
+                    vm: own.vm.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn settings(
+        &self,
+        data_centre: &str,
+        own: &Addresses,
+        all: &IndexMap<String, Vec<Addresses>>,
+    ) -> Value {
+        let seeds: Vec<_> = all[data_centre].iter().map(|a| a.gossip).collect();
+        let others: IndexMap<_, Vec<_>> = all
+            .iter()
+            .filter(|(name, _)| *name != data_centre)
+            .map(|(name, list)| (name, list.iter().map(|a| a.callers).collect()))
+            .collect();
+        let mut cfg = json!({
+            "admin": own.admin,
+            "callers": own.callers,
+            "data_centre": data_centre,
+            "gossip": own.gossip,
+            "other_data_centres": others,
+            "peer": own.peer,
+            "platform": self.platform.address,
+            "seeds": seeds,
+            "vm": own.vm,
+        });
+        for (name, value) in &self.layout.settings {
+            cfg[name] = value.clone();
+        }
+        cfg
+    }
+
+    /// Starts a daemon that has ended again, as a replaced vm with the same addresses.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be started.
+    pub fn restart(&mut self, at: usize) -> Result<()> {
+        let log = self
+            .folder
+            .path()
+            .join(format!("{}.log", self.daemons[at].vm));
+        let daemon = &mut self.daemons[at];
+        let address = daemon.callers.to_string();
+        daemon.process = Process::daemon(&daemon.settings, &log, address)?;
+        Ok(())
+    }
+
+    /// The log of a daemon so far.
+    #[must_use]
+    pub fn log(&self, vm: &str) -> String {
+        let path = self.folder.path().join(format!("{vm}.log"));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
+    /// Waits until every daemon is ready.
+    ///
+    /// # Errors
+    ///
+    /// If one is not ready in time.
+    pub async fn ready(&self) -> Result<()> {
+        let until = Instant::now() + READY_TIMEOUT;
+        for daemon in &self.daemons {
+            let address = daemon.admin.to_string();
+            while !matches!(self.get(&address, "/readyz").await, Ok((200, _))) {
+                if Instant::now() > until {
+                    let why = format!("{} is not ready:\n{}", daemon.vm, self.log(&daemon.vm));
+                    return Err(std::io::Error::other(why));
+                }
+                monoio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads a resource as the operator; status and body.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer.
+    pub async fn get(&self, address: &str, path: &str) -> Result<(u16, String)> {
+        self.exchange(address, hyper::Method::GET, path, String::new())
+            .await
+    }
+
+    /// Posts JSON, such as a fault to a stand-in's `/control`.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer.
+    pub async fn post(&self, address: &str, path: &str, json: &Value) -> Result<(u16, String)> {
+        self.exchange(address, hyper::Method::POST, path, json.to_string())
+            .await
+    }
+
+    async fn exchange(
+        &self,
+        address: &str,
+        method: hyper::Method,
+        path: &str,
+        text: String,
+    ) -> Result<(u16, String)> {
+        let mut req = hyper::Request::new(body::full(text));
+        *req.method_mut() = method;
+        *req.uri_mut() = path.parse().unwrap_or_default();
+        let bearer = format!("Bearer {}", Layout::operator_key());
+        let headers = req.headers_mut();
+        headers.insert(
+            hyper::header::HOST,
+            hyper::header::HeaderValue::from_static("lab"),
+        );
+        if let Ok(bearer) = bearer.parse() {
+            headers.insert(hyper::header::AUTHORIZATION, bearer);
+        }
+        let limits = Limits {
+            connect: Duration::from_secs(1),
+            fresh: true,
+            head: Duration::from_secs(10),
+        };
+        let sent = self.client.send(address, req, limits).await;
+        let (res, _connection) = sent.map_err(std::io::Error::other)?;
+        let status = res.status().as_u16();
+        let bytes = body::read(res.into_body(), 64 << 20).await;
+        let bytes = bytes.map_err(std::io::Error::other)?;
+        Ok((status, String::from_utf8_lossy(&bytes).into_owned()))
+    }
+
+    /// What a target says it began: the judge of "at most once".
+    ///
+    /// # Errors
+    ///
+    /// If it does not answer.
+    pub async fn begun(&self, address: &str) -> Result<Vec<Value>> {
+        let (_, text) = self.get(address, "/log").await?;
+        Ok(serde_json::from_str(&text)?)
+    }
+}
+
+fn target(id: &str, data_centre: &DataCentreLayout, process: &Process, slots: u32) -> Target {
+    Target {
+        address: process.address.clone(),
+        data_centre: data_centre.name.clone(),
+        id: id.to_owned(),
+        slots,
+        ..Target::default()
+    }
+}
+
+fn engine_args(engine: &EngineLayout, seed: usize) -> Vec<String> {
+    let mut args = vec!["engine".to_owned()];
+    let mut add = |name: &str, value: String| args.extend([format!("--{name}"), value]);
+    add("cache-blocks", engine.cache_blocks.to_string());
+    add("model", MODEL.to_owned());
+    add(
+        "prefill-tokens-per-s",
+        engine.prefill_tokens_per_s.to_string(),
+    );
+    add("report-lag-ms", engine.report_lag_ms.to_string());
+    add("seed", seed.to_string());
+    add("slots", engine.slots.to_string());
+    add("speed", engine.speed.to_string());
+    add("step-ms", engine.step_ms.to_string());
+    args
+}
--- a/crates/lilaccrank-lab/src/main.rs
+++ b/crates/lilaccrank-lab/src/main.rs
@@ -1,2 +1,47 @@
-//! x
-fn main() {}
+//! The lab's command line: stand-ins for what surrounds lilaccrank, one process each, and
+//! clusters made of them.
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use lilaccrank_http::runtime;
+use lilaccrank_lab::{demo, engine, platform, stand_in, up};
+
+/// Stand-ins, load and experiments for lilaccrank; not shipped.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// An hourly burst through a whole cluster, judged by callers and engines.
+    Demo(demo::Args),
+    /// A model engine with continuous batching.
+    Engine(engine::Args),
+    /// The platform: object store and list of vms.
+    Platform(platform::Args),
+    /// A cluster left running until SIGINT.
+    Up(up::Args),
+}
+
+fn run(command: Command) -> stand_in::Result<()> {
+    match command {
+        Command::Demo(args) => runtime::block_on(demo::run(args))?,
+        Command::Engine(args) => engine::run(args),
+        Command::Platform(args) => platform::run(args),
+        Command::Up(args) => runtime::block_on(up::run(args))?,
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Cli::parse().command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("lilaccrank-lab: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/lilaccrank-lab/src/process.rs
+++ b/crates/lilaccrank-lab/src/process.rs
@@ -6,7 +6,7 @@
 
 use serde::Deserialize;
 
-use crate::stand_in::{Error, Result};
+use crate::stand_in::Result;
 
 /// A child that ends with this value.
 pub struct Process {
@@ -74,7 +74,12 @@
             .arg(settings)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(std::fs::File::options().create(true).append(true).open(log)?)
+            .stderr(
+                std::fs::File::options()
+                    .create(true)
+                    .append(true)
+                    .open(log)?,
+            )
             .spawn()?;
         Ok(Self {
             address,
@@ -107,6 +112,6 @@
     }
 }
 
-fn broken() -> Error {
-    Error::from(std::io::Error::other("a stand-in ended at its start"))
+fn broken() -> std::io::Error {
+    std::io::Error::other("a stand-in ended at its start")
 }
