Dispatcher of a pool: queue, estimates, affinity, limits, shedding

Cause: a pool needs one queue in tier order; several queues can't tell whether lower-tier work is kept elsewhere while a higher tier is shed. Ruled out: a queue per target (work queued at a target is lost to priority) and a queue per entry daemon (no order over entries).

--- /dev/null
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -0,0 +1,210 @@
+//! Which targets are open to an ask, and which of them is best.
+
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use super::affinity::Affinity;
+use super::health;
+use super::queue::Lane;
+use super::target::Target;
+use super::work::Work;
+use crate::ids::{TargetId, Tier};
+
+/// Part of the slots (one in so many) that only urgent tiers may take.
+pub const HEADROOM: u32 = 8;
+/// Targets with the least load that are looked at closely.
+const CLOSE: usize = 8;
+/// Holders of the prefix that are looked at closely.
+const HOLDERS: usize = 16;
+/// Prefill tokens outstanding at a target beyond which it gets no more.
+pub const PREFILL_LIMIT: u64 = 8192;
+/// Prompts longer than this are long; a silent target is tried by a shorter one.
+pub const LONG_PROMPT: u64 = 2048;
+/// Part of the expected answer that a request is judged by when it is refused for its deadline.
+const OPTIMISM: f64 = 0.5;
+/// Tiers from 0 on that may use the headroom.
+const URGENT_TIERS: Tier = 1;
+
+/// What the choice needs to know of an ask.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Tokens in one block of the prefix.
+    pub block_tokens: u32,
+    /// Targets that are out of the question.
+    pub exclusions: &'a [TargetId],
+    /// Kind of room that is needed.
+    pub lane: Lane,
+    /// Digests of the prompt.
+    pub prefix: &'a [u64],
+    /// Tier of the ask.
+    pub tier: Tier,
+    /// Expected length.
+    pub work: Work,
+}
+
+/// A chosen target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Earliest time to the whole answer, in seconds.
+    pub earliest: f64,
+    /// Tokens of prefill left after what the cache is believed to save.
+    pub prefill: u64,
+    /// The target.
+    pub target: TargetId,
+}
+
+/// Room in a pool at one moment, so that a blocked kind of ask is found out once.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Room {
+    /// Targets with a long prefill outstanding.
+    long: usize,
+    /// Targets that may get new work.
+    live: usize,
+    /// Slots of these targets.
+    slots: u32,
+    /// Slots that are taken.
+    taken: u32,
+    /// Live targets that are well.
+    well: usize,
+}
+
+impl Room {
+    /// Looks at all targets.
+    #[must_use]
+    pub fn of(targets: &IndexMap<TargetId, Target>, now: Instant) -> Self {
+        let live = targets.values().filter(|target| target.live);
+        live.fold(Self::default(), |room, target| Self {
+            long: room.long + usize::from(target.long > 0),
+            live: room.live + 1,
+            slots: room.slots + target.slots_now(now),
+            taken: room.taken + target.estimate.batch(now),
+            well: room.well + usize::from(target.health.state() == health::State::Well),
+        })
+    }
+
+    /// Whether the pool as a whole has room for this tier and lane. Work that isn't urgent
+    /// leaves a part of all slots, and a part of the targets free of long prompts: prefill
+    /// can't be interrupted, and with one on each target an urgent ping waits for seconds.
+    #[must_use]
+    pub fn admits(self, tier: Tier, lane: Lane, prefill: u64) -> bool {
+        if is_urgent(tier) {
+            return true;
+        }
+        let headroom = match self.slots {
+            0 | 1 => 0,
+            slots => slots.div_ceil(HEADROOM),
+        };
+        let lanes = (self.live - self.live / 4).max(1);
+        let long = lane == Lane::Long || prefill > LONG_PROMPT;
+        self.taken + headroom < self.slots && (!long || self.long < lanes)
+    }
+}
+
+/// Whether a target is open to an ask of this tier. Doesn't look at the ask's own length, else
+/// a long request would wait for ever behind short ones that still fit.
+#[must_use]
+pub fn is_open(target: &Target, wanted: &Wanted<'_>, room: Room, now: Instant) -> bool {
+    let urgent = is_urgent(wanted.tier);
+    let slots = target.slots_now(now);
+    let kept = if urgent { 0 } else { slots / HEADROOM };
+    let healthy = match target.health.state() {
+        health::State::Hung => {
+            // Urgent work doesn't go on a trial unless there is nothing better.
+            let small = wanted.work.prefill <= LONG_PROMPT;
+            target.health.wants_trial(now) && small && (!urgent || room.well == 0)
+        }
+        health::State::Trial => false,
+        health::State::Well => true,
+    };
+    target.live
+        && healthy
+        && target.estimate.batch(now) + kept < slots
+        && target.estimate.outstanding().prefill < PREFILL_LIMIT
+        && !wanted.exclusions.contains(&target.id)
+}
+
+/// Whether a tier may use the headroom.
+#[must_use]
+pub fn is_urgent(tier: Tier) -> bool {
+    tier < URGENT_TIERS
+}
+
+/// Whether any target is open to an ask.
+#[must_use]
+pub fn any_open(
+    targets: &IndexMap<TargetId, Target>,
+    wanted: &Wanted<'_>,
+    room: Room,
+    now: Instant,
+) -> bool {
+    room.admits(wanted.tier, wanted.lane, wanted.work.prefill)
+        && targets.values().any(|t| is_open(t, wanted, room, now))
+}
+
+/// The open target with the least expected time to the whole answer.
+///
+/// The least loaded and those that hold the prefix are compared closely. A holder wins only if
+/// the prefill it saves is longer than the wait for what is already there.
+#[must_use]
+pub fn choose(
+    targets: &IndexMap<TargetId, Target>,
+    affinity: &Affinity,
+    wanted: &Wanted<'_>,
+    room: Room,
+    now: Instant,
+) -> Option<Choice> {
+    if !room.admits(wanted.tier, wanted.lane, wanted.work.prefill) {
+        return None;
+    }
+    let mut close: Vec<(f64, &Target)> = Vec::with_capacity(CLOSE + 1);
+    for target in targets.values() {
+        if !is_open(target, wanted, room, now) {
+            continue;
+        }
+        let cost = expected(target, wanted, 0, now);
+        let at = close.partition_point(|(other, _)| *other <= cost);
+        if at < CLOSE {
+            close.insert(at, (cost, target));
+            close.truncate(CLOSE);
+        }
+    }
+    let holders = affinity.holders(wanted.prefix, HOLDERS);
+    let holders = holders.into_iter().filter_map(|id| targets.get(id));
+    let holders = holders.filter(|target| is_open(target, wanted, room, now));
+    let candidates = close.iter().map(|(_, target)| *target).chain(holders);
+    let choices = candidates.map(|target| {
+        let blocks = affinity.held(&target.id, wanted.prefix) as u64;
+        let saved = (blocks * u64::from(wanted.block_tokens)).min(wanted.work.prefill);
+        let expected = expected(target, wanted, saved, now);
+        (expected, saved, target)
+    });
+    let (_, saved, target) = choices.min_by(|a, b| a.0.total_cmp(&b.0))?;
+    Some(Choice {
+        earliest: earliest(target, wanted, saved, now),
+        prefill: wanted.work.prefill - saved,
+        target: target.id.clone(),
+    })
+}
+
+/// Earliest time to the whole answer in seconds; a request is refused by it, so it is taken
+/// from the good side: the answer may be shorter than others were.
+#[must_use]
+pub fn earliest(target: &Target, wanted: &Wanted<'_>, saved: u64, now: Instant) -> f64 {
+    let estimate = &target.estimate;
+    let decode = wanted.work.decode as f64 * OPTIMISM;
+    let prefill = (wanted.work.prefill - saved) as f64 / estimate.prefill_rate(now);
+    prefill + decode * estimate.step(1, now)
+}
+
+/// Expected time to the whole answer in seconds. Prefill counts once more for the part of the
+/// batch that it holds up.
+fn expected(target: &Target, wanted: &Wanted<'_>, saved: u64, now: Instant) -> f64 {
+    let estimate = &target.estimate;
+    let batch = estimate.batch(now) + 1;
+    let held_up = f64::from(batch - 1) / f64::from(target.slots.max(1));
+    let own = (wanted.work.prefill - saved) as f64;
+    let before = estimate.outstanding().prefill as f64;
+    let prefill = (before + own * (1.0 + held_up)) / estimate.prefill_rate(now);
+    prefill + wanted.work.decode as f64 * estimate.step(batch, now)
+}
--- /dev/null
+++ b/crates/lilaccrank/src/dispatch/estimate.rs
@@ -0,0 +1,160 @@
+//! What is known of one target: what we sent it, and what it answered.
+//!
+//! Our own grants count at once, so that a burst doesn't run to the target that looked idle. The
+//! target's own report lags and is used only for load that isn't ours.
+
+use std::time::{Duration, Instant};
+
+use super::message::LoadReport;
+use super::steps::Steps;
+use super::work::Work;
+
+/// Prefill rate assumed of a target that was never seen, in tokens a second.
+const ASSUMED_PREFILL_RATE: f64 = 8000.0;
+/// Slowest prefill rate that is believed.
+const SLOWEST_PREFILL_RATE: f64 = 10.0;
+/// Weight of a new sample in the prefill rate.
+const PREFILL_GAIN: f64 = 0.2;
+/// Shorter prefills are mostly step time and tell nothing of the rate.
+const PREFILL_SAMPLE: u64 = 128;
+/// Weight of a new report in the load that isn't ours.
+const FOREIGN_GAIN: f64 = 0.5;
+/// A report is forgotten after this time.
+const REPORT_LIFE: Duration = Duration::from_secs(10);
+/// Lag of reports that is allowed for: a request that ended this long ago may be in one.
+const REPORT_LAG: Duration = Duration::from_secs(3);
+/// Times longer than expected that a target may be silent.
+const PATIENCE: f64 = 4.0;
+/// Steps that a target may be silent.
+const SILENT_STEPS: f64 = 50.0;
+
+/// Load and speed of one target.
+#[derive(Clone, Debug)]
+pub struct Estimate {
+    foreign: f64,
+    outstanding: Work,
+    peak: u32,
+    peak_at: Instant,
+    prefill_rate: f64,
+    reported: Instant,
+    running: u32,
+    steps: Steps,
+}
+
+impl Estimate {
+    /// A target that was never seen.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            foreign: 0.0,
+            outstanding: Work::default(),
+            peak: 0,
+            peak_at: now,
+            prefill_rate: ASSUMED_PREFILL_RATE,
+            reported: now,
+            running: 0,
+            steps: Steps::new(now),
+        }
+    }
+
+    /// A request was granted.
+    pub fn granted(&mut self, work: Work, now: Instant) {
+        self.outstanding += work;
+        self.running += 1;
+        self.note_peak(now);
+    }
+
+    /// The first token came: its prefill is done. `before` was outstanding when it was granted,
+    /// its own included.
+    pub fn first_token(&mut self, prefill: u64, before: u64, after: Duration) {
+        self.outstanding -= Work { decode: 0, prefill };
+        if before >= PREFILL_SAMPLE && !after.is_zero() {
+            let sample = before as f64 / after.as_secs_f64();
+            let rate = self.prefill_rate + PREFILL_GAIN * (sample - self.prefill_rate);
+            self.prefill_rate = rate.max(SLOWEST_PREFILL_RATE);
+        }
+    }
+
+    /// Tokens came.
+    pub fn progress(&mut self, decode: u64, step: Duration, now: Instant) {
+        self.outstanding -= Work { decode, prefill: 0 };
+        self.steps.observe(self.batch(now), step, now);
+    }
+
+    /// A request has ended; `left` is what of it still counted as outstanding.
+    pub fn ended(&mut self, left: Work, now: Instant) {
+        self.note_peak(now);
+        self.outstanding -= left;
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Takes in the target's report. Only what exceeds the most that we had running in the time
+    /// the report may stem from is load that isn't ours: taken as a whole, a late report would
+    /// count our own requests twice, or hide those just sent.
+    pub fn reported(&mut self, report: LoadReport, now: Instant) {
+        self.note_peak(now);
+        let excess = (report.running + report.waiting).saturating_sub(self.peak);
+        let foreign = self.foreign(now);
+        self.foreign = foreign + FOREIGN_GAIN * (f64::from(excess) - foreign);
+        self.reported = now;
+    }
+
+    /// Requests of ours that run there.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Requests in the target's batch and queue.
+    #[must_use]
+    pub fn batch(&self, now: Instant) -> u32 {
+        self.running + self.foreign(now) as u32
+    }
+
+    /// Tokens sent and not seen done.
+    #[must_use]
+    pub fn outstanding(&self) -> Work {
+        self.outstanding
+    }
+
+    /// Tokens of prefill in a second.
+    #[must_use]
+    pub fn prefill_rate(&self, now: Instant) -> f64 {
+        self.prefill_rate / self.slowness(now)
+    }
+
+    /// See [`Steps::slowness`].
+    #[must_use]
+    pub fn slowness(&self, now: Instant) -> f64 {
+        self.steps.slowness(now)
+    }
+
+    /// Expected step time at a batch, in seconds.
+    #[must_use]
+    pub fn step(&self, batch: u32, now: Instant) -> f64 {
+        self.steps.expected(batch, now)
+    }
+
+    /// Longest silence that still fits what was sent.
+    #[must_use]
+    pub fn longest_silence(&self, now: Instant) -> Duration {
+        let prefill = self.outstanding.prefill as f64 / self.prefill_rate(now);
+        let steps = self.step(self.batch(now), now) * SILENT_STEPS;
+        Duration::try_from_secs_f64(prefill * PATIENCE + steps).unwrap_or(Duration::MAX)
+    }
+
+    fn foreign(&self, now: Instant) -> f64 {
+        match now.saturating_duration_since(self.reported) < REPORT_LIFE {
+            true => self.foreign,
+            false => 0.0,
+        }
+    }
+
+    fn note_peak(&mut self, now: Instant) {
+        let old = now.saturating_duration_since(self.peak_at) > REPORT_LAG;
+        if self.running >= self.peak || old {
+            self.peak = self.running;
+            self.peak_at = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -0,0 +1,178 @@
+//! Grants: which ask goes next, and where.
+
+use std::time::{Duration, Instant};
+
+use super::choice::{self, Choice, Room};
+use super::message::Entry;
+use super::queue::Lane;
+use super::state::{Reservation, State, Waiting, work};
+use super::work::Work;
+use crate::error_kind::ErrorKind;
+use crate::ids::{RequestId, Tier};
+
+/// Asks with exclusions that are tried before the next lane has its turn.
+const EXCLUDING_SCAN: usize = 32;
+/// A grant lapses if nothing is heard of it for this long: the entry is gone or never had it.
+/// It may still be used; the target then has one request more than counted, and no request
+/// runs twice, since the entry owns that decision.
+const GRANT_LIFE: Duration = Duration::from_secs(10);
+
+/// Which kinds of asks have an open target, found out once for each kind.
+#[derive(Default)]
+struct Open {
+    found: [[Option<bool>; Lane::ALL.len()]; 2],
+}
+
+impl State {
+    /// Grants in order until no waiting ask finds an open target.
+    pub(super) fn dispatch(&mut self, now: Instant) {
+        if self.handover.is_some() {
+            return;
+        }
+        self.expire(now);
+        while !self.queue.is_empty() {
+            let room = Room::of(&self.targets, now);
+            let Some(request) = self.next(room, now) else {
+                return;
+            };
+            let ask = &self.waiting[&request].ask;
+            let wanted = self.wanted(ask);
+            let choice = choice::choose(&self.targets, &self.affinity, &wanted, room, now);
+            let Some(choice) = choice else {
+                return;
+            };
+            self.settle(&request, choice, now);
+        }
+    }
+
+    /// Releases grants of which nothing was heard.
+    pub(super) fn lapse(&mut self, now: Instant) {
+        let lapsed = self.reservations.iter().filter(|(_, held)| {
+            !held.began && now.saturating_duration_since(held.granted) > GRANT_LIFE
+        });
+        let lapsed: Vec<RequestId> = lapsed.map(|(request, _)| request.clone()).collect();
+        for request in lapsed {
+            self.release(&request, now);
+        }
+    }
+
+    /// Looks for targets that went silent.
+    pub(super) fn check_health(&mut self, now: Instant) {
+        for target in self.targets.values_mut() {
+            if target.estimate.running() > 0 {
+                let longest = target.estimate.longest_silence(now);
+                let longest = longest.max(self.cfg.silence_floor);
+                target.health.check(longest, now);
+            }
+        }
+    }
+
+    /// Ends a reservation and returns its target's room.
+    pub(super) fn release(&mut self, request: &str, now: Instant) -> Option<Reservation> {
+        let held = self.reservations.swap_remove(request)?;
+        if let Some(counted) = &held.counted {
+            self.limits.release(counted);
+        }
+        if let Some(target) = self.targets.get_mut(&held.target) {
+            target.estimate.ended(held.left, now);
+            target.long -= u32::from(held.long);
+            if held.trial {
+                target.health.trial_over(now);
+            }
+        }
+        self.drop_left_targets();
+        Some(held)
+    }
+
+    /// Puts a request on a target.
+    pub(super) fn reserve(&mut self, waiting: &Waiting, choice: &Choice, now: Instant) {
+        let ask = &waiting.ask;
+        let Some(target) = self.targets.get_mut(&choice.target) else {
+            return;
+        };
+        let left = Work {
+            decode: u64::from(ask.max_tokens),
+            prefill: choice.prefill,
+        };
+        let long = choice.prefill > choice::LONG_PROMPT;
+        let trial = target.health.granted(target.estimate.running() == 0, now);
+        target.estimate.granted(left, now);
+        target.long += u32::from(long);
+        let held = Reservation {
+            ask: ask.ask,
+            began: false,
+            before: target.estimate.outstanding().prefill,
+            counted: waiting.counted.clone(),
+            entry: Entry {
+                incarnation: ask.entry_incarnation,
+                vm: ask.entry.clone(),
+            },
+            granted: now,
+            left,
+            long,
+            max_tokens: ask.max_tokens,
+            target: choice.target.clone(),
+            tokens: work(ask).tokens(),
+            trial,
+        };
+        self.affinity.sent(&choice.target, &ask.prefix);
+        self.reservations.insert(ask.request.clone(), held);
+    }
+
+    /// Grants the ask, or refuses it if even the best target is too slow for its deadline.
+    fn settle(&mut self, request: &RequestId, choice: Choice, now: Instant) {
+        let deadline = self.waiting[request].deadline;
+        let left = deadline.map(|deadline| deadline.saturating_duration_since(now));
+        if left.is_some_and(|left| choice.earliest > left.as_secs_f64()) {
+            let retry = self.drain.retry_after(0, now);
+            self.refuse(request, ErrorKind::DeadlineUnmeetable, Some(retry));
+            return;
+        }
+        self.queue.grant(request);
+        let Some(waiting) = self.waiting.swap_remove(request) else {
+            return;
+        };
+        self.reserve(&waiting, &choice, now);
+        let verdict = self.granted(request, waiting.ask.ask);
+        if let Some(waiter) = waiting.waiter {
+            // If the call has just ended, its guard gives the grant back.
+            let _ = waiter.tx.send(verdict);
+        }
+    }
+
+    /// The first ask in order that finds an open target.
+    fn next(&self, room: Room, now: Instant) -> Option<RequestId> {
+        let mut open = Open::default();
+        self.queue.tiers().find_map(|tier| {
+            let lanes = Lane::ALL.into_iter();
+            let firsts = lanes.filter_map(|lane| match lane {
+                Lane::Excluding => {
+                    let mut heads = self.queue.heads(tier, lane).take(EXCLUDING_SCAN);
+                    heads.find(|place| self.is_open(&place.request, room, now))
+                }
+                Lane::Long | Lane::Short => {
+                    let place = self.queue.heads(tier, lane).next()?;
+                    let found = open.slot(tier, lane);
+                    let is_open =
+                        *found.get_or_insert_with(|| self.is_open(&place.request, room, now));
+                    is_open.then_some(place)
+                }
+            });
+            firsts.min().map(|place| place.request.clone())
+        })
+    }
+
+    fn is_open(&self, request: &str, room: Room, now: Instant) -> bool {
+        let Some(waiting) = self.waiting.get(request) else {
+            return false;
+        };
+        let wanted = self.wanted(&waiting.ask);
+        choice::any_open(&self.targets, &wanted, room, now)
+    }
+}
+
+impl Open {
+    fn slot(&mut self, tier: Tier, lane: Lane) -> &mut Option<bool> {
+        &mut self.found[usize::from(choice::is_urgent(tier))][lane as usize]
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank/src/dispatch/message.rs
@@ -0,0 +1,198 @@
+//! Messages between entry daemons and the dispatcher of a pool.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::document::Limit;
+use crate::error_kind::ErrorKind;
+use crate::ids::{CustomerId, Incarnation, RequestId, RuleId, TargetId, Tier, VmId};
+
+/// Counts the asks for one request; a grant of an earlier ask is void.
+pub type AskNumber = u64;
+
+/// Asks for a target for one request.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Ask {
+    /// Which ask for this request it is.
+    pub ask: AskNumber,
+    /// Whose request it is.
+    pub customer: CustomerId,
+    /// Time left until the whole answer is due.
+    pub deadline: Option<Duration>,
+    /// Daemon that owns the request.
+    pub entry: VmId,
+    /// Life of that daemon.
+    pub entry_incarnation: Incarnation,
+    /// Targets that must not be granted, since they failed this request before.
+    pub exclusions: Vec<TargetId>,
+    /// Limits of the rule that matched.
+    pub limit: Option<Limit>,
+    /// Most tokens to generate.
+    pub max_tokens: u32,
+    /// Chain of digests over the blocks of the prompt, see [`super::affinity::digests`].
+    pub prefix: Vec<u64>,
+    /// Length of the prompt in tokens.
+    pub prompt_tokens: u32,
+    /// The request.
+    pub request: RequestId,
+    /// Rule that matched.
+    pub rule: RuleId,
+    /// Tier of the request.
+    pub tier: Tier,
+    /// Longest time in the queue.
+    pub wait_at_most: Option<Duration>,
+    /// Share of the customer among those of its tier; 0 counts as 1.
+    pub weight: u32,
+}
+
+/// Answer to an [`Ask`].
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Verdict {
+    /// The request may be sent, once, to this target.
+    Grant(Grant),
+    /// The request is not to be sent.
+    Refuse(Refuse),
+}
+
+/// Leave to send one request to one target.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Grant {
+    /// The ask that is answered; void if the entry has asked again since.
+    pub ask: AskNumber,
+    /// Vm of the dispatcher; void if another dispatcher was asked since.
+    pub dispatcher: VmId,
+    /// Life of the dispatcher.
+    pub dispatcher_incarnation: Incarnation,
+    /// The request.
+    pub request: RequestId,
+    /// Where to send it.
+    pub target: TargetId,
+}
+
+/// Refusal of one ask; the request was not run for it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Refuse {
+    /// The ask that is answered.
+    pub ask: AskNumber,
+    /// The reason.
+    pub kind: ErrorKind,
+    /// The request.
+    pub request: RequestId,
+    /// When another try makes sense.
+    pub retry_after: Option<Duration>,
+}
+
+/// What an entry daemon saw of a granted request.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Report {
+    /// The ask that was granted.
+    pub ask: AskNumber,
+    /// What happened.
+    pub kind: ReportKind,
+    /// The request.
+    pub request: RequestId,
+    /// Where it runs.
+    pub target: TargetId,
+}
+
+/// What happened to a granted request.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub enum ReportKind {
+    /// It was sent to the target.
+    Began,
+    /// It has ended, whole or not.
+    Ended {
+        /// Tokens generated.
+        decoded: u32,
+        /// How it ended.
+        outcome: Outcome,
+        /// Tokens of prefill that the target computed, if it said so.
+        prefill: Option<u32>,
+    },
+    /// The first token came.
+    FirstToken {
+        /// Time since it was sent.
+        after: Duration,
+    },
+    /// More tokens came.
+    Progress {
+        /// Mean time between these tokens.
+        step: Duration,
+        /// Tokens since the last report.
+        tokens: u32,
+    },
+}
+
+/// How a granted request ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Outcome {
+    /// The caller went away.
+    Cancelled,
+    /// The answer is whole.
+    Complete,
+    /// The target failed it.
+    Failed,
+    /// The grant was not used.
+    Unused,
+}
+
+/// Takes back an ask, also one that is already granted.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Cancel {
+    /// The last ask that is taken back.
+    pub ask: AskNumber,
+    /// The request.
+    pub request: RequestId,
+}
+
+/// One life of an entry daemon.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Entry {
+    /// Life of the daemon.
+    pub incarnation: Incarnation,
+    /// Its vm.
+    pub vm: VmId,
+}
+
+/// A request that runs on a target, as its entry tells a new dispatcher.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Running {
+    /// The ask that was granted, with the lengths of the request.
+    pub ask: Ask,
+    /// Tokens generated so far; `None` before the first.
+    pub decoded: Option<u32>,
+    /// Where it runs.
+    pub target: TargetId,
+}
+
+/// All that one entry daemon has with this pool; replaces what was known of it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Resync {
+    /// Who tells.
+    pub entry: Entry,
+    /// Requests that run.
+    pub running: Vec<Running>,
+    /// Asks without a verdict.
+    pub waiting: Vec<Ask>,
+}
+
+/// A target's own report of its load, which lags.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// Requests in its batch.
+    pub running: u32,
+    /// Requests in its own queue.
+    pub waiting: u32,
+}
+
+/// A change in a target's prefix cache.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CacheEvent {
+    /// Everything was dropped.
+    Cleared,
+    /// The block with this digest was dropped.
+    Evicted(u64),
+    /// The block with this digest is held.
+    Stored(u64),
+}
--- /dev/null
+++ b/crates/lilaccrank/src/dispatch/queue.rs
@@ -0,0 +1,170 @@
+//! The queue of a pool: tiers in order, and inside a tier customers in fair order.
+//!
+//! Inside a tier the customer with the least virtual time goes first; a grant moves its virtual
+//! time on by the request's tokens over the customer's weight. Work is counted in tokens because
+//! lengths differ a hundredfold: counted in requests, a customer with long ones takes nearly all.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use super::fair::{FairQueue, Place};
+use super::work::Work;
+use crate::ids::{CustomerId, RequestId, Tier};
+
+/// Kinds of asks that wait for different room, so that one kind doesn't block another.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Lane {
+    /// Some targets are excluded.
+    Excluding,
+    /// The prompt is long.
+    Long,
+    /// All others.
+    Short,
+}
+
+impl Lane {
+    /// Every lane.
+    pub const ALL: [Self; 3] = [Self::Excluding, Self::Long, Self::Short];
+}
+
+/// What the queue knows of a waiting ask.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Item {
+    /// Whose request it is.
+    pub customer: CustomerId,
+    /// Where it waits.
+    pub lane: Lane,
+    /// The request.
+    pub request: RequestId,
+    /// Its tier.
+    pub tier: Tier,
+    /// When waiting longer has no use.
+    pub until: Option<Instant>,
+    /// Share of the customer.
+    pub weight: u32,
+    /// Its length.
+    pub work: Work,
+}
+
+/// Asks that wait, in order of dispatch.
+#[derive(Debug, Default)]
+pub struct Queue {
+    expiries: BTreeSet<(Instant, RequestId)>,
+    items: IndexMap<RequestId, Item>,
+    next_sequence: u64,
+    sequences: IndexMap<RequestId, u64>,
+    tiers: BTreeMap<Tier, FairQueue>,
+}
+
+impl Queue {
+    /// Puts an ask behind the others of its customer. A request waits once: an earlier item of
+    /// the same request is replaced.
+    pub fn push(&mut self, item: Item) {
+        self.remove(&item.request);
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        if let Some(until) = item.until {
+            self.expiries.insert((until, item.request.clone()));
+        }
+        self.tiers
+            .entry(item.tier)
+            .or_default()
+            .push(&item, sequence);
+        self.sequences.insert(item.request.clone(), sequence);
+        self.items.insert(item.request.clone(), item);
+    }
+
+    /// Takes an ask out because it is granted, and charges its customer.
+    pub fn grant(&mut self, request: &str) -> Option<Item> {
+        self.take(request, FairQueue::charge)
+    }
+
+    /// Takes an ask out without a charge.
+    pub fn remove(&mut self, request: &str) -> Option<Item> {
+        self.take(request, |_, _| ())
+    }
+
+    fn take(&mut self, request: &str, then: impl Fn(&mut FairQueue, &Item)) -> Option<Item> {
+        let item = self.items.swap_remove(request)?;
+        let sequence = self.sequences.swap_remove(request)?;
+        if let Some(until) = item.until {
+            self.expiries.remove(&(until, item.request.clone()));
+        }
+        let queue = self.tiers.get_mut(&item.tier)?;
+        then(queue, &item);
+        queue.remove(&item, sequence);
+        if queue.is_empty() {
+            self.tiers.remove(&item.tier);
+        }
+        Some(item)
+    }
+
+    /// Tiers with waiting asks, the most urgent first.
+    pub fn tiers(&self) -> impl Iterator<Item = Tier> + '_ {
+        self.tiers.keys().copied()
+    }
+
+    /// The first ask of each customer in one lane, in fair order.
+    pub fn heads(&self, tier: Tier, lane: Lane) -> impl Iterator<Item = &Place> + '_ {
+        self.tiers
+            .get(&tier)
+            .into_iter()
+            .flat_map(move |queue| queue.heads(lane))
+    }
+
+    /// The ask to shed next: of the lowest tier that waits, of the customer with the most work
+    /// waiting for its weight, the newest. So a burst of one customer costs only its own places.
+    #[must_use]
+    pub fn victim(&self) -> Option<&Item> {
+        let (_, queue) = self.tiers.last_key_value()?;
+        self.items.get(queue.victim()?)
+    }
+
+    /// The next ask for which it is too late at `now`.
+    #[must_use]
+    pub fn expired(&self, now: Instant) -> Option<&RequestId> {
+        let (until, request) = self.expiries.first()?;
+        (*until <= now).then_some(request)
+    }
+
+    /// Work that goes before a new ask of this customer and tier: all of the higher tiers, and
+    /// of its own tier only each customer's fair part up to the new ask's turn.
+    #[must_use]
+    pub fn ahead(&self, tier: Tier, customer: &str, weight: u32) -> Work {
+        let higher = self.tiers.range(..tier).map(|(_, queue)| queue.total());
+        let own = self.tiers.get(&tier);
+        let own = own.map_or(Work::default(), |queue| queue.ahead(customer, weight));
+        higher.fold(own, |sum, work| sum + work)
+    }
+
+    /// An ask by its request.
+    #[must_use]
+    pub fn get(&self, request: &str) -> Option<&Item> {
+        self.items.get(request)
+    }
+
+    /// Asks that wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Number of asks waiting in a tier.
+    #[must_use]
+    pub fn waiting(&self, tier: Tier) -> usize {
+        self.tiers.get(&tier).map_or(0, FairQueue::len)
+    }
+
+    /// All that waits, in no order.
+    pub fn requests(&self) -> impl Iterator<Item = &RequestId> + '_ {
+        self.items.keys()
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank/src/dispatch/recovery.rs
@@ -0,0 +1,185 @@
+//! Change of dispatcher and death of entries.
+//!
+//! The dispatcher's state is soft: the entries own their requests and tell a new dispatcher what
+//! they have.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexSet;
+
+use super::choice::Choice;
+use super::message::{Ask, Entry, Resync, Running};
+use super::state::{State, Waiting, work};
+use super::target::Target;
+use crate::error_kind::ErrorKind;
+use crate::ids::RequestId;
+
+/// A new dispatcher's wait for the entries.
+#[derive(Debug)]
+pub(super) struct Handover {
+    expected: IndexSet<Entry>,
+    until: Instant,
+}
+
+impl State {
+    /// Grants nothing until all `expected` entries have resynced or the grace is over. Before
+    /// that the queue is not known: a grant could pass more urgent work that is yet to be told,
+    /// and fill targets that run requests of others.
+    pub(super) fn begin_handover(&mut self, expected: Vec<Entry>, grace: Duration, now: Instant) {
+        self.handover = Some(Handover {
+            expected: expected.into_iter().collect(),
+            until: now + grace,
+        });
+        self.check_handover(now);
+    }
+
+    /// Ends a handover that is complete or late.
+    pub(super) fn check_handover(&mut self, now: Instant) {
+        let over = |handover: &Handover| handover.expected.is_empty() || now >= handover.until;
+        if self.handover.as_ref().is_some_and(over) {
+            self.handover = None;
+            if self.targets.values().any(|target| target.live) {
+                self.shed(now);
+            } else {
+                self.refuse_all(ErrorKind::NoTarget, now);
+            }
+            self.dispatch(now);
+        }
+    }
+
+    /// Replaces what is known of one entry by what it tells.
+    pub(super) fn resync(&mut self, resync: Resync, now: Instant) {
+        self.forget_earlier_lives(&resync.entry, now);
+        let running = resync.running.iter().map(|running| &running.ask);
+        let told: IndexSet<RequestId> = running
+            .chain(&resync.waiting)
+            .map(|ask| ask.request.clone())
+            .collect();
+        self.drop_untold(&resync.entry, &told, now);
+        for running in resync.running {
+            self.take_over_running(running, now);
+        }
+        for ask in resync.waiting {
+            self.take_over_waiting(ask, now);
+        }
+        if let Some(handover) = &mut self.handover {
+            handover.expected.swap_remove(&resync.entry);
+        }
+        self.shed(now);
+        self.check_handover(now);
+        self.dispatch(now);
+    }
+
+    /// Drops all that a dead entry had: nobody waits for it any more.
+    pub(super) fn forget_entry(&mut self, entry: &Entry, now: Instant) {
+        self.drop_requests_of(|other| other == entry, now);
+        if let Some(handover) = &mut self.handover {
+            handover.expected.swap_remove(entry);
+        }
+        self.check_handover(now);
+        self.dispatch(now);
+    }
+
+    fn forget_earlier_lives(&mut self, entry: &Entry, now: Instant) {
+        let earlier = |other: &Entry| other.vm == entry.vm && other.incarnation < entry.incarnation;
+        self.drop_requests_of(earlier, now);
+        if let Some(handover) = &mut self.handover {
+            handover.expected.retain(|other| !earlier(other));
+        }
+    }
+
+    fn drop_requests_of(&mut self, of: impl Fn(&Entry) -> bool, now: Instant) {
+        let waiting = self.waiting.values();
+        let waiting = waiting.filter(|waiting| of(&entry_of(&waiting.ask)));
+        let waiting: Vec<RequestId> = waiting.map(|w| w.ask.request.clone()).collect();
+        let held = self.reservations.iter().filter(|(_, held)| of(&held.entry));
+        let held: Vec<RequestId> = held.map(|(request, _)| request.clone()).collect();
+        for request in waiting {
+            self.refuse(&request, ErrorKind::Cancelled, None);
+        }
+        for request in held {
+            self.release(&request, now);
+        }
+    }
+
+    /// Drops what the entry no longer knows. A call that still waits here, or a grant that it
+    /// has not confirmed, may be younger than the resync and is kept; the end of the call or the
+    /// lapse of the grant clears it.
+    fn drop_untold(&mut self, entry: &Entry, told: &IndexSet<RequestId>, now: Instant) {
+        let waiting = self.waiting.values().filter(|waiting| {
+            waiting.waiter.is_none()
+                && entry_of(&waiting.ask) == *entry
+                && !told.contains(&waiting.ask.request)
+        });
+        let waiting: Vec<RequestId> = waiting.map(|w| w.ask.request.clone()).collect();
+        let held = self.reservations.iter().filter(|(request, held)| {
+            held.began && held.entry == *entry && !told.contains(*request)
+        });
+        let held: Vec<RequestId> = held.map(|(request, _)| request.clone()).collect();
+        for request in waiting {
+            self.refuse(&request, ErrorKind::Cancelled, None);
+        }
+        for request in held {
+            self.release(&request, now);
+        }
+    }
+
+    fn take_over_running(&mut self, running: Running, now: Instant) {
+        let request = running.ask.request.clone();
+        let held = self.reservations.get_mut(&request);
+        if let Some(held) = held.filter(|held| held.ask >= running.ask.ask) {
+            held.began |= held.ask == running.ask.ask;
+            return;
+        }
+        let waiting = self.waiting.get(&request);
+        if waiting.is_some_and(|waiting| waiting.ask.ask > running.ask.ask) {
+            return;
+        }
+        self.refuse(&request, ErrorKind::Cancelled, None);
+        self.release(&request, now);
+        let prefill = match running.decoded {
+            Some(_) => 0,
+            None => work(&running.ask).prefill,
+        };
+        let choice = Choice {
+            earliest: 0.0,
+            prefill,
+            target: running.target,
+        };
+        // A target that the configuration doesn't name gets nothing new, and still counts.
+        self.targets
+            .entry(choice.target.clone())
+            .or_insert_with(|| Target::leaving(choice.target.clone(), now));
+        let waiting = Waiting {
+            counted: self.limits.take_over(&running.ask, now),
+            ask: running.ask,
+            deadline: None,
+            waiter: None,
+        };
+        self.reserve(&waiting, &choice, now);
+        if let Some(held) = self.reservations.get_mut(&request) {
+            held.began = true;
+        }
+    }
+
+    fn take_over_waiting(&mut self, ask: Ask, now: Instant) {
+        let waiting = self.waiting.get(&ask.request).map(|w| w.ask.ask);
+        let held = self.reservations.get(&ask.request).map(|held| held.ask);
+        let known = waiting.max(held) >= Some(ask.ask);
+        let full = self.queue.len() >= 2 * self.cfg.waiting_limit;
+        if known || full {
+            return;
+        }
+        self.refuse(&ask.request, ErrorKind::Cancelled, None);
+        self.release(&ask.request, now);
+        let counted = self.limits.take_over(&ask, now);
+        self.enqueue(ask, counted, now);
+    }
+}
+
+fn entry_of(ask: &Ask) -> Entry {
+    Entry {
+        incarnation: ask.entry_incarnation,
+        vm: ask.entry.clone(),
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -0,0 +1,129 @@
+//! What entries and targets tell about granted requests.
+
+use std::time::Instant;
+
+use super::message::{CacheEvent, LoadReport, Outcome, Report, ReportKind};
+use super::state::State;
+use super::target::Target;
+use super::work::Work;
+use crate::document::{Pool, TargetState};
+use crate::error_kind::ErrorKind;
+
+/// Weight of a new sample in the usual length of answers.
+const LENGTH_GAIN: f64 = 0.05;
+/// Shortest usual length that is believed.
+const LENGTH_FLOOR: f64 = 0.01;
+
+impl State {
+    /// Takes in a report of an entry; one of an earlier ask is too late and is dropped.
+    pub(super) fn report(&mut self, report: &Report, now: Instant) {
+        let held = self.reservations.get_mut(&report.request);
+        let Some(held) = held.filter(|held| held.ask == report.ask) else {
+            return;
+        };
+        let Some(target) = self.targets.get_mut(&held.target) else {
+            return;
+        };
+        held.began = true;
+        match report.kind {
+            ReportKind::Began => {}
+            ReportKind::Ended {
+                decoded,
+                outcome,
+                prefill: _,
+            } => {
+                match outcome {
+                    Outcome::Complete => target.health.alive(now),
+                    Outcome::Failed => target.health.failed(now),
+                    Outcome::Cancelled | Outcome::Unused => {}
+                }
+                self.ended(&report.request, decoded, outcome, now);
+            }
+            ReportKind::FirstToken { after } => {
+                target.health.alive(now);
+                target
+                    .estimate
+                    .first_token(held.left.prefill, held.before, after);
+                target.long -= u32::from(held.long);
+                held.left.prefill = 0;
+                held.long = false;
+            }
+            ReportKind::Progress { step, tokens } => {
+                let tokens = u64::from(tokens).min(held.left.decode);
+                target.health.alive(now);
+                target.estimate.progress(tokens, step, now);
+                held.left -= Work {
+                    decode: tokens,
+                    prefill: 0,
+                };
+            }
+        }
+        self.dispatch(now);
+    }
+
+    /// Takes in a target's own report.
+    pub(super) fn load_report(&mut self, target: &str, report: LoadReport, now: Instant) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.estimate.reported(report, now);
+            self.dispatch(now);
+        }
+    }
+
+    /// Takes in cache events of a target.
+    pub(super) fn cache_events(&mut self, target: &str, sequence: u64, events: &[CacheEvent]) {
+        if let Some(target) = self.targets.get(target) {
+            self.affinity.events(&target.id, sequence, events);
+        }
+    }
+
+    /// Takes over the targets of the pool in this data centre. Those that drain or are gone get
+    /// nothing from now on, and are kept until what they run has ended.
+    pub(super) fn set_targets(&mut self, pool: &Pool, data_centre: &str, now: Instant) {
+        for target in self.targets.values_mut() {
+            target.live = false;
+        }
+        let here = pool.targets.iter();
+        for given in here.filter(|target| target.data_centre == data_centre) {
+            let target = self
+                .targets
+                .entry(given.id.clone())
+                .or_insert_with(|| Target::new(given.id.clone(), given.slots, now));
+            target.live = given.state == TargetState::Live;
+            target.slots = given.slots;
+        }
+        self.cfg.waiting_limit = pool.waiting_limit;
+        self.drop_left_targets();
+        if self.targets.values().any(|target| target.live) {
+            self.shed(now);
+            self.dispatch(now);
+        } else {
+            self.refuse_all(ErrorKind::NoTarget, now);
+        }
+    }
+
+    /// Drops targets that get nothing and run nothing.
+    pub(super) fn drop_left_targets(&mut self) {
+        let affinity = &mut self.affinity;
+        self.targets.retain(|id, target| {
+            let kept = target.live || target.estimate.running() > 0;
+            if !kept {
+                affinity.forget(id);
+            }
+            kept
+        });
+    }
+
+    fn ended(&mut self, request: &str, decoded: u32, outcome: Outcome, now: Instant) {
+        let Some(held) = self.release(request, now) else {
+            return;
+        };
+        if outcome == Outcome::Complete {
+            self.drain.ended(held.tokens, now);
+            if held.max_tokens > 0 {
+                let sample = f64::from(decoded) / f64::from(held.max_tokens);
+                let length = self.length + LENGTH_GAIN * (sample - self.length);
+                self.length = length.clamp(LENGTH_FLOOR, 1.0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank/src/dispatch/shedding.rs
@@ -0,0 +1,55 @@
+//! How fast the pool drains, and when a refused caller should come back.
+
+use std::time::{Duration, Instant};
+
+use crate::backoff;
+
+/// Longest `Retry-After` before jitter.
+pub const LONGEST_RETRY: Duration = Duration::from_secs(60);
+/// Shortest `Retry-After` before jitter.
+pub const SHORTEST_RETRY: Duration = Duration::from_millis(500);
+/// Time over which the drain rate is averaged.
+const WINDOW: Duration = Duration::from_secs(5);
+
+/// Tokens of ended work in a second, averaged with exponential decay.
+#[derive(Debug)]
+pub struct DrainRate {
+    per_s: f64,
+    seen: Instant,
+}
+
+impl DrainRate {
+    /// A rate of zero.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            per_s: 0.0,
+            seen: now,
+        }
+    }
+
+    /// Counts ended work.
+    pub fn ended(&mut self, tokens: u64, now: Instant) {
+        self.per_s = self.per_s(now) + tokens as f64 / WINDOW.as_secs_f64();
+        self.seen = now;
+    }
+
+    /// Tokens in a second.
+    #[must_use]
+    pub fn per_s(&self, now: Instant) -> f64 {
+        let since = now.saturating_duration_since(self.seen).as_secs_f64();
+        self.per_s * (-since / WINDOW.as_secs_f64()).exp()
+    }
+
+    /// When a caller refused behind `ahead` tokens should come back.
+    ///
+    /// With the same answer for all, a refused burst returns as one burst, and is refused again;
+    /// a jitter as wide as the wait spreads it over the time that the pool needs to drain.
+    #[must_use]
+    pub fn retry_after(&self, ahead: u64, now: Instant) -> Duration {
+        let wait = ahead as f64 / self.per_s(now).max(1.0);
+        let wait = Duration::try_from_secs_f64(wait).unwrap_or(LONGEST_RETRY);
+        let wait = wait.clamp(SHORTEST_RETRY, LONGEST_RETRY);
+        wait + backoff::full_jitter(wait)
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank/src/dispatch/work.rs
@@ -0,0 +1,44 @@
+//! Lengths of requests, in tokens.
+
+use std::ops::{Add, AddAssign, SubAssign};
+
+/// Tokens that a target has to compute.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Work {
+    /// Tokens to generate.
+    pub decode: u64,
+    /// Tokens of the prompt.
+    pub prefill: u64,
+}
+
+impl Work {
+    /// All tokens, at least one, so that a plain service's request counts too.
+    #[must_use]
+    pub fn tokens(self) -> u64 {
+        (self.decode + self.prefill).max(1)
+    }
+}
+
+impl Add for Work {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            decode: self.decode + other.decode,
+            prefill: self.prefill + other.prefill,
+        }
+    }
+}
+
+impl AddAssign for Work {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl SubAssign for Work {
+    fn sub_assign(&mut self, other: Self) {
+        self.decode = self.decode.saturating_sub(other.decode);
+        self.prefill = self.prefill.saturating_sub(other.prefill);
+    }
+}
--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod backoff;
 pub mod clock;
+pub mod dispatch;
 pub mod document;
 pub mod error_kind;
 pub mod ids;
