--- a/crates/lilaccrank/src/dispatch/recovery.rs
+++ b/crates/lilaccrank/src/dispatch/recovery.rs
@@ -38,12 +38,11 @@
         let over = |handover: &Handover| handover.expected.is_empty() || now >= handover.until;
         if self.handover.as_ref().is_some_and(over) {
             self.handover = None;
-            if self.targets.values().any(|target| target.live) {
-                self.shed(now);
-            } else {
+            self.dispatch(now);
+            self.shed(now);
+            if !self.targets.values().any(|target| target.live) {
                 self.refuse_all(ErrorKind::NoTarget, now);
             }
-            self.dispatch(now);
         }
     }
 
@@ -65,9 +64,9 @@
         if let Some(handover) = &mut self.handover {
             handover.expected.swap_remove(&resync.entry);
         }
-        self.shed(now);
         self.check_handover(now);
         self.dispatch(now);
+        self.shed(now);
     }
 
     /// Drops all that a dead entry had: nobody waits for it any more.
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -94,8 +94,8 @@
         self.cfg.waiting_limit = pool.waiting_limit;
         self.drop_left_targets();
         if self.targets.values().any(|target| target.live) {
-            self.shed(now);
             self.dispatch(now);
+            self.shed(now);
         } else {
             self.refuse_all(ErrorKind::NoTarget, now);
         }
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -126,8 +126,9 @@
                 let request = ask.request.clone();
                 self.enqueue(ask, counted, now);
                 let admission = self.attach(&request);
-                self.shed(now);
+                // What finds an open target costs no place in the queue.
                 self.dispatch(now);
+                self.shed(now);
                 admission
             }
             Err(refusal) => Admission::Decided(Verdict::Refuse(refusal)),
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -1,4 +1,10 @@
 //! Tests of the library, in one crate; a folder beside this file holds them by subject.
 
+#[path = "suite/dispatch_faults.rs"]
+mod dispatch_faults;
+#[path = "suite/dispatch_harness.rs"]
+mod dispatch_harness;
+#[path = "suite/dispatch_order.rs"]
+mod dispatch_order;
 #[path = "suite/error_kind.rs"]
 mod error_kind;
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/dispatch_harness.rs
@@ -0,0 +1,169 @@
+//! A dispatcher on a paused clock, and the verdicts in the order in which they come.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::executor::{LocalPool, LocalSpawner};
+use futures::future::RemoteHandle;
+use futures::task::LocalSpawnExt;
+use lilaccrank::dispatch::message::{Ask, Outcome, Report, ReportKind, Verdict};
+use lilaccrank::dispatch::{Config, Dispatcher};
+use lilaccrank::document::{Pool, Target, TargetState};
+use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::paused_clock::PausedClock;
+
+pub const DATA_CENTRE: &str = "portmore";
+pub const LOWEST_TIER: u8 = 3;
+const STEP: Duration = Duration::from_millis(50);
+
+pub struct Harness {
+    pub clock: PausedClock,
+    pub dispatcher: Dispatcher<PausedClock>,
+    pub pool: Pool,
+    executor: LocalPool,
+    spawner: LocalSpawner,
+    verdicts: Rc<RefCell<Vec<Verdict>>>,
+}
+
+impl Harness {
+    /// A dispatcher of targets `t0`, `t1` and so on with these slots.
+    pub fn new(slots: &[u32], waiting_limit: usize, silence_floor: Duration) -> Self {
+        let clock = PausedClock::new();
+        let cfg = Config {
+            block_tokens: 64,
+            incarnation: 1,
+            lowest_tier: LOWEST_TIER,
+            silence_floor,
+            vm: "vm1".to_owned(),
+            waiting_limit,
+        };
+        let targets = slots.iter().enumerate().map(|(i, slots)| Target {
+            data_centre: DATA_CENTRE.to_owned(),
+            id: format!("t{i}"),
+            slots: *slots,
+            ..Target::default()
+        });
+        let pool = Pool {
+            targets: targets.collect(),
+            waiting_limit,
+            ..Pool::default()
+        };
+        let executor = LocalPool::new();
+        let harness = Self {
+            dispatcher: Dispatcher::new(clock.clone(), cfg),
+            clock,
+            pool,
+            spawner: executor.spawner(),
+            executor,
+            verdicts: Rc::default(),
+        };
+        harness.dispatcher.set_targets(&harness.pool, DATA_CENTRE);
+        let dispatcher = harness.dispatcher.clone();
+        let run = async move { dispatcher.run().await };
+        harness.spawner.spawn_local(run).unwrap();
+        harness
+    }
+
+    /// Starts a call that ends when the handle is dropped.
+    pub fn call(&mut self, ask: Ask) -> RemoteHandle<()> {
+        let dispatcher = self.dispatcher.clone();
+        let verdicts = Rc::clone(&self.verdicts);
+        let call = async move {
+            let verdict = dispatcher.ask(ask).await;
+            verdicts.borrow_mut().push(verdict);
+        };
+        let handle = self.spawner.spawn_local_with_handle(call).unwrap();
+        self.executor.run_until_stalled();
+        handle
+    }
+
+    /// Starts a call that lasts until its verdict.
+    pub fn ask(&mut self, ask: Ask) {
+        self.call(ask).forget();
+    }
+
+    /// Lets time pass, with all that is due meanwhile.
+    pub fn advance(&mut self, duration: Duration) {
+        let until = self.clock.elapsed() + duration;
+        while self.clock.elapsed() < until {
+            self.clock.advance(STEP.min(until - self.clock.elapsed()));
+            self.executor.run_until_stalled();
+        }
+    }
+
+    /// The verdicts since the last look.
+    pub fn verdicts(&mut self) -> Vec<Verdict> {
+        self.executor.run_until_stalled();
+        self.verdicts.take()
+    }
+
+    /// Request and target of each grant since the last look.
+    pub fn grants(&mut self) -> Vec<(String, String)> {
+        let verdicts = self.verdicts().into_iter();
+        let grants = verdicts.filter_map(|verdict| match verdict {
+            Verdict::Grant(grant) => Some((grant.request, grant.target)),
+            Verdict::Refuse(_) => None,
+        });
+        grants.collect()
+    }
+
+    /// Request and reason of each refusal since the last look.
+    pub fn refusals(&mut self) -> Vec<(String, ErrorKind)> {
+        let verdicts = self.verdicts().into_iter();
+        let refusals = verdicts.filter_map(|verdict| match verdict {
+            Verdict::Grant(_) => None,
+            Verdict::Refuse(refuse) => Some((refuse.request, refuse.kind)),
+        });
+        refusals.collect()
+    }
+
+    pub fn report(&mut self, request: &str, target: &str, kind: ReportKind) {
+        self.dispatcher.report(&Report {
+            ask: 1,
+            kind,
+            request: request.to_owned(),
+            target: target.to_owned(),
+        });
+    }
+
+    /// Ends a request with a whole answer.
+    pub fn end(&mut self, request: &str, target: &str) {
+        let kind = ReportKind::Ended {
+            decoded: 50,
+            outcome: Outcome::Complete,
+            prefill: None,
+        };
+        self.report(request, target, kind);
+    }
+
+    /// Reports steps of this length.
+    pub fn steps(&mut self, request: &str, target: &str, step_ms: u64, times: u32) {
+        for _ in 0..times {
+            let step = Duration::from_millis(step_ms);
+            self.report(request, target, ReportKind::Progress { step, tokens: 1 });
+        }
+    }
+
+    /// Sets a target's state.
+    pub fn set_state(&mut self, target: usize, state: TargetState) {
+        self.pool.targets[target].state = state;
+        self.dispatcher.set_targets(&self.pool, DATA_CENTRE);
+    }
+}
+
+/// A short ask of its own customer.
+pub fn ask(request: &str, tier: u8) -> Ask {
+    Ask {
+        ask: 1,
+        customer: "hotel".to_owned(),
+        entry: "vm2".to_owned(),
+        entry_incarnation: 1,
+        max_tokens: 100,
+        prompt_tokens: 100,
+        request: request.to_owned(),
+        tier,
+        weight: 1,
+        ..Ask::default()
+    }
+}
