--- /dev/null
+++ b/crates/lilaccrank/src/membership/gossip.rs
@@ -0,0 +1,299 @@
+//! The tasks of one member: it receives, probes, compares tables and watches suspects.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use futures::channel::mpsc;
+use futures::{StreamExt, stream};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use xxhash_rust::xxh3;
+
+use super::datagrams::{Datagram, Datagrams};
+use super::member::{Member, State};
+use super::message::{Body, Message};
+use super::probe::{Pending, Probes};
+use super::settings::Settings;
+use super::table::Applied;
+use super::{Command, Shared};
+use crate::clock::Clock;
+use crate::ids::VmId;
+
+/// Seeds asked at once by a member that knows nobody.
+const SEEDS_AT_START: usize = 3;
+
+/// The running part of a membership.
+pub struct Gossip<C, D> {
+    commands: mpsc::UnboundedReceiver<Command>,
+    node: Node<C, D>,
+}
+
+pub(super) struct Node<C, D> {
+    pub(super) cfg: Settings,
+    pub(super) clock: C,
+    datagrams: D,
+    pub(super) probes: RefCell<Probes>,
+    pub(super) rng: RefCell<StdRng>,
+    pub(super) shared: Rc<Shared>,
+}
+
+impl<C: Clock, D: Datagrams> Gossip<C, D> {
+    pub(super) fn new(
+        cfg: Settings,
+        clock: C,
+        datagrams: D,
+        shared: Rc<Shared>,
+        commands: mpsc::UnboundedReceiver<Command>,
+    ) -> Self {
+        let seed = {
+            let table = shared.table.borrow();
+            xxh3::xxh3_64_with_seed(table.me().vm.as_bytes(), table.me().incarnation)
+        };
+        let node = Node {
+            cfg,
+            clock,
+            datagrams,
+            probes: RefCell::default(),
+            rng: RefCell::new(StdRng::seed_from_u64(seed)),
+            shared,
+        };
+        Self { commands, node }
+    }
+
+    /// Takes part in the gossip until dropped.
+    pub async fn run(self) {
+        let node = &self.node;
+        let commands = self.commands.map(|command| node.serve(command));
+        // One watch per member at most, so their number is bounded by the table.
+        let watches = commands.for_each_concurrent(None, |watch| watch);
+        futures::join!(
+            node.receive(),
+            node.probe_all(),
+            node.synchronise(),
+            watches
+        );
+    }
+}
+
+impl<C: Clock, D: Datagrams> Node<C, D> {
+    async fn receive(&self) {
+        loop {
+            match self.datagrams.recv().await {
+                Ok(datagram) => self.take(datagram).await,
+                Err(err) => {
+                    log::warn!("membership: {err}");
+                    self.clock.sleep(self.cfg.probe_timeout).await;
+                }
+            }
+        }
+    }
+
+    async fn take(&self, datagram: Datagram) {
+        let message = match Message::decode(&datagram.bytes) {
+            Ok(message) => message,
+            Err(err) => {
+                log::debug!("membership: from {}: {err}", datagram.from);
+                return;
+            }
+        };
+        let mut first = self.merge(message.updates).await;
+        if self.holds_report_against(&message.from) {
+            // A thawed daemon doesn't know that it was declared dead, and the others no longer
+            // probe it: it has to hear it in the answers to its own messages.
+            first.push(message.from);
+        }
+        self.answer(datagram.from, message.body, &first).await;
+    }
+
+    fn holds_report_against(&self, vm: &str) -> bool {
+        let table = self.shared.table.borrow();
+        table
+            .get(vm)
+            .is_some_and(|member| matches!(member.state, State::Dead | State::Suspect))
+    }
+
+    /// Takes in reports; returns the members whose record the sender has to hear.
+    async fn merge(&self, reports: Vec<Member>) -> Vec<VmId> {
+        let now = self.clock.now();
+        let mut first = Vec::new();
+        for report in reports {
+            let vm = report.vm.clone();
+            match self.shared.update(|table| table.apply(report, now)) {
+                Applied::NewSuspect => self.shared.send(Command::Rumour(vm)),
+                Applied::Resurrected(record) => self.tell_of_death(record).await,
+                Applied::StaleAboutMe => first.push(vm),
+                Applied::Changed | Applied::Unchanged => {}
+            }
+        }
+        first
+    }
+
+    /// A member that refuted an older suspicion looks live again before it heard of its death.
+    /// Unless told, it would keep the grants and duties that others took over.
+    async fn tell_of_death(&self, record: Member) {
+        self.transmit(record.gossip, Body::Update, vec![record])
+            .await;
+    }
+
+    async fn answer(&self, from: SocketAddr, body: Body, first: &[VmId]) {
+        match body {
+            Body::Ack { seq } => {
+                let pending = self.probes.borrow_mut().finish(seq);
+                match pending {
+                    Some(Pending::Own(tx)) => drop(tx.send(())),
+                    Some(Pending::Relayed { asker, seq }) => {
+                        self.send(asker, Body::Ack { seq }, first).await;
+                    }
+                    None => {}
+                }
+            }
+            Body::Digest { hash } => {
+                if hash != self.digest() {
+                    self.send_table(from, true).await;
+                }
+            }
+            Body::IndirectPing {
+                address,
+                seq,
+                target,
+            } => {
+                let relayed = Pending::Relayed { asker: from, seq };
+                let seq = self.probes.borrow_mut().begin(relayed, self.clock.now());
+                self.send(address, Body::Ping { seq, target }, &[]).await;
+            }
+            Body::Ping { seq, target } => {
+                if target == self.my_vm() {
+                    self.send(from, Body::Ack { seq }, first).await;
+                }
+            }
+            Body::Table { reply_wanted: true } => self.send_table(from, false).await,
+            Body::Table { .. } | Body::Update => {}
+        }
+    }
+
+    /// Probes all others in turn, one per period, in an order shuffled anew for each round.
+    async fn probe_all(&self) {
+        let start = self.rng.borrow_mut().random::<f64>();
+        self.clock.sleep(self.cfg.period.mul_f64(start)).await;
+        loop {
+            let round = futures::future::join(self.probe_next(), self.clock.sleep(self.cfg.period));
+            round.await;
+        }
+    }
+
+    async fn synchronise(&self) {
+        let seeds = self.shared.seeds.borrow().clone();
+        for seed in seeds.into_iter().take(SEEDS_AT_START) {
+            self.send_digest(seed).await;
+        }
+        loop {
+            let alone = self.shared.table.borrow().others().next().is_none();
+            let period = if alone {
+                self.cfg.period
+            } else {
+                self.cfg.sync_period
+            };
+            let jitter = self.rng.borrow_mut().random_range(0.75..1.25);
+            self.clock.sleep(period.mul_f64(jitter)).await;
+            let now = self.clock.now();
+            self.shared.update(|table| table.forget_dead(now));
+            self.probes.borrow_mut().forget_old(now);
+            let lost = self.choose(&self.lost_addresses());
+            let known = self.choose(&self.known_addresses());
+            for address in [known, lost].into_iter().flatten() {
+                self.send_digest(address).await;
+            }
+        }
+    }
+
+    fn known_addresses(&self) -> Vec<SocketAddr> {
+        let table = self.shared.table.borrow();
+        table.others().map(|member| member.gossip).collect()
+    }
+
+    /// Addresses of dead members and of seeds where no member is known. After a partition each
+    /// side takes the other for dead and no longer probes it: without these letters to the dead
+    /// the two would never meet again.
+    fn lost_addresses(&self) -> Vec<SocketAddr> {
+        let table = self.shared.table.borrow();
+        let seeds = self.shared.seeds.borrow();
+        let dead = table
+            .all()
+            .filter(|member| member.state == State::Dead)
+            .map(|member| member.gossip);
+        let known = |address: &SocketAddr| {
+            table
+                .all()
+                .any(|member| member.state != State::Dead && member.gossip == *address)
+        };
+        let mut lost: Vec<_> = dead
+            .chain(seeds.iter().copied())
+            .filter(|address| !known(address))
+            .collect();
+        lost.sort_unstable();
+        lost.dedup();
+        lost
+    }
+
+    fn choose(&self, addresses: &[SocketAddr]) -> Option<SocketAddr> {
+        addresses.choose(&mut *self.rng.borrow_mut()).copied()
+    }
+
+    fn digest(&self) -> u64 {
+        self.shared.table.borrow().digest()
+    }
+
+    pub(super) fn my_vm(&self) -> VmId {
+        self.shared.table.borrow().me().vm.clone()
+    }
+
+    /// Sends this member's fingerprint and record, so that one who doesn't know it learns it.
+    async fn send_digest(&self, to: SocketAddr) {
+        let hash = self.digest();
+        let me = self.my_vm();
+        self.send(to, Body::Digest { hash }, &[me]).await;
+    }
+
+    async fn send_table(&self, to: SocketAddr, reply_wanted: bool) {
+        let parts = self.shared.table.borrow().parts();
+        for (index, updates) in parts.into_iter().enumerate() {
+            let body = Body::Table {
+                reply_wanted: reply_wanted && index == 0,
+            };
+            self.transmit(to, body, updates).await;
+        }
+    }
+
+    /// Sends `body` with as many changes as fit, the records of `first` before others.
+    pub(super) async fn send(&self, to: SocketAddr, body: Body, first: &[VmId]) {
+        let updates = self.shared.table.borrow_mut().take_updates(first);
+        self.transmit(to, body, updates).await;
+    }
+
+    /// Sends one record to all others at once, where waiting for the gossip would cost work:
+    /// a member that leaves or died goes on being given duties until all know it.
+    pub(super) async fn announce(&self, member: &Member) {
+        let addresses = self.known_addresses();
+        stream::iter(addresses)
+            .for_each(|to| self.transmit(to, Body::Update, vec![member.clone()]))
+            .await;
+    }
+
+    async fn transmit(&self, to: SocketAddr, body: Body, updates: Vec<Member>) {
+        let from = self.my_vm();
+        let message = Message {
+            body,
+            from,
+            updates,
+        };
+        let sent = match message.encode() {
+            Ok(bytes) => self.datagrams.send(to, bytes).await,
+            Err(err) => return log::error!("membership: {err}"),
+        };
+        if let Err(err) = sent {
+            log::debug!("membership: to {to}: {err}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank/src/membership/probe.rs
@@ -0,0 +1,155 @@
+//! Probing: one member at a time, directly and then through helpers.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures::channel::oneshot;
+use indexmap::IndexMap;
+use rand::seq::{IndexedRandom, SliceRandom};
+
+use super::Command;
+use super::datagrams::Datagrams;
+use super::gossip::Node;
+use super::member::{Member, State};
+use super::message::Body;
+use crate::clock::{self, Clock};
+use crate::ids::VmId;
+
+/// How long an answer to a ping is waited for before its record is dropped.
+const PENDING_KEPT: Duration = Duration::from_secs(2);
+
+/// A probe that took this many times its budget says nothing of the other side.
+const PAUSE_FACTOR: u32 = 2;
+
+/// Who waits for the answer to a ping.
+pub(super) enum Pending {
+    Own(oneshot::Sender<()>),
+    Relayed { asker: SocketAddr, seq: u64 },
+}
+
+/// What a probe says about a member.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Outcome {
+    Answered,
+    Failed,
+    /// This very daemon was paused, or the member is no longer known.
+    Inconclusive,
+}
+
+/// Pings under way and the order of the current round.
+#[derive(Default)]
+pub(super) struct Probes {
+    next_seq: u64,
+    pending: IndexMap<u64, (Instant, Pending)>,
+    round: Vec<VmId>,
+}
+
+impl Probes {
+    pub(super) fn begin(&mut self, pending: Pending, now: Instant) -> u64 {
+        self.next_seq += 1;
+        self.pending.insert(self.next_seq, (now, pending));
+        self.next_seq
+    }
+
+    pub(super) fn finish(&mut self, seq: u64) -> Option<Pending> {
+        self.pending.swap_remove(&seq).map(|(_, pending)| pending)
+    }
+
+    pub(super) fn forget_old(&mut self, now: Instant) {
+        self.pending
+            .retain(|_, (begun, _)| now - *begun < PENDING_KEPT);
+    }
+}
+
+impl<C: Clock, D: Datagrams> Node<C, D> {
+    /// Probes the next member of the round and reports it if it does not answer.
+    pub(super) async fn probe_next(&self) {
+        let Some(vm) = self.next_in_round() else {
+            return;
+        };
+        if self.probe(&vm).await == Outcome::Failed {
+            self.shared.send(Command::Suspect(vm));
+        }
+    }
+
+    fn next_in_round(&self) -> Option<VmId> {
+        let mut probes = self.probes.borrow_mut();
+        let table = self.shared.table.borrow();
+        if probes.round.is_empty() {
+            probes.round = table.others().map(|member| member.vm.clone()).collect();
+            probes.round.shuffle(&mut *self.rng.borrow_mut());
+        }
+        while let Some(vm) = probes.round.pop() {
+            if table.get(&vm).is_some_and(|m| m.state != State::Dead) {
+                return Some(vm);
+            }
+        }
+        None
+    }
+
+    /// Probes one member once. After a freeze of this daemon all its timers are over at once,
+    /// though nobody had the time to answer: it would take every member for dead. A probe that
+    /// took far longer than its timers allow therefore counts for nothing.
+    pub(super) async fn probe(&self, vm: &str) -> Outcome {
+        let Some(member) = self.shared.table.borrow().get(vm).cloned() else {
+            return Outcome::Inconclusive;
+        };
+        let begun = self.clock.now();
+        let answered = self.ping(&member).await;
+        let paused = self.clock.now() - begun > self.cfg.probe_limit() * PAUSE_FACTOR;
+        match (answered, paused) {
+            (true, _) => Outcome::Answered,
+            (false, false) => Outcome::Failed,
+            (false, true) => Outcome::Inconclusive,
+        }
+    }
+
+    async fn ping(&self, member: &Member) -> bool {
+        let (tx, mut rx) = oneshot::channel();
+        let begun = self.clock.now();
+        let seq = self.probes.borrow_mut().begin(Pending::Own(tx), begun);
+        let limit = self.cfg.probe_timeout;
+        let target = member.vm.clone();
+        let body = Body::Ping { seq, target };
+        self.send(member.gossip, body.clone(), &reported(member))
+            .await;
+        if let Some(answer) = clock::timeout(&self.clock, limit, &mut rx).await {
+            return answer.is_ok();
+        }
+        // The direct way once more as well: with two or three members there are few helpers.
+        self.send(member.gossip, body, &reported(member)).await;
+        for helper in self.helpers(&member.vm) {
+            let body = Body::IndirectPing {
+                address: member.gossip,
+                seq,
+                target: member.vm.clone(),
+            };
+            self.send(helper, body, &[]).await;
+        }
+        let answer = clock::timeout(&self.clock, limit, &mut rx).await;
+        self.probes.borrow_mut().finish(seq);
+        matches!(answer, Some(Ok(())))
+    }
+
+    fn helpers(&self, target: &str) -> Vec<SocketAddr> {
+        let table = self.shared.table.borrow();
+        let others: Vec<_> = table
+            .others()
+            .filter(|member| member.vm != target && member.state == State::Live)
+            .map(|member| member.gossip)
+            .collect();
+        let mut rng = self.rng.borrow_mut();
+        others
+            .sample(&mut *rng, self.cfg.helpers)
+            .copied()
+            .collect()
+    }
+}
+
+/// A suspect has to hear of the suspicion, or it can't refute it.
+fn reported(member: &Member) -> Vec<VmId> {
+    match member.state {
+        State::Dead | State::Suspect => vec![member.vm.clone()],
+        State::Leaving | State::Live => Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank/src/membership/table.rs
@@ -0,0 +1,253 @@
+//! The table of members and the rules by which reports change it.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use xxhash_rust::xxh3;
+
+use super::member::{Member, State};
+use super::message::Room;
+use crate::ids::{Incarnation, VmId};
+
+/// How often a change is sent, per doubling of the members.
+const SENDS_PER_DOUBLING: u32 = 3;
+
+/// How long a dead member is remembered, so that it learns of it when it thaws.
+const DEAD_KEPT: Duration = Duration::from_secs(3_600);
+
+/// What a report did to the table.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Applied {
+    /// It told something new.
+    Changed,
+    /// It told of a suspicion that this table did not have.
+    NewSuspect,
+    /// It told of a life sign after this declaration of death.
+    Resurrected(Member),
+    /// It was older than what the table has about this very daemon.
+    StaleAboutMe,
+    /// Nothing new.
+    Unchanged,
+}
+
+pub(super) struct Table {
+    pub(super) declared_dead: u64,
+    /// Highest incarnation of this daemon whose declared death is counted, or that it never had.
+    dead_up_to: Incarnation,
+    me: VmId,
+    members: IndexMap<VmId, Entry>,
+    pub(super) version: u64,
+}
+
+struct Entry {
+    changed_at: Instant,
+    member: Member,
+    sends_left: u32,
+}
+
+impl Table {
+    pub(super) fn new(me: Member, now: Instant) -> Self {
+        let mut table = Self {
+            declared_dead: 0,
+            dead_up_to: me.incarnation.saturating_sub(1),
+            me: me.vm.clone(),
+            members: IndexMap::new(),
+            version: 1,
+        };
+        table.store(me, now);
+        table
+    }
+
+    pub(super) fn me(&self) -> &Member {
+        &self.members[&self.me].member
+    }
+
+    pub(super) fn get(&self, vm: &str) -> Option<&Member> {
+        self.members.get(vm).map(|entry| &entry.member)
+    }
+
+    /// All members, in no particular order.
+    pub(super) fn all(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().map(|entry| &entry.member)
+    }
+
+    /// All others that are not dead.
+    pub(super) fn others(&self) -> impl Iterator<Item = &Member> {
+        self.all()
+            .filter(|member| member.state != State::Dead && member.vm != self.me)
+    }
+
+    /// Takes in one report.
+    pub(super) fn apply(&mut self, report: Member, now: Instant) -> Applied {
+        if report.data_centre != self.me().data_centre {
+            return Applied::Unchanged;
+        }
+        if report.vm == self.me {
+            return self.apply_to_me(&report, now);
+        }
+        let known = self.get(&report.vm);
+        if known.is_none() && report.state == State::Dead {
+            return Applied::Unchanged;
+        }
+        if known.is_some_and(|known| !report.supersedes(known)) {
+            return Applied::Unchanged;
+        }
+        let declared_dead = known.filter(|known| known.state == State::Dead).cloned();
+        let suspect = report.state == State::Suspect;
+        self.bury_predecessors(&report, now);
+        self.store(report, now);
+        match declared_dead {
+            Some(record) => Applied::Resurrected(record),
+            None if suspect => Applied::NewSuspect,
+            None => Applied::Changed,
+        }
+    }
+
+    /// Marks a member as `state` if it is still at `incarnation`; the new record if it changed.
+    pub(super) fn mark(
+        &mut self,
+        vm: &str,
+        incarnation: Incarnation,
+        state: State,
+        now: Instant,
+    ) -> Option<Member> {
+        let mut report = self.get(vm)?.clone();
+        if report.incarnation != incarnation {
+            return None;
+        }
+        report.state = state;
+        let changed = self.apply(report.clone(), now) != Applied::Unchanged;
+        changed.then_some(report)
+    }
+
+    /// Announces this daemon as leaving.
+    pub(super) fn leave(&mut self, now: Instant) -> Member {
+        let mut me = self.me().clone();
+        me.state = State::Leaving;
+        self.store(me.clone(), now);
+        me
+    }
+
+    /// A report about this daemon that is not its own last word is refuted by a higher
+    /// incarnation, or else the others would go on believing the report.
+    fn apply_to_me(&mut self, report: &Member, now: Instant) -> Applied {
+        let mut me = self.me().clone();
+        if *report == me {
+            return Applied::Unchanged;
+        }
+        self.count_death(report);
+        let leaving = me.state == State::Leaving && report.state < State::Leaving;
+        if report.incarnation < me.incarnation || (report.incarnation == me.incarnation && leaving)
+        {
+            return Applied::StaleAboutMe;
+        }
+        me.incarnation = report.incarnation + 1;
+        self.store(me, now);
+        Applied::Changed
+    }
+
+    /// Counts each declaration of death once, also one that was refuted before it was heard of:
+    /// a thawed daemon may first read an older suspicion and raise its incarnation for that.
+    fn count_death(&mut self, report: &Member) {
+        if report.state == State::Dead && report.incarnation > self.dead_up_to {
+            self.dead_up_to = report.incarnation;
+            self.declared_dead += 1;
+            self.version += 1;
+        }
+    }
+
+    /// A replaced vm comes back under another name at the same address. Without this the old
+    /// name would keep its duties until its probes had failed for the whole suspicion. A later
+    /// start at one address proves that the earlier process is gone.
+    fn bury_predecessors(&mut self, report: &Member, now: Instant) {
+        if report.state != State::Live {
+            return;
+        }
+        let gone: Vec<_> = self
+            .others()
+            .filter(|other| other.gossip == report.gossip && other.vm != report.vm)
+            .filter(|other| other.incarnation < report.incarnation)
+            .cloned()
+            .collect();
+        for mut member in gone {
+            member.state = State::Dead;
+            self.store(member, now);
+        }
+    }
+
+    fn store(&mut self, member: Member, now: Instant) {
+        let doublings = (self.members.len() + 2).ilog2() + 1;
+        let entry = Entry {
+            changed_at: now,
+            sends_left: SENDS_PER_DOUBLING * doublings,
+            member,
+        };
+        self.members.insert(entry.member.vm.clone(), entry);
+        self.version += 1;
+    }
+
+    /// Changes that go with the next datagram: the least often sent first, and before them the
+    /// members in `first`.
+    pub(super) fn take_updates(&mut self, first: &[VmId]) -> Vec<Member> {
+        let mut room = Room::new();
+        let mut updates: Vec<Member> = Vec::new();
+        for vm in first {
+            if let Some(member) = self.get(vm)
+                && room.take(member)
+            {
+                updates.push(member.clone());
+            }
+        }
+        let mut waiting: Vec<&mut Entry> = self
+            .members
+            .values_mut()
+            .filter(|entry| entry.sends_left > 0 && !first.contains(&entry.member.vm))
+            .collect();
+        waiting.sort_by_key(|entry| std::cmp::Reverse(entry.sends_left));
+        for entry in waiting {
+            if !room.take(&entry.member) {
+                break;
+            }
+            entry.sends_left -= 1;
+            updates.push(entry.member.clone());
+        }
+        updates
+    }
+
+    /// The whole table in parts that each fit one datagram.
+    pub(super) fn parts(&self) -> Vec<Vec<Member>> {
+        let mut parts = vec![Vec::new()];
+        let mut room = Room::new();
+        for member in self.all() {
+            if !room.take(member) {
+                parts.push(Vec::new());
+                room = Room::new();
+                room.take(member);
+            }
+            if let Some(part) = parts.last_mut() {
+                part.push(member.clone());
+            }
+        }
+        parts
+    }
+
+    /// Fingerprint of what all should agree on. The dead are left out, since each forgets them
+    /// at its own time; suspicions too, since they pass by themselves.
+    pub(super) fn digest(&self) -> u64 {
+        self.all()
+            .filter(|member| member.state != State::Dead)
+            .map(|member| {
+                let leaving = u64::from(member.state == State::Leaving);
+                let seed = member.incarnation.wrapping_mul(2).wrapping_add(leaving);
+                xxh3::xxh3_64_with_seed(member.vm.as_bytes(), seed)
+            })
+            .fold(0, u64::wrapping_add)
+    }
+
+    /// Forgets members that died long ago.
+    pub(super) fn forget_dead(&mut self, now: Instant) {
+        self.members.retain(|_, entry| {
+            entry.member.state != State::Dead || now - entry.changed_at < DEAD_KEPT
+        });
+    }
+}
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -1,4 +1,14 @@
 //! Tests of the library, in one crate; a folder beside this file holds them by subject.
 
+#[path = "suite/cluster.rs"]
+mod cluster;
 #[path = "suite/error_kind.rs"]
 mod error_kind;
+#[path = "suite/membership.rs"]
+mod membership;
+#[path = "suite/membership_cost.rs"]
+mod membership_cost;
+#[path = "suite/rendezvous.rs"]
+mod rendezvous;
+#[path = "suite/wire.rs"]
+mod wire;
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/rendezvous.rs
@@ -0,0 +1,58 @@
+//! Ranking against a naive full sort, and how little moves when a member leaves.
+
+use indexmap::IndexSet;
+use lilaccrank::rendezvous;
+use quickcheck::quickcheck;
+
+fn naive(duty: &str, members: &IndexSet<String>) -> Vec<String> {
+    let mut sorted: Vec<_> = members.iter().cloned().collect();
+    sorted.sort_by_key(|vm| (rendezvous::weight(duty, vm), vm.clone()));
+    sorted.reverse();
+    sorted
+}
+
+quickcheck! {
+    fn top_is_the_head_of_a_full_sort(duty: String, vms: Vec<String>, count: usize) -> bool {
+        let members: IndexSet<_> = vms.into_iter().collect();
+        let count = count % (members.len() + 2);
+        let mut expected = naive(&duty, &members);
+        expected.truncate(count);
+        let top = rendezvous::top(&duty, &members, count);
+        top.into_iter().eq(&expected)
+    }
+
+    fn owners_are_the_first_two(duty: String, vms: Vec<String>) -> bool {
+        let members: IndexSet<_> = vms.into_iter().collect();
+        let sorted = naive(&duty, &members);
+        let owners = rendezvous::owners(&duty, &members);
+        owners.map(|o| o.first) == sorted.first()
+            && owners.and_then(|o| o.second) == sorted.get(1)
+            && rendezvous::owner(&duty, &members) == sorted.first()
+    }
+
+    fn second_takes_over_when_the_first_leaves(duty: String, vms: Vec<String>) -> bool {
+        let mut members: IndexSet<_> = vms.into_iter().collect();
+        let Some(owners) = rendezvous::owners(&duty, &members) else {
+            return members.is_empty();
+        };
+        let (first, second) = (owners.first.clone(), owners.second.cloned());
+        members.swap_remove(&first);
+        rendezvous::owner(&duty, &members).cloned() == second
+    }
+}
+
+#[test]
+fn a_leaving_member_moves_only_its_own_duties() {
+    let vms: Vec<_> = (0..100).map(|i| format!("vm-{i}")).collect();
+    let mut moved = 0;
+    for duty in (0..10_000).map(|i| format!("duty-{i}")) {
+        let before = rendezvous::owner(&duty, &vms).expect("members");
+        let after = rendezvous::owner(&duty, &vms[1..]).expect("members");
+        assert!(before == after || *before == vms[0]);
+        moved += u32::from(before != after);
+    }
+    assert!(
+        (60..140).contains(&moved),
+        "{moved} of 10,000 duties moved, about 100 expected"
+    );
+}
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/wire.rs
@@ -0,0 +1,129 @@
+//! Datagrams in memory: lossy, cut in two, counted.
+
+use std::cell::RefCell;
+use std::collections::{HashSet, VecDeque};
+use std::future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+
+use indexmap::IndexMap;
+use lilaccrank::membership::datagrams::{self, Datagram, Datagrams};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// Datagrams that a socket holds for a process that does not read.
+const INBOX_LIMIT: usize = 256;
+/// Bytes of the IP and UDP headers.
+const HEADERS: usize = 28;
+
+#[derive(Clone)]
+pub struct Wire(Rc<RefCell<Inner>>);
+
+struct Inner {
+    inboxes: IndexMap<SocketAddr, Inbox>,
+    island: HashSet<SocketAddr>,
+    loss: f64,
+    rng: StdRng,
+    sent_bytes: usize,
+    largest: usize,
+}
+
+#[derive(Default)]
+struct Inbox {
+    queue: VecDeque<Datagram>,
+    waker: Option<Waker>,
+}
+
+impl Wire {
+    pub fn new(seed: u64) -> Self {
+        Self(Rc::new(RefCell::new(Inner {
+            inboxes: IndexMap::new(),
+            island: HashSet::new(),
+            loss: 0.0,
+            rng: StdRng::seed_from_u64(seed),
+            sent_bytes: 0,
+            largest: 0,
+        })))
+    }
+
+    pub fn socket(&self, address: SocketAddr) -> Socket {
+        self.0
+            .borrow_mut()
+            .inboxes
+            .insert(address, Inbox::default());
+        Socket {
+            address,
+            wire: self.clone(),
+        }
+    }
+
+    pub fn close(&self, address: SocketAddr) {
+        self.0.borrow_mut().inboxes.swap_remove(&address);
+    }
+
+    /// Cuts these addresses off from all others.
+    pub fn cut_off(&self, island: impl IntoIterator<Item = SocketAddr>) {
+        self.0.borrow_mut().island = island.into_iter().collect();
+    }
+
+    pub fn set_loss(&self, loss: f64) {
+        self.0.borrow_mut().loss = loss;
+    }
+
+    /// Bytes sent by all since the last call, headers included.
+    pub fn take_sent_bytes(&self) -> usize {
+        std::mem::take(&mut self.0.borrow_mut().sent_bytes)
+    }
+
+    /// Content of the largest datagram so far, in bytes.
+    pub fn largest(&self) -> usize {
+        self.0.borrow().largest
+    }
+}
+
+impl Inner {
+    fn send(&mut self, from: SocketAddr, to: SocketAddr, bytes: Vec<u8>) {
+        self.sent_bytes += bytes.len() + HEADERS;
+        self.largest = self.largest.max(bytes.len());
+        let cut = self.island.contains(&from) != self.island.contains(&to);
+        let lost = self.rng.random::<f64>() < self.loss;
+        let Some(inbox) = self.inboxes.get_mut(&to) else {
+            return;
+        };
+        if cut || lost || inbox.queue.len() >= INBOX_LIMIT {
+            return;
+        }
+        inbox.queue.push_back(Datagram { bytes, from });
+        if let Some(waker) = inbox.waker.take() {
+            waker.wake();
+        }
+    }
+}
+
+pub struct Socket {
+    address: SocketAddr,
+    wire: Wire,
+}
+
+impl Datagrams for Socket {
+    async fn recv(&self) -> datagrams::Result<Datagram> {
+        future::poll_fn(|cx| {
+            let mut inner = self.wire.0.borrow_mut();
+            let Some(inbox) = inner.inboxes.get_mut(&self.address) else {
+                return Poll::Pending;
+            };
+            if let Some(datagram) = inbox.queue.pop_front() {
+                return Poll::Ready(Ok(datagram));
+            }
+            inbox.waker = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+
+    async fn send(&self, to: SocketAddr, bytes: Vec<u8>) -> datagrams::Result<()> {
+        self.wire.0.borrow_mut().send(self.address, to, bytes);
+        Ok(())
+    }
+}
