--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -10,3 +10,15 @@
 mod error_kind;
 #[path = "suite/rules_matching.rs"]
 mod rules_matching;
+#[path = "suite/cluster.rs"]
+mod cluster;
+#[path = "suite/error_kind.rs"]
+mod error_kind;
+#[path = "suite/membership.rs"]
+mod membership;
+#[path = "suite/membership_cost.rs"]
+mod membership_cost;
+#[path = "suite/rendezvous.rs"]
+mod rendezvous;
+#[path = "suite/wire.rs"]
+mod wire;
