--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -12,4 +12,6 @@
 pub mod paused_clock;
 pub mod peers;
 pub mod request;
+pub mod request_key;
 pub mod store;
+pub mod timeline;
--- /dev/null
+++ b/crates/lilaccrank/src/request_key/budget.rs
@@ -0,0 +1,77 @@
+//! A token bucket for calls to the store.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Instant;
+
+use crate::clock::Clock;
+
+/// Calls per second that may go to the store, with a burst; clones share one bucket.
+#[derive(Clone)]
+pub struct Budget<C> {
+    burst: f64,
+    clock: C,
+    per_second: f64,
+    state: Rc<Cell<State>>,
+}
+
+#[derive(Clone, Copy)]
+struct State {
+    at: Instant,
+    tokens: f64,
+}
+
+impl<C: Clock> Budget<C> {
+    /// A full bucket.
+    #[must_use]
+    pub fn new(clock: C, per_second: f64, burst: f64) -> Self {
+        let state = State {
+            at: clock.now(),
+            tokens: burst,
+        };
+        Self {
+            burst,
+            clock,
+            per_second,
+            state: Rc::new(Cell::new(state)),
+        }
+    }
+
+    /// Takes a token if at least one is left.
+    #[must_use]
+    pub fn try_take(&self) -> bool {
+        self.take_leaving(0.0)
+    }
+
+    /// Takes a token if half of the burst stays for others.
+    #[must_use]
+    pub fn try_take_spare(&self) -> bool {
+        self.take_leaving(self.burst / 2.0)
+    }
+
+    /// Takes a token even if none is left: a claim that was begun has to be settled. The debt
+    /// holds new claims back until it is paid, so that the average keeps to the rate.
+    pub fn take_in_debt(&self) {
+        let mut state = self.refilled();
+        state.tokens -= 1.0;
+        self.state.set(state);
+    }
+
+    fn take_leaving(&self, rest: f64) -> bool {
+        let mut state = self.refilled();
+        let enough = state.tokens >= rest + 1.0;
+        if enough {
+            state.tokens -= 1.0;
+        }
+        self.state.set(state);
+        enough
+    }
+
+    fn refilled(&self) -> State {
+        let state = self.state.get();
+        let at = self.clock.now();
+        let gained = (at - state.at).as_secs_f64() * self.per_second;
+        let tokens = (state.tokens + gained).min(self.burst);
+        State { at, tokens }
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank/src/request_key/handover.rs
@@ -0,0 +1,181 @@
+//! Records move to their new owners when the members change.
+
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use crate::clock::Clock;
+use crate::ids::VmId;
+use crate::peers::Peers;
+use crate::request_key::keeper::Keeper;
+use crate::request_key::key_id::KeyId;
+use crate::request_key::message::{KeyReply, KeyRequest, Moved};
+use crate::request_key::ranking::{MemberRef, Ranking};
+use crate::request_key::replication::{self, OWNERS};
+use crate::request_key::table::Owners;
+
+/// Records looked at for one page: bounds how long a page keeps the daemon from other work.
+const PAGE_SCANNED: usize = 512;
+
+impl<C: Clock, P: Peers<KeyRequest, KeyReply>, R: Ranking> Keeper<C, P, R> {
+    /// To be called at the start and after each change of the live members: pushes records to
+    /// their new owners and asks every live member for what this daemon now owns. Until that
+    /// is done, claims get [`KeyReply::Unsettled`]. Returns early if the members change again.
+    pub async fn members_changed(&self) {
+        let view = self.inner.ranking.ranked(0);
+        self.push_all(&view).await;
+        let me = self.inner.ranking.me();
+        if view == [me.clone()] {
+            // A daemon that was frozen finds all its timers expired, and may think for a moment
+            // that all others are dead. Alone it needs no copy, and would run a request that
+            // the others have run meanwhile. The wait gives their heartbeats time to arrive.
+            self.inner
+                .clock
+                .sleep(self.inner.limits.isolation_hold)
+                .await;
+        }
+        for member in view.iter().filter(|member| **member != me) {
+            if !self.pull_from(member, &view).await {
+                return;
+            }
+        }
+        if self.inner.ranking.ranked(0) == view {
+            *self.inner.settled.borrow_mut() = Some(view);
+        }
+    }
+
+    /// Asks `member` for all its records that belong here; false if the members changed.
+    async fn pull_from(&self, member: &MemberRef, view: &[MemberRef]) -> bool {
+        let mut after = None;
+        while self.inner.ranking.ranked(0) == view {
+            let req = KeyRequest::Handover {
+                after,
+                live: view.to_vec(),
+                owner: self.inner.ranking.me(),
+            };
+            if let Ok(KeyReply::Handover { moved, next }) =
+                self.inner.peers.call(&member.vm, req).await
+            {
+                // Without room for a record of another holder its key would look unknown here;
+                // staying unsettled refuses claims instead.
+                if self.accept_push(moved) == KeyReply::Done {
+                    match next {
+                        Some(_) => after = next,
+                        None => return true,
+                    }
+                    continue;
+                }
+            }
+            self.inner.clock.sleep(self.inner.limits.retry_every).await;
+        }
+        false
+    }
+
+    /// One page of the records that `owner` is to hold.
+    ///
+    /// A daemon that doesn't see the new owner yet still acts as keeper in its place. What it
+    /// grants after this answer would be unknown to the owner, so it gives none until it sees
+    /// the owner, and then no longer grants.
+    pub(super) fn hand_over(
+        &self,
+        after: Option<KeyId>,
+        live: &[MemberRef],
+        owner: &MemberRef,
+    ) -> KeyReply {
+        if !self.inner.ranking.is_live(owner) {
+            return KeyReply::Unsettled;
+        }
+        let now = self.inner.clock.now();
+        let table = self.inner.table.borrow();
+        let mut moved = Vec::new();
+        let mut last = None;
+        for (id, slot) in table.after(after).take(PAGE_SCANNED) {
+            last = Some(*id);
+            let mut ranked = self.inner.ranking.ranked(id.hash());
+            ranked.retain(|member| live.contains(member));
+            let owns = ranked.iter().take(OWNERS).any(|member| member == owner);
+            if owns && slot.replicated != Some(replication::owners_of(&ranked)) {
+                moved.push(slot.moved(*id, now));
+            }
+        }
+        let next = last.filter(|last| table.after(Some(*last)).next().is_some());
+        KeyReply::Handover { moved, next }
+    }
+
+    /// Pushes each record to those of its owners that are not known to have it.
+    async fn push_all(&self, view: &[MemberRef]) {
+        let mut after = None;
+        while self.inner.ranking.ranked(0) == view {
+            let page = self.push_page(after);
+            let mut delivered = true;
+            for (vm, moved) in page.batches {
+                // A push that fails is made up for by the new owner, which asks.
+                let reply = self.inner.peers.call(&vm, KeyRequest::Push { moved }).await;
+                delivered &= reply == Ok(KeyReply::Done);
+            }
+            if delivered {
+                self.note_replicated(page.pushed);
+            }
+            if page.last.is_none() {
+                return;
+            }
+            after = page.last;
+        }
+    }
+
+    fn push_page(&self, after: Option<KeyId>) -> PushPage {
+        let now = self.inner.clock.now();
+        let me = self.inner.ranking.me();
+        let table = self.inner.table.borrow();
+        let mut page = PushPage::default();
+        for (id, slot) in table.after(after).take(PAGE_SCANNED) {
+            page.last = Some(*id);
+            let ranked = self.inner.ranking.ranked(id.hash());
+            let owners = replication::owners_of(&ranked);
+            if slot.replicated == Some(owners) {
+                continue;
+            }
+            page.pushed.push(Pushed {
+                id: *id,
+                owners,
+                touched: slot.touched,
+            });
+            for owner in ranked.iter().take(OWNERS).filter(|owner| **owner != me) {
+                let batch = page.batches.entry(owner.vm.clone()).or_default();
+                batch.push(slot.moved(*id, now));
+            }
+        }
+        page
+    }
+
+    /// Spares the records that have reached their owners the next push and handover.
+    fn note_replicated(&self, pushed: Vec<Pushed>) {
+        let mut table = self.inner.table.borrow_mut();
+        for Pushed {
+            id,
+            owners,
+            touched,
+        } in pushed
+        {
+            let slot = table.get_mut(&id).filter(|slot| slot.touched == touched);
+            if let Some(slot) = slot {
+                slot.replicated = Some(owners);
+            }
+        }
+    }
+}
+
+/// Records to push, by the vm of the new owner.
+#[derive(Default)]
+struct PushPage {
+    batches: IndexMap<VmId, Vec<Moved>>,
+    last: Option<KeyId>,
+    pushed: Vec<Pushed>,
+}
+
+/// A record as it was when it was pushed.
+struct Pushed {
+    id: KeyId,
+    owners: Owners,
+    touched: Instant,
+}
--- /dev/null
+++ b/crates/lilaccrank/src/request_key/keeper.rs
@@ -0,0 +1,285 @@
+//! The side that keeps records: keeper, copy and former holder alike.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+use crate::clock::Clock;
+use crate::peers::Peers;
+use crate::request_key::grant::Ask;
+use crate::request_key::key_id::KeyId;
+use crate::request_key::message::{KeyReply, KeyRequest, Moved};
+use crate::request_key::ranking::{MemberRef, Ranking};
+use crate::request_key::record::{Holder, Outcome, Record, Stage};
+use crate::request_key::table::Table;
+
+/// Bounds of one keeper.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// How long an unmarked claim is kept; its holder can't mark it any more afterwards.
+    pub claimed_ttl: Duration,
+    /// How long the record of an ended idempotent request is kept.
+    pub ended_ttl: Duration,
+    /// How long a daemon that sees no other member waits before it grants claims by itself.
+    pub isolation_hold: Duration,
+    /// Records held, for itself and for others; new claims are granted up to half of it.
+    pub records: usize,
+    /// How long the record of an ended non-idempotent request is kept.
+    pub retention: Duration,
+    /// Wait between two tries to hear from a member after a change.
+    pub retry_every: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            claimed_ttl: Duration::from_secs(600),
+            ended_ttl: Duration::from_secs(600),
+            isolation_hold: Duration::from_secs(5),
+            records: 200_000,
+            retention: Duration::from_secs(24 * 3_600),
+            retry_every: Duration::from_millis(50),
+        }
+    }
+}
+
+/// Keeps the records of the keys that this daemon ranks first or second for; clones share them.
+pub struct Keeper<C, P, R> {
+    pub(super) inner: Rc<Inner<C, P, R>>,
+}
+
+pub(super) struct Inner<C, P, R> {
+    pub(super) clock: C,
+    pub(super) lineages: Cell<u64>,
+    pub(super) limits: Limits,
+    pub(super) peers: P,
+    pub(super) ranking: R,
+    pub(super) settled: RefCell<Option<Vec<MemberRef>>>,
+    pub(super) table: RefCell<Table>,
+}
+
+impl<C, P, R> Clone for Keeper<C, P, R> {
+    fn clone(&self) -> Self {
+        Self {
+            inner: Rc::clone(&self.inner),
+        }
+    }
+}
+
+impl<C: Clock, P: Peers<KeyRequest, KeyReply>, R: Ranking> Keeper<C, P, R> {
+    /// A keeper without records; it grants nothing until [`members_changed`] has run.
+    ///
+    /// [`members_changed`]: Self::members_changed
+    #[must_use]
+    pub fn new(clock: C, peers: P, ranking: R, limits: Limits) -> Self {
+        let table = RefCell::new(Table::new(limits.records));
+        let inner = Inner {
+            clock,
+            lineages: Cell::new(0),
+            limits,
+            peers,
+            ranking,
+            settled: RefCell::new(None),
+            table,
+        };
+        Self {
+            inner: Rc::new(inner),
+        }
+    }
+
+    /// Answers one message of an entry or of another keeper.
+    pub async fn handle(&self, req: KeyRequest) -> KeyReply {
+        match req {
+            KeyRequest::Claim {
+                attempt,
+                body,
+                entry,
+                id,
+                idempotent,
+            } => {
+                let ask = Ask {
+                    attempt,
+                    body,
+                    entry,
+                    id,
+                    idempotent,
+                };
+                self.claim(ask).await
+            }
+            KeyRequest::Copy { keeper, moved } => self.accept_copy(&keeper, moved),
+            KeyRequest::End {
+                holder,
+                id,
+                outcome,
+            } => self.end(id, &holder, outcome).await,
+            KeyRequest::Handover { after, live, owner } => self.hand_over(after, &live, &owner),
+            KeyRequest::Mark { holder, id } => self.mark(id, &holder).await,
+            KeyRequest::Push { moved } => self.accept_push(moved),
+            KeyRequest::Release { attempt, entry, id } => self.release(id, &entry, attempt).await,
+        }
+    }
+
+    /// Drops what has outlived its time.
+    pub fn expire(&self) {
+        let now = self.inner.clock.now();
+        let ranking = &self.inner.ranking;
+        self.inner.table.borrow_mut().retain(|id, slot| {
+            let age = now.saturating_duration_since(slot.touched);
+            let record = &slot.record;
+            match record.stage {
+                Stage::Claimed => age < self.inner.limits.claimed_ttl,
+                Stage::Dispatching if ranking.is_live(&record.holder.entry) => true,
+                _ if age < self.ttl(record) => true,
+                // The store's object goes first, see `due_for_deletion`.
+                _ => !record.idempotent && self.is_keeper_of(id),
+            }
+        });
+    }
+
+    /// Calls [`expire`](Self::expire) for ever, once per `every`.
+    pub async fn expire_every(&self, every: Duration) {
+        loop {
+            self.inner.clock.sleep(every).await;
+            self.expire();
+        }
+    }
+
+    /// Records held here.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.inner.table.borrow().len()
+    }
+
+    /// Whether no records are held here.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The record held here for `id`, for status and tests.
+    #[must_use]
+    pub fn record(&self, id: &KeyId) -> Option<Record> {
+        let table = self.inner.table.borrow();
+        table.get(id).map(|slot| slot.record.clone())
+    }
+
+    /// Whether the records of others have been heard since the members last changed.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        let settled = self.inner.settled.borrow();
+        settled.as_ref() == Some(&self.inner.ranking.ranked(0))
+    }
+
+    /// Keys kept here whose object in the store has outlived its time, at most `limit`.
+    pub(super) fn due_for_deletion(&self, limit: usize) -> Vec<KeyId> {
+        let now = self.inner.clock.now();
+        let table = self.inner.table.borrow();
+        let due = table.after(None).filter(|(id, slot)| {
+            let record = &slot.record;
+            let running = match record.stage {
+                Stage::Claimed => true,
+                Stage::Dispatching => self.inner.ranking.is_live(&record.holder.entry),
+                Stage::Ended(_) | Stage::Free => false,
+            };
+            let age = now.saturating_duration_since(slot.touched);
+            !record.idempotent && !running && age >= self.ttl(record) && self.is_keeper_of(id)
+        });
+        due.map(|(id, _)| *id).take(limit).collect()
+    }
+
+    pub(super) fn forget(&self, id: &KeyId) {
+        self.inner.table.borrow_mut().remove(id);
+    }
+
+    /// Takes in a record that this daemon knows as the entry of its request.
+    ///
+    /// If keeper and copy both die while the request runs, no owner would know of it and a
+    /// repeat would run it again. The entry is a third holder, which a new keeper asks.
+    pub(super) fn witness(&self, id: KeyId, record: Record) {
+        let moved = Moved {
+            age_ms: 0,
+            id,
+            record,
+        };
+        let now = self.inner.clock.now();
+        self.inner.table.borrow_mut().absorb(moved, now);
+    }
+
+    async fn mark(&self, id: KeyId, holder: &Holder) -> KeyReply {
+        if !self.is_keeper_of(&id) {
+            return KeyReply::NotKeeper;
+        }
+        if !self.is_settled() {
+            return KeyReply::Unsettled;
+        }
+        // A frozen entry that thaws after its key was claimed anew fails here, before it has
+        // sent anything.
+        let Some(record) = self.change(&id, |record| record.mark(holder)) else {
+            return KeyReply::Superseded;
+        };
+        match self.replicate(&id, &record).await {
+            KeyReply::Done => KeyReply::Marked,
+            reply => reply,
+        }
+    }
+
+    async fn end(&self, id: KeyId, holder: &Holder, outcome: Outcome) -> KeyReply {
+        if !self.is_keeper_of(&id) {
+            return KeyReply::NotKeeper;
+        }
+        match self.change(&id, |record| record.end(holder, outcome)) {
+            Some(record) => self.replicate(&id, &record).await,
+            None => KeyReply::Superseded,
+        }
+    }
+
+    async fn release(&self, id: KeyId, entry: &MemberRef, attempt: u64) -> KeyReply {
+        if !self.is_keeper_of(&id) {
+            return KeyReply::NotKeeper;
+        }
+        match self.change(&id, |record| record.release(entry, attempt)) {
+            Some(record) => self.replicate(&id, &record).await,
+            None => KeyReply::Superseded,
+        }
+    }
+
+    /// Applies a transition; the changed record, or `None` if the transition is not allowed.
+    pub(super) fn change(
+        &self,
+        id: &KeyId,
+        transition: impl FnOnce(&mut Record) -> bool,
+    ) -> Option<Record> {
+        let mut table = self.inner.table.borrow_mut();
+        let slot = table.get_mut(id)?;
+        let before = slot.record.clone();
+        if !transition(&mut slot.record) {
+            return None;
+        }
+        if slot.record != before {
+            slot.replicated = None;
+            slot.touched = self.inner.clock.now();
+        }
+        Some(slot.record.clone())
+    }
+
+    pub(super) fn is_keeper_of(&self, id: &KeyId) -> bool {
+        let ranked = self.inner.ranking.ranked(id.hash());
+        ranked.first() == Some(&self.inner.ranking.me())
+    }
+
+    fn ttl(&self, record: &Record) -> Duration {
+        if record.idempotent {
+            self.inner.limits.ended_ttl
+        } else {
+            self.inner.limits.retention
+        }
+    }
+
+    pub(super) fn wall_ms(&self) -> u64 {
+        let wall = self.inner.clock.wall();
+        let since = wall.duration_since(SystemTime::UNIX_EPOCH);
+        since.map_or(0, |wall| {
+            u64::try_from(wall.as_millis()).unwrap_or(u64::MAX)
+        })
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank/src/request_key/replication.rs
@@ -0,0 +1,98 @@
+//! Keeper and copy: a change counts only once both have it.
+
+use xxhash_rust::xxh3;
+
+use crate::clock::Clock;
+use crate::peers::Peers;
+use crate::request_key::keeper::Keeper;
+use crate::request_key::key_id::KeyId;
+use crate::request_key::message::{KeyReply, KeyRequest, Moved};
+use crate::request_key::ranking::{MemberRef, Ranking};
+use crate::request_key::record::Record;
+use crate::request_key::table::Owners;
+
+/// Holders of each record: the keeper and its copy.
+pub(super) const OWNERS: usize = 2;
+
+impl<C: Clock, P: Peers<KeyRequest, KeyReply>, R: Ranking> Keeper<C, P, R> {
+    /// Brings `record` to the second in rank. `Done` only if the copy has it, nothing changed
+    /// it meanwhile and this daemon still is the keeper.
+    ///
+    /// Without the copy the death of this daemon would make the key unknown again. A copy that
+    /// does not answer is waited for until the membership calls it dead and ranks the next.
+    pub(super) async fn replicate(&self, id: &KeyId, record: &Record) -> KeyReply {
+        let ranked = self.inner.ranking.ranked(id.hash());
+        if let Some(second) = ranked.get(1) {
+            let moved = match self.inner.table.borrow().get(id) {
+                Some(slot) => slot.moved(*id, self.inner.clock.now()),
+                None => return KeyReply::Unsettled,
+            };
+            let req = KeyRequest::Copy {
+                keeper: self.inner.ranking.me(),
+                moved,
+            };
+            match self.inner.peers.call(&second.vm, req).await {
+                Ok(KeyReply::Done) => {}
+                Ok(KeyReply::Full) => return KeyReply::Full,
+                Ok(KeyReply::Conflict { known }) => {
+                    self.accept_push(vec![known]);
+                    return KeyReply::Unsettled;
+                }
+                Ok(_) | Err(_) => return KeyReply::Unsettled,
+            }
+        }
+        if self.record(id).as_ref() != Some(record) || !self.is_keeper_of(id) {
+            return KeyReply::Unsettled;
+        }
+        if let Some(slot) = self.inner.table.borrow_mut().get_mut(id) {
+            slot.replicated = Some(owners_of(&ranked));
+        }
+        KeyReply::Done
+    }
+
+    /// Two daemons can both think that they keep a key while the members change. This one
+    /// backs only the keeper that it sees itself, and no record that contradicts its own, so at
+    /// most one of them is acknowledged.
+    pub(super) fn accept_copy(&self, keeper: &MemberRef, moved: Moved) -> KeyReply {
+        let ranked = self.inner.ranking.ranked(moved.id.hash());
+        if ranked.first() != Some(keeper) {
+            return KeyReply::NotKeeper;
+        }
+        let now = self.inner.clock.now();
+        let id = moved.id;
+        let mut table = self.inner.table.borrow_mut();
+        let known = table.get(&id);
+        if let Some(slot) = known.filter(|slot| !moved.record.supersedes(&slot.record)) {
+            let known = slot.moved(id, now);
+            return KeyReply::Conflict { known };
+        }
+        if !table.absorb(moved, now) {
+            return KeyReply::Full;
+        }
+        if let Some(slot) = table.get_mut(&id) {
+            slot.replicated = Some(owners_of(&ranked));
+        }
+        KeyReply::Done
+    }
+
+    pub(super) fn accept_push(&self, moved: Vec<Moved>) -> KeyReply {
+        let now = self.inner.clock.now();
+        let mut table = self.inner.table.borrow_mut();
+        let stored = moved.into_iter().all(|moved| table.absorb(moved, now));
+        if stored {
+            KeyReply::Done
+        } else {
+            KeyReply::Full
+        }
+    }
+}
+
+/// Names the owners of a key in this ranking.
+pub(super) fn owners_of(ranked: &[MemberRef]) -> Owners {
+    let mut hasher = xxh3::Xxh3::new();
+    for member in ranked.iter().take(OWNERS) {
+        hasher.update(member.vm.as_bytes());
+        hasher.update(&member.incarnation.to_le_bytes());
+    }
+    hasher.digest()
+}
--- /dev/null
+++ b/crates/lilaccrank/src/request_key/table.rs
@@ -0,0 +1,114 @@
+//! The bounded table of records.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::time::{Duration, Instant};
+
+use crate::request_key::key_id::KeyId;
+use crate::request_key::message::Moved;
+use crate::request_key::record::Record;
+
+/// Names the two owners that are known to hold a record, as a hash.
+pub type Owners = u64;
+
+/// A record as held here.
+pub struct Slot {
+    /// The record.
+    pub record: Record,
+    /// The owners that have acknowledged this very state of the record.
+    pub replicated: Option<Owners>,
+    /// When the record last changed.
+    pub touched: Instant,
+}
+
+/// Records by key. Ordered, unlike the other maps of the library, because a handover reads it
+/// in pages while it changes.
+pub struct Table {
+    limit: usize,
+    slots: BTreeMap<KeyId, Slot>,
+}
+
+impl Table {
+    /// An empty table with room for `limit` records.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            slots: BTreeMap::new(),
+        }
+    }
+
+    /// Whether a new claim finds room. Half of the table is for the records of others: a claim
+    /// that was granted elsewhere must not be lost on its way here.
+    pub fn has_room_for_claim(&self) -> bool {
+        self.slots.len() < self.limit / 2
+    }
+
+    /// The slot of `id`.
+    pub fn get(&self, id: &KeyId) -> Option<&Slot> {
+        self.slots.get(id)
+    }
+
+    /// The slot of `id`, to change.
+    pub fn get_mut(&mut self, id: &KeyId) -> Option<&mut Slot> {
+        self.slots.get_mut(id)
+    }
+
+    /// Records held.
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Puts `record` in the place of whatever is known; false if there is no room.
+    pub fn put(&mut self, id: KeyId, record: Record, touched: Instant) -> bool {
+        if self.slots.len() >= self.limit && !self.slots.contains_key(&id) {
+            return false;
+        }
+        let slot = Slot {
+            record,
+            replicated: None,
+            touched,
+        };
+        self.slots.insert(id, slot);
+        true
+    }
+
+    /// Takes in what another holder knows, unless what is known here is newer; false if there
+    /// is no room.
+    pub fn absorb(&mut self, moved: Moved, now: Instant) -> bool {
+        let known = self.slots.get(&moved.id).map(|slot| &slot.record);
+        if known.is_some_and(|known| *known == moved.record || !moved.record.supersedes(known)) {
+            return true;
+        }
+        let age = Duration::from_millis(moved.age_ms);
+        let touched = now.checked_sub(age).unwrap_or(now);
+        self.put(moved.id, moved.record, touched)
+    }
+
+    /// Removes the slot of `id`.
+    pub fn remove(&mut self, id: &KeyId) {
+        self.slots.remove(id);
+    }
+
+    /// Slots after `after`, by ascending key.
+    pub fn after(&self, after: Option<KeyId>) -> impl Iterator<Item = (&KeyId, &Slot)> {
+        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        self.slots.range((start, Bound::Unbounded))
+    }
+
+    /// Keeps the slots that `keep` approves.
+    pub fn retain(&mut self, mut keep: impl FnMut(&KeyId, &Slot) -> bool) {
+        self.slots.retain(|id, slot| keep(id, slot));
+    }
+}
+
+impl Slot {
+    /// The record with its age, for another holder.
+    pub fn moved(&self, id: KeyId, now: Instant) -> Moved {
+        let age = now.saturating_duration_since(self.touched);
+        Moved {
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            id,
+            record: self.record.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank/src/timeline.rs
@@ -0,0 +1,112 @@
+//! The time line of one daemon: a bounded ring of typed events, and the merge of many.
+
+pub mod event;
+pub mod merge;
+pub mod stamp;
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::SystemTime;
+
+use crate::clock::Clock;
+use crate::ids::VmId;
+
+pub use event::{Event, EventKind, Query, Subject};
+pub use merge::merge;
+pub use stamp::Stamp;
+
+/// Events of one daemon; clones share one ring.
+pub struct Timeline<C> {
+    clock: C,
+    inner: Rc<RefCell<Inner>>,
+}
+
+struct Inner {
+    dropped: u64,
+    events: VecDeque<Event>,
+    last: Stamp,
+    limit: usize,
+}
+
+impl<C: Clock> Timeline<C> {
+    /// A time line of the daemon on `vm` that keeps the last `limit` events.
+    #[must_use]
+    pub fn new(clock: C, vm: VmId, limit: usize) -> Self {
+        let inner = Inner {
+            dropped: 0,
+            events: VecDeque::new(),
+            last: Stamp::start(vm),
+            limit,
+        };
+        Self {
+            clock,
+            inner: Rc::new(RefCell::new(inner)),
+        }
+    }
+
+    /// Events that the ring has lost to newer ones.
+    #[must_use]
+    pub fn dropped(&self) -> u64 {
+        self.inner.borrow().dropped
+    }
+
+    /// Takes in the stamp of a message, so that whatever follows here is ordered after it.
+    pub fn observe(&self, remote: &Stamp) {
+        let wall_ms = self.wall_ms();
+        self.inner.borrow_mut().last.observe(remote, wall_ms);
+    }
+
+    /// The events that match `query`, the oldest first.
+    #[must_use]
+    pub fn query(&self, query: &Query) -> Vec<Event> {
+        let inner = self.inner.borrow();
+        let matching = inner.events.iter().filter(|event| query.matches(event));
+        matching.cloned().collect()
+    }
+
+    /// Adds an event and returns its stamp.
+    pub fn record(&self, kind: EventKind, subject: Subject) -> Stamp {
+        let stamp = self.stamp();
+        let mut inner = self.inner.borrow_mut();
+        if inner.limit == 0 {
+            inner.dropped += 1;
+            return stamp;
+        }
+        if inner.events.len() == inner.limit {
+            inner.events.pop_front();
+            inner.dropped += 1;
+        }
+        inner.events.push_back(Event {
+            kind,
+            stamp: stamp.clone(),
+            subject,
+        });
+        stamp
+    }
+
+    /// A new stamp, for a message to another daemon.
+    #[must_use]
+    pub fn stamp(&self) -> Stamp {
+        let wall_ms = self.wall_ms();
+        let mut inner = self.inner.borrow_mut();
+        inner.last.tick(wall_ms);
+        inner.last.clone()
+    }
+
+    fn wall_ms(&self) -> u64 {
+        let since = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+        since.map_or(0, |wall| {
+            u64::try_from(wall.as_millis()).unwrap_or(u64::MAX)
+        })
+    }
+}
+
+impl<C: Clone> Clone for Timeline<C> {
+    fn clone(&self) -> Self {
+        Self {
+            clock: self.clock.clone(),
+            inner: Rc::clone(&self.inner),
+        }
+    }
+}
