Request keys: failure tests, and no grant after an unnoticed pause

Cause: keeper and copy froze, others took over, and both thawed into the membership that they knew; the new test saw the repeat granted a second time, since nothing told the keeper of its pause. Ruled out: comparing members (they are the same again); leaving it to the copy (it was away too). Change: the keeper ticks; a gap over pause_limit makes it unsettled until it has heard all members. Fakes of wire, membership and store; failure tests; tests of the time line. Conclusion: safeguards are yet to be switched off one by one.

--- a/crates/lilaccrank/src/request_key/handover.rs
+++ b/crates/lilaccrank/src/request_key/handover.rs
@@ -18,11 +18,12 @@
 const PAGE_SCANNED: usize = 512;
 
 impl<C: Clock, P: Peers<KeyRequest, KeyReply>, R: Ranking> Keeper<C, P, R> {
-    /// To be called at the start and after each change of the live members: pushes records to
+    /// Called by [`run`](Self::run) at the start and after each change of the members: pushes records to
     /// their new owners and asks every live member for what this daemon now owns. Until that
     /// is done, claims get [`KeyReply::Unsettled`]. Returns early if the members change again.
     pub async fn members_changed(&self) {
         let view = self.inner.ranking.ranked(0);
+        let pauses = self.inner.pauses.get();
         self.push_all(&view).await;
         let me = self.inner.ranking.me();
         if view == [me.clone()] {
@@ -39,7 +40,8 @@
                 return;
             }
         }
-        if self.inner.ranking.ranked(0) == view {
+        self.tick_if_paused();
+        if self.inner.ranking.ranked(0) == view && self.inner.pauses.get() == pauses {
             *self.inner.settled.borrow_mut() = Some(view);
         }
     }
--- a/crates/lilaccrank/src/request_key/keeper.rs
+++ b/crates/lilaccrank/src/request_key/keeper.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use crate::clock::Clock;
 use crate::peers::Peers;
@@ -22,6 +22,9 @@
     pub ended_ttl: Duration,
     /// How long a daemon that sees no other member waits before it grants claims by itself.
     pub isolation_hold: Duration,
+    /// Longest time between two ticks that is no pause of this process. Must stay below the
+    /// silence after which the others call a member dead.
+    pub pause_limit: Duration,
     /// Records held, for itself and for others; new claims are granted up to half of it.
     pub records: usize,
     /// How long the record of an ended non-idempotent request is kept.
@@ -36,6 +39,7 @@
             claimed_ttl: Duration::from_secs(600),
             ended_ttl: Duration::from_secs(600),
             isolation_hold: Duration::from_secs(5),
+            pause_limit: Duration::from_secs(1),
             records: 200_000,
             retention: Duration::from_secs(24 * 3_600),
             retry_every: Duration::from_millis(50),
@@ -52,10 +56,12 @@
     pub(super) clock: C,
     pub(super) lineages: Cell<u64>,
     pub(super) limits: Limits,
+    pub(super) pauses: Cell<u64>,
     pub(super) peers: P,
     pub(super) ranking: R,
     pub(super) settled: RefCell<Option<Vec<MemberRef>>>,
     pub(super) table: RefCell<Table>,
+    ticked: Cell<Instant>,
 }
 
 impl<C, P, R> Clone for Keeper<C, P, R> {
@@ -67,20 +73,21 @@
 }
 
 impl<C: Clock, P: Peers<KeyRequest, KeyReply>, R: Ranking> Keeper<C, P, R> {
-    /// A keeper without records; it grants nothing until [`members_changed`] has run.
-    ///
-    /// [`members_changed`]: Self::members_changed
+    /// A keeper without records; it grants nothing until [`run`](Self::run) is under way.
     #[must_use]
     pub fn new(clock: C, peers: P, ranking: R, limits: Limits) -> Self {
         let table = RefCell::new(Table::new(limits.records));
+        let ticked = Cell::new(clock.now());
         let inner = Inner {
             clock,
             lineages: Cell::new(0),
             limits,
+            pauses: Cell::new(0),
             peers,
             ranking,
             settled: RefCell::new(None),
             table,
+            ticked,
         };
         Self {
             inner: Rc::new(inner),
@@ -136,11 +143,39 @@
         });
     }
 
-    /// Calls [`expire`](Self::expire) for ever, once per `every`.
-    pub async fn expire_every(&self, every: Duration) {
-        loop {
-            self.inner.clock.sleep(every).await;
-            self.expire();
+    /// Runs the upkeep for ever: notes pauses of the process, hands records over after changes
+    /// of the members, drops old records. `every` must be well below [`Limits::pause_limit`].
+    pub async fn run(&self, every: Duration) {
+        let upkeep = async {
+            loop {
+                self.inner.clock.sleep(every).await;
+                self.tick();
+                self.expire();
+            }
+        };
+        let settle = async {
+            loop {
+                if !self.is_settled() {
+                    self.members_changed().await;
+                }
+                self.inner.clock.sleep(every).await;
+            }
+        };
+        futures::future::join(upkeep, settle).await;
+    }
+
+    /// Notes that the process runs. Without a tick for [`Limits::pause_limit`] it counts as
+    /// paused, and claims are answered as unsettled until the others have been heard again.
+    ///
+    /// A frozen daemon may thaw into the very membership that it knew: it was called dead and
+    /// taken back meanwhile, and others granted claims in its place. Nothing but the time that
+    /// it missed tells it so.
+    pub fn tick(&self) {
+        let now = self.inner.clock.now();
+        let silence = now.saturating_duration_since(self.inner.ticked.replace(now));
+        if silence > self.inner.limits.pause_limit {
+            self.inner.pauses.set(self.inner.pauses.get() + 1);
+            self.inner.settled.take();
         }
     }
 
@@ -163,13 +198,23 @@
         table.get(id).map(|slot| slot.record.clone())
     }
 
-    /// Whether the records of others have been heard since the members last changed.
+    /// Whether the records of others have been heard since the members last changed or this
+    /// process was last paused.
     #[must_use]
     pub fn is_settled(&self) -> bool {
+        self.tick_if_paused();
         let settled = self.inner.settled.borrow();
         settled.as_ref() == Some(&self.inner.ranking.ranked(0))
     }
 
+    /// After a pause, messages may be handled before the upkeep gets its turn.
+    pub(super) fn tick_if_paused(&self) {
+        let silence = self.inner.clock.now() - self.inner.ticked.get();
+        if silence > self.inner.limits.pause_limit {
+            self.tick();
+        }
+    }
+
     /// Keys kept here whose object in the store has outlived its time, at most `limit`.
     pub(super) fn due_for_deletion(&self, limit: usize) -> Vec<KeyId> {
         let now = self.inner.clock.now();
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -2,3 +2,7 @@
 
 #[path = "suite/error_kind.rs"]
 mod error_kind;
+#[path = "suite/request_key.rs"]
+mod request_key;
+#[path = "suite/timeline.rs"]
+mod timeline;
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/request_key.rs
@@ -0,0 +1,8 @@
+//! Request keys: failures with fakes, and the model of claim, dispatch and takeover.
+
+#[path = "request_key/cluster.rs"]
+mod cluster;
+#[path = "request_key/failures.rs"]
+mod failures;
+#[path = "request_key/store_failures.rs"]
+mod store_failures;
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/request_key/failures.rs
@@ -0,0 +1,246 @@
+//! Failures of daemons and of the wire around a claim.
+
+use std::time::Duration;
+
+use futures::future;
+use lilaccrank::error_kind::Ran;
+use lilaccrank::request_key::{
+    Access, BodyDigest, Error, KeyReply, KeyRequest, Limits, Outcome, Stage,
+};
+
+use crate::request_key::cluster::{Cluster, Loss, TestAccess, member, wanted};
+
+const HELD: Outcome = Outcome::Held { until_ms: 60_000 };
+const RAN: Option<Error> = Some(Error::AlreadyRun { failed: None });
+
+/// A repeat at daemon 2 after daemon 1 has marked its claim and the listed daemons were killed.
+macro_rules! repeat_after_mark {
+    ($name:ident, kill $killed:expr, $expected:pat) => {
+        #[test]
+        fn $name() {
+            let cluster = Cluster::new(4);
+            let _running = cluster.marked(1, &wanted(true));
+            for index in $killed {
+                cluster.kill(index);
+            }
+            let repeat = cluster.claim(2, &wanted(true));
+            assert!(matches!(repeat, $expected));
+        }
+    };
+}
+
+// The caller repeats at another daemon while the first runs its request. Whoever holds the
+// record, it must answer "running there" as long as the entry lives, and "may have run" after.
+repeat_after_mark!(repeat_attaches, kill [], Ok(Access::Running { .. }));
+repeat_after_mark!(
+    repeat_attaches_without_keeper,
+    kill[0],
+    Ok(Access::Running { .. })
+);
+repeat_after_mark!(
+    repeat_of_a_dead_entry,
+    kill[1],
+    Err(Error::AlreadyRun { .. })
+);
+repeat_after_mark!(repeat_of_a_dead_entry_and_keeper, kill [0, 1], Err(Error::AlreadyRun { .. }));
+
+fn refused(access: Result<TestAccess, Error>) -> Option<Error> {
+    access.err()
+}
+
+#[test]
+fn keeper_killed_between_claim_and_mark() {
+    // The caller sees one answer. Its entry claims, the keeper dies, the entry marks at the
+    // successor. The successor has the claim as its copy, so the mark finds it; and a repeat
+    // that comes first is sent to the entry and gets no claim of its own.
+    let cluster = Cluster::new(3);
+    let claim = cluster.granted(2, &wanted(true));
+    cluster.kill(0);
+    let repeat = cluster.claim(1, &wanted(true));
+    assert!(matches!(repeat, Ok(Access::Running { entry }) if entry == member(2)));
+    assert!(cluster.run(claim.mark_dispatching()).is_ok());
+}
+
+#[test]
+fn keeper_and_copy_change_at_once() {
+    // Keeper 0 and copy 1 freeze, 2 and 3 take over and run the request, and both thaw into the
+    // membership that they knew. Neither has heard of the key, and 0 sees no change of members.
+    // It may not grant the repeat before it has asked the others: it says so, not "unknown".
+    let cluster = Cluster::new(4);
+    cluster.stop(0);
+    cluster.kill(1);
+    let _running = cluster.marked(3, &wanted(true));
+    cluster.clock.advance(Duration::from_secs(5));
+    cluster.thaw(0);
+    cluster.thaw(1);
+    cluster.rejoin(&[0, 1, 2, 3]);
+    assert_eq!(
+        refused(cluster.claim(0, &wanted(true))),
+        Some(Error::Unsettled)
+    );
+    cluster.settle();
+    let repeat = cluster.claim(0, &wanted(true));
+    assert!(matches!(repeat, Ok(Access::Running { entry }) if entry == member(3)));
+}
+
+#[test]
+fn keeper_and_copy_die_while_the_entry_runs() {
+    // Both holders of the record die at once while entry 2 runs the request. No owner is left
+    // that knows the key, but the entry does, and the new keeper asks all before it grants.
+    let cluster = Cluster::new(4);
+    let _running = cluster.marked(2, &wanted(true));
+    cluster.stop(0);
+    cluster.kill(1);
+    let repeat = cluster.claim(3, &wanted(true));
+    assert!(matches!(repeat, Ok(Access::Running { entry }) if entry == member(2)));
+}
+
+#[test]
+fn frozen_entry_thaws_after_a_takeover() {
+    // Entry 2 claims and freezes; it is thought dead and the repeat at 1 gets a new claim and
+    // runs. When 2 thaws it still holds its claim and wants to dispatch. Its mark carries the
+    // old claim number and fails, and the stale record that it pushes changes nothing.
+    let cluster = Cluster::new(3);
+    let frozen = cluster.granted(2, &wanted(true));
+    cluster.kill(2);
+    let _running = cluster.marked(1, &wanted(true));
+    cluster.thaw(2);
+    let mark = cluster.run(frozen.mark_dispatching());
+    assert_eq!(mark.err(), RAN);
+    cluster.rejoin(&[0, 1, 2]);
+    cluster.settle();
+    let record = cluster.daemons[0].keeper.record(&key()).unwrap();
+    assert_eq!(record.holder.entry, member(1));
+}
+
+#[test]
+fn frozen_keeper_thaws_after_a_takeover() {
+    // Keeper 0 freezes and 1 takes over, grants and marks for entry 2. Thawed, 0 still thinks
+    // that it keeps the key, which it never heard of, and gets a claim for its own caller. The
+    // copy at 1 sees another keeper and does not acknowledge, so 0 can't grant.
+    let cluster = Cluster::new(3);
+    cluster.kill(0);
+    let _running = cluster.marked(2, &wanted(true));
+    cluster.thaw(0);
+    assert_eq!(
+        refused(cluster.claim(0, &wanted(true))),
+        Some(Error::Unsettled)
+    );
+}
+
+#[test]
+fn daemon_that_sees_nobody_waits() {
+    // A frozen daemon thaws, finds its timers expired and thinks all others dead. Alone it
+    // needs no copy; granting at once would run what the others run. It has to wait first, and
+    // by then the heartbeats have arrived and the view is back.
+    let cluster = Cluster::new(3);
+    let _running = cluster.marked(1, &wanted(true));
+    cluster.daemons[2]
+        .view
+        .live
+        .borrow_mut()
+        .retain(|other| *other == member(2));
+    let claim = cluster.claim(2, &wanted(true));
+    assert_eq!(refused(claim), Some(Error::Unsettled));
+}
+
+#[test]
+fn two_repeats_race_at_two_daemons() {
+    // The caller's client times out and sends again while the first request is on its way, so
+    // two daemons claim at the same moment. One gets the claim, the other is sent to it.
+    let cluster = Cluster::new(3);
+    let wanted = wanted(true);
+    let (first, second) = (
+        cluster.daemons[1].claims.claim(&wanted),
+        cluster.daemons[2].claims.claim(&wanted),
+    );
+    let (first, second) = cluster.run(future::join(first, second));
+    assert!(matches!(first, Ok(Access::Granted(_))));
+    assert!(matches!(second, Ok(Access::Running { entry }) if entry == member(1)));
+}
+
+#[test]
+fn claim_without_its_copy_is_not_acknowledged() {
+    // The wire between keeper and copy is cut. Were the claim granted, the keeper's death would
+    // forget it. The caller is refused as not run, and once the wire is back its retry runs.
+    let cluster = Cluster::new(3);
+    cluster.lose(Loss::Copies);
+    let refusal = refused(cluster.claim(2, &wanted(true))).unwrap();
+    assert_eq!((refusal, refusal.ran()), (Error::Unsettled, Ran::No));
+    cluster.lose(Loss::Nothing);
+    cluster.run(cluster.daemons[2].claims.sweep());
+    let _running = cluster.marked(1, &wanted(true));
+}
+
+#[test]
+fn mark_whose_replies_are_lost_frees_the_key() {
+    // The keeper marks, but no reply reaches the entry, which therefore must not dispatch and
+    // refuses as not run. Its release, sent later, frees the key, and the repeat runs.
+    let cluster = Cluster::new(3);
+    let claim = cluster.granted(2, &wanted(true));
+    cluster.lose(Loss::Replies);
+    let refusal = cluster.run(claim.mark_dispatching()).err().unwrap();
+    assert_eq!((refusal, refusal.ran()), (Error::Unsettled, Ran::No));
+    cluster.lose(Loss::Nothing);
+    cluster.run(cluster.daemons[2].claims.sweep());
+    let _running = cluster.marked(1, &wanted(true));
+}
+
+#[test]
+fn ended_request_is_held_then_forgotten_by_its_entry_only() {
+    let cluster = Cluster::new(3);
+    let running = cluster.marked(2, &wanted(true));
+    cluster.run(running.end(HELD));
+    let repeat = cluster.claim(1, &wanted(true));
+    assert!(matches!(repeat, Ok(Access::Held { entry }) if entry == member(2)));
+    cluster.clock.advance(Duration::from_secs(120));
+    assert_eq!(refused(cluster.claim(1, &wanted(true))), RAN);
+}
+
+#[test]
+fn key_for_another_body_is_refused() {
+    let cluster = Cluster::new(3);
+    let _running = cluster.marked(2, &wanted(true));
+    let mut other = wanted(true);
+    other.body = BodyDigest::new(b"other");
+    assert_eq!(refused(cluster.claim(1, &other)), Some(Error::KeyReused));
+}
+
+#[test]
+fn past_the_bound_new_keys_are_refused_and_known_ones_kept() {
+    let limits = Limits {
+        records: 2,
+        ..Limits::default()
+    };
+    let cluster = Cluster::with_limits(3, limits);
+    let _running = cluster.marked(2, &wanted(true));
+    let mut other = wanted(true);
+    other.key = "another".to_owned();
+    let refusal = refused(cluster.claim(2, &other)).unwrap();
+    assert_eq!((refusal, refusal.ran()), (Error::Full, Ran::No));
+    let repeat = cluster.claim(1, &wanted(true));
+    assert!(matches!(repeat, Ok(Access::Running { .. })));
+}
+
+#[test]
+fn delayed_claim_after_its_release_is_void() {
+    // A claim is delayed on the wire; its entry gives up, is refused and releases. Were the
+    // late claim granted, repeats would be sent to an entry that runs nothing.
+    let cluster = Cluster::new(3);
+    let claim = cluster.granted(2, &wanted(true));
+    let late = KeyRequest::Claim {
+        attempt: claim.holder().attempt,
+        body: wanted(true).body,
+        entry: member(2),
+        id: key(),
+        idempotent: true,
+    };
+    cluster.run(claim.release());
+    assert_eq!(cluster.ask(0, late), KeyReply::Superseded);
+    let record = cluster.daemons[0].keeper.record(&key()).unwrap();
+    assert_eq!(record.stage, Stage::Free);
+}
+
+fn key() -> lilaccrank::request_key::KeyId {
+    lilaccrank::request_key::KeyId::new("acme", "k")
+}
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/request_key/store_failures.rs
@@ -0,0 +1,113 @@
+//! Failures of the store, and of daemons, around a non-idempotent request.
+
+use std::time::Duration;
+
+use lilaccrank::error_kind::Ran;
+use lilaccrank::request_key::{Error, Outcome};
+
+use crate::request_key::cluster::{Cluster, Fault, wanted};
+
+/// The mark under a fault of the store; then, with the store back, a repeat elsewhere.
+macro_rules! mark_under {
+    ($name:ident, $fault:ident, $expected:expr, repeat runs $runs:literal) => {
+        #[test]
+        fn $name() {
+            let cluster = Cluster::new(3);
+            let claim = cluster.granted(2, &wanted(false));
+            cluster.store.fault.set(Some(Fault::$fault));
+            let mark = cluster.run(claim.mark_dispatching());
+            assert_eq!(mark.err(), $expected);
+            cluster.store.fault.set(None);
+            let repeat = cluster.claim(1, &wanted(false));
+            assert_eq!(
+                matches!(repeat, Ok(super::cluster::TestAccess::Granted(_))),
+                $runs
+            );
+            if let Ok(super::cluster::TestAccess::Granted(claim)) = repeat {
+                assert!(cluster.run(claim.mark_dispatching()).is_ok());
+            }
+        }
+    };
+}
+
+// The answer to the create is lost. The entry reads back: it finds its own claim and runs the
+// request, or finds nothing and creates again. If it can't read back it refuses as not run,
+// and what its write left behind must not keep the repeat from running.
+mark_under!(create_whose_answer_is_lost, LostAnswer, None, repeat runs false);
+mark_under!(create_that_is_lost, LostWrite, None, repeat runs false);
+mark_under!(store_away, Away, Some(Error::StoreUnavailable), repeat runs true);
+mark_under!(store_away_after_the_create, EffectThenAway, Some(Error::StoreUnavailable), repeat runs true);
+
+#[test]
+fn store_away_is_refused_at_once() {
+    // The store is away. The caller of a non-idempotent request must not wait for it: the
+    // refusal comes without any time passing, and says truthfully that nothing was run.
+    let cluster = Cluster::new(3);
+    let claim = cluster.granted(2, &wanted(false));
+    cluster.store.fault.set(Some(Fault::Away));
+    let before = cluster.clock.elapsed();
+    let refusal = cluster.run(claim.mark_dispatching()).err().unwrap();
+    assert_eq!(refusal.ran(), Ran::No);
+    assert_eq!(cluster.clock.elapsed(), before);
+}
+
+#[test]
+fn two_deaths_and_the_entry_too() {
+    // Keeper, copy and entry of a running non-idempotent request all die. No daemon knows the
+    // key any more and the last one grants the repeat; the object in the store stops its mark.
+    let cluster = Cluster::new(4);
+    let _running = cluster.marked(2, &wanted(false));
+    cluster.stop(0);
+    cluster.stop(1);
+    cluster.kill(2);
+    let repeat = cluster.granted(3, &wanted(false));
+    let mark = cluster.run(repeat.mark_dispatching());
+    assert_eq!(mark.err(), Some(Error::AlreadyRun { failed: None }));
+}
+
+#[test]
+fn other_data_centre_is_stopped_by_the_store() {
+    // The caller repeats in another data centre, whose daemons share only the store.
+    let here = Cluster::new(3);
+    let _running = here.marked(2, &wanted(false));
+    let there = Cluster::new(2);
+    let objects = here.store.objects.borrow().clone();
+    *there.store.objects.borrow_mut() = objects;
+    let repeat = there.granted(1, &wanted(false));
+    let mark = there.run(repeat.mark_dispatching());
+    assert_eq!(mark.err(), Some(Error::AlreadyRun { failed: None }));
+}
+
+#[test]
+fn claims_over_the_budget_are_refused_without_a_call() {
+    // A customer sends non-idempotent requests faster than the store's budget allows. Those
+    // over it are refused at once as not run, and the store gets no call for them.
+    let cluster = Cluster::new(3);
+    let mut refused = 0;
+    for index in 0..30 {
+        let mut wanted = wanted(false);
+        wanted.key = index.to_string();
+        let claim = cluster.granted(2, &wanted);
+        if let Err(refusal) = cluster.run(claim.mark_dispatching()) {
+            assert_eq!((refusal, refusal.ran()), (Error::RateLimited, Ran::No));
+            refused += 1;
+        }
+    }
+    assert_eq!((refused, cluster.store.calls.get()), (10, 20));
+}
+
+#[test]
+fn object_is_deleted_after_the_retention_time() {
+    let cluster = Cluster::new(3);
+    let running = cluster.marked(2, &wanted(false));
+    cluster.run(running.end(Outcome::Held { until_ms: 0 }));
+    cluster.run(cluster.daemons[0].claims.sweep());
+    assert_eq!(cluster.store.objects.borrow().len(), 1);
+    cluster.clock.advance(Duration::from_secs(25 * 3_600));
+    for daemon in &cluster.daemons {
+        daemon.keeper.expire();
+        cluster.run(daemon.claims.sweep());
+        assert!(daemon.keeper.is_empty());
+    }
+    assert!(cluster.store.objects.borrow().is_empty());
+}
