--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -17,4 +17,6 @@
 pub mod rendezvous;
 pub mod request;
 pub mod rules;
+pub mod request_key;
 pub mod store;
+pub mod timeline;
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -22,3 +22,7 @@
 mod rendezvous;
 #[path = "suite/wire.rs"]
 mod wire;
+#[path = "suite/request_key.rs"]
+mod request_key;
+#[path = "suite/timeline.rs"]
+mod timeline;
