--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod prompt;
 pub mod rendezvous;
 pub mod request;
-pub mod rules;
 pub mod request_key;
+pub mod rules;
 pub mod store;
 pub mod timeline;
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -1,5 +1,7 @@
 //! Tests of the library, in one crate; a folder beside this file holds them by subject.
 
+#[path = "suite/cluster.rs"]
+mod cluster;
 #[path = "suite/dispatch_faults.rs"]
 mod dispatch_faults;
 #[path = "suite/dispatch_harness.rs"]
@@ -8,21 +10,17 @@
 mod dispatch_order;
 #[path = "suite/error_kind.rs"]
 mod error_kind;
-#[path = "suite/rules_matching.rs"]
-mod rules_matching;
-#[path = "suite/cluster.rs"]
-mod cluster;
-#[path = "suite/error_kind.rs"]
-mod error_kind;
 #[path = "suite/membership.rs"]
 mod membership;
 #[path = "suite/membership_cost.rs"]
 mod membership_cost;
 #[path = "suite/rendezvous.rs"]
 mod rendezvous;
-#[path = "suite/wire.rs"]
-mod wire;
 #[path = "suite/request_key.rs"]
 mod request_key;
+#[path = "suite/rules_matching.rs"]
+mod rules_matching;
 #[path = "suite/timeline.rs"]
 mod timeline;
+#[path = "suite/wire.rs"]
+mod wire;
