--- /dev/null
+++ b/crates/lilaccrank/benches/decision.rs
@@ -0,0 +1,139 @@
+//! Cost of one decision: a new ask is judged and queued, a request ends, the next is granted.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion};
+use futures::FutureExt;
+use futures::StreamExt;
+use futures::future::LocalBoxFuture;
+use futures::stream::FuturesUnordered;
+use lilaccrank::dispatch::affinity;
+use lilaccrank::dispatch::message::{Ask, Grant, Outcome, Report, ReportKind, Verdict};
+use lilaccrank::dispatch::{Config, Dispatcher};
+use lilaccrank::document::{Pool, Target};
+use lilaccrank::paused_clock::PausedClock;
+
+const BLOCK_TOKENS: u32 = 64;
+const CUSTOMERS: usize = 100;
+const DATA_CENTRE: &str = "portmore";
+const DEADLINE: Duration = Duration::from_secs(86_400);
+const SLOTS: u32 = 8;
+const TARGETS: [usize; 3] = [10, 100, 700];
+const TIERS: usize = 4;
+const WAITING: [usize; 4] = [10, 100, 1_000, 10_000];
+
+/// A pool with full targets and asks behind them.
+struct Full {
+    asks: FuturesUnordered<LocalBoxFuture<'static, Verdict>>,
+    dispatcher: Dispatcher<PausedClock>,
+    next: usize,
+    running: VecDeque<Grant>,
+}
+
+fn ask(i: usize) -> Ask {
+    let customer = i % CUSTOMERS;
+    let prompt = [customer as u8; 1024];
+    Ask {
+        ask: 1,
+        customer: format!("customer{customer}"),
+        deadline: Some(DEADLINE),
+        entry: "vm2".to_owned(),
+        entry_incarnation: 1,
+        max_tokens: 100,
+        prefix: affinity::digests(&prompt, BLOCK_TOKENS as usize),
+        prompt_tokens: 1100,
+        request: format!("r{i}"),
+        tier: (i % TIERS) as u8,
+        weight: 1,
+        ..Ask::default()
+    }
+}
+
+impl Full {
+    fn new(waiting: usize, targets: usize) -> Self {
+        let cfg = Config {
+            block_tokens: BLOCK_TOKENS,
+            incarnation: 1,
+            lowest_tier: (TIERS - 1) as u8,
+            silence_floor: DEADLINE,
+            vm: "vm1".to_owned(),
+            waiting_limit: 0,
+        };
+        let target = |i| Target {
+            data_centre: DATA_CENTRE.to_owned(),
+            id: format!("t{i}"),
+            slots: SLOTS,
+            ..Target::default()
+        };
+        let pool = Pool {
+            targets: (0..targets).map(target).collect(),
+            waiting_limit: 2 * waiting,
+            ..Pool::default()
+        };
+        let mut full = Self {
+            asks: FuturesUnordered::new(),
+            dispatcher: Dispatcher::new(PausedClock::new(), cfg),
+            next: 0,
+            running: VecDeque::new(),
+        };
+        full.dispatcher.set_targets(&pool, DATA_CENTRE);
+        while full.asks.len() < waiting {
+            full.arrive();
+        }
+        full
+    }
+
+    fn arrive(&mut self) {
+        let (dispatcher, ask) = (self.dispatcher.clone(), ask(self.next));
+        self.next += 1;
+        let call = async move { dispatcher.ask(ask).await };
+        self.asks.push(call.boxed_local());
+        self.collect();
+    }
+
+    fn collect(&mut self) {
+        while let Some(Some(verdict)) = self.asks.next().now_or_never() {
+            match verdict {
+                Verdict::Grant(grant) => self.running.push_back(grant),
+                Verdict::Refuse(refuse) => panic!("the queue has room, but {refuse:?}"),
+            }
+        }
+    }
+
+    fn decide(&mut self) {
+        self.arrive();
+        let Some(ended) = self.running.pop_front() else {
+            panic!("nothing runs");
+        };
+        self.dispatcher.report(&Report {
+            ask: 1,
+            kind: ReportKind::Ended {
+                decoded: 100,
+                outcome: Outcome::Complete,
+                prefill: None,
+            },
+            request: ended.request,
+            target: ended.target,
+        });
+        self.collect();
+    }
+}
+
+fn main() {
+    let mut criterion = Criterion::default()
+        .configure_from_args()
+        .sample_size(20)
+        .warm_up_time(Duration::from_millis(300))
+        .measurement_time(Duration::from_secs(1));
+    let mut group = criterion.benchmark_group("decision");
+    for targets in TARGETS {
+        for waiting in WAITING {
+            let id = BenchmarkId::new(format!("{targets}_targets"), waiting);
+            let mut full = Full::new(waiting, targets);
+            group.bench_function(id, |b| b.iter(|| full.decide()));
+        }
+    }
+    group.finish();
+    criterion.final_summary();
+}
--- a/crates/lilaccrank/src/dispatch/queue.rs
+++ b/crates/lilaccrank/src/dispatch/queue.rs
@@ -95,15 +95,13 @@
         let queue = self.tiers.get_mut(&item.tier)?;
         then(queue, &item);
         queue.remove(&item, sequence);
-        if queue.is_empty() {
-            self.tiers.remove(&item.tier);
-        }
         Some(item)
     }
 
     /// Tiers with waiting asks, the most urgent first.
     pub fn tiers(&self) -> impl Iterator<Item = Tier> + '_ {
-        self.tiers.keys().copied()
+        let busy = self.tiers.iter().filter(|(_, queue)| !queue.is_empty());
+        busy.map(|(tier, _)| *tier)
     }
 
     /// The first ask of each customer in one lane, in fair order.
@@ -118,8 +116,8 @@
     /// waiting for its weight, the newest. So a burst of one customer costs only its own places.
     #[must_use]
     pub fn victim(&self) -> Option<&Item> {
-        let (_, queue) = self.tiers.last_key_value()?;
-        self.items.get(queue.victim()?)
+        let request = self.tiers.values().rev().find_map(FairQueue::victim)?;
+        self.items.get(request)
     }
 
     /// The next ask for which it is too late at `now`.
