Rules: problems before publishing, explanations and differences

Cause: a misspelt or shadowed rule must be found before it is in force, and operators who race need to see what changed in between. Ruled out: mapping serde's line and column back to a pointer (needs a second parser); reading each part by itself gives the spot and all problems at once. Unreachable rules and pools without targets are warnings: a rule put on top in an emergency shadows others on purpose, and targets come and go. Generated cases have a fixed seed. Independent conditions hardly ever cover each other and let a wrong comparison of loads pass, so the generated rules are alike in most conditions, and five pairs are written out. Conclusion: coverage by one earlier rule equals brute force on small documents; several rules that cover one only together are not found. Seen failing first: loads compared the wrong way or over pools, hour 0 left out, closed lists not closed, prefixes swapped, candidates looked up under the wrong model, moves left out, unknown names accepted.

--- a/crates/lilaccrank/src/rules/matching.rs
+++ b/crates/lilaccrank/src/rules/matching.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use super::candidates::Candidates;
@@ -49,7 +50,8 @@
 }
 
 /// What the rules decide about a request.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Decision {
     /// It is refused and was not run.
     Refuse(Refusal),
@@ -58,7 +60,7 @@
 }
 
 /// A refusal by the rules.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Refusal {
     /// What the caller is told.
     pub kind: ErrorKind,
@@ -69,7 +71,7 @@
 }
 
 /// Where a request goes, and on what terms.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Route {
     /// Limits it must pass.
     pub limit: Option<Limit>,
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -2,5 +2,11 @@
 
 #[path = "suite/error_kind.rs"]
 mod error_kind;
+#[path = "suite/rules_check.rs"]
+mod rules_check;
+#[path = "suite/rules_difference.rs"]
+mod rules_difference;
 #[path = "suite/rules_matching.rs"]
 mod rules_matching;
+#[path = "suite/seeded.rs"]
+mod seeded;
