--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -24,3 +24,11 @@
 mod timeline;
 #[path = "suite/wire.rs"]
 mod wire;
+#[path = "suite/rules_check.rs"]
+mod rules_check;
+#[path = "suite/rules_difference.rs"]
+mod rules_difference;
+#[path = "suite/rules_matching.rs"]
+mod rules_matching;
+#[path = "suite/seeded.rs"]
+mod seeded;
