--- a/crates/lilaccrank-lab/src/demo.rs
+++ b/crates/lilaccrank-lab/src/demo.rs
@@ -26,7 +26,7 @@
     broken: usize,
     first_tokens: Vec<Duration>,
     lost: usize,
-    refused: usize,
+    refused: IndexMap<String, usize>,
     whole: usize,
 }
 
@@ -92,7 +92,7 @@
                 eprintln!("lost: {why}");
                 self.lost += 1;
             }
-            Outcome::Refused { .. } => self.refused += 1,
+            Outcome::Refused { kind, .. } => *self.refused.entry(kind).or_default() += 1,
             Outcome::Whole { first_token, .. } => {
                 self.first_tokens.push(first_token);
                 self.whole += 1;
@@ -128,12 +128,15 @@
         println!(
             "{tier:<8} {:>5}  {:>7}  {:>6}  {:>4}  {:>5} / {} ms",
             row.whole,
-            row.refused,
+            row.refused.values().sum::<usize>(),
             row.broken,
             row.lost,
             at(times.len() / 2),
             at(times.len().saturating_sub(1)),
         );
+        for (kind, count) in &row.refused {
+            println!("         {count} refused: {kind}");
+        }
     }
 }
 
--- a/crates/lilaccrank/src/request_key/handover.rs
+++ b/crates/lilaccrank/src/request_key/handover.rs
@@ -30,10 +30,7 @@
             // A daemon that was frozen finds all its timers expired, and may think for a moment
             // that all others are dead. Alone it needs no copy, and would run a request that
             // the others have run meanwhile. The wait gives their heartbeats time to arrive.
-            self.inner
-                .clock
-                .sleep(self.inner.limits.isolation_hold)
-                .await;
+            self.hold_while(&view).await;
         }
         for member in view.iter().filter(|member| **member != me) {
             if !self.pull_from(member, &view).await {
@@ -46,6 +43,14 @@
         }
     }
 
+    /// Waits out the isolation hold, or until other members are seen.
+    async fn hold_while(&self, view: &[MemberRef]) {
+        let until = self.inner.clock.now() + self.inner.limits.isolation_hold;
+        while self.inner.clock.now() < until && self.inner.ranking.ranked(0) == view {
+            self.inner.clock.sleep(self.inner.limits.retry_every).await;
+        }
+    }
+
     /// Asks `member` for all its records that belong here; false if the members changed.
     async fn pull_from(&self, member: &MemberRef, view: &[MemberRef]) -> bool {
         let mut after = None;
--- a/crates/lilaccrankd/src/args.rs
+++ b/crates/lilaccrankd/src/args.rs
@@ -7,7 +7,7 @@
 use clap::Parser;
 
 use crate::settings::{Result, Settings};
-use crate::{daemon, json_logger};
+use crate::{json_logger, serve};
 
 /// Exit code for settings that can't be used.
 const EXIT_SETTINGS: u8 = 2;
@@ -83,7 +83,7 @@
         return ExitCode::SUCCESS;
     }
     json_logger::init(settings.log_level, &settings.vm);
-    match daemon::run(settings) {
+    match serve::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("lilaccrankd: {e}");
--- /dev/null
+++ b/crates/lilaccrankd/src/attach.rs
@@ -0,0 +1,112 @@
+//! A repeated request reads the answer that another daemon, or this one, already runs.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::header::{AUTHORIZATION, HOST, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::request_key::MemberRef;
+use lilaccrank::timeline::{EventKind, Subject};
+use lilaccrank_http::body::{self, Body};
+
+use crate::caller_request::CallerRequest;
+use crate::daemon::Daemon;
+use crate::entry;
+use crate::interruption;
+use crate::proxy_run;
+use crate::refusal::{Refusal, Result};
+use crate::run::{End, Run};
+
+/// Path below which a daemon shows the answers that it holds, by request key.
+pub const PATH: &str = "/v1/answers/";
+/// Tries to find an answer that was claimed a moment ago.
+const TRIES: u32 = 4;
+/// Wait between two tries.
+const TRY_AGAIN: Duration = Duration::from_millis(50);
+
+/// Answers with what `entry` holds for the key of `caller`.
+///
+/// # Errors
+///
+/// [`ErrorKind::AlreadyRun`] if the answer can't be had any more.
+pub async fn answer(
+    daemon: &Rc<Daemon>,
+    caller: &CallerRequest,
+    entry: &MemberRef,
+) -> Result<Response<Body>> {
+    daemon.record(
+        EventKind::Attached,
+        Subject {
+            detail: format!("to {}", entry.vm),
+            ..Subject::default()
+        },
+    );
+    for _ in 0..TRIES {
+        let found = if entry.vm == daemon.cfg.vm {
+            local(daemon, caller).await
+        } else {
+            remote(daemon, caller, entry).await
+        };
+        if let Some(res) = found? {
+            return Ok(res);
+        }
+        monoio::time::sleep(TRY_AGAIN).await;
+    }
+    Err(gone())
+}
+
+fn gone() -> Refusal {
+    let message = "a request with this key was taken before and its answer can't be had any more";
+    Refusal::new(ErrorKind::AlreadyRun, message)
+}
+
+async fn local(daemon: &Rc<Daemon>, caller: &CallerRequest) -> Result<Option<Response<Body>>> {
+    let key = caller.facts.key.clone().unwrap_or_default();
+    let Some(run) = daemon.answers.get(&(caller.facts.customer.clone(), key)) else {
+        return Ok(None);
+    };
+    entry::respond(run.reader()).await.map(Some)
+}
+
+async fn remote(
+    daemon: &Rc<Daemon>,
+    caller: &CallerRequest,
+    entry: &MemberRef,
+) -> Result<Option<Response<Body>>> {
+    let members = daemon.membership.all();
+    let member = members.iter().find(|member| member.vm == entry.vm);
+    let member = member.ok_or_else(gone)?;
+    let key = caller.facts.key.as_deref().unwrap_or_default();
+    let mut req = Request::new(body::empty());
+    *req.uri_mut() = format!("{PATH}{}", hex::encode(key))
+        .parse()
+        .unwrap_or_default();
+    let headers = req.headers_mut();
+    headers.insert(HOST, HeaderValue::from_static("peer"));
+    // The caller's own key goes along: a daemon shows nobody another customer's answer.
+    if let Some(bearer) = caller.head.headers.get(AUTHORIZATION) {
+        headers.insert(AUTHORIZATION, bearer.clone());
+    }
+    let bounds = daemon.bounds();
+    let address = member.admin.to_string();
+    let sent = proxy_run::send(&daemon.client, &address, req, bounds.head).await;
+    let (res, connection) = sent.map_err(|_| gone())?;
+    if res.status() == StatusCode::NOT_FOUND {
+        return Ok(None);
+    }
+    let run = Rc::new(Run::default());
+    let reader = run.reader();
+    let client = daemon.client.clone();
+    monoio::spawn(async move {
+        let gone = interruption::interrupted(&run, None, Duration::ZERO);
+        let copying = proxy_run::copy(&client, res, connection, bounds, &run);
+        futures::pin_mut!(gone, copying);
+        let ended = match futures::future::select(copying, gone).await {
+            futures::future::Either::Left((ended, _)) => ended,
+            futures::future::Either::Right((refusal, _)) => Err(refusal),
+        };
+        run.finish(ended.map_or_else(End::Failed, |()| End::Whole));
+    });
+    entry::respond(reader).await.map(Some)
+}
--- a/crates/lilaccrankd/src/caller_request.rs
+++ b/crates/lilaccrankd/src/caller_request.rs
@@ -16,6 +16,7 @@
 use lilaccrank::request::Facts;
 use serde_json::Value;
 
+use crate::answers::ScopedKey;
 use crate::refusal::{Refusal, Result};
 
 /// Caller's time limit for the whole answer, in milliseconds.
@@ -128,6 +129,15 @@
     }
 }
 
+impl CallerRequest {
+    /// The request key in its customer's scope.
+    #[must_use]
+    pub fn scoped_key(&self) -> Option<ScopedKey> {
+        let key = self.facts.key.clone()?;
+        Some((self.facts.customer.clone(), key))
+    }
+}
+
 fn bad(message: impl Into<String>) -> Refusal {
     Refusal::new(ErrorKind::BadRequest, message)
 }
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -1,75 +1,79 @@
-//! One daemon: what all its tasks share, how it starts and how it ends.
+//! One daemon: what all its tasks share.
 
 use std::cell::{Cell, RefCell};
-use std::io;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
-use futures::future::{self, Either};
-use futures::pin_mut;
 use lilaccrank::document::Document;
 use lilaccrank::error_kind::ErrorKind;
-use lilaccrank::ids::{Incarnation, RequestId};
-use lilaccrank::store::Store;
+use lilaccrank::ids::{Generation, Incarnation, RequestId};
+use lilaccrank::membership::{Member, Membership, State};
+use lilaccrank::request_key::{Budget, Claims, Keeper, Limits};
+use lilaccrank::rules::condition::Environment;
+use lilaccrank::timeline::{EventKind, Subject, Timeline};
 use lilaccrank_http::client::Client;
-use lilaccrank_http::runtime;
-use lilaccrank_http::server::{self, Closing};
+use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::store_client::StoreClient;
-use monoio::net::TcpListener;
-use thiserror::Error;
 
+use crate::answers::Answers;
+use crate::duties::Duties;
+use crate::engine_stream::Patience;
 use crate::in_force::InForce;
+use crate::key_state::KeyClaims;
 use crate::metrics::Metrics;
-use crate::pools::Pools;
+use crate::peer_network::PeerNetwork;
+use crate::pool_client::{self, PoolClient};
+use crate::pool_server::{self, PoolServer};
+use crate::proxy_run::Bounds;
 use crate::refusal::Refusal;
 use crate::settings::Settings;
-use crate::signals::Signals;
-use crate::{admin, callers};
-
-/// Result of running the daemon.
-pub type Result<T, E = Error> = std::result::Result<T, E>;
-
-/// How often a shutdown looks whether it is done.
-const SHUTDOWN_POLL: Duration = Duration::from_millis(20);
-/// Key of the thin form's configuration.
-const CONFIGURATION: &str = "configuration/thin";
-
-/// Why the daemon can't run.
-#[derive(Debug, Error)]
-pub enum Error {
-    /// An address can't be listened on.
-    #[error("can't listen on {address}: {source}")]
-    Listen {
-        /// The address.
-        address: std::net::SocketAddr,
-        /// What the system said.
-        source: io::Error,
-    },
-    /// The metrics can't be registered.
-    #[error("metrics: {0}")]
-    Metrics(#[from] prometheus::Error),
-    /// The runtime or the signal handlers can't be made.
-    #[error("the system refused: {0}")]
-    System(#[from] io::Error),
-}
+
+/// Result of a look at the daemon's state.
+pub type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// Non-idempotent claims that this daemon may write to the store each second. Several hundred
+/// writes a second serve the whole fleet.
+const STORE_CLAIMS_PER_S: f64 = 10.0;
+/// Claims that may be written at once after a quiet time, such as at the hour.
+const STORE_CLAIMS_BURST: f64 = 100.0;
+/// Longest time for a keeper to tell about a key.
+const KEEPER_WAIT: Duration = Duration::from_secs(2);
 
 /// What the tasks of a daemon share.
 pub struct Daemon {
+    /// Answers of keyed requests.
+    pub answers: Answers,
     /// Settings.
     pub cfg: Settings,
+    /// Request keys.
+    pub claims: KeyClaims,
     /// Connections to targets.
     pub client: Client,
+    /// Who dispatches which pool.
+    pub duties: Duties,
     in_force: RefCell<Option<Rc<InForce>>>,
     in_progress: Cell<usize>,
     incarnation: Incarnation,
+    /// Records of the keys that this daemon keeps.
+    pub keeper: Keeper<MonoioClock, PeerNetwork, Duties>,
+    keys_settled: Cell<bool>,
     /// Set at the first signal.
     pub leaving: Cell<bool>,
     /// Counters.
     pub metrics: Metrics,
-    /// Targets.
-    pub pools: Pools,
+    /// Members of this data centre.
+    pub membership: Membership,
+    /// Other daemons.
+    pub peers: PeerNetwork,
+    /// Requests at the dispatchers.
+    pub pool_client: PoolClient,
+    /// Dispatchers that run here.
+    pub pool_server: PoolServer,
     requests: Cell<u64>,
-    store: StoreClient,
+    /// The platform's store.
+    pub store: StoreClient,
+    /// Events.
+    pub timeline: Timeline<MonoioClock>,
 }
 
 /// Counts one request in progress until it is dropped.
@@ -83,16 +87,87 @@
 }
 
 impl Daemon {
+    /// A daemon that runs nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// If the metrics can't be registered.
+    pub fn new(
+        cfg: Settings,
+        incarnation: Incarnation,
+        membership: Membership,
+    ) -> Result<Self, prometheus::Error> {
+        let timeline = Timeline::new(MonoioClock, cfg.vm.clone(), cfg.timeline_events);
+        let duties = Duties::new(membership.clone());
+        let peers = PeerNetwork::new(membership.clone(), timeline.clone());
+        let store = StoreClient::new(cfg.platform.to_string());
+        let keeper = Keeper::new(
+            MonoioClock,
+            peers.clone(),
+            duties.clone(),
+            Limits::default(),
+        );
+        let budget = Budget::new(MonoioClock, STORE_CLAIMS_PER_S, STORE_CLAIMS_BURST);
+        let claims = Claims::new(keeper.clone(), store.clone(), budget, KEEPER_WAIT);
+        Ok(Self {
+            answers: Answers::new(
+                Duration::from_millis(cfg.answer_ttl_ms),
+                cfg.answer_cache_bytes,
+            ),
+            claims,
+            client: Client::default(),
+            duties,
+            in_force: RefCell::default(),
+            in_progress: Cell::new(0),
+            incarnation,
+            keeper,
+            keys_settled: Cell::new(false),
+            leaving: Cell::new(false),
+            membership,
+            metrics: Metrics::new()?,
+            peers,
+            pool_client: PoolClient::default(),
+            pool_server: PoolServer::default(),
+            requests: Cell::new(0),
+            store,
+            timeline,
+            cfg,
+        })
+    }
+
+    /// This daemon as a member of its data centre.
+    #[must_use]
+    pub fn member(cfg: &Settings, incarnation: Incarnation) -> Member {
+        Member {
+            admin: cfg.admin,
+            data_centre: cfg.data_centre.clone(),
+            gossip: cfg.gossip,
+            incarnation,
+            peers: cfg.peer,
+            state: State::Live,
+            vm: cfg.vm.clone(),
+        }
+    }
+
     /// The configuration in force.
     ///
     /// # Errors
     ///
     /// [`ErrorKind::NotReady`] before the first one.
-    pub fn in_force(&self) -> Result<Rc<InForce>, Refusal> {
+    pub fn in_force(&self) -> Result<Rc<InForce>> {
         let in_force = self.in_force.borrow().clone();
         in_force.ok_or_else(|| Refusal::new(ErrorKind::NotReady, "no configuration yet"))
     }
 
+    /// Whether this daemon has been able to tell about request keys since it started. Later
+    /// changes of the members unsettle them for moments, which is no reason to leave the
+    /// balancer.
+    pub fn keys_settled(&self) -> bool {
+        let settled = self.keys_settled.get() || self.keeper.is_settled();
+        self.keys_settled.set(settled);
+        settled
+    }
+
     /// Requests in progress.
     pub fn in_progress(&self) -> usize {
         self.in_progress.get()
@@ -103,7 +178,7 @@
     /// # Errors
     ///
     /// [`ErrorKind::Overloaded`] over the bound.
-    pub fn begin(self: &Rc<Self>) -> Result<InProgress, Refusal> {
+    pub fn begin(self: &Rc<Self>) -> Result<InProgress> {
         if self.in_progress.get() >= self.cfg.request_limit {
             let message = "this daemon has as many requests as it can hold";
             return Err(Refusal::new(ErrorKind::Overloaded, message));
@@ -113,6 +188,36 @@
         Ok(InProgress(Rc::clone(self)))
     }
 
+    /// Notes an event on the time line.
+    pub fn record(&self, kind: EventKind, subject: Subject) {
+        self.timeline.record(kind, subject);
+    }
+
+    /// How long targets may be silent.
+    pub fn patience(&self) -> Patience {
+        Patience {
+            first: Duration::from_millis(self.cfg.first_token_ms),
+            next: Duration::from_millis(self.cfg.between_tokens_ms),
+        }
+    }
+
+    /// Bounds of answers that are passed on.
+    pub fn bounds(&self) -> Bounds {
+        Bounds {
+            answer_limit: self.cfg.body_limit,
+            head: Duration::from_millis(self.cfg.first_token_ms),
+            next: Duration::from_millis(self.cfg.first_token_ms),
+        }
+    }
+
+    /// What rules match on beside the request.
+    pub fn environment(&self) -> Environment {
+        Environment {
+            hour: hour(SystemTime::now()),
+            waiting: self.pool_client.waiting(),
+        }
+    }
+
     /// An id that no other request has: the vm, its life, and a count.
     pub fn next_request_id(&self) -> RequestId {
         let n = self.requests.get() + 1;
@@ -120,124 +225,37 @@
         format!("{}-{:x}-{n}", self.cfg.vm, self.incarnation)
     }
 
-    async fn watch_configuration(self: Rc<Self>) {
-        let mut seen = None;
-        loop {
-            let wait = Duration::from_secs(5);
-            match self.store.watch(CONFIGURATION, seen, wait).await {
-                Ok(Some(found)) if Some(found.version) != seen => {
-                    seen = Some(found.version);
-                    self.adopt(found.version, &found.value);
-                }
-                Ok(_) => {}
-                Err(e) => {
-                    log::warn!("the store can't be watched: {e}");
-                    monoio::time::sleep(Duration::from_millis(500)).await;
-                }
-            }
+    /// Puts a configuration in force, unless the present one is as new.
+    pub fn adopt(self: &Rc<Self>, generation: Generation, document: Rc<Document>) {
+        let present = self
+            .in_force
+            .borrow()
+            .as_ref()
+            .map(|in_force| in_force.generation);
+        if present >= Some(generation) {
+            return;
         }
-    }
-
-    fn adopt(&self, generation: u64, value: &[u8]) {
-        let document: Document = match serde_json::from_slice(value) {
-            Ok(document) => document,
-            Err(e) => {
-                log::error!("the configuration can't be read: {e}");
-                return;
-            }
-        };
-        match InForce::new(generation, Rc::new(document)) {
+        match InForce::new(generation, document) {
             Ok(in_force) => {
                 *self.in_force.borrow_mut() = Some(Rc::new(in_force));
                 self.metrics.generation.set(generation.cast_signed());
+                self.record(
+                    EventKind::Adopted,
+                    Subject {
+                        detail: format!("generation {generation}"),
+                        ..Subject::default()
+                    },
+                );
                 log::info!("generation {generation} is in force");
+                pool_server::configuration_changed(self);
+                pool_client::rebalance(self);
             }
-            Err(e) => log::error!("the configuration can't be used: {e}"),
-        }
-    }
-}
-
-/// Runs a daemon until it is told to end.
-///
-/// # Errors
-///
-/// If it can't start.
-pub fn run(cfg: Settings) -> Result<()> {
-    let signals = Signals::register()?;
-    runtime::block_on(serve(cfg, signals))?
-}
-
-async fn serve(cfg: Settings, signals: Signals) -> Result<()> {
-    let caller_listener = listen(cfg.callers)?;
-    let admin_listener = listen(cfg.admin)?;
-    let daemon = Rc::new(Daemon {
-        client: Client::default(),
-        in_force: RefCell::default(),
-        in_progress: Cell::new(0),
-        incarnation: incarnation(),
-        leaving: Cell::new(false),
-        metrics: Metrics::new()?,
-        pools: Pools::default(),
-        requests: Cell::new(0),
-        store: StoreClient::new(cfg.platform.to_string()),
-        cfg,
-    });
-    monoio::spawn(Rc::clone(&daemon).watch_configuration());
-    let closing = Closing::default();
-    let shared = Rc::clone(&daemon);
-    monoio::spawn(server::serve(
-        caller_listener,
-        closing.clone(),
-        move |req| callers::handle(Rc::clone(&shared), req),
-    ));
-    let shared = Rc::clone(&daemon);
-    monoio::spawn(server::serve(
-        admin_listener,
-        Closing::default(),
-        move |req| admin::handle(Rc::clone(&shared), req),
-    ));
-    log::info!("started in data centre {}", daemon.cfg.data_centre);
-    signals.reached(1).await;
-    shut_down(&daemon, &closing, &signals).await;
-    Ok(())
-}
-
-/// Takes nothing new and waits for what is in progress, within the limit.
-async fn shut_down(daemon: &Daemon, closing: &Closing, signals: &Signals) {
-    daemon.leaving.set(true);
-    log::info!("leaving with {} requests in progress", daemon.in_progress());
-    let limit = Duration::from_millis(daemon.cfg.shutdown_limit_ms);
-    let done = async {
-        while daemon.in_progress() > 0 {
-            monoio::time::sleep(SHUTDOWN_POLL).await;
-        }
-        closing.close();
-        while closing.connections() > 0 {
-            monoio::time::sleep(SHUTDOWN_POLL).await;
+            Err(e) => log::error!("generation {generation} can't be used: {e}"),
         }
-    };
-    let cut = async {
-        let over = monoio::time::sleep(limit);
-        let again = signals.reached(2);
-        pin_mut!(over, again);
-        future::select(over, again).await;
-    };
-    pin_mut!(done, cut);
-    match future::select(done, cut).await {
-        Either::Left(_) => log::info!("ended with nothing cut"),
-        Either::Right(_) => log::warn!("ended, cutting {} requests", daemon.in_progress()),
     }
 }
 
-fn listen(address: std::net::SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).map_err(|source| Error::Listen { address, source })
-}
-
-/// Each life of a vm starts later than the one before.
-fn incarnation() -> Incarnation {
-    SystemTime::now()
-        .duration_since(SystemTime::UNIX_EPOCH)
-        .map_or(0, |since| {
-            Incarnation::try_from(since.as_millis()).unwrap_or(Incarnation::MAX)
-        })
+/// Hour of the day in UTC.
+fn hour(now: SystemTime) -> u8 {
+    time::OffsetDateTime::from(now).hour()
 }
--- /dev/null
+++ b/crates/lilaccrankd/src/duties.rs
@@ -0,0 +1,68 @@
+//! Which member of the data centre has which duty.
+
+use lilaccrank::ids::PoolId;
+use lilaccrank::membership::{Member, Membership};
+use lilaccrank::rendezvous;
+use lilaccrank::request_key::{MemberRef, Ranking};
+
+/// Duties by rendezvous hashing over the live members.
+#[derive(Clone)]
+pub struct Duties {
+    membership: Membership,
+}
+
+impl Duties {
+    /// Duties of the members that `membership` thinks live.
+    #[must_use]
+    pub fn new(membership: Membership) -> Self {
+        Self { membership }
+    }
+
+    /// The dispatcher of a pool here.
+    #[must_use]
+    pub fn dispatcher(&self, pool: &PoolId) -> Option<MemberRef> {
+        let live = self.membership.live();
+        let duty = format!("pool/{pool}");
+        let vm = rendezvous::owner(&duty, live.members.iter().map(|m| &m.vm))?;
+        let member = live.members.iter().find(|member| member.vm == *vm)?;
+        Some(reference(member))
+    }
+
+    /// Whether this daemon, in its present life, is the dispatcher of a pool.
+    #[must_use]
+    pub fn is_dispatcher(&self, pool: &PoolId) -> bool {
+        self.dispatcher(pool) == Some(self.me())
+    }
+}
+
+impl Ranking for Duties {
+    fn is_live(&self, member: &MemberRef) -> bool {
+        let live = self.membership.live();
+        live.members.iter().any(|m| reference(m) == *member)
+    }
+
+    fn me(&self) -> MemberRef {
+        reference(&self.membership.me())
+    }
+
+    fn ranked(&self, key_hash: u64) -> Vec<MemberRef> {
+        let live = self.membership.live();
+        let duty = format!("key/{key_hash:x}");
+        let vms = live.members.iter().map(|member| &member.vm);
+        let ranked = rendezvous::top(&duty, vms, live.members.len());
+        ranked
+            .into_iter()
+            .filter_map(|vm| live.members.iter().find(|member| member.vm == *vm))
+            .map(reference)
+            .collect()
+    }
+}
+
+/// The life of a member.
+#[must_use]
+pub fn reference(member: &Member) -> MemberRef {
+    MemberRef {
+        incarnation: member.incarnation,
+        vm: member.vm.clone(),
+    }
+}
--- a/crates/lilaccrankd/src/entry.rs
+++ b/crates/lilaccrankd/src/entry.rs
@@ -7,13 +7,14 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use lilaccrank::error_kind::{ErrorKind, Ran};
-use lilaccrank::rules::condition::Environment;
 use lilaccrank::rules::matching::{Decision, Route};
 use lilaccrank_http::body::{self, Body, BodySender};
 
+use crate::attach;
 use crate::caller_request::CallerRequest;
 use crate::daemon::Daemon;
 use crate::in_force::InForce;
+use crate::key_state::{self, Access};
 use crate::refusal::{Refusal, Result};
 use crate::request_run::{self, Routed};
 use crate::run::{Reader, Run};
@@ -49,16 +50,23 @@
         &in_force.document,
         &daemon.cfg.data_centre,
     )?;
-    let route = route(&in_force, &caller)?;
+    let route = route(daemon, &in_force, &caller)?;
+    let key = match key_state::claim(daemon, &caller).await? {
+        Access::Elsewhere(entry) => return attach::answer(daemon, &caller, &entry).await,
+        Access::Own(key) => key,
+    };
     let run = Rc::new(Run::default());
     let reader = run.reader();
+    if let Some(scoped) = caller.scoped_key() {
+        daemon.answers.insert(scoped, Rc::clone(&run));
+    }
     let routed = Routed {
         arrived,
         caller,
         id: daemon.next_request_id(),
         route,
     };
-    let driving = request_run::drive(Rc::clone(daemon), routed, run);
+    let driving = request_run::drive(Rc::clone(daemon), routed, key, run);
     monoio::spawn(async move {
         driving.await;
         drop(in_progress);
@@ -83,14 +91,14 @@
     }
 }
 
-fn route(in_force: &InForce, caller: &CallerRequest) -> Result<Route> {
+fn route(daemon: &Daemon, in_force: &InForce, caller: &CallerRequest) -> Result<Route> {
     if let Some(model) = &caller.facts.model
         && !in_force.serves(model)
     {
         let message = format!("no pool serves the model `{model}`; see /v1/models");
         return Err(Refusal::new(ErrorKind::UnknownModel, message));
     }
-    let environment = Environment::default();
+    let environment = daemon.environment();
     match in_force.rules.decide(&caller.facts, &environment) {
         Decision::Refuse(refusal) => Err(Refusal::new(refusal.kind, refusal.reason)),
         Decision::Send(route) => Ok(route),
--- /dev/null
+++ b/crates/lilaccrankd/src/key_state.rs
@@ -0,0 +1,113 @@
+//! Where a request stands with its key.
+
+use std::time::{Duration, SystemTime};
+
+use lilaccrank::request_key;
+use lilaccrank::request_key::{
+    BodyDigest, Claim, Claimed, Claims, Error, Marked, MemberRef, Outcome, Wanted,
+};
+use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::store_client::StoreClient;
+
+use crate::caller_request::CallerRequest;
+use crate::daemon::Daemon;
+use crate::duties::Duties;
+use crate::peer_network::PeerNetwork;
+use crate::refusal::{Refusal, Result};
+
+/// The keys of this daemon's requests.
+pub type KeyClaims = Claims<MonoioClock, PeerNetwork, Duties, StoreClient>;
+type ClaimIn<State> = Claim<State, MonoioClock, PeerNetwork, Duties, StoreClient>;
+
+/// What a request may do.
+pub enum Access {
+    /// Read the answer that this member runs or holds.
+    Elsewhere(MemberRef),
+    /// Go on by itself.
+    Own(KeyState),
+}
+
+/// Key of a request on its way.
+pub enum KeyState {
+    /// Claimed; nothing may be sent to a target yet.
+    Claimed(ClaimIn<Claimed>),
+    /// The caller gave no key.
+    Keyless,
+    /// Marked; it may be sent, once.
+    Marked(ClaimIn<Marked>),
+}
+
+/// Claims the key of a request, if it has one.
+///
+/// # Errors
+///
+/// If the key was used, or it can't be told.
+pub async fn claim(daemon: &Daemon, caller: &CallerRequest) -> Result<Access> {
+    let Some(key) = &caller.facts.key else {
+        return Ok(Access::Own(KeyState::Keyless));
+    };
+    let wanted = Wanted {
+        body: BodyDigest::new(&caller.body),
+        customer: caller.facts.customer.clone(),
+        idempotent: caller.facts.idempotent,
+        key: key.clone(),
+    };
+    match daemon.claims.claim(&wanted).await {
+        Ok(request_key::Access::Granted(claim)) => Ok(Access::Own(KeyState::Claimed(claim))),
+        Ok(request_key::Access::Held { entry } | request_key::Access::Running { entry }) => {
+            Ok(Access::Elsewhere(entry))
+        }
+        Err(e) => Err(refusal(&e)),
+    }
+}
+
+impl KeyState {
+    /// Marks the key, just before something is sent.
+    ///
+    /// # Errors
+    ///
+    /// Nothing may be sent.
+    pub async fn mark(self) -> Result<Self> {
+        match self {
+            Self::Claimed(claim) => match claim.mark_dispatching().await {
+                Ok(marked) => Ok(Self::Marked(marked)),
+                Err(e) => Err(refusal(&e)),
+            },
+            other => Ok(other),
+        }
+    }
+
+    /// Frees the key: nothing was sent and nothing will be.
+    pub async fn release(self) {
+        match self {
+            Self::Claimed(claim) => claim.release().await,
+            Self::Keyless => {}
+            Self::Marked(claim) => claim.release().await,
+        }
+    }
+
+    /// Ends the key with a whole answer, held here for `ttl`, or with a failure.
+    pub async fn end(self, result: &Result<()>, ttl: Duration) {
+        let Self::Marked(claim) = self else {
+            return;
+        };
+        let outcome = match result {
+            Ok(()) => Outcome::Held {
+                until_ms: wall_ms(SystemTime::now() + ttl),
+            },
+            Err(refusal) => Outcome::Failed(refusal.kind),
+        };
+        claim.end(outcome).await;
+    }
+}
+
+fn wall_ms(at: SystemTime) -> u64 {
+    at.duration_since(SystemTime::UNIX_EPOCH)
+        .map_or(0, |since| {
+            u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+        })
+}
+
+fn refusal(e: &Error) -> Refusal {
+    Refusal::new(e.kind(), e.to_string()).ran(e.ran())
+}
--- a/crates/lilaccrankd/src/main.rs
+++ b/crates/lilaccrankd/src/main.rs
@@ -6,24 +6,36 @@
 mod answer_shape;
 mod answers;
 mod args;
+mod attach;
 mod auth;
 mod caller_request;
 mod callers;
+mod configuration;
 mod daemon;
+mod duties;
 mod engine_run;
 mod engine_stream;
 mod entry;
 mod in_force;
 mod interruption;
 mod json_logger;
+mod key_state;
 mod metrics;
-mod pools;
+mod peer_message;
+mod peer_network;
+mod pool_client;
+mod pool_server;
 mod proxy_run;
 mod refusal;
 mod request_run;
 mod run;
+mod serve;
 mod settings;
+mod shutdown;
 mod signals;
+mod spill;
+mod target_poller;
+mod udp_gossip;
 
 fn main() -> ExitCode {
     args::run()
--- a/crates/lilaccrankd/src/metrics.rs
+++ b/crates/lilaccrankd/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters of the daemon, in the text format of prometheus.
 
 use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::ids::Tier;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -15,16 +16,14 @@
 
 /// All metrics of one daemon.
 pub struct Metrics {
-    /// Answers that ended whole, by tier.
-    pub answered: IntCounterVec,
+    answered: IntCounterVec,
     /// Seconds from arrival to the first token.
     pub first_token: Histogram,
     /// Generation of the configuration in force.
     pub generation: IntGauge,
     /// Requests in progress.
     pub in_progress: IntGauge,
-    /// Ends without a whole answer, by kind.
-    pub refused: IntCounterVec,
+    refused: IntCounterVec,
     registry: Registry,
 }
 
@@ -71,6 +70,11 @@
         })
     }
 
+    /// Counts a whole answer.
+    pub fn answer(&self, tier: Tier) {
+        self.answered.with_label_values(&[&tier.to_string()]).inc();
+    }
+
     /// Counts an end without a whole answer.
     pub fn refuse(&self, kind: ErrorKind) {
         self.refused.with_label_values(&[&kind.to_string()]).inc();
--- /dev/null
+++ b/crates/lilaccrankd/src/peer_message.rs
@@ -0,0 +1,76 @@
+//! What daemons say to each other.
+
+use derive_more::{From, TryInto};
+use lilaccrank::dispatch::message::{Ask, Cancel, Report, Resync, Verdict};
+use lilaccrank::ids::PoolId;
+use lilaccrank::request_key::{KeyReply, KeyRequest, MemberRef};
+use lilaccrank::timeline::Stamp;
+use serde::{Deserialize, Serialize};
+
+/// A message with the time at its sender, by which time lines are put in causal order.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Stamped<T> {
+    /// The message.
+    pub message: T,
+    /// Sender's time.
+    pub stamp: Stamp,
+}
+
+/// A message of an entry to the dispatcher of a pool, or back.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum PoolMessage {
+    /// Entry to dispatcher.
+    Ask(Ask),
+    /// Entry to dispatcher.
+    Cancel(Cancel),
+    /// Entry to dispatcher.
+    Report(Report),
+    /// Entry to dispatcher.
+    Resync(Resync),
+    /// Dispatcher to entry.
+    Verdict {
+        /// The dispatcher.
+        from: MemberRef,
+        /// What it decided.
+        verdict: Verdict,
+    },
+}
+
+/// A message about one pool.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PoolRequest {
+    /// What is said.
+    pub message: PoolMessage,
+    /// The pool.
+    pub pool: PoolId,
+}
+
+/// Reply to a [`PoolRequest`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum PoolReply {
+    /// Taken in; a verdict follows an ask, a grant is used.
+    Accepted {
+        /// Asks waiting in the pool.
+        waiting: usize,
+    },
+    /// Not the dispatcher of this pool, or not the entry's last ask.
+    Declined,
+}
+
+/// All that a daemon asks another.
+#[derive(Clone, Debug, Deserialize, From, Serialize, TryInto)]
+pub enum PeerRequest {
+    /// About a request key.
+    Key(KeyRequest),
+    /// About a pool.
+    Pool(PoolRequest),
+}
+
+/// All that a daemon replies.
+#[derive(Clone, Debug, Deserialize, From, Serialize, TryInto)]
+pub enum PeerReply {
+    /// About a request key.
+    Key(KeyReply),
+    /// About a pool.
+    Pool(PoolReply),
+}
--- /dev/null
+++ b/crates/lilaccrankd/src/peer_network.rs
@@ -0,0 +1,120 @@
+//! The peers port over HTTP: one task for each peer and lane.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use lilaccrank::ids::VmId;
+use lilaccrank::membership::Membership;
+use lilaccrank::peers::{Error, Peers, Result};
+use lilaccrank::request_key::{KeyReply, KeyRequest};
+use lilaccrank::timeline::Timeline;
+use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::peer_link::PeerLink;
+
+use crate::peer_message::{PeerReply, PeerRequest, PoolReply, PoolRequest, Stamped};
+
+type Link = PeerLink<Stamped<PeerRequest>, Stamped<PeerReply>>;
+
+/// Which connection a call takes.
+///
+/// A batch is answered when its slowest call is. A claim waits for the copy at a third daemon;
+/// if copies took the same connections as claims, three keepers could wait for each other in a
+/// circle until all three calls time out. Calls that wait for nobody have connections of their
+/// own, so each circle is cut.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Lane {
+    /// Between the holders of records; answered without asking anybody.
+    Copies,
+    /// To the keeper of a key, which may ask the holder of the copy.
+    Keys,
+    /// About pools; answered without asking anybody.
+    Pools,
+}
+
+fn lane(req: &KeyRequest) -> Lane {
+    match req {
+        KeyRequest::Copy { .. } | KeyRequest::Handover { .. } | KeyRequest::Push { .. } => {
+            Lane::Copies
+        }
+        KeyRequest::Claim { .. }
+        | KeyRequest::End { .. }
+        | KeyRequest::Mark { .. }
+        | KeyRequest::Release { .. } => Lane::Keys,
+    }
+}
+
+/// Links to the members of the data centre; clones share them.
+#[derive(Clone)]
+pub struct PeerNetwork {
+    links: Rc<RefCell<IndexMap<(SocketAddr, Lane), Link>>>,
+    membership: Membership,
+    timeline: Timeline<MonoioClock>,
+}
+
+impl PeerNetwork {
+    /// Links to the members that `membership` knows.
+    #[must_use]
+    pub fn new(membership: Membership, timeline: Timeline<MonoioClock>) -> Self {
+        Self {
+            links: Rc::default(),
+            membership,
+            timeline,
+        }
+    }
+
+    /// Drops links to addresses that no member has any more.
+    pub fn prune(&self) {
+        let members = self.membership.all();
+        let known = |address: SocketAddr| members.iter().any(|m| m.peers == address);
+        self.links
+            .borrow_mut()
+            .retain(|(address, _), _| known(*address));
+    }
+
+    async fn send(&self, vm: &VmId, lane: Lane, req: PeerRequest) -> Result<PeerReply> {
+        let link = self.link(vm, lane)?;
+        let stamped = Stamped {
+            message: req,
+            stamp: self.timeline.stamp(),
+        };
+        match link.call(stamped).await {
+            Ok(reply) => {
+                self.timeline.observe(&reply.stamp);
+                Ok(reply.message)
+            }
+            Err(e) => {
+                // A refused connection is the first sign of a dead daemon: a probe now finds it
+                // out sooner than its turn would.
+                self.membership.suspect(vm);
+                Err(e)
+            }
+        }
+    }
+
+    fn link(&self, vm: &VmId, lane: Lane) -> Result<Link> {
+        let members = self.membership.all();
+        let member = members.iter().find(|member| member.vm == *vm);
+        let member = member.ok_or_else(|| Error::Unreachable(vm.clone()))?;
+        let mut links = self.links.borrow_mut();
+        let link = links
+            .entry((member.peers, lane))
+            .or_insert_with(|| Link::start(vm.clone(), member.peers.to_string()));
+        Ok(link.clone())
+    }
+}
+
+impl Peers<KeyRequest, KeyReply> for PeerNetwork {
+    async fn call(&self, vm: &VmId, req: KeyRequest) -> Result<KeyReply> {
+        let reply = self.send(vm, lane(&req), req.into()).await?;
+        reply.try_into().map_err(|_| Error::NoAnswer(vm.clone()))
+    }
+}
+
+impl Peers<PoolRequest, PoolReply> for PeerNetwork {
+    async fn call(&self, vm: &VmId, req: PoolRequest) -> Result<PoolReply> {
+        let reply = self.send(vm, Lane::Pools, req.into()).await?;
+        reply.try_into().map_err(|_| Error::NoAnswer(vm.clone()))
+    }
+}
--- /dev/null
+++ b/crates/lilaccrankd/src/pool_server.rs
@@ -0,0 +1,294 @@
+//! The dispatcher's side of the pools that this daemon has the duty for.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use event_listener::Event;
+use futures::future::{self, Either};
+use futures::pin_mut;
+use indexmap::IndexMap;
+use lilaccrank::dispatch::message::{Ask, Entry, Outcome, Report, ReportKind, Verdict};
+use lilaccrank::dispatch::status::Status;
+use lilaccrank::dispatch::{Config, Dispatcher};
+use lilaccrank::document::{Document, PoolKind};
+use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::ids::{PoolId, Tier};
+use lilaccrank::membership::State;
+use lilaccrank::peers::Peers;
+use lilaccrank::prompt;
+use lilaccrank::request_key::{MemberRef, Ranking};
+use lilaccrank::timeline::{EventKind, Subject};
+use lilaccrank_http::monoio_clock::MonoioClock;
+
+use crate::daemon::Daemon;
+use crate::peer_message::{PoolMessage, PoolReply, PoolRequest};
+use crate::{pool_client, target_poller};
+
+/// Longest wait of a new dispatcher for the entries to tell what they have.
+const HANDOVER_GRACE: Duration = Duration::from_secs(1);
+/// Tries to deliver a verdict; an entry that missed them all asks again.
+const DELIVERIES: u32 = 3;
+/// Wait between two tries.
+const DELIVER_AGAIN: Duration = Duration::from_millis(100);
+/// Silence of an engine with running requests that counts as a hang.
+const ENGINE_SILENCE: Duration = Duration::from_millis(500);
+/// A plain service may be silent as long as its requests may take.
+const SERVICE_SILENCE: Duration = Duration::from_secs(30);
+
+/// The dispatchers that run here.
+#[derive(Default)]
+pub struct PoolServer {
+    entries: RefCell<Vec<Entry>>,
+    served: RefCell<IndexMap<PoolId, Rc<Served>>>,
+}
+
+/// One dispatcher in one life of this daemon.
+pub struct Served {
+    /// The dispatcher.
+    pub dispatcher: Dispatcher<MonoioClock>,
+    me: MemberRef,
+    pool: PoolId,
+    retired: Cell<bool>,
+    retiring: Event,
+}
+
+impl Served {
+    /// Completes once another daemon or another life has the duty.
+    pub async fn retired(&self) {
+        while !self.retired.get() {
+            let listener = self.retiring.listen();
+            if !self.retired.get() {
+                listener.await;
+            }
+        }
+    }
+
+    fn retire(&self) {
+        self.retired.set(true);
+        self.retiring.notify(usize::MAX);
+    }
+}
+
+/// Answers a message about a pool.
+pub fn handle(daemon: &Rc<Daemon>, req: PoolRequest) -> PoolReply {
+    if let PoolMessage::Verdict { from, verdict } = req.message {
+        return if pool_client::on_verdict(daemon, &from, verdict) {
+            PoolReply::Accepted { waiting: 0 }
+        } else {
+            PoolReply::Declined
+        };
+    }
+    let Some(served) = served(daemon, &req.pool) else {
+        return PoolReply::Declined;
+    };
+    match req.message {
+        PoolMessage::Ask(ask) => decide_later(daemon, &served, ask),
+        PoolMessage::Cancel(cancel) => served.dispatcher.cancel(&cancel),
+        PoolMessage::Report(report) => served.dispatcher.report(&report),
+        PoolMessage::Resync(resync) => {
+            let waiting = resync.waiting.clone();
+            served.dispatcher.resync(resync);
+            for ask in waiting {
+                decide_later(daemon, &served, ask);
+            }
+        }
+        PoolMessage::Verdict { .. } => {}
+    }
+    let status = served.dispatcher.status();
+    let waiting = status.waiting.iter().map(|tier| tier.waiting).sum();
+    PoolReply::Accepted { waiting }
+}
+
+fn decide_later(daemon: &Rc<Daemon>, served: &Rc<Served>, ask: Ask) {
+    monoio::spawn(decide(Rc::clone(daemon), Rc::clone(served), ask));
+}
+
+async fn decide(daemon: Rc<Daemon>, served: Rc<Served>, ask: Ask) {
+    let entry = ask.entry.clone();
+    let verdict = {
+        let deciding = served.dispatcher.ask(ask);
+        let retired = served.retired();
+        pin_mut!(deciding, retired);
+        match future::select(deciding, retired).await {
+            Either::Left((verdict, _)) => verdict,
+            Either::Right(_) => return,
+        }
+    };
+    // This call was taken back, or replaced by a repeat of the same ask, which gets the verdict.
+    if matches!(&verdict, Verdict::Refuse(refuse) if refuse.kind == ErrorKind::Cancelled) {
+        return;
+    }
+    let used = deliver(&daemon, &served, &entry, &verdict).await;
+    let Verdict::Grant(grant) = verdict else {
+        return;
+    };
+    let kind = if used {
+        ReportKind::Began
+    } else {
+        ReportKind::Ended {
+            decoded: 0,
+            outcome: Outcome::Unused,
+            prefill: None,
+        }
+    };
+    served.dispatcher.report(&Report {
+        ask: grant.ask,
+        kind,
+        request: grant.request,
+        target: grant.target,
+    });
+}
+
+async fn deliver(daemon: &Rc<Daemon>, served: &Served, entry: &str, verdict: &Verdict) -> bool {
+    if entry == daemon.cfg.vm {
+        return pool_client::on_verdict(daemon, &served.me, verdict.clone());
+    }
+    for _ in 0..DELIVERIES {
+        let req = PoolRequest {
+            message: PoolMessage::Verdict {
+                from: served.me.clone(),
+                verdict: verdict.clone(),
+            },
+            pool: served.pool.clone(),
+        };
+        match daemon.peers.call(&entry.to_owned(), req).await {
+            Ok(PoolReply::Accepted { .. }) => return true,
+            Ok(PoolReply::Declined) => return false,
+            Err(_) => monoio::time::sleep(DELIVER_AGAIN).await,
+        }
+    }
+    false
+}
+
+/// The dispatcher of a pool if this daemon has the duty; made at the first message.
+fn served(daemon: &Rc<Daemon>, pool: &PoolId) -> Option<Rc<Served>> {
+    if !daemon.duties.is_dispatcher(pool) {
+        return None;
+    }
+    let me = daemon.duties.me();
+    let known = daemon.pool_server.served.borrow().get(pool).cloned();
+    match known {
+        Some(served) if served.me == me => Some(served),
+        stale => {
+            if let Some(stale) = stale {
+                stale.retire();
+            }
+            let served = begin(daemon, pool, me)?;
+            let mut all = daemon.pool_server.served.borrow_mut();
+            all.insert(pool.clone(), Rc::clone(&served));
+            Some(served)
+        }
+    }
+}
+
+fn begin(daemon: &Rc<Daemon>, pool: &PoolId, me: MemberRef) -> Option<Rc<Served>> {
+    let in_force = daemon.in_force().ok()?;
+    let configured = in_force.document.pool(pool)?;
+    let silence_floor = match configured.kind {
+        PoolKind::Engine => ENGINE_SILENCE,
+        PoolKind::Service => SERVICE_SILENCE,
+    };
+    let dispatcher = Dispatcher::new(
+        MonoioClock,
+        Config {
+            block_tokens: u32::try_from(prompt::BLOCK_TOKENS).unwrap_or(u32::MAX),
+            incarnation: me.incarnation,
+            lowest_tier: lowest_tier(&in_force.document),
+            silence_floor,
+            vm: me.vm.clone(),
+            waiting_limit: configured.waiting_limit,
+        },
+    );
+    dispatcher.set_targets(configured, &daemon.cfg.data_centre);
+    dispatcher.begin_handover(live_entries(daemon), HANDOVER_GRACE);
+    let served = Rc::new(Served {
+        dispatcher,
+        me,
+        pool: pool.clone(),
+        retired: Cell::new(false),
+        retiring: Event::new(),
+    });
+    daemon.record(
+        EventKind::TakenOver,
+        Subject {
+            detail: format!("dispatcher of pool {pool}"),
+            ..Subject::default()
+        },
+    );
+    let ticking = Rc::clone(&served);
+    monoio::spawn(async move {
+        let run = ticking.dispatcher.run();
+        let retired = ticking.retired();
+        pin_mut!(run, retired);
+        future::select(run, retired).await;
+    });
+    monoio::spawn(target_poller::run(
+        Rc::clone(daemon),
+        Rc::clone(&served),
+        pool.clone(),
+    ));
+    Some(served)
+}
+
+fn lowest_tier(document: &Document) -> Tier {
+    Tier::try_from(document.tiers.len().saturating_sub(1)).unwrap_or(Tier::MAX)
+}
+
+/// Daemons that may have requests: a leaving one finishes what it has.
+fn live_entries(daemon: &Daemon) -> Vec<Entry> {
+    let members = daemon.membership.all();
+    let alive = members.into_iter().filter(|m| m.state != State::Dead);
+    alive
+        .map(|member| Entry {
+            incarnation: member.incarnation,
+            vm: member.vm,
+        })
+        .collect()
+}
+
+/// Retires what is no longer this daemon's duty, and forgets entries that have died.
+pub fn members_changed(daemon: &Rc<Daemon>) {
+    let me = daemon.duties.me();
+    let server = &daemon.pool_server;
+    server.served.borrow_mut().retain(|pool, served| {
+        let kept = served.me == me && daemon.duties.is_dispatcher(pool);
+        if !kept {
+            served.retire();
+        }
+        kept
+    });
+    let entries = live_entries(daemon);
+    let before = server.entries.replace(entries.clone());
+    for gone in before.iter().filter(|entry| !entries.contains(entry)) {
+        for served in server.served.borrow().values() {
+            served.dispatcher.forget_entry(&gone.vm, gone.incarnation);
+        }
+    }
+}
+
+/// Hands the targets of a new configuration to the dispatchers.
+pub fn configuration_changed(daemon: &Rc<Daemon>) {
+    let Ok(in_force) = daemon.in_force() else {
+        return;
+    };
+    let server = &daemon.pool_server;
+    server.served.borrow_mut().retain(|pool, served| {
+        let Some(configured) = in_force.document.pool(pool) else {
+            served.retire();
+            return false;
+        };
+        let data_centre = &daemon.cfg.data_centre;
+        served.dispatcher.set_targets(configured, data_centre);
+        true
+    });
+}
+
+/// State of the dispatchers that run here.
+pub fn status(daemon: &Daemon) -> IndexMap<PoolId, Status> {
+    let served = daemon.pool_server.served.borrow();
+    served
+        .iter()
+        .map(|(pool, served)| (pool.clone(), served.dispatcher.status()))
+        .collect()
+}
--- a/crates/lilaccrankd/src/request_run.rs
+++ b/crates/lilaccrankd/src/request_run.rs
@@ -7,19 +7,27 @@
 use futures::pin_mut;
 use hyper::Request;
 use hyper::header::{HOST, HeaderValue};
+use lilaccrank::dispatch::message::{Ask, Outcome, Refuse, ReportKind};
 use lilaccrank::error_kind::{ErrorKind, Ran};
 use lilaccrank::ids::{RequestId, TargetId};
 use lilaccrank::rules::matching::Route;
+use lilaccrank::timeline::{EventKind, Subject};
 use lilaccrank_http::body;
 
 use crate::caller_request::{CallerRequest, Work};
 use crate::daemon::Daemon;
 use crate::engine_run::{self, EngineRequest, Observer};
-use crate::engine_stream::{EngineStream, Patience, REQUEST_ID, REQUEST_KEY};
-use crate::interruption;
-use crate::proxy_run::{self, Bounds};
+use crate::engine_stream::{EngineStream, REQUEST_ID, REQUEST_KEY};
+use crate::key_state::KeyState;
+use crate::pool_client::{self, Held};
 use crate::refusal::{Refusal, Result};
 use crate::run::{End, Run};
+use crate::{interruption, proxy_run, spill};
+
+/// Longest wait for a key to be settled before the caller hears the end.
+const SETTLE_WAIT: Duration = Duration::from_millis(200);
+/// Targets tried when none of them can be connected to.
+const TARGET_TRIES: usize = 3;
 
 /// A routed request.
 pub struct Routed {
@@ -33,20 +41,27 @@
     pub route: Route,
 }
 
-/// A request that a target has been granted for, and that was not sent yet.
-struct Granted {
-    routed: Routed,
-    target: TargetId,
+/// What came of sending a request to a target.
+struct Sent {
+    decoded: u32,
+    prefill: Option<u32>,
+    result: Result<()>,
 }
 
 /// Takes a request to its end and writes that to `run`.
-pub async fn drive(daemon: Rc<Daemon>, routed: Routed, run: Rc<Run>) {
-    let result = match routed.wait(&daemon, &run).await {
-        Ok(granted) => granted.send(&daemon, &run).await,
-        Err(refusal) => Err(refusal),
-    };
+pub async fn drive(daemon: Rc<Daemon>, routed: Routed, key: KeyState, run: Rc<Run>) {
+    let routed = Rc::new(routed);
+    let (result, key) = routed.work(&daemon, key, &run).await;
+    let settling = settle(Rc::clone(&daemon), Rc::clone(&routed), result.clone(), key);
+    let settling = monoio::spawn(settling);
+    // A repeat sent at once should find the key settled; but no answer is held back for long
+    // for a keeper that can't be reached.
+    let _ = monoio::time::timeout(SETTLE_WAIT, settling).await;
     match result {
-        Ok(()) => run.finish(End::Whole),
+        Ok(()) => {
+            daemon.metrics.answer(routed.route.tier);
+            run.finish(End::Whole);
+        }
         Err(refusal) => {
             daemon.metrics.refuse(refusal.kind);
             run.finish(End::Failed(refusal));
@@ -54,60 +69,183 @@
     }
 }
 
+/// Ends or frees the key, and notes the end.
+async fn settle(daemon: Rc<Daemon>, routed: Rc<Routed>, result: Result<()>, key: Option<KeyState>) {
+    let kind = match &result {
+        Ok(()) => EventKind::Ended,
+        Err(refusal) if refusal.kind == ErrorKind::Cancelled => EventKind::Cancelled,
+        Err(refusal) if refusal.kind == ErrorKind::Overloaded => EventKind::Shed,
+        Err(_) => EventKind::Refused,
+    };
+    let detail = result.as_ref().err().map(ToString::to_string);
+    daemon.record(kind, routed.subject(detail.unwrap_or_default(), None));
+    let scoped = routed.caller.scoped_key();
+    match (&result, key) {
+        (Err(refusal), Some(key)) if refusal.ran == Ran::No => key.release().await,
+        (_, Some(key)) => {
+            let ttl = Duration::from_millis(daemon.cfg.answer_ttl_ms);
+            key.end(&result, ttl).await;
+        }
+        (_, None) => {}
+    }
+    if let Some(scoped) = scoped {
+        if result.is_ok() {
+            daemon.answers.ended(&scoped);
+        } else {
+            daemon.answers.remove(&scoped);
+        }
+    }
+}
+
 impl Routed {
     fn deadline(&self) -> Option<Instant> {
         self.caller.facts.deadline.map(|left| self.arrived + left)
     }
 
-    async fn wait(self, daemon: &Daemon, run: &Run) -> Result<Granted> {
-        let in_force = daemon.in_force()?;
-        let pool = in_force
-            .document
-            .pool(&self.route.pool)
-            .ok_or_else(|| Refusal::new(ErrorKind::NoTarget, "the pool is no longer configured"))?;
-        let interrupted = interruption::interrupted(run, self.deadline(), Duration::ZERO);
-        let taking = daemon.pools.take(pool, &daemon.cfg.data_centre);
-        pin_mut!(taking, interrupted);
-        match future::select(taking, interrupted).await {
-            Either::Left((target, _)) => Ok(Granted {
-                target: target?,
-                routed: self,
-            }),
+    fn subject(&self, detail: String, target: Option<&TargetId>) -> Subject {
+        Subject {
+            detail,
+            request: Some(self.id.clone()),
+            target: target.cloned(),
+        }
+    }
+
+    /// The key is gone from the result if it could not be marked: it is settled then.
+    async fn work(
+        &self,
+        daemon: &Rc<Daemon>,
+        mut key: KeyState,
+        run: &Run,
+    ) -> (Result<()>, Option<KeyState>) {
+        let mut exclusions = Vec::new();
+        loop {
+            let granted = self.wait(daemon, run, exclusions.clone()).await;
+            let refused = granted.as_ref().err().cloned();
+            if let Some(refusal) = &refused
+                && !self.may_spill(refusal)
+            {
+                return (Err(refusal.clone()), Some(key));
+            }
+            key = match key.mark().await {
+                Ok(marked) => marked,
+                Err(refusal) => return (Err(refusal), None),
+            };
+            let held = match granted {
+                Ok(held) => held,
+                Err(refusal) => return (self.spill(daemon, run, refusal).await, Some(key)),
+            };
+            let target = held.target.clone();
+            let result = self.send(daemon, run, held).await;
+            match result {
+                Err(refusal)
+                    if refusal.kind == ErrorKind::TargetFailed
+                        && refusal.ran == Ran::No
+                        && exclusions.len() + 1 < TARGET_TRIES =>
+                {
+                    exclusions.push(target);
+                }
+                result => return (result, Some(key)),
+            }
+        }
+    }
+
+    async fn wait(
+        &self,
+        daemon: &Rc<Daemon>,
+        run: &Run,
+        exclusions: Vec<TargetId>,
+    ) -> Result<Held> {
+        daemon.record(
+            EventKind::Asked,
+            self.subject(self.route.pool.clone(), None),
+        );
+        let ask = self.ask(daemon, exclusions);
+        let interrupted = interruption::interrupted(run, self.deadline(), self.grace(daemon));
+        let asking = pool_client::ask(daemon, &self.route.pool, ask);
+        pin_mut!(asking, interrupted);
+        match future::select(asking, interrupted).await {
+            Either::Left((Ok(held), _)) => {
+                daemon.record(
+                    EventKind::Granted,
+                    self.subject(String::new(), Some(&held.target)),
+                );
+                Ok(held)
+            }
+            Either::Left((Err(refuse), _)) => Err(refusal(&refuse)),
             Either::Right((refusal, _)) => Err(refusal.ran(Ran::No)),
         }
     }
-}
 
-struct FirstToken<'a> {
-    daemon: &'a Daemon,
-    waited: Duration,
-}
+    fn ask(&self, daemon: &Daemon, exclusions: Vec<TargetId>) -> Ask {
+        let facts = &self.caller.facts;
+        let prefix = match &self.caller.work {
+            Work::Generate { prefix, .. } => prefix.clone(),
+            Work::Proxy { .. } => Vec::new(),
+        };
+        let passed = self.arrived.elapsed();
+        Ask {
+            customer: facts.customer.clone(),
+            deadline: facts.deadline.map(|left| left.saturating_sub(passed)),
+            entry: daemon.cfg.vm.clone(),
+            exclusions,
+            limit: self.route.limit,
+            max_tokens: facts.max_tokens,
+            prefix,
+            prompt_tokens: facts.prompt_tokens,
+            request: self.id.clone(),
+            rule: self.route.rule.clone(),
+            tier: self.route.tier,
+            wait_at_most: self.route.wait_at_most,
+            weight: self.caller.weight,
+            ..Ask::default()
+        }
+    }
 
-impl Observer for FirstToken<'_> {
-    fn first_token(&self, after: Duration) {
-        let total = self.waited + after;
-        self.daemon.metrics.first_token.observe(total.as_secs_f64());
+    fn may_spill(&self, refusal: &Refusal) -> bool {
+        let allowed = !self.route.spill.is_empty() && self.caller.spilled_from.is_none();
+        allowed && spill::helps(refusal.kind)
     }
 
-    fn progress(&self, _tokens: u32, _step: Duration) {}
-}
+    async fn spill(&self, daemon: &Daemon, run: &Run, refusal: Refusal) -> Result<()> {
+        let (deadline, caller) = (self.deadline(), &self.caller);
+        let interrupted = interruption::interrupted(run, deadline, self.grace(daemon));
+        let spilling = spill::run(daemon, caller, &self.route.spill, deadline, run, refusal);
+        pin_mut!(spilling, interrupted);
+        match future::select(spilling, interrupted).await {
+            Either::Left((result, _)) => result,
+            Either::Right((refusal, _)) => Err(refusal),
+        }
+    }
 
-impl Granted {
-    async fn send(self, daemon: &Daemon, run: &Run) -> Result<()> {
-        let result = self.send_once(daemon, run).await;
-        daemon.pools.release(&self.target);
-        result
+    async fn send(&self, daemon: &Daemon, run: &Run, held: Held) -> Result<()> {
+        daemon.record(
+            EventKind::Dispatched,
+            self.subject(String::new(), Some(&held.target)),
+        );
+        let sent = match self.send_once(daemon, run, &held).await {
+            Ok(sent) => sent,
+            Err(refusal) => Sent {
+                decoded: 0,
+                prefill: None,
+                result: Err(refusal),
+            },
+        };
+        let outcome = match &sent.result {
+            Ok(()) => Outcome::Complete,
+            Err(refusal) if from_outside(refusal.kind) => Outcome::Cancelled,
+            Err(_) => Outcome::Failed,
+        };
+        held.ended(outcome, sent.decoded, sent.prefill);
+        sent.result
     }
 
-    async fn send_once(&self, daemon: &Daemon, run: &Run) -> Result<()> {
+    async fn send_once(&self, daemon: &Daemon, run: &Run, held: &Held) -> Result<Sent> {
         let in_force = daemon.in_force()?;
         let (_, target) = in_force
-            .target(&self.routed.route.pool, &self.target)
+            .target(&self.route.pool, &held.target)
             .ok_or_else(|| Refusal::new(ErrorKind::NoTarget, "the target was removed"))?;
-        let caller = &self.routed.caller;
-        let interrupted =
-            interruption::interrupted(run, self.routed.deadline(), self.grace(daemon));
-        match &caller.work {
+        let interrupted = interruption::interrupted(run, self.deadline(), self.grace(daemon));
+        match &self.caller.work {
             Work::Generate {
                 body,
                 shape,
@@ -117,33 +255,43 @@
                 let engine = EngineStream::new(
                     daemon.client.clone(),
                     target.address.clone(),
-                    self.routed.id.clone(),
-                    patience(daemon),
+                    self.id.clone(),
+                    daemon.patience(),
                 );
                 let req = EngineRequest {
                     body: body.clone(),
-                    key: caller.facts.key.as_deref(),
+                    key: self.caller.facts.key.as_deref(),
                     shape: *shape,
                     stream: *stream,
                 };
-                let observer = FirstToken {
+                let seen = Seen {
                     daemon,
-                    waited: self.routed.arrived.elapsed(),
+                    held,
+                    waited: self.arrived.elapsed(),
                 };
-                let ended = engine_run::run(engine, req, run, &observer, interrupted).await;
-                ended.result
+                let ended = engine_run::run(engine, req, run, &seen, interrupted).await;
+                Ok(Sent {
+                    decoded: ended.decoded,
+                    prefill: ended.prefill,
+                    result: ended.result,
+                })
             }
             Work::Proxy { .. } => {
                 let req = self.proxied();
-                let bounds = bounds(daemon);
-                let client = &daemon.client;
-                proxy_run::run(client, &target.address, req, bounds, run, interrupted).await
+                let (client, bounds) = (&daemon.client, daemon.bounds());
+                let result =
+                    proxy_run::run(client, &target.address, req, bounds, run, interrupted).await;
+                Ok(Sent {
+                    decoded: 0,
+                    prefill: None,
+                    result,
+                })
             }
         }
     }
 
     fn grace(&self, daemon: &Daemon) -> Duration {
-        match self.routed.caller.facts.key {
+        match self.caller.facts.key {
             Some(_) => Duration::from_millis(daemon.cfg.grace_ms),
             None => Duration::ZERO,
         }
@@ -156,7 +304,7 @@
             headers,
             method,
             path,
-        } = &self.routed.caller.work
+        } = &self.caller.work
         else {
             return req;
         };
@@ -167,8 +315,8 @@
         let headers = req.headers_mut();
         headers.insert(HOST, HeaderValue::from_static("target"));
         let named = [
-            (REQUEST_ID, Some(&self.routed.id)),
-            (REQUEST_KEY, self.routed.caller.facts.key.as_ref()),
+            (REQUEST_ID, Some(&self.id)),
+            (REQUEST_KEY, self.caller.facts.key.as_ref()),
         ];
         for (name, value) in named {
             if let Some(value) = value.and_then(|value| HeaderValue::from_str(value).ok()) {
@@ -179,17 +327,41 @@
     }
 }
 
-fn patience(daemon: &Daemon) -> Patience {
-    Patience {
-        first: Duration::from_millis(daemon.cfg.first_token_ms),
-        next: Duration::from_millis(daemon.cfg.between_tokens_ms),
+/// Passes what the engine does on to the dispatcher and the metrics.
+struct Seen<'a> {
+    daemon: &'a Daemon,
+    held: &'a Held,
+    waited: Duration,
+}
+
+impl Observer for Seen<'_> {
+    fn first_token(&self, after: Duration) {
+        let total = self.waited + after;
+        self.daemon.metrics.first_token.observe(total.as_secs_f64());
+        self.held.report(ReportKind::FirstToken { after });
+    }
+
+    fn progress(&self, tokens: u32, step: Duration) {
+        self.held.report(ReportKind::Progress { step, tokens });
     }
 }
 
-fn bounds(daemon: &Daemon) -> Bounds {
-    Bounds {
-        answer_limit: daemon.cfg.body_limit,
-        head: Duration::from_millis(daemon.cfg.first_token_ms),
-        next: Duration::from_millis(daemon.cfg.first_token_ms),
+/// Whether a request ended for a reason that says nothing about its target.
+fn from_outside(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::Cancelled | ErrorKind::DeadlinePassed)
+}
+
+fn refusal(refuse: &Refuse) -> Refusal {
+    let message = match refuse.kind {
+        ErrorKind::DeadlineUnmeetable => "the deadline can't be met; nothing was started",
+        ErrorKind::NoTarget => "no live target here serves the pool",
+        ErrorKind::Overloaded => "work of this tier is being shed",
+        ErrorKind::RateLimited => "the rule's limit is reached",
+        _ => "the dispatcher refused",
+    };
+    let refusal = Refusal::new(refuse.kind, message).ran(Ran::No);
+    match refuse.retry_after {
+        Some(after) => refusal.retry_after(after),
+        None => refusal,
     }
 }
--- /dev/null
+++ b/crates/lilaccrankd/src/serve.rs
@@ -0,0 +1,156 @@
+//! Starts a daemon's tasks and runs them until it is told to end.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+use lilaccrank::ids::Incarnation;
+use lilaccrank::membership;
+use lilaccrank::request_key::Ranking;
+use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::server::Closing;
+use lilaccrank_http::{peer_server, runtime, server};
+use monoio::net::TcpListener;
+use thiserror::Error;
+
+use crate::daemon::Daemon;
+use crate::peer_message::{PeerReply, PeerRequest, Stamped};
+use crate::settings::Settings;
+use crate::signals::Signals;
+use crate::udp_gossip::UdpGossip;
+use crate::{admin, callers, configuration, pool_client, pool_server, shutdown};
+
+/// Result of running the daemon.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// How often what is over its time is dropped.
+const EXPIRE_EVERY: Duration = Duration::from_secs(1);
+/// How often the keeper looks for pauses and for keys that are over their time.
+const KEEPER_TICK: Duration = Duration::from_millis(100);
+
+/// Why the daemon can't run.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// An address can't be listened on.
+    #[error("can't listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The metrics can't be registered.
+    #[error("metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
+    /// The runtime or the signal handlers can't be made.
+    #[error("the system refused: {0}")]
+    System(#[from] io::Error),
+}
+
+/// Runs a daemon until it is told to end.
+///
+/// # Errors
+///
+/// If it can't start.
+pub fn run(cfg: Settings) -> Result<()> {
+    let signals = Signals::register()?;
+    runtime::block_on(serve(cfg, signals))?
+}
+
+async fn serve(cfg: Settings, signals: Signals) -> Result<()> {
+    let caller_listener = listen(cfg.callers)?;
+    let admin_listener = listen(cfg.admin)?;
+    let peer_listener = listen(cfg.peer)?;
+    let address = cfg.gossip;
+    let datagrams = UdpGossip::bind(address).map_err(|source| Error::Listen { address, source })?;
+    let incarnation = incarnation();
+    let (membership, gossip) = membership::new(
+        membership::Settings::default(),
+        Daemon::member(&cfg, incarnation),
+        MonoioClock,
+        datagrams,
+    );
+    membership.set_seeds(cfg.seeds.clone());
+    let daemon = Rc::new(Daemon::new(cfg, incarnation, membership)?);
+    monoio::spawn(gossip.run());
+    monoio::spawn(configuration::watch(Rc::clone(&daemon)));
+    monoio::spawn(follow_members(Rc::clone(&daemon)));
+    monoio::spawn(expire(Rc::clone(&daemon)));
+    start_keeper(&daemon);
+    let shared = Rc::clone(&daemon);
+    monoio::spawn(peer_server::serve(peer_listener, move |req| {
+        answer_peer(Rc::clone(&shared), req)
+    }));
+    let shared = Rc::clone(&daemon);
+    monoio::spawn(server::serve(
+        admin_listener,
+        Closing::default(),
+        move |req| admin::handle(Rc::clone(&shared), req),
+    ));
+    let closing = Closing::default();
+    let shared = Rc::clone(&daemon);
+    monoio::spawn(server::serve(
+        caller_listener,
+        closing.clone(),
+        move |req| callers::handle(Rc::clone(&shared), req),
+    ));
+    log::info!("started in data centre {}", daemon.cfg.data_centre);
+    signals.reached(1).await;
+    shutdown::run(&daemon, &closing, &signals).await;
+    Ok(())
+}
+
+fn start_keeper(daemon: &Rc<Daemon>) {
+    let keeper = daemon.keeper.clone();
+    monoio::spawn(async move { keeper.run(KEEPER_TICK).await });
+    let claims = daemon.claims.clone();
+    monoio::spawn(async move { claims.sweep_every(EXPIRE_EVERY).await });
+}
+
+/// Takes over and hands over duties as members come and go.
+async fn follow_members(daemon: Rc<Daemon>) {
+    let mut seen = 0;
+    loop {
+        seen = daemon.membership.changed(seen).await;
+        log::info!(
+            "members now: {}, this life: {}",
+            daemon.membership.live().members.len(),
+            daemon.duties.me(),
+        );
+        pool_server::members_changed(&daemon);
+        pool_client::rebalance(&daemon);
+        daemon.peers.prune();
+    }
+}
+
+async fn expire(daemon: Rc<Daemon>) {
+    loop {
+        monoio::time::sleep(EXPIRE_EVERY).await;
+        daemon.answers.expire();
+    }
+}
+
+async fn answer_peer(daemon: Rc<Daemon>, req: Stamped<PeerRequest>) -> Stamped<PeerReply> {
+    daemon.timeline.observe(&req.stamp);
+    let message = match req.message {
+        PeerRequest::Key(req) => daemon.keeper.handle(req).await.into(),
+        PeerRequest::Pool(req) => pool_server::handle(&daemon, req).into(),
+    };
+    Stamped {
+        message,
+        stamp: daemon.timeline.stamp(),
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).map_err(|source| Error::Listen { address, source })
+}
+
+/// Each life of a vm starts later than the one before.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| {
+        Incarnation::try_from(since.as_millis()).unwrap_or(Incarnation::MAX)
+    })
+}
--- /dev/null
+++ b/crates/lilaccrankd/src/shutdown.rs
@@ -0,0 +1,49 @@
+//! A graceful end: nothing new is taken, nothing in progress is cut.
+
+use std::time::Duration;
+
+use futures::future::{self, Either};
+use futures::pin_mut;
+use lilaccrank::timeline::{EventKind, Subject};
+use lilaccrank_http::server::Closing;
+
+use crate::daemon::Daemon;
+use crate::signals::Signals;
+
+/// How often a shutdown looks whether it is done.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Takes nothing new and waits for what is in progress, within the limit or until a second
+/// signal comes.
+pub async fn run(daemon: &Daemon, closing: &Closing, signals: &Signals) {
+    daemon.leaving.set(true);
+    log::info!("leaving with {} requests in progress", daemon.in_progress());
+    daemon.membership.leave().await;
+    let done = finish(daemon, closing);
+    let cut = cut(daemon, signals);
+    pin_mut!(done, cut);
+    match future::select(done, cut).await {
+        Either::Left(_) => {
+            daemon.record(EventKind::Drained, Subject::default());
+            log::info!("ended with nothing cut");
+        }
+        Either::Right(_) => log::warn!("ended, cutting {} requests", daemon.in_progress()),
+    }
+}
+
+async fn finish(daemon: &Daemon, closing: &Closing) {
+    while daemon.in_progress() > 0 {
+        monoio::time::sleep(POLL).await;
+    }
+    closing.close();
+    while closing.connections() > 0 {
+        monoio::time::sleep(POLL).await;
+    }
+}
+
+async fn cut(daemon: &Daemon, signals: &Signals) {
+    let over = monoio::time::sleep(Duration::from_millis(daemon.cfg.shutdown_limit_ms));
+    let again = signals.reached(2);
+    pin_mut!(over, again);
+    future::select(over, again).await;
+}
--- /dev/null
+++ b/crates/lilaccrankd/src/spill.rs
@@ -0,0 +1,122 @@
+//! Sends a request that this data centre refuses to another one, if its rule says so.
+//!
+//! The other data centre's daemon takes it as its own request, of the same caller and key. To
+//! this daemon it is like a target: one exchange, and only a refusal as not run allows another.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
+use hyper::{Request, Response, StatusCode};
+use lilaccrank::error_kind::{ErrorKind, Ran};
+use lilaccrank_http::body::{self, Body};
+use rand::seq::IndexedRandom;
+use serde::Deserialize;
+
+use crate::caller_request::{CallerRequest, DEADLINE, SPILLED};
+use crate::daemon::Daemon;
+use crate::proxy_run;
+use crate::refusal::{Refusal, Result};
+use crate::run::Run;
+
+#[derive(Deserialize)]
+struct Envelope {
+    error: Details,
+}
+
+#[derive(Deserialize)]
+struct Details {
+    kind: ErrorKind,
+    message: String,
+    ran: Ran,
+}
+
+/// Whether another data centre may do what this one refuses.
+#[must_use]
+pub fn helps(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::DeadlineUnmeetable | ErrorKind::NoTarget | ErrorKind::Overloaded
+    )
+}
+
+/// Tries the data centres in order until one takes the request.
+///
+/// # Errors
+///
+/// The last refusal; `refused` if there was nobody to ask.
+pub async fn run(
+    daemon: &Daemon,
+    caller: &CallerRequest,
+    data_centres: &[String],
+    deadline: Option<Instant>,
+    run: &Run,
+    mut refused: Refusal,
+) -> Result<()> {
+    for data_centre in data_centres {
+        let addresses = daemon.cfg.other_data_centres.get(data_centre);
+        let Some(address) = addresses.and_then(|list| list.choose(&mut rand::rng())) else {
+            continue;
+        };
+        match try_one(daemon, caller, *address, deadline, run).await {
+            Err(refusal) if refusal.ran == Ran::No => refused = refusal,
+            other => return other,
+        }
+    }
+    Err(refused)
+}
+
+async fn try_one(
+    daemon: &Daemon,
+    caller: &CallerRequest,
+    address: SocketAddr,
+    deadline: Option<Instant>,
+    run: &Run,
+) -> Result<()> {
+    let bounds = daemon.bounds();
+    let req = request(daemon, caller, deadline);
+    let address = address.to_string();
+    let (res, connection) = proxy_run::send(&daemon.client, &address, req, bounds.head).await?;
+    if res.status().is_client_error() || res.status().is_server_error() {
+        return Err(refusal(res).await);
+    }
+    proxy_run::copy(&daemon.client, res, connection, bounds, run).await
+}
+
+fn request(daemon: &Daemon, caller: &CallerRequest, deadline: Option<Instant>) -> Request<Body> {
+    let mut req = Request::new(body::full(caller.body.clone()));
+    *req.method_mut() = caller.head.method.clone();
+    *req.uri_mut() = caller.head.uri.clone();
+    *req.headers_mut() = caller.head.headers.clone();
+    let headers = req.headers_mut();
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(TRANSFER_ENCODING);
+    headers.insert(HOST, HeaderValue::from_static("peer"));
+    if let Ok(from) = HeaderValue::from_str(&daemon.cfg.data_centre) {
+        headers.insert(SPILLED, from);
+    }
+    if let Some(at) = deadline {
+        let left = at.saturating_duration_since(Instant::now());
+        let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(DEADLINE, left.into());
+    }
+    req
+}
+
+async fn refusal(res: Response<Incoming>) -> Refusal {
+    let status = res.status();
+    let body = res.into_body().collect().await.ok();
+    let envelope: Option<Envelope> =
+        body.and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
+    match envelope {
+        Some(Envelope { error }) => Refusal::new(error.kind, error.message).ran(error.ran),
+        None => unclear(status),
+    }
+}
+
+fn unclear(status: StatusCode) -> Refusal {
+    let message = format!("the other data centre answered with status {status}");
+    Refusal::new(ErrorKind::TargetFailed, message)
+}
--- /dev/null
+++ b/crates/lilaccrankd/src/target_poller.rs
@@ -0,0 +1,132 @@
+//! Reads what the engines of a pool report: their load, which lags, and their cache events,
+//! which come late and with gaps. One daemon for each pool asks, not each daemon.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::future::{self, Either};
+use futures::pin_mut;
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Method, Request};
+use indexmap::IndexMap;
+use lilaccrank::dispatch::message::{CacheEvent, LoadReport};
+use lilaccrank::document::{PoolKind, Target};
+use lilaccrank::ids::{PoolId, TargetId};
+use lilaccrank_http::body;
+use lilaccrank_http::client::Limits;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::daemon::Daemon;
+use crate::pool_server::Served;
+
+/// Time between two readings of one target.
+const EVERY: Duration = Duration::from_millis(500);
+/// Time for one reading.
+const LIMITS: Limits = Limits {
+    connect: Duration::from_millis(300),
+    fresh: false,
+    head: Duration::from_millis(500),
+};
+/// Largest report.
+const REPORT_LIMIT: usize = 1 << 20;
+
+#[derive(Deserialize)]
+struct Load {
+    running: u32,
+    waiting: u32,
+}
+
+#[derive(Deserialize)]
+struct Published {
+    digest: u64,
+    kind: Kind,
+    seq: u64,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Kind {
+    Evicted,
+    Stored,
+}
+
+/// Polls for as long as this daemon dispatches the pool.
+pub async fn run(daemon: Rc<Daemon>, served: Rc<Served>, pool: PoolId) {
+    let polling = poll(&daemon, &served, &pool);
+    let retired = served.retired();
+    pin_mut!(polling, retired);
+    if let Either::Left(_) = future::select(polling, retired).await {
+        log::debug!("pool {pool} has nothing to poll");
+    }
+}
+
+async fn poll(daemon: &Rc<Daemon>, served: &Rc<Served>, pool: &PoolId) {
+    let mut seen: IndexMap<TargetId, u64> = IndexMap::new();
+    loop {
+        let Some(targets) = engines(daemon, pool) else {
+            return;
+        };
+        let readings = targets.iter().map(|target| {
+            let after = seen.get(&target.id).copied().unwrap_or(0);
+            read_target(daemon, served, target, after)
+        });
+        let read = future::join_all(readings).await;
+        for (target, last) in targets.iter().zip(read) {
+            seen.insert(target.id.clone(), last);
+        }
+        monoio::time::sleep(EVERY).await;
+    }
+}
+
+fn engines(daemon: &Daemon, pool: &PoolId) -> Option<Vec<Target>> {
+    let in_force = daemon.in_force().ok()?;
+    let pool = in_force.document.pool(pool)?;
+    if pool.kind != PoolKind::Engine {
+        return None;
+    }
+    let here = |target: &&Target| target.data_centre == daemon.cfg.data_centre;
+    Some(pool.targets.iter().filter(here).cloned().collect())
+}
+
+/// Reads one target; returns the last sequence number seen.
+async fn read_target(daemon: &Daemon, served: &Served, target: &Target, after: u64) -> u64 {
+    if let Some(load) = get::<Load>(daemon, target, "/load").await {
+        let report = LoadReport {
+            running: load.running,
+            waiting: load.waiting,
+        };
+        served.dispatcher.load_report(&target.id, report);
+    }
+    let path = format!("/cache-events?after={after}");
+    let events = get::<Vec<Published>>(daemon, target, &path).await;
+    let mut last = after;
+    for event in events.unwrap_or_default() {
+        let kind = match event.kind {
+            Kind::Evicted => CacheEvent::Evicted(event.digest),
+            Kind::Stored => CacheEvent::Stored(event.digest),
+        };
+        served
+            .dispatcher
+            .cache_events(&target.id, event.seq, &[kind]);
+        last = event.seq;
+    }
+    last
+}
+
+async fn get<T: DeserializeOwned>(daemon: &Daemon, target: &Target, path: &str) -> Option<T> {
+    let mut req = Request::new(body::empty());
+    *req.method_mut() = Method::GET;
+    *req.uri_mut() = path.parse().ok()?;
+    req.headers_mut()
+        .insert(HOST, HeaderValue::from_static("target"));
+    let sent = daemon.client.send(&target.address, req, LIMITS).await;
+    let (res, connection) = sent.ok()?;
+    let reading = body::read(res.into_body(), REPORT_LIMIT);
+    let bytes = monoio::time::timeout(LIMITS.head, reading)
+        .await
+        .ok()?
+        .ok()?;
+    daemon.client.release(connection);
+    serde_json::from_slice(&bytes).ok()
+}
