Configuration: publication by manifest, adoption, exchange and a watcher

Cause: an accepted configuration has to be in force everywhere and never revert, through lost answers, races and a store that came back older; rules for 35,000 customers don't fit one value. Ruled out: one object for the whole document (1 MB limit); generations alone as names (an older store gives one out twice, so an identity is generation and publication id); sections written after the manifest; deleting garbage without versions (a publisher may just be taking a section up again). Change: configuration::{adoption, archive, exchange, manifest, publish, sections, watcher}. Sections first, then the parent's history entry, then the manifest by conditional update; read-back by publication id; floor from the daemons; an older store is healed, above a sibling of the same generation; confirm() tells an operator whether a store that came back older displaced the publication. The outage test also found that a late timer made a read look like a lost write; mended.

--- /dev/null
+++ b/crates/lilaccrank/src/configuration/adoption.rs
@@ -0,0 +1,182 @@
+//! The configuration in force in one daemon.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::future;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+
+use thiserror::Error;
+
+use super::manifest::{Identity, Manifest, Standing};
+use super::sections::{self, Contents};
+use crate::document::Document;
+use crate::rules::check;
+use crate::rules::matching::{self, RuleSet};
+use crate::rules::problem::Problem;
+
+/// Result of adopting a configuration.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Manifests kept to tell other daemons what changed since.
+const RECENT_LENGTH: usize = 16;
+
+/// Why a configuration was not adopted; the one in force stays.
+#[derive(Clone, Debug, Error, PartialEq)]
+pub enum Error {
+    /// The document has problems.
+    #[error("the document has {} problems", .0.len())]
+    Invalid(Vec<Problem>),
+    /// The one in force is as new or newer.
+    #[error("{0} is in force already")]
+    NotNewer(Identity),
+    /// The rules can't be compiled.
+    #[error(transparent)]
+    Rules(#[from] matching::Error),
+    /// A section is missing or damaged.
+    #[error(transparent)]
+    Sections(#[from] sections::Error),
+}
+
+/// A configuration that was checked as a whole.
+#[derive(Debug)]
+pub struct Configuration {
+    /// Contents of the sections.
+    pub contents: Contents,
+    /// The document.
+    pub document: Document,
+    /// The manifest.
+    pub manifest: Manifest,
+    /// The compiled rules.
+    pub rules: RuleSet,
+}
+
+/// Holds the configuration in force; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Adoption {
+    inner: Rc<RefCell<Inner>>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    current: Option<Rc<Configuration>>,
+    recent: VecDeque<Manifest>,
+    wakers: Vec<Waker>,
+}
+
+impl Configuration {
+    /// Checks and compiles what a manifest names.
+    ///
+    /// # Errors
+    /// A section is missing or damaged, or the document has problems.
+    pub fn new(manifest: Manifest, known: &Contents) -> Result<Self> {
+        let document = sections::assemble(&manifest.sections, known)?;
+        let problems = check::check(&document);
+        if check::has_error(&problems) {
+            return Err(Error::Invalid(problems));
+        }
+        let rules = RuleSet::compile(&document)?;
+        let digests = manifest.sections.values();
+        let contents = digests.map(|digest| (digest.clone(), Rc::clone(&known[digest])));
+        Ok(Self {
+            contents: contents.collect(),
+            document,
+            manifest,
+            rules,
+        })
+    }
+}
+
+impl Adoption {
+    /// Nothing is in force yet: the daemon is not ready.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn current(&self) -> Option<Rc<Configuration>> {
+        self.inner.borrow().current.clone()
+    }
+
+    /// Name of the configuration in force.
+    #[must_use]
+    pub fn identity(&self) -> Option<Identity> {
+        let inner = self.inner.borrow();
+        let current = inner.current.as_ref();
+        current.map(|current| current.manifest.identity.clone())
+    }
+
+    /// Whether this configuration would be adopted, had it all its sections.
+    #[must_use]
+    pub fn wants(&self, identity: &Identity) -> bool {
+        let held = self.identity();
+        held.is_none_or(|held| identity.standing(&held) == Standing::Newer)
+    }
+
+    /// Puts a configuration in force, if it has a higher generation and is whole and sound.
+    /// Sections that are not in `received` are taken from the configuration in force.
+    ///
+    /// A daemon that was paused, or hears of an old configuration from a store or peer that came
+    /// back, would otherwise undo a change that callers have already seen.
+    ///
+    /// # Errors
+    /// It was not adopted, see [`Error`].
+    pub fn adopt(&self, manifest: Manifest, received: &Contents) -> Result<Rc<Configuration>> {
+        if let Some(held) = self.identity()
+            && !self.wants(&manifest.identity)
+        {
+            return Err(Error::NotNewer(held));
+        }
+        let known = self.known(&manifest, received);
+        let configuration = Rc::new(Configuration::new(manifest, &known)?);
+        let wakers = {
+            let mut inner = self.inner.borrow_mut();
+            inner.current = Some(Rc::clone(&configuration));
+            inner.recent.push_back(configuration.manifest.clone());
+            if inner.recent.len() > RECENT_LENGTH {
+                inner.recent.pop_front();
+            }
+            std::mem::take(&mut inner.wakers)
+        };
+        wakers.into_iter().for_each(Waker::wake);
+        Ok(configuration)
+    }
+
+    /// Completes once the configuration in force is another than `seen`.
+    pub async fn changed(&self, seen: Option<&Identity>) -> Rc<Configuration> {
+        future::poll_fn(|cx| {
+            let mut inner = self.inner.borrow_mut();
+            let current = inner.current.clone();
+            match current.filter(|current| Some(&current.manifest.identity) != seen) {
+                Some(current) => Poll::Ready(current),
+                None => {
+                    inner.wakers.push(cx.waker().clone());
+                    Poll::Pending
+                }
+            }
+        })
+        .await
+    }
+
+    /// Contents held of the sections that `manifest` names.
+    pub(super) fn known(&self, manifest: &Manifest, received: &Contents) -> Contents {
+        let current = self.current();
+        let held = |digest| current.as_ref().and_then(|held| held.contents.get(digest));
+        let digests = manifest.sections.values();
+        digests
+            .filter_map(|digest| {
+                let content = received.get(digest).or_else(|| held(digest))?;
+                Some((digest.clone(), Rc::clone(content)))
+            })
+            .collect()
+    }
+
+    /// The manifest of a configuration that was lately in force here.
+    pub(super) fn recent(&self, identity: &Identity) -> Option<Manifest> {
+        let inner = self.inner.borrow();
+        let mut recent = inner.recent.iter();
+        recent.find(|recent| recent.identity == *identity).cloned()
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank/src/configuration/publish.rs
@@ -0,0 +1,297 @@
+//! Publishing: one winner for each generation, each publication at most once.
+
+use std::fmt;
+use std::time::Duration;
+
+use thiserror::Error;
+
+use super::archive::{self, Archive, Current};
+use super::commit::{self, Outcome};
+use super::garbage::Garbage;
+use super::manifest::{Identity, Manifest, Standing};
+use super::retry::{self, Retry};
+use super::sections::{self, Contents, Sections};
+use crate::clock::Clock;
+use crate::document::Document;
+use crate::ids::PublicationId;
+use crate::rules::check;
+use crate::rules::difference::Difference;
+use crate::rules::problem::Problem;
+use crate::store::{self, Store};
+
+/// Result of publishing.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Why a publication was not accepted. Only [`Unresolved`](Self::Unresolved) leaves open
+/// whether it took effect.
+#[derive(Clone, Debug, Error, PartialEq)]
+pub enum Error {
+    /// Another publication came first.
+    #[error("the base of this publication is not in force, but {0}")]
+    Conflict(Box<Conflict>),
+    /// The id was used before for another document.
+    #[error("publication {0} has already published something else")]
+    IdReused(PublicationId),
+    /// The document has problems that prevent publishing.
+    #[error("the document has {} problems", .0.len())]
+    Invalid(Vec<Problem>),
+    /// The store failed for longer than the limit, before anything took effect.
+    #[error(transparent)]
+    Read(#[from] archive::Error),
+    /// A part of the document is too large.
+    #[error(transparent)]
+    TooLarge(#[from] sections::Error),
+    /// An answer was lost and the store could not be asked again: publish with the same id
+    /// again to learn the outcome.
+    #[error("publication {0} may have taken effect")]
+    Unresolved(PublicationId),
+}
+
+/// What is in force in place of a publication's base.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Conflict {
+    /// What changed from the base to the winner; `None` if one of them can't be read.
+    pub difference: Option<Difference>,
+    /// The manifest of the winner; `None` if only daemons hold it, as the store came back older.
+    pub manifest: Option<Manifest>,
+    /// The configuration in force; `None` if there is none, as after a store was emptied.
+    pub winner: Option<Identity>,
+}
+
+/// An attempt to put a document in force.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Publication {
+    /// The operator.
+    pub author: String,
+    /// The configuration that the document was made from; `None` for the first one.
+    pub base: Option<Identity>,
+    /// The document.
+    pub document: Document,
+    /// The newest configuration that live daemons hold, asked after `base` was known.
+    pub floor: Option<Identity>,
+    /// Names this attempt; a repetition with the same id never publishes twice.
+    pub id: PublicationId,
+}
+
+/// Whether what was published stays in force.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Confirmation {
+    /// The store had come back older and was healed since: the publication is void.
+    Displaced {
+        /// What is in force.
+        by: Identity,
+    },
+    /// It, or one made from it, is in force.
+    InForce,
+    /// The store has yet to be healed by a daemon; ask again.
+    Pending,
+}
+
+impl fmt::Display for Conflict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (&self.winner, &self.manifest) {
+            (None, _) => f.write_str("nothing"),
+            (Some(winner), None) => write!(f, "{winner}"),
+            (Some(winner), Some(manifest)) => write!(f, "{winner} by {}", manifest.author),
+        }
+    }
+}
+
+/// Publishes a document; the manifest that carries it is returned.
+///
+/// # Errors
+/// It was not accepted within `limit`, see [`Error`].
+pub async fn publish<S: Store, C: Clock>(
+    store: &S,
+    clock: &C,
+    publication: &Publication,
+    limit: Duration,
+) -> Result<Manifest> {
+    let problems = check::check(&publication.document);
+    if check::has_error(&problems) {
+        return Err(Error::Invalid(problems));
+    }
+    let sections = Sections::split(&publication.document)?;
+    let mut publisher = Publisher {
+        archive: Archive::new(store, clock, limit),
+        clock,
+        publication,
+        retry: Retry::new(clock, limit),
+        sections,
+        store,
+    };
+    publisher.run().await
+}
+
+struct Publisher<'a, S, C> {
+    archive: Archive<S, C>,
+    clock: &'a C,
+    publication: &'a Publication,
+    retry: Retry<C>,
+    sections: Sections,
+    store: &'a S,
+}
+
+enum Attempt {
+    Overtaken,
+    Published(Manifest),
+    Unknown,
+}
+
+impl<S: Store, C: Clock> Publisher<'_, S, C> {
+    async fn run(&mut self) -> Result<Manifest> {
+        let mut in_doubt = false;
+        loop {
+            let failure = match self.attempt().await {
+                Ok(Attempt::Published(manifest)) => return Ok(manifest),
+                Ok(Attempt::Overtaken) => store::Error::Conflict { current: None },
+                Ok(Attempt::Unknown) => {
+                    in_doubt = true;
+                    store::Error::Unknown
+                }
+                Err(Error::Read(archive::Error::Store(e))) if retry::may_pass(&e) => e,
+                Err(Error::Read(_)) if in_doubt => return Err(self.unresolved()),
+                Err(e) => return Err(e),
+            };
+            if let Err(e) = self.retry.pause(failure).await {
+                return Err(if in_doubt {
+                    self.unresolved()
+                } else {
+                    archive::Error::from(e).into()
+                });
+            }
+        }
+    }
+
+    async fn attempt(&mut self) -> Result<Attempt> {
+        let current = self.archive.current().await?;
+        let current = current.as_ref();
+        // An earlier attempt may have taken effect although its answer was lost: publishing
+        // again would put the document in force twice, and undo what came in between.
+        if let Some(manifest) = self.published(current).await? {
+            if manifest.sections != self.sections.index {
+                return Err(Error::IdReused(self.publication.id.clone()));
+            }
+            return Ok(Attempt::Published(manifest));
+        }
+        let in_force = in_force(current, self.publication.floor.as_ref());
+        if in_force != self.publication.base.as_ref() {
+            let conflict = self.conflict(current, in_force).await;
+            return Err(Error::Conflict(Box::new(conflict)));
+        }
+        let next = self.next(in_force);
+        let garbage = Garbage::find(self.store, self.clock, current, &next).await;
+        let contents = &self.sections.contents;
+        let replace = commit::replace(self.store, &mut self.retry, current, &next, contents);
+        Ok(match replace.await? {
+            Outcome::Done => {
+                garbage.delete(self.store).await;
+                Attempt::Published(next)
+            }
+            Outcome::Overtaken => Attempt::Overtaken,
+            Outcome::Unknown => Attempt::Unknown,
+        })
+    }
+
+    fn next(&self, in_force: Option<&Identity>) -> Manifest {
+        Manifest {
+            author: self.publication.author.clone(),
+            identity: Identity {
+                generation: in_force.map_or(0, |in_force| in_force.generation) + 1,
+                publication: self.publication.id.clone(),
+            },
+            parent: in_force.cloned(),
+            sections: self.sections.index.clone(),
+        }
+    }
+
+    /// The manifest that this publication already put in force.
+    async fn published(&self, current: Option<&Current>) -> Result<Option<Manifest>> {
+        let Some(current) = current else {
+            return Ok(None);
+        };
+        let base = self.publication.base.as_ref();
+        let floor = base.map_or(0, |base| base.generation);
+        let lineage = self.archive.lineage(&current.manifest, floor).await?;
+        let mut lineage = lineage.into_iter();
+        Ok(lineage.find(|manifest| manifest.identity.publication == self.publication.id))
+    }
+
+    async fn conflict(&self, current: Option<&Current>, winner: Option<&Identity>) -> Conflict {
+        let manifest = current.map(|current| current.manifest.clone());
+        let manifest = manifest.filter(|manifest| Some(&manifest.identity) == winner);
+        let difference = match (&self.publication.base, &manifest) {
+            (Some(base), Some(manifest)) => difference(&self.archive, base, manifest).await,
+            _ => None,
+        };
+        Conflict {
+            difference,
+            manifest,
+            winner: winner.cloned(),
+        }
+    }
+
+    fn unresolved(&self) -> Error {
+        Error::Unresolved(self.publication.id.clone())
+    }
+}
+
+/// The configuration in force: the store's, unless daemons hold one that it has forgotten.
+///
+/// A store that came back older would otherwise give out a generation that daemons already
+/// hold, and they would never adopt what is published under it.
+fn in_force<'a>(current: Option<&'a Current>, floor: Option<&'a Identity>) -> Option<&'a Identity> {
+    let current = current.map(|current| &current.manifest.identity);
+    match (current, floor) {
+        (Some(current), Some(floor)) => match floor.standing(current) {
+            Standing::Newer | Standing::Sibling => Some(floor),
+            Standing::Older | Standing::Same => Some(current),
+        },
+        (current, floor) => current.or(floor),
+    }
+}
+
+async fn difference<S: Store, C: Clock>(
+    archive: &Archive<S, C>,
+    base: &Identity,
+    winner: &Manifest,
+) -> Option<Difference> {
+    let base = archive.find(base).await.ok()??;
+    let contents = archive.contents(&base, &Contents::new()).await.ok()?;
+    let before = sections::assemble(&base.sections, &contents).ok()?;
+    let after = archive.document(winner, &contents).await.ok()?;
+    Some(Difference::new(&before, &after))
+}
+
+/// Tells whether a publication stays in force, once daemons were asked again what they hold.
+///
+/// A store that came back older between the question for the floor and the write accepts a
+/// publication that the daemons then displace; so the answer to the operator waits for this.
+///
+/// # Errors
+/// The store failed for longer than the limit.
+pub async fn confirm<S: Store, C: Clock>(
+    archive: &Archive<S, C>,
+    published: &Identity,
+    highest_held: Option<&Identity>,
+) -> archive::Result<Confirmation> {
+    let Some(current) = archive.current().await? else {
+        return Ok(Confirmation::Pending);
+    };
+    let identity = &current.manifest.identity;
+    let standing = highest_held.map(|held| held.standing(identity));
+    if matches!(standing, Some(Standing::Newer | Standing::Sibling)) {
+        return Ok(Confirmation::Pending);
+    }
+    let floor = published.generation.saturating_sub(1);
+    let lineage = archive.lineage(&current.manifest, floor).await?;
+    let mut lineage = lineage
+        .iter()
+        .map(|manifest| &manifest.identity.publication);
+    if lineage.any(|publication| *publication == published.publication) {
+        return Ok(Confirmation::InForce);
+    }
+    Ok(Confirmation::Displaced {
+        by: identity.clone(),
+    })
+}
--- /dev/null
+++ b/crates/lilaccrank/src/configuration/sections.rs
@@ -0,0 +1,194 @@
+//! Sections: the parts of a document, immutable and named by their content.
+//!
+//! A change rewrites one section only, so that neither the store nor the wire between daemons
+//! carries the whole document. Rules are cut where the hash of an id says so: a rule put in
+//! front does not shift all later cuts.
+
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use sha2::{Digest as _, Sha256};
+use thiserror::Error;
+use xxhash_rust::xxh3;
+
+use crate::document::{Document, Rule};
+use crate::store::VALUE_LIMIT;
+
+/// SHA-256 of a section's content, in hexadecimal.
+pub type Digest = String;
+/// Place of a section in the document, such as `pools/large`.
+pub type SectionName = String;
+/// Contents of sections: JSON, each a document that holds one part only.
+pub type Contents = IndexMap<Digest, Rc<str>>;
+/// Result of splitting or assembling a document.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+const CUSTOMERS_PER_SHARD: usize = 256;
+const RULES_PER_SECTION: u64 = 64;
+const RULES_PER_SECTION_MAX: usize = 512;
+
+/// Why a document can't be split or assembled.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum Error {
+    /// The content of a section does not have its digest.
+    #[error("section {0} does not have its digest")]
+    Corrupt(SectionName),
+    /// Sections are missing.
+    #[error("{} sections are missing", .0.len())]
+    Missing(Vec<Digest>),
+    /// A section is over the store's limit.
+    #[error("section {name} has {size} bytes, over the limit of {VALUE_LIMIT}")]
+    TooLarge {
+        /// The section.
+        name: SectionName,
+        /// Its size in bytes.
+        size: usize,
+    },
+    /// A section is not JSON of the expected shape.
+    #[error("section {name} can't be read: {message}")]
+    Unreadable {
+        /// What serde says.
+        message: String,
+        /// The section.
+        name: SectionName,
+    },
+}
+
+/// A document in sections.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Sections {
+    /// The content of each digest.
+    pub contents: Contents,
+    /// The digest of each section, sorted by name.
+    pub index: IndexMap<SectionName, Digest>,
+}
+
+impl Sections {
+    /// Splits a document.
+    ///
+    /// # Errors
+    /// A section is over the store's limit.
+    pub fn split(document: &Document) -> Result<Self> {
+        let mut sections = Self::default();
+        let general = Document {
+            operators: document.operators.clone(),
+            tiers: document.tiers.clone(),
+            ..Document::default()
+        };
+        sections.add("general".to_owned(), &general)?;
+        for (name, part) in customer_shards(document) {
+            sections.add(name, &part)?;
+        }
+        for pool in &document.pools {
+            let pools = vec![pool.clone()];
+            let part = Document {
+                pools,
+                ..Document::default()
+            };
+            sections.add(format!("pools/{}", pool.id), &part)?;
+        }
+        for (position, rules) in rule_cuts(&document.rules).into_iter().enumerate() {
+            let rules = rules.to_vec();
+            let part = Document {
+                rules,
+                ..Document::default()
+            };
+            sections.add(format!("rules/{position:06}"), &part)?;
+        }
+        sections.index.sort_unstable_keys();
+        Ok(sections)
+    }
+
+    fn add(&mut self, name: SectionName, part: &Document) -> Result<()> {
+        let content = serde_json::to_string(part).map_err(|e| unreadable(&name, &e))?;
+        let size = content.len();
+        if size > VALUE_LIMIT {
+            return Err(Error::TooLarge { name, size });
+        }
+        let digest = digest(&content);
+        self.contents.insert(digest.clone(), content.into());
+        self.index.insert(name, digest);
+        Ok(())
+    }
+}
+
+/// Puts the sections of `index` together, verifying each.
+///
+/// # Errors
+/// A section is missing, corrupt or unreadable.
+pub fn assemble(index: &IndexMap<SectionName, Digest>, contents: &Contents) -> Result<Document> {
+    let missing = missing(index, contents);
+    if !missing.is_empty() {
+        return Err(Error::Missing(missing));
+    }
+    let mut document = Document::default();
+    for (name, expected) in index {
+        let content = &contents[expected];
+        if digest(content) != *expected {
+            return Err(Error::Corrupt(name.clone()));
+        }
+        let part: Document = serde_json::from_str(content).map_err(|e| unreadable(name, &e))?;
+        document.customers.extend(part.customers);
+        document.operators.extend(part.operators);
+        document.pools.extend(part.pools);
+        document.rules.extend(part.rules);
+        document.tiers.extend(part.tiers);
+    }
+    document.customers.sort_by(|a, b| a.id.cmp(&b.id));
+    Ok(document)
+}
+
+/// Digests of `index` that are not in `contents`.
+#[must_use]
+pub fn missing(index: &IndexMap<SectionName, Digest>, contents: &Contents) -> Vec<Digest> {
+    let digests = index.values();
+    let missing = digests.filter(|digest| !contents.contains_key(*digest));
+    missing.cloned().collect()
+}
+
+/// Key of a section in the store.
+#[must_use]
+pub fn key(digest: &str) -> String {
+    format!("configuration/section/{digest}")
+}
+
+fn digest(content: &str) -> Digest {
+    hex::encode(Sha256::digest(content))
+}
+
+fn customer_shards(document: &Document) -> IndexMap<SectionName, Document> {
+    let count = document.customers.len().div_ceil(CUSTOMERS_PER_SHARD);
+    let count = count.next_power_of_two();
+    let mut shards: IndexMap<SectionName, Document> = IndexMap::new();
+    let mut customers: Vec<_> = document.customers.iter().collect();
+    customers.sort_by(|a, b| a.id.cmp(&b.id));
+    for customer in customers {
+        let shard = xxh3::xxh3_64(customer.id.as_bytes()) % count as u64;
+        let shard = shards.entry(format!("customers/{shard:x}-of-{count:x}"));
+        shard.or_default().customers.push(customer.clone());
+    }
+    shards
+}
+
+fn rule_cuts(rules: &[Rule]) -> Vec<&[Rule]> {
+    let mut cuts = Vec::new();
+    let mut from = 0;
+    for (at, rule) in rules.iter().enumerate() {
+        let is_cut = xxh3::xxh3_64(rule.id.as_bytes()).is_multiple_of(RULES_PER_SECTION);
+        if at > from && (is_cut || at - from == RULES_PER_SECTION_MAX) {
+            cuts.push(&rules[from..at]);
+            from = at;
+        }
+    }
+    if from < rules.len() {
+        cuts.push(&rules[from..]);
+    }
+    cuts
+}
+
+fn unreadable(name: &str, e: &serde_json::Error) -> Error {
+    Error::Unreadable {
+        message: e.to_string(),
+        name: name.to_owned(),
+    }
+}
--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod backoff;
 pub mod clock;
+pub mod configuration;
 pub mod document;
 pub mod error_kind;
 pub mod ids;
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -1,5 +1,9 @@
 //! Tests of the library, in one crate; a folder beside this file holds them by subject.
 
+#[path = "suite/configuration_publish.rs"]
+mod configuration_publish;
+#[path = "suite/configuration_store.rs"]
+mod configuration_store;
 #[path = "suite/error_kind.rs"]
 mod error_kind;
 #[path = "suite/rules_check.rs"]
