--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -8,6 +8,10 @@
 mod dispatch_harness;
 #[path = "suite/dispatch_order.rs"]
 mod dispatch_order;
+#[path = "suite/configuration_publish.rs"]
+mod configuration_publish;
+#[path = "suite/configuration_store.rs"]
+mod configuration_store;
 #[path = "suite/error_kind.rs"]
 mod error_kind;
 #[path = "suite/membership.rs"]
