Configuration by manifest in the daemon: two watchers, rumours and comparisons

Cause: the thin form had each daemon watch one object. Ruled out: a watch for each daemon (watches would grow with the fleet). Conclusion: the whole path runs on the library's parts.

--- a/crates/lilaccrank-lab/src/cluster.rs
+++ b/crates/lilaccrank-lab/src/cluster.rs
@@ -5,10 +5,12 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use lilaccrank::configuration::manifest::{Identity, Manifest};
+use lilaccrank::configuration::publish::{self, Publication};
 use lilaccrank::document::{Document, Target};
-use lilaccrank::store::{Expect, Store};
 use lilaccrank_http::body;
 use lilaccrank_http::client::{Client, Limits};
+use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::store_client::StoreClient;
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -18,8 +20,8 @@
 use crate::process::Process;
 use crate::stand_in::Result;
 
-/// Key of the thin form's configuration.
-const CONFIGURATION: &str = "configuration/thin";
+/// Time to publish.
+const PUBLISH_LIMIT: Duration = Duration::from_secs(10);
 /// Time for all daemons to be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -66,6 +68,13 @@
     vm: String,
 }
 
+impl Addresses {
+    /// As other data centres know it.
+    fn other(&self) -> Value {
+        json!({"callers": self.callers, "peer": self.peer})
+    }
+}
+
 impl Cluster {
     /// Starts everything, publishes the configuration and waits until all daemons are ready.
     ///
@@ -111,10 +120,25 @@
     }
 
     async fn publish_first(&self) -> Result<()> {
+        self.publish(None, self.document.clone()).await.map(|_| ())
+    }
+
+    /// Publishes a document over the configuration `base`.
+    ///
+    /// # Errors
+    ///
+    /// If it is not accepted.
+    pub async fn publish(&self, base: Option<Identity>, document: Document) -> Result<Manifest> {
         let store = StoreClient::new(self.platform.address.clone());
-        let value = serde_json::to_vec(&self.document)?;
-        let put = store.put(CONFIGURATION, value.into(), Expect::Any).await;
-        put.map(|_| ()).map_err(std::io::Error::other)
+        let publication = Publication {
+            author: "lab".to_owned(),
+            base,
+            document,
+            floor: None,
+            id: format!("{:016x}", rand::random::<u64>()),
+        };
+        let published = publish::publish(&store, &MonoioClock, &publication, PUBLISH_LIMIT).await;
+        published.map_err(std::io::Error::other)
     }
 
     fn start_daemons(&mut self) -> Result<()> {
@@ -159,7 +183,7 @@
         let others: IndexMap<_, Vec<_>> = all
             .iter()
             .filter(|(name, _)| *name != data_centre)
-            .map(|(name, list)| (name, list.iter().map(|a| a.callers).collect()))
+            .map(|(name, list)| (name, list.iter().map(Addresses::other).collect()))
             .collect();
         let mut cfg = json!({
             "admin": own.admin,
--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -6,8 +6,8 @@
 
 pub mod backoff;
 pub mod clock;
-pub mod dispatch;
 pub mod configuration;
+pub mod dispatch;
 pub mod document;
 pub mod error_kind;
 pub mod ids;
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -2,16 +2,16 @@
 
 #[path = "suite/cluster.rs"]
 mod cluster;
+#[path = "suite/configuration_publish.rs"]
+mod configuration_publish;
+#[path = "suite/configuration_store.rs"]
+mod configuration_store;
 #[path = "suite/dispatch_faults.rs"]
 mod dispatch_faults;
 #[path = "suite/dispatch_harness.rs"]
 mod dispatch_harness;
 #[path = "suite/dispatch_order.rs"]
 mod dispatch_order;
-#[path = "suite/configuration_publish.rs"]
-mod configuration_publish;
-#[path = "suite/configuration_store.rs"]
-mod configuration_store;
 #[path = "suite/error_kind.rs"]
 mod error_kind;
 #[path = "suite/membership.rs"]
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
-use lilaccrank::document::Document;
+use lilaccrank::configuration::adoption::{Adoption, Configuration};
 use lilaccrank::error_kind::ErrorKind;
-use lilaccrank::ids::{Generation, Incarnation, RequestId};
+use lilaccrank::ids::{Incarnation, RequestId};
 use lilaccrank::membership::{Member, Membership, State};
 use lilaccrank::request_key::{Budget, Claims, Keeper, Limits};
 use lilaccrank::rules::condition::Environment;
@@ -41,6 +41,8 @@
 
 /// What the tasks of a daemon share.
 pub struct Daemon {
+    /// The configuration as it comes from the store or from peers.
+    pub adoption: Adoption,
     /// Answers of keyed requests.
     pub answers: Answers,
     /// Settings.
@@ -99,7 +101,7 @@
     ) -> Result<Self, prometheus::Error> {
         let timeline = Timeline::new(MonoioClock, cfg.vm.clone(), cfg.timeline_events);
         let duties = Duties::new(membership.clone());
-        let peers = PeerNetwork::new(membership.clone(), timeline.clone());
+        let peers = PeerNetwork::new(membership.clone(), cfg.other_peers(), timeline.clone());
         let store = StoreClient::new(cfg.platform.to_string());
         let keeper = Keeper::new(
             MonoioClock,
@@ -110,6 +112,7 @@
         let budget = Budget::new(MonoioClock, STORE_CLAIMS_PER_S, STORE_CLAIMS_BURST);
         let claims = Claims::new(keeper.clone(), store.clone(), budget, KEEPER_WAIT);
         Ok(Self {
+            adoption: Adoption::new(),
             answers: Answers::new(
                 Duration::from_millis(cfg.answer_ttl_ms),
                 cfg.answer_cache_bytes,
@@ -225,33 +228,23 @@
         format!("{}-{:x}-{n}", self.cfg.vm, self.incarnation)
     }
 
-    /// Puts a configuration in force, unless the present one is as new.
-    pub fn adopt(self: &Rc<Self>, generation: Generation, document: Rc<Document>) {
-        let present = self
-            .in_force
-            .borrow()
-            .as_ref()
-            .map(|in_force| in_force.generation);
-        if present >= Some(generation) {
-            return;
-        }
-        match InForce::new(generation, document) {
-            Ok(in_force) => {
-                *self.in_force.borrow_mut() = Some(Rc::new(in_force));
-                self.metrics.generation.set(generation.cast_signed());
-                self.record(
-                    EventKind::Adopted,
-                    Subject {
-                        detail: format!("generation {generation}"),
-                        ..Subject::default()
-                    },
-                );
-                log::info!("generation {generation} is in force");
-                pool_server::configuration_changed(self);
-                pool_client::rebalance(self);
-            }
-            Err(e) => log::error!("generation {generation} can't be used: {e}"),
-        }
+    /// Puts an adopted configuration in force.
+    pub fn put_in_force(self: &Rc<Self>, configuration: &Configuration) {
+        let in_force = InForce::new(configuration);
+        let generation = in_force.generation;
+        *self.in_force.borrow_mut() = Some(Rc::new(in_force));
+        self.metrics.generation.set(generation.cast_signed());
+        let detail = configuration.manifest.identity.to_string();
+        log::info!("{detail} is in force");
+        self.record(
+            EventKind::Adopted,
+            Subject {
+                detail,
+                ..Subject::default()
+            },
+        );
+        pool_server::configuration_changed(self);
+        pool_client::rebalance(self);
     }
 }
 
--- a/crates/lilaccrankd/src/duties.rs
+++ b/crates/lilaccrankd/src/duties.rs
@@ -5,6 +5,12 @@
 use lilaccrank::rendezvous;
 use lilaccrank::request_key::{MemberRef, Ranking};
 
+/// Name of the duty to watch the store.
+const WATCH: &str = "watch/configuration";
+/// Daemons of a data centre that watch the store: a second one, so that the death of one costs
+/// no time. Waiting watches thus grow with the data centres, not with the daemons.
+const WATCHERS: usize = 2;
+
 /// Duties by rendezvous hashing over the live members.
 #[derive(Clone)]
 pub struct Duties {
@@ -28,6 +34,15 @@
         Some(reference(member))
     }
 
+    /// Whether this daemon watches the store for its data centre.
+    #[must_use]
+    pub fn is_watcher(&self) -> bool {
+        let live = self.membership.live();
+        let vms = live.members.iter().map(|member| &member.vm);
+        let watchers = rendezvous::top(WATCH, vms, WATCHERS);
+        watchers.contains(&&self.membership.me().vm)
+    }
+
     /// Whether this daemon, in its present life, is the dispatcher of a pool.
     #[must_use]
     pub fn is_dispatcher(&self, pool: &PoolId) -> bool {
--- a/crates/lilaccrankd/src/in_force.rs
+++ b/crates/lilaccrankd/src/in_force.rs
@@ -2,9 +2,10 @@
 
 use std::rc::Rc;
 
+use lilaccrank::configuration::adoption::Configuration;
 use lilaccrank::document::{Document, PoolKind, Target};
 use lilaccrank::ids::Generation;
-use lilaccrank::rules::matching::{self, RuleSet};
+use lilaccrank::rules::matching::RuleSet;
 
 use crate::auth::Keys;
 
@@ -21,20 +22,16 @@
 }
 
 impl InForce {
-    /// Compiles `document`.
-    ///
-    /// # Errors
-    ///
-    /// If it refers to what it does not contain; published documents were checked for that.
-    pub fn new(generation: Generation, document: Rc<Document>) -> matching::Result<Self> {
-        let rules = RuleSet::compile(&document)?;
-        let keys = Keys::new(&document);
-        Ok(Self {
+    /// The form that requests use of an adopted configuration.
+    #[must_use]
+    pub fn new(configuration: &Configuration) -> Self {
+        let document = Rc::new(configuration.document.clone());
+        Self {
+            generation: configuration.manifest.identity.generation,
+            keys: Keys::new(&document),
+            rules: configuration.rules.clone(),
             document,
-            generation,
-            keys,
-            rules,
-        })
+        }
     }
 
     /// The target of a pool, with what the pool's targets are.
--- a/crates/lilaccrankd/src/peer_message.rs
+++ b/crates/lilaccrankd/src/peer_message.rs
@@ -1,8 +1,10 @@
 //! What daemons say to each other.
 
 use derive_more::{From, TryInto};
+use lilaccrank::configuration::exchange;
+use lilaccrank::configuration::manifest::Identity;
 use lilaccrank::dispatch::message::{Ask, Cancel, Report, Resync, Verdict};
-use lilaccrank::ids::PoolId;
+use lilaccrank::ids::{PoolId, VmId};
 use lilaccrank::request_key::{KeyReply, KeyRequest, MemberRef};
 use lilaccrank::timeline::Stamp;
 use serde::{Deserialize, Serialize};
@@ -57,9 +59,26 @@
     Declined,
 }
 
+/// Tells that a configuration is in force at its sender.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Announcement {
+    /// The configuration.
+    pub identity: Identity,
+    /// The sender.
+    pub vm: VmId,
+}
+
+/// Reply to a message that asks for nothing.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct Done;
+
 /// All that a daemon asks another.
 #[derive(Clone, Debug, Deserialize, From, Serialize, TryInto)]
 pub enum PeerRequest {
+    /// A new configuration.
+    Announcement(Announcement),
+    /// About a configuration.
+    Configuration(exchange::Ask),
     /// About a request key.
     Key(KeyRequest),
     /// About a pool.
@@ -69,6 +88,10 @@
 /// All that a daemon replies.
 #[derive(Clone, Debug, Deserialize, From, Serialize, TryInto)]
 pub enum PeerReply {
+    /// About a configuration.
+    Configuration(exchange::Answer),
+    /// Nothing to tell.
+    Done(Done),
     /// About a request key.
     Key(KeyReply),
     /// About a pool.
--- a/crates/lilaccrankd/src/peer_network.rs
+++ b/crates/lilaccrankd/src/peer_network.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use indexmap::IndexMap;
+use lilaccrank::configuration::exchange;
 use lilaccrank::ids::VmId;
 use lilaccrank::membership::Membership;
 use lilaccrank::peers::{Error, Peers, Result};
@@ -13,7 +14,9 @@
 use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::peer_link::PeerLink;
 
-use crate::peer_message::{PeerReply, PeerRequest, PoolReply, PoolRequest, Stamped};
+use crate::peer_message::{
+    Announcement, Done, PeerReply, PeerRequest, PoolReply, PoolRequest, Stamped,
+};
 
 type Link = PeerLink<Stamped<PeerRequest>, Stamped<PeerReply>>;
 
@@ -25,6 +28,8 @@
 /// own, so each circle is cut.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 enum Lane {
+    /// About configurations; these may be large.
+    Configuration,
     /// Between the holders of records; answered without asking anybody.
     Copies,
     /// To the keeper of a key, which may ask the holder of the copy.
@@ -50,16 +55,23 @@
 pub struct PeerNetwork {
     links: Rc<RefCell<IndexMap<(SocketAddr, Lane), Link>>>,
     membership: Membership,
+    /// Daemons of other data centres.
+    others: Rc<[SocketAddr]>,
     timeline: Timeline<MonoioClock>,
 }
 
 impl PeerNetwork {
-    /// Links to the members that `membership` knows.
+    /// Links to the members that `membership` knows, and to daemons of other data centres.
     #[must_use]
-    pub fn new(membership: Membership, timeline: Timeline<MonoioClock>) -> Self {
+    pub fn new(
+        membership: Membership,
+        others: Rc<[SocketAddr]>,
+        timeline: Timeline<MonoioClock>,
+    ) -> Self {
         Self {
             links: Rc::default(),
             membership,
+            others,
             timeline,
         }
     }
@@ -67,7 +79,9 @@
     /// Drops links to addresses that no member has any more.
     pub fn prune(&self) {
         let members = self.membership.all();
-        let known = |address: SocketAddr| members.iter().any(|m| m.peers == address);
+        let known = |address: SocketAddr| {
+            members.iter().any(|m| m.peers == address) || self.others.contains(&address)
+        };
         self.links
             .borrow_mut()
             .retain(|(address, _), _| known(*address));
@@ -94,15 +108,38 @@
     }
 
     fn link(&self, vm: &VmId, lane: Lane) -> Result<Link> {
-        let members = self.membership.all();
-        let member = members.iter().find(|member| member.vm == *vm);
-        let member = member.ok_or_else(|| Error::Unreachable(vm.clone()))?;
+        let address = self
+            .address(vm)
+            .ok_or_else(|| Error::Unreachable(vm.clone()))?;
         let mut links = self.links.borrow_mut();
         let link = links
-            .entry((member.peers, lane))
-            .or_insert_with(|| Link::start(vm.clone(), member.peers.to_string()));
+            .entry((address, lane))
+            .or_insert_with(|| Link::start(vm.clone(), address.to_string()));
         Ok(link.clone())
     }
+
+    /// Daemons of other data centres are no members here; their address stands for their vm.
+    fn address(&self, vm: &VmId) -> Option<SocketAddr> {
+        let members = self.membership.all();
+        let member = members.iter().find(|member| member.vm == *vm);
+        member
+            .map(|member| member.peers)
+            .or_else(|| vm.parse().ok())
+    }
+}
+
+impl Peers<Announcement, Done> for PeerNetwork {
+    async fn call(&self, vm: &VmId, req: Announcement) -> Result<Done> {
+        let reply = self.send(vm, Lane::Configuration, req.into()).await?;
+        reply.try_into().map_err(|_| Error::NoAnswer(vm.clone()))
+    }
+}
+
+impl Peers<exchange::Ask, exchange::Answer> for PeerNetwork {
+    async fn call(&self, vm: &VmId, req: exchange::Ask) -> Result<exchange::Answer> {
+        let reply = self.send(vm, Lane::Configuration, req.into()).await?;
+        reply.try_into().map_err(|_| Error::NoAnswer(vm.clone()))
+    }
 }
 
 impl Peers<KeyRequest, KeyReply> for PeerNetwork {
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
+use lilaccrank::configuration::exchange;
 use lilaccrank::ids::Incarnation;
 use lilaccrank::membership;
 use lilaccrank::request_key::Ranking;
@@ -74,7 +75,7 @@
     membership.set_seeds(cfg.seeds.clone());
     let daemon = Rc::new(Daemon::new(cfg, incarnation, membership)?);
     monoio::spawn(gossip.run());
-    monoio::spawn(configuration::watch(Rc::clone(&daemon)));
+    monoio::spawn(configuration::run(Rc::clone(&daemon)));
     monoio::spawn(follow_members(Rc::clone(&daemon)));
     monoio::spawn(expire(Rc::clone(&daemon)));
     start_keeper(&daemon);
@@ -134,6 +135,10 @@
 async fn answer_peer(daemon: Rc<Daemon>, req: Stamped<PeerRequest>) -> Stamped<PeerReply> {
     daemon.timeline.observe(&req.stamp);
     let message = match req.message {
+        PeerRequest::Announcement(announcement) => {
+            configuration::announced(&daemon, announcement).into()
+        }
+        PeerRequest::Configuration(ask) => exchange::answer(&daemon.adoption, &ask).into(),
         PeerRequest::Key(req) => daemon.keeper.handle(req).await.into(),
         PeerRequest::Pool(req) => pool_server::handle(&daemon, req).into(),
     };
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 
 use indexmap::IndexMap;
 use lilaccrank::ids::{DataCentre, VmId};
@@ -71,8 +72,8 @@
     pub grace_ms: u64,
     /// `error`, `warn`, `info`, `debug` or `trace`.
     pub log_level: log::LevelFilter,
-    /// Caller addresses of daemons in other data centres, for spilled requests.
-    pub other_data_centres: IndexMap<DataCentre, Vec<SocketAddr>>,
+    /// Daemons in other data centres, for spilled requests and for configurations.
+    pub other_data_centres: IndexMap<DataCentre, Vec<OtherDaemon>>,
     /// Where other daemons are served.
     pub peer: SocketAddr,
     /// The platform's store.
@@ -89,6 +90,16 @@
     pub vm: VmId,
 }
 
+/// A daemon of another data centre.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct OtherDaemon {
+    /// Where it serves callers.
+    pub callers: SocketAddr,
+    /// Where it serves other daemons.
+    pub peer: SocketAddr,
+}
+
 impl Default for Settings {
     fn default() -> Self {
         let port = |port| SocketAddr::from(([127, 0, 0, 1], port));
@@ -134,6 +145,13 @@
         })
     }
 
+    /// Peer addresses in other data centres.
+    #[must_use]
+    pub fn other_peers(&self) -> Rc<[SocketAddr]> {
+        let others = self.other_data_centres.values().flatten();
+        others.map(|daemon| daemon.peer).collect()
+    }
+
     /// Checks what the types can't.
     ///
     /// # Errors
--- a/crates/lilaccrankd/src/spill.rs
+++ b/crates/lilaccrankd/src/spill.rs
@@ -57,10 +57,10 @@
 ) -> Result<()> {
     for data_centre in data_centres {
         let addresses = daemon.cfg.other_data_centres.get(data_centre);
-        let Some(address) = addresses.and_then(|list| list.choose(&mut rand::rng())) else {
+        let Some(other) = addresses.and_then(|list| list.choose(&mut rand::rng())) else {
             continue;
         };
-        match try_one(daemon, caller, *address, deadline, run).await {
+        match try_one(daemon, caller, other.callers, deadline, run).await {
             Err(refusal) if refusal.ran == Ran::No => refused = refusal,
             other => return other,
         }
