Lab: plain service, wire, and the tests of all stand-ins

Cause: silent, cut and slow connections and plain services have to be brought about by processes, and the stand-ins judge others, so they need tests first.

--- a/crates/lilaccrank-lab/src/answer_text.rs
+++ b/crates/lilaccrank-lab/src/answer_text.rs
@@ -70,9 +70,14 @@
     let digest = prompt_digest(prompt);
     let tokens: Vec<&str> = text.split_inclusive(' ').collect();
     for (index, found) in tokens.iter().enumerate() {
-        if *found == token(digest, index) {
+        let expected = token(digest, index);
+        if *found == expected {
             continue;
         }
+        if expected.starts_with(found) {
+            let (got, wanted) = (index, max_tokens);
+            return Err(Error::CutShort { got, wanted });
+        }
         let found = (*found).to_owned();
         let own = found.starts_with(&format!("{digest:016x}."));
         return Err(if own {
--- a/crates/lilaccrank-lab/src/engine/serving.rs
+++ b/crates/lilaccrank-lab/src/engine/serving.rs
@@ -33,10 +33,6 @@
 const FRAMES: usize = 16;
 /// What a caller of a draining engine is told to wait.
 const DRAINING_RETRY_S: u64 = 1;
-/// Header that names a request; without it the engine makes a name up.
-const REQUEST_ID: &str = "request-id";
-/// Header with the caller's own key.
-const REQUEST_KEY: &str = "request-key";
 
 type FrameResult = Result<Frame<Bytes>, BoxError>;
 
@@ -119,7 +115,7 @@
 fn begin(engine: &Rc<Engine>, headers: &HeaderMap, completion: Completion) -> Result<Reader> {
     let refuse = |status, message| Err(Box::new(reply::error(status, message)));
     let mut state = engine.state();
-    let id = match reply::header(headers, REQUEST_ID) {
+    let id = match reply::header(headers, reply::REQUEST_ID) {
         Some(id) => id.to_owned(),
         None => state.next_own_id(),
     };
@@ -144,7 +140,7 @@
         prompt_tokens,
         writer: Writer::new(id.clone(), completion.model.clone(), completion.shape),
     }));
-    let key = reply::header(headers, REQUEST_KEY).map(str::to_owned);
+    let key = reply::header(headers, reply::REQUEST_KEY).map(str::to_owned);
     state
         .log
         .begin(id.clone(), key, completion.model, prompt_tokens);
--- a/crates/lilaccrank-lab/src/lib.rs
+++ b/crates/lilaccrank-lab/src/lib.rs
@@ -5,4 +5,6 @@
 pub mod notify;
 pub mod platform;
 pub mod reply;
+pub mod service;
 pub mod stand_in;
+pub mod wire;
--- a/crates/lilaccrank-lab/src/main.rs
+++ b/crates/lilaccrank-lab/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use lilaccrank_lab::{engine, platform, stand_in};
+use lilaccrank_lab::{engine, platform, service, stand_in, wire};
 
 /// Stand-ins, load and experiments for lilaccrank; not shipped.
 #[derive(Parser)]
@@ -19,12 +19,18 @@
     Engine(engine::Args),
     /// The platform: object store and list of vms.
     Platform(platform::Args),
+    /// A plain service.
+    Service(service::Args),
+    /// A stretch of network that can be cut, slowed or silenced.
+    Wire(wire::Args),
 }
 
 fn run(command: Command) -> stand_in::Result<()> {
     match command {
         Command::Engine(args) => engine::run(args),
         Command::Platform(args) => platform::run(args),
+        Command::Service(args) => service::run(args),
+        Command::Wire(args) => wire::run(args),
     }
 }
 
--- a/crates/lilaccrank-lab/src/reply.rs
+++ b/crates/lilaccrank-lab/src/reply.rs
@@ -12,6 +12,11 @@
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
+/// Header that names a request.
+pub const REQUEST_ID: &str = "request-id";
+/// Header with the caller's own key for a request.
+pub const REQUEST_KEY: &str = "request-key";
+
 /// Result of reading a request; the error is the refusal to send.
 pub type Result<T, E = Box<Response<Body>>> = std::result::Result<T, E>;
 
