--- a/crates/lilaccrank-lab/src/lib.rs
+++ b/crates/lilaccrank-lab/src/lib.rs
@@ -11,5 +11,7 @@
 pub mod ports;
 pub mod process;
 pub mod reply;
+pub mod service;
 pub mod stand_in;
 pub mod up;
+pub mod wire;
--- a/crates/lilaccrank-lab/src/main.rs
+++ b/crates/lilaccrank-lab/src/main.rs
@@ -6,6 +6,7 @@
 use clap::{Parser, Subcommand};
 use lilaccrank_http::runtime;
 use lilaccrank_lab::{demo, engine, platform, stand_in, up};
+use lilaccrank_lab::{engine, platform, service, stand_in, wire};
 
 /// Stand-ins, load and experiments for lilaccrank; not shipped.
 #[derive(Parser)]
@@ -25,6 +26,10 @@
     Platform(platform::Args),
     /// A cluster left running until SIGINT.
     Up(up::Args),
+    /// A plain service.
+    Service(service::Args),
+    /// A stretch of network that can be cut, slowed or silenced.
+    Wire(wire::Args),
 }
 
 fn run(command: Command) -> stand_in::Result<()> {
@@ -33,6 +38,8 @@
         Command::Engine(args) => engine::run(args),
         Command::Platform(args) => platform::run(args),
         Command::Up(args) => runtime::block_on(up::run(args))?,
+        Command::Service(args) => service::run(args),
+        Command::Wire(args) => wire::run(args),
     }
 }
 
