Configuration: a manifest lists its ancestors

Cause: whether a publication took effect was looked up along the history. A store that came back older has gaps there, so an operator whose answer was lost could be told of a conflict although the publication was in force. Ruled out: calling every such case unresolved; floor by name only, which cuts the line where only daemons hold the base.

--- a/crates/lilaccrank/src/configuration/archive.rs
+++ b/crates/lilaccrank/src/configuration/archive.rs
@@ -96,25 +96,17 @@
         Ok(found.filter(|found| found.identity == *identity))
     }
 
-    /// `manifest` and those it was made from, the youngest first, as far as they are kept and at
-    /// most [`HISTORY_LENGTH`](manifest::HISTORY_LENGTH) of them, while they are above `floor`.
+    /// The ancestors of `manifest` that are still kept, the youngest first.
     ///
     /// # Errors
     /// The store failed, or a manifest can't be read.
-    pub async fn lineage(&self, manifest: &Manifest, floor: Generation) -> Result<Vec<Manifest>> {
-        let mut lineage = vec![manifest.clone()];
-        while lineage.len() <= manifest::HISTORY_LENGTH {
-            let parent = lineage.last().and_then(|youngest| youngest.parent.clone());
-            let Some(parent) = parent.filter(|parent| parent.generation > floor) else {
-                break;
-            };
-            let found = self.history(parent.generation).await?;
-            let Some(found) = found.filter(|found| found.identity == parent) else {
-                break;
-            };
-            lineage.push(found);
+    pub async fn ancestors(&self, manifest: &Manifest) -> Result<Vec<Manifest>> {
+        let mut ancestors = Vec::new();
+        for identity in &manifest.ancestors {
+            let found = self.history(identity.generation).await?;
+            ancestors.extend(found.filter(|found| found.identity == *identity));
         }
-        Ok(lineage)
+        Ok(ancestors)
     }
 
     /// The contents of a manifest's sections, taken from `known` where they are there.
--- a/crates/lilaccrank/src/configuration/exchange.rs
+++ b/crates/lilaccrank/src/configuration/exchange.rs
@@ -64,6 +64,8 @@
 /// What changed from one configuration to another.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Changes {
+    /// The configurations that it was made from, the youngest first.
+    pub ancestors: Vec<Identity>,
     /// The operator who published it.
     pub author: String,
     /// The asker's configuration.
@@ -72,8 +74,6 @@
     pub contents: Contents,
     /// The answerer's configuration.
     pub identity: Identity,
-    /// The configuration that it was made from.
-    pub parent: Option<Identity>,
     /// Sections that are gone.
     pub removed: Vec<SectionName>,
     /// Digests of the sections that are new or changed.
@@ -118,9 +118,9 @@
     sections.extend(changes.set);
     sections.sort_unstable_keys();
     let manifest = Manifest {
+        ancestors: changes.ancestors,
         author: changes.author,
         identity: changes.identity,
-        parent: changes.parent,
         sections,
     };
     adopt(adoption, manifest, &changes.contents)
@@ -175,11 +175,11 @@
     let new = set.values().filter(|digest| !in_base(digest));
     let contents = new.map(|digest| (digest.clone(), current.contents[digest].clone()));
     Answer::Changes(Changes {
+        ancestors: manifest.ancestors.clone(),
         author: manifest.author.clone(),
         base: base.identity.clone(),
         contents: contents.collect(),
         identity: manifest.identity.clone(),
-        parent: manifest.parent.clone(),
         removed: base.sections.keys().filter(gone).cloned().collect(),
         set,
     })
--- a/crates/lilaccrank/src/configuration/garbage.rs
+++ b/crates/lilaccrank/src/configuration/garbage.rs
@@ -59,16 +59,15 @@
         current: &Manifest,
         next: &Manifest,
     ) -> Result<Self> {
-        let mut kept = archive.lineage(current, 0).await?;
-        kept.truncate(manifest::HISTORY_LENGTH);
+        let kept = archive.ancestors(next).await?;
         let mut garbage = Self::default();
         let Some(oldest) = kept.last() else {
             return Ok(garbage);
         };
-        let kept = kept.iter().chain([next]);
+        let doomed = archive.ancestors(oldest).await?;
+        let kept = kept.iter().chain([current, next]);
         let in_use: IndexSet<&Digest> = kept.flat_map(|kept| kept.sections.values()).collect();
-        let doomed = archive.lineage(oldest, 0).await?;
-        for doomed in doomed.iter().skip(1) {
+        for doomed in &doomed {
             garbage.manifests.push(doomed.identity.generation);
             for digest in doomed.sections.values() {
                 if in_use.contains(digest) || garbage.sections.contains_key(digest) {
@@ -79,9 +78,6 @@
                 }
             }
         }
-        // The oldest goes first, so that a chain of parents that is cut short has no far end
-        // that nobody finds again.
-        garbage.manifests.reverse();
         Ok(garbage)
     }
 
--- a/crates/lilaccrank/src/configuration/manifest.rs
+++ b/crates/lilaccrank/src/configuration/manifest.rs
@@ -29,13 +29,15 @@
 /// A configuration by the digests of its sections.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Manifest {
+    /// The configurations that it was made from, the youngest first, at most
+    /// [`HISTORY_LENGTH`]. They stand here and not only in the history, because a store that
+    /// came back older has gaps there, and a publication behind a gap would be taken for lost.
+    pub ancestors: Vec<Identity>,
     /// The operator who published it.
     pub author: String,
     /// Name of this configuration.
     #[serde(flatten)]
     pub identity: Identity,
-    /// The configuration that it was made from.
-    pub parent: Option<Identity>,
     /// Digest of each section, sorted by name.
     pub sections: IndexMap<SectionName, Digest>,
 }
@@ -66,6 +68,28 @@
     }
 }
 
+impl Manifest {
+    /// The ancestors of a manifest that is made from this one.
+    #[must_use]
+    pub fn lineage(&self) -> Vec<Identity> {
+        let lineage = std::iter::once(&self.identity).chain(&self.ancestors);
+        lineage.take(HISTORY_LENGTH).cloned().collect()
+    }
+
+    /// The configuration that this one was made from.
+    #[must_use]
+    pub fn parent(&self) -> Option<&Identity> {
+        self.ancestors.first()
+    }
+
+    /// Where `publication` stands among this configuration and its ancestors.
+    #[must_use]
+    pub fn find(&self, publication: &str) -> Option<&Identity> {
+        let mut lineage = std::iter::once(&self.identity).chain(&self.ancestors);
+        lineage.find(|identity| identity.publication == publication)
+    }
+}
+
 /// Key of the manifest of an earlier generation.
 #[must_use]
 pub fn history_key(generation: Generation) -> String {
--- a/crates/lilaccrank/src/configuration/publish.rs
+++ b/crates/lilaccrank/src/configuration/publish.rs
@@ -52,10 +52,8 @@
 pub struct Conflict {
     /// What changed from the base to the winner; `None` if one of them can't be read.
     pub difference: Option<Difference>,
-    /// The manifest of the winner; `None` if only daemons hold it, as the store came back older.
-    pub manifest: Option<Manifest>,
-    /// The configuration in force; `None` if there is none, as after a store was emptied.
-    pub winner: Option<Identity>,
+    /// What is in force; `None` if nothing is, as after a store was emptied.
+    pub winner: Option<Manifest>,
 }
 
 /// An attempt to put a document in force.
@@ -67,8 +65,8 @@
     pub base: Option<Identity>,
     /// The document.
     pub document: Document,
-    /// The newest configuration that live daemons hold, asked after `base` was known.
-    pub floor: Option<Identity>,
+    /// The newest manifest that live daemons hold, asked after `base` was known.
+    pub floor: Option<Manifest>,
     /// Names this attempt; a repetition with the same id never publishes twice.
     pub id: PublicationId,
 }
@@ -89,15 +87,14 @@
 
 impl fmt::Display for Conflict {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match (&self.winner, &self.manifest) {
-            (None, _) => f.write_str("nothing"),
-            (Some(winner), None) => write!(f, "{winner}"),
-            (Some(winner), Some(manifest)) => write!(f, "{winner} by {}", manifest.author),
+        match &self.winner {
+            None => f.write_str("nothing"),
+            Some(winner) => write!(f, "{} by {}", winner.identity, winner.author),
         }
     }
 }
 
-/// Publishes a document; the manifest that carries it is returned.
+/// Publishes a document; the name it got is returned.
 ///
 /// # Errors
 /// It was not accepted within `limit`, see [`Error`].
@@ -106,7 +103,7 @@
     clock: &C,
     publication: &Publication,
     limit: Duration,
-) -> Result<Manifest> {
+) -> Result<Identity> {
     let problems = check::check(&publication.document);
     if check::has_error(&problems) {
         return Err(Error::Invalid(problems));
@@ -134,16 +131,16 @@
 
 enum Attempt {
     Overtaken,
-    Published(Manifest),
+    Published(Identity),
     Unknown,
 }
 
 impl<S: Store, C: Clock> Publisher<'_, S, C> {
-    async fn run(&mut self) -> Result<Manifest> {
+    async fn run(&mut self) -> Result<Identity> {
         let mut in_doubt = false;
         loop {
             let failure = match self.attempt().await {
-                Ok(Attempt::Published(manifest)) => return Ok(manifest),
+                Ok(Attempt::Published(identity)) => return Ok(identity),
                 Ok(Attempt::Overtaken) => store::Error::Conflict { current: None },
                 Ok(Attempt::Unknown) => {
                     in_doubt = true;
@@ -168,15 +165,13 @@
         let current = current.as_ref();
         // An earlier attempt may have taken effect although its answer was lost: publishing
         // again would put the document in force twice, and undo what came in between.
-        if let Some(manifest) = self.published(current).await? {
-            if manifest.sections != self.sections.index {
-                return Err(Error::IdReused(self.publication.id.clone()));
-            }
-            return Ok(Attempt::Published(manifest));
+        if let Some(published) = self.published(current).await? {
+            return Ok(Attempt::Published(published));
         }
-        let in_force = in_force(current, self.publication.floor.as_ref());
-        if in_force != self.publication.base.as_ref() {
-            let conflict = self.conflict(current, in_force).await;
+        let stored = current.map(|current| &current.manifest);
+        let in_force = in_force(stored, self.publication.floor.as_ref());
+        if in_force.map(|in_force| &in_force.identity) != self.publication.base.as_ref() {
+            let conflict = self.conflict(in_force).await;
             return Err(Error::Conflict(Box::new(conflict)));
         }
         let next = self.next(in_force);
@@ -186,48 +181,47 @@
         Ok(match replace.await? {
             Outcome::Done => {
                 garbage.delete(self.store).await;
-                Attempt::Published(next)
+                Attempt::Published(next.identity)
             }
             Outcome::Overtaken => Attempt::Overtaken,
             Outcome::Unknown => Attempt::Unknown,
         })
     }
 
-    fn next(&self, in_force: Option<&Identity>) -> Manifest {
+    fn next(&self, in_force: Option<&Manifest>) -> Manifest {
+        let generation = in_force.map_or(0, |in_force| in_force.identity.generation);
         Manifest {
+            ancestors: in_force.map(Manifest::lineage).unwrap_or_default(),
             author: self.publication.author.clone(),
             identity: Identity {
-                generation: in_force.map_or(0, |in_force| in_force.generation) + 1,
+                generation: generation + 1,
                 publication: self.publication.id.clone(),
             },
-            parent: in_force.cloned(),
             sections: self.sections.index.clone(),
         }
     }
 
-    /// The manifest that this publication already put in force.
-    async fn published(&self, current: Option<&Current>) -> Result<Option<Manifest>> {
-        let Some(current) = current else {
+    /// The name that this publication got, if it already took effect.
+    async fn published(&self, current: Option<&Current>) -> Result<Option<Identity>> {
+        let found = current.and_then(|current| current.manifest.find(&self.publication.id));
+        let Some(found) = found else {
             return Ok(None);
         };
-        let base = self.publication.base.as_ref();
-        let floor = base.map_or(0, |base| base.generation);
-        let lineage = self.archive.lineage(&current.manifest, floor).await?;
-        let mut lineage = lineage.into_iter();
-        Ok(lineage.find(|manifest| manifest.identity.publication == self.publication.id))
+        let manifest = self.archive.find(found).await?;
+        if manifest.is_some_and(|manifest| manifest.sections != self.sections.index) {
+            return Err(Error::IdReused(self.publication.id.clone()));
+        }
+        Ok(Some(found.clone()))
     }
 
-    async fn conflict(&self, current: Option<&Current>, winner: Option<&Identity>) -> Conflict {
-        let manifest = current.map(|current| current.manifest.clone());
-        let manifest = manifest.filter(|manifest| Some(&manifest.identity) == winner);
-        let difference = match (&self.publication.base, &manifest) {
-            (Some(base), Some(manifest)) => difference(&self.archive, base, manifest).await,
+    async fn conflict(&self, in_force: Option<&Manifest>) -> Conflict {
+        let difference = match (&self.publication.base, in_force) {
+            (Some(base), Some(winner)) => difference(&self.archive, base, winner).await,
             _ => None,
         };
         Conflict {
             difference,
-            manifest,
-            winner: winner.cloned(),
+            winner: in_force.cloned(),
         }
     }
 
@@ -240,14 +234,13 @@
 ///
 /// A store that came back older would otherwise give out a generation that daemons already
 /// hold, and they would never adopt what is published under it.
-fn in_force<'a>(current: Option<&'a Current>, floor: Option<&'a Identity>) -> Option<&'a Identity> {
-    let current = current.map(|current| &current.manifest.identity);
-    match (current, floor) {
-        (Some(current), Some(floor)) => match floor.standing(current) {
-            Standing::Newer | Standing::Sibling => Some(floor),
-            Standing::Older | Standing::Same => Some(current),
-        },
-        (current, floor) => current.or(floor),
+fn in_force<'a>(stored: Option<&'a Manifest>, floor: Option<&'a Manifest>) -> Option<&'a Manifest> {
+    let (Some(stored), Some(floor)) = (stored, floor) else {
+        return stored.or(floor);
+    };
+    match floor.identity.standing(&stored.identity) {
+        Standing::Newer | Standing::Sibling => Some(floor),
+        Standing::Older | Standing::Same => Some(stored),
     }
 }
 
@@ -283,12 +276,7 @@
     if matches!(standing, Some(Standing::Newer | Standing::Sibling)) {
         return Ok(Confirmation::Pending);
     }
-    let floor = published.generation.saturating_sub(1);
-    let lineage = archive.lineage(&current.manifest, floor).await?;
-    let mut lineage = lineage
-        .iter()
-        .map(|manifest| &manifest.identity.publication);
-    if lineage.any(|publication| *publication == published.publication) {
+    if current.manifest.find(&published.publication).is_some() {
         return Ok(Confirmation::InForce);
     }
     Ok(Confirmation::Displaced {
--- a/crates/lilaccrank/src/configuration/watcher.rs
+++ b/crates/lilaccrank/src/configuration/watcher.rs
@@ -210,12 +210,15 @@
     let sibling = current.is_some_and(|current| {
         current.manifest.identity.standing(&held.identity) == Standing::Sibling
     });
-    let identity = Identity {
-        generation: held.identity.generation + u64::from(sibling),
-        publication: held.identity.publication.clone(),
-    };
+    if !sibling {
+        return held.clone();
+    }
     Manifest {
-        identity,
+        ancestors: held.lineage(),
+        identity: Identity {
+            generation: held.identity.generation + 1,
+            publication: held.identity.publication.clone(),
+        },
         ..held.clone()
     }
 }
--- a/crates/lilaccrank/tests/suite/configuration_publish.rs
+++ b/crates/lilaccrank/tests/suite/configuration_publish.rs
@@ -69,7 +69,7 @@
         }
     }
 
-    fn publish(&self, publication: Publication) -> publish::Result<Manifest> {
+    fn publish(&self, publication: Publication) -> publish::Result<Identity> {
         let (store, clock) = (self.store.clone(), self.clock.clone());
         run(&self.clock, async move {
             publish::publish(&store, &clock, &publication, LIMIT).await
@@ -80,7 +80,7 @@
     fn publish_next(&self, id: &str, rules: &[&str]) -> Identity {
         let base = self.store.manifest().map(|manifest| manifest.identity);
         let published = self.publish(publication(id, base.as_ref(), rules));
-        published.unwrap().identity
+        published.unwrap()
     }
 
     fn look(&self, adoption: &Adoption) -> watcher::Result<Look> {
@@ -95,6 +95,11 @@
         Archive::new(&self.store, &self.clock, LIMIT)
     }
 
+    fn held(&self) -> Option<Manifest> {
+        let current = self.adoption.current();
+        current.map(|current| current.manifest.clone())
+    }
+
     fn confirm(&self, published: Identity, held: Option<Identity>) -> Confirmation {
         let archive = self.archive();
         run(&self.clock, async move {
@@ -115,7 +120,7 @@
             let first = bench.publish_next("p1", &["a"]);
             $(bench.store.fail_next(Fault::$fault);)+
             let second = bench.publish(publication("p2", Some(&first), &["a", "b"]));
-            assert_eq!(second.unwrap().identity.generation, 2);
+            assert_eq!(second.unwrap().generation, 2);
             assert_eq!(bench.store.manifest_writes(), 2);
         }
     };
@@ -134,7 +139,7 @@
     let second = bench.publish_next("p2", &["a", "b"]);
     let third = bench.publish_next("p3", &["a", "b", "c"]);
     let again = bench.publish(publication("p2", Some(&first), &["a", "b"]));
-    assert_eq!(again.unwrap().identity, second);
+    assert_eq!(again, Ok(second));
     assert_eq!(bench.store.manifest().unwrap().identity, third);
     let reused = bench.publish(publication("p2", Some(&first), &["z"]));
     assert_eq!(reused, Err(Error::IdReused("p2".to_owned())));
@@ -151,7 +156,7 @@
     let Err(Error::Conflict(conflict)) = loser else {
         panic!("{loser:?}");
     };
-    assert_eq!(conflict.manifest.as_ref(), winner.as_ref().ok());
+    assert_eq!(conflict.winner.map(|winner| winner.identity), winner.ok());
     let difference = conflict.difference.unwrap();
     let kinds: Vec<_> = difference.rules.iter().map(|change| change.kind).collect();
     assert_eq!(kinds, [ChangeKind::Removed, ChangeKind::Added]);
@@ -223,11 +228,11 @@
     bench.look(&bench.adoption).unwrap();
     bench.store.restore(&backup);
     let mut late = publication("p3", Some(&first), &["c"]);
-    late.floor = bench.adoption.identity();
+    late.floor = bench.held();
     assert!(matches!(bench.publish(late), Err(Error::Conflict(_))));
     let mut next = publication("p4", Some(&second), &["d"]);
-    next.floor = bench.adoption.identity();
-    assert_eq!(bench.publish(next).unwrap().identity.generation, 3);
+    next.floor = bench.held();
+    assert_eq!(bench.publish(next).unwrap().generation, 3);
     assert_eq!(bench.look(&bench.adoption), Ok(Look::Adopted));
 }
 
@@ -243,7 +248,7 @@
     bench.look(&bench.adoption).unwrap();
     bench.store.restore(&backup);
     let sibling = bench.publish(publication("p3", Some(&first), &["c"]));
-    let sibling = sibling.unwrap().identity;
+    let sibling = sibling.unwrap();
     let other = Adoption::new();
     bench.look(&other).unwrap();
     assert_eq!(
@@ -272,9 +277,9 @@
         publication: "p1".to_owned(),
     };
     let manifest_of = |sections: &Sections| Manifest {
+        ancestors: vec![],
         author: "ana".to_owned(),
         identity: identity.clone(),
-        parent: None,
         sections: sections.index.clone(),
     };
     let adoption = Adoption::new();
@@ -383,7 +388,7 @@
         .collect();
     let mut first = publication("p1", None, &[]);
     first.document = document.clone();
-    let base = bench.publish(first).unwrap().identity;
+    let base = bench.publish(first).unwrap();
     bench.look(&bench.adoption).unwrap();
     let peer = Holder {
         holder: bench.adoption.clone(),
@@ -401,7 +406,7 @@
     document.customers[7].weight = 2;
     let mut second = publication("p2", Some(&base), &[]);
     second.document = document;
-    let second = bench.publish(second).unwrap().identity;
+    let second = bench.publish(second).unwrap();
     bench.look(&bench.adoption).unwrap();
     assert_eq!(hear(peer.clone()), Ok(Some(second)));
     let sent = peer.sent.take();
@@ -427,13 +432,13 @@
     assert_eq!(sections, 1 + manifest::HISTORY_LENGTH + general);
     let (archive, newest) = (bench.archive(), bench.store.manifest().unwrap());
     let read = run(&bench.clock, async move {
-        let lineage = archive.lineage(&newest, 0).await.unwrap();
-        for manifest in &lineage {
+        let kept = archive.ancestors(&newest).await.unwrap();
+        for manifest in kept.iter().chain([&newest]) {
             archive.document(manifest, &Contents::new()).await.unwrap();
         }
-        lineage.len()
+        kept.len()
     });
-    assert_eq!(read, 1 + manifest::HISTORY_LENGTH);
+    assert_eq!(read, manifest::HISTORY_LENGTH);
 }
 
 #[test]
