--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -2,8 +2,12 @@
 
 #[path = "suite/cluster.rs"]
 mod cluster;
+#[path = "suite/configuration_model.rs"]
+mod configuration_model;
 #[path = "suite/configuration_publish.rs"]
 mod configuration_publish;
+#[path = "suite/configuration_spec.rs"]
+mod configuration_spec;
 #[path = "suite/configuration_store.rs"]
 mod configuration_store;
 #[path = "suite/dispatch_faults.rs"]
--- a/crates/lilaccrank/tests/suite/configuration_publish.rs
+++ b/crates/lilaccrank/tests/suite/configuration_publish.rs
@@ -47,7 +47,6 @@
         author: format!("author of {id}"),
         base: base.cloned(),
         document: document(rules),
-        floor: None,
         id: id.to_owned(),
     }
 }
@@ -69,10 +68,20 @@
         }
     }
 
-    fn publish(&self, publication: Publication) -> publish::Result<Manifest> {
+    fn publish(&self, publication: Publication) -> publish::Result<Identity> {
+        self.publish_at(&Adoption::new(), publication)
+    }
+
+    /// Publishes at a daemon.
+    fn publish_at(
+        &self,
+        adoption: &Adoption,
+        publication: Publication,
+    ) -> publish::Result<Identity> {
         let (store, clock) = (self.store.clone(), self.clock.clone());
+        let adoption = adoption.clone();
         run(&self.clock, async move {
-            publish::publish(&store, &clock, &publication, LIMIT).await
+            publish::publish(&store, &clock, &adoption, &publication, LIMIT).await
         })
     }
 
@@ -80,7 +89,7 @@
     fn publish_next(&self, id: &str, rules: &[&str]) -> Identity {
         let base = self.store.manifest().map(|manifest| manifest.identity);
         let published = self.publish(publication(id, base.as_ref(), rules));
-        published.unwrap().identity
+        published.unwrap()
     }
 
     fn look(&self, adoption: &Adoption) -> watcher::Result<Look> {
@@ -95,10 +104,10 @@
         Archive::new(&self.store, &self.clock, LIMIT)
     }
 
-    fn confirm(&self, published: Identity, held: Option<Identity>) -> Confirmation {
+    fn confirm(&self, published: Identity, held: Identity) -> Confirmation {
         let archive = self.archive();
         run(&self.clock, async move {
-            let confirmed = publish::confirm(&archive, &published, held.as_ref()).await;
+            let confirmed = publish::confirm(&archive, &published, &[held]).await;
             confirmed.unwrap()
         })
     }
@@ -115,7 +124,7 @@
             let first = bench.publish_next("p1", &["a"]);
             $(bench.store.fail_next(Fault::$fault);)+
             let second = bench.publish(publication("p2", Some(&first), &["a", "b"]));
-            assert_eq!(second.unwrap().identity.generation, 2);
+            assert_eq!(second.unwrap().generation, 2);
             assert_eq!(bench.store.manifest_writes(), 2);
         }
     };
@@ -134,7 +143,7 @@
     let second = bench.publish_next("p2", &["a", "b"]);
     let third = bench.publish_next("p3", &["a", "b", "c"]);
     let again = bench.publish(publication("p2", Some(&first), &["a", "b"]));
-    assert_eq!(again.unwrap().identity, second);
+    assert_eq!(again, Ok(second));
     assert_eq!(bench.store.manifest().unwrap().identity, third);
     let reused = bench.publish(publication("p2", Some(&first), &["z"]));
     assert_eq!(reused, Err(Error::IdReused("p2".to_owned())));
@@ -151,7 +160,7 @@
     let Err(Error::Conflict(conflict)) = loser else {
         panic!("{loser:?}");
     };
-    assert_eq!(conflict.manifest.as_ref(), winner.as_ref().ok());
+    assert_eq!(conflict.winner.map(|winner| winner.identity), winner.ok());
     let difference = conflict.difference.unwrap();
     let kinds: Vec<_> = difference.rules.iter().map(|change| change.kind).collect();
     assert_eq!(kinds, [ChangeKind::Removed, ChangeKind::Added]);
@@ -167,8 +176,9 @@
     let outcomes = run(&bench.clock, async move {
         let two = publication("p2", Some(&base), &["b"]);
         let three = publication("p3", Some(&base), &["c"]);
-        let two = publish::publish(&store, &clock, &two, LIMIT);
-        let three = publish::publish(&store, &clock, &three, LIMIT);
+        let (here, there) = (Adoption::new(), Adoption::new());
+        let two = publish::publish(&store, &clock, &here, &two, LIMIT);
+        let three = publish::publish(&store, &clock, &there, &three, LIMIT);
         <[_; 2]>::from(future::join(two, three).await)
     });
     let accepted = outcomes.iter().filter(|outcome| outcome.is_ok());
@@ -215,20 +225,21 @@
 #[test]
 fn a_publication_into_an_older_store_goes_above_what_daemons_hold() {
     // A daemon holds generation 2, the store came back at 1. An editor of generation 1 gets a
-    // conflict; an editor of generation 2 publishes generation 3, which the daemon adopts.
+    // conflict; an editor of generation 2 publishes generation 3, in force at once.
     let bench = Bench::new();
     let first = bench.publish_next("p1", &["a"]);
     let backup = bench.store.snapshot();
     let second = bench.publish_next("p2", &["b"]);
     bench.look(&bench.adoption).unwrap();
     bench.store.restore(&backup);
-    let mut late = publication("p3", Some(&first), &["c"]);
-    late.floor = bench.adoption.identity();
-    assert!(matches!(bench.publish(late), Err(Error::Conflict(_))));
-    let mut next = publication("p4", Some(&second), &["d"]);
-    next.floor = bench.adoption.identity();
-    assert_eq!(bench.publish(next).unwrap().identity.generation, 3);
-    assert_eq!(bench.look(&bench.adoption), Ok(Look::Adopted));
+    let late = publication("p3", Some(&first), &["c"]);
+    let late = bench.publish_at(&bench.adoption, late);
+    assert!(matches!(late, Err(Error::Conflict(_))));
+    let next = publication("p4", Some(&second), &["d"]);
+    let next = bench.publish_at(&bench.adoption, next).unwrap();
+    assert_eq!(next.generation, 3);
+    assert_eq!(bench.adoption.identity(), Some(next));
+    assert_eq!(bench.look(&Adoption::new()), Ok(Look::Adopted));
 }
 
 #[test]
@@ -243,11 +254,11 @@
     bench.look(&bench.adoption).unwrap();
     bench.store.restore(&backup);
     let sibling = bench.publish(publication("p3", Some(&first), &["c"]));
-    let sibling = sibling.unwrap().identity;
+    let sibling = sibling.unwrap();
     let other = Adoption::new();
     bench.look(&other).unwrap();
     assert_eq!(
-        bench.confirm(sibling.clone(), Some(second)),
+        bench.confirm(sibling.clone(), second),
         Confirmation::Pending
     );
     assert_eq!(bench.look(&bench.adoption), Ok(Look::Healed));
@@ -257,7 +268,7 @@
     let by = other.identity().unwrap();
     assert_eq!(by.generation, 3);
     assert_eq!(
-        bench.confirm(sibling, Some(by.clone())),
+        bench.confirm(sibling, by.clone()),
         Confirmation::Displaced { by }
     );
 }
@@ -272,9 +283,9 @@
         publication: "p1".to_owned(),
     };
     let manifest_of = |sections: &Sections| Manifest {
+        ancestors: vec![],
         author: "ana".to_owned(),
         identity: identity.clone(),
-        parent: None,
         sections: sections.index.clone(),
     };
     let adoption = Adoption::new();
@@ -343,7 +354,7 @@
         clock.sleep(Duration::from_secs(60)).await;
         store.set_out(false);
         let second = publication("p2", Some(&first), &["b"]);
-        publish::publish(&store, &clock, &second, LIMIT)
+        publish::publish(&store, &clock, &Adoption::new(), &second, LIMIT)
             .await
             .unwrap();
         let second = adoption.changed(Some(&first)).await;
@@ -383,7 +394,7 @@
         .collect();
     let mut first = publication("p1", None, &[]);
     first.document = document.clone();
-    let base = bench.publish(first).unwrap().identity;
+    let base = bench.publish(first).unwrap();
     bench.look(&bench.adoption).unwrap();
     let peer = Holder {
         holder: bench.adoption.clone(),
@@ -401,7 +412,7 @@
     document.customers[7].weight = 2;
     let mut second = publication("p2", Some(&base), &[]);
     second.document = document;
-    let second = bench.publish(second).unwrap().identity;
+    let second = bench.publish(second).unwrap();
     bench.look(&bench.adoption).unwrap();
     assert_eq!(hear(peer.clone()), Ok(Some(second)));
     let sent = peer.sent.take();
@@ -427,13 +438,13 @@
     assert_eq!(sections, 1 + manifest::HISTORY_LENGTH + general);
     let (archive, newest) = (bench.archive(), bench.store.manifest().unwrap());
     let read = run(&bench.clock, async move {
-        let lineage = archive.lineage(&newest, 0).await.unwrap();
-        for manifest in &lineage {
+        let kept = archive.ancestors(&newest).await.unwrap();
+        for manifest in kept.iter().chain([&newest]) {
             archive.document(manifest, &Contents::new()).await.unwrap();
         }
-        lineage.len()
+        kept.len()
     });
-    assert_eq!(read, 1 + manifest::HISTORY_LENGTH);
+    assert_eq!(read, manifest::HISTORY_LENGTH);
 }
 
 #[test]
