--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -15,6 +15,7 @@
 
 pub mod affinity;
 pub mod choice;
+mod deadline;
 pub mod estimate;
 mod fair;
 mod grants;
--- a/crates/lilaccrank/src/dispatch/affinity.rs
+++ b/crates/lilaccrank/src/dispatch/affinity.rs
@@ -77,7 +77,7 @@
     }
 
     /// Forgets a target.
-    pub fn forget(&mut self, target: &TargetId) {
+    pub fn forget(&mut self, target: &str) {
         self.clear(target);
         self.sequences.swap_remove(target);
     }
@@ -137,7 +137,7 @@
         (belief.stamps.len() > limit).then_some(*oldest)
     }
 
-    fn drop_block(&mut self, target: &TargetId, digest: u64) {
+    fn drop_block(&mut self, target: &str, digest: u64) {
         let Some(belief) = self.beliefs.get_mut(target) else {
             return;
         };
@@ -152,7 +152,7 @@
         }
     }
 
-    fn clear(&mut self, target: &TargetId) {
+    fn clear(&mut self, target: &str) {
         let belief = self.beliefs.get(target);
         let held: Vec<u64> = belief.map_or(Vec::new(), |b| b.stamps.keys().copied().collect());
         for digest in held {
--- /dev/null
+++ b/crates/lilaccrank/src/dispatch/deadline.rs
@@ -0,0 +1,92 @@
+//! Whether an ask can meet its deadline.
+//!
+//! A request that can't is refused before it costs prefill. Each guess is taken from the good
+//! side: a request that is refused wrongly is lost, one that is kept wrongly is found out at its
+//! grant or its deadline.
+
+use std::time::{Duration, Instant};
+
+use super::choice::{self, Room, Wanted};
+use super::message::Ask;
+use super::state::State;
+use super::work::Work;
+
+/// Time after which the capacity is worked out anew.
+const CAPACITY_LIFE: Duration = Duration::from_millis(50);
+
+/// What all live targets do together, in tokens a second.
+#[derive(Debug, Default)]
+pub(super) struct Capacity {
+    at: Option<Instant>,
+    decode: f64,
+    prefill: f64,
+}
+
+impl State {
+    /// Whether no target can meet the ask's deadline after the work ahead in tier order. Lower
+    /// tiers don't count: they would be passed, and refusing for them would be an inversion.
+    pub(super) fn is_hopeless(&mut self, ask: &Ask, now: Instant) -> bool {
+        let Some(left) = ask.deadline else {
+            return false;
+        };
+        let left = left.as_secs_f64();
+        self.refresh_capacity(now);
+        let wanted = self.wanted(ask);
+        if !self.can_meet(&wanted, left, now) {
+            return true;
+        }
+        // The whole of the own tier is more than goes ahead in fair order, and cheap to know.
+        let most = self.queue.up_to(ask.tier);
+        if self.can_meet(&wanted, left - self.wait(most), now) {
+            return false;
+        }
+        let ahead = self.queue.ahead(ask.tier, &ask.customer, ask.weight);
+        if self.can_meet(&wanted, left - self.wait(ahead), now) {
+            return false;
+        }
+        let room = Room::of(&self.targets, now);
+        !choice::any_open(&self.targets, &wanted, room, now)
+    }
+
+    /// Shortest time that this work takes all targets together, in seconds. They read and
+    /// generate at once, so that the longer of the two is the least.
+    fn wait(&self, work: Work) -> f64 {
+        let prefill = work.prefill as f64 * self.computed / self.capacity.prefill.max(1.0);
+        let decode = work.decode as f64 * self.length / self.capacity.decode.max(1.0);
+        prefill.max(decode)
+    }
+
+    fn can_meet(&self, wanted: &Wanted<'_>, left: f64, now: Instant) -> bool {
+        let mut live = self.targets.values().filter(|target| target.live);
+        live.any(|target| {
+            if choice::earliest(target, wanted, 0, now) <= left {
+                return true;
+            }
+            let blocks = self.affinity.held(&target.id, wanted.prefix) as u64;
+            let saved = (blocks * u64::from(wanted.block_tokens)).min(wanted.work.prefill);
+            choice::earliest(target, wanted, saved, now) <= left
+        })
+    }
+
+    fn refresh_capacity(&mut self, now: Instant) {
+        let age = self.capacity.at.map(|at| now.saturating_duration_since(at));
+        if age.is_some_and(|age| age < CAPACITY_LIFE) {
+            return;
+        }
+        let mut capacity = Capacity {
+            at: Some(now),
+            ..Capacity::default()
+        };
+        for target in self.targets.values().filter(|target| target.live) {
+            let slots = target.slots_now(now);
+            capacity.decode += f64::from(slots) / target.estimate.step(slots, now);
+            capacity.prefill += target.estimate.prefill_rate(now);
+        }
+        self.capacity = capacity;
+    }
+
+    /// The targets have changed.
+    pub(super) fn forget_capacity(&mut self) {
+        self.capacity.at = None;
+    }
+}
--- a/crates/lilaccrank/src/dispatch/estimate.rs
+++ b/crates/lilaccrank/src/dispatch/estimate.rs
@@ -144,9 +144,11 @@
     }
 
     fn foreign(&self, now: Instant) -> f64 {
-        match now.saturating_duration_since(self.reported) < REPORT_LIFE {
-            true => self.foreign,
-            false => 0.0,
+        let known = self.foreign > 0.0;
+        if known && now.saturating_duration_since(self.reported) < REPORT_LIFE {
+            self.foreign
+        } else {
+            0.0
         }
     }
 
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -10,6 +10,8 @@
 use crate::error_kind::ErrorKind;
 use crate::ids::{RequestId, Tier};
 
+/// Weight of a new sample in the part of prompts that has to be computed.
+const COMPUTED_GAIN: f64 = 0.05;
 /// Asks with exclusions that are tried before the next lane has its turn.
 const EXCLUDING_SCAN: usize = 32;
 /// A grant lapses if nothing is heard of it for this long: the entry is gone or never had it.
@@ -80,7 +82,7 @@
                 target.health.trial_over(now);
             }
         }
-        self.drop_left_targets();
+        self.drop_if_left(&held.target);
         Some(held)
     }
 
@@ -128,7 +130,12 @@
             self.refuse(request, ErrorKind::DeadlineUnmeetable, Some(retry));
             return;
         }
-        self.queue.grant(request);
+        let prompt = self
+            .queue
+            .grant(request)
+            .map_or(1, |item| item.work.prefill);
+        let computed = choice.prefill as f64 / prompt.max(1) as f64;
+        self.computed += COMPUTED_GAIN * (computed - self.computed);
         let Some(waiting) = self.waiting.swap_remove(request) else {
             return;
         };
--- a/crates/lilaccrank/src/dispatch/queue.rs
+++ b/crates/lilaccrank/src/dispatch/queue.rs
@@ -137,6 +137,13 @@
         higher.fold(own, |sum, work| sum + work)
     }
 
+    /// All work of this tier and of the higher ones.
+    #[must_use]
+    pub fn up_to(&self, tier: Tier) -> Work {
+        let tiers = self.tiers.range(..=tier).map(|(_, queue)| queue.total());
+        tiers.fold(Work::default(), |sum, work| sum + work)
+    }
+
     /// An ask by its request.
     #[must_use]
     pub fn get(&self, request: &str) -> Option<&Item> {
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -8,6 +8,7 @@
 use super::work::Work;
 use crate::document::{Pool, TargetState};
 use crate::error_kind::ErrorKind;
+use crate::ids::TargetId;
 
 /// Weight of a new sample in the usual length of answers.
 const LENGTH_GAIN: f64 = 0.05;
@@ -92,7 +93,11 @@
             target.slots = given.slots;
         }
         self.cfg.waiting_limit = pool.waiting_limit;
-        self.drop_left_targets();
+        let ids: Vec<TargetId> = self.targets.keys().cloned().collect();
+        for id in &ids {
+            self.drop_if_left(id);
+        }
+        self.forget_capacity();
         if self.targets.values().any(|target| target.live) {
             self.dispatch(now);
             self.shed(now);
@@ -101,16 +106,13 @@
         }
     }
 
-    /// Drops targets that get nothing and run nothing.
-    pub(super) fn drop_left_targets(&mut self) {
-        let affinity = &mut self.affinity;
-        self.targets.retain(|id, target| {
-            let kept = target.live || target.estimate.running() > 0;
-            if !kept {
-                affinity.forget(id);
-            }
-            kept
-        });
+    /// Drops a target that gets nothing and runs nothing.
+    pub(super) fn drop_if_left(&mut self, id: &str) {
+        let target = self.targets.get(id);
+        if target.is_some_and(|target| !target.live && target.estimate.running() == 0) {
+            self.targets.shift_remove(id);
+            self.affinity.forget(id);
+        }
     }
 
     fn ended(&mut self, request: &str, decoded: u32, outcome: Outcome, now: Instant) {
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -6,7 +6,8 @@
 use indexmap::IndexMap;
 
 use super::affinity::Affinity;
-use super::choice::{self, Room, Wanted};
+use super::choice::{self, Wanted};
+use super::deadline::Capacity;
 use super::limits::{self, Counted, Limits};
 use super::message::{Ask, AskNumber, Entry, Grant, Refuse, Verdict};
 use super::queue::{Item, Lane, Queue};
@@ -71,6 +72,9 @@
 /// All soft state of a dispatcher.
 pub(super) struct State {
     pub(super) affinity: Affinity,
+    pub(super) capacity: Capacity,
+    /// Part of a prompt that has to be computed, the rest being in the cache.
+    pub(super) computed: f64,
     pub(super) cfg: Config,
     pub(super) drain: DrainRate,
     pub(super) handover: Option<Handover>,
@@ -88,6 +92,8 @@
     pub(super) fn new(cfg: Config, now: Instant) -> Self {
         Self {
             affinity: Affinity::default(),
+            capacity: Capacity::default(),
+            computed: 1.0,
             cfg,
             drain: DrainRate::new(now),
             handover: None,
@@ -285,7 +291,7 @@
         })
     }
 
-    fn judge(&self, ask: &Ask, now: Instant) -> Option<Refuse> {
+    fn judge(&mut self, ask: &Ask, now: Instant) -> Option<Refuse> {
         if self.handover.is_some() {
             let full = self.queue.len() >= 2 * self.cfg.waiting_limit;
             let retry = Some(self.drain.retry_after(0, now));
@@ -296,44 +302,13 @@
             let retry = Some(self.drain.retry_after(0, now));
             return Some(refusal_of(ask, ErrorKind::NoTarget, retry));
         }
-        let left = ask.deadline?.as_secs_f64();
-        let wanted = self.wanted(ask);
-        let ahead = self.queue.ahead(ask.tier, &ask.customer, ask.weight);
-        let earliest = self.wait(&wanted, ahead, now) + self.earliest(&wanted, now);
-        (earliest > left).then(|| {
+        self.is_hopeless(ask, now).then(|| {
+            let ahead = self.queue.ahead(ask.tier, &ask.customer, ask.weight);
             let retry = self.drain.retry_after(ahead.tokens(), now);
             refusal_of(ask, ErrorKind::DeadlineUnmeetable, Some(retry))
         })
     }
 
-    /// Shortest time that work ahead in tier order takes all targets together, in seconds.
-    fn wait(&self, wanted: &Wanted<'_>, ahead: Work, now: Instant) -> f64 {
-        let room = Room::of(&self.targets, now);
-        if ahead == Work::default() || choice::any_open(&self.targets, wanted, room, now) {
-            return 0.0;
-        }
-        let live = self.targets.values().filter(|target| target.live);
-        let (prefill, decode) = live.fold((0.0, 0.0), |(prefill, decode), target| {
-            let slots = target.slots_now(now);
-            let rate = f64::from(slots) / target.estimate.step(slots, now);
-            (prefill + target.estimate.prefill_rate(now), decode + rate)
-        });
-        let prefill_time = ahead.prefill as f64 / f64::max(prefill, 1.0);
-        let decode_time = ahead.decode as f64 * self.length / f64::max(decode, 1.0);
-        // Targets work on prefill and decode at once, so that the longer one is the least.
-        prefill_time.max(decode_time)
-    }
-
-    fn earliest(&self, wanted: &Wanted<'_>, now: Instant) -> f64 {
-        let live = self.targets.values().filter(|target| target.live);
-        let saved = |target: &Target| {
-            let blocks = self.affinity.held(&target.id, wanted.prefix) as u64;
-            (blocks * u64::from(wanted.block_tokens)).min(wanted.work.prefill)
-        };
-        live.map(|target| choice::earliest(target, wanted, saved(target), now))
-            .fold(f64::INFINITY, f64::min)
-    }
-
     /// Sheds from the lowest tier until the queue is within its limit. During a handover other
     /// entries may yet bring lower work, so only the lowest tier of all is shed.
     pub(super) fn shed(&mut self, now: Instant) {
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -50,7 +50,11 @@
     /// request, by which it can show that it is well again.
     #[must_use]
     pub fn slots_now(&self, now: Instant) -> u32 {
-        let slots = f64::from(self.slots) / self.estimate.slowness(now);
+        let slowness = self.estimate.slowness(now);
+        if slowness <= 1.0 {
+            return self.slots;
+        }
+        let slots = f64::from(self.slots) / slowness;
         (slots.round() as u32).clamp(1.min(self.slots), self.slots)
     }
 }
