Tests made to see safeguards that could be off unnoticed

Found on the way: the free slots of a hung target passed for headroom, and trials had to fit the headroom, so that under full load none was made; only targets that are well count now. An ask that may not wait at all gets its chance at the moment it comes.

--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -54,18 +54,17 @@
     pub target: TargetId,
 }
 
-/// Room in a pool at one moment, so that a blocked kind of ask is found out once.
+/// Room in a pool at one moment. Only targets that are well count: the free slots of a hung one
+/// would pass for the headroom, and urgent work would find no way in.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Room {
     /// Targets with a long prefill outstanding.
     long: usize,
-    /// Targets that may get new work.
-    live: usize,
-    /// Slots of these targets.
+    /// Slots of the targets that may get new work.
     slots: u32,
     /// Slots that are taken.
     taken: u32,
-    /// Live targets that are well.
+    /// Number of these targets.
     well: usize,
 }
 
@@ -73,13 +72,13 @@
     /// Looks at all targets.
     #[must_use]
     pub fn of(targets: &IndexMap<TargetId, Target>, now: Instant) -> Self {
-        let live = targets.values().filter(|target| target.live);
-        live.fold(Self::default(), |room, target| Self {
+        let well = |target: &&Target| target.health.state() == health::State::Well;
+        let well = targets.values().filter(|target| target.live).filter(well);
+        well.fold(Self::default(), |room, target| Self {
             long: room.long + usize::from(target.long > 0),
-            live: room.live + 1,
             slots: room.slots + target.slots_now(now),
             taken: room.taken + target.estimate.batch(now),
-            well: room.well + usize::from(target.health.state() == health::State::Well),
+            well: room.well + 1,
         })
     }
 
@@ -95,7 +94,7 @@
             0 | 1 => 0,
             slots => slots.div_ceil(HEADROOM),
         };
-        let lanes = (self.live - self.live / 4).max(1);
+        let lanes = (self.well - self.well / 4).max(1);
         let long = lane == Lane::Long || prefill > LONG_PROMPT;
         self.taken + headroom < self.slots && (!long || self.long < lanes)
     }
@@ -115,7 +114,7 @@
             target.health.wants_trial(now) && small && (!urgent || room.well == 0)
         }
         health::State::Trial => false,
-        health::State::Well => true,
+        health::State::Well => room.admits(wanted.tier, wanted.lane, wanted.work.prefill),
     };
     target.live
         && healthy
@@ -138,8 +137,7 @@
     room: Room,
     now: Instant,
 ) -> bool {
-    room.admits(wanted.tier, wanted.lane, wanted.work.prefill)
-        && targets.values().any(|t| is_open(t, wanted, room, now))
+    targets.values().any(|t| is_open(t, wanted, room, now))
 }
 
 /// The open target with the least expected time to the whole answer.
@@ -154,9 +152,6 @@
     room: Room,
     now: Instant,
 ) -> Option<Choice> {
-    if !room.admits(wanted.tier, wanted.lane, wanted.work.prefill) {
-        return None;
-    }
     let mut close: Vec<(f64, &Target)> = Vec::with_capacity(CLOSE + 1);
     for target in targets.values() {
         if !is_open(target, wanted, room, now) {
--- a/crates/lilaccrank/src/dispatch/message.rs
+++ b/crates/lilaccrank/src/dispatch/message.rs
@@ -115,7 +115,8 @@
         /// Time since it was sent.
         after: Duration,
     },
-    /// More tokens came.
+    /// More tokens came. Told at least each second while tokens come, else the target counts as
+    /// silent.
     Progress {
         /// Mean time between these tokens.
         step: Duration,
--- a/crates/lilaccrank/src/dispatch/queue.rs
+++ b/crates/lilaccrank/src/dispatch/queue.rs
@@ -120,11 +120,12 @@
         self.items.get(request)
     }
 
-    /// The next ask for which it is too late at `now`.
+    /// The next ask for which it is too late at `now`. One that may not wait at all still has its
+    /// chance at the moment it comes.
     #[must_use]
     pub fn expired(&self, now: Instant) -> Option<&RequestId> {
         let (until, request) = self.expiries.first()?;
-        (*until <= now).then_some(request)
+        (*until < now).then_some(request)
     }
 
     /// Work that goes before a new ask of this customer and tier: all of the higher tiers, and
--- a/crates/lilaccrank/tests/suite/dispatch_faults.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_faults.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use futures::FutureExt;
 use lilaccrank::dispatch::affinity;
 use lilaccrank::dispatch::health::State;
 use lilaccrank::dispatch::message::{
@@ -14,6 +15,9 @@
 use crate::dispatch_harness::{self, Harness, LOWEST_TIER};
 
 const FLOOR: Duration = Duration::from_secs(2);
+const FIRST_TOKEN: ReportKind = ReportKind::FirstToken {
+    after: Duration::from_millis(250),
+};
 const MANY: usize = 1000;
 
 fn harness(slots: &[u32]) -> Harness {
@@ -24,6 +28,27 @@
     dispatch_harness::ask(request, tier)
 }
 
+fn survey(request: &str, tier: u8) -> Ask {
+    let prompt_tokens = 10_000;
+    Ask {
+        prompt_tokens,
+        ..ask(request, tier)
+    }
+}
+
+fn due(secs: u64, ask: Ask) -> Ask {
+    let deadline = Some(Duration::from_secs(secs));
+    Ask { deadline, ..ask }
+}
+
+fn limited(request: &str, limit: Limit) -> Ask {
+    let limit = Some(limit);
+    Ask {
+        limit,
+        ..ask(request, 0)
+    }
+}
+
 fn entry(vm: &str) -> Entry {
     Entry {
         incarnation: 1,
@@ -92,13 +117,10 @@
 fn customers_share_by_tokens() {
     let mut harness = harness(&[1]);
     for i in 0..5 {
-        let survey = Ask {
-            prompt_tokens: 20_000,
-            ..ask(&format!("survey{i}"), 2)
-        };
+        let customer = "large".to_owned();
         harness.ask(Ask {
-            customer: "large".to_owned(),
-            ..survey
+            customer,
+            ..survey(&format!("survey{i}"), 2)
         });
     }
     for i in 0..20 {
@@ -137,10 +159,7 @@
 fn surveys_leave_targets_for_pings() {
     let mut harness = harness(&[8, 8, 8, 8]);
     for i in 0..8 {
-        harness.ask(Ask {
-            prompt_tokens: 20_000,
-            ..ask(&format!("survey{i}"), 3)
-        });
+        harness.ask(survey(&format!("survey{i}"), 3));
     }
     let mut busy: Vec<String> = harness
         .grants()
@@ -159,12 +178,10 @@
 fn a_later_ask_voids_the_earlier() {
     let mut harness = harness(&[1]);
     harness.ask(ask("runs", 0));
-    harness.ask(ask("again", 0));
+    let again = limited("again", CONCURRENCY);
+    harness.ask(again.clone());
     harness.verdicts();
-    harness.ask(Ask {
-        ask: 2,
-        ..ask("again", 0)
-    });
+    harness.ask(Ask { ask: 2, ..again });
     assert_eq!(harness.refusals(), refused("again", ErrorKind::Cancelled));
     harness.end("runs", "t0");
     let verdicts = harness.verdicts();
@@ -186,14 +203,31 @@
 // second one would take another slot, which nobody frees.
 #[test]
 fn a_repeated_call_gets_the_same_grant() {
-    let mut harness = harness(&[1, 1]);
-    harness.ask(ask("once", 0));
+    let mut harness = harness(&[1]);
+    harness.ask(ask("once", 1));
     let first = harness.verdicts();
-    harness.ask(ask("once", 0));
+    harness.ask(ask("waits", 0));
+    harness.ask(ask("once", 1));
     assert_eq!(harness.verdicts(), first);
     assert_eq!(harness.dispatcher.status().running, 1);
 }
 
+// A request waits for ever. Its entry lost the answer and calls again with the same number; then
+// the first call ends. The end of the first must not take back what the second waits for.
+#[test]
+fn the_end_of_a_replaced_call_takes_nothing_back() {
+    let mut harness = harness(&[1]);
+    harness.ask(ask("runs", 0));
+    let dispatcher = harness.dispatcher.clone();
+    let mut first = Box::pin(dispatcher.ask(ask("r", 0)));
+    assert_eq!((&mut first).now_or_never(), None);
+    let mut second = Box::pin(dispatcher.ask(ask("r", 0)));
+    assert_eq!((&mut second).now_or_never(), None);
+    drop(first);
+    harness.end("runs", "t0");
+    assert!(matches!(second.now_or_never(), Some(Verdict::Grant(_))));
+}
+
 // Slots are taken by nobody. A caller goes away and its call ends, while it waits or just as the
 // grant comes. Its ask has to go with it.
 #[test]
@@ -226,11 +260,14 @@
 #[test]
 fn a_draining_target_gets_nothing() {
     let mut harness = harness(&[1, 8]);
+    harness.ask(ask("a", 0));
+    harness.ask(ask("b", 0));
+    assert_eq!(harness.grants().len(), 2);
     harness.set_state(1, TargetState::Draining);
-    for i in 0..4 {
+    for i in 0..3 {
         harness.ask(ask(&format!("r{i}"), 0));
     }
-    assert_eq!(harness.grants(), granted("r0", "t0"));
+    assert_eq!(harness.verdicts(), []);
     harness.set_state(0, TargetState::Draining);
     let refusals = harness.refusals();
     assert_eq!(refusals.len(), 3);
@@ -246,27 +283,23 @@
 // trial, and work again once it answers.
 #[test]
 fn a_hung_target_is_found_and_tried_again() {
-    let mut harness = harness(&[2, 1]);
+    let mut harness = harness(&[8, 1]);
     harness.ask(ask("silent", 0));
-    let (_, hung) = harness.grants().remove(0);
-    harness.report("silent", &hung, ReportKind::Began);
+    assert_eq!(harness.grants(), granted("silent", "t0"));
+    harness.report("silent", "t0", ReportKind::Began);
     harness.advance(Duration::from_secs(4));
-    let index = usize::from(hung == "t1");
-    let health = |harness: &Harness| harness.dispatcher.status().targets[index].health;
+    let health = |harness: &Harness| harness.dispatcher.status().targets[0].health;
     assert_eq!(health(&harness), State::Hung);
     harness.ask(ask("urgent", 0));
-    assert_ne!(
-        harness.grants(),
-        granted("urgent", &hung),
-        "no urgent work on a trial"
-    );
-    harness.ask(Ask {
-        prompt_tokens: 9000,
-        ..ask("survey", 3)
-    });
-    assert_eq!(harness.grants(), []);
-    harness.report("silent", &hung, ReportKind::FirstToken { after: FLOOR });
+    assert_eq!(harness.grants(), granted("urgent", "t1"));
+    harness.ask(ask("waits", 0));
+    harness.ask(survey("survey", 3));
+    assert_eq!(harness.grants(), [], "nothing urgent or long on a trial");
+    harness.ask(ask("cheap", 3));
+    assert_eq!(harness.grants(), granted("cheap", "t0"));
+    harness.report("silent", "t0", FIRST_TOKEN);
     assert_eq!(health(&harness), State::Well);
+    assert_eq!(harness.grants().len(), 2, "both that waited");
 }
 
 // After a hang the target answers nothing to its trial either. Without the longer wait each
@@ -283,12 +316,11 @@
     }
     assert_eq!(harness.grants(), granted("trial0", "t0"));
     harness.report("trial0", "t0", ReportKind::Began);
-    harness.advance(Duration::from_secs(3));
+    harness.advance(Duration::from_millis(3500));
     assert_eq!(harness.grants(), [], "hung again, and waits longer");
     harness.advance(Duration::from_secs(2));
     assert_eq!(harness.grants(), granted("trial1", "t0"));
-    let after = Duration::from_millis(100);
-    harness.report("trial1", "t0", ReportKind::FirstToken { after });
+    harness.report("trial1", "t0", FIRST_TOKEN);
     assert_eq!(harness.grants(), granted("trial2", "t0"));
 }
 
@@ -427,8 +459,7 @@
     };
     harness.ask(shared(0));
     let (_, holder) = harness.grants().remove(0);
-    let after = Duration::from_millis(250);
-    harness.report("r0", &holder, ReportKind::FirstToken { after });
+    harness.report("r0", &holder, FIRST_TOKEN);
     harness.ask(shared(1));
     assert_eq!(harness.grants(), granted("r1", &holder));
     for i in 2..60 {
@@ -451,46 +482,67 @@
     assert_eq!(harness.dispatcher.status().targets[0].cached_blocks, 4096);
 }
 
+// Prefill is spent in vain. A deadline that could be met at first has come too near in the queue;
+// the request is refused at its turn.
+#[test]
+fn a_deadline_is_judged_again_at_the_grant() {
+    let mut harness = harness(&[1]);
+    harness.ask(ask("runs", 0));
+    harness.ask(due(4, survey("late", 0)));
+    harness.advance(Duration::from_secs(3));
+    assert_eq!(harness.refusals(), []);
+    harness.end("runs", "t0");
+    assert_eq!(
+        harness.refusals(),
+        refused("late", ErrorKind::DeadlineUnmeetable)
+    );
+}
+
+// A ping waits behind a survey that is being read, while another engine only generates. What we
+// have just sent counts at once, not when the engine reports it.
+#[test]
+fn our_own_grants_count_at_once() {
+    let mut harness = harness(&[8, 8]);
+    harness.ask(survey("survey", 0));
+    assert_eq!(harness.grants(), granted("survey", "t0"));
+    for request in ["a", "b", "c"] {
+        harness.ask(ask(request, 0));
+        assert_eq!(harness.grants(), granted(request, "t1"));
+    }
+}
+
 // Prefill is spent on an answer that nobody can get in time. The deadline is shorter than the
 // reading of the prompt, or than the work ahead; lower-tier work ahead doesn't count, since it
 // would be passed.
 #[test]
 fn a_hopeless_deadline_is_refused_at_once() {
     let mut harness = harness(&[1]);
-    let due = |secs| Some(Duration::from_secs(secs));
-    let survey = Ask {
-        prompt_tokens: 80_000,
-        ..ask("survey", 3)
-    };
-    harness.ask(Ask {
-        deadline: due(5),
-        ..survey.clone()
-    });
+    let limit = limited("counts", RATE).limit;
+    harness.ask(due(
+        1,
+        Ask {
+            limit,
+            ..survey("survey", 3)
+        },
+    ));
     assert_eq!(
         harness.refusals(),
         refused("survey", ErrorKind::DeadlineUnmeetable)
     );
+    harness.ask(limited("counts", RATE));
+    assert_eq!(
+        harness.grants(),
+        granted("counts", "t0"),
+        "the first took no place"
+    );
+    harness.end("counts", "t0");
     harness.ask(ask("runs", 0));
     harness.verdicts();
-    for i in 0..5 {
-        harness.ask(Ask {
-            request: format!("survey{i}"),
-            ..survey.clone()
-        });
+    for i in 0..25 {
+        harness.ask(survey(&format!("survey{i}"), 3));
     }
-    harness.ask(Ask {
-        deadline: due(20),
-        ..ask("lowest", 3)
-    });
-    harness.ask(Ask {
-        deadline: due(20),
-        customer: "z".to_owned(),
-        ..survey
-    });
-    harness.ask(Ask {
-        deadline: due(5),
-        ..ask("higher", 2)
-    });
+    harness.ask(due(20, ask("lowest", 3)));
+    harness.ask(due(5, ask("higher", 2)));
     let refusals = harness.refusals();
     let kind = ErrorKind::DeadlineUnmeetable;
     assert_eq!(refusals, [("lowest".to_owned(), kind)]);
@@ -509,12 +561,10 @@
         fn $name() {
             let mut harness = harness(&[8]);
             for (i, customer) in $customers.into_iter().enumerate() {
-                let limit = Some($limit);
                 let customer = str::to_owned(customer);
                 harness.ask(Ask {
                     customer,
-                    limit,
-                    ..ask(&format!("r{i}"), 0)
+                    ..limited(&format!("r{i}"), $limit)
                 });
             }
             let refusals = harness.refusals().into_iter();
@@ -525,50 +575,43 @@
     };
 }
 
+const CONCURRENCY: Limit = Limit {
+    concurrency: Some(1),
+    per_customer: false,
+    rate_per_s: None,
+};
+const EACH: Limit = Limit {
+    per_customer: true,
+    ..CONCURRENCY
+};
+const RATE: Limit = Limit {
+    concurrency: None,
+    per_customer: false,
+    rate_per_s: Some(1.0),
+};
+
 limit!(
     concurrency_is_limited,
-    Limit {
-        concurrency: Some(2),
-        ..Limit::default()
-    },
+    CONCURRENCY,
     ["a", "b", "a"],
-    ["r2"]
+    ["r1", "r2"]
 );
 limit!(
     concurrency_is_limited_per_customer,
-    Limit {
-        concurrency: Some(1),
-        per_customer: true,
-        ..Limit::default()
-    },
+    EACH,
     ["a", "b", "a"],
     ["r2"]
 );
-limit!(
-    rate_is_limited,
-    Limit {
-        rate_per_s: Some(1.0),
-        ..Limit::default()
-    },
-    ["a", "b", "a"],
-    ["r1", "r2"]
-);
+limit!(rate_is_limited, RATE, ["a", "b", "a"], ["r1", "r2"]);
 
 // A limit fills up for good, and every caller is refused. A place is given back however its
 // request ends.
 #[test]
 fn a_limit_is_given_back_at_each_end() {
     let mut harness = harness(&[1]);
-    let limit = Some(Limit {
-        concurrency: Some(1),
-        ..Limit::default()
-    });
     for i in 0..3 {
         let request = format!("r{i}");
-        harness.ask(Ask {
-            limit,
-            ..ask(&request, 0)
-        });
+        harness.ask(limited(&request, CONCURRENCY));
         assert_eq!(harness.grants(), granted(&request, "t0"));
         let outcome = [Outcome::Complete, Outcome::Failed, Outcome::Unused][i];
         let kind = ReportKind::Ended {
