--- a/crates/lilaccrank/tests/suite/dispatch_faults.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_faults.rs
@@ -503,7 +503,11 @@
 #[test]
 fn our_own_grants_count_at_once() {
     let mut harness = harness(&[8, 8]);
-    harness.ask(survey("survey", 0));
+    let prompt_tokens = 7000;
+    harness.ask(Ask {
+        prompt_tokens,
+        ..ask("survey", 0)
+    });
     assert_eq!(harness.grants(), granted("survey", "t0"));
     for request in ["a", "b", "c"] {
         harness.ask(ask(request, 0));
@@ -511,6 +515,23 @@
     }
 }
 
+// A rule that lets nothing wait refuses all, also while targets idle. What can go at once goes.
+#[test]
+fn no_wait_is_enough_for_an_idle_target() {
+    let mut harness = harness(&[1]);
+    let wait_at_most = Some(Duration::ZERO);
+    let hasty = |request: &str| Ask {
+        wait_at_most,
+        ..ask(request, 0)
+    };
+    harness.ask(hasty("goes"));
+    assert_eq!(harness.grants(), granted("goes", "t0"));
+    harness.ask(hasty("late"));
+    harness.advance(Duration::from_millis(100));
+    let kind = ErrorKind::DeadlineUnmeetable;
+    assert_eq!(harness.refusals(), refused("late", kind));
+}
+
 // Prefill is spent on an answer that nobody can get in time. The deadline is shorter than the
 // reading of the prompt, or than the work ahead; lower-tier work ahead doesn't count, since it
 // would be passed.
