--- a/crates/lilaccrank/src/dispatch/queue.rs
+++ b/crates/lilaccrank/src/dispatch/queue.rs
@@ -120,11 +120,12 @@
         self.items.get(request)
     }
 
-    /// The next ask for which it is too late at `now`.
+    /// The next ask for which it is too late at `now`. One that may not wait at all still has its
+    /// chance at the moment it comes.
     #[must_use]
     pub fn expired(&self, now: Instant) -> Option<&RequestId> {
         let (until, request) = self.expiries.first()?;
-        (*until <= now).then_some(request)
+        (*until < now).then_some(request)
     }
 
     /// Work that goes before a new ask of this customer and tier: all of the higher tiers, and
@@ -137,6 +138,13 @@
         higher.fold(own, |sum, work| sum + work)
     }
 
+    /// All work of this tier and of the higher ones.
+    #[must_use]
+    pub fn up_to(&self, tier: Tier) -> Work {
+        let tiers = self.tiers.range(..=tier).map(|(_, queue)| queue.total());
+        tiers.fold(Work::default(), |sum, work| sum + work)
+    }
+
     /// An ask by its request.
     #[must_use]
     pub fn get(&self, request: &str) -> Option<&Item> {
