Lab: logs bounded by a setting, idle stand-ins proved idle

Cause: dozens of stand-ins share one machine with what is measured; a log that grows or a task that polls would show in the measures of others.

Ruled out: filling a log of 100,000 entries in a test; the limit is a setting (`--log-limit`, 100,000 by default) that the test sets to 3.

Change: `--log-limit` of engine and service; a hung engine holds back also the events it has buffered and the end of a stream; tests of idle processor time and of bounded logs.

Conclusion: bounded and quiet enough to run in numbers.

--- a/crates/lilaccrank-lab/src/engine.rs
+++ b/crates/lilaccrank-lab/src/engine.rs
@@ -47,6 +47,9 @@
     fencing: Fencing,
     #[command(flatten)]
     listen: Listen,
+    /// Entries kept in the log; past it the oldest go.
+    #[arg(long, default_value_t = stand_in::LOG_LIMIT)]
+    log_limit: usize,
     /// Models that it serves; may be given more than once.
     #[arg(long, default_value = "lab")]
     model: Vec<String>,
--- a/crates/lilaccrank-lab/src/engine/log.rs
+++ b/crates/lilaccrank-lab/src/engine/log.rs
@@ -6,8 +6,8 @@
 
 use crate::reply;
 
-/// Entries kept; past it the oldest tenth is dropped.
-const LIMIT: usize = 100_000;
+/// Share of the log dropped at once when it is full, since dropping costs time in its length.
+const DROPPED_SHARE: usize = 10;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
@@ -37,12 +37,19 @@
 }
 
 /// The requests begun, in the order in which they came.
-#[derive(Default)]
 pub(super) struct Log {
     entries: IndexMap<RequestId, Entry>,
+    limit: usize,
 }
 
 impl Log {
+    pub(super) fn new(limit: usize) -> Self {
+        Self {
+            entries: IndexMap::new(),
+            limit,
+        }
+    }
+
     pub(super) fn begin(
         &mut self,
         request_id: RequestId,
@@ -50,8 +57,9 @@
         model: ModelId,
         prompt_tokens: u32,
     ) {
-        if self.entries.len() >= LIMIT {
-            self.entries.drain(..LIMIT / 10);
+        if self.entries.len() >= self.limit {
+            let dropped = (self.limit / DROPPED_SHARE).max(1);
+            self.entries.drain(..dropped.min(self.entries.len()));
         }
         let entry = Entry {
             admitted_ms: None,
--- a/crates/lilaccrank-lab/src/engine/serving.rs
+++ b/crates/lilaccrank-lab/src/engine/serving.rs
@@ -213,12 +213,13 @@
             let _ = tx.send(Err("broken off on request".into())).await;
             return;
         }
+        reader.engine.unhung().await;
         if tx.send(Ok(Frame::data(event))).await.is_err() {
             return;
         }
         index += 1;
-        reader.engine.unhung().await;
     }
+    reader.engine.unhung().await;
     let last = match stream.end() {
         Some(End::Done) => Ok(Frame::data(Bytes::from_static(sse::DONE))),
         _ => Err("the request was cancelled".into()),
--- a/crates/lilaccrank-lab/src/engine/state.rs
+++ b/crates/lilaccrank-lab/src/engine/state.rs
@@ -82,7 +82,7 @@
             cache_events: CacheEvents::new(delay, cfg.event_loss, cfg.seed),
             draining: false,
             load: LoadHistory::new(Duration::from_millis(cfg.report_lag_ms)),
-            log: Log::default(),
+            log: Log::new(cfg.log_limit),
             models: cfg.model.clone(),
             orders: Orders::new(cfg.fencing),
             own_ids: 0,
--- a/crates/lilaccrank-lab/src/service.rs
+++ b/crates/lilaccrank-lab/src/service.rs
@@ -19,14 +19,15 @@
 
 /// Largest body of a call.
 const BODY_LIMIT: usize = 64 << 20;
-/// Calls kept in the log; past it the oldest go.
-const LOG_LIMIT: usize = 100_000;
 
 /// Settings of a service stand-in.
 #[derive(clap::Args, Clone, Debug)]
 pub struct Args {
     #[command(flatten)]
     listen: Listen,
+    /// Entries kept in the log; past it the oldest go.
+    #[arg(long, default_value_t = stand_in::LOG_LIMIT)]
+    log_limit: usize,
     /// Time that each call takes.
     #[arg(long, default_value_t = 10)]
     work_ms: u64,
@@ -64,6 +65,7 @@
     fail_next: Cell<u32>,
     hang: Cell<bool>,
     log: RefCell<VecDeque<Entry>>,
+    log_limit: usize,
     work: Duration,
 }
 
@@ -78,6 +80,7 @@
         fail_next: Cell::default(),
         hang: Cell::default(),
         log: RefCell::default(),
+        log_limit: args.log_limit,
         work: Duration::from_millis(args.work_ms),
     });
     runtime::block_on(args.listen.serve(move |req| {
@@ -122,7 +125,7 @@
 
     fn begin(&self, method: String, headers: &HeaderMap, receipt: Receipt) {
         let mut log = self.log.borrow_mut();
-        if log.len() == LOG_LIMIT {
+        if log.len() >= self.log_limit {
             log.pop_front();
         }
         log.push_back(Entry {
--- a/crates/lilaccrank-lab/src/stand_in.rs
+++ b/crates/lilaccrank-lab/src/stand_in.rs
@@ -16,6 +16,9 @@
 /// Result of running a stand-in.
 pub type Result<T, E = io::Error> = std::result::Result<T, E>;
 
+/// Entries that a log keeps unless told otherwise.
+pub const LOG_LIMIT: usize = 100_000;
+
 /// Where a stand-in listens and when it ends. SIGTERM and SIGINT end it at once: it keeps
 /// nothing, and what it stands for may die at any moment too.
 #[derive(Args, Clone, Debug)]
--- a/crates/lilaccrank-lab/tests/suite.rs
+++ b/crates/lilaccrank-lab/tests/suite.rs
@@ -8,6 +8,8 @@
 mod engine;
 #[path = "suite/engine_faults.rs"]
 mod engine_faults;
+#[path = "suite/frugal.rs"]
+mod frugal;
 #[path = "suite/platform.rs"]
 mod platform;
 #[path = "suite/process.rs"]
--- a/crates/lilaccrank-lab/tests/suite/process.rs
+++ b/crates/lilaccrank-lab/tests/suite/process.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Its id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Closes its standard input; false if it has not ended well a while later.
     pub fn close_stdin(&mut self) -> bool {
         drop(self.child.stdin.take());
