--- a/crates/lilaccrank-lab/src/cluster.rs
+++ b/crates/lilaccrank-lab/src/cluster.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use lilaccrank::configuration::manifest::{Identity, Manifest};
+use lilaccrank::configuration::adoption::Adoption;
+use lilaccrank::configuration::manifest::Identity;
 use lilaccrank::configuration::publish::{self, Publication};
 use lilaccrank::document::{Document, Target};
 use lilaccrank_http::body;
@@ -128,17 +129,18 @@
     /// # Errors
     ///
     /// If it is not accepted.
-    pub async fn publish(&self, base: Option<Identity>, document: Document) -> Result<Manifest> {
+    pub async fn publish(&self, base: Option<Identity>, document: Document) -> Result<Identity> {
         let store = StoreClient::new(self.platform.address.clone());
+        let adoption = Adoption::new();
         let publication = Publication {
             author: "lab".to_owned(),
             base,
             document,
-            floor: None,
             id: format!("{:016x}", rand::random::<u64>()),
         };
-        let published = publish::publish(&store, &MonoioClock, &publication, PUBLISH_LIMIT).await;
-        published.map_err(std::io::Error::other)
+        let published =
+            publish::publish(&store, &MonoioClock, &adoption, &publication, PUBLISH_LIMIT);
+        published.await.map_err(std::io::Error::other)
     }
 
     fn start_daemons(&mut self) -> Result<()> {
