Lab: a waiting task takes its waker back

Cause: watches whose time ran out left their wakers with the platform until the next write, so an idle platform grew with each of them; registering compared each waker with all others.

Ruled out: clearing at a count; it would wake tasks for nothing.

Change: `Notify::changed` is a future with an id that removes its waker when dropped. A test that a caller which leaves the engine's queue costs no prefill.

--- a/crates/lilaccrank-lab/src/engine/batch.rs
+++ b/crates/lilaccrank-lab/src/engine/batch.rs
@@ -32,10 +32,10 @@
 
 /// What one step does.
 struct Step {
-    length: Duration,
-    prefill: Vec<Chunk>,
     /// Requests that get a token.
     decode: Vec<RequestId>,
+    length: Duration,
+    prefill: Vec<Chunk>,
 }
 
 struct Chunk {
@@ -91,9 +91,9 @@
     }
     let ms = ms * engine.faults.speed.get();
     Some(Step {
+        decode,
         length: Duration::from_secs_f64(ms.max(0.0) / 1000.0),
         prefill,
-        decode,
     })
 }
 
--- a/crates/lilaccrank-lab/src/engine/stream.rs
+++ b/crates/lilaccrank-lab/src/engine/stream.rs
@@ -14,6 +14,7 @@
 pub(super) struct Stream {
     /// Cut each reader off after so many events, once.
     pub(super) break_after: Cell<Option<usize>>,
+    changed: Notify,
     end: Cell<Option<End>>,
     events: RefCell<Vec<Bytes>>,
     max_tokens: u32,
@@ -25,7 +26,6 @@
     pub(super) readers: Cell<Readers>,
     text: RefCell<String>,
     usage: Cell<Usage>,
-    changed: Notify,
     writer: Writer,
 }
 
--- a/crates/lilaccrank-lab/src/notify.rs
+++ b/crates/lilaccrank-lab/src/notify.rs
@@ -1,14 +1,28 @@
 //! Wakes the tasks of one thread that wait for a change.
 
 use std::cell::{Cell, RefCell};
-use std::future::{self, Future};
-use std::task::{Poll, Waker};
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
+
+use indexmap::IndexMap;
 
 /// Tells waiting tasks that something changed; they look themselves at what did.
 #[derive(Default)]
 pub struct Notify {
     changes: Cell<u64>,
-    wakers: RefCell<Vec<Waker>>,
+    next_id: Cell<u64>,
+    wakers: RefCell<IndexMap<u64, Waker>>,
+}
+
+/// Waits for the next change.
+///
+/// Takes its waker back when it is dropped: watches whose time runs out again and again, with no
+/// change in between, would otherwise pile up wakers of tasks long gone.
+pub struct Changed<'a> {
+    id: u64,
+    notify: &'a Notify,
+    seen: u64,
 }
 
 impl Notify {
@@ -16,21 +30,42 @@
     pub fn notify(&self) {
         self.changes.set(self.changes.get() + 1);
         let wakers = self.wakers.take();
-        wakers.into_iter().for_each(Waker::wake);
+        wakers.into_values().for_each(Waker::wake);
     }
 
     /// Completes at the next [`notify`](Self::notify) after this call.
-    pub fn changed(&self) -> impl Future<Output = ()> + '_ {
-        let seen = self.changes.get();
-        future::poll_fn(move |cx| {
-            if self.changes.get() != seen {
-                return Poll::Ready(());
-            }
-            let mut wakers = self.wakers.borrow_mut();
-            if !wakers.iter().any(|waker| waker.will_wake(cx.waker())) {
-                wakers.push(cx.waker().clone());
-            }
-            Poll::Pending
-        })
+    pub fn changed(&self) -> Changed<'_> {
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        Changed {
+            id,
+            notify: self,
+            seen: self.changes.get(),
+        }
+    }
+
+    /// Tasks that wait now.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.wakers.borrow().len()
+    }
+}
+
+impl Future for Changed<'_> {
+    type Output = ();
+
+    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        if self.notify.changes.get() != self.seen {
+            return Poll::Ready(());
+        }
+        let mut wakers = self.notify.wakers.borrow_mut();
+        wakers.insert(self.id, cx.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl Drop for Changed<'_> {
+    fn drop(&mut self) {
+        self.notify.wakers.borrow_mut().swap_remove(&self.id);
     }
 }
--- a/crates/lilaccrank-lab/tests/suite.rs
+++ b/crates/lilaccrank-lab/tests/suite.rs
@@ -10,6 +10,8 @@
 mod engine_faults;
 #[path = "suite/frugal.rs"]
 mod frugal;
+#[path = "suite/notify.rs"]
+mod notify;
 #[path = "suite/platform.rs"]
 mod platform;
 #[path = "suite/process.rs"]
--- a/crates/lilaccrank-lab/tests/suite/engine_faults.rs
+++ b/crates/lilaccrank-lab/tests/suite/engine_faults.rs
@@ -92,6 +92,26 @@
     .unwrap();
 }
 
+// A caller leaves while its request waits for a slot. The engine has nothing to send it and must
+// notice all the same: prefill for a caller that has gone would be waste.
+#[test]
+fn caller_that_left_the_queue_costs_nothing() {
+    runtime::block_on(async {
+        let engine = Process::start(&["engine", "--step-ms", "4", "--slots", "1"]);
+        let mut running = caller::stream(&engine.address, "a", "hello", 1000).await;
+        running.events(1).await.unwrap();
+        drop(caller::stream(&engine.address, "b", "hello", 1).await);
+        sleep_ms(2300).await;
+        let log = engine.read("/log").await;
+        assert_eq!(
+            (&log[0]["end"], &log[1]["end"]),
+            (&Value::Null, &json!("cancelled"))
+        );
+        assert_eq!(log[1]["prefilled_tokens"], 0);
+    })
+    .unwrap();
+}
+
 // The engine takes the request and falls silent before its head; the caller sees nothing until
 // the hang is over, and the log tells that the request was begun all the same.
 #[test]
