Lab tests: one runner and one way to read a column

Cause: the tests of the lab had grown past a third of its code, much of it the same lines.

Ruled out: taking tests out.

--- a/crates/lilaccrank-lab/tests/suite/caller.rs
+++ b/crates/lilaccrank-lab/tests/suite/caller.rs
@@ -8,6 +8,7 @@
 use hyper::{Method, Request, StatusCode};
 use lilaccrank_http::body;
 use lilaccrank_http::client::{self, Client, Connection, Limits};
+use lilaccrank_http::runtime;
 use serde_json::{Value, json};
 
 const LIMITS: Limits = Limits {
@@ -17,6 +18,11 @@
 };
 const BODY_LIMIT: usize = 1 << 20;
 
+/// Runs a test to its end.
+pub fn run<F: Future>(test: F) -> F::Output {
+    runtime::block_on(test).unwrap()
+}
+
 /// A whole answer.
 pub struct Answer {
     pub body: Bytes,
@@ -127,3 +133,9 @@
     let texts = chunks.map(|c| c["choices"][0]["text"].as_str().unwrap_or("").to_owned());
     texts.collect()
 }
+
+/// One field of each entry of a list.
+pub fn column(list: &Value, field: &str) -> Vec<Value> {
+    let entries = list.as_array().unwrap().iter();
+    entries.map(|entry| entry[field].clone()).collect()
+}
