Request keys: model of claim, dispatch and takeover

Cause: the search over the specification (entries with 1, 1 and 2 attempts, one freeze) found a second dispatch. A thawed keeper and its successor had given the same claim number to two entries; the release of the one was taken as that of the other, which ran. Ruled out: comparing the holder in each place where numbers are compared (the store's object names the number too). Change: each grant draws a number of its own. The specification and its search; variants without one safeguard each, which must be caught.

--- a/crates/lilaccrank/src/request_key/grant.rs
+++ b/crates/lilaccrank/src/request_key/grant.rs
@@ -100,15 +100,9 @@
     }
 
     fn next_claim(&self, ask: &Ask, known: Option<&Record>) -> Record {
-        let claim = match known {
-            Some(record) => ClaimNumber {
-                number: record.holder.claim.number + 1,
-                lineage: record.holder.claim.lineage,
-            },
-            None => ClaimNumber {
-                number: 1,
-                lineage: self.draw_lineage(),
-            },
+        let claim = ClaimNumber {
+            number: known.map_or(0, |record| record.holder.claim.number) + 1,
+            grant: self.draw_grant(),
         };
         Record {
             body: ask.body,
@@ -123,9 +117,9 @@
         }
     }
 
-    fn draw_lineage(&self) -> u64 {
-        let count = self.inner.lineages.get() + 1;
-        self.inner.lineages.set(count);
+    fn draw_grant(&self) -> u64 {
+        let count = self.inner.grants.get() + 1;
+        self.inner.grants.set(count);
         let me = self.inner.ranking.me();
         xxh3::xxh3_64_with_seed(me.to_string().as_bytes(), count)
     }
--- a/crates/lilaccrank/src/request_key/keeper.rs
+++ b/crates/lilaccrank/src/request_key/keeper.rs
@@ -54,7 +54,7 @@
 
 pub(super) struct Inner<C, P, R> {
     pub(super) clock: C,
-    pub(super) lineages: Cell<u64>,
+    pub(super) grants: Cell<u64>,
     pub(super) limits: Limits,
     pub(super) pauses: Cell<u64>,
     pub(super) peers: P,
@@ -80,7 +80,7 @@
         let ticked = Cell::new(clock.now());
         let inner = Inner {
             clock,
-            lineages: Cell::new(0),
+            grants: Cell::new(0),
             limits,
             pauses: Cell::new(0),
             peers,
--- a/crates/lilaccrank/src/request_key/record.rs
+++ b/crates/lilaccrank/src/request_key/record.rs
@@ -6,17 +6,18 @@
 use crate::request_key::key_id::BodyDigest;
 use crate::request_key::ranking::MemberRef;
 
-/// Orders the claims of one key.
+/// Names one grant of a key and orders it among the others.
 ///
-/// After the loss of all records of a key its numbers start over. `lineage` tells such a new
-/// row of numbers from the old one: numbers compare as history only inside one lineage.
+/// Two keepers that don't know of each other, one thawed and one its successor, can give the
+/// same number to different entries. The release of the one would then count as that of the
+/// other, which runs, and the request would run again. `grant` tells them apart.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ClaimNumber {
     // The derived order compares the fields from top to bottom, so theirs is not alphabetical.
-    /// Position in the lineage, from 1.
+    /// Grows with each grant that the keeper knows of, from 1.
     pub number: u32,
-    /// Drawn by the keeper that first saw the key.
-    pub lineage: u64,
+    /// Drawn by the keeper, unique over all grants.
+    pub grant: u64,
 }
 
 /// Who holds a claim.
--- a/crates/lilaccrank/tests/suite/request_key.rs
+++ b/crates/lilaccrank/tests/suite/request_key.rs
@@ -4,5 +4,9 @@
 mod cluster;
 #[path = "request_key/failures.rs"]
 mod failures;
+#[path = "request_key/model.rs"]
+mod model;
+#[path = "request_key/spec.rs"]
+mod spec;
 #[path = "request_key/store_failures.rs"]
 mod store_failures;
