Request keys: paths of the specification replayed against the code

Cause: a model that holds says nothing of code that differs from it. Ruled out: sharing the transitions between both (a fault would be shared). Change: sampled paths are driven through the real claims, keepers and handover with fakes; entry state and every daemon's record must match after each step. The first runs found two differences: a release that succeeds ends the refusal (replay put right, with a count of unsent messages), and a handover that began before the first tick after a pause was thrown away in the end (code put right: it notes the pause first).

--- a/crates/lilaccrank/src/request_key/claims.rs
+++ b/crates/lilaccrank/src/request_key/claims.rs
@@ -241,6 +241,12 @@
         }
     }
 
+    /// Ends and releases that wait for a keeper that could not be reached, for the metrics.
+    #[must_use]
+    pub fn unsent(&self) -> usize {
+        self.inner.unsent.borrow().len()
+    }
+
     pub(super) fn me(&self) -> MemberRef {
         self.inner.keeper.inner.ranking.me()
     }
--- a/crates/lilaccrank/src/request_key/handover.rs
+++ b/crates/lilaccrank/src/request_key/handover.rs
@@ -22,6 +22,7 @@
     /// their new owners and asks every live member for what this daemon now owns. Until that
     /// is done, claims get [`KeyReply::Unsettled`]. Returns early if the members change again.
     pub async fn members_changed(&self) {
+        self.tick_if_paused();
         let view = self.inner.ranking.ranked(0);
         let pauses = self.inner.pauses.get();
         self.push_all(&view).await;
--- a/crates/lilaccrank/tests/suite/request_key.rs
+++ b/crates/lilaccrank/tests/suite/request_key.rs
@@ -6,6 +6,8 @@
 mod failures;
 #[path = "request_key/model.rs"]
 mod model;
+#[path = "request_key/replay.rs"]
+mod replay;
 #[path = "request_key/spec.rs"]
 mod spec;
 #[path = "request_key/store_failures.rs"]
--- a/crates/lilaccrank/tests/suite/request_key/cluster.rs
+++ b/crates/lilaccrank/tests/suite/request_key/cluster.rs
@@ -190,6 +190,11 @@
     }
 
     pub fn with_limits(size: usize, limits: Limits) -> Self {
+        Self::with(size, limits, WAIT_AT_MOST)
+    }
+
+    /// Daemons whose entries ask the keeper for at most `wait`.
+    pub fn with(size: usize, limits: Limits, wait: Duration) -> Self {
         let clock = PausedClock::new();
         let peers = FakePeers {
             clock: clock.clone(),
@@ -206,14 +211,20 @@
         };
         let live: Vec<MemberRef> = (0..size).map(member).collect();
         for me in &live {
-            let daemon = cluster.daemon(me.clone(), live.clone(), limits.clone());
+            let daemon = cluster.daemon(me.clone(), live.clone(), limits.clone(), wait);
             cluster.daemons.push(daemon);
         }
         cluster.settle();
         cluster
     }
 
-    fn daemon(&self, me: MemberRef, live: Vec<MemberRef>, limits: Limits) -> Daemon {
+    fn daemon(
+        &self,
+        me: MemberRef,
+        live: Vec<MemberRef>,
+        limits: Limits,
+        wait: Duration,
+    ) -> Daemon {
         let live = Rc::new(RefCell::new(live));
         let view = View { live, me };
         let (clock, peers) = (self.clock.clone(), self.peers.clone());
@@ -221,7 +232,7 @@
         let mut keepers = self.peers.keepers.borrow_mut();
         keepers.insert(view.me.vm.clone(), keeper.clone());
         let budget = Budget::new(clock, 10.0, 20.0);
-        let claims = Claims::new(keeper.clone(), self.store.clone(), budget, WAIT_AT_MOST);
+        let claims = Claims::new(keeper.clone(), self.store.clone(), budget, wait);
         Daemon {
             claims,
             keeper,
@@ -258,11 +269,15 @@
         down.retain(|vm| *vm != member(index).vm);
     }
 
+    /// Daemon `index` sees the members `live`, in this order.
+    pub fn see(&self, index: usize, live: impl Iterator<Item = usize>) {
+        *self.daemons[index].view.live.borrow_mut() = live.map(member).collect();
+    }
+
     /// Everybody sees the members `live`, in this order.
     pub fn rejoin(&self, live: &[usize]) {
-        let live: Vec<MemberRef> = live.iter().copied().map(member).collect();
-        for daemon in &self.daemons {
-            daemon.view.live.borrow_mut().clone_from(&live);
+        for index in 0..self.daemons.len() {
+            self.see(index, live.iter().copied());
         }
     }
 
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/request_key/replay.rs
@@ -0,0 +1,179 @@
+//! Paths of the specification, replayed against the code; each step must lead to its state.
+
+use std::time::Duration;
+
+use lilaccrank::clock::Clock;
+use lilaccrank::request_key::{
+    Access, ClaimNumber, Error, KeyId, Limits, Outcome, Record, Result, Stage,
+};
+
+use crate::request_key::cluster::{Cluster, Loss, TestAccess, TestClaim, TestMarked, wanted};
+use crate::request_key::spec::{self, Action, Broken, Keys, Lost, Number, Phase, Rec, SIZE, State};
+
+/// One path in this many is replayed.
+const SAMPLE: usize = 61;
+const PAUSE: Duration = Duration::from_secs(2);
+
+enum Entry {
+    Claimed(TestClaim),
+    Idle,
+    Marked(TestMarked),
+    Refused,
+    Running(TestMarked),
+}
+
+struct Replay {
+    cluster: Cluster,
+    entries: [Entry; SIZE],
+}
+
+impl Replay {
+    fn new() -> Self {
+        Self {
+            cluster: Cluster::with(SIZE, Limits::default(), Duration::ZERO),
+            entries: [const { Entry::Idle }; SIZE],
+        }
+    }
+
+    fn step(&mut self, action: Action, next: &State) {
+        match action {
+            Action::Claim(index, lost) => {
+                let access = self.under(lost, |cluster| cluster.claim(index, &wanted(true)));
+                self.entries[index] = claimed(access);
+            }
+            Action::Mark(index, lost) => {
+                let Entry::Claimed(claim) = self.take(index) else {
+                    panic!("nothing to mark");
+                };
+                let marked = self.under(lost, |cluster| cluster.run(claim.mark_dispatching()));
+                self.entries[index] = match marked {
+                    Ok(claim) => Entry::Marked(claim),
+                    Err(Error::AlreadyRun { .. }) => Entry::Idle,
+                    Err(_) if self.cluster.daemons[index].claims.unsent() == 0 => Entry::Idle,
+                    Err(_) => Entry::Refused,
+                };
+            }
+            Action::Dispatch(index, _) => {
+                let Entry::Marked(claim) = self.take(index) else {
+                    panic!("nothing to dispatch");
+                };
+                self.entries[index] = Entry::Running(claim);
+            }
+            Action::End(index, lost) => {
+                let Entry::Running(claim) = self.take(index) else {
+                    panic!("nothing to end");
+                };
+                let held = Outcome::Held { until_ms: u64::MAX };
+                self.under(lost, |cluster| cluster.run(claim.end(held)));
+            }
+            Action::Release(index) => {
+                let claims = &self.cluster.daemons[index].claims;
+                self.cluster.run(claims.sweep());
+                self.take(index);
+            }
+            Action::Crash(index) | Action::Freeze(index) => self.cluster.stop(index),
+            Action::Thaw(index) => {
+                self.cluster.run(self.cluster.clock.sleep(PAUSE));
+                self.cluster.thaw(index);
+            }
+            Action::Rejoin(_) => {}
+            Action::Settle(index) => {
+                let keeper = &self.cluster.daemons[index].keeper;
+                self.cluster.run(keeper.members_changed());
+            }
+        }
+        for index in 0..SIZE {
+            let view = next.view(index);
+            self.cluster
+                .see(index, (0..SIZE).filter(|member| view[*member]));
+        }
+    }
+
+    fn take(&mut self, index: usize) -> Entry {
+        std::mem::replace(&mut self.entries[index], Entry::Idle)
+    }
+
+    fn under<T>(&self, lost: Lost, call: impl FnOnce(&Cluster) -> T) -> T {
+        self.cluster.lose(match lost {
+            Lost::Copy => Loss::Copies,
+            Lost::Nothing => Loss::Nothing,
+            Lost::Reply => Loss::Replies,
+        });
+        let output = call(&self.cluster);
+        self.cluster.lose(Loss::Nothing);
+        output
+    }
+
+    fn compare(&self, expected: &State, path: &[(Action, &State)]) {
+        let actions: Vec<Action> = path.iter().map(|(action, _)| *action).collect();
+        let id = KeyId::new("acme", "k");
+        for (index, daemon) in expected.daemons.iter().enumerate() {
+            if daemon.phase == Phase::Dead {
+                continue;
+            }
+            let same = matches!(
+                (&self.entries[index], daemon.entry),
+                (Entry::Claimed(_), spec::Entry::Claimed(_))
+                    | (Entry::Idle, spec::Entry::Idle)
+                    | (Entry::Marked(_), spec::Entry::Marked(_))
+                    | (Entry::Refused, spec::Entry::Refused)
+                    | (Entry::Running(_), spec::Entry::Running(_))
+            );
+            assert!(same, "entry {index} after {actions:?}");
+            let record = self.cluster.daemons[index].keeper.record(&id);
+            assert_eq!(
+                record.map(abstracted),
+                daemon.rec,
+                "record at {index} after {actions:?}"
+            );
+        }
+    }
+}
+
+fn claimed(access: Result<TestAccess>) -> Entry {
+    match access {
+        Ok(Access::Granted(claim)) => Entry::Claimed(claim),
+        Ok(_) | Err(Error::AlreadyRun { .. }) => Entry::Idle,
+        Err(_) => Entry::Refused,
+    }
+}
+
+/// The specification's view of a record.
+fn abstracted(record: Record) -> Rec {
+    let number = |claim: ClaimNumber| Number(claim.number, claim.grant);
+    let holder = record.holder;
+    Rec {
+        attempt: holder.attempt,
+        entry: holder.entry.vm[1..].parse().unwrap(),
+        number: number(holder.claim),
+        released: record.released.map(number),
+        stage: match record.stage {
+            Stage::Claimed => spec::Stage::Claimed,
+            Stage::Dispatching => spec::Stage::Marked,
+            Stage::Ended(_) => spec::Stage::Ended,
+            Stage::Free => spec::Stage::Free,
+        },
+    }
+}
+
+#[test]
+fn code_follows_the_paths_of_the_specification() {
+    let keys = Keys {
+        attempts: [1, 1, 2],
+        broken: Broken::Nothing,
+        faults: 1,
+        idempotent: true,
+    };
+    let search = spec::search(&keys);
+    let mut steps = 0;
+    for index in (0..search.states.len()).rev().step_by(SAMPLE) {
+        let path = search.path(index);
+        let mut replay = Replay::new();
+        for (done, (action, next)) in path.iter().enumerate() {
+            replay.step(*action, next);
+            replay.compare(next, &path[..=done]);
+        }
+        steps += path.len();
+    }
+    println!("{} states, {steps} steps replayed", search.states.len());
+}
--- a/crates/lilaccrank/tests/suite/request_key/spec.rs
+++ b/crates/lilaccrank/tests/suite/request_key/spec.rs
@@ -347,15 +347,16 @@
         let Some(keeper) = self.keeper(state, entry) else {
             return false;
         };
+        let heard = lost != Lost::Reply || keeper == entry;
         let Some(rec) = &mut state.daemons[keeper].rec else {
-            return true;
+            return heard;
         };
         if (rec.entry, rec.attempt) != (entry, attempt) || rec.stage == Stage::Ended {
-            return true;
+            return heard;
         }
         rec.released = Some(rec.number);
         rec.stage = Stage::Free;
-        self.replicate(state, keeper, lost) && (lost != Lost::Reply || keeper == entry)
+        self.replicate(state, keeper, lost) && heard
     }
 
     /// The entry gives up a claim, says "not run" and frees the key as far as it can.
@@ -470,6 +471,7 @@
                 };
                 state.daemons[entry].absorb(ended);
                 state.daemons[entry].entry = Entry::Idle;
+                state.daemons[entry].attempts = self.attempts[entry];
                 if let Some(keeper) = self.keeper(&state, entry)
                     && let Some(known) = state.daemons[keeper].rec
                     && known.same_claim(&rec)
