--- a/crates/lilaccrank/tests/suite/request_key.rs
+++ b/crates/lilaccrank/tests/suite/request_key.rs
@@ -4,5 +4,11 @@
 mod cluster;
 #[path = "request_key/failures.rs"]
 mod failures;
+#[path = "request_key/model.rs"]
+mod model;
+#[path = "request_key/replay.rs"]
+mod replay;
+#[path = "request_key/spec.rs"]
+mod spec;
 #[path = "request_key/store_failures.rs"]
 mod store_failures;
