Configuration: the real code replays paths of the specification

Cause: a specification that the code doesn't follow proves nothing. Change: 400 seeded paths are taken step by step by publish, confirm, watcher and exchange over the fake store; after each step the store's manifest, its ancestors, what each daemon holds and each operator's answer must be those of the specification, and what it can't do the code must refuse. An unconditional write and the adoption of a lower generation pass the replay, as it has no two writes at one moment and looks only upwards; configuration_publish catches both.

--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -4,6 +4,8 @@
 mod configuration_model;
 #[path = "suite/configuration_publish.rs"]
 mod configuration_publish;
+#[path = "suite/configuration_replay.rs"]
+mod configuration_replay;
 #[path = "suite/configuration_spec.rs"]
 mod configuration_spec;
 #[path = "suite/configuration_store.rs"]
--- a/crates/lilaccrank/tests/suite/configuration_model.rs
+++ b/crates/lilaccrank/tests/suite/configuration_model.rs
@@ -124,5 +124,6 @@
 caught!(never_confirms => "an accepted publication is lost");
 caught!(no_heal => "daemons and store stay apart");
 caught!(no_read_back => "a publication is refused and takes effect");
+caught!(republishes => "a publication takes effect twice");
 caught!(sibling_not_raised => "daemons and store stay apart");
 caught!(unconditional => "an accepted publication is lost");
--- a/crates/lilaccrank/tests/suite/configuration_publish.rs
+++ b/crates/lilaccrank/tests/suite/configuration_publish.rs
@@ -365,9 +365,9 @@
 
 /// A peer that holds `holder`'s configuration, and the sizes of its answers in bytes.
 #[derive(Clone)]
-struct Holder {
-    holder: Adoption,
-    sent: Rc<RefCell<Vec<usize>>>,
+pub struct Holder {
+    pub holder: Adoption,
+    pub sent: Rc<RefCell<Vec<usize>>>,
 }
 
 impl Peers<Ask, Answer> for Holder {
--- a/crates/lilaccrank/tests/suite/configuration_spec.rs
+++ b/crates/lilaccrank/tests/suite/configuration_spec.rs
@@ -67,6 +67,7 @@
     pub never_confirms: bool,
     pub no_heal: bool,
     pub no_read_back: bool,
+    pub republishes: bool,
     pub sibling_not_raised: bool,
     pub unconditional: bool,
 }
@@ -255,7 +256,8 @@
         };
         let host = operator % DAEMONS;
         let publication = operator as u8 + 1;
-        if self.store.contains(publication) && !broken.no_read_back {
+        let reads_back = !broken.no_read_back && !broken.republishes;
+        if self.store.contains(publication) && reads_back {
             return self.settle(operator, answer, Phase::Written { base });
         }
         let forgotten = |held: &Config| {
@@ -264,7 +266,7 @@
         };
         let held = self.daemons[host].filter(|held| forgotten(held) && !broken.ignores_held);
         let in_force = held.unwrap_or(self.store);
-        if in_force != base && !broken.unconditional {
+        if in_force != base && !broken.unconditional && !broken.republishes {
             return self.settle(operator, answer, Phase::Refused);
         }
         if answer != Answer::LostBefore {
