Asks wait for a holder of their prefix, for as long as its reading would take

Cause: in a full pool one slot comes free at a time, and the first ask took it whatever its prompt; the cache was met by chance only. Ruled out: waiting without bound (starves), and an estimate of when the holder frees (needs more than is known). Change: delay scheduling among the first eight customers' asks; urgent asks never wait.

--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -16,6 +16,7 @@
 pub mod affinity;
 pub mod choice;
 mod deadline;
+mod delay;
 pub mod estimate;
 mod fair;
 mod grants;
--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -16,7 +16,7 @@
 /// Targets with the least load that are looked at closely.
 const CLOSE: usize = 8;
 /// Holders of the prefix that are looked at closely.
-const HOLDERS: usize = 16;
+pub(super) const HOLDERS: usize = 16;
 /// Prefill tokens outstanding at a target beyond which it gets no more.
 pub const PREFILL_LIMIT: u64 = 8192;
 /// Prompts longer than this are long; a silent target is tried by a shorter one.
--- /dev/null
+++ b/crates/lilaccrank/src/dispatch/delay.rs
@@ -0,0 +1,61 @@
+//! Delay scheduling: an ask waits for a target that holds its prefix, but not for long.
+//!
+//! In a full pool one slot comes free at a time. Were the first ask always put there, the cache
+//! would hardly ever be met: prompts are read again and push each other out. So an ask whose
+//! holder is full lets others pass for as long as the reading that it saves would take, which
+//! costs it at most twice that time. Urgent asks don't wait.
+
+use std::time::{Duration, Instant};
+
+use super::choice::{self, Room};
+use super::health;
+use super::state::State;
+
+/// Asks that are looked at for one that suits the free targets.
+pub(super) const DELAY_SCAN: usize = 8;
+/// Savings below this, in tokens, are not worth a delay.
+const SAVING_FLOOR: u64 = 256;
+
+impl State {
+    /// Whether the ask waits for a holder of its prefix.
+    pub(super) fn is_delayed(&self, request: &str, room: Room, now: Instant) -> bool {
+        let Some(waiting) = self.waiting.get(request) else {
+            return false;
+        };
+        if waiting.ask.prefix.is_empty() || choice::is_urgent(waiting.ask.tier) {
+            return false;
+        }
+        let gain = self.gain(request, room, now);
+        if gain.is_zero() {
+            return false;
+        }
+        let since = waiting.delayed.get().unwrap_or(now);
+        waiting.delayed.set(Some(since));
+        now.saturating_duration_since(since) < gain
+    }
+
+    /// Time of reading that a full holder saves over the best open target.
+    fn gain(&self, request: &str, room: Room, now: Instant) -> Duration {
+        let wanted = self.wanted(&self.waiting[request].ask);
+        let (mut open, mut full, mut rate) = (0, 0, f64::INFINITY);
+        for id in self.affinity.holders(wanted.prefix, choice::HOLDERS) {
+            let Some(target) = self.targets.get(id) else {
+                continue;
+            };
+            let blocks = self.affinity.held(id, wanted.prefix) as u64;
+            let saved = (blocks * u64::from(wanted.block_tokens)).min(wanted.work.prefill);
+            let well = target.live && target.health.state() == health::State::Well;
+            if choice::is_open(target, &wanted, room, now) {
+                open = open.max(saved);
+            } else if well && !wanted.exclusions.contains(id) && saved > full {
+                full = saved;
+                rate = target.estimate.prefill_rate(now);
+            }
+        }
+        let saved = full.saturating_sub(open);
+        if saved < SAVING_FLOOR {
+            return Duration::ZERO;
+        }
+        Duration::try_from_secs_f64(saved as f64 / rate).unwrap_or_default()
+    }
+}
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::choice::{self, Choice, Room};
+use super::delay::DELAY_SCAN;
 use super::message::Entry;
 use super::queue::Lane;
 use super::state::{Reservation, State, Waiting, work};
@@ -158,11 +159,15 @@
                     heads.find(|place| self.is_open(&place.request, room, now))
                 }
                 Lane::Long | Lane::Short => {
-                    let place = self.queue.heads(tier, lane).next()?;
+                    let mut heads = self.queue.heads(tier, lane).take(DELAY_SCAN).peekable();
+                    let place = heads.peek()?;
                     let found = open.slot(tier, lane);
                     let is_open =
                         *found.get_or_insert_with(|| self.is_open(&place.request, room, now));
-                    is_open.then_some(place)
+                    if !is_open {
+                        return None;
+                    }
+                    heads.find(|place| !self.is_delayed(&place.request, room, now))
                 }
             });
             firsts.min().map(|place| place.request.clone())
--- a/crates/lilaccrank/src/dispatch/recovery.rs
+++ b/crates/lilaccrank/src/dispatch/recovery.rs
@@ -3,6 +3,7 @@
 //! The dispatcher's state is soft: the entries own their requests and tell a new dispatcher what
 //! they have.
 
+use std::cell::Cell;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexSet;
@@ -153,6 +154,7 @@
             counted: self.limits.take_over(&running.ask, now),
             ask: running.ask,
             deadline: None,
+            delayed: Cell::default(),
             waiter: None,
         };
         self.reserve(&waiting, &choice, now);
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -1,5 +1,6 @@
 //! What a dispatcher knows of its pool, and the admission of asks.
 
+use std::cell::Cell;
 use std::time::{Duration, Instant};
 
 use futures::channel::oneshot;
@@ -40,6 +41,8 @@
     pub(super) ask: Ask,
     pub(super) counted: Option<Counted>,
     pub(super) deadline: Option<Instant>,
+    /// Since when it waits for a holder of its prefix.
+    pub(super) delayed: Cell<Option<Instant>>,
     pub(super) waiter: Option<Waiter>,
 }
 
@@ -158,6 +161,7 @@
             ask,
             counted,
             deadline,
+            delayed: Cell::default(),
             waiter: None,
         };
         self.waiting.insert(waiting.ask.request.clone(), waiting);
--- a/crates/lilaccrank/tests/suite/dispatch_faults.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_faults.rs
@@ -472,6 +472,39 @@
     assert_eq!(counts.len(), 2, "{counts:?}");
 }
 
+// In a full pool every prompt is read again, since the slot that comes free is mostly not at its
+// holder. An ask lets others pass for the time of the reading that its holder saves, then goes
+// anywhere.
+#[test]
+fn an_ask_waits_for_its_holder_a_while() {
+    let mut harness = harness(&[2, 2]);
+    let shared = |request: &str, tier: u8| Ask {
+        prefix: affinity::digests(&[7; 2000], 64),
+        prompt_tokens: 2000,
+        ..ask(request, tier)
+    };
+    for request in ["x", "y"] {
+        let exclusions = vec!["t1".to_owned()];
+        let ask = shared(request, 0);
+        harness.ask(Ask { exclusions, ..ask });
+        harness.report(request, "t0", FIRST_TOKEN);
+    }
+    assert_eq!(harness.grants().len(), 2);
+    harness.ask(shared("first", 1));
+    let customer = "quarry".to_owned();
+    let other = ask("other", 1);
+    harness.ask(Ask { customer, ..other });
+    assert_eq!(harness.grants(), granted("other", "t1"));
+    harness.end("x", "t0");
+    assert_eq!(harness.grants(), granted("first", "t0"));
+    harness.end("other", "t1");
+    harness.ask(shared("second", 1));
+    harness.advance(Duration::from_millis(200));
+    assert_eq!(harness.grants(), []);
+    harness.advance(Duration::from_millis(100));
+    assert_eq!(harness.grants(), granted("second", "t1"));
+}
+
 // Memory grows with each prompt ever seen: beliefs are bounded, the least recently used go.
 #[test]
 fn beliefs_are_bounded() {
