Targets numbered in the affinity, delay only for few holders

Change: numbers in place of names; a shorter beginning is looked at only if it has more holders. The benchmark now lets time pass, since on a clock that stands still no delay ends.

--- a/crates/lilaccrank/benches/decision.rs
+++ b/crates/lilaccrank/benches/decision.rs
@@ -18,6 +18,8 @@
 const CUSTOMERS: usize = 100;
 const DATA_CENTRE: &str = "portmore";
 const DEADLINE: Duration = Duration::from_secs(86_400);
+/// Time that a request runs.
+const REQUEST: Duration = Duration::from_secs(1);
 const SLOTS: u32 = 8;
 const TARGETS: [usize; 3] = [10, 100, 700];
 const TIERS: usize = 4;
@@ -26,8 +28,11 @@
 /// A pool with full targets and asks behind them.
 struct Full {
     asks: FuturesUnordered<LocalBoxFuture<'static, Verdict>>,
+    clock: PausedClock,
     dispatcher: Dispatcher<PausedClock>,
     next: usize,
+    /// Time between two ends.
+    pause: Duration,
     running: VecDeque<Grant>,
 }
 
@@ -71,10 +76,13 @@
             waiting_limit: 2 * waiting,
             ..Pool::default()
         };
+        let clock = PausedClock::new();
         let mut full = Self {
             asks: FuturesUnordered::new(),
-            dispatcher: Dispatcher::new(PausedClock::new(), cfg),
+            dispatcher: Dispatcher::new(clock.clone(), cfg),
+            clock,
             next: 0,
+            pause: REQUEST / (targets as u32 * SLOTS),
             running: VecDeque::new(),
         };
         full.dispatcher.set_targets(&pool, DATA_CENTRE);
@@ -102,6 +110,7 @@
     }
 
     fn decide(&mut self) {
+        self.clock.advance(self.pause);
         self.arrive();
         let Some(ended) = self.running.pop_front() else {
             panic!("nothing runs");
--- a/crates/lilaccrank/src/dispatch/affinity.rs
+++ b/crates/lilaccrank/src/dispatch/affinity.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use xxhash_rust::xxh3;
 
 use super::message::CacheEvent;
@@ -31,61 +31,83 @@
     chain.collect()
 }
 
+/// Names a target by a number, which is cheaper to compare than its name.
+type Number = u32;
+
 /// Blocks believed of one target, the least recently used first.
 #[derive(Debug, Default)]
 struct Belief {
     by_use: BTreeMap<u64, u64>,
+    sequence: Option<u64>,
     stamps: IndexMap<u64, u64>,
+    target: TargetId,
+}
+
+/// A target that probably holds the beginning of a prefix.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Holder<'a> {
+    /// Blocks that it holds.
+    pub blocks: usize,
+    /// The target.
+    pub target: &'a TargetId,
 }
 
 /// Beliefs about all targets of a pool.
 #[derive(Debug, Default)]
 pub struct Affinity {
-    beliefs: IndexMap<TargetId, Belief>,
-    holders: IndexMap<u64, IndexSet<TargetId>>,
-    sequences: IndexMap<TargetId, u64>,
+    beliefs: IndexMap<Number, Belief>,
+    holders: IndexMap<u64, Vec<Number>>,
+    next: Number,
+    numbers: IndexMap<TargetId, Number>,
     stamp: u64,
 }
 
 impl Affinity {
     /// A request with this prefix was sent to a target.
-    pub fn sent(&mut self, target: &TargetId, prefix: &[u64]) {
+    pub fn sent(&mut self, target: &str, prefix: &[u64]) {
+        let number = self.number(target);
         // The last block is stamped first: a prefix without its beginning has no use, so the
         // beginning has to be evicted last.
         for digest in prefix.iter().take(DIGESTS_LIMIT).rev() {
-            self.store(target, *digest);
+            self.store(number, *digest);
         }
     }
 
     /// Takes in cache events; `sequence` numbers the batches of one target without gaps.
-    pub fn events(&mut self, target: &TargetId, sequence: u64, events: &[CacheEvent]) {
-        let last = self.sequences.get(target).copied();
+    pub fn events(&mut self, target: &str, sequence: u64, events: &[CacheEvent]) {
+        let number = self.number(target);
+        let Some(belief) = self.beliefs.get_mut(&number) else {
+            return;
+        };
+        let last = belief.sequence;
         if last.is_some_and(|last| sequence <= last) {
             return;
         }
+        belief.sequence = Some(sequence);
         if last.is_some_and(|last| sequence != last + 1) {
-            self.clear(target);
+            self.clear(number);
         }
-        self.sequences.insert(target.clone(), sequence);
         for event in events {
             match event {
-                CacheEvent::Cleared => self.clear(target),
-                CacheEvent::Evicted(digest) => self.drop_block(target, *digest),
-                CacheEvent::Stored(digest) => self.store(target, *digest),
+                CacheEvent::Cleared => self.clear(number),
+                CacheEvent::Evicted(digest) => self.drop_block(number, *digest),
+                CacheEvent::Stored(digest) => self.store(number, *digest),
             }
         }
     }
 
     /// Forgets a target.
     pub fn forget(&mut self, target: &str) {
-        self.clear(target);
-        self.sequences.swap_remove(target);
+        if let Some(number) = self.numbers.swap_remove(target) {
+            self.clear(number);
+            self.beliefs.swap_remove(&number);
+        }
     }
 
     /// Blocks from the start of the prefix that the target probably holds.
     #[must_use]
-    pub fn held(&self, target: &TargetId, prefix: &[u64]) -> usize {
-        let Some(belief) = self.beliefs.get(target) else {
+    pub fn held(&self, target: &str, prefix: &[u64]) -> usize {
+        let Some(belief) = self.belief(target) else {
             return 0;
         };
         // Blocks are evicted from the end of a chain, so that the held ones form a beginning.
@@ -95,69 +117,101 @@
 
     /// Targets that hold the most of the prefix, at most `limit`.
     #[must_use]
-    pub fn holders(&self, prefix: &[u64], limit: usize) -> IndexSet<&TargetId> {
-        let mut found = IndexSet::new();
-        for digest in prefix.iter().take(DIGESTS_LIMIT).rev() {
-            for target in self.holders.get(digest).into_iter().flatten() {
+    pub fn holders(&self, prefix: &[u64], limit: usize) -> Vec<Holder<'_>> {
+        let mut found: Vec<(Number, usize)> = Vec::new();
+        for (i, digest) in prefix.iter().take(DIGESTS_LIMIT).enumerate().rev() {
+            let numbers = self.holders.get(digest).map_or(&[][..], Vec::as_slice);
+            // Who holds a longer beginning holds this one, so the same count is the same targets.
+            if numbers.len() == found.len() {
+                continue;
+            }
+            for number in numbers {
                 if found.len() >= limit {
-                    return found;
+                    break;
+                }
+                if !found.iter().any(|(other, _)| other == number) {
+                    found.push((*number, i + 1));
                 }
-                found.insert(target);
             }
         }
-        found
+        let holders = found.into_iter().map(|(number, blocks)| Holder {
+            blocks,
+            target: &self.beliefs[&number].target,
+        });
+        holders.collect()
     }
 
     /// Blocks believed of a target.
     #[must_use]
-    pub fn blocks(&self, target: &TargetId) -> usize {
-        self.beliefs.get(target).map_or(0, |b| b.stamps.len())
+    pub fn blocks(&self, target: &str) -> usize {
+        self.belief(target).map_or(0, |belief| belief.stamps.len())
     }
 
-    fn store(&mut self, target: &TargetId, digest: u64) {
+    fn belief(&self, target: &str) -> Option<&Belief> {
+        self.beliefs.get(self.numbers.get(target)?)
+    }
+
+    fn number(&mut self, target: &str) -> Number {
+        if let Some(number) = self.numbers.get(target) {
+            return *number;
+        }
+        let number = self.next;
+        self.next += 1;
+        self.numbers.insert(target.to_owned(), number);
+        let belief = Belief {
+            target: target.to_owned(),
+            ..Belief::default()
+        };
+        self.beliefs.insert(number, belief);
+        number
+    }
+
+    fn store(&mut self, number: Number, digest: u64) {
         self.stamp += 1;
         let limit = TARGET_BLOCKS.min(ALL_BLOCKS / self.beliefs.len().max(1));
-        let belief = self.beliefs.entry(target.clone()).or_default();
-        if let Some(old) = belief.stamps.insert(digest, self.stamp) {
-            belief.by_use.remove(&old);
-        }
+        let Some(belief) = self.beliefs.get_mut(&number) else {
+            return;
+        };
+        let old = belief.stamps.insert(digest, self.stamp);
         belief.by_use.insert(self.stamp, digest);
-        self.holders
-            .entry(digest)
-            .or_default()
-            .insert(target.clone());
-        while let Some(oldest) = self.oldest_over(target, limit) {
-            self.drop_block(target, oldest);
+        match old {
+            Some(old) => {
+                belief.by_use.remove(&old);
+            }
+            None => self.holders.entry(digest).or_default().push(number),
+        }
+        while let Some(oldest) = self.oldest_over(number, limit) {
+            self.drop_block(number, oldest);
         }
     }
 
-    fn oldest_over(&self, target: &TargetId, limit: usize) -> Option<u64> {
-        let belief = self.beliefs.get(target)?;
+    fn oldest_over(&self, number: Number, limit: usize) -> Option<u64> {
+        let belief = self.beliefs.get(&number)?;
         let (_, oldest) = belief.by_use.first_key_value()?;
         (belief.stamps.len() > limit).then_some(*oldest)
     }
 
-    fn drop_block(&mut self, target: &str, digest: u64) {
-        let Some(belief) = self.beliefs.get_mut(target) else {
+    fn drop_block(&mut self, number: Number, digest: u64) {
+        let Some(belief) = self.beliefs.get_mut(&number) else {
             return;
         };
-        if let Some(stamp) = belief.stamps.swap_remove(&digest) {
-            belief.by_use.remove(&stamp);
-        }
+        let Some(stamp) = belief.stamps.swap_remove(&digest) else {
+            return;
+        };
+        belief.by_use.remove(&stamp);
         if let Some(holders) = self.holders.get_mut(&digest) {
-            holders.swap_remove(target);
+            holders.retain(|other| *other != number);
             if holders.is_empty() {
                 self.holders.swap_remove(&digest);
             }
         }
     }
 
-    fn clear(&mut self, target: &str) {
-        let belief = self.beliefs.get(target);
+    fn clear(&mut self, number: Number) {
+        let belief = self.beliefs.get(&number);
         let held: Vec<u64> = belief.map_or(Vec::new(), |b| b.stamps.keys().copied().collect());
         for digest in held {
-            self.drop_block(target, digest);
+            self.drop_block(number, digest);
         }
-        self.beliefs.swap_remove(target);
     }
 }
--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -165,7 +165,9 @@
         }
     }
     let holders = affinity.holders(wanted.prefix, HOLDERS);
-    let holders = holders.into_iter().filter_map(|id| targets.get(id));
+    let holders = holders
+        .iter()
+        .filter_map(|holder| targets.get(holder.target));
     let holders = holders.filter(|target| is_open(target, wanted, room, now));
     let candidates = close.iter().map(|(_, target)| *target).chain(holders);
     let choices = candidates.map(|target| {
--- a/crates/lilaccrank/src/dispatch/delay.rs
+++ b/crates/lilaccrank/src/dispatch/delay.rs
@@ -3,7 +3,8 @@
 //! In a full pool one slot comes free at a time. Were the first ask always put there, the cache
 //! would hardly ever be met: prompts are read again and push each other out. So an ask whose
 //! holder is full lets others pass for as long as the reading that it saves would take, which
-//! costs it at most twice that time. Urgent asks don't wait.
+//! costs it at most twice that time. Urgent asks don't wait, nor do those with many holders, of
+//! which one is soon free.
 
 use std::time::{Duration, Instant};
 
@@ -38,16 +39,20 @@
     fn gain(&self, request: &str, room: Room, now: Instant) -> Duration {
         let wanted = self.wanted(&self.waiting[request].ask);
         let (mut open, mut full, mut rate) = (0, 0, f64::INFINITY);
-        for id in self.affinity.holders(wanted.prefix, choice::HOLDERS) {
-            let Some(target) = self.targets.get(id) else {
+        let holders = self.affinity.holders(wanted.prefix, choice::HOLDERS);
+        if holders.len() >= choice::HOLDERS {
+            return Duration::ZERO;
+        }
+        for holder in holders {
+            let Some(target) = self.targets.get(holder.target) else {
                 continue;
             };
-            let blocks = self.affinity.held(id, wanted.prefix) as u64;
-            let saved = (blocks * u64::from(wanted.block_tokens)).min(wanted.work.prefill);
+            let held = holder.blocks as u64 * u64::from(wanted.block_tokens);
+            let saved = held.min(wanted.work.prefill);
             let well = target.live && target.health.state() == health::State::Well;
             if choice::is_open(target, &wanted, room, now) {
                 open = open.max(saved);
-            } else if well && !wanted.exclusions.contains(id) && saved > full {
+            } else if well && !wanted.exclusions.contains(holder.target) && saved > full {
                 full = saved;
                 rate = target.estimate.prefill_rate(now);
             }
