A delay is judged once for each opening of room

Cause: each pass over the queue judged the delays of up to 32 asks anew, though no holder can have come free since the last pass.

--- a/crates/lilaccrank/src/dispatch/delay.rs
+++ b/crates/lilaccrank/src/dispatch/delay.rs
@@ -17,7 +17,21 @@
 /// Savings below this, in tokens, are not worth a delay.
 const SAVING_FLOOR: u64 = 256;
 
+/// The wait of one ask for a holder.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Delay {
+    /// Count of openings at which it was judged; until the next one no holder can come free.
+    openings: u64,
+    since: Instant,
+    until: Instant,
+}
+
 impl State {
+    /// Room may have come free somewhere.
+    pub(super) fn note_opening(&mut self) {
+        self.openings += 1;
+    }
+
     /// Whether the ask waits for a holder of its prefix.
     pub(super) fn is_delayed(&self, request: &str, room: Room, now: Instant) -> bool {
         let Some(waiting) = self.waiting.get(request) else {
@@ -26,13 +40,22 @@
         if waiting.ask.prefix.is_empty() || choice::is_urgent(waiting.ask.tier) {
             return false;
         }
+        let earlier = waiting.delayed.get();
+        if let Some(delay) = earlier.filter(|delay| delay.openings == self.openings) {
+            return now < delay.until;
+        }
         let gain = self.gain(request, room, now);
         if gain.is_zero() {
             return false;
         }
-        let since = waiting.delayed.get().unwrap_or(now);
-        waiting.delayed.set(Some(since));
-        now.saturating_duration_since(since) < gain
+        let since = earlier.map_or(now, |delay| delay.since);
+        let delay = Delay {
+            openings: self.openings,
+            since,
+            until: since + gain,
+        };
+        waiting.delayed.set(Some(delay));
+        now < delay.until
     }
 
     /// Time of reading that a full holder saves over the best open target.
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -61,6 +61,7 @@
 
     /// Looks for targets that went silent.
     pub(super) fn check_health(&mut self, now: Instant) {
+        self.note_opening();
         for target in self.targets.values_mut() {
             if target.estimate.running() > 0 {
                 let longest = target.estimate.longest_silence(now);
@@ -73,6 +74,7 @@
     /// Ends a reservation and returns its target's room.
     pub(super) fn release(&mut self, request: &str, now: Instant) -> Option<Reservation> {
         let held = self.reservations.swap_remove(request)?;
+        self.note_opening();
         if let Some(counted) = &held.counted {
             self.limits.release(counted);
         }
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -26,6 +26,7 @@
             return;
         };
         held.began = true;
+        self.openings += 1;
         match report.kind {
             ReportKind::Began => {}
             ReportKind::Ended {
@@ -66,6 +67,7 @@
     pub(super) fn load_report(&mut self, target: &str, report: LoadReport, now: Instant) {
         if let Some(target) = self.targets.get_mut(target) {
             target.estimate.reported(report, now);
+            self.note_opening();
             self.dispatch(now);
         }
     }
@@ -74,6 +76,7 @@
     pub(super) fn cache_events(&mut self, target: &str, sequence: u64, events: &[CacheEvent]) {
         if let Some(target) = self.targets.get(target) {
             self.affinity.events(&target.id, sequence, events);
+            self.note_opening();
         }
     }
 
@@ -93,6 +96,7 @@
             target.slots = given.slots;
         }
         self.cfg.waiting_limit = pool.waiting_limit;
+        self.note_opening();
         let ids: Vec<TargetId> = self.targets.keys().cloned().collect();
         for id in &ids {
             self.drop_if_left(id);
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -9,6 +9,7 @@
 use super::affinity::Affinity;
 use super::choice::{self, Wanted};
 use super::deadline::Capacity;
+use super::delay::Delay;
 use super::limits::{self, Counted, Limits};
 use super::message::{Ask, AskNumber, Entry, Grant, Refuse, Verdict};
 use super::queue::{Item, Lane, Queue};
@@ -41,8 +42,8 @@
     pub(super) ask: Ask,
     pub(super) counted: Option<Counted>,
     pub(super) deadline: Option<Instant>,
-    /// Since when it waits for a holder of its prefix.
-    pub(super) delayed: Cell<Option<Instant>>,
+    /// Its wait for a holder of its prefix.
+    pub(super) delayed: Cell<Option<Delay>>,
     pub(super) waiter: Option<Waiter>,
 }
 
@@ -85,6 +86,8 @@
     pub(super) length: f64,
     pub(super) limits: Limits,
     pub(super) next_waiter: WaiterId,
+    /// Counts the events by which room may have come free.
+    pub(super) openings: u64,
     pub(super) queue: Queue,
     pub(super) reservations: IndexMap<RequestId, Reservation>,
     pub(super) targets: IndexMap<TargetId, Target>,
@@ -103,6 +106,7 @@
             length: ASSUMED_LENGTH,
             limits: Limits::default(),
             next_waiter: 0,
+            openings: 0,
             queue: Queue::default(),
             reservations: IndexMap::new(),
             targets: IndexMap::new(),
