Retry-After from the model while nothing has ended

Cause: with a drain rate of nothing, as at the start of a burst, every refused caller was sent away for a minute. Change: the modelled wait is used until work has ended.

--- a/crates/lilaccrank/src/dispatch/deadline.rs
+++ b/crates/lilaccrank/src/dispatch/deadline.rs
@@ -50,7 +50,7 @@
 
     /// Shortest time that this work takes all targets together, in seconds. They read and
     /// generate at once, so that the longer of the two is the least.
-    fn wait(&self, work: Work) -> f64 {
+    pub(super) fn wait(&self, work: Work) -> f64 {
         let prefill = work.prefill as f64 * self.computed / self.capacity.prefill.max(1.0);
         let decode = work.decode as f64 * self.length / self.capacity.decode.max(1.0);
         prefill.max(decode)
@@ -68,7 +68,7 @@
         })
     }
 
-    fn refresh_capacity(&mut self, now: Instant) {
+    pub(super) fn refresh_capacity(&mut self, now: Instant) {
         let age = self.capacity.at.map(|at| now.saturating_duration_since(at));
         if age.is_some_and(|age| age < CAPACITY_LIFE) {
             return;
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -129,7 +129,7 @@
         let deadline = self.waiting[request].deadline;
         let left = deadline.map(|deadline| deadline.saturating_duration_since(now));
         if left.is_some_and(|left| choice.earliest > left.as_secs_f64()) {
-            let retry = self.drain.retry_after(0, now);
+            let retry = self.drain.retry_after(0, 0.0, now);
             self.refuse(request, ErrorKind::DeadlineUnmeetable, Some(retry));
             return;
         }
--- a/crates/lilaccrank/src/dispatch/message.rs
+++ b/crates/lilaccrank/src/dispatch/message.rs
@@ -99,7 +99,7 @@
 /// What happened to a granted request.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub enum ReportKind {
-    /// It was sent to the target.
+    /// It was sent to the target. A grant of which nothing is heard for ten seconds lapses.
     Began,
     /// It has ended, whole or not.
     Ended {
--- a/crates/lilaccrank/src/dispatch/shedding.rs
+++ b/crates/lilaccrank/src/dispatch/shedding.rs
@@ -8,6 +8,8 @@
 pub const LONGEST_RETRY: Duration = Duration::from_secs(60);
 /// Shortest `Retry-After` before jitter.
 pub const SHORTEST_RETRY: Duration = Duration::from_millis(500);
+/// Slower drain rates, in tokens a second, mean that nothing has ended of late.
+const MEASURED_FLOOR: f64 = 1.0;
 /// Time over which the drain rate is averaged.
 const WINDOW: Duration = Duration::from_secs(5);
 
@@ -41,13 +43,17 @@
         self.per_s * (-since / WINDOW.as_secs_f64()).exp()
     }
 
-    /// When a caller refused behind `ahead` tokens should come back.
+    /// When a caller refused behind `ahead` tokens should come back; `modelled` is the wait to
+    /// assume while nothing has ended, as at the start of a burst.
     ///
     /// With the same answer for all, a refused burst returns as one burst, and is refused again;
     /// a jitter as wide as the wait spreads it over the time that the pool needs to drain.
     #[must_use]
-    pub fn retry_after(&self, ahead: u64, now: Instant) -> Duration {
-        let wait = ahead as f64 / self.per_s(now).max(1.0);
+    pub fn retry_after(&self, ahead: u64, modelled: f64, now: Instant) -> Duration {
+        let wait = match self.per_s(now) {
+            rate if rate >= MEASURED_FLOOR => ahead as f64 / rate,
+            _ => modelled,
+        };
         let wait = Duration::try_from_secs_f64(wait).unwrap_or(LONGEST_RETRY);
         let wait = wait.clamp(SHORTEST_RETRY, LONGEST_RETRY);
         wait + backoff::full_jitter(wait)
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -219,7 +219,7 @@
     pub(super) fn refuse_all(&mut self, kind: ErrorKind, now: Instant) {
         let requests: Vec<RequestId> = self.queue.requests().cloned().collect();
         for request in requests {
-            let retry = self.drain.retry_after(0, now);
+            let retry = self.drain.retry_after(0, 0.0, now);
             self.refuse(&request, kind, Some(retry));
         }
     }
@@ -302,17 +302,17 @@
     fn judge(&mut self, ask: &Ask, now: Instant) -> Option<Refuse> {
         if self.handover.is_some() {
             let full = self.queue.len() >= 2 * self.cfg.waiting_limit;
-            let retry = Some(self.drain.retry_after(0, now));
+            let retry = Some(self.drain.retry_after(0, 0.0, now));
             return full.then(|| refusal_of(ask, ErrorKind::NotReady, retry));
         }
         let mut live = self.targets.values().filter(|target| target.live);
         if live.all(|target| ask.exclusions.contains(&target.id)) {
-            let retry = Some(self.drain.retry_after(0, now));
+            let retry = Some(self.drain.retry_after(0, 0.0, now));
             return Some(refusal_of(ask, ErrorKind::NoTarget, retry));
         }
         self.is_hopeless(ask, now).then(|| {
             let ahead = self.queue.ahead(ask.tier, &ask.customer, ask.weight);
-            let retry = self.drain.retry_after(ahead.tokens(), now);
+            let retry = self.retry_behind(ahead, now);
             refusal_of(ask, ErrorKind::DeadlineUnmeetable, Some(retry))
         })
     }
@@ -333,12 +333,18 @@
         }
     }
 
-    fn retry_after(&self, request: &str, now: Instant) -> Duration {
+    fn retry_after(&mut self, request: &str, now: Instant) -> Duration {
         let item = self.queue.get(request);
         let ahead = item.map_or(Work::default(), |item| {
             self.queue.ahead(item.tier, &item.customer, item.weight)
         });
-        self.drain.retry_after(ahead.tokens(), now)
+        self.retry_behind(ahead, now)
+    }
+
+    fn retry_behind(&mut self, ahead: Work, now: Instant) -> Duration {
+        self.refresh_capacity(now);
+        let modelled = self.wait(ahead);
+        self.drain.retry_after(ahead.tokens(), modelled, now)
     }
 }
 
--- a/crates/lilaccrank/tests/suite/dispatch_faults.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_faults.rs
@@ -1,7 +1,7 @@
 //! Failures and overload at the dispatcher, one named case each.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::FutureExt;
 use lilaccrank::dispatch::affinity;
@@ -9,6 +9,7 @@
 use lilaccrank::dispatch::message::{
     Ask, CacheEvent, Entry, Outcome, ReportKind, Resync, Running, Verdict,
 };
+use lilaccrank::dispatch::shedding::DrainRate;
 use lilaccrank::document::{Limit, TargetState};
 use lilaccrank::error_kind::ErrorKind;
 
@@ -677,6 +678,21 @@
     }
 }
 
+// Callers return long before or after their turn. The pool has ended a thousand tokens a second,
+// so those behind ten thousand should come back in ten seconds and up to as long again.
+#[test]
+fn retry_after_follows_the_drain() {
+    let start = Instant::now();
+    let mut drain = DrainRate::new(start);
+    let seconds = (1..=30).map(|i| start + Duration::from_secs(i));
+    for now in seconds {
+        drain.ended(1000, now);
+    }
+    let now = start + Duration::from_secs(30);
+    let retry = drain.retry_after(10_000, 0.0, now).as_secs_f64();
+    assert!((8.0..22.0).contains(&retry), "{retry}");
+}
+
 // Refused callers come back as one burst and are refused again. Their `Retry-After` is spread
 // over as long as the pool needs.
 #[test]
@@ -693,4 +709,5 @@
     assert_eq!(waits.len(), 99);
     waits.sort();
     assert!(waits[98] > waits[0].mul_f64(1.2), "{waits:?}");
+    assert!(waits[98] < FLOOR, "one short ask is ahead: {waits:?}");
 }
