--- /dev/null
+++ b/crates/lilaccrank/src/dispatch/delay.rs
@@ -0,0 +1,89 @@
+//! Delay scheduling: an ask waits for a target that holds its prefix, but not for long.
+//!
+//! In a full pool one slot comes free at a time. Were the first ask always put there, the cache
+//! would hardly ever be met: prompts are read again and push each other out. So an ask whose
+//! holder is full lets others pass for as long as the reading that it saves would take, which
+//! costs it at most twice that time. Urgent asks don't wait, nor do those with many holders, of
+//! which one is soon free.
+
+use std::time::{Duration, Instant};
+
+use super::choice::{self, Room};
+use super::health;
+use super::state::State;
+
+/// Asks that are looked at for one that suits the free targets.
+pub(super) const DELAY_SCAN: usize = 8;
+/// Savings below this, in tokens, are not worth a delay.
+const SAVING_FLOOR: u64 = 256;
+
+/// The wait of one ask for a holder.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Delay {
+    /// Count of openings at which it was judged; until the next one no holder can come free.
+    openings: u64,
+    since: Instant,
+    until: Instant,
+}
+
+impl State {
+    /// Room may have come free somewhere.
+    pub(super) fn note_opening(&mut self) {
+        self.openings += 1;
+    }
+
+    /// Whether the ask waits for a holder of its prefix.
+    pub(super) fn is_delayed(&self, request: &str, room: Room, now: Instant) -> bool {
+        let Some(waiting) = self.waiting.get(request) else {
+            return false;
+        };
+        if waiting.ask.prefix.is_empty() || choice::is_urgent(waiting.ask.tier) {
+            return false;
+        }
+        let earlier = waiting.delayed.get();
+        if let Some(delay) = earlier.filter(|delay| delay.openings == self.openings) {
+            return now < delay.until;
+        }
+        let gain = self.gain(request, room, now);
+        if gain.is_zero() {
+            return false;
+        }
+        let since = earlier.map_or(now, |delay| delay.since);
+        let delay = Delay {
+            openings: self.openings,
+            since,
+            until: since + gain,
+        };
+        waiting.delayed.set(Some(delay));
+        now < delay.until
+    }
+
+    /// Time of reading that a full holder saves over the best open target.
+    fn gain(&self, request: &str, room: Room, now: Instant) -> Duration {
+        let wanted = self.wanted(&self.waiting[request].ask);
+        let (mut open, mut full, mut rate) = (0, 0, f64::INFINITY);
+        let holders = self.affinity.holders(wanted.prefix, choice::HOLDERS);
+        if holders.len() >= choice::HOLDERS {
+            return Duration::ZERO;
+        }
+        for holder in holders {
+            let Some(target) = self.targets.get(holder.target) else {
+                continue;
+            };
+            let held = holder.blocks as u64 * u64::from(wanted.block_tokens);
+            let saved = held.min(wanted.work.prefill);
+            let well = target.live && target.health.state() == health::State::Well;
+            if choice::is_open(target, &wanted, room, now) {
+                open = open.max(saved);
+            } else if well && !wanted.exclusions.contains(holder.target) && saved > full {
+                full = saved;
+                rate = target.estimate.prefill_rate(now);
+            }
+        }
+        let saved = full.saturating_sub(open);
+        if saved < SAVING_FLOOR {
+            return Duration::ZERO;
+        }
+        Duration::try_from_secs_f64(saved as f64 / rate).unwrap_or_default()
+    }
+}
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::choice::{self, Choice, Room};
+use super::delay::DELAY_SCAN;
 use super::message::Entry;
 use super::queue::Lane;
 use super::state::{Reservation, State, Waiting, work};
@@ -60,6 +61,7 @@
 
     /// Looks for targets that went silent.
     pub(super) fn check_health(&mut self, now: Instant) {
+        self.note_opening();
         for target in self.targets.values_mut() {
             if target.estimate.running() > 0 {
                 let longest = target.estimate.longest_silence(now);
@@ -72,6 +74,7 @@
     /// Ends a reservation and returns its target's room.
     pub(super) fn release(&mut self, request: &str, now: Instant) -> Option<Reservation> {
         let held = self.reservations.swap_remove(request)?;
+        self.note_opening();
         if let Some(counted) = &held.counted {
             self.limits.release(counted);
         }
@@ -126,7 +129,7 @@
         let deadline = self.waiting[request].deadline;
         let left = deadline.map(|deadline| deadline.saturating_duration_since(now));
         if left.is_some_and(|left| choice.earliest > left.as_secs_f64()) {
-            let retry = self.drain.retry_after(0, now);
+            let retry = self.drain.retry_after(0, 0.0, now);
             self.refuse(request, ErrorKind::DeadlineUnmeetable, Some(retry));
             return;
         }
@@ -158,11 +161,15 @@
                     heads.find(|place| self.is_open(&place.request, room, now))
                 }
                 Lane::Long | Lane::Short => {
-                    let place = self.queue.heads(tier, lane).next()?;
+                    let mut heads = self.queue.heads(tier, lane).take(DELAY_SCAN).peekable();
+                    let place = heads.peek()?;
                     let found = open.slot(tier, lane);
                     let is_open =
                         *found.get_or_insert_with(|| self.is_open(&place.request, room, now));
-                    is_open.then_some(place)
+                    if !is_open {
+                        return None;
+                    }
+                    heads.find(|place| !self.is_delayed(&place.request, room, now))
                 }
             });
             firsts.min().map(|place| place.request.clone())
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -1,5 +1,6 @@
 //! What a dispatcher knows of its pool, and the admission of asks.
 
+use std::cell::Cell;
 use std::time::{Duration, Instant};
 
 use futures::channel::oneshot;
@@ -8,6 +9,7 @@
 use super::affinity::Affinity;
 use super::choice::{self, Wanted};
 use super::deadline::Capacity;
+use super::delay::Delay;
 use super::limits::{self, Counted, Limits};
 use super::message::{Ask, AskNumber, Entry, Grant, Refuse, Verdict};
 use super::queue::{Item, Lane, Queue};
@@ -40,6 +42,8 @@
     pub(super) ask: Ask,
     pub(super) counted: Option<Counted>,
     pub(super) deadline: Option<Instant>,
+    /// Its wait for a holder of its prefix.
+    pub(super) delayed: Cell<Option<Delay>>,
     pub(super) waiter: Option<Waiter>,
 }
 
@@ -82,6 +86,8 @@
     pub(super) length: f64,
     pub(super) limits: Limits,
     pub(super) next_waiter: WaiterId,
+    /// Counts the events by which room may have come free.
+    pub(super) openings: u64,
     pub(super) queue: Queue,
     pub(super) reservations: IndexMap<RequestId, Reservation>,
     pub(super) targets: IndexMap<TargetId, Target>,
@@ -100,6 +106,7 @@
             length: ASSUMED_LENGTH,
             limits: Limits::default(),
             next_waiter: 0,
+            openings: 0,
             queue: Queue::default(),
             reservations: IndexMap::new(),
             targets: IndexMap::new(),
@@ -158,6 +165,7 @@
             ask,
             counted,
             deadline,
+            delayed: Cell::default(),
             waiter: None,
         };
         self.waiting.insert(waiting.ask.request.clone(), waiting);
@@ -211,7 +219,7 @@
     pub(super) fn refuse_all(&mut self, kind: ErrorKind, now: Instant) {
         let requests: Vec<RequestId> = self.queue.requests().cloned().collect();
         for request in requests {
-            let retry = self.drain.retry_after(0, now);
+            let retry = self.drain.retry_after(0, 0.0, now);
             self.refuse(&request, kind, Some(retry));
         }
     }
@@ -294,17 +302,17 @@
     fn judge(&mut self, ask: &Ask, now: Instant) -> Option<Refuse> {
         if self.handover.is_some() {
             let full = self.queue.len() >= 2 * self.cfg.waiting_limit;
-            let retry = Some(self.drain.retry_after(0, now));
+            let retry = Some(self.drain.retry_after(0, 0.0, now));
             return full.then(|| refusal_of(ask, ErrorKind::NotReady, retry));
         }
         let mut live = self.targets.values().filter(|target| target.live);
         if live.all(|target| ask.exclusions.contains(&target.id)) {
-            let retry = Some(self.drain.retry_after(0, now));
+            let retry = Some(self.drain.retry_after(0, 0.0, now));
             return Some(refusal_of(ask, ErrorKind::NoTarget, retry));
         }
         self.is_hopeless(ask, now).then(|| {
             let ahead = self.queue.ahead(ask.tier, &ask.customer, ask.weight);
-            let retry = self.drain.retry_after(ahead.tokens(), now);
+            let retry = self.retry_behind(ahead, now);
             refusal_of(ask, ErrorKind::DeadlineUnmeetable, Some(retry))
         })
     }
@@ -325,12 +333,18 @@
         }
     }
 
-    fn retry_after(&self, request: &str, now: Instant) -> Duration {
+    fn retry_after(&mut self, request: &str, now: Instant) -> Duration {
         let item = self.queue.get(request);
         let ahead = item.map_or(Work::default(), |item| {
             self.queue.ahead(item.tier, &item.customer, item.weight)
         });
-        self.drain.retry_after(ahead.tokens(), now)
+        self.retry_behind(ahead, now)
+    }
+
+    fn retry_behind(&mut self, ahead: Work, now: Instant) -> Duration {
+        self.refresh_capacity(now);
+        let modelled = self.wait(ahead);
+        self.drain.retry_after(ahead.tokens(), modelled, now)
     }
 }
 
--- a/crates/lilaccrank/tests/suite/dispatch_faults.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_faults.rs
@@ -1,7 +1,7 @@
 //! Failures and overload at the dispatcher, one named case each.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::FutureExt;
 use lilaccrank::dispatch::affinity;
@@ -9,6 +9,7 @@
 use lilaccrank::dispatch::message::{
     Ask, CacheEvent, Entry, Outcome, ReportKind, Resync, Running, Verdict,
 };
+use lilaccrank::dispatch::shedding::DrainRate;
 use lilaccrank::document::{Limit, TargetState};
 use lilaccrank::error_kind::ErrorKind;
 
@@ -472,6 +473,39 @@
     assert_eq!(counts.len(), 2, "{counts:?}");
 }
 
+// In a full pool every prompt is read again, since the slot that comes free is mostly not at its
+// holder. An ask lets others pass for the time of the reading that its holder saves, then goes
+// anywhere.
+#[test]
+fn an_ask_waits_for_its_holder_a_while() {
+    let mut harness = harness(&[2, 2]);
+    let shared = |request: &str, tier: u8| Ask {
+        prefix: affinity::digests(&[7; 2000], 64),
+        prompt_tokens: 2000,
+        ..ask(request, tier)
+    };
+    for request in ["x", "y"] {
+        let exclusions = vec!["t1".to_owned()];
+        let ask = shared(request, 0);
+        harness.ask(Ask { exclusions, ..ask });
+        harness.report(request, "t0", FIRST_TOKEN);
+    }
+    assert_eq!(harness.grants().len(), 2);
+    harness.ask(shared("first", 1));
+    let customer = "quarry".to_owned();
+    let other = ask("other", 1);
+    harness.ask(Ask { customer, ..other });
+    assert_eq!(harness.grants(), granted("other", "t1"));
+    harness.end("x", "t0");
+    assert_eq!(harness.grants(), granted("first", "t0"));
+    harness.end("other", "t1");
+    harness.ask(shared("second", 1));
+    harness.advance(Duration::from_millis(200));
+    assert_eq!(harness.grants(), []);
+    harness.advance(Duration::from_millis(100));
+    assert_eq!(harness.grants(), granted("second", "t1"));
+}
+
 // Memory grows with each prompt ever seen: beliefs are bounded, the least recently used go.
 #[test]
 fn beliefs_are_bounded() {
@@ -644,6 +678,21 @@
     }
 }
 
+// Callers return long before or after their turn. The pool has ended a thousand tokens a second,
+// so those behind ten thousand should come back in ten seconds and up to as long again.
+#[test]
+fn retry_after_follows_the_drain() {
+    let start = Instant::now();
+    let mut drain = DrainRate::new(start);
+    let seconds = (1..=30).map(|i| start + Duration::from_secs(i));
+    for now in seconds {
+        drain.ended(1000, now);
+    }
+    let now = start + Duration::from_secs(30);
+    let retry = drain.retry_after(10_000, 0.0, now).as_secs_f64();
+    assert!((8.0..22.0).contains(&retry), "{retry}");
+}
+
 // Refused callers come back as one burst and are refused again. Their `Retry-After` is spread
 // over as long as the pool needs.
 #[test]
@@ -660,4 +709,5 @@
     assert_eq!(waits.len(), 99);
     waits.sort();
     assert!(waits[98] > waits[0].mul_f64(1.2), "{waits:?}");
+    assert!(waits[98] < FLOOR, "one short ask is ahead: {waits:?}");
 }
