Listeners bind alone, closing wakes connections without polling

Change: server::bind without port sharing, one event for closing; body::channel says that dropping its sender looks whole. Conclusion: idle connections cost no wake-ups; not measured apart yet.

--- a/crates/lilaccrank-http/src/body.rs
+++ b/crates/lilaccrank-http/src/body.rs
@@ -33,7 +33,8 @@
     },
 }
 
-/// A body sent frame by frame; dropping the sender early breaks it visibly.
+/// A body sent frame by frame. Dropping the sender ends the body as if it were whole: a writer
+/// that fails has to call the sender's `abort`, which breaks it visibly.
 #[must_use]
 pub fn channel() -> (BodySender, Body) {
     let (tx, body) = Channel::new(CHANNEL_FRAMES);
--- a/crates/lilaccrank-http/src/server.rs
+++ b/crates/lilaccrank-http/src/server.rs
@@ -4,16 +4,18 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use event_listener::Event;
 use futures::future::{self, Either};
 use futures::pin_mut;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper::{Request, Response};
-use monoio::net::{TcpListener, TcpStream};
+use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 
 use crate::body::Body;
@@ -25,8 +27,8 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest request head.
 const HEAD_LIMIT: usize = 64 * 1024;
-/// How often a connection looks whether the server is closing.
-const CLOSING_POLL: Duration = Duration::from_millis(50);
+/// Wait after a failed accept, which mostly means that no descriptor is free.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 
 /// Tells a server to finish what it has and counts what is still open.
 #[derive(Clone, Default)]
@@ -36,6 +38,7 @@
 
 #[derive(Default)]
 struct ClosingInner {
+    changed: Event,
     closing: Cell<bool>,
     connections: Cell<usize>,
 }
@@ -44,6 +47,7 @@
     /// Takes no new connections; the open ones end after the answer in progress.
     pub fn close(&self) {
         self.inner.closing.set(true);
+        self.inner.changed.notify(usize::MAX);
     }
 
     /// Connections still open.
@@ -54,11 +58,27 @@
 
     async fn closed(&self) {
         while !self.inner.closing.get() {
-            monoio::time::sleep(CLOSING_POLL).await;
+            let listener = self.inner.changed.listen();
+            if !self.inner.closing.get() {
+                listener.await;
+            }
         }
     }
 }
 
+/// Binds `address` for this process alone.
+///
+/// The runtime's own default lets a second process bind the same address; two daemons would
+/// then share connections without a word.
+///
+/// # Errors
+///
+/// If the address is taken.
+pub fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let options = ListenerOpts::new().reuse_port(false);
+    TcpListener::bind_with_config(address, &options)
+}
+
 /// Accepts connections until `closing` is set. The handler's future is dropped when its caller
 /// goes away.
 pub async fn serve<H, F>(listener: TcpListener, closing: Closing, handler: H)
@@ -77,7 +97,7 @@
             }
             Either::Left((Err(e), _)) => {
                 log::warn!("accept failed: {e}");
-                monoio::time::sleep(CLOSING_POLL).await;
+                monoio::time::sleep(ACCEPT_AGAIN).await;
             }
             Either::Right(_) => return,
         }
--- a/crates/lilaccrank-lab/src/stand_in.rs
+++ b/crates/lilaccrank-lab/src/stand_in.rs
@@ -10,7 +10,6 @@
 use hyper::{Request, Response};
 use lilaccrank_http::body::Body;
 use lilaccrank_http::server::{self, Closing};
-use monoio::net::{ListenerOpts, TcpListener};
 use serde::Serialize;
 
 /// Result of running a stand-in.
@@ -65,26 +64,13 @@
         H: Fn(Request<Incoming>) -> F + Clone + 'static,
         F: Future<Output = Response<Body>> + 'static,
     {
-        let listener = bind(self.listen)?;
+        let listener = server::bind(self.listen)?;
         self.announce(listener.local_addr()?, None)?;
         server::serve(listener, Closing::default(), handler).await;
         Ok(())
     }
 }
 
-/// Binds an address for this process alone.
-///
-/// monoio's default lets another process bind the same port; the kernel then spreads the
-/// connections over both, and a call meant for one stand-in is answered by the other.
-///
-/// # Errors
-///
-/// If it can't be bound.
-pub fn bind(address: SocketAddr) -> Result<TcpListener> {
-    let opts = ListenerOpts::new().reuse_port(false);
-    TcpListener::bind_with_config(address, &opts)
-}
-
 /// A killed parent closes the pipe; without this its stand-ins would stay behind as orphans.
 fn end_with_stdin() {
     let mut buf = [0; 256];
--- a/crates/lilaccrank-lab/src/wire.rs
+++ b/crates/lilaccrank-lab/src/wire.rs
@@ -101,7 +101,7 @@
         to: args.to,
     });
     runtime::block_on(async move {
-        let control = stand_in::bind(args.control)?;
+        let control = server::bind(args.control)?;
         let control_address = control.local_addr()?;
         if args.udp {
             let relay = udp::Relay::bind(args.listen.listen, Rc::clone(&wire), args.seed)?;
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -154,7 +154,7 @@
 }
 
 fn listen(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).map_err(|source| Error::Listen { address, source })
+    server::bind(address).map_err(|source| Error::Listen { address, source })
 }
 
 /// Each life of a vm starts later than the one before.
