--- a/crates/lilaccrankd/src/attach.rs
+++ b/crates/lilaccrankd/src/attach.rs
@@ -17,6 +17,7 @@
 use crate::proxy_run;
 use crate::refusal::{Refusal, Result};
 use crate::run::{End, Run};
+use crate::target_call;
 
 /// Path below which a daemon shows the answers that it holds, by request key.
 pub const PATH: &str = "/v1/answers/";
@@ -90,7 +91,7 @@
     }
     let bounds = daemon.bounds();
     let address = member.admin.to_string();
-    let sent = proxy_run::send(&daemon.client, &address, req, bounds.head).await;
+    let sent = target_call::send(&daemon.client, &address, req, bounds.head).await;
     let (res, connection) = sent.map_err(|_| gone())?;
     if res.status() == StatusCode::NOT_FOUND {
         return Ok(None);
--- a/crates/lilaccrankd/src/engine_stream.rs
+++ b/crates/lilaccrankd/src/engine_stream.rs
@@ -9,20 +9,19 @@
 use http_body_util::BodyDataStream;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, StatusCode};
-use lilaccrank::error_kind::{ErrorKind, Ran};
+use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::RequestId;
 use lilaccrank_http::body::{self, Body};
 use lilaccrank_http::client::{Client, Connection, Limits};
 
 use crate::refusal::{Refusal, Result};
+use crate::target_call::{self, CONNECT_TIMEOUT};
 
 /// Name of the header that carries the request's id to targets.
 pub const REQUEST_ID: &str = "request-id";
 /// Name of the header that carries the caller's key to targets.
 pub const REQUEST_KEY: &str = "request-key";
 
-/// Time for a connection to a target.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Time for an engine to answer a resume or a cancel.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(1);
 /// Tries to take up a stream again; more would keep a caller waiting on a dead engine.
@@ -69,12 +68,9 @@
 
     /// Sends the request, once.
     ///
-    /// The connection is a new one: an idle connection may have died without a word, and a
-    /// request sent on it could neither be called not run nor be sent again.
-    ///
     /// # Errors
     ///
-    /// [`Ran::No`] only if no connection could be made.
+    /// [`Ran::No`](lilaccrank::error_kind::Ran::No) only if no connection could be made.
     pub async fn send(&mut self, path: &str, key: Option<&str>, body: Bytes) -> Result<()> {
         let mut req = self.request(Method::POST, path, body::full(body));
         let headers = req.headers_mut();
@@ -154,24 +150,7 @@
     }
 
     async fn open(&mut self, req: Request<Body>, head: Duration) -> Result<()> {
-        let limits = Limits {
-            connect: CONNECT_TIMEOUT,
-            fresh: true,
-            head,
-        };
-        let sent = self.client.send(&self.address, req, limits).await;
-        let (res, connection) = sent.map_err(|e| {
-            let kind = match e {
-                lilaccrank_http::client::Error::Silent { .. } => ErrorKind::TargetSilent,
-                _ => ErrorKind::TargetFailed,
-            };
-            let ran = if e.sent_nothing() {
-                Ran::No
-            } else {
-                Ran::Maybe
-            };
-            Refusal::new(kind, e.to_string()).ran(ran)
-        })?;
+        let (res, connection) = target_call::send(&self.client, &self.address, req, head).await?;
         if res.status() != StatusCode::OK {
             let message = format!("the target answered with status {}", res.status());
             return Err(Refusal::new(ErrorKind::TargetFailed, message));
--- a/crates/lilaccrankd/src/main.rs
+++ b/crates/lilaccrankd/src/main.rs
@@ -34,6 +34,7 @@
 mod shutdown;
 mod signals;
 mod spill;
+mod target_call;
 mod target_poller;
 mod udp_gossip;
 mod vm_list;
--- a/crates/lilaccrankd/src/proxy_run.rs
+++ b/crates/lilaccrankd/src/proxy_run.rs
@@ -11,13 +11,13 @@
     CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{HeaderMap, Request, Response};
-use lilaccrank::error_kind::{ErrorKind, Ran};
+use lilaccrank::error_kind::ErrorKind;
 use lilaccrank_http::body::Body;
-use lilaccrank_http::client::{Client, Connection, Limits};
+use lilaccrank_http::client::{Client, Connection};
 
-use crate::engine_stream::CONNECT_TIMEOUT;
 use crate::refusal::{Refusal, Result};
 use crate::run::{Head, Run};
+use crate::target_call;
 
 /// Headers of one connection, not of the answer.
 const HOP_BY_HOP: [HeaderName; 6] = [
@@ -69,40 +69,10 @@
     bounds: Bounds,
     run: &Run,
 ) -> Result<()> {
-    let (res, connection) = send(client, address, req, bounds.head).await?;
+    let (res, connection) = target_call::send(client, address, req, bounds.head).await?;
     copy(client, res, connection, bounds, run).await
 }
 
-/// Sends `req` on a new connection and waits for the head of its answer.
-///
-/// # Errors
-///
-/// [`Ran::No`] only if no connection could be made.
-pub async fn send(
-    client: &Client,
-    address: &str,
-    req: Request<Body>,
-    head: Duration,
-) -> Result<(Response<Incoming>, Connection)> {
-    let limits = Limits {
-        connect: CONNECT_TIMEOUT,
-        fresh: true,
-        head,
-    };
-    client.send(address, req, limits).await.map_err(|e| {
-        let kind = match e {
-            lilaccrank_http::client::Error::Silent { .. } => ErrorKind::TargetSilent,
-            _ => ErrorKind::TargetFailed,
-        };
-        let ran = if e.sent_nothing() {
-            Ran::No
-        } else {
-            Ran::Maybe
-        };
-        Refusal::new(kind, e.to_string()).ran(ran)
-    })
-}
-
 /// Copies an answer whose head has come.
 ///
 /// # Errors
--- a/crates/lilaccrankd/src/spill.rs
+++ b/crates/lilaccrankd/src/spill.rs
@@ -20,6 +20,7 @@
 use crate::proxy_run;
 use crate::refusal::{Refusal, Result};
 use crate::run::Run;
+use crate::target_call;
 
 #[derive(Deserialize)]
 struct Envelope {
@@ -78,7 +79,7 @@
     let bounds = daemon.bounds();
     let req = request(daemon, caller, deadline);
     let address = address.to_string();
-    let (res, connection) = proxy_run::send(&daemon.client, &address, req, bounds.head).await?;
+    let (res, connection) = target_call::send(&daemon.client, &address, req, bounds.head).await?;
     if res.status().is_client_error() || res.status().is_server_error() {
         return Err(refusal(res).await);
     }
--- /dev/null
+++ b/crates/lilaccrankd/src/target_call.rs
@@ -0,0 +1,50 @@
+//! Sends something to a target that must not be sent twice.
+
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use lilaccrank::error_kind::{ErrorKind, Ran};
+use lilaccrank_http::body::Body;
+use lilaccrank_http::client::{Client, Connection, Error, Limits};
+
+use crate::refusal::{Refusal, Result};
+
+/// Time for a connection to a target.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Sends `req` on a new connection and waits for the head of its answer.
+///
+/// An idle connection may have died without a word, and a request sent on it could neither be
+/// called not run nor be sent again.
+///
+/// # Errors
+///
+/// [`Ran::No`] only if no connection could be made.
+pub async fn send(
+    client: &Client,
+    address: &str,
+    req: Request<Body>,
+    head: Duration,
+) -> Result<(Response<Incoming>, Connection)> {
+    let limits = Limits {
+        connect: CONNECT_TIMEOUT,
+        fresh: true,
+        head,
+    };
+    let sent = client.send(address, req, limits).await;
+    sent.map_err(|e| refusal(&e))
+}
+
+fn refusal(e: &Error) -> Refusal {
+    let kind = match e {
+        Error::Silent { .. } => ErrorKind::TargetSilent,
+        Error::Connect { .. } | Error::Exchange { .. } => ErrorKind::TargetFailed,
+    };
+    let ran = if e.sent_nothing() {
+        Ran::No
+    } else {
+        Ran::Maybe
+    };
+    Refusal::new(kind, e.to_string()).ran(ran)
+}
