--- a/crates/lilaccrankd/src/proxy_run.rs
+++ b/crates/lilaccrankd/src/proxy_run.rs
@@ -44,7 +44,7 @@
 ///
 /// # Errors
 ///
-/// [`Ran::No`] only if no connection could be made.
+/// [`Ran::No`](lilaccrank::error_kind::Ran::No) only if no connection could be made.
 pub async fn run(
     client: &Client,
     address: &str,
