Configuration: adopting a change reads only the sections that changed

Ruled out: leaving the check out on adoption. Change: sections that were read stay in the configuration; unreachable rules, which are warnings only, are looked for when publishing and not on adoption.

--- a/crates/lilaccrank/src/configuration/adoption.rs
+++ b/crates/lilaccrank/src/configuration/adoption.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 
 use super::manifest::{Identity, Manifest, Standing};
-use super::sections::{self, Contents};
+use super::sections::{self, Contents, Parts};
 use crate::document::Document;
 use crate::rules::check;
 use crate::rules::matching::{self, RuleSet};
@@ -47,6 +47,8 @@
     pub document: Document,
     /// The manifest.
     pub manifest: Manifest,
+    /// The sections as they were read: a change costs the reading of what changed only.
+    pub parts: Parts,
     /// The compiled rules.
     pub rules: RuleSet,
 }
@@ -65,14 +67,15 @@
 }
 
 impl Configuration {
-    /// Checks and compiles what a manifest names.
+    /// Checks and compiles what a manifest names; `read` are sections that were read before.
     ///
     /// # Errors
     /// A section is missing or damaged, or the document has problems.
-    pub fn new(manifest: Manifest, known: &Contents) -> Result<Self> {
-        let document = sections::assemble(&manifest.sections, known)?;
-        let problems = check::check(&document);
-        if check::has_error(&problems) {
+    pub fn new(manifest: Manifest, known: &Contents, read: &Parts) -> Result<Self> {
+        let parts = sections::read(&manifest.sections, known, read)?;
+        let document = sections::join(&manifest.sections, &parts);
+        let problems = check::errors(&document);
+        if !problems.is_empty() {
             return Err(Error::Invalid(problems));
         }
         let rules = RuleSet::compile(&document)?;
@@ -82,6 +85,7 @@
             contents: contents.collect(),
             document,
             manifest,
+            parts,
             rules,
         })
     }
@@ -130,7 +134,10 @@
             return Err(Error::NotNewer(held));
         }
         let known = self.known(&manifest, received);
-        let configuration = Rc::new(Configuration::new(manifest, &known)?);
+        let held = self.current();
+        let nothing = Parts::new();
+        let read = held.as_ref().map_or(&nothing, |held| &held.parts);
+        let configuration = Rc::new(Configuration::new(manifest, &known, read)?);
         let wakers = {
             let mut inner = self.inner.borrow_mut();
             inner.current = Some(Rc::clone(&configuration));
--- a/crates/lilaccrank/src/configuration/sections.rs
+++ b/crates/lilaccrank/src/configuration/sections.rs
@@ -20,6 +20,8 @@
 pub type SectionName = String;
 /// Contents of sections: JSON, each a document that holds one part only.
 pub type Contents = IndexMap<Digest, Rc<str>>;
+/// Sections that were verified and read, by digest.
+pub type Parts = IndexMap<Digest, Rc<Document>>;
 /// Result of splitting or assembling a document.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -112,30 +114,62 @@
     }
 }
 
-/// Puts the sections of `index` together, verifying each.
+/// Verifies and reads the sections of `index`, but for those that are in `known`.
 ///
 /// # Errors
 /// A section is missing, corrupt or unreadable.
-pub fn assemble(index: &IndexMap<SectionName, Digest>, contents: &Contents) -> Result<Document> {
+pub fn read(
+    index: &IndexMap<SectionName, Digest>,
+    contents: &Contents,
+    known: &Parts,
+) -> Result<Parts> {
     let missing = missing(index, contents);
     if !missing.is_empty() {
         return Err(Error::Missing(missing));
     }
-    let mut document = Document::default();
+    let mut parts = Parts::with_capacity(index.len());
     for (name, expected) in index {
-        let content = &contents[expected];
-        if digest(content) != *expected {
-            return Err(Error::Corrupt(name.clone()));
-        }
-        let part: Document = serde_json::from_str(content).map_err(|e| unreadable(name, &e))?;
-        document.customers.extend(part.customers);
-        document.operators.extend(part.operators);
-        document.pools.extend(part.pools);
-        document.rules.extend(part.rules);
-        document.tiers.extend(part.tiers);
+        let part = match known.get(expected) {
+            Some(part) => Rc::clone(part),
+            None => Rc::new(read_part(name, expected, &contents[expected])?),
+        };
+        parts.insert(expected.clone(), part);
+    }
+    Ok(parts)
+}
+
+fn read_part(name: &str, expected: &str, content: &str) -> Result<Document> {
+    if digest(content) != *expected {
+        return Err(Error::Corrupt(name.to_owned()));
+    }
+    serde_json::from_str(content).map_err(|e| unreadable(name, &e))
+}
+
+/// Puts the sections of `index` together.
+///
+/// # Errors
+/// A section is missing, corrupt or unreadable.
+pub fn assemble(index: &IndexMap<SectionName, Digest>, contents: &Contents) -> Result<Document> {
+    let parts = read(index, contents, &Parts::new())?;
+    Ok(join(index, &parts))
+}
+
+/// Puts sections that were read together in the order of `index`.
+///
+/// # Panics
+/// If `parts` lacks a section; [`read`] returns all of them.
+#[must_use]
+pub fn join(index: &IndexMap<SectionName, Digest>, parts: &Parts) -> Document {
+    let mut document = Document::default();
+    for part in index.values().map(|digest| &parts[digest]) {
+        document.customers.extend_from_slice(&part.customers);
+        document.operators.extend_from_slice(&part.operators);
+        document.pools.extend_from_slice(&part.pools);
+        document.rules.extend_from_slice(&part.rules);
+        document.tiers.extend_from_slice(&part.tiers);
     }
-    document.customers.sort_by(|a, b| a.id.cmp(&b.id));
-    Ok(document)
+    document.customers.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+    document
 }
 
 /// Digests of `index` that are not in `contents`.
--- a/crates/lilaccrank/src/rules/check.rs
+++ b/crates/lilaccrank/src/rules/check.rs
@@ -23,6 +23,20 @@
 /// Every problem of `document`, in the order of its sections.
 #[must_use]
 pub fn check(document: &Document) -> Vec<Problem> {
+    let mut problems = check_parts(document);
+    check_reachable(document, &mut problems);
+    problems
+}
+
+/// The problems that prevent publishing, found without comparing rules with each other.
+#[must_use]
+pub fn errors(document: &Document) -> Vec<Problem> {
+    let mut problems = check_parts(document);
+    problems.retain(|problem| problem.severity == Severity::Error);
+    problems
+}
+
+fn check_parts(document: &Document) -> Vec<Problem> {
     let names = Names::new(document);
     let mut problems = Vec::new();
     check_tiers(document, &mut problems);
@@ -234,6 +248,9 @@
     for (position, rule) in document.rules.iter().enumerate() {
         check_rule::check_rule(rule, names, &format!("/rules/{position}"), problems);
     }
+}
+
+fn check_reachable(document: &Document, problems: &mut Vec<Problem>) {
     for unreachable in coverage::unreachable(document) {
         let earlier = &document.rules[unreachable.covered_by].id;
         let message = format!("no request reaches the rule: rule {earlier:?} takes them all");
