--- a/crates/lilaccrank/src/configuration/sections.rs
+++ b/crates/lilaccrank/src/configuration/sections.rs
@@ -154,7 +154,8 @@
     Ok(join(index, &parts))
 }
 
-/// Puts sections that were read together in the order of `index`.
+/// Puts sections that were read together in the order of `index`. Customers, which have no
+/// order of their own, come in that of their shards.
 ///
 /// # Panics
 /// If `parts` lacks a section; [`read`] returns all of them.
@@ -168,7 +169,6 @@
         document.rules.extend_from_slice(&part.rules);
         document.tiers.extend_from_slice(&part.tiers);
     }
-    document.customers.sort_unstable_by(|a, b| a.id.cmp(&b.id));
     document
 }
 
--- a/crates/lilaccrank/src/rules/check.rs
+++ b/crates/lilaccrank/src/rules/check.rs
@@ -1,5 +1,6 @@
 //! Finds the problems of a document before it is published.
 
+use std::fmt::Arguments;
 use std::net::SocketAddr;
 
 use indexmap::IndexSet;
@@ -71,7 +72,7 @@
     used: impl IntoIterator<Item = &'a String>,
     known: &IndexSet<&str>,
     what: &str,
-    spot: &str,
+    spot: Arguments<'_>,
     problems: &mut Vec<Problem>,
 ) {
     for (position, name) in used.into_iter().enumerate() {
@@ -92,13 +93,13 @@
 ) {
     let mut seen = IndexSet::new();
     for (position, id) in ids.enumerate() {
-        let pointer = format!("{spot}/{position}{field}");
+        let pointer = || format!("{spot}/{position}{field}");
         if id.is_empty() {
-            problems.push(Problem::error(&pointer, "the id is empty", "name it"));
+            problems.push(Problem::error(pointer(), "the id is empty", "name it"));
         }
         if !seen.insert(id) {
             let message = format!("the id {id:?} stands twice");
-            problems.push(Problem::error(&pointer, message, "give each its own id"));
+            problems.push(Problem::error(pointer(), message, "give each its own id"));
         }
     }
 }
@@ -116,19 +117,28 @@
     check_ids(ids, "/customers", "/id", problems);
     let mut keys = IndexSet::new();
     for (position, customer) in document.customers.iter().enumerate() {
-        let spot = format!("/customers/{position}");
-        check_customer(customer, names, &spot, problems);
-        check_keys(&customer.key_sha256, &mut keys, &spot, problems);
+        let spot = format_args!("/customers/{position}");
+        check_customer(customer, names, spot, problems);
+        check_keys(&customer.key_sha256, &mut keys, spot, problems);
     }
 }
 
-fn check_customer(customer: &Customer, names: &Names<'_>, spot: &str, problems: &mut Vec<Problem>) {
-    let tiers = format!("{spot}/tiers");
+fn check_customer(
+    customer: &Customer,
+    names: &Names<'_>,
+    spot: Arguments<'_>,
+    problems: &mut Vec<Problem>,
+) {
+    let tiers = format_args!("{spot}/tiers");
     if customer.tiers.is_empty() {
         let hint = "list the tiers it may wish for, the usual one last";
-        problems.push(Problem::error(&tiers, "the customer has no tier", hint));
+        problems.push(Problem::error(
+            tiers.to_string(),
+            "the customer has no tier",
+            hint,
+        ));
     }
-    check_known(&customer.tiers, &names.tiers, "tier", &tiers, problems);
+    check_known(&customer.tiers, &names.tiers, "tier", tiers, problems);
     if customer.weight == 0 {
         let message = "a weight of 0 would starve the customer";
         problems.push(Problem::error(
@@ -147,7 +157,7 @@
         check_keys(
             key_sha256,
             &mut keys,
-            &format!("/operators/{position}"),
+            format_args!("/operators/{position}"),
             problems,
         );
     }
@@ -157,19 +167,19 @@
 fn check_keys<'a>(
     digests: &'a [String],
     seen: &mut IndexSet<&'a String>,
-    spot: &str,
+    spot: Arguments<'_>,
     problems: &mut Vec<Problem>,
 ) {
     for (position, digest) in digests.iter().enumerate() {
-        let pointer = format!("{spot}/key_sha256/{position}");
-        let is_digit = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
-        if digest.len() != KEY_DIGEST_LENGTH || !digest.chars().all(is_digit) {
+        let pointer = || format!("{spot}/key_sha256/{position}");
+        let is_digit = |c: u8| c.is_ascii_digit() || (b'a'..=b'f').contains(&c);
+        if digest.len() != KEY_DIGEST_LENGTH || !digest.bytes().all(is_digit) {
             let hint = "give SHA-256 of the key as 64 lower-case hexadecimal digits";
-            problems.push(Problem::error(&pointer, "not a digest of a key", hint));
+            problems.push(Problem::error(pointer(), "not a digest of a key", hint));
         }
         if !seen.insert(digest) {
             let hint = "give each holder keys of its own";
-            problems.push(Problem::error(&pointer, "the key is used twice", hint));
+            problems.push(Problem::error(pointer(), "the key is used twice", hint));
         }
     }
 }
@@ -186,8 +196,8 @@
         let spot = format!("/pools/{position}");
         check_pool(pool, &spot, problems);
         for (position, target) in pool.targets.iter().enumerate() {
-            let spot = format!("{spot}/targets/{position}");
-            check_target(target, &spot, problems);
+            let spot = format_args!("{spot}/targets/{position}");
+            check_target(target, spot, problems);
             if !targets.insert(&target.id) {
                 let message = format!("the target {:?} stands twice", target.id);
                 let hint = "give each target its own id, over all pools";
@@ -213,7 +223,7 @@
     }
 }
 
-fn check_target(target: &Target, spot: &str, problems: &mut Vec<Problem>) {
+fn check_target(target: &Target, spot: Arguments<'_>, problems: &mut Vec<Problem>) {
     if target.address.parse::<SocketAddr>().is_err() {
         let hint = "give an IP number and a port, as in 10.0.0.7:8000";
         let message = format!("{:?} is not an address", target.address);
--- a/crates/lilaccrank/src/rules/check_rule.rs
+++ b/crates/lilaccrank/src/rules/check_rule.rs
@@ -31,7 +31,7 @@
         }
         if let Some(known) = known {
             let what = field.replace('_', " ");
-            check::check_known(list, known, &what, &spot, problems);
+            check::check_known(list, known, &what, format_args!("{spot}"), problems);
         }
     }
     if let Some(load) = &when.load
@@ -95,12 +95,12 @@
         let hint = "add it to the tiers, or correct the name";
         problems.push(Problem::error(format!("{spot}/tier"), message, hint));
     }
-    let spill = format!("{spot}/spill");
+    let spill = format_args!("{spot}/spill");
     check::check_known(
         &then.spill,
         &names.data_centres,
         "data centre",
-        &spill,
+        spill,
         problems,
     );
 }
