Configuration: tests of sections, links in the documentation

Cause: the limit of a value and the cost of a rule put in front were only reasoned about; two links did not resolve under rustdoc with -D warnings. An open conflict is resolved by publishing with the same id again, and the page of the error says so.

--- a/crates/lilaccrank/src/configuration/adoption.rs
+++ b/crates/lilaccrank/src/configuration/adoption.rs
@@ -126,7 +126,7 @@
     /// back, would otherwise undo a change that callers have already seen.
     ///
     /// # Errors
-    /// It was not adopted, see [`Error`].
+    /// It was not adopted, see [`enum@Error`].
     pub fn adopt(&self, manifest: Manifest, received: &Contents) -> Result<Rc<Configuration>> {
         if let Some(held) = self.identity()
             && !self.wants(&manifest.identity)
--- a/crates/lilaccrank/src/configuration/publish.rs
+++ b/crates/lilaccrank/src/configuration/publish.rs
@@ -26,7 +26,8 @@
 /// Why a publication was not accepted.
 ///
 /// [`Unresolved`](Self::Unresolved) leaves open whether it took effect. So does a conflict if
-/// an answer was lost and the store came back older in the same moment: [`confirm`] tells.
+/// an answer was lost and the store came back older in the same moment. Publishing with the same
+/// id again tells.
 #[derive(Clone, Debug, Error, PartialEq)]
 pub enum Error {
     /// Another publication came first.
@@ -103,7 +104,7 @@
 /// of date once its holder died, and could undo what the older store has accepted since.
 ///
 /// # Errors
-/// It was not accepted within `limit`, see [`Error`].
+/// It was not accepted within `limit`, see [`enum@Error`].
 pub async fn publish<S: Store, C: Clock>(
     store: &S,
     clock: &C,
@@ -277,7 +278,7 @@
 /// Tells whether a publication stays in force, once all live daemons were asked again what they
 /// hold.
 ///
-/// A store that came back older between the question for the floor and the write accepts a
+/// A store that came back older between taking over the newest and the write accepts a
 /// publication that the daemons then displace; so the answer to the operator waits for this.
 ///
 /// # Errors
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -6,6 +6,8 @@
 mod configuration_publish;
 #[path = "suite/configuration_replay.rs"]
 mod configuration_replay;
+#[path = "suite/configuration_sections.rs"]
+mod configuration_sections;
 #[path = "suite/configuration_spec.rs"]
 mod configuration_spec;
 #[path = "suite/configuration_store.rs"]
