--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -1,5 +1,7 @@
 //! Tests of the library, in one crate; a folder beside this file holds them by subject.
 
+#[path = "suite/cluster.rs"]
+mod cluster;
 #[path = "suite/configuration_model.rs"]
 mod configuration_model;
 #[path = "suite/configuration_publish.rs"]
@@ -12,8 +14,30 @@
 mod configuration_spec;
 #[path = "suite/configuration_store.rs"]
 mod configuration_store;
+#[path = "suite/dispatch_faults.rs"]
+mod dispatch_faults;
+#[path = "suite/dispatch_harness.rs"]
+mod dispatch_harness;
+#[path = "suite/dispatch_order.rs"]
+mod dispatch_order;
 #[path = "suite/error_kind.rs"]
 mod error_kind;
+#[path = "suite/fake_store.rs"]
+mod fake_store;
+#[path = "suite/lease.rs"]
+mod lease;
+#[path = "suite/membership.rs"]
+mod membership;
+#[path = "suite/membership_cost.rs"]
+mod membership_cost;
+#[path = "suite/orders.rs"]
+mod orders;
+#[path = "suite/process.rs"]
+mod process;
+#[path = "suite/rendezvous.rs"]
+mod rendezvous;
+#[path = "suite/request_key.rs"]
+mod request_key;
 #[path = "suite/rules_check.rs"]
 mod rules_check;
 #[path = "suite/rules_difference.rs"]
@@ -22,3 +46,7 @@
 mod rules_matching;
 #[path = "suite/seeded.rs"]
 mod seeded;
+#[path = "suite/timeline.rs"]
+mod timeline;
+#[path = "suite/wire.rs"]
+mod wire;
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/membership.rs
@@ -0,0 +1,256 @@
+//! Failures that the membership has to see, and those it must not see.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use lilaccrank::membership::{DATAGRAM_LIMIT, State};
+
+use crate::cluster::{self, Cluster};
+
+// Requests sent to a killed daemon are lost until all know of its death. Daemon 4 is killed
+// without a word; one of the others sees its probes fail, suspects it, and after the suspicion
+// tells all.
+macro_rules! killed {
+    ($($name:ident: $count:expr, $limit_ms:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut cluster = Cluster::new($count);
+            cluster.kill(1);
+            let known = cluster.until($limit_ms, |c| c.all_see($count - 1, Some(1)));
+            assert!(known.is_some());
+            assert!(cluster.wire.largest() <= DATAGRAM_LIMIT);
+            assert_eq!(cluster.declared_dead(), 0, "a survivor was declared dead");
+        }
+    )*};
+}
+
+killed! {
+    killed_among_2: 2, 2_500;
+    killed_among_3: 3, 2_500;
+    killed_among_9: 9, 2_500;
+    killed_among_64: 64, 3_000;
+}
+
+// A frozen daemon wakes and goes on granting as if nothing had been, while its successor grants
+// as well. It was declared dead meanwhile. It may have heard all of that, nothing, or only of the
+// first suspicion, which it refutes first; in each case it has to learn of its death within a few
+// periods, so that its embedding code drops what it held. Its first messages are lost.
+macro_rules! thawed {
+    ($($name:ident: $count:expr, $heard:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            for phase in 0..5 {
+                thaw_after_death($count, $heard, phase * 130);
+            }
+        }
+    )*};
+}
+
+fn thaw_after_death(count: usize, heard: State, phase_ms: u64) {
+    let mut cluster = Cluster::new(count);
+    cluster.advance(phase_ms);
+    let told = Rc::new(Cell::new(0));
+    let (membership, seen) = (cluster.daemons[1].membership.clone(), Rc::clone(&told));
+    cluster.spawn(async move { seen.set(membership.self_was_declared_dead(0).await) });
+    cluster.freeze(1);
+    let known = cluster.until(5_000, |c| {
+        let others = (0..count).filter(|index| *index != 1);
+        let mut records = others.filter_map(|index| c.record(index, &cluster::vm(1)));
+        records.any(|record| record.state == heard)
+    });
+    assert!(known.is_some());
+    cluster.advance(100);
+    cluster.wire.cut_off([cluster::address(1)]);
+    cluster.advance(30_000);
+    assert!(cluster.all_see(count - 1, Some(1)));
+    cluster.thaw(1);
+    cluster.advance(100);
+    cluster.wire.cut_off([]);
+    assert!(cluster.until(500, |_| told.get() > 0).is_some());
+    assert!(cluster.until(3_000, |c| c.all_see(count, None)).is_some());
+    cluster.advance(10_000);
+    assert_eq!(cluster.declared_dead(), 1);
+}
+
+thawed! {
+    thawed_daemon_of_2_that_heard_all_learns_of_its_death: 2, State::Dead;
+    thawed_daemon_of_2_that_heard_nothing_learns_of_its_death: 2, State::Live;
+    thawed_daemon_of_2_that_heard_of_suspicion_learns_of_its_death: 2, State::Suspect;
+    thawed_daemon_of_3_that_heard_all_learns_of_its_death: 3, State::Dead;
+    thawed_daemon_of_3_that_heard_nothing_learns_of_its_death: 3, State::Live;
+    thawed_daemon_of_3_that_heard_of_suspicion_learns_of_its_death: 3, State::Suspect;
+    thawed_daemon_of_9_that_heard_all_learns_of_its_death: 9, State::Dead;
+    thawed_daemon_of_9_that_heard_nothing_learns_of_its_death: 9, State::Live;
+    thawed_daemon_of_9_that_heard_of_suspicion_learns_of_its_death: 9, State::Suspect;
+}
+
+// A daemon is frozen while it probes. When it thaws its timers are over, though the other had no
+// chance to answer; if that one failure counted, the thawed one would declare a healthy daemon
+// dead and move its duties.
+#[test]
+fn thawed_daemon_declares_nobody_dead() {
+    let mut cluster = Cluster::new(9);
+    for pause in 0..20 {
+        cluster.wire.cut_off([cluster::address(3)]);
+        cluster.advance(110 + 10 * pause);
+        cluster.freeze(3);
+        cluster.advance(5_000);
+        cluster.wire.cut_off([]);
+        cluster.thaw(3);
+        cluster.advance(5_000);
+    }
+    let others = (0..9).filter(|index| *index != 3);
+    for index in others {
+        let count = cluster.daemons[index].membership.declared_dead_count();
+        assert_eq!(count, 0, "daemon {index} was declared dead");
+    }
+}
+
+// Daemon 5 hears that daemon 4 is suspect and is frozen itself. Meanwhile daemon 4 refutes. When
+// daemon 5 thaws, its wait is over and it still holds the suspicion: hearsay that counted by
+// time alone would kill a healthy daemon.
+#[test]
+fn old_hearsay_kills_nobody() {
+    let mut cluster = Cluster::new(9);
+    cluster.freeze(4);
+    let heard = cluster.until(3_000, |c| {
+        c.record(5, &cluster::vm(4))
+            .is_some_and(|m| m.state == State::Suspect)
+    });
+    assert!(heard.is_some());
+    cluster.freeze(5);
+    cluster.wire.cut_off([cluster::address(5)]);
+    cluster.thaw(4);
+    cluster.advance(10_000);
+    cluster.wire.cut_off([]);
+    cluster.thaw(5);
+    cluster.advance(5_000);
+    assert!(cluster.all_see(9, None));
+    assert_eq!(cluster.daemons[4].membership.declared_dead_count(), 0);
+}
+
+// A rack fails: three daemons die together, and with them perhaps the one that was about to
+// declare another dead.
+#[test]
+fn three_killed_together_are_all_known() {
+    let mut cluster = Cluster::new(9);
+    for victim in [1, 2, 3] {
+        cluster.kill(victim);
+        cluster.advance(300);
+    }
+    let known = cluster.until(5_000, |c| {
+        [0, 4, 5, 6, 7, 8].into_iter().all(|i| c.live(i).len() == 6)
+    });
+    assert!(known.is_some());
+}
+
+// A vm is replaced by one with another name at the same address. The old name answers no more;
+// as long as it is thought live, duties and grants go to it and are lost.
+#[test]
+fn replaced_vm_at_the_same_address_ends_the_old_name() {
+    let mut cluster = Cluster::new(9);
+    cluster.kill(5);
+    let successor = cluster.start("vm-new".to_owned(), 5, 2_000);
+    cluster.daemons[5] = successor;
+    let known = cluster.until(1_000, |c| {
+        let names = c.live(0);
+        names.contains(&"vm-new".to_owned()) && !names.contains(&cluster::vm(5))
+    });
+    assert!(known.is_some());
+    assert!(cluster.until(3_000, |c| c.all_see(9, None)).is_some());
+}
+
+// A daemon restarts under its own name before anybody missed it. What it held is gone, so the
+// others must see a new incarnation although it always seemed live.
+#[test]
+fn restarted_daemon_is_seen_as_a_new_incarnation() {
+    let mut cluster = Cluster::new(9);
+    cluster.kill(5);
+    cluster.daemons[5] = cluster.start(cluster::vm(5), 5, 2_000);
+    let all_know = |c: &Cluster| {
+        (0..9).all(|i| {
+            c.record(i, &cluster::vm(5))
+                .is_some_and(|m| m.incarnation == 2_000 && m.state == State::Live)
+        })
+    };
+    assert!(cluster.until(3_000, all_know).is_some());
+}
+
+// One datagram in five is lost, so one probe in three fails directly. Members that come and go
+// in the table would move their duties each time, with all that waits there.
+macro_rules! lossy {
+    ($($name:ident: $count:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut cluster = Cluster::new($count);
+            cluster.wire.set_loss(0.2);
+            for _ in 0..600 {
+                cluster.advance(100);
+                assert!(cluster.all_see($count, None), "a live member was dropped");
+            }
+            assert_eq!(cluster.declared_dead(), 0);
+            cluster.kill(1);
+            let known = cluster.until(6_000, |c| c.all_see($count - 1, Some(1)));
+            assert!(known.is_some());
+        }
+    )*};
+}
+
+lossy! {
+    lossy_wire_among_3_drops_nobody: 3;
+    lossy_wire_among_9_drops_nobody: 9;
+}
+
+// A switch cuts three daemons off, and each side declares the other dead. When it heals, nobody
+// probes the dead: without letters to them both sides would keep their own duties for ever.
+#[test]
+fn partition_heals() {
+    let mut cluster = Cluster::new(9);
+    cluster.wire.cut_off((0..3).map(cluster::address));
+    let parted =
+        |c: &Cluster| (0..3).all(|i| c.live(i).len() == 3) && (3..9).all(|i| c.live(i).len() == 6);
+    assert!(cluster.until(5_000, parted).is_some());
+    cluster.advance(60_000);
+    cluster.wire.cut_off([]);
+    assert!(cluster.until(10_000, |c| c.all_see(9, None)).is_some());
+}
+
+// A leaving daemon is given work until the others know. It tells all at once, twice, so that
+// losing one datagram in five delays few of them by a period.
+#[test]
+fn leaving_is_known_at_once() {
+    let mut cluster = Cluster::new(9);
+    cluster.wire.set_loss(0.2);
+    let membership = cluster.daemons[2].membership.clone();
+    cluster.spawn(async move { membership.leave().await });
+    assert!(cluster.until(1_000, |c| c.all_see(8, None)).is_some());
+    let states = (0..9).map(|i| cluster.record(i, &cluster::vm(2)).map(|m| m.state));
+    assert!(states.into_iter().all(|s| s == Some(State::Leaving)));
+}
+
+// A daemon that leaves ends at once after the announcement: each of the others has to know it by
+// then, since nobody is left to repeat it.
+#[test]
+fn leaving_and_gone_is_known() {
+    let mut cluster = Cluster::new(64);
+    let left = Rc::new(Cell::new(false));
+    let (membership, done) = (cluster.daemons[2].membership.clone(), Rc::clone(&left));
+    cluster.spawn(async move {
+        membership.leave().await;
+        done.set(true);
+    });
+    assert!(cluster.until(250, |_| left.get()).is_some());
+    cluster.kill(2);
+    assert!(cluster.all_see(63, Some(2)));
+}
+
+// A caller's connection to a peer is refused and it hints at that. If the hint alone counted,
+// one full backlog would kill a healthy daemon.
+#[test]
+fn hint_about_a_healthy_member_changes_nothing() {
+    let mut cluster = Cluster::new(9);
+    cluster.daemons[0].membership.suspect(&cluster::vm(4));
+    cluster.advance(2_000);
+    assert!(cluster.all_see(9, None));
+    assert_eq!(cluster.daemons[4].membership.me().incarnation, 1_000);
+}
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/request_key.rs
@@ -0,0 +1,14 @@
+//! Request keys: failures with fakes, and the model of claim, dispatch and takeover.
+
+#[path = "request_key/cluster.rs"]
+mod cluster;
+#[path = "request_key/failures.rs"]
+mod failures;
+#[path = "request_key/model.rs"]
+mod model;
+#[path = "request_key/replay.rs"]
+mod replay;
+#[path = "request_key/spec.rs"]
+mod spec;
+#[path = "request_key/store_failures.rs"]
+mod store_failures;
--- /dev/null
+++ b/crates/lilaccrankd/src/duties.rs
@@ -0,0 +1,91 @@
+//! Which member of the data centre has which duty.
+
+use lilaccrank::ids::{PoolId, VmId};
+use lilaccrank::membership::{Member, Membership};
+use lilaccrank::rendezvous;
+use lilaccrank::request_key::{MemberRef, Ranking};
+
+/// Name of the duty to watch the store.
+const WATCH: &str = "watch/configuration";
+/// Daemons of a data centre that watch the store: a second one, so that the death of one costs
+/// no time. Waiting watches thus grow with the data centres, not with the daemons.
+const WATCHERS: usize = 2;
+
+/// Duties by rendezvous hashing over the live members.
+#[derive(Clone)]
+pub struct Duties {
+    membership: Membership,
+}
+
+impl Duties {
+    /// Duties of the members that `membership` thinks live.
+    #[must_use]
+    pub fn new(membership: Membership) -> Self {
+        Self { membership }
+    }
+
+    /// The dispatcher of a pool here.
+    #[must_use]
+    pub fn dispatcher(&self, pool: &PoolId) -> Option<MemberRef> {
+        let live = self.membership.live();
+        let duty = format!("pool/{pool}");
+        let vm = rendezvous::owner(&duty, live.members.iter().map(|m| &m.vm))?;
+        let member = live.members.iter().find(|member| member.vm == *vm)?;
+        Some(reference(member))
+    }
+
+    /// Whether this daemon watches the store for its data centre.
+    #[must_use]
+    pub fn is_watcher(&self) -> bool {
+        let live = self.membership.live();
+        let vms = live.members.iter().map(|member| &member.vm);
+        let watchers = rendezvous::top(WATCH, vms, WATCHERS);
+        watchers.contains(&&self.membership.me().vm)
+    }
+
+    /// The first watcher of the data centre.
+    #[must_use]
+    pub fn watcher(&self) -> Option<VmId> {
+        let live = self.membership.live();
+        let vms = live.members.iter().map(|member| &member.vm);
+        rendezvous::owner(WATCH, vms).cloned()
+    }
+
+    /// Whether this daemon, in its present life, is the dispatcher of a pool.
+    #[must_use]
+    pub fn is_dispatcher(&self, pool: &PoolId) -> bool {
+        self.dispatcher(pool) == Some(self.me())
+    }
+}
+
+impl Ranking for Duties {
+    fn is_live(&self, member: &MemberRef) -> bool {
+        let live = self.membership.live();
+        live.members.iter().any(|m| reference(m) == *member)
+    }
+
+    fn me(&self) -> MemberRef {
+        reference(&self.membership.me())
+    }
+
+    fn ranked(&self, key_hash: u64) -> Vec<MemberRef> {
+        let live = self.membership.live();
+        let duty = format!("key/{key_hash:x}");
+        let vms = live.members.iter().map(|member| &member.vm);
+        let ranked = rendezvous::top(&duty, vms, live.members.len());
+        ranked
+            .into_iter()
+            .filter_map(|vm| live.members.iter().find(|member| member.vm == *vm))
+            .map(reference)
+            .collect()
+    }
+}
+
+/// The life of a member.
+#[must_use]
+pub fn reference(member: &Member) -> MemberRef {
+    MemberRef {
+        incarnation: member.incarnation,
+        vm: member.vm.clone(),
+    }
+}
--- a/crates/lilaccrankd/src/main.rs
+++ b/crates/lilaccrankd/src/main.rs
@@ -1,2 +1,43 @@
-//! x
-fn main() {}
+//! The daemon of lilaccrank: takes requests, dispatches them to targets, answers callers.
+
+use std::process::ExitCode;
+
+mod admin;
+mod answer_shape;
+mod answers;
+mod args;
+mod attach;
+mod auth;
+mod caller_request;
+mod callers;
+mod configuration;
+mod daemon;
+mod duties;
+mod engine_run;
+mod engine_stream;
+mod entry;
+mod in_force;
+mod interruption;
+mod json_logger;
+mod key_state;
+mod metrics;
+mod peer_message;
+mod peer_network;
+mod pool_client;
+mod pool_server;
+mod proxy_run;
+mod refusal;
+mod request_run;
+mod run;
+mod serve;
+mod settings;
+mod shutdown;
+mod signals;
+mod spill;
+mod target_poller;
+mod udp_gossip;
+mod vm_list;
+
+fn main() -> ExitCode {
+    args::run()
+}
