--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::error_kind::ErrorKind;
 use crate::ids::{Incarnation, RequestId, TargetId, Tier, VmId};
 
+mod admission;
 pub mod affinity;
 pub mod choice;
 mod deadline;
@@ -23,6 +24,7 @@
 pub mod health;
 pub mod limits;
 pub mod message;
+mod overload;
 pub mod queue;
 mod recovery;
 mod reports;
@@ -33,9 +35,10 @@
 pub mod target;
 pub mod work;
 
+use admission::Admission;
 use message::Verdict;
 use message::{Ask, AskNumber, CacheEvent, Cancel, Entry, LoadReport, Refuse, Report, Resync};
-use state::{Admission, State, WaiterId};
+use state::{State, WaiterId};
 use status::Status;
 
 /// Time between checks of deadlines and of silent targets.
--- /dev/null
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -0,0 +1,143 @@
+//! Admission of asks: what is decided at once, and what waits.
+
+use std::time::Instant;
+
+use futures::channel::oneshot;
+
+use super::affinity;
+use super::limits::{self, Counted};
+use super::message::{Ask, AskNumber, Refuse, Verdict};
+use super::state::{self, State, Waiter, WaiterId};
+use crate::error_kind::ErrorKind;
+
+/// Most exclusions of one ask that are kept.
+const EXCLUSIONS_LIMIT: usize = 32;
+
+/// Result of an ask.
+pub(super) enum Admission {
+    Decided(Verdict),
+    Waits(WaiterId, oneshot::Receiver<Verdict>),
+}
+
+impl State {
+    /// Takes in an ask and decides what can be decided at once.
+    pub(super) fn ask(&mut self, mut ask: Ask, now: Instant) -> Admission {
+        ask.exclusions.truncate(EXCLUSIONS_LIMIT);
+        ask.prefix.truncate(affinity::DIGESTS_LIMIT);
+        let waiting = self
+            .waiting
+            .get(&ask.request)
+            .map(|waiting| waiting.ask.ask);
+        let granted = self.reservations.get(&ask.request).map(|held| held.ask);
+        let newest = waiting.max(granted);
+        if newest > Some(ask.ask) {
+            return Admission::Decided(state::refuse(&ask, ErrorKind::Cancelled, None));
+        }
+        if waiting == Some(ask.ask) {
+            return self.attach(&ask.request);
+        }
+        if granted == Some(ask.ask) {
+            return Admission::Decided(self.granted(&ask.request, ask.ask));
+        }
+        let counted = self.supersede(&ask.request, now);
+        match self.admit(&ask, counted, now) {
+            Ok(counted) => {
+                let request = ask.request.clone();
+                self.enqueue(ask, counted, now);
+                let admission = self.attach(&request);
+                // What finds an open target costs no place in the queue.
+                self.dispatch(now);
+                self.shed(now);
+                admission
+            }
+            Err(refusal) => Admission::Decided(Verdict::Refuse(refusal)),
+        }
+    }
+
+    /// Takes back an ask, waiting or granted, and those before it.
+    pub(super) fn cancel(&mut self, request: &str, ask: AskNumber, now: Instant) {
+        if self.waiting.get(request).is_some_and(|w| w.ask.ask <= ask) {
+            self.refuse(request, ErrorKind::Cancelled, None);
+        }
+        if self.reservations.get(request).is_some_and(|r| r.ask <= ask) {
+            self.release(request, now);
+        }
+        self.dispatch(now);
+    }
+
+    /// The call of a waiter has ended before it had its verdict.
+    pub(super) fn abandon(&mut self, request: &str, waiter: WaiterId, now: Instant) {
+        let waiting = self.waiting.get(request);
+        let current = waiting.and_then(|waiting| waiting.waiter.as_ref());
+        if current.is_some_and(|current| current.id == waiter) {
+            self.refuse(request, ErrorKind::Cancelled, None);
+            self.dispatch(now);
+        }
+    }
+
+    fn attach(&mut self, request: &str) -> Admission {
+        let (tx, rx) = oneshot::channel();
+        let id = self.next_waiter;
+        self.next_waiter += 1;
+        if let Some(waiting) = self.waiting.get_mut(request) {
+            let earlier = waiting.waiter.replace(Waiter { id, tx });
+            if let Some(earlier) = earlier {
+                let _ = earlier
+                    .tx
+                    .send(state::refuse(&waiting.ask, ErrorKind::Cancelled, None));
+            }
+        }
+        Admission::Waits(id, rx)
+    }
+
+    /// Ends the earlier ask of a request and keeps its place under the limits.
+    fn supersede(&mut self, request: &str, now: Instant) -> Option<Counted> {
+        let counted = match self.waiting.get_mut(request) {
+            Some(waiting) => waiting.counted.take(),
+            None => self.reservations.get_mut(request)?.counted.take(),
+        };
+        self.refuse(request, ErrorKind::Cancelled, None);
+        self.release(request, now);
+        counted
+    }
+
+    fn admit(
+        &mut self,
+        ask: &Ask,
+        counted: Option<Counted>,
+        now: Instant,
+    ) -> Result<Option<Counted>, Refuse> {
+        let refusal = self.judge(ask, now);
+        if let Some(refusal) = refusal {
+            if let Some(counted) = counted {
+                self.limits.release(&counted);
+            }
+            return Err(refusal);
+        }
+        if counted.is_some() {
+            return Ok(counted);
+        }
+        self.limits.take(ask, now).map_err(|err| {
+            let limits::Error::Reached { retry_after } = err;
+            state::refusal_of(ask, ErrorKind::RateLimited, Some(retry_after))
+        })
+    }
+
+    fn judge(&mut self, ask: &Ask, now: Instant) -> Option<Refuse> {
+        if self.handover.is_some() {
+            let full = self.queue.len() >= 2 * self.cfg.waiting_limit;
+            let retry = Some(self.drain.retry_after(0, 0.0, now));
+            return full.then(|| state::refusal_of(ask, ErrorKind::NotReady, retry));
+        }
+        let mut live = self.targets.values().filter(|target| target.live);
+        if live.all(|target| ask.exclusions.contains(&target.id)) {
+            let retry = Some(self.drain.retry_after(0, 0.0, now));
+            return Some(state::refusal_of(ask, ErrorKind::NoTarget, retry));
+        }
+        self.is_hopeless(ask, now).then(|| {
+            let ahead = self.queue.ahead(ask.tier, &ask.customer, ask.weight);
+            let retry = self.retry_behind(ahead, now);
+            state::refusal_of(ask, ErrorKind::DeadlineUnmeetable, Some(retry))
+        })
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank/src/dispatch/overload.rs
@@ -0,0 +1,57 @@
+//! Overload: what is refused when more comes than the pool can do.
+
+use std::time::{Duration, Instant};
+
+use super::state::State;
+use super::work::Work;
+use crate::error_kind::ErrorKind;
+use crate::ids::RequestId;
+
+impl State {
+    /// Refuses what is too late.
+    pub(super) fn expire(&mut self, now: Instant) {
+        while let Some(request) = self.queue.expired(now).cloned() {
+            let retry = self.retry_after(&request, now);
+            self.refuse(&request, ErrorKind::DeadlineUnmeetable, Some(retry));
+        }
+    }
+
+    /// Refuses all that waits.
+    pub(super) fn refuse_all(&mut self, kind: ErrorKind, now: Instant) {
+        let requests: Vec<RequestId> = self.queue.requests().cloned().collect();
+        for request in requests {
+            let retry = self.drain.retry_after(0, 0.0, now);
+            self.refuse(&request, kind, Some(retry));
+        }
+    }
+
+    /// Sheds from the lowest tier until the queue is within its limit. During a handover other
+    /// entries may yet bring lower work, so only the lowest tier of all is shed.
+    pub(super) fn shed(&mut self, now: Instant) {
+        while self.queue.len() > self.cfg.waiting_limit {
+            let Some(victim) = self.queue.victim() else {
+                return;
+            };
+            if self.handover.is_some() && victim.tier < self.cfg.lowest_tier {
+                return;
+            }
+            let request = victim.request.clone();
+            let retry = self.retry_after(&request, now);
+            self.refuse(&request, ErrorKind::Overloaded, Some(retry));
+        }
+    }
+
+    fn retry_after(&mut self, request: &str, now: Instant) -> Duration {
+        let item = self.queue.get(request);
+        let ahead = item.map_or(Work::default(), |item| {
+            self.queue.ahead(item.tier, &item.customer, item.weight)
+        });
+        self.retry_behind(ahead, now)
+    }
+
+    pub(super) fn retry_behind(&mut self, ahead: Work, now: Instant) -> Duration {
+        self.refresh_capacity(now);
+        let modelled = self.wait(ahead);
+        self.drain.retry_after(ahead.tokens(), modelled, now)
+    }
+}
