A handover past twice the queue's limit sheds in tier order

Cause: past that bound a new ask was refused as not ready whatever its tier, also a higher one while lower-tier work was kept; a resync's asks were dropped in the order they came. Ruled out: no bound (memory).

--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -125,9 +125,7 @@
 
     fn judge(&mut self, ask: &Ask, now: Instant) -> Option<Refuse> {
         if self.handover.is_some() {
-            let full = self.queue.len() >= 2 * self.cfg.waiting_limit;
-            let retry = Some(self.drain.retry_after(0, 0.0, now));
-            return full.then(|| state::refusal_of(ask, ErrorKind::NotReady, retry));
+            return None;
         }
         let mut live = self.targets.values().filter(|target| target.live);
         if live.all(|target| ask.exclusions.contains(&target.id)) {
--- a/crates/lilaccrank/src/dispatch/overload.rs
+++ b/crates/lilaccrank/src/dispatch/overload.rs
@@ -26,13 +26,15 @@
     }
 
     /// Sheds from the lowest tier until the queue is within its limit. During a handover other
-    /// entries may yet bring lower work, so only the lowest tier of all is shed.
+    /// entries may yet bring lower work, so only the lowest tier of all is shed, unless the queue
+    /// grows to twice its limit.
     pub(super) fn shed(&mut self, now: Instant) {
         while self.queue.len() > self.cfg.waiting_limit {
             let Some(victim) = self.queue.victim() else {
                 return;
             };
-            if self.handover.is_some() && victim.tier < self.cfg.lowest_tier {
+            let kept = self.handover.is_some() && victim.tier < self.cfg.lowest_tier;
+            if kept && self.queue.len() <= 2 * self.cfg.waiting_limit {
                 return;
             }
             let request = victim.request.clone();
--- a/crates/lilaccrank/src/dispatch/recovery.rs
+++ b/crates/lilaccrank/src/dispatch/recovery.rs
@@ -167,8 +167,7 @@
         let waiting = self.waiting.get(&ask.request).map(|w| w.ask.ask);
         let held = self.reservations.get(&ask.request).map(|held| held.ask);
         let known = waiting.max(held) >= Some(ask.ask);
-        let full = self.queue.len() >= 2 * self.cfg.waiting_limit;
-        if known || full {
+        if known {
             return;
         }
         self.refuse(&ask.request, ErrorKind::Cancelled, None);
--- a/crates/lilaccrank/tests/suite/dispatch_faults.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_faults.rs
@@ -376,6 +376,19 @@
     assert_eq!(harness.grants(), granted("call", "t0"));
 }
 
+// Memory runs out in a handover during a burst, or an urgent ask is refused while bulk is kept.
+// Past twice its limit the queue sheds from its lowest tier, whichever that is.
+#[test]
+fn a_handover_keeps_at_most_twice_the_limit() {
+    let mut harness = Harness::new(&[1], 1, FLOOR);
+    let expected = vec![entry("vm3")];
+    harness.dispatcher.begin_handover(expected, FLOOR);
+    for (request, tier) in [("bulk", 2), ("more", 1), ("urgent", 0)] {
+        harness.ask(ask(request, tier));
+    }
+    assert_eq!(harness.refusals(), refused("bulk", ErrorKind::Overloaded));
+}
+
 // A silent entry would hold up all others: the grace ends the wait.
 #[test]
 fn a_handover_ends_with_its_grace() {
