Request keys: a dropped claim is given up

Cause: the task of a request is dropped when its caller goes away; its claim stayed, and each repeat was sent to an entry that ran nothing. Ruled out: leaving it to the time to live (minutes of wrong answers). Tests for these, for a daemon that thinks itself alone and for a join seen by one side.

--- a/crates/lilaccrank/src/request_key.rs
+++ b/crates/lilaccrank/src/request_key.rs
@@ -10,6 +10,7 @@
 pub mod claims;
 mod grant;
 mod handover;
+mod held;
 pub mod keeper;
 pub mod key_id;
 pub mod message;
--- a/crates/lilaccrank/src/request_key/claim.rs
+++ b/crates/lilaccrank/src/request_key/claim.rs
@@ -5,11 +5,12 @@
 use crate::clock::Clock;
 use crate::error_kind::ErrorKind;
 use crate::peers::Peers;
-use crate::request_key::claims::{Claims, Error, Result};
+use crate::request_key::claims::{Error, Result};
+use crate::request_key::held::Held;
 use crate::request_key::key_id::KeyId;
 use crate::request_key::message::{KeyReply, KeyRequest};
 use crate::request_key::ranking::Ranking;
-use crate::request_key::record::{Holder, Outcome, Record, Stage};
+use crate::request_key::record::{Holder, Outcome, Stage};
 use crate::request_key::store_claim;
 use crate::store::Store;
 
@@ -19,13 +20,17 @@
 /// State of a claim after its mark: the request may be sent to a target, once.
 pub struct Marked;
 
-/// A claim held by this daemon. It has to be ended or released; one that is merely dropped is
-/// answered as in progress until its time to live has passed or this daemon leaves.
-#[must_use = "a claim has to be ended or released"]
-pub struct Claim<Z, C, P, R, S> {
-    claims: Claims<C, P, R, S>,
-    id: KeyId,
-    record: Record,
+/// A claim held by this daemon. One that is dropped before its mark is released; one that is
+/// dropped after it ends as cancelled, which may have run.
+#[must_use = "a claim that is dropped is given up"]
+pub struct Claim<Z, C, P, R, S>
+where
+    C: Clock,
+    P: Peers<KeyRequest, KeyReply>,
+    R: Ranking,
+    S: Store,
+{
+    held: Held<C, P, R, S>,
     state: PhantomData<Z>,
 }
 
@@ -36,11 +41,9 @@
     R: Ranking,
     S: Store,
 {
-    pub(super) fn new(claims: Claims<C, P, R, S>, id: KeyId, record: Record) -> Self {
+    pub(super) fn new(held: Held<C, P, R, S>) -> Self {
         Self {
-            claims,
-            id,
-            record,
+            held,
             state: PhantomData,
         }
     }
@@ -53,34 +56,28 @@
     ///
     /// Nothing may be sent. The claim is released, unless another one has taken its place.
     pub async fn mark_dispatching(mut self) -> Result<Claim<Marked, C, P, R, S>> {
-        if !self.record.idempotent && !self.claims.inner.budget.try_take() {
+        let idempotent = self.held.record.idempotent;
+        if !idempotent && !self.held.claims.inner.budget.try_take() {
             self.release().await;
             return Err(Error::RateLimited);
         }
-        let req = KeyRequest::Mark {
-            holder: self.record.holder.clone(),
-            id: self.id,
-        };
-        match self.claims.ask(&self.id, req).await {
+        match self.held.ask_mark().await {
             KeyReply::Marked => {}
-            KeyReply::Superseded => return Err(Error::AlreadyRun { failed: None }),
+            KeyReply::Superseded => {
+                self.held.forget();
+                return Err(Error::AlreadyRun { failed: None });
+            }
             _ => {
                 self.release().await;
                 return Err(Error::Unsettled);
             }
         }
-        self.record.stage = Stage::Dispatching;
-        self.claims
-            .inner
-            .keeper
-            .witness(self.id, self.record.clone());
+        self.held.move_to(Stage::Dispatching);
         let marked = Claim {
-            claims: self.claims,
-            id: self.id,
-            record: self.record,
+            held: self.held,
             state: PhantomData,
         };
-        if marked.record.idempotent {
+        if idempotent {
             return Ok(marked);
         }
         marked.claim_in_store().await
@@ -96,26 +93,21 @@
 {
     /// Ends the claim once the request has ended.
     pub async fn end(mut self, outcome: Outcome) {
-        self.record.stage = Stage::Ended(outcome);
-        self.claims
-            .inner
-            .keeper
-            .witness(self.id, self.record.clone());
-        let req = KeyRequest::End {
-            holder: self.record.holder,
-            id: self.id,
-            outcome,
-        };
-        self.claims.send(self.id, req).await;
+        self.held.move_to(Stage::Ended(outcome));
+        self.held.report().await;
     }
 
     async fn claim_in_store(self) -> Result<Self> {
-        let inner = &self.claims.inner;
-        let holder = &self.record.holder;
-        let released = self.record.released;
-        let created =
-            store_claim::create(&inner.store, &inner.budget, &self.id, holder, released).await;
-        match created {
+        let inner = &self.held.claims.inner;
+        let (id, record) = (&self.held.id, &self.held.record);
+        let created = store_claim::create(
+            &inner.store,
+            &inner.budget,
+            id,
+            &record.holder,
+            record.released,
+        );
+        match created.await {
             Ok(()) => Ok(self),
             Err(store_claim::Error::Taken) => {
                 self.end(Outcome::Failed(ErrorKind::AlreadyRun)).await;
@@ -143,25 +135,18 @@
     /// Who holds the claim, with its number.
     #[must_use]
     pub fn holder(&self) -> &Holder {
-        &self.record.holder
+        &self.held.record.holder
     }
 
     /// The key.
     #[must_use]
     pub fn id(&self) -> KeyId {
-        self.id
+        self.held.id
     }
 
     /// Frees the key: nothing was sent to a target and nothing will be.
     pub async fn release(mut self) {
-        let holder = self.record.holder.clone();
-        self.record.release(&holder.entry, holder.attempt);
-        self.claims.inner.keeper.witness(self.id, self.record);
-        let req = KeyRequest::Release {
-            attempt: holder.attempt,
-            entry: holder.entry,
-            id: self.id,
-        };
-        self.claims.send(self.id, req).await;
+        self.held.free();
+        self.held.report().await;
     }
 }
--- a/crates/lilaccrank/src/request_key/claims.rs
+++ b/crates/lilaccrank/src/request_key/claims.rs
@@ -14,6 +14,7 @@
 use crate::peers::Peers;
 use crate::request_key::budget::Budget;
 use crate::request_key::claim::{Claim, Claimed};
+use crate::request_key::held::{Asked, Held};
 use crate::request_key::keeper::Keeper;
 use crate::request_key::key_id::{BodyDigest, KeyId};
 use crate::request_key::message::{KeyReply, KeyRequest};
@@ -96,7 +97,13 @@
 
 /// What a request may do with its key.
 #[must_use]
-pub enum Access<C: Clock, P, R, S> {
+pub enum Access<C, P, R, S>
+where
+    C: Clock,
+    P: Peers<KeyRequest, KeyReply>,
+    R: Ranking,
+    S: Store,
+{
     /// This daemon holds the claim.
     Granted(Claim<Claimed, C, P, R, S>),
     /// Take the whole answer from this entry.
@@ -179,7 +186,16 @@
             id,
             idempotent: wanted.idempotent,
         };
-        match self.ask(&id, req).await {
+        let mut asked = Asked {
+            answered: false,
+            attempt,
+            claims: self.clone(),
+            entry: entry.clone(),
+            id,
+        };
+        let reply = self.ask(&id, req).await;
+        asked.answered = !matches!(reply, KeyReply::NotKeeper | KeyReply::Unsettled);
+        match reply {
             KeyReply::Claimed {
                 claim,
                 idempotent,
@@ -196,21 +212,18 @@
                     released,
                     stage: Stage::Claimed,
                 };
-                self.inner.keeper.witness(id, record.clone());
-                Ok(Access::Granted(Claim::new(self.clone(), id, record)))
+                Ok(Access::Granted(Claim::new(Held::new(
+                    self.clone(),
+                    id,
+                    record,
+                ))))
             }
             KeyReply::AlreadyRun { failed } => Err(Error::AlreadyRun { failed }),
             KeyReply::Full => Err(Error::Full),
             KeyReply::Held { entry } => Ok(Access::Held { entry }),
             KeyReply::KeyReused => Err(Error::KeyReused),
             KeyReply::Running { entry } => Ok(Access::Running { entry }),
-            _ => {
-                // The grant may have been made and its reply lost; left behind, it would send
-                // each repeat to this daemon, which runs nothing.
-                let release = KeyRequest::Release { attempt, entry, id };
-                self.send_later(id, release);
-                Err(Error::Unsettled)
-            }
+            _ => Err(Error::Unsettled),
         }
     }
 
@@ -274,7 +287,7 @@
         }
     }
 
-    fn send_later(&self, id: KeyId, req: KeyRequest) {
+    pub(super) fn send_later(&self, id: KeyId, req: KeyRequest) {
         let mut unsent = self.inner.unsent.borrow_mut();
         if unsent.len() == UNSENT_LIMIT {
             unsent.pop_front();
--- a/crates/lilaccrank/src/request_key/handover.rs
+++ b/crates/lilaccrank/src/request_key/handover.rs
@@ -25,6 +25,7 @@
         self.tick_if_paused();
         let view = self.inner.ranking.ranked(0);
         let pauses = self.inner.pauses.get();
+        self.inner.settled.take();
         self.push_all(&view).await;
         let me = self.inner.ranking.me();
         if view == [me.clone()] {
--- /dev/null
+++ b/crates/lilaccrank/src/request_key/held.rs
@@ -0,0 +1,161 @@
+//! What a claim holds, and what becomes of it when its task is dropped.
+
+use crate::clock::Clock;
+use crate::error_kind::ErrorKind;
+use crate::peers::Peers;
+use crate::request_key::claims::Claims;
+use crate::request_key::key_id::KeyId;
+use crate::request_key::message::{KeyReply, KeyRequest};
+use crate::request_key::ranking::{MemberRef, Ranking};
+use crate::request_key::record::{Outcome, Record, Stage};
+use crate::store::Store;
+
+/// A granted claim that the keeper has to hear of again.
+///
+/// The task of a request is dropped when its caller goes away. A claim left behind would send
+/// each repeat to this daemon, which runs nothing; so the drop leaves a message to the keeper,
+/// which the next sweep sends.
+pub(super) struct Held<C, P, R, S>
+where
+    C: Clock,
+    P: Peers<KeyRequest, KeyReply>,
+    R: Ranking,
+    S: Store,
+{
+    pub(super) claims: Claims<C, P, R, S>,
+    closed: bool,
+    pub(super) id: KeyId,
+    pub(super) record: Record,
+}
+
+impl<C, P, R, S> Held<C, P, R, S>
+where
+    C: Clock,
+    P: Peers<KeyRequest, KeyReply>,
+    R: Ranking,
+    S: Store,
+{
+    pub(super) fn new(claims: Claims<C, P, R, S>, id: KeyId, record: Record) -> Self {
+        let held = Self {
+            claims,
+            closed: false,
+            id,
+            record,
+        };
+        held.witness();
+        held
+    }
+
+    /// Asks the keeper to mark the claim.
+    pub(super) async fn ask_mark(&self) -> KeyReply {
+        let req = KeyRequest::Mark {
+            holder: self.record.holder.clone(),
+            id: self.id,
+        };
+        self.claims.ask(&self.id, req).await
+    }
+
+    /// Somebody else holds the key now; there is nothing to report.
+    pub(super) fn forget(&mut self) {
+        self.closed = true;
+    }
+
+    /// Frees the key.
+    pub(super) fn free(&mut self) {
+        let holder = self.record.holder.clone();
+        self.record.release(&holder.entry, holder.attempt);
+        self.witness();
+    }
+
+    /// Notes the stage here; the keeper hears of it by [`report`](Self::report).
+    pub(super) fn move_to(&mut self, stage: Stage) {
+        self.record.stage = stage;
+        self.witness();
+    }
+
+    /// Tells the keeper how the claim ended.
+    pub(super) async fn report(mut self) {
+        self.claims.send(self.id, self.last_message()).await;
+        self.closed = true;
+    }
+
+    fn last_message(&self) -> KeyRequest {
+        let holder = self.record.holder.clone();
+        match self.record.stage {
+            Stage::Ended(outcome) => KeyRequest::End {
+                holder,
+                id: self.id,
+                outcome,
+            },
+            _ => KeyRequest::Release {
+                attempt: holder.attempt,
+                entry: holder.entry,
+                id: self.id,
+            },
+        }
+    }
+
+    fn witness(&self) {
+        let keeper = &self.claims.inner.keeper;
+        keeper.witness(self.id, self.record.clone());
+    }
+}
+
+impl<C, P, R, S> Drop for Held<C, P, R, S>
+where
+    C: Clock,
+    P: Peers<KeyRequest, KeyReply>,
+    R: Ranking,
+    S: Store,
+{
+    fn drop(&mut self) {
+        if self.closed {
+            return;
+        }
+        match self.record.stage {
+            Stage::Claimed => self.free(),
+            Stage::Dispatching => {
+                let cancelled = Outcome::Failed(ErrorKind::Cancelled);
+                self.move_to(Stage::Ended(cancelled));
+            }
+            Stage::Ended(_) | Stage::Free => {}
+        }
+        self.claims.send_later(self.id, self.last_message());
+    }
+}
+
+/// A claim whose grant is on its way. Unless it is answered, by a definite reply, its release
+/// is left for the next sweep: the grant may have been made and its reply lost.
+pub(super) struct Asked<C, P, R, S>
+where
+    C: Clock,
+    P: Peers<KeyRequest, KeyReply>,
+    R: Ranking,
+    S: Store,
+{
+    pub(super) answered: bool,
+    pub(super) attempt: u64,
+    pub(super) claims: Claims<C, P, R, S>,
+    pub(super) entry: MemberRef,
+    pub(super) id: KeyId,
+}
+
+impl<C, P, R, S> Drop for Asked<C, P, R, S>
+where
+    C: Clock,
+    P: Peers<KeyRequest, KeyReply>,
+    R: Ranking,
+    S: Store,
+{
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let release = KeyRequest::Release {
+            attempt: self.attempt,
+            entry: self.entry.clone(),
+            id: self.id,
+        };
+        self.claims.send_later(self.id, release);
+    }
+}
--- a/crates/lilaccrank/tests/suite/request_key/failures.rs
+++ b/crates/lilaccrank/tests/suite/request_key/failures.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use futures::future;
+use lilaccrank::clock::Clock;
 use lilaccrank::error_kind::Ran;
 use lilaccrank::request_key::{
     Access, BodyDigest, Error, KeyReply, KeyRequest, Limits, Outcome, Stage,
@@ -140,10 +141,36 @@
         .live
         .borrow_mut()
         .retain(|other| *other == member(2));
-    let claim = cluster.claim(2, &wanted(true));
+    let daemon = &cluster.daemons[2];
+    let wanted = wanted(true);
+    let both = future::join(
+        daemon.keeper.members_changed(),
+        daemon.claims.claim(&wanted),
+    );
+    let (_, claim) = cluster.run(both);
     assert_eq!(refused(claim), Some(Error::Unsettled));
 }
 
+#[test]
+fn joining_daemon_waits_until_all_see_it() {
+    // Daemon 0 is back, but the others have not noticed and 1 still keeps its keys. What 1 grants
+    // after it has handed its records over would be unknown to 0, which would grant it again.
+    // So they hand nothing over before they see 0, and 0 grants nothing until then.
+    let cluster = Cluster::new(3);
+    cluster.kill(0);
+    cluster.thaw(0);
+    let keeper = &cluster.daemons[0].keeper;
+    let settling = std::pin::pin!(keeper.members_changed());
+    let soon = cluster.clock.sleep(Duration::from_secs(5));
+    cluster.run(future::select(settling, std::pin::pin!(soon)));
+    assert!(!keeper.is_settled());
+    let _running = cluster.marked(1, &wanted(true));
+    cluster.rejoin(&[0, 1, 2]);
+    cluster.settle();
+    let repeat = cluster.claim(0, &wanted(true));
+    assert!(matches!(repeat, Ok(Access::Running { .. })));
+}
+
 #[test]
 fn two_repeats_race_at_two_daemons() {
     // The caller's client times out and sends again while the first request is on its way, so
@@ -241,6 +268,48 @@
     assert_eq!(record.stage, Stage::Free);
 }
 
+/// The caller goes away and the task of its request is dropped; then it repeats elsewhere.
+macro_rules! repeat_after_drop {
+    ($name:ident, |$cluster:ident| $dropped:expr, $expected:pat) => {
+        #[test]
+        fn $name() {
+            let $cluster = Cluster::new(3);
+            $dropped;
+            $cluster.lose(Loss::Nothing);
+            $cluster.run($cluster.daemons[2].claims.sweep());
+            let repeat = $cluster.claim(1, &wanted(true));
+            assert!(matches!(repeat, $expected));
+        }
+    };
+}
+
+// A claim left behind would send each repeat to an entry that runs nothing. Dropped before its
+// mark it frees the key; after the mark it may have run; and the grant of a claim whose task
+// was dropped while the reply was on its way is released as well.
+repeat_after_drop!(
+    drop_of_a_claim,
+    |c| drop(c.granted(2, &wanted(true))),
+    Ok(Access::Granted(_))
+);
+repeat_after_drop!(
+    drop_after_the_mark,
+    |c| drop(c.marked(2, &wanted(true))),
+    Err(Error::AlreadyRun { .. })
+);
+repeat_after_drop!(
+    drop_before_the_grant,
+    |c| drop_while_claiming(&c),
+    Ok(Access::Granted(_))
+);
+
+fn drop_while_claiming(cluster: &Cluster) {
+    cluster.lose(Loss::Replies);
+    let wanted = wanted(true);
+    let claim = std::pin::pin!(cluster.daemons[2].claims.claim(&wanted));
+    let soon = cluster.clock.sleep(Duration::from_millis(100));
+    cluster.run(future::select(claim, std::pin::pin!(soon)));
+}
+
 fn key() -> lilaccrank::request_key::KeyId {
     lilaccrank::request_key::KeyId::new("acme", "k")
 }
