Request keys: repeats during an outage of the store run afterwards

Cause: a create took effect, its answer was lost and the store went away. Each repeat during the outage was released as well, and the record named only the last one; back again, the store's object stood for a request that may have run, though it never had. Ruled out: a list of all released claims (an outage brings dozens). Change: the release says whether its claim may be in the store, and the record keeps the latest such claim beside the latest released one. Tests of expiry and of a copy without room. Conclusion: two lost answers in a row for one key are still answered as may have run.

--- a/crates/lilaccrank/src/request_key/claim.rs
+++ b/crates/lilaccrank/src/request_key/claim.rs
@@ -97,17 +97,13 @@
         self.held.report().await;
     }
 
-    async fn claim_in_store(self) -> Result<Self> {
+    async fn claim_in_store(mut self) -> Result<Self> {
         let inner = &self.held.claims.inner;
         let (id, record) = (&self.held.id, &self.held.record);
-        let created = store_claim::create(
-            &inner.store,
-            &inner.budget,
-            id,
-            &record.holder,
-            record.released,
-        );
-        match created.await {
+        let mut create = store_claim::Create::new(id, &record.holder, record.stored);
+        let created = create.run(&inner.store, &inner.budget).await;
+        self.held.may_be_stored = create.may_be_stored();
+        match created {
             Ok(()) => Ok(self),
             Err(store_claim::Error::Taken) => {
                 self.end(Outcome::Failed(ErrorKind::AlreadyRun)).await;
--- a/crates/lilaccrank/src/request_key/claims.rs
+++ b/crates/lilaccrank/src/request_key/claims.rs
@@ -200,6 +200,7 @@
                 claim,
                 idempotent,
                 released,
+                stored,
             } => {
                 let record = Record {
                     body: wanted.body,
@@ -211,6 +212,7 @@
                     idempotent,
                     released,
                     stage: Stage::Claimed,
+                    stored,
                 };
                 Ok(Access::Granted(Claim::new(Held::new(
                     self.clone(),
--- a/crates/lilaccrank/src/request_key/grant.rs
+++ b/crates/lilaccrank/src/request_key/grant.rs
@@ -64,9 +64,10 @@
                 claim: record.holder.claim,
                 idempotent: record.idempotent,
                 released: record.released,
+                stored: record.stored,
             },
             KeyReply::Full => {
-                self.change(&id, |known| known.release(&ask.entry, ask.attempt));
+                self.change(&id, |known| known.release(&ask.entry, ask.attempt, false));
                 KeyReply::Full
             }
             reply => reply,
@@ -114,6 +115,7 @@
             idempotent: ask.idempotent && known.is_none_or(|record| record.idempotent),
             released: known.and_then(|record| record.released),
             stage: Stage::Claimed,
+            stored: known.and_then(|record| record.stored),
         }
     }
 
--- a/crates/lilaccrank/src/request_key/held.rs
+++ b/crates/lilaccrank/src/request_key/held.rs
@@ -25,6 +25,7 @@
     pub(super) claims: Claims<C, P, R, S>,
     closed: bool,
     pub(super) id: KeyId,
+    pub(super) may_be_stored: bool,
     pub(super) record: Record,
 }
 
@@ -40,6 +41,7 @@
             claims,
             closed: false,
             id,
+            may_be_stored: false,
             record,
         };
         held.witness();
@@ -63,7 +65,8 @@
     /// Frees the key.
     pub(super) fn free(&mut self) {
         let holder = self.record.holder.clone();
-        self.record.release(&holder.entry, holder.attempt);
+        self.record
+            .release(&holder.entry, holder.attempt, self.may_be_stored);
         self.witness();
     }
 
@@ -91,6 +94,7 @@
                 attempt: holder.attempt,
                 entry: holder.entry,
                 id: self.id,
+                may_be_stored: self.may_be_stored,
             },
         }
     }
@@ -155,6 +159,7 @@
             attempt: self.attempt,
             entry: self.entry.clone(),
             id: self.id,
+            may_be_stored: false,
         };
         self.claims.send_later(self.id, release);
     }
--- a/crates/lilaccrank/src/request_key/keeper.rs
+++ b/crates/lilaccrank/src/request_key/keeper.rs
@@ -122,7 +122,15 @@
             KeyRequest::Handover { after, live, owner } => self.hand_over(after, &live, &owner),
             KeyRequest::Mark { holder, id } => self.mark(id, &holder).await,
             KeyRequest::Push { moved } => self.accept_push(moved),
-            KeyRequest::Release { attempt, entry, id } => self.release(id, &entry, attempt).await,
+            KeyRequest::Release {
+                attempt,
+                entry,
+                id,
+                may_be_stored,
+            } => {
+                self.release(id, |record| record.release(&entry, attempt, may_be_stored))
+                    .await
+            }
         }
     }
 
@@ -278,11 +286,11 @@
         }
     }
 
-    async fn release(&self, id: KeyId, entry: &MemberRef, attempt: u64) -> KeyReply {
+    async fn release(&self, id: KeyId, release: impl FnOnce(&mut Record) -> bool) -> KeyReply {
         if !self.is_keeper_of(&id) {
             return KeyReply::NotKeeper;
         }
-        match self.change(&id, |record| record.release(entry, attempt)) {
+        match self.change(&id, release) {
             Some(record) => self.replicate(&id, &record).await,
             None => KeyReply::Superseded,
         }
--- a/crates/lilaccrank/src/request_key/message.rs
+++ b/crates/lilaccrank/src/request_key/message.rs
@@ -80,6 +80,8 @@
         entry: MemberRef,
         /// The key.
         id: KeyId,
+        /// Whether the claim may be in the store.
+        may_be_stored: bool,
     },
 }
 
@@ -100,6 +102,8 @@
         idempotent: bool,
         /// The latest claim known not to have run.
         released: Option<ClaimNumber>,
+        /// The latest released claim that may be in the store.
+        stored: Option<ClaimNumber>,
     },
     /// The copy knows a record that contradicts the keeper's.
     Conflict {
--- a/crates/lilaccrank/src/request_key/record.rs
+++ b/crates/lilaccrank/src/request_key/record.rs
@@ -71,6 +71,8 @@
     pub released: Option<ClaimNumber>,
     /// Where the latest claim stands.
     pub stage: Stage,
+    /// The latest released claim that may be in the store.
+    pub stored: Option<ClaimNumber>,
 }
 
 impl Stage {
@@ -114,7 +116,9 @@
     }
 
     /// Frees the key after a refusal as not run; false if somebody else holds it or it ended.
-    pub fn release(&mut self, entry: &MemberRef, attempt: u64) -> bool {
+    /// `may_be_stored` if the claim's object may be in the store, where the next claim then has
+    /// to know it as one that was not run.
+    pub fn release(&mut self, entry: &MemberRef, attempt: u64, may_be_stored: bool) -> bool {
         if self.holder.entry != *entry || self.holder.attempt != attempt {
             return false;
         }
@@ -123,6 +127,9 @@
         }
         self.released = Some(self.holder.claim);
         self.stage = Stage::Free;
+        if may_be_stored {
+            self.stored = self.released;
+        }
         true
     }
 
--- a/crates/lilaccrank/src/request_key/store_claim.rs
+++ b/crates/lilaccrank/src/request_key/store_claim.rs
@@ -29,41 +29,68 @@
     Unavailable,
 }
 
-/// Creates the object of `id` for `holder`, or finds that it did so before.
-///
-/// `released` is the latest claim whose holder said that it did not run. An object with that
-/// claim stems from a write whose answer was lost, and is replaced; any other stays. So an
-/// object that this function leaves behind after an error blocks nobody but is never mistaken
-/// for a free key.
-pub async fn create<C: Clock, S: Store>(
-    store: &S,
-    budget: &Budget<C>,
-    id: &KeyId,
-    holder: &Holder,
-    released: Option<ClaimNumber>,
-) -> Result<()> {
-    let name = id.object_name();
-    let value = Bytes::from(serde_json::to_vec(holder).map_err(|_| Error::Unavailable)?);
-    let mut expect = Expect::Absent;
-    for _ in 0..TRIES {
-        match store.put(&name, value.clone(), expect).await {
-            Ok(_) => return Ok(()),
-            Err(store::Error::Conflict { .. } | store::Error::Unknown) => {}
-            Err(store::Error::Throttled { .. }) => return Err(Error::Throttled),
-            Err(_) => return Err(Error::Unavailable),
+/// The create of one claim's object.
+pub struct Create<'a> {
+    holder: &'a Holder,
+    may_be_stored: bool,
+    name: String,
+    stored: Option<ClaimNumber>,
+}
+
+impl<'a> Create<'a> {
+    /// The object of `id` for `holder`. `stored` is the latest claim in the store whose holder
+    /// said that it did not run.
+    pub fn new(id: &KeyId, holder: &'a Holder, stored: Option<ClaimNumber>) -> Self {
+        Self {
+            holder,
+            may_be_stored: false,
+            name: id.object_name(),
+            stored,
+        }
+    }
+
+    /// Whether the object may exist, after [`run`](Self::run).
+    pub fn may_be_stored(&self) -> bool {
+        self.may_be_stored
+    }
+
+    /// Creates the object, or finds that it was created before.
+    ///
+    /// A write whose answer is lost and that can't be read back may leave an object behind.
+    /// The refusal is true all the same, as the holder sends nothing then and says so in its
+    /// release; the next claim learns of it as `stored` and replaces the object. If the
+    /// records are lost too, the object stands for a request that may have run.
+    pub async fn run<C: Clock, S: Store>(&mut self, store: &S, budget: &Budget<C>) -> Result<()> {
+        self.create(store, budget).await?;
+        self.may_be_stored = true;
+        Ok(())
+    }
+
+    async fn create<C: Clock, S: Store>(&mut self, store: &S, budget: &Budget<C>) -> Result<()> {
+        let value = serde_json::to_vec(self.holder).map_err(|_| Error::Unavailable)?;
+        let value = Bytes::from(value);
+        let mut expect = Expect::Absent;
+        for _ in 0..TRIES {
+            match store.put(&self.name, value.clone(), expect).await {
+                Ok(_) => return Ok(()),
+                Err(store::Error::Conflict { .. }) => {}
+                Err(store::Error::Unknown) => self.may_be_stored = true,
+                Err(store::Error::Throttled { .. }) => return Err(Error::Throttled),
+                Err(_) => return Err(Error::Unavailable),
+            }
+            budget.take_in_debt();
+            let found = store.get(&self.name).await;
+            expect = match found.map_err(|_| Error::Unavailable)? {
+                None => Expect::Absent,
+                Some(found) => match judge(&found, self.holder, self.stored)? {
+                    Found::Mine => return Ok(()),
+                    Found::Released(version) => Expect::Version(version),
+                },
+            };
+            budget.take_in_debt();
         }
-        budget.take_in_debt();
-        let found = store.get(&name).await.map_err(|_| Error::Unavailable)?;
-        expect = match found {
-            None => Expect::Absent,
-            Some(found) => match judge(&found, holder, released)? {
-                Found::Mine => return Ok(()),
-                Found::Released(version) => Expect::Version(version),
-            },
-        };
-        budget.take_in_debt();
+        Err(Error::Unavailable)
     }
-    Err(Error::Unavailable)
 }
 
 enum Found {
@@ -71,14 +98,14 @@
     Released(Version),
 }
 
-fn judge(found: &Versioned, holder: &Holder, released: Option<ClaimNumber>) -> Result<Found> {
+fn judge(found: &Versioned, holder: &Holder, stored: Option<ClaimNumber>) -> Result<Found> {
     let Ok(known) = serde_json::from_slice::<Holder>(&found.value) else {
         return Err(Error::Taken);
     };
     if known == *holder {
         return Ok(Found::Mine);
     }
-    if released == Some(known.claim) {
+    if stored == Some(known.claim) {
         return Ok(Found::Released(found.version));
     }
     Err(Error::Taken)
--- a/crates/lilaccrank/tests/suite/request_key/failures.rs
+++ b/crates/lilaccrank/tests/suite/request_key/failures.rs
@@ -6,7 +6,8 @@
 use lilaccrank::clock::Clock;
 use lilaccrank::error_kind::Ran;
 use lilaccrank::request_key::{
-    Access, BodyDigest, Error, KeyReply, KeyRequest, Limits, Outcome, Stage,
+    Access, BodyDigest, ClaimNumber, Error, Holder, KeyId, KeyReply, KeyRequest, Limits, Moved,
+    Outcome, Record, Stage,
 };
 
 use crate::request_key::cluster::{Cluster, Loss, TestAccess, member, wanted};
@@ -224,6 +225,90 @@
     assert_eq!(refused(cluster.claim(1, &wanted(true))), RAN);
 }
 
+#[test]
+fn running_request_outlives_every_time_to_live() {
+    // An answer streams for longer than any record is kept. Were its record dropped, a repeat
+    // would run the request beside itself.
+    let cluster = Cluster::new(3);
+    let running = cluster.marked(2, &wanted(true));
+    later(&cluster, Duration::from_secs(100_000));
+    let repeat = cluster.claim(1, &wanted(true));
+    assert!(matches!(repeat, Ok(Access::Running { .. })));
+    cluster.run(running.end(HELD));
+    later(&cluster, Duration::from_secs(601));
+    assert!(
+        cluster
+            .daemons
+            .iter()
+            .all(|daemon| daemon.keeper.is_empty())
+    );
+}
+
+#[test]
+fn claim_that_waits_beyond_its_time_can_not_be_marked() {
+    // A claim waits in a queue until its record is dropped and a repeat elsewhere runs. The
+    // first can't be marked any more, so its entry dispatches nothing.
+    let cluster = Cluster::new(3);
+    let waiting = cluster.granted(2, &wanted(true));
+    later(&cluster, Duration::from_secs(601));
+    let _running = cluster.marked(1, &wanted(true));
+    assert_eq!(cluster.run(waiting.mark_dispatching()).err(), RAN);
+}
+
+/// Lets time pass in which the upkeep runs.
+fn later(cluster: &Cluster, duration: Duration) {
+    cluster.clock.advance(duration);
+    cluster.settle();
+    cluster
+        .daemons
+        .iter()
+        .for_each(|daemon| daemon.keeper.expire());
+}
+
+#[test]
+fn copy_without_room_keeps_the_claim_from_being_granted() {
+    // The table of the copy is full of records of others. Without a copy the keeper's death
+    // would forget the claim, so it is refused as not run, and its place is freed.
+    let cluster = Cluster::with_limits(
+        3,
+        Limits {
+            records: 4,
+            ..Limits::default()
+        },
+    );
+    for index in 0..4 {
+        let moved = Moved {
+            age_ms: 0,
+            id: KeyId::new("other", &index.to_string()),
+            record: running_record(),
+        };
+        let pushed = cluster.ask(1, KeyRequest::Push { moved: vec![moved] });
+        assert_eq!(pushed, KeyReply::Done);
+    }
+    assert_eq!(refused(cluster.claim(2, &wanted(true))), Some(Error::Full));
+    let record = cluster.daemons[0].keeper.record(&key()).unwrap();
+    assert_eq!(record.stage, Stage::Free);
+}
+
+fn running_record() -> Record {
+    let claim = ClaimNumber {
+        number: 1,
+        grant: 1,
+    };
+    Record {
+        body: BodyDigest::new(b"other"),
+        holder: Holder {
+            attempt: 1,
+            claim,
+            entry: member(2),
+        },
+        idempotent: true,
+        released: None,
+        stage: Stage::Dispatching,
+        stored: None,
+    }
+}
+
 #[test]
 fn key_for_another_body_is_refused() {
     let cluster = Cluster::new(3);
@@ -310,6 +395,6 @@
     cluster.run(future::select(claim, std::pin::pin!(soon)));
 }
 
-fn key() -> lilaccrank::request_key::KeyId {
-    lilaccrank::request_key::KeyId::new("acme", "k")
+fn key() -> KeyId {
+    KeyId::new("acme", "k")
 }
--- a/crates/lilaccrank/tests/suite/request_key/store_failures.rs
+++ b/crates/lilaccrank/tests/suite/request_key/store_failures.rs
@@ -51,6 +51,25 @@
     assert_eq!(cluster.clock.elapsed(), before);
 }
 
+#[test]
+fn repeats_while_the_store_is_away_then_back() {
+    // The create takes effect, its answer is lost and the store goes away. The caller repeats
+    // during the outage and is refused each time as not run. Once the store is back it finds
+    // an object of its own first try there, which never ran: the repeat must run.
+    let cluster = Cluster::new(3);
+    let claim = cluster.granted(2, &wanted(false));
+    cluster.store.fault.set(Some(Fault::EffectThenAway));
+    let mut mark = cluster.run(claim.mark_dispatching());
+    for _ in 0..3 {
+        assert_eq!(mark.err(), Some(Error::StoreUnavailable));
+        let repeat = cluster.granted(1, &wanted(false));
+        mark = cluster.run(repeat.mark_dispatching());
+    }
+    cluster.store.fault.set(None);
+    let repeat = cluster.granted(1, &wanted(false));
+    assert!(cluster.run(repeat.mark_dispatching()).is_ok());
+}
+
 #[test]
 fn two_deaths_and_the_entry_too() {
     // Keeper, copy and entry of a running non-idempotent request all die. No daemon knows the
