--- a/crates/lilaccrank/tests/suite/request_key/failures.rs
+++ b/crates/lilaccrank/tests/suite/request_key/failures.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use futures::future;
+use lilaccrank::clock::Clock;
 use lilaccrank::error_kind::Ran;
 use lilaccrank::request_key::{
-    Access, BodyDigest, Error, KeyReply, KeyRequest, Limits, Outcome, Stage,
+    Access, BodyDigest, ClaimNumber, Error, Holder, KeyId, KeyReply, KeyRequest, Limits, Moved,
+    Outcome, Record, Stage,
 };
 
 use crate::request_key::cluster::{Cluster, Loss, TestAccess, member, wanted};
@@ -140,10 +142,36 @@
         .live
         .borrow_mut()
         .retain(|other| *other == member(2));
-    let claim = cluster.claim(2, &wanted(true));
+    let daemon = &cluster.daemons[2];
+    let wanted = wanted(true);
+    let both = future::join(
+        daemon.keeper.members_changed(),
+        daemon.claims.claim(&wanted),
+    );
+    let (_, claim) = cluster.run(both);
     assert_eq!(refused(claim), Some(Error::Unsettled));
 }
 
+#[test]
+fn joining_daemon_waits_until_all_see_it() {
+    // Daemon 0 is back, but the others have not noticed and 1 still keeps its keys. What 1 grants
+    // after it has handed its records over would be unknown to 0, which would grant it again.
+    // So they hand nothing over before they see 0, and 0 grants nothing until then.
+    let cluster = Cluster::new(3);
+    cluster.kill(0);
+    cluster.thaw(0);
+    let keeper = &cluster.daemons[0].keeper;
+    let settling = std::pin::pin!(keeper.members_changed());
+    let soon = cluster.clock.sleep(Duration::from_secs(5));
+    cluster.run(future::select(settling, std::pin::pin!(soon)));
+    assert!(!keeper.is_settled());
+    let _running = cluster.marked(1, &wanted(true));
+    cluster.rejoin(&[0, 1, 2]);
+    cluster.settle();
+    let repeat = cluster.claim(0, &wanted(true));
+    assert!(matches!(repeat, Ok(Access::Running { .. })));
+}
+
 #[test]
 fn two_repeats_race_at_two_daemons() {
     // The caller's client times out and sends again while the first request is on its way, so
@@ -197,6 +225,114 @@
     assert_eq!(refused(cluster.claim(1, &wanted(true))), RAN);
 }
 
+#[test]
+fn running_request_outlives_every_time_to_live() {
+    // An answer streams for longer than any record is kept. Were its record dropped, a repeat
+    // would run the request beside itself.
+    let cluster = Cluster::new(3);
+    let running = cluster.marked(2, &wanted(true));
+    later(&cluster, Duration::from_secs(100_000));
+    let repeat = cluster.claim(1, &wanted(true));
+    assert!(matches!(repeat, Ok(Access::Running { .. })));
+    cluster.run(running.end(HELD));
+    later(&cluster, Duration::from_secs(601));
+    assert!(
+        cluster
+            .daemons
+            .iter()
+            .all(|daemon| daemon.keeper.is_empty())
+    );
+}
+
+#[test]
+fn claim_that_waits_beyond_its_time_can_not_be_marked() {
+    // A claim waits in a queue until its record is dropped and a repeat elsewhere runs. The
+    // first can't be marked any more, so its entry dispatches nothing.
+    let cluster = Cluster::new(3);
+    let waiting = cluster.granted(2, &wanted(true));
+    later(&cluster, Duration::from_secs(601));
+    let _running = cluster.marked(1, &wanted(true));
+    assert_eq!(cluster.run(waiting.mark_dispatching()).err(), RAN);
+}
+
+/// Lets time pass in which the upkeep runs.
+fn later(cluster: &Cluster, duration: Duration) {
+    cluster.clock.advance(duration);
+    cluster.settle();
+    cluster
+        .daemons
+        .iter()
+        .for_each(|daemon| daemon.keeper.expire());
+}
+
+#[test]
+fn copy_without_room_keeps_the_claim_from_being_granted() {
+    // The table of the copy is full of records of others. Without a copy the keeper's death
+    // would forget the claim, so it is refused as not run, and its place is freed.
+    let cluster = Cluster::with_limits(
+        3,
+        Limits {
+            records: 4,
+            ..Limits::default()
+        },
+    );
+    for index in 0..4 {
+        let moved = Moved {
+            age_ms: 0,
+            id: KeyId::new("other", &index.to_string()),
+            record: running_record(),
+        };
+        let pushed = cluster.ask(1, KeyRequest::Push { moved: vec![moved] });
+        assert_eq!(pushed, KeyReply::Done);
+    }
+    assert_eq!(refused(cluster.claim(2, &wanted(true))), Some(Error::Full));
+    let record = cluster.daemons[0].keeper.record(&key()).unwrap();
+    assert_eq!(record.stage, Stage::Free);
+}
+
+#[test]
+fn all_pages_of_a_handover_arrive() {
+    // More records move than one page takes. One that was left out would look unknown at its
+    // new keeper, and its request would be run again.
+    let cluster = Cluster::new(3);
+    cluster.stop(0);
+    cluster.kill(1);
+    for index in 0..1_500 {
+        let moved = Moved {
+            age_ms: 0,
+            id: KeyId::new("other", &index.to_string()),
+            record: running_record(),
+        };
+        cluster.ask(2, KeyRequest::Push { moved: vec![moved] });
+    }
+    cluster.thaw(0);
+    cluster.thaw(1);
+    cluster.rejoin(&[0, 1, 2]);
+    cluster.run(cluster.daemons[0].keeper.members_changed());
+    assert_eq!(cluster.daemons[0].keeper.len(), 1_500);
+    cluster.run(cluster.daemons[2].keeper.members_changed());
+    assert_eq!(cluster.daemons[1].keeper.len(), 1_500);
+}
+
+fn running_record() -> Record {
+    let claim = ClaimNumber {
+        number: 1,
+        grant: 1,
+    };
+    Record {
+        body: BodyDigest::new(b"other"),
+        holder: Holder {
+            attempt: 1,
+            claim,
+            entry: member(2),
+        },
+        idempotent: true,
+        released: None,
+        stage: Stage::Dispatching,
+        stored: None,
+    }
+}
+
 #[test]
 fn key_for_another_body_is_refused() {
     let cluster = Cluster::new(3);
@@ -241,6 +377,48 @@
     assert_eq!(record.stage, Stage::Free);
 }
 
-fn key() -> lilaccrank::request_key::KeyId {
-    lilaccrank::request_key::KeyId::new("acme", "k")
+/// The caller goes away and the task of its request is dropped; then it repeats elsewhere.
+macro_rules! repeat_after_drop {
+    ($name:ident, |$cluster:ident| $dropped:expr, $expected:pat) => {
+        #[test]
+        fn $name() {
+            let $cluster = Cluster::new(3);
+            $dropped;
+            $cluster.lose(Loss::Nothing);
+            $cluster.run($cluster.daemons[2].claims.sweep());
+            let repeat = $cluster.claim(1, &wanted(true));
+            assert!(matches!(repeat, $expected));
+        }
+    };
+}
+
+// A claim left behind would send each repeat to an entry that runs nothing. Dropped before its
+// mark it frees the key; after the mark it may have run; and the grant of a claim whose task
+// was dropped while the reply was on its way is released as well.
+repeat_after_drop!(
+    drop_of_a_claim,
+    |c| drop(c.granted(2, &wanted(true))),
+    Ok(Access::Granted(_))
+);
+repeat_after_drop!(
+    drop_after_the_mark,
+    |c| drop(c.marked(2, &wanted(true))),
+    Err(Error::AlreadyRun { .. })
+);
+repeat_after_drop!(
+    drop_before_the_grant,
+    |c| drop_while_claiming(&c),
+    Ok(Access::Granted(_))
+);
+
+fn drop_while_claiming(cluster: &Cluster) {
+    cluster.lose(Loss::Replies);
+    let wanted = wanted(true);
+    let claim = std::pin::pin!(cluster.daemons[2].claims.claim(&wanted));
+    let soon = cluster.clock.sleep(Duration::from_millis(100));
+    cluster.run(future::select(claim, std::pin::pin!(soon)));
+}
+
+fn key() -> KeyId {
+    KeyId::new("acme", "k")
 }
