--- a/crates/lilaccrank/src/request_key/claims.rs
+++ b/crates/lilaccrank/src/request_key/claims.rs
@@ -232,9 +232,14 @@
     /// Sends what did not reach a keeper, and deletes objects that have outlived their time as
     /// far as the budget of store calls allows.
     pub async fn sweep(&self) {
-        let unsent = self.inner.unsent.take();
-        for (id, req) in unsent {
-            self.send(id, req).await;
+        for _ in 0..self.unsent() {
+            let next = self.inner.unsent.borrow_mut().pop_front();
+            let Some((id, req)) = next else { break };
+            // A silent keeper costs the time limit of a call. Without a stop here a long queue
+            // for it would hold up the messages to all others; so it goes to the end.
+            if !self.send(id, req).await {
+                break;
+            }
         }
         for id in self.inner.keeper.due_for_deletion(SWEEP_LIMIT) {
             if !self.inner.budget.try_take_spare() {
@@ -281,12 +286,14 @@
         }
     }
 
-    /// Tells the keeper once, and later again if it did not take it.
-    pub(super) async fn send(&self, id: KeyId, req: KeyRequest) {
+    /// Tells the keeper once, and later again if it did not take it; whether it did.
+    pub(super) async fn send(&self, id: KeyId, req: KeyRequest) -> bool {
         let reply = self.ask_once(&id, req.clone()).await;
-        if matches!(reply, KeyReply::NotKeeper | KeyReply::Unsettled) {
+        let taken = !matches!(reply, KeyReply::NotKeeper | KeyReply::Unsettled);
+        if !taken {
             self.send_later(id, req);
         }
+        taken
     }
 
     pub(super) fn send_later(&self, id: KeyId, req: KeyRequest) {
--- a/crates/lilaccrank/src/request_key/keeper.rs
+++ b/crates/lilaccrank/src/request_key/keeper.rs
@@ -146,7 +146,7 @@
                 Stage::Dispatching if ranking.is_live(&record.holder.entry) => true,
                 _ if age < self.ttl(record) => true,
                 // The store's object goes first, see `due_for_deletion`.
-                _ => !record.idempotent && self.is_keeper_of(id),
+                _ => record.owns_object() && self.is_keeper_of(id),
             }
         });
     }
@@ -235,7 +235,7 @@
                 Stage::Ended(_) | Stage::Free => false,
             };
             let age = now.saturating_duration_since(slot.touched);
-            !record.idempotent && !running && age >= self.ttl(record) && self.is_keeper_of(id)
+            record.owns_object() && !running && age >= self.ttl(record) && self.is_keeper_of(id)
         });
         due.map(|(id, _)| *id).take(limit).collect()
     }
--- a/crates/lilaccrank/src/request_key/record.rs
+++ b/crates/lilaccrank/src/request_key/record.rs
@@ -115,6 +115,14 @@
         self.stage == Stage::Ended(outcome)
     }
 
+    /// Whether the store's object, if there is one, is this record's to delete. A claim that
+    /// found another one in the store never had an object of its own.
+    #[must_use]
+    pub fn owns_object(&self) -> bool {
+        let lost = Stage::Ended(Outcome::Failed(ErrorKind::AlreadyRun));
+        !self.idempotent && self.stage != lost
+    }
+
     /// Frees the key after a refusal as not run; false if somebody else holds it or it ended.
     /// `may_be_stored` if the claim's object may be in the store, where the next claim then has
     /// to know it as one that was not run.
--- a/crates/lilaccrank/tests/suite/request_key/store_failures.rs
+++ b/crates/lilaccrank/tests/suite/request_key/store_failures.rs
@@ -86,7 +86,9 @@
 
 #[test]
 fn other_data_centre_is_stopped_by_the_store() {
-    // The caller repeats in another data centre, whose daemons share only the store.
+    // The caller repeats in another data centre, whose daemons share only the store. They find
+    // the claim of the first there, and must not delete it when their own record has had its
+    // time: it is not theirs, and may have been renewed.
     let here = Cluster::new(3);
     let _running = here.marked(2, &wanted(false));
     let there = Cluster::new(2);
@@ -95,6 +97,13 @@
     let repeat = there.granted(1, &wanted(false));
     let mark = there.run(repeat.mark_dispatching());
     assert_eq!(mark.err(), Some(Error::AlreadyRun { failed: None }));
+    there.clock.advance(Duration::from_secs(25 * 3_600));
+    for daemon in &there.daemons {
+        daemon.keeper.expire();
+        there.run(daemon.claims.sweep());
+        assert!(daemon.keeper.is_empty());
+    }
+    assert_eq!(there.store.objects.borrow().len(), 1);
 }
 
 #[test]
