Failure tests on real processes: entries killed, request keys, store away

Cause: the promises on request keys were held by the library's models and fakes; no test killed a real daemon in the middle of a request and asked the engines how often they had begun it.

Ruled out: fixed sleeps, since a verdict would then hang on the machine's load; every wait is for a condition at an engine's log or a daemon's status.

Change: the lab's processes freeze, thaw and terminate; its clusters lay wires to the platform and to targets; tests/faults holds nine tests, judged by callers and by the engines' logs.

--- a/crates/lilaccrank-lab/src/cluster.rs
+++ b/crates/lilaccrank-lab/src/cluster.rs
@@ -57,8 +57,12 @@
     pub layout: Layout,
     /// The platform.
     pub platform: Process,
+    /// Wires to the platform, by data centre; none unless the layout asks for them.
+    pub platform_wires: IndexMap<String, Process>,
     /// Plain services, by target.
     pub services: IndexMap<String, Process>,
+    /// Wires to targets, by target; none unless the layout asks for them.
+    pub target_wires: IndexMap<String, Process>,
 }
 
 struct Addresses {
@@ -83,27 +87,56 @@
     ///
     /// If a process can't be started or does not get ready.
     pub async fn start(layout: Layout) -> Result<Self> {
+        Self::start_with(layout, |_| {}).await
+    }
+
+    /// Like [`start`](Self::start), with a configuration that `edit` has changed.
+    ///
+    /// # Errors
+    ///
+    /// If a process can't be started or does not get ready.
+    pub async fn start_with(layout: Layout, edit: impl FnOnce(&mut Document)) -> Result<Self> {
         let folder = TempDir::new()?;
         let platform = Process::stand_in(&["platform".to_owned()])?;
         let mut engines = IndexMap::new();
         let mut engine_targets = Vec::new();
         let mut services = IndexMap::new();
         let mut service_targets = Vec::new();
+        let mut platform_wires = IndexMap::new();
+        let mut target_wires = IndexMap::new();
+        let wires = layout.wires;
         for data_centre in &layout.data_centres {
+            if wires.platform {
+                let wire = wire_to(&platform.address)?;
+                platform_wires.insert(data_centre.name.clone(), wire);
+            }
             for (i, engine) in data_centre.engines.iter().enumerate() {
                 let process = Process::stand_in(&engine_args(engine, i))?;
                 let id = format!("{}-engine-{i}", data_centre.name);
-                engine_targets.push(target(&id, data_centre, &process, engine.slots));
+                let mut target = target(&id, data_centre, &process, engine.slots);
+                if wires.targets {
+                    let wire = wire_to(&process.address)?;
+                    target.address = wire.address.clone();
+                    target_wires.insert(id.clone(), wire);
+                }
+                engine_targets.push(target);
                 engines.insert(id, process);
             }
             for i in 0..data_centre.services {
                 let process = Process::stand_in(&["service".to_owned()])?;
                 let id = format!("{}-service-{i}", data_centre.name);
-                service_targets.push(target(&id, data_centre, &process, 16));
+                let mut target = target(&id, data_centre, &process, 16);
+                if wires.targets {
+                    let wire = wire_to(&process.address)?;
+                    target.address = wire.address.clone();
+                    target_wires.insert(id.clone(), wire);
+                }
+                service_targets.push(target);
                 services.insert(id, process);
             }
         }
-        let document = layout.document(engine_targets, service_targets);
+        let mut document = layout.document(engine_targets, service_targets);
+        edit(&mut document);
         let mut cluster = Self {
             client: Client::default(),
             daemons: Vec::new(),
@@ -112,7 +145,9 @@
             folder,
             layout,
             platform,
+            platform_wires,
             services,
+            target_wires,
         };
         cluster.publish_first().await?;
         cluster.start_daemons()?;
@@ -175,6 +210,12 @@
         Ok(())
     }
 
+    /// Where the daemons of a data centre find the platform.
+    fn platform_address(&self, data_centre: &str) -> &str {
+        let wire = self.platform_wires.get(data_centre);
+        &wire.unwrap_or(&self.platform).address
+    }
+
     fn settings(
         &self,
         data_centre: &str,
@@ -194,7 +235,7 @@
             "gossip": own.gossip,
             "other_data_centres": others,
             "peer": own.peer,
-            "platform": self.platform.address,
+            "platform": self.platform_address(data_centre),
             "seeds": seeds,
             "vm": own.vm,
         });
@@ -268,6 +309,17 @@
             .await
     }
 
+    /// Puts JSON, such as a vm on the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer.
+    pub async fn put(&self, address: &str, path: &str, json: &Value) -> Result<(u16, String)> {
+        let (bearer, text) = (Layout::operator_key(), json.to_string());
+        self.exchange(&bearer, address, hyper::Method::PUT, path, text)
+            .await
+    }
+
     /// Posts JSON with a bearer key.
     ///
     /// # Errors
@@ -327,6 +379,10 @@
     }
 }
 
+fn wire_to(address: &str) -> Result<Process> {
+    Process::stand_in(&["wire".to_owned(), "--to".to_owned(), address.to_owned()])
+}
+
 fn target(id: &str, data_centre: &DataCentreLayout, process: &Process, slots: u32) -> Target {
     Target {
         address: process.address.clone(),
--- a/crates/lilaccrank-lab/src/layout.rs
+++ b/crates/lilaccrank-lab/src/layout.rs
@@ -61,6 +61,16 @@
     pub services: usize,
 }
 
+/// Which connections pass through wires, which can be cut or silenced.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct WireLayout {
+    /// One wire from each data centre's daemons to the platform.
+    pub platform: bool,
+    /// One wire to each target.
+    pub targets: bool,
+}
+
 /// A whole cluster.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -71,6 +81,8 @@
     pub data_centres: Vec<DataCentreLayout>,
     /// Settings of the daemons that differ from their defaults.
     pub settings: IndexMap<String, serde_json::Value>,
+    /// What passes through wires.
+    pub wires: WireLayout,
 }
 
 impl Layout {
@@ -89,6 +101,7 @@
                 .map(data_centre)
                 .into(),
             settings: IndexMap::new(),
+            wires: WireLayout::default(),
         }
     }
 
--- a/crates/lilaccrank-lab/src/process.rs
+++ b/crates/lilaccrank-lab/src/process.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdin, Command, Stdio};
 
+use rustix::process::{self, Pid, Signal};
 use serde::Deserialize;
 
 use crate::stand_in::Result;
@@ -13,12 +14,15 @@
     /// Where it listens, if it said so.
     pub address: String,
     child: Child,
+    /// Where it takes orders about itself, if that is another address.
+    pub control: Option<String>,
     /// Kept open: a stand-in ends when its standard input closes, also if the lab is killed.
     _stdin: Option<ChildStdin>,
 }
 
 #[derive(Deserialize)]
 struct Listening {
+    control: Option<String>,
     listening: String,
 }
 
@@ -59,6 +63,7 @@
         Ok(Self {
             address: listening.listening,
             child,
+            control: listening.control,
             _stdin: stdin,
         })
     }
@@ -84,6 +89,7 @@
         Ok(Self {
             address,
             child,
+            control: None,
             _stdin: None,
         })
     }
@@ -99,6 +105,38 @@
         self.child.try_wait().ok().flatten()
     }
 
+    /// Stops it in its tracks (SIGSTOP); its connections stay open.
+    ///
+    /// # Errors
+    ///
+    /// If the system refuses.
+    pub fn freeze(&self) -> Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets it go on after [`freeze`](Self::freeze) (SIGCONT).
+    ///
+    /// # Errors
+    ///
+    /// If the system refuses.
+    pub fn thaw(&self) -> Result<()> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Asks it to end (SIGTERM).
+    ///
+    /// # Errors
+    ///
+    /// If the system refuses.
+    pub fn terminate(&self) -> Result<()> {
+        self.signal(Signal::TERM)
+    }
+
+    fn signal(&self, signal: Signal) -> Result<()> {
+        // The child is not reaped before this value ends, so its id is no other process's.
+        Ok(process::kill_process(Pid::from_child(&self.child), signal)?)
+    }
+
     /// Kills it (SIGKILL) and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- /dev/null
+++ b/crates/lilaccrank-lab/tests/faults/entry_killed.rs
@@ -0,0 +1,63 @@
+use lilaccrank_lab::caller::Outcome;
+use lilaccrank_lab::cluster::Cluster;
+use lilaccrank_lab::layout::Layout;
+
+use crate::harness;
+
+fn layout() -> Layout {
+    harness::layout(4, vec![harness::engine(1)])
+}
+
+// The caller's stream breaks, since the daemon that took its request is killed in the middle of
+// it. The caller sends the key again at another daemon. The engine has begun the request, and the
+// rest of the answer died with the daemon, so the repeat is told that it may have run.
+#[test]
+fn killed_mid_stream() {
+    harness::run(async {
+        let mut cluster = Cluster::start(layout()).await.unwrap();
+        let (key, ranked) = harness::key_apart(&cluster);
+        let (entry, other) = (ranked[2], ranked[3]);
+        let call = harness::keyed(&key, 300);
+        let first = harness::send(&cluster, entry, call.clone());
+        harness::running(&cluster, &key).await;
+        cluster.daemons[entry].process.kill();
+        let first = first.await;
+        let broken = matches!(first, Outcome::Broken(_));
+        assert!(broken, "{first:?}");
+        harness::assert_maybe(&harness::repeat(&cluster, other, &call).await);
+        harness::forgotten(&cluster, ranked[0], entry).await;
+        harness::assert_maybe(&harness::repeat(&cluster, other, &call).await);
+        assert_eq!(harness::runs(&cluster, &key).await.len(), 1);
+    });
+}
+
+// The caller loses its connection while its request waits for a busy engine, since the daemon is
+// killed. It sends the key again at another daemon until it is told more than "not now". The
+// keeper frees the claim of the dead daemon, which had sent nothing; the repeat is answered.
+#[test]
+fn killed_while_waiting() {
+    harness::run(async {
+        let mut cluster = Cluster::start(layout()).await.unwrap();
+        let (key, ranked) = harness::key_apart(&cluster);
+        let (entry, other) = (ranked[2], ranked[3]);
+        let busy = harness::send(&cluster, other, harness::keyed("busy", 150));
+        harness::running(&cluster, "busy").await;
+        let call = harness::keyed(&key, 5);
+        let first = harness::send(&cluster, entry, call.clone());
+        harness::until("waiting", async || {
+            harness::waiting(&cluster, other).await == 1
+        })
+        .await;
+        cluster.daemons[entry].process.kill();
+        let lost = first.await;
+        assert!(matches!(lost, Outcome::Lost(_)), "{lost:?}");
+        let call = &call;
+        harness::until("answered", async || {
+            let repeat = harness::repeat(&cluster, other, call).await;
+            matches!(repeat, Outcome::Whole { .. })
+        })
+        .await;
+        harness::assert_whole(&busy.await);
+        assert_eq!(harness::runs(&cluster, &key).await.len(), 1);
+    });
+}
--- /dev/null
+++ b/crates/lilaccrank-lab/tests/faults/request_keys.rs
@@ -0,0 +1,164 @@
+use lilaccrank_lab::caller::Outcome;
+use lilaccrank_lab::cluster::Cluster;
+use lilaccrank_lab::layout::Layout;
+use serde_json::json;
+
+use crate::harness;
+
+fn layout() -> Layout {
+    harness::layout(4, vec![harness::engine(4)])
+}
+
+// A caller sends the same key at a second daemon while the first still streams the answer. The
+// keeper knows who runs it, and the second daemon reads along from the start. Both callers get
+// the whole answer of the one run.
+#[test]
+fn repeat_attaches_to_the_running_answer() {
+    harness::run(async {
+        let cluster = Cluster::start(layout()).await.unwrap();
+        let call = harness::keyed("running", 100);
+        let first = harness::send(&cluster, 0, call.clone());
+        harness::running(&cluster, "running").await;
+        let repeat = harness::send(&cluster, 1, call);
+        harness::assert_whole(&repeat.await);
+        harness::assert_whole(&first.await);
+        assert_eq!(harness::runs(&cluster, "running").await.len(), 1);
+    });
+}
+
+// The keeper of a key is killed while the answer streams; the caller notices nothing. It sends
+// the key again at a third daemon. The second copy of the record was written before anything was
+// sent, so the new keeper knows who holds the answer, and nothing runs again.
+#[test]
+fn keeper_killed_between_claim_and_answer() {
+    harness::run(async {
+        let mut cluster = Cluster::start(layout()).await.unwrap();
+        let (key, ranked) = harness::key_apart(&cluster);
+        let call = harness::keyed(&key, 100);
+        let first = harness::send(&cluster, ranked[2], call.clone());
+        harness::running(&cluster, &key).await;
+        cluster.daemons[ranked[0]].process.kill();
+        let early = harness::send(&cluster, ranked[3], call.clone());
+        harness::assert_whole(&first.await);
+        let early = early.await;
+        let told = matches!(&early, Outcome::Refused { .. } | Outcome::Whole { .. });
+        assert!(told, "{early:?}");
+        let late = harness::repeat(&cluster, ranked[3], &call).await;
+        harness::assert_whole(&late);
+        assert_eq!(harness::runs(&cluster, &key).await.len(), 1);
+    });
+}
+
+/// A policy is bound by a request that must not run twice; two daemons are killed while it runs.
+fn two_killed(killed: [usize; 2]) {
+    harness::run(async {
+        let mut cluster = Cluster::start(layout()).await.unwrap();
+        let (key, ranked) = harness::key_apart(&cluster);
+        let call = harness::once(&key, 150);
+        let first = harness::send(&cluster, ranked[2], call.clone());
+        harness::running(&cluster, &key).await;
+        for rank in killed {
+            cluster.daemons[ranked[rank]].process.kill();
+        }
+        let repeat = harness::repeat(&cluster, ranked[3], &call).await;
+        let told = matches!(&repeat, Outcome::Refused { ran, .. } if ran == "maybe");
+        assert!(
+            told || matches!(repeat, Outcome::Whole { .. }),
+            "{repeat:?}"
+        );
+        let first = first.await;
+        let entry_lives = !killed.contains(&2);
+        assert_eq!(
+            matches!(first, Outcome::Whole { .. }),
+            entry_lives,
+            "{first:?}"
+        );
+        assert_eq!(harness::runs(&cluster, &key).await.len(), 1);
+    });
+}
+
+// Both daemons that know of the key die at once. The entry goes on to the whole answer. A repeat
+// meets keepers that have never heard of the key, and the claim in the platform's store stops it.
+#[test]
+fn keeper_and_copy_killed() {
+    two_killed([0, 1]);
+}
+
+// The entry and the keeper die in the middle of the run. The answer is gone; a repeat is told
+// that the request may have run, by the copy or by the claim in the store.
+#[test]
+fn entry_and_keeper_killed() {
+    two_killed([2, 0]);
+}
+
+// The caller's two tries reach two data centres at the same moment. Their keepers know nothing of
+// each other; the conditional create in the platform's store lets one of them through. The other
+// try is refused, and over both data centres the request is begun once.
+#[test]
+fn two_data_centres_at_once() {
+    harness::run(async {
+        let cluster = Cluster::start(harness::two_data_centres(2)).await.unwrap();
+        let call = harness::once("bind", 20);
+        let (a, b) = (
+            harness::send(&cluster, 0, call.clone()),
+            harness::send(&cluster, 2, call),
+        );
+        let outcomes = [a.await, b.await];
+        let whole = outcomes
+            .iter()
+            .filter(|o| matches!(o, Outcome::Whole { .. }));
+        assert_eq!(whole.count(), 1, "{outcomes:?}");
+        let maybe = |o: &&Outcome| matches!(o, Outcome::Refused { ran, .. } if ran == "maybe");
+        assert_eq!(outcomes.iter().filter(maybe).count(), 1, "{outcomes:?}");
+        assert_eq!(harness::runs(&cluster, "bind").await.len(), 1);
+    });
+}
+
+// The platform's store is away. A request that must not run twice is refused at once as not run,
+// since nothing could keep that true for it; all other work goes on, with and without a key.
+#[test]
+fn store_away() {
+    harness::run(async {
+        let cluster = Cluster::start(layout()).await.unwrap();
+        let outage = json!({"outage_ms": 60_000});
+        let control = cluster.post(&cluster.platform.address, "/control", &outage);
+        control.await.unwrap();
+        let begun = std::time::Instant::now();
+        let refused = harness::send(&cluster, 0, harness::once("bind", 5)).await;
+        assert!(begun.elapsed().as_millis() < 1500, "{:?}", begun.elapsed());
+        let Outcome::Refused { kind, ran, .. } = &refused else {
+            panic!("{refused:?}");
+        };
+        assert_eq!([kind, ran], ["store_unavailable", "no"]);
+        harness::assert_whole(&harness::send(&cluster, 1, harness::keyed("card", 5)).await);
+        let keyless = lilaccrank_lab::caller::Call {
+            key: None,
+            ..harness::keyed("ping", 5)
+        };
+        harness::assert_whole(&harness::send(&cluster, 2, keyless).await);
+        assert_eq!(harness::runs(&cluster, "bind").await.len(), 0);
+    });
+}
+
+// The store takes the claim of a request that must not run twice, and its answer is lost. The
+// daemon reads the claim back and finds its own; the caller gets the whole answer, and so does
+// its repeat at another daemon.
+#[test]
+fn answer_of_the_store_lost() {
+    harness::run(async {
+        let cluster = Cluster::start(layout()).await.unwrap();
+        let lost = json!({"lose_answers": 1});
+        let control = cluster.post(&cluster.platform.address, "/control", &lost);
+        control.await.unwrap();
+        let call = harness::once("bind", 20);
+        harness::assert_whole(&harness::send(&cluster, 0, call.clone()).await);
+        harness::assert_whole(&harness::send(&cluster, 1, call).await);
+        assert_eq!(harness::runs(&cluster, "bind").await.len(), 1);
+        let (_, counters) = cluster
+            .get(&cluster.platform.address, "/counters")
+            .await
+            .unwrap();
+        let counters: serde_json::Value = serde_json::from_str(&counters).unwrap();
+        assert_eq!(counters["answers_lost"], 1);
+    });
+}
