--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -5,9 +5,11 @@
 //! unless a name says otherwise.
 
 pub mod backoff;
+pub mod circuit;
 pub mod clock;
 pub mod document;
 pub mod error_kind;
+pub mod guarded_store;
 pub mod ids;
 pub mod lease;
 pub mod membership;
@@ -16,4 +18,5 @@
 pub mod peers;
 pub mod rendezvous;
 pub mod request;
+pub mod retry_budget;
 pub mod store;
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/circuit.rs
@@ -0,0 +1,68 @@
+//! When a circuit opens, and how it is tried again.
+
+use std::time::Duration;
+
+use lilaccrank::circuit::{Circuit, Permit, Settings};
+use lilaccrank::paused_clock::PausedClock;
+
+fn permit(circuit: &Circuit<PausedClock>) -> Permit<PausedClock> {
+    circuit.permit().expect("lets calls through")
+}
+
+fn opened(clock: &PausedClock) -> Circuit<PausedClock> {
+    let circuit = Circuit::new(Settings::default(), clock.clone());
+    for _ in 0..4 {
+        permit(&circuit).failed(Duration::ZERO);
+    }
+    circuit
+}
+
+#[test]
+fn opens_by_the_rate_of_failures() {
+    let circuit = Circuit::new(Settings::default(), PausedClock::new());
+    for _ in 0..10 {
+        permit(&circuit).succeeded();
+    }
+    for _ in 0..9 {
+        permit(&circuit).failed(Duration::ZERO);
+    }
+    permit(&circuit).failed(Duration::from_secs(1));
+    assert!(circuit.permit().is_err());
+}
+
+#[test]
+fn old_failures_do_not_count() {
+    let clock = PausedClock::new();
+    let circuit = Circuit::new(Settings::default(), clock.clone());
+    for _ in 0..3 {
+        permit(&circuit).failed(Duration::ZERO);
+    }
+    clock.advance(Duration::from_secs(11));
+    permit(&circuit).failed(Duration::from_secs(1));
+    assert!(circuit.permit().is_ok());
+}
+
+// A destination comes back weak. If all who wait for it were let through at the first moment, it
+// would fail again under their calls, and so on.
+#[test]
+fn one_trial_at_a_time() {
+    let clock = PausedClock::new();
+    let circuit = opened(&clock);
+    clock.advance(Duration::from_secs(1));
+    let trial = permit(&circuit);
+    assert!(trial.is_trial());
+    assert!(circuit.permit().is_err(), "two trials at once");
+    trial.succeeded();
+    assert!(!permit(&circuit).is_trial());
+}
+
+// The caller that makes the trial goes away before the answer. The circuit must not wait for
+// that outcome for ever.
+#[test]
+fn trial_without_outcome_is_made_again() {
+    let clock = PausedClock::new();
+    let circuit = opened(&clock);
+    clock.advance(Duration::from_secs(1));
+    drop(permit(&circuit));
+    assert!(permit(&circuit).is_trial());
+}
--- a/crates/lilaccrank/tests/suite/fake_store.rs
+++ b/crates/lilaccrank/tests/suite/fake_store.rs
@@ -1,6 +1,7 @@
 //! A store in memory that can be away, lose answers, or delay writes.
 
 use std::cell::{Cell, RefCell};
+use std::future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -38,6 +39,8 @@
     pub delay_write: Cell<Option<Duration>>,
     /// The answer to the next write is lost after it took effect.
     pub lose_answer: Cell<bool>,
+    /// Calls are never answered and have no effect.
+    pub silent: Cell<bool>,
     /// The answer to the next write comes only after this time.
     pub slow_answer: Cell<Option<Duration>>,
 }
@@ -53,7 +56,7 @@
         }
     }
 
-    fn call(&self) -> Result<()> {
+    async fn call(&self) -> Result<()> {
         let now = self.clock.elapsed();
         self.faults.calls.borrow_mut().push(now);
         let arrived: Vec<_> = self
@@ -68,6 +71,9 @@
             // Nobody waits for its answer any more.
             let _ = self.write(&key, value, expect);
         }
+        if self.faults.silent.get() {
+            future::pending::<()>().await;
+        }
         if self.faults.away.get() {
             return Err(Error::Unavailable);
         }
@@ -96,12 +102,12 @@
 
 impl Store for FakeStore {
     async fn get(&self, key: &str) -> Result<Option<Versioned>> {
-        self.call()?;
+        self.call().await?;
         Ok(self.objects.borrow().get(key).cloned())
     }
 
     async fn put(&self, key: &str, value: Bytes, expect: Expect) -> Result<Version> {
-        self.call()?;
+        self.call().await?;
         if let Some(delay) = self.faults.delay_write.take() {
             let at = self.clock.elapsed() + delay;
             let write = LateWrite {
@@ -124,7 +130,7 @@
     }
 
     async fn delete(&self, key: &str, expect: Expect) -> Result<()> {
-        self.call()?;
+        self.call().await?;
         self.check(key, expect)?;
         self.objects.borrow_mut().swap_remove(key);
         Ok(())
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/guarded_store.rs
@@ -0,0 +1,174 @@
+//! Many clients of a store that goes away and comes back.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::executor::{self, LocalPool};
+use futures::task::LocalSpawnExt;
+use lilaccrank::clock::Clock;
+use lilaccrank::guarded_store::{GuardedStore, Settings};
+use lilaccrank::paused_clock::PausedClock;
+use lilaccrank::store::{Error, Expect, Store};
+
+use crate::fake_store::FakeStore;
+
+const CLIENTS: usize = 64;
+const OUTAGE: Duration = Duration::from_secs(60);
+const STEP: Duration = Duration::from_millis(10);
+const KEY: &str = "rules";
+
+/// What the store saw, and when the last client got through.
+#[derive(Debug)]
+struct Seen {
+    busiest_100_ms_after: usize,
+    calls_in_outage: usize,
+    recovered_after: Duration,
+}
+
+/// Reads once a second, and after a failure every 100 ms.
+async fn poll<S: Store>(store: S, clock: PausedClock, last_read: Rc<Cell<Duration>>) {
+    loop {
+        let wait = match store.get(KEY).await {
+            Ok(_) => {
+                last_read.set(clock.elapsed());
+                Duration::from_secs(1)
+            }
+            Err(_) => Duration::from_millis(100),
+        };
+        clock.sleep(wait).await;
+    }
+}
+
+fn outage<S: Store>(guard: impl Fn(FakeStore, PausedClock) -> S) -> Seen {
+    let clock = PausedClock::new();
+    let store = FakeStore::new(clock.clone());
+    let mut pool = LocalPool::new();
+    let mut last_reads = Vec::new();
+    for _ in 0..CLIENTS {
+        let last_read = Rc::new(Cell::new(Duration::ZERO));
+        last_reads.push(Rc::clone(&last_read));
+        let work = poll(
+            guard(store.clone(), clock.clone()),
+            clock.clone(),
+            last_read,
+        );
+        pool.spawner().spawn_local(work).expect("the pool runs");
+        advance(&mut pool, &clock, STEP);
+    }
+    store.faults.away.set(true);
+    store.faults.calls.borrow_mut().clear();
+    advance(&mut pool, &clock, OUTAGE);
+    let calls_in_outage = store.faults.calls.take().len();
+    store.faults.away.set(false);
+    let back = clock.elapsed();
+    advance(&mut pool, &clock, Duration::from_millis(100));
+    while last_reads.iter().any(|read| read.get() < back) {
+        advance(&mut pool, &clock, STEP);
+    }
+    Seen {
+        busiest_100_ms_after: busiest_100_ms(&store.faults.calls.borrow()),
+        calls_in_outage,
+        recovered_after: clock.elapsed() - back,
+    }
+}
+
+fn busiest_100_ms(calls: &[Duration]) -> usize {
+    let window = Duration::from_millis(100);
+    let count = |first: &Duration| {
+        let in_window = calls
+            .iter()
+            .filter(|at| **at >= *first && **at < *first + window);
+        in_window.count()
+    };
+    calls.iter().map(count).max().unwrap_or(0)
+}
+
+fn advance(pool: &mut LocalPool, clock: &PausedClock, duration: Duration) {
+    let until = clock.elapsed() + duration;
+    while clock.elapsed() < until {
+        clock.advance(STEP);
+        pool.run_until_stalled();
+    }
+}
+
+// The store is away for a minute and 64 daemons go on asking. Unguarded, they ask ten times a
+// second each and all meet the store in the first tenth of a second of its return, which can
+// throw it down again. Guarded, each tries now and then, at its own time.
+#[test]
+fn returning_store_meets_no_stampede() {
+    let unguarded = outage(|store, _| store);
+    let guarded = outage(|store, clock| GuardedStore::new(Settings::default(), store, clock));
+    println!("unguarded {unguarded:?}\nguarded {guarded:?}");
+    assert!(guarded.calls_in_outage * 10 < unguarded.calls_in_outage);
+    assert!(guarded.busiest_100_ms_after * 2 < unguarded.busiest_100_ms_after);
+    assert!(guarded.recovered_after < Duration::from_secs(10));
+}
+
+fn guarded(store: &FakeStore, clock: &PausedClock) -> GuardedStore<FakeStore, PausedClock> {
+    GuardedStore::new(Settings::default(), store.clone(), clock.clone())
+}
+
+// The answer to a write is lost after it took effect. Sent again by the wrapper, the write would
+// conflict with itself and its caller would take its own publication for another's.
+#[test]
+fn write_without_answer_is_not_repeated() {
+    let clock = PausedClock::new();
+    let store = FakeStore::new(clock.clone());
+    store.faults.lose_answer.set(true);
+    let write = guarded(&store, &clock);
+    let write = write.put(KEY, Bytes::new(), Expect::Absent);
+    assert_eq!(executor::block_on(write), Err(Error::Unknown));
+    assert_eq!(store.faults.calls.borrow().len(), 1);
+}
+
+// The store goes silent: connections stand but no answer comes. Each call must end in its time,
+// and after a few the rest must fail at once as "no effect", so that callers can refuse what
+// needs the store instead of waiting for it.
+#[test]
+fn silent_store_opens_the_circuit() {
+    let clock = PausedClock::new();
+    let store = FakeStore::new(clock.clone());
+    store.faults.silent.set(true);
+    let client = guarded(&store, &clock);
+    let mut pool = LocalPool::new();
+    for _ in 0..4 {
+        let client = client.clone();
+        let call = async move { drop(client.put(KEY, Bytes::new(), Expect::Any).await) };
+        pool.spawner().spawn_local(call).expect("the pool runs");
+    }
+    pool.run_until_stalled();
+    advance(&mut pool, &clock, Settings::default().call_timeout);
+    assert_eq!(
+        client.get(KEY).now_or_never(),
+        Some(Err(Error::Unavailable))
+    );
+    assert_eq!(store.faults.calls.borrow().len(), 4);
+}
+
+// The call that tries a half-open circuit is a watch of an object that never changes. For as long
+// as it waits nothing else is let through, though the store is there again.
+#[test]
+fn watch_as_trial_keeps_the_circuit_half_open_briefly() {
+    let clock = PausedClock::new();
+    let store = FakeStore::new(clock.clone());
+    let client = guarded(&store, &clock);
+    store.faults.away.set(true);
+    let mut pool = LocalPool::new();
+    let reader = client.clone();
+    let reads = async move {
+        for _ in 0..4 {
+            assert!(reader.get(KEY).await.is_err());
+        }
+    };
+    pool.spawner().spawn_local(reads).expect("the pool runs");
+    advance(&mut pool, &clock, Duration::from_secs(20));
+    let watcher = client.clone();
+    store.faults.away.set(false);
+    let watch = async move { drop(watcher.watch(KEY, None, Duration::from_secs(60)).await) };
+    pool.spawner().spawn_local(watch).expect("the pool runs");
+    advance(&mut pool, &clock, Duration::from_secs(1));
+    assert_eq!(client.get(KEY).now_or_never(), Some(Ok(None)));
+}
