--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -6,6 +6,7 @@
 
 use lilaccrank::configuration::adoption::{Adoption, Configuration};
 use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::guarded_store::{self, GuardedStore};
 use lilaccrank::ids::{Incarnation, RequestId};
 use lilaccrank::membership::{Member, Membership, State};
 use lilaccrank::request_key::{Budget, Claims, Keeper, Limits};
@@ -29,6 +30,9 @@
 use crate::settings::Settings;
 use crate::vm_list::VmList;
 
+/// The platform's store behind a circuit and a budget of retries, so that a data centre that was
+/// cut off comes back without a stampede.
+pub type PlatformStore = GuardedStore<StoreClient, MonoioClock>;
 /// Result of a look at the daemon's state.
 pub type Result<T, E = Refusal> = std::result::Result<T, E>;
 
@@ -68,13 +72,15 @@
     pub membership: Membership,
     /// Other daemons.
     pub peers: PeerNetwork,
+    /// The platform beside its store.
+    pub platform: StoreClient,
     /// Requests at the dispatchers.
     pub pool_client: PoolClient,
     /// Dispatchers that run here.
     pub pool_server: PoolServer,
     requests: Cell<u64>,
     /// The platform's store.
-    pub store: StoreClient,
+    pub store: PlatformStore,
     /// Events.
     pub timeline: Timeline<MonoioClock>,
     /// The platform's list of vms.
@@ -105,7 +111,9 @@
         let timeline = Timeline::new(MonoioClock, cfg.vm.clone(), cfg.timeline_events);
         let duties = Duties::new(membership.clone());
         let peers = PeerNetwork::new(membership.clone(), cfg.other_peers(), timeline.clone());
-        let store = StoreClient::new(cfg.platform.to_string());
+        let platform = StoreClient::new(cfg.platform.to_string());
+        let guards = guarded_store::Settings::default();
+        let store = GuardedStore::new(guards, platform.clone(), MonoioClock);
         let keeper = Keeper::new(
             MonoioClock,
             peers.clone(),
@@ -132,6 +140,7 @@
             membership,
             metrics: Metrics::new()?,
             peers,
+            platform,
             pool_client: PoolClient::default(),
             pool_server: PoolServer::default(),
             requests: Cell::new(0),
--- a/crates/lilaccrankd/src/key_state.rs
+++ b/crates/lilaccrankd/src/key_state.rs
@@ -7,17 +7,16 @@
     BodyDigest, Claim, Claimed, Claims, Error, Marked, MemberRef, Outcome, Wanted,
 };
 use lilaccrank_http::monoio_clock::MonoioClock;
-use lilaccrank_http::store_client::StoreClient;
 
 use crate::caller_request::CallerRequest;
-use crate::daemon::Daemon;
+use crate::daemon::{Daemon, PlatformStore};
 use crate::duties::Duties;
 use crate::peer_network::PeerNetwork;
 use crate::refusal::{Refusal, Result};
 
 /// The keys of this daemon's requests.
-pub type KeyClaims = Claims<MonoioClock, PeerNetwork, Duties, StoreClient>;
-type ClaimIn<State> = Claim<State, MonoioClock, PeerNetwork, Duties, StoreClient>;
+pub type KeyClaims = Claims<MonoioClock, PeerNetwork, Duties, PlatformStore>;
+type ClaimIn<State> = Claim<State, MonoioClock, PeerNetwork, Duties, PlatformStore>;
 
 /// What a request may do.
 pub enum Access {
--- a/crates/lilaccrankd/src/vm_list.rs
+++ b/crates/lilaccrankd/src/vm_list.rs
@@ -91,7 +91,7 @@
 }
 
 async fn read(daemon: &Daemon) -> Option<IndexSet<VmId>> {
-    let bytes = daemon.store.read(PATH).await.ok()?;
+    let bytes = daemon.platform.read(PATH).await.ok()?;
     let listed: Vec<Listed> = match serde_json::from_slice(&bytes) {
         Ok(listed) => listed,
         Err(e) => {
