Spill proved on processes; what could not be reached does not hide the first refusal

Cause: with the other data centre dead the caller was told target_failed without Retry-After, instead of this data centre's own refusal (seen in spill::other_data_centre_gone, red before). Ruled out: a key left marked; the repeat in the same test was refused as not run too. Change: a refusal that nobody there gave does not replace the first one; a refusal given there keeps its Retry-After. Four tests of spill. Conclusion: a request spilled by rule runs once; a dead neighbour costs no truth.

--- a/crates/lilaccrank-lab/src/layout.rs
+++ b/crates/lilaccrank-lab/src/layout.rs
@@ -81,6 +81,8 @@
     pub data_centres: Vec<DataCentreLayout>,
     /// Settings of the daemons that differ from their defaults.
     pub settings: IndexMap<String, serde_json::Value>,
+    /// Data centres that requests for models are spilled to, in order.
+    pub spill: Vec<String>,
     /// What passes through wires.
     pub wires: WireLayout,
 }
@@ -101,6 +103,7 @@
                 .map(data_centre)
                 .into(),
             settings: IndexMap::new(),
+            spill: Vec::new(),
             wires: WireLayout::default(),
         }
     }
@@ -151,13 +154,13 @@
                     ..Pool::default()
                 },
             ],
-            rules: rules(),
+            rules: rules(&self.spill),
             tiers: TIERS.map(str::to_owned).into(),
         }
     }
 }
 
-fn rules() -> Vec<Rule> {
+fn rules(spill: &[String]) -> Vec<Rule> {
     let send = |id: &str, when: When, pool: &str| Rule {
         id: id.to_owned(),
         then: Then {
@@ -174,10 +177,9 @@
         path: Some("/jobs".to_owned()),
         ..When::default()
     };
-    vec![
-        send("models", models, ENGINES),
-        send("jobs", jobs, SERVICES),
-    ]
+    let mut models = send("models", models, ENGINES);
+    models.then.spill = spill.to_vec();
+    vec![models, send("jobs", jobs, SERVICES)]
 }
 
 fn customer(id: &str) -> Customer {
--- a/crates/lilaccrank-lab/tests/faults.rs
+++ b/crates/lilaccrank-lab/tests/faults.rs
@@ -7,3 +7,5 @@
 mod harness;
 #[path = "faults/request_keys.rs"]
 mod request_keys;
+#[path = "faults/spill.rs"]
+mod spill;
--- /dev/null
+++ b/crates/lilaccrank-lab/tests/faults/spill.rs
@@ -0,0 +1,87 @@
+//! Requests that a rule sends to another data centre when this one refuses.
+
+use lilaccrank_lab::caller::Outcome;
+use lilaccrank_lab::cluster::Cluster;
+use lilaccrank_lab::layout::Layout;
+
+use crate::harness;
+
+/// Position of the daemon that takes the calls, and of the one in the other data centre.
+const ENTRY: usize = 0;
+const OTHER: usize = 1;
+
+/// A data centre without engines that spills to one with an engine; one daemon each.
+fn layout() -> Layout {
+    let mut layout = harness::two_data_centres(1);
+    layout.data_centres[0].engines.clear();
+    layout.spill = vec![layout.data_centres[1].name.clone()];
+    layout
+}
+
+// A caller's data centre has no engine left. Its rule names another data centre, whose daemon
+// takes the request as its own and streams the answer back through the first.
+#[test]
+fn spilled_request_is_answered_once() {
+    harness::run(async {
+        let cluster = Cluster::start(layout()).await.unwrap();
+        let outcome = harness::send(&cluster, ENTRY, harness::keyed("spilled", 20)).await;
+        harness::assert_whole(&outcome);
+        assert_eq!(harness::runs(&cluster, "spilled").await.len(), 1);
+    });
+}
+
+// The request streams from the other data centre when its daemon is killed. The caller sees the
+// answer break off; nobody can tell it whole or not run, and a repeat must not run it again.
+#[test]
+fn other_data_centre_killed_mid_stream() {
+    harness::run(async {
+        let mut cluster = Cluster::start(layout()).await.unwrap();
+        let call = harness::keyed("cut", 150);
+        let first = harness::send(&cluster, ENTRY, call.clone());
+        harness::running(&cluster, "cut").await;
+        cluster.daemons[OTHER].process.kill();
+        let first = first.await;
+        assert!(matches!(first, Outcome::Broken(_)), "{first:?}");
+        let repeat = harness::send(&cluster, ENTRY, call).await;
+        harness::assert_maybe(&repeat);
+        assert_eq!(harness::runs(&cluster, "cut").await.len(), 1);
+    });
+}
+
+// The other data centre is gone before the request comes. Nothing was sent, so the caller is
+// told at once that it was not run, and when to come back; its key stays free for a repeat.
+#[test]
+fn other_data_centre_gone() {
+    harness::run(async {
+        let mut cluster = Cluster::start(layout()).await.unwrap();
+        cluster.daemons[OTHER].process.kill();
+        for _ in 0..2 {
+            let outcome = harness::send(&cluster, ENTRY, harness::keyed("gone", 20)).await;
+            let Outcome::Refused {
+                ran, retry_after, ..
+            } = &outcome
+            else {
+                panic!("{outcome:?}");
+            };
+            assert_eq!(ran, "no");
+            assert!(retry_after.is_some());
+        }
+        assert_eq!(harness::runs(&cluster, "gone").await.len(), 0);
+    });
+}
+
+// The caller repeats a spilled key straight at the other data centre while it runs. That daemon
+// owns the run, so the repeat reads along; one run serves both.
+#[test]
+fn repeat_at_the_other_data_centre_attaches() {
+    harness::run(async {
+        let cluster = Cluster::start(layout()).await.unwrap();
+        let call = harness::keyed("both", 100);
+        let first = harness::send(&cluster, ENTRY, call.clone());
+        harness::running(&cluster, "both").await;
+        let repeat = harness::send(&cluster, OTHER, call);
+        harness::assert_whole(&repeat.await);
+        harness::assert_whole(&first.await);
+        assert_eq!(harness::runs(&cluster, "both").await.len(), 1);
+    });
+}
--- a/crates/lilaccrankd/src/spill.rs
+++ b/crates/lilaccrankd/src/spill.rs
@@ -4,11 +4,11 @@
 //! this daemon it is like a target: one exchange, and only a refusal as not run allows another.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use lilaccrank::error_kind::{ErrorKind, Ran};
 use lilaccrank_http::body::{self, Body};
@@ -62,6 +62,8 @@
             continue;
         };
         match try_one(daemon, caller, other.callers, deadline, run).await {
+            // Nobody there could be reached: what this data centre said still stands.
+            Err(refusal) if refusal.ran == Ran::No && refusal.retry_after.is_none() => {}
             Err(refusal) if refusal.ran == Ran::No => refused = refusal,
             other => return other,
         }
@@ -108,11 +110,19 @@
 
 async fn refusal(res: Response<Incoming>) -> Refusal {
     let status = res.status();
+    let header = res.headers().get(RETRY_AFTER);
+    let seconds = header.and_then(|value| value.to_str().ok()?.parse().ok());
+    let retry_after = seconds.map(Duration::from_secs);
     let body = res.into_body().collect().await.ok();
     let envelope: Option<Envelope> =
         body.and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
     match envelope {
-        Some(Envelope { error }) => Refusal::new(error.kind, error.message).ran(error.ran),
+        Some(Envelope { error }) => Refusal {
+            kind: error.kind,
+            message: error.message,
+            ran: error.ran,
+            retry_after,
+        },
         None => unclear(status),
     }
 }
