An engine that stops in its answer is called a broken answer

Cause: a stream that could not be taken up again always ended as target_silent, also after tokens had come or when the engine had closed the stream with nonsense in it. The closed list has broken_answer for that, with status 502.

Ruled out: judging by what was received alone, since nonsense is no event and counts as nothing received; how the last connection ended is what tells.

Change: a resume knows its cause; closed, or silent after an event, is a broken answer. Silence before the first event stays target_silent.

--- a/crates/lilaccrankd/src/engine_stream.rs
+++ b/crates/lilaccrankd/src/engine_stream.rs
@@ -30,6 +30,15 @@
 
 type Events = Pin<Box<dyn Stream<Item = std::result::Result<Event, String>>>>;
 
+/// Why a stream has to be taken up again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Cause {
+    /// It ended or broke before its last event.
+    Closed,
+    /// Nothing came.
+    Silent,
+}
+
 /// How long an engine may be silent.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
@@ -83,7 +92,9 @@
             headers.insert(REQUEST_KEY, key);
         }
         match self.open(req, self.patience.first).await {
-            Err(refusal) if refusal.kind == ErrorKind::TargetSilent => self.resume().await,
+            Err(refusal) if refusal.kind == ErrorKind::TargetSilent => {
+                self.resume(Cause::Silent).await
+            }
             other => other,
         }
     }
@@ -108,7 +119,8 @@
                     self.received += 1;
                     return Ok(Some(event.data));
                 }
-                Ok(Some(Err(_)) | None) | Err(_) => self.resume().await?,
+                Ok(Some(Err(_)) | None) => self.resume(Cause::Closed).await?,
+                Err(_) => self.resume(Cause::Silent).await?,
             }
         }
     }
@@ -190,7 +202,7 @@
     /// Something between the ends may drop an open connection without closing it; events then
     /// stop although the engine works on. Asking the same engine for the same stream runs
     /// nothing again, so this is safe for every request.
-    async fn resume(&mut self) -> Result<()> {
+    async fn resume(&mut self, cause: Cause) -> Result<()> {
         self.events = None;
         self.connection = None;
         while self.resumes < RESUMES {
@@ -201,6 +213,12 @@
                 return Ok(());
             }
         }
+        // Once it has begun to answer, the caller has to hear of a broken answer, whether the
+        // target then died or hung.
+        if cause == Cause::Closed || self.received > 0 {
+            let message = "the target stopped in its answer, which could not be resumed";
+            return Err(Refusal::new(ErrorKind::BrokenAnswer, message));
+        }
         Err(Refusal::new(
             ErrorKind::TargetSilent,
             "the target went silent and its stream could not be resumed",
