The event that names a broken answer reaches the caller

Cause: hyper closes a connection at a body's error without writing what it has buffered. The daemon sent its error event and broke the body at once, so a caller that read events saw a transport error and never the kind.

Ruled out: ending the body well after the event, since a client that does not read events would take the answer for whole; a fixed pause before the break.

Change: body::break_off waits until the connection has taken the last piece, for at most a second, and then breaks the body. The comment on body::channel said that dropping the sender breaks a body; it ends it well, and says so now.

Before: engine_killed_mid_stream failed with "error reading a body from connection".

--- a/crates/lilaccrank-http/src/body.rs
+++ b/crates/lilaccrank-http/src/body.rs
@@ -1,5 +1,7 @@
 //! The body type of everything that is served or sent over hyper.
 
+use std::time::{Duration, Instant};
+
 use bytes::{Bytes, BytesMut};
 use http_body_util::channel::{Channel, Sender};
 use http_body_util::combinators::UnsyncBoxBody;
@@ -19,6 +21,11 @@
 /// Frames that may wait between the writer and the connection.
 const CHANNEL_FRAMES: usize = 16;
 
+/// Longest wait for a last piece to be taken by the connection.
+const TAKEN_LIMIT: Duration = Duration::from_secs(1);
+/// Time between two looks whether it was taken.
+const TAKEN_POLL: Duration = Duration::from_millis(1);
+
 /// Why a body could not be read whole.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -33,13 +40,29 @@
     },
 }
 
-/// A body sent frame by frame; dropping the sender early breaks it visibly.
+/// A body sent frame by frame; dropping the sender ends it as whole, see [`break_off`].
 #[must_use]
 pub fn channel() -> (BodySender, Body) {
     let (tx, body) = Channel::new(CHANNEL_FRAMES);
     (tx, body.boxed_unsync())
 }
 
+/// Sends a last piece and breaks the body visibly.
+///
+/// hyper closes a connection at a body's error without writing what it has buffered, and the
+/// reader would miss the last piece. The connection's task takes the piece, finds nothing after
+/// it and writes it in one go, so it is enough to wait until the piece was taken. A reader that
+/// takes nothing for the time of the wait still sees the break.
+pub async fn break_off(mut tx: BodySender, last: Bytes, why: &str) {
+    if tx.send_data(last).await.is_ok() {
+        let until = Instant::now() + TAKEN_LIMIT;
+        while tx.capacity() < tx.max_capacity() && Instant::now() < until {
+            monoio::time::sleep(TAKEN_POLL).await;
+        }
+    }
+    tx.abort(why.into());
+}
+
 /// A body of no bytes.
 #[must_use]
 pub fn empty() -> Body {
--- a/crates/lilaccrankd/src/entry.rs
+++ b/crates/lilaccrankd/src/entry.rs
@@ -129,9 +129,7 @@
             // also one that does not read events, that the answer is not whole.
             Err(refusal) => {
                 let event = format!("event: error\ndata: {}\n\n", refusal.ran(Ran::Maybe).json());
-                let _ = tx.send_data(event.into()).await;
-                tx.abort("the answer broke off".into());
-                return;
+                return body::break_off(tx, event.into(), "the answer broke off").await;
             }
         }
     }
