Leases: a keeper lets go; numbers survive a wiped store; one order at a time

Cause: the daemon needs to take a lease only while it has orders to give and to let go when its duty moves, but a Keeper ran until dropped. A process that starts after the store was wiped began at number 1, below what targets have seen. Two orders of one holder carry one number, so a late first could overtake the second at any target.

Ruled out: a new candidate for each tenure (two candidates of one name, which take the lease from each other without waiting); asking targets for their highest number (no target need report it); trusting the wall clock alone.

Change: Keeper::run_until gives the lease up and returns itself. A number is above each one seen and lifted to the wall clock's seconds. Orders closes the way to a target while an order without an answer may still arrive. Command::Resume ends a drain. Error::Unreachable says that nothing was sent.

--- a/crates/lilaccrank/src/lease/candidate.rs
+++ b/crates/lilaccrank/src/lease/candidate.rs
@@ -1,6 +1,6 @@
 //! Taking a lease: when it is free, or when its holder can no longer believe in it.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use super::context::{Found, Sent};
 use super::held::Held;
@@ -77,7 +77,7 @@
 
     /// Whether the lease may be taken, or how long to wait until the next look.
     fn opening(&mut self, found: Option<Found>) -> Result<Opening, Duration> {
-        let next = self.context.highest_fence + 1;
+        let next = self.next_fence();
         let Some(Found { record, version }) = found else {
             return Ok(Opening {
                 earlier: Duration::ZERO,
@@ -98,6 +98,18 @@
         Err((duration - waited).min(duration / LOOKS_PER_DURATION))
     }
 
+    /// Above each number seen, and lifted to the seconds of the wall clock. A process that starts
+    /// after the store was wiped, or came back older, has seen no number that counts; it would
+    /// start at one again, and targets that check would refuse its orders for good. Numbers grow
+    /// more slowly than seconds, so the clock is ahead of them. If it is wrong, nothing is lost:
+    /// the number is still above each one seen.
+    fn next_fence(&self) -> Fence {
+        let wall = self.context.clock.wall();
+        let since = wall.duration_since(SystemTime::UNIX_EPOCH);
+        let seconds = since.map_or(0, |since| since.as_secs());
+        seconds.max(self.context.highest_fence + 1)
+    }
+
     /// How long this version has been there for sure. The record's own times say nothing: its
     /// writer's clock may be far off, and the write may have been under way for long.
     fn waited(&mut self, version: Version) -> Duration {
--- a/crates/lilaccrank/src/lease/keeper.rs
+++ b/crates/lilaccrank/src/lease/keeper.rs
@@ -1,12 +1,18 @@
 //! Keeping a lease: a task that takes it, renews it and takes it again when it was lost.
 
 use std::cell::Cell;
+use std::future::{self, Future};
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::time::Duration;
 
-use super::candidate::Candidate;
-use super::held::Renewal;
+use futures::FutureExt;
+use futures::future::FusedFuture;
+
+use super::candidate::{Attempt, Candidate};
+use super::held::{Held, Lost, Renewal};
 use super::{Error, Guard, Guards, Lease, Result};
-use crate::clock::Clock;
+use crate::clock::{self, Clock};
 use crate::store::Store;
 
 /// Renewals per duration, so that two may fail before the lease is lost.
@@ -45,26 +51,81 @@
 
     /// Takes and renews the lease until dropped; it then ends by time.
     pub async fn run(self) {
-        let Self {
-            mut candidate,
-            tenure,
-        } = self;
+        drop(self.run_until(future::pending()).await);
+    }
+
+    /// Takes and renews the lease until `stop` completes, and then gives it up, so that another
+    /// need not wait for its end. What this keeper has learnt of fencing numbers stays with it:
+    /// run it again rather than make a second candidate.
+    #[must_use = "the keeper can be run again"]
+    pub async fn run_until(mut self, stop: impl Future<Output = ()>) -> Self {
+        let mut stop = pin!(stop.fuse());
         loop {
-            let mut held = candidate.acquire().await;
-            let lost = loop {
-                tenure.guard.set(held.guard().ok());
-                let wait = held.context.cfg.duration / RENEWALS_PER_DURATION;
-                tenure.clock.sleep(wait).await;
-                match held.renew().await {
-                    Renewal::Held(renewed) => held = renewed,
-                    Renewal::Lost(lost) => break lost,
+            // An attempt is not cut short: a write under way may take effect all the same, and
+            // only its outcome tells whether there is a lease to give up.
+            match self.candidate.attempt().await {
+                Attempt::Held(held) => match hold(&self.tenure, held, stop.as_mut()).await {
+                    Ended::Lost(lost) => self.candidate = lost.retry(),
+                    Ended::Stopped(lost) => {
+                        self.candidate = lost.retry();
+                        return self;
+                    }
+                },
+                Attempt::Wait(candidate, wait) => {
+                    self.candidate = candidate;
+                    if stopped_within(&self.tenure.clock, wait, stop.as_mut()).await {
+                        return self;
+                    }
                 }
-            };
-            log::warn!("lease {}: lost, {}", tenure.key, lost.reason());
-            tenure.guard.set(None);
-            candidate = lost.retry();
+            }
+        }
+    }
+}
+
+/// How a tenure ended.
+enum Ended<S, C> {
+    Lost(Lease<Lost, S, C>),
+    Stopped(Lease<Lost, S, C>),
+}
+
+async fn hold<S: Store, C: Clock>(
+    tenure: &Tenure<C>,
+    mut held: Lease<Held, S, C>,
+    mut stop: Pin<&mut impl FusedFuture<Output = ()>>,
+) -> Ended<S, C> {
+    let wait = held.context.cfg.duration / RENEWALS_PER_DURATION;
+    loop {
+        // A stop may have come during the attempt; then nobody must begin to act.
+        if stopped_within(&tenure.clock, Duration::ZERO, stop.as_mut()).await {
+            break;
+        }
+        tenure.guard.set(held.guard().ok());
+        if stopped_within(&tenure.clock, wait, stop.as_mut()).await {
+            break;
+        }
+        match held.renew().await {
+            Renewal::Held(renewed) => held = renewed,
+            Renewal::Lost(lost) => {
+                log::warn!("lease {}: lost, {}", tenure.key, lost.reason());
+                tenure.guard.set(None);
+                return Ended::Lost(lost);
+            }
         }
     }
+    tenure.guard.set(None);
+    Ended::Stopped(held.release().await)
+}
+
+/// Sleeps; true if `stop` completes first or has completed.
+async fn stopped_within<C: Clock>(
+    clock: &C,
+    wait: Duration,
+    mut stop: Pin<&mut impl FusedFuture<Output = ()>>,
+) -> bool {
+    if stop.is_terminated() {
+        return true;
+    }
+    clock::timeout(clock, wait, stop.as_mut()).await.is_some()
 }
 
 impl<C: Clock> Guards for Tenure<C> {
--- a/crates/lilaccrank/src/orders.rs
+++ b/crates/lilaccrank/src/orders.rs
@@ -5,10 +5,14 @@
 //! can start an order any more, and until all that it started have arrived. An order names the
 //! state wanted and has an id, so that sending it again is harmless.
 
+use std::cell::RefCell;
 use std::future::Future;
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use derive_more::Display;
+use futures::lock::Mutex;
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -45,6 +49,9 @@
     /// No answer came; the order may be carried out. Give it again.
     #[error("target {0} did not answer, the order may be carried out")]
     Unknown(TargetId),
+    /// No connection could be made; nothing was sent.
+    #[error("target {0} can't be reached, nothing was sent")]
+    Unreachable(TargetId),
 }
 
 /// State that a target is to reach.
@@ -60,6 +67,9 @@
         /// The model.
         model: ModelId,
     },
+    /// Take new work again after a drain.
+    #[display("resume")]
+    Resume,
     /// Serve in this role.
     #[display("be {role}")]
     SetRole {
@@ -128,14 +138,25 @@
     }
 }
 
-/// Gives orders as long as a lease allows.
+/// Gives orders as long as a lease allows, one at a time to each target.
 pub struct Orders<C, G, T> {
     cfg: Settings,
     clock: C,
     guards: G,
+    lanes: RefCell<IndexMap<TargetId, Rc<Lane>>>,
     targets: T,
 }
 
+/// The way to one target.
+///
+/// Two orders of one holder carry the same number, so no target can tell which is the later. If
+/// the second went out while the first may still arrive, the target could end in the state of
+/// the first. So an order without an answer keeps the way closed until it can't arrive any more.
+#[derive(Default)]
+struct Lane {
+    closed_until: Mutex<Option<Instant>>,
+}
+
 impl<C: Clock, G: Guards, T: Targets> Orders<C, G, T> {
     /// Gives orders to `targets` under `guards`.
     pub fn new(cfg: Settings, clock: C, guards: G, targets: T) -> Self {
@@ -143,12 +164,19 @@
             cfg,
             clock,
             guards,
+            lanes: RefCell::default(),
             targets,
         }
     }
 
     /// Gives one order. `id` names it for all its repetitions.
     pub async fn give(&self, target: &Addressee, id: &str, command: Command) -> Result<()> {
+        let lane = self.lane(&target.id);
+        let mut closed_until = lane.closed_until.lock().await;
+        if let Some(until) = *closed_until {
+            let wait = until.saturating_duration_since(self.clock.now());
+            self.clock.sleep(wait).await;
+        }
         if target.fencing == Fencing::Ignored {
             self.wait_out_earlier_holder().await?;
         }
@@ -158,9 +186,25 @@
             fence: guard.fence,
             id: id.to_owned(),
         };
+        // Set before sending, since this future may be dropped at any later point.
+        *closed_until = Some(self.clock.now() + self.cfg.in_flight);
         let call = self.targets.give(&target.id, &order);
         let answer = clock::timeout(&self.clock, self.cfg.timeout, call).await;
-        answer.unwrap_or_else(|| Err(Error::Unknown(target.id.clone())))
+        let outcome = answer.unwrap_or_else(|| Err(Error::Unknown(target.id.clone())));
+        if !matches!(outcome, Err(Error::Unknown(_))) {
+            *closed_until = None;
+        }
+        outcome
+    }
+
+    /// The lane of a target. Targets come and go, so a new one drops those that nobody needs.
+    fn lane(&self, target: &TargetId) -> Rc<Lane> {
+        let mut lanes = self.lanes.borrow_mut();
+        if !lanes.contains_key(target) {
+            let now = self.clock.now();
+            lanes.retain(|_, lane| !lane.is_idle(now));
+        }
+        Rc::clone(lanes.entry(target.clone()).or_default())
     }
 
     /// An earlier holder may have started an order in the last moment of its lease; a target
@@ -182,3 +226,11 @@
         safe_from.saturating_duration_since(self.clock.now())
     }
 }
+
+impl Lane {
+    fn is_idle(self: &Rc<Self>, now: Instant) -> bool {
+        let closed_until = self.closed_until.try_lock();
+        Rc::strong_count(self) == 1
+            && closed_until.is_some_and(|until| until.is_none_or(|u| u <= now))
+    }
+}
--- a/crates/lilaccrank/src/timeline/event.rs
+++ b/crates/lilaccrank/src/timeline/event.rs
@@ -35,6 +35,8 @@
     Left,
     /// A request key was marked as dispatching.
     Marked,
+    /// An order was given to a target.
+    Ordered,
     /// A configuration was published.
     Published,
     /// The request was refused.
--- a/crates/lilaccrank/tests/suite/lease.rs
+++ b/crates/lilaccrank/tests/suite/lease.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use futures::FutureExt;
+use futures::channel::oneshot;
 use futures::executor::{self, LocalPool};
 use futures::task::LocalSpawnExt;
 use lilaccrank::clock::Clock;
@@ -108,6 +110,45 @@
     assert_eq!(lost.reason().to_string(), "not renewed in time");
 }
 
+// A target has obeyed number 1000 when the store is wiped. The daemon that takes the lease then has
+// just started and has seen no number at all; with number 1 the target would refuse each order of
+// it, and of its successors, for good.
+#[test]
+fn number_after_a_wiped_store_is_above_the_earlier_ones() {
+    let clock = PausedClock::new();
+    clock.advance(Duration::from_secs(1_000));
+    let before = acquire("a", &FakeStore::new(clock.clone()), &clock);
+    clock.advance(Duration::from_secs(3));
+    let after = acquire("b", &FakeStore::new(clock.clone()), &clock);
+    let fence = |held: &Holding| held.guard().expect("held").fence;
+    assert!(fence(&after) > fence(&before));
+}
+
+// The duty moves to another daemon, and the first gives the lease up. From then on it must not
+// act, and the other takes the lease at once, not only when its time is over.
+#[test]
+fn keeper_that_is_stopped_lets_go() {
+    let clock = PausedClock::new();
+    let store = FakeStore::new(clock.clone());
+    let mut pool = LocalPool::new();
+    let keeper = Keeper::new(candidate("a", &store, &clock));
+    let tenure = keeper.tenure();
+    let (stop, stopped) = oneshot::channel::<()>();
+    let running = keeper.run_until(stopped.map(|_| ()));
+    let running = pool
+        .spawner()
+        .spawn_local_with_handle(running)
+        .expect("the pool runs");
+    pool.run_until_stalled();
+    assert_eq!(tenure.guard().expect("held").fence, 1);
+    stop.send(()).expect("the keeper runs");
+    let keeper = pool.run_until(running);
+    assert!(tenure.guard().is_err(), "acts without the duty");
+    let other = acquire("b", &store, &clock);
+    assert_eq!(other.guard().expect("held").fence, 2);
+    drop(keeper);
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Event {
     Advance(u16),
--- a/crates/lilaccrank/tests/suite/orders.rs
+++ b/crates/lilaccrank/tests/suite/orders.rs
@@ -115,8 +115,9 @@
     }
 
     /// Gives an order that is on the wire for so long.
-    fn give(&mut self, holder: Giver, role: Role, on_wire: Duration) {
+    fn give(&mut self, holder: impl Into<Rc<Giver>>, role: Role, on_wire: Duration) {
         self.targets.delay.set(on_wire);
+        let holder: Rc<Giver> = holder.into();
         let outcomes = Rc::clone(&self.outcomes);
         let target = Addressee {
             fencing: self.targets.fencing,
@@ -184,3 +185,28 @@
     let not_held = orders::Error::Lease(Error::NotHeld("orders".to_owned()));
     assert_eq!(*setting.outcomes.borrow(), [Err(not_held)]);
 }
+
+// No answer to "prefill" comes in time, so the operator asks the same holder for "decode", while
+// the first order is still on the wire. Both carry one number, and no target can tell which is
+// the later. Unless the second waits until the first can't arrive any more, the target ends as
+// "prefill", though the holder was told that "decode" is done.
+#[test]
+fn order_without_an_answer_is_not_overtaken() {
+    for fencing in [Fencing::Checked, Fencing::Ignored] {
+        let mut setting = Setting::new(fencing);
+        let holder = setting.holder(1, setting.in_s(60), setting.long_ago());
+        let holder = Rc::new(holder);
+        setting.give(
+            Rc::clone(&holder),
+            Role::Prefill,
+            Duration::from_millis(4_900),
+        );
+        setting.advance(4);
+        setting.give(holder, Role::Decode, Duration::from_millis(10));
+        setting.advance(10);
+        let expected = [Role::Prefill, Role::Decode].map(|role| Command::SetRole { role });
+        assert_eq!(setting.carried_out(), expected);
+        let unknown = orders::Error::Unknown("engine-1".to_owned());
+        assert_eq!(*setting.outcomes.borrow(), [Err(unknown), Ok(())]);
+    }
+}
