Probes of silent connections are spread and patient

All connections of a burst were probed in the same instants, two probes each. Ruled out: a full accept queue (ListenOverflows and ListenDrops stayed 0), the descriptor limit (20,000), an answer given up by the daemons. Change: the first probe after 10 to 20 s, drawn for each connection, then four of them. Conclusion: probes of living connections are lost in queues when they all come at once.

--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -9,6 +9,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use indexmap::IndexMap;
+use lilaccrank::backoff;
 use monoio::net::TcpStream;
 use monoio_compat::hyper::MonoioIo;
 use thiserror::Error;
@@ -24,10 +25,15 @@
 /// request sent on it then hangs, and whether it ran is unknown. Within this time the last
 /// answer is proof enough; after it a new connection proves itself by its handshake.
 const PROVED_FOR: Duration = Duration::from_secs(1);
-/// A silent connection is probed by the system after this long, as a second net.
-const KEEPALIVE: Duration = Duration::from_secs(5);
+/// A silent connection is probed by the system after this long, and up to twice as long.
+///
+/// Connections opened in one burst would otherwise all be probed in the same instant; with 3,000
+/// of them on one machine probes were lost in its queues, and living connections timed out.
+const KEEPALIVE: Duration = Duration::from_secs(10);
+/// Time between two probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// Unanswered probes that end a connection.
-const KEEPALIVE_PROBES: u32 = 2;
+const KEEPALIVE_PROBES: u32 = 4;
 /// Most idle connections kept for each address.
 const IDLE_LIMIT: usize = 64;
 
@@ -174,8 +180,9 @@
         .map_err(|_| fail(io::ErrorKind::TimedOut.into()))?
         .map_err(fail)?;
     stream.set_nodelay(true).map_err(fail)?;
+    let idle = KEEPALIVE + backoff::full_jitter(KEEPALIVE);
     stream
-        .set_tcp_keepalive(Some(KEEPALIVE), Some(KEEPALIVE), Some(KEEPALIVE_PROBES))
+        .set_tcp_keepalive(Some(idle), Some(KEEPALIVE_INTERVAL), Some(KEEPALIVE_PROBES))
         .map_err(fail)?;
     let io = monoio::io::IntoPollIo::into_poll_io(stream).map_err(fail)?;
     let (sender, connection) = http1::handshake(MonoioIo::new(io))
--- a/crates/lilaccrank-lab/src/caller.rs
+++ b/crates/lilaccrank-lab/src/caller.rs
@@ -80,7 +80,7 @@
     };
     let (res, connection) = match client.send(address, request(call), limits).await {
         Ok(sent) => sent,
-        Err(e) => return Outcome::Lost(e.to_string()),
+        Err(e) => return Outcome::Lost(format!("after {:?}: {e:?}", begun.elapsed())),
     };
     let outcome = if res.status().is_success() {
         judge(res, call, begun).await
