Operators' surface of the daemon: publish, history, explain, timeline, leave

Cause: operators could only read a status; publishing had no way through a daemon. Ruled out: letting the command line write to the store itself, as it knows neither the floor held by live daemons nor where the store is; draining a target by a call of its own, as it is a publication like any other. Change: typed requests and replies shared through lilaccrank::operators; the daemon asks its live members what they hold, takes over the newest, writes, and answers only once confirmed. The dispatcher notes its grants on the time line, so that a request's events span daemons.

--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ids;
 pub mod lease;
 pub mod membership;
+pub mod operators;
 pub mod orders;
 pub mod paused_clock;
 pub mod peers;
--- /dev/null
+++ b/crates/lilaccrank/src/operators/path.rs
@@ -0,0 +1,14 @@
+//! Paths of the operators' surface.
+
+/// `GET` reads the configuration in force, `POST` publishes.
+pub const CONFIGURATION: &str = "/v1/configuration";
+/// `POST` explains a decision.
+pub const EXPLAIN: &str = "/v1/explain";
+/// `GET` lists generations; with `/GENERATION` it reads one.
+pub const HISTORY: &str = "/v1/history";
+/// `POST` makes the daemon leave as by SIGTERM.
+pub const LEAVE: &str = "/v1/leave";
+/// `GET` tells how the daemon is.
+pub const STATUS: &str = "/v1/status";
+/// `POST` asks for events.
+pub const TIMELINE: &str = "/v1/timeline";
--- a/crates/lilaccrankd/src/admin.rs
+++ b/crates/lilaccrankd/src/admin.rs
@@ -4,18 +4,31 @@
 
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use lilaccrank::document::Operator;
 use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::operators::{self, path};
 use lilaccrank_http::body::{self, Body};
-use serde_json::json;
 
-use crate::callers::json_response;
 use crate::daemon::Daemon;
-use crate::refusal::{Refusal, Result};
+use crate::refusal::Refusal;
+use crate::signals::Signals;
 use crate::{attach, entry, pool_server};
 
+mod configuration;
+mod error;
+mod exchange;
+mod publication;
+mod reports;
+
+use error::Result;
+
 /// Answers one HTTP request of an operator.
-pub async fn handle(daemon: Rc<Daemon>, req: Request<Incoming>) -> Response<Body> {
+pub async fn handle(
+    daemon: Rc<Daemon>,
+    signals: Signals,
+    req: Request<Incoming>,
+) -> Response<Body> {
     match (req.method(), req.uri().path()) {
         (&Method::GET, "/healthz") => text("alive\n".to_owned()),
         (&Method::GET, "/metrics") => text(daemon.metrics.text()),
@@ -27,30 +40,84 @@
             .await
             .unwrap_or_else(|refusal| refusal.response()),
         _ => {
-            let answered = operator(&daemon, &req);
-            answered.unwrap_or_else(|refusal| refusal.response())
+            let answered = operator(&daemon, &signals, req).await;
+            answered.unwrap_or_else(|e| e.response())
+        }
+    }
+}
+
+async fn operator(
+    daemon: &Daemon,
+    signals: &Signals,
+    req: Request<Incoming>,
+) -> Result<Response<Body>> {
+    let (head, incoming) = req.into_parts();
+    let operator = authenticate(daemon, &head.headers)?;
+    match (&head.method, head.uri.path()) {
+        (&Method::GET, path::CONFIGURATION) => exchange::reply(&configuration::in_force(daemon)?),
+        (&Method::POST, path::CONFIGURATION) => {
+            let asked = exchange::read(daemon, incoming).await?;
+            let published = publication::publish(daemon, operator.id, asked).await?;
+            exchange::reply(&published)
+        }
+        (&Method::POST, path::EXPLAIN) => {
+            let asked = exchange::read(daemon, incoming).await?;
+            exchange::reply(&configuration::explain(daemon, asked)?)
+        }
+        (&Method::GET, path::HISTORY) => exchange::reply(&configuration::history(daemon).await?),
+        (&Method::POST, path::LEAVE) => exchange::reply(&leave(daemon, signals)),
+        (&Method::GET, path::STATUS) => exchange::reply(&status(daemon)?),
+        (&Method::POST, path::TIMELINE) => {
+            let query = exchange::read(daemon, incoming).await?;
+            exchange::reply(&operators::TimelineReply {
+                dropped: daemon.timeline.dropped(),
+                events: daemon.timeline.query(&query),
+                vm: daemon.cfg.vm.clone(),
+            })
         }
+        (&Method::GET, other) => match configuration::generation(other) {
+            Some(generation) => exchange::reply(&configuration::earlier(daemon, generation).await?),
+            None => Err(no_path().into()),
+        },
+        _ => Err(no_path().into()),
     }
 }
 
-fn operator(daemon: &Daemon, req: &Request<Incoming>) -> Result<Response<Body>> {
+fn authenticate(daemon: &Daemon, headers: &HeaderMap) -> Result<Operator> {
     let in_force = daemon.in_force()?;
-    in_force.keys.operator(req.headers())?;
-    match (req.method(), req.uri().path()) {
-        (&Method::GET, "/v1/status") => Ok(json_response(&json!({
-            "generation": in_force.generation,
-            "in_progress": daemon.in_progress(),
-            "leaving": daemon.leaving.get(),
-            "members": daemon.membership.all(),
-            "pools": pool_server::status(daemon),
-            "vm": daemon.cfg.vm,
-        }))),
-        _ => Err(Refusal::new(ErrorKind::NotFound, "no such path")),
+    Ok(in_force.keys.operator(headers)?.clone())
+}
+
+fn no_path() -> Refusal {
+    Refusal::new(ErrorKind::NotFound, "no such path")
+}
+
+fn leave(daemon: &Daemon, signals: &Signals) -> operators::LeaveReply {
+    log::info!("an operator asked this daemon to leave");
+    signals.request();
+    operators::LeaveReply {
+        in_progress: daemon.in_progress(),
+        vm: daemon.cfg.vm.clone(),
     }
 }
 
+fn status(daemon: &Daemon) -> Result<operators::Status> {
+    Ok(operators::Status {
+        data_centre: daemon.cfg.data_centre.clone(),
+        identity: daemon.in_force()?.identity.clone(),
+        in_progress: daemon.in_progress(),
+        leaving: daemon.leaving.get(),
+        members: daemon.membership.all(),
+        pools: pool_server::status(daemon),
+        vm: daemon.cfg.vm.clone(),
+    })
+}
+
 /// An answer that this daemon runs or holds, for a caller that repeated its key elsewhere.
-async fn held_answer(daemon: &Daemon, req: &Request<Incoming>) -> Result<Response<Body>> {
+async fn held_answer(
+    daemon: &Daemon,
+    req: &Request<Incoming>,
+) -> crate::refusal::Result<Response<Body>> {
     let in_force = daemon.in_force()?;
     let customer = in_force.keys.customer(req.headers())?.id.clone();
     let not_found = || Refusal::new(ErrorKind::NotFound, "no answer for this key is held here");
@@ -66,7 +133,7 @@
     entry::respond(run.reader()).await
 }
 
-fn ready(daemon: &Daemon) -> Result<()> {
+fn ready(daemon: &Daemon) -> crate::refusal::Result<()> {
     if daemon.leaving.get() {
         return Err(Refusal::new(
             ErrorKind::Leaving,
--- /dev/null
+++ b/crates/lilaccrankd/src/admin/error.rs
@@ -0,0 +1,40 @@
+//! What an operator is told when something is not done.
+
+use derive_more::From;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use lilaccrank::operators::Failure;
+use lilaccrank::operators::failure::Envelope;
+use lilaccrank_http::body::{self, Body};
+
+use crate::refusal::Refusal;
+
+/// Result of an operator's request.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Why an operator's request was not done.
+#[derive(Debug, From)]
+pub enum Error {
+    /// A failure of what was asked.
+    Failure(Failure),
+    /// The request was not even looked at.
+    Refusal(Refusal),
+}
+
+impl Error {
+    /// The whole HTTP answer.
+    #[must_use]
+    pub fn response(self) -> Response<Body> {
+        let failure = match self {
+            Self::Failure(failure) => failure,
+            Self::Refusal(refusal) => return refusal.response(),
+        };
+        let status = StatusCode::from_u16(failure.status());
+        let json = serde_json::to_string(&Envelope { error: failure });
+        let mut res = Response::new(body::full(json.unwrap_or_default()));
+        *res.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        res.headers_mut()
+            .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        res
+    }
+}
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -235,7 +235,7 @@
     /// Puts an adopted configuration in force.
     pub fn put_in_force(self: &Rc<Self>, configuration: &Configuration) {
         let in_force = InForce::new(configuration);
-        let generation = in_force.generation;
+        let generation = in_force.identity.generation;
         *self.in_force.borrow_mut() = Some(Rc::new(in_force));
         self.metrics.generation.set(generation.cast_signed());
         let detail = configuration.manifest.identity.to_string();
--- a/crates/lilaccrankd/src/entry.rs
+++ b/crates/lilaccrankd/src/entry.rs
@@ -42,7 +42,7 @@
     let in_progress = daemon.begin()?;
     let (head, incoming) = req.into_parts();
     let customer = in_force.keys.customer(&head.headers)?.clone();
-    let body = read_body(daemon, incoming).await?;
+    let body = read_body(daemon, incoming, daemon.cfg.body_limit).await?;
     let caller = CallerRequest::read(
         head,
         body,
@@ -74,8 +74,12 @@
     respond(reader).await
 }
 
-async fn read_body(daemon: &Daemon, incoming: Incoming) -> Result<Bytes> {
-    let limit = daemon.cfg.body_limit;
+/// Reads a body of at most `limit` bytes, for as long as a sender may take.
+///
+/// # Errors
+///
+/// If it is larger, breaks off or takes longer.
+pub async fn read_body(daemon: &Daemon, incoming: Incoming, limit: usize) -> Result<Bytes> {
     let time = Duration::from_millis(daemon.cfg.body_timeout_ms);
     match monoio::time::timeout(time, body::read(incoming, limit)).await {
         Ok(Ok(body)) => Ok(body),
--- a/crates/lilaccrankd/src/in_force.rs
+++ b/crates/lilaccrankd/src/in_force.rs
@@ -3,18 +3,20 @@
 use std::rc::Rc;
 
 use lilaccrank::configuration::adoption::Configuration;
+use lilaccrank::configuration::manifest::Identity;
 use lilaccrank::document::{Document, PoolKind, Target};
-use lilaccrank::ids::Generation;
 use lilaccrank::rules::matching::RuleSet;
 
 use crate::auth::Keys;
 
 /// One generation in the form that requests use.
 pub struct InForce {
+    /// The operator who published it.
+    pub author: String,
     /// The document as published.
     pub document: Rc<Document>,
-    /// Its generation.
-    pub generation: Generation,
+    /// Its name.
+    pub identity: Identity,
     /// Callers' and operators' keys.
     pub keys: Keys,
     /// The rules, compiled.
@@ -27,7 +29,8 @@
     pub fn new(configuration: &Configuration) -> Self {
         let document = Rc::new(configuration.document.clone());
         Self {
-            generation: configuration.manifest.identity.generation,
+            author: configuration.manifest.author.clone(),
+            identity: configuration.manifest.identity.clone(),
             keys: Keys::new(&document),
             rules: configuration.rules.clone(),
             document,
--- a/crates/lilaccrankd/src/peer_message.rs
+++ b/crates/lilaccrankd/src/peer_message.rs
@@ -79,6 +79,17 @@
     pub vms: Vec<VmId>,
 }
 
+/// Asks which configuration a daemon holds.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct HeldAsk;
+
+/// Tells which configuration a daemon holds.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Held {
+    /// Its name, `None` before the first one.
+    pub identity: Option<Identity>,
+}
+
 /// Reply to a message that asks for nothing.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Done;
@@ -90,6 +101,8 @@
     Announcement(Announcement),
     /// About a configuration.
     Configuration(exchange::Ask),
+    /// Which configuration is held.
+    Held(HeldAsk),
     /// About a request key.
     Key(KeyRequest),
     /// About leaving vms.
@@ -105,6 +118,8 @@
     Configuration(exchange::Answer),
     /// Nothing to tell.
     Done(Done),
+    /// Which configuration is held.
+    Held(Held),
     /// About a request key.
     Key(KeyReply),
     /// About leaving vms.
--- a/crates/lilaccrankd/src/peer_network.rs
+++ b/crates/lilaccrankd/src/peer_network.rs
@@ -15,8 +15,8 @@
 use lilaccrank_http::peer_link::PeerLink;
 
 use crate::peer_message::{
-    Announcement, Done, Leaving, LeavingAsk, PeerReply, PeerRequest, PoolReply, PoolRequest,
-    Stamped,
+    Announcement, Done, Held, HeldAsk, Leaving, LeavingAsk, PeerReply, PeerRequest, PoolReply,
+    PoolRequest, Stamped,
 };
 
 type Link = PeerLink<Stamped<PeerRequest>, Stamped<PeerReply>>;
@@ -143,6 +143,13 @@
     }
 }
 
+impl Peers<HeldAsk, Held> for PeerNetwork {
+    async fn call(&self, vm: &VmId, req: HeldAsk) -> Result<Held> {
+        let reply = self.send(vm, Lane::Configuration, req.into()).await?;
+        reply.try_into().map_err(|_| Error::NoAnswer(vm.clone()))
+    }
+}
+
 impl Peers<LeavingAsk, Leaving> for PeerNetwork {
     async fn call(&self, vm: &VmId, req: LeavingAsk) -> Result<Leaving> {
         let reply = self.send(vm, Lane::Configuration, req.into()).await?;
--- a/crates/lilaccrankd/src/pool_server.rs
+++ b/crates/lilaccrankd/src/pool_server.rs
@@ -119,6 +119,14 @@
     if matches!(&verdict, Verdict::Refuse(refuse) if refuse.kind == ErrorKind::Cancelled) {
         return;
     }
+    if let Verdict::Grant(grant) = &verdict {
+        let subject = Subject {
+            detail: format!("by the dispatcher of pool {}", served.pool),
+            request: Some(grant.request.clone()),
+            target: Some(grant.target.clone()),
+        };
+        daemon.record(EventKind::Granted, subject);
+    }
     let used = deliver(&daemon, &served, &entry, &verdict).await;
     let Verdict::Grant(grant) = verdict else {
         return;
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -16,7 +16,7 @@
 use thiserror::Error;
 
 use crate::daemon::Daemon;
-use crate::peer_message::{Leaving, LeavingAsk, PeerReply, PeerRequest, Stamped};
+use crate::peer_message::{Held, HeldAsk, Leaving, LeavingAsk, PeerReply, PeerRequest, Stamped};
 use crate::settings::Settings;
 use crate::signals::Signals;
 use crate::udp_gossip::UdpGossip;
@@ -84,11 +84,11 @@
     monoio::spawn(peer_server::serve(peer_listener, move |req| {
         answer_peer(Rc::clone(&shared), req)
     }));
-    let shared = Rc::clone(&daemon);
+    let (shared, asked) = (Rc::clone(&daemon), signals.clone());
     monoio::spawn(server::serve(
         admin_listener,
         Closing::default(),
-        move |req| admin::handle(Rc::clone(&shared), req),
+        move |req| admin::handle(Rc::clone(&shared), asked.clone(), req),
     ));
     let closing = Closing::default();
     let shared = Rc::clone(&daemon);
@@ -140,6 +140,10 @@
             configuration::announced(&daemon, announcement).into()
         }
         PeerRequest::Configuration(ask) => exchange::answer(&daemon.adoption, &ask).into(),
+        PeerRequest::Held(HeldAsk) => Held {
+            identity: daemon.adoption.identity(),
+        }
+        .into(),
         PeerRequest::Key(req) => daemon.keeper.handle(req).await.into(),
         PeerRequest::Leaving(LeavingAsk) => Leaving {
             vms: daemon.vm_list.leaving().into_iter().collect(),
--- a/crates/lilaccrankd/src/signals.rs
+++ b/crates/lilaccrankd/src/signals.rs
@@ -1,4 +1,5 @@
-//! SIGTERM and SIGINT: the first asks for a graceful end, the second for an immediate one.
+//! SIGTERM and SIGINT: the first asks for a graceful end, the second for an immediate one. An
+//! operator's order to leave counts as the first.
 
 use std::io;
 use std::sync::Arc;
@@ -36,6 +37,11 @@
         Ok(Self { count })
     }
 
+    /// Asks for a graceful end as the first signal does; later it changes nothing.
+    pub fn request(&self) {
+        self.count.fetch_max(1, Ordering::Relaxed);
+    }
+
     /// Completes once `n` signals have come.
     pub async fn reached(&self, n: usize) {
         while self.count.load(Ordering::Relaxed) < n {
