--- /dev/null
+++ b/crates/lilaccrank-cli/src/fleet.rs
@@ -0,0 +1,229 @@
+//! All daemons: those on the command line, and those that they know.
+
+use std::fmt;
+
+use futures::future;
+use indexmap::IndexMap;
+use lilaccrank::configuration::manifest::Identity;
+use lilaccrank::ids::VmId;
+use lilaccrank::membership::State;
+use lilaccrank::operators::{Status, path};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::address::Address;
+use crate::api::Api;
+use crate::context::Context;
+use crate::error::{Error, Result};
+
+/// A daemon that did not tell.
+#[derive(Clone, Debug, Serialize)]
+pub struct Unreachable {
+    /// Where it was asked.
+    pub admin: String,
+    /// Its vm, if another daemon named it.
+    pub vm: Option<VmId>,
+    /// What happened.
+    pub why: String,
+}
+
+/// A live daemon without a publication.
+#[derive(Clone, Debug, Serialize)]
+pub struct Lacking {
+    /// What it has in force, `None` if it does not tell.
+    pub held: Option<Identity>,
+    /// Its vm, or its address if nobody named it.
+    pub vm: VmId,
+}
+
+/// How all daemons are.
+#[derive(Debug, Serialize)]
+pub struct Survey {
+    /// Who told, by vm.
+    pub daemons: IndexMap<VmId, Daemon>,
+    /// Who did not.
+    pub unreachable: Vec<Unreachable>,
+}
+
+/// One daemon that told how it is.
+#[derive(Debug, Serialize)]
+pub struct Daemon {
+    /// Where it was asked.
+    pub admin: String,
+    /// What it told.
+    #[serde(flatten)]
+    pub status: Status,
+}
+
+/// Calls to one or all daemons.
+pub struct Fleet<'a> {
+    admins: &'a [Address],
+    /// Calls to one daemon.
+    pub api: Api,
+}
+
+impl<'a> Fleet<'a> {
+    /// The daemons of a command line.
+    ///
+    /// # Errors
+    ///
+    /// If no key is given.
+    pub fn new(cx: &'a Context) -> Result<Self> {
+        Ok(Self {
+            admins: &cx.admins,
+            api: cx.api()?,
+        })
+    }
+
+    /// Reads from the first daemon that is able to tell.
+    ///
+    /// # Errors
+    ///
+    /// The last daemon's, if none is.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        self.first(async |admin| self.api.get(admin, path).await)
+            .await
+    }
+
+    /// Posts to the first daemon that takes it. Only for what may be repeated: a daemon that
+    /// broke off may have done it.
+    ///
+    /// # Errors
+    ///
+    /// The last daemon's, if none took it.
+    pub async fn post<B: Serialize, T: DeserializeOwned>(&self, path: &str, body: &B) -> Result<T> {
+        self.first(async |admin| self.api.post(admin, path, body).await)
+            .await
+    }
+
+    async fn first<T>(&self, call: impl AsyncFn(&Address) -> Result<T>) -> Result<T> {
+        let mut in_doubt = None;
+        let mut last = Error::Usage("give --admin URL".to_owned());
+        for admin in self.admins {
+            match call(admin).await {
+                Err(e @ Error::Broken { .. }) => in_doubt = Some(e),
+                Err(e) if elsewhere(&e) => last = e,
+                result => return result,
+            }
+        }
+        Err(in_doubt.unwrap_or(last))
+    }
+
+    /// Asks every daemon how it is.
+    pub async fn survey(&self) -> Survey {
+        let mut survey = Survey {
+            daemons: IndexMap::new(),
+            unreachable: Vec::new(),
+        };
+        let mut asked: IndexMap<String, ()> = IndexMap::new();
+        let mut next: Vec<_> = self.admins.iter().map(|a| (a.clone(), None)).collect();
+        while !next.is_empty() {
+            next.retain(|(admin, _)| asked.insert(admin.to_string(), ()).is_none());
+            let answers = future::join_all(next.iter().map(|(admin, _)| self.status(admin)));
+            let answers = answers.await;
+            let mut found = Vec::new();
+            for ((admin, vm), answer) in next.drain(..).zip(answers) {
+                match answer {
+                    Ok(status) => {
+                        found.extend(others(&status));
+                        survey.add(admin, status);
+                    }
+                    Err(e) => survey.unreachable.push(Unreachable {
+                        admin: admin.to_string(),
+                        vm,
+                        why: e.to_string(),
+                    }),
+                }
+            }
+            next = found;
+        }
+        survey.daemons.sort_unstable_keys();
+        survey
+    }
+
+    async fn status(&self, admin: &Address) -> Result<Status> {
+        self.api.get(admin, path::STATUS).await
+    }
+}
+
+impl Survey {
+    /// Fails if a daemon did not tell, after what the others told was printed.
+    ///
+    /// # Errors
+    ///
+    /// If any is unreachable.
+    pub fn complete(self) -> Result<()> {
+        if self.unreachable.is_empty() {
+            return Ok(());
+        }
+        Err(Error::Partial(self.unreachable))
+    }
+
+    /// Live daemons that have neither this configuration in force nor a later one.
+    pub fn lacking(&self, published: &Identity) -> Vec<Lacking> {
+        let lacks = |daemon: &&Daemon| {
+            let held = &daemon.status.identity;
+            !daemon.status.leaving && held != published && held.generation <= published.generation
+        };
+        let told = self.daemons.values().filter(lacks).map(|daemon| Lacking {
+            held: Some(daemon.status.identity.clone()),
+            vm: daemon.status.vm.clone(),
+        });
+        let silent = self.unreachable.iter().map(|unreachable| Lacking {
+            held: None,
+            vm: unreachable.name(),
+        });
+        told.chain(silent).collect()
+    }
+
+    fn add(&mut self, admin: Address, status: Status) {
+        let daemon = Daemon {
+            admin: admin.to_string(),
+            status,
+        };
+        self.daemons
+            .entry(daemon.status.vm.clone())
+            .or_insert(daemon);
+    }
+}
+
+impl Unreachable {
+    /// Its vm, or its address if nobody named it.
+    pub fn name(&self) -> String {
+        self.vm.clone().unwrap_or_else(|| self.admin.clone())
+    }
+}
+
+impl fmt::Display for Unreachable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.name(), self.why)
+    }
+}
+
+impl fmt::Display for Lacking {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.held {
+            Some(held) => write!(f, "{} has {held}", self.vm),
+            None => write!(f, "{} does not tell", self.vm),
+        }
+    }
+}
+
+/// Whether another daemon may do what this one did not.
+fn elsewhere(e: &Error) -> bool {
+    match e {
+        Error::Refused { kind, .. } => kind == "not_ready",
+        Error::Unreachable { .. } => true,
+        _ => false,
+    }
+}
+
+/// Members that are worth asking: the dead ended, and the leaving may have by now.
+fn others(status: &Status) -> Vec<(Address, Option<VmId>)> {
+    let alive = status
+        .members
+        .iter()
+        .filter(|member| matches!(member.state, State::Live | State::Suspect));
+    let found = alive.map(|member| (member.admin.into(), Some(member.vm.clone())));
+    found.collect()
+}
--- /dev/null
+++ b/crates/lilaccrank-cli/src/rules/check.rs
@@ -0,0 +1,45 @@
+//! `rules check`: everything that is wrong with a document, without any daemon.
+
+use std::path::PathBuf;
+
+use lilaccrank::rules::check;
+use lilaccrank::rules::problem::Problem;
+use serde::Serialize;
+
+use super::file;
+use crate::context::Context;
+use crate::error::{Error, Result};
+
+/// Checks a document offline; exit code 1 if it has errors.
+#[derive(clap::Args)]
+pub struct Args {
+    /// The document; `-` is standard input.
+    file: PathBuf,
+}
+
+/// What was found.
+#[derive(Serialize)]
+struct Found {
+    problems: Vec<Problem>,
+}
+
+impl Args {
+    /// Checks the document.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be read or has errors.
+    pub fn run(self, cx: &Context) -> Result<()> {
+        let document = file::read(&self.file)?;
+        let problems = check::check(&document);
+        if check::has_error(&problems) {
+            let name = self.file.display().to_string();
+            return Err(Error::Document { name, problems });
+        }
+        cx.output.print(&Found { problems }, |found| {
+            let mut lines: Vec<_> = found.problems.iter().map(ToString::to_string).collect();
+            lines.push("the document has no errors".to_owned());
+            lines
+        })
+    }
+}
--- a/crates/lilaccrank/src/operators/failure.rs
+++ b/crates/lilaccrank/src/operators/failure.rs
@@ -55,13 +55,6 @@
         /// The generation.
         generation: Generation,
     },
-    /// Daemons hold different configurations of one generation, or the newest can't be taken
-    /// over; nothing changed.
-    #[error("{message}; nothing was published, try again in some seconds")]
-    Unsettled {
-        /// What is not settled.
-        message: String,
-    },
     /// The store can't be read; nothing changed.
     #[error("the platform's store can't be read: {message}; nothing was changed")]
     StoreUnavailable {
@@ -74,6 +67,13 @@
         /// The id.
         id: PublicationId,
     },
+    /// Daemons hold different configurations of one generation, or the newest can't be taken
+    /// over; nothing changed.
+    #[error("{message}; nothing was published, try again in some seconds")]
+    Unsettled {
+        /// What is not settled.
+        message: String,
+    },
 }
 
 /// The envelope in which failures and refusals travel.
@@ -92,7 +92,7 @@
             Self::DocumentTooLarge { .. } => 413,
             Self::Invalid { .. } => 422,
             Self::NoGeneration { .. } => 404,
-            Self::Unsettled { .. } | Self::StoreUnavailable { .. } | Self::Unresolved { .. } => 503,
+            Self::StoreUnavailable { .. } | Self::Unresolved { .. } | Self::Unsettled { .. } => 503,
         }
     }
 }
