--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -5,11 +5,13 @@
 //! unless a name says otherwise.
 
 pub mod backoff;
+pub mod circuit;
 pub mod clock;
 pub mod configuration;
 pub mod dispatch;
 pub mod document;
 pub mod error_kind;
+pub mod guarded_store;
 pub mod ids;
 pub mod lease;
 pub mod membership;
@@ -22,5 +24,6 @@
 pub mod request;
 pub mod request_key;
 pub mod rules;
+pub mod retry_budget;
 pub mod store;
 pub mod timeline;
