--- a/crates/lilaccrank-cli/src/api.rs
+++ b/crates/lilaccrank-cli/src/api.rs
@@ -5,8 +5,8 @@
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HOST, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use lilaccrank::error_kind::Ran;
-use lilaccrank::operators::Failure;
 use lilaccrank::operators::failure::Envelope;
+use lilaccrank::operators::{Failure, Status, path};
 use lilaccrank_http::body::{self, Body};
 use lilaccrank_http::client::{self, Client, Limits};
 use serde::de::DeserializeOwned;
@@ -18,8 +18,13 @@
 
 /// A daemon that can be reached connects in milliseconds.
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
+/// A look costs a daemon milliseconds, or some seconds while the store is slow.
+const LOOK_LIMIT: Duration = Duration::from_secs(8);
 /// A publication takes a daemon at most some fifteen seconds.
-const ANSWER_LIMIT: Duration = Duration::from_secs(30);
+const POST_LIMIT: Duration = Duration::from_secs(30);
+/// A frozen daemon still takes connections, by its kernel, and then says nothing: whoever asks
+/// all daemons would wait for it for long. One that runs tells its state within milliseconds.
+const STATUS_LIMIT: Duration = Duration::from_secs(2);
 /// Largest answer read.
 const BODY_LIMIT: usize = 64 << 20;
 
@@ -52,7 +57,18 @@
     ///
     /// If the daemon can't be reached, breaks off, or refuses.
     pub async fn get<T: DeserializeOwned>(&self, address: &Address, path: &str) -> Result<T> {
-        self.call(address, Method::GET, path, Vec::new()).await
+        let req = request(address, Method::GET, path, &self.key, Vec::new())?;
+        self.call(address, req, LOOK_LIMIT).await
+    }
+
+    /// Asks how a daemon is.
+    ///
+    /// # Errors
+    ///
+    /// If the daemon can't be reached, breaks off, or refuses.
+    pub async fn status(&self, address: &Address) -> Result<Status> {
+        let req = request(address, Method::GET, path::STATUS, &self.key, Vec::new())?;
+        self.call(address, req, STATUS_LIMIT).await
     }
 
     /// Posts JSON.
@@ -67,27 +83,26 @@
         value: &B,
     ) -> Result<T> {
         let json = serde_json::to_vec(value).map_err(std::io::Error::from)?;
-        self.call(address, Method::POST, path, json).await
+        let req = request(address, Method::POST, path, &self.key, json)?;
+        self.call(address, req, POST_LIMIT).await
     }
 
     async fn call<T: DeserializeOwned>(
         &self,
         address: &Address,
-        method: Method,
-        path: &str,
-        json: Vec<u8>,
+        req: Request<Body>,
+        limit: Duration,
     ) -> Result<T> {
         let limits = Limits {
             connect: CONNECT_LIMIT,
             fresh: true,
-            head: ANSWER_LIMIT,
+            head: limit,
         };
-        let req = request(address, method, path, &self.key, json)?;
         let sent = self.client.send(address.as_str(), req, limits).await;
         let (res, _connection) = sent.map_err(|e| failed(address, &e))?;
         let status = res.status();
         let reading = body::read(res.into_body(), BODY_LIMIT);
-        let bytes = monoio::time::timeout(ANSWER_LIMIT, reading)
+        let bytes = monoio::time::timeout(limit, reading)
             .await
             .map_err(|_| broken(address, &"the answer did not end"))?
             .map_err(|e| broken(address, &e))?;
--- a/crates/lilaccrank-cli/src/changes.rs
+++ b/crates/lilaccrank-cli/src/changes.rs
@@ -22,15 +22,27 @@
     lines
 }
 
-/// The number of errors, in words.
+/// The number of problems, in words.
 pub fn count(problems: &[Problem]) -> String {
     let errors = problems.iter().filter(|p| p.severity == Severity::Error);
-    match errors.count() {
-        1 => "1 error".to_owned(),
-        n => format!("{n} errors"),
+    let errors = errors.count();
+    let warnings = problems.len() - errors;
+    match (errors, warnings) {
+        (errors, 0) => plural(errors, "error"),
+        (0, warnings) => plural(warnings, "warning"),
+        _ => format!(
+            "{} and {}",
+            plural(errors, "error"),
+            plural(warnings, "warning")
+        ),
     }
 }
 
+fn plural(n: usize, noun: &str) -> String {
+    let ending = if n == 1 { "" } else { "s" };
+    format!("{n} {noun}{ending}")
+}
+
 fn line(part: &str, change: &Change) -> String {
     let Change {
         after,
--- a/crates/lilaccrank-cli/src/drain.rs
+++ b/crates/lilaccrank-cli/src/drain.rs
@@ -116,7 +116,7 @@
 
 impl Daemon {
     async fn run(self, cx: &Context, fleet: &Fleet<'_>) -> Result<()> {
-        let survey = fleet.survey().await;
+        let survey = fleet.survey().await?;
         let Some(daemon) = survey.daemons.get(&self.name) else {
             survey.complete()?;
             return Err(Error::NoSuch {
@@ -143,8 +143,7 @@
         let until = Instant::now() + Duration::from_secs(self.wait_limit);
         let _waiting = Waiting::show(format!("{} finishes its requests", self.name));
         loop {
-            let status: Result<serde_json::Value> = api.get(admin, path::STATUS).await;
-            if matches!(status, Err(Error::Unreachable { .. })) {
+            if let Err(Error::Unreachable { .. }) = api.status(admin).await {
                 return Ok(());
             }
             if Instant::now() >= until {
--- a/crates/lilaccrank-cli/src/error.rs
+++ b/crates/lilaccrank-cli/src/error.rs
@@ -27,7 +27,7 @@
         why: String,
     },
     /// The document has errors.
-    #[error("{name} has {} that must be corrected first", changes::count(.problems))]
+    #[error("{name} has {}", changes::count(.problems))]
     Document {
         /// The file, or what else it is.
         name: String,
--- a/crates/lilaccrank-cli/src/fleet.rs
+++ b/crates/lilaccrank-cli/src/fleet.rs
@@ -3,11 +3,11 @@
 use std::fmt;
 
 use futures::future;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use lilaccrank::configuration::manifest::Identity;
 use lilaccrank::ids::VmId;
 use lilaccrank::membership::State;
-use lilaccrank::operators::{Status, path};
+use lilaccrank::operators::Status;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -110,16 +110,21 @@
     }
 
     /// Asks every daemon how it is.
-    pub async fn survey(&self) -> Survey {
+    ///
+    /// # Errors
+    ///
+    /// If all refuse, as they do a wrong key.
+    pub async fn survey(&self) -> Result<Survey> {
+        let mut refusal = None;
         let mut survey = Survey {
             daemons: IndexMap::new(),
             unreachable: Vec::new(),
         };
-        let mut asked: IndexMap<String, ()> = IndexMap::new();
+        let mut asked = IndexSet::new();
         let mut next: Vec<_> = self.admins.iter().map(|a| (a.clone(), None)).collect();
         while !next.is_empty() {
-            next.retain(|(admin, _)| asked.insert(admin.to_string(), ()).is_none());
-            let answers = future::join_all(next.iter().map(|(admin, _)| self.status(admin)));
+            next.retain(|(admin, _)| asked.insert(admin.to_string()));
+            let answers = future::join_all(next.iter().map(|(admin, _)| self.api.status(admin)));
             let answers = answers.await;
             let mut found = Vec::new();
             for ((admin, vm), answer) in next.drain(..).zip(answers) {
@@ -128,21 +133,25 @@
                         found.extend(others(&status));
                         survey.add(admin, status);
                     }
-                    Err(e) => survey.unreachable.push(Unreachable {
-                        admin: admin.to_string(),
-                        vm,
-                        why: e.to_string(),
-                    }),
+                    Err(e) => {
+                        survey.unreachable.push(Unreachable {
+                            admin: admin.to_string(),
+                            vm,
+                            why: e.to_string(),
+                        });
+                        if matches!(e, Error::Refused { .. }) {
+                            refusal.get_or_insert(e);
+                        }
+                    }
                 }
             }
             next = found;
         }
         survey.daemons.sort_unstable_keys();
-        survey
-    }
-
-    async fn status(&self, admin: &Address) -> Result<Status> {
-        self.api.get(admin, path::STATUS).await
+        match refusal {
+            Some(refusal) if survey.daemons.is_empty() => Err(refusal),
+            _ => Ok(survey),
+        }
     }
 }
 
@@ -169,13 +178,25 @@
             held: Some(daemon.status.identity.clone()),
             vm: daemon.status.vm.clone(),
         });
-        let silent = self.unreachable.iter().map(|unreachable| Lacking {
+        let ended = self.ended();
+        let silent = self.unreachable.iter();
+        let silent = silent.filter(|silent| !ended.contains(&silent.admin));
+        let silent = silent.map(|unreachable| Lacking {
             held: None,
             vm: unreachable.name(),
         });
         told.chain(silent).collect()
     }
 
+    /// Addresses of daemons that the others know to be dead or leaving. They are named by the
+    /// command line only, and nobody waits for them.
+    fn ended(&self) -> IndexSet<String> {
+        let statuses = self.daemons.values().map(|daemon| &daemon.status);
+        let members = statuses.flat_map(|status| &status.members);
+        let ended = members.filter(|m| matches!(m.state, State::Dead | State::Leaving));
+        ended.map(|member| member.admin.to_string()).collect()
+    }
+
     fn add(&mut self, admin: Address, status: Status) {
         let daemon = Daemon {
             admin: admin.to_string(),
--- a/crates/lilaccrank-cli/src/publication.rs
+++ b/crates/lilaccrank-cli/src/publication.rs
@@ -110,7 +110,7 @@
         let until = Instant::now() + Duration::from_secs(self.wait_limit);
         let waiting = Waiting::show(format!("{published} is accepted"));
         loop {
-            let lacking = fleet.survey().await.lacking(published);
+            let lacking = fleet.survey().await?.lacking(published);
             if lacking.is_empty() {
                 return Ok(());
             }
--- a/crates/lilaccrank-cli/src/rules/check.rs
+++ b/crates/lilaccrank-cli/src/rules/check.rs
@@ -15,6 +15,9 @@
 pub struct Args {
     /// The document; `-` is standard input.
     file: PathBuf,
+    /// Take warnings, such as a rule that no request reaches, for errors too.
+    #[arg(long)]
+    strict: bool,
 }
 
 /// What was found.
@@ -32,7 +35,7 @@
     pub fn run(self, cx: &Context) -> Result<()> {
         let document = file::read(&self.file)?;
         let problems = check::check(&document);
-        if check::has_error(&problems) {
+        if check::has_error(&problems) || self.strict && !problems.is_empty() {
             let name = self.file.display().to_string();
             return Err(Error::Document { name, problems });
         }
--- a/crates/lilaccrank-cli/src/status.rs
+++ b/crates/lilaccrank-cli/src/status.rs
@@ -18,7 +18,7 @@
     ///
     /// If a daemon can't be reached; what the others told is printed.
     pub async fn run(self, cx: &Context) -> Result<()> {
-        let survey = Fleet::new(cx)?.survey().await;
+        let survey = Fleet::new(cx)?.survey().await?;
         cx.output.print(&survey, lines)?;
         survey.complete()
     }
@@ -55,7 +55,7 @@
 fn target(target: &TargetStatus) -> String {
     let state = if target.live { "live" } else { "draining" };
     format!(
-        "    {}: {state}, {} of {} slots, {:?}, step {:.1} ms, {:.1} times its usual time",
+        "    {}: {state}, {} of {} slots, {}, step {:.1} ms, {:.1} times its usual time",
         target.id,
         target.running,
         target.slots,
--- a/crates/lilaccrank-cli/src/timeline.rs
+++ b/crates/lilaccrank-cli/src/timeline.rs
@@ -53,7 +53,7 @@
     ///
     /// If a daemon can't be reached; the events of the others are printed.
     pub async fn run(self, cx: &Context) -> Result<()> {
-        let merged = gather(&Fleet::new(cx)?, &self.query()).await;
+        let merged = gather(&Fleet::new(cx)?, &self.query()).await?;
         for Dropped { events, vm } in &merged.dropped {
             cx.output.remark(&format!(
                 "{vm} has lost {events} older events to newer ones"
@@ -77,8 +77,8 @@
     }
 }
 
-async fn gather(fleet: &Fleet<'_>, query: &Query) -> Merged {
-    let survey = fleet.survey().await;
+async fn gather(fleet: &Fleet<'_>, query: &Query) -> Result<Merged> {
+    let survey = fleet.survey().await?;
     let asked = survey.daemons.iter().map(async |(vm, daemon)| {
         let told = ask(fleet, &daemon.admin, query).await;
         told.map_err(|e| Unreachable {
@@ -101,11 +101,11 @@
         events: reply.dropped,
         vm: reply.vm.clone(),
     });
-    Merged {
+    Ok(Merged {
         dropped: dropped.collect(),
         events: timeline::merge(told.into_iter().map(|reply| reply.events)),
         unreachable,
-    }
+    })
 }
 
 async fn ask(fleet: &Fleet<'_>, admin: &str, query: &Query) -> Result<TimelineReply> {
--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -23,7 +23,7 @@
 pub mod rendezvous;
 pub mod request;
 pub mod request_key;
-pub mod rules;
 pub mod retry_budget;
+pub mod rules;
 pub mod store;
 pub mod timeline;
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -42,6 +42,8 @@
 mod rendezvous;
 #[path = "suite/request_key.rs"]
 mod request_key;
+#[path = "suite/retry_budget.rs"]
+mod retry_budget;
 #[path = "suite/rules_check.rs"]
 mod rules_check;
 #[path = "suite/rules_difference.rs"]
@@ -52,7 +54,5 @@
 mod seeded;
 #[path = "suite/timeline.rs"]
 mod timeline;
-#[path = "suite/retry_budget.rs"]
-mod retry_budget;
 #[path = "suite/wire.rs"]
 mod wire;
