Command line: publishing while the store fails

Lost answers, a store that came back older, and an outage, through a real daemon. Seen failing first: an earlier attempt not looked for, the store alone believed, an outage told as unresolved.

--- a/crates/lilaccrank-cli/tests/suite.rs
+++ b/crates/lilaccrank-cli/tests/suite.rs
@@ -10,6 +10,8 @@
 mod publish;
 #[path = "suite/rules.rs"]
 mod rules;
+#[path = "suite/store.rs"]
+mod store;
 #[path = "suite/test.rs"]
 mod test;
 #[path = "suite/timeline.rs"]
