--- a/crates/lilaccrank-cli/src/api.rs
+++ b/crates/lilaccrank-cli/src/api.rs
@@ -58,7 +58,7 @@
     /// If the daemon can't be reached, breaks off, or refuses.
     pub async fn get<T: DeserializeOwned>(&self, address: &Address, path: &str) -> Result<T> {
         let req = request(address, Method::GET, path, &self.key, Vec::new())?;
-        self.call(address, req, LOOK_LIMIT).await
+        self.call(address, req, LOOK_LIMIT).await.map_err(harmless)
     }
 
     /// Asks how a daemon is.
@@ -68,10 +68,27 @@
     /// If the daemon can't be reached, breaks off, or refuses.
     pub async fn status(&self, address: &Address) -> Result<Status> {
         let req = request(address, Method::GET, path::STATUS, &self.key, Vec::new())?;
-        self.call(address, req, STATUS_LIMIT).await
+        let call = self.call(address, req, STATUS_LIMIT);
+        call.await.map_err(harmless)
     }
 
-    /// Posts JSON.
+    /// Posts a question, which changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// If the daemon can't be reached, breaks off, or refuses.
+    pub async fn ask<B: Serialize, T: DeserializeOwned>(
+        &self,
+        address: &Address,
+        path: &str,
+        question: &B,
+    ) -> Result<T> {
+        let json = serde_json::to_vec(question).map_err(std::io::Error::from)?;
+        let req = request(address, Method::POST, path, &self.key, json)?;
+        self.call(address, req, LOOK_LIMIT).await.map_err(harmless)
+    }
+
+    /// Posts an order.
     ///
     /// # Errors
     ///
@@ -159,6 +176,14 @@
     broken(address, e)
 }
 
+/// A question that broke off has done nothing.
+fn harmless(e: Error) -> Error {
+    match e {
+        Error::Broken { address, why } => Error::Unreachable { address, why },
+        e => e,
+    }
+}
+
 /// The answer broke off.
 pub fn broken(address: &Address, why: &dyn std::fmt::Display) -> Error {
     Error::Broken {
--- a/crates/lilaccrank-cli/src/explain.rs
+++ b/crates/lilaccrank-cli/src/explain.rs
@@ -118,7 +118,7 @@
             environment: self.environment(),
             facts: self.facts(&in_force.document)?,
         };
-        fleet.post(path::EXPLAIN, &req).await
+        fleet.ask(path::EXPLAIN, &req).await
     }
 
     /// The load and time that were given, `None` for those of now.
--- a/crates/lilaccrank-cli/src/fleet.rs
+++ b/crates/lilaccrank-cli/src/fleet.rs
@@ -85,6 +85,20 @@
             .await
     }
 
+    /// Asks the first daemon that is able to tell.
+    ///
+    /// # Errors
+    ///
+    /// The last daemon's, if none is.
+    pub async fn ask<B: Serialize, T: DeserializeOwned>(
+        &self,
+        path: &str,
+        question: &B,
+    ) -> Result<T> {
+        self.first(async |admin| self.api.ask(admin, path, question).await)
+            .await
+    }
+
     /// Posts to the first daemon that takes it. Only for what may be repeated: a daemon that
     /// broke off may have done it.
     ///
@@ -121,24 +135,23 @@
             unreachable: Vec::new(),
         };
         let mut asked = IndexSet::new();
-        let mut next: Vec<_> = self.admins.iter().map(|a| (a.clone(), None)).collect();
+        let mut next: Vec<_> = self.admins.iter().cloned().map(Candidate::given).collect();
         while !next.is_empty() {
-            next.retain(|(admin, _)| asked.insert(admin.to_string()));
-            let answers = future::join_all(next.iter().map(|(admin, _)| self.api.status(admin)));
-            let answers = answers.await;
+            next.retain(|candidate| asked.insert(candidate.admin.to_string()));
+            let asking = next
+                .iter()
+                .map(|candidate| self.api.status(&candidate.admin));
+            let answers = future::join_all(asking).await;
             let mut found = Vec::new();
-            for ((admin, vm), answer) in next.drain(..).zip(answers) {
+            for (candidate, answer) in next.drain(..).zip(answers) {
                 match answer {
                     Ok(status) => {
                         found.extend(others(&status));
-                        survey.add(admin, status);
+                        survey.add(candidate.admin, status);
                     }
+                    Err(_) if candidate.leaving => {}
                     Err(e) => {
-                        survey.unreachable.push(Unreachable {
-                            admin: admin.to_string(),
-                            vm,
-                            why: e.to_string(),
-                        });
+                        survey.unreachable.push(candidate.unreachable(&e));
                         if matches!(e, Error::Refused { .. }) {
                             refusal.get_or_insert(e);
                         }
@@ -239,12 +252,40 @@
     }
 }
 
-/// Members that are worth asking: the dead ended, and the leaving may have by now.
-fn others(status: &Status) -> Vec<(Address, Option<VmId>)> {
-    let alive = status
-        .members
-        .iter()
-        .filter(|member| matches!(member.state, State::Live | State::Suspect));
-    let found = alive.map(|member| (member.admin.into(), Some(member.vm.clone())));
+/// A daemon to ask.
+struct Candidate {
+    admin: Address,
+    /// It may have ended by now, which is nothing to tell.
+    leaving: bool,
+    vm: Option<VmId>,
+}
+
+impl Candidate {
+    /// From the command line.
+    fn given(admin: Address) -> Self {
+        Self {
+            admin,
+            leaving: false,
+            vm: None,
+        }
+    }
+
+    fn unreachable(self, e: &Error) -> Unreachable {
+        Unreachable {
+            admin: self.admin.to_string(),
+            vm: self.vm,
+            why: e.to_string(),
+        }
+    }
+}
+
+/// Members that are worth asking: all but the dead.
+fn others(status: &Status) -> Vec<Candidate> {
+    let alive = status.members.iter().filter(|m| m.state != State::Dead);
+    let found = alive.map(|member| Candidate {
+        admin: member.admin.into(),
+        leaving: member.state == State::Leaving,
+        vm: Some(member.vm.clone()),
+    });
     found.collect()
 }
--- a/crates/lilaccrank-cli/src/timeline.rs
+++ b/crates/lilaccrank-cli/src/timeline.rs
@@ -112,7 +112,7 @@
     let admin: Address = admin
         .parse()
         .map_err(|e| Error::Usage(format!("{admin}: {e}")))?;
-    fleet.api.post(&admin, path::TIMELINE, query).await
+    fleet.api.ask(&admin, path::TIMELINE, query).await
 }
 
 fn line(event: &Event) -> String {
