--- a/crates/lilaccrankd/src/pool_server.rs
+++ b/crates/lilaccrankd/src/pool_server.rs
@@ -95,9 +95,9 @@
         }
         PoolMessage::Verdict { .. } => {}
     }
-    let status = served.dispatcher.status();
-    let waiting = status.waiting.iter().map(|tier| tier.waiting).sum();
-    PoolReply::Accepted { waiting }
+    PoolReply::Accepted {
+        waiting: served.dispatcher.waiting(),
+    }
 }
 
 fn decide_later(daemon: &Rc<Daemon>, served: &Rc<Served>, ask: Ask) {
