--- a/crates/lilaccrankd/src/admin/configuration.rs
+++ b/crates/lilaccrankd/src/admin/configuration.rs
@@ -10,8 +10,8 @@
     ConfigurationView, ExplainRequest, Failure, History, HistoryEntry, path,
 };
 use lilaccrank::rules::explain::{self, Explanation};
+use lilaccrank::store::Store;
 use lilaccrank_http::monoio_clock::MonoioClock;
-use lilaccrank_http::store_client::StoreClient;
 
 use super::error::Result;
 use crate::daemon::Daemon;
@@ -120,7 +120,7 @@
     Some(held.manifest.clone())
 }
 
-fn archive(daemon: &Daemon) -> Archive<StoreClient, MonoioClock> {
+fn archive(daemon: &Daemon) -> Archive<impl Store, MonoioClock> {
     Archive::new(&daemon.store, &MonoioClock, READ_LIMIT)
 }
 
