Draining a daemon is no signal, and nothing new is taken from its answer on

Cause: an operator's order counted as the first signal. A platform that then replaced the vm and sent its customary SIGTERM ended the daemon at once and cut its answers. Ruled out: ignoring a SIGTERM for some time after an order, as that only moves the cut. Change: the order is kept beside the count of signals; the daemon leaves before it answers. Seen failing first, before the mend: a_signal_after_draining_cuts_nothing (answer broken off after 36 of 300 tokens, exit code 6), a_daemon_that_has_not_ended_is_told (status said live).

--- a/crates/lilaccrank-cli/tests/suite/drain.rs
+++ b/crates/lilaccrank-cli/tests/suite/drain.rs
@@ -2,7 +2,7 @@
 
 use futures::future;
 use lilaccrank_lab::caller::{self, Call, Outcome};
-use lilaccrank_lab::cluster::Cluster;
+use lilaccrank_lab::cluster::{Cluster, Daemon};
 use lilaccrank_lab::layout::{Layout, MODEL};
 
 use crate::cluster;
@@ -57,10 +57,8 @@
     });
 }
 
-/// A daemon is asked to leave while it streams an answer. If it ended at once, the caller would
-/// see its answer broken off.
-#[test]
-fn a_drained_daemon_finishes_its_answers() {
+/// Streams an answer of 300 tokens through a daemon while `leave` makes that daemon leave.
+fn streaming(leave: impl AsyncFnOnce(&Cluster, &Daemon)) {
     cluster::with(cluster::one_data_centre(2, 1), async |mut cluster| {
         let leaving = cluster.daemons.remove(1);
         let args = format!(
@@ -74,20 +72,58 @@
         let answer = answer.start();
         let engine = &cluster.engines[DRAINED].address;
         while cluster.begun(engine).await.unwrap().is_empty() {}
-        cluster::run(&cluster, &format!("drain daemon {} --wait", leaving.vm))
-            .stdout("it had 1 requests in progress")
-            .run();
+        leave(&cluster, &leaving).await;
         let tokens = answer.finish().stdout;
         assert_eq!(tokens.split_whitespace().count(), 300);
+    });
+}
+
+/// A daemon is asked to leave while it streams an answer. If it ended at once, the caller would
+/// see its answer broken off.
+#[test]
+fn a_drained_daemon_finishes_its_answers() {
+    streaming(async |cluster, leaving| {
+        cluster::run(cluster, &format!("drain daemon {} --wait", leaving.vm))
+            .stdout("it had 1 requests in progress")
+            .run();
         let gone = leaving.admin.to_string();
         cluster::run_at(&[&gone], "status")
             .exit(3)
             .stderr(&gone)
             .run();
-        cluster::run(&cluster, "status --json").run();
-        cluster::run(&cluster, "drain daemon nobody")
+        cluster::run(cluster, "status --json").run();
+        cluster::run(cluster, "drain daemon nobody")
             .exit(4)
             .stderr("no daemon `nobody`")
             .run();
     });
 }
+
+/// An operator drains a daemon, and then the platform replaces its vm and sends the customary
+/// SIGTERM. If that counted as the second signal, which ends a daemon at once, the caller would
+/// see its answer broken off.
+#[test]
+fn a_signal_after_draining_cuts_nothing() {
+    streaming(async |cluster, leaving| {
+        cluster::run(cluster, &format!("drain daemon {}", leaving.vm)).run();
+        leaving.process.terminate().unwrap();
+    });
+}
+
+/// The first daemon waits in vain for one that still streams, and says so.
+#[test]
+fn a_daemon_that_has_not_ended_is_told() {
+    streaming(async |cluster, leaving| {
+        let args = format!("drain daemon {} --wait --wait-limit 0", leaving.vm);
+        cluster::run(cluster, &args)
+            .exit(7)
+            .stderr("has not ended")
+            .run();
+        let status = cluster::run(cluster, "status").run();
+        assert!(
+            status
+                .stdout
+                .contains(&format!("{} in spanish-town: leaving", leaving.vm))
+        );
+    });
+}
--- a/crates/lilaccrankd/src/admin.rs
+++ b/crates/lilaccrankd/src/admin.rs
@@ -94,7 +94,9 @@
 
 fn leave(daemon: &Daemon, signals: &Signals) -> operators::LeaveReply {
     log::info!("an operator asked this daemon to leave");
-    signals.request();
+    // From this answer on nothing new is taken; the rest of the shutdown follows.
+    daemon.leaving.set(true);
+    signals.order();
     operators::LeaveReply {
         in_progress: daemon.in_progress(),
         vm: daemon.cfg.vm.clone(),
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -98,7 +98,7 @@
         move |req| callers::handle(Rc::clone(&shared), req),
     ));
     log::info!("started in data centre {}", daemon.cfg.data_centre);
-    signals.reached(1).await;
+    signals.asked().await;
     shutdown::run(&daemon, &closing, &signals).await;
     Ok(())
 }
--- a/crates/lilaccrankd/src/signals.rs
+++ b/crates/lilaccrankd/src/signals.rs
@@ -1,9 +1,9 @@
-//! SIGTERM and SIGINT: the first asks for a graceful end, the second for an immediate one. An
-//! operator's order to leave counts as the first.
+//! SIGTERM and SIGINT, and an operator's order: the first of them asks for a graceful end, a
+//! second signal for an immediate one.
 
 use std::io;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
 #[derive(Clone)]
 pub struct Signals {
     count: Arc<AtomicUsize>,
+    ordered: Arc<AtomicBool>,
 }
 
 impl Signals {
@@ -34,12 +35,26 @@
                 counter.fetch_add(1, Ordering::Relaxed);
             }
         });
-        Ok(Self { count })
+        Ok(Self {
+            count,
+            ordered: Arc::default(),
+        })
     }
 
-    /// Asks for a graceful end as the first signal does; later it changes nothing.
-    pub fn request(&self) {
-        self.count.fetch_max(1, Ordering::Relaxed);
+    /// Asks for a graceful end as an operator does.
+    ///
+    /// It is no signal: an operator drains a daemon before its vm is replaced, and the
+    /// platform's customary SIGTERM that follows would otherwise be the second one and cut the
+    /// requests in progress.
+    pub fn order(&self) {
+        self.ordered.store(true, Ordering::Relaxed);
+    }
+
+    /// Completes once a graceful end is asked for.
+    pub async fn asked(&self) {
+        while !self.ordered.load(Ordering::Relaxed) && self.count.load(Ordering::Relaxed) == 0 {
+            monoio::time::sleep(POLL).await;
+        }
     }
 
     /// Completes once `n` signals have come.
