Count bytes and messages of control at each adapter

Ruled out: counting in the library's protocols (they don't see heads of HTTP) and reading the interface's counters (shared with callers and targets). Change: a tally at the gossip socket, the links to peers by lane, the server for peers and the store client; /metrics gives lilaccrank_control_bytes_total and lilaccrank_control_messages_total by channel and direction.

--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -14,6 +14,7 @@
 use thiserror::Error;
 
 use crate::body::Body;
+use crate::tally::{Counted, Tally};
 
 /// Result of sending.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -83,6 +84,7 @@
 #[derive(Clone, Default)]
 pub struct Client {
     idle: Rc<RefCell<IndexMap<String, Vec<Idle>>>>,
+    tally: Option<Tally>,
 }
 
 struct Idle {
@@ -100,6 +102,15 @@
 }
 
 impl Client {
+    /// A client whose bytes are counted.
+    #[must_use]
+    pub fn counted(tally: Tally) -> Self {
+        Self {
+            tally: Some(tally),
+            ..Self::default()
+        }
+    }
+
     /// Sends `req` to `address` and waits for the response head.
     ///
     /// # Errors
@@ -118,7 +129,7 @@
         };
         let mut sender = match pooled {
             Some(sender) => sender,
-            None => connect(address, limits.connect).await?,
+            None => connect(address, limits.connect, self.tally.as_ref()).await?,
         };
         let answer = monoio::time::timeout(limits.head, sender.send_request(req)).await;
         let res = match answer {
@@ -164,7 +175,11 @@
     }
 }
 
-async fn connect(address: &str, limit: Duration) -> Result<SendRequest<Body>> {
+async fn connect(
+    address: &str,
+    limit: Duration,
+    tally: Option<&Tally>,
+) -> Result<SendRequest<Body>> {
     let fail = |source| Error::Connect {
         address: address.to_owned(),
         source,
@@ -178,9 +193,19 @@
         .set_tcp_keepalive(Some(KEEPALIVE), Some(KEEPALIVE), Some(KEEPALIVE_PROBES))
         .map_err(fail)?;
     let io = monoio::io::IntoPollIo::into_poll_io(stream).map_err(fail)?;
-    let (sender, connection) = http1::handshake(MonoioIo::new(io))
-        .await
-        .map_err(|e| fail(io::Error::other(e)))?;
+    let io = MonoioIo::new(io);
+    let sender = match tally {
+        Some(tally) => handshake(Counted::new(io, tally.clone())).await,
+        None => handshake(io).await,
+    };
+    sender.map_err(|e| fail(io::Error::other(e)))
+}
+
+async fn handshake<T>(io: T) -> hyper::Result<SendRequest<Body>>
+where
+    T: hyper::rt::Read + hyper::rt::Write + Unpin + 'static,
+{
+    let (sender, connection) = http1::handshake(io).await?;
     monoio::spawn(async move {
         if let Err(e) = connection.await {
             log::debug!("connection to a server ended: {e}");
--- a/crates/lilaccrank-http/src/lib.rs
+++ b/crates/lilaccrank-http/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod runtime;
 pub mod server;
 pub mod store_client;
+pub mod tally;
--- a/crates/lilaccrank-http/src/peer_link.rs
+++ b/crates/lilaccrank-http/src/peer_link.rs
@@ -21,6 +21,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::tally::{Counted, Tally};
+
 /// Path of the one resource that peers post to.
 pub const PATH: &str = "/peer";
 /// Most calls in one batch.
@@ -58,13 +60,15 @@
     Req: Serialize + 'static,
     Rep: DeserializeOwned + 'static,
 {
-    /// Starts the task of the link to `vm` at `address`; connects at the first call.
+    /// Starts the task of the link to `vm` at `address`; connects at the first call. What passes
+    /// is counted in `tally`.
     #[must_use]
-    pub fn start(vm: VmId, address: String) -> Self {
+    pub fn start(vm: VmId, address: String, tally: Tally) -> Self {
         let (tx, rx) = mpsc::unbounded();
         let peer = Peer {
             address,
             connection: None,
+            tally,
             vm: vm.clone(),
         };
         monoio::spawn(peer.run(rx));
@@ -87,14 +91,15 @@
 }
 
 struct Connection {
-    decoder: ResponseDecoder<TcpOwnedReadHalf>,
-    encoder: GenericEncoder<TcpOwnedWriteHalf>,
+    decoder: ResponseDecoder<Counted<TcpOwnedReadHalf>>,
+    encoder: GenericEncoder<Counted<TcpOwnedWriteHalf>>,
     proved: std::time::Instant,
 }
 
 struct Peer {
     address: String,
     connection: Option<Connection>,
+    tally: Tally,
     vm: VmId,
 }
 
@@ -146,8 +151,11 @@
             .filter(|c| c.proved.elapsed() < PROVED_FOR);
         let mut connection = match kept {
             Some(connection) => connection,
-            None => connect(&self.address).await.ok_or_else(unreachable)?,
+            None => connect(&self.address, &self.tally)
+                .await
+                .ok_or_else(unreachable)?,
         };
+        self.tally.send_messages(reqs.len());
         let body = monoio::time::timeout(EXCHANGE_TIMEOUT, connection.post(buf))
             .await
             .ok()
@@ -160,13 +168,14 @@
         if replies.len() != reqs.len() {
             return Err(no_answer());
         }
+        self.tally.receive_messages(replies.len());
         connection.proved = std::time::Instant::now();
         self.connection = Some(connection);
         Ok(replies)
     }
 }
 
-async fn connect(address: &str) -> Option<Connection> {
+async fn connect(address: &str, tally: &Tally) -> Option<Connection> {
     let stream = monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .ok()?
@@ -174,8 +183,8 @@
     stream.set_nodelay(true).ok()?;
     let (r, w) = stream.into_split();
     Some(Connection {
-        decoder: ResponseDecoder::new(r),
-        encoder: GenericEncoder::new(w),
+        decoder: ResponseDecoder::new(Counted::new(r, tally.clone())),
+        encoder: GenericEncoder::new(Counted::new(w, tally.clone())),
         proved: std::time::Instant::now(),
     })
 }
--- a/crates/lilaccrank-http/src/peer_server.rs
+++ b/crates/lilaccrank-http/src/peer_server.rs
@@ -18,8 +18,10 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-/// Accepts peers' connections for as long as the daemon runs.
-pub async fn serve<Req, Rep, H, F>(listener: TcpListener, handler: H)
+use crate::tally::{Counted, Tally};
+
+/// Accepts peers' connections for as long as the daemon runs; what passes is counted in `tally`.
+pub async fn serve<Req, Rep, H, F>(listener: TcpListener, tally: Tally, handler: H)
 where
     Req: DeserializeOwned + 'static,
     Rep: Serialize + 'static,
@@ -29,14 +31,14 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                monoio::spawn(serve_connection(stream, handler.clone()));
+                monoio::spawn(serve_connection(stream, tally.clone(), handler.clone()));
             }
             Err(e) => log::warn!("accept of a peer failed: {e}"),
         }
     }
 }
 
-async fn serve_connection<Req, Rep, H, F>(stream: TcpStream, handler: H)
+async fn serve_connection<Req, Rep, H, F>(stream: TcpStream, tally: Tally, handler: H)
 where
     Req: DeserializeOwned,
     Rep: Serialize,
@@ -47,8 +49,8 @@
         return;
     }
     let (r, w) = stream.into_split();
-    let mut encoder = GenericEncoder::new(w);
-    let mut decoder = RequestDecoder::new(r);
+    let mut encoder = GenericEncoder::new(Counted::new(w, tally.clone()));
+    let mut decoder = RequestDecoder::new(Counted::new(r, tally.clone()));
     while let Some(Ok(req)) = decoder.next().await {
         let Payload::Fixed(mut payload) = Request::into_body(req) else {
             return;
@@ -59,7 +61,7 @@
         let Some(Ok(body)) = payload.next().await else {
             return;
         };
-        let res = answer(&body, &handler).await;
+        let res = answer(&body, &tally, &handler).await;
         if encoder.send_and_flush(res).await.is_err() {
             return;
         }
@@ -68,7 +70,7 @@
 
 /// Handles the messages of a batch at the same time, so that one that waits for a third daemon
 /// does not hold up the others in their turn.
-async fn answer<Req, Rep, H, F>(body: &[u8], handler: &H) -> Response
+async fn answer<Req, Rep, H, F>(body: &[u8], tally: &Tally, handler: &H) -> Response
 where
     Req: DeserializeOwned,
     Rep: Serialize,
@@ -82,7 +84,9 @@
             return respond(StatusCode::BAD_REQUEST, Vec::new());
         }
     };
+    tally.receive_messages(reqs.len());
     let replies = future::join_all(reqs.into_iter().map(handler)).await;
+    tally.send_messages(replies.len());
     match rmp_serde::to_vec_named(&replies) {
         Ok(buf) => respond(StatusCode::OK, buf),
         Err(e) => {
--- a/crates/lilaccrank-http/src/store_client.rs
+++ b/crates/lilaccrank-http/src/store_client.rs
@@ -13,6 +13,7 @@
 
 use crate::body;
 use crate::client::{Client, Limits};
+use crate::tally::Tally;
 
 /// Name of the header that carries a version.
 pub const VERSION: &str = "version";
@@ -31,15 +32,23 @@
 pub struct StoreClient {
     address: String,
     client: Client,
+    tally: Tally,
 }
 
 impl StoreClient {
     /// A client of the store at `address` (IP number and port).
     #[must_use]
     pub fn new(address: String) -> Self {
+        Self::counted(address, Tally::default())
+    }
+
+    /// Like [`new`](Self::new); what passes is counted in `tally`.
+    #[must_use]
+    pub fn counted(address: String, tally: Tally) -> Self {
         Self {
             address,
-            client: Client::default(),
+            client: Client::counted(tally.clone()),
+            tally,
         }
     }
 
@@ -64,6 +73,7 @@
             fresh: false,
             head,
         };
+        self.tally.send_messages(1);
         let sent = self.client.send(&self.address, req, limits).await;
         let (res, connection) = sent.map_err(|e| {
             if e.sent_nothing() {
@@ -78,6 +88,7 @@
             .await
             .map_err(|_| store::Error::Unknown)?
             .map_err(|_| store::Error::Unknown)?;
+        self.tally.receive_messages(1);
         self.client.release(connection);
         Ok((Response::from_parts(parts, ()), bytes))
     }
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::proxy_run::Bounds;
 use crate::refusal::Refusal;
 use crate::settings::Settings;
+use crate::traffic::Traffic;
 use crate::vm_list::VmList;
 
 /// Result of a look at the daemon's state.
@@ -101,11 +102,17 @@
         cfg: Settings,
         incarnation: Incarnation,
         membership: Membership,
+        traffic: Rc<Traffic>,
     ) -> Result<Self, prometheus::Error> {
         let timeline = Timeline::new(MonoioClock, cfg.vm.clone(), cfg.timeline_events);
         let duties = Duties::new(membership.clone());
-        let peers = PeerNetwork::new(membership.clone(), cfg.other_peers(), timeline.clone());
-        let store = StoreClient::new(cfg.platform.to_string());
+        let peers = PeerNetwork::new(
+            membership.clone(),
+            cfg.other_peers(),
+            timeline.clone(),
+            Rc::clone(&traffic),
+        );
+        let store = StoreClient::counted(cfg.platform.to_string(), traffic.store.clone());
         let keeper = Keeper::new(
             MonoioClock,
             peers.clone(),
@@ -130,7 +137,7 @@
             keys_settled: Cell::new(false),
             leaving: Cell::new(false),
             membership,
-            metrics: Metrics::new()?,
+            metrics: Metrics::new(traffic)?,
             peers,
             pool_client: PoolClient::default(),
             pool_server: PoolServer::default(),
--- a/crates/lilaccrankd/src/main.rs
+++ b/crates/lilaccrankd/src/main.rs
@@ -36,6 +36,7 @@
 mod spill;
 mod target_call;
 mod target_poller;
+mod traffic;
 mod udp_gossip;
 mod vm_list;
 
--- a/crates/lilaccrankd/src/metrics.rs
+++ b/crates/lilaccrankd/src/metrics.rs
@@ -1,11 +1,15 @@
 //! Counters of the daemon, in the text format of prometheus.
 
+use std::rc::Rc;
+
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::Tier;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
+use crate::traffic::Traffic;
+
 /// Result of registering.
 pub type Result<T, E = prometheus::Error> = std::result::Result<T, E>;
 
@@ -17,6 +21,8 @@
 /// All metrics of one daemon.
 pub struct Metrics {
     answered: IntCounterVec,
+    control_bytes: IntCounterVec,
+    control_messages: IntCounterVec,
     /// Seconds from arrival to the first token.
     pub first_token: Histogram,
     /// Generation of the configuration in force.
@@ -25,19 +31,34 @@
     pub in_progress: IntGauge,
     refused: IntCounterVec,
     registry: Registry,
+    traffic: Rc<Traffic>,
 }
 
 impl Metrics {
-    /// Registers everything.
+    /// Registers everything; `traffic` is read whenever the metrics are.
     ///
     /// # Errors
     ///
     /// If two metrics have one name.
-    pub fn new() -> Result<Self> {
+    pub fn new(traffic: Rc<Traffic>) -> Result<Self> {
         let answered = IntCounterVec::new(
             Opts::new("lilaccrank_answered_total", "Whole answers by tier"),
             &["tier"],
         )?;
+        let control_bytes = IntCounterVec::new(
+            Opts::new(
+                "lilaccrank_control_bytes_total",
+                "Bytes of control, without TCP, UDP and IP",
+            ),
+            &["channel", "direction"],
+        )?;
+        let control_messages = IntCounterVec::new(
+            Opts::new(
+                "lilaccrank_control_messages_total",
+                "Messages of control: datagrams, calls and replies",
+            ),
+            &["channel", "direction"],
+        )?;
         let first_token = Histogram::with_opts(
             HistogramOpts::new(
                 "lilaccrank_first_token_seconds",
@@ -56,17 +77,22 @@
         )?;
         let registry = Registry::new();
         registry.register(Box::new(answered.clone()))?;
+        registry.register(Box::new(control_bytes.clone()))?;
+        registry.register(Box::new(control_messages.clone()))?;
         registry.register(Box::new(first_token.clone()))?;
         registry.register(Box::new(generation.clone()))?;
         registry.register(Box::new(in_progress.clone()))?;
         registry.register(Box::new(refused.clone()))?;
         Ok(Self {
             answered,
+            control_bytes,
+            control_messages,
             first_token,
             generation,
             in_progress,
             refused,
             registry,
+            traffic,
         })
     }
 
@@ -83,10 +109,26 @@
     /// Everything as text.
     #[must_use]
     pub fn text(&self) -> String {
+        self.read_traffic();
         let mut buf = Vec::new();
         if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
             log::warn!("metrics can't be written: {e}");
         }
         String::from_utf8(buf).unwrap_or_default()
     }
+
+    fn read_traffic(&self) {
+        for (channel, tally) in self.traffic.channels() {
+            for (direction, passed) in [("received", tally.received()), ("sent", tally.sent())] {
+                let labels = [channel, direction];
+                for (counter, total) in [
+                    (&self.control_bytes, passed.bytes),
+                    (&self.control_messages, passed.messages),
+                ] {
+                    let counter = counter.with_label_values(&labels);
+                    counter.inc_by(total - counter.get());
+                }
+            }
+        }
+    }
 }
--- a/crates/lilaccrankd/src/peer_network.rs
+++ b/crates/lilaccrankd/src/peer_network.rs
@@ -13,11 +13,13 @@
 use lilaccrank::timeline::Timeline;
 use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::peer_link::PeerLink;
+use lilaccrank_http::tally::Tally;
 
 use crate::peer_message::{
     Announcement, Done, Leaving, LeavingAsk, PeerReply, PeerRequest, PoolReply, PoolRequest,
     Stamped,
 };
+use crate::traffic::Traffic;
 
 type Link = PeerLink<Stamped<PeerRequest>, Stamped<PeerReply>>;
 
@@ -59,6 +61,7 @@
     /// Daemons of other data centres.
     others: Rc<[SocketAddr]>,
     timeline: Timeline<MonoioClock>,
+    traffic: Rc<Traffic>,
 }
 
 impl PeerNetwork {
@@ -68,12 +71,14 @@
         membership: Membership,
         others: Rc<[SocketAddr]>,
         timeline: Timeline<MonoioClock>,
+        traffic: Rc<Traffic>,
     ) -> Self {
         Self {
             links: Rc::default(),
             membership,
             others,
             timeline,
+            traffic,
         }
     }
 
@@ -113,12 +118,22 @@
             .address(vm)
             .ok_or_else(|| Error::Unreachable(vm.clone()))?;
         let mut links = self.links.borrow_mut();
-        let link = links
-            .entry((address, lane))
-            .or_insert_with(|| Link::start(vm.clone(), address.to_string()));
+        let link = links.entry((address, lane)).or_insert_with(|| {
+            let tally = self.tally(lane).clone();
+            Link::start(vm.clone(), address.to_string(), tally)
+        });
         Ok(link.clone())
     }
 
+    fn tally(&self, lane: Lane) -> &Tally {
+        match lane {
+            Lane::Configuration => &self.traffic.peer_configuration,
+            Lane::Copies => &self.traffic.peer_copies,
+            Lane::Keys => &self.traffic.peer_keys,
+            Lane::Pools => &self.traffic.peer_pools,
+        }
+    }
+
     /// Daemons of other data centres are no members here; their address stands for their vm.
     fn address(&self, vm: &VmId) -> Option<SocketAddr> {
         let members = self.membership.all();
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -19,6 +19,7 @@
 use crate::peer_message::{Leaving, LeavingAsk, PeerReply, PeerRequest, Stamped};
 use crate::settings::Settings;
 use crate::signals::Signals;
+use crate::traffic::Traffic;
 use crate::udp_gossip::UdpGossip;
 use crate::{admin, callers, configuration, pool_client, pool_server, shutdown, vm_list};
 
@@ -64,7 +65,9 @@
     let admin_listener = listen(cfg.admin)?;
     let peer_listener = listen(cfg.peer)?;
     let address = cfg.gossip;
-    let datagrams = UdpGossip::bind(address).map_err(|source| Error::Listen { address, source })?;
+    let traffic = Rc::new(Traffic::default());
+    let datagrams = UdpGossip::bind(address, traffic.gossip.clone())
+        .map_err(|source| Error::Listen { address, source })?;
     let incarnation = incarnation();
     let (membership, gossip) = membership::new(
         membership::Settings::default(),
@@ -73,7 +76,12 @@
         datagrams,
     );
     membership.set_seeds(cfg.seeds.clone());
-    let daemon = Rc::new(Daemon::new(cfg, incarnation, membership)?);
+    let daemon = Rc::new(Daemon::new(
+        cfg,
+        incarnation,
+        membership,
+        Rc::clone(&traffic),
+    )?);
     monoio::spawn(gossip.run());
     monoio::spawn(configuration::run(Rc::clone(&daemon)));
     monoio::spawn(follow_members(Rc::clone(&daemon)));
@@ -81,7 +89,8 @@
     monoio::spawn(vm_list::run(Rc::clone(&daemon)));
     start_keeper(&daemon);
     let shared = Rc::clone(&daemon);
-    monoio::spawn(peer_server::serve(peer_listener, move |req| {
+    let tally = traffic.peer_served.clone();
+    monoio::spawn(peer_server::serve(peer_listener, tally, move |req| {
         answer_peer(Rc::clone(&shared), req)
     }));
     let shared = Rc::clone(&daemon);
--- /dev/null
+++ b/crates/lilaccrankd/src/traffic.rs
@@ -0,0 +1,38 @@
+//! What the daemon spends on control, by the adapter through which it passes.
+
+use lilaccrank_http::tally::Tally;
+
+/// One tally for each kind of control.
+#[derive(Default)]
+pub struct Traffic {
+    /// Membership, over UDP.
+    pub gossip: Tally,
+    /// Calls to peers about configurations and the list of vms.
+    pub peer_configuration: Tally,
+    /// Calls to peers about copies of request keys.
+    pub peer_copies: Tally,
+    /// Calls to keepers of request keys.
+    pub peer_keys: Tally,
+    /// Calls to peers about pools.
+    pub peer_pools: Tally,
+    /// Calls of peers, of all kinds.
+    pub peer_served: Tally,
+    /// Calls to the platform.
+    pub store: Tally,
+}
+
+impl Traffic {
+    /// Each tally by the name that metrics give to its channel.
+    #[must_use]
+    pub fn channels(&self) -> [(&'static str, &Tally); 7] {
+        [
+            ("gossip", &self.gossip),
+            ("peer_configuration", &self.peer_configuration),
+            ("peer_copies", &self.peer_copies),
+            ("peer_keys", &self.peer_keys),
+            ("peer_pools", &self.peer_pools),
+            ("peer_served", &self.peer_served),
+            ("store", &self.store),
+        ]
+    }
+}
--- a/crates/lilaccrankd/src/udp_gossip.rs
+++ b/crates/lilaccrankd/src/udp_gossip.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use lilaccrank::membership::datagrams::{self, Datagram, Datagrams};
+use lilaccrank_http::tally::Tally;
 use monoio::net::udp::UdpSocket;
 
 /// Room for one datagram; members send at most [`lilaccrank::membership::DATAGRAM_LIMIT`].
@@ -12,13 +13,14 @@
 /// A bound UDP socket.
 pub struct UdpGossip {
     socket: UdpSocket,
+    tally: Tally,
 }
 
 impl UdpGossip {
-    /// Binds the gossip address of this daemon.
-    pub fn bind(address: SocketAddr) -> io::Result<Self> {
+    /// Binds the gossip address of this daemon; what passes is counted in `tally`.
+    pub fn bind(address: SocketAddr, tally: Tally) -> io::Result<Self> {
         let socket = UdpSocket::bind(address)?;
-        Ok(Self { socket })
+        Ok(Self { socket, tally })
     }
 }
 
@@ -27,12 +29,15 @@
         let (received, mut bytes) = self.socket.recv_from(vec![0; BUFFER]).await;
         let (len, from) = received?;
         bytes.truncate(len);
+        self.tally.receive_bytes(len);
+        self.tally.receive_messages(1);
         Ok(Datagram { bytes, from })
     }
 
     async fn send(&self, to: SocketAddr, bytes: Vec<u8>) -> datagrams::Result<()> {
         let (sent, _) = self.socket.send_to(bytes, to).await;
-        sent?;
+        self.tally.send_bytes(sent?);
+        self.tally.send_messages(1);
         Ok(())
     }
 }
