lilaccrank-lab scale: what daemons spend on control, by the number of daemons

Cause: docs/CAPACITY.md needs measured slopes. Ruled out: ticks of /proc/PID/stat (10 ms, an idle daemon spends less than one in a second); the time on a processor is read from schedstat. Change: clusters of several sizes are watched idle, publish, and lose their dispatcher; one JSON object for each. A test holds that both ends of a peer call count the same bytes.

--- a/crates/lilaccrank-lab/src/lib.rs
+++ b/crates/lilaccrank-lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ports;
 pub mod process;
 pub mod reply;
+pub mod scale;
 pub mod service;
 pub mod stand_in;
 pub mod up;
--- a/crates/lilaccrank-lab/src/main.rs
+++ b/crates/lilaccrank-lab/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use lilaccrank_http::runtime;
-use lilaccrank_lab::{demo, engine, platform, service, stand_in, up, wire};
+use lilaccrank_lab::{demo, engine, platform, scale, service, stand_in, up, wire};
 
 /// Stand-ins, load and experiments for lilaccrank; not shipped.
 #[derive(Parser)]
@@ -23,6 +23,8 @@
     Engine(engine::Args),
     /// The platform: object store and list of vms.
     Platform(platform::Args),
+    /// The cost of control at several sizes.
+    Scale(scale::Args),
     /// A plain service.
     Service(service::Args),
     /// A cluster left running until SIGINT.
@@ -36,6 +38,7 @@
         Command::Demo(args) => runtime::block_on(demo::run(args))?,
         Command::Engine(args) => engine::run(args),
         Command::Platform(args) => platform::run(args),
+        Command::Scale(args) => runtime::block_on(scale::run(args))?,
         Command::Service(args) => service::run(args),
         Command::Up(args) => runtime::block_on(up::run(args))?,
         Command::Wire(args) => wire::run(args),
--- a/crates/lilaccrank-lab/tests/suite.rs
+++ b/crates/lilaccrank-lab/tests/suite.rs
@@ -4,6 +4,8 @@
 mod answer_text;
 #[path = "suite/caller.rs"]
 mod caller;
+#[path = "suite/control.rs"]
+mod control;
 #[path = "suite/engine.rs"]
 mod engine;
 #[path = "suite/engine_faults.rs"]
