--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -102,7 +102,7 @@
 }
 
 impl Client {
-    /// A client whose bytes are counted.
+    /// A client whose bytes, requests and responses are counted.
     #[must_use]
     pub fn counted(tally: Tally) -> Self {
         Self {
@@ -131,6 +131,9 @@
             Some(sender) => sender,
             None => connect(address, limits.connect, self.tally.as_ref()).await?,
         };
+        if let Some(tally) = &self.tally {
+            tally.send_messages(1);
+        }
         let answer = monoio::time::timeout(limits.head, sender.send_request(req)).await;
         let res = match answer {
             Err(_) => {
@@ -147,6 +150,9 @@
             }
             Ok(Ok(res)) => res,
         };
+        if let Some(tally) = &self.tally {
+            tally.receive_messages(1);
+        }
         let connection = Connection {
             address: address.to_owned(),
             sender,
--- a/crates/lilaccrank-http/src/store_client.rs
+++ b/crates/lilaccrank-http/src/store_client.rs
@@ -32,7 +32,6 @@
 pub struct StoreClient {
     address: String,
     client: Client,
-    tally: Tally,
 }
 
 impl StoreClient {
@@ -47,8 +46,7 @@
     pub fn counted(address: String, tally: Tally) -> Self {
         Self {
             address,
-            client: Client::counted(tally.clone()),
-            tally,
+            client: Client::counted(tally),
         }
     }
 
@@ -73,7 +71,6 @@
             fresh: false,
             head,
         };
-        self.tally.send_messages(1);
         let sent = self.client.send(&self.address, req, limits).await;
         let (res, connection) = sent.map_err(|e| {
             if e.sent_nothing() {
@@ -88,7 +85,6 @@
             .await
             .map_err(|_| store::Error::Unknown)?
             .map_err(|_| store::Error::Unknown)?;
-        self.tally.receive_messages(1);
         self.client.release(connection);
         Ok((Response::from_parts(parts, ()), bytes))
     }
--- a/crates/lilaccrank-lab/src/caller.rs
+++ b/crates/lilaccrank-lab/src/caller.rs
@@ -16,7 +16,7 @@
 use crate::answer_text;
 
 /// Data of the event that closes a stream.
-const DONE: &str = "[DONE]";
+pub(crate) const DONE: &str = "[DONE]";
 /// Time for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -91,7 +91,8 @@
     outcome
 }
 
-fn request(call: &Call) -> Request<Body> {
+/// The request as it goes out.
+pub(crate) fn request(call: &Call) -> Request<Body> {
     let json = json!({
         "max_tokens": call.max_tokens,
         "model": call.model,
--- a/crates/lilaccrank-lab/src/main.rs
+++ b/crates/lilaccrank-lab/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use lilaccrank_http::runtime;
-use lilaccrank_lab::{demo, engine, platform, scale, service, stand_in, up, wire};
+use lilaccrank_lab::{demo, engine, overhead, platform, scale, service, stand_in, up, wire};
 
 /// Stand-ins, load and experiments for lilaccrank; not shipped.
 #[derive(Parser)]
@@ -21,6 +21,8 @@
     Demo(demo::Args),
     /// A model engine with continuous batching.
     Engine(engine::Args),
+    /// What a daemon adds to a request.
+    Overhead(overhead::Args),
     /// The platform: object store and list of vms.
     Platform(platform::Args),
     /// The cost of control at several sizes.
@@ -37,6 +39,7 @@
     match command {
         Command::Demo(args) => runtime::block_on(demo::run(args))?,
         Command::Engine(args) => engine::run(args),
+        Command::Overhead(args) => runtime::block_on(overhead::run(args))?,
         Command::Platform(args) => platform::run(args),
         Command::Scale(args) => runtime::block_on(scale::run(args))?,
         Command::Service(args) => service::run(args),
--- a/crates/lilaccrank-lab/src/scale.rs
+++ b/crates/lilaccrank-lab/src/scale.rs
@@ -4,15 +4,14 @@
 mod document;
 mod in_force;
 mod reading;
+mod requests;
 mod takeover;
 
 use std::time::{Duration, Instant};
 
-use futures::StreamExt;
-use futures::stream;
 use serde::Serialize;
 
-use crate::caller::{self, Call, Outcome};
+use crate::caller::Call;
 use crate::cluster::Cluster;
 use crate::layout::{DataCentreLayout, EngineLayout, Layout, MODEL};
 use crate::stand_in::Result;
@@ -21,12 +20,11 @@
 use in_force::Spread;
 pub use reading::{Control, control};
 use reading::{Cost, Reading, StoreCost};
+use requests::Requests;
 use takeover::Takeover;
 
 /// Time for members to meet and for what the start cost to be over.
 const SETTLE: Duration = Duration::from_secs(5);
-/// Keyed requests in progress at once.
-const KEYED_AT_ONCE: usize = 64;
 
 /// Settings of the experiment.
 #[derive(clap::Args, Clone, Debug)]
@@ -43,12 +41,18 @@
     /// Print one JSON object for each size.
     #[arg(long)]
     json: bool,
-    /// Keyed requests answered before the memory is read.
+    /// Engines in each data centre.
+    #[arg(long, default_value_t = 1)]
+    engines: usize,
+    /// Keyed requests answered before the idle cluster is watched.
     #[arg(long, default_value_t = 0)]
     keys: usize,
     /// Publications whose spread is timed.
     #[arg(long, default_value_t = 5)]
     publications: usize,
+    /// Requests without a key whose cost is measured.
+    #[arg(long, default_value_t = 0)]
+    requests: usize,
     /// Rules in the configuration.
     #[arg(long, default_value_t = 0)]
     rules: usize,
@@ -71,9 +75,10 @@
     data_centres: usize,
     /// Nothing but control goes on.
     idle: Cost,
-    keys: usize,
-    /// From accepted to in force on all daemons.
+    engines: usize,
+    keyed_requests: Option<Requests>,
     publications: Option<Spread>,
+    requests: Option<Requests>,
     rules: usize,
     /// At the platform, from all daemons together.
     store: StoreCost,
@@ -104,20 +109,29 @@
         rules: args.rules,
         targets: args.targets,
     };
-    let layout = layout(daemons, args.data_centres);
+    let layout = layout(daemons, args);
     let mut cluster = Cluster::start_with(layout, |document| sizes.grow(document)).await?;
-    send_keyed(&cluster, args.keys).await?;
     monoio::time::sleep(SETTLE).await;
-    let (idle, store) = watch_idle(&cluster, Duration::from_secs(args.seconds)).await?;
+    let window = Duration::from_secs(args.seconds);
+    let (mut idle, mut store) = watch_idle(&cluster, window).await?;
+    let keyed_requests = requests::measure(&cluster, args.keys, true, &idle).await?;
+    let requests = requests::measure(&cluster, args.requests, false, &idle).await?;
+    if keyed_requests.is_some() || requests.is_some() {
+        // Now there is a dispatcher, which reads its targets' reports, and records of keys.
+        monoio::time::sleep(SETTLE).await;
+        (idle, store) = watch_idle(&cluster, window).await?;
+    }
     let publications = in_force::measure(&cluster, args.publications, &idle).await?;
     let takeovers = takeover::measure(&mut cluster, args.takeovers).await?;
     Ok(Point {
         customers: args.customers,
         daemons: cluster.daemons.len(),
         data_centres: args.data_centres,
+        engines: args.engines,
         idle,
-        keys: args.keys,
+        keyed_requests,
         publications,
+        requests,
         rules: args.rules,
         store,
         takeovers,
@@ -125,12 +139,12 @@
     })
 }
 
-/// One engine in each data centre, so that there is a pool to dispatch.
-fn layout(daemons: usize, data_centres: usize) -> Layout {
+fn layout(daemons: usize, args: &Args) -> Layout {
+    let data_centres = args.data_centres;
     let mut layout = Layout::one_data_centre(daemons, Vec::new());
     let data_centre = |i: usize| DataCentreLayout {
         daemons: (daemons + i) / data_centres,
-        engines: vec![EngineLayout::default()],
+        engines: vec![EngineLayout::default(); args.engines],
         name: format!("data-centre-{i}"),
         services: 0,
     };
@@ -160,21 +174,3 @@
         ..Call::default()
     }
 }
-
-async fn send_keyed(cluster: &Cluster, keys: usize) -> Result<()> {
-    let calls = stream::iter(0..keys).map(|i| async move {
-        let daemon = &cluster.daemons[i % cluster.daemons.len()];
-        let call = small_call(&format!("scale-{i}"));
-        caller::call(&cluster.client, &daemon.callers.to_string(), &call).await
-    });
-    let outcomes: Vec<Outcome> = calls.buffer_unordered(KEYED_AT_ONCE).collect().await;
-    let failed = outcomes
-        .iter()
-        .find(|o| !matches!(o, Outcome::Whole { .. }));
-    match failed {
-        None => Ok(()),
-        Some(outcome) => Err(std::io::Error::other(format!(
-            "a keyed request was not answered: {outcome:?}"
-        ))),
-    }
-}
--- a/crates/lilaccrank-lab/src/scale/reading.rs
+++ b/crates/lilaccrank-lab/src/scale/reading.rs
@@ -1,7 +1,5 @@
 //! Reads what a daemon has spent: control from its metrics, the rest from the system.
 
-use std::fs;
-use std::io;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -9,6 +7,7 @@
 
 use crate::cluster::{Cluster, Daemon};
 use crate::stand_in::Result;
+use crate::usage;
 
 const BYTES: &str = "lilaccrank_control_bytes_total";
 const MESSAGES: &str = "lilaccrank_control_messages_total";
@@ -22,6 +21,20 @@
     pub messages: IndexMap<String, f64>,
 }
 
+impl Control {
+    /// Everything times `factor`.
+    pub(super) fn scaled(&self, factor: f64) -> Self {
+        let scale = |counts: &IndexMap<String, f64>| {
+            let scaled = counts.iter().map(|(name, n)| (name.clone(), n * factor));
+            scaled.collect()
+        };
+        Self {
+            bytes: scale(&self.bytes),
+            messages: scale(&self.messages),
+        }
+    }
+}
+
 /// What one daemon has spent since it started, and holds.
 pub(super) struct Reading {
     control: Control,
@@ -96,38 +109,15 @@
     async fn of(cluster: &Cluster, daemon: &Daemon) -> Result<Self> {
         let (_, text) = cluster.get(&daemon.admin.to_string(), "/metrics").await?;
         let id = daemon.process.id();
-        let status = fs::read_to_string(format!("/proc/{id}/status"))?;
         Ok(Self {
             control: control(&text),
-            peak_kb: status_kb(&status, "VmHWM:")?,
-            processor_s: processor_s(id)?,
-            resident_kb: status_kb(&status, "VmRSS:")?,
+            peak_kb: usage::peak_kb(id)?,
+            processor_s: usage::processor_s(id)?,
+            resident_kb: usage::resident_kb(id)?,
         })
     }
 }
 
-fn status_kb(status: &str, name: &str) -> Result<f64> {
-    let line = status.lines().find_map(|line| line.strip_prefix(name));
-    let kb = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
-    kb.ok_or_else(|| io::Error::other(format!("no {name} in the status of a process")))
-}
-
-/// Seconds on a processor over all threads, to the nanosecond; /proc/PID/stat counts in ticks
-/// of 10 ms, which an idle daemon hardly reaches.
-fn processor_s(id: u32) -> Result<f64> {
-    let mut total = 0.0;
-    for task in fs::read_dir(format!("/proc/{id}/task"))? {
-        let text = fs::read_to_string(task?.path().join("schedstat"))?;
-        let ns = text
-            .split_whitespace()
-            .next()
-            .and_then(|ns| ns.parse().ok());
-        let ns: f64 = ns.ok_or_else(|| io::Error::other("schedstat can't be read"))?;
-        total += ns / 1e9;
-    }
-    Ok(total)
-}
-
 impl Spread {
     pub(super) fn of(values: impl IntoIterator<Item = f64>) -> Self {
         let values: Vec<f64> = values.into_iter().collect();
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -73,6 +73,8 @@
     pub pool_client: PoolClient,
     /// Dispatchers that run here.
     pub pool_server: PoolServer,
+    /// Connections to targets for their reports, which are counted as control.
+    pub report_client: Client,
     requests: Cell<u64>,
     /// The platform's store.
     pub store: StoreClient,
@@ -112,6 +114,7 @@
             timeline.clone(),
             Rc::clone(&traffic),
         );
+        let report_client = Client::counted(traffic.target_reports.clone());
         let store = StoreClient::counted(cfg.platform.to_string(), traffic.store.clone());
         let keeper = Keeper::new(
             MonoioClock,
@@ -141,6 +144,7 @@
             peers,
             pool_client: PoolClient::default(),
             pool_server: PoolServer::default(),
+            report_client,
             requests: Cell::new(0),
             store,
             timeline,
--- a/crates/lilaccrankd/src/target_poller.rs
+++ b/crates/lilaccrankd/src/target_poller.rs
@@ -120,13 +120,16 @@
     *req.uri_mut() = path.parse().ok()?;
     req.headers_mut()
         .insert(HOST, HeaderValue::from_static("target"));
-    let sent = daemon.client.send(&target.address, req, LIMITS).await;
+    let sent = daemon
+        .report_client
+        .send(&target.address, req, LIMITS)
+        .await;
     let (res, connection) = sent.ok()?;
     let reading = body::read(res.into_body(), REPORT_LIMIT);
     let bytes = monoio::time::timeout(LIMITS.head, reading)
         .await
         .ok()?
         .ok()?;
-    daemon.client.release(connection);
+    daemon.report_client.release(connection);
     serde_json::from_slice(&bytes).ok()
 }
--- a/crates/lilaccrankd/src/traffic.rs
+++ b/crates/lilaccrankd/src/traffic.rs
@@ -19,12 +19,14 @@
     pub peer_served: Tally,
     /// Calls to the platform.
     pub store: Tally,
+    /// Readings of what targets report.
+    pub target_reports: Tally,
 }
 
 impl Traffic {
     /// Each tally by the name that metrics give to its channel.
     #[must_use]
-    pub fn channels(&self) -> [(&'static str, &Tally); 7] {
+    pub fn channels(&self) -> [(&'static str, &Tally); 8] {
         [
             ("gossip", &self.gossip),
             ("peer_configuration", &self.peer_configuration),
@@ -33,6 +35,7 @@
             ("peer_pools", &self.peer_pools),
             ("peer_served", &self.peer_served),
             ("store", &self.store),
+            ("target_reports", &self.target_reports),
         ]
     }
 }
