--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -28,6 +28,7 @@
 use crate::proxy_run::Bounds;
 use crate::refusal::Refusal;
 use crate::settings::Settings;
+use crate::traffic::Traffic;
 use crate::vm_list::VmList;
 
 /// The platform's store behind a circuit and a budget of retries, so that a data centre that was
@@ -78,6 +79,8 @@
     pub pool_client: PoolClient,
     /// Dispatchers that run here.
     pub pool_server: PoolServer,
+    /// Connections to targets for their reports, which are counted as control.
+    pub report_client: Client,
     requests: Cell<u64>,
     /// The platform's store.
     pub store: PlatformStore,
@@ -107,11 +110,18 @@
         cfg: Settings,
         incarnation: Incarnation,
         membership: Membership,
+        traffic: Rc<Traffic>,
     ) -> Result<Self, prometheus::Error> {
         let timeline = Timeline::new(MonoioClock, cfg.vm.clone(), cfg.timeline_events);
         let duties = Duties::new(membership.clone());
-        let peers = PeerNetwork::new(membership.clone(), cfg.other_peers(), timeline.clone());
-        let platform = StoreClient::new(cfg.platform.to_string());
+        let peers = PeerNetwork::new(
+            membership.clone(),
+            cfg.other_peers(),
+            timeline.clone(),
+            Rc::clone(&traffic),
+        );
+        let report_client = Client::counted(traffic.target_reports.clone());
+        let platform = StoreClient::counted(cfg.platform.to_string(), traffic.store.clone());
         let guards = guarded_store::Settings::default();
         let store = GuardedStore::new(guards, platform.clone(), MonoioClock);
         let keeper = Keeper::new(
@@ -138,11 +148,12 @@
             keys_settled: Cell::new(false),
             leaving: Cell::new(false),
             membership,
-            metrics: Metrics::new()?,
+            metrics: Metrics::new(traffic)?,
             peers,
             platform,
             pool_client: PoolClient::default(),
             pool_server: PoolServer::default(),
+            report_client,
             requests: Cell::new(0),
             store,
             timeline,
