lilaccrank-lab: histograms of scale and overhead grow with their values

Ruled out: the engine stand-in; a plain socket saw a token every 6 ms. Change: record, which grows the histogram. Streams of overhead have short prompts, else a hundred are open after three seconds and not all.

--- a/crates/lilaccrank-lab/src/overhead/memory.rs
+++ b/crates/lilaccrank-lab/src/overhead/memory.rs
@@ -14,10 +14,8 @@
 
 /// Time for all requests to have come in.
 const SETTLE: Duration = Duration::from_secs(3);
-/// Length of a prompt in bytes.
-const PROMPT: usize = 400;
 /// Tokens of an answer; more than are generated while the memory is read.
-const TOKENS: usize = 200;
+const TOKENS: usize = 2_000;
 
 /// Kilobytes for each request, from the resident memory before and after.
 #[derive(Serialize)]
@@ -25,7 +23,6 @@
     open_stream_kb: f64,
     /// Streams that the engine ran.
     open_streams: u64,
-    prompt_bytes: usize,
     requests: usize,
     waiting_request_kb: f64,
 }
@@ -41,14 +38,13 @@
     let all_slots = EngineLayout {
         prefill_tokens_per_s: 1e9,
         slots: u32::try_from(requests).map_err(io::Error::other)?,
-        step_ms: 200.0,
+        step_ms: 5.0,
         ..EngineLayout::default()
     };
     let (open_stream_kb, open_streams) = hold(all_slots, requests).await?;
     Ok(Memory {
         open_stream_kb,
         open_streams,
-        prompt_bytes: PROMPT,
         requests,
         waiting_request_kb,
     })
@@ -77,12 +73,11 @@
 }
 
 async fn send(cluster: Rc<Cluster>, i: usize) {
-    let number = format!("{i:06} ");
     let call = Call {
         bearer: Layout::customer_key("hospital"),
         max_tokens: TOKENS,
         model: MODEL.to_owned(),
-        prompt: number.repeat(PROMPT / number.len()),
+        prompt: format!("job {i}"),
         stream: true,
         ..Call::default()
     };
--- a/crates/lilaccrank-lab/src/overhead/tokens.rs
+++ b/crates/lilaccrank-lab/src/overhead/tokens.rs
@@ -109,7 +109,8 @@
             } else {
                 &mut self.between
             };
-            times.saturating_record((now - last).as_micros() as u64);
+            let recorded = times.record((now - last).as_micros() as u64);
+            recorded.map_err(io::Error::other)?;
             last = now;
             tokens += 1;
         }
--- a/crates/lilaccrank-lab/src/scale.rs
+++ b/crates/lilaccrank-lab/src/scale.rs
@@ -23,9 +23,6 @@
 use requests::Requests;
 use takeover::Takeover;
 
-/// Time for members to meet and for what the start cost to be over.
-const SETTLE: Duration = Duration::from_secs(5);
-
 /// Settings of the experiment.
 #[derive(clap::Args, Clone, Debug)]
 pub struct Args {
@@ -59,6 +56,9 @@
     /// Seconds for which the idle cluster is watched.
     #[arg(long, default_value_t = 10)]
     seconds: u64,
+    /// Seconds for members to meet and for what the start cost to be over.
+    #[arg(long, default_value_t = 5)]
+    settle: u64,
     /// Dispatchers killed.
     #[arg(long, default_value_t = 3)]
     takeovers: usize,
@@ -111,14 +111,15 @@
     };
     let layout = layout(daemons, args);
     let mut cluster = Cluster::start_with(layout, |document| sizes.grow(document)).await?;
-    monoio::time::sleep(SETTLE).await;
+    let settle = Duration::from_secs(args.settle);
+    monoio::time::sleep(settle).await;
     let window = Duration::from_secs(args.seconds);
     let (mut idle, mut store) = watch_idle(&cluster, window).await?;
     let keyed_requests = requests::measure(&cluster, args.keys, true, &idle).await?;
     let requests = requests::measure(&cluster, args.requests, false, &idle).await?;
     if keyed_requests.is_some() || requests.is_some() {
         // Now there is a dispatcher, which reads its targets' reports, and records of keys.
-        monoio::time::sleep(SETTLE).await;
+        monoio::time::sleep(settle).await;
         (idle, store) = watch_idle(&cluster, window).await?;
     }
     let publications = in_force::measure(&cluster, args.publications, &idle).await?;
--- a/crates/lilaccrank-lab/src/scale/in_force.rs
+++ b/crates/lilaccrank-lab/src/scale/in_force.rs
@@ -63,7 +63,8 @@
         let identity = cluster.publish(base, document.clone()).await?;
         let told = OffsetDateTime::now_utc();
         let everywhere = everywhere(cluster, &identity).await?;
-        histogram.saturating_record(milliseconds(everywhere - called));
+        let recorded = histogram.record(milliseconds(everywhere - called));
+        recorded.map_err(io::Error::other)?;
         last_after_told = last_after_told.max(milliseconds(everywhere - told));
         monoio::time::sleep(PAUSE).await;
     }
