Deflate bodies between daemons where that pays

Ruled out: smaller sections, since the manifest then grows: at 92 bytes an entry 254 sections are the least for a watcher, which reads both (computed), and 256 are in use; compact MessagePack, since the sections are text inside it; deflating in the store too, which would keep operators' tools from reading it, so watchers still read whole sections. Change: bodies of 1 to 256 KB are deflated (flate2, level 1) and say so in their head. Larger ones are not: they are whole configurations for a starting daemon and would hold up requests. Unpacking has the same bound. Its test was seen failing without the bound.

--- a/crates/lilaccrank-http/src/lib.rs
+++ b/crates/lilaccrank-http/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod body;
 pub mod client;
 pub mod monoio_clock;
+pub mod packing;
 pub mod peer_link;
 pub mod peer_server;
 pub mod runtime;
--- a/crates/lilaccrank-http/src/peer_link.rs
+++ b/crates/lilaccrank-http/src/peer_link.rs
@@ -21,6 +21,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::packing::{self, Packed};
 use crate::tally::{Counted, Tally};
 
 /// Path of the one resource that peers post to.
@@ -190,23 +191,29 @@
 }
 
 impl Connection {
-    async fn post(&mut self, buf: Vec<u8>) -> Option<Bytes> {
-        let payload = FixedPayload::<Bytes, PayloadError>::new(buf.into());
-        let req = Builder::new()
+    async fn post(&mut self, buf: Vec<u8>) -> Option<Vec<u8>> {
+        let packed = packing::pack(buf);
+        let payload = FixedPayload::<Bytes, PayloadError>::new(packed.buf.into());
+        let mut req = Builder::new()
             .method(Method::POST)
             .uri(PATH)
             .header(http::header::HOST, "peer")
             .body(Payload::Fixed(payload))
             .ok()?;
+        if packed.deflated {
+            packing::mark(req.headers_mut());
+        }
         self.encoder.send_and_flush(req).await.ok()?;
         let res = self.decoder.next().await?.ok()?;
         if !res.status().is_success() {
             return None;
         }
+        let deflated = packing::is_marked(res.headers());
         let Payload::Fixed(mut payload) = res.into_body() else {
             return None;
         };
         self.decoder.fill_payload().await.ok()?;
-        payload.next().await?.ok()
+        let buf = payload.next().await?.ok()?.into();
+        packing::unpack(Packed { buf, deflated }).ok()
     }
 }
--- a/crates/lilaccrank-http/src/peer_server.rs
+++ b/crates/lilaccrank-http/src/peer_server.rs
@@ -18,6 +18,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::packing::{self, Packed};
 use crate::tally::{Counted, Tally};
 
 /// Accepts peers' connections for as long as the daemon runs; what passes is counted in `tally`.
@@ -52,6 +53,7 @@
     let mut encoder = GenericEncoder::new(Counted::new(w, tally.clone()));
     let mut decoder = RequestDecoder::new(Counted::new(r, tally.clone()));
     while let Some(Ok(req)) = decoder.next().await {
+        let deflated = packing::is_marked(req.headers());
         let Payload::Fixed(mut payload) = Request::into_body(req) else {
             return;
         };
@@ -61,6 +63,10 @@
         let Some(Ok(body)) = payload.next().await else {
             return;
         };
+        let buf = body.into();
+        let Ok(body) = packing::unpack(Packed { buf, deflated }) else {
+            return;
+        };
         let res = answer(&body, &tally, &handler).await;
         if encoder.send_and_flush(res).await.is_err() {
             return;
@@ -97,8 +103,12 @@
 }
 
 fn respond(status: StatusCode, buf: Vec<u8>) -> Response {
-    let payload = FixedPayload::<Bytes, HttpError>::new(buf.into());
+    let packed = packing::pack(buf);
+    let payload = FixedPayload::<Bytes, HttpError>::new(packed.buf.into());
     let mut res = Response::new(Payload::Fixed(payload));
     *res.status_mut() = status;
+    if packed.deflated {
+        packing::mark(res.headers_mut());
+    }
     res
 }
