Daemon: orders to engines under a lease of the pool's dispatcher

Cause: leases and orders were parts of the library that no process used.

Ruled out: a lease held by every pool all the time (a write each 2.5 s for each pool of each data centre; with 30 models in 11 data centres 132 writes/s of the store's several hundred); a call between daemons that waits for the order (a call is cut at 1 s, an order may take longer): the asking daemon asks again, by id.

Change: the dispatcher of a pool is the candidate for lease/orders/DATA_CENTRE/POOL while it has orders to give and 30 s longer, and lets go when the duty moves. Each new holder of the duty tells every engine once whether it drains, and again when the configuration or the list of vms changes. POST /v1/orders passes load_model and change_role on to the holder and answers done, refused or unknown. Orders go out on new connections, after a last look at the lease.

--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -99,6 +99,38 @@
     sender: SendRequest<Body>,
 }
 
+impl Connection {
+    /// Makes a new connection, for who has to decide something right before sending.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`] if it can't be made within `limit`.
+    pub async fn open(address: &str, limit: Duration) -> Result<Self> {
+        Ok(Self {
+            address: address.to_owned(),
+            sender: connect(address, limit).await?,
+        })
+    }
+
+    /// Sends `req` and waits for the response head.
+    ///
+    /// # Errors
+    ///
+    /// If the connection fails, or stays silent for longer than `head`.
+    pub async fn send(&mut self, req: Request<Body>, head: Duration) -> Result<Response<Incoming>> {
+        let answer = monoio::time::timeout(head, self.sender.send_request(req)).await;
+        let address = || self.address.clone();
+        let answer = answer.map_err(|_| Error::Silent {
+            address: address(),
+            limit: head,
+        })?;
+        answer.map_err(|source| Error::Exchange {
+            address: address(),
+            source,
+        })
+    }
+}
+
 impl Client {
     /// Sends `req` to `address` and waits for the response head.
     ///
@@ -116,30 +148,14 @@
         } else {
             self.take(address)
         };
-        let mut sender = match pooled {
-            Some(sender) => sender,
-            None => connect(address, limits.connect).await?,
-        };
-        let answer = monoio::time::timeout(limits.head, sender.send_request(req)).await;
-        let res = match answer {
-            Err(_) => {
-                return Err(Error::Silent {
-                    address: address.to_owned(),
-                    limit: limits.head,
-                });
-            }
-            Ok(Err(source)) => {
-                return Err(Error::Exchange {
-                    address: address.to_owned(),
-                    source,
-                });
-            }
-            Ok(Ok(res)) => res,
-        };
-        let connection = Connection {
-            address: address.to_owned(),
-            sender,
+        let mut connection = match pooled {
+            Some(sender) => Connection {
+                address: address.to_owned(),
+                sender,
+            },
+            None => Connection::open(address, limits.connect).await?,
         };
+        let res = connection.send(req, limits.head).await?;
         Ok((res, connection))
     }
 
--- a/crates/lilaccrank-lab/src/cluster.rs
+++ b/crates/lilaccrank-lab/src/cluster.rs
@@ -8,7 +8,7 @@
 use lilaccrank::configuration::adoption::Adoption;
 use lilaccrank::configuration::manifest::Identity;
 use lilaccrank::configuration::publish::{self, Publication};
-use lilaccrank::document::{Document, Target};
+use lilaccrank::document::{Document, Fencing, Target};
 use lilaccrank_http::body;
 use lilaccrank_http::client::{Client, Limits};
 use lilaccrank_http::monoio_clock::MonoioClock;
@@ -114,6 +114,7 @@
                 let process = Process::stand_in(&engine_args(engine, i))?;
                 let id = format!("{}-engine-{i}", data_centre.name);
                 let mut target = target(&id, data_centre, &process, engine.slots);
+                target.fencing = engine.fencing;
                 if wires.targets {
                     let wire = wire_to(&process.address)?;
                     target.address = wire.address.clone();
@@ -393,10 +394,18 @@
     }
 }
 
+fn fencing(fencing: Fencing) -> &'static str {
+    match fencing {
+        Fencing::Checked => "checked",
+        Fencing::Ignored => "ignored",
+    }
+}
+
 fn engine_args(engine: &EngineLayout, seed: usize) -> Vec<String> {
     let mut args = vec!["engine".to_owned()];
     let mut add = |name: &str, value: String| args.extend([format!("--{name}"), value]);
     add("cache-blocks", engine.cache_blocks.to_string());
+    add("fencing", fencing(engine.fencing).to_owned());
     add("model", MODEL.to_owned());
     add(
         "prefill-tokens-per-s",
--- a/crates/lilaccrank-lab/src/layout.rs
+++ b/crates/lilaccrank-lab/src/layout.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 use lilaccrank::document::{
-    Customer, Document, Operator, Pool, PoolKind, Rule, Target, Then, When,
+    Customer, Document, Fencing, Operator, Pool, PoolKind, Rule, Target, Then, When,
 };
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -22,6 +22,8 @@
 pub struct EngineLayout {
     /// Blocks of prefixes it can hold.
     pub cache_blocks: usize,
+    /// Whether it checks fencing numbers.
+    pub fencing: Fencing,
     /// Tokens of prompts it reads each second.
     pub prefill_tokens_per_s: f64,
     /// Age of its load reports.
@@ -38,6 +40,7 @@
     fn default() -> Self {
         Self {
             cache_blocks: 512,
+            fencing: Fencing::Checked,
             prefill_tokens_per_s: 8000.0,
             report_lag_ms: 500,
             slots: 8,
--- a/crates/lilaccrank/src/lease/keeper.rs
+++ b/crates/lilaccrank/src/lease/keeper.rs
@@ -11,7 +11,7 @@
 
 use super::candidate::{Attempt, Candidate};
 use super::held::{Held, Lost, Renewal};
-use super::{Error, Guard, Guards, Lease, Result};
+use super::{Error, Fence, Guard, Guards, Lease, Result};
 use crate::clock::{self, Clock};
 use crate::store::Store;
 
@@ -128,6 +128,17 @@
     clock::timeout(clock, wait, stop.as_mut()).await.is_some()
 }
 
+impl<C: Clock> Tenure<C> {
+    /// Leave to go on with an act that was begun under this number.
+    pub fn guard_at(&self, fence: Fence) -> Result<Guard> {
+        let guard = self.guard()?;
+        if guard.fence != fence {
+            return Err(Error::NotHeld(self.key.to_string()));
+        }
+        Ok(guard)
+    }
+}
+
 impl<C: Clock> Guards for Tenure<C> {
     fn guard(&self) -> Result<Guard> {
         let now = self.clock.now();
--- a/crates/lilaccrankd/src/admin.rs
+++ b/crates/lilaccrankd/src/admin.rs
@@ -14,6 +14,8 @@
 use crate::refusal::{Refusal, Result};
 use crate::{attach, entry, pool_server};
 
+mod orders;
+
 /// Answers one HTTP request of an operator.
 pub async fn handle(daemon: Rc<Daemon>, req: Request<Incoming>) -> Response<Body> {
     match (req.method(), req.uri().path()) {
@@ -26,6 +28,7 @@
         (&Method::GET, path) if path.starts_with(attach::PATH) => held_answer(&daemon, &req)
             .await
             .unwrap_or_else(|refusal| refusal.response()),
+        (&Method::POST, orders::PATH) => orders::handle(&daemon, req).await,
         _ => {
             let answered = operator(&daemon, &req);
             answered.unwrap_or_else(|refusal| refusal.response())
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -22,6 +22,7 @@
 use crate::in_force::InForce;
 use crate::key_state::KeyClaims;
 use crate::metrics::Metrics;
+use crate::order_keeper::{self, OrderKeeper};
 use crate::peer_network::PeerNetwork;
 use crate::pool_client::{self, PoolClient};
 use crate::pool_server::{self, PoolServer};
@@ -70,6 +71,8 @@
     pub metrics: Metrics,
     /// Members of this data centre.
     pub membership: Membership,
+    /// Orders to targets.
+    pub order_keeper: OrderKeeper,
     /// Other daemons.
     pub peers: PeerNetwork,
     /// The platform beside its store.
@@ -122,6 +125,7 @@
         );
         let budget = Budget::new(MonoioClock, STORE_CLAIMS_PER_S, STORE_CLAIMS_BURST);
         let claims = Claims::new(keeper.clone(), store.clone(), budget, KEEPER_WAIT);
+        let order_keeper = OrderKeeper::new(&cfg, incarnation, store.clone());
         Ok(Self {
             adoption: Adoption::new(),
             answers: Answers::new(
@@ -139,6 +143,7 @@
             leaving: Cell::new(false),
             membership,
             metrics: Metrics::new()?,
+            order_keeper,
             peers,
             platform,
             pool_client: PoolClient::default(),
@@ -258,6 +263,7 @@
         );
         pool_server::configuration_changed(self);
         pool_client::rebalance(self);
+        order_keeper::reconcile(self);
     }
 }
 
--- /dev/null
+++ b/crates/lilaccrankd/src/order_jobs.rs
@@ -0,0 +1,100 @@
+//! Operators' orders that this daemon gives or has given, by their ids.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use lilaccrank::timeline::{EventKind, Subject};
+
+use crate::daemon::Daemon;
+use crate::order_message::{OrderOutcome, OrderReply, OrderRequest};
+
+/// How long the outcome of an order is kept for who repeats it.
+const KEPT: Duration = Duration::from_secs(600);
+/// Orders kept at most.
+const LIMIT: usize = 1_000;
+
+/// Orders by id.
+#[derive(Default)]
+pub struct OrderJobs {
+    jobs: RefCell<IndexMap<String, Job>>,
+}
+
+struct Job {
+    begun: Instant,
+    outcome: Option<OrderOutcome>,
+    req: OrderRequest,
+}
+
+impl Job {
+    /// What a request with the same id is told; `None` if it is to be tried again.
+    fn answer(&self, req: &OrderRequest) -> Option<OrderReply> {
+        let same = self.req.command == req.command && self.req.target == req.target;
+        if !same {
+            return Some(refused("this id was used for another order"));
+        }
+        let Some(outcome) = &self.outcome else {
+            return Some(OrderReply::UnderWay);
+        };
+        let stands = *outcome == OrderOutcome::Done || self.req.attempt == req.attempt;
+        stands.then(|| OrderReply::Ended(outcome.clone()))
+    }
+}
+
+/// Begins an order, or tells what became of it.
+pub fn answer(daemon: &Rc<Daemon>, req: OrderRequest) -> OrderReply {
+    let jobs = &daemon.order_keeper.jobs.jobs;
+    if let Some(reply) = jobs.borrow().get(&req.id).and_then(|job| job.answer(&req)) {
+        return reply;
+    }
+    if daemon.order_keeper.on_duty(&req.pool).is_none() {
+        return OrderReply::Declined;
+    }
+    let mut all = jobs.borrow_mut();
+    all.retain(|_, job| job.outcome.is_none() || job.begun.elapsed() < KEPT);
+    if all.len() >= LIMIT {
+        return refused("too many orders are kept; try again later");
+    }
+    let job = Job {
+        begun: Instant::now(),
+        outcome: None,
+        req: req.clone(),
+    };
+    all.insert(req.id.clone(), job);
+    monoio::spawn(run(Rc::clone(daemon), req));
+    OrderReply::UnderWay
+}
+
+async fn run(daemon: Rc<Daemon>, req: OrderRequest) {
+    let outcome = give(&daemon, &req).await;
+    log::info!("order {} to {}: {outcome:?}", req.id, req.target);
+    let subject = Subject {
+        detail: format!("{}, id {}: {outcome:?}", req.command, req.id),
+        target: Some(req.target.clone()),
+        ..Subject::default()
+    };
+    daemon.record(EventKind::Ordered, subject);
+    let mut all = daemon.order_keeper.jobs.jobs.borrow_mut();
+    if let Some(job) = all.get_mut(&req.id) {
+        job.outcome = Some(outcome);
+    }
+}
+
+async fn give(daemon: &Daemon, req: &OrderRequest) -> OrderOutcome {
+    let pool_orders = daemon.order_keeper.on_duty(&req.pool);
+    let target = pool_orders.and_then(|it| it.target(&req.target).map(|target| (it, target)));
+    let Some((pool_orders, target)) = target else {
+        return OrderOutcome::Refused {
+            reason: "the target is no longer in the pool; nothing was sent".to_owned(),
+        };
+    };
+    let given = pool_orders.give(&target, &req.id, req.command.clone());
+    given.await.into()
+}
+
+fn refused(reason: &str) -> OrderReply {
+    OrderReply::Ended(OrderOutcome::Refused {
+        reason: reason.to_owned(),
+    })
+}
--- /dev/null
+++ b/crates/lilaccrankd/src/order_keeper.rs
@@ -0,0 +1,108 @@
+//! The orders of this daemon: to the pools that it dispatches for, from operators and from the
+//! configuration.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use lilaccrank::document::{Pool, PoolKind, Target};
+use lilaccrank::ids::{Incarnation, PoolId};
+
+use crate::daemon::{Daemon, PlatformStore};
+use crate::drain_teller;
+use crate::order_jobs::OrderJobs;
+use crate::order_times::OrderTimes;
+use crate::pool_orders::PoolOrders;
+use crate::settings::Settings;
+
+/// Orders of this life of the daemon.
+pub struct OrderKeeper {
+    data_centre: String,
+    /// This life, as the store names the holder of a lease.
+    holder: String,
+    /// Operators' orders.
+    pub jobs: OrderJobs,
+    pools: RefCell<IndexMap<PoolId, Rc<PoolOrders>>>,
+    store: PlatformStore,
+    /// Times of orders.
+    pub times: OrderTimes,
+}
+
+impl OrderKeeper {
+    /// Gives no orders before [`reconcile`].
+    #[must_use]
+    pub fn new(cfg: &Settings, incarnation: Incarnation, store: PlatformStore) -> Self {
+        Self {
+            data_centre: cfg.data_centre.clone(),
+            holder: format!("{}@{incarnation}", cfg.vm),
+            jobs: OrderJobs::default(),
+            pools: RefCell::default(),
+            store,
+            times: OrderTimes::new(cfg),
+        }
+    }
+
+    /// Whether this daemon gives orders to any pool.
+    #[must_use]
+    pub fn is_on_duty(&self) -> bool {
+        self.pools.borrow().values().any(|it| it.is_on_duty())
+    }
+
+    /// The orders to a pool, if this daemon gives them.
+    #[must_use]
+    pub fn on_duty(&self, pool: &PoolId) -> Option<Rc<PoolOrders>> {
+        let pools = self.pools.borrow();
+        let pool_orders = pools.get(pool).filter(|it| it.is_on_duty())?;
+        Some(Rc::clone(pool_orders))
+    }
+
+    fn start(&self, pool: &PoolId) -> Rc<PoolOrders> {
+        let key = format!("lease/orders/{}/{pool}", self.data_centre);
+        PoolOrders::start(key, self.holder.clone(), self.store.clone(), self.times)
+    }
+}
+
+/// Takes duties on and lets them go, after a change of members, configuration or listed vms.
+pub fn reconcile(daemon: &Rc<Daemon>) {
+    let Ok(in_force) = daemon.in_force() else {
+        return;
+    };
+    let pools = &in_force.document.pools;
+    let keeper = &daemon.order_keeper;
+    for (pool, pool_orders) in keeper.pools.borrow().iter() {
+        if !pools.iter().any(|configured| configured.id == *pool) {
+            pool_orders.set_on_duty(false);
+        }
+    }
+    for pool in pools {
+        let targets = engines_here(daemon, pool);
+        let on_duty = !targets.is_empty() && daemon.duties.is_dispatcher(&pool.id);
+        let known = keeper.pools.borrow().get(&pool.id).cloned();
+        let pool_orders = match known {
+            Some(pool_orders) => pool_orders,
+            None if on_duty => {
+                let pool_orders = keeper.start(&pool.id);
+                monoio::spawn(drain_teller::run(
+                    Rc::clone(daemon),
+                    Rc::clone(&pool_orders),
+                ));
+                let mut all = keeper.pools.borrow_mut();
+                all.insert(pool.id.clone(), Rc::clone(&pool_orders));
+                pool_orders
+            }
+            None => continue,
+        };
+        pool_orders.set_targets(targets);
+        pool_orders.set_on_duty(on_duty);
+    }
+}
+
+/// Plain services take no orders.
+fn engines_here(daemon: &Daemon, pool: &Pool) -> Vec<Target> {
+    if pool.kind != PoolKind::Engine {
+        return Vec::new();
+    }
+    let mut targets = daemon.vm_list.apply(pool).targets;
+    targets.retain(|target| target.data_centre == daemon.cfg.data_centre);
+    targets
+}
--- /dev/null
+++ b/crates/lilaccrankd/src/order_relay.rs
@@ -0,0 +1,63 @@
+//! Passes an operator's order on to the daemon that gives orders to the target's pool.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use lilaccrank::peers::{self, Peers};
+use lilaccrank::request_key::{MemberRef, Ranking};
+
+use crate::daemon::Daemon;
+use crate::order_jobs;
+use crate::order_message::{OrderOutcome, OrderReply, OrderRequest};
+
+/// Time between two questions how an order is getting on.
+const ASK_EVERY: Duration = Duration::from_millis(100);
+
+/// Has an order given, and waits for its end within the time that it may take.
+pub async fn give(daemon: &Rc<Daemon>, req: OrderRequest) -> OrderOutcome {
+    let until = Instant::now() + daemon.order_keeper.times.whole_order();
+    // The daemon that may have begun it.
+    let mut begun: Option<MemberRef> = None;
+    loop {
+        let Some(holder) = daemon.duties.dispatcher(&req.pool) else {
+            return ended(&begun, None, "no daemon has the duty".to_owned());
+        };
+        match ask(daemon, &holder, &req).await {
+            Ok(OrderReply::Ended(OrderOutcome::Refused { reason })) => {
+                return ended(&begun, Some(&holder), reason);
+            }
+            Ok(OrderReply::Ended(outcome)) => return outcome,
+            Ok(OrderReply::UnderWay) | Err(peers::Error::NoAnswer(_)) => {
+                begun.get_or_insert(holder);
+            }
+            Ok(OrderReply::Declined) | Err(peers::Error::Unreachable(_)) => {}
+        }
+        if Instant::now() >= until {
+            return ended(
+                &begun,
+                None,
+                "no daemon has told the end in time".to_owned(),
+            );
+        }
+        monoio::time::sleep(ASK_EVERY).await;
+    }
+}
+
+async fn ask(
+    daemon: &Rc<Daemon>,
+    holder: &MemberRef,
+    req: &OrderRequest,
+) -> peers::Result<OrderReply> {
+    if *holder == daemon.duties.me() {
+        return Ok(order_jobs::answer(daemon, req.clone()));
+    }
+    daemon.peers.call(&holder.vm, req.clone()).await
+}
+
+/// A daemon that refuses knows of itself that it sent nothing, but not of another that had begun.
+fn ended(begun: &Option<MemberRef>, by: Option<&MemberRef>, reason: String) -> OrderOutcome {
+    match begun {
+        Some(first) if by != Some(first) => OrderOutcome::Unknown { reason },
+        _ => OrderOutcome::Refused { reason },
+    }
+}
--- a/crates/lilaccrankd/src/peer_message.rs
+++ b/crates/lilaccrankd/src/peer_message.rs
@@ -9,6 +9,8 @@
 use lilaccrank::timeline::Stamp;
 use serde::{Deserialize, Serialize};
 
+use crate::order_message::{OrderReply, OrderRequest};
+
 /// A message with the time at its sender, by which time lines are put in causal order.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Stamped<T> {
@@ -94,6 +96,8 @@
     Key(KeyRequest),
     /// About leaving vms.
     Leaving(LeavingAsk),
+    /// About an order to a target.
+    Order(OrderRequest),
     /// About a pool.
     Pool(PoolRequest),
 }
@@ -109,6 +113,8 @@
     Key(KeyReply),
     /// About leaving vms.
     Leaving(Leaving),
+    /// About an order to a target.
+    Order(OrderReply),
     /// About a pool.
     Pool(PoolReply),
 }
--- a/crates/lilaccrankd/src/peer_network.rs
+++ b/crates/lilaccrankd/src/peer_network.rs
@@ -14,6 +14,7 @@
 use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::peer_link::PeerLink;
 
+use crate::order_message::{OrderReply, OrderRequest};
 use crate::peer_message::{
     Announcement, Done, Leaving, LeavingAsk, PeerReply, PeerRequest, PoolReply, PoolRequest,
     Stamped,
@@ -35,7 +36,7 @@
     Copies,
     /// To the keeper of a key, which may ask the holder of the copy.
     Keys,
-    /// About pools; answered without asking anybody.
+    /// About pools and orders to their targets; answered without asking anybody.
     Pools,
 }
 
@@ -157,6 +158,13 @@
     }
 }
 
+impl Peers<OrderRequest, OrderReply> for PeerNetwork {
+    async fn call(&self, vm: &VmId, req: OrderRequest) -> Result<OrderReply> {
+        let reply = self.send(vm, Lane::Pools, req.into()).await?;
+        reply.try_into().map_err(|_| Error::NoAnswer(vm.clone()))
+    }
+}
+
 impl Peers<PoolRequest, PoolReply> for PeerNetwork {
     async fn call(&self, vm: &VmId, req: PoolRequest) -> Result<PoolReply> {
         let reply = self.send(vm, Lane::Pools, req.into()).await?;
--- /dev/null
+++ b/crates/lilaccrankd/src/pool_orders.rs
@@ -0,0 +1,227 @@
+//! The orders of one daemon to the targets of one pool, under one lease.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use event_listener::{Event, EventListener};
+use futures::future::{self, Either};
+use futures::pin_mut;
+use indexmap::IndexMap;
+use lilaccrank::document::Target;
+use lilaccrank::ids::TargetId;
+use lilaccrank::lease::{Guards, Keeper, Lease, Tenure};
+use lilaccrank::orders::{Addressee, Command, Error, Orders, Result};
+use lilaccrank_http::monoio_clock::MonoioClock;
+
+use crate::daemon::PlatformStore;
+use crate::order_times::OrderTimes;
+use crate::target_orders::TargetOrders;
+
+/// The lease is kept this long after the last order. Orders come in series, and a target that
+/// ignores fencing numbers costs a long wait each time the lease is taken anew.
+const LINGER: Duration = Duration::from_secs(30);
+/// Time between two looks at a lease that is being taken.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// Times an order is sent to a target that does not answer.
+const TRIES: u32 = 2;
+
+/// Who gives the orders to one pool of one data centre.
+///
+/// There is one for each pool through the whole life of the daemon, also while another has the
+/// duty: two candidates of one name would take the lease from each other without waiting.
+pub struct PoolOrders {
+    changed: Event,
+    last_wanted: Cell<Instant>,
+    on_duty: Cell<bool>,
+    orders: Orders<MonoioClock, Tenure<MonoioClock>, TargetOrders>,
+    targets: Rc<RefCell<IndexMap<TargetId, Target>>>,
+    tenure: Tenure<MonoioClock>,
+    term: Cell<Term>,
+    times: OrderTimes,
+    /// Orders that need the lease now.
+    wanted: Cell<usize>,
+}
+
+/// Counts the times that this daemon took the duty on.
+pub type Term = u64;
+
+/// The task that keeps the lease while it is needed.
+type LeaseKeeper = Keeper<PlatformStore, MonoioClock>;
+
+/// Counts one order that needs the lease until it is dropped.
+struct Wanted<'a>(&'a PoolOrders);
+
+impl Drop for Wanted<'_> {
+    fn drop(&mut self) {
+        self.0.last_wanted.set(Instant::now());
+        self.0.wanted.set(self.0.wanted.get() - 1);
+        self.0.changed.notify(usize::MAX);
+    }
+}
+
+impl PoolOrders {
+    /// Starts the task that takes the lease at `key` while it is needed.
+    pub fn start(key: String, holder: String, store: PlatformStore, times: OrderTimes) -> Rc<Self> {
+        let lease = Lease::new(times.lease(), key, holder, store, MonoioClock);
+        let keeper = Keeper::new(lease);
+        let tenure = keeper.tenure();
+        let targets = Rc::default();
+        let answer_limit = times.orders().timeout;
+        let port = TargetOrders::new(Rc::clone(&targets), answer_limit, tenure.clone());
+        let pool_orders = Rc::new(Self {
+            changed: Event::new(),
+            last_wanted: Cell::new(Instant::now()),
+            on_duty: Cell::new(false),
+            orders: Orders::new(times.orders(), MonoioClock, tenure.clone(), port),
+            targets,
+            tenure,
+            term: Cell::new(0),
+            times,
+            wanted: Cell::new(0),
+        });
+        monoio::spawn(Rc::clone(&pool_orders).keep(keeper));
+        pool_orders
+    }
+
+    /// Whether this daemon gives the pool's orders.
+    pub fn is_on_duty(&self) -> bool {
+        self.on_duty.get()
+    }
+
+    /// The present term; `None` while another daemon has the duty.
+    pub fn term(&self) -> Option<Term> {
+        self.is_on_duty().then(|| self.term.get())
+    }
+
+    /// Takes the duty on, or lets it and the lease go.
+    pub fn set_on_duty(&self, on_duty: bool) {
+        if self.on_duty.replace(on_duty) == on_duty {
+            return;
+        }
+        if on_duty {
+            self.term.set(self.term.get() + 1);
+        }
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Targets that orders may go to.
+    pub fn set_targets(&self, targets: Vec<Target>) {
+        let targets = targets
+            .into_iter()
+            .map(|target| (target.id.clone(), target));
+        *self.targets.borrow_mut() = targets.collect();
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Names of the targets that orders may go to.
+    pub fn target_ids(&self) -> Vec<TargetId> {
+        self.targets.borrow().keys().cloned().collect()
+    }
+
+    /// One of the targets that orders may go to.
+    pub fn target(&self, id: &TargetId) -> Option<Target> {
+        self.targets.borrow().get(id).cloned()
+    }
+
+    /// Hears of changes of the duty and of the targets.
+    pub fn listen(&self) -> EventListener {
+        self.changed.listen()
+    }
+
+    /// Gives one order; takes the lease for it, within bounds.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] if the target may carry it out; after any other error it does not.
+    pub async fn give(&self, target: &Target, id: &str, command: Command) -> Result<()> {
+        let _wanted = self.want();
+        let addressee = Addressee {
+            fencing: target.fencing,
+            id: target.id.clone(),
+        };
+        let until = Instant::now() + self.times.wait_for_lease();
+        let mut tries = 0;
+        loop {
+            let outcome = self.try_once(&addressee, id, &command, until).await;
+            match outcome {
+                // The lease changed hands before anything was sent.
+                Err(Error::Lease(_))
+                    if tries == 0 && self.is_on_duty() && Instant::now() < until => {}
+                Err(Error::Unknown(_)) => {
+                    tries += 1;
+                    if tries == TRIES {
+                        return outcome;
+                    }
+                }
+                Ok(()) => return outcome,
+                // An earlier try may have arrived, whatever became of this one.
+                Err(_) if tries > 0 => return Err(Error::Unknown(target.id.clone())),
+                Err(_) => return outcome,
+            }
+        }
+    }
+
+    async fn try_once(
+        &self,
+        addressee: &Addressee,
+        id: &str,
+        command: &Command,
+        until: Instant,
+    ) -> Result<()> {
+        while let Err(e) = self.tenure.guard() {
+            if !self.is_on_duty() || Instant::now() >= until {
+                return Err(e.into());
+            }
+            monoio::time::sleep(LOOK_EVERY).await;
+        }
+        self.orders.give(addressee, id, command.clone()).await
+    }
+
+    fn want(&self) -> Wanted<'_> {
+        self.wanted.set(self.wanted.get() + 1);
+        self.changed.notify(usize::MAX);
+        Wanted(self)
+    }
+
+    async fn keep(self: Rc<Self>, mut keeper: LeaseKeeper) {
+        loop {
+            self.needed().await;
+            keeper = keeper.run_until(self.not_needed()).await;
+        }
+    }
+
+    /// The lease is taken only for orders. Held by each pool of each data centre all the time, it
+    /// would cost the store more writes than everything else together.
+    async fn needed(&self) {
+        loop {
+            let changed = self.listen();
+            if self.is_on_duty() && self.wanted.get() > 0 {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    async fn not_needed(&self) {
+        loop {
+            let changed = self.listen();
+            if !self.is_on_duty() {
+                return;
+            }
+            if self.wanted.get() > 0 {
+                changed.await;
+                continue;
+            }
+            let left = LINGER.saturating_sub(self.last_wanted.get().elapsed());
+            if left.is_zero() {
+                return;
+            }
+            let over = monoio::time::sleep(left);
+            pin_mut!(over);
+            if let Either::Left(_) = future::select(over, changed).await {
+                continue;
+            }
+        }
+    }
+}
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -20,7 +20,10 @@
 use crate::settings::Settings;
 use crate::signals::Signals;
 use crate::udp_gossip::UdpGossip;
-use crate::{admin, callers, configuration, pool_client, pool_server, shutdown, vm_list};
+use crate::{
+    admin, callers, configuration, order_jobs, order_keeper, pool_client, pool_server, shutdown,
+    vm_list,
+};
 
 /// Result of running the daemon.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -122,6 +125,7 @@
         );
         pool_server::members_changed(&daemon);
         pool_client::rebalance(&daemon);
+        order_keeper::reconcile(&daemon);
         daemon.peers.prune();
     }
 }
@@ -145,6 +149,7 @@
             vms: daemon.vm_list.leaving().into_iter().collect(),
         }
         .into(),
+        PeerRequest::Order(req) => order_jobs::answer(&daemon, req).into(),
         PeerRequest::Pool(req) => pool_server::handle(&daemon, req).into(),
     };
     Stamped {
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -72,6 +72,10 @@
     pub grace_ms: u64,
     /// `error`, `warn`, `info`, `debug` or `trace`.
     pub log_level: log::LevelFilter,
+    /// Milliseconds from the start of an order to a target until it can no longer reach it.
+    pub order_in_flight_ms: u64,
+    /// Milliseconds for which the lease for orders is held without being renewed.
+    pub order_lease_ms: u64,
     /// Daemons in other data centres, for spilled requests and for configurations.
     pub other_data_centres: IndexMap<DataCentre, Vec<OtherDaemon>>,
     /// Where other daemons are served.
@@ -116,6 +120,8 @@
             gossip: port(7403),
             grace_ms: 2_000,
             log_level: log::LevelFilter::Info,
+            order_in_flight_ms: 5_000,
+            order_lease_ms: 10_000,
             other_data_centres: IndexMap::new(),
             peer: port(7402),
             platform: port(7300),
@@ -164,6 +170,8 @@
             ("body_limit", self.body_limit as u64),
             ("body_timeout_ms", self.body_timeout_ms),
             ("first_token_ms", self.first_token_ms),
+            ("order_in_flight_ms", self.order_in_flight_ms),
+            ("order_lease_ms", self.order_lease_ms),
             ("request_limit", self.request_limit as u64),
             ("shutdown_limit_ms", self.shutdown_limit_ms),
             ("timeline_events", self.timeline_events as u64),
--- /dev/null
+++ b/crates/lilaccrankd/src/target_orders.rs
@@ -0,0 +1,131 @@
+//! Orders to engines over `POST /orders`.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use indexmap::IndexMap;
+use lilaccrank::document::Target;
+use lilaccrank::ids::TargetId;
+use lilaccrank::lease::{Fence, Tenure};
+use lilaccrank::orders::{Command, Error, Order, Result, Targets};
+use lilaccrank_http::body::{self, Body};
+use lilaccrank_http::client::Connection;
+use lilaccrank_http::monoio_clock::MonoioClock;
+use serde::Serialize;
+
+use crate::target_call::CONNECT_TIMEOUT;
+
+/// Path of the orders at an engine.
+const PATH: &str = "/orders";
+/// Argument that takes a drain back.
+const DRAIN_OFF: &str = "off";
+/// Largest reason of a refusal that is passed on, in bytes.
+const REASON_LIMIT: usize = 4096;
+
+/// Body of an order.
+#[derive(Serialize)]
+struct Wire<'a> {
+    argument: &'a str,
+    fencing: Fence,
+    kind: Kind,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Kind {
+    ChangeRole,
+    Drain,
+    LoadModel,
+}
+
+/// The engines of one pool, at the addresses that the configuration gives.
+pub struct TargetOrders {
+    /// Longest wait for an answer.
+    head: Duration,
+    targets: Rc<RefCell<IndexMap<TargetId, Target>>>,
+    tenure: Tenure<MonoioClock>,
+}
+
+impl TargetOrders {
+    /// Sends under `tenure` to those of `targets`.
+    pub fn new(
+        targets: Rc<RefCell<IndexMap<TargetId, Target>>>,
+        head: Duration,
+        tenure: Tenure<MonoioClock>,
+    ) -> Self {
+        Self {
+            head,
+            targets,
+            tenure,
+        }
+    }
+}
+
+impl Targets for TargetOrders {
+    async fn give(&self, target: &TargetId, order: &Order) -> Result<()> {
+        let known = self.targets.borrow().get(target).cloned();
+        let unreachable = || Error::Unreachable(target.clone());
+        let address = known.ok_or_else(unreachable)?.address;
+        let req = request(order);
+        // A new connection, since an idle one may have died without a word: an order sent on it
+        // could neither be called given nor not given.
+        let connected = Connection::open(&address, CONNECT_TIMEOUT).await;
+        let mut connection = connected.map_err(|_| unreachable())?;
+        // The process may have been paused while it connected, for longer than its lease. Only
+        // the time between this look and the bytes leaving is not covered; see
+        // docs/COORDINATION.md.
+        self.tenure.guard_at(order.fence)?;
+        let sent = connection.send(req, self.head).await;
+        let res = sent.map_err(|_| Error::Unknown(target.clone()))?;
+        let status = res.status();
+        if status.is_success() {
+            return Ok(());
+        }
+        if status == StatusCode::CONFLICT {
+            return Err(Error::Superseded {
+                fence: order.fence,
+                target: target.clone(),
+            });
+        }
+        if status.is_server_error() {
+            return Err(Error::Unknown(target.clone()));
+        }
+        let reason = body::read(res.into_body(), REASON_LIMIT).await;
+        Err(Error::Refused {
+            reason: reason.map_or_else(
+                |_| status.to_string(),
+                |reason| String::from_utf8_lossy(&reason).into_owned(),
+            ),
+            target: target.clone(),
+        })
+    }
+}
+
+fn request(order: &Order) -> Request<Body> {
+    let role;
+    let (kind, argument) = match &order.command {
+        Command::Drain => (Kind::Drain, ""),
+        Command::LoadModel { model } => (Kind::LoadModel, model.as_str()),
+        Command::Resume => (Kind::Drain, DRAIN_OFF),
+        Command::SetRole { role: wanted } => {
+            role = wanted.to_string();
+            (Kind::ChangeRole, role.as_str())
+        }
+    };
+    let wire = Wire {
+        argument,
+        fencing: order.fence,
+        kind,
+    };
+    let json = serde_json::to_vec(&wire).expect("a flat record always serialises");
+    let mut req = Request::new(body::full(json));
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = hyper::Uri::from_static(PATH);
+    let headers = req.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(HOST, HeaderValue::from_static("target"));
+    req
+}
--- a/crates/lilaccrankd/src/vm_list.rs
+++ b/crates/lilaccrankd/src/vm_list.rs
@@ -17,7 +17,7 @@
 
 use crate::daemon::Daemon;
 use crate::peer_message::{Leaving, LeavingAsk};
-use crate::pool_server;
+use crate::{order_keeper, pool_server};
 
 /// Time between two readings. A leaving target gets nothing new within this twice, a watcher's
 /// reading and a dispatcher's, after the list shows it.
@@ -74,7 +74,7 @@
     loop {
         let leaving = if daemon.duties.is_watcher() {
             read(&daemon).await
-        } else if pool_server::is_serving(&daemon) {
+        } else if pool_server::is_serving(&daemon) || daemon.order_keeper.is_on_duty() {
             ask(&daemon).await
         } else {
             None
@@ -84,6 +84,7 @@
             let before = daemon.vm_list.leaving.replace(leaving.clone());
             if before != leaving {
                 pool_server::configuration_changed(&daemon);
+                order_keeper::reconcile(&daemon);
             }
         }
         monoio::time::sleep(EVERY).await;
