--- a/crates/lilaccrankd/src/peer_network.rs
+++ b/crates/lilaccrankd/src/peer_network.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use lilaccrank::configuration::exchange;
 use lilaccrank::ids::VmId;
-use lilaccrank::membership::Membership;
+use lilaccrank::membership::{Member, Membership};
 use lilaccrank::peers::{Error, Peers, Result};
 use lilaccrank::request_key::{KeyReply, KeyRequest};
 use lilaccrank::timeline::Timeline;
@@ -122,10 +122,12 @@
 
     /// Daemons of other data centres are no members here; their address stands for their vm.
     fn address(&self, vm: &VmId) -> Option<SocketAddr> {
-        let members = self.membership.all();
-        let member = members.iter().find(|member| member.vm == *vm);
-        member
-            .map(|member| member.peers)
+        let address = |member: &Member| (member.vm == *vm).then_some(member.peers);
+        let live = self.membership.live();
+        let found = live.members.iter().find_map(address);
+        // A leaving member has no duties, but still gets its verdicts.
+        found
+            .or_else(|| self.membership.all().iter().find_map(address))
             .or_else(|| vm.parse().ok())
     }
 }
