--- /dev/null
+++ b/crates/lilaccrank-lab/tests/orders/harness.rs
@@ -0,0 +1,180 @@
+//! What the tests of orders share.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use lilaccrank::configuration::archive::Archive;
+use lilaccrank::document::{Fencing, Target};
+use lilaccrank::ids::VmId;
+use lilaccrank::rendezvous;
+use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::runtime;
+use lilaccrank_http::store_client::StoreClient;
+use lilaccrank_lab::cluster::Cluster;
+use lilaccrank_lab::layout::{ENGINES, EngineLayout, Layout};
+use monoio::task::JoinHandle;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+/// The engine of all tests.
+pub const ENGINE: &str = "spanish-town-engine-0";
+/// Longest time that the tests keep an order on the wire.
+pub const IN_FLIGHT_MS: u64 = 7_000;
+/// Longest wait for a condition.
+const LIMIT: Duration = Duration::from_secs(30);
+/// Time between two looks at a condition.
+const POLL: Duration = Duration::from_millis(20);
+
+/// An order as the engine noted it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Received {
+    pub accepted: bool,
+    pub argument: String,
+    pub fencing: u64,
+    pub kind: String,
+}
+
+/// The lease as the store has it.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Record {
+    pub fence: u64,
+    pub holder: String,
+}
+
+/// What an operator was told.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq)]
+pub struct Told {
+    pub outcome: String,
+    #[serde(default)]
+    pub reason: String,
+}
+
+/// Runs a test on the runtime of the daemons.
+pub fn run(test: impl Future<Output = ()>) {
+    runtime::block_on(test).unwrap();
+}
+
+/// Three daemons and one engine behind a wire; the lease lasts 2 s.
+pub fn layout(fencing: Fencing) -> Layout {
+    let engine = EngineLayout {
+        fencing,
+        ..EngineLayout::default()
+    };
+    let mut layout = Layout::one_data_centre(3, vec![engine]);
+    layout.data_centres[0].services = 0;
+    layout.wires.targets = true;
+    layout.settings = [
+        ("order_in_flight_ms".to_owned(), json!(IN_FLIGHT_MS)),
+        ("order_lease_ms".to_owned(), json!(2_000)),
+    ]
+    .into();
+    layout
+}
+
+/// The engine as a configuration names it.
+pub fn target(address: &str) -> Target {
+    Target {
+        address: address.to_owned(),
+        data_centre: "spanish-town".to_owned(),
+        fencing: Fencing::Checked,
+        id: ENGINE.to_owned(),
+        slots: 8,
+        ..Target::default()
+    }
+}
+
+/// Positions of the daemons by their rank for the pool; the first gives its orders.
+pub fn ranked(cluster: &Cluster) -> Vec<usize> {
+    let vms: Vec<VmId> = cluster.daemons.iter().map(|d| d.vm.clone()).collect();
+    let ranked = rendezvous::top(&format!("pool/{ENGINES}"), &vms, vms.len());
+    let position = |vm: &VmId| vms.iter().position(|v| v == vm).unwrap();
+    ranked.into_iter().map(position).collect()
+}
+
+/// What the engine received, in its order; asked past the wire.
+pub async fn received(cluster: &Cluster) -> Vec<Received> {
+    let address = &cluster.engines[ENGINE].address;
+    let (_, text) = cluster.get(address, "/orders").await.unwrap();
+    serde_json::from_str(&text).unwrap()
+}
+
+/// Arguments of one kind that the engine carried out, in its order.
+pub async fn carried_out(cluster: &Cluster, kind: &str) -> Vec<String> {
+    let mut all = received(cluster).await;
+    all.retain(|order| order.accepted && order.kind == kind);
+    all.into_iter().map(|order| order.argument).collect()
+}
+
+/// Asks a daemon once for a change of role, without waiting for its outcome.
+pub fn order_role(cluster: &Rc<Cluster>, at: usize, role: &str, id: &str) -> JoinHandle<Told> {
+    let cluster = Rc::clone(cluster);
+    let order = json!({"argument": role, "id": id, "kind": "change_role", "target": ENGINE});
+    monoio::spawn(async move {
+        let address = cluster.daemons[at].admin.to_string();
+        let answered = cluster.post(&address, "/v1/orders", &order).await;
+        let (_, text) = answered.unwrap_or_default();
+        serde_json::from_str(&text).unwrap_or_default()
+    })
+}
+
+/// Repeats an order until it is done.
+pub async fn role_done(cluster: &Rc<Cluster>, at: usize, role: &str, id: &str) {
+    until("done", async || {
+        order_role(cluster, at, role, id).await.outcome == "done"
+    })
+    .await;
+}
+
+/// Waits until a daemon's log says so.
+pub async fn logged(cluster: &Cluster, at: usize, text: &str) {
+    let vm = &cluster.daemons[at].vm;
+    until(text, async || cluster.log(vm).contains(text)).await;
+}
+
+/// The record of the lease in the store.
+pub async fn lease(cluster: &Cluster) -> Record {
+    let path = "/v1/objects/lease/orders/spanish-town/engines";
+    let got = cluster.get(&cluster.platform.address, path).await;
+    let (_, text) = got.unwrap_or_default();
+    serde_json::from_str(&text).unwrap_or_default()
+}
+
+/// Publishes the configuration in force with a change to its engines.
+pub async fn publish(cluster: &Cluster, edit: impl FnOnce(&mut Vec<Target>)) {
+    let store = StoreClient::new(cluster.platform.address.clone());
+    let archive = Archive::new(&store, &MonoioClock, LIMIT);
+    let current = archive.current().await.unwrap().unwrap();
+    let mut document = cluster.document.clone();
+    edit(&mut document.pools[0].targets);
+    let base = Some(current.manifest.identity);
+    cluster.publish(base, document).await.unwrap();
+}
+
+/// Sets how the wire before the engine behaves.
+pub async fn wire(cluster: &Cluster, mode: &str, delay_ms: u64) {
+    let wire = &cluster.target_wires[ENGINE];
+    let control = wire.control.as_ref().unwrap();
+    let fault = json!({"delay_ms": delay_ms, "mode": mode});
+    cluster.post(control, "/control", &fault).await.unwrap();
+}
+
+/// Brings a fault about at the platform.
+pub async fn platform(cluster: &Cluster, fault: Value) {
+    let address = &cluster.platform.address;
+    cluster.post(address, "/control", &fault).await.unwrap();
+}
+
+/// Waits until the engine has been told its state for the first time: the lease is held.
+pub async fn told(cluster: &Cluster) {
+    until("told", async || !received(cluster).await.is_empty()).await;
+}
+
+/// Waits until `check` holds.
+pub async fn until(what: &str, check: impl AsyncFn() -> bool) {
+    let until = Instant::now() + LIMIT;
+    while !check().await {
+        assert!(Instant::now() < until, "{what}: not in time");
+        monoio::time::sleep(POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank-lab/tests/orders/holder_frozen.rs
@@ -0,0 +1,98 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use lilaccrank::document::Fencing;
+use lilaccrank_lab::cluster::Cluster;
+
+use crate::harness;
+
+/// Time for an order to get from the daemon's log onto the wire.
+const SENDING: Duration = Duration::from_millis(500);
+
+/// The first holder's order is on the wire when the holder freezes, and arrives after another
+/// has given one. Then the first thaws.
+async fn late_order(fencing: Fencing) -> Rc<Cluster> {
+    let cluster = Cluster::start(harness::layout(fencing)).await.unwrap();
+    let cluster = Rc::new(cluster);
+    let ranked = harness::ranked(&cluster);
+    harness::told(&cluster).await;
+    harness::wire(&cluster, "slow", harness::IN_FLIGHT_MS).await;
+    let late = harness::order_role(&cluster, ranked[0], "prefill", "first");
+    harness::logged(&cluster, ranked[0], "orders be prefill").await;
+    monoio::time::sleep(SENDING).await;
+    cluster.daemons[ranked[0]].process.freeze().unwrap();
+    harness::wire(&cluster, "open", 0).await;
+    harness::role_done(&cluster, ranked[2], "decode", "second").await;
+    harness::until("the late order arrives", async || {
+        let received = harness::received(&cluster).await;
+        received.iter().any(|order| order.argument == "prefill")
+    })
+    .await;
+    cluster.daemons[ranked[0]].process.thaw().unwrap();
+    harness::logged(&cluster, ranked[0], "order first").await;
+    let told = late.await.outcome;
+    assert!(["", "unknown"].contains(&told.as_str()), "told {told:?}");
+    cluster
+}
+
+// The holder's order "prefill" is on the wire when the holder freezes. Its lease ends, another
+// daemon takes over and gives "decode"; only then the first order arrives. The engine checks the
+// number and refuses it, so it stays as the present holder wants it. When the first holder thaws,
+// it must neither send its order again nor say that it was not carried out.
+#[test]
+fn late_order_to_an_engine_that_checks() {
+    harness::run(async {
+        let cluster = late_order(Fencing::Checked).await;
+        let received = harness::received(&cluster).await;
+        let find = |role| received.iter().find(|order| order.argument == role);
+        let (late, newer) = (find("prefill").unwrap(), find("decode").unwrap());
+        assert!(!late.accepted, "{received:?}");
+        assert!(late.fencing < newer.fencing, "{received:?}");
+        assert_eq!(
+            harness::carried_out(&cluster, "change_role").await,
+            ["decode"]
+        );
+    });
+}
+
+// As before, but the engine ignores numbers and carries out whatever arrives. The new holder waits
+// until the earlier lease has ended for sure and all its orders have arrived, so its own comes
+// last.
+#[test]
+fn late_order_to_an_engine_that_ignores() {
+    harness::run(async {
+        let cluster = late_order(Fencing::Ignored).await;
+        let roles = harness::carried_out(&cluster, "change_role").await;
+        assert_eq!(roles, ["prefill", "decode"]);
+    });
+}
+
+// The holder waits for earlier orders to an engine that ignores numbers, and freezes in that wait.
+// Another takes over and gives "decode". When the first thaws, its wait is over; it must look at
+// its lease again and send nothing.
+#[test]
+fn holder_that_thaws_in_its_wait_sends_nothing() {
+    harness::run(async {
+        let layout = harness::layout(Fencing::Ignored);
+        let cluster = Rc::new(Cluster::start(layout).await.unwrap());
+        let ranked = harness::ranked(&cluster);
+        let holder = cluster.daemons[ranked[0]].vm.clone();
+        let first = harness::order_role(&cluster, ranked[0], "prefill", "first");
+        harness::until("the lease is held", async || {
+            harness::lease(&cluster).await.holder.starts_with(&holder)
+        })
+        .await;
+        cluster.daemons[ranked[0]].process.freeze().unwrap();
+        harness::role_done(&cluster, ranked[2], "decode", "second").await;
+        cluster.daemons[ranked[0]].process.thaw().unwrap();
+        let told = first.await.outcome;
+        assert!(
+            ["", "refused", "unknown"].contains(&told.as_str()),
+            "told {told:?}"
+        );
+        harness::logged(&cluster, ranked[0], "order first").await;
+        monoio::time::sleep(SENDING).await;
+        let roles = harness::carried_out(&cluster, "change_role").await;
+        assert_eq!(roles, ["decode"]);
+    });
+}
--- a/crates/lilaccrank/src/orders.rs
+++ b/crates/lilaccrank/src/orders.rs
@@ -127,6 +127,8 @@
     pub in_flight: Duration,
     /// Longest wait for the answer; no longer than `in_flight`.
     pub timeout: Duration,
+    /// Times an order is sent while no answer comes.
+    pub tries: u32,
 }
 
 impl Default for Settings {
@@ -134,6 +136,7 @@
         Self {
             in_flight: Duration::from_secs(5),
             timeout: Duration::from_secs(3),
+            tries: 2,
         }
     }
 }
@@ -173,30 +176,61 @@
     pub async fn give(&self, target: &Addressee, id: &str, command: Command) -> Result<()> {
         let lane = self.lane(&target.id);
         let mut closed_until = lane.closed_until.lock().await;
-        if let Some(until) = *closed_until {
-            let wait = until.saturating_duration_since(self.clock.now());
-            self.clock.sleep(wait).await;
-        }
+        self.reopen(&mut closed_until).await;
         if target.fencing == Fencing::Ignored {
             self.wait_out_earlier_holder().await?;
         }
-        let guard = self.guards.guard()?;
         let order = Order {
             command,
-            fence: guard.fence,
+            fence: self.guards.guard()?.fence,
             id: id.to_owned(),
         };
+        let mut tries = 0;
+        loop {
+            let outcome = self.send(&target.id, &order, &mut closed_until).await;
+            tries += 1;
+            match outcome {
+                Err(Error::Unknown(_)) if tries < self.cfg.tries => {}
+                // An earlier try may have arrived, whatever became of this one.
+                Err(_) if tries > 1 => return Err(Error::Unknown(target.id.clone())),
+                outcome => return outcome,
+            }
+            self.reopen(&mut closed_until).await;
+            // The lease may have been with another meanwhile, who gave another order. Sent again
+            // under a new number, this one would undo it.
+            let guard = self.guards.guard();
+            if !guard.is_ok_and(|guard| guard.fence == order.fence) {
+                return Err(Error::Unknown(target.id.clone()));
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        target: &TargetId,
+        order: &Order,
+        closed_until: &mut Option<Instant>,
+    ) -> Result<()> {
         // Set before sending, since this future may be dropped at any later point.
         *closed_until = Some(self.clock.now() + self.cfg.in_flight);
-        let call = self.targets.give(&target.id, &order);
+        let call = self.targets.give(target, order);
         let answer = clock::timeout(&self.clock, self.cfg.timeout, call).await;
-        let outcome = answer.unwrap_or_else(|| Err(Error::Unknown(target.id.clone())));
+        let outcome = answer.unwrap_or_else(|| Err(Error::Unknown(target.clone())));
         if !matches!(outcome, Err(Error::Unknown(_))) {
             *closed_until = None;
         }
         outcome
     }
 
+    /// Waits until what was sent without an answer can't arrive any more.
+    async fn reopen(&self, closed_until: &mut Option<Instant>) {
+        if let Some(until) = *closed_until {
+            let wait = until.saturating_duration_since(self.clock.now());
+            self.clock.sleep(wait).await;
+        }
+        *closed_until = None;
+    }
+
     /// The lane of a target. Targets come and go, so a new one drops those that nobody needs.
     fn lane(&self, target: &TargetId) -> Rc<Lane> {
         let mut lanes = self.lanes.borrow_mut();
--- a/crates/lilaccrankd/src/admin/orders.rs
+++ b/crates/lilaccrankd/src/admin/orders.rs
@@ -58,6 +58,7 @@
         id: order.id,
         pool: pool.id.clone(),
         target: order.target,
+        token: None,
     };
     Ok(order_relay::give(daemon, req).await)
 }
--- a/crates/lilaccrankd/src/order_jobs.rs
+++ b/crates/lilaccrankd/src/order_jobs.rs
@@ -23,8 +23,17 @@
 
 struct Job {
     begun: Instant,
-    outcome: Option<OrderOutcome>,
     req: OrderRequest,
+    state: State,
+}
+
+enum State {
+    Ended(OrderOutcome),
+    /// Waits for the token.
+    Offered {
+        token: u64,
+    },
+    Running,
 }
 
 impl Job {
@@ -34,36 +43,50 @@
         if !same {
             return Some(refused("this id was used for another order"));
         }
-        let Some(outcome) = &self.outcome else {
-            return Some(OrderReply::UnderWay);
-        };
-        let stands = *outcome == OrderOutcome::Done || self.req.attempt == req.attempt;
-        stands.then(|| OrderReply::Ended(outcome.clone()))
+        match &self.state {
+            State::Ended(outcome) => {
+                let stands = *outcome == OrderOutcome::Done || self.req.attempt == req.attempt;
+                stands.then(|| OrderReply::Ended(outcome.clone()))
+            }
+            State::Offered { token } => Some(OrderReply::Confirm { token: *token }),
+            State::Running => Some(OrderReply::UnderWay),
+        }
+    }
+
+    fn is_confirmed_by(&self, req: &OrderRequest) -> bool {
+        matches!(self.state, State::Offered { token } if req.token == Some(token))
+            && self.req.attempt == req.attempt
     }
 }
 
-/// Begins an order, or tells what became of it.
+/// Begins an order that is asked for with its token, or tells how it is getting on.
 pub fn answer(daemon: &Rc<Daemon>, req: OrderRequest) -> OrderReply {
-    let jobs = &daemon.order_keeper.jobs.jobs;
-    if let Some(reply) = jobs.borrow().get(&req.id).and_then(|job| job.answer(&req)) {
-        return reply;
+    let mut all = daemon.order_keeper.jobs.jobs.borrow_mut();
+    if let Some(job) = all.get_mut(&req.id) {
+        if job.is_confirmed_by(&req) {
+            job.state = State::Running;
+            monoio::spawn(run(Rc::clone(daemon), req));
+            return OrderReply::UnderWay;
+        }
+        if let Some(reply) = job.answer(&req) {
+            return reply;
+        }
     }
     if daemon.order_keeper.on_duty(&req.pool).is_none() {
         return OrderReply::Declined;
     }
-    let mut all = jobs.borrow_mut();
-    all.retain(|_, job| job.outcome.is_none() || job.begun.elapsed() < KEPT);
+    all.retain(|_, job| matches!(job.state, State::Running) || job.begun.elapsed() < KEPT);
     if all.len() >= LIMIT {
         return refused("too many orders are kept; try again later");
     }
+    let token = rand::random();
     let job = Job {
         begun: Instant::now(),
-        outcome: None,
         req: req.clone(),
+        state: State::Offered { token },
     };
-    all.insert(req.id.clone(), job);
-    monoio::spawn(run(Rc::clone(daemon), req));
-    OrderReply::UnderWay
+    all.insert(req.id, job);
+    OrderReply::Confirm { token }
 }
 
 async fn run(daemon: Rc<Daemon>, req: OrderRequest) {
@@ -77,7 +100,7 @@
     daemon.record(EventKind::Ordered, subject);
     let mut all = daemon.order_keeper.jobs.jobs.borrow_mut();
     if let Some(job) = all.get_mut(&req.id) {
-        job.outcome = Some(outcome);
+        job.state = State::Ended(outcome);
     }
 }
 
--- a/crates/lilaccrankd/src/order_keeper.rs
+++ b/crates/lilaccrankd/src/order_keeper.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 use lilaccrank::document::{Pool, PoolKind, Target};
 use lilaccrank::ids::{Incarnation, PoolId};
+use lilaccrank::request_key::Ranking;
 
 use crate::daemon::{Daemon, PlatformStore};
 use crate::drain_teller;
@@ -69,9 +70,10 @@
     };
     let pools = &in_force.document.pools;
     let keeper = &daemon.order_keeper;
+    let life = daemon.duties.me().incarnation;
     for (pool, pool_orders) in keeper.pools.borrow().iter() {
         if !pools.iter().any(|configured| configured.id == *pool) {
-            pool_orders.set_on_duty(false);
+            pool_orders.set_on_duty(false, life);
         }
     }
     for pool in pools {
@@ -93,7 +95,7 @@
             None => continue,
         };
         pool_orders.set_targets(targets);
-        pool_orders.set_on_duty(on_duty);
+        pool_orders.set_on_duty(on_duty, life);
     }
 }
 
--- a/crates/lilaccrankd/src/order_relay.rs
+++ b/crates/lilaccrankd/src/order_relay.rs
@@ -14,7 +14,7 @@
 const ASK_EVERY: Duration = Duration::from_millis(100);
 
 /// Has an order given, and waits for its end within the time that it may take.
-pub async fn give(daemon: &Rc<Daemon>, req: OrderRequest) -> OrderOutcome {
+pub async fn give(daemon: &Rc<Daemon>, mut req: OrderRequest) -> OrderOutcome {
     let until = Instant::now() + daemon.order_keeper.times.whole_order();
     // The daemon that may have begun it.
     let mut begun: Option<MemberRef> = None;
@@ -27,10 +27,17 @@
                 return ended(&begun, Some(&holder), reason);
             }
             Ok(OrderReply::Ended(outcome)) => return outcome,
-            Ok(OrderReply::UnderWay) | Err(peers::Error::NoAnswer(_)) => {
+            Ok(OrderReply::Confirm { token }) if req.token != Some(token) => {
+                req.token = Some(token);
+                continue;
+            }
+            Ok(OrderReply::UnderWay) => {
+                begun.get_or_insert(holder);
+            }
+            Err(peers::Error::NoAnswer(_)) if req.token.is_some() => {
                 begun.get_or_insert(holder);
             }
-            Ok(OrderReply::Declined) | Err(peers::Error::Unreachable(_)) => {}
+            Ok(OrderReply::Confirm { .. } | OrderReply::Declined) | Err(_) => {}
         }
         if Instant::now() >= until {
             return ended(
--- a/crates/lilaccrankd/src/order_times.rs
+++ b/crates/lilaccrankd/src/order_times.rs
@@ -47,6 +47,7 @@
         orders::Settings {
             in_flight: self.in_flight,
             timeout: ANSWER_LIMIT.min(self.in_flight),
+            ..orders::Settings::default()
         }
     }
 
--- a/crates/lilaccrankd/src/pool_orders.rs
+++ b/crates/lilaccrankd/src/pool_orders.rs
@@ -9,8 +9,8 @@
 use futures::pin_mut;
 use indexmap::IndexMap;
 use lilaccrank::document::Target;
-use lilaccrank::ids::TargetId;
-use lilaccrank::lease::{Guards, Keeper, Lease, Tenure};
+use lilaccrank::ids::{Incarnation, TargetId};
+use lilaccrank::lease::{self, Guards, Keeper, Lease, Tenure};
 use lilaccrank::orders::{Addressee, Command, Error, Orders, Result};
 use lilaccrank_http::monoio_clock::MonoioClock;
 
@@ -23,8 +23,6 @@
 const LINGER: Duration = Duration::from_secs(30);
 /// Time between two looks at a lease that is being taken.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
-/// Times an order is sent to a target that does not answer.
-const TRIES: u32 = 2;
 
 /// Who gives the orders to one pool of one data centre.
 ///
@@ -32,7 +30,10 @@
 /// duty: two candidates of one name would take the lease from each other without waiting.
 pub struct PoolOrders {
     changed: Event,
+    /// Name of the lease.
+    key: String,
     last_wanted: Cell<Instant>,
+    life: Cell<Incarnation>,
     on_duty: Cell<bool>,
     orders: Orders<MonoioClock, Tenure<MonoioClock>, TargetOrders>,
     targets: Rc<RefCell<IndexMap<TargetId, Target>>>,
@@ -63,7 +64,7 @@
 impl PoolOrders {
     /// Starts the task that takes the lease at `key` while it is needed.
     pub fn start(key: String, holder: String, store: PlatformStore, times: OrderTimes) -> Rc<Self> {
-        let lease = Lease::new(times.lease(), key, holder, store, MonoioClock);
+        let lease = Lease::new(times.lease(), &*key, holder, store, MonoioClock);
         let keeper = Keeper::new(lease);
         let tenure = keeper.tenure();
         let targets = Rc::default();
@@ -71,7 +72,9 @@
         let port = TargetOrders::new(Rc::clone(&targets), answer_limit, tenure.clone());
         let pool_orders = Rc::new(Self {
             changed: Event::new(),
+            key,
             last_wanted: Cell::new(Instant::now()),
+            life: Cell::new(0),
             on_duty: Cell::new(false),
             orders: Orders::new(times.orders(), MonoioClock, tenure.clone(), port),
             targets,
@@ -94,9 +97,11 @@
         self.is_on_duty().then(|| self.term.get())
     }
 
-    /// Takes the duty on, or lets it and the lease go.
-    pub fn set_on_duty(&self, on_duty: bool) {
-        if self.on_duty.replace(on_duty) == on_duty {
+    /// Takes the duty on, or lets it and the lease go. `life` is the daemon's present one: who was
+    /// taken for dead and comes back begins a new term, though it never saw another have the duty.
+    pub fn set_on_duty(&self, on_duty: bool, life: Incarnation) {
+        let same_life = self.life.replace(life) == life;
+        if self.on_duty.replace(on_duty) == on_duty && (same_life || !on_duty) {
             return;
         }
         if on_duty {
@@ -141,41 +146,22 @@
             id: target.id.clone(),
         };
         let until = Instant::now() + self.times.wait_for_lease();
-        let mut tries = 0;
+        let term = self.term();
         loop {
-            let outcome = self.try_once(&addressee, id, &command, until).await;
-            match outcome {
-                // The lease changed hands before anything was sent.
-                Err(Error::Lease(_))
-                    if tries == 0 && self.is_on_duty() && Instant::now() < until => {}
-                Err(Error::Unknown(_)) => {
-                    tries += 1;
-                    if tries == TRIES {
-                        return outcome;
-                    }
-                }
-                Ok(()) => return outcome,
-                // An earlier try may have arrived, whatever became of this one.
-                Err(_) if tries > 0 => return Err(Error::Unknown(target.id.clone())),
-                Err(_) => return outcome,
+            while self.tenure.guard().is_err() && term == self.term() && Instant::now() < until {
+                monoio::time::sleep(LOOK_EVERY).await;
             }
-        }
-    }
-
-    async fn try_once(
-        &self,
-        addressee: &Addressee,
-        id: &str,
-        command: &Command,
-        until: Instant,
-    ) -> Result<()> {
-        while let Err(e) = self.tenure.guard() {
-            if !self.is_on_duty() || Instant::now() >= until {
-                return Err(e.into());
+            // In a new term another may have given a later order, which this one would undo.
+            if term.is_none() || term != self.term() || self.tenure.guard().is_err() {
+                return Err(lease::Error::NotHeld(self.key.clone()).into());
+            }
+            let given = self.orders.give(&addressee, id, command.clone()).await;
+            // The lease was lost before anything was sent.
+            let again = matches!(given, Err(Error::Lease(_))) && Instant::now() < until;
+            if !again {
+                return given;
             }
-            monoio::time::sleep(LOOK_EVERY).await;
         }
-        self.orders.give(addressee, id, command.clone()).await
     }
 
     fn want(&self) -> Wanted<'_> {
