--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -107,6 +107,38 @@
     sender: SendRequest<Body>,
 }
 
+impl Connection {
+    /// Makes a new connection, for who has to decide something right before sending.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`] if it can't be made within `limit`.
+    pub async fn open(address: &str, limit: Duration) -> Result<Self> {
+        Ok(Self {
+            address: address.to_owned(),
+            sender: connect(address, limit, None).await?,
+        })
+    }
+
+    /// Sends `req` and waits for the response head.
+    ///
+    /// # Errors
+    ///
+    /// If the connection fails, or stays silent for longer than `head`.
+    pub async fn send(&mut self, req: Request<Body>, head: Duration) -> Result<Response<Incoming>> {
+        let answer = monoio::time::timeout(head, self.sender.send_request(req)).await;
+        let address = || self.address.clone();
+        let answer = answer.map_err(|_| Error::Silent {
+            address: address(),
+            limit: head,
+        })?;
+        answer.map_err(|source| Error::Exchange {
+            address: address(),
+            source,
+        })
+    }
+}
+
 impl Client {
     /// A client whose bytes, requests and responses are counted.
     #[must_use]
@@ -133,36 +165,23 @@
         } else {
             self.take(address)
         };
-        let mut sender = match pooled {
-            Some(sender) => sender,
-            None => connect(address, limits.connect, self.tally.as_ref()).await?,
+        let mut connection = match pooled {
+            Some(sender) => Connection {
+                address: address.to_owned(),
+                sender,
+            },
+            None => Connection {
+                address: address.to_owned(),
+                sender: connect(address, limits.connect, self.tally.as_ref()).await?,
+            },
         };
         if let Some(tally) = &self.tally {
             tally.send_messages(1);
         }
-        let answer = monoio::time::timeout(limits.head, sender.send_request(req)).await;
-        let res = match answer {
-            Err(_) => {
-                return Err(Error::Silent {
-                    address: address.to_owned(),
-                    limit: limits.head,
-                });
-            }
-            Ok(Err(source)) => {
-                return Err(Error::Exchange {
-                    address: address.to_owned(),
-                    source,
-                });
-            }
-            Ok(Ok(res)) => res,
-        };
+        let res = connection.send(req, limits.head).await?;
         if let Some(tally) = &self.tally {
             tally.receive_messages(1);
         }
-        let connection = Connection {
-            address: address.to_owned(),
-            sender,
-        };
         Ok((res, connection))
     }
 
--- a/crates/lilaccrankd/src/admin.rs
+++ b/crates/lilaccrankd/src/admin.rs
@@ -18,6 +18,7 @@
 mod configuration;
 mod error;
 mod exchange;
+mod orders;
 mod publication;
 mod reports;
 
@@ -39,6 +40,7 @@
         (&Method::GET, path) if path.starts_with(attach::PATH) => held_answer(&daemon, &req)
             .await
             .unwrap_or_else(|refusal| refusal.response()),
+        (&Method::POST, orders::PATH) => orders::handle(&daemon, req).await,
         _ => {
             let answered = operator(&daemon, &signals, req).await;
             answered.unwrap_or_else(|e| e.response())
--- a/crates/lilaccrankd/src/peer_message.rs
+++ b/crates/lilaccrankd/src/peer_message.rs
@@ -9,6 +9,8 @@
 use lilaccrank::timeline::Stamp;
 use serde::{Deserialize, Serialize};
 
+use crate::order_message::{OrderReply, OrderRequest};
+
 /// A message with the time at its sender, by which time lines are put in causal order.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Stamped<T> {
@@ -107,6 +109,8 @@
     Key(KeyRequest),
     /// About leaving vms.
     Leaving(LeavingAsk),
+    /// About an order to a target.
+    Order(OrderRequest),
     /// About a pool.
     Pool(PoolRequest),
 }
@@ -124,6 +128,8 @@
     Key(KeyReply),
     /// About leaving vms.
     Leaving(Leaving),
+    /// About an order to a target.
+    Order(OrderReply),
     /// About a pool.
     Pool(PoolReply),
 }
