Bench: policies against the same load and faults, first form

Cause: the dispatch policy has no figures; nothing in the lab compares it with others. Engine logs gain the times at which a prompt was read and a request ended, which the judge replays caches from.

--- a/crates/lilaccrank-lab/src/caller.rs
+++ b/crates/lilaccrank-lab/src/caller.rs
@@ -14,6 +14,7 @@
 use serde_json::{Value, json};
 
 use crate::answer_text;
+use crate::reply;
 
 /// Data of the event that closes a stream.
 const DONE: &str = "[DONE]";
@@ -27,6 +28,8 @@
     pub bearer: String,
     /// Milliseconds for the whole answer.
     pub deadline_ms: Option<u64>,
+    /// Request id, for calls straight to an engine.
+    pub id: Option<String>,
     /// Request key.
     pub key: Option<String>,
     /// Tokens to generate.
@@ -116,6 +119,11 @@
     if let Some(key) = &call.key {
         set(HeaderName::from_static("idempotency-key"), key);
     }
+    if let Some(id) = &call.id {
+        set(HeaderName::from_static(reply::REQUEST_ID), id);
+        let key = call.key.as_deref().unwrap_or(id);
+        set(HeaderName::from_static(reply::REQUEST_KEY), key);
+    }
     if let Some(tier) = &call.tier {
         set(HeaderName::from_static("lilaccrank-tier"), tier);
     }
--- a/crates/lilaccrank-lab/src/cluster.rs
+++ b/crates/lilaccrank-lab/src/cluster.rs
@@ -59,6 +59,8 @@
     pub platform: Process,
     /// Plain services, by target.
     pub services: IndexMap<String, Process>,
+    /// Wires before engines, by target.
+    pub wires: IndexMap<String, Process>,
 }
 
 struct Addresses {
@@ -89,11 +91,19 @@
         let mut engine_targets = Vec::new();
         let mut services = IndexMap::new();
         let mut service_targets = Vec::new();
+        let mut wires = IndexMap::new();
         for data_centre in &layout.data_centres {
             for (i, engine) in data_centre.engines.iter().enumerate() {
                 let process = Process::stand_in(&engine_args(engine, i))?;
                 let id = format!("{}-engine-{i}", data_centre.name);
-                engine_targets.push(target(&id, data_centre, &process, engine.slots));
+                let mut known = target(&id, data_centre, &process, engine.slots);
+                if engine.wired {
+                    let args = ["wire", "--to", &process.address];
+                    let wire = Process::stand_in(&args.map(str::to_owned))?;
+                    known.address = wire.address.clone();
+                    wires.insert(id.clone(), wire);
+                }
+                engine_targets.push(known);
                 engines.insert(id, process);
             }
             for i in 0..data_centre.services {
@@ -113,6 +123,7 @@
             layout,
             platform,
             services,
+            wires,
         };
         cluster.publish_first().await?;
         cluster.start_daemons()?;
@@ -284,6 +295,22 @@
             .await
     }
 
+    /// Sends a request as the operator; status and body.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer.
+    pub async fn send(
+        &self,
+        address: &str,
+        method: hyper::Method,
+        path: &str,
+        text: String,
+    ) -> Result<(u16, String)> {
+        let bearer = Layout::operator_key();
+        self.exchange(&bearer, address, method, path, text).await
+    }
+
     async fn exchange(
         &self,
         bearer: &str,
--- a/crates/lilaccrank-lab/src/engine.rs
+++ b/crates/lilaccrank-lab/src/engine.rs
@@ -2,8 +2,8 @@
 //! prefix cache, late and gappy reports, orders, and faults on request.
 
 mod batch;
-mod cache;
-mod cache_events;
+pub(crate) mod cache;
+pub(crate) mod cache_events;
 mod completion;
 mod load;
 mod log;
--- a/crates/lilaccrank-lab/src/engine/batch.rs
+++ b/crates/lilaccrank-lab/src/engine/batch.rs
@@ -136,6 +136,7 @@
             return;
         }
         self.cache.store(&job.digests, &mut self.cache_events);
+        self.log.prompt_read(&chunk.id);
         self.decode(&chunk.id);
     }
 
--- a/crates/lilaccrank-lab/src/engine/cache_events.rs
+++ b/crates/lilaccrank-lab/src/engine/cache_events.rs
@@ -29,7 +29,7 @@
 }
 
 /// The events of one cache.
-pub(super) struct CacheEvents {
+pub(crate) struct CacheEvents {
     delay: Duration,
     events: VecDeque<CacheEvent>,
     loss: f64,
@@ -38,7 +38,7 @@
 }
 
 impl CacheEvents {
-    pub(super) fn new(delay: Duration, loss: f64, seed: u64) -> Self {
+    pub(crate) fn new(delay: Duration, loss: f64, seed: u64) -> Self {
         Self {
             delay,
             events: VecDeque::new(),
--- a/crates/lilaccrank-lab/src/engine/log.rs
+++ b/crates/lilaccrank-lab/src/engine/log.rs
@@ -27,8 +27,12 @@
     cached_tokens: u32,
     decoded: u32,
     end: Option<End>,
+    /// When it ended.
+    ended_ms: Option<u64>,
     key: Option<RequestKey>,
     model: ModelId,
+    /// When its prompt had been read, and its blocks were stored.
+    prefilled_ms: Option<u64>,
     prefilled_tokens: u32,
     prompt_tokens: u32,
     /// How often it was sent again and refused.
@@ -67,8 +71,10 @@
             cached_tokens: 0,
             decoded: 0,
             end: None,
+            ended_ms: None,
             key,
             model,
+            prefilled_ms: None,
             prefilled_tokens: 0,
             prompt_tokens,
             repeated: 0,
@@ -94,12 +100,19 @@
         self.change(id, |entry| entry.prefilled_tokens += tokens);
     }
 
+    pub(super) fn prompt_read(&mut self, id: &str) {
+        self.change(id, |entry| entry.prefilled_ms = Some(reply::wall_ms()));
+    }
+
     pub(super) fn decoded(&mut self, id: &str) {
         self.change(id, |entry| entry.decoded += 1);
     }
 
     pub(super) fn end(&mut self, id: &str, end: End) {
-        self.change(id, |entry| entry.end = Some(end));
+        self.change(id, |entry| {
+            entry.end = Some(end);
+            entry.ended_ms = Some(reply::wall_ms());
+        });
     }
 
     pub(super) fn entries(&self) -> Vec<Entry> {
--- a/crates/lilaccrank-lab/src/layout.rs
+++ b/crates/lilaccrank-lab/src/layout.rs
@@ -32,6 +32,8 @@
     pub speed: f64,
     /// Milliseconds of one step.
     pub step_ms: f64,
+    /// Whether it is reached over a wire that can be cut or fall silent.
+    pub wired: bool,
 }
 
 impl Default for EngineLayout {
@@ -43,6 +45,7 @@
             slots: 8,
             speed: 1.0,
             step_ms: 6.0,
+            wired: false,
         }
     }
 }
--- a/crates/lilaccrank-lab/src/lib.rs
+++ b/crates/lilaccrank-lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and experiments for lilaccrank. Not shipped: small, and made to fail on request.
 
 pub mod answer_text;
+pub mod bench;
 pub mod caller;
 pub mod cluster;
 pub mod demo;
--- a/crates/lilaccrank-lab/src/main.rs
+++ b/crates/lilaccrank-lab/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use lilaccrank_http::runtime;
-use lilaccrank_lab::{demo, engine, platform, service, stand_in, up, wire};
+use lilaccrank_lab::{bench, demo, engine, platform, service, stand_in, up, wire};
 
 /// Stand-ins, load and experiments for lilaccrank; not shipped.
 #[derive(Parser)]
@@ -17,6 +17,8 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// Policies of dispatch against the same load and faults.
+    Bench(bench::Args),
     /// An hourly burst through a whole cluster, judged by callers and engines.
     Demo(demo::Args),
     /// A model engine with continuous batching.
@@ -33,6 +35,7 @@
 
 fn run(command: Command) -> stand_in::Result<()> {
     match command {
+        Command::Bench(args) => runtime::block_on(bench::run(args))?,
         Command::Demo(args) => runtime::block_on(demo::run(args))?,
         Command::Engine(args) => engine::run(args),
         Command::Platform(args) => platform::run(args),
--- a/crates/lilaccrank-lab/src/process.rs
+++ b/crates/lilaccrank-lab/src/process.rs
@@ -13,12 +13,15 @@
     /// Where it listens, if it said so.
     pub address: String,
     child: Child,
+    /// Where a wire takes control calls.
+    pub control: Option<String>,
     /// Kept open: a stand-in ends when its standard input closes, also if the lab is killed.
     _stdin: Option<ChildStdin>,
 }
 
 #[derive(Deserialize)]
 struct Listening {
+    control: Option<String>,
     listening: String,
 }
 
@@ -59,6 +62,7 @@
         Ok(Self {
             address: listening.listening,
             child,
+            control: listening.control,
             _stdin: stdin,
         })
     }
@@ -84,6 +88,7 @@
         Ok(Self {
             address,
             child,
+            control: None,
             _stdin: None,
         })
     }
