Daemon: the reason of a broken answer reaches its caller

Cause: an answer cut off by its deadline in mid-stream was seen by callers as a broken connection; they repeated it and were told already_run. The server drops what it has not yet written when a body fails, the event with the reason included. Ruled out: the body channel (it hands the event out before the error). Change: 20 ms between the event and the break.

--- a/crates/lilaccrank-lab/src/bench/bound.rs
+++ b/crates/lilaccrank-lab/src/bench/bound.rs
@@ -5,6 +5,8 @@
 //! engines at will. Higher tiers go first, inside a tier the cheapest. A real pool stays below
 //! it. The bound on prefill reads each block that any two prompts share once.
 
+use std::time::Duration;
+
 use indexmap::{IndexMap, IndexSet};
 use lilaccrank::prompt;
 use serde::Serialize;
@@ -22,16 +24,19 @@
 pub struct Bound {
     /// Most good answers, by tier.
     pub good: IndexMap<String, usize>,
-    /// Part of the pool's capacity that the whole load would take.
+    /// Part of the pool's capacity, while the load comes, that the whole load would take.
     pub load: f64,
     /// Fewest prompt tokens that answer everything.
     pub prefill_tokens: u64,
     /// Part of the pool's capacity that the urgent tier alone would take.
     pub urgent_load: f64,
+    /// The same in the second in which most of it comes.
+    pub urgent_peak_load: f64,
 }
 
 /// Seconds of one engine at speed 1 with a full batch.
 struct Cost {
+    at: Duration,
     seconds: f64,
     tier: String,
 }
@@ -46,6 +51,7 @@
                 load,
                 prefill_tokens: 0,
                 urgent_load: 0.0,
+                urgent_peak_load: 0.0,
             };
         };
         let mut read = IndexSet::new();
@@ -58,21 +64,31 @@
             let left = tokens - (known * prompt::BLOCK_TOKENS) as u64;
             prefill_tokens += left.max(1);
             costs.push(Cost {
+                at: planned.at,
                 seconds: cost(engine, left, planned.call.max_tokens),
                 tier: planned.tier.clone(),
             });
         }
         let capacity = capacity(scenario, &layouts, plan);
-        let total = |tier: Option<&str>| {
-            let costs = costs.iter().filter(|c| tier.is_none_or(|t| t == c.tier));
-            costs.map(|c| c.seconds).sum::<f64>()
-        };
-        let (load, urgent_load) = (total(None) / capacity, total(Some(TIERS[0])) / capacity);
+        let total = |costs: &[Cost]| costs.iter().map(|cost| cost.seconds).sum::<f64>();
+        let arriving = costs.last().map_or(0.0, |cost| cost.at.as_secs_f64());
+        let idle: f64 = layouts.iter().map(|layout| 1.0 / layout.speed).sum();
+        let load = total(&costs) / (idle * arriving.max(1.0));
+        let urgent: Vec<&Cost> = costs.iter().filter(|c| c.tier == TIERS[0]).collect();
+        let urgent_load =
+            urgent.iter().map(|c| c.seconds).sum::<f64>() / (idle * arriving.max(1.0));
+        let peaks = urgent.iter().map(|first| {
+            let second = first.at..first.at + Duration::from_secs(1);
+            let within = urgent.iter().filter(|cost| second.contains(&cost.at));
+            within.map(|cost| cost.seconds).sum::<f64>()
+        });
+        let urgent_peak_load = peaks.fold(0.0, f64::max) / idle;
         Self {
             good: fill(&mut costs, capacity),
             load,
             prefill_tokens,
             urgent_load,
+            urgent_peak_load,
         }
     }
 }
--- a/crates/lilaccrank-lab/src/bench/judge.rs
+++ b/crates/lilaccrank-lab/src/bench/judge.rs
@@ -57,15 +57,18 @@
     pub(super) inversions: usize,
     /// Prompt tokens that engines computed.
     pub(super) prefill_tokens: u64,
-    /// Prompt tokens computed while any engine held them, with room or without.
+    /// Prompt tokens of good answers computed while another engine held them.
     pub(super) recomputed_tokens: u64,
+    /// The same, while another engine that held them had a free slot.
+    pub(super) recomputed_with_room_tokens: u64,
     /// Kinds of refusals, by tier.
     pub(super) refusals: IndexMap<String, IndexMap<String, usize>>,
     /// Times to the first token of whole answers, by tier.
     pub(super) ttft: IndexMap<String, Vec<Duration>>,
     /// Verdicts, in the order of the plan.
     pub(super) verdicts: Vec<Verdict>,
-    pub(super) wasted_prefill_tokens: u64,
+    /// Prompt tokens computed for answers that were not received in time.
+    pub(super) useless_tokens: u64,
 }
 
 impl Judge {
@@ -86,10 +89,11 @@
             inversions: inversions(plan, seen, &begun),
             prefill_tokens: 0,
             recomputed_tokens: 0,
+            recomputed_with_room_tokens: 0,
             refusals: IndexMap::new(),
             ttft: IndexMap::new(),
             verdicts: Vec::new(),
-            wasted_prefill_tokens: 0,
+            useless_tokens: 0,
         };
         for (planned, seen) in plan.iter().zip(seen) {
             judge.judge(planned, seen, &begun);
@@ -169,11 +173,12 @@
                         let again = best.unwrap_or(0).saturating_sub(entry.cached_tokens);
                         u64::from(again).min(computed)
                     };
-                    self.recomputed_tokens += held(false);
-                    self.wasted_prefill_tokens += match verdict {
-                        Verdict::Good => held(true),
-                        Verdict::Late | Verdict::Lost | Verdict::Refused => computed,
-                    };
+                    if *verdict == Verdict::Good {
+                        self.recomputed_tokens += held(false);
+                        self.recomputed_with_room_tokens += held(true);
+                    } else {
+                        self.useless_tokens += computed;
+                    }
                     caches[moment.engine].running += 1;
                 }
             }
--- a/crates/lilaccrank-lab/src/bench/report.rs
+++ b/crates/lilaccrank-lab/src/bench/report.rs
@@ -29,15 +29,19 @@
     pub policy: Policy,
     /// Prompt tokens computed.
     pub prefill_tokens: u64,
-    /// Prompt tokens computed while another engine held them, also one without room.
+    /// Prompt tokens of good answers computed while another serving engine held them.
     pub recomputed_prefill_tokens: u64,
+    /// The same, while another serving engine that held them had a free slot.
+    pub recomputed_with_room_prefill_tokens: u64,
     /// Name of the scenario.
     pub scenario: String,
     /// Seed of the load.
     pub seed: u64,
     /// By tier.
     pub tiers: IndexMap<String, TierReport>,
-    /// Prompt tokens computed in vain.
+    /// Prompt tokens computed for answers that were not received in time.
+    pub useless_prefill_tokens: u64,
+    /// Useless and recomputed ones together.
     pub wasted_prefill_tokens: u64,
 }
 
@@ -103,9 +107,11 @@
             prefill_tokens: judge.prefill_tokens,
             recomputed_prefill_tokens: judge.recomputed_tokens,
             scenario: scenario.name.clone(),
+            recomputed_with_room_prefill_tokens: judge.recomputed_with_room_tokens,
             seed,
             tiers,
-            wasted_prefill_tokens: judge.wasted_prefill_tokens,
+            useless_prefill_tokens: judge.useless_tokens,
+            wasted_prefill_tokens: judge.useless_tokens + judge.recomputed_tokens,
         }
     }
 }
--- a/crates/lilaccrankd/src/entry.rs
+++ b/crates/lilaccrankd/src/entry.rs
@@ -116,6 +116,12 @@
     Ok(res)
 }
 
+/// Time between the event that tells why an answer broke off and the break.
+///
+/// The server drops what it has not yet written when a body fails: without a wait the caller
+/// sees the break alone and not its reason. The event needs one turn of the connection's task.
+const FLUSH: Duration = Duration::from_millis(20);
+
 async fn relay(mut reader: Reader, mut tx: BodySender) {
     loop {
         match reader.next().await {
@@ -130,6 +136,7 @@
             Err(refusal) => {
                 let event = format!("event: error\ndata: {}\n\n", refusal.ran(Ran::Maybe).json());
                 let _ = tx.send_data(event.into()).await;
+                monoio::time::sleep(FLUSH).await;
                 tx.abort("the answer broke off".into());
                 return;
             }
