--- a/crates/lilaccrank-lab/src/bench/faults.rs
+++ b/crates/lilaccrank-lab/src/bench/faults.rs
@@ -103,7 +103,7 @@
 
 async fn wire(cluster: &Cluster, engine: usize, mode: &str) -> Result<()> {
     let wire = cluster.engines.get_index(engine);
-    let wire = wire.and_then(|(id, _)| cluster.wires.get(id)?.control.clone());
+    let wire = wire.and_then(|(id, _)| cluster.target_wires.get(id)?.control.clone());
     let address = wire.ok_or_else(|| std::io::Error::other("the engine has no wire"))?;
     control(cluster, &address, &json!({"mode": mode})).await
 }
--- a/crates/lilaccrank-lab/src/bench/scenario.rs
+++ b/crates/lilaccrank-lab/src/bench/scenario.rs
@@ -184,15 +184,9 @@
     #[must_use]
     pub fn engine_layouts(&self) -> Vec<EngineLayout> {
         let groups = self.engines.iter();
-        let mut engines: Vec<EngineLayout> = groups
+        groups
             .flat_map(|group| std::iter::repeat_n(group.engine.clone(), group.count))
-            .collect();
-        for timed in &self.faults {
-            if let Fault::Cut { engine, .. } | Fault::Silence { engine } = timed.fault {
-                engines[engine].wired = true;
-            }
-        }
-        engines
+            .collect()
     }
 
     /// The cluster that it needs, with or without daemons.
@@ -202,6 +196,9 @@
         let mut layout = Layout::one_data_centre(daemons, self.engine_layouts());
         layout.customers.clone_from(&self.customers);
         layout.data_centres[0].services = 0;
+        let on_wire =
+            |timed: &TimedFault| matches!(timed.fault, Fault::Cut { .. } | Fault::Silence { .. });
+        layout.wires.targets = self.faults.iter().any(on_wire);
         layout
     }
 }
--- a/crates/lilaccrank-lab/src/layout.rs
+++ b/crates/lilaccrank-lab/src/layout.rs
@@ -32,8 +32,6 @@
     pub speed: f64,
     /// Milliseconds of one step.
     pub step_ms: f64,
-    /// Whether it is reached over a wire that can be cut or fall silent.
-    pub wired: bool,
 }
 
 impl Default for EngineLayout {
@@ -45,7 +43,6 @@
             slots: 8,
             speed: 1.0,
             step_ms: 6.0,
-            wired: false,
         }
     }
 }
@@ -64,6 +61,16 @@
     pub services: usize,
 }
 
+/// Which connections pass through wires, which can be cut or silenced.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct WireLayout {
+    /// One wire from each data centre's daemons to the platform.
+    pub platform: bool,
+    /// One wire to each target.
+    pub targets: bool,
+}
+
 /// A whole cluster.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -74,6 +81,10 @@
     pub data_centres: Vec<DataCentreLayout>,
     /// Settings of the daemons that differ from their defaults.
     pub settings: IndexMap<String, serde_json::Value>,
+    /// Data centres that requests for models are spilled to, in order.
+    pub spill: Vec<String>,
+    /// What passes through wires.
+    pub wires: WireLayout,
 }
 
 impl Layout {
@@ -92,6 +103,8 @@
                 .map(data_centre)
                 .into(),
             settings: IndexMap::new(),
+            spill: Vec::new(),
+            wires: WireLayout::default(),
         }
     }
 
@@ -141,13 +154,13 @@
                     ..Pool::default()
                 },
             ],
-            rules: rules(),
+            rules: rules(&self.spill),
             tiers: TIERS.map(str::to_owned).into(),
         }
     }
 }
 
-fn rules() -> Vec<Rule> {
+fn rules(spill: &[String]) -> Vec<Rule> {
     let send = |id: &str, when: When, pool: &str| Rule {
         id: id.to_owned(),
         then: Then {
@@ -164,10 +177,9 @@
         path: Some("/jobs".to_owned()),
         ..When::default()
     };
-    vec![
-        send("models", models, ENGINES),
-        send("jobs", jobs, SERVICES),
-    ]
+    let mut models = send("models", models, ENGINES);
+    models.then.spill = spill.to_vec();
+    vec![models, send("jobs", jobs, SERVICES)]
 }
 
 fn customer(id: &str) -> Customer {
--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -170,6 +170,12 @@
         self.state.borrow().status(self.clock.now())
     }
 
+    /// Asks without a verdict.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.state.borrow().queue.len()
+    }
+
     /// Checks deadlines, handover and silent targets, for ever.
     pub async fn run(&self) {
         loop {
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -1,5 +1,7 @@
 //! Tests of the library, in one crate; a folder beside this file holds them by subject.
 
+#[path = "suite/circuit.rs"]
+mod circuit;
 #[path = "suite/cluster.rs"]
 mod cluster;
 #[path = "suite/configuration_model.rs"]
@@ -24,6 +26,8 @@
 mod error_kind;
 #[path = "suite/fake_store.rs"]
 mod fake_store;
+#[path = "suite/guarded_store.rs"]
+mod guarded_store;
 #[path = "suite/lease.rs"]
 mod lease;
 #[path = "suite/membership.rs"]
@@ -38,6 +42,8 @@
 mod rendezvous;
 #[path = "suite/request_key.rs"]
 mod request_key;
+#[path = "suite/retry_budget.rs"]
+mod retry_budget;
 #[path = "suite/rules_check.rs"]
 mod rules_check;
 #[path = "suite/rules_difference.rs"]
