Dispatch: a gap in cache events drops what it can hide, not all that is believed

Cause: engines lose one cache event in twenty, and a prompt of 3,000 tokens makes 46 events: nearly every reading of the events had a gap, and each gap dropped all that was believed of the engine. Prompts were read again although an engine held them. Ruled out: the choice itself; with the belief kept it goes to holders. Change: a gap drops as many of the least recently used blocks as the lost batches can have told of (the largest batch seen, for each).

--- a/crates/lilaccrank/src/dispatch/affinity.rs
+++ b/crates/lilaccrank/src/dispatch/affinity.rs
@@ -1,8 +1,9 @@
 //! Which target probably holds which prefix in its cache.
 //!
 //! Our own dispatch history is believed at once; cache events come late and correct it. An event
-//! that is missing may be an eviction: a gap drops all that was believed of the target, since a
-//! wrong belief sends long prompts to a target that has to read them again.
+//! that is missing may be an eviction: a gap drops as many of the least recently used blocks as it
+//! can hide, since a wrong belief sends long prompts to a target that has to read them again, and
+//! so does a forgotten one.
 
 use std::collections::BTreeMap;
 
@@ -24,6 +25,8 @@
 #[derive(Debug, Default)]
 struct Belief {
     by_use: BTreeMap<u64, u64>,
+    /// Events in the largest batch so far: what a lost batch can have held.
+    largest_batch: usize,
     sequence: Option<u64>,
     stamps: IndexMap<u64, u64>,
     target: TargetId,
@@ -70,9 +73,11 @@
             return;
         }
         belief.sequence = Some(sequence);
-        if last.is_some_and(|last| sequence != last + 1) {
-            self.clear(number);
-        }
+        belief.largest_batch = belief.largest_batch.max(events.len());
+        let missing = last.map_or(0, |last| sequence - last - 1);
+        let missing = usize::try_from(missing).unwrap_or(usize::MAX);
+        let hidden = missing.saturating_mul(belief.largest_batch);
+        self.drop_oldest(number, hidden);
         for event in events {
             match event {
                 CacheEvent::Cleared => self.clear(number),
@@ -193,6 +198,17 @@
         }
     }
 
+    /// Drops the least recently used blocks, the first that an engine evicts.
+    fn drop_oldest(&mut self, number: Number, count: usize) {
+        let belief = self.beliefs.get(&number);
+        let oldest: Vec<u64> = belief.map_or(Vec::new(), |belief| {
+            belief.by_use.values().take(count).copied().collect()
+        });
+        for digest in oldest {
+            self.drop_block(number, digest);
+        }
+    }
+
     fn clear(&mut self, number: Number) {
         let belief = self.beliefs.get(&number);
         let held: Vec<u64> = belief.map_or(Vec::new(), |b| b.stamps.keys().copied().collect());
