--- a/crates/lilaccrank-lab/src/cluster.rs
+++ b/crates/lilaccrank-lab/src/cluster.rs
@@ -337,6 +337,22 @@
             .await
     }
 
+    /// Sends a request as the operator; status and body.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer.
+    pub async fn send(
+        &self,
+        address: &str,
+        method: hyper::Method,
+        path: &str,
+        text: String,
+    ) -> Result<(u16, String)> {
+        let bearer = Layout::operator_key();
+        self.exchange(&bearer, address, method, path, text).await
+    }
+
     async fn exchange(
         &self,
         bearer: &str,
