--- a/crates/lilaccrank-lab/src/scale/in_force.rs
+++ b/crates/lilaccrank-lab/src/scale/in_force.rs
@@ -28,7 +28,7 @@
 #[derive(Serialize)]
 pub(super) struct Spread {
     /// Bytes of control per daemon and publication, over what an idle daemon spends.
-    bytes_each: f64,
+    bytes_each: Values,
     count: usize,
     /// From the operator's call to in force on the last daemon.
     everywhere_ms_max: u64,
@@ -74,7 +74,10 @@
     let each = |rate: f64| rate * elapsed.as_secs_f64() / count as f64;
     let processor = cost.processor_percent.mean - idle.processor_percent.mean;
     Ok(Some(Spread {
-        bytes_each: each(cost.bytes_per_s.mean - idle.bytes_per_s.mean),
+        bytes_each: Values {
+            max: each(cost.bytes_per_s.max - idle.bytes_per_s.mean),
+            mean: each(cost.bytes_per_s.mean - idle.bytes_per_s.mean),
+        },
         count,
         everywhere_ms_max: histogram.max(),
         everywhere_ms_p50: histogram.value_at_quantile(0.5),
