A refusal of the platform is no list of vms

Cause: StoreClient::read gave the body of any answer as the resource. In an outage the empty body of the 503 only failed later, as JSON that can't be read; a refusal with a list in its body would have read as "nothing is leaving" and given leaving targets new work.

Ruled out: checking at each caller, since every resource beside the objects has the same need.

Change: read checks the status like all other calls.

Before and after: target_on_a_leaving_vm passes either way, since the stand-in's 503 has no body. With "a list that can't be had means nothing is leaving" put in on a scratch change, the test passes before this change (the error was never reached) and fails after it, as it should.

Conclusion: a small fault found while switching that safeguard off.

--- a/crates/lilaccrank-http/src/store_client.rs
+++ b/crates/lilaccrank-http/src/store_client.rs
@@ -50,7 +50,9 @@
     /// As for [`Store::get`].
     pub async fn read(&self, path: &str) -> store::Result<Bytes> {
         let req = request(Method::GET, path.to_owned(), Expect::Any, Bytes::new());
-        let (_, bytes) = self.exchange(req, HEAD_TIMEOUT).await?;
+        let (res, bytes) = self.exchange(req, HEAD_TIMEOUT).await?;
+        // The body of a refusal could pass for a list of nothing.
+        written(&res)?;
         Ok(bytes)
     }
 
