Failure tests on real processes: dispatchers, configuration, leaving, engines, bad input

Cause: these promises were held by models, fakes and paused clocks; no real daemon was frozen, killed or cut off with work in it and judged by the engines' logs.

Ruled out: judging a leaving target by what the dispatcher says; its status only tells when to start looking, the target's log decides. Light offers of work for those tests: with the drain switched off they passed, as the dispatcher kept to the other engine; the offers now fill it.

The platform stand-in can lose the answers to writes of some keys only, since an answer lost anywhere else is made good by a retry.

--- a/crates/lilaccrank-lab/src/cluster.rs
+++ b/crates/lilaccrank-lab/src/cluster.rs
@@ -52,6 +52,8 @@
     pub document: Document,
     /// Engines, by target.
     pub engines: IndexMap<String, Process>,
+    /// Identity of the configuration that was published first.
+    pub first: Identity,
     folder: TempDir,
     /// What it was built from.
     pub layout: Layout,
@@ -137,11 +139,13 @@
         }
         let mut document = layout.document(engine_targets, service_targets);
         edit(&mut document);
+        let first = publish_at(&platform.address, None, document.clone()).await?;
         let mut cluster = Self {
             client: Client::default(),
             daemons: Vec::new(),
             document,
             engines,
+            first,
             folder,
             layout,
             platform,
@@ -149,33 +153,18 @@
             services,
             target_wires,
         };
-        cluster.publish_first().await?;
         cluster.start_daemons()?;
         cluster.ready().await?;
         Ok(cluster)
     }
 
-    async fn publish_first(&self) -> Result<()> {
-        self.publish(None, self.document.clone()).await.map(|_| ())
-    }
-
     /// Publishes a document over the configuration `base`.
     ///
     /// # Errors
     ///
     /// If it is not accepted.
     pub async fn publish(&self, base: Option<Identity>, document: Document) -> Result<Identity> {
-        let store = StoreClient::new(self.platform.address.clone());
-        let adoption = Adoption::new();
-        let publication = Publication {
-            author: "lab".to_owned(),
-            base,
-            document,
-            id: format!("{:016x}", rand::random::<u64>()),
-        };
-        let published =
-            publish::publish(&store, &MonoioClock, &adoption, &publication, PUBLISH_LIMIT);
-        published.await.map_err(std::io::Error::other)
+        publish_at(&self.platform.address, base, document).await
     }
 
     fn start_daemons(&mut self) -> Result<()> {
@@ -379,6 +368,23 @@
     }
 }
 
+async fn publish_at(
+    platform: &str,
+    base: Option<Identity>,
+    document: Document,
+) -> Result<Identity> {
+    let store = StoreClient::new(platform.to_owned());
+    let adoption = Adoption::new();
+    let publication = Publication {
+        author: "lab".to_owned(),
+        base,
+        document,
+        id: format!("{:016x}", rand::random::<u64>()),
+    };
+    let published = publish::publish(&store, &MonoioClock, &adoption, &publication, PUBLISH_LIMIT);
+    published.await.map_err(std::io::Error::other)
+}
+
 fn wire_to(address: &str) -> Result<Process> {
     Process::stand_in(&["wire".to_owned(), "--to".to_owned(), address.to_owned()])
 }
--- a/crates/lilaccrank-lab/src/platform.rs
+++ b/crates/lilaccrank-lab/src/platform.rs
@@ -53,6 +53,8 @@
 #[serde(default, deny_unknown_fields)]
 struct Control {
     lose_answers: Option<u32>,
+    /// Only answers to writes of keys that begin with this are lost.
+    lose_answers_of: String,
     outage_ms: Option<u64>,
     restore: bool,
     slow_ms: Option<u64>,
@@ -63,6 +65,7 @@
     changed: Notify,
     counters: RefCell<Counters>,
     lose_answers: Cell<u32>,
+    lose_answers_of: RefCell<String>,
     objects: RefCell<Objects>,
     outage_until: Cell<Option<Instant>>,
     reads: RefCell<Bucket>,
@@ -91,6 +94,7 @@
             changed: Notify::default(),
             counters: RefCell::default(),
             lose_answers: Cell::default(),
+            lose_answers_of: RefCell::default(),
             objects: RefCell::default(),
             outage_until: Cell::default(),
             reads: RefCell::new(Bucket::new(args.reads_per_s)),
@@ -185,7 +189,7 @@
         }
         self.changed.notify();
         let lose = self.lose_answers.get();
-        if lose > 0 {
+        if lose > 0 && key.starts_with(self.lose_answers_of.borrow().as_str()) {
             self.lose_answers.set(lose - 1);
             self.counters.borrow_mut().answers_lost += 1;
             return reply::hang_up();
@@ -240,6 +244,7 @@
         };
         if let Some(n) = control.lose_answers {
             self.lose_answers.set(n);
+            self.lose_answers_of.replace(control.lose_answers_of);
         }
         if let Some(ms) = control.outage_ms {
             let until = Instant::now() + Duration::from_millis(ms);
--- a/crates/lilaccrank-lab/tests/faults.rs
+++ b/crates/lilaccrank-lab/tests/faults.rs
@@ -1,9 +1,19 @@
 //! Failures of real processes, judged by callers and by the targets' own logs; a folder beside
 //! this file holds them by subject.
 
-#[path = "faults/entry_killed.rs"]
-mod entry_killed;
+#[path = "faults/bad_input.rs"]
+mod bad_input;
+#[path = "faults/configuration.rs"]
+mod configuration;
+#[path = "faults/dispatcher.rs"]
+mod dispatcher;
+#[path = "faults/engines.rs"]
+mod engines;
+#[path = "faults/entries.rs"]
+mod entries;
 #[path = "faults/harness.rs"]
 mod harness;
+#[path = "faults/leaving.rs"]
+mod leaving;
 #[path = "faults/request_keys.rs"]
 mod request_keys;
--- /dev/null
+++ b/crates/lilaccrank-lab/tests/faults/engines.rs
@@ -0,0 +1,213 @@
+use std::time::{Duration, Instant};
+
+use futures::future::{self, Either};
+use futures::pin_mut;
+use lilaccrank_lab::caller::{self, Call, Outcome};
+use lilaccrank_lab::cluster::Cluster;
+use lilaccrank_lab::layout::{Layout, WireLayout};
+use serde_json::{Value, json};
+
+use crate::harness;
+
+/// The only engine, or the first one.
+const ENGINE: &str = "spanish-town-engine-0";
+/// Sooner than an engine gives up by itself an answer that nobody reads.
+const CANCELLED_WITHIN: Duration = Duration::from_secs(1);
+
+/// One engine, and daemons that wait only briefly for tokens.
+fn layout(engines: usize) -> Layout {
+    let mut layout = harness::layout(2, vec![harness::engine(4); engines]);
+    layout
+        .settings
+        .insert("between_tokens_ms".to_owned(), json!(300));
+    layout
+        .settings
+        .insert("first_token_ms".to_owned(), json!(700));
+    layout
+}
+
+async fn control(cluster: &Cluster, control: Value) {
+    harness::control(cluster, &cluster.engines[ENGINE].address, control).await;
+}
+
+/// Asserts that the caller was shown a broken answer as broken.
+fn assert_broken(outcome: &Outcome) {
+    let shown = match outcome {
+        Outcome::Broken(why) => {
+            why.contains(r#""kind":"broken_answer""#) && why.contains(r#""ran":"maybe""#)
+        }
+        Outcome::Refused { kind, ran, .. } => kind == "broken_answer" && ran == "maybe",
+        _ => false,
+    };
+    assert!(shown, "{outcome:?}");
+}
+
+// The connection to the engine falls silent in the middle of an answer: it stays open and nothing
+// comes. The daemon misses the next token and takes the stream up where it stopped, on a new
+// connection. The caller reads the whole answer, and the engine began it once.
+#[test]
+fn connection_silent_mid_stream() {
+    harness::run(async {
+        let mut layout = layout(1);
+        layout.wires = WireLayout {
+            targets: true,
+            ..WireLayout::default()
+        };
+        let cluster = Cluster::start(layout).await.unwrap();
+        let call = harness::send(&cluster, 0, harness::once("silent", 60));
+        harness::running(&cluster, "silent").await;
+        let wire = cluster.target_wires[ENGINE].control.clone().unwrap();
+        harness::control(&cluster, &wire, json!({"mode": "silent"})).await;
+        harness::assert_whole(&call.await);
+        assert_eq!(harness::runs(&cluster, "silent").await.len(), 1);
+    });
+}
+
+// The engine breaks its connection off after some tokens, once. The daemon takes the stream up
+// again; the caller sees nothing of it.
+#[test]
+fn connection_broken_off() {
+    harness::run(async {
+        let cluster = Cluster::start(layout(1)).await.unwrap();
+        control(&cluster, json!({"break_after": 5})).await;
+        let call = harness::send(&cluster, 0, harness::once("broken", 30));
+        harness::assert_whole(&call.await);
+        assert_eq!(harness::runs(&cluster, "broken").await.len(), 1);
+    });
+}
+
+fn killed(stream: bool) {
+    harness::run(async {
+        let mut cluster = Cluster::start(layout(1)).await.unwrap();
+        let call = Call {
+            stream,
+            ..harness::keyed("killed", 300)
+        };
+        let call = harness::send(&cluster, 0, call);
+        harness::running(&cluster, "killed").await;
+        cluster.engines[ENGINE].kill();
+        assert_broken(&call.await);
+    });
+}
+
+// The engine dies in the middle of its answer. The caller that reads events has part of it; the
+// stream ends in an error that says so and that it ran, and never looks whole.
+#[test]
+fn engine_killed_mid_stream() {
+    killed(true);
+}
+
+// The same for a caller that waits for the whole answer: it gets a refusal in its place.
+#[test]
+fn engine_killed_before_a_whole_answer() {
+    killed(false);
+}
+
+fn nonsense(stream: bool) {
+    harness::run(async {
+        let cluster = Cluster::start(layout(1)).await.unwrap();
+        control(&cluster, json!({"nonsense": true})).await;
+        let call = Call {
+            stream,
+            ..harness::keyed("nonsense", 10)
+        };
+        assert_broken(&harness::send(&cluster, 0, call).await);
+        assert_eq!(harness::runs(&cluster, "nonsense").await.len(), 1);
+        control(&cluster, json!({"nonsense": false})).await;
+    });
+}
+
+// The engine sends events that are none. The caller that reads events is told that the answer is
+// broken; the request is not sent again, since it ran.
+#[test]
+fn nonsense_in_a_stream() {
+    nonsense(true);
+}
+
+// The same for a caller that waits for the whole answer.
+#[test]
+fn nonsense_in_a_whole_answer() {
+    nonsense(false);
+}
+
+// One of two engines takes requests and answers nothing. Who was sent there is told that it may
+// have run; the dispatcher finds the engine silent, and whoever comes next is answered by the
+// other one.
+#[test]
+fn engine_hangs() {
+    harness::run(async {
+        let cluster = Cluster::start(layout(2)).await.unwrap();
+        control(&cluster, json!({"hang": true})).await;
+        let first: Vec<_> = (0..4)
+            .map(|n| harness::send(&cluster, 0, harness::keyed(&format!("first-{n}"), 5)))
+            .collect();
+        let dispatcher = harness::dispatcher(&cluster);
+        harness::until("found silent", async || {
+            let status = harness::status(&cluster, dispatcher).await;
+            let targets = status["pools"]["engines"]["targets"].as_array();
+            let hung = |t: &Value| t["id"] == ENGINE && t["health"] == "hung";
+            targets.into_iter().flatten().any(hung)
+        })
+        .await;
+        let next = (0..8).map(|n| harness::keyed(&format!("next-{n}"), 5));
+        let next: Vec<_> = next.map(|call| harness::send(&cluster, 1, call)).collect();
+        let (first, next) = future::join(future::join_all(first), future::join_all(next)).await;
+        let stuck = cluster.begun(&cluster.engines[ENGINE].address);
+        let stuck = stuck.await.unwrap().len();
+        assert!(stuck > 0, "nothing was sent to the hung engine");
+        let told = first.iter().chain(&next).filter(|o| !is_whole(o));
+        told.clone().for_each(harness::assert_maybe);
+        assert_eq!(told.count(), stuck, "{first:?} {next:?}");
+        // The dispatcher may have tried the engine again with one of them.
+        let whole = next.iter().filter(|o| is_whole(o)).count();
+        assert!(whole + 1 >= next.len(), "{next:?}");
+    });
+}
+
+fn is_whole(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Whole { .. })
+}
+
+/// A caller that goes away, and what the engine says of its request a moment later.
+fn disconnected(stream: bool) {
+    harness::run(async {
+        let cluster = Cluster::start(layout(1)).await.unwrap();
+        let call = Call {
+            key: None,
+            stream,
+            ..harness::keyed("gone", 500)
+        };
+        let address = cluster.daemons[0].callers.to_string();
+        {
+            let reading = caller::call(&cluster.client, &address, &call);
+            let begun = harness::until("mid-stream", async || {
+                let runs = harness::begun(&cluster).await;
+                runs.iter().any(|run| run["decoded"].as_u64() > Some(3))
+            });
+            pin_mut!(reading, begun);
+            if let Either::Left((outcome, _)) = future::select(reading, begun).await {
+                panic!("{outcome:?}");
+            }
+        }
+        let gone = Instant::now();
+        harness::until("cancelled", async || {
+            let runs = harness::begun(&cluster).await;
+            runs.iter().all(|run| run["end"] == "cancelled")
+        })
+        .await;
+        assert!(gone.elapsed() < CANCELLED_WITHIN, "{:?}", gone.elapsed());
+    });
+}
+
+// A caller goes away in the middle of its stream. The daemon cancels the request at the engine at
+// once, not when the engine notices by itself that nobody reads.
+#[test]
+fn caller_leaves_a_stream() {
+    disconnected(true);
+}
+
+// The same for a caller that waits for the whole answer.
+#[test]
+fn caller_leaves_before_a_whole_answer() {
+    disconnected(false);
+}
--- a/crates/lilaccrank-lab/tests/faults/entry_killed.rs
+++ b/crates/lilaccrank-lab/tests/faults/entries.rs
@@ -61,3 +61,37 @@
         assert_eq!(harness::runs(&cluster, &key).await.len(), 1);
     });
 }
+
+// The daemon freezes while the caller's request waits, so long that the others take it for dead;
+// the caller's repeat at another daemon takes over the claim. The frozen daemon thaws and still
+// believes in its claim. Its mark fails at the keeper before it sends anything; one run.
+#[test]
+fn frozen_while_waiting() {
+    harness::run(async {
+        let cluster = Cluster::start(layout()).await.unwrap();
+        let (key, ranked) = harness::key_apart(&cluster);
+        let (entry, other) = (ranked[2], ranked[3]);
+        let busy = harness::send(&cluster, other, harness::keyed("busy", 350));
+        harness::running(&cluster, "busy").await;
+        let call = harness::keyed(&key, 5);
+        let first = harness::send(&cluster, entry, call.clone());
+        harness::until("waiting", async || {
+            harness::waiting(&cluster, other).await == 1
+        })
+        .await;
+        cluster.daemons[entry].process.freeze().unwrap();
+        for by in [ranked[0], ranked[1], other] {
+            harness::forgotten(&cluster, by, entry).await;
+        }
+        let repeat = harness::send(&cluster, other, call);
+        harness::until("waiting again", async || {
+            harness::waiting(&cluster, other).await == 1
+        })
+        .await;
+        cluster.daemons[entry].process.thaw().unwrap();
+        harness::assert_whole(&repeat.await);
+        harness::assert_maybe(&first.await);
+        harness::assert_whole(&busy.await);
+        assert_eq!(harness::runs(&cluster, &key).await.len(), 1);
+    });
+}
--- a/crates/lilaccrank-lab/tests/faults/harness.rs
+++ b/crates/lilaccrank-lab/tests/faults/harness.rs
@@ -6,6 +6,7 @@
 use lilaccrank::ids::VmId;
 use lilaccrank::rendezvous;
 use lilaccrank::request_key::KeyId;
+use lilaccrank_http::client::Client;
 use lilaccrank_http::runtime;
 use lilaccrank_lab::caller::{self, Call, Outcome};
 use lilaccrank_lab::cluster::Cluster;
@@ -78,7 +79,14 @@
         cluster.client.clone(),
         cluster.daemons[at].callers.to_string(),
     );
-    monoio::spawn(async move { caller::call(&client, &address, &call).await })
+    monoio::spawn(async move { answer(&client, &address, &call).await })
+}
+
+/// Sends a call and waits for its outcome; a caller without any answer counts as lost.
+pub async fn answer(client: &Client, address: &str, call: &Call) -> Outcome {
+    let calling = monoio::time::timeout(LIMIT, caller::call(client, address, call));
+    let outcome = calling.await;
+    outcome.unwrap_or_else(|_| Outcome::Lost("no answer in time".to_owned()))
 }
 
 /// Sends a call again until it is answered or refused for good.
@@ -100,6 +108,12 @@
     }
 }
 
+/// Tells a stand-in how to behave from now on.
+pub async fn control(cluster: &Cluster, address: &str, control: Value) {
+    let (status, text) = cluster.post(address, "/control", &control).await.unwrap();
+    assert_eq!(status, 200, "{text}");
+}
+
 /// Waits until `check` holds.
 pub async fn until(what: &str, check: impl AsyncFn() -> bool) {
     let until = Instant::now() + LIMIT;
--- /dev/null
+++ b/crates/lilaccrank-lab/tests/faults/leaving.rs
@@ -0,0 +1,194 @@
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use futures::future;
+use lilaccrank::document::TargetState;
+use lilaccrank_lab::caller::Outcome;
+use lilaccrank_lab::cluster::Cluster;
+use serde_json::{Value, json};
+
+use crate::harness;
+
+/// Time after which a leaving target gets nothing new.
+const LEFT_AFTER: Duration = Duration::from_secs(3);
+/// Age of the platform's list of vms.
+const LIST_LAG: Duration = Duration::from_secs(1);
+/// Time for which work is offered after a target has to be left alone.
+const OFFERED: Duration = Duration::from_secs(1);
+/// Time in which a request that was granted reaches its target.
+const ON_ITS_WAY: Duration = Duration::from_millis(200);
+/// Time between two requests offered.
+const OFFER_EVERY: Duration = Duration::from_millis(50);
+/// Length of the answers to them. At this rate they fill one engine, so that the other one gets
+/// some if it may.
+const OFFERED_TOKENS: usize = 20;
+/// The target that leaves.
+const LEAVING: &str = "spanish-town-engine-0";
+
+/// SIGTERM to the dispatcher of the pool or to another daemon, with one request streaming and
+/// one waiting.
+fn terminated(dispatches: bool) {
+    harness::run(async {
+        let layout = harness::layout(3, vec![harness::engine(1)]);
+        let mut cluster = Cluster::start(layout).await.unwrap();
+        let dispatcher = harness::dispatcher(&cluster);
+        let at = (0..3).find(|at| (*at == dispatcher) == dispatches).unwrap();
+        let streaming = harness::send(&cluster, at, harness::keyed("streaming", 100));
+        harness::running(&cluster, "streaming").await;
+        let waiting = harness::send(&cluster, at, harness::keyed("waiting", 20));
+        harness::until("waiting", async || {
+            harness::waiting(&cluster, dispatcher).await == 1
+        })
+        .await;
+        cluster.daemons[at].process.terminate().unwrap();
+        let admin = cluster.daemons[at].admin.to_string();
+        harness::until("out of the balancer", async || {
+            matches!(cluster.get(&admin, "/readyz").await, Ok((503, _)))
+        })
+        .await;
+        let refused = harness::send(&cluster, at, harness::keyed("new", 5)).await;
+        let Outcome::Refused { kind, ran, .. } = &refused else {
+            panic!("{refused:?}");
+        };
+        assert_eq!([kind, ran], ["leaving", "no"]);
+        harness::assert_whole(&streaming.await);
+        harness::assert_whole(&waiting.await);
+        let until = Instant::now() + harness::LIMIT;
+        let status = loop {
+            if let Some(status) = cluster.daemons[at].process.ended() {
+                break status;
+            }
+            assert!(Instant::now() < until, "the daemon does not end");
+            monoio::time::sleep(Duration::from_millis(20)).await;
+        };
+        assert!(status.success(), "{status}");
+        for (key, times) in [("streaming", 1), ("waiting", 1), ("new", 0)] {
+            assert_eq!(harness::runs(&cluster, key).await.len(), times, "{key}");
+        }
+    });
+}
+
+// A daemon is told to end while one caller reads its stream and another waits for a busy engine.
+// It leaves the balancer's readiness first, still answers who comes all the same with a truthful
+// refusal, lets both callers have their whole answers, and ends well.
+#[test]
+fn entry_terminated() {
+    terminated(false);
+}
+
+// The same with the daemon that dispatches for the pool: its duty moves to another one while its
+// own callers still wait and read.
+#[test]
+fn dispatcher_terminated() {
+    terminated(true);
+}
+
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    u64::try_from(since.as_millis()).unwrap()
+}
+
+/// Offers work through all daemons for `time`; all of it has to be answered.
+async fn offer(cluster: &Cluster, name: &str, time: Duration) {
+    let until = Instant::now() + time;
+    let mut sent = Vec::new();
+    while Instant::now() < until {
+        let n = sent.len();
+        let call = harness::keyed(&format!("{name}-{n}"), OFFERED_TOKENS);
+        sent.push(harness::send(cluster, n % cluster.daemons.len(), call));
+        monoio::time::sleep(OFFER_EVERY).await;
+    }
+    for outcome in future::join_all(sent).await {
+        harness::assert_whole(&outcome);
+    }
+}
+
+/// When the leaving target began its requests.
+async fn begun_ms(cluster: &Cluster) -> Vec<u64> {
+    let address = &cluster.engines[LEAVING].address;
+    let log: Vec<Value> = cluster.begun(address).await.unwrap();
+    log.iter().filter_map(|run| run["at_ms"].as_u64()).collect()
+}
+
+async fn two_engines() -> Cluster {
+    let layout = harness::layout(2, vec![harness::engine(4); 2]);
+    let cluster = Cluster::start(layout).await.unwrap();
+    offer(&cluster, "before", Duration::from_millis(400)).await;
+    assert!(!begun_ms(&cluster).await.is_empty(), "nothing went there");
+    cluster
+}
+
+/// Waits until the dispatcher says that it leaves the target alone, but no longer than for
+/// `limit`; the wall clock then, with time for what is on its way. The target's log is the judge.
+async fn left(cluster: &Cluster, limit: Duration) -> u64 {
+    let until = Instant::now() + limit;
+    let dispatcher = harness::dispatcher(cluster);
+    while Instant::now() < until {
+        let status = harness::status(cluster, dispatcher).await;
+        let targets = status["pools"]["engines"]["targets"].as_array();
+        let mut live = targets.into_iter().flatten().filter(|t| t["live"] == true);
+        if targets.is_some() && live.all(|t| t["id"] != LEAVING) {
+            break;
+        }
+        monoio::time::sleep(OFFER_EVERY).await;
+    }
+    monoio::time::sleep(ON_ITS_WAY).await;
+    wall_ms()
+}
+
+async fn assert_left_alone_since(cluster: &Cluster, left: u64) {
+    let begun = begun_ms(cluster).await;
+    let late: Vec<_> = begun.iter().filter(|at| **at > left).collect();
+    assert!(late.is_empty(), "begun after {left}: {late:?}");
+}
+
+// An operator marks a target as draining while long answers stream from it. Three seconds later
+// at the latest all new requests go to the other target, although it is full; no caller notices,
+// and the long answers are read to their end.
+#[test]
+fn target_drained_by_the_document() {
+    harness::run(async {
+        let cluster = two_engines().await;
+        let long = [0, 1, 2].map(|n| {
+            let call = harness::keyed(&format!("long-{n}"), 250);
+            harness::send(&cluster, n % 2, call)
+        });
+        for n in 0..long.len() {
+            harness::running(&cluster, &format!("long-{n}")).await;
+        }
+        let mut document = cluster.document.clone();
+        let targets = &mut document.pools[0].targets;
+        let target = targets.iter_mut().find(|target| target.id == LEAVING);
+        target.unwrap().state = TargetState::Draining;
+        let published = cluster.publish(Some(cluster.first.clone()), document);
+        published.await.unwrap();
+        let left = left(&cluster, LEFT_AFTER).await;
+        offer(&cluster, "after", OFFERED).await;
+        assert_left_alone_since(&cluster, left).await;
+        for outcome in future::join_all(long).await {
+            harness::assert_whole(&outcome);
+        }
+    });
+}
+
+// The platform's list shows, late, that a target's vm is leaving. Within three seconds of that
+// nothing new goes there. Then the list is away; the target is still left alone, since what was
+// known stays.
+#[test]
+fn target_on_a_leaving_vm() {
+    harness::run(async {
+        let cluster = two_engines().await;
+        let vm = json!({
+            "admin": "", "callers": "", "data_centre": "spanish-town", "gossip": "", "peer": "",
+            "state": "leaving", "vm": LEAVING,
+        });
+        let path = format!("/v1/vms/{LEAVING}");
+        let put = cluster.put(&cluster.platform.address, &path, &vm);
+        assert_eq!(put.await.unwrap().0, 200);
+        let left = left(&cluster, LIST_LAG + LEFT_AFTER).await;
+        offer(&cluster, "after", OFFERED).await;
+        let outage = json!({"outage_ms": 60_000});
+        harness::control(&cluster, &cluster.platform.address, outage).await;
+        offer(&cluster, "list away", LIST_LAG + OFFERED).await;
+        assert_left_alone_since(&cluster, left).await;
+    });
+}
--- a/crates/lilaccrank-lab/tests/faults/request_keys.rs
+++ b/crates/lilaccrank-lab/tests/faults/request_keys.rs
@@ -1,4 +1,4 @@
-use lilaccrank_lab::caller::Outcome;
+use lilaccrank_lab::caller::{Call, Outcome};
 use lilaccrank_lab::cluster::Cluster;
 use lilaccrank_lab::layout::Layout;
 use serde_json::json;
@@ -121,8 +121,7 @@
     harness::run(async {
         let cluster = Cluster::start(layout()).await.unwrap();
         let outage = json!({"outage_ms": 60_000});
-        let control = cluster.post(&cluster.platform.address, "/control", &outage);
-        control.await.unwrap();
+        harness::control(&cluster, &cluster.platform.address, outage).await;
         let begun = std::time::Instant::now();
         let refused = harness::send(&cluster, 0, harness::once("bind", 5)).await;
         assert!(begun.elapsed().as_millis() < 1500, "{:?}", begun.elapsed());
@@ -131,7 +130,7 @@
         };
         assert_eq!([kind, ran], ["store_unavailable", "no"]);
         harness::assert_whole(&harness::send(&cluster, 1, harness::keyed("card", 5)).await);
-        let keyless = lilaccrank_lab::caller::Call {
+        let keyless = Call {
             key: None,
             ..harness::keyed("ping", 5)
         };
@@ -148,8 +147,7 @@
     harness::run(async {
         let cluster = Cluster::start(layout()).await.unwrap();
         let lost = json!({"lose_answers": 1});
-        let control = cluster.post(&cluster.platform.address, "/control", &lost);
-        control.await.unwrap();
+        harness::control(&cluster, &cluster.platform.address, lost).await;
         let call = harness::once("bind", 20);
         harness::assert_whole(&harness::send(&cluster, 0, call.clone()).await);
         harness::assert_whole(&harness::send(&cluster, 1, call).await);
