--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -9,11 +9,13 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use indexmap::IndexMap;
+use lilaccrank::backoff;
 use monoio::net::TcpStream;
 use monoio_compat::hyper::MonoioIo;
 use thiserror::Error;
 
 use crate::body::Body;
+use crate::tally::{Counted, Tally};
 
 /// Result of sending.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -24,10 +26,15 @@
 /// request sent on it then hangs, and whether it ran is unknown. Within this time the last
 /// answer is proof enough; after it a new connection proves itself by its handshake.
 const PROVED_FOR: Duration = Duration::from_secs(1);
-/// A silent connection is probed by the system after this long, as a second net.
-const KEEPALIVE: Duration = Duration::from_secs(5);
+/// A silent connection is probed by the system after this long, and up to twice as long.
+///
+/// Connections opened in one burst would otherwise all be probed in the same instant; with 3,000
+/// of them on one machine probes were lost in its queues, and living connections timed out.
+const KEEPALIVE: Duration = Duration::from_secs(10);
+/// Time between two probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// Unanswered probes that end a connection.
-const KEEPALIVE_PROBES: u32 = 2;
+const KEEPALIVE_PROBES: u32 = 4;
 /// Most idle connections kept for each address.
 const IDLE_LIMIT: usize = 64;
 
@@ -83,6 +90,7 @@
 #[derive(Clone, Default)]
 pub struct Client {
     idle: Rc<RefCell<IndexMap<String, Vec<Idle>>>>,
+    tally: Option<Tally>,
 }
 
 struct Idle {
@@ -99,7 +107,48 @@
     sender: SendRequest<Body>,
 }
 
+impl Connection {
+    /// Makes a new connection, for who has to decide something right before sending.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`] if it can't be made within `limit`.
+    pub async fn open(address: &str, limit: Duration) -> Result<Self> {
+        Ok(Self {
+            address: address.to_owned(),
+            sender: connect(address, limit, None).await?,
+        })
+    }
+
+    /// Sends `req` and waits for the response head.
+    ///
+    /// # Errors
+    ///
+    /// If the connection fails, or stays silent for longer than `head`.
+    pub async fn send(&mut self, req: Request<Body>, head: Duration) -> Result<Response<Incoming>> {
+        let answer = monoio::time::timeout(head, self.sender.send_request(req)).await;
+        let address = || self.address.clone();
+        let answer = answer.map_err(|_| Error::Silent {
+            address: address(),
+            limit: head,
+        })?;
+        answer.map_err(|source| Error::Exchange {
+            address: address(),
+            source,
+        })
+    }
+}
+
 impl Client {
+    /// A client whose bytes, requests and responses are counted.
+    #[must_use]
+    pub fn counted(tally: Tally) -> Self {
+        Self {
+            tally: Some(tally),
+            ..Self::default()
+        }
+    }
+
     /// Sends `req` to `address` and waits for the response head.
     ///
     /// # Errors
@@ -116,30 +165,23 @@
         } else {
             self.take(address)
         };
-        let mut sender = match pooled {
-            Some(sender) => sender,
-            None => connect(address, limits.connect).await?,
-        };
-        let answer = monoio::time::timeout(limits.head, sender.send_request(req)).await;
-        let res = match answer {
-            Err(_) => {
-                return Err(Error::Silent {
-                    address: address.to_owned(),
-                    limit: limits.head,
-                });
-            }
-            Ok(Err(source)) => {
-                return Err(Error::Exchange {
-                    address: address.to_owned(),
-                    source,
-                });
-            }
-            Ok(Ok(res)) => res,
-        };
-        let connection = Connection {
-            address: address.to_owned(),
-            sender,
+        let mut connection = match pooled {
+            Some(sender) => Connection {
+                address: address.to_owned(),
+                sender,
+            },
+            None => Connection {
+                address: address.to_owned(),
+                sender: connect(address, limits.connect, self.tally.as_ref()).await?,
+            },
         };
+        if let Some(tally) = &self.tally {
+            tally.send_messages(1);
+        }
+        let res = connection.send(req, limits.head).await?;
+        if let Some(tally) = &self.tally {
+            tally.receive_messages(1);
+        }
         Ok((res, connection))
     }
 
@@ -164,7 +206,11 @@
     }
 }
 
-async fn connect(address: &str, limit: Duration) -> Result<SendRequest<Body>> {
+async fn connect(
+    address: &str,
+    limit: Duration,
+    tally: Option<&Tally>,
+) -> Result<SendRequest<Body>> {
     let fail = |source| Error::Connect {
         address: address.to_owned(),
         source,
@@ -174,13 +220,24 @@
         .map_err(|_| fail(io::ErrorKind::TimedOut.into()))?
         .map_err(fail)?;
     stream.set_nodelay(true).map_err(fail)?;
+    let idle = KEEPALIVE + backoff::full_jitter(KEEPALIVE);
     stream
-        .set_tcp_keepalive(Some(KEEPALIVE), Some(KEEPALIVE), Some(KEEPALIVE_PROBES))
+        .set_tcp_keepalive(Some(idle), Some(KEEPALIVE_INTERVAL), Some(KEEPALIVE_PROBES))
         .map_err(fail)?;
     let io = monoio::io::IntoPollIo::into_poll_io(stream).map_err(fail)?;
-    let (sender, connection) = http1::handshake(MonoioIo::new(io))
-        .await
-        .map_err(|e| fail(io::Error::other(e)))?;
+    let io = MonoioIo::new(io);
+    let sender = match tally {
+        Some(tally) => handshake(Counted::new(io, tally.clone())).await,
+        None => handshake(io).await,
+    };
+    sender.map_err(|e| fail(io::Error::other(e)))
+}
+
+async fn handshake<T>(io: T) -> hyper::Result<SendRequest<Body>>
+where
+    T: hyper::rt::Read + hyper::rt::Write + Unpin + 'static,
+{
+    let (sender, connection) = http1::handshake(io).await?;
     monoio::spawn(async move {
         if let Err(e) = connection.await {
             log::debug!("connection to a server ended: {e}");
--- a/crates/lilaccrank-lab/src/layout.rs
+++ b/crates/lilaccrank-lab/src/layout.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 use lilaccrank::document::{
-    Customer, Document, Operator, Pool, PoolKind, Rule, Target, Then, When,
+    Customer, Document, Fencing, Operator, Pool, PoolKind, Rule, Target, Then, When,
 };
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -22,6 +22,8 @@
 pub struct EngineLayout {
     /// Blocks of prefixes it can hold.
     pub cache_blocks: usize,
+    /// Whether it checks fencing numbers.
+    pub fencing: Fencing,
     /// Tokens of prompts it reads each second.
     pub prefill_tokens_per_s: f64,
     /// Age of its load reports.
@@ -38,6 +40,7 @@
     fn default() -> Self {
         Self {
             cache_blocks: 512,
+            fencing: Fencing::Checked,
             prefill_tokens_per_s: 8000.0,
             report_lag_ms: 500,
             slots: 8,
@@ -81,6 +84,8 @@
     pub data_centres: Vec<DataCentreLayout>,
     /// Settings of the daemons that differ from their defaults.
     pub settings: IndexMap<String, serde_json::Value>,
+    /// Data centres that requests for models are spilled to, in order.
+    pub spill: Vec<String>,
     /// What passes through wires.
     pub wires: WireLayout,
 }
@@ -101,6 +106,7 @@
                 .map(data_centre)
                 .into(),
             settings: IndexMap::new(),
+            spill: Vec::new(),
             wires: WireLayout::default(),
         }
     }
@@ -151,13 +157,13 @@
                     ..Pool::default()
                 },
             ],
-            rules: rules(),
+            rules: rules(&self.spill),
             tiers: TIERS.map(str::to_owned).into(),
         }
     }
 }
 
-fn rules() -> Vec<Rule> {
+fn rules(spill: &[String]) -> Vec<Rule> {
     let send = |id: &str, when: When, pool: &str| Rule {
         id: id.to_owned(),
         then: Then {
@@ -174,10 +180,9 @@
         path: Some("/jobs".to_owned()),
         ..When::default()
     };
-    vec![
-        send("models", models, ENGINES),
-        send("jobs", jobs, SERVICES),
-    ]
+    let mut models = send("models", models, ENGINES);
+    models.then.spill = spill.to_vec();
+    vec![models, send("jobs", jobs, SERVICES)]
 }
 
 fn customer(id: &str) -> Customer {
--- a/crates/lilaccrank-lab/tests/faults.rs
+++ b/crates/lilaccrank-lab/tests/faults.rs
@@ -17,3 +17,5 @@
 mod leaving;
 #[path = "faults/request_keys.rs"]
 mod request_keys;
+#[path = "faults/spill.rs"]
+mod spill;
--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::error_kind::ErrorKind;
 use crate::ids::{Incarnation, RequestId, TargetId, Tier, VmId};
 
+mod admission;
 pub mod affinity;
 pub mod choice;
 mod deadline;
@@ -23,6 +24,8 @@
 pub mod health;
 pub mod limits;
 pub mod message;
+mod overload;
+mod pending;
 pub mod queue;
 mod recovery;
 mod reports;
@@ -33,9 +36,10 @@
 pub mod target;
 pub mod work;
 
+use admission::Admission;
 use message::Verdict;
 use message::{Ask, AskNumber, CacheEvent, Cancel, Entry, LoadReport, Refuse, Report, Resync};
-use state::{Admission, State, WaiterId};
+use state::{State, WaiterId};
 use status::Status;
 
 /// Time between checks of deadlines and of silent targets.
@@ -167,6 +171,12 @@
         self.state.borrow().status(self.clock.now())
     }
 
+    /// Asks without a verdict.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.state.borrow().queue.len()
+    }
+
     /// Checks deadlines, handover and silent targets, for ever.
     pub async fn run(&self) {
         loop {
--- a/crates/lilaccrank/src/dispatch/affinity.rs
+++ b/crates/lilaccrank/src/dispatch/affinity.rs
@@ -1,36 +1,23 @@
 //! Which target probably holds which prefix in its cache.
 //!
 //! Our own dispatch history is believed at once; cache events come late and correct it. An event
-//! that is missing may be an eviction: a gap drops all that was believed of the target, since a
-//! wrong belief sends long prompts to a target that has to read them again.
+//! that is missing may be an eviction: a gap drops as many of the least recently used blocks as it
+//! can hide, since a wrong belief sends long prompts to a target that has to read them again, and
+//! so does a forgotten one.
 
 use std::collections::BTreeMap;
 
 use indexmap::IndexMap;
-use xxhash_rust::xxh3;
 
 use super::message::CacheEvent;
 use crate::ids::TargetId;
+use crate::prompt;
 
-/// Most digests of one ask that are looked at.
-pub const DIGESTS_LIMIT: usize = 256;
 /// Most blocks believed of one target.
 const TARGET_BLOCKS: usize = 4096;
 /// Most blocks believed of all targets together, which bounds the memory.
 const ALL_BLOCKS: usize = 1 << 18;
 
-/// Digests of a prompt: one for each whole block, each over all blocks up to its own, so that
-/// equal digests mean equal prefixes.
-#[must_use]
-pub fn digests(prompt: &[u8], block: usize) -> Vec<u64> {
-    let blocks = prompt.chunks_exact(block.max(1)).take(DIGESTS_LIMIT);
-    let chain = blocks.scan(0, |seed, block| {
-        *seed = xxh3::xxh3_64_with_seed(block, *seed);
-        Some(*seed)
-    });
-    chain.collect()
-}
-
 /// Names a target by a number, which is cheaper to compare than its name.
 type Number = u32;
 
@@ -38,6 +25,8 @@
 #[derive(Debug, Default)]
 struct Belief {
     by_use: BTreeMap<u64, u64>,
+    /// Events in the largest batch so far: what a lost batch can have held.
+    largest_batch: usize,
     sequence: Option<u64>,
     stamps: IndexMap<u64, u64>,
     target: TargetId,
@@ -68,7 +57,7 @@
         let number = self.number(target);
         // The last block is stamped first: a prefix without its beginning has no use, so the
         // beginning has to be evicted last.
-        for digest in prefix.iter().take(DIGESTS_LIMIT).rev() {
+        for digest in prefix.iter().take(prompt::BLOCK_LIMIT).rev() {
             self.store(number, *digest);
         }
     }
@@ -84,9 +73,11 @@
             return;
         }
         belief.sequence = Some(sequence);
-        if last.is_some_and(|last| sequence != last + 1) {
-            self.clear(number);
-        }
+        belief.largest_batch = belief.largest_batch.max(events.len());
+        let missing = last.map_or(0, |last| sequence - last - 1);
+        let missing = usize::try_from(missing).unwrap_or(usize::MAX);
+        let hidden = missing.saturating_mul(belief.largest_batch);
+        self.drop_oldest(number, hidden);
         for event in events {
             match event {
                 CacheEvent::Cleared => self.clear(number),
@@ -111,7 +102,7 @@
             return 0;
         };
         // Blocks are evicted from the end of a chain, so that the held ones form a beginning.
-        let prefix = &prefix[..prefix.len().min(DIGESTS_LIMIT)];
+        let prefix = &prefix[..prefix.len().min(prompt::BLOCK_LIMIT)];
         prefix.partition_point(|digest| belief.stamps.contains_key(digest))
     }
 
@@ -119,7 +110,7 @@
     #[must_use]
     pub fn holders(&self, prefix: &[u64], limit: usize) -> Vec<Holder<'_>> {
         let mut found: Vec<(Number, usize)> = Vec::new();
-        for (i, digest) in prefix.iter().take(DIGESTS_LIMIT).enumerate().rev() {
+        for (i, digest) in prefix.iter().take(prompt::BLOCK_LIMIT).enumerate().rev() {
             let numbers = self.holders.get(digest).map_or(&[][..], Vec::as_slice);
             // Who holds a longer beginning holds this one, so the same count is the same targets.
             if numbers.len() == found.len() {
@@ -207,6 +198,17 @@
         }
     }
 
+    /// Drops the least recently used blocks, the first that an engine evicts.
+    fn drop_oldest(&mut self, number: Number, count: usize) {
+        let belief = self.beliefs.get(&number);
+        let oldest: Vec<u64> = belief.map_or(Vec::new(), |belief| {
+            belief.by_use.values().take(count).copied().collect()
+        });
+        for digest in oldest {
+            self.drop_block(number, digest);
+        }
+    }
+
     fn clear(&mut self, number: Number) {
         let belief = self.beliefs.get(&number);
         let held: Vec<u64> = belief.map_or(Vec::new(), |b| b.stamps.keys().copied().collect());
--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -5,14 +5,17 @@
 //! unless a name says otherwise.
 
 pub mod backoff;
+pub mod circuit;
 pub mod clock;
 pub mod configuration;
 pub mod dispatch;
 pub mod document;
 pub mod error_kind;
+pub mod guarded_store;
 pub mod ids;
 pub mod lease;
 pub mod membership;
+pub mod operators;
 pub mod orders;
 pub mod paused_clock;
 pub mod peers;
@@ -20,6 +23,7 @@
 pub mod rendezvous;
 pub mod request;
 pub mod request_key;
+pub mod retry_budget;
 pub mod rules;
 pub mod store;
 pub mod timeline;
--- a/crates/lilaccrank/src/request_key/record.rs
+++ b/crates/lilaccrank/src/request_key/record.rs
@@ -71,6 +71,8 @@
     pub released: Option<ClaimNumber>,
     /// Where the latest claim stands.
     pub stage: Stage,
+    /// The latest released claim that may be in the store.
+    pub stored: Option<ClaimNumber>,
 }
 
 impl Stage {
@@ -113,8 +115,18 @@
         self.stage == Stage::Ended(outcome)
     }
 
+    /// Whether the store's object, if there is one, is this record's to delete. A claim that
+    /// found another one in the store never had an object of its own.
+    #[must_use]
+    pub fn owns_object(&self) -> bool {
+        let lost = Stage::Ended(Outcome::Failed(ErrorKind::AlreadyRun));
+        !self.idempotent && self.stage != lost
+    }
+
     /// Frees the key after a refusal as not run; false if somebody else holds it or it ended.
-    pub fn release(&mut self, entry: &MemberRef, attempt: u64) -> bool {
+    /// `may_be_stored` if the claim's object may be in the store, where the next claim then has
+    /// to know it as one that was not run.
+    pub fn release(&mut self, entry: &MemberRef, attempt: u64, may_be_stored: bool) -> bool {
         if self.holder.entry != *entry || self.holder.attempt != attempt {
             return false;
         }
@@ -123,6 +135,9 @@
         }
         self.released = Some(self.holder.claim);
         self.stage = Stage::Free;
+        if may_be_stored {
+            self.stored = self.released;
+        }
         true
     }
 
--- a/crates/lilaccrank/tests/suite/dispatch_faults.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_faults.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use futures::FutureExt;
-use lilaccrank::dispatch::affinity;
 use lilaccrank::dispatch::health::State;
 use lilaccrank::dispatch::message::{
     Ask, CacheEvent, Entry, Outcome, ReportKind, Resync, Running, Verdict,
@@ -12,6 +11,7 @@
 use lilaccrank::dispatch::shedding::DrainRate;
 use lilaccrank::document::{Limit, TargetState};
 use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::prompt;
 
 use crate::dispatch_harness::{self, Harness, LOWEST_TIER};
 
@@ -376,6 +376,19 @@
     assert_eq!(harness.grants(), granted("call", "t0"));
 }
 
+// Memory runs out in a handover during a burst, or an urgent ask is refused while bulk is kept.
+// Past twice its limit the queue sheds from its lowest tier, whichever that is.
+#[test]
+fn a_handover_keeps_at_most_twice_the_limit() {
+    let mut harness = Harness::new(&[1], 1, FLOOR);
+    let expected = vec![entry("vm3")];
+    harness.dispatcher.begin_handover(expected, FLOOR);
+    for (request, tier) in [("bulk", 2), ("more", 1), ("urgent", 0)] {
+        harness.ask(ask(request, tier));
+    }
+    assert_eq!(harness.refusals(), refused("bulk", ErrorKind::Overloaded));
+}
+
 // A silent entry would hold up all others: the grace ends the wait.
 #[test]
 fn a_handover_ends_with_its_grace() {
@@ -447,12 +460,62 @@
     assert_eq!(cached(&harness), 1);
 }
 
+// Long prompts are read again and again, and answers come late. One event of an eviction was lost,
+// and all that was believed of the target with it. One lost event costs one block, the oldest.
+#[test]
+fn a_small_gap_drops_little() {
+    let harness = harness(&[8, 8]);
+    let target = "t1".to_owned();
+    let stored = |sequence: u64| {
+        let events = [CacheEvent::Stored(sequence)];
+        harness.dispatcher.cache_events(&target, sequence, &events);
+    };
+    let cached = || harness.dispatcher.status().targets[1].cached_blocks;
+    (1..=8).for_each(stored);
+    assert_eq!(cached(), 8);
+    stored(10);
+    assert_eq!(cached(), 8);
+    stored(14);
+    assert_eq!(cached(), 6);
+    stored(100);
+    assert_eq!(cached(), 1);
+}
+
+// A survey is read twice. The second caller's comes while an engine reads the first one, finds
+// nothing in the cache and is read next to it. It waits for the first token of the first one, but
+// no longer than its own reading would take.
+#[test]
+fn a_prefix_in_reading_is_waited_for() {
+    let mut harness = harness(&[8, 8]);
+    let survey = |request: &str, seed: u8, tier: u8| Ask {
+        prefix: prompt::digests(&[seed; 2000], 64),
+        prompt_tokens: 2000,
+        ..ask(request, tier)
+    };
+    harness.ask(survey("first", 1, 1));
+    let (_, reader) = harness.grants().remove(0);
+    harness.ask(survey("second", 1, 1));
+    assert_eq!(harness.grants(), []);
+    harness.ask(survey("urgent", 1, 0));
+    assert_eq!(harness.grants().len(), 1);
+    harness.report("first", &reader, FIRST_TOKEN);
+    assert_eq!(harness.grants(), granted("second", &reader));
+
+    harness.ask(survey("third", 2, 1));
+    assert_eq!(harness.grants().len(), 1);
+    harness.ask(survey("fourth", 2, 1));
+    harness.advance(Duration::from_millis(200));
+    assert_eq!(harness.grants(), []);
+    harness.advance(Duration::from_millis(100));
+    assert_eq!(harness.grants().len(), 1);
+}
+
 // A prompt is read anew although an engine holds it; or all with one prefix queue at its holder
 // while others idle. The holder is chosen until the wait there costs more than the reading.
 #[test]
 fn affinity_yields_to_load() {
     let mut harness = harness(&[64, 64]);
-    let prefix = affinity::digests(&[7; 2000], 64);
+    let prefix = prompt::digests(&[7; 2000], 64);
     let shared = |i: u32| Ask {
         prefix: prefix.clone(),
         prompt_tokens: 2000,
@@ -480,7 +543,7 @@
 fn an_ask_waits_for_its_holder_a_while() {
     let mut harness = harness(&[2, 2]);
     let shared = |request: &str, tier: u8| Ask {
-        prefix: affinity::digests(&[7; 2000], 64),
+        prefix: prompt::digests(&[7; 2000], 64),
         prompt_tokens: 2000,
         ..ask(request, tier)
     };
--- a/crates/lilaccrank/tests/suite/request_key/store_failures.rs
+++ b/crates/lilaccrank/tests/suite/request_key/store_failures.rs
@@ -51,6 +51,25 @@
     assert_eq!(cluster.clock.elapsed(), before);
 }
 
+#[test]
+fn repeats_while_the_store_is_away_then_back() {
+    // The create takes effect, its answer is lost and the store goes away. The caller repeats
+    // during the outage and is refused each time as not run. Once the store is back it finds
+    // an object of its own first try there, which never ran: the repeat must run.
+    let cluster = Cluster::new(3);
+    let claim = cluster.granted(2, &wanted(false));
+    cluster.store.fault.set(Some(Fault::EffectThenAway));
+    let mut mark = cluster.run(claim.mark_dispatching());
+    for _ in 0..3 {
+        assert_eq!(mark.err(), Some(Error::StoreUnavailable));
+        let repeat = cluster.granted(1, &wanted(false));
+        mark = cluster.run(repeat.mark_dispatching());
+    }
+    cluster.store.fault.set(None);
+    let repeat = cluster.granted(1, &wanted(false));
+    assert!(cluster.run(repeat.mark_dispatching()).is_ok());
+}
+
 #[test]
 fn two_deaths_and_the_entry_too() {
     // Keeper, copy and entry of a running non-idempotent request all die. No daemon knows the
@@ -67,7 +86,9 @@
 
 #[test]
 fn other_data_centre_is_stopped_by_the_store() {
-    // The caller repeats in another data centre, whose daemons share only the store.
+    // The caller repeats in another data centre, whose daemons share only the store. They find
+    // the claim of the first there, and must not delete it when their own record has had its
+    // time: it is not theirs, and may have been renewed.
     let here = Cluster::new(3);
     let _running = here.marked(2, &wanted(false));
     let there = Cluster::new(2);
@@ -76,6 +97,13 @@
     let repeat = there.granted(1, &wanted(false));
     let mark = there.run(repeat.mark_dispatching());
     assert_eq!(mark.err(), Some(Error::AlreadyRun { failed: None }));
+    there.clock.advance(Duration::from_secs(25 * 3_600));
+    for daemon in &there.daemons {
+        daemon.keeper.expire();
+        there.run(daemon.claims.sweep());
+        assert!(daemon.keeper.is_empty());
+    }
+    assert_eq!(there.store.objects.borrow().len(), 1);
 }
 
 #[test]
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -6,6 +6,7 @@
 
 use lilaccrank::configuration::adoption::{Adoption, Configuration};
 use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::guarded_store::{self, GuardedStore};
 use lilaccrank::ids::{Incarnation, RequestId};
 use lilaccrank::membership::{Member, Membership, State};
 use lilaccrank::request_key::{Budget, Claims, Keeper, Limits};
@@ -21,14 +22,19 @@
 use crate::in_force::InForce;
 use crate::key_state::KeyClaims;
 use crate::metrics::Metrics;
+use crate::order_keeper::{self, OrderKeeper};
 use crate::peer_network::PeerNetwork;
 use crate::pool_client::{self, PoolClient};
 use crate::pool_server::{self, PoolServer};
 use crate::proxy_run::Bounds;
 use crate::refusal::Refusal;
 use crate::settings::Settings;
+use crate::traffic::Traffic;
 use crate::vm_list::VmList;
 
+/// The platform's store behind a circuit and a budget of retries, so that a data centre that was
+/// cut off comes back without a stampede.
+pub type PlatformStore = GuardedStore<StoreClient, MonoioClock>;
 /// Result of a look at the daemon's state.
 pub type Result<T, E = Refusal> = std::result::Result<T, E>;
 
@@ -66,15 +72,21 @@
     pub metrics: Metrics,
     /// Members of this data centre.
     pub membership: Membership,
+    /// Orders to targets.
+    pub order_keeper: OrderKeeper,
     /// Other daemons.
     pub peers: PeerNetwork,
+    /// The platform beside its store.
+    pub platform: StoreClient,
     /// Requests at the dispatchers.
     pub pool_client: PoolClient,
     /// Dispatchers that run here.
     pub pool_server: PoolServer,
+    /// Connections to targets for their reports, which are counted as control.
+    pub report_client: Client,
     requests: Cell<u64>,
     /// The platform's store.
-    pub store: StoreClient,
+    pub store: PlatformStore,
     /// Events.
     pub timeline: Timeline<MonoioClock>,
     /// The platform's list of vms.
@@ -101,11 +113,20 @@
         cfg: Settings,
         incarnation: Incarnation,
         membership: Membership,
+        traffic: Rc<Traffic>,
     ) -> Result<Self, prometheus::Error> {
         let timeline = Timeline::new(MonoioClock, cfg.vm.clone(), cfg.timeline_events);
         let duties = Duties::new(membership.clone());
-        let peers = PeerNetwork::new(membership.clone(), cfg.other_peers(), timeline.clone());
-        let store = StoreClient::new(cfg.platform.to_string());
+        let peers = PeerNetwork::new(
+            membership.clone(),
+            cfg.other_peers(),
+            timeline.clone(),
+            Rc::clone(&traffic),
+        );
+        let report_client = Client::counted(traffic.target_reports.clone());
+        let platform = StoreClient::counted(cfg.platform.to_string(), traffic.store.clone());
+        let guards = guarded_store::Settings::default();
+        let store = GuardedStore::new(guards, platform.clone(), MonoioClock);
         let keeper = Keeper::new(
             MonoioClock,
             peers.clone(),
@@ -114,6 +135,7 @@
         );
         let budget = Budget::new(MonoioClock, STORE_CLAIMS_PER_S, STORE_CLAIMS_BURST);
         let claims = Claims::new(keeper.clone(), store.clone(), budget, KEEPER_WAIT);
+        let order_keeper = OrderKeeper::new(&cfg, incarnation, store.clone());
         Ok(Self {
             adoption: Adoption::new(),
             answers: Answers::new(
@@ -130,10 +152,13 @@
             keys_settled: Cell::new(false),
             leaving: Cell::new(false),
             membership,
-            metrics: Metrics::new()?,
+            metrics: Metrics::new(traffic)?,
+            order_keeper,
             peers,
+            platform,
             pool_client: PoolClient::default(),
             pool_server: PoolServer::default(),
+            report_client,
             requests: Cell::new(0),
             store,
             timeline,
@@ -235,7 +260,7 @@
     /// Puts an adopted configuration in force.
     pub fn put_in_force(self: &Rc<Self>, configuration: &Configuration) {
         let in_force = InForce::new(configuration);
-        let generation = in_force.generation;
+        let generation = in_force.identity.generation;
         *self.in_force.borrow_mut() = Some(Rc::new(in_force));
         self.metrics.generation.set(generation.cast_signed());
         let detail = configuration.manifest.identity.to_string();
@@ -249,6 +274,7 @@
         );
         pool_server::configuration_changed(self);
         pool_client::rebalance(self);
+        order_keeper::reconcile(self);
     }
 }
 
--- a/crates/lilaccrankd/src/in_force.rs
+++ b/crates/lilaccrankd/src/in_force.rs
@@ -3,33 +3,36 @@
 use std::rc::Rc;
 
 use lilaccrank::configuration::adoption::Configuration;
+use lilaccrank::configuration::manifest::Identity;
 use lilaccrank::document::{Document, PoolKind, Target};
-use lilaccrank::ids::Generation;
 use lilaccrank::rules::matching::RuleSet;
 
 use crate::auth::Keys;
 
 /// One generation in the form that requests use.
 pub struct InForce {
+    /// The operator who published it.
+    pub author: String,
     /// The document as published.
     pub document: Rc<Document>,
-    /// Its generation.
-    pub generation: Generation,
+    /// Its name.
+    pub identity: Identity,
     /// Callers' and operators' keys.
     pub keys: Keys,
     /// The rules, compiled.
-    pub rules: RuleSet,
+    pub rules: Rc<RuleSet>,
 }
 
 impl InForce {
     /// The form that requests use of an adopted configuration.
     #[must_use]
     pub fn new(configuration: &Configuration) -> Self {
-        let document = Rc::new(configuration.document.clone());
+        let document = Rc::clone(&configuration.document);
         Self {
-            generation: configuration.manifest.identity.generation,
+            author: configuration.manifest.author.clone(),
+            identity: configuration.manifest.identity.clone(),
             keys: Keys::new(&document),
-            rules: configuration.rules.clone(),
+            rules: Rc::clone(&configuration.rules),
             document,
         }
     }
--- a/crates/lilaccrankd/src/peer_message.rs
+++ b/crates/lilaccrankd/src/peer_message.rs
@@ -9,6 +9,8 @@
 use lilaccrank::timeline::Stamp;
 use serde::{Deserialize, Serialize};
 
+use crate::order_message::{OrderReply, OrderRequest};
+
 /// A message with the time at its sender, by which time lines are put in causal order.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Stamped<T> {
@@ -79,6 +81,17 @@
     pub vms: Vec<VmId>,
 }
 
+/// Asks which configuration a daemon holds.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct HeldAsk;
+
+/// Tells which configuration a daemon holds.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Held {
+    /// Its name, `None` before the first one.
+    pub identity: Option<Identity>,
+}
+
 /// Reply to a message that asks for nothing.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Done;
@@ -90,10 +103,14 @@
     Announcement(Announcement),
     /// About a configuration.
     Configuration(exchange::Ask),
+    /// Which configuration is held.
+    Held(HeldAsk),
     /// About a request key.
     Key(KeyRequest),
     /// About leaving vms.
     Leaving(LeavingAsk),
+    /// About an order to a target.
+    Order(OrderRequest),
     /// About a pool.
     Pool(PoolRequest),
 }
@@ -105,10 +122,14 @@
     Configuration(exchange::Answer),
     /// Nothing to tell.
     Done(Done),
+    /// Which configuration is held.
+    Held(Held),
     /// About a request key.
     Key(KeyReply),
     /// About leaving vms.
     Leaving(Leaving),
+    /// About an order to a target.
+    Order(OrderReply),
     /// About a pool.
     Pool(PoolReply),
 }
--- a/crates/lilaccrankd/src/peer_network.rs
+++ b/crates/lilaccrankd/src/peer_network.rs
@@ -7,17 +7,20 @@
 use indexmap::IndexMap;
 use lilaccrank::configuration::exchange;
 use lilaccrank::ids::VmId;
-use lilaccrank::membership::Membership;
+use lilaccrank::membership::{Member, Membership};
 use lilaccrank::peers::{Error, Peers, Result};
 use lilaccrank::request_key::{KeyReply, KeyRequest};
 use lilaccrank::timeline::Timeline;
 use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::peer_link::PeerLink;
+use lilaccrank_http::tally::Tally;
 
+use crate::order_message::{OrderReply, OrderRequest};
 use crate::peer_message::{
-    Announcement, Done, Leaving, LeavingAsk, PeerReply, PeerRequest, PoolReply, PoolRequest,
-    Stamped,
+    Announcement, Done, Held, HeldAsk, Leaving, LeavingAsk, PeerReply, PeerRequest, PoolReply,
+    PoolRequest, Stamped,
 };
+use crate::traffic::Traffic;
 
 type Link = PeerLink<Stamped<PeerRequest>, Stamped<PeerReply>>;
 
@@ -35,7 +38,7 @@
     Copies,
     /// To the keeper of a key, which may ask the holder of the copy.
     Keys,
-    /// About pools; answered without asking anybody.
+    /// About pools and orders to their targets; answered without asking anybody.
     Pools,
 }
 
@@ -59,6 +62,7 @@
     /// Daemons of other data centres.
     others: Rc<[SocketAddr]>,
     timeline: Timeline<MonoioClock>,
+    traffic: Rc<Traffic>,
 }
 
 impl PeerNetwork {
@@ -68,12 +72,14 @@
         membership: Membership,
         others: Rc<[SocketAddr]>,
         timeline: Timeline<MonoioClock>,
+        traffic: Rc<Traffic>,
     ) -> Self {
         Self {
             links: Rc::default(),
             membership,
             others,
             timeline,
+            traffic,
         }
     }
 
@@ -113,18 +119,30 @@
             .address(vm)
             .ok_or_else(|| Error::Unreachable(vm.clone()))?;
         let mut links = self.links.borrow_mut();
-        let link = links
-            .entry((address, lane))
-            .or_insert_with(|| Link::start(vm.clone(), address.to_string()));
+        let link = links.entry((address, lane)).or_insert_with(|| {
+            let tally = self.tally(lane).clone();
+            Link::start(vm.clone(), address.to_string(), tally)
+        });
         Ok(link.clone())
     }
 
+    fn tally(&self, lane: Lane) -> &Tally {
+        match lane {
+            Lane::Configuration => &self.traffic.peer_configuration,
+            Lane::Copies => &self.traffic.peer_copies,
+            Lane::Keys => &self.traffic.peer_keys,
+            Lane::Pools => &self.traffic.peer_pools,
+        }
+    }
+
     /// Daemons of other data centres are no members here; their address stands for their vm.
     fn address(&self, vm: &VmId) -> Option<SocketAddr> {
-        let members = self.membership.all();
-        let member = members.iter().find(|member| member.vm == *vm);
-        member
-            .map(|member| member.peers)
+        let address = |member: &Member| (member.vm == *vm).then_some(member.peers);
+        let live = self.membership.live();
+        let found = live.members.iter().find_map(address);
+        // A leaving member has no duties, but still gets its verdicts.
+        found
+            .or_else(|| self.membership.all().iter().find_map(address))
             .or_else(|| vm.parse().ok())
     }
 }
@@ -143,6 +161,13 @@
     }
 }
 
+impl Peers<HeldAsk, Held> for PeerNetwork {
+    async fn call(&self, vm: &VmId, req: HeldAsk) -> Result<Held> {
+        let reply = self.send(vm, Lane::Configuration, req.into()).await?;
+        reply.try_into().map_err(|_| Error::NoAnswer(vm.clone()))
+    }
+}
+
 impl Peers<LeavingAsk, Leaving> for PeerNetwork {
     async fn call(&self, vm: &VmId, req: LeavingAsk) -> Result<Leaving> {
         let reply = self.send(vm, Lane::Configuration, req.into()).await?;
@@ -157,6 +182,13 @@
     }
 }
 
+impl Peers<OrderRequest, OrderReply> for PeerNetwork {
+    async fn call(&self, vm: &VmId, req: OrderRequest) -> Result<OrderReply> {
+        let reply = self.send(vm, Lane::Pools, req.into()).await?;
+        reply.try_into().map_err(|_| Error::NoAnswer(vm.clone()))
+    }
+}
+
 impl Peers<PoolRequest, PoolReply> for PeerNetwork {
     async fn call(&self, vm: &VmId, req: PoolRequest) -> Result<PoolReply> {
         let reply = self.send(vm, Lane::Pools, req.into()).await?;
--- a/crates/lilaccrankd/src/spill.rs
+++ b/crates/lilaccrankd/src/spill.rs
@@ -4,11 +4,11 @@
 //! this daemon it is like a target: one exchange, and only a refusal as not run allows another.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use lilaccrank::error_kind::{ErrorKind, Ran};
 use lilaccrank_http::body::{self, Body};
@@ -20,6 +20,7 @@
 use crate::proxy_run;
 use crate::refusal::{Refusal, Result};
 use crate::run::Run;
+use crate::target_call;
 
 #[derive(Deserialize)]
 struct Envelope {
@@ -61,6 +62,8 @@
             continue;
         };
         match try_one(daemon, caller, other.callers, deadline, run).await {
+            // Nobody there could be reached: what this data centre said still stands.
+            Err(refusal) if refusal.ran == Ran::No && refusal.retry_after.is_none() => {}
             Err(refusal) if refusal.ran == Ran::No => refused = refusal,
             other => return other,
         }
@@ -78,7 +81,7 @@
     let bounds = daemon.bounds();
     let req = request(daemon, caller, deadline);
     let address = address.to_string();
-    let (res, connection) = proxy_run::send(&daemon.client, &address, req, bounds.head).await?;
+    let (res, connection) = target_call::send(&daemon.client, &address, req, bounds.head).await?;
     if res.status().is_client_error() || res.status().is_server_error() {
         return Err(refusal(res).await);
     }
@@ -107,11 +110,19 @@
 
 async fn refusal(res: Response<Incoming>) -> Refusal {
     let status = res.status();
+    let header = res.headers().get(RETRY_AFTER);
+    let seconds = header.and_then(|value| value.to_str().ok()?.parse().ok());
+    let retry_after = seconds.map(Duration::from_secs);
     let body = res.into_body().collect().await.ok();
     let envelope: Option<Envelope> =
         body.and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
     match envelope {
-        Some(Envelope { error }) => Refusal::new(error.kind, error.message).ran(error.ran),
+        Some(Envelope { error }) => Refusal {
+            kind: error.kind,
+            message: error.message,
+            ran: error.ran,
+            retry_after,
+        },
         None => unclear(status),
     }
 }
