--- a/crates/lilaccrank-lab/tests/faults/configuration.rs
+++ b/crates/lilaccrank-lab/tests/faults/configuration.rs
@@ -39,7 +39,7 @@
         if self.0.borrow()[at] == u64::MAX {
             return None;
         }
-        let seen = harness::status(cluster, at).await["generation"].as_u64()?;
+        let seen = harness::status(cluster, at).await["identity"]["generation"].as_u64()?;
         let mut highest = self.0.borrow_mut();
         assert!(seen >= highest[at], "daemon {at} went back to {seen}");
         highest[at] = seen;
