A claim in a slow store is given up after four seconds

Cause: a store that takes calls and answers too late let a claim wait for its write (2 s) and for three readings back of 2 s each with their pauses; the caller heard nothing for over 8 s.

Ruled out: fewer retries of reads in the guarded store, which other callers need; giving up after the write alone, since a lost answer is settled by one reading.

Change: the claim as a whole has 4 s. A write that is cut off by that counts as one that may have taken effect, as one without an answer does.

Before: store_slow failed, no answer within its caller's 8 s. After: refused as store_unavailable, not run, and the test passes in 4.2 s; 46 of 46 request_key tests of the library pass.

Conclusion: bounded. Not seen failing: the mark "may be stored" for a write cut off by the new limit, as the write's own limit of 2 s comes first with the present store client.

--- a/crates/lilaccrank/src/request_key/claim.rs
+++ b/crates/lilaccrank/src/request_key/claim.rs
@@ -1,8 +1,9 @@
 //! The life cycle of one claim at its entry, by typestate.
 
 use std::marker::PhantomData;
+use std::time::Duration;
 
-use crate::clock::Clock;
+use crate::clock::{self, Clock};
 use crate::error_kind::ErrorKind;
 use crate::peers::Peers;
 use crate::request_key::claims::{Error, Result};
@@ -14,6 +15,9 @@
 use crate::request_key::store_claim;
 use crate::store::Store;
 
+/// Longest time for a claim in the store: a write without an answer, and reading it back.
+const STORE_LIMIT: Duration = Duration::from_secs(4);
+
 /// State of a claim before its mark: nothing may be sent to a target.
 pub struct Claimed;
 
@@ -101,8 +105,13 @@
         let inner = &self.held.claims.inner;
         let (id, record) = (&self.held.id, &self.held.record);
         let mut create = store_claim::Create::new(id, &record.holder, record.stored);
-        let created = create.run(&inner.store, &inner.budget).await;
-        self.held.may_be_stored = create.may_be_stored();
+        // A store that answers too late would hold the caller through every retry of each call.
+        // A write that is given up here may still take effect, like one whose answer is lost.
+        let clock = &inner.keeper.inner.clock;
+        let creating = create.run(&inner.store, &inner.budget);
+        let created = clock::timeout(clock, STORE_LIMIT, creating).await;
+        self.held.may_be_stored = created.is_none() || create.may_be_stored();
+        let created = created.unwrap_or(Err(store_claim::Error::Unavailable));
         match created {
             Ok(()) => Ok(self),
             Err(store_claim::Error::Taken) => {
