Pool client and request life split by job; a running request follows its entry's new life

Cause: the two largest files of the daemon had several jobs each. Read on the way: after an entry was declared dead and came back with a new incarnation, its resync named running requests by the old life, which the dispatcher then forgot (slots freed while the target still works). Ruled out: a second grant; running requests keep their ask number. Change: pool_client/{held,outstanding}.rs, request_send.rs, Proxied as a type; running requests take the present life in a resync. Not proved by a test of its own.

--- a/crates/lilaccrankd/src/caller_request.rs
+++ b/crates/lilaccrankd/src/caller_request.rs
@@ -61,16 +61,20 @@
         stream: bool,
     },
     /// Pass on untouched.
-    Proxy {
-        /// The body as it came.
-        body: Bytes,
-        /// Headers for the target.
-        headers: HeaderMap,
-        /// The method as it came.
-        method: Method,
-        /// Path and query as they came.
-        path: String,
-    },
+    Proxy(Proxied),
+}
+
+/// A request for a plain service.
+#[derive(Clone, Debug)]
+pub struct Proxied {
+    /// The body as it came.
+    pub body: Bytes,
+    /// Headers for the target.
+    pub headers: HeaderMap,
+    /// The method as it came.
+    pub method: Method,
+    /// Path and query as they came.
+    pub path: String,
 }
 
 /// A caller's request.
@@ -289,7 +293,7 @@
             headers.insert(name, value.clone());
         }
     }
-    Work::Proxy {
+    Work::Proxy(Proxied {
         body: body.clone(),
         headers,
         method: head.method.clone(),
@@ -297,5 +301,5 @@
             .uri
             .path_and_query()
             .map_or_else(|| "/".to_owned(), ToString::to_string),
-    }
+    })
 }
--- a/crates/lilaccrankd/src/engine_run.rs
+++ b/crates/lilaccrankd/src/engine_run.rs
@@ -24,7 +24,7 @@
     fn progress(&self, tokens: u32, step: Duration);
 }
 
-/// What came of a run on an engine.
+/// What came of a request at its target.
 pub struct Ended {
     /// Tokens generated.
     pub decoded: u32,
@@ -34,6 +34,18 @@
     pub result: Result<()>,
 }
 
+impl Ended {
+    /// An end of which nothing else is known.
+    #[must_use]
+    pub fn new(result: Result<()>) -> Self {
+        Self {
+            decoded: 0,
+            prefill: None,
+            result,
+        }
+    }
+}
+
 /// A request as the engine gets it.
 pub struct EngineRequest<'a> {
     /// Body, streaming.
--- a/crates/lilaccrankd/src/main.rs
+++ b/crates/lilaccrankd/src/main.rs
@@ -35,6 +35,7 @@
 mod proxy_run;
 mod refusal;
 mod request_run;
+mod request_send;
 mod run;
 mod serve;
 mod settings;
--- a/crates/lilaccrankd/src/pool_client.rs
+++ b/crates/lilaccrankd/src/pool_client.rs
@@ -1,17 +1,13 @@
 //! The entry's side of the pools: asks the dispatcher of a pool and tells it what happens.
 
-use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures::channel::oneshot;
 use futures::future::{self, Either};
 use futures::pin_mut;
-use indexmap::IndexMap;
-use lilaccrank::dispatch::message::{
-    Ask, Cancel, Entry, Grant, Outcome, Refuse, Report, ReportKind, Resync, Running, Verdict,
-};
-use lilaccrank::ids::{PoolId, RequestId, TargetId};
+use lilaccrank::dispatch::message::{Ask, Refuse, Verdict};
+use lilaccrank::ids::{PoolId, RequestId};
 use lilaccrank::peers::Peers;
 use lilaccrank::request_key::{MemberRef, Ranking};
 
@@ -19,48 +15,20 @@
 use crate::peer_message::{PoolMessage, PoolReply, PoolRequest};
 use crate::pool_server;
 
+mod held;
+mod outstanding;
+
+pub use held::Held;
+pub use outstanding::PoolClient;
+
+use held::WaitingAsk;
+
 /// An ask without a verdict is repeated after this long. A verdict may be lost with a connection
 /// that dies; repeating an ask with its number gives the same verdict again.
 const ASK_AGAIN: Duration = Duration::from_secs(3);
 /// Wait before another try to reach a dispatcher; the members may be about to change.
 const PLACE_AGAIN: Duration = Duration::from_millis(50);
 
-/// What this daemon has with the pools.
-#[derive(Default)]
-pub struct PoolClient {
-    dispatchers: RefCell<IndexMap<PoolId, MemberRef>>,
-    me: RefCell<Option<MemberRef>>,
-    requests: RefCell<IndexMap<RequestId, Outstanding>>,
-    waiting: RefCell<IndexMap<PoolId, usize>>,
-}
-
-struct Outstanding {
-    ask: Ask,
-    deadline: Option<Instant>,
-    /// The dispatcher last asked; only its grant of the last ask counts.
-    dispatcher: Option<MemberRef>,
-    pool: PoolId,
-    running: Option<RunningOn>,
-    verdict: Option<oneshot::Sender<Verdict>>,
-    wait_until: Option<Instant>,
-}
-
-struct RunningOn {
-    decoded: Option<u32>,
-    target: TargetId,
-}
-
-/// A used grant; dropping it without [`ended`](Self::ended) returns it unused.
-pub struct Held {
-    ask: u64,
-    daemon: Rc<Daemon>,
-    ended: bool,
-    pool: PoolId,
-    request: RequestId,
-    /// Where the request may be sent.
-    pub target: TargetId,
-}
-
 /// Asks for a target and waits for the verdict. Dropping the future takes the ask back.
 ///
 /// # Errors
@@ -87,7 +55,7 @@
     };
     waiting.settled = true;
     match verdict {
-        Ok(Verdict::Grant(grant)) => Ok(held(daemon, pool, grant)),
+        Ok(Verdict::Grant(grant)) => Ok(Held::new(daemon, pool, grant)),
         Ok(Verdict::Refuse(refuse)) => {
             daemon.pool_client.remove(&request);
             Err(refuse)
@@ -104,77 +72,6 @@
     }
 }
 
-fn held(daemon: &Rc<Daemon>, pool: &PoolId, grant: Grant) -> Held {
-    Held {
-        ask: grant.ask,
-        daemon: Rc::clone(daemon),
-        ended: false,
-        pool: pool.clone(),
-        request: grant.request,
-        target: grant.target,
-    }
-}
-
-/// Takes an ask back when its caller stops waiting.
-struct WaitingAsk<'a> {
-    daemon: &'a Rc<Daemon>,
-    pool: &'a PoolId,
-    request: &'a RequestId,
-    settled: bool,
-}
-
-impl Drop for WaitingAsk<'_> {
-    fn drop(&mut self) {
-        if self.settled {
-            return;
-        }
-        if let Some(ask) = self.daemon.pool_client.remove(self.request) {
-            let cancel = Cancel {
-                ask: ask.ask,
-                request: ask.request,
-            };
-            tell(self.daemon, self.pool, PoolMessage::Cancel(cancel));
-        }
-    }
-}
-
-impl Held {
-    /// Tells what was seen of the request.
-    pub fn report(&self, kind: ReportKind) {
-        self.daemon.pool_client.note(&self.request, &kind);
-        let report = Report {
-            ask: self.ask,
-            kind,
-            request: self.request.clone(),
-            target: self.target.clone(),
-        };
-        tell(&self.daemon, &self.pool, PoolMessage::Report(report));
-    }
-
-    /// Gives the slot back.
-    pub fn ended(mut self, outcome: Outcome, decoded: u32, prefill: Option<u32>) {
-        self.end(outcome, decoded, prefill);
-    }
-
-    fn end(&mut self, outcome: Outcome, decoded: u32, prefill: Option<u32>) {
-        self.ended = true;
-        self.report(ReportKind::Ended {
-            decoded,
-            outcome,
-            prefill,
-        });
-        self.daemon.pool_client.remove(&self.request);
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.end(Outcome::Unused, 0, None);
-        }
-    }
-}
-
 /// Sends the ask to the pool's dispatcher, until one takes it.
 async fn place(daemon: &Rc<Daemon>, request: &RequestId) {
     loop {
@@ -185,11 +82,8 @@
         if let Some(PoolReply::Accepted { waiting }) =
             send(daemon, &dispatcher, &pool, message).await
         {
-            daemon
-                .pool_client
-                .waiting
-                .borrow_mut()
-                .insert(pool, waiting);
+            let known = &daemon.pool_client.waiting;
+            known.borrow_mut().insert(pool, waiting);
             return;
         }
         monoio::time::sleep(PLACE_AGAIN).await;
@@ -228,32 +122,7 @@
 
 /// Takes in a verdict; whether a grant is used.
 pub fn on_verdict(daemon: &Daemon, from: &MemberRef, verdict: Verdict) -> bool {
-    let (request, number) = match &verdict {
-        Verdict::Grant(grant) => (&grant.request, grant.ask),
-        Verdict::Refuse(refuse) => (&refuse.request, refuse.ask),
-    };
-    let mut requests = daemon.pool_client.requests.borrow_mut();
-    let Some(outstanding) = requests.get_mut(request) else {
-        return false;
-    };
-    // A dispatcher that was frozen or cut off may still grant what it was asked before another
-    // took over; both grants would send the request twice. Only the last one asked counts.
-    if outstanding.ask.ask != number || outstanding.dispatcher.as_ref() != Some(from) {
-        return false;
-    }
-    if let (Some(running), Verdict::Grant(grant)) = (&outstanding.running, &verdict) {
-        return running.target == grant.target;
-    }
-    let Some(tx) = outstanding.verdict.take() else {
-        return false;
-    };
-    if let Verdict::Grant(grant) = &verdict {
-        outstanding.running = Some(RunningOn {
-            decoded: None,
-            target: grant.target.clone(),
-        });
-    }
-    tx.send(verdict).is_ok()
+    daemon.pool_client.settle(from, verdict)
 }
 
 /// Tells the new dispatcher of each pool what this daemon has with it, whenever dispatchers or
@@ -288,100 +157,3 @@
         monoio::time::sleep(PLACE_AGAIN).await;
     }
 }
-
-impl PoolClient {
-    /// Requests that wait in a pool, as its dispatcher said last.
-    pub fn waiting(&self) -> IndexMap<PoolId, usize> {
-        self.waiting.borrow().clone()
-    }
-
-    fn insert(&self, pool: &PoolId, ask: Ask, verdict: oneshot::Sender<Verdict>) {
-        let now = Instant::now();
-        let outstanding = Outstanding {
-            deadline: ask.deadline.map(|left| now + left),
-            dispatcher: None,
-            pool: pool.clone(),
-            running: None,
-            verdict: Some(verdict),
-            wait_until: ask.wait_at_most.map(|left| now + left),
-            ask,
-        };
-        let request = outstanding.ask.request.clone();
-        self.requests.borrow_mut().insert(request, outstanding);
-    }
-
-    fn remove(&self, request: &RequestId) -> Option<Ask> {
-        let removed = self.requests.borrow_mut().swap_remove(request);
-        removed.map(|outstanding| outstanding.ask)
-    }
-
-    fn note(&self, request: &RequestId, kind: &ReportKind) {
-        let mut requests = self.requests.borrow_mut();
-        let Some(running) = requests.get_mut(request).and_then(|r| r.running.as_mut()) else {
-            return;
-        };
-        match kind {
-            ReportKind::FirstToken { .. } => running.decoded = Some(1),
-            ReportKind::Progress { tokens, .. } => {
-                running.decoded = Some(running.decoded.unwrap_or(0) + tokens);
-            }
-            ReportKind::Began | ReportKind::Ended { .. } => {}
-        }
-    }
-
-    /// The ask to send now and to whom; `None` once there is a verdict.
-    fn next_ask(&self, daemon: &Daemon, request: &RequestId) -> Option<(PoolId, MemberRef, Ask)> {
-        let mut requests = self.requests.borrow_mut();
-        let outstanding = requests.get_mut(request)?;
-        outstanding.verdict.as_ref()?;
-        let dispatcher = daemon.duties.dispatcher(&outstanding.pool)?;
-        outstanding.address_to(&dispatcher, &daemon.duties.me());
-        let ask = outstanding.ask.clone();
-        Some((outstanding.pool.clone(), dispatcher, ask))
-    }
-
-    fn resync(&self, daemon: &Daemon, pool: &PoolId, dispatcher: &MemberRef) -> Resync {
-        let me = daemon.duties.me();
-        let mut requests = self.requests.borrow_mut();
-        let mut running = Vec::new();
-        let mut waiting = Vec::new();
-        for outstanding in requests.values_mut().filter(|r| r.pool == *pool) {
-            if let Some(on) = &outstanding.running {
-                running.push(Running {
-                    ask: outstanding.ask.clone(),
-                    decoded: on.decoded,
-                    target: on.target.clone(),
-                });
-            } else {
-                outstanding.address_to(dispatcher, &me);
-                waiting.push(outstanding.ask.clone());
-            }
-        }
-        let entry = Entry {
-            incarnation: me.incarnation,
-            vm: me.vm,
-        };
-        Resync {
-            entry,
-            running,
-            waiting,
-        }
-    }
-}
-
-impl Outstanding {
-    /// Makes the ask one to `dispatcher`; asking another one voids the earlier ask.
-    fn address_to(&mut self, dispatcher: &MemberRef, me: &MemberRef) {
-        let moved = self.dispatcher.as_ref() != Some(dispatcher);
-        let new_life = self.ask.entry_incarnation != me.incarnation;
-        if moved || new_life {
-            self.ask.ask += 1;
-            self.ask.entry_incarnation = me.incarnation;
-            self.dispatcher = Some(dispatcher.clone());
-        }
-        let now = Instant::now();
-        let left = |until: Instant| until.saturating_duration_since(now);
-        self.ask.deadline = self.deadline.map(left);
-        self.ask.wait_at_most = self.wait_until.map(left);
-    }
-}
--- /dev/null
+++ b/crates/lilaccrankd/src/pool_client/held.rs
@@ -0,0 +1,91 @@
+//! What an entry holds of a pool: an ask that waits, or a grant.
+
+use std::rc::Rc;
+
+use lilaccrank::dispatch::message::{Cancel, Grant, Outcome, Report, ReportKind};
+use lilaccrank::ids::{PoolId, RequestId, TargetId};
+
+use crate::daemon::Daemon;
+use crate::peer_message::PoolMessage;
+
+/// A used grant; dropping it without [`ended`](Self::ended) returns it unused.
+pub struct Held {
+    ask: u64,
+    daemon: Rc<Daemon>,
+    ended: bool,
+    pool: PoolId,
+    request: RequestId,
+    /// Where the request may be sent.
+    pub target: TargetId,
+}
+
+/// Takes an ask back when its caller stops waiting.
+pub(super) struct WaitingAsk<'a> {
+    pub(super) daemon: &'a Rc<Daemon>,
+    pub(super) pool: &'a PoolId,
+    pub(super) request: &'a RequestId,
+    pub(super) settled: bool,
+}
+
+impl Drop for WaitingAsk<'_> {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        if let Some(ask) = self.daemon.pool_client.remove(self.request) {
+            let cancel = Cancel {
+                ask: ask.ask,
+                request: ask.request,
+            };
+            super::tell(self.daemon, self.pool, PoolMessage::Cancel(cancel));
+        }
+    }
+}
+
+impl Held {
+    pub(super) fn new(daemon: &Rc<Daemon>, pool: &PoolId, grant: Grant) -> Self {
+        Self {
+            ask: grant.ask,
+            daemon: Rc::clone(daemon),
+            ended: false,
+            pool: pool.clone(),
+            request: grant.request,
+            target: grant.target,
+        }
+    }
+
+    /// Tells what was seen of the request.
+    pub fn report(&self, kind: ReportKind) {
+        self.daemon.pool_client.note(&self.request, &kind);
+        let report = Report {
+            ask: self.ask,
+            kind,
+            request: self.request.clone(),
+            target: self.target.clone(),
+        };
+        super::tell(&self.daemon, &self.pool, PoolMessage::Report(report));
+    }
+
+    /// Gives the slot back.
+    pub fn ended(mut self, outcome: Outcome, decoded: u32, prefill: Option<u32>) {
+        self.end(outcome, decoded, prefill);
+    }
+
+    fn end(&mut self, outcome: Outcome, decoded: u32, prefill: Option<u32>) {
+        self.ended = true;
+        self.report(ReportKind::Ended {
+            decoded,
+            outcome,
+            prefill,
+        });
+        self.daemon.pool_client.remove(&self.request);
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(Outcome::Unused, 0, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lilaccrankd/src/pool_client/outstanding.rs
@@ -0,0 +1,183 @@
+//! The requests that this daemon has with the pools, from their first ask to their end.
+
+use std::cell::RefCell;
+use std::time::Instant;
+
+use futures::channel::oneshot;
+use indexmap::IndexMap;
+use lilaccrank::dispatch::message::{Ask, Entry, ReportKind, Resync, Running, Verdict};
+use lilaccrank::ids::{PoolId, RequestId, TargetId};
+use lilaccrank::request_key::{MemberRef, Ranking};
+
+use crate::daemon::Daemon;
+
+/// What this daemon has with the pools.
+#[derive(Default)]
+pub struct PoolClient {
+    /// The dispatcher that was last told all, by pool.
+    pub(super) dispatchers: RefCell<IndexMap<PoolId, MemberRef>>,
+    /// The life in which that was told.
+    pub(super) me: RefCell<Option<MemberRef>>,
+    requests: RefCell<IndexMap<RequestId, Outstanding>>,
+    /// Asks that wait in each pool, as its dispatcher said last.
+    pub(super) waiting: RefCell<IndexMap<PoolId, usize>>,
+}
+
+/// One request from its first ask to its end.
+struct Outstanding {
+    ask: Ask,
+    deadline: Option<Instant>,
+    /// The dispatcher last asked; only its grant of the last ask counts.
+    dispatcher: Option<MemberRef>,
+    pool: PoolId,
+    running: Option<RunningOn>,
+    verdict: Option<oneshot::Sender<Verdict>>,
+    wait_until: Option<Instant>,
+}
+
+struct RunningOn {
+    decoded: Option<u32>,
+    target: TargetId,
+}
+
+impl PoolClient {
+    /// Requests that wait in a pool, as its dispatcher said last.
+    pub fn waiting(&self) -> IndexMap<PoolId, usize> {
+        self.waiting.borrow().clone()
+    }
+
+    pub(super) fn insert(&self, pool: &PoolId, ask: Ask, verdict: oneshot::Sender<Verdict>) {
+        let now = Instant::now();
+        let outstanding = Outstanding {
+            deadline: ask.deadline.map(|left| now + left),
+            dispatcher: None,
+            pool: pool.clone(),
+            running: None,
+            verdict: Some(verdict),
+            wait_until: ask.wait_at_most.map(|left| now + left),
+            ask,
+        };
+        let request = outstanding.ask.request.clone();
+        self.requests.borrow_mut().insert(request, outstanding);
+    }
+
+    pub(super) fn remove(&self, request: &RequestId) -> Option<Ask> {
+        let removed = self.requests.borrow_mut().swap_remove(request);
+        removed.map(|outstanding| outstanding.ask)
+    }
+
+    /// Takes in a verdict; whether a grant is used.
+    pub(super) fn settle(&self, from: &MemberRef, verdict: Verdict) -> bool {
+        let request = match &verdict {
+            Verdict::Grant(grant) => &grant.request,
+            Verdict::Refuse(refuse) => &refuse.request,
+        };
+        let mut requests = self.requests.borrow_mut();
+        match requests.get_mut(request) {
+            Some(outstanding) => outstanding.settle(from, verdict),
+            None => false,
+        }
+    }
+
+    pub(super) fn note(&self, request: &RequestId, kind: &ReportKind) {
+        let mut requests = self.requests.borrow_mut();
+        let Some(running) = requests.get_mut(request).and_then(|r| r.running.as_mut()) else {
+            return;
+        };
+        match kind {
+            ReportKind::FirstToken { .. } => running.decoded = Some(1),
+            ReportKind::Progress { tokens, .. } => {
+                running.decoded = Some(running.decoded.unwrap_or(0) + tokens);
+            }
+            ReportKind::Began | ReportKind::Ended { .. } => {}
+        }
+    }
+
+    /// The ask to send now and to whom; `None` once there is a verdict.
+    pub(super) fn next_ask(
+        &self,
+        daemon: &Daemon,
+        request: &RequestId,
+    ) -> Option<(PoolId, MemberRef, Ask)> {
+        let mut requests = self.requests.borrow_mut();
+        let outstanding = requests.get_mut(request)?;
+        outstanding.verdict.as_ref()?;
+        let dispatcher = daemon.duties.dispatcher(&outstanding.pool)?;
+        outstanding.address_to(&dispatcher, &daemon.duties.me());
+        let ask = outstanding.ask.clone();
+        Some((outstanding.pool.clone(), dispatcher, ask))
+    }
+
+    pub(super) fn resync(&self, daemon: &Daemon, pool: &PoolId, dispatcher: &MemberRef) -> Resync {
+        let me = daemon.duties.me();
+        let mut requests = self.requests.borrow_mut();
+        let mut running = Vec::new();
+        let mut waiting = Vec::new();
+        for outstanding in requests.values_mut().filter(|r| r.pool == *pool) {
+            if let Some(on) = &outstanding.running {
+                // A running request goes over to this daemon's present life too, or it would
+                // be dropped as one of the life that was declared dead.
+                outstanding.ask.entry_incarnation = me.incarnation;
+                running.push(Running {
+                    ask: outstanding.ask.clone(),
+                    decoded: on.decoded,
+                    target: on.target.clone(),
+                });
+            } else {
+                outstanding.address_to(dispatcher, &me);
+                waiting.push(outstanding.ask.clone());
+            }
+        }
+        let entry = Entry {
+            incarnation: me.incarnation,
+            vm: me.vm,
+        };
+        Resync {
+            entry,
+            running,
+            waiting,
+        }
+    }
+}
+
+impl Outstanding {
+    /// Makes the ask one to `dispatcher`; asking another one voids the earlier ask.
+    fn address_to(&mut self, dispatcher: &MemberRef, me: &MemberRef) {
+        let moved = self.dispatcher.as_ref() != Some(dispatcher);
+        let new_life = self.ask.entry_incarnation != me.incarnation;
+        if moved || new_life {
+            self.ask.ask += 1;
+            self.ask.entry_incarnation = me.incarnation;
+            self.dispatcher = Some(dispatcher.clone());
+        }
+        let now = Instant::now();
+        let left = |until: Instant| until.saturating_duration_since(now);
+        self.ask.deadline = self.deadline.map(left);
+        self.ask.wait_at_most = self.wait_until.map(left);
+    }
+
+    fn settle(&mut self, from: &MemberRef, verdict: Verdict) -> bool {
+        let number = match &verdict {
+            Verdict::Grant(grant) => grant.ask,
+            Verdict::Refuse(refuse) => refuse.ask,
+        };
+        // A dispatcher that was frozen or cut off may still grant what it was asked before another
+        // took over; both grants would send the request twice. Only the last one asked counts.
+        if self.ask.ask != number || self.dispatcher.as_ref() != Some(from) {
+            return false;
+        }
+        if let (Some(running), Verdict::Grant(grant)) = (&self.running, &verdict) {
+            return running.target == grant.target;
+        }
+        let Some(tx) = self.verdict.take() else {
+            return false;
+        };
+        if let Verdict::Grant(grant) = &verdict {
+            self.running = Some(RunningOn {
+                decoded: None,
+                target: grant.target.clone(),
+            });
+        }
+        tx.send(verdict).is_ok()
+    }
+}
--- a/crates/lilaccrankd/src/request_run.rs
+++ b/crates/lilaccrankd/src/request_run.rs
@@ -5,24 +5,19 @@
 
 use futures::future::{self, Either};
 use futures::pin_mut;
-use hyper::Request;
-use hyper::header::{HOST, HeaderValue};
-use lilaccrank::dispatch::message::{Ask, Outcome, Refuse, ReportKind};
+use lilaccrank::dispatch::message::{Ask, Refuse};
 use lilaccrank::error_kind::{ErrorKind, Ran};
 use lilaccrank::ids::{RequestId, TargetId};
 use lilaccrank::rules::matching::Route;
 use lilaccrank::timeline::{EventKind, Subject};
-use lilaccrank_http::body;
 
 use crate::caller_request::{CallerRequest, Work};
 use crate::daemon::Daemon;
-use crate::engine_run::{self, EngineRequest, Observer};
-use crate::engine_stream::{EngineStream, REQUEST_ID, REQUEST_KEY};
 use crate::key_state::KeyState;
 use crate::pool_client::{self, Held};
 use crate::refusal::{Refusal, Result};
 use crate::run::{End, Run};
-use crate::{interruption, proxy_run, spill};
+use crate::{interruption, spill};
 
 /// Longest wait for a key to be settled before the caller hears the end.
 const SETTLE_WAIT: Duration = Duration::from_millis(200);
@@ -41,13 +36,6 @@
     pub route: Route,
 }
 
-/// What came of sending a request to a target.
-struct Sent {
-    decoded: u32,
-    prefill: Option<u32>,
-    result: Result<()>,
-}
-
 /// Takes a request to its end and writes that to `run`.
 pub async fn drive(daemon: Rc<Daemon>, routed: Routed, key: KeyState, run: Rc<Run>) {
     let routed = Rc::new(routed);
@@ -102,7 +90,9 @@
         self.caller.facts.deadline.map(|left| self.arrived + left)
     }
 
-    fn subject(&self, detail: String, target: Option<&TargetId>) -> Subject {
+    /// This request as the subject of an event.
+    #[must_use]
+    pub fn subject(&self, detail: String, target: Option<&TargetId>) -> Subject {
         Subject {
             detail,
             request: Some(self.id.clone()),
@@ -160,7 +150,7 @@
             self.subject(self.route.pool.clone(), None),
         );
         let ask = self.ask(daemon, exclusions);
-        let interrupted = interruption::interrupted(run, self.deadline(), self.grace(daemon));
+        let interrupted = self.interrupted(daemon, run);
         let asking = pool_client::ask(daemon, &self.route.pool, ask);
         pin_mut!(asking, interrupted);
         match future::select(asking, interrupted).await {
@@ -180,7 +170,7 @@
         let facts = &self.caller.facts;
         let prefix = match &self.caller.work {
             Work::Generate { prefix, .. } => prefix.clone(),
-            Work::Proxy { .. } => Vec::new(),
+            Work::Proxy(_) => Vec::new(),
         };
         let passed = self.arrived.elapsed();
         Ask {
@@ -208,7 +198,7 @@
 
     async fn spill(&self, daemon: &Daemon, run: &Run, refusal: Refusal) -> Result<()> {
         let (deadline, caller) = (self.deadline(), &self.caller);
-        let interrupted = interruption::interrupted(run, deadline, self.grace(daemon));
+        let interrupted = self.interrupted(daemon, run);
         let spilling = spill::run(daemon, caller, &self.route.spill, deadline, run, refusal);
         pin_mut!(spilling, interrupted);
         match future::select(spilling, interrupted).await {
@@ -217,77 +207,9 @@
         }
     }
 
-    async fn send(&self, daemon: &Daemon, run: &Run, held: Held) -> Result<()> {
-        daemon.record(
-            EventKind::Dispatched,
-            self.subject(String::new(), Some(&held.target)),
-        );
-        let sent = match self.send_once(daemon, run, &held).await {
-            Ok(sent) => sent,
-            Err(refusal) => Sent {
-                decoded: 0,
-                prefill: None,
-                result: Err(refusal),
-            },
-        };
-        let outcome = match &sent.result {
-            Ok(()) => Outcome::Complete,
-            Err(refusal) if from_outside(refusal.kind) => Outcome::Cancelled,
-            Err(_) => Outcome::Failed,
-        };
-        held.ended(outcome, sent.decoded, sent.prefill);
-        sent.result
-    }
-
-    async fn send_once(&self, daemon: &Daemon, run: &Run, held: &Held) -> Result<Sent> {
-        let in_force = daemon.in_force()?;
-        let (_, target) = in_force
-            .target(&self.route.pool, &held.target)
-            .ok_or_else(|| Refusal::new(ErrorKind::NoTarget, "the target was removed"))?;
-        let interrupted = interruption::interrupted(run, self.deadline(), self.grace(daemon));
-        match &self.caller.work {
-            Work::Generate {
-                body,
-                shape,
-                stream,
-                ..
-            } => {
-                let engine = EngineStream::new(
-                    daemon.client.clone(),
-                    target.address.clone(),
-                    self.id.clone(),
-                    daemon.patience(),
-                );
-                let req = EngineRequest {
-                    body: body.clone(),
-                    key: self.caller.facts.key.as_deref(),
-                    shape: *shape,
-                    stream: *stream,
-                };
-                let seen = Seen {
-                    daemon,
-                    held,
-                    waited: self.arrived.elapsed(),
-                };
-                let ended = engine_run::run(engine, req, run, &seen, interrupted).await;
-                Ok(Sent {
-                    decoded: ended.decoded,
-                    prefill: ended.prefill,
-                    result: ended.result,
-                })
-            }
-            Work::Proxy { .. } => {
-                let req = self.proxied();
-                let (client, bounds) = (&daemon.client, daemon.bounds());
-                let result =
-                    proxy_run::run(client, &target.address, req, bounds, run, interrupted).await;
-                Ok(Sent {
-                    decoded: 0,
-                    prefill: None,
-                    result,
-                })
-            }
-        }
+    /// Completes when the request is to be stopped, with the reason.
+    pub fn interrupted(&self, daemon: &Daemon, run: &Run) -> impl Future<Output = Refusal> {
+        interruption::interrupted(run, self.deadline(), self.grace(daemon))
     }
 
     fn grace(&self, daemon: &Daemon) -> Duration {
@@ -296,59 +218,6 @@
             None => Duration::ZERO,
         }
     }
-
-    fn proxied(&self) -> Request<body::Body> {
-        let mut req = Request::new(body::empty());
-        let Work::Proxy {
-            body,
-            headers,
-            method,
-            path,
-        } = &self.caller.work
-        else {
-            return req;
-        };
-        *req.body_mut() = body::full(body.clone());
-        *req.method_mut() = method.clone();
-        *req.uri_mut() = path.parse().unwrap_or_default();
-        *req.headers_mut() = headers.clone();
-        let headers = req.headers_mut();
-        headers.insert(HOST, HeaderValue::from_static("target"));
-        let named = [
-            (REQUEST_ID, Some(&self.id)),
-            (REQUEST_KEY, self.caller.facts.key.as_ref()),
-        ];
-        for (name, value) in named {
-            if let Some(value) = value.and_then(|value| HeaderValue::from_str(value).ok()) {
-                headers.insert(name, value);
-            }
-        }
-        req
-    }
-}
-
-/// Passes what the engine does on to the dispatcher and the metrics.
-struct Seen<'a> {
-    daemon: &'a Daemon,
-    held: &'a Held,
-    waited: Duration,
-}
-
-impl Observer for Seen<'_> {
-    fn first_token(&self, after: Duration) {
-        let total = self.waited + after;
-        self.daemon.metrics.first_token.observe(total.as_secs_f64());
-        self.held.report(ReportKind::FirstToken { after });
-    }
-
-    fn progress(&self, tokens: u32, step: Duration) {
-        self.held.report(ReportKind::Progress { step, tokens });
-    }
-}
-
-/// Whether a request ended for a reason that says nothing about its target.
-fn from_outside(kind: ErrorKind) -> bool {
-    matches!(kind, ErrorKind::Cancelled | ErrorKind::DeadlinePassed)
 }
 
 fn refusal(refuse: &Refuse) -> Refusal {
