Command line: a draft outlives a conflict, and a frozen daemon is passed over

Cause: rules edit removed its draft before publishing, so a conflict lost the operator's edits; with a frozen daemon first on the command line, a publication gave up instead of going through the next one (exit code 3), and each look waited eight seconds for it. Ruled out: reading again after a conflict in move and edit, as the operator decided on what was shown. Change: the draft is kept and named unless the publication is accepted; silent daemons are tried last; what a daemon holds in memory is waited for two seconds. Seen failing first: draft dropped (a_conflict_keeps_the_draft), silent daemons not passed over (a_frozen_daemon_is_passed_over).

--- a/crates/lilaccrank-cli/src/api.rs
+++ b/crates/lilaccrank-cli/src/api.rs
@@ -5,8 +5,8 @@
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HOST, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use lilaccrank::error_kind::Ran;
+use lilaccrank::operators::Failure;
 use lilaccrank::operators::failure::Envelope;
-use lilaccrank::operators::{Failure, Status, path};
 use lilaccrank_http::body::{self, Body};
 use lilaccrank_http::client::{self, Client, Limits};
 use serde::de::DeserializeOwned;
@@ -20,11 +20,11 @@
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
 /// A look costs a daemon milliseconds, or some seconds while the store is slow.
 const LOOK_LIMIT: Duration = Duration::from_secs(8);
+/// A frozen daemon still takes connections, by its kernel, and then says nothing: whoever asks
+/// it would wait for long. One that runs tells what it holds within milliseconds.
+const MEMORY_LIMIT: Duration = Duration::from_secs(2);
 /// A publication takes a daemon at most some fifteen seconds.
 const POST_LIMIT: Duration = Duration::from_secs(30);
-/// A frozen daemon still takes connections, by its kernel, and then says nothing: whoever asks
-/// all daemons would wait for it for long. One that runs tells its state within milliseconds.
-const STATUS_LIMIT: Duration = Duration::from_secs(2);
 /// Largest answer read.
 const BODY_LIMIT: usize = 64 << 20;
 
@@ -51,25 +51,29 @@
         }
     }
 
-    /// Reads a resource.
+    /// Reads what a daemon holds in memory.
     ///
     /// # Errors
     ///
     /// If the daemon can't be reached, breaks off, or refuses.
     pub async fn get<T: DeserializeOwned>(&self, address: &Address, path: &str) -> Result<T> {
         let req = request(address, Method::GET, path, &self.key, Vec::new())?;
-        self.call(address, req, LOOK_LIMIT).await.map_err(harmless)
+        let call = self.call(address, req, MEMORY_LIMIT);
+        call.await.map_err(harmless)
     }
 
-    /// Asks how a daemon is.
+    /// Reads what a daemon has to ask the store for.
     ///
     /// # Errors
     ///
     /// If the daemon can't be reached, breaks off, or refuses.
-    pub async fn status(&self, address: &Address) -> Result<Status> {
-        let req = request(address, Method::GET, path::STATUS, &self.key, Vec::new())?;
-        let call = self.call(address, req, STATUS_LIMIT);
-        call.await.map_err(harmless)
+    pub async fn get_stored<T: DeserializeOwned>(
+        &self,
+        address: &Address,
+        path: &str,
+    ) -> Result<T> {
+        let req = request(address, Method::GET, path, &self.key, Vec::new())?;
+        self.call(address, req, LOOK_LIMIT).await.map_err(harmless)
     }
 
     /// Posts a question, which changes nothing.
--- a/crates/lilaccrank-cli/src/drain.rs
+++ b/crates/lilaccrank-cli/src/drain.rs
@@ -8,7 +8,6 @@
 use lilaccrank::operators::{Failure, LeaveReply, path};
 
 use crate::address::Address;
-use crate::api::Api;
 use crate::context::Context;
 use crate::error::{Error, Result};
 use crate::fleet::Fleet;
@@ -131,7 +130,7 @@
             .map_err(|e| Error::Usage(format!("{}: {e}", daemon.admin)))?;
         let left: LeaveReply = fleet.api.post(&admin, path::LEAVE, &()).await?;
         if self.wait {
-            self.ended(&fleet.api, &admin).await?;
+            self.ended(fleet, &admin).await?;
         }
         cx.output.print(&left, |left| {
             let (vm, n) = (&left.vm, left.in_progress);
@@ -139,11 +138,11 @@
         })
     }
 
-    async fn ended(&self, api: &Api, admin: &Address) -> Result<()> {
+    async fn ended(&self, fleet: &Fleet<'_>, admin: &Address) -> Result<()> {
         let until = Instant::now() + Duration::from_secs(self.wait_limit);
         let _waiting = Waiting::show(format!("{} finishes its requests", self.name));
         loop {
-            if let Err(Error::Unreachable { .. }) = api.status(admin).await {
+            if let Err(Error::Unreachable { .. }) = fleet.status(admin).await {
                 return Ok(());
             }
             if Instant::now() >= until {
--- a/crates/lilaccrank-cli/src/fleet.rs
+++ b/crates/lilaccrank-cli/src/fleet.rs
@@ -1,5 +1,6 @@
 //! All daemons: those on the command line, and those that they know.
 
+use std::cell::RefCell;
 use std::fmt;
 
 use futures::{StreamExt, stream};
@@ -7,7 +8,7 @@
 use lilaccrank::configuration::manifest::Identity;
 use lilaccrank::ids::VmId;
 use lilaccrank::membership::State;
-use lilaccrank::operators::Status;
+use lilaccrank::operators::{Status, path};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -63,6 +64,8 @@
     admins: &'a [Address],
     /// Calls to one daemon.
     pub api: Api,
+    /// Daemons that did not answer; they are tried last, as a frozen one costs a timeout.
+    silent: RefCell<IndexSet<String>>,
 }
 
 impl<'a> Fleet<'a> {
@@ -75,9 +78,29 @@
         Ok(Self {
             admins: &cx.admins,
             api: cx.api()?,
+            silent: RefCell::default(),
         })
     }
 
+    /// Reads from the store through the first daemon that is able to tell.
+    ///
+    /// # Errors
+    ///
+    /// The last daemon's, if none is.
+    pub async fn get_stored<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        self.first(async |admin| self.api.get_stored(admin, path).await)
+            .await
+    }
+
+    /// Asks one daemon how it is.
+    ///
+    /// # Errors
+    ///
+    /// If it does not tell.
+    pub async fn status(&self, admin: &Address) -> Result<Status> {
+        self.api.get(admin, path::STATUS).await
+    }
+
     /// Reads from the first daemon that is able to tell.
     ///
     /// # Errors
@@ -116,16 +139,28 @@
     async fn first<T>(&self, call: impl AsyncFn(&Address) -> Result<T>) -> Result<T> {
         let mut in_doubt = None;
         let mut last = Error::Usage("give --admin URL".to_owned());
-        for admin in self.admins {
-            match call(admin).await {
-                Err(e @ Error::Broken { .. }) => in_doubt = Some(e),
-                Err(e) if elsewhere(&e) => last = e,
+        for admin in self.by_promise() {
+            let failure = match call(admin).await {
+                Err(e) if elsewhere(&e) => e,
                 result => return result,
+            };
+            self.silent.borrow_mut().insert(admin.to_string());
+            match failure {
+                Error::Broken { .. } => in_doubt = Some(failure),
+                _ => last = failure,
             }
         }
         Err(in_doubt.unwrap_or(last))
     }
 
+    /// The daemons of the command line, those that were silent before at the end.
+    fn by_promise(&self) -> Vec<&'a Address> {
+        let silent = self.silent.borrow();
+        let mut admins: Vec<_> = self.admins.iter().collect();
+        admins.sort_by_key(|admin| silent.contains(admin.as_str()));
+        admins
+    }
+
     /// Asks every daemon how it is.
     ///
     /// # Errors
@@ -141,9 +176,7 @@
         let mut next: Vec<_> = self.admins.iter().cloned().map(Candidate::given).collect();
         while !next.is_empty() {
             next.retain(|candidate| asked.insert(candidate.admin.to_string()));
-            let asking = next
-                .iter()
-                .map(|candidate| self.api.status(&candidate.admin));
+            let asking = next.iter().map(|candidate| self.status(&candidate.admin));
             let answers = together(asking).await;
             let mut found = Vec::new();
             for (candidate, answer) in next.drain(..).zip(answers) {
@@ -255,8 +288,8 @@
 /// Whether another daemon may do what this one did not.
 fn elsewhere(e: &Error) -> bool {
     match e {
+        Error::Broken { .. } | Error::Unreachable { .. } => true,
         Error::Refused { kind, .. } => kind == "not_ready",
-        Error::Unreachable { .. } => true,
         _ => false,
     }
 }
--- a/crates/lilaccrank-cli/src/rules/edit.rs
+++ b/crates/lilaccrank-cli/src/rules/edit.rs
@@ -6,8 +6,9 @@
 
 use lilaccrank::document::{Document, Rule};
 use lilaccrank::ids::RuleId;
-use lilaccrank::rules::check;
+use lilaccrank::operators::ConfigurationView;
 use lilaccrank::rules::problem::Problem;
+use tempfile::TempPath;
 
 use super::file;
 use super::place::{self, Place};
@@ -45,28 +46,63 @@
         }
         let fleet = Fleet::new(cx)?;
         let base = publication::in_force(&fleet).await?;
-        let edited = self.edited(cx, &base.document)?;
-        if edited == base.document {
-            cx.output.remark("nothing was changed");
-            return Ok(());
-        }
-        self.options
-            .publish(cx, &fleet, base.identity, &edited)
-            .await
+        let Some(scripted) = self.scripted(&base.document)? else {
+            return self.in_editor(cx, &fleet, base).await;
+        };
+        self.publish(cx, &fleet, base, scripted).await
     }
 
-    fn edited(&self, cx: &Context, base: &Document) -> Result<Document> {
+    /// The document with one rule changed, `None` if an editor is to be opened.
+    fn scripted(&self, base: &Document) -> Result<Option<Document>> {
         let mut document = base.clone();
         if let Some(set) = &self.set {
             self.set(&mut document, read_rule(set)?)?;
-            return Ok(document);
-        }
-        if let Some(remove) = &self.remove {
+        } else if let Some(remove) = &self.remove {
             let at = place::position(&document, remove)?;
             document.rules.remove(at);
-            return Ok(document);
+        } else {
+            return Ok(None);
+        }
+        Ok(Some(document))
+    }
+
+    /// What was saved is kept if it can't be published, as when another operator published
+    /// meanwhile, so that no work is lost.
+    async fn in_editor(
+        &self,
+        cx: &Context,
+        fleet: &Fleet<'_>,
+        base: ConfigurationView,
+    ) -> Result<()> {
+        let draft = write_draft(&base.document)?;
+        open_editor(&draft)?;
+        let published = match file::read(&draft) {
+            Ok(document) => self.publish(cx, fleet, base, document).await,
+            Err(e) => Err(e),
+        };
+        if published.is_err() {
+            let path = draft.keep().map_err(|e| e.error)?;
+            let path = path.display();
+            cx.output.remark(&format!(
+                "your draft is in {path}: correct it, then `lilaccrank rules publish {path}`"
+            ));
         }
-        in_editor(cx, base)
+        published
+    }
+
+    async fn publish(
+        &self,
+        cx: &Context,
+        fleet: &Fleet<'_>,
+        base: ConfigurationView,
+        document: Document,
+    ) -> Result<()> {
+        if document == base.document {
+            cx.output.remark("nothing was changed");
+            return Ok(());
+        }
+        let base = base.identity;
+        self.options.publish(cx, fleet, base, &document).await
     }
 
     fn set(&self, document: &mut Document, rule: Rule) -> Result<()> {
@@ -95,29 +131,14 @@
     })
 }
 
-/// What was saved is kept if it can't be published, so that no work is lost.
-fn in_editor(cx: &Context, base: &Document) -> Result<Document> {
+fn write_draft(document: &Document) -> Result<TempPath> {
     let mut draft = tempfile::Builder::new()
         .prefix("lilaccrank-")
         .suffix(".json")
         .tempfile()?;
-    let json = serde_json::to_string_pretty(base).map_err(std::io::Error::from)?;
+    let json = serde_json::to_string_pretty(document).map_err(std::io::Error::from)?;
     writeln!(draft, "{json}")?;
-    open_editor(draft.path())?;
-    let read = file::read(draft.path()).and_then(|document| {
-        let name = draft.path().display().to_string();
-        file::accept(cx, &name, check::check(&document))?;
-        Ok(document)
-    });
-    if read.as_ref().is_err() {
-        let kept = draft.into_temp_path().keep();
-        let path = kept.map_err(|e| e.error)?;
-        let path = path.display();
-        cx.output.remark(&format!(
-            "your draft is in {path}: correct it, then `lilaccrank rules publish {path}`"
-        ));
-    }
-    read
+    Ok(draft.into_temp_path())
 }
 
 fn open_editor(path: &Path) -> Result<()> {
--- a/crates/lilaccrank-cli/src/rules/history.rs
+++ b/crates/lilaccrank-cli/src/rules/history.rs
@@ -17,7 +17,7 @@
     ///
     /// If no daemon tells them.
     pub async fn run(self, cx: &Context) -> Result<()> {
-        let history: History = Fleet::new(cx)?.get(path::HISTORY).await?;
+        let history: History = Fleet::new(cx)?.get_stored(path::HISTORY).await?;
         cx.output.print(&history, |history| {
             history.entries.iter().map(line).collect()
         })
--- a/crates/lilaccrank-cli/tests/suite/publish.rs
+++ b/crates/lilaccrank-cli/tests/suite/publish.rs
@@ -1,10 +1,12 @@
 //! Publishing through the daemons of a real cluster.
 
+use std::time::{Duration, Instant};
+
 use lilaccrank_lab::layout::Layout;
 use serde_json::{Value, json};
 
 use crate::cluster;
-use crate::test::Test;
+use crate::test::{Ran, Test};
 
 /// The rule that refuses one customer, for another reason each time.
 fn refusal(reason: &str) -> String {
@@ -146,14 +148,39 @@
             .exit(1)
             .stderr("your draft is in")
             .run();
-        let draft = spoilt.stderr.split("your draft is in ").nth(1).unwrap();
-        std::fs::remove_file(draft.split(':').next().unwrap()).unwrap();
+        std::fs::remove_file(draft(&spoilt)).unwrap();
         edit("sed -i s/10000/9000/")
             .stdout("published generation 2")
             .run();
     });
 }
 
+/// Another operator publishes while the first one's editor is open. The second publication is
+/// refused, and an hour's edits would be gone if the draft went with it.
+#[test]
+fn a_conflict_keeps_the_draft() {
+    cluster::with(cluster::one_data_centre(2, 1), async |cluster| {
+        let editor = "lilaccrank rules move jobs --before models --wait\nsed -i s/10000/9000/ $1";
+        let editor = editor.replace("lilaccrank", env!("CARGO_BIN_EXE_lilaccrank"));
+        let edit = cluster::run(&cluster, "rules edit").env("VISUAL", "sh editor.sh");
+        let edit = edit.file("editor.sh", &editor).exit(5);
+        let ran = edit
+            .stderr("rule jobs moved")
+            .stderr("your draft is in")
+            .run();
+        let draft = draft(&ran);
+        let diff = cluster::run(&cluster, "rules diff 1").arg(&draft);
+        diff.stdout("pool engines changed").run();
+        std::fs::remove_file(draft).unwrap();
+    });
+}
+
+/// Where an edit says that it has left the draft.
+fn draft(ran: &Ran) -> String {
+    let draft = ran.stderr.split("your draft is in ").nth(1).unwrap();
+    draft.split(':').next().unwrap().to_owned()
+}
+
 /// The same attempt is sent again, as after a lost answer. Without the id, the second one would
 /// be published anew, over what others published in between.
 #[test]
@@ -175,3 +202,22 @@
             .run();
     });
 }
+
+/// The first daemon of the command line is frozen: it takes the connection and says nothing.
+/// The next one is asked, and what goes through it is in force on all that live. The frozen one
+/// thaws with the old configuration and has to catch up within the promised four seconds.
+#[test]
+fn a_frozen_daemon_is_passed_over() {
+    cluster::with(cluster::one_data_centre(3, 1), async |cluster| {
+        let admins = [0, 1].map(|at| cluster.daemons[at].admin.to_string());
+        cluster.daemons[0].process.freeze().unwrap();
+        let publish = "rules move jobs --before models --wait";
+        let run = cluster::run_at(&[&admins[0], &admins[1]], publish);
+        run.stdout("published generation 2").run();
+        cluster.daemons[0].process.thaw().unwrap();
+        let until = Instant::now() + Duration::from_secs(4);
+        while cluster::generations(&cluster).await != [2, 2, 2] {
+            assert!(Instant::now() < until);
+        }
+    });
+}
