--- a/crates/lilaccrank-lab/src/caller.rs
+++ b/crates/lilaccrank-lab/src/caller.rs
@@ -14,9 +14,10 @@
 use serde_json::{Value, json};
 
 use crate::answer_text;
+use crate::reply;
 
 /// Data of the event that closes a stream.
-const DONE: &str = "[DONE]";
+pub(crate) const DONE: &str = "[DONE]";
 /// Time for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -27,6 +28,8 @@
     pub bearer: String,
     /// Milliseconds for the whole answer.
     pub deadline_ms: Option<u64>,
+    /// Request id, for calls straight to an engine.
+    pub id: Option<String>,
     /// Request key.
     pub key: Option<String>,
     /// Tokens to generate.
@@ -80,7 +83,7 @@
     };
     let (res, connection) = match client.send(address, request(call), limits).await {
         Ok(sent) => sent,
-        Err(e) => return Outcome::Lost(e.to_string()),
+        Err(e) => return Outcome::Lost(format!("after {:?}: {e:?}", begun.elapsed())),
     };
     let outcome = if res.status().is_success() {
         judge(res, call, begun).await
@@ -91,7 +94,8 @@
     outcome
 }
 
-fn request(call: &Call) -> Request<Body> {
+/// The request as it goes out.
+pub(crate) fn request(call: &Call) -> Request<Body> {
     let json = json!({
         "max_tokens": call.max_tokens,
         "model": call.model,
@@ -116,6 +120,11 @@
     if let Some(key) = &call.key {
         set(HeaderName::from_static("idempotency-key"), key);
     }
+    if let Some(id) = &call.id {
+        set(HeaderName::from_static(reply::REQUEST_ID), id);
+        let key = call.key.as_deref().unwrap_or(id);
+        set(HeaderName::from_static(reply::REQUEST_KEY), key);
+    }
     if let Some(tier) = &call.tier {
         set(HeaderName::from_static("lilaccrank-tier"), tier);
     }
--- a/crates/lilaccrank-lab/src/main.rs
+++ b/crates/lilaccrank-lab/src/main.rs
@@ -5,7 +5,8 @@
 
 use clap::{Parser, Subcommand};
 use lilaccrank_http::runtime;
-use lilaccrank_lab::{demo, engine, platform, service, stand_in, up, wire};
+use lilaccrank_lab::{demo, engine, overhead, platform, scale, service, stand_in, up, wire};
+use lilaccrank_lab::{bench, demo, engine, platform, service, stand_in, up, wire};
 
 /// Stand-ins, load and experiments for lilaccrank; not shipped.
 #[derive(Parser)]
@@ -17,12 +18,18 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// Policies of dispatch against the same load and faults.
+    Bench(bench::Args),
     /// An hourly burst through a whole cluster, judged by callers and engines.
     Demo(demo::Args),
     /// A model engine with continuous batching.
     Engine(engine::Args),
+    /// What a daemon adds to a request.
+    Overhead(overhead::Args),
     /// The platform: object store and list of vms.
     Platform(platform::Args),
+    /// The cost of control at several sizes.
+    Scale(scale::Args),
     /// A plain service.
     Service(service::Args),
     /// A cluster left running until SIGINT.
@@ -33,9 +40,12 @@
 
 fn run(command: Command) -> stand_in::Result<()> {
     match command {
+        Command::Bench(args) => runtime::block_on(bench::run(args))?,
         Command::Demo(args) => runtime::block_on(demo::run(args))?,
         Command::Engine(args) => engine::run(args),
+        Command::Overhead(args) => runtime::block_on(overhead::run(args))?,
         Command::Platform(args) => platform::run(args),
+        Command::Scale(args) => runtime::block_on(scale::run(args))?,
         Command::Service(args) => service::run(args),
         Command::Up(args) => runtime::block_on(up::run(args))?,
         Command::Wire(args) => wire::run(args),
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -19,8 +19,12 @@
 use crate::peer_message::{Held, HeldAsk, Leaving, LeavingAsk, PeerReply, PeerRequest, Stamped};
 use crate::settings::Settings;
 use crate::signals::Signals;
+use crate::traffic::Traffic;
 use crate::udp_gossip::UdpGossip;
-use crate::{admin, callers, configuration, pool_client, pool_server, shutdown, vm_list};
+use crate::{
+    admin, callers, configuration, order_jobs, order_keeper, pool_client, pool_server, shutdown,
+    vm_list,
+};
 
 /// Result of running the daemon.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -64,7 +68,9 @@
     let admin_listener = listen(cfg.admin)?;
     let peer_listener = listen(cfg.peer)?;
     let address = cfg.gossip;
-    let datagrams = UdpGossip::bind(address).map_err(|source| Error::Listen { address, source })?;
+    let traffic = Rc::new(Traffic::default());
+    let datagrams = UdpGossip::bind(address, traffic.gossip.clone())
+        .map_err(|source| Error::Listen { address, source })?;
     let incarnation = incarnation();
     let (membership, gossip) = membership::new(
         membership::Settings::default(),
@@ -73,7 +79,12 @@
         datagrams,
     );
     membership.set_seeds(cfg.seeds.clone());
-    let daemon = Rc::new(Daemon::new(cfg, incarnation, membership)?);
+    let daemon = Rc::new(Daemon::new(
+        cfg,
+        incarnation,
+        membership,
+        Rc::clone(&traffic),
+    )?);
     monoio::spawn(gossip.run());
     monoio::spawn(configuration::run(Rc::clone(&daemon)));
     monoio::spawn(follow_members(Rc::clone(&daemon)));
@@ -81,7 +92,8 @@
     monoio::spawn(vm_list::run(Rc::clone(&daemon)));
     start_keeper(&daemon);
     let shared = Rc::clone(&daemon);
-    monoio::spawn(peer_server::serve(peer_listener, move |req| {
+    let tally = traffic.peer_served.clone();
+    monoio::spawn(peer_server::serve(peer_listener, tally, move |req| {
         answer_peer(Rc::clone(&shared), req)
     }));
     let (shared, asked) = (Rc::clone(&daemon), signals.clone());
@@ -122,6 +134,7 @@
         );
         pool_server::members_changed(&daemon);
         pool_client::rebalance(&daemon);
+        order_keeper::reconcile(&daemon);
         daemon.peers.prune();
     }
 }
@@ -149,6 +162,7 @@
             vms: daemon.vm_list.leaving().into_iter().collect(),
         }
         .into(),
+        PeerRequest::Order(req) => order_jobs::answer(&daemon, req).into(),
         PeerRequest::Pool(req) => pool_server::handle(&daemon, req).into(),
     };
     Stamped {
