--- a/crates/lilaccrank-lab/src/main.rs
+++ b/crates/lilaccrank-lab/src/main.rs
@@ -5,8 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use lilaccrank_http::runtime;
-use lilaccrank_lab::{demo, engine, overhead, platform, scale, service, stand_in, up, wire};
-use lilaccrank_lab::{bench, demo, engine, platform, service, stand_in, up, wire};
+use lilaccrank_lab::{bench, demo, engine, overhead, platform, scale, service, stand_in, up, wire};
 
 /// Stand-ins, load and experiments for lilaccrank; not shipped.
 #[derive(Parser)]
