--- a/crates/lilaccrank-cli/src/explain.rs
+++ b/crates/lilaccrank-cli/src/explain.rs
@@ -7,7 +7,6 @@
 use lilaccrank::document::Document;
 use lilaccrank::operators::{ExplainRequest, path};
 use lilaccrank::request::Facts;
-use lilaccrank::rules::check;
 use lilaccrank::rules::condition::{Condition, Environment};
 use lilaccrank::rules::explain::{self, Explanation, RuleVerdict, Verdict};
 use lilaccrank::rules::matching::{Decision, RuleSet};
@@ -95,14 +94,7 @@
     }
 
     fn offline(&self, document: &Document) -> Result<Explanation> {
-        let invalid = |problems| Error::Document {
-            name: "the document".to_owned(),
-            problems,
-        };
-        let problems = check::errors(document);
-        if !problems.is_empty() {
-            return Err(invalid(problems));
-        }
+        file::sound("the document", document)?;
         let rules = RuleSet::compile(document).map_err(|e| Error::Usage(e.to_string()))?;
         let environment = self.environment().unwrap_or_else(|| Environment {
             hour: hour_now(),
--- a/crates/lilaccrank-cli/src/publication.rs
+++ b/crates/lilaccrank-cli/src/publication.rs
@@ -5,7 +5,6 @@
 use lilaccrank::configuration::manifest::Identity;
 use lilaccrank::document::Document;
 use lilaccrank::operators::{ConfigurationView, PublishRequest, Published, path};
-use lilaccrank::rules::check;
 
 use crate::context::Context;
 use crate::error::{Error, Result};
@@ -68,7 +67,9 @@
         base: Identity,
         document: &Document,
     ) -> Result<Published> {
-        file::accept(cx, "the document", check::check(document))?;
+        for warning in file::sound("the document", document)? {
+            cx.output.remark(&warning.to_string());
+        }
         let id = self.id.clone().unwrap_or_else(random_id);
         let req = PublishRequest {
             base,
--- a/crates/lilaccrank-cli/src/rules/check.rs
+++ b/crates/lilaccrank-cli/src/rules/check.rs
@@ -2,7 +2,6 @@
 
 use std::path::PathBuf;
 
-use lilaccrank::rules::check;
 use lilaccrank::rules::problem::Problem;
 use serde::Serialize;
 
@@ -34,9 +33,9 @@
     /// If it can't be read or has errors.
     pub fn run(self, cx: &Context) -> Result<()> {
         let document = file::read(&self.file)?;
-        let problems = check::check(&document);
-        if check::has_error(&problems) || self.strict && !problems.is_empty() {
-            let name = self.file.display().to_string();
+        let name = self.file.display().to_string();
+        let problems = file::sound(&name, &document)?;
+        if self.strict && !problems.is_empty() {
             return Err(Error::Document { name, problems });
         }
         cx.output.print(&Found { problems }, |found| {
--- a/crates/lilaccrank-cli/src/rules/file.rs
+++ b/crates/lilaccrank-cli/src/rules/file.rs
@@ -5,10 +5,9 @@
 
 use lilaccrank::document::Document;
 use lilaccrank::rules::check;
-use lilaccrank::rules::problem::{Problem, Severity};
+use lilaccrank::rules::problem::Problem;
 use lilaccrank::rules::reading;
 
-use crate::context::Context;
 use crate::error::{Error, Result};
 
 /// Stands for standard input.
@@ -53,20 +52,16 @@
     })
 }
 
-/// Lets a document pass whose problems are warnings at most; these are shown.
+/// The warnings about a document that can be published.
 ///
 /// # Errors
 ///
 /// If it has errors.
-pub fn accept(cx: &Context, name: &str, problems: Vec<Problem>) -> Result<()> {
+pub fn sound(name: &str, document: &Document) -> Result<Vec<Problem>> {
+    let problems = check::check(document);
     if check::has_error(&problems) {
-        return Err(Error::Document {
-            name: name.to_owned(),
-            problems,
-        });
+        let name = name.to_owned();
+        return Err(Error::Document { name, problems });
     }
-    for problem in problems.iter().filter(|p| p.severity == Severity::Warning) {
-        cx.output.remark(&problem.to_string());
-    }
-    Ok(())
+    Ok(problems)
 }
--- a/crates/lilaccrank-cli/src/rules/publish.rs
+++ b/crates/lilaccrank-cli/src/rules/publish.rs
@@ -3,7 +3,6 @@
 use std::path::PathBuf;
 
 use lilaccrank::ids::Generation;
-use lilaccrank::rules::check;
 
 use super::{file, source};
 use crate::context::Context;
@@ -33,7 +32,7 @@
     pub async fn run(self, cx: &Context) -> Result<()> {
         let document = file::read(&self.file)?;
         let name = self.file.display().to_string();
-        file::accept(cx, &name, check::check(&document))?;
+        file::sound(&name, &document)?;
         let fleet = Fleet::new(cx)?;
         let base = match self.base {
             Some(base) => source::earlier(&fleet, base).await?,
