--- a/crates/lilaccrank-cli/src/error.rs
+++ b/crates/lilaccrank-cli/src/error.rs
@@ -10,7 +10,7 @@
 use thiserror::Error;
 
 use crate::changes;
-use crate::fleet::{Lacking, Unreachable};
+use crate::survey::{Lacking, Unreachable};
 
 /// Result of a subcommand.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
--- a/crates/lilaccrank-cli/src/main.rs
+++ b/crates/lilaccrank-cli/src/main.rs
@@ -18,6 +18,7 @@
 mod rules;
 mod send;
 mod status;
+mod survey;
 mod timeline;
 mod waiting;
 
--- a/crates/lilaccrank-cli/src/status.rs
+++ b/crates/lilaccrank-cli/src/status.rs
@@ -5,7 +5,8 @@
 
 use crate::context::Context;
 use crate::error::Result;
-use crate::fleet::{Daemon, Fleet, Survey};
+use crate::fleet::Fleet;
+use crate::survey::{Daemon, Survey};
 
 /// Shows all daemons, what each has in force, and the pools and targets they dispatch.
 #[derive(clap::Args)]
--- a/crates/lilaccrank-cli/src/timeline.rs
+++ b/crates/lilaccrank-cli/src/timeline.rs
@@ -8,8 +8,9 @@
 use crate::address::Address;
 use crate::context::Context;
 use crate::error::{Error, Result};
-use crate::fleet::{self, Fleet, Unreachable};
+use crate::fleet::{self, Fleet};
 use crate::instant::{self, Instant};
+use crate::survey::Unreachable;
 
 /// Merges the events of all daemons in causal order.
 #[derive(clap::Args)]
