Dispatch: more patience for a holder; a reading counts for the pool

Change: an ask waits up to three times the reading that its holder saves; prefill of asks that aren't urgent counts once more in the choice.

--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -23,6 +23,10 @@
 pub const LONG_PROMPT: u64 = 2048;
 /// Part of the expected answer that a request is judged by when it is refused for its deadline.
 const OPTIMISM: f64 = 0.5;
+/// How often the prefill of an ask that isn't urgent counts for the pool: what one prompt reads
+/// again, those behind it wait for. Without it copies of a prefix spread over all targets as
+/// soon as their holders are busy, and push each other out of the caches.
+const SHARED_PREFILL: f64 = 1.0;
 /// Tiers from 0 on that may use the headroom.
 const URGENT_TIERS: Tier = 1;
 
@@ -195,13 +199,18 @@
 }
 
 /// Expected time to the whole answer in seconds. Prefill counts once more for the part of the
-/// batch that it holds up.
+/// batch that it holds up, and again for the pool, unless the ask is urgent.
 fn expected(target: &Target, wanted: &Wanted<'_>, saved: u64, now: Instant) -> f64 {
     let estimate = &target.estimate;
     let batch = estimate.batch(now) + 1;
     let held_up = f64::from(batch - 1) / f64::from(target.slots.max(1));
     let own = (wanted.work.prefill - saved) as f64;
     let before = estimate.outstanding().prefill as f64;
-    let prefill = (before + own * (1.0 + held_up)) / estimate.prefill_rate(now);
+    let shared = if is_urgent(wanted.tier) {
+        0.0
+    } else {
+        SHARED_PREFILL
+    };
+    let prefill = (before + own * (1.0 + held_up + shared)) / estimate.prefill_rate(now);
     prefill + wanted.work.decode as f64 * estimate.step(batch, now)
 }
--- a/crates/lilaccrank/src/dispatch/delay.rs
+++ b/crates/lilaccrank/src/dispatch/delay.rs
@@ -2,8 +2,8 @@
 //!
 //! In a full pool one slot comes free at a time. Were the first ask always put there, the cache
 //! would hardly ever be met: prompts are read again and push each other out. So an ask whose
-//! holder is full lets others pass for as long as the reading that it saves would take, which
-//! costs it at most twice that time. A prefix that some target is just reading is waited for in the
+//! holder is full lets others pass for a few times as long as the reading that it saves would
+//! take. A prefix that some target is just reading is waited for in the
 //! same way. Urgent asks don't wait, nor do those with many holders, of
 //! which one is soon free.
 
@@ -15,6 +15,10 @@
 
 /// Asks that are looked at for one that suits the free targets.
 pub(super) const DELAY_SCAN: usize = 8;
+/// Times longer than the reading that it saves that an ask waits for a holder at most. In a burst
+/// the holder is busy for longer than one reading; giving up early costs the whole pool another
+/// one.
+const PATIENCE: u32 = 3;
 /// Savings below this, in tokens, are not worth a delay.
 const SAVING_FLOOR: u64 = 256;
 
@@ -53,7 +57,7 @@
         let delay = Delay {
             openings: self.openings,
             since,
-            until: since + gain,
+            until: since + gain * PATIENCE,
         };
         waiting.delayed.set(Some(delay));
         now < delay.until
