Dispatch: a grant needs most of its likely time left before the deadline

Cause: the judgement at the grant took half of an answer's usual length at a batch of one and nothing ahead at the target; asks near their deadline were granted, read, and cut off. Ruled out: the deadline at admission, which stays a guess from the good side (what is refused there could not be met by an idle target). Change: at the grant four fifths of the likely time (prefill ahead and own, usual length, the step of the batch) must be left.

--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -27,6 +27,9 @@
 /// again, those behind it wait for. Without it copies of a prefix spread over all targets as
 /// soon as their holders are busy, and push each other out of the caches.
 const SHARED_PREFILL: f64 = 1.0;
+/// Part of the likely time to the whole answer that must be left at the grant. An ask that is
+/// granted with less is mostly cut off by its deadline, and its prefill was in vain.
+const LIKELIHOOD: f64 = 0.8;
 /// Tiers from 0 on that may use the headroom.
 const URGENT_TIERS: Tier = 1;
 
@@ -50,7 +53,7 @@
 /// A chosen target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
-    /// Earliest time to the whole answer, in seconds.
+    /// Time to the whole answer by which the ask is judged at its grant, in seconds.
     pub earliest: f64,
     /// Tokens of prefill left after what the cache is believed to save.
     pub prefill: u64,
@@ -182,7 +185,8 @@
     });
     let (_, saved, target) = choices.min_by(|a, b| a.0.total_cmp(&b.0))?;
     Some(Choice {
-        earliest: earliest(target, wanted, saved, now),
+        earliest: earliest(target, wanted, saved, now)
+            .max(likely(target, wanted, saved, now) * LIKELIHOOD),
         prefill: wanted.work.prefill - saved,
         target: target.id.clone(),
     })
@@ -198,6 +202,14 @@
     prefill + decode * estimate.step(1, now)
 }
 
+/// Likely time to the whole answer in seconds, behind what the target already has.
+fn likely(target: &Target, wanted: &Wanted<'_>, saved: u64, now: Instant) -> f64 {
+    let estimate = &target.estimate;
+    let prefill = estimate.outstanding().prefill + wanted.work.prefill - saved;
+    let step = estimate.step(estimate.batch(now) + 1, now);
+    prefill as f64 / estimate.prefill_rate(now) + wanted.work.decode as f64 * step
+}
+
 /// Expected time to the whole answer in seconds. Prefill counts once more for the part of the
 /// batch that it holds up, and again for the pool, unless the ask is urgent.
 fn expected(target: &Target, wanted: &Wanted<'_>, saved: u64, now: Instant) -> f64 {
