Bench: its judge and a quick scenario as tests; an unsettled key is not called not run

Ruled out: the library, whose refusal says that this daemon sent nothing, which is true, and whose mark is refused before anything is sent; its tests stay as they are. Change: at the claim the daemon answers maybe if the keeper can't tell. The judge of the bench is tested on made-up logs for inversions, untrue refusals, doubled runs and wasted prefill, and a quick scenario runs as a test.

--- a/crates/lilaccrank-lab/src/bench.rs
+++ b/crates/lilaccrank-lab/src/bench.rs
@@ -3,7 +3,7 @@
 mod baseline;
 mod bound;
 mod faults;
-mod judge;
+pub mod judge;
 pub mod plan;
 pub mod report;
 mod run;
--- a/crates/lilaccrank-lab/src/bench/judge.rs
+++ b/crates/lilaccrank-lab/src/bench/judge.rs
@@ -20,10 +20,13 @@
 const RACE_MS: u64 = 50;
 
 /// What a caller saw.
-pub(super) struct Seen {
-    pub(super) ended_ms: u64,
-    pub(super) outcome: Outcome,
-    pub(super) sent_ms: u64,
+pub struct Seen {
+    /// Wall time of the end.
+    pub ended_ms: u64,
+    /// What came.
+    pub outcome: Outcome,
+    /// Wall time of the first try.
+    pub sent_ms: u64,
 }
 
 /// What the judge needs of an engine's log entry.
@@ -39,7 +42,7 @@
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Verdict {
+pub enum Verdict {
     /// The whole answer within the deadline.
     Good,
     /// The whole answer after the deadline, or an answer cut off by it.
@@ -51,28 +54,34 @@
 }
 
 /// A judged run.
-pub(super) struct Judge {
+pub struct Judge {
     /// Begun more than once, by tier.
-    pub(super) doubled: IndexMap<String, usize>,
-    pub(super) inversions: usize,
+    pub doubled: IndexMap<String, usize>,
+    /// Shed for overload while work of a lower tier was kept.
+    pub inversions: usize,
     /// Prompt tokens that engines computed.
-    pub(super) prefill_tokens: u64,
+    pub prefill_tokens: u64,
     /// Prompt tokens of good answers computed while another engine held them.
-    pub(super) recomputed_tokens: u64,
+    pub recomputed_tokens: u64,
     /// The same, while another engine that held them had a free slot.
-    pub(super) recomputed_with_room_tokens: u64,
+    pub recomputed_with_room_tokens: u64,
     /// Kinds of refusals, by tier.
-    pub(super) refusals: IndexMap<String, IndexMap<String, usize>>,
+    pub refusals: IndexMap<String, IndexMap<String, usize>>,
     /// Times to the first token of whole answers, by tier.
-    pub(super) ttft: IndexMap<String, Vec<Duration>>,
+    pub ttft: IndexMap<String, Vec<Duration>>,
     /// Verdicts, in the order of the plan.
-    pub(super) verdicts: Vec<Verdict>,
+    pub verdicts: Vec<Verdict>,
     /// Prompt tokens computed for answers that were not received in time.
-    pub(super) useless_tokens: u64,
+    pub useless_tokens: u64,
 }
 
 impl Judge {
-    pub(super) fn new(
+    /// Judges what callers saw, in the order of the plan, by the engines' logs.
+    ///
+    /// # Errors
+    ///
+    /// If a log is not what engines write.
+    pub fn new(
         scenario: &Scenario,
         plan: &[Planned],
         seen: &[Seen],
--- a/crates/lilaccrank-lab/tests/suite.rs
+++ b/crates/lilaccrank-lab/tests/suite.rs
@@ -2,6 +2,8 @@
 
 #[path = "suite/answer_text.rs"]
 mod answer_text;
+#[path = "suite/bench.rs"]
+mod bench;
 #[path = "suite/caller.rs"]
 mod caller;
 #[path = "suite/engine.rs"]
--- a/crates/lilaccrankd/src/key_state.rs
+++ b/crates/lilaccrankd/src/key_state.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, SystemTime};
 
+use lilaccrank::error_kind::Ran;
 use lilaccrank::request_key;
 use lilaccrank::request_key::{
     BodyDigest, Claim, Claimed, Claims, Error, Marked, MemberRef, Outcome, Wanted,
@@ -56,6 +57,9 @@
         Ok(request_key::Access::Held { entry } | request_key::Access::Running { entry }) => {
             Ok(Access::Elsewhere(entry))
         }
+        // The first try of a repeated request may have been run by a daemon that has just died.
+        // A keeper that can't tell yet doesn't know; "not run" would be untrue to its caller.
+        Err(e @ Error::Unsettled) => Err(refusal(&e).ran(Ran::Maybe)),
         Err(e) => Err(refusal(&e)),
     }
 }
