--- a/crates/lilaccrank-lab/src/bench/scenario.rs
+++ b/crates/lilaccrank-lab/src/bench/scenario.rs
@@ -24,6 +24,9 @@
     pub load: Vec<Flow>,
     /// Name.
     pub name: String,
+    /// Most requests that wait at the daemons; past it the lowest tier is shed.
+    #[serde(default)]
+    pub waiting_limit: Option<usize>,
 }
 
 /// Equal engines.
@@ -195,6 +198,7 @@
         let daemons = if with_daemons { self.daemons } else { 0 };
         let mut layout = Layout::one_data_centre(daemons, self.engine_layouts());
         layout.customers.clone_from(&self.customers);
+        layout.waiting_limit = self.waiting_limit;
         layout.data_centres[0].services = 0;
         let on_wire =
             |timed: &TimedFault| matches!(timed.fault, Fault::Cut { .. } | Fault::Silence { .. });
--- a/crates/lilaccrank-lab/src/layout.rs
+++ b/crates/lilaccrank-lab/src/layout.rs
@@ -13,6 +13,8 @@
 pub const ENGINES: &str = "engines";
 /// The pool of plain services.
 pub const SERVICES: &str = "services";
+/// Requests that wait for engines, unless a layout says otherwise.
+const WAITING_LIMIT: usize = 10_000;
 /// Tiers, the most urgent first.
 pub const TIERS: [&str; 4] = ["urgent", "high", "normal", "bulk"];
 
@@ -83,6 +85,8 @@
     pub settings: IndexMap<String, serde_json::Value>,
     /// Data centres that requests for models are spilled to, in order.
     pub spill: Vec<String>,
+    /// Most requests that wait for engines; the default is more than any scenario of the lab sends.
+    pub waiting_limit: Option<usize>,
     /// What passes through wires.
     pub wires: WireLayout,
 }
@@ -104,6 +108,7 @@
                 .into(),
             settings: IndexMap::new(),
             spill: Vec::new(),
+            waiting_limit: None,
             wires: WireLayout::default(),
         }
     }
@@ -143,7 +148,7 @@
                     id: ENGINES.to_owned(),
                     models: vec![MODEL.to_owned()],
                     targets: engines,
-                    waiting_limit: 10_000,
+                    waiting_limit: self.waiting_limit.unwrap_or(WAITING_LIMIT),
                     ..Pool::default()
                 },
                 Pool {
--- a/crates/lilaccrank-lab/tests/suite/bench.rs
+++ b/crates/lilaccrank-lab/tests/suite/bench.rs
@@ -31,7 +31,8 @@
 }
 
 // A caller hears nothing, or the same job is done twice, or an urgent call is shed while bulk is
-// kept. Load comes at a whole cluster of processes at once; callers and engines' logs judge.
+// kept. Load comes at a whole cluster of processes at once and overflows its queue; callers and
+// engines' logs judge.
 #[test]
 fn quick_scenario_loses_doubles_and_inverts_nothing() {
     let report = run("lilaccrank");
@@ -43,6 +44,8 @@
         let told = count("good") + count("late") + count("refused");
         assert_eq!((told, count("offered")), (20, 20), "{report}");
     }
+    let shed = &report["tiers"]["bulk"]["refused_kinds"]["overloaded"];
+    assert!(shed.as_u64() > Some(0), "{report}");
 }
 
 // A policy looks better than another because its requests were easier. The same seed must give
