--- a/crates/lilaccrank-http/src/lib.rs
+++ b/crates/lilaccrank-http/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod body;
 pub mod client;
 pub mod monoio_clock;
+pub mod packing;
 pub mod peer_link;
 pub mod peer_server;
 pub mod runtime;
 pub mod server;
 pub mod store_client;
+pub mod tally;
--- a/crates/lilaccrank-lab/src/caller.rs
+++ b/crates/lilaccrank-lab/src/caller.rs
@@ -17,7 +17,7 @@
 use crate::reply;
 
 /// Data of the event that closes a stream.
-const DONE: &str = "[DONE]";
+pub(crate) const DONE: &str = "[DONE]";
 /// Time for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -83,7 +83,7 @@
     };
     let (res, connection) = match client.send(address, request(call), limits).await {
         Ok(sent) => sent,
-        Err(e) => return Outcome::Lost(e.to_string()),
+        Err(e) => return Outcome::Lost(format!("after {:?}: {e:?}", begun.elapsed())),
     };
     let outcome = if res.status().is_success() {
         judge(res, call, begun).await
@@ -94,7 +94,8 @@
     outcome
 }
 
-fn request(call: &Call) -> Request<Body> {
+/// The request as it goes out.
+pub(crate) fn request(call: &Call) -> Request<Body> {
     let json = json!({
         "max_tokens": call.max_tokens,
         "model": call.model,
