--- a/crates/lilaccrank-lab/tests/orders/holder_frozen.rs
+++ b/crates/lilaccrank-lab/tests/orders/holder_frozen.rs
@@ -3,9 +3,12 @@
 
 use lilaccrank::document::Fencing;
 use lilaccrank_lab::cluster::Cluster;
+use serde_json::json;
 
 use crate::harness;
 
+/// A daemon that freezes for one of these comes back before its order has run out of time.
+const LONG_LEASE: Duration = Duration::from_secs(8);
 /// Time for an order to get from the daemon's log onto the wire.
 const SENDING: Duration = Duration::from_millis(500);
 
@@ -96,3 +99,34 @@
         assert_eq!(roles, ["decode"]);
     });
 }
+
+// The holder is killed, and its successor freezes while it waits with an order "prefill" for the
+// end of that lease. A third daemon takes the lease and gives "decode". The successor thaws, is
+// live again and gets the lease back with time left; in this new term it must not go on with the
+// order of its earlier one.
+#[test]
+fn successor_that_thaws_in_its_wait_for_the_lease_sends_nothing() {
+    harness::run(async {
+        let mut layout = harness::layout(Fencing::Checked);
+        let lease_ms = LONG_LEASE.as_millis();
+        layout
+            .settings
+            .insert("order_lease_ms".to_owned(), json!(lease_ms));
+        let mut cluster = Cluster::start(layout).await.unwrap();
+        let ranked = harness::ranked(&cluster);
+        harness::told(&cluster).await;
+        cluster.daemons[ranked[0]].process.kill();
+        let cluster = Rc::new(cluster);
+        let first = harness::order_role(&cluster, ranked[1], "prefill", "first");
+        harness::logged(&cluster, ranked[1], "members now: 2").await;
+        monoio::time::sleep(SENDING).await;
+        cluster.daemons[ranked[1]].process.freeze().unwrap();
+        harness::role_done(&cluster, ranked[2], "decode", "second").await;
+        cluster.daemons[ranked[1]].process.thaw().unwrap();
+        harness::logged(&cluster, ranked[1], "order first").await;
+        let told = first.await.outcome;
+        assert!(["", "refused"].contains(&told.as_str()), "told {told:?}");
+        let roles = harness::carried_out(&cluster, "change_role").await;
+        assert_eq!(roles, ["decode"]);
+    });
+}
