--- a/crates/lilaccrank-lab/tests/orders/holder_frozen.rs
+++ b/crates/lilaccrank-lab/tests/orders/holder_frozen.rs
@@ -32,7 +32,12 @@
     })
     .await;
     cluster.daemons[ranked[0]].process.thaw().unwrap();
-    harness::logged(&cluster, ranked[0], "order first").await;
+    harness::logged(
+        &cluster,
+        ranked[0],
+        "order first to spanish-town-engine-0 ended",
+    )
+    .await;
     let told = late.await.outcome;
     assert!(["", "unknown"].contains(&told.as_str()), "told {told:?}");
     cluster
@@ -93,7 +98,12 @@
             ["", "refused", "unknown"].contains(&told.as_str()),
             "told {told:?}"
         );
-        harness::logged(&cluster, ranked[0], "order first").await;
+        harness::logged(
+            &cluster,
+            ranked[0],
+            "order first to spanish-town-engine-0 ended",
+        )
+        .await;
         monoio::time::sleep(SENDING).await;
         let roles = harness::carried_out(&cluster, "change_role").await;
         assert_eq!(roles, ["decode"]);
@@ -118,15 +128,32 @@
         cluster.daemons[ranked[0]].process.kill();
         let cluster = Rc::new(cluster);
         let first = harness::order_role(&cluster, ranked[1], "prefill", "first");
-        harness::logged(&cluster, ranked[1], "members now: 2").await;
+        harness::logged(
+            &cluster,
+            ranked[1],
+            "order first to spanish-town-engine-0 begins",
+        )
+        .await;
         monoio::time::sleep(SENDING).await;
         cluster.daemons[ranked[1]].process.freeze().unwrap();
         harness::role_done(&cluster, ranked[2], "decode", "second").await;
         cluster.daemons[ranked[1]].process.thaw().unwrap();
-        harness::logged(&cluster, ranked[1], "order first").await;
+        harness::logged(
+            &cluster,
+            ranked[1],
+            "order first to spanish-town-engine-0 ended",
+        )
+        .await;
         let told = first.await.outcome;
         assert!(["", "refused"].contains(&told.as_str()), "told {told:?}");
         let roles = harness::carried_out(&cluster, "change_role").await;
+        if !roles.is_empty() {
+            let rec = harness::received(&cluster).await;
+            eprintln!("{rec:#?}");
+            for d in &cluster.daemons {
+                eprintln!("=== {} {}", d.vm, cluster.log(&d.vm));
+            }
+        }
         assert_eq!(roles, ["decode"]);
     });
 }
--- a/crates/lilaccrankd/src/order_jobs.rs
+++ b/crates/lilaccrankd/src/order_jobs.rs
@@ -90,8 +90,9 @@
 }
 
 async fn run(daemon: Rc<Daemon>, req: OrderRequest) {
+    log::info!("order {} to {} begins: {}", req.id, req.target, req.command);
     let outcome = give(&daemon, &req).await;
-    log::info!("order {} to {}: {outcome:?}", req.id, req.target);
+    log::info!("order {} to {} ended: {outcome:?}", req.id, req.target);
     let subject = Subject {
         detail: format!("{}, id {}: {outcome:?}", req.command, req.id),
         target: Some(req.target.clone()),
--- a/crates/lilaccrankd/src/order_relay.rs
+++ b/crates/lilaccrankd/src/order_relay.rs
@@ -19,7 +19,10 @@
     // The daemon that may have begun it.
     let mut begun: Option<MemberRef> = None;
     loop {
-        let Some(holder) = daemon.duties.dispatcher(&req.pool) else {
+        // When the duty moves on, only who began the order can tell what became of it; another
+        // would begin it anew.
+        let first = begun.clone().filter(|first| daemon.duties.is_live(first));
+        let Some(holder) = first.or_else(|| daemon.duties.dispatcher(&req.pool)) else {
             return ended(&begun, None, "no daemon has the duty".to_owned());
         };
         match ask(daemon, &holder, &req).await {
