--- a/crates/lilaccrank-http/src/peer_link.rs
+++ b/crates/lilaccrank-http/src/peer_link.rs
@@ -21,6 +21,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::packing::{self, Packed};
+use crate::tally::{Counted, Tally};
+
 /// Path of the one resource that peers post to.
 pub const PATH: &str = "/peer";
 /// Most calls in one batch.
@@ -58,13 +61,15 @@
     Req: Serialize + 'static,
     Rep: DeserializeOwned + 'static,
 {
-    /// Starts the task of the link to `vm` at `address`; connects at the first call.
+    /// Starts the task of the link to `vm` at `address`; connects at the first call. What passes
+    /// is counted in `tally`.
     #[must_use]
-    pub fn start(vm: VmId, address: String) -> Self {
+    pub fn start(vm: VmId, address: String, tally: Tally) -> Self {
         let (tx, rx) = mpsc::unbounded();
         let peer = Peer {
             address,
             connection: None,
+            tally,
             vm: vm.clone(),
         };
         monoio::spawn(peer.run(rx));
@@ -87,14 +92,15 @@
 }
 
 struct Connection {
-    decoder: ResponseDecoder<TcpOwnedReadHalf>,
-    encoder: GenericEncoder<TcpOwnedWriteHalf>,
+    decoder: ResponseDecoder<Counted<TcpOwnedReadHalf>>,
+    encoder: GenericEncoder<Counted<TcpOwnedWriteHalf>>,
     proved: std::time::Instant,
 }
 
 struct Peer {
     address: String,
     connection: Option<Connection>,
+    tally: Tally,
     vm: VmId,
 }
 
@@ -146,8 +152,11 @@
             .filter(|c| c.proved.elapsed() < PROVED_FOR);
         let mut connection = match kept {
             Some(connection) => connection,
-            None => connect(&self.address).await.ok_or_else(unreachable)?,
+            None => connect(&self.address, &self.tally)
+                .await
+                .ok_or_else(unreachable)?,
         };
+        self.tally.send_messages(reqs.len());
         let body = monoio::time::timeout(EXCHANGE_TIMEOUT, connection.post(buf))
             .await
             .ok()
@@ -160,13 +169,14 @@
         if replies.len() != reqs.len() {
             return Err(no_answer());
         }
+        self.tally.receive_messages(replies.len());
         connection.proved = std::time::Instant::now();
         self.connection = Some(connection);
         Ok(replies)
     }
 }
 
-async fn connect(address: &str) -> Option<Connection> {
+async fn connect(address: &str, tally: &Tally) -> Option<Connection> {
     let stream = monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .ok()?
@@ -174,30 +184,36 @@
     stream.set_nodelay(true).ok()?;
     let (r, w) = stream.into_split();
     Some(Connection {
-        decoder: ResponseDecoder::new(r),
-        encoder: GenericEncoder::new(w),
+        decoder: ResponseDecoder::new(Counted::new(r, tally.clone())),
+        encoder: GenericEncoder::new(Counted::new(w, tally.clone())),
         proved: std::time::Instant::now(),
     })
 }
 
 impl Connection {
-    async fn post(&mut self, buf: Vec<u8>) -> Option<Bytes> {
-        let payload = FixedPayload::<Bytes, PayloadError>::new(buf.into());
-        let req = Builder::new()
+    async fn post(&mut self, buf: Vec<u8>) -> Option<Vec<u8>> {
+        let packed = packing::pack(buf);
+        let payload = FixedPayload::<Bytes, PayloadError>::new(packed.buf.into());
+        let mut req = Builder::new()
             .method(Method::POST)
             .uri(PATH)
             .header(http::header::HOST, "peer")
             .body(Payload::Fixed(payload))
             .ok()?;
+        if packed.deflated {
+            packing::mark(req.headers_mut());
+        }
         self.encoder.send_and_flush(req).await.ok()?;
         let res = self.decoder.next().await?.ok()?;
         if !res.status().is_success() {
             return None;
         }
+        let deflated = packing::is_marked(res.headers());
         let Payload::Fixed(mut payload) = res.into_body() else {
             return None;
         };
         self.decoder.fill_payload().await.ok()?;
-        payload.next().await?.ok()
+        let buf = payload.next().await?.ok()?.into();
+        packing::unpack(Packed { buf, deflated }).ok()
     }
 }
--- a/crates/lilaccrank-http/src/store_client.rs
+++ b/crates/lilaccrank-http/src/store_client.rs
@@ -13,6 +13,7 @@
 
 use crate::body;
 use crate::client::{Client, Limits};
+use crate::tally::Tally;
 
 /// Name of the header that carries a version.
 pub const VERSION: &str = "version";
@@ -37,9 +38,15 @@
     /// A client of the store at `address` (IP number and port).
     #[must_use]
     pub fn new(address: String) -> Self {
+        Self::counted(address, Tally::default())
+    }
+
+    /// Like [`new`](Self::new); what passes is counted in `tally`.
+    #[must_use]
+    pub fn counted(address: String, tally: Tally) -> Self {
         Self {
             address,
-            client: Client::default(),
+            client: Client::counted(tally),
         }
     }
 
@@ -50,7 +57,9 @@
     /// As for [`Store::get`].
     pub async fn read(&self, path: &str) -> store::Result<Bytes> {
         let req = request(Method::GET, path.to_owned(), Expect::Any, Bytes::new());
-        let (_, bytes) = self.exchange(req, HEAD_TIMEOUT).await?;
+        let (res, bytes) = self.exchange(req, HEAD_TIMEOUT).await?;
+        // The body of a refusal could pass for a list of nothing.
+        written(&res)?;
         Ok(bytes)
     }
 
--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod ids;
 pub mod lease;
 pub mod membership;
+pub mod operators;
 pub mod orders;
 pub mod paused_clock;
 pub mod peers;
--- a/crates/lilaccrankd/src/main.rs
+++ b/crates/lilaccrankd/src/main.rs
@@ -35,6 +35,7 @@
 mod proxy_run;
 mod refusal;
 mod request_run;
+mod request_send;
 mod run;
 mod serve;
 mod settings;
@@ -44,6 +45,7 @@
 mod target_call;
 mod target_orders;
 mod target_poller;
+mod traffic;
 mod udp_gossip;
 mod vm_list;
 
