--- a/crates/lilaccrank-cli/src/fleet.rs
+++ b/crates/lilaccrank-cli/src/fleet.rs
@@ -1,13 +1,12 @@
 //! All daemons: those on the command line, and those that they know.
 
-use std::fmt;
+use std::cell::RefCell;
 
 use futures::{StreamExt, stream};
-use indexmap::{IndexMap, IndexSet};
-use lilaccrank::configuration::manifest::Identity;
+use indexmap::IndexSet;
 use lilaccrank::ids::VmId;
 use lilaccrank::membership::State;
-use lilaccrank::operators::Status;
+use lilaccrank::operators::{Status, path};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -15,54 +14,18 @@
 use crate::api::Api;
 use crate::context::Context;
 use crate::error::{Error, Result};
+use crate::survey::{Survey, Unreachable};
 
 /// Daemons asked at once.
 const ASKED_AT_ONCE: usize = 64;
 
-/// A daemon that did not tell.
-#[derive(Clone, Debug, Serialize)]
-pub struct Unreachable {
-    /// Where it was asked.
-    pub admin: String,
-    /// Its vm, if another daemon named it.
-    pub vm: Option<VmId>,
-    /// What happened.
-    pub why: String,
-}
-
-/// A live daemon without a publication.
-#[derive(Clone, Debug, Serialize)]
-pub struct Lacking {
-    /// What it has in force, `None` if it does not tell.
-    pub held: Option<Identity>,
-    /// Its vm, or its address if nobody named it.
-    pub vm: VmId,
-}
-
-/// How all daemons are.
-#[derive(Debug, Serialize)]
-pub struct Survey {
-    /// Who told, by vm.
-    pub daemons: IndexMap<VmId, Daemon>,
-    /// Who did not.
-    pub unreachable: Vec<Unreachable>,
-}
-
-/// One daemon that told how it is.
-#[derive(Debug, Serialize)]
-pub struct Daemon {
-    /// Where it was asked.
-    pub admin: String,
-    /// What it told.
-    #[serde(flatten)]
-    pub status: Status,
-}
-
 /// Calls to one or all daemons.
 pub struct Fleet<'a> {
     admins: &'a [Address],
     /// Calls to one daemon.
     pub api: Api,
+    /// Daemons that did not answer; they are tried last, as a frozen one costs a timeout.
+    silent: RefCell<IndexSet<String>>,
 }
 
 impl<'a> Fleet<'a> {
@@ -75,9 +38,29 @@
         Ok(Self {
             admins: &cx.admins,
             api: cx.api()?,
+            silent: RefCell::default(),
         })
     }
 
+    /// Reads from the store through the first daemon that is able to tell.
+    ///
+    /// # Errors
+    ///
+    /// The last daemon's, if none is.
+    pub async fn get_stored<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        self.first(async |admin| self.api.get_stored(admin, path).await)
+            .await
+    }
+
+    /// Asks one daemon how it is.
+    ///
+    /// # Errors
+    ///
+    /// If it does not tell.
+    pub async fn status(&self, admin: &Address) -> Result<Status> {
+        self.api.get(admin, path::STATUS).await
+    }
+
     /// Reads from the first daemon that is able to tell.
     ///
     /// # Errors
@@ -116,16 +99,28 @@
     async fn first<T>(&self, call: impl AsyncFn(&Address) -> Result<T>) -> Result<T> {
         let mut in_doubt = None;
         let mut last = Error::Usage("give --admin URL".to_owned());
-        for admin in self.admins {
-            match call(admin).await {
-                Err(e @ Error::Broken { .. }) => in_doubt = Some(e),
-                Err(e) if elsewhere(&e) => last = e,
+        for admin in self.by_promise() {
+            let failure = match call(admin).await {
+                Err(e) if elsewhere(&e) => e,
                 result => return result,
+            };
+            self.silent.borrow_mut().insert(admin.to_string());
+            match failure {
+                Error::Broken { .. } => in_doubt = Some(failure),
+                _ => last = failure,
             }
         }
         Err(in_doubt.unwrap_or(last))
     }
 
+    /// The daemons of the command line, those that were silent before at the end.
+    fn by_promise(&self) -> Vec<&'a Address> {
+        let silent = self.silent.borrow();
+        let mut admins: Vec<_> = self.admins.iter().collect();
+        admins.sort_by_key(|admin| silent.contains(admin.as_str()));
+        admins
+    }
+
     /// Asks every daemon how it is.
     ///
     /// # Errors
@@ -133,17 +128,12 @@
     /// If all refuse, as they do a wrong key.
     pub async fn survey(&self) -> Result<Survey> {
         let mut refusal = None;
-        let mut survey = Survey {
-            daemons: IndexMap::new(),
-            unreachable: Vec::new(),
-        };
+        let mut survey = Survey::default();
         let mut asked = IndexSet::new();
         let mut next: Vec<_> = self.admins.iter().cloned().map(Candidate::given).collect();
         while !next.is_empty() {
             next.retain(|candidate| asked.insert(candidate.admin.to_string()));
-            let asking = next
-                .iter()
-                .map(|candidate| self.api.status(&candidate.admin));
+            let asking = next.iter().map(|candidate| self.status(&candidate.admin));
             let answers = together(asking).await;
             let mut found = Vec::new();
             for (candidate, answer) in next.drain(..).zip(answers) {
@@ -171,81 +161,6 @@
     }
 }
 
-impl Survey {
-    /// Fails if a daemon did not tell, after what the others told was printed.
-    ///
-    /// # Errors
-    ///
-    /// If any is unreachable.
-    pub fn complete(self) -> Result<()> {
-        if self.unreachable.is_empty() {
-            return Ok(());
-        }
-        Err(Error::Partial(self.unreachable))
-    }
-
-    /// Live daemons that have neither this configuration in force nor a later one.
-    pub fn lacking(&self, published: &Identity) -> Vec<Lacking> {
-        let lacks = |daemon: &&Daemon| {
-            let held = &daemon.status.identity;
-            !daemon.status.leaving && held != published && held.generation <= published.generation
-        };
-        let told = self.daemons.values().filter(lacks).map(|daemon| Lacking {
-            held: Some(daemon.status.identity.clone()),
-            vm: daemon.status.vm.clone(),
-        });
-        let ended = self.ended();
-        let silent = self.unreachable.iter();
-        let silent = silent.filter(|silent| !ended.contains(&silent.admin));
-        let silent = silent.map(|unreachable| Lacking {
-            held: None,
-            vm: unreachable.name(),
-        });
-        told.chain(silent).collect()
-    }
-
-    /// Addresses of daemons that the others know to be dead or leaving. They are named by the
-    /// command line only, and nobody waits for them.
-    fn ended(&self) -> IndexSet<String> {
-        let statuses = self.daemons.values().map(|daemon| &daemon.status);
-        let members = statuses.flat_map(|status| &status.members);
-        let ended = members.filter(|m| matches!(m.state, State::Dead | State::Leaving));
-        ended.map(|member| member.admin.to_string()).collect()
-    }
-
-    fn add(&mut self, admin: Address, status: Status) {
-        let daemon = Daemon {
-            admin: admin.to_string(),
-            status,
-        };
-        self.daemons
-            .entry(daemon.status.vm.clone())
-            .or_insert(daemon);
-    }
-}
-
-impl Unreachable {
-    /// Its vm, or its address if nobody named it.
-    pub fn name(&self) -> String {
-        self.vm.clone().unwrap_or_else(|| self.admin.clone())
-    }
-}
-
-impl fmt::Display for Unreachable {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.name(), self.why)
-    }
-}
-
-impl fmt::Display for Lacking {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match &self.held {
-            Some(held) => write!(f, "{} has {held}", self.vm),
-            None => write!(f, "{} does not tell", self.vm),
-        }
-    }
-}
-
 /// Runs calls to many daemons, a bounded number at once: there may be more daemons than a
 /// process may open connections. The answers come in the order of the calls.
 pub async fn together<F: Future>(calls: impl Iterator<Item = F>) -> Vec<F::Output> {
@@ -255,8 +170,8 @@
 /// Whether another daemon may do what this one did not.
 fn elsewhere(e: &Error) -> bool {
     match e {
+        Error::Broken { .. } | Error::Unreachable { .. } => true,
         Error::Refused { kind, .. } => kind == "not_ready",
-        Error::Unreachable { .. } => true,
         _ => false,
     }
 }
