A daemon that must end tells the callers whom it cuts

Cause: at its shutdown limit, or at a second signal, the daemon just ended. Callers saw a broken connection: a reader could not tell why, and one whose request still waited could not know that nothing was run.

Ruled out: refusing from the shutdown itself, which does not know which requests have been sent; each request's own task does, and it also cancels at the engine and frees its key.

Change: Cutting, one event of the daemon that interrupts a request like a passed deadline does. While it waits the refusal is "leaving", not run; after it was sent, "may have run". The daemon gives this at most two seconds, then ends.

Before: cut_at_the_limit failed with "error reading a body from connection".

Conclusion: the set limit and the second signal share the path.

--- a/crates/lilaccrankd/src/attach.rs
+++ b/crates/lilaccrankd/src/attach.rs
@@ -99,8 +99,9 @@
     let run = Rc::new(Run::default());
     let reader = run.reader();
     let client = daemon.client.clone();
+    let daemon = Rc::clone(daemon);
     monoio::spawn(async move {
-        let gone = interruption::interrupted(&run, None, Duration::ZERO);
+        let gone = interruption::interrupted(&run, None, Duration::ZERO, &daemon.cutting);
         let copying = proxy_run::copy(&client, res, connection, bounds, &run);
         futures::pin_mut!(gone, copying);
         let ended = match futures::future::select(copying, gone).await {
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -17,6 +17,7 @@
 use lilaccrank_http::store_client::StoreClient;
 
 use crate::answers::Answers;
+use crate::cutting::Cutting;
 use crate::duties::Duties;
 use crate::engine_stream::Patience;
 use crate::in_force::InForce;
@@ -58,6 +59,8 @@
     pub claims: KeyClaims,
     /// Connections to targets.
     pub client: Client,
+    /// Ends what is in progress when the daemon can't wait for it.
+    pub cutting: Cutting,
     /// Who dispatches which pool.
     pub duties: Duties,
     in_force: RefCell<Option<Rc<InForce>>>,
@@ -144,6 +147,7 @@
             ),
             claims,
             client: Client::default(),
+            cutting: Cutting::default(),
             duties,
             in_force: RefCell::default(),
             in_progress: Cell::new(0),
--- a/crates/lilaccrankd/src/interruption.rs
+++ b/crates/lilaccrankd/src/interruption.rs
@@ -1,11 +1,13 @@
-//! What ends a request from outside: its callers have gone, or its deadline has passed.
+//! What ends a request from outside: its callers have gone, its deadline has passed, or the
+//! daemon ends before it.
 
 use std::time::{Duration, Instant};
 
 use futures::future::{self, Either};
 use futures::pin_mut;
-use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::error_kind::{ErrorKind, Ran};
 
+use crate::cutting::Cutting;
 use crate::refusal::Refusal;
 use crate::run::Run;
 
@@ -13,11 +15,29 @@
 ///
 /// A request with a key runs on for `grace` after its last reader has gone, since its caller
 /// may only have lost the connection and repeats it through another daemon.
-pub async fn interrupted(run: &Run, deadline: Option<Instant>, grace: Duration) -> Refusal {
+pub async fn interrupted(
+    run: &Run,
+    deadline: Option<Instant>,
+    grace: Duration,
+    cutting: &Cutting,
+) -> Refusal {
     let gone = gone(run, grace);
     let passed = passed(deadline);
-    pin_mut!(gone, passed);
-    match future::select(gone, passed).await {
+    let cut = cutting.begun();
+    pin_mut!(gone, passed, cut);
+    let from_caller = future::select(gone, passed);
+    match future::select(from_caller, cut).await {
+        Either::Left((ended, _)) => from_caller_refusal(&ended),
+        // The process is about to end. A caller that is only cut off could not tell whether its
+        // request ran; the kind alone would say "not run", which is true for who still waits.
+        Either::Right(_) => {
+            Refusal::new(ErrorKind::Leaving, "this daemon has to end now").ran(Ran::Maybe)
+        }
+    }
+}
+
+fn from_caller_refusal<A, B>(ended: &Either<A, B>) -> Refusal {
+    match ended {
         Either::Left(_) => Refusal::new(ErrorKind::Cancelled, "the caller went away"),
         Either::Right(_) => Refusal::new(ErrorKind::DeadlinePassed, "the deadline passed"),
     }
--- a/crates/lilaccrankd/src/main.rs
+++ b/crates/lilaccrankd/src/main.rs
@@ -11,6 +11,7 @@
 mod caller_request;
 mod callers;
 mod configuration;
+mod cutting;
 mod daemon;
 mod drain_teller;
 mod duties;
--- a/crates/lilaccrankd/src/request_run.rs
+++ b/crates/lilaccrankd/src/request_run.rs
@@ -209,7 +209,8 @@
 
     /// Completes when the request is to be stopped, with the reason.
     pub fn interrupted(&self, daemon: &Daemon, run: &Run) -> impl Future<Output = Refusal> {
-        interruption::interrupted(run, self.deadline(), self.grace(daemon))
+        let (deadline, grace) = (self.deadline(), self.grace(daemon));
+        interruption::interrupted(run, deadline, grace, &daemon.cutting)
     }
 
     fn grace(&self, daemon: &Daemon) -> Duration {
--- a/crates/lilaccrankd/src/request_send.rs
+++ b/crates/lilaccrankd/src/request_send.rs
@@ -143,5 +143,8 @@
 
 /// Whether a request ended for a reason that says nothing about its target.
 fn from_outside(kind: ErrorKind) -> bool {
-    matches!(kind, ErrorKind::Cancelled | ErrorKind::DeadlinePassed)
+    matches!(
+        kind,
+        ErrorKind::Cancelled | ErrorKind::DeadlinePassed | ErrorKind::Leaving
+    )
 }
--- a/crates/lilaccrankd/src/shutdown.rs
+++ b/crates/lilaccrankd/src/shutdown.rs
@@ -13,6 +13,9 @@
 /// How often a shutdown looks whether it is done.
 const POLL: Duration = Duration::from_millis(20);
 
+/// Longest time to tell callers that their requests are cut.
+const TELL_LIMIT: Duration = Duration::from_secs(2);
+
 /// Takes nothing new and waits for what is in progress, within the limit or until a second
 /// signal comes.
 pub async fn run(daemon: &Daemon, closing: &Closing, signals: &Signals) {
@@ -27,7 +30,12 @@
             daemon.record(EventKind::Drained, Subject::default());
             log::info!("ended with nothing cut");
         }
-        Either::Right(_) => log::warn!("ended, cutting {} requests", daemon.in_progress()),
+        Either::Right((_, done)) => {
+            log::warn!("cutting {} requests", daemon.in_progress());
+            daemon.cutting.begin();
+            // Their callers are told whether they ran, which a broken connection would not say.
+            let _ = monoio::time::timeout(TELL_LIMIT, done).await;
+        }
     }
 }
 
