Failure tests: plain services, a shutdown that has to cut

Cause: no test on processes for services that hang, are cut off or whose idle connection has fallen silent, nor for the limit and the second signal of a shutdown.

--- a/crates/lilaccrank-lab/tests/faults.rs
+++ b/crates/lilaccrank-lab/tests/faults.rs
@@ -17,5 +17,7 @@
 mod leaving;
 #[path = "faults/request_keys.rs"]
 mod request_keys;
+#[path = "faults/services.rs"]
+mod services;
 #[path = "faults/spill.rs"]
 mod spill;
--- a/crates/lilaccrank-lab/tests/faults/leaving.rs
+++ b/crates/lilaccrank-lab/tests/faults/leaving.rs
@@ -82,6 +82,57 @@
     terminated(true);
 }
 
+/// A daemon that can't wait for its callers: one reads its stream, one waits for a busy engine.
+fn cut(limit_ms: u64, signals: usize) {
+    harness::run(async {
+        let mut layout = harness::layout(3, vec![harness::engine(1)]);
+        let name = "shutdown_limit_ms".to_owned();
+        layout.settings.insert(name, json!(limit_ms));
+        let cluster = Cluster::start(layout).await.unwrap();
+        let dispatcher = harness::dispatcher(&cluster);
+        let at = (dispatcher + 1) % 3;
+        let streaming = harness::send(&cluster, at, harness::keyed("streaming", 500));
+        harness::running(&cluster, "streaming").await;
+        let waiting = harness::send(&cluster, at, harness::keyed("waiting", 20));
+        harness::until("waiting", async || {
+            harness::waiting(&cluster, dispatcher).await == 1
+        })
+        .await;
+        let admin = cluster.daemons[at].admin.to_string();
+        for _ in 0..signals {
+            cluster.daemons[at].process.terminate().unwrap();
+            // Two signals at the same moment would count as one.
+            harness::until("leaving", async || {
+                !matches!(cluster.get(&admin, "/readyz").await, Ok((200, _)))
+            })
+            .await;
+        }
+        let streaming = streaming.await;
+        let told = matches!(&streaming, Outcome::Broken(why) if why.contains(r#""ran":"maybe""#));
+        assert!(told, "{streaming:?}");
+        let waiting = waiting.await;
+        let Outcome::Refused { kind, ran, .. } = &waiting else {
+            panic!("{waiting:?}");
+        };
+        assert_eq!([kind, ran], ["leaving", "no"]);
+        assert_eq!(harness::runs(&cluster, "waiting").await.len(), 0);
+    });
+}
+
+// The daemon is told to end, and its limit for that is up long before its callers are done. It
+// tells the truth to both as it cuts them: the reader's stream ends in an error that says that it
+// ran, the other one is refused as not run, and no engine began it.
+#[test]
+fn cut_at_the_limit() {
+    cut(300, 1);
+}
+
+// The same at a second signal, long before the limit.
+#[test]
+fn cut_by_a_second_signal() {
+    cut(60_000, 2);
+}
+
 fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
     u64::try_from(since.as_millis()).unwrap()
