A deadline beyond the clock no longer ends the daemon

Cause: the header Lilaccrank-Deadline-Ms takes any 64-bit number, and the timers of the runtime panic at an instant whose milliseconds they can't count. Ruled out: clamping without a word, which would promise a deadline that is not kept; a catch around tasks, which would leave state half changed. Before: deadline_is_beyond_the_clock failed, connection closed without an answer.

--- a/crates/lilaccrank-lab/tests/faults/bad_input.rs
+++ b/crates/lilaccrank-lab/tests/faults/bad_input.rs
@@ -120,6 +120,7 @@
 
     body_is_a_list: Sent::completion("", "[1]") => 400 "bad_request";
     deadline_is_a_word: Sent::completion("Lilaccrank-Deadline-Ms: soon\r\n", GOOD) => 400 "bad_request";
+    deadline_is_beyond_the_clock: Sent::completion("Lilaccrank-Deadline-Ms: 18446744073709551615\r\n", GOOD) => 400 "bad_request";
     foreign_tier: Sent::completion("Lilaccrank-Tier: royal\r\n", GOOD) => 403 "forbidden";
     idempotence_is_a_guess: Sent::completion("Lilaccrank-Idempotent: maybe\r\n", GOOD) => 400 "bad_request";
     key_is_empty: Sent::completion("Idempotency-Key: \r\n", GOOD) => 400 "bad_request";
--- a/crates/lilaccrankd/src/caller_request.rs
+++ b/crates/lilaccrankd/src/caller_request.rs
@@ -34,6 +34,11 @@
 const DEFAULT_MAX_TOKENS: u32 = 256;
 /// Longest request key in bytes.
 const KEY_LIMIT: usize = 256;
+/// Longest deadline.
+///
+/// The runtime's timers panic at an instant that they can't count to, and one request would end
+/// the daemon and cut all others. A day is far within their range, and no answer takes longer.
+const DEADLINE_LIMIT: Duration = Duration::from_secs(24 * 60 * 60);
 /// Headers that rules may match on are bounded in number, as their names come from callers.
 const HEADER_LIMIT: usize = 64;
 
@@ -110,7 +115,7 @@
         let mut facts = Facts {
             customer: customer.id.clone(),
             data_centre: data_centre.clone(),
-            deadline: parse::<u64>(&head.headers, &DEADLINE)?.map(Duration::from_millis),
+            deadline: deadline(&head.headers)?,
             headers: header_facts(&head.headers),
             idempotent: idempotent(&head.headers)?,
             key: key(&head.headers)?,
@@ -165,6 +170,17 @@
     Ok(Some(parsed))
 }
 
+fn deadline(headers: &HeaderMap) -> Result<Option<Duration>> {
+    let deadline = parse::<u64>(headers, &DEADLINE)?.map(Duration::from_millis);
+    match deadline {
+        Some(deadline) if deadline > DEADLINE_LIMIT => {
+            let most = DEADLINE_LIMIT.as_millis();
+            Err(bad(format!("the header {DEADLINE} may be {most} at most")))
+        }
+        _ => Ok(deadline),
+    }
+}
+
 fn idempotent(headers: &HeaderMap) -> Result<bool> {
     match text(headers, &IDEMPOTENT)? {
         None | Some("yes") => Ok(true),
