A plain service's error is no refusal of a daemon

Cause: a spilled request whose answer had status 4xx or 5xx was read as a refusal of the other data centre. A plain service's own error was replaced by target_failed; one that read like our refusal with ran no freed the key here and sent the request on to the next data centre, where it ran again. Ruled out: the repeat at the same data centre, which its keeper stopped; the second run needs two data centres in spill. Change: daemons mark their refusals by the header lilaccrank-refusal, answers of targets lose it, and a spill takes only marked answers for refusals. Their bodies are read with bounds of size and time, which they lacked. Conclusion: who refuses is told by a mark that targets can't forge.

--- a/crates/lilaccrankd/src/proxy_run.rs
+++ b/crates/lilaccrankd/src/proxy_run.rs
@@ -15,7 +15,7 @@
 use lilaccrank_http::body::Body;
 use lilaccrank_http::client::{Client, Connection};
 
-use crate::refusal::{Refusal, Result};
+use crate::refusal::{REFUSAL, Refusal, Result};
 use crate::run::{Head, Run};
 use crate::target_call;
 
@@ -69,7 +69,8 @@
     bounds: Bounds,
     run: &Run,
 ) -> Result<()> {
-    let (res, connection) = target_call::send(client, address, req, bounds.head).await?;
+    let (mut res, connection) = target_call::send(client, address, req, bounds.head).await?;
+    res.headers_mut().remove(REFUSAL);
     copy(client, res, connection, bounds, run).await
 }
 
--- a/crates/lilaccrankd/src/refusal.rs
+++ b/crates/lilaccrankd/src/refusal.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use lilaccrank::error_kind::{ErrorKind, Ran};
 use lilaccrank_http::body::{self, Body};
@@ -12,6 +12,13 @@
 /// Result of a step of a request.
 pub type Result<T, E = Refusal> = std::result::Result<T, E>;
 
+/// Marks a daemon's own refusal.
+///
+/// A plain service may answer with an error that reads like one. Taken for a refusal as not run,
+/// it would free the key and send the request to the next data centre, a second time. Answers of
+/// targets lose this header, so that what carries it was said by a daemon.
+pub const REFUSAL: HeaderName = HeaderName::from_static("lilaccrank-refusal");
+
 /// When to come back if nothing better is known.
 const DEFAULT_RETRY: Duration = Duration::from_secs(1);
 
@@ -88,6 +95,9 @@
             .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let headers = res.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Ok(kind) = HeaderValue::from_str(&self.kind.to_string()) {
+            headers.insert(REFUSAL, kind);
+        }
         if let Some(after) = self.retry_after {
             // Whole seconds, rounded up: coming back early would only be refused again.
             let seconds = after.as_millis().div_ceil(1000).max(1);
--- a/crates/lilaccrankd/src/spill.rs
+++ b/crates/lilaccrankd/src/spill.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
@@ -17,11 +16,15 @@
 
 use crate::caller_request::{CallerRequest, DEADLINE, SPILLED};
 use crate::daemon::Daemon;
+use crate::entry;
 use crate::proxy_run;
-use crate::refusal::{Refusal, Result};
+use crate::refusal::{REFUSAL, Refusal, Result};
 use crate::run::Run;
 use crate::target_call;
 
+/// Largest body of a refusal.
+const REFUSAL_LIMIT: usize = 64 * 1024;
+
 #[derive(Deserialize)]
 struct Envelope {
     error: Details,
@@ -82,8 +85,8 @@
     let req = request(daemon, caller, deadline);
     let address = address.to_string();
     let (res, connection) = target_call::send(&daemon.client, &address, req, bounds.head).await?;
-    if res.status().is_client_error() || res.status().is_server_error() {
-        return Err(refusal(res).await);
+    if res.headers().contains_key(REFUSAL) {
+        return Err(refusal(daemon, res).await);
     }
     proxy_run::copy(&daemon.client, res, connection, bounds, run).await
 }
@@ -108,14 +111,15 @@
     req
 }
 
-async fn refusal(res: Response<Incoming>) -> Refusal {
+async fn refusal(daemon: &Daemon, res: Response<Incoming>) -> Refusal {
     let status = res.status();
     let header = res.headers().get(RETRY_AFTER);
     let seconds = header.and_then(|value| value.to_str().ok()?.parse().ok());
     let retry_after = seconds.map(Duration::from_secs);
-    let body = res.into_body().collect().await.ok();
-    let envelope: Option<Envelope> =
-        body.and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
+    let body = entry::read_body(daemon, res.into_body(), REFUSAL_LIMIT).await;
+    let envelope = body
+        .ok()
+        .and_then(|body| serde_json::from_slice(&body).ok());
     match envelope {
         Some(Envelope { error }) => Refusal {
             kind: error.kind,
