A request key belongs to one method, path and body

Cause: a repeat was recognized by its body alone. Two calls of a plain service with one key and the same body, but another path or query, counted as the same: the second caller got the answer to the first call. Ruled out: the engines' bodies, which differ with the prompt; customers, whose keys have scopes of their own. Change: the digest of a request takes in its method and its path with the query. The stub target of the spill test has a file of its own. Conclusion: who repeats a key for another call is told so, and gets nothing that isn't theirs.

--- a/crates/lilaccrank-lab/tests/faults.rs
+++ b/crates/lilaccrank-lab/tests/faults.rs
@@ -19,3 +19,5 @@
 mod request_keys;
 #[path = "faults/spill.rs"]
 mod spill;
+#[path = "faults/stub.rs"]
+mod stub;
--- a/crates/lilaccrank-lab/tests/faults/request_keys.rs
+++ b/crates/lilaccrank-lab/tests/faults/request_keys.rs
@@ -3,7 +3,7 @@
 use lilaccrank_lab::layout::Layout;
 use serde_json::json;
 
-use crate::harness;
+use crate::{harness, stub};
 
 fn layout() -> Layout {
     harness::layout(4, vec![harness::engine(4)])
@@ -160,3 +160,25 @@
         assert_eq!(counters["answers_lost"], 1);
     });
 }
+
+// A caller uses the key of one job for another one, whose body is the same and whose path differs.
+// The answer to the first job is not the answer to the second: the caller is told that the key
+// was used, and the service gets nothing.
+#[test]
+fn key_used_for_another_path() {
+    harness::run(async {
+        let mut layout = layout();
+        layout.data_centres[0].services = 1;
+        let cluster = Cluster::start(layout).await.unwrap();
+        let post = |at: usize, path: &str| {
+            let address = cluster.daemons[at].callers.to_string();
+            stub::post(&address, path, "Idempotency-Key: job\r\n", "{}")
+        };
+        let first = post(0, "/jobs?site=hospital");
+        assert!(first.starts_with("HTTP/1.1 200"), "{first}");
+        let other = post(1, "/jobs?site=quarry");
+        assert!(other.starts_with("HTTP/1.1 422"), "{other}");
+        let service = &cluster.services[0].address;
+        assert_eq!(cluster.begun(service).await.unwrap().len(), 1);
+    });
+}
--- a/crates/lilaccrank-lab/tests/faults/spill.rs
+++ b/crates/lilaccrank-lab/tests/faults/spill.rs
@@ -1,17 +1,12 @@
 //! Requests that a rule sends to another data centre when this one refuses.
 
-use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::thread;
-use std::time::Duration;
+use std::sync::atomic::Ordering;
 
 use lilaccrank_lab::caller::Outcome;
 use lilaccrank_lab::cluster::Cluster;
 use lilaccrank_lab::layout::{DataCentreLayout, Layout, SERVICES};
 
-use crate::harness;
+use crate::{harness, stub};
 
 /// Position of the daemon that takes the calls, and of the one in the other data centre.
 const ENTRY: usize = 0;
@@ -96,55 +91,14 @@
 /// What the plain service answers: its own words, which look like a refusal of a daemon.
 const OWN_WORDS: &str = r#"{"error":{"kind":"overloaded","message":"yard full","ran":"no"}}"#;
 
-/// A plain service that runs each job and answers all with [`OWN_WORDS`]; its address, and the
-/// count of jobs begun.
-fn plain_service() -> (String, Arc<AtomicUsize>) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    let begun = Arc::new(AtomicUsize::new(0));
-    let count = Arc::clone(&begun);
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.unwrap();
-            let read = stream.read(&mut [0; 4096]).unwrap();
-            if read == 0 {
-                continue;
-            }
-            count.fetch_add(1, Ordering::SeqCst);
-            let length = OWN_WORDS.len();
-            let head = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n\
-                        Lilaccrank-Refusal: overloaded\r\nConnection: close\r\n";
-            write!(stream, "{head}Content-Length: {length}\r\n\r\n{OWN_WORDS}").unwrap();
-        }
-    });
-    (address, begun)
-}
-
-/// The whole answer to a job card with a key.
-fn job(address: &str) -> String {
-    let mut stream = TcpStream::connect(address).unwrap();
-    stream
-        .set_read_timeout(Some(Duration::from_secs(5)))
-        .unwrap();
-    let key = Layout::customer_key("hospital");
-    write!(
-        stream,
-        "POST /jobs HTTP/1.1\r\nHost: lab\r\nAuthorization: Bearer {key}\r\n\
-         Idempotency-Key: card\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{{}}"
-    )
-    .unwrap();
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).unwrap();
-    answer
-}
-
 // A job card is spilled, and the plain service there runs it and answers with an error of its
 // own, which reads like a daemon's refusal as not run. The caller gets that answer untouched. The
 // next data centre gets nothing, and a repeat reads the same answer: one truck goes up the hill.
 #[test]
 fn own_error_of_a_service_is_no_refusal() {
     harness::run(async {
-        let (address, begun) = plain_service();
+        let head = "503 Service Unavailable\r\nLilaccrank-Refusal: overloaded";
+        let (address, begun) = stub::target(head, OWN_WORDS);
         let mut layout = layout();
         layout.data_centres[1].services = 1;
         layout.data_centres.push(DataCentreLayout {
@@ -166,7 +120,7 @@
         let cluster = cluster.await.unwrap();
         let entry = cluster.daemons[ENTRY].callers.to_string();
         for _ in 0..2 {
-            let answer = job(&entry);
+            let answer = stub::post(&entry, "/jobs", "Idempotency-Key: card\r\n", "{}");
             assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
             assert!(answer.contains(OWN_WORDS), "{answer}");
             assert_eq!(begun.load(Ordering::SeqCst), 1, "{answer}");
--- a/crates/lilaccrank/src/request_key/key_id.rs
+++ b/crates/lilaccrank/src/request_key/key_id.rs
@@ -49,6 +49,18 @@
     pub fn new(body: &[u8]) -> Self {
         Self(truncated(Sha256::new_with_prefix(body)))
     }
+
+    /// Digest of a request that has more parts than its body, such as a path.
+    #[must_use]
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            // The length keeps ("ab", "c") and ("a", "bc") apart.
+            hasher.update(part.len().to_le_bytes());
+            hasher.update(part);
+        }
+        Self(truncated(hasher))
+    }
 }
 
 fn truncated(hasher: Sha256) -> [u8; DIGEST_SIZE] {
--- a/crates/lilaccrankd/src/key_state.rs
+++ b/crates/lilaccrankd/src/key_state.rs
@@ -46,7 +46,7 @@
         return Ok(Access::Own(KeyState::Keyless));
     };
     let wanted = Wanted {
-        body: BodyDigest::new(&caller.body),
+        body: digest(caller),
         customer: caller.facts.customer.clone(),
         idempotent: caller.facts.idempotent,
         key: key.clone(),
@@ -60,6 +60,17 @@
     }
 }
 
+/// Digest by which a repeat is recognized. Two calls of a plain service may differ in nothing but
+/// method or path; by the body alone the second would be given the answer to the first.
+fn digest(caller: &CallerRequest) -> BodyDigest {
+    let path = caller.head.uri.path_and_query();
+    BodyDigest::of_parts(&[
+        caller.head.method.as_str().as_bytes(),
+        path.map_or("/", |path| path.as_str()).as_bytes(),
+        &caller.body,
+    ])
+}
+
 impl KeyState {
     /// Marks the key, just before something is sent.
     ///
