A request that waits for a removed pool is refused at once

Cause: a publication that takes a pool away retires its dispatcher without verdicts. The entries then asked again for ever: no daemon makes a dispatcher for a pool that is not in the document. A request without a deadline waited without a bound and held up a graceful shutdown. Ruled out: a verdict by the retiring dispatcher, since an entry that has not adopted yet would ask anew; only the entry's own document settles it. Change: an entry refuses what waits for a pool that its document no longer has, at the adoption and before each ask, as no_target and not run. Conclusion: no ask outlives its pool.

--- a/crates/lilaccrank-lab/tests/faults/configuration.rs
+++ b/crates/lilaccrank-lab/tests/faults/configuration.rs
@@ -3,6 +3,7 @@
 
 use lilaccrank::configuration::manifest;
 use lilaccrank::document::Document;
+use lilaccrank_lab::caller::Outcome;
 use lilaccrank_lab::cluster::Cluster;
 use lilaccrank_lab::layout::WireLayout;
 use serde_json::json;
@@ -173,3 +174,43 @@
         harness::assert_whole(&served.await);
     });
 }
+
+// A request waits for a busy engine when an operator removes its pool. No dispatcher has the pool
+// any more, so nobody would ever grant the request. Its caller is told so as soon as the
+// publication is in force, while the request that runs already is answered whole.
+#[test]
+fn pool_removed_while_a_request_waits() {
+    harness::run(async {
+        let layout = harness::layout(2, vec![harness::engine(1)]);
+        let cluster = Cluster::start(layout).await.unwrap();
+        let running = harness::send(&cluster, 0, harness::keyed("running", 300));
+        harness::running(&cluster, "running").await;
+        let waiting = [0, 1].map(|at| {
+            let call = harness::keyed(&format!("waiting-{at}"), 5);
+            harness::send(&cluster, at, call)
+        });
+        let dispatcher = harness::dispatcher(&cluster);
+        harness::until("waiting", async || {
+            harness::waiting(&cluster, dispatcher).await == 2
+        })
+        .await;
+        let mut document = cluster.document.clone();
+        let removed = document.pools.remove(0).id;
+        document
+            .rules
+            .retain(|rule| rule.then.pool.as_ref() != Some(&removed));
+        let published = cluster.publish(Some(cluster.first.clone()), document);
+        published.await.unwrap();
+        let begun = Instant::now();
+        for outcome in waiting {
+            let outcome = outcome.await;
+            let Outcome::Refused { kind, ran, .. } = &outcome else {
+                panic!("{outcome:?}");
+            };
+            assert_eq!([kind, ran], ["no_target", "no"]);
+        }
+        assert!(begun.elapsed() < IN_FORCE_LIMIT, "{:?}", begun.elapsed());
+        harness::assert_whole(&running.await);
+        assert_eq!(harness::begun(&cluster).await.len(), 1);
+    });
+}
--- a/crates/lilaccrankd/src/pool_client.rs
+++ b/crates/lilaccrankd/src/pool_client.rs
@@ -131,6 +131,7 @@
     let Ok(in_force) = daemon.in_force() else {
         return;
     };
+    daemon.pool_client.refuse_removed(&in_force.document);
     let me = daemon.duties.me();
     let new_life = daemon.pool_client.me.replace(Some(me.clone())) != Some(me);
     for pool in &in_force.document.pools {
--- a/crates/lilaccrankd/src/pool_client/outstanding.rs
+++ b/crates/lilaccrankd/src/pool_client/outstanding.rs
@@ -5,7 +5,9 @@
 
 use futures::channel::oneshot;
 use indexmap::IndexMap;
-use lilaccrank::dispatch::message::{Ask, Entry, ReportKind, Resync, Running, Verdict};
+use lilaccrank::dispatch::message::{Ask, Entry, Refuse, ReportKind, Resync, Running, Verdict};
+use lilaccrank::document::Document;
+use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::{PoolId, RequestId, TargetId};
 use lilaccrank::request_key::{MemberRef, Ranking};
 
@@ -102,12 +104,29 @@
         let mut requests = self.requests.borrow_mut();
         let outstanding = requests.get_mut(request)?;
         outstanding.verdict.as_ref()?;
+        let in_force = daemon.in_force().ok()?;
+        if in_force.document.pool(&outstanding.pool).is_none() {
+            outstanding.refuse_removed();
+            return None;
+        }
         let dispatcher = daemon.duties.dispatcher(&outstanding.pool)?;
         outstanding.address_to(&dispatcher, &daemon.duties.me());
         let ask = outstanding.ask.clone();
         Some((outstanding.pool.clone(), dispatcher, ask))
     }
 
+    /// Refuses what waits for a pool that the configuration no longer has.
+    ///
+    /// Its dispatcher has been retired, and no daemon would make another one, so that these
+    /// requests would wait for ever.
+    pub(super) fn refuse_removed(&self, document: &Document) {
+        let mut requests = self.requests.borrow_mut();
+        let all = requests.values_mut();
+        for removed in all.filter(|r| document.pool(&r.pool).is_none()) {
+            removed.refuse_removed();
+        }
+    }
+
     pub(super) fn resync(&self, daemon: &Daemon, pool: &PoolId, dispatcher: &MemberRef) -> Resync {
         let me = daemon.duties.me();
         let mut requests = self.requests.borrow_mut();
@@ -156,6 +175,18 @@
         self.ask.wait_at_most = self.wait_until.map(left);
     }
 
+    fn refuse_removed(&mut self) {
+        if let Some(tx) = self.verdict.take() {
+            // Whoever waited may have gone.
+            let _ = tx.send(Verdict::Refuse(Refuse {
+                ask: self.ask.ask,
+                kind: ErrorKind::NoTarget,
+                request: self.ask.request.clone(),
+                retry_after: None,
+            }));
+        }
+    }
+
     fn settle(&mut self, from: &MemberRef, verdict: Verdict) -> bool {
         let number = match &verdict {
             Verdict::Grant(grant) => grant.ask,
