A whole answer holds all choices, and calls of tools

Cause: the whole answer was built from the first choice's text of each event. With two choices their texts ran into one, a finish reason of one stood for both, and a call of a tool was dropped: the caller got an empty answer that looked whole. Events of a stream whose data has several lines were passed on with only the first line marked as data, and readers drop the others. Ruled out: refusing n above 1 and tools, which engines serve and clients use. Change: choices.rs puts the parts of each choice together, and an answer is whole only if every choice that began has a finish reason. Calls of tools count as tokens for the dispatcher's estimate. Each line of an event is marked. Before: whole_answer_has_all_choices and events_keep_their_lines failed; the answer was one choice with the content truck. Conclusion: what the engine sent reaches the caller, or is told as broken.

--- a/crates/lilaccrank-lab/tests/faults/engines.rs
+++ b/crates/lilaccrank-lab/tests/faults/engines.rs
@@ -7,7 +7,7 @@
 use lilaccrank_lab::layout::{Layout, WireLayout};
 use serde_json::{Value, json};
 
-use crate::harness;
+use crate::{harness, stub};
 
 /// The only engine, or the first one.
 const ENGINE: &str = "spanish-town-engine-0";
@@ -211,3 +211,61 @@
 fn caller_leaves_before_a_whole_answer() {
     disconnected(false);
 }
+
+/// Two choices, one with calls of tools, in events whose data has more than one line.
+const CHOICES: &str = r#"data: {"choices": [{"index": 1, "finish_reason": null,
+data: "delta": {"role": "assistant", "content": "tru"}}]}
+
+data: {"choices": [{"index": 0, "finish_reason": null, "delta": {"role": "assistant", "tool_calls": [{"index": 0, "id": "c1", "type": "function", "function": {"name": "dispatch", "arguments": "{\"de"}}]}}]}
+
+data: {"choices": [{"index": 0, "finish_reason": "tool_calls", "delta": {"tool_calls": [{"index": 0, "function": {"arguments": "pot\": 3}"}}]}}]}
+
+data: {"choices": [{"index": 1, "finish_reason": "stop", "delta": {"content": "ck"}}]}
+
+data: [DONE]
+
+"#;
+
+/// The answer of an engine that sends [`CHOICES`].
+async fn choices(stream: bool) -> String {
+    let (address, _) = stub::target("200 OK", CHOICES);
+    let cluster = Cluster::start_with(layout(1), |document| {
+        document.pools[0].targets[0].address = address;
+    });
+    let cluster = cluster.await.unwrap();
+    let entry = cluster.daemons[0].callers.to_string();
+    let req = json!({
+        "messages": [{"role": "user", "content": "set tripped"}],
+        "model": "lab", "n": 2, "stream": stream,
+    });
+    stub::post(&entry, "/v1/chat/completions", "", &req.to_string())
+}
+
+// A caller asks for two choices and for the whole answer. The engine streams both in parts, one
+// of them with a call of a tool. The answer has all of it: a job card that calls a tool and loses
+// the call would look like an empty but whole answer.
+#[test]
+fn whole_answer_has_all_choices() {
+    harness::run(async {
+        let answer = choices(false).await;
+        let start = answer.find('{').unwrap_or_else(|| panic!("{answer}"));
+        let end = answer.rfind('}').unwrap();
+        let answer: Value = serde_json::from_str(&answer[start..=end]).unwrap();
+        let call = &answer["choices"][0]["message"]["tool_calls"][0]["function"];
+        assert_eq!(call["arguments"], r#"{"depot": 3}"#, "{answer}");
+        assert_eq!(answer["choices"][0]["finish_reason"], "tool_calls");
+        assert_eq!(answer["choices"][1]["message"]["content"], "truck");
+        assert_eq!(answer["choices"][1]["finish_reason"], "stop");
+    });
+}
+
+// The same for a caller that reads events: an event of more than one line stays one event.
+#[test]
+fn events_keep_their_lines() {
+    harness::run(async {
+        let answer = choices(true).await;
+        let lines: Vec<_> = answer.lines().filter(|l| l.contains("delta")).collect();
+        assert_eq!(lines.len(), 4, "{answer}");
+        assert!(lines.iter().all(|l| l.starts_with("data: ")), "{answer}");
+    });
+}
--- a/crates/lilaccrankd/src/answer_shape.rs
+++ b/crates/lilaccrankd/src/answer_shape.rs
@@ -7,6 +7,7 @@
 use serde_json::{Value, json};
 
 use crate::caller_request::Shape;
+use crate::choices::Choices;
 use crate::refusal::{Refusal, Result};
 use crate::run::{Head, Run};
 
@@ -26,12 +27,11 @@
 
 /// Builds the caller's answer from events.
 pub struct AnswerShape {
-    finish_reason: Option<String>,
+    choices: Choices,
     first: Option<Value>,
     prefill: Option<u32>,
     shape: Shape,
     stream: bool,
-    text: String,
     usage: Option<Value>,
 }
 
@@ -40,12 +40,11 @@
     #[must_use]
     pub fn new(shape: Shape, stream: bool) -> Self {
         Self {
-            finish_reason: None,
+            choices: Choices::new(shape, !stream),
             first: None,
             prefill: None,
             shape,
             stream,
-            text: String::new(),
             usage: None,
         }
     }
@@ -71,6 +70,9 @@
         let step = self.read(&event)?;
         if self.stream {
             self.begin(run, "text/event-stream");
+            // The lines of one event were joined; sent as they are, a reader would drop all but
+            // the first and see a broken event.
+            let data = data.replace('\n', "\ndata: ");
             run.push(Bytes::from(format!("data: {data}\n\n")));
         }
         Ok(step)
@@ -86,33 +88,22 @@
         }
         let choices = event.get("choices").and_then(Value::as_array);
         let choices = choices.ok_or_else(|| broken("an event has no choices"))?;
-        let Some(choice) = choices.first() else {
-            return Ok(Step::Other);
-        };
-        if let Some(reason) = choice.get("finish_reason").and_then(Value::as_str) {
-            self.finish_reason = Some(reason.to_owned());
-        }
-        let pointer = match self.shape {
-            Shape::Chat => "/delta/content",
-            Shape::Completion => "/text",
-        };
-        let text = choice.pointer(pointer).and_then(Value::as_str);
-        if self.first.is_none() {
+        if self.first.is_none() && !choices.is_empty() {
             self.first = Some(event.clone());
         }
-        let Some(text) = text.filter(|text| !text.is_empty()) else {
-            return Ok(Step::Other);
-        };
-        if !self.stream {
-            self.text.push_str(text);
+        let mut step = Step::Other;
+        for choice in choices {
+            if self.choices.take(choice) {
+                step = Step::Token;
+            }
         }
-        Ok(Step::Token)
+        Ok(step)
     }
 
     /// An answer counts as whole only if the engine said why it finished: a stream that merely
     /// stops would otherwise reach the caller as a shorter but whole answer.
     fn finish(&mut self, run: &Run) -> Result<Step> {
-        if self.finish_reason.is_none() {
+        if !self.choices.are_finished() {
             return Err(broken("the stream ended without a finish reason"));
         }
         if self.stream {
@@ -141,22 +132,12 @@
     fn whole(&self) -> Value {
         let first = self.first.as_ref();
         let field = |name: &str| first.and_then(|event| event.get(name)).cloned();
-        let (object, choice) = match self.shape {
-            Shape::Chat => (
-                "chat.completion",
-                json!({
-                    "finish_reason": self.finish_reason,
-                    "index": 0,
-                    "message": {"content": self.text, "role": "assistant"},
-                }),
-            ),
-            Shape::Completion => (
-                "text_completion",
-                json!({"finish_reason": self.finish_reason, "index": 0, "text": self.text}),
-            ),
+        let object = match self.shape {
+            Shape::Chat => "chat.completion",
+            Shape::Completion => "text_completion",
         };
         json!({
-            "choices": [choice],
+            "choices": self.choices.whole(),
             "created": field("created"),
             "id": field("id"),
             "model": field("model"),
--- /dev/null
+++ b/crates/lilaccrankd/src/choices.rs
@@ -0,0 +1,124 @@
+//! The choices of an answer, put together from the parts that an engine streams.
+
+use indexmap::IndexMap;
+use serde_json::{Map, Value, json};
+
+use crate::caller_request::Shape;
+
+/// Members that are sent whole, perhaps again in each part; other text is sent piece by piece.
+const SENT_WHOLE: [&str; 6] = ["finish_reason", "id", "index", "name", "role", "type"];
+/// Member of a choice that holds a part of a chat message.
+const DELTA: &str = "delta";
+
+/// Choices by their index.
+pub struct Choices {
+    by_index: IndexMap<u64, Map<String, Value>>,
+    /// Whether the parts are kept; a caller that reads events puts them together itself.
+    keep: bool,
+    shape: Shape,
+}
+
+impl Choices {
+    /// No choice yet.
+    #[must_use]
+    pub fn new(shape: Shape, keep: bool) -> Self {
+        Self {
+            by_index: IndexMap::new(),
+            keep,
+            shape,
+        }
+    }
+
+    /// Takes in a part of a choice; whether it holds something generated.
+    pub fn take(&mut self, part: &Value) -> bool {
+        let index = part.get("index").and_then(Value::as_u64).unwrap_or(0);
+        let choice = self.by_index.entry(index).or_default();
+        if self.keep {
+            merge_members(choice, part);
+        } else if let Some(reason) = part.get("finish_reason").filter(|r| !r.is_null()) {
+            choice.insert("finish_reason".to_owned(), reason.clone());
+        }
+        is_generated(part, self.shape)
+    }
+
+    /// Whether the engine said of each choice why it finished.
+    #[must_use]
+    pub fn are_finished(&self) -> bool {
+        let mut all = self.by_index.values();
+        let finished =
+            |choice: &Map<_, _>| choice.get("finish_reason").is_some_and(Value::is_string);
+        !self.by_index.is_empty() && all.all(finished)
+    }
+
+    /// All choices, each whole, in the order of their index.
+    #[must_use]
+    pub fn whole(&self) -> Value {
+        let mut sorted: Vec<_> = self.by_index.iter().collect();
+        sorted.sort_by_key(|(index, _)| **index);
+        let whole = sorted.into_iter().map(|(index, choice)| {
+            let mut choice = choice.clone();
+            choice.insert("index".to_owned(), (*index).into());
+            if self.shape == Shape::Chat {
+                choice.insert("message".to_owned(), message(choice.get(DELTA)));
+                choice.remove(DELTA);
+            }
+            Value::Object(choice)
+        });
+        whole.collect()
+    }
+}
+
+fn message(delta: Option<&Value>) -> Value {
+    let mut message = json!({"content": null, "role": "assistant"});
+    if let (Some(message), Some(delta)) = (message.as_object_mut(), delta) {
+        merge_members(message, delta);
+    }
+    message
+}
+
+fn is_generated(part: &Value, shape: Shape) -> bool {
+    let is_something = |value: &Value| !matches!(value, Value::Null) && value != "";
+    match shape {
+        Shape::Chat => part
+            .get(DELTA)
+            .and_then(Value::as_object)
+            .is_some_and(|delta| {
+                let mut members = delta.iter();
+                members.any(|(name, value)| name != "role" && is_something(value))
+            }),
+        Shape::Completion => part.get("text").is_some_and(is_something),
+    }
+}
+
+fn merge_members(into: &mut Map<String, Value>, from: &Value) {
+    for (name, value) in from.as_object().into_iter().flatten() {
+        merge(into.entry(name).or_insert(Value::Null), name, value);
+    }
+}
+
+fn merge(into: &mut Value, name: &str, from: &Value) {
+    match (into, from) {
+        (_, Value::Null) => {}
+        (Value::String(text), Value::String(piece)) if !SENT_WHOLE.contains(&name) => {
+            text.push_str(piece);
+        }
+        (Value::Object(members), Value::Object(_)) => merge_members(members, from),
+        (Value::Array(list), Value::Array(items)) => merge_items(list, items),
+        (into, from) => *into = from.clone(),
+    }
+}
+
+/// Items with an index are parts of the item with the same index, such as a call of a tool;
+/// others follow one another.
+fn merge_items(list: &mut Vec<Value>, items: &[Value]) {
+    for item in items {
+        let index = item.get("index");
+        let known = list
+            .iter_mut()
+            .find(|known| index.is_some() && known.get("index") == index);
+        match known.and_then(Value::as_object_mut) {
+            Some(known) => merge_members(known, item),
+            None => list.push(item.clone()),
+        }
+    }
+}
--- a/crates/lilaccrankd/src/main.rs
+++ b/crates/lilaccrankd/src/main.rs
@@ -10,6 +10,7 @@
 mod auth;
 mod caller_request;
 mod callers;
+mod choices;
 mod configuration;
 mod daemon;
 mod drain_teller;
