A shutdown waits for answers that other daemons read

Cause: a shutdown waited for the connections of callers but not for those of the admin server, over which other daemons read held answers for callers that repeated a key there. The daemon ended under such a reader and its caller saw a broken answer. Ruled out: runs of the leaving daemon itself, which it counts; small answers, which the sockets' buffers still deliver. Change: after the callers' server the admin server is closed the same way. Conclusion: a graceful end cuts no answer, whoever reads it.

--- a/crates/lilaccrank-lab/tests/faults/leaving.rs
+++ b/crates/lilaccrank-lab/tests/faults/leaving.rs
@@ -1,12 +1,15 @@
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use futures::future;
 use lilaccrank::document::TargetState;
 use lilaccrank_lab::caller::Outcome;
 use lilaccrank_lab::cluster::Cluster;
+use lilaccrank_lab::layout::Layout;
 use serde_json::{Value, json};
 
-use crate::harness;
+use crate::{harness, stub};
 
 /// Time after which a leaving target gets nothing new.
 const LEFT_AFTER: Duration = Duration::from_secs(3);
@@ -21,6 +24,12 @@
 /// Length of the answers to them. At this rate they fill one engine, so that the other one gets
 /// some if it may.
 const OFFERED_TOKENS: usize = 20;
+/// Size of an answer that no socket's buffers hold.
+const LARGE: usize = 32 << 20;
+/// Bytes that the settings of a daemon allow for it.
+const LARGE_LIMIT: usize = 2 * LARGE;
+/// Time that a slow reader leaves a daemon that was told to end.
+const SLOW_READER: Duration = Duration::from_secs(1);
 /// The target that leaves.
 const LEAVING: &str = "spanish-town-engine-0";
 
@@ -192,3 +201,44 @@
         assert_left_alone_since(&cluster, left).await;
     });
 }
+
+// A caller repeats its key at another daemon, which reads the held answer from the first one. It
+// reads slowly, and the first daemon is told to end. That daemon has no request of its own any
+// more, but the reader still gets all of the answer before the daemon ends.
+#[test]
+fn answer_is_read_by_another_daemon() {
+    harness::run(async {
+        let mut layout = harness::layout(1, Vec::new());
+        layout.data_centres[0].services = 1;
+        for name in ["answer_cache_bytes", "body_limit"] {
+            layout.settings.insert(name.to_owned(), json!(LARGE_LIMIT));
+        }
+        let (address, _) = stub::target("200 OK", "x".repeat(LARGE).leak());
+        let cluster = Cluster::start_with(layout, |document| {
+            document.pools[1].targets[0].address = address;
+        });
+        let mut cluster = cluster.await.unwrap();
+        let entry = cluster.daemons[0].callers.to_string();
+        let first = stub::post(&entry, "/jobs", "Idempotency-Key: survey\r\n", "{}");
+        assert!(first.len() > LARGE, "{}", first.len());
+        let mut reader = TcpStream::connect(cluster.daemons[0].admin).unwrap();
+        let (path, key) = (hex::encode("survey"), Layout::customer_key("hospital"));
+        write!(
+            reader,
+            "GET /v1/answers/{path} HTTP/1.1\r\nHost: lab\r\nAuthorization: Bearer {key}\r\n\
+             Connection: close\r\n\r\n"
+        )
+        .unwrap();
+        reader.read_exact(&mut [0; 16]).unwrap();
+        let process = &mut cluster.daemons[0].process;
+        process.terminate().unwrap();
+        monoio::time::sleep(SLOW_READER).await;
+        let mut rest = Vec::new();
+        let read = reader.read_to_end(&mut rest);
+        assert!(read.is_ok() && rest.len() > LARGE, "{read:?}");
+        harness::until("the daemon's end", async || {
+            TcpStream::connect(cluster.daemons[0].admin).is_err()
+        })
+        .await;
+    });
+}
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -96,10 +96,11 @@
     monoio::spawn(peer_server::serve(peer_listener, tally, move |req| {
         answer_peer(Rc::clone(&shared), req)
     }));
+    let admin_closing = Closing::default();
     let (shared, asked) = (Rc::clone(&daemon), signals.clone());
     monoio::spawn(server::serve(
         admin_listener,
-        Closing::default(),
+        admin_closing.clone(),
         move |req| admin::handle(Rc::clone(&shared), asked.clone(), req),
     ));
     let closing = Closing::default();
@@ -111,7 +112,7 @@
     ));
     log::info!("started in data centre {}", daemon.cfg.data_centre);
     signals.asked().await;
-    shutdown::run(&daemon, &closing, &signals).await;
+    shutdown::run(&daemon, [&closing, &admin_closing], &signals).await;
     Ok(())
 }
 
--- a/crates/lilaccrankd/src/shutdown.rs
+++ b/crates/lilaccrankd/src/shutdown.rs
@@ -14,12 +14,12 @@
 const POLL: Duration = Duration::from_millis(20);
 
 /// Takes nothing new and waits for what is in progress, within the limit or until a second
-/// signal comes.
-pub async fn run(daemon: &Daemon, closing: &Closing, signals: &Signals) {
+/// signal comes. The servers are closed one after the other, the one for callers first.
+pub async fn run(daemon: &Daemon, servers: [&Closing; 2], signals: &Signals) {
     daemon.leaving.set(true);
     log::info!("leaving with {} requests in progress", daemon.in_progress());
     daemon.membership.leave().await;
-    let done = finish(daemon, closing);
+    let done = finish(daemon, servers);
     let cut = cut(daemon, signals);
     pin_mut!(done, cut);
     match future::select(done, cut).await {
@@ -31,13 +31,17 @@
     }
 }
 
-async fn finish(daemon: &Daemon, closing: &Closing) {
+/// Other daemons read held answers from the admin server for callers that repeated a key there.
+/// Ending while one is on its way would cut it at a caller that saw nothing of this shutdown.
+async fn finish(daemon: &Daemon, servers: [&Closing; 2]) {
     while daemon.in_progress() > 0 {
         monoio::time::sleep(POLL).await;
     }
-    closing.close();
-    while closing.connections() > 0 {
-        monoio::time::sleep(POLL).await;
+    for closing in servers {
+        closing.close();
+        while closing.connections() > 0 {
+            monoio::time::sleep(POLL).await;
+        }
     }
 }
 
