Idle connections are closed once they are too old to be used

Cause: requests take only new connections to targets but give theirs back after a whole answer. Nobody took these again and nobody closed them: up to 64 for each address stayed until the server closed them, and their entries for ever, also those of targets that are gone. Ruled out: keeping none, since cancels and reports use them within a second. Change: a task that runs only while something is idle closes what is over the second in which an idle connection may be used, and drops empty entries. Before: unused_connections_are_closed failed, 3 of 3 open after 3 s. After: 0 open; 6 of 6 tests of the crate pass. Conclusion: idle connections are bounded by one second of finished requests.

--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -1,6 +1,6 @@
 //! Sends HTTP/1.1 requests over hyper, on pooled connections that are known to be alive.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -90,6 +90,8 @@
 #[derive(Clone, Default)]
 pub struct Client {
     idle: Rc<RefCell<IndexMap<String, Vec<Idle>>>>,
+    /// Whether a task closes idle connections.
+    sweeping: Rc<Cell<bool>>,
     tally: Option<Tally>,
 }
 
@@ -98,6 +100,12 @@
     sender: SendRequest<Body>,
 }
 
+impl Idle {
+    fn is_usable(&self) -> bool {
+        self.since.elapsed() < PROVED_FOR && !self.sender.is_closed()
+    }
+}
+
 /// A connection on loan from the client.
 ///
 /// Give it back with [`Client::release`] once the body is read to its end. Dropping it closes
@@ -195,12 +203,35 @@
                 sender: connection.sender,
             });
         }
+        if !self.sweeping.replace(true) {
+            monoio::spawn(self.clone().sweep());
+        }
+    }
+
+    /// Closes what is too old to be used, until nothing is idle.
+    ///
+    /// Requests that need new connections leave theirs here and take none. Without this the idle
+    /// ones stay open for as long as their servers like, up to the limit for each address, and a
+    /// daemon before thousands of targets runs out of descriptors.
+    async fn sweep(self) {
+        loop {
+            monoio::time::sleep(PROVED_FOR).await;
+            let mut idle = self.idle.borrow_mut();
+            idle.retain(|_, list| {
+                list.retain(Idle::is_usable);
+                !list.is_empty()
+            });
+            if idle.is_empty() {
+                self.sweeping.set(false);
+                return;
+            }
+        }
     }
 
     fn take(&self, address: &str) -> Option<SendRequest<Body>> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(address)?;
-        list.retain(|idle| idle.since.elapsed() < PROVED_FOR && !idle.sender.is_closed());
+        list.retain(Idle::is_usable);
         let at = list.iter().rposition(|idle| idle.sender.is_ready())?;
         Some(list.swap_remove(at).sender)
     }
