A refusal does not wait for a cancel that can't arrive

Cause: after each failure the engine was told to stop before the caller and the dispatcher heard of the end. At an engine that can't be reached connecting and waiting for the answer took up to 2 s, on top of the deadline. Ruled out: no cancel at all, since engines keep unread streams for a while; a cancel where nothing was sent, which is left out now. Change: the cancel is waited for 100 ms at most and goes on by itself. Conclusion: a deadline that passes is told when it passes.

--- a/crates/lilaccrank-lab/tests/faults/engines.rs
+++ b/crates/lilaccrank-lab/tests/faults/engines.rs
@@ -212,6 +212,35 @@
     disconnected(false);
 }
 
+// Everything between the daemons and the engine falls silent, and the deadline of a request passes.
+// Its caller is told then, and not only once the engine, which can't be reached, should have
+// answered the cancel.
+#[test]
+fn deadline_passes_before_a_silent_engine() {
+    harness::run(async {
+        let mut layout = layout(1);
+        layout.wires = WireLayout {
+            targets: true,
+            ..WireLayout::default()
+        };
+        let cluster = Cluster::start(layout).await.unwrap();
+        let wire = cluster.target_wires[ENGINE].control.clone().unwrap();
+        harness::control(&cluster, &wire, json!({"mode": "black-hole"})).await;
+        let call = Call {
+            deadline_ms: Some(400),
+            ..harness::keyed("late", 5)
+        };
+        let begun = Instant::now();
+        let outcome = harness::send(&cluster, 0, call).await;
+        let took = begun.elapsed();
+        let Outcome::Refused { kind, .. } = &outcome else {
+            panic!("{outcome:?}");
+        };
+        assert_eq!(kind, "deadline_passed");
+        assert!(took < Duration::from_millis(1000), "{took:?}");
+    });
+}
+
 /// Two choices, one with calls of tools, in events whose data has more than one line.
 const CHOICES: &str = r#"data: {"choices": [{"index": 1, "finish_reason": null,
 data: "delta": {"role": "assistant", "content": "tru"}}]}
--- a/crates/lilaccrankd/src/engine_run.rs
+++ b/crates/lilaccrankd/src/engine_run.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use futures::future::{self, Either};
 use futures::pin_mut;
+use lilaccrank::error_kind::{ErrorKind, Ran};
 
 use crate::answer_shape::{AnswerShape, Step};
 use crate::caller_request::Shape;
@@ -13,6 +14,12 @@
 use crate::refusal::{Refusal, Result};
 use crate::run::Run;
 
+/// Longest wait for a cancel before the slot is given back and the caller is told.
+///
+/// An engine that answers does so in milliseconds, and its slot is free then. One that can't be
+/// reached would hold up a refusal for as long as connecting and answering may take; the cancel
+/// goes on without the caller.
+const CANCEL_WAIT: Duration = Duration::from_millis(100);
 /// How often progress is reported while tokens come.
 const PROGRESS_EVERY: Duration = Duration::from_millis(250);
 
@@ -79,7 +86,11 @@
     match &outcome {
         Ok(()) => engine.finish(),
         // Whatever went wrong, the engine may still be computing for nobody.
-        Err(_) => engine.cancel().await,
+        Err(refusal) if refusal.ran == Ran::Maybe => {
+            let cancelling = monoio::spawn(engine.cancel());
+            let _ = monoio::time::timeout(CANCEL_WAIT, cancelling).await;
+        }
+        Err(_) => {}
     }
     Ended {
         decoded: progress.decoded,
@@ -109,7 +120,7 @@
         }
     }
     Err(Refusal::new(
-        lilaccrank::error_kind::ErrorKind::BrokenAnswer,
+        ErrorKind::BrokenAnswer,
         "the target closed the stream before its end",
     ))
 }
