An answer counts as in progress until its caller has it

Cause: a request stopped counting against request_limit when its answer was made. Callers that read nothing, or whose connections were lost without a word, held their answers in memory beyond any limit, until the system gave the connections up after many minutes. Ruled out: dropping the chunks that were read, which repeats of a key need. Change: the count is given back when the answer is passed on, also for repeats that read along, and a caller that takes no part of its answer for body_timeout_ms is broken off, visibly. Before: caller_takes_nothing failed, the next caller was let in beside the held answer. Conclusion: the memory of answers in progress is bounded by the limit of requests times the limit of an answer.

--- a/crates/lilaccrank-lab/tests/faults/bad_input.rs
+++ b/crates/lilaccrank-lab/tests/faults/bad_input.rs
@@ -6,7 +6,7 @@
 use lilaccrank_lab::layout::Layout;
 use serde_json::{Value, json};
 
-use crate::harness;
+use crate::{harness, stub};
 
 /// Largest body that the daemon of these tests takes.
 const BODY_LIMIT: usize = 4096;
@@ -147,3 +147,45 @@
     unknown_model: Sent::completion("", r#"{"model": "other", "prompt": ""}"#) => 404 "unknown_model";
     wrong_key: Sent::with_key("/v1/completions", "wrong", "", GOOD) => 401 "unauthorized";
 }
+
+/// Size of an answer that no socket's buffers hold.
+const LARGE: usize = 32 << 20;
+
+// A caller with a large answer reads nothing of it. While it may still begin to, its answer counts
+// against the limit of requests, and the next caller is told that the daemon is full. Then the
+// answer is given up, and the daemon serves others again.
+#[test]
+fn caller_takes_nothing() {
+    harness::run(async {
+        let mut layout = harness::layout(1, Vec::new());
+        layout.data_centres[0].services = 1;
+        let settings = [
+            ("body_limit", 2 * LARGE),
+            ("body_timeout_ms", 1000),
+            ("request_limit", 1),
+        ];
+        for (name, value) in settings {
+            layout.settings.insert(name.to_owned(), json!(value));
+        }
+        let (address, _) = stub::target("200 OK", "x".repeat(LARGE).leak());
+        let cluster = Cluster::start_with(layout, |document| {
+            document.pools[1].targets[0].address = address;
+        });
+        let cluster = cluster.await.unwrap();
+        let entry = cluster.daemons[0].callers.to_string();
+        let mut stream = TcpStream::connect(&entry).unwrap();
+        stream
+            .write_all(&Sent::request("/jobs", "", "{}").0)
+            .unwrap();
+        stream.read_exact(&mut [0; 16]).unwrap();
+        let next = Sent::request("/elsewhere", "", GOOD);
+        monoio::time::sleep(Duration::from_millis(400)).await;
+        assert_eq!(next.answer(&entry), (503, "overloaded".to_owned()));
+        monoio::time::sleep(Duration::from_millis(2000)).await;
+        let next = Sent::request("/elsewhere", "", GOOD);
+        assert_eq!(next.answer(&entry), (403, "no_rule".to_owned()));
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest);
+        assert!(rest.len() < LARGE, "{}", rest.len());
+    });
+}
--- a/crates/lilaccrankd/src/admin.rs
+++ b/crates/lilaccrankd/src/admin.rs
@@ -134,7 +134,7 @@
         .and_then(|key| String::from_utf8(key).ok())
         .ok_or_else(not_found)?;
     let run = daemon.answers.get(&(customer, key)).ok_or_else(not_found)?;
-    entry::respond(run.reader()).await
+    entry::respond(daemon, run.reader(), None).await
 }
 
 fn ready(daemon: &Daemon) -> crate::refusal::Result<()> {
--- a/crates/lilaccrankd/src/attach.rs
+++ b/crates/lilaccrankd/src/attach.rs
@@ -11,12 +11,12 @@
 use lilaccrank_http::body::{self, Body};
 
 use crate::caller_request::CallerRequest;
-use crate::daemon::Daemon;
+use crate::daemon::{Daemon, InProgress};
 use crate::entry;
 use crate::interruption;
 use crate::proxy_run;
 use crate::refusal::{Refusal, Result};
-use crate::run::{End, Run};
+use crate::run::{End, Reader, Run};
 use crate::target_call;
 
 /// Path below which a daemon shows the answers that it holds, by request key.
@@ -35,6 +35,7 @@
     daemon: &Rc<Daemon>,
     caller: &CallerRequest,
     entry: &MemberRef,
+    in_progress: Rc<InProgress>,
 ) -> Result<Response<Body>> {
     daemon.record(
         EventKind::Attached,
@@ -45,12 +46,12 @@
     );
     for _ in 0..TRIES {
         let found = if entry.vm == daemon.cfg.vm {
-            local(daemon, caller).await
+            local(daemon, caller)
         } else {
-            remote(daemon, caller, entry).await
+            remote(daemon, caller, entry).await?
         };
-        if let Some(res) = found? {
-            return Ok(res);
+        if let Some(reader) = found {
+            return entry::respond(daemon, reader, Some(in_progress)).await;
         }
         monoio::time::sleep(TRY_AGAIN).await;
     }
@@ -62,19 +63,16 @@
     Refusal::new(ErrorKind::AlreadyRun, message)
 }
 
-async fn local(daemon: &Rc<Daemon>, caller: &CallerRequest) -> Result<Option<Response<Body>>> {
-    let key = caller.facts.key.clone().unwrap_or_default();
-    let Some(run) = daemon.answers.get(&(caller.facts.customer.clone(), key)) else {
-        return Ok(None);
-    };
-    entry::respond(run.reader()).await.map(Some)
+fn local(daemon: &Daemon, caller: &CallerRequest) -> Option<Reader> {
+    let run = daemon.answers.get(&caller.scoped_key()?)?;
+    Some(run.reader())
 }
 
 async fn remote(
     daemon: &Rc<Daemon>,
     caller: &CallerRequest,
     entry: &MemberRef,
-) -> Result<Option<Response<Body>>> {
+) -> Result<Option<Reader>> {
     let members = daemon.membership.all();
     let member = members.iter().find(|member| member.vm == entry.vm);
     let member = member.ok_or_else(gone)?;
@@ -109,5 +107,5 @@
         };
         run.finish(ended.map_or_else(End::Failed, |()| End::Whole));
     });
-    entry::respond(reader).await.map(Some)
+    Ok(Some(reader))
 }
--- a/crates/lilaccrankd/src/entry.rs
+++ b/crates/lilaccrankd/src/entry.rs
@@ -12,7 +12,7 @@
 
 use crate::attach;
 use crate::caller_request::CallerRequest;
-use crate::daemon::Daemon;
+use crate::daemon::{Daemon, InProgress};
 use crate::in_force::InForce;
 use crate::key_state::{self, Access};
 use crate::refusal::{Refusal, Result};
@@ -39,7 +39,7 @@
         ));
     }
     let in_force = daemon.in_force()?;
-    let in_progress = daemon.begin()?;
+    let in_progress = Rc::new(daemon.begin()?);
     let (head, incoming) = req.into_parts();
     let customer = in_force.keys.customer(&head.headers)?.clone();
     let body = read_body(daemon, incoming, daemon.cfg.body_limit).await?;
@@ -52,7 +52,9 @@
     )?;
     let route = route(daemon, &in_force, &caller)?;
     let key = match key_state::claim(daemon, &caller).await? {
-        Access::Elsewhere(entry) => return attach::answer(daemon, &caller, &entry).await,
+        Access::Elsewhere(entry) => {
+            return attach::answer(daemon, &caller, &entry, in_progress).await;
+        }
         Access::Own(key) => key,
     };
     let run = Rc::new(Run::default());
@@ -67,11 +69,12 @@
         route,
     };
     let driving = request_run::drive(Rc::clone(daemon), routed, key, run);
+    let driven = Rc::clone(&in_progress);
     monoio::spawn(async move {
         driving.await;
-        drop(in_progress);
+        drop(driven);
     });
-    respond(reader).await
+    respond(daemon, reader, Some(in_progress)).await
 }
 
 /// Reads a body of at most `limit` bytes, for as long as a sender may take.
@@ -109,23 +112,38 @@
     }
 }
 
-/// Passes the answer on as it is written.
-pub async fn respond(reader: Reader) -> Result<Response<Body>> {
+/// Passes the answer on as it is written; it counts as in progress until its reader has it.
+///
+/// The memory of an answer is held for as long as it is read. If only its making counted, callers
+/// that read nothing could fill the memory beyond any limit.
+pub async fn respond(
+    daemon: &Daemon,
+    reader: Reader,
+    in_progress: Option<Rc<InProgress>>,
+) -> Result<Response<Body>> {
     let head = reader.head().await?;
     let (tx, body) = body::channel();
-    monoio::spawn(relay(reader, tx));
+    let patience = Duration::from_millis(daemon.cfg.body_timeout_ms);
+    monoio::spawn(async move {
+        relay(reader, tx, patience).await;
+        drop(in_progress);
+    });
     let mut res = Response::new(body);
     *res.status_mut() = head.status;
     *res.headers_mut() = head.headers;
     Ok(res)
 }
 
-async fn relay(mut reader: Reader, mut tx: BodySender) {
+async fn relay(mut reader: Reader, mut tx: BodySender, patience: Duration) {
     loop {
         match reader.next().await {
             Ok(Some(chunk)) => {
-                if tx.send_data(chunk).await.is_err() {
-                    return;
+                // A caller whose connection was lost without a word takes nothing for good, and
+                // would hold its answer until the system gives up, after many minutes.
+                match monoio::time::timeout(patience, tx.send_data(chunk)).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) => return,
+                    Err(_) => return tx.abort("the caller takes nothing".into()),
                 }
             }
             Ok(None) => return,
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -58,7 +58,7 @@
     pub between_tokens_ms: u64,
     /// Largest request body in bytes.
     pub body_limit: usize,
-    /// Milliseconds for a caller to send its body.
+    /// Milliseconds for a caller to send its body, and to take a part of its answer.
     pub body_timeout_ms: u64,
     /// Where callers are served.
     pub callers: SocketAddr,
