--- a/crates/lilaccrank-lab/tests/faults.rs
+++ b/crates/lilaccrank-lab/tests/faults.rs
@@ -21,3 +21,5 @@
 mod services;
 #[path = "faults/spill.rs"]
 mod spill;
+#[path = "faults/stub.rs"]
+mod stub;
