Orders: operators' messages stand in the library with the others

Cause: the operators' surface got typed messages in the library; the order's were in the daemon, where the command line could not use them, and its body was read by code that stood twice.

--- a/crates/lilaccrank/src/operators.rs
+++ b/crates/lilaccrank/src/operators.rs
@@ -1,6 +1,7 @@
 //! What operators and daemons say to each other, in JSON over the daemon's admin address.
 
 pub mod failure;
+pub mod order;
 pub mod path;
 pub mod status;
 
@@ -15,6 +16,7 @@
 use crate::timeline::Event;
 
 pub use failure::Failure;
+pub use order::{OperatorOrder, OperatorOrderKind, OrderOutcome};
 pub use status::Status;
 
 /// A configuration with its document.
--- a/crates/lilaccrank/src/operators/path.rs
+++ b/crates/lilaccrank/src/operators/path.rs
@@ -8,6 +8,8 @@
 pub const HISTORY: &str = "/v1/history";
 /// `POST` makes the daemon leave as by SIGTERM.
 pub const LEAVE: &str = "/v1/leave";
+/// `POST` orders a target to load a model or to change its role.
+pub const ORDERS: &str = "/v1/orders";
 /// `GET` tells how the daemon is.
 pub const STATUS: &str = "/v1/status";
 /// `POST` asks for events.
--- a/crates/lilaccrankd/src/admin.rs
+++ b/crates/lilaccrankd/src/admin.rs
@@ -40,7 +40,7 @@
         (&Method::GET, path) if path.starts_with(attach::PATH) => held_answer(&daemon, &req)
             .await
             .unwrap_or_else(|refusal| refusal.response()),
-        (&Method::POST, orders::PATH) => orders::handle(&daemon, req).await,
+        (&Method::POST, path::ORDERS) => orders::handle(&daemon, req).await,
         _ => {
             let answered = operator(&daemon, &signals, req).await;
             answered.unwrap_or_else(|e| e.response())
--- a/crates/lilaccrankd/src/order_jobs.rs
+++ b/crates/lilaccrankd/src/order_jobs.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use lilaccrank::operators::OrderOutcome;
 use lilaccrank::timeline::{EventKind, Subject};
 
 use crate::daemon::Daemon;
-use crate::order_message::{OrderOutcome, OrderReply, OrderRequest};
+use crate::order_message::{OrderReply, OrderRequest};
 
 /// How long the outcome of an order is kept for who repeats it.
 const KEPT: Duration = Duration::from_secs(600);
--- a/crates/lilaccrankd/src/order_relay.rs
+++ b/crates/lilaccrankd/src/order_relay.rs
@@ -3,12 +3,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use lilaccrank::operators::OrderOutcome;
 use lilaccrank::peers::{self, Peers};
 use lilaccrank::request_key::{MemberRef, Ranking};
 
 use crate::daemon::Daemon;
 use crate::order_jobs;
-use crate::order_message::{OrderOutcome, OrderReply, OrderRequest};
+use crate::order_message::{OrderReply, OrderRequest};
 
 /// Time between two questions how an order is getting on.
 const ASK_EVERY: Duration = Duration::from_millis(100);
