--- a/crates/lilaccrank-lab/src/cluster.rs
+++ b/crates/lilaccrank-lab/src/cluster.rs
@@ -1,5 +1,7 @@
 //! A cluster of processes on loopback: platform, targets and daemons.
 
+mod calls;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -9,8 +11,7 @@
 use lilaccrank::configuration::manifest::Identity;
 use lilaccrank::configuration::publish::{self, Publication};
 use lilaccrank::document::{Document, Fencing, Target};
-use lilaccrank_http::body;
-use lilaccrank_http::client::{Client, Limits};
+use lilaccrank_http::client::Client;
 use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::store_client::StoreClient;
 use serde_json::{Value, json};
@@ -52,6 +53,8 @@
     pub document: Document,
     /// Engines, by target.
     pub engines: IndexMap<String, Process>,
+    /// Identity of the configuration that was published first.
+    pub first: Identity,
     folder: TempDir,
     /// What it was built from.
     pub layout: Layout,
@@ -138,11 +141,13 @@
         }
         let mut document = layout.document(engine_targets, service_targets);
         edit(&mut document);
+        let first = publish_at(&platform.address, None, document.clone()).await?;
         let mut cluster = Self {
             client: Client::default(),
             daemons: Vec::new(),
             document,
             engines,
+            first,
             folder,
             layout,
             platform,
@@ -150,33 +155,18 @@
             services,
             target_wires,
         };
-        cluster.publish_first().await?;
         cluster.start_daemons()?;
         cluster.ready().await?;
         Ok(cluster)
     }
 
-    async fn publish_first(&self) -> Result<()> {
-        self.publish(None, self.document.clone()).await.map(|_| ())
-    }
-
     /// Publishes a document over the configuration `base`.
     ///
     /// # Errors
     ///
     /// If it is not accepted.
     pub async fn publish(&self, base: Option<Identity>, document: Document) -> Result<Identity> {
-        let store = StoreClient::new(self.platform.address.clone());
-        let adoption = Adoption::new();
-        let publication = Publication {
-            author: "lab".to_owned(),
-            base,
-            document,
-            id: format!("{:016x}", rand::random::<u64>()),
-        };
-        let published =
-            publish::publish(&store, &MonoioClock, &adoption, &publication, PUBLISH_LIMIT);
-        published.await.map_err(std::io::Error::other)
+        publish_at(&self.platform.address, base, document).await
     }
 
     fn start_daemons(&mut self) -> Result<()> {
@@ -288,112 +278,23 @@
         }
         Ok(())
     }
+}
 
-    /// Reads a resource as the operator; status and body.
-    ///
-    /// # Errors
-    ///
-    /// If there is no answer.
-    pub async fn get(&self, address: &str, path: &str) -> Result<(u16, String)> {
-        let bearer = Layout::operator_key();
-        self.exchange(&bearer, address, hyper::Method::GET, path, String::new())
-            .await
-    }
-
-    /// Posts JSON, such as a fault to a stand-in's `/control`.
-    ///
-    /// # Errors
-    ///
-    /// If there is no answer.
-    pub async fn post(&self, address: &str, path: &str, json: &Value) -> Result<(u16, String)> {
-        self.post_as(&Layout::operator_key(), address, path, json)
-            .await
-    }
-
-    /// Puts JSON, such as a vm on the platform's list.
-    ///
-    /// # Errors
-    ///
-    /// If there is no answer.
-    pub async fn put(&self, address: &str, path: &str, json: &Value) -> Result<(u16, String)> {
-        let (bearer, text) = (Layout::operator_key(), json.to_string());
-        self.exchange(&bearer, address, hyper::Method::PUT, path, text)
-            .await
-    }
-
-    /// Posts JSON with a bearer key.
-    ///
-    /// # Errors
-    ///
-    /// If there is no answer.
-    pub async fn post_as(
-        &self,
-        bearer: &str,
-        address: &str,
-        path: &str,
-        json: &Value,
-    ) -> Result<(u16, String)> {
-        self.exchange(bearer, address, hyper::Method::POST, path, json.to_string())
-            .await
-    }
-
-    /// Sends a request as the operator; status and body.
-    ///
-    /// # Errors
-    ///
-    /// If there is no answer.
-    pub async fn send(
-        &self,
-        address: &str,
-        method: hyper::Method,
-        path: &str,
-        text: String,
-    ) -> Result<(u16, String)> {
-        let bearer = Layout::operator_key();
-        self.exchange(&bearer, address, method, path, text).await
-    }
-
-    async fn exchange(
-        &self,
-        bearer: &str,
-        address: &str,
-        method: hyper::Method,
-        path: &str,
-        text: String,
-    ) -> Result<(u16, String)> {
-        let mut req = hyper::Request::new(body::full(text));
-        *req.method_mut() = method;
-        *req.uri_mut() = path.parse().unwrap_or_default();
-        let headers = req.headers_mut();
-        headers.insert(
-            hyper::header::HOST,
-            hyper::header::HeaderValue::from_static("lab"),
-        );
-        if let Ok(bearer) = format!("Bearer {bearer}").parse() {
-            headers.insert(hyper::header::AUTHORIZATION, bearer);
-        }
-        let limits = Limits {
-            connect: Duration::from_secs(1),
-            fresh: true,
-            head: Duration::from_secs(10),
-        };
-        let sent = self.client.send(address, req, limits).await;
-        let (res, _connection) = sent.map_err(std::io::Error::other)?;
-        let status = res.status().as_u16();
-        let bytes = body::read(res.into_body(), 64 << 20).await;
-        let bytes = bytes.map_err(std::io::Error::other)?;
-        Ok((status, String::from_utf8_lossy(&bytes).into_owned()))
-    }
-
-    /// What a target says it began: the judge of "at most once".
-    ///
-    /// # Errors
-    ///
-    /// If it does not answer.
-    pub async fn begun(&self, address: &str) -> Result<Vec<Value>> {
-        let (_, text) = self.get(address, "/log").await?;
-        Ok(serde_json::from_str(&text)?)
-    }
+async fn publish_at(
+    platform: &str,
+    base: Option<Identity>,
+    document: Document,
+) -> Result<Identity> {
+    let store = StoreClient::new(platform.to_owned());
+    let adoption = Adoption::new();
+    let publication = Publication {
+        author: "lab".to_owned(),
+        base,
+        document,
+        id: format!("{:016x}", rand::random::<u64>()),
+    };
+    let published = publish::publish(&store, &MonoioClock, &adoption, &publication, PUBLISH_LIMIT);
+    published.await.map_err(std::io::Error::other)
 }
 
 fn wire_to(address: &str) -> Result<Process> {
--- a/crates/lilaccrank-lab/tests/orders/holder_frozen.rs
+++ b/crates/lilaccrank-lab/tests/orders/holder_frozen.rs
@@ -3,9 +3,14 @@
 
 use lilaccrank::document::Fencing;
 use lilaccrank_lab::cluster::Cluster;
+use serde_json::json;
 
 use crate::harness;
 
+/// A daemon that freezes for one of these comes back before its order has run out of time.
+const LONG_LEASE: Duration = Duration::from_secs(8);
+/// The lease of the other tests.
+const SHORT_LEASE: Duration = Duration::from_secs(2);
 /// Time for an order to get from the daemon's log onto the wire.
 const SENDING: Duration = Duration::from_millis(500);
 
@@ -29,7 +34,12 @@
     })
     .await;
     cluster.daemons[ranked[0]].process.thaw().unwrap();
-    harness::logged(&cluster, ranked[0], "order first").await;
+    harness::logged(
+        &cluster,
+        ranked[0],
+        "order first to spanish-town-engine-0 ended",
+    )
+    .await;
     let told = late.await.outcome;
     assert!(["", "unknown"].contains(&told.as_str()), "told {told:?}");
     cluster
@@ -67,32 +77,58 @@
     });
 }
 
+/// A daemon freezes while its order waits, and thaws after another has given one.
+async fn waiting_order(fencing: Fencing, lease: Duration, holder_killed: bool) {
+    let mut layout = harness::layout(fencing);
+    let lease_ms = json!(lease.as_millis());
+    layout
+        .settings
+        .insert("order_lease_ms".to_owned(), lease_ms);
+    let mut cluster = Cluster::start(layout).await.unwrap();
+    let ranked = harness::ranked(&cluster);
+    let frozen = ranked[usize::from(holder_killed)];
+    if holder_killed {
+        harness::told(&cluster).await;
+        cluster.daemons[ranked[0]].process.kill();
+    }
+    let cluster = Rc::new(cluster);
+    let first = harness::order_role(&cluster, frozen, "prefill", "first");
+    harness::logged(
+        &cluster,
+        frozen,
+        "order first to spanish-town-engine-0 begins",
+    )
+    .await;
+    monoio::time::sleep(SENDING).await;
+    cluster.daemons[frozen].process.freeze().unwrap();
+    harness::role_done(&cluster, ranked[2], "decode", "second").await;
+    cluster.daemons[frozen].process.thaw().unwrap();
+    harness::logged(
+        &cluster,
+        frozen,
+        "order first to spanish-town-engine-0 ended",
+    )
+    .await;
+    let told = first.await.outcome;
+    assert!(["", "refused"].contains(&told.as_str()), "told {told:?}");
+    monoio::time::sleep(SENDING).await;
+    let roles = harness::carried_out(&cluster, "change_role").await;
+    assert_eq!(roles, ["decode"]);
+}
+
 // The holder waits for earlier orders to an engine that ignores numbers, and freezes in that wait.
 // Another takes over and gives "decode". When the first thaws, its wait is over; it must look at
 // its lease again and send nothing.
 #[test]
 fn holder_that_thaws_in_its_wait_sends_nothing() {
-    harness::run(async {
-        let layout = harness::layout(Fencing::Ignored);
-        let cluster = Rc::new(Cluster::start(layout).await.unwrap());
-        let ranked = harness::ranked(&cluster);
-        let holder = cluster.daemons[ranked[0]].vm.clone();
-        let first = harness::order_role(&cluster, ranked[0], "prefill", "first");
-        harness::until("the lease is held", async || {
-            harness::lease(&cluster).await.holder.starts_with(&holder)
-        })
-        .await;
-        cluster.daemons[ranked[0]].process.freeze().unwrap();
-        harness::role_done(&cluster, ranked[2], "decode", "second").await;
-        cluster.daemons[ranked[0]].process.thaw().unwrap();
-        let told = first.await.outcome;
-        assert!(
-            ["", "refused", "unknown"].contains(&told.as_str()),
-            "told {told:?}"
-        );
-        harness::logged(&cluster, ranked[0], "order first").await;
-        monoio::time::sleep(SENDING).await;
-        let roles = harness::carried_out(&cluster, "change_role").await;
-        assert_eq!(roles, ["decode"]);
-    });
+    harness::run(waiting_order(Fencing::Ignored, SHORT_LEASE, false));
+}
+
+// The holder is killed, and its successor freezes while it waits with an order "prefill" for the
+// end of that lease. A third daemon takes the lease and gives "decode". The successor thaws, is
+// live again and gets the lease back with time left; in this new term it must not go on with the
+// order of its earlier one.
+#[test]
+fn successor_that_thaws_in_its_wait_for_the_lease_sends_nothing() {
+    harness::run(waiting_order(Fencing::Checked, LONG_LEASE, true));
 }
--- a/crates/lilaccrankd/src/key_state.rs
+++ b/crates/lilaccrankd/src/key_state.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, SystemTime};
 
+use lilaccrank::error_kind::Ran;
 use lilaccrank::request_key;
 use lilaccrank::request_key::{
     BodyDigest, Claim, Claimed, Claims, Error, Marked, MemberRef, Outcome, Wanted,
@@ -46,7 +47,7 @@
         return Ok(Access::Own(KeyState::Keyless));
     };
     let wanted = Wanted {
-        body: BodyDigest::new(&caller.body),
+        body: digest(caller),
         customer: caller.facts.customer.clone(),
         idempotent: caller.facts.idempotent,
         key: key.clone(),
@@ -56,10 +57,24 @@
         Ok(request_key::Access::Held { entry } | request_key::Access::Running { entry }) => {
             Ok(Access::Elsewhere(entry))
         }
+        // The first try of a repeated request may have been run by a daemon that has just died.
+        // A keeper that can't tell yet doesn't know; "not run" would be untrue to its caller.
+        Err(e @ Error::Unsettled) => Err(refusal(&e).ran(Ran::Maybe)),
         Err(e) => Err(refusal(&e)),
     }
 }
 
+/// Digest by which a repeat is recognized. Two calls of a plain service may differ in nothing but
+/// method or path; by the body alone the second would be given the answer to the first.
+fn digest(caller: &CallerRequest) -> BodyDigest {
+    let path = caller.head.uri.path_and_query();
+    BodyDigest::of_parts(&[
+        caller.head.method.as_str().as_bytes(),
+        path.map_or("/", |path| path.as_str()).as_bytes(),
+        &caller.body,
+    ])
+}
+
 impl KeyState {
     /// Marks the key, just before something is sent.
     ///
--- a/crates/lilaccrankd/src/order_jobs.rs
+++ b/crates/lilaccrankd/src/order_jobs.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use lilaccrank::operators::OrderOutcome;
 use lilaccrank::timeline::{EventKind, Subject};
 
 use crate::daemon::Daemon;
-use crate::order_message::{OrderOutcome, OrderReply, OrderRequest};
+use crate::order_message::{OrderReply, OrderRequest};
 
 /// How long the outcome of an order is kept for who repeats it.
 const KEPT: Duration = Duration::from_secs(600);
@@ -90,8 +91,9 @@
 }
 
 async fn run(daemon: Rc<Daemon>, req: OrderRequest) {
+    log::info!("order {} to {} begins: {}", req.id, req.target, req.command);
     let outcome = give(&daemon, &req).await;
-    log::info!("order {} to {}: {outcome:?}", req.id, req.target);
+    log::info!("order {} to {} ended: {outcome:?}", req.id, req.target);
     let subject = Subject {
         detail: format!("{}, id {}: {outcome:?}", req.command, req.id),
         target: Some(req.target.clone()),
--- a/crates/lilaccrankd/src/order_relay.rs
+++ b/crates/lilaccrankd/src/order_relay.rs
@@ -3,12 +3,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use lilaccrank::operators::OrderOutcome;
 use lilaccrank::peers::{self, Peers};
 use lilaccrank::request_key::{MemberRef, Ranking};
 
 use crate::daemon::Daemon;
 use crate::order_jobs;
-use crate::order_message::{OrderOutcome, OrderReply, OrderRequest};
+use crate::order_message::{OrderReply, OrderRequest};
 
 /// Time between two questions how an order is getting on.
 const ASK_EVERY: Duration = Duration::from_millis(100);
@@ -19,7 +20,10 @@
     // The daemon that may have begun it.
     let mut begun: Option<MemberRef> = None;
     loop {
-        let Some(holder) = daemon.duties.dispatcher(&req.pool) else {
+        // When the duty moves on, only who began the order can tell what became of it; another
+        // would begin it anew.
+        let first = begun.clone().filter(|first| daemon.duties.is_live(first));
+        let Some(holder) = first.or_else(|| daemon.duties.dispatcher(&req.pool)) else {
             return ended(&begun, None, "no daemon has the duty".to_owned());
         };
         match ask(daemon, &holder, &req).await {
