Test: a repeat before the keys are settled is not called not run

Change: a test on processes; all daemons but one are killed and the caller repeats there. Seen to fail first with ran put back to no: not_ready, ran no.

--- a/crates/lilaccrank-lab/tests/faults/request_keys.rs
+++ b/crates/lilaccrank-lab/tests/faults/request_keys.rs
@@ -91,6 +91,29 @@
     two_killed([2, 0]);
 }
 
+// All daemons but one die, the entry among them, and the caller repeats at once at the last one.
+// Its keeper can't tell yet what the others knew. The engine runs the request all the while, so
+// the refusal may not say that it was not run.
+#[test]
+fn repeat_before_the_keys_are_settled() {
+    harness::run(async {
+        let mut cluster = Cluster::start(layout()).await.unwrap();
+        let (key, ranked) = harness::key_apart(&cluster);
+        let call = harness::keyed(&key, 150);
+        let first = harness::send(&cluster, ranked[2], call.clone());
+        harness::running(&cluster, &key).await;
+        for rank in 0..3 {
+            cluster.daemons[ranked[rank]].process.kill();
+        }
+        let repeat = harness::send(&cluster, ranked[3], call).await;
+        let told = matches!(&repeat, Outcome::Refused { kind, ran, .. }
+            if kind == "not_ready" && ran == "maybe");
+        assert!(told, "{repeat:?}");
+        assert!(!matches!(first.await, Outcome::Whole { .. }));
+        assert_eq!(harness::runs(&cluster, &key).await.len(), 1);
+    });
+}
+
 // The caller's two tries reach two data centres at the same moment. Their keepers know nothing of
 // each other; the conditional create in the platform's store lets one of them through. The other
 // try is refused, and over both data centres the request is begun once.
