--- a/crates/lilaccrank-lab/tests/faults/spill.rs
+++ b/crates/lilaccrank-lab/tests/faults/spill.rs
@@ -1,10 +1,12 @@
 //! Requests that a rule sends to another data centre when this one refuses.
 
+use std::sync::atomic::Ordering;
+
 use lilaccrank_lab::caller::Outcome;
 use lilaccrank_lab::cluster::Cluster;
-use lilaccrank_lab::layout::Layout;
+use lilaccrank_lab::layout::{DataCentreLayout, Layout, SERVICES};
 
-use crate::harness;
+use crate::{harness, stub};
 
 /// Position of the daemon that takes the calls, and of the one in the other data centre.
 const ENTRY: usize = 0;
@@ -85,3 +87,43 @@
         assert_eq!(harness::runs(&cluster, "both").await.len(), 1);
     });
 }
+
+/// What the plain service answers: its own words, which look like a refusal of a daemon.
+const OWN_WORDS: &str = r#"{"error":{"kind":"overloaded","message":"yard full","ran":"no"}}"#;
+
+// A job card is spilled, and the plain service there runs it and answers with an error of its
+// own, which reads like a daemon's refusal as not run. The caller gets that answer untouched. The
+// next data centre gets nothing, and a repeat reads the same answer: one truck goes up the hill.
+#[test]
+fn own_error_of_a_service_is_no_refusal() {
+    harness::run(async {
+        let head = "503 Service Unavailable\r\nLilaccrank-Refusal: overloaded";
+        let (address, begun) = stub::target(head, OWN_WORDS);
+        let mut layout = layout();
+        layout.data_centres[1].services = 1;
+        layout.data_centres.push(DataCentreLayout {
+            name: "half-way-tree".to_owned(),
+            ..layout.data_centres[1].clone()
+        });
+        let spill: Vec<_> = layout.data_centres[1..]
+            .iter()
+            .map(|d| d.name.clone())
+            .collect();
+        let cluster = Cluster::start_with(layout, |document| {
+            let pools = &mut document.pools;
+            let pool = pools.iter_mut().find(|pool| pool.id == SERVICES).unwrap();
+            for target in &mut pool.targets {
+                target.address.clone_from(&address);
+            }
+            document.rules[1].then.spill = spill;
+        });
+        let cluster = cluster.await.unwrap();
+        let entry = cluster.daemons[ENTRY].callers.to_string();
+        for _ in 0..2 {
+            let answer = stub::post(&entry, "/jobs", "Idempotency-Key: card\r\n", "{}");
+            assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+            assert!(answer.contains(OWN_WORDS), "{answer}");
+            assert_eq!(begun.load(Ordering::SeqCst), 1, "{answer}");
+        }
+    });
+}
--- a/crates/lilaccrankd/src/admin.rs
+++ b/crates/lilaccrankd/src/admin.rs
@@ -40,7 +40,7 @@
         (&Method::GET, path) if path.starts_with(attach::PATH) => held_answer(&daemon, &req)
             .await
             .unwrap_or_else(|refusal| refusal.response()),
-        (&Method::POST, orders::PATH) => orders::handle(&daemon, req).await,
+        (&Method::POST, path::ORDERS) => orders::handle(&daemon, req).await,
         _ => {
             let answered = operator(&daemon, &signals, req).await;
             answered.unwrap_or_else(|e| e.response())
@@ -134,7 +134,7 @@
         .and_then(|key| String::from_utf8(key).ok())
         .ok_or_else(not_found)?;
     let run = daemon.answers.get(&(customer, key)).ok_or_else(not_found)?;
-    entry::respond(run.reader()).await
+    entry::respond(daemon, run.reader(), None).await
 }
 
 fn ready(daemon: &Daemon) -> crate::refusal::Result<()> {
