--- a/crates/lilaccrank-lab/tests/faults/request_keys.rs
+++ b/crates/lilaccrank-lab/tests/faults/request_keys.rs
@@ -109,8 +109,8 @@
         let call = harness::keyed(&key, 150);
         let first = harness::send(&cluster, ranked[2], call.clone());
         harness::running(&cluster, &key).await;
-        for rank in 0..3 {
-            cluster.daemons[ranked[rank]].process.kill();
+        for at in &ranked[..3] {
+            cluster.daemons[*at].process.kill();
         }
         let repeat = harness::send(&cluster, ranked[3], call).await;
         let told = matches!(&repeat, Outcome::Refused { kind, ran, .. }
