A held answer with status 404 reaches repeats at other daemons

Cause: a daemon that reads an answer held by another one took any 404 for the word that nothing is held there, also that of a plain service. The repeat was told already_run, although its whole answer was there. Ruled out: repeats at the daemon that holds the answer, which read it in place. Change: only a 404 with the mark of a daemon's refusal counts as not held. Before: held_answer_is_a_404 failed at the second daemon with a 409. After: it passes with all other tests of request keys. Conclusion: the mark tells a daemon's words from a target's here too.

--- a/crates/lilaccrank-lab/tests/faults/request_keys.rs
+++ b/crates/lilaccrank-lab/tests/faults/request_keys.rs
@@ -230,3 +230,26 @@
         assert_eq!(cluster.begun(service).await.unwrap().len(), 1);
     });
 }
+
+// A plain service answers a job with a 404 of its own, and the caller repeats the key at another
+// daemon. That one reads the held answer from the first daemon and passes it on; it does not take
+// the service's 404 for a word of that daemon that it holds nothing.
+#[test]
+fn held_answer_is_a_404() {
+    harness::run(async {
+        let mut layout = layout();
+        layout.data_centres[0].services = 1;
+        let (address, begun) = stub::target("404 Not Found", "no such site");
+        let cluster = Cluster::start_with(layout, |document| {
+            document.pools[1].targets[0].address = address;
+        });
+        let cluster = cluster.await.unwrap();
+        for at in [0, 1] {
+            let entry = cluster.daemons[at].callers.to_string();
+            let answer = stub::post(&entry, "/jobs", "Idempotency-Key: job\r\n", "{}");
+            assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+            assert!(answer.contains("no such site"), "{answer}");
+        }
+        assert_eq!(begun.load(std::sync::atomic::Ordering::SeqCst), 1);
+    });
+}
--- a/crates/lilaccrankd/src/attach.rs
+++ b/crates/lilaccrankd/src/attach.rs
@@ -15,7 +15,7 @@
 use crate::entry;
 use crate::interruption;
 use crate::proxy_run;
-use crate::refusal::{Refusal, Result};
+use crate::refusal::{REFUSAL, Refusal, Result};
 use crate::run::{End, Reader, Run};
 use crate::target_call;
 
@@ -91,7 +91,7 @@
     let address = member.admin.to_string();
     let sent = target_call::send(&daemon.client, &address, req, bounds.head).await;
     let (res, connection) = sent.map_err(|_| gone())?;
-    if res.status() == StatusCode::NOT_FOUND {
+    if res.status() == StatusCode::NOT_FOUND && res.headers().contains_key(REFUSAL) {
         return Ok(None);
     }
     let run = Rc::new(Run::default());
