Plain services get the headers of the call

Cause: a proxied request kept only Accept and Content-Type. A service could not read a body with a coding, and made a change without the precondition that its caller had set. Ruled out: passing all on, since a service with the caller's bearer key could send as the caller, and Request-Id is the daemon's to set. Change: all end-to-end headers pass but those for daemons; answers leave out what Connection names and the proxy's own too. Both sides use end_to_end.rs. Before: service_gets_the_headers_of_the_call failed; with the list of withheld headers switched off service_gets_no_key_of_the_caller fails. After: both pass, 10 of 10 tests of entries and spills. Conclusion: a plain service sees the caller's request, without its key.

--- a/crates/lilaccrank-lab/tests/faults/entries.rs
+++ b/crates/lilaccrank-lab/tests/faults/entries.rs
@@ -2,7 +2,7 @@
 use lilaccrank_lab::cluster::Cluster;
 use lilaccrank_lab::layout::Layout;
 
-use crate::harness;
+use crate::{harness, stub};
 
 fn layout() -> Layout {
     harness::layout(4, vec![harness::engine(1)])
@@ -95,3 +95,47 @@
         assert_eq!(harness::runs(&cluster, &key).await.len(), 1);
     });
 }
+
+/// What the service gets of the headers that a caller sends.
+async fn passed_on(headers: &str) -> String {
+    let mut layout = harness::layout(1, Vec::new());
+    layout.data_centres[0].services = 1;
+    let cluster = Cluster::start_with(layout, |document| {
+        document.pools[1].targets[0].address = stub::echo();
+    });
+    let cluster = cluster.await.unwrap();
+    let entry = cluster.daemons[0].callers.to_string();
+    stub::post(&entry, "/jobs", headers, "{}").to_lowercase()
+}
+
+// A caller changes a job card only if it is still the one it has read, and packs the body. The
+// service gets both headers: without them it would change any card, and could not read the body.
+#[test]
+fn service_gets_the_headers_of_the_call() {
+    harness::run(async {
+        let answer = passed_on("If-Match: \"7\"\r\nContent-Encoding: gzip\r\n").await;
+        assert!(answer.contains("if-match: \"7\""), "{answer}");
+        assert!(answer.contains("content-encoding: gzip"), "{answer}");
+    });
+}
+
+// The caller's key to the daemon, and headers that only the daemon may set, stay behind. A service
+// that kept the key could send requests as the caller.
+#[test]
+fn service_gets_no_key_of_the_caller() {
+    harness::run(async {
+        let headers = "Connection: X-Hop\r\nX-Hop: 1\r\nRequest-Id: forged\r\n\
+                       Lilaccrank-Tier: urgent\r\nExpect: 100-continue\r\n";
+        let answer = passed_on(headers).await;
+        for kept in [
+            "authorization",
+            "x-hop",
+            "forged",
+            "lilaccrank-tier",
+            "expect",
+        ] {
+            assert!(!answer.contains(kept), "{kept}: {answer}");
+        }
+        assert!(answer.contains("request-id: "), "{answer}");
+    });
+}
--- a/crates/lilaccrank-lab/tests/faults/stub.rs
+++ b/crates/lilaccrank-lab/tests/faults/stub.rs
@@ -15,6 +15,17 @@
 /// A target that answers each post with a status, which further header lines may follow, and a
 /// body; its address, and the count of posts begun.
 pub fn target(head: &'static str, body: &'static str) -> (String, Arc<AtomicUsize>) {
+    serve(move |_| (head, body.to_owned()))
+}
+
+/// A target that answers each post with the post as it came; its address.
+pub fn echo() -> String {
+    serve(|post| ("200 OK", post)).0
+}
+
+fn serve(
+    answer: impl Fn(String) -> (&'static str, String) + Send + 'static,
+) -> (String, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let begun = Arc::new(AtomicUsize::new(0));
@@ -24,16 +35,18 @@
             let mut stream = stream.unwrap();
             let mut buf = [0; 4096];
             let read = stream.read(&mut buf).unwrap();
-            if !buf[..read].starts_with(b"POST") {
+            let post = String::from_utf8_lossy(&buf[..read]).into_owned();
+            if !post.starts_with("POST") {
                 continue;
             }
             count.fetch_add(1, Ordering::SeqCst);
+            let (head, body) = answer(post);
             let length = body.len();
-            write!(
+            // A caller may have given up before the end.
+            let _ = write!(
                 stream,
                 "HTTP/1.1 {head}\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}"
-            )
-            .unwrap();
+            );
         }
     });
     (address, begun)
--- a/crates/lilaccrankd/src/caller_request.rs
+++ b/crates/lilaccrankd/src/caller_request.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Method;
-use hyper::header::{ACCEPT, CONTENT_TYPE, HeaderName};
+use hyper::header::HeaderName;
 use hyper::http::request::Parts;
 use indexmap::IndexMap;
 use lilaccrank::document::{Customer, Document};
@@ -17,6 +17,7 @@
 use serde_json::Value;
 
 use crate::answers::ScopedKey;
+use crate::proxied::Proxied;
 use crate::refusal::{Refusal, Result};
 
 /// Caller's time limit for the whole answer, in milliseconds.
@@ -69,19 +70,6 @@
     Proxy(Proxied),
 }
 
-/// A request for a plain service.
-#[derive(Clone, Debug)]
-pub struct Proxied {
-    /// The body as it came.
-    pub body: Bytes,
-    /// Headers for the target.
-    pub headers: HeaderMap,
-    /// The method as it came.
-    pub method: Method,
-    /// Path and query as they came.
-    pub path: String,
-}
-
 /// A caller's request.
 #[derive(Clone, Debug)]
 pub struct CallerRequest {
@@ -125,7 +113,7 @@
         };
         let work = match shape(&head) {
             Some(shape) => generate(&body, shape, &mut facts)?,
-            None => proxy(&head, &body),
+            None => Work::Proxy(Proxied::new(&head, &body)),
         };
         Ok(Self {
             body,
@@ -301,21 +289,3 @@
     }
     Ok(prompt)
 }
-
-fn proxy(head: &Parts, body: &Bytes) -> Work {
-    let mut headers = HeaderMap::new();
-    for name in [ACCEPT, CONTENT_TYPE] {
-        if let Some(value) = head.headers.get(&name) {
-            headers.insert(name, value.clone());
-        }
-    }
-    Work::Proxy(Proxied {
-        body: body.clone(),
-        headers,
-        method: head.method.clone(),
-        path: head
-            .uri
-            .path_and_query()
-            .map_or_else(|| "/".to_owned(), ToString::to_string),
-    })
-}
--- /dev/null
+++ b/crates/lilaccrankd/src/proxied.rs
@@ -0,0 +1,65 @@
+//! A caller's request for a plain service.
+
+use bytes::Bytes;
+use hyper::header::{AUTHORIZATION, EXPECT, HOST, HeaderName};
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Method};
+
+use crate::caller_request::KEY;
+use crate::end_to_end;
+use crate::engine_stream::{REQUEST_ID, REQUEST_KEY};
+
+/// Start of the names of headers that are for daemons.
+const OWN_PREFIX: &str = "lilaccrank-";
+/// Headers that are for daemons, or that only a daemon may set. A service that got the caller's
+/// bearer key could send requests as that caller.
+const NOT_PASSED_ON: [HeaderName; 6] = [
+    AUTHORIZATION,
+    EXPECT,
+    HOST,
+    KEY,
+    HeaderName::from_static(REQUEST_ID),
+    HeaderName::from_static(REQUEST_KEY),
+];
+
+/// A request for a plain service.
+#[derive(Clone, Debug)]
+pub struct Proxied {
+    /// The body as it came.
+    pub body: Bytes,
+    /// Headers for the target.
+    pub headers: HeaderMap,
+    /// The method as it came.
+    pub method: Method,
+    /// Path and query as they came.
+    pub path: String,
+}
+
+impl Proxied {
+    /// The request with this head and body.
+    #[must_use]
+    pub fn new(head: &Parts, body: &Bytes) -> Self {
+        let path = head.uri.path_and_query();
+        Self {
+            body: body.clone(),
+            headers: headers(&head.headers),
+            method: head.method.clone(),
+            path: path.map_or_else(|| "/".to_owned(), ToString::to_string),
+        }
+    }
+}
+
+/// All headers but those of the connection and those for daemons. A precondition or a coding of
+/// the body that was left out would change what the service does.
+fn headers(all: &HeaderMap) -> HeaderMap {
+    let mut kept = end_to_end::headers(all);
+    for name in NOT_PASSED_ON {
+        kept.remove(name);
+    }
+    let own = |name: &&HeaderName| name.as_str().starts_with(OWN_PREFIX);
+    let own: Vec<_> = kept.keys().filter(own).cloned().collect();
+    for name in own {
+        kept.remove(name);
+    }
+    kept
+}
--- a/crates/lilaccrankd/src/proxy_run.rs
+++ b/crates/lilaccrankd/src/proxy_run.rs
@@ -7,28 +7,16 @@
 use futures::pin_mut;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
-use hyper::{HeaderMap, Request, Response};
+use hyper::{Request, Response};
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank_http::body::Body;
 use lilaccrank_http::client::{Client, Connection};
 
+use crate::end_to_end;
 use crate::refusal::{REFUSAL, Refusal, Result};
 use crate::run::{Head, Run};
 use crate::target_call;
 
-/// Headers of one connection, not of the answer.
-const HOP_BY_HOP: [HeaderName; 6] = [
-    CONNECTION,
-    CONTENT_LENGTH,
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-];
-
 /// Bounds of one pass.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -88,7 +76,7 @@
 ) -> Result<()> {
     let (parts, mut body) = res.into_parts();
     run.set_head(Head {
-        headers: end_to_end(&parts.headers),
+        headers: end_to_end::headers(&parts.headers),
         status: parts.status,
     });
     loop {
@@ -108,14 +96,6 @@
     }
 }
 
-fn end_to_end(headers: &HeaderMap) -> HeaderMap<HeaderValue> {
-    let mut kept = headers.clone();
-    for name in HOP_BY_HOP {
-        kept.remove(name);
-    }
-    kept
-}
-
 fn broken(message: &str) -> Refusal {
     Refusal::new(ErrorKind::BrokenAnswer, message)
 }
--- a/crates/lilaccrankd/src/request_send.rs
+++ b/crates/lilaccrankd/src/request_send.rs
@@ -9,11 +9,12 @@
 use lilaccrank::timeline::EventKind;
 use lilaccrank_http::body;
 
-use crate::caller_request::{Proxied, Work};
+use crate::caller_request::Work;
 use crate::daemon::Daemon;
 use crate::engine_run::{self, Ended, EngineRequest, Observer};
 use crate::engine_stream::{EngineStream, REQUEST_ID, REQUEST_KEY};
 use crate::pool_client::Held;
+use crate::proxied::Proxied;
 use crate::proxy_run;
 use crate::refusal::{Refusal, Result};
 use crate::request_run::Routed;
