A request that must not run twice can be spilled

Cause: before a spill the entry claimed the key in the platform's store, and the other data centre found that claim and refused the request as already_run, maybe run. It had not run anywhere, its key was used up, and such a request could never be served by a spill. Ruled out: not spilling these, which would refuse them although engines are free; letting the other data centre trust a header for the claim, since callers can set headers. Change: a spill marks the key at the keeper only, and the daemon that sends to a target makes the claim in the store, which still lets one through. A request that this data centre has claimed there already is not spilled any more. Before: spilled_request_that_must_not_run_twice failed with already_run, maybe. Conclusion: the claim in the store belongs to who dispatches.

--- a/crates/lilaccrank-lab/tests/faults/spill.rs
+++ b/crates/lilaccrank-lab/tests/faults/spill.rs
@@ -32,6 +32,19 @@
     });
 }
 
+// A policy is bound by a request that must not run twice, and its data centre has no engine left.
+// The claim in the platform's store stands for both data centres, so the other one may run it in
+// the name of the first, and the caller has its whole answer of one run.
+#[test]
+fn spilled_request_that_must_not_run_twice() {
+    harness::run(async {
+        let cluster = Cluster::start(layout()).await.unwrap();
+        let call = harness::once("bind", 20);
+        harness::assert_whole(&harness::send(&cluster, ENTRY, call).await);
+        assert_eq!(harness::runs(&cluster, "bind").await.len(), 1);
+    });
+}
+
 // The request streams from the other data centre when its daemon is killed. The caller sees the
 // answer break off; nobody can tell it whole or not run, and a repeat must not run it again.
 #[test]
--- a/crates/lilaccrank/src/request_key/claim.rs
+++ b/crates/lilaccrank/src/request_key/claim.rs
@@ -59,12 +59,32 @@
     /// # Errors
     ///
     /// Nothing may be sent. The claim is released, unless another one has taken its place.
-    pub async fn mark_dispatching(mut self) -> Result<Claim<Marked, C, P, R, S>> {
+    pub async fn mark_dispatching(self) -> Result<Claim<Marked, C, P, R, S>> {
         let idempotent = self.held.record.idempotent;
         if !idempotent && !self.held.claims.inner.budget.try_take() {
             self.release().await;
             return Err(Error::RateLimited);
         }
+        let marked = self.mark().await?;
+        if idempotent {
+            return Ok(marked);
+        }
+        marked.claim_in_store().await
+    }
+
+    /// Marks the claim as handed on to a daemon of another data centre, which claims the key
+    /// itself. A claim of a non-idempotent request in the store would stand against that daemon's
+    /// own: it would refuse the request as run, though it had not. Without it the store still lets
+    /// one dispatch through, as no daemon sends to a target before its claim is there.
+    ///
+    /// # Errors
+    ///
+    /// Nothing may be handed on. The claim is released, unless another one has taken its place.
+    pub async fn mark_handed_on(self) -> Result<Claim<Marked, C, P, R, S>> {
+        self.mark().await
+    }
+
+    async fn mark(mut self) -> Result<Claim<Marked, C, P, R, S>> {
         match self.held.ask_mark().await {
             KeyReply::Marked => {}
             KeyReply::Superseded => {
@@ -77,14 +97,10 @@
             }
         }
         self.held.move_to(Stage::Dispatching);
-        let marked = Claim {
+        Ok(Claim {
             held: self.held,
             state: PhantomData,
-        };
-        if idempotent {
-            return Ok(marked);
-        }
-        marked.claim_in_store().await
+        })
     }
 }
 
--- a/crates/lilaccrankd/src/key_state.rs
+++ b/crates/lilaccrankd/src/key_state.rs
@@ -91,6 +91,27 @@
         }
     }
 
+    /// Marks the key, just before the request is handed on to another data centre.
+    ///
+    /// # Errors
+    ///
+    /// Nothing may be handed on.
+    pub async fn mark_handed_on(self) -> Result<Self> {
+        match self {
+            Self::Claimed(claim) => match claim.mark_handed_on().await {
+                Ok(marked) => Ok(Self::Marked(marked)),
+                Err(e) => Err(refusal(&e)),
+            },
+            other => Ok(other),
+        }
+    }
+
+    /// Whether a target here was to have the request.
+    #[must_use]
+    pub fn is_marked(&self) -> bool {
+        matches!(self, Self::Marked(_))
+    }
+
     /// Frees the key: nothing was sent and nothing will be.
     pub async fn release(self) {
         match self {
--- a/crates/lilaccrankd/src/request_run.rs
+++ b/crates/lilaccrankd/src/request_run.rs
@@ -110,20 +110,21 @@
         let mut exclusions = Vec::new();
         loop {
             let granted = self.wait(daemon, run, exclusions.clone()).await;
-            let refused = granted.as_ref().err().cloned();
-            if let Some(refusal) = &refused
-                && !self.may_spill(refusal)
-            {
-                return (Err(refusal.clone()), Some(key));
-            }
+            let held = match granted {
+                Ok(held) => held,
+                Err(refusal) if self.may_spill(&refusal, &key) => {
+                    let key = match key.mark_handed_on().await {
+                        Ok(marked) => marked,
+                        Err(refusal) => return (Err(refusal), None),
+                    };
+                    return (self.spill(daemon, run, refusal).await, Some(key));
+                }
+                Err(refusal) => return (Err(refusal), Some(key)),
+            };
             key = match key.mark().await {
                 Ok(marked) => marked,
                 Err(refusal) => return (Err(refusal), None),
             };
-            let held = match granted {
-                Ok(held) => held,
-                Err(refusal) => return (self.spill(daemon, run, refusal).await, Some(key)),
-            };
             let target = held.target.clone();
             let result = self.send(daemon, run, held).await;
             match result {
@@ -191,9 +192,11 @@
         }
     }
 
-    fn may_spill(&self, refusal: &Refusal) -> bool {
+    fn may_spill(&self, refusal: &Refusal, key: &KeyState) -> bool {
         let allowed = !self.route.spill.is_empty() && self.caller.spilled_from.is_none();
-        allowed && spill::helps(refusal.kind)
+        // The claim in the store is this data centre's by then; another one would be refused.
+        let claimed_here = key.is_marked() && !self.caller.facts.idempotent;
+        allowed && !claimed_here && spill::helps(refusal.kind)
     }
 
     async fn spill(&self, daemon: &Daemon, run: &Run, refusal: Refusal) -> Result<()> {
