--- a/crates/lilaccrankd/src/main.rs
+++ b/crates/lilaccrankd/src/main.rs
@@ -12,6 +12,7 @@
 mod callers;
 mod choices;
 mod configuration;
+mod cutting;
 mod daemon;
 mod drain_teller;
 mod duties;
