Signals wake their waiters; no polling

Cause: of some 110 wake-ups a second of an idle daemon 50 were the look for signals (strace and constants, review of the request path). Change: an event from the signal thread.

--- a/crates/lilaccrankd/src/signals.rs
+++ b/crates/lilaccrankd/src/signals.rs
@@ -5,19 +5,22 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
-use std::time::Duration;
 
+use event_listener::Event;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator;
 
-/// How often the count is looked at.
-const POLL: Duration = Duration::from_millis(20);
-
 /// Counts the signals received.
 #[derive(Clone)]
 pub struct Signals {
-    count: Arc<AtomicUsize>,
-    ordered: Arc<AtomicBool>,
+    shared: Arc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared {
+    changed: Event,
+    count: AtomicUsize,
+    ordered: AtomicBool,
 }
 
 impl Signals {
@@ -27,18 +30,16 @@
     ///
     /// If the system refuses the handlers.
     pub fn register() -> io::Result<Self> {
-        let count = Arc::new(AtomicUsize::new(0));
+        let shared = Arc::new(Shared::default());
         let mut signals = iterator::Signals::new([SIGINT, SIGTERM])?;
-        let counter = Arc::clone(&count);
+        let counter = Arc::clone(&shared);
         thread::spawn(move || {
             for _ in signals.forever() {
-                counter.fetch_add(1, Ordering::Relaxed);
+                counter.count.fetch_add(1, Ordering::SeqCst);
+                counter.changed.notify(usize::MAX);
             }
         });
-        Ok(Self {
-            count,
-            ordered: Arc::default(),
-        })
+        Ok(Self { shared })
     }
 
     /// Asks for a graceful end as an operator does.
@@ -47,20 +48,35 @@
     /// platform's customary SIGTERM that follows would otherwise be the second one and cut the
     /// requests in progress.
     pub fn order(&self) {
-        self.ordered.store(true, Ordering::Relaxed);
+        self.shared.ordered.store(true, Ordering::SeqCst);
+        self.shared.changed.notify(usize::MAX);
     }
 
     /// Completes once a graceful end is asked for.
     pub async fn asked(&self) {
-        while !self.ordered.load(Ordering::Relaxed) && self.count.load(Ordering::Relaxed) == 0 {
-            monoio::time::sleep(POLL).await;
-        }
+        let shared = &self.shared;
+        self.until(|| shared.ordered.load(Ordering::SeqCst) || shared.count() > 0)
+            .await;
     }
 
     /// Completes once `n` signals have come.
     pub async fn reached(&self, n: usize) {
-        while self.count.load(Ordering::Relaxed) < n {
-            monoio::time::sleep(POLL).await;
+        self.until(|| self.shared.count() >= n).await;
+    }
+
+    async fn until(&self, holds: impl Fn() -> bool) {
+        loop {
+            let listener = self.shared.changed.listen();
+            if holds() {
+                return;
+            }
+            listener.await;
         }
     }
 }
+
+impl Shared {
+    fn count(&self) -> usize {
+        self.count.load(Ordering::SeqCst)
+    }
+}
