--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -16,12 +16,18 @@
 mod configuration_spec;
 #[path = "suite/configuration_store.rs"]
 mod configuration_store;
+#[path = "suite/dispatch_affinity.rs"]
+mod dispatch_affinity;
+#[path = "suite/dispatch_cases.rs"]
+mod dispatch_cases;
 #[path = "suite/dispatch_faults.rs"]
 mod dispatch_faults;
 #[path = "suite/dispatch_harness.rs"]
 mod dispatch_harness;
 #[path = "suite/dispatch_order.rs"]
 mod dispatch_order;
+#[path = "suite/dispatch_overload.rs"]
+mod dispatch_overload;
 #[path = "suite/error_kind.rs"]
 mod error_kind;
 #[path = "suite/fake_store.rs"]
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/dispatch_cases.rs
@@ -0,0 +1,69 @@
+//! What the named cases of the dispatcher share.
+
+use std::time::Duration;
+
+use lilaccrank::dispatch::message::{Ask, Entry, ReportKind};
+use lilaccrank::document::Limit;
+use lilaccrank::error_kind::ErrorKind;
+
+use crate::dispatch_harness::{self, Harness};
+
+pub const CONCURRENCY: Limit = Limit {
+    concurrency: Some(1),
+    per_customer: false,
+    rate_per_s: None,
+};
+pub const FLOOR: Duration = Duration::from_secs(2);
+pub const FIRST_TOKEN: ReportKind = ReportKind::FirstToken {
+    after: Duration::from_millis(250),
+};
+pub const MANY: usize = 1000;
+
+pub fn harness(slots: &[u32]) -> Harness {
+    Harness::new(slots, MANY, FLOOR)
+}
+
+pub fn ask(request: &str, tier: u8) -> Ask {
+    dispatch_harness::ask(request, tier)
+}
+
+pub fn survey(request: &str, tier: u8) -> Ask {
+    let prompt_tokens = 10_000;
+    Ask {
+        prompt_tokens,
+        ..ask(request, tier)
+    }
+}
+
+pub fn due(secs: u64, ask: Ask) -> Ask {
+    let deadline = Some(Duration::from_secs(secs));
+    Ask { deadline, ..ask }
+}
+
+pub fn limited(request: &str, limit: Limit) -> Ask {
+    let limit = Some(limit);
+    Ask {
+        limit,
+        ..ask(request, 0)
+    }
+}
+
+pub fn entry(vm: &str) -> Entry {
+    Entry {
+        incarnation: 1,
+        vm: vm.to_owned(),
+    }
+}
+
+pub fn waiting(harness: &Harness) -> usize {
+    let status = harness.dispatcher.status();
+    status.waiting.iter().map(|tier| tier.waiting).sum()
+}
+
+pub fn refused(request: &str, kind: ErrorKind) -> Vec<(String, ErrorKind)> {
+    vec![(request.to_owned(), kind)]
+}
+
+pub fn granted(request: &str, target: &str) -> Vec<(String, String)> {
+    vec![(request.to_owned(), target.to_owned())]
+}
