An engine's answer has a limit

Cause: an engine's stream had no bound (found by the review): one that never ends takes the memory of all callers; and the same answer was limited to body_limit where a repeat or a spill passed it on, so it was whole on one path and broken on the other. Ruled out: body_limit for both; answers may be longer than requests. Change: setting answer_limit (32 MiB), for engines, services and what is passed on. Seen failing first: engines::answer_is_over_the_limit without the bound (whole answers). Conclusion: an answer is bounded everywhere by one setting.

--- a/crates/lilaccrank-lab/tests/faults/engines.rs
+++ b/crates/lilaccrank-lab/tests/faults/engines.rs
@@ -298,3 +298,29 @@
         assert!(lines.iter().all(|l| l.starts_with("data: ")), "{answer}");
     });
 }
+
+// An engine generates without end, or far more than anybody asked for. Every answer is kept for
+// repeats while it runs, so that one such stream could take the daemon's memory. The caller sees
+// its answer break off at the limit, and the engine is told to stop.
+#[test]
+fn answer_is_over_the_limit() {
+    harness::run(async {
+        let mut layout = layout(1);
+        layout
+            .settings
+            .insert("answer_limit".to_owned(), json!(4_000));
+        let cluster = Cluster::start(layout).await.unwrap();
+        for stream in [true, false] {
+            let call = Call {
+                stream,
+                ..harness::keyed(&format!("long-{stream}"), 400)
+            };
+            assert_broken(&harness::send(&cluster, 0, call).await);
+        }
+        harness::until("told to stop", async || {
+            let begun = harness::begun(&cluster).await;
+            begun.len() == 2 && begun.iter().all(|run| run["end"] == "cancelled")
+        })
+        .await;
+    });
+}
--- a/crates/lilaccrankd/src/answer_shape.rs
+++ b/crates/lilaccrankd/src/answer_shape.rs
@@ -29,22 +29,26 @@
 pub struct AnswerShape {
     choices: Choices,
     first: Option<Value>,
+    limit: usize,
     prefill: Option<u32>,
     shape: Shape,
     stream: bool,
+    taken: usize,
     usage: Option<Value>,
 }
 
 impl AnswerShape {
-    /// An empty answer; `stream` if the caller reads events.
+    /// An empty answer; `stream` if the caller reads events, `limit` for the bytes of all events.
     #[must_use]
-    pub fn new(shape: Shape, stream: bool) -> Self {
+    pub fn new(shape: Shape, stream: bool, limit: usize) -> Self {
         Self {
             choices: Choices::new(shape, !stream),
             first: None,
+            limit,
             prefill: None,
             shape,
             stream,
+            taken: 0,
             usage: None,
         }
     }
@@ -59,12 +63,18 @@
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::BrokenAnswer`] if the event is not what engines send, or the end comes
-    /// before the answer is finished.
+    /// [`ErrorKind::BrokenAnswer`] if the event is not what engines send, the answer is over its
+    /// limit, or the end comes before it is finished.
     pub fn take(&mut self, data: &str, run: &Run) -> Result<Step> {
         if data == DONE {
             return self.finish(run);
         }
+        // The answer is kept for repeats while it runs: an engine that never ends would take all
+        // memory, and with it the requests of all other callers.
+        self.taken += data.len();
+        if self.taken > self.limit {
+            return Err(broken("the answer is over the limit"));
+        }
         let event: Value =
             serde_json::from_str(data).map_err(|_| broken("an event is not JSON"))?;
         let step = self.read(&event)?;
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -240,7 +240,7 @@
     /// Bounds of answers that are passed on.
     pub fn bounds(&self) -> Bounds {
         Bounds {
-            answer_limit: self.cfg.body_limit,
+            answer_limit: self.cfg.answer_limit,
             head: Duration::from_millis(self.cfg.first_token_ms),
             next: Duration::from_millis(self.cfg.first_token_ms),
         }
--- a/crates/lilaccrankd/src/engine_run.rs
+++ b/crates/lilaccrankd/src/engine_run.rs
@@ -55,6 +55,8 @@
 
 /// A request as the engine gets it.
 pub struct EngineRequest<'a> {
+    /// Most bytes of events.
+    pub answer_limit: usize,
     /// Body, streaming.
     pub body: Bytes,
     /// The caller's key.
@@ -74,7 +76,7 @@
     interrupted: impl Future<Output = Refusal>,
 ) -> Ended {
     let mut progress = Progress::new();
-    let mut shape = AnswerShape::new(req.shape, req.stream);
+    let mut shape = AnswerShape::new(req.shape, req.stream, req.answer_limit);
     let outcome = {
         let reading = read(&mut engine, req, &mut shape, run, observer, &mut progress);
         pin_mut!(reading, interrupted);
--- a/crates/lilaccrankd/src/request_send.rs
+++ b/crates/lilaccrankd/src/request_send.rs
@@ -40,6 +40,7 @@
                 ..
             } => {
                 let req = EngineRequest {
+                    answer_limit: daemon.cfg.answer_limit,
                     body: body.clone(),
                     key: self.caller.facts.key.as_deref(),
                     shape: *shape,
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -52,6 +52,8 @@
     pub admin: SocketAddr,
     /// Bytes of ended answers kept for callers that repeat a key.
     pub answer_cache_bytes: usize,
+    /// Largest answer in bytes; a longer one is broken off.
+    pub answer_limit: usize,
     /// Milliseconds for which an ended answer is kept for callers that repeat its key.
     pub answer_ttl_ms: u64,
     /// Milliseconds without a token after which a stream is taken up on a new connection.
@@ -110,6 +112,7 @@
         Self {
             admin: port(7401),
             answer_cache_bytes: 32 << 20,
+            answer_limit: 32 << 20,
             answer_ttl_ms: 60_000,
             between_tokens_ms: 2_000,
             body_limit: 4 << 20,
@@ -165,6 +168,7 @@
     /// The first value that makes no sense.
     pub fn check(&self) -> Result<()> {
         let positive = [
+            ("answer_limit", self.answer_limit as u64),
             ("answer_ttl_ms", self.answer_ttl_ms),
             ("between_tokens_ms", self.between_tokens_ms),
             ("body_limit", self.body_limit as u64),
