A refusal is counted once

Cause: a request that failed after its route was counted by the task that drives it and by the one that answers its caller: lilaccrank_refused_total was twice too high, and operators alarm on it. Ruled out: refusals before the route (counted once), answers that break off after their head. Change: the answering task counts only what it refuses itself. Seen failing first: entries::refusal_is_counted_once (2 in place of 1). After: the tests of entries pass.

--- a/crates/lilaccrank-lab/tests/faults/entries.rs
+++ b/crates/lilaccrank-lab/tests/faults/entries.rs
@@ -139,3 +139,20 @@
         assert!(answer.contains("request-id: "), "{answer}");
     });
 }
+
+// A pool has no target here, so a request that got as far as its dispatcher is refused. Operators
+// alarm on the count of refusals: the end of the request and the answer to its caller are one.
+#[test]
+fn refusal_is_counted_once() {
+    harness::run(async {
+        let cluster = Cluster::start(harness::layout(2, Vec::new()))
+            .await
+            .unwrap();
+        let outcome = harness::send(&cluster, 0, harness::keyed("nowhere", 5)).await;
+        assert!(matches!(&outcome, Outcome::Refused { kind, .. } if kind == "no_target"));
+        let admin = cluster.daemons[0].admin.to_string();
+        let (_, metrics) = cluster.get(&admin, "/metrics").await.unwrap();
+        let counted = r#"lilaccrank_refused_total{kind="no_target"} 1"#;
+        assert!(metrics.lines().any(|line| line == counted), "{metrics}");
+    });
+}
--- a/crates/lilaccrankd/src/entry.rs
+++ b/crates/lilaccrankd/src/entry.rs
@@ -74,7 +74,9 @@
         driving.await;
         drop(driven);
     });
-    respond(daemon, reader, Some(in_progress)).await
+    // What fails from here on is counted where the request ends.
+    let answered = respond(daemon, reader, Some(in_progress)).await;
+    Ok(answered.unwrap_or_else(|refusal| refusal.response()))
 }
 
 /// Reads a body of at most `limit` bytes, for as long as a sender may take.
