An answer is dropped only by the run that made it

Cause: read, not seen: a key freed late, as its keeper could not be reached for 200 ms, may be claimed again here before the first run's settling ends, which then dropped the newer answer from the held ones; a repeat would be told already_run although its answer runs. Ruled out: another customer's answer (keys are scoped). No test brings the race about.

--- a/crates/lilaccrankd/src/answers.rs
+++ b/crates/lilaccrankd/src/answers.rs
@@ -48,15 +48,23 @@
     }
 
     /// Notes that the answer has ended, from when its time to live counts.
-    pub fn ended(&self, key: &ScopedKey) {
-        if let Some(held) = self.held.borrow_mut().get_mut(key) {
+    pub fn ended(&self, key: &ScopedKey, run: &Rc<Run>) {
+        if let Some(held) = self.held.borrow_mut().get_mut(key)
+            && Rc::ptr_eq(&held.run, run)
+        {
             held.ended = Some(Instant::now());
         }
     }
 
     /// Drops an answer that nobody will ask for.
-    pub fn remove(&self, key: &ScopedKey) {
-        self.held.borrow_mut().shift_remove(key);
+    ///
+    /// A key that is freed late, since its keeper could not be reached, may have been claimed
+    /// again meanwhile; the newer answer under it stays.
+    pub fn remove(&self, key: &ScopedKey, run: &Rc<Run>) {
+        let mut held = self.held.borrow_mut();
+        if held.get(key).is_some_and(|held| Rc::ptr_eq(&held.run, run)) {
+            held.shift_remove(key);
+        }
     }
 
     /// Drops what is over its time, and the oldest ended answers over the bound of bytes.
--- a/crates/lilaccrankd/src/request_run.rs
+++ b/crates/lilaccrankd/src/request_run.rs
@@ -40,8 +40,11 @@
 pub async fn drive(daemon: Rc<Daemon>, routed: Routed, key: KeyState, run: Rc<Run>) {
     let routed = Rc::new(routed);
     let (result, key) = routed.work(&daemon, key, &run).await;
-    let settling = settle(Rc::clone(&daemon), Rc::clone(&routed), result.clone(), key);
-    let settling = monoio::spawn(settling);
+    let settling = monoio::spawn({
+        let (daemon, routed, run) = (Rc::clone(&daemon), Rc::clone(&routed), Rc::clone(&run));
+        let result = result.clone();
+        async move { settle(&daemon, &routed, &result, key, &run).await }
+    });
     // A repeat sent at once should find the key settled; but no answer is held back for long
     // for a keeper that can't be reached.
     let _ = monoio::time::timeout(SETTLE_WAIT, settling).await;
@@ -58,8 +61,14 @@
 }
 
 /// Ends or frees the key, and notes the end.
-async fn settle(daemon: Rc<Daemon>, routed: Rc<Routed>, result: Result<()>, key: Option<KeyState>) {
-    let kind = match &result {
+async fn settle(
+    daemon: &Daemon,
+    routed: &Routed,
+    result: &Result<()>,
+    key: Option<KeyState>,
+    run: &Rc<Run>,
+) {
+    let kind = match result {
         Ok(()) => EventKind::Ended,
         Err(refusal) if refusal.kind == ErrorKind::Cancelled => EventKind::Cancelled,
         Err(refusal) if refusal.kind == ErrorKind::Overloaded => EventKind::Shed,
@@ -68,19 +77,19 @@
     let detail = result.as_ref().err().map(ToString::to_string);
     daemon.record(kind, routed.subject(detail.unwrap_or_default(), None));
     let scoped = routed.caller.scoped_key();
-    match (&result, key) {
+    match (result, key) {
         (Err(refusal), Some(key)) if refusal.ran == Ran::No => key.release().await,
         (_, Some(key)) => {
             let ttl = Duration::from_millis(daemon.cfg.answer_ttl_ms);
-            key.end(&result, ttl).await;
+            key.end(result, ttl).await;
         }
         (_, None) => {}
     }
     if let Some(scoped) = scoped {
         if result.is_ok() {
-            daemon.answers.ended(&scoped);
+            daemon.answers.ended(&scoped, run);
         } else {
-            daemon.answers.remove(&scoped);
+            daemon.answers.remove(&scoped, run);
         }
     }
 }
