The budget of claims in the store is a setting

Cause: 10 claims a second for each daemon were a constant; 700 daemons could write 7,000 a second into a store that takes several hundred.

--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -39,11 +39,9 @@
 /// Result of a look at the daemon's state.
 pub type Result<T, E = Refusal> = std::result::Result<T, E>;
 
-/// Non-idempotent claims that this daemon may write to the store each second. Several hundred
-/// writes a second serve the whole fleet.
-const STORE_CLAIMS_PER_S: f64 = 10.0;
-/// Claims that may be written at once after a quiet time, such as at the hour.
-const STORE_CLAIMS_BURST: f64 = 100.0;
+/// Seconds' worth of claims in the store that may be written at once after a quiet time, such as
+/// at the hour.
+const STORE_CLAIMS_BURST: f64 = 10.0;
 /// Longest time for a keeper to tell about a key.
 const KEEPER_WAIT: Duration = Duration::from_secs(2);
 
@@ -136,7 +134,8 @@
             duties.clone(),
             Limits::default(),
         );
-        let budget = Budget::new(MonoioClock, STORE_CLAIMS_PER_S, STORE_CLAIMS_BURST);
+        let per_s = f64::from(cfg.store_claims_per_s);
+        let budget = Budget::new(MonoioClock, per_s, per_s * STORE_CLAIMS_BURST);
         let claims = Claims::new(keeper.clone(), store.clone(), budget, KEEPER_WAIT);
         let order_keeper = OrderKeeper::new(&cfg, incarnation, store.clone());
         Ok(Self {
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -90,6 +90,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Milliseconds a graceful shutdown may take before what is left is cut.
     pub shutdown_limit_ms: u64,
+    /// Non-idempotent claims that this daemon may write to the store each second, ten times as
+    /// many at once after a quiet time. All daemons together share the store's writes.
+    pub store_claims_per_s: u32,
     /// Events kept for the time line.
     pub timeline_events: usize,
     /// Name of the vm.
@@ -131,6 +134,7 @@
             request_limit: 20_000,
             seeds: Vec::new(),
             shutdown_limit_ms: 60_000,
+            store_claims_per_s: 10,
             timeline_events: 20_000,
             vm: "vm-1".to_owned(),
         }
@@ -178,6 +182,7 @@
             ("order_lease_ms", self.order_lease_ms),
             ("request_limit", self.request_limit as u64),
             ("shutdown_limit_ms", self.shutdown_limit_ms),
+            ("store_claims_per_s", self.store_claims_per_s.into()),
             ("timeline_events", self.timeline_events as u64),
         ];
         for (field, value) in positive {
