--- a/crates/lilaccrank-lab/tests/faults/engines.rs
+++ b/crates/lilaccrank-lab/tests/faults/engines.rs
@@ -26,6 +26,16 @@
     layout
 }
 
+/// One engine behind a wire.
+fn wired() -> Layout {
+    let mut layout = layout(1);
+    layout.wires = WireLayout {
+        targets: true,
+        ..WireLayout::default()
+    };
+    layout
+}
+
 async fn control(cluster: &Cluster, control: Value) {
     harness::control(cluster, &cluster.engines[ENGINE].address, control).await;
 }
@@ -48,12 +58,7 @@
 #[test]
 fn connection_silent_mid_stream() {
     harness::run(async {
-        let mut layout = layout(1);
-        layout.wires = WireLayout {
-            targets: true,
-            ..WireLayout::default()
-        };
-        let cluster = Cluster::start(layout).await.unwrap();
+        let cluster = Cluster::start(wired()).await.unwrap();
         let call = harness::send(&cluster, 0, harness::once("silent", 60));
         harness::running(&cluster, "silent").await;
         let wire = cluster.target_wires[ENGINE].control.clone().unwrap();
@@ -218,12 +223,7 @@
 #[test]
 fn deadline_passes_before_a_silent_engine() {
     harness::run(async {
-        let mut layout = layout(1);
-        layout.wires = WireLayout {
-            targets: true,
-            ..WireLayout::default()
-        };
-        let cluster = Cluster::start(layout).await.unwrap();
+        let cluster = Cluster::start(wired()).await.unwrap();
         let wire = cluster.target_wires[ENGINE].control.clone().unwrap();
         harness::control(&cluster, &wire, json!({"mode": "black-hole"})).await;
         let call = Call {
--- a/crates/lilaccrank-lab/tests/faults/entries.rs
+++ b/crates/lilaccrank-lab/tests/faults/entries.rs
@@ -31,6 +31,14 @@
     });
 }
 
+/// Waits until exactly one request waits at a dispatcher.
+async fn one_waits(cluster: &Cluster, dispatcher: usize) {
+    harness::until("waiting", async || {
+        harness::waiting(cluster, dispatcher).await == 1
+    })
+    .await;
+}
+
 // The caller loses its connection while its request waits for a busy engine, since the daemon is
 // killed. It sends the key again at another daemon until it is told more than "not now". The
 // keeper frees the claim of the dead daemon, which had sent nothing; the repeat is answered.
@@ -44,10 +52,7 @@
         harness::running(&cluster, "busy").await;
         let call = harness::keyed(&key, 5);
         let first = harness::send(&cluster, entry, call.clone());
-        harness::until("waiting", async || {
-            harness::waiting(&cluster, other).await == 1
-        })
-        .await;
+        one_waits(&cluster, other).await;
         cluster.daemons[entry].process.kill();
         let lost = first.await;
         assert!(matches!(lost, Outcome::Lost(_)), "{lost:?}");
@@ -75,19 +80,13 @@
         harness::running(&cluster, "busy").await;
         let call = harness::keyed(&key, 5);
         let first = harness::send(&cluster, entry, call.clone());
-        harness::until("waiting", async || {
-            harness::waiting(&cluster, other).await == 1
-        })
-        .await;
+        one_waits(&cluster, other).await;
         cluster.daemons[entry].process.freeze().unwrap();
         for by in [ranked[0], ranked[1], other] {
             harness::forgotten(&cluster, by, entry).await;
         }
         let repeat = harness::send(&cluster, other, call);
-        harness::until("waiting again", async || {
-            harness::waiting(&cluster, other).await == 1
-        })
-        .await;
+        one_waits(&cluster, other).await;
         cluster.daemons[entry].process.thaw().unwrap();
         harness::assert_whole(&repeat.await);
         harness::assert_maybe(&first.await);
