--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -4,6 +4,10 @@
 mod circuit;
 #[path = "suite/cluster.rs"]
 mod cluster;
+#[path = "suite/configuration_adoption.rs"]
+mod configuration_adoption;
+#[path = "suite/configuration_bench.rs"]
+mod configuration_bench;
 #[path = "suite/configuration_model.rs"]
 mod configuration_model;
 #[path = "suite/configuration_publish.rs"]
--- a/crates/lilaccrank/tests/suite/configuration_replay.rs
+++ b/crates/lilaccrank/tests/suite/configuration_replay.rs
@@ -17,7 +17,7 @@
 use lilaccrank::paused_clock::PausedClock;
 use quickcheck::{Arbitrary, Gen};
 
-use crate::configuration_publish::{Holder, publication};
+use crate::configuration_bench::{Holder, publication};
 use crate::configuration_spec::{Answer, Broken, Config, DAEMONS, OPERATORS, Phase, State, Step};
 use crate::configuration_store::{FakeStore, Fault, Objects, run};
 
