The daemon is a library with a thin program, in folders by subject

Change: src/main.rs calls the library; callers, request, pools, targets, orders, peers, admin are folders.

--- a/crates/lilaccrankd/src/admin.rs
+++ b/crates/lilaccrankd/src/admin.rs
@@ -10,14 +10,17 @@
 use lilaccrank::operators::{self, path};
 use lilaccrank_http::body::{self, Body};
 
+use crate::callers::attach;
+use crate::callers::entry;
+use crate::callers::refusal::Refusal;
 use crate::daemon::Daemon;
-use crate::refusal::Refusal;
+use crate::pools::server;
 use crate::signals::Signals;
-use crate::{attach, entry, pool_server};
 
 mod configuration;
 mod error;
 mod exchange;
+pub mod metrics;
 mod orders;
 mod publication;
 mod reports;
@@ -112,7 +115,7 @@
         in_progress: daemon.in_progress(),
         leaving: daemon.leaving.get(),
         members: daemon.membership.all(),
-        pools: pool_server::status(daemon),
+        pools: server::status(daemon),
         vm: daemon.cfg.vm.clone(),
     })
 }
@@ -121,7 +124,7 @@
 async fn held_answer(
     daemon: &Daemon,
     req: &Request<Incoming>,
-) -> crate::refusal::Result<Response<Body>> {
+) -> crate::callers::refusal::Result<Response<Body>> {
     let in_force = daemon.in_force()?;
     let customer = in_force.keys.customer(req.headers())?.id.clone();
     let not_found = || Refusal::new(ErrorKind::NotFound, "no answer for this key is held here");
@@ -137,7 +140,7 @@
     entry::respond(daemon, run.reader(), None).await
 }
 
-fn ready(daemon: &Daemon) -> crate::refusal::Result<()> {
+fn ready(daemon: &Daemon) -> crate::callers::refusal::Result<()> {
     if daemon.leaving.get() {
         return Err(Refusal::new(
             ErrorKind::Leaving,
--- a/crates/lilaccrankd/src/admin/error.rs
+++ b/crates/lilaccrankd/src/admin/error.rs
@@ -7,7 +7,7 @@
 use lilaccrank::operators::failure::Envelope;
 use lilaccrank_http::body::{self, Body};
 
-use crate::refusal::Refusal;
+use crate::callers::refusal::Refusal;
 
 /// Result of an operator's request.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
--- a/crates/lilaccrankd/src/admin/exchange.rs
+++ b/crates/lilaccrankd/src/admin/exchange.rs
@@ -9,9 +9,9 @@
 use serde::de::DeserializeOwned;
 
 use super::error::Result;
+use crate::callers::entry;
+use crate::callers::refusal::Refusal;
 use crate::daemon::Daemon;
-use crate::entry;
-use crate::refusal::Refusal;
 
 /// Largest body of an operator. A document of 35,000 customers has some 10 MB; four times as
 /// much still leaves a daemon within its memory while one is read.
--- a/crates/lilaccrankd/src/metrics.rs
+++ b/crates/lilaccrankd/src/admin/metrics.rs
@@ -8,7 +8,7 @@
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
-use crate::traffic::Traffic;
+use crate::peers::traffic::Traffic;
 
 /// Result of registering.
 pub type Result<T, E = prometheus::Error> = std::result::Result<T, E>;
--- a/crates/lilaccrankd/src/admin/orders.rs
+++ b/crates/lilaccrankd/src/admin/orders.rs
@@ -11,10 +11,10 @@
 
 use super::error::Result;
 use super::exchange;
+use crate::callers::refusal::Refusal;
 use crate::daemon::Daemon;
-use crate::order_message::OrderRequest;
-use crate::order_relay;
-use crate::refusal::Refusal;
+use crate::orders::message::OrderRequest;
+use crate::orders::relay;
 
 /// Answers an order: 200 with `done`, 409 with `refused`, 504 with `unknown`.
 pub async fn handle(daemon: &Rc<Daemon>, req: Request<Incoming>) -> Response<Body> {
@@ -61,7 +61,7 @@
         target: order.target,
         token: None,
     };
-    Ok(order_relay::give(daemon, req).await)
+    Ok(relay::give(daemon, req).await)
 }
 
 fn has_target(daemon: &Daemon, pool: &Pool, order: &OperatorOrder) -> bool {
--- a/crates/lilaccrankd/src/admin/reports.rs
+++ b/crates/lilaccrankd/src/admin/reports.rs
@@ -11,7 +11,7 @@
 use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::daemon::Daemon;
-use crate::peer_message::{Held, HeldAsk};
+use crate::peers::message::{Held, HeldAsk};
 
 /// Time for one member to tell. A silent one is on its way to be declared dead, and an
 /// operator's publication does not wait for that.
--- a/crates/lilaccrankd/src/args.rs
+++ b/crates/lilaccrankd/src/args.rs
@@ -6,8 +6,9 @@
 
 use clap::Parser;
 
+use crate::json_logger;
+use crate::serve;
 use crate::settings::{Result, Settings};
-use crate::{json_logger, serve};
 
 /// Exit code for settings that can't be used.
 const EXIT_SETTINGS: u8 = 2;
--- a/crates/lilaccrankd/src/callers.rs
+++ b/crates/lilaccrankd/src/callers.rs
@@ -8,9 +8,18 @@
 use lilaccrank_http::body::{self, Body};
 use serde_json::json;
 
+use crate::callers::refusal::Result;
 use crate::daemon::Daemon;
-use crate::entry;
-use crate::refusal::Result;
+
+pub mod answer_shape;
+pub mod answers;
+pub mod attach;
+pub mod auth;
+pub mod caller_request;
+pub mod choices;
+pub mod end_to_end;
+pub mod entry;
+pub mod refusal;
 
 /// Answers one HTTP request of a caller.
 pub async fn handle(daemon: Rc<Daemon>, req: Request<Incoming>) -> Response<Body> {
--- a/crates/lilaccrankd/src/answer_shape.rs
+++ b/crates/lilaccrankd/src/callers/answer_shape.rs
@@ -6,10 +6,10 @@
 use lilaccrank::error_kind::ErrorKind;
 use serde_json::{Value, json};
 
-use crate::caller_request::Shape;
-use crate::choices::Choices;
-use crate::refusal::{Refusal, Result};
-use crate::run::{Head, Run};
+use crate::callers::caller_request::Shape;
+use crate::callers::choices::Choices;
+use crate::callers::refusal::{Refusal, Result};
+use crate::request::run::{Head, Run};
 
 /// Data of the event that closes a stream.
 pub const DONE: &str = "[DONE]";
--- a/crates/lilaccrankd/src/answers.rs
+++ b/crates/lilaccrankd/src/callers/answers.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use lilaccrank::ids::{CustomerId, RequestKey};
 
-use crate::run::Run;
+use crate::request::run::Run;
 
 /// A key in its customer's scope: no customer can name another's answer.
 pub type ScopedKey = (CustomerId, RequestKey);
--- a/crates/lilaccrankd/src/attach.rs
+++ b/crates/lilaccrankd/src/callers/attach.rs
@@ -10,14 +10,14 @@
 use lilaccrank::timeline::{EventKind, Subject};
 use lilaccrank_http::body::{self, Body};
 
-use crate::caller_request::CallerRequest;
+use crate::callers::caller_request::CallerRequest;
+use crate::callers::entry;
+use crate::callers::refusal::{REFUSAL, Refusal, Result};
 use crate::daemon::{Daemon, InProgress};
-use crate::entry;
-use crate::interruption;
-use crate::proxy_run;
-use crate::refusal::{REFUSAL, Refusal, Result};
-use crate::run::{End, Reader, Run};
-use crate::target_call;
+use crate::request::interruption;
+use crate::request::run::{End, Reader, Run};
+use crate::targets::call;
+use crate::targets::proxy_run;
 
 /// Path below which a daemon shows the answers that it holds, by request key.
 pub const PATH: &str = "/v1/answers/";
@@ -89,7 +89,7 @@
     }
     let bounds = daemon.bounds();
     let address = member.admin.to_string();
-    let sent = target_call::send(&daemon.client, &address, req, bounds.head).await;
+    let sent = call::send(&daemon.client, &address, req, bounds.head).await;
     let (res, connection) = sent.map_err(|_| gone())?;
     if res.status() == StatusCode::NOT_FOUND && res.headers().contains_key(REFUSAL) {
         return Ok(None);
--- a/crates/lilaccrankd/src/auth.rs
+++ b/crates/lilaccrankd/src/callers/auth.rs
@@ -9,7 +9,7 @@
 use lilaccrank::error_kind::ErrorKind;
 use sha2::{Digest, Sha256};
 
-use crate::refusal::{Refusal, Result};
+use crate::callers::refusal::{Refusal, Result};
 
 /// Keys of one configuration, found by their digest.
 ///
--- a/crates/lilaccrankd/src/caller_request.rs
+++ b/crates/lilaccrankd/src/callers/caller_request.rs
@@ -16,9 +16,9 @@
 use lilaccrank::request::Facts;
 use serde_json::Value;
 
-use crate::answers::ScopedKey;
-use crate::proxied::Proxied;
-use crate::refusal::{Refusal, Result};
+use crate::callers::answers::ScopedKey;
+use crate::callers::refusal::{Refusal, Result};
+use crate::targets::proxied::Proxied;
 
 /// Caller's time limit for the whole answer, in milliseconds.
 pub const DEADLINE: HeaderName = HeaderName::from_static("lilaccrank-deadline-ms");
--- a/crates/lilaccrankd/src/choices.rs
+++ b/crates/lilaccrankd/src/callers/choices.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 use serde_json::{Map, Value, json};
 
-use crate::caller_request::Shape;
+use crate::callers::caller_request::Shape;
 
 /// Members that are sent whole, perhaps again in each part; other text is sent piece by piece.
 const SENT_WHOLE: [&str; 6] = ["finish_reason", "id", "index", "name", "role", "type"];
--- a/crates/lilaccrankd/src/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -10,14 +10,14 @@
 use lilaccrank::rules::matching::{Decision, Route};
 use lilaccrank_http::body::{self, Body, BodySender};
 
-use crate::attach;
-use crate::caller_request::CallerRequest;
+use crate::callers::attach;
+use crate::callers::caller_request::CallerRequest;
+use crate::callers::refusal::{Refusal, Result};
+use crate::configuration::in_force::InForce;
 use crate::daemon::{Daemon, InProgress};
-use crate::in_force::InForce;
-use crate::key_state::{self, Access};
-use crate::refusal::{Refusal, Result};
-use crate::request_run::{self, Routed};
-use crate::run::{Reader, Run};
+use crate::request::key_state::{self, Access};
+use crate::request::life::{self, Routed};
+use crate::request::run::{Reader, Run};
 
 /// Answers one request, or refuses it.
 pub async fn answer(daemon: Rc<Daemon>, req: Request<Incoming>) -> Response<Body> {
@@ -68,7 +68,7 @@
         id: daemon.next_request_id(),
         route,
     };
-    let driving = request_run::drive(Rc::clone(daemon), routed, key, run);
+    let driving = life::drive(Rc::clone(daemon), routed, key, run);
     let driven = Rc::clone(&in_progress);
     monoio::spawn(async move {
         driving.await;
--- a/crates/lilaccrankd/src/configuration.rs
+++ b/crates/lilaccrankd/src/configuration.rs
@@ -16,7 +16,9 @@
 use rand::seq::{IndexedRandom, IteratorRandom};
 
 use crate::daemon::Daemon;
-use crate::peer_message::{Announcement, Done};
+use crate::peers::message::{Announcement, Done};
+
+pub mod in_force;
 
 /// Members told at once of a new configuration; each of them tells as many.
 const FANOUT: usize = 3;
--- a/crates/lilaccrankd/src/in_force.rs
+++ b/crates/lilaccrankd/src/configuration/in_force.rs
@@ -7,7 +7,7 @@
 use lilaccrank::document::{Document, PoolKind, Target};
 use lilaccrank::rules::matching::RuleSet;
 
-use crate::auth::Keys;
+use crate::callers::auth::Keys;
 
 /// One generation in the form that requests use.
 pub struct InForce {
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -16,22 +16,22 @@
 use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::store_client::StoreClient;
 
-use crate::answers::Answers;
-use crate::cutting::Cutting;
-use crate::duties::Duties;
-use crate::engine_stream::Patience;
-use crate::in_force::InForce;
-use crate::key_state::KeyClaims;
-use crate::metrics::Metrics;
-use crate::order_keeper::{self, OrderKeeper};
-use crate::peer_network::PeerNetwork;
-use crate::pool_client::{self, PoolClient};
-use crate::pool_server::{self, PoolServer};
-use crate::proxy_run::Bounds;
-use crate::refusal::Refusal;
+use crate::admin::metrics::Metrics;
+use crate::callers::answers::Answers;
+use crate::callers::refusal::Refusal;
+use crate::configuration::in_force::InForce;
+use crate::orders::keeper::{self, OrderKeeper};
+use crate::peers::duties::Duties;
+use crate::peers::network::PeerNetwork;
+use crate::peers::traffic::Traffic;
+use crate::pools::client::{self, PoolClient};
+use crate::pools::server::{self, PoolServer};
+use crate::request::cutting::Cutting;
+use crate::request::key_state::KeyClaims;
 use crate::settings::Settings;
-use crate::traffic::Traffic;
-use crate::vm_list::VmList;
+use crate::targets::engine_stream::Patience;
+use crate::targets::proxy_run::Bounds;
+use crate::targets::vm_list::VmList;
 
 /// The platform's store behind a circuit and a budget of retries, so that a data centre that was
 /// cut off comes back without a stampede.
@@ -275,9 +275,9 @@
                 ..Subject::default()
             },
         );
-        pool_server::configuration_changed(self);
-        pool_client::rebalance(self);
-        order_keeper::reconcile(self);
+        server::configuration_changed(self);
+        client::rebalance(self);
+        keeper::reconcile(self);
     }
 }
 
--- /dev/null
+++ b/crates/lilaccrankd/src/lib.rs
@@ -0,0 +1,17 @@
+//! The daemon of lilaccrank: takes requests, dispatches them to targets, answers callers.
+
+pub mod admin;
+pub mod args;
+pub mod callers;
+pub mod configuration;
+pub mod daemon;
+mod json_logger;
+pub mod orders;
+pub mod peers;
+pub mod pools;
+pub mod request;
+pub mod serve;
+pub mod settings;
+mod shutdown;
+pub mod signals;
+pub mod targets;
--- a/crates/lilaccrankd/src/drain_teller.rs
+++ b/crates/lilaccrankd/src/orders/drain_teller.rs
@@ -19,7 +19,7 @@
 use lilaccrank::timeline::{EventKind, Subject};
 
 use crate::daemon::Daemon;
-use crate::pool_orders::{PoolOrders, Term};
+use crate::orders::pool_orders::{PoolOrders, Term};
 
 /// A duty that moves on within this time is a sign of members still being found; what would be
 /// told then costs the store a lease each time.
--- a/crates/lilaccrankd/src/order_jobs.rs
+++ b/crates/lilaccrankd/src/orders/jobs.rs
@@ -9,7 +9,7 @@
 use lilaccrank::timeline::{EventKind, Subject};
 
 use crate::daemon::Daemon;
-use crate::order_message::{OrderReply, OrderRequest};
+use crate::orders::message::{OrderReply, OrderRequest};
 
 /// How long the outcome of an order is kept for who repeats it.
 const KEPT: Duration = Duration::from_secs(600);
--- a/crates/lilaccrankd/src/order_keeper.rs
+++ b/crates/lilaccrankd/src/orders/keeper.rs
@@ -10,10 +10,10 @@
 use lilaccrank::request_key::Ranking;
 
 use crate::daemon::{Daemon, PlatformStore};
-use crate::drain_teller;
-use crate::order_jobs::OrderJobs;
-use crate::order_times::OrderTimes;
-use crate::pool_orders::PoolOrders;
+use crate::orders::drain_teller;
+use crate::orders::jobs::OrderJobs;
+use crate::orders::pool_orders::PoolOrders;
+use crate::orders::times::OrderTimes;
 use crate::settings::Settings;
 
 /// Orders of this life of the daemon.
--- a/crates/lilaccrankd/src/pool_orders.rs
+++ b/crates/lilaccrankd/src/orders/pool_orders.rs
@@ -15,8 +15,8 @@
 use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::daemon::PlatformStore;
-use crate::order_times::OrderTimes;
-use crate::target_orders::TargetOrders;
+use crate::orders::target_orders::TargetOrders;
+use crate::orders::times::OrderTimes;
 
 /// The lease is kept this long after the last order. Orders come in series, and a target that
 /// ignores fencing numbers costs a long wait each time the lease is taken anew.
--- a/crates/lilaccrankd/src/order_relay.rs
+++ b/crates/lilaccrankd/src/orders/relay.rs
@@ -8,8 +8,8 @@
 use lilaccrank::request_key::{MemberRef, Ranking};
 
 use crate::daemon::Daemon;
-use crate::order_jobs;
-use crate::order_message::{OrderReply, OrderRequest};
+use crate::orders::jobs;
+use crate::orders::message::{OrderReply, OrderRequest};
 
 /// Time between two questions how an order is getting on.
 const ASK_EVERY: Duration = Duration::from_millis(100);
@@ -60,7 +60,7 @@
     req: &OrderRequest,
 ) -> peers::Result<OrderReply> {
     if *holder == daemon.duties.me() {
-        return Ok(order_jobs::answer(daemon, req.clone()));
+        return Ok(jobs::answer(daemon, req.clone()));
     }
     daemon.peers.call(&holder.vm, req.clone()).await
 }
--- a/crates/lilaccrankd/src/target_orders.rs
+++ b/crates/lilaccrankd/src/orders/target_orders.rs
@@ -16,7 +16,7 @@
 use lilaccrank_http::monoio_clock::MonoioClock;
 use serde::Serialize;
 
-use crate::target_call::CONNECT_TIMEOUT;
+use crate::targets::call::CONNECT_TIMEOUT;
 
 /// Path of the orders at an engine.
 const PATH: &str = "/orders";
--- /dev/null
+++ b/crates/lilaccrankd/src/peers.rs
@@ -0,0 +1,7 @@
+//! Other daemons: who they are, what they are told, and what that costs.
+
+pub mod duties;
+pub mod message;
+pub mod network;
+pub mod traffic;
+pub mod udp_gossip;
--- a/crates/lilaccrankd/src/peer_message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -9,7 +9,7 @@
 use lilaccrank::timeline::Stamp;
 use serde::{Deserialize, Serialize};
 
-use crate::order_message::{OrderReply, OrderRequest};
+use crate::orders::message::{OrderReply, OrderRequest};
 
 /// A message with the time at its sender, by which time lines are put in causal order.
 #[derive(Clone, Debug, Deserialize, Serialize)]
--- a/crates/lilaccrankd/src/peer_network.rs
+++ b/crates/lilaccrankd/src/peers/network.rs
@@ -15,12 +15,12 @@
 use lilaccrank_http::peer_link::PeerLink;
 use lilaccrank_http::tally::Tally;
 
-use crate::order_message::{OrderReply, OrderRequest};
-use crate::peer_message::{
+use crate::orders::message::{OrderReply, OrderRequest};
+use crate::peers::message::{
     Announcement, Done, Held, HeldAsk, Leaving, LeavingAsk, PeerReply, PeerRequest, PoolReply,
     PoolRequest, Stamped,
 };
-use crate::traffic::Traffic;
+use crate::peers::traffic::Traffic;
 
 type Link = PeerLink<Stamped<PeerRequest>, Stamped<PeerReply>>;
 
--- /dev/null
+++ b/crates/lilaccrankd/src/pools.rs
@@ -0,0 +1,5 @@
+//! Pools of targets: an entry asks the dispatcher of a pool for a place.
+
+pub mod client;
+pub mod poller;
+pub mod server;
--- a/crates/lilaccrankd/src/pool_client.rs
+++ b/crates/lilaccrankd/src/pools/client.rs
@@ -12,8 +12,8 @@
 use lilaccrank::request_key::{MemberRef, Ranking};
 
 use crate::daemon::Daemon;
-use crate::peer_message::{PoolMessage, PoolReply, PoolRequest};
-use crate::pool_server;
+use crate::peers::message::{PoolMessage, PoolReply, PoolRequest};
+use crate::pools::server;
 
 mod held;
 mod outstanding;
@@ -102,7 +102,7 @@
         pool: pool.clone(),
     };
     if dispatcher.vm == daemon.cfg.vm {
-        return Some(pool_server::handle(daemon, req));
+        return Some(server::handle(daemon, req));
     }
     daemon.peers.call(&dispatcher.vm, req).await.ok()
 }
--- a/crates/lilaccrankd/src/pool_client/held.rs
+++ b/crates/lilaccrankd/src/pools/client/held.rs
@@ -6,7 +6,7 @@
 use lilaccrank::ids::{PoolId, RequestId, TargetId};
 
 use crate::daemon::Daemon;
-use crate::peer_message::PoolMessage;
+use crate::peers::message::PoolMessage;
 
 /// A used grant; dropping it without [`ended`](Self::ended) returns it unused.
 pub struct Held {
--- a/crates/lilaccrankd/src/target_poller.rs
+++ b/crates/lilaccrankd/src/pools/poller.rs
@@ -18,7 +18,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::daemon::Daemon;
-use crate::pool_server::Served;
+use crate::pools::server::Served;
 
 /// Time between two readings of one target. Reports only correct the dispatcher's own estimate;
 /// at half a second the readings of twenty engines cost twice what a daemon may spend on all of
--- a/crates/lilaccrankd/src/pool_server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -22,8 +22,9 @@
 use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::daemon::Daemon;
-use crate::peer_message::{PoolMessage, PoolReply, PoolRequest};
-use crate::{pool_client, target_poller};
+use crate::peers::message::{PoolMessage, PoolReply, PoolRequest};
+use crate::pools::client;
+use crate::pools::poller;
 
 /// Longest wait of a new dispatcher for the entries to tell what they have.
 const HANDOVER_GRACE: Duration = Duration::from_secs(1);
@@ -73,7 +74,7 @@
 /// Answers a message about a pool.
 pub fn handle(daemon: &Rc<Daemon>, req: PoolRequest) -> PoolReply {
     if let PoolMessage::Verdict { from, verdict } = req.message {
-        return if pool_client::on_verdict(daemon, &from, verdict) {
+        return if client::on_verdict(daemon, &from, verdict) {
             PoolReply::Accepted { waiting: 0 }
         } else {
             PoolReply::Declined
@@ -150,7 +151,7 @@
 
 async fn deliver(daemon: &Rc<Daemon>, served: &Served, entry: &str, verdict: &Verdict) -> bool {
     if entry == daemon.cfg.vm {
-        return pool_client::on_verdict(daemon, &served.me, verdict.clone());
+        return client::on_verdict(daemon, &served.me, verdict.clone());
     }
     for _ in 0..DELIVERIES {
         let req = PoolRequest {
@@ -232,7 +233,7 @@
         pin_mut!(run, retired);
         future::select(run, retired).await;
     });
-    monoio::spawn(target_poller::run(
+    monoio::spawn(poller::run(
         Rc::clone(daemon),
         Rc::clone(&served),
         pool.clone(),
--- /dev/null
+++ b/crates/lilaccrankd/src/request.rs
@@ -0,0 +1,9 @@
+//! One request from its route to its end.
+
+pub mod cutting;
+pub mod interruption;
+pub mod key_state;
+pub mod life;
+pub mod run;
+pub mod send;
+pub mod spill;
--- a/crates/lilaccrankd/src/interruption.rs
+++ b/crates/lilaccrankd/src/request/interruption.rs
@@ -7,9 +7,9 @@
 use futures::pin_mut;
 use lilaccrank::error_kind::{ErrorKind, Ran};
 
-use crate::cutting::Cutting;
-use crate::refusal::Refusal;
-use crate::run::Run;
+use crate::callers::refusal::Refusal;
+use crate::request::cutting::Cutting;
+use crate::request::run::Run;
 
 /// Completes when the request is to be stopped, with the reason.
 ///
--- a/crates/lilaccrankd/src/key_state.rs
+++ b/crates/lilaccrankd/src/request/key_state.rs
@@ -9,11 +9,11 @@
 };
 use lilaccrank_http::monoio_clock::MonoioClock;
 
-use crate::caller_request::CallerRequest;
+use crate::callers::caller_request::CallerRequest;
+use crate::callers::refusal::{Refusal, Result};
 use crate::daemon::{Daemon, PlatformStore};
-use crate::duties::Duties;
-use crate::peer_network::PeerNetwork;
-use crate::refusal::{Refusal, Result};
+use crate::peers::duties::Duties;
+use crate::peers::network::PeerNetwork;
 
 /// The keys of this daemon's requests.
 pub type KeyClaims = Claims<MonoioClock, PeerNetwork, Duties, PlatformStore>;
--- a/crates/lilaccrankd/src/request_run.rs
+++ b/crates/lilaccrankd/src/request/life.rs
@@ -11,13 +11,14 @@
 use lilaccrank::rules::matching::Route;
 use lilaccrank::timeline::{EventKind, Subject};
 
-use crate::caller_request::{CallerRequest, Work};
+use crate::callers::caller_request::{CallerRequest, Work};
+use crate::callers::refusal::{Refusal, Result};
 use crate::daemon::Daemon;
-use crate::key_state::KeyState;
-use crate::pool_client::{self, Held};
-use crate::refusal::{Refusal, Result};
-use crate::run::{End, Run};
-use crate::{interruption, spill};
+use crate::pools::client::{self, Held};
+use crate::request::interruption;
+use crate::request::key_state::KeyState;
+use crate::request::run::{End, Run};
+use crate::request::spill;
 
 /// Longest wait for a key to be settled before the caller hears the end.
 const SETTLE_WAIT: Duration = Duration::from_millis(200);
@@ -161,7 +162,7 @@
         );
         let ask = self.ask(daemon, exclusions);
         let interrupted = self.interrupted(daemon, run);
-        let asking = pool_client::ask(daemon, &self.route.pool, ask);
+        let asking = client::ask(daemon, &self.route.pool, ask);
         pin_mut!(asking, interrupted);
         match future::select(asking, interrupted).await {
             Either::Left((Ok(held), _)) => {
--- a/crates/lilaccrankd/src/run.rs
+++ b/crates/lilaccrankd/src/request/run.rs
@@ -8,7 +8,7 @@
 use hyper::HeaderMap;
 use hyper::StatusCode;
 
-use crate::refusal::Refusal;
+use crate::callers::refusal::Refusal;
 
 /// Status and headers of an answer.
 #[derive(Clone, Debug)]
--- a/crates/lilaccrankd/src/request_send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -9,16 +9,16 @@
 use lilaccrank::timeline::EventKind;
 use lilaccrank_http::body;
 
-use crate::caller_request::Work;
+use crate::callers::caller_request::Work;
+use crate::callers::refusal::{Refusal, Result};
 use crate::daemon::Daemon;
-use crate::engine_run::{self, Ended, EngineRequest, Observer};
-use crate::engine_stream::{EngineStream, REQUEST_ID, REQUEST_KEY};
-use crate::pool_client::Held;
-use crate::proxied::Proxied;
-use crate::proxy_run;
-use crate::refusal::{Refusal, Result};
-use crate::request_run::Routed;
-use crate::run::Run;
+use crate::pools::client::Held;
+use crate::request::life::Routed;
+use crate::request::run::Run;
+use crate::targets::engine_run::{self, Ended, EngineRequest, Observer};
+use crate::targets::engine_stream::{EngineStream, REQUEST_ID, REQUEST_KEY};
+use crate::targets::proxied::Proxied;
+use crate::targets::proxy_run;
 
 impl Routed {
     /// Sends the request to the target that `held` grants.
--- a/crates/lilaccrankd/src/spill.rs
+++ b/crates/lilaccrankd/src/request/spill.rs
@@ -14,13 +14,13 @@
 use rand::seq::IndexedRandom;
 use serde::Deserialize;
 
-use crate::caller_request::{CallerRequest, DEADLINE, SPILLED};
+use crate::callers::caller_request::{CallerRequest, DEADLINE, SPILLED};
+use crate::callers::entry;
+use crate::callers::refusal::{REFUSAL, Refusal, Result};
 use crate::daemon::Daemon;
-use crate::entry;
-use crate::proxy_run;
-use crate::refusal::{REFUSAL, Refusal, Result};
-use crate::run::Run;
-use crate::target_call;
+use crate::request::run::Run;
+use crate::targets::call;
+use crate::targets::proxy_run;
 
 /// Largest body of a refusal.
 const REFUSAL_LIMIT: usize = 64 * 1024;
@@ -84,7 +84,7 @@
     let bounds = daemon.bounds();
     let req = request(daemon, caller, deadline);
     let address = address.to_string();
-    let (res, connection) = target_call::send(&daemon.client, &address, req, bounds.head).await?;
+    let (res, connection) = call::send(&daemon.client, &address, req, bounds.head).await?;
     if res.headers().contains_key(REFUSAL) {
         return Err(refusal(daemon, res).await);
     }
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -15,16 +15,20 @@
 use monoio::net::TcpListener;
 use thiserror::Error;
 
+use crate::admin;
+use crate::callers;
+use crate::configuration;
 use crate::daemon::Daemon;
-use crate::peer_message::{Held, HeldAsk, Leaving, LeavingAsk, PeerReply, PeerRequest, Stamped};
+use crate::orders::jobs;
+use crate::orders::keeper;
+use crate::peers::message::{Held, HeldAsk, Leaving, LeavingAsk, PeerReply, PeerRequest, Stamped};
+use crate::peers::traffic::Traffic;
+use crate::peers::udp_gossip::UdpGossip;
+use crate::pools;
 use crate::settings::Settings;
+use crate::shutdown;
 use crate::signals::Signals;
-use crate::traffic::Traffic;
-use crate::udp_gossip::UdpGossip;
-use crate::{
-    admin, callers, configuration, order_jobs, order_keeper, pool_client, pool_server, shutdown,
-    vm_list,
-};
+use crate::targets::vm_list;
 
 /// Result of running the daemon.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -133,9 +137,9 @@
             daemon.membership.live().members.len(),
             daemon.duties.me(),
         );
-        pool_server::members_changed(&daemon);
-        pool_client::rebalance(&daemon);
-        order_keeper::reconcile(&daemon);
+        pools::server::members_changed(&daemon);
+        pools::client::rebalance(&daemon);
+        keeper::reconcile(&daemon);
         daemon.peers.prune();
     }
 }
@@ -163,8 +167,8 @@
             vms: daemon.vm_list.leaving().into_iter().collect(),
         }
         .into(),
-        PeerRequest::Order(req) => order_jobs::answer(&daemon, req).into(),
-        PeerRequest::Pool(req) => pool_server::handle(&daemon, req).into(),
+        PeerRequest::Order(req) => jobs::answer(&daemon, req).into(),
+        PeerRequest::Pool(req) => pools::server::handle(&daemon, req).into(),
     };
     Stamped {
         message,
--- a/crates/lilaccrankd/src/target_call.rs
+++ b/crates/lilaccrankd/src/targets/call.rs
@@ -8,7 +8,7 @@
 use lilaccrank_http::body::Body;
 use lilaccrank_http::client::{Client, Connection, Error, Limits};
 
-use crate::refusal::{Refusal, Result};
+use crate::callers::refusal::{Refusal, Result};
 
 /// Time for a connection to a target.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
--- a/crates/lilaccrankd/src/engine_run.rs
+++ b/crates/lilaccrankd/src/targets/engine_run.rs
@@ -8,11 +8,11 @@
 use futures::pin_mut;
 use lilaccrank::error_kind::{ErrorKind, Ran};
 
-use crate::answer_shape::{AnswerShape, Step};
-use crate::caller_request::Shape;
-use crate::engine_stream::EngineStream;
-use crate::refusal::{Refusal, Result};
-use crate::run::Run;
+use crate::callers::answer_shape::{AnswerShape, Step};
+use crate::callers::caller_request::Shape;
+use crate::callers::refusal::{Refusal, Result};
+use crate::request::run::Run;
+use crate::targets::engine_stream::EngineStream;
 
 /// Longest wait for a cancel before the slot is given back and the caller is told.
 ///
--- a/crates/lilaccrankd/src/engine_stream.rs
+++ b/crates/lilaccrankd/src/targets/engine_stream.rs
@@ -14,8 +14,8 @@
 use lilaccrank_http::body::{self, Body};
 use lilaccrank_http::client::{Client, Connection, Limits};
 
-use crate::refusal::{Refusal, Result};
-use crate::target_call::{self, CONNECT_TIMEOUT};
+use crate::callers::refusal::{Refusal, Result};
+use crate::targets::call::{self, CONNECT_TIMEOUT};
 
 /// Name of the header that carries the request's id to targets.
 pub const REQUEST_ID: &str = "request-id";
@@ -162,7 +162,7 @@
     }
 
     async fn open(&mut self, req: Request<Body>, head: Duration) -> Result<()> {
-        let (res, connection) = target_call::send(&self.client, &self.address, req, head).await?;
+        let (res, connection) = call::send(&self.client, &self.address, req, head).await?;
         if res.status() != StatusCode::OK {
             let message = format!("the target answered with status {}", res.status());
             return Err(Refusal::new(ErrorKind::TargetFailed, message));
--- a/crates/lilaccrankd/src/proxied.rs
+++ b/crates/lilaccrankd/src/targets/proxied.rs
@@ -5,9 +5,9 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method};
 
-use crate::caller_request::KEY;
-use crate::end_to_end;
-use crate::engine_stream::{REQUEST_ID, REQUEST_KEY};
+use crate::callers::caller_request::KEY;
+use crate::callers::end_to_end;
+use crate::targets::engine_stream::{REQUEST_ID, REQUEST_KEY};
 
 /// Start of the names of headers that are for daemons.
 const OWN_PREFIX: &str = "lilaccrank-";
--- a/crates/lilaccrankd/src/proxy_run.rs
+++ b/crates/lilaccrankd/src/targets/proxy_run.rs
@@ -12,10 +12,10 @@
 use lilaccrank_http::body::Body;
 use lilaccrank_http::client::{Client, Connection};
 
-use crate::end_to_end;
-use crate::refusal::{REFUSAL, Refusal, Result};
-use crate::run::{Head, Run};
-use crate::target_call;
+use crate::callers::end_to_end;
+use crate::callers::refusal::{REFUSAL, Refusal, Result};
+use crate::request::run::{Head, Run};
+use crate::targets::call;
 
 /// Bounds of one pass.
 #[derive(Clone, Copy, Debug)]
@@ -57,7 +57,7 @@
     bounds: Bounds,
     run: &Run,
 ) -> Result<()> {
-    let (mut res, connection) = target_call::send(client, address, req, bounds.head).await?;
+    let (mut res, connection) = call::send(client, address, req, bounds.head).await?;
     res.headers_mut().remove(REFUSAL);
     copy(client, res, connection, bounds, run).await
 }
--- a/crates/lilaccrankd/src/vm_list.rs
+++ b/crates/lilaccrankd/src/targets/vm_list.rs
@@ -16,8 +16,9 @@
 use serde::Deserialize;
 
 use crate::daemon::Daemon;
-use crate::peer_message::{Leaving, LeavingAsk};
-use crate::{order_keeper, pool_server};
+use crate::orders::keeper;
+use crate::peers::message::{Leaving, LeavingAsk};
+use crate::pools::server;
 
 /// Time between two readings. A leaving target gets nothing new within this twice, a watcher's
 /// reading and a dispatcher's, after the list shows it.
@@ -74,7 +75,7 @@
     loop {
         let leaving = if daemon.duties.is_watcher() {
             read(&daemon).await
-        } else if pool_server::is_serving(&daemon) || daemon.order_keeper.is_on_duty() {
+        } else if server::is_serving(&daemon) || daemon.order_keeper.is_on_duty() {
             ask(&daemon).await
         } else {
             None
@@ -83,8 +84,8 @@
         if let Some(leaving) = leaving {
             let before = daemon.vm_list.leaving.replace(leaving.clone());
             if before != leaving {
-                pool_server::configuration_changed(&daemon);
-                order_keeper::reconcile(&daemon);
+                server::configuration_changed(&daemon);
+                keeper::reconcile(&daemon);
             }
         }
         monoio::time::sleep(EVERY).await;
