Logs as JSON lines on standard output, one for each decision; HUP reads the settings again

Change: the last piece of a broken answer is the callers' protocol's to give; the platform's gives none. SIGHUP is handled.

--- a/crates/lilaccrank-lab/src/process.rs
+++ b/crates/lilaccrank-lab/src/process.rs
@@ -74,17 +74,13 @@
     ///
     /// If it can't be started.
     pub fn daemon(settings: &Path, log: &Path, address: String) -> Result<Self> {
+        let options = std::fs::File::options().create(true).append(true).clone();
         let child = Command::new(binary("lilaccrankd")?)
             .arg("--settings")
             .arg(settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(
-                std::fs::File::options()
-                    .create(true)
-                    .append(true)
-                    .open(log)?,
-            )
+            .stdout(options.open(log)?)
+            .stderr(options.open(log)?)
             .spawn()?;
         Ok(Self {
             address,
--- a/crates/lilaccrankd/src/args.rs
+++ b/crates/lilaccrankd/src/args.rs
@@ -63,11 +63,12 @@
     vm: Option<String>,
 }
 
-/// Reads the arguments and does what they say, with these adapters. `file` holds the settings if
-/// no argument names another file.
-pub fn run(ports: Ports, file: Option<PathBuf>) -> ExitCode {
-    let mut args = Args::parse();
-    args.settings = args.settings.or(file);
+/// Reads the arguments and does what they say, with these adapters.
+pub fn run(mut ports: Ports) -> ExitCode {
+    let args = Args::parse();
+    if args.settings.is_some() {
+        ports.settings_file.clone_from(&args.settings);
+    }
     let settings = match args.settings(&ports) {
         Ok(settings) => settings,
         Err(e) => {
@@ -87,19 +88,21 @@
         return ExitCode::SUCCESS;
     }
     json_logger::init(settings.log_level, &settings.vm);
-    match serve::run(settings, ports) {
+    let ended = match serve::run(settings, ports) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("lilaccrankd: {e}");
+            log::error!("can't go on: {e}");
             ExitCode::FAILURE
         }
-    }
+    };
+    log::logger().flush();
+    ended
 }
 
 impl Args {
     /// The file's settings, with flags and environment over them.
     fn settings(&self, ports: &Ports) -> Result<Settings> {
-        let mut cfg = match &self.settings {
+        let mut cfg = match &ports.settings_file {
             Some(path) => (ports.settings)(path)?,
             None => Settings::default(),
         };
--- a/crates/lilaccrankd/src/callers/caller_request.rs
+++ b/crates/lilaccrankd/src/callers/caller_request.rs
@@ -10,7 +10,7 @@
 use hyper::http::request::Parts;
 use indexmap::IndexMap;
 use lilaccrank::error_kind::ErrorKind;
-use lilaccrank::ids::{DataCentre, Tier};
+use lilaccrank::ids::{DataCentre, RequestId, Tier};
 use lilaccrank::prompt;
 use lilaccrank::request::Facts;
 use serde_json::Value;
@@ -124,6 +124,12 @@
 }
 
 impl CallerRequest {
+    /// What the request is called in logs: the caller's own name for it, if it gave one.
+    #[must_use]
+    pub fn name<'a>(&'a self, id: &'a RequestId) -> &'a str {
+        self.caller_id.as_deref().unwrap_or(id)
+    }
+
     /// The request key in its customer's scope.
     #[must_use]
     pub fn scoped_key(&self) -> Option<ScopedKey> {
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -6,15 +6,17 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response};
+use lilaccrank::clock::Clock;
 use lilaccrank::document::Customer;
-use lilaccrank::error_kind::{ErrorKind, Ran};
+use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::rules::matching::{Decision, Route};
 use lilaccrank_http::body::{self, Body, BodySender};
+use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::callers::attach;
 use crate::callers::auth;
 use crate::callers::caller_request::CallerRequest;
-use crate::callers::protocol::Reading;
+use crate::callers::protocol::{CallerProtocol, Reading};
 use crate::callers::refusal::{Refusal, Result};
 use crate::configuration::in_force::InForce;
 use crate::daemon::{Daemon, InProgress};
@@ -24,10 +26,19 @@
 
 /// Answers one request, or refuses it.
 pub async fn answer(daemon: Rc<Daemon>, req: Request<Incoming>) -> Response<Body> {
+    let name = daemon.ports.callers.name(req.headers()).map(str::to_owned);
     match accept(&daemon, req).await {
         Ok(res) => res,
         Err(refusal) => {
             daemon.metrics.refuse(refusal.kind);
+            log::info!(
+                age_ms = log_age(&daemon),
+                generation = log_generation(&daemon),
+                kind:% = refusal.kind,
+                request = name.unwrap_or_default(),
+                why = refusal.message;
+                "refused at the door"
+            );
             daemon.ports.callers.refuse(&refusal)
         }
     }
@@ -67,10 +78,22 @@
     if let Some(scoped) = caller.scoped_key() {
         daemon.answers.insert(scoped, Rc::clone(&run));
     }
+    let id = daemon.next_request_id();
+    log::info!(
+        age_ms = log_age(daemon),
+        customer = caller.facts.customer,
+        generation = in_force.identity.generation,
+        id = id,
+        pool = route.pool,
+        request = caller.name(&id),
+        rule = route.rule,
+        tier = route.tier;
+        "routed"
+    );
     let routed = Routed {
         arrived,
         caller,
-        id: daemon.next_request_id(),
+        id,
         route,
     };
     let driving = life::drive(Rc::clone(daemon), routed, key, run);
@@ -144,8 +167,9 @@
     let head = reader.head().await?;
     let (tx, body) = body::channel();
     let patience = Duration::from_millis(daemon.cfg.body_timeout_ms);
+    let protocol = Rc::clone(&daemon.ports.callers);
     monoio::spawn(async move {
-        relay(reader, tx, patience).await;
+        relay(reader, tx, patience, protocol).await;
         drop(in_progress);
     });
     let mut res = Response::new(body);
@@ -154,7 +178,12 @@
     Ok(res)
 }
 
-async fn relay(mut reader: Reader, mut tx: BodySender, patience: Duration) {
+async fn relay(
+    mut reader: Reader,
+    mut tx: BodySender,
+    patience: Duration,
+    protocol: Rc<dyn CallerProtocol>,
+) {
     loop {
         match reader.next().await {
             Ok(Some(chunk)) => {
@@ -167,12 +196,26 @@
                 }
             }
             Ok(None) => return,
-            // The head is out: an event tells why, and the broken body tells every client,
-            // also one that does not read events, that the answer is not whole.
+            // The head is out: the broken body tells every client that the answer is not whole.
             Err(refusal) => {
-                let event = format!("event: error\ndata: {}\n\n", refusal.ran(Ran::Maybe).json());
-                return body::break_off(tx, event.into(), "the answer broke off").await;
+                let why = "the answer broke off";
+                return match protocol.break_off(&refusal) {
+                    Some(last) => body::break_off(tx, last, why).await,
+                    None => tx.abort(why.into()),
+                };
             }
         }
     }
 }
+
+/// Age of the proof that the configuration is the newest, in milliseconds, for the log.
+fn log_age(daemon: &Daemon) -> u64 {
+    let age = daemon.adoption.age(MonoioClock.boot());
+    age.map_or(u64::MAX, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Generation in force for the log, 0 before the first one.
+fn log_generation(daemon: &Daemon) -> u64 {
+    let in_force = daemon.in_force();
+    in_force.map_or(0, |in_force| in_force.identity.generation)
+}
--- a/crates/lilaccrankd/src/callers/own_protocol.rs
+++ b/crates/lilaccrankd/src/callers/own_protocol.rs
@@ -5,10 +5,11 @@
 use hyper::header::AUTHORIZATION;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Response};
+use lilaccrank::error_kind::Ran;
 use lilaccrank_http::body::Body;
 
 use crate::callers::auth;
-use crate::callers::caller_request::CallerRequest;
+use crate::callers::caller_request::{self, CallerRequest};
 use crate::callers::protocol::{CallerProtocol, Reading};
 use crate::callers::refusal::{Refusal, Result};
 
@@ -22,10 +23,20 @@
         value.map(auth::bearer_key).transpose()
     }
 
+    fn name<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str> {
+        headers.get(caller_request::KEY)?.to_str().ok()
+    }
+
     fn read(&self, head: Parts, body: Bytes, cx: Reading<'_>) -> Result<CallerRequest> {
         CallerRequest::read(head, body, cx)
     }
 
+    /// An event tells why to those that read events.
+    fn break_off(&self, refusal: &Refusal) -> Option<Bytes> {
+        let json = refusal.clone().ran(Ran::Maybe).json();
+        Some(format!("event: error\ndata: {json}\n\n").into())
+    }
+
     fn refuse(&self, refusal: &Refusal) -> Response<Body> {
         refusal.response()
     }
--- a/crates/lilaccrankd/src/callers/protocol.rs
+++ b/crates/lilaccrankd/src/callers/protocol.rs
@@ -20,6 +20,9 @@
     /// If the key can't be read.
     fn key<'a>(&self, headers: &'a HeaderMap) -> Result<Option<&'a str>>;
 
+    /// The caller's own name for the request, by which it can be found in the logs.
+    fn name<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
+
     /// Reads a request whose body is whole.
     ///
     /// # Errors
@@ -29,6 +32,10 @@
 
     /// The answer for a request that ends without one of a target.
     fn refuse(&self, refusal: &Refusal) -> Response<Body>;
+
+    /// The last piece of an answer that breaks off after its head, if the protocol has a way to
+    /// tell why. The connection breaks after it in any case.
+    fn break_off(&self, refusal: &Refusal) -> Option<Bytes>;
 }
 
 /// What a request is read against.
--- a/crates/lilaccrankd/src/lib.rs
+++ b/crates/lilaccrankd/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod peers;
 pub mod pools;
 pub mod ports;
+mod reload;
 pub mod request;
 pub mod serve;
 pub mod settings;
--- a/crates/lilaccrankd/src/main.rs
+++ b/crates/lilaccrankd/src/main.rs
@@ -6,5 +6,5 @@
 use lilaccrankd::ports::Ports;
 
 fn main() -> ExitCode {
-    args::run(Ports::default(), None)
+    args::run(Ports::default())
 }
--- a/crates/lilaccrankd/src/ports.rs
+++ b/crates/lilaccrankd/src/ports.rs
@@ -1,7 +1,7 @@
 //! What a daemon speaks with the world around it. Each port has the product's own adapter, and may
 //! have others.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
 use crate::callers::own_protocol::OwnProtocol;
@@ -19,6 +19,8 @@
     pub callers: Rc<dyn CallerProtocol>,
     /// How the settings file is read.
     pub settings: fn(&Path) -> settings::Result<Settings>,
+    /// The settings file, if there is one.
+    pub settings_file: Option<PathBuf>,
     /// Where configurations and the list of targets come from.
     pub source: Rc<dyn Source>,
     /// What targets to which requests are passed on speak.
@@ -31,6 +33,7 @@
         Self {
             callers: Rc::new(OwnProtocol),
             settings: Settings::read,
+            settings_file: None,
             source: Rc::new(OwnSource),
             targets: Rc::new(OwnTargets),
         }
--- a/crates/lilaccrankd/src/request/life.rs
+++ b/crates/lilaccrankd/src/request/life.rs
@@ -48,12 +48,24 @@
     // A repeat sent at once should find the key settled; but no answer is held back for long
     // for a keeper that can't be reached.
     let _ = monoio::time::timeout(SETTLE_WAIT, settling).await;
+    let total_ms = routed.elapsed_ms();
     match result {
         Ok(()) => {
+            log::info!(request = routed.name(), total_ms = total_ms; "answered");
             daemon.metrics.answer(routed.route.tier);
             run.finish(End::Whole);
         }
         Err(refusal) => {
+            log::info!(
+                begun = run.has_head(),
+                kind:% = refusal.kind,
+                ran:% = refusal.ran,
+                request = routed.name(),
+                retry_after_ms = refusal.retry_after.map_or(0, |after| after.as_millis() as u64),
+                total_ms = total_ms,
+                why = refusal.message;
+                "ended without a whole answer"
+            );
             daemon.metrics.refuse(refusal.kind);
             run.finish(End::Failed(refusal));
         }
@@ -95,6 +107,18 @@
 }
 
 impl Routed {
+    /// What it is called in logs.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        self.caller.name(&self.id)
+    }
+
+    /// Milliseconds since it arrived.
+    #[must_use]
+    pub fn elapsed_ms(&self) -> u64 {
+        u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// When the answer is worthless: at its caller's deadline, or at the rule's timeout.
     #[must_use]
     pub fn deadline(&self) -> Option<Instant> {
@@ -184,6 +208,12 @@
         pin_mut!(asking, interrupted);
         match future::select(asking, interrupted).await {
             Either::Left((Ok(held), _)) => {
+                log::info!(
+                    since_arrival_ms = self.elapsed_ms(),
+                    request = self.name(),
+                    target = held.target;
+                    "granted"
+                );
                 daemon.record(
                     EventKind::Granted,
                     self.subject(String::new(), Some(&held.target)),
--- a/crates/lilaccrankd/src/request/sends.rs
+++ b/crates/lilaccrankd/src/request/sends.rs
@@ -58,7 +58,7 @@
         failed: Failed,
         run: &Run,
     ) -> Option<Result<()>> {
-        self.exclusions.push(target);
+        self.exclusions.push(target.clone());
         if failed.answer.is_some() {
             self.answer = failed.answer;
         }
@@ -66,6 +66,16 @@
             && !failed.refusal.kind.is_from_outside()
             && (failed.how == Failure::Unsent
                 || daemon.second_sends.take(daemon, &routed.route.pool));
+        log::info!(
+            again = again,
+            how:? = failed.how,
+            kind:% = failed.refusal.kind,
+            request = routed.name(),
+            since_arrival_ms = routed.elapsed_ms(),
+            target = target,
+            why = failed.refusal.message;
+            "a send failed"
+        );
         if !again {
             return Some(self.end(failed.refusal, run));
         }
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -28,6 +28,7 @@
 use crate::peers::udp_gossip::UdpGossip;
 use crate::pools;
 use crate::ports::Ports;
+use crate::reload;
 use crate::settings::Settings;
 use crate::shutdown;
 use crate::signals::Signals;
@@ -127,7 +128,13 @@
         limits,
         move |req| callers::handle(Rc::clone(&shared), req),
     ));
-    log::info!("started in data centre {}", daemon.cfg.data_centre);
+    monoio::spawn(reload::run(Rc::clone(&daemon), signals.clone()));
+    log::info!(
+        data_centre = daemon.cfg.data_centre,
+        incarnation = incarnation,
+        version = env!("CARGO_PKG_VERSION");
+        "started"
+    );
     signals.asked().await;
     shutdown::run(&daemon, [&closing, &admin_closing], &signals).await;
     Ok(())
--- a/crates/lilaccrankd/src/signals.rs
+++ b/crates/lilaccrankd/src/signals.rs
@@ -1,5 +1,6 @@
 //! SIGTERM and SIGINT, and an operator's order: the first of them asks for a graceful end, a
-//! second signal for an immediate one.
+//! second signal for an immediate one. SIGHUP asks to read the settings again; left alone it
+//! would end the process and cut every request.
 
 use std::io;
 use std::sync::Arc;
@@ -7,7 +8,7 @@
 use std::thread;
 
 use event_listener::Event;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator;
 
 /// Counts the signals received.
@@ -21,6 +22,7 @@
     changed: Event,
     count: AtomicUsize,
     ordered: AtomicBool,
+    reloads: AtomicUsize,
 }
 
 impl Signals {
@@ -31,11 +33,15 @@
     /// If the system refuses the handlers.
     pub fn register() -> io::Result<Self> {
         let shared = Arc::new(Shared::default());
-        let mut signals = iterator::Signals::new([SIGINT, SIGTERM])?;
+        let mut signals = iterator::Signals::new([SIGHUP, SIGINT, SIGTERM])?;
         let counter = Arc::clone(&shared);
         thread::spawn(move || {
-            for _ in signals.forever() {
-                counter.count.fetch_add(1, Ordering::SeqCst);
+            for signal in signals.forever() {
+                let counted = match signal {
+                    SIGHUP => &counter.reloads,
+                    _ => &counter.count,
+                };
+                counted.fetch_add(1, Ordering::SeqCst);
                 counter.changed.notify(usize::MAX);
             }
         });
@@ -59,6 +65,15 @@
             .await;
     }
 
+    /// Completes once there were more requests to read the settings again than `seen`; returns
+    /// how many there were.
+    pub async fn reload(&self, seen: usize) -> usize {
+        let shared = &self.shared;
+        let reloads = || shared.reloads.load(Ordering::SeqCst);
+        self.until(|| reloads() > seen).await;
+        reloads()
+    }
+
     /// Completes once `n` signals have come.
     pub async fn reached(&self, n: usize) {
         self.until(|| self.shared.count() >= n).await;
