Each daemon dispatches its own requests, on a view of what all of them have on the targets

Weighed: one dispatcher for each pool (it is there, needs a death to be known before it moves); each by itself with a shared view: no failover at all, a datagram after each change, state told in full so that a lost one costs nothing. Also: ranks of customers before tiers, first-token overhead learnt apart from the reading rate.

--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -25,10 +25,12 @@
 pub mod limits;
 pub mod message;
 mod overload;
+mod patience;
 mod pending;
 pub mod queue;
 mod recovery;
 mod reports;
+pub mod sharing;
 pub mod shedding;
 mod state;
 pub mod status;
@@ -39,6 +41,7 @@
 use admission::Admission;
 use message::Verdict;
 use message::{Ask, AskNumber, CacheEvent, Cancel, Entry, LoadReport, Refuse, Report, Resync};
+use sharing::Digest;
 use state::{State, WaiterId};
 use status::Status;
 
@@ -170,6 +173,19 @@
         self.state.borrow_mut().forget_entry(&entry, now);
     }
 
+    /// What this daemon has on the targets, for the daemons that dispatch the same pool. What was
+    /// seen of targets is told once.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        self.state.borrow_mut().digest()
+    }
+
+    /// Takes in what another daemon has on the targets.
+    pub fn take_digest(&self, from: &VmId, digest: Digest) {
+        let now = self.clock.now();
+        self.state.borrow_mut().take_digest(from, digest, now);
+    }
+
     /// State for operators.
     #[must_use]
     pub fn status(&self) -> Status {
@@ -191,6 +207,7 @@
             state.check_handover(now);
             state.expire(now);
             state.lapse(now);
+            state.forget_silent_peers(now);
             state.check_health(now);
             state.dispatch(now);
         }
--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -133,7 +133,8 @@
             return Some(state::refusal_of(ask, ErrorKind::NoTarget, retry));
         }
         self.is_hopeless(ask, now).then(|| {
-            let ahead = self.queue.ahead(ask.tier, &ask.customer, ask.weight);
+            let standing = state::standing(ask);
+            let ahead = self.queue.ahead(standing, &ask.customer, ask.weight);
             let retry = self.retry_behind(ahead, now);
             state::refusal_of(ask, ErrorKind::DeadlineUnmeetable, Some(retry))
         })
--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -1,6 +1,6 @@
 //! Which targets are open to an ask, and which of them is best.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 
@@ -19,6 +19,14 @@
 pub(super) const HOLDERS: usize = 16;
 /// Prefill tokens outstanding at a target beyond which it gets no more.
 pub const PREFILL_LIMIT: u64 = 8192;
+/// One slot in so many is kept by each tier for those before it.
+const KEPT_PART: u32 = 7;
+/// Time of reading outstanding at a target beyond which it gets no urgent work with an objective:
+/// with as much again for the prompt itself a first token comes within the second that people
+/// wait without minding.
+const URGENT_READING: Duration = Duration::from_millis(300);
+/// The same for other work, so that urgent work finds a short reading queue.
+const READING: Duration = Duration::from_millis(120);
 /// Prompts longer than this are long; a silent target is tried by a shorter one.
 pub const LONG_PROMPT: u64 = 2048;
 /// Part of the expected answer that a request is judged by when it is refused for its deadline.
@@ -40,6 +48,8 @@
     pub block_tokens: u32,
     /// Targets that are out of the question.
     pub exclusions: &'a [TargetId],
+    /// Whether its caller expects a first token by some time.
+    pub has_objective: bool,
     /// Kind of room that is needed.
     pub lane: Lane,
     /// Digests of the prompt.
@@ -113,7 +123,11 @@
 pub fn is_open(target: &Target, wanted: &Wanted<'_>, room: Room, now: Instant) -> bool {
     let urgent = is_urgent(wanted.tier);
     let slots = target.slots_now(now);
-    let kept = if urgent { 0 } else { slots / HEADROOM };
+    let kept = match (wanted.has_objective, urgent) {
+        (true, _) => kept_before(wanted.tier, slots),
+        (false, true) => 0,
+        (false, false) => slots / HEADROOM,
+    };
     let healthy = match target.health.state() {
         health::State::Hung => {
             // Urgent work doesn't go on a trial unless there is nothing better.
@@ -121,15 +135,39 @@
             target.health.wants_trial(now) && small && (!urgent || room.well == 0)
         }
         health::State::Trial => false,
-        health::State::Well => room.admits(wanted.tier, wanted.lane, wanted.work.prefill),
+        health::State::Well => {
+            wanted.has_objective || room.admits(wanted.tier, wanted.lane, wanted.work.prefill)
+        }
     };
     target.live
         && healthy
         && target.estimate.batch(now) + kept < slots
-        && target.estimate.outstanding().prefill < PREFILL_LIMIT
+        && has_reading_room(target, wanted, now)
         && !wanted.exclusions.contains(&target.id)
 }
 
+/// Slots of a target that a tier leaves free for the tiers before it: a seventh for each of them.
+///
+/// An engine's slot is held for seconds by a long answer. Filled up with these, a target makes
+/// urgent work wait for the end of one, which is mostly longer than its caller does.
+fn kept_before(tier: Tier, slots: u32) -> u32 {
+    (slots * u32::from(tier) + KEPT_PART / 2) / KEPT_PART
+}
+
+/// Whether the prompts before it leave the ask a timely first token.
+fn has_reading_room(target: &Target, wanted: &Wanted<'_>, now: Instant) -> bool {
+    let outstanding = target.estimate.outstanding().prefill;
+    if !wanted.has_objective {
+        return outstanding < PREFILL_LIMIT;
+    }
+    let longest = if is_urgent(wanted.tier) {
+        URGENT_READING
+    } else {
+        READING
+    };
+    outstanding as f64 / target.estimate.prefill_rate(now) < longest.as_secs_f64()
+}
+
 /// Whether a tier may use the headroom.
 #[must_use]
 pub fn is_urgent(tier: Tier) -> bool {
@@ -224,5 +262,5 @@
         SHARED_PREFILL
     };
     let prefill = (before + own * (1.0 + held_up + shared)) / estimate.prefill_rate(now);
-    prefill + wanted.work.decode as f64 * estimate.step(batch, now)
+    prefill + estimate.overhead() + wanted.work.decode as f64 * estimate.step(batch, now)
 }
--- a/crates/lilaccrank/src/dispatch/deadline.rs
+++ b/crates/lilaccrank/src/dispatch/deadline.rs
@@ -8,7 +8,7 @@
 
 use super::choice::{self, Room, Wanted};
 use super::message::Ask;
-use super::state::State;
+use super::state::{self, State};
 use super::work::Work;
 
 /// Time after which the capacity is worked out anew.
@@ -36,11 +36,12 @@
             return true;
         }
         // The whole of the own tier is more than goes ahead in fair order, and cheap to know.
-        let most = self.queue.up_to(ask.tier);
+        let standing = state::standing(ask);
+        let most = self.queue.up_to(standing);
         if self.can_meet(&wanted, left - self.wait(most), now) {
             return false;
         }
-        let ahead = self.queue.ahead(ask.tier, &ask.customer, ask.weight);
+        let ahead = self.queue.ahead(standing, &ask.customer, ask.weight);
         if self.can_meet(&wanted, left - self.wait(ahead), now) {
             return false;
         }
--- a/crates/lilaccrank/src/dispatch/estimate.rs
+++ b/crates/lilaccrank/src/dispatch/estimate.rs
@@ -15,6 +15,12 @@
 const SLOWEST_PREFILL_RATE: f64 = 10.0;
 /// Weight of a new sample in the prefill rate.
 const PREFILL_GAIN: f64 = 0.2;
+/// Prompts shorter than this are mostly other time than reading.
+const SHORT_PROMPT: u64 = 1024;
+/// Weight of a new sample in that other time.
+const OVERHEAD_GAIN: f64 = 0.1;
+/// Part of the time to a first token that is taken for reading at least.
+const READING_PART: f64 = 0.25;
 /// Shorter prefills are mostly step time and tell nothing of the rate.
 const PREFILL_SAMPLE: u64 = 128;
 /// Weight of a new report in the load that isn't ours.
@@ -33,8 +39,12 @@
 pub struct Estimate {
     foreign: f64,
     outstanding: Work,
+    /// Time to a first token beside the reading of prompts, in seconds.
+    overhead: f64,
     peak: u32,
     peak_at: Instant,
+    /// What other daemons have there.
+    peers: (u32, Work),
     prefill_rate: f64,
     reported: Instant,
     running: u32,
@@ -48,8 +58,10 @@
         Self {
             foreign: 0.0,
             outstanding: Work::default(),
+            overhead: 0.0,
             peak: 0,
             peak_at: now,
+            peers: (0, Work::default()),
             prefill_rate: ASSUMED_PREFILL_RATE,
             reported: now,
             running: 0,
@@ -68,13 +80,38 @@
     /// its own included.
     pub fn first_token(&mut self, prefill: u64, before: u64, after: Duration) {
         self.outstanding -= Work { decode: 0, prefill };
-        if before >= PREFILL_SAMPLE && !after.is_zero() {
-            let sample = before as f64 / after.as_secs_f64();
+        self.learn_first_token(before, after);
+    }
+
+    /// Learns from a first token, of whichever daemon. Short prompts tell what a first token
+    /// costs beside them, long ones how fast they are read.
+    pub fn learn_first_token(&mut self, before: u64, after: Duration) {
+        let after = after.as_secs_f64();
+        if after <= 0.0 {
+            return;
+        }
+        if before < SHORT_PROMPT {
+            let sample = (after - before as f64 / self.prefill_rate).max(0.0);
+            self.overhead += OVERHEAD_GAIN * (sample - self.overhead);
+        }
+        if before >= PREFILL_SAMPLE {
+            let reading = (after - self.overhead).max(after * READING_PART);
+            let sample = before as f64 / reading;
             let rate = self.prefill_rate + PREFILL_GAIN * (sample - self.prefill_rate);
             self.prefill_rate = rate.max(SLOWEST_PREFILL_RATE);
         }
     }
 
+    /// Learns from tokens that followed each other, of whichever daemon.
+    pub fn learn_step(&mut self, batch: u32, step: Duration, now: Instant) {
+        self.steps.observe(batch, step, now);
+    }
+
+    /// Takes over what other daemons have there.
+    pub fn set_peers(&mut self, running: u32, work: Work) {
+        self.peers = (running, work);
+    }
+
     /// Tokens came.
     pub fn progress(&mut self, decode: u64, step: Duration, now: Instant) {
         self.outstanding -= Work { decode, prefill: 0 };
@@ -108,15 +145,27 @@
     /// Requests in the target's batch and queue.
     #[must_use]
     pub fn batch(&self, now: Instant) -> u32 {
-        self.running + self.foreign(now) as u32
+        self.running + self.peers.0 + self.foreign(now) as u32
     }
 
-    /// Tokens sent and not seen done.
+    /// Tokens sent by this daemon and the others, and not seen done.
     #[must_use]
     pub fn outstanding(&self) -> Work {
+        self.outstanding + self.peers.1
+    }
+
+    /// Tokens that this daemon sent and did not see done.
+    #[must_use]
+    pub fn own_outstanding(&self) -> Work {
         self.outstanding
     }
 
+    /// Time to a first token beside the reading of prompts, in seconds.
+    #[must_use]
+    pub fn overhead(&self) -> f64 {
+        self.overhead
+    }
+
     /// Tokens of prefill in a second.
     #[must_use]
     pub fn prefill_rate(&self, now: Instant) -> f64 {
@@ -138,7 +187,7 @@
     /// Longest silence that still fits what was sent.
     #[must_use]
     pub fn longest_silence(&self, now: Instant) -> Duration {
-        let prefill = self.outstanding.prefill as f64 / self.prefill_rate(now);
+        let prefill = self.outstanding().prefill as f64 / self.prefill_rate(now);
         let steps = self.step(self.batch(now), now) * SILENT_STEPS;
         Duration::try_from_secs_f64(prefill * PATIENCE + steps).unwrap_or(Duration::MAX)
     }
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -155,17 +155,17 @@
     /// The first ask in order that finds an open target.
     fn next(&self, room: Room, now: Instant) -> Option<RequestId> {
         let mut open = Open::default();
-        self.queue.tiers().find_map(|tier| {
+        self.queue.standings().find_map(|standing| {
             let lanes = Lane::ALL.into_iter();
             let firsts = lanes.filter_map(|lane| match lane {
                 Lane::Excluding => {
-                    let mut heads = self.queue.heads(tier, lane).take(EXCLUDING_SCAN);
+                    let mut heads = self.queue.heads(standing, lane).take(EXCLUDING_SCAN);
                     heads.find(|place| self.is_open(&place.request, room, now))
                 }
                 Lane::Long | Lane::Short => {
-                    let mut heads = self.queue.heads(tier, lane).take(DELAY_SCAN).peekable();
+                    let mut heads = self.queue.heads(standing, lane).take(DELAY_SCAN).peekable();
                     let place = heads.peek()?;
-                    let found = open.slot(tier, lane);
+                    let found = open.slot(standing.tier, lane);
                     let is_open =
                         *found.get_or_insert_with(|| self.is_open(&place.request, room, now));
                     if !is_open {
--- a/crates/lilaccrank/src/dispatch/message.rs
+++ b/crates/lilaccrank/src/dispatch/message.rs
@@ -6,7 +6,7 @@
 
 use crate::document::Limit;
 use crate::error_kind::ErrorKind;
-use crate::ids::{CustomerId, Incarnation, RequestId, RuleId, TargetId, Tier, VmId};
+use crate::ids::{CustomerId, Incarnation, Rank, RequestId, RuleId, TargetId, Tier, VmId};
 
 /// Counts the asks for one request; a grant of an earlier ask is void.
 pub type AskNumber = u64;
@@ -32,8 +32,12 @@
     pub max_tokens: u32,
     /// Chain of digests over the blocks of the prompt, see [`crate::prompt::prefix_digests`].
     pub prefix: Vec<u64>,
+    /// Time left until the caller expects the first token, or the whole answer of a plain service.
+    pub objective: Option<Duration>,
     /// Length of the prompt in tokens.
     pub prompt_tokens: u32,
+    /// Rank of the customer.
+    pub rank: Rank,
     /// The request.
     pub request: RequestId,
     /// Rule that matched.
--- a/crates/lilaccrank/src/dispatch/overload.rs
+++ b/crates/lilaccrank/src/dispatch/overload.rs
@@ -33,7 +33,7 @@
             let Some(victim) = self.queue.victim() else {
                 return;
             };
-            let kept = self.handover.is_some() && victim.tier < self.cfg.lowest_tier;
+            let kept = self.handover.is_some() && victim.standing.tier < self.cfg.lowest_tier;
             if kept && self.queue.len() <= 2 * self.cfg.waiting_limit {
                 return;
             }
@@ -46,7 +46,7 @@
     fn retry_after(&mut self, request: &str, now: Instant) -> Duration {
         let item = self.queue.get(request);
         let ahead = item.map_or(Work::default(), |item| {
-            self.queue.ahead(item.tier, &item.customer, item.weight)
+            self.queue.ahead(item.standing, &item.customer, item.weight)
         });
         self.retry_behind(ahead, now)
     }
--- a/crates/lilaccrank/src/dispatch/queue.rs
+++ b/crates/lilaccrank/src/dispatch/queue.rs
@@ -11,7 +11,7 @@
 
 use super::fair::{FairQueue, Place};
 use super::work::Work;
-use crate::ids::{CustomerId, RequestId, Tier};
+use crate::ids::{CustomerId, Rank, RequestId, Tier};
 
 /// Kinds of asks that wait for different room, so that one kind doesn't block another.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -29,6 +29,15 @@
     pub const ALL: [Self; 3] = [Self::Excluding, Self::Long, Self::Short];
 }
 
+/// Where an ask stands among all that wait; lesser goes first.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Standing {
+    /// Rank of its customer.
+    pub rank: Rank,
+    /// Its tier.
+    pub tier: Tier,
+}
+
 /// What the queue knows of a waiting ask.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Item {
@@ -38,8 +47,8 @@
     pub lane: Lane,
     /// The request.
     pub request: RequestId,
-    /// Its tier.
-    pub tier: Tier,
+    /// Its standing.
+    pub standing: Standing,
     /// When waiting longer has no use.
     pub until: Option<Instant>,
     /// Share of the customer.
@@ -55,7 +64,7 @@
     items: IndexMap<RequestId, Item>,
     next_sequence: u64,
     sequences: IndexMap<RequestId, u64>,
-    tiers: BTreeMap<Tier, FairQueue>,
+    standings: BTreeMap<Standing, FairQueue>,
 }
 
 impl Queue {
@@ -68,8 +77,8 @@
         if let Some(until) = item.until {
             self.expiries.insert((until, item.request.clone()));
         }
-        self.tiers
-            .entry(item.tier)
+        self.standings
+            .entry(item.standing)
             .or_default()
             .push(&item, sequence);
         self.sequences.insert(item.request.clone(), sequence);
@@ -92,31 +101,31 @@
         if let Some(until) = item.until {
             self.expiries.remove(&(until, item.request.clone()));
         }
-        let queue = self.tiers.get_mut(&item.tier)?;
+        let queue = self.standings.get_mut(&item.standing)?;
         then(queue, &item);
         queue.remove(&item, sequence);
         Some(item)
     }
 
-    /// Tiers with waiting asks, the most urgent first.
-    pub fn tiers(&self) -> impl Iterator<Item = Tier> + '_ {
-        let busy = self.tiers.iter().filter(|(_, queue)| !queue.is_empty());
-        busy.map(|(tier, _)| *tier)
+    /// Standings with waiting asks, the first to go first.
+    pub fn standings(&self) -> impl Iterator<Item = Standing> + '_ {
+        let busy = self.standings.iter().filter(|(_, queue)| !queue.is_empty());
+        busy.map(|(standing, _)| *standing)
     }
 
     /// The first ask of each customer in one lane, in fair order.
-    pub fn heads(&self, tier: Tier, lane: Lane) -> impl Iterator<Item = &Place> + '_ {
-        self.tiers
-            .get(&tier)
+    pub fn heads(&self, standing: Standing, lane: Lane) -> impl Iterator<Item = &Place> + '_ {
+        self.standings
+            .get(&standing)
             .into_iter()
             .flat_map(move |queue| queue.heads(lane))
     }
 
-    /// The ask to shed next: of the lowest tier that waits, of the customer with the most work
+    /// The ask to shed next: of the last standing that waits, of the customer with the most work
     /// waiting for its weight, the newest. So a burst of one customer costs only its own places.
     #[must_use]
     pub fn victim(&self) -> Option<&Item> {
-        let request = self.tiers.values().rev().find_map(FairQueue::victim)?;
+        let request = self.standings.values().rev().find_map(FairQueue::victim)?;
         self.items.get(request)
     }
 
@@ -128,21 +137,23 @@
         (*until < now).then_some(request)
     }
 
-    /// Work that goes before a new ask of this customer and tier: all of the higher tiers, and
-    /// of its own tier only each customer's fair part up to the new ask's turn.
+    /// Work that goes before a new ask of this customer: all of the standings before its own, and
+    /// of its own only each customer's fair part up to the new ask's turn.
     #[must_use]
-    pub fn ahead(&self, tier: Tier, customer: &str, weight: u32) -> Work {
-        let higher = self.tiers.range(..tier).map(|(_, queue)| queue.total());
-        let own = self.tiers.get(&tier);
+    pub fn ahead(&self, standing: Standing, customer: &str, weight: u32) -> Work {
+        let before = self.standings.range(..standing);
+        let before = before.map(|(_, queue)| queue.total());
+        let own = self.standings.get(&standing);
         let own = own.map_or(Work::default(), |queue| queue.ahead(customer, weight));
-        higher.fold(own, |sum, work| sum + work)
+        before.fold(own, |sum, work| sum + work)
     }
 
-    /// All work of this tier and of the higher ones.
+    /// All work of this standing and of those before it.
     #[must_use]
-    pub fn up_to(&self, tier: Tier) -> Work {
-        let tiers = self.tiers.range(..=tier).map(|(_, queue)| queue.total());
-        tiers.fold(Work::default(), |sum, work| sum + work)
+    pub fn up_to(&self, standing: Standing) -> Work {
+        let queues = self.standings.range(..=standing);
+        let works = queues.map(|(_, queue)| queue.total());
+        works.fold(Work::default(), |sum, work| sum + work)
     }
 
     /// An ask by its request.
@@ -166,7 +177,9 @@
     /// Number of asks waiting in a tier.
     #[must_use]
     pub fn waiting(&self, tier: Tier) -> usize {
-        self.tiers.get(&tier).map_or(0, FairQueue::len)
+        let queues = self.standings.iter();
+        let of_tier = queues.filter(|(standing, _)| standing.tier == tier);
+        of_tier.map(|(_, queue)| queue.len()).sum()
     }
 
     /// All that waits, in no order.
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use super::message::{CacheEvent, LoadReport, Outcome, Report, ReportKind};
+use super::sharing::Seen;
 use super::state::State;
 use super::target::Target;
 use super::work::Work;
@@ -35,17 +36,26 @@
                 prefill: _,
             } => {
                 match outcome {
-                    Outcome::Complete => target.health.alive(now),
-                    Outcome::Failed => target.health.failed(now),
+                    Outcome::Complete => {
+                        target.health.alive(now);
+                        self.sharing.note(&target.id, Seen::Answered);
+                    }
+                    Outcome::Failed => {
+                        target.health.failed(now);
+                        self.sharing.note(&target.id, Seen::Failed);
+                    }
                     Outcome::Cancelled | Outcome::Unused => {}
                 }
                 self.ended(&report.request, decoded, outcome, now);
             }
             ReportKind::FirstToken { after } => {
                 target.health.alive(now);
+                let before = held.before;
                 target
                     .estimate
-                    .first_token(held.left.prefill, held.before, after);
+                    .first_token(held.left.prefill, before, after);
+                self.sharing
+                    .note(&target.id, Seen::FirstToken { after, before });
                 target.long -= u32::from(held.long);
                 held.left.prefill = 0;
                 held.long = false;
@@ -56,7 +66,9 @@
             ReportKind::Progress { step, tokens } => {
                 let tokens = u64::from(tokens).min(held.left.decode);
                 target.health.alive(now);
+                let batch = target.estimate.batch(now);
                 target.estimate.progress(tokens, step, now);
+                self.sharing.note(&target.id, Seen::Step { batch, step });
                 held.left -= Work {
                     decode: tokens,
                     prefill: 0,
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -14,8 +14,9 @@
 use super::limits::{Counted, Limits};
 use super::message::{Ask, AskNumber, Entry, Grant, Refuse, Verdict};
 use super::pending::Pending;
-use super::queue::{Item, Lane, Queue};
+use super::queue::{Item, Lane, Queue, Standing};
 use super::recovery::Handover;
+use super::sharing::Sharing;
 use super::shedding::DrainRate;
 use super::target::Target;
 use super::work::Work;
@@ -87,6 +88,7 @@
     pub(super) pending: Pending,
     pub(super) queue: Queue,
     pub(super) reservations: IndexMap<RequestId, Reservation>,
+    pub(super) sharing: Sharing,
     pub(super) targets: IndexMap<TargetId, Target>,
     pub(super) waiting: IndexMap<RequestId, Waiting>,
 }
@@ -107,6 +109,7 @@
             pending: Pending::default(),
             queue: Queue::default(),
             reservations: IndexMap::new(),
+            sharing: Sharing::default(),
             targets: IndexMap::new(),
             waiting: IndexMap::new(),
         }
@@ -115,13 +118,14 @@
     /// Puts an ask into the queue.
     pub(super) fn enqueue(&mut self, ask: Ask, counted: Option<Counted>, now: Instant) {
         let deadline = ask.deadline.and_then(|left| now.checked_add(left));
-        let patience = ask.wait_at_most.and_then(|wait| now.checked_add(wait));
+        let longest = ask.wait_at_most.and_then(|wait| now.checked_add(wait));
+        let patience = self.patience(&ask, now);
         self.queue.push(Item {
             customer: ask.customer.clone(),
             lane: lane(&ask),
             request: ask.request.clone(),
-            tier: ask.tier,
-            until: deadline.into_iter().chain(patience).min(),
+            standing: standing(&ask),
+            until: [deadline, longest, patience].into_iter().flatten().min(),
             weight: ask.weight,
             work: work(&ask),
         });
@@ -156,6 +160,7 @@
         Wanted {
             block_tokens: self.cfg.block_tokens,
             exclusions: &ask.exclusions,
+            has_objective: ask.objective.is_some(),
             lane: lane(ask),
             prefix: &ask.prefix,
             tier: ask.tier,
@@ -186,6 +191,13 @@
     }
 }
 
+pub(super) fn standing(ask: &Ask) -> Standing {
+    Standing {
+        rank: ask.rank,
+        tier: ask.tier,
+    }
+}
+
 fn lane(ask: &Ask) -> Lane {
     if !ask.exclusions.is_empty() {
         Lane::Excluding
--- a/crates/lilaccrank/src/dispatch/status.rs
+++ b/crates/lilaccrank/src/dispatch/status.rs
@@ -1,5 +1,6 @@
 //! What a dispatcher tells operators.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -61,7 +62,8 @@
 
 impl State {
     pub(super) fn status(&self, now: Instant) -> Status {
-        let waiting = self.queue.tiers().map(|tier| TierStatus {
+        let tiers: BTreeSet<Tier> = self.queue.standings().map(|s| s.tier).collect();
+        let waiting = tiers.into_iter().map(|tier| TierStatus {
             tier,
             waiting: self.queue.waiting(tier),
         });
--- a/crates/lilaccrank/src/document.rs
+++ b/crates/lilaccrank/src/document.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{CustomerId, DataCentre, ModelId, PoolId, RuleId, TargetId, Tier, VmId};
+use crate::ids::{CustomerId, DataCentre, ModelId, PoolId, Rank, RuleId, TargetId, Tier, VmId};
 
 /// A whole configuration, without its generation.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -54,9 +54,9 @@
     /// How much it may send, over all daemons.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub quota: Option<Quota>,
-    /// Tier of all its requests, whatever rules say.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub tier: Option<String>,
+    /// Order between customers: those of a lower rank go first.
+    #[serde(default)]
+    pub rank: Rank,
     /// Tiers it may wish for; a request without a wish gets the last one.
     pub tiers: Vec<String>,
     /// Share among customers of one tier, 1 by default.
--- a/crates/lilaccrank/src/ids.rs
+++ b/crates/lilaccrank/src/ids.rs
@@ -14,6 +14,8 @@
 pub type PoolId = String;
 /// Names one attempt to publish, so that a lost answer can be resolved by reading it back.
 pub type PublicationId = String;
+/// Order between customers; those of a lower rank go first, whatever the tiers of their requests.
+pub type Rank = u8;
 /// One request inside the system, unique over daemons and time.
 pub type RequestId = String;
 /// The caller's own name for a request (`Idempotency-Key`).
--- a/crates/lilaccrank/src/rules/check.rs
+++ b/crates/lilaccrank/src/rules/check.rs
@@ -139,8 +139,6 @@
         ));
     }
     check_known(&customer.tiers, &names.tiers, "tier", tiers, problems);
-    let tier = format_args!("{spot}/tier");
-    check_known(&customer.tier, &names.tiers, "tier", tier, problems);
     if let Some(quota) = &customer.quota {
         check_quota(quota, &format!("{spot}/quota"), problems);
     }
--- a/crates/lilaccrank/src/rules/matching.rs
+++ b/crates/lilaccrank/src/rules/matching.rs
@@ -94,19 +94,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct RuleSet {
     candidates: Candidates,
-    customers: IndexMap<CustomerId, Tiers>,
+    customers: IndexMap<CustomerId, Vec<Tier>>,
     rules: Vec<Compiled>,
     tiers: IndexSet<String>,
 }
 
-/// Tiers of one customer.
-#[derive(Clone, Debug)]
-struct Tiers {
-    allowed: Vec<Tier>,
-    /// Goes before what rules say.
-    fixed: Option<Tier>,
-}
-
 #[derive(Clone, Debug)]
 struct Compiled {
     action: Action,
@@ -151,10 +143,7 @@
                 let customer = customer.id.clone();
                 return Err(Error::NoTier { customer });
             }
-            let fixed = customer.tier.as_ref();
-            let fixed = fixed.map(|tier| resolve(&tiers, tier, &customer.id));
-            let fixed = fixed.transpose()?;
-            customers.insert(customer.id.clone(), Tiers { allowed, fixed });
+            customers.insert(customer.id.clone(), allowed);
         }
         let rules = document
             .rules
@@ -176,8 +165,6 @@
             Ok(tier) => tier,
             Err(refusal) => return Decision::Refuse(refusal),
         };
-        let fixed = self.customers.get(&facts.customer);
-        let fixed = fixed.and_then(|tiers| tiers.fixed);
         let subject = Subject {
             environment,
             facts,
@@ -187,7 +174,7 @@
             .get(Some(&facts.customer), facts.model.as_deref())
             .map(|position| &self.rules[position])
             .find(|rule| condition::first_failure(&rule.remainder, subject).is_none())
-            .map_or_else(no_rule, |rule| rule.decide(tier, fixed, environment.draw))
+            .map_or_else(no_rule, |rule| rule.decide(tier, environment.draw))
     }
 
     /// Name of a tier.
@@ -204,7 +191,7 @@
         if facts.is_anonymous() {
             return Ok(Tier::try_from(self.tiers.len().saturating_sub(1)).unwrap_or(Tier::MAX));
         }
-        let Some(Tiers { allowed, .. }) = self.customers.get(&facts.customer) else {
+        let Some(allowed) = self.customers.get(&facts.customer) else {
             let reason = format!("customer {} is not in the configuration", facts.customer);
             return Err(refusal(ErrorKind::Unauthorized, reason));
         };
@@ -255,7 +242,7 @@
         })
     }
 
-    fn decide(&self, wished: Tier, fixed: Option<Tier>, draw: u32) -> Decision {
+    fn decide(&self, wished: Tier, draw: u32) -> Decision {
         match &self.action {
             Action::Refuse { reason } => Decision::Refuse(Refusal {
                 kind: ErrorKind::RefusedByRule,
@@ -268,7 +255,7 @@
                 rule: self.id.clone(),
                 spill: template.spill.clone(),
                 terms: template.terms,
-                tier: fixed.or(template.tier).unwrap_or(wished),
+                tier: template.tier.unwrap_or(wished),
                 wait_at_most: template.wait_at_most,
             }),
         }
--- a/crates/lilaccrankd/src/callers/caller_request.rs
+++ b/crates/lilaccrankd/src/callers/caller_request.rs
@@ -10,7 +10,7 @@
 use hyper::http::request::Parts;
 use indexmap::IndexMap;
 use lilaccrank::error_kind::ErrorKind;
-use lilaccrank::ids::{DataCentre, RequestId, Tier};
+use lilaccrank::ids::{DataCentre, Rank, RequestId, Tier};
 use lilaccrank::prompt;
 use lilaccrank::request::Facts;
 use serde_json::Value;
@@ -81,6 +81,8 @@
     pub facts: Facts,
     /// Head as it came, for spilling.
     pub head: Parts,
+    /// Rank of its customer.
+    pub rank: Rank,
     /// Where it was spilled from.
     pub spilled_from: Option<DataCentre>,
     /// Weight of its customer.
@@ -115,6 +117,7 @@
             body,
             caller_id: None,
             facts,
+            rank: cx.customer.map_or(0, |customer| customer.rank),
             spilled_from: text(&head.headers, &SPILLED)?.map(str::to_owned),
             weight: cx.customer.map_or(1, |customer| customer.weight),
             head,
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::configuration::in_force::InForce;
 use crate::orders::keeper::{self, OrderKeeper};
 use crate::peers::duties::Duties;
+use crate::peers::load_exchange::LoadExchange;
 use crate::peers::network::PeerNetwork;
 use crate::peers::traffic::Traffic;
 use crate::pools::client::{self, PoolClient};
@@ -82,6 +83,8 @@
     pub head_limits: Rc<Cell<HeadLimits>>,
     /// When a watcher last told something fresh.
     pub heard_fresh: Cell<Option<BootTime>>,
+    /// What the daemons have on targets.
+    pub load_exchange: LoadExchange,
     /// The platform's list of targets.
     pub live_list: LiveList,
     /// Members of this data centre.
@@ -177,6 +180,7 @@
             heard_fresh: Cell::default(),
             leaving: Cell::new(false),
             live_list: LiveList::default(),
+            load_exchange: LoadExchange::default(),
             membership,
             metrics: Metrics::new(Rc::clone(&traffic))?,
             order_keeper,
--- a/crates/lilaccrankd/src/peers.rs
+++ b/crates/lilaccrankd/src/peers.rs
@@ -1,6 +1,7 @@
 //! Other daemons: who they are, what they are told, and what that costs.
 
 pub mod duties;
+pub mod load_exchange;
 pub mod message;
 pub mod network;
 pub mod traffic;
--- a/crates/lilaccrankd/src/peers/traffic.rs
+++ b/crates/lilaccrankd/src/peers/traffic.rs
@@ -7,6 +7,8 @@
 pub struct Traffic {
     /// Membership, over UDP.
     pub gossip: Tally,
+    /// What is on targets, over UDP.
+    pub load_exchange: Tally,
     /// Calls to peers about configurations and the list of vms.
     pub peer_configuration: Tally,
     /// Calls to peers about copies of request keys.
@@ -26,9 +28,10 @@
 impl Traffic {
     /// Each tally by the name that metrics give to its channel.
     #[must_use]
-    pub fn channels(&self) -> [(&'static str, &Tally); 8] {
+    pub fn channels(&self) -> [(&'static str, &Tally); 9] {
         [
             ("gossip", &self.gossip),
+            ("load_exchange", &self.load_exchange),
             ("peer_configuration", &self.peer_configuration),
             ("peer_copies", &self.peer_copies),
             ("peer_keys", &self.peer_keys),
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -9,11 +9,12 @@
 use futures::pin_mut;
 use indexmap::IndexMap;
 use lilaccrank::dispatch::message::{Ask, Entry, Outcome, Report, ReportKind, Verdict};
+use lilaccrank::dispatch::sharing::Digest;
 use lilaccrank::dispatch::status::Status;
 use lilaccrank::dispatch::{Config, Dispatcher};
 use lilaccrank::document::{Document, Pool, PoolKind};
 use lilaccrank::error_kind::ErrorKind;
-use lilaccrank::ids::{PoolId, Tier};
+use lilaccrank::ids::{PoolId, Tier, VmId};
 use lilaccrank::membership::State;
 use lilaccrank::peers::Peers;
 use lilaccrank::prompt;
@@ -96,6 +97,7 @@
         }
         PoolMessage::Verdict { .. } => {}
     }
+    daemon.load_exchange.note_change();
     PoolReply::Accepted {
         waiting: served.dispatcher.waiting(),
     }
@@ -121,6 +123,7 @@
         return;
     }
     if let Verdict::Grant(grant) = &verdict {
+        daemon.load_exchange.note_change();
         let subject = Subject {
             detail: format!("by the dispatcher of pool {}", served.pool),
             request: Some(grant.request.clone()),
@@ -305,6 +308,22 @@
     dispatcher.set_targets_where(&pool, |data_centre| daemon.cfg.is_near(data_centre));
 }
 
+/// What this daemon has on the targets of each pool.
+pub fn digests(daemon: &Daemon) -> Vec<(PoolId, Digest)> {
+    let served = daemon.pool_server.served.borrow();
+    let digests = served
+        .iter()
+        .map(|(pool, served)| (pool.clone(), served.dispatcher.digest()));
+    digests.collect()
+}
+
+/// Takes in what another daemon has on the targets of a pool.
+pub fn take_digest(daemon: &Rc<Daemon>, pool: &PoolId, from: &VmId, digest: Digest) {
+    if let Some(served) = served(daemon, pool) {
+        served.dispatcher.take_digest(from, digest);
+    }
+}
+
 /// State of the dispatchers that run here.
 pub fn status(daemon: &Daemon) -> IndexMap<PoolId, Status> {
     let served = daemon.pool_server.served.borrow();
--- a/crates/lilaccrankd/src/request/life.rs
+++ b/crates/lilaccrankd/src/request/life.rs
@@ -127,6 +127,12 @@
         limits.into_iter().flatten().map(until).min()
     }
 
+    /// Time left until its caller expects the first of its answer.
+    fn objective_left(&self, now: Instant) -> Option<Duration> {
+        let until = self.arrived + self.route.terms.objective()?;
+        Some(until.saturating_duration_since(now))
+    }
+
     /// Whether it is sent again if a target fails it.
     ///
     /// An idle connection may have died without a word, and a request sent on it could neither be
@@ -242,7 +248,9 @@
             limit: self.route.limit,
             max_tokens: facts.max_tokens,
             prefix,
+            objective: self.objective_left(now),
             prompt_tokens: facts.prompt_tokens,
+            rank: self.caller.rank,
             request: self.id.clone(),
             rule: self.route.rule.clone(),
             tier: self.route.tier,
