Quotas over all daemons; a list of targets that may hold gone ones gives way to one that does not

Change: entries may have lapsed only if no daemon could ask the store; of two lists of a revision the one with fewer tentative entries stays.

--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod paused_clock;
 pub mod peers;
 pub mod prompt;
+pub mod quota;
 pub mod rendezvous;
 pub mod request;
 pub mod request_key;
--- /dev/null
+++ b/crates/lilaccrank/src/quota.rs
@@ -0,0 +1,215 @@
+//! Quotas of customers over all daemons.
+//!
+//! Each daemon keeps a bucket of what all of them together may still spend: it takes out what it
+//! lets pass itself, and what the others tell that they did. So a customer may use all of its
+//! rate at one daemon, and no request waits for a word of another daemon.
+//!
+//! A daemon that is not heard may be cut off and spending. Its part of the rate is left to it,
+//! by both sides, so that the parts of a split fleet together stay within the quota.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use thiserror::Error;
+
+use crate::document::Quota;
+use crate::ids::{CustomerId, Incarnation, VmId};
+
+/// Result of spending.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// A peer that is not heard for this long is no longer counted on: it tells what it has four times
+/// a second at least.
+const FRESH: Duration = Duration::from_millis(1_000);
+/// Time for which a peer that is not heard keeps its part. Data centres are cut off from each
+/// other for minutes now and then; but a vm that was replaced must give its part back soon.
+const RESERVED: Duration = Duration::from_secs(20);
+/// Longer times without a look are times in which this daemon stood still: it may never hear what
+/// the others spent meanwhile, and fills nothing up for them.
+const STOOD_STILL: Duration = Duration::from_millis(1_000);
+/// Counts of a customer are told for this long after they last changed; a datagram may be lost.
+const TOLD_FOR: Duration = Duration::from_millis(1_000);
+/// Customers that are kept before those that spent nothing of late are dropped.
+const ACCOUNTS_LIMIT: usize = 50_000;
+
+/// A customer has spent what it may.
+#[derive(Clone, Copy, Debug, Error, PartialEq)]
+#[error("the quota is spent, try again in {retry_after:?}")]
+pub struct Error {
+    /// When there is room again.
+    pub retry_after: Duration,
+}
+
+/// What one daemon has let pass of one customer since it started.
+pub type Spent = u64;
+
+/// All that a daemon knows of quotas.
+#[derive(Debug)]
+pub struct Quotas {
+    accounts: IndexMap<CustomerId, Account>,
+    /// Daemons that are assumed beside this one until they are heard.
+    assumed: usize,
+    looked: Instant,
+    peers: IndexMap<VmId, Peer>,
+    started: Instant,
+}
+
+#[derive(Debug)]
+struct Account {
+    changed: Instant,
+    filled: Instant,
+    /// What all daemons may still spend; below zero if they overspent.
+    left: f64,
+    spent: Spent,
+}
+
+#[derive(Debug)]
+struct Peer {
+    heard: Instant,
+    incarnation: Incarnation,
+    /// What it had spent when it last told.
+    spent: IndexMap<CustomerId, Spent>,
+}
+
+impl Quotas {
+    /// Nothing is known; `assumed` other daemons are taken to be there until they are heard.
+    #[must_use]
+    pub fn new(assumed: usize, now: Instant) -> Self {
+        Self {
+            accounts: IndexMap::new(),
+            assumed,
+            looked: now,
+            peers: IndexMap::new(),
+            started: now,
+        }
+    }
+
+    /// Lets `units` of a customer pass.
+    ///
+    /// # Errors
+    ///
+    /// They are beyond its quota.
+    pub fn spend(
+        &mut self,
+        customer: &CustomerId,
+        quota: Quota,
+        units: u64,
+        now: Instant,
+    ) -> Result<()> {
+        self.look(now);
+        let part = self.part(now);
+        let account = self.account(customer, now);
+        account.fill(quota, part, now);
+        // What is larger than the whole burst passes when the bucket is full.
+        let wanted = (units as f64).min(quota.burst * part);
+        if account.left < wanted {
+            let missing = (wanted - account.left) / (quota.per_s * part);
+            let retry_after = Duration::try_from_secs_f64(missing).unwrap_or(Duration::MAX);
+            return Err(Error { retry_after });
+        }
+        account.left -= units as f64;
+        account.spent += units;
+        account.changed = now;
+        Ok(())
+    }
+
+    /// Gives back what was let pass and did not run after all.
+    pub fn refund(&mut self, customer: &CustomerId, units: u64) {
+        if let Some(account) = self.accounts.get_mut(customer) {
+            account.left += units as f64;
+            // Counts only grow, so that messages may come in any order: the refund lowers what is
+            // taken out next, here; the others miss it, which is on the safe side.
+        }
+    }
+
+    /// Has to be called often, so that a time in which this daemon stood still is known.
+    pub fn look(&mut self, now: Instant) {
+        let since = now.saturating_duration_since(self.looked);
+        self.looked = now;
+        if since > STOOD_STILL {
+            for account in self.accounts.values_mut() {
+                account.filled += since;
+            }
+        }
+    }
+
+    /// What this daemon let pass, for the customers of which that changed of late.
+    #[must_use]
+    pub fn spent(&self, now: Instant) -> Vec<(CustomerId, Spent)> {
+        let accounts = self.accounts.iter();
+        let recent = accounts.filter(|(_, account)| now - account.changed < TOLD_FOR);
+        recent
+            .map(|(customer, account)| (customer.clone(), account.spent))
+            .collect()
+    }
+
+    /// Takes in what another daemon let pass.
+    pub fn heard(
+        &mut self,
+        vm: &VmId,
+        incarnation: Incarnation,
+        spent: &[(CustomerId, Spent)],
+        now: Instant,
+    ) {
+        self.look(now);
+        let peer = self.peers.entry(vm.clone()).or_insert_with(|| Peer {
+            heard: now,
+            incarnation,
+            spent: IndexMap::new(),
+        });
+        // What it spent while it was not heard came out of its own part.
+        let silent =
+            peer.incarnation != incarnation || now.saturating_duration_since(peer.heard) > FRESH;
+        if silent {
+            peer.spent.clear();
+        }
+        peer.heard = now;
+        peer.incarnation = incarnation;
+        for (customer, spent) in spent {
+            // The first word about a customer may tell of times long past.
+            let before = peer.spent.insert(customer.clone(), *spent);
+            let new = spent.saturating_sub(before.unwrap_or(*spent));
+            if let Some(account) = self.accounts.get_mut(customer) {
+                account.left -= new as f64;
+            }
+        }
+    }
+
+    /// A daemon that ends says so: its part is free at once.
+    pub fn left(&mut self, vm: &VmId) {
+        self.peers.swap_remove(vm);
+    }
+
+    /// The part of each quota that the daemons which hear each other may spend.
+    fn part(&mut self, now: Instant) -> f64 {
+        let age = |peer: &Peer| now.saturating_duration_since(peer.heard);
+        self.peers.retain(|_, peer| age(peer) < RESERVED);
+        let fresh = self.peers.values().filter(|peer| age(peer) < FRESH).count();
+        let all = self.peers.len().max(self.assumed);
+        (1 + fresh) as f64 / (1 + all) as f64
+    }
+
+    fn account(&mut self, customer: &CustomerId, now: Instant) -> &mut Account {
+        if self.accounts.len() >= ACCOUNTS_LIMIT {
+            self.accounts
+                .retain(|_, account| now - account.changed < RESERVED);
+        }
+        let started = self.started;
+        let account = self.accounts.entry(customer.clone());
+        account.or_insert_with(|| Account {
+            changed: now,
+            filled: started,
+            left: 0.0,
+            spent: 0,
+        })
+    }
+}
+
+impl Account {
+    fn fill(&mut self, quota: Quota, part: f64, now: Instant) {
+        let since = now.saturating_duration_since(self.filled);
+        self.filled = now;
+        let filled = self.left + since.as_secs_f64() * quota.per_s * part;
+        self.left = filled.min(quota.burst * part);
+    }
+}
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -73,6 +73,14 @@
         }
         Access::Own(key) => key,
     };
+    let charge = match daemon.quotas.charge(customer.as_ref(), &caller.facts) {
+        Ok(charge) => charge,
+        Err(refusal) => {
+            key.release().await;
+            return Err(refusal);
+        }
+    };
+    daemon.load_exchange.note_change();
     let run = Rc::new(Run::default());
     let reader = run.reader();
     if let Some(scoped) = caller.scoped_key() {
@@ -93,6 +101,7 @@
     let routed = Routed {
         arrived,
         caller,
+        charge,
         id,
         route,
     };
--- a/crates/lilaccrankd/src/configuration.rs
+++ b/crates/lilaccrankd/src/configuration.rs
@@ -21,6 +21,7 @@
 use crate::peers::message::{Announcement, Done};
 
 pub mod feed;
+pub mod heard;
 pub mod in_force;
 pub mod own_source;
 pub mod source;
@@ -30,10 +31,10 @@
 /// Time between two comparisons with another daemon. A rumour may miss some; with this they
 /// catch up well within the four seconds in which a change is to be in force.
 const COMPARE_EVERY: Duration = Duration::from_secs(1);
-/// Time without a word of a watcher after which a daemon asks the platform itself: two questions
-/// of four tenths of a second, and as long again for a slow network. A change has to be in force
-/// after two seconds.
-pub(crate) const STALE_AFTER: Duration = Duration::from_millis(1_000);
+/// Silence of the platform after which a daemon asks it itself. A watcher is answered every eight
+/// tenths of a second, and a question to it comes every three tenths at most; a change has to be
+/// in force after two seconds.
+const STALE_AFTER: Duration = Duration::from_millis(1_400);
 /// For each member, the time over which those that have heard nothing spread their questions:
 /// with seven members four of them ask within a tenth of a second.
 const STALE_SPREAD: Duration = Duration::from_millis(20);
@@ -76,7 +77,11 @@
         let stale = stale(daemon);
         pin_mut!(changed, stale);
         if let Either::Right(_) = future::select(changed, stale).await {
-            log::warn!("no watcher tells anything new: this daemon asks the platform itself");
+            let age = daemon.heard.age(MonoioClock.boot());
+            log::warn!(
+                heard_ms_ago = age.map_or(-1, |age| age.as_millis() as i64);
+                "no watcher tells anything new: this daemon asks the platform itself"
+            );
             return;
         }
     }
@@ -92,13 +97,13 @@
     }
     loop {
         monoio::time::sleep(STALE_AFTER / 4).await;
-        if daemon.knowledge_age() < STALE_AFTER {
+        if !is_stale(daemon) {
             continue;
         }
         let members = daemon.membership.live().members.len();
         let spread = STALE_SPREAD * u32::try_from(members).unwrap_or(u32::MAX);
         monoio::time::sleep(backoff::full_jitter(spread)).await;
-        if daemon.knowledge_age() >= STALE_AFTER {
+        if is_stale(daemon) {
             return;
         }
     }
@@ -117,11 +122,15 @@
     }
 }
 
-/// Whether a watcher has told something fresh of late.
+fn is_stale(daemon: &Daemon) -> bool {
+    let heard = daemon.heard.age(MonoioClock.boot());
+    heard.is_none_or(|age| age >= STALE_AFTER)
+}
+
+/// Whether a watcher hears the platform, and has told so of late.
 fn is_told(daemon: &Daemon) -> bool {
-    let heard = daemon.heard_fresh.get();
-    let since = heard.map(|at| MonoioClock.boot().saturating_sub(at));
-    daemon.cfg.configuration_lease_ms == 0 || since.is_some_and(|since| since < STALE_AFTER)
+    let heard = daemon.heard.watcher_age(MonoioClock.boot());
+    daemon.cfg.configuration_lease_ms == 0 || heard.is_some_and(|age| age < STALE_AFTER)
 }
 
 async fn put_in_force(daemon: &Rc<Daemon>) {
--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -16,7 +16,11 @@
 use crate::configuration;
 use crate::daemon::Daemon;
 use crate::peers::message::{Feed, FeedAsk};
-use crate::targets::live_list;
+use crate::targets::live_list::{self, Listing};
+
+/// Age of what a watcher tells at most, as long as it hears the platform: it waits for a change
+/// for eight tenths of a second.
+const FRESH: Duration = Duration::from_millis(1_000);
 
 /// Asks the watchers in turn for as long as the daemon runs, and any other member where they know
 /// nothing fresh.
@@ -26,7 +30,8 @@
     loop {
         monoio::time::sleep(every / 2 + backoff::full_jitter(every)).await;
         turn += 1;
-        let stale = daemon.knowledge_age() > every * 2;
+        let heard = daemon.heard.age(MonoioClock.boot());
+        let stale = heard.is_none_or(|age| age > FRESH);
         if daemon.duties.is_watcher() && !stale {
             continue;
         }
@@ -44,12 +49,18 @@
 /// Answers another daemon.
 pub fn answer(daemon: &Daemon, asked: FeedAsk) -> Feed {
     let listing = daemon.live_list.listing();
+    let asker_has = Listing {
+        revision: asked.revision,
+        tentative: asked.tentative,
+        ..Listing::default()
+    };
     let now = MonoioClock.boot();
     Feed {
         age: daemon.adoption.age(now),
         identity: daemon.adoption.identity(),
-        listing: (listing.revision == 0 || listing.revision > asked.revision)
-            .then(|| (*listing).clone()),
+        direct_age: daemon.heard.direct_age(now),
+        heard_age: daemon.heard.age(now),
+        listing: listing.replaces(&asker_has).then(|| (*listing).clone()),
         listing_age: daemon.live_list.age(now),
     }
 }
@@ -73,8 +84,10 @@
 
 async fn ask(daemon: &Rc<Daemon>, vm: &VmId) {
     let asked = MonoioClock.boot();
+    let known = daemon.live_list.listing();
     let req = FeedAsk {
-        revision: daemon.live_list.listing().revision,
+        revision: known.revision,
+        tentative: known.tentative,
     };
     let told: Feed = match daemon.peers.call(vm, req).await {
         Ok(told) => told,
@@ -97,8 +110,11 @@
     if let Some(age) = told.listing_age {
         daemon.live_list.confirm(asked.saturating_sub(age));
     }
-    let fresh = told.age.max(told.listing_age) < Some(configuration::STALE_AFTER);
-    if fresh && told.age.is_some() {
-        daemon.heard_fresh.set(Some(asked));
+    if let Some(age) = told.heard_age {
+        daemon.heard.from_peer(asked.saturating_sub(age));
+    }
+    let is_watcher = daemon.duties.watchers().contains(vm);
+    if let Some(age) = told.direct_age.filter(|_| is_watcher) {
+        daemon.heard.from_watcher(asked.saturating_sub(age));
     }
 }
--- /dev/null
+++ b/crates/lilaccrankd/src/configuration/heard.rs
@@ -0,0 +1,69 @@
+//! When the platform was last heard, by this daemon or by one that told it.
+//!
+//! This is no proof that nothing was published since: a waiting call may have been answered with
+//! what was known when it began. It tells whether there still is a way to the platform.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use lilaccrank::clock::BootTime;
+
+/// When the platform was last heard.
+#[derive(Default)]
+pub struct Heard {
+    /// Of configurations, by whichever way.
+    configuration: Cell<Option<BootTime>>,
+    /// By this daemon itself.
+    directly: Cell<Option<BootTime>>,
+    /// Of the list of targets, by whichever way.
+    list: Cell<Option<BootTime>>,
+    /// By a watcher itself, which told so.
+    watcher: Cell<Option<BootTime>>,
+}
+
+impl Heard {
+    /// The platform answered this daemon about configurations.
+    pub fn configuration(&self, at: BootTime) {
+        later(&self.configuration, at);
+        later(&self.directly, at);
+    }
+
+    /// The platform answered this daemon about the list of targets.
+    pub fn list(&self, at: BootTime) {
+        later(&self.list, at);
+    }
+
+    /// Another daemon had heard it at `at`.
+    pub fn from_peer(&self, at: BootTime) {
+        later(&self.configuration, at);
+        later(&self.list, at);
+    }
+
+    /// A watcher had heard it itself at `at`.
+    pub fn from_watcher(&self, at: BootTime) {
+        later(&self.watcher, at);
+    }
+
+    /// How long ago it was last heard of both; `None` if it never was.
+    #[must_use]
+    pub fn age(&self, now: BootTime) -> Option<Duration> {
+        let at = self.configuration.get()?.min(self.list.get()?);
+        Some(now.saturating_sub(at))
+    }
+
+    /// How long ago this daemon itself heard it.
+    #[must_use]
+    pub fn direct_age(&self, now: BootTime) -> Option<Duration> {
+        Some(now.saturating_sub(self.directly.get()?))
+    }
+
+    /// How long ago a watcher itself had heard it.
+    #[must_use]
+    pub fn watcher_age(&self, now: BootTime) -> Option<Duration> {
+        Some(now.saturating_sub(self.watcher.get()?))
+    }
+}
+
+fn later(cell: &Cell<Option<BootTime>>, at: BootTime) {
+    cell.set(cell.get().max(Some(at)));
+}
--- a/crates/lilaccrankd/src/configuration/in_force.rs
+++ b/crates/lilaccrankd/src/configuration/in_force.rs
@@ -18,6 +18,8 @@
     pub document: Rc<Document>,
     /// Whether some rule is for callers that are not known.
     pub has_anonymous_rules: bool,
+    /// Whether some customer has a quota.
+    pub has_quotas: bool,
     /// Its name.
     pub identity: Identity,
     /// Callers' and operators' keys.
@@ -34,6 +36,7 @@
         Self {
             has_anonymous_rules: document.rules.iter().any(|r| r.then.terms.anonymous),
             author: configuration.manifest.author.clone(),
+            has_quotas: document.customers.iter().any(|c| c.quota.is_some()),
             identity: configuration.manifest.identity.clone(),
             keys: Keys::new(&document),
             rules: Rc::clone(&configuration.rules),
--- a/crates/lilaccrankd/src/configuration/source.rs
+++ b/crates/lilaccrankd/src/configuration/source.rs
@@ -3,11 +3,12 @@
 use std::rc::Rc;
 
 use futures::future::LocalBoxFuture;
-use lilaccrank::clock::BootTime;
+use lilaccrank::clock::{BootTime, Clock};
 use lilaccrank::configuration::adoption;
 use lilaccrank::configuration::manifest::{Identity, Manifest};
 use lilaccrank::configuration::sections::Sections;
 use lilaccrank::document::Document;
+use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::daemon::Daemon;
 use crate::targets::live_list::{self, Listing};
@@ -69,6 +70,7 @@
     /// Nothing newer than what is in force was published before `at`.
     pub fn confirmed(&self, at: BootTime) {
         self.daemon.adoption.confirm(at);
+        self.daemon.heard.configuration(MonoioClock.boot());
     }
 
     /// Takes over a list of targets.
@@ -79,5 +81,6 @@
     /// The list of targets was the newest at `at`.
     pub fn listing_confirmed(&self, at: BootTime) {
         self.daemon.live_list.confirm(at);
+        self.daemon.heard.list(MonoioClock.boot());
     }
 }
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
-use lilaccrank::clock::{BootTime, Clock};
+use lilaccrank::clock::Clock;
 use lilaccrank::configuration::adoption::{Adoption, Configuration};
 use lilaccrank::document::{CallerLimits, Target};
 use lilaccrank::error_kind::ErrorKind;
@@ -22,6 +22,7 @@
 use crate::admin::metrics::Metrics;
 use crate::callers::answers::Answers;
 use crate::callers::refusal::Refusal;
+use crate::configuration::heard::Heard;
 use crate::configuration::in_force::InForce;
 use crate::orders::keeper::{self, OrderKeeper};
 use crate::peers::duties::Duties;
@@ -33,6 +34,7 @@
 use crate::ports::Ports;
 use crate::request::cutting::Cutting;
 use crate::request::key_state::KeyClaims;
+use crate::request::quotas::Quotas;
 use crate::request::second_sends::SecondSends;
 use crate::settings::Settings;
 use crate::targets::engine_stream::Patience;
@@ -81,8 +83,8 @@
     pub metrics: Metrics,
     /// What callers may send in a head.
     pub head_limits: Rc<Cell<HeadLimits>>,
-    /// When a watcher last told something fresh.
-    pub heard_fresh: Cell<Option<BootTime>>,
+    /// When the platform was last heard.
+    pub heard: Heard,
     /// What the daemons have on targets.
     pub load_exchange: LoadExchange,
     /// The platform's list of targets.
@@ -103,6 +105,8 @@
     pub pool_server: PoolServer,
     /// Connections to targets for their reports, which are counted as control.
     pub report_client: Client,
+    /// What customers may still spend.
+    pub quotas: Quotas,
     /// Set once nothing new is taken.
     pub refusing: Cell<bool>,
     requests: Cell<u64>,
@@ -177,7 +181,7 @@
             keeper,
             keys_settled: Cell::new(false),
             head_limits: Rc::default(),
-            heard_fresh: Cell::default(),
+            heard: Heard::default(),
             leaving: Cell::new(false),
             live_list: LiveList::default(),
             load_exchange: LoadExchange::default(),
@@ -190,6 +194,7 @@
             pool_client: PoolClient::default(),
             pool_server: PoolServer::default(),
             report_client,
+            quotas: Quotas::new(cfg.seeds.len()),
             refusing: Cell::new(false),
             requests: Cell::new(0),
             second_sends: SecondSends::new(cfg.retries.share, cfg.own_reserve()),
@@ -242,17 +247,6 @@
         pool.map_or(1, |pool| pool.tokens_in_event.max(1))
     }
 
-    /// How old the newest proof is that neither configuration nor list of targets have changed.
-    #[must_use]
-    pub fn knowledge_age(&self) -> Duration {
-        let now = MonoioClock.boot();
-        let (Some(configuration), Some(list)) = (self.adoption.age(now), self.live_list.age(now))
-        else {
-            return Duration::MAX;
-        };
-        configuration.max(list)
-    }
-
     /// Whether the configuration may still be acted on, see
     /// [`Settings::configuration_lease_ms`].
     ///
--- a/crates/lilaccrankd/src/peers/load_exchange.rs
+++ b/crates/lilaccrankd/src/peers/load_exchange.rs
@@ -13,7 +13,8 @@
 use event_listener::Event;
 use indexmap::IndexMap;
 use lilaccrank::dispatch::sharing::Digest;
-use lilaccrank::ids::{Incarnation, PoolId, VmId};
+use lilaccrank::ids::{CustomerId, Incarnation, PoolId, VmId};
+use lilaccrank::quota::Spent;
 use lilaccrank::request_key::Ranking;
 use lilaccrank_http::tally::Tally;
 use monoio::net::udp::UdpSocket;
@@ -37,9 +38,13 @@
 #[derive(Debug, Deserialize, Serialize)]
 struct Message {
     incarnation: Incarnation,
+    /// Whether its sender is about to end, and spends nothing more.
+    ending: bool,
     pools: Vec<(PoolId, Digest)>,
     /// Grows with each message of one life.
     sequence: u64,
+    /// What its sender let pass of customers with quotas.
+    spent: Vec<(CustomerId, Spent)>,
     vm: VmId,
 }
 
@@ -87,6 +92,10 @@
     loop {
         let changed = daemon.load_exchange.changed.listen();
         let _ = monoio::time::timeout(HEARTBEAT, changed).await;
+        daemon.quotas.look();
+        if !is_needed(&daemon) {
+            continue;
+        }
         let peers = peers(&daemon);
         sequence += 1;
         tell(&daemon, &socket, sequence, &peers).await;
@@ -95,6 +104,12 @@
     }
 }
 
+/// Whether there is anything that all daemons have to know of each other at once.
+fn is_needed(daemon: &Daemon) -> bool {
+    let has_quotas = daemon.in_force().is_ok_and(|in_force| in_force.has_quotas);
+    daemon.duties.is_dispatch_local() || has_quotas
+}
+
 fn peers(daemon: &Daemon) -> Vec<SocketAddr> {
     let me = daemon.duties.me().vm;
     let live = daemon.membership.live();
@@ -106,8 +121,13 @@
     let me = daemon.duties.me();
     let message = Message {
         incarnation: me.incarnation,
-        pools: server::digests(daemon),
+        ending: daemon.refusing.get(),
+        pools: match daemon.duties.is_dispatch_local() {
+            true => server::digests(daemon),
+            false => Vec::new(),
+        },
         sequence,
+        spent: daemon.quotas.spent(),
         vm: me.vm,
     };
     let buf = match rmp_serde::to_vec(&message) {
@@ -153,6 +173,11 @@
     if !daemon.load_exchange.is_new(&message) {
         return;
     }
+    let Message { vm, spent, .. } = &message;
+    daemon.quotas.heard(vm, message.incarnation, spent);
+    if message.ending {
+        daemon.quotas.left(vm);
+    }
     for (pool, digest) in message.pools {
         server::take_digest(daemon, &pool, &message.vm, digest);
     }
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -78,6 +78,8 @@
 pub struct FeedAsk {
     /// Revision of the list of targets that the asker has.
     pub revision: u64,
+    /// Tentative targets in it.
+    pub tentative: usize,
 }
 
 /// Tells what a daemon knows of the platform, and how old that is.
@@ -85,6 +87,10 @@
 pub struct Feed {
     /// How long ago its configuration was known to be the newest.
     pub age: Option<Duration>,
+    /// How long ago the platform itself answered it.
+    pub direct_age: Option<Duration>,
+    /// How long ago it heard of the platform, by whichever way.
+    pub heard_age: Option<Duration>,
     /// Its configuration.
     pub identity: Option<Identity>,
     /// Its list of targets, if that is newer than the asker's.
--- a/crates/lilaccrankd/src/request/life.rs
+++ b/crates/lilaccrankd/src/request/life.rs
@@ -17,6 +17,7 @@
 use crate::pools::client::{self, Held};
 use crate::request::interruption;
 use crate::request::key_state::KeyState;
+use crate::request::quotas::Charge;
 use crate::request::run::{End, Run};
 use crate::request::sends::Sends;
 use crate::request::spill;
@@ -30,6 +31,8 @@
     pub arrived: Instant,
     /// What the caller sent.
     pub caller: CallerRequest,
+    /// What it took out of its customer's quota.
+    pub charge: Option<Charge>,
     /// Its id.
     pub id: RequestId,
     /// What the rules decided.
@@ -89,6 +92,11 @@
     let detail = result.as_ref().err().map(ToString::to_string);
     daemon.record(kind, routed.subject(detail.unwrap_or_default(), None));
     let scoped = routed.caller.scoped_key();
+    if let (Err(refusal), Some(charge)) = (result, &routed.charge)
+        && refusal.ran == Ran::No
+    {
+        daemon.quotas.refund(charge);
+    }
     match (result, key) {
         (Err(refusal), Some(key)) if refusal.ran == Ran::No => key.release().await,
         (_, Some(key)) => {
--- /dev/null
+++ b/crates/lilaccrankd/src/request/quotas.rs
@@ -0,0 +1,104 @@
+//! The quotas of customers at this daemon, and what they count.
+
+use std::cell::RefCell;
+use std::time::{Duration, Instant};
+
+use lilaccrank::backoff;
+use lilaccrank::document::{Customer, Quota, QuotaUnit};
+use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::ids::{CustomerId, Incarnation, VmId};
+use lilaccrank::quota::{self, Spent};
+use lilaccrank::request::Facts;
+
+use crate::callers::refusal::{Refusal, Result};
+
+/// Shortest time after which a caller over its quota is told to come back.
+const SHORTEST_RETRY: Duration = Duration::from_millis(200);
+
+/// The quotas at this daemon.
+pub struct Quotas {
+    inner: RefCell<quota::Quotas>,
+}
+
+/// What a request took out of its customer's quota.
+#[derive(Clone, Debug)]
+pub struct Charge {
+    customer: CustomerId,
+    units: u64,
+}
+
+impl Quotas {
+    /// Nothing is known; `assumed` other daemons are taken to be there until they are heard.
+    #[must_use]
+    pub fn new(assumed: usize) -> Self {
+        Self {
+            inner: RefCell::new(quota::Quotas::new(assumed, Instant::now())),
+        }
+    }
+
+    /// Takes a request out of its customer's quota; `None` if it has none.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::RateLimited`] beyond the quota.
+    pub fn charge(&self, customer: Option<&Customer>, facts: &Facts) -> Result<Option<Charge>> {
+        let Some((customer, quota)) = customer.and_then(|c| Some((c, c.quota?))) else {
+            return Ok(None);
+        };
+        let units = units(&quota, facts);
+        let mut inner = self.inner.borrow_mut();
+        let spent = inner.spend(&customer.id, quota, units, Instant::now());
+        spent.map_err(|e| {
+            // Who was refused together should not come back together.
+            let after = e.retry_after.max(SHORTEST_RETRY);
+            let after = after + backoff::full_jitter(after);
+            Refusal::new(ErrorKind::RateLimited, "your quota is used up").retry_after(after)
+        })?;
+        Ok(Some(Charge {
+            customer: customer.id.clone(),
+            units,
+        }))
+    }
+
+    /// Gives back what a request took that did not run.
+    pub fn refund(&self, charge: &Charge) {
+        let mut inner = self.inner.borrow_mut();
+        inner.refund(&charge.customer, charge.units);
+    }
+
+    /// Has to be called often, see [`quota::Quotas::look`].
+    pub fn look(&self) {
+        self.inner.borrow_mut().look(Instant::now());
+    }
+
+    /// What the other daemons are to know.
+    #[must_use]
+    pub fn spent(&self) -> Vec<(CustomerId, Spent)> {
+        self.inner.borrow().spent(Instant::now())
+    }
+
+    /// Takes in what another daemon let pass.
+    pub fn heard(&self, vm: &VmId, incarnation: Incarnation, spent: &[(CustomerId, Spent)]) {
+        let mut inner = self.inner.borrow_mut();
+        inner.heard(vm, incarnation, spent, Instant::now());
+    }
+
+    /// Another daemon ends.
+    pub fn left(&self, vm: &VmId) {
+        self.inner.borrow_mut().left(vm);
+    }
+}
+
+/// What a request counts as.
+fn units(quota: &Quota, facts: &Facts) -> u64 {
+    match quota.unit {
+        QuotaUnit::Requests => 1,
+        QuotaUnit::Tokens => {
+            let tokens = u64::from(facts.prompt_tokens) + u64::from(facts.max_tokens);
+            match tokens {
+                0 => quota.plain_tokens.into(),
+                tokens => tokens,
+            }
+        }
+    }
+}
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -30,7 +30,7 @@
 use crate::pools;
 use crate::ports::Ports;
 use crate::reload;
-use crate::settings::{Dispatch, Settings};
+use crate::settings::Settings;
 use crate::shutdown;
 use crate::signals::Signals;
 
@@ -75,15 +75,9 @@
     let caller_listener = listen(cfg.callers)?;
     let admin_listener = listen(cfg.admin)?;
     let peer_listener = listen(cfg.peer)?;
-    let load_socket = match cfg.dispatch {
-        Dispatch::Each => Some(
-            load_exchange::bind(cfg.peer).map_err(|source| Error::Listen {
-                address: cfg.peer,
-                source,
-            })?,
-        ),
-        Dispatch::OneForEachPool => None,
-    };
+    let address = cfg.peer;
+    let load_socket =
+        load_exchange::bind(address).map_err(|source| Error::Listen { address, source })?;
     let readiness_listener = cfg.readiness.map(listen).transpose()?;
     let address = cfg.gossip;
     let traffic = Rc::new(Traffic::default());
@@ -138,9 +132,7 @@
         limits,
         move |req| callers::handle(Rc::clone(&shared), req),
     ));
-    if let Some(socket) = load_socket {
-        monoio::spawn(load_exchange::run(Rc::clone(&daemon), socket));
-    }
+    monoio::spawn(load_exchange::run(Rc::clone(&daemon), load_socket));
     monoio::spawn(reload::run(Rc::clone(&daemon), signals.clone()));
     log::info!(
         data_centre = daemon.cfg.data_centre,
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -4,6 +4,7 @@
 //! at the platform grow with the data centres and not with the daemons.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,6 +27,26 @@
     pub revision: u64,
     /// Targets by pool, for pools that name none themselves.
     pub targets: IndexMap<PoolId, Vec<Target>>,
+    /// How many of the targets are not in the platform's list any more, and may only have lapsed
+    /// while it was away.
+    pub tentative: usize,
+}
+
+impl Listing {
+    /// Whether this list is to take the place of `known`.
+    ///
+    /// A list that went another way would bring back targets that have left. Of two lists of one
+    /// revision the one with fewer tentative targets knows better: its daemon could ask all the
+    /// time.
+    #[must_use]
+    pub fn replaces(&self, known: &Self) -> bool {
+        let counts_changes = self.revision > 0;
+        if !counts_changes {
+            return known.revision == 0 && self != known;
+        }
+        let place = |listing: &Self| (listing.revision, Reverse(listing.tentative));
+        place(self) > place(known)
+    }
 }
 
 /// What this daemon knows of the list.
@@ -81,19 +102,19 @@
     }
 }
 
-/// Takes over a list, unless it is older than the one known: a list that went another way would
-/// bring back targets that have left.
+/// Takes over a list, unless the one known is better, see [`Listing::replaces`].
 pub fn take(daemon: &Rc<Daemon>, listing: Listing) {
     let list = &daemon.live_list.listing;
     let known = Rc::clone(&list.borrow());
-    if listing.revision < known.revision || listing == *known {
+    if !listing.replaces(&known) {
         return;
     }
     log::info!(
-        "list of targets: revision {}, {} targets, {} vms leaving",
-        listing.revision,
-        listing.targets.values().map(Vec::len).sum::<usize>(),
-        listing.leaving.len(),
+        leaving = listing.leaving.len(),
+        revision = listing.revision,
+        targets = listing.targets.values().map(Vec::len).sum::<usize>(),
+        tentative = listing.tentative;
+        "list of targets"
     );
     *list.borrow_mut() = Rc::new(listing);
     server::configuration_changed(daemon);
