Quotas leave a part to the first tiers

Change: each tier leaves a third of the burst to those before it; requests below a fiftieth of the burst pass with the first tier.

--- a/crates/lilaccrank/src/quota.rs
+++ b/crates/lilaccrank/src/quota.rs
@@ -4,6 +4,10 @@
 //! lets pass itself, and what the others tell that they did. So a customer may use all of its
 //! rate at one daemon, and no request waits for a word of another daemon.
 //!
+//! Of what is left the last tiers leave a part to those before them: a customer at its limit gets
+//! its urgent work done, not whatever came first. What is small against the whole burst is let
+//! pass with the first tier, since refusing it would make room for nothing else.
+//!
 //! A daemon that is not heard may be cut off and spending. Its part of the rate is left to it,
 //! by both sides, so that the parts of a split fleet together stay within the quota.
 
@@ -13,7 +17,7 @@
 use thiserror::Error;
 
 use crate::document::Quota;
-use crate::ids::{CustomerId, Incarnation, VmId};
+use crate::ids::{CustomerId, Incarnation, Tier, VmId};
 
 /// Result of spending.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -29,6 +33,13 @@
 const STOOD_STILL: Duration = Duration::from_millis(1_000);
 /// Counts of a customer are told for this long after they last changed; a datagram may be lost.
 const TOLD_FOR: Duration = Duration::from_millis(1_000);
+/// Part of the burst that each tier leaves for those before it: with three tiers the last one
+/// passes while a third of the burst is there, and the first one finds two thirds.
+const LEFT_PART: f64 = 1.0 / 3.0;
+/// Part of the burst that is left for others at most.
+const MOST_LEFT: f64 = 2.0 / 3.0;
+/// Requests below this part of the burst are small.
+const SMALL_PART: f64 = 0.02;
 /// Customers that are kept before those that spent nothing of late are dropped.
 const ACCOUNTS_LIMIT: usize = 50_000;
 
@@ -40,6 +51,25 @@
     pub retry_after: Duration,
 }
 
+/// What a request takes out of a quota.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish {
+    /// Its tier among those of its customer.
+    pub tier: Tier,
+    /// What it counts as.
+    pub units: u64,
+}
+
+impl Wish {
+    /// What it has to leave for the tiers before its own.
+    fn leaves(self, burst: f64) -> f64 {
+        if (self.units as f64) < burst * SMALL_PART {
+            return 0.0;
+        }
+        burst * (f64::from(self.tier) * LEFT_PART).min(MOST_LEFT)
+    }
+}
+
 /// What one daemon has let pass of one customer since it started.
 pub type Spent = u64;
 
@@ -93,22 +123,23 @@
         &mut self,
         customer: &CustomerId,
         quota: Quota,
-        units: u64,
+        wish: Wish,
         now: Instant,
     ) -> Result<()> {
         self.look(now);
         let part = self.part(now);
         let account = self.account(customer, now);
         account.fill(quota, part, now);
+        let burst = quota.burst * part;
         // What is larger than the whole burst passes when the bucket is full.
-        let wanted = (units as f64).min(quota.burst * part);
+        let wanted = (wish.units as f64 + wish.leaves(burst)).min(burst);
         if account.left < wanted {
             let missing = (wanted - account.left) / (quota.per_s * part);
             let retry_after = Duration::try_from_secs_f64(missing).unwrap_or(Duration::MAX);
             return Err(Error { retry_after });
         }
-        account.left -= units as f64;
-        account.spent += units;
+        account.left -= wish.units as f64;
+        account.spent += wish.units;
         account.changed = now;
         Ok(())
     }
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -73,7 +73,10 @@
         }
         Access::Own(key) => key,
     };
-    let charge = match daemon.quotas.charge(customer.as_ref(), &caller.facts) {
+    let charge = match daemon
+        .quotas
+        .charge(customer.as_ref(), &caller.facts, route.tier)
+    {
         Ok(charge) => charge,
         Err(refusal) => {
             key.release().await;
--- a/crates/lilaccrankd/src/request/quotas.rs
+++ b/crates/lilaccrankd/src/request/quotas.rs
@@ -6,8 +6,8 @@
 use lilaccrank::backoff;
 use lilaccrank::document::{Customer, Quota, QuotaUnit};
 use lilaccrank::error_kind::ErrorKind;
-use lilaccrank::ids::{CustomerId, Incarnation, VmId};
-use lilaccrank::quota::{self, Spent};
+use lilaccrank::ids::{CustomerId, Incarnation, Tier, VmId};
+use lilaccrank::quota::{self, Spent, Wish};
 use lilaccrank::request::Facts;
 
 use crate::callers::refusal::{Refusal, Result};
@@ -41,13 +41,19 @@
     /// # Errors
     ///
     /// [`ErrorKind::RateLimited`] beyond the quota.
-    pub fn charge(&self, customer: Option<&Customer>, facts: &Facts) -> Result<Option<Charge>> {
+    pub fn charge(
+        &self,
+        customer: Option<&Customer>,
+        facts: &Facts,
+        tier: Tier,
+    ) -> Result<Option<Charge>> {
         let Some((customer, quota)) = customer.and_then(|c| Some((c, c.quota?))) else {
             return Ok(None);
         };
         let units = units(&quota, facts);
         let mut inner = self.inner.borrow_mut();
-        let spent = inner.spend(&customer.id, quota, units, Instant::now());
+        let wish = Wish { tier, units };
+        let spent = inner.spend(&customer.id, quota, wish, Instant::now());
         spent.map_err(|e| {
             // Who was refused together should not come back together.
             let after = e.retry_after.max(SHORTEST_RETRY);
