An outage is told by the last answer, not by the age of a proof

The proof's age grows to 1.6 s in calm times, over the 1.5 s that were taken for an outage. Change: the time since the last answer decides.

--- a/crates/lilaccrankd/src/configuration/heard.rs
+++ b/crates/lilaccrankd/src/configuration/heard.rs
@@ -51,6 +51,12 @@
         Some(now.saturating_sub(at))
     }
 
+    /// How long ago it was last heard of the list of targets.
+    #[must_use]
+    pub fn list_age(&self, now: BootTime) -> Option<Duration> {
+        Some(now.saturating_sub(self.list.get()?))
+    }
+
     /// How long ago this daemon itself heard it.
     #[must_use]
     pub fn direct_age(&self, now: BootTime) -> Option<Duration> {
