--- a/crates/lilaccrank-http/tests/suite.rs
+++ b/crates/lilaccrank-http/tests/suite.rs
@@ -2,5 +2,9 @@
 
 #[path = "suite/client.rs"]
 mod client;
+#[path = "suite/events.rs"]
+mod events;
 #[path = "suite/packing.rs"]
 mod packing;
+#[path = "suite/server.rs"]
+mod server;
--- /dev/null
+++ b/crates/lilaccrank-http/tests/suite/server.rs
@@ -0,0 +1,142 @@
+//! How long callers may take, and how their connections end.
+
+use std::cell::Cell;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use hyper::Response;
+use lilaccrank_http::body;
+use lilaccrank_http::runtime;
+use lilaccrank_http::server::{self, Closing, HeadLimits};
+
+const HEAD: &str = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+const LIMITS: HeadLimits = HeadLimits {
+    head_bytes: 8 << 10,
+    head_time: Duration::from_millis(200),
+    idle: Duration::from_millis(900),
+};
+
+/// Serves while a caller's thread runs.
+fn serve(closing: &Closing, caller: impl FnOnce(SocketAddr) + Send + 'static) {
+    runtime::block_on(async {
+        let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let limits = Rc::new(Cell::new(LIMITS));
+        let serving = server::serve_within(listener, closing.clone(), limits, |_| async {
+            Response::new(body::full("whole"))
+        });
+        monoio::spawn(serving);
+        let (tx, rx) = mpsc::channel();
+        let caller = thread::spawn(move || {
+            caller(address);
+            tx.send(()).unwrap();
+        });
+        while rx.try_recv().is_err() && !caller.is_finished() {
+            monoio::time::sleep(Duration::from_millis(5)).await;
+        }
+        caller.join().unwrap();
+    })
+    .unwrap();
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap();
+    let limit = Some(Duration::from_secs(5));
+    stream.set_read_timeout(limit).unwrap();
+    stream
+}
+
+/// Sends a whole request; the answer as text, empty if the connection has ended.
+fn ask(stream: &mut TcpStream) -> String {
+    if stream.write_all(HEAD.as_bytes()).is_err() {
+        return String::new();
+    }
+    let mut buf = [0; 1024];
+    match stream.read(&mut buf) {
+        Ok(read) => String::from_utf8_lossy(&buf[..read]).into_owned(),
+        Err(e) if e.kind() == ErrorKind::ConnectionReset => String::new(),
+        Err(e) => panic!("{e}"),
+    }
+}
+
+// A caller keeps its connection and rests for longer than a head may take, as callers of the
+// balancer do between two requests. A timeout that runs from the last answer would close the
+// connection under its next request.
+#[test]
+fn a_resting_connection_is_no_slow_head() {
+    serve(&Closing::default(), |address| {
+        let mut stream = connect(address);
+        assert!(ask(&mut stream).contains("200 OK"));
+        thread::sleep(LIMITS.head_time * 3);
+        assert!(ask(&mut stream).contains("200 OK"));
+    });
+}
+
+// A caller sends its head byte by byte and holds a connection for as long as it likes. The time
+// runs from the first byte.
+#[test]
+fn a_slow_head_ends_its_connection() {
+    serve(&Closing::default(), |address| {
+        let mut stream = connect(address);
+        assert!(ask(&mut stream).contains("200 OK"));
+        let begun = Instant::now();
+        let mut cut = false;
+        for byte in HEAD.as_bytes() {
+            cut |= stream.write_all(&[*byte]).is_err();
+            thread::sleep(Duration::from_millis(25));
+        }
+        let mut buf = [0; 64];
+        cut |= matches!(stream.read(&mut buf), Ok(0) | Err(_));
+        assert!(cut, "still open after {:?}", begun.elapsed());
+    });
+}
+
+// A connection on which nothing comes is closed in the end.
+#[test]
+fn a_connection_does_not_rest_for_ever() {
+    serve(&Closing::default(), |address| {
+        let mut stream = connect(address);
+        assert!(ask(&mut stream).contains("200 OK"));
+        let mut buf = [0; 64];
+        let begun = Instant::now();
+        assert_eq!(stream.read(&mut buf).unwrap_or(0), 0);
+        assert!(begun.elapsed() >= LIMITS.idle / 2);
+    });
+}
+
+// A head that is too large is refused with a word, and hurts nobody else.
+#[test]
+fn a_large_head_is_refused() {
+    serve(&Closing::default(), |address| {
+        let mut stream = connect(address);
+        let head = format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "x".repeat(32 << 10));
+        // The answer may come, and end the connection, before all of it is sent.
+        let _ = stream.write_all(head.as_bytes());
+        let mut buf = [0; 64];
+        let read = stream.read(&mut buf).unwrap_or(0);
+        let answer = String::from_utf8_lossy(&buf[..read]).into_owned();
+        assert!(answer.is_empty() || answer.contains("431"), "{answer}");
+        assert!(ask(&mut connect(address)).contains("200 OK"));
+    });
+}
+
+// A daemon is told to end. A caller sends on its open connection just then: it is served, and told
+// not to send more there. Closed from this side, the connection could have had the request on it.
+#[test]
+fn winding_down_answers_and_says_so() {
+    let closing = Closing::default();
+    closing.wind_down();
+    serve(&closing, |address| {
+        let mut stream = connect(address);
+        let answer = ask(&mut stream);
+        assert!(
+            answer.contains("200 OK") && answer.contains("connection: close"),
+            "{answer}"
+        );
+        assert_eq!(ask(&mut stream), "");
+    });
+}
--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -19,6 +19,15 @@
 pub(super) const HOLDERS: usize = 16;
 /// Prefill tokens outstanding at a target beyond which it gets no more.
 pub const PREFILL_LIMIT: u64 = 8192;
+/// What an error costs a caller: at least the time until its second try. A target that errs is
+/// avoided for as long as the others can take its work in less, and never left out altogether:
+/// where all err, one of them still may answer.
+const ERROR_COST: Duration = Duration::from_secs(2);
+/// Targets whose expected times differ by less than this part, or by less than these seconds, are
+/// as good: estimates are no finer, and work that always went to the first of them would leave
+/// the others unseen, and all of it to one that fails.
+const AS_GOOD: f64 = 0.03;
+const AS_GOOD_S: f64 = 0.000_5;
 /// One slot in so many is kept by each tier for those before it.
 const KEPT_PART: u32 = 7;
 /// Time of reading outstanding at a target beyond which it gets no urgent work with an objective:
@@ -221,7 +230,14 @@
         let expected = expected(target, wanted, saved, now);
         (expected, saved, target)
     });
-    let (_, saved, target) = choices.min_by(|a, b| a.0.total_cmp(&b.0))?;
+    let choices: Vec<_> = choices.collect();
+    let least = choices
+        .iter()
+        .map(|choice| choice.0)
+        .fold(f64::INFINITY, f64::min);
+    let as_good = |expected: f64| expected <= least * (1.0 + AS_GOOD) + AS_GOOD_S;
+    let as_good = choices.into_iter().filter(|choice| as_good(choice.0));
+    let (_, saved, target) = as_good.min_by_key(|(_, _, target)| target.turn)?;
     Some(Choice {
         earliest: earliest(target, wanted, saved, now)
             .max(likely(target, wanted, saved, now) * LIKELIHOOD),
@@ -262,5 +278,6 @@
         SHARED_PREFILL
     };
     let prefill = (before + own * (1.0 + held_up + shared)) / estimate.prefill_rate(now);
-    prefill + estimate.overhead() + wanted.work.decode as f64 * estimate.step(batch, now)
+    let errors = target.health.errors(now) * ERROR_COST.as_secs_f64();
+    prefill + estimate.overhead() + wanted.work.decode as f64 * estimate.step(batch, now) + errors
 }
--- a/crates/lilaccrank/src/dispatch/estimate.rs
+++ b/crates/lilaccrank/src/dispatch/estimate.rs
@@ -69,6 +69,22 @@
         }
     }
 
+    /// A target that was never seen, among others that were: taken for slower than it is, it
+    /// would get nothing by which it could show its speed.
+    pub fn usual<'a>(others: impl Iterator<Item = &'a Self>, now: Instant) -> Self {
+        let mut others: Vec<&Self> = others.collect();
+        others.sort_by(|a, b| a.prefill_rate.total_cmp(&b.prefill_rate));
+        let Some(median) = others.get(others.len() / 2) else {
+            return Self::new(now);
+        };
+        Self {
+            overhead: median.overhead,
+            prefill_rate: median.prefill_rate,
+            steps: median.steps.without_slowness(now),
+            ..Self::new(now)
+        }
+    }
+
     /// A request was granted.
     pub fn granted(&mut self, work: Work, now: Instant) {
         self.outstanding += work;
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -100,6 +100,8 @@
             decode: u64::from(ask.max_tokens),
             prefill: choice.prefill,
         };
+        self.turn += 1;
+        target.turn = self.turn;
         let long = choice.prefill > choice::LONG_PROMPT;
         let trial = target.health.granted(target.estimate.running() == 0, now);
         target.estimate.granted(left, now);
--- a/crates/lilaccrank/src/dispatch/health.rs
+++ b/crates/lilaccrank/src/dispatch/health.rs
@@ -11,6 +11,11 @@
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
 /// Failures in a row after which a target is treated as silent.
 const FAILURES: u32 = 3;
+/// Weight of a new answer in the part of errors.
+const ERROR_GAIN: f64 = 0.15;
+/// Time after which half of the part of errors is forgotten if nothing is heard: a target that
+/// gets nothing could else never show that it is well again.
+const ERRORS_FORGOTTEN: Duration = Duration::from_secs(4);
 
 /// State of a target as seen from its answers.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Display, Eq, PartialEq, Serialize)]
@@ -31,6 +36,9 @@
 /// Signs of life of one target.
 #[derive(Clone, Debug)]
 pub struct Health {
+    /// Part of its last answers that were errors, when it was last heard.
+    errors: f64,
+    errors_at: Instant,
     failures: u32,
     last_sign: Instant,
     state: State,
@@ -43,6 +51,8 @@
     #[must_use]
     pub fn new(now: Instant) -> Self {
         Self {
+            errors: 0.0,
+            errors_at: now,
             failures: 0,
             last_sign: now,
             state: State::Well,
@@ -84,6 +94,32 @@
         self.wait = FIRST_WAIT;
     }
 
+    /// The target gave a whole answer.
+    pub fn answered(&mut self, now: Instant) {
+        self.alive(now);
+        self.note_answer(0.0, now);
+    }
+
+    /// The target answered that it failed. It lives, and what it says may be the request's fault;
+    /// only how often it says so tells of the target.
+    pub fn erred(&mut self, now: Instant) {
+        self.alive(now);
+        self.note_answer(1.0, now);
+    }
+
+    /// Part of its answers that are errors, from 0 to 1.
+    #[must_use]
+    pub fn errors(&self, now: Instant) -> f64 {
+        let since = now.saturating_duration_since(self.errors_at).as_secs_f64();
+        self.errors * (-since / ERRORS_FORGOTTEN.as_secs_f64()).exp2()
+    }
+
+    fn note_answer(&mut self, error: f64, now: Instant) {
+        let errors = self.errors(now);
+        self.errors = errors + ERROR_GAIN * (error - errors);
+        self.errors_at = now;
+    }
+
     /// The target failed a request.
     pub fn failed(&mut self, now: Instant) {
         self.failures += 1;
--- a/crates/lilaccrank/src/dispatch/message.rs
+++ b/crates/lilaccrank/src/dispatch/message.rs
@@ -136,7 +136,9 @@
     Cancelled,
     /// The answer is whole.
     Complete,
-    /// The target failed it.
+    /// The target answered that it failed, or that it would not run it.
+    Erred,
+    /// The target gave no whole answer.
     Failed,
     /// The grant was not used.
     Unused,
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use super::estimate::Estimate;
 use super::message::{CacheEvent, LoadReport, Outcome, Report, ReportKind};
 use super::sharing::Seen;
 use super::state::State;
@@ -37,9 +38,13 @@
             } => {
                 match outcome {
                     Outcome::Complete => {
-                        target.health.alive(now);
+                        target.health.answered(now);
                         self.sharing.note(&target.id, Seen::Answered);
                     }
+                    Outcome::Erred => {
+                        target.health.erred(now);
+                        self.sharing.note(&target.id, Seen::Erred);
+                    }
                     Outcome::Failed => {
                         target.health.failed(now);
                         self.sharing.note(&target.id, Seen::Failed);
@@ -101,12 +106,16 @@
         for target in self.targets.values_mut() {
             target.live = false;
         }
+        let usual = Estimate::usual(self.targets.values().map(|t| &t.estimate), now);
         let here = pool.targets.iter();
         for given in here.filter(|target| near(&target.data_centre)) {
             let target = self
                 .targets
                 .entry(given.id.clone())
-                .or_insert_with(|| Target::new(given.id.clone(), given.slots, now));
+                .or_insert_with(|| Target {
+                    estimate: usual.clone(),
+                    ..Target::new(given.id.clone(), given.slots, now)
+                });
             target.live = given.state == TargetState::Live;
             target.slots = given.slots;
         }
--- a/crates/lilaccrank/src/dispatch/sharing.rs
+++ b/crates/lilaccrank/src/dispatch/sharing.rs
@@ -56,7 +56,9 @@
 pub enum Seen {
     /// A whole answer.
     Answered,
-    /// A request that it failed.
+    /// An answer that it failed, or would not run the request.
+    Erred,
+    /// No whole answer.
     Failed,
     /// A first token.
     FirstToken {
@@ -172,7 +174,8 @@
             return;
         };
         match sample.seen {
-            Seen::Answered => target.health.alive(now),
+            Seen::Answered => target.health.answered(now),
+            Seen::Erred => target.health.erred(now),
             Seen::Failed => target.health.failed(now),
             Seen::FirstToken { after, before } => target.estimate.learn_first_token(before, after),
             Seen::Step { batch, step } => target.estimate.learn_step(batch, step, now),
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -90,6 +90,8 @@
     pub(super) reservations: IndexMap<RequestId, Reservation>,
     pub(super) sharing: Sharing,
     pub(super) targets: IndexMap<TargetId, Target>,
+    /// Grants so far.
+    pub(super) turn: u64,
     pub(super) waiting: IndexMap<RequestId, Waiting>,
 }
 
@@ -111,6 +113,7 @@
             reservations: IndexMap::new(),
             sharing: Sharing::default(),
             targets: IndexMap::new(),
+            turn: 0,
             waiting: IndexMap::new(),
         }
     }
--- a/crates/lilaccrank/src/dispatch/steps.rs
+++ b/crates/lilaccrank/src/dispatch/steps.rs
@@ -53,6 +53,16 @@
         steps
     }
 
+    /// The same history, of a target that was not seen slow.
+    #[must_use]
+    pub fn without_slowness(&self, now: Instant) -> Self {
+        Self {
+            seen: now,
+            slowness: 1.0,
+            ..self.clone()
+        }
+    }
+
     /// Takes in one observed step.
     pub fn observe(&mut self, batch: u32, step: Duration, now: Instant) {
         let (batch, step) = (f64::from(batch), step.as_secs_f64().max(SHORTEST));
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -21,6 +21,8 @@
     pub long: u32,
     /// Requests it runs at once.
     pub slots: u32,
+    /// Number of the last grant, over all targets.
+    pub turn: u64,
 }
 
 impl Target {
@@ -34,6 +36,7 @@
             live: true,
             long: 0,
             slots,
+            turn: 0,
         }
     }
 
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -1,5 +1,7 @@
 //! Tests of the library, in one crate; a folder beside this file holds them by subject.
 
+#[path = "suite/attempts.rs"]
+mod attempts;
 #[path = "suite/circuit.rs"]
 mod circuit;
 #[path = "suite/cluster.rs"]
@@ -32,6 +34,8 @@
 mod dispatch_order;
 #[path = "suite/dispatch_overload.rs"]
 mod dispatch_overload;
+#[path = "suite/dispatch_sharing.rs"]
+mod dispatch_sharing;
 #[path = "suite/error_kind.rs"]
 mod error_kind;
 #[path = "suite/fake_store.rs"]
@@ -46,8 +50,14 @@
 mod membership_cost;
 #[path = "suite/orders.rs"]
 mod orders;
+#[path = "suite/pool_load.rs"]
+mod pool_load;
+#[path = "suite/pool_model.rs"]
+mod pool_model;
 #[path = "suite/process.rs"]
 mod process;
+#[path = "suite/quota.rs"]
+mod quota;
 #[path = "suite/rendezvous.rs"]
 mod rendezvous;
 #[path = "suite/request_key.rs"]
@@ -60,6 +70,8 @@
 mod rules_difference;
 #[path = "suite/rules_matching.rs"]
 mod rules_matching;
+#[path = "suite/rules_terms.rs"]
+mod rules_terms;
 #[path = "suite/seeded.rs"]
 mod seeded;
 #[path = "suite/timeline.rs"]
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/dispatch_sharing.rs
@@ -0,0 +1,218 @@
+//! Daemons that dispatch for themselves and tell each other what they have on the targets.
+
+use std::time::Duration;
+
+use lilaccrank::dispatch::message::{Ask, Outcome, ReportKind};
+use lilaccrank::dispatch::sharing::{Digest, Sample, Seen, TargetLoad};
+use lilaccrank::error_kind::ErrorKind;
+
+use crate::dispatch_cases::{ask, granted, harness, refused};
+use crate::dispatch_harness::Harness;
+
+/// A digest of a peer that has `running` short requests on a target.
+fn digest(target: &str, running: u32, prefill: u64) -> Digest {
+    Digest {
+        loads: vec![TargetLoad {
+            decode: u64::from(running) * 100,
+            prefill,
+            running,
+            target: target.to_owned(),
+        }],
+        samples: Vec::new(),
+    }
+}
+
+fn tell(harness: &Harness, from: &str, digest: Digest) {
+    harness.dispatcher.take_digest(&from.to_owned(), digest);
+}
+
+/// An ask whose caller expects a first token.
+fn hurried(request: &str, tier: u8) -> Ask {
+    Ask {
+        deadline: Some(Duration::from_secs(10)),
+        objective: Some(Duration::from_millis(1_000)),
+        ..ask(request, tier)
+    }
+}
+
+// Two daemons send to one engine at the same time, which lets them wait for each other there. What
+// another daemon has on a target counts like what this one has.
+#[test]
+fn load_of_peers_counts() {
+    let mut harness = harness(&[8, 8]);
+    tell(&harness, "vm2", digest("t0", 7, 700));
+    harness.ask(ask("a", 0));
+    assert_eq!(harness.grants(), granted("a", "t1"));
+}
+
+// A digest is lost, and the next one tells of less. It replaces what was known; added up, the
+// target would look full for ever.
+#[test]
+fn a_digest_replaces_the_one_before() {
+    let mut harness = harness(&[2]);
+    tell(&harness, "vm2", digest("t0", 2, 0));
+    harness.ask(hurried("waits", 0));
+    assert_eq!(harness.grants(), []);
+    tell(&harness, "vm2", Digest::default());
+    assert_eq!(harness.grants(), granted("waits", "t0"));
+}
+
+// A peer is killed with requests on a target; nobody tells that they have ended. A peer that is
+// not heard for a while has nothing there any more, as its connections ended with it.
+#[test]
+fn a_silent_peer_is_forgotten() {
+    let mut harness = harness(&[2]);
+    tell(&harness, "vm2", digest("t0", 2, 0));
+    harness.ask(Ask {
+        objective: Some(Duration::from_secs(5)),
+        ..hurried("waits", 0)
+    });
+    harness.advance(Duration::from_millis(1_400));
+    assert_eq!(harness.grants(), []);
+    harness.advance(Duration::from_millis(200));
+    assert_eq!(harness.grants(), granted("waits", "t0"));
+}
+
+// A target slows down, and only a peer has requests there. What the peer sees is told: this daemon
+// sends its next request elsewhere, without having to make the experience itself.
+#[test]
+fn what_peers_see_of_a_target_is_learnt() {
+    let mut harness = harness(&[8, 8]);
+    let slow = Sample {
+        seen: Seen::Step {
+            batch: 1,
+            step: Duration::from_millis(100),
+        },
+        target: "t0".to_owned(),
+    };
+    for _ in 0..10 {
+        let samples = vec![slow.clone(); 10];
+        tell(
+            &harness,
+            "vm2",
+            Digest {
+                samples,
+                ..Digest::default()
+            },
+        );
+    }
+    harness.ask(ask("a", 0));
+    assert_eq!(harness.grants(), granted("a", "t1"));
+}
+
+// A target fails three requests of three daemons. Each of them alone has seen one failure; told
+// of all, nobody sends it a fourth.
+#[test]
+fn failures_of_peers_count() {
+    let mut harness = harness(&[8, 8]);
+    let failed = Sample {
+        seen: Seen::Failed,
+        target: "t0".to_owned(),
+    };
+    for peer in ["vm2", "vm3", "vm4"] {
+        let samples = vec![failed.clone()];
+        tell(
+            &harness,
+            peer,
+            Digest {
+                samples,
+                ..Digest::default()
+            },
+        );
+    }
+    harness.ask(ask("a", 0));
+    assert_eq!(harness.grants(), granted("a", "t1"));
+}
+
+// What this daemon has and sees is in its digest; what it saw is told once.
+#[test]
+fn a_digest_tells_all_that_runs() {
+    let mut harness = harness(&[8]);
+    harness.ask(ask("a", 0));
+    harness.verdicts();
+    let after = Duration::from_millis(40);
+    harness.report("a", "t0", ReportKind::FirstToken { after });
+    let digest = harness.dispatcher.digest();
+    let loads: Vec<_> = digest
+        .loads
+        .iter()
+        .map(|l| (&*l.target, l.running))
+        .collect();
+    assert_eq!(loads, [("t0", 1)]);
+    assert!(matches!(digest.samples[0].seen, Seen::FirstToken { .. }));
+    assert_eq!(harness.dispatcher.digest().samples, []);
+    let kind = ReportKind::Ended {
+        decoded: 5,
+        outcome: Outcome::Complete,
+        prefill: None,
+    };
+    harness.report("a", "t0", kind);
+    assert_eq!(harness.dispatcher.digest().loads, []);
+}
+
+/// Slots of one target that each of three tiers fills, if each comes alone.
+macro_rules! slots_of {
+    ($name:ident, $tier:literal, $slots:literal) => {
+        #[test]
+        fn $name() {
+            let mut harness = harness(&[7]);
+            for i in 0..10 {
+                harness.ask(hurried(&format!("{i}"), $tier));
+            }
+            assert_eq!(harness.grants().len(), $slots);
+        }
+    };
+}
+
+// A review waits for the end of a chat of seconds: chats have filled every slot. Each tier leaves
+// a slot to each one before it.
+slots_of!(the_first_tier_fills_all, 0, 7);
+slots_of!(the_second_leaves_one, 1, 6);
+slots_of!(the_third_leaves_two, 2, 5);
+
+/// Milliseconds for which an ask of a tier waits for a full target before it is refused.
+macro_rules! waits {
+    ($name:ident, $tier:literal, $from:literal, $until:literal) => {
+        #[test]
+        fn $name() {
+            let mut harness = harness(&[1]);
+            harness.ask(ask("runs", 0));
+            harness.verdicts();
+            harness.ask(hurried("waits", $tier));
+            harness.advance(Duration::from_millis($from));
+            assert_eq!(harness.refusals(), []);
+            harness.advance(Duration::from_millis($until - $from));
+            let kind = ErrorKind::DeadlineUnmeetable;
+            assert_eq!(harness.refusals(), refused("waits", kind));
+        }
+    };
+}
+
+// A caller that could come back in time hears too late that there is no place. Bulk is told as
+// soon as its first token would be late; urgent work goes on for a third of its time, since late
+// it is still worth more than bulk.
+waits!(bulk_waits_for_its_objective, 2, 800, 950);
+waits!(urgent_work_waits_on, 0, 2_900, 3_100);
+
+// A customer of a higher rank goes first, whatever the tiers; within a rank tiers decide.
+#[test]
+fn ranks_go_before_tiers() {
+    let mut harness = harness(&[1]);
+    harness.ask(ask("runs", 0));
+    harness.verdicts();
+    for (request, rank, tier) in [("c", 1, 0), ("b", 0, 2), ("a", 0, 1)] {
+        harness.ask(Ask {
+            rank,
+            ..ask(request, tier)
+        });
+    }
+    let mut order = Vec::new();
+    let mut last = "runs".to_owned();
+    while order.len() < 3 {
+        harness.end(&last, "t0");
+        let granted = harness.grants();
+        last.clone_from(&granted[0].0);
+        order.push(last.clone());
+    }
+    assert_eq!(order, ["a", "b", "c"]);
+}
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/pool_load.rs
@@ -0,0 +1,98 @@
+//! Load patterns before a pool of engines: what comes of urgent work, and of the rest, beside ways
+//! to place requests that know nothing of tiers.
+
+use crate::pool_model::naive::{Naive, Pick};
+use crate::pool_model::{self, Kind, Load, Outcome, Placed};
+
+/// Part of the reviews that have their first token in time. The model's engines can read and
+/// generate for all reviews and reports of each pattern at once, so that nothing but a wrong
+/// place or a wrong order can make them late; what is missing to one are prompts of five times
+/// the usual length behind each other.
+const REVIEWS: f64 = 0.97;
+/// Part of the reports.
+const REPORTS: f64 = 0.95;
+/// Part by which a later tier may be answered more often than an earlier one: requests that came
+/// just before a burst.
+const INVERSION: f64 = 0.03;
+
+/// A load under the product's way and under the naive ones.
+struct Played {
+    naive: Vec<(Pick, [Outcome; 3])>,
+    placed: [Outcome; 3],
+}
+
+impl Played {
+    fn new(load: &Load) -> Self {
+        let picks = [Pick::LeastReported, Pick::RoundRobin, Pick::TwoChoices];
+        let naive = picks.into_iter().map(|pick| {
+            let outcomes = pool_model::play(load, &mut Naive::new(pick));
+            (pick, outcomes)
+        });
+        Self {
+            naive: naive.collect(),
+            placed: pool_model::play(load, &mut Placed::new(load, true)),
+        }
+    }
+
+    fn assert_urgent_work_is_in_time(&self) {
+        let [reviews, reports, _] = self.placed.map(|o| o.part_in_time());
+        assert!(reviews >= REVIEWS, "reviews: {reviews}");
+        assert!(reports >= REPORTS, "reports: {reports}");
+        for (pick, outcomes) in &self.naive {
+            let naive = outcomes[Kind::Review as usize].part_in_time();
+            assert!(reviews >= naive, "{pick:?}: {naive} against {reviews}");
+        }
+    }
+
+    fn assert_order(&self) {
+        let answered = self.placed.map(|o| o.part_answered());
+        for pair in answered.windows(2) {
+            assert!(pair[0] + INVERSION >= pair[1], "{answered:?}");
+        }
+    }
+
+    fn assert_chats_answered(&self, part: f64) {
+        let chats = self.placed[Kind::Chat as usize].part_answered();
+        assert!(chats >= part, "chats: {chats}");
+    }
+}
+
+/// A pattern, and the part of the chats that are answered at least.
+macro_rules! pattern {
+    ($name:ident, $load:expr, $chats:literal) => {
+        #[test]
+        fn $name() {
+            for seed in 0..2 {
+                let played = Played::new(&$load(seed));
+                played.assert_urgent_work_is_in_time();
+                played.assert_order();
+                played.assert_chats_answered($chats);
+            }
+        }
+    };
+}
+
+// Nothing is refused on a usual day.
+pattern!(usual_day, Load::usual, 0.99);
+// At the top of the hour all devices wake: 2.1 times the usual rate for three seconds. It fills
+// nine tenths of the slots with chats, if they are let.
+pattern!(hourly_burst, Load::hourly_burst, 0.9);
+// The same while a third of the engines is down. What ran on them is lost, and what they would
+// have run has to find room on the others.
+pattern!(burst_with_engines_down, Load::burst_with_engines_down, 0.7);
+// Four times the usual chats for four seconds, more than all slots can hold. They wait or are
+// refused, and reviews don't notice.
+pattern!(flood_of_chats, Load::flood_of_chats, 0.6);
+
+// Seven daemons that tell each other nothing each see a seventh of the load. They put work where
+// the others have theirs, and chats take every slot: reviews wait at engines, in order of
+// arrival. What the daemons tell each other is what makes the difference.
+#[test]
+fn daemons_that_tell_nothing_make_reviews_late() {
+    let load = Load::flood_of_chats(0);
+    let alone = pool_model::play(&load, &mut Placed::new(&load, false));
+    let told = pool_model::play(&load, &mut Placed::new(&load, true));
+    let reviews = |outcomes: [Outcome; 3]| outcomes[Kind::Review as usize].part_in_time();
+    assert!(reviews(alone) < 0.8, "{}", reviews(alone));
+    assert!(reviews(told) >= REVIEWS, "{}", reviews(told));
+}
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/pool_model.rs
@@ -0,0 +1,162 @@
+//! A pool of unlike engines before a few daemons, on a paused clock: what comes of a load pattern
+//! under a way to place requests.
+//!
+//! Engines batch continuously, read prompts in chunks between the tokens of other requests, admit
+//! in order of arrival and know no tiers, as those of the users do. Steps take 6.12 ms, 32.4
+//! prompt tokens are read in a millisecond, seven requests run at once, and the engines' speeds
+//! are 0.6 and 1.7 in the proportion of one to two: the users' own figures for their engines.
+
+#[path = "pool_model/engine.rs"]
+mod engine;
+#[path = "pool_model/load.rs"]
+pub mod load;
+#[path = "pool_model/naive.rs"]
+pub mod naive;
+#[path = "pool_model/placed.rs"]
+mod placed;
+
+use std::time::Duration;
+
+use engine::Engine;
+pub use load::{Kind, Load};
+pub use placed::Placed;
+
+/// Time between two looks at the pool.
+const TICK: Duration = Duration::from_millis(1);
+/// Part of the time left that a refused caller waits at most before it comes back.
+const RETURN_PART: f64 = 1.0 / 3.0;
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// When its caller first sent it, in milliseconds.
+    pub arrived: u64,
+    /// Daemon that took it.
+    pub daemon: usize,
+    /// Its number.
+    pub id: usize,
+    /// What it is.
+    pub kind: Kind,
+    /// Tokens that it generates.
+    pub output: u32,
+    /// Tokens of its prompt.
+    pub prompt: u32,
+    /// Whether it was refused before.
+    pub returned: bool,
+}
+
+/// What a way to place requests decides.
+#[derive(Clone, Debug)]
+pub enum Decision {
+    /// It goes to this engine.
+    Send(usize, usize),
+    /// Its caller is told to come back after this many milliseconds.
+    Refuse(usize, u64),
+}
+
+/// What happens to a request at an engine.
+#[derive(Clone, Copy, Debug)]
+pub enum Progress {
+    /// It has ended.
+    Ended,
+    /// Its first token came.
+    First,
+    /// So many tokens came since the last word, each so many milliseconds after the other.
+    More(u32, f64),
+}
+
+/// A way to place requests.
+pub trait Policy {
+    /// A request has come.
+    fn arrive(&mut self, request: &Request, now: u64);
+    /// What was decided since the last look.
+    fn decide(&mut self, engines: &[Engine], now: u64) -> Vec<Decision>;
+    /// Something happened to a request at an engine.
+    fn progress(&mut self, request: &Request, engine: usize, progress: Progress, now: u64);
+}
+
+/// What came of the requests of one kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Outcome {
+    /// First token within the objective.
+    pub in_time: u32,
+    /// First token later.
+    pub late: u32,
+    /// Refused for good, or not answered at the end.
+    pub lost: u32,
+}
+
+impl Outcome {
+    /// Part that was in time.
+    pub fn part_in_time(&self) -> f64 {
+        f64::from(self.in_time) / f64::from((self.in_time + self.late + self.lost).max(1))
+    }
+
+    /// Part that was answered at all.
+    pub fn part_answered(&self) -> f64 {
+        let answered = self.in_time + self.late;
+        f64::from(answered) / f64::from((answered + self.lost).max(1))
+    }
+}
+
+/// Plays a load before a pool and returns what came of each kind.
+pub fn play(load: &Load, policy: &mut dyn Policy) -> [Outcome; 3] {
+    let mut engines: Vec<Engine> = (0..load.engines).map(Engine::new).collect();
+    let mut requests = load.requests();
+    let mut coming: Vec<(u64, usize)> = requests.iter().map(|r| (r.arrived, r.id)).collect();
+    let mut first: Vec<Option<u64>> = vec![None; requests.len()];
+    for now in 0..load.end_ms() {
+        for engine in engines.iter_mut().filter(|e| load.is_down(e.number, now)) {
+            engine.crash();
+        }
+        coming.retain(|(at, id)| {
+            let comes = *at <= now;
+            if comes {
+                policy.arrive(&requests[*id], now);
+            }
+            !comes
+        });
+        for decision in policy.decide(&engines, now) {
+            match decision {
+                Decision::Send(id, engine) => engines[engine].take(&requests[id]),
+                Decision::Refuse(id, after) => {
+                    let request = &mut requests[id];
+                    let left = request.left(now);
+                    let after = after.min((left as f64 * RETURN_PART) as u64);
+                    if !std::mem::replace(&mut request.returned, true) && left > 0 {
+                        coming.push((now + after, id));
+                    }
+                }
+            }
+        }
+        for engine in &mut engines {
+            for (id, progress) in engine.run(now) {
+                if matches!(progress, Progress::First) {
+                    first[id].get_or_insert(now);
+                }
+                policy.progress(&requests[id], engine.number, progress, now);
+            }
+        }
+    }
+    outcomes(&requests, &first)
+}
+
+fn outcomes(requests: &[Request], first: &[Option<u64>]) -> [Outcome; 3] {
+    let mut outcomes = [Outcome::default(); 3];
+    for request in requests {
+        let outcome = &mut outcomes[request.kind as usize];
+        match first[request.id].map(|at| at - request.arrived) {
+            None => outcome.lost += 1,
+            Some(after) if after <= request.kind.objective_ms() => outcome.in_time += 1,
+            Some(_) => outcome.late += 1,
+        }
+    }
+    outcomes
+}
+
+impl Request {
+    /// Milliseconds until its caller's deadline.
+    pub fn left(&self, now: u64) -> u64 {
+        (self.arrived + self.kind.deadline_ms()).saturating_sub(now)
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/pool_model/engine.rs
@@ -0,0 +1,128 @@
+//! One engine.
+
+use std::collections::VecDeque;
+
+use super::{Progress, Request};
+
+/// Requests that run at once.
+pub const SLOTS: usize = 7;
+/// Milliseconds of a step without reading.
+const STEP_MS: f64 = 6.12;
+/// Prompt tokens read in a millisecond.
+const READ_PER_MS: f64 = 32.4;
+/// Prompt tokens read between two tokens of the others.
+const CHUNK: u32 = 1_024;
+/// Milliseconds to a first token beside the reading.
+const FIRST_MS: f64 = 64.0;
+/// Milliseconds between two words about a stream.
+const TOLD_EVERY: u64 = 250;
+/// Speeds of the engines, in turn.
+const SPEEDS: [f64; 3] = [0.6, 1.7, 1.7];
+
+/// One engine.
+pub struct Engine {
+    busy_until: f64,
+    pub number: usize,
+    queue: VecDeque<Running>,
+    running: Vec<Running>,
+    speed: f64,
+}
+
+struct Running {
+    id: usize,
+    output_left: u32,
+    prompt_left: u32,
+    told: u32,
+    told_at: u64,
+    begun: bool,
+    warm_at: f64,
+}
+
+impl Engine {
+    pub fn new(number: usize) -> Self {
+        Self {
+            busy_until: 0.0,
+            number,
+            queue: VecDeque::new(),
+            running: Vec::new(),
+            speed: SPEEDS[number % SPEEDS.len()],
+        }
+    }
+
+    /// Requests in its batch and its queue.
+    pub fn load(&self) -> usize {
+        self.queue.len() + self.running.len()
+    }
+
+    pub fn take(&mut self, request: &Request) {
+        self.queue.push_back(Running {
+            id: request.id,
+            output_left: request.output.max(1),
+            prompt_left: request.prompt,
+            told: 0,
+            told_at: 0,
+            begun: false,
+            warm_at: 0.0,
+        });
+    }
+
+    /// Loses all that it has, without a word.
+    pub fn crash(&mut self) {
+        self.queue.clear();
+        self.running.clear();
+    }
+
+    /// Goes on until `now`; tells what happened.
+    pub fn run(&mut self, now: u64) -> Vec<(usize, Progress)> {
+        let mut told = Vec::new();
+        while self.busy_until <= now as f64 {
+            while self.running.len() < SLOTS {
+                let Some(mut next) = self.queue.pop_front() else {
+                    break;
+                };
+                next.warm_at = now as f64 + FIRST_MS / self.speed;
+                self.running.push(next);
+            }
+            if self.running.is_empty() {
+                self.busy_until = (now + 1) as f64;
+                break;
+            }
+            self.step(now, &mut told);
+        }
+        told
+    }
+
+    fn step(&mut self, now: u64, told: &mut Vec<(usize, Progress)>) {
+        let mut reads = self.running.iter_mut().filter(|r| r.prompt_left > 0);
+        let read = reads.next().map_or(0, |first| {
+            let read = first.prompt_left.min(CHUNK);
+            first.prompt_left -= read;
+            read
+        });
+        let took = (STEP_MS + f64::from(read) / READ_PER_MS) / self.speed;
+        self.busy_until = self.busy_until.max(now as f64) + took;
+        let at = self.busy_until;
+        for running in self.running.iter_mut().filter(|r| r.prompt_left == 0) {
+            if running.warm_at > at {
+                continue;
+            }
+            if !std::mem::replace(&mut running.begun, true) {
+                running.told_at = now;
+                told.push((running.id, Progress::First));
+            }
+            running.output_left -= 1;
+            running.told += 1;
+            let since = now - running.told_at;
+            if since >= TOLD_EVERY {
+                let each = since as f64 / f64::from(running.told);
+                told.push((running.id, Progress::More(running.told, each)));
+                running.told = 0;
+                running.told_at = now;
+            }
+            if running.output_left == 0 {
+                told.push((running.id, Progress::Ended));
+            }
+        }
+        self.running.retain(|r| r.output_left > 0);
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/pool_model/load.rs
@@ -0,0 +1,167 @@
+//! Load patterns, from the users' sheet for their depots.
+
+use super::Request;
+
+/// What is asked, in the order of its urgency.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// Review of a contract: 2,890 tokens in, 51 out.
+    Review,
+    /// Report on a visit: 1,800 tokens in, 24 out.
+    Report,
+    /// Chat about a fault: 543 tokens in, 267 out.
+    Chat,
+}
+
+impl Kind {
+    pub const ALL: [Self; 3] = [Self::Review, Self::Report, Self::Chat];
+
+    /// Milliseconds in which its caller expects the first token.
+    pub fn objective_ms(self) -> u64 {
+        [800, 1_200, 1_500][self as usize]
+    }
+
+    /// Milliseconds after which its caller leaves.
+    pub fn deadline_ms(self) -> u64 {
+        [6_000, 4_000, 15_000][self as usize]
+    }
+
+    /// Requests a second on a usual day, over all data centres.
+    fn per_s(self) -> f64 {
+        [16.5, 21.9, 24.5][self as usize]
+    }
+
+    /// Mean lengths of prompt and answer.
+    fn tokens(self) -> (f64, f64) {
+        [(2_890.0, 51.0), (1_800.0, 24.0), (543.0, 267.0)][self as usize]
+    }
+
+    /// Longest prompt.
+    fn longest(self) -> f64 {
+        [18_300.0, 6_870.0, 2_310.0][self as usize]
+    }
+}
+
+/// A load before a pool.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Daemons that take requests in turn by chance.
+    pub daemons: usize,
+    /// Engines that are down, from and until when in milliseconds.
+    pub down: Vec<(usize, u64, u64)>,
+    /// Engines of the pool.
+    pub engines: usize,
+    /// Seed of everything that is drawn.
+    pub seed: u64,
+    /// How many times the usual rate comes, from which second on.
+    pub times: Vec<(u64, [f64; 3])>,
+    /// Seconds in which requests come.
+    pub seconds: u64,
+}
+
+impl Load {
+    /// The users' usual day: seven daemons, twelve engines.
+    pub fn usual(seed: u64) -> Self {
+        Self {
+            daemons: 7,
+            down: Vec::new(),
+            engines: 12,
+            seed,
+            times: vec![(0, [1.0; 3])],
+            seconds: 8,
+        }
+    }
+
+    /// Devices wake on the hour: 2.1 times the usual rate for three seconds.
+    pub fn hourly_burst(seed: u64) -> Self {
+        Self {
+            times: vec![(0, [1.0; 3]), (2, [2.1; 3]), (5, [1.0; 3])],
+            ..Self::usual(seed)
+        }
+    }
+
+    /// The hourly burst while a third of the engines is down.
+    pub fn burst_with_engines_down(seed: u64) -> Self {
+        Self {
+            down: (0..4).map(|engine| (engine * 3, 2_000, 6_000)).collect(),
+            ..Self::hourly_burst(seed)
+        }
+    }
+
+    /// Four times the usual chats, whose answers hold a slot for seconds.
+    pub fn flood_of_chats(seed: u64) -> Self {
+        Self {
+            times: vec![(0, [1.0; 3]), (2, [1.0, 1.0, 4.0]), (6, [1.0; 3])],
+            ..Self::usual(seed)
+        }
+    }
+
+    /// When all callers have their answers or have left.
+    pub fn end_ms(&self) -> u64 {
+        self.seconds * 1_000 + 6_000
+    }
+
+    pub fn is_down(&self, engine: usize, now: u64) -> bool {
+        let mut down = self.down.iter();
+        down.any(|(number, from, until)| *number == engine && (*from..*until).contains(&now))
+    }
+
+    /// All requests, in the order of their coming.
+    pub fn requests(&self) -> Vec<Request> {
+        let mut random = Random(self.seed.wrapping_add(1));
+        let mut requests = Vec::new();
+        for ms in 0..self.seconds * 1_000 {
+            for kind in Kind::ALL {
+                let rate = kind.per_s() * self.times_at(ms / 1_000)[kind as usize];
+                if random.uniform() < rate / 1_000.0 {
+                    requests.push(self.request(kind, ms, requests.len(), &mut random));
+                }
+            }
+        }
+        requests
+    }
+
+    fn request(&self, kind: Kind, arrived: u64, id: usize, random: &mut Random) -> Request {
+        let (prompt, output) = kind.tokens();
+        Request {
+            arrived,
+            daemon: (random.uniform() * self.daemons as f64) as usize,
+            id,
+            kind,
+            output: random.spread(output, 1.5, output * 10.0).max(3.0) as u32,
+            prompt: random.spread(prompt, 1.0, kind.longest()).max(20.0) as u32,
+            returned: false,
+        }
+    }
+
+    fn times_at(&self, second: u64) -> [f64; 3] {
+        let mut past = self.times.iter().filter(|(from, _)| *from <= second);
+        past.next_back().map_or([1.0; 3], |(_, times)| *times)
+    }
+}
+
+/// The same draws in every run.
+pub struct Random(u64);
+
+impl Random {
+    pub fn new(seed: u64) -> Self {
+        Self(seed)
+    }
+
+    /// At least 0, below 1.
+    pub fn uniform(&mut self) -> f64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
+    /// Log-normal with this mean and sigma.
+    fn spread(&mut self, mean: f64, sigma: f64, most: f64) -> f64 {
+        let (a, b) = (self.uniform().max(1e-12), self.uniform());
+        let normal = (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos();
+        let median = mean / (sigma * sigma / 2.0).exp();
+        (median * (sigma * normal).exp()).min(most)
+    }
+}
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/pool_model/naive.rs
@@ -0,0 +1,78 @@
+//! Ways to place requests that know nothing of tiers, and send everything at once.
+
+use super::load::Random;
+use super::{Decision, Engine, Policy, Progress, Request};
+
+/// Milliseconds by which an engine's report of its load lags.
+const LAG: u64 = 1_500;
+
+/// How an engine is picked.
+#[derive(Clone, Copy, Debug)]
+pub enum Pick {
+    /// The least loaded by its last report.
+    LeastReported,
+    /// One after the other.
+    RoundRobin,
+    /// The less loaded of two, by its last report.
+    TwoChoices,
+}
+
+/// A naive way to place requests.
+pub struct Naive {
+    coming: Vec<usize>,
+    next: usize,
+    pick: Pick,
+    random: Random,
+    reported: Vec<usize>,
+    reports: Vec<(u64, Vec<usize>)>,
+}
+
+impl Naive {
+    pub fn new(pick: Pick) -> Self {
+        Self {
+            coming: Vec::new(),
+            next: 0,
+            pick,
+            random: Random::new(7),
+            reported: Vec::new(),
+            reports: Vec::new(),
+        }
+    }
+
+    fn pick(&mut self, engines: usize) -> usize {
+        self.next += 1;
+        let reported = |engine: usize| self.reported.get(engine).copied().unwrap_or(0);
+        match self.pick {
+            Pick::RoundRobin => self.next % engines,
+            Pick::LeastReported => (0..engines).min_by_key(|e| reported(*e)).unwrap_or(0),
+            Pick::TwoChoices => {
+                let a = (self.random.uniform() * engines as f64) as usize;
+                let b = (self.random.uniform() * engines as f64) as usize;
+                if reported(a) <= reported(b) { a } else { b }
+            }
+        }
+    }
+}
+
+impl Policy for Naive {
+    fn arrive(&mut self, request: &Request, _: u64) {
+        self.coming.push(request.id);
+    }
+
+    fn decide(&mut self, engines: &[Engine], now: u64) -> Vec<Decision> {
+        if now.is_multiple_of(100) {
+            let loads = engines.iter().map(Engine::load).collect();
+            self.reports.push((now, loads));
+        }
+        let seen = self.reports.iter().rfind(|(at, _)| at + LAG <= now);
+        if let Some((_, loads)) = seen {
+            self.reported.clone_from(loads);
+        }
+        let coming = std::mem::take(&mut self.coming);
+        let sent = coming.into_iter();
+        sent.map(|id| Decision::Send(id, self.pick(engines.len())))
+            .collect()
+    }
+
+    fn progress(&mut self, _: &Request, _: usize, _: Progress, _: u64) {}
+}
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/quota.rs
@@ -0,0 +1,264 @@
+//! Quotas of customers over several daemons that tell each other what they let pass.
+
+use std::time::{Duration, Instant};
+
+use lilaccrank::document::{Quota, QuotaUnit};
+use lilaccrank::quota::{Quotas, Wish};
+
+const CUSTOMER: &str = "depot";
+/// Time between two messages of a daemon.
+const TOLD_EVERY: Duration = Duration::from_millis(20);
+/// Tokens of one request: a review of a contract.
+const REVIEW: u64 = 3_000;
+/// A hundred thousand tokens a second, and as many at once.
+const QUOTA: Quota = Quota {
+    burst: 100_000.0,
+    per_s: 100_000.0,
+    plain_tokens: 200,
+    unit: QuotaUnit::Tokens,
+};
+
+/// Daemons that get more requests than the quota allows, in turn.
+struct Fleet {
+    daemons: Vec<Quotas>,
+    now: Instant,
+    passed: Vec<(Instant, u64)>,
+    start: Instant,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let start = Instant::now();
+        Self {
+            daemons: (0..count).map(|_| Quotas::new(3, start)).collect(),
+            now: start,
+            passed: Vec::new(),
+            start,
+        }
+    }
+
+    fn wish(tier: u8, units: u64) -> Wish {
+        Wish { tier, units }
+    }
+
+    fn spend(&mut self, at: usize, wish: Wish) -> bool {
+        let spent = self.daemons[at].spend(&CUSTOMER.to_owned(), QUOTA, wish, self.now);
+        if spent.is_ok() {
+            self.passed.push((self.now, wish.units));
+        }
+        spent.is_ok()
+    }
+
+    /// Each daemon of `tellers` tells all those that `hears` lets it reach.
+    fn tell(&mut self, hears: impl Fn(usize, usize) -> bool) {
+        for from in 0..self.daemons.len() {
+            let spent = self.daemons[from].spent(self.now);
+            for to in (0..self.daemons.len()).filter(|to| *to != from) {
+                if hears(from, to) {
+                    self.daemons[to].heard(&format!("vm{from}"), 1, &spent, self.now);
+                }
+            }
+        }
+    }
+
+    /// Three times the quota comes for `time`, evenly over the daemons; each tells the others that
+    /// `hears` lets it reach.
+    fn press(&mut self, time: Duration, hears: impl Fn(usize, usize) -> bool) {
+        let until = self.now + time;
+        let mut at = 0;
+        while self.now < until {
+            let coming = QUOTA.per_s * 3.0 * TOLD_EVERY.as_secs_f64();
+            for _ in 0..(coming / REVIEW as f64) as usize {
+                at = (at + 1) % self.daemons.len();
+                self.spend(at, Self::wish(0, REVIEW));
+            }
+            self.tell(&hears);
+            self.now += TOLD_EVERY;
+        }
+    }
+
+    /// The most that passed in any window of this length.
+    fn most_in(&self, window: Duration) -> u64 {
+        let starts = self.passed.iter().map(|(at, _)| *at);
+        let in_window = |start: Instant| {
+            let passed = self.passed.iter();
+            let passed = passed.filter(|(at, _)| *at >= start && *at < start + window);
+            passed.map(|(_, units)| units).sum()
+        };
+        starts.map(in_window).max().unwrap_or(0)
+    }
+}
+
+/// What a window may hold of the quota alone.
+fn allowed(window: Duration) -> f64 {
+    QUOTA.per_s * window.as_secs_f64() + QUOTA.burst
+}
+
+const WINDOW: Duration = Duration::from_secs(8);
+
+// A large customer sends three times its quota to seven daemons. Each of them alone sees less than
+// the quota; with a bucket of its own each would let all of it pass. Hearing of each other they
+// let pass what the quota says, and not much less: what is refused below it is lost to the
+// customer.
+#[test]
+fn a_fleet_lets_pass_what_one_daemon_would() {
+    let mut fleet = Fleet::new(7);
+    fleet.press(Duration::from_secs(12), |_, _| true);
+    let most = fleet.most_in(WINDOW) as f64;
+    assert!(most <= allowed(WINDOW) * 1.02, "{most}");
+    let passed: u64 = fleet.passed.iter().map(|(_, units)| units).sum();
+    let seconds = (fleet.now - fleet.start).as_secs_f64();
+    assert!(passed as f64 >= QUOTA.per_s * (seconds - 1.0), "{passed}");
+}
+
+// The naive way beside it: daemons that hear nothing and take the whole rate each let seven times
+// the quota pass. This is what the messages are for.
+#[test]
+fn buckets_of_their_own_let_a_multiple_pass() {
+    let mut alone: Vec<Quotas> = (0..7).map(|_| Quotas::new(0, Instant::now())).collect();
+    let mut now = Instant::now() + Duration::from_secs(1);
+    let mut passed = 0;
+    for step in 0..700 {
+        now += Duration::from_millis(10);
+        let daemon = &mut alone[step % 7];
+        for _ in 0..3 {
+            let wish = Fleet::wish(0, REVIEW);
+            let spent = daemon.spend(&CUSTOMER.to_owned(), QUOTA, wish, now);
+            passed += u64::from(spent.is_ok()) * REVIEW;
+        }
+    }
+    assert!(passed as f64 > 1.7 * (QUOTA.per_s * 7.0), "{passed}");
+}
+
+// A data centre with three of seven daemons is cut off for six seconds while the customer presses
+// on both sides. Neither side can know what the other lets pass; each takes its own part only.
+// Together with the time before and after they stay within the quota and the burst of a restart.
+#[test]
+fn both_sides_of_a_cut_stay_within_their_parts() {
+    let mut fleet = Fleet::new(7);
+    fleet.press(Duration::from_secs(5), |_, _| true);
+    let side = |daemon: usize| daemon < 3;
+    fleet.press(Duration::from_secs(6), |from, to| side(from) == side(to));
+    fleet.press(Duration::from_secs(5), |_, _| true);
+    let most = fleet.most_in(WINDOW) as f64;
+    assert!(most <= allowed(WINDOW) * 1.1, "{most}");
+}
+
+// A daemon that is cut off alone goes on serving its part: its callers are not turned away for a
+// cut that is not theirs.
+#[test]
+fn a_daemon_that_is_cut_off_serves_its_part() {
+    let mut fleet = Fleet::new(7);
+    fleet.press(Duration::from_secs(3), |_, _| true);
+    let before = fleet.passed.len();
+    fleet.press(Duration::from_secs(5), |from, to| from != 0 && to != 0);
+    let cut_off = fleet.passed.len() - before;
+    assert!(cut_off > 0);
+    let mut alone = 0;
+    for _ in 0..50 {
+        fleet.now += Duration::from_millis(100);
+        fleet.daemons[0].look(fleet.now);
+        alone += u64::from(fleet.spend(0, Fleet::wish(0, REVIEW))) * REVIEW;
+    }
+    let part = QUOTA.per_s * 5.0 / 7.0;
+    assert!(
+        (part * 0.9..part * 1.5).contains(&(alone as f64)),
+        "{alone}"
+    );
+}
+
+// A machine stands still for four seconds while the others spend the whole quota. When it wakes
+// it has heard none of that; filled up for the time, it would let a whole burst pass on top.
+#[test]
+fn a_daemon_that_stood_still_fills_nothing_up() {
+    let mut fleet = Fleet::new(7);
+    fleet.press(Duration::from_secs(4), |_, _| true);
+    fleet.press(Duration::from_secs(4), |from, to| from != 0 && to != 0);
+    let mut at_once = 0;
+    while fleet.spend(0, Fleet::wish(0, REVIEW)) {
+        at_once += REVIEW;
+    }
+    assert!(
+        (at_once as f64) < QUOTA.burst / 7.0 + REVIEW as f64,
+        "{at_once}"
+    );
+}
+
+// One datagram in three is lost. Counts are told as sums since the start, so that the next
+// datagram makes good what the lost one would have told.
+#[test]
+fn lost_messages_are_made_good() {
+    let mut fleet = Fleet::new(7);
+    let drawn = std::cell::Cell::new(1_u32);
+    fleet.press(Duration::from_secs(12), |_, _| {
+        drawn.set(
+            drawn
+                .get()
+                .wrapping_mul(1_664_525)
+                .wrapping_add(1_013_904_223),
+        );
+        !(drawn.get() >> 16).is_multiple_of(3)
+    });
+    let most = fleet.most_in(WINDOW) as f64;
+    assert!(most <= allowed(WINDOW) * 1.03, "{most}");
+}
+
+// All daemons are killed and started at once while a customer presses. New lives know nothing; a
+// full bucket each would be seven bursts at once.
+#[test]
+fn new_lives_start_with_little() {
+    let mut fleet = Fleet::new(7);
+    let mut at_once = 0;
+    for at in 0..7 {
+        while fleet.spend(at, Fleet::wish(0, REVIEW)) {
+            at_once += REVIEW;
+        }
+    }
+    assert_eq!(at_once, 0);
+}
+
+/// What is left in the bucket, as a part of the burst, and whether a request passes.
+macro_rules! tiers {
+    ($name:ident, $left:literal, $tier:literal, $units:literal, $passes:literal) => {
+        #[test]
+        fn $name() {
+            let mut quotas = Quotas::new(0, Instant::now());
+            let mut now = Instant::now();
+            // Fills the bucket, then takes out all but what is to be left.
+            for _ in 0..4 {
+                now += Duration::from_millis(500);
+                quotas.look(now);
+            }
+            let taken = Fleet::wish(0, (QUOTA.burst * (1.0 - $left)) as u64);
+            let customer = CUSTOMER.to_owned();
+            quotas.spend(&customer, QUOTA, taken, now).unwrap();
+            let wish = Fleet::wish($tier, $units);
+            assert_eq!(quotas.spend(&customer, QUOTA, wish, now).is_ok(), $passes);
+        }
+    };
+}
+
+// A customer at its limit asks for reviews and chats at once. In the order of their coming its
+// reviews would be refused for chats; so the last tiers leave a part to those before them. What
+// is small takes nothing noticeable from the others and passes.
+tiers!(urgent_takes_what_is_left, 0.1, 0, 3_000, true);
+tiers!(bulk_leaves_a_part_to_urgent, 0.6, 2, 3_000, false);
+tiers!(bulk_passes_while_there_is_plenty, 0.9, 2, 3_000, true);
+tiers!(the_middle_leaves_a_third, 0.3, 1, 3_000, false);
+tiers!(the_middle_passes_before_bulk, 0.5, 1, 3_000, true);
+tiers!(small_requests_pass_with_urgent, 0.1, 2, 200, true);
+
+// A request is let pass and then refused for another reason. It did not run: the customer gets
+// back what it took.
+#[test]
+fn what_did_not_run_is_given_back() {
+    let mut quotas = Quotas::new(0, Instant::now());
+    let now = Instant::now() + Duration::from_millis(500);
+    let customer = CUSTOMER.to_owned();
+    let all = Fleet::wish(0, 48_000);
+    quotas.spend(&customer, QUOTA, all, now).unwrap();
+    let refused = quotas.spend(&customer, QUOTA, all, now).unwrap_err();
+    assert!(refused.retry_after > Duration::from_millis(400));
+    quotas.refund(&customer, 48_000);
+    assert!(quotas.spend(&customer, QUOTA, all, now).is_ok());
+}
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -190,6 +190,9 @@
     match sent {
         Ok(()) => Outcome::Complete,
         Err(failed) if failed.refusal.kind.is_from_outside() => Outcome::Cancelled,
+        Err(failed) if failed.refusal.kind == ErrorKind::NoTarget => Outcome::Unused,
+        Err(failed) if failed.answer.is_some() => Outcome::Erred,
+        Err(failed) if failed.how == Failure::NotRun => Outcome::Erred,
         Err(_) => Outcome::Failed,
     }
 }
--- /dev/null
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -0,0 +1,7 @@
+//! Tests of the daemon's parts that need no process; a folder beside this file holds them by
+//! subject.
+
+#[path = "suite/heard.rs"]
+mod heard;
+#[path = "suite/listing.rs"]
+mod listing;
