Each daemon judges by its own silence which entries may have lapsed

Change: the adapter tells what the store says and nothing else; what went missing is kept in the product, by each daemon for itself, after a silence that is long enough for entries to lapse. What is kept is told nobody. A watcher without access asks the others as often as anybody.

--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -32,10 +32,14 @@
         turn += 1;
         let heard = daemon.heard.age(MonoioClock.boot());
         let stale = heard.is_none_or(|age| age > FRESH);
-        if daemon.duties.is_watcher() && !stale {
+        let direct = daemon.heard.direct_age(MonoioClock.boot());
+        let follows = direct.is_some_and(|age| age < FRESH);
+        if daemon.duties.is_watcher() && follows {
             continue;
         }
-        let asked = if stale && turn % 2 == 0 {
+        // A watcher that is turned away hears of others what the platform tells them.
+        let needs_others = stale || daemon.duties.is_watcher();
+        let asked = if needs_others && turn % 2 == 0 {
             any_member(daemon)
         } else {
             watcher(daemon, turn)
@@ -51,7 +55,6 @@
     let listing = daemon.live_list.listing();
     let asker_has = Listing {
         revision: asked.revision,
-        tentative: asked.tentative,
         ..Listing::default()
     };
     let now = MonoioClock.boot();
@@ -87,7 +90,6 @@
     let known = daemon.live_list.listing();
     let req = FeedAsk {
         revision: known.revision,
-        tentative: known.tentative,
     };
     let told: Feed = match daemon.peers.call(vm, req).await {
         Ok(told) => told,
--- a/crates/lilaccrankd/src/configuration/heard.rs
+++ b/crates/lilaccrankd/src/configuration/heard.rs
@@ -8,6 +8,12 @@
 
 use lilaccrank::clock::BootTime;
 
+/// Silence after which entries of targets that live may have lapsed: a target renews its entry
+/// every second or so, and it lapses after three times as long.
+const OUTAGE: Duration = Duration::from_millis(2_200);
+/// Time after such a silence in which living targets come back. What is missing then has gone.
+pub const RETURN_TIME: Duration = Duration::from_millis(2_200);
+
 /// When the platform was last heard.
 #[derive(Default)]
 pub struct Heard {
@@ -17,6 +23,8 @@
     directly: Cell<Option<BootTime>>,
     /// Of the list of targets, by whichever way.
     list: Cell<Option<BootTime>>,
+    /// When the last silence about the list ended in which entries may have lapsed.
+    outage_ended: Cell<Option<BootTime>>,
     /// By a watcher itself, which told so.
     watcher: Cell<Option<BootTime>>,
 }
@@ -30,13 +38,16 @@
 
     /// The platform answered this daemon about the list of targets.
     pub fn list(&self, at: BootTime) {
+        if self.list_age(at).is_some_and(|silence| silence > OUTAGE) {
+            later(&self.outage_ended, at);
+        }
         later(&self.list, at);
     }
 
     /// Another daemon had heard it at `at`.
     pub fn from_peer(&self, at: BootTime) {
         later(&self.configuration, at);
-        later(&self.list, at);
+        self.list(at);
     }
 
     /// A watcher had heard it itself at `at`.
@@ -51,6 +62,14 @@
         Some(now.saturating_sub(at))
     }
 
+    /// Whether entries of targets that live may be missing from a list that comes now.
+    #[must_use]
+    pub fn may_lapse(&self, now: BootTime) -> bool {
+        let silent = self.list_age(now).is_some_and(|age| age > OUTAGE);
+        let ended = self.outage_ended.get();
+        silent || ended.is_some_and(|ended| now.saturating_sub(ended) < RETURN_TIME)
+    }
+
     /// How long ago it was last heard of the list of targets.
     #[must_use]
     pub fn list_age(&self, now: BootTime) -> Option<Duration> {
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -78,8 +78,6 @@
 pub struct FeedAsk {
     /// Revision of the list of targets that the asker has.
     pub revision: u64,
-    /// Tentative targets in it.
-    pub tentative: usize,
 }
 
 /// Tells what a daemon knows of the platform, and how old that is.
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -2,18 +2,23 @@
 //!
 //! The watchers of a data centre read it, the other daemons hear it from them, so that the calls
 //! at the platform grow with the data centres and not with the daemons.
+//!
+//! While the platform is away, targets can't renew their entries, and entries of targets that live
+//! lapse. Each daemon judges by itself: what is missing after a silence of the platform, by
+//! whichever way it is heard, stays for as long as it takes a living target to come back.
 
 use std::cell::{Cell, RefCell};
-use std::cmp::Reverse;
 use std::rc::Rc;
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use lilaccrank::clock::BootTime;
+use lilaccrank::clock::{BootTime, Clock};
 use lilaccrank::document::{Pool, Target, TargetState};
-use lilaccrank::ids::{PoolId, VmId};
+use lilaccrank::ids::{PoolId, TargetId, VmId};
+use lilaccrank_http::monoio_clock::MonoioClock;
 use serde::{Deserialize, Serialize};
 
+use crate::configuration::heard::RETURN_TIME;
 use crate::daemon::Daemon;
 use crate::orders::keeper;
 use crate::pools::server;
@@ -27,33 +32,32 @@
     pub revision: u64,
     /// Targets by pool, for pools that name none themselves.
     pub targets: IndexMap<PoolId, Vec<Target>>,
-    /// How many of the targets are not in the platform's list any more, and may only have lapsed
-    /// while it was away.
-    pub tentative: usize,
+}
+
+/// What this daemon knows of the list.
+#[derive(Default)]
+pub struct LiveList {
+    confirmed: Cell<Option<BootTime>>,
+    /// Targets that went missing and may only have lapsed.
+    lapsed: RefCell<IndexMap<TargetId, (PoolId, Target)>>,
+    listing: RefCell<Rc<Listing>>,
 }
 
 impl Listing {
-    /// Whether this list is to take the place of `known`.
-    ///
-    /// A list that went another way would bring back targets that have left. Of two lists of one
-    /// revision the one with fewer tentative targets knows better: its daemon could ask all the
-    /// time.
+    /// Whether this list is to take the place of `known`. A list that went another way would bring
+    /// back targets that have left.
     #[must_use]
     pub fn replaces(&self, known: &Self) -> bool {
-        let counts_changes = self.revision > 0;
-        if !counts_changes {
-            return known.revision == 0 && self != known;
+        match (self.revision, known.revision) {
+            (0, 0) => self != known,
+            (revision, known) => revision > known,
         }
-        let place = |listing: &Self| (listing.revision, Reverse(listing.tentative));
-        place(self) > place(known)
     }
-}
 
-/// What this daemon knows of the list.
-#[derive(Default)]
-pub struct LiveList {
-    confirmed: Cell<Option<BootTime>>,
-    listing: RefCell<Rc<Listing>>,
+    fn all(&self) -> impl Iterator<Item = (&PoolId, &Target)> {
+        let pools = self.targets.iter();
+        pools.flat_map(|(pool, targets)| targets.iter().map(move |target| (pool, target)))
+    }
 }
 
 impl LiveList {
@@ -68,7 +72,7 @@
         Some(now.saturating_sub(self.confirmed.get()?))
     }
 
-    /// What is known.
+    /// What the platform said last.
     #[must_use]
     pub fn listing(&self) -> Rc<Listing> {
         Rc::clone(&self.listing.borrow())
@@ -79,10 +83,13 @@
     pub fn apply(&self, pool: &Pool) -> Pool {
         let listing = self.listing.borrow();
         let mut pool = pool.clone();
-        if pool.listed
-            && let Some(listed) = listing.targets.get(&pool.id)
-        {
-            pool.targets.extend_from_slice(listed);
+        if pool.listed {
+            let listed = listing.targets.get(&pool.id).into_iter().flatten();
+            pool.targets.extend(listed.cloned());
+            let lapsed = self.lapsed.borrow();
+            let lapsed = lapsed.values().filter(|(of, _)| *of == pool.id);
+            pool.targets
+                .extend(lapsed.map(|(_, target)| target.clone()));
         }
         for target in &mut pool.targets {
             let vm = target.vm.as_ref().unwrap_or(&target.id);
@@ -97,26 +104,79 @@
     #[must_use]
     pub fn find(&self, pool: &str, target: &str) -> Option<Target> {
         let listing = self.listing.borrow();
-        let listed = listing.targets.get(pool)?;
-        listed.iter().find(|listed| listed.id == target).cloned()
+        let listed = listing.targets.get(pool).into_iter().flatten();
+        let listed = listed.filter(|listed| listed.id == target);
+        listed.cloned().next().or_else(|| {
+            let lapsed = self.lapsed.borrow();
+            lapsed.get(target).map(|(_, target)| target.clone())
+        })
+    }
+
+    /// Takes over a list if it replaces the one known; whether it did. `may_lapse` if entries of
+    /// targets that live may be missing from it.
+    pub fn take(&self, listing: Listing, may_lapse: bool) -> bool {
+        let known = self.listing();
+        if !listing.replaces(&known) {
+            return false;
+        }
+        let listed: IndexSet<&TargetId> = listing.all().map(|(_, target)| &target.id).collect();
+        let mut lapsed = self.lapsed.borrow_mut();
+        lapsed.retain(|id, _| may_lapse && !listed.contains(id));
+        if may_lapse {
+            // One that had said that it leaves has left.
+            let missing = known.all().filter(|(_, target)| {
+                target.state == TargetState::Live && !listed.contains(&target.id)
+            });
+            let missing = missing.map(|(pool, t)| (t.id.clone(), (pool.clone(), t.clone())));
+            lapsed.extend(missing);
+        }
+        drop(listed);
+        log::info!(
+            lapsed = lapsed.len(),
+            leaving = listing.leaving.len(),
+            revision = listing.revision,
+            targets = listing.all().count();
+            "list of targets"
+        );
+        *self.listing.borrow_mut() = Rc::new(listing);
+        true
+    }
+
+    /// Drops targets that did not come back; whether there were any.
+    pub fn forget_lapsed(&self) -> bool {
+        let lapsed = self.lapsed.take();
+        for id in lapsed.keys() {
+            log::info!(target_id = id; "a target did not come back after the silence: it has gone");
+        }
+        !lapsed.is_empty()
     }
 }
 
-/// Takes over a list, unless the one known is better, see [`Listing::replaces`].
+/// Takes over a list that the daemon was told.
 pub fn take(daemon: &Rc<Daemon>, listing: Listing) {
-    let list = &daemon.live_list.listing;
-    let known = Rc::clone(&list.borrow());
-    if !listing.replaces(&known) {
+    let may_lapse = daemon.heard.may_lapse(MonoioClock.boot());
+    if !daemon.live_list.take(listing, may_lapse) {
         return;
     }
-    log::info!(
-        leaving = listing.leaving.len(),
-        revision = listing.revision,
-        targets = listing.targets.values().map(Vec::len).sum::<usize>(),
-        tentative = listing.tentative;
-        "list of targets"
-    );
-    *list.borrow_mut() = Rc::new(listing);
+    changed(daemon);
+    if !daemon.live_list.lapsed.borrow().is_empty() {
+        monoio::spawn(wait_for_lapsed(Rc::clone(daemon)));
+    }
+}
+
+async fn wait_for_lapsed(daemon: Rc<Daemon>) {
+    loop {
+        monoio::time::sleep(RETURN_TIME).await;
+        if !daemon.heard.may_lapse(MonoioClock.boot()) {
+            break;
+        }
+    }
+    if daemon.live_list.forget_lapsed() {
+        changed(&daemon);
+    }
+}
+
+fn changed(daemon: &Rc<Daemon>) {
     server::configuration_changed(daemon);
     keeper::reconcile(daemon);
 }
