--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -105,8 +105,8 @@
     pub fn find(&self, pool: &str, target: &str) -> Option<Target> {
         let listing = self.listing.borrow();
         let listed = listing.targets.get(pool).into_iter().flatten();
-        let listed = listed.filter(|listed| listed.id == target);
-        listed.cloned().next().or_else(|| {
+        let mut listed = listed.filter(|listed| listed.id == target);
+        listed.next().cloned().or_else(|| {
             let lapsed = self.lapsed.borrow();
             lapsed.get(target).map(|(_, target)| target.clone())
         })
