Quotas: what is given back is told to the other daemons, and a refusal says what was left

Cause: on full engines half of what passes a quota is refused for want of room and given back, but only at the daemon that took it; the others went on as if it had run. Change: each daemon tells two counts that only grow, what passed and what came back. Seen failing first: what_is_given_back_is_told.

--- a/crates/lilaccrank/src/quota.rs
+++ b/crates/lilaccrank/src/quota.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::document::Quota;
@@ -47,8 +48,14 @@
 #[derive(Clone, Copy, Debug, Error, PartialEq)]
 #[error("the quota is spent, try again in {retry_after:?}")]
 pub struct Error {
+    /// What is left of it, as far as is known.
+    pub left: f64,
+    /// The part that the daemons which hear each other may spend.
+    pub part: f64,
     /// When there is room again.
     pub retry_after: Duration,
+    /// What would have to be left, with what is kept for tiers before.
+    pub wanted: f64,
 }
 
 /// What a request takes out of a quota.
@@ -70,8 +77,31 @@
     }
 }
 
-/// What one daemon has let pass of one customer since it started.
-pub type Spent = u64;
+/// What one daemon has let pass of one customer since it started, and what it took back of that.
+///
+/// Both only grow, so that messages may be lost, or come in any order.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Spent {
+    /// Units that passed.
+    pub passed: u64,
+    /// Units of these that did not run after all.
+    pub returned: u64,
+}
+
+impl Spent {
+    /// The later of two counts of one life.
+    fn later(self, other: Self) -> Self {
+        Self {
+            passed: self.passed.max(other.passed),
+            returned: self.returned.max(other.returned),
+        }
+    }
+
+    /// Units spent since an earlier count.
+    fn since(self, earlier: Self) -> f64 {
+        (self.passed - earlier.passed) as f64 - (self.returned - earlier.returned) as f64
+    }
+}
 
 /// All that a daemon knows of quotas.
 #[derive(Debug)]
@@ -136,20 +166,25 @@
         if account.left < wanted {
             let missing = (wanted - account.left) / (quota.per_s * part);
             let retry_after = Duration::try_from_secs_f64(missing).unwrap_or(Duration::MAX);
-            return Err(Error { retry_after });
+            return Err(Error {
+                left: account.left,
+                part,
+                retry_after,
+                wanted,
+            });
         }
         account.left -= wish.units as f64;
-        account.spent += wish.units;
+        account.spent.passed += wish.units;
         account.changed = now;
         Ok(())
     }
 
     /// Gives back what was let pass and did not run after all.
-    pub fn refund(&mut self, customer: &CustomerId, units: u64) {
+    pub fn refund(&mut self, customer: &CustomerId, units: u64, now: Instant) {
         if let Some(account) = self.accounts.get_mut(customer) {
             account.left += units as f64;
-            // Counts only grow, so that messages may come in any order: the refund lowers what is
-            // taken out next, here; the others miss it, which is on the safe side.
+            account.spent.returned += units;
+            account.changed = now;
         }
     }
 
@@ -198,10 +233,12 @@
         peer.incarnation = incarnation;
         for (customer, spent) in spent {
             // The first word about a customer may tell of times long past.
-            let before = peer.spent.insert(customer.clone(), *spent);
-            let new = spent.saturating_sub(before.unwrap_or(*spent));
+            let known = peer.spent.entry(customer.clone()).or_insert(*spent);
+            let later = known.later(*spent);
+            let new = later.since(*known);
+            *known = later;
             if let Some(account) = self.accounts.get_mut(customer) {
-                account.left -= new as f64;
+                account.left -= new;
             }
         }
     }
@@ -231,7 +268,7 @@
             changed: now,
             filled: started,
             left: 0.0,
-            spent: 0,
+            spent: Spent::default(),
         })
     }
 }
--- a/crates/lilaccrank/tests/suite/quota.rs
+++ b/crates/lilaccrank/tests/suite/quota.rs
@@ -41,6 +41,12 @@
         Wish { tier, units }
     }
 
+    /// Gives the last request that passed back at the daemon that let it pass.
+    fn refund(&mut self, at: usize) {
+        let (_, units) = self.passed.pop().unwrap();
+        self.daemons[at].refund(&CUSTOMER.to_owned(), units, self.now);
+    }
+
     fn spend(&mut self, at: usize, wish: Wish) -> bool {
         let spent = self.daemons[at].spend(&CUSTOMER.to_owned(), QUOTA, wish, self.now);
         if spent.is_ok() {
@@ -259,6 +265,61 @@
     quotas.spend(&customer, QUOTA, all, now).unwrap();
     let refused = quotas.spend(&customer, QUOTA, all, now).unwrap_err();
     assert!(refused.retry_after > Duration::from_millis(400));
-    quotas.refund(&customer, 48_000);
+    quotas.refund(&customer, 48_000, now);
     assert!(quotas.spend(&customer, QUOTA, all, now).is_ok());
 }
+
+// Engines are full and half of what passes the quota is refused for want of room. Each daemon
+// gives back what it took, and the others hear of it; if they did not, a customer would be
+// refused for requests that never ran, at all daemons but one.
+#[test]
+fn what_is_given_back_is_told() {
+    let mut fleet = Fleet::new(7);
+    let steps = 600;
+    for step in 0..steps {
+        for turn in 0..4 {
+            let at = (step + turn) % 7;
+            if fleet.spend(at, Fleet::wish(0, REVIEW)) && turn % 2 == 0 {
+                fleet.refund(at);
+            }
+        }
+        fleet.tell(|_, _| true);
+        fleet.now += TOLD_EVERY;
+    }
+    let passed: u64 = fleet.passed.iter().map(|(_, units)| units).sum();
+    let seconds = (fleet.now - fleet.start).as_secs_f64();
+    assert!(passed as f64 >= QUOTA.per_s * (seconds - 1.0), "{passed}");
+    let most = fleet.most_in(WINDOW) as f64;
+    assert!(most <= allowed(WINDOW) * 1.02, "{most}");
+}
+
+// An older datagram overtaken by a newer one tells less than what is known. It takes nothing
+// back, and the next one doesn't count again what was counted.
+#[test]
+fn a_message_that_comes_late_counts_nothing_twice() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(1);
+    let customer = CUSTOMER.to_owned();
+    let mut teller = Quotas::new(1, start);
+    let mut hearer = Quotas::new(1, start);
+    let mut told = vec![teller.spent(now)];
+    for _ in 0..3 {
+        teller
+            .spend(&customer, QUOTA, Fleet::wish(0, 10_000), now)
+            .unwrap();
+        told.push(teller.spent(now));
+    }
+    hearer.heard(&"vm0".to_owned(), 1, &told[0], now);
+    // The hearer knows the customer, and has half a bucket left.
+    hearer
+        .spend(&customer, QUOTA, Fleet::wish(0, 1), now)
+        .unwrap();
+    for at in [1, 3, 2, 3, 2, 3] {
+        hearer.heard(&"vm0".to_owned(), 1, &told[at], now);
+    }
+    assert!(
+        hearer
+            .spend(&customer, QUOTA, Fleet::wish(0, 75_000), now)
+            .is_ok()
+    );
+}
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -22,6 +22,7 @@
 use crate::daemon::{Daemon, InProgress};
 use crate::request::key_state::{self, Access};
 use crate::request::life::{self, Routed};
+use crate::request::quotas::Wanting;
 use crate::request::run::{Reader, Run};
 
 /// Answers one request, or refuses it.
@@ -73,10 +74,14 @@
         }
         Access::Own(key) => key,
     };
-    let charge = match daemon
-        .quotas
-        .charge(customer.as_ref(), &caller.facts, route.tier)
-    {
+    let id = daemon.next_request_id();
+    let wanting = Wanting {
+        customer: customer.as_ref(),
+        facts: &caller.facts,
+        request: caller.name(&id),
+        tier: route.tier,
+    };
+    let charge = match daemon.quotas.charge(wanting) {
         Ok(charge) => charge,
         Err(refusal) => {
             key.release().await;
@@ -89,7 +94,6 @@
     if let Some(scoped) = caller.scoped_key() {
         daemon.answers.insert(scoped, Rc::clone(&run));
     }
-    let id = daemon.next_request_id();
     log::info!(
         age_ms = log_age(daemon),
         customer = caller.facts.customer,
--- a/crates/lilaccrankd/src/request/quotas.rs
+++ b/crates/lilaccrankd/src/request/quotas.rs
@@ -20,6 +20,19 @@
     inner: RefCell<quota::Quotas>,
 }
 
+/// A request that wants to pass.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanting<'a> {
+    /// Whose it is.
+    pub customer: Option<&'a Customer>,
+    /// What it counts by.
+    pub facts: &'a Facts,
+    /// What logs call it.
+    pub request: &'a str,
+    /// Its tier.
+    pub tier: Tier,
+}
+
 /// What a request took out of its customer's quota.
 #[derive(Clone, Debug)]
 pub struct Charge {
@@ -41,20 +54,28 @@
     /// # Errors
     ///
     /// [`ErrorKind::RateLimited`] beyond the quota.
-    pub fn charge(
-        &self,
-        customer: Option<&Customer>,
-        facts: &Facts,
-        tier: Tier,
-    ) -> Result<Option<Charge>> {
-        let Some((customer, quota)) = customer.and_then(|c| Some((c, c.quota?))) else {
+    pub fn charge(&self, wanting: Wanting<'_>) -> Result<Option<Charge>> {
+        let customer = wanting.customer.and_then(|c| Some((c, c.quota?)));
+        let Some((customer, quota)) = customer else {
             return Ok(None);
         };
-        let units = units(&quota, facts);
+        let tier = wanting.tier;
+        let units = units(&quota, wanting.facts);
         let mut inner = self.inner.borrow_mut();
         let wish = Wish { tier, units };
         let spent = inner.spend(&customer.id, quota, wish, Instant::now());
         spent.map_err(|e| {
+            log::info!(
+                customer = customer.id,
+                left:% = e.left.round(),
+                part:% = e.part,
+                request = wanting.request,
+                retry_ms = e.retry_after.as_millis() as u64,
+                tier,
+                units,
+                wanted:% = e.wanted.round();
+                "beyond the quota"
+            );
             // Who was refused together should not come back together.
             let after = e.retry_after.max(SHORTEST_RETRY);
             let after = after + backoff::full_jitter(after);
@@ -69,7 +90,7 @@
     /// Gives back what a request took that did not run.
     pub fn refund(&self, charge: &Charge) {
         let mut inner = self.inner.borrow_mut();
-        inner.refund(&charge.customer, charge.units);
+        inner.refund(&charge.customer, charge.units, Instant::now());
     }
 
     /// Has to be called often, see [`quota::Quotas::look`].
