Slots are kept for the tiers that use a pool, and reading queues grow with what goes before

Cause: a pool of the platform that only tiers 1 and 2 use kept a slot of each worker for tier 0, which never came; and a reading queue of 120 ms for all later tiers is shorter than two of their prompts take to read. Change: a pool notes which tiers came in the last ten minutes; each leaves a part of the slots and a reading queue by how many go before it (400, 250, 200 ms).

--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -36,6 +36,7 @@
 pub mod status;
 pub mod steps;
 pub mod target;
+mod tiers;
 pub mod work;
 
 use admission::Admission;
--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -23,6 +23,7 @@
     /// Takes in an ask and decides what can be decided at once.
     pub(super) fn ask(&mut self, mut ask: Ask, now: Instant) -> Admission {
         ask.exclusions.truncate(EXCLUSIONS_LIMIT);
+        self.tiers.note(ask.tier, now);
         ask.prefix.truncate(prompt::BLOCK_LIMIT);
         let waiting = self
             .waiting
--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -28,14 +28,20 @@
 /// the others unseen, and all of it to one that fails.
 const AS_GOOD: f64 = 0.03;
 const AS_GOOD_S: f64 = 0.000_5;
-/// One slot in so many is kept by each tier for those before it.
-const KEPT_PART: u32 = 7;
-/// Time of reading outstanding at a target beyond which it gets no urgent work with an objective:
-/// with as much again for the prompt itself a first token comes within the second that people
-/// wait without minding.
-const URGENT_READING: Duration = Duration::from_millis(300);
-/// The same for other work, so that urgent work finds a short reading queue.
-const READING: Duration = Duration::from_millis(120);
+/// Part of a target's slots that work leaves free, by how many tiers in use go before its own.
+/// Answers of the last tier hold a slot for tens of seconds, those of the first for one or two. A
+/// second seventh for each tier brought nothing more to urgent work, and refused one chat in ten
+/// of an hourly burst.
+const KEPT: [f64; 3] = [0.0, 1.0 / 7.0, 2.0 / 7.0];
+/// Time of reading outstanding at a target beyond which it gets no more work with an objective, by
+/// how many tiers in use go before it. With as much again for the prompt itself a first token
+/// comes within the second that people wait without minding; later tiers leave the first a short
+/// reading queue.
+const READING: [Duration; 3] = [
+    Duration::from_millis(400),
+    Duration::from_millis(250),
+    Duration::from_millis(200),
+];
 /// Prompts longer than this are long; a silent target is tried by a shorter one.
 pub const LONG_PROMPT: u64 = 2048;
 /// Part of the expected answer that a request is judged by when it is refused for its deadline.
@@ -65,6 +71,8 @@
     pub prefix: &'a [u64],
     /// Tier of the ask.
     pub tier: Tier,
+    /// Tiers before its own that use the pool.
+    pub tiers_before: usize,
     /// Expected length.
     pub work: Work,
 }
@@ -133,7 +141,7 @@
     let urgent = is_urgent(wanted.tier);
     let slots = target.slots_now(now);
     let kept = match (wanted.has_objective, urgent) {
-        (true, _) => kept_before(wanted.tier, slots),
+        (true, _) => kept_for(wanted.tiers_before, slots),
         (false, true) => 0,
         (false, false) => slots / HEADROOM,
     };
@@ -155,12 +163,13 @@
         && !wanted.exclusions.contains(&target.id)
 }
 
-/// Slots of a target that a tier leaves free for the tiers before it: a seventh for each of them.
+/// Slots of a target that an ask leaves free for the tiers before its own.
 ///
 /// An engine's slot is held for seconds by a long answer. Filled up with these, a target makes
 /// urgent work wait for the end of one, which is mostly longer than its caller does.
-fn kept_before(tier: Tier, slots: u32) -> u32 {
-    (slots * u32::from(tier) + KEPT_PART / 2) / KEPT_PART
+fn kept_for(tiers_before: usize, slots: u32) -> u32 {
+    let part = KEPT[tiers_before.min(KEPT.len() - 1)];
+    (f64::from(slots) * part).round() as u32
 }
 
 /// Whether the prompts before it leave the ask a timely first token.
@@ -169,11 +178,7 @@
     if !wanted.has_objective {
         return outstanding < PREFILL_LIMIT;
     }
-    let longest = if is_urgent(wanted.tier) {
-        URGENT_READING
-    } else {
-        READING
-    };
+    let longest = READING[wanted.tiers_before.min(READING.len() - 1)];
     outstanding as f64 / target.estimate.prefill_rate(now) < longest.as_secs_f64()
 }
 
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -19,6 +19,7 @@
 use super::sharing::Sharing;
 use super::shedding::DrainRate;
 use super::target::Target;
+use super::tiers::Tiers;
 use super::work::Work;
 use crate::error_kind::ErrorKind;
 use crate::ids::{RequestId, TargetId};
@@ -90,6 +91,8 @@
     pub(super) reservations: IndexMap<RequestId, Reservation>,
     pub(super) sharing: Sharing,
     pub(super) targets: IndexMap<TargetId, Target>,
+    /// Tiers that use the pool.
+    pub(super) tiers: Tiers,
     /// Grants so far.
     pub(super) turn: u64,
     pub(super) waiting: IndexMap<RequestId, Waiting>,
@@ -113,6 +116,7 @@
             reservations: IndexMap::new(),
             sharing: Sharing::default(),
             targets: IndexMap::new(),
+            tiers: Tiers::default(),
             turn: 0,
             waiting: IndexMap::new(),
         }
@@ -167,6 +171,7 @@
             lane: lane(ask),
             prefix: &ask.prefix,
             tier: ask.tier,
+            tiers_before: self.tiers.before(ask.tier),
             work: Work {
                 decode: (whole.decode as f64 * self.length) as u64,
                 prefill: whole.prefill,
--- a/crates/lilaccrank/tests/suite/dispatch_sharing.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_sharing.rs
@@ -150,12 +150,20 @@
     assert_eq!(harness.dispatcher.digest().loads, []);
 }
 
-/// Slots of one target that each of three tiers fills, if each comes alone.
+/// Slots of one target of seven that a tier fills once something of other tiers has come, and
+/// some time has passed since.
 macro_rules! slots_of {
-    ($name:ident, $tier:literal, $slots:literal) => {
+    ($name:ident, $tier:literal, $others:expr, $passed:expr, $slots:literal) => {
         #[test]
         fn $name() {
             let mut harness = harness(&[7]);
+            for other in $others {
+                let id = format!("other {other}");
+                harness.ask(hurried(&id, other));
+                harness.verdicts();
+                harness.end(&id, "t0");
+            }
+            harness.advance($passed);
             for i in 0..10 {
                 harness.ask(hurried(&format!("{i}"), $tier));
             }
@@ -164,11 +172,25 @@
     };
 }
 
-// A review waits for the end of a chat of seconds: chats have filled every slot. Each tier leaves
-// a slot to each one before it.
-slots_of!(the_first_tier_fills_all, 0, 7);
-slots_of!(the_second_leaves_one, 1, 6);
-slots_of!(the_third_leaves_two, 2, 5);
+// A review waits for the end of a chat of tens of seconds: chats have filled every slot. Each tier
+// leaves a slot to each one before it.
+slots_of!(the_first_tier_fills_all, 0, [1, 2], Duration::ZERO, 7);
+slots_of!(the_second_leaves_one, 1, [0, 2], Duration::ZERO, 6);
+slots_of!(the_third_leaves_two, 2, [0, 1], Duration::ZERO, 5);
+slots_of!(the_second_of_two_leaves_one, 2, [0], Duration::ZERO, 6);
+
+// All callers of a pool are of the last tier, and are refused while slots stand empty. Slots are
+// kept for tiers of which something came in the last ten minutes.
+slots_of!(a_tier_alone_fills_all, 2, [], Duration::ZERO, 7);
+slots_of!(later_tiers_take_nothing, 1, [2], Duration::ZERO, 7);
+slots_of!(
+    a_quiet_minute_keeps_room,
+    2,
+    [0],
+    Duration::from_secs(60),
+    6
+);
+slots_of!(tiers_are_forgotten, 2, [0, 1], Duration::from_secs(700), 7);
 
 /// Milliseconds for which an ask of a tier waits for a full target before it is refused.
 macro_rules! waits {
--- a/crates/lilaccrank/tests/suite/pool_load.rs
+++ b/crates/lilaccrank/tests/suite/pool_load.rs
@@ -89,10 +89,19 @@
 // arrival. What the daemons tell each other is what makes the difference.
 #[test]
 fn daemons_that_tell_nothing_make_reviews_late() {
-    let load = Load::flood_of_chats(0);
-    let alone = pool_model::play(&load, &mut Placed::new(&load, false));
-    let told = pool_model::play(&load, &mut Placed::new(&load, true));
-    let reviews = |outcomes: [Outcome; 3]| outcomes[Kind::Review as usize].part_in_time();
-    assert!(reviews(alone) < 0.8, "{}", reviews(alone));
-    assert!(reviews(told) >= REVIEWS, "{}", reviews(told));
+    let loads = (0..6).map(Load::flood_of_chats);
+    let reviews = |load: &Load, shares: bool| {
+        let outcomes = pool_model::play(load, &mut Placed::new(load, shares));
+        outcomes[Kind::Review as usize].part_in_time()
+    };
+    let pairs: Vec<_> = loads
+        .map(|load| (reviews(&load, false), reviews(&load, true)))
+        .collect();
+    let worst = pairs.iter().map(|(alone, _)| *alone).fold(1.0, f64::min);
+    assert!(worst < 0.8, "{pairs:?}");
+    assert!(pairs.iter().all(|(_, told)| *told >= REVIEWS), "{pairs:?}");
+    assert!(
+        pairs.iter().all(|(alone, told)| told - alone >= 0.09),
+        "{pairs:?}"
+    );
 }
