--- a/crates/lilaccrank-cli/src/api.rs
+++ b/crates/lilaccrank-cli/src/api.rs
@@ -116,7 +116,7 @@
     ) -> Result<T> {
         let limits = Limits {
             connect: CONNECT_LIMIT,
-            fresh: true,
+            rest: Duration::ZERO,
             head: limit,
         };
         let sent = self.client.send(address.as_str(), req, limits).await;
--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -20,12 +20,12 @@
 /// Result of sending.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
-/// An idle connection is used again only this long after its last answer.
+/// An idle connection is used again at most this long after its last answer.
 ///
 /// Something between the two ends may lose track of an idle connection without a word; a
 /// request sent on it then hangs, and whether it ran is unknown. Within this time the last
 /// answer is proof enough; after it a new connection proves itself by its handshake.
-const PROVED_FOR: Duration = Duration::from_secs(1);
+pub const PROVED_FOR: Duration = Duration::from_secs(1);
 /// A silent connection is probed by the system after this long, and up to twice as long.
 ///
 /// Connections opened in one burst would otherwise all be probed in the same instant; with 3,000
@@ -87,8 +87,9 @@
     pub connect: Duration,
     /// Time from sending to the response head.
     pub head: Duration,
-    /// Only a new connection will do, since the request can't be repeated.
-    pub fresh: bool,
+    /// Longest rest of an idle connection that is used again, [`PROVED_FOR`] at most; zero if
+    /// only a new one will do.
+    pub rest: Duration,
 }
 
 /// A client; clones share the connections.
@@ -192,18 +193,16 @@
         limits: Limits,
     ) -> Result<(Response<Incoming>, Connection)> {
         let mut req = req;
-        if !limits.fresh {
-            while let Some(sender) = self.take(address) {
-                let connection = Connection {
-                    address: address.to_owned(),
-                    sender,
-                };
-                match self.exchange(connection, req, limits.head).await {
-                    Ok(answered) => return Ok(answered),
-                    // The other end closed it while it rested: nothing was sent on it.
-                    Err((_, Some(unsent))) => req = unsent,
-                    Err((e, None)) => return Err(e),
-                }
+        while let Some(sender) = self.take(address, limits.rest) {
+            let connection = Connection {
+                address: address.to_owned(),
+                sender,
+            };
+            match self.exchange(connection, req, limits.head).await {
+                Ok(answered) => return Ok(answered),
+                // The other end closed it while it rested: nothing was sent on it.
+                Err((_, Some(unsent))) => req = unsent,
+                Err((e, None)) => return Err(e),
             }
         }
         let connection = Connection {
@@ -265,11 +264,13 @@
         }
     }
 
-    fn take(&self, address: &str) -> Option<SendRequest<Body>> {
+    /// The connection that rested shortest, if that is short enough.
+    fn take(&self, address: &str, rest: Duration) -> Option<SendRequest<Body>> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(address)?;
         list.retain(Idle::is_usable);
-        let at = list.iter().rposition(|idle| idle.sender.is_ready())?;
+        let rested = |idle: &Idle| idle.since.elapsed() < rest && idle.sender.is_ready();
+        let at = list.iter().rposition(rested)?;
         Some(list.swap_remove(at).sender)
     }
 }
--- a/crates/lilaccrank-http/src/store_client.rs
+++ b/crates/lilaccrank-http/src/store_client.rs
@@ -12,7 +12,7 @@
 use lilaccrank::store::{self, Expect, Store, Version, Versioned};
 
 use crate::body;
-use crate::client::{Client, Limits};
+use crate::client::{self, Client, Limits};
 use crate::tally::Tally;
 
 /// Name of the header that carries a version.
@@ -70,7 +70,7 @@
     ) -> store::Result<(Response<()>, Bytes)> {
         let limits = Limits {
             connect: CONNECT_TIMEOUT,
-            fresh: false,
+            rest: client::PROVED_FOR,
             head,
         };
         let sent = self.client.send(&self.address, req, limits).await;
--- a/crates/lilaccrank-http/tests/suite/client.rs
+++ b/crates/lilaccrank-http/tests/suite/client.rs
@@ -26,7 +26,7 @@
         let client = Client::default();
         let limits = Limits {
             connect: IDLE,
-            fresh: true,
+            rest: Duration::ZERO,
             head: IDLE,
         };
         for _ in 0..3 {
@@ -40,3 +40,41 @@
     })
     .unwrap();
 }
+
+/// Connections that two requests open, the second some time after the first was answered.
+macro_rules! connections_of_two {
+    ($name:ident, $rest_ms:literal, $between_ms:literal, $connections:literal) => {
+        #[test]
+        fn $name() {
+            let opened = runtime::block_on(async {
+                let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+                let address = listener.local_addr().unwrap().to_string();
+                let closing = Closing::default();
+                monoio::spawn(server::serve(listener, closing.clone(), |_| async {
+                    Response::new(body::empty())
+                }));
+                let client = Client::default();
+                let limits = Limits {
+                    connect: IDLE,
+                    rest: Duration::from_millis($rest_ms),
+                    head: IDLE,
+                };
+                for _ in 0..2 {
+                    let sent = client.send(&address, Request::new(body::empty()), limits);
+                    let (_, connection) = sent.await.unwrap();
+                    client.release(connection);
+                    monoio::time::sleep(Duration::from_millis($between_ms)).await;
+                }
+                closing.connections()
+            });
+            assert_eq!(opened.unwrap(), $connections);
+        }
+    };
+}
+
+// Something between both ends has lost a connection that rested. A request that can't be repeated
+// goes out on it, gets no answer, and its caller can't be told whether it ran. A connection is as
+// good as new only for as long as the sender says.
+connections_of_two!(a_request_without_a_rest_opens_its_own, 0, 5, 2);
+connections_of_two!(a_short_rest_is_used_again, 600, 5, 1);
+connections_of_two!(a_rest_that_is_too_long_is_not, 100, 300, 2);
--- a/crates/lilaccrank-lab/src/caller.rs
+++ b/crates/lilaccrank-lab/src/caller.rs
@@ -78,7 +78,7 @@
     let begun = Instant::now();
     let limits = Limits {
         connect: CONNECT_TIMEOUT,
-        fresh: true,
+        rest: Duration::ZERO,
         head: Duration::from_secs(120),
     };
     let (res, connection) = match client.send(address, request(call), limits).await {
--- a/crates/lilaccrank-lab/src/overhead/plain.rs
+++ b/crates/lilaccrank-lab/src/overhead/plain.rs
@@ -8,7 +8,7 @@
 use hyper::header::{AUTHORIZATION, HOST, HeaderValue};
 use hyper::{Method, Request};
 use lilaccrank_http::body;
-use lilaccrank_http::client::Limits;
+use lilaccrank_http::client::{self, Limits};
 use serde::Serialize;
 
 use crate::cluster::Cluster;
@@ -22,7 +22,7 @@
 const ANSWER_LIMIT: usize = 1 << 16;
 const LIMITS: Limits = Limits {
     connect: Duration::from_secs(1),
-    fresh: false,
+    rest: client::PROVED_FOR,
     head: Duration::from_secs(10),
 };
 
--- a/crates/lilaccrank-lab/src/overhead/tokens.rs
+++ b/crates/lilaccrank-lab/src/overhead/tokens.rs
@@ -89,7 +89,7 @@
         };
         let limits = Limits {
             connect: Duration::from_secs(1),
-            fresh: true,
+            rest: Duration::ZERO,
             head: Duration::from_secs(10),
         };
         let begun = Instant::now();
--- a/crates/lilaccrankd/src/pools/poller.rs
+++ b/crates/lilaccrankd/src/pools/poller.rs
@@ -13,7 +13,7 @@
 use lilaccrank::document::{PoolKind, Target};
 use lilaccrank::ids::{PoolId, TargetId};
 use lilaccrank_http::body;
-use lilaccrank_http::client::Limits;
+use lilaccrank_http::client::{self, Limits};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
@@ -27,7 +27,7 @@
 /// Time for one reading.
 const LIMITS: Limits = Limits {
     connect: Duration::from_millis(300),
-    fresh: false,
+    rest: client::PROVED_FOR,
     head: Duration::from_millis(500),
 };
 /// Largest report.
--- a/crates/lilaccrankd/src/request/life.rs
+++ b/crates/lilaccrankd/src/request/life.rs
@@ -142,9 +142,6 @@
     }
 
     /// Whether it is sent again if a target fails it.
-    ///
-    /// An idle connection may have died without a word, and a request sent on it could neither be
-    /// called not run nor be sent again: what is not sent again goes out on a new one.
     #[must_use]
     pub fn may_run_again(&self) -> bool {
         self.is_idempotent() && self.route.terms.attempts.unwrap_or(1) > 1
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -10,6 +10,7 @@
 use lilaccrank::document::Target;
 use lilaccrank::error_kind::{ErrorKind, Ran};
 use lilaccrank::timeline::EventKind;
+use lilaccrank_http::client;
 
 use crate::callers::caller_request::Work;
 use crate::callers::refusal::Refusal;
@@ -90,6 +91,19 @@
         engine_run::run(engine, req, run, &seen, interrupted).await
     }
 
+    /// Longest rest of a connection to a target that the request may go out on.
+    ///
+    /// An idle connection may have died without a word, and a request sent on it could neither be
+    /// called not run nor be sent again: what is not sent again goes out on a new one, or on one
+    /// that has just answered.
+    fn rest(&self, daemon: &Daemon) -> Duration {
+        if self.may_run_again() {
+            client::PROVED_FOR
+        } else {
+            Duration::from_millis(daemon.cfg.unrepeatable_rest_ms)
+        }
+    }
+
     async fn forward(
         &self,
         seen: &Seen<'_>,
@@ -112,9 +126,9 @@
         let forwarding = Forwarding {
             bounds: daemon.bounds(),
             client: &daemon.client,
-            fresh: !self.may_run_again(),
             observer: seen,
             protocol: &*daemon.ports.targets,
+            rest: self.rest(daemon),
             run,
             stream: self.route.terms.stream,
         };
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -125,6 +125,9 @@
     pub timeline_events: usize,
     /// Milliseconds for a connection to a target.
     pub target_connect_ms: u64,
+    /// Milliseconds since its last answer within which a connection to a target carries a request
+    /// that is not sent again if it fails; 0 if each such request has a connection of its own.
+    pub unrepeatable_rest_ms: u64,
     /// Name of the vm.
     pub vm: VmId,
     /// Daemons that watch the platform's store; the others hear from them. A second one, so that
@@ -213,6 +216,7 @@
             store_claims_per_s: 10,
             target_connect_ms: 1_000,
             timeline_events: 20_000,
+            unrepeatable_rest_ms: 0,
             vm: "vm-1".to_owned(),
             watchers: 2,
         }
--- a/crates/lilaccrankd/src/targets/call.rs
+++ b/crates/lilaccrankd/src/targets/call.rs
@@ -29,7 +29,7 @@
 ) -> Result<(Response<Incoming>, Connection)> {
     let limits = Limits {
         connect: CONNECT_TIMEOUT,
-        fresh: true,
+        rest: Duration::ZERO,
         head,
     };
     let sent = client.send(address, req, limits).await;
--- a/crates/lilaccrankd/src/targets/engine_stream.rs
+++ b/crates/lilaccrankd/src/targets/engine_stream.rs
@@ -12,7 +12,7 @@
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::RequestId;
 use lilaccrank_http::body::{self, Body};
-use lilaccrank_http::client::{Client, Connection, Limits};
+use lilaccrank_http::client::{self, Client, Connection, Limits};
 
 use crate::callers::refusal::{Refusal, Result};
 use crate::targets::call::{self, CONNECT_TIMEOUT};
@@ -137,7 +137,7 @@
         let req = self.request(Method::DELETE, &self.stream_path(), body::empty());
         let limits = Limits {
             connect: CONNECT_TIMEOUT,
-            fresh: false,
+            rest: client::PROVED_FOR,
             head: RESUME_TIMEOUT,
         };
         if let Ok((_, connection)) = self.client.send(&self.address, req, limits).await {
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -78,12 +78,12 @@
     pub bounds: Bounds,
     /// Connections.
     pub client: &'a Client,
-    /// Only a new connection will do.
-    pub fresh: bool,
     /// Who is told.
     pub observer: &'a O,
     /// What targets speak.
     pub protocol: &'a dyn TargetProtocol,
+    /// Longest rest of an idle connection that is used again.
+    pub rest: Duration,
     /// Where the answer goes.
     pub run: &'a Run,
     /// Whether the answer is a stream of events.
@@ -127,8 +127,8 @@
     ) -> Result<(Parts, Incoming, Connection)> {
         let limits = Limits {
             connect: self.bounds.connect,
-            fresh: self.fresh,
             head: self.bounds.first,
+            rest: self.rest,
         };
         let sent = self.client.send(address, req, limits).await;
         let (res, connection) = sent.map_err(|e| unanswered(&e))?;
