Cells: daemons and targets of a large fleet in parts that keep their size

Cause: each daemon told each other one what it had on targets. Weighed: collectors in each data centre that add loads up (one hop more; at 6,700 targets a summary is 134 KB), gossip of whole views (6 KB a message, four rounds), owners of single workers (a hop for each request). Cells need no new message, keep what small fleets have proved, and cost each daemon the same in a fleet of any size; a power of two, so that a change joins or splits whole cells. Cells therefore divide quotas by what is asked of them.

--- /dev/null
+++ b/crates/lilaccrank/src/cells.rs
@@ -0,0 +1,84 @@
+//! Cells: parts of a large fleet, each with its daemons and its share of the targets.
+//!
+//! Daemons that send to the same targets tell each other at once what they have there. Among all
+//! daemons of a fleet these messages would grow with the square of their number, and choosing
+//! among all targets with their number too. In cells both stay as they are in a small fleet,
+//! however large it is.
+//!
+//! A cell takes its daemons and targets from all data centres that act as one, so that each cell
+//! has a like share of the callers, and targets on each side of a cut. Every daemon that sees the
+//! same members and targets divides them alike; where two differ for a moment, one of them has a
+//! view that lacks some of the other's requests, as if a datagram had been lost.
+
+use indexmap::IndexSet;
+
+use crate::document::Target;
+use crate::ids::VmId;
+use crate::rendezvous;
+
+/// Daemons of a cell at least; below twice as many a fleet is not divided. Some ten daemons on as
+/// many targets tell each other some 300 datagrams a second each, at ten requests a second each.
+const LEAST_DAEMONS: usize = 8;
+/// Targets of a cell at least: with fewer, one that fails or is slow is too large a part of what a
+/// cell can do. A pool with fewer is divided less.
+const LEAST_TARGETS: usize = 6;
+/// What daemons and targets are ordered by.
+const ORDER: &str = "cell";
+
+/// The cell of one daemon among those of its fleet.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Cell {
+    /// Number of cells, a power of two: when it changes, two cells become one or one becomes two,
+    /// and what is known of their targets stays of use.
+    count: usize,
+    index: usize,
+    mates: IndexSet<VmId>,
+}
+
+impl Cell {
+    /// The cell of `me`, which may be missing from `members`.
+    #[must_use]
+    pub fn new<'a>(members: impl IntoIterator<Item = &'a VmId>, me: &VmId) -> Self {
+        let mut ordered: IndexSet<&VmId> = members.into_iter().collect();
+        ordered.insert(me);
+        ordered.sort_by_cached_key(|vm| (rendezvous::weight(ORDER, vm), (*vm).clone()));
+        let count = most_parts(ordered.len(), LEAST_DAEMONS);
+        let cell_of = |at: usize| at * count / ordered.len();
+        let index = ordered.get_index_of(me).map_or(0, cell_of);
+        let in_cell = ordered.iter().enumerate();
+        let in_cell = in_cell.filter(|(at, vm)| cell_of(*at) == index && **vm != me);
+        Self {
+            count,
+            index,
+            mates: in_cell.map(|(_, vm)| (*vm).clone()).collect(),
+        }
+    }
+
+    /// The other daemons of the cell.
+    #[must_use]
+    pub fn mates(&self) -> &IndexSet<VmId> {
+        &self.mates
+    }
+
+    /// Keeps the targets of the cell, of all targets of one pool.
+    pub fn keep_targets(&self, targets: &mut Vec<Target>) {
+        let parts = most_parts(targets.len(), LEAST_TARGETS).min(self.count);
+        if parts < 2 {
+            return;
+        }
+        let own = self.index * parts / self.count;
+        let all = targets.len();
+        targets.sort_by_cached_key(|t| (rendezvous::weight(ORDER, &t.id), t.id.clone()));
+        let mut at = 0;
+        targets.retain(|_| {
+            let part = at * parts / all;
+            at += 1;
+            part == own
+        });
+    }
+}
+
+/// The highest power of two of parts that have `least` of `all` each.
+fn most_parts(all: usize, least: usize) -> usize {
+    (all / least).checked_ilog2().map_or(1, |log| 1 << log)
+}
--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod attempts;
 pub mod backoff;
+pub mod cells;
 pub mod circuit;
 pub mod clock;
 pub mod configuration;
--- a/crates/lilaccrank/src/quota.rs
+++ b/crates/lilaccrank/src/quota.rs
@@ -8,6 +8,10 @@
 //! its urgent work done, not whatever came first. What is small against the whole burst is let
 //! pass with the first tier, since refusing it would make room for nothing else.
 //!
+//! That holds for daemons which hear of each other at once. Of those outside its cell a daemon
+//! hears seldom, and each cell has a part of the quota for itself, by what is asked of it: see
+//! [`demand`].
+//!
 //! A daemon that is not heard may be cut off and spending. Its part of the rate is left to it,
 //! by both sides, so that the parts of a split fleet together stay within the quota.
 
@@ -20,11 +24,15 @@
 use crate::document::Quota;
 use crate::ids::{CustomerId, Incarnation, Tier, VmId};
 
+mod demand;
+
+use demand::Demand;
+
 /// Result of spending.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
-/// A peer that is not heard for this long is no longer counted on: it tells what it has four times
-/// a second at least.
+/// A peer that is not heard for this long is no longer counted on, if it tells what it has four
+/// times a second.
 const FRESH: Duration = Duration::from_millis(1_000);
 /// Time for which a peer that is not heard keeps its part. Data centres are cut off from each
 /// other for minutes now and then; but a vm that was replaced must give its part back soon.
@@ -34,6 +42,8 @@
 const STOOD_STILL: Duration = Duration::from_millis(1_000);
 /// Counts of a customer are told for this long after they last changed; a datagram may be lost.
 const TOLD_FOR: Duration = Duration::from_millis(1_000);
+/// The same in times between two words to daemons outside the cell.
+const TOLD_WORDS: u32 = 4;
 /// Part of the burst that each tier leaves for those before it: with three tiers the last one
 /// passes while a third of the burst is there, and the first one finds two thirds.
 const LEFT_PART: f64 = 1.0 / 3.0;
@@ -82,6 +92,8 @@
 /// Both only grow, so that messages may be lost, or come in any order.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Spent {
+    /// Units that were asked for, whether they passed or not.
+    pub asked: u64,
     /// Units that passed.
     pub passed: u64,
     /// Units of these that did not run after all.
@@ -92,6 +104,7 @@
     /// The later of two counts of one life.
     fn later(self, other: Self) -> Self {
         Self {
+            asked: self.asked.max(other.asked),
             passed: self.passed.max(other.passed),
             returned: self.returned.max(other.returned),
         }
@@ -109,7 +122,11 @@
     accounts: IndexMap<CustomerId, Account>,
     /// Daemons that are assumed beside this one until they are heard.
     assumed: usize,
+    /// What is asked of this daemon, of its cell and of the others.
+    demand: Demand,
     looked: Instant,
+    /// Longest time between two words of a daemon outside the cell.
+    pace: Duration,
     peers: IndexMap<VmId, Peer>,
     started: Instant,
 }
@@ -138,7 +155,9 @@
         Self {
             accounts: IndexMap::new(),
             assumed,
+            demand: Demand::new(now),
             looked: now,
+            pace: Duration::ZERO,
             peers: IndexMap::new(),
             started: now,
         }
@@ -157,8 +176,10 @@
         now: Instant,
     ) -> Result<()> {
         self.look(now);
-        let part = self.part(now);
+        let part = self.part(now) * self.demand.part_of_cell(customer);
         let account = self.account(customer, now);
+        account.spent.asked += wish.units;
+        account.changed = now;
         account.fill(quota, part, now);
         let burst = quota.burst * part;
         // What is larger than the whole burst passes when the bucket is full.
@@ -175,7 +196,6 @@
         }
         account.left -= wish.units as f64;
         account.spent.passed += wish.units;
-        account.changed = now;
         Ok(())
     }
 
@@ -197,19 +217,47 @@
                 account.filled += since;
             }
         }
+        let own = self.accounts.iter();
+        let own = own.map(|(customer, account)| (customer, account.spent.asked));
+        let mates = self.peers.iter();
+        let mates = mates.flat_map(|(vm, peer)| {
+            let asked = peer.spent.iter();
+            asked.map(move |(customer, spent)| (vm, customer, spent.asked))
+        });
+        self.demand.look(own, mates, self.peers.len(), now);
+    }
+
+    /// Sets the longest time between two words of a daemon outside the cell.
+    pub fn set_pace(&mut self, pace: Duration) {
+        self.pace = pace;
     }
 
     /// What this daemon let pass, for the customers of which that changed of late.
     #[must_use]
     pub fn spent(&self, now: Instant) -> Vec<(CustomerId, Spent)> {
+        let told_for = TOLD_FOR.max(self.pace * TOLD_WORDS);
         let accounts = self.accounts.iter();
-        let recent = accounts.filter(|(_, account)| now - account.changed < TOLD_FOR);
+        let recent = accounts.filter(|(_, account)| now - account.changed < told_for);
         recent
             .map(|(customer, account)| (customer.clone(), account.spent))
             .collect()
     }
 
-    /// Takes in what another daemon let pass.
+    /// Takes in what was asked of a daemon outside the cell.
+    pub fn heard_afar(
+        &mut self,
+        vm: &VmId,
+        incarnation: Incarnation,
+        spent: &[(CustomerId, Spent)],
+        now: Instant,
+    ) {
+        self.peers.swap_remove(vm);
+        let asked = spent.iter();
+        let asked = asked.map(|(customer, spent)| (customer, spent.asked));
+        self.demand.heard_afar(vm, incarnation, asked, now);
+    }
+
+    /// Takes in what another daemon of the cell let pass.
     pub fn heard(
         &mut self,
         vm: &VmId,
@@ -218,6 +266,7 @@
         now: Instant,
     ) {
         self.look(now);
+        self.demand.left(vm);
         let peer = self.peers.entry(vm.clone()).or_insert_with(|| Peer {
             heard: now,
             incarnation,
@@ -246,9 +295,10 @@
     /// A daemon that ends says so: its part is free at once.
     pub fn left(&mut self, vm: &VmId) {
         self.peers.swap_remove(vm);
+        self.demand.left(vm);
     }
 
-    /// The part of each quota that the daemons which hear each other may spend.
+    /// The part of its cell's quotas that the daemons which hear each other may spend.
     fn part(&mut self, now: Instant) -> f64 {
         let age = |peer: &Peer| now.saturating_duration_since(peer.heard);
         self.peers.retain(|_, peer| age(peer) < RESERVED);
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -2,6 +2,8 @@
 
 #[path = "suite/attempts.rs"]
 mod attempts;
+#[path = "suite/cells.rs"]
+mod cells;
 #[path = "suite/circuit.rs"]
 mod circuit;
 #[path = "suite/cluster.rs"]
--- a/crates/lilaccrank/tests/suite/quota.rs
+++ b/crates/lilaccrank/tests/suite/quota.rs
@@ -323,3 +323,65 @@
             .is_ok()
     );
 }
+
+/// Forty daemons in four cells: what passes of three times, later of `surge` times the quota, if
+/// cells hear of each other every 640 ms and one word in ten is lost. Requests go to daemons by
+/// `turn`.
+fn cells_under_pressure(surge: usize, turn: impl Fn(usize) -> usize) -> Fleet {
+    let pace = Duration::from_millis(640);
+    let steps_apart = (pace.as_millis() / TOLD_EVERY.as_millis()) as usize;
+    let mut fleet = Fleet::new(40);
+    for daemon in &mut fleet.daemons {
+        daemon.set_pace(pace);
+    }
+    let mut request = 0;
+    for step in 0..1_000 {
+        let times = if step < 500 { 2 } else { surge };
+        for _ in 0..times {
+            request += 1;
+            fleet.spend(turn(request) % 40, Fleet::wish(0, REVIEW));
+        }
+        for from in 0..40 {
+            let spent = fleet.daemons[from].spent(fleet.now);
+            for to in (0..40).filter(|to| *to != from) {
+                let name = format!("vm{from}");
+                let lost = (step + from * 7 + to * 3).is_multiple_of(10);
+                let comes = (step + from).is_multiple_of(steps_apart) && !lost;
+                match from / 10 == to / 10 {
+                    true => fleet.daemons[to].heard(&name, 1, &spent, fleet.now),
+                    false if comes => fleet.daemons[to].heard_afar(&name, 1, &spent, fleet.now),
+                    false => {}
+                }
+            }
+        }
+        fleet.now += TOLD_EVERY;
+    }
+    fleet
+}
+
+// A customer of a large fleet sends three times its quota, then suddenly ten times as much. With
+// a bucket for all daemons, each would let pass what comes until it hears of the others, 0.6
+// seconds later. Each cell stays within its part.
+#[test]
+fn a_surge_on_all_cells() {
+    let fleet = cells_under_pressure(7, |request| request);
+    let most = fleet.most_in(WINDOW) as f64;
+    assert!(most <= allowed(WINDOW) * 1.05, "{most}");
+    let passed: u64 = fleet.passed.iter().map(|(_, units)| units).sum();
+    assert!(passed as f64 >= QUOTA.per_s * 18.0, "{passed}");
+}
+
+// Half of a customer's callers happen to be connected to one cell of four. Divided evenly, that
+// cell would refuse half of what it is asked while the others don't use their parts.
+#[test]
+fn a_cell_that_is_asked_more() {
+    let skewed = |request: usize| match request % 2 {
+        0 => request / 2 % 10,
+        _ => 10 + request / 2 % 30,
+    };
+    let fleet = cells_under_pressure(2, skewed);
+    let most = fleet.most_in(WINDOW) as f64;
+    assert!(most <= allowed(WINDOW) * 1.05, "{most}");
+    let passed: u64 = fleet.passed.iter().map(|(_, units)| units).sum();
+    assert!(passed as f64 >= QUOTA.per_s * 18.0, "{passed}");
+}
--- a/crates/lilaccrankd/src/peers/load_exchange.rs
+++ b/crates/lilaccrankd/src/peers/load_exchange.rs
@@ -1,10 +1,10 @@
 //! Daemons that each dispatch their own requests tell each other what they have on the targets.
 //!
-//! One datagram to each peer after each change, no more often than the number of peers allows:
-//! all daemons together then send as many in a second whatever their number. A lost one is made
-//! good by the next.
+//! Those of a cell tell each other after each change. All others only have to know what was spent
+//! of quotas, and hear of that at a pace that falls with their number, so that a daemon sends as
+//! many datagrams in a fleet of any size. A lost one is made good by the next.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,6 +14,7 @@
 use indexmap::IndexMap;
 use lilaccrank::dispatch::sharing::Digest;
 use lilaccrank::ids::{CustomerId, Incarnation, PoolId, VmId};
+use lilaccrank::membership::Member;
 use lilaccrank::quota::Spent;
 use lilaccrank::request_key::Ranking;
 use lilaccrank_http::tally::Tally;
@@ -28,9 +29,12 @@
 /// Shortest time between two datagrams. Some sixty requests a second in all make three changes
 /// each, so that most changes are told at once.
 const LEAST: Duration = Duration::from_millis(10);
-/// What each peer adds to that time. With 75 daemons a change is told within a tenth of a second,
-/// and a daemon sends and receives some eight hundred datagrams a second each.
+/// What each peer of the cell adds to that time. A cell has fifteen peers at most: a change is
+/// told within 25 ms.
 const FOR_EACH_PEER: Duration = Duration::from_millis(1);
+/// What each daemon outside the cell adds to the time between two datagrams to all of them: some
+/// sixty a second, whatever their number.
+const FOR_EACH_OTHER: Duration = Duration::from_millis(16);
 /// Room for one datagram. A daemon's own requests on fifty targets take two kilobytes.
 const BUFFER: usize = 16 << 10;
 
@@ -54,6 +58,8 @@
     changed: Event,
     /// The last message of each peer: datagrams may come out of order.
     heard: RefCell<IndexMap<VmId, (Incarnation, u64)>>,
+    /// Messages that this daemon told.
+    sequence: Cell<u64>,
 }
 
 impl LoadExchange {
@@ -88,7 +94,7 @@
 pub async fn run(daemon: Rc<Daemon>, socket: UdpSocket) {
     let socket = Rc::new(socket);
     monoio::spawn(hear(Rc::clone(&daemon), Rc::clone(&socket)));
-    let mut sequence = 0;
+    monoio::spawn(tell_others(Rc::clone(&daemon), Rc::clone(&socket)));
     loop {
         let changed = daemon.load_exchange.changed.listen();
         let _ = monoio::time::timeout(HEARTBEAT, changed).await;
@@ -96,36 +102,69 @@
         if !is_needed(&daemon) {
             continue;
         }
-        let peers = peers(&daemon);
-        sequence += 1;
-        tell(&daemon, &socket, sequence, &peers).await;
-        let count = u32::try_from(peers.len()).unwrap_or(u32::MAX);
-        monoio::time::sleep(LEAST + FOR_EACH_PEER * count).await;
+        let (near, _) = peers(&daemon);
+        let pools = match daemon.duties.is_dispatch_local() {
+            true => server::digests(&daemon),
+            false => Vec::new(),
+        };
+        tell(&daemon, &socket, pools, &near).await;
+        monoio::time::sleep(LEAST + FOR_EACH_PEER * count(&near)).await;
+    }
+}
+
+/// Tells the daemons outside the cell what was spent of quotas.
+async fn tell_others(daemon: Rc<Daemon>, socket: Rc<UdpSocket>) {
+    loop {
+        let (_, others) = peers(&daemon);
+        let pace = HEARTBEAT.max(FOR_EACH_OTHER * count(&others));
+        daemon.quotas.set_pace(pace);
+        monoio::time::sleep(pace).await;
+        let (_, others) = peers(&daemon);
+        if is_needed(&daemon) {
+            tell(&daemon, &socket, Vec::new(), &others).await;
+        }
     }
 }
 
+fn count(peers: &[SocketAddr]) -> u32 {
+    u32::try_from(peers.len()).unwrap_or(u32::MAX)
+}
+
 /// Whether there is anything that all daemons have to know of each other at once.
 fn is_needed(daemon: &Daemon) -> bool {
     let has_quotas = daemon.in_force().is_ok_and(|in_force| in_force.has_quotas);
     daemon.duties.is_dispatch_local() || has_quotas
 }
 
-fn peers(daemon: &Daemon) -> Vec<SocketAddr> {
+/// The other daemons of this cell, and all others. Where only one daemon dispatches a pool there
+/// are no cells, and all are told of quotas alike.
+fn peers(daemon: &Daemon) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
     let me = daemon.duties.me().vm;
     let live = daemon.membership.live();
     let others = live.members.iter().filter(|member| member.vm != me);
-    others.map(|member| member.peers).collect()
+    let (near, far): (Vec<&Member>, Vec<&Member>) =
+        others.partition(|member| is_near(daemon, &member.vm));
+    let addresses = |members: Vec<&Member>| members.iter().map(|member| member.peers).collect();
+    (addresses(near), addresses(far))
+}
+
+fn is_near(daemon: &Daemon, vm: &VmId) -> bool {
+    !daemon.duties.is_dispatch_local() || server::cell(daemon).mates().contains(vm)
 }
 
-async fn tell(daemon: &Daemon, socket: &UdpSocket, sequence: u64, peers: &[SocketAddr]) {
+async fn tell(
+    daemon: &Daemon,
+    socket: &UdpSocket,
+    pools: Vec<(PoolId, Digest)>,
+    peers: &[SocketAddr],
+) {
     let me = daemon.duties.me();
+    let sequence = daemon.load_exchange.sequence.get() + 1;
+    daemon.load_exchange.sequence.set(sequence);
     let message = Message {
         incarnation: me.incarnation,
         ending: daemon.refusing.get(),
-        pools: match daemon.duties.is_dispatch_local() {
-            true => server::digests(daemon),
-            false => Vec::new(),
-        },
+        pools,
         sequence,
         spent: daemon.quotas.spent(),
         vm: me.vm,
@@ -138,13 +177,13 @@
     for peer in peers {
         let (sent, _) = socket.send_to(buf.clone(), *peer).await;
         match sent {
-            Ok(sent) => count(tally, sent),
+            Ok(sent) => note_sent(tally, sent),
             Err(e) => log::debug!("the load was not told to {peer}: {e}"),
         }
     }
 }
 
-fn count(tally: &Tally, sent: usize) {
+fn note_sent(tally: &Tally, sent: usize) {
     tally.send_bytes(sent);
     tally.send_messages(1);
 }
@@ -174,7 +213,11 @@
         return;
     }
     let Message { vm, spent, .. } = &message;
-    daemon.quotas.heard(vm, message.incarnation, spent);
+    if is_near(daemon, vm) {
+        daemon.quotas.heard(vm, message.incarnation, spent);
+    } else {
+        daemon.quotas.heard_afar(vm, message.incarnation, spent);
+    }
     if message.ending {
         daemon.quotas.left(vm);
     }
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -8,6 +8,7 @@
 use futures::future::{self, Either};
 use futures::pin_mut;
 use indexmap::IndexMap;
+use lilaccrank::cells;
 use lilaccrank::dispatch::message::{Ask, Entry, Outcome, Report, ReportKind, Verdict};
 use lilaccrank::dispatch::sharing::Digest;
 use lilaccrank::dispatch::status::Status;
@@ -41,6 +42,8 @@
 /// The dispatchers that run here.
 #[derive(Default)]
 pub struct PoolServer {
+    /// The daemons that dispatch the same targets, where each daemon dispatches its own requests.
+    cell: RefCell<Rc<cells::Cell>>,
     entries: RefCell<Vec<Entry>>,
     served: RefCell<IndexMap<PoolId, Rc<Served>>>,
 }
@@ -265,6 +268,7 @@
 pub fn members_changed(daemon: &Rc<Daemon>) {
     let me = daemon.duties.me();
     let server = &daemon.pool_server;
+    divide(daemon);
     server.served.borrow_mut().retain(|pool, served| {
         let kept = served.me == me && daemon.duties.is_dispatcher(pool);
         if !kept {
@@ -281,6 +285,27 @@
     }
 }
 
+/// Finds this daemon's cell among the present members. If that is another one than before, the
+/// dispatchers here get other targets.
+fn divide(daemon: &Rc<Daemon>) {
+    if !daemon.duties.is_dispatch_local() {
+        return;
+    }
+    let live = daemon.membership.live();
+    let members = live.members.iter().map(|member| &member.vm);
+    let cell = Rc::new(cells::Cell::new(members, &daemon.cfg.vm));
+    let before = daemon.pool_server.cell.replace(Rc::clone(&cell));
+    if before != cell {
+        log::info!(mates = cell.mates().len(), members = live.members.len(); "cell of this daemon");
+        configuration_changed(daemon);
+    }
+}
+
+/// This daemon's cell; without any other daemon where only one dispatches a pool.
+pub fn cell(daemon: &Daemon) -> Rc<cells::Cell> {
+    Rc::clone(&daemon.pool_server.cell.borrow())
+}
+
 /// Whether any dispatcher runs here.
 pub fn is_serving(daemon: &Daemon) -> bool {
     !daemon.pool_server.served.borrow().is_empty()
@@ -302,10 +327,14 @@
     });
 }
 
-/// Tells a dispatcher its targets: those here, and those of data centres that act as one with it.
+/// Tells a dispatcher its targets: of those here, and in data centres that act as one with it,
+/// those of the cell.
 fn set_targets(daemon: &Daemon, dispatcher: &Dispatcher<MonoioClock>, configured: &Pool) {
-    let pool = daemon.live_list.apply(configured);
-    dispatcher.set_targets_where(&pool, |data_centre| daemon.cfg.is_near(data_centre));
+    let mut pool = daemon.live_list.apply(configured);
+    let is_near = |data_centre: &str| daemon.cfg.is_near(data_centre);
+    pool.targets.retain(|target| is_near(&target.data_centre));
+    cell(daemon).keep_targets(&mut pool.targets);
+    dispatcher.set_targets_where(&pool, is_near);
 }
 
 /// What this daemon has on the targets of each pool.
--- a/crates/lilaccrankd/src/request/quotas.rs
+++ b/crates/lilaccrankd/src/request/quotas.rs
@@ -98,13 +98,24 @@
         self.inner.borrow_mut().look(Instant::now());
     }
 
+    /// Sets the longest time between two words of another daemon.
+    pub fn set_pace(&self, pace: Duration) {
+        self.inner.borrow_mut().set_pace(pace);
+    }
+
     /// What the other daemons are to know.
     #[must_use]
     pub fn spent(&self) -> Vec<(CustomerId, Spent)> {
         self.inner.borrow().spent(Instant::now())
     }
 
-    /// Takes in what another daemon let pass.
+    /// Takes in what was asked of a daemon outside the cell.
+    pub fn heard_afar(&self, vm: &VmId, incarnation: Incarnation, spent: &[(CustomerId, Spent)]) {
+        let mut inner = self.inner.borrow_mut();
+        inner.heard_afar(vm, incarnation, spent, Instant::now());
+    }
+
+    /// Takes in what another daemon of the cell let pass.
     pub fn heard(&self, vm: &VmId, incarnation: Incarnation, spent: &[(CustomerId, Spent)]) {
         let mut inner = self.inner.borrow_mut();
         inner.heard(vm, incarnation, spent, Instant::now());
