--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -225,11 +225,9 @@
 }
 
 /// Age of the proof that the configuration is the newest, in milliseconds, for the log.
-fn log_age(daemon: &Daemon) -> u64 {
+fn log_age(daemon: &Daemon) -> i64 {
     let age = daemon.adoption.age(MonoioClock.boot());
-    age.map_or(u64::MAX, |age| {
-        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
-    })
+    age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
 }
 
 /// Generation in force for the log, 0 before the first one.
