--- a/crates/lilaccrank-lab/src/bench/judge.rs
+++ b/crates/lilaccrank-lab/src/bench/judge.rs
@@ -117,7 +117,7 @@
             *self.doubled.entry(planned.tier.clone()).or_default() += 1;
         }
         let verdict = match &seen.outcome {
-            Outcome::Broken(why) | Outcome::Lost(why) => {
+            Outcome::Broken(why) | Outcome::Foreign(why) | Outcome::Lost(why) => {
                 eprintln!("lost: {} {}: {why}", planned.key, planned.tier);
                 Verdict::Lost
             }
--- a/crates/lilaccrank-lab/src/bench/run.rs
+++ b/crates/lilaccrank-lab/src/bench/run.rs
@@ -160,7 +160,7 @@
                 Ok(outcome) => told(outcome, offset),
                 Err(_) => return Outcome::Lost("no word long after the deadline".to_owned()),
             };
-            let (Outcome::Broken(why) | Outcome::Lost(why)) = &last else {
+            let (Outcome::Broken(why) | Outcome::Foreign(why) | Outcome::Lost(why)) = &last else {
                 return last;
             };
             eprintln!("repeated: {} after {offset:?}: {why}", planned.key);
--- a/crates/lilaccrank-lab/src/caller.rs
+++ b/crates/lilaccrank-lab/src/caller.rs
@@ -10,7 +10,7 @@
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response};
 use lilaccrank_http::body::{self, Body};
-use lilaccrank_http::client::{Client, Limits};
+use lilaccrank_http::client::{self, Client, Limits};
 use serde_json::{Value, json};
 
 use crate::answer_text;
@@ -30,6 +30,8 @@
     pub deadline_ms: Option<u64>,
     /// Request id, for calls straight to an engine.
     pub id: Option<String>,
+    /// Goes out on a connection that has just been used, if there is one, and leaves its own.
+    pub keep: bool,
     /// Request key.
     pub key: Option<String>,
     /// Tokens to generate.
@@ -49,8 +51,10 @@
 /// What came of a call.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Outcome {
-    /// The answer was not whole, not the caller's own, or broke off.
+    /// The answer broke off, or is no answer in the protocol.
     Broken(String),
+    /// The answer looked whole and is not the whole answer to this prompt.
+    Foreign(String),
     /// The daemon could not be reached or gave no answer.
     Lost(String),
     /// A refusal.
@@ -78,7 +82,10 @@
     let begun = Instant::now();
     let limits = Limits {
         connect: CONNECT_TIMEOUT,
-        rest: Duration::ZERO,
+        rest: match call.keep {
+            true => client::PROVED_FOR,
+            false => Duration::ZERO,
+        },
         head: Duration::from_secs(120),
     };
     let (res, connection) = match client.send(address, request(call), limits).await {
@@ -90,7 +97,9 @@
     } else {
         refused(res).await
     };
-    drop(connection);
+    if call.keep && matches!(outcome, Outcome::Whole { .. } | Outcome::Refused { .. }) {
+        client.release(connection);
+    }
     outcome
 }
 
@@ -149,7 +158,7 @@
             first_token: first_token_at - begun,
             total: begun.elapsed(),
         },
-        Err(e) => Outcome::Broken(e.to_string()),
+        Err(e) => Outcome::Foreign(e.to_string()),
     }
 }
 
--- a/crates/lilaccrank-lab/src/cluster.rs
+++ b/crates/lilaccrank-lab/src/cluster.rs
@@ -35,6 +35,8 @@
     pub callers: SocketAddr,
     /// Where it runs.
     pub data_centre: String,
+    /// File of its log, over all its lives.
+    pub log: PathBuf,
     /// Its process.
     pub process: Process,
     /// File of its settings.
@@ -43,6 +45,18 @@
     pub vm: String,
 }
 
+impl Daemon {
+    /// Starts it again after its end, as a replaced vm with the same addresses.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be started.
+    pub fn restart(&mut self) -> Result<()> {
+        self.process = Process::daemon(&self.settings, &self.log, self.callers.to_string())?;
+        Ok(())
+    }
+}
+
 /// A running cluster; dropping it kills its processes.
 pub struct Cluster {
     /// For requests of the lab itself.
@@ -192,6 +206,7 @@
                     admin: own.admin,
                     callers: own.callers,
                     data_centre: data_centre.clone(),
+                    log,
                     process,
                     settings,
                     vm: own.vm.clone(),
@@ -242,14 +257,7 @@
     ///
     /// If it can't be started.
     pub fn restart(&mut self, at: usize) -> Result<()> {
-        let log = self
-            .folder
-            .path()
-            .join(format!("{}.log", self.daemons[at].vm));
-        let daemon = &mut self.daemons[at];
-        let address = daemon.callers.to_string();
-        daemon.process = Process::daemon(&daemon.settings, &log, address)?;
-        Ok(())
+        self.daemons[at].restart()
     }
 
     /// The log of a daemon so far.
--- a/crates/lilaccrank-lab/src/demo.rs
+++ b/crates/lilaccrank-lab/src/demo.rs
@@ -89,7 +89,7 @@
 impl Row {
     fn count(&mut self, outcome: Outcome) {
         match outcome {
-            Outcome::Broken(why) => {
+            Outcome::Broken(why) | Outcome::Foreign(why) => {
                 eprintln!("broken: {why}");
                 self.broken += 1;
             }
--- a/crates/lilaccrank-lab/src/lib.rs
+++ b/crates/lilaccrank-lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod reply;
 pub mod scale;
 pub mod service;
+pub mod soak;
 pub mod stand_in;
 pub mod up;
 mod usage;
--- a/crates/lilaccrank-lab/src/main.rs
+++ b/crates/lilaccrank-lab/src/main.rs
@@ -5,7 +5,9 @@
 
 use clap::{Parser, Subcommand};
 use lilaccrank_http::runtime;
-use lilaccrank_lab::{bench, demo, engine, overhead, platform, scale, service, stand_in, up, wire};
+use lilaccrank_lab::{
+    bench, demo, engine, overhead, platform, scale, service, soak, stand_in, up, wire,
+};
 
 /// Stand-ins, load and experiments for lilaccrank; not shipped.
 #[derive(Parser)]
@@ -31,6 +33,8 @@
     Scale(scale::Args),
     /// A plain service.
     Service(service::Args),
+    /// Random faults on a cluster under load, with all promises checked.
+    Soak(soak::Args),
     /// A cluster left running until SIGINT.
     Up(up::Args),
     /// A stretch of network that can be cut, slowed or silenced.
@@ -46,6 +50,7 @@
         Command::Platform(args) => platform::run(args),
         Command::Scale(args) => runtime::block_on(scale::run(args))?,
         Command::Service(args) => service::run(args),
+        Command::Soak(args) => runtime::block_on(soak::run(args))?,
         Command::Up(args) => runtime::block_on(up::run(args))?,
         Command::Wire(args) => wire::run(args),
     }
--- /dev/null
+++ b/crates/lilaccrank-lab/tests/soak.rs
@@ -0,0 +1,27 @@
+//! Seeds of the soak: a short one, and each that ever broke a promise.
+
+use lilaccrank_http::runtime;
+use lilaccrank_lab::soak::{self, Args};
+
+/// Plays a seed for some minutes.
+macro_rules! seed {
+    ($name:ident, $seed:literal, $minutes:literal) => {
+        #[test]
+        fn $name() {
+            let args = Args {
+                minutes: $minutes,
+                seed: Some($seed),
+                seeds: 1,
+            };
+            runtime::block_on(soak::run(args)).unwrap().unwrap();
+        }
+    };
+}
+
+seed!(a_short_soak, 7, 0.15);
+// All connections to the store fell silent at once, and a configuration came into force 35 seconds
+// later: both watchers waited for the end of their watch.
+seed!(silent_watches, 137, 0.4);
+// A daemon was asked to end twice, ended, and started anew; the soak took the new life for the old
+// one that does not end.
+seed!(asked_to_end_twice, 143, 0.4);
