--- a/crates/lilaccrank/tests/suite/request_key.rs
+++ b/crates/lilaccrank/tests/suite/request_key.rs
@@ -8,7 +8,11 @@
 mod model;
 #[path = "request_key/replay.rs"]
 mod replay;
+#[path = "request_key/search.rs"]
+mod search;
 #[path = "request_key/spec.rs"]
 mod spec;
+#[path = "request_key/spec_state.rs"]
+mod spec_state;
 #[path = "request_key/store_failures.rs"]
 mod store_failures;
--- a/crates/lilaccrank/tests/suite/request_key/model.rs
+++ b/crates/lilaccrank/tests/suite/request_key/model.rs
@@ -1,8 +1,10 @@
 //! Model check of claim, dispatch and takeover; `--no-capture` prints the counts.
 
-use crate::request_key::spec::{self, Broken, Keys};
+use crate::request_key::search;
+use crate::request_key::spec::{Broken, Keys};
+use crate::request_key::spec_state::SIZE;
 
-fn keys(attempts: [u64; spec::SIZE], faults: u8, idempotent: bool, broken: Broken) -> Keys {
+fn keys(attempts: [u64; SIZE], faults: u8, idempotent: bool, broken: Broken) -> Keys {
     Keys {
         attempts,
         broken,
@@ -16,7 +18,7 @@
     ($name:ident, $attempts:expr, faults $faults:literal, idempotent $idempotent:literal) => {
         #[test]
         fn $name() {
-            let search = spec::search(&keys($attempts, $faults, $idempotent, Broken::Nothing));
+            let search = search::search(&keys($attempts, $faults, $idempotent, Broken::Nothing));
             println!("{}: {} states", stringify!($name), search.states.len());
             if let Some(violation) = search.violation {
                 for (action, _) in search.path(search.violating) {
@@ -37,7 +39,7 @@
     ($name:ident, $broken:ident, $attempts:expr, faults $faults:literal, $idempotent:literal, $violation:expr) => {
         #[test]
         fn $name() {
-            let search = spec::search(&keys($attempts, $faults, $idempotent, Broken::$broken));
+            let search = search::search(&keys($attempts, $faults, $idempotent, Broken::$broken));
             println!("{}: {} states", stringify!($name), search.states.len());
             assert_eq!(search.violation, Some($violation));
         }
--- a/crates/lilaccrank/tests/suite/request_key/replay.rs
+++ b/crates/lilaccrank/tests/suite/request_key/replay.rs
@@ -8,7 +8,9 @@
 };
 
 use crate::request_key::cluster::{Cluster, Loss, TestAccess, TestClaim, TestMarked, wanted};
-use crate::request_key::spec::{self, Action, Broken, Keys, Lost, Number, Phase, Rec, SIZE, State};
+use crate::request_key::search;
+use crate::request_key::spec::{Action, Broken, Keys, Lost};
+use crate::request_key::spec_state::{self, Number, Phase, Rec, SIZE, State};
 
 /// One path in this many is replayed.
 const SAMPLE: usize = 61;
@@ -113,11 +115,11 @@
             }
             let same = matches!(
                 (&self.entries[index], daemon.entry),
-                (Entry::Claimed(_), spec::Entry::Claimed(_))
-                    | (Entry::Idle, spec::Entry::Idle)
-                    | (Entry::Marked(_), spec::Entry::Marked(_))
-                    | (Entry::Refused, spec::Entry::Refused)
-                    | (Entry::Running(_), spec::Entry::Running(_))
+                (Entry::Claimed(_), spec_state::Entry::Claimed(_))
+                    | (Entry::Idle, spec_state::Entry::Idle)
+                    | (Entry::Marked(_), spec_state::Entry::Marked(_))
+                    | (Entry::Refused, spec_state::Entry::Refused)
+                    | (Entry::Running(_), spec_state::Entry::Running(_))
             );
             assert!(same, "entry {index} after {actions:?}");
             let record = self.cluster.daemons[index].keeper.record(&id);
@@ -148,10 +150,10 @@
         number: number(holder.claim),
         released: record.released.map(number),
         stage: match record.stage {
-            Stage::Claimed => spec::Stage::Claimed,
-            Stage::Dispatching => spec::Stage::Marked,
-            Stage::Ended(_) => spec::Stage::Ended,
-            Stage::Free => spec::Stage::Free,
+            Stage::Claimed => spec_state::Stage::Claimed,
+            Stage::Dispatching => spec_state::Stage::Marked,
+            Stage::Ended(_) => spec_state::Stage::Ended,
+            Stage::Free => spec_state::Stage::Free,
         },
     }
 }
@@ -164,7 +166,7 @@
         faults: 1,
         idempotent: true,
     };
-    let search = spec::search(&keys);
+    let search = search::search(&keys);
     let mut steps = 0;
     for index in (0..search.states.len()).rev().step_by(SAMPLE) {
         let path = search.path(index);
