--- a/crates/lilaccrank/src/quota.rs
+++ b/crates/lilaccrank/src/quota.rs
@@ -9,8 +9,7 @@
 //! pass with the first tier, since refusing it would make room for nothing else.
 //!
 //! That holds for daemons which hear of each other at once. Of those outside its cell a daemon
-//! hears seldom, and each cell has a part of the quota for itself, by what is asked of it: see
-//! [`demand`].
+//! hears seldom, and each cell has a part of the quota for itself, by what is asked of it.
 //!
 //! A daemon that is not heard may be cut off and spending. Its part of the rate is left to it,
 //! by both sides, so that the parts of a split fleet together stay within the quota.
