--- a/crates/lilaccrankd/src/configuration.rs
+++ b/crates/lilaccrankd/src/configuration.rs
@@ -39,12 +39,6 @@
 /// with seven members four of them ask within a tenth of a second.
 const STALE_SPREAD: Duration = Duration::from_millis(20);
 
-/// Longest wait of a daemon that has just started for a first word of another one. Before that it
-/// takes every duty for its own: when a fleet of 75 starts at once each of them would ask the
-/// platform for everything, which is 300 calls in its first second; so it is some 60. Others answer
-/// within a quarter of a second, and who is alone loses half of one.
-const JOIN_WAIT: Duration = Duration::from_millis(500);
-
 /// Follows the configuration for as long as the daemon runs.
 pub async fn run(daemon: Rc<Daemon>) {
     let watching = watch_while_on_duty(&daemon);
@@ -66,7 +60,6 @@
 
 /// Follows the platform while that is this daemon's duty, or while nobody else can.
 async fn watch_while_on_duty(daemon: &Rc<Daemon>) {
-    let _ = monoio::time::timeout(JOIN_WAIT, joined(daemon)).await;
     loop {
         needed(daemon).await;
         let watching = daemon.ports.source.follow(Intake::new(daemon));
@@ -76,17 +69,6 @@
     }
 }
 
-/// Completes once another daemon is known, at once if there may be none.
-async fn joined(daemon: &Daemon) {
-    loop {
-        let live = daemon.membership.live();
-        if daemon.cfg.seeds.is_empty() || live.members.len() > 1 {
-            return;
-        }
-        daemon.membership.changed(live.version).await;
-    }
-}
-
 /// Completes once this daemon has to follow the platform itself.
 async fn needed(daemon: &Daemon) {
     while !daemon.duties.is_watcher() {
