Targets that lapsed are given up when their time is over, not up to twice as late

The daemon looked once in 2.2 s whether 2.2 s had passed since the end of the silence, which it learnt a moment later, so that what had gone could get work for 4.4 s.

--- a/crates/lilaccrankd/src/configuration/heard.rs
+++ b/crates/lilaccrankd/src/configuration/heard.rs
@@ -12,7 +12,7 @@
 /// every second or so, and it lapses after three times as long.
 const OUTAGE: Duration = Duration::from_millis(2_200);
 /// Time after such a silence in which living targets come back. What is missing then has gone.
-pub const RETURN_TIME: Duration = Duration::from_millis(2_200);
+const RETURN_TIME: Duration = Duration::from_millis(2_200);
 
 /// When the platform was last heard.
 #[derive(Default)]
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -18,11 +18,14 @@
 use lilaccrank_http::monoio_clock::MonoioClock;
 use serde::{Deserialize, Serialize};
 
-use crate::configuration::heard::RETURN_TIME;
 use crate::daemon::Daemon;
 use crate::orders::keeper;
 use crate::pools::server;
 
+/// Time between two looks at whether lapsed targets would be back by now. What is still missing then
+/// has gone, and is to get nothing from that moment on.
+const LAPSED_LOOK: Duration = Duration::from_millis(50);
+
 /// What the platform says of targets.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Listing {
@@ -165,11 +168,9 @@
 }
 
 async fn wait_for_lapsed(daemon: Rc<Daemon>) {
-    loop {
-        monoio::time::sleep(RETURN_TIME).await;
-        if !daemon.heard.may_lapse(MonoioClock.boot()) {
-            break;
-        }
+    // Other daemons' words may tell of a later end of the silence than this one's own.
+    while daemon.heard.may_lapse(MonoioClock.boot()) {
+        monoio::time::sleep(LAPSED_LOOK).await;
     }
     if daemon.live_list.forget_lapsed() {
         changed(&daemon);
