Not ready before the list of targets is known

Change: where a pool's targets come from a list, readiness waits for the first list, by whichever way.

--- a/crates/lilaccrankd/src/admin.rs
+++ b/crates/lilaccrankd/src/admin.rs
@@ -5,10 +5,12 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use lilaccrank::clock::Clock;
 use lilaccrank::document::Operator;
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::operators::{self, path};
 use lilaccrank_http::body::{self, Body};
+use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::callers::attach;
 use crate::callers::entry;
@@ -153,8 +155,15 @@
             "this daemon is shutting down",
         ));
     }
-    daemon.in_force()?;
+    let in_force = daemon.in_force()?;
     daemon.check_lease()?;
+    // Configuration and list are asked for side by side. Without the list every request would be
+    // refused for want of a target.
+    let needs_list = in_force.document.pools.iter().any(|pool| pool.listed);
+    if needs_list && daemon.live_list.age(MonoioClock.boot()).is_none() {
+        let message = "the list of targets is not known yet";
+        return Err(Refusal::new(ErrorKind::NotReady, message));
+    }
     if !daemon.keys_settled() {
         let message = "the records of request keys have not been heard from the others yet";
         return Err(Refusal::new(ErrorKind::NotReady, message));
