--- a/crates/lilaccrank-http/tests/suite/client.rs
+++ b/crates/lilaccrank-http/tests/suite/client.rs
@@ -11,18 +11,24 @@
 /// Longer than an idle connection is kept, shorter than a server would wait for its next request.
 const IDLE: Duration = Duration::from_secs(3);
 
+/// Serves empty answers; its address, and what counts its connections.
+fn serve() -> (String, Closing) {
+    let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let closing = Closing::default();
+    monoio::spawn(server::serve(listener, closing.clone(), |_| async {
+        Response::new(body::empty())
+    }));
+    (address, closing)
+}
+
 // Requests that need a new connection each leave theirs behind for others, which never come. Both
 // ends would hold them for as long as the server likes: at thousands of targets a daemon runs out
 // of descriptors. They are closed once they are too old to be used.
 #[test]
 fn unused_connections_are_closed() {
     runtime::block_on(async {
-        let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let address = listener.local_addr().unwrap().to_string();
-        let closing = Closing::default();
-        monoio::spawn(server::serve(listener, closing.clone(), |_| async {
-            Response::new(body::empty())
-        }));
+        let (address, closing) = serve();
         let client = Client::default();
         let limits = Limits {
             connect: IDLE,
@@ -47,12 +53,7 @@
         #[test]
         fn $name() {
             let opened = runtime::block_on(async {
-                let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
-                let address = listener.local_addr().unwrap().to_string();
-                let closing = Closing::default();
-                monoio::spawn(server::serve(listener, closing.clone(), |_| async {
-                    Response::new(body::empty())
-                }));
+                let (address, closing) = serve();
                 let client = Client::default();
                 let limits = Limits {
                     connect: IDLE,
