--- a/crates/lilaccrank-lab/src/soak.rs
+++ b/crates/lilaccrank-lab/src/soak.rs
@@ -86,6 +86,9 @@
                 if let Err(e) = done {
                     println!("seed {seed}, faults so far:");
                     print_past(&world, begun, |_| true);
+                    // Tasks that still run hold the world beyond this call; daemons would outlive
+                    // the soak.
+                    world.daemons.borrow_mut().clear();
                     return Err(e);
                 }
             }
