--- a/crates/lilaccrankd/src/request/second_sends.rs
+++ b/crates/lilaccrankd/src/request/second_sends.rs
@@ -15,8 +15,8 @@
 use crate::daemon::Daemon;
 use crate::settings::Retries;
 
-/// Parts of the reserve for each member: a daemon that starts anew has its part whole again, and
-/// half of them may do so at once.
+/// Parts of the reserve for each member. A daemon that starts anew has its part whole again: what
+/// is left over is for one in ten that do.
 const PARTS: f64 = 1.1;
 
 /// Budgets of second sends, by pool.
