Each daemon has an order of its own among targets that are as good

Change: a daemon orders targets by its own draw. Where one daemon dispatches a pool nothing changes. Test: daemons_that_start_together_spread, which also shows the naive order (70 of 70 on one target).

--- a/crates/lilaccrank/src/cells.rs
+++ b/crates/lilaccrank/src/cells.rs
@@ -78,6 +78,15 @@
     }
 }
 
+/// Puts targets into an order of this daemon's own.
+///
+/// Of targets that are as good the first ones are taken. After a restart of all daemons none has heard
+/// of another's requests yet, and all targets look idle to each: in one order for all they would send
+/// their first thousand requests to the same few targets, which turn one in three away.
+pub fn spread(targets: &mut [Target], me: &VmId) {
+    targets.sort_by_cached_key(|target| (rendezvous::weight(me, &target.id), target.id.clone()));
+}
+
 /// The highest power of two of parts that have `least` of `all` each.
 fn most_parts(all: usize, least: usize) -> usize {
     (all / least).checked_ilog2().map_or(1, |log| 1 << log)
--- a/crates/lilaccrank/tests/suite/dispatch_sharing.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_sharing.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
+use lilaccrank::cells;
 use lilaccrank::dispatch::message::{Ask, Outcome, ReportKind};
 use lilaccrank::dispatch::sharing::{Digest, Sample, Seen, TargetLoad};
+use lilaccrank::document::Target;
 use lilaccrank::error_kind::ErrorKind;
 
 use crate::dispatch_cases::{ask, granted, harness, refused};
-use crate::dispatch_harness::Harness;
+use crate::dispatch_harness::{DATA_CENTRE, Harness};
 
 /// A digest of a peer that has `running` short requests on a target.
 fn digest(target: &str, running: u32, prefill: u64) -> Digest {
@@ -287,3 +290,36 @@
     }
     assert_eq!(order, ["a", "b", "c"]);
 }
+
+/// Most requests on one of 140 targets, where each of seventy daemons has sent one and none has heard
+/// of another.
+fn most_on_one_target(order: impl Fn(&mut [Target], &String)) -> usize {
+    let ids: Vec<String> = (0..140).map(|at| format!("t{at}")).collect();
+    let mut sent: IndexMap<String, usize> = IndexMap::new();
+    for daemon in 0..70 {
+        let mut harness = harness(&[]);
+        let target = |id: &String| Target {
+            data_centre: DATA_CENTRE.to_owned(),
+            id: id.clone(),
+            slots: 4,
+            ..Target::default()
+        };
+        harness.pool.targets = ids.iter().map(target).collect();
+        order(&mut harness.pool.targets, &format!("vm{daemon}"));
+        harness.dispatcher.set_targets(&harness.pool, DATA_CENTRE);
+        harness.ask(hurried("first", 0));
+        let (_, target) = harness.grants().remove(0);
+        *sent.entry(target).or_default() += 1;
+    }
+    sent.into_values().max().unwrap_or(0)
+}
+
+// All daemons of a fleet lose power and start again at the peak. Each sees idle targets only, since
+// none has heard of another yet. In one order for all, the first request of each daemon goes to the
+// same target, which turns most of them away; in an order of their own they find free slots.
+#[test]
+fn daemons_that_start_together_spread() {
+    assert_eq!(most_on_one_target(|_, _| ()), 70);
+    let spread = most_on_one_target(|targets, me| cells::spread(targets, me));
+    assert!(spread <= 4, "{spread}");
+}
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -335,6 +335,9 @@
     let is_near = |data_centre: &str| daemon.cfg.is_near(data_centre);
     pool.targets.retain(|target| is_near(&target.data_centre));
     cell(daemon).keep_targets(&mut pool.targets);
+    if daemon.duties.is_dispatch_local() {
+        cells::spread(&mut pool.targets, &daemon.cfg.vm);
+    }
     dispatcher.set_targets_where(&pool, is_near);
 }
 
