Log: when the first part of an answer came, and its longest pause

Cause: a caller that complains of a late stream could not be told whether it waited here, for its first token, or between tokens.

--- a/crates/lilaccrankd/src/request/life.rs
+++ b/crates/lilaccrankd/src/request/life.rs
@@ -54,7 +54,14 @@
     let total_ms = routed.elapsed_ms();
     match result {
         Ok(()) => {
-            log::info!(request = routed.name(), total_ms = total_ms; "answered");
+            let pace = run.pace();
+            log::info!(
+                first_ms = pace.first.map_or(-1, |first| routed.until_ms(first)),
+                pause_ms = pace.longest_pause.as_millis() as u64,
+                request = routed.name(),
+                total_ms = total_ms;
+                "answered"
+            );
             daemon.metrics.answer(routed.route.tier);
             run.finish(End::Whole);
         }
@@ -127,6 +134,12 @@
         u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Milliseconds from its arrival until `at`.
+    fn until_ms(&self, at: Instant) -> i64 {
+        let until = at.saturating_duration_since(self.arrived);
+        i64::try_from(until.as_millis()).unwrap_or(i64::MAX)
+    }
+
     /// When the answer is worthless: at its caller's deadline, or at the rule's timeout.
     #[must_use]
     pub fn deadline(&self) -> Option<Instant> {
--- a/crates/lilaccrankd/src/request/run.rs
+++ b/crates/lilaccrankd/src/request/run.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use event_listener::Event;
@@ -28,6 +29,24 @@
     Whole,
 }
 
+/// When the parts of an answer came.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pace {
+    /// The first part.
+    pub first: Option<Instant>,
+    last: Option<Instant>,
+    /// Longest time between two parts.
+    pub longest_pause: Duration,
+}
+
+impl Pace {
+    fn note(&mut self, now: Instant) {
+        let since = self.last.replace(now).map(|last| now - last);
+        self.longest_pause = self.longest_pause.max(since.unwrap_or_default());
+        self.first.get_or_insert(now);
+    }
+}
+
 /// One answer. It keeps all its chunks, so that a caller that repeats its request reads it
 /// from the start; its size is bounded by the writer.
 #[derive(Default)]
@@ -36,6 +55,7 @@
     chunks: RefCell<Vec<Bytes>>,
     end: RefCell<Option<End>>,
     head: RefCell<Option<Head>>,
+    pace: Cell<Pace>,
     readers: Cell<usize>,
     size: Cell<usize>,
 }
@@ -51,6 +71,9 @@
     pub fn push(&self, chunk: Bytes) {
         self.size.set(self.size.get() + chunk.len());
         self.chunks.borrow_mut().push(chunk);
+        let mut pace = self.pace.get();
+        pace.note(Instant::now());
+        self.pace.set(pace);
         self.changed.notify(usize::MAX);
     }
 
@@ -60,6 +83,12 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// When its parts came.
+    #[must_use]
+    pub fn pace(&self) -> Pace {
+        self.pace.get()
+    }
+
     /// How it ended, if it has.
     #[must_use]
     pub fn end(&self) -> Option<End> {
