Room that another daemon gives back is left to the first of all waiting asks

Change: a digest tells the standing of the first waiting ask; for 40 ms room that a peer gave back goes to the first ask of the cell, among equals by a draw for each target. Tests: three, seen failing with the time set to nothing.

--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -6,7 +6,7 @@
 
 use super::affinity::Affinity;
 use super::health;
-use super::queue::Lane;
+use super::queue::{Lane, Standing};
 use super::target::Target;
 use super::work::Work;
 use crate::ids::{TargetId, Tier};
@@ -69,6 +69,8 @@
     pub lane: Lane,
     /// Digests of the prompt.
     pub prefix: &'a [u64],
+    /// Where the ask stands among those that wait.
+    pub standing: Standing,
     /// Tier of the ask.
     pub tier: Tier,
     /// Tiers before its own that use the pool.
@@ -158,6 +160,7 @@
     };
     target.live
         && healthy
+        && !target.is_left_to_rival(wanted.standing, now)
         && target.estimate.batch(now) + kept < slots
         && has_reading_room(target, wanted, now)
         && !wanted.exclusions.contains(&target.id)
--- a/crates/lilaccrank/src/dispatch/estimate.rs
+++ b/crates/lilaccrank/src/dispatch/estimate.rs
@@ -123,9 +123,10 @@
         self.steps.observe(batch, step, now);
     }
 
-    /// Takes over what other daemons have there.
-    pub fn set_peers(&mut self, running: u32, work: Work) {
-        self.peers = (running, work);
+    /// Takes over what other daemons have there; whether room came free by that.
+    pub fn set_peers(&mut self, running: u32, work: Work) -> bool {
+        let (before, work_before) = std::mem::replace(&mut self.peers, (running, work));
+        running < before || work.prefill < work_before.prefill
     }
 
     /// Tokens came.
--- a/crates/lilaccrank/src/dispatch/queue.rs
+++ b/crates/lilaccrank/src/dispatch/queue.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use super::fair::{FairQueue, Place};
 use super::work::Work;
@@ -30,7 +31,7 @@
 }
 
 /// Where an ask stands among all that wait; lesser goes first.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Standing {
     /// Rank of its customer.
     pub rank: Rank,
--- a/crates/lilaccrank/src/dispatch/sharing.rs
+++ b/crates/lilaccrank/src/dispatch/sharing.rs
@@ -9,9 +9,12 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use super::queue::Standing;
 use super::state::State;
+use super::target::Rival;
 use super::work::Work;
 use crate::ids::{TargetId, VmId};
+use crate::rendezvous;
 
 /// A peer of which nothing is heard for this long has nothing on the targets any more: its
 /// connections ended with it, or it is cut off and its targets with it. Digests come four times a
@@ -27,6 +30,8 @@
     pub loads: Vec<TargetLoad>,
     /// What it saw since its last digest.
     pub samples: Vec<Sample>,
+    /// Standing of the first ask that waits there.
+    pub waiting: Option<Standing>,
 }
 
 /// Requests of one daemon on one target.
@@ -87,6 +92,7 @@
 struct Peer {
     heard: Instant,
     loads: Vec<TargetLoad>,
+    waiting: Option<Standing>,
 }
 
 impl Sharing {
@@ -100,6 +106,19 @@
         }
     }
 
+    /// Who else waits for room on a target, as seen by `me`.
+    fn rival(&self, me: &VmId, target: &TargetId) -> Option<Rival> {
+        let waiting = self.peers.iter();
+        let waiting = waiting.filter_map(|(vm, peer)| Some((peer.waiting?, vm)));
+        let standing = waiting.clone().map(|(standing, _)| standing).min()?;
+        let own = rendezvous::weight(target, me);
+        let mut equals = waiting.filter(|(other, _)| *other == standing);
+        Some(Rival {
+            goes_before_equals: equals.any(|(_, vm)| rendezvous::weight(target, vm) > own),
+            standing,
+        })
+    }
+
     /// What all peers have on each target.
     fn totals(&self) -> IndexMap<&TargetId, (u32, Work)> {
         let mut totals: IndexMap<&TargetId, (u32, Work)> = IndexMap::new();
@@ -132,6 +151,7 @@
         Digest {
             loads: loads.collect(),
             samples: std::mem::take(&mut self.sharing.samples),
+            waiting: self.queue.standings().next(),
         }
     }
 
@@ -143,9 +163,10 @@
         let heard = Peer {
             heard: now,
             loads: digest.loads,
+            waiting: digest.waiting,
         };
         self.sharing.peers.insert(from.clone(), heard);
-        self.spread_peer_loads();
+        self.spread_peer_loads(now);
         self.note_opening();
         self.dispatch(now);
     }
@@ -156,16 +177,19 @@
         let lives = |peer: &Peer| now.saturating_duration_since(peer.heard) < PEER_LIFE;
         self.sharing.peers.retain(|_, peer| lives(peer));
         if self.sharing.peers.len() < before {
-            self.spread_peer_loads();
+            self.spread_peer_loads(now);
             self.note_opening();
         }
     }
 
-    fn spread_peer_loads(&mut self) {
+    fn spread_peer_loads(&mut self, now: Instant) {
         let totals = self.sharing.totals();
         for target in self.targets.values_mut() {
             let (running, work) = totals.get(&target.id).copied().unwrap_or_default();
-            target.estimate.set_peers(running, work);
+            if target.estimate.set_peers(running, work) {
+                let rival = self.sharing.rival(&self.cfg.vm, &target.id);
+                target.opened(rival, now);
+            }
         }
     }
 
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -174,6 +174,7 @@
             has_objective: ask.objective.is_some(),
             lane: lane(ask),
             prefix: &ask.prefix,
+            standing: standing(ask),
             tier: ask.tier,
             tiers_before: self.tiers.before(ask.tier),
             work: Work {
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -1,11 +1,29 @@
 //! One target of the pool.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::estimate::Estimate;
 use super::health::Health;
+use super::queue::Standing;
 use crate::ids::TargetId;
 
+/// Time for which room that another daemon gave back is left to the daemon whose ask goes first.
+///
+/// All daemons of a cell hear of the room at the same moment. If each that has an ask waiting took it,
+/// most of these asks would wait in the target's own queue, which knows no tiers: under a burst one
+/// grant in three went to a target that was full already. The first daemon's grant is told within 25
+/// milliseconds; should it not want the room after all, a slot stands empty for these few.
+const LEFT_TO_FIRST: Duration = Duration::from_millis(40);
+
+/// The first of the asks that wait at other daemons.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Rival {
+    /// Whether it goes before asks of this daemon with the same standing, by a draw for each target.
+    pub goes_before_equals: bool,
+    /// Where it stands.
+    pub standing: Standing,
+}
+
 /// A target and what is known of it.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -19,6 +37,8 @@
     pub live: bool,
     /// Long prompts sent whose first token has not come.
     pub long: u32,
+    /// When another daemon last gave room back, and who waited elsewhere then.
+    pub(super) opened: Option<(Instant, Rival)>,
     /// Requests it runs at once.
     pub slots: u32,
     /// Number of the last grant, over all targets.
@@ -35,6 +55,7 @@
             id,
             live: true,
             long: 0,
+            opened: None,
             slots,
             turn: 0,
         }
@@ -49,6 +70,21 @@
         }
     }
 
+    /// Another daemon gave room back while `rival` waited elsewhere.
+    pub fn opened(&mut self, rival: Option<Rival>, now: Instant) {
+        self.opened = rival.map(|rival| (now, rival));
+    }
+
+    /// Whether its room is left to an ask of another daemon, for which see [`LEFT_TO_FIRST`].
+    #[must_use]
+    pub fn is_left_to_rival(&self, standing: Standing, now: Instant) -> bool {
+        self.opened.is_some_and(|(at, rival)| {
+            let goes_first = rival.standing < standing
+                || (rival.standing == standing && rival.goes_before_equals);
+            goes_first && now.saturating_duration_since(at) < LEFT_TO_FIRST
+        })
+    }
+
     /// Slots that are used at its present speed: a slowed target gets less, but at least one
     /// request, by which it can show that it is well again.
     #[must_use]
--- a/crates/lilaccrank/tests/suite/dispatch_harness.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_harness.rs
@@ -29,13 +29,18 @@
 impl Harness {
     /// A dispatcher of targets `t0`, `t1` and so on with these slots.
     pub fn new(slots: &[u32], waiting_limit: usize, silence_floor: Duration) -> Self {
+        Self::of("vm1", slots, waiting_limit, silence_floor)
+    }
+
+    /// The same on a vm of another name.
+    pub fn of(vm: &str, slots: &[u32], waiting_limit: usize, silence_floor: Duration) -> Self {
         let clock = PausedClock::new();
         let cfg = Config {
             block_tokens: 64,
             incarnation: 1,
             lowest_tier: LOWEST_TIER,
             silence_floor,
-            vm: "vm1".to_owned(),
+            vm: vm.to_owned(),
             waiting_limit,
         };
         let targets = slots.iter().enumerate().map(|(i, slots)| Target {
--- a/crates/lilaccrank/tests/suite/dispatch_sharing.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_sharing.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use lilaccrank::cells;
 use lilaccrank::dispatch::message::{Ask, Outcome, ReportKind};
+use lilaccrank::dispatch::queue::Standing;
 use lilaccrank::dispatch::sharing::{Digest, Sample, Seen, TargetLoad};
 use lilaccrank::document::Target;
 use lilaccrank::error_kind::ErrorKind;
@@ -21,7 +22,7 @@
             running,
             target: target.to_owned(),
         }],
-        samples: Vec::new(),
+        ..Digest::default()
     }
 }
 
@@ -323,3 +324,94 @@
     let spread = most_on_one_target(|targets, me| cells::spread(targets, me));
     assert!(spread <= 4, "{spread}");
 }
+
+/// Eight daemons that each have an ask of these tiers waiting for the one slot of a target, which a
+/// ninth one holds, and have told each other so.
+struct Waiting {
+    daemons: Vec<Harness>,
+}
+
+impl Waiting {
+    fn new(tier_of: impl Fn(usize) -> u8) -> Self {
+        let new = |at: usize| Harness::of(&format!("vm{at}"), &[1], 100, Duration::from_secs(1));
+        let mut daemons: Vec<Harness> = (0..8).map(new).collect();
+        for (at, daemon) in daemons.iter_mut().enumerate() {
+            tell(daemon, "holder", digest("t0", 1, 100));
+            daemon.ask(hurried(&format!("of {at}"), tier_of(at)));
+            assert_eq!(daemon.grants(), []);
+        }
+        let waiting = Self { daemons };
+        waiting.tell_all();
+        waiting
+    }
+
+    fn tell_all(&self) {
+        for (from, teller) in self.daemons.iter().enumerate() {
+            let digest = teller.dispatcher.digest();
+            for (to, hearer) in self.daemons.iter().enumerate() {
+                if from != to {
+                    tell(hearer, &format!("vm{from}"), digest.clone());
+                }
+            }
+        }
+    }
+
+    /// The ninth daemon's request ends, and all hear of it at the same moment.
+    fn free(&self) {
+        for daemon in &self.daemons {
+            tell(daemon, "holder", Digest::default());
+        }
+    }
+
+    /// Requests that got the slot since the last look.
+    fn granted(&mut self) -> Vec<String> {
+        let grants = self.daemons.iter_mut().flat_map(Harness::grants);
+        grants.map(|(request, _)| request).collect()
+    }
+
+    fn advance(&mut self, time: Duration) {
+        for daemon in &mut self.daemons {
+            daemon.advance(time);
+        }
+    }
+}
+
+// A burst: reviews wait at all daemons, and a slot comes free at a ninth one that has nothing
+// waiting. All hear of it at once. If each takes it, seven of eight reviews wait in the engine's own
+// queue, behind which those of the next seconds wait too; one of them takes it.
+#[test]
+fn one_daemon_takes_the_room_that_another_gives_back() {
+    let mut waiting = Waiting::new(|_| 0);
+    waiting.free();
+    assert_eq!(waiting.granted().len(), 1);
+    waiting.tell_all();
+    waiting.advance(Duration::from_millis(100));
+    assert_eq!(waiting.granted(), [] as [String; 0]);
+}
+
+// Reports wait at seven daemons and a review at one. The slot that comes free is the review's,
+// wherever it waits.
+#[test]
+fn the_first_tier_of_all_daemons_goes_first() {
+    let mut waiting = Waiting::new(|at| u8::from(at != 5));
+    waiting.free();
+    assert_eq!(waiting.granted(), ["of 5"]);
+}
+
+// A peer told of a review that waits, and its caller has gone since. The room that is left to it is
+// taken by another daemon a moment later.
+#[test]
+fn room_that_nobody_wants_is_taken() {
+    let mut harness = harness(&[1]);
+    tell(&harness, "holder", digest("t0", 1, 100));
+    harness.ask(hurried("report", 1));
+    let told = Digest {
+        waiting: Some(Standing::default()),
+        ..Digest::default()
+    };
+    tell(&harness, "vm2", told);
+    tell(&harness, "holder", Digest::default());
+    assert_eq!(harness.grants(), []);
+    harness.advance(Duration::from_millis(50));
+    assert_eq!(harness.grants(), granted("report", "t0"));
+}
