--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -75,7 +75,7 @@
         self.opened = rival.map(|rival| (now, rival));
     }
 
-    /// Whether its room is left to an ask of another daemon, for which see [`LEFT_TO_FIRST`].
+    /// Whether room that another daemon has just given back is left to an ask of a third one.
     #[must_use]
     pub fn is_left_to_rival(&self, standing: Standing, now: Instant) -> bool {
         self.opened.is_some_and(|(at, rival)| {
--- a/crates/lilaccrank/tests/suite/dispatch_sharing.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_sharing.rs
@@ -321,7 +321,7 @@
 #[test]
 fn daemons_that_start_together_spread() {
     assert_eq!(most_on_one_target(|_, _| ()), 70);
-    let spread = most_on_one_target(|targets, me| cells::spread(targets, me));
+    let spread = most_on_one_target(cells::spread);
     assert!(spread <= 4, "{spread}");
 }
 
