Daemons that hear nothing ask the platform within 400 ms of each other, however many they are

The store turned 25 of 71 daemons away, both watchers among them as it looks. Change: 400 ms at most. Test: stale_spread cases.

--- a/crates/lilaccrankd/src/configuration.rs
+++ b/crates/lilaccrankd/src/configuration.rs
@@ -38,6 +38,10 @@
 /// For each member, the time over which those that have heard nothing spread their questions:
 /// with seven members four of them ask within a tenth of a second.
 const STALE_SPREAD: Duration = Duration::from_millis(20);
+/// That time at most. What a few learn takes a second or two to reach all of a large fleet, and a
+/// target that leaves may get nothing new after three: over 71 members the spread alone would be 1.4
+/// seconds, on top of the 1.75 until the silence is seen.
+const STALE_SPREAD_MOST: Duration = Duration::from_millis(400);
 
 /// Follows the configuration for as long as the daemon runs.
 pub async fn run(daemon: Rc<Daemon>) {
@@ -101,14 +105,21 @@
             continue;
         }
         let members = daemon.membership.live().members.len();
-        let spread = STALE_SPREAD * u32::try_from(members).unwrap_or(u32::MAX);
-        monoio::time::sleep(backoff::full_jitter(spread)).await;
+        let spread = backoff::full_jitter(stale_spread(members));
+        monoio::time::sleep(spread).await;
         if is_stale(daemon) {
             return;
         }
     }
 }
 
+/// Time over which the members that have heard nothing spread their questions to the platform.
+#[must_use]
+pub fn stale_spread(members: usize) -> Duration {
+    let members = u32::try_from(members).unwrap_or(u32::MAX);
+    STALE_SPREAD.saturating_mul(members).min(STALE_SPREAD_MOST)
+}
+
 /// Completes once the watch is another member's duty and, where knowledge has to be fresh, that
 /// member tells what it learns.
 async fn relieved(daemon: &Daemon) {
--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -7,3 +7,5 @@
 mod heard;
 #[path = "suite/listing.rs"]
 mod listing;
+#[path = "suite/stale_spread.rs"]
+mod stale_spread;
