--- a/crates/lilaccrank-cli/src/status.rs
+++ b/crates/lilaccrank-cli/src/status.rs
@@ -41,6 +41,8 @@
         status.vm, status.data_centre, status.identity, status.in_progress, daemon.admin,
     )];
     lines.extend(gone.map(|member| format!("  sees {} as {}", member.vm, member.state)));
+    let unusable = status.unusable_entries.iter();
+    lines.extend(unusable.map(|(entry, why)| format!("  can't use entry {entry}: {why}")));
     for (id, pool) in &status.pools {
         let waiting: usize = pool.waiting.iter().map(|tier| tier.waiting).sum();
         let running = pool.running;
--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -95,6 +95,8 @@
 /// A client; clones share the connections.
 #[derive(Clone, Default)]
 pub struct Client {
+    /// How often an address was forgotten; connections of before are not kept.
+    forgotten: Rc<RefCell<IndexMap<String, u64>>>,
     idle: Rc<RefCell<IndexMap<String, Vec<Idle>>>>,
     /// Whether a task closes idle connections.
     sweeping: Rc<Cell<bool>>,
@@ -118,6 +120,8 @@
 /// the connection, which cancels what the other end still does for it.
 pub struct Connection {
     address: String,
+    /// How often its address had been forgotten when it was made.
+    forgotten: u64,
     sender: SendRequest<Body>,
 }
 
@@ -130,6 +134,7 @@
     pub async fn open(address: &str, limit: Duration) -> Result<Self> {
         Ok(Self {
             address: address.to_owned(),
+            forgotten: 0,
             sender: connect(address, limit, None).await?,
         })
     }
@@ -196,6 +201,7 @@
         while let Some(sender) = self.take(address, limits.rest) {
             let connection = Connection {
                 address: address.to_owned(),
+                forgotten: self.forgotten(address),
                 sender,
             };
             match self.exchange(connection, req, limits.head).await {
@@ -207,6 +213,7 @@
         }
         let connection = Connection {
             address: address.to_owned(),
+            forgotten: self.forgotten(address),
             sender: connect(address, limits.connect, self.tally.as_ref()).await?,
         };
         let answered = self.exchange(connection, req, limits.head).await;
@@ -231,6 +238,9 @@
 
     /// Takes a connection back after a whole answer.
     pub fn release(&self, connection: Connection) {
+        if connection.forgotten != self.forgotten(&connection.address) {
+            return;
+        }
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(connection.address).or_default();
         if list.len() < IDLE_LIMIT {
@@ -244,6 +254,19 @@
         }
     }
 
+    /// Gives up all connections to an address: another process has it now. One to the process before
+    /// would hang without a word, or be reset with a request on it that may not be sent twice.
+    pub fn forget(&self, address: &str) {
+        self.idle.borrow_mut().swap_remove(address);
+        let mut forgotten = self.forgotten.borrow_mut();
+        *forgotten.entry(address.to_owned()).or_default() += 1;
+    }
+
+    fn forgotten(&self, address: &str) -> u64 {
+        let forgotten = self.forgotten.borrow();
+        forgotten.get(address).copied().unwrap_or(0)
+    }
+
     /// Closes what is too old to be used, until nothing is idle.
     ///
     /// Requests that need new connections leave theirs here and take none. Without this the idle
--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -11,7 +11,8 @@
 use crate::clock::Clock;
 use crate::document::Pool;
 use crate::error_kind::ErrorKind;
-use crate::ids::{Incarnation, RequestId, TargetId, Tier, VmId};
+use crate::ids::{Incarnation, RequestId, Tier, VmId};
+use crate::target_life::TargetLife;
 
 mod admission;
 pub mod affinity;
@@ -142,13 +143,13 @@
     }
 
     /// Takes in a target's own report of its load.
-    pub fn load_report(&self, target: &TargetId, report: LoadReport) {
+    pub fn load_report(&self, target: &TargetLife, report: LoadReport) {
         let now = self.clock.now();
         self.state.borrow_mut().load_report(target, report, now);
     }
 
     /// Takes in a batch of cache events; `sequence` numbers the batches of one target.
-    pub fn cache_events(&self, target: &TargetId, sequence: u64, events: &[CacheEvent]) {
+    pub fn cache_events(&self, target: &TargetLife, sequence: u64, events: &[CacheEvent]) {
         let mut state = self.state.borrow_mut();
         state.cache_events(target, sequence, events);
     }
--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -147,7 +147,7 @@
             return None;
         }
         let mut live = self.targets.values().filter(|target| target.live);
-        if live.all(|target| ask.exclusions.contains(&target.id)) {
+        if live.all(|target| ask.exclusions.contains(&target.life)) {
             let retry = Some(self.drain.retry_after(0, 0.0, now));
             return Some(state::refusal_of(ask, ErrorKind::NoTarget, retry));
         }
--- a/crates/lilaccrank/src/dispatch/affinity.rs
+++ b/crates/lilaccrank/src/dispatch/affinity.rs
@@ -10,8 +10,8 @@
 use indexmap::IndexMap;
 
 use super::message::CacheEvent;
-use crate::ids::TargetId;
 use crate::prompt;
+use crate::target_life::TargetLife;
 
 /// Most blocks believed of one target.
 const TARGET_BLOCKS: usize = 4096;
@@ -29,7 +29,7 @@
     largest_batch: usize,
     sequence: Option<u64>,
     stamps: IndexMap<u64, u64>,
-    target: TargetId,
+    target: TargetLife,
 }
 
 /// A target that probably holds the beginning of a prefix.
@@ -38,7 +38,7 @@
     /// Blocks that it holds.
     pub blocks: usize,
     /// The target.
-    pub target: &'a TargetId,
+    pub target: &'a TargetLife,
 }
 
 /// Beliefs about all targets of a pool.
@@ -47,13 +47,13 @@
     beliefs: IndexMap<Number, Belief>,
     holders: IndexMap<u64, Vec<Number>>,
     next: Number,
-    numbers: IndexMap<TargetId, Number>,
+    numbers: IndexMap<TargetLife, Number>,
     stamp: u64,
 }
 
 impl Affinity {
     /// A request with this prefix was sent to a target.
-    pub fn sent(&mut self, target: &str, prefix: &[u64]) {
+    pub fn sent(&mut self, target: &TargetLife, prefix: &[u64]) {
         let number = self.number(target);
         // The last block is stamped first: a prefix without its beginning has no use, so the
         // beginning has to be evicted last.
@@ -63,7 +63,7 @@
     }
 
     /// Takes in cache events; `sequence` numbers the batches of one target without gaps.
-    pub fn events(&mut self, target: &str, sequence: u64, events: &[CacheEvent]) {
+    pub fn events(&mut self, target: &TargetLife, sequence: u64, events: &[CacheEvent]) {
         let number = self.number(target);
         let Some(belief) = self.beliefs.get_mut(&number) else {
             return;
@@ -88,7 +88,7 @@
     }
 
     /// Forgets a target.
-    pub fn forget(&mut self, target: &str) {
+    pub fn forget(&mut self, target: &TargetLife) {
         if let Some(number) = self.numbers.swap_remove(target) {
             self.clear(number);
             self.beliefs.swap_remove(&number);
@@ -97,7 +97,7 @@
 
     /// Blocks from the start of the prefix that the target probably holds.
     #[must_use]
-    pub fn held(&self, target: &str, prefix: &[u64]) -> usize {
+    pub fn held(&self, target: &TargetLife, prefix: &[u64]) -> usize {
         let Some(belief) = self.belief(target) else {
             return 0;
         };
@@ -134,23 +134,23 @@
 
     /// Blocks believed of a target.
     #[must_use]
-    pub fn blocks(&self, target: &str) -> usize {
+    pub fn blocks(&self, target: &TargetLife) -> usize {
         self.belief(target).map_or(0, |belief| belief.stamps.len())
     }
 
-    fn belief(&self, target: &str) -> Option<&Belief> {
+    fn belief(&self, target: &TargetLife) -> Option<&Belief> {
         self.beliefs.get(self.numbers.get(target)?)
     }
 
-    fn number(&mut self, target: &str) -> Number {
+    fn number(&mut self, target: &TargetLife) -> Number {
         if let Some(number) = self.numbers.get(target) {
             return *number;
         }
         let number = self.next;
         self.next += 1;
-        self.numbers.insert(target.to_owned(), number);
+        self.numbers.insert(target.clone(), number);
         let belief = Belief {
-            target: target.to_owned(),
+            target: target.clone(),
             ..Belief::default()
         };
         self.beliefs.insert(number, belief);
--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -9,7 +9,8 @@
 use super::queue::{Lane, Standing};
 use super::target::Target;
 use super::work::Work;
-use crate::ids::{TargetId, Tier};
+use crate::ids::Tier;
+use crate::target_life::TargetLife;
 
 /// Part of the slots (one in so many) that only urgent tiers may take.
 pub const HEADROOM: u32 = 8;
@@ -65,7 +66,7 @@
     /// Tokens in one block of the prefix.
     pub block_tokens: u32,
     /// Targets that are out of the question.
-    pub exclusions: &'a [TargetId],
+    pub exclusions: &'a [TargetLife],
     /// Whether its caller expects a first token by some time.
     pub has_objective: bool,
     /// Kind of room that is needed.
@@ -90,7 +91,7 @@
     /// Tokens of prefill left after what the cache is believed to save.
     pub prefill: u64,
     /// The target.
-    pub target: TargetId,
+    pub target: TargetLife,
 }
 
 /// Room in a pool at one moment. Only targets that are well count: the free slots of a hung one
@@ -110,7 +111,7 @@
 impl Room {
     /// Looks at all targets.
     #[must_use]
-    pub fn of(targets: &IndexMap<TargetId, Target>, now: Instant) -> Self {
+    pub fn of(targets: &IndexMap<TargetLife, Target>, now: Instant) -> Self {
         let well = |target: &&Target| target.health.state() == health::State::Well;
         let well = targets.values().filter(|target| target.live).filter(well);
         well.fold(Self::default(), |room, target| Self {
@@ -166,7 +167,7 @@
         && !target.is_left_to_rival(wanted.standing, now)
         && target.estimate.batch(now) + kept < slots
         && has_reading_room(target, wanted, now)
-        && !wanted.exclusions.contains(&target.id)
+        && !wanted.exclusions.contains(&target.life)
 }
 
 /// Slots of a target that an ask leaves free for the tiers before its own.
@@ -197,7 +198,7 @@
 /// Whether any target is open to an ask.
 #[must_use]
 pub fn any_open(
-    targets: &IndexMap<TargetId, Target>,
+    targets: &IndexMap<TargetLife, Target>,
     wanted: &Wanted<'_>,
     room: Room,
     now: Instant,
@@ -211,7 +212,7 @@
 /// the prefill it saves is longer than the wait for what is already there.
 #[must_use]
 pub fn choose(
-    targets: &IndexMap<TargetId, Target>,
+    targets: &IndexMap<TargetLife, Target>,
     affinity: &Affinity,
     wanted: &Wanted<'_>,
     room: Room,
@@ -236,7 +237,7 @@
     let holders = holders.filter(|target| is_open(target, wanted, room, now));
     let candidates = close.iter().map(|(_, target)| *target).chain(holders);
     let choices = candidates.map(|target| {
-        let blocks = affinity.held(&target.id, wanted.prefix) as u64;
+        let blocks = affinity.held(&target.life, wanted.prefix) as u64;
         let saved = (blocks * u64::from(wanted.block_tokens)).min(wanted.work.prefill);
         let expected = expected(target, wanted, saved, now);
         (expected, saved, target)
@@ -248,13 +249,13 @@
         .fold(f64::INFINITY, f64::min);
     let as_good = |expected: f64| expected <= least * (1.0 + AS_GOOD) + AS_GOOD_S;
     let as_good = choices.into_iter().filter(|choice| as_good(choice.0));
-    let place = |target: &Target| (target.turn, targets.get_index_of(&target.id));
+    let place = |target: &Target| (target.turn, targets.get_index_of(&target.life));
     let (_, saved, target) = as_good.min_by_key(|(_, _, target)| place(target))?;
     Some(Choice {
         earliest: earliest(target, wanted, saved, now)
             .max(likely(target, wanted, saved, now) * LIKELIHOOD),
         prefill: wanted.work.prefill - saved,
-        target: target.id.clone(),
+        target: target.life.clone(),
     })
 }
 
--- a/crates/lilaccrank/src/dispatch/deadline.rs
+++ b/crates/lilaccrank/src/dispatch/deadline.rs
@@ -63,7 +63,7 @@
             if choice::earliest(target, wanted, 0, now) <= left {
                 return true;
             }
-            let blocks = self.affinity.held(&target.id, wanted.prefix) as u64;
+            let blocks = self.affinity.held(&target.life, wanted.prefix) as u64;
             let saved = (blocks * u64::from(wanted.block_tokens)).min(wanted.work.prefill);
             choice::earliest(target, wanted, saved, now) <= left
         })
--- a/crates/lilaccrank/src/dispatch/message.rs
+++ b/crates/lilaccrank/src/dispatch/message.rs
@@ -6,7 +6,8 @@
 
 use crate::document::Limit;
 use crate::error_kind::ErrorKind;
-use crate::ids::{CustomerId, Incarnation, Rank, RequestId, RuleId, TargetId, Tier, VmId};
+use crate::ids::{CustomerId, Incarnation, Rank, RequestId, RuleId, Tier, VmId};
+use crate::target_life::TargetLife;
 
 /// Counts the asks for one request; a grant of an earlier ask is void.
 pub type AskNumber = u64;
@@ -25,7 +26,7 @@
     /// Life of that daemon.
     pub entry_incarnation: Incarnation,
     /// Targets that must not be granted, since they failed this request before.
-    pub exclusions: Vec<TargetId>,
+    pub exclusions: Vec<TargetLife>,
     /// Limits of the rule that matched.
     pub limit: Option<Limit>,
     /// Most tokens to generate.
@@ -71,7 +72,7 @@
     /// The request.
     pub request: RequestId,
     /// Where to send it.
-    pub target: TargetId,
+    pub target: TargetLife,
 }
 
 /// Refusal of one ask; the request was not run for it.
@@ -97,7 +98,7 @@
     /// The request.
     pub request: RequestId,
     /// Where it runs.
-    pub target: TargetId,
+    pub target: TargetLife,
 }
 
 /// What happened to a granted request.
@@ -170,7 +171,7 @@
     /// Tokens generated so far; `None` before the first.
     pub decoded: Option<u32>,
     /// Where it runs.
-    pub target: TargetId,
+    pub target: TargetLife,
 }
 
 /// All that one entry daemon has with this pool; replaces what was known of it.
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -10,7 +10,7 @@
 use super::work::Work;
 use crate::document::{Pool, TargetState};
 use crate::error_kind::ErrorKind;
-use crate::ids::TargetId;
+use crate::target_life::TargetLife;
 
 /// Weight of a new sample in the usual length of answers.
 const LENGTH_GAIN: f64 = 0.05;
@@ -39,15 +39,15 @@
                 match outcome {
                     Outcome::Complete => {
                         target.health.answered(now);
-                        self.sharing.note(&target.id, Seen::Answered);
+                        self.sharing.note(target.digest, Seen::Answered);
                     }
                     Outcome::Erred => {
                         target.health.erred(now);
-                        self.sharing.note(&target.id, Seen::Erred);
+                        self.sharing.note(target.digest, Seen::Erred);
                     }
                     Outcome::Failed => {
                         target.health.failed(now);
-                        self.sharing.note(&target.id, Seen::Failed);
+                        self.sharing.note(target.digest, Seen::Failed);
                     }
                     Outcome::Cancelled | Outcome::Unused => {}
                 }
@@ -60,7 +60,7 @@
                     .estimate
                     .first_token(held.left.prefill, before, after);
                 self.sharing
-                    .note(&target.id, Seen::FirstToken { after, before });
+                    .note(target.digest, Seen::FirstToken { after, before });
                 target.long -= u32::from(held.long);
                 held.left.prefill = 0;
                 held.long = false;
@@ -73,7 +73,7 @@
                 target.health.alive(now);
                 let batch = target.estimate.batch(now);
                 target.estimate.progress(tokens, step, now);
-                self.sharing.note(&target.id, Seen::Step { batch, step });
+                self.sharing.note(target.digest, Seen::Step { batch, step });
                 held.left -= Work {
                     decode: tokens,
                     prefill: 0,
@@ -84,7 +84,7 @@
     }
 
     /// Takes in a target's own report.
-    pub(super) fn load_report(&mut self, target: &str, report: LoadReport, now: Instant) {
+    pub(super) fn load_report(&mut self, target: &TargetLife, report: LoadReport, now: Instant) {
         if let Some(target) = self.targets.get_mut(target) {
             target.estimate.reported(report, now);
             self.note_opening();
@@ -93,9 +93,14 @@
     }
 
     /// Takes in cache events of a target.
-    pub(super) fn cache_events(&mut self, target: &str, sequence: u64, events: &[CacheEvent]) {
+    pub(super) fn cache_events(
+        &mut self,
+        target: &TargetLife,
+        sequence: u64,
+        events: &[CacheEvent],
+    ) {
         if let Some(target) = self.targets.get(target) {
-            self.affinity.events(&target.id, sequence, events);
+            self.affinity.events(&target.life, sequence, events);
             self.note_opening();
         }
     }
@@ -106,24 +111,27 @@
         for target in self.targets.values_mut() {
             target.live = false;
         }
-        let usual = Estimate::usual(self.targets.values().map(|t| &t.estimate), now);
         let here = pool.targets.iter();
-        for given in here.filter(|target| near(&target.data_centre)) {
-            let target = self
-                .targets
-                .entry(given.id.clone())
-                .or_insert_with(|| Target {
-                    estimate: usual.clone(),
-                    ..Target::new(given.id.clone(), given.slots, now)
-                });
+        let here: Vec<_> = here.filter(|t| near(&t.data_centre)).collect();
+        // Nothing that is known of an earlier life of a target holds for the present one.
+        let known = self.targets.values();
+        let stays = |life: &TargetLife| here.iter().any(|given| TargetLife::of(given) == *life);
+        let known = known.filter(|target| stays(&target.life));
+        let usual = Estimate::usual(known.map(|target| &target.estimate), now);
+        for given in here {
+            let life = TargetLife::of(given);
+            let target = self.targets.entry(life.clone()).or_insert_with(|| Target {
+                estimate: usual.clone(),
+                ..Target::new(life, given.slots, now)
+            });
             target.live = given.state == TargetState::Live;
             target.slots = given.slots;
         }
         self.cfg.waiting_limit = pool.waiting_limit;
         self.note_opening();
-        let ids: Vec<TargetId> = self.targets.keys().cloned().collect();
-        for id in &ids {
-            self.drop_if_left(id);
+        let lives: Vec<TargetLife> = self.targets.keys().cloned().collect();
+        for life in &lives {
+            self.drop_if_left(life);
         }
         self.forget_capacity();
         if self.targets.values().any(|target| target.live) {
@@ -135,11 +143,11 @@
     }
 
     /// Drops a target that gets nothing and runs nothing.
-    pub(super) fn drop_if_left(&mut self, id: &str) {
-        let target = self.targets.get(id);
+    pub(super) fn drop_if_left(&mut self, life: &TargetLife) {
+        let target = self.targets.get(life);
         if target.is_some_and(|target| !target.live && target.estimate.running() == 0) {
-            self.targets.shift_remove(id);
-            self.affinity.forget(id);
+            self.targets.shift_remove(life);
+            self.affinity.forget(life);
         }
     }
 
--- a/crates/lilaccrank/src/dispatch/sharing.rs
+++ b/crates/lilaccrank/src/dispatch/sharing.rs
@@ -15,6 +15,7 @@
 use super::work::Work;
 use crate::ids::{TargetId, VmId};
 use crate::rendezvous;
+use crate::target_life::LifeDigest;
 
 /// A peer of which nothing is heard for this long has nothing on the targets any more: its
 /// connections ended with it, or it is cut off and its targets with it. Digests come four times a
@@ -44,7 +45,7 @@
     /// Number of requests.
     pub running: u32,
     /// The target.
-    pub target: TargetId,
+    pub target: LifeDigest,
 }
 
 /// One thing that was seen of a target.
@@ -53,7 +54,7 @@
     /// What was seen.
     pub seen: Seen,
     /// The target.
-    pub target: TargetId,
+    pub target: LifeDigest,
 }
 
 /// What was seen of a target.
@@ -97,12 +98,9 @@
 
 impl Sharing {
     /// Notes what was seen, for the next digest.
-    pub(super) fn note(&mut self, target: &TargetId, seen: Seen) {
+    pub(super) fn note(&mut self, target: LifeDigest, seen: Seen) {
         if self.samples.len() < SAMPLES_LIMIT {
-            self.samples.push(Sample {
-                seen,
-                target: target.clone(),
-            });
+            self.samples.push(Sample { seen, target });
         }
     }
 
@@ -120,11 +118,11 @@
     }
 
     /// What all peers have on each target.
-    fn totals(&self) -> IndexMap<&TargetId, (u32, Work)> {
-        let mut totals: IndexMap<&TargetId, (u32, Work)> = IndexMap::new();
+    fn totals(&self) -> IndexMap<LifeDigest, (u32, Work)> {
+        let mut totals: IndexMap<LifeDigest, (u32, Work)> = IndexMap::new();
         for load in self.peers.values().flat_map(|peer| &peer.loads) {
-            let total = totals.entry(&load.target).or_default();
-            total.0 += load.running;
+            let total = totals.entry(load.target).or_default();
+            total.0 = total.0.saturating_add(load.running);
             total.1 += Work {
                 decode: load.decode,
                 prefill: load.prefill,
@@ -145,7 +143,7 @@
                 decode: own.decode,
                 prefill: own.prefill,
                 running: target.estimate.running(),
-                target: target.id.clone(),
+                target: target.digest,
             }
         });
         Digest {
@@ -185,16 +183,17 @@
     fn spread_peer_loads(&mut self, now: Instant) {
         let totals = self.sharing.totals();
         for target in self.targets.values_mut() {
-            let (running, work) = totals.get(&target.id).copied().unwrap_or_default();
+            let (running, work) = totals.get(&target.digest).copied().unwrap_or_default();
             if target.estimate.set_peers(running, work) {
-                let rival = self.sharing.rival(&self.cfg.vm, &target.id);
+                let rival = self.sharing.rival(&self.cfg.vm, &target.life.id);
                 target.opened(rival, now);
             }
         }
     }
 
     fn learn(&mut self, sample: &Sample, now: Instant) {
-        let Some(target) = self.targets.get_mut(&sample.target) else {
+        let mut targets = self.targets.values_mut();
+        let Some(target) = targets.find(|target| target.digest == sample.target) else {
             return;
         };
         match sample.seen {
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -23,7 +23,8 @@
 use super::waits::Waits;
 use super::work::Work;
 use crate::error_kind::ErrorKind;
-use crate::ids::{RequestId, TargetId};
+use crate::ids::RequestId;
+use crate::target_life::TargetLife;
 
 /// Part of `max_tokens` that answers are assumed to use before any has ended.
 const ASSUMED_LENGTH: f64 = 0.5;
@@ -65,7 +66,7 @@
     pub(super) max_tokens: u32,
     /// Digests of a prompt that the target still reads.
     pub(super) pending: Vec<u64>,
-    pub(super) target: TargetId,
+    pub(super) target: TargetLife,
     pub(super) tokens: u64,
     /// Whether it tries a target that was silent.
     pub(super) trial: bool,
@@ -91,7 +92,7 @@
     pub(super) queue: Queue,
     pub(super) reservations: IndexMap<RequestId, Reservation>,
     pub(super) sharing: Sharing,
-    pub(super) targets: IndexMap<TargetId, Target>,
+    pub(super) targets: IndexMap<TargetLife, Target>,
     /// Tiers that use the pool.
     pub(super) tiers: Tiers,
     /// Grants so far.
--- a/crates/lilaccrank/src/dispatch/status.rs
+++ b/crates/lilaccrank/src/dispatch/status.rs
@@ -7,7 +7,7 @@
 
 use super::health;
 use super::state::State;
-use crate::ids::{TargetId, Tier};
+use crate::ids::{Born, TargetId, Tier};
 
 /// State of a pool.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -33,9 +33,12 @@
     pub waiting: usize,
 }
 
-/// Estimate of one target.
+/// Estimate of one life of a target.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct TargetStatus {
+    /// When it started; 0 if it doesn't say.
+    #[serde(default)]
+    pub born: Born,
     /// Blocks that its prefix cache is believed to hold.
     pub cached_blocks: usize,
     /// Tokens that it still has to generate.
@@ -70,10 +73,11 @@
         let targets = self.targets.values().map(|target| {
             let estimate = &target.estimate;
             TargetStatus {
-                cached_blocks: self.affinity.blocks(&target.id),
+                born: target.life.born,
+                cached_blocks: self.affinity.blocks(&target.life),
                 decode_outstanding: estimate.outstanding().decode,
                 health: target.health.state(),
-                id: target.id.clone(),
+                id: target.life.id.clone(),
                 live: target.live,
                 prefill_outstanding: estimate.outstanding().prefill,
                 prefill_per_s: estimate.prefill_rate(now),
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -5,7 +5,7 @@
 use super::estimate::Estimate;
 use super::health::Health;
 use super::queue::Standing;
-use crate::ids::TargetId;
+use crate::target_life::{LifeDigest, TargetLife};
 
 /// Time for which room that another daemon gave back is left to the daemon whose ask goes first.
 ///
@@ -31,8 +31,10 @@
     pub estimate: Estimate,
     /// Signs of life.
     pub health: Health,
-    /// Its name.
-    pub id: TargetId,
+    /// Its name and its life.
+    pub life: TargetLife,
+    /// The number that stands for its life in messages between daemons.
+    pub digest: LifeDigest,
     /// Whether it may get new work.
     pub live: bool,
     /// Long prompts sent whose first token has not come.
@@ -48,11 +50,12 @@
 impl Target {
     /// A live target that was never seen.
     #[must_use]
-    pub fn new(id: TargetId, slots: u32, now: Instant) -> Self {
+    pub fn new(life: TargetLife, slots: u32, now: Instant) -> Self {
         Self {
+            digest: life.digest(),
             estimate: Estimate::new(now),
             health: Health::new(now),
-            id,
+            life,
             live: true,
             long: 0,
             opened: None,
@@ -63,10 +66,10 @@
 
     /// A target that is known only from a request that runs there.
     #[must_use]
-    pub fn leaving(id: TargetId, now: Instant) -> Self {
+    pub fn leaving(life: TargetLife, now: Instant) -> Self {
         Self {
             live: false,
-            ..Self::new(id, 0, now)
+            ..Self::new(life, 0, now)
         }
     }
 
--- a/crates/lilaccrank/src/dispatch/work.rs
+++ b/crates/lilaccrank/src/dispatch/work.rs
@@ -2,7 +2,8 @@
 
 use std::ops::{Add, AddAssign, SubAssign};
 
-/// Tokens that a target has to compute.
+/// Tokens that a target has to compute. Sums stop at the highest number: lengths come from callers and
+/// from other daemons, and one that wraps around would make a full target look idle.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Work {
     /// Tokens to generate.
@@ -15,7 +16,7 @@
     /// All tokens, at least one, so that a plain service's request counts too.
     #[must_use]
     pub fn tokens(self) -> u64 {
-        (self.decode + self.prefill).max(1)
+        self.decode.saturating_add(self.prefill).max(1)
     }
 }
 
@@ -24,8 +25,8 @@
 
     fn add(self, other: Self) -> Self {
         Self {
-            decode: self.decode + other.decode,
-            prefill: self.prefill + other.prefill,
+            decode: self.decode.saturating_add(other.decode),
+            prefill: self.prefill.saturating_add(other.prefill),
         }
     }
 }
--- a/crates/lilaccrank/src/document.rs
+++ b/crates/lilaccrank/src/document.rs
@@ -8,7 +8,9 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{CustomerId, DataCentre, ModelId, PoolId, Rank, RuleId, TargetId, Tier, VmId};
+use crate::ids::{
+    Born, CustomerId, DataCentre, ModelId, PoolId, Rank, RuleId, TargetId, Tier, VmId,
+};
 
 /// A whole configuration, without its generation.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -170,6 +172,9 @@
 pub struct Target {
     /// IP number and port.
     pub address: String,
+    /// When it started; a later one under the same name is another target.
+    #[serde(default, skip_serializing_if = "is_unknown")]
+    pub born: Born,
     /// Where the target runs.
     pub data_centre: DataCentre,
     /// Whether it checks fencing numbers.
@@ -421,6 +426,10 @@
     8
 }
 
+fn is_unknown(born: &Born) -> bool {
+    *born == 0
+}
+
 fn waiting_limit() -> usize {
     10_000
 }
--- a/crates/lilaccrank/src/ids.rs
+++ b/crates/lilaccrank/src/ids.rs
@@ -1,5 +1,7 @@
 //! Aliases for the identifiers that cross module borders.
 
+/// When a target started, in milliseconds since 1970; 0 where it doesn't say.
+pub type Born = u64;
 /// A customer, as named in the configuration.
 pub type CustomerId = String;
 /// A data centre, as named in the settings of each daemon and of each target.
--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod retry_budget;
 pub mod rules;
 pub mod store;
+pub mod target_life;
 pub mod timeline;
--- a/crates/lilaccrank/src/operators/status.rs
+++ b/crates/lilaccrank/src/operators/status.rs
@@ -23,6 +23,9 @@
     pub members: Vec<Member>,
     /// Pools that it dispatches.
     pub pools: IndexMap<PoolId, status::Status>,
+    /// Entries of the list of targets that name no target to use, and what is wrong with each.
+    #[serde(default)]
+    pub unusable_entries: IndexMap<String, String>,
     /// The vm it runs on.
     pub vm: VmId,
 }
--- /dev/null
+++ b/crates/lilaccrank/src/target_life.rs
@@ -0,0 +1,56 @@
+//! One life of a target.
+//!
+//! A target may start again under the name that it had. Nothing that is known of its earlier life
+//! holds for the new one: its slots are free, its cache is empty, its speed and errors are still to be
+//! seen, and connections to it are dead. Whatever is known of a target is therefore kept by this
+//! type, so that the new life begins with nothing.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
+
+use crate::document::Target;
+use crate::ids::{Born, TargetId};
+
+/// Stands for a life in messages between daemons. Of 6,700 targets two have the same one once in some
+/// 10^12 fleets.
+pub type LifeDigest = u64;
+
+/// A target from its start to its end.
+#[derive(
+    Clone, Debug, Default, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[display("{id}, born {born}")]
+pub struct TargetLife {
+    /// Its name, which a later life may have too.
+    pub id: TargetId,
+    /// When it started.
+    pub born: Born,
+}
+
+impl TargetLife {
+    /// The life of a target as it is listed.
+    #[must_use]
+    pub fn of(target: &Target) -> Self {
+        Self {
+            born: target.born,
+            id: target.id.clone(),
+        }
+    }
+
+    /// The number that stands for it.
+    #[must_use]
+    pub fn digest(&self) -> LifeDigest {
+        xxh3::xxh3_64_with_seed(self.id.as_bytes(), self.born)
+    }
+}
+
+/// A target of which nobody says when it started.
+impl From<&str> for TargetLife {
+    fn from(id: &str) -> Self {
+        Self {
+            born: 0,
+            id: id.to_owned(),
+        }
+    }
+}
--- a/crates/lilaccrank/tests/suite/dispatch_affinity.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_affinity.rs
@@ -5,6 +5,7 @@
 
 use lilaccrank::dispatch::message::{Ask, CacheEvent};
 use lilaccrank::prompt;
+use lilaccrank::target_life::TargetLife;
 
 use crate::dispatch_cases::{FIRST_TOKEN, ask, granted, harness};
 use crate::dispatch_harness::Harness;
@@ -14,7 +15,7 @@
 #[test]
 fn a_gap_drops_the_belief() {
     let harness = harness(&[8, 8]);
-    let target = "t1".to_owned();
+    let target = TargetLife::from("t1");
     let stored: Vec<CacheEvent> = (0..8).map(CacheEvent::Stored).collect();
     harness.dispatcher.cache_events(&target, 1, &stored);
     let cached = |harness: &Harness| harness.dispatcher.status().targets[1].cached_blocks;
@@ -33,7 +34,7 @@
 #[test]
 fn a_small_gap_drops_little() {
     let harness = harness(&[8, 8]);
-    let target = "t1".to_owned();
+    let target = TargetLife::from("t1");
     let stored = |sequence: u64| {
         let events = [CacheEvent::Stored(sequence)];
         harness.dispatcher.cache_events(&target, sequence, &events);
@@ -116,7 +117,7 @@
         ..ask(request, tier)
     };
     for request in ["x", "y"] {
-        let exclusions = vec!["t1".to_owned()];
+        let exclusions = vec![TargetLife::from("t1")];
         let ask = shared(request, 0);
         harness.ask(Ask { exclusions, ..ask });
         harness.report(request, "t0", FIRST_TOKEN);
@@ -141,7 +142,7 @@
 #[test]
 fn beliefs_are_bounded() {
     let harness = harness(&[8]);
-    let target = "t0".to_owned();
+    let target = TargetLife::from("t0");
     let stored: Vec<CacheEvent> = (0..10_000).map(CacheEvent::Stored).collect();
     harness.dispatcher.cache_events(&target, 1, &stored);
     assert_eq!(harness.dispatcher.status().targets[0].cached_blocks, 4096);
--- a/crates/lilaccrank/tests/suite/dispatch_harness.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_harness.rs
@@ -12,6 +12,7 @@
 use lilaccrank::document::{Pool, Target, TargetState};
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::paused_clock::PausedClock;
+use lilaccrank::target_life::TargetLife;
 
 pub const DATA_CENTRE: &str = "portmore";
 pub const LOWEST_TIER: u8 = 3;
@@ -107,7 +108,7 @@
     pub fn grants(&mut self) -> Vec<(String, String)> {
         let verdicts = self.verdicts().into_iter();
         let grants = verdicts.filter_map(|verdict| match verdict {
-            Verdict::Grant(grant) => Some((grant.request, grant.target)),
+            Verdict::Grant(grant) => Some((grant.request, grant.target.id)),
             Verdict::Refuse(_) => None,
         });
         grants.collect()
@@ -128,7 +129,7 @@
             ask: 1,
             kind,
             request: request.to_owned(),
-            target: target.to_owned(),
+            target: TargetLife::from(target),
         });
     }
 
--- a/crates/lilaccrank/tests/suite/dispatch_order.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_order.rs
@@ -7,6 +7,7 @@
 use lilaccrank::dispatch::status::TargetStatus;
 use lilaccrank::document::TargetState;
 use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::target_life::TargetLife;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 use crate::dispatch_harness::{self, Harness};
@@ -181,7 +182,7 @@
             let kept = if urgent { 0 } else { t.slots / 8 };
             on(&t.id).count() as u32 + kept < t.slots
                 && unread(&t.id).sum::<u32>() < 8192
-                && !waiting.ask.exclusions.contains(&t.id)
+                && !waiting.ask.exclusions.contains(&TargetLife::from(&*t.id))
         });
         open.map(|t| t.id.clone()).collect()
     }
@@ -258,7 +259,10 @@
         } => {
             let mut ask = dispatch_harness::ask(&format!("r{id}"), *tier);
             ask.customer = format!("c{customer}");
-            ask.exclusions = exclude.iter().map(|i| format!("t{i}")).collect();
+            ask.exclusions = exclude
+                .iter()
+                .map(|i| TargetLife::from(&*format!("t{i}")))
+                .collect();
             ask.max_tokens = u32::from(*max_tokens);
             ask.prompt_tokens = if *long { LONG } else { ask.prompt_tokens };
             ask.weight = 1 + u32::from(customer % 2);
@@ -267,7 +271,10 @@
                 .targets
                 .iter()
                 .filter(|t| t.state == TargetState::Live);
-            if live.clone().any(|t| !ask.exclusions.contains(&t.id)) {
+            if live
+                .clone()
+                .any(|t| !ask.exclusions.contains(&TargetLife::of(t)))
+            {
                 naive.arrive(ask.clone());
             }
             harness.ask(ask);
@@ -312,7 +319,7 @@
     for verdict in harness.verdicts() {
         match verdict {
             Verdict::Grant(grant) => {
-                let twice = granted.insert(grant.request.clone(), grant.target);
+                let twice = granted.insert(grant.request.clone(), grant.target.id);
                 if twice.is_some() {
                     return Err(format!("{} granted twice", grant.request));
                 }
--- a/crates/lilaccrank/tests/suite/dispatch_sharing.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_sharing.rs
@@ -9,10 +9,16 @@
 use lilaccrank::dispatch::sharing::{Digest, Sample, Seen, TargetLoad};
 use lilaccrank::document::Target;
 use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::target_life::{LifeDigest, TargetLife};
 
 use crate::dispatch_cases::{ask, granted, harness, refused};
 use crate::dispatch_harness::{DATA_CENTRE, Harness};
 
+/// What stands for a target in a digest.
+fn of(target: &str) -> LifeDigest {
+    TargetLife::from(target).digest()
+}
+
 /// A digest of a peer that has `running` short requests on a target.
 fn digest(target: &str, running: u32, prefill: u64) -> Digest {
     Digest {
@@ -20,7 +26,7 @@
             decode: u64::from(running) * 100,
             prefill,
             running,
-            target: target.to_owned(),
+            target: of(target),
         }],
         ..Digest::default()
     }
@@ -87,7 +93,7 @@
             batch: 1,
             step: Duration::from_millis(100),
         },
-        target: "t0".to_owned(),
+        target: of("t0"),
     };
     for _ in 0..10 {
         let samples = vec![slow.clone(); 10];
@@ -111,7 +117,7 @@
     let mut harness = harness(&[8, 8]);
     let failed = Sample {
         seen: Seen::Failed,
-        target: "t0".to_owned(),
+        target: of("t0"),
     };
     for peer in ["vm2", "vm3", "vm4"] {
         let samples = vec![failed.clone()];
@@ -137,12 +143,8 @@
     let after = Duration::from_millis(40);
     harness.report("a", "t0", ReportKind::FirstToken { after });
     let digest = harness.dispatcher.digest();
-    let loads: Vec<_> = digest
-        .loads
-        .iter()
-        .map(|l| (&*l.target, l.running))
-        .collect();
-    assert_eq!(loads, [("t0", 1)]);
+    let loads: Vec<_> = digest.loads.iter().map(|l| (l.target, l.running)).collect();
+    assert_eq!(loads, [(of("t0"), 1)]);
     assert!(matches!(digest.samples[0].seen, Seen::FirstToken { .. }));
     assert_eq!(harness.dispatcher.digest().samples, []);
     let kind = ReportKind::Ended {
@@ -465,7 +467,7 @@
             decode: 100,
             prefill: 2 * at,
             running: 1,
-            target: format!("t{at}"),
+            target: of(&format!("t{at}")),
         };
         let told = Digest {
             loads: (0..9).map(load).collect(),
--- a/crates/lilaccrank/tests/suite/pool_model/placed.rs
+++ b/crates/lilaccrank/tests/suite/pool_model/placed.rs
@@ -10,6 +10,7 @@
 use lilaccrank::dispatch::{Config, Dispatcher};
 use lilaccrank::document::{Pool, Target};
 use lilaccrank::paused_clock::PausedClock;
+use lilaccrank::target_life::TargetLife;
 
 use super::engine::SLOTS;
 use super::{Decision, Engine, Load, Policy, Progress, Request, TICK};
@@ -120,7 +121,7 @@
         let decisions = verdicts.map(|verdict| match verdict {
             Verdict::Grant(grant) => Decision::Send(
                 grant.request.parse().unwrap(),
-                grant.target.parse().unwrap(),
+                grant.target.id.parse().unwrap(),
             ),
             Verdict::Refuse(refuse) => {
                 let after = refuse.retry_after.unwrap_or_default();
@@ -149,7 +150,7 @@
             ask: 1,
             kind,
             request: request.id.to_string(),
-            target: engine.to_string(),
+            target: TargetLife::from(&*engine.to_string()),
         });
     }
 }
--- a/crates/lilaccrankd/src/admin.rs
+++ b/crates/lilaccrankd/src/admin.rs
@@ -124,6 +124,7 @@
         leaving: daemon.leaving.get(),
         members: daemon.membership.all(),
         pools: server::status(daemon),
+        unusable_entries: daemon.live_list.listing().unusable.clone(),
         vm: daemon.cfg.vm.clone(),
     })
 }
--- a/crates/lilaccrankd/src/admin/metrics.rs
+++ b/crates/lilaccrankd/src/admin/metrics.rs
@@ -35,6 +35,8 @@
     /// Second sends that the budget did not allow.
     pub second_sends_denied: IntCounter,
     traffic: Rc<Traffic>,
+    /// Entries of the list of targets that name no target to use.
+    pub unusable_entries: IntGauge,
 }
 
 impl Metrics {
@@ -82,6 +84,10 @@
             "lilaccrank_second_sends_denied_total",
             "Second sends that the budget did not allow",
         )?;
+        let unusable_entries = IntGauge::new(
+            "lilaccrank_unusable_entries",
+            "Entries of the list of targets that name no target to use",
+        )?;
         let registry = Registry::new();
         registry.register(Box::new(answered.clone()))?;
         registry.register(Box::new(control_bytes.clone()))?;
@@ -91,6 +97,7 @@
         registry.register(Box::new(in_progress.clone()))?;
         registry.register(Box::new(refused.clone()))?;
         registry.register(Box::new(second_sends_denied.clone()))?;
+        registry.register(Box::new(unusable_entries.clone()))?;
         Ok(Self {
             answered,
             control_bytes,
@@ -102,6 +109,7 @@
             registry,
             second_sends_denied,
             traffic,
+            unusable_entries,
         })
     }
 
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -13,6 +13,7 @@
 use lilaccrank::membership::{Member, Membership, State};
 use lilaccrank::request_key::{Budget, Claims, Keeper, Limits};
 use lilaccrank::rules::condition::Environment;
+use lilaccrank::target_life::TargetLife;
 use lilaccrank::timeline::{EventKind, Subject, Timeline};
 use lilaccrank_http::client::Client;
 use lilaccrank_http::monoio_clock::MonoioClock;
@@ -231,12 +232,13 @@
 
     /// A target of a pool, by configuration or by the platform's list.
     #[must_use]
-    pub fn target(&self, pool: &str, target: &str) -> Option<Target> {
+    pub fn target(&self, pool: &str, life: &TargetLife) -> Option<Target> {
         let in_force = self.in_force().ok()?;
-        let configured = in_force.target(pool, target).map(|(_, target)| target);
+        let configured = in_force.target(pool, &life.id).map(|(_, target)| target);
+        let configured = configured.filter(|target| TargetLife::of(target) == *life);
         configured
             .cloned()
-            .or_else(|| self.live_list.find(pool, target))
+            .or_else(|| self.live_list.find(pool, life))
     }
 
     /// Tokens in one event of a stream of this pool's targets.
--- a/crates/lilaccrankd/src/pools/client/held.rs
+++ b/crates/lilaccrankd/src/pools/client/held.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 
 use lilaccrank::dispatch::message::{Cancel, Grant, Outcome, Report, ReportKind};
-use lilaccrank::ids::{PoolId, RequestId, TargetId};
+use lilaccrank::ids::{PoolId, RequestId};
+use lilaccrank::target_life::TargetLife;
 
 use crate::daemon::Daemon;
 use crate::peers::message::PoolMessage;
@@ -16,7 +17,7 @@
     pool: PoolId,
     request: RequestId,
     /// Where the request may be sent.
-    pub target: TargetId,
+    pub target: TargetLife,
 }
 
 /// Takes an ask back when its caller stops waiting.
--- a/crates/lilaccrankd/src/pools/client/outstanding.rs
+++ b/crates/lilaccrankd/src/pools/client/outstanding.rs
@@ -8,8 +8,9 @@
 use lilaccrank::dispatch::message::{Ask, Entry, Refuse, ReportKind, Resync, Running, Verdict};
 use lilaccrank::document::Document;
 use lilaccrank::error_kind::ErrorKind;
-use lilaccrank::ids::{PoolId, RequestId, TargetId};
+use lilaccrank::ids::{PoolId, RequestId};
 use lilaccrank::request_key::{MemberRef, Ranking};
+use lilaccrank::target_life::TargetLife;
 
 use crate::daemon::Daemon;
 
@@ -39,7 +40,7 @@
 
 struct RunningOn {
     decoded: Option<u32>,
-    target: TargetId,
+    target: TargetLife,
 }
 
 impl PoolClient {
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -130,7 +130,7 @@
         let subject = Subject {
             detail: format!("by the dispatcher of pool {}", served.pool),
             request: Some(grant.request.clone()),
-            target: Some(grant.target.clone()),
+            target: Some(grant.target.id.clone()),
         };
         daemon.record(EventKind::Granted, subject);
     }
--- a/crates/lilaccrankd/src/request/life.rs
+++ b/crates/lilaccrankd/src/request/life.rs
@@ -9,6 +9,7 @@
 use lilaccrank::error_kind::{ErrorKind, Ran};
 use lilaccrank::ids::{RequestId, TargetId};
 use lilaccrank::rules::matching::Route;
+use lilaccrank::target_life::TargetLife;
 use lilaccrank::timeline::{EventKind, Subject};
 
 use crate::callers::caller_request::{CallerRequest, Work};
@@ -220,7 +221,7 @@
         &self,
         daemon: &Rc<Daemon>,
         run: &Run,
-        exclusions: Vec<TargetId>,
+        exclusions: Vec<TargetLife>,
     ) -> Result<Held> {
         daemon.record(
             EventKind::Asked,
@@ -235,12 +236,12 @@
                 log::info!(
                     since_arrival_ms = self.elapsed_ms(),
                     request = self.name(),
-                    target = held.target;
+                    target = held.target.id;
                     "granted"
                 );
                 daemon.record(
                     EventKind::Granted,
-                    self.subject(String::new(), Some(&held.target)),
+                    self.subject(String::new(), Some(&held.target.id)),
                 );
                 Ok(held)
             }
@@ -249,7 +250,7 @@
         }
     }
 
-    fn ask(&self, daemon: &Daemon, exclusions: Vec<TargetId>) -> Ask {
+    fn ask(&self, daemon: &Daemon, exclusions: Vec<TargetLife>) -> Ask {
         let facts = &self.caller.facts;
         let prefix = match &self.caller.work {
             Work::Generate { prefix, .. } => prefix.clone(),
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -46,7 +46,7 @@
     ) -> Result<()> {
         daemon.record(
             EventKind::Dispatched,
-            self.subject(String::new(), Some(&held.target)),
+            self.subject(String::new(), Some(&held.target.id)),
         );
         let (sent, decoded, prefill) = match daemon.target(&self.route.pool, &held.target) {
             None => (Err(removed()), 0, None),
@@ -133,12 +133,15 @@
             stream: self.route.terms.stream,
         };
         let interrupted = self.interrupted(daemon, run);
+        let restarted = daemon.live_list.is_over(&seen.held.target);
         let sent = forwarding.send(&sending, passed);
-        pin_mut!(sent, interrupted);
-        match future::select(sent, interrupted).await {
+        pin_mut!(sent, interrupted, restarted);
+        let ended = future::select(interrupted, restarted);
+        match future::select(sent, ended).await {
             Either::Left((sent, _)) => sent,
             // Dropping the exchange closes its connection, which tells the target to stop.
-            Either::Right((refusal, _)) => Err(failed(refusal.ran(Ran::Maybe))),
+            Either::Right((Either::Left((refusal, _)), _)) => Err(failed(refusal.ran(Ran::Maybe))),
+            Either::Right((Either::Right(_), _)) => Err(lost_with_its_target(run)),
         }
     }
 }
@@ -224,6 +227,19 @@
     }
 }
 
+/// The process that ran the request is gone, as after a crash.
+///
+/// Its connection may stay open without a word: a request on it would hang until its deadline, and
+/// hold a slot that nobody has.
+fn lost_with_its_target(run: &Run) -> Failed {
+    let refusal = Refusal::new(ErrorKind::TargetFailed, "the target has started again");
+    let mut lost = failed(refusal.ran(Ran::Maybe));
+    if run.has_head() {
+        lost.how = Failure::BrokenOff;
+    }
+    lost
+}
+
 fn removed() -> Failed {
     failed(Refusal::new(ErrorKind::NoTarget, "the target was removed"))
 }
--- a/crates/lilaccrankd/src/request/sends.rs
+++ b/crates/lilaccrankd/src/request/sends.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use lilaccrank::attempts::{Allowed, Attempts, Failure};
 use lilaccrank::error_kind::Ran;
-use lilaccrank::ids::TargetId;
+use lilaccrank::target_life::TargetLife;
 
 use crate::callers::refusal::{Refusal, Result};
 use crate::daemon::Daemon;
@@ -17,7 +17,7 @@
     answer: Option<(Head, Bytes)>,
     attempts: Attempts,
     /// Targets that failed it.
-    pub exclusions: Vec<TargetId>,
+    pub exclusions: Vec<TargetLife>,
     /// What has reached the caller.
     pub passed: Passed,
     /// Why the last send failed.
@@ -54,7 +54,7 @@
         &mut self,
         daemon: &Daemon,
         routed: &Routed,
-        target: TargetId,
+        target: TargetLife,
         failed: Failed,
         run: &Run,
     ) -> Option<Result<()>> {
@@ -72,7 +72,7 @@
             kind:% = failed.refusal.kind,
             request = routed.name(),
             since_arrival_ms = routed.elapsed_ms(),
-            target = target,
+            target = target.id,
             why = failed.refusal.message;
             "a send failed"
         );
--- a/crates/lilaccrankd/src/targets.rs
+++ b/crates/lilaccrankd/src/targets.rs
@@ -5,6 +5,7 @@
 pub mod engine_stream;
 pub mod forward;
 pub mod live_list;
+pub mod lives;
 pub mod own_protocol;
 pub mod protocol;
 pub mod proxied;
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -11,16 +11,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use event_listener::Event;
 use indexmap::{IndexMap, IndexSet};
 use lilaccrank::clock::{BootTime, Clock};
 use lilaccrank::document::{Pool, Target, TargetState};
 use lilaccrank::ids::{PoolId, TargetId, VmId};
+use lilaccrank::target_life::TargetLife;
 use lilaccrank_http::monoio_clock::MonoioClock;
 use serde::{Deserialize, Serialize};
 
 use crate::daemon::Daemon;
 use crate::orders::keeper;
 use crate::pools::server;
+use crate::targets::lives::Lives;
 
 /// Time between two looks at whether lapsed targets would be back by now. What is still missing then
 /// has gone, and is to get nothing from that moment on.
@@ -35,6 +38,8 @@
     pub revision: u64,
     /// Targets by pool, for pools that name none themselves.
     pub targets: IndexMap<PoolId, Vec<Target>>,
+    /// Entries that name no target to use, and what is wrong with each.
+    pub unusable: IndexMap<String, String>,
 }
 
 /// What this daemon knows of the list.
@@ -44,6 +49,9 @@
     /// Targets that went missing and may only have lapsed.
     lapsed: RefCell<IndexMap<TargetId, (PoolId, Target)>>,
     listing: RefCell<Rc<Listing>>,
+    lives: RefCell<Lives>,
+    /// Told when a list is taken over.
+    taken: Event,
 }
 
 impl Listing {
@@ -57,7 +65,17 @@
         }
     }
 
-    fn all(&self) -> impl Iterator<Item = (&PoolId, &Target)> {
+    /// Logs entries that have become unusable, or are so for another reason.
+    fn tell_unusable(&self, known: &Self) {
+        let entries = self.unusable.iter();
+        for (entry, why) in entries.filter(|(entry, why)| known.unusable.get(*entry) != Some(*why))
+        {
+            log::warn!(entry = entry, why = why; "an entry of the list names no target to use");
+        }
+    }
+
+    /// Every target with its pool.
+    pub fn all(&self) -> impl Iterator<Item = (&PoolId, &Target)> {
         let pools = self.targets.iter();
         pools.flat_map(|(pool, targets)| targets.iter().map(move |target| (pool, target)))
     }
@@ -105,23 +123,46 @@
 
     /// A target of the list.
     #[must_use]
-    pub fn find(&self, pool: &str, target: &str) -> Option<Target> {
+    pub fn find(&self, pool: &str, life: &TargetLife) -> Option<Target> {
         let listing = self.listing.borrow();
+        let lapsed = self.lapsed.borrow();
         let listed = listing.targets.get(pool).into_iter().flatten();
-        let mut listed = listed.filter(|listed| listed.id == target);
-        listed.next().cloned().or_else(|| {
-            let lapsed = self.lapsed.borrow();
-            lapsed.get(target).map(|(_, target)| target.clone())
-        })
+        let lapsed = lapsed.get(&life.id).map(|(_, target)| target);
+        let mut known = listed.chain(lapsed);
+        known
+            .find(|target| TargetLife::of(target) == *life)
+            .cloned()
+    }
+
+    /// Names of targets whose newest life is remembered.
+    #[must_use]
+    pub fn remembered(&self) -> usize {
+        self.lives.borrow().len()
+    }
+
+    /// Whether a later life of the same target was heard of.
+    fn has_ended(&self, target: &Target) -> bool {
+        self.lives.borrow().is_over(&TargetLife::of(target))
+    }
+
+    /// Completes once a later life of the same target is heard of.
+    pub async fn is_over(&self, life: &TargetLife) {
+        while !self.lives.borrow().is_over(life) {
+            let listener = self.taken.listen();
+            if !self.lives.borrow().is_over(life) {
+                listener.await;
+            }
+        }
     }
 
     /// Takes over a list if it replaces the one known; whether it did. `may_lapse` if entries of
     /// targets that live may be missing from it.
-    pub fn take(&self, listing: Listing, may_lapse: bool) -> bool {
+    pub fn take(&self, mut listing: Listing, may_lapse: bool) -> bool {
         let known = self.listing();
         if !listing.replaces(&known) {
             return false;
         }
+        self.lives.borrow_mut().settle(&mut listing, &known);
         let listed: IndexSet<&TargetId> = listing.all().map(|(_, target)| &target.id).collect();
         let mut lapsed = self.lapsed.borrow_mut();
         lapsed.retain(|id, _| may_lapse && !listed.contains(id));
@@ -134,14 +175,17 @@
             lapsed.extend(missing);
         }
         drop(listed);
+        listing.tell_unusable(&known);
         log::info!(
             lapsed = lapsed.len(),
             leaving = listing.leaving.len(),
             revision = listing.revision,
-            targets = listing.all().count();
+            targets = listing.all().count(),
+            unusable = listing.unusable.len();
             "list of targets"
         );
         *self.listing.borrow_mut() = Rc::new(listing);
+        self.taken.notify(usize::MAX);
         true
     }
 
@@ -158,9 +202,20 @@
 /// Takes over a list that the daemon was told.
 pub fn take(daemon: &Rc<Daemon>, listing: Listing) {
     let may_lapse = daemon.heard.may_lapse(MonoioClock.boot());
+    let before = daemon.live_list.listing();
     if !daemon.live_list.take(listing, may_lapse) {
         return;
     }
+    for (_, over) in before
+        .all()
+        .filter(|(_, target)| daemon.live_list.has_ended(target))
+    {
+        log::info!(born = over.born, target_id = over.id; "a target has started again");
+        daemon.client.forget(&over.address);
+    }
+    let unusable = daemon.live_list.listing().unusable.len();
+    let unusable = i64::try_from(unusable).unwrap_or(i64::MAX);
+    daemon.metrics.unusable_entries.set(unusable);
     changed(daemon);
     if !daemon.live_list.lapsed.borrow().is_empty() {
         monoio::spawn(wait_for_lapsed(Rc::clone(daemon)));
--- /dev/null
+++ b/crates/lilaccrankd/src/targets/lives.rs
@@ -0,0 +1,89 @@
+//! Which life of each target is the newest.
+//!
+//! A target that starts again keeps its name, and words of its earlier life may come late: from a
+//! store that took them late, or from a daemon that heard them there. Taken for the newest, they
+//! would bring back the address or the leaving of a process that is gone. A life that began later
+//! therefore stays, whatever is heard afterwards.
+
+use indexmap::{IndexMap, IndexSet};
+use lilaccrank::document::Target;
+use lilaccrank::ids::{Born, TargetId};
+use lilaccrank::target_life::TargetLife;
+
+use crate::targets::live_list::Listing;
+
+/// Names that are remembered beside those that are listed. Targets of two years' size are replaced
+/// some hundred times a day: a late word of one comes within minutes.
+const REMEMBERED: usize = 4_096;
+
+/// The newest life of each target that was heard of.
+#[derive(Debug, Default)]
+pub struct Lives {
+    newest: IndexMap<TargetId, Born>,
+}
+
+impl Lives {
+    /// Whether a later life of the same target was heard of.
+    #[must_use]
+    pub fn is_over(&self, life: &TargetLife) -> bool {
+        self.newest.get(&life.id) > Some(&life.born)
+    }
+
+    /// Names that are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.newest.len()
+    }
+
+    /// Whether none is.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.newest.is_empty()
+    }
+
+    /// Puts the newest known life in the place of earlier ones in `listing`, and remembers those that
+    /// are new. An earlier life whose target is known no more is left out.
+    pub fn settle(&mut self, listing: &mut Listing, known: &Listing) {
+        for (pool, targets) in &mut listing.targets {
+            let settled = std::mem::take(targets).into_iter();
+            let settled = settled.filter_map(|target| self.settled(pool, target, known));
+            *targets = settled.collect();
+        }
+        for (_, target) in listing.all() {
+            let newest = self.newest.entry(target.id.clone()).or_default();
+            *newest = target.born.max(*newest);
+        }
+        self.forget(listing);
+    }
+
+    fn settled(&self, pool: &str, target: Target, known: &Listing) -> Option<Target> {
+        let life = TargetLife::of(&target);
+        if !self.is_over(&life) {
+            return Some(target);
+        }
+        let mut later = known.targets.get(pool).into_iter().flatten();
+        let later = later.find(|later| later.id == life.id && later.born > life.born);
+        log::info!(
+            born = life.born,
+            kept = later.is_some(),
+            target_id = life.id;
+            "an earlier life of a target was heard late"
+        );
+        later.cloned()
+    }
+
+    fn forget(&mut self, listing: &Listing) {
+        let listed = listing.all().count();
+        let over = self.newest.len().saturating_sub(listed + REMEMBERED);
+        if over == 0 {
+            return;
+        }
+        let mut left = over;
+        let listed: IndexSet<&TargetId> = listing.all().map(|(_, target)| &target.id).collect();
+        self.newest.retain(|id, _| {
+            let kept = left == 0 || listed.contains(id);
+            left -= usize::from(!kept);
+            kept
+        });
+    }
+}
--- a/crates/lilaccrankd/tests/suite/listing.rs
+++ b/crates/lilaccrankd/tests/suite/listing.rs
@@ -2,6 +2,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use lilaccrank::document::{Pool, Target, TargetState};
+use lilaccrank::target_life::TargetLife;
 use lilaccrankd::targets::live_list::{Listing, LiveList};
 
 const POOL: &str = "engines";
@@ -70,7 +71,7 @@
     list.take(live(7, &["a", "b"]), false);
     list.take(live(8, &["a"]), false);
     assert_eq!(ids(&list), ["a"]);
-    assert_eq!(list.find(POOL, "b"), None);
+    assert_eq!(list.find(POOL, &TargetLife::from("b")), None);
 }
 
 // The platform was silent, and entries of targets that live lapsed. They stay until they come back
@@ -81,7 +82,7 @@
     list.take(live(7, &["a", "b", "c"]), false);
     list.take(live(20, &["a"]), true);
     assert_eq!(ids(&list), ["a", "b", "c"]);
-    assert!(list.find(POOL, "b").is_some());
+    assert!(list.find(POOL, &TargetLife::from("b")).is_some());
     list.take(live(21, &["a", "b"]), true);
     assert_eq!(ids(&list), ["a", "b", "c"]);
     assert!(list.forget_lapsed());
@@ -119,3 +120,60 @@
     list.take(live(20, &["a"]), true);
     assert_eq!(*list.listing(), live(20, &["a"]));
 }
+
+/// A target that was born at `born` and is in this state.
+fn born(revision: u64, born: u64, state: TargetState) -> Listing {
+    let mut listing = listing(revision, &[("a", state)]);
+    listing.targets[POOL][0].born = born;
+    listing
+}
+
+fn only(list: &LiveList) -> (u64, TargetState) {
+    let listing = list.listing();
+    let target = &listing.targets[POOL][0];
+    (target.born, target.state)
+}
+
+// The old life of a target was leaving, the new one serves. The entry of the old one is written once
+// more, late, by a store that was slow: the new life stays.
+#[test]
+fn an_earlier_life_never_comes_back() {
+    let list = LiveList::default();
+    list.take(born(7, 100, TargetState::Draining), false);
+    list.take(born(8, 200, TargetState::Live), false);
+    assert_eq!(only(&list), (200, TargetState::Live));
+    list.take(born(9, 100, TargetState::Draining), false);
+    assert_eq!(only(&list), (200, TargetState::Live));
+    // Nor does it after the new life has gone.
+    list.take(live(10, &[]), false);
+    list.take(born(11, 100, TargetState::Live), false);
+    assert_eq!(ids(&list), Vec::<String>::new());
+    list.take(born(12, 300, TargetState::Live), false);
+    assert_eq!(only(&list), (300, TargetState::Live));
+}
+
+// A request is looked for at the life that it was granted: the one after it never had it.
+#[test]
+fn a_life_is_found_by_its_birth() {
+    let list = LiveList::default();
+    list.take(born(7, 100, TargetState::Live), false);
+    let life = TargetLife {
+        born: 100,
+        id: "a".to_owned(),
+    };
+    assert!(list.find(POOL, &life).is_some());
+    list.take(born(8, 200, TargetState::Live), false);
+    assert_eq!(list.find(POOL, &life), None);
+}
+
+// What is remembered of names that are gone is bounded.
+#[test]
+fn a_hundred_thousand_names() {
+    let list = LiveList::default();
+    for revision in 1..=200 {
+        let names: Vec<String> = (0..500).map(|n| format!("t{revision}-{n}")).collect();
+        let names: Vec<&str> = names.iter().map(|name| &**name).collect();
+        list.take(live(revision, &names), false);
+    }
+    assert!(list.remembered() <= 500 + 4_096, "{}", list.remembered());
+}
