Words about load are believed of members only, and no number of another process stops a daemon

Any datagram that could be read was believed: of a daemon that has ended, from another address, or made up; the map of senders grew without bound. Numbers at the ends of their ranges, of a daemon's digest or of a target's report, overflowed sums (a panic in checked builds, an idle look of a full target in others).

To believe live members only: one that is thought dead may have requests on targets.

LoadMessage::read checks sender, address and life; sums saturate; samples of over an hour are not learnt.

--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -116,8 +116,8 @@
         let well = targets.values().filter(|target| target.live).filter(well);
         well.fold(Self::default(), |room, target| Self {
             long: room.long + usize::from(target.long > 0),
-            slots: room.slots + target.slots_now(now),
-            taken: room.taken + target.estimate.batch(now),
+            slots: room.slots.saturating_add(target.slots_now(now)),
+            taken: room.taken.saturating_add(target.estimate.batch(now)),
             well: room.well + 1,
         })
     }
@@ -136,7 +136,7 @@
         };
         let lanes = (self.well - self.well / 4).max(1);
         let long = lane == Lane::Long || prefill > LONG_PROMPT;
-        self.taken + headroom < self.slots && (!long || self.long < lanes)
+        self.taken.saturating_add(headroom) < self.slots && (!long || self.long < lanes)
     }
 }
 
@@ -165,7 +165,7 @@
     target.live
         && healthy
         && !target.is_left_to_rival(wanted.standing, now)
-        && target.estimate.batch(now) + kept < slots
+        && target.estimate.batch(now).saturating_add(kept) < slots
         && has_reading_room(target, wanted, now)
         && !wanted.exclusions.contains(&target.life)
 }
@@ -273,7 +273,7 @@
 fn likely(target: &Target, wanted: &Wanted<'_>, saved: u64, now: Instant) -> f64 {
     let estimate = &target.estimate;
     let prefill = estimate.outstanding().prefill + wanted.work.prefill - saved;
-    let step = estimate.step(estimate.batch(now) + 1, now);
+    let step = estimate.step(estimate.batch(now).saturating_add(1), now);
     prefill as f64 / estimate.prefill_rate(now) + wanted.work.decode as f64 * step
 }
 
@@ -281,7 +281,7 @@
 /// batch that it holds up, and again for the pool, unless the ask is urgent.
 fn expected(target: &Target, wanted: &Wanted<'_>, saved: u64, now: Instant) -> f64 {
     let estimate = &target.estimate;
-    let batch = estimate.batch(now) + 1;
+    let batch = estimate.batch(now).saturating_add(1);
     let held_up = f64::from(batch - 1) / f64::from(target.slots.max(1));
     let own = (wanted.work.prefill - saved) as f64;
     let before = estimate.outstanding().prefill as f64;
--- a/crates/lilaccrank/src/dispatch/estimate.rs
+++ b/crates/lilaccrank/src/dispatch/estimate.rs
@@ -147,7 +147,10 @@
     /// count our own requests twice, or hide those just sent.
     pub fn reported(&mut self, report: LoadReport, now: Instant) {
         self.note_peak(now);
-        let excess = (report.running + report.waiting).saturating_sub(self.peak);
+        let excess = report
+            .running
+            .saturating_add(report.waiting)
+            .saturating_sub(self.peak);
         let foreign = self.foreign(now);
         self.foreign = foreign + FOREIGN_GAIN * (f64::from(excess) - foreign);
         self.reported = now;
@@ -162,7 +165,8 @@
     /// Requests in the target's batch and queue.
     #[must_use]
     pub fn batch(&self, now: Instant) -> u32 {
-        self.running + self.peers.0 + self.foreign(now) as u32
+        let others = self.peers.0.saturating_add(self.foreign(now) as u32);
+        self.running.saturating_add(others)
     }
 
     /// Tokens sent by this daemon and the others, and not seen done.
--- a/crates/lilaccrank/src/dispatch/sharing.rs
+++ b/crates/lilaccrank/src/dispatch/sharing.rs
@@ -21,6 +21,9 @@
 /// connections ended with it, or it is cut off and its targets with it. Digests come four times a
 /// second at least.
 const PEER_LIFE: Duration = Duration::from_millis(1_500);
+/// Longest time that a sample of another daemon may tell of: an hour's prompt. More was made up, and
+/// would take a sound target out for good.
+const BELIEVED: Duration = Duration::from_secs(3_600);
 /// Samples kept between two digests; more would only make the estimates finer.
 const SAMPLES_LIMIT: usize = 64;
 
@@ -200,7 +203,9 @@
             Seen::Answered => target.health.answered(now),
             Seen::Erred => target.health.erred(now),
             Seen::Failed => target.health.failed(now),
+            Seen::FirstToken { after, .. } if after > BELIEVED => {}
             Seen::FirstToken { after, before } => target.estimate.learn_first_token(before, after),
+            Seen::Step { step, .. } if step > BELIEVED => {}
             Seen::Step { batch, step } => target.estimate.learn_step(batch, step, now),
         }
     }
--- a/crates/lilaccrank/src/membership.rs
+++ b/crates/lilaccrank/src/membership.rs
@@ -152,6 +152,12 @@
         snapshot
     }
 
+    /// The record of one member, in whatever state.
+    #[must_use]
+    pub fn find(&self, vm: &VmId) -> Option<Member> {
+        self.shared.table.borrow().get(vm).cloned()
+    }
+
     /// This daemon's own record.
     #[must_use]
     pub fn me(&self) -> Member {
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -32,6 +32,8 @@
 mod dispatch_faults;
 #[path = "suite/dispatch_harness.rs"]
 mod dispatch_harness;
+#[path = "suite/dispatch_inputs.rs"]
+mod dispatch_inputs;
 #[path = "suite/dispatch_lives.rs"]
 mod dispatch_lives;
 #[path = "suite/dispatch_order.rs"]
--- a/crates/lilaccrankd/src/peers.rs
+++ b/crates/lilaccrankd/src/peers.rs
@@ -3,6 +3,7 @@
 pub mod changes;
 pub mod duties;
 pub mod load_exchange;
+pub mod load_message;
 pub mod message;
 pub mod network;
 pub mod traffic;
--- a/crates/lilaccrankd/src/peers/load_exchange.rs
+++ b/crates/lilaccrankd/src/peers/load_exchange.rs
@@ -12,16 +12,15 @@
 
 use indexmap::IndexMap;
 use lilaccrank::dispatch::sharing::Digest;
-use lilaccrank::ids::{CustomerId, Incarnation, PoolId, VmId};
+use lilaccrank::ids::{Incarnation, PoolId, VmId};
 use lilaccrank::membership::Member;
-use lilaccrank::quota::Spent;
 use lilaccrank::request_key::Ranking;
 use lilaccrank_http::tally::Tally;
 use monoio::net::udp::UdpSocket;
-use serde::{Deserialize, Serialize};
 
 use crate::daemon::Daemon;
 use crate::peers::changes::Changes;
+use crate::peers::load_message::LoadMessage;
 use crate::pools::server;
 
 /// Longest time between two datagrams: peers forget who is silent for six times as long.
@@ -38,20 +37,6 @@
 /// Room for one datagram. A daemon's own requests on fifty targets take two kilobytes.
 const BUFFER: usize = 16 << 10;
 
-/// What one daemon tells.
-#[derive(Debug, Deserialize, Serialize)]
-struct Message {
-    incarnation: Incarnation,
-    /// Whether its sender is about to end, and spends nothing more.
-    ending: bool,
-    pools: Vec<(PoolId, Digest)>,
-    /// Grows with each message of one life.
-    sequence: u64,
-    /// What its sender let pass of customers with quotas.
-    spent: Vec<(CustomerId, Spent)>,
-    vm: VmId,
-}
-
 /// The exchange of one daemon.
 #[derive(Default)]
 pub struct LoadExchange {
@@ -68,8 +53,13 @@
         self.changes.note();
     }
 
+    /// Forgets the order of messages of daemons that are members no more.
+    fn forget(&self, is_member: impl Fn(&VmId) -> bool) {
+        self.heard.borrow_mut().retain(|vm, _| is_member(vm));
+    }
+
     /// Whether a message is newer than the last one of its sender.
-    fn is_new(&self, message: &Message) -> bool {
+    fn is_new(&self, message: &LoadMessage) -> bool {
         let place = (message.incarnation, message.sequence);
         let mut heard = self.heard.borrow_mut();
         let last = heard.get(&message.vm);
@@ -118,6 +108,10 @@
         let (_, others) = peers(&daemon);
         let pace = HEARTBEAT.max(FOR_EACH_OTHER * count(&others));
         daemon.quotas.set_pace(pace);
+        let membership = &daemon.membership;
+        daemon
+            .load_exchange
+            .forget(|vm| membership.find(vm).is_some());
         monoio::time::sleep(pace).await;
         let (_, others) = peers(&daemon);
         if is_needed(&daemon) {
@@ -161,7 +155,7 @@
     let me = daemon.duties.me();
     let sequence = daemon.load_exchange.sequence.get() + 1;
     daemon.load_exchange.sequence.set(sequence);
-    let message = Message {
+    let message = LoadMessage {
         incarnation: me.incarnation,
         ending: daemon.refusing.get(),
         pools,
@@ -191,8 +185,8 @@
 async fn hear(daemon: Rc<Daemon>, socket: Rc<UdpSocket>) {
     loop {
         let (received, mut buf) = socket.recv_from(vec![0; BUFFER]).await;
-        let len = match received {
-            Ok((len, _)) => len,
+        let (len, from) = match received {
+            Ok(received) => received,
             Err(e) => {
                 log::debug!("a peer's load was not received: {e}");
                 continue;
@@ -201,18 +195,18 @@
         buf.truncate(len);
         daemon.traffic.load_exchange.receive_bytes(len);
         daemon.traffic.load_exchange.receive_messages(1);
-        match rmp_serde::from_slice::<Message>(&buf) {
+        match LoadMessage::read(&buf, from, |vm| daemon.membership.find(vm)) {
             Ok(message) => take(&daemon, message),
-            Err(e) => log::warn!("a peer's load can't be read: {e}"),
+            Err(e) => log::debug!("a word about load is not believed: {e}"),
         }
     }
 }
 
-fn take(daemon: &Rc<Daemon>, message: Message) {
+fn take(daemon: &Rc<Daemon>, message: LoadMessage) {
     if !daemon.load_exchange.is_new(&message) {
         return;
     }
-    let Message { vm, spent, .. } = &message;
+    let LoadMessage { vm, spent, .. } = &message;
     if is_near(daemon, vm) {
         daemon.quotas.heard(vm, message.incarnation, spent);
     } else {
--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -7,5 +7,7 @@
 mod heard;
 #[path = "suite/listing.rs"]
 mod listing;
+#[path = "suite/load_message.rs"]
+mod load_message;
 #[path = "suite/stale_spread.rs"]
 mod stale_spread;
