Daemons of a cell tell each other what has changed, in few bytes, and at once only where it decides

A change at a target with more than two free slots, or of a quota of which half is left, gathers for 50 ms; the rest goes at once as before.

--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -176,11 +176,17 @@
         self.state.borrow_mut().forget_entry(&entry, now);
     }
 
-    /// What this daemon has on the targets, for the daemons that dispatch the same pool. What was
-    /// seen of targets is told once.
+    /// What the daemons that dispatch the same pool are to know of what this one has on the targets.
+    /// What was seen of targets is told once.
     #[must_use]
     pub fn digest(&self) -> Digest {
-        self.state.borrow_mut().digest()
+        self.state.borrow_mut().digest(self.clock.now())
+    }
+
+    /// Whether something has changed since the last digest that decides where others send.
+    #[must_use]
+    pub fn is_news_urgent(&self) -> bool {
+        self.state.borrow().is_news_urgent()
     }
 
     /// Takes in what another daemon has on the targets.
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -80,6 +80,7 @@
             self.limits.release(counted);
         }
         if let Some(target) = self.targets.get_mut(&held.target) {
+            Self::note_change(&mut self.sharing, target, now);
             target.estimate.ended(held.left, now);
             target.long -= u32::from(held.long);
             if held.trial {
@@ -105,6 +106,7 @@
         let long = choice.prefill > choice::LONG_PROMPT;
         let trial = target.health.granted(target.estimate.running() == 0, now);
         target.estimate.granted(left, now);
+        Self::note_change(&mut self.sharing, target, now);
         target.long += u32::from(long);
         let held = Reservation {
             ask: ask.ask,
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -55,6 +55,7 @@
             }
             ReportKind::FirstToken { after } => {
                 target.health.alive(now);
+                Self::note_change(&mut self.sharing, target, now);
                 let before = held.before;
                 target
                     .estimate
--- a/crates/lilaccrank/src/membership.rs
+++ b/crates/lilaccrank/src/membership.rs
@@ -158,6 +158,12 @@
         self.shared.table.borrow().get(vm).cloned()
     }
 
+    /// Counts the changes of the members.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.shared.table.borrow().version
+    }
+
     /// This daemon's own record.
     #[must_use]
     pub fn me(&self) -> Member {
--- a/crates/lilaccrank/src/quota.rs
+++ b/crates/lilaccrank/src/quota.rs
@@ -55,6 +55,13 @@
 const MOST_LEFT: f64 = 2.0 / 3.0;
 /// Requests below this part of the burst are small.
 const SMALL_PART: f64 = 0.02;
+/// Longest time between two messages to the cell that tell all that changed of late.
+const WHOLE_EVERY: Duration = Duration::from_millis(250);
+/// Messages that tell one change to the cell: three in a row are lost once in 64,000 times on a bad link.
+const TOLD_TIMES: u8 = 3;
+/// Part of the burst below which little is left of a quota. What passes elsewhere until it is told comes
+/// out of the rest.
+const SHORT_PART: f64 = 0.5;
 /// Customers that are kept before those that spent nothing of late are dropped.
 const ACCOUNTS_LIMIT: usize = 50_000;
 
@@ -132,15 +139,21 @@
     /// Longest time between two words of a daemon outside the cell.
     pace: Duration,
     peers: IndexMap<VmId, Peer>,
+    /// Customers whose counts changed of late, so that not all of them are looked at for each message.
+    recent: IndexSet<CustomerId>,
     /// Units beyond a customer's burst that all daemons together may let pass at once.
     reserve: f64,
     started: Instant,
+    /// When the cell was last told all.
+    told_all: Option<Instant>,
 }
 
 #[derive(Debug)]
 struct Account {
     changed: Instant,
     filled: Instant,
+    /// How often the present counts were told to the cell.
+    told: u8,
     /// What all daemons may still spend; below zero if they overspent.
     left: f64,
     spent: Spent,
@@ -165,8 +178,10 @@
             looked: now,
             pace: Duration::ZERO,
             peers: IndexMap::new(),
+            recent: IndexSet::new(),
             reserve: 0.0,
             started: now,
+            told_all: None,
         }
     }
 
@@ -176,7 +191,8 @@
         Self { reserve, ..self }
     }
 
-    /// Lets `units` of a customer pass.
+    /// Lets `units` of a customer pass; whether little is left then, so that other daemons have to hear
+    /// of it at once.
     ///
     /// # Errors
     ///
@@ -187,7 +203,7 @@
         quota: Quota,
         wish: Wish,
         now: Instant,
-    ) -> Result<()> {
+    ) -> Result<bool> {
         self.look(now);
         let part = self.part(now) * self.demand.part_of_cell(customer, now);
         let quota = Quota {
@@ -195,9 +211,10 @@
             ..quota
         };
         let started = self.started;
+        self.recent.insert(customer.clone());
         let account = self.account(customer, now);
         account.spent.asked += wish.units;
-        account.changed = now;
+        account.change(now);
         account.fill(quota, part, now);
         let burst = quota.burst * part;
         let since_start = now.saturating_duration_since(started).as_secs_f64();
@@ -216,7 +233,7 @@
         }
         account.left -= wish.units as f64;
         account.spent.passed += wish.units;
-        Ok(())
+        Ok(account.left < burst * SHORT_PART)
     }
 
     /// Gives back what was let pass and did not run after all.
@@ -224,7 +241,8 @@
         if let Some(account) = self.accounts.get_mut(customer) {
             account.left += units as f64;
             account.spent.returned += units;
-            account.changed = now;
+            account.change(now);
+            self.recent.insert(customer.clone());
         }
     }
 
@@ -259,17 +277,53 @@
         self.pace = pace;
     }
 
+    /// What the other daemons of the cell are to know by now: the counts that have changed, and now and
+    /// then all that changed of late.
+    pub fn news(&mut self, now: Instant) -> Vec<(CustomerId, Spent)> {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let whole = self.told_all.is_none_or(|at| age(at) >= WHOLE_EVERY);
+        if whole {
+            self.told_all = Some(now);
+            self.forget_told(now);
+        }
+        let mut news = Vec::new();
+        for customer in &self.recent {
+            let Some(account) = self.accounts.get_mut(customer) else {
+                continue;
+            };
+            let of_late = age(account.changed) < TOLD_FOR;
+            if account.told < TOLD_TIMES || (whole && of_late) {
+                account.told = account.told.saturating_add(1);
+                news.push((customer.clone(), account.spent));
+            }
+        }
+        news
+    }
+
     /// What this daemon let pass, for the customers of which that changed of late.
     #[must_use]
     pub fn spent(&self, now: Instant) -> Vec<(CustomerId, Spent)> {
-        let told_for = TOLD_FOR.max(self.pace * TOLD_WORDS);
-        let accounts = self.accounts.iter();
-        let recent = accounts.filter(|(_, account)| now - account.changed < told_for);
+        let told_for = self.told_for();
+        let recent = self.recent.iter();
+        let recent = recent.filter_map(|customer| Some((customer, self.accounts.get(customer)?)));
+        let recent = recent.filter(|(_, account)| now - account.changed < told_for);
         recent
             .map(|(customer, account)| (customer.clone(), account.spent))
             .collect()
     }
 
+    fn told_for(&self) -> Duration {
+        TOLD_FOR.max(self.pace * TOLD_WORDS)
+    }
+
+    fn forget_told(&mut self, now: Instant) {
+        let told_for = self.told_for();
+        let accounts = &self.accounts;
+        let is_recent = |account: &Account| now - account.changed < told_for;
+        self.recent
+            .retain(|customer| accounts.get(customer).is_some_and(is_recent));
+    }
+
     /// Takes in what was asked of a daemon outside the cell.
     pub fn heard_afar(
         &mut self,
@@ -344,6 +398,7 @@
         account.or_insert_with(|| Account {
             changed: now,
             filled: started,
+            told: 0,
             left: 0.0,
             spent: Spent::default(),
         })
@@ -351,6 +406,11 @@
 }
 
 impl Account {
+    fn change(&mut self, now: Instant) {
+        self.changed = now;
+        self.told = 0;
+    }
+
     fn fill(&mut self, quota: Quota, part: f64, now: Instant) {
         let since = now.saturating_duration_since(self.filled);
         self.filled = now;
--- a/crates/lilaccrank/src/target_life.rs
+++ b/crates/lilaccrank/src/target_life.rs
@@ -12,9 +12,9 @@
 use crate::document::Target;
 use crate::ids::{Born, TargetId};
 
-/// Stands for a life in messages between daemons. Of 6,700 targets two have the same one once in some
-/// 10^12 fleets.
-pub type LifeDigest = u64;
+/// Stands for a life in messages between daemons, which tell each other of some twenty targets: two of
+/// these have the same one in one of 20 million fleets.
+pub type LifeDigest = u32;
 
 /// A target from its start to its end.
 #[derive(
@@ -41,7 +41,7 @@
     /// The number that stands for it.
     #[must_use]
     pub fn digest(&self) -> LifeDigest {
-        xxh3::xxh3_64_with_seed(self.id.as_bytes(), self.born)
+        xxh3::xxh3_64_with_seed(self.id.as_bytes(), self.born) as LifeDigest
     }
 }
 
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -88,7 +88,9 @@
             return Err(refusal);
         }
     };
-    daemon.load_exchange.note_change();
+    if let Some(charge) = &charge {
+        daemon.load_exchange.note_change(charge.is_short);
+    }
     let run = Rc::new(Run::default());
     let reader = run.reader();
     if let Some(scoped) = caller.scoped_key() {
--- a/crates/lilaccrankd/src/configuration/in_force.rs
+++ b/crates/lilaccrankd/src/configuration/in_force.rs
@@ -1,13 +1,17 @@
 //! The configuration in force, with what is computed from it once.
 
+use std::hash::Hash;
 use std::rc::Rc;
 
+use indexmap::IndexMap;
 use lilaccrank::configuration::adoption::Configuration;
 use lilaccrank::configuration::manifest::Identity;
 use lilaccrank::document::{Document, PoolKind, Target};
+use lilaccrank::ids::{CustomerId, PoolId};
 use lilaccrank::rules::matching::RuleSet;
 
 use crate::callers::auth::Keys;
+use crate::peers::load_message::{self, CustomerDigest, PoolDigest};
 use crate::settings::Settings;
 
 /// One generation in the form that requests use.
@@ -18,12 +22,16 @@
     pub document: Rc<Document>,
     /// Whether some rule is for callers that are not known.
     pub has_anonymous_rules: bool,
+    /// Customers by what stands for them in words about load.
+    customers: IndexMap<CustomerDigest, CustomerId>,
     /// Whether some customer has a quota.
     pub has_quotas: bool,
     /// Its name.
     pub identity: Identity,
     /// Callers' and operators' keys.
     pub keys: Keys,
+    /// Pools by what stands for them in words about load.
+    pools: IndexMap<PoolDigest, PoolId>,
     /// The rules, compiled.
     pub rules: Rc<RuleSet>,
 }
@@ -36,9 +44,17 @@
         Self {
             has_anonymous_rules: document.rules.iter().any(|r| r.then.terms.anonymous),
             author: configuration.manifest.author.clone(),
+            customers: by_digest(
+                document.customers.iter().map(|c| &c.id),
+                load_message::customer,
+            ),
             has_quotas: document.customers.iter().any(|c| c.quota.is_some()),
             identity: configuration.manifest.identity.clone(),
             keys: Keys::new(&document),
+            pools: by_digest(
+                document.pools.iter().map(|pool| &pool.id),
+                load_message::pool,
+            ),
             rules: Rc::clone(&configuration.rules),
             document,
         }
@@ -59,6 +75,18 @@
         Some((pool.kind, found))
     }
 
+    /// The customer that a digest stands for.
+    #[must_use]
+    pub fn customer(&self, digest: CustomerDigest) -> Option<&CustomerId> {
+        self.customers.get(&digest)
+    }
+
+    /// The pool that a digest stands for.
+    #[must_use]
+    pub fn pool(&self, digest: PoolDigest) -> Option<&PoolId> {
+        self.pools.get(&digest)
+    }
+
     /// Whether any pool serves this model.
     #[must_use]
     pub fn serves(&self, model: &str) -> bool {
@@ -68,3 +96,10 @@
             .any(|pool| pool.models.iter().any(|m| m == model))
     }
 }
+
+fn by_digest<'a, D: Eq + Hash>(
+    ids: impl Iterator<Item = &'a String>,
+    digest: impl Fn(&str) -> D,
+) -> IndexMap<D, String> {
+    ids.map(|id| (digest(id), id.clone())).collect()
+}
--- a/crates/lilaccrankd/src/peers/load_exchange.rs
+++ b/crates/lilaccrankd/src/peers/load_exchange.rs
@@ -1,8 +1,9 @@
 //! Daemons that each dispatch their own requests tell each other what they have on the targets.
 //!
-//! Those of a cell tell each other after each change. All others only have to know what was spent
-//! of quotas, and hear of that at a pace that falls with their number, so that a daemon sends as
-//! many datagrams in a fleet of any size. A lost one is made good by the next.
+//! Those of a cell tell each other what has changed: at once where it decides where the others send,
+//! else with what gathers in the next moments. All others only have to know what was spent of quotas,
+//! and hear of that at a pace that falls with their number, so that a daemon sends as many datagrams in
+//! a fleet of any size. A lost one is made good by the next.
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -10,21 +11,27 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future;
+use futures::pin_mut;
 use indexmap::IndexMap;
 use lilaccrank::dispatch::sharing::Digest;
-use lilaccrank::ids::{Incarnation, PoolId, VmId};
-use lilaccrank::membership::Member;
+use lilaccrank::ids::{CustomerId, Incarnation, PoolId, VmId};
+use lilaccrank::membership::{Member, Membership};
+use lilaccrank::quota::Spent;
 use lilaccrank::request_key::Ranking;
 use lilaccrank_http::tally::Tally;
 use monoio::net::udp::UdpSocket;
 
 use crate::daemon::Daemon;
 use crate::peers::changes::Changes;
-use crate::peers::load_message::LoadMessage;
+use crate::peers::load_message::{self, LoadMessage};
 use crate::pools::server;
 
 /// Longest time between two datagrams: peers forget who is silent for six times as long.
 const HEARTBEAT: Duration = Duration::from_millis(250);
+/// Time for which changes gather that decide nothing: where targets have room, daemons that see them as
+/// they were a moment ago send to the same ones as those that see them as they are.
+const CALM: Duration = Duration::from_millis(50);
 /// Shortest time between two datagrams. Some sixty requests a second in all make three changes
 /// each, so that most changes are told at once.
 const LEAST: Duration = Duration::from_millis(10);
@@ -40,17 +47,52 @@
 /// The exchange of one daemon.
 #[derive(Default)]
 pub struct LoadExchange {
-    changes: Changes,
+    /// Changes that can wait for others.
+    calm: Changes,
     /// The last message of each peer: datagrams may come out of order.
     heard: RefCell<IndexMap<VmId, (Incarnation, u64)>>,
+    /// Members by the addresses of their datagrams, as of a version of the membership.
+    members: RefCell<(u64, IndexMap<SocketAddr, Member>)>,
     /// Messages that this daemon told.
     sequence: Cell<u64>,
+    /// Changes that are told at once.
+    urgent: Changes,
 }
 
 impl LoadExchange {
-    /// What this daemon has on targets is another than before.
-    pub fn note_change(&self) {
-        self.changes.note();
+    /// What this daemon has on targets, or let pass, is another than before; `is_urgent` if others
+    /// would decide otherwise if they knew.
+    pub fn note_change(&self, is_urgent: bool) {
+        if is_urgent {
+            self.urgent.note();
+        } else {
+            self.calm.note();
+        }
+    }
+
+    /// Completes when there is something to tell.
+    async fn changed(&self) {
+        let urgent = self.urgent.next();
+        let calm = async {
+            self.calm.next().await;
+            monoio::time::sleep(CALM).await;
+        };
+        pin_mut!(urgent, calm);
+        future::select(urgent, calm).await;
+    }
+
+    /// The member whose datagrams come from this address. Where a later vm has the address of one that
+    /// has ended, it is the later one.
+    fn member(&self, membership: &Membership, from: SocketAddr) -> Option<Member> {
+        let version = membership.version();
+        let mut members = self.members.borrow_mut();
+        if members.0 != version {
+            let mut all = membership.all();
+            all.sort_by_key(|member| member.incarnation);
+            let by_address = all.into_iter().map(|member| (member.peers, member));
+            *members = (version, by_address.collect());
+        }
+        members.1.get(&from).cloned()
     }
 
     /// Forgets the order of messages of daemons that are members no more.
@@ -59,14 +101,14 @@
     }
 
     /// Whether a message is newer than the last one of its sender.
-    fn is_new(&self, message: &LoadMessage) -> bool {
+    fn is_new(&self, vm: &VmId, message: &LoadMessage) -> bool {
         let place = (message.incarnation, message.sequence);
         let mut heard = self.heard.borrow_mut();
-        let last = heard.get(&message.vm);
+        let last = heard.get(vm);
         if last.is_some_and(|last| place <= *last) {
             return false;
         }
-        heard.insert(message.vm.clone(), place);
+        heard.insert(vm.clone(), place);
         true
     }
 }
@@ -86,7 +128,7 @@
     monoio::spawn(hear(Rc::clone(&daemon), Rc::clone(&socket)));
     monoio::spawn(tell_others(Rc::clone(&daemon), Rc::clone(&socket)));
     loop {
-        let changed = daemon.load_exchange.changes.next();
+        let changed = daemon.load_exchange.changed();
         let _ = monoio::time::timeout(HEARTBEAT, changed).await;
         daemon.quotas.look();
         if !is_needed(&daemon) {
@@ -97,7 +139,8 @@
             true => server::digests(&daemon),
             false => Vec::new(),
         };
-        tell(&daemon, &socket, pools, &near).await;
+        let spent = daemon.quotas.news();
+        tell(&daemon, &socket, pools, spent, &near).await;
         monoio::time::sleep(LEAST + FOR_EACH_PEER * count(&near)).await;
     }
 }
@@ -115,7 +158,8 @@
         monoio::time::sleep(pace).await;
         let (_, others) = peers(&daemon);
         if is_needed(&daemon) {
-            tell(&daemon, &socket, Vec::new(), &others).await;
+            let spent = daemon.quotas.spent();
+            tell(&daemon, &socket, Vec::new(), spent, &others).await;
         }
     }
 }
@@ -150,6 +194,7 @@
     daemon: &Daemon,
     socket: &UdpSocket,
     pools: Vec<(PoolId, Digest)>,
+    spent: Vec<(CustomerId, Spent)>,
     peers: &[SocketAddr],
 ) {
     let me = daemon.duties.me();
@@ -158,10 +203,15 @@
     let message = LoadMessage {
         incarnation: me.incarnation,
         ending: daemon.refusing.get(),
-        pools,
+        pools: pools
+            .into_iter()
+            .map(|(id, digest)| (load_message::pool(&id), digest))
+            .collect(),
         sequence,
-        spent: daemon.quotas.spent(),
-        vm: me.vm,
+        spent: spent
+            .into_iter()
+            .map(|(id, spent)| (load_message::customer(&id), spent))
+            .collect(),
     };
     let buf = match rmp_serde::to_vec(&message) {
         Ok(buf) => buf,
@@ -195,27 +245,34 @@
         buf.truncate(len);
         daemon.traffic.load_exchange.receive_bytes(len);
         daemon.traffic.load_exchange.receive_messages(1);
-        match LoadMessage::read(&buf, from, |vm| daemon.membership.find(vm)) {
-            Ok(message) => take(&daemon, message),
+        let member = |from| daemon.load_exchange.member(&daemon.membership, from);
+        match LoadMessage::read(&buf, from, member) {
+            Ok((vm, message)) => take(&daemon, &vm, message),
             Err(e) => log::debug!("a word about load is not believed: {e}"),
         }
     }
 }
 
-fn take(daemon: &Rc<Daemon>, message: LoadMessage) {
-    if !daemon.load_exchange.is_new(&message) {
+fn take(daemon: &Rc<Daemon>, vm: &VmId, message: LoadMessage) {
+    if !daemon.load_exchange.is_new(vm, &message) {
         return;
     }
-    let LoadMessage { vm, spent, .. } = &message;
+    let Ok(in_force) = daemon.in_force() else {
+        return;
+    };
+    let named = |(digest, spent)| Some((in_force.customer(digest)?.clone(), spent));
+    let spent: Vec<_> = message.spent.into_iter().filter_map(named).collect();
     if is_near(daemon, vm) {
-        daemon.quotas.heard(vm, message.incarnation, spent);
+        daemon.quotas.heard(vm, message.incarnation, &spent);
     } else {
-        daemon.quotas.heard_afar(vm, message.incarnation, spent);
+        daemon.quotas.heard_afar(vm, message.incarnation, &spent);
     }
     if message.ending {
         daemon.quotas.left(vm);
     }
-    for (pool, digest) in message.pools {
-        server::take_digest(daemon, &pool, &message.vm, digest);
+    for (digest, told) in message.pools {
+        if let Some(pool) = in_force.pool(digest) {
+            server::take_digest(daemon, pool, vm, told);
+        }
     }
 }
--- a/crates/lilaccrankd/src/peers/load_message.rs
+++ b/crates/lilaccrankd/src/peers/load_message.rs
@@ -1,21 +1,28 @@
 //! What one daemon tells the others of its load, and whether it is believed.
 //!
 //! Datagrams come from anywhere: cut short, replayed, from a daemon of another version, or from one that
-//! has ended and whose address another one has. A message is believed of a member only, from the
-//! address that this member has, and of no earlier life than the one that is known. Whether the
-//! member is thought to live does not matter: what it has on the targets is there.
+//! has ended and whose address another one has. A message is believed of a member only, known by its
+//! address, and of no earlier life than the one that is known. Whether the member is thought to live
+//! does not matter: what it has on the targets is there.
+//!
+//! Some hundred of these messages come each second: pools and customers are named by digests in them.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 
 use lilaccrank::dispatch::sharing::Digest;
-use lilaccrank::ids::{CustomerId, Incarnation, PoolId, VmId};
+use lilaccrank::ids::{Incarnation, VmId};
 use lilaccrank::membership::Member;
 use lilaccrank::quota::Spent;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
+use xxhash_rust::xxh3;
 
 /// Result of reading a datagram.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
+/// Stands for a customer: two of 35,000 have the same one in one of 10^10 configurations.
+pub type CustomerDigest = u64;
+/// Stands for a pool: two of thirty have the same one in one of 10 million configurations.
+pub type PoolDigest = u32;
 
 /// Why a datagram is not believed.
 #[derive(Debug, Error)]
@@ -29,35 +36,31 @@
     /// Its bytes are no message of this version.
     #[error("it can't be read: {0}")]
     Unreadable(#[from] rmp_serde::decode::Error),
-    /// The sender is no member, or the member has another address.
-    #[error("{vm} is no member with the address {from}")]
+    /// No member has the sender's address.
+    #[error("no member has the address {from}")]
     Unknown {
         /// Where it came from.
-        from: IpAddr,
-        /// Who it claims to be from.
-        vm: VmId,
+        from: SocketAddr,
     },
 }
 
 /// What one daemon tells.
-#[derive(Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct LoadMessage {
     /// Life of its sender.
     pub incarnation: Incarnation,
     /// Whether its sender is about to end, and spends nothing more.
     pub ending: bool,
     /// What its sender has on the targets of each pool.
-    pub pools: Vec<(PoolId, Digest)>,
+    pub pools: Vec<(PoolDigest, Digest)>,
     /// Grows with each message of one life.
     pub sequence: u64,
     /// What its sender let pass of customers with quotas.
-    pub spent: Vec<(CustomerId, Spent)>,
-    /// Its sender.
-    pub vm: VmId,
+    pub spent: Vec<(CustomerDigest, Spent)>,
 }
 
 impl LoadMessage {
-    /// Reads a datagram that came `from` an address.
+    /// Reads a datagram that came `from` an address. Returns the member that sent it, too.
     ///
     /// # Errors
     ///
@@ -65,17 +68,25 @@
     pub fn read(
         datagram: &[u8],
         from: SocketAddr,
-        member: impl FnOnce(&VmId) -> Option<Member>,
-    ) -> Result<Self> {
+        member: impl FnOnce(SocketAddr) -> Option<Member>,
+    ) -> Result<(VmId, Self)> {
         let message: Self = rmp_serde::from_slice(datagram)?;
-        let member = member(&message.vm).filter(|member| member.peers.ip() == from.ip());
-        let Some(member) = member else {
-            let (from, vm) = (from.ip(), message.vm);
-            return Err(Error::Unknown { from, vm });
-        };
+        let member = member(from).ok_or(Error::Unknown { from })?;
         if message.incarnation < member.incarnation {
-            return Err(Error::EarlierLife { vm: message.vm });
+            return Err(Error::EarlierLife { vm: member.vm });
         }
-        Ok(message)
+        Ok((member.vm, message))
     }
 }
+
+/// The digest of a customer.
+#[must_use]
+pub fn customer(id: &str) -> CustomerDigest {
+    xxh3::xxh3_64(id.as_bytes())
+}
+
+/// The digest of a pool.
+#[must_use]
+pub fn pool(id: &str) -> PoolDigest {
+    xxh3::xxh3_64(id.as_bytes()) as PoolDigest
+}
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -100,7 +100,8 @@
         }
         PoolMessage::Verdict { .. } => {}
     }
-    daemon.load_exchange.note_change();
+    let is_urgent = served.dispatcher.is_news_urgent();
+    daemon.load_exchange.note_change(is_urgent);
     PoolReply::Accepted {
         waiting: served.dispatcher.waiting(),
     }
@@ -126,7 +127,8 @@
         return;
     }
     if let Verdict::Grant(grant) = &verdict {
-        daemon.load_exchange.note_change();
+        let is_urgent = served.dispatcher.is_news_urgent();
+        daemon.load_exchange.note_change(is_urgent);
         let subject = Subject {
             detail: format!("by the dispatcher of pool {}", served.pool),
             request: Some(grant.request.clone()),
--- a/crates/lilaccrankd/src/request/quotas.rs
+++ b/crates/lilaccrankd/src/request/quotas.rs
@@ -37,6 +37,8 @@
 /// What a request took out of its customer's quota.
 #[derive(Clone, Debug)]
 pub struct Charge {
+    /// Whether little is left, so that other daemons have to hear of it at once.
+    pub is_short: bool,
     customer: CustomerId,
     units: u64,
 }
@@ -66,7 +68,7 @@
         let mut inner = self.inner.borrow_mut();
         let wish = Wish { tier, units };
         let spent = inner.spend(&customer.id, quota, wish, Instant::now());
-        spent.map_err(|e| {
+        let is_short = spent.map_err(|e| {
             log::info!(
                 customer = customer.id,
                 left:% = e.left.round(),
@@ -84,6 +86,7 @@
             Refusal::new(ErrorKind::RateLimited, "your quota is used up").retry_after(after)
         })?;
         Ok(Some(Charge {
+            is_short,
             customer: customer.id.clone(),
             units,
         }))
@@ -111,7 +114,13 @@
         self.inner.borrow_mut().set_pace(pace);
     }
 
-    /// What the other daemons are to know.
+    /// What the other daemons of the cell are to know by now.
+    #[must_use]
+    pub fn news(&self) -> Vec<(CustomerId, Spent)> {
+        self.inner.borrow_mut().news(Instant::now())
+    }
+
+    /// What daemons outside the cell are to know.
     #[must_use]
     pub fn spent(&self) -> Vec<(CustomerId, Spent)> {
         self.inner.borrow().spent(Instant::now())
