--- a/crates/lilaccrank/src/dispatch/patience.rs
+++ b/crates/lilaccrank/src/dispatch/patience.rs
@@ -2,9 +2,11 @@
 //!
 //! A caller that hears late that there is no place has lost the time in which it could have gone
 //! elsewhere, or come back while its answer was still worth something. An ask waits as long as a
-//! target that comes free can still give it a first token in time. Work of the first tiers goes
-//! on waiting for a part of the time that its caller has: late, it is still worth more than work
-//! of a later tier that takes its place.
+//! target that comes free can still give it a first token in time. Work of the first tier goes on
+//! waiting for a part of the time that its caller has: late, it is still worth more than work of a
+//! later tier that takes its place. Late work of a tier behind it would take the places of work that
+//! can still be in time: in order of arrival all of a tier is late while it is asked for more than the
+//! targets can do.
 
 use std::time::{Duration, Instant};
 
@@ -15,7 +17,7 @@
 /// Part of its objective that an ask leaves for what estimates miss.
 const MARGIN: f64 = 0.1;
 /// Tiers from 0 on whose late answers go before other tiers' timely ones.
-const LATE_TIERS: Tier = 2;
+const LATE_TIERS: Tier = 1;
 /// Part of the time to its deadline for which such an ask waits: what is left has to do for the
 /// answer itself.
 const LATE_PART: f64 = 0.3;
--- a/crates/lilaccrank/tests/suite/dispatch_sharing.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_sharing.rs
@@ -290,8 +290,10 @@
 
 // A caller that could come back in time hears too late that there is no place. Bulk is told as
 // soon as its first token would be late; urgent work goes on for a third of its time, since late
-// it is still worth more than bulk.
+// it is still worth more than bulk. Middle work that waited on would, in the order of arrival, make
+// all that comes behind it late as well.
 waits!(bulk_waits_for_its_objective, 2, 800, 950);
+waits!(middle_work_waits_for_its_objective, 1, 800, 950);
 waits!(urgent_work_waits_on, 0, 2_900, 3_100);
 
 /// A full target of one slot, at which some chats have waited for nothing.
