Logs and metrics tell how long requests were, and for what their time did not suffice

Change: routed and beyond the quota tell prompt and most tokens, granted the time that was expected and that was left, answered and ended how many events came; the reason of a refusal stands in its words; two counters of ends by tier and by tokens of prompt and answer. No decision changes.

--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -116,6 +116,7 @@
                 kind: ErrorKind::Cancelled,
                 request: guard.request.clone(),
                 retry_after: None,
+                unmeetable: None,
             })
         })
     }
--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -6,7 +6,7 @@
 
 use super::choice::{self, Room};
 use super::limits::{self, Counted};
-use super::message::{Ask, AskNumber, Refuse, Verdict};
+use super::message::{Ask, AskNumber, Refuse, Unmeetable, Verdict};
 use super::state::{self, State, Waiter, WaiterId};
 use crate::error_kind::ErrorKind;
 use crate::prompt;
@@ -151,11 +151,16 @@
             let retry = Some(self.drain.retry_after(0, 0.0, now));
             return Some(state::refusal_of(ask, ErrorKind::NoTarget, retry));
         }
-        (self.is_hopeless(ask, now) || self.waits_in_vain(ask, now)).then(|| {
-            let standing = state::standing(ask);
-            let ahead = self.queue.ahead(standing, &ask.customer, ask.weight);
-            let retry = self.retry_behind(ahead, now);
-            state::refusal_of(ask, ErrorKind::DeadlineUnmeetable, Some(retry))
-        })
+        let unmeetable = if self.is_hopeless(ask, now) {
+            Unmeetable::Hopeless
+        } else if self.waits_in_vain(ask, now) {
+            Unmeetable::WaitsInVain
+        } else {
+            return None;
+        };
+        let standing = state::standing(ask);
+        let ahead = self.queue.ahead(standing, &ask.customer, ask.weight);
+        let retry = self.retry_behind(ahead, now);
+        Some(state::refusal_of(ask, unmeetable, Some(retry)))
     }
 }
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -4,11 +4,10 @@
 
 use super::choice::{self, Choice, Room};
 use super::delay::DELAY_SCAN;
-use super::message::Entry;
+use super::message::{Entry, Unmeetable};
 use super::queue::Lane;
 use super::state::{Reservation, State, Waiting, work};
 use super::work::Work;
-use crate::error_kind::ErrorKind;
 use crate::ids::{RequestId, Tier};
 
 /// Weight of a new sample in the part of prompts that has to be computed.
@@ -117,6 +116,7 @@
                 incarnation: ask.entry_incarnation,
                 vm: ask.entry.clone(),
             },
+            expected: Duration::try_from_secs_f64(choice.earliest).unwrap_or(Duration::MAX),
             granted: now,
             left,
             long,
@@ -136,7 +136,7 @@
         let left = deadline.map(|deadline| deadline.saturating_duration_since(now));
         if left.is_some_and(|left| choice.earliest > left.as_secs_f64()) {
             let retry = self.drain.retry_after(0, 0.0, now);
-            self.refuse(request, ErrorKind::DeadlineUnmeetable, Some(retry));
+            self.refuse(request, Unmeetable::TooSlow, Some(retry));
             return;
         }
         let prompt = self
--- a/crates/lilaccrank/src/dispatch/message.rs
+++ b/crates/lilaccrank/src/dispatch/message.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::document::Limit;
@@ -69,6 +70,9 @@
     pub dispatcher: VmId,
     /// Life of the dispatcher.
     pub dispatcher_incarnation: Incarnation,
+    /// Time to the whole answer by which it was judged, if it is known.
+    #[serde(default)]
+    pub expected: Option<Duration>,
     /// The request.
     pub request: RequestId,
     /// Where to send it.
@@ -86,6 +90,26 @@
     pub request: RequestId,
     /// When another try makes sense.
     pub retry_after: Option<Duration>,
+    /// What its time did not suffice for, if that is the reason.
+    #[serde(default)]
+    pub unmeetable: Option<Unmeetable>,
+}
+
+/// Why an ask can't be met in the time that it has.
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+pub enum Unmeetable {
+    /// No target can end it in time, behind the work that goes first.
+    #[display("no target can end it in time")]
+    Hopeless,
+    /// The best open target can't end it in the time that is left.
+    #[display("the best free target can't end it in the time that is left")]
+    TooSlow,
+    /// It waited for as long as its answer could begin in time.
+    #[display("no target came free in time")]
+    Waited,
+    /// Waits of its tier have mostly ended without a target of late.
+    #[display("its tier is waiting for nothing at present")]
+    WaitsInVain,
 }
 
 /// What an entry daemon saw of a granted request.
--- a/crates/lilaccrank/src/dispatch/overload.rs
+++ b/crates/lilaccrank/src/dispatch/overload.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::message::Unmeetable;
 use super::state::State;
 use super::work::Work;
 use crate::error_kind::ErrorKind;
@@ -15,7 +16,7 @@
             if let Some(waiting) = self.waiting.get(&request) {
                 self.waits.ran_out(waiting.ask.tier, now);
             }
-            self.refuse(&request, ErrorKind::DeadlineUnmeetable, Some(retry));
+            self.refuse(&request, Unmeetable::Waited, Some(retry));
         }
     }
 
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -12,7 +12,7 @@
 use super::deadline::Capacity;
 use super::delay::Delay;
 use super::limits::{Counted, Limits};
-use super::message::{Ask, AskNumber, Entry, Grant, Refuse, Verdict};
+use super::message::{Ask, AskNumber, Entry, Grant, Refuse, Unmeetable, Verdict};
 use super::pending::Pending;
 use super::queue::{Item, Lane, Queue, Standing};
 use super::recovery::Handover;
@@ -50,6 +50,31 @@
     pub(super) waiter: Option<Waiter>,
 }
 
+/// Why an ask is refused.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Reason {
+    kind: ErrorKind,
+    unmeetable: Option<Unmeetable>,
+}
+
+impl From<ErrorKind> for Reason {
+    fn from(kind: ErrorKind) -> Self {
+        Self {
+            kind,
+            unmeetable: None,
+        }
+    }
+}
+
+impl From<Unmeetable> for Reason {
+    fn from(unmeetable: Unmeetable) -> Self {
+        Self {
+            kind: ErrorKind::DeadlineUnmeetable,
+            unmeetable: Some(unmeetable),
+        }
+    }
+}
+
 /// A granted request.
 #[derive(Debug)]
 pub(super) struct Reservation {
@@ -59,6 +84,8 @@
     pub(super) before: u64,
     pub(super) counted: Option<Counted>,
     pub(super) entry: Entry,
+    /// Time to the whole answer by which it was judged.
+    pub(super) expected: Duration,
     pub(super) granted: Instant,
     /// What of it counts as outstanding at the target.
     pub(super) left: Work,
@@ -152,7 +179,12 @@
     }
 
     /// Ends a waiting ask with a refusal.
-    pub(super) fn refuse(&mut self, request: &str, kind: ErrorKind, retry: Option<Duration>) {
+    pub(super) fn refuse(
+        &mut self,
+        request: &str,
+        reason: impl Into<Reason>,
+        retry: Option<Duration>,
+    ) {
         self.queue.remove(request);
         let Some(waiting) = self.waiting.swap_remove(request) else {
             return;
@@ -162,7 +194,7 @@
         }
         if let Some(waiter) = waiting.waiter {
             // A receiver that is gone has no use for the verdict.
-            let _ = waiter.tx.send(refuse(&waiting.ask, kind, retry));
+            let _ = waiter.tx.send(refuse(&waiting.ask, reason, retry));
         }
     }
 
@@ -188,12 +220,14 @@
 
     /// The grant that this request holds.
     pub(super) fn granted(&self, request: &str, ask: AskNumber) -> Verdict {
+        let held = &self.reservations[request];
         Verdict::Grant(Grant {
             ask,
             dispatcher: self.cfg.vm.clone(),
             dispatcher_incarnation: self.cfg.incarnation,
+            expected: Some(held.expected),
             request: request.to_owned(),
-            target: self.reservations[request].target.clone(),
+            target: held.target.clone(),
         })
     }
 }
@@ -223,15 +257,25 @@
     }
 }
 
-pub(super) fn refusal_of(ask: &Ask, kind: ErrorKind, retry_after: Option<Duration>) -> Refuse {
+pub(super) fn refusal_of(
+    ask: &Ask,
+    reason: impl Into<Reason>,
+    retry_after: Option<Duration>,
+) -> Refuse {
+    let reason = reason.into();
     Refuse {
         ask: ask.ask,
-        kind,
+        kind: reason.kind,
         request: ask.request.clone(),
         retry_after,
+        unmeetable: reason.unmeetable,
     }
 }
 
-pub(super) fn refuse(ask: &Ask, kind: ErrorKind, retry_after: Option<Duration>) -> Verdict {
-    Verdict::Refuse(refusal_of(ask, kind, retry_after))
+pub(super) fn refuse(
+    ask: &Ask,
+    reason: impl Into<Reason>,
+    retry_after: Option<Duration>,
+) -> Verdict {
+    Verdict::Refuse(refusal_of(ask, reason, retry_after))
 }
--- a/crates/lilaccrankd/src/admin/metrics.rs
+++ b/crates/lilaccrankd/src/admin/metrics.rs
@@ -19,11 +19,29 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.7, 2.5, 5.0, 10.0,
 ];
 
+/// Upper bounds of the classes of lengths, in tokens; what is longer is in a class of its own.
+const LENGTHS: [u32; 5] = [0, 64, 256, 1_024, 4_096];
+
+/// How long a request was, and how it ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    /// Tokens of its answer that came.
+    pub answer_tokens: u32,
+    /// Why there is no whole answer; `None` if there is.
+    pub kind: Option<ErrorKind>,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// Its tier.
+    pub tier: Tier,
+}
+
 /// All metrics of one daemon.
 pub struct Metrics {
     answered: IntCounterVec,
     control_bytes: IntCounterVec,
     control_messages: IntCounterVec,
+    ended_by_answer: IntCounterVec,
+    ended_by_prompt: IntCounterVec,
     /// Seconds from arrival to the first token.
     pub first_token: Histogram,
     /// Generation of the configuration in force.
@@ -64,6 +82,20 @@
             ),
             &["channel", "direction"],
         )?;
+        let ended_by_answer = IntCounterVec::new(
+            Opts::new(
+                "lilaccrank_ended_by_answer_total",
+                "Ends of requests, by the tokens of the answer that came, at most so many",
+            ),
+            &["tier", "end", "tokens"],
+        )?;
+        let ended_by_prompt = IntCounterVec::new(
+            Opts::new(
+                "lilaccrank_ended_by_prompt_total",
+                "Ends of requests, by the tokens of the prompt, at most so many",
+            ),
+            &["tier", "end", "tokens"],
+        )?;
         let first_token = Histogram::with_opts(
             HistogramOpts::new(
                 "lilaccrank_first_token_seconds",
@@ -92,6 +124,8 @@
         registry.register(Box::new(answered.clone()))?;
         registry.register(Box::new(control_bytes.clone()))?;
         registry.register(Box::new(control_messages.clone()))?;
+        registry.register(Box::new(ended_by_answer.clone()))?;
+        registry.register(Box::new(ended_by_prompt.clone()))?;
         registry.register(Box::new(first_token.clone()))?;
         registry.register(Box::new(generation.clone()))?;
         registry.register(Box::new(in_progress.clone()))?;
@@ -102,6 +136,8 @@
             answered,
             control_bytes,
             control_messages,
+            ended_by_answer,
+            ended_by_prompt,
             first_token,
             generation,
             in_progress,
@@ -123,6 +159,22 @@
         self.refused.with_label_values(&[&kind.to_string()]).inc();
     }
 
+    /// Counts a request by its lengths. A fault that strikes long requests only is not seen in counts
+    /// of all.
+    pub fn end(&self, ended: Ended) {
+        let tier = ended.tier.to_string();
+        let end = ended
+            .kind
+            .map_or("whole".to_owned(), |kind| kind.to_string());
+        for (counter, tokens) in [
+            (&self.ended_by_answer, ended.answer_tokens),
+            (&self.ended_by_prompt, ended.prompt_tokens),
+        ] {
+            let labels = [&*tier, &*end, &length_class(tokens)];
+            counter.with_label_values(&labels).inc();
+        }
+    }
+
     /// Everything as text.
     #[must_use]
     pub fn text(&self) -> String {
@@ -149,3 +201,8 @@
         }
     }
 }
+
+fn length_class(tokens: u32) -> String {
+    let bound = LENGTHS.into_iter().find(|bound| tokens <= *bound);
+    bound.map_or("more".to_owned(), |bound| bound.to_string())
+}
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -13,6 +13,7 @@
 use lilaccrank_http::body::{self, Body, BodySender};
 use lilaccrank_http::monoio_clock::MonoioClock;
 
+use crate::admin::metrics::Ended;
 use crate::callers::attach;
 use crate::callers::auth;
 use crate::callers::caller_request::CallerRequest;
@@ -84,6 +85,12 @@
     let charge = match daemon.quotas.charge(wanting) {
         Ok(charge) => charge,
         Err(refusal) => {
+            daemon.metrics.end(Ended {
+                answer_tokens: 0,
+                kind: Some(refusal.kind),
+                prompt_tokens: caller.facts.prompt_tokens,
+                tier: route.tier,
+            });
             key.release().await;
             return Err(refusal);
         }
@@ -101,7 +108,9 @@
         customer = caller.facts.customer,
         generation = in_force.identity.generation,
         id = id,
+        max_tokens = caller.facts.max_tokens,
         pool = route.pool,
+        prompt_tokens = caller.facts.prompt_tokens,
         request = caller.name(&id),
         rule = route.rule,
         tier = route.tier;
--- a/crates/lilaccrankd/src/pools/client.rs
+++ b/crates/lilaccrankd/src/pools/client.rs
@@ -67,6 +67,7 @@
                 kind: lilaccrank::error_kind::ErrorKind::Internal,
                 request: request.clone(),
                 retry_after: None,
+                unmeetable: None,
             })
         }
     }
--- a/crates/lilaccrankd/src/pools/client/held.rs
+++ b/crates/lilaccrankd/src/pools/client/held.rs
@@ -1,6 +1,7 @@
 //! What an entry holds of a pool: an ask that waits, or a grant.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use lilaccrank::dispatch::message::{Cancel, Grant, Outcome, Report, ReportKind};
 use lilaccrank::ids::{PoolId, RequestId};
@@ -14,6 +15,8 @@
     ask: u64,
     daemon: Rc<Daemon>,
     ended: bool,
+    /// Time to the whole answer that the dispatcher expects.
+    pub expected: Option<Duration>,
     pool: PoolId,
     request: RequestId,
     /// Where the request may be sent.
@@ -49,6 +52,7 @@
             ask: grant.ask,
             daemon: Rc::clone(daemon),
             ended: false,
+            expected: grant.expected,
             pool: pool.clone(),
             request: grant.request,
             target: grant.target,
--- a/crates/lilaccrankd/src/pools/client/outstanding.rs
+++ b/crates/lilaccrankd/src/pools/client/outstanding.rs
@@ -184,6 +184,7 @@
                 kind: ErrorKind::NoTarget,
                 request: self.ask.request.clone(),
                 retry_after: None,
+                unmeetable: None,
             }));
         }
     }
--- a/crates/lilaccrankd/src/request/life.rs
+++ b/crates/lilaccrankd/src/request/life.rs
@@ -12,6 +12,7 @@
 use lilaccrank::target_life::TargetLife;
 use lilaccrank::timeline::{EventKind, Subject};
 
+use crate::admin::metrics::Ended;
 use crate::callers::caller_request::{CallerRequest, Work};
 use crate::callers::refusal::{Refusal, Result};
 use crate::daemon::Daemon;
@@ -53,11 +54,13 @@
     // for a keeper that can't be reached.
     let _ = monoio::time::timeout(SETTLE_WAIT, settling).await;
     let total_ms = routed.elapsed_ms();
+    daemon.metrics.end(routed.ended(&daemon, &result, &run));
     match result {
         Ok(()) => {
             let pace = run.pace();
             log::info!(
                 first_ms = pace.first.map_or(-1, |first| routed.until_ms(first)),
+                parts = pace.parts,
                 pause_ms = pace.longest_pause.as_millis() as u64,
                 request = routed.name(),
                 total_ms = total_ms;
@@ -70,6 +73,7 @@
             log::info!(
                 begun = run.has_head(),
                 kind:% = refusal.kind,
+                parts = run.pace().parts,
                 ran:% = refusal.ran,
                 request = routed.name(),
                 retry_after_ms = refusal.retry_after.map_or(0, |after| after.as_millis() as u64),
@@ -123,6 +127,17 @@
 }
 
 impl Routed {
+    /// Its lengths and its end, for the metrics.
+    fn ended(&self, daemon: &Daemon, result: &Result<()>, run: &Run) -> Ended {
+        let tokens_in_event = daemon.tokens_in_event(&self.route.pool);
+        Ended {
+            answer_tokens: run.pace().parts.saturating_mul(tokens_in_event),
+            kind: result.as_ref().err().map(|refusal| refusal.kind),
+            prompt_tokens: self.caller.facts.prompt_tokens,
+            tier: self.route.tier,
+        }
+    }
+
     /// What it is called in logs.
     #[must_use]
     pub fn name(&self) -> &str {
@@ -149,6 +164,13 @@
         limits.into_iter().flatten().map(until).min()
     }
 
+    /// Time left until the answer is worthless.
+    #[must_use]
+    pub fn left(&self) -> Option<Duration> {
+        let until = self.deadline()?;
+        Some(until.saturating_duration_since(Instant::now()))
+    }
+
     /// Time left until its caller expects the first of its answer.
     fn objective_left(&self, now: Instant) -> Option<Duration> {
         let until = self.arrived + self.route.terms.objective()?;
@@ -234,6 +256,8 @@
         match future::select(asking, interrupted).await {
             Either::Left((Ok(held), _)) => {
                 log::info!(
+                    expected_ms = log_ms(held.expected),
+                    left_ms = log_ms(self.left()),
                     since_arrival_ms = self.elapsed_ms(),
                     request = self.name(),
                     target = held.target.id;
@@ -259,9 +283,7 @@
         let now = Instant::now();
         Ask {
             customer: facts.customer.clone(),
-            deadline: self
-                .deadline()
-                .map(|until| until.saturating_duration_since(now)),
+            deadline: self.left(),
             entry: daemon.cfg.vm.clone(),
             exclusions,
             limit: self.route.limit,
@@ -313,15 +335,26 @@
 
 fn refusal(refuse: &Refuse) -> Refusal {
     let message = match refuse.kind {
-        ErrorKind::DeadlineUnmeetable => "the deadline can't be met; nothing was started",
+        ErrorKind::DeadlineUnmeetable => "the deadline can't be met",
         ErrorKind::NoTarget => "no live target here serves the pool",
         ErrorKind::Overloaded => "work of this tier is being shed",
         ErrorKind::RateLimited => "the rule's limit is reached",
         _ => "the dispatcher refused",
     };
+    let message = match refuse.unmeetable {
+        Some(unmeetable) => format!("{message}: {unmeetable}"),
+        None => message.to_owned(),
+    };
     let refusal = Refusal::new(refuse.kind, message).ran(Ran::No);
     match refuse.retry_after {
         Some(after) => refusal.retry_after(after),
         None => refusal,
     }
 }
+
+/// Milliseconds for the log, -1 if there are none.
+fn log_ms(time: Option<Duration>) -> i64 {
+    time.map_or(-1, |time| {
+        i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
+    })
+}
--- a/crates/lilaccrankd/src/request/quotas.rs
+++ b/crates/lilaccrankd/src/request/quotas.rs
@@ -72,7 +72,9 @@
             log::info!(
                 customer = customer.id,
                 left:% = e.left.round(),
+                max_tokens = wanting.facts.max_tokens,
                 part:% = e.part,
+                prompt_tokens = wanting.facts.prompt_tokens,
                 request = wanting.request,
                 retry_ms = e.retry_after.as_millis() as u64,
                 tier,
--- a/crates/lilaccrankd/src/request/run.rs
+++ b/crates/lilaccrankd/src/request/run.rs
@@ -37,6 +37,8 @@
     last: Option<Instant>,
     /// Longest time between two parts.
     pub longest_pause: Duration,
+    /// Parts so far; of a stream, its events.
+    pub parts: u32,
 }
 
 impl Pace {
@@ -44,6 +46,7 @@
         let since = self.last.replace(now).map(|last| now - last);
         self.longest_pause = self.longest_pause.max(since.unwrap_or_default());
         self.first.get_or_insert(now);
+        self.parts = self.parts.saturating_add(1);
     }
 }
 
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -114,12 +114,11 @@
     ) -> Result<()> {
         let daemon = seen.daemon;
         let after = passed.last_event.clone();
-        let until = self.deadline();
         let sending = Sending {
             after: after.as_deref(),
             caller: &self.caller,
             id: &self.id,
-            left: until.map(|until| until.saturating_duration_since(Instant::now())),
+            left: self.left(),
             proxied,
             target,
         };
