--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -58,6 +58,8 @@
 mod membership_cost;
 #[path = "suite/orders.rs"]
 mod orders;
+#[path = "suite/pool_lengths.rs"]
+mod pool_lengths;
 #[path = "suite/pool_load.rs"]
 mod pool_load;
 #[path = "suite/pool_model.rs"]
--- a/crates/lilaccrank/tests/suite/pool_model.rs
+++ b/crates/lilaccrank/tests/suite/pool_model.rs
@@ -63,6 +63,8 @@
     First,
     /// So many tokens came since the last word, each so many milliseconds after the other.
     More(u32, f64),
+    /// It was cut at its deadline, with so many tokens generated.
+    Cut(u32),
 }
 
 /// A way to place requests.
@@ -99,12 +101,37 @@
     }
 }
 
+/// What came of one request.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer {
+    /// Milliseconds from its coming to its first token.
+    pub first: Option<u64>,
+    /// What it is.
+    pub kind: Kind,
+    /// Tokens of the whole answer.
+    pub length: u32,
+    /// Whether all of it came by its deadline.
+    pub whole: bool,
+}
+
 /// Plays a load before a pool and returns what came of each kind.
 pub fn play(load: &Load, policy: &mut dyn Policy) -> [Outcome; 3] {
-    let mut engines: Vec<Engine> = (0..load.engines).map(Engine::new).collect();
+    outcomes(&answers(load, policy))
+}
+
+/// Plays a load before a pool and returns what came of each request.
+pub fn answers(load: &Load, policy: &mut dyn Policy) -> Vec<Answer> {
+    let engines = (0..load.engines).map(|number| Engine::new(number, load.speeds));
+    let mut engines: Vec<Engine> = engines.collect();
     let mut requests = load.requests();
     let mut coming: Vec<(u64, usize)> = requests.iter().map(|r| (r.arrived, r.id)).collect();
-    let mut first: Vec<Option<u64>> = vec![None; requests.len()];
+    let answers = requests.iter().map(|request| Answer {
+        first: None,
+        kind: request.kind,
+        length: request.output,
+        whole: false,
+    });
+    let mut answers: Vec<Answer> = answers.collect();
     for now in 0..load.end_ms() {
         for engine in engines.iter_mut().filter(|e| load.is_down(e.number, now)) {
             engine.crash();
@@ -131,23 +158,28 @@
         }
         for engine in &mut engines {
             for (id, progress) in engine.run(now) {
-                if matches!(progress, Progress::First) {
-                    first[id].get_or_insert(now);
+                let answer = &mut answers[id];
+                match progress {
+                    Progress::First => {
+                        answer.first.get_or_insert(now - requests[id].arrived);
+                    }
+                    Progress::Ended => answer.whole = true,
+                    Progress::Cut(_) | Progress::More(..) => {}
                 }
                 policy.progress(&requests[id], engine.number, progress, now);
             }
         }
     }
-    outcomes(&requests, &first)
+    answers
 }
 
-fn outcomes(requests: &[Request], first: &[Option<u64>]) -> [Outcome; 3] {
+fn outcomes(answers: &[Answer]) -> [Outcome; 3] {
     let mut outcomes = [Outcome::default(); 3];
-    for request in requests {
-        let outcome = &mut outcomes[request.kind as usize];
-        match first[request.id].map(|at| at - request.arrived) {
+    for answer in answers {
+        let outcome = &mut outcomes[answer.kind as usize];
+        match answer.first {
             None => outcome.lost += 1,
-            Some(after) if after <= request.kind.objective_ms() => outcome.in_time += 1,
+            Some(after) if after <= answer.kind.objective_ms() => outcome.in_time += 1,
             Some(_) => outcome.late += 1,
         }
     }
--- a/crates/lilaccrank/tests/suite/pool_model/engine.rs
+++ b/crates/lilaccrank/tests/suite/pool_model/engine.rs
@@ -16,8 +16,6 @@
 const FIRST_MS: f64 = 64.0;
 /// Milliseconds between two words about a stream.
 const TOLD_EVERY: u64 = 250;
-/// Speeds of the engines, in turn.
-const SPEEDS: [f64; 3] = [0.6, 1.7, 1.7];
 
 /// One engine.
 pub struct Engine {
@@ -29,6 +27,8 @@
 }
 
 struct Running {
+    deadline: u64,
+    generated: u32,
     id: usize,
     output_left: u32,
     prompt_left: u32,
@@ -39,13 +39,14 @@
 }
 
 impl Engine {
-    pub fn new(number: usize) -> Self {
+    /// Engine `number`; the speeds of the pool's engines follow each other in turn.
+    pub fn new(number: usize, speeds: [f64; 3]) -> Self {
         Self {
             busy_until: 0.0,
             number,
             queue: VecDeque::new(),
             running: Vec::new(),
-            speed: SPEEDS[number % SPEEDS.len()],
+            speed: speeds[number % speeds.len()],
         }
     }
 
@@ -56,6 +57,8 @@
 
     pub fn take(&mut self, request: &Request) {
         self.queue.push_back(Running {
+            deadline: request.arrived + request.kind.deadline_ms(),
+            generated: 0,
             id: request.id,
             output_left: request.output.max(1),
             prompt_left: request.prompt,
@@ -74,7 +77,7 @@
 
     /// Goes on until `now`; tells what happened.
     pub fn run(&mut self, now: u64) -> Vec<(usize, Progress)> {
-        let mut told = Vec::new();
+        let mut told = self.cut(now);
         while self.busy_until <= now as f64 {
             while self.running.len() < SLOTS {
                 let Some(mut next) = self.queue.pop_front() else {
@@ -92,6 +95,18 @@
         told
     }
 
+    /// Stops what has reached its deadline.
+    fn cut(&mut self, now: u64) -> Vec<(usize, Progress)> {
+        let is_over = |running: &Running| running.deadline <= now;
+        let all = self.queue.iter().chain(&self.running);
+        let over = all.filter(|running| is_over(running));
+        let cut = over.map(|running| (running.id, Progress::Cut(running.generated)));
+        let cut = cut.collect();
+        self.queue.retain(|running| !is_over(running));
+        self.running.retain(|running| !is_over(running));
+        cut
+    }
+
     fn step(&mut self, now: u64, told: &mut Vec<(usize, Progress)>) {
         let mut reads = self.running.iter_mut().filter(|r| r.prompt_left > 0);
         let read = reads.next().map_or(0, |first| {
@@ -110,6 +125,7 @@
                 running.told_at = now;
                 told.push((running.id, Progress::First));
             }
+            running.generated += 1;
             running.output_left -= 1;
             running.told += 1;
             let since = now - running.told_at;
--- a/crates/lilaccrank/tests/suite/pool_model/load.rs
+++ b/crates/lilaccrank/tests/suite/pool_model/load.rs
@@ -2,6 +2,9 @@
 
 use super::Request;
 
+/// How many times longer than the mean the longest answers are.
+const LONGEST: f64 = 10.0;
+
 /// What is asked, in the order of its urgency.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -53,6 +56,11 @@
     pub engines: usize,
     /// Seed of everything that is drawn.
     pub seed: u64,
+    /// Speeds of the engines, in turn.
+    pub speeds: [f64; 3],
+    /// Whether callers name the length of their answer as the most that they take; else they name the
+    /// longest of its kind, and nobody knows how long it becomes.
+    pub tells_lengths: bool,
     /// How many times the usual rate comes, from which second on.
     pub times: Vec<(u64, [f64; 3])>,
     /// Seconds in which requests come.
@@ -67,6 +75,8 @@
             down: Vec::new(),
             engines: 12,
             seed,
+            speeds: [0.6, 1.7, 1.7],
+            tells_lengths: true,
             times: vec![(0, [1.0; 3])],
             seconds: 8,
         }
@@ -96,9 +106,34 @@
         }
     }
 
+    /// The consortium at its busiest: nine engines of which two in three are slow by 1.7 / 0.6, 1.4 times
+    /// the usual rate, and twice that for the first three seconds. Callers name the same most for all
+    /// answers of a kind.
+    pub fn busy_on_slow_engines(seed: u64) -> Self {
+        Self {
+            daemons: 9,
+            engines: 9,
+            seconds: 16,
+            speeds: [1.0 / 0.6, 1.0 / 1.7, 1.0 / 1.7],
+            tells_lengths: false,
+            times: vec![(0, [1.6; 3]), (3, [1.0; 3])],
+            ..Self::usual(seed)
+        }
+    }
+
+    /// The most tokens that the caller of a request takes.
+    pub fn most_tokens(&self, request: &Request) -> u32 {
+        if self.tells_lengths {
+            return request.output;
+        }
+        let (_, output) = request.kind.tokens();
+        (output * LONGEST) as u32
+    }
+
     /// When all callers have their answers or have left.
     pub fn end_ms(&self) -> u64 {
-        self.seconds * 1_000 + 6_000
+        let longest = Kind::ALL.map(Kind::deadline_ms).into_iter().max();
+        self.seconds * 1_000 + longest.unwrap_or(0)
     }
 
     pub fn is_down(&self, engine: usize, now: u64) -> bool {
@@ -128,7 +163,7 @@
             daemon: (random.uniform() * self.daemons as f64) as usize,
             id,
             kind,
-            output: random.spread(output, 1.5, output * 10.0).max(3.0) as u32,
+            output: random.spread(output, 1.5, output * LONGEST).max(3.0) as u32,
             prompt: random.spread(prompt, 1.0, kind.longest()).max(20.0) as u32,
             returned: false,
         }
--- a/crates/lilaccrank/tests/suite/pool_model/placed.rs
+++ b/crates/lilaccrank/tests/suite/pool_model/placed.rs
@@ -23,6 +23,7 @@
     clock: PausedClock,
     daemons: Vec<Dispatcher<PausedClock>>,
     executor: LocalPool,
+    load: Load,
     /// Whether they tell each other what they have.
     shared: bool,
     spawner: LocalSpawner,
@@ -68,6 +69,7 @@
             clock,
             daemons,
             executor,
+            load: load.clone(),
             shared,
             spawner,
             verdicts: Rc::default(),
@@ -95,7 +97,7 @@
             deadline: Some(left(request.kind.deadline_ms())),
             entry: format!("vm{}", request.daemon),
             entry_incarnation: 1,
-            max_tokens: request.output,
+            max_tokens: self.load.most_tokens(request),
             objective: Some(left(request.kind.objective_ms())),
             prompt_tokens: request.prompt,
             request: request.id.to_string(),
@@ -134,6 +136,11 @@
 
     fn progress(&mut self, request: &Request, engine: usize, progress: Progress, now: u64) {
         let kind = match progress {
+            Progress::Cut(decoded) => ReportKind::Ended {
+                decoded,
+                outcome: Outcome::Cancelled,
+                prefill: None,
+            },
             Progress::Ended => ReportKind::Ended {
                 decoded: request.output,
                 outcome: Outcome::Complete,
