A broken stream has time to find another target

Callers of long dialogues lost all that they had read when their target broke off and no other one was free that very moment; they would have waited. Cause: the ask for the next target counted the objective from the request's arrival; once the first event was out longer ago than that, the ask had no time left and was refused within a millisecond, as 'no target came free in time'. Long answers are struck most: they run the longest. Ruled out: the budget of second sends (the lines tell again: true), the attempts of the rule (one of two used). Change: the objective counts from when the caller last waited, which is the break. Most still find no room in that time: a stream that breaks waits behind new asks of its tier, which is the next fault.

--- a/crates/lilaccrankd/src/request/life.rs
+++ b/crates/lilaccrankd/src/request/life.rs
@@ -9,7 +9,6 @@
 use lilaccrank::error_kind::{ErrorKind, Ran};
 use lilaccrank::ids::{RequestId, TargetId};
 use lilaccrank::rules::matching::Route;
-use lilaccrank::target_life::TargetLife;
 use lilaccrank::timeline::{EventKind, Subject};
 
 use crate::admin::metrics::Ended;
@@ -171,9 +170,9 @@
         Some(until.saturating_duration_since(Instant::now()))
     }
 
-    /// Time left until its caller expects the first of its answer.
-    fn objective_left(&self, now: Instant) -> Option<Duration> {
-        let until = self.arrived + self.route.terms.objective()?;
+    /// Time left until its caller expects the next part of its answer, if it waits `since` then.
+    fn objective_left(&self, since: Instant, now: Instant) -> Option<Duration> {
+        let until = since + self.route.terms.objective()?;
         Some(until.saturating_duration_since(now))
     }
 
@@ -211,7 +210,7 @@
         let mut sends = Sends::new(self);
         daemon.second_sends.first(&self.route.pool);
         loop {
-            let granted = self.wait(daemon, run, sends.exclusions.clone()).await;
+            let granted = self.wait(daemon, run, &sends).await;
             let held = match granted {
                 Ok(held) => held,
                 Err(refusal) if sends.is_first() && self.may_spill(&refusal, &key) => {
@@ -239,17 +238,12 @@
         }
     }
 
-    async fn wait(
-        &self,
-        daemon: &Rc<Daemon>,
-        run: &Run,
-        exclusions: Vec<TargetLife>,
-    ) -> Result<Held> {
+    async fn wait(&self, daemon: &Rc<Daemon>, run: &Run, sends: &Sends) -> Result<Held> {
         daemon.record(
             EventKind::Asked,
             self.subject(self.route.pool.clone(), None),
         );
-        let ask = self.ask(daemon, exclusions);
+        let ask = self.ask(daemon, sends);
         let interrupted = self.interrupted(daemon, run);
         let asking = client::ask(daemon, &self.route.pool, ask);
         pin_mut!(asking, interrupted);
@@ -274,7 +268,7 @@
         }
     }
 
-    fn ask(&self, daemon: &Daemon, exclusions: Vec<TargetLife>) -> Ask {
+    fn ask(&self, daemon: &Daemon, sends: &Sends) -> Ask {
         let facts = &self.caller.facts;
         let prefix = match &self.caller.work {
             Work::Generate { prefix, .. } => prefix.clone(),
@@ -285,11 +279,11 @@
             customer: facts.customer.clone(),
             deadline: self.left(),
             entry: daemon.cfg.vm.clone(),
-            exclusions,
+            exclusions: sends.exclusions.clone(),
             limit: self.route.limit,
             max_tokens: facts.max_tokens,
             prefix,
-            objective: self.objective_left(now),
+            objective: self.objective_left(sends.waits_since, now),
             prompt_tokens: facts.prompt_tokens,
             rank: self.caller.rank,
             request: self.id.clone(),
--- a/crates/lilaccrankd/src/request/sends.rs
+++ b/crates/lilaccrankd/src/request/sends.rs
@@ -1,5 +1,7 @@
 //! The sends of one request: which targets had it, and what its caller has seen.
 
+use std::time::Instant;
+
 use bytes::Bytes;
 use lilaccrank::attempts::{Allowed, Attempts, Failure};
 use lilaccrank::error_kind::Ran;
@@ -22,6 +24,8 @@
     pub passed: Passed,
     /// Why the last send failed.
     refusal: Option<Refusal>,
+    /// Since when the caller waits for the next part of its answer.
+    pub waits_since: Instant,
 }
 
 impl Sends {
@@ -40,6 +44,7 @@
             exclusions: Vec::new(),
             passed: Passed::default(),
             refusal: None,
+            waits_since: routed.arrived,
         }
     }
 
@@ -59,6 +64,11 @@
         run: &Run,
     ) -> Option<Result<()>> {
         self.exclusions.push(target.clone());
+        if failed.how == Failure::BrokenOff {
+            // Counted from the request's arrival, the time for the first part is over by now, and a
+            // stream that finds all targets full would be given up with all that its caller has read.
+            self.waits_since = Instant::now();
+        }
         if failed.answer.is_some() {
             self.answer = failed.answer;
         }
