--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -128,7 +128,7 @@
     /// Whether an ask with an objective would most likely wait for nothing: see [`super::waits`].
     /// Those of the first tier always wait, since whatever comes free is theirs.
     fn waits_in_vain(&self, ask: &Ask, now: Instant) -> bool {
-        if ask.objective.is_none() || self.tiers.before(ask.tier) == 0 {
+        if ask.objective.is_none() || ask.partial.is_some() || self.tiers.before(ask.tier) == 0 {
             return false;
         }
         if !self.waits.are_vain(ask.tier, now) {
@@ -138,7 +138,7 @@
             .queue
             .standings()
             .any(|standing| standing.tier == ask.tier);
-        let wanted = self.wanted(ask);
+        let wanted = self.wanted(ask, ask.deadline);
         one_waits && !choice::any_open(&self.targets, &wanted, Room::of(&self.targets, now), now)
     }
 
--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -67,6 +67,8 @@
     pub data_centre: &'a DataCentre,
     /// Tokens in one block of the prefix.
     pub block_tokens: u32,
+    /// Time in which a target has to finish the answer, if it resumes one.
+    pub finish_within: Option<Duration>,
     /// Targets that are out of the question.
     pub exclusions: &'a [TargetLife],
     /// Time in which its caller expects a first token, if it told one.
@@ -91,6 +93,13 @@
     pub fn has_objective(&self) -> bool {
         self.objective.is_some()
     }
+
+    /// Tiers for which it leaves slots reserved. A resumed answer gives up its slot elsewhere, and leaves
+    /// none for the tier just before its own.
+    fn tiers_reserved_for(&self) -> usize {
+        let resumed = usize::from(self.lane == Lane::Resumed);
+        self.tiers_before.saturating_sub(resumed)
+    }
 }
 
 /// A chosen target.
@@ -157,7 +166,7 @@
     let urgent = is_urgent(wanted.tier);
     let slots = target.slots_now(now);
     let kept = match (wanted.has_objective(), urgent) {
-        (true, _) => kept_for(wanted.tiers_before, slots),
+        (true, _) => kept_for(wanted.tiers_reserved_for(), slots),
         (false, true) => 0,
         (false, false) => slots / HEADROOM,
     };
@@ -177,6 +186,7 @@
         && !target.is_left_to_rival(wanted.standing, now)
         && target.estimate.batch(now).saturating_add(kept) < slots
         && has_reading_room(target, wanted, now)
+        && finishes_in_time(target, wanted, now)
         && !wanted.exclusions.contains(&target.life)
 }
 
@@ -199,6 +209,14 @@
     outstanding as f64 / target.estimate.prefill_rate(now) < longest.as_secs_f64()
 }
 
+/// Whether the target is expected to finish a resumed answer in time.
+fn finishes_in_time(target: &Target, wanted: &Wanted<'_>, now: Instant) -> bool {
+    let likely = || likely(target, wanted, 0, now) * LIKELIHOOD;
+    wanted
+        .finish_within
+        .is_none_or(|longest| likely() <= longest.as_secs_f64())
+}
+
 /// Whether a tier may use the headroom.
 #[must_use]
 pub fn is_urgent(tier: Tier) -> bool {
--- a/crates/lilaccrank/src/dispatch/deadline.rs
+++ b/crates/lilaccrank/src/dispatch/deadline.rs
@@ -31,10 +31,14 @@
         };
         let left = left.as_secs_f64();
         self.refresh_capacity(now);
-        let wanted = self.wanted(ask);
+        let wanted = self.wanted(ask, ask.deadline);
         if !self.can_meet(&wanted, left, now) {
             return true;
         }
+        // A resumed answer goes before what waits in its tier.
+        if ask.partial.is_some() {
+            return false;
+        }
         // The whole of the own tier is more than goes ahead in fair order, and cheap to know.
         let standing = state::standing(ask);
         let most = self.queue.up_to(standing);
--- a/crates/lilaccrank/src/dispatch/delay.rs
+++ b/crates/lilaccrank/src/dispatch/delay.rs
@@ -65,7 +65,7 @@
 
     /// Time of reading that a full holder saves over the best open target.
     fn gain(&self, request: &str, room: Room, now: Instant) -> Duration {
-        let wanted = self.wanted(&self.waiting[request].ask);
+        let wanted = self.wanted_by(&self.waiting[request], now);
         let (mut open, mut full, mut rate) = (0, 0, f64::INFINITY);
         let holders = self.affinity.holders(wanted.prefix, choice::HOLDERS);
         if holders.len() >= choice::HOLDERS {
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -4,16 +4,17 @@
 
 use super::choice::{self, Choice, Room};
 use super::delay::DELAY_SCAN;
+use super::fair::Place;
 use super::message::{Entry, Unmeetable};
-use super::queue::Lane;
+use super::queue::{Lane, Standing};
 use super::state::{Reservation, State, Waiting, work};
 use super::work::Work;
 use crate::ids::{RequestId, Tier};
 
 /// Weight of a new sample in the part of prompts that has to be computed.
 const COMPUTED_GAIN: f64 = 0.05;
-/// Asks with exclusions that are tried before the next lane has its turn.
-const EXCLUDING_SCAN: usize = 32;
+/// Asks that are tried in a lane in which each may find other targets open.
+const EACH_SCAN: usize = 32;
 /// A grant lapses if nothing is heard of it for this long: the entry is gone or never had it.
 /// It may still be used; the target then has one request more than counted, and no request
 /// runs twice, since the entry owns that decision.
@@ -37,8 +38,7 @@
             let Some(request) = self.next(room, now) else {
                 return;
             };
-            let ask = &self.waiting[&request].ask;
-            let wanted = self.wanted(ask);
+            let wanted = self.wanted_by(&self.waiting[&request], now);
             let choice = choice::choose(&self.targets, &self.affinity, &wanted, room, now);
             let Some(choice) = choice else {
                 return;
@@ -97,7 +97,7 @@
             return;
         };
         let left = Work {
-            decode: u64::from(ask.max_tokens),
+            decode: work(ask).decode,
             prefill: choice.prefill,
         };
         self.turn += 1;
@@ -110,6 +110,7 @@
         let held = Reservation {
             ask: ask.ask,
             began: false,
+            partial_tokens: ask.partial.map_or(0, |partial| partial.tokens),
             before: target.estimate.outstanding().prefill,
             counted: waiting.counted.clone(),
             entry: Entry {
@@ -149,7 +150,9 @@
             return;
         };
         self.reserve(&waiting, &choice, now);
-        self.waits.granted(waiting.ask.tier, now);
+        if waiting.ask.partial.is_none() {
+            self.waits.granted(waiting.ask.tier, now);
+        }
         let verdict = self.granted(request, waiting.ask.ask);
         if let Some(waiter) = waiting.waiter {
             // If the call has just ended, its guard gives the grant back.
@@ -161,33 +164,53 @@
     fn next(&self, room: Room, now: Instant) -> Option<RequestId> {
         let mut open = Open::default();
         self.queue.standings().find_map(|standing| {
-            let lanes = Lane::ALL.into_iter();
-            let firsts = lanes.filter_map(|lane| match lane {
-                Lane::Excluding => {
-                    let mut heads = self.queue.heads(standing, lane).take(EXCLUDING_SCAN);
-                    heads.find(|place| self.is_open(&place.request, room, now))
-                }
-                Lane::Long | Lane::Short => {
-                    let mut heads = self.queue.heads(standing, lane).take(DELAY_SCAN).peekable();
-                    let place = heads.peek()?;
-                    let found = open.slot(standing.tier, lane);
-                    let is_open =
-                        *found.get_or_insert_with(|| self.is_open(&place.request, room, now));
-                    if !is_open {
-                        return None;
-                    }
-                    heads.find(|place| !self.is_delayed(&place.request, room, now))
-                }
-            });
-            firsts.min().map(|place| place.request.clone())
+            // Resumed answers go first: what was read and generated for them would be lost.
+            let resumed = self.next_of_each(standing, Lane::Resumed, room, now);
+            let next = resumed.or_else(|| self.next_new(standing, room, &mut open, now));
+            next.map(|place| place.request.clone())
         })
     }
 
+    /// The first ask that finds an open target, of a lane in which each may find other targets open.
+    fn next_of_each(
+        &self,
+        standing: Standing,
+        lane: Lane,
+        room: Room,
+        now: Instant,
+    ) -> Option<&Place> {
+        let mut heads = self.queue.heads(standing, lane).take(EACH_SCAN);
+        heads.find(|place| self.is_open(&place.request, room, now))
+    }
+
+    /// The first ask of a standing that finds an open target and has no partial answer.
+    fn next_new(
+        &self,
+        standing: Standing,
+        room: Room,
+        open: &mut Open,
+        now: Instant,
+    ) -> Option<&Place> {
+        let excluding = self.next_of_each(standing, Lane::Excluding, room, now);
+        let lanes = [Lane::Long, Lane::Short].into_iter();
+        let firsts = lanes.filter_map(|lane| {
+            let mut heads = self.queue.heads(standing, lane).take(DELAY_SCAN).peekable();
+            let place = heads.peek()?;
+            let found = open.slot(standing.tier, lane);
+            let is_open = *found.get_or_insert_with(|| self.is_open(&place.request, room, now));
+            if !is_open {
+                return None;
+            }
+            heads.find(|place| !self.is_delayed(&place.request, room, now))
+        });
+        firsts.chain(excluding).min()
+    }
+
     fn is_open(&self, request: &str, room: Room, now: Instant) -> bool {
         let Some(waiting) = self.waiting.get(request) else {
             return false;
         };
-        let wanted = self.wanted(&waiting.ask);
+        let wanted = self.wanted_by(waiting, now);
         choice::any_open(&self.targets, &wanted, room, now)
     }
 }
--- a/crates/lilaccrank/src/dispatch/message.rs
+++ b/crates/lilaccrank/src/dispatch/message.rs
@@ -18,6 +18,9 @@
 pub struct Ask {
     /// Which ask for this request it is.
     pub ask: AskNumber,
+    /// The part of its answer that its caller has.
+    #[serde(default)]
+    pub partial: Option<PartialAnswer>,
     /// Whose request it is.
     pub customer: CustomerId,
     /// Time left until the whole answer is due.
@@ -52,6 +55,17 @@
     pub weight: u32,
 }
 
+/// The part of an answer that its caller has; the next target resumes behind it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartialAnswer {
+    /// Expected time to the end of the answer at the target that still generates it; `None` if that
+    /// target broke off. While one generates, only a target that is clearly faster is of use, and the ask
+    /// may wait for it.
+    pub remaining: Option<Duration>,
+    /// Tokens that its caller has.
+    pub tokens: u32,
+}
+
 /// Answer to an [`Ask`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Verdict {
--- a/crates/lilaccrank/src/dispatch/overload.rs
+++ b/crates/lilaccrank/src/dispatch/overload.rs
@@ -13,7 +13,9 @@
     pub(super) fn expire(&mut self, now: Instant) {
         while let Some(request) = self.queue.expired(now).cloned() {
             let retry = self.retry_after(&request, now);
-            if let Some(waiting) = self.waiting.get(&request) {
+            if let Some(waiting) = self.waiting.get(&request)
+                && waiting.ask.partial.is_none()
+            {
                 self.waits.ran_out(waiting.ask.tier, now);
             }
             self.refuse(&request, Unmeetable::Waited, Some(retry));
--- a/crates/lilaccrank/src/dispatch/patience.rs
+++ b/crates/lilaccrank/src/dispatch/patience.rs
@@ -23,8 +23,15 @@
 const LATE_PART: f64 = 0.3;
 
 impl State {
-    /// When the ask stops waiting; `None` if its caller told no objective.
+    /// When the ask stops waiting; `None` if its caller told no objective, or if another target generates
+    /// its answer meanwhile.
     pub(super) fn patience(&self, ask: &Ask, now: Instant) -> Option<Instant> {
+        if ask
+            .partial
+            .is_some_and(|partial| partial.remaining.is_some())
+        {
+            return None;
+        }
         let objective = ask.objective?.as_secs_f64();
         let in_time = objective * (1.0 - MARGIN) - self.quickest_first_token(ask, now);
         let late = match ask.deadline {
--- a/crates/lilaccrank/src/dispatch/queue.rs
+++ b/crates/lilaccrank/src/dispatch/queue.rs
@@ -17,6 +17,8 @@
 /// Kinds of asks that wait for different room, so that one kind doesn't block another.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Lane {
+    /// Another target is to resume the answer.
+    Resumed,
     /// Some targets are excluded.
     Excluding,
     /// The prompt is long.
@@ -27,7 +29,7 @@
 
 impl Lane {
     /// Every lane.
-    pub const ALL: [Self; 3] = [Self::Excluding, Self::Long, Self::Short];
+    pub const ALL: [Self; 4] = [Self::Resumed, Self::Excluding, Self::Long, Self::Short];
 }
 
 /// Where an ask stands among all that wait; lesser goes first.
@@ -114,6 +116,18 @@
         busy.map(|(standing, _)| *standing)
     }
 
+    /// The first standing with an ask that would take any target with room. A resumed answer takes only
+    /// targets that finish it in time, so that room left to it would mostly stay unused.
+    #[must_use]
+    pub fn first_contender(&self) -> Option<Standing> {
+        let lanes = [Lane::Excluding, Lane::Long, Lane::Short];
+        let contends = |standing: &Standing| {
+            let mut lanes = lanes.into_iter();
+            lanes.any(|lane| self.heads(*standing, lane).next().is_some())
+        };
+        self.standings().find(contends)
+    }
+
     /// The first ask of each customer in one lane, in fair order.
     pub fn heads(&self, standing: Standing, lane: Lane) -> impl Iterator<Item = &Place> + '_ {
         self.standings
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -160,7 +160,8 @@
         if outcome == Outcome::Complete {
             self.drain.ended(held.tokens, now);
             if held.max_tokens > 0 {
-                let sample = f64::from(decoded) / f64::from(held.max_tokens);
+                let whole = decoded.saturating_add(held.partial_tokens);
+                let sample = f64::from(whole) / f64::from(held.max_tokens);
                 let length = self.length + LENGTH_GAIN * (sample - self.length);
                 self.length = length.clamp(LENGTH_FLOOR, 1.0);
             }
--- a/crates/lilaccrank/src/dispatch/sharing.rs
+++ b/crates/lilaccrank/src/dispatch/sharing.rs
@@ -50,7 +50,7 @@
     pub loads: Vec<TargetLoad>,
     /// What it saw since its last digest.
     pub samples: Vec<Sample>,
-    /// Standing of the first ask that waits there.
+    /// Standing of the first ask that waits there for any target.
     pub waiting: Option<Standing>,
     /// Whether it has nothing on the targets that are left out; else they are as they were.
     pub whole: bool,
@@ -196,7 +196,7 @@
             sharing.told_whole = Some(now);
         }
         sharing.is_urgent = false;
-        sharing.told_waiting = self.queue.standings().next();
+        sharing.told_waiting = self.queue.first_contender();
         Digest {
             loads: sharing.due(loads, whole),
             samples: std::mem::take(&mut sharing.samples),
@@ -208,7 +208,7 @@
     /// Whether something has changed since the last digest that decides where others send: at a target
     /// with little room, or in who waits for room.
     pub(super) fn is_news_urgent(&self) -> bool {
-        self.sharing.is_urgent || self.sharing.told_waiting != self.queue.standings().next()
+        self.sharing.is_urgent || self.sharing.told_waiting != self.queue.first_contender()
     }
 
     /// This daemon's requests on a target are about to change, or have changed.
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -24,8 +24,12 @@
 use super::work::Work;
 use crate::error_kind::ErrorKind;
 use crate::ids::RequestId;
+use crate::stream_progress;
 use crate::target_life::TargetLife;
 
+/// Part of the time that an answer still takes at its target within which another one has to finish it: a
+/// migration reads the prompt and the partial answer once more.
+const MIGRATION_GAIN: f64 = 0.6;
 /// Part of `max_tokens` that answers are assumed to use before any has ended.
 const ASSUMED_LENGTH: f64 = 0.5;
 
@@ -90,6 +94,8 @@
     /// What of it counts as outstanding at the target.
     pub(super) left: Work,
     pub(super) long: bool,
+    /// Tokens of its answer that earlier targets generated.
+    pub(super) partial_tokens: u32,
     pub(super) max_tokens: u32,
     /// Digests of a prompt that the target still reads.
     pub(super) pending: Vec<u64>,
@@ -198,12 +204,19 @@
         }
     }
 
-    /// What the choice needs to know of an ask.
-    pub(super) fn wanted<'a>(&'a self, ask: &'a Ask) -> Wanted<'a> {
+    /// What the choice needs to know of a waiting ask.
+    pub(super) fn wanted_by<'a>(&'a self, waiting: &'a Waiting, now: Instant) -> Wanted<'a> {
+        let left = |until: Instant| until.saturating_duration_since(now);
+        self.wanted(&waiting.ask, waiting.deadline.map(left))
+    }
+
+    /// What the choice needs to know of an ask that has so much time left.
+    pub(super) fn wanted<'a>(&'a self, ask: &'a Ask, left: Option<Duration>) -> Wanted<'a> {
         let whole = work(ask);
         Wanted {
             block_tokens: self.cfg.block_tokens,
             data_centre: &self.cfg.data_centre,
+            finish_within: finish_within(ask, left),
             exclusions: &ask.exclusions,
             lane: lane(ask),
             objective: ask.objective,
@@ -212,12 +225,25 @@
             tier: ask.tier,
             tiers_before: self.tiers.before(ask.tier),
             work: Work {
-                decode: (whole.decode as f64 * self.length) as u64,
+                decode: self.expected_decode(ask),
                 prefill: whole.prefill,
             },
         }
     }
 
+    /// Tokens that a target is expected to generate for the ask.
+    fn expected_decode(&self, ask: &Ask) -> u64 {
+        let usual = f64::from(ask.max_tokens) * self.length;
+        match ask.partial {
+            None => usual as u64,
+            Some(partial) => {
+                let likely = u64::from(stream_progress::expected_remaining_tokens(partial.tokens));
+                let usual = (usual as u64).saturating_sub(partial.tokens.into());
+                likely.max(usual).min(work(ask).decode)
+            }
+        }
+    }
+
     /// The grant that this request holds.
     pub(super) fn granted(&self, request: &str, ask: AskNumber) -> Verdict {
         let held = &self.reservations[request];
@@ -232,11 +258,23 @@
     }
 }
 
-/// Length of an ask; a plain service's request counts as one token.
+/// Time in which a target has to finish a partial answer: by its deadline, and clearly sooner than the
+/// target that generates it.
+fn finish_within(ask: &Ask, left: Option<Duration>) -> Option<Duration> {
+    let partial = ask.partial?;
+    let sooner = partial
+        .remaining
+        .map(|remaining| remaining.mul_f64(MIGRATION_GAIN));
+    left.into_iter().chain(sooner).min()
+}
+
+/// Length of an ask; a plain service's request counts as one token. A partial answer is read like the
+/// prompt.
 pub(super) fn work(ask: &Ask) -> Work {
+    let partial = ask.partial.map_or(0, |partial| partial.tokens);
     Work {
-        decode: u64::from(ask.max_tokens),
-        prefill: u64::from(ask.prompt_tokens.max(1)),
+        decode: u64::from(ask.max_tokens.saturating_sub(partial)),
+        prefill: u64::from(ask.prompt_tokens.saturating_add(partial).max(1)),
     }
 }
 
@@ -248,7 +286,9 @@
 }
 
 fn lane(ask: &Ask) -> Lane {
-    if !ask.exclusions.is_empty() {
+    if ask.partial.is_some() {
+        Lane::Resumed
+    } else if !ask.exclusions.is_empty() {
         Lane::Excluding
     } else if u64::from(ask.prompt_tokens) > choice::LONG_PROMPT {
         Lane::Long
--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -29,5 +29,6 @@
 pub mod retry_budget;
 pub mod rules;
 pub mod store;
+pub mod stream_progress;
 pub mod target_life;
 pub mod timeline;
--- a/crates/lilaccrank/src/retry_budget.rs
+++ b/crates/lilaccrank/src/retry_budget.rs
@@ -52,12 +52,17 @@
         self.deposit(self.cfg.share);
     }
 
-    /// Takes one retry out of the budget; false if there is none.
-    pub fn try_retry(&mut self, now: Instant) -> bool {
+    /// Whether there is a retry in the budget.
+    pub fn has_retry(&mut self, now: Instant) -> bool {
         let passed = now.saturating_duration_since(self.filled_at);
         self.filled_at = now;
         self.deposit(passed.as_secs_f64() * self.cfg.per_second);
-        let allowed = self.balance >= 1.0;
+        self.balance >= 1.0
+    }
+
+    /// Takes one retry out of the budget; false if there is none.
+    pub fn try_retry(&mut self, now: Instant) -> bool {
+        let allowed = self.has_retry(now);
         if allowed {
             self.balance -= 1.0;
         }
--- a/crates/lilaccrank/tests/suite/dispatch_order.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_order.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use lilaccrank::dispatch::message::{Ask, Cancel, ReportKind, Verdict};
+use lilaccrank::dispatch::message::{Ask, Cancel, PartialAnswer, ReportKind, Verdict};
 use lilaccrank::dispatch::status::TargetStatus;
 use lilaccrank::document::TargetState;
 use lilaccrank::error_kind::ErrorKind;
@@ -12,6 +12,11 @@
 
 use crate::dispatch_harness::{self, Harness};
 
+/// The part of resumed answers that their callers have.
+const PARTIAL: PartialAnswer = PartialAnswer {
+    remaining: None,
+    tokens: 40,
+};
 const LONG: u32 = 3000;
 /// No target counts as hung here; the naive version knows nothing of that.
 const PATIENCE: Duration = Duration::from_secs(3600);
@@ -25,6 +30,7 @@
         ms: u64,
     },
     Arrive {
+        partial: bool,
         customer: u8,
         exclude: Option<u8>,
         long: bool,
@@ -66,6 +72,7 @@
             5 => Self::Slow { nth },
             6..=8 => Self::End { nth },
             _ => Self::Arrive {
+                partial: u8::arbitrary(g) % 6 == 0,
                 customer: u8::arbitrary(g) % 4,
                 exclude: (u8::arbitrary(g) % 6 == 0).then_some(u8::arbitrary(g) % 2),
                 long: u8::arbitrary(g) % 4 == 0,
@@ -85,7 +92,9 @@
 
 impl Waiting {
     fn tokens(&self) -> u64 {
-        u64::from(self.ask.prompt_tokens) + u64::from(self.ask.max_tokens)
+        let partial = self.ask.partial.map_or(0, |partial| partial.tokens);
+        let left = self.ask.max_tokens.saturating_sub(partial);
+        u64::from(self.ask.prompt_tokens + partial) + u64::from(left)
     }
 
     fn is_long(&self) -> bool {
@@ -93,9 +102,10 @@
     }
 
     /// Asks that wait for different room don't wait for each other.
-    fn lane(&self) -> (bool, bool) {
-        let excluding = !self.ask.exclusions.is_empty();
-        (excluding, self.is_long() && !excluding)
+    fn lane(&self) -> (bool, bool, bool) {
+        let partial = self.ask.partial.is_some();
+        let excluding = !partial && !self.ask.exclusions.is_empty();
+        (partial, excluding, self.is_long() && !excluding && !partial)
     }
 }
 
@@ -106,6 +116,13 @@
     target: String,
 }
 
+impl Running {
+    /// Tokens that its target reads.
+    fn prompt(&self) -> u32 {
+        self.ask.prompt_tokens + self.ask.partial.map_or(0, |partial| partial.tokens)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Naive {
     running: Vec<Running>,
@@ -154,7 +171,14 @@
     /// All that waits, in the order of dispatch.
     fn sorted(&self) -> Vec<&Waiting> {
         let mut sorted: Vec<&Waiting> = self.waiting.iter().collect();
-        sorted.sort_by_key(|w| (w.ask.tier, self.served(w), w.sequence));
+        sorted.sort_by_key(|w| {
+            (
+                w.ask.tier,
+                w.ask.partial.is_none(),
+                self.served(w),
+                w.sequence,
+            )
+        });
         sorted
     }
 
@@ -163,13 +187,13 @@
             let id = id.to_owned();
             self.running.iter().filter(move |r| r.target == id)
         };
-        let unread = |id: &str| on(id).filter(|r| !r.prefilled).map(|r| r.ask.prompt_tokens);
+        let unread = |id: &str| on(id).filter(|r| !r.prefilled).map(Running::prompt);
         let live: Vec<&TargetStatus> = targets.iter().filter(|t| t.live).collect();
         let slots: u32 = live.iter().map(|t| t.slots).sum();
         let taken: u32 = live.iter().map(|t| on(&t.id).count() as u32).sum();
         let long = live
             .iter()
-            .filter(|t| unread(&t.id).any(|p| p == LONG))
+            .filter(|t| unread(&t.id).any(|p| p >= LONG))
             .count();
         let urgent = waiting.ask.tier == 0;
         let headroom = if slots > 1 { slots.div_ceil(8) } else { 0 };
@@ -251,6 +275,7 @@
     match op {
         Op::Advance { ms } => harness.clock.advance(Duration::from_millis(*ms)),
         Op::Arrive {
+            partial,
             customer,
             exclude,
             long,
@@ -258,6 +283,7 @@
             tier,
         } => {
             let mut ask = dispatch_harness::ask(&format!("r{id}"), *tier);
+            ask.partial = partial.then_some(PARTIAL);
             ask.customer = format!("c{customer}");
             ask.exclusions = exclude
                 .iter()
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/dispatch_resumed.rs
@@ -0,0 +1,131 @@
+//! Answers that another target is to resume.
+
+use std::time::{Duration, Instant};
+
+use lilaccrank::dispatch::message::{Ask, PartialAnswer};
+use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::stream_progress::StreamProgress;
+
+use crate::dispatch_cases::{ask, granted, harness, refused};
+use crate::dispatch_harness::Harness;
+
+const OBJECTIVE: Duration = Duration::from_secs(1);
+
+/// An ask with a time for the first token and one for the whole answer.
+fn hurried(request: &str, tier: u8) -> Ask {
+    Ask {
+        deadline: Some(Duration::from_secs(10)),
+        objective: Some(OBJECTIVE),
+        max_tokens: 2_000,
+        ..ask(request, tier)
+    }
+}
+
+/// An ask to resume behind 400 tokens; where it is, the rest comes in so many seconds.
+fn resumes(request: &str, tier: u8, remaining: Option<u64>) -> Ask {
+    Ask {
+        partial: Some(PartialAnswer {
+            remaining: remaining.map(Duration::from_secs),
+            tokens: 400,
+        }),
+        ..hurried(request, tier)
+    }
+}
+
+/// Teaches the dispatcher how long a target's steps take.
+fn learn(harness: &mut Harness, target: &str, step_ms: u64) {
+    let request = format!("seen on {target}");
+    let others = ["t0", "t1"].into_iter().filter(|other| *other != target);
+    harness.ask(Ask {
+        exclusions: others.map(Into::into).collect(),
+        ..ask(&request, 0)
+    });
+    assert_eq!(harness.grants(), granted(&request, target));
+    harness.steps(&request, target, step_ms, 60);
+    harness.end(&request, target);
+}
+
+// A broken stream would wait behind new requests of its tier until its caller, with all it has read, gives up.
+#[test]
+fn a_broken_answer_goes_before_new_ones() {
+    let mut harness = harness(&[1]);
+    harness.ask(ask("runs", 0));
+    assert_eq!(harness.grants(), granted("runs", "t0"));
+    harness.ask(hurried("new", 1));
+    harness.ask(resumes("broken", 1, None));
+    harness.end("runs", "t0");
+    assert_eq!(harness.grants(), granted("broken", "t0"));
+}
+
+// A resumed answer of a later tier would delay urgent work.
+#[test]
+fn an_earlier_tier_goes_before_a_broken_answer() {
+    let mut harness = harness(&[1]);
+    harness.ask(ask("runs", 0));
+    assert_eq!(harness.grants(), granted("runs", "t0"));
+    harness.ask(resumes("broken", 1, None));
+    harness.ask(hurried("urgent", 0));
+    harness.end("runs", "t0");
+    assert_eq!(harness.grants(), granted("urgent", "t0"));
+}
+
+// A long answer would move to a target that is no faster, and be read again in vain.
+#[test]
+fn an_answer_waits_for_a_faster_target() {
+    let mut harness = harness(&[8, 1]);
+    learn(&mut harness, "t0", 20);
+    learn(&mut harness, "t1", 5);
+    harness.ask(Ask {
+        exclusions: vec!["t0".into()],
+        ..ask("fills", 0)
+    });
+    assert_eq!(harness.grants(), granted("fills", "t1"));
+    harness.ask(resumes("long", 0, Some(12)));
+    harness.advance(3 * OBJECTIVE);
+    assert_eq!(harness.verdicts(), []);
+    harness.end("fills", "t1");
+    assert_eq!(harness.grants(), granted("long", "t1"));
+}
+
+// A long answer would be refused a migration although a fast target may still come free.
+#[test]
+fn an_answer_waits_for_as_long_as_it_has() {
+    let mut harness = harness(&[8, 8]);
+    learn(&mut harness, "t0", 20);
+    learn(&mut harness, "t1", 20);
+    harness.ask(resumes("long", 0, Some(12)));
+    harness.advance(Duration::from_millis(9_900));
+    assert_eq!(harness.verdicts(), []);
+    harness.advance(Duration::from_millis(200));
+    let kind = ErrorKind::DeadlineUnmeetable;
+    assert_eq!(harness.refusals(), refused("long", kind));
+}
+
+// A long answer on a slow target would be noticed only at its deadline.
+#[test]
+fn an_overrun_is_projected() {
+    let start = Instant::now();
+    let at = |secs: u64| start + Duration::from_secs(secs);
+    let projected_overrun = |deadline: u64| {
+        let mut progress = StreamProgress::new(0, Some(at(deadline)));
+        progress.received(1, start);
+        progress.received(399, at(4));
+        progress.projected_overrun(at(4))
+    };
+    assert_eq!(projected_overrun(7), Some(Duration::from_secs(4)));
+    assert_eq!(projected_overrun(9), None);
+}
+
+// An answer without a first token, or without a deadline, would be moved for nothing.
+#[test]
+fn nothing_to_project() {
+    let now = Instant::now();
+    let late = now + Duration::from_secs(60);
+    assert_eq!(
+        StreamProgress::new(0, Some(now)).projected_overrun(late),
+        None
+    );
+    let mut endless = StreamProgress::new(0, None);
+    endless.received(10, now);
+    assert_eq!(endless.projected_overrun(late), None);
+}
--- a/crates/lilaccrank/tests/suite/pool_lengths.rs
+++ b/crates/lilaccrank/tests/suite/pool_lengths.rs
@@ -41,10 +41,7 @@
     };
 }
 
-// Callers of long dialogues read for up to fifteen seconds and then lose their answer; others of the
-// same kind have theirs. Two engines in three are slow, and under load a dialogue goes to whichever
-// has room. Nobody knows how long it becomes: one that becomes long on a slow engine can't end there
-// by its deadline.
+// Long answers on slow engines would be cut at their deadline, while short ones of their kind arrive whole.
 as_often!(
     long_dialogues_on_slow_engines,
     Load::busy_on_slow_engines,
--- a/crates/lilaccrank/tests/suite/pool_model.rs
+++ b/crates/lilaccrank/tests/suite/pool_model.rs
@@ -48,6 +48,8 @@
 /// What a way to place requests decides.
 #[derive(Clone, Debug)]
 pub enum Decision {
+    /// It goes on at this engine, behind what was generated of it.
+    Move(usize, usize),
     /// It goes to this engine.
     Send(usize, usize),
     /// Its caller is told to come back after this many milliseconds.
@@ -145,7 +147,13 @@
         });
         for decision in policy.decide(&engines, now) {
             match decision {
-                Decision::Send(id, engine) => engines[engine].take(&requests[id]),
+                Decision::Move(id, engine) => {
+                    let left = engines.iter_mut().find_map(|from| from.give_up(id));
+                    if let Some(generated) = left {
+                        engines[engine].take(&requests[id], generated);
+                    }
+                }
+                Decision::Send(id, engine) => engines[engine].take(&requests[id], 0),
                 Decision::Refuse(id, after) => {
                     let request = &mut requests[id];
                     let left = request.left(now);
--- a/crates/lilaccrank/tests/suite/pool_model/engine.rs
+++ b/crates/lilaccrank/tests/suite/pool_model/engine.rs
@@ -55,13 +55,14 @@
         self.queue.len() + self.running.len()
     }
 
-    pub fn take(&mut self, request: &Request) {
+    /// Takes a request of whose answer so many tokens were generated elsewhere.
+    pub fn take(&mut self, request: &Request, generated: u32) {
         self.queue.push_back(Running {
             deadline: request.arrived + request.kind.deadline_ms(),
-            generated: 0,
+            generated,
             id: request.id,
-            output_left: request.output.max(1),
-            prompt_left: request.prompt,
+            output_left: request.output.saturating_sub(generated).max(1),
+            prompt_left: request.prompt + generated,
             told: 0,
             told_at: 0,
             begun: false,
@@ -69,6 +70,15 @@
         });
     }
 
+    /// Stops a request; the tokens generated of it, if it has it.
+    pub fn give_up(&mut self, id: usize) -> Option<u32> {
+        let mut all = self.queue.iter().chain(&self.running);
+        let generated = all.find(|running| running.id == id)?.generated;
+        self.queue.retain(|running| running.id != id);
+        self.running.retain(|running| running.id != id);
+        Some(generated)
+    }
+
     /// Loses all that it has, without a word.
     pub fn crash(&mut self) {
         self.queue.clear();
--- a/crates/lilaccrank/tests/suite/pool_model/placed.rs
+++ b/crates/lilaccrank/tests/suite/pool_model/placed.rs
@@ -2,14 +2,17 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::executor::{LocalPool, LocalSpawner};
 use futures::task::LocalSpawnExt;
-use lilaccrank::dispatch::message::{Ask, Outcome, Report, ReportKind, Verdict};
+use indexmap::IndexMap;
+use lilaccrank::clock::Clock;
+use lilaccrank::dispatch::message::{Ask, Outcome, PartialAnswer, Report, ReportKind, Verdict};
 use lilaccrank::dispatch::{Config, Dispatcher};
 use lilaccrank::document::{Pool, Target};
 use lilaccrank::paused_clock::PausedClock;
+use lilaccrank::stream_progress::{self, StreamProgress};
 use lilaccrank::target_life::TargetLife;
 
 use super::engine::SLOTS;
@@ -18,12 +21,35 @@
 /// Milliseconds between two digests of a daemon.
 const TOLD_EVERY: u64 = 10;
 
+/// Tells the ask for a migration from the first ask of the same request.
+const MOVED: &str = "+";
+
+/// An answer that is being generated.
+struct Running {
+    progress: StreamProgress,
+    engine: usize,
+    looked: Instant,
+    moves: Moves,
+    request: Request,
+    tokens: u32,
+}
+
+/// Whether an answer migrates to another engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Moves {
+    Asked,
+    Done,
+    No,
+}
+
 /// The dispatchers of all daemons.
 pub struct Placed {
     clock: PausedClock,
     daemons: Vec<Dispatcher<PausedClock>>,
+    ended: IndexMap<usize, Request>,
     executor: LocalPool,
     load: Load,
+    running: IndexMap<usize, Running>,
     /// Whether they tell each other what they have.
     shared: bool,
     spawner: LocalSpawner,
@@ -68,8 +94,10 @@
         Self {
             clock,
             daemons,
+            ended: IndexMap::new(),
             executor,
             load: load.clone(),
+            running: IndexMap::new(),
             shared,
             spawner,
             verdicts: Rc::default(),
@@ -88,10 +116,10 @@
     }
 }
 
-impl Policy for Placed {
-    fn arrive(&mut self, request: &Request, now: u64) {
+impl Placed {
+    fn ask(&self, request: &Request, now: u64) -> Ask {
         let left = |ms: u64| Duration::from_millis((request.arrived + ms).saturating_sub(now));
-        let ask = Ask {
+        Ask {
             ask: 1,
             customer: "depot".to_owned(),
             deadline: Some(left(request.kind.deadline_ms())),
@@ -104,8 +132,11 @@
             tier: request.kind as u8,
             weight: 1,
             ..Ask::default()
-        };
-        let dispatcher = self.daemons[request.daemon].clone();
+        }
+    }
+
+    fn send(&self, daemon: usize, ask: Ask) {
+        let dispatcher = self.daemons[daemon].clone();
         let verdicts = Rc::clone(&self.verdicts);
         let call = async move {
             let verdict = dispatcher.ask(ask).await;
@@ -114,27 +145,132 @@
         self.spawner.spawn_local(call).unwrap();
     }
 
+    /// Asks for other engines for answers that are projected to miss their deadline.
+    fn look(&mut self, now: u64) {
+        let at = self.clock.now();
+        let mut asks = Vec::new();
+        for running in self.running.values_mut() {
+            let is_due = at >= running.looked + stream_progress::CHECK_INTERVAL;
+            if running.moves != Moves::No || !is_due {
+                continue;
+            }
+            running.looked = at;
+            let Some(remaining) = running.progress.projected_overrun(at) else {
+                continue;
+            };
+            running.moves = Moves::Asked;
+            let partial = PartialAnswer {
+                remaining: Some(remaining),
+                tokens: running.tokens,
+            };
+            asks.push((running.request.clone(), running.engine, partial));
+        }
+        for (request, engine, partial) in asks {
+            let ask = Ask {
+                partial: Some(partial),
+                exclusions: vec![TargetLife::from(&*engine.to_string())],
+                request: format!("{}{MOVED}", request.id),
+                ..self.ask(&request, now)
+            };
+            self.send(request.daemon, ask);
+        }
+    }
+
+    fn report(&self, request: &Request, name: String, engine: usize, kind: ReportKind) {
+        self.daemons[request.daemon].report(&Report {
+            ask: 1,
+            kind,
+            request: name,
+            target: TargetLife::from(&*engine.to_string()),
+        });
+    }
+
+    fn decision(&mut self, verdict: Verdict) -> Option<Decision> {
+        match verdict {
+            Verdict::Grant(grant) => {
+                let engine = grant.target.id.parse().unwrap();
+                match grant.request.strip_suffix(MOVED) {
+                    None => Some(Decision::Send(grant.request.parse().unwrap(), engine)),
+                    Some(id) => self.moved(id.parse().unwrap(), engine),
+                }
+            }
+            Verdict::Refuse(refuse) => match refuse.request.strip_suffix(MOVED) {
+                None => {
+                    let after = refuse.retry_after.unwrap_or_default();
+                    let id = refuse.request.parse().unwrap();
+                    Some(Decision::Refuse(id, after.as_millis() as u64))
+                }
+                Some(id) => {
+                    let running = self.running.get_mut(&id.parse::<usize>().unwrap());
+                    if let Some(running) = running {
+                        running.moves = Moves::No;
+                    }
+                    None
+                }
+            },
+        }
+    }
+
+    /// Migrates an answer; gives the slot back if the answer has ended meanwhile.
+    fn moved(&mut self, id: usize, engine: usize) -> Option<Decision> {
+        let Some(running) = self.running.get_mut(&id) else {
+            let request = &self.ended[&id];
+            let kind = ReportKind::Ended {
+                decoded: 0,
+                outcome: Outcome::Unused,
+                prefill: None,
+            };
+            self.report(request, format!("{id}{MOVED}"), engine, kind);
+            return None;
+        };
+        running.moves = Moves::Done;
+        let from = std::mem::replace(&mut running.engine, engine);
+        let (request, decoded) = (running.request.clone(), running.tokens);
+        let kind = ReportKind::Ended {
+            decoded,
+            outcome: Outcome::Cancelled,
+            prefill: None,
+        };
+        self.report(&request, id.to_string(), from, kind);
+        Some(Decision::Move(id, engine))
+    }
+}
+
+impl Policy for Placed {
+    fn arrive(&mut self, request: &Request, now: u64) {
+        self.send(request.daemon, self.ask(request, now));
+    }
+
     fn decide(&mut self, _: &[Engine], now: u64) -> Vec<Decision> {
         self.clock.advance(TICK);
         if self.shared && now.is_multiple_of(TOLD_EVERY) {
             self.tell();
         }
+        self.look(now);
         self.executor.run_until_stalled();
         let verdicts = self.verdicts.take().into_iter();
-        let decisions = verdicts.map(|verdict| match verdict {
-            Verdict::Grant(grant) => Decision::Send(
-                grant.request.parse().unwrap(),
-                grant.target.id.parse().unwrap(),
-            ),
-            Verdict::Refuse(refuse) => {
-                let after = refuse.retry_after.unwrap_or_default();
-                Decision::Refuse(refuse.request.parse().unwrap(), after.as_millis() as u64)
-            }
-        });
+        let decisions = verdicts.filter_map(|verdict| self.decision(verdict));
         decisions.collect()
     }
 
     fn progress(&mut self, request: &Request, engine: usize, progress: Progress, now: u64) {
+        let at = self.clock.now();
+        let running = self.running.entry(request.id).or_insert_with(|| Running {
+            progress: StreamProgress::new(0, Some(at + Duration::from_millis(request.left(now)))),
+            engine,
+            looked: at,
+            moves: Moves::No,
+            request: request.clone(),
+            tokens: 0,
+        });
+        let name = match running.moves {
+            Moves::Done => format!("{}{MOVED}", request.id),
+            Moves::Asked | Moves::No => request.id.to_string(),
+        };
+        let mut received = |tokens: u32| {
+            running.tokens += tokens;
+            running.progress.received(tokens, at);
+        };
         let kind = match progress {
             Progress::Cut(decoded) => ReportKind::Ended {
                 decoded,
@@ -146,19 +282,24 @@
                 outcome: Outcome::Complete,
                 prefill: None,
             },
-            Progress::First => ReportKind::FirstToken {
-                after: Duration::from_millis(now - request.arrived),
-            },
-            Progress::More(tokens, each) => ReportKind::Progress {
-                step: Duration::from_secs_f64(each / 1_000.0),
-                tokens,
-            },
+            Progress::First => {
+                received(1);
+                ReportKind::FirstToken {
+                    after: Duration::from_millis(now - request.arrived),
+                }
+            }
+            Progress::More(tokens, each) => {
+                received(tokens);
+                ReportKind::Progress {
+                    step: Duration::from_secs_f64(each / 1_000.0),
+                    tokens,
+                }
+            }
         };
-        self.daemons[request.daemon].report(&Report {
-            ask: 1,
-            kind,
-            request: request.id.to_string(),
-            target: TargetLife::from(&*engine.to_string()),
-        });
+        if matches!(kind, ReportKind::Ended { .. }) {
+            self.running.swap_remove(&request.id);
+            self.ended.insert(request.id, request.clone());
+        }
+        self.report(request, name, engine, kind);
     }
 }
--- a/crates/lilaccrankd/src/request.rs
+++ b/crates/lilaccrankd/src/request.rs
@@ -4,6 +4,7 @@
 pub mod interruption;
 pub mod key_state;
 pub mod life;
+pub mod migration;
 pub mod quotas;
 pub mod run;
 pub mod second_sends;
--- a/crates/lilaccrankd/src/request/life.rs
+++ b/crates/lilaccrankd/src/request/life.rs
@@ -5,7 +5,7 @@
 
 use futures::future::{self, Either};
 use futures::pin_mut;
-use lilaccrank::dispatch::message::{Ask, Refuse};
+use lilaccrank::dispatch::message::{Ask, PartialAnswer, Refuse};
 use lilaccrank::error_kind::{ErrorKind, Ran};
 use lilaccrank::ids::{RequestId, TargetId};
 use lilaccrank::rules::matching::Route;
@@ -20,8 +20,10 @@
 use crate::request::key_state::KeyState;
 use crate::request::quotas::Charge;
 use crate::request::run::{End, Run};
-use crate::request::sends::Sends;
+use crate::request::send::Unfinished;
+use crate::request::sends::{PriorSends, Sends};
 use crate::request::spill;
+use crate::targets::forward::Passed;
 
 /// Longest wait for a key to be settled before the caller hears the end.
 const SETTLE_WAIT: Duration = Duration::from_millis(200);
@@ -208,10 +210,14 @@
         run: &Run,
     ) -> (Result<()>, Option<KeyState>) {
         let mut sends = Sends::new(self);
+        let mut granted = None;
         daemon.second_sends.first(&self.route.pool);
         loop {
-            let granted = self.wait(daemon, run, &sends).await;
-            let held = match granted {
+            let waited = match granted.take() {
+                Some(held) => Ok(held),
+                None => self.wait(daemon, run, &sends).await,
+            };
+            let held = match waited {
                 Ok(held) => held,
                 Err(refusal) if sends.is_first() && self.may_spill(&refusal, &key) => {
                     let key = match key.mark_handed_on().await {
@@ -227,9 +233,13 @@
                 Err(refusal) => return (Err(refusal), None),
             };
             let target = held.target.clone();
-            match self.send(daemon, run, held, &mut sends.passed).await {
+            match self.send(daemon, run, held, &mut sends).await {
                 Ok(()) => return (Ok(()), Some(key)),
-                Err(failed) => {
+                Err(Unfinished::Migrated(held)) => {
+                    sends.migrated(target);
+                    granted = Some(held);
+                }
+                Err(Unfinished::Failed(failed)) => {
                     if let Some(end) = sends.failed(daemon, self, target, failed, run) {
                         return (end, Some(key));
                     }
@@ -243,7 +253,8 @@
             EventKind::Asked,
             self.subject(self.route.pool.clone(), None),
         );
-        let ask = self.ask(daemon, sends);
+        let partial = self.partial(daemon, &sends.passed);
+        let ask = self.ask(daemon, &sends.prior, partial);
         let interrupted = self.interrupted(daemon, run);
         let asking = client::ask(daemon, &self.route.pool, ask);
         pin_mut!(asking, interrupted);
@@ -268,7 +279,19 @@
         }
     }
 
-    fn ask(&self, daemon: &Daemon, sends: &Sends) -> Ask {
+    /// The part of a broken answer that its caller has.
+    fn partial(&self, daemon: &Daemon, passed: &Passed) -> Option<PartialAnswer> {
+        let tokens_in_event = daemon.tokens_in_event(&self.route.pool);
+        let tokens = passed.events.saturating_mul(tokens_in_event);
+        (tokens > 0).then_some(PartialAnswer {
+            remaining: None,
+            tokens,
+        })
+    }
+
+    /// Asks for a target.
+    #[must_use]
+    pub fn ask(&self, daemon: &Daemon, prior: &PriorSends, partial: Option<PartialAnswer>) -> Ask {
         let facts = &self.caller.facts;
         let prefix = match &self.caller.work {
             Work::Generate { prefix, .. } => prefix.clone(),
@@ -276,14 +299,15 @@
         };
         let now = Instant::now();
         Ask {
+            partial,
             customer: facts.customer.clone(),
             deadline: self.left(),
             entry: daemon.cfg.vm.clone(),
-            exclusions: sends.exclusions.clone(),
+            exclusions: prior.exclusions.clone(),
             limit: self.route.limit,
             max_tokens: facts.max_tokens,
             prefix,
-            objective: self.objective_left(sends.waits_since, now),
+            objective: self.objective_left(prior.waits_since, now),
             prompt_tokens: facts.prompt_tokens,
             rank: self.caller.rank,
             request: self.id.clone(),
@@ -347,7 +371,7 @@
 }
 
 /// Milliseconds for the log, -1 if there are none.
-fn log_ms(time: Option<Duration>) -> i64 {
+pub fn log_ms(time: Option<Duration>) -> i64 {
     time.map_or(-1, |time| {
         i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
     })
--- a/crates/lilaccrankd/src/request/second_sends.rs
+++ b/crates/lilaccrankd/src/request/second_sends.rs
@@ -57,6 +57,12 @@
         budgets.get(pool, Instant::now()).record_call();
     }
 
+    /// Whether there is a second send in the budget.
+    pub fn has(&self, pool: &PoolId) -> bool {
+        let now = Instant::now();
+        self.budgets.borrow_mut().get(pool, now).has_retry(now)
+    }
+
     /// Takes a second send out of the budget; false if there is none.
     pub fn take(&self, daemon: &Daemon, pool: &PoolId) -> bool {
         let now = Instant::now();
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -1,14 +1,18 @@
 //! Sends a granted request to its target, once, and tells the dispatcher what is seen of it.
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use derive_more::From;
+use futures::FutureExt;
 use futures::future::{self, Either};
 use futures::pin_mut;
 use lilaccrank::attempts::Failure;
 use lilaccrank::dispatch::message::{Outcome, ReportKind};
 use lilaccrank::document::Target;
 use lilaccrank::error_kind::{ErrorKind, Ran};
+use lilaccrank::stream_progress::StreamProgress;
 use lilaccrank::timeline::EventKind;
 use lilaccrank_http::client;
 
@@ -18,6 +22,7 @@
 use crate::pools::client::Held;
 use crate::request::life::Routed;
 use crate::request::run::Run;
+use crate::request::sends::Sends;
 use crate::targets::engine_run::{self, Ended, EngineRequest, Observer};
 use crate::targets::engine_stream::EngineStream;
 use crate::targets::forward::{self, Failed, Forwarding, Passed};
@@ -25,39 +30,48 @@
 use crate::targets::proxied::Proxied;
 
 /// Result of one send.
-pub type Result<T, E = Failed> = std::result::Result<T, E>;
+pub type Result<T, E = Unfinished> = std::result::Result<T, E>;
+
+/// Why a send ended without a whole answer.
+#[derive(From)]
+pub enum Unfinished {
+    /// It failed, or was stopped.
+    Failed(Failed),
+    /// Another target resumes the answer, by this grant.
+    Migrated(Held),
+}
 
 /// How often the dispatcher hears of the tokens of a stream.
 const PROGRESS_EVERY: Duration = Duration::from_millis(250);
 
 impl Routed {
-    /// Sends the request to the target that `held` grants. `passed` is what its caller has seen
-    /// of its answer.
+    /// Sends the request to the target that `held` grants.
     ///
     /// # Errors
     ///
     /// There is no whole answer; the error says whether the target may have run the request.
     pub async fn send(
         &self,
-        daemon: &Daemon,
+        daemon: &Rc<Daemon>,
         run: &Run,
         held: Held,
-        passed: &mut Passed,
+        sends: &mut Sends,
     ) -> Result<()> {
         daemon.record(
             EventKind::Dispatched,
             self.subject(String::new(), Some(&held.target.id)),
         );
         let (sent, decoded, prefill) = match daemon.target(&self.route.pool, &held.target) {
-            None => (Err(removed()), 0, None),
+            None => (Err(removed().into()), 0, None),
             Some(target) => match &self.caller.work {
                 Work::Generate { .. } => {
                     let ended = self.generate(daemon, run, &held, &target).await;
-                    (ended.result.map_err(failed), ended.decoded, ended.prefill)
+                    let result = ended.result.map_err(|refusal| failed(refusal).into());
+                    (result, ended.decoded, ended.prefill)
                 }
                 Work::Proxy(proxied) => {
-                    let seen = Seen::new(self, daemon, &held);
-                    let sent = self.forward(&seen, run, &target, proxied, passed).await;
+                    let seen = Seen::new(self, daemon, &held, &sends.passed);
+                    let sent = self.forward(&seen, run, &target, proxied, sends).await;
                     (sent, seen.tokens.get(), None)
                 }
             },
@@ -66,7 +80,13 @@
         sent
     }
 
-    async fn generate(&self, daemon: &Daemon, run: &Run, held: &Held, target: &Target) -> Ended {
+    async fn generate(
+        &self,
+        daemon: &Rc<Daemon>,
+        run: &Run,
+        held: &Held,
+        target: &Target,
+    ) -> Ended {
         let Work::Generate {
             body,
             shape,
@@ -86,7 +106,7 @@
         let address = target.address.clone();
         let client = daemon.client.clone();
         let engine = EngineStream::new(client, address, self.id.clone(), daemon.patience());
-        let seen = Seen::new(self, daemon, held);
+        let seen = Seen::new(self, daemon, held, &Passed::default());
         let interrupted = self.interrupted(daemon, run);
         engine_run::run(engine, req, run, &seen, interrupted).await
     }
@@ -110,10 +130,10 @@
         run: &Run,
         target: &Target,
         proxied: &Proxied,
-        passed: &mut Passed,
+        sends: &mut Sends,
     ) -> Result<()> {
         let daemon = seen.daemon;
-        let after = passed.last_event.clone();
+        let after = sends.passed.last_event.clone();
         let sending = Sending {
             after: after.as_deref(),
             caller: &self.caller,
@@ -131,45 +151,74 @@
             run,
             stream: self.route.terms.stream,
         };
-        let interrupted = self.interrupted(daemon, run);
-        let restarted = daemon.live_list.is_over(&seen.held.target);
+        let interrupted = async {
+            let refusal = self.interrupted(daemon, run).await;
+            Unfinished::from(failed(refusal.ran(Ran::Maybe)))
+        };
+        let restarted = async {
+            daemon.live_list.is_over(&seen.held.target).await;
+            Unfinished::from(lost_with_its_target(run))
+        };
+        let resumable = sends.can_resume();
+        let (prior, passed) = (&sends.prior, &mut sends.passed);
+        let migrated = async {
+            let held = self.migration(seen, resumable, prior).await;
+            Unfinished::from(held)
+        };
+        let stops = [
+            interrupted.boxed_local(),
+            restarted.boxed_local(),
+            migrated.boxed_local(),
+        ];
         let sent = forwarding.send(&sending, passed);
-        pin_mut!(sent, interrupted, restarted);
-        let ended = future::select(interrupted, restarted);
-        match future::select(sent, ended).await {
-            Either::Left((sent, _)) => sent,
+        pin_mut!(sent);
+        match future::select(sent, future::select_all(stops)).await {
+            Either::Left((sent, _)) => Ok(sent?),
             // Dropping the exchange closes its connection, which tells the target to stop.
-            Either::Right((Either::Left((refusal, _)), _)) => Err(failed(refusal.ran(Ran::Maybe))),
-            Either::Right((Either::Right(_), _)) => Err(lost_with_its_target(run)),
+            Either::Right(((stop, ..), _)) => Err(stop),
         }
     }
 }
 
 /// Passes what the target does on to the dispatcher and the metrics.
-struct Seen<'a> {
-    daemon: &'a Daemon,
-    held: &'a Held,
+pub struct Seen<'a> {
+    /// The daemon.
+    pub daemon: &'a Rc<Daemon>,
+    /// The grant that is used.
+    pub held: &'a Held,
     reported: Cell<u32>,
     reported_at: Cell<Instant>,
+    stream_progress: Cell<StreamProgress>,
     tokens: Cell<u32>,
     tokens_in_event: u32,
     waited: Duration,
 }
 
 impl<'a> Seen<'a> {
-    fn new(routed: &Routed, daemon: &'a Daemon, held: &'a Held) -> Self {
+    fn new(routed: &Routed, daemon: &'a Rc<Daemon>, held: &'a Held, passed: &Passed) -> Self {
+        let tokens_in_event = daemon.tokens_in_event(&routed.route.pool);
+        let earlier = passed.events.saturating_mul(tokens_in_event);
         Self {
             daemon,
             held,
             reported: Cell::new(0),
             reported_at: Cell::new(Instant::now()),
+            stream_progress: Cell::new(StreamProgress::new(earlier, routed.deadline())),
             tokens: Cell::new(0),
-            tokens_in_event: daemon.tokens_in_event(&routed.route.pool),
+            tokens_in_event,
             waited: routed.arrived.elapsed(),
         }
     }
 }
 
+impl Seen<'_> {
+    /// Progress of the answer.
+    #[must_use]
+    pub fn stream_progress(&self) -> StreamProgress {
+        self.stream_progress.get()
+    }
+}
+
 impl Observer for Seen<'_> {
     fn first_token(&self, after: Duration) {
         let total = self.waited + after;
@@ -186,6 +235,9 @@
     fn event(&self, first: bool, since_sent: Duration) {
         self.tokens.set(self.tokens.get() + self.tokens_in_event);
         let now = Instant::now();
+        let mut stream_progress = self.stream_progress.get();
+        stream_progress.received(self.tokens_in_event, now);
+        self.stream_progress.set(stream_progress);
         if first {
             self.first_token(since_sent);
             self.reported.set(self.tokens.get());
@@ -205,11 +257,14 @@
 fn outcome(sent: &Result<()>) -> Outcome {
     match sent {
         Ok(()) => Outcome::Complete,
-        Err(failed) if failed.refusal.kind.is_from_outside() => Outcome::Cancelled,
-        Err(failed) if failed.refusal.kind == ErrorKind::NoTarget => Outcome::Unused,
-        Err(failed) if failed.answer.is_some() => Outcome::Erred,
-        Err(failed) if failed.how == Failure::NotRun => Outcome::Erred,
-        Err(_) => Outcome::Failed,
+        Err(Unfinished::Migrated(_)) => Outcome::Cancelled,
+        Err(Unfinished::Failed(failed)) => match failed {
+            failed if failed.refusal.kind.is_from_outside() => Outcome::Cancelled,
+            failed if failed.refusal.kind == ErrorKind::NoTarget => Outcome::Unused,
+            failed if failed.answer.is_some() => Outcome::Erred,
+            failed if failed.how == Failure::NotRun => Outcome::Erred,
+            _ => Outcome::Failed,
+        },
     }
 }
 
--- a/crates/lilaccrankd/src/request/sends.rs
+++ b/crates/lilaccrankd/src/request/sends.rs
@@ -13,19 +13,26 @@
 use crate::request::run::{Head, Run};
 use crate::targets::forward::{Failed, Passed};
 
+/// What the next ask for a target takes into account of earlier sends.
+#[derive(Clone, Debug)]
+pub struct PriorSends {
+    /// Targets that must not have it again.
+    pub exclusions: Vec<TargetLife>,
+    /// Since when the caller waits for the next part of its answer.
+    pub waits_since: Instant,
+}
+
 /// The sends of one request.
 pub struct Sends {
     /// A target's own failing answer, for the caller if nothing better comes.
     answer: Option<(Head, Bytes)>,
     attempts: Attempts,
-    /// Targets that failed it.
-    pub exclusions: Vec<TargetLife>,
+    /// Earlier sends, for the next ask.
+    pub prior: PriorSends,
     /// What has reached the caller.
     pub passed: Passed,
     /// Why the last send failed.
     refusal: Option<Refusal>,
-    /// Since when the caller waits for the next part of its answer.
-    pub waits_since: Instant,
 }
 
 impl Sends {
@@ -41,10 +48,12 @@
         Self {
             answer: None,
             attempts: Attempts::new(allowed),
-            exclusions: Vec::new(),
+            prior: PriorSends {
+                exclusions: Vec::new(),
+                waits_since: routed.arrived,
+            },
             passed: Passed::default(),
             refusal: None,
-            waits_since: routed.arrived,
         }
     }
 
@@ -54,6 +63,19 @@
         !self.attempts.is_repeat()
     }
 
+    /// Whether another target may resume an answer of which the caller has a part.
+    #[must_use]
+    pub fn can_resume(&self) -> bool {
+        self.attempts.clone().failed(Failure::BrokenOff)
+    }
+
+    /// Notes that the answer leaves `target`, which is still at work.
+    pub fn migrated(&mut self, target: TargetLife) {
+        self.prior.exclusions.push(target);
+        self.prior.waits_since = Instant::now();
+        self.attempts.failed(Failure::BrokenOff);
+    }
+
     /// Takes in a send that failed; the end of the request, unless it is to be sent again.
     pub fn failed(
         &mut self,
@@ -63,11 +85,11 @@
         failed: Failed,
         run: &Run,
     ) -> Option<Result<()>> {
-        self.exclusions.push(target.clone());
+        self.prior.exclusions.push(target.clone());
         if failed.how == Failure::BrokenOff {
             // Counted from the request's arrival, the time for the first part is over by now, and a
             // stream that finds all targets full would be given up with all that its caller has read.
-            self.waits_since = Instant::now();
+            self.prior.waits_since = Instant::now();
         }
         if failed.answer.is_some() {
             self.answer = failed.answer;
