Reserved slots yield to brief work of the tier that is served least

Cause: a slot was reserved at each target for each earlier tier, whatever a request would hold it for, by a figure fitted to dialogues of tens of seconds. Change: a request of the tier that is served least leaves free in proportion to its expected hold over the objective of each earlier tier, at least one slot; others leave the whole reservation as before. What is open is looked at for each tier, since a later one may now find room where an earlier one doesn't.

--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -31,6 +31,7 @@
 pub mod queue;
 mod recovery;
 mod reports;
+pub mod reservation;
 pub mod sharing;
 pub mod shedding;
 mod state;
--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -24,7 +24,7 @@
     /// Takes in an ask and decides what can be decided at once.
     pub(super) fn ask(&mut self, mut ask: Ask, now: Instant) -> Admission {
         ask.exclusions.truncate(EXCLUSIONS_LIMIT);
-        self.tiers.note(ask.tier, now);
+        self.tiers.note(ask.tier, ask.objective, now);
         ask.prefix.truncate(prompt::BLOCK_LIMIT);
         let waiting = self
             .waiting
@@ -158,6 +158,7 @@
         } else {
             return None;
         };
+        self.note_end(ask, false);
         let standing = state::standing(ask);
         let ahead = self.queue.ahead(standing, &ask.customer, ask.weight);
         let retry = self.retry_behind(ahead, now);
--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -7,6 +7,7 @@
 use super::affinity::Affinity;
 use super::health;
 use super::queue::{Lane, Standing};
+use super::reservation::Reservation;
 use super::target::Target;
 use super::work::Work;
 use crate::ids::{DataCentre, Tier};
@@ -30,11 +31,6 @@
 /// what comes to them within twenty milliseconds to the one best target.
 const AS_GOOD: f64 = 0.15;
 const AS_GOOD_S: f64 = 0.000_5;
-/// Part of a target's slots that work leaves free, by how many tiers in use go before its own.
-/// Answers of the last tier hold a slot for tens of seconds, those of the first for one or two. A
-/// second seventh for each tier brought nothing more to urgent work, and refused one chat in ten
-/// of an hourly burst.
-const KEPT: [f64; 3] = [0.0, 1.0 / 7.0, 2.0 / 7.0];
 /// Time of reading outstanding at a target beyond which it gets no more work with an objective, by
 /// how many tiers in use go before it. What waits here goes to whichever target is done first, in the
 /// order of tiers; what waits at a target does neither, and all streams there pause while it is read.
@@ -81,6 +77,8 @@
     pub standing: Standing,
     /// Tier of the ask.
     pub tier: Tier,
+    /// What the tiers before its own reserve.
+    pub reservation: Reservation,
     /// Tiers before its own that use the pool.
     pub tiers_before: usize,
     /// Expected length.
@@ -93,13 +91,6 @@
     pub fn has_objective(&self) -> bool {
         self.objective.is_some()
     }
-
-    /// Tiers for which it leaves slots reserved. A resumed answer gives up its slot elsewhere, and leaves
-    /// none for the tier just before its own.
-    fn tiers_reserved_for(&self) -> usize {
-        let resumed = usize::from(self.lane == Lane::Resumed);
-        self.tiers_before.saturating_sub(resumed)
-    }
 }
 
 /// A chosen target.
@@ -166,7 +157,9 @@
     let urgent = is_urgent(wanted.tier);
     let slots = target.slots_now(now);
     let kept = match (wanted.has_objective(), urgent) {
-        (true, _) => kept_for(wanted.tiers_reserved_for(), slots),
+        (true, _) => wanted
+            .reservation
+            .slots(slots, likely(target, wanted, 0, now)),
         (false, true) => 0,
         (false, false) => slots / HEADROOM,
     };
@@ -190,15 +183,6 @@
         && !wanted.exclusions.contains(&target.life)
 }
 
-/// Slots of a target that an ask leaves free for the tiers before its own.
-///
-/// An engine's slot is held for seconds by a long answer. Filled up with these, a target makes
-/// urgent work wait for the end of one, which is mostly longer than its caller does.
-fn kept_for(tiers_before: usize, slots: u32) -> u32 {
-    let part = KEPT[tiers_before.min(KEPT.len() - 1)];
-    (f64::from(slots) * part).round() as u32
-}
-
 /// Whether the prompts before it leave the ask a timely first token.
 fn has_reading_room(target: &Target, wanted: &Wanted<'_>, now: Instant) -> bool {
     let outstanding = target.estimate.outstanding().prefill;
@@ -307,7 +291,8 @@
 /// Likely time to the whole answer in seconds, behind what the target already has.
 fn likely(target: &Target, wanted: &Wanted<'_>, saved: u64, now: Instant) -> f64 {
     let estimate = &target.estimate;
-    let prefill = estimate.outstanding().prefill + wanted.work.prefill - saved;
+    let own = wanted.work.prefill.saturating_sub(saved);
+    let prefill = estimate.outstanding().prefill.saturating_add(own);
     let step = estimate.step(estimate.batch(now).saturating_add(1), now);
     prefill as f64 / estimate.prefill_rate(now) + wanted.work.decode as f64 * step
 }
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -7,9 +7,9 @@
 use super::fair::Place;
 use super::message::{Entry, Unmeetable};
 use super::queue::{Lane, Standing};
-use super::state::{Reservation, State, Waiting, work};
+use super::state::{HeldGrant, State, Waiting, work};
 use super::work::Work;
-use crate::ids::{RequestId, Tier};
+use crate::ids::RequestId;
 
 /// Weight of a new sample in the part of prompts that has to be computed.
 const COMPUTED_GAIN: f64 = 0.05;
@@ -20,12 +20,6 @@
 /// runs twice, since the entry owns that decision.
 const GRANT_LIFE: Duration = Duration::from_secs(10);
 
-/// Which kinds of asks have an open target, found out once for each kind.
-#[derive(Default)]
-struct Open {
-    found: [[Option<bool>; Lane::ALL.len()]; 2],
-}
-
 impl State {
     /// Grants in order until no waiting ask finds an open target.
     pub(super) fn dispatch(&mut self, now: Instant) {
@@ -71,7 +65,7 @@
     }
 
     /// Ends a reservation and returns its target's room.
-    pub(super) fn release(&mut self, request: &str, now: Instant) -> Option<Reservation> {
+    pub(super) fn release(&mut self, request: &str, now: Instant) -> Option<HeldGrant> {
         let held = self.reservations.swap_remove(request)?;
         self.pending.remove(&held.pending);
         self.note_opening();
@@ -107,7 +101,7 @@
         target.estimate.granted(left, now);
         Self::note_change(&mut self.sharing, target, now);
         target.long += u32::from(long);
-        let held = Reservation {
+        let held = HeldGrant {
             ask: ask.ask,
             began: false,
             partial_tokens: ask.partial.map_or(0, |partial| partial.tokens),
@@ -150,6 +144,7 @@
             return;
         };
         self.reserve(&waiting, &choice, now);
+        self.note_end(&waiting.ask, true);
         if waiting.ask.partial.is_none() {
             self.waits.granted(waiting.ask.tier, now);
         }
@@ -162,11 +157,10 @@
 
     /// The first ask in order that finds an open target.
     fn next(&self, room: Room, now: Instant) -> Option<RequestId> {
-        let mut open = Open::default();
         self.queue.standings().find_map(|standing| {
             // Resumed answers go first: what was read and generated for them would be lost.
             let resumed = self.next_of_each(standing, Lane::Resumed, room, now);
-            let next = resumed.or_else(|| self.next_new(standing, room, &mut open, now));
+            let next = resumed.or_else(|| self.next_new(standing, room, now));
             next.map(|place| place.request.clone())
         })
     }
@@ -184,21 +178,13 @@
     }
 
     /// The first ask of a standing that finds an open target and has no partial answer.
-    fn next_new(
-        &self,
-        standing: Standing,
-        room: Room,
-        open: &mut Open,
-        now: Instant,
-    ) -> Option<&Place> {
+    fn next_new(&self, standing: Standing, room: Room, now: Instant) -> Option<&Place> {
         let excluding = self.next_of_each(standing, Lane::Excluding, room, now);
         let lanes = [Lane::Long, Lane::Short].into_iter();
         let firsts = lanes.filter_map(|lane| {
             let mut heads = self.queue.heads(standing, lane).take(DELAY_SCAN).peekable();
             let place = heads.peek()?;
-            let found = open.slot(standing.tier, lane);
-            let is_open = *found.get_or_insert_with(|| self.is_open(&place.request, room, now));
-            if !is_open {
+            if !self.is_open(&place.request, room, now) {
                 return None;
             }
             heads.find(|place| !self.is_delayed(&place.request, room, now))
@@ -214,9 +200,3 @@
         choice::any_open(&self.targets, &wanted, room, now)
     }
 }
-
-impl Open {
-    fn slot(&mut self, tier: Tier, lane: Lane) -> &mut Option<bool> {
-        &mut self.found[usize::from(choice::is_urgent(tier))][lane as usize]
-    }
-}
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -17,6 +17,7 @@
 use super::pending::Pending;
 use super::queue::{Item, Lane, Queue, Standing};
 use super::recovery::Handover;
+use super::reservation::Reservation;
 use super::sharing::Sharing;
 use super::shedding::DrainRate;
 use super::target::Target;
@@ -82,7 +83,7 @@
 
 /// A granted request.
 #[derive(Debug)]
-pub(super) struct Reservation {
+pub(super) struct HeldGrant {
     pub(super) ask: AskNumber,
     pub(super) began: bool,
     /// Prefill outstanding at the target when this was granted, its own included.
@@ -124,7 +125,7 @@
     /// Prefixes on their way into caches.
     pub(super) pending: Pending,
     pub(super) queue: Queue,
-    pub(super) reservations: IndexMap<RequestId, Reservation>,
+    pub(super) reservations: IndexMap<RequestId, HeldGrant>,
     pub(super) sharing: Sharing,
     pub(super) targets: IndexMap<TargetLife, Target>,
     /// Tiers that use the pool.
@@ -196,6 +197,10 @@
         let Some(waiting) = self.waiting.swap_remove(request) else {
             return;
         };
+        let reason = reason.into();
+        if reason.unmeetable.is_some() {
+            self.note_end(&waiting.ask, false);
+        }
         if let Some(counted) = &waiting.counted {
             self.limits.release(counted);
         }
@@ -224,6 +229,7 @@
             prefix: &ask.prefix,
             standing: standing(ask),
             tier: ask.tier,
+            reservation: self.reservation(ask),
             tiers_before: self.tiers.before(ask.tier),
             work: Work {
                 decode: self.expected_decode(ask),
@@ -232,6 +238,23 @@
         }
     }
 
+    fn reservation(&self, ask: &Ask) -> Reservation {
+        let objectives = self.tiers.objectives_before(ask.tier);
+        let reservation = Reservation::new(objectives, self.tiers.is_served_least(ask.tier));
+        // A resumed answer gives up a slot elsewhere.
+        match ask.partial {
+            Some(_) => reservation.without_last(),
+            None => reservation,
+        }
+    }
+
+    /// Notes whether an ask got a target. Resumed answers had one before.
+    pub(super) fn note_end(&mut self, ask: &Ask, served: bool) {
+        if ask.partial.is_none() {
+            self.tiers.note_end(ask.tier, served);
+        }
+    }
+
     /// Tokens that a target is expected to generate for the ask.
     fn expected_decode(&self, ask: &Ask) -> u64 {
         let usual = f64::from(ask.max_tokens) * self.length;
--- a/crates/lilaccrank/src/dispatch/tiers.rs
+++ b/crates/lilaccrank/src/dispatch/tiers.rs
@@ -1,4 +1,4 @@
-//! Which tiers use a pool.
+//! Which tiers use a pool, how soon their callers expect a first token, and how many are served.
 
 use std::time::{Duration, Instant};
 
@@ -6,29 +6,74 @@
 
 use crate::ids::Tier;
 
-/// Time after which a tier of which nothing came no longer counts: urgent work may be rare, and
-/// still has to find room when it comes.
+/// Time after which a tier without requests no longer counts: urgent work may be rare, and still has to
+/// find room when it comes.
 const FORGOTTEN: Duration = Duration::from_secs(600);
+/// Weight of a new request in a tier's usual objective.
+const OBJECTIVE_GAIN: f64 = 0.1;
+/// Weight of a new request in the share of a tier that is served.
+const SERVED_GAIN: f64 = 0.05;
 
-/// The tiers of which something came.
+/// The tiers that use a pool.
 ///
 /// A pool keeps room for the tiers before another one. Kept for tiers that never come, it would
 /// stand empty.
 #[derive(Debug, Default)]
 pub(super) struct Tiers {
-    seen: IndexMap<Tier, Instant>,
+    tiers: IndexMap<Tier, Usage>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Usage {
+    objective: Duration,
+    seen: Instant,
+    /// Share of its requests that got a target, from 0 to 1.
+    served: f64,
 }
 
 impl Tiers {
-    /// Something of a tier came.
-    pub(super) fn note(&mut self, tier: Tier, now: Instant) {
-        self.seen.insert(tier, now);
-        let lives = |seen: &Instant| now.saturating_duration_since(*seen) < FORGOTTEN;
-        self.seen.retain(|_, seen| lives(seen));
+    /// Notes a request of a tier; without an objective it counts as one that can't wait.
+    pub(super) fn note(&mut self, tier: Tier, objective: Option<Duration>, now: Instant) {
+        let objective = objective.unwrap_or_default();
+        let usage = self.tiers.entry(tier).or_insert(Usage {
+            objective,
+            seen: now,
+            served: 1.0,
+        });
+        usage.seen = now;
+        usage.objective =
+            usage.objective.mul_f64(1.0 - OBJECTIVE_GAIN) + objective.mul_f64(OBJECTIVE_GAIN);
+        let lives = |usage: &Usage| now.saturating_duration_since(usage.seen) < FORGOTTEN;
+        self.tiers.retain(|_, usage| lives(usage));
+        self.tiers.sort_unstable_keys();
     }
 
-    /// Tiers before this one.
+    /// Notes whether a request of a tier got a target.
+    pub(super) fn note_end(&mut self, tier: Tier, served: bool) {
+        if let Some(usage) = self.tiers.get_mut(&tier) {
+            let sample = f64::from(u8::from(served));
+            usage.served += SERVED_GAIN * (sample - usage.served);
+        }
+    }
+
+    /// Number of the tiers before this one.
     pub(super) fn before(&self, tier: Tier) -> usize {
-        self.seen.keys().filter(|seen| **seen < tier).count()
+        self.usages_before(tier).count()
+    }
+
+    /// Usual objectives of the tiers before this one, the most urgent first.
+    pub(super) fn objectives_before(&self, tier: Tier) -> impl Iterator<Item = Duration> + '_ {
+        self.usages_before(tier).map(|usage| usage.objective)
+    }
+
+    /// Whether no tier before this one is served less often.
+    pub(super) fn is_served_least(&self, tier: Tier) -> bool {
+        let own = self.tiers.get(&tier).map_or(1.0, |usage| usage.served);
+        self.usages_before(tier).all(|usage| usage.served >= own)
+    }
+
+    fn usages_before(&self, tier: Tier) -> impl Iterator<Item = &Usage> + '_ {
+        let before = self.tiers.iter().take_while(move |(seen, _)| **seen < tier);
+        before.map(|(_, usage)| usage)
     }
 }
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -42,6 +42,8 @@
 mod dispatch_order;
 #[path = "suite/dispatch_overload.rs"]
 mod dispatch_overload;
+#[path = "suite/dispatch_reservation.rs"]
+mod dispatch_reservation;
 #[path = "suite/dispatch_resumed.rs"]
 mod dispatch_resumed;
 #[path = "suite/dispatch_sharing.rs"]
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/dispatch_reservation.rs
@@ -0,0 +1,28 @@
+//! Slots reserved for the tiers before a request's own.
+
+use std::time::Duration;
+
+use lilaccrank::dispatch::reservation::Reservation;
+
+/// Reserved slots of a target, for a hold in milliseconds before tiers with these objectives.
+macro_rules! reserved {
+    ($name:ident, $objectives_ms:expr, by_hold: $by_hold:literal, $hold_ms:literal of $slots:literal, $reserved:literal) => {
+        #[test]
+        fn $name() {
+            let objectives: &[u64] = &$objectives_ms;
+            let objectives = objectives.iter().copied().map(Duration::from_millis);
+            let reservation = Reservation::new(objectives, $by_hold);
+            let hold = f64::from($hold_ms) / 1_000.0;
+            assert_eq!(reservation.slots($slots, hold), $reserved);
+        }
+    };
+}
+
+reserved!(no_tier_before, [], by_hold: true, 100 of 12, 0);
+reserved!(long_hold, [800, 400], by_hold: true, 3_000 of 12, 3);
+reserved!(brief_hold, [800, 400], by_hold: true, 150 of 12, 1);
+reserved!(brief_hold_of_a_tier_served_well, [800, 400], by_hold: false, 150 of 12, 3);
+reserved!(briefest_hold_leaves_a_slot, [800, 400], by_hold: true, 1 of 12, 1);
+reserved!(tier_without_objective, [0], by_hold: true, 1 of 14, 2);
+reserved!(more_tiers_reserve_no_more, [800, 800, 800, 800], by_hold: false, 9_000 of 7, 2);
+reserved!(one_slot, [800, 400], by_hold: true, 9_000 of 1, 0);
--- a/crates/lilaccrank/tests/suite/pool_load.rs
+++ b/crates/lilaccrank/tests/suite/pool_load.rs
@@ -39,7 +39,7 @@
         assert!(reviews >= REVIEWS, "reviews: {reviews}");
         assert!(reports >= REPORTS, "reports: {reports}");
         for (pick, outcomes) in &self.naive {
-            let naive = outcomes[Kind::Review as usize].part_in_time();
+            let naive = outcomes[usize::from(Kind::Review.tier())].part_in_time();
             assert!(reviews >= naive, "{pick:?}: {naive} against {reviews}");
         }
     }
@@ -52,7 +52,7 @@
     }
 
     fn assert_chats_answered(&self, part: f64) {
-        let chats = self.placed[Kind::Chat as usize].part_answered();
+        let chats = self.placed[usize::from(Kind::Chat.tier())].part_answered();
         assert!(chats >= part, "chats: {chats}");
     }
 }
@@ -92,7 +92,7 @@
     let loads = (0..6).map(Load::flood_of_chats);
     let reviews = |load: &Load, shares: bool| {
         let outcomes = pool_model::play(load, &mut Placed::new(load, shares));
-        outcomes[Kind::Review as usize].part_in_time()
+        outcomes[usize::from(Kind::Review.tier())].part_in_time()
     };
     let pairs: Vec<_> = loads
         .map(|load| (reviews(&load, false), reviews(&load, true)))
@@ -105,3 +105,26 @@
         "{pairs:?}"
     );
 }
+
+/// Part of the share served of each of two tiers that the other has at least, where both have more work than
+/// the engines can do.
+const TOGETHER: f64 = 0.85;
+/// Days that are looked at together, so that luck does not decide.
+const DAYS: u64 = 3;
+
+// Tags of the last tier, which need a slot for a moment, would be refused for slots reserved for long answers.
+#[test]
+fn short_answers_of_the_last_tier_beside_long_ones() {
+    let days = (0..DAYS).map(Load::busy_caterers);
+    let days = days.map(|load| pool_model::play(&load, &mut Placed::new(&load, true)));
+    let days: Vec<[Outcome; 3]> = days.collect();
+    let served = |tier: usize| {
+        let parts = days.iter().map(|day| day[tier].part_in_time());
+        parts.sum::<f64>() / days.len() as f64
+    };
+    let [proposals, questions, tags] = [0, 1, 2].map(served);
+    let told = format!("proposals {proposals:.2}, questions {questions:.2}, tags {tags:.2}");
+    assert!(questions < 0.9, "the load is no shortage: {told}");
+    assert!(tags >= questions * TOGETHER, "{told}");
+    assert!(proposals >= questions && proposals >= tags, "{told}");
+}
--- a/crates/lilaccrank/tests/suite/pool_model.rs
+++ b/crates/lilaccrank/tests/suite/pool_model.rs
@@ -2,9 +2,8 @@
 //! under a way to place requests.
 //!
 //! Engines batch continuously, read prompts in chunks between the tokens of other requests, admit
-//! in order of arrival and know no tiers, as those of the users do. Steps take 6.12 ms, 32.4
-//! prompt tokens are read in a millisecond, seven requests run at once, and the engines' speeds
-//! are 0.6 and 1.7 in the proportion of one to two: the users' own figures for their engines.
+//! in order of arrival and know no tiers, as those of the users do. What an engine can do, and the
+//! engines' speeds, are the users' own figures.
 
 #[path = "pool_model/engine.rs"]
 mod engine;
@@ -123,7 +122,7 @@
 
 /// Plays a load before a pool and returns what came of each request.
 pub fn answers(load: &Load, policy: &mut dyn Policy) -> Vec<Answer> {
-    let engines = (0..load.engines).map(|number| Engine::new(number, load.speeds));
+    let engines = (0..load.engines).map(|number| Engine::new(number, load.engine, load.speeds));
     let mut engines: Vec<Engine> = engines.collect();
     let mut requests = load.requests();
     let mut coming: Vec<(u64, usize)> = requests.iter().map(|r| (r.arrived, r.id)).collect();
@@ -184,7 +183,7 @@
 fn outcomes(answers: &[Answer]) -> [Outcome; 3] {
     let mut outcomes = [Outcome::default(); 3];
     for answer in answers {
-        let outcome = &mut outcomes[answer.kind as usize];
+        let outcome = &mut outcomes[usize::from(answer.kind.tier())];
         match answer.first {
             None => outcome.lost += 1,
             Some(after) if after <= answer.kind.objective_ms() => outcome.in_time += 1,
--- a/crates/lilaccrank/tests/suite/pool_model/engine.rs
+++ b/crates/lilaccrank/tests/suite/pool_model/engine.rs
@@ -4,12 +4,32 @@
 
 use super::{Progress, Request};
 
-/// Requests that run at once.
-pub const SLOTS: usize = 7;
-/// Milliseconds of a step without reading.
-const STEP_MS: f64 = 6.12;
-/// Prompt tokens read in a millisecond.
-const READ_PER_MS: f64 = 32.4;
+/// What one engine can do at speed 1.
+#[derive(Clone, Copy, Debug)]
+pub struct Model {
+    /// Prompt tokens read in a millisecond.
+    pub read_per_ms: f64,
+    /// Requests that run at once.
+    pub slots: usize,
+    /// Milliseconds of a step without reading.
+    pub step_ms: f64,
+}
+
+impl Model {
+    /// Engines of the caterers.
+    pub const CATERERS: Self = Self {
+        read_per_ms: 81.9,
+        slots: 12,
+        step_ms: 3.74,
+    };
+    /// Engines of the depots and of the consortium.
+    pub const DEPOTS: Self = Self {
+        read_per_ms: 32.4,
+        slots: 7,
+        step_ms: 6.12,
+    };
+}
+
 /// Prompt tokens read between two tokens of the others.
 const CHUNK: u32 = 1_024;
 /// Milliseconds to a first token beside the reading.
@@ -20,6 +40,7 @@
 /// One engine.
 pub struct Engine {
     busy_until: f64,
+    model: Model,
     pub number: usize,
     queue: VecDeque<Running>,
     running: Vec<Running>,
@@ -40,9 +61,10 @@
 
 impl Engine {
     /// Engine `number`; the speeds of the pool's engines follow each other in turn.
-    pub fn new(number: usize, speeds: [f64; 3]) -> Self {
+    pub fn new(number: usize, model: Model, speeds: [f64; 3]) -> Self {
         Self {
             busy_until: 0.0,
+            model,
             number,
             queue: VecDeque::new(),
             running: Vec::new(),
@@ -89,7 +111,7 @@
     pub fn run(&mut self, now: u64) -> Vec<(usize, Progress)> {
         let mut told = self.cut(now);
         while self.busy_until <= now as f64 {
-            while self.running.len() < SLOTS {
+            while self.running.len() < self.model.slots {
                 let Some(mut next) = self.queue.pop_front() else {
                     break;
                 };
@@ -124,7 +146,7 @@
             first.prompt_left -= read;
             read
         });
-        let took = (STEP_MS + f64::from(read) / READ_PER_MS) / self.speed;
+        let took = (self.model.step_ms + f64::from(read) / self.model.read_per_ms) / self.speed;
         self.busy_until = self.busy_until.max(now as f64) + took;
         let at = self.busy_until;
         for running in self.running.iter_mut().filter(|r| r.prompt_left == 0) {
--- a/crates/lilaccrank/tests/suite/pool_model/load.rs
+++ b/crates/lilaccrank/tests/suite/pool_model/load.rs
@@ -1,47 +1,83 @@
 //! Load patterns, from the users' sheet for their depots.
 
 use super::Request;
+use super::engine::Model;
 
 /// How many times longer than the mean the longest answers are.
 const LONGEST: f64 = 10.0;
 
-/// What is asked, in the order of its urgency.
+/// What is asked, for each user in the order of its urgency.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
-    /// Review of a contract: 2,890 tokens in, 51 out.
+    /// Review of a contract.
     Review,
-    /// Report on a visit: 1,800 tokens in, 24 out.
+    /// Report on a visit.
     Report,
-    /// Chat about a fault: 543 tokens in, 267 out.
+    /// Chat about a fault.
     Chat,
+    /// Proposal for a banquet.
+    Proposal,
+    /// Answer to a question about a menu.
+    Question,
+    /// Tags of a line of a menu.
+    Tag,
+}
+
+/// The users' figures for a kind of request.
+struct Sheet {
+    deadline_ms: u64,
+    /// Longest prompt, in tokens.
+    longest: f64,
+    /// Time in which the caller expects the first token.
+    objective_ms: u64,
+    /// Mean length of the answer, in tokens.
+    output: f64,
+    /// Requests a second on a usual day, over all data centres.
+    per_s: f64,
+    /// Mean length of the prompt, in tokens.
+    prompt: f64,
+    tier: u8,
 }
 
 impl Kind {
-    pub const ALL: [Self; 3] = [Self::Review, Self::Report, Self::Chat];
+    /// Kinds of the depots and of the consortium.
+    pub const DEPOTS: [Self; 3] = [Self::Review, Self::Report, Self::Chat];
+    /// Kinds of the caterers.
+    pub const CATERERS: [Self; 3] = [Self::Proposal, Self::Question, Self::Tag];
 
     /// Milliseconds in which its caller expects the first token.
     pub fn objective_ms(self) -> u64 {
-        [800, 1_200, 1_500][self as usize]
+        self.sheet().objective_ms
     }
 
     /// Milliseconds after which its caller leaves.
     pub fn deadline_ms(self) -> u64 {
-        [6_000, 4_000, 15_000][self as usize]
+        self.sheet().deadline_ms
     }
 
-    /// Requests a second on a usual day, over all data centres.
-    fn per_s(self) -> f64 {
-        [16.5, 21.9, 24.5][self as usize]
+    /// Its tier.
+    pub fn tier(self) -> u8 {
+        self.sheet().tier
     }
 
-    /// Mean lengths of prompt and answer.
-    fn tokens(self) -> (f64, f64) {
-        [(2_890.0, 51.0), (1_800.0, 24.0), (543.0, 267.0)][self as usize]
-    }
-
-    /// Longest prompt.
-    fn longest(self) -> f64 {
-        [18_300.0, 6_870.0, 2_310.0][self as usize]
+    fn sheet(self) -> Sheet {
+        let sheet = |tier, per_s, objective_ms, deadline_ms, prompt, longest, output| Sheet {
+            deadline_ms,
+            longest,
+            objective_ms,
+            output,
+            per_s,
+            prompt,
+            tier,
+        };
+        match self {
+            Self::Review => sheet(0, 16.5, 800, 6_000, 2_890.0, 18_300.0, 51.0),
+            Self::Report => sheet(1, 21.9, 1_200, 4_000, 1_800.0, 6_870.0, 24.0),
+            Self::Chat => sheet(2, 24.5, 1_500, 15_000, 543.0, 2_310.0, 267.0),
+            Self::Proposal => sheet(0, 24.5, 800, 15_000, 6_610.0, 41_000.0, 380.0),
+            Self::Question => sheet(1, 35.4, 400, 15_000, 628.0, 2_700.0, 290.0),
+            Self::Tag => sheet(2, 39.4, 500, 3_000, 1_800.0, 6_870.0, 25.0),
+        }
     }
 }
 
@@ -52,8 +88,12 @@
     pub daemons: usize,
     /// Engines that are down, from and until when in milliseconds.
     pub down: Vec<(usize, u64, u64)>,
+    /// What one engine of the pool can do.
+    pub engine: Model,
     /// Engines of the pool.
     pub engines: usize,
+    /// What is asked.
+    pub kinds: [Kind; 3],
     /// Seed of everything that is drawn.
     pub seed: u64,
     /// Speeds of the engines, in turn.
@@ -73,7 +113,9 @@
         Self {
             daemons: 7,
             down: Vec::new(),
+            engine: Model::DEPOTS,
             engines: 12,
+            kinds: Kind::DEPOTS,
             seed,
             speeds: [0.6, 1.7, 1.7],
             tells_lengths: true,
@@ -121,18 +163,31 @@
         }
     }
 
+    /// The caterers at their busiest: half as much again as usual, before twelve engines of which one in three is 4.4
+    /// times slower. Tags, in the last tier, hold a slot for a tenth of the time of the others.
+    pub fn busy_caterers(seed: u64) -> Self {
+        Self {
+            engine: Model::CATERERS,
+            kinds: Kind::CATERERS,
+            seconds: 12,
+            speeds: [1.0, 1.0, 1.0 / 4.4],
+            tells_lengths: false,
+            times: vec![(0, [1.5; 3])],
+            ..Self::usual(seed)
+        }
+    }
+
     /// The most tokens that the caller of a request takes.
     pub fn most_tokens(&self, request: &Request) -> u32 {
         if self.tells_lengths {
             return request.output;
         }
-        let (_, output) = request.kind.tokens();
-        (output * LONGEST) as u32
+        (request.kind.sheet().output * LONGEST) as u32
     }
 
     /// When all callers have their answers or have left.
     pub fn end_ms(&self) -> u64 {
-        let longest = Kind::ALL.map(Kind::deadline_ms).into_iter().max();
+        let longest = self.kinds.map(Kind::deadline_ms).into_iter().max();
         self.seconds * 1_000 + longest.unwrap_or(0)
     }
 
@@ -146,8 +201,9 @@
         let mut random = Random(self.seed.wrapping_add(1));
         let mut requests = Vec::new();
         for ms in 0..self.seconds * 1_000 {
-            for kind in Kind::ALL {
-                let rate = kind.per_s() * self.times_at(ms / 1_000)[kind as usize];
+            for kind in self.kinds {
+                let times = self.times_at(ms / 1_000)[usize::from(kind.tier())];
+                let rate = kind.sheet().per_s * times;
                 if random.uniform() < rate / 1_000.0 {
                     requests.push(self.request(kind, ms, requests.len(), &mut random));
                 }
@@ -157,14 +213,19 @@
     }
 
     fn request(&self, kind: Kind, arrived: u64, id: usize, random: &mut Random) -> Request {
-        let (prompt, output) = kind.tokens();
+        let Sheet {
+            longest,
+            output,
+            prompt,
+            ..
+        } = kind.sheet();
         Request {
             arrived,
             daemon: (random.uniform() * self.daemons as f64) as usize,
             id,
             kind,
             output: random.spread(output, 1.5, output * LONGEST).max(3.0) as u32,
-            prompt: random.spread(prompt, 1.0, kind.longest()).max(20.0) as u32,
+            prompt: random.spread(prompt, 1.0, longest).max(20.0) as u32,
             returned: false,
         }
     }
--- a/crates/lilaccrank/tests/suite/pool_model/placed.rs
+++ b/crates/lilaccrank/tests/suite/pool_model/placed.rs
@@ -15,7 +15,6 @@
 use lilaccrank::stream_progress::{self, StreamProgress};
 use lilaccrank::target_life::TargetLife;
 
-use super::engine::SLOTS;
 use super::{Decision, Engine, Load, Policy, Progress, Request, TICK};
 
 /// Milliseconds between two digests of a daemon.
@@ -61,7 +60,7 @@
         let clock = PausedClock::new();
         let targets = (0..load.engines).map(|number| Target {
             id: number.to_string(),
-            slots: SLOTS as u32,
+            slots: load.engine.slots as u32,
             ..Target::default()
         });
         let pool = Pool {
@@ -129,7 +128,7 @@
             objective: Some(left(request.kind.objective_ms())),
             prompt_tokens: request.prompt,
             request: request.id.to_string(),
-            tier: request.kind as u8,
+            tier: request.kind.tier(),
             weight: 1,
             ..Ask::default()
         }
