Cells sample their own demand as they hear of the others', so that parts of a quota add up

Cause: cells divide a quota by demand. A cell sampled its own daemons each second, those outside when a word came: every 4.6 s at this size. After a surge each cell saw its own demand grown and that of the others as before, and took a multiple of its part. A daemon that was cut off did so for as long as it was cut off; daemons of the cell that were lost from it were forgotten with their part. Change: daemons of the cell are sampled at the pace of the words from outside, staggered as these are. A daemon that is not heard, or not known to live, is taken to be asked as much as the mean of those heard. A daemon that leaves the cell without a farewell keeps its part by number for the usual time. Tests: quota_fleet, both seen failing before.

--- a/crates/lilaccrank/src/quota.rs
+++ b/crates/lilaccrank/src/quota.rs
@@ -257,24 +257,31 @@
         }
         let own = self.accounts.iter();
         let own = own.map(|(customer, account)| (customer, account.spent.asked));
-        let mates = self.peers.iter();
-        let mates = mates.flat_map(|(vm, peer)| {
+        let mates = self.peers.iter().map(|(vm, peer)| {
             let asked = peer.spent.iter();
-            asked.map(move |(customer, spent)| (vm, customer, spent.asked))
+            (vm, asked.map(|(customer, spent)| (customer, spent.asked)))
         });
-        self.demand.look(own, mates, self.peers.len(), now);
+        self.demand.look(own, mates, now);
     }
 
-    /// Sets the other daemons of the cell, and the number of all daemons, this one included. Who is no
-    /// longer of the cell has its part in another one.
-    pub fn set_cell(&mut self, mates: &IndexSet<VmId>, members: usize, now: Instant) {
-        self.peers.retain(|vm, _| mates.contains(vm));
-        self.demand.set_cell(mates.len(), members, now);
+    /// Sets the other daemons of the cell, and all that are known to live, this one included. Who is no
+    /// longer of the cell keeps its part, in another cell or cut off.
+    pub fn set_cell(&mut self, mates: &IndexSet<VmId>, live: &IndexSet<VmId>, now: Instant) {
+        let demand = &mut self.demand;
+        self.peers.retain(|vm, peer| {
+            let stays = mates.contains(vm);
+            if !stays {
+                demand.left_cell(vm, peer.incarnation, peer.heard);
+            }
+            stays
+        });
+        self.demand.set_cell(mates.len(), live, now);
     }
 
     /// Sets the longest time between two words of a daemon outside the cell.
     pub fn set_pace(&mut self, pace: Duration) {
         self.pace = pace;
+        self.demand.set_pace(pace);
     }
 
     /// What the other daemons of the cell are to know by now: the counts that have changed, and now and
@@ -377,12 +384,20 @@
     pub fn left(&mut self, vm: &VmId) {
         self.peers.swap_remove(vm);
         self.demand.left(vm);
+        self.demand.mate_left(vm);
     }
 
     /// The part of its cell's quotas that the daemons which hear each other may spend.
     fn part(&mut self, now: Instant) -> f64 {
         let age = |peer: &Peer| now.saturating_duration_since(peer.heard);
-        self.peers.retain(|_, peer| age(peer) < RESERVED);
+        let demand = &mut self.demand;
+        self.peers.retain(|vm, peer| {
+            let stays = age(peer) < RESERVED;
+            if !stays {
+                demand.mate_left(vm);
+            }
+            stays
+        });
         let fresh = self.peers.values().filter(|peer| age(peer) < FRESH).count();
         let all = self.peers.len().max(self.assumed);
         (1 + fresh) as f64 / (1 + all) as f64
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -72,6 +72,8 @@
 mod process;
 #[path = "suite/quota.rs"]
 mod quota;
+#[path = "suite/quota_fleet.rs"]
+mod quota_fleet;
 #[path = "suite/rendezvous.rs"]
 mod rendezvous;
 #[path = "suite/request_key.rs"]
--- a/crates/lilaccrank/tests/suite/quota.rs
+++ b/crates/lilaccrank/tests/suite/quota.rs
@@ -459,7 +459,8 @@
     let mut quotas = Quotas::new(3, start);
     let mates = (1..9).map(|at| format!("vm{at}")).collect();
     let customer = CUSTOMER.to_owned();
-    quotas.set_cell(&mates, 72, start);
+    let live = (0..72).map(|at| format!("vm{at}")).collect();
+    quotas.set_cell(&mates, &live, start);
     let told = |units: u64| {
         let spent = Spent {
             asked: units,
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/quota_fleet.rs
@@ -0,0 +1,192 @@
+//! Quotas over hundreds of daemons in cells, which hear of those outside their cell once in seconds.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexSet;
+use lilaccrank::cells::Cell;
+use lilaccrank::document::{Quota, QuotaUnit};
+use lilaccrank::ids::VmId;
+use lilaccrank::quota::{Quotas, Wish};
+
+const CUSTOMER: &str = "depot";
+const DAEMONS: usize = 300;
+/// Time between two messages to the cell.
+const STEP: Duration = Duration::from_millis(50);
+/// Time between two messages of a daemon to all outside its cell.
+const PACE: Duration = Duration::from_millis(4_600);
+/// Time until a daemon that is cut off is no member any more, and knows no other one.
+const SUSPICION: Duration = Duration::from_secs(2);
+/// Tokens of one request.
+const REQUEST: u64 = 3_000;
+const QUOTA: Quota = Quota {
+    burst: 600_000.0,
+    per_s: 600_000.0,
+    plain_tokens: 200,
+    unit: QuotaUnit::Tokens,
+};
+/// Units beyond the quota that all daemons together may let pass on purpose.
+const RESERVE: f64 = 36_000.0;
+/// Window over which users add up what passed.
+const WINDOW: Duration = Duration::from_secs(8);
+
+/// What users allow in any window: a tenth more than the quota, and a slack.
+const ALLOWED: f64 = (QUOTA.per_s * 8.0 + QUOTA.burst) * 1.1 + 72_000.0;
+
+/// A fleet under one customer's requests.
+struct Fleet {
+    /// Daemons of each daemon's cell, in its view.
+    cells: Vec<Vec<usize>>,
+    daemons: Vec<Quotas>,
+    /// Daemons that hear nobody and that nobody hears.
+    cut: Vec<bool>,
+    names: Vec<VmId>,
+    now: Instant,
+    passed: Vec<(Instant, u64)>,
+    random: u64,
+    step: usize,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let now = Instant::now();
+        let new = |_| {
+            let mut quotas = Quotas::new(3, now).with_reserve(RESERVE);
+            quotas.set_pace(PACE);
+            quotas
+        };
+        let mut fleet = Self {
+            cells: vec![Vec::new(); DAEMONS],
+            daemons: (0..DAEMONS).map(new).collect(),
+            cut: vec![false; DAEMONS],
+            names: (0..DAEMONS).map(|at| format!("vm{at}")).collect(),
+            now,
+            passed: Vec::new(),
+            random: 7,
+            step: 0,
+        };
+        fleet.divide();
+        fleet
+    }
+
+    /// Divides the fleet into cells, as each daemon sees its members.
+    fn divide(&mut self) {
+        for me in 0..DAEMONS {
+            let sees = |other: usize| other == me || !(self.cut[me] || self.cut[other]);
+            let seen: Vec<usize> = (0..DAEMONS).filter(|other| sees(*other)).collect();
+            let members = seen.iter().map(|at| &self.names[*at]);
+            let cell = Cell::new(members, &self.names[me]);
+            let mates: IndexSet<VmId> = cell.mates().clone();
+            let live = seen.iter().map(|at| self.names[*at].clone()).collect();
+            self.daemons[me].set_cell(&mates, &live, self.now);
+            let is_mate = |at: &usize| mates.contains(&self.names[*at]);
+            self.cells[me] = seen.into_iter().filter(is_mate).collect();
+        }
+    }
+
+    fn draw(&mut self, below: usize) -> usize {
+        self.random = self
+            .random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (self.random >> 33) as usize % below
+    }
+
+    /// `times` the quota is asked for `time`, at daemons drawn from all.
+    fn press(&mut self, time: Duration, times: f64) {
+        let until = self.now + time;
+        let each_step = QUOTA.per_s * times * STEP.as_secs_f64() / REQUEST as f64;
+        while self.now < until {
+            for _ in 0..each_step as usize {
+                let at = self.draw(DAEMONS);
+                let wish = Wish {
+                    tier: 0,
+                    units: REQUEST,
+                };
+                let spent = self.daemons[at].spend(&CUSTOMER.to_owned(), QUOTA, wish, self.now);
+                if spent.is_ok() {
+                    self.passed.push((self.now, REQUEST));
+                }
+            }
+            self.tell();
+            self.now += STEP;
+            self.step += 1;
+        }
+    }
+
+    fn tell(&mut self) {
+        let steps_apart = (PACE.as_millis() / STEP.as_millis()) as usize;
+        for from in (0..DAEMONS).filter(|at| !self.cut[*at]).collect::<Vec<_>>() {
+            let news = self.daemons[from].news(self.now);
+            for to in self.cells[from].clone() {
+                if !self.cut[to] {
+                    self.daemons[to].heard(&self.names[from], 1, &news, self.now);
+                }
+            }
+            if !(self.step + from * 31).is_multiple_of(steps_apart) {
+                continue;
+            }
+            let spent = self.daemons[from].spent(self.now);
+            for to in (0..DAEMONS).filter(|to| *to != from) {
+                if !self.cut[to] && !self.cells[from].contains(&to) {
+                    self.daemons[to].heard_afar(&self.names[from], 1, &spent, self.now);
+                }
+            }
+        }
+        for daemon in &mut self.daemons {
+            daemon.look(self.now);
+        }
+    }
+
+    /// The most that passed in any window.
+    fn most(&self) -> u64 {
+        let mut most = 0;
+        let (mut sum, mut first) = (0, 0);
+        for (at, units) in &self.passed {
+            sum += units;
+            while self.passed[first].0 + WINDOW <= *at {
+                sum -= self.passed[first].1;
+                first += 1;
+            }
+            most = most.max(sum);
+        }
+        most
+    }
+
+    fn passed_since(&self, since: Instant) -> u64 {
+        let passed = self.passed.iter().filter(|(at, _)| *at >= since);
+        passed.map(|(_, units)| units).sum()
+    }
+}
+
+// A customer that suddenly sends six times as much would pass a multiple of its quota until the cells hear of
+// each other's share.
+#[test]
+fn a_surge_on_all_daemons() {
+    let mut fleet = Fleet::new();
+    fleet.press(Duration::from_secs(12), 0.5);
+    let since = fleet.now;
+    fleet.press(Duration::from_secs(12), 3.0);
+    let most = fleet.most() as f64;
+    println!("most {:.3} of what is allowed", most / ALLOWED);
+    assert!(most <= ALLOWED, "{most} of {ALLOWED}");
+    let passed = fleet.passed_since(since) as f64;
+    assert!(passed >= QUOTA.per_s * 12.0 * 0.9, "{passed}");
+}
+
+// Daemons that are cut off would count on what the others asked before a surge, and each take a multiple of
+// its part.
+#[test]
+fn a_surge_while_a_third_is_cut_off() {
+    let mut fleet = Fleet::new();
+    fleet.press(Duration::from_secs(12), 0.5);
+    for at in (0..DAEMONS).filter(|at| at % 20 < 7) {
+        fleet.cut[at] = true;
+    }
+    fleet.press(SUSPICION, 0.5);
+    fleet.divide();
+    fleet.press(Duration::from_secs(1), 0.5);
+    fleet.press(Duration::from_secs(10), 3.0);
+    let most = fleet.most() as f64;
+    println!("most {:.3} of what is allowed", most / ALLOWED);
+    assert!(most <= ALLOWED, "{most} of {ALLOWED}");
+}
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -7,7 +7,7 @@
 use event_listener::Event;
 use futures::future::{self, Either};
 use futures::pin_mut;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use lilaccrank::cells;
 use lilaccrank::dispatch::message::{Ask, Entry, Outcome, Report, ReportKind, Verdict};
 use lilaccrank::dispatch::sharing::Digest;
@@ -295,12 +295,12 @@
         return;
     }
     let live = daemon.membership.live();
-    let members = live.members.iter().map(|member| &member.vm);
-    let cell = Rc::new(cells::Cell::new(members, &daemon.cfg.vm));
+    let members: IndexSet<VmId> = live.members.iter().map(|m| m.vm.clone()).collect();
+    let cell = Rc::new(cells::Cell::new(&members, &daemon.cfg.vm));
     let before = daemon.pool_server.cell.replace(Rc::clone(&cell));
-    daemon.quotas.set_cell(cell.mates(), live.members.len());
+    daemon.quotas.set_cell(cell.mates(), &members);
     if before != cell {
-        log::info!(mates = cell.mates().len(), members = live.members.len(); "cell of this daemon");
+        log::info!(mates = cell.mates().len(), members = members.len(); "cell of this daemon");
         configuration_changed(daemon);
     }
 }
--- a/crates/lilaccrankd/src/request/quotas.rs
+++ b/crates/lilaccrankd/src/request/quotas.rs
@@ -105,10 +105,10 @@
         self.inner.borrow_mut().look(Instant::now());
     }
 
-    /// Sets the other daemons of the cell, and the number of all daemons.
-    pub fn set_cell(&self, mates: &IndexSet<VmId>, members: usize) {
+    /// Sets the other daemons of the cell, and all that are known to live.
+    pub fn set_cell(&self, mates: &IndexSet<VmId>, live: &IndexSet<VmId>) {
         let mut inner = self.inner.borrow_mut();
-        inner.set_cell(mates, members, Instant::now());
+        inner.set_cell(mates, live, Instant::now());
     }
 
     /// Sets the longest time between two words of another daemon.
