One daemon of each cell tells the others what the cell is asked

Cause: in a fleet of 295 daemons each told 286 others what it had let pass of some forty customers, 1.2 KB in sixty datagrams a second: by reading, some 18 MB/s over the fleet, most of it between data centres, and each heard of the others once in 4.6 s. Change: one daemon of each cell (rendezvous over its members) tells all daemons the cell's demand, only of customers that ask for more than half of the cell's part by number; of the others that much is assumed. Cells divide by what was told, their own word included, and need no staggered samples. A word is told every 0.5 s, and 64 ms more for each cell (2 s at 32 cells). Datagrams of a word: the reader's tests.

--- a/crates/lilaccrank/src/cells.rs
+++ b/crates/lilaccrank/src/cells.rs
@@ -11,6 +11,7 @@
 //! view that lacks some of the other's requests, as if a datagram had been lost.
 
 use indexmap::IndexSet;
+use serde::{Deserialize, Serialize};
 
 use crate::document::Target;
 use crate::ids::VmId;
@@ -22,9 +23,20 @@
 /// Targets of a cell at least: with fewer, one that fails or is slow is too large a part of what a
 /// cell can do. A pool with fewer is divided less.
 const LEAST_TARGETS: usize = 6;
+/// The duty to speak for a cell.
+const SPEAKER: &str = "cell/speaker";
 /// What daemons and targets are ordered by.
 const ORDER: &str = "cell";
 
+/// Names a cell among those of its fleet.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct CellId {
+    /// Number of cells.
+    pub count: u16,
+    /// Its place among them.
+    pub index: u16,
+}
+
 /// The cell of one daemon among those of its fleet.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Cell {
@@ -54,6 +66,22 @@
         }
     }
 
+    /// Its name.
+    #[must_use]
+    pub fn id(&self) -> CellId {
+        CellId {
+            count: u16::try_from(self.count).unwrap_or(u16::MAX),
+            index: u16::try_from(self.index).unwrap_or(u16::MAX),
+        }
+    }
+
+    /// The daemon that speaks for the cell of `me`.
+    #[must_use]
+    pub fn speaker<'a>(&'a self, me: &'a VmId) -> &'a VmId {
+        let members = self.mates.iter().chain([me]);
+        rendezvous::owner(SPEAKER, members).unwrap_or(me)
+    }
+
     /// The other daemons of the cell.
     #[must_use]
     pub fn mates(&self) -> &IndexSet<VmId> {
--- a/crates/lilaccrank/src/quota.rs
+++ b/crates/lilaccrank/src/quota.rs
@@ -25,11 +25,13 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::cells::CellId;
 use crate::document::Quota;
 use crate::ids::{CustomerId, Incarnation, Tier, VmId};
 
 mod demand;
 
+pub use demand::CellDemand;
 use demand::Demand;
 
 /// Result of spending.
@@ -46,8 +48,8 @@
 const STOOD_STILL: Duration = Duration::from_millis(1_000);
 /// Counts of a customer are told for this long after they last changed; a datagram may be lost.
 const TOLD_FOR: Duration = Duration::from_millis(1_000);
-/// The same in times between two words to daemons outside the cell.
-const TOLD_WORDS: u32 = 4;
+/// Customers that asked nothing for this long are not looked at for messages.
+const RECENT: Duration = Duration::from_secs(5);
 /// Part of the burst that each tier leaves for those before it: with three tiers the last one
 /// passes while a third of the burst is there, and the first one finds two thirds.
 const LEFT_PART: f64 = 1.0 / 3.0;
@@ -136,8 +138,6 @@
     /// What is asked of this daemon, of its cell and of the others.
     demand: Demand,
     looked: Instant,
-    /// Longest time between two words of a daemon outside the cell.
-    pace: Duration,
     peers: IndexMap<VmId, Peer>,
     /// Customers whose counts changed of late, so that not all of them are looked at for each message.
     recent: IndexSet<CustomerId>,
@@ -156,6 +156,8 @@
     told: u8,
     /// What all daemons may still spend; below zero if they overspent.
     left: f64,
+    /// Units a second that the customer may spend.
+    quota_per_s: f64,
     spent: Spent,
 }
 
@@ -176,7 +178,6 @@
             assumed,
             demand: Demand::new(now),
             looked: now,
-            pace: Duration::ZERO,
             peers: IndexMap::new(),
             recent: IndexSet::new(),
             reserve: 0.0,
@@ -205,7 +206,8 @@
         now: Instant,
     ) -> Result<bool> {
         self.look(now);
-        let part = self.part(now) * self.demand.part_of_cell(customer, now);
+        let part_of_cell = self.demand.part_of_cell(customer, quota.per_s, now);
+        let part = self.part(now) * part_of_cell;
         let quota = Quota {
             burst: quota.burst + self.reserve,
             ..quota
@@ -213,6 +215,7 @@
         let started = self.started;
         self.recent.insert(customer.clone());
         let account = self.account(customer, now);
+        account.quota_per_s = quota.per_s;
         account.spent.asked += wish.units;
         account.change(now);
         account.fill(quota, part, now);
@@ -257,33 +260,47 @@
         }
         let own = self.accounts.iter();
         let own = own.map(|(customer, account)| (customer, account.spent.asked));
-        let mates = self.peers.iter().map(|(vm, peer)| {
+        let mates = self.peers.iter();
+        let mates = mates.flat_map(|(vm, peer)| {
             let asked = peer.spent.iter();
-            (vm, asked.map(|(customer, spent)| (customer, spent.asked)))
+            asked.map(move |(customer, spent)| (vm, customer, spent.asked))
         });
         self.demand.look(own, mates, now);
     }
 
-    /// Sets the other daemons of the cell, and all that are known to live, this one included. Who is no
+    /// Sets this daemon's cell, and all daemons that are known to live, this one included. Who is no
     /// longer of the cell keeps its part, in another cell or cut off.
-    pub fn set_cell(&mut self, mates: &IndexSet<VmId>, live: &IndexSet<VmId>, now: Instant) {
-        let demand = &mut self.demand;
-        self.peers.retain(|vm, peer| {
-            let stays = mates.contains(vm);
-            if !stays {
-                demand.left_cell(vm, peer.incarnation, peer.heard);
-            }
-            stays
-        });
-        self.demand.set_cell(mates.len(), live, now);
+    pub fn set_cell(
+        &mut self,
+        cell: CellId,
+        mates: &IndexSet<VmId>,
+        live: &IndexSet<VmId>,
+        now: Instant,
+    ) {
+        self.peers.retain(|vm, _| mates.contains(vm));
+        self.demand.set_cell(cell, mates.len(), live, now);
     }
 
-    /// Sets the longest time between two words of a daemon outside the cell.
+    /// Sets the time between two words of another cell.
     pub fn set_pace(&mut self, pace: Duration) {
-        self.pace = pace;
         self.demand.set_pace(pace);
     }
 
+    /// What all daemons are to know of what is asked of this cell; one daemon of the cell tells it.
+    pub fn cell_demand(&mut self, now: Instant) -> CellDemand<CustomerId> {
+        let recent = self.recent.iter();
+        let quotas = recent.filter_map(|customer| {
+            let account = self.accounts.get(customer)?;
+            Some((customer.clone(), account.quota_per_s))
+        });
+        self.demand.tell(quotas, now)
+    }
+
+    /// Takes in what is asked of a cell.
+    pub fn heard_cell(&mut self, demand: CellDemand<CustomerId>, now: Instant) {
+        self.demand.heard(demand, now);
+    }
+
     /// What the other daemons of the cell are to know by now: the counts that have changed, and now and
     /// then all that changed of late.
     pub fn news(&mut self, now: Instant) -> Vec<(CustomerId, Spent)> {
@@ -310,41 +327,21 @@
     /// What this daemon let pass, for the customers of which that changed of late.
     #[must_use]
     pub fn spent(&self, now: Instant) -> Vec<(CustomerId, Spent)> {
-        let told_for = self.told_for();
         let recent = self.recent.iter();
         let recent = recent.filter_map(|customer| Some((customer, self.accounts.get(customer)?)));
-        let recent = recent.filter(|(_, account)| now - account.changed < told_for);
+        let recent = recent.filter(|(_, account)| now - account.changed < TOLD_FOR);
         recent
             .map(|(customer, account)| (customer.clone(), account.spent))
             .collect()
     }
 
-    fn told_for(&self) -> Duration {
-        TOLD_FOR.max(self.pace * TOLD_WORDS)
-    }
-
     fn forget_told(&mut self, now: Instant) {
-        let told_for = self.told_for();
         let accounts = &self.accounts;
-        let is_recent = |account: &Account| now - account.changed < told_for;
+        let is_recent = |account: &Account| now - account.changed < RECENT;
         self.recent
             .retain(|customer| accounts.get(customer).is_some_and(is_recent));
     }
 
-    /// Takes in what was asked of a daemon outside the cell.
-    pub fn heard_afar(
-        &mut self,
-        vm: &VmId,
-        incarnation: Incarnation,
-        spent: &[(CustomerId, Spent)],
-        now: Instant,
-    ) {
-        self.peers.swap_remove(vm);
-        let asked = spent.iter();
-        let asked = asked.map(|(customer, spent)| (customer, spent.asked));
-        self.demand.heard_afar(vm, incarnation, asked, now);
-    }
-
     /// Takes in what another daemon of the cell let pass.
     pub fn heard(
         &mut self,
@@ -354,7 +351,6 @@
         now: Instant,
     ) {
         self.look(now);
-        self.demand.left(vm);
         let peer = self.peers.entry(vm.clone()).or_insert_with(|| Peer {
             heard: now,
             incarnation,
@@ -384,20 +380,12 @@
     pub fn left(&mut self, vm: &VmId) {
         self.peers.swap_remove(vm);
         self.demand.left(vm);
-        self.demand.mate_left(vm);
     }
 
     /// The part of its cell's quotas that the daemons which hear each other may spend.
     fn part(&mut self, now: Instant) -> f64 {
         let age = |peer: &Peer| now.saturating_duration_since(peer.heard);
-        let demand = &mut self.demand;
-        self.peers.retain(|vm, peer| {
-            let stays = age(peer) < RESERVED;
-            if !stays {
-                demand.mate_left(vm);
-            }
-            stays
-        });
+        self.peers.retain(|_, peer| age(peer) < RESERVED);
         let fresh = self.peers.values().filter(|peer| age(peer) < FRESH).count();
         let all = self.peers.len().max(self.assumed);
         (1 + fresh) as f64 / (1 + all) as f64
@@ -415,6 +403,7 @@
             filled: started,
             told: 0,
             left: 0.0,
+            quota_per_s: 0.0,
             spent: Spent::default(),
         })
     }
--- a/crates/lilaccrank/src/quota/demand.rs
+++ b/crates/lilaccrank/src/quota/demand.rs
@@ -1,79 +1,81 @@
 //! What customers ask of this cell and of the others, by which cells divide quotas.
 //!
-//! In a large fleet each daemon hears of most others only once in seconds. A bucket for all of
-//! them would be overspent by whatever comes in that time. The parts that cells have of what is asked
-//! hardly change when a customer sends more to all of them, so that each cell stays within its own.
+//! In a large fleet a bucket for all daemons would be overspent by whatever comes until they hear of each
+//! other. The parts that cells have of what is asked hardly change when a customer sends more to all of
+//! them, so that each cell stays within its own. One daemon of each cell tells all others what its
+//! cell is asked, so that the messages grow with the cells and not with the square of the daemons.
 //!
-//! Parts add up to the quota only if all daemons are sampled alike. A cell that knew its own demand at once
-//! and that of the others seconds later would take a multiple of its part at each surge; so its own daemons
-//! are sampled at the pace of the words from outside, and like these at times of their own. A daemon that is
-//! not heard is taken to be asked as much as the others: by its last word, a daemon that is cut off would
-//! find its own demand grown against that of all others.
+//! Parts add up to the quota only if all daemons divide by the same figures. A cell that knew its own demand
+//! at once and that of the others seconds later would take a multiple of its part at each surge; so a cell
+//! divides by what it told of itself. A cell that is not heard is taken to be asked as much as the others: by
+//! its last word, a daemon that is cut off would find its own demand grown against that of all others.
 
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
-use xxhash_rust::xxh3;
+use serde::{Deserialize, Serialize};
 
-use crate::ids::{CustomerId, Incarnation, VmId};
+use crate::cells::CellId;
+use crate::ids::{CustomerId, VmId};
 
-/// Least time between two samples of what was asked of a daemon. Requests of one customer come in clumps:
-/// over a second a few dozen daemons see a like number of them.
-const LEAST_PERIOD: Duration = Duration::from_secs(1);
-/// Looks in a period for samples that are due.
-const LOOKS: u32 = 16;
-/// Part of a period at which this daemon itself is sampled first.
-const OWN_PHASE: f64 = 0.5;
-/// Part of the period after which a word is late enough to be a sample: words are sent at their pace
-/// and take a moment.
-const PERIOD_PART: f64 = 0.9;
-/// Periods without a word after which a daemon counts as not heard.
-const UNHEARD_AFTER: f64 = 1.5;
+/// Time between two samples of what was asked. Requests of one customer come in clumps: over a second
+/// a few dozen daemons see a like number of them.
+const SAMPLE_EVERY: Duration = Duration::from_secs(1);
 /// Weight of the newest sample.
 const GAIN: f64 = 0.5;
 /// Part of the quotas that is divided by the number of daemons, so that a cell of which nothing was
 /// asked so far has something to begin with.
 const EVEN_PART: f64 = 0.2;
 /// Time after a start or a change of the cell until the parts are by demand. What is asked is known
-/// of most daemons after two samples, and is mostly chance before: of cells that have just started, one
+/// of most cells after two samples, and is mostly chance before: of cells that have just started, one
 /// that had heard only of the others took a fortieth of its quotas for two seconds.
 const SETTLED: Duration = Duration::from_secs(5);
-/// Time for which a daemon outside the cell that is not heard keeps its part, as those of the cell
-/// do.
+/// Time for which a daemon that vanished keeps its part: it may be cut off and spending. A vm that was
+/// replaced must give its part back soon.
 const KEPT: Duration = Duration::from_secs(20);
+/// Paces without a word after which a cell counts as not heard.
+const UNHEARD_AFTER: f64 = 2.5;
+/// A cell tells of a customer that asks it for more than this part of what it has of the quota by number. Of
+/// the others, the cells assume this part.
+const TOLD_FROM: f64 = 0.5;
 
-/// What is asked of the daemons.
+/// What is asked of one cell.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct CellDemand<C> {
+    /// The cell.
+    pub cell: CellId,
+    /// Its daemons.
+    pub members: u32,
+    /// Units a second by customer, of those that ask for much.
+    pub rates: Vec<(C, u32)>,
+}
+
+/// What is asked of all cells.
 #[derive(Debug)]
 pub(super) struct Demand {
-    far: IndexMap<VmId, Far>,
+    cell: CellId,
+    /// What cells told, this one included, by their index.
+    cells: IndexMap<u16, Told>,
     /// Daemons that are known to live, this one included.
     live: IndexSet<VmId>,
+    /// Daemons that vanished without a farewell.
+    lost: IndexMap<VmId, Instant>,
     /// Daemons of the cell beside this one.
     mates: usize,
-    /// When samples are looked at next.
-    next_look: Instant,
     /// Units asked of the cell, by daemon; this one has no name.
-    near: IndexMap<Option<VmId>, Samples>,
-    /// Time between two samples of a daemon.
-    period: Duration,
+    near: IndexMap<Option<VmId>, IndexMap<CustomerId, Rate>>,
+    /// Time between two words of a cell.
+    pace: Duration,
+    sampled: Instant,
     /// When this daemon started or its cell last changed.
     since: Instant,
 }
 
-/// A daemon outside the cell.
 #[derive(Debug)]
-struct Far {
+struct Told {
     heard: Instant,
-    incarnation: Incarnation,
-    samples: Samples,
-}
-
-/// What is asked of one daemon.
-#[derive(Debug)]
-struct Samples {
-    at: Instant,
-    due: Instant,
-    rates: IndexMap<CustomerId, Rate>,
+    members: u32,
+    rates: IndexMap<CustomerId, f64>,
 }
 
 /// Units asked for.
@@ -84,200 +86,174 @@
     per_s: f64,
 }
 
-impl Samples {
-    /// Nothing is known; the first sample is due at once.
-    fn new(now: Instant) -> Self {
-        Self {
-            at: now,
-            due: now,
-            rates: IndexMap::new(),
-        }
-    }
-
-    /// The same with the first sample at this part of a period from now.
-    fn staggered(part: f64, period: Duration, now: Instant) -> Self {
-        Self {
-            due: now + period.mul_f64(part),
-            ..Self::new(now)
-        }
-    }
-
-    /// Takes in what was asked since that daemon started, if a sample is due; customers that asked nothing
-    /// of late may be left out.
-    fn take<'a>(
-        &mut self,
-        asked: impl Iterator<Item = (&'a CustomerId, u64)>,
-        period: Duration,
-        now: Instant,
-    ) {
-        if now < self.due {
-            return;
-        }
-        let since = now.saturating_duration_since(self.at).as_secs_f64();
-        self.at = now;
-        self.due = now + period;
-        let mut before = std::mem::take(&mut self.rates);
-        for (customer, asked) in asked {
-            let known = before.swap_remove(customer);
-            let mut rate = known.unwrap_or(Rate { asked, per_s: 0.0 });
-            if since > 0.0 {
-                let new = asked.saturating_sub(rate.asked) as f64 / since;
-                rate.per_s += GAIN * (new - rate.per_s);
-            }
-            rate.asked = rate.asked.max(asked);
-            self.rates.insert(customer.clone(), rate);
-        }
-        for (customer, mut rate) in before {
-            rate.per_s *= 1.0 - GAIN;
-            // What is hardly asked any more is forgotten.
-            if rate.per_s >= 1.0 {
-                self.rates.insert(customer, rate);
-            }
-        }
-    }
-
-    fn per_s(&self, customer: &CustomerId) -> f64 {
-        self.rates.get(customer).map_or(0.0, |rate| rate.per_s)
+impl Rate {
+    fn count(&mut self, asked: u64, since: Duration) {
+        let new = asked.saturating_sub(self.asked) as f64 / since.as_secs_f64();
+        self.per_s += GAIN * (new - self.per_s);
+        self.asked = self.asked.max(asked);
     }
 }
 
 impl Demand {
     pub(super) fn new(now: Instant) -> Self {
         Self {
-            far: IndexMap::new(),
+            cell: CellId::default(),
+            cells: IndexMap::new(),
             live: IndexSet::new(),
+            lost: IndexMap::new(),
             mates: 0,
-            next_look: now,
             near: IndexMap::new(),
-            period: LEAST_PERIOD,
+            pace: SAMPLE_EVERY,
+            sampled: now,
             since: now,
         }
     }
 
-    /// Sets the time between two words of a daemon outside the cell.
+    /// Sets the time between two words of a cell.
     pub(super) fn set_pace(&mut self, pace: Duration) {
-        let words = LEAST_PERIOD.as_secs_f64() / pace.as_secs_f64().max(f64::MIN_POSITIVE);
-        self.period = match words > 1.0 {
-            true if pace.is_zero() => LEAST_PERIOD,
-            true => pace.mul_f64(words.ceil()),
-            false => pace,
-        };
+        self.pace = pace;
     }
 
-    /// Sets the daemons that are known to live, and the number of those of the cell beside this one.
-    pub(super) fn set_cell(&mut self, mates: usize, live: &IndexSet<VmId>, now: Instant) {
-        if mates != self.mates {
+    /// Sets the cell, the number of its daemons beside this one, and all daemons that are known to live.
+    pub(super) fn set_cell(
+        &mut self,
+        cell: CellId,
+        mates: usize,
+        live: &IndexSet<VmId>,
+        now: Instant,
+    ) {
+        if mates != self.mates || cell != self.cell {
             self.since = now;
         }
+        if cell.count != self.cell.count {
+            self.cells.clear();
+        }
+        self.cell = cell;
         self.mates = mates;
+        let lost = self.live.difference(live).cloned();
+        self.lost.extend(lost.map(|vm| (vm, now)));
+        self.lost.retain(|vm, _| !live.contains(vm));
         self.live.clone_from(live);
     }
 
-    /// A daemon of the cell belongs to another one by now, or is not known to live.
-    pub(super) fn left_cell(&mut self, vm: &VmId, incarnation: Incarnation, heard: Instant) {
-        let samples = self.near.swap_remove(&Some(vm.clone()));
-        let far = Far {
-            heard,
-            incarnation,
-            samples: samples.unwrap_or_else(|| Samples::new(heard)),
-        };
-        self.far.insert(vm.clone(), far);
-    }
-
     /// Takes in all that was asked of this daemon and of the others of its cell since each of them
     /// started.
-    pub(super) fn look<'a, I, J, K>(&mut self, own: I, mates: J, now: Instant)
-    where
-        I: Iterator<Item = (&'a CustomerId, u64)>,
-        J: Iterator<Item = (&'a VmId, K)>,
-        K: Iterator<Item = (&'a CustomerId, u64)>,
-    {
-        if now < self.next_look {
+    pub(super) fn look<'a>(
+        &mut self,
+        own: impl Iterator<Item = (&'a CustomerId, u64)>,
+        mates: impl Iterator<Item = (&'a VmId, &'a CustomerId, u64)>,
+        now: Instant,
+    ) {
+        let since = now.saturating_duration_since(self.sampled);
+        if since < SAMPLE_EVERY {
             return;
         }
-        self.next_look = now + self.period / LOOKS;
-        self.far
-            .retain(|_, far| now.saturating_duration_since(far.heard) < KEPT);
-        let period = self.period;
-        let new = || Samples::staggered(OWN_PHASE, period, now);
-        let samples = self.near.entry(None).or_insert_with(new);
-        samples.take(own, period, now);
-        let mut count = 0;
-        for (vm, asked) in mates {
-            count += 1;
-            let samples = self.near.entry(Some(vm.clone()));
-            let samples = samples.or_insert_with(|| Samples::staggered(phase(vm), period, now));
-            samples.take(asked, period, now);
+        self.sampled = now;
+        self.lost
+            .retain(|_, at| now.saturating_duration_since(*at) < KEPT);
+        let own = own.map(|(customer, asked)| (None, customer, asked));
+        let mates = mates.map(|(vm, customer, asked)| (Some(vm.clone()), customer, asked));
+        let mut before = std::mem::take(&mut self.near);
+        for (vm, customer, asked) in own.chain(mates) {
+            let known = before
+                .get_mut(&vm)
+                .and_then(|rates| rates.swap_remove(customer));
+            let mut rate = known.unwrap_or(Rate { asked, per_s: 0.0 });
+            rate.count(asked, since);
+            let rates = self.near.entry(vm).or_default();
+            rates.insert(customer.clone(), rate);
         }
-        self.mates = self.mates.max(count);
     }
 
-    /// Takes in what was asked of a daemon outside the cell since it started; it leaves out
-    /// customers that asked nothing of late.
-    pub(super) fn heard_afar<'a>(
+    /// What the other daemons are to know of this cell; `quotas` are the customers' quotas in units a second.
+    pub(super) fn tell(
         &mut self,
-        vm: &VmId,
-        incarnation: Incarnation,
-        asked: impl Iterator<Item = (&'a CustomerId, u64)>,
+        quotas: impl Iterator<Item = (CustomerId, f64)>,
         now: Instant,
-    ) {
-        let new = || Far {
-            heard: now,
-            incarnation,
-            samples: Samples::new(now),
+    ) -> CellDemand<CustomerId> {
+        let by_number = self.by_number();
+        let rates = quotas.filter_map(|(customer, per_s)| {
+            let near = self.near_per_s(&customer);
+            let is_told = near > TOLD_FROM * by_number * per_s;
+            is_told.then(|| (customer, near.min(u32::MAX.into()) as u32))
+        });
+        let demand = CellDemand {
+            cell: self.cell,
+            members: u32::try_from(1 + self.mates).unwrap_or(u32::MAX),
+            rates: rates.collect(),
         };
-        let period = self.period;
-        let far = self.far.entry(vm.clone()).or_insert_with(new);
-        if far.incarnation != incarnation {
-            *far = new();
-        }
-        far.heard = now;
-        far.samples.take(asked, period.mul_f64(PERIOD_PART), now);
+        self.heard(demand.clone(), now);
+        demand
     }
 
-    /// A daemon is gone, or belongs to the cell now.
-    pub(super) fn left(&mut self, vm: &VmId) {
-        self.far.swap_remove(vm);
+    /// Takes in what a cell told. Words about another division of the fleet are out of date.
+    pub(super) fn heard(&mut self, demand: CellDemand<CustomerId>, now: Instant) {
+        if demand.cell.count != self.cell.count {
+            return;
+        }
+        let rates = demand.rates.into_iter();
+        let told = Told {
+            heard: now,
+            members: demand.members,
+            rates: rates.map(|(id, per_s)| (id, per_s.into())).collect(),
+        };
+        self.cells.insert(demand.cell.index, told);
     }
 
-    /// A daemon of the cell is gone.
-    pub(super) fn mate_left(&mut self, vm: &VmId) {
+    /// A daemon ends, and leaves its part to the others.
+    pub(super) fn left(&mut self, vm: &VmId) {
+        self.live.swap_remove(vm);
+        self.lost.swap_remove(vm);
         self.near.swap_remove(&Some(vm.clone()));
     }
 
-    /// The part of a customer's quota that this cell may spend.
-    pub(super) fn part_of_cell(&self, customer: &CustomerId, now: Instant) -> f64 {
-        let cell = 1 + self.mates;
-        let all = self.live.len().max(cell + self.far.len());
-        let by_number = cell as f64 / all as f64;
-        let near: f64 = self.near.values().map(|s| s.per_s(customer)).sum();
-        let heard = self
-            .far
-            .iter()
-            .filter(|(vm, far)| self.is_heard(vm, far, now));
-        let (heard, far) = heard.fold((0, 0.0), |(count, sum), (_, far)| {
-            (count + 1, sum + far.samples.per_s(customer))
+    /// The part of a customer's quota of `per_s` units a second that this cell may spend.
+    pub(super) fn part_of_cell(&self, customer: &CustomerId, per_s: f64, now: Instant) -> f64 {
+        let by_number = self.by_number();
+        if self.cell.count < 2 {
+            return by_number;
+        }
+        let all = self.all() as f64;
+        // What cells are assumed to be asked of which nothing is told, for each of their daemons.
+        let untold = TOLD_FROM * per_s / all;
+        let rate = |told: &Told| match told.rates.get(customer) {
+            Some(rate) => *rate,
+            None => untold * f64::from(told.members),
+        };
+        let heard = self.cells.values().filter(|told| self.is_heard(told, now));
+        let (members, sum) = heard.fold((0.0, 0.0), |(members, sum), told| {
+            (members + f64::from(told.members), sum + rate(told))
         });
-        if near + far <= 0.0 {
+        let own = self.cells.get(&self.cell.index);
+        let Some(own) = own.filter(|told| self.is_heard(told, now)) else {
+            return by_number;
+        };
+        let unheard = sum / members * (all - members).max(0.0);
+        let total = sum + unheard;
+        if total <= 0.0 {
             return by_number;
         }
-        let mean = (near + far) / (self.near.len() + heard) as f64;
-        let unheard = mean * all.saturating_sub(self.near.len() + heard) as f64;
         let age = now.saturating_duration_since(self.since);
         let settled = (age.as_secs_f64() / SETTLED.as_secs_f64()).min(1.0);
         let by_demand = (1.0 - EVEN_PART) * settled;
-        by_number * (1.0 - by_demand) + by_demand * near / (near + far + unheard)
+        by_number * (1.0 - by_demand) + by_demand * rate(own) / total
     }
 
-    fn is_heard(&self, vm: &VmId, far: &Far, now: Instant) -> bool {
-        let age = now.saturating_duration_since(far.heard);
-        let is_live = self.live.is_empty() || self.live.contains(vm);
-        is_live && age < self.period.mul_f64(UNHEARD_AFTER)
+    fn by_number(&self) -> f64 {
+        (1 + self.mates) as f64 / self.all() as f64
+    }
+
+    /// Daemons that may spend.
+    fn all(&self) -> usize {
+        (self.live.len() + self.lost.len()).max(1 + self.mates)
     }
-}
 
-/// Part of a period, from 0 to 1, at which a daemon of the cell is sampled first: all of them start at about
-/// the same time.
-fn phase(vm: &VmId) -> f64 {
-    xxh3::xxh3_64(vm.as_bytes()) as f64 / u64::MAX as f64
+    fn is_heard(&self, told: &Told, now: Instant) -> bool {
+        now.saturating_duration_since(told.heard) < self.pace.mul_f64(UNHEARD_AFTER)
+    }
+
+    fn near_per_s(&self, customer: &CustomerId) -> f64 {
+        let rates = self.near.values().filter_map(|rates| rates.get(customer));
+        rates.map(|rate| rate.per_s).sum()
+    }
 }
--- a/crates/lilaccrankd/src/peers/load_exchange.rs
+++ b/crates/lilaccrankd/src/peers/load_exchange.rs
@@ -1,9 +1,9 @@
 //! Daemons that each dispatch their own requests tell each other what they have on the targets.
 //!
 //! Those of a cell tell each other what has changed: at once where it decides where the others send,
-//! else with what gathers in the next moments. All others only have to know what was spent of quotas,
-//! and hear of that at a pace that falls with their number, so that a daemon sends as many datagrams in
-//! a fleet of any size. A lost one is made good by the next.
+//! else with what gathers in the next moments. All others only have to know what customers ask of the
+//! cell; one daemon of each cell tells that, at a pace that falls with the number of cells. A lost
+//! datagram is made good by the next.
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -17,7 +17,7 @@
 use lilaccrank::dispatch::sharing::Digest;
 use lilaccrank::ids::{CustomerId, Incarnation, PoolId, VmId};
 use lilaccrank::membership::{Member, Membership};
-use lilaccrank::quota::Spent;
+use lilaccrank::quota::{CellDemand, Spent};
 use lilaccrank::request_key::Ranking;
 use lilaccrank_http::tally::Tally;
 use monoio::net::udp::UdpSocket;
@@ -38,9 +38,10 @@
 /// What each peer of the cell adds to that time. A cell has fifteen peers at most: a change is
 /// told within 25 ms.
 const FOR_EACH_PEER: Duration = Duration::from_millis(1);
-/// What each daemon outside the cell adds to the time between two datagrams to all of them: some
-/// sixty a second, whatever their number.
-const FOR_EACH_OTHER: Duration = Duration::from_millis(16);
+/// Time between two words of a cell to all daemons outside it, at least.
+const CELL_PACE: Duration = Duration::from_millis(500);
+/// What each cell adds to that time: a daemon hears some fifteen of these words a second.
+const FOR_EACH_CELL: Duration = Duration::from_millis(64);
 /// Room for one datagram. A daemon's own requests on fifty targets take two kilobytes.
 const BUFFER: usize = 16 << 10;
 
@@ -126,7 +127,7 @@
 pub async fn run(daemon: Rc<Daemon>, socket: UdpSocket) {
     let socket = Rc::new(socket);
     monoio::spawn(hear(Rc::clone(&daemon), Rc::clone(&socket)));
-    monoio::spawn(tell_others(Rc::clone(&daemon), Rc::clone(&socket)));
+    monoio::spawn(speak_for_cell(Rc::clone(&daemon), Rc::clone(&socket)));
     loop {
         let changed = daemon.load_exchange.changed();
         let _ = monoio::time::timeout(HEARTBEAT, changed).await;
@@ -145,22 +146,35 @@
     }
 }
 
-/// Tells the daemons outside the cell what was spent of quotas.
-async fn tell_others(daemon: Rc<Daemon>, socket: Rc<UdpSocket>) {
+/// Tells all daemons what is asked of this cell, while this daemon speaks for it.
+async fn speak_for_cell(daemon: Rc<Daemon>, socket: Rc<UdpSocket>) {
     loop {
-        let (_, others) = peers(&daemon);
-        let pace = HEARTBEAT.max(FOR_EACH_OTHER * count(&others));
+        let cells = u32::from(server::cell(&daemon).id().count);
+        let pace = CELL_PACE.max(FOR_EACH_CELL * cells);
         daemon.quotas.set_pace(pace);
         let membership = &daemon.membership;
         daemon
             .load_exchange
             .forget(|vm| membership.find(vm).is_some());
         monoio::time::sleep(pace).await;
-        let (_, others) = peers(&daemon);
-        if is_needed(&daemon) {
-            let spent = daemon.quotas.spent();
-            tell(&daemon, &socket, Vec::new(), spent, &others).await;
+        let cell = server::cell(&daemon);
+        let me = &daemon.cfg.vm;
+        if cell.id().count < 2 || cell.speaker(me) != me || !is_needed(&daemon) {
+            continue;
         }
+        let demand = daemon.quotas.cell_demand();
+        let (near, others) = peers(&daemon);
+        let rates = demand.rates.into_iter();
+        let rates = rates.map(|(id, per_s)| (load_message::customer(&id), per_s));
+        let message = LoadMessage {
+            cell_demand: Some(CellDemand {
+                cell: demand.cell,
+                members: demand.members,
+                rates: rates.collect(),
+            }),
+            ..empty_message(&daemon)
+        };
+        send(&daemon, &socket, &message, near.iter().chain(&others)).await;
     }
 }
 
@@ -197,23 +211,41 @@
     spent: Vec<(CustomerId, Spent)>,
     peers: &[SocketAddr],
 ) {
-    let me = daemon.duties.me();
-    let sequence = daemon.load_exchange.sequence.get() + 1;
-    daemon.load_exchange.sequence.set(sequence);
     let message = LoadMessage {
-        incarnation: me.incarnation,
-        ending: daemon.refusing.get(),
         pools: pools
             .into_iter()
             .map(|(id, digest)| (load_message::pool(&id), digest))
             .collect(),
-        sequence,
         spent: spent
             .into_iter()
             .map(|(id, spent)| (load_message::customer(&id), spent))
             .collect(),
+        ..empty_message(daemon)
     };
-    let buf = match rmp_serde::to_vec(&message) {
+    send(daemon, socket, &message, peers.iter()).await;
+}
+
+/// The next message of this daemon, with nothing in it.
+fn empty_message(daemon: &Daemon) -> LoadMessage {
+    let sequence = daemon.load_exchange.sequence.get() + 1;
+    daemon.load_exchange.sequence.set(sequence);
+    LoadMessage {
+        cell_demand: None,
+        ending: daemon.refusing.get(),
+        incarnation: daemon.duties.me().incarnation,
+        pools: Vec::new(),
+        sequence,
+        spent: Vec::new(),
+    }
+}
+
+async fn send(
+    daemon: &Daemon,
+    socket: &UdpSocket,
+    message: &LoadMessage,
+    peers: impl Iterator<Item = &SocketAddr>,
+) {
+    let buf = match rmp_serde::to_vec(message) {
         Ok(buf) => buf,
         Err(e) => return log::error!("the load can't be told: {e}"),
     };
@@ -260,12 +292,20 @@
     let Ok(in_force) = daemon.in_force() else {
         return;
     };
-    let named = |(digest, spent)| Some((in_force.customer(digest)?.clone(), spent));
-    let spent: Vec<_> = message.spent.into_iter().filter_map(named).collect();
+    if let Some(demand) = message.cell_demand {
+        let rates = demand.rates.into_iter();
+        let rates = rates.filter_map(|(id, per_s)| Some((in_force.customer(id)?.clone(), per_s)));
+        daemon.quotas.heard_cell(CellDemand {
+            cell: demand.cell,
+            members: demand.members,
+            rates: rates.collect(),
+        });
+    }
     if is_near(daemon, vm) {
+        let spent = message.spent.into_iter();
+        let named = |(id, spent)| Some((in_force.customer(id)?.clone(), spent));
+        let spent: Vec<_> = spent.filter_map(named).collect();
         daemon.quotas.heard(vm, message.incarnation, &spent);
-    } else {
-        daemon.quotas.heard_afar(vm, message.incarnation, &spent);
     }
     if message.ending {
         daemon.quotas.left(vm);
--- a/crates/lilaccrankd/src/peers/load_message.rs
+++ b/crates/lilaccrankd/src/peers/load_message.rs
@@ -12,7 +12,7 @@
 use lilaccrank::dispatch::sharing::Digest;
 use lilaccrank::ids::{Incarnation, VmId};
 use lilaccrank::membership::Member;
-use lilaccrank::quota::Spent;
+use lilaccrank::quota::{CellDemand, Spent};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use xxhash_rust::xxh3;
@@ -47,6 +47,8 @@
 /// What one daemon tells.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct LoadMessage {
+    /// What is asked of its sender's cell, if it speaks for it.
+    pub cell_demand: Option<CellDemand<CustomerDigest>>,
     /// Life of its sender.
     pub incarnation: Incarnation,
     /// Whether its sender is about to end, and spends nothing more.
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -298,7 +298,7 @@
     let members: IndexSet<VmId> = live.members.iter().map(|m| m.vm.clone()).collect();
     let cell = Rc::new(cells::Cell::new(&members, &daemon.cfg.vm));
     let before = daemon.pool_server.cell.replace(Rc::clone(&cell));
-    daemon.quotas.set_cell(cell.mates(), &members);
+    daemon.quotas.set_cell(&cell, &members);
     if before != cell {
         log::info!(mates = cell.mates().len(), members = members.len(); "cell of this daemon");
         configuration_changed(daemon);
--- a/crates/lilaccrankd/src/request/quotas.rs
+++ b/crates/lilaccrankd/src/request/quotas.rs
@@ -5,10 +5,11 @@
 
 use indexmap::IndexSet;
 use lilaccrank::backoff;
+use lilaccrank::cells::Cell;
 use lilaccrank::document::{Customer, Quota, QuotaUnit};
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::{CustomerId, Incarnation, Tier, VmId};
-use lilaccrank::quota::{self, Spent, Wish};
+use lilaccrank::quota::{self, CellDemand, Spent, Wish};
 use lilaccrank::request::Facts;
 
 use crate::callers::refusal::{Refusal, Result};
@@ -105,13 +106,13 @@
         self.inner.borrow_mut().look(Instant::now());
     }
 
-    /// Sets the other daemons of the cell, and all that are known to live.
-    pub fn set_cell(&self, mates: &IndexSet<VmId>, live: &IndexSet<VmId>) {
+    /// Sets the cell, and all daemons that are known to live.
+    pub fn set_cell(&self, cell: &Cell, live: &IndexSet<VmId>) {
         let mut inner = self.inner.borrow_mut();
-        inner.set_cell(mates, live, Instant::now());
+        inner.set_cell(cell.id(), cell.mates(), live, Instant::now());
     }
 
-    /// Sets the longest time between two words of another daemon.
+    /// Sets the time between two words of another cell.
     pub fn set_pace(&self, pace: Duration) {
         self.inner.borrow_mut().set_pace(pace);
     }
@@ -122,16 +123,15 @@
         self.inner.borrow_mut().news(Instant::now())
     }
 
-    /// What daemons outside the cell are to know.
+    /// What all daemons are to know of what is asked of this cell.
     #[must_use]
-    pub fn spent(&self) -> Vec<(CustomerId, Spent)> {
-        self.inner.borrow().spent(Instant::now())
+    pub fn cell_demand(&self) -> CellDemand<CustomerId> {
+        self.inner.borrow_mut().cell_demand(Instant::now())
     }
 
-    /// Takes in what was asked of a daemon outside the cell.
-    pub fn heard_afar(&self, vm: &VmId, incarnation: Incarnation, spent: &[(CustomerId, Spent)]) {
-        let mut inner = self.inner.borrow_mut();
-        inner.heard_afar(vm, incarnation, spent, Instant::now());
+    /// Takes in what is asked of a cell.
+    pub fn heard_cell(&self, demand: CellDemand<CustomerId>) {
+        self.inner.borrow_mut().heard_cell(demand, Instant::now());
     }
 
     /// Takes in what another daemon of the cell let pass.
--- a/crates/lilaccrankd/tests/suite/load_message.rs
+++ b/crates/lilaccrankd/tests/suite/load_message.rs
@@ -3,9 +3,10 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use lilaccrank::cells::CellId;
 use lilaccrank::dispatch::sharing::{Digest, Sample, Seen, TargetLoad};
 use lilaccrank::membership::{Member, State};
-use lilaccrank::quota::Spent;
+use lilaccrank::quota::{CellDemand, Spent};
 use lilaccrankd::peers::load_message::{self, Error, LoadMessage};
 use quickcheck::{Gen, QuickCheck};
 
@@ -42,7 +43,13 @@
         samples: vec![Sample { seen, target: 77 }],
         ..Digest::default()
     };
+    let rates = vec![(load_message::customer("hotel"), 3_000)];
     LoadMessage {
+        cell_demand: Some(CellDemand {
+            cell: CellId { count: 4, index: 1 },
+            members: 9,
+            rates,
+        }),
         ending: false,
         incarnation,
         pools: vec![(load_message::pool("engines"), digest)],
