A failed send logs what it sent, and whether the connection ended under it

Attempts of one caller's request have ids of their own: no line joined them, nor told a target's error from a target that ended. Line `a send failed` has `content`, a digest of customer, method, path and body, and `connection_lost`.

--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -70,6 +70,12 @@
 }
 
 impl Error {
+    /// Whether the connection ended after the request had been sent on it.
+    #[must_use]
+    pub fn is_connection_lost(&self) -> bool {
+        matches!(self, Self::Exchange { unsent: false, .. })
+    }
+
     /// Whether the other end certainly got nothing.
     #[must_use]
     pub fn sent_nothing(&self) -> bool {
--- a/crates/lilaccrank/src/ids.rs
+++ b/crates/lilaccrank/src/ids.rs
@@ -2,6 +2,8 @@
 
 /// When a target started, in milliseconds since 1970; 0 where it doesn't say.
 pub type Born = u64;
+/// Digest of what a request asks for and who asks, the same for each attempt.
+pub type ContentDigest = u64;
 /// A customer, as named in the configuration.
 pub type CustomerId = String;
 /// A data centre, as named in the settings of each daemon and of each target.
--- a/crates/lilaccrankd/src/callers/caller_request.rs
+++ b/crates/lilaccrankd/src/callers/caller_request.rs
@@ -10,10 +10,11 @@
 use hyper::http::request::Parts;
 use indexmap::IndexMap;
 use lilaccrank::error_kind::ErrorKind;
-use lilaccrank::ids::{DataCentre, Rank, RequestId, Tier};
+use lilaccrank::ids::{ContentDigest, DataCentre, Rank, RequestId, Tier};
 use lilaccrank::prompt;
 use lilaccrank::request::Facts;
 use serde_json::Value;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::callers::answers::ScopedKey;
 use crate::callers::protocol::Reading;
@@ -133,6 +134,25 @@
         self.caller_id.as_deref().unwrap_or(id)
     }
 
+    /// Digest of what the request asks for and who asks: attempts with other ids have the same one.
+    #[must_use]
+    pub fn content(&self) -> ContentDigest {
+        let mut hash = Xxh3::new();
+        let uri = self.head.uri.path_and_query();
+        let uri = uri.map_or("/", |uri| uri.as_str());
+        let parts = [
+            self.facts.customer.as_bytes(),
+            self.head.method.as_str().as_bytes(),
+            uri.as_bytes(),
+            &self.body,
+        ];
+        for part in parts {
+            hash.update(&part.len().to_le_bytes());
+            hash.update(part);
+        }
+        hash.digest()
+    }
+
     /// The request key in its customer's scope.
     #[must_use]
     pub fn scoped_key(&self) -> Option<ScopedKey> {
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -1,5 +1,6 @@
 //! Takes a caller's request in: who sends it, what it says, what the rules decide.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -120,6 +121,7 @@
         arrived,
         caller,
         charge,
+        content: OnceCell::new(),
         id,
         route,
     };
--- a/crates/lilaccrankd/src/callers/refusal.rs
+++ b/crates/lilaccrankd/src/callers/refusal.rs
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug, Error)]
 #[error("{kind}: {message}")]
 pub struct Refusal {
+    /// Whether the target's connection ended before its answer did.
+    pub connection_lost: bool,
     /// The reason.
     pub kind: ErrorKind,
     /// What the caller can do about it.
@@ -53,6 +55,7 @@
     pub fn new(kind: ErrorKind, message: impl Into<String>) -> Self {
         let answer = kind.answer();
         Self {
+            connection_lost: false,
             kind,
             message: message.into(),
             ran: answer.ran,
@@ -60,6 +63,13 @@
         }
     }
 
+    /// The same where the target's connection ended before its answer did.
+    #[must_use]
+    pub fn connection_lost(mut self) -> Self {
+        self.connection_lost = true;
+        self
+    }
+
     /// The same with another time to come back.
     #[must_use]
     pub fn retry_after(mut self, after: Duration) -> Self {
--- a/crates/lilaccrankd/src/request/life.rs
+++ b/crates/lilaccrankd/src/request/life.rs
@@ -1,5 +1,6 @@
 //! The life of one request from its route to its end: waiting, granted, ended.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -7,7 +8,7 @@
 use futures::pin_mut;
 use lilaccrank::dispatch::message::{Ask, PartialAnswer, Refuse};
 use lilaccrank::error_kind::{ErrorKind, Ran};
-use lilaccrank::ids::{RequestId, TargetId};
+use lilaccrank::ids::{ContentDigest, RequestId, TargetId};
 use lilaccrank::rules::matching::Route;
 use lilaccrank::timeline::{EventKind, Subject};
 
@@ -36,6 +37,8 @@
     pub caller: CallerRequest,
     /// What it took out of its customer's quota.
     pub charge: Option<Charge>,
+    /// Digest of the caller's request, once it is needed.
+    pub content: OnceCell<ContentDigest>,
     /// Its id.
     pub id: RequestId,
     /// What the rules decided.
@@ -139,6 +142,12 @@
         }
     }
 
+    /// Digest of the caller's request.
+    #[must_use]
+    pub fn content(&self) -> ContentDigest {
+        *self.content.get_or_init(|| self.caller.content())
+    }
+
     /// What it is called in logs.
     #[must_use]
     pub fn name(&self) -> &str {
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -287,7 +287,7 @@
 /// hold a slot that nobody has.
 fn lost_with_its_target(run: &Run) -> Failed {
     let refusal = Refusal::new(ErrorKind::TargetFailed, "the target has started again");
-    let mut lost = failed(refusal.ran(Ran::Maybe));
+    let mut lost = failed(refusal.ran(Ran::Maybe).connection_lost());
     if run.has_head() {
         lost.how = Failure::BrokenOff;
     }
--- a/crates/lilaccrankd/src/request/sends.rs
+++ b/crates/lilaccrankd/src/request/sends.rs
@@ -100,6 +100,8 @@
                 || daemon.second_sends.take(daemon, &routed.route.pool));
         log::info!(
             again = again,
+            connection_lost = failed.refusal.connection_lost,
+            content:% = format_args!("{:016x}", routed.content()),
             how:? = failed.how,
             kind:% = failed.refusal.kind,
             request = routed.name(),
--- a/crates/lilaccrankd/src/targets/call.rs
+++ b/crates/lilaccrankd/src/targets/call.rs
@@ -46,5 +46,10 @@
     } else {
         Ran::Maybe
     };
-    Refusal::new(kind, e.to_string()).ran(ran)
+    let refusal = Refusal::new(kind, e.to_string()).ran(ran);
+    if e.is_connection_lost() {
+        refusal.connection_lost()
+    } else {
+        refusal
+    }
 }
--- a/crates/lilaccrankd/src/targets/engine_run.rs
+++ b/crates/lilaccrankd/src/targets/engine_run.rs
@@ -121,10 +121,8 @@
             Step::Token => progress.token(observer),
         }
     }
-    Err(Refusal::new(
-        ErrorKind::BrokenAnswer,
-        "the target closed the stream before its end",
-    ))
+    let message = "the target closed the stream before its end";
+    Err(Refusal::new(ErrorKind::BrokenAnswer, message).connection_lost())
 }
 
 struct Progress {
--- a/crates/lilaccrankd/src/targets/engine_stream.rs
+++ b/crates/lilaccrankd/src/targets/engine_stream.rs
@@ -196,7 +196,11 @@
         // target then died or hung.
         if cause == Cause::Closed || self.received > 0 {
             let message = "the target stopped in its answer, which could not be resumed";
-            return Err(Refusal::new(ErrorKind::BrokenAnswer, message));
+            let refusal = Refusal::new(ErrorKind::BrokenAnswer, message);
+            return Err(match cause {
+                Cause::Closed => refusal.connection_lost(),
+                Cause::Silent => refusal,
+            });
         }
         Err(Refusal::new(
             ErrorKind::TargetSilent,
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -172,7 +172,7 @@
             let Some(frame) = frame else {
                 break;
             };
-            let frame = frame.map_err(|_| broken("the target broke off its answer", begun))?;
+            let frame = frame.map_err(|_| lost("the target broke off its answer", begun))?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
@@ -220,7 +220,7 @@
             let Some(frame) = frame else {
                 break;
             };
-            let frame = frame.map_err(|_| passed.broken("the target broke off its stream"))?;
+            let frame = frame.map_err(|_| passed.lost("the target broke off its stream"))?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
@@ -243,7 +243,7 @@
             }
         }
         if cutter.is_in_event() {
-            return Err(passed.broken("the stream ended inside an event"));
+            return Err(passed.lost("the stream ended inside an event"));
         }
         self.run.set_head(passed_on(&head));
         Ok(())
@@ -274,6 +274,10 @@
         broken(message, self.events > 0)
     }
 
+    fn lost(&self, message: &str) -> Failed {
+        lost(message, self.events > 0)
+    }
+
     fn silent(&self) -> Failed {
         let mut silent = self.broken("the target went silent in its stream");
         if self.events == 0 {
@@ -306,12 +310,19 @@
     broken
 }
 
+fn lost(message: &str, begun: bool) -> Failed {
+    let mut lost = broken(message, begun);
+    lost.refusal.connection_lost = true;
+    lost
+}
+
 fn unanswered(e: &client::Error) -> Failed {
     let kind = match e {
         client::Error::Silent { .. } => ErrorKind::TargetSilent,
         client::Error::Connect { .. } | client::Error::Exchange { .. } => ErrorKind::TargetFailed,
     };
     let mut unanswered = failed(kind, e.to_string());
+    unanswered.refusal.connection_lost = e.is_connection_lost();
     if e.sent_nothing() {
         unanswered.how = Failure::Unsent;
         unanswered.refusal.ran = Ran::No;
