A request under which three targets crash is quarantined, at all daemons

What callers saw: one request, sent again and again by its caller, ended 42 and 28 engines; whatever ran beside it was lost (502), and the rest of the pool was too small. Cause: no memory across attempts. Each attempt has an id of its own, and a daemon forgot its sends with it; none told another. Ruled out: second sends within one attempt (16 of 21 crashes were an attempt's first); late recognition (no send to a life that had ended). Change: advisories, facts that daemons tell each other. A connection that ends before its answer is a crash of that target's life under that content; three lives within ten minutes quarantine it: 503, not run, with the time left as Retry-After. A complete answer clears it. New facts go to the cell with the next load update, within some 25 ms; to all others, to daemons that start and over healed cuts by the question to a watcher that each daemon asks five times a second anyway (revisions both ways, nothing told when nothing is new). Weighed: an object in the platform's store (calls are counted, and it has outages); quarantine after two crashes (in the record some twenty innocent requests lost two targets each, and four crashes came within 140 ms at four daemons, before any word can travel).

--- /dev/null
+++ b/crates/lilaccrank/src/advisories.rs
@@ -0,0 +1,235 @@
+//! Advisories: facts that one daemon has learnt and that all daemons have to act on.
+//!
+//! Each daemon keeps the facts that it knows, up to a number and an age. Those it has learnt lately go to
+//! its cell with the next load updates; all others reach each daemon by [`sync`], which also serves a
+//! daemon that has just started and both sides of a healed partition. Merging is idempotent and does not
+//! depend on the order, so that facts may come twice, late and by any way.
+
+use std::cmp::Reverse;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::ContentDigest;
+use crate::target_life::LifeDigest;
+
+pub mod sync;
+
+/// Targets that have to crash under the same content before it is quarantined. Other requests are on a
+/// target that crashes, too, and are seldom on three of them.
+pub const QUARANTINE_CRASHES: usize = 3;
+/// How long a fact is known.
+pub const LIFETIME: Duration = Duration::from_secs(600);
+/// Facts kept.
+pub const CAPACITY: usize = 1_024;
+/// Load updates that carry a new fact. More than one may be lost on a bad link.
+const UPDATES: u8 = 3;
+
+/// Position of a fact in the order in which a daemon has learnt its facts.
+pub type Revision = u64;
+
+/// Something that was seen.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub enum Fact {
+    /// A target ended while it had a request with this content.
+    #[serde(rename = "c")]
+    Crash {
+        /// The content.
+        content: ContentDigest,
+        /// The target.
+        target: LifeDigest,
+    },
+    /// A target answered a request with this content completely.
+    #[serde(rename = "d")]
+    Completed {
+        /// The content.
+        content: ContentDigest,
+    },
+}
+
+/// A fact as daemons tell it to each other.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Advisory {
+    /// Milliseconds since it was seen.
+    pub age_ms: u32,
+    /// What was seen.
+    pub fact: Fact,
+}
+
+/// Facts that one daemon knows.
+#[derive(Debug, Default)]
+pub struct Advisories {
+    facts: IndexMap<Fact, Record>,
+    revision: Revision,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    revision: Revision,
+    seen: Instant,
+    /// Load updates that have carried it.
+    updates: u8,
+}
+
+impl Fact {
+    fn content(self) -> ContentDigest {
+        match self {
+            Self::Crash { content, .. } | Self::Completed { content } => content,
+        }
+    }
+}
+
+impl Record {
+    fn is_current(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.seen) < LIFETIME
+    }
+}
+
+impl Advisories {
+    /// Whether nothing is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.facts.is_empty()
+    }
+
+    /// Number of known facts.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.facts.len()
+    }
+
+    /// Takes in what this daemon has just seen itself. Returns whether that is new.
+    pub fn note(&mut self, fact: Fact, now: Instant) -> bool {
+        self.insert(fact, now, 0, now)
+    }
+
+    /// Takes in what another daemon tells. Returns the facts that are new.
+    pub fn merge(&mut self, advisories: &[Advisory], now: Instant) -> Vec<Fact> {
+        self.merge_with(advisories, 0, now)
+    }
+
+    /// Takes in load updates of a daemon of the same cell, whose other daemons hear them as well.
+    pub fn merge_update(&mut self, advisories: &[Advisory], now: Instant) -> Vec<Fact> {
+        self.merge_with(advisories, UPDATES, now)
+    }
+
+    /// How long requests with this content are still quarantined: enough targets crashed under it, and
+    /// none has completed it.
+    #[must_use]
+    pub fn quarantine(&self, content: ContentDigest, now: Instant) -> Option<Duration> {
+        let mut seen: Vec<_> = self.crashes(content, now).collect();
+        seen.sort_unstable_by_key(|at| Reverse(*at));
+        let earliest = seen.get(QUARANTINE_CRASHES - 1)?;
+        (*earliest + LIFETIME).checked_duration_since(now)
+    }
+
+    /// Whether a target crashed under this content lately.
+    #[must_use]
+    pub fn is_suspect(&self, content: ContentDigest, now: Instant) -> bool {
+        self.crashes(content, now).next().is_some()
+    }
+
+    /// New facts for the next load update, `limit` at most.
+    pub fn take_updates(&mut self, limit: usize, now: Instant) -> Vec<Advisory> {
+        let new = self.facts.iter_mut();
+        let new = new.filter(|(_, record)| record.updates < UPDATES && record.is_current(now));
+        let taken = new.take(limit).map(|(fact, record)| {
+            record.updates += 1;
+            advisory(*fact, record, now)
+        });
+        taken.collect()
+    }
+
+    /// Facts learnt after `revision`, `limit` at most, and the revision up to which that is all.
+    fn after(&self, revision: Revision, limit: usize, now: Instant) -> (Vec<Advisory>, Revision) {
+        let later = self.facts.iter();
+        let later = later.filter(|(_, record)| record.revision > revision);
+        let mut later: Vec<_> = later.collect();
+        later.sort_unstable_by_key(|(_, record)| record.revision);
+        let up_to = match later.get(limit) {
+            Some(_) => later[limit - 1].1.revision,
+            None => self.revision,
+        };
+        let told = later.into_iter().take(limit);
+        let told = told.filter(|(_, record)| record.is_current(now));
+        let told = told.map(|(fact, record)| advisory(*fact, record, now));
+        (told.collect(), up_to)
+    }
+
+    fn merge_with(&mut self, advisories: &[Advisory], updates: u8, now: Instant) -> Vec<Fact> {
+        let mut new = Vec::new();
+        for advisory in advisories {
+            let age = Duration::from_millis(advisory.age_ms.into());
+            let seen = now.checked_sub(age).unwrap_or(now);
+            if age < LIFETIME && self.insert(advisory.fact, seen, updates, now) {
+                new.push(advisory.fact);
+            }
+        }
+        new
+    }
+
+    fn insert(&mut self, fact: Fact, seen: Instant, updates: u8, now: Instant) -> bool {
+        self.facts.retain(|_, record| record.is_current(now));
+        if self.facts.contains_key(&fact) || !self.adds(fact, now) {
+            return false;
+        }
+        if let Fact::Completed { content } = fact {
+            self.facts.retain(|fact, _| fact.content() != content);
+        }
+        self.revision += 1;
+        let record = Record {
+            revision: self.revision,
+            seen,
+            updates,
+        };
+        self.facts.insert(fact, record);
+        if self.facts.len() > CAPACITY {
+            self.evict();
+        }
+        true
+    }
+
+    /// Whether a fact tells more than what is known.
+    fn adds(&self, fact: Fact, now: Instant) -> bool {
+        let content = fact.content();
+        match fact {
+            Fact::Crash { .. } => {
+                !self.facts.contains_key(&Fact::Completed { content })
+                    && self.crashes(content, now).count() < QUARANTINE_CRASHES
+            }
+            Fact::Completed { .. } => true,
+        }
+    }
+
+    /// When targets crashed under this content.
+    fn crashes(&self, content: ContentDigest, now: Instant) -> impl Iterator<Item = Instant> {
+        let crashes = self.facts.iter().filter(move |(fact, record)| {
+            matches!(fact, Fact::Crash { content: of, .. } if *of == content)
+                && record.is_current(now)
+        });
+        crashes.map(|(_, record)| record.seen)
+    }
+
+    /// Drops the oldest fact that no quarantine rests on.
+    fn evict(&mut self) {
+        let mut crashes: IndexMap<ContentDigest, usize> = IndexMap::new();
+        for fact in self.facts.keys() {
+            *crashes.entry(fact.content()).or_default() += 1;
+        }
+        let is_quarantined = |fact: &Fact| crashes[&fact.content()] >= QUARANTINE_CRASHES;
+        let facts = self.facts.iter().enumerate();
+        let oldest = facts.min_by_key(|(_, (fact, record))| (is_quarantined(fact), record.seen));
+        if let Some((index, _)) = oldest {
+            self.facts.swap_remove_index(index);
+        }
+    }
+}
+
+fn advisory(fact: Fact, record: &Record, now: Instant) -> Advisory {
+    let age = now.saturating_duration_since(record.seen);
+    Advisory {
+        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        fact,
+    }
+}
--- a/crates/lilaccrank/src/error_kind.rs
+++ b/crates/lilaccrank/src/error_kind.rs
@@ -64,6 +64,9 @@
     /// Work of this tier is being shed.
     #[display("overloaded")]
     Overloaded,
+    /// Too many targets crashed while they ran the same request.
+    #[display("quarantined")]
+    Quarantined,
     /// A limit of rate or concurrency is reached.
     #[display("rate_limited")]
     RateLimited,
@@ -106,7 +109,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the list.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::AlreadyRun,
         Self::BadRequest,
         Self::BrokenAnswer,
@@ -122,6 +125,7 @@
         Self::NotFound,
         Self::NotReady,
         Self::Overloaded,
+        Self::Quarantined,
         Self::RateLimited,
         Self::RefusedByRule,
         Self::StoreUnavailable,
@@ -158,6 +162,7 @@
             Self::NotFound => (404, Ran::No, false),
             Self::NotReady => (503, Ran::No, true),
             Self::Overloaded => (503, Ran::No, true),
+            Self::Quarantined => (503, Ran::No, true),
             Self::RateLimited => (429, Ran::No, true),
             Self::RefusedByRule => (403, Ran::No, false),
             Self::StoreUnavailable => (503, Ran::No, true),
--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -4,6 +4,7 @@
 //! without the daemon. Sizes are in bytes, lengths in tokens, times in [`std::time::Duration`]
 //! unless a name says otherwise.
 
+pub mod advisories;
 pub mod attempts;
 pub mod backoff;
 pub mod cells;
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -1,5 +1,7 @@
 //! Tests of the library, in one crate; a folder beside this file holds them by subject.
 
+#[path = "suite/advisories.rs"]
+mod advisories;
 #[path = "suite/attempts.rs"]
 mod attempts;
 #[path = "suite/cells.rs"]
--- /dev/null
+++ b/crates/lilaccrank/tests/suite/advisories.rs
@@ -0,0 +1,270 @@
+//! Facts that daemons learn and tell each other, and the quarantine that rests on them.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use lilaccrank::advisories::sync::{self, Cursors};
+use lilaccrank::advisories::{Advisories, Advisory, CAPACITY, Fact, LIFETIME, QUARANTINE_CRASHES};
+use lilaccrank::ids::VmId;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+
+const CONTENT: u64 = 7;
+
+fn crash(content: u64, target: u32) -> Fact {
+    Fact::Crash { content, target }
+}
+
+fn crashed(targets: u32, now: Instant) -> Advisories {
+    let mut known = Advisories::default();
+    for target in 0..targets {
+        known.note(crash(CONTENT, target), now);
+    }
+    known
+}
+
+/// Whether the content is quarantined after these facts.
+macro_rules! quarantine {
+    ($name:ident, $facts:expr, $expected:literal) => {
+        #[test]
+        fn $name() {
+            let now = Instant::now();
+            let mut known = Advisories::default();
+            for fact in $facts {
+                known.note(fact, now);
+            }
+            assert_eq!(known.quarantine(CONTENT, now).is_some(), $expected);
+        }
+    };
+}
+
+const COMPLETED: Fact = Fact::Completed { content: CONTENT };
+
+quarantine!(two_crashes, [crash(7, 1), crash(7, 2)], false);
+quarantine!(three_crashes, [crash(7, 1), crash(7, 2), crash(7, 3)], true);
+quarantine!(
+    one_target_three_times,
+    [crash(7, 1), crash(7, 1), crash(7, 1)],
+    false
+);
+quarantine!(
+    other_contents,
+    [crash(7, 1), crash(8, 2), crash(9, 3)],
+    false
+);
+quarantine!(
+    answered_before_the_third,
+    [crash(7, 1), crash(7, 2), COMPLETED, crash(7, 3)],
+    false
+);
+quarantine!(
+    answered_after_the_third,
+    [crash(7, 1), crash(7, 2), crash(7, 3), COMPLETED],
+    false
+);
+
+#[test]
+fn a_quarantine_lapses() {
+    let now = Instant::now();
+    let known = crashed(3, now);
+    let almost = LIFETIME - Duration::from_secs(1);
+    assert_eq!(
+        known.quarantine(CONTENT, now + almost),
+        Some(LIFETIME - almost)
+    );
+    assert_eq!(known.quarantine(CONTENT, now + LIFETIME), None);
+}
+
+#[test]
+fn ages_add_up_over_daemons() {
+    let now = Instant::now();
+    let mut first = crashed(3, now);
+    let mut second = Advisories::default();
+    let later = now + LIFETIME / 2;
+    second.merge(&first.take_updates(8, later), later);
+    assert_eq!(second.quarantine(CONTENT, later), Some(LIFETIME / 2));
+}
+
+// Guards against memory that grows with what is told, and against a flood that ends a quarantine.
+#[test]
+fn a_flood_of_facts_is_bounded() {
+    let now = Instant::now();
+    let mut known = crashed(3, now);
+    for content in 100..100 + 3 * CAPACITY as u64 {
+        known.note(crash(content, 1), now + Duration::from_millis(content));
+    }
+    assert_eq!(known.len(), CAPACITY);
+    assert!(
+        known
+            .quarantine(CONTENT, now + Duration::from_secs(10))
+            .is_some()
+    );
+}
+
+#[test]
+fn what_is_too_old_is_not_believed() {
+    let now = Instant::now();
+    let mut known = Advisories::default();
+    for age_ms in [LIFETIME.as_millis() as u32, u32::MAX] {
+        let told = Advisory {
+            age_ms,
+            fact: crash(CONTENT, 1),
+        };
+        assert!(known.merge(&[told], now).is_empty());
+    }
+    assert!(known.is_empty());
+}
+
+#[test]
+fn an_update_is_repeated_a_few_times() {
+    let now = Instant::now();
+    let mut known = crashed(3, now);
+    let told: Vec<_> = (0..5).map(|_| known.take_updates(8, now).len()).collect();
+    assert_eq!(told, [3, 3, 3, 0, 0]);
+}
+
+#[test]
+fn more_crashes_are_not_told() {
+    let now = Instant::now();
+    let mut known = crashed(20, now);
+    assert_eq!(known.len(), QUARANTINE_CRASHES);
+    assert_eq!(known.take_updates(32, now).len(), QUARANTINE_CRASHES);
+}
+
+/// Daemons that ask two of them, the hubs, in turn.
+struct Fleet {
+    daemons: IndexMap<VmId, Daemon>,
+    now: Instant,
+    rng: StdRng,
+}
+
+#[derive(Default)]
+struct Daemon {
+    cursors: Cursors,
+    incarnation: u64,
+    known: Advisories,
+    told: usize,
+}
+
+impl Fleet {
+    fn new(daemons: usize, seed: u64) -> Self {
+        let daemon = |number| (format!("vm-{number}"), Daemon::default());
+        Self {
+            daemons: (0..daemons).map(daemon).collect(),
+            now: Instant::now(),
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Each daemon asks one hub that it reaches; one exchange in ten is lost on its way back.
+    fn round(&mut self, reaches: impl Fn(usize, usize) -> bool) {
+        self.now += Duration::from_millis(200);
+        for asker in 0..self.daemons.len() {
+            let hubs = [0, 1].into_iter();
+            let hubs: Vec<_> = hubs
+                .filter(|hub| *hub != asker && reaches(asker, *hub))
+                .collect();
+            if let Some(hub) = hubs.choose(&mut self.rng).copied() {
+                let is_lost = self.rng.random_bool(0.1);
+                self.ask(asker, hub, is_lost);
+            }
+        }
+    }
+
+    fn ask(&mut self, asker: usize, hub: usize, is_lost: bool) {
+        let name = format!("vm-{hub}");
+        let now = self.now;
+        let daemon = &mut self.daemons[asker];
+        let pull = daemon.cursors.pull(&name, &daemon.known, now);
+        daemon.told += pull.pushed.len();
+        let hub = &mut self.daemons[hub];
+        let (page, _) = sync::answer(&pull, &mut hub.known, hub.incarnation, now);
+        hub.told += page.advisories.len();
+        if !is_lost {
+            let daemon = &mut self.daemons[asker];
+            daemon.cursors.take(&name, &page, &mut daemon.known, now);
+        }
+    }
+
+    fn restart(&mut self, daemon: usize) {
+        let incarnation = self.daemons[daemon].incarnation + 1;
+        self.daemons[daemon] = Daemon {
+            incarnation,
+            ..Daemon::default()
+        };
+    }
+
+    fn note(&mut self, daemon: usize, target: u32) {
+        let now = self.now;
+        self.daemons[daemon].known.note(crash(CONTENT, target), now);
+    }
+
+    fn knowing(&self) -> usize {
+        let daemons = self.daemons.values();
+        let knows = |daemon: &&Daemon| daemon.known.quarantine(CONTENT, self.now).is_some();
+        daemons.filter(knows).count()
+    }
+}
+
+/// Rounds in which all daemons have to know: three seconds.
+const ROUNDS: usize = 15;
+
+// Guards against a crash that stays with the daemon that saw it: each of three saw one.
+#[test]
+fn crashes_seen_apart_reach_all_daemons() {
+    for (daemons, seed) in [(3, 1), (7, 2), (91, 3), (700, 4)] {
+        let mut fleet = Fleet::new(daemons, seed);
+        for target in 0..3 {
+            fleet.note(daemons - 1 - target, target as u32);
+        }
+        for _ in 0..ROUNDS {
+            fleet.round(|_, _| true);
+        }
+        assert_eq!(fleet.knowing(), daemons);
+        let told: usize = fleet.daemons.values().map(|daemon| daemon.told).sum();
+        assert!(told <= 20 * daemons, "{told} facts told among {daemons}");
+        let before = told;
+        fleet.round(|_, _| true);
+        fleet.round(|_, _| true);
+        let told: usize = fleet.daemons.values().map(|daemon| daemon.told).sum();
+        assert_eq!(told, before, "nothing new, nothing told");
+    }
+}
+
+// Guards against a quarantine that is lost with the daemons that were asked, or with a restart.
+#[test]
+fn a_quarantine_outlives_restarts() {
+    let mut fleet = Fleet::new(7, 5);
+    for target in 0..3 {
+        fleet.note(4, target);
+    }
+    for _ in 0..ROUNDS {
+        fleet.round(|_, _| true);
+    }
+    for daemon in [0, 1, 5] {
+        fleet.restart(daemon);
+    }
+    for _ in 0..ROUNDS {
+        fleet.round(|_, _| true);
+    }
+    assert_eq!(fleet.knowing(), 7);
+}
+
+// Guards against a partition whose sides each know a part of the crashes for ever.
+#[test]
+fn both_sides_of_a_partition_meet() {
+    let mut fleet = Fleet::new(8, 6);
+    let side = |daemon: usize| daemon % 2;
+    for (daemon, target) in [(2, 1), (3, 2), (5, 3)] {
+        fleet.note(daemon, target);
+    }
+    for _ in 0..ROUNDS {
+        fleet.round(|a, b| side(a) == side(b));
+    }
+    assert_eq!(fleet.knowing(), 0);
+    for _ in 0..ROUNDS {
+        fleet.round(|_, _| true);
+    }
+    assert_eq!(fleet.knowing(), 8);
+}
--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -51,14 +51,19 @@
 }
 
 /// Answers another daemon.
-pub fn answer(daemon: &Daemon, asked: FeedAsk) -> Feed {
+pub fn answer(daemon: &Daemon, asked: &FeedAsk) -> Feed {
     let listing = daemon.live_list.listing();
     let asker_has = Listing {
         revision: asked.revision,
         ..Listing::default()
     };
     let now = MonoioClock.boot();
+    let incarnation = daemon.duties.me().incarnation;
+    let cell = &daemon.load_exchange;
     Feed {
+        advisories: daemon
+            .advisories
+            .answer(&asked.advisories, incarnation, cell),
         age: daemon.adoption.age(now),
         identity: daemon.adoption.identity(),
         direct_age: daemon.heard.direct_age(now),
@@ -89,12 +94,15 @@
     let asked = MonoioClock.boot();
     let known = daemon.live_list.listing();
     let req = FeedAsk {
+        advisories: daemon.advisories.pull(vm),
         revision: known.revision,
     };
     let told: Feed = match daemon.peers.call(vm, req).await {
         Ok(told) => told,
         Err(e) => return log::debug!("nothing heard from {vm}: {e}"),
     };
+    let cell = &daemon.load_exchange;
+    daemon.advisories.take(vm, &told.advisories, cell);
     if let Some(listing) = told.listing {
         live_list::take(daemon, listing);
     }
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::configuration::heard::Heard;
 use crate::configuration::in_force::InForce;
 use crate::orders::keeper::{self, OrderKeeper};
+use crate::peers::advisories::SharedAdvisories;
 use crate::peers::duties::Duties;
 use crate::peers::load_exchange::LoadExchange;
 use crate::peers::network::PeerNetwork;
@@ -60,6 +61,8 @@
 pub struct Daemon {
     /// The configuration as it comes from the store or from peers.
     pub adoption: Adoption,
+    /// What this and other daemons have learnt of requests and targets.
+    pub advisories: SharedAdvisories,
     /// Answers of keyed requests.
     pub answers: Answers,
     /// Settings.
@@ -168,6 +171,7 @@
         let order_keeper = OrderKeeper::new(&cfg, incarnation, store.clone());
         Ok(Self {
             adoption: Adoption::new(),
+            advisories: SharedAdvisories::default(),
             answers: Answers::new(
                 Duration::from_millis(cfg.answer_ttl_ms),
                 cfg.answer_cache_bytes,
--- a/crates/lilaccrankd/src/peers.rs
+++ b/crates/lilaccrankd/src/peers.rs
@@ -1,5 +1,6 @@
 //! Other daemons: who they are, what they are told, and what that costs.
 
+pub mod advisories;
 pub mod changes;
 pub mod duties;
 pub mod load_exchange;
--- /dev/null
+++ b/crates/lilaccrankd/src/peers/advisories.rs
@@ -0,0 +1,129 @@
+//! Advisories of this daemon, and their exchange with others.
+
+use std::cell::RefCell;
+use std::time::{Duration, Instant};
+
+use lilaccrank::advisories::sync::{self, Cursors, Page, Pull};
+use lilaccrank::advisories::{Advisories, Advisory, Fact};
+use lilaccrank::ids::{ContentDigest, Incarnation, VmId};
+use lilaccrank::target_life::TargetLife;
+
+use crate::peers::load_exchange::LoadExchange;
+
+/// Advisories in one load update; the rest goes with the next one.
+const UPDATE_LIMIT: usize = 32;
+
+/// What this daemon and others have learnt.
+#[derive(Default)]
+pub struct SharedAdvisories {
+    cursors: RefCell<Cursors>,
+    known: RefCell<Advisories>,
+}
+
+impl SharedAdvisories {
+    /// A target ended while it had a request with this content.
+    pub fn crashed(&self, content: ContentDigest, target: &TargetLife, cell: &LoadExchange) {
+        let fact = Fact::Crash {
+            content,
+            target: target.digest(),
+        };
+        self.note(fact, cell);
+    }
+
+    /// A target answered a request completely, whose content is `content()`.
+    pub fn completed(&self, content: impl FnOnce() -> ContentDigest, cell: &LoadExchange) {
+        if self.known.borrow().is_empty() {
+            return;
+        }
+        let content = content();
+        if self.known.borrow().is_suspect(content, Instant::now()) {
+            self.note(Fact::Completed { content }, cell);
+        }
+    }
+
+    /// How long a request is still quarantined, whose content is `content()`.
+    pub fn quarantine(&self, content: impl FnOnce() -> ContentDigest) -> Option<Duration> {
+        let known = self.known.borrow();
+        if known.is_empty() {
+            return None;
+        }
+        known.quarantine(content(), Instant::now())
+    }
+
+    /// The next question to another daemon.
+    pub fn pull(&self, vm: &VmId) -> Pull {
+        let mut cursors = self.cursors.borrow_mut();
+        cursors.pull(vm, &self.known.borrow(), Instant::now())
+    }
+
+    /// Takes in the answer of another daemon.
+    pub fn take(&self, vm: &VmId, page: &Page, cell: &LoadExchange) {
+        let new = {
+            let mut known = self.known.borrow_mut();
+            let mut cursors = self.cursors.borrow_mut();
+            cursors.take(vm, page, &mut known, Instant::now())
+        };
+        self.learnt(&new, cell);
+    }
+
+    /// Answers another daemon; `incarnation` is the life of this one.
+    pub fn answer(&self, pull: &Pull, incarnation: Incarnation, cell: &LoadExchange) -> Page {
+        let (page, new) = {
+            let mut known = self.known.borrow_mut();
+            sync::answer(pull, &mut known, incarnation, Instant::now())
+        };
+        self.learnt(&new, cell);
+        page
+    }
+
+    /// What the next load update carries.
+    pub fn take_updates(&self) -> Vec<Advisory> {
+        let mut known = self.known.borrow_mut();
+        known.take_updates(UPDATE_LIMIT, Instant::now())
+    }
+
+    /// Takes in what a load update carries.
+    pub fn heard(&self, advisories: &[Advisory]) {
+        let told = &advisories[..advisories.len().min(UPDATE_LIMIT)];
+        let new = self.known.borrow_mut().merge_update(told, Instant::now());
+        self.log(&new);
+    }
+
+    /// Forgets daemons that are members no more.
+    pub fn retain(&self, is_member: impl Fn(&VmId) -> bool) {
+        self.cursors.borrow_mut().retain(is_member);
+    }
+
+    fn note(&self, fact: Fact, cell: &LoadExchange) {
+        if self.known.borrow_mut().note(fact, Instant::now()) {
+            self.learnt(&[fact], cell);
+        }
+    }
+
+    fn learnt(&self, new: &[Fact], cell: &LoadExchange) {
+        if !new.is_empty() {
+            cell.note_change(true);
+            self.log(new);
+        }
+    }
+
+    fn log(&self, new: &[Fact]) {
+        for fact in new {
+            match *fact {
+                Fact::Crash { content, .. } => {
+                    if let Some(left) = self.quarantine(|| content) {
+                        log::warn!(
+                            content:% = format_args!("{content:016x}"),
+                            left_ms = left.as_millis() as u64;
+                            "targets crash under a request: it is quarantined"
+                        );
+                    }
+                }
+                Fact::Completed { content } => log::info!(
+                    content:% = format_args!("{content:016x}");
+                    "a request under which a target ended was answered: it is no suspect"
+                ),
+            }
+        }
+    }
+}
--- a/crates/lilaccrankd/src/peers/load_exchange.rs
+++ b/crates/lilaccrankd/src/peers/load_exchange.rs
@@ -156,6 +156,7 @@
         daemon
             .load_exchange
             .forget(|vm| membership.find(vm).is_some());
+        daemon.advisories.retain(|vm| membership.find(vm).is_some());
         monoio::time::sleep(pace).await;
         let cell = server::cell(&daemon);
         let me = &daemon.cfg.vm;
@@ -212,6 +213,7 @@
     peers: &[SocketAddr],
 ) {
     let message = LoadMessage {
+        advisories: daemon.advisories.take_updates(),
         pools: pools
             .into_iter()
             .map(|(id, digest)| (load_message::pool(&id), digest))
@@ -230,6 +232,7 @@
     let sequence = daemon.load_exchange.sequence.get() + 1;
     daemon.load_exchange.sequence.set(sequence);
     LoadMessage {
+        advisories: Vec::new(),
         cell_demand: None,
         ending: daemon.refusing.get(),
         incarnation: daemon.duties.me().incarnation,
@@ -289,6 +292,7 @@
     if !daemon.load_exchange.is_new(vm, &message) {
         return;
     }
+    daemon.advisories.heard(&message.advisories);
     let Ok(in_force) = daemon.in_force() else {
         return;
     };
--- a/crates/lilaccrankd/src/peers/load_message.rs
+++ b/crates/lilaccrankd/src/peers/load_message.rs
@@ -9,6 +9,7 @@
 
 use std::net::SocketAddr;
 
+use lilaccrank::advisories::Advisory;
 use lilaccrank::dispatch::sharing::Digest;
 use lilaccrank::ids::{Incarnation, VmId};
 use lilaccrank::membership::Member;
@@ -47,6 +48,8 @@
 /// What one daemon tells.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct LoadMessage {
+    /// What its sender has learnt lately.
+    pub advisories: Vec<Advisory>,
     /// What is asked of its sender's cell, if it speaks for it.
     pub cell_demand: Option<CellDemand<CustomerDigest>>,
     /// Life of its sender.
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use derive_more::{From, TryInto};
+use lilaccrank::advisories::sync;
 use lilaccrank::configuration::exchange;
 use lilaccrank::configuration::manifest::Identity;
 use lilaccrank::dispatch::message::{Ask, Cancel, Report, Resync, Verdict};
@@ -74,8 +75,10 @@
 }
 
 /// Asks a watcher what it knows.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct FeedAsk {
+    /// Question for advisories.
+    pub advisories: sync::Pull,
     /// Revision of the list of targets that the asker has.
     pub revision: u64,
 }
@@ -83,6 +86,8 @@
 /// Tells what a daemon knows of the platform, and how old that is.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Feed {
+    /// Advisories that the asker lacks.
+    pub advisories: sync::Page,
     /// How long ago its configuration was known to be the newest.
     pub age: Option<Duration>,
     /// How long ago the platform itself answered it.
--- a/crates/lilaccrankd/src/request/life.rs
+++ b/crates/lilaccrankd/src/request/life.rs
@@ -226,6 +226,8 @@
                 Some(held) => Ok(held),
                 None => self.wait(daemon, run, &sends).await,
             };
+            // Targets may have crashed under it elsewhere while it waited.
+            let waited = waited.and_then(|held| self.check_quarantine(daemon).map(|()| held));
             let held = match waited {
                 Ok(held) => held,
                 Err(refusal) if sends.is_first() && self.may_spill(&refusal, &key) => {
@@ -243,7 +245,11 @@
             };
             let target = held.target.clone();
             match self.send(daemon, run, held, &mut sends).await {
-                Ok(()) => return (Ok(()), Some(key)),
+                Ok(()) => {
+                    let cell = &daemon.load_exchange;
+                    daemon.advisories.completed(|| self.content(), cell);
+                    return (Ok(()), Some(key));
+                }
                 Err(Unfinished::Migrated(held)) => {
                     sends.migrated(target);
                     granted = Some(held);
@@ -257,7 +263,17 @@
         }
     }
 
+    fn check_quarantine(&self, daemon: &Daemon) -> Result<()> {
+        let Some(left) = daemon.advisories.quarantine(|| self.content()) else {
+            return Ok(());
+        };
+        let content = self.content();
+        let message = format!("targets crashed under the same request, {content:016x}");
+        Err(Refusal::new(ErrorKind::Quarantined, message).retry_after(left))
+    }
+
     async fn wait(&self, daemon: &Rc<Daemon>, run: &Run, sends: &Sends) -> Result<Held> {
+        self.check_quarantine(daemon)?;
         daemon.record(
             EventKind::Asked,
             self.subject(self.route.pool.clone(), None),
--- a/crates/lilaccrankd/src/request/sends.rs
+++ b/crates/lilaccrankd/src/request/sends.rs
@@ -86,6 +86,10 @@
         run: &Run,
     ) -> Option<Result<()>> {
         self.prior.exclusions.push(target.clone());
+        if failed.refusal.connection_lost {
+            let cell = &daemon.load_exchange;
+            daemon.advisories.crashed(routed.content(), &target, cell);
+        }
         if failed.how == Failure::BrokenOff {
             // Counted from the request's arrival, the time for the first part is over by now, and a
             // stream that finds all targets full would be given up with all that its caller has read.
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -191,7 +191,7 @@
         }
         .into(),
         PeerRequest::Key(req) => daemon.keeper.handle(req).await.into(),
-        PeerRequest::Feed(asked) => feed::answer(&daemon, asked).into(),
+        PeerRequest::Feed(asked) => feed::answer(&daemon, &asked).into(),
         PeerRequest::Order(req) => jobs::answer(&daemon, req).into(),
         PeerRequest::Pool(req) => pools::server::handle(&daemon, req).into(),
     };
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_ENCODING;
+use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use lilaccrank::attempts::Failure;
 use lilaccrank::error_kind::{ErrorKind, Ran};
@@ -243,7 +243,9 @@
             }
         }
         if cutter.is_in_event() {
-            return Err(passed.lost("the stream ended inside an event"));
+            let mut torn = passed.broken("the stream ended inside an event");
+            torn.refusal.connection_lost = ends_with_connection(&head);
+            return Err(torn);
         }
         self.run.set_head(passed_on(&head));
         Ok(())
@@ -294,6 +296,12 @@
     }
 }
 
+/// Whether an answer has no length, so that the end of its connection is its own.
+fn ends_with_connection(head: &Parts) -> bool {
+    let framed = [CONTENT_LENGTH, TRANSFER_ENCODING];
+    !framed.iter().any(|name| head.headers.contains_key(name))
+}
+
 fn failed(kind: ErrorKind, message: impl Into<String>) -> Failed {
     Failed {
         answer: None,
--- a/crates/lilaccrankd/tests/suite/load_message.rs
+++ b/crates/lilaccrankd/tests/suite/load_message.rs
@@ -45,6 +45,7 @@
     };
     let rates = vec![(load_message::customer("hotel"), 3_000)];
     LoadMessage {
+        advisories: Vec::new(),
         cell_demand: Some(CellDemand {
             cell: CellId { count: 4, index: 1 },
             members: 9,
