Daemons learn and log the rate limits that targets advertise

What is advertised is a fact beside the crashes: told to all daemons once it changes and every 15 s while it is still advertised, forgotten after a minute without an answer. An answer of another target at the address, a failure without the header and a number that is none tell nothing. No decision rests on it yet.

--- a/crates/lilaccrank/src/advisories.rs
+++ b/crates/lilaccrank/src/advisories.rs
@@ -19,8 +19,12 @@
 /// Targets that have to crash under the same content before it is quarantined. Other requests are on a
 /// target that crashes, too, and are seldom on three of them.
 pub const QUARANTINE_CRASHES: usize = 3;
-/// How long a fact is known.
+/// How long crashes are known.
 pub const LIFETIME: Duration = Duration::from_secs(600);
+/// How long an advertised rate limit holds after an answer that told of it.
+pub const RATE_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
+/// Age from which a rate limit that is still advertised is told again.
+const REFRESH: Duration = Duration::from_secs(15);
 /// Facts kept.
 pub const CAPACITY: usize = 1_024;
 /// Load updates that carry a new fact. More than one may be lost on a bad link.
@@ -46,6 +50,14 @@
         /// The content.
         content: ContentDigest,
     },
+    /// A target told with its latest answer how many requests it takes from all daemons.
+    #[serde(rename = "r")]
+    RateLimit {
+        /// Requests in 1,000 seconds; `None` if there is no limit any more.
+        per_1000_s: Option<u32>,
+        /// The target.
+        target: LifeDigest,
+    },
 }
 
 /// A fact as daemons tell it to each other.
@@ -60,12 +72,21 @@
 /// Facts that one daemon knows.
 #[derive(Debug, Default)]
 pub struct Advisories {
-    facts: IndexMap<Fact, Record>,
+    facts: IndexMap<Key, Record>,
     revision: Revision,
 }
 
+/// What a fact is about; a later one about the same takes its place.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Key {
+    Completed(ContentDigest),
+    Crash(ContentDigest, LifeDigest),
+    RateLimit(LifeDigest),
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Record {
+    fact: Fact,
     revision: Revision,
     seen: Instant,
     /// Load updates that have carried it.
@@ -73,16 +94,50 @@
 }
 
 impl Fact {
-    fn content(self) -> ContentDigest {
+    fn key(self) -> Key {
+        match self {
+            Self::Completed { content } => Key::Completed(content),
+            Self::Crash { content, target } => Key::Crash(content, target),
+            Self::RateLimit { target, .. } => Key::RateLimit(target),
+        }
+    }
+
+    fn content(self) -> Option<ContentDigest> {
         match self {
-            Self::Crash { content, .. } | Self::Completed { content } => content,
+            Self::Crash { content, .. } | Self::Completed { content } => Some(content),
+            Self::RateLimit { .. } => None,
+        }
+    }
+
+    fn lifetime(self) -> Duration {
+        match self {
+            Self::Crash { .. } | Self::Completed { .. } => LIFETIME,
+            Self::RateLimit { .. } => RATE_LIMIT_LIFETIME,
         }
     }
 }
 
 impl Record {
+    fn advisory(&self, now: Instant) -> Advisory {
+        let age = now.saturating_duration_since(self.seen);
+        Advisory {
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            fact: self.fact,
+        }
+    }
+
     fn is_current(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.seen) < LIFETIME
+        now.saturating_duration_since(self.seen) < self.fact.lifetime()
+    }
+
+    /// Whether a fact about the same, seen at another time, tells more.
+    fn is_superseded(&self, fact: Fact, seen: Instant) -> bool {
+        let later = seen.saturating_duration_since(self.seen);
+        match fact {
+            Fact::Crash { .. } | Fact::Completed { .. } => false,
+            Fact::RateLimit { .. } if fact == self.fact => later >= REFRESH,
+            Fact::RateLimit { .. } => !later.is_zero(),
+        }
     }
 }
 
@@ -130,31 +185,41 @@
         self.crashes(content, now).next().is_some()
     }
 
+    /// Advertised rate limits that hold, in requests per second.
+    pub fn rate_limits(&self, now: Instant) -> impl Iterator<Item = (LifeDigest, f64)> {
+        let current = self.facts.values();
+        let current = current.filter(move |record| record.is_current(now));
+        current.filter_map(|record| match record.fact {
+            Fact::RateLimit { per_1000_s, target } => {
+                Some((target, f64::from(per_1000_s?) / 1_000.0))
+            }
+            Fact::Crash { .. } | Fact::Completed { .. } => None,
+        })
+    }
+
     /// New facts for the next load update, `limit` at most.
     pub fn take_updates(&mut self, limit: usize, now: Instant) -> Vec<Advisory> {
-        let new = self.facts.iter_mut();
-        let new = new.filter(|(_, record)| record.updates < UPDATES && record.is_current(now));
-        let taken = new.take(limit).map(|(fact, record)| {
+        let new = self.facts.values_mut();
+        let new = new.filter(|record| record.updates < UPDATES && record.is_current(now));
+        let taken = new.take(limit).map(|record| {
             record.updates += 1;
-            advisory(*fact, record, now)
+            record.advisory(now)
         });
         taken.collect()
     }
 
     /// Facts learnt after `revision`, `limit` at most, and the revision up to which that is all.
     fn after(&self, revision: Revision, limit: usize, now: Instant) -> (Vec<Advisory>, Revision) {
-        let later = self.facts.iter();
-        let later = later.filter(|(_, record)| record.revision > revision);
-        let mut later: Vec<_> = later.collect();
-        later.sort_unstable_by_key(|(_, record)| record.revision);
+        let later = self.facts.values();
+        let mut later: Vec<_> = later.filter(|record| record.revision > revision).collect();
+        later.sort_unstable_by_key(|record| record.revision);
         let up_to = match later.get(limit) {
-            Some(_) => later[limit - 1].1.revision,
+            Some(_) => later[limit - 1].revision,
             None => self.revision,
         };
         let told = later.into_iter().take(limit);
-        let told = told.filter(|(_, record)| record.is_current(now));
-        let told = told.map(|(fact, record)| advisory(*fact, record, now));
-        (told.collect(), up_to)
+        let told = told.filter(|record| record.is_current(now));
+        (told.map(|record| record.advisory(now)).collect(), up_to)
     }
 
     fn merge_with(&mut self, advisories: &[Advisory], updates: u8, now: Instant) -> Vec<Fact> {
@@ -171,19 +236,21 @@
 
     fn insert(&mut self, fact: Fact, seen: Instant, updates: u8, now: Instant) -> bool {
         self.facts.retain(|_, record| record.is_current(now));
-        if self.facts.contains_key(&fact) || !self.adds(fact, now) {
+        if !self.tells_more(fact, seen, now) {
             return false;
         }
         if let Fact::Completed { content } = fact {
-            self.facts.retain(|fact, _| fact.content() != content);
+            let of = Some(content);
+            self.facts.retain(|_, record| record.fact.content() != of);
         }
         self.revision += 1;
         let record = Record {
+            fact,
             revision: self.revision,
             seen,
             updates,
         };
-        self.facts.insert(fact, record);
+        self.facts.insert(fact.key(), record);
         if self.facts.len() > CAPACITY {
             self.evict();
         }
@@ -191,45 +258,47 @@
     }
 
     /// Whether a fact tells more than what is known.
-    fn adds(&self, fact: Fact, now: Instant) -> bool {
-        let content = fact.content();
+    fn tells_more(&self, fact: Fact, seen: Instant, now: Instant) -> bool {
+        if let Some(known) = self.facts.get(&fact.key()) {
+            return known.is_superseded(fact, seen);
+        }
         match fact {
-            Fact::Crash { .. } => {
-                !self.facts.contains_key(&Fact::Completed { content })
+            Fact::Crash { content, .. } => {
+                !self.facts.contains_key(&Key::Completed(content))
                     && self.crashes(content, now).count() < QUARANTINE_CRASHES
             }
             Fact::Completed { .. } => true,
+            Fact::RateLimit { per_1000_s, .. } => per_1000_s.is_some(),
         }
     }
 
     /// When targets crashed under this content.
     fn crashes(&self, content: ContentDigest, now: Instant) -> impl Iterator<Item = Instant> {
-        let crashes = self.facts.iter().filter(move |(fact, record)| {
-            matches!(fact, Fact::Crash { content: of, .. } if *of == content)
+        let crashes = self.facts.values().filter(move |record| {
+            matches!(record.fact, Fact::Crash { content: of, .. } if of == content)
                 && record.is_current(now)
         });
-        crashes.map(|(_, record)| record.seen)
+        crashes.map(|record| record.seen)
     }
 
     /// Drops the oldest fact that no quarantine rests on.
     fn evict(&mut self) {
         let mut crashes: IndexMap<ContentDigest, usize> = IndexMap::new();
-        for fact in self.facts.keys() {
-            *crashes.entry(fact.content()).or_default() += 1;
+        for content in self
+            .facts
+            .values()
+            .filter_map(|record| record.fact.content())
+        {
+            *crashes.entry(content).or_default() += 1;
         }
-        let is_quarantined = |fact: &Fact| crashes[&fact.content()] >= QUARANTINE_CRASHES;
-        let facts = self.facts.iter().enumerate();
-        let oldest = facts.min_by_key(|(_, (fact, record))| (is_quarantined(fact), record.seen));
+        let is_quarantined = |fact: Fact| {
+            let content = fact.content();
+            content.is_some_and(|content| crashes[&content] >= QUARANTINE_CRASHES)
+        };
+        let records = self.facts.values().enumerate();
+        let oldest = records.min_by_key(|(_, record)| (is_quarantined(record.fact), record.seen));
         if let Some((index, _)) = oldest {
             self.facts.swap_remove_index(index);
         }
     }
 }
-
-fn advisory(fact: Fact, record: &Record, now: Instant) -> Advisory {
-    let age = now.saturating_duration_since(record.seen);
-    Advisory {
-        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-        fact,
-    }
-}
--- a/crates/lilaccrankd/src/peers/advisories.rs
+++ b/crates/lilaccrankd/src/peers/advisories.rs
@@ -9,6 +9,7 @@
 use lilaccrank::target_life::TargetLife;
 
 use crate::peers::load_exchange::LoadExchange;
+use crate::targets::protocol::RateLimit;
 
 /// Advisories in one load update; the rest goes with the next one.
 const UPDATE_LIMIT: usize = 32;
@@ -50,6 +51,20 @@
         known.quarantine(content(), Instant::now())
     }
 
+    /// A target told with an answer what rate of requests it takes.
+    pub fn rate_limited(&self, target: &TargetLife, limit: RateLimit, cell: &LoadExchange) {
+        let per_1000_s = match limit {
+            RateLimit::PerSecond(rate) => Some(per_1000_s(rate)),
+            RateLimit::Unlimited => None,
+            RateLimit::Unknown => return,
+        };
+        let fact = Fact::RateLimit {
+            per_1000_s,
+            target: target.digest(),
+        };
+        self.note(fact, cell);
+    }
+
     /// The next question to another daemon.
     pub fn pull(&self, vm: &VmId) -> Pull {
         let mut cursors = self.cursors.borrow_mut();
@@ -119,6 +134,11 @@
                         );
                     }
                 }
+                Fact::RateLimit { per_1000_s, target } => log::info!(
+                    per_s:% = per_1000_s.map_or(-1.0, |rate| f64::from(rate) / 1_000.0),
+                    target_digest = target;
+                    "a target advertises a rate limit"
+                ),
                 Fact::Completed { content } => log::info!(
                     content:% = format_args!("{content:016x}");
                     "a request under which a target ended was answered: it is no suspect"
@@ -127,3 +147,7 @@
         }
     }
 }
+
+fn per_1000_s(rate: f64) -> u32 {
+    (rate * 1_000.0).round() as u32
+}
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -26,7 +26,7 @@
 use crate::targets::engine_run::{self, Ended, EngineRequest, Observer};
 use crate::targets::engine_stream::EngineStream;
 use crate::targets::forward::{self, Failed, Forwarding, Passed};
-use crate::targets::protocol::Sending;
+use crate::targets::protocol::{RateLimit, Sending};
 use crate::targets::proxied::Proxied;
 
 /// Result of one send.
@@ -232,6 +232,13 @@
 }
 
 impl forward::Observer for Seen<'_> {
+    fn rate_limit(&self, limit: RateLimit) {
+        let cell = &self.daemon.load_exchange;
+        self.daemon
+            .advisories
+            .rate_limited(&self.held.target, limit, cell);
+    }
+
     fn event(&self, first: bool, since_sent: Duration) {
         self.tokens.set(self.tokens.get() + self.tokens_in_event);
         let now = Instant::now();
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -21,7 +21,7 @@
 use crate::callers::end_to_end;
 use crate::callers::refusal::{REFUSAL, Refusal};
 use crate::request::run::{Head, Run};
-use crate::targets::protocol::{Said, Sending, TargetProtocol};
+use crate::targets::protocol::{RateLimit, Said, Sending, TargetProtocol};
 
 /// Result of one send.
 pub type Result<T, E = Failed> = std::result::Result<T, E>;
@@ -50,6 +50,9 @@
 pub trait Observer {
     /// An event came; `first` if it is the first one.
     fn event(&self, first: bool, since_sent: Duration);
+
+    /// The target told of the rate of requests that it takes.
+    fn rate_limit(&self, limit: RateLimit);
 }
 
 /// One send that gave no whole answer.
@@ -104,7 +107,11 @@
             // Callers ask for plain bodies; what is coded was made by something in between.
             return Err(failed(ErrorKind::BrokenAnswer, "the answer is coded"));
         }
-        match self.protocol.read(&head, sending) {
+        let said = self.protocol.read(&head, sending);
+        if said != Said::Stray {
+            self.observer.rate_limit(self.protocol.rate_limit(&head));
+        }
+        match said {
             Said::Stray => {
                 let message = "the target sent the answer to another request";
                 Err(failed(ErrorKind::BrokenAnswer, message))
--- a/crates/lilaccrankd/src/targets/protocol.rs
+++ b/crates/lilaccrankd/src/targets/protocol.rs
@@ -19,6 +19,11 @@
 
     /// What the head of an answer says.
     fn read(&self, head: &Parts, sending: &Sending<'_>) -> Said;
+
+    /// What the head of an answer tells of the rate of requests that its target takes.
+    fn rate_limit(&self, _head: &Parts) -> RateLimit {
+        RateLimit::Unknown
+    }
 }
 
 /// One request on its way to one target.
@@ -38,6 +43,17 @@
     pub target: &'a Target,
 }
 
+/// Rate of requests that a target takes from all daemons together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RateLimit {
+    /// So many a second.
+    PerSecond(f64),
+    /// The answer doesn't tell.
+    Unknown,
+    /// Any.
+    Unlimited,
+}
+
 /// What a target's answer means.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Said {
