Daemons keep to the rate that a target advertises, all of them together

What was seen: engines that advertised 2.1 and 2.6 requests a second got 38 and 29 requests in four seconds, where 18 and 21 were allowed. Read by each daemon alone it would still be a multiple by the number of daemons (hypothesis 3). Change: the rate is divided between the daemons that use the target, all that share its part of the pool. Each has a token bucket for its share, which the choice of a target looks at like at its slots. Each bucket holds one request, so no more than twice the rate and three daemons share it, by rendezvous hashing; the others send elsewhere. Which rates hold comes with the advisories; an answer without the header lifts it at once, a minute without an answer too. Weighed: buckets charged with what the daemons of a cell tell each other (a token is taken by all that see it within 20 ms, and what cells share is unseen); grants by one daemon for each target (a hop for each request, and a death stops it). Tests: rate_limits (processes), two seen failing before with 96 requests in 4 s; rate_limit: shares of 1 to 700 daemons, 0.1 to 150 a second. quickcheck found an overflow for rates beyond any, mended here.

--- a/crates/lilaccrank/src/cells.rs
+++ b/crates/lilaccrank/src/cells.rs
@@ -50,10 +50,8 @@
 impl Cell {
     /// The cell of `me`, which may be missing from `members`.
     #[must_use]
-    pub fn new<'a>(members: impl IntoIterator<Item = &'a VmId>, me: &VmId) -> Self {
-        let mut ordered: IndexSet<&VmId> = members.into_iter().collect();
-        ordered.insert(me);
-        ordered.sort_by_cached_key(|vm| (rendezvous::weight(ORDER, vm), (*vm).clone()));
+    pub fn new<'a>(members: impl IntoIterator<Item = &'a VmId>, me: &'a VmId) -> Self {
+        let ordered = ordered(members, me);
         let count = most_parts(ordered.len(), LEAST_DAEMONS);
         let cell_of = |at: usize| at * count / ordered.len();
         let index = ordered.get_index_of(me).map_or(0, cell_of);
@@ -88,13 +86,18 @@
         &self.mates
     }
 
+    /// Part of a pool that the cell has, of so many parts.
+    fn part(&self, parts: usize) -> usize {
+        self.index * parts / self.count
+    }
+
     /// Keeps the targets of the cell, of all targets of one pool.
     pub fn keep_targets(&self, targets: &mut Vec<Target>) {
         let parts = most_parts(targets.len(), LEAST_TARGETS).min(self.count);
         if parts < 2 {
             return;
         }
-        let own = self.index * parts / self.count;
+        let own = self.part(parts);
         let all = targets.len();
         targets.sort_by_cached_key(|t| (rendezvous::weight(ORDER, &t.id), t.id.clone()));
         let mut at = 0;
@@ -106,6 +109,30 @@
     }
 }
 
+/// The daemons that have the same part as `me` of a pool with so many targets, itself included.
+#[must_use]
+pub fn sharers<'a>(
+    members: impl IntoIterator<Item = &'a VmId>,
+    me: &'a VmId,
+    targets: usize,
+) -> Vec<&'a VmId> {
+    let ordered = ordered(members, me);
+    let count = most_parts(ordered.len(), LEAST_DAEMONS);
+    let parts = most_parts(targets, LEAST_TARGETS).min(count);
+    let part_of = |at: usize| (at * count / ordered.len()) * parts / count;
+    let own = ordered.get_index_of(me).map_or(0, part_of);
+    let sharers = ordered.iter().enumerate();
+    let sharers = sharers.filter(|(at, _)| part_of(*at) == own);
+    sharers.map(|(_, vm)| *vm).collect()
+}
+
+fn ordered<'a>(members: impl IntoIterator<Item = &'a VmId>, me: &'a VmId) -> IndexSet<&'a VmId> {
+    let mut ordered: IndexSet<&VmId> = members.into_iter().collect();
+    ordered.insert(me);
+    ordered.sort_by_cached_key(|vm| (rendezvous::weight(ORDER, vm), (*vm).clone()));
+    ordered
+}
+
 /// Puts targets into an order of this daemon's own.
 ///
 /// Of targets that are as good the first ones are taken. After a restart of all daemons none has heard
--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -8,11 +8,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use indexmap::IndexMap;
+
 use crate::clock::Clock;
 use crate::document::Pool;
 use crate::error_kind::ErrorKind;
 use crate::ids::{DataCentre, Incarnation, RequestId, Tier, VmId};
-use crate::target_life::TargetLife;
+use crate::target_life::{LifeDigest, TargetLife};
 
 mod admission;
 pub mod affinity;
@@ -29,6 +31,7 @@
 mod patience;
 mod pending;
 pub mod queue;
+pub mod rate_limit;
 mod recovery;
 mod reports;
 pub mod reservation;
@@ -146,6 +149,13 @@
         self.state.borrow_mut().set_targets(pool, near, now);
     }
 
+    /// Sets this daemon's shares of the rates that targets advertise, in requests per second; all other
+    /// targets have no limit.
+    pub fn set_rate_limits(&self, shares: &IndexMap<LifeDigest, f64>) {
+        let now = self.clock.now();
+        self.state.borrow_mut().set_rate_limits(shares, now);
+    }
+
     /// Takes in a target's own report of its load.
     pub fn load_report(&self, target: &TargetLife, report: LoadReport) {
         let now = self.clock.now();
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -99,6 +99,9 @@
         let long = choice.prefill > choice::LONG_PROMPT;
         let trial = target.health.granted(target.estimate.running() == 0, now);
         target.estimate.granted(left, now);
+        if let Some(limit) = &mut target.rate_limit {
+            limit.take(now);
+        }
         Self::note_change(&mut self.sharing, target, now);
         target.long += u32::from(long);
         let held = HeldGrant {
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -27,7 +27,7 @@
 use crate::error_kind::ErrorKind;
 use crate::ids::RequestId;
 use crate::stream_progress;
-use crate::target_life::TargetLife;
+use crate::target_life::{LifeDigest, TargetLife};
 
 /// Part of the time that an answer still takes at its target within which another one has to finish it: a
 /// migration reads the prompt and the partial answer once more.
@@ -268,6 +268,15 @@
         }
     }
 
+    /// Sets this daemon's shares of advertised rates.
+    pub(super) fn set_rate_limits(&mut self, shares: &IndexMap<LifeDigest, f64>, now: Instant) {
+        for target in self.targets.values_mut() {
+            target.set_rate_limit(shares.get(&target.digest).copied(), now);
+        }
+        self.note_opening();
+        self.dispatch(now);
+    }
+
     /// The grant that this request holds.
     pub(super) fn granted(&self, request: &str, ask: AskNumber) -> Verdict {
         let held = &self.reservations[request];
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -5,6 +5,7 @@
 use super::estimate::Estimate;
 use super::health::Health;
 use super::queue::Standing;
+use super::rate_limit::RateLimit;
 use crate::ids::DataCentre;
 use crate::target_life::{LifeDigest, TargetLife};
 
@@ -44,6 +45,8 @@
     pub long: u32,
     /// When another daemon last gave room back, and who waited elsewhere then.
     pub(super) opened: Option<(Instant, Rival)>,
+    /// This daemon's share of the rate that the target advertises.
+    pub rate_limit: Option<RateLimit>,
     /// Requests it runs at once.
     pub slots: u32,
     /// Number of the last grant, over all targets.
@@ -63,6 +66,7 @@
             live: true,
             long: 0,
             opened: None,
+            rate_limit: None,
             slots,
             turn: 0,
         }
@@ -77,6 +81,30 @@
         }
     }
 
+    /// Sets this daemon's share of the rate that the target advertises; `None` if it advertises none.
+    pub fn set_rate_limit(&mut self, per_s: Option<f64>, now: Instant) {
+        let before = self.rate_limit.map(|limit| limit.per_s());
+        if before == per_s {
+            return;
+        }
+        log::info!(
+            per_s:% = per_s.unwrap_or(-1.0),
+            target_digest = self.digest,
+            target_id = self.life.id;
+            "share of a target's rate limit"
+        );
+        match (&mut self.rate_limit, per_s) {
+            (Some(limit), Some(per_s)) => limit.set(per_s, now),
+            (limit, per_s) => *limit = per_s.map(|per_s| RateLimit::new(per_s, now)),
+        }
+    }
+
+    /// Whether its rate limit leaves room for a request of this daemon.
+    #[must_use]
+    pub fn is_within_rate_limit(&self, now: Instant) -> bool {
+        self.rate_limit.is_none_or(|limit| limit.allows(now))
+    }
+
     /// Another daemon gave room back while `rival` waited elsewhere.
     pub fn opened(&mut self, rival: Option<Rival>, now: Instant) {
         self.opened = rival.map(|rival| (now, rival));
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -76,6 +76,8 @@
 mod quota;
 #[path = "suite/quota_fleet.rs"]
 mod quota_fleet;
+#[path = "suite/rate_limit.rs"]
+mod rate_limit;
 #[path = "suite/rendezvous.rs"]
 mod rendezvous;
 #[path = "suite/request_key.rs"]
--- a/crates/lilaccrankd/src/peers/advisories.rs
+++ b/crates/lilaccrankd/src/peers/advisories.rs
@@ -3,10 +3,11 @@
 use std::cell::RefCell;
 use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
 use lilaccrank::advisories::sync::{self, Cursors, Page, Pull};
 use lilaccrank::advisories::{Advisories, Advisory, Fact};
 use lilaccrank::ids::{ContentDigest, Incarnation, VmId};
-use lilaccrank::target_life::TargetLife;
+use lilaccrank::target_life::{LifeDigest, TargetLife};
 
 use crate::peers::load_exchange::LoadExchange;
 use crate::targets::protocol::RateLimit;
@@ -65,6 +66,11 @@
         self.note(fact, cell);
     }
 
+    /// Rates that targets advertise, in requests per second.
+    pub fn rate_limits(&self) -> IndexMap<LifeDigest, f64> {
+        self.known.borrow().rate_limits(Instant::now()).collect()
+    }
+
     /// The next question to another daemon.
     pub fn pull(&self, vm: &VmId) -> Pull {
         let mut cursors = self.cursors.borrow_mut();
--- a/crates/lilaccrankd/src/peers/load_exchange.rs
+++ b/crates/lilaccrankd/src/peers/load_exchange.rs
@@ -132,6 +132,7 @@
         let changed = daemon.load_exchange.changed();
         let _ = monoio::time::timeout(HEARTBEAT, changed).await;
         daemon.quotas.look();
+        server::apply_rate_limits(&daemon);
         if !is_needed(&daemon) {
             continue;
         }
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -10,16 +10,18 @@
 use indexmap::{IndexMap, IndexSet};
 use lilaccrank::cells;
 use lilaccrank::dispatch::message::{Ask, Entry, Outcome, Report, ReportKind, Verdict};
+use lilaccrank::dispatch::rate_limit;
 use lilaccrank::dispatch::sharing::Digest;
 use lilaccrank::dispatch::status::Status;
 use lilaccrank::dispatch::{Config, Dispatcher};
-use lilaccrank::document::{Document, Pool, PoolKind};
+use lilaccrank::document::{Document, Pool, PoolKind, Target};
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::{PoolId, Tier, VmId};
 use lilaccrank::membership::State;
 use lilaccrank::peers::Peers;
 use lilaccrank::prompt;
 use lilaccrank::request_key::{MemberRef, Ranking};
+use lilaccrank::target_life::LifeDigest;
 use lilaccrank::timeline::{EventKind, Subject};
 use lilaccrank_http::monoio_clock::MonoioClock;
 
@@ -45,6 +47,9 @@
     /// The daemons that dispatch the same targets, where each daemon dispatches its own requests.
     cell: RefCell<Rc<cells::Cell>>,
     entries: RefCell<Vec<Entry>>,
+    /// Rate limits that the dispatchers keep to, and the version of the members that share them; `None`
+    /// if their targets have changed since.
+    rate_limits: RefCell<Option<(IndexMap<LifeDigest, f64>, u64)>>,
     served: RefCell<IndexMap<PoolId, Rc<Served>>>,
 }
 
@@ -334,14 +339,62 @@
 /// Tells a dispatcher its targets: of those here, and in data centres that act as one with it,
 /// those of the cell.
 fn set_targets(daemon: &Daemon, dispatcher: &Dispatcher<MonoioClock>, configured: &Pool) {
-    let mut pool = daemon.live_list.apply(configured);
-    let is_near = |data_centre: &str| daemon.cfg.is_near(data_centre);
-    pool.targets.retain(|target| is_near(&target.data_centre));
+    let mut pool = Pool {
+        targets: near_targets(daemon, configured),
+        ..configured.clone()
+    };
     cell(daemon).keep_targets(&mut pool.targets);
     if daemon.duties.is_dispatch_local() {
         cells::spread(&mut pool.targets, &daemon.cfg.vm);
     }
-    dispatcher.set_targets_where(&pool, is_near);
+    daemon.pool_server.rate_limits.take();
+    dispatcher.set_targets_where(&pool, |data_centre| daemon.cfg.is_near(data_centre));
+}
+
+/// Targets of a pool, here and in data centres that act as one with it.
+fn near_targets(daemon: &Daemon, configured: &Pool) -> Vec<Target> {
+    let mut targets = daemon.live_list.apply(configured).targets;
+    targets.retain(|target| daemon.cfg.is_near(&target.data_centre));
+    targets
+}
+
+/// Keeps the dispatchers here to the rates that targets advertise.
+pub fn apply_rate_limits(daemon: &Daemon) {
+    let Ok(in_force) = daemon.in_force() else {
+        return;
+    };
+    let server = &daemon.pool_server;
+    let current = (daemon.advisories.rate_limits(), daemon.membership.version());
+    if server.rate_limits.borrow().as_ref() == Some(&current) {
+        return;
+    }
+    for (pool, served) in server.served.borrow().iter() {
+        if let Some(configured) = in_force.document.pool(pool) {
+            let shares = rate_limit_shares(daemon, configured, &current.0);
+            served.dispatcher.set_rate_limits(&shares);
+        }
+    }
+    *server.rate_limits.borrow_mut() = Some(current);
+}
+
+/// This daemon's shares of the rates that targets of a pool advertise.
+fn rate_limit_shares(
+    daemon: &Daemon,
+    configured: &Pool,
+    limits: &IndexMap<LifeDigest, f64>,
+) -> IndexMap<LifeDigest, f64> {
+    let me = &daemon.cfg.vm;
+    let live = daemon.membership.live();
+    let members = live.members.iter().map(|member| &member.vm);
+    let sharers = match daemon.duties.is_dispatch_local() {
+        true => cells::sharers(members, me, near_targets(daemon, configured).len()),
+        false => vec![me],
+    };
+    let shares = limits.iter().map(|(target, per_s)| {
+        let share = rate_limit::share(*per_s, *target, sharers.iter().copied(), me);
+        (*target, share)
+    });
+    shares.collect()
 }
 
 /// What this daemon has on the targets of each pool.
