Daemons of a cell share the bucket of a rate limit; earlier tiers go first

Cause: by static shares a daemon whose callers are bulk spends its part of a limited engine while an urgent request waits at another one, and a daemon with few callers leaves its part unused. Change: the daemons of a cell keep one bucket in copies. Each takes out its own sends and those that the others' digests tell, as running counts, so that a lost datagram costs nothing. A token taken twice is a debt that all pay. A request leaves one token to each tier before its own and one to a rival that waits elsewhere and goes first. Cells that share a target divide its rate as daemons did. Answers that end with their connection no longer clear a suspect: nobody can tell whether they are complete.

--- a/crates/lilaccrank/src/cells.rs
+++ b/crates/lilaccrank/src/cells.rs
@@ -50,8 +50,10 @@
 impl Cell {
     /// The cell of `me`, which may be missing from `members`.
     #[must_use]
-    pub fn new<'a>(members: impl IntoIterator<Item = &'a VmId>, me: &'a VmId) -> Self {
-        let ordered = ordered(members, me);
+    pub fn new<'a>(members: impl IntoIterator<Item = &'a VmId>, me: &VmId) -> Self {
+        let mut ordered: IndexSet<&VmId> = members.into_iter().collect();
+        ordered.insert(me);
+        ordered.sort_by_cached_key(|vm| (rendezvous::weight(ORDER, vm), (*vm).clone()));
         let count = most_parts(ordered.len(), LEAST_DAEMONS);
         let cell_of = |at: usize| at * count / ordered.len();
         let index = ordered.get_index_of(me).map_or(0, cell_of);
@@ -67,9 +69,13 @@
     /// Its name.
     #[must_use]
     pub fn id(&self) -> CellId {
+        self.id_of(self.index)
+    }
+
+    fn id_of(&self, index: usize) -> CellId {
         CellId {
             count: u16::try_from(self.count).unwrap_or(u16::MAX),
-            index: u16::try_from(self.index).unwrap_or(u16::MAX),
+            index: u16::try_from(index).unwrap_or(u16::MAX),
         }
     }
 
@@ -86,18 +92,32 @@
         &self.mates
     }
 
-    /// Part of a pool that the cell has, of so many parts.
-    fn part(&self, parts: usize) -> usize {
-        self.index * parts / self.count
+    /// The cells that send to the same part of a pool with so many targets, itself included.
+    #[must_use]
+    pub fn sharers(&self, targets: usize) -> Vec<CellId> {
+        let parts = self.parts(targets);
+        let own = self.part(self.index, parts);
+        let indexes = (0..self.count.max(1)).filter(|index| self.part(*index, parts) == own);
+        indexes.map(|index| self.id_of(index)).collect()
+    }
+
+    /// Parts into which a pool with so many targets falls.
+    fn parts(&self, targets: usize) -> usize {
+        most_parts(targets, LEAST_TARGETS).min(self.count)
+    }
+
+    /// Part of a pool that a cell has.
+    fn part(&self, index: usize, parts: usize) -> usize {
+        index * parts / self.count.max(1)
     }
 
     /// Keeps the targets of the cell, of all targets of one pool.
     pub fn keep_targets(&self, targets: &mut Vec<Target>) {
-        let parts = most_parts(targets.len(), LEAST_TARGETS).min(self.count);
+        let parts = self.parts(targets.len());
         if parts < 2 {
             return;
         }
-        let own = self.part(parts);
+        let own = self.part(self.index, parts);
         let all = targets.len();
         targets.sort_by_cached_key(|t| (rendezvous::weight(ORDER, &t.id), t.id.clone()));
         let mut at = 0;
@@ -109,30 +129,6 @@
     }
 }
 
-/// The daemons that have the same part as `me` of a pool with so many targets, itself included.
-#[must_use]
-pub fn sharers<'a>(
-    members: impl IntoIterator<Item = &'a VmId>,
-    me: &'a VmId,
-    targets: usize,
-) -> Vec<&'a VmId> {
-    let ordered = ordered(members, me);
-    let count = most_parts(ordered.len(), LEAST_DAEMONS);
-    let parts = most_parts(targets, LEAST_TARGETS).min(count);
-    let part_of = |at: usize| (at * count / ordered.len()) * parts / count;
-    let own = ordered.get_index_of(me).map_or(0, part_of);
-    let sharers = ordered.iter().enumerate();
-    let sharers = sharers.filter(|(at, _)| part_of(*at) == own);
-    sharers.map(|(_, vm)| *vm).collect()
-}
-
-fn ordered<'a>(members: impl IntoIterator<Item = &'a VmId>, me: &'a VmId) -> IndexSet<&'a VmId> {
-    let mut ordered: IndexSet<&VmId> = members.into_iter().collect();
-    ordered.insert(me);
-    ordered.sort_by_cached_key(|vm| (rendezvous::weight(ORDER, vm), (*vm).clone()));
-    ordered
-}
-
 /// Puts targets into an order of this daemon's own.
 ///
 /// Of targets that are as good the first ones are taken. After a restart of all daemons none has heard
--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -48,6 +48,7 @@
 use admission::Admission;
 use message::Verdict;
 use message::{Ask, AskNumber, CacheEvent, Cancel, Entry, LoadReport, Refuse, Report, Resync};
+use rate_limit::Share;
 use sharing::Digest;
 use state::{State, WaiterId};
 use status::Status;
@@ -149,9 +150,8 @@
         self.state.borrow_mut().set_targets(pool, near, now);
     }
 
-    /// Sets this daemon's shares of the rates that targets advertise, in requests per second; all other
-    /// targets have no limit.
-    pub fn set_rate_limits(&self, shares: &IndexMap<LifeDigest, f64>) {
+    /// Sets the cell's shares of the rates that targets advertise; all other targets have no limit.
+    pub fn set_rate_limits(&self, shares: &IndexMap<LifeDigest, Share>) {
         let now = self.clock.now();
         self.state.borrow_mut().set_rate_limits(shares, now);
     }
--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -176,7 +176,7 @@
     };
     target.live
         && healthy
-        && target.is_within_rate_limit(now)
+        && target.is_within_rate_limit(wanted.standing, wanted.reservation.requests(), now)
         && !target.is_left_to_rival(wanted.standing, now)
         && target.estimate.batch(now).saturating_add(kept) < slots
         && has_reading_room(target, wanted, now)
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -99,8 +99,9 @@
         let long = choice.prefill > choice::LONG_PROMPT;
         let trial = target.health.granted(target.estimate.running() == 0, now);
         target.estimate.granted(left, now);
+        target.sent = target.sent.wrapping_add(1);
         if let Some(limit) = &mut target.rate_limit {
-            limit.take(now);
+            limit.take(1, now);
         }
         Self::note_change(&mut self.sharing, target, now);
         target.long += u32::from(long);
--- a/crates/lilaccrank/src/dispatch/rate_limit.rs
+++ b/crates/lilaccrank/src/dispatch/rate_limit.rs
@@ -1,85 +1,101 @@
 //! Keeps to the rate of requests that a target takes from all daemons together.
 //!
-//! The daemons that use the target divide its rate. Each keeps to its share by a token bucket of its own, so
-//! that nothing has to be agreed on for a request. A bucket holds at least one request; among many
-//! daemons with small shares these alone would be a burst, so that only as many of them use the
-//! target as its rate bears.
+//! The daemons of a cell keep one token bucket for each such target: each has a copy, and takes out what it
+//! sends and what the others tell that they have sent. Several may take the last token at the same moment;
+//! that is a debt, which all pay, so that the average holds. Cells that share a target know nothing of each
+//! other's requests and divide its rate. A bucket holds two requests at least; among many cells with small
+//! shares these alone would be a burst, so that only as many cells use the target as its rate bears.
 
 use std::time::Instant;
 
-use crate::ids::VmId;
+use crate::cells::CellId;
 use crate::rendezvous;
 use crate::target_life::LifeDigest;
 
-/// Requests that a bucket holds at most.
-const BURST: f64 = 1.0;
 /// Lowest rate that is kept to. A target has to get a request now and then, or it could not tell that its
 /// limit is over.
 const LOWEST_PER_S: f64 = 0.1;
-/// Daemons that use a target of any rate.
-const FEWEST_SHARERS: usize = 3;
-/// Seconds of the rate that the bursts of all sharers may add up to beyond that.
-const BURST_S: f64 = 2.0;
+/// Seconds of the rate, and requests beside, that all buckets of a target hold together.
+const BURST_S: f64 = 1.0;
+const BURST: f64 = 2.0;
+/// Requests that each bucket holds at least.
+const LEAST_BURST: f64 = 2.0;
+/// Seconds of the rate that a debt is paid for at most.
+const DEBT_S: f64 = 4.0;
 
-/// This daemon's share of a target's rate, in requests per second; zero if it does not use the target.
+/// What the daemons of one cell may send to a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Share {
+    /// Requests that may be sent at once.
+    pub burst: f64,
+    /// Requests per second; zero if the cell does not use the target.
+    pub per_s: f64,
+}
+
+/// The share of the cell `me` of a target's rate, where these cells send to it.
 #[must_use]
-pub fn share<'a>(
-    per_s: f64,
-    target: LifeDigest,
-    daemons: impl IntoIterator<Item = &'a VmId>,
-    me: &VmId,
-) -> f64 {
+pub fn share(per_s: f64, target: LifeDigest, cells: &[CellId], me: CellId) -> Share {
     let per_s = per_s.max(LOWEST_PER_S);
-    let most = ((per_s * BURST_S) as usize).saturating_add(FEWEST_SHARERS);
-    let sharers = rendezvous::top(&format!("rate-limit/{target}"), daemons, most);
-    if sharers.contains(&me) {
-        per_s / sharers.len() as f64
-    } else {
-        0.0
+    let burst = per_s * BURST_S + BURST;
+    let names = cells.iter().map(|cell| (cell, cell.index.to_string()));
+    let names: Vec<_> = names.collect();
+    let most = (burst / LEAST_BURST) as usize;
+    let duty = format!("rate-limit/{target}");
+    let sharers = rendezvous::top(&duty, names.iter().map(|(_, name)| name), most);
+    let own = names.iter().find(|(cell, _)| **cell == me);
+    if !own.is_some_and(|(_, name)| sharers.contains(&name)) {
+        return Share::default();
+    }
+    let parts = sharers.len() as f64;
+    Share {
+        burst: burst / parts,
+        per_s: per_s / parts,
     }
 }
 
-/// A token bucket for one target.
+/// A copy of the token bucket that the daemons of a cell keep for a target.
 #[derive(Clone, Copy, Debug)]
 pub struct RateLimit {
-    per_s: f64,
     refilled: Instant,
+    share: Share,
     tokens: f64,
 }
 
 impl RateLimit {
     /// An empty bucket: the target has told of its limit since it had too much.
     #[must_use]
-    pub fn new(per_s: f64, now: Instant) -> Self {
+    pub fn new(share: Share, now: Instant) -> Self {
         Self {
-            per_s,
             refilled: now,
+            share,
             tokens: 0.0,
         }
     }
 
-    /// Goes on with what is in the bucket at another rate.
-    pub fn set(&mut self, per_s: f64, now: Instant) {
+    /// Goes on with what is in the bucket by another share.
+    pub fn set(&mut self, share: Share, now: Instant) {
         self.refill(now);
-        self.per_s = per_s;
+        self.share = share;
     }
 
-    /// Requests per second.
+    /// What the cell may send.
     #[must_use]
-    pub fn per_s(&self) -> f64 {
-        self.per_s
+    pub fn share(&self) -> Share {
+        self.share
     }
 
-    /// Whether a request may be sent.
+    /// Whether a request may be sent that leaves so many others room, as far as the bucket can hold them.
     #[must_use]
-    pub fn allows(&self, now: Instant) -> bool {
-        self.tokens(now) >= 1.0
+    pub fn allows(&self, left_to_others: u32, now: Instant) -> bool {
+        let wanted = (1.0 + f64::from(left_to_others)).min(self.share.burst);
+        self.tokens(now) >= wanted.max(1.0)
     }
 
-    /// Counts a request that is sent.
-    pub fn take(&mut self, now: Instant) {
+    /// Counts requests that were sent.
+    pub fn take(&mut self, requests: u32, now: Instant) {
         self.refill(now);
-        self.tokens -= 1.0;
+        let lowest = -self.share.per_s * DEBT_S - self.share.burst;
+        self.tokens = (self.tokens - f64::from(requests)).max(lowest);
     }
 
     fn refill(&mut self, now: Instant) {
@@ -89,6 +105,6 @@
 
     fn tokens(&self, now: Instant) -> f64 {
         let since = now.saturating_duration_since(self.refilled);
-        (self.tokens + since.as_secs_f64() * self.per_s).min(BURST)
+        (self.tokens + since.as_secs_f64() * self.share.per_s).min(self.share.burst)
     }
 }
--- a/crates/lilaccrank/src/dispatch/reservation.rs
+++ b/crates/lilaccrank/src/dispatch/reservation.rs
@@ -56,6 +56,12 @@
         of(tiers).max(of(self.tiers as f64).min(1))
     }
 
+    /// Requests that are left to earlier tiers where a target takes only so many a second.
+    #[must_use]
+    pub fn requests(&self) -> u32 {
+        self.tiers as u32
+    }
+
     fn weight(&self, objective: Duration, hold: f64) -> f64 {
         if self.by_hold && !objective.is_zero() {
             (hold / objective.as_secs_f64()).min(1.0)
--- a/crates/lilaccrank/src/dispatch/sharing.rs
+++ b/crates/lilaccrank/src/dispatch/sharing.rs
@@ -50,6 +50,8 @@
     pub loads: Vec<TargetLoad>,
     /// What it saw since its last digest.
     pub samples: Vec<Sample>,
+    /// Requests that it has sent to targets with a rate limit, since it started.
+    pub sent: Vec<(LifeDigest, u32)>,
     /// Standing of the first ask that waits there for any target.
     pub waiting: Option<Standing>,
     /// Whether it has nothing on the targets that are left out; else they are as they were.
@@ -83,6 +85,7 @@
 struct Peer {
     heard: Instant,
     loads: IndexMap<LifeDigest, TargetLoad>,
+    sent: IndexMap<LifeDigest, u32>,
     waiting: Option<Standing>,
 }
 
@@ -95,6 +98,20 @@
 }
 
 impl Peer {
+    /// Requests that it has sent since it was last heard. The first word of a target only tells from where to
+    /// count.
+    fn take_sent(&mut self, sent: &[(LifeDigest, u32)]) -> Vec<(LifeDigest, u32)> {
+        let new = sent.iter().filter_map(|(target, count)| {
+            let before = self.sent.insert(*target, *count)?;
+            let new = count.checked_sub(before).unwrap_or(*count);
+            (new > 0).then_some((*target, new))
+        });
+        let new = new.collect();
+        self.sent
+            .retain(|target, _| sent.iter().any(|(of, _)| of == target));
+        new
+    }
+
     fn take(&mut self, digest: Digest, now: Instant) {
         self.heard = now;
         self.waiting = digest.waiting;
@@ -189,6 +206,9 @@
             running: target.estimate.running(),
             target: target.digest,
         });
+        let limited = self.targets.values();
+        let limited = limited.filter(|target| target.rate_limit.is_some());
+        let sent = limited.map(|target| (target.digest, target.sent)).collect();
         let age = |at: Instant| now.saturating_duration_since(at);
         let sharing = &mut self.sharing;
         let whole = sharing.told_whole.is_none_or(|at| age(at) >= WHOLE_EVERY);
@@ -200,6 +220,7 @@
         Digest {
             loads: sharing.due(loads, whole),
             samples: std::mem::take(&mut sharing.samples),
+            sent,
             waiting: sharing.told_waiting,
             whole,
         }
@@ -213,7 +234,7 @@
 
     /// This daemon's requests on a target are about to change, or have changed.
     pub(super) fn note_change(sharing: &mut Sharing, target: &Target, now: Instant) {
-        sharing.is_urgent |= is_short(target, now);
+        sharing.is_urgent |= target.rate_limit.is_some() || is_short(target, now);
     }
 
     /// Takes in what another daemon has.
@@ -225,9 +246,17 @@
         let peer = peer.or_insert_with(|| Peer {
             heard: now,
             loads: IndexMap::new(),
+            sent: IndexMap::new(),
             waiting: None,
         });
+        let sent = peer.take_sent(&digest.sent);
         peer.take(digest, now);
+        for (target, requests) in sent {
+            let mut targets = self.targets.values_mut();
+            if let Some(target) = targets.find(|known| known.digest == target) {
+                target.sent_by_peer(requests, now);
+            }
+        }
         self.spread_peer_loads(now);
         self.note_opening();
         self.dispatch(now);
@@ -248,6 +277,9 @@
         let totals = self.sharing.totals();
         for target in self.targets.values_mut() {
             let (running, work) = totals.get(&target.digest).copied().unwrap_or_default();
+            if target.rate_limit.is_some() {
+                target.rival = self.sharing.rival(&self.cfg.vm, &target.life.id);
+            }
             if target.estimate.set_peers(running, work) {
                 let rival = self.sharing.rival(&self.cfg.vm, &target.life.id);
                 target.opened(rival, now);
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -16,6 +16,7 @@
 use super::message::{Ask, AskNumber, Entry, Grant, Refuse, Unmeetable, Verdict};
 use super::pending::Pending;
 use super::queue::{Item, Lane, Queue, Standing};
+use super::rate_limit::Share;
 use super::recovery::Handover;
 use super::reservation::Reservation;
 use super::sharing::Sharing;
@@ -268,8 +269,8 @@
         }
     }
 
-    /// Sets this daemon's shares of advertised rates.
-    pub(super) fn set_rate_limits(&mut self, shares: &IndexMap<LifeDigest, f64>, now: Instant) {
+    /// Sets the cell's shares of advertised rates.
+    pub(super) fn set_rate_limits(&mut self, shares: &IndexMap<LifeDigest, Share>, now: Instant) {
         for target in self.targets.values_mut() {
             target.set_rate_limit(shares.get(&target.digest).copied(), now);
         }
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -5,7 +5,7 @@
 use super::estimate::Estimate;
 use super::health::Health;
 use super::queue::Standing;
-use super::rate_limit::RateLimit;
+use super::rate_limit::{RateLimit, Share};
 use crate::ids::DataCentre;
 use crate::target_life::{LifeDigest, TargetLife};
 
@@ -26,6 +26,13 @@
     pub standing: Standing,
 }
 
+impl Rival {
+    /// Whether it goes before an ask of this daemon.
+    fn goes_before(self, standing: Standing) -> bool {
+        self.standing < standing || (self.standing == standing && self.goes_before_equals)
+    }
+}
+
 /// A target and what is known of it.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -45,8 +52,12 @@
     pub long: u32,
     /// When another daemon last gave room back, and who waited elsewhere then.
     pub(super) opened: Option<(Instant, Rival)>,
-    /// This daemon's share of the rate that the target advertises.
+    /// The cell's share of the rate that the target advertises.
     pub rate_limit: Option<RateLimit>,
+    /// Who else of the cell waits for a target.
+    pub rival: Option<Rival>,
+    /// Requests that this daemon has sent there.
+    pub sent: u32,
     /// Requests it runs at once.
     pub slots: u32,
     /// Number of the last grant, over all targets.
@@ -67,6 +78,8 @@
             long: 0,
             opened: None,
             rate_limit: None,
+            rival: None,
+            sent: 0,
             slots,
             turn: 0,
         }
@@ -81,28 +94,44 @@
         }
     }
 
-    /// Sets this daemon's share of the rate that the target advertises; `None` if it advertises none.
-    pub fn set_rate_limit(&mut self, per_s: Option<f64>, now: Instant) {
-        let before = self.rate_limit.map(|limit| limit.per_s());
-        if before == per_s {
+    /// Sets the cell's share of the rate that the target advertises; `None` if it advertises none.
+    pub fn set_rate_limit(&mut self, share: Option<Share>, now: Instant) {
+        if self.rate_limit.map(|limit| limit.share()) == share {
             return;
         }
         log::info!(
-            per_s:% = per_s.unwrap_or(-1.0),
+            burst:% = share.map_or(-1.0, |share| share.burst),
+            per_s:% = share.map_or(-1.0, |share| share.per_s),
             target_digest = self.digest,
             target_id = self.life.id;
             "share of a target's rate limit"
         );
-        match (&mut self.rate_limit, per_s) {
-            (Some(limit), Some(per_s)) => limit.set(per_s, now),
-            (limit, per_s) => *limit = per_s.map(|per_s| RateLimit::new(per_s, now)),
+        match (&mut self.rate_limit, share) {
+            (Some(limit), Some(share)) => limit.set(share, now),
+            (limit, share) => *limit = share.map(|share| RateLimit::new(share, now)),
         }
     }
 
-    /// Whether its rate limit leaves room for a request of this daemon.
+    /// Whether its rate limit leaves room for a request, beside what is left to earlier tiers and to a rival
+    /// that goes first.
     #[must_use]
-    pub fn is_within_rate_limit(&self, now: Instant) -> bool {
-        self.rate_limit.is_none_or(|limit| limit.allows(now))
+    pub fn is_within_rate_limit(
+        &self,
+        standing: Standing,
+        left_to_tiers: u32,
+        now: Instant,
+    ) -> bool {
+        self.rate_limit.is_none_or(|limit| {
+            let rival = self.rival.is_some_and(|rival| rival.goes_before(standing));
+            limit.allows(left_to_tiers + u32::from(rival), now)
+        })
+    }
+
+    /// Counts requests that another daemon of the cell has sent.
+    pub fn sent_by_peer(&mut self, requests: u32, now: Instant) {
+        if let Some(limit) = &mut self.rate_limit {
+            limit.take(requests, now);
+        }
     }
 
     /// Another daemon gave room back while `rival` waited elsewhere.
@@ -114,9 +143,7 @@
     #[must_use]
     pub fn is_left_to_rival(&self, standing: Standing, now: Instant) -> bool {
         self.opened.is_some_and(|(at, rival)| {
-            let goes_first = rival.standing < standing
-                || (rival.standing == standing && rival.goes_before_equals);
-            goes_first && now.saturating_duration_since(at) < LEFT_TO_FIRST
+            rival.goes_before(standing) && now.saturating_duration_since(at) < LEFT_TO_FIRST
         })
     }
 
--- a/crates/lilaccrank/tests/suite/dispatch_inputs.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_inputs.rs
@@ -49,6 +49,7 @@
         Self(Digest {
             loads: (0..3).map(|_| load(g)).collect(),
             samples: (0..3).map(|_| sample(g)).collect(),
+            sent: vec![(TargetLife::from("t0").digest(), extreme(g) as u32)],
             waiting: None,
             whole: bool::arbitrary(g),
         })
--- a/crates/lilaccrank/tests/suite/dispatch_lives.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_lives.rs
@@ -55,6 +55,7 @@
             };
             5
         ],
+        sent: Vec::new(),
         waiting: None,
         whole: true,
     };
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -10,7 +10,7 @@
 use indexmap::{IndexMap, IndexSet};
 use lilaccrank::cells;
 use lilaccrank::dispatch::message::{Ask, Entry, Outcome, Report, ReportKind, Verdict};
-use lilaccrank::dispatch::rate_limit;
+use lilaccrank::dispatch::rate_limit::{self, Share};
 use lilaccrank::dispatch::sharing::Digest;
 use lilaccrank::dispatch::status::Status;
 use lilaccrank::dispatch::{Config, Dispatcher};
@@ -47,9 +47,9 @@
     /// The daemons that dispatch the same targets, where each daemon dispatches its own requests.
     cell: RefCell<Rc<cells::Cell>>,
     entries: RefCell<Vec<Entry>>,
-    /// Rate limits that the dispatchers keep to, and the version of the members that share them; `None`
-    /// if their targets have changed since.
-    rate_limits: RefCell<Option<(IndexMap<LifeDigest, f64>, u64)>>,
+    /// Rate limits that the dispatchers keep to, and the cell of that moment; `None` if their targets have
+    /// changed since.
+    rate_limits: RefCell<Option<(IndexMap<LifeDigest, f64>, cells::CellId)>>,
     served: RefCell<IndexMap<PoolId, Rc<Served>>>,
 }
 
@@ -364,7 +364,7 @@
         return;
     };
     let server = &daemon.pool_server;
-    let current = (daemon.advisories.rate_limits(), daemon.membership.version());
+    let current = (daemon.advisories.rate_limits(), cell(daemon).id());
     if server.rate_limits.borrow().as_ref() == Some(&current) {
         return;
     }
@@ -377,21 +377,16 @@
     *server.rate_limits.borrow_mut() = Some(current);
 }
 
-/// This daemon's shares of the rates that targets of a pool advertise.
+/// The cell's shares of the rates that targets of a pool advertise.
 fn rate_limit_shares(
     daemon: &Daemon,
     configured: &Pool,
     limits: &IndexMap<LifeDigest, f64>,
-) -> IndexMap<LifeDigest, f64> {
-    let me = &daemon.cfg.vm;
-    let live = daemon.membership.live();
-    let members = live.members.iter().map(|member| &member.vm);
-    let sharers = match daemon.duties.is_dispatch_local() {
-        true => cells::sharers(members, me, near_targets(daemon, configured).len()),
-        false => vec![me],
-    };
+) -> IndexMap<LifeDigest, Share> {
+    let cell = cell(daemon);
+    let sharers = cell.sharers(near_targets(daemon, configured).len());
     let shares = limits.iter().map(|(target, per_s)| {
-        let share = rate_limit::share(*per_s, *target, sharers.iter().copied(), me);
+        let share = rate_limit::share(*per_s, *target, &sharers, cell.id());
         (*target, share)
     });
     shares.collect()
--- a/crates/lilaccrankd/src/request/life.rs
+++ b/crates/lilaccrankd/src/request/life.rs
@@ -246,8 +246,10 @@
             let target = held.target.clone();
             match self.send(daemon, run, held, &mut sends).await {
                 Ok(()) => {
-                    let cell = &daemon.load_exchange;
-                    daemon.advisories.completed(|| self.content(), cell);
+                    if !sends.passed.ended_with_connection {
+                        let cell = &daemon.load_exchange;
+                        daemon.advisories.completed(|| self.content(), cell);
+                    }
                     return (Ok(()), Some(key));
                 }
                 Err(Unfinished::Migrated(held)) => {
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -69,6 +69,8 @@
 /// The answer as far as it has reached the caller.
 #[derive(Debug, Default)]
 pub struct Passed {
+    /// Whether the last answer ended with its connection, so that nobody can tell whether it is complete.
+    pub ended_with_connection: bool,
     /// Events passed on.
     pub events: u32,
     /// Id of the last event that was passed on.
@@ -107,6 +109,7 @@
             // Callers ask for plain bodies; what is coded was made by something in between.
             return Err(failed(ErrorKind::BrokenAnswer, "the answer is coded"));
         }
+        passed.ended_with_connection = ends_with_connection(&head);
         let said = self.protocol.read(&head, sending);
         if said != Said::Stray {
             self.observer.rate_limit(self.protocol.rate_limit(&head));
