--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -34,9 +34,6 @@
 /// Time of reading outstanding at a target beyond which it gets no more work with an objective, by
 /// how many tiers in use go before it. What waits here goes to whichever target is done first, in the
 /// order of tiers; what waits at a target does neither, and all streams there pause while it is read.
-/// A grant takes some thirty milliseconds to be known to all and to arrive: with less than that
-/// outstanding, targets would stand idle between prompts. With 400, 250 and 200 ms one urgent stream in
-/// seven was late in a burst of twice what the engines can do, with these one in eight.
 const READING: [Duration; 3] = [
     Duration::from_millis(200),
     Duration::from_millis(90),
--- a/crates/lilaccrankd/src/pools.rs
+++ b/crates/lilaccrankd/src/pools.rs
@@ -2,4 +2,5 @@
 
 pub mod client;
 pub mod poller;
+pub mod rate_limits;
 pub mod server;
--- /dev/null
+++ b/crates/lilaccrankd/src/pools/rate_limits.rs
@@ -0,0 +1,51 @@
+//! The cell's shares of the rates that targets advertise.
+
+use std::cell::RefCell;
+
+use indexmap::IndexMap;
+use lilaccrank::cells::CellId;
+use lilaccrank::dispatch::rate_limit::{self, Share};
+use lilaccrank::document::Pool;
+use lilaccrank::target_life::LifeDigest;
+
+use crate::daemon::Daemon;
+use crate::pools::server;
+
+/// Requests per second by target.
+type Rates = IndexMap<LifeDigest, f64>;
+/// Shares by target.
+type Shares = IndexMap<LifeDigest, Share>;
+
+/// Which rates the dispatchers of this daemon keep to.
+#[derive(Default)]
+pub struct RateLimits {
+    /// The rates and the cell of that moment; `None` if targets have changed since.
+    applied: RefCell<Option<(Rates, CellId)>>,
+}
+
+impl RateLimits {
+    /// The dispatchers have other targets than before.
+    pub fn targets_changed(&self) {
+        self.applied.take();
+    }
+
+    /// Calls `set` with the shares of each pool if they may be others than before.
+    pub fn apply(&self, daemon: &Daemon, set: impl FnOnce(&dyn Fn(&Pool) -> Shares)) {
+        let current = (daemon.advisories.rate_limits(), server::cell(daemon).id());
+        if self.applied.borrow().as_ref() == Some(&current) {
+            return;
+        }
+        set(&|pool| shares(daemon, pool, &current.0));
+        *self.applied.borrow_mut() = Some(current);
+    }
+}
+
+fn shares(daemon: &Daemon, pool: &Pool, rates: &Rates) -> Shares {
+    let cell = server::cell(daemon);
+    let sharers = cell.sharers(server::near_targets(daemon, pool).len());
+    let shares = rates.iter().map(|(target, per_s)| {
+        let share = rate_limit::share(*per_s, *target, &sharers, cell.id());
+        (*target, share)
+    });
+    shares.collect()
+}
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -10,7 +10,6 @@
 use indexmap::{IndexMap, IndexSet};
 use lilaccrank::cells;
 use lilaccrank::dispatch::message::{Ask, Entry, Outcome, Report, ReportKind, Verdict};
-use lilaccrank::dispatch::rate_limit::{self, Share};
 use lilaccrank::dispatch::sharing::Digest;
 use lilaccrank::dispatch::status::Status;
 use lilaccrank::dispatch::{Config, Dispatcher};
@@ -21,7 +20,6 @@
 use lilaccrank::peers::Peers;
 use lilaccrank::prompt;
 use lilaccrank::request_key::{MemberRef, Ranking};
-use lilaccrank::target_life::LifeDigest;
 use lilaccrank::timeline::{EventKind, Subject};
 use lilaccrank_http::monoio_clock::MonoioClock;
 
@@ -29,6 +27,7 @@
 use crate::peers::message::{PoolMessage, PoolReply, PoolRequest};
 use crate::pools::client;
 use crate::pools::poller;
+use crate::pools::rate_limits::RateLimits;
 
 /// Longest wait of a new dispatcher for the entries to tell what they have.
 const HANDOVER_GRACE: Duration = Duration::from_secs(1);
@@ -47,9 +46,7 @@
     /// The daemons that dispatch the same targets, where each daemon dispatches its own requests.
     cell: RefCell<Rc<cells::Cell>>,
     entries: RefCell<Vec<Entry>>,
-    /// Rate limits that the dispatchers keep to, and the cell of that moment; `None` if their targets have
-    /// changed since.
-    rate_limits: RefCell<Option<(IndexMap<LifeDigest, f64>, cells::CellId)>>,
+    rate_limits: RateLimits,
     served: RefCell<IndexMap<PoolId, Rc<Served>>>,
 }
 
@@ -347,51 +344,17 @@
     if daemon.duties.is_dispatch_local() {
         cells::spread(&mut pool.targets, &daemon.cfg.vm);
     }
-    daemon.pool_server.rate_limits.take();
+    daemon.pool_server.rate_limits.targets_changed();
     dispatcher.set_targets_where(&pool, |data_centre| daemon.cfg.is_near(data_centre));
 }
 
 /// Targets of a pool, here and in data centres that act as one with it.
-fn near_targets(daemon: &Daemon, configured: &Pool) -> Vec<Target> {
+pub(super) fn near_targets(daemon: &Daemon, configured: &Pool) -> Vec<Target> {
     let mut targets = daemon.live_list.apply(configured).targets;
     targets.retain(|target| daemon.cfg.is_near(&target.data_centre));
     targets
 }
 
-/// Keeps the dispatchers here to the rates that targets advertise.
-pub fn apply_rate_limits(daemon: &Daemon) {
-    let Ok(in_force) = daemon.in_force() else {
-        return;
-    };
-    let server = &daemon.pool_server;
-    let current = (daemon.advisories.rate_limits(), cell(daemon).id());
-    if server.rate_limits.borrow().as_ref() == Some(&current) {
-        return;
-    }
-    for (pool, served) in server.served.borrow().iter() {
-        if let Some(configured) = in_force.document.pool(pool) {
-            let shares = rate_limit_shares(daemon, configured, &current.0);
-            served.dispatcher.set_rate_limits(&shares);
-        }
-    }
-    *server.rate_limits.borrow_mut() = Some(current);
-}
-
-/// The cell's shares of the rates that targets of a pool advertise.
-fn rate_limit_shares(
-    daemon: &Daemon,
-    configured: &Pool,
-    limits: &IndexMap<LifeDigest, f64>,
-) -> IndexMap<LifeDigest, Share> {
-    let cell = cell(daemon);
-    let sharers = cell.sharers(near_targets(daemon, configured).len());
-    let shares = limits.iter().map(|(target, per_s)| {
-        let share = rate_limit::share(*per_s, *target, &sharers, cell.id());
-        (*target, share)
-    });
-    shares.collect()
-}
-
 /// What this daemon has on the targets of each pool.
 pub fn digests(daemon: &Daemon) -> Vec<(PoolId, Digest)> {
     let served = daemon.pool_server.served.borrow();
@@ -408,6 +371,21 @@
     }
 }
 
+/// Keeps the dispatchers here to the rates that targets advertise.
+pub fn apply_rate_limits(daemon: &Daemon) {
+    let Ok(in_force) = daemon.in_force() else {
+        return;
+    };
+    let server = &daemon.pool_server;
+    server.rate_limits.apply(daemon, |shares_of| {
+        for (pool, served) in server.served.borrow().iter() {
+            if let Some(configured) = in_force.document.pool(pool) {
+                served.dispatcher.set_rate_limits(&shares_of(configured));
+            }
+        }
+    });
+}
+
 /// State of the dispatchers that run here.
 pub fn status(daemon: &Daemon) -> IndexMap<PoolId, Status> {
     let served = daemon.pool_server.served.borrow();
--- a/crates/lilaccrankd/src/request.rs
+++ b/crates/lilaccrankd/src/request.rs
@@ -5,6 +5,7 @@
 pub mod key_state;
 pub mod life;
 pub mod migration;
+pub mod quarantine;
 pub mod quotas;
 pub mod run;
 pub mod second_sends;
--- a/crates/lilaccrankd/src/request/life.rs
+++ b/crates/lilaccrankd/src/request/life.rs
@@ -142,12 +142,6 @@
         }
     }
 
-    /// Digest of the caller's request.
-    #[must_use]
-    pub fn content(&self) -> ContentDigest {
-        *self.content.get_or_init(|| self.caller.content())
-    }
-
     /// What it is called in logs.
     #[must_use]
     pub fn name(&self) -> &str {
@@ -246,10 +240,7 @@
             let target = held.target.clone();
             match self.send(daemon, run, held, &mut sends).await {
                 Ok(()) => {
-                    if !sends.passed.ended_with_connection {
-                        let cell = &daemon.load_exchange;
-                        daemon.advisories.completed(|| self.content(), cell);
-                    }
+                    self.note_completed(daemon, &sends.passed);
                     return (Ok(()), Some(key));
                 }
                 Err(Unfinished::Migrated(held)) => {
@@ -265,15 +256,6 @@
         }
     }
 
-    fn check_quarantine(&self, daemon: &Daemon) -> Result<()> {
-        let Some(left) = daemon.advisories.quarantine(|| self.content()) else {
-            return Ok(());
-        };
-        let content = self.content();
-        let message = format!("targets crashed under the same request, {content:016x}");
-        Err(Refusal::new(ErrorKind::Quarantined, message).retry_after(left))
-    }
-
     async fn wait(&self, daemon: &Rc<Daemon>, run: &Run, sends: &Sends) -> Result<Held> {
         self.check_quarantine(daemon)?;
         daemon.record(
--- a/crates/lilaccrankd/src/request/sends.rs
+++ b/crates/lilaccrankd/src/request/sends.rs
@@ -87,8 +87,7 @@
     ) -> Option<Result<()>> {
         self.prior.exclusions.push(target.clone());
         if failed.refusal.connection_lost {
-            let cell = &daemon.load_exchange;
-            daemon.advisories.crashed(routed.content(), &target, cell);
+            routed.note_crash(daemon, &target);
         }
         if failed.how == Failure::BrokenOff {
             // Counted from the request's arrival, the time for the first part is over by now, and a
