A request that was completed lately is no query of death; crashes after an answer count anew

Cause, found by reading: callers may send the same request all the time, a question for a status. Three targets that crash at once for another reason may each have one; it would have been quarantined for ten minutes, and as it was refused, no answer could clear it. And a content that one answer had cleared stayed cleared for ten minutes, whatever crashed under it then, as under a new version of the targets. Change: each daemon remembers the contents that targets completed for it in the last half minute, 2,048 twice at most, and reports no crash of these. An answer clears the crashes before it, not those after it. Pages of another daemon are cut at their length, and a rate limit that is older than its life is not believed.

--- a/crates/lilaccrank/src/advisories.rs
+++ b/crates/lilaccrank/src/advisories.rs
@@ -14,6 +14,7 @@
 use crate::ids::ContentDigest;
 use crate::target_life::LifeDigest;
 
+pub mod recent;
 pub mod sync;
 
 /// Targets that have to crash under the same content before it is quarantined. Other requests are on a
@@ -134,9 +135,9 @@
     fn is_superseded(&self, fact: Fact, seen: Instant) -> bool {
         let later = seen.saturating_duration_since(self.seen);
         match fact {
-            Fact::Crash { .. } | Fact::Completed { .. } => false,
+            Fact::Crash { .. } => false,
             Fact::RateLimit { .. } if fact == self.fact => later >= REFRESH,
-            Fact::RateLimit { .. } => !later.is_zero(),
+            Fact::Completed { .. } | Fact::RateLimit { .. } => !later.is_zero(),
         }
     }
 }
@@ -170,7 +171,7 @@
     }
 
     /// How long requests with this content are still quarantined: enough targets crashed under it, and
-    /// none has completed it.
+    /// none has completed it since.
     #[must_use]
     pub fn quarantine(&self, content: ContentDigest, now: Instant) -> Option<Duration> {
         let mut seen: Vec<_> = self.crashes(content, now).collect();
@@ -227,7 +228,7 @@
         for advisory in advisories {
             let age = Duration::from_millis(advisory.age_ms.into());
             let seen = now.checked_sub(age).unwrap_or(now);
-            if age < LIFETIME && self.insert(advisory.fact, seen, updates, now) {
+            if age < advisory.fact.lifetime() && self.insert(advisory.fact, seen, updates, now) {
                 new.push(advisory.fact);
             }
         }
@@ -241,7 +242,8 @@
         }
         if let Fact::Completed { content } = fact {
             let of = Some(content);
-            self.facts.retain(|_, record| record.fact.content() != of);
+            self.facts
+                .retain(|_, record| record.fact.content() != of || record.seen > seen);
         }
         self.revision += 1;
         let record = Record {
@@ -264,7 +266,8 @@
         }
         match fact {
             Fact::Crash { content, .. } => {
-                !self.facts.contains_key(&Key::Completed(content))
+                let completed = self.facts.get(&Key::Completed(content));
+                completed.is_none_or(|record| record.seen < seen)
                     && self.crashes(content, now).count() < QUARANTINE_CRASHES
             }
             Fact::Completed { .. } => true,
--- /dev/null
+++ b/crates/lilaccrank/src/advisories/recent.rs
@@ -0,0 +1,60 @@
+//! Contents that targets have completed lately.
+//!
+//! Callers may send the same request often, such as a question for a status. When several targets crash at
+//! once for another reason, they may each have one of these; that it was completed just before tells it from a
+//! query of death.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexSet;
+
+use crate::ids::ContentDigest;
+
+/// A content is remembered for this long at least, and twice as long at most.
+const REMEMBERED: Duration = Duration::from_secs(30);
+/// Contents remembered, in each of two sets; the older set is dropped as a whole.
+const CAPACITY: usize = 2_048;
+
+/// Contents that were completed lately.
+#[derive(Debug)]
+pub struct RecentContents {
+    current: IndexSet<ContentDigest>,
+    previous: IndexSet<ContentDigest>,
+    since: Instant,
+}
+
+impl RecentContents {
+    /// Nothing yet.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            current: IndexSet::new(),
+            previous: IndexSet::new(),
+            since: now,
+        }
+    }
+
+    /// Remembers a content.
+    pub fn insert(&mut self, content: ContentDigest, now: Instant) {
+        self.rotate(now);
+        self.current.insert(content);
+    }
+
+    /// Whether a content was completed lately.
+    pub fn contains(&mut self, content: ContentDigest, now: Instant) -> bool {
+        self.rotate(now);
+        self.current.contains(&content) || self.previous.contains(&content)
+    }
+
+    fn rotate(&mut self, now: Instant) {
+        let age = now.saturating_duration_since(self.since);
+        if age < REMEMBERED && self.current.len() < CAPACITY {
+            return;
+        }
+        self.previous = std::mem::take(&mut self.current);
+        if age >= REMEMBERED * 2 {
+            self.previous.clear();
+        }
+        self.since = now;
+    }
+}
--- a/crates/lilaccrank/src/advisories/sync.rs
+++ b/crates/lilaccrank/src/advisories/sync.rs
@@ -75,7 +75,8 @@
         let knows_earlier = cursor.incarnation == page.incarnation || cursor.pushed == 0;
         let pushed = if knows_earlier { cursor.pushing } else { 0 };
         let nothing_new_meanwhile = pushed == known.revision;
-        let new = known.merge(&page.advisories, now);
+        let advisories = &page.advisories[..page.advisories.len().min(PAGE)];
+        let new = known.merge(advisories, now);
         *cursor = Cursor {
             incarnation: page.incarnation,
             pulled: page.revision,
--- a/crates/lilaccrank/tests/suite/advisories.rs
+++ b/crates/lilaccrank/tests/suite/advisories.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use lilaccrank::advisories::recent::RecentContents;
 use lilaccrank::advisories::sync::{self, Cursors};
 use lilaccrank::advisories::{Advisories, Advisory, CAPACITY, Fact, LIFETIME, QUARANTINE_CRASHES};
 use lilaccrank::ids::VmId;
@@ -64,6 +65,48 @@
     false
 );
 
+// Guards against a request that one version of a target completes and the next one crashes under.
+#[test]
+fn crashes_after_an_answer_count_anew() {
+    let now = Instant::now();
+    let mut known = crashed(2, now);
+    known.note(COMPLETED, now + Duration::from_secs(1));
+    let later = now + Duration::from_secs(2);
+    for target in 10..12 {
+        known.note(crash(CONTENT, target), later);
+    }
+    assert_eq!(known.quarantine(CONTENT, later), None);
+    known.note(crash(CONTENT, 12), later);
+    assert!(known.quarantine(CONTENT, later).is_some());
+    let late = Advisory {
+        age_ms: 1_500,
+        fact: COMPLETED,
+    };
+    known.merge(&[late], later);
+    assert!(
+        known.quarantine(CONTENT, later).is_some(),
+        "it was completed before"
+    );
+}
+
+// Guards against memory that grows with what callers send.
+#[test]
+fn completed_contents_are_forgotten() {
+    let now = Instant::now();
+    let after = |secs| now + Duration::from_secs(secs);
+    let mut recent = RecentContents::new(now);
+    recent.insert(CONTENT, now);
+    assert!(recent.contains(CONTENT, after(29)));
+    assert!(!recent.contains(8, after(29)));
+    assert!(!recent.contains(CONTENT, after(200)));
+    recent.insert(CONTENT, after(200));
+    for content in 100..10_000 {
+        recent.insert(content, after(201));
+    }
+    assert!(!recent.contains(CONTENT, after(201)));
+    assert!(recent.contains(9_999, after(201)));
+}
+
 #[test]
 fn a_quarantine_lapses() {
     let now = Instant::now();
--- a/crates/lilaccrankd/src/peers/advisories.rs
+++ b/crates/lilaccrankd/src/peers/advisories.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use lilaccrank::advisories::recent::RecentContents;
 use lilaccrank::advisories::sync::{self, Cursors, Page, Pull};
 use lilaccrank::advisories::{Advisories, Advisory, Fact};
 use lilaccrank::ids::{ContentDigest, Incarnation, VmId};
@@ -16,15 +17,32 @@
 const UPDATE_LIMIT: usize = 32;
 
 /// What this daemon and others have learnt.
-#[derive(Default)]
 pub struct SharedAdvisories {
+    completed: RefCell<RecentContents>,
     cursors: RefCell<Cursors>,
     known: RefCell<Advisories>,
 }
 
+impl Default for SharedAdvisories {
+    fn default() -> Self {
+        Self {
+            completed: RefCell::new(RecentContents::new(Instant::now())),
+            cursors: RefCell::default(),
+            known: RefCell::default(),
+        }
+    }
+}
+
 impl SharedAdvisories {
     /// A target ended while it had a request with this content.
     pub fn crashed(&self, content: ContentDigest, target: &TargetLife, cell: &LoadExchange) {
+        if self
+            .completed
+            .borrow_mut()
+            .contains(content, Instant::now())
+        {
+            return;
+        }
         let fact = Fact::Crash {
             content,
             target: target.digest(),
@@ -32,13 +50,11 @@
         self.note(fact, cell);
     }
 
-    /// A target answered a request completely, whose content is `content()`.
-    pub fn completed(&self, content: impl FnOnce() -> ContentDigest, cell: &LoadExchange) {
-        if self.known.borrow().is_empty() {
-            return;
-        }
-        let content = content();
-        if self.known.borrow().is_suspect(content, Instant::now()) {
+    /// A target answered a request with this content completely.
+    pub fn completed(&self, content: ContentDigest, cell: &LoadExchange) {
+        let now = Instant::now();
+        self.completed.borrow_mut().insert(content, now);
+        if self.known.borrow().is_suspect(content, now) {
             self.note(Fact::Completed { content }, cell);
         }
     }
--- a/crates/lilaccrankd/src/request/quarantine.rs
+++ b/crates/lilaccrankd/src/request/quarantine.rs
@@ -41,7 +41,7 @@
         // A crash looks like the end of such an answer.
         if !passed.ended_with_connection {
             let cell = &daemon.load_exchange;
-            daemon.advisories.completed(|| self.content(), cell);
+            daemon.advisories.completed(self.content(), cell);
         }
     }
 }
