--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -50,6 +50,10 @@
 mod dispatch_resumed;
 #[path = "suite/dispatch_sharing.rs"]
 mod dispatch_sharing;
+#[path = "suite/dispatch_spread.rs"]
+mod dispatch_spread;
+#[path = "suite/dispatch_waits.rs"]
+mod dispatch_waits;
 #[path = "suite/error_kind.rs"]
 mod error_kind;
 #[path = "suite/fake_store.rs"]
@@ -74,8 +78,12 @@
 mod process;
 #[path = "suite/quota.rs"]
 mod quota;
+#[path = "suite/quota_cells.rs"]
+mod quota_cells;
 #[path = "suite/quota_fleet.rs"]
 mod quota_fleet;
+#[path = "suite/quota_harness.rs"]
+mod quota_harness;
 #[path = "suite/rate_limit.rs"]
 mod rate_limit;
 #[path = "suite/rendezvous.rs"]
--- a/crates/lilaccrank/tests/suite/dispatch_cases.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_cases.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use lilaccrank::dispatch::message::{Ask, Entry, ReportKind};
+use lilaccrank::dispatch::sharing::{Digest, TargetLoad};
 use lilaccrank::document::Limit;
 use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::target_life::{LifeDigest, TargetLife};
 
 use crate::dispatch_harness::{self, Harness};
 
@@ -67,3 +69,42 @@
 pub fn granted(request: &str, target: &str) -> Vec<(String, String)> {
     vec![(request.to_owned(), target.to_owned())]
 }
+
+/// What stands for a target in a digest.
+pub fn of(target: &str) -> LifeDigest {
+    TargetLife::from(target).digest()
+}
+
+/// A digest of a peer that has `running` short requests on a target.
+pub fn digest(target: &str, running: u32, prefill: u64) -> Digest {
+    Digest {
+        loads: vec![TargetLoad {
+            prefill,
+            running,
+            target: of(target),
+        }],
+        whole: true,
+        ..Digest::default()
+    }
+}
+
+/// A digest of a peer that has nothing on any target.
+pub fn nothing() -> Digest {
+    Digest {
+        whole: true,
+        ..Digest::default()
+    }
+}
+
+pub fn tell(harness: &Harness, from: &str, digest: Digest) {
+    harness.dispatcher.take_digest(&from.to_owned(), digest);
+}
+
+/// An ask whose caller expects a first token.
+pub fn hurried(request: &str, tier: u8) -> Ask {
+    Ask {
+        deadline: Some(Duration::from_secs(10)),
+        objective: Some(Duration::from_millis(1_000)),
+        ..ask(request, tier)
+    }
+}
