Quarantines outlive a restart of the whole fleet, and reach the other side of a partition

Cause, found by reading: daemons have no disk. After a restart of all of them nothing remembered a quarantine, and the request crashed three more targets; so it did on each side of a partition, whose daemons hear of their own crashes only. Change: two daemons, by rendezvous hashing, keep one small object in the platform's store with the quarantines that hold: 64 at most, lapsed ones dropped with each write, written on condition of its version. It is read when a daemon hears of a crash, at most once a second, and what it tells is a fact like others. Without crashes the store is not asked. Weighed: a watch of its own (a waiting call of each watcher all the time), a look at each start (one more call of each daemon).

--- a/crates/lilaccrank/src/advisories.rs
+++ b/crates/lilaccrank/src/advisories.rs
@@ -8,13 +8,14 @@
 use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use crate::ids::ContentDigest;
 use crate::target_life::LifeDigest;
 
 pub mod recent;
+pub mod record;
 pub mod sync;
 
 /// Targets that have to crash under the same content before it is quarantined. Other requests are on a
@@ -51,6 +52,12 @@
         /// The content.
         content: ContentDigest,
     },
+    /// The platform's store knows a quarantine of this content.
+    #[serde(rename = "q")]
+    Quarantined {
+        /// The content.
+        content: ContentDigest,
+    },
     /// A target told with its latest answer how many requests it takes from all daemons.
     #[serde(rename = "r")]
     RateLimit {
@@ -82,6 +89,7 @@
 enum Key {
     Completed(ContentDigest),
     Crash(ContentDigest, LifeDigest),
+    Quarantined(ContentDigest),
     RateLimit(LifeDigest),
 }
 
@@ -99,20 +107,23 @@
         match self {
             Self::Completed { content } => Key::Completed(content),
             Self::Crash { content, target } => Key::Crash(content, target),
+            Self::Quarantined { content } => Key::Quarantined(content),
             Self::RateLimit { target, .. } => Key::RateLimit(target),
         }
     }
 
     fn content(self) -> Option<ContentDigest> {
         match self {
-            Self::Crash { content, .. } | Self::Completed { content } => Some(content),
+            Self::Crash { content, .. }
+            | Self::Completed { content }
+            | Self::Quarantined { content } => Some(content),
             Self::RateLimit { .. } => None,
         }
     }
 
     fn lifetime(self) -> Duration {
         match self {
-            Self::Crash { .. } | Self::Completed { .. } => LIFETIME,
+            Self::Crash { .. } | Self::Completed { .. } | Self::Quarantined { .. } => LIFETIME,
             Self::RateLimit { .. } => RATE_LIMIT_LIFETIME,
         }
     }
@@ -135,7 +146,7 @@
     fn is_superseded(&self, fact: Fact, seen: Instant) -> bool {
         let later = seen.saturating_duration_since(self.seen);
         match fact {
-            Fact::Crash { .. } => false,
+            Fact::Crash { .. } | Fact::Quarantined { .. } => false,
             Fact::RateLimit { .. } if fact == self.fact => later >= REFRESH,
             Fact::Completed { .. } | Fact::RateLimit { .. } => !later.is_zero(),
         }
@@ -174,10 +185,42 @@
     /// none has completed it since.
     #[must_use]
     pub fn quarantine(&self, content: ContentDigest, now: Instant) -> Option<Duration> {
+        let recorded = self.facts.get(&Key::Quarantined(content));
+        let recorded = recorded.map(|record| record.seen);
         let mut seen: Vec<_> = self.crashes(content, now).collect();
         seen.sort_unstable_by_key(|at| Reverse(*at));
-        let earliest = seen.get(QUARANTINE_CRASHES - 1)?;
-        (*earliest + LIFETIME).checked_duration_since(now)
+        let by_crashes = seen.get(QUARANTINE_CRASHES - 1).copied();
+        let since = recorded.max(by_crashes)?;
+        let left = (since + LIFETIME).checked_duration_since(now);
+        left.filter(|left| !left.is_zero())
+    }
+
+    /// Contents that are quarantined, and for how long they have been.
+    #[must_use]
+    pub fn quarantined(&self, now: Instant) -> Vec<(ContentDigest, Duration)> {
+        let contents = self
+            .facts
+            .values()
+            .filter_map(|record| record.fact.content());
+        let contents: IndexSet<_> = contents.collect();
+        let left = |content: ContentDigest| {
+            let left = self.quarantine(content, now)?;
+            Some((content, LIFETIME.saturating_sub(left)))
+        };
+        contents.into_iter().filter_map(left).collect()
+    }
+
+    /// Takes in a quarantine of this age that the platform's store knows. Returns whether that is new.
+    pub fn note_recorded(&mut self, content: ContentDigest, age: Duration, now: Instant) -> bool {
+        let seen = now.checked_sub(age).unwrap_or(now);
+        self.insert(Fact::Quarantined { content }, seen, 0, now)
+    }
+
+    /// Whether a target crashed lately.
+    #[must_use]
+    pub fn has_crashes(&self) -> bool {
+        let mut facts = self.facts.keys();
+        facts.any(|key| matches!(key, Key::Crash(..)))
     }
 
     /// Whether a target crashed under this content lately.
@@ -194,7 +237,7 @@
             Fact::RateLimit { per_1000_s, target } => {
                 Some((target, f64::from(per_1000_s?) / 1_000.0))
             }
-            Fact::Crash { .. } | Fact::Completed { .. } => None,
+            Fact::Crash { .. } | Fact::Completed { .. } | Fact::Quarantined { .. } => None,
         })
     }
 
@@ -266,15 +309,20 @@
         }
         match fact {
             Fact::Crash { content, .. } => {
-                let completed = self.facts.get(&Key::Completed(content));
-                completed.is_none_or(|record| record.seen < seen)
+                self.is_later_than_completed(content, seen)
                     && self.crashes(content, now).count() < QUARANTINE_CRASHES
             }
+            Fact::Quarantined { content } => self.is_later_than_completed(content, seen),
             Fact::Completed { .. } => true,
             Fact::RateLimit { per_1000_s, .. } => per_1000_s.is_some(),
         }
     }
 
+    fn is_later_than_completed(&self, content: ContentDigest, seen: Instant) -> bool {
+        let completed = self.facts.get(&Key::Completed(content));
+        completed.is_none_or(|record| record.seen < seen)
+    }
+
     /// When targets crashed under this content.
     fn crashes(&self, content: ContentDigest, now: Instant) -> impl Iterator<Item = Instant> {
         let crashes = self.facts.values().filter(move |record| {
@@ -287,12 +335,14 @@
     /// Drops the oldest fact that no quarantine rests on.
     fn evict(&mut self) {
         let mut crashes: IndexMap<ContentDigest, usize> = IndexMap::new();
-        for content in self
-            .facts
-            .values()
-            .filter_map(|record| record.fact.content())
-        {
-            *crashes.entry(content).or_default() += 1;
+        for record in self.facts.values() {
+            let weight = match record.fact {
+                Fact::Quarantined { .. } => QUARANTINE_CRASHES,
+                _ => 1,
+            };
+            if let Some(content) = record.fact.content() {
+                *crashes.entry(content).or_default() += weight;
+            }
         }
         let is_quarantined = |fact: Fact| {
             let content = fact.content();
--- /dev/null
+++ b/crates/lilaccrank/src/advisories/record.rs
@@ -0,0 +1,64 @@
+//! Quarantines as they are kept in the platform's store.
+//!
+//! Daemons have no disk, and both sides of a partition reach the store: what stands there outlives all of
+//! them. It is one object, bounded in size; entries that have lapsed go with the next write.
+
+use std::time::{Duration, SystemTime};
+
+use serde::{Deserialize, Serialize};
+
+use super::LIFETIME;
+use crate::ids::ContentDigest;
+
+/// Quarantines kept.
+const CAPACITY: usize = 64;
+
+/// The quarantines that the store knows.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QuarantineRecord {
+    quarantines: Vec<Entry>,
+}
+
+/// One quarantine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct Entry {
+    /// Its beginning, in milliseconds since 1970.
+    at_ms: u64,
+    /// The content, in hexadecimal.
+    content: String,
+}
+
+impl QuarantineRecord {
+    /// The quarantines that hold, with their ages.
+    pub fn current(&self, now: SystemTime) -> impl Iterator<Item = (ContentDigest, Duration)> {
+        let entries = self.quarantines.iter();
+        let entries = entries.filter_map(move |entry| {
+            let content = ContentDigest::from_str_radix(&entry.content, 16).ok()?;
+            let at = Duration::from_millis(entry.at_ms);
+            Some((content, since_1970(now).saturating_sub(at)))
+        });
+        entries.filter(|(_, age)| *age < LIFETIME).take(CAPACITY)
+    }
+
+    /// Adds quarantines of these ages, and drops what has lapsed and what is over the number.
+    pub fn add(&mut self, new: &[(ContentDigest, Duration)], now: SystemTime) {
+        let mut all: Vec<_> = self.current(now).collect();
+        for (content, age) in new {
+            all.retain(|(known, _)| known != content);
+            all.push((*content, *age));
+        }
+        all.sort_by_key(|(_, age)| *age);
+        all.truncate(CAPACITY);
+        let entry = |(content, age): (ContentDigest, Duration)| Entry {
+            at_ms: u64::try_from(since_1970(now).saturating_sub(age).as_millis())
+                .unwrap_or(u64::MAX),
+            content: format!("{content:016x}"),
+        };
+        self.quarantines = all.into_iter().map(entry).collect();
+    }
+}
+
+fn since_1970(now: SystemTime) -> Duration {
+    now.duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default()
+}
--- a/crates/lilaccrank/tests/suite/advisories.rs
+++ b/crates/lilaccrank/tests/suite/advisories.rs
@@ -1,9 +1,10 @@
 //! Facts that daemons learn and tell each other, and the quarantine that rests on them.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use indexmap::IndexMap;
 use lilaccrank::advisories::recent::RecentContents;
+use lilaccrank::advisories::record::QuarantineRecord;
 use lilaccrank::advisories::sync::{self, Cursors};
 use lilaccrank::advisories::{Advisories, Advisory, CAPACITY, Fact, LIFETIME, QUARANTINE_CRASHES};
 use lilaccrank::ids::VmId;
@@ -89,6 +90,73 @@
     );
 }
 
+#[test]
+fn a_recorded_quarantine_holds_for_the_rest_of_its_time() {
+    let now = Instant::now();
+    let mut known = Advisories::default();
+    assert!(known.note_recorded(CONTENT, LIFETIME / 2, now));
+    assert!(!known.note_recorded(CONTENT, LIFETIME / 2, now));
+    assert_eq!(known.quarantine(CONTENT, now), Some(LIFETIME / 2));
+    assert_eq!(known.quarantined(now), [(CONTENT, LIFETIME / 2)]);
+    assert_eq!(known.quarantine(CONTENT, now + LIFETIME / 2), None);
+    let mut other = Advisories::default();
+    other.merge(&known.take_updates(8, now), now);
+    assert!(other.quarantine(CONTENT, now).is_some());
+}
+
+#[test]
+fn an_answer_clears_a_recorded_quarantine() {
+    let now = Instant::now();
+    let mut known = Advisories::default();
+    known.note_recorded(CONTENT, Duration::from_secs(1), now);
+    known.note(COMPLETED, now);
+    assert_eq!(known.quarantine(CONTENT, now), None);
+    assert!(!known.note_recorded(CONTENT, Duration::from_secs(2), now));
+}
+
+fn recorded(record: &QuarantineRecord, now: SystemTime) -> Vec<(u64, Duration)> {
+    record.current(now).collect()
+}
+
+#[test]
+fn a_record_keeps_what_holds() {
+    let now = SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000);
+    let mut record = QuarantineRecord::default();
+    let age = Duration::from_secs(5);
+    record.add(&[(CONTENT, age), (8, Duration::ZERO)], now);
+    let later = now + LIFETIME - age;
+    assert_eq!(
+        recorded(&record, now),
+        [(8, Duration::ZERO), (CONTENT, age)]
+    );
+    assert_eq!(recorded(&record, later), [(8, LIFETIME - age)]);
+    record.add(&[(9, Duration::ZERO)], later);
+    let text = serde_json::to_string(&record).unwrap();
+    assert!(!text.contains(&format!("{CONTENT:016x}")), "{text}");
+    assert_eq!(
+        serde_json::from_str::<QuarantineRecord>(&text).unwrap(),
+        record
+    );
+}
+
+// Guards against a record that grows without bound, or that another writer has filled with nonsense.
+#[test]
+fn a_record_is_bounded_and_not_trusted() {
+    let now = SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000);
+    let mut record = QuarantineRecord::default();
+    let many: Vec<_> = (0..1_000)
+        .map(|content| (content, Duration::ZERO))
+        .collect();
+    record.add(&many, now);
+    assert_eq!(recorded(&record, now).len(), 64);
+    let text = r#"{"quarantines": [
+        {"at_ms": 18446744073709551615, "content": "7"},
+        {"at_ms": 0, "content": "8"},
+        {"at_ms": 1000000000, "content": "no number"}]}"#;
+    let record: QuarantineRecord = serde_json::from_str(text).unwrap();
+    assert_eq!(recorded(&record, now), [(7, Duration::ZERO)]);
+}
+
 // Guards against memory that grows with what callers send.
 #[test]
 fn completed_contents_are_forgotten() {
--- a/crates/lilaccrankd/src/lib.rs
+++ b/crates/lilaccrankd/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod configuration;
 pub mod daemon;
 mod json_logger;
+pub mod objects;
 pub mod orders;
 pub mod peers;
 pub mod pools;
--- a/crates/lilaccrankd/src/peers.rs
+++ b/crates/lilaccrankd/src/peers.rs
@@ -7,5 +7,6 @@
 pub mod load_message;
 pub mod message;
 pub mod network;
+pub mod quarantine_record;
 pub mod traffic;
 pub mod udp_gossip;
--- a/crates/lilaccrankd/src/peers/advisories.rs
+++ b/crates/lilaccrankd/src/peers/advisories.rs
@@ -10,6 +10,7 @@
 use lilaccrank::ids::{ContentDigest, Incarnation, VmId};
 use lilaccrank::target_life::{LifeDigest, TargetLife};
 
+use crate::peers::changes::Changes;
 use crate::peers::load_exchange::LoadExchange;
 use crate::targets::protocol::RateLimit;
 
@@ -19,6 +20,7 @@
 /// What this daemon and others have learnt.
 pub struct SharedAdvisories {
     completed: RefCell<RecentContents>,
+    crashes: Changes,
     cursors: RefCell<Cursors>,
     known: RefCell<Advisories>,
 }
@@ -27,6 +29,7 @@
     fn default() -> Self {
         Self {
             completed: RefCell::new(RecentContents::new(Instant::now())),
+            crashes: Changes::default(),
             cursors: RefCell::default(),
             known: RefCell::default(),
         }
@@ -59,6 +62,33 @@
         }
     }
 
+    /// Crashes that were heard of.
+    pub fn crashes(&self) -> &Changes {
+        &self.crashes
+    }
+
+    /// Whether any content is suspected.
+    pub fn has_crashes(&self) -> bool {
+        self.known.borrow().has_crashes()
+    }
+
+    /// Contents that are quarantined, and for how long they have been.
+    pub fn quarantined(&self) -> Vec<(ContentDigest, Duration)> {
+        self.known.borrow().quarantined(Instant::now())
+    }
+
+    /// The platform's store knows these quarantines, of these ages.
+    pub fn recorded(&self, quarantines: &[(ContentDigest, Duration)], cell: &LoadExchange) {
+        let now = Instant::now();
+        for (content, age) in quarantines {
+            let is_known = self.known.borrow().quarantine(*content, now).is_some();
+            let is_new = !is_known && self.known.borrow_mut().note_recorded(*content, *age, now);
+            if is_new {
+                self.learnt(&[Fact::Quarantined { content: *content }], cell);
+            }
+        }
+    }
+
     /// How long a request is still quarantined, whose content is `content()`.
     pub fn quarantine(&self, content: impl FnOnce() -> ContentDigest) -> Option<Duration> {
         let known = self.known.borrow();
@@ -123,7 +153,7 @@
     pub fn heard(&self, advisories: &[Advisory]) {
         let told = &advisories[..advisories.len().min(UPDATE_LIMIT)];
         let new = self.known.borrow_mut().merge_update(told, Instant::now());
-        self.log(&new);
+        self.follow(&new);
     }
 
     /// Forgets daemons that are members no more.
@@ -140,14 +170,16 @@
     fn learnt(&self, new: &[Fact], cell: &LoadExchange) {
         if !new.is_empty() {
             cell.note_change(true);
-            self.log(new);
+            self.follow(new);
         }
     }
 
-    fn log(&self, new: &[Fact]) {
+    /// Logs new facts, and wakes those that follow them.
+    fn follow(&self, new: &[Fact]) {
         for fact in new {
             match *fact {
-                Fact::Crash { content, .. } => {
+                Fact::Crash { content, .. } | Fact::Quarantined { content } => {
+                    self.crashes.note();
                     if let Some(left) = self.quarantine(|| content) {
                         log::warn!(
                             content:% = format_args!("{content:016x}"),
--- /dev/null
+++ b/crates/lilaccrankd/src/peers/quarantine_record.rs
@@ -0,0 +1,88 @@
+//! Keeps the record of quarantines in the platform's store up to date, and learns from it.
+//!
+//! Daemons tell each other of crashes as long as any of them lives and they reach each other. A fleet that
+//! was restarted as a whole, or the other side of a partition, learns of a quarantine here, at the first
+//! crash that it sees itself: without crashes the store is not asked.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use lilaccrank::advisories::record::QuarantineRecord;
+use lilaccrank::backoff::Backoff;
+use lilaccrank::clock::Clock;
+use lilaccrank::ids::VmId;
+use lilaccrank::rendezvous;
+use lilaccrank::store::{Error, Expect, Result, Versioned};
+use lilaccrank_http::monoio_clock::MonoioClock;
+
+use crate::daemon::Daemon;
+
+/// Key of the record.
+const KEY: &str = "quarantines/recent";
+/// Name of the duty to keep it.
+const DUTY: &str = "quarantine-record";
+/// Daemons with that duty; the store may turn one of them away.
+const KEEPERS: usize = 2;
+/// Shortest time between two looks at the record.
+const PAUSE: Duration = Duration::from_secs(1);
+/// First and highest ceiling of the wait after a failed call.
+const FIRST_WAIT: Duration = Duration::from_millis(100);
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
+/// Follows the crashes for as long as the daemon runs.
+pub async fn run(daemon: Rc<Daemon>) {
+    loop {
+        daemon.advisories.crashes().next().await;
+        if !is_keeper(&daemon) {
+            continue;
+        }
+        let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
+        while let Err(e) = synchronise(&daemon).await {
+            log::warn!(why:% = e; "the record of quarantines could not be brought up to date");
+            monoio::time::sleep(backoff.next_wait()).await;
+            if !is_keeper(&daemon) || !daemon.advisories.has_crashes() {
+                break;
+            }
+        }
+        monoio::time::sleep(PAUSE).await;
+    }
+}
+
+fn is_keeper(daemon: &Daemon) -> bool {
+    let live = daemon.membership.live();
+    let vms = live.members.iter().map(|member| &member.vm);
+    let keepers: Vec<&VmId> = rendezvous::top(DUTY, vms, KEEPERS);
+    keepers.contains(&&daemon.cfg.vm)
+}
+
+/// Learns what the record tells, and adds what it lacks.
+async fn synchronise(daemon: &Rc<Daemon>) -> Result<()> {
+    let found = daemon.ports.objects.read(daemon, KEY).await?;
+    let expect = found
+        .as_ref()
+        .map_or(Expect::Absent, |found| Expect::Version(found.version));
+    let mut record = found.as_ref().map(read).unwrap_or_default();
+    let now = MonoioClock.wall();
+    let recorded: Vec<_> = record.current(now).collect();
+    daemon.advisories.recorded(&recorded, &daemon.load_exchange);
+    let mut missing = daemon.advisories.quarantined();
+    missing.retain(|(content, _)| recorded.iter().all(|(known, _)| known != content));
+    if missing.is_empty() {
+        return Ok(());
+    }
+    record.add(&missing, now);
+    let value = serde_json::to_vec(&record).map_err(|_| Error::Unknown)?;
+    daemon
+        .ports
+        .objects
+        .write(daemon, KEY, value.into(), expect)
+        .await
+}
+
+/// A record that can't be read is replaced by the next write.
+fn read(found: &Versioned) -> QuarantineRecord {
+    serde_json::from_slice(&found.value).unwrap_or_else(|e| {
+        log::warn!(why:% = e; "the record of quarantines can't be read");
+        QuarantineRecord::default()
+    })
+}
--- a/crates/lilaccrankd/src/ports.rs
+++ b/crates/lilaccrankd/src/ports.rs
@@ -8,6 +8,7 @@
 use crate::callers::protocol::CallerProtocol;
 use crate::configuration::own_source::OwnSource;
 use crate::configuration::source::Source;
+use crate::objects::{Objects, OwnObjects};
 use crate::settings::{self, Settings};
 use crate::targets::own_protocol::OwnTargets;
 use crate::targets::protocol::TargetProtocol;
@@ -17,6 +18,8 @@
 pub struct Ports {
     /// What callers speak.
     pub callers: Rc<dyn CallerProtocol>,
+    /// Objects that all daemons share.
+    pub objects: Rc<dyn Objects>,
     /// How the settings file is read.
     pub settings: fn(&Path) -> settings::Result<Settings>,
     /// The settings file, if there is one.
@@ -32,6 +35,7 @@
     fn default() -> Self {
         Self {
             callers: Rc::new(OwnProtocol),
+            objects: Rc::new(OwnObjects),
             settings: Settings::read,
             settings_file: None,
             source: Rc::new(OwnSource),
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -25,6 +25,7 @@
 use crate::orders::keeper;
 use crate::peers::load_exchange;
 use crate::peers::message::{Held, HeldAsk, PeerReply, PeerRequest, Stamped};
+use crate::peers::quarantine_record;
 use crate::peers::traffic::Traffic;
 use crate::peers::udp_gossip::UdpGossip;
 use crate::pools;
@@ -133,6 +134,7 @@
         move |req| callers::handle(Rc::clone(&shared), req),
     ));
     monoio::spawn(load_exchange::run(Rc::clone(&daemon), load_socket));
+    monoio::spawn(quarantine_record::run(Rc::clone(&daemon)));
     monoio::spawn(reload::run(Rc::clone(&daemon), signals.clone()));
     log::info!(
         data_centre = daemon.cfg.data_centre,
