--- a/crates/lilaccrank/src/advisories.rs
+++ b/crates/lilaccrank/src/advisories.rs
@@ -1,9 +1,9 @@
-//! Advisories: facts that one daemon has learnt and that all daemons have to act on.
+//! Advisories: facts that one daemon observes and that bind all daemons.
 //!
-//! Each daemon keeps the facts that it knows, up to a number and an age. Those it has learnt lately go to
-//! its cell with the next load updates; all others reach each daemon by [`sync`], which also serves a
-//! daemon that has just started and both sides of a healed partition. Merging is idempotent and does not
-//! depend on the order, so that facts may come twice, late and by any way.
+//! Each daemon keeps a set of facts, bounded in number and age. New ones are pushed to its cell with the next
+//! load updates; anti-entropy ([`sync`]) carries them to the rest of the fleet, to daemons that start and
+//! over healed partitions. Merging is idempotent and commutative, so that facts may be duplicated, delayed
+//! and reordered.
 
 use std::cmp::Reverse;
 use std::time::{Duration, Instant};
@@ -21,21 +21,21 @@
 /// Targets that have to crash under the same content before it is quarantined. Other requests are on a
 /// target that crashes, too, and are seldom on three of them.
 pub const QUARANTINE_CRASHES: usize = 3;
-/// How long crashes are known.
+/// Time to live of a crash.
 pub const LIFETIME: Duration = Duration::from_secs(600);
-/// How long an advertised rate limit holds after an answer that told of it.
+/// Time to live of a rate limit after the latest answer that advertised it.
 pub const RATE_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
-/// Age from which a rate limit that is still advertised is told again.
+/// Age from which a rate limit that is still advertised is propagated again.
 const REFRESH: Duration = Duration::from_secs(15);
 /// Facts kept.
 pub const CAPACITY: usize = 1_024;
 /// Load updates that carry a new fact. More than one may be lost on a bad link.
 const UPDATES: u8 = 3;
 
-/// Position of a fact in the order in which a daemon has learnt its facts.
+/// Position of a fact in the order in which a daemon received its facts.
 pub type Revision = u64;
 
-/// Something that was seen.
+/// An observation.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum Fact {
     /// A target ended while it had a request with this content.
@@ -52,13 +52,13 @@
         /// The content.
         content: ContentDigest,
     },
-    /// The platform's store knows a quarantine of this content.
+    /// The platform's store holds a quarantine of this content.
     #[serde(rename = "q")]
     Quarantined {
         /// The content.
         content: ContentDigest,
     },
-    /// A target told with its latest answer how many requests it takes from all daemons.
+    /// The rate limit that a target advertised with its latest answer.
     #[serde(rename = "r")]
     RateLimit {
         /// Requests in 1,000 seconds; `None` if there is no limit any more.
@@ -68,16 +68,16 @@
     },
 }
 
-/// A fact as daemons tell it to each other.
+/// A fact on the wire.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Advisory {
-    /// Milliseconds since it was seen.
+    /// Milliseconds since it was observed.
     pub age_ms: u32,
-    /// What was seen.
+    /// The observation.
     pub fact: Fact,
 }
 
-/// Facts that one daemon knows.
+/// The facts of one daemon.
 #[derive(Debug, Default)]
 pub struct Advisories {
     facts: IndexMap<Key, Record>,
@@ -142,7 +142,7 @@
         now.saturating_duration_since(self.seen) < self.fact.lifetime()
     }
 
-    /// Whether a fact about the same, seen at another time, tells more.
+    /// Whether another fact with the same key, observed at `seen`, replaces this one.
     fn is_superseded(&self, fact: Fact, seen: Instant) -> bool {
         let later = seen.saturating_duration_since(self.seen);
         match fact {
@@ -154,29 +154,29 @@
 }
 
 impl Advisories {
-    /// Whether nothing is known.
+    /// Whether there are no facts.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.facts.is_empty()
     }
 
-    /// Number of known facts.
+    /// Number of facts.
     #[must_use]
     pub fn len(&self) -> usize {
         self.facts.len()
     }
 
-    /// Takes in what this daemon has just seen itself. Returns whether that is new.
+    /// Adds an observation of this daemon. Returns whether it is new.
     pub fn note(&mut self, fact: Fact, now: Instant) -> bool {
         self.insert(fact, now, 0, now)
     }
 
-    /// Takes in what another daemon tells. Returns the facts that are new.
+    /// Merges facts of another daemon. Returns those that are new.
     pub fn merge(&mut self, advisories: &[Advisory], now: Instant) -> Vec<Fact> {
         self.merge_with(advisories, 0, now)
     }
 
-    /// Takes in load updates of a daemon of the same cell, whose other daemons hear them as well.
+    /// Merges facts of a load update, which all daemons of the cell receive from its sender.
     pub fn merge_update(&mut self, advisories: &[Advisory], now: Instant) -> Vec<Fact> {
         self.merge_with(advisories, UPDATES, now)
     }
@@ -210,7 +210,7 @@
         contents.into_iter().filter_map(left).collect()
     }
 
-    /// Takes in a quarantine of this age that the platform's store knows. Returns whether that is new.
+    /// Adds a quarantine of this age from the platform's store. Returns whether it is new.
     pub fn note_recorded(&mut self, content: ContentDigest, age: Duration, now: Instant) -> bool {
         let seen = now.checked_sub(age).unwrap_or(now);
         self.insert(Fact::Quarantined { content }, seen, 0, now)
@@ -252,7 +252,7 @@
         taken.collect()
     }
 
-    /// Facts learnt after `revision`, `limit` at most, and the revision up to which that is all.
+    /// Facts received after `revision`, `limit` at most, and the revision up to which they are complete.
     fn after(&self, revision: Revision, limit: usize, now: Instant) -> (Vec<Advisory>, Revision) {
         let later = self.facts.values();
         let mut later: Vec<_> = later.filter(|record| record.revision > revision).collect();
@@ -280,7 +280,7 @@
 
     fn insert(&mut self, fact: Fact, seen: Instant, updates: u8, now: Instant) -> bool {
         self.facts.retain(|_, record| record.is_current(now));
-        if !self.tells_more(fact, seen, now) {
+        if !self.is_news(fact, seen, now) {
             return false;
         }
         if let Fact::Completed { content } = fact {
@@ -302,8 +302,8 @@
         true
     }
 
-    /// Whether a fact tells more than what is known.
-    fn tells_more(&self, fact: Fact, seen: Instant, now: Instant) -> bool {
+    /// Whether a fact changes the set.
+    fn is_news(&self, fact: Fact, seen: Instant, now: Instant) -> bool {
         if let Some(known) = self.facts.get(&fact.key()) {
             return known.is_superseded(fact, seen);
         }
--- a/crates/lilaccrank/src/advisories/recent.rs
+++ b/crates/lilaccrank/src/advisories/recent.rs
@@ -1,8 +1,7 @@
-//! Contents that targets have completed lately.
+//! Contents of recently completed requests.
 //!
-//! Callers may send the same request often, such as a question for a status. When several targets crash at
-//! once for another reason, they may each have one of these; that it was completed just before tells it from a
-//! query of death.
+//! Callers may send the same request often, such as a status query. Targets that crash at once for another
+//! reason may each have one in flight; a recent completion distinguishes it from a query of death.
 
 use std::time::{Duration, Instant};
 
--- a/crates/lilaccrank/src/advisories/record.rs
+++ b/crates/lilaccrank/src/advisories/record.rs
@@ -1,7 +1,7 @@
-//! Quarantines as they are kept in the platform's store.
+//! The persistent record of quarantines in the platform's store.
 //!
-//! Daemons have no disk, and both sides of a partition reach the store: what stands there outlives all of
-//! them. It is one object, bounded in size; entries that have lapsed go with the next write.
+//! Daemons have no disk, and both sides of a partition may reach the store. The record is one object of bounded
+//! size; each write drops expired entries.
 
 use std::time::{Duration, SystemTime};
 
@@ -13,7 +13,7 @@
 /// Quarantines kept.
 const CAPACITY: usize = 64;
 
-/// The quarantines that the store knows.
+/// Quarantines in the store.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct QuarantineRecord {
     quarantines: Vec<Entry>,
@@ -22,14 +22,14 @@
 /// One quarantine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 struct Entry {
-    /// Its beginning, in milliseconds since 1970.
+    /// Start in milliseconds since 1970.
     at_ms: u64,
     /// The content, in hexadecimal.
     content: String,
 }
 
 impl QuarantineRecord {
-    /// The quarantines that hold, with their ages.
+    /// Quarantines that have not expired, with their ages.
     pub fn current(&self, now: SystemTime) -> impl Iterator<Item = (ContentDigest, Duration)> {
         let entries = self.quarantines.iter();
         let entries = entries.filter_map(move |entry| {
@@ -40,7 +40,7 @@
         entries.filter(|(_, age)| *age < LIFETIME).take(CAPACITY)
     }
 
-    /// Adds quarantines of these ages, and drops what has lapsed and what is over the number.
+    /// Adds quarantines of these ages; drops expired entries and the oldest over the capacity.
     pub fn add(&mut self, new: &[(ContentDigest, Duration)], now: SystemTime) {
         let mut all: Vec<_> = self.current(now).collect();
         for (content, age) in new {
--- a/crates/lilaccrank/src/advisories/sync.rs
+++ b/crates/lilaccrank/src/advisories/sync.rs
@@ -1,7 +1,7 @@
-//! Anti-entropy between two daemons: one asks, and both know the facts of both afterwards.
+//! Anti-entropy between two daemons, as push and pull in one exchange.
 //!
-//! Each remembers of the other up to which revision it has heard and told. A daemon that has started
-//! again counts its revisions anew, which its incarnation tells.
+//! The asker keeps a cursor for each peer: the peer's revision that it has pulled, and its own that it has
+//! pushed. Revisions start again with each incarnation, which resets the cursor.
 
 use std::time::Instant;
 
@@ -11,32 +11,32 @@
 use super::{Advisories, Advisory, Fact, Revision};
 use crate::ids::{Incarnation, VmId};
 
-/// Facts in one message; the rest follows with the next one.
+/// Most facts in one message; the rest follows with the next one.
 pub const PAGE: usize = 128;
 
-/// A question for facts, with those that the asker has not told yet.
+/// A request for facts, with those that the asker has not pushed yet.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Pull {
-    /// Facts up to this revision are known.
+    /// Facts up to this revision were pulled before.
     pub after: Revision,
-    /// Life of the other daemon that counts these revisions.
+    /// Incarnation of the peer to which this revision belongs.
     pub incarnation: Incarnation,
     /// Facts of the asker.
     pub pushed: Vec<Advisory>,
 }
 
-/// The answer.
+/// The reply.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Page {
     /// Facts that the asker lacks.
     pub advisories: Vec<Advisory>,
-    /// Life of the sender.
+    /// Incarnation of the sender.
     pub incarnation: Incarnation,
-    /// Revision up to which these are all.
+    /// Revision up to which these are complete.
     pub revision: Revision,
 }
 
-/// What has been exchanged with each other daemon.
+/// Cursors of all peers.
 #[derive(Debug, Default)]
 pub struct Cursors(IndexMap<VmId, Cursor>);
 
@@ -45,12 +45,12 @@
     incarnation: Incarnation,
     pulled: Revision,
     pushed: Revision,
-    /// Revision up to which the question that is on its way tells all.
+    /// Revision up to which the request in flight pushes.
     pushing: Revision,
 }
 
 impl Cursors {
-    /// The next question to `peer`.
+    /// The next request to `peer`.
     pub fn pull(&mut self, peer: &VmId, known: &Advisories, now: Instant) -> Pull {
         let cursor = self.0.entry(peer.clone()).or_default();
         let (pushed, pushing) = known.after(cursor.pushed, PAGE, now);
@@ -62,7 +62,7 @@
         }
     }
 
-    /// Takes in the answer of `peer`. Returns the facts that are new.
+    /// Merges the reply of `peer`. Returns the facts that are new.
     pub fn take(
         &mut self,
         peer: &VmId,
@@ -71,16 +71,16 @@
         now: Instant,
     ) -> Vec<Fact> {
         let cursor = self.0.entry(peer.clone()).or_default();
-        // What an earlier life was told is gone with it.
-        let knows_earlier = cursor.incarnation == page.incarnation || cursor.pushed == 0;
-        let pushed = if knows_earlier { cursor.pushing } else { 0 };
+        // What was pushed to an earlier incarnation is lost with it.
+        let is_cumulative = cursor.incarnation == page.incarnation || cursor.pushed == 0;
+        let pushed = if is_cumulative { cursor.pushing } else { 0 };
         let nothing_new_meanwhile = pushed == known.revision;
         let advisories = &page.advisories[..page.advisories.len().min(PAGE)];
         let new = known.merge(advisories, now);
         *cursor = Cursor {
             incarnation: page.incarnation,
             pulled: page.revision,
-            // What has just come from the peer need not go back there.
+            // Facts that came from the peer are not echoed.
             pushed: if nothing_new_meanwhile {
                 known.revision
             } else {
@@ -91,13 +91,13 @@
         new
     }
 
-    /// Forgets daemons that are members no more.
+    /// Drops the cursors of daemons that are no longer members.
     pub fn retain(&mut self, is_member: impl Fn(&VmId) -> bool) {
         self.0.retain(|vm, _| is_member(vm));
     }
 }
 
-/// Answers a question to the daemon whose life is `incarnation`. Returns the facts that are new here, too.
+/// Replies as the daemon with this incarnation. Returns the facts that are new here, too.
 pub fn answer(
     pull: &Pull,
     known: &mut Advisories,
@@ -115,7 +115,7 @@
     let page = Page {
         advisories,
         incarnation,
-        // What the asker has just told need not go back there.
+        // Facts that the asker pushed are not echoed.
         revision: if is_all { known.revision } else { revision },
     };
     (page, new)
--- a/crates/lilaccrank/src/dispatch/rate_limit.rs
+++ b/crates/lilaccrank/src/dispatch/rate_limit.rs
@@ -1,10 +1,10 @@
-//! Keeps to the rate of requests that a target takes from all daemons together.
+//! Distributed token buckets for the rate limits that targets advertise.
 //!
-//! The daemons of a cell keep one token bucket for each such target: each has a copy, and takes out what it
-//! sends and what the others tell that they have sent. Several may take the last token at the same moment;
-//! that is a debt, which all pay, so that the average holds. Cells that share a target know nothing of each
-//! other's requests and divide its rate. A bucket holds two requests at least; among many cells with small
-//! shares these alone would be a burst, so that only as many cells use the target as its rate bears.
+//! The daemons of a cell replicate one bucket for each such target: a replica is charged with the requests that
+//! its daemon sends and with those that load updates of the others report. Concurrent requests may overdraw
+//! the bucket; all replicas carry the debt, so that the average rate holds. Cells that share a target see no
+//! load updates of each other and divide its rate. Each bucket holds two requests at least; with many
+//! cells that would be a burst, so that the rate limits how many cells use the target.
 
 use std::time::Instant;
 
@@ -12,21 +12,20 @@
 use crate::rendezvous;
 use crate::target_life::LifeDigest;
 
-/// Lowest rate that is kept to. A target has to get a request now and then, or it could not tell that its
-/// limit is over.
+/// Lowest rate that is applied. Without any request a target could not advertise the end of its limit.
 const LOWEST_PER_S: f64 = 0.1;
-/// Seconds of the rate, and requests beside, that all buckets of a target hold together.
+/// Capacity of all buckets of a target together: seconds of its rate, and requests beside.
 const BURST_S: f64 = 1.0;
 const BURST: f64 = 2.0;
-/// Requests that each bucket holds at least.
+/// Least capacity of a bucket.
 const LEAST_BURST: f64 = 2.0;
-/// Seconds of the rate that a debt is paid for at most.
+/// Longest time to pay off a debt, in seconds.
 const DEBT_S: f64 = 4.0;
 
-/// What the daemons of one cell may send to a target.
+/// A cell's share of a target's rate limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Share {
-    /// Requests that may be sent at once.
+    /// Capacity of the bucket.
     pub burst: f64,
     /// Requests per second; zero if the cell does not use the target.
     pub per_s: f64,
@@ -53,7 +52,7 @@
     }
 }
 
-/// A copy of the token bucket that the daemons of a cell keep for a target.
+/// A replica of a cell's token bucket for one target.
 #[derive(Clone, Copy, Debug)]
 pub struct RateLimit {
     refilled: Instant,
@@ -62,7 +61,7 @@
 }
 
 impl RateLimit {
-    /// An empty bucket: the target has told of its limit since it had too much.
+    /// An empty bucket.
     #[must_use]
     pub fn new(share: Share, now: Instant) -> Self {
         Self {
@@ -72,26 +71,26 @@
         }
     }
 
-    /// Goes on with what is in the bucket by another share.
+    /// Changes the share and keeps the tokens.
     pub fn set(&mut self, share: Share, now: Instant) {
         self.refill(now);
         self.share = share;
     }
 
-    /// What the cell may send.
+    /// The cell's share.
     #[must_use]
     pub fn share(&self) -> Share {
         self.share
     }
 
-    /// Whether a request may be sent that leaves so many others room, as far as the bucket can hold them.
+    /// Whether a request may be sent while tokens for `left_to_others` remain, as far as the bucket holds them.
     #[must_use]
     pub fn allows(&self, left_to_others: u32, now: Instant) -> bool {
         let wanted = (1.0 + f64::from(left_to_others)).min(self.share.burst);
         self.tokens(now) >= wanted.max(1.0)
     }
 
-    /// Counts requests that were sent.
+    /// Charges requests that were sent.
     pub fn take(&mut self, requests: u32, now: Instant) {
         self.refill(now);
         let lowest = -self.share.per_s * DEBT_S - self.share.burst;
--- a/crates/lilaccrank/src/dispatch/sharing.rs
+++ b/crates/lilaccrank/src/dispatch/sharing.rs
@@ -50,7 +50,7 @@
     pub loads: Vec<TargetLoad>,
     /// What it saw since its last digest.
     pub samples: Vec<Sample>,
-    /// Requests that it has sent to targets with a rate limit, since it started.
+    /// Running counts of requests sent to targets with a rate limit.
     pub sent: Vec<(LifeDigest, u32)>,
     /// Standing of the first ask that waits there for any target.
     pub waiting: Option<Standing>,
@@ -98,8 +98,7 @@
 }
 
 impl Peer {
-    /// Requests that it has sent since it was last heard. The first word of a target only tells from where to
-    /// count.
+    /// Requests sent since its last digest; the first count of a target is only a baseline.
     fn take_sent(&mut self, sent: &[(LifeDigest, u32)]) -> Vec<(LifeDigest, u32)> {
         let new = sent.iter().filter_map(|(target, count)| {
             let before = self.sent.insert(*target, *count)?;
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -54,9 +54,9 @@
     pub(super) opened: Option<(Instant, Rival)>,
     /// The cell's share of the rate that the target advertises.
     pub rate_limit: Option<RateLimit>,
-    /// Who else of the cell waits for a target.
+    /// The first of the asks that wait at other daemons of the cell.
     pub rival: Option<Rival>,
-    /// Requests that this daemon has sent there.
+    /// Running count of this daemon's requests to it.
     pub sent: u32,
     /// Requests it runs at once.
     pub slots: u32,
@@ -112,8 +112,8 @@
         }
     }
 
-    /// Whether its rate limit leaves room for a request, beside what is left to earlier tiers and to a rival
-    /// that goes first.
+    /// Whether its rate limit admits a request beside the tokens reserved for earlier tiers and for a rival that
+    /// goes first.
     #[must_use]
     pub fn is_within_rate_limit(
         &self,
@@ -127,7 +127,7 @@
         })
     }
 
-    /// Counts requests that another daemon of the cell has sent.
+    /// Charges requests that another daemon of the cell sent.
     pub fn sent_by_peer(&mut self, requests: u32, now: Instant) {
         if let Some(limit) = &mut self.rate_limit {
             limit.take(requests, now);
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -61,7 +61,7 @@
 pub struct Daemon {
     /// The configuration as it comes from the store or from peers.
     pub adoption: Adoption,
-    /// What this and other daemons have learnt of requests and targets.
+    /// Crashes and rate limits that all daemons observe.
     pub advisories: SharedAdvisories,
     /// Answers of keyed requests.
     pub answers: Answers,
--- a/crates/lilaccrankd/src/peers/advisories.rs
+++ b/crates/lilaccrankd/src/peers/advisories.rs
@@ -1,4 +1,4 @@
-//! Advisories of this daemon, and their exchange with others.
+//! The advisories of this daemon and their propagation.
 
 use std::cell::RefCell;
 use std::time::{Duration, Instant};
@@ -14,10 +14,10 @@
 use crate::peers::load_exchange::LoadExchange;
 use crate::targets::protocol::RateLimit;
 
-/// Advisories in one load update; the rest goes with the next one.
+/// Most advisories in one load update; the rest follows with the next one.
 const UPDATE_LIMIT: usize = 32;
 
-/// What this daemon and others have learnt.
+/// Advisories of this and other daemons.
 pub struct SharedAdvisories {
     completed: RefCell<RecentContents>,
     crashes: Changes,
@@ -37,7 +37,7 @@
 }
 
 impl SharedAdvisories {
-    /// A target ended while it had a request with this content.
+    /// A target crashed with a request of this content in flight.
     pub fn crashed(&self, content: ContentDigest, target: &TargetLife, cell: &LoadExchange) {
         if self
             .completed
@@ -53,7 +53,7 @@
         self.note(fact, cell);
     }
 
-    /// A target answered a request with this content completely.
+    /// A target completed a request of this content.
     pub fn completed(&self, content: ContentDigest, cell: &LoadExchange) {
         let now = Instant::now();
         self.completed.borrow_mut().insert(content, now);
@@ -62,12 +62,12 @@
         }
     }
 
-    /// Crashes that were heard of.
+    /// Notifies of new crashes.
     pub fn crashes(&self) -> &Changes {
         &self.crashes
     }
 
-    /// Whether any content is suspected.
+    /// Whether any crash is on record.
     pub fn has_crashes(&self) -> bool {
         self.known.borrow().has_crashes()
     }
@@ -77,14 +77,14 @@
         self.known.borrow().quarantined(Instant::now())
     }
 
-    /// The platform's store knows these quarantines, of these ages.
+    /// Adds quarantines from the platform's store, with their ages.
     pub fn recorded(&self, quarantines: &[(ContentDigest, Duration)], cell: &LoadExchange) {
         let now = Instant::now();
         for (content, age) in quarantines {
             let is_known = self.known.borrow().quarantine(*content, now).is_some();
             let is_new = !is_known && self.known.borrow_mut().note_recorded(*content, *age, now);
             if is_new {
-                self.learnt(&[Fact::Quarantined { content: *content }], cell);
+                self.propagate(&[Fact::Quarantined { content: *content }], cell);
             }
         }
     }
@@ -98,7 +98,7 @@
         known.quarantine(content(), Instant::now())
     }
 
-    /// A target told with an answer what rate of requests it takes.
+    /// Notes the rate limit that a target advertised with an answer.
     pub fn rate_limited(&self, target: &TargetLife, limit: RateLimit, cell: &LoadExchange) {
         let per_1000_s = match limit {
             RateLimit::PerSecond(rate) => Some(per_1000_s(rate)),
@@ -117,65 +117,68 @@
         self.known.borrow().rate_limits(Instant::now()).collect()
     }
 
-    /// The next question to another daemon.
+    /// The next sync request to a peer.
     pub fn pull(&self, vm: &VmId) -> Pull {
         let mut cursors = self.cursors.borrow_mut();
         cursors.pull(vm, &self.known.borrow(), Instant::now())
     }
 
-    /// Takes in the answer of another daemon.
+    /// Merges the sync reply of a peer.
     pub fn take(&self, vm: &VmId, page: &Page, cell: &LoadExchange) {
         let new = {
             let mut known = self.known.borrow_mut();
             let mut cursors = self.cursors.borrow_mut();
             cursors.take(vm, page, &mut known, Instant::now())
         };
-        self.learnt(&new, cell);
+        self.propagate(&new, cell);
     }
 
-    /// Answers another daemon; `incarnation` is the life of this one.
+    /// Replies to a peer as this daemon's `incarnation`.
     pub fn answer(&self, pull: &Pull, incarnation: Incarnation, cell: &LoadExchange) -> Page {
         let (page, new) = {
             let mut known = self.known.borrow_mut();
             sync::answer(pull, &mut known, incarnation, Instant::now())
         };
-        self.learnt(&new, cell);
+        self.propagate(&new, cell);
         page
     }
 
-    /// What the next load update carries.
+    /// Advisories for the next load update.
     pub fn take_updates(&self) -> Vec<Advisory> {
         let mut known = self.known.borrow_mut();
         known.take_updates(UPDATE_LIMIT, Instant::now())
     }
 
-    /// Takes in what a load update carries.
-    pub fn heard(&self, advisories: &[Advisory]) {
-        let told = &advisories[..advisories.len().min(UPDATE_LIMIT)];
-        let new = self.known.borrow_mut().merge_update(told, Instant::now());
-        self.follow(&new);
+    /// Merges the advisories of a load update.
+    pub fn merge_update(&self, advisories: &[Advisory]) {
+        let advisories = &advisories[..advisories.len().min(UPDATE_LIMIT)];
+        let new = self
+            .known
+            .borrow_mut()
+            .merge_update(advisories, Instant::now());
+        self.publish(&new);
     }
 
-    /// Forgets daemons that are members no more.
+    /// Drops the state of daemons that are no longer members.
     pub fn retain(&self, is_member: impl Fn(&VmId) -> bool) {
         self.cursors.borrow_mut().retain(is_member);
     }
 
     fn note(&self, fact: Fact, cell: &LoadExchange) {
         if self.known.borrow_mut().note(fact, Instant::now()) {
-            self.learnt(&[fact], cell);
+            self.propagate(&[fact], cell);
         }
     }
 
-    fn learnt(&self, new: &[Fact], cell: &LoadExchange) {
+    fn propagate(&self, new: &[Fact], cell: &LoadExchange) {
         if !new.is_empty() {
             cell.note_change(true);
-            self.follow(new);
+            self.publish(new);
         }
     }
 
-    /// Logs new facts, and wakes those that follow them.
-    fn follow(&self, new: &[Fact]) {
+    /// Logs new facts and notifies of crashes.
+    fn publish(&self, new: &[Fact]) {
         for fact in new {
             match *fact {
                 Fact::Crash { content, .. } | Fact::Quarantined { content } => {
@@ -184,7 +187,7 @@
                         log::warn!(
                             content:% = format_args!("{content:016x}"),
                             left_ms = left.as_millis() as u64;
-                            "targets crash under a request: it is quarantined"
+                            "request quarantined: targets crashed while it was in flight"
                         );
                     }
                 }
@@ -195,7 +198,7 @@
                 ),
                 Fact::Completed { content } => log::info!(
                     content:% = format_args!("{content:016x}");
-                    "a request under which a target ended was answered: it is no suspect"
+                    "a suspected request was completed"
                 ),
             }
         }
--- a/crates/lilaccrankd/src/peers/load_exchange.rs
+++ b/crates/lilaccrankd/src/peers/load_exchange.rs
@@ -293,7 +293,7 @@
     if !daemon.load_exchange.is_new(vm, &message) {
         return;
     }
-    daemon.advisories.heard(&message.advisories);
+    daemon.advisories.merge_update(&message.advisories);
     let Ok(in_force) = daemon.in_force() else {
         return;
     };
--- a/crates/lilaccrankd/src/peers/load_message.rs
+++ b/crates/lilaccrankd/src/peers/load_message.rs
@@ -48,7 +48,7 @@
 /// What one daemon tells.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct LoadMessage {
-    /// What its sender has learnt lately.
+    /// New advisories of its sender.
     pub advisories: Vec<Advisory>,
     /// What is asked of its sender's cell, if it speaks for it.
     pub cell_demand: Option<CellDemand<CustomerDigest>>,
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -77,7 +77,7 @@
 /// Asks a watcher what it knows.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct FeedAsk {
-    /// Question for advisories.
+    /// Sync of advisories.
     pub advisories: sync::Pull,
     /// Revision of the list of targets that the asker has.
     pub revision: u64,
@@ -86,7 +86,7 @@
 /// Tells what a daemon knows of the platform, and how old that is.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Feed {
-    /// Advisories that the asker lacks.
+    /// Reply to the sync of advisories.
     pub advisories: sync::Page,
     /// How long ago its configuration was known to be the newest.
     pub age: Option<Duration>,
--- a/crates/lilaccrankd/src/peers/quarantine_record.rs
+++ b/crates/lilaccrankd/src/peers/quarantine_record.rs
@@ -1,8 +1,7 @@
-//! Keeps the record of quarantines in the platform's store up to date, and learns from it.
+//! Synchronizes quarantines with their record in the platform's store.
 //!
-//! Daemons tell each other of crashes as long as any of them lives and they reach each other. A fleet that
-//! was restarted as a whole, or the other side of a partition, learns of a quarantine here, at the first
-//! crash that it sees itself: without crashes the store is not asked.
+//! The record carries quarantines over a restart of the whole fleet and across partitions. It is read only when a
+//! crash is observed, so that it costs no calls otherwise.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,17 +18,17 @@
 
 /// Key of the record.
 const KEY: &str = "quarantines/recent";
-/// Name of the duty to keep it.
+/// Name of the duty to synchronize it.
 const DUTY: &str = "quarantine-record";
-/// Daemons with that duty; the store may turn one of them away.
+/// Daemons with that duty; the store may reject one of them.
 const KEEPERS: usize = 2;
-/// Shortest time between two looks at the record.
+/// Shortest time between two reads of the record.
 const PAUSE: Duration = Duration::from_secs(1);
 /// First and highest ceiling of the wait after a failed call.
 const FIRST_WAIT: Duration = Duration::from_millis(100);
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
 
-/// Follows the crashes for as long as the daemon runs.
+/// Runs for as long as the daemon does.
 pub async fn run(daemon: Rc<Daemon>) {
     loop {
         daemon.advisories.crashes().next().await;
@@ -38,7 +37,7 @@
         }
         let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
         while let Err(e) = synchronise(&daemon).await {
-            log::warn!(why:% = e; "the record of quarantines could not be brought up to date");
+            log::warn!(why:% = e; "the record of quarantines could not be synchronized");
             monoio::time::sleep(backoff.next_wait()).await;
             if !is_keeper(&daemon) || !daemon.advisories.has_crashes() {
                 break;
@@ -55,7 +54,7 @@
     keepers.contains(&&daemon.cfg.vm)
 }
 
-/// Learns what the record tells, and adds what it lacks.
+/// Merges the record and adds the quarantines that it lacks.
 async fn synchronise(daemon: &Rc<Daemon>) -> Result<()> {
     let found = daemon.ports.objects.read(daemon, KEY).await?;
     let expect = found
--- a/crates/lilaccrankd/src/pools/rate_limits.rs
+++ b/crates/lilaccrankd/src/pools/rate_limits.rs
@@ -16,10 +16,10 @@
 /// Shares by target.
 type Shares = IndexMap<LifeDigest, Share>;
 
-/// Which rates the dispatchers of this daemon keep to.
+/// The rate limits that are applied to the dispatchers of this daemon.
 #[derive(Default)]
 pub struct RateLimits {
-    /// The rates and the cell of that moment; `None` if targets have changed since.
+    /// Rates and cell as last applied; `None` if targets have changed since.
     applied: RefCell<Option<(Rates, CellId)>>,
 }
 
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -371,7 +371,7 @@
     }
 }
 
-/// Keeps the dispatchers here to the rates that targets advertise.
+/// Applies the advertised rate limits to the dispatchers here.
 pub fn apply_rate_limits(daemon: &Daemon) {
     let Ok(in_force) = daemon.in_force() else {
         return;
--- a/crates/lilaccrankd/src/request/quarantine.rs
+++ b/crates/lilaccrankd/src/request/quarantine.rs
@@ -1,4 +1,4 @@
-//! Quarantine of a request under which targets crash.
+//! Quarantine of queries of death.
 
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::ContentDigest;
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -51,7 +51,7 @@
     /// An event came; `first` if it is the first one.
     fn event(&self, first: bool, since_sent: Duration);
 
-    /// The target told of the rate of requests that it takes.
+    /// The answer's head advertised this rate limit.
     fn rate_limit(&self, limit: RateLimit);
 }
 
@@ -69,7 +69,7 @@
 /// The answer as far as it has reached the caller.
 #[derive(Debug, Default)]
 pub struct Passed {
-    /// Whether the last answer ended with its connection, so that nobody can tell whether it is complete.
+    /// Whether the last answer was delimited by its connection, which a crash ends as well.
     pub ended_with_connection: bool,
     /// Events passed on.
     pub events: u32,
@@ -306,7 +306,7 @@
     }
 }
 
-/// Whether an answer has no length, so that the end of its connection is its own.
+/// Whether an answer has no length and is delimited by its connection.
 fn ends_with_connection(head: &Parts) -> bool {
     let framed = [CONTENT_LENGTH, TRANSFER_ENCODING];
     !framed.iter().any(|name| head.headers.contains_key(name))
--- a/crates/lilaccrankd/src/targets/protocol.rs
+++ b/crates/lilaccrankd/src/targets/protocol.rs
@@ -20,7 +20,7 @@
     /// What the head of an answer says.
     fn read(&self, head: &Parts, sending: &Sending<'_>) -> Said;
 
-    /// What the head of an answer tells of the rate of requests that its target takes.
+    /// The rate limit that the head of an answer advertises.
     fn rate_limit(&self, _head: &Parts) -> RateLimit {
         RateLimit::Unknown
     }
@@ -43,14 +43,14 @@
     pub target: &'a Target,
 }
 
-/// Rate of requests that a target takes from all daemons together.
+/// Rate limit of a target over all daemons.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum RateLimit {
-    /// So many a second.
+    /// Requests per second.
     PerSecond(f64),
-    /// The answer doesn't tell.
+    /// The answer says nothing of it.
     Unknown,
-    /// Any.
+    /// No limit.
     Unlimited,
 }
 
