Advisories: a completion is not taken for a new one after each hop

Cause: the age of a fact leaves out its time in transit and is rounded down, so the same completion seemed later at each hop, replaced the known one, and was sent on as new. It drifted over crashes that came after it and cleared them. With a latency of 3 ms in the model of a fleet, on the code before: completion_is_not_sent_again_after_it_has_travelled failed (27 facts in five rounds for 0 with 3 daemons), old_completion_does_not_clear_later_crashes failed (0 of 7 daemons quarantine), crash_and_completion_at_one_moment_settle failed (338 for 0, seed 0). Ruled out: an age with a margin that grows at each hop ends the exchange too, but a completion would no longer clear the crashes of the second before it at other daemons. Tried: without keeping cleared crashes, a crash and a completion within a millisecond still went round (676 facts in five rounds, seed 0). Change: a completion counts as new from one second after the known one on, or if it clears a crash; cleared crashes are kept as cleared; a stored quarantine has to begin a second after the last completion. Conclusion: fixed.

--- a/crates/lilaccrank/src/advisories.rs
+++ b/crates/lilaccrank/src/advisories.rs
@@ -27,6 +27,10 @@
 pub const RATE_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
 /// Age of a known rate limit from which the same limit, advertised again, is propagated again.
 const RATE_LIMIT_REFRESH_AGE: Duration = Duration::from_secs(15);
+/// Time within which two completions of a content count as one. The age of a fact doesn't include
+/// its time in transit, so with each hop the same completion seems to be later. A call between
+/// daemons is cut after this time.
+const TRANSIT_TOLERANCE: Duration = Duration::from_secs(1);
 /// Maximum number of facts kept.
 pub const CAPACITY: usize = 1_024;
 /// Number of load updates that carry a new fact. On a bad link more than one may be lost.
@@ -96,6 +100,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Record {
     fact: Fact,
+    /// Set on a crash that a later completion has cleared. The record is kept, so that the same
+    /// crash, heard again from another daemon, is not taken for a new one.
+    is_cleared: bool,
     revision: Revision,
     observed_at: Instant,
     /// Number of load updates that have carried the fact.
@@ -138,6 +145,18 @@
         }
     }
 
+    /// Returns `true` if the fact is to be sent to other daemons.
+    fn is_sendable(&self, now: Instant) -> bool {
+        !self.is_cleared && self.is_current(now)
+    }
+
+    /// Returns `true` if a completion of `content` at this time clears this crash.
+    fn is_crash_before(&self, content: ContentDigest, completed_at: Instant) -> bool {
+        let is_crash =
+            matches!(self.fact, Fact::Crash { content: subject, .. } if subject == content);
+        is_crash && !self.is_cleared && self.observed_at <= completed_at
+    }
+
     fn is_current(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.observed_at) < self.fact.lifetime()
     }
@@ -148,7 +167,8 @@
         match fact {
             Fact::Crash { .. } | Fact::Quarantined { .. } => false,
             Fact::RateLimit { .. } if fact == self.fact => later >= RATE_LIMIT_REFRESH_AGE,
-            Fact::Completed { .. } | Fact::RateLimit { .. } => !later.is_zero(),
+            Fact::RateLimit { .. } => !later.is_zero(),
+            Fact::Completed { .. } => later >= TRANSIT_TOLERANCE,
         }
     }
 }
@@ -228,8 +248,8 @@
     /// Returns `true` if any crash is known.
     #[must_use]
     pub fn has_crashes(&self) -> bool {
-        let mut facts = self.facts.keys();
-        facts.any(|key| matches!(key, Key::Crash(..)))
+        let mut records = self.facts.values();
+        records.any(|record| matches!(record.fact, Fact::Crash { .. }) && !record.is_cleared)
     }
 
     /// Returns `true` if a target crashed within [`LIFETIME`] while serving this content.
@@ -254,7 +274,7 @@
     pub fn take_updates(&mut self, limit: usize, now: Instant) -> Vec<Advisory> {
         let new = self.facts.values_mut();
         let new =
-            new.filter(|record| record.transmissions < TRANSMIT_LIMIT && record.is_current(now));
+            new.filter(|record| record.transmissions < TRANSMIT_LIMIT && record.is_sendable(now));
         let taken = new.take(limit).map(|record| {
             record.transmissions += 1;
             record.advisory(now)
@@ -278,7 +298,7 @@
             None => self.revision,
         };
         let page = later.into_iter().take(limit);
-        let page = page.filter(|record| record.is_current(now));
+        let page = page.filter(|record| record.is_sendable(now));
         (page.map(|record| record.advisory(now)).collect(), up_to)
     }
 
@@ -313,14 +333,12 @@
             return false;
         }
         if let Fact::Completed { content } = fact {
-            let subject = Some(content);
-            self.facts.retain(|_, record| {
-                record.fact.content() != subject || record.observed_at > observed_at
-            });
+            self.clear(content, observed_at);
         }
         self.revision += 1;
         let record = Record {
             fact,
+            is_cleared: false,
             revision: self.revision,
             observed_at,
             transmissions,
@@ -332,22 +350,46 @@
         true
     }
 
+    /// Clears the crashes and the stored quarantine of a content that was completed.
+    fn clear(&mut self, content: ContentDigest, completed_at: Instant) {
+        for record in self.facts.values_mut() {
+            record.is_cleared |= record.is_crash_before(content, completed_at);
+        }
+        let quarantined = Key::Quarantined(content);
+        let stored = self.facts.get(&quarantined);
+        if stored.is_some_and(|record| record.observed_at <= completed_at) {
+            self.facts.swap_remove(&quarantined);
+        }
+    }
+
     /// Returns `true` if inserting the fact would change the set.
     fn is_new(&self, fact: Fact, observed_at: Instant, now: Instant) -> bool {
         if let Some(known) = self.facts.get(&fact.key()) {
-            return known.is_superseded(fact, observed_at);
+            return known.is_superseded(fact, observed_at) || self.clears_crash(fact, observed_at);
         }
         match fact {
             Fact::Crash { content, .. } => {
                 self.is_later_than_completed(content, observed_at)
                     && self.crashes(content, now).count() < QUARANTINE_CRASHES
             }
-            Fact::Quarantined { content } => self.is_later_than_completed(content, observed_at),
+            Fact::Quarantined { content } => {
+                let began_at = observed_at.checked_sub(TRANSIT_TOLERANCE);
+                began_at.is_none_or(|began_at| self.is_later_than_completed(content, began_at))
+            }
             Fact::Completed { .. } => true,
             Fact::RateLimit { per_1000_s, .. } => per_1000_s.is_some(),
         }
     }
 
+    /// Returns `true` if `fact` is a completion of a content after a known crash.
+    fn clears_crash(&self, fact: Fact, observed_at: Instant) -> bool {
+        let Fact::Completed { content } = fact else {
+            return false;
+        };
+        let mut records = self.facts.values();
+        records.any(|record| record.is_crash_before(content, observed_at))
+    }
+
     fn is_later_than_completed(&self, content: ContentDigest, observed_at: Instant) -> bool {
         let completed = self.facts.get(&Key::Completed(content));
         completed.is_none_or(|record| record.observed_at < observed_at)
@@ -357,6 +399,7 @@
     fn crashes(&self, content: ContentDigest, now: Instant) -> impl Iterator<Item = Instant> {
         let crashes = self.facts.values().filter(move |record| {
             matches!(record.fact, Fact::Crash { content: subject, .. } if subject == content)
+                && !record.is_cleared
                 && record.is_current(now)
         });
         crashes.map(|record| record.observed_at)
@@ -368,7 +411,7 @@
         for record in self.facts.values() {
             let weight = match record.fact {
                 Fact::Quarantined { .. } => QUARANTINE_CRASHES,
-                _ => 1,
+                _ => usize::from(!record.is_cleared),
             };
             if let Some(content) = record.fact.content() {
                 *crashes.entry(content).or_default() += weight;
--- a/crates/lilaccrank/tests/suite/advisories.rs
+++ b/crates/lilaccrank/tests/suite/advisories.rs
@@ -257,6 +257,8 @@
 /// Simulated daemons that synchronize with two of them, the hubs.
 struct Fleet {
     daemons: IndexMap<VmId, Daemon>,
+    /// Time that each message takes.
+    latency: Duration,
     now: Instant,
     rng: StdRng,
 }
@@ -274,6 +276,7 @@
         let daemon = |number| (format!("vm-{number}"), Daemon::default());
         Self {
             daemons: (0..daemons).map(daemon).collect(),
+            latency: Duration::ZERO,
             now: Instant::now(),
             rng: StdRng::seed_from_u64(seed),
         }
@@ -302,10 +305,12 @@
         let pull = daemon.cursors.pull(&name, &daemon.known, now);
         daemon.sent += pull.pushed.len();
         let hub = &mut self.daemons[hub];
+        let now = now + self.latency;
         let (page, _) = sync::answer(&pull, &mut hub.known, hub.incarnation, now);
         hub.sent += page.advisories.len();
         if !is_lost {
             let daemon = &mut self.daemons[requester];
+            let now = now + self.latency;
             daemon
                 .cursors
                 .merge_page(&name, &page, &mut daemon.known, now);
@@ -321,8 +326,32 @@
     }
 
     fn note(&mut self, daemon: usize, target: u32) {
+        self.note_fact(daemon, crash(CONTENT, target));
+    }
+
+    fn note_fact(&mut self, daemon: usize, fact: Fact) {
         let now = self.now;
-        self.daemons[daemon].known.note(crash(CONTENT, target), now);
+        self.daemons[daemon].known.note(fact, now);
+    }
+
+    fn rounds(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            self.round(|_, _| true);
+        }
+    }
+
+    /// Number of facts sent during the next rounds.
+    fn sent_in(&mut self, rounds: usize) -> usize {
+        let sent = |fleet: &Self| {
+            fleet
+                .daemons
+                .values()
+                .map(|daemon| daemon.sent)
+                .sum::<usize>()
+        };
+        let before = sent(self);
+        self.rounds(rounds);
+        sent(self) - before
     }
 
     fn quarantined_count(&self) -> usize {
@@ -402,3 +431,64 @@
     }
     assert_eq!(fleet.quarantined_count(), 8);
 }
+
+/// Latency of a message between daemons in the tests below.
+const LATENCY: Duration = Duration::from_millis(3);
+
+// A message takes time that the age of its facts does not include, so a fact that has travelled
+// seems later than the original. A daemon that took it for a new fact would send it again, and all
+// daemons would do so without end.
+#[test]
+fn completion_is_not_sent_again_after_it_has_travelled() {
+    for (daemons, seed) in [(3, 1), (7, 2), (91, 3)] {
+        let mut fleet = Fleet::new(daemons, seed);
+        fleet.latency = LATENCY;
+        fleet.note(daemons - 1, 1);
+        fleet.rounds(ROUNDS);
+        fleet.note_fact(daemons - 2, COMPLETED);
+        fleet.rounds(ROUNDS);
+        assert_eq!(fleet.sent_in(5), 0, "{daemons} daemons");
+        for daemon in fleet.daemons.values() {
+            assert!(!daemon.known.is_suspect(CONTENT, fleet.now));
+        }
+    }
+}
+
+// With each hop of an endless exchange, a completion would seem later. It would clear crashes that
+// came after it, and a query of death would never be quarantined.
+#[test]
+fn old_completion_does_not_clear_later_crashes() {
+    let mut fleet = Fleet::new(7, 4);
+    fleet.latency = LATENCY;
+    fleet.note(6, 0);
+    fleet.rounds(ROUNDS);
+    fleet.note_fact(5, COMPLETED);
+    fleet.round(|_, _| true);
+    for target in 1..4 {
+        fleet.note(target as usize + 2, target);
+    }
+    for _ in 0..100 {
+        fleet.round(|_, _| true);
+    }
+    assert_eq!(fleet.quarantined_count(), 7);
+}
+
+// A crash and a completion within one latency of each other are in either order for the daemons
+// between them. They may count the crash or not, but must not exchange both without end.
+#[test]
+fn crash_and_completion_at_one_moment_settle() {
+    for seed in 0..50 {
+        let mut fleet = Fleet::new(23, seed);
+        fleet.latency = LATENCY;
+        fleet.note(3, 1);
+        fleet.rounds(ROUNDS);
+        for daemon in 4..8 {
+            fleet.note_fact(daemon, COMPLETED);
+            fleet.now += Duration::from_millis(1);
+            fleet.note(daemon + 4, daemon as u32);
+            fleet.now += Duration::from_millis(1);
+        }
+        fleet.rounds(2 * ROUNDS);
+        assert_eq!(fleet.sent_in(5), 0, "seed {seed}");
+    }
+}
