Advisories: different rate limits of one target are not exchanged without end

What callers would see: nothing at most times; a target without traffic flips between two limits at all daemons, and the daemons send each other both until an answer of the target tells them. A limit that has travelled seems later than it was, and replaced the other one. Ruled out: to leave out a limit for a second altogether: latest_answer_decides asks that a limit is lifted with the next answer. Change: a limit of another daemon replaces the known one if it is later by a second, or later and lower. What the daemon hears from the target itself replaces it at once, as before.

--- a/crates/lilaccrank/src/advisories.rs
+++ b/crates/lilaccrank/src/advisories.rs
@@ -27,9 +27,9 @@
 pub const RATE_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
 /// Age of a known rate limit from which the same limit, advertised again, is propagated again.
 const RATE_LIMIT_REFRESH_AGE: Duration = Duration::from_secs(15);
-/// Time within which two completions of a content count as one. The age of a fact doesn't include
-/// its time in transit, so with each hop the same completion seems to be later. A call between
-/// daemons is cut after this time.
+/// Time by which a fact from another daemon may seem later than it was. The age of a fact doesn't
+/// include its time in transit, so the same fact seems later with each hop. A call between daemons
+/// is cut after this time.
 const TRANSIT_TOLERANCE: Duration = Duration::from_secs(1);
 /// Maximum number of facts kept.
 pub const CAPACITY: usize = 1_024;
@@ -97,6 +97,17 @@
     RateLimit(InstanceDigest),
 }
 
+/// How a fact reached this daemon.
+#[derive(Clone, Copy, Debug)]
+enum Origin {
+    /// This daemon observed it, or read it from the platform's store.
+    Local,
+    /// A sync message of another daemon.
+    Sync,
+    /// A load update, which its sender has sent to all daemons of the cell.
+    Update,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Record {
     fact: Fact,
@@ -128,6 +139,17 @@
         }
     }
 
+    /// Returns `true` if both are rate limits and this one is lower.
+    fn is_stricter_than(self, other: Self) -> bool {
+        let rate = |fact| match fact {
+            Self::RateLimit { per_1000_s, .. } => Some(per_1000_s.unwrap_or(u32::MAX)),
+            Self::Crash { .. } | Self::Completed { .. } | Self::Quarantined { .. } => None,
+        };
+        rate(self)
+            .zip(rate(other))
+            .is_some_and(|(own, other)| own < other)
+    }
+
     fn lifetime(self) -> Duration {
         match self {
             Self::Crash { .. } | Self::Completed { .. } | Self::Quarantined { .. } => LIFETIME,
@@ -136,6 +158,24 @@
     }
 }
 
+impl Origin {
+    /// Number of load updates that need not carry the fact any more.
+    fn transmissions(self) -> u8 {
+        match self {
+            Self::Local | Self::Sync => 0,
+            Self::Update => TRANSMIT_LIMIT,
+        }
+    }
+
+    /// Time by which the fact has to be later than another one to be surely the later of the two.
+    fn tolerance(self) -> Duration {
+        match self {
+            Self::Local => Duration::ZERO,
+            Self::Sync | Self::Update => TRANSIT_TOLERANCE,
+        }
+    }
+}
+
 impl Record {
     fn advisory(&self, now: Instant) -> Advisory {
         let age = now.saturating_duration_since(self.observed_at);
@@ -161,14 +201,19 @@
         now.saturating_duration_since(self.observed_at) < self.fact.lifetime()
     }
 
-    /// Returns `true` if `fact`, which has the same key, replaces this record.
-    fn is_superseded(&self, fact: Fact, observed_at: Instant) -> bool {
+    /// Returns `true` if `fact`, which has the same key, replaces this record. Of two rate limits
+    /// that other daemons heard at about the same time, the lower one is kept: if either replaced
+    /// the other, they would be exchanged without end.
+    fn is_superseded(&self, fact: Fact, observed_at: Instant, origin: Origin) -> bool {
         let later = observed_at.saturating_duration_since(self.observed_at);
+        let is_surely_later = !later.is_zero() && later >= origin.tolerance();
         match fact {
             Fact::Crash { .. } | Fact::Quarantined { .. } => false,
             Fact::RateLimit { .. } if fact == self.fact => later >= RATE_LIMIT_REFRESH_AGE,
-            Fact::RateLimit { .. } => !later.is_zero(),
-            Fact::Completed { .. } => later >= TRANSIT_TOLERANCE,
+            Fact::RateLimit { .. } => {
+                is_surely_later || !later.is_zero() && fact.is_stricter_than(self.fact)
+            }
+            Fact::Completed { .. } => is_surely_later,
         }
     }
 }
@@ -188,19 +233,19 @@
 
     /// Adds a fact that this daemon observed. Returns `true` if it is new.
     pub fn note(&mut self, fact: Fact, now: Instant) -> bool {
-        self.insert(fact, now, 0, now)
+        self.insert(fact, now, Origin::Local, now)
     }
 
     /// Merges facts from another daemon and returns those that are new. They go into the next
     /// load updates.
     pub fn merge(&mut self, advisories: &[Advisory], now: Instant) -> Vec<Fact> {
-        self.merge_with(advisories, 0, now)
+        self.merge_with(advisories, Origin::Sync, now)
     }
 
     /// Merges facts from a load update and returns those that are new. They are not forwarded in
     /// load updates, since the sender has sent them to all daemons of the cell.
     pub fn merge_update(&mut self, advisories: &[Advisory], now: Instant) -> Vec<Fact> {
-        self.merge_with(advisories, TRANSMIT_LIMIT, now)
+        self.merge_with(advisories, Origin::Update, now)
     }
 
     /// Time for which requests with this content remain quarantined; `None` if they are not. A
@@ -242,7 +287,12 @@
         now: Instant,
     ) -> bool {
         let observed_at = now.checked_sub(age).unwrap_or(now);
-        self.insert(Fact::Quarantined { content }, observed_at, 0, now)
+        self.insert(
+            Fact::Quarantined { content },
+            observed_at,
+            Origin::Local,
+            now,
+        )
     }
 
     /// Returns `true` if any crash is known.
@@ -302,18 +352,13 @@
         (page.map(|record| record.advisory(now)).collect(), up_to)
     }
 
-    fn merge_with(
-        &mut self,
-        advisories: &[Advisory],
-        transmissions: u8,
-        now: Instant,
-    ) -> Vec<Fact> {
+    fn merge_with(&mut self, advisories: &[Advisory], origin: Origin, now: Instant) -> Vec<Fact> {
         let mut new = Vec::new();
         for advisory in advisories {
             let age = Duration::from_millis(advisory.age_ms.into());
             let observed_at = now.checked_sub(age).unwrap_or(now);
             if age < advisory.fact.lifetime()
-                && self.insert(advisory.fact, observed_at, transmissions, now)
+                && self.insert(advisory.fact, observed_at, origin, now)
             {
                 new.push(advisory.fact);
             }
@@ -321,15 +366,9 @@
         new
     }
 
-    fn insert(
-        &mut self,
-        fact: Fact,
-        observed_at: Instant,
-        transmissions: u8,
-        now: Instant,
-    ) -> bool {
+    fn insert(&mut self, fact: Fact, observed_at: Instant, origin: Origin, now: Instant) -> bool {
         self.facts.retain(|_, record| record.is_current(now));
-        if !self.is_new(fact, observed_at, now) {
+        if !self.is_new(fact, observed_at, origin, now) {
             return false;
         }
         if let Fact::Completed { content } = fact {
@@ -341,7 +380,7 @@
             is_cleared: false,
             revision: self.revision,
             observed_at,
-            transmissions,
+            transmissions: origin.transmissions(),
         };
         self.facts.insert(fact.key(), record);
         if self.facts.len() > CAPACITY {
@@ -363,9 +402,10 @@
     }
 
     /// Returns `true` if inserting the fact would change the set.
-    fn is_new(&self, fact: Fact, observed_at: Instant, now: Instant) -> bool {
+    fn is_new(&self, fact: Fact, observed_at: Instant, origin: Origin, now: Instant) -> bool {
         if let Some(known) = self.facts.get(&fact.key()) {
-            return known.is_superseded(fact, observed_at) || self.clears_crash(fact, observed_at);
+            return known.is_superseded(fact, observed_at, origin)
+                || self.clears_crash(fact, observed_at);
         }
         match fact {
             Fact::Crash { content, .. } => {
--- a/crates/lilaccrank/tests/suite/advisories.rs
+++ b/crates/lilaccrank/tests/suite/advisories.rs
@@ -492,3 +492,26 @@
         assert_eq!(fleet.sent_in(5), 0, "seed {seed}");
     }
 }
+
+// A target changes its rate limit while its answers are on the way to several daemons. A daemon may
+// hear of the older limit later than of the newer one, and must not exchange both without end.
+#[test]
+fn rate_limits_advertised_at_one_moment_settle() {
+    for seed in 0..50 {
+        let mut fleet = Fleet::new(23, seed);
+        fleet.latency = LATENCY;
+        for (daemon, per_1000_s) in [(5, 10_000), (6, 20_000), (7, 10_000), (8, 20_000)] {
+            let per_1000_s = Some(per_1000_s);
+            let target = 1;
+            fleet.note_fact(daemon, Fact::RateLimit { per_1000_s, target });
+            fleet.now += Duration::from_millis(1);
+        }
+        fleet.rounds(2 * ROUNDS);
+        assert_eq!(fleet.sent_in(5), 0, "seed {seed}");
+        let now = fleet.now;
+        let limits = |daemon: &Daemon| daemon.known.rate_limits(now).collect::<Vec<_>>();
+        let mut limits: Vec<_> = fleet.daemons.values().map(limits).collect();
+        limits.dedup();
+        assert_eq!(limits.len(), 1, "seed {seed}: {limits:?}");
+    }
+}
