Time line: a repeated submission is no second grant

Cause: an entry repeats a submission whose reply is later than the timeout of a call. The dispatcher answers it with the grant that it has made, and recorded each delivery as a grant. Ruled out: two grants (one target, one send, one slot); two dispatchers: that happens with a freeze of 2 s, the events then bear two vms, and the void grant is a real one that the entry declines. Change: the dispatcher tells if a submission is granted already; the daemon then logs the delivery and records no event.

--- a/crates/lilaccrank-cli/tests/suite/timeline.rs
+++ b/crates/lilaccrank-cli/tests/suite/timeline.rs
@@ -1,5 +1,8 @@
 //! The merged time line of a real cluster.
 
+use std::rc::Rc;
+use std::time::Duration;
+
 use indexmap::IndexMap;
 use lilaccrank::ids::RequestId;
 use lilaccrank::timeline::{Event, EventKind};
@@ -74,6 +77,51 @@
     });
 }
 
+/// Time for which a dispatcher is frozen: longer than the timeout of a call between daemons, so that
+/// the submission is repeated, and shorter than it takes to declare the dispatcher dead.
+const FREEZE: Duration = Duration::from_millis(1_100);
+
+/// Guards against a grant that appears as several: an entry repeats a submission whose reply is late,
+/// and the dispatcher answers each repetition with the same grant.
+#[test]
+fn a_repeated_submission_is_granted_once() {
+    cluster::with(cluster::one_data_centre(3, 1), async |cluster| {
+        let cluster = Rc::new(cluster);
+        send(&cluster, 0).await;
+        let run = |args: &str| events(&cluster::run(&cluster, args).run().json());
+        let is_takeover = |event: &Event| {
+            event.kind == EventKind::TakenOver && event.subject.detail.ends_with("pool engines")
+        };
+        let takeover = run("timeline --json").into_iter().find(is_takeover);
+        let dispatcher = takeover.unwrap().stamp.vm;
+        let position = |is_dispatcher: bool| {
+            let mut daemons = cluster.daemons.iter();
+            daemons.position(|daemon| (daemon.vm == dispatcher) == is_dispatcher)
+        };
+        let (frozen, entry) = (position(true).unwrap(), position(false).unwrap());
+        for _ in 0..4 {
+            cluster.daemons[frozen].process.freeze().unwrap();
+            let sent = monoio::spawn({
+                let cluster = Rc::clone(&cluster);
+                async move { send(&cluster, entry).await }
+            });
+            monoio::time::sleep(FREEZE).await;
+            cluster.daemons[frozen].process.thaw().unwrap();
+            sent.await;
+        }
+        let mut grants: IndexMap<_, usize> = IndexMap::new();
+        for event in run("timeline --json") {
+            let is_dispatcher = event.subject.detail.starts_with("by the dispatcher");
+            if event.kind == EventKind::Granted && is_dispatcher {
+                *grants
+                    .entry((event.subject.request, event.stamp.vm))
+                    .or_default() += 1;
+            }
+        }
+        assert!(grants.values().all(|grants| *grants == 1), "{grants:?}");
+    });
+}
+
 /// One daemon is dead, and its events with it. Without being told, an operator would take what
 /// the others know for the whole story.
 #[test]
--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -130,6 +130,13 @@
         })
     }
 
+    /// Returns `true` if this submission of a request is granted and has not ended. Submitting it
+    /// again returns the same grant.
+    #[must_use]
+    pub fn is_granted(&self, request: &str, submission: SubmissionNumber) -> bool {
+        self.state.borrow().is_granted(request, submission)
+    }
+
     /// Cancels a submission, whether it is waiting or already granted.
     pub fn cancel(&self, cancel: &Cancel) {
         let now = self.clock.now();
--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -42,7 +42,7 @@
         if waiting == Some(submission.submission) {
             return self.attach(&submission.request);
         }
-        if granted == Some(submission.submission) {
+        if self.is_granted(&submission.request, submission.submission) {
             return Admission::Decided(
                 self.grant_verdict(&submission.request, submission.submission),
             );
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -299,6 +299,12 @@
         self.dispatch(now);
     }
 
+    /// Returns `true` if this submission of a request is granted and has not ended.
+    pub(super) fn is_granted(&self, request: &str, submission: SubmissionNumber) -> bool {
+        let active_grant = self.active_grants.get(request);
+        active_grant.is_some_and(|active_grant| active_grant.submission == submission)
+    }
+
     /// Returns the current grant of a request as a verdict.
     pub(super) fn grant_verdict(&self, request: &str, submission: SubmissionNumber) -> Verdict {
         let active_grant = &self.active_grants[request];
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -9,7 +9,9 @@
 use futures::pin_mut;
 use indexmap::{IndexMap, IndexSet};
 use lilaccrank::cells;
-use lilaccrank::dispatch::message::{Entry, Outcome, Report, ReportKind, Submission, Verdict};
+use lilaccrank::dispatch::message::{
+    Entry, Grant, Outcome, Report, ReportKind, Submission, Verdict,
+};
 use lilaccrank::dispatch::sharing::Digest;
 use lilaccrank::dispatch::status::Status;
 use lilaccrank::dispatch::{Config, Dispatcher};
@@ -115,6 +117,9 @@
 
 async fn decide(daemon: Rc<Daemon>, served: Rc<ServedPool>, submission: Submission) {
     let entry = submission.entry.clone();
+    let is_repeated = served
+        .dispatcher
+        .is_granted(&submission.request, submission.submission);
     let verdict = {
         let deciding = served.dispatcher.submit(submission);
         let retired = served.retired();
@@ -130,14 +135,16 @@
         return;
     }
     if let Verdict::Grant(grant) = &verdict {
-        let is_urgent = served.dispatcher.has_urgent_changes();
-        daemon.load_exchange.note_change(is_urgent);
-        let subject = Subject {
-            detail: format!("by the dispatcher of pool {}", served.pool),
-            request: Some(grant.request.clone()),
-            target: Some(grant.target.id.clone()),
-        };
-        daemon.record(EventKind::Granted, subject);
+        if is_repeated {
+            log::info!(
+                entry = entry,
+                request = grant.request,
+                submission = grant.submission;
+                "the grant is delivered again for a repeated submission"
+            );
+        } else {
+            record_grant(&daemon, &served, grant);
+        }
     }
     let is_used = deliver(&daemon, &served, &entry, &verdict).await;
     let Verdict::Grant(grant) = verdict else {
@@ -160,6 +167,17 @@
     });
 }
 
+fn record_grant(daemon: &Daemon, served: &ServedPool, grant: &Grant) {
+    let is_urgent = served.dispatcher.has_urgent_changes();
+    daemon.load_exchange.note_change(is_urgent);
+    let subject = Subject {
+        detail: format!("by the dispatcher of pool {}", served.pool),
+        request: Some(grant.request.clone()),
+        target: Some(grant.target.id.clone()),
+    };
+    daemon.record(EventKind::Granted, subject);
+}
+
 async fn deliver(daemon: &Rc<Daemon>, served: &ServedPool, entry: &str, verdict: &Verdict) -> bool {
     if entry == daemon.cfg.vm {
         return client::on_verdict(daemon, &served.me, verdict.clone());
