Time line: an order that changes nothing is no event of its target

Cause: each giver of a pool's orders tells every engine its state, a second after it has the duty. The order was recorded although the engine was live before. Whether the test saw it hung on whether 60 answers took longer than that second. No dispatcher had taken over. Change: an engine's answer to an order may say that nothing changed; a drain or resume that changed nothing is logged and not recorded. Before: order_that_changes_nothing_is_no_event failed with the condition off. Checks: the fake of the library's tests of orders returns the new type, its checks are as they were. Conclusion: fixed.

--- a/crates/lilaccrank-lab/src/engine/state.rs
+++ b/crates/lilaccrank-lab/src/engine/state.rs
@@ -169,13 +169,22 @@
             let body = json!({"accepted": false, "error": {"message": message}});
             return reply::json(StatusCode::CONFLICT, &body);
         }
-        match order.kind {
-            OrderKind::ChangeRole => self.role = Some(order.argument),
-            OrderKind::Drain => self.draining = order.argument != DRAIN_OFF,
-            OrderKind::LoadModel if self.serves(&order.argument) => {}
-            OrderKind::LoadModel => self.models.push(order.argument),
-        }
-        reply::ok(&json!({"accepted": true}))
+        let changed = match order.kind {
+            OrderKind::ChangeRole => {
+                let role = Some(order.argument);
+                std::mem::replace(&mut self.role, role.clone()) != role
+            }
+            OrderKind::Drain => {
+                let draining = order.argument != DRAIN_OFF;
+                std::mem::replace(&mut self.draining, draining) != draining
+            }
+            OrderKind::LoadModel if self.serves(&order.argument) => false,
+            OrderKind::LoadModel => {
+                self.models.push(order.argument);
+                true
+            }
+        };
+        reply::ok(&json!({"accepted": true, "changed": changed}))
     }
 
     pub(super) fn record_load(&mut self) {
--- a/crates/lilaccrank-lab/tests/orders/drain.rs
+++ b/crates/lilaccrank-lab/tests/orders/drain.rs
@@ -1,7 +1,11 @@
 use lilaccrank::configuration::manifest::Identity;
 use lilaccrank::document::{Fencing, TargetState};
+use lilaccrank::operators::{TimelineReply, path};
+use lilaccrank::timeline::EventKind;
 use lilaccrank_lab::cluster::Cluster;
 
+use serde_json::json;
+
 use crate::harness;
 
 async fn publish(cluster: &Cluster, base: &Identity, state: TargetState) -> Identity {
@@ -45,3 +49,44 @@
         last_told(&cluster, "off").await;
     });
 }
+
+/// What the time lines of all daemons tell of orders to the engine.
+async fn recorded_orders(cluster: &Cluster) -> Vec<String> {
+    let mut orders = Vec::new();
+    for daemon in &cluster.daemons {
+        let query = json!({"target": harness::ENGINE});
+        let address = daemon.admin.to_string();
+        let (_, text) = cluster
+            .post(&address, path::TIMELINE, &query)
+            .await
+            .unwrap();
+        let reply: TimelineReply = serde_json::from_str(&text).unwrap();
+        let ordered = reply
+            .events
+            .into_iter()
+            .filter(|e| e.kind == EventKind::Ordered);
+        orders.extend(ordered.map(|event| event.subject.detail));
+    }
+    orders
+}
+
+// Each new giver of orders tells every engine its state, and most engines are in it already. Such an
+// order must not appear in the history of an engine: nobody drained or resumed it.
+#[test]
+fn order_that_changes_nothing_is_no_event() {
+    harness::run(async {
+        let layout = harness::layout(Fencing::Checked);
+        let cluster = Cluster::start(layout).await.unwrap();
+        let holder = harness::ranked(&cluster)[0];
+        let told = "order to spanish-town-engine-0: resume: in that state already";
+        harness::logged(&cluster, holder, told).await;
+        assert_eq!(recorded_orders(&cluster).await, [""; 0]);
+        let base = publish(&cluster, &cluster.first, TargetState::Draining).await;
+        harness::logged(&cluster, holder, "order to spanish-town-engine-0: drain").await;
+        publish(&cluster, &base, TargetState::Live).await;
+        harness::until("resumed", async || {
+            recorded_orders(&cluster).await == ["drain", "resume"]
+        })
+        .await;
+    });
+}
--- a/crates/lilaccrank/src/operators/order.rs
+++ b/crates/lilaccrank/src/operators/order.rs
@@ -67,10 +67,10 @@
     },
 }
 
-impl From<orders::Result<()>> for OrderOutcome {
-    fn from(result: orders::Result<()>) -> Self {
+impl From<orders::Result<orders::Effect>> for OrderOutcome {
+    fn from(result: orders::Result<orders::Effect>) -> Self {
         match result {
-            Ok(()) => Self::Done,
+            Ok(_) => Self::Done,
             Err(e @ orders::Error::Unknown(_)) => Self::Unknown {
                 reason: e.to_string(),
             },
--- a/crates/lilaccrank/src/orders.rs
+++ b/crates/lilaccrank/src/orders.rs
@@ -104,6 +104,15 @@
     pub id: String,
 }
 
+/// What an executed order has done.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// The target is in the desired state now and may not have been before.
+    Changed,
+    /// The target was in the desired state already.
+    Unchanged,
+}
+
 /// Target of an order.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OrderTarget {
@@ -117,7 +126,7 @@
 pub trait Targets {
     /// Sends an order once. The future may be dropped when it times out. The implementation must
     /// then send nothing more and close every connection on which it started to send.
-    fn issue(&self, target: &TargetId, order: &Order) -> impl Future<Output = Result<()>>;
+    fn issue(&self, target: &TargetId, order: &Order) -> impl Future<Output = Result<Effect>>;
 }
 
 /// Time limits and retries of orders.
@@ -179,7 +188,7 @@
     ///
     /// After [`Error::Unknown`] the target may have executed the order; all other errors mean that
     /// it did not.
-    pub async fn issue(&self, target: &OrderTarget, id: &str, command: Command) -> Result<()> {
+    pub async fn issue(&self, target: &OrderTarget, id: &str, command: Command) -> Result<Effect> {
         let target_lock = self.target_lock(&target.id);
         let mut blocked_until = target_lock.blocked_until.lock().await;
         self.wait_until_unblocked(&mut blocked_until).await;
@@ -199,6 +208,8 @@
                 Err(Error::Unknown(_)) if attempts < self.cfg.attempt_limit => {}
                 // An earlier attempt may have arrived even if this one failed.
                 Err(_) if attempts > 1 => return Err(Error::Unknown(target.id.clone())),
+                // An earlier attempt may have changed the state that this one found.
+                Ok(_) if attempts > 1 => return Ok(Effect::Changed),
                 outcome => return outcome,
             }
             self.wait_until_unblocked(&mut blocked_until).await;
@@ -216,7 +227,7 @@
         target: &TargetId,
         order: &Order,
         blocked_until: &mut Option<Instant>,
-    ) -> Result<()> {
+    ) -> Result<Effect> {
         // Set before sending, because this future may be dropped at any await point.
         *blocked_until = Some(self.clock.now() + self.cfg.in_flight);
         let call = self.targets.issue(target, order);
--- a/crates/lilaccrank/tests/suite/orders.rs
+++ b/crates/lilaccrank/tests/suite/orders.rs
@@ -10,7 +10,9 @@
 use lilaccrank::document::Fencing;
 use lilaccrank::ids::TargetId;
 use lilaccrank::lease::{Error, Guard, GuardSource, Result};
-use lilaccrank::orders::{self, Command, Order, OrderTarget, Orders, Role, Settings, Targets};
+use lilaccrank::orders::{
+    self, Command, Effect, Order, OrderTarget, Orders, Role, Settings, Targets,
+};
 use lilaccrank::paused_clock::PausedClock;
 
 type TestOrders = Orders<PausedClock, FakeLease, FakeTargets>;
@@ -38,7 +40,7 @@
 
 impl Targets for FakeTargets {
     /// An order in flight arrives even if the sender has given up waiting.
-    async fn issue(&self, _target: &TargetId, order: &Order) -> orders::Result<()> {
+    async fn issue(&self, _target: &TargetId, order: &Order) -> orders::Result<Effect> {
         let (targets, order) = (self.clone(), order.clone());
         let delay = self.clock.sleep(self.delay.get());
         let arrival = async move {
@@ -47,7 +49,7 @@
         };
         self.spawner.spawn_local(arrival).expect("the pool runs");
         self.clock.sleep(self.delay.get()).await;
-        Ok(())
+        Ok(Effect::Changed)
     }
 }
 
@@ -140,7 +142,7 @@
         };
         let issue = async move {
             let outcome = holder.issue(&target, "role", Command::SetRole { role });
-            let outcome = outcome.await;
+            let outcome = outcome.await.map(|_| ());
             outcomes.borrow_mut().push(outcome);
         };
         self.pool
--- a/crates/lilaccrankd/src/orders/drain_reconciler.rs
+++ b/crates/lilaccrankd/src/orders/drain_reconciler.rs
@@ -16,7 +16,7 @@
 use lilaccrank::backoff::Backoff;
 use lilaccrank::document::{Target, TargetState};
 use lilaccrank::ids::TargetId;
-use lilaccrank::orders::Command;
+use lilaccrank::orders::{Command, Effect};
 use lilaccrank::timeline::{EventKind, Subject};
 
 use crate::daemon::Daemon;
@@ -117,16 +117,21 @@
         let id = self.daemon.next_request_id();
         let result = self.pool_orders.issue(target, &id, command.clone()).await;
         let detail = match &result {
-            Ok(()) => command.to_string(),
+            Ok(Effect::Changed) => command.to_string(),
+            Ok(Effect::Unchanged) => format!("{command}: in that state already"),
             Err(e) => format!("{command}: {e}"),
         };
         log::info!("order to {}: {detail}", target.id);
-        let subject = Subject {
-            detail,
-            target: Some(target.id.clone()),
-            ..Subject::default()
-        };
-        self.daemon.record(EventKind::Ordered, subject);
+        // With each change of the duty every engine is told its state, which mostly changes
+        // nothing: that is no event in the history of the engine.
+        if result != Ok(Effect::Unchanged) {
+            let subject = Subject {
+                detail,
+                target: Some(target.id.clone()),
+                ..Subject::default()
+            };
+            self.daemon.record(EventKind::Ordered, subject);
+        }
         result.is_ok()
     }
 
--- a/crates/lilaccrankd/src/orders/pool_orders.rs
+++ b/crates/lilaccrankd/src/orders/pool_orders.rs
@@ -11,7 +11,7 @@
 use lilaccrank::document::Target;
 use lilaccrank::ids::{Incarnation, TargetId};
 use lilaccrank::lease::{self, GuardSource, Keeper, Lease, LeaseHandle};
-use lilaccrank::orders::{Command, Error, OrderTarget, Orders, Result};
+use lilaccrank::orders::{Command, Effect, Error, OrderTarget, Orders, Result};
 use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::daemon::PlatformStore;
@@ -151,7 +151,7 @@
     /// # Errors
     ///
     /// [`Error::Unknown`] if the target may have carried it out; after any other error it has not.
-    pub async fn issue(&self, target: &Target, id: &str, command: Command) -> Result<()> {
+    pub async fn issue(&self, target: &Target, id: &str, command: Command) -> Result<Effect> {
         let _pending_order = self.track_order();
         let order_target = OrderTarget {
             fencing: target.fencing,
--- a/crates/lilaccrankd/src/orders/target_orders.rs
+++ b/crates/lilaccrankd/src/orders/target_orders.rs
@@ -4,17 +4,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use indexmap::IndexMap;
 use lilaccrank::document::Target;
 use lilaccrank::ids::TargetId;
 use lilaccrank::lease::{Fence, LeaseHandle};
-use lilaccrank::orders::{Command, Error, Order, Result, Targets};
+use lilaccrank::orders::{Command, Effect, Error, Order, Result, Targets};
 use lilaccrank_http::body::{self, Body};
 use lilaccrank_http::client::Connection;
 use lilaccrank_http::monoio_clock::MonoioClock;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::targets::call::CONNECT_TIMEOUT;
 
@@ -24,6 +25,8 @@
 const DRAIN_OFF: &str = "off";
 /// Longest reason of a refusal that is passed on, in bytes.
 const REASON_LIMIT: usize = 4096;
+/// Longest answer to an executed order that is read, in bytes.
+const ANSWER_LIMIT: usize = 4096;
 
 /// Body of an order.
 #[derive(Serialize)]
@@ -33,6 +36,13 @@
     kind: Kind,
 }
 
+/// Body of the answer to an executed order, as far as it is read.
+#[derive(Deserialize)]
+struct OrderAnswer {
+    /// Whether the order changed the engine's state.
+    changed: bool,
+}
+
 #[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 enum Kind {
@@ -65,7 +75,7 @@
 }
 
 impl Targets for TargetOrders {
-    async fn issue(&self, target: &TargetId, order: &Order) -> Result<()> {
+    async fn issue(&self, target: &TargetId, order: &Order) -> Result<Effect> {
         let known = self.targets.borrow().get(target).cloned();
         let unreachable = || Error::Unreachable(target.clone());
         let address = known.ok_or_else(unreachable)?.address;
@@ -82,7 +92,7 @@
         let res = sent.map_err(|_| Error::Unknown(target.clone()))?;
         let status = res.status();
         if status.is_success() {
-            return Ok(());
+            return Ok(read_effect(res).await);
         }
         if status == StatusCode::CONFLICT {
             return Err(Error::Superseded {
@@ -104,6 +114,18 @@
     }
 }
 
+/// Reads what the order has done. An engine need not tell; the order may then have changed its state.
+async fn read_effect(res: Response<Incoming>) -> Effect {
+    let body = body::read(res.into_body(), ANSWER_LIMIT).await;
+    let answer = body
+        .ok()
+        .and_then(|body| serde_json::from_slice(&body).ok());
+    match answer {
+        Some(OrderAnswer { changed: false }) => Effect::Unchanged,
+        _ => Effect::Changed,
+    }
+}
+
 fn request(order: &Order) -> Request<Body> {
     let role;
     let (kind, argument) = match &order.command {
