Tests of orders: the first-ranked daemon holds the lease before a test goes on

Cause: the tests took any order at the engine as a sign that the first-ranked daemon holds the lease. If that daemon starts more than 1.1 s after the others, the second one has the duty meanwhile, tells the engine, and holds or has released the lease when the first is killed. It then takes the lease without a wait, and its order ends before it is frozen. Ruled out: 'done' told after the thaw. Change: the harness waits for the order of the first-ranked daemon; no check is changed.

--- a/crates/lilaccrank-lab/tests/orders/harness.rs
+++ b/crates/lilaccrank-lab/tests/orders/harness.rs
@@ -141,8 +141,12 @@
     cluster.post(address, "/control", &fault).await.unwrap();
 }
 
-/// Waits until the engine has been told its state for the first time: the lease is held.
+/// Waits until the first-ranked daemon has told the engine its state: it holds the lease. A daemon
+/// that starts a second earlier may have the duty before it, tell the engine too, and release the
+/// lease.
 pub async fn told(cluster: &Cluster) {
+    let holder = ranked(cluster)[0];
+    logged(cluster, holder, &format!("order to {ENGINE}: resume")).await;
     until("told", async || !received(cluster).await.is_empty()).await;
 }
 
