Orders: an order that waits behind another is not sent in a later term

What operators saw: an order carried out after a newer one of another daemon, which it undid (found by a scan, not reported). Cause: the term was checked before the order waited for its turn at the engine, and the fencing number was read after the wait. A daemon that was frozen meanwhile, lost its lease and got it back, sent the order under the new number. Ruled out: the check of the lease on the open connection, it holds for the number of the order. Change: an order is bound to the number that is held when it is issued, and is not sent under another one. A lease that is lost and got back within one term leads to another try, as before.

--- a/crates/lilaccrank-lab/tests/orders/holder_frozen.rs
+++ b/crates/lilaccrank-lab/tests/orders/holder_frozen.rs
@@ -132,3 +132,50 @@
 fn successor_that_thaws_in_its_wait_for_the_lease_sends_nothing() {
     harness::run(waiting_order(Fencing::Checked, LONG_LEASE, true));
 }
+
+/// Delay of the wire before the engine that keeps an order unanswered while its giver is frozen.
+const SLOW_WIRE_MS: u64 = 1_500;
+
+// The holder is killed. Its successor has sent the engine its state on a slow wire, and an operator's
+// order "prefill" waits behind that one, when the successor freezes. A third daemon gives "decode". The
+// successor thaws and gets the lease back; the waiting order is of its earlier term and must not be
+// sent in the new one.
+#[test]
+fn order_that_waits_behind_another_is_not_sent_in_a_new_term() {
+    harness::run(async {
+        let layout = harness::layout(Fencing::Checked);
+        let mut cluster = Cluster::start(layout).await.unwrap();
+        let ranked = harness::ranked(&cluster);
+        harness::told(&cluster).await;
+        let first_fence = harness::fence(&cluster).await;
+        cluster.daemons[ranked[0]].process.kill();
+        let cluster = Rc::new(cluster);
+        harness::wire(&cluster, "slow", SLOW_WIRE_MS).await;
+        harness::until("the successor has the lease", async || {
+            harness::fence(&cluster).await > first_fence
+        })
+        .await;
+        monoio::time::sleep(SENDING).await;
+        let first = harness::order_role(&cluster, ranked[1], "prefill", "first");
+        harness::logged(
+            &cluster,
+            ranked[1],
+            "order first to spanish-town-engine-0 begins",
+        )
+        .await;
+        cluster.daemons[ranked[1]].process.freeze().unwrap();
+        harness::wire(&cluster, "open", 0).await;
+        harness::role_done(&cluster, ranked[2], "decode", "second").await;
+        cluster.daemons[ranked[1]].process.thaw().unwrap();
+        harness::logged(
+            &cluster,
+            ranked[1],
+            "order first to spanish-town-engine-0 ended",
+        )
+        .await;
+        let told = first.await.outcome;
+        assert_ne!(told, "done");
+        let roles = harness::carried_out(&cluster, "change_role").await;
+        assert_eq!(roles, ["decode"]);
+    });
+}
--- a/crates/lilaccrank/src/lease.rs
+++ b/crates/lilaccrank/src/lease.rs
@@ -41,6 +41,14 @@
     /// The lease with this key was never acquired, has expired or was lost.
     #[error("lease {0} is not held")]
     NotHeld(String),
+    /// The lease was lost since, and acquired again under another number.
+    #[error("the lease has number {current} now, the order was begun under number {begun}")]
+    Renumbered {
+        /// Number under which the order was begun.
+        begun: Fence,
+        /// Present number.
+        current: Fence,
+    },
 }
 
 /// Timing of a lease.
@@ -85,6 +93,23 @@
     ///
     /// [`Error::NotHeld`] if the lease is not held or has expired.
     fn guard(&self) -> Result<Guard>;
+
+    /// Returns permission to continue an order that was begun under this fencing number.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotHeld`] if the lease is not held, and [`Error::Renumbered`] if another process may
+    /// have held it since.
+    fn guard_for(&self, fence: Fence) -> Result<Guard> {
+        let guard = self.guard()?;
+        if guard.fence != fence {
+            return Err(Error::Renumbered {
+                begun: fence,
+                current: guard.fence,
+            });
+        }
+        Ok(guard)
+    }
 }
 
 /// A lease in the phase `P`: [`Candidate`], [`Held`] or [`Lost`].
--- a/crates/lilaccrank/src/lease/keeper.rs
+++ b/crates/lilaccrank/src/lease/keeper.rs
@@ -11,7 +11,7 @@
 
 use super::candidate::{Attempt, Candidate};
 use super::held::{Held, Lost, Renewal};
-use super::{Error, Fence, Guard, GuardSource, Lease, Result};
+use super::{Error, Guard, GuardSource, Lease, Result};
 use crate::clock::{self, Clock};
 use crate::store::Store;
 
@@ -129,21 +129,6 @@
     clock::timeout(clock, wait, stop.as_mut()).await.is_some()
 }
 
-impl<C: Clock> LeaseHandle<C> {
-    /// Returns permission to continue an order that was started under this fencing number.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::NotHeld`] if the lease is not held or its number has changed since.
-    pub fn guard_for(&self, fence: Fence) -> Result<Guard> {
-        let guard = self.guard()?;
-        if guard.fence != fence {
-            return Err(Error::NotHeld(self.key.to_string()));
-        }
-        Ok(guard)
-    }
-}
-
 impl<C: Clock> GuardSource for LeaseHandle<C> {
     fn guard(&self) -> Result<Guard> {
         let now = self.clock.now();
--- a/crates/lilaccrank/src/orders.rs
+++ b/crates/lilaccrank/src/orders.rs
@@ -184,20 +184,26 @@
 
     /// Issues one order. Repetitions of an order must have the same `id`.
     ///
+    /// The order is sent only under the fencing token that is held at the time of this call. It may
+    /// wait here for longer than the lease lasts; if another daemon holds the lease meanwhile and
+    /// issues a newer order, sending this one under a later token would undo it.
+    ///
     /// # Errors
     ///
     /// After [`Error::Unknown`] the target may have executed the order; all other errors mean that
     /// it did not.
     pub async fn issue(&self, target: &OrderTarget, id: &str, command: Command) -> Result<Effect> {
+        let fence = self.guards.guard()?.fence;
         let target_lock = self.target_lock(&target.id);
         let mut blocked_until = target_lock.blocked_until.lock().await;
         self.wait_until_unblocked(&mut blocked_until).await;
         if target.fencing == Fencing::Ignored {
-            self.wait_for_previous_holder().await?;
+            self.wait_for_previous_holder(fence).await?;
         }
+        self.guards.guard_for(fence)?;
         let order = Order {
             command,
-            fence: self.guards.guard()?.fence,
+            fence,
             id: id.to_owned(),
         };
         let mut attempts = 0;
@@ -215,8 +221,7 @@
             self.wait_until_unblocked(&mut blocked_until).await;
             // Another daemon may have held the lease in the meantime and issued a newer order.
             // Repeating this order under a new fencing token would undo it.
-            let guard = self.guards.guard();
-            if !guard.is_ok_and(|guard| guard.fence == order.fence) {
+            if self.guards.guard_for(fence).is_err() {
                 return Err(Error::Unknown(target.id.clone()));
             }
         }
@@ -262,10 +267,9 @@
     ///
     /// A previous holder may have sent an order at the very end of its lease. A target that
     /// ignores fencing tokens would execute it after a newer one and end in an outdated state.
-    /// If the lease changes hands during the wait, the wait starts again.
-    async fn wait_for_previous_holder(&self) -> Result<()> {
+    async fn wait_for_previous_holder(&self, fence: Fence) -> Result<()> {
         loop {
-            let wait = self.remaining_wait(&self.guards.guard()?);
+            let wait = self.remaining_wait(&self.guards.guard_for(fence)?);
             if wait.is_zero() {
                 return Ok(());
             }
--- a/crates/lilaccrank/tests/suite/orders.rs
+++ b/crates/lilaccrank/tests/suite/orders.rs
@@ -249,3 +249,31 @@
     let role = Role::Prefill;
     assert_eq!(fixture.executed(), [Command::SetRole { role }]);
 }
+
+// An order waits behind another one that is not answered. Meanwhile the lease passes to another
+// holder and back. The waiting order must not be sent under the new fencing token, because the
+// other holder may have issued a newer one.
+#[test]
+fn waiting_order_is_not_sent_under_another_number() {
+    for fencing in [Fencing::Checked, Fencing::Ignored] {
+        let mut fixture = Fixture::new(fencing);
+        let holder = Rc::new(fixture.holder(1, fixture.seconds_from_now(60), fixture.long_ago()));
+        fixture.issue(
+            Rc::clone(&holder),
+            Role::Prefill,
+            Duration::from_millis(4_900),
+        );
+        fixture.advance(1);
+        fixture.issue(holder, Role::Decode, Duration::from_millis(10));
+        fixture.advance(1);
+        fixture.fence.borrow().set(3);
+        fixture.advance(20);
+        let role = Role::Prefill;
+        assert_eq!(fixture.executed(), [Command::SetRole { role }]);
+        let outcomes = fixture.outcomes.borrow();
+        assert!(
+            matches!(outcomes[1], Err(orders::Error::Lease(_))),
+            "{outcomes:?}"
+        );
+    }
+}
--- a/crates/lilaccrankd/src/orders/target_orders.rs
+++ b/crates/lilaccrankd/src/orders/target_orders.rs
@@ -10,7 +10,7 @@
 use indexmap::IndexMap;
 use lilaccrank::document::Target;
 use lilaccrank::ids::TargetId;
-use lilaccrank::lease::{Fence, LeaseHandle};
+use lilaccrank::lease::{Fence, GuardSource, LeaseHandle};
 use lilaccrank::orders::{Command, Effect, Error, Order, Result, Targets};
 use lilaccrank_http::body::{self, Body};
 use lilaccrank_http::client::Connection;
