Logs: what a daemon's list says of each target, and how old it was at a grant

Cause for the change: the hypotheses on requests that reached targets after they had left can't be told apart. `list of targets` has the number of targets and not which one changed; no line says how long the daemon had heard nothing, or by what list a request was granted. Change: lines `target listed` (new, or its state changed) and `target missing from the list` (with `lapsed`), one for each change; `missing targets of this list may have lapsed` with `silent_ms`; `granted` has `list_age_ms`; `following the platform`. No behaviour changes.

--- a/crates/lilaccrankd/src/configuration.rs
+++ b/crates/lilaccrankd/src/configuration.rs
@@ -66,6 +66,7 @@
 async fn watch_while_needed(daemon: &Rc<Daemon>) {
     loop {
         until_needed(daemon).await;
+        log::info!(is_watcher = daemon.duties.is_watcher(); "following the platform");
         let watching = daemon.ports.source.follow(UpdateHandler::new(daemon));
         let until_relieved = until_relieved(daemon);
         pin_mut!(watching, until_relieved);
--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -6,11 +6,13 @@
 
 use futures::future::{self, Either};
 use futures::pin_mut;
+use lilaccrank::clock::Clock;
 use lilaccrank::dispatch::message::{PartialAnswer, Refuse, Submission};
 use lilaccrank::error_kind::{ErrorKind, Executed};
 use lilaccrank::ids::{ContentDigest, RequestId, TargetId};
 use lilaccrank::rules::matching::Route;
 use lilaccrank::timeline::{EventKind, Subject};
+use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::admin::metrics::EndStats;
 use crate::callers::caller_request::{CallerRequest, Operation};
@@ -290,6 +292,7 @@
                 log::info!(
                     expected_ms = log_ms(grant.expected),
                     left_ms = log_ms(self.time_left()),
+                    list_age_ms = log_ms(daemon.live_list.age(MonoioClock.boot_time())),
                     since_arrival_ms = self.elapsed_ms(),
                     request = self.log_id(),
                     target = grant.target.id;
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -24,6 +24,7 @@
 use crate::daemon::Daemon;
 use crate::orders::manager;
 use crate::pools::server;
+use crate::request::lifecycle;
 use crate::targets::newest_instances::NewestInstances;
 
 /// Interval at which the end of the wait for lapsed targets is checked. Targets that are still
@@ -75,6 +76,29 @@
         }
     }
 
+    /// Logs targets that have appeared, changed their state or disappeared.
+    fn log_changes(&self, known: &Self, lapsed: &IndexMap<TargetId, (PoolId, Target)>) {
+        let mut previous: IndexMap<_, _> = known.states().collect();
+        for (target, state) in self.states() {
+            if previous.swap_remove(target) != Some(state) {
+                log::info!(revision = self.revision, state:? = state, target_id = target; "target listed");
+            }
+        }
+        for (target, state) in previous {
+            log::info!(
+                lapsed = lapsed.contains_key(target),
+                revision = self.revision,
+                state:? = state,
+                target_id = target;
+                "target missing from the list"
+            );
+        }
+    }
+
+    fn states(&self) -> impl Iterator<Item = (&TargetId, TargetState)> {
+        self.all().map(|(_, target)| (&target.id, target.state))
+    }
+
     /// Iterates over all targets with their pools.
     pub fn all(&self) -> impl Iterator<Item = (&PoolId, &Target)> {
         let pools = self.targets.iter();
@@ -180,6 +204,7 @@
         }
         drop(listed);
         listing.log_unusable(&known);
+        listing.log_changes(&known, &lapsed);
         log::info!(
             lapsed = lapsed.len(),
             leaving = listing.leaving.len(),
@@ -205,7 +230,16 @@
 
 /// Applies a list that the daemon received.
 pub fn apply_listing(daemon: &Rc<Daemon>, listing: Listing) {
-    let may_lapse = daemon.platform_contact.may_lapse(MonoioClock.boot_time());
+    let now = MonoioClock.boot_time();
+    let may_lapse = daemon.platform_contact.may_lapse(now);
+    if may_lapse {
+        let silent = daemon.platform_contact.list_age(now);
+        log::info!(
+            revision = listing.revision,
+            silent_ms = lifecycle::log_ms(silent);
+            "missing targets of this list may have lapsed"
+        );
+    }
     let previous = daemon.live_list.listing();
     if !daemon.live_list.update(listing, may_lapse) {
         return;
