Lapsed targets: a daemon's own silence is no outage of the platform

Cause: while the platform is away live targets can't renew their entries, so a daemon that had heard nothing of the list for 2.2 s kept missing entries for 2.2 s more. It judged that by its own silence, whatever was silent: a daemon that was cut off, frozen, or had watchers that were cut off kept targets that had left meanwhile, and for longer than the two seconds that are allowed. Ruled out: dropping missing entries at once. In an outage of the platform that loses all targets for two seconds; the test entries_that_lapse_while_the_store_is_away_come_back holds that. Change: daemons tell each other with the feed for how long they have had contact without an outage (`steady_for`). A daemon that finds entries missing after its own silence asks three others; if one had contact all the time, the entries have left. What is kept after an outage counts from the first contact of any daemon, for 1.9 s: a target that left in the outage gets nothing two seconds later. A watcher whose list is stale, or that may have lapsed entries, polls others too. Checks: soon_after_a_long_silence allowed a lapsed target two seconds after the outage, which is what callers saw. It is now checked at one second (kept) and at two (gone).

--- a/crates/lilaccrank-http/tests/suite/client.rs
+++ b/crates/lilaccrank-http/tests/suite/client.rs
@@ -1,10 +1,14 @@
 //! Tests which connections the client reuses and closes.
 
+use std::io::{ErrorKind, Read};
+use std::net::TcpListener;
+use std::sync::mpsc;
+use std::thread;
 use std::time::Duration;
 
 use hyper::{Request, Response};
 use lilaccrank_http::body;
-use lilaccrank_http::client::{Client, Limits};
+use lilaccrank_http::client::{Client, Error, Limits};
 use lilaccrank_http::runtime;
 use lilaccrank_http::server::{self, ShutdownHandle};
 
@@ -79,3 +83,35 @@
 connections_opened!(zero_max_idle_opens_new_connection, 0, 5, 2);
 connections_opened!(recently_used_connection_is_reused, 600, 5, 1);
 connections_opened!(stale_connection_is_not_reused, 100, 300, 2);
+
+// Guards against a request that arrives after its sender has given it up, for example when a cut
+// network works again. The kernel goes on sending what was written to a connection that is closed, unless
+// the connection is reset.
+#[test]
+fn request_that_was_given_up_is_not_delivered() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (given_up, wait) = mpsc::channel();
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        wait.recv().unwrap();
+        stream.read_to_end(&mut Vec::new()).map_err(|e| e.kind())
+    });
+    runtime::block_on(async {
+        let limits = Limits {
+            connect: IDLE,
+            max_idle: Duration::ZERO,
+            head: Duration::from_millis(100),
+        };
+        let req = Request::new(body::full(vec![0; 16 << 20]));
+        let sent = Client::default().send(&address, req, limits).await;
+        assert!(matches!(sent, Err(Error::Silent { .. })));
+        given_up.send(()).unwrap();
+        // The task of the connection closes it.
+        while !server.is_finished() {
+            monoio::time::sleep(Duration::from_millis(10)).await;
+        }
+    })
+    .unwrap();
+    assert_eq!(server.join().unwrap(), Err(ErrorKind::ConnectionReset));
+}
--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future;
 use lilaccrank::backoff;
 use lilaccrank::clock::Clock;
 use lilaccrank::configuration::manifest::Identity;
@@ -21,6 +22,8 @@
 /// Age up to which a contact with the platform counts as fresh. A watcher's long poll returns
 /// after 800 ms at most while the platform is reachable.
 const FRESH_AGE: Duration = Duration::from_millis(1_000);
+/// Number of members that are polled at once after a silence.
+const SAMPLE: usize = 3;
 
 /// Polls the watchers in turn for as long as the daemon runs, and random members as well while
 /// the watchers have no fresh contact with the platform.
@@ -30,11 +33,11 @@
     loop {
         monoio::time::sleep(every / 2 + backoff::full_jitter(every)).await;
         turn += 1;
-        let contact_age = daemon.platform_contact.age(MonoioClock.boot_time());
-        let stale = contact_age.is_none_or(|age| age > FRESH_AGE);
-        let direct = daemon.platform_contact.direct_age(MonoioClock.boot_time());
-        let follows = direct.is_some_and(|age| age < FRESH_AGE);
-        if daemon.duties.is_watcher() && follows {
+        let now = MonoioClock.boot_time();
+        let contact = &daemon.platform_contact;
+        let stale = contact.age(now).is_none_or(|age| age > FRESH_AGE);
+        let follows = contact.direct_age(now).is_some_and(|age| age < FRESH_AGE);
+        if daemon.duties.is_watcher() && follows && !stale && !contact.may_lapse(now) {
             continue;
         }
         // A watcher that the platform rejects gets its updates from other members.
@@ -50,6 +53,16 @@
     }
 }
 
+/// Polls several members at once. Any one of them may tell whether a silence was an outage of the
+/// platform, and some may not answer.
+pub async fn poll_several(daemon: &Rc<Daemon>) {
+    let me = daemon.duties.me().vm;
+    let live = daemon.membership.live();
+    let others = live.members.iter().filter(|member| member.vm != me);
+    let polled = others.sample(&mut rand::rng(), SAMPLE);
+    future::join_all(polled.into_iter().map(|member| poll(daemon, &member.vm))).await;
+}
+
 /// Answers a poll of another daemon.
 pub fn answer(daemon: &Daemon, request: &FeedRequest) -> Feed {
     let listing = daemon.live_list.listing();
@@ -70,6 +83,7 @@
         heard_age: daemon.platform_contact.age(now),
         listing: listing.replaces(&asker_has).then(|| (*listing).clone()),
         listing_age: daemon.live_list.age(now),
+        steady_for: daemon.platform_contact.steady_for(now),
     }
 }
 
@@ -103,6 +117,17 @@
     };
     let cell = &daemon.load_exchange;
     daemon.advisories.merge_page(vm, &reply.advisories, cell);
+    // Contacts go first: they tell whether targets that are missing from the list may have lapsed.
+    if let Some(age) = reply.heard_age {
+        daemon
+            .platform_contact
+            .record_peer(asked_at.saturating_sub(age));
+    }
+    if let Some(time) = reply.steady_for {
+        daemon
+            .platform_contact
+            .record_peer_run(MonoioClock.boot_time().saturating_sub(time));
+    }
     if let Some(listing) = reply.listing {
         live_list::apply_listing(daemon, listing);
     }
@@ -120,11 +145,6 @@
     if let Some(age) = reply.listing_age {
         daemon.live_list.confirm(asked_at.saturating_sub(age));
     }
-    if let Some(age) = reply.heard_age {
-        daemon
-            .platform_contact
-            .record_peer(asked_at.saturating_sub(age));
-    }
     let is_watcher = daemon.duties.watchers().contains(vm);
     if let Some(age) = reply.direct_age.filter(|_| is_watcher) {
         daemon
--- a/crates/lilaccrankd/src/configuration/native_source.rs
+++ b/crates/lilaccrankd/src/configuration/native_source.rs
@@ -62,11 +62,11 @@
         // If the list can't be read, the previous one stays: a leaving target remains leaving.
         let asked = MonoioClock.boot_time();
         if let Some(leaving) = read(daemon).await {
-            handler.update_listing(Listing {
+            let listing = Listing {
                 leaving,
                 ..Listing::default()
-            });
-            handler.confirm_listing(asked);
+            };
+            handler.update_listing(listing, asked);
         }
         monoio::time::sleep(LIST_EVERY).await;
     }
--- a/crates/lilaccrankd/src/configuration/platform_contact.rs
+++ b/crates/lilaccrankd/src/configuration/platform_contact.rs
@@ -11,9 +11,9 @@
 /// Gap between contacts about the list after which entries of live targets may have expired. A
 /// target renews its entry about every second; the entry expires after three times as long.
 const LIST_OUTAGE: Duration = Duration::from_millis(2_200);
-/// Time after such a gap in which live targets renew their entries. Targets still missing then
-/// have gone.
-const RECOVERY_TIME: Duration = Duration::from_millis(2_200);
+/// Time after an outage in which live targets renew their entries. Targets still missing then have
+/// gone. A target that left during the outage may get no request for longer than two seconds.
+const RECOVERY_TIME: Duration = Duration::from_millis(1_900);
 
 /// Times of the last contact with the platform, by source.
 #[derive(Default)]
@@ -24,12 +24,20 @@
     direct: Cell<Option<BootTime>>,
     /// Last contact about the list of targets, direct or through a peer.
     list: Cell<Option<BootTime>>,
-    /// End of the last gap in which entries of the list may have expired.
-    outage_ended: Cell<Option<BootTime>>,
+    /// The contacts about the list since the last outage.
+    list_run: Cell<Option<Run>>,
     /// Last direct contact that a watcher reported.
     watcher: Cell<Option<BootTime>>,
 }
 
+/// Contacts without a gap in which entries of the list may have expired.
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    /// Set if such a gap came before it, not just the start of the daemon.
+    follows_gap: bool,
+    since: BootTime,
+}
+
 impl PlatformContact {
     /// Records that the platform answered this daemon about configurations.
     pub fn record_configuration(&self, at: BootTime) {
@@ -39,11 +47,12 @@
 
     /// Records a contact about the list of targets.
     pub fn record_list(&self, at: BootTime) {
-        if self
-            .list_age(at)
-            .is_some_and(|silence| silence > LIST_OUTAGE)
-        {
-            advance(&self.outage_ended, at);
+        let silence = self.list_age(at);
+        if silence.is_none_or(|silence| silence > LIST_OUTAGE) {
+            self.list_run.set(Some(Run {
+                follows_gap: silence.is_some(),
+                since: at,
+            }));
         }
         advance(&self.list, at);
     }
@@ -54,6 +63,17 @@
         self.record_list(at);
     }
 
+    /// Records that a peer has had contact about the list without an outage since `since`. What this
+    /// daemon did not hear in that time was no outage of the platform.
+    pub fn record_peer_run(&self, since: BootTime) {
+        if let Some(run) = self.list_run.get() {
+            self.list_run.set(Some(Run {
+                since: run.since.min(since),
+                ..run
+            }));
+        }
+    }
+
     /// Records that a watcher had a direct contact at `at`.
     pub fn record_watcher(&self, at: BootTime) {
         advance(&self.watcher, at);
@@ -70,9 +90,23 @@
     /// Returns `true` if a list that arrives now may lack entries of live targets.
     #[must_use]
     pub fn may_lapse(&self, now: BootTime) -> bool {
-        let silent = self.list_age(now).is_some_and(|age| age > LIST_OUTAGE);
-        let ended = self.outage_ended.get();
-        silent || ended.is_some_and(|ended| now.saturating_sub(ended) < RECOVERY_TIME)
+        if self.is_list_silent(now) {
+            return true;
+        }
+        let run = self.list_run.get().filter(|run| run.follows_gap);
+        run.is_some_and(|run| now.saturating_sub(run.since) < RECOVERY_TIME)
+    }
+
+    /// Time for which there has been contact about the list without an outage; `None` if there is
+    /// none at present.
+    #[must_use]
+    pub fn steady_for(&self, now: BootTime) -> Option<Duration> {
+        let run = self.list_run.get().filter(|_| !self.is_list_silent(now))?;
+        Some(now.saturating_sub(run.since))
+    }
+
+    fn is_list_silent(&self, now: BootTime) -> bool {
+        self.list_age(now).is_some_and(|age| age > LIST_OUTAGE)
     }
 
     /// Age of the last contact about the list of targets.
--- a/crates/lilaccrankd/src/configuration/source.rs
+++ b/crates/lilaccrankd/src/configuration/source.rs
@@ -75,16 +75,12 @@
             .record_configuration(MonoioClock.boot_time());
     }
 
-    /// Replaces the list of targets.
-    pub fn update_listing(&self, listing: Listing) {
-        live_list::apply_listing(&self.daemon, listing);
-    }
-
-    /// Records that the list of targets was current at `at`.
-    pub fn confirm_listing(&self, at: BootTime) {
+    /// Replaces the list of targets by one that was current at `at`.
+    pub fn update_listing(&self, listing: Listing, at: BootTime) {
         self.daemon.live_list.confirm(at);
         self.daemon
             .platform_contact
             .record_list(MonoioClock.boot_time());
+        live_list::apply_listing(&self.daemon, listing);
     }
 }
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -101,6 +101,9 @@
     pub listing: Option<Listing>,
     /// Time since its list was known to be the newest.
     pub listing_age: Option<Duration>,
+    /// Time for which it has had contact about the list without an outage of the platform.
+    #[serde(default)]
+    pub steady_for: Option<Duration>,
 }
 
 /// Asks for the configuration that a daemon holds.
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -21,6 +21,7 @@
 use lilaccrank_http::monoio_clock::MonoioClock;
 use serde::{Deserialize, Serialize};
 
+use crate::configuration::feed;
 use crate::daemon::Daemon;
 use crate::orders::manager;
 use crate::pools::server;
@@ -51,6 +52,8 @@
     /// Targets that are missing from the list but may only have lapsed.
     lapsed: RefCell<IndexMap<TargetId, (PoolId, Target)>>,
     listing: RefCell<Rc<Listing>>,
+    /// Set while a task waits until lapsed targets have come back or are known to have left.
+    settling: Cell<bool>,
     instances: RefCell<NewestInstances>,
     /// Notified when a list is applied.
     updated: Event,
@@ -255,16 +258,19 @@
     let unusable = i64::try_from(unusable).unwrap_or(i64::MAX);
     daemon.metrics.unusable_entries.set(unusable);
     changed(daemon);
-    if !daemon.live_list.lapsed.borrow().is_empty() {
-        monoio::spawn(wait_for_lapsed(Rc::clone(daemon)));
+    if !daemon.live_list.lapsed.borrow().is_empty() && !daemon.live_list.settling.replace(true) {
+        monoio::spawn(settle_lapsed(Rc::clone(daemon)));
     }
 }
 
-async fn wait_for_lapsed(daemon: Rc<Daemon>) {
-    // Messages of other daemons may report a later end of the outage than this daemon saw.
+/// Drops lapsed targets once they are known to have left.
+async fn settle_lapsed(daemon: Rc<Daemon>) {
+    let polling = Rc::clone(&daemon);
+    monoio::spawn(async move { feed::poll_several(&polling).await });
     while daemon.platform_contact.may_lapse(MonoioClock.boot_time()) {
         monoio::time::sleep(LAPSED_POLL_INTERVAL).await;
     }
+    daemon.live_list.settling.set(false);
     if daemon.live_list.forget_lapsed() {
         changed(&daemon);
     }
--- a/crates/lilaccrankd/tests/suite/platform_contact.rs
+++ b/crates/lilaccrankd/tests/suite/platform_contact.rs
@@ -60,7 +60,9 @@
 
 lapse_test!(after_a_short_silence, 2, 0, false);
 lapse_test!(just_after_a_long_silence, 5, 0, true);
-lapse_test!(soon_after_a_long_silence, 5, 2, true);
+lapse_test!(soon_after_a_long_silence, 5, 1, true);
+// A target that left during the outage gets no request two seconds later.
+lapse_test!(two_seconds_after_a_long_silence, 5, 2, false);
 lapse_test!(in_a_long_silence, 1, 3, true);
 
 #[test]
@@ -94,3 +96,37 @@
     contact.record_list(at(10));
     assert!(!contact.may_lapse(at(10)));
 }
+
+/// Takes the second since which a peer has had contact without an outage, after this daemon heard
+/// nothing from 10 to 15, and whether entries may have expired at 15.
+macro_rules! peer_run_test {
+    ($name:ident, $since:literal, $may:literal) => {
+        #[test]
+        fn $name() {
+            let contact = PlatformContact::default();
+            contact.record_list(at(10));
+            contact.record_list(at(15));
+            contact.record_peer_run(at($since));
+            assert_eq!(contact.may_lapse(at(15)), $may);
+        }
+    };
+}
+
+// Guards against a daemon that was cut off or frozen and takes its own silence for an outage of the
+// platform: it would send requests to targets that have left meanwhile.
+peer_run_test!(a_silence_of_this_daemon_alone_is_no_outage, 8, false);
+peer_run_test!(a_peer_had_contact_again_before, 12, false);
+peer_run_test!(a_peer_was_silent_as_well, 14, true);
+
+// A peer whose contact ended can't tell whether the platform is there.
+#[test]
+fn a_silent_daemon_vouches_for_nothing() {
+    let contact = PlatformContact::default();
+    assert_eq!(contact.steady_for(at(10)), None);
+    contact.record_list(at(10));
+    contact.record_list(at(12));
+    assert_eq!(contact.steady_for(at(13)), Some(at(3)));
+    assert_eq!(contact.steady_for(at(15)), None);
+    contact.record_list(at(16));
+    assert_eq!(contact.steady_for(at(17)), Some(at(1)));
+}
