Client: a request that was given up is reset, and not delivered later

Cause, in two parts. The kernel goes on sending what was written to a closed connection; over a link that was cut, the bytes came when it worked again. And a request that was still being written was not stopped at all: the connection's task is blocked in the write and does not look whether anybody waits for the answer. Ruled out: a retry or migration of the request, the daemon's log ends with its cancellation; the connect itself, it is cut after 150 ms. Change: connections of the client have no time to linger, so that closing one resets it and drops what is left to send; a connection's task ends when the connection is dropped, whatever it is doing. The same elsewhere: calls between daemons are made on connections of their own, which still close in order. A late one is void by the number or the incarnation that it bears.

--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -5,16 +5,18 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures::channel::oneshot;
+use futures::future::{self, Either};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use indexmap::IndexMap;
 use lilaccrank::backoff;
-use monoio::net::TcpStream;
 use monoio_compat::hyper::MonoioIo;
 use thiserror::Error;
 
 use crate::body::Body;
+use crate::socket;
 use crate::tally::{Counted, Tally};
 
 /// Result of sending a request.
@@ -111,24 +113,31 @@
 
 struct Idle {
     since: Instant,
-    sender: SendRequest<Body>,
+    sender: Sender,
+}
+
+/// Sends requests on one connection; dropping it ends the connection.
+struct Sender {
+    /// Ends the task of the connection, which may be blocked on a request that was given up.
+    _open: oneshot::Sender<()>,
+    inner: SendRequest<Body>,
 }
 
 impl Idle {
     fn is_usable(&self) -> bool {
-        self.since.elapsed() < MAX_IDLE && !self.sender.is_closed()
+        self.since.elapsed() < MAX_IDLE && !self.sender.inner.is_closed()
     }
 }
 
 /// A connection checked out of the client's pool.
 ///
-/// Return it with [`Client::release`] after reading the whole response body. Dropping it closes the
+/// Return it with [`Client::release`] after reading the whole response body. Dropping it resets the
 /// connection, which cancels the request on the server.
 pub struct Connection {
     address: String,
     /// Generation of the address when the connection was checked out.
     generation: u64,
-    sender: SendRequest<Body>,
+    sender: Sender,
 }
 
 impl Connection {
@@ -161,7 +170,7 @@
         req: Request<Body>,
         head: Duration,
     ) -> Result<Response<Incoming>, (Error, Option<Request<Body>>)> {
-        let answer = monoio::time::timeout(head, self.sender.try_send_request(req)).await;
+        let answer = monoio::time::timeout(head, self.sender.inner.try_send_request(req)).await;
         let address = || self.address.clone();
         let Ok(answer) = answer else {
             let timed_out = Error::Silent {
@@ -295,30 +304,26 @@
     }
 
     /// Takes the most recently used connection that has been idle for less than `max_idle`.
-    fn take(&self, address: &str, max_idle: Duration) -> Option<SendRequest<Body>> {
+    fn take(&self, address: &str, max_idle: Duration) -> Option<Sender> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(address)?;
         list.retain(Idle::is_usable);
-        let is_fresh = |idle: &Idle| idle.since.elapsed() < max_idle && idle.sender.is_ready();
+        let is_fresh =
+            |idle: &Idle| idle.since.elapsed() < max_idle && idle.sender.inner.is_ready();
         let at = list.iter().rposition(is_fresh)?;
         Some(list.swap_remove(at).sender)
     }
 }
 
-async fn connect(
-    address: &str,
-    limit: Duration,
-    tally: Option<&Tally>,
-) -> Result<SendRequest<Body>> {
+async fn connect(address: &str, limit: Duration, tally: Option<&Tally>) -> Result<Sender> {
     let fail = |source| Error::Connect {
         address: address.to_owned(),
         source,
     };
-    let stream = monoio::time::timeout(limit, TcpStream::connect(address))
+    let stream = monoio::time::timeout(limit, socket::connect(address))
         .await
         .map_err(|_| fail(io::ErrorKind::TimedOut.into()))?
         .map_err(fail)?;
-    stream.set_nodelay(true).map_err(fail)?;
     let idle = KEEPALIVE + backoff::full_jitter(KEEPALIVE);
     stream
         .set_tcp_keepalive(Some(idle), Some(KEEPALIVE_INTERVAL), Some(KEEPALIVE_PROBES))
@@ -332,15 +337,16 @@
     sender.map_err(|e| fail(io::Error::other(e)))
 }
 
-async fn handshake<T>(io: T) -> hyper::Result<SendRequest<Body>>
+async fn handshake<T>(io: T) -> hyper::Result<Sender>
 where
     T: hyper::rt::Read + hyper::rt::Write + Unpin + 'static,
 {
-    let (sender, connection) = http1::handshake(io).await?;
+    let (inner, connection) = http1::handshake(io).await?;
+    let (open, closed) = oneshot::channel::<()>();
     monoio::spawn(async move {
-        if let Err(e) = connection.await {
+        if let Either::Left((Err(e), _)) = future::select(connection, closed).await {
             log::debug!("client connection failed: {e}");
         }
     });
-    Ok(sender)
+    Ok(Sender { _open: open, inner })
 }
--- a/crates/lilaccrank-http/src/lib.rs
+++ b/crates/lilaccrank-http/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod peer_server;
 pub mod runtime;
 pub mod server;
+mod socket;
 pub mod store_client;
 pub mod tally;
