Freshness: a send waits for a list that is recent enough, while the platform can give one

The class: knowledge with a deadline that is passed on by best effort. Nothing looked at its age where it is used. Cause: the bound on the age of the list was a sum of waits on the way (watch, stale contact, list, poll). Without an answer it goes on by the last list: a data centre that is cut off serves. An answer that is overdue after a pause of the process may be waiting to be read. - A send to a lapsed target waits until other daemons were asked whether the platform was away.

--- a/crates/lilaccrankd/src/configuration.rs
+++ b/crates/lilaccrankd/src/configuration.rs
@@ -96,8 +96,8 @@
     }
 }
 
-/// Completes once the last contact with the platform is too old; never without a configuration
-/// lease.
+/// Completes once the last contact with the platform is too old, or a send needs a newer list of
+/// targets; never without a configuration lease.
 ///
 /// The platform may reject only the watchers. The other daemons then wait for a random time each,
 /// so that a few of them query the platform first and pass the result on.
@@ -108,7 +108,12 @@
     // A daemon that starts has no contact yet, but may learn from its peers first.
     monoio::time::sleep(STALE_AFTER / 4).await;
     loop {
-        monoio::time::sleep(time_until_stale(daemon)).await;
+        let needed = daemon.live_list.freshness.needed();
+        let stale = monoio::time::sleep(time_until_stale(daemon));
+        pin_mut!(needed, stale);
+        if let Either::Left(_) = future::select(needed, stale).await {
+            return;
+        }
         let members = daemon.membership.live().members.len();
         let jitter = backoff::full_jitter(stale_jitter(members));
         monoio::time::sleep(jitter).await;
--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -82,7 +82,7 @@
         direct_age: daemon.platform_contact.direct_age(now),
         heard_age: daemon.platform_contact.age(now),
         listing: listing.replaces(&asker_has).then(|| (*listing).clone()),
-        listing_age: daemon.live_list.age(now),
+        listing_age: daemon.live_list.freshness.age(now),
         steady_for: daemon.platform_contact.steady_for(now),
     }
 }
@@ -143,7 +143,10 @@
         daemon.adoption.confirm(asked_at.saturating_sub(age));
     }
     if let Some(age) = reply.listing_age {
-        daemon.live_list.confirm(asked_at.saturating_sub(age));
+        daemon
+            .live_list
+            .freshness
+            .confirm(asked_at.saturating_sub(age));
     }
     let is_watcher = daemon.duties.watchers().contains(vm);
     if let Some(age) = reply.direct_age.filter(|_| is_watcher) {
--- a/crates/lilaccrankd/src/configuration/source.rs
+++ b/crates/lilaccrankd/src/configuration/source.rs
@@ -1,6 +1,7 @@
 //! Port for the source of configurations and of the list of targets.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures::future::LocalBoxFuture;
 use lilaccrank::clock::{BootTime, Clock};
@@ -75,9 +76,20 @@
             .record_configuration(MonoioClock.boot_time());
     }
 
+    /// Records a call about the list of targets, whose answer is due at `at`.
+    pub fn expect_listing(&self, at: BootTime) {
+        self.daemon.live_list.freshness.expect_answer(at);
+    }
+
+    /// Time since the list of targets was known to be the newest; `None` if it never was.
+    #[must_use]
+    pub fn listing_age(&self) -> Option<Duration> {
+        self.daemon.live_list.freshness.age(MonoioClock.boot_time())
+    }
+
     /// Replaces the list of targets by one that was current at `at`.
     pub fn update_listing(&self, listing: Listing, at: BootTime) {
-        self.daemon.live_list.confirm(at);
+        self.daemon.live_list.freshness.answered(at);
         self.daemon
             .platform_contact
             .record_list(MonoioClock.boot_time());
--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -292,7 +292,7 @@
                 log::info!(
                     expected_ms = log_ms(grant.expected),
                     left_ms = log_ms(self.time_left()),
-                    list_age_ms = log_ms(daemon.live_list.age(MonoioClock.boot_time())),
+                    list_age_ms = log_ms(daemon.live_list.freshness.age(MonoioClock.boot_time())),
                     since_arrival_ms = self.elapsed_ms(),
                     request = self.log_id(),
                     target = grant.target.id;
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -26,6 +26,7 @@
 use crate::targets::engine_run::{self, EngineRequest, Observer, RunOutcome};
 use crate::targets::engine_stream::EngineStream;
 use crate::targets::forward::{self, Delivered, Forwarder, SendFailure};
+use crate::targets::freshness;
 use crate::targets::protocol::{OutgoingRequest, RateLimit};
 use crate::targets::proxied_request::ProxiedRequest;
 
@@ -61,6 +62,8 @@
             EventKind::Dispatched,
             self.subject(String::new(), Some(&grant.target.id)),
         );
+        freshness::until_usable(daemon).await;
+        daemon.live_list.lapsed.until_verified(&grant.target).await;
         let (sent, decoded, prefill) = match daemon.target(&self.route.pool, &grant.target) {
             None => (Err(target_removed().into()), 0, None),
             Some(target) => match &self.caller.operation {
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -113,6 +113,10 @@
     pub request_limit: usize,
     /// Retry budget of each pool over all daemons.
     pub retries: Retries,
+    /// Maximum age in milliseconds of the list of targets at a send, while the platform can be
+    /// reached; 0 for no limit. Set it to the time for which a leaving target may still get
+    /// requests, less the time that a request takes to reach it.
+    pub listing_lease_ms: u64,
     /// Gossip addresses of the members to join through.
     pub seeds: Vec<SocketAddr>,
     /// Milliseconds after which a graceful shutdown aborts the remaining requests.
@@ -201,6 +205,7 @@
             first_token_ms: 30_000,
             gossip: port(7403),
             grace_ms: 2_000,
+            listing_lease_ms: 0,
             log_level: log::LevelFilter::Info,
             neighbours: Vec::new(),
             order_in_flight_ms: 5_000,
--- a/crates/lilaccrankd/src/targets.rs
+++ b/crates/lilaccrankd/src/targets.rs
@@ -4,6 +4,9 @@
 pub mod engine_run;
 pub mod engine_stream;
 pub mod forward;
+pub mod freshness;
+
+pub mod lapsed;
 pub mod live_list;
 pub mod native_protocol;
 pub mod newest_instances;
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -8,30 +8,26 @@
 //! platform, as seen directly or through other daemons, are kept for as long as a live target needs
 //! to come back.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use event_listener::Event;
 use indexmap::{IndexMap, IndexSet};
-use lilaccrank::clock::{BootTime, Clock};
+use lilaccrank::clock::Clock;
 use lilaccrank::document::{Pool, Target, TargetState};
 use lilaccrank::ids::{PoolId, TargetId, VmId};
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::monoio_clock::MonoioClock;
 use serde::{Deserialize, Serialize};
 
-use crate::configuration::feed;
 use crate::daemon::Daemon;
 use crate::orders::manager;
 use crate::pools::server;
 use crate::request::lifecycle;
+use crate::targets::freshness::Freshness;
+use crate::targets::lapsed::{self, Lapsed};
 use crate::targets::newest_instances::NewestInstances;
 
-/// Interval at which the end of the wait for lapsed targets is checked. Targets that are still
-/// missing then are gone, and must get no requests from that moment on.
-const LAPSED_POLL_INTERVAL: Duration = Duration::from_millis(50);
-
 /// The platform's list of targets.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Listing {
@@ -48,12 +44,11 @@
 /// State of the list on this daemon.
 #[derive(Default)]
 pub struct LiveList {
-    confirmed: Cell<Option<BootTime>>,
-    /// Targets that are missing from the list but may only have lapsed.
-    lapsed: RefCell<IndexMap<TargetId, (PoolId, Target)>>,
+    /// How recent the list is.
+    pub freshness: Freshness,
+    /// Targets that are missing from it but may only have lapsed.
+    pub lapsed: Lapsed,
     listing: RefCell<Rc<Listing>>,
-    /// Set while a task waits until lapsed targets have come back or are known to have left.
-    settling: Cell<bool>,
     instances: RefCell<NewestInstances>,
     /// Notified when a list is applied.
     updated: Event,
@@ -80,7 +75,7 @@
     }
 
     /// Logs targets that have appeared, changed their state or disappeared.
-    fn log_changes(&self, known: &Self, lapsed: &IndexMap<TargetId, (PoolId, Target)>) {
+    fn log_changes(&self, known: &Self, lapsed: &Lapsed) {
         let mut previous: IndexMap<_, _> = known.states().collect();
         for (target, state) in self.states() {
             if previous.swap_remove(target) != Some(state) {
@@ -89,7 +84,7 @@
         }
         for (target, state) in previous {
             log::info!(
-                lapsed = lapsed.contains_key(target),
+                lapsed = lapsed.contains(target),
                 revision = self.revision,
                 state:? = state,
                 target_id = target;
@@ -110,17 +105,6 @@
 }
 
 impl LiveList {
-    /// Records that the list was the newest at `at`.
-    pub fn confirm(&self, at: BootTime) {
-        self.confirmed.set(self.confirmed.get().max(Some(at)));
-    }
-
-    /// Time since the list was known to be the newest; `None` if it never was.
-    #[must_use]
-    pub fn age(&self, now: BootTime) -> Option<Duration> {
-        Some(now.saturating_sub(self.confirmed.get()?))
-    }
-
     /// The last list of the platform.
     #[must_use]
     pub fn listing(&self) -> Rc<Listing> {
@@ -136,10 +120,7 @@
         if pool.listed {
             let listed = listing.targets.get(&pool.id).into_iter().flatten();
             pool.targets.extend(listed.cloned());
-            let lapsed = self.lapsed.borrow();
-            let lapsed = lapsed.values().filter(|(of, _)| *of == pool.id);
-            pool.targets
-                .extend(lapsed.map(|(_, target)| target.clone()));
+            pool.targets.extend(self.lapsed.of_pool(&pool.id));
         }
         for target in &mut pool.targets {
             let vm = target.vm.as_ref().unwrap_or(&target.id);
@@ -154,13 +135,9 @@
     #[must_use]
     pub fn find(&self, pool: &str, instance: &TargetInstance) -> Option<Target> {
         let listing = self.listing.borrow();
-        let lapsed = self.lapsed.borrow();
-        let listed = listing.targets.get(pool).into_iter().flatten();
-        let lapsed = lapsed.get(&instance.id).map(|(_, target)| target);
-        let mut known = listed.chain(lapsed);
-        known
-            .find(|target| TargetInstance::of(target) == *instance)
-            .cloned()
+        let listed = listing.targets.get(pool).into_iter().flatten().cloned();
+        let mut known = listed.chain(self.lapsed.of_pool(pool));
+        known.find(|target| TargetInstance::of(target) == *instance)
     }
 
     /// Number of targets whose newest instance is remembered.
@@ -194,22 +171,11 @@
             return false;
         }
         self.instances.borrow_mut().resolve(&mut listing, &known);
-        let listed: IndexSet<&TargetId> = listing.all().map(|(_, target)| &target.id).collect();
-        let mut lapsed = self.lapsed.borrow_mut();
-        lapsed.retain(|id, _| may_lapse && !listed.contains(id));
-        if may_lapse {
-            // A target that was draining has left; it did not lapse.
-            let missing = known.all().filter(|(_, target)| {
-                target.state == TargetState::Live && !listed.contains(&target.id)
-            });
-            let missing = missing.map(|(pool, t)| (t.id.clone(), (pool.clone(), t.clone())));
-            lapsed.extend(missing);
-        }
-        drop(listed);
+        self.lapsed.update(&known, &listing, may_lapse);
         listing.log_unusable(&known);
-        listing.log_changes(&known, &lapsed);
+        listing.log_changes(&known, &self.lapsed);
         log::info!(
-            lapsed = lapsed.len(),
+            lapsed = self.lapsed.len(),
             leaving = listing.leaving.len(),
             revision = listing.revision,
             targets = listing.all().count(),
@@ -220,15 +186,6 @@
         self.updated.notify(usize::MAX);
         true
     }
-
-    /// Drops lapsed targets. Returns `true` if there were any.
-    pub fn forget_lapsed(&self) -> bool {
-        let lapsed = self.lapsed.take();
-        for id in lapsed.keys() {
-            log::info!(target_id = id; "dropped a lapsed target after the outage");
-        }
-        !lapsed.is_empty()
-    }
 }
 
 /// Applies a list that the daemon received.
@@ -258,25 +215,11 @@
     let unusable = i64::try_from(unusable).unwrap_or(i64::MAX);
     daemon.metrics.unusable_entries.set(unusable);
     changed(daemon);
-    if !daemon.live_list.lapsed.borrow().is_empty() && !daemon.live_list.settling.replace(true) {
-        monoio::spawn(settle_lapsed(Rc::clone(daemon)));
-    }
-}
-
-/// Drops lapsed targets once they are known to have left.
-async fn settle_lapsed(daemon: Rc<Daemon>) {
-    let polling = Rc::clone(&daemon);
-    monoio::spawn(async move { feed::poll_several(&polling).await });
-    while daemon.platform_contact.may_lapse(MonoioClock.boot_time()) {
-        monoio::time::sleep(LAPSED_POLL_INTERVAL).await;
-    }
-    daemon.live_list.settling.set(false);
-    if daemon.live_list.forget_lapsed() {
-        changed(&daemon);
-    }
+    lapsed::settle(daemon);
 }
 
-fn changed(daemon: &Rc<Daemon>) {
+/// Passes a change of the targets on to the dispatchers and the orders.
+pub(super) fn changed(daemon: &Rc<Daemon>) {
     server::configuration_changed(daemon);
     manager::reconcile(daemon);
 }
--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -4,6 +4,8 @@
 mod changes;
 #[path = "suite/following.rs"]
 mod following;
+#[path = "suite/freshness.rs"]
+mod freshness;
 #[path = "suite/listing.rs"]
 mod listing;
 #[path = "suite/load_message.rs"]
--- /dev/null
+++ b/crates/lilaccrankd/tests/suite/freshness.rs
@@ -0,0 +1,102 @@
+//! Whether a list of targets is recent enough to send by it.
+
+use std::time::Duration;
+
+use lilaccrank::clock::BootTime;
+use lilaccrankd::targets::freshness::{Freshness, Usability};
+
+const LEASE: Duration = Duration::from_millis(1_700);
+
+fn ms(ms: u64) -> BootTime {
+    Duration::from_millis(ms)
+}
+
+/// A list that was the newest at one second, of a process that goes on running until `running`.
+fn confirmed(running: u64) -> Freshness {
+    let freshness = Freshness::default();
+    freshness.confirm(ms(1_000));
+    for at in (1_000..=running).step_by(100) {
+        freshness.observe(ms(at));
+    }
+    freshness
+}
+
+/// Takes the millisecond at which an answer of the platform was due, if one was, the millisecond of
+/// the send, and whether it may be sent by the list.
+macro_rules! usability_test {
+    ($name:ident, $due:expr, $now:literal, $usability:ident) => {
+        #[test]
+        fn $name() {
+            let freshness = confirmed($now);
+            let due: Option<u64> = $due;
+            if let Some(due) = due {
+                freshness.expect_answer(ms(due));
+            }
+            let usability = freshness.usability(LEASE, ms($now));
+            assert_eq!(usability, Usability::$usability);
+        }
+    };
+}
+
+usability_test!(within_the_lease, None, 2_700, Current);
+// Guards against requests to a target that left while this daemon heard nothing of the list.
+usability_test!(past_the_lease, None, 2_701, Outdated);
+usability_test!(while_the_platform_may_answer, Some(2_600), 2_800, Outdated);
+// Guards against a data centre that is cut off from the platform and refuses what it could serve.
+usability_test!(without_an_answer, Some(2_500), 2_800, BestAvailable);
+
+#[test]
+fn without_any_list() {
+    let freshness = Freshness::default();
+    assert_eq!(freshness.usability(LEASE, ms(1)), Usability::Outdated);
+}
+
+// The first call without an answer counts: another one must not begin the wait anew.
+#[test]
+fn a_further_call_is_no_new_wait() {
+    let freshness = confirmed(3_000);
+    freshness.expect_answer(ms(2_500));
+    freshness.expect_answer(ms(2_990));
+    let usability = freshness.usability(LEASE, ms(3_000));
+    assert_eq!(usability, Usability::BestAvailable);
+}
+
+// Guards against a daemon that was frozen and takes the platform for unreachable, as the answer that
+// waits to be read was due long ago.
+#[test]
+fn a_pause_of_the_process_is_no_silence_of_the_platform() {
+    let freshness = confirmed(1_500);
+    freshness.expect_answer(ms(1_800));
+    freshness.observe(ms(5_000));
+    assert_eq!(freshness.usability(LEASE, ms(5_000)), Usability::Outdated);
+    assert_eq!(
+        freshness.usability(LEASE, ms(5_250)),
+        Usability::BestAvailable
+    );
+}
+
+// Guards against sends that wait again whenever another daemon passes on what it heard before the
+// platform went away.
+#[test]
+fn news_from_before_an_unanswered_call_is_no_answer() {
+    let freshness = confirmed(3_500);
+    freshness.expect_answer(ms(2_500));
+    freshness.confirm(ms(1_400));
+    let usability = freshness.usability(LEASE, ms(3_500));
+    assert_eq!(usability, Usability::BestAvailable);
+    freshness.answered(ms(1_500));
+    assert_eq!(freshness.usability(LEASE, ms(3_500)), Usability::Outdated);
+}
+
+// An older confirmation, as a slow daemon passes it on, changes nothing.
+#[test]
+fn an_older_confirmation_changes_nothing() {
+    let freshness = confirmed(3_000);
+    freshness.expect_answer(ms(2_500));
+    freshness.confirm(ms(900));
+    assert_eq!(freshness.age(ms(3_000)), Some(ms(2_000)));
+    let usability = freshness.usability(LEASE, ms(3_000));
+    assert_eq!(usability, Usability::BestAvailable);
+    freshness.confirm(ms(2_999));
+    assert_eq!(freshness.usability(LEASE, ms(3_000)), Usability::Current);
+}
--- a/crates/lilaccrankd/tests/suite/listing.rs
+++ b/crates/lilaccrankd/tests/suite/listing.rs
@@ -86,9 +86,9 @@
     assert!(list.find(POOL, &TargetInstance::from("b")).is_some());
     list.update(live(21, &["a", "b"]), true);
     assert_eq!(ids(&list), ["a", "b", "c"]);
-    assert!(list.forget_lapsed());
+    assert!(list.lapsed.forget());
     assert_eq!(ids(&list), ["a", "b"]);
-    assert!(!list.forget_lapsed());
+    assert!(!list.lapsed.forget());
 }
 
 // A target that was draining has left; it did not lapse.
