Sends: the sender's own list and configuration are the last check

Cause: a grant was carried out for any target that the sender could find, whatever its state. A grant of a dispatcher whose list or configuration is older than the sender's, or a request that waited between grant and send, went to a target that the sender knew to be leaving. Found by reading the paths to a target. Change: sends ask `targets/sendable.rs`, which refuses a target that is draining, gone, or on a leaving VM, as not run; the request is submitted again without it. Before (check taken out): draining_by_the_list, draining_by_the_configuration and on_a_leaving_vm failed. After: they pass.

--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -29,6 +29,7 @@
 use crate::targets::freshness;
 use crate::targets::protocol::{OutgoingRequest, RateLimit};
 use crate::targets::proxied_request::ProxiedRequest;
+use crate::targets::sendable;
 
 /// Result of one send.
 pub type Result<T, E = SendError> = std::result::Result<T, E>;
@@ -64,9 +65,10 @@
         );
         freshness::until_usable(daemon).await;
         daemon.live_list.lapsed.until_verified(&grant.target).await;
-        let (sent, decoded, prefill) = match daemon.target(&self.route.pool, &grant.target) {
-            None => (Err(target_removed().into()), 0, None),
-            Some(target) => match &self.caller.operation {
+        let checked = sendable::check(daemon, &self.route.pool, &grant.target);
+        let (sent, decoded, prefill) = match checked {
+            Err(refusal) => (Err(failed(refusal).into()), 0, None),
+            Ok(target) => match &self.caller.operation {
                 Operation::Generate { .. } => {
                     let ended = self.generate(daemon, buffer, &grant, &target).await;
                     let result = ended.result.map_err(|refusal| failed(refusal).into());
@@ -313,7 +315,3 @@
     }
     lost
 }
-
-fn target_removed() -> SendFailure {
-    failed(Refusal::new(ErrorKind::NoTarget, "the target was removed"))
-}
--- a/crates/lilaccrankd/src/targets.rs
+++ b/crates/lilaccrankd/src/targets.rs
@@ -13,3 +13,4 @@
 pub mod protocol;
 pub mod proxied_request;
 pub mod relay;
+pub mod sendable;
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -122,15 +122,24 @@
             pool.targets.extend(listed.cloned());
             pool.targets.extend(self.lapsed.of_pool(&pool.id));
         }
+        drop(listing);
         for target in &mut pool.targets {
-            let vm = target.vm.as_ref().unwrap_or(&target.id);
-            if listing.leaving.contains(vm) {
-                target.state = TargetState::Draining;
-            }
+            target.state = self.state_of(target);
         }
         pool
     }
 
+    /// Returns the state of a target, which is draining if its VM is leaving.
+    #[must_use]
+    pub fn state_of(&self, target: &Target) -> TargetState {
+        let vm = target.vm.as_ref().unwrap_or(&target.id);
+        if self.listing.borrow().leaving.contains(vm) {
+            TargetState::Draining
+        } else {
+            target.state
+        }
+    }
+
     /// Finds a target of the list by its instance.
     #[must_use]
     pub fn find(&self, pool: &str, instance: &TargetInstance) -> Option<Target> {
--- /dev/null
+++ b/crates/lilaccrankd/src/targets/sendable.rs
@@ -0,0 +1,26 @@
+//! Decides whether a request may be sent to the target of its grant.
+//!
+//! A dispatcher grants by what it knew then. The sender checks again by its own configuration and
+//! list of targets, which may be newer.
+
+use lilaccrank::document::{Target, TargetState};
+use lilaccrank::error_kind::{ErrorKind, Executed};
+use lilaccrank::target_instance::TargetInstance;
+
+use crate::callers::refusal::{Refusal, Result};
+use crate::daemon::Daemon;
+
+/// Returns the target if it may get a request now.
+///
+/// # Errors
+///
+/// [`ErrorKind::NoTarget`] if it was removed or is leaving.
+pub fn check(daemon: &Daemon, pool: &str, instance: &TargetInstance) -> Result<Target> {
+    let refused = |message| Refusal::new(ErrorKind::NoTarget, message).ran(Executed::No);
+    let target = daemon.target(pool, instance);
+    let target = target.ok_or_else(|| refused("the target was removed"))?;
+    match daemon.live_list.state_of(&target) {
+        TargetState::Live => Ok(target),
+        TargetState::Draining => Err(refused("the target is leaving")),
+    }
+}
--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -10,7 +10,11 @@
 mod listing;
 #[path = "suite/load_message.rs"]
 mod load_message;
+#[path = "suite/network.rs"]
+mod network;
 #[path = "suite/platform_contact.rs"]
 mod platform_contact;
+#[path = "suite/sendable.rs"]
+mod sendable;
 #[path = "suite/stale_jitter.rs"]
 mod stale_jitter;
--- a/crates/lilaccrankd/tests/suite/following.rs
+++ b/crates/lilaccrankd/tests/suite/following.rs
@@ -1,16 +1,10 @@
 //! When a daemon that is no watcher follows the platform itself.
 
-use std::cell::RefCell;
-use std::future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures::StreamExt;
-use futures::channel::mpsc;
-use indexmap::IndexMap;
 use lilaccrank::clock::Clock;
-use lilaccrank::membership::datagrams::{self, Datagram, Datagrams};
 use lilaccrank::membership::{self, Membership};
 use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::runtime;
@@ -20,53 +14,11 @@
 use lilaccrankd::ports::Ports;
 use lilaccrankd::settings::Settings;
 
+use super::network::Network;
+
 /// Time after which every daemon has to know that a target leaves.
 const DRAINED: Duration = Duration::from_secs(2);
 
-/// Datagrams in memory, by address.
-#[derive(Clone, Default)]
-struct Network(Rc<RefCell<IndexMap<SocketAddr, mpsc::UnboundedSender<Datagram>>>>);
-
-struct Socket {
-    address: SocketAddr,
-    network: Network,
-    rx: RefCell<mpsc::UnboundedReceiver<Datagram>>,
-}
-
-impl Network {
-    fn socket(&self, address: SocketAddr) -> Socket {
-        let (tx, rx) = mpsc::unbounded();
-        self.0.borrow_mut().insert(address, tx);
-        Socket {
-            address,
-            network: self.clone(),
-            rx: RefCell::new(rx),
-        }
-    }
-}
-
-impl Datagrams for Socket {
-    async fn recv(&self) -> datagrams::Result<Datagram> {
-        let next = future::poll_fn(|cx| self.rx.borrow_mut().poll_next_unpin(cx));
-        match next.await {
-            Some(datagram) => Ok(datagram),
-            None => future::pending().await,
-        }
-    }
-
-    async fn send(&self, to: SocketAddr, bytes: Vec<u8>) -> datagrams::Result<()> {
-        let datagram = Datagram {
-            bytes,
-            from: self.address,
-        };
-        if let Some(tx) = self.network.0.borrow().get(&to) {
-            // A receiver that is gone loses its datagrams.
-            let _ = tx.unbounded_send(datagram);
-        }
-        Ok(())
-    }
-}
-
 /// Address of the gossip of the member with this number.
 fn address(member: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], member))
