Targets: an answer that says that its target leaves binds all daemons

What callers saw: requests reached a target 10,962 ms after its answer had said that it leaves (docs/incidents, answers that say leaving). Cause, hypothesis 1: nothing read the header. A target that leaves while the platform's store is away can't say so in the list, and when the store is back its missing entry is kept as lapsed. Change: - `TargetProtocol::says_leaving` tells it from the head of any answer: whole, streamed, failed, refused, and of reports. Dispatchers stop granting, and the sender checks it at the moment of the send (`targets/sendable.rs`). - Daemons of the version before can't read this kind of fact. A sync message says what its sender reads (`format`), and facts beyond are left out; a load update with such a fact is dropped by them, at most three for each.

--- a/crates/lilaccrank-lab/src/engine.rs
+++ b/crates/lilaccrank-lab/src/engine.rs
@@ -79,6 +79,7 @@
 struct Control {
     break_after: Option<usize>,
     hang: Option<bool>,
+    leaving: Option<bool>,
     nonsense: Option<bool>,
     speed: Option<f64>,
 }
@@ -99,6 +100,14 @@
 }
 
 async fn handle(engine: Rc<Engine>, req: Request<Incoming>) -> Response<Body> {
+    let mut res = answer(Rc::clone(&engine), req).await;
+    if engine.faults.leaving.get() {
+        reply::say_leaving(&mut res);
+    }
+    res
+}
+
+async fn answer(engine: Rc<Engine>, req: Request<Incoming>) -> Response<Body> {
     let path = req.uri().path().to_owned();
     if let Some(id) = path.strip_prefix("/v1/streams/") {
         return stream_resource(&engine, id, &req).await;
@@ -157,6 +166,9 @@
     if let Some(hang) = control.hang {
         faults.hang.set(hang);
     }
+    if let Some(leaving) = control.leaving {
+        faults.leaving.set(leaving);
+    }
     if let Some(nonsense) = control.nonsense {
         faults.nonsense.set(nonsense);
     }
--- a/crates/lilaccrank-lab/src/engine/state.rs
+++ b/crates/lilaccrank-lab/src/engine/state.rs
@@ -40,6 +40,7 @@
 pub(super) struct Faults {
     pub(super) break_after: Cell<Option<usize>>,
     pub(super) hang: Cell<bool>,
+    pub(super) leaving: Cell<bool>,
     pub(super) nonsense: Cell<bool>,
     pub(super) speed: Cell<f64>,
 }
@@ -94,6 +95,7 @@
         let faults = Faults {
             break_after: Cell::new(None),
             hang: Cell::new(false),
+            leaving: Cell::new(false),
             nonsense: Cell::new(false),
             speed: Cell::new(cfg.speed),
         };
--- a/crates/lilaccrank-lab/src/reply.rs
+++ b/crates/lilaccrank-lab/src/reply.rs
@@ -6,6 +6,7 @@
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use lilaccrank_http::body::{self, Body, BoxError};
 use serde::Serialize;
@@ -14,6 +15,8 @@
 
 /// Header that names a request.
 pub const REQUEST_ID: &str = "request-id";
+/// Header of all answers of a target that leaves.
+const LEAVING: HeaderName = HeaderName::from_static("leaving");
 /// Header with the caller's own key for a request.
 pub const REQUEST_KEY: &str = "request-key";
 
@@ -51,6 +54,12 @@
     json(status, &json!({"error": {"message": message}}))
 }
 
+/// Adds to a response that its target leaves.
+pub fn say_leaving(res: &mut Response<Body>) {
+    res.headers_mut()
+        .insert(LEAVING, HeaderValue::from_static("1"));
+}
+
 /// A response of no bytes.
 #[must_use]
 pub fn empty(status: StatusCode) -> Response<Body> {
--- a/crates/lilaccrank-lab/src/service.rs
+++ b/crates/lilaccrank-lab/src/service.rs
@@ -39,6 +39,7 @@
 struct Control {
     fail_next: Option<u32>,
     hang: Option<bool>,
+    leaving: Option<bool>,
 }
 
 /// Answer to a call.
@@ -64,6 +65,7 @@
     changed: Notify,
     fail_next: Cell<u32>,
     hang: Cell<bool>,
+    leaving: Cell<bool>,
     log: RefCell<VecDeque<Entry>>,
     log_limit: usize,
     work: Duration,
@@ -79,6 +81,7 @@
         changed: Notify::default(),
         fail_next: Cell::default(),
         hang: Cell::default(),
+        leaving: Cell::default(),
         log: RefCell::default(),
         log_limit: args.log_limit,
         work: Duration::from_millis(args.work_ms),
@@ -94,7 +97,13 @@
         match (req.method(), req.uri().path()) {
             (&Method::GET, "/log") => reply::ok(&*self.log.borrow()),
             (&Method::POST, "/control") => self.control(req).await,
-            _ => self.work(req).await,
+            _ => {
+                let mut res = self.work(req).await;
+                if self.leaving.get() {
+                    reply::say_leaving(&mut res);
+                }
+                res
+            }
         }
     }
 
@@ -148,6 +157,9 @@
         if let Some(hang) = control.hang {
             self.hang.set(hang);
         }
+        if let Some(leaving) = control.leaving {
+            self.leaving.set(leaving);
+        }
         self.changed.notify();
         reply::empty(StatusCode::OK)
     }
--- a/crates/lilaccrank-lab/tests/faults.rs
+++ b/crates/lilaccrank-lab/tests/faults.rs
@@ -17,6 +17,8 @@
 mod leaving;
 #[path = "faults/request_keys.rs"]
 mod request_keys;
+#[path = "faults/says_leaving.rs"]
+mod says_leaving;
 #[path = "faults/services.rs"]
 mod services;
 #[path = "faults/spill.rs"]
--- a/crates/lilaccrank/src/advisories.rs
+++ b/crates/lilaccrank/src/advisories.rs
@@ -21,12 +21,12 @@
 /// Number of targets that must crash while serving a content before it is quarantined. Unrelated
 /// requests are also in flight on a target that crashes, but rarely on three of them.
 pub const QUARANTINE_CRASHES: usize = 3;
-/// Time to live of crashes, completions and quarantines.
+/// Time to live of a fact without a time of its own. A target that leaves ends within minutes.
 pub const LIFETIME: Duration = Duration::from_secs(600);
 /// Time to live of a rate limit after the latest answer that advertised it.
 pub const RATE_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
-/// Age of a known rate limit from which the same limit, advertised again, is propagated again.
-const RATE_LIMIT_REFRESH_AGE: Duration = Duration::from_secs(15);
+/// Age of what a target said of itself from which the same, said again, is propagated again.
+const REFRESH_AGE: Duration = Duration::from_secs(15);
 /// Time by which a fact from another daemon may seem later than it was. The age of a fact doesn't
 /// include its time in transit, so the same fact seems later with each hop. A call between daemons
 /// is cut after this time.
@@ -36,6 +36,9 @@
 /// Number of load updates that carry a new fact. On a bad link more than one may be lost.
 const TRANSMIT_LIMIT: u8 = 3;
 
+/// Version of the kinds of facts. A daemon of an earlier version can't read facts of a later one.
+pub const FORMAT: u8 = 1;
+
 /// Position of a fact in the order in which a daemon received its facts.
 pub type Revision = u64;
 
@@ -56,6 +59,13 @@
         /// Digest of the request's content.
         content: ContentDigest,
     },
+    /// An answer of a target said that it leaves. It gets no new requests, whatever the list of
+    /// targets says.
+    #[serde(rename = "l")]
+    Leaving {
+        /// Digest of the target's ID and start time.
+        target: InstanceDigest,
+    },
     /// The platform's store holds a quarantine of this content.
     #[serde(rename = "q")]
     Quarantined {
@@ -93,6 +103,7 @@
 enum Key {
     Completed(ContentDigest),
     Crash(ContentDigest, InstanceDigest),
+    Leaving(InstanceDigest),
     Quarantined(ContentDigest),
     RateLimit(InstanceDigest),
 }
@@ -125,6 +136,7 @@
         match self {
             Self::Completed { content } => Key::Completed(content),
             Self::Crash { content, target } => Key::Crash(content, target),
+            Self::Leaving { target } => Key::Leaving(target),
             Self::Quarantined { content } => Key::Quarantined(content),
             Self::RateLimit { target, .. } => Key::RateLimit(target),
         }
@@ -135,7 +147,7 @@
             Self::Crash { content, .. }
             | Self::Completed { content }
             | Self::Quarantined { content } => Some(content),
-            Self::RateLimit { .. } => None,
+            Self::Leaving { .. } | Self::RateLimit { .. } => None,
         }
     }
 
@@ -143,7 +155,7 @@
     fn is_stricter_than(self, other: Self) -> bool {
         let rate = |fact| match fact {
             Self::RateLimit { per_1000_s, .. } => Some(per_1000_s.unwrap_or(u32::MAX)),
-            Self::Crash { .. } | Self::Completed { .. } | Self::Quarantined { .. } => None,
+            _ => None,
         };
         rate(self)
             .zip(rate(other))
@@ -152,8 +164,16 @@
 
     fn lifetime(self) -> Duration {
         match self {
-            Self::Crash { .. } | Self::Completed { .. } | Self::Quarantined { .. } => LIFETIME,
             Self::RateLimit { .. } => RATE_LIMIT_LIFETIME,
+            _ => LIFETIME,
+        }
+    }
+
+    /// The first [`FORMAT`] that has this kind of fact.
+    fn format(self) -> u8 {
+        match self {
+            Self::Leaving { .. } => 1,
+            _ => 0,
         }
     }
 }
@@ -209,7 +229,8 @@
         let is_surely_later = !later.is_zero() && later >= origin.tolerance();
         match fact {
             Fact::Crash { .. } | Fact::Quarantined { .. } => false,
-            Fact::RateLimit { .. } if fact == self.fact => later >= RATE_LIMIT_REFRESH_AGE,
+            Fact::Leaving { .. } => later >= REFRESH_AGE,
+            Fact::RateLimit { .. } if fact == self.fact => later >= REFRESH_AGE,
             Fact::RateLimit { .. } => {
                 is_surely_later || !later.is_zero() && fact.is_stricter_than(self.fact)
             }
@@ -316,10 +337,27 @@
             Fact::RateLimit { per_1000_s, target } => {
                 Some((target, f64::from(per_1000_s?) / 1_000.0))
             }
-            Fact::Crash { .. } | Fact::Completed { .. } | Fact::Quarantined { .. } => None,
+            _ => None,
         })
     }
 
+    /// Targets whose answers have said that they leave.
+    pub fn leaving(&self, now: Instant) -> impl Iterator<Item = InstanceDigest> {
+        let current = self.facts.values();
+        let current = current.filter(move |record| record.is_current(now));
+        current.filter_map(|record| match record.fact {
+            Fact::Leaving { target } => Some(target),
+            _ => None,
+        })
+    }
+
+    /// Returns `true` if an answer of this target has said that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self, target: InstanceDigest, now: Instant) -> bool {
+        let record = self.facts.get(&Key::Leaving(target));
+        record.is_some_and(|record| record.is_current(now))
+    }
+
     /// Facts for the next load update, at most `limit`.
     pub fn take_updates(&mut self, limit: usize, now: Instant) -> Vec<Advisory> {
         let new = self.facts.values_mut();
@@ -332,11 +370,12 @@
         taken.collect()
     }
 
-    /// Facts received after `revision`, at most `limit`, and the revision up to which they are
-    /// complete.
+    /// Facts received after `revision` that a daemon of this format reads, at most `limit`, and the
+    /// revision up to which they are complete.
     fn facts_after(
         &self,
         revision: Revision,
+        format: u8,
         limit: usize,
         now: Instant,
     ) -> (Vec<Advisory>, Revision) {
@@ -348,10 +387,16 @@
             None => self.revision,
         };
         let page = later.into_iter().take(limit);
-        let page = page.filter(|record| record.is_sendable(now));
+        let page = page.filter(|record| record.is_sendable(now) && record.fact.format() <= format);
         (page.map(|record| record.advisory(now)).collect(), up_to)
     }
 
+    /// Returns `true` if a daemon of this format can't read some of the facts.
+    fn has_facts_beyond(&self, format: u8, now: Instant) -> bool {
+        let mut sendable = self.facts.values().filter(|record| record.is_sendable(now));
+        sendable.any(|record| record.fact.format() > format)
+    }
+
     fn merge_with(&mut self, advisories: &[Advisory], origin: Origin, now: Instant) -> Vec<Fact> {
         let mut new = Vec::new();
         for advisory in advisories {
@@ -416,7 +461,7 @@
                 let began_at = observed_at.checked_sub(TRANSIT_TOLERANCE);
                 began_at.is_none_or(|began_at| self.is_later_than_completed(content, began_at))
             }
-            Fact::Completed { .. } => true,
+            Fact::Completed { .. } | Fact::Leaving { .. } => true,
             Fact::RateLimit { per_1000_s, .. } => per_1000_s.is_some(),
         }
     }
--- a/crates/lilaccrank/tests/suite/advisories.rs
+++ b/crates/lilaccrank/tests/suite/advisories.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use lilaccrank::advisories::recent::RecentContents;
 use lilaccrank::advisories::record::QuarantineRecord;
-use lilaccrank::advisories::sync::{self, Cursors};
+use lilaccrank::advisories::sync::{self, Cursors, Page, Pull};
 use lilaccrank::advisories::{Advisories, Advisory, CAPACITY, Fact, LIFETIME, QUARANTINE_CRASHES};
 use lilaccrank::ids::VmId;
 use rand::rngs::StdRng;
@@ -515,3 +515,74 @@
         assert_eq!(limits.len(), 1, "seed {seed}: {limits:?}");
     }
 }
+
+// Guards against a daemon that sends to a target whose answer to another daemon said that it leaves,
+// and against facts that are exchanged without end.
+#[test]
+fn a_leaving_target_is_known_to_all() {
+    let mut fleet = Fleet::new(91, 21);
+    fleet.note_fact(90, Fact::Leaving { target: 7 });
+    fleet.rounds(ROUNDS);
+    let now = fleet.now;
+    let knows = |daemon: &Daemon| daemon.known.is_leaving(7, now);
+    assert!(fleet.daemons.values().all(knows));
+    assert!(!fleet.daemons[0].known.is_leaving(8, now));
+    assert_eq!(fleet.sent_in(2), 0);
+}
+
+// What a target said does not bind for good: nobody can ask it again.
+#[test]
+fn a_leaving_target_is_forgotten_in_the_end() {
+    let now = Instant::now();
+    let mut known = Advisories::default();
+    known.note(Fact::Leaving { target: 7 }, now);
+    let end = now + LIFETIME;
+    assert!(known.is_leaving(7, end - Duration::from_millis(1)));
+    assert!(!known.is_leaving(7, end));
+    assert_eq!(known.leaving(end).count(), 0);
+}
+
+// Guards against a rolling update in which a daemon of the version before can't read the reply of a
+// newer one, and hears nothing of the platform through it.
+#[test]
+fn daemons_of_the_version_before_get_no_facts_that_they_cannot_read() {
+    let now = Instant::now();
+    let mut known = Advisories::default();
+    known.note(Fact::Leaving { target: 7 }, now);
+    known.note(crash(CONTENT, 1), now);
+    let pull = Pull::default();
+    let (page, _) = sync::answer(&pull, &mut known, 1, now);
+    let facts: Vec<_> = page
+        .advisories
+        .iter()
+        .map(|advisory| advisory.fact)
+        .collect();
+    assert_eq!(facts, [crash(CONTENT, 1)]);
+    let mut cursors = Cursors::default();
+    let old = Page {
+        incarnation: 1,
+        ..Page::default()
+    };
+    for _ in 0..2 {
+        let pull = cursors.pull(&"old".to_owned(), &known, now);
+        let pushed = pull.pushed.iter().map(|advisory| advisory.fact);
+        assert!(pushed.clone().all(|fact| fact == crash(CONTENT, 1)));
+        cursors.merge_page(&"old".to_owned(), &old, &mut known, now);
+    }
+}
+
+// A fact that was held back until the peer had said what it reads is pushed then.
+#[test]
+fn a_leaving_target_is_pushed_once_the_peer_has_replied() {
+    let now = Instant::now();
+    let mut known = Advisories::default();
+    known.note(Fact::Leaving { target: 7 }, now);
+    let (mut cursors, mut peer) = (Cursors::default(), Advisories::default());
+    let name = "new".to_owned();
+    for _ in 0..2 {
+        let pull = cursors.pull(&name, &known, now);
+        let (page, _) = sync::answer(&pull, &mut peer, 1, now);
+        cursors.merge_page(&name, &page, &mut known, now);
+    }
+    assert!(peer.is_leaving(7, now));
+}
--- a/crates/lilaccrankd/src/peers/advisories.rs
+++ b/crates/lilaccrankd/src/peers/advisories.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use lilaccrank::advisories::recent::RecentContents;
 use lilaccrank::advisories::sync::{self, Cursors, Page, Pull};
 use lilaccrank::advisories::{Advisories, Advisory, Fact};
@@ -115,6 +115,25 @@
         known.quarantine_remaining(content(), Instant::now())
     }
 
+    /// Records that an answer of a target said that it leaves.
+    pub fn record_leaving(&self, target: &TargetInstance, exchange: &LoadExchange) {
+        let fact = Fact::Leaving {
+            target: target.digest(),
+        };
+        self.record(fact, exchange);
+    }
+
+    /// Returns `true` if an answer of this target has said that it leaves.
+    pub fn is_leaving(&self, target: &TargetInstance) -> bool {
+        let known = self.known.borrow();
+        !known.is_empty() && known.is_leaving(target.digest(), Instant::now())
+    }
+
+    /// Targets whose answers have said that they leave.
+    pub fn leaving(&self) -> IndexSet<InstanceDigest> {
+        self.known.borrow().leaving(Instant::now()).collect()
+    }
+
     /// Records the rate limit that a target advertised with an answer.
     pub fn record_rate_limit(
         &self,
@@ -213,6 +232,10 @@
                         );
                     }
                 }
+                Fact::Leaving { target } => log::info!(
+                    target_digest = target;
+                    "a target says that it leaves"
+                ),
                 Fact::RateLimit { per_1000_s, target } => log::info!(
                     per_s:% = per_1000_s.map_or(-1.0, |rate| f64::from(rate) / 1_000.0),
                     target_digest = target;
--- a/crates/lilaccrankd/src/peers/load_exchange.rs
+++ b/crates/lilaccrankd/src/peers/load_exchange.rs
@@ -140,6 +140,7 @@
         let _ = monoio::time::timeout(HEARTBEAT, changed).await;
         daemon.quotas.tick();
         daemon.live_list.freshness.observe(MonoioClock.boot_time());
+        server::apply_leaving(&daemon);
         server::apply_rate_limits(&daemon);
         if !is_needed(&daemon) {
             continue;
--- a/crates/lilaccrankd/src/pools/poller.rs
+++ b/crates/lilaccrankd/src/pools/poller.rs
@@ -20,6 +20,7 @@
 
 use crate::daemon::Daemon;
 use crate::pools::server::ServedPool;
+use crate::targets::native_protocol;
 
 /// Interval between two polls of one target. Reports only correct the dispatcher's own estimate;
 /// polling twenty engines every half second would cost twice what a daemon may spend on all of its
@@ -120,6 +121,7 @@
     last
 }
 
+/// Reads a report of a target, which may say that the target leaves.
 async fn get<T: DeserializeOwned>(daemon: &Daemon, target: &Target, path: &str) -> Option<T> {
     let mut req = Request::new(body::empty());
     *req.method_mut() = Method::GET;
@@ -131,6 +133,12 @@
         .send(&target.address, req, LIMITS)
         .await;
     let (res, connection) = sent.ok()?;
+    if native_protocol::says_leaving(res.headers()) {
+        let instance = TargetInstance::of(target);
+        daemon
+            .advisories
+            .record_leaving(&instance, &daemon.load_exchange);
+    }
     let reading = body::read(res.into_body(), REPORT_LIMIT);
     let bytes = monoio::time::timeout(LIMITS.head, reading)
         .await
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -22,6 +22,7 @@
 use lilaccrank::peers::Peers;
 use lilaccrank::prompt;
 use lilaccrank::request_key::{MemberRef, Ranking};
+use lilaccrank::target_instance::InstanceDigest;
 use lilaccrank::timeline::{EventKind, Subject};
 use lilaccrank_http::monoio_clock::MonoioClock;
 
@@ -30,6 +31,7 @@
 use crate::pools::client;
 use crate::pools::poller;
 use crate::pools::rate_limits::RateLimits;
+use crate::targets::sendable;
 
 /// Longest time that a new dispatcher waits for the entries to report their requests.
 const HANDOVER_GRACE: Duration = Duration::from_secs(1);
@@ -48,6 +50,8 @@
     /// The daemons that share targets with this one, where each daemon dispatches its own requests.
     cell: RefCell<Rc<cells::Cell>>,
     entries: RefCell<Vec<Entry>>,
+    /// Targets whose answers have said that they leave, as last applied to the dispatchers.
+    leaving: RefCell<IndexSet<InstanceDigest>>,
     rate_limits: RateLimits,
     served: RefCell<IndexMap<PoolId, Rc<ServedPool>>>,
 }
@@ -376,6 +380,9 @@
 pub(super) fn near_targets(daemon: &Daemon, configured: &Pool) -> Vec<Target> {
     let mut targets = daemon.live_list.apply(configured).targets;
     targets.retain(|target| daemon.cfg.is_near(&target.data_centre));
+    for target in &mut targets {
+        target.state = sendable::state_of(daemon, target);
+    }
     targets
 }
 
@@ -410,6 +417,16 @@
     });
 }
 
+/// Stops granting targets whose answers have said that they leave.
+pub fn apply_leaving(daemon: &Rc<Daemon>) {
+    let leaving = daemon.advisories.leaving();
+    let known = &daemon.pool_server.leaving;
+    if *known.borrow() != leaving {
+        known.replace(leaving);
+        configuration_changed(daemon);
+    }
+}
+
 /// Status of the dispatchers of this daemon, by pool.
 pub fn status(daemon: &Daemon) -> IndexMap<PoolId, Status> {
     let served = daemon.pool_server.served.borrow();
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -244,9 +244,19 @@
     fn progress(&self, tokens: u32, step: Duration) {
         self.grant.report(ReportKind::Progress { step, tokens });
     }
+
+    fn leaving(&self) {
+        let target = &self.grant.target;
+        let exchange = &self.daemon.load_exchange;
+        self.daemon.advisories.record_leaving(target, exchange);
+    }
 }
 
 impl forward::Observer for SendObserver<'_> {
+    fn leaving(&self) {
+        Observer::leaving(self);
+    }
+
     fn rate_limit(&self, limit: RateLimit) {
         let exchange = &self.daemon.load_exchange;
         self.daemon
--- a/crates/lilaccrankd/src/targets/engine_run.rs
+++ b/crates/lilaccrankd/src/targets/engine_run.rs
@@ -29,6 +29,8 @@
     fn first_token(&self, after: Duration);
     /// Called when more tokens arrived, with the mean time between them.
     fn progress(&self, tokens: u32, step: Duration);
+    /// Called if the head of an answer says that the target leaves.
+    fn leaving(&self);
 }
 
 /// Outcome of a request at its target.
@@ -120,7 +122,11 @@
         AnswerFormat::Chat => "/v1/chat/completions",
         AnswerFormat::Completion => "/v1/completions",
     };
-    engine.send(path, req.key, req.body).await?;
+    let sent = engine.send(path, req.key, req.body).await;
+    if engine.says_leaving() {
+        observer.leaving();
+    }
+    sent?;
     while let Some(data) = engine.next().await? {
         match builder.push_event(&data, buffer)? {
             EngineEvent::Done => return Ok(()),
--- a/crates/lilaccrankd/src/targets/engine_stream.rs
+++ b/crates/lilaccrankd/src/targets/engine_stream.rs
@@ -16,6 +16,7 @@
 
 use crate::callers::refusal::{Refusal, Result};
 use crate::targets::call::{self, CONNECT_TIMEOUT};
+use crate::targets::native_protocol;
 
 /// Name of the header that carries the request's id to targets.
 pub const REQUEST_ID: &str = "request-id";
@@ -57,6 +58,7 @@
     timeouts: SilenceTimeouts,
     received: u64,
     resumes: u32,
+    says_leaving: bool,
 }
 
 impl EngineStream {
@@ -72,6 +74,7 @@
             timeouts,
             received: 0,
             resumes: 0,
+            says_leaving: false,
         }
     }
 
@@ -95,6 +98,12 @@
         }
     }
 
+    /// Returns `true` if the head of an answer has said that the engine leaves.
+    #[must_use]
+    pub fn says_leaving(&self) -> bool {
+        self.says_leaving
+    }
+
     /// Returns the next event; `None` if the engine closed the stream.
     ///
     /// # Errors
@@ -163,6 +172,7 @@
 
     async fn open(&mut self, req: Request<Body>, head: Duration) -> Result<()> {
         let (res, connection) = call::send(&self.client, &self.address, req, head).await?;
+        self.says_leaving |= native_protocol::says_leaving(res.headers());
         if res.status() != StatusCode::OK {
             let message = format!("the target answered with status {}", res.status());
             return Err(Refusal::new(ErrorKind::TargetFailed, message));
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -51,6 +51,9 @@
     /// Called for each event; `first` for the first one.
     fn event(&self, first: bool, since_sent: Duration);
 
+    /// Called if the head of an answer says that the target leaves.
+    fn leaving(&self);
+
     /// Called with the rate limit that the head of an answer advertises.
     fn rate_limit(&self, limit: RateLimit);
 }
@@ -110,6 +113,9 @@
         let req = self.protocol.request(outgoing);
         let sent_at = Instant::now();
         let (head, body, connection) = self.exchange(&outgoing.target.address, req).await?;
+        if self.protocol.says_leaving(&head, outgoing) {
+            self.observer.leaving();
+        }
         if head.headers.contains_key(CONTENT_ENCODING) {
             // Callers ask for unencoded bodies, so an encoded one comes from an intermediary.
             return Err(failed(ErrorKind::BrokenAnswer, "the answer is coded"));
--- a/crates/lilaccrankd/src/targets/native_protocol.rs
+++ b/crates/lilaccrankd/src/targets/native_protocol.rs
@@ -1,13 +1,22 @@
 //! The native protocol for forwarding requests to plain services.
 
-use hyper::Request;
-use hyper::header::{HOST, HeaderValue};
+use hyper::header::{HOST, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
+use hyper::{HeaderMap, Request};
 use lilaccrank_http::body::{self, Body};
 
 use crate::targets::engine_stream::{REQUEST_ID, REQUEST_KEY};
 use crate::targets::protocol::{AnswerKind, OutgoingRequest, TargetProtocol};
 
+/// Header of all answers of a target that is about to end, with the value 1.
+const LEAVING: HeaderName = HeaderName::from_static("leaving");
+
+/// Returns `true` if the headers of an engine's or a service's answer say that it leaves.
+#[must_use]
+pub fn says_leaving(headers: &HeaderMap) -> bool {
+    headers.get(LEAVING).is_some_and(|value| value == "1")
+}
+
 /// The native (non-platform) protocol of targets.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NativeTargetProtocol;
@@ -34,6 +43,10 @@
         req
     }
 
+    fn says_leaving(&self, head: &Parts, _: &OutgoingRequest<'_>) -> bool {
+        says_leaving(&head.headers)
+    }
+
     fn classify(&self, head: &Parts, _: &OutgoingRequest<'_>) -> AnswerKind {
         if head.status.is_server_error() {
             AnswerKind::Failed
--- a/crates/lilaccrankd/src/targets/protocol.rs
+++ b/crates/lilaccrankd/src/targets/protocol.rs
@@ -20,6 +20,10 @@
     /// Classifies an answer by its head.
     fn classify(&self, head: &Parts, outgoing: &OutgoingRequest<'_>) -> AnswerKind;
 
+    /// Returns `true` if the head of an answer, whatever its status, says that the target leaves. An
+    /// answer to another request or of another target says nothing.
+    fn says_leaving(&self, head: &Parts, outgoing: &OutgoingRequest<'_>) -> bool;
+
     /// Returns the rate limit that the head of an answer advertises.
     fn rate_limit(&self, _head: &Parts) -> RateLimit {
         RateLimit::Unknown
--- a/crates/lilaccrankd/src/targets/sendable.rs
+++ b/crates/lilaccrankd/src/targets/sendable.rs
@@ -10,6 +10,15 @@
 use crate::callers::refusal::{Refusal, Result};
 use crate::daemon::Daemon;
 
+/// Returns the state of a target. What its own answers said goes before the list, which lags.
+#[must_use]
+pub fn state_of(daemon: &Daemon, target: &Target) -> TargetState {
+    if daemon.advisories.is_leaving(&TargetInstance::of(target)) {
+        return TargetState::Draining;
+    }
+    daemon.live_list.state_of(target)
+}
+
 /// Returns the target if it may get a request now.
 ///
 /// # Errors
@@ -19,7 +28,7 @@
     let refused = |message| Refusal::new(ErrorKind::NoTarget, message).ran(Executed::No);
     let target = daemon.target(pool, instance);
     let target = target.ok_or_else(|| refused("the target was removed"))?;
-    match daemon.live_list.state_of(&target) {
+    match state_of(daemon, &target) {
         TargetState::Live => Ok(target),
         TargetState::Draining => Err(refused("the target is leaving")),
     }
