Targets: a target that asks for a pause gets no requests of this daemon

Cause: nothing read `Retry-After` of a target. One that turns requests away answers at once and holds no slot, so it looks idle and is chosen first; a request excludes it only for itself. Ruled out: to count it as an error. The error rate moves work away and never excludes, and a pause is no fault of the target. Change: - `TargetProtocol::pause` reads it from a 503, of the target itself and to this request: seconds with a fraction, at most 300. Dates, negative, unreadable values and 0 ask for none, with a log line. Of two, the later end counts. - The daemon that was asked is bound by itself, at the moment of the send, whoever granted (`targets/pauses.rs`, `targets/sendable.rs`), within a bounded table. Others go on. Its dispatcher grants nothing there meanwhile (`dispatch/pushback.rs`); a dispatcher of several daemons is told of the targets to leave out with each submission. - After the pause one request tries the target; its first token or answer ends the pushback, a new pause extends it. - If all targets that could serve a submission pause, it waits if its time allows, else it is refused at once as not run; `Retry-After` is the shortest pause and a spread. A target in a pause is no free capacity of the pool.

--- a/crates/lilaccrank-lab/src/engine.rs
+++ b/crates/lilaccrank-lab/src/engine.rs
@@ -81,6 +81,7 @@
     hang: Option<bool>,
     leaving: Option<bool>,
     nonsense: Option<bool>,
+    pause_s: Option<f64>,
     speed: Option<f64>,
 }
 
@@ -124,6 +125,7 @@
         }
         (&Method::GET, "/log") => reply::ok(&engine.state().log.entries()),
         (&Method::GET, "/orders") => reply::ok(&engine.state().orders.list()),
+        (&Method::GET, "/turned-away") => reply::ok(&engine.state().turned_away_at_ms),
         (&Method::GET, "/v1/models") => reply::ok(&engine.state().models()),
         (&Method::POST, "/control") => control(&engine, req).await,
         (&Method::POST, "/orders") => order(&engine, req).await,
@@ -172,6 +174,9 @@
     if let Some(nonsense) = control.nonsense {
         faults.nonsense.set(nonsense);
     }
+    if let Some(pause_s) = control.pause_s {
+        faults.pause_s.set(pause_s);
+    }
     if let Some(speed) = control.speed {
         faults.speed.set(speed);
     }
--- a/crates/lilaccrank-lab/src/engine/serving.rs
+++ b/crates/lilaccrank-lab/src/engine/serving.rs
@@ -114,6 +114,11 @@
 /// Puts a request at the end of the queue.
 fn begin(engine: &Rc<Engine>, headers: &HeaderMap, completion: Completion) -> Result<Reader> {
     let refuse = |status, message| Err(Box::new(reply::error(status, message)));
+    let pause_s = engine.faults.pause_s.get();
+    if pause_s > 0.0 {
+        engine.state().turned_away_at_ms.push(reply::wall_ms());
+        return Err(Box::new(reply::push_back(pause_s)));
+    }
     let mut state = engine.state();
     let id = match reply::header(headers, reply::REQUEST_ID) {
         Some(id) => id.to_owned(),
--- a/crates/lilaccrank-lab/src/engine/state.rs
+++ b/crates/lilaccrank-lab/src/engine/state.rs
@@ -42,6 +42,8 @@
     pub(super) hang: Cell<bool>,
     pub(super) leaving: Cell<bool>,
     pub(super) nonsense: Cell<bool>,
+    /// Seconds of a pause that it asks for instead of running requests; 0 for none.
+    pub(super) pause_s: Cell<f64>,
     pub(super) speed: Cell<f64>,
 }
 
@@ -58,6 +60,8 @@
     role: Option<String>,
     pub(super) running: Vec<Job>,
     pub(super) streams: IndexMap<RequestId, Rc<Stream>>,
+    /// Wall times at which it turned requests away and asked for a pause.
+    pub(super) turned_away_at_ms: Vec<u64>,
     pub(super) waiting: VecDeque<Job>,
 }
 
@@ -90,6 +94,7 @@
             role: None,
             running: Vec::new(),
             streams: IndexMap::new(),
+            turned_away_at_ms: Vec::new(),
             waiting: VecDeque::new(),
         };
         let faults = Faults {
@@ -97,6 +102,7 @@
             hang: Cell::new(false),
             leaving: Cell::new(false),
             nonsense: Cell::new(false),
+            pause_s: Cell::new(0.0),
             speed: Cell::new(cfg.speed),
         };
         Self {
--- a/crates/lilaccrank-lab/src/reply.rs
+++ b/crates/lilaccrank-lab/src/reply.rs
@@ -6,7 +6,7 @@
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::{HeaderName, HeaderValue};
+use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use lilaccrank_http::body::{self, Body, BoxError};
 use serde::Serialize;
@@ -60,6 +60,15 @@
         .insert(LEAVING, HeaderValue::from_static("1"));
 }
 
+/// A response that turns a request away and asks for a pause of this many seconds.
+pub fn push_back(pause_s: f64) -> Response<Body> {
+    let mut res = error(StatusCode::SERVICE_UNAVAILABLE, "a pause is needed");
+    if let Ok(pause) = HeaderValue::try_from(pause_s.to_string()) {
+        res.headers_mut().insert(RETRY_AFTER, pause);
+    }
+    res
+}
+
 /// A response of no bytes.
 #[must_use]
 pub fn empty(status: StatusCode) -> Response<Body> {
--- a/crates/lilaccrank-lab/tests/faults.rs
+++ b/crates/lilaccrank-lab/tests/faults.rs
@@ -15,6 +15,8 @@
 mod harness;
 #[path = "faults/leaving.rs"]
 mod leaving;
+#[path = "faults/pushback.rs"]
+mod pushback;
 #[path = "faults/request_keys.rs"]
 mod request_keys;
 #[path = "faults/says_leaving.rs"]
--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -30,6 +30,7 @@
 pub mod limits;
 pub mod message;
 mod overload;
+pub mod pushback;
 pub mod queue;
 mod queue_deadline;
 pub mod rate_limit;
@@ -168,6 +169,13 @@
         self.state.borrow_mut().set_rate_limits(shares, now);
     }
 
+    /// Grants nothing on a target for the time that it has asked for, and then one request that
+    /// tries it.
+    pub fn push_back(&self, target: &TargetInstance, pause: Duration) {
+        let now = self.clock.now();
+        self.state.borrow_mut().push_back(target, pause, now);
+    }
+
     /// Processes a target's own load report.
     pub fn load_report(&self, target: &TargetInstance, report: LoadReport) {
         let now = self.clock.now();
--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -104,8 +104,8 @@
     pub target: TargetInstance,
 }
 
-/// Occupancy of a pool at one moment. Only healthy targets count: the free slots of an unresponsive
-/// target would otherwise count as headroom, and urgent work would find no free slot.
+/// Occupancy of a pool at one moment. Only healthy targets without a pushback count: the free slots
+/// of others would count as headroom, and urgent work would find no free slot.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Occupancy {
     /// Healthy targets with an outstanding long prefill.
@@ -122,7 +122,9 @@
     /// Computes the occupancy of the live and healthy targets.
     #[must_use]
     pub fn of(targets: &IndexMap<TargetInstance, Target>, now: Instant) -> Self {
-        let is_healthy = |target: &&Target| target.health.state() == health::State::Healthy;
+        let is_healthy = |target: &&Target| {
+            target.health.state() == health::State::Healthy && target.pushback.is_none()
+        };
         let healthy = targets
             .values()
             .filter(|target| target.live)
@@ -190,6 +192,7 @@
     };
     target.live
         && accepts_work
+        && target.pushback.is_none_or(|pushback| pushback.allows(now))
         && target.is_within_rate_limit(needs.priority, needs.reservation.requests(), now)
         && !target.is_held_for_peer(needs.priority, now)
         && target.estimate.batch(now).saturating_add(reserved) < slots
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -81,6 +81,11 @@
             if active_grant.trial {
                 target.health.cancel_trial(now);
             }
+            if active_grant.pushback_trial
+                && let Some(pushback) = &mut target.pushback
+            {
+                pushback.set_trial(false);
+            }
         }
         self.remove_if_drained(&active_grant.target);
         Some(active_grant)
@@ -102,6 +107,10 @@
         let trial = target
             .health
             .record_grant(target.estimate.running() == 0, now);
+        let pushback_trial = target.pushback.is_some();
+        if let Some(pushback) = &mut target.pushback {
+            pushback.set_trial(true);
+        }
         target.estimate.record_grant(remaining_work, now);
         target.sent = target.sent.wrapping_add(1);
         if let Some(limit) = &mut target.rate_limit {
@@ -126,6 +135,7 @@
             long_prefill,
             max_tokens: submission.max_tokens,
             inflight: submission.prefix.clone(),
+            pushback_trial,
             target: choice.target.clone(),
             tokens: work(submission).tokens(),
             trial,
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -41,6 +41,7 @@
                 match outcome {
                     Outcome::Complete => {
                         target.health.record_success(now);
+                        target.end_pushback(active_grant.pushback_trial);
                         self.sharing.record(target.digest, Observation::Answered);
                     }
                     Outcome::Erred => {
@@ -57,6 +58,7 @@
             }
             ReportKind::FirstToken { after } => {
                 target.health.record_activity(now);
+                target.end_pushback(active_grant.pushback_trial);
                 Self::note_load_change(&mut self.sharing, target, now);
                 let prefill_ahead = active_grant.prefill_ahead;
                 target.estimate.record_first_token(
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -104,6 +104,8 @@
     pub(super) max_tokens: u32,
     /// Prefix digests of a prompt whose prefill hasn't finished.
     pub(super) inflight: Vec<u64>,
+    /// Set if the request tries a target after a pause that it asked for.
+    pub(super) pushback_trial: bool,
     pub(super) target: TargetInstance,
     pub(super) tokens: u64,
     /// Set if the request is a trial of an unresponsive target.
@@ -173,19 +175,13 @@
         now: Instant,
     ) {
         let deadline = submission.deadline.and_then(|left| now.checked_add(left));
-        let queue_limit = submission
-            .wait_at_most
-            .and_then(|wait| now.checked_add(wait));
-        let queue_deadline = self.queue_deadline(&submission, now);
+        let until = self.waits_until(&submission, now);
         self.queue.push(Item {
             customer: submission.customer.clone(),
             request_class: request_class(&submission),
             request: submission.request.clone(),
             priority: priority(&submission),
-            until: [deadline, queue_limit, queue_deadline]
-                .into_iter()
-                .flatten()
-                .min(),
+            until,
             weight: submission.weight,
             work: work(&submission),
         });
@@ -200,6 +196,14 @@
             .insert(waiting.submission.request.clone(), waiting);
     }
 
+    /// Time until which a submission that comes now waits in the queue; `None` if without limit.
+    pub(super) fn waits_until(&self, submission: &Submission, now: Instant) -> Option<Instant> {
+        let limits = [submission.deadline, submission.wait_at_most];
+        let limits = limits.into_iter().flatten();
+        let limits = limits.filter_map(|wait| now.checked_add(wait));
+        limits.chain(self.queue_deadline(submission, now)).min()
+    }
+
     /// Removes a waiting submission and refuses it.
     pub(super) fn refuse(
         &mut self,
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -4,6 +4,7 @@
 
 use super::estimate::Estimate;
 use super::health::Health;
+use super::pushback::Pushback;
 use super::queue::Priority;
 use super::rate_limit::{RateLimit, Share};
 use crate::ids::DataCentre;
@@ -54,6 +55,8 @@
     /// When another daemon last freed capacity, and the first submission waiting elsewhere at that
     /// time.
     pub(super) freed_by_peer: Option<(Instant, PeerWaiter)>,
+    /// Pause that it has asked for, until a request has been accepted after it.
+    pub pushback: Option<Pushback>,
     /// The cell's share of the rate limit that the target advertises.
     pub rate_limit: Option<RateLimit>,
     /// First waiting submission of the other daemons of the cell.
@@ -79,6 +82,7 @@
             live: true,
             long_prefills: 0,
             freed_by_peer: None,
+            pushback: None,
             rate_limit: None,
             peer_waiter: None,
             sent: 0,
@@ -132,6 +136,13 @@
         })
     }
 
+    /// Ends a pushback if the request that tried the target was accepted.
+    pub(super) fn end_pushback(&mut self, was_trial: bool) {
+        if was_trial {
+            self.pushback = None;
+        }
+    }
+
     /// Charges the rate limit with requests that another daemon of the cell has sent.
     pub fn sent_by_peer(&mut self, requests: u32, now: Instant) {
         if let Some(limit) = &mut self.rate_limit {
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -42,6 +42,8 @@
 mod dispatch_order;
 #[path = "suite/dispatch_overload.rs"]
 mod dispatch_overload;
+#[path = "suite/dispatch_pushback.rs"]
+mod dispatch_pushback;
 #[path = "suite/dispatch_reservation.rs"]
 mod dispatch_reservation;
 #[path = "suite/dispatch_restarts.rs"]
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -42,6 +42,7 @@
 use crate::targets::engine_stream::SilenceTimeouts;
 use crate::targets::forward::Bounds;
 use crate::targets::live_list::LiveList;
+use crate::targets::pauses::Pauses;
 
 /// The platform's store behind a circuit breaker and a retry budget, so that a data centre that
 /// reconnects does not overload it.
@@ -97,6 +98,8 @@
     pub membership: Membership,
     /// Orders to targets and their leases.
     pub order_manager: OrderManager,
+    /// Pauses that targets have asked this daemon for.
+    pub pauses: Pauses,
     /// Network to the other daemons.
     pub peers: PeerNetwork,
     /// Unguarded client of the platform.
@@ -193,6 +196,7 @@
             membership,
             metrics: Metrics::new(Rc::clone(&traffic))?,
             order_manager,
+            pauses: Pauses::default(),
             peers,
             platform,
             ports,
--- a/crates/lilaccrankd/src/pools/client/held_grant.rs
+++ b/crates/lilaccrankd/src/pools/client/held_grant.rs
@@ -9,6 +9,7 @@
 
 use crate::daemon::Daemon;
 use crate::peers::message::PoolMessage;
+use crate::pools::server;
 
 /// A grant in use. Dropping it without [`finish`](Self::finish) returns it unused.
 pub struct HeldGrant {
@@ -71,6 +72,11 @@
         super::notify(&self.daemon, &self.pool, PoolMessage::Report(report));
     }
 
+    /// Passes on that the target wants no requests of this daemon for a time.
+    pub fn push_back(&self, pause: Duration) {
+        server::push_back(&self.daemon, &self.pool, &self.target, pause);
+    }
+
     /// Ends the request and releases the slot.
     pub fn finish(mut self, outcome: Outcome, decoded: u32, prefill: Option<u32>) {
         self.end(outcome, decoded, prefill);
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use event_listener::Event;
 use futures::future::{self, Either};
@@ -22,7 +22,7 @@
 use lilaccrank::peers::Peers;
 use lilaccrank::prompt;
 use lilaccrank::request_key::{MemberRef, Ranking};
-use lilaccrank::target_instance::InstanceDigest;
+use lilaccrank::target_instance::{InstanceDigest, TargetInstance};
 use lilaccrank::timeline::{EventKind, Subject};
 use lilaccrank_http::monoio_clock::MonoioClock;
 
@@ -374,6 +374,11 @@
     }
     daemon.pool_server.rate_limits.targets_changed();
     dispatcher.set_targets_where(&pool, |data_centre| daemon.cfg.is_near(data_centre));
+    if daemon.duties.is_dispatch_local() {
+        for (target, left) in daemon.pauses.in_force(Instant::now()) {
+            dispatcher.push_back(&target, left);
+        }
+    }
 }
 
 /// Targets of a pool in this data centre and in data centres that act as one with it.
@@ -427,6 +432,18 @@
     }
 }
 
+/// Pauses the grants of a target that has asked for it, where each daemon dispatches its own
+/// requests. A dispatcher of several daemons is told of the targets to leave out with each
+/// submission, since the pause binds one of them only.
+pub fn push_back(daemon: &Rc<Daemon>, pool: &PoolId, target: &TargetInstance, pause: Duration) {
+    if !daemon.duties.is_dispatch_local() {
+        return;
+    }
+    if let Some(served) = served_pool(daemon, pool) {
+        served.dispatcher.push_back(target, pause);
+    }
+}
+
 /// Status of the dispatchers of this daemon, by pool.
 pub fn status(daemon: &Daemon) -> IndexMap<PoolId, Status> {
     let served = daemon.pool_server.served.borrow();
--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -304,7 +304,7 @@
                 );
                 Ok(grant)
             }
-            Either::Left((Err(refuse), _)) => Err(refusal(&refuse)),
+            Either::Left((Err(refuse), _)) => Err(after_pauses(daemon, refusal(&refuse))),
             Either::Right((refusal, _)) => Err(refusal.ran(Executed::No)),
         }
     }
@@ -333,12 +333,17 @@
             Operation::Proxy(_) => Vec::new(),
         };
         let now = Instant::now();
+        let mut exclusions = prior.exclusions.clone();
+        if !daemon.duties.is_dispatch_local() {
+            let paused = daemon.pauses.in_force(now).into_iter();
+            exclusions.extend(paused.map(|(target, _)| target));
+        }
         Submission {
             partial,
             customer: facts.customer.clone(),
             deadline: self.time_left(),
             entry: daemon.cfg.vm.clone(),
-            exclusions: prior.exclusions.clone(),
+            exclusions,
             limit: self.route.limit,
             max_tokens: facts.max_tokens,
             prefix,
@@ -411,6 +416,19 @@
     }
 }
 
+/// Adds the shortest pause to `Retry-After` if no target is left. A dispatcher of several daemons
+/// does not know of the pauses that this one was asked for.
+fn after_pauses(daemon: &Daemon, refusal: Refusal) -> Refusal {
+    if refusal.kind != ErrorKind::NoTarget || daemon.duties.is_dispatch_local() {
+        return refusal;
+    }
+    let shortest = daemon.pauses.in_force(Instant::now()).into_iter().next();
+    match (refusal.retry_after, shortest) {
+        (Some(after), Some((_, left))) => refusal.retry_after(after + left),
+        _ => refusal,
+    }
+}
+
 /// Duration in milliseconds for log lines, or -1 without one.
 pub fn log_ms(time: Option<Duration>) -> i64 {
     time.map_or(-1, |time| {
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -21,7 +21,7 @@
 use crate::daemon::Daemon;
 use crate::pools::client::HeldGrant;
 use crate::request::answer_buffer::AnswerBuffer;
-use crate::request::lifecycle::RoutedRequest;
+use crate::request::lifecycle::{self, RoutedRequest};
 use crate::request::send_history::SendHistory;
 use crate::targets::engine_run::{self, EngineRequest, Observer, RunOutcome};
 use crate::targets::engine_stream::EngineStream;
@@ -66,34 +66,39 @@
         freshness::until_usable(daemon).await;
         daemon.live_list.lapsed.until_verified(&grant.target).await;
         let checked = sendable::check(daemon, &self.route.pool, &grant.target);
+        let observer = SendObserver::new(self, daemon, &grant, &history.delivered);
         let (sent, decoded, prefill) = match checked {
             Err(refusal) => (Err(failed(refusal).into()), 0, None),
             Ok(target) => match &self.caller.operation {
                 Operation::Generate { .. } => {
-                    let ended = self.generate(daemon, buffer, &grant, &target).await;
+                    let ended = self.generate(&observer, buffer, &target).await;
                     let result = ended.result.map_err(|refusal| failed(refusal).into());
                     (result, ended.decoded, ended.prefill)
                 }
                 Operation::Proxy(proxied) => {
-                    let send_observer = SendObserver::new(self, daemon, &grant, &history.delivered);
                     let sent = self
-                        .forward(&send_observer, buffer, &target, proxied, history)
+                        .forward(&observer, buffer, &target, proxied, history)
                         .await;
-                    (sent, send_observer.tokens.get(), None)
+                    (sent, observer.tokens.get(), None)
                 }
             },
         };
-        grant.finish(outcome(&sent), decoded, prefill);
+        // A pause controls the flow; it is no error of the target.
+        let outcome = match observer.was_pushed_back.get() {
+            true => Outcome::Unused,
+            false => outcome(&sent),
+        };
+        grant.finish(outcome, decoded, prefill);
         sent
     }
 
     async fn generate(
         &self,
-        daemon: &Rc<Daemon>,
+        observer: &SendObserver<'_>,
         buffer: &AnswerBuffer,
-        grant: &HeldGrant,
         target: &Target,
     ) -> RunOutcome {
+        let daemon = observer.daemon;
         let Operation::Generate {
             body,
             answer_format,
@@ -113,9 +118,8 @@
         let address = target.address.clone();
         let client = daemon.client.clone();
         let engine = EngineStream::new(client, address, self.id.clone(), daemon.silence_timeouts());
-        let send_observer = SendObserver::new(self, daemon, grant, &Delivered::default());
         let interrupted = self.interrupted(daemon, buffer);
-        engine_run::run(engine, req, buffer, &send_observer, interrupted).await
+        engine_run::run(engine, req, buffer, observer, interrupted).await
     }
 
     /// Longest idle time of a connection to a target that the request may reuse.
@@ -202,6 +206,8 @@
     tokens: Cell<u32>,
     tokens_in_event: u32,
     elapsed_before_send: Duration,
+    /// Set once the target has asked for a pause.
+    was_pushed_back: Cell<bool>,
 }
 
 impl<'a> SendObserver<'a> {
@@ -222,6 +228,7 @@
             tokens: Cell::new(0),
             tokens_in_event,
             elapsed_before_send: routed.arrived.elapsed(),
+            was_pushed_back: Cell::new(false),
         }
     }
 }
@@ -250,6 +257,18 @@
         let exchange = &self.daemon.load_exchange;
         self.daemon.advisories.record_leaving(target, exchange);
     }
+
+    fn pause(&self, pause: Duration) {
+        let target = &self.grant.target;
+        log::info!(
+            pause_ms = lifecycle::log_ms(Some(pause)),
+            target = target.id;
+            "a target asked for a pause"
+        );
+        self.was_pushed_back.set(true);
+        self.daemon.pauses.record(target, pause, Instant::now());
+        self.grant.push_back(pause);
+    }
 }
 
 impl forward::Observer for SendObserver<'_> {
@@ -257,6 +276,10 @@
         Observer::leaving(self);
     }
 
+    fn pause(&self, pause: Duration) {
+        Observer::pause(self, pause);
+    }
+
     fn rate_limit(&self, limit: RateLimit) {
         let exchange = &self.daemon.load_exchange;
         self.daemon
--- a/crates/lilaccrankd/src/targets.rs
+++ b/crates/lilaccrankd/src/targets.rs
@@ -10,6 +10,7 @@
 pub mod live_list;
 pub mod native_protocol;
 pub mod newest_instances;
+pub mod pauses;
 pub mod protocol;
 pub mod proxied_request;
 pub mod relay;
--- a/crates/lilaccrankd/src/targets/engine_run.rs
+++ b/crates/lilaccrankd/src/targets/engine_run.rs
@@ -31,6 +31,8 @@
     fn progress(&self, tokens: u32, step: Duration);
     /// Called if the head of an answer says that the target leaves.
     fn leaving(&self);
+    /// Called if the target asks for a pause.
+    fn pause(&self, pause: Duration);
 }
 
 /// Outcome of a request at its target.
@@ -126,6 +128,9 @@
     if engine.says_leaving() {
         observer.leaving();
     }
+    if let Some(pause) = engine.pause() {
+        observer.pause(pause);
+    }
     sent?;
     while let Some(data) = engine.next().await? {
         match builder.push_event(&data, buffer)? {
--- a/crates/lilaccrankd/src/targets/engine_stream.rs
+++ b/crates/lilaccrankd/src/targets/engine_stream.rs
@@ -56,6 +56,7 @@
     events: Option<Events>,
     id: RequestId,
     timeouts: SilenceTimeouts,
+    pause: Option<Duration>,
     received: u64,
     resumes: u32,
     says_leaving: bool,
@@ -72,6 +73,7 @@
             events: None,
             id,
             timeouts,
+            pause: None,
             received: 0,
             resumes: 0,
             says_leaving: false,
@@ -104,6 +106,12 @@
         self.says_leaving
     }
 
+    /// Pause that the engine asked for when it turned the request away.
+    #[must_use]
+    pub fn pause(&self) -> Option<Duration> {
+        self.pause
+    }
+
     /// Returns the next event; `None` if the engine closed the stream.
     ///
     /// # Errors
@@ -173,6 +181,7 @@
     async fn open(&mut self, req: Request<Body>, head: Duration) -> Result<()> {
         let (res, connection) = call::send(&self.client, &self.address, req, head).await?;
         self.says_leaving |= native_protocol::says_leaving(res.headers());
+        self.pause = native_protocol::pause(res.status(), res.headers());
         if res.status() != StatusCode::OK {
             let message = format!("the target answered with status {}", res.status());
             return Err(Refusal::new(ErrorKind::TargetFailed, message));
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -54,6 +54,9 @@
     /// Called if the head of an answer says that the target leaves.
     fn leaving(&self);
 
+    /// Called if the target asks for a pause.
+    fn pause(&self, pause: Duration);
+
     /// Called with the rate limit that the head of an answer advertises.
     fn rate_limit(&self, limit: RateLimit);
 }
@@ -116,6 +119,9 @@
         if self.protocol.says_leaving(&head, outgoing) {
             self.observer.leaving();
         }
+        if let Some(pause) = self.protocol.pause(&head, outgoing) {
+            self.observer.pause(pause);
+        }
         if head.headers.contains_key(CONTENT_ENCODING) {
             // Callers ask for unencoded bodies, so an encoded one comes from an intermediary.
             return Err(failed(ErrorKind::BrokenAnswer, "the answer is coded"));
--- a/crates/lilaccrankd/src/targets/native_protocol.rs
+++ b/crates/lilaccrankd/src/targets/native_protocol.rs
@@ -1,11 +1,14 @@
 //! The native protocol for forwarding requests to plain services.
 
+use std::time::Duration;
+
 use hyper::header::{HOST, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
-use hyper::{HeaderMap, Request};
+use hyper::{HeaderMap, Request, StatusCode};
 use lilaccrank_http::body::{self, Body};
 
 use crate::targets::engine_stream::{REQUEST_ID, REQUEST_KEY};
+use crate::targets::pauses;
 use crate::targets::protocol::{AnswerKind, OutgoingRequest, TargetProtocol};
 
 /// Header of all answers of a target that is about to end, with the value 1.
@@ -17,6 +20,14 @@
     headers.get(LEAVING).is_some_and(|value| value == "1")
 }
 
+/// Returns the pause that an engine or a service asks for.
+#[must_use]
+pub fn pause(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+    (status == StatusCode::SERVICE_UNAVAILABLE)
+        .then(|| pauses::requested(headers))
+        .flatten()
+}
+
 /// The native (non-platform) protocol of targets.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NativeTargetProtocol;
@@ -47,6 +58,10 @@
         says_leaving(&head.headers)
     }
 
+    fn pause(&self, head: &Parts, _: &OutgoingRequest<'_>) -> Option<Duration> {
+        pause(head.status, &head.headers)
+    }
+
     fn classify(&self, head: &Parts, _: &OutgoingRequest<'_>) -> AnswerKind {
         if head.status.is_server_error() {
             AnswerKind::Failed
--- a/crates/lilaccrankd/src/targets/protocol.rs
+++ b/crates/lilaccrankd/src/targets/protocol.rs
@@ -24,6 +24,10 @@
     /// answer to another request or of another target says nothing.
     fn says_leaving(&self, head: &Parts, outgoing: &OutgoingRequest<'_>) -> bool;
 
+    /// Returns the pause that the target asks this daemon for with an answer that turns a request
+    /// away.
+    fn pause(&self, head: &Parts, outgoing: &OutgoingRequest<'_>) -> Option<Duration>;
+
     /// Returns the rate limit that the head of an answer advertises.
     fn rate_limit(&self, _head: &Parts) -> RateLimit {
         RateLimit::Unknown
--- a/crates/lilaccrankd/src/targets/sendable.rs
+++ b/crates/lilaccrankd/src/targets/sendable.rs
@@ -3,6 +3,8 @@
 //! A dispatcher grants by what it knew then. The sender checks again by its own configuration and
 //! list of targets, which may be newer.
 
+use std::time::Instant;
+
 use lilaccrank::document::{Target, TargetState};
 use lilaccrank::error_kind::{ErrorKind, Executed};
 use lilaccrank::target_instance::TargetInstance;
@@ -23,12 +25,15 @@
 ///
 /// # Errors
 ///
-/// [`ErrorKind::NoTarget`] if it was removed or is leaving.
+/// [`ErrorKind::NoTarget`] if it was removed, is leaving, or has asked this daemon for a pause.
 pub fn check(daemon: &Daemon, pool: &str, instance: &TargetInstance) -> Result<Target> {
     let refused = |message| Refusal::new(ErrorKind::NoTarget, message).ran(Executed::No);
     let target = daemon.target(pool, instance);
     let target = target.ok_or_else(|| refused("the target was removed"))?;
     match state_of(daemon, &target) {
+        TargetState::Live if daemon.pauses.contains(instance, Instant::now()) => {
+            Err(refused("the target has asked for a pause"))
+        }
         TargetState::Live => Ok(target),
         TargetState::Draining => Err(refused("the target is leaving")),
     }
--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -12,6 +12,8 @@
 mod load_message;
 #[path = "suite/network.rs"]
 mod network;
+#[path = "suite/pauses.rs"]
+mod pauses;
 #[path = "suite/platform_contact.rs"]
 mod platform_contact;
 #[path = "suite/sendable.rs"]
--- a/crates/lilaccrankd/tests/suite/sendable.rs
+++ b/crates/lilaccrankd/tests/suite/sendable.rs
@@ -1,6 +1,7 @@
 //! Whether the sender may still send to the target that it was granted.
 
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
 use lilaccrank::configuration::manifest::{Identity, Manifest};
@@ -113,6 +114,29 @@
     assert!(check_after("configured", |_| {}).is_ok());
 }
 
+// Guards against a grant that was made before the target asked this daemon for a pause, or by a dispatcher
+// that does not know of it.
+refused_test!(
+    in_a_pause,
+    "listed",
+    "the target has asked for a pause",
+    |daemon| {
+        let target = TargetInstance::from("listed");
+        let pause = Duration::from_secs(3);
+        daemon.pauses.record(&target, pause, Instant::now());
+    }
+);
+// Guards against a grant that was made before an answer said that the target leaves.
+refused_test!(
+    said_to_leave,
+    "configured",
+    "the target is leaving",
+    |daemon| {
+        let target = TargetInstance::from("configured");
+        let exchange = &daemon.load_exchange;
+        daemon.advisories.record_leaving(&target, exchange);
+    }
+);
 // Guards against a grant of a dispatcher that did not know yet that the target leaves: the sender
 // carried it out, though its own list said so.
 refused_test!(
