--- /dev/null
+++ b/crates/lilaccrank/src/advisories/fact.rs
@@ -0,0 +1,124 @@
+//! The kinds of facts, and how long each is kept.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::ContentDigest;
+use crate::target_instance::InstanceDigest;
+
+/// Time to live of a fact without a time of its own. A target that leaves ends within minutes.
+pub const LIFETIME: Duration = Duration::from_secs(600);
+/// Time to live of a rate limit after the latest answer that advertised it.
+pub const RATE_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
+/// Version of the kinds of facts. A daemon of an earlier version can't read facts of a later one.
+pub const FORMAT: u8 = 1;
+
+/// A fact that a daemon observed.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub enum Fact {
+    /// A target ended while a request with this content was in flight on it.
+    #[serde(rename = "c")]
+    Crash {
+        /// Digest of the request's content.
+        content: ContentDigest,
+        /// Digest of the target's ID and start time.
+        target: InstanceDigest,
+    },
+    /// A target answered a request with this content completely.
+    #[serde(rename = "d")]
+    Completed {
+        /// Digest of the request's content.
+        content: ContentDigest,
+    },
+    /// An answer of a target said that it leaves. It gets no new requests, whatever the list of
+    /// targets says.
+    #[serde(rename = "l")]
+    Leaving {
+        /// Digest of the target's ID and start time.
+        target: InstanceDigest,
+    },
+    /// The platform's store holds a quarantine of this content.
+    #[serde(rename = "q")]
+    Quarantined {
+        /// Digest of the request's content.
+        content: ContentDigest,
+    },
+    /// The rate limit that a target advertised with its latest answer.
+    #[serde(rename = "r")]
+    RateLimit {
+        /// Requests per 1,000 seconds; `None` if the target no longer has a limit.
+        per_1000_s: Option<u32>,
+        /// Digest of the target's ID and start time.
+        target: InstanceDigest,
+    },
+}
+
+/// A fact with its age, as sent to other daemons.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Advisory {
+    /// Milliseconds since the fact was observed.
+    pub age_ms: u32,
+    /// The fact.
+    pub fact: Fact,
+}
+
+/// Identifies the subject of a fact. A newer fact with the same key replaces the older one.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) enum Key {
+    Completed(ContentDigest),
+    Crash(ContentDigest, InstanceDigest),
+    Leaving(InstanceDigest),
+    Quarantined(ContentDigest),
+    RateLimit(InstanceDigest),
+}
+
+impl Fact {
+    /// Key under which a newer fact replaces this one.
+    pub(super) fn key(self) -> Key {
+        match self {
+            Self::Completed { content } => Key::Completed(content),
+            Self::Crash { content, target } => Key::Crash(content, target),
+            Self::Leaving { target } => Key::Leaving(target),
+            Self::Quarantined { content } => Key::Quarantined(content),
+            Self::RateLimit { target, .. } => Key::RateLimit(target),
+        }
+    }
+
+    /// Content that the fact is about, if it is about one.
+    pub(super) fn content(self) -> Option<ContentDigest> {
+        match self {
+            Self::Crash { content, .. }
+            | Self::Completed { content }
+            | Self::Quarantined { content } => Some(content),
+            Self::Leaving { .. } | Self::RateLimit { .. } => None,
+        }
+    }
+
+    /// Returns `true` if both are rate limits and this one is lower.
+    pub(super) fn is_stricter_than(self, other: Self) -> bool {
+        let rate = |fact| match fact {
+            Self::RateLimit { per_1000_s, .. } => Some(per_1000_s.unwrap_or(u32::MAX)),
+            _ => None,
+        };
+        rate(self)
+            .zip(rate(other))
+            .is_some_and(|(own, other)| own < other)
+    }
+
+    /// Time for which the fact is kept.
+    pub(super) fn lifetime(self) -> Duration {
+        match self {
+            Self::RateLimit { .. } => RATE_LIMIT_LIFETIME,
+            _ => LIFETIME,
+        }
+    }
+
+    /// The first [`FORMAT`] that has this kind of fact.
+    pub(super) fn format(self) -> u8 {
+        match self {
+            Self::Leaving { .. } => 1,
+            _ => 0,
+        }
+    }
+}
