Dispatch: notices of targets and refusals of the dispatcher in modules of their own

The end of the first pause is looked up before the time that a submission waits is computed, which goes over all targets; the refusal of a pause says so. No decision changes: 594 tests of library, daemon and platform (without those of configurations) pass.

--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -181,11 +181,8 @@
             let retry = Some(self.drain.retry_after(0, 0.0, now));
             return Some(state::refusal_of(submission, ErrorKind::NoTarget, retry));
         }
-        let until = self.waits_until(submission, now);
-        if let Some(pause) = self.hopeless_pause(submission, until, now) {
-            self.record_outcome(submission, false);
-            let retry = Some(self.retry_after_pause(pause, now));
-            return Some(state::refusal_of(submission, ErrorKind::Overloaded, retry));
+        if let Some(refusal) = self.check_pushback(submission, now) {
+            return Some(refusal);
         }
         let unmeetable = if self.is_infeasible(submission, now) {
             Unmeetable::Infeasible
--- a/crates/lilaccrank/src/dispatch/pushback.rs
+++ b/crates/lilaccrank/src/dispatch/pushback.rs
@@ -6,8 +6,8 @@
 
 use std::time::{Duration, Instant};
 
-use super::message::Submission;
-use super::state::State;
+use super::message::{Refuse, Submission};
+use super::state::{self, State};
 use crate::error_kind::ErrorKind;
 use crate::ids::RequestId;
 use crate::target_instance::TargetInstance;
@@ -67,22 +67,30 @@
         let waiting: Vec<RequestId> = self.queue.requests().cloned().collect();
         for request in waiting {
             let until = self.queue.get(&request).and_then(|item| item.until);
-            let submission = &self.waiting[&request].submission;
-            if let Some(pause) = self.hopeless_pause(submission, until, now) {
-                let retry = self.retry_after_pause(pause, now);
+            let first_end = self.first_pause_end(&self.waiting[&request].submission, now);
+            if let Some(end) = first_end.filter(|end| until.is_some_and(|until| until <= *end)) {
+                let retry = self.retry_after_pause(end, now);
                 self.refuse(&request, ErrorKind::Overloaded, Some(retry));
             }
         }
     }
 
-    /// Time until the first pause ends, if all targets that may serve the submission have asked for
-    /// one and the submission waits until `until` at most, which is earlier.
-    pub(super) fn hopeless_pause(
-        &self,
+    /// Refuses a new submission that can't wait until a target may be tried again.
+    pub(super) fn check_pushback(
+        &mut self,
         submission: &Submission,
-        until: Option<Instant>,
         now: Instant,
-    ) -> Option<Duration> {
+    ) -> Option<Refuse> {
+        let end = self.first_pause_end(submission, now)?;
+        self.waits_until(submission, now)
+            .filter(|until| *until <= end)?;
+        self.record_outcome(submission, false);
+        let retry = Some(self.retry_after_pause(end, now));
+        Some(state::refusal_of(submission, ErrorKind::Overloaded, retry))
+    }
+
+    /// End of the first pause, if all targets that may serve the submission are in one.
+    fn first_pause_end(&self, submission: &Submission, now: Instant) -> Option<Instant> {
         let usable = self
             .targets
             .values()
@@ -95,14 +103,12 @@
             }
             first_end = Some(first_end.map_or(end, |first| first.min(end)));
         }
-        let first_end = first_end?;
-        let is_hopeless = until.is_some_and(|until| until <= first_end);
-        is_hopeless.then(|| first_end.saturating_duration_since(now))
+        first_end
     }
 
-    /// `Retry-After` of a submission that is refused because of a pause of this length. The callers
-    /// that return are spread over the time after it.
-    pub(super) fn retry_after_pause(&mut self, pause: Duration, now: Instant) -> Duration {
-        pause + self.drain.retry_after(0, 0.0, now)
+    /// `Retry-After` of a submission that is refused because of a pause. The callers that return are
+    /// spread over the time after its end.
+    fn retry_after_pause(&mut self, end: Instant, now: Instant) -> Duration {
+        end.saturating_duration_since(now) + self.drain.retry_after(0, 0.0, now)
     }
 }
--- a/crates/lilaccrankd/src/admin.rs
+++ b/crates/lilaccrankd/src/admin.rs
@@ -168,13 +168,8 @@
     // The configuration may arrive before the list of targets. Without the list, every request
     // would be refused for lack of a target.
     let needs_list = in_force.document.pools.iter().any(|pool| pool.listed);
-    if needs_list
-        && daemon
-            .live_list
-            .freshness
-            .age(MonoioClock.boot_time())
-            .is_none()
-    {
+    let list_age = daemon.live_list.freshness.age(MonoioClock.boot_time());
+    if needs_list && list_age.is_none() {
         let message = "the list of targets is not known yet";
         return Err(Refusal::new(ErrorKind::NotReady, message));
     }
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -22,7 +22,7 @@
 use lilaccrank::peers::Peers;
 use lilaccrank::prompt;
 use lilaccrank::request_key::{MemberRef, Ranking};
-use lilaccrank::target_instance::{InstanceDigest, TargetInstance};
+use lilaccrank::target_instance::InstanceDigest;
 use lilaccrank::timeline::{EventKind, Subject};
 use lilaccrank_http::monoio_clock::MonoioClock;
 
@@ -33,6 +33,10 @@
 use crate::pools::rate_limits::RateLimits;
 use crate::targets::sendable;
 
+mod notices;
+
+pub use notices::{apply_leaving, apply_rate_limits, push_back};
+
 /// Longest time that a new dispatcher waits for the entries to report their requests.
 const HANDOVER_GRACE: Duration = Duration::from_secs(1);
 /// Attempts to deliver a verdict. An entry that missed them all asks again.
@@ -407,43 +411,6 @@
     }
 }
 
-/// Applies the advertised rate limits to the dispatchers of this daemon.
-pub fn apply_rate_limits(daemon: &Daemon) {
-    let Ok(in_force) = daemon.in_force() else {
-        return;
-    };
-    let server = &daemon.pool_server;
-    server.rate_limits.apply(daemon, |shares_of| {
-        for (pool, served) in server.served.borrow().iter() {
-            if let Some(configured) = in_force.document.pool(pool) {
-                served.dispatcher.set_rate_limits(&shares_of(configured));
-            }
-        }
-    });
-}
-
-/// Stops granting targets whose answers have said that they leave.
-pub fn apply_leaving(daemon: &Rc<Daemon>) {
-    let leaving = daemon.advisories.leaving();
-    let known = &daemon.pool_server.leaving;
-    if *known.borrow() != leaving {
-        known.replace(leaving);
-        configuration_changed(daemon);
-    }
-}
-
-/// Pauses the grants of a target that has asked for it, where each daemon dispatches its own
-/// requests. A dispatcher of several daemons is told of the targets to leave out with each
-/// submission, since the pause binds one of them only.
-pub fn push_back(daemon: &Rc<Daemon>, pool: &PoolId, target: &TargetInstance, pause: Duration) {
-    if !daemon.duties.is_dispatch_local() {
-        return;
-    }
-    if let Some(served) = served_pool(daemon, pool) {
-        served.dispatcher.push_back(target, pause);
-    }
-}
-
 /// Status of the dispatchers of this daemon, by pool.
 pub fn status(daemon: &Daemon) -> IndexMap<PoolId, Status> {
     let served = daemon.pool_server.served.borrow();
--- a/crates/lilaccrankd/src/request.rs
+++ b/crates/lilaccrankd/src/request.rs
@@ -2,6 +2,7 @@
 
 pub mod abort_signal;
 pub mod answer_buffer;
+pub mod dispatch_refusal;
 pub mod interruption;
 pub mod key_state;
 pub mod lifecycle;
--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -7,7 +7,7 @@
 use futures::future::{self, Either};
 use futures::pin_mut;
 use lilaccrank::clock::Clock;
-use lilaccrank::dispatch::message::{PartialAnswer, Refuse, Submission};
+use lilaccrank::dispatch::message::{PartialAnswer, Submission};
 use lilaccrank::error_kind::{ErrorKind, Executed};
 use lilaccrank::ids::{ContentDigest, RequestId, TargetId};
 use lilaccrank::rules::matching::Route;
@@ -20,6 +20,7 @@
 use crate::daemon::Daemon;
 use crate::pools::client::{self, HeldGrant};
 use crate::request::answer_buffer::{AnswerBuffer, End};
+use crate::request::dispatch_refusal;
 use crate::request::interruption;
 use crate::request::key_state::KeyState;
 use crate::request::quotas::Charge;
@@ -304,7 +305,7 @@
                 );
                 Ok(grant)
             }
-            Either::Left((Err(refuse), _)) => Err(after_pauses(daemon, refusal(&refuse))),
+            Either::Left((Err(refuse), _)) => Err(dispatch_refusal::refusal(daemon, &refuse)),
             Either::Right((refusal, _)) => Err(refusal.ran(Executed::No)),
         }
     }
@@ -397,38 +398,6 @@
     }
 }
 
-fn refusal(refuse: &Refuse) -> Refusal {
-    let message = match refuse.kind {
-        ErrorKind::DeadlineUnmeetable => "the deadline can't be met",
-        ErrorKind::NoTarget => "no live target here serves the pool",
-        ErrorKind::Overloaded => "work of this tier is being shed",
-        ErrorKind::RateLimited => "the rule's limit is reached",
-        _ => "the dispatcher refused",
-    };
-    let message = match refuse.unmeetable {
-        Some(unmeetable) => format!("{message}: {unmeetable}"),
-        None => message.to_owned(),
-    };
-    let refusal = Refusal::new(refuse.kind, message).ran(Executed::No);
-    match refuse.retry_after {
-        Some(after) => refusal.retry_after(after),
-        None => refusal,
-    }
-}
-
-/// Adds the shortest pause to `Retry-After` if no target is left. A dispatcher of several daemons
-/// does not know of the pauses that this one was asked for.
-fn after_pauses(daemon: &Daemon, refusal: Refusal) -> Refusal {
-    if refusal.kind != ErrorKind::NoTarget || daemon.duties.is_dispatch_local() {
-        return refusal;
-    }
-    let shortest = daemon.pauses.in_force(Instant::now()).into_iter().next();
-    match (refusal.retry_after, shortest) {
-        (Some(after), Some((_, left))) => refusal.retry_after(after + left),
-        _ => refusal,
-    }
-}
-
 /// Duration in milliseconds for log lines, or -1 without one.
 pub fn log_ms(time: Option<Duration>) -> i64 {
     time.map_or(-1, |time| {
--- a/crates/lilaccrankd/src/targets/freshness.rs
+++ b/crates/lilaccrankd/src/targets/freshness.rs
@@ -70,7 +70,7 @@
         self.due_at.set(self.due_at.get().or(Some(at)));
     }
 
-    /// Notes that the process is running; has to be called at intervals well below [`PAUSE`]. After a
+    /// Notes that the process is running; has to be called at intervals well below half a second. After a
     /// pause, answers that seem to be overdue may be waiting to be read.
     pub fn observe(&self, now: BootTime) {
         let since = self.observed_at.replace(Some(now));
