Pushback: Retry-After counts the work that is ahead after the pause

Callers that are refused because all targets have asked for a pause were told the shortest pause and a short spread, whatever waits already: they would come back together and be refused again. The spread is now that of the work ahead of them, as for other refusals. Test: who_cannot_wait_is_refused_at_once bounds it from below and above, as before.

--- a/crates/lilaccrank/src/dispatch/overload.rs
+++ b/crates/lilaccrank/src/dispatch/overload.rs
@@ -50,7 +50,7 @@
         }
     }
 
-    fn retry_after(&mut self, request: &str, now: Instant) -> Duration {
+    pub(super) fn retry_after(&mut self, request: &str, now: Instant) -> Duration {
         let item = self.queue.get(request);
         let work_ahead = item.map_or(Work::default(), |item| {
             self.queue
--- a/crates/lilaccrank/src/dispatch/pushback.rs
+++ b/crates/lilaccrank/src/dispatch/pushback.rs
@@ -69,7 +69,8 @@
             let until = self.queue.get(&request).and_then(|item| item.until);
             let first_end = self.first_pause_end(&self.waiting[&request].submission, now);
             if let Some(end) = first_end.filter(|end| until.is_some_and(|until| until <= *end)) {
-                let retry = self.retry_after_pause(end, now);
+                let pause = end.saturating_duration_since(now);
+                let retry = pause + self.retry_after(&request, now);
                 self.refuse(&request, ErrorKind::Overloaded, Some(retry));
             }
         }
@@ -85,8 +86,19 @@
         self.waits_until(submission, now)
             .filter(|until| *until <= end)?;
         self.record_outcome(submission, false);
-        let retry = Some(self.retry_after_pause(end, now));
-        Some(state::refusal_of(submission, ErrorKind::Overloaded, retry))
+        let work_ahead = self.queue.work_ahead(
+            state::priority(submission),
+            &submission.customer,
+            submission.weight,
+        );
+        // Callers that return are spread over the time that the work ahead of them needs.
+        let pause = end.saturating_duration_since(now);
+        let retry = pause + self.retry_after_work(work_ahead, now);
+        Some(state::refusal_of(
+            submission,
+            ErrorKind::Overloaded,
+            Some(retry),
+        ))
     }
 
     /// End of the first pause, if all targets that may serve the submission are in one.
@@ -105,10 +117,4 @@
         }
         first_end
     }
-
-    /// `Retry-After` of a submission that is refused because of a pause. The callers that return are
-    /// spread over the time after its end.
-    fn retry_after_pause(&mut self, end: Instant, now: Instant) -> Duration {
-        end.saturating_duration_since(now) + self.drain.retry_after(0, 0.0, now)
-    }
 }
