Freshness: a call that was given up is not unanswered, and a lease of the list alone is served

Found by reading the change. A daemon that is relieved of following the platform drops its calls; the time at which their answers were due stayed, and later sends would have taken the platform for unreachable at once. And without a configuration lease nobody asked for the newer list that a send waits for: each send past the lease would have waited half a second. Change: the due time is forgotten with the calls; either lease makes a daemon that hears nothing follow the platform. Before: a_call_that_was_given_up_is_not_unanswered could not be expressed, for_a_list_that_has_a_lease waited for ever.

--- a/crates/lilaccrankd/src/configuration.rs
+++ b/crates/lilaccrankd/src/configuration.rs
@@ -71,6 +71,7 @@
         let until_relieved = until_relieved(daemon);
         pin_mut!(watching, until_relieved);
         future::select(watching, until_relieved).await;
+        daemon.live_list.freshness.forget_calls();
     }
 }
 
@@ -97,12 +98,12 @@
 }
 
 /// Completes once the last contact with the platform is too old, or a send needs a newer list of
-/// targets; never without a configuration lease.
+/// targets; never without a lease.
 ///
 /// The platform may reject only the watchers. The other daemons then wait for a random time each,
 /// so that a few of them query the platform first and pass the result on.
 async fn until_stale(daemon: &Daemon) {
-    if daemon.cfg.configuration_lease_ms == 0 {
+    if !has_lease(daemon) {
         return future::pending().await;
     }
     // A daemon that starts has no contact yet, but may learn from its peers first.
@@ -132,8 +133,8 @@
         .min(STALE_JITTER_MAX)
 }
 
-/// Completes once this daemon is no watcher and, if configurations have a lease, a watcher has a
-/// recent contact with the platform.
+/// Completes once this daemon is no watcher and, if there is a lease, a watcher has a recent contact
+/// with the platform.
 async fn until_relieved(daemon: &Daemon) {
     loop {
         let version = daemon.membership.live().version;
@@ -151,10 +152,15 @@
     contact_age.map_or(Duration::ZERO, |age| STALE_AFTER.saturating_sub(age))
 }
 
+/// Returns `true` if the configuration or the list of targets may be used for a time only.
+fn has_lease(daemon: &Daemon) -> bool {
+    daemon.cfg.configuration_lease_ms > 0 || daemon.cfg.listing_lease_ms > 0
+}
+
 /// Returns `true` if a watcher reported a recent contact of its own, or none is required.
 fn has_fresh_watcher(daemon: &Daemon) -> bool {
     let contact_age = daemon.platform_contact.watcher_age(MonoioClock.boot_time());
-    daemon.cfg.configuration_lease_ms == 0 || contact_age.is_some_and(|age| age < STALE_AFTER)
+    !has_lease(daemon) || contact_age.is_some_and(|age| age < STALE_AFTER)
 }
 
 async fn put_in_force(daemon: &Rc<Daemon>) {
--- a/crates/lilaccrankd/src/targets/freshness.rs
+++ b/crates/lilaccrankd/src/targets/freshness.rs
@@ -16,8 +16,8 @@
 /// Time after which a call that the platform has not answered shows that it is unreachable. A
 /// reachable one answers within milliseconds.
 const ANSWER_TIME: Duration = Duration::from_millis(250);
-/// Time between two observations after which the process was paused.
-const PAUSE: Duration = Duration::from_millis(500);
+/// Longest time between two observations of a process that was not paused.
+const MAX_OBSERVATION_GAP: Duration = Duration::from_millis(500);
 
 /// How recent the list of targets is.
 #[derive(Default)]
@@ -70,11 +70,16 @@
         self.due_at.set(self.due_at.get().or(Some(at)));
     }
 
-    /// Notes that the process is running; has to be called at intervals well below half a second. After a
-    /// pause, answers that seem to be overdue may be waiting to be read.
+    /// Records that calls to the platform are given up, since other daemons follow it.
+    pub fn forget_calls(&self) {
+        self.due_at.take();
+    }
+
+    /// Notes that the process is running; has to be called at intervals well below half a second.
+    /// After a pause, answers that seem to be overdue may be waiting to be read.
     pub fn observe(&self, now: BootTime) {
         let since = self.observed_at.replace(Some(now));
-        let was_paused = since.is_some_and(|since| now.saturating_sub(since) > PAUSE);
+        let was_paused = since.is_some_and(|since| now.saturating_sub(since) > MAX_OBSERVATION_GAP);
         if was_paused && self.due_at.get().is_some() {
             self.due_at.set(Some(now));
         }
--- a/crates/lilaccrankd/tests/suite/following.rs
+++ b/crates/lilaccrankd/tests/suite/following.rs
@@ -26,7 +26,6 @@
 
 fn settings(member: u16) -> Settings {
     Settings {
-        configuration_lease_ms: 5_000,
         gossip: address(member),
         peer: address(member),
         seeds: vec![address(1)],
@@ -49,11 +48,11 @@
     membership
 }
 
-/// A daemon that is no watcher of the members that have joined.
-async fn start(network: &Network, member: u16) -> Daemon {
+/// A daemon with these settings that is no watcher of the members that have joined.
+async fn start(network: &Network, member: u16, cfg: Settings) -> Daemon {
     let membership = join(network, member);
     let (traffic, ports) = (Rc::<Traffic>::default(), Ports::default());
-    let daemon = Daemon::new(settings(member), 1, membership, traffic, ports).unwrap();
+    let daemon = Daemon::new(cfg, 1, membership, traffic, ports).unwrap();
     while daemon.duties.is_watcher() {
         let version = daemon.membership.version();
         daemon.membership.changed(version).await;
@@ -61,30 +60,61 @@
     daemon
 }
 
-// Guards against a fleet in which the members change all the time, as when a data centre is cut off:
-// each change began the wait for old news anew, and a daemon that heard nothing never asked the platform.
-#[test]
-fn changes_of_the_members_postpone_no_check() {
+/// Time after its last contact in which a daemon follows the platform; `None` if it does not in twice
+/// the time in which it has to.
+fn asked_after(cfg: Settings, is_churning: bool) -> Option<Duration> {
     let asked = runtime::block_on(async {
         let network = Network::default();
         for member in 1..=5 {
             join(&network, member);
         }
-        let daemon = start(&network, 6).await;
+        let daemon = start(&network, 6, cfg).await;
         let now = MonoioClock.boot_time();
         daemon.platform_contact.record_configuration(now);
         daemon.platform_contact.record_list(now);
         let started = Instant::now();
-        monoio::spawn(async move {
-            for member in 10.. {
-                join(&network, member);
-                monoio::time::sleep(Duration::from_millis(100)).await;
-            }
-        });
+        if is_churning {
+            monoio::spawn(async move {
+                for member in 10.. {
+                    join(&network, member);
+                    monoio::time::sleep(Duration::from_millis(100)).await;
+                }
+            });
+        }
         let needed = configuration::until_needed(&daemon);
         let needed = monoio::time::timeout(DRAINED * 2, needed).await;
         needed.is_ok().then(|| started.elapsed())
     });
-    let asked = asked.unwrap().expect("the daemon asks the platform");
-    assert!(asked < DRAINED, "{asked:?}");
+    asked.unwrap()
+}
+
+/// Takes a lease and whether members change all the time. A daemon that hears nothing asks in time.
+macro_rules! asks {
+    ($name:ident, $lease:ident, $is_churning:literal) => {
+        #[test]
+        fn $name() {
+            let cfg = Settings {
+                $lease: 5_000,
+                ..settings(6)
+            };
+            let asked = asked_after(cfg, $is_churning).expect("the daemon asks the platform");
+            assert!(asked < DRAINED, "{asked:?}");
+        }
+    };
+}
+
+// Guards against a fleet in which the members change all the time, as when a data centre is cut off:
+// each change began the wait for old news anew, and a daemon that heard nothing never asked the platform.
+asks!(
+    changes_of_the_members_postpone_no_check,
+    configuration_lease_ms,
+    true
+);
+// Guards against sends that wait for a newer list which nobody asks for.
+asks!(for_a_list_that_has_a_lease, listing_lease_ms, false);
+
+// Without any lease what is known may be used for good.
+#[test]
+fn without_a_lease_nobody_asks() {
+    assert_eq!(asked_after(settings(6), false), None);
 }
--- a/crates/lilaccrankd/tests/suite/freshness.rs
+++ b/crates/lilaccrankd/tests/suite/freshness.rs
@@ -88,6 +88,16 @@
     assert_eq!(freshness.usability(LEASE, ms(3_500)), Usability::Outdated);
 }
 
+// Guards against a call that was given up since other daemons follow the platform, and is taken for
+// one that the platform did not answer.
+#[test]
+fn a_call_that_was_given_up_is_not_unanswered() {
+    let freshness = confirmed(3_500);
+    freshness.expect_answer(ms(2_500));
+    freshness.forget_calls();
+    assert_eq!(freshness.usability(LEASE, ms(3_500)), Usability::Outdated);
+}
+
 // An older confirmation, as a slow daemon passes it on, changes nothing.
 #[test]
 fn an_older_confirmation_changes_nothing() {
