--- a/crates/lilaccrankd/src/targets/lapsed.rs
+++ b/crates/lilaccrankd/src/targets/lapsed.rs
@@ -64,6 +64,15 @@
         of_pool.map(|(_, target)| target.clone()).collect()
     }
 
+    /// Finds a lapsed target of a pool by its instance.
+    #[must_use]
+    pub fn find(&self, pool: &str, instance: &TargetInstance) -> Option<Target> {
+        let targets = self.targets.borrow();
+        let (of, target) = targets.get(&instance.id)?;
+        let is_found = of == pool && TargetInstance::of(target) == *instance;
+        is_found.then(|| target.clone())
+    }
+
     /// Returns `true` if this target has lapsed.
     #[must_use]
     pub fn contains(&self, target: &str) -> bool {
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -4,9 +4,8 @@
 //! the platform grow with the data centres and not with the daemons.
 //!
 //! While the platform is unreachable, targets can't renew their entries, and entries of live
-//! targets lapse. Each daemon decides by itself: targets that are missing after an outage of the
-//! platform, as seen directly or through other daemons, are kept for as long as a live target needs
-//! to come back.
+//! targets lapse. Targets that are missing after an outage of the platform, as seen directly or
+//! through other daemons, are kept for as long as a live target needs to come back ([`lapsed`]).
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -74,8 +73,11 @@
         }
     }
 
-    /// Logs targets that have appeared, changed their state or disappeared.
+    /// Logs targets that have appeared, changed their state or disappeared since the first list.
     fn log_changes(&self, known: &Self, lapsed: &Lapsed) {
+        if known.targets.is_empty() {
+            return;
+        }
         let mut previous: IndexMap<_, _> = known.states().collect();
         for (target, state) in self.states() {
             if previous.swap_remove(target) != Some(state) {
@@ -144,9 +146,9 @@
     #[must_use]
     pub fn find(&self, pool: &str, instance: &TargetInstance) -> Option<Target> {
         let listing = self.listing.borrow();
-        let listed = listing.targets.get(pool).into_iter().flatten().cloned();
-        let mut known = listed.chain(self.lapsed.of_pool(pool));
-        known.find(|target| TargetInstance::of(target) == *instance)
+        let mut listed = listing.targets.get(pool).into_iter().flatten();
+        let listed = listed.find(|target| TargetInstance::of(target) == *instance);
+        listed.cloned().or_else(|| self.lapsed.find(pool, instance))
     }
 
     /// Number of targets whose newest instance is remembered.
