Engines: every answer of a stream may say that the engine leaves

Cause: a daemon read `leaving: 1` and pauses in the first answer to a request only. An answer to a resume or to a cancel has a head of its own, and the rule counts every answer.

Ruled out: that the poll of the engine covers it; it comes every 2 s, a request that came in between was sent to the leaving engine.

Change: the stream collects what its answers say (`Notices`), the run passes it on after each event, and after a cancel.

--- a/crates/lilaccrank-lab/tests/faults/says_leaving.rs
+++ b/crates/lilaccrank-lab/tests/faults/says_leaving.rs
@@ -1,7 +1,7 @@
 //! Engines and services whose answers say that they leave.
 
 use lilaccrank_lab::cluster::Cluster;
-use lilaccrank_lab::layout::Layout;
+use lilaccrank_lab::layout::{Layout, WireLayout};
 use serde_json::json;
 
 use crate::harness;
@@ -39,6 +39,45 @@
     });
 }
 
+// Guards against daemons that read the heads of first answers only: the connection to the engine falls
+// silent, and it says that it leaves when the daemon continues the answer on a new one.
+#[test]
+fn an_engine_that_continues_an_answer() {
+    harness::run(async {
+        let mut layout = harness::layout(2, vec![harness::engine(2); 2]);
+        layout
+            .settings
+            .insert("between_tokens_ms".to_owned(), json!(300));
+        layout.wires = WireLayout {
+            targets: true,
+            ..WireLayout::default()
+        };
+        let cluster = Cluster::start(layout).await.unwrap();
+        let call = harness::send(&cluster, 0, harness::once("long", 60));
+        harness::running(&cluster, "long").await;
+        let mut leaving = None;
+        for (id, engine) in &cluster.engines {
+            if !cluster.begun(&engine.address).await.unwrap().is_empty() {
+                leaving = Some((id, &engine.address));
+            }
+        }
+        let (id, address) = leaving.unwrap();
+        harness::control(&cluster, address, json!({"leaving": true})).await;
+        let wire = cluster.target_wires[id].control.clone().unwrap();
+        harness::control(&cluster, &wire, json!({"mode": "silent"})).await;
+        harness::assert_whole(&call.await);
+        let calls = (0..REQUESTS).map(|number| {
+            let call = harness::keyed(&format!("after-{number}"), 5);
+            harness::send(&cluster, number % 2, call)
+        });
+        for call in calls.collect::<Vec<_>>() {
+            harness::assert_whole(&call.await);
+        }
+        let begun = cluster.begun(address).await.unwrap().len();
+        assert_eq!(begun, 1);
+    });
+}
+
 // The same for a plain service.
 #[test]
 fn a_service() {
--- a/crates/lilaccrankd/src/targets/engine_run.rs
+++ b/crates/lilaccrankd/src/targets/engine_run.rs
@@ -12,7 +12,7 @@
 use crate::callers::caller_request::AnswerFormat;
 use crate::callers::refusal::{Refusal, Result};
 use crate::request::answer_buffer::AnswerBuffer;
-use crate::targets::engine_stream::EngineStream;
+use crate::targets::engine_stream::{EngineStream, Notices};
 
 /// Longest wait for a cancel before the slot is released and the caller gets its refusal.
 ///
@@ -101,7 +101,8 @@
         // The engine may still be computing, though nobody needs the answer.
         Err(refusal) if refusal.ran == Executed::Maybe => {
             let cancelling = monoio::spawn(engine.cancel());
-            let _ = monoio::time::timeout(CANCEL_TIMEOUT, cancelling).await;
+            let cancelled = monoio::time::timeout(CANCEL_TIMEOUT, cancelling).await;
+            pass_on(cancelled.unwrap_or_default(), observer);
         }
         Err(_) => {}
     }
@@ -125,14 +126,15 @@
         AnswerFormat::Completion => "/v1/completions",
     };
     let sent = engine.send(path, req.key, req.body).await;
-    if engine.says_leaving() {
-        observer.leaving();
-    }
-    if let Some(pause) = engine.pause() {
-        observer.pause(pause);
-    }
+    pass_on(engine.take_notices(), observer);
     sent?;
-    while let Some(data) = engine.next().await? {
+    loop {
+        // The stream may have been resumed, by an answer with a head of its own.
+        let event = engine.next().await;
+        pass_on(engine.take_notices(), observer);
+        let Some(data) = event? else {
+            break;
+        };
         match builder.push_event(&data, buffer)? {
             EngineEvent::Done => return Ok(()),
             EngineEvent::Other => {}
@@ -143,6 +145,15 @@
     Err(Refusal::new(ErrorKind::BrokenAnswer, message).connection_lost())
 }
 
+fn pass_on(notices: Notices, observer: &impl Observer) {
+    if notices.leaving {
+        observer.leaving();
+    }
+    if let Some(pause) = notices.pause {
+        observer.pause(pause);
+    }
+}
+
 struct Progress {
     decoded: u32,
     reported: u32,
--- a/crates/lilaccrankd/src/targets/engine_stream.rs
+++ b/crates/lilaccrankd/src/targets/engine_stream.rs
@@ -7,8 +7,9 @@
 use eventsource_stream::{Event, Eventsource};
 use futures::{Stream, StreamExt};
 use http_body_util::BodyDataStream;
+use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::RequestId;
 use lilaccrank_http::body::{self, Body};
@@ -48,6 +49,15 @@
     pub next: Duration,
 }
 
+/// What an engine has said of itself in the heads of its answers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Notices {
+    /// Set if it leaves.
+    pub leaving: bool,
+    /// Pause that it asked for when it turned a request away.
+    pub pause: Option<Duration>,
+}
+
 /// Event stream of one request on an engine.
 pub struct EngineStream {
     address: String,
@@ -55,11 +65,10 @@
     connection: Option<Connection>,
     events: Option<Events>,
     id: RequestId,
+    notices: Notices,
     timeouts: SilenceTimeouts,
-    pause: Option<Duration>,
     received: u64,
     resumes: u32,
-    says_leaving: bool,
 }
 
 impl EngineStream {
@@ -72,11 +81,10 @@
             connection: None,
             events: None,
             id,
+            notices: Notices::default(),
             timeouts,
-            pause: None,
             received: 0,
             resumes: 0,
-            says_leaving: false,
         }
     }
 
@@ -100,16 +108,9 @@
         }
     }
 
-    /// Returns `true` if the head of an answer has said that the engine leaves.
-    #[must_use]
-    pub fn says_leaving(&self) -> bool {
-        self.says_leaving
-    }
-
-    /// Pause that the engine asked for when it turned the request away.
-    #[must_use]
-    pub fn pause(&self) -> Option<Duration> {
-        self.pause
+    /// Takes what the engine has said of itself since the last call.
+    pub fn take_notices(&mut self) -> Notices {
+        std::mem::take(&mut self.notices)
     }
 
     /// Returns the next event; `None` if the engine closed the stream.
@@ -147,8 +148,8 @@
     }
 
     /// Cancels the request at the engine. Closing the connection would not suffice: the engine
-    /// keeps a stream for a while so that it can be resumed.
-    pub async fn cancel(mut self) {
+    /// keeps a stream for a while so that it can be resumed. Returns what the engine says of itself.
+    pub async fn cancel(mut self) -> Notices {
         self.events = None;
         self.connection = None;
         let req = self.request(Method::DELETE, &self.stream_path(), body::empty());
@@ -157,9 +158,16 @@
             max_idle: client::MAX_IDLE,
             head: RESUME_TIMEOUT,
         };
-        if let Ok((_, connection)) = self.client.send(&self.address, req, limits).await {
-            drop(connection);
+        if let Ok((res, _)) = self.client.send(&self.address, req, limits).await {
+            self.note(&res);
         }
+        self.notices
+    }
+
+    fn note(&mut self, res: &Response<Incoming>) {
+        self.notices.leaving |= native_protocol::says_leaving(res.headers());
+        let pause = native_protocol::pause(res.status(), res.headers());
+        self.notices.pause = self.notices.pause.max(pause);
     }
 
     fn stream_path(&self) -> String {
@@ -180,8 +188,7 @@
 
     async fn open(&mut self, req: Request<Body>, head: Duration) -> Result<()> {
         let (res, connection) = call::send(&self.client, &self.address, req, head).await?;
-        self.says_leaving |= native_protocol::says_leaving(res.headers());
-        self.pause = native_protocol::pause(res.status(), res.headers());
+        self.note(&res);
         if res.status() != StatusCode::OK {
             let message = format!("the target answered with status {}", res.status());
             return Err(Refusal::new(ErrorKind::TargetFailed, message));
