Dispatch: a change of a target's health is logged with the daemon that saw it

Cause: which daemon's failures exclude a target could not be told from the logs, so that a fault of a path and a fault of a target looked alike. No logic is changed. Two log lines of the crate also built only with features of other crates of the workspace.

--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -61,7 +61,7 @@
             if target.estimate.running() > 0 {
                 let timeout = target.estimate.hang_timeout(now);
                 let timeout = timeout.max(self.cfg.min_hang_timeout);
-                target.health.check_silence(timeout, now);
+                target.observe(&self.cfg.vm, |health| health.check_silence(timeout, now));
             }
         }
     }
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -30,6 +30,7 @@
             return;
         };
         active_grant.began = true;
+        let entry = active_grant.entry.vm.clone();
         self.capacity_epoch += 1;
         match report.kind {
             ReportKind::Began => {}
@@ -40,16 +41,16 @@
             } => {
                 match outcome {
                     Outcome::Complete => {
-                        target.health.record_success(now);
+                        target.observe(&entry, |health| health.record_success(now));
                         target.end_pushback(active_grant.pushback_trial);
                         self.sharing.record(target.digest, Observation::Answered);
                     }
                     Outcome::Erred => {
-                        target.health.record_error(now);
+                        target.observe(&entry, |health| health.record_error(now));
                         self.sharing.record(target.digest, Observation::Erred);
                     }
                     Outcome::Failed => {
-                        target.health.record_failure(now);
+                        target.observe(&entry, |health| health.record_failure(now));
                         self.sharing.record(target.digest, Observation::Failed);
                     }
                     Outcome::Cancelled | Outcome::Unused => {}
@@ -57,7 +58,7 @@
                 self.finish_request(&report.request, decoded, outcome, now);
             }
             ReportKind::FirstToken { after } => {
-                target.health.record_activity(now);
+                target.observe(&entry, |health| health.record_activity(now));
                 target.end_pushback(active_grant.pushback_trial);
                 Self::note_load_change(&mut self.sharing, target, now);
                 let prefill_ahead = active_grant.prefill_ahead;
@@ -82,7 +83,7 @@
             }
             ReportKind::Progress { step, tokens } => {
                 let tokens = u64::from(tokens).min(active_grant.remaining_work.decode);
-                target.health.record_activity(now);
+                target.observe(&entry, |health| health.record_activity(now));
                 let batch = target.estimate.batch(now);
                 target.estimate.record_progress(tokens, step, now);
                 self.sharing
--- a/crates/lilaccrank/src/dispatch/sharing.rs
+++ b/crates/lilaccrank/src/dispatch/sharing.rs
@@ -256,7 +256,7 @@
     /// Applies the digest of another daemon.
     pub(super) fn apply_digest(&mut self, from: &VmId, digest: Digest, now: Instant) {
         for sample in &digest.samples {
-            self.apply_sample(sample, now);
+            self.apply_sample(from, sample, now);
         }
         let peer = self.sharing.peers.entry(from.clone());
         let peer = peer.or_insert_with(|| Peer {
@@ -303,15 +303,15 @@
         }
     }
 
-    fn apply_sample(&mut self, sample: &Sample, now: Instant) {
+    fn apply_sample(&mut self, from: &VmId, sample: &Sample, now: Instant) {
         let mut targets = self.targets.values_mut();
         let Some(target) = targets.find(|target| target.digest == sample.target) else {
             return;
         };
         match sample.observation {
-            Observation::Answered => target.health.record_success(now),
-            Observation::Erred => target.health.record_error(now),
-            Observation::Failed => target.health.record_failure(now),
+            Observation::Answered => target.observe(from, |health| health.record_success(now)),
+            Observation::Erred => target.observe(from, |health| health.record_error(now)),
+            Observation::Failed => target.observe(from, |health| health.record_failure(now)),
             Observation::FirstToken { after, .. } if after > MAX_SAMPLE_DURATION => {}
             Observation::FirstToken {
                 after,
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -7,7 +7,7 @@
 use super::pushback::Pushback;
 use super::queue::Priority;
 use super::rate_limit::{RateLimit, Share};
-use crate::ids::DataCentre;
+use crate::ids::{DataCentre, VmId};
 use crate::target_instance::{InstanceDigest, TargetInstance};
 
 /// Time for which a slot freed by another daemon is left to the daemon whose submission goes first.
@@ -100,6 +100,23 @@
         }
     }
 
+    /// Applies an observation to the health, and logs a change of its state with the daemon that made
+    /// the observation.
+    pub(super) fn observe(&mut self, observer: &VmId, observe: impl FnOnce(&mut Health)) {
+        let before = self.health.state();
+        observe(&mut self.health);
+        let state = self.health.state();
+        if state != before {
+            log::info!(
+                before:% = before,
+                observer = observer.as_str(),
+                state:% = state,
+                target = self.instance.id.as_str();
+                "health of a target changed"
+            );
+        }
+    }
+
     /// Sets the cell's share of the rate limit that the target advertises; `None` removes the
     /// limit.
     pub fn set_rate_limit(&mut self, share: Option<Share>, now: Instant) {
@@ -110,7 +127,7 @@
             burst:% = share.map_or(-1.0, |share| share.burst),
             per_s:% = share.map_or(-1.0, |share| share.per_s),
             target_digest = self.digest,
-            target_id = self.instance.id;
+            target_id = self.instance.id.as_str();
             "share of a target's rate limit"
         );
         match (&mut self.rate_limit, share) {
