--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -91,7 +91,7 @@
 /// Time limits of one request.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Maximum time to connect.
+    /// Maximum time to connect; with zero, only kept connections are used.
     pub connect: Duration,
     /// Maximum time from sending the request to receiving the response head.
     pub head: Duration,
@@ -252,6 +252,22 @@
         Ok((res, connection))
     }
 
+    /// Opens a connection and keeps it for the next request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Connect`] if connecting fails or takes longer than `limit`.
+    pub async fn open_idle(&self, address: &str, limit: Duration) -> Result<()> {
+        let generation = self.generation(address);
+        let sender = connect(address, limit, self.tally.as_ref()).await?;
+        self.release(Connection {
+            address: address.to_owned(),
+            generation,
+            sender,
+        });
+        Ok(())
+    }
+
     /// Returns a connection to the pool after a complete response.
     pub fn release(&self, connection: Connection) {
         if connection.generation != self.generation(&connection.address) {
@@ -320,6 +336,9 @@
         address: address.to_owned(),
         source,
     };
+    if limit.is_zero() {
+        return Err(fail(io::ErrorKind::NotConnected.into()));
+    }
     let stream = monoio::time::timeout(limit, socket::connect(address))
         .await
         .map_err(|_| fail(io::ErrorKind::TimedOut.into()))?
--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::document::Pool;
 use crate::error_kind::ErrorKind;
 use crate::ids::{DataCentre, Incarnation, RequestId, Tier, VmId};
+use crate::paths::Route;
 use crate::target_instance::{InstanceDigest, TargetInstance};
 
 mod admission;
@@ -169,6 +170,13 @@
         self.state.borrow_mut().set_rate_limits(shares, now);
     }
 
+    /// Sets how requests of this daemon get to the targets; those that are not listed are reached
+    /// directly.
+    pub fn set_routes(&self, routes: &IndexMap<TargetInstance, Route>) {
+        let now = self.clock.now();
+        self.state.borrow_mut().set_routes(routes, now);
+    }
+
     /// Grants nothing on a target for the time that it has asked for, and then one request that
     /// tries it.
     pub fn push_back(&self, target: &TargetInstance, pause: Duration) {
--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -3,13 +3,16 @@
 use std::time::Instant;
 
 use futures::channel::oneshot;
+use indexmap::IndexMap;
 
 use super::choice::{self, Occupancy};
 use super::limits::{self, CounterKey};
 use super::message::{Refuse, Submission, SubmissionNumber, Unmeetable, Verdict};
 use super::state::{self, State, Waiter, WaiterId};
 use crate::error_kind::ErrorKind;
+use crate::paths::Route;
 use crate::prompt;
+use crate::target_instance::TargetInstance;
 
 /// Maximum number of exclusions kept per submission.
 const EXCLUSIONS_LIMIT: usize = 32;
@@ -172,12 +175,36 @@
             )
     }
 
+    /// Returns `true` if some target could serve the submission, now or later.
+    fn has_usable_target(&self, submission: &Submission) -> bool {
+        self.targets.values().any(|target| {
+            target.live
+                && target.route != Route::Unreachable
+                && !submission.exclusions.contains(&target.instance)
+        })
+    }
+
+    /// Sets how requests get to the targets. Those that are not listed are reached directly. If none
+    /// can be reached any more, all that wait are refused.
+    pub(super) fn set_routes(&mut self, routes: &IndexMap<TargetInstance, Route>, now: Instant) {
+        for target in self.targets.values_mut() {
+            target.route = routes.get(&target.instance).copied().unwrap_or_default();
+        }
+        self.note_capacity_change();
+        self.invalidate_capacity();
+        let mut live = self.targets.values().filter(|target| target.live);
+        if live.any(|target| target.route != Route::Unreachable) {
+            self.dispatch(now);
+        } else {
+            self.refuse_all(ErrorKind::NoTarget, now);
+        }
+    }
+
     fn check_feasibility(&mut self, submission: &Submission, now: Instant) -> Option<Refuse> {
         if self.handover.is_some() {
             return None;
         }
-        let mut live = self.targets.values().filter(|target| target.live);
-        if live.all(|target| submission.exclusions.contains(&target.instance)) {
+        if !self.has_usable_target(submission) {
             let retry = Some(self.drain.retry_after(0, 0.0, now));
             return Some(state::refusal_of(submission, ErrorKind::NoTarget, retry));
         }
--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -11,6 +11,7 @@
 use super::target::Target;
 use super::work::Work;
 use crate::ids::{DataCentre, Tier};
+use crate::paths::Route;
 use crate::target_instance::TargetInstance;
 
 /// One in this many slots is reserved for urgent tiers.
@@ -25,6 +26,8 @@
 /// error rate, it steers work away from a failing target while the others can serve it in less
 /// time, but never excludes the target: if all targets fail, one may still answer.
 const ERROR_PENALTY: Duration = Duration::from_secs(2);
+/// Cost of sending through another daemon, which does the work of passing the answer on.
+const RELAY_COST: Duration = Duration::from_millis(10);
 /// Relative and absolute (in seconds) difference in cost below which targets count as tied.
 /// Estimates are no more accurate than this. If the single best target always won, the others would
 /// never be measured, and a failing target could attract all work. Nine daemons with the same view
@@ -104,7 +107,8 @@
     pub target: TargetInstance,
 }
 
-/// Occupancy of a pool at one moment. Only healthy targets without a pushback count: the free slots
+/// Occupancy of a pool at one moment. Only healthy targets that can be reached count, without those
+/// in a pushback: the free slots
 /// of others would count as headroom, and urgent work would find no free slot.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Occupancy {
@@ -123,7 +127,9 @@
     #[must_use]
     pub fn of(targets: &IndexMap<TargetInstance, Target>, now: Instant) -> Self {
         let is_healthy = |target: &&Target| {
-            target.health.state() == health::State::Healthy && target.pushback.is_none()
+            target.health.state() == health::State::Healthy
+                && target.pushback.is_none()
+                && target.route != Route::Unreachable
         };
         let healthy = targets
             .values()
@@ -191,6 +197,7 @@
         }
     };
     target.live
+        && target.route != Route::Unreachable
         && accepts_work
         && target.pushback.is_none_or(|pushback| pushback.allows(now))
         && target.is_within_rate_limit(needs.priority, needs.reservation.requests(), now)
@@ -345,5 +352,9 @@
         / estimate.prefill_rate(now);
     let errors = target.health.error_rate(now) * ERROR_PENALTY.as_secs_f64();
     let decode = needs.work.decode as f64 * estimate.step(batch, now);
-    prefill + estimate.overhead() + decode + errors
+    let relay = match target.route {
+        Route::Relayed => RELAY_COST.as_secs_f64(),
+        Route::Direct | Route::Unreachable => 0.0,
+    };
+    prefill + estimate.overhead() + decode + errors + relay
 }
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -8,6 +8,7 @@
 use super::queue::Priority;
 use super::rate_limit::{RateLimit, Share};
 use crate::ids::{DataCentre, VmId};
+use crate::paths::Route;
 use crate::target_instance::{InstanceDigest, TargetInstance};
 
 /// Time for which a slot freed by another daemon is left to the daemon whose submission goes first.
@@ -57,6 +58,8 @@
     pub(super) freed_by_peer: Option<(Instant, PeerWaiter)>,
     /// Pause that it has asked for, until a request has been accepted after it.
     pub pushback: Option<Pushback>,
+    /// How requests of this daemon get to it.
+    pub route: Route,
     /// The cell's share of the rate limit that the target advertises.
     pub rate_limit: Option<RateLimit>,
     /// First waiting submission of the other daemons of the cell.
@@ -83,6 +86,7 @@
             long_prefills: 0,
             freed_by_peer: None,
             pushback: None,
+            route: Route::default(),
             rate_limit: None,
             peer_waiter: None,
             sent: 0,
--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod membership;
 pub mod operators;
 pub mod orders;
+pub mod paths;
 pub mod paused_clock;
 pub mod peers;
 pub mod prompt;
--- a/crates/lilaccrankd/src/admin/metrics.rs
+++ b/crates/lilaccrankd/src/admin/metrics.rs
@@ -49,10 +49,14 @@
     /// Requests in progress.
     pub in_progress: IntGauge,
     refused: IntCounterVec,
+    /// Requests that were handed to another daemon because this one can't reach the target.
+    pub relayed_sent: IntCounter,
     registry: Registry,
     /// Retries that the retry budget denied.
     pub second_sends_denied: IntCounter,
     traffic: Rc<Traffic>,
+    /// Targets that this daemon reaches neither directly nor through another daemon.
+    pub unreachable_targets: IntGauge,
     /// Entries of the list of targets that can't be used.
     pub unusable_entries: IntGauge,
 }
@@ -116,6 +120,14 @@
             "lilaccrank_second_sends_denied_total",
             "Second sends that the budget did not allow",
         )?;
+        let relayed_sent = IntCounter::new(
+            "lilaccrank_relayed_total",
+            "Requests handed to a daemon that reaches the target",
+        )?;
+        let unreachable_targets = IntGauge::new(
+            "lilaccrank_unreachable_targets",
+            "Targets that are reached neither directly nor through another daemon",
+        )?;
         let unusable_entries = IntGauge::new(
             "lilaccrank_unusable_entries",
             "Entries of the list of targets that name no target to use",
@@ -130,6 +142,8 @@
         registry.register(Box::new(generation.clone()))?;
         registry.register(Box::new(in_progress.clone()))?;
         registry.register(Box::new(refused.clone()))?;
+        registry.register(Box::new(relayed_sent.clone()))?;
+        registry.register(Box::new(unreachable_targets.clone()))?;
         registry.register(Box::new(second_sends_denied.clone()))?;
         registry.register(Box::new(unusable_entries.clone()))?;
         Ok(Self {
@@ -142,9 +156,11 @@
             generation,
             in_progress,
             refused,
+            relayed_sent,
             registry,
             second_sends_denied,
             traffic,
+            unreachable_targets,
             unusable_entries,
         })
     }
--- a/crates/lilaccrankd/src/callers/attach.rs
+++ b/crates/lilaccrankd/src/callers/attach.rs
@@ -103,7 +103,7 @@
     monoio::spawn(async move {
         let stopped =
             interruption::interrupted(&buffer, None, Duration::ZERO, &daemon.abort_signal);
-        let copying = relay::copy(&client, res, connection, bounds, &buffer);
+        let copying = relay::copy(&client, res, connection, bounds, &buffer, || {});
         futures::pin_mut!(stopped, copying);
         let ended = match futures::future::select(copying, stopped).await {
             futures::future::Either::Left((ended, _)) => ended,
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -199,11 +199,29 @@
     daemon: &Daemon,
     reader: Reader,
     in_progress: Option<Rc<InProgress>>,
+) -> Result<Response<Body>> {
+    let protocol = Rc::clone(&daemon.ports.callers);
+    stream_answer(daemon, reader, in_progress, Some(protocol)).await
+}
+
+/// Like [`respond`], for another daemon: an answer that breaks off has nothing added to it.
+pub async fn respond_verbatim(
+    daemon: &Daemon,
+    reader: Reader,
+    in_progress: Option<Rc<InProgress>>,
+) -> Result<Response<Body>> {
+    stream_answer(daemon, reader, in_progress, None).await
+}
+
+async fn stream_answer(
+    daemon: &Daemon,
+    reader: Reader,
+    in_progress: Option<Rc<InProgress>>,
+    protocol: Option<Rc<dyn CallerProtocol>>,
 ) -> Result<Response<Body>> {
     let head = reader.head().await?;
     let (tx, body) = body::channel();
     let send_timeout = Duration::from_millis(daemon.cfg.body_timeout_ms);
-    let protocol = Rc::clone(&daemon.ports.callers);
     monoio::spawn(async move {
         relay(reader, tx, send_timeout, protocol).await;
         drop(in_progress);
@@ -218,7 +236,7 @@
     mut reader: Reader,
     mut tx: BodySender,
     send_timeout: Duration,
-    protocol: Rc<dyn CallerProtocol>,
+    protocol: Option<Rc<dyn CallerProtocol>>,
 ) {
     loop {
         match reader.next().await {
@@ -236,7 +254,7 @@
             // incomplete.
             Err(refusal) => {
                 let reason = "the answer broke off";
-                return match protocol.error_chunk(&refusal) {
+                return match protocol.and_then(|protocol| protocol.error_chunk(&refusal)) {
                     Some(last) => body::send_and_abort(tx, last, reason).await,
                     None => tx.abort(reason.into()),
                 };
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -42,6 +42,7 @@
 use crate::targets::engine_stream::SilenceTimeouts;
 use crate::targets::forward::Bounds;
 use crate::targets::live_list::LiveList;
+use crate::targets::paths::TargetPaths;
 use crate::targets::pauses::Pauses;
 
 /// The platform's store behind a circuit breaker and a retry budget, so that a data centre that
@@ -98,6 +99,8 @@
     pub membership: Membership,
     /// Orders to targets and their leases.
     pub order_manager: OrderManager,
+    /// Paths to targets.
+    pub paths: TargetPaths,
     /// Pauses that targets have asked this daemon for.
     pub pauses: Pauses,
     /// Network to the other daemons.
@@ -196,6 +199,7 @@
             membership,
             metrics: Metrics::new(Rc::clone(&traffic))?,
             order_manager,
+            paths: TargetPaths::default(),
             pauses: Pauses::default(),
             peers,
             platform,
--- a/crates/lilaccrankd/src/peers.rs
+++ b/crates/lilaccrankd/src/peers.rs
@@ -7,6 +7,7 @@
 pub mod load_message;
 pub mod message;
 pub mod network;
+pub mod path_relay;
 pub mod quarantine_record;
 pub mod traffic;
 pub mod udp_gossip;
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -1,5 +1,6 @@
 //! Messages between daemons.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use derive_more::{From, TryInto};
@@ -7,8 +8,9 @@
 use lilaccrank::configuration::exchange;
 use lilaccrank::configuration::manifest::Identity;
 use lilaccrank::dispatch::message::{Cancel, Report, Resync, Submission, Verdict};
-use lilaccrank::ids::{PoolId, VmId};
+use lilaccrank::ids::{DataCentre, PoolId, VmId};
 use lilaccrank::request_key::{KeyReply, KeyRequest, MemberRef};
+use lilaccrank::target_instance::TargetInstance;
 use lilaccrank::timeline::Stamp;
 use serde::{Deserialize, Serialize};
 
@@ -117,6 +119,27 @@
     pub identity: Option<Identity>,
 }
 
+/// Asks whether a daemon reaches a target.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PathRequest {
+    /// Time since the target's last output in which no connection has to show that it is reached.
+    pub heard_within: Duration,
+    /// Pool of the target.
+    pub pool: PoolId,
+    /// The target.
+    pub target: TargetInstance,
+}
+
+/// Reply to a [`PathRequest`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PathReply {
+    /// Data centre of the daemon.
+    pub data_centre: DataCentre,
+    /// Address at which the daemon relays requests; `None` if it does not reach the target or relays
+    /// nothing.
+    pub relay: Option<SocketAddr>,
+}
+
 /// Reply to a message that needs no answer.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Done;
@@ -136,6 +159,8 @@
     Feed(FeedRequest),
     /// About an order to a target.
     Order(OrderRequest),
+    /// About the path to a target.
+    Path(PathRequest),
     /// About a pool.
     Pool(PoolRequest),
 }
@@ -155,6 +180,8 @@
     Feed(Feed),
     /// About an order to a target.
     Order(OrderReply),
+    /// About the path to a target.
+    Path(PathReply),
     /// About a pool.
     Pool(PoolReply),
 }
--- a/crates/lilaccrankd/src/peers/network.rs
+++ b/crates/lilaccrankd/src/peers/network.rs
@@ -17,8 +17,8 @@
 
 use crate::orders::message::{OrderReply, OrderRequest};
 use crate::peers::message::{
-    Announcement, Done, Feed, FeedRequest, HeldConfiguration, HeldConfigurationRequest, PeerReply,
-    PeerRequest, PoolReply, PoolRequest, Stamped,
+    Announcement, Done, Feed, FeedRequest, HeldConfiguration, HeldConfigurationRequest, PathReply,
+    PathRequest, PeerReply, PeerRequest, PoolReply, PoolRequest, Stamped,
 };
 use crate::peers::traffic::Traffic;
 
@@ -38,6 +38,8 @@
     Copies,
     /// Calls to the owner of a key, which may call its backup.
     Keys,
+    /// Calls about paths to targets, which may wait for a connection to one.
+    Paths,
     /// Calls about pools and orders, answered without calling another daemon.
     Pools,
 }
@@ -132,6 +134,7 @@
             Channel::Configuration => &self.traffic.peer_configuration,
             Channel::Copies => &self.traffic.peer_copies,
             Channel::Keys => &self.traffic.peer_keys,
+            Channel::Paths => &self.traffic.peer_paths,
             Channel::Pools => &self.traffic.peer_pools,
         }
     }
@@ -191,6 +194,13 @@
     }
 }
 
+impl Peers<PathRequest, PathReply> for PeerNetwork {
+    async fn call(&self, vm: &VmId, req: PathRequest) -> Result<PathReply> {
+        let reply = self.send(vm, Channel::Paths, req.into()).await?;
+        reply.try_into().map_err(|_| Error::NoAnswer(vm.clone()))
+    }
+}
+
 impl Peers<PoolRequest, PoolReply> for PeerNetwork {
     async fn call(&self, vm: &VmId, req: PoolRequest) -> Result<PoolReply> {
         let reply = self.send(vm, Channel::Pools, req.into()).await?;
--- a/crates/lilaccrankd/src/peers/traffic.rs
+++ b/crates/lilaccrankd/src/peers/traffic.rs
@@ -15,6 +15,8 @@
     pub peer_copies: Tally,
     /// Calls to owners of request keys.
     pub peer_keys: Tally,
+    /// Calls to peers about paths to targets.
+    pub peer_paths: Tally,
     /// Calls to peers about pools.
     pub peer_pools: Tally,
     /// Calls from peers, of all kinds.
@@ -28,13 +30,14 @@
 impl Traffic {
     /// Returns each tally with the name of its channel in the metrics.
     #[must_use]
-    pub fn channels(&self) -> [(&'static str, &Tally); 9] {
+    pub fn channels(&self) -> [(&'static str, &Tally); 10] {
         [
             ("gossip", &self.gossip),
             ("load_exchange", &self.load_exchange),
             ("peer_configuration", &self.peer_configuration),
             ("peer_copies", &self.peer_copies),
             ("peer_keys", &self.peer_keys),
+            ("peer_paths", &self.peer_paths),
             ("peer_pools", &self.peer_pools),
             ("peer_served", &self.peer_served),
             ("store", &self.store),
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -15,14 +15,14 @@
 use lilaccrank::dispatch::sharing::Digest;
 use lilaccrank::dispatch::status::Status;
 use lilaccrank::dispatch::{Config, Dispatcher};
-use lilaccrank::document::{Document, Pool, PoolKind, Target};
+use lilaccrank::document::{Document, Pool, PoolKind, Target, TargetState};
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::{PoolId, Tier, VmId};
 use lilaccrank::membership::State;
 use lilaccrank::peers::Peers;
 use lilaccrank::prompt;
 use lilaccrank::request_key::{MemberRef, Ranking};
-use lilaccrank::target_instance::InstanceDigest;
+use lilaccrank::target_instance::{InstanceDigest, TargetInstance};
 use lilaccrank::timeline::{EventKind, Subject};
 use lilaccrank_http::monoio_clock::MonoioClock;
 
@@ -35,7 +35,7 @@
 
 mod notices;
 
-pub use notices::{apply_leaving, apply_rate_limits, push_back};
+pub use notices::{apply_leaving, apply_rate_limits, apply_routes, push_back};
 
 /// Longest time that a new dispatcher waits for the entries to report their requests.
 const HANDOVER_GRACE: Duration = Duration::from_secs(1);
@@ -382,6 +382,7 @@
         for (target, left) in daemon.pauses.in_force(Instant::now()) {
             dispatcher.push_back(&target, left);
         }
+        dispatcher.set_routes(&daemon.paths.routes());
     }
 }
 
@@ -395,6 +396,30 @@
     targets
 }
 
+/// Targets of all pools that this daemon may send to.
+pub fn sendable_targets(daemon: &Daemon) -> Vec<(PoolId, Target)> {
+    let Ok(in_force) = daemon.in_force() else {
+        return Vec::new();
+    };
+    let pools = in_force.document.pools.iter();
+    let targets = pools.flat_map(|pool| {
+        let mut targets = near_targets(daemon, pool);
+        cell(daemon).retain_targets(&mut targets);
+        targets
+            .into_iter()
+            .filter(|target| target.state == TargetState::Live)
+            .map(|target| (pool.id.clone(), target))
+    });
+    targets.collect()
+}
+
+/// Finds a target with its pool.
+pub fn find_target(daemon: &Daemon, instance: &TargetInstance) -> Option<(PoolId, Target)> {
+    let in_force = daemon.in_force().ok()?;
+    let mut pools = in_force.document.pools.iter();
+    pools.find_map(|pool| Some((pool.id.clone(), daemon.target(&pool.id, instance)?)))
+}
+
 /// Load of this daemon on the targets of each pool.
 pub fn digests(daemon: &Daemon) -> Vec<(PoolId, Digest)> {
     let served = daemon.pool_server.served.borrow();
--- a/crates/lilaccrankd/src/pools/server/notices.rs
+++ b/crates/lilaccrankd/src/pools/server/notices.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use lilaccrank::ids::PoolId;
+use lilaccrank::paths::Route;
 use lilaccrank::target_instance::TargetInstance;
 
 use crate::daemon::Daemon;
@@ -23,6 +25,17 @@
     });
 }
 
+/// Tells the dispatchers how requests of this daemon get to the targets. A dispatcher of several
+/// daemons is told of the unreachable ones with each submission.
+pub fn apply_routes(daemon: &Daemon, routes: &IndexMap<TargetInstance, Route>) {
+    if !daemon.duties.is_dispatch_local() {
+        return;
+    }
+    for served in daemon.pool_server.served.borrow().values() {
+        served.dispatcher.set_routes(routes);
+    }
+}
+
 /// Stops granting targets whose answers have said that they leave.
 pub fn apply_leaving(daemon: &Rc<Daemon>) {
     let leaving = daemon.advisories.leaving();
--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -336,6 +336,7 @@
         let now = Instant::now();
         let mut exclusions = prior.exclusions.clone();
         if !daemon.duties.is_dispatch_local() {
+            exclusions.extend(daemon.paths.unreachable());
             let paused = daemon.pauses.in_force(now).into_iter();
             exclusions.extend(paused.map(|(target, _)| target));
         }
--- a/crates/lilaccrankd/src/request/quarantine.rs
+++ b/crates/lilaccrankd/src/request/quarantine.rs
@@ -1,5 +1,7 @@
 //! Quarantine of queries of death: requests whose content crashes targets.
 
+use std::rc::Rc;
+
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::ContentDigest;
 use lilaccrank::target_instance::TargetInstance;
@@ -8,6 +10,7 @@
 use crate::daemon::Daemon;
 use crate::request::lifecycle::RoutedRequest;
 use crate::targets::forward::Delivered;
+use crate::targets::paths;
 
 impl RoutedRequest {
     /// Digest of the content of the request, computed on first use.
@@ -35,12 +38,26 @@
         Err(Refusal::new(ErrorKind::Quarantined, message).retry_after(remaining))
     }
 
-    /// Records that the connection to `target` ended before the answer did.
-    pub fn record_crash(&self, daemon: &Daemon, target: &TargetInstance) {
-        let exchange = &daemon.load_exchange;
-        daemon
-            .advisories
-            .record_crash(self.content_digest(), target, exchange);
+    /// Records that the connection to `target` ended before the answer did. If this daemon can't
+    /// connect any more, it counts as a crash only if no peer can either.
+    pub fn record_lost_connection(
+        &self,
+        daemon: &Rc<Daemon>,
+        target: &TargetInstance,
+        is_path_fault: bool,
+    ) {
+        let content = self.content_digest();
+        if !is_path_fault {
+            let exchange = &daemon.load_exchange;
+            return daemon.advisories.record_crash(content, target, exchange);
+        }
+        let (daemon, pool, target) = (Rc::clone(daemon), self.route.pool.clone(), target.clone());
+        monoio::spawn(async move {
+            if !paths::is_reached_by_peer(&daemon, &pool, &target).await {
+                let exchange = &daemon.load_exchange;
+                daemon.advisories.record_crash(content, &target, exchange);
+            }
+        });
     }
 
     /// Records that a target completed the request.
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -13,6 +13,7 @@
 use lilaccrank::document::Target;
 use lilaccrank::error_kind::{ErrorKind, Executed};
 use lilaccrank::stream_progress::StreamProgress;
+use lilaccrank::target_instance::TargetInstance;
 use lilaccrank::timeline::EventKind;
 use lilaccrank_http::client;
 
@@ -26,10 +27,11 @@
 use crate::targets::engine_run::{self, EngineRequest, Observer, RunOutcome};
 use crate::targets::engine_stream::EngineStream;
 use crate::targets::forward::{self, Delivered, Forwarder, SendFailure};
-use crate::targets::freshness;
+use crate::targets::paths;
 use crate::targets::protocol::{OutgoingRequest, RateLimit};
 use crate::targets::proxied_request::ProxiedRequest;
 use crate::targets::sendable;
+use crate::targets::transport::Transport;
 
 /// Result of one send.
 pub type Result<T, E = SendError> = std::result::Result<T, E>;
@@ -63,9 +65,7 @@
             EventKind::Dispatched,
             self.subject(String::new(), Some(&grant.target.id)),
         );
-        freshness::until_usable(daemon).await;
-        daemon.live_list.lapsed.until_verified(&grant.target).await;
-        let checked = sendable::check(daemon, &self.route.pool, &grant.target);
+        let checked = sendable::until_usable(daemon, &self.route.pool, &grant.target).await;
         let observer = SendObserver::new(self, daemon, &grant, &history.delivered);
         let (sent, decoded, prefill) = match checked {
             Err(refusal) => (Err(failed(refusal).into()), 0, None),
@@ -83,6 +83,13 @@
                 }
             },
         };
+        let sent = match sent {
+            Err(SendError::Failed(failed)) => Err(self
+                .with_path_fault(daemon, &grant.target, failed)
+                .await
+                .into()),
+            sent => sent,
+        };
         // A pause controls the flow; it is no error of the target.
         let outcome = match observer.was_pushed_back.get() {
             true => Outcome::Unused,
@@ -92,6 +99,21 @@
         sent
     }
 
+    /// Tells whether a connection that was lost is the fault of this daemon's path, which a probe
+    /// shows. What happened to the path says nothing about the target.
+    async fn with_path_fault(
+        &self,
+        daemon: &Rc<Daemon>,
+        instance: &TargetInstance,
+        mut failed: SendFailure,
+    ) -> SendFailure {
+        let target = daemon.target(&self.route.pool, instance);
+        if let Some(target) = target.filter(|_| failed.refusal.connection_lost) {
+            failed.is_path_fault = !paths::probe(daemon, &self.route.pool, &target).await;
+        }
+        failed
+    }
+
     async fn generate(
         &self,
         observer: &SendObserver<'_>,
@@ -115,13 +137,23 @@
             format: *answer_format,
             stream: *stream,
         };
-        let address = target.address.clone();
         let client = daemon.client.clone();
-        let engine = EngineStream::new(client, address, self.id.clone(), daemon.silence_timeouts());
+        let transport = self.transport(daemon, target);
+        let engine = EngineStream::new(
+            client,
+            transport,
+            self.id.clone(),
+            daemon.silence_timeouts(),
+        );
         let interrupted = self.interrupted(daemon, buffer);
         engine_run::run(engine, req, buffer, observer, interrupted).await
     }
 
+    fn transport(&self, daemon: &Rc<Daemon>, target: &Target) -> Transport {
+        let log_id = self.log_id();
+        Transport::new(daemon, &self.route.pool, target, self.deadline(), log_id)
+    }
+
     /// Longest idle time of a connection to a target that the request may reuse.
     ///
     /// An idle connection may be dead without notice. A request that was sent on such a connection
@@ -153,12 +185,14 @@
             proxied,
             target,
         };
+        let transport = self.transport(daemon, target);
         let forwarding = Forwarder {
             bounds: daemon.bounds(),
             client: &daemon.client,
             observer: send_observer,
             protocol: &*daemon.ports.targets,
             rest: self.max_idle(daemon),
+            transport: &transport,
             buffer,
             stream: self.route.terms.stream,
         };
@@ -173,6 +207,14 @@
                 .await;
             SendError::from(target_restarted(buffer))
         };
+        let can_retry = history.can_retry(buffer);
+        let cut = async {
+            transport.cut().await;
+            if !can_retry() || !daemon.retry_budgets.has_budget(&self.route.pool) {
+                return future::pending().await;
+            }
+            SendError::from(path_lost(buffer))
+        };
         let resumable = history.can_resume();
         let (prior, delivered) = (&history.prior, &mut history.delivered);
         let migrated = async {
@@ -181,6 +223,7 @@
         };
         let stops = [
             interrupted.boxed_local(),
+            cut.boxed_local(),
             restarted.boxed_local(),
             migrated.boxed_local(),
         ];
@@ -314,6 +357,7 @@
         Ok(()) => Outcome::Complete,
         Err(SendError::Migrated(_)) => Outcome::Cancelled,
         Err(SendError::Failed(failed)) => match failed {
+            failed if failed.is_path_fault => Outcome::Unused,
             failed if failed.refusal.kind.is_unrelated_to_target() => Outcome::Cancelled,
             failed if failed.refusal.kind == ErrorKind::NoTarget => Outcome::Unused,
             failed if failed.answer.is_some() => Outcome::Erred,
@@ -332,10 +376,23 @@
     SendFailure {
         answer: None,
         failure,
+        is_path_fault: false,
         refusal,
     }
 }
 
+/// Failure of a send whose answer can't arrive, since this daemon has lost its path to the target.
+fn path_lost(buffer: &AnswerBuffer) -> SendFailure {
+    let message = "the path to the target is down, and others reach it";
+    let refusal = Refusal::new(ErrorKind::TargetSilent, message);
+    let mut lost = failed(refusal.ran(Executed::Maybe));
+    lost.is_path_fault = true;
+    if buffer.has_head() {
+        lost.failure = Failure::BrokenOff;
+    }
+    lost
+}
+
 /// Failure of a send whose target process is gone, as after a crash.
 ///
 /// The connection may stay open without notice. The request would then hang until its deadline and
--- a/crates/lilaccrankd/src/request/send_history.rs
+++ b/crates/lilaccrankd/src/request/send_history.rs
@@ -1,5 +1,6 @@
 //! History of the sends of one request: which targets had it, and what its caller has received.
 
+use std::rc::Rc;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -69,6 +70,18 @@
         self.attempts.clone().record_failure(Failure::BrokenOff)
     }
 
+    /// Returns a function that tells whether the request may be sent again if its answer is given up.
+    pub fn can_retry<'a>(&self, buffer: &'a AnswerBuffer) -> impl Fn() -> bool + use<'a> {
+        let attempts = self.attempts;
+        move || {
+            let failure = match buffer.has_head() {
+                true => Failure::BrokenOff,
+                false => Failure::Failed,
+            };
+            attempts.clone().record_failure(failure)
+        }
+    }
+
     /// Records that another target resumes the answer of `target`, which is still running the
     /// request.
     pub fn record_migration(&mut self, target: TargetInstance) {
@@ -81,7 +94,7 @@
     /// again.
     pub fn record_failure(
         &mut self,
-        daemon: &Daemon,
+        daemon: &Rc<Daemon>,
         routed: &RoutedRequest,
         target: TargetInstance,
         failed: SendFailure,
@@ -89,7 +102,7 @@
     ) -> Option<Result<()>> {
         self.prior.exclusions.push(target.clone());
         if failed.refusal.connection_lost {
-            routed.record_crash(daemon, &target);
+            routed.record_lost_connection(daemon, &target, failed.is_path_fault);
         }
         if failed.failure == Failure::BrokenOff {
             // If the objective still counted from the arrival of the request, it would be over by
--- a/crates/lilaccrankd/src/request/spill.rs
+++ b/crates/lilaccrankd/src/request/spill.rs
@@ -90,7 +90,7 @@
     if res.headers().contains_key(REFUSAL) {
         return Err(refusal(daemon, res).await);
     }
-    relay::copy(&daemon.client, res, connection, bounds, buffer).await
+    relay::copy(&daemon.client, res, connection, bounds, buffer, || {}).await
 }
 
 fn request(daemon: &Daemon, caller: &CallerRequest, deadline: Option<Instant>) -> Request<Body> {
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -27,6 +27,7 @@
 use crate::peers::message::{
     HeldConfiguration, HeldConfigurationRequest, PeerReply, PeerRequest, Stamped,
 };
+use crate::peers::path_relay;
 use crate::peers::quarantine_record;
 use crate::peers::traffic::Traffic;
 use crate::peers::udp_gossip::UdpGossip;
@@ -36,6 +37,7 @@
 use crate::settings::Settings;
 use crate::shutdown;
 use crate::signals::Signals;
+use crate::targets::paths;
 
 /// Result of running the daemon.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -81,6 +83,7 @@
     let address = cfg.peer;
     let load_socket =
         load_exchange::bind(address).map_err(|source| Error::Listen { address, source })?;
+    let relay_listener = cfg.relay.map(listen).transpose()?;
     let readiness_listener = cfg.readiness.map(listen).transpose()?;
     let address = cfg.gossip;
     let traffic = Rc::new(Traffic::default());
@@ -137,6 +140,12 @@
         limits,
         move |req| callers::handle(Rc::clone(&shared), req),
     ));
+    if let Some(listener) = relay_listener {
+        let daemon = Rc::clone(&daemon);
+        let handler = move |req| path_relay::handle(Rc::clone(&daemon), req);
+        monoio::spawn(server::serve(listener, ShutdownHandle::default(), handler));
+    }
+    monoio::spawn(paths::run(Rc::clone(&daemon)));
     monoio::spawn(load_exchange::run(Rc::clone(&daemon), load_socket));
     monoio::spawn(quarantine_record::run(Rc::clone(&daemon)));
     monoio::spawn(reload::run(Rc::clone(&daemon), signals.clone()));
@@ -199,6 +208,7 @@
         PeerRequest::Key(req) => daemon.key_owner.handle(req).await.into(),
         PeerRequest::Feed(asked) => feed::answer(&daemon, &asked).into(),
         PeerRequest::Order(req) => jobs::handle(&daemon, req).into(),
+        PeerRequest::Path(req) => paths::answer(&daemon, &req).await.into(),
         PeerRequest::Pool(req) => pools::server::handle(&daemon, req).into(),
     };
     Stamped {
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -102,6 +102,9 @@
     pub peer: SocketAddr,
     /// Address of the platform's store.
     pub platform: SocketAddr,
+    /// Listen address for requests of other daemons to targets that they can't reach; `None` to relay
+    /// none.
+    pub relay: Option<SocketAddr>,
     /// Units of a quota (requests or tokens) that all daemons together may admit at once beyond its
     /// burst. With many daemons each has a small share of a quota, and requests come in bursts.
     pub quota_reserve: f64,
@@ -215,6 +218,7 @@
             platform: port(7300),
             quota_reserve: 0.0,
             readiness: None,
+            relay: None,
             request_keys: true,
             request_limit: 20_000,
             retries: Retries::default(),
--- a/crates/lilaccrankd/src/targets/engine_stream.rs
+++ b/crates/lilaccrankd/src/targets/engine_stream.rs
@@ -16,8 +16,9 @@
 use lilaccrank_http::client::{self, Client, Connection, Limits};
 
 use crate::callers::refusal::{Refusal, Result};
-use crate::targets::call::{self, CONNECT_TIMEOUT};
+use crate::targets::call::CONNECT_TIMEOUT;
 use crate::targets::native_protocol;
+use crate::targets::transport::Transport;
 
 /// Name of the header that carries the request's id to targets.
 pub const REQUEST_ID: &str = "request-id";
@@ -60,13 +61,13 @@
 
 /// Event stream of one request on an engine.
 pub struct EngineStream {
-    address: String,
     client: Client,
     connection: Option<Connection>,
     events: Option<Events>,
     id: RequestId,
     notices: Notices,
     timeouts: SilenceTimeouts,
+    transport: Transport,
     received: u64,
     resumes: u32,
 }
@@ -74,15 +75,20 @@
 impl EngineStream {
     /// Creates a stream that has sent nothing yet.
     #[must_use]
-    pub fn new(client: Client, address: String, id: RequestId, timeouts: SilenceTimeouts) -> Self {
+    pub fn new(
+        client: Client,
+        transport: Transport,
+        id: RequestId,
+        timeouts: SilenceTimeouts,
+    ) -> Self {
         Self {
-            address,
             client,
             connection: None,
             events: None,
             id,
             notices: Notices::default(),
             timeouts,
+            transport,
             received: 0,
             resumes: 0,
         }
@@ -94,13 +100,17 @@
     ///
     /// [`Executed::No`](lilaccrank::error_kind::Executed::No) only if no connection could be made.
     pub async fn send(&mut self, path: &str, key: Option<&str>, body: Bytes) -> Result<()> {
-        let mut req = self.request(Method::POST, path, body::full(body));
-        let headers = req.headers_mut();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if let Some(key) = key.and_then(|key| HeaderValue::from_str(key).ok()) {
-            headers.insert(REQUEST_KEY, key);
-        }
-        match self.open(req, self.timeouts.first).await {
+        let id = self.id.clone();
+        let build = || {
+            let mut req = request(&id, Method::POST, path, body::full(body.clone()));
+            let headers = req.headers_mut();
+            headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+            if let Some(key) = key.and_then(|key| HeaderValue::from_str(key).ok()) {
+                headers.insert(REQUEST_KEY, key);
+            }
+            req
+        };
+        match self.open(build, self.timeouts.first).await {
             Err(refusal) if refusal.kind == ErrorKind::TargetSilent => {
                 self.resume(Cause::Silent).await
             }
@@ -130,6 +140,7 @@
             };
             match monoio::time::timeout(timeout, events.next()).await {
                 Ok(Some(Ok(event))) => {
+                    self.transport.record_heard();
                     self.received += 1;
                     return Ok(Some(event.data));
                 }
@@ -152,13 +163,14 @@
     pub async fn cancel(mut self) -> Notices {
         self.events = None;
         self.connection = None;
-        let req = self.request(Method::DELETE, &self.stream_path(), body::empty());
+        let path = self.stream_path();
+        let build = || request(&self.id, Method::DELETE, &path, body::empty());
         let limits = Limits {
             connect: CONNECT_TIMEOUT,
             max_idle: client::MAX_IDLE,
             head: RESUME_TIMEOUT,
         };
-        if let Ok((res, _)) = self.client.send(&self.address, req, limits).await {
+        if let Ok((res, _)) = self.transport.send(build, limits).await {
             self.note(&res);
         }
         self.notices
@@ -174,20 +186,14 @@
         format!("/v1/streams/{}", self.id)
     }
 
-    fn request(&self, method: Method, path: &str, body: Body) -> Request<Body> {
-        let mut req = Request::new(body);
-        *req.method_mut() = method;
-        *req.uri_mut() = path.parse().unwrap_or_default();
-        let headers = req.headers_mut();
-        headers.insert(HOST, HeaderValue::from_static("target"));
-        if let Ok(id) = HeaderValue::from_str(&self.id) {
-            headers.insert(REQUEST_ID, id);
-        }
-        req
-    }
-
-    async fn open(&mut self, req: Request<Body>, head: Duration) -> Result<()> {
-        let (res, connection) = call::send(&self.client, &self.address, req, head).await?;
+    async fn open(&mut self, build: impl Fn() -> Request<Body>, head: Duration) -> Result<()> {
+        let limits = Limits {
+            connect: CONNECT_TIMEOUT,
+            max_idle: Duration::ZERO,
+            head,
+        };
+        let sent = self.transport.send(build, limits).await;
+        let (res, connection) = sent.map_err(|e| e.refusal())?;
         self.note(&res);
         if res.status() != StatusCode::OK {
             let message = format!("the target answered with status {}", res.status());
@@ -213,8 +219,9 @@
         while self.resumes < MAX_RESUMES {
             self.resumes += 1;
             let path = format!("{}?from={}", self.stream_path(), self.received);
-            let req = self.request(Method::GET, &path, body::empty());
-            if self.open(req, RESUME_TIMEOUT).await.is_ok() {
+            let id = self.id.clone();
+            let build = || request(&id, Method::GET, &path, body::empty());
+            if self.open(build, RESUME_TIMEOUT).await.is_ok() {
                 return Ok(());
             }
         }
@@ -234,3 +241,15 @@
         ))
     }
 }
+
+fn request(id: &RequestId, method: Method, path: &str, body: Body) -> Request<Body> {
+    let mut req = Request::new(body);
+    *req.method_mut() = method;
+    *req.uri_mut() = path.parse().unwrap_or_default();
+    let headers = req.headers_mut();
+    headers.insert(HOST, HeaderValue::from_static("target"));
+    if let Ok(id) = HeaderValue::from_str(id) {
+        headers.insert(REQUEST_ID, id);
+    }
+    req
+}
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -8,20 +8,20 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use lilaccrank::attempts::Failure;
 use lilaccrank::error_kind::{ErrorKind, Executed};
-use lilaccrank_http::body::{self, Body};
-use lilaccrank_http::client::{self, Client, Connection, Limits};
+use lilaccrank_http::body;
+use lilaccrank_http::client::{Client, Connection, Limits};
 use lilaccrank_http::events::EventSplitter;
 
 use crate::callers::end_to_end;
 use crate::callers::refusal::{REFUSAL, Refusal};
 use crate::request::answer_buffer::{AnswerBuffer, Head};
 use crate::targets::protocol::{AnswerKind, OutgoingRequest, RateLimit, TargetProtocol};
+use crate::targets::transport::{self, Transport};
 
 /// Result of one send.
 pub type Result<T, E = SendFailure> = std::result::Result<T, E>;
@@ -68,6 +68,8 @@
     pub answer: Option<(Head, Bytes)>,
     /// How the send failed.
     pub failure: Failure,
+    /// Set if this daemon's path to the target failed, which says nothing about the target.
+    pub is_path_fault: bool,
     /// Refusal for the caller.
     pub refusal: Refusal,
 }
@@ -96,6 +98,8 @@
     pub protocol: &'a dyn TargetProtocol,
     /// Longest idle time of a connection that is used again.
     pub rest: Duration,
+    /// Transport to the target.
+    pub transport: &'a Transport,
     /// Buffer that the answer is written to.
     pub buffer: &'a AnswerBuffer,
     /// Set if the answer is a stream of events.
@@ -113,9 +117,8 @@
         outgoing: &OutgoingRequest<'_>,
         delivered: &mut Delivered,
     ) -> Result<()> {
-        let req = self.protocol.request(outgoing);
         let sent_at = Instant::now();
-        let (head, body, connection) = self.exchange(&outgoing.target.address, req).await?;
+        let (head, body, connection) = self.exchange(outgoing).await?;
         if self.protocol.says_leaving(&head, outgoing) {
             self.observer.leaving();
         }
@@ -149,15 +152,15 @@
 
     async fn exchange(
         &self,
-        address: &str,
-        req: Request<Body>,
+        outgoing: &OutgoingRequest<'_>,
     ) -> Result<(Parts, Incoming, Connection)> {
         let limits = Limits {
             connect: self.bounds.connect,
             head: self.bounds.first,
             max_idle: self.rest,
         };
-        let sent = self.client.send(address, req, limits).await;
+        let build = || self.protocol.request(outgoing);
+        let sent = self.transport.send(build, limits).await;
         let (res, connection) = sent.map_err(|e| unanswered(&e))?;
         let (mut head, body) = res.into_parts();
         head.headers.remove(REFUSAL);
@@ -173,6 +176,7 @@
         SendFailure {
             answer: None,
             failure: Failure::NotRun,
+            is_path_fault: false,
             refusal: Refusal::new(ErrorKind::TargetRefused, message).ran(Executed::No),
         }
     }
@@ -210,6 +214,7 @@
                 break;
             };
             let frame = frame.map_err(|_| lost("the target broke off its answer", has_begun))?;
+            self.transport.record_heard();
             let Ok(data) = frame.into_data() else {
                 continue;
             };
@@ -258,6 +263,7 @@
                 break;
             };
             let frame = frame.map_err(|_| delivered.lost("the target broke off its stream"))?;
+            self.transport.record_heard();
             let Ok(data) = frame.into_data() else {
                 continue;
             };
@@ -343,6 +349,7 @@
     SendFailure {
         answer: None,
         failure: Failure::Failed,
+        is_path_fault: false,
         refusal: Refusal::new(kind, message).ran(Executed::Maybe),
     }
 }
@@ -361,16 +368,16 @@
     lost
 }
 
-fn unanswered(e: &client::Error) -> SendFailure {
-    let kind = match e {
-        client::Error::Silent { .. } => ErrorKind::TargetSilent,
-        client::Error::Connect { .. } | client::Error::Exchange { .. } => ErrorKind::TargetFailed,
+fn unanswered(e: &transport::Error) -> SendFailure {
+    let refusal = e.refusal();
+    let failure = match refusal.ran {
+        Executed::No => Failure::Unsent,
+        Executed::Maybe => Failure::Failed,
     };
-    let mut unanswered = failed(kind, e.to_string());
-    unanswered.refusal.connection_lost = e.is_connection_lost();
-    if e.is_unsent() {
-        unanswered.failure = Failure::Unsent;
-        unanswered.refusal.ran = Executed::No;
+    SendFailure {
+        answer: None,
+        failure,
+        is_path_fault: false,
+        refusal,
     }
-    unanswered
 }
--- a/crates/lilaccrankd/src/targets/protocol.rs
+++ b/crates/lilaccrankd/src/targets/protocol.rs
@@ -3,13 +3,14 @@
 
 use std::time::Duration;
 
-use hyper::Request;
 use hyper::http::response::Parts;
+use hyper::{HeaderMap, Request, StatusCode};
 use lilaccrank::document::Target;
 use lilaccrank::ids::RequestId;
 use lilaccrank_http::body::Body;
 
 use crate::callers::caller_request::CallerRequest;
+use crate::targets::pauses;
 use crate::targets::proxied_request::ProxiedRequest;
 
 /// Protocol of targets that requests are forwarded to.
@@ -28,6 +29,13 @@
     /// away.
     fn pause(&self, head: &Parts, outgoing: &OutgoingRequest<'_>) -> Option<Duration>;
 
+    /// Returns the pause that an answer with this head asks for, whatever request it belongs to.
+    fn requested_pause(&self, status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+        (status == StatusCode::SERVICE_UNAVAILABLE)
+            .then(|| pauses::requested(headers))
+            .flatten()
+    }
+
     /// Returns the rate limit that the head of an answer advertises.
     fn rate_limit(&self, _head: &Parts) -> RateLimit {
         RateLimit::Unknown
--- a/crates/lilaccrankd/src/targets/relay.rs
+++ b/crates/lilaccrankd/src/targets/relay.rs
@@ -11,13 +11,14 @@
 use crate::request::answer_buffer::{AnswerBuffer, Head};
 use crate::targets::forward::Bounds;
 
-/// Copies an answer whose head has arrived.
+/// Copies an answer whose head has arrived, and calls `on_data` for each part of it.
 pub async fn copy(
     client: &Client,
     res: Response<Incoming>,
     connection: Connection,
     bounds: Bounds,
     buffer: &AnswerBuffer,
+    on_data: impl Fn(),
 ) -> Result<()> {
     let (parts, mut body) = res.into_parts();
     buffer.set_head(Head {
@@ -32,6 +33,7 @@
             return Ok(());
         };
         let frame = frame.map_err(|_| broken("the target broke off its answer"))?;
+        on_data();
         if let Ok(data) = frame.into_data() {
             buffer.push(data);
         }
--- a/crates/lilaccrankd/src/targets/sendable.rs
+++ b/crates/lilaccrankd/src/targets/sendable.rs
@@ -3,6 +3,7 @@
 //! A dispatcher grants by what it knew then. The sender checks again by its own configuration and
 //! list of targets, which may be newer.
 
+use std::rc::Rc;
 use std::time::Instant;
 
 use lilaccrank::document::{Target, TargetState};
@@ -11,6 +12,7 @@
 
 use crate::callers::refusal::{Refusal, Result};
 use crate::daemon::Daemon;
+use crate::targets::freshness;
 
 /// Returns the state of a target. What its own answers said goes before the list, which lags.
 #[must_use]
@@ -21,6 +23,21 @@
     daemon.live_list.state_of(target)
 }
 
+/// Returns the target if it may get a request now, by a list that is recent enough.
+///
+/// # Errors
+///
+/// Those of [`check`].
+pub async fn until_usable(
+    daemon: &Rc<Daemon>,
+    pool: &str,
+    instance: &TargetInstance,
+) -> Result<Target> {
+    freshness::until_usable(daemon).await;
+    daemon.live_list.lapsed.until_verified(instance).await;
+    check(daemon, pool, instance)
+}
+
 /// Returns the target if it may get a request now.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/lilaccrankd/src/targets/transport.rs
@@ -0,0 +1,263 @@
+//! Sends requests to one target: over an own connection, or through a peer while this daemon can't
+//! connect.
+//!
+//! A request is handed to a peer only if nothing of it was sent, and to the next peer only if the
+//! first says so.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures::future;
+use hyper::body::Incoming;
+use hyper::header::TRANSFER_ENCODING;
+use hyper::{Request, Response};
+use lilaccrank::document::Target;
+use lilaccrank::error_kind::{ErrorKind, Executed};
+use lilaccrank::ids::{PoolId, VmId};
+use lilaccrank::target_instance::TargetInstance;
+use lilaccrank_http::body::Body;
+use lilaccrank_http::client::{self, Connection, Limits};
+use thiserror::Error;
+
+use crate::callers::refusal::Refusal;
+use crate::daemon::Daemon;
+use crate::peers::path_relay::{self, Envelope};
+use crate::targets::paths::{self, Running};
+
+/// Result of one send.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Maximum number of peers that one request is offered to.
+const MAX_RELAYS: usize = 2;
+
+/// Why a request got no response head.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The own connection failed.
+    #[error(transparent)]
+    Direct(#[from] client::Error),
+    /// The peer that relayed the request got no response head.
+    #[error("relayed by {vm}: {failure}")]
+    Relayed {
+        /// What happened between the peer and the target.
+        failure: path_relay::Failure,
+        /// The peer.
+        vm: VmId,
+    },
+    /// The connection to the peer failed after the request was sent.
+    #[error("the connection to the relay {vm} failed: {source}")]
+    RelayLost {
+        /// Error of the connection.
+        source: client::Error,
+        /// The peer.
+        vm: VmId,
+    },
+    /// No connection could be made, and no peer that was asked reaches the target.
+    #[error("{0}, and no peer that was asked reaches the target")]
+    Unreachable(client::Error),
+}
+
+impl Error {
+    /// The refusal for the caller.
+    #[must_use]
+    pub fn refusal(&self) -> Refusal {
+        let (kind, ran, connection_lost) = match self {
+            Self::Unreachable(_) => (ErrorKind::NoTarget, Executed::No, false),
+            Self::Relayed { failure, .. } => match failure {
+                path_relay::Failure::Lost => (ErrorKind::TargetFailed, Executed::Maybe, true),
+                path_relay::Failure::Silent => (ErrorKind::TargetSilent, Executed::Maybe, false),
+                path_relay::Failure::Unsent => (ErrorKind::NoTarget, Executed::No, false),
+            },
+            Self::RelayLost { .. } => (ErrorKind::TargetFailed, Executed::Maybe, false),
+            Self::Direct(e) => {
+                let kind = match e {
+                    client::Error::Silent { .. } => ErrorKind::TargetSilent,
+                    client::Error::Connect { .. } | client::Error::Exchange { .. } => {
+                        ErrorKind::TargetFailed
+                    }
+                };
+                let ran = match e.is_unsent() {
+                    true => Executed::No,
+                    false => Executed::Maybe,
+                };
+                (kind, ran, e.is_connection_lost())
+            }
+        };
+        let refusal = Refusal::new(kind, self.to_string()).ran(ran);
+        match connection_lost {
+            true => refusal.connection_lost(),
+            false => refusal,
+        }
+    }
+}
+
+/// Sends the requests of one caller's request to one target.
+pub struct Transport {
+    daemon: Rc<Daemon>,
+    deadline: Option<Instant>,
+    instance: TargetInstance,
+    log_id: String,
+    pool: PoolId,
+    running: RefCell<Option<Rc<Running>>>,
+    relayed: Cell<bool>,
+    target: Target,
+}
+
+impl Transport {
+    /// Creates a transport for a request that is due at `deadline` and has this id in logs.
+    #[must_use]
+    pub fn new(
+        daemon: &Rc<Daemon>,
+        pool: &PoolId,
+        target: &Target,
+        deadline: Option<Instant>,
+        log_id: &str,
+    ) -> Self {
+        Self {
+            daemon: Rc::clone(daemon),
+            deadline,
+            instance: TargetInstance::of(target),
+            log_id: log_id.to_owned(),
+            pool: pool.clone(),
+            running: RefCell::default(),
+            relayed: Cell::new(false),
+            target: target.clone(),
+        }
+    }
+
+    /// Sends the request that `build` returns and waits for the response head.
+    ///
+    /// # Errors
+    ///
+    /// If no response head arrives.
+    pub async fn send(
+        &self,
+        build: impl Fn() -> Request<Body>,
+        limits: Limits,
+    ) -> Result<(Response<Incoming>, Connection)> {
+        let paths = &self.daemon.paths;
+        let is_down = paths.is_down(&self.instance);
+        let unconnected = if is_down && !paths.keeps_working(&self.instance) {
+            client::Error::Connect {
+                address: self.target.address.clone(),
+                source: std::io::ErrorKind::NotConnected.into(),
+            }
+        } else {
+            let connect = match is_down {
+                true => Duration::ZERO,
+                false => limits.connect,
+            };
+            match self
+                .send_direct(build(), Limits { connect, ..limits })
+                .await
+            {
+                Err(e @ client::Error::Connect { .. }) => e,
+                other => return Ok(other?),
+            }
+        };
+        if !is_down {
+            paths::record_unconnected(&self.daemon, &self.pool, &self.target, &unconnected);
+        }
+        self.relay(build, limits, unconnected).await
+    }
+
+    /// Records that a part of the answer arrived.
+    pub fn record_heard(&self) {
+        if let Some(running) = &*self.running.borrow() {
+            running.record_heard();
+        }
+    }
+
+    /// Returns `true` if a peer relays the request.
+    #[must_use]
+    pub fn is_relayed(&self) -> bool {
+        self.relayed.get()
+    }
+
+    /// Completes when the answer can't arrive over the own connection before the path is back.
+    pub async fn cut(&self) {
+        let running = self.running.borrow().clone();
+        match running {
+            Some(running) => running.cut().await,
+            None => future::pending().await,
+        }
+    }
+
+    async fn send_direct(
+        &self,
+        req: Request<Body>,
+        limits: Limits,
+    ) -> client::Result<(Response<Incoming>, Connection)> {
+        let running = Rc::new(Running::new(&self.daemon, &self.instance));
+        self.running.replace(Some(Rc::clone(&running)));
+        let sent = self
+            .daemon
+            .client
+            .send(&self.target.address, req, limits)
+            .await;
+        match &sent {
+            Ok(_) => running.record_heard(),
+            Err(_) => {
+                self.running.take();
+            }
+        }
+        sent
+    }
+
+    async fn relay(
+        &self,
+        build: impl Fn() -> Request<Body>,
+        limits: Limits,
+        unconnected: client::Error,
+    ) -> Result<(Response<Incoming>, Connection)> {
+        let paths = &self.daemon.paths;
+        for _ in 0..MAX_RELAYS {
+            let Some((vm, address)) = paths.until_relay(&self.instance).await else {
+                break;
+            };
+            let envelope = Envelope {
+                from: &self.daemon.cfg.vm,
+                left: self
+                    .deadline
+                    .map(|at| at.saturating_duration_since(Instant::now())),
+                log_id: &self.log_id,
+                pool: &self.pool,
+                target: &self.instance,
+            };
+            let req = envelope.wrap(build());
+            log::info!(request = self.log_id, target = self.instance.id, via = vm; "relayed");
+            self.daemon.metrics.relayed_sent.inc();
+            let sent = self
+                .daemon
+                .client
+                .send(&address.to_string(), req, limits)
+                .await;
+            let failure = match sent {
+                Ok((res, connection)) => match path_relay::failure(&res) {
+                    None => {
+                        self.relayed.set(true);
+                        paths.record_relay(&self.daemon, &self.instance, &vm, true);
+                        return Ok((unwrap(res), connection));
+                    }
+                    Some(failure) => failure,
+                },
+                Err(e) if e.is_unsent() => path_relay::Failure::Unsent,
+                Err(source) => return Err(Error::RelayLost { source, vm }),
+            };
+            if failure != path_relay::Failure::Unsent {
+                return Err(Error::Relayed { failure, vm });
+            }
+            paths.record_relay(&self.daemon, &self.instance, &vm, false);
+        }
+        Err(Error::Unreachable(unconnected))
+    }
+}
+
+/// Restores what tells that an answer ended with its connection at the relay.
+fn unwrap(mut res: Response<Incoming>) -> Response<Incoming> {
+    if path_relay::take_unframed(res.headers_mut()) {
+        res.headers_mut().remove(TRANSFER_ENCODING);
+    }
+    res
+}
