Dispatch: brittle targets get no more than they have room for

What callers would see: workers that announce that they fall over once they turn too many requests away in a second did so (test brittle::*), and the requests that ran there were lost. Cause: nothing read the header; daemons that hear of a free slot at the same time all take it, and a worker with less room than slots is filled to its slots. Ruled out: retries, which draw on their budget. Change: an answer's header is an advisory, so that one daemon learns it and all act, until an answer without it. Each slot of a brittle target has an owner among the daemons that share it; a daemon uses its own slots freely and those of others only while three are free. After a rejection all hold back for the part of a second that the target bears one for, and take its room for what it had then; one more slot is tried every two seconds. Samples of rejections by brittle targets are a new kind, which daemons of an earlier version can't read; they drop these datagrams.

--- a/crates/lilaccrank/src/advisories.rs
+++ b/crates/lilaccrank/src/advisories.rs
@@ -121,8 +121,10 @@
         match fact {
             Fact::Crash { .. } | Fact::Quarantined { .. } => false,
             Fact::Leaving { .. } => later >= REFRESH_AGE,
-            Fact::RateLimit { .. } if fact == self.fact => later >= REFRESH_AGE,
-            Fact::RateLimit { .. } => {
+            Fact::Brittle { .. } | Fact::RateLimit { .. } if fact == self.fact => {
+                later >= REFRESH_AGE
+            }
+            Fact::Brittle { .. } | Fact::RateLimit { .. } => {
                 is_surely_later || !later.is_zero() && fact.is_stricter_than(self.fact)
             }
             Fact::Completed { .. } => is_surely_later,
@@ -232,6 +234,16 @@
         })
     }
 
+    /// Targets that are brittle, with the requests in a second that each can turn away.
+    pub fn brittle(&self, now: Instant) -> impl Iterator<Item = (InstanceDigest, u32)> {
+        let current = self.facts.values();
+        let current = current.filter(move |record| record.is_current(now));
+        current.filter_map(|record| match record.fact {
+            Fact::Brittle { limit, target } => Some((target, limit?)),
+            _ => None,
+        })
+    }
+
     /// Targets whose answers have said that they leave.
     pub fn leaving(&self, now: Instant) -> impl Iterator<Item = InstanceDigest> {
         let current = self.facts.values();
@@ -354,6 +366,7 @@
             }
             Fact::Completed { .. } | Fact::Leaving { .. } => true,
             Fact::RateLimit { per_1000_s, .. } => per_1000_s.is_some(),
+            Fact::Brittle { limit, .. } => limit.is_some(),
         }
     }
 
--- a/crates/lilaccrank/src/advisories/fact.rs
+++ b/crates/lilaccrank/src/advisories/fact.rs
@@ -9,14 +9,22 @@
 
 /// Time to live of a fact without a time of its own. A target that leaves ends within minutes.
 pub const LIFETIME: Duration = Duration::from_secs(600);
-/// Time to live of a rate limit after the latest answer that advertised it.
+/// Time to live of a limit after the latest answer that advertised it.
 pub const RATE_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
 /// Version of the kinds of facts. A daemon of an earlier version can't read facts of a later one.
-pub const FORMAT: u8 = 1;
+pub const FORMAT: u8 = 2;
 
 /// A fact that a daemon observed.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum Fact {
+    /// What a target said with its latest answer of how many requests it can turn away.
+    #[serde(rename = "b")]
+    Brittle {
+        /// Requests in a second that it can turn away; `None` if it is sound again.
+        limit: Option<u32>,
+        /// Digest of the target's ID and start time.
+        target: InstanceDigest,
+    },
     /// A target ended while a request with this content was in flight on it.
     #[serde(rename = "c")]
     Crash {
@@ -66,6 +74,7 @@
 /// Identifies the subject of a fact. A newer fact with the same key replaces the older one.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(super) enum Key {
+    Brittle(InstanceDigest),
     Completed(ContentDigest),
     Crash(ContentDigest, InstanceDigest),
     Leaving(InstanceDigest),
@@ -77,6 +86,7 @@
     /// Key under which a newer fact replaces this one.
     pub(super) fn key(self) -> Key {
         match self {
+            Self::Brittle { target, .. } => Key::Brittle(target),
             Self::Completed { content } => Key::Completed(content),
             Self::Crash { content, target } => Key::Crash(content, target),
             Self::Leaving { target } => Key::Leaving(target),
@@ -91,25 +101,26 @@
             Self::Crash { content, .. }
             | Self::Completed { content }
             | Self::Quarantined { content } => Some(content),
-            Self::Leaving { .. } | Self::RateLimit { .. } => None,
+            Self::Brittle { .. } | Self::Leaving { .. } | Self::RateLimit { .. } => None,
         }
     }
 
-    /// Returns `true` if both are rate limits and this one is lower.
+    /// Returns `true` if both are limits that targets advertise, and this one is lower.
     pub(super) fn is_stricter_than(self, other: Self) -> bool {
-        let rate = |fact| match fact {
+        let limit = |fact| match fact {
+            Self::Brittle { limit, .. } => Some(limit.unwrap_or(u32::MAX)),
             Self::RateLimit { per_1000_s, .. } => Some(per_1000_s.unwrap_or(u32::MAX)),
             _ => None,
         };
-        rate(self)
-            .zip(rate(other))
+        limit(self)
+            .zip(limit(other))
             .is_some_and(|(own, other)| own < other)
     }
 
     /// Time for which the fact is kept.
     pub(super) fn lifetime(self) -> Duration {
         match self {
-            Self::RateLimit { .. } => RATE_LIMIT_LIFETIME,
+            Self::Brittle { .. } | Self::RateLimit { .. } => RATE_LIMIT_LIFETIME,
             _ => LIFETIME,
         }
     }
@@ -117,6 +128,7 @@
     /// The first [`FORMAT`] that has this kind of fact.
     pub(super) fn format(self) -> u8 {
         match self {
+            Self::Brittle { .. } => 2,
             Self::Leaving { .. } => 1,
             _ => 0,
         }
--- a/crates/lilaccrank/src/cells.rs
+++ b/crates/lilaccrank/src/cells.rs
@@ -16,6 +16,7 @@
 use crate::document::Target;
 use crate::ids::VmId;
 use crate::rendezvous;
+use crate::target_instance::InstanceDigest;
 
 /// Minimum number of daemons in a cell; a smaller fleet than twice this is not divided. About
 /// ten daemons on as many targets exchange about 300 datagrams a second each at ten requests a
@@ -105,6 +106,22 @@
         indexes.map(|index| self.id_of(index)).collect()
     }
 
+    /// Returns the slots of a target that `me` owns, as a bit set: each slot has one owner among the
+    /// daemons of the `sharing` cells, and all of them own about as many.
+    #[must_use]
+    pub fn owned_slots(&self, target: InstanceDigest, sharing: &[CellId], me: &VmId) -> u64 {
+        let key = format!("slots/{target}");
+        let members = self.peers.iter().chain([me]);
+        let ranked = rendezvous::top(&key, members, self.peers.len() + 1);
+        let rank = ranked.iter().position(|vm| *vm == me).unwrap_or(0);
+        let cells = sharing.len().max(1);
+        let cell = sharing.iter().position(|cell| *cell == self.id());
+        let is_own =
+            |slot: &usize| Some(slot % cells) == cell && slot / cells % ranked.len() == rank;
+        let slots = (0..u64::BITS as usize).filter(is_own);
+        slots.fold(0, |owned, slot| owned | 1 << slot)
+    }
+
     /// Number of partitions of a pool with `targets` targets.
     fn partitions(&self, targets: usize) -> usize {
         max_partitions(targets, MIN_TARGETS).min(self.count)
--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -19,6 +19,7 @@
 
 mod admission;
 pub mod affinity;
+pub mod brittle;
 pub mod choice;
 mod deadline;
 mod delay;
@@ -170,6 +171,12 @@
         self.state.borrow_mut().set_rate_limits(shares, now);
     }
 
+    /// Sets which targets are brittle; those that are not listed are sound.
+    pub fn set_brittle(&self, shares: &IndexMap<InstanceDigest, brittle::Share>) {
+        let now = self.clock.now();
+        self.state.borrow_mut().set_brittle(shares, now);
+    }
+
     /// Sets how requests of this daemon get to the targets; those that are not listed are reached
     /// directly.
     pub fn set_routes(&self, routes: &IndexMap<TargetInstance, Route>) {
--- a/crates/lilaccrank/src/dispatch/message.rs
+++ b/crates/lilaccrank/src/dispatch/message.rs
@@ -188,6 +188,8 @@
     Erred,
     /// The target gave no complete answer.
     Failed,
+    /// The target did not run the request and says so.
+    TurnedAway,
     /// The grant was not used.
     Unused,
 }
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -49,6 +49,16 @@
                         target.observe(&entry, |health| health.record_error(now));
                         self.sharing.record(target.digest, Observation::Erred);
                     }
+                    Outcome::TurnedAway => {
+                        target.observe(&entry, |health| health.record_error(now));
+                        target.record_turned_away(now);
+                        let observation = match target.brittle {
+                            Some(_) => Observation::TurnedAway,
+                            None => Observation::Erred,
+                        };
+                        self.sharing.record(target.digest, observation);
+                        Self::note_load_change(&mut self.sharing, target, now);
+                    }
                     Outcome::Failed => {
                         target.observe(&entry, |health| health.record_failure(now));
                         self.sharing.record(target.digest, Observation::Failed);
--- a/crates/lilaccrank/src/dispatch/sharing/sample.rs
+++ b/crates/lilaccrank/src/dispatch/sharing/sample.rs
@@ -33,6 +33,8 @@
         /// Prefill tokens outstanding when the request was granted, including its own.
         prefill_ahead: u64,
     },
+    /// A rejection by a brittle target.
+    TurnedAway,
     /// Consecutive tokens.
     Step {
         /// Number of requests in the batch.
@@ -64,6 +66,7 @@
                 prefill_ahead,
             } => (3, micros(after), prefill_ahead),
             Observation::Step { batch, step } => (4, micros(step), batch.into()),
+            Observation::TurnedAway => (5, 0, 0),
         };
         Self(sample.target, kind, time, number)
     }
@@ -87,6 +90,7 @@
                 batch: u32::try_from(number).unwrap_or(u32::MAX),
                 step: time,
             },
+            5 => Observation::TurnedAway,
             kind => return Err(UnknownKind(kind)),
         };
         Ok(Self {
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -9,6 +9,7 @@
 
 use super::Config;
 use super::affinity::Affinity;
+use super::brittle;
 use super::choice::{self, Requirements};
 use super::deadline::Capacity;
 use super::delay::Delay;
@@ -303,6 +304,19 @@
         self.dispatch(now);
     }
 
+    /// Sets which targets are brittle.
+    pub(super) fn set_brittle(
+        &mut self,
+        shares: &IndexMap<InstanceDigest, brittle::Share>,
+        now: Instant,
+    ) {
+        for target in self.targets.values_mut() {
+            target.set_brittle(shares.get(&target.digest).copied(), now);
+        }
+        self.note_capacity_change();
+        self.dispatch(now);
+    }
+
     /// Returns `true` if this submission of a request is granted and has not ended.
     pub(super) fn is_granted(&self, request: &str, submission: SubmissionNumber) -> bool {
         let active_grant = self.active_grants.get(request);
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::brittle::{self, Brittle};
 use super::estimate::Estimate;
 use super::health::Health;
 use super::pushback::Pushback;
@@ -39,6 +40,8 @@
 /// Target with its estimated load, speed and health.
 #[derive(Clone, Debug)]
 pub struct Target {
+    /// Set if its answers say that it is brittle.
+    pub brittle: Option<Brittle>,
     /// Estimated load and speed.
     pub estimate: Estimate,
     /// Observed health.
@@ -77,6 +80,7 @@
     #[must_use]
     pub fn new(instance: TargetInstance, slots: u32, now: Instant) -> Self {
         Self {
+            brittle: None,
             digest: instance.digest(),
             estimate: Estimate::new(now),
             health: Health::new(now),
@@ -140,6 +144,45 @@
         }
     }
 
+    /// Sets whether the target is brittle.
+    pub fn set_brittle(&mut self, share: Option<brittle::Share>, now: Instant) {
+        if self.brittle.as_ref().map(Brittle::share) == share {
+            return;
+        }
+        log::info!(
+            limit = share.map_or(-1, |share| i64::from(share.limit)),
+            own_slots = share.map_or(0, |share| share.owned.count_ones()),
+            target = self.instance.id.as_str();
+            "brittleness of a target changed"
+        );
+        match (&mut self.brittle, share) {
+            (Some(brittle), Some(share)) => brittle.set_share(share),
+            (brittle, share) => *brittle = share.map(|share| Brittle::new(share, now)),
+        }
+    }
+
+    /// Returns `true` if the target is sound, or one more request can hardly be too many.
+    #[must_use]
+    pub fn bears_another(&self, now: Instant) -> bool {
+        self.brittle.as_ref().is_none_or(|brittle| {
+            let running = self.estimate.batch(now);
+            brittle.allows(
+                self.effective_slots(now),
+                running,
+                self.estimate.running(),
+                now,
+            )
+        })
+    }
+
+    /// Records that the target turned a request away for want of room.
+    pub(super) fn record_turned_away(&mut self, now: Instant) {
+        let running = self.estimate.batch(now);
+        if let Some(brittle) = &mut self.brittle {
+            brittle.record_turned_away(running, now);
+        }
+    }
+
     /// Returns `true` if the rate limit allows a request in addition to those reserved for earlier
     /// tiers and for a waiting submission of another daemon that goes first.
     #[must_use]
--- a/crates/lilaccrankd/src/peers/advisories.rs
+++ b/crates/lilaccrankd/src/peers/advisories.rs
@@ -158,6 +158,26 @@
         self.known.borrow().rate_limits(Instant::now()).collect()
     }
 
+    /// Records how many requests a target can turn away in a second, as its answer says; `None` if the
+    /// answer says nothing of it.
+    pub fn record_brittle(
+        &self,
+        target: &TargetInstance,
+        limit: Option<u32>,
+        exchange: &LoadExchange,
+    ) {
+        let fact = Fact::Brittle {
+            limit,
+            target: target.digest(),
+        };
+        self.record(fact, exchange);
+    }
+
+    /// Brittle targets, with the requests in a second that each can turn away.
+    pub fn brittle(&self) -> IndexMap<InstanceDigest, u32> {
+        self.known.borrow().brittle(Instant::now()).collect()
+    }
+
     /// Returns the next sync request to a peer.
     pub fn pull(&self, vm: &VmId) -> Pull {
         let mut cursors = self.cursors.borrow_mut();
@@ -232,6 +252,11 @@
                         );
                     }
                 }
+                Fact::Brittle { limit, target } => log::info!(
+                    limit = limit.map_or(-1, i64::from),
+                    target_digest = target;
+                    "a target says how many requests it can turn away"
+                ),
                 Fact::Leaving { target } => log::info!(
                     target_digest = target;
                     "a target says that it leaves"
--- a/crates/lilaccrankd/src/peers/load_exchange.rs
+++ b/crates/lilaccrankd/src/peers/load_exchange.rs
@@ -142,6 +142,7 @@
         daemon.live_list.freshness.observe(MonoioClock.boot_time());
         server::apply_leaving(&daemon);
         server::apply_rate_limits(&daemon);
+        server::apply_brittle(&daemon);
         if !is_needed(&daemon) {
             continue;
         }
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -35,7 +35,7 @@
 
 mod notices;
 
-pub use notices::{apply_leaving, apply_rate_limits, apply_routes, push_back};
+pub use notices::{apply_brittle, apply_leaving, apply_rate_limits, apply_routes, push_back};
 
 /// Longest time that a new dispatcher waits for the entries to report their requests.
 const HANDOVER_GRACE: Duration = Duration::from_secs(1);
@@ -51,6 +51,8 @@
 /// The dispatchers of this daemon.
 #[derive(Default)]
 pub struct PoolServer {
+    /// Brittle targets and the cell, as last applied to the dispatchers.
+    brittle: RefCell<(IndexMap<InstanceDigest, u32>, Rc<cells::Cell>)>,
     /// The daemons that share targets with this one, where each daemon dispatches its own requests.
     cell: RefCell<Rc<cells::Cell>>,
     entries: RefCell<Vec<Entry>>,
@@ -377,7 +379,9 @@
         cells::sort_by_daemon_hash(&mut pool.targets, &daemon.cfg.vm);
     }
     daemon.pool_server.rate_limits.targets_changed();
+    let brittle = daemon.advisories.brittle();
     dispatcher.set_targets_where(&pool, |data_centre| daemon.cfg.is_near(data_centre));
+    dispatcher.set_brittle(&notices::brittle_shares(daemon, configured, &brittle));
     if daemon.duties.is_dispatch_local() {
         for (target, left) in daemon.pauses.in_force(Instant::now()) {
             dispatcher.push_back(&target, left);
--- a/crates/lilaccrankd/src/pools/server/notices.rs
+++ b/crates/lilaccrankd/src/pools/server/notices.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use lilaccrank::dispatch::brittle;
+use lilaccrank::document::Pool;
 use lilaccrank::ids::PoolId;
 use lilaccrank::paths::Route;
-use lilaccrank::target_instance::TargetInstance;
+use lilaccrank::target_instance::{InstanceDigest, TargetInstance};
 
 use crate::daemon::Daemon;
 
@@ -25,6 +27,46 @@
     });
 }
 
+/// Applies to the dispatchers of this daemon which targets are brittle, and whose their slots are.
+pub fn apply_brittle(daemon: &Daemon) {
+    let current = (daemon.advisories.brittle(), super::cell(daemon));
+    let server = &daemon.pool_server;
+    if *server.brittle.borrow() == current {
+        return;
+    }
+    let Ok(in_force) = daemon.in_force() else {
+        return;
+    };
+    for (pool, served) in server.served.borrow().iter() {
+        if let Some(configured) = in_force.document.pool(pool) {
+            let shares = brittle_shares(daemon, configured, &current.0);
+            served.dispatcher.set_brittle(&shares);
+        }
+    }
+    server.brittle.replace(current);
+}
+
+/// Slots of the brittle targets of a pool that this daemon owns.
+pub(super) fn brittle_shares(
+    daemon: &Daemon,
+    pool: &Pool,
+    limits: &IndexMap<InstanceDigest, u32>,
+) -> IndexMap<InstanceDigest, brittle::Share> {
+    let cell = super::cell(daemon);
+    let targets = super::near_targets(daemon, pool);
+    let cells = cell.cells_sharing_targets(targets.len());
+    let shares = targets.iter().filter_map(|target| {
+        let digest = TargetInstance::of(target).digest();
+        let limit = *limits.get(&digest)?;
+        let owned = match daemon.duties.is_dispatch_local() {
+            true => cell.owned_slots(digest, &cells, &daemon.cfg.vm),
+            false => u64::MAX,
+        };
+        Some((digest, brittle::Share { limit, owned }))
+    });
+    shares.collect()
+}
+
 /// Tells the dispatchers how requests of this daemon get to the targets. A dispatcher of several
 /// daemons is told of the unreachable ones with each submission.
 pub fn apply_routes(daemon: &Daemon, routes: &IndexMap<TargetInstance, Route>) {
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -315,6 +315,13 @@
 }
 
 impl forward::Observer for SendObserver<'_> {
+    fn brittleness(&self, limit: Option<u32>) {
+        let exchange = &self.daemon.load_exchange;
+        self.daemon
+            .advisories
+            .record_brittle(&self.grant.target, limit, exchange);
+    }
+
     fn leaving(&self) {
         Observer::leaving(self);
     }
@@ -361,7 +368,7 @@
             failed if failed.refusal.kind.is_unrelated_to_target() => Outcome::Cancelled,
             failed if failed.refusal.kind == ErrorKind::NoTarget => Outcome::Unused,
             failed if failed.answer.is_some() => Outcome::Erred,
-            failed if failed.failure == Failure::NotRun => Outcome::Erred,
+            failed if failed.failure == Failure::NotRun => Outcome::TurnedAway,
             _ => Outcome::Failed,
         },
     }
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -51,6 +51,9 @@
     /// Called for each event; `first` for the first one.
     fn event(&self, first: bool, since_sent: Duration);
 
+    /// Called with what an answer says of the requests in a second that the target can turn away.
+    fn brittleness(&self, limit: Option<u32>);
+
     /// Called if the head of an answer says that the target leaves.
     fn leaving(&self);
 
@@ -133,6 +136,7 @@
         let kind = self.protocol.classify(&head, outgoing);
         if kind != AnswerKind::Mismatched {
             self.observer.rate_limit(self.protocol.rate_limit(&head));
+            self.observer.brittleness(self.protocol.brittleness(&head));
         }
         match kind {
             AnswerKind::Mismatched => {
--- a/crates/lilaccrankd/src/targets/protocol.rs
+++ b/crates/lilaccrankd/src/targets/protocol.rs
@@ -36,6 +36,12 @@
             .flatten()
     }
 
+    /// Returns how many requests in a second the target can turn away without falling over, if the
+    /// head of its answer says so.
+    fn brittleness(&self, _head: &Parts) -> Option<u32> {
+        None
+    }
+
     /// Returns the rate limit that the head of an answer advertises.
     fn rate_limit(&self, _head: &Parts) -> RateLimit {
         RateLimit::Unknown
