--- a/crates/lilaccrank-lab/src/cluster.rs
+++ b/crates/lilaccrank-lab/src/cluster.rs
@@ -87,6 +87,7 @@
     callers: SocketAddr,
     gossip: SocketAddr,
     peer: SocketAddr,
+    relay: SocketAddr,
     vm: String,
 }
 
@@ -191,6 +192,7 @@
                 callers: ports::free(),
                 gossip: ports::free(),
                 peer: ports::free(),
+                relay: ports::free(),
                 vm: format!("{}-{i}", data_centre.name),
             });
             addresses.insert(data_centre.name.clone(), list.collect());
@@ -242,6 +244,7 @@
             "other_data_centres": others,
             "peer": own.peer,
             "platform": self.platform_address(data_centre),
+            "relay": own.relay,
             "seeds": seeds,
             "vm": own.vm,
         });
