Paths: a relayed answer is given up if the relay has died

Cause: a relay that froze or lost its power took the streams that it relayed with it until their deadlines; only a closed connection was noticed. Change: once the membership has declared the relay dead, an answer that may be repeated is sent again like one behind a cut path.

--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -391,7 +391,7 @@
 
 /// Failure of a send whose answer can't arrive, since this daemon has lost its path to the target.
 fn path_lost(buffer: &AnswerBuffer) -> SendFailure {
-    let message = "the path to the target is down, and others reach it";
+    let message = "the path to the target was lost, while others reach it";
     let refusal = Refusal::new(ErrorKind::TargetSilent, message);
     let mut lost = failed(refusal.ran(Executed::Maybe));
     lost.is_path_fault = true;
--- a/crates/lilaccrankd/src/targets/call.rs
+++ b/crates/lilaccrankd/src/targets/call.rs
@@ -36,7 +36,8 @@
     sent.map_err(|e| refusal(&e))
 }
 
-fn refusal(e: &Error) -> Refusal {
+/// Returns the refusal for a request that got no response head.
+pub fn refusal(e: &Error) -> Refusal {
     let kind = match e {
         Error::Silent { .. } => ErrorKind::TargetSilent,
         Error::Connect { .. } | Error::Exchange { .. } => ErrorKind::TargetFailed,
--- a/crates/lilaccrankd/src/targets/paths.rs
+++ b/crates/lilaccrankd/src/targets/paths.rs
@@ -108,17 +108,12 @@
         paths.paths.borrow_mut().record_heard(&self.target, now);
     }
 
-    /// Completes when the answer can't arrive: the target is well, and this daemon's path to it is
+    /// Returns `true` if the answer can't arrive: the target is well, and this daemon's path to it is
     /// down.
-    pub async fn cut(&self) {
-        let paths = &self.daemon.paths;
-        loop {
-            let listener = paths.changed.listen();
-            if paths.paths.borrow().is_cut(&self.target, Instant::now()) {
-                return;
-            }
-            listener.await;
-        }
+    #[must_use]
+    pub fn is_cut(&self) -> bool {
+        let paths = self.daemon.paths.paths.borrow();
+        paths.is_cut(&self.target, Instant::now())
     }
 }
 
@@ -164,6 +159,11 @@
         unreachable.map(|(target, _)| target).collect()
     }
 
+    /// Waits for a change, or the next check of the paths that are down.
+    pub async fn changed(&self) {
+        self.changed.listen().await;
+    }
+
     /// Waits until the peers have been asked, and returns one that reaches the target.
     pub async fn until_relay(&self, target: &TargetInstance) -> Option<(VmId, SocketAddr)> {
         loop {
--- a/crates/lilaccrankd/src/targets/transport.rs
+++ b/crates/lilaccrankd/src/targets/transport.rs
@@ -4,17 +4,17 @@
 //! A request is handed to a peer only if nothing of it was sent, and to the next peer only if the
 //! first says so.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures::future;
 use hyper::body::Incoming;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::{Request, Response};
 use lilaccrank::document::Target;
-use lilaccrank::error_kind::{ErrorKind, Executed};
+use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::{PoolId, VmId};
+use lilaccrank::membership::State;
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::body::Body;
 use lilaccrank_http::client::{self, Connection, Limits};
@@ -23,6 +23,7 @@
 use crate::callers::refusal::Refusal;
 use crate::daemon::Daemon;
 use crate::peers::path_relay::{self, Envelope};
+use crate::targets::call;
 use crate::targets::paths::{self, Running};
 
 /// Result of one send.
@@ -62,32 +63,18 @@
     /// The refusal for the caller.
     #[must_use]
     pub fn refusal(&self) -> Refusal {
-        let (kind, ran, connection_lost) = match self {
-            Self::Unreachable(_) => (ErrorKind::NoTarget, Executed::No, false),
+        let message = self.to_string();
+        match self {
+            Self::Direct(e) => call::refusal(e),
             Self::Relayed { failure, .. } => match failure {
-                path_relay::Failure::Lost => (ErrorKind::TargetFailed, Executed::Maybe, true),
-                path_relay::Failure::Silent => (ErrorKind::TargetSilent, Executed::Maybe, false),
-                path_relay::Failure::Unsent => (ErrorKind::NoTarget, Executed::No, false),
+                path_relay::Failure::Lost => {
+                    Refusal::new(ErrorKind::TargetFailed, message).connection_lost()
+                }
+                path_relay::Failure::Silent => Refusal::new(ErrorKind::TargetSilent, message),
+                path_relay::Failure::Unsent => Refusal::new(ErrorKind::NoTarget, message),
             },
-            Self::RelayLost { .. } => (ErrorKind::TargetFailed, Executed::Maybe, false),
-            Self::Direct(e) => {
-                let kind = match e {
-                    client::Error::Silent { .. } => ErrorKind::TargetSilent,
-                    client::Error::Connect { .. } | client::Error::Exchange { .. } => {
-                        ErrorKind::TargetFailed
-                    }
-                };
-                let ran = match e.is_unsent() {
-                    true => Executed::No,
-                    false => Executed::Maybe,
-                };
-                (kind, ran, e.is_connection_lost())
-            }
-        };
-        let refusal = Refusal::new(kind, self.to_string()).ran(ran);
-        match connection_lost {
-            true => refusal.connection_lost(),
-            false => refusal,
+            Self::RelayLost { .. } => Refusal::new(ErrorKind::TargetFailed, message),
+            Self::Unreachable(_) => Refusal::new(ErrorKind::NoTarget, message),
         }
     }
 }
@@ -99,8 +86,9 @@
     instance: TargetInstance,
     log_id: String,
     pool: PoolId,
+    /// The peer that has the request.
+    relay: RefCell<Option<VmId>>,
     running: RefCell<Option<Rc<Running>>>,
-    relayed: Cell<bool>,
     target: Target,
 }
 
@@ -120,8 +108,8 @@
             instance: TargetInstance::of(target),
             log_id: log_id.to_owned(),
             pool: pool.clone(),
+            relay: RefCell::default(),
             running: RefCell::default(),
-            relayed: Cell::new(false),
             target: target.clone(),
         }
     }
@@ -169,19 +157,21 @@
         }
     }
 
-    /// Returns `true` if a peer relays the request.
-    #[must_use]
-    pub fn is_relayed(&self) -> bool {
-        self.relayed.get()
+    /// Completes when the answer can't arrive: the own path is down and the target is well, or the
+    /// daemon that relays the request has died.
+    pub async fn cut(&self) {
+        while !self.is_cut() {
+            self.daemon.paths.changed().await;
+        }
     }
 
-    /// Completes when the answer can't arrive over the own connection before the path is back.
-    pub async fn cut(&self) {
-        let running = self.running.borrow().clone();
-        match running {
-            Some(running) => running.cut().await,
-            None => future::pending().await,
+    fn is_cut(&self) -> bool {
+        if let Some(vm) = &*self.relay.borrow() {
+            let relay = self.daemon.membership.find(vm);
+            return relay.is_none_or(|relay| relay.state == State::Dead);
         }
+        let running = self.running.borrow();
+        running.as_ref().is_some_and(|running| running.is_cut())
     }
 
     async fn send_direct(
@@ -228,6 +218,7 @@
             let req = envelope.wrap(build());
             log::info!(request = self.log_id, target = self.instance.id, via = vm; "relayed");
             self.daemon.metrics.relayed_sent.inc();
+            self.relay.replace(Some(vm.clone()));
             let sent = self
                 .daemon
                 .client
@@ -236,7 +227,6 @@
             let failure = match sent {
                 Ok((res, connection)) => match path_relay::failure(&res) {
                     None => {
-                        self.relayed.set(true);
                         paths.record_relay(&self.daemon, &self.instance, &vm, true);
                         return Ok((unwrap(res), connection));
                     }
