--- a/crates/lilaccrank/src/paths.rs
+++ b/crates/lilaccrank/src/paths.rs
@@ -17,7 +17,7 @@
 /// up. A path on which packets are lost is back within it.
 const CUT_AGE: Duration = Duration::from_millis(500);
 /// Time for which a peer that reaches a target is used without asking it again.
-const PEER_SUCCESS_TTL: Duration = Duration::from_secs(5);
+const PEER_SUCCESS_TTL: Duration = Duration::from_secs(20);
 
 /// How requests get to a target.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -122,6 +122,27 @@
         self.path(target).searched = true;
     }
 
+    /// Drops what peers said that are no longer alive. Targets that lose their relay by this may have
+    /// another one.
+    pub fn retain_peers(&mut self, is_alive: impl Fn(&VmId) -> bool) {
+        for path in self.paths.values_mut() {
+            let had_relay = path
+                .peers
+                .iter()
+                .any(|(vm, peer)| matches!(peer, PeerPath::Reaches(_)) && !is_alive(vm));
+            path.peers.retain(|vm, _| is_alive(vm));
+            path.searched &= !had_relay;
+        }
+    }
+
+    /// Returns `true` if the peers have not been asked since the path went down or lost its relay.
+    #[must_use]
+    pub fn needs_search(&self, target: &TargetInstance, now: Instant) -> bool {
+        self.paths.get(target).is_some_and(|path| {
+            path.down_since.is_some() && path.relay(now).is_none() && !path.searched
+        })
+    }
+
     /// Counts a request that begins or ends on an own connection.
     pub fn record_running(&mut self, target: &TargetInstance, begins: bool, now: Instant) {
         let path = self.path(target);
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -182,6 +182,7 @@
             .set_member_count(daemon.membership.live().members.len());
         pools::server::members_changed(&daemon);
         pools::client::resync_dispatchers(&daemon);
+        paths::members_changed(&daemon);
         manager::reconcile(&daemon);
         daemon.peers.prune();
     }
--- a/crates/lilaccrankd/src/targets/paths.rs
+++ b/crates/lilaccrankd/src/targets/paths.rs
@@ -15,6 +15,7 @@
 use indexmap::{IndexMap, IndexSet};
 use lilaccrank::document::Target;
 use lilaccrank::ids::{DataCentre, PoolId, VmId};
+use lilaccrank::membership::State;
 use lilaccrank::paths::{Paths, Route};
 use lilaccrank::peers::Peers;
 use lilaccrank::target_instance::TargetInstance;
@@ -46,11 +47,11 @@
 /// Maximum number of paths that are probed on such a suspicion.
 const SUSPECTS_LIMIT: usize = 64;
 /// Time before the end of what is known of a relay at which peers are asked again.
-const RELAY_REFRESH: Duration = Duration::from_secs(3);
+const RELAY_REFRESH: Duration = Duration::from_secs(15);
 /// Ticks between two checks for records of targets that are gone.
 const TICKS_PER_CLEANUP: u32 = 100;
 /// Maximum number of peers that a search asks about one target.
-const CANDIDATES_LIMIT: usize = 16;
+const CANDIDATES_LIMIT: usize = 6;
 /// Number of peers that are asked at once whether they reach a target.
 const PEERS_AT_ONCE: usize = 3;
 /// Time that an answer of a peer may take on top of the connection that it may have to make.
@@ -164,22 +165,6 @@
         self.changed.listen().await;
     }
 
-    /// Waits until the peers have been asked, and returns one that reaches the target.
-    pub async fn until_relay(&self, target: &TargetInstance) -> Option<(VmId, SocketAddr)> {
-        loop {
-            let listener = self.changed.listen();
-            let relay = self.paths.borrow().relay(target, Instant::now());
-            if let Some(vm) = relay {
-                let address = self.relays.borrow().get(&vm).map(|peer| peer.address);
-                return address.map(|address| (vm, address));
-            }
-            if !self.searching.borrow().contains(target) {
-                return None;
-            }
-            listener.await;
-        }
-    }
-
     /// Records whether a peer relays requests to the target.
     pub fn record_relay(&self, daemon: &Daemon, target: &TargetInstance, vm: &VmId, reaches: bool) {
         let now = Instant::now();
@@ -212,6 +197,44 @@
     }
 }
 
+/// Waits until the peers have been asked, and returns one that reaches the target.
+pub async fn until_relay(
+    daemon: &Rc<Daemon>,
+    pool: &PoolId,
+    target: &TargetInstance,
+) -> Option<(VmId, SocketAddr)> {
+    let paths = &daemon.paths;
+    loop {
+        let listener = paths.changed.listen();
+        let now = Instant::now();
+        let relay = paths.paths.borrow().relay(target, now);
+        if let Some(vm) = relay {
+            let address = paths.relays.borrow().get(&vm).map(|peer| peer.address);
+            return address.map(|address| (vm, address));
+        }
+        if paths.paths.borrow().needs_search(target, now) {
+            start_search(daemon, pool, target);
+        }
+        if !paths.searching.borrow().contains(target) {
+            return None;
+        }
+        listener.await;
+    }
+}
+
+/// Drops what is known of relays that are no longer alive.
+pub fn members_changed(daemon: &Daemon) {
+    let is_alive = |vm: &VmId| {
+        let member = daemon.membership.find(vm);
+        member.is_some_and(|member| member.state != State::Dead)
+    };
+    let paths = &daemon.paths;
+    paths.paths.borrow_mut().retain_peers(is_alive);
+    paths.relays.borrow_mut().retain(|vm, _| is_alive(vm));
+    paths.changed.notify(usize::MAX);
+    paths.apply(daemon);
+}
+
 /// Records that a connection to a target was made.
 pub fn record_connected(daemon: &Rc<Daemon>, target: &TargetInstance) {
     let paths = &daemon.paths;
@@ -312,7 +335,8 @@
         let down = down.filter(|target| is_due(target, PROBE_INTERVAL));
         let due: Vec<_> = silent.chain(down.take(PROBES_PER_TICK)).collect();
         drop(paths);
-        for target in &due {
+        // One in a tick, so that a cell of targets costs no more than one of them.
+        if let Some(target) = due.iter().find(|target| needs_relay(&daemon, target)) {
             search_again(&daemon, target);
         }
         // Whether an answer is cut depends on the time for which its path has been down.
@@ -341,20 +365,26 @@
     pools.any(|pool| daemon.target(&pool.id, target).is_some())
 }
 
-/// Asks the peers once more about a target that none of them has reached lately.
+/// Returns `true` if the path to a target is down and no peer has lately reached it.
+fn needs_relay(daemon: &Daemon, target: &TargetInstance) -> bool {
+    let paths = daemon.paths.paths.borrow();
+    let refresh_at = Instant::now() + RELAY_REFRESH;
+    paths.is_down(target) && paths.relay(target, refresh_at).is_none()
+}
+
+/// Asks one peer about a target: the present relay, or another one if there is none.
 fn search_again(daemon: &Rc<Daemon>, target: &TargetInstance) {
-    let paths = &daemon.paths;
-    let is_unreachable = {
-        let paths = paths.paths.borrow();
-        paths.is_down(target)
-            && paths
-                .relay(target, Instant::now() + RELAY_REFRESH)
-                .is_none()
+    let pool = daemon.paths.pools.borrow().get(target).cloned();
+    let relay = daemon.paths.paths.borrow().relay(target, Instant::now());
+    let peer = relay.or_else(|| candidates(daemon, target).into_iter().next());
+    let (Some(pool), Some(peer)) = (pool, peer) else {
+        return;
     };
-    let pool = paths.pools.borrow().get(target).cloned();
-    if let Some(pool) = pool.filter(|_| is_unreachable) {
-        start_search(daemon, &pool, target);
-    }
+    let (daemon, target) = (Rc::clone(daemon), target.clone());
+    monoio::spawn(async move {
+        ask(&daemon, &peer, &pool, &target, RECENT).await;
+        daemon.paths.apply(&daemon);
+    });
 }
 
 /// Probes targets of this daemon's list from which nothing has come lately.
@@ -405,23 +435,13 @@
     });
 }
 
-/// Asks peers until one reaches the target or all candidates have been asked, the present relay first.
+/// Asks peers until one reaches the target or all candidates have been asked.
 async fn search(daemon: &Rc<Daemon>, pool: &PoolId, target: &TargetInstance) {
-    let relay = daemon.paths.paths.borrow().relay(target, Instant::now());
-    if let Some(vm) = relay
-        && ask(daemon, &vm, pool, target, RECENT).await
-    {
-        return;
-    }
-    loop {
-        let candidates = candidates(daemon, target);
-        let asked = candidates.iter().take(PEERS_AT_ONCE);
+    for asked in candidates(daemon, target).chunks(PEERS_AT_ONCE) {
         let mut asked: FuturesUnordered<_> = asked
+            .iter()
             .map(|vm| ask(daemon, vm, pool, target, RECENT))
             .collect();
-        if asked.is_empty() {
-            return;
-        }
         while let Some(reaches) = asked.next().await {
             if reaches {
                 return;
@@ -455,7 +475,8 @@
     let (near, others): (Vec<_>, Vec<_>) = others.partition(|vm| is_near(vm));
     let mut rng = rand::rng();
     let mut sampled = near.into_iter().sample(&mut rng, CANDIDATES_LIMIT / 2);
-    sampled.extend(others.into_iter().sample(&mut rng, CANDIDATES_LIMIT / 2));
+    let rest = CANDIDATES_LIMIT - sampled.len();
+    sampled.extend(others.into_iter().sample(&mut rng, rest));
     let sampled = sampled.into_iter().cloned().collect();
     let paths = daemon.paths.paths.borrow();
     paths.candidates(target, sampled, Instant::now())
--- a/crates/lilaccrankd/src/targets/transport.rs
+++ b/crates/lilaccrankd/src/targets/transport.rs
@@ -203,7 +203,9 @@
     ) -> Result<(Response<Incoming>, Connection)> {
         let paths = &self.daemon.paths;
         for _ in 0..MAX_RELAYS {
-            let Some((vm, address)) = paths.until_relay(&self.instance).await else {
+            let Some((vm, address)) =
+                paths::until_relay(&self.daemon, &self.pool, &self.instance).await
+            else {
                 break;
             };
             let envelope = Envelope {
