--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -107,9 +107,9 @@
     pub target: TargetInstance,
 }
 
-/// Occupancy of a pool at one moment. Only healthy targets that can be reached count, without those
-/// in a pushback: the free slots
-/// of others would count as headroom, and urgent work would find no free slot.
+/// Occupancy of a pool at one moment. Only targets that are healthy, can be reached and are in no
+/// pushback count: the free slots of others would count as headroom, and urgent work would find no free
+/// slot.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Occupancy {
     /// Healthy targets with an outstanding long prefill.
