--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -25,7 +25,7 @@
 use crate::pools::server;
 use crate::request::answer_buffer::{AnswerBuffer, End};
 use crate::request::interruption;
-use crate::targets::paths::{self, Running};
+use crate::targets::paths::{self, ActiveSend};
 use crate::targets::relay;
 use crate::targets::sendable;
 
@@ -213,7 +213,7 @@
     let req = Request::from_parts(head, body::full(body));
     let buffer = Rc::new(AnswerBuffer::default());
     let reader = buffer.reader();
-    let running = Running::new(daemon, &relayed.target);
+    let active = ActiveSend::new(daemon, &relayed.target);
     let (res, connection) = {
         let sending = send(daemon, relayed, &target, req);
         let stopped = interruption::interrupted(
@@ -228,7 +228,7 @@
             Either::Right(_) => return Err(Failure::Silent),
         }
     };
-    running.record_heard();
+    active.record_heard();
     if let Some(pause) = daemon
         .ports
         .targets
@@ -244,7 +244,7 @@
         Rc::clone(&buffer),
         relayed.deadline,
         (res, connection),
-        running,
+        active,
     ));
     let answered = entry::respond_verbatim(daemon, reader, Some(in_progress)).await;
     let mut res = answered.map_err(|_| Failure::Silent)?;
@@ -301,12 +301,12 @@
     buffer: Rc<AnswerBuffer>,
     deadline: Option<Instant>,
     (mut res, connection): (Response<Incoming>, Connection),
-    running: Running,
+    active: ActiveSend,
 ) {
     *res.headers_mut() = end_to_end::headers(res.headers());
     let stopped =
         interruption::interrupted(&buffer, deadline, Duration::ZERO, &daemon.abort_signal);
-    let on_data = || running.record_heard();
+    let on_data = || active.record_heard();
     let copying = relay::copy(
         &daemon.client,
         res,
--- a/crates/lilaccrankd/src/targets/transport.rs
+++ b/crates/lilaccrankd/src/targets/transport.rs
@@ -24,7 +24,7 @@
 use crate::daemon::Daemon;
 use crate::peers::path_relay::{self, Envelope};
 use crate::targets::call;
-use crate::targets::paths::{self, Running};
+use crate::targets::paths::{self, ActiveSend};
 
 /// Result of one send.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -88,7 +88,7 @@
     pool: PoolId,
     /// The peer that has the request.
     relay: RefCell<Option<VmId>>,
-    running: RefCell<Option<Rc<Running>>>,
+    active: RefCell<Option<Rc<ActiveSend>>>,
     target: Target,
 }
 
@@ -109,7 +109,7 @@
             log_id: log_id.to_owned(),
             pool: pool.clone(),
             relay: RefCell::default(),
-            running: RefCell::default(),
+            active: RefCell::default(),
             target: target.clone(),
         }
     }
@@ -152,8 +152,8 @@
 
     /// Records that a part of the answer arrived.
     pub fn record_heard(&self) {
-        if let Some(running) = &*self.running.borrow() {
-            running.record_heard();
+        if let Some(active) = &*self.active.borrow() {
+            active.record_heard();
         }
     }
 
@@ -170,8 +170,8 @@
             let relay = self.daemon.membership.find(vm);
             return relay.is_none_or(|relay| relay.state == State::Dead);
         }
-        let running = self.running.borrow();
-        running.as_ref().is_some_and(|running| running.is_cut())
+        let active = self.active.borrow();
+        active.as_ref().is_some_and(|active| active.is_cut())
     }
 
     async fn send_direct(
@@ -179,17 +179,17 @@
         req: Request<Body>,
         limits: Limits,
     ) -> client::Result<(Response<Incoming>, Connection)> {
-        let running = Rc::new(Running::new(&self.daemon, &self.instance));
-        self.running.replace(Some(Rc::clone(&running)));
+        let active = Rc::new(ActiveSend::new(&self.daemon, &self.instance));
+        self.active.replace(Some(Rc::clone(&active)));
         let sent = self
             .daemon
             .client
             .send(&self.target.address, req, limits)
             .await;
         match &sent {
-            Ok(_) => running.record_heard(),
+            Ok(_) => active.record_heard(),
             Err(_) => {
-                self.running.take();
+                self.active.take();
             }
         }
         sent
