Relay: answers of targets can't speak for the relay

Cause: the relay passed a target's lilaccrank-relay-failure on, and the daemon in front read it as its relay's word; a request that had run was refused as not run.

--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -303,7 +303,12 @@
     (mut res, connection): (Response<Incoming>, Connection),
     active: ActiveSend,
 ) {
-    *res.headers_mut() = end_to_end::headers(res.headers());
+    let headers = res.headers_mut();
+    *headers = end_to_end::headers(headers);
+    // The daemon in front would take them for the relay's own.
+    for name in [FAILURE, UNFRAMED] {
+        headers.remove(name);
+    }
     let stopped =
         interruption::interrupted(&buffer, deadline, Duration::ZERO, &daemon.abort_signal);
     let on_data = || active.record_heard();
