--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -68,11 +68,13 @@
         let checked = sendable::until_usable(daemon, &self.route.pool, &grant.target).await;
         let observer = SendObserver::new(self, daemon, &grant, &history.delivered);
         let (sent, decoded, prefill) = match checked {
-            Err(refusal) => (Err(failed(refusal).into()), 0, None),
+            Err(refusal) => (Err(SendFailure::new(refusal).into()), 0, None),
             Ok(target) => match &self.caller.operation {
                 Operation::Generate { .. } => {
                     let ended = self.generate(&observer, buffer, &target).await;
-                    let result = ended.result.map_err(|refusal| failed(refusal).into());
+                    let result = ended
+                        .result
+                        .map_err(|refusal| SendFailure::new(refusal).into());
                     (result, ended.decoded, ended.prefill)
                 }
                 Operation::Proxy(proxied) => {
@@ -199,7 +201,7 @@
         };
         let interrupted = async {
             let refusal = self.interrupted(daemon, buffer).await;
-            SendError::from(failed(refusal.ran(Executed::Maybe)))
+            SendError::from(SendFailure::new(refusal.ran(Executed::Maybe)))
         };
         let restarted = async {
             daemon
@@ -375,25 +377,11 @@
     }
 }
 
-/// Failure of a send with this refusal. If the refusal says "not run", nothing reached the target.
-fn failed(refusal: Refusal) -> SendFailure {
-    let failure = match refusal.ran {
-        Executed::No => Failure::Unsent,
-        Executed::Maybe => Failure::Failed,
-    };
-    SendFailure {
-        answer: None,
-        failure,
-        is_path_fault: false,
-        refusal,
-    }
-}
-
 /// Failure of a send whose answer can't arrive, since this daemon has lost its path to the target.
 fn path_lost(buffer: &AnswerBuffer) -> SendFailure {
     let message = "the path to the target was lost, while others reach it";
     let refusal = Refusal::new(ErrorKind::TargetSilent, message);
-    let mut lost = failed(refusal.ran(Executed::Maybe));
+    let mut lost = SendFailure::new(refusal.ran(Executed::Maybe));
     lost.is_path_fault = true;
     if buffer.has_head() {
         lost.failure = Failure::BrokenOff;
@@ -407,7 +395,7 @@
 /// hold a slot that no longer exists.
 fn target_restarted(buffer: &AnswerBuffer) -> SendFailure {
     let refusal = Refusal::new(ErrorKind::TargetFailed, "the target has started again");
-    let mut lost = failed(refusal.ran(Executed::Maybe).connection_lost());
+    let mut lost = SendFailure::new(refusal.ran(Executed::Maybe).connection_lost());
     if buffer.has_head() {
         lost.failure = Failure::BrokenOff;
     }
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -21,7 +21,7 @@
 use crate::callers::refusal::{REFUSAL, Refusal};
 use crate::request::answer_buffer::{AnswerBuffer, Head};
 use crate::targets::protocol::{AnswerKind, OutgoingRequest, RateLimit, TargetProtocol};
-use crate::targets::transport::{self, Transport};
+use crate::targets::transport::Transport;
 
 /// Result of one send.
 pub type Result<T, E = SendFailure> = std::result::Result<T, E>;
@@ -77,6 +77,23 @@
     pub refusal: Refusal,
 }
 
+impl SendFailure {
+    /// Failure of a send with this refusal. If the refusal says "not run", nothing reached the target.
+    #[must_use]
+    pub fn new(refusal: Refusal) -> Self {
+        let failure = match refusal.ran {
+            Executed::No => Failure::Unsent,
+            Executed::Maybe => Failure::Failed,
+        };
+        Self {
+            answer: None,
+            failure,
+            is_path_fault: false,
+            refusal,
+        }
+    }
+}
+
 /// The part of the answer that was delivered to the caller.
 #[derive(Debug, Default)]
 pub struct Delivered {
@@ -173,7 +190,7 @@
             })
         };
         let sent = self.transport.send(build, limits).await;
-        let (res, connection) = sent.map_err(|e| unanswered(&e))?;
+        let (res, connection) = sent.map_err(|e| SendFailure::new(e.refusal()))?;
         let (mut head, body) = res.into_parts();
         head.headers.remove(REFUSAL);
         Ok((head, body, connection))
@@ -358,12 +375,7 @@
 }
 
 fn failed(kind: ErrorKind, message: impl Into<String>) -> SendFailure {
-    SendFailure {
-        answer: None,
-        failure: Failure::Failed,
-        is_path_fault: false,
-        refusal: Refusal::new(kind, message).ran(Executed::Maybe),
-    }
+    SendFailure::new(Refusal::new(kind, message).ran(Executed::Maybe))
 }
 
 fn broken(message: &str, has_begun: bool) -> SendFailure {
@@ -379,17 +391,3 @@
     lost.refusal.connection_lost = true;
     lost
 }
-
-fn unanswered(e: &transport::Error) -> SendFailure {
-    let refusal = e.refusal();
-    let failure = match refusal.ran {
-        Executed::No => Failure::Unsent,
-        Executed::Maybe => Failure::Failed,
-    };
-    SendFailure {
-        answer: None,
-        failure,
-        is_path_fault: false,
-        refusal,
-    }
-}
