Logs: since when all callers of a request have hung up

The lines `granted`, `a send failed` and `ended without a whole answer` now have `abandoned_ms`: the time since which the connections of all callers are known to be closed, -1 while one is open. The server hands its handlers the connection of the client, which is asked at that moment; bytes of a next request are read ahead for it, and given to hyper in their order.

No logic changes: nothing decides by it yet. The handlers of servers get a second argument; tests of the server pass it on.

--- a/crates/lilaccrank-http/src/lib.rs
+++ b/crates/lilaccrank-http/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod body;
 pub mod client;
+pub mod client_connection;
 pub mod compression;
 pub mod events;
 mod head_timer;
--- a/crates/lilaccrank-http/src/server.rs
+++ b/crates/lilaccrank-http/src/server.rs
@@ -20,6 +20,7 @@
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 
 use crate::body::Body;
+use crate::client_connection::{ClientConnection, WatchedIo};
 use crate::head_timer::{GuardedBody, HeadTimer, TimedIo};
 
 /// Result of binding a listener.
@@ -115,7 +116,7 @@
 /// disconnects.
 pub async fn serve<H, F>(listener: TcpListener, shutdown: ShutdownHandle, handler: H)
 where
-    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    H: Fn(Request<Incoming>, ClientConnection) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     let limits = Rc::new(Cell::new(HeadLimits::default()));
@@ -130,7 +131,7 @@
     limits: Rc<Cell<HeadLimits>>,
     handler: H,
 ) where
-    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    H: Fn(Request<Incoming>, ClientConnection) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     loop {
@@ -163,7 +164,7 @@
     limits: HeadLimits,
     handler: H,
 ) where
-    H: Fn(Request<Incoming>) -> F + 'static,
+    H: Fn(Request<Incoming>, ClientConnection) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     let count = &shutdown.inner.connections;
@@ -181,16 +182,18 @@
     handler: H,
 ) -> Result<(), crate::body::BoxError>
 where
-    H: Fn(Request<Incoming>) -> F + 'static,
+    H: Fn(Request<Incoming>, ClientConnection) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     stream.set_nodelay(true)?;
     let io = MonoioIo::new(monoio::io::IntoPollIo::into_poll_io(stream)?);
+    let io = WatchedIo::new(io);
+    let client = io.client();
     let head_timer = HeadTimer::default();
     let io = TimedIo::new(io, head_timer.clone());
     let service = service::service_fn(|req| {
         let guard = head_timer.begin_request();
-        let answer = handler(req);
+        let answer = handler(req, client.clone());
         async move {
             let mut res = answer.await;
             if shutdown.inner.draining.get() {
--- a/crates/lilaccrank-http/tests/suite/client.rs
+++ b/crates/lilaccrank-http/tests/suite/client.rs
@@ -20,7 +20,7 @@
     let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let shutdown = ShutdownHandle::default();
-    monoio::spawn(server::serve(listener, shutdown.clone(), |_| async {
+    monoio::spawn(server::serve(listener, shutdown.clone(), |_, _| async {
         Response::new(body::empty())
     }));
     (address, shutdown)
--- a/crates/lilaccrank-http/tests/suite/server.rs
+++ b/crates/lilaccrank-http/tests/suite/server.rs
@@ -26,7 +26,7 @@
         let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let address = listener.local_addr().unwrap();
         let limits = Rc::new(Cell::new(LIMITS));
-        let serving = server::serve_with_limits(listener, shutdown.clone(), limits, |_| async {
+        let serving = server::serve_with_limits(listener, shutdown.clone(), limits, |_, _| async {
             Response::new(body::full("whole"))
         });
         monoio::spawn(serving);
--- a/crates/lilaccrank-lab/src/stand_in.rs
+++ b/crates/lilaccrank-lab/src/stand_in.rs
@@ -66,6 +66,7 @@
     {
         let listener = server::bind(self.listen)?;
         self.announce(listener.local_addr()?, None)?;
+        let handler = move |req, _| handler(req);
         server::serve(listener, ShutdownHandle::default(), handler).await;
         Ok(())
     }
--- a/crates/lilaccrank-lab/src/wire.rs
+++ b/crates/lilaccrank-lab/src/wire.rs
@@ -114,7 +114,7 @@
                 .announce(entry.address(), Some(control_address))?;
             monoio::spawn(entry.run());
         }
-        let handler = move |req| handle(Rc::clone(&wire), req);
+        let handler = move |req, _| handle(Rc::clone(&wire), req);
         server::serve(control, ShutdownHandle::default(), handler).await;
         Ok(())
     })?
--- a/crates/lilaccrankd/src/admin.rs
+++ b/crates/lilaccrankd/src/admin.rs
@@ -10,6 +10,7 @@
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::operators::{self, path};
 use lilaccrank_http::body::{self, Body};
+use lilaccrank_http::client_connection::ClientConnection;
 use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::callers::attach;
@@ -34,13 +35,14 @@
     daemon: Rc<Daemon>,
     signals: Signals,
     req: Request<Incoming>,
+    client: ClientConnection,
 ) -> Response<Body> {
     match (req.method(), req.uri().path()) {
         (&Method::GET, "/healthz") => text("alive\n".to_owned()),
         (&Method::GET, "/metrics") => text(daemon.metrics.text()),
         (&Method::GET, "/readyz") => readiness(&daemon),
         (&Method::GET, path) if path.starts_with(attach::ANSWERS_PATH) => {
-            held_answer(&daemon, &req)
+            held_answer(&daemon, &req, client)
                 .await
                 .unwrap_or_else(|refusal| refusal.response())
         }
@@ -137,6 +139,7 @@
 async fn held_answer(
     daemon: &Daemon,
     req: &Request<Incoming>,
+    client: ClientConnection,
 ) -> crate::callers::refusal::Result<Response<Body>> {
     let in_force = daemon.in_force()?;
     let customer = in_force.keys.customer(req.headers())?.id.clone();
@@ -153,7 +156,7 @@
         .answer_cache
         .get(&(customer, key))
         .ok_or_else(not_found)?;
-    entry::respond(daemon, run.reader(), None).await
+    entry::respond(daemon, run.reader(client), None).await
 }
 
 fn ready(daemon: &Daemon) -> crate::callers::refusal::Result<()> {
--- a/crates/lilaccrankd/src/callers.rs
+++ b/crates/lilaccrankd/src/callers.rs
@@ -6,6 +6,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response};
 use lilaccrank_http::body::{self, Body};
+use lilaccrank_http::client_connection::ClientConnection;
 use serde_json::json;
 
 use crate::callers::refusal::Result;
@@ -24,13 +25,17 @@
 pub mod refusal;
 
 /// Answers one HTTP request of a caller.
-pub async fn handle(daemon: Rc<Daemon>, req: Request<Incoming>) -> Response<Body> {
+pub async fn handle(
+    daemon: Rc<Daemon>,
+    req: Request<Incoming>,
+    client: ClientConnection,
+) -> Response<Body> {
     match (req.method(), req.uri().path()) {
         (&Method::GET, "/v1/models") => {
             let listed = models(&daemon, &req);
             listed.unwrap_or_else(|refusal| refusal.response())
         }
-        _ => entry::answer(daemon, req).await,
+        _ => entry::answer(daemon, req, client).await,
     }
 }
 
--- a/crates/lilaccrankd/src/callers/attach.rs
+++ b/crates/lilaccrankd/src/callers/attach.rs
@@ -9,6 +9,7 @@
 use lilaccrank::request_key::MemberRef;
 use lilaccrank::timeline::{EventKind, Subject};
 use lilaccrank_http::body::{self, Body};
+use lilaccrank_http::client_connection::ClientConnection;
 
 use crate::callers::caller_request::CallerRequest;
 use crate::callers::entry;
@@ -36,6 +37,7 @@
     daemon: &Rc<Daemon>,
     caller: &CallerRequest,
     entry: &MemberRef,
+    client: ClientConnection,
     in_progress: Rc<InProgress>,
 ) -> Result<Response<Body>> {
     daemon.record(
@@ -47,9 +49,9 @@
     );
     for _ in 0..ATTEMPT_LIMIT {
         let found = if entry.vm == daemon.cfg.vm {
-            local_reader(daemon, caller)
+            local_reader(daemon, caller, &client)
         } else {
-            remote_reader(daemon, caller, entry).await?
+            remote_reader(daemon, caller, entry, &client).await?
         };
         if let Some(reader) = found {
             return entry::respond(daemon, reader, Some(in_progress)).await;
@@ -64,15 +66,20 @@
     Refusal::new(ErrorKind::AlreadyRun, message)
 }
 
-fn local_reader(daemon: &Daemon, caller: &CallerRequest) -> Option<Reader> {
+fn local_reader(
+    daemon: &Daemon,
+    caller: &CallerRequest,
+    client: &ClientConnection,
+) -> Option<Reader> {
     let buffer = daemon.answer_cache.get(&caller.scoped_key()?)?;
-    Some(buffer.reader())
+    Some(buffer.reader(client.clone()))
 }
 
 async fn remote_reader(
     daemon: &Rc<Daemon>,
     caller: &CallerRequest,
     entry: &MemberRef,
+    client: &ClientConnection,
 ) -> Result<Option<Reader>> {
     let members = daemon.membership.all();
     let member = members.iter().find(|member| member.vm == entry.vm);
@@ -97,7 +104,7 @@
         return Ok(None);
     }
     let buffer = Rc::new(AnswerBuffer::default());
-    let reader = buffer.reader();
+    let reader = buffer.reader(client.clone());
     let client = daemon.client.clone();
     let daemon = Rc::clone(daemon);
     monoio::spawn(async move {
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -12,6 +12,7 @@
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::rules::matching::{Decision, Route};
 use lilaccrank_http::body::{self, Body, BodySender};
+use lilaccrank_http::client_connection::ClientConnection;
 use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::admin::metrics::EndStats;
@@ -28,13 +29,17 @@
 use crate::request::quotas::QuotaRequest;
 
 /// Answers one request or refuses it.
-pub async fn answer(daemon: Rc<Daemon>, req: Request<Incoming>) -> Response<Body> {
+pub async fn answer(
+    daemon: Rc<Daemon>,
+    req: Request<Incoming>,
+    client: ClientConnection,
+) -> Response<Body> {
     let log_id = daemon
         .ports
         .callers
         .log_id(req.headers())
         .map(str::to_owned);
-    match accept(&daemon, req).await {
+    match accept(&daemon, req, client).await {
         Ok(res) => res,
         Err(refusal) => {
             daemon.metrics.record_refusal(refusal.kind);
@@ -51,7 +56,11 @@
     }
 }
 
-async fn accept(daemon: &Rc<Daemon>, req: Request<Incoming>) -> Result<Response<Body>> {
+async fn accept(
+    daemon: &Rc<Daemon>,
+    req: Request<Incoming>,
+    client: ClientConnection,
+) -> Result<Response<Body>> {
     let arrived = Instant::now();
     if daemon.refusing.get() {
         return Err(Refusal::new(
@@ -76,7 +85,7 @@
     let route = route(daemon, &in_force, &caller)?;
     let key = match key_state::claim(daemon, &caller).await? {
         ClaimOutcome::Attach(entry) => {
-            return attach::answer(daemon, &caller, &entry, in_progress).await;
+            return attach::answer(daemon, &caller, &entry, client, in_progress).await;
         }
         ClaimOutcome::Proceed(key) => key,
     };
@@ -104,7 +113,7 @@
         daemon.load_exchange.note_change(charge.is_nearly_exhausted);
     }
     let buffer = Rc::new(AnswerBuffer::default());
-    let reader = buffer.reader();
+    let reader = buffer.reader(client);
     if let Some(scoped) = caller.scoped_key() {
         daemon.answer_cache.insert(scoped, Rc::clone(&buffer));
     }
--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -18,6 +18,7 @@
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::body::{self, Body};
 use lilaccrank_http::client::{self, Connection, Limits};
+use lilaccrank_http::client_connection::ClientConnection;
 
 use crate::callers::end_to_end;
 use crate::callers::entry;
@@ -177,12 +178,16 @@
 }
 
 /// Relays one request. Dropping the future cancels it at the target.
-pub async fn handle(daemon: Rc<Daemon>, mut req: Request<Incoming>) -> Response<Body> {
+pub async fn handle(
+    daemon: Rc<Daemon>,
+    mut req: Request<Incoming>,
+    client: ClientConnection,
+) -> Response<Body> {
     let Some(relayed) = Relayed::take(req.headers_mut()) else {
         log::warn!("a request to the relay does not name its target");
         return Failure::Unsent.response();
     };
-    let answered = relay(&daemon, &relayed, req).await;
+    let answered = relay(&daemon, &relayed, req, client).await;
     log::info!(
         failure = answered.as_ref().err().map_or("", |failure| failure.name()),
         from = relayed.from,
@@ -197,6 +202,7 @@
     daemon: &Rc<Daemon>,
     relayed: &Relayed,
     req: Request<Incoming>,
+    client: ClientConnection,
 ) -> Result<Response<Body>> {
     let in_progress = admit(daemon)?;
     let (mut head, incoming) = req.into_parts();
@@ -212,7 +218,7 @@
     })?;
     let req = Request::from_parts(head, body::full(body));
     let buffer = Rc::new(AnswerBuffer::default());
-    let reader = buffer.reader();
+    let reader = buffer.reader(client);
     let active = ActiveSend::new(daemon, &relayed.target);
     let (res, connection) = {
         let sending = send(daemon, relayed, &target, req);
--- a/crates/lilaccrankd/src/request/answer_buffer.rs
+++ b/crates/lilaccrankd/src/request/answer_buffer.rs
@@ -8,6 +8,8 @@
 use event_listener::Event;
 use hyper::HeaderMap;
 use hyper::StatusCode;
+use indexmap::IndexMap;
+use lilaccrank_http::client_connection::ClientConnection;
 
 use crate::callers::refusal::Refusal;
 
@@ -62,8 +64,11 @@
     end: RefCell<Option<End>>,
     head: RefCell<Option<Head>>,
     timing: Cell<ChunkTiming>,
-    readers: Cell<usize>,
+    readers: RefCell<IndexMap<u64, ClientConnection>>,
+    next_reader: Cell<u64>,
     size: Cell<usize>,
+    /// When the last reader went away.
+    unread_since: Cell<Option<Instant>>,
 }
 
 impl AnswerBuffer {
@@ -116,9 +121,9 @@
 
     /// Completes once the answer has no reader.
     pub async fn wait_for_no_reader(&self) {
-        while self.readers.get() > 0 {
+        while !self.readers.borrow().is_empty() {
             let listener = self.changed.listen();
-            if self.readers.get() > 0 {
+            if !self.readers.borrow().is_empty() {
                 listener.await;
             }
         }
@@ -126,20 +131,35 @@
 
     /// Completes once the answer has a reader.
     pub async fn wait_for_reader(&self) {
-        while self.readers.get() == 0 {
+        while self.readers.borrow().is_empty() {
             let listener = self.changed.listen();
-            if self.readers.get() == 0 {
+            if self.readers.borrow().is_empty() {
                 listener.await;
             }
         }
     }
 
+    /// Time since which the connections of all readers are known to be closed; `None` while one is
+    /// open.
+    #[must_use]
+    pub fn abandoned_for(&self) -> Option<Duration> {
+        let readers = self.readers.borrow();
+        if readers.is_empty() {
+            return self.unread_since.get().map(|since| since.elapsed());
+        }
+        let closed = readers.values().map(ClientConnection::closed_for);
+        closed.collect::<Option<Vec<_>>>()?.into_iter().min()
+    }
+
     /// Adds a reader, which starts at the first chunk.
     #[must_use]
-    pub fn reader(self: &Rc<Self>) -> Reader {
-        self.readers.set(self.readers.get() + 1);
+    pub fn reader(self: &Rc<Self>, client: ClientConnection) -> Reader {
+        let id = self.next_reader.get();
+        self.next_reader.set(id + 1);
+        self.readers.borrow_mut().insert(id, client);
         self.changed.notify(usize::MAX);
         Reader {
+            id,
             next: 0,
             buffer: Rc::clone(self),
         }
@@ -148,6 +168,7 @@
 
 /// Reads an answer at the speed of its caller. It counts as a reader until it is dropped.
 pub struct Reader {
+    id: u64,
     next: usize,
     buffer: Rc<AnswerBuffer>,
 }
@@ -194,7 +215,8 @@
 
 impl Drop for Reader {
     fn drop(&mut self) {
-        self.buffer.readers.set(self.buffer.readers.get() - 1);
+        self.buffer.readers.borrow_mut().swap_remove(&self.id);
+        self.buffer.unread_since.set(Some(Instant::now()));
         self.buffer.changed.notify(usize::MAX);
     }
 }
--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -85,6 +85,7 @@
         }
         Err(refusal) => {
             log::info!(
+                abandoned_ms = log_ms(buffer.abandoned_for()),
                 begun = buffer.has_head(),
                 kind:% = refusal.kind,
                 parts = buffer.timing().chunk_count,
@@ -291,6 +292,7 @@
         match future::select(asking, interrupted).await {
             Either::Left((Ok(grant), _)) => {
                 log::info!(
+                    abandoned_ms = log_ms(buffer.abandoned_for()),
                     expected_ms = log_ms(grant.expected),
                     left_ms = log_ms(self.time_left()),
                     list_age_ms = log_ms(daemon.live_list.freshness.age(MonoioClock.boot_time())),
--- a/crates/lilaccrankd/src/request/send_history.rs
+++ b/crates/lilaccrankd/src/request/send_history.rs
@@ -11,7 +11,7 @@
 use crate::callers::refusal::{Refusal, Result};
 use crate::daemon::Daemon;
 use crate::request::answer_buffer::{AnswerBuffer, Head};
-use crate::request::lifecycle::RoutedRequest;
+use crate::request::lifecycle::{self, RoutedRequest};
 use crate::targets::forward::{Delivered, SendFailure};
 
 /// Earlier sends, as far as they matter for the next ask for a target.
@@ -118,6 +118,7 @@
             && (failed.failure == Failure::Unsent
                 || daemon.retry_budgets.try_take(daemon, &routed.route.pool));
         log::info!(
+            abandoned_ms = lifecycle::log_ms(buffer.abandoned_for()),
             again = will_retry,
             connection_lost = failed.refusal.connection_lost,
             content:% = format_args!("{:016x}", routed.content_digest()),
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -121,14 +121,14 @@
     monoio::spawn(server::serve(
         admin_listener,
         admin_closing.clone(),
-        move |req| admin::handle(Rc::clone(&shared), admin_signals.clone(), req),
+        move |req, client| admin::handle(Rc::clone(&shared), admin_signals.clone(), req, client),
     ));
     if let Some(listener) = readiness_listener {
         let shared = Rc::clone(&daemon);
         monoio::spawn(server::serve(
             listener,
             ShutdownHandle::default(),
-            move |_| future::ready(admin::readiness(&shared)),
+            move |_, _| future::ready(admin::readiness(&shared)),
         ));
     }
     let closing = ShutdownHandle::default();
@@ -138,11 +138,11 @@
         caller_listener,
         closing.clone(),
         limits,
-        move |req| callers::handle(Rc::clone(&shared), req),
+        move |req, client| callers::handle(Rc::clone(&shared), req, client),
     ));
     if let Some(listener) = relay_listener {
         let daemon = Rc::clone(&daemon);
-        let handler = move |req| path_relay::handle(Rc::clone(&daemon), req);
+        let handler = move |req, client| path_relay::handle(Rc::clone(&daemon), req, client);
         monoio::spawn(server::serve(listener, ShutdownHandle::default(), handler));
     }
     monoio::spawn(paths::run(Rc::clone(&daemon)));
