Answers: the copy of an answer ends with the connection of its reader

What callers' requests did: a stream that had sent events and fell silent was worked on until it was due, and sent to a second target 2.2 s after its caller had left; one that broke was sent again when a slot came free.

Cause: the task that copies an answer waits for its next part and holds the reader meanwhile. It saw that hyper had dropped the body only when it wrote to it. Until then the request counted as read, so that nothing cancelled it.

Change: `body::streamed` is the only way to a body that is written piece by piece, and drops its writer along with the body. Ruled out: a second reader kept alive by the cache (only keyed requests are in it), and the target's own timeouts (streams that flow end at the next event).

--- a/crates/lilaccrank-http/src/body.rs
+++ b/crates/lilaccrank-http/src/body.rs
@@ -1,12 +1,18 @@
 //! Defines the body type of requests and responses sent over hyper.
 
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use futures::channel::oneshot;
+use futures::future;
+use futures::pin_mut;
 use http_body_util::channel::{Channel, Sender};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty, Full};
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming, SizeHint};
 use thiserror::Error;
 
 /// Any error of a body.
@@ -40,13 +46,54 @@
     },
 }
 
-/// Creates a body that is sent frame by frame.
+/// Creates a body that `write` sends frame by frame.
 ///
-/// Dropping the sender ends the body normally; [`send_and_abort`] ends it with an error.
+/// Dropping the sender ends the body normally; [`send_and_abort`] ends it with an error. The writer is
+/// dropped along with the body, so it never outlives the connection while it waits for something to
+/// send.
 #[must_use]
-pub fn channel() -> (BodySender, Body) {
-    let (tx, body) = Channel::new(CHANNEL_FRAMES);
-    (tx, body.boxed_unsync())
+pub fn streamed<F>(write: impl FnOnce(BodySender) -> F) -> Body
+where
+    F: Future<Output = ()> + 'static,
+{
+    let (tx, channel) = Channel::new(CHANNEL_FRAMES);
+    let (open, dropped) = oneshot::channel();
+    let writing = write(tx);
+    monoio::spawn(async move {
+        pin_mut!(writing);
+        future::select(writing, dropped).await;
+    });
+    let body = Streamed {
+        channel,
+        _open: open,
+    };
+    body.boxed_unsync()
+}
+
+/// A body whose writer ends along with it.
+struct Streamed {
+    channel: Channel<Bytes, BoxError>,
+    _open: oneshot::Sender<()>,
+}
+
+impl hyper::body::Body for Streamed {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        Pin::new(&mut self.channel).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.channel.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.channel.size_hint()
+    }
 }
 
 /// Sends a last chunk, then ends the body with an error that the reader can detect.
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -229,9 +229,8 @@
     protocol: Option<Rc<dyn CallerProtocol>>,
 ) -> Result<Response<Body>> {
     let head = reader.head().await?;
-    let (tx, body) = body::channel();
     let send_timeout = Duration::from_millis(daemon.cfg.body_timeout_ms);
-    monoio::spawn(async move {
+    let body = body::streamed(|tx| async move {
         relay(reader, tx, send_timeout, protocol).await;
         drop(in_progress);
     });
