Server: a client that hangs up is seen behind bytes of its next request

What callers' requests did: with the beginning of a next request behind them, they were worked on until their answer was ready or due, queued ones were sent to targets, and requests that were read late were taken.

Cause: hyper doesn't read on while bytes are in its buffer, so it sees the end of the connection behind them once the answer is written.

Ruled out: POLLRDHUP, since the runtime gives no safe handle of an accepted socket, and a second handle for each connection costs a descriptor.

--- a/crates/lilaccrank-http/src/client_connection.rs
+++ b/crates/lilaccrank-http/src/client_connection.rs
@@ -98,6 +98,21 @@
             transport: Rc::downgrade(&transport),
         }
     }
+
+    /// Returns a handle for [`Watch::poll_closed`] on the task of the connection.
+    pub(crate) fn watch(&self) -> Watch<T> {
+        Watch(Rc::clone(&self.state))
+    }
+}
+
+/// Watches for the end of a connection on the connection's task.
+pub(crate) struct Watch<T>(Rc<RefCell<State<T>>>);
+
+impl<T: Read + Unpin> Watch<T> {
+    /// Reads ahead; ready once the client has hung up.
+    pub(crate) fn poll_closed(&self, cx: &mut Context<'_>) -> Poll<()> {
+        self.0.borrow_mut().poll_ahead(cx)
+    }
 }
 
 impl<T: Read + Unpin> Watched for RefCell<State<T>> {
--- a/crates/lilaccrank-http/src/head_timer.rs
+++ b/crates/lilaccrank-http/src/head_timer.rs
@@ -51,6 +51,11 @@
         RequestGuard(self.clone())
     }
 
+    /// Returns `true` from the end of a head until its response has been taken for writing.
+    pub(crate) fn is_in_request(&self) -> bool {
+        self.state.in_request.get()
+    }
+
     /// Completes when a head takes longer than `limit`.
     pub(crate) async fn timed_out(&self, limit: Duration) {
         loop {
--- a/crates/lilaccrank-http/src/server.rs
+++ b/crates/lilaccrank-http/src/server.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use event_listener::Event;
@@ -188,7 +189,7 @@
     stream.set_nodelay(true)?;
     let io = MonoioIo::new(monoio::io::IntoPollIo::into_poll_io(stream)?);
     let io = WatchedIo::new(io);
-    let client = io.client();
+    let (client, watch) = (io.client(), io.watch());
     let head_timer = HeadTimer::default();
     let io = TimedIo::new(io, head_timer.clone());
     let service = service::service_fn(|req| {
@@ -208,18 +209,26 @@
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER))
         .serve_connection(io, service);
-    pin_mut!(connection);
+    // Dropping the connection drops the request in progress, with the body of its response.
+    let hung_up = future::poll_fn(|cx| match head_timer.is_in_request() {
+        true => watch.poll_closed(cx),
+        false => Poll::Pending,
+    });
     let timed_out = head_timer.timed_out(limits.head_timeout);
     let closed = shutdown.wait_for_close();
-    pin_mut!(closed, timed_out);
+    pin_mut!(connection, hung_up, closed, timed_out);
+    let running = future::select(connection.as_mut(), hung_up.as_mut());
     let ending = future::select(closed, timed_out);
-    let result = match future::select(connection.as_mut(), ending).await {
-        Either::Left((result, _)) => result,
+    let ended = match future::select(running, ending).await {
+        Either::Left((ended, _)) => ended,
         Either::Right((Either::Left(_), _)) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            future::select(connection, hung_up).await
         }
         Either::Right((Either::Right(_), _)) => return Err("the request head took too long".into()),
     };
-    result.map_err(Into::into)
+    match ended {
+        Either::Left((result, _)) => result.map_err(Into::into),
+        Either::Right(_) => Err("the client hung up during a request".into()),
+    }
 }
--- a/crates/lilaccrank-http/tests/suite.rs
+++ b/crates/lilaccrank-http/tests/suite.rs
@@ -2,6 +2,8 @@
 
 #[path = "suite/client.rs"]
 mod client;
+#[path = "suite/client_connection.rs"]
+mod client_connection;
 #[path = "suite/compression.rs"]
 mod compression;
 #[path = "suite/events.rs"]
