Entry: a request whose caller has left when it is read is not taken

What callers' requests did: a daemon that was stopped or busy took requests that came while it was, although their callers had closed meanwhile: it charged and claimed them, and sent them on if bytes of a next request stood behind.

Cause: nothing asked the connection when the request was read; the end of the connection was seen only in a later turn.

Change: once the body has arrived, the connection is asked before the request is claimed, charged or routed.

--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -9,7 +9,7 @@
 use hyper::{HeaderMap, Request, Response};
 use lilaccrank::clock::Clock;
 use lilaccrank::document::Customer;
-use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::error_kind::{ErrorKind, Executed};
 use lilaccrank::rules::matching::{Decision, Route};
 use lilaccrank_http::body::{self, Body, BodySender};
 use lilaccrank_http::client_connection::ClientConnection;
@@ -73,6 +73,10 @@
     let (head, incoming) = req.into_parts();
     let customer = customer(daemon, &in_force, &head.headers)?;
     let body = read_body(daemon, incoming, in_force.body_limit(&daemon.cfg)).await?;
+    if client.is_closed() {
+        let message = "the caller went away before its request was read";
+        return Err(Refusal::new(ErrorKind::Cancelled, message).ran(Executed::No));
+    }
     // Checked only after the body has arrived: a request that came while the machine was suspended
     // is read late, and the customer's key may have been revoked in the meantime.
     daemon.check_lease()?;
