Requests: all work is one future that is dropped when the request is cancelled

Class of the fault: each wait of a request looked for itself whether its caller was still there. The copy of an answer, the check for a recent list, the mark of a key and the probe after a lost connection did not; whoever writes the next wait can forget it again.

Change: `Cancellation` alone knows what cancels a request, and `Cancellation::run` holds the whole execution of a caller's request, the work of a relay and the copy of an attached answer. `Execution` is dropped at whatever it waits for: a submission is withdrawn, a held grant releases its slot as cancelled with the tokens so far, an engine is told to cancel before its slot is given back, and the history says whether a target may have it. A request that is cancelled before it is sent says "not run", also while it waits for a recent list. `Transport` is made from an execution only and asks the callers' connections before each send and each relay; so do a spill, a relay, and a repeat before it takes from the retry budget. Cancelling work at an engine is the one send without that.

Unchanged: grace of keyed requests, answers in the buffer, slow readers.

--- a/crates/lilaccrankd/src/callers/attach.rs
+++ b/crates/lilaccrankd/src/callers/attach.rs
@@ -16,7 +16,7 @@
 use crate::callers::refusal::{REFUSAL, Refusal, Result};
 use crate::daemon::{Daemon, InProgress};
 use crate::request::answer_buffer::{AnswerBuffer, End, Reader};
-use crate::request::interruption;
+use crate::request::cancellation::Cancellation;
 use crate::targets::call;
 use crate::targets::relay;
 
@@ -108,14 +108,9 @@
     let client = daemon.client.clone();
     let daemon = Rc::clone(daemon);
     monoio::spawn(async move {
-        let stopped =
-            interruption::interrupted(&buffer, None, Duration::ZERO, &daemon.abort_signal);
+        let cancellation = Cancellation::new(&daemon, &buffer, None, Duration::ZERO);
         let copying = relay::copy(&client, res, connection, bounds, &buffer, || {});
-        futures::pin_mut!(stopped, copying);
-        let ended = match futures::future::select(copying, stopped).await {
-            futures::future::Either::Left((ended, _)) => ended,
-            futures::future::Either::Right((refusal, _)) => Err(refusal),
-        };
+        let ended = cancellation.run(copying).await.flatten();
         buffer.finish(ended.map_or_else(End::Failed, |()| End::Complete));
     });
     Ok(Some(reader))
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -142,12 +142,13 @@
         id,
         route,
     };
-    let driving = lifecycle::drive(Rc::clone(daemon), routed, key, buffer);
-    let guard = Rc::clone(&in_progress);
-    monoio::spawn(async move {
-        driving.await;
-        drop(guard);
-    });
+    monoio::spawn(lifecycle::drive(
+        Rc::clone(daemon),
+        routed,
+        key,
+        buffer,
+        Rc::clone(&in_progress),
+    ));
     // Failures from here on are counted in the metrics by the task that runs the request.
     let answered = respond(daemon, reader, Some(in_progress)).await;
     Ok(answered.unwrap_or_else(|refusal| daemon.ports.callers.refusal_response(&refusal)))
--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -8,8 +8,6 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use futures::future::{self, Either};
-use futures::pin_mut;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -25,7 +23,7 @@
 use crate::daemon::{Daemon, InProgress};
 use crate::pools::server;
 use crate::request::answer_buffer::{AnswerBuffer, End};
-use crate::request::interruption;
+use crate::request::cancellation::Cancellation;
 use crate::targets::paths::{self, ActiveSend};
 use crate::targets::relay;
 use crate::targets::sendable;
@@ -220,20 +218,10 @@
     let buffer = Rc::new(AnswerBuffer::default());
     let reader = buffer.reader(client);
     let active = ActiveSend::new(daemon, &relayed.target);
-    let (res, connection) = {
-        let sending = send(daemon, relayed, &target, req);
-        let stopped = interruption::interrupted(
-            &buffer,
-            relayed.deadline,
-            Duration::ZERO,
-            &daemon.abort_signal,
-        );
-        pin_mut!(sending, stopped);
-        match future::select(sending, stopped).await {
-            Either::Left((sent, _)) => sent?,
-            Either::Right(_) => return Err(Failure::Silent),
-        }
-    };
+    let cancellation = Cancellation::new(daemon, &buffer, relayed.deadline, Duration::ZERO);
+    cancellation.check().map_err(|_| Failure::Unsent)?;
+    let sending = cancellation.run(send(daemon, relayed, &target, req));
+    let (res, connection) = sending.await.map_err(|_| Failure::Silent)??;
     active.record_heard();
     if let Some(pause) = daemon
         .ports
@@ -248,7 +236,7 @@
     monoio::spawn(copy(
         Rc::clone(daemon),
         Rc::clone(&buffer),
-        relayed.deadline,
+        cancellation,
         (res, connection),
         active,
     ));
@@ -305,7 +293,7 @@
 async fn copy(
     daemon: Rc<Daemon>,
     buffer: Rc<AnswerBuffer>,
-    deadline: Option<Instant>,
+    cancellation: Cancellation,
     (mut res, connection): (Response<Incoming>, Connection),
     active: ActiveSend,
 ) {
@@ -315,8 +303,6 @@
     for name in [FAILURE, UNFRAMED] {
         headers.remove(name);
     }
-    let stopped =
-        interruption::interrupted(&buffer, deadline, Duration::ZERO, &daemon.abort_signal);
     let on_data = || active.record_heard();
     let copying = relay::copy(
         &daemon.client,
@@ -326,10 +312,6 @@
         &buffer,
         on_data,
     );
-    pin_mut!(stopped, copying);
-    let ended = match future::select(copying, stopped).await {
-        Either::Left((ended, _)) => ended,
-        Either::Right((refusal, _)) => Err(refusal),
-    };
+    let ended = cancellation.run(copying).await.flatten();
     buffer.finish(ended.map_or_else(End::Failed, |()| End::Complete));
 }
--- a/crates/lilaccrankd/src/pools/client/held_grant.rs
+++ b/crates/lilaccrankd/src/pools/client/held_grant.rs
@@ -1,5 +1,6 @@
 //! What an entry holds of a pool: a submission that waits, or a grant in use.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,11 +12,14 @@
 use crate::peers::message::PoolMessage;
 use crate::pools::server;
 
-/// A grant in use. Dropping it without [`finish`](Self::finish) returns it unused.
+/// A grant in use. Dropping it without [`finish`](Self::finish) releases the slot, as the grant of a
+/// cancelled request if it was sent, else as one that was not used.
 pub struct HeldGrant {
     ask: u64,
     daemon: Rc<Daemon>,
-    ended: bool,
+    ended: Cell<bool>,
+    /// Tokens of the answer so far; `None` while the target has not got the request.
+    decoded: Cell<Option<u32>>,
     /// Time to the complete answer that the dispatcher expects.
     pub expected: Option<Duration>,
     pool: PoolId,
@@ -52,7 +56,8 @@
         Self {
             ask: grant.submission,
             daemon: Rc::clone(daemon),
-            ended: false,
+            ended: Cell::new(false),
+            decoded: Cell::new(None),
             expected: grant.expected,
             pool: pool.clone(),
             request: grant.request,
@@ -77,13 +82,16 @@
         server::push_back(&self.daemon, &self.pool, &self.target, pause);
     }
 
-    /// Ends the request and releases the slot.
-    pub fn finish(mut self, outcome: Outcome, decoded: u32, prefill: Option<u32>) {
-        self.end(outcome, decoded, prefill);
+    /// Records the tokens of the answer so far, 0 when the request is about to be sent.
+    pub fn record_decoded(&self, tokens: u32) {
+        self.decoded.set(Some(tokens));
     }
 
-    fn end(&mut self, outcome: Outcome, decoded: u32, prefill: Option<u32>) {
-        self.ended = true;
+    /// Ends the request and releases the slot. Later calls have no effect.
+    pub fn finish(&self, outcome: Outcome, decoded: u32, prefill: Option<u32>) {
+        if self.ended.replace(true) {
+            return;
+        }
         self.report(ReportKind::Ended {
             decoded,
             outcome,
@@ -95,8 +103,9 @@
 
 impl Drop for HeldGrant {
     fn drop(&mut self) {
-        if !self.ended {
-            self.end(Outcome::Unused, 0, None);
+        match self.decoded.get() {
+            Some(decoded) => self.finish(Outcome::Cancelled, decoded, None),
+            None => self.finish(Outcome::Unused, 0, None),
         }
     }
 }
--- a/crates/lilaccrankd/src/request.rs
+++ b/crates/lilaccrankd/src/request.rs
@@ -2,8 +2,9 @@
 
 pub mod abort_signal;
 pub mod answer_buffer;
+pub mod cancellation;
 pub mod dispatch_refusal;
-pub mod interruption;
+pub mod execution;
 pub mod key_state;
 pub mod lifecycle;
 pub mod migration;
--- a/crates/lilaccrankd/src/request/answer_buffer.rs
+++ b/crates/lilaccrankd/src/request/answer_buffer.rs
@@ -139,6 +139,13 @@
         }
     }
 
+    /// Returns `true` if a reader's connection is open.
+    #[must_use]
+    pub fn has_open_reader(&self) -> bool {
+        let readers = self.readers.borrow();
+        readers.values().any(|client| !client.is_closed())
+    }
+
     /// Time since which the connections of all readers are known to be closed; `None` while one is
     /// open.
     #[must_use]
--- /dev/null
+++ b/crates/lilaccrankd/src/request/execution.rs
@@ -0,0 +1,205 @@
+//! Execution of one routed request: it waits for grants, is sent to targets, or is spilled.
+//!
+//! [`Execution::run`] may be dropped at any of its waits, when the request is cancelled.
+//! [`Execution::cancel`] then tells how the request ends.
+
+use std::mem;
+use std::rc::Rc;
+
+use lilaccrank::attempts::Failure;
+use lilaccrank::clock::Clock;
+use lilaccrank::dispatch::message::PartialAnswer;
+use lilaccrank::target_instance::TargetInstance;
+use lilaccrank::timeline::EventKind;
+use lilaccrank_http::monoio_clock::MonoioClock;
+
+use crate::callers::refusal::{Refusal, Result};
+use crate::daemon::{Daemon, InProgress};
+use crate::pools::client::{self, HeldGrant};
+use crate::request::answer_buffer::AnswerBuffer;
+use crate::request::cancellation::Cancellation;
+use crate::request::dispatch_refusal;
+use crate::request::key_state::KeyState;
+use crate::request::lifecycle::{self, RoutedRequest};
+use crate::request::send::SendError;
+use crate::request::send_history::SendHistory;
+use crate::request::spill;
+use crate::targets::forward::SendFailure;
+
+/// Execution of one routed request.
+pub struct Execution<'a> {
+    /// Buffer of the answer.
+    pub buffer: &'a AnswerBuffer,
+    /// What cancels the request.
+    pub cancellation: &'a Rc<Cancellation>,
+    /// The daemon that runs it.
+    pub daemon: &'a Rc<Daemon>,
+    /// The sends so far.
+    pub history: SendHistory,
+    /// Counts the request as in progress.
+    pub in_progress: &'a Rc<InProgress>,
+    /// Its key; `None` if it could not be marked and is settled.
+    pub key: Option<KeyState>,
+    /// The request.
+    pub routed: &'a RoutedRequest,
+    /// What it may have caused.
+    pub stage: Stage,
+}
+
+/// What a cancelled request may have caused.
+#[derive(Default)]
+pub enum Stage {
+    /// What the history of its sends tells.
+    #[default]
+    Sends,
+    /// Its key may be marked, or another data centre may have it.
+    KeyOrSpill,
+}
+
+impl Execution<'_> {
+    /// Sends the request until it succeeds, fails for good or is spilled.
+    ///
+    /// # Errors
+    ///
+    /// The refusal for the caller.
+    pub async fn run(&mut self) -> Result<()> {
+        let (daemon, routed) = (self.daemon, self.routed);
+        let mut migration_grant = None;
+        daemon.retry_budgets.record_request(&routed.route.pool);
+        loop {
+            let granted = match migration_grant.take() {
+                Some(grant) => Ok(grant),
+                None => self.wait_for_grant().await,
+            };
+            // Meanwhile, other daemons may have reported crashes of targets under this content.
+            let granted = granted.and_then(|grant| routed.check_quarantine(daemon).map(|()| grant));
+            let grant = match granted {
+                Ok(grant) => grant,
+                Err(refusal) if self.can_spill(&refusal) => return self.spill(refusal).await,
+                Err(refusal) => return self.history.final_result(refusal, self.buffer),
+            };
+            self.mark_key(KeyState::mark).await?;
+            let target = grant.target.clone();
+            match self.send(grant).await {
+                Ok(()) => {
+                    routed.record_completion(daemon, &self.history.delivered);
+                    return Ok(());
+                }
+                Err(SendError::Migrated(grant)) => {
+                    self.history.record_migration(target);
+                    migration_grant = Some(grant);
+                }
+                Err(SendError::Failed(failed)) => {
+                    if let Some(ended) = self.record_failure(target, failed) {
+                        return ended;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Result of the request after [`Self::run`] was dropped for this reason.
+    ///
+    /// # Errors
+    ///
+    /// The refusal for the caller.
+    pub fn cancel(&mut self, refusal: Refusal) -> Result<()> {
+        match self.stage {
+            Stage::KeyOrSpill => Err(refusal),
+            Stage::Sends => self.history.cancel(self.routed, refusal, self.buffer),
+        }
+    }
+
+    /// Records a failed send. Returns the result of the request, or `None` if it is to be sent
+    /// again.
+    fn record_failure(
+        &mut self,
+        target: TargetInstance,
+        failed: SendFailure,
+    ) -> Option<Result<()>> {
+        let (daemon, routed) = (self.daemon, self.routed);
+        if failed.refusal.connection_lost {
+            routed.record_lost_connection(daemon, &target, failed.is_path_fault);
+        }
+        let budgets = &daemon.retry_budgets;
+        let may_repeat =
+            self.cancellation.check().is_ok() && !failed.refusal.kind.is_unrelated_to_target();
+        let take_repeat = |failure| {
+            let is_free = failure == Failure::Unsent;
+            may_repeat && (is_free || budgets.try_take(daemon, &routed.route.pool))
+        };
+        self.history
+            .record_failure(routed, target, failed, self.buffer, take_repeat)
+    }
+
+    async fn mark_key(
+        &mut self,
+        mark: impl AsyncFnOnce(KeyState) -> Result<KeyState>,
+    ) -> Result<()> {
+        let Some(key) = self.key.take() else {
+            return Ok(());
+        };
+        let stage = mem::replace(&mut self.stage, Stage::KeyOrSpill);
+        self.key = Some(mark(key).await?);
+        self.stage = stage;
+        Ok(())
+    }
+
+    async fn wait_for_grant(&self) -> Result<HeldGrant> {
+        let (daemon, routed) = (self.daemon, self.routed);
+        routed.check_quarantine(daemon)?;
+        daemon.record(
+            EventKind::Asked,
+            routed.subject(routed.route.pool.clone(), None),
+        );
+        let submission = routed.ask(daemon, &self.history.prior, self.partial_answer());
+        let granted = client::submit(daemon, &routed.route.pool, submission).await;
+        let grant = granted.map_err(|refuse| dispatch_refusal::refusal(daemon, &refuse))?;
+        log::info!(
+            abandoned_ms = lifecycle::log_ms(self.buffer.abandoned_for()),
+            expected_ms = lifecycle::log_ms(grant.expected),
+            left_ms = lifecycle::log_ms(routed.time_left()),
+            list_age_ms = lifecycle::log_ms(daemon.live_list.freshness.age(MonoioClock.boot_time())),
+            since_arrival_ms = routed.elapsed_ms(),
+            request = routed.log_id(),
+            target = grant.target.id;
+            "granted"
+        );
+        daemon.record(
+            EventKind::Granted,
+            routed.subject(String::new(), Some(&grant.target.id)),
+        );
+        Ok(grant)
+    }
+
+    /// Describes the part of an interrupted answer that the caller has; `None` if it has no tokens.
+    fn partial_answer(&self) -> Option<PartialAnswer> {
+        let tokens_in_event = self.daemon.tokens_in_event(&self.routed.route.pool);
+        let tokens = self
+            .history
+            .delivered
+            .events
+            .saturating_mul(tokens_in_event);
+        (tokens > 0).then_some(PartialAnswer {
+            remaining: None,
+            tokens,
+        })
+    }
+
+    fn can_spill(&self, refusal: &Refusal) -> bool {
+        let routed = self.routed;
+        let allowed = !routed.route.spill.is_empty() && routed.caller.spilled_from.is_none();
+        // The claim in the store belongs to this data centre, so the claim of another one would be
+        // refused.
+        let is_marked = self.key.as_ref().is_some_and(KeyState::is_marked);
+        let claimed_here = is_marked && !routed.is_idempotent();
+        let is_unsent = self.history.is_unsent();
+        is_unsent && allowed && !claimed_here && spill::is_spillable(refusal.kind)
+    }
+
+    async fn spill(&mut self, refusal: Refusal) -> Result<()> {
+        self.mark_key(KeyState::mark_handed_on).await?;
+        self.stage = Stage::KeyOrSpill;
+        spill::try_data_centres(self, refusal).await
+    }
+}
--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -4,30 +4,22 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures::future::{self, Either};
-use futures::pin_mut;
-use lilaccrank::clock::Clock;
 use lilaccrank::dispatch::message::{PartialAnswer, Submission};
 use lilaccrank::error_kind::{ErrorKind, Executed};
 use lilaccrank::ids::{ContentDigest, RequestId, TargetId};
 use lilaccrank::rules::matching::Route;
 use lilaccrank::timeline::{EventKind, Subject};
-use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::admin::metrics::EndStats;
 use crate::callers::caller_request::{CallerRequest, Operation};
-use crate::callers::refusal::{Refusal, Result};
-use crate::daemon::Daemon;
-use crate::pools::client::{self, HeldGrant};
+use crate::callers::refusal::Result;
+use crate::daemon::{Daemon, InProgress};
 use crate::request::answer_buffer::{AnswerBuffer, End};
-use crate::request::dispatch_refusal;
-use crate::request::interruption;
+use crate::request::cancellation::Cancellation;
+use crate::request::execution::{Execution, Stage};
 use crate::request::key_state::KeyState;
 use crate::request::quotas::Charge;
-use crate::request::send::SendError;
 use crate::request::send_history::{PriorSends, SendHistory};
-use crate::request::spill;
-use crate::targets::forward::Delivered;
 
 /// Longest time for which the end of a request waits until its key is settled.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(200);
@@ -54,9 +46,23 @@
     routed: RoutedRequest,
     key: KeyState,
     buffer: Rc<AnswerBuffer>,
+    in_progress: Rc<InProgress>,
 ) {
     let routed = Rc::new(routed);
-    let (result, key) = routed.execute(&daemon, key, &buffer).await;
+    let cancellation = Rc::new(routed.cancellation(&daemon, &buffer));
+    let mut execution = Execution {
+        buffer: &buffer,
+        cancellation: &cancellation,
+        daemon: &daemon,
+        history: SendHistory::new(&routed),
+        in_progress: &in_progress,
+        key: Some(key),
+        routed: &routed,
+        stage: Stage::default(),
+    };
+    let executed = cancellation.run(execution.run()).await;
+    let result = executed.unwrap_or_else(|refusal| execution.cancel(refusal));
+    let key = execution.key;
     let settling = monoio::spawn({
         let (daemon, routed, buffer) = (Rc::clone(&daemon), Rc::clone(&routed), Rc::clone(&buffer));
         let result = result.clone();
@@ -219,109 +225,6 @@
         }
     }
 
-    /// Sends the request until it succeeds, fails for good or is spilled. Returns no key if the key
-    /// could not be marked, since it is settled then.
-    async fn execute(
-        &self,
-        daemon: &Rc<Daemon>,
-        mut key: KeyState,
-        buffer: &AnswerBuffer,
-    ) -> (Result<()>, Option<KeyState>) {
-        let mut history = SendHistory::new(self);
-        let mut migration_grant = None;
-        daemon.retry_budgets.record_request(&self.route.pool);
-        loop {
-            let grant_result = match migration_grant.take() {
-                Some(grant) => Ok(grant),
-                None => self.wait_for_grant(daemon, buffer, &history).await,
-            };
-            // Meanwhile, other daemons may have reported crashes of targets under this content.
-            let grant_result =
-                grant_result.and_then(|grant| self.check_quarantine(daemon).map(|()| grant));
-            let grant = match grant_result {
-                Ok(grant) => grant,
-                Err(refusal) if history.is_unsent() && self.can_spill(&refusal, &key) => {
-                    let key = match key.mark_handed_on().await {
-                        Ok(marked) => marked,
-                        Err(refusal) => return (Err(refusal), None),
-                    };
-                    return (self.spill(daemon, buffer, refusal).await, Some(key));
-                }
-                Err(refusal) => return (history.final_result(refusal, buffer), Some(key)),
-            };
-            key = match key.mark().await {
-                Ok(marked) => marked,
-                Err(refusal) => return (Err(refusal), None),
-            };
-            let target = grant.target.clone();
-            match self.send(daemon, buffer, grant, &mut history).await {
-                Ok(()) => {
-                    self.record_completion(daemon, &history.delivered);
-                    return (Ok(()), Some(key));
-                }
-                Err(SendError::Migrated(grant)) => {
-                    history.record_migration(target);
-                    migration_grant = Some(grant);
-                }
-                Err(SendError::Failed(failed)) => {
-                    if let Some(end) = history.record_failure(daemon, self, target, failed, buffer)
-                    {
-                        return (end, Some(key));
-                    }
-                }
-            }
-        }
-    }
-
-    async fn wait_for_grant(
-        &self,
-        daemon: &Rc<Daemon>,
-        buffer: &AnswerBuffer,
-        history: &SendHistory,
-    ) -> Result<HeldGrant> {
-        self.check_quarantine(daemon)?;
-        daemon.record(
-            EventKind::Asked,
-            self.subject(self.route.pool.clone(), None),
-        );
-        let partial = self.partial_answer(daemon, &history.delivered);
-        let submission = self.ask(daemon, &history.prior, partial);
-        let interrupted = self.interrupted(daemon, buffer);
-        let asking = client::submit(daemon, &self.route.pool, submission);
-        pin_mut!(asking, interrupted);
-        match future::select(asking, interrupted).await {
-            Either::Left((Ok(grant), _)) => {
-                log::info!(
-                    abandoned_ms = log_ms(buffer.abandoned_for()),
-                    expected_ms = log_ms(grant.expected),
-                    left_ms = log_ms(self.time_left()),
-                    list_age_ms = log_ms(daemon.live_list.freshness.age(MonoioClock.boot_time())),
-                    since_arrival_ms = self.elapsed_ms(),
-                    request = self.log_id(),
-                    target = grant.target.id;
-                    "granted"
-                );
-                daemon.record(
-                    EventKind::Granted,
-                    self.subject(String::new(), Some(&grant.target.id)),
-                );
-                Ok(grant)
-            }
-            Either::Left((Err(refuse), _)) => Err(dispatch_refusal::refusal(daemon, &refuse)),
-            Either::Right((refusal, _)) => Err(refusal.ran(Executed::No)),
-        }
-    }
-
-    /// Describes the part of an interrupted answer that the caller has; `None` if it has no tokens.
-    fn partial_answer(&self, daemon: &Daemon, delivered: &Delivered) -> Option<PartialAnswer> {
-        let tokens_in_event = daemon.tokens_in_event(&self.route.pool);
-        let tokens = delivered.events.saturating_mul(tokens_in_event);
-        (tokens > 0).then_some(PartialAnswer {
-            remaining: None,
-            tokens,
-        })
-    }
-
     /// Builds the ask for a target that is sent to the dispatcher.
     #[must_use]
     pub fn ask(
@@ -363,41 +266,12 @@
         }
     }
 
-    fn can_spill(&self, refusal: &Refusal, key: &KeyState) -> bool {
-        let allowed = !self.route.spill.is_empty() && self.caller.spilled_from.is_none();
-        // The claim in the store belongs to this data centre, so the claim of another one would be
-        // refused.
-        let claimed_here = key.is_marked() && !self.is_idempotent();
-        allowed && !claimed_here && spill::is_spillable(refusal.kind)
-    }
-
-    async fn spill(&self, daemon: &Daemon, buffer: &AnswerBuffer, refusal: Refusal) -> Result<()> {
-        let (deadline, caller) = (self.deadline(), &self.caller);
-        let interrupted = self.interrupted(daemon, buffer);
-        let spilling =
-            spill::try_data_centres(daemon, caller, &self.route.spill, deadline, buffer, refusal);
-        pin_mut!(spilling, interrupted);
-        match future::select(spilling, interrupted).await {
-            Either::Left((result, _)) => result,
-            Either::Right((refusal, _)) => Err(refusal),
-        }
-    }
-
-    /// Completes when the request must stop, with the reason.
-    pub fn interrupted(
-        &self,
-        daemon: &Daemon,
-        buffer: &AnswerBuffer,
-    ) -> impl Future<Output = Refusal> {
-        let (deadline, grace) = (self.deadline(), self.grace(daemon));
-        interruption::interrupted(buffer, deadline, grace, &daemon.abort_signal)
-    }
-
-    fn grace(&self, daemon: &Daemon) -> Duration {
-        match self.caller.facts.key {
+    fn cancellation(&self, daemon: &Rc<Daemon>, buffer: &Rc<AnswerBuffer>) -> Cancellation {
+        let grace = match self.caller.facts.key {
             Some(_) => Duration::from_millis(daemon.cfg.grace_ms),
             None => Duration::ZERO,
-        }
+        };
+        Cancellation::new(daemon, buffer, self.deadline(), grace)
     }
 }
 
--- a/crates/lilaccrankd/src/request/migration.rs
+++ b/crates/lilaccrankd/src/request/migration.rs
@@ -25,7 +25,7 @@
     /// can't be resumed or is on time.
     pub async fn migration_grant(
         &self,
-        observer: &SendObserver<'_>,
+        observer: &SendObserver,
         resumable: bool,
         prior: &PriorSends,
     ) -> HeldGrant {
@@ -44,12 +44,12 @@
                 continue;
             }
             let submission = self.migration_submission(observer, remaining, prior);
-            match client::submit(observer.daemon, &self.route.pool, submission).await {
+            match client::submit(&observer.daemon, &self.route.pool, submission).await {
                 Ok(grant)
                     if observer
                         .daemon
                         .retry_budgets
-                        .try_take(observer.daemon, &self.route.pool) =>
+                        .try_take(&observer.daemon, &self.route.pool) =>
                 {
                     self.log_migration(observer, &grant, remaining);
                     return grant;
@@ -63,7 +63,7 @@
 
     fn migration_submission(
         &self,
-        observer: &SendObserver<'_>,
+        observer: &SendObserver,
         remaining: Duration,
         prior: &PriorSends,
     ) -> Submission {
@@ -77,14 +77,14 @@
             remaining: Some(remaining),
             tokens: observer.stream_progress().total_tokens(),
         };
-        let submission = self.ask(observer.daemon, &prior, Some(partial));
+        let submission = self.ask(&observer.daemon, &prior, Some(partial));
         Submission {
             request: format!("{}{SUBMISSION_SUFFIX}", submission.request),
             ..submission
         }
     }
 
-    fn log_migration(&self, observer: &SendObserver<'_>, grant: &HeldGrant, remaining: Duration) {
+    fn log_migration(&self, observer: &SendObserver, grant: &HeldGrant, remaining: Duration) {
         log::info!(
             from = observer.grant.target.id,
             left_ms = lifecycle::log_ms(self.time_left()),
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -19,14 +19,14 @@
 
 use crate::callers::caller_request::Operation;
 use crate::callers::refusal::Refusal;
-use crate::daemon::Daemon;
+use crate::daemon::{Daemon, InProgress};
 use crate::pools::client::HeldGrant;
 use crate::request::answer_buffer::AnswerBuffer;
-use crate::request::lifecycle::{self, RoutedRequest};
-use crate::request::send_history::SendHistory;
+use crate::request::execution::Execution;
+use crate::request::lifecycle;
 use crate::targets::engine_run::{self, EngineRequest, Observer, RunOutcome};
 use crate::targets::engine_stream::EngineStream;
-use crate::targets::forward::{self, Delivered, Forwarder, SendFailure};
+use crate::targets::forward::{self, Forwarder, SendFailure};
 use crate::targets::paths;
 use crate::targets::protocol::{OutgoingRequest, RateLimit};
 use crate::targets::proxied_request::ProxiedRequest;
@@ -48,48 +48,41 @@
 /// Least time between two progress reports to the dispatcher.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
 
-impl RoutedRequest {
+impl Execution<'_> {
     /// Sends the request to the target of `grant`.
     ///
     /// # Errors
     ///
     /// The answer is not complete. The error says whether the target may have run the request.
-    pub async fn send(
-        &self,
-        daemon: &Rc<Daemon>,
-        buffer: &AnswerBuffer,
-        grant: HeldGrant,
-        history: &mut SendHistory,
-    ) -> Result<()> {
+    pub async fn send(&mut self, grant: HeldGrant) -> Result<()> {
+        let (daemon, routed) = (self.daemon, self.routed);
         daemon.record(
             EventKind::Dispatched,
-            self.subject(String::new(), Some(&grant.target.id)),
+            routed.subject(String::new(), Some(&grant.target.id)),
         );
-        let checked = sendable::until_usable(daemon, &self.route.pool, &grant.target).await;
-        let observer = SendObserver::new(self, daemon, &grant, &history.delivered);
-        let (sent, decoded, prefill) = match checked {
-            Err(refusal) => (Err(SendFailure::new(refusal).into()), 0, None),
-            Ok(target) => match &self.caller.operation {
-                Operation::Generate { .. } => {
-                    let ended = self.generate(&observer, buffer, &target).await;
-                    let result = ended
-                        .result
-                        .map_err(|refusal| SendFailure::new(refusal).into());
-                    (result, ended.decoded, ended.prefill)
-                }
-                Operation::Proxy(proxied) => {
-                    let sent = self
-                        .forward(&observer, buffer, &target, proxied, history)
-                        .await;
-                    (sent, observer.tokens.get(), None)
-                }
-            },
+        let usable = sendable::until_usable(daemon, &routed.route.pool, &grant.target).await;
+        let target = usable.map_err(SendFailure::new)?;
+        self.history.record_send(&grant.target);
+        grant.record_decoded(0);
+        let observer = Rc::new(SendObserver::new(self, grant));
+        let (sent, decoded, prefill) = match &routed.caller.operation {
+            Operation::Generate { .. } => {
+                let ended = self.generate(&observer, &target).await;
+                let result = ended
+                    .result
+                    .map_err(|refusal| SendFailure::new(refusal).into());
+                (result, ended.decoded, ended.prefill)
+            }
+            Operation::Proxy(proxied) => {
+                let sent = self.forward(&observer, &target, proxied).await;
+                (sent, observer.tokens.get(), None)
+            }
         };
+        let grant = &observer.grant;
         let sent = match sent {
-            Err(SendError::Failed(failed)) => Err(self
-                .with_path_fault(daemon, &grant.target, failed)
-                .await
-                .into()),
+            Err(SendError::Failed(failed)) => {
+                Err(self.with_path_fault(&grant.target, failed).await.into())
+            }
             sent => sent,
         };
         // A pause controls the flow; it is no error of the target.
@@ -105,56 +98,43 @@
     /// shows. What happened to the path says nothing about the target.
     async fn with_path_fault(
         &self,
-        daemon: &Rc<Daemon>,
         instance: &TargetInstance,
         mut failed: SendFailure,
     ) -> SendFailure {
-        let target = daemon.target(&self.route.pool, instance);
+        let (daemon, pool) = (self.daemon, &self.routed.route.pool);
+        let target = daemon.target(pool, instance);
         if let Some(target) = target.filter(|_| failed.refusal.connection_lost) {
-            failed.is_path_fault = daemon.paths.is_down(instance)
-                || !paths::probe(daemon, &self.route.pool, &target).await;
+            failed.is_path_fault =
+                daemon.paths.is_down(instance) || !paths::probe(daemon, pool, &target).await;
         }
         failed
     }
 
-    async fn generate(
-        &self,
-        observer: &SendObserver<'_>,
-        buffer: &AnswerBuffer,
-        target: &Target,
-    ) -> RunOutcome {
-        let daemon = observer.daemon;
+    async fn generate(&self, observer: &Rc<SendObserver>, target: &Target) -> RunOutcome {
+        let (daemon, caller) = (self.daemon, &self.routed.caller);
         let Operation::Generate {
             body,
             answer_format,
             stream,
             ..
-        } = &self.caller.operation
+        } = &caller.operation
         else {
             unreachable!("only model requests are generated");
         };
         let req = EngineRequest {
             answer_limit: daemon.cfg.answer_limit,
             body: body.clone(),
-            key: self.caller.facts.key.as_deref(),
+            key: caller.facts.key.as_deref(),
             format: *answer_format,
             stream: *stream,
         };
-        let client = daemon.client.clone();
-        let transport = self.transport(daemon, target);
         let engine = EngineStream::new(
-            client,
-            transport,
-            self.id.clone(),
+            daemon.client.clone(),
+            Transport::new(self, target),
+            self.routed.id.clone(),
             daemon.silence_timeouts(),
         );
-        let interrupted = self.interrupted(daemon, buffer);
-        engine_run::run(engine, req, buffer, observer, interrupted).await
-    }
-
-    fn transport(&self, daemon: &Rc<Daemon>, target: &Target) -> Transport {
-        let log_id = self.log_id();
-        Transport::new(daemon, &self.route.pool, target, self.deadline(), log_id)
+        engine_run::run(engine, req, self.buffer, observer).await
     }
 
     /// Longest idle time of a connection to a target that the request may reuse.
@@ -162,70 +142,60 @@
     /// An idle connection may be dead without notice. A request that was sent on such a connection
     /// may have run, so it could neither be reported as not run nor be sent again. A request that
     /// can't be retried therefore uses a new connection, or one that has just served an answer.
-    fn max_idle(&self, daemon: &Daemon) -> Duration {
-        if self.is_retryable() {
+    fn max_idle(&self) -> Duration {
+        if self.routed.is_retryable() {
             client::MAX_IDLE
         } else {
-            Duration::from_millis(daemon.cfg.unrepeatable_rest_ms)
+            Duration::from_millis(self.daemon.cfg.unrepeatable_rest_ms)
         }
     }
 
     async fn forward(
-        &self,
-        send_observer: &SendObserver<'_>,
-        buffer: &AnswerBuffer,
+        &mut self,
+        observer: &SendObserver,
         target: &Target,
         proxied: &ProxiedRequest,
-        history: &mut SendHistory,
     ) -> Result<()> {
-        let daemon = send_observer.daemon;
-        let after = history.delivered.last_event.clone();
+        let (daemon, routed, buffer) = (self.daemon, self.routed, self.buffer);
+        let after = self.history.delivered.last_event.clone();
         let sending = OutgoingRequest {
             after: after.as_deref(),
-            caller: &self.caller,
-            id: &self.id,
-            remaining: self.time_left(),
+            caller: &routed.caller,
+            id: &routed.id,
+            remaining: routed.time_left(),
             proxied,
             target,
         };
-        let transport = self.transport(daemon, target);
+        let transport = Transport::new(self, target);
         let forwarding = Forwarder {
             bounds: daemon.bounds(),
             client: &daemon.client,
-            observer: send_observer,
+            observer,
             protocol: &*daemon.ports.targets,
-            rest: self.max_idle(daemon),
+            rest: self.max_idle(),
             transport: &transport,
             buffer,
-            stream: self.route.terms.stream,
-        };
-        let interrupted = async {
-            let refusal = self.interrupted(daemon, buffer).await;
-            SendError::from(SendFailure::new(refusal.ran(Executed::Maybe)))
+            stream: routed.route.terms.stream,
         };
         let restarted = async {
-            daemon
-                .live_list
-                .superseded(&send_observer.grant.target)
-                .await;
+            daemon.live_list.superseded(&observer.grant.target).await;
             SendError::from(target_restarted(buffer))
         };
-        let can_retry = history.can_retry(buffer);
+        let can_retry = self.history.can_retry(buffer);
         let cut = async {
             transport.cut().await;
-            if !can_retry() || !daemon.retry_budgets.has_budget(&self.route.pool) {
+            if !can_retry() || !daemon.retry_budgets.has_budget(&routed.route.pool) {
                 return future::pending().await;
             }
             SendError::from(path_lost(buffer))
         };
-        let resumable = history.can_resume();
-        let (prior, delivered) = (&history.prior, &mut history.delivered);
+        let resumable = self.history.can_resume();
+        let (prior, delivered) = (&self.history.prior, &mut self.history.delivered);
         let migrated = async {
-            let grant = self.migration_grant(send_observer, resumable, prior).await;
+            let grant = routed.migration_grant(observer, resumable, prior).await;
             SendError::from(grant)
         };
         let stops = [
-            interrupted.boxed_local(),
             cut.boxed_local(),
             restarted.boxed_local(),
             migrated.boxed_local(),
@@ -241,11 +211,11 @@
 }
 
 /// Reports the progress of a send to the dispatcher and the metrics.
-pub struct SendObserver<'a> {
+pub struct SendObserver {
     /// The daemon that sends.
-    pub daemon: &'a Rc<Daemon>,
+    pub daemon: Rc<Daemon>,
     /// Grant of the target.
-    pub grant: &'a HeldGrant,
+    pub grant: HeldGrant,
     reported_tokens: Cell<u32>,
     last_report_at: Cell<Instant>,
     stream_progress: Cell<StreamProgress>,
@@ -254,19 +224,18 @@
     elapsed_before_send: Duration,
     /// Set once the target has asked for a pause.
     was_pushed_back: Cell<bool>,
+    /// A daemon that ends waits until targets were told to cancel their work.
+    _in_progress: Rc<InProgress>,
 }
 
-impl<'a> SendObserver<'a> {
-    fn new(
-        routed: &RoutedRequest,
-        daemon: &'a Rc<Daemon>,
-        grant: &'a HeldGrant,
-        delivered: &Delivered,
-    ) -> Self {
+impl SendObserver {
+    fn new(execution: &Execution<'_>, grant: HeldGrant) -> Self {
+        let (daemon, routed) = (execution.daemon, execution.routed);
         let tokens_in_event = daemon.tokens_in_event(&routed.route.pool);
+        let delivered = &execution.history.delivered;
         let earlier_tokens = delivered.events.saturating_mul(tokens_in_event);
         Self {
-            daemon,
+            daemon: Rc::clone(daemon),
             grant,
             reported_tokens: Cell::new(0),
             last_report_at: Cell::new(Instant::now()),
@@ -275,11 +244,12 @@
             tokens_in_event,
             elapsed_before_send: routed.arrived.elapsed(),
             was_pushed_back: Cell::new(false),
+            _in_progress: Rc::clone(execution.in_progress),
         }
     }
 }
 
-impl SendObserver<'_> {
+impl SendObserver {
     /// Progress of the answer so far.
     #[must_use]
     pub fn stream_progress(&self) -> StreamProgress {
@@ -287,7 +257,11 @@
     }
 }
 
-impl Observer for SendObserver<'_> {
+impl Observer for SendObserver {
+    fn decoded(&self, tokens: u32) {
+        self.grant.record_decoded(tokens);
+    }
+
     fn first_token(&self, after: Duration) {
         let total = self.elapsed_before_send + after;
         self.daemon.metrics.first_token.observe(total.as_secs_f64());
@@ -317,7 +291,7 @@
     }
 }
 
-impl forward::Observer for SendObserver<'_> {
+impl forward::Observer for SendObserver {
     fn brittleness(&self, limit: Option<u32>) {
         let exchange = &self.daemon.load_exchange;
         self.daemon
@@ -342,6 +316,7 @@
 
     fn event(&self, first: bool, since_sent: Duration) {
         self.tokens.set(self.tokens.get() + self.tokens_in_event);
+        self.grant.record_decoded(self.tokens.get());
         let now = Instant::now();
         let mut stream_progress = self.stream_progress.get();
         stream_progress.record_tokens(self.tokens_in_event, now);
--- a/crates/lilaccrankd/src/request/send_history.rs
+++ b/crates/lilaccrankd/src/request/send_history.rs
@@ -1,6 +1,5 @@
 //! History of the sends of one request: which targets had it, and what its caller has received.
 
-use std::rc::Rc;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -9,7 +8,6 @@
 use lilaccrank::target_instance::TargetInstance;
 
 use crate::callers::refusal::{Refusal, Result};
-use crate::daemon::Daemon;
 use crate::request::answer_buffer::{AnswerBuffer, Head};
 use crate::request::lifecycle::{self, RoutedRequest};
 use crate::targets::forward::{Delivered, SendFailure};
@@ -28,6 +26,8 @@
     /// Error answer of a target, which the caller gets if no later send does better.
     answer: Option<(Head, Bytes)>,
     attempts: Attempts,
+    /// Target that the request is being sent to, or that works on it.
+    sent_to: Option<TargetInstance>,
     /// Earlier sends, for the next ask.
     pub prior: PriorSends,
     /// The part of the answer that the caller has received.
@@ -49,6 +49,7 @@
         Self {
             answer: None,
             attempts: Attempts::new(allowed),
+            sent_to: None,
             prior: PriorSends {
                 exclusions: Vec::new(),
                 waiting_since: routed.arrived,
@@ -82,54 +83,64 @@
         }
     }
 
+    /// Records that the request is about to be sent. From now on the target may run it.
+    pub fn record_send(&mut self, target: &TargetInstance) {
+        self.sent_to = Some(target.clone());
+    }
+
+    /// Result of a request that is cancelled.
+    ///
+    /// # Errors
+    ///
+    /// The refusal.
+    pub fn cancel(
+        &mut self,
+        routed: &RoutedRequest,
+        refusal: Refusal,
+        buffer: &AnswerBuffer,
+    ) -> Result<()> {
+        let Some(target) = self.sent_to.take() else {
+            return self.final_result(refusal.ran(Executed::No), buffer);
+        };
+        let cancelled = SendFailure::new(refusal.ran(Executed::Maybe));
+        self.attempts.record_failure(cancelled.failure);
+        log_failure(routed, &target, &cancelled, false, buffer);
+        self.final_result(cancelled.refusal, buffer)
+    }
+
     /// Records that another target resumes the answer of `target`, which is still running the
     /// request.
     pub fn record_migration(&mut self, target: TargetInstance) {
+        self.sent_to = None;
         self.prior.exclusions.push(target);
         self.prior.waiting_since = Instant::now();
         self.attempts.record_failure(Failure::BrokenOff);
     }
 
     /// Records a failed send. Returns the result of the request, or `None` if it is to be sent
-    /// again.
+    /// again, which `take_repeat` must allow.
     pub fn record_failure(
         &mut self,
-        daemon: &Rc<Daemon>,
         routed: &RoutedRequest,
         target: TargetInstance,
         failed: SendFailure,
         buffer: &AnswerBuffer,
+        take_repeat: impl FnOnce(Failure) -> bool,
     ) -> Option<Result<()>> {
+        self.sent_to = None;
         self.prior.exclusions.push(target.clone());
-        if failed.refusal.connection_lost {
-            routed.record_lost_connection(daemon, &target, failed.is_path_fault);
-        }
         if failed.failure == Failure::BrokenOff {
             // If the objective still counted from the arrival of the request, it would be over by
             // now. A stream that finds all targets full would then be refused, and what its caller
             // has read would be lost.
             self.prior.waiting_since = Instant::now();
         }
+        let will_retry =
+            self.attempts.record_failure(failed.failure) && take_repeat(failed.failure);
+        log_failure(routed, &target, &failed, will_retry, buffer);
         if failed.answer.is_some() {
             self.answer = failed.answer;
         }
-        let will_retry = self.attempts.record_failure(failed.failure)
-            && !failed.refusal.kind.is_unrelated_to_target()
-            && (failed.failure == Failure::Unsent
-                || daemon.retry_budgets.try_take(daemon, &routed.route.pool));
-        log::info!(
-            abandoned_ms = lifecycle::log_ms(buffer.abandoned_for()),
-            again = will_retry,
-            connection_lost = failed.refusal.connection_lost,
-            content:% = format_args!("{:016x}", routed.content_digest()),
-            how:? = failed.failure,
-            kind:% = failed.refusal.kind,
-            request = routed.log_id(),
-            since_arrival_ms = routed.elapsed_ms(),
-            target = target.id,
-            why = failed.refusal.message;
-            "a send failed"
-        );
         if !will_retry {
             return Some(self.final_result(failed.refusal, buffer));
         }
@@ -163,3 +174,25 @@
         Err(last.ran(Executed::Maybe))
     }
 }
+
+fn log_failure(
+    routed: &RoutedRequest,
+    target: &TargetInstance,
+    failed: &SendFailure,
+    will_retry: bool,
+    buffer: &AnswerBuffer,
+) {
+    log::info!(
+        abandoned_ms = lifecycle::log_ms(buffer.abandoned_for()),
+        again = will_retry,
+        connection_lost = failed.refusal.connection_lost,
+        content:% = format_args!("{:016x}", routed.content_digest()),
+        how:? = failed.failure,
+        kind:% = failed.refusal.kind,
+        request = routed.log_id(),
+        since_arrival_ms = routed.elapsed_ms(),
+        target = target.id,
+        why = failed.refusal.message;
+        "a send failed"
+    );
+}
--- a/crates/lilaccrankd/src/request/spill.rs
+++ b/crates/lilaccrankd/src/request/spill.rs
@@ -19,7 +19,7 @@
 use crate::callers::entry;
 use crate::callers::refusal::{REFUSAL, Refusal, Result};
 use crate::daemon::Daemon;
-use crate::request::answer_buffer::AnswerBuffer;
+use crate::request::execution::Execution;
 use crate::targets::call;
 use crate::targets::relay;
 
@@ -53,20 +53,14 @@
 /// # Errors
 ///
 /// The last refusal, or `refused` if no data centre could be reached.
-pub async fn try_data_centres(
-    daemon: &Daemon,
-    caller: &CallerRequest,
-    data_centres: &[String],
-    deadline: Option<Instant>,
-    buffer: &AnswerBuffer,
-    mut refused: Refusal,
-) -> Result<()> {
-    for data_centre in data_centres {
-        let addresses = daemon.cfg.other_data_centres.get(data_centre);
+pub async fn try_data_centres(execution: &Execution<'_>, mut refused: Refusal) -> Result<()> {
+    let cfg = &execution.daemon.cfg;
+    for data_centre in &execution.routed.route.spill {
+        let addresses = cfg.other_data_centres.get(data_centre);
         let Some(other) = addresses.and_then(|list| list.choose(&mut rand::rng())) else {
             continue;
         };
-        match try_data_centre(daemon, caller, other.callers, deadline, buffer).await {
+        match try_data_centre(execution, other.callers).await {
             // No daemon there could be reached, so the earlier refusal still holds.
             Err(refusal) if refusal.ran == Executed::No && refusal.retry_after.is_none() => {}
             Err(refusal) if refusal.ran == Executed::No => refused = refusal,
@@ -76,16 +70,16 @@
     Err(refused)
 }
 
-async fn try_data_centre(
-    daemon: &Daemon,
-    caller: &CallerRequest,
-    address: SocketAddr,
-    deadline: Option<Instant>,
-    buffer: &AnswerBuffer,
-) -> Result<()> {
+async fn try_data_centre(execution: &Execution<'_>, address: SocketAddr) -> Result<()> {
+    let (daemon, buffer) = (execution.daemon, execution.buffer);
     let bounds = daemon.bounds();
-    let req = request(daemon, caller, deadline);
+    let req = request(
+        daemon,
+        &execution.routed.caller,
+        execution.routed.deadline(),
+    );
     let address = address.to_string();
+    execution.cancellation.check()?;
     let (res, connection) = call::send(&daemon.client, &address, req, bounds.first).await?;
     if res.headers().contains_key(REFUSAL) {
         return Err(refusal(daemon, res).await);
--- a/crates/lilaccrankd/src/targets/engine_run.rs
+++ b/crates/lilaccrankd/src/targets/engine_run.rs
@@ -1,11 +1,9 @@
 //! Runs one granted request on an engine and writes the answer.
 
-use std::future::Future;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures::future::{self, Either};
-use futures::pin_mut;
 use lilaccrank::error_kind::{ErrorKind, Executed};
 
 use crate::callers::answer_builder::{AnswerBuilder, EngineEvent};
@@ -25,6 +23,8 @@
 
 /// Receives the observed progress of an engine, for the dispatcher's estimate of it.
 pub trait Observer {
+    /// Called for each token, with the number of tokens so far.
+    fn decoded(&self, tokens: u32);
     /// Called when the first token arrived, with the time since the request was sent.
     fn first_token(&self, after: Duration);
     /// Called when more tokens arrived, with the mean time between them.
@@ -71,40 +71,37 @@
     pub stream: bool,
 }
 
-/// Sends the request and writes the answer until it ends or `interrupted` completes.
-pub async fn run(
-    mut engine: EngineStream,
+/// Sends the request and writes the answer.
+pub async fn run<O: Observer + 'static>(
+    engine: EngineStream,
     req: EngineRequest<'_>,
     buffer: &AnswerBuffer,
-    observer: &impl Observer,
-    interrupted: impl Future<Output = Refusal>,
+    observer: &Rc<O>,
 ) -> RunOutcome {
     let mut progress = Progress::new();
     let mut builder = AnswerBuilder::new(req.format, req.stream, req.answer_limit);
-    let outcome = {
-        let reading = read(
-            &mut engine,
-            req,
-            &mut builder,
-            buffer,
-            observer,
-            &mut progress,
-        );
-        pin_mut!(reading, interrupted);
-        match future::select(reading, interrupted).await {
-            Either::Left((result, _)) => result,
-            Either::Right((refusal, _)) => Err(refusal),
+    let mut run = Run {
+        engine: Some(engine),
+        observer: Rc::clone(observer),
+    };
+    let outcome = match &mut run.engine {
+        Some(engine) => {
+            read(
+                engine,
+                req,
+                &mut builder,
+                buffer,
+                &**observer,
+                &mut progress,
+            )
+            .await
         }
+        None => unreachable!("the engine is taken at the end of a run"),
     };
     match &outcome {
-        Ok(()) => engine.finish(),
         // The engine may still be computing, though nobody needs the answer.
-        Err(refusal) if refusal.ran == Executed::Maybe => {
-            let cancelling = monoio::spawn(engine.cancel());
-            let cancelled = monoio::time::timeout(CANCEL_TIMEOUT, cancelling).await;
-            pass_on(cancelled.unwrap_or_default(), observer);
-        }
-        Err(_) => {}
+        Err(refusal) if refusal.ran == Executed::Maybe => run.cancel().await,
+        outcome => run.finish(outcome.is_ok()),
     }
     RunOutcome {
         decoded: progress.decoded,
@@ -113,6 +110,42 @@
     }
 }
 
+/// A request at an engine, which is cancelled there if it is dropped.
+struct Run<O: Observer + 'static> {
+    engine: Option<EngineStream>,
+    observer: Rc<O>,
+}
+
+impl<O: Observer + 'static> Run<O> {
+    fn finish(mut self, is_complete: bool) {
+        if let Some(engine) = self.engine.take().filter(|_| is_complete) {
+            engine.finish();
+        }
+    }
+
+    async fn cancel(mut self) {
+        if let Some(engine) = self.engine.take() {
+            cancel(engine, &*self.observer).await;
+        }
+    }
+}
+
+impl<O: Observer + 'static> Drop for Run<O> {
+    fn drop(&mut self) {
+        if let Some(engine) = self.engine.take() {
+            // The observer holds the slot, which must not be granted before the engine has freed it.
+            let observer = Rc::clone(&self.observer);
+            monoio::spawn(async move { cancel(engine, &*observer).await });
+        }
+    }
+}
+
+async fn cancel(engine: EngineStream, observer: &impl Observer) {
+    let cancelling = monoio::spawn(engine.cancel());
+    let cancelled = monoio::time::timeout(CANCEL_TIMEOUT, cancelling).await;
+    pass_on(cancelled.unwrap_or_default(), observer);
+}
+
 async fn read(
     engine: &mut EngineStream,
     req: EngineRequest<'_>,
@@ -174,6 +207,7 @@
 
     fn token(&mut self, observer: &impl Observer) {
         self.decoded += 1;
+        observer.decoded(self.decoded);
         let now = Instant::now();
         if self.decoded == 1 {
             observer.first_token(now - self.sent_at);
--- a/crates/lilaccrankd/src/targets/engine_stream.rs
+++ b/crates/lilaccrankd/src/targets/engine_stream.rs
@@ -170,7 +170,7 @@
             max_idle: client::MAX_IDLE,
             head: RESUME_TIMEOUT,
         };
-        if let Ok((res, _)) = self.transport.send(build, limits).await {
+        if let Ok((res, _)) = self.transport.send_cancel(build, limits).await {
             self.note(&res);
         }
         self.notices
--- a/crates/lilaccrankd/src/targets/transport.rs
+++ b/crates/lilaccrankd/src/targets/transport.rs
@@ -23,6 +23,8 @@
 use crate::callers::refusal::Refusal;
 use crate::daemon::Daemon;
 use crate::peers::path_relay::{self, Envelope};
+use crate::request::cancellation::Cancellation;
+use crate::request::execution::Execution;
 use crate::targets::call;
 use crate::targets::paths::{self, ActiveSend};
 
@@ -54,6 +56,9 @@
         /// The peer.
         vm: VmId,
     },
+    /// The request was cancelled before it was sent.
+    #[error(transparent)]
+    Cancelled(Refusal),
     /// No connection could be made, and no peer that was asked reaches the target.
     #[error("{0}, and no peer that was asked reaches the target")]
     Unreachable(client::Error),
@@ -73,6 +78,7 @@
                 path_relay::Failure::Silent => Refusal::new(ErrorKind::TargetSilent, message),
                 path_relay::Failure::Unsent => Refusal::new(ErrorKind::NoTarget, message),
             },
+            Self::Cancelled(refusal) => refusal.clone(),
             Self::RelayLost { .. } => Refusal::new(ErrorKind::TargetFailed, message),
             Self::Unreachable(_) => Refusal::new(ErrorKind::NoTarget, message),
         }
@@ -81,6 +87,7 @@
 
 /// Sends the requests of one caller's request to one target.
 pub struct Transport {
+    cancellation: Rc<Cancellation>,
     daemon: Rc<Daemon>,
     deadline: Option<Instant>,
     instance: TargetInstance,
@@ -93,21 +100,17 @@
 }
 
 impl Transport {
-    /// Creates a transport for a request that is due at `deadline` and has this id in logs.
+    /// Creates a transport for the request of `execution`.
     #[must_use]
-    pub fn new(
-        daemon: &Rc<Daemon>,
-        pool: &PoolId,
-        target: &Target,
-        deadline: Option<Instant>,
-        log_id: &str,
-    ) -> Self {
+    pub fn new(execution: &Execution<'_>, target: &Target) -> Self {
+        let routed = execution.routed;
         Self {
-            daemon: Rc::clone(daemon),
-            deadline,
+            cancellation: Rc::clone(execution.cancellation),
+            daemon: Rc::clone(execution.daemon),
+            deadline: routed.deadline(),
             instance: TargetInstance::of(target),
-            log_id: log_id.to_owned(),
-            pool: pool.clone(),
+            log_id: routed.log_id().to_owned(),
+            pool: routed.route.pool.clone(),
             relay: RefCell::default(),
             active: RefCell::default(),
             target: target.clone(),
@@ -118,12 +121,36 @@
     ///
     /// # Errors
     ///
-    /// If no response head arrives.
+    /// If no response head arrives, or if all callers have left before the request is sent.
     pub async fn send(
         &self,
         build: impl Fn() -> Request<Body>,
         limits: Limits,
     ) -> Result<(Response<Incoming>, Connection)> {
+        self.send_if(|| self.cancellation.check(), build, limits)
+            .await
+    }
+
+    /// Sends a request that ends work at the target, whether or not a caller is left.
+    ///
+    /// # Errors
+    ///
+    /// If no response head arrives.
+    pub async fn send_cancel(
+        &self,
+        build: impl Fn() -> Request<Body>,
+        limits: Limits,
+    ) -> Result<(Response<Incoming>, Connection)> {
+        self.send_if(|| Ok(()), build, limits).await
+    }
+
+    async fn send_if(
+        &self,
+        check: impl Fn() -> Result<(), Refusal>,
+        build: impl Fn() -> Request<Body>,
+        limits: Limits,
+    ) -> Result<(Response<Incoming>, Connection)> {
+        check().map_err(Error::Cancelled)?;
         let paths = &self.daemon.paths;
         let is_down = paths.is_down(&self.instance);
         let unconnected = if is_down && !paths.keeps_working(&self.instance) {
@@ -147,7 +174,7 @@
         if !is_down {
             paths::record_unconnected(&self.daemon, &self.pool, &self.target, &unconnected);
         }
-        self.relay(build, limits, unconnected).await
+        self.relay(check, build, limits, unconnected).await
     }
 
     /// Records that a part of the answer arrived.
@@ -197,6 +224,7 @@
 
     async fn relay(
         &self,
+        check: impl Fn() -> Result<(), Refusal>,
         build: impl Fn() -> Request<Body>,
         limits: Limits,
         unconnected: client::Error,
@@ -208,6 +236,7 @@
             else {
                 break;
             };
+            check().map_err(Error::Cancelled)?;
             let envelope = Envelope {
                 from: &self.daemon.cfg.vm,
                 left: self
