Retry budgets: a retry that is not made is given back

Cause: a repeat takes from the budget of its pool when its send has failed, and keeps it if its caller leaves, or no target takes it, before it is sent again. Callers that leave while targets fail use up the repeats of those that stay.

Change: `RetryPermit` is held by the execution until the request is sent, and returns to the budget when it is dropped unspent. The bound on sends to second targets is the same: each one takes a permit before it is sent.

Tests: `retry_permit::a_retry_that_is_not_made_is_given_back` and `a_retry_that_is_made_is_spent`; before, nothing could be given back.

--- a/crates/lilaccrank/src/retry_budget.rs
+++ b/crates/lilaccrank/src/retry_budget.rs
@@ -69,6 +69,11 @@
         allowed
     }
 
+    /// Returns a retry that was taken and not made.
+    pub fn give_back(&mut self) {
+        self.deposit(1.0);
+    }
+
     fn deposit(&mut self, retries: f64) {
         self.balance = (self.balance + retries).min(self.cfg.capacity);
     }
--- a/crates/lilaccrankd/src/request/execution.rs
+++ b/crates/lilaccrankd/src/request/execution.rs
@@ -21,6 +21,7 @@
 use crate::request::dispatch_refusal;
 use crate::request::key_state::KeyState;
 use crate::request::lifecycle::{self, RoutedRequest};
+use crate::request::pool_retry_budgets::RetryPermit;
 use crate::request::send::SendError;
 use crate::request::send_history::SendHistory;
 use crate::request::spill;
@@ -40,6 +41,8 @@
     pub in_progress: &'a Rc<InProgress>,
     /// Its key; `None` if it could not be marked and is settled.
     pub key: Option<KeyState>,
+    /// Permit for the next send, if it is a retry that the budget has to allow.
+    pub retry: Option<RetryPermit>,
     /// The request.
     pub routed: &'a RoutedRequest,
     /// What it may have caused.
@@ -121,12 +124,14 @@
         if failed.refusal.connection_lost {
             routed.record_lost_connection(daemon, &target, failed.is_path_fault);
         }
-        let budgets = &daemon.retry_budgets;
         let may_repeat =
             self.cancellation.check().is_ok() && !failed.refusal.kind.is_unrelated_to_target();
+        let retry = &mut self.retry;
         let take_repeat = |failure| {
-            let is_free = failure == Failure::Unsent;
-            may_repeat && (is_free || budgets.try_take(daemon, &routed.route.pool))
+            if may_repeat && failure != Failure::Unsent {
+                *retry = RetryPermit::take(daemon, &routed.route.pool);
+            }
+            may_repeat && (failure == Failure::Unsent || retry.is_some())
         };
         self.history
             .record_failure(routed, target, failed, self.buffer, take_repeat)
--- a/crates/lilaccrankd/src/request/migration.rs
+++ b/crates/lilaccrankd/src/request/migration.rs
@@ -11,6 +11,7 @@
 
 use crate::pools::client::{self, HeldGrant};
 use crate::request::lifecycle::{self, RoutedRequest};
+use crate::request::pool_retry_budgets::RetryPermit;
 use crate::request::send::SendObserver;
 use crate::request::send_history::PriorSends;
 
@@ -45,17 +46,14 @@
             }
             let submission = self.migration_submission(observer, remaining, prior);
             match client::submit(&observer.daemon, &self.route.pool, submission).await {
-                Ok(grant)
-                    if observer
-                        .daemon
-                        .retry_budgets
-                        .try_take(&observer.daemon, &self.route.pool) =>
-                {
-                    self.log_migration(observer, &grant, remaining);
-                    return grant;
+                Ok(grant) => {
+                    // Without a permit, the grant is dropped, which releases it.
+                    if let Some(permit) = RetryPermit::take(&observer.daemon, &self.route.pool) {
+                        permit.spend();
+                        self.log_migration(observer, &grant, remaining);
+                        return grant;
+                    }
                 }
-                // Dropping the grant releases it.
-                Ok(_) => {}
                 Err(_) => monoio::time::sleep(RETRY_INTERVAL).await,
             }
         }
--- a/crates/lilaccrankd/src/request/pool_retry_budgets.rs
+++ b/crates/lilaccrankd/src/request/pool_retry_budgets.rs
@@ -7,6 +7,7 @@
 //! save up seven times the reserve and spend it within seconds on a pool that refuses requests.
 
 use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Instant;
 
 use lilaccrank::ids::PoolId;
@@ -63,14 +64,48 @@
         self.budgets.borrow_mut().get(pool, now).has_retry(now)
     }
 
-    /// Takes a retry from the budget of the pool. Returns `false` and counts the denial if there is
+    fn give_back(&self, pool: &PoolId) {
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.get(pool, Instant::now()).give_back();
+    }
+}
+
+/// A retry taken from a budget. Dropping it without [`spend`](Self::spend) gives it back, as when its
+/// request is cancelled while it waits for a target.
+pub struct RetryPermit {
+    daemon: Rc<Daemon>,
+    is_spent: bool,
+    pool: PoolId,
+}
+
+impl RetryPermit {
+    /// Takes a retry from the budget of the pool. Returns `None` and counts the denial if there is
     /// none.
-    pub fn try_take(&self, daemon: &Daemon, pool: &PoolId) -> bool {
+    #[must_use]
+    pub fn take(daemon: &Rc<Daemon>, pool: &PoolId) -> Option<Self> {
         let now = Instant::now();
-        let allowed = self.budgets.borrow_mut().get(pool, now).try_retry(now);
-        if !allowed {
+        let budgets = &daemon.retry_budgets.budgets;
+        if !budgets.borrow_mut().get(pool, now).try_retry(now) {
             daemon.metrics.second_sends_denied.inc();
+            return None;
+        }
+        Some(Self {
+            daemon: Rc::clone(daemon),
+            is_spent: false,
+            pool: pool.clone(),
+        })
+    }
+
+    /// Records that the retry is made.
+    pub fn spend(mut self) {
+        self.is_spent = true;
+    }
+}
+
+impl Drop for RetryPermit {
+    fn drop(&mut self) {
+        if !self.is_spent {
+            self.daemon.retry_budgets.give_back(&self.pool);
         }
-        allowed
     }
 }
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -63,6 +63,9 @@
         let usable = sendable::until_usable(daemon, &routed.route.pool, &grant.target).await;
         let target = usable.map_err(SendFailure::new)?;
         self.history.record_send(&grant.target);
+        if let Some(permit) = self.retry.take() {
+            permit.spend();
+        }
         grant.record_decoded(0);
         let observer = Rc::new(SendObserver::new(self, grant));
         let (sent, decoded, prefill) = match &routed.caller.operation {
--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -18,6 +18,8 @@
 mod pauses;
 #[path = "suite/platform_contact.rs"]
 mod platform_contact;
+#[path = "suite/retry_permit.rs"]
+mod retry_permit;
 #[path = "suite/sendable.rs"]
 mod sendable;
 #[path = "suite/stale_jitter.rs"]
