Relay: the wait for a recent list is under the relayed request's cancellation

A relayed request waited for a recent list of targets without looking at its deadline. All its work from there on runs inside its `Cancellation` now, and the connection of the daemon in front is asked right before the send. Nothing was seen to fail: found by reading, as the one wait of a relayed request that was left.

--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -209,17 +209,18 @@
     let limit = daemon.cfg.body_limit;
     let body = entry::read_body(daemon, incoming, limit).await;
     let body = body.map_err(|_| Failure::Unsent)?;
-    let target = sendable::until_usable(daemon, &relayed.pool, &relayed.target).await;
+    let buffer = Rc::new(AnswerBuffer::default());
+    let reader = buffer.reader(client);
+    let cancellation = Cancellation::new(daemon, &buffer, relayed.deadline, Duration::ZERO);
+    let usable = sendable::until_usable(daemon, &relayed.pool, &relayed.target);
+    let usable = cancellation.run(usable).await.flatten();
+    let target = usable.and_then(|target| cancellation.check().map(|()| target));
     let target = target.map_err(|refusal| {
         log::info!(request = relayed.log_id, why = refusal.message; "not relayed");
         Failure::Unsent
     })?;
     let req = Request::from_parts(head, body::full(body));
-    let buffer = Rc::new(AnswerBuffer::default());
-    let reader = buffer.reader(client);
     let active = ActiveSend::new(daemon, &relayed.target);
-    let cancellation = Cancellation::new(daemon, &buffer, relayed.deadline, Duration::ZERO);
-    cancellation.check().map_err(|_| Failure::Unsent)?;
     let sending = cancellation.run(send(daemon, relayed, &target, req));
     let (res, connection) = sending.await.map_err(|_| Failure::Silent)??;
     active.record_heard();
