Soak: callers that leave at random moments, judged at the engines

One caller after another at each daemon leaves within 0.9 s, half of them with the beginning of a next request behind; an engine that gets or does anything for one of them 0.5 s later breaks a promise, unless its daemon or the wire to that engine was harmed around that time. Requests are found in the engines' logs by the lengths of their prompts.

It stays as a test.

--- a/crates/lilaccrank-lab/src/caller.rs
+++ b/crates/lilaccrank-lab/src/caller.rs
@@ -103,15 +103,20 @@
     outcome
 }
 
-/// The request as it goes out.
-pub(crate) fn request(call: &Call) -> Request<Body> {
+/// The body of the request.
+pub(crate) fn json(call: &Call) -> String {
     let json = json!({
         "max_tokens": call.max_tokens,
         "model": call.model,
         "prompt": call.prompt,
         "stream": call.stream,
     });
-    let mut req = Request::new(body::full(Bytes::from(json.to_string())));
+    json.to_string()
+}
+
+/// The request as it goes out.
+pub(crate) fn request(call: &Call) -> Request<Body> {
+    let mut req = Request::new(body::full(Bytes::from(json(call))));
     *req.method_mut() = Method::POST;
     *req.uri_mut() = "/v1/completions".parse().unwrap_or_default();
     let mut set = |name: HeaderName, value: &str| {
--- a/crates/lilaccrank-lab/src/soak.rs
+++ b/crates/lilaccrank-lab/src/soak.rs
@@ -15,11 +15,13 @@
 use crate::stand_in::Result;
 
 mod checks;
+mod leavers;
 mod load;
 mod plan;
 mod world;
 
 use checks::{Broken, Findings};
+use leavers::Leavers;
 use load::Load;
 use world::{DAEMONS, ENGINES, World};
 
@@ -72,12 +74,18 @@
 async fn play(seed: u64, length: Duration) -> Result<bool> {
     let world = Rc::new(World::start().await?);
     let load = Load::new();
+    let leavers = Rc::new(Leavers::default());
     let findings = Findings::default();
     let begun = Instant::now();
     {
         let watching = findings.watch(&world).fuse();
-        let faults = faults(&world, &load, seed, length).fuse();
-        let loading = load.run(&world, seed);
+        let faults = async {
+            let played = faults(&world, &load, seed, length).await;
+            leavers.stop();
+            played
+        };
+        let faults = faults.fuse();
+        let loading = future::join(load.run(&world, seed), leavers.run(&world, seed)).map(drop);
         futures::pin_mut!(watching, faults, loading);
         let both = future::try_join(faults, loading.map(Ok));
         futures::pin_mut!(both);
@@ -98,6 +106,7 @@
     findings.settled(&world, RECOVERY).await;
     let unanswered = last_calls(&world, seed).await;
     findings.judge(&world, &load).await?;
+    let departures = findings.judge_departures(&world, &leavers).await?;
     let mut broken = findings.broken.take();
     broken.extend(unanswered.map(|what| Broken {
         at: Instant::now(),
@@ -105,7 +114,7 @@
         what,
     }));
     broken.sort_by_key(|broken| broken.at);
-    summarize(seed, &load, broken.len());
+    summarize(seed, &load, departures, broken.len());
     if let Some(first) = broken.first() {
         explain(&world, begun, first);
     }
@@ -152,12 +161,12 @@
     None
 }
 
-fn summarize(seed: u64, load: &Load, broken: usize) {
+fn summarize(seed: u64, load: &Load, departures: usize, broken: usize) {
     let tries = load.tries.borrow();
     let count = |wanted: fn(&Outcome) -> bool| tries.iter().filter(|t| wanted(&t.outcome)).count();
     println!(
         "seed {seed}: {} tries, {} whole, {} refused, {} broken off, {} without an answer; \
-         {broken} promises broken",
+         {departures} callers judged that left; {broken} promises broken",
         tries.len(),
         count(|outcome| matches!(outcome, Outcome::Whole { .. })),
         count(|outcome| matches!(outcome, Outcome::Refused { .. })),
--- a/crates/lilaccrank-lab/src/soak/checks.rs
+++ b/crates/lilaccrank-lab/src/soak/checks.rs
@@ -6,10 +6,12 @@
 
 use indexmap::IndexMap;
 use lilaccrank::operators::Status;
+use serde_json::Value;
 
 use crate::caller::Outcome;
 use crate::stand_in::Result;
 
+use super::leavers::{self, Departure, Leavers};
 use super::load::{Load, Try};
 use super::plan::Fault;
 use super::world::{DAEMONS, World};
@@ -106,6 +108,31 @@
         Ok(())
     }
 
+    /// Judges what engines did for callers that had left. Returns the number of callers judged: those
+    /// whose daemon was in touch.
+    pub(super) async fn judge_departures(&self, world: &World, leavers: &Leavers) -> Result<usize> {
+        let departures = leavers.departures.borrow();
+        for (engine, process) in &world.cluster.engines {
+            let entries = world.cluster.begun(&process.address).await?;
+            let wire = world.cluster.target_wires.get_index_of(engine);
+            for left in departures
+                .iter()
+                .filter(|left| is_in_touch(world, left, wire))
+            {
+                for what in entries
+                    .iter()
+                    .filter_map(|entry| work_for_nobody(left, entry))
+                {
+                    self.note(left.left, None, format!("{engine}: {what}"));
+                }
+            }
+        }
+        let in_touch = departures
+            .iter()
+            .filter(|left| is_in_touch(world, left, None));
+        Ok(in_touch.count())
+    }
+
     fn judge_request(&self, world: &World, key: &str, tries: &[&Try], ran: usize) {
         let last = tries[tries.len() - 1];
         let note = |what: String| self.note(last.ended, Some(key), what);
@@ -138,6 +165,42 @@
     }
 }
 
+/// Whether the daemon was there while a caller came and left, and reached the engine behind `wire`.
+fn is_in_touch(world: &World, left: &Departure, wire: Option<usize>) -> bool {
+    let until = left.left + 2 * leavers::LIMIT;
+    let past = world.past.borrow();
+    let mut faults = past.iter().filter(|past| match past.fault {
+        Fault::Freeze(at) | Fault::Kill(at) | Fault::Terminate(at) => at == left.daemon,
+        Fault::TargetWire(at, _) => Some(at) == wire,
+        Fault::LostAnswers(_)
+        | Fault::PlatformWire(_)
+        | Fault::Publish
+        | Fault::StoreAway
+        | Fault::StoreSlow(_) => false,
+    });
+    !faults.any(|past| past.began < until && past.ended + AFTER > left.began)
+}
+
+/// What an engine did too late for a caller that had left, by an entry of its log.
+fn work_for_nobody(left: &Departure, entry: &Value) -> Option<String> {
+    let is_own = entry["key"].is_null() && entry["prompt_tokens"] == left.prompt_tokens;
+    if !is_own {
+        return None;
+    }
+    let id = entry["request_id"].as_str()?;
+    let after = |field: &str| Some(entry[field].as_u64()?.saturating_sub(left.left_ms));
+    let limit = u64::try_from(leavers::LIMIT.as_millis()).ok()?;
+    match (after("at_ms"), after("ended_ms")) {
+        (Some(began), _) if began > limit => Some(format!(
+            "{id} reached it {began} ms after its caller had left"
+        )),
+        (_, Some(ended)) if ended <= limit => None,
+        (_, ended) => Some(format!(
+            "{id} was worked on {ended:?} ms after its caller had left"
+        )),
+    }
+}
+
 /// Daemons that were away while a request was tried.
 fn deaths(world: &World, tries: &[&Try]) -> usize {
     let (began, ended) = (tries[0].began, tries[tries.len() - 1].ended);
--- a/crates/lilaccrank-lab/tests/soak.rs
+++ b/crates/lilaccrank-lab/tests/soak.rs
@@ -25,3 +25,5 @@
 // A daemon was asked to end twice, ended, and started anew; the soak took the new life for the old
 // one that does not end.
 seed!(asked_to_end_twice, 143, 0.4);
+// Engines worked on for callers that had left with bytes of a next request behind the first.
+seed!(callers_that_leave, 4400, 0.3);
