--- a/crates/lilaccrank-lab/src/soak/checks.rs
+++ b/crates/lilaccrank-lab/src/soak/checks.rs
@@ -111,7 +111,7 @@
     /// Judges what engines did for callers that had left. Returns the number of callers judged: those
     /// whose daemon was in touch.
     pub(super) async fn judge_departures(&self, world: &World, leavers: &Leavers) -> Result<usize> {
-        let departures = leavers.departures.borrow();
+        let departures = leavers.departures.take();
         for (engine, process) in &world.cluster.engines {
             let entries = world.cluster.begun(&process.address).await?;
             let wire = world.cluster.target_wires.get_index_of(engine);
