Test: callers that leave while an engine works, on the native protocol

Streams and whole answers, here and spilled to another data centre, with and without bytes of a next request; an engine that is silent for a second between two tokens. A keyed request runs on.

--- a/crates/lilaccrank-lab/tests/faults.rs
+++ b/crates/lilaccrank-lab/tests/faults.rs
@@ -5,6 +5,8 @@
 mod bad_input;
 #[path = "faults/configuration.rs"]
 mod configuration;
+#[path = "faults/departures.rs"]
+mod departures;
 #[path = "faults/dispatcher.rs"]
 mod dispatcher;
 #[path = "faults/engines.rs"]
