--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -1,4 +1,4 @@
-//! Lifecycle of one routed request: it waits for a grant, is sent to a target, and ends.
+//! Lifecycle of one routed request: it is executed, settled and ended.
 
 use std::cell::OnceCell;
 use std::rc::Rc;
