Test: a client's hang-up has a time before and a time after

The test took the time of the close after `shutdown` had returned; the server had dropped the handler before the client's thread came to run again.

--- a/crates/lilaccrank-http/tests/suite/client_connection.rs
+++ b/crates/lilaccrank-http/tests/suite/client_connection.rs
@@ -96,17 +96,18 @@
     }))
 }
 
-/// Sends a request and more bytes, hangs up after a moment, and returns when.
-fn hang_up(address: SocketAddr, behind: &str) -> Instant {
+/// Sends a request and more bytes and hangs up after a moment. Returns times just before and after.
+fn hang_up(address: SocketAddr, behind: &str) -> (Instant, Instant) {
     let mut stream = connect(address);
     stream
         .write_all(format!("{HEAD}{behind}").as_bytes())
         .unwrap();
     thread::sleep(Duration::from_millis(50));
+    let before = Instant::now();
     stream.shutdown(Shutdown::Write).unwrap();
-    let left_at = Instant::now();
+    let after = Instant::now();
     thread::sleep(2 * AIM);
-    left_at
+    (before, after)
 }
 
 /// Guards against a handler, or the writer of a body, that goes on after its client has hung up.
@@ -115,11 +116,11 @@
         $(
             #[test]
             fn $name() {
-                let (seen, left_at) = serve($handler, |address| hang_up(address, $behind));
+                let (seen, (before, after)) = serve($handler, |address| hang_up(address, $behind));
                 let dropped_at = seen.dropped_at.borrow();
                 assert_eq!((seen.began.get(), dropped_at.len()), (1, 1));
-                assert!(dropped_at[0] >= left_at, "before the client hung up");
-                assert!(dropped_at[0] < left_at + AIM, "{:?}", dropped_at[0] - left_at);
+                assert!(dropped_at[0] >= before, "before the client hung up");
+                assert!(dropped_at[0] < after + AIM, "{:?}", dropped_at[0] - after);
             }
         )*
     };
