--- a/crates/lilaccrank-http/src/client_connection.rs
+++ b/crates/lilaccrank-http/src/client_connection.rs
@@ -49,6 +49,7 @@
     transport: Weak<dyn Watched>,
 }
 
+/// A transport that can be asked for its end from any task.
 trait Watched {
     fn is_closed(&self) -> bool;
 }
--- a/crates/lilaccrankd/src/request/answer_buffer.rs
+++ b/crates/lilaccrankd/src/request/answer_buffer.rs
@@ -13,6 +13,9 @@
 
 use crate::callers::refusal::Refusal;
 
+/// Number of a reader at one buffer.
+type ReaderId = u64;
+
 /// Status and headers of an answer, as the caller gets them.
 #[derive(Clone, Debug)]
 pub struct Head {
@@ -64,8 +67,9 @@
     end: RefCell<Option<End>>,
     head: RefCell<Option<Head>>,
     timing: Cell<ChunkTiming>,
-    readers: RefCell<IndexMap<u64, ClientConnection>>,
-    next_reader: Cell<u64>,
+    /// Connections of the readers.
+    readers: RefCell<IndexMap<ReaderId, ClientConnection>>,
+    next_reader: Cell<ReaderId>,
     size: Cell<usize>,
     /// When the last reader went away.
     unread_since: Cell<Option<Instant>>,
@@ -175,7 +179,7 @@
 
 /// Reads an answer at the speed of its caller. It counts as a reader until it is dropped.
 pub struct Reader {
-    id: u64,
+    id: ReaderId,
     next: usize,
     buffer: Rc<AnswerBuffer>,
 }
