--- a/crates/lilaccrank-lab/src/soak.rs
+++ b/crates/lilaccrank-lab/src/soak.rs
@@ -108,11 +108,7 @@
     findings.judge(&world, &load).await?;
     let departures = findings.judge_departures(&world, &leavers).await?;
     let mut broken = findings.broken.take();
-    broken.extend(unanswered.map(|what| Broken {
-        at: Instant::now(),
-        key: None,
-        what,
-    }));
+    broken.extend(unanswered);
     broken.sort_by_key(|broken| broken.at);
     summarize(seed, &load, departures, broken.len());
     if let Some(first) = broken.first() {
@@ -142,7 +138,7 @@
 }
 
 /// Requests to a cluster on which nothing is wrong any more; what is wrong with their answers.
-async fn last_calls(world: &World, seed: u64) -> Option<String> {
+async fn last_calls(world: &World, seed: u64) -> Option<Broken> {
     let until = Instant::now() + RECOVERY;
     let mut rng = StdRng::seed_from_u64(seed);
     for round in 0.. {
@@ -152,10 +148,15 @@
         let tries = calls.iter().enumerate();
         let tries = tries.map(|(number, call)| load::attempt(world, number % DAEMONS, call));
         let outcomes = future::join_all(tries).await;
-        let mut failed = outcomes.into_iter().map(|tried| tried.outcome);
-        let failed = failed.find(|outcome| !matches!(outcome, Outcome::Whole { .. }))?;
+        let mut tries = outcomes.into_iter();
+        let failed = tries.find(|tried| !matches!(tried.outcome, Outcome::Whole { .. }))?;
         if Instant::now() > until {
-            return Some(format!("no recovery: {failed:?}"));
+            let vm = &world.daemons.borrow()[failed.daemon].vm;
+            return Some(Broken {
+                at: failed.ended,
+                key: Some(vm.clone()),
+                what: format!("no recovery: {:?}", failed.outcome),
+            });
         }
     }
     None
