--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -4,6 +4,8 @@
 mod cancellation;
 #[path = "suite/changes.rs"]
 mod changes;
+#[path = "suite/fixtures.rs"]
+mod fixtures;
 #[path = "suite/following.rs"]
 mod following;
 #[path = "suite/freshness.rs"]
--- a/crates/lilaccrankd/tests/suite/cancellation.rs
+++ b/crates/lilaccrankd/tests/suite/cancellation.rs
@@ -10,21 +10,16 @@
 use futures::{StreamExt, future};
 use hyper::Response;
 use lilaccrank::error_kind::{ErrorKind, Executed};
-use lilaccrank::membership;
 use lilaccrank_http::body::{self, Body};
 use lilaccrank_http::client_connection::ClientConnection;
-use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::runtime;
 use lilaccrank_http::server::{self, ShutdownHandle};
 use lilaccrankd::callers::refusal::Refusal;
 use lilaccrankd::daemon::Daemon;
-use lilaccrankd::peers::traffic::Traffic;
-use lilaccrankd::ports::Ports;
 use lilaccrankd::request::answer_buffer::AnswerBuffer;
 use lilaccrankd::request::cancellation::Cancellation;
-use lilaccrankd::settings::Settings;
 
-use super::network::Network;
+use super::fixtures;
 
 /// Longest time from what cancels a request to its end.
 const AIM: Duration = Duration::from_millis(100);
@@ -42,13 +37,6 @@
 
 impl Rig {
     fn start() -> Self {
-        let cfg = Settings::default();
-        let member = Daemon::member(&cfg, 1);
-        let socket = Network::default().socket(cfg.gossip);
-        let settings = membership::Settings::default();
-        let (membership, _) = membership::new(settings, member, MonoioClock, socket);
-        let (traffic, ports) = (Rc::<Traffic>::default(), Ports::default());
-        let daemon = Daemon::new(cfg, 1, membership, traffic, ports).unwrap();
         let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let address = listener.local_addr().unwrap();
         let buffer = Rc::new(AnswerBuffer::default());
@@ -72,7 +60,7 @@
             buffer,
             callers: Vec::new(),
             connections,
-            daemon: Rc::new(daemon),
+            daemon: fixtures::daemon(),
         }
     }
 
--- a/crates/lilaccrankd/tests/suite/sendable.rs
+++ b/crates/lilaccrankd/tests/suite/sendable.rs
@@ -8,19 +8,14 @@
 use lilaccrank::configuration::sections::Sections;
 use lilaccrank::document::{Document, Pool, Target, TargetState};
 use lilaccrank::error_kind::{ErrorKind, Executed};
-use lilaccrank::membership;
 use lilaccrank::target_instance::TargetInstance;
-use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::runtime;
 use lilaccrankd::callers::refusal::Refusal;
 use lilaccrankd::daemon::Daemon;
-use lilaccrankd::peers::traffic::Traffic;
-use lilaccrankd::ports::Ports;
-use lilaccrankd::settings::Settings;
 use lilaccrankd::targets::live_list::Listing;
 use lilaccrankd::targets::sendable;
 
-use super::network::Network;
+use super::fixtures;
 
 const POOL: &str = "engines";
 
@@ -79,14 +74,7 @@
 /// live.
 fn check_after(id: &str, change: impl FnOnce(&Rc<Daemon>)) -> Result<Target, Refusal> {
     runtime::block_on(async {
-        let cfg = Settings::default();
-        let member = Daemon::member(&cfg, 1);
-        let socket = Network::default().socket(cfg.gossip);
-        let settings = membership::Settings::default();
-        let (membership, _) = membership::new(settings, member, MonoioClock, socket);
-        let (traffic, ports) = (Rc::<Traffic>::default(), Ports::default());
-        let daemon = Daemon::new(cfg, 1, membership, traffic, ports).unwrap();
-        let daemon = Rc::new(daemon);
+        let daemon = fixtures::daemon();
         publish(&daemon, 1, &document(TargetState::Live));
         list(&daemon, 1, vec![target("listed", TargetState::Live)], &[]);
         change(&daemon);
