Logs: the version of a grant's target and the request that a caller takes up

Change: targets have a version, requests a continuation; 'granted' and 'migrates to another target' name the version, 'routed' names the request that is resumed. Nothing decides by them. Ruled out: logging the header in the platform's adapter, where no line has the grant.

--- a/crates/lilaccrank/src/document.rs
+++ b/crates/lilaccrank/src/document.rs
@@ -10,7 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{
-    CustomerId, DataCentre, ModelId, PoolId, Rank, RuleId, StartTimeMs, TargetId, Tier, VmId,
+    CustomerId, DataCentre, ModelId, PoolId, Rank, RuleId, SoftwareVersion, StartTimeMs, TargetId,
+    Tier, VmId,
 };
 
 /// A whole configuration, without its generation.
@@ -190,6 +191,9 @@
     /// State with regard to new requests.
     #[serde(default)]
     pub state: TargetState,
+    /// Version of its software; `None` if unknown. A stream is resumed only at its own version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<SoftwareVersion>,
     /// Name of its VM in the platform's list, if it differs from the name of the target.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub vm: Option<VmId>,
--- a/crates/lilaccrank/src/ids.rs
+++ b/crates/lilaccrank/src/ids.rs
@@ -27,6 +27,8 @@
 pub type RequestKey = String;
 /// Name of a rule in the configuration.
 pub type RuleId = String;
+/// Version of the software that a target runs, as the target names it.
+pub type SoftwareVersion = String;
 /// Name of a target: an engine or an instance of a plain service.
 pub type TargetId = String;
 /// Position of a tier in the configuration; 0 is the most urgent.
--- a/crates/lilaccrankd/src/callers/caller_request.rs
+++ b/crates/lilaccrankd/src/callers/caller_request.rs
@@ -31,6 +31,8 @@
 /// Header with the data centre that a request was spilled from. Such a request is not spilled
 /// again.
 pub const SPILLED_FROM: HeaderName = HeaderName::from_static("lilaccrank-spilled-from");
+/// Header with the last event that the caller has of a stream.
+const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 /// Header with the requested tier.
 pub const TIER: HeaderName = HeaderName::from_static("lilaccrank-tier");
 
@@ -75,6 +77,29 @@
     Proxy(ProxiedRequest),
 }
 
+/// Whether a request takes up a stream that an earlier one began.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum Continuation {
+    /// It begins anew.
+    #[default]
+    New,
+    /// It resumes the stream that the caller's request with this id began.
+    Resumes(String),
+    /// It resumes a stream without naming the request that began it.
+    Unnamed,
+}
+
+impl Continuation {
+    /// Id of the caller's request that began the stream, for logs; empty without one.
+    #[must_use]
+    pub fn log_id(&self) -> &str {
+        match self {
+            Self::Resumes(id) => id,
+            Self::New | Self::Unnamed => "",
+        }
+    }
+}
+
 /// A parsed request of a caller.
 #[derive(Clone, Debug)]
 pub struct CallerRequest {
@@ -82,6 +107,8 @@
     pub body: Bytes,
     /// Id that the caller gave the request. Targets receive it.
     pub caller_request_id: Option<String>,
+    /// Whether it resumes a stream.
+    pub continuation: Continuation,
     /// Facts that rules match on.
     pub facts: Facts,
     /// Original head, which is spilled.
@@ -122,6 +149,10 @@
         Ok(Self {
             body,
             caller_request_id: None,
+            continuation: match head.headers.contains_key(LAST_EVENT_ID) {
+                true => Continuation::Unnamed,
+                false => Continuation::New,
+            },
             facts,
             rank: cx.customer.map_or(0, |customer| customer.rank),
             spilled_from: header_text(&head.headers, &SPILLED_FROM)?.map(str::to_owned),
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -130,6 +130,7 @@
         pool = route.pool,
         prompt_tokens = caller.facts.prompt_tokens,
         request = caller.log_id(&id),
+        resumes = caller.continuation.log_id(),
         rule = route.rule,
         tier = route.tier;
         "routed"
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -9,7 +9,7 @@
 use lilaccrank::document::{CallerLimits, Target};
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::guarded_store::{self, GuardedStore};
-use lilaccrank::ids::{Incarnation, RequestId};
+use lilaccrank::ids::{Incarnation, RequestId, SoftwareVersion};
 use lilaccrank::membership::{Member, Membership, State};
 use lilaccrank::request_key::{Budget, Claims, KeyOwner, Limits};
 use lilaccrank::rules::condition::Environment;
@@ -253,6 +253,12 @@
             .or_else(|| self.live_list.find(pool, life))
     }
 
+    /// Version of a target's software, in the configuration or the platform's list; `None` if unknown.
+    #[must_use]
+    pub fn version(&self, pool: &str, instance: &TargetInstance) -> Option<SoftwareVersion> {
+        self.target(pool, instance)?.version
+    }
+
     /// Returns the tokens per stream event of this pool's targets, at least 1.
     #[must_use]
     pub fn tokens_in_event(&self, pool: &str) -> u32 {
--- a/crates/lilaccrankd/src/request/execution.rs
+++ b/crates/lilaccrankd/src/request/execution.rs
@@ -167,7 +167,8 @@
             list_age_ms = lifecycle::log_ms(daemon.live_list.freshness.age(MonoioClock.boot_time())),
             since_arrival_ms = routed.elapsed_ms(),
             request = routed.log_id(),
-            target = grant.target.id;
+            target = grant.target.id,
+            version = daemon.version(&routed.route.pool, &grant.target).unwrap_or_default();
             "granted"
         );
         daemon.record(
--- a/crates/lilaccrankd/src/request/migration.rs
+++ b/crates/lilaccrankd/src/request/migration.rs
@@ -90,7 +90,8 @@
             request = self.log_id(),
             since_arrival_ms = self.elapsed_ms(),
             target = grant.target.id,
-            tokens = observer.stream_progress().total_tokens();
+            tokens = observer.stream_progress().total_tokens(),
+            version = observer.daemon.version(&self.route.pool, &grant.target).unwrap_or_default();
             "migrates to another target"
         );
     }
