Streams go on only at the software version that began them

Cause: the version of a target was dropped at the platform's boundary, and no step that places a request asked where its stream had begun: repeats, migrations and relays within one answer, and a caller's next try at any daemon, took any target of the service. Class: state that ties a request to one target's software was not part of what is asked for. Change: Origin says where a stream began. It is part of each submission; the dispatcher filters targets by it, refuses at once (cannot_resume, no Retry-After) if none with the version serves, and lets a full version hold up nobody else. The send and the relay check again by their own lists. The version is noted with the first event and sent to two owners by rendezvous; whoever holds a record passes it on to new owners. A try with Resumes asks them; an unknown origin is refused.

--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -153,7 +153,7 @@
     /// every slot that becomes free.
     fn is_tier_starved(&self, submission: &Submission, now: Instant) -> bool {
         if submission.objective.is_none()
-            || submission.partial.is_some()
+            || submission.is_resumed()
             || self.tiers.count_before(submission.tier) == 0
         {
             return false;
@@ -179,6 +179,7 @@
     fn has_usable_target(&self, submission: &Submission) -> bool {
         self.targets.values().any(|target| {
             target.live
+                && submission.origin.permits(target.version)
                 && target.route != Route::Unreachable
                 && !submission.exclusions.contains(&target.instance)
         })
@@ -192,6 +193,7 @@
         }
         self.note_capacity_change();
         self.invalidate_capacity();
+        self.refuse_unresumable();
         let mut live = self.targets.values().filter(|target| target.live);
         if live.any(|target| target.route != Route::Unreachable) {
             self.dispatch(now);
@@ -200,13 +202,27 @@
         }
     }
 
+    /// Refuses the waiting submissions whose streams no target may resume any more.
+    pub(super) fn refuse_unresumable(&mut self) {
+        let waiting = self.waiting.iter();
+        let unresumable = waiting.filter(|(_, waiting)| {
+            !waiting.submission.origin.is_new() && !self.has_usable_target(&waiting.submission)
+        });
+        let unresumable: Vec<_> = unresumable.map(|(request, _)| request.clone()).collect();
+        for request in unresumable {
+            self.refuse(&request, ErrorKind::CannotResume, None);
+        }
+    }
+
     fn check_feasibility(&mut self, submission: &Submission, now: Instant) -> Option<Refuse> {
         if self.handover.is_some() {
             return None;
         }
         if !self.has_usable_target(submission) {
-            let retry = Some(self.drain.retry_after(0, 0.0, now));
-            return Some(state::refusal_of(submission, ErrorKind::NoTarget, retry));
+            let kind = submission.no_target();
+            let is_retryable = kind.response().retryable;
+            let retry = is_retryable.then(|| self.drain.retry_after(0, 0.0, now));
+            return Some(state::refusal_of(submission, kind, retry));
         }
         if let Some(refusal) = self.check_pushback(submission, now) {
             return Some(refusal);
--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -12,6 +12,7 @@
 use super::work::Work;
 use crate::ids::{DataCentre, Tier};
 use crate::paths::Route;
+use crate::software_version::Origin;
 use crate::target_instance::TargetInstance;
 
 /// One in this many slots is reserved for urgent tiers.
@@ -69,6 +70,8 @@
     pub finish_within: Option<Duration>,
     /// Targets that must not be chosen.
     pub exclusions: &'a [TargetInstance],
+    /// Where the stream began, which decides the versions that may resume it.
+    pub origin: Origin,
     /// Time until the caller expects the first token, if it has an objective.
     pub objective: Option<Duration>,
     /// Request class of the submission in the queue.
@@ -197,6 +200,7 @@
         }
     };
     target.live
+        && needs.origin.permits(target.version)
         && target.route != Route::Unreachable
         && accepts_work
         && target.pushback.is_none_or(|pushback| pushback.allows(now))
--- a/crates/lilaccrank/src/dispatch/deadline.rs
+++ b/crates/lilaccrank/src/dispatch/deadline.rs
@@ -37,7 +37,7 @@
             return true;
         }
         // A resumed answer goes ahead of the waiting submissions of its tier.
-        if submission.partial.is_some() {
+        if submission.is_resumed() {
             return false;
         }
         // The backlog up to and including the own priority is an upper bound for the work ahead,
@@ -66,7 +66,8 @@
     }
 
     fn can_meet(&self, needs: &Requirements<'_>, left: f64, now: Instant) -> bool {
-        let mut live = self.targets.values().filter(|target| target.live);
+        let targets = self.targets.values();
+        let mut live = targets.filter(|target| target.live && needs.origin.permits(target.version));
         live.any(|target| {
             if choice::earliest_completion(target, needs, 0, now) <= left {
                 return true;
--- a/crates/lilaccrank/src/dispatch/fair.rs
+++ b/crates/lilaccrank/src/dispatch/fair.rs
@@ -50,6 +50,15 @@
         })
     }
 
+    fn positions(&self, request_class: RequestClass) -> impl Iterator<Item = Position> + '_ {
+        let waiting = self.request_classes[request_class as usize].iter();
+        waiting.map(|(&sequence, request)| Position {
+            virtual_time: self.virtual_time,
+            sequence,
+            request: request.clone(),
+        })
+    }
+
     fn newest(&self) -> Option<&RequestId> {
         let last = self
             .request_classes
@@ -123,6 +132,19 @@
         self.heads[request_class as usize].iter()
     }
 
+    /// All submissions of a request class, in order.
+    pub fn in_class(&self, request_class: RequestClass) -> Vec<Position> {
+        if self.heads[request_class as usize].is_empty() {
+            return Vec::new();
+        }
+        let flows = self.flows.values();
+        let mut positions: Vec<_> = flows
+            .flat_map(|flow| flow.positions(request_class))
+            .collect();
+        positions.sort_unstable();
+        positions
+    }
+
     /// Newest submission of the customer with the largest backlog per weight.
     pub fn victim(&self) -> Option<&RequestId> {
         let (_, customer) = self.weighted_backlogs.last()?;
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use indexmap::{IndexMap, IndexSet};
+
 use super::choice::{self, Choice, Occupancy};
 use super::delay::DELAY_SCAN_LIMIT;
 use super::fair::Position;
@@ -9,7 +11,8 @@
 use super::queue::{Priority, RequestClass};
 use super::state::{ActiveGrant, State, Waiting, work};
 use super::work::Work;
-use crate::ids::RequestId;
+use crate::ids::{CustomerId, RequestId};
+use crate::software_version::Origin;
 
 /// EWMA weight of a new sample in the cache miss ratio.
 const CACHE_MISS_GAIN: f64 = 0.05;
@@ -181,24 +184,50 @@
         self.queue.priorities().find_map(|priority| {
             // Resumed answers go first: otherwise their completed prefill and generated tokens
             // would be lost.
-            let resumed = self.next_eligible(priority, RequestClass::Resumed, occupancy, now);
-            let next = resumed.or_else(|| self.next_unstarted(priority, occupancy, now));
-            next.map(|position| position.request.clone())
+            let resumed = self.next_resumed(priority, occupancy, now);
+            resumed.or_else(|| {
+                let next = self.next_unstarted(priority, occupancy, now);
+                next.map(|position| position.request.clone())
+            })
         })
     }
 
-    /// Returns the first submission with an eligible target in a request class whose submissions
-    /// differ in the targets they may use.
-    fn next_eligible(
+    /// Returns the first resumed answer with an eligible target. One that waits for its software
+    /// version holds up those of its customer that wait for the same version, and no others.
+    fn next_resumed(
+        &self,
+        priority: Priority,
+        occupancy: Occupancy,
+        now: Instant,
+    ) -> Option<RequestId> {
+        let positions = self.queue.in_class(priority, RequestClass::Resumed);
+        let mut heads: IndexSet<(&CustomerId, Origin)> = IndexSet::new();
+        let mut scanned: IndexMap<Origin, usize> = IndexMap::new();
+        let next = positions.into_iter().find(|position| {
+            let Some(waiting) = self.waiting.get(&position.request) else {
+                return false;
+            };
+            let origin = waiting.submission.origin;
+            if !heads.insert((&waiting.submission.customer, origin)) {
+                return false;
+            }
+            let count = scanned.entry(origin).or_default();
+            *count += 1;
+            *count <= RESTRICTED_SCAN_LIMIT && self.is_eligible(&position.request, occupancy, now)
+        });
+        next.map(|position| position.request)
+    }
+
+    /// Returns the first submission with an eligible target among those that exclude some.
+    fn next_excluding(
         &self,
         priority: Priority,
-        request_class: RequestClass,
         occupancy: Occupancy,
         now: Instant,
     ) -> Option<&Position> {
         let mut heads = self
             .queue
-            .heads(priority, request_class)
+            .heads(priority, RequestClass::Excluding)
             .take(RESTRICTED_SCAN_LIMIT);
         heads.find(|position| self.is_eligible(&position.request, occupancy, now))
     }
@@ -211,7 +240,7 @@
         occupancy: Occupancy,
         now: Instant,
     ) -> Option<&Position> {
-        let excluding = self.next_eligible(priority, RequestClass::Excluding, occupancy, now);
+        let excluding = self.next_excluding(priority, occupancy, now);
         let request_classes = [RequestClass::Long, RequestClass::Short].into_iter();
         let candidates = request_classes.filter_map(|request_class| {
             let mut heads = self
--- a/crates/lilaccrank/src/dispatch/message.rs
+++ b/crates/lilaccrank/src/dispatch/message.rs
@@ -8,6 +8,7 @@
 use crate::document::Limit;
 use crate::error_kind::ErrorKind;
 use crate::ids::{CustomerId, Incarnation, Rank, RequestId, RuleId, Tier, VmId};
+use crate::software_version::Origin;
 use crate::target_instance::TargetInstance;
 
 /// Sequence number of the submissions for one request; a grant of an earlier submission is void.
@@ -19,6 +20,9 @@
     /// Number of this submission.
     #[serde(rename = "ask")]
     pub submission: SubmissionNumber,
+    /// Where the stream began, if the caller already has a part of it.
+    #[serde(default)]
+    pub origin: Origin,
     /// Part of the answer that the caller already has.
     #[serde(default)]
     pub partial: Option<PartialAnswer>,
@@ -56,6 +60,24 @@
     pub weight: u32,
 }
 
+impl Submission {
+    /// Returns `true` if the caller already has a part of the answer, of this request or of an
+    /// earlier one.
+    #[must_use]
+    pub fn is_resumed(&self) -> bool {
+        self.partial.is_some() || !self.origin.is_new()
+    }
+
+    /// Kind of the refusal if no target may serve it.
+    #[must_use]
+    pub fn no_target(&self) -> ErrorKind {
+        match self.origin {
+            Origin::New => ErrorKind::NoTarget,
+            Origin::At(_) | Origin::Unknown => ErrorKind::CannotResume,
+        }
+    }
+}
+
 /// Part of an answer that the caller already has; the next target resumes after it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PartialAnswer {
--- a/crates/lilaccrank/src/dispatch/pushback.rs
+++ b/crates/lilaccrank/src/dispatch/pushback.rs
@@ -106,7 +106,8 @@
         let usable = self
             .targets
             .values()
-            .filter(|target| target.live && !submission.exclusions.contains(&target.instance));
+            .filter(|target| target.live && submission.origin.permits(target.version))
+            .filter(|target| !submission.exclusions.contains(&target.instance));
         let mut first_end: Option<Instant> = None;
         for target in usable {
             let end = target.pushback?.until();
--- a/crates/lilaccrank/src/dispatch/queue.rs
+++ b/crates/lilaccrank/src/dispatch/queue.rs
@@ -150,6 +150,13 @@
             .flat_map(move |queue| queue.heads(request_class))
     }
 
+    /// All submissions of one request class, in fair order.
+    #[must_use]
+    pub fn in_class(&self, priority: Priority, request_class: RequestClass) -> Vec<Position> {
+        let queue = self.priorities.get(&priority);
+        queue.map_or_else(Vec::new, |queue| queue.in_class(request_class))
+    }
+
     /// The submission to shed next: the newest one of the customer with the largest backlog per
     /// weight, in the last priority with waiting submissions. A burst of one customer therefore
     /// displaces only its own submissions.
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -10,6 +10,7 @@
 use super::work::Work;
 use crate::document::{Pool, TargetState};
 use crate::error_kind::ErrorKind;
+use crate::software_version::VersionDigest;
 use crate::target_instance::TargetInstance;
 
 /// EWMA weight of a new sample in the length ratio of answers.
@@ -167,6 +168,7 @@
             target.data_centre.clone_from(&listed.data_centre);
             target.live = listed.state == TargetState::Live;
             target.slots = listed.slots;
+            target.version = VersionDigest::of(listed);
         }
         self.cfg.waiting_limit = pool.waiting_limit;
         self.note_capacity_change();
@@ -175,6 +177,7 @@
             self.remove_if_drained(life);
         }
         self.invalidate_capacity();
+        self.refuse_unresumable();
         if self.targets.values().any(|target| target.live) {
             self.dispatch(now);
             self.shed(now);
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -247,6 +247,7 @@
             data_centre: &self.cfg.data_centre,
             finish_within: finish_within(submission, left),
             exclusions: &submission.exclusions,
+            origin: submission.origin,
             request_class: request_class(submission),
             objective: submission.objective,
             prefix: &submission.prefix,
@@ -371,7 +372,7 @@
 }
 
 fn request_class(submission: &Submission) -> RequestClass {
-    if submission.partial.is_some() {
+    if submission.is_resumed() {
         RequestClass::Resumed
     } else if !submission.exclusions.is_empty() {
         RequestClass::Excluding
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -10,6 +10,7 @@
 use super::rate_limit::{RateLimit, Share};
 use crate::ids::{DataCentre, VmId};
 use crate::paths::Route;
+use crate::software_version::VersionDigest;
 use crate::target_instance::{InstanceDigest, TargetInstance};
 
 /// Time for which a slot freed by another daemon is left to the daemon whose submission goes first.
@@ -73,6 +74,8 @@
     pub slots: u32,
     /// Sequence number of its last grant, counted over all targets.
     pub grant_sequence: u64,
+    /// Version of its software; `None` if unknown.
+    pub version: Option<VersionDigest>,
 }
 
 impl Target {
@@ -96,6 +99,7 @@
             sent: 0,
             slots,
             grant_sequence: 0,
+            version: None,
         }
     }
 
--- a/crates/lilaccrank/src/error_kind.rs
+++ b/crates/lilaccrank/src/error_kind.rs
@@ -31,6 +31,10 @@
     /// The caller disconnected.
     #[display("cancelled")]
     Cancelled,
+    /// No target may resume the stream: it is unknown which software version began it, or no target
+    /// with that version serves.
+    #[display("cannot_resume")]
+    CannotResume,
     /// The deadline passed while the request ran.
     #[display("deadline_passed")]
     DeadlinePassed,
@@ -109,11 +113,12 @@
 
 impl ErrorKind {
     /// All kinds, in order of declaration.
-    pub const ALL: [Self; 25] = [
+    pub const ALL: [Self; 26] = [
         Self::AlreadyRun,
         Self::BadRequest,
         Self::BrokenAnswer,
         Self::Cancelled,
+        Self::CannotResume,
         Self::DeadlinePassed,
         Self::DeadlineUnmeetable,
         Self::Forbidden,
@@ -151,6 +156,7 @@
             Self::BadRequest => (400, Executed::No, false),
             Self::BrokenAnswer => (502, Executed::Maybe, false),
             Self::Cancelled => (499, Executed::Maybe, false),
+            Self::CannotResume => (503, Executed::No, false),
             Self::DeadlinePassed => (504, Executed::Maybe, false),
             Self::DeadlineUnmeetable => (503, Executed::No, true),
             Self::Forbidden => (403, Executed::No, false),
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -56,6 +56,8 @@
 mod dispatch_sharing;
 #[path = "suite/dispatch_spread.rs"]
 mod dispatch_spread;
+#[path = "suite/dispatch_versions.rs"]
+mod dispatch_versions;
 #[path = "suite/dispatch_waits.rs"]
 mod dispatch_waits;
 #[path = "suite/error_kind.rs"]
@@ -110,5 +112,7 @@
 mod rules_terms;
 #[path = "suite/seeded.rs"]
 mod seeded;
+#[path = "suite/stream_origins.rs"]
+mod stream_origins;
 #[path = "suite/timeline.rs"]
 mod timeline;
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -30,6 +30,7 @@
 use crate::peers::duties::Duties;
 use crate::peers::load_exchange::LoadExchange;
 use crate::peers::network::PeerNetwork;
+use crate::peers::stream_origins::OriginExchange;
 use crate::peers::traffic::Traffic;
 use crate::pools::client::{self, PoolClient};
 use crate::pools::server::{self, PoolServer};
@@ -97,6 +98,8 @@
     pub live_list: LiveList,
     /// Membership of this data centre.
     pub membership: Membership,
+    /// Records of where streams began.
+    pub origins: OriginExchange,
     /// Orders to targets and their leases.
     pub order_manager: OrderManager,
     /// Paths to targets.
@@ -199,6 +202,7 @@
             membership,
             metrics: Metrics::new(Rc::clone(&traffic))?,
             order_manager,
+            origins: OriginExchange::default(),
             paths: TargetPaths::default(),
             pauses: Pauses::default(),
             peers,
--- a/crates/lilaccrankd/src/peers.rs
+++ b/crates/lilaccrankd/src/peers.rs
@@ -9,5 +9,6 @@
 pub mod network;
 pub mod path_relay;
 pub mod quarantine_record;
+pub mod stream_origins;
 pub mod traffic;
 pub mod udp_gossip;
--- a/crates/lilaccrankd/src/peers/load_exchange.rs
+++ b/crates/lilaccrankd/src/peers/load_exchange.rs
@@ -27,6 +27,7 @@
 use crate::daemon::Daemon;
 use crate::peers::change_signal::ChangeSignal;
 use crate::peers::load_message::{self, LoadMessage};
+use crate::peers::stream_origins;
 use crate::pools::server;
 
 /// Longest time between two datagrams. Peers drop the load of a daemon that is silent for six times
@@ -134,6 +135,7 @@
 pub async fn run(daemon: Rc<Daemon>, socket: UdpSocket) {
     let socket = Rc::new(socket);
     monoio::spawn(receive(Rc::clone(&daemon), Rc::clone(&socket)));
+    monoio::spawn(stream_origins::run(Rc::clone(&daemon), Rc::clone(&socket)));
     monoio::spawn(report_cell_demand(Rc::clone(&daemon), Rc::clone(&socket)));
     loop {
         let changed = daemon.load_exchange.changed();
@@ -289,9 +291,16 @@
             }
         };
         buf.truncate(len);
+        let member = |from| daemon.load_exchange.member(&daemon.membership, from);
+        if let [stream_origins::MARKER, records @ ..] = &buf[..] {
+            match member(from) {
+                Some(_) => stream_origins::receive(&daemon, records),
+                None => log::debug!("ignored records of streams: no member has the address {from}"),
+            }
+            continue;
+        }
         daemon.traffic.load_exchange.count_received_bytes(len);
         daemon.traffic.load_exchange.count_received_messages(1);
-        let member = |from| daemon.load_exchange.member(&daemon.membership, from);
         match LoadMessage::read(&buf, from, member) {
             Ok((vm, message)) => apply(&daemon, &vm, message),
             Err(e) => log::debug!("ignored a load update: {e}"),
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::orders::message::{OrderReply, OrderRequest};
+use crate::peers::stream_origins::{OriginReply, OriginRequest};
 use crate::targets::live_list::Listing;
 
 /// A message with its sender's time, which puts timelines into causal order.
@@ -157,6 +158,8 @@
     Key(KeyRequest),
     /// Configuration, advisories and targets known to a watcher.
     Feed(FeedRequest),
+    /// About the origin of a stream.
+    Origin(OriginRequest),
     /// About an order to a target.
     Order(OrderRequest),
     /// About the path to a target.
@@ -178,6 +181,8 @@
     Key(KeyReply),
     /// Configuration, advisories and targets known to a watcher.
     Feed(Feed),
+    /// About the origin of a stream.
+    Origin(OriginReply),
     /// About an order to a target.
     Order(OrderReply),
     /// About the path to a target.
--- a/crates/lilaccrankd/src/peers/network.rs
+++ b/crates/lilaccrankd/src/peers/network.rs
@@ -20,6 +20,7 @@
     Announcement, Done, Feed, FeedRequest, HeldConfiguration, HeldConfigurationRequest, PathReply,
     PathRequest, PeerReply, PeerRequest, PoolReply, PoolRequest, Stamped,
 };
+use crate::peers::stream_origins::{OriginReply, OriginRequest};
 use crate::peers::traffic::Traffic;
 
 type Link = PeerLink<Stamped<PeerRequest>, Stamped<PeerReply>>;
@@ -194,6 +195,13 @@
     }
 }
 
+impl Peers<OriginRequest, OriginReply> for PeerNetwork {
+    async fn call(&self, vm: &VmId, req: OriginRequest) -> Result<OriginReply> {
+        let reply = self.send(vm, Channel::Copies, req.into()).await?;
+        reply.try_into().map_err(|_| Error::NoAnswer(vm.clone()))
+    }
+}
+
 impl Peers<PathRequest, PathReply> for PeerNetwork {
     async fn call(&self, vm: &VmId, req: PathRequest) -> Result<PathReply> {
         let reply = self.send(vm, Channel::Paths, req.into()).await?;
--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -13,6 +13,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use lilaccrank::document::Target;
 use lilaccrank::ids::{PoolId, VmId};
+use lilaccrank::software_version::VersionDigest;
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::body::{self, Body};
 use lilaccrank_http::client::{self, Connection, Limits};
@@ -45,10 +46,12 @@
 const POOL: HeaderName = HeaderName::from_static("lilaccrank-relay-pool");
 /// Id of the target, in hex.
 const TARGET: HeaderName = HeaderName::from_static("lilaccrank-relay-target");
+/// Digest of the software version that the target must have, if the sender knows it.
+const VERSION: HeaderName = HeaderName::from_static("lilaccrank-relay-version");
 /// Set if the answer has no length and ends with its connection.
 const UNFRAMED: HeaderName = HeaderName::from_static("lilaccrank-relay-unframed");
 /// Headers that are for the relay.
-const OWN: [HeaderName; 6] = [BORN, FROM, LOG_ID, LEFT_MS, POOL, TARGET];
+const OWN: [HeaderName; 7] = [BORN, FROM, LOG_ID, LEFT_MS, POOL, TARGET, VERSION];
 /// Longest time until a request is due; timers can't count to any number.
 const MAX_LEFT: Duration = Duration::from_secs(24 * 60 * 60);
 /// One in this many of the requests that a daemon may have in progress may be relayed ones, so that
@@ -100,6 +103,8 @@
     pub pool: &'a PoolId,
     /// The target.
     pub target: &'a TargetInstance,
+    /// Version of its software by the sender's list; `None` if unknown.
+    pub version: Option<VersionDigest>,
 }
 
 impl Envelope<'_> {
@@ -118,6 +123,7 @@
             (LEFT_MS, left),
             (POOL, Some(hex::encode(self.pool))),
             (TARGET, Some(hex::encode(&self.target.id))),
+            (VERSION, self.version.map(|version| version.to_string())),
         ];
         for (name, text) in texts {
             if let Some(value) = text.and_then(|text| HeaderValue::from_str(&text).ok()) {
@@ -150,6 +156,7 @@
     log_id: String,
     pool: PoolId,
     target: TargetInstance,
+    version: Option<String>,
 }
 
 impl Relayed {
@@ -171,6 +178,7 @@
                 started_ms: text(BORN)?.parse().ok()?,
                 id: decoded(text(TARGET)?)?,
             },
+            version: text(VERSION),
         })
     }
 }
@@ -219,6 +227,12 @@
         log::info!(request = relayed.log_id, why = refusal.message; "not relayed");
         Failure::Unsent
     })?;
+    let version = VersionDigest::of(&target).map(|version| version.to_string());
+    if relayed.version.is_some() && relayed.version != version {
+        let why = "the lists of both daemons name other software versions of the target";
+        log::info!(request = relayed.log_id, why = why; "not relayed");
+        return Err(Failure::Unsent);
+    }
     let req = Request::from_parts(head, body::full(body));
     let active = ActiveSend::new(daemon, &relayed.target);
     let sending = cancellation.run(send(daemon, relayed, &target, req));
--- /dev/null
+++ b/crates/lilaccrankd/src/peers/stream_origins.rs
@@ -0,0 +1,225 @@
+//! Exchanges records of where streams began, so that callers can resume them at any daemon.
+//!
+//! Records are sent in datagrams on the socket of the load exchange. A lost one costs a copy, not
+//! correctness: a stream whose origin no daemon that is asked knows is not resumed.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures::future;
+use lilaccrank::ids::VmId;
+use lilaccrank::peers::Peers;
+use lilaccrank::request_key::Ranking;
+use lilaccrank::software_version::Origin;
+use lilaccrank::stream_origins::{COPIES, Outbox, Record, StreamId, StreamOrigins};
+use monoio::net::udp::UdpSocket;
+use serde::{Deserialize, Serialize};
+
+use crate::daemon::Daemon;
+use crate::peers::change_signal::ChangeSignal;
+use crate::peers::duties;
+
+/// First byte of a datagram with records. MessagePack does not use it, so no load update begins
+/// with it.
+pub const MARKER: u8 = 0xc1;
+/// Records in one datagram, which has to fit into an Ethernet frame.
+const RECORDS_PER_DATAGRAM: usize = 24;
+/// Interval at which expired records are removed.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for a daemon to answer a query.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+/// Daemons that are asked for a record: its owners, and those that take over from them.
+const ASKED: usize = COPIES + 1;
+/// Number of times that they are asked: a record may be on its way.
+const QUERY_ROUNDS: u32 = 3;
+/// Time between two rounds.
+const ROUND_INTERVAL: Duration = Duration::from_millis(60);
+/// Number of requests of this daemon that may wait for a record. Callers choose what they ask for.
+const MAX_LOOKUPS: usize = 64;
+
+/// Asks a daemon where a stream began.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct OriginRequest {
+    /// The stream.
+    pub id: StreamId,
+}
+
+/// Reply to an [`OriginRequest`].
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct OriginReply {
+    /// Where it began; `None` without a record.
+    pub origin: Option<Origin>,
+}
+
+/// Records of streams on one daemon.
+#[derive(Default)]
+pub struct OriginExchange {
+    changed: ChangeSignal,
+    lookups: Cell<usize>,
+    records: RefCell<StreamOrigins>,
+}
+
+/// Counts a request that waits for a record until it is dropped.
+struct Lookup<'a>(&'a Cell<usize>);
+
+impl Drop for Lookup<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl OriginExchange {
+    /// Records a stream that this daemon begins or resumes, and sends the record to its owners.
+    pub fn begin(&self, record: Record) {
+        self.records.borrow_mut().begin(record, Instant::now());
+        self.changed.notify();
+    }
+
+    /// Notes that the members have changed.
+    pub fn members_changed(&self) {
+        self.changed.notify();
+    }
+
+    /// Answers another daemon.
+    pub fn answer(&self, req: OriginRequest) -> OriginReply {
+        OriginReply {
+            origin: self.find(req.id),
+        }
+    }
+
+    fn find(&self, id: StreamId) -> Option<Origin> {
+        self.records.borrow().find(id, Instant::now())
+    }
+
+    fn lookup(&self) -> Option<Lookup<'_>> {
+        let count = self.lookups.get();
+        (count < MAX_LOOKUPS).then(|| {
+            self.lookups.set(count + 1);
+            Lookup(&self.lookups)
+        })
+    }
+}
+
+/// Returns where a stream began, as this daemon or the owners of its record say.
+pub async fn find(daemon: &Daemon, id: StreamId) -> Origin {
+    let exchange = &daemon.origins;
+    if let Some(origin) = exchange.find(id) {
+        return origin;
+    }
+    let Some(_lookup) = exchange.lookup() else {
+        return Origin::Unknown;
+    };
+    for round in 0..QUERY_ROUNDS {
+        if round > 0 {
+            monoio::time::sleep(ROUND_INTERVAL).await;
+        }
+        if let Some(origin) = ask_owners(daemon, id).await.or_else(|| exchange.find(id)) {
+            return origin;
+        }
+    }
+    Origin::Unknown
+}
+
+async fn ask_owners(daemon: &Daemon, id: StreamId) -> Option<Origin> {
+    let live = daemon.membership.live();
+    let vms = live.members.iter().map(|member| &member.vm);
+    let owners = id.owners(vms, ASKED).into_iter();
+    let others = owners.filter(|vm| **vm != daemon.cfg.vm);
+    let replies = future::join_all(others.map(|vm| ask(daemon, vm, id))).await;
+    replies.into_iter().flatten().reduce(Origin::merge)
+}
+
+async fn ask(daemon: &Daemon, vm: &VmId, id: StreamId) -> Option<Origin> {
+    let asked = daemon.peers.call(vm, OriginRequest { id });
+    let reply: OriginReply = match monoio::time::timeout(QUERY_TIMEOUT, asked).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(e)) => {
+            log::info!(peer = vm, why:% = e; "asked in vain where a stream began");
+            return None;
+        }
+        Err(_) => {
+            log::info!(peer = vm, why = "no answer in time"; "asked in vain where a stream began");
+            return None;
+        }
+    };
+    reply.origin
+}
+
+/// Sends records to their owners until the daemon ends.
+pub async fn run(daemon: Rc<Daemon>, socket: Rc<UdpSocket>) {
+    let mut seen = None;
+    let mut expired_at = Instant::now();
+    loop {
+        // A timeout only means that nothing has changed.
+        let _ = monoio::time::timeout(EXPIRE_INTERVAL, daemon.origins.changed.changed()).await;
+        let now = Instant::now();
+        if now - expired_at >= EXPIRE_INTERVAL {
+            daemon.origins.records.borrow_mut().expire(now);
+            expired_at = now;
+        }
+        let live = daemon.membership.live();
+        if seen.replace(live.version) != Some(live.version) {
+            let members = live.members.iter().map(duties::member_ref).collect();
+            let moved = daemon
+                .origins
+                .records
+                .borrow_mut()
+                .set_members(members, now);
+            send(&daemon, &socket, moved).await;
+        }
+        let unsent = daemon.origins.records.borrow_mut().take_unsent(now);
+        send(&daemon, &socket, unsent).await;
+    }
+}
+
+async fn send(daemon: &Daemon, socket: &UdpSocket, outbox: Outbox) {
+    let me = daemon.duties.me();
+    for (owner, records) in outbox.iter().filter(|(owner, _)| ***owner != me) {
+        let member = daemon.membership.find(&owner.vm);
+        let Some(member) = member.filter(|member| member.incarnation == owner.incarnation) else {
+            continue;
+        };
+        for records in records.chunks(RECORDS_PER_DATAGRAM) {
+            send_datagram(daemon, socket, member.peers, records).await;
+        }
+    }
+}
+
+async fn send_datagram(
+    daemon: &Daemon,
+    socket: &UdpSocket,
+    address: SocketAddr,
+    records: &[Record],
+) {
+    let mut buf = vec![MARKER];
+    if let Err(e) = rmp_serde::encode::write(&mut buf, records) {
+        return log::error!("failed to encode records of streams: {e}");
+    }
+    let (sent, _) = socket.send_to(buf, address).await;
+    match sent {
+        Ok(sent) => {
+            let tally = &daemon.traffic.stream_origins;
+            tally.count_sent_bytes(sent);
+            tally.count_sent_messages(1);
+        }
+        Err(e) => log::debug!("failed to send records of streams to {address}: {e}"),
+    }
+}
+
+/// Takes over the records in a datagram of a member, without its first byte.
+pub fn receive(daemon: &Daemon, datagram: &[u8]) {
+    let tally = &daemon.traffic.stream_origins;
+    tally.count_received_bytes(datagram.len() + 1);
+    tally.count_received_messages(1);
+    let records: Vec<Record> = match rmp_serde::from_slice(datagram) {
+        Ok(records) => records,
+        Err(e) => return log::debug!("ignored records of streams: {e}"),
+    };
+    let now = Instant::now();
+    let mut known = daemon.origins.records.borrow_mut();
+    for record in records {
+        known.receive(record, now);
+    }
+}
--- a/crates/lilaccrankd/src/peers/traffic.rs
+++ b/crates/lilaccrankd/src/peers/traffic.rs
@@ -23,6 +23,8 @@
     pub peer_served: Tally,
     /// Calls to the platform.
     pub store: Tally,
+    /// Records of where streams began, over UDP.
+    pub stream_origins: Tally,
     /// Polls of the reports of targets.
     pub target_reports: Tally,
 }
@@ -30,7 +32,7 @@
 impl Traffic {
     /// Returns each tally with the name of its channel in the metrics.
     #[must_use]
-    pub fn channels(&self) -> [(&'static str, &Tally); 10] {
+    pub fn channels(&self) -> [(&'static str, &Tally); 11] {
         [
             ("gossip", &self.gossip),
             ("load_exchange", &self.load_exchange),
@@ -41,6 +43,7 @@
             ("peer_pools", &self.peer_pools),
             ("peer_served", &self.peer_served),
             ("store", &self.store),
+            ("stream_origins", &self.stream_origins),
             ("target_reports", &self.target_reports),
         ]
     }
--- a/crates/lilaccrankd/src/request.rs
+++ b/crates/lilaccrankd/src/request.rs
@@ -14,3 +14,4 @@
 pub mod send;
 pub mod send_history;
 pub mod spill;
+pub mod stream_origin;
--- a/crates/lilaccrankd/src/request/dispatch_refusal.rs
+++ b/crates/lilaccrankd/src/request/dispatch_refusal.rs
@@ -11,6 +11,9 @@
 /// Returns the refusal that a caller gets.
 pub fn refusal(daemon: &Daemon, refuse: &Refuse) -> Refusal {
     let message = match refuse.kind {
+        ErrorKind::CannotResume => {
+            "no live target has the software version that began the stream; begin it anew"
+        }
         ErrorKind::DeadlineUnmeetable => "the deadline can't be met",
         ErrorKind::NoTarget => "no live target here serves the pool",
         ErrorKind::Overloaded => "work of this tier is shed, or all targets want a pause",
--- a/crates/lilaccrankd/src/request/execution.rs
+++ b/crates/lilaccrankd/src/request/execution.rs
@@ -72,7 +72,7 @@
         loop {
             let granted = match migration_grant.take() {
                 Some(grant) => Ok(grant),
-                None => self.wait_for_grant().await,
+                None => self.next_grant().await,
             };
             // Meanwhile, other daemons may have reported crashes of targets under this content.
             let granted = granted.and_then(|grant| routed.check_quarantine(daemon).map(|()| grant));
@@ -150,6 +150,13 @@
         Ok(())
     }
 
+    async fn next_grant(&mut self) -> Result<HeldGrant> {
+        if self.history.prior.origin.is_new() {
+            self.history.prior.origin = self.routed.origin(self.daemon).await?;
+        }
+        self.wait_for_grant().await
+    }
+
     async fn wait_for_grant(&self) -> Result<HeldGrant> {
         let (daemon, routed) = (self.daemon, self.routed);
         routed.check_quarantine(daemon)?;
--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -247,6 +247,7 @@
             exclusions.extend(paused.map(|(target, _)| target));
         }
         Submission {
+            origin: prior.origin,
             partial,
             customer: facts.customer.clone(),
             deadline: self.time_left(),
--- a/crates/lilaccrankd/src/request/migration.rs
+++ b/crates/lilaccrankd/src/request/migration.rs
@@ -68,6 +68,7 @@
         let mut exclusions = prior.exclusions.clone();
         exclusions.push(observer.grant.target.clone());
         let prior = PriorSends {
+            origin: prior.origin.after(observer.version),
             exclusions,
             waiting_since: Instant::now(),
         };
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -12,13 +12,15 @@
 use lilaccrank::dispatch::message::{Outcome, ReportKind};
 use lilaccrank::document::Target;
 use lilaccrank::error_kind::{ErrorKind, Executed};
+use lilaccrank::software_version::VersionDigest;
+use lilaccrank::stream_origins::Record;
 use lilaccrank::stream_progress::StreamProgress;
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank::timeline::EventKind;
 use lilaccrank_http::client;
 
 use crate::callers::caller_request::Operation;
-use crate::callers::refusal::Refusal;
+use crate::callers::refusal::{self, Refusal};
 use crate::daemon::{Daemon, InProgress};
 use crate::pools::client::HeldGrant;
 use crate::request::answer_buffer::AnswerBuffer;
@@ -62,12 +64,13 @@
         );
         let usable = sendable::until_usable(daemon, &routed.route.pool, &grant.target).await;
         let target = usable.map_err(SendFailure::new)?;
+        self.check_version(&target).map_err(SendFailure::new)?;
         self.history.record_send(&grant.target);
         if let Some(permit) = self.retry.take() {
             permit.spend();
         }
         grant.record_decoded(0);
-        let observer = Rc::new(SendObserver::new(self, grant));
+        let observer = Rc::new(SendObserver::new(self, grant, &target));
         let (sent, decoded, prefill) = match &routed.caller.operation {
             Operation::Generate { .. } => {
                 let ended = self.generate(&observer, &target).await;
@@ -81,6 +84,10 @@
                 (sent, observer.tokens.get(), None)
             }
         };
+        if self.history.delivered.events > 0 {
+            let origin = &mut self.history.prior.origin;
+            *origin = routed.origin_after(daemon, *origin, &target);
+        }
         let grant = &observer.grant;
         let sent = match sent {
             Err(SendError::Failed(failed)) => {
@@ -97,6 +104,17 @@
         sent
     }
 
+    /// Checks the target's version by the list at the send, which may be newer than the one by which it
+    /// was granted.
+    fn check_version(&self, target: &Target) -> refusal::Result<()> {
+        let origin = self.history.prior.origin;
+        if origin.permits(VersionDigest::of(target)) {
+            return Ok(());
+        }
+        let message = "the target has another software version than the one that began the stream";
+        Err(Refusal::new(ErrorKind::NoTarget, message).ran(Executed::No))
+    }
+
     /// Tells whether a connection that was lost is the fault of this daemon's path, which a probe
     /// shows. What happened to the path says nothing about the target.
     async fn with_path_fault(
@@ -225,6 +243,10 @@
     tokens: Cell<u32>,
     tokens_in_event: u32,
     elapsed_before_send: Duration,
+    /// Record of the stream, if others may resume it.
+    record: Option<Record>,
+    /// Version of the target's software; `None` if unknown.
+    pub version: Option<VersionDigest>,
     /// Set once the target has asked for a pause.
     was_pushed_back: Cell<bool>,
     /// A daemon that ends waits until targets were told to cancel their work.
@@ -232,10 +254,12 @@
 }
 
 impl SendObserver {
-    fn new(execution: &Execution<'_>, grant: HeldGrant) -> Self {
+    fn new(execution: &Execution<'_>, grant: HeldGrant, target: &Target) -> Self {
         let (daemon, routed) = (execution.daemon, execution.routed);
         let tokens_in_event = daemon.tokens_in_event(&routed.route.pool);
         let delivered = &execution.history.delivered;
+        let version = VersionDigest::of(target);
+        let origin = execution.history.prior.origin.after(version);
         let earlier_tokens = delivered.events.saturating_mul(tokens_in_event);
         Self {
             daemon: Rc::clone(daemon),
@@ -246,6 +270,8 @@
             tokens: Cell::new(0),
             tokens_in_event,
             elapsed_before_send: routed.arrived.elapsed(),
+            record: routed.stream_record(origin),
+            version,
             was_pushed_back: Cell::new(false),
             _in_progress: Rc::clone(execution.in_progress),
         }
@@ -325,6 +351,9 @@
         stream_progress.record_tokens(self.tokens_in_event, now);
         self.stream_progress.set(stream_progress);
         if first {
+            if let Some(record) = self.record {
+                self.daemon.origins.begin(record);
+            }
             self.first_token(since_sent);
             self.reported_tokens.set(self.tokens.get());
             self.last_report_at.set(now);
--- a/crates/lilaccrankd/src/request/send_history.rs
+++ b/crates/lilaccrankd/src/request/send_history.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use lilaccrank::attempts::{Attempts, Failure, RetryPolicy};
 use lilaccrank::error_kind::Executed;
+use lilaccrank::software_version::Origin;
 use lilaccrank::target_instance::TargetInstance;
 
 use crate::callers::refusal::{Refusal, Result};
@@ -15,6 +16,8 @@
 /// Earlier sends, as far as they matter for the next ask for a target.
 #[derive(Clone, Debug)]
 pub struct PriorSends {
+    /// Where the stream began, by which the version is chosen that resumes it.
+    pub origin: Origin,
     /// Targets that must not get the request again.
     pub exclusions: Vec<TargetInstance>,
     /// Time since which the caller has awaited the next part of its answer.
@@ -51,6 +54,7 @@
             attempts: Attempts::new(allowed),
             sent_to: None,
             prior: PriorSends {
+                origin: Origin::New,
                 exclusions: Vec::new(),
                 waiting_since: routed.arrived,
             },
--- /dev/null
+++ b/crates/lilaccrankd/src/request/stream_origin.rs
@@ -0,0 +1,95 @@
+//! Which software version may go on with the stream of a request.
+
+use std::time::Duration;
+
+use lilaccrank::document::Target;
+use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::software_version::{Origin, VersionDigest};
+use lilaccrank::stream_origins::{Record, StreamId};
+
+use crate::callers::caller_request::Continuation;
+use crate::callers::refusal::{Refusal, Result};
+use crate::daemon::Daemon;
+use crate::peers::stream_origins;
+use crate::request::lifecycle::RoutedRequest;
+
+/// Time for which a record is kept beyond the caller's deadline.
+const RECORD_MARGIN: Duration = Duration::from_secs(5);
+/// Time for which a record is kept if its stream has no deadline.
+const DEFAULT_RECORD_TTL: Duration = Duration::from_secs(60);
+
+impl RoutedRequest {
+    /// Returns where the stream of this request began, before it is sent anywhere.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::CannotResume`] if it resumes a stream and no daemon that was asked knows its
+    /// origin.
+    pub async fn origin(&self, daemon: &Daemon) -> Result<Origin> {
+        if !self.route.terms.stream {
+            return Ok(Origin::New);
+        }
+        let origin = match &self.caller.continuation {
+            Continuation::New => return Ok(Origin::New),
+            Continuation::Resumes(request) => {
+                stream_origins::find(daemon, self.stream_id(request)).await
+            }
+            Continuation::Unnamed => Origin::Unknown,
+        };
+        log::info!(
+            origin:% = origin,
+            request = self.log_id(),
+            resumes = self.caller.continuation.log_id(),
+            since_arrival_ms = self.elapsed_ms();
+            "resumes a stream"
+        );
+        if origin == Origin::Unknown {
+            let message = "no daemon that was asked knows one software version that began this \
+                           stream; begin it anew";
+            return Err(Refusal::new(ErrorKind::CannotResume, message));
+        }
+        Ok(origin)
+    }
+
+    /// Record of the stream with this origin, for those who resume it; `None` if nobody may.
+    #[must_use]
+    pub fn stream_record(&self, origin: Origin) -> Option<Record> {
+        if !self.route.terms.stream || !self.route.terms.resumable {
+            return None;
+        }
+        let began = match &self.caller.continuation {
+            Continuation::Resumes(request) => request,
+            Continuation::New | Continuation::Unnamed => self.caller.caller_request_id.as_ref()?,
+        };
+        let limit = self.caller.facts.deadline.or(self.route.terms.timeout());
+        let left = limit.map_or(DEFAULT_RECORD_TTL, |limit| {
+            limit.saturating_sub(self.arrived.elapsed())
+        });
+        Some(Record::new(
+            self.stream_id(began),
+            origin,
+            left + RECORD_MARGIN,
+        ))
+    }
+
+    /// Origin of the stream after `target` has sent events of it.
+    ///
+    /// The list that named the target's version may have been older than the process at its
+    /// address. If it has another version now, it is open which one wrote the events.
+    #[must_use]
+    pub fn origin_after(&self, daemon: &Daemon, origin: Origin, target: &Target) -> Origin {
+        let pool = &self.route.pool;
+        let listed = daemon.live_list.find_id(pool, &target.id);
+        if listed.is_none_or(|listed| listed.version == target.version) {
+            return origin.after(VersionDigest::of(target));
+        }
+        if let Some(record) = self.stream_record(Origin::Unknown) {
+            daemon.origins.begin(record);
+        }
+        Origin::Unknown
+    }
+
+    fn stream_id(&self, request: &str) -> StreamId {
+        StreamId::new(&self.caller.facts.customer, &self.route.pool, request)
+    }
+}
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -183,6 +183,7 @@
         pools::server::members_changed(&daemon);
         pools::client::resync_dispatchers(&daemon);
         paths::members_changed(&daemon);
+        daemon.origins.members_changed();
         manager::reconcile(&daemon);
         daemon.peers.prune();
     }
@@ -208,6 +209,7 @@
         .into(),
         PeerRequest::Key(req) => daemon.key_owner.handle(req).await.into(),
         PeerRequest::Feed(asked) => feed::answer(&daemon, &asked).into(),
+        PeerRequest::Origin(req) => daemon.origins.answer(req).into(),
         PeerRequest::Order(req) => jobs::handle(&daemon, req).into(),
         PeerRequest::Path(req) => paths::answer(&daemon, &req).await.into(),
         PeerRequest::Pool(req) => pools::server::handle(&daemon, req).into(),
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -151,6 +151,14 @@
         listed.cloned().or_else(|| self.lapsed.find(pool, instance))
     }
 
+    /// Finds a target of the list by its id, whatever its instance.
+    #[must_use]
+    pub fn find_id(&self, pool: &str, id: &str) -> Option<Target> {
+        let listing = self.listing.borrow();
+        let mut listed = listing.targets.get(pool).into_iter().flatten();
+        listed.find(|target| target.id == id).cloned()
+    }
+
     /// Number of targets whose newest instance is remembered.
     #[must_use]
     pub fn instance_count(&self) -> usize {
--- a/crates/lilaccrankd/src/targets/transport.rs
+++ b/crates/lilaccrankd/src/targets/transport.rs
@@ -15,6 +15,7 @@
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::{PoolId, VmId};
 use lilaccrank::membership::State;
+use lilaccrank::software_version::VersionDigest;
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::body::Body;
 use lilaccrank_http::client::{self, Connection, Limits};
@@ -245,6 +246,7 @@
                 log_id: &self.log_id,
                 pool: &self.pool,
                 target: &self.instance,
+                version: VersionDigest::of(&self.target),
             };
             let req = envelope.wrap(build());
             log::info!(request = self.log_id, target = self.instance.id, via = vm; "relayed");
