--- a/crates/lilaccrank/src/stream_origins.rs
+++ b/crates/lilaccrank/src/stream_origins.rs
@@ -18,6 +18,10 @@
 use crate::request_key::MemberRef;
 use crate::software_version::Origin;
 
+mod miss_limit;
+
+pub use miss_limit::MissLimit;
+
 /// Number of members that own a stream.
 pub const COPIES: usize = 2;
 /// Longest time for which a record is kept.
@@ -180,10 +184,10 @@
     pub fn set_members(&mut self, members: Vec<MemberRef>, now: Instant) -> Outbox {
         let members: Vec<_> = members.into_iter().map(Rc::new).collect();
         let previous = std::mem::replace(&mut self.members, members);
-        let joined = self.members.iter();
-        let joined: Vec<_> = joined.filter(|m| !previous.contains(m)).cloned().collect();
-        let left = previous.iter().filter(|m| !self.members.contains(m));
-        let left: HashSet<_> = left.cloned().collect();
+        let previous: HashSet<_> = previous.into_iter().collect();
+        let current: HashSet<_> = self.members.iter().cloned().collect();
+        let joined: Vec<_> = current.difference(&previous).cloned().collect();
+        let left: HashSet<_> = previous.difference(&current).cloned().collect();
         let moved: Vec<_> = self
             .entries
             .iter()
--- a/crates/lilaccrank/tests/suite/stream_origins.rs
+++ b/crates/lilaccrank/tests/suite/stream_origins.rs
@@ -6,7 +6,9 @@
 use lilaccrank::ids::VmId;
 use lilaccrank::request_key::MemberRef;
 use lilaccrank::software_version::{Origin, VersionDigest};
-use lilaccrank::stream_origins::{COPIES, MAX_TTL, Outbox, Record, StreamId, StreamOrigins};
+use lilaccrank::stream_origins::{
+    COPIES, MAX_TTL, MissLimit, Outbox, Record, StreamId, StreamOrigins,
+};
 use quickcheck::quickcheck;
 
 /// Time for which records are kept.
@@ -104,6 +106,35 @@
     assert_eq!(origins.len(), 1);
 }
 
+/// Guards against a customer who names streams that nobody began, a thousand a second: daemons ask for
+/// few of them, and for those of other customers as before.
+#[test]
+fn misses_are_limited_by_customer() {
+    let now = Instant::now();
+    let mut limit = MissLimit::default();
+    let second = Duration::from_secs(1);
+    let asked = |limit: &mut MissLimit, customer: &str, at| {
+        (0..1_000)
+            .filter(|_| {
+                let is_allowed = limit.allows(customer, at);
+                if is_allowed {
+                    limit.record(customer, at);
+                }
+                is_allowed
+            })
+            .count()
+    };
+    assert!((1..=10).contains(&asked(&mut limit, "loud", now)));
+    assert!(limit.allows("quiet", now));
+    assert!((1..=10).contains(&asked(&mut limit, "loud", now + second)));
+    // Customers are counted up to a bound; those beyond it are asked for.
+    for number in 0..5_000 {
+        limit.record(&number.to_string(), now + second);
+    }
+    assert!(!limit.allows("loud", now + second));
+    assert!(limit.allows("quiet", now + second));
+}
+
 /// Daemons with their records, all of which see each change of the members.
 #[derive(Default)]
 struct Fleet {
--- a/crates/lilaccrankd/src/peers/stream_origins.rs
+++ b/crates/lilaccrankd/src/peers/stream_origins.rs
@@ -4,22 +4,25 @@
 //! correctness: a stream whose origin no daemon that is asked knows is not resumed.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use futures::future;
-use lilaccrank::ids::VmId;
+use lilaccrank::document::Target;
+use lilaccrank::ids::{PoolId, VmId};
 use lilaccrank::peers::Peers;
 use lilaccrank::request_key::Ranking;
 use lilaccrank::software_version::Origin;
-use lilaccrank::stream_origins::{COPIES, Outbox, Record, StreamId, StreamOrigins};
+use lilaccrank::stream_origins::{COPIES, MissLimit, Outbox, Record, StreamId, StreamOrigins};
 use monoio::net::udp::UdpSocket;
 use serde::{Deserialize, Serialize};
 
 use crate::daemon::Daemon;
 use crate::peers::change_signal::ChangeSignal;
 use crate::peers::duties;
+use crate::targets::live_list::LiveList;
 
 /// First byte of a datagram with records. MessagePack does not use it, so no load update begins
 /// with it.
@@ -33,12 +36,18 @@
 /// Daemons that are asked for a record: its owners, and those that take over from them.
 const ASKED: usize = COPIES + 1;
 /// Number of times that they are asked: a record may be on its way.
-const QUERY_ROUNDS: u32 = 3;
+const QUERY_ROUNDS: u32 = 2;
 /// Time between two rounds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(60);
 /// Number of requests of this daemon that may wait for a record. Callers choose what they ask for.
 const MAX_LOOKUPS: usize = 64;
 
+/// Time after the first event of a stream in which the list may still name another version for its
+/// target, which had started again before.
+const LIST_LAG: Duration = Duration::from_secs(3);
+/// Number of recent streams that are checked against newer lists.
+const MAX_RECENT: usize = 4_096;
+
 /// Asks a daemon where a stream began.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct OriginRequest {
@@ -58,9 +67,19 @@
 pub struct OriginExchange {
     changed: ChangeSignal,
     lookups: Cell<usize>,
+    misses: RefCell<MissLimit>,
+    recent: RefCell<VecDeque<Recent>>,
     records: RefCell<StreamOrigins>,
 }
 
+/// A stream that this daemon has just begun or resumed.
+struct Recent {
+    at: Instant,
+    pool: PoolId,
+    record: Record,
+    target: Target,
+}
+
 /// Counts a request that waits for a record until it is dropped.
 struct Lookup<'a>(&'a Cell<usize>);
 
@@ -71,8 +90,46 @@
 }
 
 impl OriginExchange {
-    /// Records a stream that this daemon begins or resumes, and sends the record to its owners.
-    pub fn begin(&self, record: Record) {
+    /// Records a stream that `target` begins or resumes for this daemon, and sends the record to its
+    /// owners.
+    pub fn begin(&self, pool: &PoolId, target: &Target, record: Record) {
+        self.record(record);
+        let mut recent = self.recent.borrow_mut();
+        if recent.len() >= MAX_RECENT {
+            recent.pop_front();
+        }
+        recent.push_back(Recent {
+            at: Instant::now(),
+            pool: pool.clone(),
+            record,
+            target: target.clone(),
+        });
+    }
+
+    /// Records that it is open where a stream began, and tells its owners.
+    pub fn contradict(&self, record: Record) {
+        self.record(Record {
+            origin: Origin::Unknown,
+            ..record
+        });
+    }
+
+    /// Contradicts the recent streams whose targets have other versions by a newer list: the processes
+    /// that wrote their events may have had them before the list said so.
+    pub fn check_versions(&self, list: &LiveList) {
+        let now = Instant::now();
+        let mut recent = self.recent.borrow_mut();
+        recent.retain(|recent| now - recent.at < LIST_LAG);
+        let contradicted = recent.iter().filter(|recent| {
+            let listed = list.find_id(&recent.pool, &recent.target.id);
+            listed.is_some_and(|listed| listed.version != recent.target.version)
+        });
+        for recent in contradicted {
+            self.contradict(recent.record);
+        }
+    }
+
+    fn record(&self, record: Record) {
         self.records.borrow_mut().begin(record, Instant::now());
         self.changed.notify();
     }
@@ -93,22 +150,23 @@
         self.records.borrow().find(id, Instant::now())
     }
 
-    fn lookup(&self) -> Option<Lookup<'_>> {
+    fn lookup(&self, customer: &str) -> Option<Lookup<'_>> {
         let count = self.lookups.get();
-        (count < MAX_LOOKUPS).then(|| {
+        let may_ask = self.misses.borrow().allows(customer, Instant::now());
+        (may_ask && count < MAX_LOOKUPS).then(|| {
             self.lookups.set(count + 1);
             Lookup(&self.lookups)
         })
     }
 }
 
-/// Returns where a stream began, as this daemon or the owners of its record say.
-pub async fn find(daemon: &Daemon, id: StreamId) -> Origin {
+/// Returns where a stream of a customer began, as this daemon or the owners of its record say.
+pub async fn find(daemon: &Daemon, customer: &str, id: StreamId) -> Origin {
     let exchange = &daemon.origins;
     if let Some(origin) = exchange.find(id) {
         return origin;
     }
-    let Some(_lookup) = exchange.lookup() else {
+    let Some(_lookup) = exchange.lookup(customer) else {
         return Origin::Unknown;
     };
     for round in 0..QUERY_ROUNDS {
@@ -119,6 +177,8 @@
             return origin;
         }
     }
+    let mut misses = exchange.misses.borrow_mut();
+    misses.record(customer, Instant::now());
     Origin::Unknown
 }
 
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -12,6 +12,7 @@
 use lilaccrank::dispatch::message::{Outcome, ReportKind};
 use lilaccrank::document::Target;
 use lilaccrank::error_kind::{ErrorKind, Executed};
+use lilaccrank::ids::PoolId;
 use lilaccrank::software_version::VersionDigest;
 use lilaccrank::stream_origins::Record;
 use lilaccrank::stream_progress::StreamProgress;
@@ -243,10 +244,12 @@
     tokens: Cell<u32>,
     tokens_in_event: u32,
     elapsed_before_send: Duration,
+    /// Pool of the target.
+    pool: PoolId,
     /// Record of the stream, if others may resume it.
     record: Option<Record>,
-    /// Version of the target's software; `None` if unknown.
-    pub version: Option<VersionDigest>,
+    /// The target, as the list named it at the send.
+    pub target: Target,
     /// Set once the target has asked for a pause.
     was_pushed_back: Cell<bool>,
     /// A daemon that ends waits until targets were told to cancel their work.
@@ -258,8 +261,8 @@
         let (daemon, routed) = (execution.daemon, execution.routed);
         let tokens_in_event = daemon.tokens_in_event(&routed.route.pool);
         let delivered = &execution.history.delivered;
-        let version = VersionDigest::of(target);
-        let origin = execution.history.prior.origin.after(version);
+        let origin = execution.history.prior.origin;
+        let origin = origin.after(VersionDigest::of(target));
         let earlier_tokens = delivered.events.saturating_mul(tokens_in_event);
         Self {
             daemon: Rc::clone(daemon),
@@ -270,8 +273,9 @@
             tokens: Cell::new(0),
             tokens_in_event,
             elapsed_before_send: routed.arrived.elapsed(),
+            pool: routed.route.pool.clone(),
             record: routed.stream_record(origin),
-            version,
+            target: target.clone(),
             was_pushed_back: Cell::new(false),
             _in_progress: Rc::clone(execution.in_progress),
         }
@@ -352,7 +356,8 @@
         self.stream_progress.set(stream_progress);
         if first {
             if let Some(record) = self.record {
-                self.daemon.origins.begin(record);
+                let origins = &self.daemon.origins;
+                origins.begin(&self.pool, &self.target, record);
             }
             self.first_token(since_sent);
             self.reported_tokens.set(self.tokens.get());
--- a/crates/lilaccrankd/src/request/stream_origin.rs
+++ b/crates/lilaccrankd/src/request/stream_origin.rs
@@ -32,7 +32,8 @@
         let origin = match &self.caller.continuation {
             Continuation::New => return Ok(Origin::New),
             Continuation::Resumes(request) => {
-                stream_origins::find(daemon, self.stream_id(request)).await
+                let customer = &self.caller.facts.customer;
+                stream_origins::find(daemon, customer, self.stream_id(request)).await
             }
             Continuation::Unnamed => Origin::Unknown,
         };
@@ -84,7 +85,7 @@
             return origin.after(VersionDigest::of(target));
         }
         if let Some(record) = self.stream_record(Origin::Unknown) {
-            daemon.origins.begin(record);
+            daemon.origins.contradict(record);
         }
         Origin::Unknown
     }
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -230,6 +230,7 @@
         log::info!(born = ended.started_ms, target_id = ended.id; "target restarted");
         daemon.client.discard_connections(&ended.address);
     }
+    daemon.origins.check_versions(&daemon.live_list);
     let unusable = daemon.live_list.listing().unusable.len();
     let unusable = i64::try_from(unusable).unwrap_or(i64::MAX);
     daemon.metrics.unusable_entries.set(unusable);
