Tests: streams of unknown origin are not spilled; a record fits into the control budget

Guards: a native caller's Last-Event-Id where a rule spills to another data centre, at targets with and without a version; 44 bytes for a record's datagram, from the budget of 7,000 B/s, 31 streams a second, two owners, less an idle daemon's 1,445 B/s.

--- a/crates/lilaccrank-lab/tests/faults/spill.rs
+++ b/crates/lilaccrank-lab/tests/faults/spill.rs
@@ -140,3 +140,46 @@
         }
     });
 }
+
+/// Guards against a stream that goes on at a target of another data centre, whose software version may
+/// be another one: of a stream that its caller takes up, nobody there knows where it began.
+fn stream_of_unknown_origin(version: Option<&'static str>) {
+    harness::run(async move {
+        let (address, begun) = stub::target("200 OK", "id: 3\ndata: piece\n\n");
+        let mut layout = layout();
+        layout.data_centres[1].services = 1;
+        let cluster = Cluster::start_with(layout, |document| {
+            let pools = &mut document.pools;
+            let pool = pools.iter_mut().find(|pool| pool.id == SERVICES).unwrap();
+            for target in &mut pool.targets {
+                target.address.clone_from(&address);
+                target.version = version.map(str::to_owned);
+            }
+            let then = &mut document.rules[1].then;
+            then.spill = vec!["portmore".to_owned()];
+            then.terms.stream = true;
+            then.terms.resumable = true;
+        });
+        let cluster = cluster.await.unwrap();
+        for at in [ENTRY, OTHER] {
+            let entry = cluster.daemons[at].callers.to_string();
+            let answer = stub::post(&entry, "/jobs", "Last-Event-Id: 2\r\n", "{}");
+            assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+            assert!(answer.contains("cannot_resume"), "{answer}");
+            assert_eq!(begun.load(Ordering::SeqCst), 0);
+            let answer = stub::post(&entry, "/jobs", "", "{}");
+            assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+            assert_eq!(begun.swap(0, Ordering::SeqCst), 1);
+        }
+    });
+}
+
+#[test]
+fn stream_of_unknown_origin_at_a_version() {
+    stream_of_unknown_origin(Some("v1"));
+}
+
+#[test]
+fn stream_of_unknown_origin_at_an_unknown_version() {
+    stream_of_unknown_origin(None);
+}
--- a/crates/lilaccrank/tests/suite/stream_origins.rs
+++ b/crates/lilaccrank/tests/suite/stream_origins.rs
@@ -52,6 +52,18 @@
     two_unknown_versions_are_not_the_same: Origin::Unknown, None, false;
 }
 
+/// Guards against records that need more than control traffic has: 7,000 bytes a second, of which an
+/// idle daemon of 64 uses 1,445, for 31 streams a second that are sent to two owners and received from
+/// as many daemons.
+#[test]
+fn a_record_fits_into_the_budget_of_control() {
+    let streams_per_s = 31;
+    let budget = (7_000 - 1_445) / (2 * COPIES * streams_per_s);
+    let record = Record::new(id(0), Origin::At(version("v1")), MAX_TTL);
+    let datagram = 1 + rmp_serde::to_vec(&[record]).unwrap().len();
+    assert!(datagram <= budget, "{datagram} > {budget}");
+}
+
 /// Guards against one customer's request id, or that of another pool, naming another's stream.
 #[test]
 fn streams_are_named_by_customer_pool_and_request() {
