Streams: a daemon that resumes one checks its record against its own list

Cause: a record names the version of the list by which the stream was sent. If the process had started again with another version, and the daemon that sent it was cut off from the store, nobody contradicted the record. Change: a record names the last target by a digest of its id; whoever uses it takes it for unknown if that target has another version in the own list. One place (Found::origin) decides that for repeats and for tries. Ruled out: the version from the worker's answer; no header tells it.

--- a/crates/lilaccrank/src/software_version.rs
+++ b/crates/lilaccrank/src/software_version.rs
@@ -85,14 +85,4 @@
             _ => Self::Unknown,
         }
     }
-
-    /// Returns the origin that agrees with two records of one stream.
-    #[must_use]
-    pub fn merge(self, other: Self) -> Self {
-        match (self, other) {
-            (Self::New, origin) | (origin, Self::New) => origin,
-            (origin, other) if origin == other => origin,
-            _ => Self::Unknown,
-        }
-    }
 }
--- a/crates/lilaccrank/src/stream_origins.rs
+++ b/crates/lilaccrank/src/stream_origins.rs
@@ -12,11 +12,13 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use xxhash_rust::xxh3;
 
+use crate::document::Target;
 use crate::ids::VmId;
 use crate::rendezvous;
 use crate::request_key::MemberRef;
-use crate::software_version::Origin;
+use crate::software_version::{Origin, VersionDigest};
 
 mod miss_limit;
 
@@ -63,13 +65,66 @@
     }
 }
 
+/// Digest of the id of a target.
+pub type TargetDigest = u32;
+
+/// Where a stream began, as a record tells.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Found {
+    /// Version that began it; `None` if it is unknown.
+    version: Option<VersionDigest>,
+    /// The last target that sent events of it.
+    target: TargetDigest,
+}
+
+impl Found {
+    /// Creates what a record tells of a stream with this origin, whose events come from `target`.
+    #[must_use]
+    pub fn new(origin: Origin, target: &str) -> Self {
+        Self {
+            version: match origin {
+                Origin::At(version) => Some(version),
+                Origin::New | Origin::Unknown => None,
+            },
+            target: target_digest(target),
+        }
+    }
+
+    /// Returns the origin by a list of the pool's targets. If the target has another version there, it
+    /// is open which one sent the events: the record may have been made by an older list.
+    #[must_use]
+    pub fn origin<'a>(self, listed: impl IntoIterator<Item = &'a Target>) -> Origin {
+        let mut listed = listed.into_iter();
+        let is_contradicted = listed.any(|target| {
+            target_digest(&target.id) == self.target && VersionDigest::of(target) != self.version
+        });
+        match self.version {
+            Some(version) if !is_contradicted => Origin::At(version),
+            _ => Origin::Unknown,
+        }
+    }
+
+    /// Returns what agrees with two records of one stream, of which `later` is the later one.
+    #[must_use]
+    pub fn merge(self, later: Self) -> Self {
+        Self {
+            version: self.version.filter(|_| self.version == later.version),
+            target: later.target,
+        }
+    }
+}
+
+fn target_digest(id: &str) -> TargetDigest {
+    xxh3::xxh3_64(id.as_bytes()) as TargetDigest
+}
+
 /// Record of one stream, as daemons send it to each other.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Record {
     /// The stream.
     pub id: StreamId,
     /// Where it began.
-    pub origin: Origin,
+    pub found: Found,
     /// Time for which the record is kept, in milliseconds.
     pub ttl_ms: u32,
 }
@@ -77,11 +132,11 @@
 impl Record {
     /// Creates a record that is kept for `ttl`, at most [`MAX_TTL`].
     #[must_use]
-    pub fn new(id: StreamId, origin: Origin, ttl: Duration) -> Self {
+    pub fn new(id: StreamId, found: Found, ttl: Duration) -> Self {
         let ttl = ttl.min(MAX_TTL).as_millis();
         Self {
             id,
-            origin,
+            found,
             ttl_ms: u32::try_from(ttl).unwrap_or(u32::MAX),
         }
     }
@@ -93,7 +148,7 @@
 
 #[derive(Clone, Debug)]
 struct Entry {
-    origin: Origin,
+    found: Found,
     /// Members that own the stream and were sent its record.
     owners: Vec<Rc<MemberRef>>,
     until: Instant,
@@ -116,7 +171,7 @@
     }
 
     fn record(&self, id: StreamId, now: Instant) -> Record {
-        Record::new(id, self.origin, self.until.saturating_duration_since(now))
+        Record::new(id, self.found, self.until.saturating_duration_since(now))
     }
 }
 
@@ -148,9 +203,9 @@
 
     /// Returns where a stream began; `None` without a record.
     #[must_use]
-    pub fn find(&self, id: StreamId, now: Instant) -> Option<Origin> {
+    pub fn find(&self, id: StreamId, now: Instant) -> Option<Found> {
         let entry = self.entries.get(&id)?;
-        (now < entry.until).then_some(entry.origin)
+        (now < entry.until).then_some(entry.found)
     }
 
     /// Number of records held.
@@ -233,12 +288,12 @@
         let until = now + record.ttl();
         let owners = self.owners(record.id);
         if let Some(entry) = self.entries.get_mut(&record.id) {
-            let origin = match now < entry.until {
-                true => entry.origin.merge(record.origin),
-                false => record.origin,
+            let found = match now < entry.until {
+                true => entry.found.merge(record.found),
+                false => record.found,
             };
-            let changed = entry.origin != origin || entry.until < until;
-            entry.origin = origin;
+            let changed = entry.found != found || entry.until < until;
+            entry.found = found;
             entry.until = entry.until.max(until);
             return changed;
         }
@@ -249,7 +304,7 @@
             return false;
         }
         let entry = Entry {
-            origin: record.origin,
+            found: record.found,
             owners,
             until,
         };
--- a/crates/lilaccrank/tests/suite/stream_origins.rs
+++ b/crates/lilaccrank/tests/suite/stream_origins.rs
@@ -3,11 +3,12 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use lilaccrank::document::Target;
 use lilaccrank::ids::VmId;
 use lilaccrank::request_key::MemberRef;
 use lilaccrank::software_version::{Origin, VersionDigest};
 use lilaccrank::stream_origins::{
-    COPIES, MAX_TTL, MissLimit, Outbox, Record, StreamId, StreamOrigins,
+    COPIES, Found, MAX_TTL, MissLimit, Outbox, Record, StreamId, StreamOrigins,
 };
 use quickcheck::quickcheck;
 
@@ -24,8 +25,12 @@
     StreamId::new("hotel", "engines", &number.to_string())
 }
 
+fn found(origin: Origin) -> Found {
+    Found::new(origin, "t0")
+}
+
 fn record(number: usize, origin: Origin) -> Record {
-    Record::new(id(number), origin, TTL)
+    Record::new(id(number), found(origin), TTL)
 }
 
 /// An origin, a version, and whether a target with it may go on.
@@ -59,7 +64,7 @@
 fn a_record_fits_into_the_budget_of_control() {
     let streams_per_s = 31;
     let budget = (7_000 - 1_445) / (2 * COPIES * streams_per_s);
-    let record = Record::new(id(0), Origin::At(version("v1")), MAX_TTL);
+    let record = Record::new(id(0), found(Origin::At(version("v1"))), MAX_TTL);
     let datagram = 1 + rmp_serde::to_vec(&[record]).unwrap().len();
     assert!(datagram <= budget, "{datagram} > {budget}");
 }
@@ -87,7 +92,7 @@
     for name in ["v1", "v2", "v1"] {
         origins.receive(record(0, Origin::At(version(name))), now);
     }
-    assert_eq!(origins.find(id(0), now), Some(Origin::Unknown));
+    assert_eq!(origins.find(id(0), now), Some(found(Origin::Unknown)));
 }
 
 /// Guards against records that are kept for ever, and against one that is found after its time.
@@ -96,7 +101,7 @@
     let now = Instant::now();
     let mut origins = StreamOrigins::default();
     origins.begin(record(0, Origin::At(version("v1"))), now);
-    let long = Record::new(id(1), Origin::At(version("v1")), 10 * MAX_TTL);
+    let long = Record::new(id(1), found(Origin::At(version("v1"))), 10 * MAX_TTL);
     origins.receive(long, now);
     assert_eq!(origins.find(id(0), now + TTL), None);
     origins.expire(now + TTL);
@@ -105,6 +110,23 @@
     assert!(origins.is_empty());
 }
 
+/// Guards against a record that was made by an old list: the process that sent the events may have had
+/// the version that the list names now.
+#[test]
+fn a_list_contradicts_a_record() {
+    let target = |id: &str, version: Option<&str>| Target {
+        id: id.to_owned(),
+        version: version.map(str::to_owned),
+        ..Target::default()
+    };
+    let found = found(Origin::At(version("v1")));
+    let of = |version| found.origin(&[target("t1", Some("v2")), target("t0", version)]);
+    assert_eq!(of(Some("v1")), Origin::At(version("v1")));
+    assert_eq!(of(Some("v2")), Origin::Unknown);
+    assert_eq!(of(None), Origin::Unknown);
+    assert_eq!(found.origin(&[]), Origin::At(version("v1")));
+}
+
 /// Guards against a table that grows with what callers begin.
 #[test]
 fn records_are_bounded() {
@@ -207,7 +229,7 @@
         let owners = id.owners(self.daemons.keys(), COPIES);
         let now = Instant::now();
         let mut known = owners.iter().map(|vm| self.daemons[*vm].1.find(id, now));
-        known.any(|origin| origin == Some(Origin::At(version("v1"))))
+        known.any(|known| known == Some(found(Origin::At(version("v1")))))
     }
 }
 
--- a/crates/lilaccrankd/src/peers/stream_origins.rs
+++ b/crates/lilaccrankd/src/peers/stream_origins.rs
@@ -15,7 +15,9 @@
 use lilaccrank::peers::Peers;
 use lilaccrank::request_key::Ranking;
 use lilaccrank::software_version::Origin;
-use lilaccrank::stream_origins::{COPIES, MissLimit, Outbox, Record, StreamId, StreamOrigins};
+use lilaccrank::stream_origins::{
+    COPIES, Found, MissLimit, Outbox, Record, StreamId, StreamOrigins,
+};
 use monoio::net::udp::UdpSocket;
 use serde::{Deserialize, Serialize};
 
@@ -59,7 +61,7 @@
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct OriginReply {
     /// Where it began; `None` without a record.
-    pub origin: Option<Origin>,
+    pub found: Option<Found>,
 }
 
 /// Records of streams on one daemon.
@@ -107,9 +109,9 @@
     }
 
     /// Records that it is open where a stream began, and tells its owners.
-    pub fn contradict(&self, record: Record) {
+    pub fn contradict(&self, target: &Target, record: Record) {
         self.record(Record {
-            origin: Origin::Unknown,
+            found: Found::new(Origin::Unknown, &target.id),
             ..record
         });
     }
@@ -125,7 +127,7 @@
             listed.is_some_and(|listed| listed.version != recent.target.version)
         });
         for recent in contradicted {
-            self.contradict(recent.record);
+            self.contradict(&recent.target, recent.record);
         }
     }
 
@@ -142,11 +144,11 @@
     /// Answers another daemon.
     pub fn answer(&self, req: OriginRequest) -> OriginReply {
         OriginReply {
-            origin: self.find(req.id),
+            found: self.find(req.id),
         }
     }
 
-    fn find(&self, id: StreamId) -> Option<Origin> {
+    fn find(&self, id: StreamId) -> Option<Found> {
         self.records.borrow().find(id, Instant::now())
     }
 
@@ -160,38 +162,38 @@
     }
 }
 
-/// Returns where a stream of a customer began, as this daemon or the owners of its record say.
-pub async fn find(daemon: &Daemon, customer: &str, id: StreamId) -> Origin {
+/// Returns where a stream of a customer began, as this daemon or the owners of its record say; `None`
+/// if none of them has a record.
+pub async fn find(daemon: &Daemon, customer: &str, id: StreamId) -> Option<Found> {
     let exchange = &daemon.origins;
-    if let Some(origin) = exchange.find(id) {
-        return origin;
+    if let Some(found) = exchange.find(id) {
+        return Some(found);
     }
-    let Some(_lookup) = exchange.lookup(customer) else {
-        return Origin::Unknown;
-    };
+    let _lookup = exchange.lookup(customer)?;
     for round in 0..QUERY_ROUNDS {
         if round > 0 {
             monoio::time::sleep(ROUND_INTERVAL).await;
         }
-        if let Some(origin) = ask_owners(daemon, id).await.or_else(|| exchange.find(id)) {
-            return origin;
+        let found = ask_owners(daemon, id).await.or_else(|| exchange.find(id));
+        if found.is_some() {
+            return found;
         }
     }
     let mut misses = exchange.misses.borrow_mut();
     misses.record(customer, Instant::now());
-    Origin::Unknown
+    None
 }
 
-async fn ask_owners(daemon: &Daemon, id: StreamId) -> Option<Origin> {
+async fn ask_owners(daemon: &Daemon, id: StreamId) -> Option<Found> {
     let live = daemon.membership.live();
     let vms = live.members.iter().map(|member| &member.vm);
     let owners = id.owners(vms, ASKED).into_iter();
     let others = owners.filter(|vm| **vm != daemon.cfg.vm);
     let replies = future::join_all(others.map(|vm| ask(daemon, vm, id))).await;
-    replies.into_iter().flatten().reduce(Origin::merge)
+    replies.into_iter().flatten().reduce(Found::merge)
 }
 
-async fn ask(daemon: &Daemon, vm: &VmId, id: StreamId) -> Option<Origin> {
+async fn ask(daemon: &Daemon, vm: &VmId, id: StreamId) -> Option<Found> {
     let asked = daemon.peers.call(vm, OriginRequest { id });
     let reply: OriginReply = match monoio::time::timeout(QUERY_TIMEOUT, asked).await {
         Ok(Ok(reply)) => reply,
@@ -204,7 +206,7 @@
             return None;
         }
     };
-    reply.origin
+    reply.found
 }
 
 /// Sends records to their owners until the daemon ends.
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -274,7 +274,7 @@
             tokens_in_event,
             elapsed_before_send: routed.arrived.elapsed(),
             pool: routed.route.pool.clone(),
-            record: routed.stream_record(origin),
+            record: routed.stream_record(origin, target),
             target: target.clone(),
             was_pushed_back: Cell::new(false),
             _in_progress: Rc::clone(execution.in_progress),
--- a/crates/lilaccrankd/src/request/stream_origin.rs
+++ b/crates/lilaccrankd/src/request/stream_origin.rs
@@ -5,7 +5,7 @@
 use lilaccrank::document::Target;
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::software_version::{Origin, VersionDigest};
-use lilaccrank::stream_origins::{Record, StreamId};
+use lilaccrank::stream_origins::{Found, Record, StreamId};
 
 use crate::callers::caller_request::Continuation;
 use crate::callers::refusal::{Refusal, Result};
@@ -33,7 +33,8 @@
             Continuation::New => return Ok(Origin::New),
             Continuation::Resumes(request) => {
                 let customer = &self.caller.facts.customer;
-                stream_origins::find(daemon, customer, self.stream_id(request)).await
+                let found = stream_origins::find(daemon, customer, self.stream_id(request)).await;
+                found.map_or(Origin::Unknown, |found| self.listed_origin(daemon, found))
             }
             Continuation::Unnamed => Origin::Unknown,
         };
@@ -52,9 +53,10 @@
         Ok(origin)
     }
 
-    /// Record of the stream with this origin, for those who resume it; `None` if nobody may.
+    /// Record of the stream with this origin, whose events `target` sends, for those who resume it;
+    /// `None` if nobody may.
     #[must_use]
-    pub fn stream_record(&self, origin: Origin) -> Option<Record> {
+    pub fn stream_record(&self, origin: Origin, target: &Target) -> Option<Record> {
         if !self.route.terms.stream || !self.route.terms.resumable {
             return None;
         }
@@ -68,26 +70,22 @@
         });
         Some(Record::new(
             self.stream_id(began),
-            origin,
+            Found::new(origin, &target.id),
             left + RECORD_MARGIN,
         ))
     }
 
     /// Origin of the stream after `target` has sent events of it.
-    ///
-    /// The list that named the target's version may have been older than the process at its
-    /// address. If it has another version now, it is open which one wrote the events.
     #[must_use]
     pub fn origin_after(&self, daemon: &Daemon, origin: Origin, target: &Target) -> Origin {
-        let pool = &self.route.pool;
-        let listed = daemon.live_list.find_id(pool, &target.id);
-        if listed.is_none_or(|listed| listed.version == target.version) {
-            return origin.after(VersionDigest::of(target));
-        }
-        if let Some(record) = self.stream_record(Origin::Unknown) {
-            daemon.origins.contradict(record);
-        }
-        Origin::Unknown
+        let origin = origin.after(VersionDigest::of(target));
+        self.listed_origin(daemon, Found::new(origin, &target.id))
+    }
+
+    /// Origin of a stream by this daemon's list, which may be newer than the record of it.
+    fn listed_origin(&self, daemon: &Daemon, found: Found) -> Origin {
+        let listing = daemon.live_list.listing();
+        found.origin(listing.targets.get(&self.route.pool).into_iter().flatten())
     }
 
     fn stream_id(&self, request: &str) -> StreamId {
