Streams: versions that a cell or a list does not have yet

Cause: two ways to lose a stream whose version serves. In fleets of 16 daemons and more a daemon grants its cell's targets only, and a caller takes its stream up at any cell; a version that has just begun to serve is in one daemon's list before it is in another's. Change: for each version with fewer than two live targets in the cell, a daemon knows up to three targets of other cells, which get resumed streams only. A stream of a version that no list has named here yet waits for one, 500 ms at most. Owners are asked once more only if one did not reply; a customer may have 16 misses a second. Remains: shares of advertised rate limits are not known for targets of other cells. Tests: a_rare_version_is_reached_from_all_cells (75 daemons, 90 targets), a_spare_target_only_resumes_streams, a_version_that_is_not_listed_yet_is_waited_for.

--- a/crates/lilaccrank/src/cells.rs
+++ b/crates/lilaccrank/src/cells.rs
@@ -10,13 +10,13 @@
 //! views of two daemons differ, one may miss some of the other's requests, as if a datagram had
 //! been lost.
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use crate::document::Target;
+use crate::document::{Target, TargetState};
 use crate::ids::VmId;
 use crate::rendezvous;
-use crate::target_instance::InstanceDigest;
+use crate::target_instance::{InstanceDigest, TargetInstance};
 
 /// Minimum number of daemons in a cell; a smaller fleet than twice this is not divided. About
 /// ten daemons on as many targets exchange about 300 datagrams a second each at ten requests a
@@ -26,6 +26,11 @@
 /// would be too large a part of the capacity of a cell. A small pool has fewer partitions than
 /// there are cells.
 const MIN_TARGETS: usize = 6;
+/// Number of live targets of one software version with which a cell needs no others to resume streams
+/// of that version.
+const MIN_OWN_OF_VERSION: usize = 2;
+/// Number of targets of other cells that a daemon uses to resume streams of one version.
+const SPARE_TARGETS: usize = 3;
 /// Rendezvous key that elects the representative of a cell.
 const REPRESENTATIVE_KEY: &str = "cell/speaker";
 /// Rendezvous key by which daemons and targets are ordered before they are partitioned.
@@ -160,6 +165,34 @@
     targets.sort_by_cached_key(|target| (rendezvous::weight(me, &target.id), target.id.clone()));
 }
 
+/// Returns targets of other cells that may resume streams here: for each software version that fewer
+/// than [`MIN_OWN_OF_VERSION`] live targets of the `own` cell have, up to [`SPARE_TARGETS`] others,
+/// which differ from daemon to daemon. A caller may take its stream up at a daemon of any cell.
+#[must_use]
+pub fn spare_targets(all: &[Target], own: &[Target], me: &VmId) -> Vec<Target> {
+    if own.len() == all.len() {
+        return Vec::new();
+    }
+    let live = |target: &&Target| target.state == TargetState::Live && target.version.is_some();
+    let own: IndexSet<TargetInstance> = own.iter().map(TargetInstance::of).collect();
+    let mut versions: IndexMap<_, (usize, Vec<&Target>)> = IndexMap::new();
+    for target in all.iter().filter(live) {
+        let (owned, others) = versions.entry(&target.version).or_default();
+        match own.contains(&TargetInstance::of(target)) {
+            true => *owned += 1,
+            false => others.push(target),
+        }
+    }
+    let rare = versions.into_values();
+    let rare = rare.filter(|(owned, _)| *owned < MIN_OWN_OF_VERSION);
+    let spare = rare.flat_map(|(_, mut others)| {
+        others.sort_by_cached_key(|target| (rendezvous::weight(me, &target.id), &target.id));
+        others.truncate(SPARE_TARGETS);
+        others
+    });
+    spare.cloned().collect()
+}
+
 /// Returns the largest power of two by which `all` can be divided into parts of at least
 /// `min_size`, or 1 if `all` is too small.
 fn max_partitions(all: usize, min_size: usize) -> usize {
--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 
 use crate::clock::Clock;
-use crate::document::Pool;
+use crate::document::{Pool, Target};
 use crate::error_kind::ErrorKind;
 use crate::ids::{DataCentre, Incarnation, RequestId, Tier, VmId};
 use crate::paths::Route;
@@ -155,13 +155,15 @@
     /// Replaces the target list with the pool's targets in `data_centre`. From this call on,
     /// targets that are draining or no longer listed get no new work.
     pub fn set_targets(&self, pool: &Pool, data_centre: &str) {
-        self.set_targets_where(pool, |other| other == data_centre);
+        self.set_targets_where(pool, &[], |other| other == data_centre);
     }
 
-    /// Like [`set_targets`](Self::set_targets), for all data centres that `is_near` accepts.
-    pub fn set_targets_where(&self, pool: &Pool, is_near: impl Fn(&str) -> bool) {
+    /// Like [`set_targets`](Self::set_targets), for all data centres that `is_near` accepts. The `spare`
+    /// targets belong to other cells and get resumed streams only.
+    pub fn set_targets_where(&self, pool: &Pool, spare: &[Target], is_near: impl Fn(&str) -> bool) {
         let now = self.clock.now();
-        self.state.borrow_mut().set_targets(pool, is_near, now);
+        let mut state = self.state.borrow_mut();
+        state.set_targets(pool, spare, is_near, now);
     }
 
     /// Sets the cell's shares of the rate limits that targets advertise; targets that are not
--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -178,8 +178,7 @@
     /// Returns `true` if some target could serve the submission, now or later.
     fn has_usable_target(&self, submission: &Submission) -> bool {
         self.targets.values().any(|target| {
-            target.live
-                && submission.origin.permits(target.version)
+            target.serves(submission.origin)
                 && target.route != Route::Unreachable
                 && !submission.exclusions.contains(&target.instance)
         })
--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -199,8 +199,7 @@
                 || occupancy.admits(needs.tier, needs.request_class, needs.work.prefill)
         }
     };
-    target.live
-        && needs.origin.permits(target.version)
+    target.serves(needs.origin)
         && target.route != Route::Unreachable
         && accepts_work
         && target.pushback.is_none_or(|pushback| pushback.allows(now))
--- a/crates/lilaccrank/src/dispatch/pushback.rs
+++ b/crates/lilaccrank/src/dispatch/pushback.rs
@@ -106,7 +106,7 @@
         let usable = self
             .targets
             .values()
-            .filter(|target| target.live && submission.origin.permits(target.version))
+            .filter(|target| target.serves(submission.origin))
             .filter(|target| !submission.exclusions.contains(&target.instance));
         let mut first_end: Option<Instant> = None;
         for target in usable {
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -8,7 +8,7 @@
 use super::state::State;
 use super::target::Target;
 use super::work::Work;
-use crate::document::{Pool, TargetState};
+use crate::document::{self, Pool, TargetState};
 use crate::error_kind::ErrorKind;
 use crate::software_version::VersionDigest;
 use crate::target_instance::TargetInstance;
@@ -136,17 +136,20 @@
         }
     }
 
-    /// Replaces the target list with the pool's targets in the data centres that `is_near` accepts.
+    /// Replaces the target list with the pool's targets in the data centres that `is_near` accepts, and
+    /// with `spare` ones that only get resumed streams.
     /// Targets that are draining or no longer listed get no new work, and are kept until their
     /// running requests have ended.
     pub(super) fn set_targets(
         &mut self,
         pool: &Pool,
+        spare: &[document::Target],
         is_near: impl Fn(&str) -> bool,
         now: Instant,
     ) {
         for target in self.targets.values_mut() {
             target.live = false;
+            target.spare = false;
         }
         let nearby = pool.targets.iter();
         let nearby: Vec<_> = nearby.filter(|t| is_near(&t.data_centre)).collect();
@@ -159,14 +162,17 @@
         };
         let known = known.filter(|target| is_listed(&target.instance));
         let initial = Estimate::from_median(known.map(|target| &target.estimate), now);
-        for listed in nearby {
+        let nearby = nearby.into_iter().map(|listed| (listed, false));
+        for (listed, is_spare) in nearby.chain(spare.iter().map(|listed| (listed, true))) {
             let life = TargetInstance::of(listed);
             let target = self.targets.entry(life.clone()).or_insert_with(|| Target {
                 estimate: initial.clone(),
                 ..Target::new(life, listed.slots, now)
             });
             target.data_centre.clone_from(&listed.data_centre);
-            target.live = listed.state == TargetState::Live;
+            let is_live = listed.state == TargetState::Live;
+            target.live = is_live && !is_spare;
+            target.spare = is_live && is_spare;
             target.slots = listed.slots;
             target.version = VersionDigest::of(listed);
         }
@@ -189,7 +195,9 @@
     /// Removes a target that is not live and has no running requests.
     pub(super) fn remove_if_drained(&mut self, life: &TargetInstance) {
         let target = self.targets.get(life);
-        if target.is_some_and(|target| !target.live && target.estimate.running() == 0) {
+        if target
+            .is_some_and(|target| !target.live && !target.spare && target.estimate.running() == 0)
+        {
             self.targets.shift_remove(life);
             self.affinity.forget(life);
         }
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -10,7 +10,7 @@
 use super::rate_limit::{RateLimit, Share};
 use crate::ids::{DataCentre, VmId};
 use crate::paths::Route;
-use crate::software_version::VersionDigest;
+use crate::software_version::{Origin, VersionDigest};
 use crate::target_instance::{InstanceDigest, TargetInstance};
 
 /// Time for which a slot freed by another daemon is left to the daemon whose submission goes first.
@@ -72,6 +72,8 @@
     pub sent: u32,
     /// Number of requests it runs concurrently.
     pub slots: u32,
+    /// Set if the target belongs to another cell and may get resumed streams only.
+    pub spare: bool,
     /// Sequence number of its last grant, counted over all targets.
     pub grant_sequence: u64,
     /// Version of its software; `None` if unknown.
@@ -98,6 +100,7 @@
             peer_waiter: None,
             sent: 0,
             slots,
+            spare: false,
             grant_sequence: 0,
             version: None,
         }
@@ -112,6 +115,12 @@
         }
     }
 
+    /// Returns `true` if a stream with this origin may be sent to the target.
+    #[must_use]
+    pub fn serves(&self, origin: Origin) -> bool {
+        (self.live || (self.spare && !origin.is_new())) && origin.permits(self.version)
+    }
+
     /// Applies an observation to the health, and logs a change of its state with the daemon that made
     /// the observation.
     pub(super) fn observe(&mut self, observer: &VmId, observe: impl FnOnce(&mut Health)) {
--- a/crates/lilaccrank/src/stream_origins/miss_limit.rs
+++ b/crates/lilaccrank/src/stream_origins/miss_limit.rs
@@ -12,7 +12,7 @@
 /// Period in which misses are counted.
 const PERIOD: Duration = Duration::from_secs(1);
 /// Misses of a customer in one period after which nothing is asked for it.
-const MAX_MISSES: u32 = 8;
+const MAX_MISSES: u32 = 16;
 /// Number of customers that are counted.
 const MAX_CUSTOMERS: usize = 1_024;
 
--- a/crates/lilaccrank/tests/suite/cells.rs
+++ b/crates/lilaccrank/tests/suite/cells.rs
@@ -1,7 +1,7 @@
 //! Tests of the division of fleets into cells and of its stability when daemons are removed.
 
 use indexmap::IndexSet;
-use lilaccrank::cells::Cell;
+use lilaccrank::cells::{self, Cell};
 use lilaccrank::document::Target;
 use quickcheck::quickcheck;
 
@@ -124,3 +124,23 @@
         );
     }
 }
+
+/// Guards against a stream that is lost because its caller takes it up at a daemon of a cell without
+/// targets of its software version.
+#[test]
+fn a_rare_version_is_reached_from_all_cells() {
+    let mut all = targets(90);
+    for (number, target) in all.iter_mut().enumerate() {
+        let version = if number < 2 { "rare" } else { "common" };
+        target.version = Some(version.to_owned());
+    }
+    let vms = vms(75);
+    for (cell, me) in cells(&vms).iter().zip(&vms) {
+        let mut own = all.clone();
+        cell.retain_targets(&mut own);
+        let spare = cells::spare_targets(&all, &own, me);
+        let is_rare = |target: &&Target| target.version.as_deref() == Some("rare");
+        assert_eq!(own.iter().chain(&spare).filter(is_rare).count(), 2);
+        assert!(spare.iter().all(|target| is_rare(&target)));
+    }
+}
--- a/crates/lilaccrank/tests/suite/dispatch_versions.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_versions.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lilaccrank::dispatch::message::{PartialAnswer, Submission};
-use lilaccrank::document::TargetState;
+use lilaccrank::document::{Target, TargetState};
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::software_version::{Origin, VersionDigest};
 
@@ -132,3 +132,28 @@
         refused("waits", ErrorKind::CannotResume)
     );
 }
+
+/// Guards against a target of another cell that gets new requests, or not those that it is there for.
+#[test]
+fn a_spare_target_only_resumes_streams() {
+    let mut harness = harness(&[Some("v2")]);
+    let spare = Target {
+        id: "spare".to_owned(),
+        version: Some("v1".to_owned()),
+        ..harness.pool.targets[0].clone()
+    };
+    let spare = [spare];
+    harness
+        .dispatcher
+        .set_targets_where(&harness.pool, &spare, |_| true);
+    harness.submit(resumed("resumed", "v1"));
+    assert_eq!(harness.grants(), granted("resumed", "spare"));
+    harness.submit(submission("runs", 0));
+    harness.submit(submission("waits", 0));
+    assert_eq!(harness.grants(), granted("runs", "t0"));
+    harness.end("resumed", "spare");
+    assert_eq!(harness.verdicts(), []);
+    set_targets(&harness);
+    harness.submit(resumed("late", "v1"));
+    assert_eq!(harness.refusals(), refused("late", ErrorKind::CannotResume));
+}
--- a/crates/lilaccrankd/src/peers/stream_origins.rs
+++ b/crates/lilaccrankd/src/peers/stream_origins.rs
@@ -37,10 +37,8 @@
 const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 /// Daemons that are asked for a record: its owners, and those that take over from them.
 const ASKED: usize = COPIES + 1;
-/// Number of times that they are asked: a record may be on its way.
-const QUERY_ROUNDS: u32 = 2;
-/// Time between two rounds.
-const ROUND_INTERVAL: Duration = Duration::from_millis(60);
+/// Delay before they are asked once more, if one of them did not reply.
+const RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Number of requests of this daemon that may wait for a record. Callers choose what they ask for.
 const MAX_LOOKUPS: usize = 64;
 
@@ -170,43 +168,47 @@
         return Some(found);
     }
     let _lookup = exchange.lookup(customer)?;
-    for round in 0..QUERY_ROUNDS {
-        if round > 0 {
-            monoio::time::sleep(ROUND_INTERVAL).await;
-        }
-        let found = ask_owners(daemon, id).await.or_else(|| exchange.find(id));
-        if found.is_some() {
-            return found;
-        }
+    let (mut found, all_replied) = ask_owners(daemon, id).await;
+    if found.is_none() && !all_replied {
+        monoio::time::sleep(RETRY_DELAY).await;
+        (found, _) = ask_owners(daemon, id).await;
+    }
+    let found = found.or_else(|| exchange.find(id));
+    if found.is_none() {
+        let mut misses = exchange.misses.borrow_mut();
+        misses.record(customer, Instant::now());
     }
-    let mut misses = exchange.misses.borrow_mut();
-    misses.record(customer, Instant::now());
-    None
+    found
 }
 
-async fn ask_owners(daemon: &Daemon, id: StreamId) -> Option<Found> {
+/// Asks the owners of a record for it. Also returns whether all of them replied.
+async fn ask_owners(daemon: &Daemon, id: StreamId) -> (Option<Found>, bool) {
     let live = daemon.membership.live();
     let vms = live.members.iter().map(|member| &member.vm);
     let owners = id.owners(vms, ASKED).into_iter();
     let others = owners.filter(|vm| **vm != daemon.cfg.vm);
     let replies = future::join_all(others.map(|vm| ask(daemon, vm, id))).await;
-    replies.into_iter().flatten().reduce(Found::merge)
+    let all_replied = replies.iter().all(Option::is_some);
+    let found = replies
+        .into_iter()
+        .flatten()
+        .filter_map(|reply| reply.found);
+    (found.reduce(Found::merge), all_replied)
 }
 
-async fn ask(daemon: &Daemon, vm: &VmId, id: StreamId) -> Option<Found> {
+async fn ask(daemon: &Daemon, vm: &VmId, id: StreamId) -> Option<OriginReply> {
     let asked = daemon.peers.call(vm, OriginRequest { id });
-    let reply: OriginReply = match monoio::time::timeout(QUERY_TIMEOUT, asked).await {
-        Ok(Ok(reply)) => reply,
+    match monoio::time::timeout(QUERY_TIMEOUT, asked).await {
+        Ok(Ok(reply)) => Some(reply),
         Ok(Err(e)) => {
             log::info!(peer = vm, why:% = e; "asked in vain where a stream began");
-            return None;
+            None
         }
         Err(_) => {
             log::info!(peer = vm, why = "no answer in time"; "asked in vain where a stream began");
-            return None;
+            None
         }
-    };
-    reply.found
+    }
 }
 
 /// Sends records to their owners until the daemon ends.
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -374,13 +374,15 @@
         targets: near_targets(daemon, configured),
         ..configured.clone()
     };
+    let near = pool.targets.clone();
     cell(daemon).retain_targets(&mut pool.targets);
+    let spare = cells::spare_targets(&near, &pool.targets, &daemon.cfg.vm);
     if daemon.duties.is_dispatch_local() {
         cells::sort_by_daemon_hash(&mut pool.targets, &daemon.cfg.vm);
     }
     daemon.pool_server.rate_limits.targets_changed();
     let brittle = daemon.advisories.brittle();
-    dispatcher.set_targets_where(&pool, |data_centre| daemon.cfg.is_near(data_centre));
+    dispatcher.set_targets_where(&pool, &spare, |data_centre| daemon.cfg.is_near(data_centre));
     dispatcher.set_brittle(&notices::brittle_shares(daemon, configured, &brittle));
     if daemon.duties.is_dispatch_local() {
         for (target, left) in daemon.pauses.in_force(Instant::now()) {
--- a/crates/lilaccrankd/src/request/stream_origin.rs
+++ b/crates/lilaccrankd/src/request/stream_origin.rs
@@ -13,6 +13,8 @@
 use crate::peers::stream_origins;
 use crate::request::lifecycle::RoutedRequest;
 
+/// Longest wait for a list that names the version of a stream.
+const LIST_WAIT: Duration = Duration::from_millis(500);
 /// Time for which a record is kept beyond the caller's deadline.
 const RECORD_MARGIN: Duration = Duration::from_secs(5);
 /// Time for which a record is kept if its stream has no deadline.
@@ -50,6 +52,9 @@
                            stream; begin it anew";
             return Err(Refusal::new(ErrorKind::CannotResume, message));
         }
+        if let Origin::At(version) = origin {
+            daemon.live_list.version_known(version, LIST_WAIT).await;
+        }
         Ok(origin)
     }
 
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -9,12 +9,14 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use event_listener::Event;
 use indexmap::{IndexMap, IndexSet};
 use lilaccrank::clock::Clock;
 use lilaccrank::document::{Pool, Target, TargetState};
 use lilaccrank::ids::{PoolId, TargetId, VmId};
+use lilaccrank::software_version::VersionDigest;
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::monoio_clock::MonoioClock;
 use serde::{Deserialize, Serialize};
@@ -27,6 +29,9 @@
 use crate::targets::lapsed::{self, Lapsed};
 use crate::targets::newest_instances::NewestInstances;
 
+/// Number of software versions that are remembered.
+const MAX_VERSIONS: usize = 1_024;
+
 /// The platform's list of targets.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Listing {
@@ -49,6 +54,8 @@
     pub lapsed: Lapsed,
     listing: RefCell<Rc<Listing>>,
     instances: RefCell<NewestInstances>,
+    /// Software versions that this or an earlier list named.
+    versions: RefCell<IndexSet<VersionDigest>>,
     /// Notified when a list is applied.
     updated: Event,
 }
@@ -159,6 +166,31 @@
         listed.find(|target| target.id == id).cloned()
     }
 
+    /// Completes once a list has named a software version, or after `limit`. A stream may have begun at a
+    /// version that another daemon's list named first.
+    pub async fn version_known(&self, version: VersionDigest, limit: Duration) {
+        let known = async {
+            while !self.versions.borrow().contains(&version) {
+                let listener = self.updated.listen();
+                if !self.versions.borrow().contains(&version) {
+                    listener.await;
+                }
+            }
+        };
+        // Without it, no target of this list may resume the stream.
+        let _ = monoio::time::timeout(limit, known).await;
+    }
+
+    /// Notes the versions that a list names.
+    fn note_versions(&self, listing: &Listing) {
+        let mut versions = self.versions.borrow_mut();
+        if versions.len() > MAX_VERSIONS {
+            versions.clear();
+        }
+        let targets = listing.all().map(|(_, target)| target);
+        versions.extend(targets.filter_map(VersionDigest::of));
+    }
+
     /// Number of targets whose newest instance is remembered.
     #[must_use]
     pub fn instance_count(&self) -> usize {
@@ -191,6 +223,7 @@
         }
         self.instances.borrow_mut().resolve(&mut listing, &known);
         self.lapsed.update(&known, &listing, may_lapse);
+        self.note_versions(&listing);
         listing.log_unusable(&known);
         listing.log_changes(&known, &self.lapsed);
         log::info!(
--- a/crates/lilaccrankd/tests/suite/listing.rs
+++ b/crates/lilaccrankd/tests/suite/listing.rs
@@ -1,8 +1,13 @@
 //! When a list of targets replaces another, and which missing targets count as lapsed.
 
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
 use indexmap::{IndexMap, IndexSet};
 use lilaccrank::document::{Pool, Target, TargetState};
+use lilaccrank::software_version::VersionDigest;
 use lilaccrank::target_instance::TargetInstance;
+use lilaccrank_http::runtime;
 use lilaccrankd::targets::live_list::{Listing, LiveList};
 
 const POOL: &str = "engines";
@@ -182,3 +187,36 @@
         list.instance_count()
     );
 }
+
+/// A list with one target of this version.
+fn of_version(revision: u64, version: &str) -> Listing {
+    let mut listing = live(revision, &["a"]);
+    listing.targets[POOL][0].version = Some(version.to_owned());
+    listing
+}
+
+/// Guards against a stream that is refused because it began at a version that another daemon's list
+/// named first, and against waiting for one that has gone.
+#[test]
+fn a_version_that_is_not_listed_yet_is_waited_for() {
+    runtime::block_on(async {
+        let list = Rc::new(LiveList::default());
+        list.update(of_version(1, "v1"), false);
+        list.update(of_version(2, "v2"), false);
+        let limit = Duration::from_secs(5);
+        let at = Instant::now();
+        list.version_known(VersionDigest::new("v1"), limit).await;
+        assert!(at.elapsed() < limit / 5, "{:?}", at.elapsed());
+        let updated = Rc::clone(&list);
+        monoio::spawn(async move {
+            monoio::time::sleep(limit / 50).await;
+            updated.update(of_version(3, "v3"), false);
+        });
+        list.version_known(VersionDigest::new("v3"), limit).await;
+        assert!(at.elapsed() < limit / 5, "{:?}", at.elapsed());
+        list.version_known(VersionDigest::new("v4"), limit / 50)
+            .await;
+        assert!(at.elapsed() < limit, "{:?}", at.elapsed());
+    })
+    .unwrap();
+}
