--- a/crates/lilaccrank/src/cells.rs
+++ b/crates/lilaccrank/src/cells.rs
@@ -166,7 +166,7 @@
 }
 
 /// Returns targets of other cells that may resume streams here: for each software version that fewer
-/// than [`MIN_OWN_OF_VERSION`] live targets of the `own` cell have, up to [`SPARE_TARGETS`] others,
+/// than `MIN_OWN_OF_VERSION` live targets of the `own` cell have, up to `SPARE_TARGETS` others,
 /// which differ from daemon to daemon. A caller may take its stream up at a daemon of any cell.
 #[must_use]
 pub fn spare_targets(all: &[Target], own: &[Target], me: &VmId) -> Vec<Target> {
--- a/crates/lilaccrank/src/stream_origins.rs
+++ b/crates/lilaccrank/src/stream_origins.rs
@@ -70,14 +70,14 @@
 
 /// Where a stream began, as a record tells.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Found {
+pub struct RecordedOrigin {
     /// Version that began it; `None` if it is unknown.
     version: Option<VersionDigest>,
     /// The last target that sent events of it.
     target: TargetDigest,
 }
 
-impl Found {
+impl RecordedOrigin {
     /// Creates what a record tells of a stream with this origin, whose events come from `target`.
     #[must_use]
     pub fn new(origin: Origin, target: &str) -> Self {
@@ -93,7 +93,7 @@
     /// Returns the origin by a list of the pool's targets. If the target has another version there, it
     /// is open which one sent the events: the record may have been made by an older list.
     #[must_use]
-    pub fn origin<'a>(self, listed: impl IntoIterator<Item = &'a Target>) -> Origin {
+    pub fn by_list<'a>(self, listed: impl IntoIterator<Item = &'a Target>) -> Origin {
         let mut listed = listed.into_iter();
         let is_contradicted = listed.any(|target| {
             target_digest(&target.id) == self.target && VersionDigest::of(target) != self.version
@@ -124,7 +124,7 @@
     /// The stream.
     pub id: StreamId,
     /// Where it began.
-    pub found: Found,
+    pub origin: RecordedOrigin,
     /// Time for which the record is kept, in milliseconds.
     pub ttl_ms: u32,
 }
@@ -132,11 +132,11 @@
 impl Record {
     /// Creates a record that is kept for `ttl`, at most [`MAX_TTL`].
     #[must_use]
-    pub fn new(id: StreamId, found: Found, ttl: Duration) -> Self {
+    pub fn new(id: StreamId, origin: RecordedOrigin, ttl: Duration) -> Self {
         let ttl = ttl.min(MAX_TTL).as_millis();
         Self {
             id,
-            found,
+            origin,
             ttl_ms: u32::try_from(ttl).unwrap_or(u32::MAX),
         }
     }
@@ -148,7 +148,7 @@
 
 #[derive(Clone, Debug)]
 struct Entry {
-    found: Found,
+    origin: RecordedOrigin,
     /// Members that own the stream and were sent its record.
     owners: Vec<Rc<MemberRef>>,
     until: Instant,
@@ -171,7 +171,7 @@
     }
 
     fn record(&self, id: StreamId, now: Instant) -> Record {
-        Record::new(id, self.found, self.until.saturating_duration_since(now))
+        Record::new(id, self.origin, self.until.saturating_duration_since(now))
     }
 }
 
@@ -189,23 +189,23 @@
 }
 
 impl StreamOrigins {
-    /// Records a stream that this daemon began or resumes. Its owners are to be told.
-    pub fn begin(&mut self, record: Record, now: Instant) {
+    /// Inserts the record of a stream that this daemon begins or resumes, for its owners as well.
+    pub fn insert_own(&mut self, record: Record, now: Instant) {
         if self.insert(record, now) {
             self.unsent.push(record.id);
         }
     }
 
-    /// Takes over a record of another daemon.
-    pub fn receive(&mut self, record: Record, now: Instant) {
+    /// Inserts a record of another daemon.
+    pub fn insert_copy(&mut self, record: Record, now: Instant) {
         self.insert(record, now);
     }
 
     /// Returns where a stream began; `None` without a record.
     #[must_use]
-    pub fn find(&self, id: StreamId, now: Instant) -> Option<Found> {
+    pub fn find(&self, id: StreamId, now: Instant) -> Option<RecordedOrigin> {
         let entry = self.entries.get(&id)?;
-        (now < entry.until).then_some(entry.found)
+        (now < entry.until).then_some(entry.origin)
     }
 
     /// Number of records held.
@@ -288,12 +288,12 @@
         let until = now + record.ttl();
         let owners = self.owners(record.id);
         if let Some(entry) = self.entries.get_mut(&record.id) {
-            let found = match now < entry.until {
-                true => entry.found.merge(record.found),
-                false => record.found,
+            let origin = match now < entry.until {
+                true => entry.origin.merge(record.origin),
+                false => record.origin,
             };
-            let changed = entry.found != found || entry.until < until;
-            entry.found = found;
+            let changed = entry.origin != origin || entry.until < until;
+            entry.origin = origin;
             entry.until = entry.until.max(until);
             return changed;
         }
@@ -304,7 +304,7 @@
             return false;
         }
         let entry = Entry {
-            found: record.found,
+            origin: record.origin,
             owners,
             until,
         };
--- a/crates/lilaccrank/tests/suite/stream_origins.rs
+++ b/crates/lilaccrank/tests/suite/stream_origins.rs
@@ -8,7 +8,7 @@
 use lilaccrank::request_key::MemberRef;
 use lilaccrank::software_version::{Origin, VersionDigest};
 use lilaccrank::stream_origins::{
-    COPIES, Found, MAX_TTL, MissLimit, Outbox, Record, StreamId, StreamOrigins,
+    COPIES, MAX_TTL, MissLimit, Outbox, Record, RecordedOrigin, StreamId, StreamOrigins,
 };
 use quickcheck::quickcheck;
 
@@ -25,12 +25,12 @@
     StreamId::new("hotel", "engines", &number.to_string())
 }
 
-fn found(origin: Origin) -> Found {
-    Found::new(origin, "t0")
+fn recorded(origin: Origin) -> RecordedOrigin {
+    RecordedOrigin::new(origin, "t0")
 }
 
 fn record(number: usize, origin: Origin) -> Record {
-    Record::new(id(number), found(origin), TTL)
+    Record::new(id(number), recorded(origin), TTL)
 }
 
 /// An origin, a version, and whether a target with it may go on.
@@ -64,7 +64,7 @@
 fn a_record_fits_into_the_budget_of_control() {
     let streams_per_s = 31;
     let budget = (7_000 - 1_445) / (2 * COPIES * streams_per_s);
-    let record = Record::new(id(0), found(Origin::At(version("v1"))), MAX_TTL);
+    let record = Record::new(id(0), recorded(Origin::At(version("v1"))), MAX_TTL);
     let datagram = 1 + rmp_serde::to_vec(&[record]).unwrap().len();
     assert!(datagram <= budget, "{datagram} > {budget}");
 }
@@ -90,9 +90,9 @@
     let now = Instant::now();
     let mut origins = StreamOrigins::default();
     for name in ["v1", "v2", "v1"] {
-        origins.receive(record(0, Origin::At(version(name))), now);
+        origins.insert_copy(record(0, Origin::At(version(name))), now);
     }
-    assert_eq!(origins.find(id(0), now), Some(found(Origin::Unknown)));
+    assert_eq!(origins.find(id(0), now), Some(recorded(Origin::Unknown)));
 }
 
 /// Guards against records that are kept for ever, and against one that is found after its time.
@@ -100,9 +100,9 @@
 fn records_end() {
     let now = Instant::now();
     let mut origins = StreamOrigins::default();
-    origins.begin(record(0, Origin::At(version("v1"))), now);
-    let long = Record::new(id(1), found(Origin::At(version("v1"))), 10 * MAX_TTL);
-    origins.receive(long, now);
+    origins.insert_own(record(0, Origin::At(version("v1"))), now);
+    let long = Record::new(id(1), recorded(Origin::At(version("v1"))), 10 * MAX_TTL);
+    origins.insert_copy(long, now);
     assert_eq!(origins.find(id(0), now + TTL), None);
     origins.expire(now + TTL);
     assert_eq!(origins.len(), 1);
@@ -119,12 +119,12 @@
         version: version.map(str::to_owned),
         ..Target::default()
     };
-    let found = found(Origin::At(version("v1")));
-    let of = |version| found.origin(&[target("t1", Some("v2")), target("t0", version)]);
+    let recorded = recorded(Origin::At(version("v1")));
+    let of = |version| recorded.by_list(&[target("t1", Some("v2")), target("t0", version)]);
     assert_eq!(of(Some("v1")), Origin::At(version("v1")));
     assert_eq!(of(Some("v2")), Origin::Unknown);
     assert_eq!(of(None), Origin::Unknown);
-    assert_eq!(found.origin(&[]), Origin::At(version("v1")));
+    assert_eq!(recorded.by_list(&[]), Origin::At(version("v1")));
 }
 
 /// Guards against a table that grows with what callers begin.
@@ -133,10 +133,10 @@
     let now = Instant::now();
     let mut origins = StreamOrigins::default();
     for number in 0..40_000 {
-        origins.receive(record(number, Origin::At(version("v1"))), now);
+        origins.insert_copy(record(number, Origin::At(version("v1"))), now);
     }
     assert!(origins.len() < 33_000);
-    origins.receive(record(50_000, Origin::At(version("v1"))), now + TTL);
+    origins.insert_copy(record(50_000, Origin::At(version("v1"))), now + TTL);
     assert_eq!(origins.len(), 1);
 }
 
@@ -211,7 +211,7 @@
             if let Some((_, origins)) = self.daemons.get_mut(&owner.vm) {
                 records
                     .iter()
-                    .for_each(|record| origins.receive(*record, now));
+                    .for_each(|record| origins.insert_copy(*record, now));
             }
         }
     }
@@ -219,7 +219,7 @@
     fn begin(&mut self, vm: usize, record: Record) {
         let now = Instant::now();
         let (_, origins) = &mut self.daemons[&format!("vm{vm}")];
-        origins.begin(record, now);
+        origins.insert_own(record, now);
         let outbox = origins.take_unsent(now);
         self.deliver(&outbox);
     }
@@ -229,7 +229,7 @@
         let owners = id.owners(self.daemons.keys(), COPIES);
         let now = Instant::now();
         let mut known = owners.iter().map(|vm| self.daemons[*vm].1.find(id, now));
-        known.any(|known| known == Some(found(Origin::At(version("v1")))))
+        known.any(|known| known == Some(recorded(Origin::At(version("v1")))))
     }
 }
 
--- a/crates/lilaccrankd/src/peers/stream_origins.rs
+++ b/crates/lilaccrankd/src/peers/stream_origins.rs
@@ -16,7 +16,7 @@
 use lilaccrank::request_key::Ranking;
 use lilaccrank::software_version::Origin;
 use lilaccrank::stream_origins::{
-    COPIES, Found, MissLimit, Outbox, Record, StreamId, StreamOrigins,
+    COPIES, MissLimit, Outbox, Record, RecordedOrigin, StreamId, StreamOrigins,
 };
 use monoio::net::udp::UdpSocket;
 use serde::{Deserialize, Serialize};
@@ -59,7 +59,7 @@
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct OriginReply {
     /// Where it began; `None` without a record.
-    pub found: Option<Found>,
+    pub origin: Option<RecordedOrigin>,
 }
 
 /// Records of streams on one daemon.
@@ -92,7 +92,7 @@
 impl OriginExchange {
     /// Records a stream that `target` begins or resumes for this daemon, and sends the record to its
     /// owners.
-    pub fn begin(&self, pool: &PoolId, target: &Target, record: Record) {
+    pub fn record_stream(&self, pool: &PoolId, target: &Target, record: Record) {
         self.record(record);
         let mut recent = self.recent.borrow_mut();
         if recent.len() >= MAX_RECENT {
@@ -109,7 +109,7 @@
     /// Records that it is open where a stream began, and tells its owners.
     pub fn contradict(&self, target: &Target, record: Record) {
         self.record(Record {
-            found: Found::new(Origin::Unknown, &target.id),
+            origin: RecordedOrigin::new(Origin::Unknown, &target.id),
             ..record
         });
     }
@@ -130,7 +130,7 @@
     }
 
     fn record(&self, record: Record) {
-        self.records.borrow_mut().begin(record, Instant::now());
+        self.records.borrow_mut().insert_own(record, Instant::now());
         self.changed.notify();
     }
 
@@ -142,11 +142,11 @@
     /// Answers another daemon.
     pub fn answer(&self, req: OriginRequest) -> OriginReply {
         OriginReply {
-            found: self.find(req.id),
+            origin: self.find(req.id),
         }
     }
 
-    fn find(&self, id: StreamId) -> Option<Found> {
+    fn find(&self, id: StreamId) -> Option<RecordedOrigin> {
         self.records.borrow().find(id, Instant::now())
     }
 
@@ -162,7 +162,7 @@
 
 /// Returns where a stream of a customer began, as this daemon or the owners of its record say; `None`
 /// if none of them has a record.
-pub async fn find(daemon: &Daemon, customer: &str, id: StreamId) -> Option<Found> {
+pub async fn find(daemon: &Daemon, customer: &str, id: StreamId) -> Option<RecordedOrigin> {
     let exchange = &daemon.origins;
     if let Some(found) = exchange.find(id) {
         return Some(found);
@@ -182,7 +182,7 @@
 }
 
 /// Asks the owners of a record for it. Also returns whether all of them replied.
-async fn ask_owners(daemon: &Daemon, id: StreamId) -> (Option<Found>, bool) {
+async fn ask_owners(daemon: &Daemon, id: StreamId) -> (Option<RecordedOrigin>, bool) {
     let live = daemon.membership.live();
     let vms = live.members.iter().map(|member| &member.vm);
     let owners = id.owners(vms, ASKED).into_iter();
@@ -192,8 +192,8 @@
     let found = replies
         .into_iter()
         .flatten()
-        .filter_map(|reply| reply.found);
-    (found.reduce(Found::merge), all_replied)
+        .filter_map(|reply| reply.origin);
+    (found.reduce(RecordedOrigin::merge), all_replied)
 }
 
 async fn ask(daemon: &Daemon, vm: &VmId, id: StreamId) -> Option<OriginReply> {
@@ -284,6 +284,6 @@
     let now = Instant::now();
     let mut known = daemon.origins.records.borrow_mut();
     for record in records {
-        known.receive(record, now);
+        known.insert_copy(record, now);
     }
 }
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -357,7 +357,7 @@
         if first {
             if let Some(record) = self.record {
                 let origins = &self.daemon.origins;
-                origins.begin(&self.pool, &self.target, record);
+                origins.record_stream(&self.pool, &self.target, record);
             }
             self.first_token(since_sent);
             self.reported_tokens.set(self.tokens.get());
--- a/crates/lilaccrankd/src/request/stream_origin.rs
+++ b/crates/lilaccrankd/src/request/stream_origin.rs
@@ -5,7 +5,7 @@
 use lilaccrank::document::Target;
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::software_version::{Origin, VersionDigest};
-use lilaccrank::stream_origins::{Found, Record, StreamId};
+use lilaccrank::stream_origins::{Record, RecordedOrigin, StreamId};
 
 use crate::callers::caller_request::Continuation;
 use crate::callers::refusal::{Refusal, Result};
@@ -35,8 +35,11 @@
             Continuation::New => return Ok(Origin::New),
             Continuation::Resumes(request) => {
                 let customer = &self.caller.facts.customer;
-                let found = stream_origins::find(daemon, customer, self.stream_id(request)).await;
-                found.map_or(Origin::Unknown, |found| self.listed_origin(daemon, found))
+                let recorded =
+                    stream_origins::find(daemon, customer, self.stream_id(request)).await;
+                recorded.map_or(Origin::Unknown, |recorded| {
+                    self.listed_origin(daemon, recorded)
+                })
             }
             Continuation::Unnamed => Origin::Unknown,
         };
@@ -75,7 +78,7 @@
         });
         Some(Record::new(
             self.stream_id(began),
-            Found::new(origin, &target.id),
+            RecordedOrigin::new(origin, &target.id),
             left + RECORD_MARGIN,
         ))
     }
@@ -84,13 +87,13 @@
     #[must_use]
     pub fn origin_after(&self, daemon: &Daemon, origin: Origin, target: &Target) -> Origin {
         let origin = origin.after(VersionDigest::of(target));
-        self.listed_origin(daemon, Found::new(origin, &target.id))
+        self.listed_origin(daemon, RecordedOrigin::new(origin, &target.id))
     }
 
     /// Origin of a stream by this daemon's list, which may be newer than the record of it.
-    fn listed_origin(&self, daemon: &Daemon, found: Found) -> Origin {
+    fn listed_origin(&self, daemon: &Daemon, recorded: RecordedOrigin) -> Origin {
         let listing = daemon.live_list.listing();
-        found.origin(listing.targets.get(&self.route.pool).into_iter().flatten())
+        recorded.by_list(listing.targets.get(&self.route.pool).into_iter().flatten())
     }
 
     fn stream_id(&self, request: &str) -> StreamId {
