Streams: only what the caller lacks has to be made in time

What callers saw: a stream that was taken up with little left of it was refused (deadline_unmeetable), since the target could not have made all of it in the time left. Cause: a try with Last-Event-Id was weighed like a new request, at its full length. Change: tokens of the events that the caller has count as prompt and not as answer. Ruled out: a partial answer like that of a repeat; its targets have to end it clearly in time, which fewer may. The last number in Last-Event-Id is a caller's word: it is cut to the length asked for.

--- a/crates/lilaccrankd/src/callers/caller_request.rs
+++ b/crates/lilaccrankd/src/callers/caller_request.rs
@@ -115,6 +115,8 @@
     pub head: Parts,
     /// Rank of the customer.
     pub rank: Rank,
+    /// Events of the stream that the caller has, if it resumes one.
+    pub received_events: u32,
     /// Data centre that the request was spilled from.
     pub spilled_from: Option<DataCentre>,
     /// Weight of the customer.
@@ -155,6 +157,7 @@
             },
             facts,
             rank: cx.customer.map_or(0, |customer| customer.rank),
+            received_events: received_events(&head.headers),
             spilled_from: header_text(&head.headers, &SPILLED_FROM)?.map(str::to_owned),
             weight: cx.customer.map_or(1, |customer| customer.weight),
             head,
@@ -202,6 +205,14 @@
     Refusal::new(ErrorKind::BadRequest, message)
 }
 
+/// Returns the number of the last event that the caller has; 0 if it has none or numbers don't tell.
+#[must_use]
+pub fn received_events(headers: &HeaderMap) -> u32 {
+    let last = headers.get(LAST_EVENT_ID);
+    let last = last.and_then(|last| last.to_str().ok()?.trim().parse().ok());
+    last.unwrap_or_default()
+}
+
 fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>> {
     let Some(value) = headers.get(name) else {
         return Ok(None);
--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -11,7 +11,7 @@
 use lilaccrank::timeline::{EventKind, Subject};
 
 use crate::admin::metrics::EndStats;
-use crate::callers::caller_request::{CallerRequest, Operation};
+use crate::callers::caller_request::{CallerRequest, Continuation, Operation};
 use crate::callers::refusal::Result;
 use crate::daemon::{Daemon, InProgress};
 use crate::request::answer_buffer::{AnswerBuffer, End};
@@ -239,6 +239,7 @@
             Operation::Generate { prefix, .. } => prefix.clone(),
             Operation::Proxy(_) => Vec::new(),
         };
+        let received = self.received_tokens(daemon);
         let now = Instant::now();
         let mut exclusions = prior.exclusions.clone();
         if !daemon.duties.is_dispatch_local() {
@@ -254,10 +255,10 @@
             entry: daemon.cfg.vm.clone(),
             exclusions,
             limit: self.route.limit,
-            max_tokens: facts.max_tokens,
+            max_tokens: facts.max_tokens - received,
             prefix,
             objective: self.time_to_objective(prior.waiting_since, now),
-            prompt_tokens: facts.prompt_tokens,
+            prompt_tokens: facts.prompt_tokens.saturating_add(received),
             rank: self.caller.rank,
             request: self.id.clone(),
             rule: self.route.rule.clone(),
@@ -268,6 +269,17 @@
         }
     }
 
+    /// Tokens of the stream that the caller has from an earlier request. A target reads them like the
+    /// prompt and does not make them again.
+    fn received_tokens(&self, daemon: &Daemon) -> u32 {
+        if self.caller.continuation == Continuation::New {
+            return 0;
+        }
+        let tokens_in_event = daemon.tokens_in_event(&self.route.pool);
+        let received = self.caller.received_events.saturating_mul(tokens_in_event);
+        received.min(self.caller.facts.max_tokens.saturating_sub(1))
+    }
+
     fn cancellation(&self, daemon: &Rc<Daemon>, buffer: &Rc<AnswerBuffer>) -> Cancellation {
         let grace = match self.caller.facts.key {
             Some(_) => Duration::from_millis(daemon.cfg.grace_ms),
