Streams: recent ones are dropped when their time has passed; what is not recorded or asked is logged

Cause: streams kept for the check against newer lists were dropped at a new list only, up to 4,096 of them otherwise; a full table and a limited query left no line. Change: dropped at each new stream too; a warning and a line.

--- a/crates/lilaccrankd/src/peers/stream_origins.rs
+++ b/crates/lilaccrankd/src/peers/stream_origins.rs
@@ -94,12 +94,16 @@
     /// owners.
     pub fn record_stream(&self, pool: &PoolId, target: &Target, record: Record) {
         self.record(record);
+        let now = Instant::now();
         let mut recent = self.recent.borrow_mut();
-        if recent.len() >= MAX_RECENT {
+        while recent
+            .front()
+            .is_some_and(|first| recent.len() >= MAX_RECENT || now - first.at >= LIST_LAG)
+        {
             recent.pop_front();
         }
         recent.push_back(Recent {
-            at: Instant::now(),
+            at: now,
             pool: pool.clone(),
             record,
             target: target.clone(),
@@ -131,6 +135,9 @@
 
     fn record(&self, record: Record) {
         self.records.borrow_mut().insert_own(record, Instant::now());
+        if self.find(record.id).is_none() {
+            log::warn!("no room for the record of a stream, which can't be resumed elsewhere");
+        }
         self.changed.notify();
     }
 
@@ -167,7 +174,10 @@
     if let Some(found) = exchange.find(id) {
         return Some(found);
     }
-    let _lookup = exchange.lookup(customer)?;
+    let Some(_lookup) = exchange.lookup(customer) else {
+        log::info!(customer = customer; "not asked where a stream began: too many queries");
+        return None;
+    };
     let (mut found, all_replied) = ask_owners(daemon, id).await;
     if found.is_none() && !all_replied {
         monoio::time::sleep(RETRY_DELAY).await;
