Last-Event-Id is named and read in one place

The daemon and the platform's adapter each had the header's name and the rule that it alone means a stream without an id. Behaviour unchanged.

--- a/crates/lilaccrankd/src/callers/caller_request.rs
+++ b/crates/lilaccrankd/src/callers/caller_request.rs
@@ -32,7 +32,7 @@
 /// again.
 pub const SPILLED_FROM: HeaderName = HeaderName::from_static("lilaccrank-spilled-from");
 /// Header with the last event that the caller has of a stream.
-const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 /// Header with the requested tier.
 pub const TIER: HeaderName = HeaderName::from_static("lilaccrank-tier");
 
@@ -90,6 +90,15 @@
 }
 
 impl Continuation {
+    /// Returns what the headers of a request that names no earlier one tell.
+    #[must_use]
+    pub fn without_id(headers: &HeaderMap) -> Self {
+        match headers.contains_key(LAST_EVENT_ID) {
+            true => Self::Unnamed,
+            false => Self::New,
+        }
+    }
+
     /// Id of the caller's request that began the stream, for logs; empty without one.
     #[must_use]
     pub fn log_id(&self) -> &str {
@@ -151,10 +160,7 @@
         Ok(Self {
             body,
             caller_request_id: None,
-            continuation: match head.headers.contains_key(LAST_EVENT_ID) {
-                true => Continuation::Unnamed,
-                false => Continuation::New,
-            },
+            continuation: Continuation::without_id(&head.headers),
             facts,
             rank: cx.customer.map_or(0, |customer| customer.rank),
             received_events: received_events(&head.headers),
