Streams: whether a list contradicts a record is decided in one place

check_versions compared versions of its own, beside RecordedOrigin::by_list; both now ask LiveList::origin. Recent streams keep no target, a query that fails has one log line.

--- a/crates/lilaccrank/src/stream_origins.rs
+++ b/crates/lilaccrank/src/stream_origins.rs
@@ -104,6 +104,15 @@
         }
     }
 
+    /// Returns what a record tells once it is open which version sent the events.
+    #[must_use]
+    pub fn contradicted(self) -> Self {
+        Self {
+            version: None,
+            ..self
+        }
+    }
+
     /// Returns what agrees with two records of one stream, of which `later` is the later one.
     #[must_use]
     pub fn merge(self, later: Self) -> Self {
--- a/crates/lilaccrankd/src/peers/stream_origins.rs
+++ b/crates/lilaccrankd/src/peers/stream_origins.rs
@@ -10,7 +10,6 @@
 use std::time::{Duration, Instant};
 
 use futures::future;
-use lilaccrank::document::Target;
 use lilaccrank::ids::{PoolId, VmId};
 use lilaccrank::peers::Peers;
 use lilaccrank::request_key::Ranking;
@@ -77,7 +76,6 @@
     at: Instant,
     pool: PoolId,
     record: Record,
-    target: Target,
 }
 
 /// Counts a request that waits for a record until it is dropped.
@@ -90,9 +88,9 @@
 }
 
 impl OriginExchange {
-    /// Records a stream that `target` begins or resumes for this daemon, and sends the record to its
-    /// owners.
-    pub fn record_stream(&self, pool: &PoolId, target: &Target, record: Record) {
+    /// Records a stream that a target of `pool` begins or resumes for this daemon, and sends the record
+    /// to its owners.
+    pub fn record_stream(&self, pool: &PoolId, record: Record) {
         self.record(record);
         let now = Instant::now();
         let mut recent = self.recent.borrow_mut();
@@ -106,15 +104,6 @@
             at: now,
             pool: pool.clone(),
             record,
-            target: target.clone(),
-        });
-    }
-
-    /// Records that it is open where a stream began, and tells its owners.
-    pub fn contradict(&self, target: &Target, record: Record) {
-        self.record(Record {
-            origin: RecordedOrigin::new(Origin::Unknown, &target.id),
-            ..record
         });
     }
 
@@ -124,12 +113,13 @@
         let now = Instant::now();
         let mut recent = self.recent.borrow_mut();
         recent.retain(|recent| now - recent.at < LIST_LAG);
-        let contradicted = recent.iter().filter(|recent| {
-            let listed = list.find_id(&recent.pool, &recent.target.id);
-            listed.is_some_and(|listed| listed.version != recent.target.version)
-        });
-        for recent in contradicted {
-            self.contradict(&recent.target, recent.record);
+        let is_contradicted =
+            |recent: &&Recent| list.origin(&recent.pool, recent.record.origin) == Origin::Unknown;
+        for recent in recent.iter().filter(is_contradicted) {
+            self.record(Record {
+                origin: recent.record.origin.contradicted(),
+                ..recent.record
+            });
         }
     }
 
@@ -208,17 +198,13 @@
 
 async fn ask(daemon: &Daemon, vm: &VmId, id: StreamId) -> Option<OriginReply> {
     let asked = daemon.peers.call(vm, OriginRequest { id });
-    match monoio::time::timeout(QUERY_TIMEOUT, asked).await {
-        Ok(Ok(reply)) => Some(reply),
-        Ok(Err(e)) => {
-            log::info!(peer = vm, why:% = e; "asked in vain where a stream began");
-            None
-        }
-        Err(_) => {
-            log::info!(peer = vm, why = "no answer in time"; "asked in vain where a stream began");
-            None
-        }
-    }
+    let why = match monoio::time::timeout(QUERY_TIMEOUT, asked).await {
+        Ok(Ok(reply)) => return Some(reply),
+        Ok(Err(e)) => e.to_string(),
+        Err(_) => format!("no reply within {QUERY_TIMEOUT:?}"),
+    };
+    log::info!(peer = vm, why = why; "asked in vain where a stream began");
+    None
 }
 
 /// Sends records to their owners until the daemon ends.
--- a/crates/lilaccrankd/src/request/migration.rs
+++ b/crates/lilaccrankd/src/request/migration.rs
@@ -7,7 +7,6 @@
 
 use futures::future;
 use lilaccrank::dispatch::message::{PartialAnswer, Submission};
-use lilaccrank::software_version::VersionDigest;
 use lilaccrank::stream_progress;
 
 use crate::pools::client::{self, HeldGrant};
@@ -69,7 +68,7 @@
         let mut exclusions = prior.exclusions.clone();
         exclusions.push(observer.grant.target.clone());
         let prior = PriorSends {
-            origin: prior.origin.after(VersionDigest::of(&observer.target)),
+            origin: prior.origin.after(observer.version),
             exclusions,
             waiting_since: Instant::now(),
         };
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -248,8 +248,8 @@
     pool: PoolId,
     /// Record of the stream, if others may resume it.
     record: Option<Record>,
-    /// The target, as the list named it at the send.
-    pub target: Target,
+    /// Version of the target's software by the list at the send; `None` if unknown.
+    pub version: Option<VersionDigest>,
     /// Set once the target has asked for a pause.
     was_pushed_back: Cell<bool>,
     /// A daemon that ends waits until targets were told to cancel their work.
@@ -261,8 +261,8 @@
         let (daemon, routed) = (execution.daemon, execution.routed);
         let tokens_in_event = daemon.tokens_in_event(&routed.route.pool);
         let delivered = &execution.history.delivered;
-        let origin = execution.history.prior.origin;
-        let origin = origin.after(VersionDigest::of(target));
+        let version = VersionDigest::of(target);
+        let origin = execution.history.prior.origin.after(version);
         let earlier_tokens = delivered.events.saturating_mul(tokens_in_event);
         Self {
             daemon: Rc::clone(daemon),
@@ -275,7 +275,7 @@
             elapsed_before_send: routed.arrived.elapsed(),
             pool: routed.route.pool.clone(),
             record: routed.stream_record(origin, target),
-            target: target.clone(),
+            version,
             was_pushed_back: Cell::new(false),
             _in_progress: Rc::clone(execution.in_progress),
         }
@@ -356,8 +356,7 @@
         self.stream_progress.set(stream_progress);
         if first {
             if let Some(record) = self.record {
-                let origins = &self.daemon.origins;
-                origins.record_stream(&self.pool, &self.target, record);
+                self.daemon.origins.record_stream(&self.pool, record);
             }
             self.first_token(since_sent);
             self.reported_tokens.set(self.tokens.get());
--- a/crates/lilaccrankd/src/request/stream_origin.rs
+++ b/crates/lilaccrankd/src/request/stream_origin.rs
@@ -38,7 +38,7 @@
                 let recorded =
                     stream_origins::find(daemon, customer, self.stream_id(request)).await;
                 recorded.map_or(Origin::Unknown, |recorded| {
-                    self.listed_origin(daemon, recorded)
+                    daemon.live_list.origin(&self.route.pool, recorded)
                 })
             }
             Continuation::Unnamed => Origin::Unknown,
@@ -87,13 +87,8 @@
     #[must_use]
     pub fn origin_after(&self, daemon: &Daemon, origin: Origin, target: &Target) -> Origin {
         let origin = origin.after(VersionDigest::of(target));
-        self.listed_origin(daemon, RecordedOrigin::new(origin, &target.id))
-    }
-
-    /// Origin of a stream by this daemon's list, which may be newer than the record of it.
-    fn listed_origin(&self, daemon: &Daemon, recorded: RecordedOrigin) -> Origin {
-        let listing = daemon.live_list.listing();
-        recorded.by_list(listing.targets.get(&self.route.pool).into_iter().flatten())
+        let recorded = RecordedOrigin::new(origin, &target.id);
+        daemon.live_list.origin(&self.route.pool, recorded)
     }
 
     fn stream_id(&self, request: &str) -> StreamId {
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -16,7 +16,8 @@
 use lilaccrank::clock::Clock;
 use lilaccrank::document::{Pool, Target, TargetState};
 use lilaccrank::ids::{PoolId, TargetId, VmId};
-use lilaccrank::software_version::VersionDigest;
+use lilaccrank::software_version::{Origin, VersionDigest};
+use lilaccrank::stream_origins::RecordedOrigin;
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::monoio_clock::MonoioClock;
 use serde::{Deserialize, Serialize};
@@ -158,12 +159,11 @@
         listed.cloned().or_else(|| self.lapsed.find(pool, instance))
     }
 
-    /// Finds a target of the list by its id, whatever its instance.
+    /// Returns the origin of a stream by this list, which may be newer than the record of it.
     #[must_use]
-    pub fn find_id(&self, pool: &str, id: &str) -> Option<Target> {
+    pub fn origin(&self, pool: &str, recorded: RecordedOrigin) -> Origin {
         let listing = self.listing.borrow();
-        let mut listed = listing.targets.get(pool).into_iter().flatten();
-        listed.find(|target| target.id == id).cloned()
+        recorded.by_list(listing.targets.get(pool).into_iter().flatten())
     }
 
     /// Completes once a list has named a software version, or after `limit`. A stream may have begun at a
