Streams: those that a spare target serves are not refused with the last own one

What callers saw: where the last live target of a cell left, all that waited were refused, also streams that a target of another cell would have resumed. Cause: three places refused all waiting submissions once no target was live; they were written before targets of other cells could serve some. Change: refuse_unserved refuses those that no target serves, in the three places, instead of refuse_unresumable and refuse_all. Test: a_stream_that_waits_for_a_spare_target; before, 'waits' was refused (no_target). Two pairs of tests that were written twice share a macro and a fixture.

--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -1,6 +1,6 @@
 //! Admission control: decides a submission at once or puts it into the queue.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use futures::channel::oneshot;
 use indexmap::IndexMap;
@@ -192,35 +192,41 @@
         }
         self.note_capacity_change();
         self.invalidate_capacity();
-        self.refuse_unresumable();
-        let mut live = self.targets.values().filter(|target| target.live);
-        if live.any(|target| target.route != Route::Unreachable) {
-            self.dispatch(now);
-        } else {
-            self.refuse_all(ErrorKind::NoTarget, now);
-        }
+        self.refuse_unserved(now);
+        self.dispatch(now);
     }
 
-    /// Refuses the waiting submissions whose streams no target may resume any more.
-    pub(super) fn refuse_unresumable(&mut self) {
-        let waiting = self.waiting.iter();
-        let unresumable = waiting.filter(|(_, waiting)| {
-            !waiting.submission.origin.is_new() && !self.has_usable_target(&waiting.submission)
+    /// Refuses the waiting submissions that no target may serve any more. While other targets are live,
+    /// new ones wait, since targets that they don't exclude may come.
+    pub(super) fn refuse_unserved(&mut self, now: Instant) {
+        let mut live = self.targets.values().filter(|target| target.live);
+        let has_live = live.any(|target| target.route != Route::Unreachable);
+        let unserved = self.waiting.iter().filter(|(_, waiting)| {
+            let submission = &waiting.submission;
+            !(has_live && submission.origin.is_new()) && !self.has_usable_target(submission)
         });
-        let unresumable: Vec<_> = unresumable.map(|(request, _)| request.clone()).collect();
-        for request in unresumable {
-            self.refuse(&request, ErrorKind::CannotResume, None);
+        let unserved: Vec<_> = unserved
+            .map(|(request, waiting)| (request.clone(), waiting.submission.no_target()))
+            .collect();
+        for (request, kind) in unserved {
+            let retry = self.retry_without_target(kind, now);
+            self.refuse(&request, kind, retry);
         }
     }
 
+    /// Delay after which a retry makes sense for a submission that no target may serve.
+    fn retry_without_target(&mut self, kind: ErrorKind, now: Instant) -> Option<Duration> {
+        let is_retryable = kind.response().retryable;
+        is_retryable.then(|| self.drain.retry_after(0, 0.0, now))
+    }
+
     fn check_feasibility(&mut self, submission: &Submission, now: Instant) -> Option<Refuse> {
         if self.handover.is_some() {
             return None;
         }
         if !self.has_usable_target(submission) {
             let kind = submission.no_target();
-            let is_retryable = kind.response().retryable;
-            let retry = is_retryable.then(|| self.drain.retry_after(0, 0.0, now));
+            let retry = self.retry_without_target(kind, now);
             return Some(state::refusal_of(submission, kind, retry));
         }
         if let Some(refusal) = self.check_pushback(submission, now) {
--- a/crates/lilaccrank/src/dispatch/overload.rs
+++ b/crates/lilaccrank/src/dispatch/overload.rs
@@ -6,7 +6,6 @@
 use super::state::State;
 use super::work::Work;
 use crate::error_kind::ErrorKind;
-use crate::ids::RequestId;
 
 impl State {
     /// Refuses the submissions that have waited too long.
@@ -22,15 +21,6 @@
         }
     }
 
-    /// Refuses all waiting submissions.
-    pub(super) fn refuse_all(&mut self, kind: ErrorKind, now: Instant) {
-        let requests: Vec<RequestId> = self.queue.requests().cloned().collect();
-        for request in requests {
-            let retry = self.drain.retry_after(0, 0.0, now);
-            self.refuse(&request, kind, Some(retry));
-        }
-    }
-
     /// Sheds submissions, lowest tier first, until the queue is within its limit. During a
     /// handover, entry daemons that have not resynced may still bring lower tiers; only the
     /// configuration's lowest tier is shed then, unless the queue exceeds twice its limit.
--- a/crates/lilaccrank/src/dispatch/recovery.rs
+++ b/crates/lilaccrank/src/dispatch/recovery.rs
@@ -39,12 +39,9 @@
         let is_over = |handover: &Handover| handover.expected.is_empty() || now >= handover.until;
         if self.handover.as_ref().is_some_and(is_over) {
             self.handover = None;
-            self.refuse_unresumable();
+            self.refuse_unserved(now);
             self.dispatch(now);
             self.shed(now);
-            if !self.targets.values().any(|target| target.live) {
-                self.refuse_all(ErrorKind::NoTarget, now);
-            }
         }
     }
 
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -9,7 +9,6 @@
 use super::target::Target;
 use super::work::Work;
 use crate::document::{self, Pool, TargetState};
-use crate::error_kind::ErrorKind;
 use crate::software_version::VersionDigest;
 use crate::target_instance::TargetInstance;
 
@@ -183,13 +182,9 @@
             self.remove_if_drained(life);
         }
         self.invalidate_capacity();
-        self.refuse_unresumable();
-        if self.targets.values().any(|target| target.live) {
-            self.dispatch(now);
-            self.shed(now);
-        } else {
-            self.refuse_all(ErrorKind::NoTarget, now);
-        }
+        self.refuse_unserved(now);
+        self.dispatch(now);
+        self.shed(now);
     }
 
     /// Removes a target that is not live and has no running requests.
--- a/crates/lilaccrank/tests/suite/dispatch_versions.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_versions.rs
@@ -103,34 +103,31 @@
     assert_eq!(harness.grants(), granted("new", "t1"));
 }
 
-/// Guards against streams that wait until their deadlines for a version that has gone.
-#[test]
-fn streams_of_a_version_that_goes_are_refused_at_once() {
-    let mut harness = harness(&[Some("v1"), Some("v2")]);
-    harness.submit(resumed("runs", "v1"));
-    harness.submit(resumed("waits", "v1"));
-    assert_eq!(harness.grants(), granted("runs", "t0"));
-    harness.pool.targets[0].state = TargetState::Draining;
-    set_targets(&harness);
-    assert_eq!(
-        harness.refusals(),
-        refused("waits", ErrorKind::CannotResume)
-    );
+/// Two streams of one version, of which one waits, and what becomes of the only target with it.
+macro_rules! version_goes {
+    ($($(#[$guard:meta])* $name:ident: $change:expr;)*) => {$(
+        $(#[$guard])*
+        #[test]
+        fn $name() {
+            let mut harness = harness(&[Some("v1"), Some("v2")]);
+            harness.submit(resumed("runs", "v1"));
+            harness.submit(resumed("waits", "v1"));
+            assert_eq!(harness.grants(), granted("runs", "t0"));
+            let change: fn(&mut Target) = $change;
+            change(&mut harness.pool.targets[0]);
+            set_targets(&harness);
+            assert_eq!(harness.refusals(), refused("waits", ErrorKind::CannotResume));
+        }
+    )*};
 }
 
-/// Guards against a target whose entry changes its version and keeps the streams of the earlier one.
-#[test]
-fn a_target_that_changes_its_version() {
-    let mut harness = harness(&[Some("v1"), Some("v2")]);
-    harness.submit(resumed("runs", "v1"));
-    harness.submit(resumed("waits", "v1"));
-    assert_eq!(harness.grants(), granted("runs", "t0"));
-    harness.pool.targets[0].version = Some("v2".to_owned());
-    set_targets(&harness);
-    assert_eq!(
-        harness.refusals(),
-        refused("waits", ErrorKind::CannotResume)
-    );
+version_goes! {
+    /// Guards against streams that wait until their deadlines for a version that has gone.
+    streams_of_a_version_that_goes_are_refused_at_once: |target| {
+        target.state = TargetState::Draining;
+    };
+    /// Guards against a target whose entry changes its version and keeps the streams of the earlier one.
+    a_target_that_changes_its_version: |target| target.version = Some("v2".to_owned());
 }
 
 /// Guards against a target of another cell that gets new requests, or not those that it is there for.
@@ -157,3 +154,30 @@
     harness.submit(resumed("late", "v1"));
     assert_eq!(harness.refusals(), refused("late", ErrorKind::CannotResume));
 }
+
+/// Guards against a stream that is refused with the last own target of its cell, though a target of
+/// another cell serves its version.
+#[test]
+fn a_stream_that_waits_for_a_spare_target() {
+    let mut harness = harness(&[Some("v2")]);
+    let spare = [Target {
+        id: "spare".to_owned(),
+        version: Some("v1".to_owned()),
+        ..harness.pool.targets[0].clone()
+    }];
+    harness
+        .dispatcher
+        .set_targets_where(&harness.pool, &spare, |_| true);
+    harness.submit(resumed("runs", "v1"));
+    harness.submit(resumed("waits", "v1"));
+    harness.submit(submission("taken", 0));
+    harness.submit(submission("new", 0));
+    assert_eq!(harness.grants().len(), 2);
+    harness.pool.targets[0].state = TargetState::Draining;
+    harness
+        .dispatcher
+        .set_targets_where(&harness.pool, &spare, |_| true);
+    assert_eq!(harness.refusals(), refused("new", ErrorKind::NoTarget));
+    harness.end("runs", "spare");
+    assert_eq!(harness.grants(), granted("waits", "spare"));
+}
--- a/crates/lilaccrank/tests/suite/stream_origins.rs
+++ b/crates/lilaccrank/tests/suite/stream_origins.rs
@@ -177,6 +177,16 @@
 }
 
 impl Fleet {
+    /// Seven daemons that have begun streams.
+    fn with_streams() -> Self {
+        let mut fleet = Self::default();
+        (0..7).for_each(|vm| fleet.start(vm));
+        for number in 0..STREAMS {
+            fleet.begin(number % 7, record(number, Origin::At(version("v1"))));
+        }
+        fleet
+    }
+
     fn start(&mut self, vm: usize) {
         self.incarnation += 1;
         let daemon = (self.incarnation, StreamOrigins::default());
@@ -237,11 +247,7 @@
     /// Guards against records that are lost while daemons are restarted one after the other, in any
     /// order and number.
     fn records_outlive_restarts(order: Vec<u8>) -> bool {
-        let mut fleet = Fleet::default();
-        (0..7).for_each(|vm| fleet.start(vm));
-        for number in 0..STREAMS {
-            fleet.begin(number % 7, record(number, Origin::At(version("v1"))));
-        }
+        let mut fleet = Fleet::with_streams();
         for vm in order.iter().map(|vm| usize::from(*vm % 7)) {
             fleet.kill(vm);
             fleet.start(vm);
@@ -251,11 +257,7 @@
 
     /// Guards against records that are lost with the members that leave for good.
     fn records_outlive_all_but_two(order: Vec<u8>) -> bool {
-        let mut fleet = Fleet::default();
-        (0..7).for_each(|vm| fleet.start(vm));
-        for number in 0..STREAMS {
-            fleet.begin(number % 7, record(number, Origin::At(version("v1"))));
-        }
+        let mut fleet = Fleet::with_streams();
         for vm in order.iter().map(|vm| usize::from(*vm % 5)) {
             fleet.kill(vm);
         }
