--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -203,7 +203,8 @@
         let has_live = live.any(|target| target.route != Route::Unreachable);
         let unserved = self.waiting.iter().filter(|(_, waiting)| {
             let submission = &waiting.submission;
-            !(has_live && submission.origin.is_new()) && !self.has_usable_target(submission)
+            let may_wait = has_live && submission.origin.is_new();
+            !may_wait && !self.has_usable_target(submission)
         });
         let unserved: Vec<_> = unserved
             .map(|(request, waiting)| (request.clone(), waiting.submission.no_target()))
