Streams: records are sent after the event that brought them

Cause: the task that sends a record's datagrams woke before the one that writes the event to its caller. Change: records wait for 2 ms, which also gathers those of a burst. No test plays it, since a bound of some 0.1 ms would judge the machine. Ruled out: recording after the write, which needs a second way through the forwarder. A daemon that is killed in those 2 ms takes the record with it; the stream is refused then.

--- a/crates/lilaccrankd/src/peers/stream_origins.rs
+++ b/crates/lilaccrankd/src/peers/stream_origins.rs
@@ -30,6 +30,8 @@
 pub const MARKER: u8 = 0xc1;
 /// Records in one datagram, which has to fit into an Ethernet frame.
 const RECORDS_PER_DATAGRAM: usize = 24;
+/// Delay before records are sent, so that the event that brought them goes to its caller first.
+const SEND_DELAY: Duration = Duration::from_millis(2);
 /// Interval at which expired records are removed.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for a daemon to answer a query.
@@ -214,6 +216,7 @@
     loop {
         // A timeout only means that nothing has changed.
         let _ = monoio::time::timeout(EXPIRE_INTERVAL, daemon.origins.changed.changed()).await;
+        monoio::time::sleep(SEND_DELAY).await;
         let now = Instant::now();
         if now - expired_at >= EXPIRE_INTERVAL {
             daemon.origins.records.borrow_mut().expire(now);
