--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -51,6 +51,16 @@
                     }
                     Outcome::TurnedAway => {
                         target.observe(&entry, |health| health.record_error(now));
+                        log::info!(
+                            known_load = target.estimate.batch(now),
+                            own_load = target.estimate.running(),
+                            own_slots = target.brittle.as_ref().map_or(-1, |brittle| {
+                                i64::from(brittle.share().owned.count_ones())
+                            }),
+                            request = report.request.as_str(),
+                            target = target.instance.id.as_str();
+                            "a target turned a request away"
+                        );
                         target.record_turned_away(now);
                         let observation = match target.brittle {
                             Some(_) => Observation::TurnedAway,
