Brittle targets: their slots are leased out by one arbiter each

What callers saw: answers broken off, since targets that announced that they are brittle fell over, the more often the more daemons there were. Cause: each dispatcher decided by itself on slots that it shares with others. It used those of others while it saw three free ones, by loads that it hears late, and not at all from cells that share the target; and each learnt the room of a target by a rejection of its own. Ruled out: a margin that grows with the dispatchers (75 of them share 18 slots of the service targets, so no margin is left), strict ownership (57 of these own no slot, and a daemon that takes most connections needs more than its own). Change: one daemon by rendezvous hashing is the arbiter of a target; it leases out as many slots as there is room for, to the first in priority, learns the room from rejections and tries one more for all. Who takes over declines for a second, in which the holders register what runs. A daemon that can't ask the arbiter uses the slots that it owns. The dispatchers' own rule for brittle targets is gone, and its unit tests are replaced by tests of the arbiter for the same failures. Earlier versions can't read the new messages; their daemons then use their own slots.

--- a/crates/lilaccrank/src/advisories.rs
+++ b/crates/lilaccrank/src/advisories.rs
@@ -234,12 +234,12 @@
         })
     }
 
-    /// Targets that are brittle, with the requests in a second that each can turn away.
-    pub fn brittle(&self, now: Instant) -> impl Iterator<Item = (InstanceDigest, u32)> {
+    /// What targets said of the requests in a second that each can turn away; `None` if it is sound.
+    pub fn brittleness(&self, now: Instant) -> impl Iterator<Item = (InstanceDigest, Option<u32>)> {
         let current = self.facts.values();
         let current = current.filter(move |record| record.is_current(now));
         current.filter_map(|record| match record.fact {
-            Fact::Brittle { limit, target } => Some((target, limit?)),
+            Fact::Brittle { limit, target } => Some((target, limit)),
             _ => None,
         })
     }
@@ -364,9 +364,8 @@
                 let began_at = observed_at.checked_sub(TRANSIT_TOLERANCE);
                 began_at.is_none_or(|began_at| self.is_later_than_completed(content, began_at))
             }
-            Fact::Completed { .. } | Fact::Leaving { .. } => true,
+            Fact::Brittle { .. } | Fact::Completed { .. } | Fact::Leaving { .. } => true,
             Fact::RateLimit { per_1000_s, .. } => per_1000_s.is_some(),
-            Fact::Brittle { limit, .. } => limit.is_some(),
         }
     }
 
--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -19,7 +19,6 @@
 
 mod admission;
 pub mod affinity;
-pub mod brittle;
 pub mod choice;
 mod deadline;
 mod delay;
@@ -173,10 +172,10 @@
         self.state.borrow_mut().set_rate_limits(shares, now);
     }
 
-    /// Sets which targets are brittle; those that are not listed are sound.
-    pub fn set_brittle(&self, shares: &IndexMap<InstanceDigest, brittle::Share>) {
+    /// Grants nothing on a target for this time, in which it has no free slot.
+    pub fn hold(&self, target: &TargetInstance, pause: Duration) {
         let now = self.clock.now();
-        self.state.borrow_mut().set_brittle(shares, now);
+        self.state.borrow_mut().hold(target, pause, now);
     }
 
     /// Sets how requests of this daemon get to the targets; those that are not listed are reached
--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -241,7 +241,7 @@
             return None;
         };
         self.record_outcome(submission, false);
-        let priority = state::priority(submission);
+        let priority = submission.priority();
         let work_ahead = self
             .queue
             .work_ahead(priority, &submission.customer, submission.weight);
--- a/crates/lilaccrank/src/dispatch/deadline.rs
+++ b/crates/lilaccrank/src/dispatch/deadline.rs
@@ -8,7 +8,7 @@
 
 use super::choice::{self, Occupancy, Requirements};
 use super::message::Submission;
-use super::state::{self, State};
+use super::state::State;
 use super::work::Work;
 
 /// Time after which the capacity is recomputed.
@@ -42,7 +42,7 @@
         }
         // The backlog up to and including the own priority is an upper bound for the work ahead,
         // and cheap to compute.
-        let priority = state::priority(submission);
+        let priority = submission.priority();
         let upper_bound = self.queue.work_up_to(priority);
         if self.can_meet(&needs, left - self.min_drain_time(upper_bound), now) {
             return false;
--- a/crates/lilaccrank/src/dispatch/message.rs
+++ b/crates/lilaccrank/src/dispatch/message.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use super::queue::Priority;
 use crate::document::Limit;
 use crate::error_kind::ErrorKind;
 use crate::ids::{CustomerId, Incarnation, Rank, RequestId, RuleId, Tier, VmId};
@@ -68,6 +69,27 @@
         self.partial.is_some() || !self.origin.is_new()
     }
 
+    /// Order of the submission in a queue.
+    #[must_use]
+    pub fn priority(&self) -> Priority {
+        Priority {
+            rank: self.rank,
+            tier: self.tier,
+        }
+    }
+
+    /// Returns the submission with this much less time left.
+    #[must_use]
+    pub fn after(&self, elapsed: Duration) -> Self {
+        let less = |left: Option<Duration>| left.map(|left| left.saturating_sub(elapsed));
+        Self {
+            deadline: less(self.deadline),
+            objective: less(self.objective),
+            wait_at_most: less(self.wait_at_most),
+            ..self.clone()
+        }
+    }
+
     /// Kind of the refusal if no target may serve it.
     #[must_use]
     pub fn no_target(&self) -> ErrorKind {
--- a/crates/lilaccrank/src/dispatch/pushback.rs
+++ b/crates/lilaccrank/src/dispatch/pushback.rs
@@ -87,7 +87,7 @@
             .filter(|until| *until <= end)?;
         self.record_outcome(submission, false);
         let work_ahead = self.queue.work_ahead(
-            state::priority(submission),
+            submission.priority(),
             &submission.customer,
             submission.weight,
         );
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -45,30 +45,10 @@
                         target.end_pushback(active_grant.pushback_trial);
                         self.sharing.record(target.digest, Observation::Answered);
                     }
-                    Outcome::Erred => {
+                    Outcome::Erred | Outcome::TurnedAway => {
                         target.observe(&entry, |health| health.record_error(now));
                         self.sharing.record(target.digest, Observation::Erred);
                     }
-                    Outcome::TurnedAway => {
-                        target.observe(&entry, |health| health.record_error(now));
-                        log::info!(
-                            known_load = target.estimate.batch(now),
-                            own_load = target.estimate.running(),
-                            own_slots = target.brittle.as_ref().map_or(-1, |brittle| {
-                                i64::from(brittle.share().owned.count_ones())
-                            }),
-                            request = report.request.as_str(),
-                            target = target.instance.id.as_str();
-                            "a target turned a request away"
-                        );
-                        target.record_turned_away(now);
-                        let observation = match target.brittle {
-                            Some(_) => Observation::TurnedAway,
-                            None => Observation::Erred,
-                        };
-                        self.sharing.record(target.digest, observation);
-                        Self::note_load_change(&mut self.sharing, target, now);
-                    }
                     Outcome::Failed => {
                         target.observe(&entry, |health| health.record_failure(now));
                         self.sharing.record(target.digest, Observation::Failed);
--- a/crates/lilaccrank/src/dispatch/sharing.rs
+++ b/crates/lilaccrank/src/dispatch/sharing.rs
@@ -250,8 +250,7 @@
 
     /// Records that the load on a target is about to change or has changed.
     pub(super) fn note_load_change(sharing: &mut Sharing, target: &Target, now: Instant) {
-        let is_sensitive = target.rate_limit.is_some() || target.brittle.is_some();
-        sharing.has_urgent_change |= is_sensitive || is_nearly_full(target, now);
+        sharing.has_urgent_change |= target.rate_limit.is_some() || is_nearly_full(target, now);
     }
 
     /// Applies the digest of another daemon.
@@ -311,10 +310,6 @@
         };
         match sample.observation {
             Observation::Answered => target.observe(from, |health| health.record_success(now)),
-            Observation::TurnedAway => {
-                target.observe(from, |health| health.record_error(now));
-                target.record_turned_away(now);
-            }
             Observation::Erred => target.observe(from, |health| health.record_error(now)),
             Observation::Failed => target.observe(from, |health| health.record_failure(now)),
             Observation::FirstToken { after, .. } if after > MAX_SAMPLE_DURATION => {}
--- a/crates/lilaccrank/src/dispatch/sharing/sample.rs
+++ b/crates/lilaccrank/src/dispatch/sharing/sample.rs
@@ -33,8 +33,6 @@
         /// Prefill tokens outstanding when the request was granted, including its own.
         prefill_ahead: u64,
     },
-    /// A rejection by a brittle target.
-    TurnedAway,
     /// Consecutive tokens.
     Step {
         /// Number of requests in the batch.
@@ -66,7 +64,6 @@
                 prefill_ahead,
             } => (3, micros(after), prefill_ahead),
             Observation::Step { batch, step } => (4, micros(step), batch.into()),
-            Observation::TurnedAway => (5, 0, 0),
         };
         Self(sample.target, kind, time, number)
     }
@@ -80,7 +77,8 @@
         let time = Duration::from_micros(time.into());
         let observation = match kind {
             0 => Observation::Answered,
-            1 => Observation::Erred,
+            // Earlier versions send 5 for a rejection by a brittle target.
+            1 | 5 => Observation::Erred,
             2 => Observation::Failed,
             3 => Observation::FirstToken {
                 after: time,
@@ -90,7 +88,6 @@
                 batch: u32::try_from(number).unwrap_or(u32::MAX),
                 step: time,
             },
-            5 => Observation::TurnedAway,
             kind => return Err(UnknownKind(kind)),
         };
         Ok(Self {
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -9,7 +9,6 @@
 
 use super::Config;
 use super::affinity::Affinity;
-use super::brittle;
 use super::choice::{self, Requirements};
 use super::deadline::Capacity;
 use super::delay::Delay;
@@ -17,7 +16,7 @@
 use super::inflight::InflightPrefixes;
 use super::limits::{CounterKey, Limits};
 use super::message::{Entry, Grant, Refuse, Submission, SubmissionNumber, Unmeetable, Verdict};
-use super::queue::{Item, Priority, Queue, RequestClass};
+use super::queue::{Item, Queue, RequestClass};
 use super::rate_limit::Share;
 use super::recovery::Handover;
 use super::reservation::Reservation;
@@ -181,7 +180,7 @@
             customer: submission.customer.clone(),
             request_class: request_class(&submission),
             request: submission.request.clone(),
-            priority: priority(&submission),
+            priority: submission.priority(),
             until,
             weight: submission.weight,
             work: work(&submission),
@@ -251,7 +250,7 @@
             request_class: request_class(submission),
             objective: submission.objective,
             prefix: &submission.prefix,
-            priority: priority(submission),
+            priority: submission.priority(),
             tier: submission.tier,
             reservation: self.reservation(submission),
             tiers_before: self.tiers.count_before(submission.tier),
@@ -305,17 +304,11 @@
         self.dispatch(now);
     }
 
-    /// Sets which targets are brittle.
-    pub(super) fn set_brittle(
-        &mut self,
-        shares: &IndexMap<InstanceDigest, brittle::Share>,
-        now: Instant,
-    ) {
-        for target in self.targets.values_mut() {
-            target.set_brittle(shares.get(&target.digest).copied(), now);
+    /// Grants nothing on a target for this time.
+    pub(super) fn hold(&mut self, target: &TargetInstance, pause: Duration, now: Instant) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.hold(now + pause);
         }
-        self.note_capacity_change();
-        self.dispatch(now);
     }
 
     /// Returns `true` if this submission of a request is granted and has not ended.
@@ -364,13 +357,6 @@
     }
 }
 
-pub(super) fn priority(submission: &Submission) -> Priority {
-    Priority {
-        rank: submission.rank,
-        tier: submission.tier,
-    }
-}
-
 fn request_class(submission: &Submission) -> RequestClass {
     if submission.is_resumed() {
         RequestClass::Resumed
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -2,7 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use super::brittle::{self, Brittle};
 use super::estimate::Estimate;
 use super::health::Health;
 use super::pushback::Pushback;
@@ -41,12 +40,12 @@
 /// Target with its estimated load, speed and health.
 #[derive(Clone, Debug)]
 pub struct Target {
-    /// Set if its answers say that it is brittle.
-    pub brittle: Option<Brittle>,
     /// Estimated load and speed.
     pub estimate: Estimate,
     /// Observed health.
     pub health: Health,
+    /// Time until which it has no free slot, as the arbiter of its slots said.
+    pub(super) held_until: Option<Instant>,
     /// Data centre of the target.
     pub data_centre: DataCentre,
     /// Name and incarnation of the target.
@@ -85,11 +84,11 @@
     #[must_use]
     pub fn new(instance: TargetInstance, slots: u32, now: Instant) -> Self {
         Self {
-            brittle: None,
             digest: instance.digest(),
             estimate: Estimate::new(now),
             health: Health::new(now),
             data_centre: DataCentre::default(),
+            held_until: None,
             instance,
             live: true,
             long_prefills: 0,
@@ -157,43 +156,15 @@
         }
     }
 
-    /// Sets whether the target is brittle.
-    pub fn set_brittle(&mut self, share: Option<brittle::Share>, now: Instant) {
-        if self.brittle.as_ref().map(Brittle::share) == share {
-            return;
-        }
-        log::info!(
-            limit = share.map_or(-1, |share| i64::from(share.limit)),
-            own_slots = share.map_or(0, |share| share.owned.count_ones()),
-            target = self.instance.id.as_str();
-            "brittleness of a target changed"
-        );
-        match (&mut self.brittle, share) {
-            (Some(brittle), Some(share)) => brittle.set_share(share),
-            (brittle, share) => *brittle = share.map(|share| Brittle::new(share, now)),
-        }
+    /// Keeps the target from new grants until this time.
+    pub(super) fn hold(&mut self, until: Instant) {
+        self.held_until = self.held_until.max(Some(until));
     }
 
-    /// Returns `true` if the target is sound, or one more request can hardly be too many.
+    /// Returns `true` while the target gets no grants.
     #[must_use]
-    pub fn bears_another(&self, now: Instant) -> bool {
-        self.brittle.as_ref().is_none_or(|brittle| {
-            let running = self.estimate.batch(now);
-            brittle.allows(
-                self.effective_slots(now),
-                running,
-                self.estimate.running(),
-                now,
-            )
-        })
-    }
-
-    /// Records that the target turned a request away for want of room.
-    pub(super) fn record_turned_away(&mut self, now: Instant) {
-        let running = self.estimate.batch(now);
-        if let Some(brittle) = &mut self.brittle {
-            brittle.record_turned_away(running, now);
-        }
+    pub fn is_held(&self, now: Instant) -> bool {
+        self.held_until.is_some_and(|until| now < until)
     }
 
     /// Returns `true` if the rate limit allows a request in addition to those reserved for earlier
--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod request_key;
 pub mod retry_budget;
 pub mod rules;
+pub mod slot_leases;
 pub mod software_version;
 pub mod store;
 pub mod stream_origins;
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -34,6 +34,7 @@
 use crate::peers::traffic::Traffic;
 use crate::pools::client::{self, PoolClient};
 use crate::pools::server::{self, PoolServer};
+use crate::pools::slot_leases::{ArbiterState, SlotLeases};
 use crate::ports::Ports;
 use crate::request::abort_signal::AbortSignal;
 use crate::request::key_state::KeyClaims;
@@ -76,6 +77,8 @@
     pub client: Client,
     /// Aborts requests still in progress at the end of a shutdown.
     pub abort_signal: AbortSignal,
+    /// Leases on the slots of the brittle targets that this daemon arbitrates.
+    pub arbiter: ArbiterState,
     /// Assigns pools and watches to members.
     pub duties: Duties,
     in_force: RefCell<Option<Rc<InForce>>>,
@@ -125,6 +128,8 @@
     requests: Cell<u64>,
     /// Retry budgets per pool.
     pub retry_budgets: PoolRetryBudgets,
+    /// Leases on slots of brittle targets.
+    pub slot_leases: SlotLeases,
     /// The platform's store.
     pub store: PlatformStore,
     /// Timeline of events.
@@ -188,6 +193,7 @@
             claims,
             client: Client::default(),
             abort_signal: AbortSignal::default(),
+            arbiter: ArbiterState::default(),
             duties,
             in_force: RefCell::default(),
             in_progress: Cell::new(0),
@@ -215,6 +221,7 @@
             refusing: Cell::new(false),
             requests: Cell::new(0),
             retry_budgets: PoolRetryBudgets::new(&cfg.retries),
+            slot_leases: SlotLeases::default(),
             store,
             timeline,
             traffic,
--- a/crates/lilaccrankd/src/peers/advisories.rs
+++ b/crates/lilaccrankd/src/peers/advisories.rs
@@ -159,13 +159,17 @@
     }
 
     /// Records how many requests a target can turn away in a second, as its answer says; `None` if the
-    /// answer says nothing of it.
+    /// answer says nothing of it, which is news only of a target that is `taken_for_brittle`.
     pub fn record_brittle(
         &self,
         target: &TargetInstance,
         limit: Option<u32>,
+        taken_for_brittle: bool,
         exchange: &LoadExchange,
     ) {
+        if limit.is_none() && !taken_for_brittle {
+            return;
+        }
         let fact = Fact::Brittle {
             limit,
             target: target.digest(),
@@ -173,9 +177,9 @@
         self.record(fact, exchange);
     }
 
-    /// Brittle targets, with the requests in a second that each can turn away.
-    pub fn brittle(&self) -> IndexMap<InstanceDigest, u32> {
-        self.known.borrow().brittle(Instant::now()).collect()
+    /// What targets said of the requests in a second that each can turn away; `None` if it is sound.
+    pub fn brittleness(&self) -> IndexMap<InstanceDigest, Option<u32>> {
+        self.known.borrow().brittleness(Instant::now()).collect()
     }
 
     /// Returns the next sync request to a peer.
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -10,6 +10,7 @@
 use lilaccrank::dispatch::message::{Cancel, Report, Resync, Submission, Verdict};
 use lilaccrank::ids::{DataCentre, PoolId, VmId};
 use lilaccrank::request_key::{KeyReply, KeyRequest, MemberRef};
+use lilaccrank::slot_leases::{Decision, LeaseId, LeaseRequest, Release};
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank::timeline::Stamp;
 use serde::{Deserialize, Serialize};
@@ -69,6 +70,29 @@
     Declined,
 }
 
+/// A message about leases on the slots of brittle targets.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum SlotRequest {
+    /// From a holder to the arbiter.
+    Acquire(LeaseRequest),
+    /// From the arbiter to a holder whose request has waited.
+    Granted {
+        /// The lease.
+        id: LeaseId,
+    },
+    /// From a holder to the arbiter.
+    Release(Release),
+}
+
+/// Reply to a [`SlotRequest`].
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub enum SlotReply {
+    /// Decision on a request for a lease.
+    Decided(Decision),
+    /// Acknowledgement without content.
+    Done,
+}
+
 /// Announces that a configuration is in force at its sender.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Announcement {
@@ -166,6 +190,8 @@
     Path(PathRequest),
     /// About a pool.
     Pool(PoolRequest),
+    /// About slots of a brittle target.
+    Slot(SlotRequest),
 }
 
 /// Any reply from one daemon to another.
@@ -189,4 +215,6 @@
     Path(PathReply),
     /// About a pool.
     Pool(PoolReply),
+    /// About slots of a brittle target.
+    Slot(SlotReply),
 }
--- a/crates/lilaccrankd/src/peers/network.rs
+++ b/crates/lilaccrankd/src/peers/network.rs
@@ -18,7 +18,7 @@
 use crate::orders::message::{OrderReply, OrderRequest};
 use crate::peers::message::{
     Announcement, Done, Feed, FeedRequest, HeldConfiguration, HeldConfigurationRequest, PathReply,
-    PathRequest, PeerReply, PeerRequest, PoolReply, PoolRequest, Stamped,
+    PathRequest, PeerReply, PeerRequest, PoolReply, PoolRequest, SlotReply, SlotRequest, Stamped,
 };
 use crate::peers::stream_origins::{OriginReply, OriginRequest};
 use crate::peers::traffic::Traffic;
@@ -41,7 +41,7 @@
     Keys,
     /// Calls about paths to targets, which may wait for a connection to one.
     Paths,
-    /// Calls about pools and orders, answered without calling another daemon.
+    /// Calls about pools, slots and orders, answered without calling another daemon.
     Pools,
 }
 
@@ -215,3 +215,10 @@
         reply.try_into().map_err(|_| Error::NoAnswer(vm.clone()))
     }
 }
+
+impl Peers<SlotRequest, SlotReply> for PeerNetwork {
+    async fn call(&self, vm: &VmId, req: SlotRequest) -> Result<SlotReply> {
+        let reply = self.send(vm, Channel::Pools, req.into()).await?;
+        reply.try_into().map_err(|_| Error::NoAnswer(vm.clone()))
+    }
+}
--- a/crates/lilaccrankd/src/pools.rs
+++ b/crates/lilaccrankd/src/pools.rs
@@ -4,3 +4,4 @@
 pub mod poller;
 pub mod rate_limits;
 pub mod server;
+pub mod slot_leases;
--- a/crates/lilaccrankd/src/pools/client.rs
+++ b/crates/lilaccrankd/src/pools/client.rs
@@ -2,7 +2,7 @@
 //! requests.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::channel::oneshot;
 use futures::future::{self, Either};
@@ -15,6 +15,7 @@
 use crate::daemon::Daemon;
 use crate::peers::message::{PoolMessage, PoolReply, PoolRequest};
 use crate::pools::server;
+use crate::pools::slot_leases::{self, Claimant};
 
 mod held_grant;
 mod outstanding;
@@ -30,11 +31,44 @@
 /// Delay before another attempt to reach a dispatcher, since the members may be about to change.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Asks for a target and waits for the verdict. Dropping the future cancels the submission.
+/// Asks for a target, and for a lease on one of its slots if it is brittle, until there is a verdict.
+/// Dropping the future cancels the submission.
 pub async fn submit(
     daemon: &Rc<Daemon>,
     pool: &PoolId,
     submission: Submission,
+) -> Result<HeldGrant, Refuse> {
+    let began = Instant::now();
+    loop {
+        let remaining = submission.after(began.elapsed());
+        let (request, priority) = (remaining.request.clone(), remaining.priority());
+        let deadline = remaining
+            .deadline
+            .and_then(|left| Instant::now().checked_add(left));
+        let grant = submit_once(daemon, pool, remaining).await?;
+        let claimant = Claimant {
+            deadline,
+            pool,
+            priority,
+            request: &request,
+            target: &grant.target,
+        };
+        let Err(retry_after) = slot_leases::acquire(daemon, &claimant).await else {
+            return Ok(grant);
+        };
+        server::hold(daemon, pool, &grant.target, retry_after);
+        drop(grant);
+        if !daemon.duties.is_dispatch_local() {
+            monoio::time::sleep(retry_after).await;
+        }
+    }
+}
+
+/// Asks for a target and waits for the verdict.
+async fn submit_once(
+    daemon: &Rc<Daemon>,
+    pool: &PoolId,
+    submission: Submission,
 ) -> Result<HeldGrant, Refuse> {
     let request = submission.request.clone();
     let (tx, mut rx) = oneshot::channel();
--- a/crates/lilaccrankd/src/pools/client/held_grant.rs
+++ b/crates/lilaccrankd/src/pools/client/held_grant.rs
@@ -11,6 +11,7 @@
 use crate::daemon::Daemon;
 use crate::peers::message::PoolMessage;
 use crate::pools::server;
+use crate::pools::slot_leases;
 
 /// A grant in use. Dropping it without [`finish`](Self::finish) releases the slot, as the grant of a
 /// cancelled request if it was sent, else as one that was not used.
@@ -98,6 +99,7 @@
             prefill,
         });
         self.daemon.pool_client.remove(&self.request);
+        slot_leases::end(&self.daemon, &self.request, outcome == Outcome::TurnedAway);
     }
 }
 
--- a/crates/lilaccrankd/src/pools/client/outstanding.rs
+++ b/crates/lilaccrankd/src/pools/client/outstanding.rs
@@ -8,6 +8,7 @@
 use lilaccrank::dispatch::message::{
     Entry, Refuse, ReportKind, Resync, Running, Submission, Verdict,
 };
+use lilaccrank::dispatch::queue::Priority;
 use lilaccrank::document::Document;
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::{PoolId, RequestId};
@@ -15,6 +16,7 @@
 use lilaccrank::target_instance::TargetInstance;
 
 use crate::daemon::Daemon;
+use crate::pools::slot_leases::Claimant;
 
 /// Requests of this daemon at the pools.
 #[derive(Default)]
@@ -40,6 +42,28 @@
     wait_until: Option<Instant>,
 }
 
+/// A request that runs at a target.
+pub struct RunningRequest {
+    deadline: Option<Instant>,
+    pool: PoolId,
+    priority: Priority,
+    request: RequestId,
+    target: TargetInstance,
+}
+
+impl RunningRequest {
+    /// Describes the request to the arbiter of its target.
+    pub fn claimant(&self) -> Claimant<'_> {
+        Claimant {
+            deadline: self.deadline,
+            pool: &self.pool,
+            priority: self.priority,
+            request: &self.request,
+            target: &self.target,
+        }
+    }
+}
+
 struct RunningOn {
     decoded: Option<u32>,
     target: TargetInstance,
@@ -51,6 +75,22 @@
         self.waiting.borrow().clone()
     }
 
+    /// Requests that have been granted a target and have not ended.
+    pub fn running(&self) -> Vec<RunningRequest> {
+        let requests = self.requests.borrow();
+        let running = requests.values().filter_map(|outstanding| {
+            let on = outstanding.running.as_ref()?;
+            Some(RunningRequest {
+                deadline: outstanding.deadline,
+                pool: outstanding.pool.clone(),
+                priority: outstanding.submission.priority(),
+                request: outstanding.submission.request.clone(),
+                target: on.target.clone(),
+            })
+        });
+        running.collect()
+    }
+
     pub(super) fn insert(
         &self,
         pool: &PoolId,
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -33,9 +33,14 @@
 use crate::pools::rate_limits::RateLimits;
 use crate::targets::sendable;
 
+mod brittle;
 mod notices;
 
-pub use notices::{apply_brittle, apply_leaving, apply_rate_limits, apply_routes, push_back};
+pub use notices::{
+    apply_brittle, apply_leaving, apply_rate_limits, apply_routes, hold, owned_slots, push_back,
+};
+
+use brittle::BrittleTargets;
 
 /// Longest time that a new dispatcher waits for the entries to report their requests.
 const HANDOVER_GRACE: Duration = Duration::from_secs(1);
@@ -51,8 +56,7 @@
 /// The dispatchers of this daemon.
 #[derive(Default)]
 pub struct PoolServer {
-    /// Brittle targets and the cell, as last applied to the dispatchers.
-    brittle: RefCell<(IndexMap<InstanceDigest, u32>, Rc<cells::Cell>)>,
+    brittle: RefCell<BrittleTargets>,
     /// The daemons that share targets with this one, where each daemon dispatches its own requests.
     cell: RefCell<Rc<cells::Cell>>,
     entries: RefCell<Vec<Entry>>,
@@ -62,6 +66,13 @@
     served: RefCell<IndexMap<PoolId, Rc<ServedPool>>>,
 }
 
+impl PoolServer {
+    /// Requests in a second that a target can turn away; `None` if it is sound.
+    pub fn brittle_limit(&self, target: InstanceDigest) -> Option<u32> {
+        self.brittle.borrow().limit(target)
+    }
+}
+
 /// The dispatcher of one pool, in one incarnation of this daemon.
 pub struct ServedPool {
     /// The dispatcher.
@@ -353,6 +364,8 @@
 /// Sets the targets of all dispatchers after a change of the configuration or of the list of
 /// targets.
 pub fn configuration_changed(daemon: &Rc<Daemon>) {
+    daemon.pool_server.brittle.borrow_mut().targets_changed();
+    apply_brittle(daemon);
     let Ok(in_force) = daemon.in_force() else {
         return;
     };
@@ -381,9 +394,7 @@
         cells::sort_by_daemon_hash(&mut pool.targets, &daemon.cfg.vm);
     }
     daemon.pool_server.rate_limits.targets_changed();
-    let brittle = daemon.advisories.brittle();
     dispatcher.set_targets_where(&pool, &spare, |data_centre| daemon.cfg.is_near(data_centre));
-    dispatcher.set_brittle(&notices::brittle_shares(daemon, configured, &brittle));
     if daemon.duties.is_dispatch_local() {
         for (target, left) in daemon.pauses.in_force(Instant::now()) {
             dispatcher.push_back(&target, left);
--- /dev/null
+++ b/crates/lilaccrankd/src/pools/server/brittle.rs
@@ -0,0 +1,59 @@
+//! Brittle targets, which fall over once they have to turn too many requests away in a second.
+
+use indexmap::IndexMap;
+use lilaccrank::document::Target;
+use lilaccrank::target_instance::{InstanceDigest, TargetInstance};
+
+/// Requests in a second that targets can turn away, by target.
+#[derive(Debug, Default)]
+pub(super) struct BrittleTargets {
+    /// What targets announced, as last applied; `None` if the targets have changed since.
+    applied: Option<IndexMap<InstanceDigest, Option<u32>>>,
+    limits: IndexMap<InstanceDigest, u32>,
+}
+
+impl BrittleTargets {
+    pub(super) fn limit(&self, target: InstanceDigest) -> Option<u32> {
+        self.limits.get(&target).copied()
+    }
+
+    /// Records that there are other targets than before.
+    pub(super) fn targets_changed(&mut self) {
+        self.applied = None;
+    }
+
+    /// Returns `true` if the limits follow from what targets `announced`.
+    pub(super) fn is_current(&self, announced: &IndexMap<InstanceDigest, Option<u32>>) -> bool {
+        (announced.is_empty() && self.limits.is_empty()) || self.applied.as_ref() == Some(announced)
+    }
+
+    /// Updates the limits from what targets `announced` (`None` if sound).
+    /// Returns `true` if a target has become brittle.
+    pub(super) fn update(
+        &mut self,
+        announced: &IndexMap<InstanceDigest, Option<u32>>,
+        pools: impl Iterator<Item = Vec<Target>>,
+    ) -> bool {
+        self.applied = Some(announced.clone());
+        let mut limits = IndexMap::new();
+        for targets in pools {
+            let digests = targets.iter().map(|t| TargetInstance::of(t).digest());
+            let digests: Vec<InstanceDigest> = digests.collect();
+            for digest in digests {
+                let limit = announced.get(&digest).copied().flatten();
+                limits.extend(limit.map(|limit| (digest, limit)));
+            }
+        }
+        let has_new = limits
+            .keys()
+            .any(|digest| !self.limits.contains_key(digest));
+        if limits != self.limits {
+            log::info!(
+                targets = limits.len();
+                "brittle targets changed"
+            );
+            self.limits = limits;
+        }
+        has_new
+    }
+}
--- a/crates/lilaccrankd/src/pools/server/notices.rs
+++ b/crates/lilaccrankd/src/pools/server/notices.rs
@@ -4,13 +4,12 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use lilaccrank::dispatch::brittle;
-use lilaccrank::document::Pool;
 use lilaccrank::ids::PoolId;
 use lilaccrank::paths::Route;
 use lilaccrank::target_instance::{InstanceDigest, TargetInstance};
 
 use crate::daemon::Daemon;
+use crate::pools::slot_leases;
 
 /// Applies the advertised rate limits to the dispatchers of this daemon.
 pub fn apply_rate_limits(daemon: &Daemon) {
@@ -27,44 +26,47 @@
     });
 }
 
-/// Applies to the dispatchers of this daemon which targets are brittle, and whose their slots are.
-pub fn apply_brittle(daemon: &Daemon) {
-    let current = (daemon.advisories.brittle(), super::cell(daemon));
-    let server = &daemon.pool_server;
-    if *server.brittle.borrow() == current {
-        return;
-    }
+/// Updates which targets are brittle.
+pub fn apply_brittle(daemon: &Rc<Daemon>) {
     let Ok(in_force) = daemon.in_force() else {
         return;
     };
-    for (pool, served) in server.served.borrow().iter() {
-        if let Some(configured) = in_force.document.pool(pool) {
-            let shares = brittle_shares(daemon, configured, &current.0);
-            served.dispatcher.set_brittle(&shares);
-        }
+    let announced = daemon.advisories.brittleness();
+    let state = &daemon.pool_server.brittle;
+    if state.borrow().is_current(&announced) {
+        return;
+    }
+    let pools = in_force.document.pools.iter();
+    let pools = pools.map(|pool| super::near_targets(daemon, pool));
+    if state.borrow_mut().update(&announced, pools) {
+        slot_leases::register_running(daemon);
     }
-    server.brittle.replace(current);
 }
 
-/// Slots of the brittle targets of a pool that this daemon owns.
-pub(super) fn brittle_shares(
-    daemon: &Daemon,
-    pool: &Pool,
-    limits: &IndexMap<InstanceDigest, u32>,
-) -> IndexMap<InstanceDigest, brittle::Share> {
+/// Number of the first `slots` slots of a target that this daemon owns.
+pub fn owned_slots(daemon: &Daemon, pool: &PoolId, target: InstanceDigest, slots: u32) -> u32 {
     let cell = super::cell(daemon);
-    let targets = super::near_targets(daemon, pool);
-    let cells = cell.cells_sharing_targets(targets.len());
-    let shares = targets.iter().filter_map(|target| {
-        let digest = TargetInstance::of(target).digest();
-        let limit = *limits.get(&digest)?;
-        let owned = match daemon.duties.is_dispatch_local() {
-            true => cell.owned_slots(digest, &cells, &daemon.cfg.vm),
-            false => u64::MAX,
-        };
-        Some((digest, brittle::Share { limit, owned }))
+    let targets = daemon.in_force().ok().and_then(|in_force| {
+        let pool = in_force.document.pool(pool)?;
+        Some(super::near_targets(daemon, pool).len())
     });
-    shares.collect()
+    let cells = cell.cells_sharing_targets(targets.unwrap_or_default());
+    let owned = cell.owned_slots(target, &cells, &daemon.cfg.vm);
+    let mask = match slots {
+        0..64 => (1 << slots) - 1,
+        _ => u64::MAX,
+    };
+    (owned & mask).count_ones()
+}
+
+/// Grants nothing on a target for a time, where each daemon dispatches its own requests.
+pub fn hold(daemon: &Rc<Daemon>, pool: &PoolId, target: &TargetInstance, pause: Duration) {
+    if !daemon.duties.is_dispatch_local() {
+        return;
+    }
+    if let Some(served) = super::served_pool(daemon, pool) {
+        served.dispatcher.hold(target, pause);
+    }
 }
 
 /// Tells the dispatchers how requests of this daemon get to the targets. A dispatcher of several
--- /dev/null
+++ b/crates/lilaccrankd/src/pools/slot_leases.rs
@@ -0,0 +1,238 @@
+//! Leases on the slots of brittle targets, at their holders: the daemons that own the requests.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures::channel::oneshot;
+use indexmap::IndexMap;
+use lilaccrank::dispatch::queue::Priority;
+use lilaccrank::ids::{PoolId, RequestId, VmId};
+use lilaccrank::peers::Peers;
+use lilaccrank::request_key::Ranking;
+use lilaccrank::slot_leases::{Decision, LeaseId, LeaseRequest, Release};
+use lilaccrank::target_instance::{InstanceDigest, TargetInstance};
+use xxhash_rust::xxh3;
+
+use crate::daemon::Daemon;
+use crate::peers::message::{SlotReply, SlotRequest};
+use crate::pools::server;
+
+mod arbiter;
+
+pub use arbiter::{ArbiterState, handle, members_changed, run};
+
+/// Result of acquiring a lease; the error is the time for which the target gets no more requests.
+pub type Result<T, E = Duration> = std::result::Result<T, E>;
+
+/// Longest time until the arbiter decides. A live one answers in milliseconds.
+const DECISION_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest wait for a free slot. Another target may have become free meanwhile.
+const QUEUE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for which a target whose arbiter is silent gets no more requests of this daemon.
+const SILENT_ARBITER_RETRY: Duration = Duration::from_millis(100);
+/// Time for which a target gets no more requests of this daemon after one has waited in vain.
+const FULL_TARGET_RETRY: Duration = Duration::from_millis(20);
+/// Attempts to deliver a release. A lost one holds the slot until the lease expires.
+const RELEASE_ATTEMPTS: u32 = 3;
+/// Delay between two attempts.
+const RELEASE_RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Leases that this daemon holds or waits for.
+#[derive(Default)]
+pub struct SlotLeases {
+    leases: RefCell<IndexMap<LeaseId, Lease>>,
+}
+
+struct Lease {
+    arbiter: VmId,
+    granted: Option<oneshot::Sender<()>>,
+    target: InstanceDigest,
+}
+
+/// Request that needs a lease on a slot of its target.
+pub struct Claimant<'a> {
+    /// Time at which the request is due.
+    pub deadline: Option<Instant>,
+    /// Pool of the target.
+    pub pool: &'a PoolId,
+    /// Priority of the request.
+    pub priority: Priority,
+    /// Id of the request.
+    pub request: &'a RequestId,
+    /// The target.
+    pub target: &'a TargetInstance,
+}
+
+impl SlotLeases {
+    fn count(&self, target: InstanceDigest) -> u32 {
+        let leases = self.leases.borrow();
+        let on_target = leases.values().filter(|lease| lease.target == target);
+        u32::try_from(on_target.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Ends the wait for a lease that has been granted. A request that has been withdrawn is on its
+    /// way to the arbiter.
+    fn grant(&self, id: LeaseId) {
+        let mut leases = self.leases.borrow_mut();
+        if let Some(tx) = leases.get_mut(&id).and_then(|lease| lease.granted.take()) {
+            // The receiver may have been dropped, and returns the lease then.
+            let _ = tx.send(());
+        }
+    }
+}
+
+impl Claimant<'_> {
+    fn id(&self) -> LeaseId {
+        lease_id(self.request)
+    }
+
+    /// Builds the message to the arbiter; `None` if the target is sound.
+    fn lease_request(&self, daemon: &Daemon, is_running: bool) -> Option<LeaseRequest> {
+        let digest = self.target.digest();
+        let limit = daemon.pool_server.brittle_limit(digest)?;
+        let target = daemon.target(self.pool, self.target)?;
+        let now = Instant::now();
+        Some(LeaseRequest {
+            holder: daemon.duties.me(),
+            id: self.id(),
+            is_running,
+            limit,
+            priority: self.priority,
+            slots: target.slots,
+            target: digest,
+            term: self
+                .deadline
+                .map(|deadline| deadline.saturating_duration_since(now)),
+        })
+    }
+}
+
+fn lease_id(request: &RequestId) -> LeaseId {
+    xxh3::xxh3_64(request.as_bytes())
+}
+
+/// Acquires a lease for a request that has been granted this target. Sound targets need none.
+///
+/// # Errors
+///
+/// The target has no free slot, and gets no more requests for the returned time.
+pub async fn acquire(daemon: &Rc<Daemon>, claimant: &Claimant<'_>) -> Result<()> {
+    let Some(req) = claimant.lease_request(daemon, false) else {
+        return Ok(());
+    };
+    let (id, target) = (req.id, req.target);
+    let arbiter = arbiter::arbiter_of(daemon, target);
+    let (tx, rx) = oneshot::channel();
+    let lease = Lease {
+        arbiter: arbiter.clone(),
+        granted: Some(tx),
+        target,
+    };
+    daemon.slot_leases.leases.borrow_mut().insert(id, lease);
+    let deciding = request_lease(daemon, &arbiter, req);
+    let decision = monoio::time::timeout(DECISION_TIMEOUT, deciding).await;
+    let decision = decision.ok().flatten();
+    let retry_after = match decision {
+        Some(Decision::Granted) => return Ok(()),
+        Some(Decision::Queued) => match monoio::time::timeout(QUEUE_TIMEOUT, rx).await {
+            Ok(Ok(())) => return Ok(()),
+            _ => FULL_TARGET_RETRY,
+        },
+        Some(Decision::Declined(retry_after)) => retry_after,
+        None if is_own_slot_free(daemon, claimant) => return Ok(()),
+        None => SILENT_ARBITER_RETRY,
+    };
+    log::info!(
+        arbiter = arbiter.as_str(),
+        decision:% = decision_name(decision),
+        request = claimant.request.as_str(),
+        retry_after_ms = retry_after.as_millis() as u64,
+        target = claimant.target.id.as_str();
+        "no slot of a brittle target is free"
+    );
+    end(daemon, claimant.request, false);
+    Err(retry_after)
+}
+
+fn decision_name(decision: Option<Decision>) -> String {
+    decision.map_or_else(|| "none".to_owned(), |decision| decision.to_string())
+}
+
+/// Returns `true` if this daemon has a free slot of its own while the arbiter can't be asked. Each slot
+/// has one owner among the daemons.
+fn is_own_slot_free(daemon: &Daemon, claimant: &Claimant<'_>) -> bool {
+    let slots = daemon
+        .target(claimant.pool, claimant.target)
+        .map_or(0, |target| target.slots);
+    let digest = claimant.target.digest();
+    let owned = server::owned_slots(daemon, claimant.pool, digest, slots);
+    daemon.slot_leases.count(digest) <= owned
+}
+
+/// Ends a request that may hold a lease.
+pub fn end(daemon: &Rc<Daemon>, request: &RequestId, is_turned_away: bool) {
+    let id = lease_id(request);
+    let lease = daemon.slot_leases.leases.borrow_mut().swap_remove(&id);
+    if let Some(lease) = lease {
+        let release = Release {
+            id,
+            is_turned_away,
+            target: lease.target,
+        };
+        monoio::spawn(deliver(Rc::clone(daemon), lease.arbiter, release));
+    }
+}
+
+async fn deliver(daemon: Rc<Daemon>, arbiter: VmId, release: Release) {
+    for _ in 0..RELEASE_ATTEMPTS {
+        let message = SlotRequest::Release(release.clone());
+        if call(&daemon, &arbiter, message).await.is_some() {
+            return;
+        }
+        monoio::time::sleep(RELEASE_RETRY_DELAY).await;
+    }
+    log::debug!("the arbiter {arbiter} did not answer to the release of a lease");
+}
+
+/// Registers the running requests of this daemon on brittle targets with the arbiters that don't know
+/// them: after a change of the arbiter, and once a target has become brittle.
+pub fn register_running(daemon: &Rc<Daemon>) {
+    for running in daemon.pool_client.running() {
+        let claimant = running.claimant();
+        let Some(req) = claimant.lease_request(daemon, true) else {
+            continue;
+        };
+        let arbiter = arbiter::arbiter_of(daemon, req.target);
+        let mut leases = daemon.slot_leases.leases.borrow_mut();
+        let known = leases.get(&req.id);
+        if known.is_some_and(|lease| lease.arbiter == arbiter || lease.granted.is_some()) {
+            continue;
+        }
+        let lease = Lease {
+            arbiter: arbiter.clone(),
+            granted: None,
+            target: req.target,
+        };
+        leases.insert(req.id, lease);
+        drop(leases);
+        let daemon = Rc::clone(daemon);
+        monoio::spawn(async move { request_lease(&daemon, &arbiter, req).await });
+    }
+}
+
+async fn request_lease(daemon: &Rc<Daemon>, arbiter: &VmId, req: LeaseRequest) -> Option<Decision> {
+    let reply = call(daemon, arbiter, SlotRequest::Acquire(req)).await?;
+    match reply {
+        SlotReply::Decided(decision) => Some(decision),
+        SlotReply::Done => None,
+    }
+}
+
+/// Calls a daemon about leases, which may be this one.
+async fn call(daemon: &Rc<Daemon>, vm: &VmId, req: SlotRequest) -> Option<SlotReply> {
+    if *vm == daemon.cfg.vm {
+        return Some(handle(daemon, req));
+    }
+    daemon.peers.call(vm, req).await.ok()
+}
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -326,10 +326,12 @@
 
 impl forward::Observer for SendObserver {
     fn brittleness(&self, limit: Option<u32>) {
-        let exchange = &self.daemon.load_exchange;
-        self.daemon
+        let daemon = &self.daemon;
+        let target = &self.grant.target;
+        let known = daemon.pool_server.brittle_limit(target.digest());
+        daemon
             .advisories
-            .record_brittle(&self.grant.target, limit, exchange);
+            .record_brittle(target, limit, known.is_some(), &daemon.load_exchange);
     }
 
     fn leaving(&self) {
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -147,6 +147,7 @@
     }
     monoio::spawn(paths::run(Rc::clone(&daemon)));
     monoio::spawn(load_exchange::run(Rc::clone(&daemon), load_socket));
+    monoio::spawn(pools::slot_leases::run(Rc::clone(&daemon)));
     monoio::spawn(quarantine_record::run(Rc::clone(&daemon)));
     monoio::spawn(reload::run(Rc::clone(&daemon), signals.clone()));
     log::info!(
@@ -181,6 +182,7 @@
             .retry_budgets
             .set_member_count(daemon.membership.live().members.len());
         pools::server::members_changed(&daemon);
+        pools::slot_leases::members_changed(&daemon);
         pools::client::resync_dispatchers(&daemon);
         paths::members_changed(&daemon);
         daemon.origins.members_changed();
@@ -213,6 +215,7 @@
         PeerRequest::Order(req) => jobs::handle(&daemon, req).into(),
         PeerRequest::Path(req) => paths::answer(&daemon, &req).await.into(),
         PeerRequest::Pool(req) => pools::server::handle(&daemon, req).into(),
+        PeerRequest::Slot(req) => pools::slot_leases::handle(&daemon, req).into(),
     };
     Stamped {
         message,
