Brittle targets: an instance that has said nothing yet is as brittle as its pool

What callers saw: a target that had fallen over came back, was filled at once, and fell again, with all requests on it. Cause: what a target announced belongs to its instance. A new one was taken for sound until its first answer, and was the least loaded of all. Ruled out: a fact about the pool that answers keep up to date: where some instances announce it and others don't, each answer would replace it. An answer without the announcement is noted for targets that are taken for brittle, so that a sound one is free at once.

--- a/crates/lilaccrankd/src/pools/server/brittle.rs
+++ b/crates/lilaccrankd/src/pools/server/brittle.rs
@@ -2,11 +2,15 @@
 
 use indexmap::IndexMap;
 use lilaccrank::document::Target;
+use lilaccrank::ids::PoolId;
 use lilaccrank::target_instance::{InstanceDigest, TargetInstance};
 
 /// Requests in a second that targets can turn away, by target.
 #[derive(Debug, Default)]
 pub(super) struct BrittleTargets {
+    /// Pools of the instances that announced a limit. An instance that has ended still tells that its
+    /// pool is brittle, until the announcement expires.
+    announcers: IndexMap<InstanceDigest, PoolId>,
     /// What targets announced, as last applied; `None` if the targets have changed since.
     applied: Option<IndexMap<InstanceDigest, Option<u32>>>,
     limits: IndexMap<InstanceDigest, u32>,
@@ -27,20 +31,30 @@
         (announced.is_empty() && self.limits.is_empty()) || self.applied.as_ref() == Some(announced)
     }
 
-    /// Updates the limits from what targets `announced` (`None` if sound).
+    /// Updates the limits from what targets `announced` (`None` if sound) and the targets of the pools.
     /// Returns `true` if a target has become brittle.
-    pub(super) fn update(
+    pub(super) fn update<'a>(
         &mut self,
         announced: &IndexMap<InstanceDigest, Option<u32>>,
-        pools: impl Iterator<Item = Vec<Target>>,
+        pools: impl Iterator<Item = (&'a PoolId, Vec<Target>)>,
     ) -> bool {
         self.applied = Some(announced.clone());
+        let is_brittle = |digest: &InstanceDigest| announced.get(digest).copied().flatten();
+        self.announcers
+            .retain(|digest, _| is_brittle(digest).is_some());
         let mut limits = IndexMap::new();
-        for targets in pools {
+        for (pool, targets) in pools {
             let digests = targets.iter().map(|t| TargetInstance::of(t).digest());
             let digests: Vec<InstanceDigest> = digests.collect();
+            for digest in digests.iter().filter(|digest| is_brittle(digest).is_some()) {
+                self.announcers.insert(*digest, pool.clone());
+            }
+            let announcers = self.announcers.iter().filter(|(_, of)| *of == pool);
+            let inherited = announcers
+                .filter_map(|(digest, _)| is_brittle(digest))
+                .min();
             for digest in digests {
-                let limit = announced.get(&digest).copied().flatten();
+                let limit = announced.get(&digest).copied().unwrap_or(inherited);
                 limits.extend(limit.map(|limit| (digest, limit)));
             }
         }
@@ -49,6 +63,7 @@
             .any(|digest| !self.limits.contains_key(digest));
         if limits != self.limits {
             log::info!(
+                announced = self.announcers.len(),
                 targets = limits.len();
                 "brittle targets changed"
             );
--- a/crates/lilaccrankd/src/pools/server/notices.rs
+++ b/crates/lilaccrankd/src/pools/server/notices.rs
@@ -26,7 +26,8 @@
     });
 }
 
-/// Updates which targets are brittle.
+/// Updates which targets are brittle. Those of a service are brittle together, so one that has not said
+/// anything yet, as after a restart, is taken for brittle while others are.
 pub fn apply_brittle(daemon: &Rc<Daemon>) {
     let Ok(in_force) = daemon.in_force() else {
         return;
@@ -37,7 +38,7 @@
         return;
     }
     let pools = in_force.document.pools.iter();
-    let pools = pools.map(|pool| super::near_targets(daemon, pool));
+    let pools = pools.map(|pool| (&pool.id, super::near_targets(daemon, pool)));
     if state.borrow_mut().update(&announced, pools) {
         slot_leases::register_running(daemon);
     }
