--- a/crates/lilaccrankd/src/callers/caller_request.rs
+++ b/crates/lilaccrankd/src/callers/caller_request.rs
@@ -46,6 +46,8 @@
 /// would stop the daemon and break all other requests. A day is well within the range, and no
 /// answer takes longer.
 const MAX_DEADLINE: Duration = Duration::from_secs(24 * 60 * 60);
+/// Most shared parts of a prompt that are digested.
+pub const MAX_SHARED_PARTS: usize = 16;
 /// Most headers that rules can match on. Callers choose their names, so their number must be
 /// bounded.
 const MAX_HEADER_FACTS: usize = 64;
@@ -122,6 +124,9 @@
     pub facts: Facts,
     /// Original head, which is spilled.
     pub head: Parts,
+    /// Digests of the parts of the prompt that requests of the customer may share, see
+    /// [`part_digest`].
+    pub shared_parts: Vec<ContentDigest>,
     /// Rank of the customer.
     pub rank: Rank,
     /// Events of the stream that the caller has, if it resumes one.
@@ -157,11 +162,13 @@
             Some(answer_format) => generate(&body, answer_format, &mut facts)?,
             None => Operation::Proxy(ProxiedRequest::new(&head, &body)),
         };
+        let customer = facts.customer.clone();
         Ok(Self {
             body,
             caller_request_id: None,
             continuation: Continuation::without_id(&head.headers),
             facts,
+            shared_parts: shared_blocks(&customer, &operation),
             rank: cx.customer.map_or(0, |customer| customer.rank),
             received_events: received_events(&head.headers),
             spilled_from: header_text(&head.headers, &SPILLED_FROM)?.map(str::to_owned),
@@ -211,6 +218,28 @@
     Refusal::new(ErrorKind::BadRequest, message)
 }
 
+/// Returns the digest of a part of a customer's prompts. A customer can name any part, so what is known
+/// of it must not hold for the requests of others.
+#[must_use]
+pub fn part_digest(customer: &str, part: &[u8]) -> ContentDigest {
+    let mut hash = Xxh3::new();
+    hash.update(&customer.len().to_le_bytes());
+    hash.update(customer.as_bytes());
+    hash.update(part);
+    hash.digest()
+}
+
+/// Digests of the blocks of a prompt, all but the last.
+fn shared_blocks(customer: &str, operation: &Operation) -> Vec<ContentDigest> {
+    let Operation::Generate { prefix, .. } = operation else {
+        return Vec::new();
+    };
+    let shared = prefix.split_last().map_or(&[][..], |(_, shared)| shared);
+    let digests = shared.iter().take(MAX_SHARED_PARTS);
+    let digests = digests.map(|block| part_digest(customer, &block.to_le_bytes()));
+    digests.collect()
+}
+
 /// Returns the number of the last event that the caller has; 0 if it has none or numbers don't tell.
 #[must_use]
 pub fn received_events(headers: &HeaderMap) -> u32 {
--- a/crates/lilaccrankd/src/request/send_history.rs
+++ b/crates/lilaccrankd/src/request/send_history.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use lilaccrank::attempts::{Attempts, Failure, RetryPolicy};
 use lilaccrank::error_kind::Executed;
+use lilaccrank::ids::ContentDigest;
 use lilaccrank::software_version::Origin;
 use lilaccrank::target_instance::TargetInstance;
 
@@ -108,7 +109,8 @@
         };
         let cancelled = SendFailure::new(refusal.ran(Executed::Maybe));
         self.attempts.record_failure(cancelled.failure);
-        log_failure(routed, &target, &cancelled, false, buffer);
+        let began_at = self.delivered.began_at;
+        log_failure(routed, &target, &cancelled, false, began_at, buffer);
         self.final_result(cancelled.refusal, buffer)
     }
 
@@ -141,7 +143,8 @@
         }
         let will_retry =
             self.attempts.record_failure(failed.failure) && take_repeat(failed.failure);
-        log_failure(routed, &target, &failed, will_retry, buffer);
+        let began_at = self.delivered.began_at;
+        log_failure(routed, &target, &failed, will_retry, began_at, buffer);
         if failed.answer.is_some() {
             self.answer = failed.answer;
         }
@@ -184,15 +187,18 @@
     target: &TargetInstance,
     failed: &SendFailure,
     will_retry: bool,
+    began_at: Option<Instant>,
     buffer: &AnswerBuffer,
 ) {
     log::info!(
         abandoned_ms = lifecycle::log_ms(buffer.abandoned_for()),
         again = will_retry,
+        begun_ms = lifecycle::log_ms(began_at.map(|at| at.elapsed())),
         connection_lost = failed.refusal.connection_lost,
         content:% = format_args!("{:016x}", routed.content_digest()),
         how:? = failed.failure,
         kind:% = failed.refusal.kind,
+        parts = hex_list(&routed.caller.shared_parts),
         request = routed.log_id(),
         since_arrival_ms = routed.elapsed_ms(),
         target = target.id,
@@ -200,3 +206,8 @@
         "a send failed"
     );
 }
+
+fn hex_list(digests: &[ContentDigest]) -> String {
+    let digests = digests.iter().map(|digest| format!("{digest:016x}"));
+    digests.collect::<Vec<_>>().join(",")
+}
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -97,6 +97,8 @@
 /// The part of the answer that was delivered to the caller.
 #[derive(Debug, Default)]
 pub struct Delivered {
+    /// When the first event of the last send came.
+    pub began_at: Option<Instant>,
     /// Set if the last answer was delimited by the end of its connection, which a crash causes as
     /// well.
     pub ended_with_connection: bool,
@@ -138,6 +140,7 @@
         delivered: &mut Delivered,
     ) -> Result<()> {
         let sent_at = Instant::now();
+        delivered.began_at = None;
         let (head, body, connection) = self.exchange(outgoing).await?;
         if self.protocol.says_leaving(&head, outgoing) {
             self.observer.leaving();
@@ -306,6 +309,7 @@
                 }
                 self.buffer.set_head(forwarded_head(&head));
                 self.observer.event(event_count == 0, sent_at.elapsed());
+                delivered.began_at.get_or_insert_with(Instant::now);
                 event_count += 1;
                 delivered.record(event.id);
                 self.buffer.push(event.bytes);
