Quarantine: crashes are counted under each shared part of a prompt

Cause: crashes were counted for the whole content of a request, and no two of these were alike. Ruled out: the kind of request (others of that kind complete), second sends (they double the crashes and cause none). Change: a crash is recorded under each shared part of a prompt too, unless its answer had gone on for a second or the part was just proven by another answer. A part is quarantined after three targets, if no other part explains its crashes: one at the same depth that was in flight at more, or a deeper one at all of them (crates/lilaccrank/src/advisories/blame.rs). An answer that goes on for a second clears its parts. From the second crash on a request with the part is not sent again after a failure. Digests of parts include the customer, so that nobody has another one's part quarantined. The fact about a part is a new one, format 3; earlier versions drop the load updates that carry it.

--- a/crates/lilaccrank/src/advisories.rs
+++ b/crates/lilaccrank/src/advisories.rs
@@ -13,6 +13,7 @@
 use crate::ids::ContentDigest;
 use crate::target_instance::InstanceDigest;
 
+mod blame;
 mod fact;
 pub mod recent;
 pub mod record;
@@ -25,6 +26,9 @@
 /// Number of targets that must crash while serving a content before it is quarantined. Unrelated
 /// requests are also in flight on a target that crashes, but rarely on three of them.
 pub const QUARANTINE_CRASHES: usize = 3;
+/// Number of crashes that are kept of a part. Those beyond a quarantine tell it from parts that were in
+/// flight at some of them.
+const MAX_PART_CRASHES: usize = 8;
 /// Age of what a target said of itself from which the same, said again, is propagated again.
 const REFRESH_AGE: Duration = Duration::from_secs(15);
 /// Time by which a fact from another daemon may seem later than it was. The age of a fact doesn't
@@ -103,8 +107,7 @@
 
     /// Returns `true` if a completion of `content` at this time clears this crash.
     fn is_crash_before(&self, content: ContentDigest, completed_at: Instant) -> bool {
-        let is_crash =
-            matches!(self.fact, Fact::Crash { content: subject, .. } if subject == content);
+        let is_crash = self.fact.crashed() == Some(content);
         is_crash && !self.is_cleared && self.observed_at <= completed_at
     }
 
@@ -119,7 +122,7 @@
         let later = observed_at.saturating_duration_since(self.observed_at);
         let is_surely_later = !later.is_zero() && later >= origin.tolerance();
         match fact {
-            Fact::Crash { .. } | Fact::Quarantined { .. } => false,
+            Fact::Crash { .. } | Fact::PartCrash { .. } | Fact::Quarantined { .. } => false,
             Fact::Leaving { .. } => later >= REFRESH_AGE,
             Fact::Brittle { .. } | Fact::RateLimit { .. } if fact == self.fact => {
                 later >= REFRESH_AGE
@@ -162,9 +165,9 @@
         self.merge_with(advisories, Origin::Update, now)
     }
 
-    /// Time for which requests with this content remain quarantined; `None` if they are not. A
-    /// content is quarantined if a stored quarantine is known, or if [`QUARANTINE_CRASHES`] targets
-    /// crashed while serving it. A later completion lifts the quarantine.
+    /// Time for which requests with this content or part remain quarantined; `None` if they are not. It is
+    /// quarantined if a stored quarantine is known, or if [`QUARANTINE_CRASHES`] targets crashed while
+    /// serving it and no other part explains that. A later completion lifts the quarantine.
     #[must_use]
     pub fn quarantine_remaining(&self, content: ContentDigest, now: Instant) -> Option<Duration> {
         let stored_at = self.facts.get(&Key::Quarantined(content));
@@ -172,6 +175,7 @@
         let mut crash_times: Vec<_> = self.crashes(content, now).collect();
         crash_times.sort_unstable_by_key(|at| Reverse(*at));
         let by_crashes = crash_times.get(QUARANTINE_CRASHES - 1).copied();
+        let by_crashes = by_crashes.filter(|_| !self.is_explained(content, now));
         let since = stored_at.max(by_crashes)?;
         let remaining = (since + LIFETIME).checked_duration_since(now);
         remaining.filter(|remaining| !remaining.is_zero())
@@ -213,10 +217,10 @@
     #[must_use]
     pub fn has_crashes(&self) -> bool {
         let mut records = self.facts.values();
-        records.any(|record| matches!(record.fact, Fact::Crash { .. }) && !record.is_cleared)
+        records.any(|record| record.fact.crashed().is_some() && !record.is_cleared)
     }
 
-    /// Returns `true` if a target crashed within [`LIFETIME`] while serving this content.
+    /// Returns `true` if a target crashed within [`LIFETIME`] while serving this content or part.
     #[must_use]
     pub fn is_suspect(&self, content: ContentDigest, now: Instant) -> bool {
         self.crashes(content, now).next().is_some()
@@ -360,6 +364,10 @@
                 self.is_later_than_completed(content, observed_at)
                     && self.crashes(content, now).count() < QUARANTINE_CRASHES
             }
+            Fact::PartCrash { part, .. } => {
+                self.is_later_than_completed(part, observed_at)
+                    && self.crashes(part, now).count() < MAX_PART_CRASHES
+            }
             Fact::Quarantined { content } => {
                 let began_at = observed_at.checked_sub(TRANSIT_TOLERANCE);
                 began_at.is_none_or(|began_at| self.is_later_than_completed(content, began_at))
@@ -383,12 +391,10 @@
         completed.is_none_or(|record| record.observed_at < observed_at)
     }
 
-    /// Times at which targets crashed while serving this content.
+    /// Times at which targets crashed while serving this content or part.
     fn crashes(&self, content: ContentDigest, now: Instant) -> impl Iterator<Item = Instant> {
         let crashes = self.facts.values().filter(move |record| {
-            matches!(record.fact, Fact::Crash { content: subject, .. } if subject == content)
-                && !record.is_cleared
-                && record.is_current(now)
+            record.fact.crashed() == Some(content) && !record.is_cleared && record.is_current(now)
         });
         crashes.map(|record| record.observed_at)
     }
--- a/crates/lilaccrank/src/advisories/fact.rs
+++ b/crates/lilaccrank/src/advisories/fact.rs
@@ -12,7 +12,7 @@
 /// Time to live of a limit after the latest answer that advertised it.
 pub const RATE_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
 /// Version of the kinds of facts. A daemon of an earlier version can't read facts of a later one.
-pub const FORMAT: u8 = 2;
+pub const FORMAT: u8 = 3;
 
 /// A fact that a daemon observed.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -33,10 +33,21 @@
         /// Digest of the target's ID and start time.
         target: InstanceDigest,
     },
-    /// A target answered a request with this content completely.
+    /// A target ended while it was to begin an answer to a prompt with this part.
+    #[serde(rename = "p")]
+    PartCrash {
+        /// Number of parts before it in the prompt.
+        depth: u8,
+        /// Digest of the part and its customer.
+        part: ContentDigest,
+        /// Digest of the target's ID and start time.
+        target: InstanceDigest,
+    },
+    /// A target answered a request with this content completely, or went on with the answer to a prompt
+    /// with this part.
     #[serde(rename = "d")]
     Completed {
-        /// Digest of the request's content.
+        /// Digest of the request's content or of the part.
         content: ContentDigest,
     },
     /// An answer of a target said that it leaves. It gets no new requests, whatever the list of
@@ -46,10 +57,10 @@
         /// Digest of the target's ID and start time.
         target: InstanceDigest,
     },
-    /// The platform's store holds a quarantine of this content.
+    /// The platform's store holds a quarantine of this content or part.
     #[serde(rename = "q")]
     Quarantined {
-        /// Digest of the request's content.
+        /// Digest of the request's content or of the part.
         content: ContentDigest,
     },
     /// The rate limit that a target advertised with its latest answer.
@@ -88,23 +99,37 @@
         match self {
             Self::Brittle { target, .. } => Key::Brittle(target),
             Self::Completed { content } => Key::Completed(content),
-            Self::Crash { content, target } => Key::Crash(content, target),
+            Self::Crash { content, target }
+            | Self::PartCrash {
+                part: content,
+                target,
+                ..
+            } => Key::Crash(content, target),
             Self::Leaving { target } => Key::Leaving(target),
             Self::Quarantined { content } => Key::Quarantined(content),
             Self::RateLimit { target, .. } => Key::RateLimit(target),
         }
     }
 
-    /// Content that the fact is about, if it is about one.
+    /// Content or part that the fact is about, if it is about one.
     pub(super) fn content(self) -> Option<ContentDigest> {
         match self {
             Self::Crash { content, .. }
+            | Self::PartCrash { part: content, .. }
             | Self::Completed { content }
             | Self::Quarantined { content } => Some(content),
             Self::Brittle { .. } | Self::Leaving { .. } | Self::RateLimit { .. } => None,
         }
     }
 
+    /// Content or part that was in flight at a crash.
+    pub(super) fn crashed(self) -> Option<ContentDigest> {
+        match self {
+            Self::Crash { content, .. } | Self::PartCrash { part: content, .. } => Some(content),
+            _ => None,
+        }
+    }
+
     /// Returns `true` if both are limits that targets advertise, and this one is lower.
     pub(super) fn is_stricter_than(self, other: Self) -> bool {
         let limit = |fact| match fact {
@@ -128,6 +153,7 @@
     /// The first [`FORMAT`] that has this kind of fact.
     pub(super) fn format(self) -> u8 {
         match self {
+            Self::PartCrash { .. } => 3,
             Self::Brittle { .. } => 2,
             Self::Leaving { .. } => 1,
             _ => 0,
--- a/crates/lilaccrank/src/advisories/recent.rs
+++ b/crates/lilaccrank/src/advisories/recent.rs
@@ -1,4 +1,4 @@
-//! Remembers the contents of recently completed requests.
+//! Remembers the contents of recently completed requests, or the parts of their prompts.
 //!
 //! Callers may send the same request often, such as a status query. When several targets crash at
 //! once for another reason, each may have such a request in flight. A recent completion shows that
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -4,6 +4,8 @@
 mod advisories;
 #[path = "suite/attempts.rs"]
 mod attempts;
+#[path = "suite/blame.rs"]
+mod blame;
 #[path = "suite/brittle.rs"]
 mod brittle;
 #[path = "suite/cells.rs"]
--- a/crates/lilaccrankd/src/peers/advisories.rs
+++ b/crates/lilaccrankd/src/peers/advisories.rs
@@ -20,6 +20,8 @@
 /// Advisories of this daemon and of others.
 pub struct SharedAdvisories {
     completed: RefCell<RecentContents>,
+    /// Parts of prompts that targets have gone on with.
+    proven_parts: RefCell<RecentContents>,
     crashes: ChangeSignal,
     cursors: RefCell<Cursors>,
     known: RefCell<Advisories>,
@@ -29,6 +31,7 @@
     fn default() -> Self {
         Self {
             completed: RefCell::new(RecentContents::new(Instant::now())),
+            proven_parts: RefCell::new(RecentContents::new(Instant::now())),
             crashes: ChangeSignal::default(),
             cursors: RefCell::default(),
             known: RefCell::default(),
@@ -44,24 +47,59 @@
         target: &TargetInstance,
         exchange: &LoadExchange,
     ) {
-        if self
-            .completed
-            .borrow_mut()
-            .contains(content, Instant::now())
-        {
-            return;
+        if !was_completed(&self.completed, content) {
+            let target = target.digest();
+            self.record(Fact::Crash { content, target }, exchange);
+        }
+    }
+
+    /// Records that a target crashed when it was to begin an answer to a prompt with these parts, in order.
+    pub fn record_part_crashes(
+        &self,
+        parts: &[ContentDigest],
+        target: &TargetInstance,
+        exchange: &LoadExchange,
+    ) {
+        let target = target.digest();
+        for (depth, &part) in (0..=u8::MAX).zip(parts) {
+            if !was_completed(&self.proven_parts, part) {
+                let fact = Fact::PartCrash {
+                    depth,
+                    part,
+                    target,
+                };
+                self.record(fact, exchange);
+            }
         }
-        let fact = Fact::Crash {
-            content,
-            target: target.digest(),
-        };
-        self.record(fact, exchange);
+    }
+
+    /// Returns `true` if requests with this part should not be sent again after a failure: several targets
+    /// have crashed under it.
+    pub fn is_repeated_suspect(&self, part: ContentDigest) -> bool {
+        let known = self.known.borrow();
+        !known.is_empty() && known.is_repeated_suspect(part, Instant::now())
     }
 
     /// Records that a target completed a request of this content.
     pub fn record_completion(&self, content: ContentDigest, exchange: &LoadExchange) {
+        self.note_completion(&self.completed, content, exchange);
+    }
+
+    /// Records that a target went on with answers to prompts with these parts.
+    pub fn record_proven_parts(&self, parts: &[ContentDigest], exchange: &LoadExchange) {
+        for part in parts {
+            self.note_completion(&self.proven_parts, *part, exchange);
+        }
+    }
+
+    fn note_completion(
+        &self,
+        completed: &RefCell<RecentContents>,
+        content: ContentDigest,
+        exchange: &LoadExchange,
+    ) {
         let now = Instant::now();
-        self.completed.borrow_mut().insert(content, now);
+        completed.borrow_mut().insert(content, now);
         if self.known.borrow().is_suspect(content, now) {
             self.record(Fact::Completed { content }, exchange);
         }
@@ -246,7 +284,9 @@
     fn publish(&self, new: &[Fact]) {
         for fact in new {
             match *fact {
-                Fact::Crash { content, .. } | Fact::Quarantined { content } => {
+                Fact::Crash { content, .. }
+                | Fact::PartCrash { part: content, .. }
+                | Fact::Quarantined { content } => {
                     self.crashes.notify();
                     if let Some(remaining) = self.quarantine_remaining(|| content) {
                         log::warn!(
@@ -282,3 +322,7 @@
 fn per_1000_s(rate: f64) -> u32 {
     (rate * 1_000.0).round() as u32
 }
+
+fn was_completed(completed: &RefCell<RecentContents>, content: ContentDigest) -> bool {
+    completed.borrow_mut().contains(content, Instant::now())
+}
--- a/crates/lilaccrankd/src/request/execution.rs
+++ b/crates/lilaccrankd/src/request/execution.rs
@@ -75,7 +75,7 @@
                 None => self.next_grant().await,
             };
             // Meanwhile, other daemons may have reported crashes of targets under this content.
-            let granted = granted.and_then(|grant| routed.check_quarantine(daemon).map(|()| grant));
+            let granted = granted.and_then(|grant| self.check_sendable().map(|()| grant));
             let grant = match granted {
                 Ok(grant) => grant,
                 Err(refusal) if self.can_spill(&refusal) => return self.spill(refusal).await,
@@ -101,6 +101,15 @@
         }
     }
 
+    /// Checks that the request is not known to crash targets.
+    fn check_sendable(&self) -> Result<()> {
+        self.routed.check_quarantine(self.daemon)?;
+        match self.history.is_unsent() {
+            true => Ok(()),
+            false => self.routed.check_repeat(self.daemon),
+        }
+    }
+
     /// Result of the request after [`Self::run`] was dropped for this reason.
     ///
     /// # Errors
@@ -122,7 +131,8 @@
     ) -> Option<Result<()>> {
         let (daemon, routed) = (self.daemon, self.routed);
         if failed.refusal.connection_lost {
-            routed.record_lost_connection(daemon, &target, failed.is_path_fault);
+            let delivered = &self.history.delivered;
+            routed.record_lost_connection(daemon, &target, delivered, failed.is_path_fault);
         }
         let may_repeat =
             self.cancellation.check().is_ok() && !failed.refusal.kind.is_unrelated_to_target();
--- a/crates/lilaccrankd/src/request/quarantine.rs
+++ b/crates/lilaccrankd/src/request/quarantine.rs
@@ -1,4 +1,4 @@
-//! Quarantine of queries of death: requests whose content crashes targets.
+//! Quarantine of queries of death: requests whose content, or a part of whose prompt, crashes targets.
 
 use std::rc::Rc;
 
@@ -21,21 +21,40 @@
             .get_or_init(|| self.caller.content_digest())
     }
 
-    /// Checks that the content of the request is not quarantined.
+    /// Checks that neither the content of the request nor a part of its prompt is quarantined.
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::Quarantined`] if too many targets crashed while they ran the same content.
+    /// [`ErrorKind::Quarantined`] if too many targets crashed while they ran the same content, or
+    /// prompts with the same part.
     pub fn check_quarantine(&self, daemon: &Daemon) -> Result<()> {
-        let Some(remaining) = daemon
-            .advisories
-            .quarantine_remaining(|| self.content_digest())
-        else {
-            return Ok(());
+        let remaining = |digest: &dyn Fn() -> ContentDigest| {
+            let advisories = &daemon.advisories;
+            advisories.quarantine_remaining(digest)
         };
-        let content_digest = self.content_digest();
-        let message = format!("targets crashed under the same request, {content_digest:016x}");
-        Err(Refusal::new(ErrorKind::Quarantined, message).retry_after(remaining))
+        if let Some(remaining) = remaining(&|| self.content_digest()) {
+            let content_digest = self.content_digest();
+            let message = format!("targets crashed under the same request, {content_digest:016x}");
+            return Err(Refusal::new(ErrorKind::Quarantined, message).retry_after(remaining));
+        }
+        for part in &self.caller.shared_parts {
+            if let Some(remaining) = remaining(&|| *part) {
+                return Err(quarantined_part(*part).retry_after(remaining));
+            }
+        }
+        Ok(())
+    }
+
+    /// Checks that the request may be sent again after a failure. One with a part that is only suspected
+    /// is sent once, so that it brings down no second target.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Quarantined`] if targets crashed under prompts with the same part.
+    pub fn check_repeat(&self, daemon: &Daemon) -> Result<()> {
+        let mut parts = self.caller.shared_parts.iter();
+        let suspect = parts.find(|part| daemon.advisories.is_repeated_suspect(**part));
+        suspect.map_or(Ok(()), |part| Err(quarantined_part(*part)))
     }
 
     /// Records that the connection to `target` ended before the answer did. If this daemon can't
@@ -44,18 +63,26 @@
         &self,
         daemon: &Rc<Daemon>,
         target: &TargetInstance,
+        delivered: &Delivered,
         is_path_fault: bool,
     ) {
         let content = self.content_digest();
+        let parts = match delivered.has_gone_on() {
+            true => Vec::new(),
+            false => self.caller.shared_parts.clone(),
+        };
+        let record = move |daemon: &Daemon, target: &TargetInstance| {
+            let (advisories, exchange) = (&daemon.advisories, &daemon.load_exchange);
+            advisories.record_crash(content, target, exchange);
+            advisories.record_part_crashes(&parts, target, exchange);
+        };
         if !is_path_fault {
-            let exchange = &daemon.load_exchange;
-            return daemon.advisories.record_crash(content, target, exchange);
+            return record(daemon, target);
         }
         let (daemon, pool, target) = (Rc::clone(daemon), self.route.pool.clone(), target.clone());
         monoio::spawn(async move {
             if !paths::is_reached_by_peer(&daemon, &pool, &target).await {
-                let exchange = &daemon.load_exchange;
-                daemon.advisories.record_crash(content, &target, exchange);
+                record(&daemon, &target);
             }
         });
     }
@@ -63,11 +90,19 @@
     /// Records that a target completed the request.
     pub fn record_completion(&self, daemon: &Daemon, delivered: &Delivered) {
         // An answer that is delimited by its connection also ends this way if the target crashes.
-        if !delivered.ended_with_connection {
-            let exchange = &daemon.load_exchange;
-            daemon
-                .advisories
-                .record_completion(self.content_digest(), exchange);
+        if delivered.ended_with_connection {
+            return;
+        }
+        let exchange = &daemon.load_exchange;
+        let advisories = &daemon.advisories;
+        advisories.record_completion(self.content_digest(), exchange);
+        if delivered.events > 0 || !self.route.terms.stream {
+            advisories.record_proven_parts(&self.caller.shared_parts, exchange);
         }
     }
 }
+
+fn quarantined_part(part: ContentDigest) -> Refusal {
+    let message = format!("targets crashed under the same part of the prompt, {part:016x}");
+    Refusal::new(ErrorKind::Quarantined, message)
+}
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -1,6 +1,6 @@
 //! Sends a granted request to its target once and reports its progress to the dispatcher.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,7 +12,7 @@
 use lilaccrank::dispatch::message::{Outcome, ReportKind};
 use lilaccrank::document::Target;
 use lilaccrank::error_kind::{ErrorKind, Executed};
-use lilaccrank::ids::PoolId;
+use lilaccrank::ids::{ContentDigest, PoolId};
 use lilaccrank::software_version::VersionDigest;
 use lilaccrank::stream_origins::Record;
 use lilaccrank::stream_progress::StreamProgress;
@@ -89,6 +89,7 @@
             let origin = &mut self.history.prior.origin;
             *origin = routed.origin_after(daemon, *origin, &target);
         }
+        self.history.delivered.began_at = observer.first_event_at.get();
         let grant = &observer.grant;
         let sent = match sent {
             Err(SendError::Failed(failed)) => {
@@ -240,6 +241,9 @@
     pub grant: HeldGrant,
     reported_tokens: Cell<u32>,
     last_report_at: Cell<Instant>,
+    /// Parts of the prompt, until the target has gone on with the answer.
+    unproven_parts: RefCell<Vec<ContentDigest>>,
+    first_event_at: Cell<Option<Instant>>,
     stream_progress: Cell<StreamProgress>,
     tokens: Cell<u32>,
     tokens_in_event: u32,
@@ -269,6 +273,8 @@
             grant,
             reported_tokens: Cell::new(0),
             last_report_at: Cell::new(Instant::now()),
+            unproven_parts: RefCell::new(routed.caller.shared_parts.clone()),
+            first_event_at: Cell::new(None),
             stream_progress: Cell::new(StreamProgress::new(earlier_tokens, routed.deadline())),
             tokens: Cell::new(0),
             tokens_in_event,
@@ -290,12 +296,27 @@
     }
 }
 
+impl SendObserver {
+    /// Records that no part of the prompt crashes targets, once the answer has gone on for long enough.
+    fn prove_parts(&self, now: Instant) {
+        let since_first = self.first_event_at.get().map(|first| now - first);
+        if since_first.is_none_or(|since| since < forward::BEGINNING) {
+            return;
+        }
+        let exchange = &self.daemon.load_exchange;
+        let parts = self.unproven_parts.take();
+        self.daemon.advisories.record_proven_parts(&parts, exchange);
+    }
+}
+
 impl Observer for SendObserver {
     fn decoded(&self, tokens: u32) {
         self.grant.record_decoded(tokens);
+        self.prove_parts(Instant::now());
     }
 
     fn first_token(&self, after: Duration) {
+        self.first_event_at.set(Some(Instant::now()));
         let total = self.elapsed_before_send + after;
         self.daemon.metrics.first_token.observe(total.as_secs_f64());
         self.grant.report(ReportKind::FirstToken { after });
@@ -355,6 +376,7 @@
         let now = Instant::now();
         let mut stream_progress = self.stream_progress.get();
         stream_progress.record_tokens(self.tokens_in_event, now);
+        self.prove_parts(now);
         self.stream_progress.set(stream_progress);
         if first {
             if let Some(record) = self.record {
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -29,6 +29,8 @@
 /// Size up to which an answer is held back until it is complete. Answers of plain services have a
 /// few kilobytes; longer ones are forwarded piece by piece.
 const HOLD_BACK_LIMIT: usize = 256 << 10;
+/// Time from the first event of an answer in which a target may crash under its prompt.
+pub const BEGINNING: Duration = Duration::from_secs(1);
 /// Size limit of the answer of a target that did not run the request. The answer is read so that
 /// the connection can be used again.
 const NOT_RUN_BODY_LIMIT: usize = 64 << 10;
@@ -97,7 +99,7 @@
 /// The part of the answer that was delivered to the caller.
 #[derive(Debug, Default)]
 pub struct Delivered {
-    /// When the first event of the last send came.
+    /// When the first event or token of the last send came, once that has ended.
     pub began_at: Option<Instant>,
     /// Set if the last answer was delimited by the end of its connection, which a crash causes as
     /// well.
@@ -140,7 +142,6 @@
         delivered: &mut Delivered,
     ) -> Result<()> {
         let sent_at = Instant::now();
-        delivered.began_at = None;
         let (head, body, connection) = self.exchange(outgoing).await?;
         if self.protocol.says_leaving(&head, outgoing) {
             self.observer.leaving();
@@ -309,7 +310,6 @@
                 }
                 self.buffer.set_head(forwarded_head(&head));
                 self.observer.event(event_count == 0, sent_at.elapsed());
-                delivered.began_at.get_or_insert_with(Instant::now);
                 event_count += 1;
                 delivered.record(event.id);
                 self.buffer.push(event.bytes);
@@ -329,6 +329,12 @@
 }
 
 impl Delivered {
+    /// Returns `true` if the target has gone on with the answer of the last send after its beginning.
+    #[must_use]
+    pub fn has_gone_on(&self) -> bool {
+        self.began_at.is_some_and(|at| at.elapsed() >= BEGINNING)
+    }
+
     /// Returns `true` if an event comes after all that were delivered. A target that resumes after
     /// an event may repeat it.
     fn is_next(&self, id: Option<&str>) -> bool {
