Streams: an answer that ends with its connection may be a crash

Cause: an answer with neither a length nor chunks ends with its connection, as a crash does. A stream without an event was passed on as complete, and no crash was recorded for it, nor for one that ended right after an event. Ruled out: to take each such end for a crash, as sound targets answer so too. Change: such a stream that ends before its first event is lost. If it ends within a second of its first event, the target is probed, and it counts as crashed if neither this daemon nor a peer reaches it any more.

--- a/crates/lilaccrankd/src/request/execution.rs
+++ b/crates/lilaccrankd/src/request/execution.rs
@@ -85,7 +85,7 @@
             let target = grant.target.clone();
             match self.send(grant).await {
                 Ok(()) => {
-                    routed.record_completion(daemon, &self.history.delivered);
+                    routed.record_completion(daemon, &target, &self.history.delivered);
                     return Ok(());
                 }
                 Err(SendError::Migrated(grant)) => {
--- a/crates/lilaccrankd/src/request/quarantine.rs
+++ b/crates/lilaccrankd/src/request/quarantine.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use lilaccrank::error_kind::ErrorKind;
-use lilaccrank::ids::ContentDigest;
+use lilaccrank::ids::{ContentDigest, PoolId};
 use lilaccrank::target_instance::TargetInstance;
 
 use crate::callers::refusal::{Refusal, Result};
@@ -66,32 +66,22 @@
         delivered: &Delivered,
         is_path_fault: bool,
     ) {
-        let content = self.content_digest();
-        let parts = match delivered.has_gone_on() {
-            true => Vec::new(),
-            false => self.caller.shared_parts.clone(),
-        };
-        let record = move |daemon: &Daemon, target: &TargetInstance| {
-            let (advisories, exchange) = (&daemon.advisories, &daemon.load_exchange);
-            advisories.record_crash(content, target, exchange);
-            advisories.record_part_crashes(&parts, target, exchange);
-        };
-        if !is_path_fault {
-            return record(daemon, target);
+        let in_flight = self.in_flight(delivered);
+        match is_path_fault {
+            true => record_unless_reached(daemon, &self.route.pool, target, in_flight),
+            false => in_flight.record_crash(daemon, target),
         }
-        let (daemon, pool, target) = (Rc::clone(daemon), self.route.pool.clone(), target.clone());
-        monoio::spawn(async move {
-            if !paths::is_reached_by_peer(&daemon, &pool, &target).await {
-                record(&daemon, &target);
-            }
-        });
     }
 
-    /// Records that a target completed the request.
-    pub fn record_completion(&self, daemon: &Daemon, delivered: &Delivered) {
-        // An answer that is delimited by its connection also ends this way if the target crashes.
+    /// Records that `target` completed the request.
+    pub fn record_completion(
+        &self,
+        daemon: &Rc<Daemon>,
+        target: &TargetInstance,
+        delivered: &Delivered,
+    ) {
         if delivered.ended_with_connection {
-            return;
+            return self.check_unframed_end(daemon, target, delivered);
         }
         let exchange = &daemon.load_exchange;
         let advisories = &daemon.advisories;
@@ -100,6 +90,71 @@
             advisories.record_proven_parts(&self.caller.shared_parts, exchange);
         }
     }
+
+    /// An answer that ends with its connection, soon after its beginning, also ends this way if the target
+    /// crashes. It counts as a crash if the target can't be reached any more.
+    fn check_unframed_end(
+        &self,
+        daemon: &Rc<Daemon>,
+        target: &TargetInstance,
+        delivered: &Delivered,
+    ) {
+        let is_stream = self.route.terms.stream;
+        if !is_stream || delivered.has_gone_on() || self.caller.shared_parts.is_empty() {
+            return;
+        }
+        let in_flight = self.in_flight(delivered);
+        let (daemon, pool, target) = (Rc::clone(daemon), self.route.pool.clone(), target.clone());
+        monoio::spawn(async move {
+            let Some(listed) = daemon.target(&pool, &target) else {
+                return;
+            };
+            if !paths::probe(&daemon, &pool, &listed).await {
+                record_unless_reached(&daemon, &pool, &target, in_flight);
+            }
+        });
+    }
+
+    fn in_flight(&self, delivered: &Delivered) -> InFlight {
+        let parts = match delivered.has_gone_on() {
+            true => Vec::new(),
+            false => self.caller.shared_parts.clone(),
+        };
+        InFlight {
+            content: self.content_digest(),
+            parts,
+        }
+    }
+}
+
+/// What was in flight at a target that may have crashed.
+struct InFlight {
+    content: ContentDigest,
+    /// Parts of a prompt whose answer was about to begin or had just begun.
+    parts: Vec<ContentDigest>,
+}
+
+impl InFlight {
+    fn record_crash(&self, daemon: &Daemon, target: &TargetInstance) {
+        let (advisories, exchange) = (&daemon.advisories, &daemon.load_exchange);
+        advisories.record_crash(self.content, target, exchange);
+        advisories.record_part_crashes(&self.parts, target, exchange);
+    }
+}
+
+/// Records a crash of a target that this daemon can't connect to, unless a peer can.
+fn record_unless_reached(
+    daemon: &Rc<Daemon>,
+    pool: &PoolId,
+    target: &TargetInstance,
+    in_flight: InFlight,
+) {
+    let (daemon, pool, target) = (Rc::clone(daemon), pool.clone(), target.clone());
+    monoio::spawn(async move {
+        if !paths::is_reached_by_peer(&daemon, &pool, &target).await {
+            in_flight.record_crash(&daemon, &target);
+        }
+    });
 }
 
 fn quarantined_part(part: ContentDigest) -> Refusal {
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -323,6 +323,9 @@
             truncated.refusal.connection_lost = ends_with_connection(&head);
             return Err(truncated);
         }
+        if event_count == 0 && ends_with_connection(&head) {
+            return Err(delivered.lost("the stream ended before its first event"));
+        }
         self.buffer.set_head(forwarded_head(&head));
         Ok(())
     }
