Slot leases: each has an id of its own, and a request tries two targets before it waits

Cause: the id of a lease was that of its request. One that gave up waiting and asked the same target again lost the new lease by the withdrawal of the old one, and ran without a lease. Change: ids are unique by a count. A request is declined at two full targets before it waits at one, since another one may have a free slot that its dispatcher does not know of.

--- a/crates/lilaccrank/src/slot_leases.rs
+++ b/crates/lilaccrank/src/slot_leases.rs
@@ -28,8 +28,8 @@
 const ROOM_LIFETIME: Duration = Duration::from_secs(60);
 /// Longest term of a lease. A holder that has lost its release returns the slot by then.
 const MAX_TERM: Duration = Duration::from_secs(600);
-/// Hint to a holder that finds too many others waiting.
-const CROWDED_RETRY: Duration = Duration::from_millis(50);
+/// Time after which a holder may ask again for a slot of a full target.
+const FULL_RETRY: Duration = Duration::from_millis(20);
 
 /// Requests a lease, or registers a request that runs already.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -42,6 +42,8 @@
     pub is_running: bool,
     /// Requests that the target can turn away in a second.
     pub limit: u32,
+    /// Set if the request may wait for a slot.
+    pub may_wait: bool,
     /// Order among the requests that wait.
     pub priority: Priority,
     /// Slots of the target.
@@ -142,8 +144,8 @@
             slots.lease(req, now);
             return Decision::Granted;
         }
-        if slots.waiting.len() >= slots.slots as usize {
-            return Decision::Declined(CROWDED_RETRY);
+        if !req.may_wait || slots.waiting.len() >= slots.slots as usize {
+            return Decision::Declined(FULL_RETRY);
         }
         slots.waiting.push(req.clone());
         Decision::Queued
--- a/crates/lilaccrank/tests/suite/brittle.rs
+++ b/crates/lilaccrank/tests/suite/brittle.rs
@@ -26,6 +26,7 @@
         id,
         is_running: false,
         limit: 3,
+        may_wait: true,
         priority: Priority::default(),
         slots: SLOTS,
         target: TARGET,
--- a/crates/lilaccrankd/src/pools/client.rs
+++ b/crates/lilaccrankd/src/pools/client.rs
@@ -28,6 +28,8 @@
 /// Interval at which a submission without a verdict is repeated. A verdict may be lost with a
 /// connection that dies; a repeated submission with the same number gets the same verdict.
 const SUBMIT_RETRY_INTERVAL: Duration = Duration::from_secs(3);
+/// Brittle targets that are tried before a request waits for a slot of one.
+const ATTEMPTS_WITHOUT_WAIT: u32 = 2;
 /// Delay before another attempt to reach a dispatcher, since the members may be about to change.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -39,6 +41,7 @@
     submission: Submission,
 ) -> Result<HeldGrant, Refuse> {
     let began = Instant::now();
+    let mut attempt = 0;
     loop {
         let remaining = submission.after(began.elapsed());
         let (request, priority) = (remaining.request.clone(), remaining.priority());
@@ -48,6 +51,7 @@
         let grant = submit_once(daemon, pool, remaining).await?;
         let claimant = Claimant {
             deadline,
+            may_wait: attempt >= ATTEMPTS_WITHOUT_WAIT,
             pool,
             priority,
             request: &request,
@@ -61,6 +65,7 @@
         if !daemon.duties.is_dispatch_local() {
             monoio::time::sleep(retry_after).await;
         }
+        attempt += 1;
     }
 }
 
--- a/crates/lilaccrankd/src/pools/client/outstanding.rs
+++ b/crates/lilaccrankd/src/pools/client/outstanding.rs
@@ -56,6 +56,7 @@
     pub fn claimant(&self) -> Claimant<'_> {
         Claimant {
             deadline: self.deadline,
+            may_wait: false,
             pool: &self.pool,
             priority: self.priority,
             request: &self.request,
--- a/crates/lilaccrankd/src/pools/slot_leases.rs
+++ b/crates/lilaccrankd/src/pools/slot_leases.rs
@@ -1,6 +1,6 @@
 //! Leases on the slots of brittle targets, at their holders: the daemons that own the requests.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -41,12 +41,14 @@
 /// Leases that this daemon holds or waits for.
 #[derive(Default)]
 pub struct SlotLeases {
-    leases: RefCell<IndexMap<LeaseId, Lease>>,
+    count: Cell<u64>,
+    leases: RefCell<IndexMap<RequestId, Lease>>,
 }
 
 struct Lease {
     arbiter: VmId,
     granted: Option<oneshot::Sender<()>>,
+    id: LeaseId,
     target: InstanceDigest,
 }
 
@@ -60,11 +62,21 @@
     pub priority: Priority,
     /// Id of the request.
     pub request: &'a RequestId,
+    /// Set if it may wait for a slot of the target. Others may have free ones.
+    pub may_wait: bool,
     /// The target.
     pub target: &'a TargetInstance,
 }
 
 impl SlotLeases {
+    /// Id of a new lease. A request that asks again after it has given up waiting must not lose the new
+    /// lease by its withdrawal of the old one.
+    fn next_id(&self, request: &RequestId) -> LeaseId {
+        let number = self.count.get() + 1;
+        self.count.set(number);
+        xxh3::xxh3_64_with_seed(request.as_bytes(), number)
+    }
+
     fn count(&self, target: InstanceDigest) -> u32 {
         let leases = self.leases.borrow();
         let on_target = leases.values().filter(|lease| lease.target == target);
@@ -75,7 +87,8 @@
     /// way to the arbiter.
     fn grant(&self, id: LeaseId) {
         let mut leases = self.leases.borrow_mut();
-        if let Some(tx) = leases.get_mut(&id).and_then(|lease| lease.granted.take()) {
+        let lease = leases.values_mut().find(|lease| lease.id == id);
+        if let Some(tx) = lease.and_then(|lease| lease.granted.take()) {
             // The receiver may have been dropped, and returns the lease then.
             let _ = tx.send(());
         }
@@ -83,10 +96,6 @@
 }
 
 impl Claimant<'_> {
-    fn id(&self) -> LeaseId {
-        lease_id(self.request)
-    }
-
     /// Builds the message to the arbiter; `None` if the target is sound.
     fn lease_request(&self, daemon: &Daemon, is_running: bool) -> Option<LeaseRequest> {
         let digest = self.target.digest();
@@ -95,9 +104,10 @@
         let now = Instant::now();
         Some(LeaseRequest {
             holder: daemon.duties.me(),
-            id: self.id(),
+            id: daemon.slot_leases.next_id(self.request),
             is_running,
             limit,
+            may_wait: self.may_wait,
             priority: self.priority,
             slots: target.slots,
             target: digest,
@@ -108,10 +118,6 @@
     }
 }
 
-fn lease_id(request: &RequestId) -> LeaseId {
-    xxh3::xxh3_64(request.as_bytes())
-}
-
 /// Acquires a lease for a request that has been granted this target. Sound targets need none.
 ///
 /// # Errors
@@ -127,9 +133,15 @@
     let lease = Lease {
         arbiter: arbiter.clone(),
         granted: Some(tx),
+        id,
         target,
     };
-    daemon.slot_leases.leases.borrow_mut().insert(id, lease);
+    let request = claimant.request.clone();
+    daemon
+        .slot_leases
+        .leases
+        .borrow_mut()
+        .insert(request, lease);
     let deciding = request_lease(daemon, &arbiter, req);
     let decision = monoio::time::timeout(DECISION_TIMEOUT, deciding).await;
     let decision = decision.ok().flatten();
@@ -172,11 +184,10 @@
 
 /// Ends a request that may hold a lease.
 pub fn end(daemon: &Rc<Daemon>, request: &RequestId, is_turned_away: bool) {
-    let id = lease_id(request);
-    let lease = daemon.slot_leases.leases.borrow_mut().swap_remove(&id);
+    let lease = daemon.slot_leases.leases.borrow_mut().swap_remove(request);
     if let Some(lease) = lease {
         let release = Release {
-            id,
+            id: lease.id,
             is_turned_away,
             target: lease.target,
         };
@@ -205,16 +216,17 @@
         };
         let arbiter = arbiter::arbiter_of(daemon, req.target);
         let mut leases = daemon.slot_leases.leases.borrow_mut();
-        let known = leases.get(&req.id);
+        let known = leases.get(claimant.request);
         if known.is_some_and(|lease| lease.arbiter == arbiter || lease.granted.is_some()) {
             continue;
         }
         let lease = Lease {
             arbiter: arbiter.clone(),
             granted: None,
+            id: req.id,
             target: req.target,
         };
-        leases.insert(req.id, lease);
+        leases.insert(claimant.request.clone(), lease);
         drop(leases);
         let daemon = Rc::clone(daemon);
         monoio::spawn(async move { request_lease(&daemon, &arbiter, req).await });
