Operators can list and lift quarantines

What callers saw: a quarantine lapses after ten minutes and not sooner, also when its cause is gone. With parts of prompts one quarantine concerns more requests than before. Change: `lilaccrank quarantine list` and `lift DIGEST`, `/v1/quarantines` of the admin API. A lift is told to all daemons as a completion is, so that older crashes and the record in the store don't bring it back. A lift on a running cluster has no test.

--- a/crates/lilaccrank-cli/src/args.rs
+++ b/crates/lilaccrank-cli/src/args.rs
@@ -8,7 +8,7 @@
 use crate::address::Address;
 use crate::context::Context;
 use crate::error::{Error, Result};
-use crate::{completions, drain, explain, rules, send, status, timeline};
+use crate::{completions, drain, explain, quarantine, rules, send, status, timeline};
 
 /// Where a daemon serves operators unless its settings say otherwise.
 const DEFAULT_ADMIN: &str = "http://127.0.0.1:7401";
@@ -49,6 +49,7 @@
     Completions(completions::Args),
     Drain(drain::Args),
     Explain(explain::Args),
+    Quarantine(quarantine::Args),
     Rules(rules::Args),
     Send(send::Args),
     Status(status::Args),
@@ -88,6 +89,7 @@
             Self::Completions(args) => args.run(),
             Self::Drain(args) => args.run(cx).await,
             Self::Explain(args) => args.run(cx).await,
+            Self::Quarantine(args) => args.run(cx).await,
             Self::Rules(args) => args.run(cx).await,
             Self::Send(args) => args.run(cx).await,
             Self::Status(args) => args.run(cx).await,
--- a/crates/lilaccrank-cli/src/main.rs
+++ b/crates/lilaccrank-cli/src/main.rs
@@ -15,6 +15,7 @@
 mod instant;
 mod output;
 mod publication;
+mod quarantine;
 mod rules;
 mod send;
 mod status;
--- a/crates/lilaccrank-cli/tests/suite.rs
+++ b/crates/lilaccrank-cli/tests/suite.rs
@@ -10,6 +10,8 @@
 mod explain;
 #[path = "suite/publish.rs"]
 mod publish;
+#[path = "suite/quarantine.rs"]
+mod quarantine;
 #[path = "suite/rules.rs"]
 mod rules;
 #[path = "suite/store.rs"]
--- a/crates/lilaccrank/src/operators.rs
+++ b/crates/lilaccrank/src/operators.rs
@@ -53,6 +53,30 @@
     pub unresponsive: Vec<VmId>,
 }
 
+/// Request to lift a quarantine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct LiftRequest {
+    /// Digest of the content or the part, in hexadecimal.
+    pub digest: String,
+}
+
+/// Quarantines that hold. All of their requests are refused.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Quarantines {
+    /// Those that this daemon knows.
+    pub entries: Vec<QuarantineEntry>,
+}
+
+/// One quarantine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QuarantineEntry {
+    /// Digest of the content or the part, in hexadecimal.
+    pub digest: String,
+    /// Milliseconds until it lapses.
+    pub left_ms: u64,
+}
+
 /// The current configuration and those that it was derived from.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct History {
--- a/crates/lilaccrank/src/operators/path.rs
+++ b/crates/lilaccrank/src/operators/path.rs
@@ -10,6 +10,8 @@
 pub const LEAVE: &str = "/v1/leave";
 /// `POST` orders a target to load a model or to change its role.
 pub const ORDERS: &str = "/v1/orders";
+/// `GET` lists quarantines, `POST` lifts one.
+pub const QUARANTINES: &str = "/v1/quarantines";
 /// `GET` tells how the daemon is.
 pub const STATUS: &str = "/v1/status";
 /// `POST` asks for events.
--- a/crates/lilaccrankd/src/admin.rs
+++ b/crates/lilaccrankd/src/admin.rs
@@ -26,6 +26,7 @@
 pub mod metrics;
 mod orders;
 mod publication;
+mod quarantines;
 mod reports;
 
 use error::Result;
@@ -82,6 +83,11 @@
         }
         (&Method::GET, path::HISTORY) => json::reply(&configuration::history(daemon).await?),
         (&Method::POST, path::LEAVE) => json::reply(&leave(daemon, signals)),
+        (&Method::GET, path::QUARANTINES) => json::reply(&quarantines::list(daemon)),
+        (&Method::POST, path::QUARANTINES) => {
+            let payload = json::read(daemon, incoming).await?;
+            json::reply(&quarantines::lift(daemon, &operator.id, &payload)?)
+        }
         (&Method::GET, path::STATUS) => json::reply(&status(daemon)?),
         (&Method::POST, path::TIMELINE) => {
             let query = json::read(daemon, incoming).await?;
--- a/crates/lilaccrankd/src/peers/advisories.rs
+++ b/crates/lilaccrankd/src/peers/advisories.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Lifts a quarantine, as a completion does.
+    pub fn lift(&self, content: ContentDigest, exchange: &LoadExchange) {
+        self.record(Fact::Completed { content }, exchange);
+    }
+
     /// Signal of new crashes.
     pub fn crashes(&self) -> &ChangeSignal {
         &self.crashes
