Cells: a daemon that takes most requests uses targets of other cells

What callers see: refusals while most targets are idle, when the platform hands nearly all connections to one daemon of a large fleet. Cause: a daemon grants targets of its cell only, an eighth of them where there are eight cells. Class: a part of a whole that is too small for one daemon that takes nearly all; the slots of brittle targets were another case. Ruled out: to hand requests on to daemons of other cells (a hop for each answer); cells without a border (loads told to all). Change: a daemon that by itself runs half of the slots of its cell uses up to 64 targets of other cells too, until it has been below a quarter for five seconds. Targets that advertise a rate are left out, since their cells share it out. Brittle ones are leased out by their arbiter as ever. Fleets of one cell are not concerned.

--- a/crates/lilaccrank/src/cells.rs
+++ b/crates/lilaccrank/src/cells.rs
@@ -31,6 +31,8 @@
 const MIN_OWN_OF_VERSION: usize = 2;
 /// Number of targets of other cells that a daemon uses to resume streams of one version.
 const SPARE_TARGETS: usize = 3;
+/// Number of targets of other cells that a daemon uses when those of its cell don't suffice.
+const OVERFLOW_TARGETS: usize = 64;
 /// Rendezvous key that elects the representative of a cell.
 const REPRESENTATIVE_KEY: &str = "cell/speaker";
 /// Rendezvous key by which daemons and targets are ordered before they are partitioned.
@@ -193,6 +195,20 @@
     spare.cloned().collect()
 }
 
+/// Returns targets of other cells than the `own` one, for a daemon that takes so many requests that its
+/// cell's targets don't suffice. Daemons get different ones.
+#[must_use]
+pub fn overflow_targets(all: &[Target], own: &[Target], me: &VmId) -> Vec<Target> {
+    let own: IndexSet<TargetInstance> = own.iter().map(TargetInstance::of).collect();
+    let others = all.iter().filter(|target| {
+        target.state == TargetState::Live && !own.contains(&TargetInstance::of(target))
+    });
+    let mut others: Vec<Target> = others.cloned().collect();
+    sort_by_daemon_hash(&mut others, me);
+    others.truncate(OVERFLOW_TARGETS);
+    others
+}
+
 /// Returns the largest power of two by which `all` can be divided into parts of at least
 /// `min_size`, or 1 if `all` is too small.
 fn max_partitions(all: usize, min_size: usize) -> usize {
--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -251,6 +251,12 @@
         self.state.borrow().status(self.clock.now())
     }
 
+    /// Number of granted requests that have not ended.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.state.borrow().active_grants.len()
+    }
+
     /// Number of submissions in the queue.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/crates/lilaccrank/tests/suite/cells.rs
+++ b/crates/lilaccrank/tests/suite/cells.rs
@@ -144,3 +144,16 @@
         assert!(spare.iter().all(|target| is_rare(&target)));
     }
 }
+
+// Guards against a daemon that counts targets of its own cell twice, and against a list that grows with the
+// fleet.
+#[test]
+fn overflow_targets_are_a_bounded_part_of_those_of_other_cells() {
+    let all = targets(200);
+    let own = &all[..20];
+    let overflow = cells::overflow_targets(&all, own, &"vm1".to_owned());
+    assert_eq!(overflow.len(), 64);
+    assert!(overflow.iter().all(|target| !own.contains(target)));
+    let few = cells::overflow_targets(&all[..30], own, &"vm1".to_owned());
+    assert_eq!(few.len(), 10);
+}
--- a/crates/lilaccrankd/src/peers/load_exchange.rs
+++ b/crates/lilaccrankd/src/peers/load_exchange.rs
@@ -145,6 +145,7 @@
         server::apply_leaving(&daemon);
         server::apply_rate_limits(&daemon);
         server::apply_brittle(&daemon);
+        server::apply_overflow(&daemon);
         if !is_needed(&daemon) {
             continue;
         }
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -35,12 +35,14 @@
 
 mod brittle;
 mod notices;
+mod overflow;
 
 pub use notices::{
     apply_brittle, apply_leaving, apply_rate_limits, apply_routes, hold, owned_slots, push_back,
 };
 
 use brittle::BrittleTargets;
+use overflow::Overflow;
 
 /// Longest time that a new dispatcher waits for the entries to report their requests.
 const HANDOVER_GRACE: Duration = Duration::from_secs(1);
@@ -78,6 +80,7 @@
     /// The dispatcher.
     pub dispatcher: Dispatcher<MonoioClock>,
     me: MemberRef,
+    overflow: Overflow,
     pool: PoolId,
     retired: Cell<bool>,
     retire_event: Event,
@@ -261,13 +264,15 @@
             waiting_limit: configured.waiting_limit,
         },
     );
-    set_targets(daemon, &dispatcher, configured);
+    let overflow = Overflow::default();
+    set_targets(daemon, &dispatcher, &overflow, configured);
     if !daemon.duties.is_dispatch_local() {
         dispatcher.begin_handover(live_entries(daemon), HANDOVER_GRACE);
     }
     let served = Rc::new(ServedPool {
         dispatcher,
         me,
+        overflow,
         pool: pool.clone(),
         retired: Cell::new(false),
         retire_event: Event::new(),
@@ -375,14 +380,19 @@
             served.retire();
             return false;
         };
-        set_targets(daemon, &served.dispatcher, configured);
+        set_targets(daemon, &served.dispatcher, &served.overflow, configured);
         true
     });
 }
 
 /// Sets the targets of a dispatcher: those of the cell, out of the targets in this data centre and
-/// in data centres that act as one with it.
-fn set_targets(daemon: &Daemon, dispatcher: &Dispatcher<MonoioClock>, configured: &Pool) {
+/// in data centres that act as one with it. A daemon with most of the requests uses some of other cells.
+fn set_targets(
+    daemon: &Daemon,
+    dispatcher: &Dispatcher<MonoioClock>,
+    overflow: &Overflow,
+    configured: &Pool,
+) {
     let mut pool = Pool {
         targets: near_targets(daemon, configured),
         ..configured.clone()
@@ -390,6 +400,10 @@
     let near = pool.targets.clone();
     cell(daemon).retain_targets(&mut pool.targets);
     let spare = cells::spare_targets(&near, &pool.targets, &daemon.cfg.vm);
+    overflow.set_cell_slots(pool.targets.iter().map(|target| target.slots).sum());
+    if overflow.is_active() {
+        pool.targets.extend(overflow_targets(daemon, &near, &pool));
+    }
     if daemon.duties.is_dispatch_local() {
         cells::sort_by_daemon_hash(&mut pool.targets, &daemon.cfg.vm);
     }
@@ -403,6 +417,14 @@
     }
 }
 
+/// Targets of other cells without an advertised rate, which their cells use up.
+fn overflow_targets(daemon: &Daemon, near: &[Target], pool: &Pool) -> Vec<Target> {
+    let limited = daemon.advisories.rate_limits();
+    let mut targets = cells::overflow_targets(near, &pool.targets, &daemon.cfg.vm);
+    targets.retain(|target| !limited.contains_key(&TargetInstance::of(target).digest()));
+    targets
+}
+
 /// Targets of a pool in this data centre and in data centres that act as one with it.
 pub(super) fn near_targets(daemon: &Daemon, configured: &Pool) -> Vec<Target> {
     let mut targets = daemon.live_list.apply(configured).targets;
@@ -413,6 +435,30 @@
     targets
 }
 
+/// Begins or ends to use targets of other cells, where each daemon dispatches its own requests.
+pub fn apply_overflow(daemon: &Rc<Daemon>) {
+    if !daemon.duties.is_dispatch_local() || cell(daemon).id().count < 2 {
+        return;
+    }
+    let now = Instant::now();
+    let mut has_changed = false;
+    for served in daemon.pool_server.served.borrow().values() {
+        let running = u32::try_from(served.dispatcher.running()).unwrap_or(u32::MAX);
+        if served.overflow.update(running, now) {
+            has_changed = true;
+            log::info!(
+                is_active = served.overflow.is_active(),
+                pool = served.pool.as_str(),
+                running = running;
+                "use of targets of other cells changed"
+            );
+        }
+    }
+    if has_changed {
+        configuration_changed(daemon);
+    }
+}
+
 /// Targets of all pools that this daemon may send to.
 pub fn sendable_targets(daemon: &Daemon) -> Vec<(PoolId, Target)> {
     let Ok(in_force) = daemon.in_force() else {
