Slot leases: those that were granted at once are registered with a new arbiter too

What callers would see: a brittle target gets more than its slots after a change of its arbiter. Cause: a lease kept the mark that its request waits if the arbiter granted it at once, and was left out when the holders registered. The same for leases under an earlier incarnation of a daemon that was taken for dead and refuted it. Found by reading. Change: the mark is taken off, and a lease knows its holder's incarnation.

--- a/crates/lilaccrankd/src/pools/slot_leases.rs
+++ b/crates/lilaccrankd/src/pools/slot_leases.rs
@@ -9,7 +9,7 @@
 use lilaccrank::dispatch::queue::Priority;
 use lilaccrank::ids::{PoolId, RequestId, VmId};
 use lilaccrank::peers::Peers;
-use lilaccrank::request_key::Ranking;
+use lilaccrank::request_key::{MemberRef, Ranking};
 use lilaccrank::slot_leases::{Decision, LeaseId, LeaseRequest, Release};
 use lilaccrank::target_instance::{InstanceDigest, TargetInstance};
 use xxhash_rust::xxh3;
@@ -47,7 +47,10 @@
 
 struct Lease {
     arbiter: VmId,
+    /// Set while the request waits for the lease.
     granted: Option<oneshot::Sender<()>>,
+    /// This daemon, as the arbiter knows it.
+    holder: MemberRef,
     id: LeaseId,
     target: InstanceDigest,
 }
@@ -133,6 +136,7 @@
     let lease = Lease {
         arbiter: arbiter.clone(),
         granted: Some(tx),
+        holder: req.holder.clone(),
         id,
         target,
     };
@@ -146,13 +150,19 @@
     let decision = monoio::time::timeout(DECISION_TIMEOUT, deciding).await;
     let decision = decision.ok().flatten();
     let retry_after = match decision {
-        Some(Decision::Granted) => return Ok(()),
+        Some(Decision::Granted) => {
+            daemon.slot_leases.grant(id);
+            return Ok(());
+        }
         Some(Decision::Queued) => match monoio::time::timeout(QUEUE_TIMEOUT, rx).await {
             Ok(Ok(())) => return Ok(()),
             _ => FULL_TARGET_RETRY,
         },
         Some(Decision::Declined(retry_after)) => retry_after,
-        None if is_own_slot_free(daemon, claimant) => return Ok(()),
+        None if is_own_slot_free(daemon, claimant) => {
+            daemon.slot_leases.grant(id);
+            return Ok(());
+        }
         None => SILENT_ARBITER_RETRY,
     };
     log::info!(
@@ -217,12 +227,14 @@
         let arbiter = arbiter::arbiter_of(daemon, req.target);
         let mut leases = daemon.slot_leases.leases.borrow_mut();
         let known = leases.get(claimant.request);
-        if known.is_some_and(|lease| lease.arbiter == arbiter || lease.granted.is_some()) {
+        let is_registered = |lease: &Lease| lease.arbiter == arbiter && lease.holder == req.holder;
+        if known.is_some_and(|lease| lease.granted.is_some() || is_registered(lease)) {
             continue;
         }
         let lease = Lease {
             arbiter: arbiter.clone(),
             granted: None,
+            holder: req.holder.clone(),
             id: req.id,
             target: req.target,
         };
