Slot leases: a cancelled request keeps its slot until the target has noticed

What callers would see: rejections by brittle targets, and a fall where many callers leave at once. Cause: the lease was returned when the request was cancelled, before the target had seen the end of its connection. Change: a lease of a cancelled request is returned 50 ms later.

--- a/crates/lilaccrankd/src/pools/client/held_grant.rs
+++ b/crates/lilaccrankd/src/pools/client/held_grant.rs
@@ -99,7 +99,7 @@
             prefill,
         });
         self.daemon.pool_client.remove(&self.request);
-        slot_leases::end(&self.daemon, &self.request, outcome == Outcome::TurnedAway);
+        slot_leases::end(&self.daemon, &self.request, outcome);
     }
 }
 
--- a/crates/lilaccrankd/src/pools/slot_leases.rs
+++ b/crates/lilaccrankd/src/pools/slot_leases.rs
@@ -6,6 +6,7 @@
 
 use futures::channel::oneshot;
 use indexmap::IndexMap;
+use lilaccrank::dispatch::message::Outcome;
 use lilaccrank::dispatch::queue::Priority;
 use lilaccrank::ids::{PoolId, RequestId, VmId};
 use lilaccrank::peers::Peers;
@@ -33,6 +34,8 @@
 const SILENT_ARBITER_RETRY: Duration = Duration::from_millis(100);
 /// Time for which a target gets no more requests of this daemon after one has waited in vain.
 const FULL_TARGET_RETRY: Duration = Duration::from_millis(20);
+/// Time in which a target notices that a request was cancelled and frees its slot.
+const CANCELLATION_TIME: Duration = Duration::from_millis(50);
 /// Attempts to deliver a release. A lost one holds the slot until the lease expires.
 const RELEASE_ATTEMPTS: u32 = 3;
 /// Delay between two attempts.
@@ -173,7 +176,7 @@
         target = claimant.target.id.as_str();
         "no slot of a brittle target is free"
     );
-    end(daemon, claimant.request, false);
+    end(daemon, claimant.request, Outcome::Unused);
     Err(retry_after)
 }
 
@@ -193,19 +196,24 @@
 }
 
 /// Ends a request that may hold a lease.
-pub fn end(daemon: &Rc<Daemon>, request: &RequestId, is_turned_away: bool) {
+pub fn end(daemon: &Rc<Daemon>, request: &RequestId, outcome: Outcome) {
     let lease = daemon.slot_leases.leases.borrow_mut().swap_remove(request);
     if let Some(lease) = lease {
         let release = Release {
             id: lease.id,
-            is_turned_away,
+            is_turned_away: outcome == Outcome::TurnedAway,
             target: lease.target,
         };
-        monoio::spawn(deliver(Rc::clone(daemon), lease.arbiter, release));
+        let delay = match outcome {
+            Outcome::Cancelled => CANCELLATION_TIME,
+            _ => Duration::ZERO,
+        };
+        monoio::spawn(deliver(Rc::clone(daemon), lease.arbiter, release, delay));
     }
 }
 
-async fn deliver(daemon: Rc<Daemon>, arbiter: VmId, release: Release) {
+async fn deliver(daemon: Rc<Daemon>, arbiter: VmId, release: Release, delay: Duration) {
+    monoio::time::sleep(delay).await;
     for _ in 0..RELEASE_ATTEMPTS {
         let message = SlotRequest::Release(release.clone());
         if call(&daemon, &arbiter, message).await.is_some() {
