Slot leases: an arbiter takes registrations before it knows that it is one

What callers would see: a brittle target gets more than its slots after a change of its arbiter. Cause: a holder that learns of the change first registers what runs with a daemon that does not think it is the arbiter yet, which declined; the holder did not try again. Found by reading. Change: what runs already is always taken.

--- a/crates/lilaccrankd/src/pools/slot_leases/arbiter.rs
+++ b/crates/lilaccrankd/src/pools/slot_leases/arbiter.rs
@@ -85,7 +85,8 @@
 
 fn decide(daemon: &Rc<Daemon>, req: &LeaseRequest) -> Decision {
     let me = &daemon.cfg.vm;
-    if arbiter_of(daemon, req.target) != *me {
+    // A holder may know of the change of the arbiter before this daemon does.
+    if !req.is_running && arbiter_of(daemon, req.target) != *me {
         return Decision::Declined(NOT_ARBITER_RETRY);
     }
     let now = Instant::now();
