--- a/crates/lilaccrank/src/slot_leases.rs
+++ b/crates/lilaccrank/src/slot_leases.rs
@@ -17,7 +17,7 @@
 use crate::request_key::MemberRef;
 use crate::target_instance::InstanceDigest;
 
-/// Digest of the id of the request that holds a lease.
+/// Identifies a lease, or a request for one.
 pub type LeaseId = u64;
 
 /// Time in which a target counts the requests that it turns away.
--- a/crates/lilaccrankd/src/pools/slot_leases/arbiter.rs
+++ b/crates/lilaccrankd/src/pools/slot_leases/arbiter.rs
@@ -25,7 +25,7 @@
 /// Leases on the targets that this daemon arbitrates.
 pub struct ArbiterState {
     arbiter: RefCell<Arbiter>,
-    /// Members until a time, while that is shorter than [`SETTLE_TIME`] ago.
+    /// Earlier members with the time at which each list was replaced, for [`SETTLE_TIME`].
     earlier_members: RefCell<Vec<(Instant, Vec<VmId>)>>,
     members: RefCell<Vec<VmId>>,
 }
@@ -46,11 +46,13 @@
     /// arbiter.
     fn settled_at(&self, target: InstanceDigest, me: &VmId, now: Instant) -> Option<Instant> {
         let mut earlier = self.earlier_members.borrow_mut();
-        earlier.retain(|(until, _)| now < *until + SETTLE_TIME);
+        earlier.retain(|(replaced_at, _)| now < *replaced_at + SETTLE_TIME);
         let others = earlier
             .iter()
             .filter(|(_, members)| owner(target, members) != Some(me));
-        others.map(|(until, _)| *until + SETTLE_TIME).max()
+        others
+            .map(|(replaced_at, _)| *replaced_at + SETTLE_TIME)
+            .max()
     }
 }
 
--- a/crates/lilaccrankd/src/request/quarantine.rs
+++ b/crates/lilaccrankd/src/request/quarantine.rs
@@ -28,17 +28,14 @@
     /// [`ErrorKind::Quarantined`] if too many targets crashed while they ran the same content, or
     /// prompts with the same part.
     pub fn check_quarantine(&self, daemon: &Daemon) -> Result<()> {
-        let remaining = |digest: &dyn Fn() -> ContentDigest| {
-            let advisories = &daemon.advisories;
-            advisories.quarantine_remaining(digest)
-        };
-        if let Some(remaining) = remaining(&|| self.content_digest()) {
+        let advisories = &daemon.advisories;
+        if let Some(remaining) = advisories.quarantine_remaining(|| self.content_digest()) {
             let content_digest = self.content_digest();
             let message = format!("targets crashed under the same request, {content_digest:016x}");
             return Err(Refusal::new(ErrorKind::Quarantined, message).retry_after(remaining));
         }
         for part in &self.caller.shared_parts {
-            if let Some(remaining) = remaining(&|| *part) {
+            if let Some(remaining) = advisories.quarantine_remaining(|| *part) {
                 return Err(quarantined_part(*part).retry_after(remaining));
             }
         }
