--- a/crates/lilaccrankd/src/pools/slot_leases.rs
+++ b/crates/lilaccrankd/src/pools/slot_leases.rs
@@ -204,16 +204,17 @@
             is_turned_away: outcome == Outcome::TurnedAway,
             target: lease.target,
         };
-        let delay = match outcome {
-            Outcome::Cancelled => CANCELLATION_TIME,
-            _ => Duration::ZERO,
-        };
-        monoio::spawn(deliver(Rc::clone(daemon), lease.arbiter, release, delay));
+        let daemon = Rc::clone(daemon);
+        monoio::spawn(async move {
+            if outcome == Outcome::Cancelled {
+                monoio::time::sleep(CANCELLATION_TIME).await;
+            }
+            deliver(daemon, lease.arbiter, release).await;
+        });
     }
 }
 
-async fn deliver(daemon: Rc<Daemon>, arbiter: VmId, release: Release, delay: Duration) {
-    monoio::time::sleep(delay).await;
+async fn deliver(daemon: Rc<Daemon>, arbiter: VmId, release: Release) {
     for _ in 0..RELEASE_ATTEMPTS {
         let message = SlotRequest::Release(release.clone());
         if call(&daemon, &arbiter, message).await.is_some() {
