--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -40,6 +40,7 @@
 pub use notices::{
     apply_brittle, apply_leaving, apply_rate_limits, apply_routes, hold, owned_slots, push_back,
 };
+pub use overflow::apply_overflow;
 
 use brittle::BrittleTargets;
 use overflow::Overflow;
@@ -402,7 +403,7 @@
     let spare = cells::spare_targets(&near, &pool.targets, &daemon.cfg.vm);
     overflow.set_cell_slots(pool.targets.iter().map(|target| target.slots).sum());
     if overflow.is_active() {
-        pool.targets.extend(overflow_targets(daemon, &near, &pool));
+        pool.targets.extend(overflow::targets(daemon, &near, &pool));
     }
     if daemon.duties.is_dispatch_local() {
         cells::sort_by_daemon_hash(&mut pool.targets, &daemon.cfg.vm);
@@ -417,14 +418,6 @@
     }
 }
 
-/// Targets of other cells without an advertised rate, which their cells use up.
-fn overflow_targets(daemon: &Daemon, near: &[Target], pool: &Pool) -> Vec<Target> {
-    let limited = daemon.advisories.rate_limits();
-    let mut targets = cells::overflow_targets(near, &pool.targets, &daemon.cfg.vm);
-    targets.retain(|target| !limited.contains_key(&TargetInstance::of(target).digest()));
-    targets
-}
-
 /// Targets of a pool in this data centre and in data centres that act as one with it.
 pub(super) fn near_targets(daemon: &Daemon, configured: &Pool) -> Vec<Target> {
     let mut targets = daemon.live_list.apply(configured).targets;
@@ -435,30 +428,6 @@
     targets
 }
 
-/// Begins or ends to use targets of other cells, where each daemon dispatches its own requests.
-pub fn apply_overflow(daemon: &Rc<Daemon>) {
-    if !daemon.duties.is_dispatch_local() || cell(daemon).id().count < 2 {
-        return;
-    }
-    let now = Instant::now();
-    let mut has_changed = false;
-    for served in daemon.pool_server.served.borrow().values() {
-        let running = u32::try_from(served.dispatcher.running()).unwrap_or(u32::MAX);
-        if served.overflow.update(running, now) {
-            has_changed = true;
-            log::info!(
-                is_active = served.overflow.is_active(),
-                pool = served.pool.as_str(),
-                running = running;
-                "use of targets of other cells changed"
-            );
-        }
-    }
-    if has_changed {
-        configuration_changed(daemon);
-    }
-}
-
 /// Targets of all pools that this daemon may send to.
 pub fn sendable_targets(daemon: &Daemon) -> Vec<(PoolId, Target)> {
     let Ok(in_force) = daemon.in_force() else {
--- a/crates/lilaccrankd/src/pools/server/overflow.rs
+++ b/crates/lilaccrankd/src/pools/server/overflow.rs
@@ -4,8 +4,15 @@
 //! those of other cells are idle.
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use lilaccrank::cells;
+use lilaccrank::document::{Pool, Target};
+use lilaccrank::target_instance::TargetInstance;
+
+use crate::daemon::Daemon;
+
 /// Share of the slots of a cell at which one daemon uses targets of other cells. A daemon among eight or
 /// more usually has an eighth.
 const BEGIN_SHARE: f64 = 0.5;
@@ -45,3 +52,35 @@
         before.is_some() != busy_at.is_some()
     }
 }
+
+/// Begins or ends to use targets of other cells, where each daemon dispatches its own requests.
+pub fn apply_overflow(daemon: &Rc<Daemon>) {
+    if !daemon.duties.is_dispatch_local() || super::cell(daemon).id().count < 2 {
+        return;
+    }
+    let now = Instant::now();
+    let mut has_changed = false;
+    for served in daemon.pool_server.served.borrow().values() {
+        let running = u32::try_from(served.dispatcher.running()).unwrap_or(u32::MAX);
+        if served.overflow.update(running, now) {
+            has_changed = true;
+            log::info!(
+                is_active = served.overflow.is_active(),
+                pool = served.pool.as_str(),
+                running = running;
+                "use of targets of other cells changed"
+            );
+        }
+    }
+    if has_changed {
+        super::configuration_changed(daemon);
+    }
+}
+
+/// Targets of other cells without an advertised rate, which their cells use up.
+pub(super) fn targets(daemon: &Daemon, near: &[Target], pool: &Pool) -> Vec<Target> {
+    let limited = daemon.advisories.rate_limits();
+    let mut targets = cells::overflow_targets(near, &pool.targets, &daemon.cfg.vm);
+    targets.retain(|target| !limited.contains_key(&TargetInstance::of(target).digest()));
+    targets
+}
