Dispatch: a submission can be confined to software versions

A roll-out moves requests from one software version to another while both serve. The dispatcher so far knew one demand on the version, that of a stream that has begun (Origin). A submission now also carries a filter: any version, all but one, or only one. Those that are confined to one version wait in the class of submissions that exclude targets, whose heads are scanned apart, so that they hold up nobody who may use the other targets.

Ruled out: setting the targets of the other version to draining, which would be right for all requests or for none.

--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -178,7 +178,7 @@
     /// Returns `true` if some target could serve the submission, now or later.
     fn has_usable_target(&self, submission: &Submission) -> bool {
         self.targets.values().any(|target| {
-            target.serves(submission.origin)
+            target.serves(submission.version_needs())
                 && target.route != Route::Unreachable
                 && !submission.exclusions.contains(&target.instance)
         })
--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -12,7 +12,7 @@
 use super::work::Work;
 use crate::ids::{DataCentre, Tier};
 use crate::paths::Route;
-use crate::software_version::Origin;
+use crate::software_version::VersionNeeds;
 use crate::target_instance::TargetInstance;
 
 /// One in this many slots is reserved for urgent tiers.
@@ -70,8 +70,6 @@
     pub finish_within: Option<Duration>,
     /// Targets that must not be chosen.
     pub exclusions: &'a [TargetInstance],
-    /// Where the stream began, which decides the versions that may resume it.
-    pub origin: Origin,
     /// Time until the caller expects the first token, if it has an objective.
     pub objective: Option<Duration>,
     /// Request class of the submission in the queue.
@@ -86,6 +84,8 @@
     pub reservation: Reservation,
     /// Number of active tiers before its own.
     pub tiers_before: usize,
+    /// What it demands of the version of its target.
+    pub versions: VersionNeeds,
     /// Expected length in tokens.
     pub work: Work,
 }
@@ -199,7 +199,7 @@
                 || occupancy.admits(needs.tier, needs.request_class, needs.work.prefill)
         }
     };
-    target.serves(needs.origin)
+    target.serves(needs.versions)
         && target.route != Route::Unreachable
         && accepts_work
         && target.pushback.is_none_or(|pushback| pushback.allows(now))
--- a/crates/lilaccrank/src/dispatch/deadline.rs
+++ b/crates/lilaccrank/src/dispatch/deadline.rs
@@ -67,7 +67,7 @@
 
     fn can_meet(&self, needs: &Requirements<'_>, left: f64, now: Instant) -> bool {
         let targets = self.targets.values();
-        let mut live = targets.filter(|target| target.serves(needs.origin));
+        let mut live = targets.filter(|target| target.serves(needs.versions));
         live.any(|target| {
             if choice::earliest_completion(target, needs, 0, now) <= left {
                 return true;
--- a/crates/lilaccrank/src/dispatch/message.rs
+++ b/crates/lilaccrank/src/dispatch/message.rs
@@ -9,7 +9,7 @@
 use crate::document::Limit;
 use crate::error_kind::ErrorKind;
 use crate::ids::{CustomerId, Incarnation, Rank, RequestId, RuleId, Tier, VmId};
-use crate::software_version::Origin;
+use crate::software_version::{Origin, VersionFilter, VersionNeeds};
 use crate::target_instance::TargetInstance;
 
 /// Sequence number of the submissions for one request; a grant of an earlier submission is void.
@@ -55,6 +55,9 @@
     pub rule: RuleId,
     /// Tier of the request.
     pub tier: Tier,
+    /// Versions that a roll-out allows it to go to.
+    #[serde(default)]
+    pub versions: VersionFilter,
     /// Maximum time in the queue.
     pub wait_at_most: Option<Duration>,
     /// Weight of the customer within its tier; 0 counts as 1.
@@ -69,6 +72,21 @@
         self.partial.is_some() || !self.origin.is_new()
     }
 
+    /// Returns `true` if a roll-out allows it one version only.
+    #[must_use]
+    pub fn is_confined(&self) -> bool {
+        matches!(self.versions, VersionFilter::Only(_))
+    }
+
+    /// What it demands of the version of its target.
+    #[must_use]
+    pub fn version_needs(&self) -> VersionNeeds {
+        VersionNeeds {
+            filter: self.versions,
+            origin: self.origin,
+        }
+    }
+
     /// Order of the submission in a queue.
     #[must_use]
     pub fn priority(&self) -> Priority {
--- a/crates/lilaccrank/src/dispatch/pushback.rs
+++ b/crates/lilaccrank/src/dispatch/pushback.rs
@@ -106,7 +106,7 @@
         let usable = self
             .targets
             .values()
-            .filter(|target| target.serves(submission.origin))
+            .filter(|target| target.serves(submission.version_needs()))
             .filter(|target| !submission.exclusions.contains(&target.instance));
         let mut first_end: Option<Instant> = None;
         for target in usable {
--- a/crates/lilaccrank/src/dispatch/queue.rs
+++ b/crates/lilaccrank/src/dispatch/queue.rs
@@ -20,7 +20,7 @@
 pub enum RequestClass {
     /// Resumes an answer on another target.
     Resumed,
-    /// Excludes some targets.
+    /// Excludes some targets, or all but one software version.
     Excluding,
     /// Has a long prompt.
     Long,
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -246,7 +246,6 @@
             data_centre: &self.cfg.data_centre,
             finish_within: finish_within(submission, left),
             exclusions: &submission.exclusions,
-            origin: submission.origin,
             request_class: request_class(submission),
             objective: submission.objective,
             prefix: &submission.prefix,
@@ -254,6 +253,7 @@
             tier: submission.tier,
             reservation: self.reservation(submission),
             tiers_before: self.tiers.count_before(submission.tier),
+            versions: submission.version_needs(),
             work: Work {
                 decode: self.expected_decode(submission),
                 prefill: whole.prefill,
@@ -360,7 +360,7 @@
 fn request_class(submission: &Submission) -> RequestClass {
     if submission.is_resumed() {
         RequestClass::Resumed
-    } else if !submission.exclusions.is_empty() {
+    } else if !submission.exclusions.is_empty() || submission.is_confined() {
         RequestClass::Excluding
     } else if u64::from(submission.prompt_tokens) > choice::LONG_PROMPT_TOKENS {
         RequestClass::Long
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -9,7 +9,7 @@
 use super::rate_limit::{RateLimit, Share};
 use crate::ids::{DataCentre, VmId};
 use crate::paths::Route;
-use crate::software_version::{Origin, VersionDigest};
+use crate::software_version::{VersionDigest, VersionNeeds};
 use crate::target_instance::{InstanceDigest, TargetInstance};
 
 /// Time for which a slot freed by another daemon is left to the daemon whose submission goes first.
@@ -114,10 +114,10 @@
         }
     }
 
-    /// Returns `true` if a stream with this origin may be sent to the target.
+    /// Returns `true` if a request that demands this of the version may be sent to the target.
     #[must_use]
-    pub fn serves(&self, origin: Origin) -> bool {
-        (self.live || (self.spare && !origin.is_new())) && origin.permits(self.version)
+    pub fn serves(&self, needs: VersionNeeds) -> bool {
+        (self.live || (self.spare && !needs.origin.is_new())) && needs.permit(self.version)
     }
 
     /// Applies an observation to the health, and logs a change of its state with the daemon that made
--- a/crates/lilaccrank/src/software_version.rs
+++ b/crates/lilaccrank/src/software_version.rs
@@ -29,6 +29,47 @@
     }
 }
 
+/// Versions that a request may go to.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub enum VersionFilter {
+    /// All.
+    #[default]
+    Any,
+    /// All but this one.
+    Except(VersionDigest),
+    /// This one.
+    Only(VersionDigest),
+}
+
+impl VersionFilter {
+    /// Returns `true` if a target with this version may get the request.
+    #[must_use]
+    pub fn permits(self, version: Option<VersionDigest>) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Except(excluded) => version != Some(excluded),
+            Self::Only(required) => version == Some(required),
+        }
+    }
+}
+
+/// What a request demands of the version of its target.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+pub struct VersionNeeds {
+    /// Versions that a roll-out allows.
+    pub filter: VersionFilter,
+    /// Where the stream began.
+    pub origin: Origin,
+}
+
+impl VersionNeeds {
+    /// Returns `true` if a target with this version may get the request.
+    #[must_use]
+    pub fn permit(self, version: Option<VersionDigest>) -> bool {
+        self.filter.permits(version) && self.origin.permits(version)
+    }
+}
+
 /// Where a stream began.
 #[derive(
     Clone,
