Roll-outs: exposure, evidence, verdict and stages of a new software version

The library part, without any I/O: - exposure: each daemon limits the new version to a share of its own requests and starts at a random point between two of them. Shares then add up for any number of daemons. Ruled out: a share with a margin for each daemon, which 76 daemons alone bring over the slack of 50. - evidence and verdict: answers by rule, failures and times, the new version against the old ones at the same time, without the worst target. Blame needs Chernoff's bound below 1e-5. Lost connections do not count, since a crash or a cut is no sign of a bad version. - schedule: all requests move as late as the old targets can still run empty before the deadline, since a version that turns bad after the switch is over its share at once. Ruled out: growing steps, which exceed the share halfway. - participant and controller: stages trial, closing, succeeded, rolled back; a judge's reply is a lease on exposure.

--- a/crates/lilaccrank/src/document.rs
+++ b/crates/lilaccrank/src/document.rs
@@ -178,6 +178,9 @@
     /// under the same name counts as a different instance.
     #[serde(rename = "born", default, skip_serializing_if = "is_unknown")]
     pub started_ms: StartTimeMs,
+    /// Milliseconds for which it is slow after it was listed.
+    #[serde(default, skip_serializing_if = "is_unknown")]
+    pub cold_ms: u64,
     /// Data centre that the target runs in.
     pub data_centre: DataCentre,
     /// How it treats fencing tokens.
--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod request;
 pub mod request_key;
 pub mod retry_budget;
+pub mod rollout;
 pub mod rules;
 pub mod slot_leases;
 pub mod software_version;
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -104,6 +104,12 @@
 mod request_key;
 #[path = "suite/retry_budget.rs"]
 mod retry_budget;
+#[path = "suite/rollout_exposure.rs"]
+mod rollout_exposure;
+#[path = "suite/rollout_fleet.rs"]
+mod rollout_fleet;
+#[path = "suite/rollout_verdict.rs"]
+mod rollout_verdict;
 #[path = "suite/rules_check.rs"]
 mod rules_check;
 #[path = "suite/rules_difference.rs"]
