Roll-outs: daemons carry them out and record their state

The daemons read orders beside the list of targets, pass both on together and report what they see to two judges by rendezvous hashing every 0.2 to 1 s, at once if an answer of the new version fails. Targets of a version that a list names first get nothing until the orders are known up to that revision (2 s at most). The old targets are recorded as replaced only once no daemon has a request for them.

Only on a platform whose contracts hold roll-outs: elsewhere nothing is read, reported or withheld.

--- a/crates/lilaccrankd/src/admin/metrics.rs
+++ b/crates/lilaccrankd/src/admin/metrics.rs
@@ -4,6 +4,7 @@
 
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::Tier;
+use lilaccrank::rollout::message::Stage;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -52,6 +53,7 @@
     /// Requests that were handed to another daemon because this one can't reach the target.
     pub relayed_sent: IntCounter,
     registry: Registry,
+    rollout_stages: IntCounterVec,
     /// Retries that the retry budget denied.
     pub second_sends_denied: IntCounter,
     traffic: Rc<Traffic>,
@@ -132,6 +134,13 @@
             "lilaccrank_unusable_entries",
             "Entries of the list of targets that name no target to use",
         )?;
+        let rollout_stages = IntCounterVec::new(
+            Opts::new(
+                "lilaccrank_rollout_stages_total",
+                "Stages of roll-outs that this daemon has come to",
+            ),
+            &["stage"],
+        )?;
         let registry = Registry::new();
         registry.register(Box::new(answered.clone()))?;
         registry.register(Box::new(control_bytes.clone()))?;
@@ -144,6 +153,7 @@
         registry.register(Box::new(refused.clone()))?;
         registry.register(Box::new(relayed_sent.clone()))?;
         registry.register(Box::new(unreachable_targets.clone()))?;
+        registry.register(Box::new(rollout_stages.clone()))?;
         registry.register(Box::new(second_sends_denied.clone()))?;
         registry.register(Box::new(unusable_entries.clone()))?;
         Ok(Self {
@@ -158,6 +168,7 @@
             refused,
             relayed_sent,
             registry,
+            rollout_stages,
             second_sends_denied,
             traffic,
             unreachable_targets,
@@ -170,6 +181,12 @@
         self.answered.with_label_values(&[&tier.to_string()]).inc();
     }
 
+    /// Counts a stage that a roll-out has come to.
+    pub fn record_rollout_stage(&self, stage: Stage) {
+        let stage = stage.to_string();
+        self.rollout_stages.with_label_values(&[&stage]).inc();
+    }
+
     /// Counts a request that ended without a complete answer.
     pub fn record_refusal(&self, kind: ErrorKind) {
         self.refused.with_label_values(&[&kind.to_string()]).inc();
--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -17,6 +17,7 @@
 use crate::configuration;
 use crate::daemon::Daemon;
 use crate::peers::message::{Feed, FeedRequest};
+use crate::rollouts;
 use crate::targets::live_list::{self, Listing};
 
 /// Age up to which a contact with the platform counts as fresh. A watcher's long poll returns
@@ -83,6 +84,10 @@
         heard_age: daemon.platform_contact.age(now),
         listing: listing.replaces(&asker_has).then(|| (*listing).clone()),
         listing_age: daemon.live_list.freshness.age(now),
+        orders: daemon
+            .rollouts
+            .newer_than(request.orders_revision)
+            .map(Box::new),
         steady_for: daemon.platform_contact.steady_for(now),
     }
 }
@@ -110,6 +115,7 @@
     let req = FeedRequest {
         advisories: daemon.advisories.pull(vm),
         revision: known.revision,
+        orders_revision: daemon.rollouts.revision(),
     };
     let reply: Feed = match daemon.peers.call(vm, req).await {
         Ok(reply) => reply,
@@ -128,6 +134,10 @@
             .platform_contact
             .record_peer_run(MonoioClock.boot_time().saturating_sub(time));
     }
+    // Orders go first: they tell which version of a list is being tried.
+    if let Some(orders) = reply.orders {
+        rollouts::update(daemon, *orders);
+    }
     if let Some(listing) = reply.listing {
         live_list::apply_listing(daemon, listing);
     }
--- a/crates/lilaccrankd/src/configuration/source.rs
+++ b/crates/lilaccrankd/src/configuration/source.rs
@@ -9,9 +9,11 @@
 use lilaccrank::configuration::manifest::{Identity, Manifest};
 use lilaccrank::configuration::sections::Sections;
 use lilaccrank::document::Document;
+use lilaccrank::rollout::order::Orders;
 use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::daemon::Daemon;
+use crate::rollouts::{self, KnownOrders};
 use crate::targets::live_list::{self, Listing};
 
 /// Watches the platform and passes its updates to the daemon.
@@ -87,6 +89,22 @@
         self.daemon.live_list.freshness.age(MonoioClock.boot_time())
     }
 
+    /// Returns `true` if the list names a version that may belong to an order of a roll-out that is not
+    /// known yet.
+    #[must_use]
+    pub fn lacks_orders(&self) -> bool {
+        self.daemon.cfg.rollouts && self.daemon.rollouts.lacks_orders()
+    }
+
+    /// Replaces the orders of roll-outs.
+    pub fn update_orders(&self, orders: Orders) {
+        let known = KnownOrders {
+            orders,
+            ..KnownOrders::default()
+        };
+        rollouts::update(&self.daemon, known);
+    }
+
     /// Replaces the list of targets by one that was current at `at`.
     pub fn update_listing(&self, listing: Listing, at: BootTime) {
         self.daemon.live_list.freshness.answered(at);
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -40,6 +40,7 @@
 use crate::request::key_state::KeyClaims;
 use crate::request::pool_retry_budgets::PoolRetryBudgets;
 use crate::request::quotas::Quotas;
+use crate::rollouts::Rollouts;
 use crate::settings::Settings;
 use crate::targets::engine_stream::SilenceTimeouts;
 use crate::targets::forward::Bounds;
@@ -128,6 +129,8 @@
     requests: Cell<u64>,
     /// Retry budgets per pool.
     pub retry_budgets: PoolRetryBudgets,
+    /// Roll-outs of software versions.
+    pub rollouts: Rollouts,
     /// Leases on slots of brittle targets.
     pub slot_leases: SlotLeases,
     /// The platform's store.
@@ -221,6 +224,7 @@
             refusing: Cell::new(false),
             requests: Cell::new(0),
             retry_budgets: PoolRetryBudgets::new(&cfg.retries),
+            rollouts: Rollouts::new(cfg.rollouts),
             slot_leases: SlotLeases::default(),
             store,
             timeline,
--- a/crates/lilaccrankd/src/lib.rs
+++ b/crates/lilaccrankd/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ports;
 mod reload;
 pub mod request;
+pub mod rollouts;
 pub mod serve;
 pub mod settings;
 mod shutdown;
--- a/crates/lilaccrankd/src/peers/duties.rs
+++ b/crates/lilaccrankd/src/peers/duties.rs
@@ -9,6 +9,11 @@
 
 /// Rendezvous key of the duty to watch the store.
 const WATCHER_DUTY: &str = "watch/configuration";
+/// Rendezvous key of the duty to judge roll-outs.
+const JUDGE_DUTY: &str = "judge/rollouts";
+/// Number of daemons that judge roll-outs. With two, the failure of one loses no evidence.
+const JUDGE_COUNT: usize = 2;
+
 /// Duties, assigned by rendezvous hashing over the live members.
 #[derive(Clone)]
 pub struct Duties {
@@ -55,10 +60,20 @@
     /// The watchers of the data centre, highest rank first.
     #[must_use]
     pub fn watchers(&self) -> Vec<VmId> {
+        self.ranked_for(WATCHER_DUTY, self.watchers)
+    }
+
+    /// The judges of roll-outs, highest rank first.
+    #[must_use]
+    pub fn judges(&self) -> Vec<VmId> {
+        self.ranked_for(JUDGE_DUTY, JUDGE_COUNT)
+    }
+
+    fn ranked_for(&self, duty: &str, count: usize) -> Vec<VmId> {
         let live = self.membership.live();
         let vms = live.members.iter().map(|member| &member.vm);
-        let watchers = rendezvous::top(WATCHER_DUTY, vms, self.watchers);
-        watchers.into_iter().cloned().collect()
+        let ranked = rendezvous::top(duty, vms, count);
+        ranked.into_iter().cloned().collect()
     }
 
     /// Returns `true` if each daemon grants targets to its own requests.
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -10,6 +10,7 @@
 use lilaccrank::dispatch::message::{Cancel, Report, Resync, Submission, Verdict};
 use lilaccrank::ids::{DataCentre, PoolId, VmId};
 use lilaccrank::request_key::{KeyReply, KeyRequest, MemberRef};
+use lilaccrank::rollout::message::{Directives, Reports};
 use lilaccrank::slot_leases::{Decision, LeaseId, LeaseRequest, Release};
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank::timeline::Stamp;
@@ -17,6 +18,7 @@
 
 use crate::orders::message::{OrderReply, OrderRequest};
 use crate::peers::stream_origins::{OriginReply, OriginRequest};
+use crate::rollouts::KnownOrders;
 use crate::targets::live_list::Listing;
 
 /// A message with its sender's time, which puts timelines into causal order.
@@ -109,6 +111,9 @@
     pub advisories: sync::Pull,
     /// Revision of the requester's list of targets.
     pub revision: u64,
+    /// Revision up to which the requester knows the orders of roll-outs.
+    #[serde(default)]
+    pub orders_revision: u64,
 }
 
 /// Reply to a [`FeedRequest`]: what a daemon knows of the platform, and how old that is.
@@ -131,6 +136,9 @@
     /// Time for which it has had contact about the list without an outage of the platform.
     #[serde(default)]
     pub steady_for: Option<Duration>,
+    /// Orders of roll-outs, if newer than the requester's.
+    #[serde(default)]
+    pub orders: Option<Box<KnownOrders>>,
 }
 
 /// Asks for the configuration that a daemon holds.
@@ -190,6 +198,8 @@
     Path(PathRequest),
     /// About a pool.
     Pool(PoolRequest),
+    /// What a daemon has seen of roll-outs.
+    Rollout(Reports),
     /// About slots of a brittle target.
     Slot(SlotRequest),
 }
@@ -215,6 +225,8 @@
     Path(PathReply),
     /// About a pool.
     Pool(PoolReply),
+    /// How roll-outs go on.
+    Rollout(Directives),
     /// About slots of a brittle target.
     Slot(SlotReply),
 }
--- a/crates/lilaccrankd/src/peers/network.rs
+++ b/crates/lilaccrankd/src/peers/network.rs
@@ -10,6 +10,7 @@
 use lilaccrank::membership::{Member, Membership};
 use lilaccrank::peers::{Error, Peers, Result};
 use lilaccrank::request_key::{KeyReply, KeyRequest};
+use lilaccrank::rollout::message::{Directives, Reports};
 use lilaccrank::timeline::Timeline;
 use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::peer_link::PeerLink;
@@ -41,7 +42,7 @@
     Keys,
     /// Calls about paths to targets, which may wait for a connection to one.
     Paths,
-    /// Calls about pools, slots and orders, answered without calling another daemon.
+    /// Calls about pools, slots, roll-outs and orders, answered without calling another daemon.
     Pools,
 }
 
@@ -216,6 +217,13 @@
     }
 }
 
+impl Peers<Reports, Directives> for PeerNetwork {
+    async fn call(&self, vm: &VmId, req: Reports) -> Result<Directives> {
+        let reply = self.send(vm, Channel::Pools, req.into()).await?;
+        reply.try_into().map_err(|_| Error::NoAnswer(vm.clone()))
+    }
+}
+
 impl Peers<SlotRequest, SlotReply> for PeerNetwork {
     async fn call(&self, vm: &VmId, req: SlotRequest) -> Result<SlotReply> {
         let reply = self.send(vm, Channel::Pools, req.into()).await?;
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -399,7 +399,7 @@
         ..configured.clone()
     };
     let near = pool.targets.clone();
-    cell(daemon).retain_targets(&mut pool.targets);
+    pool.targets = cell_targets(daemon, &pool.id, pool.targets);
     let spare = cells::spare_targets(&near, &pool.targets, &daemon.cfg.vm);
     overflow.set_cell_slots(pool.targets.iter().map(|target| target.slots).sum());
     if overflow.is_active() {
@@ -418,12 +418,23 @@
     }
 }
 
+/// The targets that the cell of this daemon uses. The versions of a roll-out are dealt to the cells
+/// apart, so that each cell has both.
+fn cell_targets(daemon: &Daemon, pool: &PoolId, targets: Vec<Target>) -> Vec<Target> {
+    let (mut targets, mut new) = daemon.rollouts.split(pool, targets);
+    let cell = cell(daemon);
+    cell.retain_targets(&mut targets);
+    cell.retain_targets(&mut new);
+    targets.extend(new);
+    targets
+}
+
 /// Targets of a pool in this data centre and in data centres that act as one with it.
 pub(super) fn near_targets(daemon: &Daemon, configured: &Pool) -> Vec<Target> {
     let mut targets = daemon.live_list.apply(configured).targets;
     targets.retain(|target| daemon.cfg.is_near(&target.data_centre));
     for target in &mut targets {
-        target.state = sendable::state_of(daemon, target);
+        target.state = sendable::state_of(daemon, &configured.id, target);
     }
     targets
 }
@@ -435,9 +446,8 @@
     };
     let pools = in_force.document.pools.iter();
     let targets = pools.flat_map(|pool| {
-        let mut targets = near_targets(daemon, pool);
-        cell(daemon).retain_targets(&mut targets);
-        targets
+        let targets = near_targets(daemon, pool);
+        cell_targets(daemon, &pool.id, targets)
             .into_iter()
             .filter(|target| target.state == TargetState::Live)
             .map(|target| (pool.id.clone(), target))
--- a/crates/lilaccrankd/src/ports.rs
+++ b/crates/lilaccrankd/src/ports.rs
@@ -8,6 +8,7 @@
 use crate::configuration::native_source::NativeSource;
 use crate::configuration::source::Source;
 use crate::objects::{NativeObjects, Objects};
+use crate::rollouts::recorder::{NoRollouts, RolloutStore};
 use crate::settings::{self, Settings};
 use crate::targets::native_protocol::NativeTargetProtocol;
 use crate::targets::protocol::TargetProtocol;
@@ -19,6 +20,8 @@
     pub callers: Rc<dyn CallerProtocol>,
     /// Small objects that all daemons share.
     pub objects: Rc<dyn Objects>,
+    /// Records of roll-outs.
+    pub rollouts: Rc<dyn RolloutStore>,
     /// Reads the settings file.
     pub settings: fn(&Path) -> settings::Result<Settings>,
     /// Path of the settings file, if any.
@@ -35,6 +38,7 @@
         Self {
             callers: Rc::new(NativeProtocol),
             objects: Rc::new(NativeObjects),
+            rollouts: Rc::new(NoRollouts),
             settings: Settings::read,
             settings_file: None,
             source: Rc::new(NativeSource),
--- a/crates/lilaccrankd/src/request/execution.rs
+++ b/crates/lilaccrankd/src/request/execution.rs
@@ -8,7 +8,7 @@
 
 use lilaccrank::attempts::Failure;
 use lilaccrank::clock::Clock;
-use lilaccrank::dispatch::message::PartialAnswer;
+use lilaccrank::dispatch::message::{PartialAnswer, Refuse};
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank::timeline::EventKind;
 use lilaccrank_http::monoio_clock::MonoioClock;
@@ -25,6 +25,7 @@
 use crate::request::send::SendError;
 use crate::request::send_history::SendHistory;
 use crate::request::spill;
+use crate::rollouts::lane::LaneUse;
 use crate::targets::forward::SendFailure;
 
 /// Execution of one routed request.
@@ -43,6 +44,8 @@
     pub key: Option<KeyState>,
     /// Permit for the next send, if it is a retry that the budget has to allow.
     pub retry: Option<RetryPermit>,
+    /// Version that it goes to, while a roll-out runs.
+    pub lane: Option<LaneUse>,
     /// The request.
     pub routed: &'a RoutedRequest,
     /// What it may have caused.
@@ -167,15 +170,14 @@
         self.wait_for_grant().await
     }
 
-    async fn wait_for_grant(&self) -> Result<HeldGrant> {
+    async fn wait_for_grant(&mut self) -> Result<HeldGrant> {
         let (daemon, routed) = (self.daemon, self.routed);
         routed.check_quarantine(daemon)?;
         daemon.record(
             EventKind::Asked,
             routed.subject(routed.route.pool.clone(), None),
         );
-        let submission = routed.ask(daemon, &self.history.prior, self.partial_answer());
-        let granted = client::submit(daemon, &routed.route.pool, submission).await;
+        let granted = self.submit().await;
         let grant = granted.map_err(|refuse| dispatch_refusal::refusal(daemon, &refuse))?;
         log::info!(
             abandoned_ms = lifecycle::log_ms(self.buffer.abandoned_for()),
@@ -195,6 +197,28 @@
         Ok(grant)
     }
 
+    /// Submits the request to the dispatcher, and once more for an old version if it was to try a new
+    /// one that has no target for it.
+    async fn submit(&mut self) -> Result<HeldGrant, Refuse> {
+        let (daemon, routed) = (self.daemon, self.routed);
+        let origin = self.history.prior.origin;
+        // The earlier choice ends first, or it would count twice.
+        self.lane = None;
+        self.lane = LaneUse::choose(daemon, routed, origin, !self.history.is_unsent());
+        loop {
+            let submission = routed.ask(daemon, &self.history.prior, self.partial_answer());
+            let submission = match &self.lane {
+                Some(lane) => lane.restrict(submission),
+                None => submission,
+            };
+            let granted = client::submit(daemon, &routed.route.pool, submission).await;
+            match (&mut self.lane, granted) {
+                (Some(lane), Err(_)) if lane.is_trial() => lane.give_up_trial(),
+                (_, granted) => return granted,
+            }
+        }
+    }
+
     /// Describes the part of an interrupted answer that the caller has; `None` if it has no tokens.
     fn partial_answer(&self) -> Option<PartialAnswer> {
         let tokens_in_event = self.daemon.tokens_in_event(&self.routed.route.pool);
--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -57,6 +57,7 @@
         history: SendHistory::new(&routed),
         in_progress: &in_progress,
         key: Some(key),
+        lane: None,
         retry: None,
         routed: &routed,
         stage: Stage::default(),
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -27,6 +27,8 @@
 use crate::request::answer_buffer::AnswerBuffer;
 use crate::request::execution::Execution;
 use crate::request::lifecycle;
+use crate::rollouts::lane;
+use crate::rollouts::send_record::SendRecord;
 use crate::targets::engine_run::{self, EngineRequest, Observer, RunOutcome};
 use crate::targets::engine_stream::EngineStream;
 use crate::targets::forward::{self, Forwarder, SendFailure};
@@ -66,6 +68,8 @@
         let usable = sendable::until_usable(daemon, &routed.route.pool, &grant.target).await;
         let target = usable.map_err(SendFailure::new)?;
         self.check_version(&target).map_err(SendFailure::new)?;
+        let pool = &routed.route.pool;
+        lane::check(daemon, pool, &target).map_err(SendFailure::new)?;
         self.history.record_send(&grant.target);
         if let Some(permit) = self.retry.take() {
             permit.spend();
@@ -102,6 +106,9 @@
             true => Outcome::Unused,
             false => outcome(&sent),
         };
+        if let Some(record) = &observer.rollout {
+            record.end(outcome);
+        }
         grant.finish(outcome, decoded, prefill);
         sent
     }
@@ -252,6 +259,8 @@
     pool: PoolId,
     /// Record of the stream, if others may resume it.
     record: Option<Record>,
+    /// What the send tells about a version that is being rolled out.
+    rollout: Option<SendRecord>,
     /// Version of the target's software by the list at the send; `None` if unknown.
     pub version: Option<VersionDigest>,
     /// Set once the target has asked for a pause.
@@ -281,6 +290,7 @@
             elapsed_before_send: routed.arrived.elapsed(),
             pool: routed.route.pool.clone(),
             record: routed.stream_record(origin, target),
+            rollout: SendRecord::new(daemon, routed, target),
             version,
             was_pushed_back: Cell::new(false),
             _in_progress: Rc::clone(execution.in_progress),
@@ -317,6 +327,9 @@
 
     fn first_token(&self, after: Duration) {
         self.first_event_at.set(Some(Instant::now()));
+        if let Some(record) = &self.rollout {
+            record.begin();
+        }
         let total = self.elapsed_before_send + after;
         self.daemon.metrics.first_token.observe(total.as_secs_f64());
         self.grant.report(ReportKind::FirstToken { after });
--- /dev/null
+++ b/crates/lilaccrankd/src/rollouts.rs
@@ -0,0 +1,356 @@
+//! Roll-outs at this daemon: what operators have ordered, and which targets that rules out.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use indexmap::map::Entry;
+use indexmap::{IndexMap, IndexSet};
+use lilaccrank::document::{Target, TargetState};
+use lilaccrank::ids::PoolId;
+use lilaccrank::rollout::controller::{Controller, Fleet};
+use lilaccrank::rollout::message::{Stage, View};
+use lilaccrank::rollout::order::{Order, OrderId, Orders, State};
+use lilaccrank::rollout::participant::Participant;
+use lilaccrank::software_version::VersionDigest;
+use lilaccrank::target_instance::TargetInstance;
+use serde::{Deserialize, Serialize};
+
+use crate::daemon::Daemon;
+use crate::peers::change_signal::ChangeSignal;
+use crate::pools::server;
+use crate::targets::live_list::Listing;
+
+pub mod exchange;
+pub mod judge;
+pub mod lane;
+pub mod recorder;
+pub mod send_record;
+
+use send_record::Running;
+
+/// Longest time for which targets of a version that is new here get nothing while this daemon can't
+/// tell whether they belong to a roll-out.
+const WITHHOLD_LIMIT: Duration = Duration::from_secs(2);
+/// Time for which old targets get nothing after a roll-out, until they are no longer listed.
+const RETIREMENT: Duration = Duration::from_secs(15);
+
+/// Orders with their ages, as daemons pass them on.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct KnownOrders {
+    /// Time since each order, by pool.
+    pub ages: IndexMap<PoolId, Duration>,
+    /// The orders.
+    pub orders: Orders,
+}
+
+/// When a list first named a version.
+#[derive(Clone, Copy, Debug)]
+struct FirstNamed {
+    at: Instant,
+    revision: u64,
+}
+
+/// State of all roll-outs at this daemon.
+#[derive(Default)]
+pub struct Rollouts {
+    /// When targets that were slow after their start are no longer.
+    cold_until: RefCell<IndexMap<TargetInstance, Instant>>,
+    controllers: RefCell<IndexMap<OrderId, Controller>>,
+    first_named: RefCell<IndexMap<(PoolId, VersionDigest), FirstNamed>>,
+    /// Versions and stages by which the targets were last set.
+    applied: RefCell<Vec<(PoolId, Stage)>>,
+    has_withheld: Cell<bool>,
+    /// Set if the platform has roll-outs.
+    is_enabled: bool,
+    orders: RefCell<Orders>,
+    participants: RefCell<IndexMap<PoolId, Participant>>,
+    /// States that are being written to the platform's store.
+    recording: RefCell<IndexSet<(OrderId, State)>>,
+    retired: RefCell<IndexMap<TargetInstance, Instant>>,
+    running: RefCell<IndexMap<u64, Running>>,
+    sends: Cell<u64>,
+    /// Notified when something is to be reported at once.
+    wake: ChangeSignal,
+}
+
+impl Rollouts {
+    /// Creates an empty state.
+    #[must_use]
+    pub fn new(is_enabled: bool) -> Self {
+        Self {
+            is_enabled,
+            ..Self::default()
+        }
+    }
+
+    /// Orders that this daemon knows, if they are newer than `revision`.
+    #[must_use]
+    pub fn newer_than(&self, revision: u64) -> Option<KnownOrders> {
+        let orders = self.orders.borrow();
+        if orders.revision <= revision {
+            return None;
+        }
+        let now = Instant::now();
+        let participants = self.participants.borrow();
+        let ages = participants.iter().map(|(pool, participant)| {
+            let age = now.saturating_duration_since(participant.started_at());
+            (pool.clone(), age)
+        });
+        Some(KnownOrders {
+            ages: ages.collect(),
+            orders: orders.clone(),
+        })
+    }
+
+    /// Revision of the platform's store up to which the orders are known.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.orders.borrow().revision
+    }
+
+    /// Returns `true` if the list names a version that may belong to an order that is not known yet.
+    #[must_use]
+    pub fn lacks_orders(&self) -> bool {
+        let known = self.revision();
+        let first_named = self.first_named.borrow();
+        first_named.values().any(|first| first.revision > known)
+    }
+
+    /// Notes the versions of a list, before it is applied.
+    pub fn note_listing(&self, listing: &Listing, now: Instant) {
+        if !self.is_enabled {
+            return;
+        }
+        let mut first_named = self.first_named.borrow_mut();
+        first_named.retain(|(pool, version), _| {
+            let targets = listing.targets.get(pool).into_iter().flatten();
+            targets
+                .filter_map(VersionDigest::of)
+                .any(|listed| listed == *version)
+        });
+        let mut cold_until = self.cold_until.borrow_mut();
+        cold_until.retain(|_, until| *until > now);
+        for (pool, target) in listing.all() {
+            if let Some(version) = VersionDigest::of(target) {
+                let first = FirstNamed {
+                    at: now,
+                    revision: listing.revision,
+                };
+                let entry = first_named.entry((pool.clone(), version));
+                if matches!(entry, Entry::Vacant(_)) {
+                    self.wake.notify();
+                }
+                entry.or_insert(first);
+            }
+            if target.cold_ms > 0 {
+                let until = now + Duration::from_millis(target.cold_ms);
+                cold_until
+                    .entry(TargetInstance::of(target))
+                    .or_insert(until);
+            }
+        }
+    }
+
+    /// State of a target by the roll-outs; live if none rules it out.
+    #[must_use]
+    pub fn state_of(&self, pool: &PoolId, target: &Target, now: Instant) -> TargetState {
+        let version = VersionDigest::of(target);
+        let participants = self.participants.borrow();
+        let participant = participants.get(pool);
+        let is_rolled_back = participant.is_some_and(|participant| {
+            participant.stage() == Stage::RolledBack
+                && version == Some(participant.order().version())
+        });
+        let retired = self.retired.borrow();
+        let retired = retired.get(&TargetInstance::of(target));
+        let is_retired = retired.is_some_and(|until| now < *until);
+        if is_rolled_back || is_retired || self.is_withheld(pool, version, now) {
+            TargetState::Draining
+        } else {
+            TargetState::Live
+        }
+    }
+
+    /// Splits the targets of a pool into those of old versions and of the new one. Without a roll-out
+    /// all are old.
+    pub fn split(&self, pool: &PoolId, targets: Vec<Target>) -> (Vec<Target>, Vec<Target>) {
+        let participants = self.participants.borrow();
+        let Some(participant) = participants.get(pool) else {
+            return (targets, Vec::new());
+        };
+        let version = Some(participant.order().version());
+        let is_old = |target: &Target| VersionDigest::of(target) != version;
+        targets.into_iter().partition(is_old)
+    }
+
+    /// Roll-outs as operators see them, as far as this daemon judges them or takes part.
+    #[must_use]
+    pub fn views(&self) -> Vec<View> {
+        let now = Instant::now();
+        let controllers = self.controllers.borrow();
+        let judged = controllers.values().map(|controller| controller.view(now));
+        judged.collect()
+    }
+
+    /// Number of roll-outs that have not ended.
+    #[must_use]
+    pub fn active(&self) -> usize {
+        let participants = self.participants.borrow();
+        let active = participants.values();
+        active.filter(|p| !p.stage().is_final()).count()
+    }
+
+    fn is_withheld(&self, pool: &PoolId, version: Option<VersionDigest>, now: Instant) -> bool {
+        let Some(version) = version else {
+            return false;
+        };
+        let first_named = self.first_named.borrow();
+        let Some(first) = first_named.get(&(pool.clone(), version)) else {
+            return false;
+        };
+        let is_withheld = first.revision > self.revision() && now - first.at < WITHHOLD_LIMIT;
+        if is_withheld {
+            self.has_withheld.set(true);
+        }
+        is_withheld
+    }
+
+    fn is_cold(&self, target: &TargetInstance, now: Instant) -> bool {
+        let cold_until = self.cold_until.borrow();
+        cold_until.get(target).is_some_and(|until| now < *until)
+    }
+}
+
+/// Takes over orders that are newer than those that this daemon knows.
+pub fn update(daemon: &Rc<Daemon>, known: KnownOrders) {
+    let rollouts = &daemon.rollouts;
+    let now = Instant::now();
+    if known.orders.revision <= rollouts.revision() {
+        return;
+    }
+    {
+        let mut participants = rollouts.participants.borrow_mut();
+        participants.retain(|pool, participant| {
+            let order = known.orders.by_pool.get(pool);
+            order.is_some_and(|order| order.id == participant.order().id)
+        });
+        for (pool, order) in &known.orders.by_pool {
+            let age = known.ages.get(pool).copied().unwrap_or_default();
+            match participants.get_mut(pool) {
+                Some(participant) => {
+                    participant.note_age(age, now);
+                    participant.note_recorded(order.recorded);
+                }
+                None => {
+                    let started_at = now.checked_sub(age).unwrap_or(now);
+                    let participant = Participant::new(order.clone(), started_at, rand::random());
+                    participants.insert(pool.clone(), participant);
+                    log_order(daemon, order, age);
+                }
+            }
+        }
+    }
+    {
+        let mut controllers = rollouts.controllers.borrow_mut();
+        let orders = &known.orders.by_pool;
+        controllers.retain(|id, _| orders.get(&id.pool).is_some_and(|order| order.id == *id));
+        for (id, controller) in controllers.iter_mut() {
+            controller.note_recorded(orders[&id.pool].recorded);
+        }
+    }
+    *rollouts.orders.borrow_mut() = known.orders;
+    rollouts.wake.notify();
+    apply(daemon);
+}
+
+/// Sets the targets of the dispatchers if a roll-out has changed which of them may be used.
+fn apply(daemon: &Rc<Daemon>) {
+    let rollouts = &daemon.rollouts;
+    let stages: Vec<_> = {
+        let participants = rollouts.participants.borrow();
+        let stages = participants.iter();
+        stages.map(|(pool, p)| (pool.clone(), p.stage())).collect()
+    };
+    let before = rollouts.applied.replace(stages.clone());
+    for (pool, stage) in &stages {
+        let earlier = before.iter().find(|(known, _)| known == pool);
+        match earlier {
+            Some((_, earlier)) if earlier == stage => {}
+            Some(_) => stage_changed(daemon, pool, *stage),
+            None => {}
+        }
+    }
+    if before != stages || rollouts.has_withheld.replace(false) {
+        server::configuration_changed(daemon);
+    }
+}
+
+fn stage_changed(daemon: &Daemon, pool: &PoolId, stage: Stage) {
+    let rollouts = &daemon.rollouts;
+    let participants = rollouts.participants.borrow();
+    let Some(participant) = participants.get(pool) else {
+        return;
+    };
+    let now = Instant::now();
+    log::info!(
+        age_ms = now.saturating_duration_since(participant.started_at()).as_millis() as u64,
+        open_old = participant.open_old,
+        order:% = participant.order().id,
+        reason = participant.reason().map(ToString::to_string).unwrap_or_default(),
+        stage:% = stage;
+        "a roll-out goes on"
+    );
+    daemon.metrics.record_rollout_stage(stage);
+    if stage != Stage::Succeeded {
+        return;
+    }
+    let version = Some(participant.order().version());
+    let listing = daemon.live_list.listing();
+    let targets = listing.targets.get(pool).into_iter().flatten();
+    let old = targets.filter(|target| VersionDigest::of(target) != version);
+    let mut retired = rollouts.retired.borrow_mut();
+    retired.retain(|_, until| *until > now);
+    retired.extend(old.map(|target| (TargetInstance::of(target), now + RETIREMENT)));
+}
+
+fn log_order(daemon: &Daemon, order: &Order, age: Duration) {
+    let in_force = daemon.in_force().ok();
+    let is_known = in_force.is_some_and(|f| f.document.pool(&order.id.pool).is_some());
+    log::info!(
+        age_ms = age.as_millis() as u64,
+        duration_ms = order.duration.as_millis() as u64,
+        is_pool_known = is_known,
+        order:% = order.id,
+        recorded = order.recorded.map(|state| state.to_string()).unwrap_or_default();
+        "a roll-out is ordered"
+    );
+    if let Err(e) = order.check() {
+        log::error!(order:% = order.id, why:% = e; "an order of a roll-out can't be carried out");
+    }
+}
+
+/// What the fleet is like, for the judge of an order.
+fn fleet(daemon: &Daemon, order: &OrderId) -> Fleet {
+    let listing = daemon.live_list.listing();
+    let version = Some(VersionDigest::new(&order.to));
+    let targets = listing.targets.get(&order.pool).into_iter().flatten();
+    let live = targets.filter(|target| target.state == TargetState::Live);
+    let (new, old): (Vec<_>, Vec<_>) =
+        live.partition(|target| VersionDigest::of(target) == version);
+    let members = daemon.membership.live().members.clone();
+    Fleet {
+        has_new_targets: !new.is_empty(),
+        has_old_targets: !old.is_empty(),
+        is_first_judge: daemon.duties.judges().first() == Some(&daemon.cfg.vm),
+        members: members.iter().map(|member| member.vm.clone()).collect(),
+    }
+}
+
+/// Runs until the daemon ends.
+pub async fn run(daemon: Rc<Daemon>) {
+    if !daemon.cfg.rollouts {
+        return;
+    }
+    exchange::run(daemon).await;
+}
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -34,6 +34,7 @@
 use crate::pools;
 use crate::ports::Ports;
 use crate::reload;
+use crate::rollouts;
 use crate::settings::Settings;
 use crate::shutdown;
 use crate::signals::Signals;
@@ -149,6 +150,7 @@
     monoio::spawn(load_exchange::run(Rc::clone(&daemon), load_socket));
     monoio::spawn(pools::slot_leases::run(Rc::clone(&daemon)));
     monoio::spawn(quarantine_record::run(Rc::clone(&daemon)));
+    monoio::spawn(rollouts::run(Rc::clone(&daemon)));
     monoio::spawn(reload::run(Rc::clone(&daemon), signals.clone()));
     log::info!(
         data_centre = daemon.cfg.data_centre,
@@ -215,6 +217,7 @@
         PeerRequest::Order(req) => jobs::handle(&daemon, req).into(),
         PeerRequest::Path(req) => paths::answer(&daemon, &req).await.into(),
         PeerRequest::Pool(req) => pools::server::handle(&daemon, req).into(),
+        PeerRequest::Rollout(reports) => rollouts::judge::answer(&daemon, reports).into(),
         PeerRequest::Slot(req) => pools::slot_leases::handle(&daemon, req).into(),
     };
     Stamped {
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -116,6 +116,8 @@
     pub request_limit: usize,
     /// Retry budget of each pool over all daemons.
     pub retries: Retries,
+    /// Whether operators may order roll-outs of software versions on this platform.
+    pub rollouts: bool,
     /// Maximum age in milliseconds of the list of targets at a send, while the platform can be
     /// reached; 0 for no limit. Set it to the time for which a leaving target may still get
     /// requests, less the time that a request takes to reach it.
@@ -222,6 +224,7 @@
             request_keys: true,
             request_limit: 20_000,
             retries: Retries::default(),
+            rollouts: false,
             seeds: Vec::new(),
             shutdown_limit_ms: 60_000,
             shutdown_serving_ms: 0,
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -9,7 +9,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use event_listener::Event;
 use indexmap::{IndexMap, IndexSet};
@@ -252,6 +252,7 @@
             "missing targets of this list may have lapsed"
         );
     }
+    daemon.rollouts.note_listing(&listing, Instant::now());
     let previous = daemon.live_list.listing();
     if !daemon.live_list.update(listing, may_lapse) {
         return;
--- a/crates/lilaccrankd/src/targets/sendable.rs
+++ b/crates/lilaccrankd/src/targets/sendable.rs
@@ -8,19 +8,24 @@
 
 use lilaccrank::document::{Target, TargetState};
 use lilaccrank::error_kind::{ErrorKind, Executed};
+use lilaccrank::ids::PoolId;
 use lilaccrank::target_instance::TargetInstance;
 
 use crate::callers::refusal::{Refusal, Result};
 use crate::daemon::Daemon;
 use crate::targets::freshness;
 
-/// Returns the state of a target. What its own answers said goes before the list, which lags.
+/// Returns the state of a target. What its own answers said goes before the list, which lags; a roll-out
+/// may rule out what the list allows.
 #[must_use]
-pub fn state_of(daemon: &Daemon, target: &Target) -> TargetState {
+pub fn state_of(daemon: &Daemon, pool: &PoolId, target: &Target) -> TargetState {
     if daemon.advisories.is_leaving(&TargetInstance::of(target)) {
         return TargetState::Draining;
     }
-    daemon.live_list.state_of(target)
+    match daemon.live_list.state_of(target) {
+        TargetState::Live => daemon.rollouts.state_of(pool, target, Instant::now()),
+        TargetState::Draining => TargetState::Draining,
+    }
 }
 
 /// Returns the target if it may get a request now, by a list that is recent enough.
@@ -30,7 +35,7 @@
 /// Those of [`check`].
 pub async fn until_usable(
     daemon: &Rc<Daemon>,
-    pool: &str,
+    pool: &PoolId,
     instance: &TargetInstance,
 ) -> Result<Target> {
     freshness::until_usable(daemon).await;
@@ -43,11 +48,11 @@
 /// # Errors
 ///
 /// [`ErrorKind::NoTarget`] if it was removed, is leaving, or has asked this daemon for a pause.
-pub fn check(daemon: &Daemon, pool: &str, instance: &TargetInstance) -> Result<Target> {
+pub fn check(daemon: &Daemon, pool: &PoolId, instance: &TargetInstance) -> Result<Target> {
     let refused = |message| Refusal::new(ErrorKind::NoTarget, message).ran(Executed::No);
     let target = daemon.target(pool, instance);
     let target = target.ok_or_else(|| refused("the target was removed"))?;
-    match state_of(daemon, &target) {
+    match state_of(daemon, pool, &target) {
         TargetState::Live if daemon.pauses.contains(instance, Instant::now()) => {
             Err(refused("the target has asked for a pause"))
         }
--- a/crates/lilaccrankd/tests/suite/sendable.rs
+++ b/crates/lilaccrankd/tests/suite/sendable.rs
@@ -78,7 +78,7 @@
         publish(&daemon, 1, &document(TargetState::Live));
         list(&daemon, 1, vec![target("listed", TargetState::Live)], &[]);
         change(&daemon);
-        sendable::check(&daemon, POOL, &TargetInstance::from(id))
+        sendable::check(&daemon, &POOL.to_owned(), &TargetInstance::from(id))
     })
     .unwrap()
 }
