Roll-outs: operators see them, with exposure, evidence and verdict

`lilaccrank rollouts` and /v1/rollouts show each order with its stage, the answers and failures of both versions by rule, the requests that are still open at old targets and why a version gets nothing. Any daemon asks the first judge, and tells what it has seen itself if the judge does not answer.

--- a/crates/lilaccrank-cli/src/args.rs
+++ b/crates/lilaccrank-cli/src/args.rs
@@ -8,7 +8,7 @@
 use crate::address::Address;
 use crate::context::Context;
 use crate::error::{Error, Result};
-use crate::{completions, drain, explain, quarantine, rules, send, status, timeline};
+use crate::{completions, drain, explain, quarantine, rollouts, rules, send, status, timeline};
 
 /// Where a daemon serves operators unless its settings say otherwise.
 const DEFAULT_ADMIN: &str = "http://127.0.0.1:7401";
@@ -50,6 +50,7 @@
     Drain(drain::Args),
     Explain(explain::Args),
     Quarantine(quarantine::Args),
+    Rollouts(rollouts::Args),
     Rules(rules::Args),
     Send(send::Args),
     Status(status::Args),
@@ -90,6 +91,7 @@
             Self::Drain(args) => args.run(cx).await,
             Self::Explain(args) => args.run(cx).await,
             Self::Quarantine(args) => args.run(cx).await,
+            Self::Rollouts(args) => args.run(cx).await,
             Self::Rules(args) => args.run(cx).await,
             Self::Send(args) => args.run(cx).await,
             Self::Status(args) => args.run(cx).await,
--- a/crates/lilaccrank-cli/src/main.rs
+++ b/crates/lilaccrank-cli/src/main.rs
@@ -16,6 +16,7 @@
 mod output;
 mod publication;
 mod quarantine;
+mod rollouts;
 mod rules;
 mod send;
 mod status;
--- a/crates/lilaccrank-cli/tests/suite.rs
+++ b/crates/lilaccrank-cli/tests/suite.rs
@@ -12,6 +12,8 @@
 mod publish;
 #[path = "suite/quarantine.rs"]
 mod quarantine;
+#[path = "suite/rollouts.rs"]
+mod rollouts;
 #[path = "suite/rules.rs"]
 mod rules;
 #[path = "suite/store.rs"]
--- a/crates/lilaccrank/src/operators/path.rs
+++ b/crates/lilaccrank/src/operators/path.rs
@@ -12,6 +12,8 @@
 pub const ORDERS: &str = "/v1/orders";
 /// `GET` lists quarantines, `POST` lifts one.
 pub const QUARANTINES: &str = "/v1/quarantines";
+/// `GET` lists roll-outs of software versions.
+pub const ROLLOUTS: &str = "/v1/rollouts";
 /// `GET` tells how the daemon is.
 pub const STATUS: &str = "/v1/status";
 /// `POST` asks for events.
--- a/crates/lilaccrank/src/rollout/controller.rs
+++ b/crates/lilaccrank/src/rollout/controller.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 use super::evidence::Evidence;
-use super::message::{Directive, Reason, Report, RuleView, Stage, View};
+use super::message::{Directive, Reason, Report, Stage, View};
 use super::order::{Order, State};
 use super::schedule::Schedule;
 use super::verdict;
@@ -235,15 +235,6 @@
     #[must_use]
     pub fn view(&self, now: Instant) -> View {
         let evidence = self.evidence();
-        let rules = evidence.rules.iter().map(|(rule, seen)| {
-            let view = RuleView {
-                new_answers: seen.new_answers(),
-                new_failures: seen.new.values().map(|tally| tally.failures).sum(),
-                old_answers: seen.old.answers,
-                old_failures: seen.old.failures,
-            };
-            (rule.clone(), view)
-        });
         View {
             age_ms: self.age(now).as_millis() as u64,
             duration_ms: self.order.duration.as_millis() as u64,
@@ -251,7 +242,7 @@
             order: self.order.id.clone(),
             reason: self.reason().map(ToString::to_string),
             reporters: self.reports.len(),
-            rules: rules.collect(),
+            rules: evidence.views(),
             stage: self.stage(),
         }
     }
--- a/crates/lilaccrank/src/rollout/evidence.rs
+++ b/crates/lilaccrank/src/rollout/evidence.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use super::message::RuleView;
 use crate::ids::RuleId;
 use crate::target_instance::InstanceDigest;
 
@@ -170,6 +171,21 @@
         self.rules.values().map(RuleEvidence::new_answers).sum()
     }
 
+    /// Answers by rule as operators see them.
+    #[must_use]
+    pub fn views(&self) -> IndexMap<RuleId, RuleView> {
+        let views = self.rules.iter().map(|(rule, seen)| {
+            let view = RuleView {
+                new_answers: seen.new_answers(),
+                new_failures: seen.new.values().map(|tally| tally.failures).sum(),
+                old_answers: seen.old.answers,
+                old_failures: seen.old.failures,
+            };
+            (rule.clone(), view)
+        });
+        views.collect()
+    }
+
     fn rule(&mut self, rule: &RuleId) -> Option<&mut RuleEvidence> {
         if !self.rules.contains_key(rule) && self.rules.len() >= MAX_RULES {
             return None;
--- a/crates/lilaccrank/src/rollout/message.rs
+++ b/crates/lilaccrank/src/rollout/message.rs
@@ -112,6 +112,17 @@
     pub directives: Vec<Directive>,
 }
 
+/// Asks a judge for its view of all roll-outs.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ViewsRequest;
+
+/// Roll-outs as operators see them.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Views {
+    /// One for each order.
+    pub rollouts: Vec<View>,
+}
+
 /// A roll-out as operators see it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct View {
--- a/crates/lilaccrank/src/rollout/participant.rs
+++ b/crates/lilaccrank/src/rollout/participant.rs
@@ -4,7 +4,7 @@
 
 use super::evidence::Evidence;
 use super::exposure::Exposure;
-use super::message::{Directive, Reason, Stage};
+use super::message::{Directive, Reason, Stage, View};
 use super::order::{Order, State};
 use super::schedule::Schedule;
 use crate::ids::RuleId;
@@ -153,6 +153,21 @@
         }
     }
 
+    /// The roll-out as far as this daemon alone has seen it.
+    #[must_use]
+    pub fn view(&self, now: Instant) -> View {
+        View {
+            age_ms: now.saturating_duration_since(self.started_at).as_millis() as u64,
+            duration_ms: self.order.duration.as_millis() as u64,
+            open_old: self.open_old,
+            order: self.order.id.clone(),
+            reason: self.reason.as_ref().map(ToString::to_string),
+            reporters: 1,
+            rules: self.evidence.views(),
+            stage: self.stage,
+        }
+    }
+
     /// Records that a request is sent to a target of the pool.
     pub fn record_send(&mut self) {
         self.exposure.record_request();
--- a/crates/lilaccrankd/src/admin.rs
+++ b/crates/lilaccrankd/src/admin.rs
@@ -18,6 +18,7 @@
 use crate::callers::refusal::Refusal;
 use crate::daemon::Daemon;
 use crate::pools::server;
+use crate::rollouts;
 use crate::signals::Signals;
 
 mod configuration;
@@ -88,6 +89,7 @@
             let payload = json::read(daemon, incoming).await?;
             json::reply(&quarantines::lift(daemon, &operator.id, &payload)?)
         }
+        (&Method::GET, path::ROLLOUTS) => json::reply(&rollouts::views(daemon).await),
         (&Method::GET, path::STATUS) => json::reply(&status(daemon)?),
         (&Method::POST, path::TIMELINE) => {
             let query = json::read(daemon, incoming).await?;
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -10,7 +10,7 @@
 use lilaccrank::dispatch::message::{Cancel, Report, Resync, Submission, Verdict};
 use lilaccrank::ids::{DataCentre, PoolId, VmId};
 use lilaccrank::request_key::{KeyReply, KeyRequest, MemberRef};
-use lilaccrank::rollout::message::{Directives, Reports};
+use lilaccrank::rollout::message::{Directives, Reports, Views, ViewsRequest};
 use lilaccrank::slot_leases::{Decision, LeaseId, LeaseRequest, Release};
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank::timeline::Stamp;
@@ -200,6 +200,8 @@
     Pool(PoolRequest),
     /// What a daemon has seen of roll-outs.
     Rollout(Reports),
+    /// Roll-outs as operators see them.
+    RolloutViews(ViewsRequest),
     /// About slots of a brittle target.
     Slot(SlotRequest),
 }
@@ -227,6 +229,8 @@
     Pool(PoolReply),
     /// How roll-outs go on.
     Rollout(Directives),
+    /// Roll-outs as operators see them.
+    RolloutViews(Views),
     /// About slots of a brittle target.
     Slot(SlotReply),
 }
--- a/crates/lilaccrankd/src/peers/network.rs
+++ b/crates/lilaccrankd/src/peers/network.rs
@@ -10,7 +10,7 @@
 use lilaccrank::membership::{Member, Membership};
 use lilaccrank::peers::{Error, Peers, Result};
 use lilaccrank::request_key::{KeyReply, KeyRequest};
-use lilaccrank::rollout::message::{Directives, Reports};
+use lilaccrank::rollout::message::{Directives, Reports, Views, ViewsRequest};
 use lilaccrank::timeline::Timeline;
 use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::peer_link::PeerLink;
@@ -224,6 +224,13 @@
     }
 }
 
+impl Peers<ViewsRequest, Views> for PeerNetwork {
+    async fn call(&self, vm: &VmId, req: ViewsRequest) -> Result<Views> {
+        let reply = self.send(vm, Channel::Pools, req.into()).await?;
+        reply.try_into().map_err(|_| Error::NoAnswer(vm.clone()))
+    }
+}
+
 impl Peers<SlotRequest, SlotReply> for PeerNetwork {
     async fn call(&self, vm: &VmId, req: SlotRequest) -> Result<SlotReply> {
         let reply = self.send(vm, Channel::Pools, req.into()).await?;
--- a/crates/lilaccrankd/src/rollouts.rs
+++ b/crates/lilaccrankd/src/rollouts.rs
@@ -8,8 +8,9 @@
 use indexmap::{IndexMap, IndexSet};
 use lilaccrank::document::{Target, TargetState};
 use lilaccrank::ids::PoolId;
+use lilaccrank::peers::Peers;
 use lilaccrank::rollout::controller::{Controller, Fleet};
-use lilaccrank::rollout::message::{Stage, View};
+use lilaccrank::rollout::message::{Stage, Views, ViewsRequest};
 use lilaccrank::rollout::order::{Order, OrderId, Orders, State};
 use lilaccrank::rollout::participant::Participant;
 use lilaccrank::software_version::VersionDigest;
@@ -184,21 +185,22 @@
         targets.into_iter().partition(is_old)
     }
 
-    /// Roll-outs as operators see them, as far as this daemon judges them or takes part.
+    /// Roll-outs as operators see them: as their judge if this daemon is one, else as far as it takes
+    /// part.
     #[must_use]
-    pub fn views(&self) -> Vec<View> {
+    pub fn views(&self) -> Views {
         let now = Instant::now();
         let controllers = self.controllers.borrow();
-        let judged = controllers.values().map(|controller| controller.view(now));
-        judged.collect()
-    }
-
-    /// Number of roll-outs that have not ended.
-    #[must_use]
-    pub fn active(&self) -> usize {
         let participants = self.participants.borrow();
-        let active = participants.values();
-        active.filter(|p| !p.stage().is_final()).count()
+        let views = participants.values().map(|participant| {
+            match controllers.get(&participant.order().id) {
+                Some(controller) => controller.view(now),
+                None => participant.view(now),
+            }
+        });
+        Views {
+            rollouts: views.collect(),
+        }
     }
 
     fn is_withheld(&self, pool: &PoolId, version: Option<VersionDigest>, now: Instant) -> bool {
@@ -330,6 +332,22 @@
     }
 }
 
+/// Roll-outs as their first judge sees them, or as this daemon does if the judge does not answer.
+pub async fn views(daemon: &Daemon) -> Views {
+    let judge = daemon.duties.judges().into_iter().next();
+    let judge = judge.filter(|vm| *vm != daemon.cfg.vm);
+    let Some(judge) = judge else {
+        return daemon.rollouts.views();
+    };
+    match daemon.peers.call(&judge, ViewsRequest).await {
+        Ok(views) => views,
+        Err(e) => {
+            log::warn!(judge = judge, why:% = e; "failed to ask the judge of roll-outs");
+            daemon.rollouts.views()
+        }
+    }
+}
+
 /// What the fleet is like, for the judge of an order.
 fn fleet(daemon: &Daemon, order: &OrderId) -> Fleet {
     let listing = daemon.live_list.listing();
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -10,6 +10,7 @@
 use lilaccrank::ids::Incarnation;
 use lilaccrank::membership;
 use lilaccrank::request_key::Ranking;
+use lilaccrank::rollout::message::ViewsRequest;
 use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::server::ShutdownHandle;
 use lilaccrank_http::{peer_server, runtime, server};
@@ -217,6 +218,7 @@
         PeerRequest::Order(req) => jobs::handle(&daemon, req).into(),
         PeerRequest::Path(req) => paths::answer(&daemon, &req).await.into(),
         PeerRequest::Pool(req) => pools::server::handle(&daemon, req).into(),
+        PeerRequest::RolloutViews(ViewsRequest) => daemon.rollouts.views().into(),
         PeerRequest::Rollout(reports) => rollouts::judge::answer(&daemon, reports).into(),
         PeerRequest::Slot(req) => pools::slot_leases::handle(&daemon, req).into(),
     };
