Roll-outs: an order to the version that runs, and versions after a roll-out

An order to the version that all targets have left requests no target until its trial had ended, and after a roll-out had succeeded a version that was released without an order got nothing, since requests stayed confined to the one before. Requests are confined only while a roll-out is under way and old targets were listed.

--- a/crates/lilaccrank/src/rollout/participant.rs
+++ b/crates/lilaccrank/src/rollout/participant.rs
@@ -12,6 +12,8 @@
 /// Version that a request goes to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Lane {
+    /// Any version: there is none to move from, or the roll-out is over.
+    Any,
     /// An old version.
     Old,
     /// The new version, or an old one if it has no target.
@@ -25,6 +27,8 @@
 pub struct Participant {
     /// Answers that this daemon has seen.
     pub evidence: Evidence,
+    /// Set once a target of an old version was listed.
+    pub has_old_targets: bool,
     /// Requests for old targets that wait or run.
     pub open_old: u32,
     exposure: Exposure,
@@ -45,6 +49,7 @@
             evidence: Evidence::default(),
             exposure: Exposure::new(phase),
             lease_until: None,
+            has_old_targets: false,
             open_old: 0,
             reason: None,
             schedule: Schedule::new(order.duration, &Evidence::default()),
@@ -127,6 +132,9 @@
     /// Returns `true` if requests may go to the new version now.
     #[must_use]
     pub fn may_expose(&self, now: Instant) -> bool {
+        if !self.has_old_targets {
+            return true;
+        }
         match self.stage {
             Stage::Trial | Stage::Closing => self.lease_until.is_some_and(|until| now < until),
             Stage::Succeeded => true,
@@ -136,12 +144,14 @@
 
     /// Chooses the version for a request; `is_repeat` if it was sent before.
     pub fn choose(&mut self, rule: &RuleId, is_repeat: bool, now: Instant) -> Lane {
+        if self.stage == Stage::Succeeded || !self.has_old_targets {
+            return Lane::Any;
+        }
         if !self.may_expose(now) {
             return Lane::Old;
         }
         let age = now.saturating_duration_since(self.started_at);
         match self.stage {
-            Stage::Succeeded => Lane::New,
             Stage::Closing => {
                 self.exposure.record_exposed();
                 Lane::New
--- a/crates/lilaccrankd/src/rollouts.rs
+++ b/crates/lilaccrankd/src/rollouts.rs
@@ -123,6 +123,7 @@
         if !self.is_enabled {
             return;
         }
+        self.note_old_targets(listing);
         let mut first_named = self.first_named.borrow_mut();
         first_named.retain(|(pool, version), _| {
             let targets = listing.targets.get(pool).into_iter().flatten();
@@ -153,6 +154,16 @@
         }
     }
 
+    /// Notes which participants have old targets in this list.
+    fn note_old_targets(&self, listing: &Listing) {
+        for (pool, participant) in self.participants.borrow_mut().iter_mut() {
+            let version = Some(participant.order().version());
+            let mut targets = listing.targets.get(pool).into_iter().flatten();
+            participant.has_old_targets |=
+                targets.any(|target| VersionDigest::of(target) != version);
+        }
+    }
+
     /// State of a target by the roll-outs; live if none rules it out.
     #[must_use]
     pub fn state_of(&self, pool: &PoolId, target: &Target, now: Instant) -> TargetState {
@@ -161,6 +172,7 @@
         let participant = participants.get(pool);
         let is_rolled_back = participant.is_some_and(|participant| {
             participant.stage() == Stage::RolledBack
+                && participant.has_old_targets
                 && version == Some(participant.order().version())
         });
         let retired = self.retired.borrow();
@@ -261,6 +273,7 @@
             controller.note_recorded(orders[&id.pool].recorded);
         }
     }
+    rollouts.note_old_targets(&daemon.live_list.listing());
     *rollouts.orders.borrow_mut() = known.orders;
     rollouts.wake.notify();
     apply(daemon);
--- a/crates/lilaccrankd/src/rollouts/lane.rs
+++ b/crates/lilaccrankd/src/rollouts/lane.rs
@@ -72,6 +72,7 @@
     pub fn restrict(&self, submission: Submission) -> Submission {
         let versions = match self.lane {
             _ if self.is_resumed => VersionFilter::Any,
+            Lane::Any => VersionFilter::Any,
             Lane::Old => VersionFilter::Except(self.version),
             Lane::Trial | Lane::New => VersionFilter::Only(self.version),
         };
