Watches: a pause after changes of the list of targets

Each daemon is alone at first, takes itself for a watcher, and a watch is answered by each of the 140 workers that register just then.

After an answer with changes the next watch of the list waits: 100 ms at a watcher, 400 ms at another daemon and at any that has watched for less than 3 s. A single change is known as soon as before.

--- a/crates/lilaccrankd/src/configuration.rs
+++ b/crates/lilaccrankd/src/configuration.rs
@@ -42,6 +42,12 @@
 /// leaving target may get no new requests after three seconds. Without the bound, 71 members would
 /// spread over 1.4 s, in addition to the 1.4 s until a contact is stale.
 const STALE_JITTER_MAX: Duration = Duration::from_millis(400);
+/// Pause of a watcher after an answer with changes of the list of targets.
+const WATCHER_PAUSE: Duration = Duration::from_millis(100);
+/// Time after which a daemon that begins to watch knows the other members, and whether it is a watcher.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+/// Pause of another daemon, which hears of the changes from the watchers as well.
+const FOLLOWER_PAUSE: Duration = Duration::from_millis(400);
 
 /// Keeps the configuration up to date for as long as the daemon runs.
 pub async fn run(daemon: Rc<Daemon>) {
@@ -124,6 +130,19 @@
     }
 }
 
+/// Returns the pause before the next watch of the list of targets, after an answer with this number of
+/// changes, of a daemon that has watched for `since`. When many targets register at the same time, a call
+/// without a pause would be answered by each of them; and when a fleet starts, each daemon is alone at
+/// first and takes itself for a watcher.
+#[must_use]
+pub fn watch_pause(changes: usize, is_watcher: bool, since: Duration) -> Duration {
+    match changes {
+        0 => Duration::ZERO,
+        _ if is_watcher && since >= SETTLING_TIME => WATCHER_PAUSE,
+        _ => FOLLOWER_PAUSE,
+    }
+}
+
 /// Returns the maximum jitter before a member without a recent contact queries the platform.
 #[must_use]
 pub fn stale_jitter(members: usize) -> Duration {
--- a/crates/lilaccrankd/src/configuration/source.rs
+++ b/crates/lilaccrankd/src/configuration/source.rs
@@ -1,7 +1,7 @@
 //! Port for the source of configurations and of the list of targets.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::future::LocalBoxFuture;
 use lilaccrank::clock::{BootTime, Clock};
@@ -12,6 +12,7 @@
 use lilaccrank::rollout::order::Orders;
 use lilaccrank_http::monoio_clock::MonoioClock;
 
+use crate::configuration;
 use crate::daemon::Daemon;
 use crate::rollouts::{self, KnownOrders};
 use crate::targets::live_list::{self, Listing};
@@ -26,6 +27,8 @@
 #[derive(Clone)]
 pub struct UpdateHandler {
     daemon: Rc<Daemon>,
+    /// When the daemon began to watch the platform.
+    began_at: Instant,
 }
 
 impl UpdateHandler {
@@ -34,6 +37,7 @@
     pub fn new(daemon: &Rc<Daemon>) -> Self {
         Self {
             daemon: Rc::clone(daemon),
+            began_at: Instant::now(),
         }
     }
 
@@ -43,6 +47,13 @@
         &self.daemon
     }
 
+    /// Pause before the next watch of the list of targets, after an answer with this number of changes.
+    #[must_use]
+    pub fn watch_pause(&self, changes: usize) -> Duration {
+        let is_watcher = self.daemon.duties.is_watcher();
+        configuration::watch_pause(changes, is_watcher, self.began_at.elapsed())
+    }
+
     /// Adopts a whole configuration if it is newer than the one in force.
     ///
     /// # Errors
