--- a/crates/lilaccrankd/src/rollouts.rs
+++ b/crates/lilaccrankd/src/rollouts.rs
@@ -57,17 +57,22 @@
 pub struct Rollouts {
     /// When targets that were slow after their start are no longer.
     cold_until: RefCell<IndexMap<TargetInstance, Instant>>,
+    /// Roll-outs that this daemon judges.
     controllers: RefCell<IndexMap<OrderId, Controller>>,
+    /// Versions of the list of targets.
     first_named: RefCell<IndexMap<(PoolId, VersionDigest), FirstNamed>>,
-    /// Versions and stages by which the targets were last set.
+    /// Stages by which the targets were last set, by pool.
     applied: RefCell<Vec<(PoolId, Stage)>>,
+    /// Set if targets get nothing until the orders are known.
     has_withheld: Cell<bool>,
     /// Set if the platform has roll-outs.
     is_enabled: bool,
     orders: RefCell<Orders>,
+    /// Roll-outs that this daemon takes part in.
     participants: RefCell<IndexMap<PoolId, Participant>>,
     /// States that are being written to the platform's store.
     recording: RefCell<IndexSet<(OrderId, State)>>,
+    /// Targets that roll-outs have replaced, with the times until which they get nothing.
     retired: RefCell<IndexMap<TargetInstance, Instant>>,
     running: RefCell<IndexMap<u64, Running>>,
     sends: Cell<u64>,
@@ -124,6 +129,12 @@
             return;
         }
         self.note_old_targets(listing);
+        self.note_versions(listing, now);
+        self.note_cold_targets(listing, now);
+    }
+
+    /// Notes when a list first names a version, and forgets versions that it no longer names.
+    fn note_versions(&self, listing: &Listing, now: Instant) {
         let mut first_named = self.first_named.borrow_mut();
         first_named.retain(|(pool, version), _| {
             let targets = listing.targets.get(pool).into_iter().flatten();
@@ -131,26 +142,29 @@
                 .filter_map(VersionDigest::of)
                 .any(|listed| listed == *version)
         });
+        let named = listing.all();
+        let named = named.filter_map(|(pool, target)| Some((pool, VersionDigest::of(target)?)));
+        for (pool, version) in named {
+            let entry = first_named.entry((pool.clone(), version));
+            if matches!(entry, Entry::Vacant(_)) {
+                self.wake.notify();
+            }
+            entry.or_insert(FirstNamed {
+                at: now,
+                revision: listing.revision,
+            });
+        }
+    }
+
+    /// Notes until when targets are slow after their start.
+    fn note_cold_targets(&self, listing: &Listing, now: Instant) {
         let mut cold_until = self.cold_until.borrow_mut();
         cold_until.retain(|_, until| *until > now);
-        for (pool, target) in listing.all() {
-            if let Some(version) = VersionDigest::of(target) {
-                let first = FirstNamed {
-                    at: now,
-                    revision: listing.revision,
-                };
-                let entry = first_named.entry((pool.clone(), version));
-                if matches!(entry, Entry::Vacant(_)) {
-                    self.wake.notify();
-                }
-                entry.or_insert(first);
-            }
-            if target.cold_ms > 0 {
-                let until = now + Duration::from_millis(target.cold_ms);
-                cold_until
-                    .entry(TargetInstance::of(target))
-                    .or_insert(until);
-            }
+        let cold = listing.all().filter(|(_, target)| target.cold_ms > 0);
+        for (_, target) in cold {
+            let until = now + Duration::from_millis(target.cold_ms);
+            let instance = TargetInstance::of(target);
+            cold_until.entry(instance).or_insert(until);
         }
     }
 
@@ -239,46 +253,49 @@
 /// Takes over orders that are newer than those that this daemon knows.
 pub fn update(daemon: &Rc<Daemon>, known: KnownOrders) {
     let rollouts = &daemon.rollouts;
-    let now = Instant::now();
     if known.orders.revision <= rollouts.revision() {
         return;
     }
-    {
-        let mut participants = rollouts.participants.borrow_mut();
-        participants.retain(|pool, participant| {
-            let order = known.orders.by_pool.get(pool);
-            order.is_some_and(|order| order.id == participant.order().id)
-        });
-        for (pool, order) in &known.orders.by_pool {
-            let age = known.ages.get(pool).copied().unwrap_or_default();
-            match participants.get_mut(pool) {
-                Some(participant) => {
-                    participant.note_age(age, now);
-                    participant.note_recorded(order.recorded);
-                }
-                None => {
-                    let started_at = now.checked_sub(age).unwrap_or(now);
-                    let participant = Participant::new(order.clone(), started_at, rand::random());
-                    participants.insert(pool.clone(), participant);
-                    log_order(daemon, order, age);
-                }
-            }
-        }
-    }
-    {
-        let mut controllers = rollouts.controllers.borrow_mut();
-        let orders = &known.orders.by_pool;
-        controllers.retain(|id, _| orders.get(&id.pool).is_some_and(|order| order.id == *id));
-        for (id, controller) in controllers.iter_mut() {
-            controller.note_recorded(orders[&id.pool].recorded);
-        }
-    }
+    update_participants(daemon, &known);
+    update_controllers(rollouts, &known.orders);
     rollouts.note_old_targets(&daemon.live_list.listing());
     *rollouts.orders.borrow_mut() = known.orders;
     rollouts.wake.notify();
     apply(daemon);
 }
 
+/// Takes part in new orders, and no longer in those that are gone or replaced.
+fn update_participants(daemon: &Daemon, known: &KnownOrders) {
+    let now = Instant::now();
+    let mut participants = daemon.rollouts.participants.borrow_mut();
+    participants.retain(|pool, participant| {
+        let order = known.orders.by_pool.get(pool);
+        order.is_some_and(|order| order.id == participant.order().id)
+    });
+    for (pool, order) in &known.orders.by_pool {
+        let age = known.ages.get(pool).copied().unwrap_or_default();
+        if let Some(participant) = participants.get_mut(pool) {
+            participant.note_age(age, now);
+            participant.note_recorded(order.recorded);
+            continue;
+        }
+        let started_at = now.checked_sub(age).unwrap_or(now);
+        let participant = Participant::new(order.clone(), started_at, rand::random());
+        participants.insert(pool.clone(), participant);
+        log_order(daemon, order, age);
+    }
+}
+
+/// Tells the judges of orders what the store has of them, and drops those of orders that are gone.
+fn update_controllers(rollouts: &Rollouts, orders: &Orders) {
+    let mut controllers = rollouts.controllers.borrow_mut();
+    let current = |id: &OrderId| orders.by_pool.get(&id.pool).filter(|order| order.id == *id);
+    controllers.retain(|id, _| current(id).is_some());
+    for (id, controller) in controllers.iter_mut() {
+        controller.note_recorded(current(id).and_then(|order| order.recorded));
+    }
+}
+
 /// Sets the targets of the dispatchers if a roll-out has changed which of them may be used.
 fn apply(daemon: &Rc<Daemon>) {
     let rollouts = &daemon.rollouts;
@@ -317,14 +334,18 @@
         "a roll-out goes on"
     );
     daemon.metrics.record_rollout_stage(stage);
-    if stage != Stage::Succeeded {
-        return;
+    if stage == Stage::Succeeded {
+        retire_old_targets(daemon, pool, participant.order().version());
     }
-    let version = Some(participant.order().version());
+}
+
+/// Keeps the old targets of a pool from requests: the platform stops them, and lists them for a while.
+fn retire_old_targets(daemon: &Daemon, pool: &PoolId, version: VersionDigest) {
+    let now = Instant::now();
     let listing = daemon.live_list.listing();
     let targets = listing.targets.get(pool).into_iter().flatten();
-    let old = targets.filter(|target| VersionDigest::of(target) != version);
-    let mut retired = rollouts.retired.borrow_mut();
+    let old = targets.filter(|target| VersionDigest::of(target) != Some(version));
+    let mut retired = daemon.rollouts.retired.borrow_mut();
     retired.retain(|_, until| *until > now);
     retired.extend(old.map(|target| (TargetInstance::of(target), now + RETIREMENT)));
 }
--- a/crates/lilaccrankd/src/rollouts/judge.rs
+++ b/crates/lilaccrankd/src/rollouts/judge.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use lilaccrank::rollout::controller::Controller;
-use lilaccrank::rollout::message::{Directive, Directives, Report, Reports};
+use lilaccrank::rollout::message::{Directive, Directives, Report, Reports, RuleView};
 
 use super::{fleet, recorder};
 use crate::daemon::Daemon;
@@ -73,9 +73,7 @@
 
 fn log_decision(controller: &Controller, now: Instant) {
     let view = controller.view(now);
-    let answers = |count: fn(&lilaccrank::rollout::message::RuleView) -> u32| -> u32 {
-        view.rules.values().map(count).sum()
-    };
+    let answers = |count: fn(&RuleView) -> u32| -> u32 { view.rules.values().map(count).sum() };
     log::info!(
         age_ms = view.age_ms,
         new_answers = answers(|rule| rule.new_answers),
--- a/crates/lilaccrankd/src/rollouts/lane.rs
+++ b/crates/lilaccrankd/src/rollouts/lane.rs
@@ -1,7 +1,7 @@
 //! The version that a request goes to while a roll-out runs.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use lilaccrank::dispatch::message::Submission;
 use lilaccrank::document::Target;
@@ -77,7 +77,7 @@
             Lane::Trial | Lane::New => VersionFilter::Only(self.version),
         };
         let wait_at_most = match self.is_trial() {
-            true => Some(std::time::Duration::ZERO),
+            true => Some(Duration::ZERO),
             false => submission.wait_at_most,
         };
         Submission {
--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -20,9 +20,9 @@
 mod pauses;
 #[path = "suite/platform_contact.rs"]
 mod platform_contact;
+#[path = "suite/platform_queries.rs"]
+mod platform_queries;
 #[path = "suite/retry_permit.rs"]
 mod retry_permit;
 #[path = "suite/sendable.rs"]
 mod sendable;
-#[path = "suite/stale_jitter.rs"]
-mod stale_jitter;
