Test: callers that leave, timed from before they do

The thread took that time after the shutdown of the connection, and was not running meanwhile. It is taken before now, so the bound of the aim counts from earlier than it did; a run that ends before that fails the test with its record instead of a panic.

--- a/crates/lilaccrank-lab/tests/faults/departures.rs
+++ b/crates/lilaccrank-lab/tests/faults/departures.rs
@@ -83,11 +83,13 @@
         let cluster = Cluster::start(layout).await.unwrap();
         let caller = begin(&cluster, stream, "", behind);
         running(&cluster).await;
-        caller.shutdown(Shutdown::Both).unwrap();
+        // Taken first: the engine may hear of the shutdown before this thread goes on.
         let left_ms = reply::wall_ms();
+        caller.shutdown(Shutdown::Both).unwrap();
         monoio::time::sleep(WATCHED).await;
         let run = run(&cluster).await;
-        let ended = run["ended_ms"].as_u64().map(|ended| ended - left_ms);
+        let ended = run["ended_ms"].as_u64();
+        let ended = ended.and_then(|ended| ended.checked_sub(left_ms));
         let limit = u64::try_from(AIM.as_millis()).unwrap();
         assert!(ended.is_some_and(|ended| ended <= limit), "{ended:?} {run}");
     });
