Pools: targets of a cell and verdicts in modules of their own

Cause: pools/server.rs held three jobs in over 400 lines. Change: set_targets and its kin move to server/cell_targets.rs, deciding and delivering to server/verdicts.rs, unchanged. Ruled out: a change of logic; the moved functions are the same lines.

--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -2,27 +2,23 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use event_listener::Event;
-use futures::future::{self, Either};
+use futures::future::{self};
 use futures::pin_mut;
 use indexmap::{IndexMap, IndexSet};
 use lilaccrank::cells;
-use lilaccrank::dispatch::message::{
-    Entry, Grant, Outcome, Report, ReportKind, Submission, Verdict,
-};
+use lilaccrank::dispatch::message::Entry;
 use lilaccrank::dispatch::sharing::Digest;
 use lilaccrank::dispatch::status::Status;
 use lilaccrank::dispatch::{Config, Dispatcher};
-use lilaccrank::document::{Document, Pool, PoolKind, Target, TargetState};
-use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::document::{Document, PoolKind};
 use lilaccrank::ids::{PoolId, Tier, VmId};
 use lilaccrank::membership::State;
-use lilaccrank::peers::Peers;
 use lilaccrank::prompt;
 use lilaccrank::request_key::{MemberRef, Ranking};
-use lilaccrank::target_instance::{InstanceDigest, TargetInstance};
+use lilaccrank::target_instance::InstanceDigest;
 use lilaccrank::timeline::{EventKind, Subject};
 use lilaccrank_http::monoio_clock::MonoioClock;
 
@@ -31,26 +27,27 @@
 use crate::pools::client;
 use crate::pools::poller;
 use crate::pools::rate_limits::RateLimits;
-use crate::targets::sendable;
 
 mod brittle;
+mod cell_targets;
 mod notices;
 mod overflow;
+mod verdicts;
 
+pub(super) use cell_targets::near_targets;
+pub use cell_targets::{find_target, sendable_targets};
 pub use notices::{
     apply_brittle, apply_leaving, apply_rate_limits, apply_routes, hold, owned_slots, push_back,
 };
 pub use overflow::apply_overflow;
 
 use brittle::BrittleTargets;
+use cell_targets::set_targets;
 use overflow::Overflow;
+use verdicts::spawn_decide;
 
 /// Longest time that a new dispatcher waits for the entries to report their requests.
 const HANDOVER_GRACE: Duration = Duration::from_secs(1);
-/// Attempts to deliver a verdict. An entry that missed them all asks again.
-const DELIVERY_ATTEMPTS: u32 = 3;
-/// Delay between two attempts.
-const DELIVERY_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Silence of an engine with running requests after which it counts as hung.
 const ENGINE_HANG_TIMEOUT: Duration = Duration::from_millis(500);
 /// The same for a plain service, which may be silent for as long as its requests may take.
@@ -136,94 +133,6 @@
     }
 }
 
-fn spawn_decide(daemon: &Rc<Daemon>, served: &Rc<ServedPool>, submission: Submission) {
-    monoio::spawn(decide(Rc::clone(daemon), Rc::clone(served), submission));
-}
-
-async fn decide(daemon: Rc<Daemon>, served: Rc<ServedPool>, submission: Submission) {
-    let entry = submission.entry.clone();
-    let is_repeated = served
-        .dispatcher
-        .is_granted(&submission.request, submission.submission);
-    let verdict = {
-        let deciding = served.dispatcher.submit(submission);
-        let retired = served.retired();
-        pin_mut!(deciding, retired);
-        match future::select(deciding, retired).await {
-            Either::Left((verdict, _)) => verdict,
-            Either::Right(_) => return,
-        }
-    };
-    // This call was cancelled, or replaced by a repetition of the same submission, which gets the
-    // verdict.
-    if matches!(&verdict, Verdict::Refuse(refuse) if refuse.kind == ErrorKind::Cancelled) {
-        return;
-    }
-    if let Verdict::Grant(grant) = &verdict {
-        if is_repeated {
-            log::info!(
-                entry = entry,
-                request = grant.request,
-                submission = grant.submission;
-                "the grant is delivered again for a repeated submission"
-            );
-        } else {
-            record_grant(&daemon, &served, grant);
-        }
-    }
-    let is_used = deliver(&daemon, &served, &entry, &verdict).await;
-    let Verdict::Grant(grant) = verdict else {
-        return;
-    };
-    let kind = if is_used {
-        ReportKind::Began
-    } else {
-        ReportKind::Ended {
-            decoded: 0,
-            outcome: Outcome::Unused,
-            prefill: None,
-        }
-    };
-    served.dispatcher.report(&Report {
-        submission: grant.submission,
-        kind,
-        request: grant.request,
-        target: grant.target,
-    });
-}
-
-fn record_grant(daemon: &Daemon, served: &ServedPool, grant: &Grant) {
-    let is_urgent = served.dispatcher.has_urgent_changes();
-    daemon.load_exchange.note_change(is_urgent);
-    let subject = Subject {
-        detail: format!("by the dispatcher of pool {}", served.pool),
-        request: Some(grant.request.clone()),
-        target: Some(grant.target.id.clone()),
-    };
-    daemon.record(EventKind::Granted, subject);
-}
-
-async fn deliver(daemon: &Rc<Daemon>, served: &ServedPool, entry: &str, verdict: &Verdict) -> bool {
-    if entry == daemon.cfg.vm {
-        return client::on_verdict(daemon, &served.me, verdict.clone());
-    }
-    for _ in 0..DELIVERY_ATTEMPTS {
-        let req = PoolRequest {
-            message: PoolMessage::Verdict {
-                from: served.me.clone(),
-                verdict: verdict.clone(),
-            },
-            pool: served.pool.clone(),
-        };
-        match daemon.peers.call(&entry.to_owned(), req).await {
-            Ok(PoolReply::Accepted { .. }) => return true,
-            Ok(PoolReply::Declined) => return false,
-            Err(_) => monoio::time::sleep(DELIVERY_RETRY_DELAY).await,
-        }
-    }
-    false
-}
-
 /// Returns the dispatcher of a pool if this daemon has the duty. It is created at the first
 /// message.
 fn served_pool(daemon: &Rc<Daemon>, pool: &PoolId) -> Option<Rc<ServedPool>> {
@@ -386,82 +295,6 @@
     });
 }
 
-/// Sets the targets of a dispatcher: those of the cell, out of the targets in this data centre and
-/// in data centres that act as one with it. A daemon with most of the requests uses some of other cells.
-fn set_targets(
-    daemon: &Daemon,
-    dispatcher: &Dispatcher<MonoioClock>,
-    overflow: &Overflow,
-    configured: &Pool,
-) {
-    let mut pool = Pool {
-        targets: near_targets(daemon, configured),
-        ..configured.clone()
-    };
-    let near = pool.targets.clone();
-    pool.targets = cell_targets(daemon, &pool.id, pool.targets);
-    let spare = cells::spare_targets(&near, &pool.targets, &daemon.cfg.vm);
-    overflow.set_cell_slots(pool.targets.iter().map(|target| target.slots).sum());
-    if overflow.is_active() {
-        pool.targets.extend(overflow::targets(daemon, &near, &pool));
-    }
-    if daemon.duties.is_dispatch_local() {
-        cells::sort_by_daemon_hash(&mut pool.targets, &daemon.cfg.vm);
-    }
-    daemon.pool_server.rate_limits.targets_changed();
-    dispatcher.set_targets_where(&pool, &spare, |data_centre| daemon.cfg.is_near(data_centre));
-    if daemon.duties.is_dispatch_local() {
-        for (target, left) in daemon.pauses.in_force(Instant::now()) {
-            dispatcher.push_back(&target, left);
-        }
-        dispatcher.set_routes(&daemon.paths.routes());
-    }
-}
-
-/// The targets that the cell of this daemon uses. The versions of a roll-out are dealt to the cells
-/// apart, so that each cell has both.
-fn cell_targets(daemon: &Daemon, pool: &PoolId, targets: Vec<Target>) -> Vec<Target> {
-    let (mut targets, mut new) = daemon.rollouts.split(pool, targets);
-    let cell = cell(daemon);
-    cell.retain_targets(&mut targets);
-    cell.retain_targets(&mut new);
-    targets.extend(new);
-    targets
-}
-
-/// Targets of a pool in this data centre and in data centres that act as one with it.
-pub(super) fn near_targets(daemon: &Daemon, configured: &Pool) -> Vec<Target> {
-    let mut targets = daemon.live_list.apply(configured).targets;
-    targets.retain(|target| daemon.cfg.is_near(&target.data_centre));
-    for target in &mut targets {
-        target.state = sendable::state_of(daemon, &configured.id, target);
-    }
-    targets
-}
-
-/// Targets of all pools that this daemon may send to.
-pub fn sendable_targets(daemon: &Daemon) -> Vec<(PoolId, Target)> {
-    let Ok(in_force) = daemon.in_force() else {
-        return Vec::new();
-    };
-    let pools = in_force.document.pools.iter();
-    let targets = pools.flat_map(|pool| {
-        let targets = near_targets(daemon, pool);
-        cell_targets(daemon, &pool.id, targets)
-            .into_iter()
-            .filter(|target| target.state == TargetState::Live)
-            .map(|target| (pool.id.clone(), target))
-    });
-    targets.collect()
-}
-
-/// Finds a target with its pool.
-pub fn find_target(daemon: &Daemon, instance: &TargetInstance) -> Option<(PoolId, Target)> {
-    let in_force = daemon.in_force().ok()?;
-    let mut pools = in_force.document.pools.iter();
-    pools.find_map(|pool| Some((pool.id.clone(), daemon.target(&pool.id, instance)?)))
-}
-
 /// Load of this daemon on the targets of each pool.
 pub fn digests(daemon: &Daemon) -> Vec<(PoolId, Digest)> {
     let served = daemon.pool_server.served.borrow();
