Requests: the observer of a send stands in a module of its own

Cause: request/send.rs held the send and the reports about its progress. Ruled out: a change of logic.

--- a/crates/lilaccrankd/src/request.rs
+++ b/crates/lilaccrankd/src/request.rs
@@ -13,5 +13,6 @@
 pub mod quotas;
 pub mod send;
 pub mod send_history;
+pub mod send_observer;
 pub mod spill;
 pub mod stream_origin;
--- a/crates/lilaccrankd/src/request/migration.rs
+++ b/crates/lilaccrankd/src/request/migration.rs
@@ -12,8 +12,8 @@
 use crate::pools::client::{self, HeldGrant};
 use crate::request::lifecycle::{self, RoutedRequest};
 use crate::request::pool_retry_budgets::RetryPermit;
-use crate::request::send::SendObserver;
 use crate::request::send_history::PriorSends;
+use crate::request::send_observer::SendObserver;
 
 /// Time between a refused submission for a migration and the next one.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -1,39 +1,33 @@
 //! Sends a granted request to its target once and reports its progress to the dispatcher.
 
-use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use derive_more::From;
 use futures::FutureExt;
 use futures::future::{self, Either};
 use futures::pin_mut;
 use lilaccrank::attempts::Failure;
-use lilaccrank::dispatch::message::{Outcome, ReportKind};
+use lilaccrank::dispatch::message::Outcome;
 use lilaccrank::document::Target;
 use lilaccrank::error_kind::{ErrorKind, Executed};
-use lilaccrank::ids::{ContentDigest, PoolId};
 use lilaccrank::software_version::VersionDigest;
-use lilaccrank::stream_origins::Record;
-use lilaccrank::stream_progress::StreamProgress;
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank::timeline::EventKind;
 use lilaccrank_http::client;
 
 use crate::callers::caller_request::Operation;
 use crate::callers::refusal::{self, Refusal};
-use crate::daemon::{Daemon, InProgress};
 use crate::pools::client::HeldGrant;
 use crate::request::answer_buffer::AnswerBuffer;
 use crate::request::execution::Execution;
-use crate::request::lifecycle;
+use crate::request::send_observer::SendObserver;
 use crate::rollouts::lane;
-use crate::rollouts::send_record::SendRecord;
-use crate::targets::engine_run::{self, EngineRequest, Observer, RunOutcome};
+use crate::targets::engine_run::{self, EngineRequest, RunOutcome};
 use crate::targets::engine_stream::EngineStream;
-use crate::targets::forward::{self, Forwarder, SendFailure};
+use crate::targets::forward::{Forwarder, SendFailure};
 use crate::targets::paths;
-use crate::targets::protocol::{OutgoingRequest, RateLimit};
+use crate::targets::protocol::OutgoingRequest;
 use crate::targets::proxied_request::ProxiedRequest;
 use crate::targets::sendable;
 use crate::targets::transport::Transport;
@@ -50,9 +44,6 @@
     Migrated(HeldGrant),
 }
 
-/// Least time between two progress reports to the dispatcher.
-const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
-
 impl Execution<'_> {
     /// Sends the request to the target of `grant`.
     ///
@@ -240,176 +231,6 @@
     }
 }
 
-/// Reports the progress of a send to the dispatcher and the metrics.
-pub struct SendObserver {
-    /// The daemon that sends.
-    pub daemon: Rc<Daemon>,
-    /// Grant of the target.
-    pub grant: HeldGrant,
-    reported_tokens: Cell<u32>,
-    last_report_at: Cell<Instant>,
-    /// Parts of the prompt, until the target has gone on with the answer.
-    unproven_parts: RefCell<Vec<ContentDigest>>,
-    first_event_at: Cell<Option<Instant>>,
-    stream_progress: Cell<StreamProgress>,
-    tokens: Cell<u32>,
-    tokens_in_event: u32,
-    elapsed_before_send: Duration,
-    /// Pool of the target.
-    pool: PoolId,
-    /// Record of the stream, if others may resume it.
-    record: Option<Record>,
-    /// What the send tells about a version that is being rolled out.
-    rollout: Option<SendRecord>,
-    /// Version of the target's software by the list at the send; `None` if unknown.
-    pub version: Option<VersionDigest>,
-    /// Set once the target has asked for a pause.
-    was_pushed_back: Cell<bool>,
-    /// A daemon that ends waits until targets were told to cancel their work.
-    _in_progress: Rc<InProgress>,
-}
-
-impl SendObserver {
-    fn new(execution: &Execution<'_>, grant: HeldGrant, target: &Target) -> Self {
-        let (daemon, routed) = (execution.daemon, execution.routed);
-        let tokens_in_event = daemon.tokens_in_event(&routed.route.pool);
-        let delivered = &execution.history.delivered;
-        let version = VersionDigest::of(target);
-        let origin = execution.history.prior.origin.after(version);
-        let earlier_tokens = delivered.events.saturating_mul(tokens_in_event);
-        Self {
-            daemon: Rc::clone(daemon),
-            grant,
-            reported_tokens: Cell::new(0),
-            last_report_at: Cell::new(Instant::now()),
-            unproven_parts: RefCell::new(routed.caller.shared_parts.clone()),
-            first_event_at: Cell::new(None),
-            stream_progress: Cell::new(StreamProgress::new(earlier_tokens, routed.deadline())),
-            tokens: Cell::new(0),
-            tokens_in_event,
-            elapsed_before_send: routed.arrived.elapsed(),
-            pool: routed.route.pool.clone(),
-            record: routed.stream_record(origin, target),
-            rollout: SendRecord::new(daemon, routed, target),
-            version,
-            was_pushed_back: Cell::new(false),
-            _in_progress: Rc::clone(execution.in_progress),
-        }
-    }
-}
-
-impl SendObserver {
-    /// Progress of the answer so far.
-    #[must_use]
-    pub fn stream_progress(&self) -> StreamProgress {
-        self.stream_progress.get()
-    }
-}
-
-impl SendObserver {
-    /// Records that no part of the prompt crashes targets, once the answer has gone on for long enough.
-    fn prove_parts(&self, now: Instant) {
-        let since_first = self.first_event_at.get().map(|first| now - first);
-        if since_first.is_none_or(|since| since < forward::BEGINNING) {
-            return;
-        }
-        let exchange = &self.daemon.load_exchange;
-        let parts = self.unproven_parts.take();
-        self.daemon.advisories.record_proven_parts(&parts, exchange);
-    }
-}
-
-impl Observer for SendObserver {
-    fn decoded(&self, tokens: u32) {
-        self.grant.record_decoded(tokens);
-        self.prove_parts(Instant::now());
-    }
-
-    fn first_token(&self, after: Duration) {
-        self.first_event_at.set(Some(Instant::now()));
-        if let Some(record) = &self.rollout {
-            record.begin();
-        }
-        let total = self.elapsed_before_send + after;
-        self.daemon.metrics.first_token.observe(total.as_secs_f64());
-        self.grant.report(ReportKind::FirstToken { after });
-    }
-
-    fn progress(&self, tokens: u32, step: Duration) {
-        self.grant.report(ReportKind::Progress { step, tokens });
-    }
-
-    fn leaving(&self) {
-        let target = &self.grant.target;
-        let exchange = &self.daemon.load_exchange;
-        self.daemon.advisories.record_leaving(target, exchange);
-    }
-
-    fn pause(&self, pause: Duration) {
-        let target = &self.grant.target;
-        log::info!(
-            pause_ms = lifecycle::log_ms(Some(pause)),
-            target = target.id;
-            "a target asked for a pause"
-        );
-        self.was_pushed_back.set(true);
-        self.daemon.pauses.record(target, pause, Instant::now());
-        self.grant.push_back(pause);
-    }
-}
-
-impl forward::Observer for SendObserver {
-    fn brittleness(&self, limit: Option<u32>) {
-        let daemon = &self.daemon;
-        let target = &self.grant.target;
-        let known = daemon.pool_server.brittle_limit(target.digest());
-        daemon
-            .advisories
-            .record_brittle(target, limit, known.is_some(), &daemon.load_exchange);
-    }
-
-    fn leaving(&self) {
-        Observer::leaving(self);
-    }
-
-    fn pause(&self, pause: Duration) {
-        Observer::pause(self, pause);
-    }
-
-    fn rate_limit(&self, limit: RateLimit) {
-        let exchange = &self.daemon.load_exchange;
-        self.daemon
-            .advisories
-            .record_rate_limit(&self.grant.target, limit, exchange);
-    }
-
-    fn event(&self, first: bool, since_sent: Duration) {
-        self.tokens.set(self.tokens.get() + self.tokens_in_event);
-        self.grant.record_decoded(self.tokens.get());
-        let now = Instant::now();
-        let mut stream_progress = self.stream_progress.get();
-        stream_progress.record_tokens(self.tokens_in_event, now);
-        self.prove_parts(now);
-        self.stream_progress.set(stream_progress);
-        if first {
-            if let Some(record) = self.record {
-                self.daemon.origins.record_stream(&self.pool, record);
-            }
-            self.first_token(since_sent);
-            self.reported_tokens.set(self.tokens.get());
-            self.last_report_at.set(now);
-            return;
-        }
-        let since = now - self.last_report_at.get();
-        let new = self.tokens.get() - self.reported_tokens.get();
-        if since >= PROGRESS_INTERVAL && new > 0 {
-            self.progress(new, since / new);
-            self.reported_tokens.set(self.tokens.get());
-            self.last_report_at.set(now);
-        }
-    }
-}
-
 fn outcome(sent: &Result<()>) -> Outcome {
     match sent {
         Ok(()) => Outcome::Complete,
