Forward: what was delivered, and how a send failed, in modules of their own

Cause: targets/forward.rs was over 400 lines with three jobs. Change: Delivered and SendFailure with its constructors move to forward/, unchanged. Ruled out: a change of logic.

--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -23,6 +23,14 @@
 use crate::targets::protocol::{AnswerKind, OutgoingRequest, RateLimit, TargetProtocol};
 use crate::targets::transport::Transport;
 
+mod delivered;
+mod failure;
+
+pub use delivered::Delivered;
+pub use failure::SendFailure;
+
+use failure::{broken, failed, lost};
+
 /// Result of one send.
 pub type Result<T, E = SendFailure> = std::result::Result<T, E>;
 
@@ -66,50 +74,6 @@
     fn rate_limit(&self, limit: RateLimit);
 }
 
-/// A send that gave no complete answer.
-#[derive(Debug)]
-pub struct SendFailure {
-    /// Answer of the target, for the caller if no other target gives a better one.
-    pub answer: Option<(Head, Bytes)>,
-    /// How the send failed.
-    pub failure: Failure,
-    /// Set if this daemon's path to the target failed, which says nothing about the target.
-    pub is_path_fault: bool,
-    /// Refusal for the caller.
-    pub refusal: Refusal,
-}
-
-impl SendFailure {
-    /// Failure of a send with this refusal. If the refusal says "not run", nothing reached the target.
-    #[must_use]
-    pub fn new(refusal: Refusal) -> Self {
-        let failure = match refusal.ran {
-            Executed::No => Failure::Unsent,
-            Executed::Maybe => Failure::Failed,
-        };
-        Self {
-            answer: None,
-            failure,
-            is_path_fault: false,
-            refusal,
-        }
-    }
-}
-
-/// The part of the answer that was delivered to the caller.
-#[derive(Debug, Default)]
-pub struct Delivered {
-    /// When the first event or token of the last send came, once that has ended.
-    pub began_at: Option<Instant>,
-    /// Set if the last answer was delimited by the end of its connection, which a crash causes as
-    /// well.
-    pub ended_with_connection: bool,
-    /// Number of events delivered.
-    pub events: u32,
-    /// Id of the last event delivered.
-    pub last_event: Option<String>,
-}
-
 /// Sends requests to targets and forwards the answers.
 pub struct Forwarder<'a, O> {
     /// Limits of the send.
@@ -331,49 +295,6 @@
     }
 }
 
-impl Delivered {
-    /// Returns `true` if the target has gone on with the answer of the last send after its beginning.
-    #[must_use]
-    pub fn has_gone_on(&self) -> bool {
-        self.began_at.is_some_and(|at| at.elapsed() >= BEGINNING)
-    }
-
-    /// Returns `true` if an event comes after all that were delivered. A target that resumes after
-    /// an event may repeat it.
-    fn is_next(&self, id: Option<&str>) -> bool {
-        let (Some(last), Some(id)) = (self.last_event.as_deref(), id) else {
-            return true;
-        };
-        match (last.parse::<u64>(), id.parse::<u64>()) {
-            (Ok(last), Ok(id)) => last < id,
-            _ => last != id,
-        }
-    }
-
-    fn record(&mut self, id: Option<String>) {
-        self.events += 1;
-        if id.is_some() {
-            self.last_event = id;
-        }
-    }
-
-    fn broken(&self, message: &str) -> SendFailure {
-        broken(message, self.events > 0)
-    }
-
-    fn lost(&self, message: &str) -> SendFailure {
-        lost(message, self.events > 0)
-    }
-
-    fn silent(&self) -> SendFailure {
-        let mut silent = self.broken("the target went silent in its stream");
-        if self.events == 0 {
-            silent.refusal.kind = ErrorKind::TargetSilent;
-        }
-        silent
-    }
-}
-
 fn forwarded_head(head: &Parts) -> Head {
     Head {
         headers: end_to_end::headers(&head.headers),
@@ -386,21 +307,3 @@
     let framed = [CONTENT_LENGTH, TRANSFER_ENCODING];
     !framed.iter().any(|name| head.headers.contains_key(name))
 }
-
-fn failed(kind: ErrorKind, message: impl Into<String>) -> SendFailure {
-    SendFailure::new(Refusal::new(kind, message).ran(Executed::Maybe))
-}
-
-fn broken(message: &str, has_begun: bool) -> SendFailure {
-    let mut broken = failed(ErrorKind::BrokenAnswer, message);
-    if has_begun {
-        broken.failure = Failure::BrokenOff;
-    }
-    broken
-}
-
-fn lost(message: &str, has_begun: bool) -> SendFailure {
-    let mut lost = broken(message, has_begun);
-    lost.refusal.connection_lost = true;
-    lost
-}
--- /dev/null
+++ b/crates/lilaccrankd/src/targets/forward/failure.rs
@@ -0,0 +1,56 @@
+//! Sends that gave no complete answer.
+
+use bytes::Bytes;
+use lilaccrank::attempts::Failure;
+use lilaccrank::error_kind::{ErrorKind, Executed};
+
+use crate::callers::refusal::Refusal;
+use crate::request::answer_buffer::Head;
+
+/// A send that gave no complete answer.
+#[derive(Debug)]
+pub struct SendFailure {
+    /// Answer of the target, for the caller if no other target gives a better one.
+    pub answer: Option<(Head, Bytes)>,
+    /// How the send failed.
+    pub failure: Failure,
+    /// Set if this daemon's path to the target failed, which says nothing about the target.
+    pub is_path_fault: bool,
+    /// Refusal for the caller.
+    pub refusal: Refusal,
+}
+
+impl SendFailure {
+    /// Failure of a send with this refusal. If the refusal says "not run", nothing reached the target.
+    #[must_use]
+    pub fn new(refusal: Refusal) -> Self {
+        let failure = match refusal.ran {
+            Executed::No => Failure::Unsent,
+            Executed::Maybe => Failure::Failed,
+        };
+        Self {
+            answer: None,
+            failure,
+            is_path_fault: false,
+            refusal,
+        }
+    }
+}
+
+pub(super) fn failed(kind: ErrorKind, message: impl Into<String>) -> SendFailure {
+    SendFailure::new(Refusal::new(kind, message).ran(Executed::Maybe))
+}
+
+pub(super) fn broken(message: &str, has_begun: bool) -> SendFailure {
+    let mut broken = failed(ErrorKind::BrokenAnswer, message);
+    if has_begun {
+        broken.failure = Failure::BrokenOff;
+    }
+    broken
+}
+
+pub(super) fn lost(message: &str, has_begun: bool) -> SendFailure {
+    let mut lost = broken(message, has_begun);
+    lost.refusal.connection_lost = true;
+    lost
+}
