--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -5,19 +5,17 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures::channel::oneshot;
-use futures::future::{self, Either};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use indexmap::IndexMap;
-use lilaccrank::backoff;
-use monoio_compat::hyper::MonoioIo;
 use thiserror::Error;
 
 use crate::body::Body;
-use crate::socket;
-use crate::tally::{Counted, Tally};
+use crate::tally::Tally;
+
+mod sender;
+
+use sender::{Sender, connect};
 
 /// Result of sending a request.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -28,15 +26,6 @@
 /// and whether it ran is unknown. Within this time the connection is assumed to be alive; later
 /// requests open a new one, which the TCP handshake verifies.
 pub const MAX_IDLE: Duration = Duration::from_secs(1);
-/// Idle time before the first TCP keepalive probe; jitter adds up to the same time again.
-///
-/// Without jitter, connections opened in one burst are all probed at once: with 3,000 on one
-/// machine, probes were lost in its queues and live connections timed out.
-const KEEPALIVE: Duration = Duration::from_secs(10);
-/// Interval between keepalive probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
-/// Number of unanswered probes after which a connection is closed.
-const KEEPALIVE_PROBES: u32 = 4;
 /// Maximum number of idle connections per address.
 const IDLE_LIMIT: usize = 64;
 
@@ -116,13 +105,6 @@
     sender: Sender,
 }
 
-/// Sends requests on one connection; dropping it ends the connection.
-struct Sender {
-    /// Ends the task of the connection, which may be blocked on a request that was given up.
-    _open: oneshot::Sender<()>,
-    inner: SendRequest<Body>,
-}
-
 impl Idle {
     fn is_usable(&self) -> bool {
         self.since.elapsed() < MAX_IDLE && !self.sender.inner.is_closed()
@@ -330,42 +312,3 @@
         Some(list.swap_remove(at).sender)
     }
 }
-
-async fn connect(address: &str, limit: Duration, tally: Option<&Tally>) -> Result<Sender> {
-    let fail = |source| Error::Connect {
-        address: address.to_owned(),
-        source,
-    };
-    if limit.is_zero() {
-        return Err(fail(io::ErrorKind::NotConnected.into()));
-    }
-    let stream = monoio::time::timeout(limit, socket::connect(address))
-        .await
-        .map_err(|_| fail(io::ErrorKind::TimedOut.into()))?
-        .map_err(fail)?;
-    let idle = KEEPALIVE + backoff::full_jitter(KEEPALIVE);
-    stream
-        .set_tcp_keepalive(Some(idle), Some(KEEPALIVE_INTERVAL), Some(KEEPALIVE_PROBES))
-        .map_err(fail)?;
-    let io = monoio::io::IntoPollIo::into_poll_io(stream).map_err(fail)?;
-    let io = MonoioIo::new(io);
-    let sender = match tally {
-        Some(tally) => handshake(Counted::new(io, tally.clone())).await,
-        None => handshake(io).await,
-    };
-    sender.map_err(|e| fail(io::Error::other(e)))
-}
-
-async fn handshake<T>(io: T) -> hyper::Result<Sender>
-where
-    T: hyper::rt::Read + hyper::rt::Write + Unpin + 'static,
-{
-    let (inner, connection) = http1::handshake(io).await?;
-    let (open, closed) = oneshot::channel::<()>();
-    monoio::spawn(async move {
-        if let Either::Left((Err(e), _)) = future::select(connection, closed).await {
-            log::debug!("client connection failed: {e}");
-        }
-    });
-    Ok(Sender { _open: open, inner })
-}
