Roll-outs: known orders in a module of their own

Cause: rollouts.rs held the orders as a daemon knows them beside all else. Ruled out: a change of logic.

--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -17,7 +17,7 @@
 use crate::configuration;
 use crate::daemon::Daemon;
 use crate::peers::message::{Feed, FeedRequest};
-use crate::rollouts;
+use crate::rollouts::orders;
 use crate::targets::live_list::{self, Listing};
 
 /// Age up to which a contact with the platform counts as fresh. A watcher's long poll returns
@@ -136,7 +136,7 @@
     }
     // Orders go first: they tell which version of a list is being tried.
     if let Some(orders) = reply.orders {
-        rollouts::update(daemon, *orders);
+        orders::update(daemon, *orders);
     }
     if let Some(listing) = reply.listing {
         live_list::apply_listing(daemon, listing);
--- a/crates/lilaccrankd/src/configuration/source.rs
+++ b/crates/lilaccrankd/src/configuration/source.rs
@@ -14,7 +14,7 @@
 
 use crate::configuration;
 use crate::daemon::Daemon;
-use crate::rollouts::{self, KnownOrders};
+use crate::rollouts::orders::{self, KnownOrders};
 use crate::targets::live_list::{self, Listing};
 
 /// Watches the platform and passes its updates to the daemon.
@@ -114,7 +114,7 @@
             orders,
             ..KnownOrders::default()
         };
-        rollouts::update(&self.daemon, known);
+        orders::update(&self.daemon, known);
     }
 
     /// Replaces the list of targets by one that was current at `at`.
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -18,7 +18,7 @@
 
 use crate::orders::message::{OrderReply, OrderRequest};
 use crate::peers::stream_origins::{OriginReply, OriginRequest};
-use crate::rollouts::KnownOrders;
+use crate::rollouts::orders::KnownOrders;
 use crate::targets::live_list::Listing;
 
 /// A message with its sender's time, which puts timelines into causal order.
--- /dev/null
+++ b/crates/lilaccrankd/src/rollouts/orders.rs
@@ -0,0 +1,105 @@
+//! Orders of operators as this daemon knows them, and its part in each.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use lilaccrank::ids::PoolId;
+use lilaccrank::rollout::order::{Order, OrderId, Orders};
+use lilaccrank::rollout::participant::Participant;
+use serde::{Deserialize, Serialize};
+
+use super::{Rollouts, apply};
+use crate::daemon::Daemon;
+
+/// Orders with their ages, as daemons pass them on.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct KnownOrders {
+    /// Time since each order, by pool.
+    pub ages: IndexMap<PoolId, Duration>,
+    /// The orders.
+    pub orders: Orders,
+}
+
+impl Rollouts {
+    /// Orders that this daemon knows, if they are newer than `revision`.
+    #[must_use]
+    pub fn newer_than(&self, revision: u64) -> Option<KnownOrders> {
+        let orders = self.orders.borrow();
+        if orders.revision <= revision {
+            return None;
+        }
+        let now = Instant::now();
+        let participants = self.participants.borrow();
+        let ages = participants.iter().map(|(pool, participant)| {
+            let age = now.saturating_duration_since(participant.started_at());
+            (pool.clone(), age)
+        });
+        Some(KnownOrders {
+            ages: ages.collect(),
+            orders: orders.clone(),
+        })
+    }
+}
+
+/// Takes over orders that are newer than those that this daemon knows.
+pub fn update(daemon: &Rc<Daemon>, known: KnownOrders) {
+    let rollouts = &daemon.rollouts;
+    if known.orders.revision <= rollouts.revision() {
+        return;
+    }
+    update_participants(daemon, &known);
+    update_controllers(rollouts, &known.orders);
+    rollouts.note_old_targets(&daemon.live_list.listing());
+    *rollouts.orders.borrow_mut() = known.orders;
+    rollouts.wake.notify();
+    apply(daemon);
+}
+
+/// Takes part in new orders, and no longer in those that are gone or replaced.
+fn update_participants(daemon: &Daemon, known: &KnownOrders) {
+    let now = Instant::now();
+    let mut participants = daemon.rollouts.participants.borrow_mut();
+    participants.retain(|pool, participant| {
+        let order = known.orders.by_pool.get(pool);
+        order.is_some_and(|order| order.id == participant.order().id)
+    });
+    for (pool, order) in &known.orders.by_pool {
+        let age = known.ages.get(pool).copied().unwrap_or_default();
+        if let Some(participant) = participants.get_mut(pool) {
+            participant.note_age(age, now);
+            participant.note_recorded(order.recorded);
+            continue;
+        }
+        let started_at = now.checked_sub(age).unwrap_or(now);
+        let participant = Participant::new(order.clone(), started_at, rand::random());
+        participants.insert(pool.clone(), participant);
+        log_order(daemon, order, age);
+    }
+}
+
+/// Tells the judges of orders what the store has of them, and drops those of orders that are gone.
+fn update_controllers(rollouts: &Rollouts, orders: &Orders) {
+    let mut controllers = rollouts.controllers.borrow_mut();
+    let current = |id: &OrderId| orders.by_pool.get(&id.pool).filter(|order| order.id == *id);
+    controllers.retain(|id, _| current(id).is_some());
+    for (id, controller) in controllers.iter_mut() {
+        controller.note_recorded(current(id).and_then(|order| order.recorded));
+    }
+}
+
+fn log_order(daemon: &Daemon, order: &Order, age: Duration) {
+    let in_force = daemon.in_force().ok();
+    let is_known = in_force.is_some_and(|f| f.document.pool(&order.id.pool).is_some());
+    log::info!(
+        age_ms = age.as_millis() as u64,
+        duration_ms = order.duration.as_millis() as u64,
+        is_pool_known = is_known,
+        order:% = order.id,
+        recorded = order.recorded.map(|state| state.to_string()).unwrap_or_default();
+        "a roll-out is ordered"
+    );
+    if let Err(e) = order.check() {
+        log::error!(order:% = order.id, why:% = e; "an order of a roll-out can't be carried out");
+    }
+}
