Client: a connection that sends no answer is bounded in bytes and turns

Cause: hyper reads on while bytes come, and counts none that are no part of an answer; a loop that always finds bytes lets no timer of its thread fire. Ruled out: the deadline itself, which fires once the loop yields. Change: a meter between socket and hyper counts bytes since the last part of an answer and ends the connection after 1 MiB; other tasks run after each 64 KiB. One answer may take a sixteenth of a VM's memory. Test: unproductive::* (interim answers, sizes, garbage). Open: many such targets at once, a health check's or the store's answer without end.

--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -12,6 +12,7 @@
 
 use crate::body::Body;
 use crate::tally::Tally;
+use crate::unproductive::Meter;
 
 mod sender;
 
@@ -136,6 +137,12 @@
         })
     }
 
+    /// Meter of what the server sends beside answers.
+    #[must_use]
+    pub fn meter(&self) -> Meter {
+        self.sender.meter.clone()
+    }
+
     /// Sends `req` and waits for the response head.
     ///
     /// # Errors
@@ -152,7 +159,9 @@
         req: Request<Body>,
         head: Duration,
     ) -> Result<Response<Incoming>, (Error, Option<Request<Body>>)> {
+        self.sender.meter.start();
         let answer = monoio::time::timeout(head, self.sender.inner.try_send_request(req)).await;
+        self.sender.meter.stop();
         let address = || self.address.clone();
         let Ok(answer) = answer else {
             let timed_out = Error::Silent {
--- a/crates/lilaccrank-http/src/client/sender.rs
+++ b/crates/lilaccrank-http/src/client/sender.rs
@@ -13,6 +13,7 @@
 use crate::body::Body;
 use crate::socket;
 use crate::tally::{Counted, Tally};
+use crate::unproductive::{Meter, Metered};
 
 /// Idle time before the first TCP keepalive probe; jitter adds up to the same time again.
 ///
@@ -29,6 +30,7 @@
     /// Ends the task of the connection, which may be blocked on a request that was given up.
     _open: oneshot::Sender<()>,
     pub(super) inner: SendRequest<Body>,
+    pub(super) meter: Meter,
 }
 
 pub(super) async fn connect(
@@ -52,15 +54,16 @@
         .set_tcp_keepalive(Some(idle), Some(KEEPALIVE_INTERVAL), Some(KEEPALIVE_PROBES))
         .map_err(fail)?;
     let io = monoio::io::IntoPollIo::into_poll_io(stream).map_err(fail)?;
-    let io = MonoioIo::new(io);
+    let meter = Meter::default();
+    let io = Metered::new(MonoioIo::new(io), meter.clone());
     let sender = match tally {
-        Some(tally) => handshake(Counted::new(io, tally.clone())).await,
-        None => handshake(io).await,
+        Some(tally) => handshake(Counted::new(io, tally.clone()), meter).await,
+        None => handshake(io, meter).await,
     };
     sender.map_err(|e| fail(io::Error::other(e)))
 }
 
-async fn handshake<T>(io: T) -> hyper::Result<Sender>
+async fn handshake<T>(io: T, meter: Meter) -> hyper::Result<Sender>
 where
     T: hyper::rt::Read + hyper::rt::Write + Unpin + 'static,
 {
@@ -71,5 +74,9 @@
             log::debug!("client connection failed: {e}");
         }
     });
-    Ok(Sender { _open: open, inner })
+    Ok(Sender {
+        _open: open,
+        inner,
+        meter,
+    })
 }
--- a/crates/lilaccrank-http/src/lib.rs
+++ b/crates/lilaccrank-http/src/lib.rs
@@ -17,3 +17,4 @@
 mod socket;
 pub mod store_client;
 pub mod tally;
+pub mod unproductive;
--- a/crates/lilaccrank-http/tests/suite.rs
+++ b/crates/lilaccrank-http/tests/suite.rs
@@ -10,3 +10,5 @@
 mod events;
 #[path = "suite/server.rs"]
 mod server;
+#[path = "suite/unproductive.rs"]
+mod unproductive;
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -16,6 +16,7 @@
 use lilaccrank_http::body;
 use lilaccrank_http::client::{Client, Connection, Limits};
 use lilaccrank_http::events::EventSplitter;
+use lilaccrank_http::unproductive::Meter;
 
 use crate::callers::end_to_end;
 use crate::callers::refusal::{REFUSAL, Refusal};
@@ -131,7 +132,9 @@
             AnswerKind::NotRun => Err(self.not_run(&head, body, connection).await),
             AnswerKind::Failed => Err(self.target_failed(head, body, connection).await),
             AnswerKind::Answer if self.stream && head.status.is_success() => {
-                self.forward_events(head, body, delivered, sent_at).await?;
+                let meter = connection.meter();
+                self.forward_events(head, body, delivered, sent_at, &meter)
+                    .await?;
                 self.client.release(connection);
                 Ok(())
             }
@@ -204,6 +207,8 @@
         let mut body = body;
         let mut held_back = BytesMut::new();
         let mut has_begun = false;
+        let meter = connection.meter();
+        meter.start();
         loop {
             let frame = monoio::time::timeout(self.bounds.next, body.frame()).await;
             let frame = frame.map_err(|_| broken("the target stopped in its answer", has_begun))?;
@@ -211,6 +216,7 @@
                 break;
             };
             let frame = frame.map_err(|_| lost("the target broke off its answer", has_begun))?;
+            meter.record_progress();
             self.transport.record_heard();
             let Ok(data) = frame.into_data() else {
                 continue;
@@ -229,6 +235,7 @@
                 return Err(broken("the answer is over the limit", has_begun));
             }
         }
+        meter.stop();
         if !has_begun {
             self.buffer.set_head(forwarded_head(&head));
             self.buffer.push(held_back.freeze());
@@ -245,8 +252,10 @@
         mut body: Incoming,
         delivered: &mut Delivered,
         sent_at: Instant,
+        meter: &Meter,
     ) -> Result<()> {
         let mut cutter = EventSplitter::default();
+        meter.start();
         let mut event_count = 0;
         loop {
             let timeout = if event_count == 0 {
@@ -260,6 +269,7 @@
                 break;
             };
             let frame = frame.map_err(|_| delivered.lost("the target broke off its stream"))?;
+            meter.record_progress();
             self.transport.record_heard();
             let Ok(data) = frame.into_data() else {
                 continue;
@@ -282,6 +292,7 @@
                 return Err(delivered.broken("the answer is over the limit"));
             }
         }
+        meter.stop();
         if cutter.is_in_event() {
             let mut truncated = delivered.broken("the stream ended inside an event");
             truncated.refusal.connection_lost = ends_with_connection(&head);
--- a/crates/lilaccrankd/src/targets/relay.rs
+++ b/crates/lilaccrankd/src/targets/relay.rs
@@ -25,14 +25,18 @@
         headers: end_to_end::headers(&parts.headers),
         status: parts.status,
     });
+    let meter = connection.meter();
+    meter.start();
     loop {
         let frame = monoio::time::timeout(bounds.next, body.frame()).await;
         let frame = frame.map_err(|_| broken("the target stopped in its answer"))?;
         let Some(frame) = frame else {
+            meter.stop();
             client.release(connection);
             return Ok(());
         };
         let frame = frame.map_err(|_| broken("the target broke off its answer"))?;
+        meter.record_progress();
         on_data();
         if let Ok(data) = frame.into_data() {
             buffer.push(data);
