Dispatch: what lies unanswered at a mute target is bounded for the cell

What callers saw: requests reach targets seconds after their callers have left (GONE). Cause: a slot counted as free without evidence that the target reads. A new instance was healthy until proven otherwise, at each daemon by itself, and a request that was given up stopped counting while its bytes stayed. Ruled out: bytes delayed on the daemon's own link alone; the excess grows with the daemons (3 or fewer before three daemons, 12 to 14 before twelve). Change: dispatch/unanswered.rs counts, for the whole cell, what lies at a target without a sign of life, also after it was given up. A new target gets one request, a silent one a trial after 1, 3 and 7 s in turns by a rendezvous hash. What others tell within 100 ms after a target's end is no sign of life. A silence is told. Test: mute::*, dispatch_unanswered::*. Tests that fill new workers warm them up first.

--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -44,6 +44,7 @@
 pub mod step_model;
 pub mod target;
 mod tiers;
+pub mod unanswered;
 mod wait_outcomes;
 pub mod work;
 
--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -206,6 +206,7 @@
         && target.is_within_rate_limit(needs.priority, needs.reservation.requests(), now)
         && !target.is_held_for_peer(needs.priority, now)
         && !target.is_held(now)
+        && target.unanswered.allows(target.estimate.batch(now), now)
         && target.estimate.batch(now).saturating_add(reserved) < slots
         && has_prefill_capacity(target, needs, now)
         && finishes_in_time(target, needs, now)
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -7,8 +7,10 @@
 use super::choice::{self, Choice, Occupancy};
 use super::delay::DELAY_SCAN_LIMIT;
 use super::fair::Position;
+use super::health::Health;
 use super::message::{Entry, Unmeetable};
 use super::queue::{Priority, RequestClass};
+use super::sharing::Observation;
 use super::state::{ActiveGrant, State, Waiting, work};
 use super::work::Work;
 use crate::ids::{CustomerId, RequestId};
@@ -64,7 +66,10 @@
             if target.estimate.running() > 0 {
                 let timeout = target.estimate.hang_timeout(now);
                 let timeout = timeout.max(self.cfg.min_hang_timeout);
-                target.observe(&self.cfg.vm, |health| health.check_silence(timeout, now));
+                let check = |health: &mut Health| health.check_silence(timeout, now);
+                if target.observe(&self.cfg.vm, now, check) {
+                    self.sharing.record(target.digest, Observation::Silent);
+                }
             }
         }
     }
--- a/crates/lilaccrank/src/dispatch/health.rs
+++ b/crates/lilaccrank/src/dispatch/health.rs
@@ -132,6 +132,13 @@
         }
     }
 
+    /// Stops requests until the next trial.
+    pub fn eject(&mut self, now: Instant) {
+        if self.state != State::Unresponsive {
+            self.mark_unresponsive(now);
+        }
+    }
+
     /// Ends a trial without a result; another one may follow at once.
     pub fn cancel_trial(&mut self, now: Instant) {
         if self.state == State::HalfOpen {
--- a/crates/lilaccrank/src/dispatch/message.rs
+++ b/crates/lilaccrank/src/dispatch/message.rs
@@ -224,6 +224,8 @@
         /// Number of prefill tokens that the target computed, if reported.
         prefill: Option<u32>,
     },
+    /// The head of an answer in pieces has arrived.
+    Head,
     /// The first token has arrived.
     FirstToken {
         /// Time since the request was sent.
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -34,6 +34,12 @@
         self.capacity_epoch += 1;
         match report.kind {
             ReportKind::Began => {}
+            ReportKind::Head => {
+                if target.unanswered.is_silent() {
+                    self.sharing.record(target.digest, Observation::Head);
+                }
+                target.unanswered.record_heard(now);
+            }
             ReportKind::Ended {
                 decoded,
                 outcome,
@@ -41,24 +47,30 @@
             } => {
                 match outcome {
                     Outcome::Complete => {
-                        target.observe(&entry, |health| health.record_success(now));
+                        target.hear(&entry, now, |health| health.record_success(now));
                         target.end_pushback(active_grant.pushback_trial);
                         self.sharing.record(target.digest, Observation::Answered);
                     }
                     Outcome::Erred | Outcome::TurnedAway => {
-                        target.observe(&entry, |health| health.record_error(now));
+                        target.hear(&entry, now, |health| health.record_error(now));
                         self.sharing.record(target.digest, Observation::Erred);
                     }
                     Outcome::Failed => {
-                        target.observe(&entry, |health| health.record_failure(now));
+                        target.fail(&entry, now);
                         self.sharing.record(target.digest, Observation::Failed);
                     }
                     Outcome::Cancelled | Outcome::Unused => {}
                 }
+                if matches!(outcome, Outcome::Cancelled | Outcome::Failed) {
+                    let granted = active_grant.granted;
+                    if target.give_up(&entry, granted, now) {
+                        self.sharing.record(target.digest, Observation::Silent);
+                    }
+                }
                 self.finish_request(&report.request, decoded, outcome, now);
             }
             ReportKind::FirstToken { after } => {
-                target.observe(&entry, |health| health.record_activity(now));
+                target.hear(&entry, now, |health| health.record_activity(now));
                 target.end_pushback(active_grant.pushback_trial);
                 Self::note_load_change(&mut self.sharing, target, now);
                 let prefill_ahead = active_grant.prefill_ahead;
@@ -83,7 +95,7 @@
             }
             ReportKind::Progress { step, tokens } => {
                 let tokens = u64::from(tokens).min(active_grant.remaining_work.decode);
-                target.observe(&entry, |health| health.record_activity(now));
+                target.hear(&entry, now, |health| health.record_activity(now));
                 let batch = target.estimate.batch(now);
                 target.estimate.record_progress(tokens, step, now);
                 self.sharing
@@ -105,6 +117,7 @@
         now: Instant,
     ) {
         if let Some(target) = self.targets.get_mut(target) {
+            target.unanswered.record_heard(now);
             target.estimate.record_report(report, now);
             self.note_capacity_change();
             self.dispatch(now);
@@ -166,6 +179,7 @@
             target.version = VersionDigest::of(listed);
         }
         self.cfg.waiting_limit = pool.waiting_limit;
+        self.set_turns();
         self.note_capacity_change();
         let lives: Vec<TargetInstance> = self.targets.keys().cloned().collect();
         for life in &lives {
--- a/crates/lilaccrank/src/dispatch/sharing.rs
+++ b/crates/lilaccrank/src/dispatch/sharing.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use super::queue::Priority;
@@ -111,7 +111,9 @@
         new
     }
 
-    fn apply(&mut self, digest: Digest, now: Instant) {
+    /// Returns the targets at which requests have ended, with their number.
+    fn apply(&mut self, digest: Digest, now: Instant) -> Vec<(InstanceDigest, u32)> {
+        let before = self.loads.clone();
         self.last_digest = now;
         self.waiting = digest.waiting;
         if digest.whole {
@@ -124,6 +126,12 @@
                 self.loads.insert(load.target, load);
             }
         }
+        let running = |target| self.loads.get(target).map_or(0, |load| load.running);
+        let ended = before.iter().map(|(target, load)| {
+            let ended = load.running.saturating_sub(running(target));
+            (*target, ended)
+        });
+        ended.filter(|(_, ended)| *ended > 0).collect()
     }
 }
 
@@ -250,14 +258,19 @@
 
     /// Records that the load on a target is about to change or has changed.
     pub(super) fn note_load_change(sharing: &mut Sharing, target: &Target, now: Instant) {
-        sharing.has_urgent_change |= target.rate_limit.is_some() || is_nearly_full(target, now);
+        let is_urgent = target.rate_limit.is_some() || target.unanswered.is_silent();
+        sharing.has_urgent_change |= is_urgent || is_nearly_full(target, now);
     }
 
     /// Applies the digest of another daemon.
     pub(super) fn apply_digest(&mut self, from: &VmId, digest: Digest, now: Instant) {
+        let mut counted: IndexMap<InstanceDigest, u32> = IndexMap::new();
         for sample in &digest.samples {
-            self.apply_sample(from, sample, now);
+            if self.apply_sample(from, sample, now) {
+                *counted.entry(sample.target).or_default() += 1;
+            }
         }
+        let is_new = !self.sharing.peers.contains_key(from);
         let peer = self.sharing.peers.entry(from.clone());
         let peer = peer.or_insert_with(|| Peer {
             last_digest: now,
@@ -266,24 +279,53 @@
             waiting: None,
         });
         let sent = peer.apply_sent(&digest.sent);
-        peer.apply(digest, now);
+        let samples = digest.samples.iter();
+        let answers = samples.filter(|sample| sample.observation.is_sign_of_life());
+        let answered: IndexSet<InstanceDigest> = answers.map(|sample| sample.target).collect();
+        let ended = peer.apply(digest, now).into_iter();
+        for (target, requests) in ended.filter(|(of, _)| !answered.contains(of)) {
+            let counted = counted.get(&target).copied().unwrap_or_default();
+            let mut targets = self.targets.values_mut();
+            if let Some(target) = targets.find(|known| known.digest == target) {
+                let uncounted = requests.saturating_sub(counted);
+                target.unanswered.record_abandoned(uncounted);
+            }
+        }
         for (target, requests) in sent {
             let mut targets = self.targets.values_mut();
             if let Some(target) = targets.find(|known| known.digest == target) {
                 target.sent_by_peer(requests, now);
             }
         }
+        if is_new {
+            self.set_turns();
+        }
         self.apply_peer_loads(now);
         self.note_capacity_change();
         self.dispatch(now);
     }
 
+    /// Sets this daemon's turn at trials of each target, by a rendezvous hash over the cell.
+    pub(super) fn set_turns(&mut self) {
+        let me = &self.cfg.vm;
+        for target in self.targets.values_mut() {
+            let id = &target.instance.id;
+            let own = rendezvous::weight(id, me);
+            let peers = self.sharing.peers.keys();
+            let earlier = peers.filter(|vm| rendezvous::weight(id, vm) > own).count();
+            target
+                .unanswered
+                .set_turn(u32::try_from(earlier).unwrap_or(u32::MAX));
+        }
+    }
+
     /// Removes peers that have sent no digest for too long.
     pub(super) fn expire_peers(&mut self, now: Instant) {
         let before = self.sharing.peers.len();
         let is_alive = |peer: &Peer| now.saturating_duration_since(peer.last_digest) < PEER_TIMEOUT;
         self.sharing.peers.retain(|_, peer| is_alive(peer));
         if self.sharing.peers.len() < before {
+            self.set_turns();
             self.apply_peer_loads(now);
             self.note_capacity_change();
         }
@@ -303,23 +345,38 @@
         }
     }
 
-    fn apply_sample(&mut self, from: &VmId, sample: &Sample, now: Instant) {
+    /// Applies what another daemon has observed. Returns `true` if it counts a request as unanswered.
+    fn apply_sample(&mut self, from: &VmId, sample: &Sample, now: Instant) -> bool {
         let mut targets = self.targets.values_mut();
         let Some(target) = targets.find(|target| target.digest == sample.target) else {
-            return;
+            return false;
         };
+        if sample.observation.is_sign_of_life() && target.unanswered.may_predate_end(now) {
+            return false;
+        }
         match sample.observation {
-            Observation::Answered => target.observe(from, |health| health.record_success(now)),
-            Observation::Erred => target.observe(from, |health| health.record_error(now)),
-            Observation::Failed => target.observe(from, |health| health.record_failure(now)),
+            Observation::Answered => target.hear(from, now, |health| health.record_success(now)),
+            Observation::Erred => target.hear(from, now, |health| health.record_error(now)),
+            Observation::Failed => target.fail(from, now),
             Observation::FirstToken { after, .. } if after > MAX_SAMPLE_DURATION => {}
             Observation::FirstToken {
                 after,
                 prefill_ahead,
-            } => target.estimate.observe_first_token(prefill_ahead, after),
+            } => {
+                target.hear(from, now, |health| health.record_activity(now));
+                target.estimate.observe_first_token(prefill_ahead, after);
+            }
             Observation::Step { step, .. } if step > MAX_SAMPLE_DURATION => {}
-            Observation::Step { batch, step } => target.estimate.observe_step(batch, step, now),
+            Observation::Step { batch, step } => {
+                target.hear(from, now, |health| health.record_activity(now));
+                target.estimate.observe_step(batch, step, now);
+            }
+            Observation::Head => target.unanswered.record_heard(now),
+            // Its sender may have lost the path to a target that answers others.
+            Observation::Silent if target.unanswered.is_heard_lately(now) => {}
+            Observation::Silent => return target.eject(from, now),
         }
+        false
     }
 }
 
--- a/crates/lilaccrank/src/dispatch/sharing/sample.rs
+++ b/crates/lilaccrank/src/dispatch/sharing/sample.rs
@@ -26,6 +26,10 @@
     Erred,
     /// No complete answer.
     Failed,
+    /// The head of an answer in pieces.
+    Head,
+    /// No sign of life.
+    Silent,
     /// A first token.
     FirstToken {
         /// Time since the request was sent.
@@ -42,6 +46,21 @@
     },
 }
 
+impl Observation {
+    /// Returns `true` if the target answered.
+    #[must_use]
+    pub fn is_sign_of_life(self) -> bool {
+        match self {
+            Self::Answered
+            | Self::Erred
+            | Self::FirstToken { .. }
+            | Self::Head
+            | Self::Step { .. } => true,
+            Self::Failed | Self::Silent => false,
+        }
+    }
+}
+
 /// Wire format of a sample: target, kind, time in microseconds and a number. Names of kinds and
 /// fields would triple its size.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
@@ -64,6 +83,8 @@
                 prefill_ahead,
             } => (3, micros(after), prefill_ahead),
             Observation::Step { batch, step } => (4, micros(step), batch.into()),
+            Observation::Silent => (7, 0, 0),
+            Observation::Head => (8, 0, 0),
         };
         Self(sample.target, kind, time, number)
     }
@@ -88,6 +109,8 @@
                 batch: u32::try_from(number).unwrap_or(u32::MAX),
                 step: time,
             },
+            7 => Observation::Silent,
+            8 => Observation::Head,
             kind => return Err(UnknownKind(kind)),
         };
         Ok(Self {
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -3,10 +3,11 @@
 use std::time::{Duration, Instant};
 
 use super::estimate::Estimate;
-use super::health::Health;
+use super::health::{Health, State};
 use super::pushback::Pushback;
 use super::queue::Priority;
 use super::rate_limit::{RateLimit, Share};
+use super::unanswered::Unanswered;
 use crate::ids::{DataCentre, VmId};
 use crate::paths::Route;
 use crate::software_version::{VersionDigest, VersionNeeds};
@@ -75,6 +76,8 @@
     pub spare: bool,
     /// Sequence number of its last grant, counted over all targets.
     pub grant_sequence: u64,
+    /// Requests that lie there without a sign of life.
+    pub unanswered: Unanswered,
     /// Version of its software; `None` if unknown.
     pub version: Option<VersionDigest>,
 }
@@ -101,6 +104,7 @@
             slots,
             spare: false,
             grant_sequence: 0,
+            unanswered: Unanswered::new(now),
             version: None,
         }
     }
@@ -120,12 +124,32 @@
         (self.live || (self.spare && !needs.origin.is_new())) && needs.permit(self.version)
     }
 
+    /// Applies the observation of a sign of life.
+    pub(super) fn hear(
+        &mut self,
+        observer: &VmId,
+        now: Instant,
+        observe: impl FnOnce(&mut Health),
+    ) {
+        self.unanswered.record_heard(now);
+        self.observe(observer, now, observe);
+    }
+
     /// Applies an observation to the health, and logs a change of its state with the daemon that made
-    /// the observation.
-    pub(super) fn observe(&mut self, observer: &VmId, observe: impl FnOnce(&mut Health)) {
+    /// the observation. Returns `true` if the target has become unresponsive.
+    pub(super) fn observe(
+        &mut self,
+        observer: &VmId,
+        now: Instant,
+        observe: impl FnOnce(&mut Health),
+    ) -> bool {
         let before = self.health.state();
         observe(&mut self.health);
         let state = self.health.state();
+        let is_silent = before == State::Healthy && state == State::Unresponsive;
+        if is_silent {
+            self.unanswered.record_silent(self.estimate.batch(now), now);
+        }
         if state != before {
             log::info!(
                 before:% = before,
@@ -135,6 +159,34 @@
                 "health of a target changed"
             );
         }
+        is_silent
+    }
+
+    /// Records that the connection of a request was lost.
+    pub(super) fn fail(&mut self, observer: &VmId, now: Instant) {
+        self.unanswered.record_lost(self.estimate.batch(now), now);
+        self.observe(observer, now, |health| health.record_failure(now));
+    }
+
+    /// Stops requests to a target that is silent. Returns `true` if what shows it once more was a trial,
+    /// which is counted.
+    pub(super) fn eject(&mut self, observer: &VmId, now: Instant) -> bool {
+        let is_trial = !self.observe(observer, now, |health| health.eject(now));
+        if is_trial {
+            self.unanswered.record_abandoned(1);
+        }
+        is_trial
+    }
+
+    /// Records that a request granted at `granted` was given up. Returns `true` if the target has become
+    /// unresponsive.
+    pub(super) fn give_up(&mut self, observer: &VmId, granted: Instant, now: Instant) -> bool {
+        let is_silent = self.unanswered.shows_silence(granted, now)
+            && self.observe(observer, now, |health| health.eject(now));
+        if !self.unanswered.is_heard_since(granted) {
+            self.unanswered.record_abandoned(1);
+        }
+        is_silent
     }
 
     /// Sets the cell's share of the rate limit that the target advertises; `None` removes the
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -58,6 +58,8 @@
 mod dispatch_sharing;
 #[path = "suite/dispatch_spread.rs"]
 mod dispatch_spread;
+#[path = "suite/dispatch_unanswered.rs"]
+mod dispatch_unanswered;
 #[path = "suite/dispatch_versions.rs"]
 mod dispatch_versions;
 #[path = "suite/dispatch_waits.rs"]
--- a/crates/lilaccrank/tests/suite/dispatch_harness.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_harness.rs
@@ -7,7 +7,7 @@
 use futures::executor::{LocalPool, LocalSpawner};
 use futures::future::RemoteHandle;
 use futures::task::LocalSpawnExt;
-use lilaccrank::dispatch::message::{Outcome, Report, ReportKind, Submission, Verdict};
+use lilaccrank::dispatch::message::{LoadReport, Outcome, Report, ReportKind, Submission, Verdict};
 use lilaccrank::dispatch::{Config, Dispatcher};
 use lilaccrank::document::{Pool, Target, TargetState};
 use lilaccrank::error_kind::ErrorKind;
@@ -78,12 +78,25 @@
             verdicts: Rc::default(),
         };
         harness.dispatcher.set_targets(&harness.pool, DATA_CENTRE);
+        harness.prove_targets();
         let dispatcher = harness.dispatcher.clone();
         let run = async move { dispatcher.run().await };
         harness.spawner.spawn_local(run).unwrap();
         harness
     }
 
+    /// Has each target give a sign of life. Those that have given none get few requests at a time.
+    pub fn prove_targets(&self) {
+        let report = LoadReport {
+            running: 0,
+            waiting: 0,
+        };
+        for target in &self.pool.targets {
+            let target = TargetInstance::of(target);
+            self.dispatcher.load_report(&target, report);
+        }
+    }
+
     /// Starts a call that is cancelled when the handle is dropped.
     pub fn call(&mut self, submission: Submission) -> RemoteHandle<()> {
         let dispatcher = self.dispatcher.clone();
--- a/crates/lilaccrank/tests/suite/dispatch_order.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_order.rs
@@ -368,7 +368,10 @@
             harness.report(&running.submission.request, &running.target, kind);
         }
         Op::Leave { target } => harness.set_state(*target, TargetState::Draining),
-        Op::Return { target } => harness.set_state(*target, TargetState::Live),
+        Op::Return { target } => {
+            harness.set_state(*target, TargetState::Live);
+            harness.prove_targets();
+        }
         Op::Slow { nth } if !model.running.is_empty() => {
             let running = &model.running[nth % model.running.len()];
             let (request, target) = (running.submission.request.clone(), running.target.clone());
--- a/crates/lilaccrank/tests/suite/dispatch_restarts.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_restarts.rs
@@ -62,6 +62,8 @@
     };
     harness.dispatcher.apply_digest(&"vm2".to_owned(), stale);
     harness.submit(submission("new", 0));
+    // The first request of a new target may be the peer's turn.
+    harness.advance(Duration::from_millis(50));
     assert_eq!(harness.grants(), granted("new", "t0"));
 }
 
--- a/crates/lilaccrank/tests/suite/dispatch_spread.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_spread.rs
@@ -184,6 +184,8 @@
         harness.dispatcher.set_targets(&harness.pool, DATA_CENTRE);
         cells::sort_by_daemon_hash(&mut pool.targets, &vm);
         harness.dispatcher.set_targets(&pool, DATA_CENTRE);
+        harness.pool = pool;
+        harness.prove_targets();
         let load = |i: u64| TargetLoad {
             prefill: 2 * i,
             running: 1,
--- a/crates/lilaccrankd/src/pools/client/outstanding.rs
+++ b/crates/lilaccrankd/src/pools/client/outstanding.rs
@@ -140,7 +140,7 @@
             ReportKind::Progress { tokens, .. } => {
                 running.decoded = Some(running.decoded.unwrap_or(0) + tokens);
             }
-            ReportKind::Began | ReportKind::Ended { .. } => {}
+            ReportKind::Began | ReportKind::Ended { .. } | ReportKind::Head => {}
         }
     }
 
--- a/crates/lilaccrankd/src/request/send_observer.rs
+++ b/crates/lilaccrankd/src/request/send_observer.rs
@@ -149,6 +149,10 @@
             .record_brittle(target, limit, known.is_some(), &daemon.load_exchange);
     }
 
+    fn head(&self) {
+        self.grant.report(ReportKind::Head);
+    }
+
     fn leaving(&self) {
         Observer::leaving(self);
     }
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -65,6 +65,9 @@
     /// Called with what an answer says of the requests in a second that the target can turn away.
     fn brittleness(&self, limit: Option<u32>);
 
+    /// Called when the head of a stream has arrived.
+    fn head(&self);
+
     /// Called if the head of an answer says that the target leaves.
     fn leaving(&self);
 
@@ -132,6 +135,7 @@
             AnswerKind::NotRun => Err(self.not_run(&head, body, connection).await),
             AnswerKind::Failed => Err(self.target_failed(head, body, connection).await),
             AnswerKind::Answer if self.stream && head.status.is_success() => {
+                self.observer.head();
                 let meter = connection.meter();
                 self.forward_events(head, body, delivered, sent_at, &meter)
                     .await?;
