Dispatch: an answer of another target ejects the listed one, in the whole cell

What callers saw: 503 while new targets start at the addresses of old ones; these get a flood of requests for the old instances. Cause: 421 counted as a request that was turned away, which is a sign of life of the wrong target. Ruled out: a list that is late; the old entries run out only after three heartbeats. Change: 421 is an outcome of its own (Misdirected). It ejects the instance and is told to the cell. Test: misdirected::*, dispatch_unanswered::an_answer_of_another_target_*.

--- a/crates/lilaccrank/src/dispatch/message.rs
+++ b/crates/lilaccrank/src/dispatch/message.rs
@@ -252,6 +252,8 @@
     Erred,
     /// The target gave no complete answer.
     Failed,
+    /// Another target answered at its address.
+    Misdirected,
     /// The target did not run the request and says so.
     TurnedAway,
     /// The grant was not used.
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -59,6 +59,10 @@
                         target.fail(&entry, now);
                         self.sharing.record(target.digest, Observation::Failed);
                     }
+                    Outcome::Misdirected => {
+                        target.record_misdirected(&entry, now);
+                        self.sharing.record(target.digest, Observation::Misdirected);
+                    }
                     Outcome::Cancelled | Outcome::Unused => {}
                 }
                 if matches!(outcome, Outcome::Cancelled | Outcome::Failed) {
--- a/crates/lilaccrank/src/dispatch/sharing.rs
+++ b/crates/lilaccrank/src/dispatch/sharing.rs
@@ -372,6 +372,7 @@
                 target.estimate.observe_step(batch, step, now);
             }
             Observation::Head => target.unanswered.record_heard(now),
+            Observation::Misdirected => return target.record_misdirected(from, now),
             // Its sender may have lost the path to a target that answers others.
             Observation::Silent if target.unanswered.is_heard_lately(now) => {}
             Observation::Silent => return target.eject(from, now),
--- a/crates/lilaccrank/src/dispatch/sharing/sample.rs
+++ b/crates/lilaccrank/src/dispatch/sharing/sample.rs
@@ -28,6 +28,8 @@
     Failed,
     /// The head of an answer in pieces.
     Head,
+    /// An answer of another target at its address.
+    Misdirected,
     /// No sign of life.
     Silent,
     /// A first token.
@@ -56,7 +58,7 @@
             | Self::FirstToken { .. }
             | Self::Head
             | Self::Step { .. } => true,
-            Self::Failed | Self::Silent => false,
+            Self::Failed | Self::Misdirected | Self::Silent => false,
         }
     }
 }
@@ -83,6 +85,7 @@
                 prefill_ahead,
             } => (3, micros(after), prefill_ahead),
             Observation::Step { batch, step } => (4, micros(step), batch.into()),
+            Observation::Misdirected => (6, 0, 0),
             Observation::Silent => (7, 0, 0),
             Observation::Head => (8, 0, 0),
         };
@@ -109,6 +112,7 @@
                 batch: u32::try_from(number).unwrap_or(u32::MAX),
                 step: time,
             },
+            6 => Observation::Misdirected,
             7 => Observation::Silent,
             8 => Observation::Head,
             kind => return Err(UnknownKind(kind)),
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -168,6 +168,13 @@
         self.observe(observer, now, |health| health.record_failure(now));
     }
 
+    /// Stops requests to a target at whose address another one answered a request. Returns `true` if
+    /// the request was a trial of a silent target.
+    pub(super) fn record_misdirected(&mut self, observer: &VmId, now: Instant) -> bool {
+        self.unanswered.record_ended(now);
+        self.eject(observer, now)
+    }
+
     /// Stops requests to a target that is silent. Returns `true` if what shows it once more was a trial,
     /// which is counted.
     pub(super) fn eject(&mut self, observer: &VmId, now: Instant) -> bool {
--- a/crates/lilaccrank/tests/suite/dispatch_unanswered.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_unanswered.rs
@@ -137,6 +137,33 @@
     assert_eq!(submit(&mut harness, &["b"]), 1);
 }
 
+// Guards against a target that counts as free and well because another one answers at its address.
+#[test]
+fn an_answer_of_another_target_stops_requests() {
+    let mut harness = harness(&[4]);
+    harness.advance(Duration::from_secs(1));
+    assert_eq!(submit(&mut harness, &["a"]), 1);
+    let kind = ReportKind::Ended {
+        decoded: 0,
+        outcome: Outcome::Misdirected,
+        prefill: None,
+    };
+    harness.report("a", "t0", kind);
+    assert_eq!(submit(&mut harness, &["b"]), 0);
+    harness.advance(Duration::from_millis(1_050));
+    assert_eq!(harness.grants().len(), 1);
+}
+
+// Guards against each daemon having to find out for itself, also right after the target has answered.
+#[test]
+fn an_answer_of_another_target_counts_for_the_cell() {
+    let mut harness = harness(&[4]);
+    assert_eq!(submit(&mut harness, &["a"]), 1);
+    harness.end("a", "t0");
+    deliver_digest(&harness, "vm2", sample("t0", Observation::Misdirected));
+    assert_eq!(submit(&mut harness, &["b"]), 0);
+}
+
 // Guards against a target that has ended and counts as free: its connections broke, which frees all its slots
 // at once, and requests from the whole cell go to whoever answers at its address.
 #[test]
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -240,6 +240,7 @@
             failed if failed.refusal.kind.is_unrelated_to_target() => Outcome::Cancelled,
             failed if failed.refusal.kind == ErrorKind::NoTarget => Outcome::Unused,
             failed if failed.answer.is_some() => Outcome::Erred,
+            failed if failed.is_misdirected => Outcome::Misdirected,
             failed if failed.failure == Failure::NotRun => Outcome::TurnedAway,
             _ => Outcome::Failed,
         },
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -132,6 +132,11 @@
                 let message = "the target sent the answer to another request";
                 Err(failed(ErrorKind::BrokenAnswer, message))
             }
+            AnswerKind::Misdirected => {
+                let mut failed = self.not_run(&head, body, connection).await;
+                failed.is_misdirected = true;
+                Err(failed)
+            }
             AnswerKind::NotRun => Err(self.not_run(&head, body, connection).await),
             AnswerKind::Failed => Err(self.target_failed(head, body, connection).await),
             AnswerKind::Answer if self.stream && head.status.is_success() => {
@@ -180,6 +185,7 @@
         SendFailure {
             answer: None,
             failure: Failure::NotRun,
+            is_misdirected: false,
             is_path_fault: false,
             refusal: Refusal::new(ErrorKind::TargetRefused, message).ran(Executed::No),
         }
--- a/crates/lilaccrankd/src/targets/forward/failure.rs
+++ b/crates/lilaccrankd/src/targets/forward/failure.rs
@@ -14,6 +14,8 @@
     pub answer: Option<(Head, Bytes)>,
     /// How the send failed.
     pub failure: Failure,
+    /// Set if another target answered at the address.
+    pub is_misdirected: bool,
     /// Set if this daemon's path to the target failed, which says nothing about the target.
     pub is_path_fault: bool,
     /// Refusal for the caller.
@@ -31,6 +33,7 @@
         Self {
             answer: None,
             failure,
+            is_misdirected: false,
             is_path_fault: false,
             refusal,
         }
--- a/crates/lilaccrankd/src/targets/protocol.rs
+++ b/crates/lilaccrankd/src/targets/protocol.rs
@@ -83,6 +83,8 @@
     Answer,
     /// The target ran the request and failed.
     Failed,
+    /// Another target has the address; it did not run the request and will not.
+    Misdirected,
     /// The target did not run the request and will not.
     NotRun,
     /// The answer belongs to another request, or is not a valid answer.
