Client: caller and deadline are asked where a request is written

Cause: a request asked for its caller at the grant; a connection that takes seconds lies between that and the write, and hyper writes whenever its task is polled. Change: Client::send_if asks right before the connection's task writes; nothing is written if the caller has left or the deadline has passed. Relays ask as well. A wait of 100 ms or more is a line of the log. Ruled out, not shown: that this was the users' case. gone::nothing_is_sent_on_a_connection_* pass on too: a daemon that is held up while it connects wrote nothing for callers that had left. Test: client::nothing_is_written_of_a_request_that_was_withdrawn, cancellation::a_send_asks_the_clock (new API, not played before), and the two above as guards.

--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -51,6 +51,12 @@
         /// `true` if no byte of the request was written.
         unsent: bool,
     },
+    /// The request was no longer wanted when the connection was there; nothing was sent.
+    #[error("the request to {address} was withdrawn before it was sent")]
+    Withdrawn {
+        /// IP number and port.
+        address: String,
+    },
     /// No response head arrived in time; the server may have processed the request.
     #[error("{address} did not answer within {limit:?}")]
     Silent {
@@ -73,11 +79,14 @@
     pub fn is_unsent(&self) -> bool {
         matches!(
             self,
-            Self::Connect { .. } | Self::Exchange { unsent: true, .. }
+            Self::Connect { .. } | Self::Exchange { unsent: true, .. } | Self::Withdrawn { .. }
         )
     }
 }
 
+/// Tells right before a request is written whether it is still wanted.
+pub type IsWanted = Rc<dyn Fn() -> bool>;
+
 /// Time limits of one request.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -149,7 +158,7 @@
     ///
     /// Returns an error if the connection fails or no response head arrives within `head`.
     pub async fn send(&mut self, req: Request<Body>, head: Duration) -> Result<Response<Incoming>> {
-        let sent = self.try_send(req, head).await;
+        let sent = self.try_send(req, head, None).await;
         sent.map_err(|(e, _)| e)
     }
 
@@ -158,7 +167,9 @@
         &mut self,
         req: Request<Body>,
         head: Duration,
+        is_wanted: Option<&IsWanted>,
     ) -> Result<Response<Incoming>, (Error, Option<Request<Body>>)> {
+        self.sender.is_wanted.replace(is_wanted.cloned());
         self.sender.meter.start();
         let answer = monoio::time::timeout(head, self.sender.inner.try_send_request(req)).await;
         self.sender.meter.stop();
@@ -203,6 +214,38 @@
         address: &str,
         req: Request<Body>,
         limits: Limits,
+    ) -> Result<(Response<Incoming>, Connection)> {
+        self.send_where(address, req, limits, None).await
+    }
+
+    /// Like [`send`](Self::send), but writes nothing unless `is_wanted` says so once the connection is
+    /// there.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`send`](Self::send), and [`Error::Withdrawn`].
+    pub async fn send_if(
+        &self,
+        address: &str,
+        req: Request<Body>,
+        limits: Limits,
+        is_wanted: &IsWanted,
+    ) -> Result<(Response<Incoming>, Connection)> {
+        let sent = self.send_where(address, req, limits, Some(is_wanted)).await;
+        match sent {
+            Err(e) if e.is_unsent() && !is_wanted() => Err(Error::Withdrawn {
+                address: address.to_owned(),
+            }),
+            sent => sent,
+        }
+    }
+
+    async fn send_where(
+        &self,
+        address: &str,
+        req: Request<Body>,
+        limits: Limits,
+        is_wanted: Option<&IsWanted>,
     ) -> Result<(Response<Incoming>, Connection)> {
         let mut req = req;
         while let Some(sender) = self.take(address, limits.max_idle) {
@@ -211,8 +254,10 @@
                 generation: self.generation(address),
                 sender,
             };
-            match self.exchange(connection, req, limits.head).await {
+            let exchange = self.exchange(connection, req, limits.head, is_wanted);
+            match exchange.await {
                 Ok(answered) => return Ok(answered),
+                Err((e, _)) if is_wanted.is_some_and(|is_wanted| !is_wanted()) => return Err(e),
                 // The server closed the connection while it was idle, so nothing was sent.
                 Err((_, Some(unsent))) => req = unsent,
                 Err((e, None)) => return Err(e),
@@ -223,7 +268,7 @@
             generation: self.generation(address),
             sender: connect(address, limits.connect, self.tally.as_ref()).await?,
         };
-        let answered = self.exchange(connection, req, limits.head).await;
+        let answered = self.exchange(connection, req, limits.head, is_wanted).await;
         answered.map_err(|(e, _)| e)
     }
 
@@ -232,11 +277,12 @@
         mut connection: Connection,
         req: Request<Body>,
         head: Duration,
+        is_wanted: Option<&IsWanted>,
     ) -> Result<(Response<Incoming>, Connection), (Error, Option<Request<Body>>)> {
         if let Some(tally) = &self.tally {
             tally.count_sent_messages(1);
         }
-        let res = connection.try_send(req, head).await?;
+        let res = connection.try_send(req, head, is_wanted).await?;
         if let Some(tally) = &self.tally {
             tally.count_received_messages(1);
         }
--- a/crates/lilaccrank-http/src/client/sender.rs
+++ b/crates/lilaccrank-http/src/client/sender.rs
@@ -1,15 +1,19 @@
 //! New connections and the tasks that drive them.
 
+use std::cell::RefCell;
 use std::io;
+use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
+use futures::FutureExt;
 use futures::channel::oneshot;
-use futures::future::{self, Either};
+use futures::future;
 use hyper::client::conn::http1::{self, SendRequest};
 use lilaccrank::backoff;
 use monoio_compat::hyper::MonoioIo;
 
-use super::{Error, Result};
+use super::{Error, IsWanted, Result};
 use crate::body::Body;
 use crate::socket;
 use crate::tally::{Counted, Tally};
@@ -31,6 +35,8 @@
     _open: oneshot::Sender<()>,
     pub(super) inner: SendRequest<Body>,
     pub(super) meter: Meter,
+    /// Condition of the next request, checked by the task that writes it.
+    pub(super) is_wanted: Rc<RefCell<Option<IsWanted>>>,
 }
 
 pub(super) async fn connect(
@@ -67,10 +73,22 @@
 where
     T: hyper::rt::Read + hyper::rt::Write + Unpin + 'static,
 {
-    let (inner, connection) = http1::handshake(io).await?;
-    let (open, closed) = oneshot::channel::<()>();
+    let (inner, mut connection) = http1::handshake(io).await?;
+    let (open, mut closed) = oneshot::channel::<()>();
+    let is_wanted: Rc<RefCell<Option<IsWanted>>> = Rc::default();
+    let condition = Rc::clone(&is_wanted);
+    let driving = future::poll_fn(move |cx| {
+        // A connection that is polled writes what it has.
+        if condition.take().is_some_and(|is_wanted| !is_wanted()) {
+            return Poll::Ready(Ok(()));
+        }
+        match connection.poll_unpin(cx) {
+            Poll::Pending => closed.poll_unpin(cx).map(|_| Ok(())),
+            ended => ended,
+        }
+    });
     monoio::spawn(async move {
-        if let Either::Left((Err(e), _)) = future::select(connection, closed).await {
+        if let Err(e) = driving.await {
             log::debug!("client connection failed: {e}");
         }
     });
@@ -78,5 +96,6 @@
         _open: open,
         inner,
         meter,
+        is_wanted,
     })
 }
--- a/crates/lilaccrank-http/tests/suite/client.rs
+++ b/crates/lilaccrank-http/tests/suite/client.rs
@@ -2,13 +2,14 @@
 
 use std::io::{ErrorKind, Read};
 use std::net::TcpListener;
+use std::rc::Rc;
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
 
 use hyper::{Request, Response};
 use lilaccrank_http::body;
-use lilaccrank_http::client::{Client, Error, Limits};
+use lilaccrank_http::client::{Client, Error, IsWanted, Limits};
 use lilaccrank_http::runtime;
 use lilaccrank_http::server::{self, ShutdownHandle};
 
@@ -115,3 +116,34 @@
     .unwrap();
     assert_eq!(server.join().unwrap(), Err(ErrorKind::ConnectionReset));
 }
+
+// Guards against a request that is written although its caller left while the connection was being made.
+#[test]
+fn nothing_is_written_of_a_request_that_was_withdrawn() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut written = Vec::new();
+        // The connection ends by a reset.
+        let _ = stream.read_to_end(&mut written);
+        written.len()
+    });
+    runtime::block_on(async {
+        let limits = Limits {
+            connect: IDLE,
+            max_idle: Duration::ZERO,
+            head: IDLE,
+        };
+        let req = Request::new(body::full(vec![0; 1 << 10]));
+        let is_wanted: IsWanted = Rc::new(|| false);
+        let client = Client::default();
+        let sent = client.send_if(&address, req, limits, &is_wanted).await;
+        assert!(matches!(sent, Err(Error::Withdrawn { .. })));
+        while !server.is_finished() {
+            monoio::time::sleep(Duration::from_millis(10)).await;
+        }
+    })
+    .unwrap();
+    assert_eq!(server.join().unwrap(), 0);
+}
--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -16,7 +16,7 @@
 use lilaccrank::software_version::VersionDigest;
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::body::{self, Body};
-use lilaccrank_http::client::{self, Connection, Limits};
+use lilaccrank_http::client::{self, Connection, IsWanted, Limits};
 use lilaccrank_http::client_connection::ClientConnection;
 
 use crate::callers::end_to_end;
@@ -220,6 +220,7 @@
     let buffer = Rc::new(AnswerBuffer::default());
     let reader = buffer.reader(client);
     let cancellation = Cancellation::new(daemon, &buffer, relayed.deadline, Duration::ZERO);
+    let cancellation = Rc::new(cancellation);
     let usable = sendable::until_usable(daemon, &relayed.pool, &relayed.target);
     let usable = cancellation.run(usable).await.flatten();
     let target = usable.and_then(|target| cancellation.check().map(|()| target));
@@ -235,7 +236,8 @@
     }
     let req = Request::from_parts(head, body::full(body));
     let active = ActiveSend::new(daemon, &relayed.target);
-    let sending = cancellation.run(send(daemon, relayed, &target, req));
+    let is_wanted = is_wanted(&cancellation);
+    let sending = cancellation.run(send(daemon, relayed, &target, req, &is_wanted));
     let (res, connection) = sending.await.map_err(|_| Failure::Silent)??;
     active.record_heard();
     if let Some(pause) = daemon
@@ -264,6 +266,12 @@
     Ok(res)
 }
 
+/// Check right before the request is written to the target.
+fn is_wanted(cancellation: &Rc<Cancellation>) -> IsWanted {
+    let cancellation = Rc::clone(cancellation);
+    Rc::new(move || cancellation.check().is_ok())
+}
+
 fn admit(daemon: &Rc<Daemon>) -> Result<Rc<InProgress>> {
     let limit = daemon.cfg.request_limit / SHARE_DIVISOR;
     if daemon.refusing.get() || daemon.in_progress() >= limit {
@@ -280,6 +288,7 @@
     relayed: &Relayed,
     target: &Target,
     req: Request<Body>,
+    is_wanted: &IsWanted,
 ) -> Result<(Response<Incoming>, Connection)> {
     let bounds = daemon.bounds();
     let is_down = daemon.paths.is_down(&relayed.target);
@@ -291,7 +300,10 @@
         head: bounds.first,
         max_idle: Duration::from_millis(daemon.cfg.unrepeatable_rest_ms),
     };
-    let sent = daemon.client.send(&target.address, req, limits).await;
+    let client = &daemon.client;
+    let sent = client
+        .send_if(&target.address, req, limits, is_wanted)
+        .await;
     sent.map_err(|e| {
         if matches!(e, client::Error::Connect { .. }) && !is_down {
             paths::record_unconnected(daemon, &relayed.pool, target, &e);
@@ -308,7 +320,7 @@
 async fn copy(
     daemon: Rc<Daemon>,
     buffer: Rc<AnswerBuffer>,
-    cancellation: Cancellation,
+    cancellation: Rc<Cancellation>,
     (mut res, connection): (Response<Incoming>, Connection),
     active: ActiveSend,
 ) {
--- a/crates/lilaccrankd/src/request/cancellation.rs
+++ b/crates/lilaccrankd/src/request/cancellation.rs
@@ -57,16 +57,19 @@
         }
     }
 
-    /// Checks right before a send that somebody still waits for the answer, by the state of the
-    /// callers' connections, which may be newer than what has woken the request's task.
+    /// Checks right before a send that somebody still waits for the answer, by the clock and the state of
+    /// the callers' connections, which may be newer than what has woken the request's task.
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::Cancelled`] if all callers have left.
+    /// [`ErrorKind::Cancelled`] if all callers have left, or [`ErrorKind::DeadlinePassed`].
     pub fn check(&self) -> Result<()> {
         if self.grace.is_zero() && !self.buffer.has_open_reader() {
             return Err(caller_left().ran(Executed::No));
         }
+        if self.deadline.is_some_and(|at| Instant::now() >= at) {
+            return Err(late().ran(Executed::No));
+        }
         Ok(())
     }
 
@@ -78,9 +81,7 @@
         let from_caller = future::select(callers_left, deadline_passed);
         match future::select(from_caller, aborted).await {
             Either::Left((Either::Left(_), _)) => caller_left(),
-            Either::Left((Either::Right(_), _)) => {
-                Refusal::new(ErrorKind::DeadlinePassed, "the deadline passed")
-            }
+            Either::Left((Either::Right(_), _)) => late(),
             // The process is about to exit. A caller whose connection is merely closed could not
             // tell whether its request ran. `Leaving` by itself means "not run", which holds only
             // for requests that still wait for a target.
@@ -110,6 +111,10 @@
     Refusal::new(ErrorKind::Cancelled, "the caller went away")
 }
 
+fn late() -> Refusal {
+    Refusal::new(ErrorKind::DeadlinePassed, "the deadline passed")
+}
+
 async fn deadline_passed(deadline: Option<Instant>) {
     match deadline {
         Some(at) => monoio::time::sleep_until(at.into()).await,
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -237,7 +237,10 @@
         Err(SendError::Migrated(_)) => Outcome::Cancelled,
         Err(SendError::Failed(failed)) => match failed {
             failed if failed.is_path_fault => Outcome::Unused,
-            failed if failed.refusal.kind.is_unrelated_to_target() => Outcome::Cancelled,
+            failed if failed.refusal.kind.is_unrelated_to_target() => match failed.failure {
+                Failure::Unsent => Outcome::Unused,
+                _ => Outcome::Cancelled,
+            },
             failed if failed.refusal.kind == ErrorKind::NoTarget => Outcome::Unused,
             failed if failed.answer.is_some() => Outcome::Erred,
             failed if failed.is_misdirected => Outcome::Misdirected,
--- a/crates/lilaccrankd/src/targets/call.rs
+++ b/crates/lilaccrankd/src/targets/call.rs
@@ -40,6 +40,7 @@
 pub fn refusal(e: &Error) -> Refusal {
     let kind = match e {
         Error::Silent { .. } => ErrorKind::TargetSilent,
+        Error::Withdrawn { .. } => ErrorKind::Cancelled,
         Error::Connect { .. } | Error::Exchange { .. } => ErrorKind::TargetFailed,
     };
     let ran = if e.is_unsent() {
--- a/crates/lilaccrankd/src/targets/transport.rs
+++ b/crates/lilaccrankd/src/targets/transport.rs
@@ -18,7 +18,7 @@
 use lilaccrank::software_version::VersionDigest;
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::body::Body;
-use lilaccrank_http::client::{self, Connection, Limits};
+use lilaccrank_http::client::{self, Connection, IsWanted, Limits};
 use thiserror::Error;
 
 use crate::callers::refusal::Refusal;
@@ -32,6 +32,11 @@
 /// Result of one send.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+/// Check right before a request is written.
+type Check = Rc<dyn Fn() -> Result<(), Refusal>>;
+
+/// Time from the grant to the write from which it is logged.
+const LOGGED_WAIT: Duration = Duration::from_millis(100);
 /// Maximum number of peers that one request is offered to.
 const MAX_RELAYS: usize = 2;
 
@@ -89,6 +94,7 @@
 /// Sends the requests of one caller's request to one target.
 pub struct Transport {
     cancellation: Rc<Cancellation>,
+    created_at: Instant,
     daemon: Rc<Daemon>,
     deadline: Option<Instant>,
     instance: TargetInstance,
@@ -107,6 +113,7 @@
         let routed = execution.routed;
         Self {
             cancellation: Rc::clone(execution.cancellation),
+            created_at: Instant::now(),
             daemon: Rc::clone(execution.daemon),
             deadline: routed.deadline(),
             instance: TargetInstance::of(target),
@@ -128,8 +135,7 @@
         build: impl Fn() -> Request<Body>,
         limits: Limits,
     ) -> Result<(Response<Incoming>, Connection)> {
-        self.send_if(|| self.cancellation.check(), build, limits)
-            .await
+        self.send_if(self.check_at_write(), build, limits).await
     }
 
     /// Sends a request that ends work at the target, whether or not a caller is left.
@@ -142,12 +148,18 @@
         build: impl Fn() -> Request<Body>,
         limits: Limits,
     ) -> Result<(Response<Incoming>, Connection)> {
-        self.send_if(|| Ok(()), build, limits).await
+        self.send_if(Rc::new(|| Ok(())), build, limits).await
+    }
+
+    /// Check whether the request may still be written: somebody waits for its answer.
+    fn check_at_write(&self) -> Check {
+        let cancellation = Rc::clone(&self.cancellation);
+        Rc::new(move || cancellation.check())
     }
 
     async fn send_if(
         &self,
-        check: impl Fn() -> Result<(), Refusal>,
+        check: Check,
         build: impl Fn() -> Request<Body>,
         limits: Limits,
     ) -> Result<(Response<Incoming>, Connection)> {
@@ -165,17 +177,40 @@
                 false => limits.connect,
             };
             match self
-                .send_direct(build(), Limits { connect, ..limits })
+                .send_direct(build(), Limits { connect, ..limits }, &check)
                 .await
             {
                 Err(e @ client::Error::Connect { .. }) => e,
+                Err(client::Error::Withdrawn { address }) => {
+                    return Err(withdrawn(&check, address));
+                }
                 other => return Ok(other?),
             }
         };
         if !is_down {
             paths::record_unconnected(&self.daemon, &self.pool, &self.target, &unconnected);
         }
-        self.relay(check, build, limits, unconnected).await
+        self.relay(&check, build, limits, unconnected).await
+    }
+
+    /// Check by the task that writes the request. Logs a long wait, which the grant does not show.
+    fn is_wanted(&self, check: &Check) -> IsWanted {
+        let (check, created_at) = (Rc::clone(check), self.created_at);
+        let (request, target) = (self.log_id.clone(), self.instance.id.clone());
+        Rc::new(move || {
+            let is_written = check().is_ok();
+            let waited = created_at.elapsed();
+            if waited >= LOGGED_WAIT {
+                log::info!(
+                    is_written = is_written,
+                    request = request,
+                    target = target,
+                    waited_ms = waited.as_millis() as u64;
+                    "waited from the grant to the write"
+                );
+            }
+            is_written
+        })
     }
 
     /// Records that a part of the answer arrived.
@@ -206,13 +241,14 @@
         &self,
         req: Request<Body>,
         limits: Limits,
+        check: &Check,
     ) -> client::Result<(Response<Incoming>, Connection)> {
         let active = Rc::new(ActiveSend::new(&self.daemon, &self.instance));
         self.active.replace(Some(Rc::clone(&active)));
         let sent = self
             .daemon
             .client
-            .send(&self.target.address, req, limits)
+            .send_if(&self.target.address, req, limits, &self.is_wanted(check))
             .await;
         match &sent {
             Ok(_) => active.record_heard(),
@@ -225,7 +261,7 @@
 
     async fn relay(
         &self,
-        check: impl Fn() -> Result<(), Refusal>,
+        check: &Check,
         build: impl Fn() -> Request<Body>,
         limits: Limits,
         unconnected: client::Error,
@@ -255,7 +291,7 @@
             let sent = self
                 .daemon
                 .client
-                .send(&address.to_string(), req, limits)
+                .send_if(&address.to_string(), req, limits, &self.is_wanted(check))
                 .await;
             let failure = match sent {
                 Ok((res, connection)) => match path_relay::failure(&res) {
@@ -265,6 +301,9 @@
                     }
                     Some(failure) => failure,
                 },
+                Err(client::Error::Withdrawn { address }) => {
+                    return Err(withdrawn(check, address));
+                }
                 Err(e) if e.is_unsent() => path_relay::Failure::Unsent,
                 Err(source) => return Err(Error::RelayLost { source, vm }),
             };
@@ -277,6 +316,14 @@
     }
 }
 
+/// Error for a request that was withdrawn when the connection was there.
+fn withdrawn(check: &Check, address: String) -> Error {
+    match check() {
+        Err(refusal) => Error::Cancelled(refusal),
+        Ok(()) => Error::Direct(client::Error::Withdrawn { address }),
+    }
+}
+
 /// Restores what tells that an answer ended with its connection at the relay.
 fn unwrap(mut res: Response<Incoming>) -> Response<Incoming> {
     if path_relay::take_unframed(res.headers_mut()) {
--- a/crates/lilaccrankd/tests/suite/cancellation.rs
+++ b/crates/lilaccrankd/tests/suite/cancellation.rs
@@ -206,3 +206,20 @@
     })
     .unwrap();
 }
+
+// Guards against a send after the deadline, of work that ran before the timer of the deadline did.
+#[test]
+fn a_send_asks_the_clock() {
+    runtime::block_on(async {
+        let mut rig = Rig::start();
+        rig.call().await;
+        let cancellation = rig.cancellation(Some(GRACE), Duration::ZERO);
+        assert!(cancellation.check().is_ok());
+        // No timer fires meanwhile.
+        std::thread::sleep(GRACE);
+        let refusal = cancellation.check().unwrap_err();
+        assert_eq!(refusal.kind, ErrorKind::DeadlinePassed);
+        assert_eq!(refusal.ran, Executed::No);
+    })
+    .unwrap();
+}
