Link: requests go no faster than the VM's own link carries

Requests were written behind seconds of other bytes, where they can't be taken back. The tier travels with relays.

--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -44,6 +44,7 @@
 use crate::settings::Settings;
 use crate::targets::engine_stream::SilenceTimeouts;
 use crate::targets::forward::Bounds;
+use crate::targets::link::Link;
 use crate::targets::live_list::LiveList;
 use crate::targets::paths::TargetPaths;
 use crate::targets::pauses::Pauses;
@@ -98,6 +99,8 @@
     pub platform_contact: PlatformContact,
     /// Load that the daemons report to each other.
     pub load_exchange: LoadExchange,
+    /// The link of this VM.
+    pub link: Link,
     /// The platform's list of targets.
     pub live_list: LiveList,
     /// Membership of this data centre.
@@ -206,6 +209,7 @@
             head_limits: Rc::default(),
             platform_contact: PlatformContact::default(),
             leaving: Cell::new(false),
+            link: Link::new(cfg.link_bytes_per_s),
             live_list: LiveList::default(),
             load_exchange: LoadExchange::default(),
             membership,
--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -12,7 +12,7 @@
 use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use lilaccrank::document::Target;
-use lilaccrank::ids::{PoolId, VmId};
+use lilaccrank::ids::{PoolId, Tier, VmId};
 use lilaccrank::software_version::VersionDigest;
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::body::{self, Body};
@@ -46,12 +46,14 @@
 const POOL: HeaderName = HeaderName::from_static("lilaccrank-relay-pool");
 /// Id of the target, in hex.
 const TARGET: HeaderName = HeaderName::from_static("lilaccrank-relay-target");
+/// Tier of the request.
+const TIER: HeaderName = HeaderName::from_static("lilaccrank-relay-tier");
 /// Digest of the software version that the target must have, if the sender knows it.
 const VERSION: HeaderName = HeaderName::from_static("lilaccrank-relay-version");
 /// Set if the answer has no length and ends with its connection.
 const UNFRAMED: HeaderName = HeaderName::from_static("lilaccrank-relay-unframed");
 /// Headers that are for the relay.
-const OWN: [HeaderName; 7] = [BORN, FROM, LOG_ID, LEFT_MS, POOL, TARGET, VERSION];
+const OWN: [HeaderName; 8] = [BORN, FROM, LOG_ID, LEFT_MS, POOL, TARGET, TIER, VERSION];
 /// Longest time until a request is due; timers can't count to any number.
 const MAX_LEFT: Duration = Duration::from_secs(24 * 60 * 60);
 /// One in this many of the requests that a daemon may have in progress may be relayed ones, so that
@@ -103,6 +105,8 @@
     pub pool: &'a PoolId,
     /// The target.
     pub target: &'a TargetInstance,
+    /// Tier of the request.
+    pub tier: Tier,
     /// Version of its software by the sender's list; `None` if unknown.
     pub version: Option<VersionDigest>,
 }
@@ -123,6 +127,7 @@
             (LEFT_MS, left),
             (POOL, Some(hex::encode(self.pool))),
             (TARGET, Some(hex::encode(&self.target.id))),
+            (TIER, Some(self.tier.to_string())),
             (VERSION, self.version.map(|version| version.to_string())),
         ];
         for (name, text) in texts {
@@ -156,6 +161,7 @@
     log_id: String,
     pool: PoolId,
     target: TargetInstance,
+    tier: Tier,
     version: Option<String>,
 }
 
@@ -178,6 +184,10 @@
                 started_ms: text(BORN)?.parse().ok()?,
                 id: decoded(text(TARGET)?)?,
             },
+            // A daemon of an earlier version names none.
+            tier: text(TIER)
+                .and_then(|tier| tier.parse().ok())
+                .unwrap_or(Tier::MAX),
             version: text(VERSION),
         })
     }
@@ -300,6 +310,7 @@
         head: bounds.first,
         max_idle: Duration::from_millis(daemon.cfg.unrepeatable_rest_ms),
     };
+    daemon.link.until_free(relayed.tier, &req).await;
     let client = &daemon.client;
     let sent = client
         .send_if(&target.address, req, limits, is_wanted)
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -122,6 +122,9 @@
     /// reached; 0 for no limit. Set it to the time for which a leaving target may still get
     /// requests, less the time that a request takes to reach it.
     pub listing_lease_ms: u64,
+    /// Bytes a second that this VM's link carries each way, which bounds how fast requests are sent to
+    /// targets; 0 for no limit.
+    pub link_bytes_per_s: u64,
     /// Gossip addresses of the members to join through.
     pub seeds: Vec<SocketAddr>,
     /// Milliseconds after which a graceful shutdown aborts the remaining requests.
@@ -210,6 +213,7 @@
             first_token_ms: 30_000,
             gossip: port(7403),
             grace_ms: 2_000,
+            link_bytes_per_s: 0,
             listing_lease_ms: 0,
             log_level: log::LevelFilter::Info,
             neighbours: Vec::new(),
--- a/crates/lilaccrankd/src/targets.rs
+++ b/crates/lilaccrankd/src/targets.rs
@@ -5,8 +5,8 @@
 pub mod engine_stream;
 pub mod forward;
 pub mod freshness;
-
 pub mod lapsed;
+pub mod link;
 pub mod live_list;
 pub mod native_protocol;
 pub mod newest_instances;
--- a/crates/lilaccrankd/src/targets/transport.rs
+++ b/crates/lilaccrankd/src/targets/transport.rs
@@ -13,7 +13,7 @@
 use hyper::{Request, Response};
 use lilaccrank::document::Target;
 use lilaccrank::error_kind::ErrorKind;
-use lilaccrank::ids::{PoolId, VmId};
+use lilaccrank::ids::{PoolId, Tier, VmId};
 use lilaccrank::membership::State;
 use lilaccrank::software_version::VersionDigest;
 use lilaccrank::target_instance::TargetInstance;
@@ -104,6 +104,7 @@
     relay: RefCell<Option<VmId>>,
     active: RefCell<Option<Rc<ActiveSend>>>,
     target: Target,
+    tier: Tier,
 }
 
 impl Transport {
@@ -122,6 +123,7 @@
             relay: RefCell::default(),
             active: RefCell::default(),
             target: target.clone(),
+            tier: routed.route.tier,
         }
     }
 
@@ -135,6 +137,7 @@
         build: impl Fn() -> Request<Body>,
         limits: Limits,
     ) -> Result<(Response<Incoming>, Connection)> {
+        self.daemon.link.until_free(self.tier, &build()).await;
         self.send_if(self.check_at_write(), build, limits).await
     }
 
@@ -282,6 +285,7 @@
                 log_id: &self.log_id,
                 pool: &self.pool,
                 target: &self.instance,
+                tier: self.tier,
                 version: VersionDigest::of(&self.target),
             };
             let req = envelope.wrap(build());
