Freshness: time in which a daemon reads nothing is no silence of the store

What callers saw: requests to targets that had left, by an old list (DRAIN). Cause: an answer that was due and unread counted as none, after one long turn of the daemon's own loop, and a long list that came in parts did so too. Ruled out: pauses over half a second, which were seen before; one turn of 400 ms was enough. Change: a tick tells how long tasks did not run; the waits for answers move on by that.

--- a/crates/lilaccrankd/src/configuration/source.rs
+++ b/crates/lilaccrankd/src/configuration/source.rs
@@ -95,6 +95,12 @@
         self.daemon.live_list.freshness.expect_answer(at);
     }
 
+    /// Records that a part of the answer has come. The rest is due as if it had been asked for now.
+    pub fn expect_rest(&self) {
+        let now = MonoioClock.boot_time();
+        self.daemon.live_list.freshness.expect_rest(now);
+    }
+
     /// Time since the list of targets was known to be the newest; `None` if it never was.
     #[must_use]
     pub fn listing_age(&self) -> Option<Duration> {
--- a/crates/lilaccrankd/src/peers/load_exchange.rs
+++ b/crates/lilaccrankd/src/peers/load_exchange.rs
@@ -14,13 +14,11 @@
 use futures::future;
 use futures::pin_mut;
 use indexmap::IndexMap;
-use lilaccrank::clock::Clock;
 use lilaccrank::dispatch::sharing::Digest;
 use lilaccrank::ids::{CustomerId, Incarnation, PoolId, VmId};
 use lilaccrank::membership::{Member, Membership};
 use lilaccrank::quota::{CellDemand, Spent};
 use lilaccrank::request_key::Ranking;
-use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::tally::Tally;
 use monoio::net::udp::UdpSocket;
 
@@ -141,7 +139,6 @@
         let changed = daemon.load_exchange.changed();
         let _ = monoio::time::timeout(HEARTBEAT, changed).await;
         daemon.quotas.tick();
-        daemon.live_list.freshness.observe(MonoioClock.boot_time());
         server::apply_leaving(&daemon);
         server::apply_rate_limits(&daemon);
         server::apply_brittle(&daemon);
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -39,6 +39,7 @@
 use crate::settings::Settings;
 use crate::shutdown;
 use crate::signals::Signals;
+use crate::targets::freshness;
 use crate::targets::paths;
 
 /// Result of running the daemon.
@@ -148,6 +149,7 @@
         monoio::spawn(server::serve(listener, ShutdownHandle::default(), handler));
     }
     monoio::spawn(paths::run(Rc::clone(&daemon)));
+    monoio::spawn(freshness::run(Rc::clone(&daemon)));
     monoio::spawn(load_exchange::run(Rc::clone(&daemon), load_socket));
     monoio::spawn(pools::slot_leases::run(Rc::clone(&daemon)));
     monoio::spawn(quarantine_record::run(Rc::clone(&daemon)));
--- a/crates/lilaccrankd/src/targets/freshness.rs
+++ b/crates/lilaccrankd/src/targets/freshness.rs
@@ -5,7 +5,8 @@
 //! last list it has.
 
 use std::cell::Cell;
-use std::time::{Duration, Instant};
+use std::rc::Rc;
+use std::time::Duration;
 
 use event_listener::Event;
 use lilaccrank::clock::{BootTime, Clock};
@@ -16,17 +17,26 @@
 /// Time after which a call that the platform has not answered shows that it is unreachable. A
 /// reachable one answers within milliseconds.
 const ANSWER_TIME: Duration = Duration::from_millis(250);
-/// Longest time between two observations of a process that was not paused.
-const MAX_OBSERVATION_GAP: Duration = Duration::from_millis(500);
+/// Time after which a send that needs a newer list shows that the platform is not asked for one.
+const ASKING_TIME: Duration = Duration::from_millis(500);
+/// Interval of [`run`].
+const TICK: Duration = Duration::from_millis(50);
+/// Longest part of the time between two ticks that counts as running. In the rest, an answer may have been
+/// waiting to be read.
+const MAX_STEP: Duration = Duration::from_millis(100);
+/// Time between two ticks from which it is logged.
+const LOGGED_GAP: Duration = Duration::from_millis(500);
 
 /// How recent the list of targets is.
 #[derive(Default)]
 pub struct Freshness {
     /// When the list was last known to be the newest.
     confirmed_at: Cell<Option<BootTime>>,
-    /// When the answer of the first unanswered call was due.
+    /// When the answer of the first unanswered call was due. Moves on while the process does not run.
     due_at: Cell<Option<BootTime>>,
-    /// Last observation, from which pauses of the process are told.
+    /// When a send first needed a newer list. Moves on while the process does not run.
+    needed_at: Cell<Option<BootTime>>,
+    /// Last tick, from which pauses of the process are told.
     observed_at: Cell<Option<BootTime>>,
     /// Notified when the list is confirmed.
     confirmed: Event,
@@ -41,6 +51,8 @@
     Current,
     /// It is too old, and the platform can't be reached for a newer one.
     BestAvailable,
+    /// It is too old, and the platform has not been asked for a newer one since a send needed it.
+    NotAsked,
     /// It is too old, and the platform has not been asked or may still answer.
     Outdated,
 }
@@ -53,6 +65,7 @@
             return;
         }
         self.confirmed_at.set(Some(at));
+        self.needed_at.take();
         if self.due_at.get().is_some_and(|due_at| due_at <= at) {
             self.due_at.take();
         }
@@ -70,18 +83,36 @@
         self.due_at.set(self.due_at.get().or(Some(at)));
     }
 
+    /// Records that a part of an answer came at `now`: the platform is there.
+    pub fn expect_rest(&self, now: BootTime) {
+        let due_at = self.due_at.get();
+        self.due_at.set(due_at.map(|due_at| due_at.max(now)));
+    }
+
     /// Records that calls to the platform are given up, since other daemons follow it.
     pub fn forget_calls(&self) {
         self.due_at.take();
     }
 
-    /// Notes that the process is running; has to be called at intervals well below half a second.
-    /// After a pause, answers that seem to be overdue may be waiting to be read.
+    /// Records that a send needs a newer list.
+    pub fn need(&self, now: BootTime) {
+        self.needed_at.set(self.needed_at.get().or(Some(now)));
+        self.needed.notify(usize::MAX);
+    }
+
+    /// Notes that the process is running, and has read what had arrived before.
     pub fn observe(&self, now: BootTime) {
         let since = self.observed_at.replace(Some(now));
-        let was_paused = since.is_some_and(|since| now.saturating_sub(since) > MAX_OBSERVATION_GAP);
-        if was_paused && self.due_at.get().is_some() {
-            self.due_at.set(Some(now));
+        let gap = since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
+        if gap > LOGGED_GAP {
+            log::warn!(for_ms = gap.as_millis() as u64; "tasks of this process did not run");
+        }
+        let held_up = gap.saturating_sub(MAX_STEP);
+        for wait in [&self.due_at, &self.needed_at] {
+            let passed = wait.get().filter(|at| *at < now);
+            if let Some(at) = passed {
+                wait.set(Some((at + held_up).min(now)));
+            }
         }
     }
 
@@ -97,9 +128,17 @@
         if self.age(now).is_some_and(|age| age <= lease) {
             return Usability::Current;
         }
-        match self.due_at.get() {
-            Some(due_at) if now >= due_at + ANSWER_TIME => Usability::BestAvailable,
-            _ => Usability::Outdated,
+        let observed_at = self.observed_at.get();
+        let ran_until = observed_at.map_or(now, |at| now.min(at + MAX_STEP));
+        let is_over = |wait: &Cell<Option<BootTime>>, limit| {
+            wait.get().is_some_and(|since| ran_until >= since + limit)
+        };
+        if is_over(&self.due_at, ANSWER_TIME) {
+            Usability::BestAvailable
+        } else if self.due_at.get().is_none() && is_over(&self.needed_at, ASKING_TIME) {
+            Usability::NotAsked
+        } else {
+            Usability::Outdated
         }
     }
 
@@ -117,24 +156,29 @@
         return;
     }
     let freshness = &daemon.live_list.freshness;
-    let started = Instant::now();
     loop {
         let confirmed = freshness.confirmed.listen();
         let now = MonoioClock.boot_time();
-        freshness.observe(now);
-        if freshness.usability(lease, now) != Usability::Outdated {
-            return;
+        match freshness.usability(lease, now) {
+            Usability::Current | Usability::BestAvailable => return,
+            Usability::NotAsked => {
+                log::warn!(
+                    list_age_ms = freshness.age(now).map_or(-1, |age| age.as_millis() as i64);
+                    "sending by an old list: the platform was not asked for a newer one"
+                );
+                return;
+            }
+            Usability::Outdated => freshness.need(now),
         }
-        let left = (ANSWER_TIME * 2).saturating_sub(started.elapsed());
-        if left.is_zero() {
-            let age = freshness.age(now);
-            log::warn!(
-                list_age_ms = age.map_or(-1, |age| age.as_millis() as i64);
-                "sending by an old list: the platform was not asked for a newer one"
-            );
-            return;
-        }
-        freshness.needed.notify(usize::MAX);
-        let _ = monoio::time::timeout(left.min(ANSWER_TIME / 5), confirmed).await;
+        let _ = monoio::time::timeout(TICK, confirmed).await;
+    }
+}
+
+/// Notes at intervals that the process is running, for as long as the daemon runs.
+pub async fn run(daemon: Rc<Daemon>) {
+    loop {
+        let now = MonoioClock.boot_time();
+        daemon.live_list.freshness.observe(now);
+        monoio::time::sleep(TICK).await;
     }
 }
--- a/crates/lilaccrankd/tests/suite/freshness.rs
+++ b/crates/lilaccrankd/tests/suite/freshness.rs
@@ -69,12 +69,25 @@
     freshness.expect_answer(ms(1_800));
     freshness.observe(ms(5_000));
     assert_eq!(freshness.usability(LEASE, ms(5_000)), Usability::Outdated);
+    for at in (5_050..=5_250).step_by(50) {
+        freshness.observe(ms(at));
+    }
     assert_eq!(
         freshness.usability(LEASE, ms(5_250)),
         Usability::BestAvailable
     );
 }
 
+// Guards against a daemon short of processor time that takes the platform for unreachable, as it has not
+// read the answer in the one turn of its loop since that was due.
+#[test]
+fn one_long_turn_is_no_silence_of_the_platform() {
+    let freshness = confirmed(2_500);
+    freshness.expect_answer(ms(2_500));
+    freshness.observe(ms(2_900));
+    assert_eq!(freshness.usability(LEASE, ms(2_900)), Usability::Outdated);
+}
+
 // Guards against sends that wait again whenever another daemon passes on what it heard before the
 // platform went away.
 #[test]
@@ -110,3 +123,57 @@
     freshness.confirm(ms(2_999));
     assert_eq!(freshness.usability(LEASE, ms(3_000)), Usability::Current);
 }
+
+// Guards against a send by an old list after a pause of the daemon, in which nobody could ask for a newer
+// one.
+#[test]
+fn a_pause_of_the_process_is_no_time_to_ask() {
+    let freshness = confirmed(3_000);
+    freshness.need(ms(3_000));
+    freshness.observe(ms(6_000));
+    assert_eq!(freshness.usability(LEASE, ms(6_000)), Usability::Outdated);
+    for at in (6_050..=6_500).step_by(50) {
+        freshness.observe(ms(at));
+    }
+    assert_eq!(freshness.usability(LEASE, ms(6_500)), Usability::NotAsked);
+}
+
+// Guards against a send that goes by the time at which an earlier one needed a newer list.
+#[test]
+fn a_newer_list_ends_the_need_for_one() {
+    let freshness = confirmed(3_000);
+    freshness.need(ms(3_000));
+    freshness.confirm(ms(3_100));
+    for at in (3_050..=5_000).step_by(50) {
+        freshness.observe(ms(at));
+    }
+    freshness.need(ms(5_000));
+    assert_eq!(freshness.usability(LEASE, ms(5_000)), Usability::Outdated);
+}
+
+// Guards against a send by an old list half a second after the platform was asked for a newer one, whose answer
+// is not due yet.
+#[test]
+fn a_platform_that_is_asked_is_waited_for() {
+    let freshness = confirmed(3_000);
+    freshness.need(ms(3_000));
+    freshness.expect_answer(ms(3_400));
+    for at in (3_050..=3_550).step_by(50) {
+        freshness.observe(ms(at));
+    }
+    assert_eq!(freshness.usability(LEASE, ms(3_550)), Usability::Outdated);
+}
+
+// Guards against a platform that counts as unreachable while its answer comes in.
+#[test]
+fn a_part_of_an_answer_is_no_silence() {
+    let freshness = confirmed(3_000);
+    freshness.expect_answer(ms(2_700));
+    freshness.expect_rest(ms(2_900));
+    assert_eq!(freshness.usability(LEASE, ms(3_000)), Usability::Outdated);
+    for at in (3_050..=3_150).step_by(50) {
+        freshness.observe(ms(at));
+    }
+    let usability = freshness.usability(LEASE, ms(3_150));
+    assert_eq!(usability, Usability::BestAvailable);
+}
