Sends: the list's age and the target's state are asked where a request is written

Cause: the age of the list was asked before a request waited for the link or a connection. Ruled out: asking once more before the wait; the wait is what makes the list old. Change: sendable::check_at_write, in sends and relays: recent list, target not being asked about, not leaving. Test: leaving::granted_requests_of_*, sendable::at_the_write_*.

--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -246,7 +246,7 @@
     }
     let req = Request::from_parts(head, body::full(body));
     let active = ActiveSend::new(daemon, &relayed.target);
-    let is_wanted = is_wanted(&cancellation);
+    let is_wanted = is_wanted(daemon, relayed, &cancellation);
     let sending = cancellation.run(send(daemon, relayed, &target, req, &is_wanted));
     let (res, connection) = sending.await.map_err(|_| Failure::Silent)??;
     active.record_heard();
@@ -277,9 +277,12 @@
 }
 
 /// Check right before the request is written to the target.
-fn is_wanted(cancellation: &Rc<Cancellation>) -> IsWanted {
-    let cancellation = Rc::clone(cancellation);
-    Rc::new(move || cancellation.check().is_ok())
+fn is_wanted(daemon: &Rc<Daemon>, relayed: &Relayed, cancellation: &Rc<Cancellation>) -> IsWanted {
+    let (daemon, cancellation) = (Rc::clone(daemon), Rc::clone(cancellation));
+    let (pool, target) = (relayed.pool.clone(), relayed.target.clone());
+    Rc::new(move || {
+        cancellation.check().is_ok() && sendable::check_at_write(&daemon, &pool, &target).is_ok()
+    })
 }
 
 fn admit(daemon: &Rc<Daemon>) -> Result<Rc<InProgress>> {
--- a/crates/lilaccrankd/src/targets/freshness.rs
+++ b/crates/lilaccrankd/src/targets/freshness.rs
@@ -148,6 +148,22 @@
     }
 }
 
+/// Returns `true` if requests may be sent by the list of targets now; asks for a newer one if not.
+#[must_use]
+pub fn is_usable(daemon: &Daemon) -> bool {
+    let lease = Duration::from_millis(daemon.cfg.listing_lease_ms);
+    if lease.is_zero() {
+        return true;
+    }
+    let freshness = &daemon.live_list.freshness;
+    let now = MonoioClock.boot_time();
+    let is_usable = freshness.usability(lease, now) != Usability::Outdated;
+    if !is_usable {
+        freshness.need(now);
+    }
+    is_usable
+}
+
 /// Waits while the list of targets is too old to send by it and the platform may still give a newer
 /// one.
 pub async fn until_usable(daemon: &Daemon) {
--- a/crates/lilaccrankd/src/targets/lapsed.rs
+++ b/crates/lilaccrankd/src/targets/lapsed.rs
@@ -103,7 +103,7 @@
     /// Waits, if this target has lapsed, until other daemons were asked whether the platform was
     /// away.
     pub async fn until_verified(&self, instance: &TargetInstance) {
-        while self.verifying.get() && self.contains(&instance.id) {
+        while self.is_unverified(instance) {
             let verified = self.verified.listen();
             if self.verifying.get() {
                 verified.await;
@@ -111,6 +111,13 @@
         }
     }
 
+    /// Returns `true` if this target has lapsed and other daemons are being asked whether the platform was
+    /// away.
+    #[must_use]
+    pub fn is_unverified(&self, instance: &TargetInstance) -> bool {
+        self.verifying.get() && self.contains(&instance.id)
+    }
+
     fn end_verifying(&self) {
         self.verifying.set(false);
         self.verified.notify(usize::MAX);
--- a/crates/lilaccrankd/src/targets/sendable.rs
+++ b/crates/lilaccrankd/src/targets/sendable.rs
@@ -43,13 +43,28 @@
     check(daemon, pool, instance)
 }
 
+/// Checks a target right before a request is written to it. What [`until_usable`] waited for may have
+/// passed since, while the request waited for the link or a connection.
+///
+/// # Errors
+///
+/// Those of [`check`], and [`ErrorKind::NoTarget`] if a newer list has to come first.
+pub fn check_at_write(daemon: &Daemon, pool: &PoolId, instance: &TargetInstance) -> Result<()> {
+    if !freshness::is_usable(daemon) {
+        return Err(refused("the list of targets is too old to send by it"));
+    }
+    if daemon.live_list.lapsed.is_unverified(instance) {
+        return Err(refused("whether the target has left is being asked"));
+    }
+    check(daemon, pool, instance).map(drop)
+}
+
 /// Returns the target if it may get a request now.
 ///
 /// # Errors
 ///
 /// [`ErrorKind::NoTarget`] if it was removed, is leaving, or has asked this daemon for a pause.
 pub fn check(daemon: &Daemon, pool: &PoolId, instance: &TargetInstance) -> Result<Target> {
-    let refused = |message| Refusal::new(ErrorKind::NoTarget, message).ran(Executed::No);
     let target = daemon.target(pool, instance);
     let target = target.ok_or_else(|| refused("the target was removed"))?;
     match state_of(daemon, pool, &target) {
@@ -60,3 +75,7 @@
         TargetState::Draining => Err(refused("the target is leaving")),
     }
 }
+
+fn refused(message: &str) -> Refusal {
+    Refusal::new(ErrorKind::NoTarget, message).ran(Executed::No)
+}
--- a/crates/lilaccrankd/src/targets/transport.rs
+++ b/crates/lilaccrankd/src/targets/transport.rs
@@ -28,6 +28,7 @@
 use crate::request::execution::Execution;
 use crate::targets::call;
 use crate::targets::paths::{self, ActiveSend};
+use crate::targets::sendable;
 
 /// Result of one send.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -154,10 +155,15 @@
         self.send_if(Rc::new(|| Ok(())), build, limits).await
     }
 
-    /// Check whether the request may still be written: somebody waits for its answer.
+    /// Check whether the request may still be written: somebody waits for its answer, and the target
+    /// takes requests.
     fn check_at_write(&self) -> Check {
-        let cancellation = Rc::clone(&self.cancellation);
-        Rc::new(move || cancellation.check())
+        let (cancellation, daemon) = (Rc::clone(&self.cancellation), Rc::clone(&self.daemon));
+        let (instance, pool) = (self.instance.clone(), self.pool.clone());
+        Rc::new(move || {
+            cancellation.check()?;
+            sendable::check_at_write(&daemon, &pool, &instance)
+        })
     }
 
     async fn send_if(
--- a/crates/lilaccrankd/tests/suite/sendable.rs
+++ b/crates/lilaccrankd/tests/suite/sendable.rs
@@ -12,6 +12,7 @@
 use lilaccrank_http::runtime;
 use lilaccrankd::callers::refusal::Refusal;
 use lilaccrankd::daemon::Daemon;
+use lilaccrankd::targets::lapsed;
 use lilaccrankd::targets::live_list::Listing;
 use lilaccrankd::targets::sendable;
 
@@ -164,3 +165,23 @@
         publish(daemon, 2, &document(TargetState::Draining));
     }
 );
+
+// Guards against a request that waits for the link while its target goes missing from the list, and is
+// written before other daemons have said whether it left.
+#[test]
+fn at_the_write_a_missing_target_is_asked_about() {
+    let refusal = runtime::block_on(async {
+        let daemon = fixtures::daemon();
+        publish(&daemon, 1, &document(TargetState::Live));
+        list(&daemon, 1, vec![target("listed", TargetState::Live)], &[]);
+        let live_list = &daemon.live_list;
+        let known = live_list.listing();
+        live_list.lapsed.update(&known, &Listing::default(), true);
+        lapsed::settle(&daemon);
+        let target = TargetInstance::from("listed");
+        sendable::check_at_write(&daemon, &POOL.to_owned(), &target).unwrap_err()
+    });
+    let refusal = refusal.unwrap();
+    assert_eq!(refusal.kind, ErrorKind::NoTarget);
+    assert_eq!(refusal.ran, Executed::No);
+}
