Store: a revision belongs to an era

What callers saw: requests at a worker 2.4 s after its word (DRAIN), after the store had come back from an older copy. Cause: revisions were compared as numbers. After a restore they are given out again, so that a newer list counted as old until its numbers had passed the old ones, and a condition could hold for another content. Ruled out: waiting for 410; it comes only while the store is behind. Change: StoreRevision compares the era first, wherever a revision is kept, compared, logged or sent. The era of every answer of the store is read. A watch or a condition of another era is not sent. Daemons tell each other the era; one that knows an earlier one confirms nothing. The lab's store and the stand-in of the process tests restore copies. Test: restores::*, platform::a_version_of_an_earlier_era_is_another_one, listing::*_era_*.

--- a/crates/lilaccrank-http/src/store_client.rs
+++ b/crates/lilaccrank-http/src/store_client.rs
@@ -3,7 +3,9 @@
 //! The API offers `GET`, `PUT` and `DELETE /v1/objects/KEY`, with the version in the header
 //! `Version` and conditions in `If-Version: N` and `If-Absent: 1`.
 //! `GET /v1/watch/KEY?seen=N&wait_ms=M` answers when the object's version differs from `N`, or with
-//! 304 after `M` milliseconds.
+//! 304 after `M` milliseconds. A store that was restored from a copy gives versions out again; it names
+//! its era in the header `Store-Era` of each answer, and `If-Era` and the query's `era` say to which one a
+//! version belongs.
 
 use std::time::Duration;
 
@@ -11,6 +13,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use lilaccrank::store::{self, Expect, Store, Version, Versioned};
+use lilaccrank::store_revision::Era;
 
 use crate::body;
 use crate::client::{self, Client, Limits};
@@ -20,6 +23,10 @@
 pub const VERSION_HEADER: &str = "version";
 /// Header that makes a write conditional on a version.
 pub const IF_VERSION_HEADER: &str = "if-version";
+/// Header with the era of the store, in all its answers.
+pub const ERA_HEADER: &str = "store-era";
+/// Header with the era of the version in [`IF_VERSION_HEADER`].
+pub const IF_ERA_HEADER: &str = "if-era";
 /// Header that makes a write conditional on the absence of the object.
 pub const IF_ABSENT_HEADER: &str = "if-absent";
 
@@ -122,8 +129,9 @@
         seen: Option<Version>,
         wait: Duration,
     ) -> store::Result<Option<Versioned>> {
-        let seen = seen.unwrap_or(0);
-        let path = format!("/v1/watch/{key}?seen={seen}&wait_ms={}", wait.as_millis());
+        let Version { era, number } = seen.unwrap_or_default();
+        let wait_ms = wait.as_millis();
+        let path = format!("/v1/watch/{key}?seen={number}&era={era}&wait_ms={wait_ms}");
         let req = request(Method::GET, path, Expect::Any, Bytes::new());
         let (res, value) = self.exchange(req, wait + HEAD_TIMEOUT).await?;
         if res.status() == StatusCode::NOT_MODIFIED {
@@ -152,19 +160,28 @@
         }
         Expect::Any => {}
         Expect::Version(version) => {
-            headers.insert(IF_VERSION_HEADER, version.into());
+            headers.insert(IF_VERSION_HEADER, version.number.into());
+            headers.insert(IF_ERA_HEADER, version.era.into());
         }
     }
     req
 }
 
 fn version(res: &Response<()>) -> Option<Version> {
-    res.headers()
-        .get(VERSION_HEADER)?
-        .to_str()
-        .ok()?
-        .parse()
-        .ok()
+    let number = number(res, VERSION_HEADER)?;
+    Some(Version {
+        era: era(res),
+        number,
+    })
+}
+
+/// Era of an answer; the first one if the store names none.
+fn era(res: &Response<()>) -> Era {
+    number(res, ERA_HEADER).unwrap_or_default()
+}
+
+fn number(res: &Response<()>, name: &str) -> Option<u64> {
+    res.headers().get(name)?.to_str().ok()?.parse().ok()
 }
 
 fn retry_after(res: &Response<()>) -> Duration {
--- a/crates/lilaccrank-lab/src/platform.rs
+++ b/crates/lilaccrank-lab/src/platform.rs
@@ -12,7 +12,7 @@
 
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use lilaccrank::store::VALUE_LIMIT;
+use lilaccrank::store::{VALUE_LIMIT, Version};
 use lilaccrank_http::body::Body;
 use lilaccrank_http::{runtime, store_client};
 use serde::Deserialize;
@@ -116,6 +116,7 @@
             return self.register(name, req).await;
         }
         let res = self.call(&path, req).await;
+        let res = self.in_era(res);
         // Read at the end, so that a call in progress is slowed too.
         let slow = self.slow.get();
         if !slow.is_zero() {
@@ -124,6 +125,13 @@
         res
     }
 
+    fn in_era(&self, mut res: Response<Body>) -> Response<Body> {
+        let era = self.objects.borrow().era();
+        res.headers_mut()
+            .insert(store_client::ERA_HEADER, era.into());
+        res
+    }
+
     /// A call that the platform counts, limits and may refuse.
     async fn call(&self, path: &str, req: Request<Incoming>) -> Response<Body> {
         let Some(call) = Call::of(req.method(), path) else {
@@ -198,7 +206,11 @@
     }
 
     async fn watch(&self, key: &str, req: &Request<Incoming>) -> Response<Body> {
-        let seen = reply::query_number(req.uri(), "seen").unwrap_or(0);
+        let number = |name| reply::query_number(req.uri(), name).unwrap_or(0);
+        let seen = Version {
+            era: number("era"),
+            number: number("seen"),
+        };
         let wait = reply::query_number(req.uri(), "wait_ms").unwrap_or(0);
         let wait = Duration::from_millis(wait).min(WATCH_LIMIT);
         let _open = counters::OpenWatch::new(&self.counters);
@@ -206,17 +218,17 @@
         change.unwrap_or_else(|_| {
             let mut res = reply::empty(StatusCode::NOT_MODIFIED);
             res.headers_mut()
-                .insert(store_client::VERSION_HEADER, seen.into());
+                .insert(store_client::VERSION_HEADER, seen.number.into());
             res
         })
     }
 
-    async fn changed_from(&self, key: &str, seen: u64) -> Response<Body> {
+    async fn changed_from(&self, key: &str, seen: Version) -> Response<Body> {
         loop {
             if self.in_outage() {
                 return reply::empty(StatusCode::SERVICE_UNAVAILABLE);
             }
-            if self.objects.borrow().version(key).unwrap_or(0) != seen {
+            if self.objects.borrow().version(key).unwrap_or_default() != seen {
                 return self.objects.borrow().read(key);
             }
             self.changed.changed().await;
@@ -258,7 +270,8 @@
             self.snapshot.replace(self.objects.borrow().clone());
         }
         if control.restore {
-            self.objects.replace(self.snapshot.borrow().clone());
+            let copy = self.snapshot.borrow().clone();
+            self.objects.borrow_mut().restore(copy);
         }
         self.changed.notify();
         reply::empty(StatusCode::OK)
--- a/crates/lilaccrank-lab/src/platform/objects.rs
+++ b/crates/lilaccrank-lab/src/platform/objects.rs
@@ -4,8 +4,11 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use indexmap::IndexMap;
 use lilaccrank::store::{Expect, Version, Versioned};
+use lilaccrank::store_revision::Era;
 use lilaccrank_http::body::{self, Body};
-use lilaccrank_http::store_client::{IF_ABSENT_HEADER, IF_VERSION_HEADER, VERSION_HEADER};
+use lilaccrank_http::store_client::{
+    IF_ABSENT_HEADER, IF_ERA_HEADER, IF_VERSION_HEADER, VERSION_HEADER,
+};
 use serde::Serialize;
 
 use crate::reply::{self, Result};
@@ -21,11 +24,15 @@
         if !headers.contains_key(IF_VERSION_HEADER) {
             return Ok(Self(Expect::Any));
         }
-        let version = reply::header(headers, IF_VERSION_HEADER).and_then(|text| text.parse().ok());
-        version.map(|v| Self(Expect::Version(v))).ok_or_else(|| {
+        let number = |name| reply::header(headers, name).and_then(|text| text.parse().ok());
+        let Some(version) = number(IF_VERSION_HEADER) else {
             let message = "If-Version is not a version";
-            Box::new(reply::error(StatusCode::BAD_REQUEST, message))
-        })
+            return Err(Box::new(reply::error(StatusCode::BAD_REQUEST, message)));
+        };
+        Ok(Self(Expect::Version(Version {
+            era: number(IF_ERA_HEADER).unwrap_or_default(),
+            number: version,
+        })))
     }
 
     fn holds(&self, current: Option<Version>) -> bool {
@@ -41,7 +48,7 @@
 #[derive(Serialize)]
 pub(super) struct Listed {
     key: String,
-    version: Version,
+    version: u64,
 }
 
 /// The whole store.
@@ -60,7 +67,7 @@
         let mut list: Vec<_> = found
             .map(|(key, object)| Listed {
                 key: key.clone(),
-                version: object.version,
+                version: object.version.number,
             })
             .collect();
         list.sort_by(|a, b| a.key.cmp(&b.key));
@@ -75,6 +82,19 @@
         at_version(res, Some(object.version))
     }
 
+    pub(super) fn era(&self) -> Era {
+        self.revision.era
+    }
+
+    /// Goes back to an older copy, in an era of its own.
+    pub(super) fn restore(&mut self, copy: Self) {
+        let era = self.revision.era + 1;
+        *self = copy;
+        self.revision.era = era;
+        let versions = self.objects.values_mut();
+        versions.for_each(|object| object.version.era = era);
+    }
+
     pub(super) fn version(&self, key: &str) -> Option<Version> {
         self.objects.get(key).map(|object| object.version)
     }
@@ -91,7 +111,7 @@
             let res = reply::empty(StatusCode::PRECONDITION_FAILED);
             return at_version(res, current);
         }
-        self.revision += 1;
+        self.revision.number += 1;
         let version = self.revision;
         match value {
             Some(value) => {
@@ -108,7 +128,8 @@
 
 fn at_version(mut res: Response<Body>, version: Option<Version>) -> Response<Body> {
     if let Some(version) = version {
-        res.headers_mut().insert(VERSION_HEADER, version.into());
+        let number = version.number.into();
+        res.headers_mut().insert(VERSION_HEADER, number);
     }
     res
 }
--- a/crates/lilaccrank-lab/tests/suite/platform.rs
+++ b/crates/lilaccrank-lab/tests/suite/platform.rs
@@ -120,10 +120,35 @@
         platform.control(json!({"snapshot": true})).await;
         let second = store.put("k", value("b"), Expect::Any).await.unwrap();
         platform.control(json!({"restore": true})).await;
-        assert_eq!(store.get("k").await.unwrap().unwrap().version, first);
-        // The older store hands the same version out again, for another value.
-        let again = store.put("k", value("c"), Expect::Any).await;
-        assert_eq!(again, Ok(second));
+        let restored = store.get("k").await.unwrap().unwrap().version;
+        assert_eq!(restored.number, first.number);
+        // The older store hands the same number out again, for another value, in another era.
+        let again = store.put("k", value("c"), Expect::Any).await.unwrap();
+        assert_eq!(again.number, second.number);
+        assert_eq!(again.era, second.era + 1);
+    });
+}
+
+// Guards against a version that was given out again after a restore and is taken for the one before: a write
+// under its condition replaces what somebody else wrote, and a watch from it does not tell that.
+#[test]
+fn a_version_of_an_earlier_era_is_another_one() {
+    caller::run(async {
+        let (platform, store) = start(&[]);
+        store.put("k", value("a"), Expect::Any).await.unwrap();
+        platform.control(json!({"snapshot": true})).await;
+        let lost = store.put("k", value("b"), Expect::Any).await.unwrap();
+        platform.control(json!({"restore": true})).await;
+        store.put("k", value("c"), Expect::Any).await.unwrap();
+        let written = store.put("k", value("d"), Expect::Version(lost)).await;
+        assert!(
+            matches!(written, Err(Error::Conflict { .. })),
+            "{written:?}"
+        );
+        let begun = Instant::now();
+        let watched = store.watch("k", Some(lost), WAIT).await;
+        assert_eq!(watched.unwrap().unwrap().value, value("c"));
+        assert!(begun.elapsed() < WAIT / 2, "{:?}", begun.elapsed());
     });
 }
 
--- a/crates/lilaccrank/src/configuration.rs
+++ b/crates/lilaccrank/src/configuration.rs
@@ -7,8 +7,8 @@
 //! [`watcher`] follows the store and repairs a store that was restored to an earlier state;
 //! [`exchange`] carries changes between daemons.
 //!
-//! The store must never reuse the version of an object, not even after it was restored from a
-//! backup.
+//! The store must never reuse the version of an object within an era, and name another era after it was
+//! restored from a copy.
 
 pub mod adoption;
 pub mod archive;
--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod slot_leases;
 pub mod software_version;
 pub mod store;
+pub mod store_revision;
 pub mod stream_origins;
 pub mod stream_progress;
 pub mod target_instance;
--- a/crates/lilaccrank/src/rollout/order.rs
+++ b/crates/lilaccrank/src/rollout/order.rs
@@ -9,6 +9,7 @@
 
 use crate::ids::{PoolId, SoftwareVersion};
 use crate::software_version::VersionDigest;
+use crate::store_revision::StoreRevision;
 
 /// Result of checking an order.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -77,7 +78,7 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Orders {
     /// Revision of the store up to which they are known.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Orders by pool.
     pub by_pool: IndexMap<PoolId, Order>,
 }
--- a/crates/lilaccrank/src/store.rs
+++ b/crates/lilaccrank/src/store.rs
@@ -6,8 +6,10 @@
 use bytes::Bytes;
 use thiserror::Error;
 
+use crate::store_revision::StoreRevision;
+
 /// Version of an object: the store's revision at its last write.
-pub type Version = u64;
+pub type Version = StoreRevision;
 /// Result of a store call.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
--- a/crates/lilaccrank/tests/suite/configuration_store.rs
+++ b/crates/lilaccrank/tests/suite/configuration_store.rs
@@ -78,14 +78,18 @@
         self.inner.borrow().manifest_writes
     }
 
-    /// Puts an earlier state back, under versions that were never used.
+    /// Puts an earlier state back, whose numbers are given out again in a later era.
     pub fn restore(&self, objects: &Objects) {
         let mut inner = self.inner.borrow_mut();
         inner.objects = objects.clone();
-        inner.revision += 1;
-        let version = inner.revision;
+        let era = inner.revision.era + 1;
         let objects = inner.objects.values_mut();
-        objects.for_each(|object| object.version = version);
+        let numbers = objects.map(|object| {
+            object.version.era = era;
+            object.version.number
+        });
+        let number = numbers.max().unwrap_or_default();
+        inner.revision = Version { era, number };
         inner.wake();
     }
 
@@ -137,7 +141,7 @@
         let Some(key) = self.taken_up.take() else {
             return;
         };
-        self.revision += 1;
+        self.revision.number += 1;
         if let Some(object) = self.objects.get_mut(&key) {
             object.version = self.revision;
         }
@@ -172,7 +176,7 @@
         }
         let checked = inner.check(key, expect);
         if checked.is_ok() {
-            inner.revision += 1;
+            inner.revision.number += 1;
             let version = inner.revision;
             let object = Versioned { value, version };
             inner.objects.insert(key.to_owned(), object);
--- a/crates/lilaccrank/tests/suite/fake_store.rs
+++ b/crates/lilaccrank/tests/suite/fake_store.rs
@@ -92,8 +92,9 @@
 
     fn write(&self, key: &str, value: Bytes, expect: Expect) -> Result<Version> {
         self.check(key, expect)?;
-        self.revision.set(self.revision.get() + 1);
-        let version = self.revision.get();
+        let mut version = self.revision.get();
+        version.number += 1;
+        self.revision.set(version);
         let object = Versioned { value, version };
         self.objects.borrow_mut().insert(key.to_owned(), object);
         Ok(version)
--- a/crates/lilaccrank/tests/suite/request_key/cluster.rs
+++ b/crates/lilaccrank/tests/suite/request_key/cluster.rs
@@ -142,7 +142,8 @@
         if !holds {
             return Err(store::Error::Conflict { current });
         }
-        let version = current.unwrap_or(0) + 1;
+        let mut version = current.unwrap_or_default();
+        version.number += 1;
         objects.insert(key.to_owned(), Versioned { value, version });
         match fault {
             Some(Fault::EffectThenAway) => {
--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -79,6 +79,7 @@
             .advisories
             .answer(&request.advisories, incarnation, cell),
         age: daemon.adoption.age(now),
+        era: daemon.platform_contact.latest_era.get(),
         identity: daemon.adoption.identity(),
         direct_age: daemon.platform_contact.direct_age(now),
         heard_age: daemon.platform_contact.age(now),
@@ -123,13 +124,17 @@
     };
     let cell = &daemon.load_exchange;
     daemon.advisories.merge_page(vm, &reply.advisories, cell);
+    let era = &daemon.platform_contact.latest_era;
+    // What a daemon knows of an earlier era confirms nothing.
+    let is_current = reply.era >= era.get();
+    era.observe(reply.era);
     // Contacts go first: they tell whether targets that are missing from the list may have lapsed.
     if let Some(age) = reply.heard_age {
         daemon
             .platform_contact
             .record_peer(asked_at.saturating_sub(age));
     }
-    if let Some(time) = reply.steady_for {
+    if let Some(time) = reply.steady_for.filter(|_| is_current) {
         daemon
             .platform_contact
             .record_peer_run(MonoioClock.boot_time().saturating_sub(time));
@@ -152,7 +157,7 @@
     if let Some(age) = reply.age.filter(|_| current) {
         daemon.adoption.confirm(asked_at.saturating_sub(age));
     }
-    if let Some(age) = reply.listing_age {
+    if let Some(age) = reply.listing_age.filter(|_| is_current) {
         daemon
             .live_list
             .freshness
--- a/crates/lilaccrankd/src/configuration/platform_contact.rs
+++ b/crates/lilaccrankd/src/configuration/platform_contact.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use lilaccrank::clock::BootTime;
+use lilaccrank::store_revision::LatestEra;
 
 /// Gap between contacts about the list after which entries of live targets may have expired. A
 /// target renews its entry about every second; the entry expires after three times as long.
@@ -26,6 +27,8 @@
     list: Cell<Option<BootTime>>,
     /// The contacts about the list since the last outage.
     list_run: Cell<Option<Run>>,
+    /// Latest era of the platform's store.
+    pub latest_era: LatestEra,
     /// Last direct contact that a watcher reported.
     watcher: Cell<Option<BootTime>>,
 }
@@ -57,6 +60,16 @@
         advance(&self.list, at);
     }
 
+    /// Records that the platform's store has come back from an older copy, which lacks the entries of
+    /// targets that have come since.
+    pub fn record_restore(&self, at: BootTime) {
+        self.list_run.set(Some(Run {
+            follows_gap: true,
+            since: at,
+        }));
+        advance(&self.list, at);
+    }
+
     /// Records that a peer had a contact at `at`.
     pub fn record_peer(&self, at: BootTime) {
         advance(&self.configuration, at);
--- a/crates/lilaccrankd/src/configuration/source.rs
+++ b/crates/lilaccrankd/src/configuration/source.rs
@@ -125,7 +125,15 @@
 
     /// Replaces the list of targets by one that was current at `at`.
     pub fn update_listing(&self, listing: Listing, at: BootTime) {
-        self.daemon.live_list.freshness.answered(at);
+        let known = self.daemon.live_list.listing().revision;
+        // A list that is newer than this one of the same era was current at `at` or later.
+        if listing.revision.era >= known.era {
+            self.daemon.live_list.freshness.answered(at);
+        }
+        if listing.revision < known {
+            log::info!(known:% = known, revision:% = listing.revision; "ignored an older list of targets");
+            return;
+        }
         self.daemon
             .platform_contact
             .record_list(MonoioClock.boot_time());
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -12,6 +12,7 @@
 use lilaccrank::request_key::{KeyReply, KeyRequest, MemberRef};
 use lilaccrank::rollout::message::{Directives, Reports, Views, ViewsRequest};
 use lilaccrank::slot_leases::{Decision, LeaseId, LeaseRequest, Release};
+use lilaccrank::store_revision::{Era, StoreRevision};
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank::timeline::Stamp;
 use serde::{Deserialize, Serialize};
@@ -110,10 +111,10 @@
     /// Sync request for advisories.
     pub advisories: sync::Pull,
     /// Revision of the requester's list of targets.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Revision up to which the requester knows the orders of roll-outs.
     #[serde(default)]
-    pub orders_revision: u64,
+    pub orders_revision: StoreRevision,
 }
 
 /// Reply to a [`FeedRequest`]: what a daemon knows of the platform, and how old that is.
@@ -123,6 +124,9 @@
     pub advisories: sync::Page,
     /// Time since its configuration was known to be the newest.
     pub age: Option<Duration>,
+    /// Latest era of the platform's store that it has heard of.
+    #[serde(default)]
+    pub era: Era,
     /// Time since the platform itself last answered it.
     pub direct_age: Option<Duration>,
     /// Time since it last had news of the platform, directly or through other daemons.
--- a/crates/lilaccrankd/src/rollouts.rs
+++ b/crates/lilaccrankd/src/rollouts.rs
@@ -14,6 +14,7 @@
 use lilaccrank::rollout::order::{OrderId, Orders, State};
 use lilaccrank::rollout::participant::Participant;
 use lilaccrank::software_version::VersionDigest;
+use lilaccrank::store_revision::StoreRevision;
 use lilaccrank::target_instance::TargetInstance;
 
 use crate::daemon::Daemon;
@@ -40,7 +41,7 @@
 #[derive(Clone, Copy, Debug)]
 struct FirstNamed {
     at: Instant,
-    revision: u64,
+    revision: StoreRevision,
 }
 
 /// State of all roll-outs at this daemon.
@@ -83,7 +84,7 @@
 
     /// Revision of the platform's store up to which the orders are known.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> StoreRevision {
         self.orders.borrow().revision
     }
 
--- a/crates/lilaccrankd/src/rollouts/orders.rs
+++ b/crates/lilaccrankd/src/rollouts/orders.rs
@@ -7,6 +7,7 @@
 use lilaccrank::ids::PoolId;
 use lilaccrank::rollout::order::{Order, OrderId, Orders};
 use lilaccrank::rollout::participant::Participant;
+use lilaccrank::store_revision::StoreRevision;
 use serde::{Deserialize, Serialize};
 
 use super::{Rollouts, apply};
@@ -24,7 +25,7 @@
 impl Rollouts {
     /// Orders that this daemon knows, if they are newer than `revision`.
     #[must_use]
-    pub fn newer_than(&self, revision: u64) -> Option<KnownOrders> {
+    pub fn newer_than(&self, revision: StoreRevision) -> Option<KnownOrders> {
         let orders = self.orders.borrow();
         if orders.revision <= revision {
             return None;
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -17,6 +17,7 @@
 use lilaccrank::document::{Pool, Target, TargetState};
 use lilaccrank::ids::{PoolId, TargetId, VmId};
 use lilaccrank::software_version::{Origin, VersionDigest};
+use lilaccrank::store_revision::StoreRevision;
 use lilaccrank::stream_origins::RecordedOrigin;
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::monoio_clock::MonoioClock;
@@ -39,7 +40,7 @@
     /// VMs that are leaving. The targets on them get no new requests.
     pub leaving: IndexSet<VmId>,
     /// Revision, which grows with each change; 0 if the platform does not count them.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Targets by pool, for pools whose targets are listed by the platform.
     pub targets: IndexMap<PoolId, Vec<Target>>,
     /// Entries that name no usable target, with the reason for each.
@@ -66,12 +67,19 @@
     /// back targets that have left.
     #[must_use]
     pub fn replaces(&self, known: &Self) -> bool {
-        match (self.revision, known.revision) {
-            (0, 0) => self != known,
-            (revision, known) => revision > known,
+        let is_counted = |revision: StoreRevision| revision.number > 0;
+        match is_counted(self.revision) || is_counted(known.revision) {
+            true => self.revision > known.revision,
+            false => self != known,
         }
     }
 
+    /// Returns `true` if the store has come back from an older copy since `known`.
+    #[must_use]
+    pub fn is_restored(&self, known: &Self) -> bool {
+        known.revision.number > 0 && self.revision.era > known.revision.era
+    }
+
     /// Logs entries that have become unusable, or are so for another reason than before.
     fn log_unusable(&self, known: &Self) {
         let entries = self.unusable.iter();
@@ -89,13 +97,20 @@
         let mut previous: IndexMap<_, _> = known.states().collect();
         for (target, state) in self.states() {
             if previous.swap_remove(target) != Some(state) {
-                log::info!(revision = self.revision, state:? = state, target_id = target; "target listed");
+                log::info!(
+                    era = self.revision.era,
+                    revision = self.revision.number,
+                    state:? = state,
+                    target_id = target;
+                    "target listed"
+                );
             }
         }
         for (target, state) in previous {
             log::info!(
                 lapsed = lapsed.contains(target),
-                revision = self.revision,
+                era = self.revision.era,
+                revision = self.revision.number,
                 state:? = state,
                 target_id = target;
                 "target missing from the list"
@@ -229,7 +244,8 @@
         log::info!(
             lapsed = self.lapsed.len(),
             leaving = listing.leaving.len(),
-            revision = listing.revision,
+            era = listing.revision.era,
+            revision = listing.revision.number,
             targets = listing.all().count(),
             unusable = listing.unusable.len();
             "list of targets"
@@ -243,17 +259,26 @@
 /// Applies a list that the daemon received.
 pub fn apply_listing(daemon: &Rc<Daemon>, listing: Listing) {
     let now = MonoioClock.boot_time();
+    daemon
+        .platform_contact
+        .latest_era
+        .observe(listing.revision.era);
+    let previous = daemon.live_list.listing();
+    let is_restored = listing.is_restored(&previous);
+    if is_restored {
+        daemon.platform_contact.record_restore(now);
+    }
     let may_lapse = daemon.platform_contact.may_lapse(now);
     if may_lapse {
         let silent = daemon.platform_contact.list_age(now);
         log::info!(
-            revision = listing.revision,
+            era = listing.revision.era,
+            revision = listing.revision.number,
             silent_ms = lifecycle::log_ms(silent);
             "missing targets of this list may have lapsed"
         );
     }
     daemon.rollouts.note_listing(&listing, Instant::now());
-    let previous = daemon.live_list.listing();
     if !daemon.live_list.update(listing, may_lapse) {
         return;
     }
--- a/crates/lilaccrankd/tests/suite/freshness.rs
+++ b/crates/lilaccrankd/tests/suite/freshness.rs
@@ -2,8 +2,14 @@
 
 use std::time::Duration;
 
-use lilaccrank::clock::BootTime;
+use lilaccrank::clock::{BootTime, Clock};
+use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::runtime;
+use lilaccrankd::configuration::source::UpdateHandler;
 use lilaccrankd::targets::freshness::{Freshness, Usability};
+use lilaccrankd::targets::live_list::{self, Listing};
+
+use super::fixtures;
 
 const LEASE: Duration = Duration::from_millis(1_700);
 
@@ -177,3 +183,23 @@
     let usability = freshness.usability(LEASE, ms(3_150));
     assert_eq!(usability, Usability::BestAvailable);
 }
+
+// Guards against an answer of the platform that a newer list of a peer has overtaken, and that counts as none.
+#[test]
+fn an_answer_that_a_peer_has_overtaken_is_one() {
+    let usability = runtime::block_on(async {
+        let daemon = fixtures::daemon();
+        let handler = UpdateHandler::new(&daemon);
+        let listing = |revision: u64| Listing {
+            revision: revision.into(),
+            ..Listing::default()
+        };
+        let asked_at = MonoioClock.boot_time();
+        handler.expect_listing(asked_at);
+        live_list::apply_listing(&daemon, listing(5));
+        handler.update_listing(listing(3), asked_at);
+        let freshness = &daemon.live_list.freshness;
+        freshness.usability(LEASE, asked_at + LEASE * 2)
+    });
+    assert_eq!(usability.unwrap(), Usability::Outdated);
+}
--- a/crates/lilaccrankd/tests/suite/listing.rs
+++ b/crates/lilaccrankd/tests/suite/listing.rs
@@ -6,6 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 use lilaccrank::document::{Pool, Target, TargetState};
 use lilaccrank::software_version::VersionDigest;
+use lilaccrank::store_revision::StoreRevision;
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::runtime;
 use lilaccrankd::targets::live_list::{Listing, LiveList};
@@ -19,7 +20,7 @@
         ..Target::default()
     });
     Listing {
-        revision,
+        revision: revision.into(),
         targets: IndexMap::from([(POOL.to_owned(), targets.collect())]),
         ..Listing::default()
     }
@@ -220,3 +221,42 @@
     })
     .unwrap();
 }
+
+fn of_era(era: u64, revision: u64, targets: &[(&str, TargetState)]) -> Listing {
+    let mut listing = listing(revision, targets);
+    listing.revision.era = era;
+    listing
+}
+
+/// Era and number of the known list and of another, and whether the other replaces it.
+macro_rules! replaces_in_era {
+    ($name:ident, $known:expr, $other:expr, $is_replaced:literal) => {
+        #[test]
+        fn $name() {
+            let known = of_era($known.0, $known.1, &[]);
+            let other = of_era($other.0, $other.1, &[]);
+            assert_eq!(other.replaces(&known), $is_replaced);
+        }
+    };
+}
+
+// Guards against changes after a restore of the store that count as old, since their numbers were given
+// out before.
+replaces_in_era!(a_later_era_replaces, (1, 90), (2, 30), true);
+replaces_in_era!(an_earlier_era_does_not_replace, (2, 30), (1, 90), false);
+replaces_in_era!(a_later_number_of_the_era_replaces, (2, 30), (2, 31), true);
+
+// Guards against daemons of two versions that can't read each other's revisions.
+#[test]
+fn a_revision_without_an_era_is_a_number() {
+    let number = rmp_serde::to_vec_named(&7_u64).unwrap();
+    let read: StoreRevision = rmp_serde::from_slice(&number).unwrap();
+    assert_eq!(read, 7.into());
+    assert_eq!(rmp_serde::to_vec_named(&read).unwrap(), number);
+    let full = StoreRevision { era: 2, number: 7 };
+    let written = rmp_serde::to_vec_named(&full).unwrap();
+    assert_eq!(
+        rmp_serde::from_slice::<StoreRevision>(&written).unwrap(),
+        full
+    );
+}
--- a/crates/lilaccrankd/tests/suite/sendable.rs
+++ b/crates/lilaccrankd/tests/suite/sendable.rs
@@ -64,7 +64,7 @@
     let leaving = leaving.iter().map(|vm| (*vm).to_owned());
     let listing = Listing {
         leaving: IndexSet::from_iter(leaving),
-        revision,
+        revision: revision.into(),
         targets: IndexMap::from([(POOL.to_owned(), targets)]),
         ..Listing::default()
     };
