Targets: one that has left is not brought back by an older copy

Cause: the copy names workers as they were; what they wrote since is written again only after a while. Ruled out: going by the latest answer whatever it says.

--- a/crates/lilaccrankd/src/targets.rs
+++ b/crates/lilaccrankd/src/targets.rs
@@ -1,6 +1,7 @@
 //! Communication with targets: model engines and plain services.
 
 pub mod call;
+pub mod departed;
 pub mod engine_run;
 pub mod engine_stream;
 pub mod forward;
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -27,6 +27,7 @@
 use crate::orders::manager;
 use crate::pools::server;
 use crate::request::lifecycle;
+use crate::targets::departed::{self, Departed};
 use crate::targets::freshness::Freshness;
 use crate::targets::lapsed::{self, Lapsed};
 use crate::targets::newest_instances::NewestInstances;
@@ -52,6 +53,8 @@
 pub struct LiveList {
     /// How recent the list is.
     pub freshness: Freshness,
+    /// Targets that have left, as earlier lists said.
+    pub departed: Departed,
     /// Targets that are missing from it but may only have lapsed.
     pub lapsed: Lapsed,
     listing: RefCell<Rc<Listing>>,
@@ -154,11 +157,15 @@
         pool
     }
 
-    /// Returns the state of a target, which is draining if its VM is leaving.
+    /// Returns the state of a target, which is draining if its VM is leaving, or if it has left and a
+    /// restored store still names it.
     #[must_use]
     pub fn state_of(&self, target: &Target) -> TargetState {
         let vm = target.vm.as_ref().unwrap_or(&target.id);
-        if self.listing.borrow().leaving.contains(vm) {
+        let listing = self.listing.borrow();
+        let era = listing.revision.era;
+        let is_leaving = listing.leaving.contains(vm);
+        if is_leaving || self.departed.contains(target, era, Instant::now()) {
             TargetState::Draining
         } else {
             target.state
@@ -238,6 +245,8 @@
         }
         self.instances.borrow_mut().resolve(&mut listing, &known);
         self.lapsed.update(&known, &listing, may_lapse);
+        self.departed
+            .update(&known, &listing, may_lapse, Instant::now());
         self.note_versions(&listing);
         listing.log_unusable(&known);
         listing.log_changes(&known, &self.lapsed);
@@ -282,6 +291,9 @@
     if !daemon.live_list.update(listing, may_lapse) {
         return;
     }
+    if is_restored {
+        restored(daemon);
+    }
     for (_, ended) in previous
         .all()
         .filter(|(_, target)| daemon.live_list.is_superseded(target))
@@ -297,6 +309,17 @@
     lapsed::settle(daemon);
 }
 
+/// Recovers what the store has lost by a restore.
+fn restored(daemon: &Rc<Daemon>) {
+    log::warn!(era = daemon.live_list.listing().revision.era; "the store has come back from an older copy");
+    daemon.advisories.crashes().notify();
+    let daemon = Rc::clone(daemon);
+    monoio::spawn(async move {
+        monoio::time::sleep(departed::RECOVERY_TIME).await;
+        changed(&daemon);
+    });
+}
+
 /// Passes a change of the targets on to the dispatchers and the orders.
 pub(super) fn changed(daemon: &Rc<Daemon>) {
     server::configuration_changed(daemon);
--- a/crates/lilaccrankd/tests/suite/listing.rs
+++ b/crates/lilaccrankd/tests/suite/listing.rs
@@ -246,6 +246,41 @@
 replaces_in_era!(an_earlier_era_does_not_replace, (2, 30), (1, 90), false);
 replaces_in_era!(a_later_number_of_the_era_replaces, (2, 30), (2, 31), true);
 
+fn state(list: &LiveList, id: &str) -> TargetState {
+    let target = Target {
+        id: id.to_owned(),
+        ..Target::default()
+    };
+    list.state_of(&target)
+}
+
+// Guards against a copy of the store that brings back targets which have left since it was made.
+#[test]
+fn a_restored_list_brings_no_target_back() {
+    let list = LiveList::default();
+    let all = [("drains", TargetState::Live), ("goes", TargetState::Live)];
+    list.update(of_era(1, 10, &all), false);
+    list.update(of_era(1, 11, &[("drains", TargetState::Draining)]), false);
+    list.update(of_era(2, 10, &all), true);
+    for id in ["drains", "goes"] {
+        assert_eq!(state(&list, id), TargetState::Draining, "{id}");
+    }
+    list.update(of_era(2, 12, &all), true);
+    assert_eq!(state(&list, "drains"), TargetState::Draining);
+}
+
+// Guards against a target whose entry lapsed and came back, and that counts as gone from then on.
+#[test]
+fn a_target_that_is_listed_again_is_back() {
+    let list = LiveList::default();
+    list.update(live(1, &["a"]), false);
+    list.update(live(2, &[]), false);
+    list.update(live(3, &["a"]), false);
+    assert_eq!(state(&list, "a"), TargetState::Live);
+    list.update(of_era(1, 2, &[("a", TargetState::Live)]), true);
+    assert_eq!(state(&list, "a"), TargetState::Live);
+}
+
 // Guards against daemons of two versions that can't read each other's revisions.
 #[test]
 fn a_revision_without_an_era_is_a_number() {
