Roll-outs: an order that the store has lost goes on until it is written again

Cause: an order that was missing after a restore counted as taken back, and began anew when it was written again. Ruled out: keeping orders for ever; one that is still missing after three seconds has been taken back. Change: orders go on for three seconds after a restore; one written again with the same content is the same. Open: an order that was removed in the lost seconds is back for a while.

--- a/crates/lilaccrank/src/rollout/order.rs
+++ b/crates/lilaccrank/src/rollout/order.rs
@@ -99,6 +99,14 @@
         Ok(())
     }
 
+    /// Returns `true` if `later` has the same content, as after the platform's store has lost this order and
+    /// the operator has written it again.
+    #[must_use]
+    pub fn is_written_again(&self, later: &Self) -> bool {
+        let is_same = self.id.pool == later.id.pool && self.id.to == later.id.to;
+        is_same && self.duration == later.duration
+    }
+
     /// Digest of the new version.
     #[must_use]
     pub fn version(&self) -> VersionDigest {
--- a/crates/lilaccrank/src/rollout/participant.rs
+++ b/crates/lilaccrank/src/rollout/participant.rs
@@ -67,6 +67,13 @@
         &self.order
     }
 
+    /// Goes on under the same order as the platform's store has it now.
+    pub fn renew(&mut self, order: Order) {
+        let recorded = order.recorded;
+        self.order = order;
+        self.note_recorded(recorded);
+    }
+
     /// Stage by which this daemon acts.
     #[must_use]
     pub fn stage(&self) -> Stage {
--- a/crates/lilaccrankd/src/rollouts.rs
+++ b/crates/lilaccrankd/src/rollouts.rs
@@ -64,6 +64,8 @@
     participants: RefCell<IndexMap<PoolId, Participant>>,
     /// States that are being written to the platform's store.
     recording: RefCell<IndexSet<(OrderId, State)>>,
+    /// When the first orders of the store's present era came, if some of another era came before.
+    restored_at: Cell<Option<Instant>>,
     /// Targets that roll-outs have replaced, with the times until which they get nothing.
     retired: RefCell<IndexMap<TargetInstance, Instant>>,
     running: RefCell<IndexMap<u64, Running>>,
--- a/crates/lilaccrankd/src/rollouts/orders.rs
+++ b/crates/lilaccrankd/src/rollouts/orders.rs
@@ -1,4 +1,7 @@
 //! Orders of operators as this daemon knows them, and its part in each.
+//!
+//! A copy from which the platform's store comes back may lack orders. They go on for a while, until the
+//! operator has written them again.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -13,6 +16,10 @@
 use super::{Rollouts, apply};
 use crate::daemon::Daemon;
 
+/// Time after a restore of the platform's store for which orders that it lacks go on: operators write them
+/// again within two seconds, and the news takes up to one.
+const RECOVERY_TIME: Duration = Duration::from_secs(3);
+
 /// Orders with their ages, as daemons pass them on.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct KnownOrders {
@@ -41,14 +48,26 @@
             orders: orders.clone(),
         })
     }
+
+    /// Returns `true` while the platform's store may lack orders after a restore.
+    fn is_recovering(&self, now: Instant) -> bool {
+        let restored_at = self.restored_at.get();
+        restored_at.is_some_and(|at| now.saturating_duration_since(at) < RECOVERY_TIME)
+    }
 }
 
 /// Takes over orders that are newer than those that this daemon knows.
 pub fn update(daemon: &Rc<Daemon>, known: KnownOrders) {
     let rollouts = &daemon.rollouts;
-    if known.orders.revision <= rollouts.revision() {
+    let before = rollouts.revision();
+    if known.orders.revision <= before {
         return;
     }
+    let is_first = before == StoreRevision::default();
+    if !is_first && before.era < known.orders.revision.era {
+        rollouts.restored_at.set(Some(Instant::now()));
+        monoio::spawn(end_recovery(Rc::clone(daemon)));
+    }
     update_participants(daemon, &known);
     update_controllers(rollouts, &known.orders);
     rollouts.note_old_targets(&daemon.live_list.listing());
@@ -57,19 +76,35 @@
     apply(daemon);
 }
 
+/// Ends the part in orders that are still missing some time after a restore of the platform's store.
+async fn end_recovery(daemon: Rc<Daemon>) {
+    monoio::time::sleep(RECOVERY_TIME).await;
+    let known = KnownOrders {
+        orders: daemon.rollouts.orders.borrow().clone(),
+        ..KnownOrders::default()
+    };
+    update_participants(&daemon, &known);
+    apply(&daemon);
+}
+
 /// Takes part in new orders, and no longer in those that are gone or replaced.
 fn update_participants(daemon: &Daemon, known: &KnownOrders) {
     let now = Instant::now();
+    let is_recovering = daemon.rollouts.is_recovering(now);
     let mut participants = daemon.rollouts.participants.borrow_mut();
-    participants.retain(|pool, participant| {
-        let order = known.orders.by_pool.get(pool);
-        order.is_some_and(|order| order.id == participant.order().id)
+    participants.retain(|pool, participant| match known.orders.by_pool.get(pool) {
+        Some(order) if order.id == participant.order().id => true,
+        Some(order) => is_recovering && participant.order().is_written_again(order),
+        None => is_recovering,
     });
     for (pool, order) in &known.orders.by_pool {
         let age = known.ages.get(pool).copied().unwrap_or_default();
         if let Some(participant) = participants.get_mut(pool) {
             participant.note_age(age, now);
-            participant.note_recorded(order.recorded);
+            if participant.order().id != order.id {
+                log::info!(before:% = participant.order().id, order:% = order.id; "a roll-out goes on after a restore");
+            }
+            participant.renew(order.clone());
             continue;
         }
         let started_at = now.checked_sub(age).unwrap_or(now);
