Configurations: an older one in the store confirms nothing

Cause: any answer of the store confirmed the configuration in force as the newest, also one of a restored copy that holds an older one. Ruled out: taking the older one into force; versions never go back. Change: a contact confirms only if the store holds the version in force or a later one.

--- a/crates/lilaccrankd/src/configuration/source.rs
+++ b/crates/lilaccrankd/src/configuration/source.rs
@@ -9,6 +9,7 @@
 use lilaccrank::configuration::manifest::{Identity, Manifest};
 use lilaccrank::configuration::sections::Sections;
 use lilaccrank::document::Document;
+use lilaccrank::ids::Generation;
 use lilaccrank::rollout::order::Orders;
 use lilaccrank_http::monoio_clock::MonoioClock;
 
@@ -82,9 +83,13 @@
         }
     }
 
-    /// Records that the configuration in force was the newest at `at`.
-    pub fn confirm_configuration(&self, at: BootTime) {
-        self.daemon.adoption.confirm(at);
+    /// Records that the platform held the configuration of `generation` at `at`. One that is older than
+    /// the one in force, as after a restore of the platform's store, confirms nothing.
+    pub fn confirm_configuration(&self, generation: Generation, at: BootTime) {
+        let in_force = self.daemon.adoption.identity();
+        if in_force.is_none_or(|identity| identity.generation <= generation) {
+            self.daemon.adoption.confirm(at);
+        }
         self.daemon
             .platform_contact
             .record_configuration(MonoioClock.boot_time());
