Soak: stores that come back from older copies

Cause: no soak played a restore. Ruled out: drawing them from the same seed as the others, which would have changed all known seeds.

--- a/crates/lilaccrank-lab/src/soak.rs
+++ b/crates/lilaccrank-lab/src/soak.rs
@@ -23,6 +23,7 @@
 use checks::{Broken, Findings};
 use leavers::Leavers;
 use load::Load;
+use plan::Planned;
 use world::{DAEMONS, ENGINES, World};
 
 /// Time in which a cluster has to be whole again once all harm has ended.
@@ -40,6 +41,9 @@
     /// Length of each seed's faults in minutes.
     #[arg(long, default_value_t = 0.5)]
     pub minutes: f64,
+    /// Restore the store from older copies as well.
+    #[arg(long)]
+    pub restores: bool,
     /// The first seed; drawn if it is left out.
     #[arg(long)]
     pub seed: Option<u64>,
@@ -57,7 +61,12 @@
     let first = args.seed.unwrap_or_else(|| rand::random::<u32>().into());
     let mut failed = Vec::new();
     for seed in first..first + args.seeds {
-        let whole = play(seed, Duration::from_secs_f64(args.minutes * 60.0)).await?;
+        let length = Duration::from_secs_f64(args.minutes * 60.0);
+        let mut plan = plan::draw(seed, length, DAEMONS, ENGINES);
+        if args.restores {
+            plan.extend(plan::draw_restores(seed, length));
+        }
+        let whole = play(seed, plan).await?;
         if !whole {
             failed.push(seed);
         }
@@ -66,12 +75,15 @@
         return Ok(());
     }
     let minutes = args.minutes;
-    let again = format!("again: lilaccrank-lab soak --minutes {minutes} --seed N, N of {failed:?}");
+    let restores = if args.restores { " --restores" } else { "" };
+    let again = format!(
+        "again: lilaccrank-lab soak --minutes {minutes}{restores} --seed N, N of {failed:?}"
+    );
     Err(std::io::Error::other(again))
 }
 
 /// Plays one seed; whether all promises were kept.
-async fn play(seed: u64, length: Duration) -> Result<bool> {
+async fn play(seed: u64, plan: Vec<Planned>) -> Result<bool> {
     let world = Rc::new(World::start().await?);
     let load = Load::new();
     let leavers = Rc::new(Leavers::default());
@@ -80,7 +92,7 @@
     {
         let watching = findings.watch(&world).fuse();
         let faults = async {
-            let played = faults(&world, &load, seed, length).await;
+            let played = faults(&world, &load, plan).await;
             leavers.stop();
             played
         };
@@ -118,9 +130,8 @@
 }
 
 /// Brings the planned faults about, each in a task of its own, then ends all harm and the load.
-async fn faults(world: &Rc<World>, load: &Load, seed: u64, length: Duration) -> Result<()> {
+async fn faults(world: &Rc<World>, load: &Load, plan: Vec<Planned>) -> Result<()> {
     let begun = Instant::now();
-    let plan = plan::draw(seed, length, DAEMONS, ENGINES);
     let playing = plan.into_iter().map(|planned| {
         let world = Rc::clone(world);
         monoio::spawn(async move {
--- a/crates/lilaccrank-lab/src/soak/checks.rs
+++ b/crates/lilaccrank-lab/src/soak/checks.rs
@@ -176,6 +176,7 @@
         | Fault::PlatformWire(_)
         | Fault::Publish
         | Fault::StoreAway
+        | Fault::StoreRestored
         | Fault::StoreSlow(_) => false,
     });
     !faults.any(|past| past.began < until && past.ended + AFTER > left.began)
--- a/crates/lilaccrank-lab/src/soak/plan.rs
+++ b/crates/lilaccrank-lab/src/soak/plan.rs
@@ -13,6 +13,11 @@
 const LENGTH_MS: (u64, u64) = (300, 4_000);
 /// Milliseconds that a slow wire adds to each piece, and a slow store to each answer.
 const DELAY_MS: (u64, u64) = (20, 400);
+/// Shortest and longest pause between two restores of the store, in milliseconds; longer than a restore
+/// takes.
+const RESTORE_PAUSE_MS: (u64, u64) = (4_500, 9_000);
+/// Sets the draw of restores apart from that of other faults, which stay the same for a seed.
+const RESTORE_SEED: u64 = 1 << 63;
 /// Answers of the store that are lost at most.
 const LOST_ANSWERS: u32 = 5;
 
@@ -44,6 +49,8 @@
     Publish,
     /// The store answers that it is away.
     StoreAway,
+    /// The store is away for a moment and comes back from a copy that is as old as the fault is long.
+    StoreRestored,
     /// The store takes so many milliseconds longer.
     StoreSlow(u64),
     /// The wire to a target is harmed.
@@ -81,6 +88,22 @@
     plan
 }
 
+/// Draws restores of the store for a plan of `length`, in order of time, none in its last third.
+pub(super) fn draw_restores(seed: u64, length: Duration) -> Vec<Planned> {
+    let mut rng = StdRng::seed_from_u64(seed ^ RESTORE_SEED);
+    let mut plan = Vec::new();
+    let mut at = Duration::from_millis(500);
+    while at < length * 2 / 3 {
+        plan.push(Planned {
+            at,
+            fault: Fault::StoreRestored,
+            length: millis(&mut rng, LENGTH_MS),
+        });
+        at += millis(&mut rng, RESTORE_PAUSE_MS);
+    }
+    plan
+}
+
 fn fault(rng: &mut StdRng, daemons: usize, targets: usize) -> Fault {
     let daemon = rng.random_range(0..daemons);
     let target = rng.random_range(0..targets);
--- a/crates/lilaccrank-lab/src/soak/world.rs
+++ b/crates/lilaccrank-lab/src/soak/world.rs
@@ -19,6 +19,8 @@
 pub(super) const ENGINES: usize = 3;
 /// Time between two looks at a process that ends.
 const POLL: Duration = Duration::from_millis(50);
+/// Time for which the store is away before it comes back from a copy.
+const RESTORE_TIME: Duration = Duration::from_millis(300);
 /// Longest time that a daemon may take to end: its own limit, the time to tell callers, and a
 /// freeze meanwhile.
 const END_LIMIT: Duration = Duration::from_secs(17);
@@ -103,6 +105,15 @@
                 monoio::time::sleep(planned.length).await;
                 Ok(())
             }
+            Fault::StoreRestored => {
+                self.control(&platform, json!({"snapshot": true})).await?;
+                monoio::time::sleep(planned.length).await;
+                let away_ms = u64::try_from(RESTORE_TIME.as_millis()).unwrap_or(u64::MAX);
+                let away = json!({"outage_ms": away_ms});
+                self.control(&platform, away).await?;
+                monoio::time::sleep(RESTORE_TIME).await;
+                self.control(&platform, json!({"restore": true})).await
+            }
             Fault::StoreSlow(delay) => {
                 self.control(&platform, json!({"slow_ms": delay})).await?;
                 monoio::time::sleep(planned.length).await;
--- a/crates/lilaccrank-lab/tests/soak.rs
+++ b/crates/lilaccrank-lab/tests/soak.rs
@@ -6,10 +6,14 @@
 /// Plays a seed for some minutes.
 macro_rules! seed {
     ($name:ident, $seed:literal, $minutes:literal) => {
+        seed!($name, $seed, $minutes, restores: false);
+    };
+    ($name:ident, $seed:literal, $minutes:literal, restores: $restores:literal) => {
         #[test]
         fn $name() {
             let args = Args {
                 minutes: $minutes,
+                restores: $restores,
                 seed: Some($seed),
                 seeds: 1,
             };
@@ -19,6 +23,7 @@
 }
 
 seed!(a_short_soak, 7, 0.15);
+seed!(restored_stores, 8, 0.4, restores: true);
 // All connections to the store fell silent at once, and a configuration came into force 35 seconds
 // later: both watchers waited for the end of their watch.
 seed!(silent_watches, 137, 0.4);
