Lists: a poll gets what has changed

What callers saw: DRAIN at 300 machines (shifted::sweep_300), a removed entry known up to 2.9 s late. Cause: a watcher answered each poll after a change with its whole list, which filled its link. Ruled out: the pause after changes of the list; six of eleven daemons knew within 0.15 s. Change: targets/listing_changes.rs remembers which entries changed; answers hold these as they are now. Test: feed::a_poll_of_a_long_list_gets_what_changed: 624,532 bytes before, under 7,000 now; listing_changes::* with random lists.

--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -71,6 +71,11 @@
         revision: request.revision,
         ..Listing::default()
     };
+    let is_newer = listing.replaces(&asker_has);
+    let changes = (is_newer && request.takes_changes)
+        .then(|| daemon.live_list.changes(request.revision))
+        .flatten();
+    let is_whole = is_newer && changes.is_none();
     let now = MonoioClock.boot_time();
     let incarnation = daemon.duties.me().incarnation;
     let cell = &daemon.load_exchange;
@@ -79,11 +84,12 @@
             .advisories
             .answer(&request.advisories, incarnation, cell),
         age: daemon.adoption.age(now),
+        changes: changes.map(Box::new),
         era: daemon.platform_contact.latest_era.get(),
         identity: daemon.adoption.identity(),
         direct_age: daemon.platform_contact.direct_age(now),
         heard_age: daemon.platform_contact.age(now),
-        listing: listing.replaces(&asker_has).then(|| (*listing).clone()),
+        listing: is_whole.then(|| (*listing).clone()),
         listing_age: daemon.live_list.freshness.age(now),
         orders: daemon
             .rollouts
@@ -117,6 +123,7 @@
         advisories: daemon.advisories.pull(vm),
         revision: known.revision,
         orders_revision: daemon.rollouts.revision(),
+        takes_changes: true,
     };
     let reply: Feed = match daemon.peers.call(vm, req).await {
         Ok(reply) => reply,
@@ -143,7 +150,15 @@
     if let Some(orders) = reply.orders {
         orders::update(daemon, *orders);
     }
-    if let Some(listing) = reply.listing {
+    let changed = reply.changes.and_then(|changes| {
+        let known = daemon.live_list.listing();
+        let changed = changes.apply(&known);
+        if changed.is_none() {
+            log::debug!(known:% = known.revision; "ignored changes of a list that is outdated");
+        }
+        changed
+    });
+    if let Some(listing) = changed.or(reply.listing) {
         live_list::apply_listing(daemon, listing);
     }
     if let Some(identity) = &reply.identity
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -20,6 +20,7 @@
 use crate::orders::message::{OrderReply, OrderRequest};
 use crate::peers::stream_origins::{OriginReply, OriginRequest};
 use crate::rollouts::orders::KnownOrders;
+use crate::targets::listing_changes::Changes;
 use crate::targets::live_list::Listing;
 
 /// A message with its sender's time, which puts timelines into causal order.
@@ -115,6 +116,9 @@
     /// Revision up to which the requester knows the orders of roll-outs.
     #[serde(default)]
     pub orders_revision: StoreRevision,
+    /// Set if the requester reads [`Feed::changes`].
+    #[serde(default)]
+    pub takes_changes: bool,
 }
 
 /// Reply to a [`FeedRequest`]: what a daemon knows of the platform, and how old that is.
@@ -133,6 +137,9 @@
     pub heard_age: Option<Duration>,
     /// Its configuration.
     pub identity: Option<Identity>,
+    /// What its list of targets has that the requester's lacks, instead of the whole list.
+    #[serde(default)]
+    pub changes: Option<Box<Changes>>,
     /// Its list of targets, if newer than the requester's.
     pub listing: Option<Listing>,
     /// Time since its list was known to be the newest.
--- a/crates/lilaccrankd/src/targets.rs
+++ b/crates/lilaccrankd/src/targets.rs
@@ -8,6 +8,7 @@
 pub mod freshness;
 pub mod lapsed;
 pub mod link;
+pub mod listing_changes;
 pub mod live_list;
 pub mod native_protocol;
 pub mod newest_instances;
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -30,6 +30,7 @@
 use crate::targets::departed::{self, Departed};
 use crate::targets::freshness::Freshness;
 use crate::targets::lapsed::{self, Lapsed};
+use crate::targets::listing_changes::{Changes, History};
 use crate::targets::newest_instances::NewestInstances;
 
 /// Number of software versions that are remembered.
@@ -57,6 +58,8 @@
     pub departed: Departed,
     /// Targets that are missing from it but may only have lapsed.
     pub lapsed: Lapsed,
+    /// What the last updates have changed.
+    history: RefCell<History>,
     listing: RefCell<Rc<Listing>>,
     instances: RefCell<NewestInstances>,
     /// Software versions that this or an earlier list named.
@@ -139,6 +142,13 @@
         Rc::clone(&self.listing.borrow())
     }
 
+    /// Returns what the list has that the one with this revision lacks; `None` if not all of it is known.
+    #[must_use]
+    pub fn changes(&self, since: StoreRevision) -> Option<Changes> {
+        let listing = self.listing.borrow();
+        self.history.borrow().changes(since, &listing)
+    }
+
     /// Returns the pool with the targets that the list adds, and with those on leaving VMs set to
     /// draining.
     #[must_use]
@@ -247,6 +257,7 @@
         self.lapsed.update(&known, &listing, may_lapse);
         self.departed
             .update(&known, &listing, may_lapse, Instant::now());
+        self.history.borrow_mut().record(&known, &listing);
         self.note_versions(&listing);
         listing.log_unusable(&known);
         listing.log_changes(&known, &self.lapsed);
--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -4,6 +4,8 @@
 mod cancellation;
 #[path = "suite/changes.rs"]
 mod changes;
+#[path = "suite/feed.rs"]
+mod feed;
 #[path = "suite/fixtures.rs"]
 mod fixtures;
 #[path = "suite/following.rs"]
@@ -12,6 +14,8 @@
 mod freshness;
 #[path = "suite/listing.rs"]
 mod listing;
+#[path = "suite/listing_changes.rs"]
+mod listing_changes;
 #[path = "suite/load_message.rs"]
 mod load_message;
 #[path = "suite/network.rs"]
