Platform contact: only a failed call makes an outage

Cause: news that came late over a full link passed for an outage of the store; targets that had left were kept as lapsed for 1.9 s more. Ruled out: leaving out time in which the process does not run; at 300 machines the news was late. Change: a gap between contacts counts as an outage only if a call failed in it; that is told with answers. Test: platform_contact::late_news_without_a_failed_call_is_no_outage; leaving::entries_that_lapse_come_back_at_daemons_that_do_not_watch as the guard of the other side.

--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -90,6 +90,7 @@
         direct_age: daemon.platform_contact.direct_age(now),
         heard_age: daemon.platform_contact.age(now),
         listing: is_whole.then(|| (*listing).clone()),
+        list_failure_age: daemon.platform_contact.list_failure_age(now),
         listing_age: daemon.live_list.freshness.age(now),
         orders: daemon
             .rollouts
@@ -135,7 +136,12 @@
     // What a daemon knows of an earlier era confirms nothing.
     let is_current = reply.era >= era.get();
     era.observe(reply.era);
-    // Contacts go first: they tell whether targets that are missing from the list may have lapsed.
+    // Failures and contacts go first: they tell whether targets that are missing from the list may have
+    // lapsed.
+    if let Some(age) = reply.list_failure_age {
+        let failed_at = asked_at.saturating_sub(age);
+        daemon.platform_contact.record_list_failure(failed_at);
+    }
     if let Some(age) = reply.heard_age {
         daemon
             .platform_contact
--- a/crates/lilaccrankd/src/configuration/native_source.rs
+++ b/crates/lilaccrankd/src/configuration/native_source.rs
@@ -67,6 +67,8 @@
                 ..Listing::default()
             };
             handler.update_listing(listing, asked);
+        } else {
+            handler.listing_failed();
         }
         monoio::time::sleep(LIST_EVERY).await;
     }
--- a/crates/lilaccrankd/src/configuration/platform_contact.rs
+++ b/crates/lilaccrankd/src/configuration/platform_contact.rs
@@ -9,8 +9,9 @@
 use lilaccrank::clock::BootTime;
 use lilaccrank::store_revision::LatestEra;
 
-/// Gap between contacts about the list after which entries of live targets may have expired. A
-/// target renews its entry about every second; the entry expires after three times as long.
+/// Gap between contacts about the list after which entries of live targets may have expired, if a call
+/// failed in it. A target renews its entry about every second; the entry expires after three times as
+/// long.
 const LIST_OUTAGE: Duration = Duration::from_millis(2_200);
 /// Time after an outage in which live targets renew their entries. Targets still missing then have
 /// gone. A target that left during the outage may get no request for longer than two seconds.
@@ -25,6 +26,8 @@
     direct: Cell<Option<BootTime>>,
     /// Last contact about the list of targets, direct or through a peer.
     list: Cell<Option<BootTime>>,
+    /// Last call about the list that the platform did not answer, to this daemon or another.
+    list_failure: Cell<Option<BootTime>>,
     /// The contacts about the list since the last outage.
     list_run: Cell<Option<Run>>,
     /// Latest era of the platform's store.
@@ -36,7 +39,7 @@
 /// Contacts without a gap in which entries of the list may have expired.
 #[derive(Clone, Copy, Debug)]
 struct Run {
-    /// Set if such a gap came before it, not just the start of the daemon.
+    /// Set if such a gap came before it, not just late news or the start of the daemon.
     follows_gap: bool,
     since: BootTime,
 }
@@ -53,13 +56,19 @@
         let silence = self.list_age(at);
         if silence.is_none_or(|silence| silence > LIST_OUTAGE) {
             self.list_run.set(Some(Run {
-                follows_gap: silence.is_some(),
+                follows_gap: self.has_list_failed(),
                 since: at,
             }));
         }
         advance(&self.list, at);
     }
 
+    /// Records that the platform did not answer a call about the list. Without such a call, a gap between
+    /// contacts means that news came late, not that the platform was away.
+    pub fn record_list_failure(&self, at: BootTime) {
+        advance(&self.list_failure, at);
+    }
+
     /// Records that the platform's store has come back from an older copy, which lacks the entries of
     /// targets that have come since.
     pub fn record_restore(&self, at: BootTime) {
@@ -103,7 +112,7 @@
     /// Returns `true` if a list that arrives now may lack entries of live targets.
     #[must_use]
     pub fn may_lapse(&self, now: BootTime) -> bool {
-        if self.is_list_silent(now) {
+        if self.is_list_silent(now) && self.has_list_failed() {
             return true;
         }
         let run = self.list_run.get().filter(|run| run.follows_gap);
@@ -122,6 +131,18 @@
         self.list_age(now).is_some_and(|age| age > LIST_OUTAGE)
     }
 
+    /// Returns `true` if a call about the list has failed since the last contact about it.
+    fn has_list_failed(&self) -> bool {
+        let contact = self.list.get();
+        contact.is_some() && self.list_failure.get() > contact
+    }
+
+    /// Time since a call about the list failed, of this daemon or another; `None` if none has.
+    #[must_use]
+    pub fn list_failure_age(&self, now: BootTime) -> Option<Duration> {
+        Some(now.saturating_sub(self.list_failure.get()?))
+    }
+
     /// Age of the last contact about the list of targets.
     #[must_use]
     pub fn list_age(&self, now: BootTime) -> Option<Duration> {
--- a/crates/lilaccrankd/src/configuration/source.rs
+++ b/crates/lilaccrankd/src/configuration/source.rs
@@ -128,6 +128,12 @@
         orders::update(&self.daemon, known);
     }
 
+    /// Records that the platform did not answer a call about the list of targets.
+    pub fn listing_failed(&self) {
+        let now = MonoioClock.boot_time();
+        self.daemon.platform_contact.record_list_failure(now);
+    }
+
     /// Replaces the list of targets by one that was current at `at`.
     pub fn update_listing(&self, listing: Listing, at: BootTime) {
         let known = self.daemon.live_list.listing().revision;
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -142,6 +142,9 @@
     pub changes: Option<Box<Changes>>,
     /// Its list of targets, if newer than the requester's.
     pub listing: Option<Listing>,
+    /// Time since a call about the list failed, as far as it knows.
+    #[serde(default)]
+    pub list_failure_age: Option<Duration>,
     /// Time since its list was known to be the newest.
     pub listing_age: Option<Duration>,
     /// Time for which it has had contact about the list without an outage of the platform.
--- a/crates/lilaccrankd/tests/suite/platform_contact.rs
+++ b/crates/lilaccrankd/tests/suite/platform_contact.rs
@@ -44,14 +44,17 @@
     assert_eq!(contact.watcher_age(at(10)), Some(at(2)));
 }
 
-/// Takes the seconds between two contacts about the list, the seconds since the second one, and
-/// whether entries may have expired.
+/// Takes the seconds between two contacts about the list, the seconds since the second one, and whether
+/// entries may have expired. Calls fail all the time.
 macro_rules! lapse_test {
     ($name:ident, $silence:literal, $since:literal, $may:literal) => {
         #[test]
         fn $name() {
             let contact = PlatformContact::default();
             contact.record_list(at(10));
+            for second in 1..=$silence + $since {
+                contact.record_list_failure(at(10 + second));
+            }
             contact.record_list(at(10 + $silence));
             assert_eq!(contact.may_lapse(at(10 + $silence + $since)), $may);
         }
@@ -69,6 +72,7 @@
 fn after_the_recovery_time_missing_targets_have_gone() {
     let contact = PlatformContact::default();
     contact.record_list(at(10));
+    contact.record_list_failure(at(11));
     contact.record_list(at(15));
     contact.record_list(at(16));
     contact.record_list(at(18));
@@ -82,6 +86,7 @@
     let contact = PlatformContact::default();
     contact.record_list(at(10));
     for second in 11..18 {
+        contact.record_list_failure(at(second));
         contact.record_peer(at(second));
     }
     contact.record_list(at(18));
@@ -105,6 +110,7 @@
         fn $name() {
             let contact = PlatformContact::default();
             contact.record_list(at(10));
+            contact.record_list_failure(at(11));
             contact.record_list(at(15));
             contact.record_peer_run(at($since));
             assert_eq!(contact.may_lapse(at(15)), $may);
@@ -130,3 +136,14 @@
     contact.record_list(at(16));
     assert_eq!(contact.steady_for(at(17)), Some(at(1)));
 }
+
+// Guards against late news that passes for an outage of the platform: a target that left meanwhile would be
+// kept as one whose entry has lapsed, and get requests for two seconds more.
+#[test]
+fn late_news_without_a_failed_call_is_no_outage() {
+    let contact = PlatformContact::default();
+    contact.record_list(at(10));
+    assert!(!contact.may_lapse(at(15)));
+    contact.record_list(at(15));
+    assert!(!contact.may_lapse(at(15)));
+}
