Feeds: while the store turns the watchers away, the member that reaches it is polled

Cause: members were polled at random, so that the last of twelve heard after more than a second. Ruled out: another watcher in place of each that is turned away; members would have to agree on who is. Change: answers name the member with the last direct contact; three polls of four go there. A daemon that alone reaches the store pauses like a watcher.

--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -6,7 +6,7 @@
 
 use futures::future;
 use lilaccrank::backoff;
-use lilaccrank::clock::Clock;
+use lilaccrank::clock::{BootTime, Clock};
 use lilaccrank::configuration::manifest::Identity;
 use lilaccrank::ids::VmId;
 use lilaccrank::peers::Peers;
@@ -26,8 +26,7 @@
 /// Number of members that are polled at once after a silence.
 const SAMPLE: usize = 3;
 
-/// Polls the watchers in turn for as long as the daemon runs, and random members as well while
-/// the watchers have no fresh contact with the platform.
+/// Polls others for as long as the daemon runs.
 pub async fn follow(daemon: &Rc<Daemon>) {
     let every = Duration::from_millis(daemon.cfg.feed_ms);
     let mut turn = 0;
@@ -41,14 +40,7 @@
         if daemon.duties.is_watcher() && follows && !stale && !contact.may_lapse(now) {
             continue;
         }
-        // A watcher that the platform rejects gets its updates from other members.
-        let needs_others = stale || daemon.duties.is_watcher();
-        let peer = if needs_others && turn % 2 == 0 {
-            random_member(daemon)
-        } else {
-            next_watcher(daemon, turn)
-        };
-        if let Some(vm) = peer {
+        if let Some(vm) = next_peer(daemon, turn, now) {
             poll(daemon, &vm).await;
         }
     }
@@ -88,6 +80,7 @@
         era: daemon.platform_contact.latest_era.get(),
         identity: daemon.adoption.identity(),
         direct_age: daemon.platform_contact.direct_age(now),
+        direct_member: daemon.platform_contact.direct_member(now),
         heard_age: daemon.platform_contact.age(now),
         listing: is_whole.then(|| (*listing).clone()),
         list_failure_age: daemon.platform_contact.list_failure_age(now),
@@ -100,6 +93,22 @@
     }
 }
 
+/// The member to poll at this turn: a watcher, or a member that reaches the platform while the watchers do
+/// not. Random members are polled as well then, since any of them may know more.
+fn next_peer(daemon: &Daemon, turn: usize, now: BootTime) -> Option<VmId> {
+    let contact = &daemon.platform_contact;
+    let is_watcher_fresh = contact.watcher_age(now).is_some_and(|age| age <= FRESH_AGE);
+    // A watcher that the platform rejects gets its updates from other members.
+    if is_watcher_fresh && !daemon.duties.is_watcher() {
+        return next_watcher(daemon, turn);
+    }
+    match contact.direct_member(now) {
+        Some((vm, _)) if !turn.is_multiple_of(4) => Some(vm),
+        None if !turn.is_multiple_of(2) => next_watcher(daemon, turn),
+        _ => random_member(daemon),
+    }
+}
+
 fn next_watcher(daemon: &Daemon, turn: usize) -> Option<VmId> {
     let me = daemon.duties.me().vm;
     let watchers = daemon.duties.watchers();
@@ -184,10 +193,16 @@
             .freshness
             .confirm(asked_at.saturating_sub(age));
     }
-    let is_watcher = daemon.duties.watchers().contains(vm);
-    if let Some(age) = reply.direct_age.filter(|_| is_watcher) {
-        daemon
-            .platform_contact
-            .record_watcher(asked_at.saturating_sub(age));
+    let contact = &daemon.platform_contact;
+    if let Some(age) = reply.direct_age {
+        let at = asked_at.saturating_sub(age);
+        contact.record_direct_member(vm, at);
+        if daemon.duties.watchers().contains(vm) {
+            contact.record_watcher(at);
+        }
+    }
+    let me = daemon.duties.me().vm;
+    if let Some((member, age)) = reply.direct_member.filter(|(member, _)| *member != me) {
+        contact.record_direct_member(&member, asked_at.saturating_sub(age));
     }
 }
--- a/crates/lilaccrankd/src/configuration/platform_contact.rs
+++ b/crates/lilaccrankd/src/configuration/platform_contact.rs
@@ -3,10 +3,11 @@
 //! A recent contact means that the platform is reachable, not that the configuration is the
 //! newest: a long poll may return what was current when it began.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 use lilaccrank::clock::BootTime;
+use lilaccrank::ids::VmId;
 use lilaccrank::store_revision::LatestEra;
 
 /// Gap between contacts about the list after which entries of live targets may have expired, if a call
@@ -17,6 +18,10 @@
 /// gone. A target that left during the outage may get no request for longer than two seconds.
 const RECOVERY_TIME: Duration = Duration::from_millis(1_900);
 
+/// Time after the last known contact of a member with the platform in which it counts as one that reaches
+/// it. A watch of the platform returns within 800 ms.
+const MEMBER_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Times of the last contact with the platform, by source.
 #[derive(Default)]
 pub struct PlatformContact {
@@ -24,6 +29,8 @@
     configuration: Cell<Option<BootTime>>,
     /// Last contact of this daemon itself about configurations.
     direct: Cell<Option<BootTime>>,
+    /// Other member with the last known direct contact, and its time.
+    direct_member: RefCell<Option<(VmId, BootTime)>>,
     /// Last contact about the list of targets, direct or through a peer.
     list: Cell<Option<BootTime>>,
     /// Last call about the list that the platform did not answer, to this daemon or another.
@@ -96,6 +103,23 @@
         }
     }
 
+    /// Records that another member had a direct contact at `at`.
+    pub fn record_direct_member(&self, vm: &VmId, at: BootTime) {
+        let mut member = self.direct_member.borrow_mut();
+        if member.as_ref().is_none_or(|(_, known)| *known < at) {
+            *member = Some((vm.clone(), at));
+        }
+    }
+
+    /// Another member that reaches the platform, and the age of its last known contact.
+    #[must_use]
+    pub fn direct_member(&self, now: BootTime) -> Option<(VmId, Duration)> {
+        let member = self.direct_member.borrow();
+        let (vm, at) = member.as_ref()?;
+        let age = now.saturating_sub(*at);
+        (age < MEMBER_TIMEOUT).then(|| (vm.clone(), age))
+    }
+
     /// Records that a watcher had a direct contact at `at`.
     pub fn record_watcher(&self, at: BootTime) {
         advance(&self.watcher, at);
--- a/crates/lilaccrankd/src/configuration/source.rs
+++ b/crates/lilaccrankd/src/configuration/source.rs
@@ -52,8 +52,10 @@
     /// time since the one before.
     #[must_use]
     pub fn watch_pause(&self, quiet: Option<Duration>) -> Duration {
-        let is_watcher = self.daemon.duties.is_watcher();
-        configuration::watch_pause(quiet, is_watcher, self.began_at.elapsed())
+        let daemon = &self.daemon;
+        // While no watcher reaches the platform, the others hear of changes from this daemon.
+        let is_watching = daemon.duties.is_watcher() || !configuration::has_fresh_watcher(daemon);
+        configuration::watch_pause(quiet, is_watching, self.began_at.elapsed())
     }
 
     /// Adopts a whole configuration if it is newer than the one in force.
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -133,6 +133,9 @@
     pub era: Era,
     /// Time since the platform itself last answered it.
     pub direct_age: Option<Duration>,
+    /// Another member that reaches the platform, and the age of its last known contact.
+    #[serde(default)]
+    pub direct_member: Option<(VmId, Duration)>,
     /// Time since it last had news of the platform, directly or through other daemons.
     pub heard_age: Option<Duration>,
     /// Its configuration.
--- a/crates/lilaccrankd/tests/suite/following.rs
+++ b/crates/lilaccrankd/tests/suite/following.rs
@@ -9,6 +9,7 @@
 use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::runtime;
 use lilaccrankd::configuration;
+use lilaccrankd::configuration::source::UpdateHandler;
 use lilaccrankd::daemon::Daemon;
 use lilaccrankd::peers::traffic::Traffic;
 use lilaccrankd::ports::Ports;
@@ -118,3 +119,28 @@
 fn without_a_lease_nobody_asks() {
     assert_eq!(asked_after(settings(6), false), None);
 }
+
+// Guards against a daemon that alone reaches the platform and pauses as if it heard of changes from watchers.
+#[test]
+fn without_a_fresh_watcher_a_follower_pauses_like_a_watcher() {
+    let settled = Duration::from_secs(3);
+    let quiet = Some(Duration::ZERO);
+    let pause = runtime::block_on(async {
+        let network = Network::default();
+        for member in 1..=5 {
+            join(&network, member);
+        }
+        let cfg = Settings {
+            listing_lease_ms: 5_000,
+            ..settings(6)
+        };
+        let daemon = Rc::new(start(&network, 6, cfg).await);
+        let handler = UpdateHandler::new(&daemon);
+        monoio::time::sleep(settled).await;
+        handler.watch_pause(quiet)
+    });
+    assert_eq!(
+        pause.unwrap(),
+        configuration::watch_pause(quiet, true, settled)
+    );
+}
