Soak: daemons end with the process that started them

Cause: a soak that was killed left its daemons behind, which disturbed later runs (19 strays in one). Ruled out: ending them by name. Change: daemons are started by `lilaccrank-lab launch`, which sets the parent's death signal and becomes the daemon.

--- a/crates/lilaccrank-lab/src/lib.rs
+++ b/crates/lilaccrank-lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cluster;
 pub mod demo;
 pub mod engine;
+pub mod launch;
 pub mod layout;
 pub mod notify;
 pub mod overhead;
--- a/crates/lilaccrank-lab/src/main.rs
+++ b/crates/lilaccrank-lab/src/main.rs
@@ -6,7 +6,7 @@
 use clap::{Parser, Subcommand};
 use lilaccrank_http::runtime;
 use lilaccrank_lab::{
-    bench, demo, engine, overhead, platform, scale, service, soak, stand_in, up, wire,
+    bench, demo, engine, launch, overhead, platform, scale, service, soak, stand_in, up, wire,
 };
 
 /// Stand-ins, load and experiments for lilaccrank; not shipped.
@@ -25,6 +25,9 @@
     Demo(demo::Args),
     /// A model engine with continuous batching.
     Engine(engine::Args),
+    /// A daemon that ends with the process that started it.
+    #[command(hide = true)]
+    Launch(launch::Args),
     /// What a daemon adds to a request.
     Overhead(overhead::Args),
     /// The platform: object store and list of vms.
@@ -46,6 +49,7 @@
         Command::Bench(args) => runtime::block_on(bench::run(args))?,
         Command::Demo(args) => runtime::block_on(demo::run(args))?,
         Command::Engine(args) => engine::run(args),
+        Command::Launch(args) => launch::run(&args),
         Command::Overhead(args) => runtime::block_on(overhead::run(args))?,
         Command::Platform(args) => platform::run(args),
         Command::Scale(args) => runtime::block_on(scale::run(args))?,
--- a/crates/lilaccrank-lab/src/process.rs
+++ b/crates/lilaccrank-lab/src/process.rs
@@ -68,14 +68,15 @@
         })
     }
 
-    /// Starts a daemon with a file of settings; its log goes to `log`.
+    /// Starts a daemon with a file of settings; its log goes to `log`. It ends with the calling thread.
     ///
     /// # Errors
     ///
     /// If it can't be started.
     pub fn daemon(settings: &Path, log: &Path, address: String) -> Result<Self> {
         let options = std::fs::File::options().create(true).append(true).clone();
-        let child = Command::new(binary("lilaccrankd")?)
+        let child = Command::new(binary("lilaccrank-lab")?)
+            .args(["launch", "--parent", &std::process::id().to_string()])
             .arg("--settings")
             .arg(settings)
             .stdin(Stdio::null())
