Feeds: a daemon without the list of the era vouches for nothing

What callers saw: nothing yet that is shown; workers that the copy of the store lacks could be dropped at once. Cause: a daemon that had heard of a new era from others, and had not seen its list, told that it had had contact without an outage since long ago. That ended the time in which targets missing from the copy are kept, at the daemons that asked it. It also hid the next fault: a removal in the new era counts as an entry that the copy lacks, and the target was dropped only because somebody vouched so. Change: steady_for is told only with a list of the latest era. Test: feed::a_daemon_without_the_list_of_the_era_vouches_for_nothing fails before, passes now.

--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -71,13 +71,16 @@
     let now = MonoioClock.boot_time();
     let incarnation = daemon.duties.me().incarnation;
     let cell = &daemon.load_exchange;
+    let era = daemon.platform_contact.latest_era.get();
+    // Without the list of the era, a daemon does not know what the copy of the store lacks.
+    let has_list_of_era = listing.revision.era == era;
     Feed {
         advisories: daemon
             .advisories
             .answer(&request.advisories, incarnation, cell),
         age: daemon.adoption.age(now),
         changes: changes.map(Box::new),
-        era: daemon.platform_contact.latest_era.get(),
+        era,
         identity: daemon.adoption.identity(),
         direct_age: daemon.platform_contact.direct_age(now),
         direct_member: daemon.platform_contact.direct_member(now),
@@ -89,7 +92,10 @@
             .rollouts
             .newer_than(request.orders_revision)
             .map(Box::new),
-        steady_for: daemon.platform_contact.steady_for(now),
+        steady_for: daemon
+            .platform_contact
+            .steady_for(now)
+            .filter(|_| has_list_of_era),
     }
 }
 
--- a/crates/lilaccrankd/tests/suite/feed.rs
+++ b/crates/lilaccrankd/tests/suite/feed.rs
@@ -2,8 +2,10 @@
 
 use indexmap::IndexMap;
 use lilaccrank::advisories::sync::Pull;
+use lilaccrank::clock::Clock;
 use lilaccrank::document::{Target, TargetState};
 use lilaccrank::store_revision::StoreRevision;
+use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrankd::configuration::feed;
 use lilaccrankd::peers::message::{Feed, FeedRequest};
 use lilaccrankd::targets::live_list::Listing;
@@ -75,3 +77,16 @@
     assert!(reply.changes.is_none());
     assert_eq!(reply.listing, Some(listing(12, 2)));
 }
+
+// Guards against a daemon that has heard of a restore, has not seen its list, and vouches that there was none:
+// others would drop the targets that the copy lacks.
+#[test]
+fn a_daemon_without_the_list_of_the_era_vouches_for_nothing() {
+    let daemon = fixtures::daemon();
+    daemon.live_list.update(listing(10, 0), false);
+    daemon.platform_contact.record_list(MonoioClock.boot_time());
+    let vouched = || feed::answer(&daemon, &request(10.into())).steady_for;
+    assert!(vouched().is_some());
+    daemon.platform_contact.latest_era.observe(1);
+    assert_eq!(vouched(), None);
+}
