Targets: a removal after a restore is no entry that the copy lacks

What callers saw: requests at a worker for up to 1.9 s after its removal, if the store had just come back from an older copy. Cause: for 1.9 s after the first list of an era every entry that went missing counted as one that may come back, also one that a list of this era had named. The class: one time span that stands for two states, an outage (any entry may have expired) and a restore (the copy lacks some, once). Ruled out: a shorter time; workers of the lost seconds need the two seconds that the platform allows. Change: what the first list of an era lacks may come back, what a later list of it lacks has been removed. After an outage that ends with a restore, entries may have expired as before. Daemons that first see the list after the removal are told of it with the answers to their polls, which they wait for before they send.

--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -2,7 +2,7 @@
 //! Each reply says how old its information is.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::future;
 use lilaccrank::backoff;
@@ -85,13 +85,20 @@
         direct_age: daemon.platform_contact.direct_age(now),
         direct_member: daemon.platform_contact.direct_member(now),
         heard_age: daemon.platform_contact.age(now),
-        listing: is_whole.then(|| (*listing).clone()),
+        listing: is_whole.then(|| Box::new((*listing).clone())),
         list_failure_age: daemon.platform_contact.list_failure_age(now),
         listing_age: daemon.live_list.freshness.age(now),
         orders: daemon
             .rollouts
             .newer_than(request.orders_revision)
             .map(Box::new),
+        removed: match has_list_of_era {
+            true => daemon
+                .live_list
+                .departed
+                .removed_since_restore(era, Instant::now()),
+            false => Vec::new(),
+        },
         steady_for: daemon
             .platform_contact
             .steady_for(now)
@@ -179,9 +186,12 @@
         }
         changed
     });
-    if let Some(listing) = changed.or(reply.listing) {
+    if let Some(listing) = changed.or(reply.listing.map(|listing| *listing)) {
         live_list::apply_listing(daemon, listing);
     }
+    if is_current {
+        live_list::drop_removed(daemon, &reply.removed);
+    }
     if let Some(identity) = &reply.identity
         && daemon.adoption.wants(identity)
     {
--- a/crates/lilaccrankd/src/configuration/platform_contact.rs
+++ b/crates/lilaccrankd/src/configuration/platform_contact.rs
@@ -43,14 +43,23 @@
     watcher: Cell<Option<BootTime>>,
 }
 
-/// Contacts without a gap in which entries of the list may have expired.
+/// Contacts without an interruption after which entries of live targets may be missing from the list.
 #[derive(Clone, Copy, Debug)]
 struct Run {
-    /// Set if such a gap came before it, not just late news or the start of the daemon.
-    follows_gap: bool,
+    /// What came before it; `None` for late news or the start of the daemon.
+    follows: Option<Interruption>,
     since: BootTime,
 }
 
+/// Why entries of live targets may be missing from the list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Interruption {
+    /// Targets could not renew them.
+    Outage,
+    /// The store has come back from a copy that lacks them.
+    Restore,
+}
+
 impl PlatformContact {
     /// Records that the platform answered this daemon about configurations.
     pub fn record_configuration(&self, at: BootTime) {
@@ -63,7 +72,7 @@
         let silence = self.list_age(at);
         if silence.is_none_or(|silence| silence > LIST_OUTAGE) {
             self.list_run.set(Some(Run {
-                follows_gap: self.has_list_failed(),
+                follows: self.has_list_failed().then_some(Interruption::Outage),
                 since: at,
             }));
         }
@@ -79,8 +88,12 @@
     /// Records that the platform's store has come back from an older copy, which lacks the entries of
     /// targets that have come since.
     pub fn record_restore(&self, at: BootTime) {
+        let follows = match self.may_expire(at) {
+            true => Interruption::Outage,
+            false => Interruption::Restore,
+        };
         self.list_run.set(Some(Run {
-            follows_gap: true,
+            follows: Some(follows),
             since: at,
         }));
         advance(&self.list, at);
@@ -136,11 +149,22 @@
     /// Returns `true` if a list that arrives now may lack entries of live targets.
     #[must_use]
     pub fn may_lapse(&self, now: BootTime) -> bool {
-        if self.is_list_silent(now) && self.has_list_failed() {
-            return true;
-        }
-        let run = self.list_run.get().filter(|run| run.follows_gap);
-        run.is_some_and(|run| now.saturating_sub(run.since) < RECOVERY_TIME)
+        self.may_expire(now) || self.recovers_from(now).is_some()
+    }
+
+    /// Returns `true` if entries of live targets may expire now, or may have in an outage that has just
+    /// ended.
+    #[must_use]
+    pub fn may_expire(&self, now: BootTime) -> bool {
+        let is_away = self.is_list_silent(now) && self.has_list_failed();
+        is_away || self.recovers_from(now) == Some(Interruption::Outage)
+    }
+
+    /// What entries of live targets are coming back from, if they are.
+    fn recovers_from(&self, now: BootTime) -> Option<Interruption> {
+        let run = self.list_run.get()?;
+        let is_recent = now.saturating_sub(run.since) < RECOVERY_TIME;
+        run.follows.filter(|_| is_recent)
     }
 
     /// Time for which there has been contact about the list without an outage; `None` if there is
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -144,12 +144,15 @@
     #[serde(default)]
     pub changes: Option<Box<Changes>>,
     /// Its list of targets, if newer than the requester's.
-    pub listing: Option<Listing>,
+    pub listing: Option<Box<Listing>>,
     /// Time since a call about the list failed, as far as it knows.
     #[serde(default)]
     pub list_failure_age: Option<Duration>,
     /// Time since its list was known to be the newest.
     pub listing_age: Option<Duration>,
+    /// Targets that were removed since a recent restore of the platform's store.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub removed: Vec<TargetInstance>,
     /// Time for which it has had contact about the list without an outage of the platform.
     #[serde(default)]
     pub steady_for: Option<Duration>,
--- a/crates/lilaccrankd/src/targets/departed.rs
+++ b/crates/lilaccrankd/src/targets/departed.rs
@@ -11,6 +11,7 @@
 use lilaccrank::store_revision::Era;
 use lilaccrank::target_instance::TargetInstance;
 
+use crate::targets::lapsed::Missing;
 use crate::targets::live_list::Listing;
 
 /// Time after a restore in which removals are written again. An entry that is still there has come back.
@@ -35,12 +36,13 @@
 }
 
 impl Departed {
-    /// Notes what `listing` says that `known` did not. With `may_lapse`, targets that are missing may come
-    /// back.
-    pub fn update(&self, known: &Listing, listing: &Listing, may_lapse: bool, now: Instant) {
-        if listing.is_restored(known) {
-            self.restored_at.replace(Some(now));
-        }
+    /// Notes the first list of an era.
+    pub fn note_restore(&self, now: Instant) {
+        self.restored_at.replace(Some(now));
+    }
+
+    /// Notes what `listing` says that `known` did not.
+    pub fn update(&self, known: &Listing, listing: &Listing, missing: Missing) {
         let era = listing.revision.era;
         let mut departures = self.departures.borrow_mut();
         let listed = listing.all().map(|(_, target)| TargetInstance::of(target));
@@ -51,11 +53,11 @@
         departures.retain(|instance, departure| !is_back(instance, departure));
         let draining = listing.all().map(|(_, target)| target);
         let draining = draining.filter(|target| target.state == TargetState::Draining);
-        let missing = known.all().map(|(_, target)| target);
-        let missing = missing.filter(|target| !listed.contains(&TargetInstance::of(target)));
-        let missing = missing.filter(|_| !may_lapse);
+        let removed = known.all().map(|(_, target)| target);
+        let removed = removed.filter(|target| !listed.contains(&TargetInstance::of(target)));
+        let removed = removed.filter(|_| missing != Missing::MayLapse);
         let departed = draining.map(|target| (target, false));
-        for (target, is_removal) in departed.chain(missing.map(|target| (target, true))) {
+        for (target, is_removal) in departed.chain(removed.map(|target| (target, true))) {
             let departure = departures.entry(TargetInstance::of(target));
             departure.or_insert(Departure { era, is_removal });
         }
@@ -69,11 +71,28 @@
         let departures = self.departures.borrow();
         let departure = departures.get(&TargetInstance::of(target));
         departure.is_some_and(|departure| {
-            let is_recovering = || {
-                let restored_at = *self.restored_at.borrow();
-                restored_at.is_some_and(|at| now.saturating_duration_since(at) < RECOVERY_TIME)
-            };
-            departure.era < era && (!departure.is_removal || is_recovering())
+            departure.era < era && (!departure.is_removal || self.is_recovering(now))
         })
     }
+
+    /// Targets that were removed since a recent restore, out of a list of `era`.
+    #[must_use]
+    pub fn removed_since_restore(&self, era: Era, now: Instant) -> Vec<TargetInstance> {
+        if !self.is_recovering(now) {
+            return Vec::new();
+        }
+        let departures = self.departures.borrow();
+        let of_era = departures
+            .iter()
+            .filter(|(_, departure)| departure.era == era);
+        let removed = of_era.filter(|(_, departure)| departure.is_removal);
+        removed.map(|(instance, _)| instance.clone()).collect()
+    }
+
+    /// Returns `true` while entries that the store has lost by a restore are written again.
+    #[must_use]
+    pub fn is_recovering(&self, now: Instant) -> bool {
+        let restored_at = *self.restored_at.borrow();
+        restored_at.is_some_and(|at| now.saturating_duration_since(at) < RECOVERY_TIME)
+    }
 }
--- a/crates/lilaccrankd/src/targets/lapsed.rs
+++ b/crates/lilaccrankd/src/targets/lapsed.rs
@@ -26,6 +26,17 @@
 /// Longest time for which sends to a lapsed target wait for the answers of other daemons.
 const VERIFY_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// What is known of the targets that a list lacks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Missing {
+    /// They have left.
+    Left,
+    /// They have left, but not those that were missing when the store came back from a copy.
+    LeftSinceRestore,
+    /// They may have lapsed.
+    MayLapse,
+}
+
 /// Targets that are missing from the list but may only have lapsed.
 #[derive(Default)]
 pub struct Lapsed {
@@ -39,16 +50,19 @@
 }
 
 impl Lapsed {
-    /// Adds live targets of `known` that are missing from `listing`, and removes those that it has.
-    /// Without `may_lapse`, none has lapsed.
-    pub fn update(&self, known: &Listing, listing: &Listing, may_lapse: bool) {
+    /// Removes the targets that `listing` has, and those that have left; adds live targets of `known` that
+    /// are missing from it and may have lapsed.
+    pub fn update(&self, known: &Listing, listing: &Listing, missing: Missing) {
         let mut targets = self.targets.borrow_mut();
-        if !may_lapse {
+        if missing == Missing::Left {
             targets.clear();
             return;
         }
         let listed: IndexSet<&TargetId> = listing.all().map(|(_, target)| &target.id).collect();
         targets.retain(|id, _| !listed.contains(id));
+        if missing == Missing::LeftSinceRestore {
+            return;
+        }
         // A target that was draining has left; it did not lapse.
         let missing = known.all().filter(|(_, target)| {
             target.state == TargetState::Live && !listed.contains(&target.id)
@@ -91,6 +105,15 @@
         self.targets.borrow().is_empty()
     }
 
+    /// Drops targets that were removed since the store came back from a copy. Returns `true` if there were
+    /// any.
+    pub fn drop_removed(&self, removed: &[TargetInstance]) -> bool {
+        let mut targets = self.targets.borrow_mut();
+        let before = targets.len();
+        targets.retain(|_, (_, target)| !removed.contains(&TargetInstance::of(target)));
+        targets.len() < before
+    }
+
     /// Drops all lapsed targets. Returns `true` if there were any.
     pub fn forget(&self) -> bool {
         let targets = self.targets.take();
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -29,7 +29,7 @@
 use crate::request::lifecycle;
 use crate::targets::departed::{self, Departed};
 use crate::targets::freshness::Freshness;
-use crate::targets::lapsed::{self, Lapsed};
+use crate::targets::lapsed::{self, Lapsed, Missing};
 use crate::targets::listing_changes::{Changes, History};
 use crate::targets::newest_instances::NewestInstances;
 
@@ -247,16 +247,27 @@
     }
 
     /// Replaces the list if the new one is newer. Returns `true` if it did. Set `may_lapse` if
-    /// entries of live targets may be missing from it.
+    /// entries of live targets may have expired.
     pub fn update(&self, mut listing: Listing, may_lapse: bool) -> bool {
         let known = self.listing();
         if !listing.replaces(&known) {
             return false;
         }
         self.instances.borrow_mut().resolve(&mut listing, &known);
-        self.lapsed.update(&known, &listing, may_lapse);
-        self.departed
-            .update(&known, &listing, may_lapse, Instant::now());
+        let now = Instant::now();
+        let is_restored = listing.is_restored(&known);
+        if is_restored {
+            self.departed.note_restore(now);
+        }
+        let missing = if may_lapse || is_restored {
+            Missing::MayLapse
+        } else if self.departed.is_recovering(now) {
+            Missing::LeftSinceRestore
+        } else {
+            Missing::Left
+        };
+        self.lapsed.update(&known, &listing, missing);
+        self.departed.update(&known, &listing, missing);
         self.history.borrow_mut().record(&known, &listing);
         self.note_versions(&listing);
         listing.log_unusable(&known);
@@ -288,8 +299,8 @@
     if is_restored {
         daemon.platform_contact.record_restore(now);
     }
-    let may_lapse = daemon.platform_contact.may_lapse(now);
-    if may_lapse {
+    let may_lapse = daemon.platform_contact.may_expire(now);
+    if may_lapse || is_restored {
         let silent = daemon.platform_contact.list_age(now);
         log::info!(
             era = listing.revision.era,
@@ -331,6 +342,13 @@
     });
 }
 
+/// Drops targets of which another daemon knows that they were removed since a restore of the store.
+pub fn drop_removed(daemon: &Rc<Daemon>, removed: &[TargetInstance]) {
+    if daemon.live_list.lapsed.drop_removed(removed) {
+        changed(daemon);
+    }
+}
+
 /// Passes a change of the targets on to the dispatchers and the orders.
 pub(super) fn changed(daemon: &Rc<Daemon>) {
     server::configuration_changed(daemon);
--- a/crates/lilaccrankd/tests/suite/feed.rs
+++ b/crates/lilaccrankd/tests/suite/feed.rs
@@ -75,7 +75,7 @@
     };
     let reply = feed::answer(&daemon, &asked);
     assert!(reply.changes.is_none());
-    assert_eq!(reply.listing, Some(listing(12, 2)));
+    assert_eq!(reply.listing, Some(Box::new(listing(12, 2))));
 }
 
 // Guards against a daemon that has heard of a restore, has not seen its list, and vouches that there was none:
--- a/crates/lilaccrankd/tests/suite/listing.rs
+++ b/crates/lilaccrankd/tests/suite/listing.rs
@@ -295,3 +295,18 @@
         full
     );
 }
+
+// Guards against a removal after a restore of the store that is kept as an entry which the copy lacks, and against
+// such an entry that counts as removed.
+#[test]
+fn a_removal_after_a_restore_is_no_lapse() {
+    let list = LiveList::default();
+    let all = ["lost", "removed", "stays"].map(|id| (id, TargetState::Live));
+    list.update(of_era(1, 10, &all), false);
+    list.update(of_era(2, 8, &all[1..]), false);
+    list.update(of_era(2, 9, &all[2..]), false);
+    assert!(list.lapsed.contains("lost"));
+    assert!(!list.lapsed.contains("removed"));
+    let removed = list.departed.removed_since_restore(2, Instant::now());
+    assert_eq!(removed, [TargetInstance::from("removed")]);
+}
--- a/crates/lilaccrankd/tests/suite/platform_contact.rs
+++ b/crates/lilaccrankd/tests/suite/platform_contact.rs
@@ -147,3 +147,24 @@
     contact.record_list(at(15));
     assert!(!contact.may_lapse(at(15)));
 }
+
+// Guards against entries that expire in an outage and pass for removals, since the outage ended with a restore.
+#[test]
+fn an_outage_that_ends_with_a_restore_is_one() {
+    let contact = PlatformContact::default();
+    contact.record_list(at(10));
+    contact.record_list_failure(at(11));
+    contact.record_list(at(15));
+    contact.record_restore(at(15));
+    assert!(contact.may_expire(at(16)));
+}
+
+// Guards against removals that pass for expired entries after a restore without an outage.
+#[test]
+fn a_restore_lets_no_entry_expire() {
+    let contact = PlatformContact::default();
+    contact.record_list(at(10));
+    contact.record_restore(at(11));
+    assert!(contact.may_lapse(at(12)));
+    assert!(!contact.may_expire(at(12)));
+}
--- a/crates/lilaccrankd/tests/suite/sendable.rs
+++ b/crates/lilaccrankd/tests/suite/sendable.rs
@@ -12,7 +12,7 @@
 use lilaccrank_http::runtime;
 use lilaccrankd::callers::refusal::Refusal;
 use lilaccrankd::daemon::Daemon;
-use lilaccrankd::targets::lapsed;
+use lilaccrankd::targets::lapsed::{self, Missing};
 use lilaccrankd::targets::live_list::Listing;
 use lilaccrankd::targets::sendable;
 
@@ -176,7 +176,10 @@
         list(&daemon, 1, vec![target("listed", TargetState::Live)], &[]);
         let live_list = &daemon.live_list;
         let known = live_list.listing();
-        live_list.lapsed.update(&known, &Listing::default(), true);
+        let missing = Missing::MayLapse;
+        live_list
+            .lapsed
+            .update(&known, &Listing::default(), missing);
         lapsed::settle(&daemon);
         let target = TargetInstance::from("listed");
         sendable::check_at_write(&daemon, &POOL.to_owned(), &target).unwrap_err()
