--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -38,7 +38,7 @@
                 if target.unanswered.is_silent() {
                     self.sharing.record(target.digest, Observation::Head);
                 }
-                target.unanswered.record_heard(now);
+                target.unanswered.record_sign_of_life(now);
             }
             ReportKind::Ended {
                 decoded,
@@ -47,12 +47,12 @@
             } => {
                 match outcome {
                     Outcome::Complete => {
-                        target.hear(&entry, now, |health| health.record_success(now));
+                        target.observe_answer(&entry, now, |health| health.record_success(now));
                         target.end_pushback(active_grant.pushback_trial);
                         self.sharing.record(target.digest, Observation::Answered);
                     }
                     Outcome::Erred | Outcome::TurnedAway => {
-                        target.hear(&entry, now, |health| health.record_error(now));
+                        target.observe_answer(&entry, now, |health| health.record_error(now));
                         self.sharing.record(target.digest, Observation::Erred);
                     }
                     Outcome::Failed => {
@@ -74,7 +74,7 @@
                 self.finish_request(&report.request, decoded, outcome, now);
             }
             ReportKind::FirstToken { after } => {
-                target.hear(&entry, now, |health| health.record_activity(now));
+                target.observe_answer(&entry, now, |health| health.record_activity(now));
                 target.end_pushback(active_grant.pushback_trial);
                 Self::note_load_change(&mut self.sharing, target, now);
                 let prefill_ahead = active_grant.prefill_ahead;
@@ -99,7 +99,7 @@
             }
             ReportKind::Progress { step, tokens } => {
                 let tokens = u64::from(tokens).min(active_grant.remaining_work.decode);
-                target.hear(&entry, now, |health| health.record_activity(now));
+                target.observe_answer(&entry, now, |health| health.record_activity(now));
                 let batch = target.estimate.batch(now);
                 target.estimate.record_progress(tokens, step, now);
                 self.sharing
@@ -121,7 +121,7 @@
         now: Instant,
     ) {
         if let Some(target) = self.targets.get_mut(target) {
-            target.unanswered.record_heard(now);
+            target.unanswered.record_sign_of_life(now);
             target.estimate.record_report(report, now);
             self.note_capacity_change();
             self.dispatch(now);
--- a/crates/lilaccrank/src/dispatch/sharing.rs
+++ b/crates/lilaccrank/src/dispatch/sharing.rs
@@ -355,26 +355,30 @@
             return false;
         }
         match sample.observation {
-            Observation::Answered => target.hear(from, now, |health| health.record_success(now)),
-            Observation::Erred => target.hear(from, now, |health| health.record_error(now)),
+            Observation::Answered => {
+                target.observe_answer(from, now, |health| health.record_success(now))
+            }
+            Observation::Erred => {
+                target.observe_answer(from, now, |health| health.record_error(now))
+            }
             Observation::Failed => target.fail(from, now),
             Observation::FirstToken { after, .. } if after > MAX_SAMPLE_DURATION => {}
             Observation::FirstToken {
                 after,
                 prefill_ahead,
             } => {
-                target.hear(from, now, |health| health.record_activity(now));
+                target.observe_answer(from, now, |health| health.record_activity(now));
                 target.estimate.observe_first_token(prefill_ahead, after);
             }
             Observation::Step { step, .. } if step > MAX_SAMPLE_DURATION => {}
             Observation::Step { batch, step } => {
-                target.hear(from, now, |health| health.record_activity(now));
+                target.observe_answer(from, now, |health| health.record_activity(now));
                 target.estimate.observe_step(batch, step, now);
             }
-            Observation::Head => target.unanswered.record_heard(now),
+            Observation::Head => target.unanswered.record_sign_of_life(now),
             Observation::Misdirected => return target.record_misdirected(from, now),
             // Its sender may have lost the path to a target that answers others.
-            Observation::Silent if target.unanswered.is_heard_lately(now) => {}
+            Observation::Silent if target.unanswered.is_alive(now) => {}
             Observation::Silent => return target.eject(from, now),
         }
         false
--- a/crates/lilaccrank/src/dispatch/target.rs
+++ b/crates/lilaccrank/src/dispatch/target.rs
@@ -124,14 +124,14 @@
         (self.live || (self.spare && !needs.origin.is_new())) && needs.permit(self.version)
     }
 
-    /// Applies the observation of a sign of life.
-    pub(super) fn hear(
+    /// Applies the observation of a part of an answer, which is a sign of life.
+    pub(super) fn observe_answer(
         &mut self,
         observer: &VmId,
         now: Instant,
         observe: impl FnOnce(&mut Health),
     ) {
-        self.unanswered.record_heard(now);
+        self.unanswered.record_sign_of_life(now);
         self.observe(observer, now, observe);
     }
 
@@ -190,7 +190,7 @@
     pub(super) fn give_up(&mut self, observer: &VmId, granted: Instant, now: Instant) -> bool {
         let is_silent = self.unanswered.shows_silence(granted, now)
             && self.observe(observer, now, |health| health.eject(now));
-        if !self.unanswered.is_heard_since(granted) {
+        if !self.unanswered.has_answered_since(granted) {
             self.unanswered.record_abandoned(1);
         }
         is_silent
--- a/crates/lilaccrank/src/dispatch/unanswered.rs
+++ b/crates/lilaccrank/src/dispatch/unanswered.rs
@@ -29,7 +29,7 @@
     ended_at: Option<Instant>,
     /// Grant of the first request that was given up since the last sign of life.
     given_up_since: Option<Instant>,
-    heard_at: Option<Instant>,
+    alive_at: Option<Instant>,
     silence: Option<Silence>,
     /// Number of daemons of the cell whose turn comes first.
     turn: u32,
@@ -71,7 +71,7 @@
             abandoned: 0,
             ended_at: None,
             given_up_since: None,
-            heard_at: None,
+            alive_at: None,
             silence: Some(Silence {
                 is_new: true,
                 limit: 0,
@@ -87,10 +87,10 @@
     }
 
     /// Records a sign of life: the target reads what it gets.
-    pub fn record_heard(&mut self, now: Instant) {
+    pub fn record_sign_of_life(&mut self, now: Instant) {
         self.abandoned = 0;
         self.given_up_since = None;
-        self.heard_at = Some(now);
+        self.alive_at = Some(now);
         self.silence = None;
     }
 
@@ -102,15 +102,15 @@
 
     /// Returns `true` if there was a sign of life after `at`.
     #[must_use]
-    pub fn is_heard_since(&self, at: Instant) -> bool {
-        self.heard_at.is_some_and(|heard| heard > at)
+    pub fn has_answered_since(&self, at: Instant) -> bool {
+        self.alive_at.is_some_and(|alive_at| alive_at > at)
     }
 
     /// Returns `true` if there was a sign of life within the time that a silence takes.
     #[must_use]
-    pub fn is_heard_lately(&self, now: Instant) -> bool {
-        self.heard_at
-            .is_some_and(|heard| now.saturating_duration_since(heard) < SILENCE)
+    pub fn is_alive(&self, now: Instant) -> bool {
+        self.alive_at
+            .is_some_and(|alive_at| now.saturating_duration_since(alive_at) < SILENCE)
     }
 
     /// Records that a target with `batch` requests is silent.
@@ -157,7 +157,7 @@
     /// Returns `true` if a request that was granted at `granted` and is given up now shows that the target
     /// is silent.
     pub fn shows_silence(&mut self, granted: Instant, now: Instant) -> bool {
-        if self.is_heard_since(granted) {
+        if self.has_answered_since(granted) {
             return false;
         }
         let since = *self.given_up_since.get_or_insert(granted);
