--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -93,13 +93,10 @@
             .rollouts
             .newer_than(request.orders_revision)
             .map(Box::new),
-        removed: match has_list_of_era {
-            true => daemon
-                .live_list
-                .departed
-                .removed_since_restore(era, Instant::now()),
-            false => Vec::new(),
-        },
+        removed: daemon
+            .live_list
+            .departed
+            .removed_since_restore(era, Instant::now()),
         steady_for: daemon
             .platform_contact
             .steady_for(now)
@@ -151,7 +148,7 @@
         orders_revision: daemon.rollouts.revision(),
         takes_changes: true,
     };
-    let reply: Feed = match daemon.peers.call(vm, req).await {
+    let mut reply: Feed = match daemon.peers.call(vm, req).await {
         Ok(reply) => reply,
         Err(e) => return log::debug!("failed to poll {vm}: {e}"),
     };
@@ -161,35 +158,14 @@
     // What a daemon knows of an earlier era confirms nothing.
     let is_current = reply.era >= era.get();
     era.observe(reply.era);
-    // Failures and contacts go first: they tell whether targets that are missing from the list may have
-    // lapsed.
-    if let Some(age) = reply.list_failure_age {
-        let failed_at = asked_at.saturating_sub(age);
-        daemon.platform_contact.record_list_failure(failed_at);
-    }
-    if let Some(age) = reply.heard_age {
-        daemon
-            .platform_contact
-            .record_peer(asked_at.saturating_sub(age));
-    }
-    if let Some(time) = reply.steady_for.filter(|_| is_current) {
-        daemon
-            .platform_contact
-            .record_peer_run(MonoioClock.boot_time().saturating_sub(time));
-    }
-    // Orders go first: they tell which version of a list is being tried.
-    if let Some(orders) = reply.orders {
+    // Contacts go first: they tell whether targets that are missing from the list may have lapsed.
+    record_contacts(daemon, &reply, asked_at, is_current);
+    record_direct_members(daemon, vm, &reply, asked_at);
+    // Orders go before the list: they tell which version of it is being tried.
+    if let Some(orders) = reply.orders.take() {
         orders::update(daemon, *orders);
     }
-    let changed = reply.changes.and_then(|changes| {
-        let known = daemon.live_list.listing();
-        let changed = changes.apply(&known);
-        if changed.is_none() {
-            log::debug!(known:% = known.revision; "ignored changes of a list that is outdated");
-        }
-        changed
-    });
-    if let Some(listing) = changed.or(reply.listing.map(|listing| *listing)) {
+    if let Some(listing) = newer_listing(daemon, &mut reply) {
         live_list::apply_listing(daemon, listing);
     }
     if is_current {
@@ -201,8 +177,9 @@
         configuration::pull_configuration(daemon, vm).await;
     }
     // Counted from the time of the request, so that transit time does not make it look fresher.
-    let generation = |identity: Option<Identity>| identity.map(|found| found.generation);
-    let current = generation(daemon.adoption.identity()) >= generation(reply.identity);
+    let generation = |identity: Option<&Identity>| identity.map(|found| found.generation);
+    let in_force = daemon.adoption.identity();
+    let current = generation(in_force.as_ref()) >= generation(reply.identity.as_ref());
     if let Some(age) = reply.age.filter(|_| current) {
         daemon.adoption.confirm(asked_at.saturating_sub(age));
     }
@@ -212,6 +189,37 @@
             .freshness
             .confirm(asked_at.saturating_sub(age));
     }
+}
+
+/// Records when another daemon had contact with the platform about the list of targets, and when it had none.
+fn record_contacts(daemon: &Daemon, reply: &Feed, asked_at: BootTime, is_current: bool) {
+    let contact = &daemon.platform_contact;
+    if let Some(age) = reply.list_failure_age {
+        contact.record_list_failure(asked_at.saturating_sub(age));
+    }
+    if let Some(age) = reply.heard_age {
+        contact.record_peer(asked_at.saturating_sub(age));
+    }
+    if let Some(time) = reply.steady_for.filter(|_| is_current) {
+        contact.record_peer_run(MonoioClock.boot_time().saturating_sub(time));
+    }
+}
+
+/// Returns the list of targets that a reply brings, whole or as changes of the known one.
+fn newer_listing(daemon: &Daemon, reply: &mut Feed) -> Option<Listing> {
+    let changed = reply.changes.take().and_then(|changes| {
+        let known = daemon.live_list.listing();
+        let changed = changes.apply(&known);
+        if changed.is_none() {
+            log::debug!(known:% = known.revision; "ignored changes of a list that is outdated");
+        }
+        changed
+    });
+    changed.or(reply.listing.take().map(|listing| *listing))
+}
+
+/// Records which members reach the platform, as the daemon `vm` says.
+fn record_direct_members(daemon: &Daemon, vm: &VmId, reply: &Feed, asked_at: BootTime) {
     let contact = &daemon.platform_contact;
     if let Some(age) = reply.direct_age {
         let at = asked_at.saturating_sub(age);
@@ -221,7 +229,8 @@
         }
     }
     let me = daemon.duties.me().vm;
-    if let Some((member, age)) = reply.direct_member.filter(|(member, _)| *member != me) {
-        contact.record_direct_member(&member, asked_at.saturating_sub(age));
+    let other = reply.direct_member.as_ref();
+    if let Some((member, age)) = other.filter(|(member, _)| *member != me) {
+        contact.record_direct_member(member, asked_at.saturating_sub(*age));
     }
 }
--- a/crates/lilaccrankd/src/targets/departed.rs
+++ b/crates/lilaccrankd/src/targets/departed.rs
@@ -3,7 +3,7 @@
 //! The copy that it comes back from may name them as they were before. What they wrote since is written
 //! again, but only after a while, and requests would reach them meanwhile.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
@@ -32,13 +32,13 @@
 pub struct Departed {
     departures: RefCell<IndexMap<TargetInstance, Departure>>,
     /// When the first list of the present era came, if one of another era came before.
-    restored_at: RefCell<Option<Instant>>,
+    restored_at: Cell<Option<Instant>>,
 }
 
 impl Departed {
     /// Notes the first list of an era.
     pub fn note_restore(&self, now: Instant) {
-        self.restored_at.replace(Some(now));
+        self.restored_at.set(Some(now));
     }
 
     /// Notes what `listing` says that `known` did not.
@@ -92,7 +92,7 @@
     /// Returns `true` while entries that the store has lost by a restore are written again.
     #[must_use]
     pub fn is_recovering(&self, now: Instant) -> bool {
-        let restored_at = *self.restored_at.borrow();
+        let restored_at = self.restored_at.get();
         restored_at.is_some_and(|at| now.saturating_duration_since(at) < RECOVERY_TIME)
     }
 }
