Following: a daemon asks at once for a newer list, and goes on until it has one

A follower was relieved by any recent contact of a watcher, also where its own list had not become newer, and dropped its call. And it asked again only after 350 ms in which it hears nothing, and a jitter of up to 400 ms: a send gives up the wait for the question after 500 ms. Change: relieved only with a list that was the newest within STALE_AFTER; a confirmation of the list wakes the check. A send's need is listened for all the time, the waits before old contact is acted on stay as they are.

--- a/crates/lilaccrankd/src/configuration.rs
+++ b/crates/lilaccrankd/src/configuration.rs
@@ -105,22 +105,25 @@
 
 /// Completes once the last contact with the platform is too old, or a send needs a newer list of
 /// targets; never without a lease.
-///
-/// The platform may reject only the watchers. The other daemons then wait for a random time each,
-/// so that a few of them query the platform first and pass the result on.
 async fn until_stale(daemon: &Daemon) {
     if !has_lease(daemon) {
         return future::pending().await;
     }
+    let needed = daemon.live_list.freshness.needed();
+    let without_contact = until_without_contact(daemon);
+    pin_mut!(needed, without_contact);
+    future::select(needed, without_contact).await;
+}
+
+/// Completes once the last contact with the platform is too old.
+///
+/// The platform may reject only the watchers. The other daemons then wait for a random time each,
+/// so that a few of them query the platform first and pass the result on.
+async fn until_without_contact(daemon: &Daemon) {
     // A daemon that starts has no contact yet, but may learn from its peers first.
     monoio::time::sleep(STALE_AFTER / 4).await;
     loop {
-        let needed = daemon.live_list.freshness.needed();
-        let stale = monoio::time::sleep(time_until_stale(daemon));
-        pin_mut!(needed, stale);
-        if let Either::Left(_) = future::select(needed, stale).await {
-            return;
-        }
+        monoio::time::sleep(time_until_stale(daemon)).await;
         let members = daemon.membership.live().members.len();
         let jitter = backoff::full_jitter(stale_jitter(members));
         monoio::time::sleep(jitter).await;
@@ -159,14 +162,17 @@
 }
 
 /// Completes once this daemon is no watcher and, if there is a lease, a watcher has a recent contact
-/// with the platform.
+/// with the platform and the list of this daemon is recent as well.
 pub async fn until_relieved(daemon: &Daemon) {
     loop {
         let version = daemon.membership.live().version;
-        if !daemon.duties.is_watcher() && has_fresh_watcher(daemon) {
+        let confirmed = daemon.live_list.freshness.confirmed();
+        if !daemon.duties.is_watcher() && has_fresh_watcher(daemon) && has_fresh_list(daemon) {
             return;
         }
         let changed = daemon.membership.changed(version);
+        pin_mut!(changed, confirmed);
+        let changed = future::select(changed, confirmed);
         let _ = monoio::time::timeout(STALE_AFTER, changed).await;
     }
 }
@@ -188,6 +194,12 @@
     !has_lease(daemon) || contact_age.is_some_and(|age| age < STALE_AFTER)
 }
 
+/// Returns `true` if the list of targets was the newest a short time ago, or may be of any age.
+fn has_fresh_list(daemon: &Daemon) -> bool {
+    let age = daemon.live_list.freshness.age(MonoioClock.boot_time());
+    daemon.cfg.listing_lease_ms == 0 || age.is_some_and(|age| age < STALE_AFTER)
+}
+
 async fn put_in_force(daemon: &Rc<Daemon>) {
     let mut seen: Option<Identity> = None;
     loop {
--- a/crates/lilaccrankd/src/targets/freshness.rs
+++ b/crates/lilaccrankd/src/targets/freshness.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use event_listener::Event;
+use event_listener::{Event, EventListener};
 use lilaccrank::clock::{BootTime, Clock};
 use lilaccrank_http::monoio_clock::MonoioClock;
 
@@ -146,6 +146,12 @@
     pub async fn needed(&self) {
         self.needed.listen().await;
     }
+
+    /// Listens for the next confirmation of the list.
+    #[must_use]
+    pub fn confirmed(&self) -> EventListener {
+        self.confirmed.listen()
+    }
 }
 
 /// Returns `true` if requests may be sent by the list of targets now; asks for a newer one if not.
@@ -173,7 +179,7 @@
     }
     let freshness = &daemon.live_list.freshness;
     loop {
-        let confirmed = freshness.confirmed.listen();
+        let confirmed = freshness.confirmed();
         let now = MonoioClock.boot_time();
         match freshness.usability(lease, now) {
             Usability::Current | Usability::BestAvailable => return,
