Sends: a target is not ruled out by this daemon's own old list

What callers saw: 503 "no live target here serves the pool" after a pause of their daemon, while a worker was there for them. Cause: at the write the list of the daemon was too old, or the target was being asked whether it had left. The send was given up, rightly, but its target was excluded from the next ask like one that had failed. Ruled out: a refusal of the arbiter for another reason: its logs show the ask with that exclusion alone. Change: a refusal says whether this daemon stopped the send for a reason of its own; such a one excludes nothing. The next grant waits for the list as any other does. Spilled refusals are made by the one constructor.

--- a/crates/lilaccrankd/src/callers/refusal.rs
+++ b/crates/lilaccrankd/src/callers/refusal.rs
@@ -29,6 +29,9 @@
 pub struct Refusal {
     /// Whether the connection to the target ended before its answer did.
     pub connection_lost: bool,
+    /// Whether the target may still take the request, since this daemon stopped the send for a reason of
+    /// its own.
+    pub is_own_stop: bool,
     /// Kind of the error.
     pub kind: ErrorKind,
     /// What went wrong and, where possible, what the caller can do about it.
@@ -57,6 +60,7 @@
         let answer = kind.response();
         Self {
             connection_lost: false,
+            is_own_stop: false,
             kind,
             message: message.into(),
             ran: answer.executed,
@@ -71,6 +75,13 @@
         self
     }
 
+    /// Marks the send as stopped by this daemon for a reason of its own.
+    #[must_use]
+    pub fn own_stop(mut self) -> Self {
+        self.is_own_stop = true;
+        self
+    }
+
     /// Sets the time after which the caller may retry.
     #[must_use]
     pub fn retry_after(mut self, after: Duration) -> Self {
--- a/crates/lilaccrankd/src/request/send_history.rs
+++ b/crates/lilaccrankd/src/request/send_history.rs
@@ -134,7 +134,9 @@
         take_repeat: impl FnOnce(Failure) -> bool,
     ) -> Option<Result<()>> {
         self.sent_to = None;
-        self.prior.exclusions.push(target.clone());
+        if !failed.refusal.is_own_stop {
+            self.prior.exclusions.push(target.clone());
+        }
         if failed.failure == Failure::BrokenOff {
             // If the objective still counted from the arrival of the request, it would be over by
             // now. A stream that finds all targets full would then be refused, and what its caller
--- a/crates/lilaccrankd/src/request/spill.rs
+++ b/crates/lilaccrankd/src/request/spill.rs
@@ -118,11 +118,8 @@
         .and_then(|body| serde_json::from_slice(&body).ok());
     match envelope {
         Some(Envelope { error }) => Refusal {
-            connection_lost: false,
-            kind: error.kind,
-            message: error.message,
-            ran: error.ran,
             retry_after,
+            ..Refusal::new(error.kind, error.message).ran(error.ran)
         },
         None => unexpected_status(status),
     }
--- a/crates/lilaccrankd/src/targets/sendable.rs
+++ b/crates/lilaccrankd/src/targets/sendable.rs
@@ -51,10 +51,10 @@
 /// Those of [`check`], and [`ErrorKind::NoTarget`] if a newer list has to come first.
 pub fn check_at_write(daemon: &Daemon, pool: &PoolId, instance: &TargetInstance) -> Result<()> {
     if !freshness::is_usable(daemon) {
-        return Err(refused("the list of targets is too old to send by it"));
+        return Err(refused("the list of targets is too old to send by it").own_stop());
     }
     if daemon.live_list.lapsed.is_unverified(instance) {
-        return Err(refused("whether the target has left is being asked"));
+        return Err(refused("whether the target has left is being asked").own_stop());
     }
     check(daemon, pool, instance).map(drop)
 }
