Sends: a test of a stop that has passed, failing today

What callers would see: a request that ends as if its caller had cancelled it, without an answer and without another try. Cause, by reading: the client withdraws a request when a check stops it at the write, and the check is asked again for the reason. If a newer list has come in between, there is none, and the error stands for a cancellation.

--- a/crates/lilaccrankd/src/targets/transport.rs
+++ b/crates/lilaccrankd/src/targets/transport.rs
@@ -34,7 +34,7 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// Check right before a request is written.
-type Check = Rc<dyn Fn() -> Result<(), Refusal>>;
+pub type Check = Rc<dyn Fn() -> Result<(), Refusal>>;
 
 /// Time from the grant to the write from which it is logged.
 const LOGGED_WAIT: Duration = Duration::from_millis(100);
@@ -327,7 +327,8 @@
 }
 
 /// Error for a request that was withdrawn when the connection was there.
-fn withdrawn(check: &Check, address: String) -> Error {
+#[must_use]
+pub fn withdrawn(check: &Check, address: String) -> Error {
     match check() {
         Err(refusal) => Error::Cancelled(refusal),
         Ok(()) => Error::Direct(client::Error::Withdrawn { address }),
--- a/crates/lilaccrankd/tests/suite/sendable.rs
+++ b/crates/lilaccrankd/tests/suite/sendable.rs
@@ -15,6 +15,7 @@
 use lilaccrankd::targets::lapsed::{self, Missing};
 use lilaccrankd::targets::live_list::Listing;
 use lilaccrankd::targets::sendable;
+use lilaccrankd::targets::transport::{self, Check};
 
 use super::fixtures;
 
@@ -188,3 +189,15 @@
     assert_eq!(refusal.kind, ErrorKind::NoTarget);
     assert_eq!(refusal.ran, Executed::No);
 }
+
+// Guards against a request that is dropped like one that its caller has cancelled, as a newer list came right after the
+// old one had stopped it.
+#[test]
+fn a_stop_that_has_passed_cancels_nothing() {
+    let check: Check = Rc::new(|| Ok(()));
+    let refusal = transport::withdrawn(&check, "10.0.0.1:9000".to_owned()).refusal();
+    assert_eq!(
+        (refusal.kind, refusal.ran, refusal.is_own_stop),
+        (ErrorKind::NoTarget, Executed::No, true)
+    );
+}
