Sends: what stopped a send and has passed is no cancellation

Change: such a send counts as stopped by this daemon for a reason of its own; it is asked for again and rules no target out. Both places that learn of a withdrawn request use the same function.

--- a/crates/lilaccrankd/src/targets/transport.rs
+++ b/crates/lilaccrankd/src/targets/transport.rs
@@ -12,7 +12,7 @@
 use hyper::header::TRANSFER_ENCODING;
 use hyper::{Request, Response};
 use lilaccrank::document::Target;
-use lilaccrank::error_kind::ErrorKind;
+use lilaccrank::error_kind::{ErrorKind, Executed};
 use lilaccrank::ids::{PoolId, Tier, VmId};
 use lilaccrank::membership::State;
 use lilaccrank::software_version::VersionDigest;
@@ -191,7 +191,7 @@
             {
                 Err(e @ client::Error::Connect { .. }) => e,
                 Err(client::Error::Withdrawn { address }) => {
-                    return Err(withdrawn(&check, address));
+                    return Err(withdrawn(&check, &address));
                 }
                 other => return Ok(other?),
             }
@@ -312,7 +312,7 @@
                     Some(failure) => failure,
                 },
                 Err(client::Error::Withdrawn { address }) => {
-                    return Err(withdrawn(check, address));
+                    return Err(withdrawn(check, &address));
                 }
                 Err(e) if e.is_unsent() => path_relay::Failure::Unsent,
                 Err(source) => return Err(Error::RelayLost { source, vm }),
@@ -326,13 +326,17 @@
     }
 }
 
-/// Error for a request that was withdrawn when the connection was there.
+/// Error for a request that `check` stopped when the connection was there. What stopped it may have passed
+/// since.
 #[must_use]
-pub fn withdrawn(check: &Check, address: String) -> Error {
-    match check() {
-        Err(refusal) => Error::Cancelled(refusal),
-        Ok(()) => Error::Direct(client::Error::Withdrawn { address }),
-    }
+pub fn withdrawn(check: &Check, address: &str) -> Error {
+    let has_passed = || {
+        let message = format!("what stopped the send to {address} has passed");
+        Refusal::new(ErrorKind::NoTarget, message)
+            .ran(Executed::No)
+            .own_stop()
+    };
+    Error::Cancelled(check().err().unwrap_or_else(has_passed))
 }
 
 /// Restores what tells that an answer ended with its connection at the relay.
--- a/crates/lilaccrankd/tests/suite/sendable.rs
+++ b/crates/lilaccrankd/tests/suite/sendable.rs
@@ -195,7 +195,7 @@
 #[test]
 fn a_stop_that_has_passed_cancels_nothing() {
     let check: Check = Rc::new(|| Ok(()));
-    let refusal = transport::withdrawn(&check, "10.0.0.1:9000".to_owned()).refusal();
+    let refusal = transport::withdrawn(&check, "10.0.0.1:9000").refusal();
     assert_eq!(
         (refusal.kind, refusal.ran, refusal.is_own_stop),
         (ErrorKind::NoTarget, Executed::No, true)
