Dispatch: tests of a daemon that was held up, failing today

What callers saw: in the logs of leaving::granted_requests_of_the_third_daemon a daemon that was stopped for 2.3 s takes all its targets for hung before it reads one answer that waits for it. Cause, as the tests show: the dispatcher's ticks compare times across the pause. Targets with requests become unresponsive, and the others are told; a request that is given up then does the same; peers whose digests are not read yet count as dead, and their requests as none. Change: three tests, listed as red; the harness can let time pass while nothing runs.

--- a/crates/lilaccrank/tests/suite/dispatch_faults.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_faults.rs
@@ -127,6 +127,23 @@
     );
 }
 
+// Guards against a daemon that was held up, takes the answers that it has not read yet for silence of its targets,
+// and tells the others so.
+#[test]
+fn a_pause_of_the_daemon_is_no_silence_of_its_targets() {
+    let mut harness = harness(&[8]);
+    harness.submit(submission("runs", 0));
+    assert_eq!(harness.grants(), granted("runs", "t0"));
+    harness.report("runs", "t0", ReportKind::Began);
+    harness.advance(Duration::from_millis(50));
+    harness.pause(Duration::from_secs(4));
+    let health = |harness: &Harness| harness.dispatcher.status().targets[0].health;
+    assert_eq!(health(&harness), State::Healthy);
+    assert_eq!(harness.dispatcher.digest().samples, []);
+    harness.advance(Duration::from_secs(4));
+    assert_eq!(health(&harness), State::Unresponsive);
+}
+
 // Guards against requests that time out one after the other on an engine that accepts them and never
 // answers. After a silence longer than any expected step it gets no requests, then one cheap bulk
 // request as a trial, and all kinds again once it answers.
--- a/crates/lilaccrank/tests/suite/dispatch_harness.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_harness.rs
@@ -125,6 +125,12 @@
         }
     }
 
+    /// Lets the time pass while nothing of the daemon runs.
+    pub fn pause(&mut self, duration: Duration) {
+        self.clock.advance(duration);
+        self.executor.run_until_stalled();
+    }
+
     /// Returns and clears the verdicts collected so far.
     pub fn verdicts(&mut self) -> Vec<Verdict> {
         self.executor.run_until_stalled();
--- a/crates/lilaccrank/tests/suite/dispatch_sharing.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_sharing.rs
@@ -48,6 +48,23 @@
     assert_eq!(harness.grants(), granted("waits", "t0"));
 }
 
+// Guards against a daemon that was held up, forgets what the others have sent before it reads their digests, and
+// takes slots that are in use.
+#[test]
+fn a_pause_of_the_daemon_is_no_silence_of_its_peers() {
+    let mut harness = harness(&[2]);
+    harness.advance(Duration::from_millis(50));
+    deliver_digest(&harness, "vm2", digest("t0", 2, 0));
+    harness.submit(Submission {
+        objective: Some(Duration::from_secs(10)),
+        ..submission_with_objective("waits", 0)
+    });
+    harness.pause(Duration::from_secs(3));
+    assert_eq!(harness.grants(), []);
+    harness.advance(Duration::from_millis(1_600));
+    assert_eq!(harness.grants(), granted("waits", "t0"));
+}
+
 // Guards against each daemon having to measure a slow target itself. A peer with requests there sends
 // its samples, and the next request goes elsewhere.
 #[test]
--- a/crates/lilaccrank/tests/suite/dispatch_unanswered.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_unanswered.rs
@@ -117,6 +117,21 @@
     assert_eq!(submit(&mut harness, &["d"]), 0);
 }
 
+// Guards against a daemon that was held up, gives up what its callers no longer wait for, and takes that for a sign
+// of a silent target.
+#[test]
+fn requests_that_are_given_up_after_a_pause_show_no_silence() {
+    let mut harness = harness(&[4]);
+    assert_eq!(submit(&mut harness, &["a"]), 1);
+    harness.advance(Duration::from_millis(50));
+    harness.clock.advance(Duration::from_secs(2));
+    give_up(&mut harness, "a", "t0");
+    assert_eq!(
+        harness.dispatcher.status().targets[0].health,
+        State::Healthy
+    );
+}
+
 // Guards against a target that one daemon knows to be silent and the others go on sending to.
 #[test]
 fn the_silence_that_another_daemon_tells_of_counts() {
