Dispatch: time in which a daemon is held up is no silence of its targets

Cause: the silence of a target with requests, and the time from a grant to the moment at which the request is given up, were measured across a pause of the daemon. Change: the ticks of the dispatcher tell for how long it was held up; the last output of each target, its last sign of life, the first request that was given up since and the grants move on by that. A report is such a tick too, as it may come first. What counts as held up is the list's rule, now in one place (clock::held_up). Trials of a silent target stay where they were: they bound what lies there, which goes on during a pause. Cost: a daemon whose ticks come later than every 100 ms takes longer to see a silent target; the others tell it.

--- a/crates/lilaccrank/src/clock.rs
+++ b/crates/lilaccrank/src/clock.rs
@@ -7,6 +7,16 @@
 /// information from before a suspend is known to be stale afterwards.
 pub type BootTime = Duration;
 
+/// Longest part of the time between two turns of a periodic task that counts as running. In the rest, what had
+/// arrived may have been waiting to be read.
+pub const MAX_STEP: Duration = Duration::from_millis(100);
+
+/// Returns the part of the time between two turns of a periodic task in which the process was held up.
+#[must_use]
+pub fn held_up(gap: Duration) -> Duration {
+    gap.saturating_sub(MAX_STEP)
+}
+
 /// A source of time and of timers.
 pub trait Clock: Clone + 'static {
     /// Returns the time since the machine booted, including time spent in suspend.
--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -27,6 +27,7 @@
 mod fair;
 mod grants;
 pub mod health;
+mod held_up;
 mod inflight;
 pub mod limits;
 pub mod message;
@@ -270,6 +271,7 @@
             self.clock.sleep(TICK).await;
             let now = self.clock.now();
             let mut state = self.state.borrow_mut();
+            state.observe_running(now);
             state.check_handover(now);
             state.expire_waiting(now);
             state.expire_grants(now);
--- a/crates/lilaccrank/src/dispatch/health.rs
+++ b/crates/lilaccrank/src/dispatch/health.rs
@@ -96,6 +96,11 @@
         self.trial_backoff = INITIAL_TRIAL_BACKOFF;
     }
 
+    /// Moves the time of the last output.
+    pub fn move_activity(&mut self, later: impl Fn(Instant) -> Instant) {
+        self.last_activity = later(self.last_activity);
+    }
+
     /// Records a complete answer.
     pub fn record_success(&mut self, now: Instant) {
         self.record_activity(now);
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -20,6 +20,9 @@
 impl State {
     /// Applies a report of an entry daemon; a report on an earlier submission is ignored.
     pub(super) fn report(&mut self, report: &Report, now: Instant) {
+        if self.observed_at.is_some() {
+            self.observe_running(now);
+        }
         let active_grant = self.active_grants.get_mut(&report.request);
         let Some(active_grant) =
             active_grant.filter(|active_grant| active_grant.submission == report.submission)
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -125,6 +125,8 @@
     pub(super) length_ratio: f64,
     pub(super) limits: Limits,
     pub(super) next_waiter: WaiterId,
+    /// When the dispatcher was last known to be running; `None` until its checks run.
+    pub(super) observed_at: Option<Instant>,
     /// Incremented by every event that may have freed capacity.
     pub(super) capacity_epoch: u64,
     /// Prefixes whose prefill is in progress.
@@ -154,6 +156,7 @@
             length_ratio: INITIAL_LENGTH_RATIO,
             limits: Limits::default(),
             next_waiter: 0,
+            observed_at: None,
             capacity_epoch: 0,
             inflight: InflightPrefixes::default(),
             queue: Queue::default(),
--- a/crates/lilaccrank/src/dispatch/unanswered.rs
+++ b/crates/lilaccrank/src/dispatch/unanswered.rs
@@ -94,6 +94,12 @@
         self.silence = None;
     }
 
+    /// Moves the times of the last sign of life and of the first request that was given up since.
+    pub fn move_signs(&mut self, later: impl Fn(Instant) -> Instant) {
+        self.alive_at = self.alive_at.map(&later);
+        self.given_up_since = self.given_up_since.map(&later);
+    }
+
     /// Returns `true` if there has been no sign of life since the target started or fell silent.
     #[must_use]
     pub fn is_silent(&self) -> bool {
--- a/crates/lilaccrankd/src/targets/freshness.rs
+++ b/crates/lilaccrankd/src/targets/freshness.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use event_listener::{Event, EventListener};
-use lilaccrank::clock::{BootTime, Clock};
+use lilaccrank::clock::{self, BootTime, Clock};
 use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::daemon::Daemon;
@@ -21,9 +21,6 @@
 const ASKING_TIME: Duration = Duration::from_millis(500);
 /// Interval of [`run`].
 const TICK: Duration = Duration::from_millis(50);
-/// Longest part of the time between two ticks that counts as running. In the rest, an answer may have been
-/// waiting to be read.
-const MAX_STEP: Duration = Duration::from_millis(100);
 /// Time between two ticks from which it is logged.
 const LOGGED_GAP: Duration = Duration::from_millis(500);
 
@@ -107,7 +104,7 @@
         if gap > LOGGED_GAP {
             log::warn!(for_ms = gap.as_millis() as u64; "tasks of this process did not run");
         }
-        let held_up = gap.saturating_sub(MAX_STEP);
+        let held_up = clock::held_up(gap);
         for wait in [&self.due_at, &self.needed_at] {
             let passed = wait.get().filter(|at| *at < now);
             if let Some(at) = passed {
@@ -129,7 +126,7 @@
             return Usability::Current;
         }
         let observed_at = self.observed_at.get();
-        let ran_until = observed_at.map_or(now, |at| now.min(at + MAX_STEP));
+        let ran_until = observed_at.map_or(now, |at| now.min(at + clock::MAX_STEP));
         let is_over = |wait: &Cell<Option<BootTime>>, limit| {
             wait.get().is_some_and(|since| ran_until >= since + limit)
         };
