Dispatch: time in which a daemon is held up is no silence of its peers

Cause: peers whose digests wait to be read count as dead after 1.5 s, and their requests as none. Change: the times of the last digests move on like those of targets. The checks note when they begin, so that a pause before their second turn counts as well.

--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -267,6 +267,8 @@
 
     /// Runs the periodic checks of deadlines, handover, peers and target health; never returns.
     pub async fn run(&self) {
+        let started = self.clock.now();
+        self.state.borrow_mut().observe_running(started);
         loop {
             self.clock.sleep(TICK).await;
             let now = self.clock.now();
--- a/crates/lilaccrank/src/dispatch/held_up.rs
+++ b/crates/lilaccrank/src/dispatch/held_up.rs
@@ -24,5 +24,6 @@
             target.health.move_activity(later);
             target.unanswered.move_signs(later);
         }
+        self.sharing.move_digests(later);
     }
 }
--- a/crates/lilaccrank/src/dispatch/sharing.rs
+++ b/crates/lilaccrank/src/dispatch/sharing.rs
@@ -146,6 +146,13 @@
         }
     }
 
+    /// Moves the times of the last digests.
+    pub(super) fn move_digests(&mut self, later: impl Fn(Instant) -> Instant) {
+        for peer in self.peers.values_mut() {
+            peer.last_digest = later(peer.last_digest);
+        }
+    }
+
     /// First waiting submission of the other daemons that competes with `me` for a target.
     fn peer_waiter(&self, me: &VmId, target: &TargetId) -> Option<PeerWaiter> {
         let waiting = self.peers.iter();
