Memory: all answers in progress have a limit together

Ruled out: holding back what targets send until callers read (a keyed answer is kept whole for a repeat, read or not, and a connection that is not read counts as silent). Change: each buffer counts what it holds in one AnswerMemory of the daemon while it is written or read; what is complete and has no reader is bounded by the cache of answers, as before. Once all are over the limit, an answer that is not below the mean is given up with the next part that comes, so that small ones go on.

--- a/crates/lilaccrankd/src/callers/answer_builder.rs
+++ b/crates/lilaccrankd/src/callers/answer_builder.rs
@@ -85,6 +85,9 @@
             // client would drop all lines but the first.
             let data = data.replace('\n', "\ndata: ");
             buffer.push(Bytes::from(format!("data: {data}\n\n")));
+            if let Some(why) = buffer.excess(usize::MAX) {
+                return Err(broken_answer(why));
+            }
         }
         Ok(kind)
     }
--- a/crates/lilaccrankd/src/callers/attach.rs
+++ b/crates/lilaccrankd/src/callers/attach.rs
@@ -103,7 +103,7 @@
     if res.status() == StatusCode::NOT_FOUND && res.headers().contains_key(REFUSAL) {
         return Ok(None);
     }
-    let buffer = Rc::new(AnswerBuffer::default());
+    let buffer = Rc::new(AnswerBuffer::new(&daemon.answer_memory));
     let reader = buffer.reader(client.clone());
     let client = daemon.client.clone();
     let daemon = Rc::clone(daemon);
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -116,7 +116,7 @@
     if let Some(charge) = &charge {
         daemon.load_exchange.note_change(charge.is_nearly_exhausted);
     }
-    let buffer = Rc::new(AnswerBuffer::default());
+    let buffer = Rc::new(AnswerBuffer::new(&daemon.answer_memory));
     let reader = buffer.reader(client);
     if let Some(scoped) = caller.scoped_key() {
         daemon.answer_cache.insert(scoped, Rc::clone(&buffer));
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -37,6 +37,7 @@
 use crate::pools::slot_leases::{ArbiterState, SlotLeases};
 use crate::ports::Ports;
 use crate::request::abort_signal::AbortSignal;
+use crate::request::answer_memory::AnswerMemory;
 use crate::request::key_state::KeyClaims;
 use crate::request::pool_retry_budgets::PoolRetryBudgets;
 use crate::request::quotas::Quotas;
@@ -71,6 +72,8 @@
     pub advisories: SharedAdvisories,
     /// Answers of keyed requests, for callers that repeat a key.
     pub answer_cache: AnswerCache,
+    /// Memory of the answers in progress.
+    pub answer_memory: Rc<AnswerMemory>,
     /// The daemon's settings.
     pub cfg: Settings,
     /// Claims on request keys.
@@ -192,6 +195,7 @@
         Ok(Self {
             adoption: Adoption::new(),
             advisories: SharedAdvisories::default(),
+            answer_memory: Rc::new(AnswerMemory::new(cfg.answers_total_limit)),
             answer_cache: AnswerCache::new(
                 Duration::from_millis(cfg.answer_ttl_ms),
                 cfg.answer_cache_bytes,
--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -227,7 +227,7 @@
     let limit = daemon.cfg.body_limit;
     let body = entry::read_body(daemon, incoming, limit).await;
     let body = body.map_err(|_| Failure::Unsent)?;
-    let buffer = Rc::new(AnswerBuffer::default());
+    let buffer = Rc::new(AnswerBuffer::new(&daemon.answer_memory));
     let reader = buffer.reader(client);
     let cancellation = Cancellation::new(daemon, &buffer, relayed.deadline, Duration::ZERO);
     let cancellation = Rc::new(cancellation);
--- a/crates/lilaccrankd/src/request.rs
+++ b/crates/lilaccrankd/src/request.rs
@@ -2,6 +2,7 @@
 
 pub mod abort_signal;
 pub mod answer_buffer;
+pub mod answer_memory;
 pub mod cancellation;
 pub mod dispatch_refusal;
 pub mod execution;
--- a/crates/lilaccrankd/src/request/answer_buffer.rs
+++ b/crates/lilaccrankd/src/request/answer_buffer.rs
@@ -12,6 +12,7 @@
 use lilaccrank_http::client_connection::ClientConnection;
 
 use crate::callers::refusal::Refusal;
+use crate::request::answer_memory::{AnswerMemory, Held};
 
 /// Number of a reader at one buffer.
 type ReaderId = u64;
@@ -66,6 +67,7 @@
     chunks: RefCell<Vec<Bytes>>,
     end: RefCell<Option<End>>,
     head: RefCell<Option<Head>>,
+    held: Held,
     timing: Cell<ChunkTiming>,
     /// Connections of the readers.
     readers: RefCell<IndexMap<ReaderId, ClientConnection>>,
@@ -76,6 +78,15 @@
 }
 
 impl AnswerBuffer {
+    /// Creates an empty buffer, which counts in `memory` while it is written or read.
+    #[must_use]
+    pub fn new(memory: &Rc<AnswerMemory>) -> Self {
+        Self {
+            held: Held::new(Rc::clone(memory)),
+            ..Self::default()
+        }
+    }
+
     /// Sets the head. Later calls have no effect.
     pub fn set_head(&self, head: Head) {
         self.head.borrow_mut().get_or_insert(head);
@@ -85,6 +96,7 @@
     /// Appends a chunk.
     pub fn push(&self, chunk: Bytes) {
         self.size.set(self.size.get() + chunk.len());
+        self.held.add(chunk.len());
         self.chunks.borrow_mut().push(chunk);
         let mut timing = self.timing.get();
         timing.record(Instant::now());
@@ -95,6 +107,7 @@
     /// Ends the answer. Later calls have no effect.
     pub fn finish(&self, end: End) {
         self.end.borrow_mut().get_or_insert(end);
+        self.release_unused();
         self.changed.notify(usize::MAX);
     }
 
@@ -116,6 +129,26 @@
         self.size.get()
     }
 
+    /// Why the answer is too large to go on, if it is: by its own limit, or by that of all answers.
+    #[must_use]
+    pub fn excess(&self, limit: usize) -> Option<&'static str> {
+        let size = self.size();
+        if size > limit {
+            Some("the answer is over the limit")
+        } else if self.held.memory().is_short_for(size) {
+            Some("all answers are over the limit together, and this one is large")
+        } else {
+            None
+        }
+    }
+
+    /// What is complete and has no reader is bounded by the cache of answers.
+    fn release_unused(&self) {
+        if self.end.borrow().is_some() && self.readers.borrow().is_empty() {
+            self.held.release();
+        }
+    }
+
     /// Returns `true` if the head is set. From then on, a failure can only be signalled by aborting
     /// the body.
     #[must_use]
@@ -228,6 +261,7 @@
     fn drop(&mut self) {
         self.buffer.readers.borrow_mut().swap_remove(&self.id);
         self.buffer.unread_since.set(Some(Instant::now()));
+        self.buffer.release_unused();
         self.buffer.changed.notify(usize::MAX);
     }
 }
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -62,6 +62,8 @@
     pub answer_cache_bytes: usize,
     /// Maximum size of an answer in bytes; a longer one is aborted.
     pub answer_limit: usize,
+    /// Maximum size of all answers in progress, in bytes; beyond it those above the mean are aborted.
+    pub answers_total_limit: usize,
     /// Milliseconds for which a finished answer is cached for callers that repeat its key.
     pub answer_ttl_ms: u64,
     /// Milliseconds without a token after which a stream is resumed on a new connection.
@@ -201,6 +203,7 @@
             admin: port(7401),
             answer_cache_bytes: 32 << 20,
             answer_limit: 32 << 20,
+            answers_total_limit: 128 << 20,
             answer_ttl_ms: 60_000,
             between_tokens_ms: 2_000,
             body_limit: 4 << 20,
@@ -289,6 +292,7 @@
         let positive = [
             ("answer_limit", self.answer_limit as u64),
             ("answer_ttl_ms", self.answer_ttl_ms),
+            ("answers_total_limit", self.answers_total_limit as u64),
             ("between_tokens_ms", self.between_tokens_ms),
             ("body_limit", self.body_limit as u64),
             ("body_timeout_ms", self.body_timeout_ms),
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -241,8 +241,8 @@
                 self.buffer.set_head(forwarded_head(&head));
                 self.buffer.push(held_back.split().freeze());
             }
-            if self.buffer.size() > self.bounds.answer_limit {
-                return Err(broken("the answer is over the limit", has_begun));
+            if let Some(why) = self.buffer.excess(self.bounds.answer_limit) {
+                return Err(broken(why, has_begun));
             }
         }
         meter.stop();
@@ -298,8 +298,8 @@
                 delivered.record(event.id);
                 self.buffer.push(event.bytes);
             }
-            if self.buffer.size() > self.bounds.answer_limit {
-                return Err(delivered.broken("the answer is over the limit"));
+            if let Some(why) = self.buffer.excess(self.bounds.answer_limit) {
+                return Err(delivered.broken(why));
             }
         }
         meter.stop();
--- a/crates/lilaccrankd/src/targets/relay.rs
+++ b/crates/lilaccrankd/src/targets/relay.rs
@@ -41,8 +41,8 @@
         if let Ok(data) = frame.into_data() {
             buffer.push(data);
         }
-        if buffer.size() > bounds.answer_limit {
-            return Err(broken("the answer is over the limit"));
+        if let Some(why) = buffer.excess(bounds.answer_limit) {
+            return Err(broken(why));
         }
     }
 }
