--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -20,6 +20,7 @@
 impl State {
     /// Applies a report of an entry daemon; a report on an earlier submission is ignored.
     pub(super) fn report(&mut self, report: &Report, now: Instant) {
+        // After a pause of the daemon, reports may come before the periodic checks.
         if self.observed_at.is_some() {
             self.observe_running(now);
         }
