--- a/crates/lilaccrank/tests/suite/dispatch_faults.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_faults.rs
@@ -5,7 +5,7 @@
 
 use futures::FutureExt;
 use lilaccrank::dispatch::health::State;
-use lilaccrank::dispatch::message::{ReportKind, Resync, Running, Submission, Verdict};
+use lilaccrank::dispatch::message::{Cancel, ReportKind, Resync, Running, Submission, Verdict};
 use lilaccrank::document::TargetState;
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::target_instance::TargetInstance;
@@ -16,6 +16,13 @@
 };
 use crate::dispatch_harness::{Harness, LOWEST_TIER};
 
+fn cancel(request: &str) -> Cancel {
+    Cancel {
+        submission: 1,
+        request: request.to_owned(),
+    }
+}
+
 // Guards against a request that holds two slots or is sent twice: an entry that lost the answer
 // submits the request again with a new number, and a grant for the first submission comes late.
 #[test]
@@ -59,6 +66,103 @@
     assert_eq!(harness.dispatcher.status().running, 1);
 }
 
+// Guards against a slot held for a request that is over, and against a second run at the target: the
+// entry has sent its submission twice, and the second one is read after the end of the request.
+macro_rules! submission_read_late {
+    ($($name:ident: |$harness:ident| $end:block;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut $harness = harness(&[1]);
+            $harness.submit(submission("once", 1));
+            assert_eq!($harness.grants(), granted("once", "t0"));
+            $end
+            $harness.submit(submission("once", 1));
+            assert_eq!($harness.refusals(), refused("once", ErrorKind::Cancelled));
+            assert_eq!($harness.dispatcher.status().running, 0);
+        }
+    )*};
+}
+
+submission_read_late! {
+    submission_read_after_its_answer_is_not_granted_again: |harness| { harness.end("once", "t0") };
+    submission_read_after_its_cancellation_is_not_granted_again: |harness| {
+        harness.dispatcher.cancel(&cancel("once"))
+    };
+}
+
+// Guards against a slot held for a request whose caller has left: the entry cancels its submission while
+// it waits, and the repetition of the submission is read after that.
+#[test]
+fn submission_read_after_its_cancellation_does_not_wait_again() {
+    let mut harness = harness(&[1]);
+    harness.submit(submission("runs", 0));
+    harness.submit(submission("left", 0));
+    harness.verdicts();
+    harness.dispatcher.cancel(&cancel("left"));
+    assert_eq!(harness.refusals(), refused("left", ErrorKind::Cancelled));
+    harness.submit(submission("left", 0));
+    assert_eq!(harness.refusals(), refused("left", ErrorKind::Cancelled));
+    assert_eq!(waiting(&harness), 0);
+}
+
+// Guards against a slot that is held until the entry dies: the entry's list of its requests is read after
+// the end of one that it holds, running or waiting.
+macro_rules! resync_read_late {
+    ($($name:ident: |$submission:ident| $running:expr, $waiting:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut harness = harness(&[1]);
+            let $submission = submission("once", 1);
+            harness.submit($submission.clone());
+            harness.verdicts();
+            harness.end("once", "t0");
+            harness.dispatcher.resync(Resync {
+                entry: entry("vm2"),
+                running: $running,
+                waiting: $waiting,
+            });
+            assert_eq!(harness.dispatcher.status().running, 0);
+            assert_eq!(waiting(&harness), 0);
+        }
+    )*};
+}
+
+resync_read_late! {
+    running_request_of_a_late_resync_holds_no_slot: |submission| vec![Running {
+        submission,
+        decoded: None,
+        target: TargetInstance::from("t0"),
+    }], vec![];
+    waiting_request_of_a_late_resync_is_not_granted: |submission| vec![], vec![submission];
+}
+
+// Guards against a retry that is taken for a repetition: after the end of its first submission, a request
+// is submitted with a higher number.
+#[test]
+fn submission_with_a_higher_number_is_granted_after_the_end() {
+    let mut harness = harness(&[1]);
+    harness.submit(submission("retried", 0));
+    harness.end("retried", "t0");
+    harness.verdicts();
+    harness.submit(Submission {
+        submission: 2,
+        ..submission("retried", 0)
+    });
+    assert_eq!(harness.grants(), granted("retried", "t0"));
+}
+
+// Guards against a request that waits forever: the grant could not be delivered, and the entry, which has
+// none, repeats its submission.
+#[test]
+fn submission_whose_grant_expired_is_granted_again() {
+    let mut harness = harness(&[1]);
+    harness.submit(submission("lost", 0));
+    harness.verdicts();
+    harness.advance(Duration::from_secs(11));
+    harness.submit(submission("lost", 0));
+    assert_eq!(harness.grants(), granted("lost", "t0"));
+}
+
 // Guards against a request that waits forever: its entry lost the answer and repeats the call with
 // the same number, then the first call is dropped, which must not cancel the submission of the
 // second.
