Log: who ended a run, and why nothing goes on with it

What callers saw: a stream is closed in its middle, and the log does not say whether its run was ended by the target, the path, a restart, the deadline or a shutdown, nor why no other target went on: the refusal of the dispatcher is replaced by the one of the earlier send before it is logged.

Change: 'a send failed' has ended_by and repeat (made, no_budget, not_allowed), 'ended without a whole answer' has ended_by, and 'no target goes on with a request' tells the dispatcher's refusal of a request that was sent before. Existing names and keys stay. No logic changes.

--- a/crates/lilaccrankd/src/request.rs
+++ b/crates/lilaccrankd/src/request.rs
@@ -5,6 +5,7 @@
 pub mod answer_memory;
 pub mod cancellation;
 pub mod dispatch_refusal;
+pub mod ended_by;
 pub mod execution;
 pub mod key_state;
 pub mod lifecycle;
--- a/crates/lilaccrankd/src/request/execution.rs
+++ b/crates/lilaccrankd/src/request/execution.rs
@@ -82,7 +82,10 @@
             let grant = match granted {
                 Ok(grant) => grant,
                 Err(refusal) if self.can_spill(&refusal) => return self.spill(refusal).await,
-                Err(refusal) => return self.history.final_result(refusal, self.buffer),
+                Err(refusal) => {
+                    self.log_no_target(&refusal);
+                    return self.history.final_result(refusal, self.buffer);
+                }
             };
             self.mark_key(KeyState::mark).await?;
             let target = grant.target.clone();
@@ -104,6 +107,22 @@
         }
     }
 
+    /// Logs why no target takes a request that was sent before. Its caller gets the earlier refusal.
+    fn log_no_target(&self, refusal: &Refusal) {
+        let Some(ended_by) = self.history.ended_by else {
+            return;
+        };
+        log::info!(
+            ended_by:% = ended_by,
+            kind:% = refusal.kind,
+            parts = self.buffer.timing().chunk_count,
+            request = self.routed.log_id(),
+            waited_ms = lifecycle::log_ms(Some(self.history.prior.waiting_since.elapsed())),
+            why = refusal.message;
+            "no target goes on with a request"
+        );
+    }
+
     /// Checks that the request is not known to crash targets.
     fn check_sendable(&self) -> Result<()> {
         self.routed.check_quarantine(self.daemon)?;
--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -64,6 +64,8 @@
     };
     let executed = cancellation.run(execution.run()).await;
     let result = executed.unwrap_or_else(|refusal| execution.cancel(refusal));
+    let ended_by = execution.history.ended_by;
+    let ended_by = ended_by.map_or(String::new(), |by| by.to_string());
     let key = execution.key;
     let settling = monoio::spawn({
         let (daemon, routed, buffer) = (Rc::clone(&daemon), Rc::clone(&routed), Rc::clone(&buffer));
@@ -95,6 +97,7 @@
             log::info!(
                 abandoned_ms = log_ms(buffer.abandoned_for()),
                 begun = buffer.has_head(),
+                ended_by:% = ended_by,
                 kind:% = refusal.kind,
                 parts = buffer.timing().chunk_count,
                 ran:% = refusal.ran,
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -20,6 +20,7 @@
 use crate::callers::refusal::{self, Refusal};
 use crate::pools::client::HeldGrant;
 use crate::request::answer_buffer::AnswerBuffer;
+use crate::request::ended_by::EndedBy;
 use crate::request::execution::Execution;
 use crate::request::send_observer::SendObserver;
 use crate::rollouts::lane;
@@ -127,6 +128,9 @@
         if let Some(target) = target.filter(|_| failed.refusal.connection_lost) {
             failed.is_path_fault =
                 daemon.paths.is_down(instance) || !paths::probe(daemon, pool, &target).await;
+            if failed.is_path_fault {
+                failed.ended_by = EndedBy::Path;
+            }
         }
         failed
     }
@@ -255,6 +259,7 @@
     let message = "the path to the target was lost, while others reach it";
     let refusal = Refusal::new(ErrorKind::TargetSilent, message);
     let mut lost = SendFailure::new(refusal.ran(Executed::Maybe));
+    lost.ended_by = EndedBy::Path;
     lost.is_path_fault = true;
     if buffer.has_head() {
         lost.failure = Failure::BrokenOff;
@@ -269,6 +274,7 @@
 fn target_restarted(buffer: &AnswerBuffer) -> SendFailure {
     let refusal = Refusal::new(ErrorKind::TargetFailed, "the target has started again");
     let mut lost = SendFailure::new(refusal.ran(Executed::Maybe).connection_lost());
+    lost.ended_by = EndedBy::Restart;
     if buffer.has_head() {
         lost.failure = Failure::BrokenOff;
     }
--- a/crates/lilaccrankd/src/request/send_history.rs
+++ b/crates/lilaccrankd/src/request/send_history.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use derive_more::Display;
 use lilaccrank::attempts::{Attempts, Failure, RetryPolicy};
 use lilaccrank::error_kind::Executed;
 use lilaccrank::ids::ContentDigest;
@@ -11,6 +12,7 @@
 
 use crate::callers::refusal::{Refusal, Result};
 use crate::request::answer_buffer::{AnswerBuffer, Head};
+use crate::request::ended_by::EndedBy;
 use crate::request::lifecycle::{self, RoutedRequest};
 use crate::targets::forward::{Delivered, SendFailure};
 
@@ -30,6 +32,8 @@
     /// Error answer of a target, which the caller gets if no later send does better.
     answer: Option<(Head, Bytes)>,
     attempts: Attempts,
+    /// Who ended the last run before its answer was complete.
+    pub ended_by: Option<EndedBy>,
     /// Target that the request is being sent to, or that works on it.
     sent_to: Option<TargetInstance>,
     /// Earlier sends, for the next ask.
@@ -53,6 +57,7 @@
         Self {
             answer: None,
             attempts: Attempts::new(allowed),
+            ended_by: None,
             sent_to: None,
             prior: PriorSends {
                 origin: Origin::New,
@@ -108,9 +113,17 @@
             return self.final_result(refusal.ran(Executed::No), buffer);
         };
         let cancelled = SendFailure::new(refusal.ran(Executed::Maybe));
+        self.ended_by = Some(cancelled.ended_by);
         self.attempts.record_failure(cancelled.failure);
         let began_at = self.delivered.began_at;
-        log_failure(routed, &target, &cancelled, false, began_at, buffer);
+        log_failure(
+            routed,
+            &target,
+            &cancelled,
+            Repeat::NotAllowed,
+            began_at,
+            buffer,
+        );
         self.final_result(cancelled.refusal, buffer)
     }
 
@@ -143,10 +156,16 @@
             // has read would be lost.
             self.prior.waiting_since = Instant::now();
         }
-        let will_retry =
-            self.attempts.record_failure(failed.failure) && take_repeat(failed.failure);
+        self.ended_by = Some(failed.ended_by);
+        let has_attempt = self.attempts.record_failure(failed.failure);
+        let will_retry = has_attempt && take_repeat(failed.failure);
         let began_at = self.delivered.began_at;
-        log_failure(routed, &target, &failed, will_retry, began_at, buffer);
+        let repeat = match (has_attempt, will_retry) {
+            (_, true) => Repeat::Made,
+            (true, false) => Repeat::NoBudget,
+            (false, false) => Repeat::NotAllowed,
+        };
+        log_failure(routed, &target, &failed, repeat, began_at, buffer);
         if failed.answer.is_some() {
             self.answer = failed.answer;
         }
@@ -184,23 +203,38 @@
     }
 }
 
+/// Whether a request is sent again after a send failed.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+enum Repeat {
+    #[display("made")]
+    Made,
+    /// The retry budget is empty, or nobody waits for the answer any more.
+    #[display("no_budget")]
+    NoBudget,
+    /// The request may not run again, or not as often.
+    #[display("not_allowed")]
+    NotAllowed,
+}
+
 fn log_failure(
     routed: &RoutedRequest,
     target: &TargetInstance,
     failed: &SendFailure,
-    will_retry: bool,
+    repeat: Repeat,
     began_at: Option<Instant>,
     buffer: &AnswerBuffer,
 ) {
     log::info!(
         abandoned_ms = lifecycle::log_ms(buffer.abandoned_for()),
-        again = will_retry,
+        again = repeat == Repeat::Made,
         begun_ms = lifecycle::log_ms(began_at.map(|at| at.elapsed())),
         connection_lost = failed.refusal.connection_lost,
+        ended_by:% = failed.ended_by,
         content:% = format_args!("{:016x}", routed.content_digest()),
         how:? = failed.failure,
         kind:% = failed.refusal.kind,
         parts = hex_list(&routed.caller.shared_parts),
+        repeat:% = repeat,
         request = routed.log_id(),
         since_arrival_ms = routed.elapsed_ms(),
         target = target.id,
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -182,13 +182,10 @@
             self.client.release(connection);
         }
         let message = format!("the target did not run it, status {}", head.status);
-        SendFailure {
-            answer: None,
-            failure: Failure::NotRun,
-            is_misdirected: false,
-            is_path_fault: false,
-            refusal: Refusal::new(ErrorKind::TargetRefused, message).ran(Executed::No),
-        }
+        let refusal = Refusal::new(ErrorKind::TargetRefused, message).ran(Executed::No);
+        let mut not_run = SendFailure::new(refusal);
+        not_run.failure = Failure::NotRun;
+        not_run
     }
 
     async fn target_failed(
--- a/crates/lilaccrankd/src/targets/forward/failure.rs
+++ b/crates/lilaccrankd/src/targets/forward/failure.rs
@@ -6,12 +6,15 @@
 
 use crate::callers::refusal::Refusal;
 use crate::request::answer_buffer::Head;
+use crate::request::ended_by::EndedBy;
 
 /// A send that gave no complete answer.
 #[derive(Debug)]
 pub struct SendFailure {
     /// Answer of the target, for the caller if no other target gives a better one.
     pub answer: Option<(Head, Bytes)>,
+    /// Who ended the run.
+    pub ended_by: EndedBy,
     /// How the send failed.
     pub failure: Failure,
     /// Set if another target answered at the address.
@@ -32,6 +35,7 @@
         };
         Self {
             answer: None,
+            ended_by: EndedBy::of(&refusal),
             failure,
             is_misdirected: false,
             is_path_fault: false,
