Peer calls: a reply that comes is not given up after a second

What callers saw: after a large change of the configuration, links full for seconds; requests and answers late or cut on them. Cause (one of several): a batch had one second as a whole. A reply of 400 KB over a link of 10 Mbit/s that others use too takes longer, was given up half way, and was asked for once more over the same link, from the same peer or another. Ruled out: a longer limit as a whole alone; it would block the calls behind a connection that has died without a word for that long. Change: a batch ends after one second without a byte, and after ten seconds as a whole. A peer that falls silent after 150 KB is given up 1.0 s after its last byte, as before. Conclusion: what is on its way is sent once.

--- a/crates/lilaccrank-http/src/lib.rs
+++ b/crates/lilaccrank-http/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod monoio_clock;
 pub mod peer_link;
 pub mod peer_server;
+mod progress;
 pub mod runtime;
 pub mod server;
 mod socket;
--- a/crates/lilaccrank-http/src/peer_link.rs
+++ b/crates/lilaccrank-http/src/peer_link.rs
@@ -22,6 +22,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::compression::{self, EncodedBody};
+use crate::progress::{Progress, Watched};
 use crate::tally::{Counted, Tally};
 
 /// Path that peers post batches to.
@@ -30,9 +31,12 @@
 const BATCH_LIMIT: usize = 256;
 /// Maximum time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum time for one batch. A live peer answers in milliseconds; a longer timeout would block
-/// all later calls behind a connection that failed silently.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Maximum time without a byte during one batch. A live peer answers in milliseconds; a longer timeout
+/// would block all later calls behind a connection that failed silently.
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum time for one batch. A large reply that is given up while it comes has to be sent once more, over
+/// the same narrow link.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum time an idle connection is reused; see [`crate::client::MAX_IDLE`].
 const MAX_IDLE: Duration = Duration::from_secs(2);
 
@@ -93,9 +97,10 @@
 }
 
 struct Connection {
-    decoder: ResponseDecoder<Counted<TcpOwnedReadHalf>>,
-    encoder: GenericEncoder<Counted<TcpOwnedWriteHalf>>,
+    decoder: ResponseDecoder<Watched<Counted<TcpOwnedReadHalf>>>,
+    encoder: GenericEncoder<Watched<Counted<TcpOwnedWriteHalf>>>,
     last_used: std::time::Instant,
+    progress: Progress,
 }
 
 struct LinkTask {
@@ -158,9 +163,10 @@
                 .ok_or_else(unreachable)?,
         };
         self.tally.count_sent_messages(reqs.len());
-        let body = monoio::time::timeout(EXCHANGE_TIMEOUT, connection.post(buf))
+        let progress = connection.progress.clone();
+        let body = progress
+            .bound(connection.post(buf), STALL_TIMEOUT, EXCHANGE_TIMEOUT)
             .await
-            .ok()
             .flatten()
             .ok_or_else(no_answer)?;
         let replies: Vec<Rep> = rmp_serde::from_slice(&body).map_err(|e| {
@@ -183,11 +189,15 @@
         .ok()?
         .ok()?;
     stream.set_nodelay(true).ok()?;
+    let progress = Progress::new();
     let (r, w) = stream.into_split();
+    let r = Watched::new(Counted::new(r, tally.clone()), progress.clone());
+    let w = Watched::new(Counted::new(w, tally.clone()), progress.clone());
     Some(Connection {
-        decoder: ResponseDecoder::new(Counted::new(r, tally.clone())),
-        encoder: GenericEncoder::new(Counted::new(w, tally.clone())),
+        decoder: ResponseDecoder::new(r),
+        encoder: GenericEncoder::new(w),
         last_used: std::time::Instant::now(),
+        progress,
     })
 }
 
