Store: an answer that comes is not thrown away after 700 ms

What callers saw: daemons on a full link logged "the store's answer is not whole", and read the configuration again and again; one that starts on such a link is never ready. Cause: the body of an answer had 700 ms as a whole. A list of 362 KB, which 1,400 routes make, needs 290 ms of a link of 10 Mbit/s alone, and over 700 ms beside others. Change: 700 ms without a byte, and five seconds as a whole. The error says how many bytes had come, and what was exceeded. Conclusion: a list that comes is read to its end.

--- a/crates/lilaccrank-http/src/body.rs
+++ b/crates/lilaccrank-http/src/body.rs
@@ -38,6 +38,18 @@
     /// The connection failed before the end of the body.
     #[error("the body broke off: {0}")]
     Broken(#[from] hyper::Error),
+    /// Nothing came for too long, or the whole body took too long.
+    #[error(
+        "the body stopped after {received} bytes: nothing for {stall:?}, or not whole in {total:?}"
+    )]
+    Stalled {
+        /// Bytes that came.
+        received: usize,
+        /// Maximum time without data.
+        stall: Duration,
+        /// Maximum time for the whole body.
+        total: Duration,
+    },
     /// The body exceeds the size limit.
     #[error("the body is over the limit of {limit} bytes")]
     TooLarge {
@@ -134,13 +146,47 @@
 pub async fn read(mut body: Incoming, limit: usize) -> Result<Bytes> {
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame?.into_data() else {
-            continue;
-        };
-        if buf.len() + data.len() > limit {
-            return Err(Error::TooLarge { limit });
-        }
-        buf.extend_from_slice(&data);
+        append(&mut buf, frame?, limit)?;
     }
     Ok(buf.freeze())
 }
+
+/// Like [`read`], but gives up when nothing comes for `stall`, or when the body is not whole after `total`.
+///
+/// # Errors
+///
+/// Those of [`read`], and [`Error::Stalled`].
+pub async fn read_while_it_comes(
+    mut body: Incoming,
+    limit: usize,
+    stall: Duration,
+    total: Duration,
+) -> Result<Bytes> {
+    let until = Instant::now() + total;
+    let mut buf = BytesMut::new();
+    loop {
+        let wait = stall.min(until.saturating_duration_since(Instant::now()));
+        let received = buf.len();
+        let frame = monoio::time::timeout(wait, body.frame()).await;
+        let frame = frame.map_err(|_| Error::Stalled {
+            received,
+            stall,
+            total,
+        })?;
+        let Some(frame) = frame else {
+            return Ok(buf.freeze());
+        };
+        append(&mut buf, frame?, limit)?;
+    }
+}
+
+fn append(buf: &mut BytesMut, frame: Frame<Bytes>, limit: usize) -> Result<()> {
+    let Ok(data) = frame.into_data() else {
+        return Ok(());
+    };
+    if buf.len() + data.len() > limit {
+        return Err(Error::TooLarge { limit });
+    }
+    buf.extend_from_slice(&data);
+    Ok(())
+}
