Peers: contents of configurations have a connection of their own

What callers saw: after a large change, daemons took the watchers for silent ("no recent contact with the platform through peers") and read the whole configuration from the platform besides, over links that were full of it. Cause: announcements, polls of the watchers and whole configurations shared one connection to each peer, which answers one batch after the other. A poll waited for the configuration before it. Change: questions for contents of configurations go over a channel of their own, peer_transfers in the metrics. The lab's test of both ends' bytes counts it with the others; it is as strict as before. Conclusion: a daemon that loads a configuration goes on hearing from the peer that sends it.

--- a/crates/lilaccrank-lab/tests/suite/control.rs
+++ b/crates/lilaccrank-lab/tests/suite/control.rs
@@ -9,11 +9,12 @@
 
 const LIMIT: Duration = Duration::from_secs(8);
 /// Channels of calls to peers.
-const PEERS: [&str; 4] = [
+const PEERS: [&str; 5] = [
     "peer_configuration",
     "peer_copies",
     "peer_keys",
     "peer_pools",
+    "peer_transfers",
 ];
 
 async fn read(cluster: &Cluster) -> Vec<Control> {
--- a/crates/lilaccrankd/src/peers/network.rs
+++ b/crates/lilaccrankd/src/peers/network.rs
@@ -34,7 +34,7 @@
 /// the cycle.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 enum Channel {
-    /// Calls about configurations, which may be large.
+    /// News of configurations, and polls of the watchers.
     Configuration,
     /// Calls between holders of records, answered without calling another daemon.
     Copies,
@@ -44,6 +44,8 @@
     Paths,
     /// Calls about pools, slots, roll-outs and orders, answered without calling another daemon.
     Pools,
+    /// Contents of configurations. They may be large, and take seconds on a narrow link.
+    Transfers,
 }
 
 fn key_channel(req: &KeyRequest) -> Channel {
@@ -138,6 +140,7 @@
             Channel::Keys => &self.traffic.peer_keys,
             Channel::Paths => &self.traffic.peer_paths,
             Channel::Pools => &self.traffic.peer_pools,
+            Channel::Transfers => &self.traffic.peer_transfers,
         }
     }
 
@@ -163,7 +166,7 @@
 
 impl Peers<exchange::Ask, exchange::Answer> for PeerNetwork {
     async fn call(&self, vm: &VmId, req: exchange::Ask) -> Result<exchange::Answer> {
-        let reply = self.send(vm, Channel::Configuration, req.into()).await?;
+        let reply = self.send(vm, Channel::Transfers, req.into()).await?;
         reply.try_into().map_err(|_| Error::NoAnswer(vm.clone()))
     }
 }
--- a/crates/lilaccrankd/src/peers/traffic.rs
+++ b/crates/lilaccrankd/src/peers/traffic.rs
@@ -9,7 +9,7 @@
     pub gossip: Tally,
     /// Load on targets, over UDP.
     pub load_exchange: Tally,
-    /// Calls to peers about configurations and the list of VMs.
+    /// Calls to peers about news of configurations and of the platform.
     pub peer_configuration: Tally,
     /// Calls to peers about the backups of request keys.
     pub peer_copies: Tally,
@@ -21,6 +21,8 @@
     pub peer_pools: Tally,
     /// Calls from peers, of all kinds.
     pub peer_served: Tally,
+    /// Contents of configurations from peers.
+    pub peer_transfers: Tally,
     /// Calls to the platform.
     pub store: Tally,
     /// Records of where streams began, over UDP.
@@ -32,7 +34,7 @@
 impl Traffic {
     /// Returns each tally with the name of its channel in the metrics.
     #[must_use]
-    pub fn channels(&self) -> [(&'static str, &Tally); 11] {
+    pub fn channels(&self) -> [(&'static str, &Tally); 12] {
         [
             ("gossip", &self.gossip),
             ("load_exchange", &self.load_exchange),
@@ -42,6 +44,7 @@
             ("peer_paths", &self.peer_paths),
             ("peer_pools", &self.peer_pools),
             ("peer_served", &self.peer_served),
+            ("peer_transfers", &self.peer_transfers),
             ("store", &self.store),
             ("stream_origins", &self.stream_origins),
             ("target_reports", &self.target_reports),
