Configuration: a change is loaded once

What callers saw: as before. Cause: each announcement, poll and comparison that told of a newer configuration began a load of its own, of the same change and at the same time; on a slow link all of them are under way before the first has ended. Ruled out: nothing but one load ever. A peer whose link is far slower than others would hold a change up; a second one may begin beside it after one second. Change: a daemon loads one configuration at a time; whoever else holds a newer one is asked afterwards, if it is still wanted. A poll does not wait for the load that it leads to.

--- a/crates/lilaccrankd/src/configuration.rs
+++ b/crates/lilaccrankd/src/configuration.rs
@@ -8,8 +8,7 @@
 use futures::pin_mut;
 use lilaccrank::backoff;
 use lilaccrank::clock::Clock;
-use lilaccrank::configuration::exchange;
-use lilaccrank::configuration::manifest::{Identity, Standing};
+use lilaccrank::configuration::manifest::Identity;
 use lilaccrank::ids::VmId;
 use lilaccrank::peers::Peers;
 use lilaccrank::request_key::Ranking;
@@ -24,6 +23,7 @@
 pub mod in_force;
 pub mod native_source;
 pub mod platform_contact;
+pub mod pulls;
 pub mod source;
 
 /// Number of members that each daemon announces a new configuration to.
@@ -61,10 +61,7 @@
 
 /// Handles a peer's announcement; pulls the configuration if it is newer.
 pub fn handle_announcement(daemon: &Rc<Daemon>, announcement: Announcement) -> Done {
-    if daemon.adoption.wants(&announcement.identity) {
-        let daemon = Rc::clone(daemon);
-        monoio::spawn(async move { pull_configuration(&daemon, &announcement.vm).await });
-    }
+    pulls::pull_newer(daemon, &announcement.vm, &announcement.identity);
     Done
 }
 
@@ -239,12 +236,12 @@
         let live = daemon.membership.live();
         let others = live.members.iter().filter(|member| member.vm != me.vm);
         if let Some(member) = others.choose(&mut rand::rng()) {
-            pull_configuration(daemon, &member.vm).await;
+            pulls::compare_with(daemon, &member.vm).await;
         }
         if daemon.duties.is_watcher()
             && let Some(vm) = random_remote_daemon(daemon)
         {
-            pull_configuration(daemon, &vm).await;
+            pulls::compare_with(daemon, &vm).await;
         }
     }
 }
@@ -256,19 +253,3 @@
     let daemon = daemons.choose(&mut rand::rng())?;
     Some(daemon.peer.to_string())
 }
-
-/// Adopts the configuration of the daemon on `vm` if it is newer.
-pub(crate) async fn pull_configuration(daemon: &Daemon, vm: &VmId) {
-    let before = daemon.adoption.identity();
-    match exchange::take_from(&daemon.peers, vm, &daemon.adoption).await {
-        Ok(now) if standing(before.as_ref(), now.as_ref()) == Some(Standing::Newer) => {
-            log::info!("adopted a newer configuration from {vm}");
-        }
-        Ok(_) => {}
-        Err(e) => log::debug!("failed to get the configuration of {vm}: {e}"),
-    }
-}
-
-fn standing(before: Option<&Identity>, now: Option<&Identity>) -> Option<Standing> {
-    Some(now?.standing(before?))
-}
--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -14,7 +14,7 @@
 use lilaccrank_http::monoio_clock::MonoioClock;
 use rand::seq::IteratorRandom;
 
-use crate::configuration;
+use crate::configuration::pulls;
 use crate::daemon::Daemon;
 use crate::peers::message::{Feed, FeedRequest};
 use crate::rollouts::orders;
@@ -171,10 +171,8 @@
     if is_current {
         live_list::drop_removed(daemon, &reply.removed);
     }
-    if let Some(identity) = &reply.identity
-        && daemon.adoption.wants(identity)
-    {
-        configuration::pull_configuration(daemon, vm).await;
+    if let Some(identity) = &reply.identity {
+        pulls::pull_newer(daemon, vm, identity);
     }
     // Counted from the time of the request, so that transit time does not make it look fresher.
     let generation = |identity: Option<&Identity>| identity.map(|found| found.generation);
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::callers::refusal::Refusal;
 use crate::configuration::in_force::InForce;
 use crate::configuration::platform_contact::PlatformContact;
+use crate::configuration::pulls::Pulls;
 use crate::orders::manager::{self, OrderManager};
 use crate::peers::advisories::SharedAdvisories;
 use crate::peers::duties::Duties;
@@ -122,6 +123,8 @@
     pub platform: StoreClient,
     /// Adapters for callers, targets and the platform.
     pub ports: Ports,
+    /// Loads of configurations from peers.
+    pub pulls: Pulls,
     /// Client of the dispatchers.
     pub pool_client: PoolClient,
     /// Dispatchers that run here.
@@ -225,6 +228,7 @@
             peers,
             platform,
             ports,
+            pulls: Pulls::default(),
             pool_client: PoolClient::default(),
             pool_server: PoolServer::default(),
             report_client,
