Dispatch: a submission that has ended is not granted again

What callers saw: nothing wrong in their answers. A slot was taken for a request that was over, until the entry had declined the grant.

Cause: an entry whose call times out sends its submission again. If the dispatcher reads the copy only after the end of the first grant, it knows nothing of the submission any more and grants it anew. It could not tell the copy from a retry, since the numbers of the submissions began at 1 with each attempt. The same holds for a resync that is read late: a running request of it took a slot that nothing freed until the next resync.

Can it run a request twice? By reading, no: the entry alone sends, takes one verdict for each attempt, and a request that may run once gets another attempt only after one that has certainly not run. But a copy of an earlier attempt could answer the current one, without its exclusions and versions, and a late report or cancellation of an earlier attempt could end the grant of the current one. Numbers that don't repeat exclude both.

Change: the submissions of a daemon have different numbers over all attempts, and say so (has_unique_number). A grant that could not be delivered is withdrawn instead of ended, since its entry may ask again. Entries of an earlier release don't set the field and are treated as before.

--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -23,6 +23,7 @@
 mod deadline;
 mod delay;
 pub mod drain_rate;
+mod ended;
 pub mod estimate;
 mod fair;
 mod grants;
@@ -103,7 +104,7 @@
 
     /// Submits a request and waits for its verdict. Dropping the future cancels the submission. A
     /// repeated submission with a higher number replaces the earlier one; one with the same number
-    /// gets the same verdict.
+    /// gets the same verdict, or is refused if it has ended.
     pub async fn submit(&self, submission: Submission) -> Verdict {
         let (request, number) = (submission.request.clone(), submission.submission);
         let admission = self.state.borrow_mut().submit(submission, self.clock.now());
@@ -148,6 +149,13 @@
         state.cancel(&cancel.request, cancel.submission, now);
     }
 
+    /// Ends a grant that has not reached its entry daemon, which may submit the request again with the
+    /// same number.
+    pub fn withdraw(&self, request: &str, submission: SubmissionNumber) {
+        let now = self.clock.now();
+        self.state.borrow_mut().withdraw(request, submission, now);
+    }
+
     /// Processes an entry daemon's report on a granted request.
     pub fn report(&self, report: &Report) {
         self.state.borrow_mut().report(report, self.clock.now());
--- a/crates/lilaccrank/src/dispatch/admission.rs
+++ b/crates/lilaccrank/src/dispatch/admission.rs
@@ -39,7 +39,10 @@
             .get(&submission.request)
             .map(|grant| grant.submission);
         let newest = waiting.max(granted);
-        if newest > Some(submission.submission) {
+        let has_ended = self
+            .ended
+            .contains(&submission.request, submission.submission);
+        if has_ended || newest > Some(submission.submission) {
             return Admission::Decided(state::refuse(&submission, ErrorKind::Cancelled, None));
         }
         if waiting == Some(submission.submission) {
@@ -69,11 +72,11 @@
     /// Cancels the submission with this number and all earlier ones of the request, waiting or
     /// granted.
     pub(super) fn cancel(&mut self, request: &str, submission: SubmissionNumber, now: Instant) {
-        if self
-            .waiting
-            .get(request)
-            .is_some_and(|w| w.submission.submission <= submission)
-        {
+        let waiting = self.waiting.get(request).map(|w| &w.submission);
+        if let Some(waiting) = waiting.filter(|waiting| waiting.submission <= submission) {
+            if waiting.has_unique_number {
+                self.ended.record(request, submission, now);
+            }
             self.refuse(request, ErrorKind::Cancelled, None);
         }
         if self
@@ -81,7 +84,7 @@
             .get(request)
             .is_some_and(|r| r.submission <= submission)
         {
-            self.release(request, now);
+            self.end(request, now);
         }
         self.dispatch(now);
     }
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -8,7 +8,7 @@
 use super::delay::DELAY_SCAN_LIMIT;
 use super::fair::Position;
 use super::health::Health;
-use super::message::{Entry, Unmeetable};
+use super::message::{Entry, SubmissionNumber, Unmeetable};
 use super::queue::{Priority, RequestClass};
 use super::sharing::Observation;
 use super::state::{ActiveGrant, State, Waiting, work};
@@ -99,6 +99,23 @@
         Some(active_grant)
     }
 
+    /// Ends a grant for good: a late copy of its submission is not granted again.
+    pub(super) fn end(&mut self, request: &str, now: Instant) -> Option<ActiveGrant> {
+        let active_grant = self.release(request, now)?;
+        if active_grant.has_unique_number {
+            self.ended.record(request, active_grant.submission, now);
+        }
+        Some(active_grant)
+    }
+
+    /// Ends a grant that has not reached its entry daemon.
+    pub(super) fn withdraw(&mut self, request: &str, submission: SubmissionNumber, now: Instant) {
+        if self.is_granted(request, submission) {
+            self.release(request, now);
+            self.dispatch(now);
+        }
+    }
+
     /// Records a grant and its load on the target.
     pub(super) fn reserve(&mut self, waiting: &Waiting, choice: &Choice, now: Instant) {
         let submission = &waiting.submission;
@@ -136,6 +153,7 @@
                 incarnation: submission.entry_incarnation,
                 vm: submission.entry.clone(),
             },
+            has_unique_number: submission.has_unique_number,
             expected: Duration::try_from_secs_f64(choice.earliest_completion)
                 .unwrap_or(Duration::MAX),
             granted: now,
--- a/crates/lilaccrank/src/dispatch/message.rs
+++ b/crates/lilaccrank/src/dispatch/message.rs
@@ -21,6 +21,10 @@
     /// Number of this submission.
     #[serde(rename = "ask")]
     pub submission: SubmissionNumber,
+    /// Set if no other submission of the request has this number, so that a late copy of an ended one is
+    /// not taken for a new one. Older entry daemons number the submissions of each attempt from 1.
+    #[serde(default)]
+    pub has_unique_number: bool,
     /// Where the stream began, if the caller already has a part of it.
     #[serde(default)]
     pub origin: Origin,
--- a/crates/lilaccrank/src/dispatch/recovery.rs
+++ b/crates/lilaccrank/src/dispatch/recovery.rs
@@ -129,6 +129,9 @@
 
     fn take_over_running(&mut self, running: Running, now: Instant) {
         let request = running.submission.request.clone();
+        if self.ended.contains(&request, running.submission.submission) {
+            return;
+        }
         let granted = self.active_grants.get_mut(&request);
         if let Some(granted) =
             granted.filter(|granted| granted.submission >= running.submission.submission)
@@ -179,8 +182,10 @@
             .active_grants
             .get(&submission.request)
             .map(|granted| granted.submission);
-        let known = waiting.max(granted) >= Some(submission.submission);
-        if known {
+        let has_ended = self
+            .ended
+            .contains(&submission.request, submission.submission);
+        if has_ended || waiting.max(granted) >= Some(submission.submission) {
             return;
         }
         self.refuse(&submission.request, ErrorKind::Cancelled, None);
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -211,7 +211,7 @@
     }
 
     fn finish_request(&mut self, request: &str, decoded: u32, outcome: Outcome, now: Instant) {
-        let Some(active_grant) = self.release(request, now) else {
+        let Some(active_grant) = self.end(request, now) else {
             return;
         };
         if outcome == Outcome::Complete {
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -13,6 +13,7 @@
 use super::deadline::Capacity;
 use super::delay::Delay;
 use super::drain_rate::DrainRate;
+use super::ended::EndedSubmissions;
 use super::inflight::InflightPrefixes;
 use super::limits::{CounterKey, Limits};
 use super::message::{Entry, Grant, Refuse, Submission, SubmissionNumber, Unmeetable, Verdict};
@@ -93,6 +94,7 @@
     pub(super) prefill_ahead: u64,
     pub(super) counter_key: Option<CounterKey>,
     pub(super) entry: Entry,
+    pub(super) has_unique_number: bool,
     /// Completion time that was checked against the deadline.
     pub(super) expected: Duration,
     pub(super) granted: Instant,
@@ -120,6 +122,7 @@
     pub(super) cache_miss_ratio: f64,
     pub(super) cfg: Config,
     pub(super) drain: DrainRate,
+    pub(super) ended: EndedSubmissions,
     pub(super) handover: Option<Handover>,
     /// Average fraction of `max_tokens` that answers use.
     pub(super) length_ratio: f64,
@@ -152,6 +155,7 @@
             cache_miss_ratio: 1.0,
             drain: DrainRate::new(jitter_seed(&cfg), now),
             cfg,
+            ended: EndedSubmissions::default(),
             handover: None,
             length_ratio: INITIAL_LENGTH_RATIO,
             limits: Limits::default(),
--- a/crates/lilaccrank/tests/suite/dispatch_faults.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_faults.rs
@@ -153,14 +153,44 @@
 
 // Guards against a request that waits forever: the grant could not be delivered, and the entry, which has
 // none, repeats its submission.
+macro_rules! grant_not_delivered {
+    ($($name:ident: |$harness:ident| $lose:block;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut $harness = harness(&[1]);
+            $harness.submit(submission("lost", 0));
+            $harness.verdicts();
+            $lose
+            assert_eq!($harness.dispatcher.status().running, 0);
+            $harness.submit(submission("lost", 0));
+            assert_eq!($harness.grants(), granted("lost", "t0"));
+        }
+    )*};
+}
+
+grant_not_delivered! {
+    submission_whose_grant_expired_is_granted_again: |harness| {
+        harness.advance(Duration::from_secs(11));
+    };
+    submission_whose_grant_is_withdrawn_is_granted_again: |harness| {
+        harness.dispatcher.withdraw("lost", 1);
+    };
+}
+
+// Guards against a retry that waits forever at an entry of an earlier release, which numbers the submissions
+// of each attempt from 1.
 #[test]
-fn submission_whose_grant_expired_is_granted_again() {
+fn retry_of_an_entry_without_unique_numbers_is_granted() {
     let mut harness = harness(&[1]);
-    harness.submit(submission("lost", 0));
+    let submission = Submission {
+        has_unique_number: false,
+        ..submission("retried", 0)
+    };
+    harness.submit(submission.clone());
+    harness.end("retried", "t0");
     harness.verdicts();
-    harness.advance(Duration::from_secs(11));
-    harness.submit(submission("lost", 0));
-    assert_eq!(harness.grants(), granted("lost", "t0"));
+    harness.submit(submission);
+    assert_eq!(harness.grants(), granted("retried", "t0"));
 }
 
 // Guards against a request that waits forever: its entry lost the answer and repeats the call with
--- a/crates/lilaccrank/tests/suite/dispatch_harness.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_harness.rs
@@ -199,6 +199,7 @@
         customer: "hotel".to_owned(),
         entry: "vm2".to_owned(),
         entry_incarnation: 1,
+        has_unique_number: true,
         max_tokens: 100,
         prompt_tokens: 100,
         request: request.to_owned(),
--- a/crates/lilaccrankd/src/pools/client/outstanding.rs
+++ b/crates/lilaccrankd/src/pools/client/outstanding.rs
@@ -1,12 +1,12 @@
 //! Requests of this daemon at the pools, from the first submission to the end.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::time::Instant;
 
 use futures::channel::oneshot;
 use indexmap::IndexMap;
 use lilaccrank::dispatch::message::{
-    Entry, Refuse, ReportKind, Resync, Running, Submission, Verdict,
+    Entry, Refuse, ReportKind, Resync, Running, Submission, SubmissionNumber, Verdict,
 };
 use lilaccrank::dispatch::queue::Priority;
 use lilaccrank::document::Document;
@@ -23,6 +23,8 @@
 pub struct PoolClient {
     /// The dispatcher that last received a resync, by pool.
     pub(super) dispatchers: RefCell<IndexMap<PoolId, MemberRef>>,
+    /// Number of the last submission of this daemon.
+    last_submission: Cell<SubmissionNumber>,
     /// The incarnation of this daemon in that resync.
     pub(super) me: RefCell<Option<MemberRef>>,
     requests: RefCell<IndexMap<RequestId, Outstanding>>,
@@ -106,7 +108,10 @@
             running: None,
             verdict: Some(verdict),
             wait_until: submission.wait_at_most.map(|remaining| now + remaining),
-            submission,
+            submission: Submission {
+                has_unique_number: true,
+                ..submission
+            },
         };
         let request = outstanding.submission.request.clone();
         self.requests.borrow_mut().insert(request, outstanding);
@@ -159,7 +164,7 @@
             return None;
         }
         let dispatcher = daemon.duties.dispatcher(&outstanding.pool)?;
-        outstanding.assign_to(&dispatcher, &daemon.duties.me());
+        outstanding.assign_to(&dispatcher, &daemon.duties.me(), &self.last_submission);
         let submission = outstanding.submission.clone();
         Some((outstanding.pool.clone(), dispatcher, submission))
     }
@@ -192,7 +197,7 @@
                     target: on.target.clone(),
                 });
             } else {
-                outstanding.assign_to(dispatcher, &me);
+                outstanding.assign_to(dispatcher, &me, &self.last_submission);
                 waiting.push(outstanding.submission.clone());
             }
         }
@@ -211,11 +216,20 @@
 impl Outstanding {
     /// Assigns the submission to `dispatcher`. Asking another dispatcher invalidates the earlier
     /// submission.
-    fn assign_to(&mut self, dispatcher: &MemberRef, me: &MemberRef) {
+    ///
+    /// All submissions of this daemon have different numbers. Numbers that begin anew with each attempt
+    /// would take a late message on an earlier attempt for one on the current attempt.
+    fn assign_to(
+        &mut self,
+        dispatcher: &MemberRef,
+        me: &MemberRef,
+        last_submission: &Cell<SubmissionNumber>,
+    ) {
         let is_other_dispatcher = self.dispatcher.as_ref() != Some(dispatcher);
         let is_new_incarnation = self.submission.entry_incarnation != me.incarnation;
         if is_other_dispatcher || is_new_incarnation {
-            self.submission.submission += 1;
+            self.submission.submission = last_submission.get() + 1;
+            last_submission.set(self.submission.submission);
             self.submission.entry_incarnation = me.incarnation;
             self.dispatcher = Some(dispatcher.clone());
         }
--- a/crates/lilaccrankd/src/pools/server/verdicts.rs
+++ b/crates/lilaccrankd/src/pools/server/verdicts.rs
@@ -20,6 +20,16 @@
 /// Delay between two attempts.
 const DELIVERY_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// What became of a verdict on its way to the entry.
+enum Delivery {
+    /// The entry uses it.
+    Accepted,
+    /// The entry has no use for it: it is not for the last submission of a request that waits.
+    Declined,
+    /// The entry has not answered, and may ask again.
+    Failed,
+}
+
 /// Decides on a submission and delivers the verdict.
 pub(super) fn spawn_decide(daemon: &Rc<Daemon>, served: &Rc<ServedPool>, submission: Submission) {
     monoio::spawn(decide(Rc::clone(daemon), Rc::clone(served), submission));
@@ -56,17 +66,20 @@
             record_grant(&daemon, &served, grant);
         }
     }
-    let is_used = deliver(&daemon, &served, &entry, &verdict).await;
+    let delivery = deliver(&daemon, &served, &entry, &verdict).await;
     let Verdict::Grant(grant) = verdict else {
         return;
     };
-    let kind = if is_used {
-        ReportKind::Began
-    } else {
-        ReportKind::Ended {
+    let kind = match delivery {
+        Delivery::Accepted => ReportKind::Began,
+        Delivery::Declined => ReportKind::Ended {
             decoded: 0,
             outcome: Outcome::Unused,
             prefill: None,
+        },
+        Delivery::Failed => {
+            let dispatcher = &served.dispatcher;
+            return dispatcher.withdraw(&grant.request, grant.submission);
         }
     };
     served.dispatcher.report(&Report {
@@ -88,9 +101,17 @@
     daemon.record(EventKind::Granted, subject);
 }
 
-async fn deliver(daemon: &Rc<Daemon>, served: &ServedPool, entry: &str, verdict: &Verdict) -> bool {
+async fn deliver(
+    daemon: &Rc<Daemon>,
+    served: &ServedPool,
+    entry: &str,
+    verdict: &Verdict,
+) -> Delivery {
     if entry == daemon.cfg.vm {
-        return client::on_verdict(daemon, &served.me, verdict.clone());
+        return match client::on_verdict(daemon, &served.me, verdict.clone()) {
+            true => Delivery::Accepted,
+            false => Delivery::Declined,
+        };
     }
     for _ in 0..DELIVERY_ATTEMPTS {
         let req = PoolRequest {
@@ -101,10 +122,10 @@
             pool: served.pool.clone(),
         };
         match daemon.peers.call(&entry.to_owned(), req).await {
-            Ok(PoolReply::Accepted { .. }) => return true,
-            Ok(PoolReply::Declined) => return false,
+            Ok(PoolReply::Accepted { .. }) => return Delivery::Accepted,
+            Ok(PoolReply::Declined) => return Delivery::Declined,
             Err(_) => monoio::time::sleep(DELIVERY_RETRY_DELAY).await,
         }
     }
-    false
+    Delivery::Failed
 }
