Takeover: a run goes on until the next one has brought its first event

What callers saw: a stream of a route that may be resumed is closed in its middle although its worker goes on, is well and is reached again before the deadline.

Cause: a run was dropped before anything replaced it. A path that was lost and a list that named a later life of the target ended the run at once, and a migration ended it with the grant, before the next target had answered. If that refused (503), failed, sent nothing, or if no slot was free, the caller lost what it had.

Change: all three are causes of a takeover (request/takeover.rs). The run in progress is read on while another target is asked for and while the next run is sent. The first event of the next run decides (request/race.rs), or, where only the path was lost, one of the run before; the other is dropped then. Parts are claimed before they are delivered, so none is delivered by both. If the next run is refused or fails, the run goes on and another takeover is tried a second later at the earliest, within attempts and retry budget; at most two targets may turn it away. If the run before fails meanwhile, the next one carries on. A request that may not run again and whose target has started again still ends at once if its caller has nothing, and is read on if it has. Submissions for takeovers have numbers, since a request may have more than one. The log tells of each takeover: asked (cause, why), refused (why), won, and not needed.

Ruled out: that the second run shows at another place. 503, 500, a closed connection, a head without events, silence and no free slot are cases of the test, each for a lost path, and for restarts and migrations where they apply.

--- a/crates/lilaccrankd/src/request/execution.rs
+++ b/crates/lilaccrankd/src/request/execution.rs
@@ -8,7 +8,8 @@
 
 use lilaccrank::attempts::Failure;
 use lilaccrank::clock::Clock;
-use lilaccrank::dispatch::message::{PartialAnswer, Refuse};
+use lilaccrank::dispatch::message::{PartialAnswer, Refuse, Submission};
+use lilaccrank::ids::RequestId;
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank::timeline::EventKind;
 use lilaccrank_http::monoio_clock::MonoioClock;
@@ -22,8 +23,7 @@
 use crate::request::key_state::KeyState;
 use crate::request::lifecycle::{self, RoutedRequest};
 use crate::request::pool_retry_budgets::RetryPermit;
-use crate::request::send::SendError;
-use crate::request::send_history::SendHistory;
+use crate::request::send_history::{PriorSends, SendHistory};
 use crate::request::spill;
 use crate::rollouts::lane::LaneUse;
 use crate::targets::forward::SendFailure;
@@ -62,7 +62,7 @@
     KeyOrSpill,
 }
 
-impl Execution<'_> {
+impl<'a> Execution<'a> {
     /// Sends the request until it succeeds, fails for good or is spilled.
     ///
     /// # Errors
@@ -70,13 +70,9 @@
     /// The refusal for the caller.
     pub async fn run(&mut self) -> Result<()> {
         let (daemon, routed) = (self.daemon, self.routed);
-        let mut migration_grant = None;
         daemon.retry_budgets.record_request(&routed.route.pool);
         loop {
-            let granted = match migration_grant.take() {
-                Some(grant) => Ok(grant),
-                None => self.next_grant().await,
-            };
+            let granted = self.next_grant().await;
             // Meanwhile, other daemons may have reported crashes of targets under this content.
             let granted = granted.and_then(|grant| self.check_sendable().map(|()| grant));
             let grant = match granted {
@@ -88,21 +84,13 @@
                 }
             };
             self.mark_key(KeyState::mark).await?;
-            let target = grant.target.clone();
-            match self.send(grant).await {
-                Ok(()) => {
-                    routed.record_completion(daemon, &target, &self.history.delivered);
-                    return Ok(());
-                }
-                Err(SendError::Migrated(grant)) => {
-                    self.history.record_migration(target);
-                    migration_grant = Some(grant);
-                }
-                Err(SendError::Failed(failed)) => {
-                    if let Some(ended) = self.record_failure(target, failed) {
-                        return ended;
-                    }
-                }
+            let (target, ended) = self.send(grant).await;
+            let Err(failed) = ended else {
+                routed.record_completion(daemon, &target, &self.history.delivered);
+                return Ok(());
+            };
+            if let Some(result) = self.record_failure(target, failed) {
+                return result;
             }
         }
     }
@@ -124,7 +112,7 @@
     }
 
     /// Checks that the request is not known to crash targets.
-    fn check_sendable(&self) -> Result<()> {
+    pub(super) fn check_sendable(&self) -> Result<()> {
         self.routed.check_quarantine(self.daemon)?;
         match self.history.is_unsent() {
             true => Ok(()),
@@ -152,10 +140,7 @@
         failed: SendFailure,
     ) -> Option<Result<()>> {
         let (daemon, routed) = (self.daemon, self.routed);
-        if failed.refusal.connection_lost {
-            let delivered = &self.history.delivered;
-            routed.record_lost_connection(daemon, &target, delivered, failed.is_path_fault);
-        }
+        self.record_lost_connection(&target, &failed);
         let may_repeat =
             self.cancellation.check().is_ok() && !failed.refusal.kind.is_unrelated_to_target();
         let retry = &mut self.retry;
@@ -169,6 +154,19 @@
             .record_failure(routed, target, failed, self.buffer, take_repeat)
     }
 
+    /// Records that the connection to a target was lost, if it was, as evidence of a crash.
+    pub(super) fn record_lost_connection(&self, target: &TargetInstance, failed: &SendFailure) {
+        if failed.refusal.connection_lost {
+            let delivered = &self.history.delivered;
+            self.routed.record_lost_connection(
+                self.daemon,
+                target,
+                delivered,
+                failed.is_path_fault,
+            );
+        }
+    }
+
     async fn mark_key(
         &mut self,
         mark: impl AsyncFnOnce(KeyState) -> Result<KeyState>,
@@ -186,17 +184,25 @@
         if self.history.prior.origin.is_new() {
             self.history.prior.origin = self.routed.origin(self.daemon).await?;
         }
-        self.wait_for_grant().await
+        let prior = self.history.prior.clone();
+        let partial = self.partial_answer();
+        self.wait_for_grant(&self.routed.id, &prior, partial).await
     }
 
-    async fn wait_for_grant(&mut self) -> Result<HeldGrant> {
+    /// Waits for the grant of a target, by a submission with this id.
+    pub(super) async fn wait_for_grant(
+        &mut self,
+        id: &RequestId,
+        prior: &PriorSends,
+        partial: Option<PartialAnswer>,
+    ) -> Result<HeldGrant> {
         let (daemon, routed) = (self.daemon, self.routed);
         routed.check_quarantine(daemon)?;
         daemon.record(
             EventKind::Asked,
             routed.subject(routed.route.pool.clone(), None),
         );
-        let granted = self.submit().await;
+        let granted = self.submit(id, prior, partial).await;
         let grant = granted.map_err(|refuse| dispatch_refusal::refusal(daemon, &refuse))?;
         log::info!(
             abandoned_ms = lifecycle::log_ms(self.buffer.abandoned_for()),
@@ -218,14 +224,21 @@
 
     /// Submits the request to the dispatcher, and once more for an old version if it was to try a new
     /// one that has no target for it.
-    async fn submit(&mut self) -> Result<HeldGrant, Refuse> {
+    async fn submit(
+        &mut self,
+        id: &RequestId,
+        prior: &PriorSends,
+        partial: Option<PartialAnswer>,
+    ) -> Result<HeldGrant, Refuse> {
         let (daemon, routed) = (self.daemon, self.routed);
-        let origin = self.history.prior.origin;
         // The earlier choice ends first, or it would count twice.
         self.lane = None;
-        self.lane = LaneUse::choose(daemon, routed, origin, !self.history.is_unsent());
+        self.lane = LaneUse::choose(daemon, routed, prior.origin, !self.history.is_unsent());
         loop {
-            let submission = routed.ask(daemon, &self.history.prior, self.partial_answer());
+            let submission = Submission {
+                request: id.clone(),
+                ..routed.ask(daemon, prior, partial)
+            };
             let submission = match &self.lane {
                 Some(lane) => lane.restrict(submission),
                 None => submission,
@@ -239,13 +252,10 @@
     }
 
     /// Describes the part of an interrupted answer that the caller has; `None` if it has no tokens.
-    fn partial_answer(&self) -> Option<PartialAnswer> {
+    pub(super) fn partial_answer(&self) -> Option<PartialAnswer> {
         let tokens_in_event = self.daemon.tokens_in_event(&self.routed.route.pool);
-        let tokens = self
-            .history
-            .delivered
-            .events
-            .saturating_mul(tokens_in_event);
+        let events = self.history.delivered.events();
+        let tokens = events.saturating_mul(tokens_in_event);
         (tokens > 0).then_some(PartialAnswer {
             remaining: None,
             tokens,
--- a/crates/lilaccrankd/src/request/quarantine.rs
+++ b/crates/lilaccrankd/src/request/quarantine.rs
@@ -83,7 +83,7 @@
         let exchange = &daemon.load_exchange;
         let advisories = &daemon.advisories;
         advisories.record_completion(self.content_digest(), exchange);
-        if delivered.events > 0 || !self.route.terms.stream {
+        if delivered.events() > 0 || !self.route.terms.stream {
             advisories.record_proven_parts(&self.caller.shared_parts, exchange);
         }
     }
--- a/crates/lilaccrankd/src/request/send_history.rs
+++ b/crates/lilaccrankd/src/request/send_history.rs
@@ -6,7 +6,7 @@
 use derive_more::Display;
 use lilaccrank::attempts::{Attempts, Failure, RetryPolicy};
 use lilaccrank::error_kind::Executed;
-use lilaccrank::ids::ContentDigest;
+use lilaccrank::ids::{ContentDigest, RequestId};
 use lilaccrank::software_version::Origin;
 use lilaccrank::target_instance::TargetInstance;
 
@@ -16,6 +16,9 @@
 use crate::request::lifecycle::{self, RoutedRequest};
 use crate::targets::forward::{Delivered, SendFailure};
 
+/// What stands between the id of a request and the number of a submission for a takeover.
+const TAKEOVER_SUFFIX: char = '+';
+
 /// Earlier sends, as far as they matter for the next ask for a target.
 #[derive(Clone, Debug)]
 pub struct PriorSends {
@@ -34,6 +37,10 @@
     attempts: Attempts,
     /// Who ended the last run before its answer was complete.
     pub ended_by: Option<EndedBy>,
+    /// Set once other targets have turned the request away as often as one may be tried.
+    has_given_up: bool,
+    /// Number of times that another target was asked for to take over.
+    takeovers: u32,
     /// Target that the request is being sent to, or that works on it.
     sent_to: Option<TargetInstance>,
     /// Earlier sends, for the next ask.
@@ -58,6 +65,8 @@
             answer: None,
             attempts: Attempts::new(allowed),
             ended_by: None,
+            has_given_up: false,
+            takeovers: 0,
             sent_to: None,
             prior: PriorSends {
                 origin: Origin::New,
@@ -81,16 +90,19 @@
         self.attempts.clone().record_failure(Failure::BrokenOff)
     }
 
-    /// Returns a function that tells whether the request may be sent again if its answer is given up.
-    pub fn can_retry<'a>(&self, buffer: &'a AnswerBuffer) -> impl Fn() -> bool + use<'a> {
-        let attempts = self.attempts;
-        move || {
-            let failure = match buffer.has_head() {
-                true => Failure::BrokenOff,
-                false => Failure::Failed,
-            };
-            attempts.clone().record_failure(failure)
-        }
+    /// Returns `true` if another target may run the request while one runs it.
+    #[must_use]
+    pub fn may_take_over(&self, buffer: &AnswerBuffer) -> bool {
+        // Without the id of an event, the next target could not go on after it.
+        let can_go_on = self.delivered.events() == 0 || self.delivered.last_event().is_some();
+        can_go_on && !self.has_given_up && self.attempts.clone().record_failure(given_up(buffer))
+    }
+
+    /// Id for the next submission for a takeover. It distinguishes the submission from the one whose
+    /// grant the request still holds.
+    pub fn next_takeover_id(&mut self, request: &RequestId) -> RequestId {
+        self.takeovers += 1;
+        format!("{request}{TAKEOVER_SUFFIX}{}", self.takeovers)
     }
 
     /// Records that the request is about to be sent. From now on the target may run it.
@@ -136,6 +148,40 @@
         self.attempts.record_failure(Failure::BrokenOff);
     }
 
+    /// Records that a run failed, or was given up, while another one goes on.
+    pub fn record_replaced(
+        &mut self,
+        routed: &RoutedRequest,
+        target: TargetInstance,
+        failed: SendFailure,
+        buffer: &AnswerBuffer,
+    ) {
+        self.has_given_up |=
+            !self.attempts.record_failure(failed.failure) && failed.failure.is_not_run();
+        log_failure(
+            routed,
+            &target,
+            &failed,
+            Repeat::Made,
+            self.delivered.began_at,
+            buffer,
+        );
+        if !failed.refusal.is_own_stop {
+            self.prior.exclusions.push(target);
+        }
+        self.prior.waiting_since = Instant::now();
+        self.ended_by = Some(failed.ended_by);
+        if failed.answer.is_some() {
+            self.answer = failed.answer;
+        }
+    }
+
+    /// Records that a run that was to take over was ended, since the one before goes on.
+    pub fn record_withdrawn(&mut self, target: TargetInstance, buffer: &AnswerBuffer) {
+        self.prior.exclusions.push(target);
+        self.attempts.record_failure(given_up(buffer));
+    }
+
     /// Records a failed send. Returns the result of the request, or `None` if it is to be sent
     /// again, which `take_repeat` must allow.
     pub fn record_failure(
@@ -243,6 +289,14 @@
     );
 }
 
+/// How a run fails that is given up now.
+fn given_up(buffer: &AnswerBuffer) -> Failure {
+    match buffer.has_head() {
+        true => Failure::BrokenOff,
+        false => Failure::Failed,
+    }
+}
+
 fn hex_list(digests: &[ContentDigest]) -> String {
     let digests = digests.iter().map(|digest| format!("{digest:016x}"));
     digests.collect::<Vec<_>>().join(",")
--- a/crates/lilaccrankd/src/request/send_observer.rs
+++ b/crates/lilaccrankd/src/request/send_observer.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use lilaccrank::dispatch::message::ReportKind;
+use event_listener::Event;
+use lilaccrank::dispatch::message::{Outcome, ReportKind};
 use lilaccrank::document::Target;
 use lilaccrank::ids::{ContentDigest, PoolId};
 use lilaccrank::software_version::VersionDigest;
@@ -15,6 +16,7 @@
 use crate::pools::client::HeldGrant;
 use crate::request::execution::Execution;
 use crate::request::lifecycle;
+use crate::request::race::{Race, Side};
 use crate::rollouts::send_record::SendRecord;
 use crate::targets::engine_run::Observer;
 use crate::targets::forward;
@@ -29,6 +31,10 @@
     pub daemon: Rc<Daemon>,
     /// Grant of the target.
     pub grant: HeldGrant,
+    /// Notified when a part of the answer arrives.
+    arrived: Event,
+    /// The race that decides whether this run delivers the answer.
+    race: RefCell<Option<(Rc<Race>, Side)>>,
     reported_tokens: Cell<u32>,
     last_report_at: Cell<Instant>,
     /// Parts of the prompt, until the target has gone on with the answer.
@@ -61,10 +67,12 @@
         let delivered = &execution.history.delivered;
         let version = VersionDigest::of(target);
         let origin = execution.history.prior.origin.after(version);
-        let earlier_tokens = delivered.events.saturating_mul(tokens_in_event);
+        let earlier_tokens = delivered.events().saturating_mul(tokens_in_event);
         Self {
             daemon: Rc::clone(daemon),
             grant,
+            arrived: Event::new(),
+            race: RefCell::default(),
             reported_tokens: Cell::new(0),
             last_report_at: Cell::new(Instant::now()),
             unproven_parts: RefCell::new(routed.caller.shared_parts.clone()),
@@ -88,6 +96,29 @@
         self.stream_progress.get()
     }
 
+    /// Ends the run and releases its slot.
+    pub(super) fn end(&self, outcome: Outcome, decoded: u32, prefill: Option<u32>) {
+        // A pause controls the flow; it is no error of the target.
+        let outcome = match self.was_pushed_back.get() {
+            true => Outcome::Unused,
+            false => outcome,
+        };
+        if let Some(record) = &self.rollout {
+            record.end(outcome);
+        }
+        self.grant.finish(outcome, decoded, prefill);
+    }
+
+    /// Makes the delivery of the answer depend on a race.
+    pub fn enter(&self, race: &Rc<Race>, side: Side) {
+        self.race.replace(Some((Rc::clone(race), side)));
+    }
+
+    /// Completes when the next part of the answer arrives.
+    pub async fn event_arrived(&self) {
+        self.arrived.listen().await;
+    }
+
     /// Records that no part of the prompt crashes targets, once the answer has gone on for long enough.
     fn prove_parts(&self, now: Instant) {
         let since_first = self.first_event_at.get().map(|first| now - first);
@@ -140,6 +171,12 @@
 }
 
 impl forward::Observer for SendObserver {
+    fn claim(&self) -> bool {
+        self.arrived.notify(usize::MAX);
+        let race = self.race.borrow();
+        race.as_ref().is_none_or(|(race, side)| race.claim(*side))
+    }
+
     fn brittleness(&self, limit: Option<u32>) {
         let daemon = &self.daemon;
         let target = &self.grant.target;
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -30,7 +30,7 @@
 pub use delivered::Delivered;
 pub use failure::SendFailure;
 
-use failure::{broken, failed, lost};
+use failure::{broken, failed, lost, overtaken};
 
 /// Result of one send.
 pub type Result<T, E = SendFailure> = std::result::Result<T, E>;
@@ -59,6 +59,10 @@
 
 /// Observes an answer while it arrives.
 pub trait Observer {
+    /// Called before a part of the answer is forwarded. Returns `false` if another run delivers the
+    /// answer by now.
+    fn claim(&self) -> bool;
+
     /// Called for each event; `first` for the first one.
     fn event(&self, first: bool, since_sent: Duration);
 
@@ -234,6 +238,9 @@
                 held_back.extend_from_slice(&data);
             }
             if !has_begun && held_back.len() > HOLD_BACK_LIMIT {
+                if !self.observer.claim() {
+                    return Err(overtaken());
+                }
                 has_begun = true;
                 self.buffer.set_head(forwarded_head(&head));
                 self.buffer.push(held_back.split().freeze());
@@ -244,6 +251,9 @@
         }
         meter.stop();
         if !has_begun {
+            if !self.observer.claim() {
+                return Err(overtaken());
+            }
             self.buffer.set_head(forwarded_head(&head));
             self.buffer.push(held_back.freeze());
         }
@@ -286,6 +296,9 @@
                 .next_event()
                 .map_err(|e| delivered.broken(&e.to_string()))?
             {
+                if !self.observer.claim() {
+                    return Err(overtaken());
+                }
                 if !delivered.is_next(event.id.as_deref()) {
                     continue;
                 }
@@ -308,6 +321,9 @@
         if event_count == 0 && ends_with_connection(&head) {
             return Err(delivered.lost("the stream ended before its first event"));
         }
+        if !self.observer.claim() {
+            return Err(overtaken());
+        }
         self.buffer.set_head(forwarded_head(&head));
         Ok(())
     }
--- a/crates/lilaccrankd/src/targets/forward/delivered.rs
+++ b/crates/lilaccrankd/src/targets/forward/delivered.rs
@@ -1,5 +1,7 @@
 //! How much of an answer a caller has got.
 
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::time::Instant;
 
 use lilaccrank::error_kind::ErrorKind;
@@ -15,13 +17,38 @@
     /// Set if the last answer was delimited by the end of its connection, which a crash causes as
     /// well.
     pub ended_with_connection: bool,
-    /// Number of events delivered.
-    pub events: u32,
-    /// Id of the last event delivered.
-    pub last_event: Option<String>,
+    received: Rc<Received>,
+}
+
+/// What the caller has, from all runs.
+#[derive(Debug, Default)]
+struct Received {
+    events: Cell<u32>,
+    last_event: RefCell<Option<String>>,
 }
 
 impl Delivered {
+    /// The same part of the answer, for a further run, which adds to it.
+    #[must_use]
+    pub fn for_run(&self) -> Self {
+        Self {
+            received: Rc::clone(&self.received),
+            ..Self::default()
+        }
+    }
+
+    /// Number of events delivered.
+    #[must_use]
+    pub fn events(&self) -> u32 {
+        self.received.events.get()
+    }
+
+    /// Id of the last event delivered.
+    #[must_use]
+    pub fn last_event(&self) -> Option<String> {
+        self.received.last_event.borrow().clone()
+    }
+
     /// Returns `true` if the target has gone on with the answer of the last send after its beginning.
     #[must_use]
     pub fn has_gone_on(&self) -> bool {
@@ -31,7 +58,8 @@
     /// Returns `true` if an event comes after all that were delivered. A target that resumes after
     /// an event may repeat it.
     pub(super) fn is_next(&self, id: Option<&str>) -> bool {
-        let (Some(last), Some(id)) = (self.last_event.as_deref(), id) else {
+        let last = self.received.last_event.borrow();
+        let (Some(last), Some(id)) = (last.as_deref(), id) else {
             return true;
         };
         match (last.parse::<u64>(), id.parse::<u64>()) {
@@ -41,23 +69,23 @@
     }
 
     pub(super) fn record(&mut self, id: Option<String>) {
-        self.events += 1;
+        self.received.events.set(self.events() + 1);
         if id.is_some() {
-            self.last_event = id;
+            self.received.last_event.replace(id);
         }
     }
 
     pub(super) fn broken(&self, message: &str) -> SendFailure {
-        failure::broken(message, self.events > 0)
+        failure::broken(message, self.events() > 0)
     }
 
     pub(super) fn lost(&self, message: &str) -> SendFailure {
-        failure::lost(message, self.events > 0)
+        failure::lost(message, self.events() > 0)
     }
 
     pub(super) fn silent(&self) -> SendFailure {
         let mut silent = self.broken("the target went silent in its stream");
-        if self.events == 0 {
+        if self.events() == 0 {
             silent.refusal.kind = ErrorKind::TargetSilent;
         }
         silent
--- a/crates/lilaccrankd/src/targets/forward/failure.rs
+++ b/crates/lilaccrankd/src/targets/forward/failure.rs
@@ -61,3 +61,8 @@
     lost.refusal.connection_lost = true;
     lost
 }
+
+/// Failure of a run whose answer another run delivers.
+pub(super) fn overtaken() -> SendFailure {
+    failed(ErrorKind::Cancelled, "another run delivers the answer")
+}
--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -28,6 +28,8 @@
 mod platform_contact;
 #[path = "suite/platform_queries.rs"]
 mod platform_queries;
+#[path = "suite/race.rs"]
+mod race;
 #[path = "suite/retry_permit.rs"]
 mod retry_permit;
 #[path = "suite/sendable.rs"]
