--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -30,6 +30,8 @@
 mod platform_queries;
 #[path = "suite/pulls.rs"]
 mod pulls;
+#[path = "suite/race.rs"]
+mod race;
 #[path = "suite/retry_permit.rs"]
 mod retry_permit;
 #[path = "suite/sendable.rs"]
