--- a/crates/lilaccrank-http/tests/suite.rs
+++ b/crates/lilaccrank-http/tests/suite.rs
@@ -10,5 +10,7 @@
 mod events;
 #[path = "suite/server.rs"]
 mod server;
+#[path = "suite/standstill.rs"]
+mod standstill;
 #[path = "suite/unproductive.rs"]
 mod unproductive;
--- /dev/null
+++ b/crates/lilaccrank-http/tests/suite/standstill.rs
@@ -0,0 +1,69 @@
+//! A process that gets no processor time while an answer arrives.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
+use std::time::Duration;
+
+use hyper::Request;
+use lilaccrank_http::body;
+use lilaccrank_http::client::{Client, Limits};
+use lilaccrank_http::runtime;
+
+/// Time for the head of an answer.
+const HEAD: Duration = Duration::from_millis(200);
+/// Time after which the server answers.
+const ANSWERED: Duration = Duration::from_millis(100);
+/// When this thread stands still, and for how long.
+const RUNS: Duration = Duration::from_millis(50);
+const STANDS_STILL: Duration = Duration::from_millis(500);
+
+/// A server that answers one request.
+fn server(after: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 1024]).unwrap();
+        thread::sleep(after);
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        // The client may have given up.
+        let _ = stream.write_all(answer);
+        let _ = stream.read(&mut [0; 1024]);
+    });
+    address
+}
+
+fn is_answered(after: Duration) -> bool {
+    let address = server(after).to_string();
+    let limits = Limits {
+        connect: HEAD,
+        max_idle: Duration::ZERO,
+        head: HEAD,
+    };
+    let answered = async {
+        monoio::spawn(async {
+            monoio::time::sleep(RUNS).await;
+            thread::sleep(STANDS_STILL);
+        });
+        let client = Client::default();
+        let sent = client.send(&address, Request::new(body::empty()), limits);
+        sent.await.is_ok()
+    };
+    runtime::block_on(answered).unwrap()
+}
+
+/// Guards against a server that is taken for silent although its answer has arrived, which this process
+/// did not read while it stood still.
+#[test]
+fn an_answer_that_lies_unread() {
+    for _ in 0..5 {
+        assert!(is_answered(ANSWERED));
+    }
+}
+
+/// Guards against a wait without end for a server that is silent.
+#[test]
+fn an_answer_that_does_not_come() {
+    assert!(!is_answered(4 * (STANDS_STILL + HEAD)));
+}
