Timeouts: the time for which this process is held up is not a peer's

What callers saw: requests are relayed, or refused where no daemon relays, since the path to a worker is down that is well and was reached.

Cause: a daemon that gets no processor time while it connects finds its timer over when it runs again, and counts the connection as timed out. The kernel has made it meanwhile; epoll, interrupted by the stop, tells of it a moment later.

Change: lilaccrank_http::timeout waits on if the timer itself fired 20 ms late or more: for as long as it was late, at most for the limit again and for a second, three times at most. The client uses it to connect and for heads of answers, the forwarder and the relay for parts of answers, engine streams for events, and the search for relays for the words of peers.

Ruled out: frames that another task has to read first are not lost to the timer while only this thread is busy, since the poller is asked before timers fire (standstill::an_answer_that_lies_unread passed before the change); a stop of the process goes around that.

--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -12,6 +12,7 @@
 
 use crate::body::Body;
 use crate::tally::Tally;
+use crate::timeout;
 use crate::unproductive::Meter;
 
 mod sender;
@@ -171,7 +172,7 @@
     ) -> Result<Response<Incoming>, (Error, Option<Request<Body>>)> {
         self.sender.is_wanted.replace(is_wanted.cloned());
         self.sender.meter.start();
-        let answer = monoio::time::timeout(head, self.sender.inner.try_send_request(req)).await;
+        let answer = timeout::timeout(head, self.sender.inner.try_send_request(req)).await;
         self.sender.meter.stop();
         let address = || self.address.clone();
         let Ok(answer) = answer else {
--- a/crates/lilaccrank-http/src/client/sender.rs
+++ b/crates/lilaccrank-http/src/client/sender.rs
@@ -17,6 +17,7 @@
 use crate::body::Body;
 use crate::socket;
 use crate::tally::{Counted, Tally};
+use crate::timeout;
 use crate::unproductive::{Meter, Metered};
 
 /// Idle time before the first TCP keepalive probe; jitter adds up to the same time again.
@@ -51,7 +52,7 @@
     if limit.is_zero() {
         return Err(fail(io::ErrorKind::NotConnected.into()));
     }
-    let stream = monoio::time::timeout(limit, socket::connect(address))
+    let stream = timeout::timeout(limit, socket::connect(address))
         .await
         .map_err(|_| fail(io::ErrorKind::TimedOut.into()))?
         .map_err(fail)?;
--- a/crates/lilaccrank-http/src/lib.rs
+++ b/crates/lilaccrank-http/src/lib.rs
@@ -17,4 +17,5 @@
 mod socket;
 pub mod store_client;
 pub mod tally;
+pub mod timeout;
 pub mod unproductive;
--- a/crates/lilaccrank-http/tests/suite/standstill.rs
+++ b/crates/lilaccrank-http/tests/suite/standstill.rs
@@ -3,12 +3,15 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use futures::channel::oneshot;
+use futures::future;
 use hyper::Request;
 use lilaccrank_http::body;
 use lilaccrank_http::client::{Client, Limits};
 use lilaccrank_http::runtime;
+use lilaccrank_http::timeout;
 
 /// Time for the head of an answer.
 const HEAD: Duration = Duration::from_millis(200);
@@ -67,3 +70,37 @@
 fn an_answer_that_does_not_come() {
     assert!(!is_answered(4 * (STANDS_STILL + HEAD)));
 }
+
+/// Guards against the same where several tasks have to run before the answer is there.
+#[test]
+fn an_answer_that_other_tasks_have_to_read() {
+    let waited = runtime::block_on(async {
+        let (tx, rx) = oneshot::channel();
+        monoio::spawn(async {
+            thread::sleep(STANDS_STILL);
+            for _ in 0..3 {
+                monoio::time::sleep(Duration::from_millis(5)).await;
+            }
+            let _ = tx.send(());
+        });
+        timeout::timeout(HEAD, rx).await
+    });
+    assert_eq!(waited.unwrap(), Ok(Ok(())));
+}
+
+/// Guards against a wait without end in a process that is held up again and again.
+#[test]
+fn a_process_that_is_held_up_all_the_time() {
+    let began = Instant::now();
+    let waited = runtime::block_on(async {
+        monoio::spawn(async {
+            loop {
+                thread::sleep(Duration::from_millis(90));
+                monoio::time::sleep(Duration::from_millis(1)).await;
+            }
+        });
+        timeout::timeout(HEAD, future::pending::<()>()).await
+    });
+    assert_eq!(waited.unwrap(), Err(timeout::Elapsed));
+    assert!(began.elapsed() < 5 * HEAD, "{:?}", began.elapsed());
+}
--- a/crates/lilaccrankd/src/targets/engine_stream.rs
+++ b/crates/lilaccrankd/src/targets/engine_stream.rs
@@ -14,6 +14,7 @@
 use lilaccrank::ids::RequestId;
 use lilaccrank_http::body::{self, Body};
 use lilaccrank_http::client::{self, Client, Connection, Limits};
+use lilaccrank_http::timeout;
 
 use crate::callers::refusal::{Refusal, Result};
 use crate::targets::call::CONNECT_TIMEOUT;
@@ -130,7 +131,7 @@
     /// If the engine stays silent, or if the stream breaks and can't be resumed.
     pub async fn next(&mut self) -> Result<Option<String>> {
         loop {
-            let timeout = if self.received == 0 {
+            let limit = if self.received == 0 {
                 self.timeouts.first
             } else {
                 self.timeouts.next
@@ -138,7 +139,7 @@
             let Some(events) = self.events.as_mut() else {
                 return Ok(None);
             };
-            match monoio::time::timeout(timeout, events.next()).await {
+            match timeout::timeout(limit, events.next()).await {
                 Ok(Some(Ok(event))) => {
                     self.transport.record_heard();
                     self.received += 1;
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -16,6 +16,7 @@
 use lilaccrank_http::body;
 use lilaccrank_http::client::{Client, Connection, Limits};
 use lilaccrank_http::events::EventSplitter;
+use lilaccrank_http::timeout;
 use lilaccrank_http::unproductive::Meter;
 
 use crate::callers::end_to_end;
@@ -182,7 +183,7 @@
 
     async fn not_run(&self, head: &Parts, body: Incoming, connection: Connection) -> SendFailure {
         let reading = body::read(body, NOT_RUN_BODY_LIMIT);
-        if let Ok(Ok(_)) = monoio::time::timeout(self.bounds.next, reading).await {
+        if let Ok(Ok(_)) = timeout::timeout(self.bounds.next, reading).await {
             self.client.release(connection);
         }
         let message = format!("the target did not run it, status {}", head.status);
@@ -201,7 +202,7 @@
         let message = format!("the target failed with status {}", head.status);
         let mut failed = failed(ErrorKind::TargetFailed, message);
         let reading = body::read(body, HOLD_BACK_LIMIT);
-        if let Ok(Ok(bytes)) = monoio::time::timeout(self.bounds.next, reading).await {
+        if let Ok(Ok(bytes)) = timeout::timeout(self.bounds.next, reading).await {
             self.client.release(connection);
             failed.answer = Some((forwarded_head(&head), bytes));
         }
@@ -221,7 +222,7 @@
         let meter = connection.meter();
         meter.start();
         loop {
-            let frame = monoio::time::timeout(self.bounds.next, body.frame()).await;
+            let frame = timeout::timeout(self.bounds.next, body.frame()).await;
             let frame = frame.map_err(|_| broken("the target stopped in its answer", has_begun))?;
             let Some(frame) = frame else {
                 break;
@@ -275,12 +276,12 @@
         meter.start();
         let mut event_count = 0;
         loop {
-            let timeout = if event_count == 0 {
+            let limit = if event_count == 0 {
                 self.bounds.first.saturating_sub(sent_at.elapsed())
             } else {
                 self.bounds.next
             };
-            let frame = monoio::time::timeout(timeout, body.frame()).await;
+            let frame = timeout::timeout(limit, body.frame()).await;
             let frame = frame.map_err(|_| delivered.silent())?;
             let Some(frame) = frame else {
                 break;
--- a/crates/lilaccrankd/src/targets/paths/search.rs
+++ b/crates/lilaccrankd/src/targets/paths/search.rs
@@ -10,6 +10,7 @@
 use lilaccrank::ids::{PoolId, VmId};
 use lilaccrank::peers::Peers;
 use lilaccrank::target_instance::TargetInstance;
+use lilaccrank_http::timeout;
 use rand::seq::IteratorRandom;
 
 use crate::daemon::Daemon;
@@ -167,7 +168,7 @@
         target: target.clone(),
     };
     let limit = daemon.bounds().connect + ASK_MARGIN;
-    let reply = monoio::time::timeout(limit, daemon.peers.call(vm, req)).await;
+    let reply = timeout::timeout(limit, daemon.peers.call(vm, req)).await;
     let reply: Option<PathReply> = reply.ok().and_then(Result::ok);
     let relay = reply.and_then(|reply| {
         Some(super::RelayPeer {
--- a/crates/lilaccrankd/src/targets/relay.rs
+++ b/crates/lilaccrankd/src/targets/relay.rs
@@ -5,6 +5,7 @@
 use hyper::body::Incoming;
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank_http::client::{Client, Connection};
+use lilaccrank_http::timeout;
 
 use crate::callers::end_to_end;
 use crate::callers::refusal::{Refusal, Result};
@@ -28,7 +29,7 @@
     let meter = connection.meter();
     meter.start();
     loop {
-        let frame = monoio::time::timeout(bounds.next, body.frame()).await;
+        let frame = timeout::timeout(bounds.next, body.frame()).await;
         let frame = frame.map_err(|_| broken("the target stopped in its answer"))?;
         let Some(frame) = frame else {
             meter.stop();
