--- a/crates/lilaccrank-http/tests/suite.rs
+++ b/crates/lilaccrank-http/tests/suite.rs
@@ -12,5 +12,7 @@
 mod peer_link;
 #[path = "suite/server.rs"]
 mod server;
+#[path = "suite/standstill.rs"]
+mod standstill;
 #[path = "suite/unproductive.rs"]
 mod unproductive;
