Dispatch: the time line tells of each grant once, and of which submission

Cause: whether a delivery was a repetition was told by whether the submission was granted when its call began. A resync grants a submission before the call for it begins, so its first delivery was logged as a repeated one and not recorded.

Change: the dispatcher notes on the grant that it has been passed on (Dispatcher::note_delivery, which replaces is_granted). The event names the submission, so grants of two incarnations of a dispatcher can be told apart.

--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -135,11 +135,11 @@
         })
     }
 
-    /// Returns `true` if this submission of a request is granted and has not ended. Submitting it
-    /// again returns the same grant.
+    /// Notes that the grant of a submission is passed on to its entry daemon. Returns `true` the first
+    /// time, and `false` if it is passed on again for a repeated submission.
     #[must_use]
-    pub fn is_granted(&self, request: &str, submission: SubmissionNumber) -> bool {
-        self.state.borrow().is_granted(request, submission)
+    pub fn note_delivery(&self, request: &str, submission: SubmissionNumber) -> bool {
+        self.state.borrow_mut().note_delivery(request, submission)
     }
 
     /// Cancels a submission, whether it is waiting or already granted.
--- a/crates/lilaccrank/src/dispatch/grants.rs
+++ b/crates/lilaccrank/src/dispatch/grants.rs
@@ -146,6 +146,7 @@
         let active_grant = ActiveGrant {
             submission: submission.submission,
             began: false,
+            is_delivered: false,
             partial_tokens: submission.partial.map_or(0, |partial| partial.tokens),
             prefill_ahead: target.estimate.outstanding().prefill,
             counter_key: waiting.counter_key.clone(),
--- a/crates/lilaccrank/src/dispatch/recovery.rs
+++ b/crates/lilaccrank/src/dispatch/recovery.rs
@@ -170,6 +170,7 @@
         self.reserve(&waiting, &choice, now);
         if let Some(granted) = self.active_grants.get_mut(&request) {
             granted.began = true;
+            granted.is_delivered = true;
         }
     }
 
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -90,6 +90,8 @@
 pub(super) struct ActiveGrant {
     pub(super) submission: SubmissionNumber,
     pub(super) began: bool,
+    /// Set once the grant has been passed on to the entry daemon.
+    pub(super) is_delivered: bool,
     /// Prefill tokens outstanding at the target after the grant, including its own.
     pub(super) prefill_ahead: u64,
     pub(super) counter_key: Option<CounterKey>,
@@ -324,6 +326,16 @@
         active_grant.is_some_and(|active_grant| active_grant.submission == submission)
     }
 
+    /// Notes that a grant is passed on. Returns `true` the first time.
+    pub(super) fn note_delivery(&mut self, request: &str, submission: SubmissionNumber) -> bool {
+        match self.active_grants.get_mut(request) {
+            Some(grant) if grant.submission == submission => {
+                !std::mem::replace(&mut grant.is_delivered, true)
+            }
+            _ => false,
+        }
+    }
+
     /// Returns the current grant of a request as a verdict.
     pub(super) fn grant_verdict(&self, request: &str, submission: SubmissionNumber) -> Verdict {
         let active_grant = &self.active_grants[request];
--- a/crates/lilaccrank/tests/suite/dispatch_faults.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_faults.rs
@@ -136,6 +136,22 @@
     waiting_request_of_a_late_resync_is_not_granted: |submission| vec![], vec![submission];
 }
 
+// Guards against grants that no time line shows: the dispatcher grants a submission while it reads a resync,
+// and takes the first delivery for a repeated one.
+#[test]
+fn grant_of_a_resync_is_delivered_for_the_first_time_once() {
+    let harness = harness(&[1]);
+    harness.dispatcher.resync(Resync {
+        entry: entry("vm2"),
+        running: vec![],
+        waiting: vec![submission("waits", 0)],
+    });
+    assert_eq!(harness.dispatcher.status().running, 1);
+    let deliveries = [(); 2].map(|()| harness.dispatcher.note_delivery("waits", 1));
+    assert_eq!(deliveries, [true, false]);
+    assert!(!harness.dispatcher.note_delivery("waits", 2));
+}
+
 // Guards against a retry that is taken for a repetition: after the end of its first submission, a request
 // is submitted with a higher number.
 #[test]
--- a/crates/lilaccrankd/src/pools/server/verdicts.rs
+++ b/crates/lilaccrankd/src/pools/server/verdicts.rs
@@ -37,9 +37,6 @@
 
 async fn decide(daemon: Rc<Daemon>, served: Rc<ServedPool>, submission: Submission) {
     let entry = submission.entry.clone();
-    let is_repeated = served
-        .dispatcher
-        .is_granted(&submission.request, submission.submission);
     let verdict = {
         let deciding = served.dispatcher.submit(submission);
         let retired = served.retired();
@@ -55,15 +52,18 @@
         return;
     }
     if let Verdict::Grant(grant) = &verdict {
-        if is_repeated {
+        let is_first = served
+            .dispatcher
+            .note_delivery(&grant.request, grant.submission);
+        if is_first {
+            record_grant(&daemon, &served, grant);
+        } else {
             log::info!(
                 entry = entry,
                 request = grant.request,
                 submission = grant.submission;
                 "the grant is delivered again for a repeated submission"
             );
-        } else {
-            record_grant(&daemon, &served, grant);
         }
     }
     let delivery = deliver(&daemon, &served, &entry, &verdict).await;
@@ -94,7 +94,10 @@
     let is_urgent = served.dispatcher.has_urgent_changes();
     daemon.load_exchange.note_change(is_urgent);
     let subject = Subject {
-        detail: format!("by the dispatcher of pool {}", served.pool),
+        detail: format!(
+            "by the dispatcher of pool {}, submission {}",
+            served.pool, grant.submission
+        ),
         request: Some(grant.request.clone()),
         target: Some(grant.target.id.clone()),
     };
