A target is read at the pace of its callers, and no answer is given up for its size

Callers saw answers end in the middle though their workers were well and they read: 150 streams of 240 KB at one daemon of 88 MB, 74 whole.

Cause: every chunk was kept to the end of its answer, although only a repeat with the same key may ask for it again; nothing slowed a target down; and AnswerBuffer::excess ended what was not below the mean once all were over a quarter of the memory, or one alone over a sixteenth.

Change: what all readers have read is freed, unless the request has a key. A target is read at most READ_AHEAD (64 KB, so that all requests that a daemon of the platform takes stay below a quarter of its memory) ahead of the slowest reader; beyond the limit of all answers, only once its caller has read all there is. The answer of a request with a key is kept from its start up to the limits, and then loses its start, so that a later repeat is told that the answer is gone; without readers, its target waits for a repeat. What is held back counts, in pieces of 16 KB (one growing buffer took up to twice its content: 106 MB for 150 answers of 480 KB), and goes to the caller once all answers are over their limit. The channel to a connection takes one frame instead of 16, which nobody counted.

A wait for the caller is no time of the target: it is no part of the silence timeout, of the pace that is reported, and of the prediction that moves streams.

Ruled out: a larger budget instead of back-pressure, which moves the number of callers only; back-pressure by the channel alone, as its frames have no bound in bytes.

Tests: the_large_ones_go_first asked for the cut of the large ones; large_ones_wait_and_small_ones_do_not asks in its place that neither ends, that the large ones wait until they are read, and that small ones that are read do not. one_alone_has_its_own_limit asked for the end of one over its limit; in its place a_kept_answer_over_its_limit_costs_the_repeat asks that its callers get it whole, that the repeat that came before is served whole and a later one nothing. The other tests of the file are new or as they were.

Open: a worker that hangs counts as silent only when no stream of it waits for its caller; parts of one event (up to 1 MB each) are not counted.

--- a/crates/lilaccrank-http/src/body.rs
+++ b/crates/lilaccrank-http/src/body.rs
@@ -24,8 +24,9 @@
 /// Result of reading a body.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
-/// Capacity, in frames, of the channel between a writer and the connection.
-const CHANNEL_FRAMES: usize = 16;
+/// Capacity, in frames, of the channel between a writer and the connection. Frames are of any size, so more
+/// than one would be memory that no writer counts.
+const CHANNEL_FRAMES: usize = 1;
 
 /// Maximum time to wait until the connection takes the last chunk.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/lilaccrank/src/dispatch/message.rs
+++ b/crates/lilaccrank/src/dispatch/message.rs
@@ -232,7 +232,8 @@
         after: Duration,
     },
     /// More tokens have arrived. Reported at least once per second while tokens arrive; otherwise
-    /// the target counts as silent.
+    /// the target counts as silent. Without tokens, the target is not read, since the caller has fallen
+    /// behind; `step` then says nothing.
     Progress {
         /// Mean time between these tokens.
         step: Duration,
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -101,6 +101,9 @@
                 self.affinity.record_prefill(&active_grant.target, &digests);
                 self.inflight.remove(&digests);
             }
+            ReportKind::Progress { tokens: 0, .. } => {
+                target.health.move_activity(|_| now);
+            }
             ReportKind::Progress { step, tokens } => {
                 let tokens = u64::from(tokens).min(active_grant.remaining_work.decode);
                 target.observe_answer(&entry, now, |health| health.record_activity(now));
--- a/crates/lilaccrank/src/stream_progress.rs
+++ b/crates/lilaccrank/src/stream_progress.rs
@@ -17,6 +17,8 @@
     /// Tokens that earlier targets generated.
     earlier_tokens: u32,
     first_token_at: Option<Instant>,
+    /// Since when the target is not read.
+    paused_at: Option<Instant>,
     tokens: u32,
 }
 
@@ -28,6 +30,7 @@
             deadline,
             earlier_tokens,
             first_token_at: None,
+            paused_at: None,
             tokens: 0,
         }
     }
@@ -38,6 +41,19 @@
         self.tokens = self.tokens.saturating_add(tokens);
     }
 
+    /// Stops the target's time while it is not read, since the reader has fallen behind.
+    pub fn pause(&mut self, now: Instant) {
+        self.paused_at.get_or_insert(now);
+    }
+
+    /// Lets the target's time go on, and returns how long it stood still.
+    pub fn resume(&mut self, now: Instant) -> Duration {
+        let paused_at = self.paused_at.take();
+        let pause = paused_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.first_token_at = self.first_token_at.map(|at| at + pause);
+        pause
+    }
+
     /// Returns the number of tokens of the answer so far, from all targets.
     #[must_use]
     pub fn total_tokens(&self) -> u32 {
@@ -45,9 +61,12 @@
     }
 
     /// Returns the expected remaining time at the token rate so far if the answer would miss its
-    /// deadline, otherwise `None`.
+    /// deadline, otherwise `None`. No other target is faster while the reader has fallen behind.
     #[must_use]
     pub fn remaining_time_if_late(&self, now: Instant) -> Option<Duration> {
+        if self.paused_at.is_some() {
+            return None;
+        }
         let (deadline, first_token_at) = (self.deadline?, self.first_token_at?);
         let elapsed = now.saturating_duration_since(first_token_at).as_secs_f64();
         let seconds_per_token = elapsed / f64::from(self.tokens.max(1));
--- a/crates/lilaccrank/tests/suite/dispatch_resumed.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_resumed.rs
@@ -119,6 +119,22 @@
     assert_eq!(projected_overrun(9), None);
 }
 
+// Guards against migrating an answer for the time in which its reader has fallen behind.
+#[test]
+fn no_overrun_for_pauses_of_the_reader() {
+    let start = Instant::now();
+    let at = |secs: u64| start + Duration::from_secs(secs);
+    let mut progress = StreamProgress::new(0, Some(at(12)));
+    progress.record_tokens(1, start);
+    progress.record_tokens(399, at(4));
+    progress.pause(at(4));
+    assert_eq!(progress.remaining_time_if_late(at(9)), None);
+    assert_eq!(progress.resume(at(7)), Duration::from_secs(3));
+    assert_eq!(progress.remaining_time_if_late(at(7)), None);
+    let remaining = progress.remaining_time_if_late(at(9));
+    assert_eq!(remaining, Some(Duration::from_secs(6)));
+}
+
 // Guards against migrating an answer that has no first token yet, or no deadline.
 #[test]
 fn no_overrun_without_first_token_or_deadline() {
--- a/crates/lilaccrankd/src/admin.rs
+++ b/crates/lilaccrankd/src/admin.rs
@@ -164,7 +164,8 @@
         .answer_cache
         .get(&(customer, key))
         .ok_or_else(not_found)?;
-    entry::respond(daemon, run.reader(client), None).await
+    let reader = run.repeat_reader(client).ok_or_else(not_found)?;
+    entry::respond(daemon, reader, None).await
 }
 
 fn ready(daemon: &Daemon) -> crate::callers::refusal::Result<()> {
--- a/crates/lilaccrankd/src/callers/answer_builder.rs
+++ b/crates/lilaccrankd/src/callers/answer_builder.rs
@@ -70,8 +70,8 @@
         if data == DONE {
             return self.finish(buffer);
         }
-        // The answer stays in memory for repeated requests. Without a limit, an engine that never
-        // stops would use up the memory, and the requests of all other callers would fail.
+        // What is built into one answer stays in memory, and what a repeat may ask for. Without a limit, an
+        // engine that never stops would use up the memory.
         self.event_bytes += data.len();
         if self.event_bytes > self.max_event_bytes {
             return Err(broken_answer("the answer is over the limit"));
@@ -85,9 +85,6 @@
             // client would drop all lines but the first.
             let data = data.replace('\n', "\ndata: ");
             buffer.push(Bytes::from(format!("data: {data}\n\n")));
-            if let Some(why) = buffer.excess(usize::MAX) {
-                return Err(broken_answer(why));
-            }
         }
         Ok(kind)
     }
--- a/crates/lilaccrankd/src/callers/attach.rs
+++ b/crates/lilaccrankd/src/callers/attach.rs
@@ -72,7 +72,7 @@
     client: &ClientConnection,
 ) -> Option<Reader> {
     let buffer = daemon.answer_cache.get(&caller.scoped_key()?)?;
-    Some(buffer.reader(client.clone()))
+    buffer.repeat_reader(client.clone())
 }
 
 async fn remote_reader(
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -119,6 +119,7 @@
     let buffer = Rc::new(AnswerBuffer::new(&daemon.answer_memory));
     let reader = buffer.reader(client);
     if let Some(scoped) = caller.scoped_key() {
+        buffer.keep_for_repeats(daemon.cfg.answer_limit);
         daemon.answer_cache.insert(scoped, Rc::clone(&buffer));
     }
     log::info!(
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -350,11 +350,10 @@
         }
     }
 
-    /// Returns the size limit and timeouts of forwarded answers.
+    /// Returns the timeouts of forwarded answers.
     pub fn bounds(&self) -> Bounds {
         let silence = Duration::from_millis(self.cfg.first_token_ms);
         Bounds {
-            answer_limit: self.cfg.answer_limit,
             connect: Duration::from_millis(self.cfg.target_connect_ms),
             first: silence,
             next: silence,
--- a/crates/lilaccrankd/src/request/answer_memory.rs
+++ b/crates/lilaccrankd/src/request/answer_memory.rs
@@ -1,12 +1,11 @@
-//! Memory of all answers that this daemon holds for callers, which bounds what many large ones take together.
+//! Memory of all answers that this daemon holds for callers, and the limit of it.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// Bytes of the answers in progress or being read, and their number.
+/// Bytes of the answers in progress or being read.
 #[derive(Debug)]
 pub struct AnswerMemory {
-    answers: Cell<usize>,
     bytes: Cell<usize>,
     limit: usize,
 }
@@ -22,7 +21,6 @@
     #[must_use]
     pub fn new(limit: usize) -> Self {
         Self {
-            answers: Cell::default(),
             bytes: Cell::default(),
             limit,
         }
@@ -34,49 +32,54 @@
         self.bytes.get()
     }
 
-    /// Returns `true` if an answer of this size has to be given up: all are over the limit together, and it
-    /// is not smaller than most.
+    /// Returns `true` if all answers together are over the limit, so that no more is held than what
+    /// callers have yet to read.
     #[must_use]
-    pub fn is_short_for(&self, size: usize) -> bool {
-        let mean = self.bytes.get() / self.answers.get().max(1);
-        self.bytes.get() > self.limit && size >= mean
+    pub fn is_short(&self) -> bool {
+        self.bytes.get() > self.limit
     }
 }
 
 /// Part of the memory that one answer takes, given back when dropped.
 #[derive(Debug, Default)]
-pub(super) struct Held {
+pub struct Held {
     bytes: Cell<usize>,
     memory: Rc<AnswerMemory>,
 }
 
 impl Held {
-    pub(super) fn new(memory: Rc<AnswerMemory>) -> Self {
+    /// Takes nothing of `memory` yet.
+    #[must_use]
+    pub fn new(memory: Rc<AnswerMemory>) -> Self {
         Self {
             bytes: Cell::default(),
             memory,
         }
     }
 
-    pub(super) fn add(&self, bytes: usize) {
-        let before = self.bytes.replace(self.bytes.get() + bytes);
+    /// Takes more.
+    pub fn add(&self, bytes: usize) {
+        self.bytes.set(self.bytes.get() + bytes);
         let memory = &self.memory;
         memory.bytes.set(memory.bytes.get() + bytes);
-        if before == 0 && bytes > 0 {
-            memory.answers.set(memory.answers.get() + 1);
-        }
     }
 
-    pub(super) fn release(&self) {
-        let bytes = self.bytes.take();
+    /// Gives a part back, at most what it takes.
+    pub fn remove(&self, bytes: usize) {
+        let bytes = bytes.min(self.bytes.get());
+        self.bytes.set(self.bytes.get() - bytes);
         let memory = &self.memory;
         memory.bytes.set(memory.bytes.get() - bytes);
-        if bytes > 0 {
-            memory.answers.set(memory.answers.get() - 1);
-        }
     }
 
-    pub(super) fn memory(&self) -> &AnswerMemory {
+    /// Gives all back.
+    pub fn release(&self) {
+        self.remove(usize::MAX);
+    }
+
+    /// The memory of all answers.
+    #[must_use]
+    pub fn memory(&self) -> &Rc<AnswerMemory> {
         &self.memory
     }
 }
--- a/crates/lilaccrankd/src/request/send_observer.rs
+++ b/crates/lilaccrankd/src/request/send_observer.rs
@@ -168,6 +168,20 @@
             .record_rate_limit(&self.grant.target, limit, exchange);
     }
 
+    fn paused(&self) {
+        let mut stream_progress = self.stream_progress.get();
+        stream_progress.pause(Instant::now());
+        self.stream_progress.set(stream_progress);
+        self.progress(0, Duration::ZERO);
+    }
+
+    fn resumed(&self) {
+        let mut stream_progress = self.stream_progress.get();
+        let pause = stream_progress.resume(Instant::now());
+        self.stream_progress.set(stream_progress);
+        self.last_report_at.set(self.last_report_at.get() + pause);
+    }
+
     fn event(&self, first: bool, since_sent: Duration) {
         self.tokens.set(self.tokens.get() + self.tokens_in_event);
         self.grant.record_decoded(self.tokens.get());
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -60,9 +60,11 @@
     pub admin: SocketAddr,
     /// Maximum size of the cache of finished answers, in bytes.
     pub answer_cache_bytes: usize,
-    /// Maximum size of an answer in bytes; a longer one is aborted.
+    /// Maximum size in bytes up to which an answer is kept for callers that repeat its key, and maximum size
+    /// of an engine's answer; a longer one of an engine is aborted.
     pub answer_limit: usize,
-    /// Maximum size of all answers in progress, in bytes; beyond it those above the mean are aborted.
+    /// Size of all answers in progress, in bytes, beyond which no answer is kept for repeats and targets are
+    /// read at the pace of the callers.
     pub answers_total_limit: usize,
     /// Milliseconds for which a finished answer is cached for callers that repeat its key.
     pub answer_ttl_ms: u64,
--- a/crates/lilaccrankd/src/targets/engine_run.rs
+++ b/crates/lilaccrankd/src/targets/engine_run.rs
@@ -27,7 +27,8 @@
     fn decoded(&self, tokens: u32);
     /// Called when the first token arrived, with the time since the request was sent.
     fn first_token(&self, after: Duration);
-    /// Called when more tokens arrived, with the mean time between them.
+    /// Called when more tokens arrived, with the mean time between them, and without tokens at intervals
+    /// while the target is not read, since its caller has fallen behind.
     fn progress(&self, tokens: u32, step: Duration);
     /// Called if the head of an answer says that the target leaves.
     fn leaving(&self);
@@ -162,6 +163,7 @@
     pass_on(engine.take_notices(), observer);
     sent?;
     loop {
+        progress.wait_until_wanted(buffer, observer).await;
         // The stream may have been resumed, by an answer with a head of its own.
         let event = engine.next().await;
         pass_on(engine.take_notices(), observer);
@@ -205,6 +207,18 @@
         }
     }
 
+    /// Waits until the caller needs more of the answer. That is no time between tokens.
+    async fn wait_until_wanted(&mut self, buffer: &AnswerBuffer, observer: &impl Observer) {
+        if buffer.is_wanted() {
+            return;
+        }
+        let since = Instant::now();
+        while !buffer.is_wanted_within(PROGRESS_INTERVAL).await {
+            observer.progress(0, Duration::ZERO);
+        }
+        self.reported_at += since.elapsed();
+    }
+
     fn token(&mut self, observer: &impl Observer) {
         self.decoded += 1;
         observer.decoded(self.decoded);
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -6,7 +6,6 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -26,29 +25,29 @@
 
 mod delivered;
 mod failure;
+mod held_back;
 
 pub use delivered::Delivered;
 pub use failure::SendFailure;
 
 use failure::{broken, failed, lost};
+use held_back::HeldBack;
 
 /// Result of one send.
 pub type Result<T, E = SendFailure> = std::result::Result<T, E>;
 
-/// Size up to which an answer is held back until it is complete. Answers of plain services have a
-/// few kilobytes; longer ones are forwarded piece by piece.
-const HOLD_BACK_LIMIT: usize = 256 << 10;
 /// Time from the first event of an answer in which a target may crash under its prompt.
 pub const BEGINNING: Duration = Duration::from_secs(1);
 /// Size limit of the answer of a target that did not run the request. The answer is read so that
 /// the connection can be used again.
 const NOT_RUN_BODY_LIMIT: usize = 64 << 10;
 
+/// Interval of reports that a target is not read. It counts as silent without.
+pub const PAUSE_REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Limits of one send.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
-    /// Size limit of the answer, in bytes.
-    pub answer_limit: usize,
     /// Timeout of connecting.
     pub connect: Duration,
     /// Timeout of the first part of the answer.
@@ -59,6 +58,13 @@
 
 /// Observes an answer while it arrives.
 pub trait Observer {
+    /// Called when the target is no longer read, since its caller has fallen behind, and at intervals while
+    /// that lasts.
+    fn paused(&self);
+
+    /// Called when the target is read again after such a pause.
+    fn resumed(&self);
+
     /// Called for each event; `first` for the first one.
     fn event(&self, first: bool, since_sent: Duration);
 
@@ -199,7 +205,7 @@
     ) -> SendFailure {
         let message = format!("the target failed with status {}", head.status);
         let mut failed = failed(ErrorKind::TargetFailed, message);
-        let reading = body::read(body, HOLD_BACK_LIMIT);
+        let reading = body::read(body, held_back::LIMIT);
         if let Ok(Ok(bytes)) = monoio::time::timeout(self.bounds.next, reading).await {
             self.client.release(connection);
             failed.answer = Some((forwarded_head(&head), bytes));
@@ -207,6 +213,17 @@
         failed
     }
 
+    /// Waits until the caller needs more of the answer.
+    async fn wait_until_wanted(&self) {
+        if !self.buffer.is_wanted() {
+            self.observer.paused();
+            while !self.buffer.is_wanted_within(PAUSE_REPORT_INTERVAL).await {
+                self.observer.paused();
+            }
+            self.observer.resumed();
+        }
+    }
+
     /// Forwards an answer that is not a stream of events.
     async fn forward_whole(
         &self,
@@ -215,11 +232,12 @@
         connection: Connection,
     ) -> Result<()> {
         let mut body = body;
-        let mut held_back = BytesMut::new();
-        let mut has_begun = false;
+        let mut held_back = Some(HeldBack::new(self.buffer));
         let meter = connection.meter();
         meter.start();
         loop {
+            self.wait_until_wanted().await;
+            let has_begun = held_back.is_none();
             let frame = monoio::time::timeout(self.bounds.next, body.frame()).await;
             let frame = frame.map_err(|_| broken("the target stopped in its answer", has_begun))?;
             let Some(frame) = frame else {
@@ -231,24 +249,19 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            if has_begun {
-                self.buffer.push(data);
-            } else {
-                held_back.extend_from_slice(&data);
+            match &mut held_back {
+                Some(held_back) => held_back.extend(&data),
+                None => self.buffer.push(data),
             }
-            if !has_begun && held_back.len() > HOLD_BACK_LIMIT {
-                has_begun = true;
+            if let Some(full) = held_back.take_if(|held_back| held_back.is_full()) {
                 self.buffer.set_head(forwarded_head(&head));
-                self.buffer.push(held_back.split().freeze());
-            }
-            if let Some(why) = self.buffer.excess(self.bounds.answer_limit) {
-                return Err(broken(why, has_begun));
+                full.release(self.buffer);
             }
         }
         meter.stop();
-        if !has_begun {
+        if let Some(whole) = held_back {
             self.buffer.set_head(forwarded_head(&head));
-            self.buffer.push(held_back.freeze());
+            whole.release(self.buffer);
         }
         self.client.release(connection);
         Ok(())
@@ -268,6 +281,7 @@
         meter.start();
         let mut event_count = 0;
         loop {
+            self.wait_until_wanted().await;
             let timeout = if event_count == 0 {
                 self.bounds.first.saturating_sub(sent_at.elapsed())
             } else {
@@ -298,9 +312,6 @@
                 delivered.record(event.id);
                 self.buffer.push(event.bytes);
             }
-            if let Some(why) = self.buffer.excess(self.bounds.answer_limit) {
-                return Err(delivered.broken(why));
-            }
         }
         meter.stop();
         if cutter.is_in_event() {
--- a/crates/lilaccrankd/src/targets/relay.rs
+++ b/crates/lilaccrankd/src/targets/relay.rs
@@ -28,6 +28,7 @@
     let meter = connection.meter();
     meter.start();
     loop {
+        buffer.wait_until_wanted().await;
         let frame = monoio::time::timeout(bounds.next, body.frame()).await;
         let frame = frame.map_err(|_| broken("the target stopped in its answer"))?;
         let Some(frame) = frame else {
@@ -41,9 +42,6 @@
         if let Ok(data) = frame.into_data() {
             buffer.push(data);
         }
-        if let Some(why) = buffer.excess(bounds.answer_limit) {
-            return Err(broken(why));
-        }
     }
 }
 
--- a/crates/lilaccrankd/tests/suite/answer_memory.rs
+++ b/crates/lilaccrankd/tests/suite/answer_memory.rs
@@ -5,14 +5,14 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use futures::StreamExt;
 use futures::channel::mpsc;
+use futures::{FutureExt, StreamExt, future};
 use hyper::Response;
 use lilaccrank_http::body::{self, Body};
 use lilaccrank_http::client_connection::ClientConnection;
 use lilaccrank_http::runtime;
 use lilaccrank_http::server::{self, ShutdownHandle};
-use lilaccrankd::request::answer_buffer::{AnswerBuffer, End};
+use lilaccrankd::request::answer_buffer::{AnswerBuffer, End, READ_AHEAD, Reader};
 use lilaccrankd::request::answer_memory::AnswerMemory;
 
 const LIMIT: usize = 1_000;
@@ -34,7 +34,7 @@
         move |_, connection: ClientConnection| {
             tx.unbounded_send(connection).unwrap();
             async move {
-                futures::future::pending::<()>().await;
+                future::pending::<()>().await;
                 Response::<Body>::new(body::empty())
             }
         },
@@ -74,21 +74,153 @@
     .unwrap();
 }
 
-// Guards against a few large answers that fill the memory, and small ones that are given up for them.
+/// Reads all that there is of a complete answer.
+async fn rest(reader: &mut Reader) -> usize {
+    let mut bytes = 0;
+    while let Some(chunk) = reader.next().await.unwrap() {
+        bytes += chunk.len();
+    }
+    bytes
+}
+
+// Guards against answers that end for others, and small ones that wait for large ones.
 #[test]
-fn the_large_ones_go_first() {
-    let memory = Rc::new(AnswerMemory::new(LIMIT));
-    let small = buffer(&memory, 10);
-    let large: Vec<_> = (0..2).map(|_| buffer(&memory, LIMIT / 2)).collect();
-    assert_eq!(small.excess(LIMIT), None);
-    assert!(large.iter().all(|answer| answer.excess(LIMIT).is_some()));
+fn large_ones_wait_and_small_ones_do_not() {
+    runtime::block_on(async {
+        let memory = Rc::new(AnswerMemory::new(LIMIT));
+        let (connection, _caller) = connection().await;
+        let answers: Vec<_> = [10, LIMIT / 2, LIMIT / 2]
+            .map(|bytes| {
+                let answer = Rc::new(AnswerBuffer::new(&memory));
+                let reader = answer.reader(connection.clone());
+                answer.push(chunk(bytes));
+                (answer, reader)
+            })
+            .into();
+        assert!(memory.is_short());
+        for (answer, mut reader) in answers {
+            assert!(answer.end().is_none());
+            let is_short = memory.is_short();
+            assert_eq!(answer.is_wanted(), !is_short);
+            let waiting = answer.wait_until_wanted();
+            let reading = async {
+                assert!(reader.next().await.unwrap().is_some());
+                answer.push(chunk(1));
+                assert!(reader.next().await.unwrap().is_some());
+                assert!(reader.next().now_or_never().is_none());
+            };
+            future::join(waiting, reading).await;
+            assert!(answer.is_wanted());
+        }
+        assert_eq!(memory.bytes(), 0);
+    })
+    .unwrap();
+}
+
+// Guards against a target that is read further ahead of the slowest reader than the window.
+#[test]
+fn the_slowest_reader_slows_the_target() {
+    runtime::block_on(async {
+        let memory = Rc::new(AnswerMemory::new(usize::MAX));
+        let answer = Rc::new(AnswerBuffer::new(&memory));
+        let (connection, _caller) = connection().await;
+        let mut readers = [(), ()].map(|()| answer.reader(connection.clone()));
+        assert!(answer.is_wanted());
+        answer.push(chunk(READ_AHEAD));
+        assert!(!answer.is_wanted());
+        for reader in &mut readers {
+            assert!(!answer.is_wanted());
+            assert!(reader.next().await.unwrap().is_some());
+            assert!(reader.next().now_or_never().is_none());
+        }
+        assert!(answer.is_wanted());
+        assert_eq!(memory.bytes(), 0);
+        answer.push(chunk(READ_AHEAD));
+        assert!(!answer.is_wanted());
+    })
+    .unwrap();
 }
 
+// Guards against a repeat that gets a part of an answer for the whole, and against an answer that is
+// given up because it is too large for repeats.
 #[test]
-fn one_alone_has_its_own_limit() {
+fn a_kept_answer_over_its_limit_costs_the_repeat() {
+    runtime::block_on(async {
+        let memory = Rc::new(AnswerMemory::new(LIMIT));
+        let answer = Rc::new(AnswerBuffer::new(&memory));
+        answer.keep_for_repeats(LIMIT / 4);
+        let (connection, _caller) = connection().await;
+        let mut reader = answer.reader(connection.clone());
+        answer.push(chunk(LIMIT / 4));
+        assert!(reader.next().await.unwrap().is_some());
+        assert!(reader.next().now_or_never().is_none());
+        let mut repeat = answer.repeat_reader(connection.clone()).unwrap();
+        answer.push(chunk(1));
+        assert!(answer.end().is_none());
+        answer.finish(End::Complete);
+        assert_eq!(rest(&mut repeat).await, LIMIT / 4 + 1);
+        assert_eq!(rest(&mut reader).await, 1);
+        assert!(answer.repeat_reader(connection).is_none());
+        assert_eq!(memory.bytes(), 0);
+    })
+    .unwrap();
+}
+
+// The same for what all answers take together.
+#[test]
+fn a_kept_answer_costs_the_repeat_when_memory_is_short() {
+    runtime::block_on(async {
+        let memory = Rc::new(AnswerMemory::new(LIMIT));
+        let answer = Rc::new(AnswerBuffer::new(&memory));
+        answer.keep_for_repeats(LIMIT);
+        let (connection, _caller) = connection().await;
+        let mut reader = answer.reader(connection.clone());
+        answer.push(chunk(LIMIT / 2));
+        assert!(reader.next().await.unwrap().is_some());
+        let other = buffer(&memory, LIMIT);
+        answer.push(chunk(1));
+        answer.finish(End::Complete);
+        assert_eq!(rest(&mut reader).await, 1);
+        assert!(answer.repeat_reader(connection).is_none());
+        assert_eq!(memory.bytes(), LIMIT);
+        drop(other);
+        assert_eq!(memory.bytes(), 0);
+    })
+    .unwrap();
+}
+
+// Guards against answers that are kept for repeats without a limit while nobody reads them, and against
+// the loss of what a repeat may still ask for.
+#[test]
+fn a_kept_answer_without_readers_waits_for_a_repeat() {
+    runtime::block_on(async {
+        let memory = Rc::new(AnswerMemory::new(LIMIT));
+        let answer = Rc::new(AnswerBuffer::new(&memory));
+        answer.keep_for_repeats(LIMIT / 4);
+        let (connection, _caller) = connection().await;
+        drop(answer.reader(connection.clone()));
+        answer.push(chunk(LIMIT / 4));
+        assert!(answer.is_wanted());
+        answer.push(chunk(1));
+        assert!(!answer.is_wanted());
+        let mut repeat = answer.repeat_reader(connection).unwrap();
+        assert!(answer.is_wanted());
+        answer.finish(End::Complete);
+        assert_eq!(rest(&mut repeat).await, LIMIT / 4 + 1);
+    })
+    .unwrap();
+}
+
+// Guards against memory of an answer that is held back and given up for another target's.
+#[test]
+fn what_is_held_back_counts() {
     let memory = Rc::new(AnswerMemory::new(LIMIT));
-    assert!(buffer(&memory, LIMIT / 2).excess(LIMIT / 4).is_some());
-    assert_eq!(buffer(&memory, LIMIT / 2).excess(LIMIT), None);
+    let buffer = AnswerBuffer::new(&memory);
+    let held_back = buffer.hold_back();
+    held_back.add(LIMIT + 1);
+    assert!(memory.is_short());
+    drop(held_back);
+    assert_eq!(memory.bytes(), 0);
 }
 
 // Guards against memory that is never given back.
