--- a/crates/lilaccrankd/tests/suite/answer_memory.rs
+++ b/crates/lilaccrankd/tests/suite/answer_memory.rs
@@ -8,6 +8,7 @@
 use futures::channel::mpsc;
 use futures::{FutureExt, StreamExt, future};
 use hyper::Response;
+use lilaccrank::error_kind::{ErrorKind, Executed};
 use lilaccrank_http::body::{self, Body};
 use lilaccrank_http::client_connection::ClientConnection;
 use lilaccrank_http::runtime;
@@ -15,6 +16,8 @@
 use lilaccrankd::request::answer_buffer::{AnswerBuffer, End, READ_AHEAD, Reader};
 use lilaccrankd::request::answer_memory::AnswerMemory;
 
+use super::fixtures;
+
 const LIMIT: usize = 1_000;
 
 fn buffer(memory: &Rc<AnswerMemory>, bytes: usize) -> AnswerBuffer {
@@ -223,6 +226,29 @@
     assert_eq!(memory.bytes(), 0);
 }
 
+// Guards against requests that are taken while the memory for answers is used up, and against a refusal
+// that outlasts that.
+#[test]
+fn nothing_is_admitted_while_memory_is_short() {
+    runtime::block_on(async {
+        let daemon = fixtures::daemon();
+        let answer = Rc::new(AnswerBuffer::new(&daemon.answer_memory));
+        let (connection, _caller) = connection().await;
+        let mut reader = answer.reader(connection);
+        assert!(daemon.admit().is_ok());
+        answer.push(Bytes::from(vec![0; daemon.cfg.answers_total_limit + 1]));
+        let refusal = daemon.admit().err().unwrap();
+        assert_eq!(refusal.kind, ErrorKind::Overloaded);
+        assert_eq!(refusal.ran, Executed::No);
+        assert!(refusal.retry_after.is_some());
+        assert_eq!(daemon.in_progress(), 0);
+        assert!(reader.next().await.unwrap().is_some());
+        assert!(reader.next().now_or_never().is_none());
+        assert!(daemon.admit().is_ok());
+    })
+    .unwrap();
+}
+
 // Guards against memory that is never given back.
 #[test]
 fn what_has_ended_takes_nothing() {
