--- a/crates/lilaccrankd/src/targets/relay.rs
+++ b/crates/lilaccrankd/src/targets/relay.rs
@@ -29,6 +29,7 @@
     let meter = connection.meter();
     meter.start();
     loop {
+        buffer.wait_until_wanted().await;
         let frame = timeout::timeout(bounds.next, body.frame()).await;
         let frame = frame.map_err(|_| broken("the target stopped in its answer"))?;
         let Some(frame) = frame else {
@@ -42,9 +43,6 @@
         if let Ok(data) = frame.into_data() {
             buffer.push(data);
         }
-        if let Some(why) = buffer.excess(bounds.answer_limit) {
-            return Err(broken(why));
-        }
     }
 }
 
