Forwarding: the time for a first event does not run while the caller is behind

What callers would see: a stream that is resumed at another target while its caller reads slowly is given up as silent: its target is not read until the caller has caught up, and the time for the first event ran on meanwhile. Cause: seen in merging back-pressure and takeovers, by reading; no run shows it. Change: the time of that wait does not count.

--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -215,8 +215,9 @@
         failed
     }
 
-    /// Waits until the caller needs more of the answer.
-    async fn wait_until_wanted(&self) {
+    /// Waits until the caller needs more of the answer. Returns the time that took.
+    async fn wait_until_wanted(&self) -> Duration {
+        let began_at = Instant::now();
         if !self.buffer.is_wanted() {
             self.observer.paused();
             while !self.buffer.is_wanted_within(PAUSE_REPORT_INTERVAL).await {
@@ -224,6 +225,7 @@
             }
             self.observer.resumed();
         }
+        began_at.elapsed()
     }
 
     /// Forwards an answer that is not a stream of events.
@@ -288,10 +290,12 @@
         let mut cutter = EventSplitter::default();
         meter.start();
         let mut event_count = 0;
+        let mut paused = Duration::ZERO;
         loop {
-            self.wait_until_wanted().await;
+            paused += self.wait_until_wanted().await;
             let limit = if event_count == 0 {
-                self.bounds.first.saturating_sub(sent_at.elapsed())
+                let awaited = sent_at.elapsed().saturating_sub(paused);
+                self.bounds.first.saturating_sub(awaited)
             } else {
                 self.bounds.next
             };
