No request is taken while the memory for answers is used up

Callers saw no refusal before: a daemon whose answers in progress were over their limit took more requests, and gave answers up for it.

No hysteresis: what is over the limit drains at the pace of the callers, and is not refilled while it lasts.

Ruled out: refusing at the daemon's process size, which never shrinks again.

--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -322,16 +322,25 @@
         self.in_progress.get()
     }
 
-    /// Admits a request unless the limit of requests in progress, which bounds memory, is reached.
+    /// Admits a request unless the limit of requests in progress or that of the memory for answers is
+    /// reached. It is called before the request is read.
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::Overloaded`] at the limit.
+    /// [`ErrorKind::Overloaded`] at a limit.
     pub fn admit(self: &Rc<Self>) -> Result<InProgress> {
         if self.in_progress.get() >= self.cfg.request_limit {
             let message = "this daemon has as many requests as it can hold";
             return Err(Refusal::new(ErrorKind::Overloaded, message));
         }
+        if self.answer_memory.is_short() {
+            let message = format!(
+                "the answers in progress take {} bytes, {} may be used",
+                self.answer_memory.bytes(),
+                self.cfg.answers_total_limit
+            );
+            return Err(Refusal::new(ErrorKind::Overloaded, message));
+        }
         self.in_progress.set(self.in_progress.get() + 1);
         self.metrics.in_progress.inc();
         Ok(InProgress(Rc::clone(self)))
