Bodies of requests count as memory of a daemon

Callers saw nothing of it until the machine was out of memory: 150 requests of 800 KB at a daemon of 88 MB were all taken, with a peak of 316 MB.

Change: a request takes memory for its body twice (its own buffer, that of the connection on which it is sent), by the announced length before it is read, or else as it comes, from the same limit as answers. Without memory it is refused as not run, with Retry-After, after the rest of its body was read and dropped: a caller that is cut off while it writes may not read the refusal. A relay does the same. The buffer has the announced size and grew by doubling before.

--- a/crates/lilaccrank-http/src/body.rs
+++ b/crates/lilaccrank-http/src/body.rs
@@ -39,6 +39,9 @@
     /// The connection failed before the end of the body.
     #[error("the body broke off: {0}")]
     Broken(#[from] hyper::Error),
+    /// There is no memory for the body.
+    #[error("there is no memory for the body")]
+    NoMemory,
     /// The body exceeds the size limit.
     #[error("the body is over the limit of {limit} bytes")]
     TooLarge {
@@ -132,16 +135,46 @@
 /// # Errors
 ///
 /// Returns an error if the connection fails before the end or the body exceeds `limit`.
-pub async fn read(mut body: Incoming, limit: usize) -> Result<Bytes> {
-    let mut buf = BytesMut::new();
+pub async fn read(body: Incoming, limit: usize) -> Result<Bytes> {
+    read_within(body, limit, |_| true).await
+}
+
+/// Like [`read`], if there is memory for the body. `take` is asked for the length that the sender
+/// announces, and for each piece beyond it, and tells whether there is memory for so many bytes.
+///
+/// # Errors
+///
+/// Also [`Error::NoMemory`]. The rest of the body is read first, without being held: a sender that is
+/// cut off while it writes may not read the response.
+pub async fn read_within(
+    mut body: Incoming,
+    limit: usize,
+    mut take: impl FnMut(usize) -> bool,
+) -> Result<Bytes> {
+    let announced = hyper::body::Body::size_hint(&body).exact().unwrap_or(0);
+    let mut taken = usize::try_from(announced).map_or(limit, |announced| announced.min(limit));
+    let mut has_memory = take(taken);
+    let mut buf = BytesMut::with_capacity(if has_memory { taken } else { 0 });
+    let mut size = 0;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
         };
-        if buf.len() + data.len() > limit {
+        size += data.len();
+        if size > limit {
             return Err(Error::TooLarge { limit });
         }
-        buf.extend_from_slice(&data);
+        if has_memory && size > taken {
+            has_memory = take(size - taken);
+            taken = size;
+        }
+        match has_memory {
+            true => buf.extend_from_slice(&data),
+            false => buf = BytesMut::new(),
+        }
+    }
+    match has_memory {
+        true => Ok(buf.freeze()),
+        false => Err(Error::NoMemory),
     }
-    Ok(buf.freeze())
 }
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -72,7 +72,8 @@
     let in_progress = Rc::new(daemon.admit()?);
     let (head, incoming) = req.into_parts();
     let customer = customer(daemon, &in_force, &head.headers)?;
-    let body = read_body(daemon, incoming, in_force.body_limit(&daemon.cfg)).await?;
+    let limit = in_force.body_limit(&daemon.cfg);
+    let body = read_request_body(daemon, incoming, limit, &in_progress).await?;
     if client.is_closed() {
         let message = "the caller went away before its request was read";
         return Err(Refusal::new(ErrorKind::Cancelled, message).ran(Executed::No));
@@ -174,9 +175,34 @@
 /// [`ErrorKind::TooLarge`] if it is larger, [`ErrorKind::BadRequest`] if it breaks off or takes too
 /// long.
 pub async fn read_body(daemon: &Daemon, incoming: Incoming, limit: usize) -> Result<Bytes> {
+    within_time(daemon, body::read(incoming, limit)).await
+}
+
+/// Like [`read_body`], for the body of a request that counts as in progress.
+///
+/// # Errors
+///
+/// Also [`ErrorKind::Overloaded`] if there is no memory for it.
+pub async fn read_request_body(
+    daemon: &Daemon,
+    incoming: Incoming,
+    limit: usize,
+    in_progress: &InProgress,
+) -> Result<Bytes> {
+    let reading = body::read_within(incoming, limit, |bytes| in_progress.take(bytes));
+    within_time(daemon, reading).await
+}
+
+async fn within_time(
+    daemon: &Daemon,
+    reading: impl Future<Output = body::Result<Bytes>>,
+) -> Result<Bytes> {
     let time = Duration::from_millis(daemon.cfg.body_timeout_ms);
-    match monoio::time::timeout(time, body::read(incoming, limit)).await {
+    match monoio::time::timeout(time, reading).await {
         Ok(Ok(body)) => Ok(body),
+        Ok(Err(e @ body::Error::NoMemory)) => {
+            Err(Refusal::new(ErrorKind::Overloaded, e.to_string()))
+        }
         Ok(Err(body::Error::TooLarge { limit })) => Err(Refusal::new(
             ErrorKind::TooLarge,
             format!("the body may have {limit} bytes"),
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -37,7 +37,7 @@
 use crate::pools::slot_leases::{ArbiterState, SlotLeases};
 use crate::ports::Ports;
 use crate::request::abort_signal::AbortSignal;
-use crate::request::answer_memory::AnswerMemory;
+use crate::request::answer_memory::{AnswerMemory, Held};
 use crate::request::key_state::KeyClaims;
 use crate::request::pool_retry_budgets::PoolRetryBudgets;
 use crate::request::quotas::Quotas;
@@ -147,13 +147,33 @@
     pub traffic: Rc<Traffic>,
 }
 
-/// Guard that counts one request in progress until it is dropped.
-pub struct InProgress(Rc<Daemon>);
+/// Buffers that hold a request's body at a time: its own, and that of the connection on which it is sent.
+const BODY_COPIES: usize = 2;
+
+/// Guard that counts one request in progress, with the memory of its body, until it is dropped.
+pub struct InProgress {
+    body: Held,
+    daemon: Rc<Daemon>,
+}
+
+impl InProgress {
+    /// Takes memory for a part of the request's body. If there is none, the body gives back all it has.
+    #[must_use]
+    pub fn take(&self, bytes: usize) -> bool {
+        self.body.add(bytes.saturating_mul(BODY_COPIES));
+        let is_short = self.body.memory().is_short();
+        if is_short {
+            self.body.release();
+        }
+        !is_short
+    }
+}
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        self.0.in_progress.set(self.0.in_progress.get() - 1);
-        self.0.metrics.in_progress.dec();
+        let daemon = &self.daemon;
+        daemon.in_progress.set(daemon.in_progress.get() - 1);
+        daemon.metrics.in_progress.dec();
     }
 }
 
@@ -335,7 +355,7 @@
         }
         if self.answer_memory.is_short() {
             let message = format!(
-                "the answers in progress take {} bytes, {} may be used",
+                "bodies and answers in progress take {} bytes, {} may be used",
                 self.answer_memory.bytes(),
                 self.cfg.answers_total_limit
             );
@@ -343,7 +363,10 @@
         }
         self.in_progress.set(self.in_progress.get() + 1);
         self.metrics.in_progress.inc();
-        Ok(InProgress(Rc::clone(self)))
+        Ok(InProgress {
+            body: Held::new(Rc::clone(&self.answer_memory)),
+            daemon: Rc::clone(self),
+        })
     }
 
     /// Records an event on the timeline.
--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -225,7 +225,7 @@
     head.headers.remove(CONTENT_LENGTH);
     head.headers.remove(TRANSFER_ENCODING);
     let limit = daemon.cfg.body_limit;
-    let body = entry::read_body(daemon, incoming, limit).await;
+    let body = entry::read_request_body(daemon, incoming, limit, &in_progress).await;
     let body = body.map_err(|_| Failure::Unsent)?;
     let buffer = Rc::new(AnswerBuffer::new(&daemon.answer_memory));
     let reader = buffer.reader(client);
