--- a/crates/lilaccrank-lab/src/reply.rs
+++ b/crates/lilaccrank-lab/src/reply.rs
@@ -112,6 +112,7 @@
         let status = match e {
             body::Error::Broken(_) => StatusCode::BAD_REQUEST,
             body::Error::Stalled { .. } => StatusCode::REQUEST_TIMEOUT,
+            body::Error::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
             body::Error::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
         };
         Box::new(error(status, &e.to_string()))
