Test: an engine's answer that is broken off since no other connection resumed it (failing)

Everything from the engine comes 700 ms later than before, from the middle of an answer on: more than the daemon waits for a token there (300 ms), and more than it waits for the answer to a resume (1 s) there and back. The answer is broken off with 'could not be resumed'; its own connection goes on.

--- a/crates/lilaccrank-lab/tests/faults/engines.rs
+++ b/crates/lilaccrank-lab/tests/faults/engines.rs
@@ -68,6 +68,22 @@
     });
 }
 
+/// Guards against an answer that is broken off since it could not be resumed on another connection, while
+/// its own goes on: everything from the engine is late by more than the daemon waits for a token, and by
+/// more than it waits for the answer to a resume.
+#[test]
+fn connection_slow_mid_stream() {
+    harness::run(async {
+        let cluster = Cluster::start(wired()).await.unwrap();
+        let call = harness::send(&cluster, 0, harness::once("slow", 60));
+        harness::running(&cluster, "slow").await;
+        let wire = cluster.target_wires[ENGINE].control.clone().unwrap();
+        harness::control(&cluster, &wire, json!({"mode": "slow", "delay_ms": 700})).await;
+        harness::assert_whole(&call.await);
+        assert_eq!(harness::runs(&cluster, "slow").await.len(), 1);
+    });
+}
+
 // The engine breaks its connection off after some tokens, once. The daemon takes the stream up
 // again; the caller sees nothing of it.
 #[test]
