Engine streams: a silent connection is kept until a resume has been answered

What callers saw: an answer of an engine is broken off as 'could not be resumed' while the engine goes on and its connection is only slow.

The old connection was dropped before the new one answered.

Change: a connection that is silent for longer than the daemon waits for a token is kept while a resume is tried on others, and read on if none is answered. Once no resume is left, silence ends the answer as before, as does a connection that was closed.

--- a/crates/lilaccrankd/src/targets/engine_stream.rs
+++ b/crates/lilaccrankd/src/targets/engine_stream.rs
@@ -214,9 +214,11 @@
     /// A device on the network path may drop an open connection without closing it; events then
     /// stop although the engine continues. Requesting the same stream from the same engine does not
     /// run anything again, so this is safe for every request.
+    ///
+    /// A connection that is only silent is kept until the new one has answered: it may be slow.
     async fn resume(&mut self, cause: Cause) -> Result<()> {
-        self.events = None;
-        self.connection = None;
+        let may_be_slow = cause == Cause::Silent && self.resumes < MAX_RESUMES;
+        let before = (self.events.take(), self.connection.take());
         while self.resumes < MAX_RESUMES {
             self.resumes += 1;
             let path = format!("{}?from={}", self.stream_path(), self.received);
@@ -226,6 +228,10 @@
                 return Ok(());
             }
         }
+        if may_be_slow && before.0.is_some() {
+            (self.events, self.connection) = before;
+            return Ok(());
+        }
         // Once the answer has begun, the caller gets a broken answer, no matter whether the target
         // died or hung.
         if cause == Cause::Closed || self.received > 0 {
