Library: versions in use, and records of streams for the platform's store

What has to outlive a kill of all daemons, without I/O: which software versions may have begun streams (`versions_in_use`), and the objects in which a daemon writes where its streams began (`stream_origins::stored`).

Property tests over random histories: no version is named for streams that another one began (lists, writes that fail, kills, restores of the store, waits), and what the store acknowledged is read again (answers that are lost, writes that come late, restarts, restores).

--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -40,3 +40,4 @@
 pub mod stream_progress;
 pub mod target_instance;
 pub mod timeline;
+pub mod versions_in_use;
--- a/crates/lilaccrank/src/stream_origins.rs
+++ b/crates/lilaccrank/src/stream_origins.rs
@@ -21,8 +21,10 @@
 use crate::software_version::{Origin, VersionDigest};
 
 mod miss_limit;
+mod stored;
 
 pub use miss_limit::MissLimit;
+pub use stored::{Outcome, ReadRecords, RecordLog, SLOTS, StoredRecords, Write};
 
 /// Number of members that own a stream.
 pub const COPIES: usize = 2;
@@ -198,11 +200,14 @@
 }
 
 impl StreamOrigins {
-    /// Inserts the record of a stream that this daemon begins or resumes, for its owners as well.
-    pub fn insert_own(&mut self, record: Record, now: Instant) {
-        if self.insert(record, now) {
+    /// Inserts the record of a stream that this daemon begins or resumes, for its owners as well. Returns
+    /// `true` if that changed something.
+    pub fn insert_own(&mut self, record: Record, now: Instant) -> bool {
+        let is_changed = self.insert(record, now);
+        if is_changed {
             self.unsent.push(record.id);
         }
+        is_changed
     }
 
     /// Inserts a record of another daemon.
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -122,7 +122,11 @@
 mod rules_terms;
 #[path = "suite/seeded.rs"]
 mod seeded;
+#[path = "suite/stored_origins.rs"]
+mod stored_origins;
 #[path = "suite/stream_origins.rs"]
 mod stream_origins;
 #[path = "suite/timeline.rs"]
 mod timeline;
+#[path = "suite/versions_in_use.rs"]
+mod versions_in_use;
