Resume streams after all daemons were killed

Cause: records of where streams began were in the memory of daemons only.

Change: the versions that may have begun streams are recorded in the platform's store before they get their first stream. If only one is recorded, it is the origin of any stream without a record, by a read that begins after the caller asked. While there are several, each daemon writes what it begins or resumes in batches, at most every 0.3 s, and all daemons 250 times a second; after a start they are read. A request waits for the record of a version, for two seconds at most. The log says by what a stream goes on: record of a daemon, record from the store, one version in use, or none.

Ruled out: a version computed from the request id (every exception would have to be recorded as well), and a record of the versions that is read from memory (another daemon may have added one).

--- a/crates/lilaccrankd/src/configuration/in_force.rs
+++ b/crates/lilaccrankd/src/configuration/in_force.rs
@@ -9,6 +9,7 @@
 use lilaccrank::document::{Document, PoolKind, Target};
 use lilaccrank::ids::{CustomerId, PoolId};
 use lilaccrank::rules::matching::RuleSet;
+use lilaccrank::versions_in_use::StreamRoutes;
 
 use crate::callers::auth::KeyIndex;
 use crate::peers::load_message::{self, CustomerDigest, PoolDigest};
@@ -34,6 +35,8 @@
     pools: IndexMap<PoolDigest, PoolId>,
     /// The compiled rules.
     pub rules: Rc<RuleSet>,
+    /// Pools that stream rules lead to.
+    pub stream_routes: StreamRoutes,
 }
 
 impl InForce {
@@ -56,6 +59,7 @@
                 load_message::pool_digest,
             ),
             rules: Rc::clone(&configuration.rules),
+            stream_routes: StreamRoutes::new(&document),
             document,
         }
     }
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -32,6 +32,7 @@
 use crate::peers::network::PeerNetwork;
 use crate::peers::stream_origins::OriginExchange;
 use crate::peers::traffic::Traffic;
+use crate::peers::version_record::VersionRecord;
 use crate::pools::client::{self, PoolClient};
 use crate::pools::server::{self, PoolServer};
 use crate::pools::slot_leases::{ArbiterState, SlotLeases};
@@ -145,6 +146,8 @@
     pub timeline: Timeline<MonoioClock>,
     /// Counters of control traffic.
     pub traffic: Rc<Traffic>,
+    /// Software versions that may have begun streams.
+    pub version_record: VersionRecord,
 }
 
 /// Guard that counts one request in progress until it is dropped.
@@ -237,6 +240,7 @@
             store,
             timeline,
             traffic,
+            version_record: VersionRecord::default(),
             cfg,
         })
     }
@@ -397,6 +401,7 @@
         server::configuration_changed(self);
         client::resync_dispatchers(self);
         manager::reconcile(self);
+        self.version_record.notify();
     }
 }
 
--- a/crates/lilaccrankd/src/peers/stream_origins.rs
+++ b/crates/lilaccrankd/src/peers/stream_origins.rs
@@ -13,7 +13,7 @@
 use lilaccrank::ids::{PoolId, VmId};
 use lilaccrank::peers::Peers;
 use lilaccrank::request_key::Ranking;
-use lilaccrank::software_version::Origin;
+use lilaccrank::software_version::{Origin, VersionDigest};
 use lilaccrank::stream_origins::{
     COPIES, MissLimit, Outbox, Record, RecordedOrigin, StreamId, StreamOrigins,
 };
@@ -23,6 +23,7 @@
 use crate::daemon::Daemon;
 use crate::peers::change_signal::ChangeSignal;
 use crate::peers::duties;
+use crate::peers::stored_origins::StoredOrigins;
 use crate::targets::live_list::LiveList;
 
 /// First byte of a datagram with records. MessagePack does not use it, so no load update begins
@@ -40,6 +41,8 @@
 const ASKED: usize = COPIES + 1;
 /// Delay before they are asked once more, if one of them did not reply.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
+/// Time for the platform's store to say where a stream began.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Number of requests of this daemon that may wait for a record. Callers choose what they ask for.
 const MAX_LOOKUPS: usize = 64;
 
@@ -71,6 +74,45 @@
     misses: RefCell<MissLimit>,
     recent: RefCell<VecDeque<Recent>>,
     records: RefCell<StreamOrigins>,
+    /// Records in the platform's store.
+    pub stored: StoredOrigins,
+}
+
+/// What tells where a stream began.
+#[derive(Clone, Debug)]
+pub enum Found {
+    /// The record of a daemon.
+    Record(RecordedOrigin),
+    /// Records in the platform's store.
+    Stored(Vec<RecordedOrigin>),
+    /// One version has begun all streams of the pool.
+    OnlyVersion(VersionDigest),
+}
+
+impl Found {
+    /// Where the stream began, by a list that may be newer than the records.
+    #[must_use]
+    pub fn origin(&self, pool: &str, list: &LiveList) -> Origin {
+        match self {
+            Self::Record(record) => list.origin(pool, *record),
+            Self::Stored(records) => {
+                let origins = records.iter().map(|record| list.origin(pool, *record));
+                let agree = |a: Origin, b: Origin| if a == b { a } else { Origin::Unknown };
+                origins.reduce(agree).unwrap_or(Origin::Unknown)
+            }
+            Self::OnlyVersion(version) => Origin::At(*version),
+        }
+    }
+
+    /// The source, for the log.
+    #[must_use]
+    pub fn source(&self) -> &'static str {
+        match self {
+            Self::Record(_) => "record of a daemon",
+            Self::Stored(_) => "record from the store",
+            Self::OnlyVersion(_) => "one version in use",
+        }
+    }
 }
 
 /// A stream that this daemon has just begun or resumed.
@@ -126,7 +168,10 @@
     }
 
     fn record(&self, record: Record) {
-        self.records.borrow_mut().insert_own(record, Instant::now());
+        let is_changed = self.records.borrow_mut().insert_own(record, Instant::now());
+        if is_changed {
+            self.stored.push(record);
+        }
         if self.find(record.id).is_none() {
             log::warn!("no room for the record of a stream, which can't be resumed elsewhere");
         }
@@ -159,23 +204,34 @@
     }
 }
 
-/// Returns where a stream of a customer began, as this daemon or the owners of its record say; `None`
-/// if none of them has a record.
-pub async fn find(daemon: &Daemon, customer: &str, id: StreamId) -> Option<RecordedOrigin> {
+/// Returns what tells where a stream of a customer began; `None` if nothing does. The stream is one of this
+/// pool, and has no id if its caller does not name it.
+pub async fn find(
+    daemon: &Daemon,
+    customer: &str,
+    pool: &PoolId,
+    id: Option<StreamId>,
+) -> Option<Found> {
     let exchange = &daemon.origins;
-    if let Some(found) = exchange.find(id) {
-        return Some(found);
+    if let Some(found) = id.and_then(|id| exchange.find(id)) {
+        return Some(Found::Record(found));
     }
     let Some(_lookup) = exchange.lookup(customer) else {
         log::info!(customer = customer; "not asked where a stream began: too many queries");
         return None;
     };
-    let (mut found, all_replied) = ask_owners(daemon, id).await;
-    if found.is_none() && !all_replied {
-        monoio::time::sleep(RETRY_DELAY).await;
-        (found, _) = ask_owners(daemon, id).await;
+    let found = match id {
+        Some(id) => find_record(daemon, id).await,
+        None => None,
+    };
+    if found.is_some() {
+        return found.map(Found::Record);
     }
-    let found = found.or_else(|| exchange.find(id));
+    let found = monoio::time::timeout(STORE_TIMEOUT, find_in_store(daemon, pool, id)).await;
+    let found = found.unwrap_or_else(|_| {
+        log::info!("the store did not say within {STORE_TIMEOUT:?} where a stream began");
+        None
+    });
     if found.is_none() {
         let mut misses = exchange.misses.borrow_mut();
         misses.record(customer, Instant::now());
@@ -183,6 +239,30 @@
     found
 }
 
+/// Asks the owners of a record, and once more if one of them did not reply.
+async fn find_record(daemon: &Daemon, id: StreamId) -> Option<RecordedOrigin> {
+    let (mut found, all_replied) = ask_owners(daemon, id).await;
+    if found.is_none() && !all_replied {
+        monoio::time::sleep(RETRY_DELAY).await;
+        (found, _) = ask_owners(daemon, id).await;
+    }
+    found.or_else(|| daemon.origins.find(id))
+}
+
+/// Returns what the platform's store tells. A record goes before the versions in use.
+async fn find_in_store(daemon: &Daemon, pool: &PoolId, id: Option<StreamId>) -> Option<Found> {
+    let stored = &daemon.origins.stored;
+    let found = id.map(|id| stored.find(id)).unwrap_or_default();
+    if !found.is_empty() {
+        return Some(Found::Stored(found));
+    }
+    if let Some(version) = daemon.version_record.only_version(daemon, pool).await {
+        return Some(Found::OnlyVersion(version));
+    }
+    let found = stored.read(id?).await;
+    (!found.is_empty()).then_some(Found::Stored(found))
+}
+
 /// Asks the owners of a record for it. Also returns whether all of them replied.
 async fn ask_owners(daemon: &Daemon, id: StreamId) -> (Option<RecordedOrigin>, bool) {
     let live = daemon.membership.live();
--- a/crates/lilaccrankd/src/request/execution.rs
+++ b/crates/lilaccrankd/src/request/execution.rs
@@ -173,6 +173,8 @@
     async fn wait_for_grant(&mut self) -> Result<HeldGrant> {
         let (daemon, routed) = (self.daemon, self.routed);
         routed.check_quarantine(daemon)?;
+        let pool = &routed.route.pool;
+        daemon.version_record.until_recorded(daemon, pool).await;
         daemon.record(
             EventKind::Asked,
             routed.subject(routed.route.pool.clone(), None),
--- a/crates/lilaccrankd/src/request/stream_origin.rs
+++ b/crates/lilaccrankd/src/request/stream_origin.rs
@@ -10,7 +10,7 @@
 use crate::callers::caller_request::Continuation;
 use crate::callers::refusal::{Refusal, Result};
 use crate::daemon::Daemon;
-use crate::peers::stream_origins;
+use crate::peers::stream_origins::{self, Found};
 use crate::request::lifecycle::RoutedRequest;
 
 /// Longest wait for a list that names the version of a stream.
@@ -25,34 +25,33 @@
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::CannotResume`] if it resumes a stream and no daemon that was asked knows its
-    /// origin.
+    /// [`ErrorKind::CannotResume`] if it resumes a stream and neither the daemons that were asked nor the
+    /// platform's store know its origin.
     pub async fn origin(&self, daemon: &Daemon) -> Result<Origin> {
         if !self.route.terms.stream {
             return Ok(Origin::New);
         }
-        let origin = match &self.caller.continuation {
+        let id = match &self.caller.continuation {
             Continuation::New => return Ok(Origin::New),
-            Continuation::Resumes(request) => {
-                let customer = &self.caller.facts.customer;
-                let recorded =
-                    stream_origins::find(daemon, customer, self.stream_id(request)).await;
-                recorded.map_or(Origin::Unknown, |recorded| {
-                    daemon.live_list.origin(&self.route.pool, recorded)
-                })
-            }
-            Continuation::Unnamed => Origin::Unknown,
+            Continuation::Resumes(request) => Some(self.stream_id(request)),
+            Continuation::Unnamed => None,
         };
+        let (customer, pool) = (&self.caller.facts.customer, &self.route.pool);
+        let found = stream_origins::find(daemon, customer, pool, id).await;
+        let origin = found.as_ref().map_or(Origin::Unknown, |found| {
+            found.origin(pool, &daemon.live_list)
+        });
         log::info!(
             origin:% = origin,
             request = self.log_id(),
             resumes = self.caller.continuation.log_id(),
-            since_arrival_ms = self.elapsed_ms();
+            since_arrival_ms = self.elapsed_ms(),
+            source = found.as_ref().map_or("none", Found::source);
             "resumes a stream"
         );
         if origin == Origin::Unknown {
-            let message = "no daemon that was asked knows one software version that began this \
-                           stream; begin it anew";
+            let message = "neither the daemons that were asked nor the store know one software version \
+                           that began this stream; begin it anew";
             return Err(Refusal::new(ErrorKind::CannotResume, message));
         }
         if let Origin::At(version) = origin {
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -30,8 +30,10 @@
 };
 use crate::peers::path_relay;
 use crate::peers::quarantine_record;
+use crate::peers::stored_origins;
 use crate::peers::traffic::Traffic;
 use crate::peers::udp_gossip::UdpGossip;
+use crate::peers::version_record;
 use crate::pools;
 use crate::ports::Ports;
 use crate::reload;
@@ -153,6 +155,8 @@
     monoio::spawn(load_exchange::run(Rc::clone(&daemon), load_socket));
     monoio::spawn(pools::slot_leases::run(Rc::clone(&daemon)));
     monoio::spawn(quarantine_record::run(Rc::clone(&daemon)));
+    monoio::spawn(stored_origins::run(Rc::clone(&daemon)));
+    monoio::spawn(version_record::run(Rc::clone(&daemon)));
     monoio::spawn(rollouts::run(Rc::clone(&daemon)));
     monoio::spawn(reload::run(Rc::clone(&daemon), signals.clone()));
     log::info!(
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -323,6 +323,7 @@
         log::info!(born = ended.started_ms, target_id = ended.id; "target restarted");
         daemon.client.discard_connections(&ended.address);
     }
+    daemon.version_record.notify();
     daemon.origins.check_versions(&daemon.live_list);
     let unusable = daemon.live_list.listing().unusable.len();
     let unusable = i64::try_from(unusable).unwrap_or(i64::MAX);
--- a/crates/lilaccrankd/src/targets/sendable.rs
+++ b/crates/lilaccrankd/src/targets/sendable.rs
@@ -23,6 +23,9 @@
         return TargetState::Draining;
     }
     match daemon.live_list.state_of(target) {
+        TargetState::Live if daemon.version_record.is_withheld(daemon, pool, target) => {
+            TargetState::Draining
+        }
         TargetState::Live => daemon.rollouts.state_of(pool, target, Instant::now()),
         TargetState::Draining => TargetState::Draining,
     }
