--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -33,6 +33,7 @@
 use crate::peers::network::PeerNetwork;
 use crate::peers::stream_origins::OriginExchange;
 use crate::peers::traffic::Traffic;
+use crate::peers::version_record::VersionRecord;
 use crate::pools::client::{self, PoolClient};
 use crate::pools::server::{self, PoolServer};
 use crate::pools::slot_leases::{ArbiterState, SlotLeases};
@@ -148,6 +149,8 @@
     pub timeline: Timeline<MonoioClock>,
     /// Counters of control traffic.
     pub traffic: Rc<Traffic>,
+    /// Software versions that may have begun streams.
+    pub version_record: VersionRecord,
 }
 
 /// Buffers that hold a request's body at a time: its own, and that of the connection on which it is sent.
@@ -261,6 +264,7 @@
             store,
             timeline,
             traffic,
+            version_record: VersionRecord::default(),
             cfg,
         })
     }
@@ -432,6 +436,7 @@
         server::configuration_changed(self);
         client::resync_dispatchers(self);
         manager::reconcile(self);
+        self.version_record.notify();
     }
 }
 
