Bodies: the time for which this process is held up does not count against a sender

Cause: the new reading of a body while it comes had the runtime's own timeout, which fires while bytes lie unread in the kernel. Change: it waits like the other timeouts of peers and targets. Found in joining the two parts, by reading.

--- a/crates/lilaccrank-http/src/body.rs
+++ b/crates/lilaccrank-http/src/body.rs
@@ -15,6 +15,8 @@
 use hyper::body::{Frame, Incoming, SizeHint};
 use thiserror::Error;
 
+use crate::timeout;
+
 /// Any error of a body.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 /// A boxed body, independent of its source.
@@ -207,7 +209,7 @@
     loop {
         let wait = stall.min(until.saturating_duration_since(Instant::now()));
         let received = buf.len();
-        let frame = monoio::time::timeout(wait, body.frame()).await;
+        let frame = timeout::timeout(wait, body.frame()).await;
         let frame = frame.map_err(|_| Error::Stalled {
             received,
             stall,
