Takeover: an answer that has not begun comes from one run

Change: while nothing is delivered, the first part of either run decides which one goes on; and a takeover that was asked for before the answer began is dropped if it has begun when the grant is there.

Ruled out: to check the origin again only.

--- a/crates/lilaccrankd/src/request/takeover.rs
+++ b/crates/lilaccrankd/src/request/takeover.rs
@@ -238,8 +238,12 @@
             ..partial
         });
         let id = self.history.next_takeover_id(&routed.id);
+        let had_head = self.buffer.has_head();
         let grant = self.wait_for_grant(&id, &prior, partial).await?;
         let target = self.usable(&grant.target).await?;
+        if self.buffer.has_head() != had_head {
+            return Err(own_stop("the answer has begun at its target"));
+        }
         self.check_sendable()?;
         self.cancellation.check()?;
         let permit = RetryPermit::take(daemon, &routed.route.pool);
@@ -251,7 +255,9 @@
     /// Lets two runs go on until one of them delivers the answer.
     async fn race(&mut self, cause: Cause, current: Run<'a>, next: Run<'a>) -> Left<'a> {
         let (mut current, mut next) = (current, next);
-        let race = Race::new(cause == Cause::PathLost);
+        // A run that has delivered nothing is not resumed: either of them delivers all of the answer.
+        let can_current_win = cause == Cause::PathLost || !self.buffer.has_head();
+        let race = Race::new(can_current_win);
         current.sent.observer.enter(&race, Side::Current);
         next.sent.observer.enter(&race, Side::Next);
         let happened = {
