Configuration: sections go deflated from daemon to daemon

What callers saw: as before. Cause: a change of 1,400 routes is 399 KB of sections. Bodies over 256 KB are not deflated, so that a large one doesn't hold up the sender, and each copy took a third of a second of a link of 10 Mbit/s; a watcher sends one to each daemon that asks it. Ruled out: a higher limit for bodies. It would deflate the same sections anew for each asker, on machines of a tenth of a core. Change: each section is deflated on its own, once, and kept while it is in force; other tasks run between two sections. What came deflated is sent on as it came. An asker says that it takes deflated sections, so that daemons of two versions understand each other. What an answer may inflate to is bounded: 1 MB a section, 32 MB in all.

--- a/crates/lilaccrank/src/configuration.rs
+++ b/crates/lilaccrank/src/configuration.rs
@@ -12,6 +12,7 @@
 
 pub mod adoption;
 pub mod archive;
+pub mod deflated;
 pub mod exchange;
 pub mod manifest;
 pub mod publish;
--- a/crates/lilaccrank/src/configuration/adoption.rs
+++ b/crates/lilaccrank/src/configuration/adoption.rs
@@ -7,10 +7,12 @@
 use std::task::{Poll, Waker};
 use std::time::Duration;
 
+use bytes::Bytes;
 use thiserror::Error;
 
+use super::deflated::{self, Deflated};
 use super::manifest::{Identity, Manifest, Standing};
-use super::sections::{self, Contents, Parts};
+use super::sections::{self, Contents, Digest, Parts};
 use crate::clock::BootTime;
 use crate::document::Document;
 use crate::rules::check;
@@ -65,6 +67,8 @@
 struct Inner {
     confirmed: Option<BootTime>,
     current: Option<Rc<Configuration>>,
+    /// Sections in force that were sent to other daemons, or received from one.
+    deflated: Deflated,
     recent: VecDeque<Manifest>,
     wakers: Vec<Waker>,
 }
@@ -144,6 +148,10 @@
         let wakers = {
             let mut inner = self.inner.borrow_mut();
             inner.current = Some(Rc::clone(&configuration));
+            let in_force = &configuration.contents;
+            inner
+                .deflated
+                .retain(|digest, _| in_force.contains_key(digest));
             inner.recent.push_back(configuration.manifest.clone());
             if inner.recent.len() > RECENT_LENGTH {
                 inner.recent.pop_front();
@@ -202,6 +210,33 @@
             .collect()
     }
 
+    /// The deflated content of a section in force.
+    pub(super) fn deflated(&self, digest: &Digest) -> Option<Bytes> {
+        if let Some(bytes) = self.inner.borrow().deflated.get(digest) {
+            return Some(bytes.clone());
+        }
+        let current = self.current()?;
+        let bytes = deflated::deflate(current.contents.get(digest)?)?;
+        let kept = (digest.clone(), bytes.clone());
+        self.inner.borrow_mut().deflated.extend([kept]);
+        Some(bytes)
+    }
+
+    /// Keeps deflated sections that were received and are in force now.
+    pub(super) fn keep_deflated(&self, received: Deflated) {
+        let Some(current) = self.current() else {
+            return;
+        };
+        let is_in_force = |(digest, _): &(Digest, Bytes)| current.contents.contains_key(digest);
+        let kept = received.into_iter().filter(is_in_force);
+        self.inner.borrow_mut().deflated.extend(kept);
+    }
+
+    /// Whether this section would have to be deflated before it can be sent.
+    pub(super) fn lacks_deflated(&self, digest: &Digest) -> bool {
+        !self.inner.borrow().deflated.contains_key(digest)
+    }
+
     /// The manifest of a configuration that was lately in force here.
     pub(super) fn recent(&self, identity: &Identity) -> Option<Manifest> {
         let inner = self.inner.borrow();
--- a/crates/lilaccrank/src/configuration/exchange.rs
+++ b/crates/lilaccrank/src/configuration/exchange.rs
@@ -4,11 +4,15 @@
 //! only sections that differ, as the manifest of a large configuration alone is larger than
 //! what a daemon may spend on control in a second.
 
-use indexmap::IndexMap;
+use std::future;
+use std::task::Poll;
+
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use super::adoption::{self, Adoption};
+use super::deflated::{self, Deflated};
 use super::manifest::{Identity, Manifest, Standing};
 use super::sections::{Contents, Digest, SectionName};
 use crate::ids::{Generation, VmId};
@@ -43,11 +47,17 @@
     Changes {
         /// The asker's configuration.
         held: Option<Identity>,
+        /// Whether the asker takes deflated sections.
+        #[serde(default)]
+        takes_deflated: bool,
     },
     /// The contents of these sections.
     Sections {
         /// Their digests.
         digests: Vec<Digest>,
+        /// Whether the asker takes deflated sections.
+        #[serde(default)]
+        takes_deflated: bool,
     },
 }
 
@@ -57,6 +67,8 @@
 pub enum Answer {
     /// The changes since the asker's configuration.
     Changes(Changes),
+    /// Deflated contents of sections, as far as they are held.
+    Deflated(Deflated),
     /// The answerer does not know the asker's configuration: its own manifest in full.
     Manifest(Manifest),
     /// The answerer holds nothing newer.
@@ -74,8 +86,11 @@
     pub author: String,
     /// The asker's configuration.
     pub base: Identity,
-    /// Contents of the sections that changed.
+    /// Contents of the sections that changed, unless the asker takes deflated ones.
     pub contents: Contents,
+    /// Deflated contents of the sections that changed.
+    #[serde(default, skip_serializing_if = "Deflated::is_empty")]
+    pub deflated: Deflated,
     /// The answerer's configuration.
     pub identity: Identity,
     /// Sections that are gone.
@@ -124,11 +139,49 @@
 #[must_use]
 pub fn answer(adoption: &Adoption, ask: &Ask) -> Answer {
     match ask {
-        Ask::Changes { held } => changes_since(adoption, held.as_ref()),
-        Ask::Sections { digests } => sections(adoption, digests),
+        Ask::Changes {
+            held,
+            takes_deflated,
+        } => changes_since(adoption, held.as_ref(), *takes_deflated),
+        Ask::Sections {
+            digests,
+            takes_deflated,
+        } => sections(adoption, digests, *takes_deflated),
     }
 }
 
+/// Deflates what the answer to `ask` will hold, and lets other tasks run after each section.
+pub async fn prepare(adoption: &Adoption, ask: &Ask) {
+    let digests = match ask {
+        Ask::Changes {
+            held,
+            takes_deflated: true,
+        } => new_sections(adoption, held.as_ref()),
+        Ask::Sections {
+            digests,
+            takes_deflated: true,
+        } => digests.clone(),
+        _ => return,
+    };
+    for digest in digests {
+        if adoption.lacks_deflated(&digest) && adoption.deflated(&digest).is_some() {
+            yield_now().await;
+        }
+    }
+}
+
+async fn yield_now() {
+    let mut has_yielded = false;
+    future::poll_fn(|cx| {
+        if std::mem::replace(&mut has_yielded, true) {
+            return Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
 /// Takes over what the daemon on `vm` holds, if it is newer. Returns what is in force then.
 ///
 /// # Errors
@@ -139,12 +192,15 @@
     adoption: &Adoption,
 ) -> Result<Option<Identity>> {
     let held = adoption.identity();
-    let ask = Ask::Changes { held };
+    let ask = Ask::Changes {
+        held,
+        takes_deflated: true,
+    };
     match peers.call(vm, ask).await? {
         Answer::Nothing => (),
         Answer::Changes(changes) => take_changes(adoption, changes)?,
         Answer::Manifest(manifest) => take_manifest(peers, vm, adoption, manifest).await?,
-        Answer::Sections(_) => return Err(Error::Unexpected),
+        Answer::Deflated(_) | Answer::Sections(_) => return Err(Error::Unexpected),
     }
     Ok(adoption.identity())
 }
@@ -163,7 +219,19 @@
         identity: changes.identity,
         sections,
     };
-    adopt(adoption, manifest, &changes.contents)
+    let contents = match changes.deflated.is_empty() {
+        true => changes.contents,
+        false => inflate(&manifest, &changes.deflated),
+    };
+    adopt(adoption, manifest, &contents)?;
+    adoption.keep_deflated(changes.deflated);
+    Ok(())
+}
+
+/// Inflates the sections that belong to a configuration.
+fn inflate(manifest: &Manifest, deflated: &Deflated) -> Contents {
+    let named: IndexSet<_> = manifest.sections.values().collect();
+    deflated::inflate(deflated, |digest| named.contains(digest))
 }
 
 async fn take_manifest<P: Peers<Ask, Answer>>(
@@ -177,7 +245,17 @@
     if digests.is_empty() {
         return adopt(adoption, manifest, &known);
     }
-    match peers.call(vm, Ask::Sections { digests }).await? {
+    let ask = Ask::Sections {
+        digests,
+        takes_deflated: true,
+    };
+    match peers.call(vm, ask).await? {
+        Answer::Deflated(deflated) => {
+            let contents = inflate(&manifest, &deflated);
+            adopt(adoption, manifest, &contents)?;
+            adoption.keep_deflated(deflated);
+            Ok(())
+        }
         Answer::Sections(contents) => adopt(adoption, manifest, &contents),
         _ => Err(Error::Unexpected),
     }
@@ -191,7 +269,21 @@
     }
 }
 
-fn changes_since(adoption: &Adoption, held: Option<&Identity>) -> Answer {
+/// Digests of the sections that an asker lacks that holds a configuration known here.
+fn new_sections(adoption: &Adoption, held: Option<&Identity>) -> Vec<Digest> {
+    let base = held.and_then(|held| adoption.recent(held));
+    let (Some(base), Some(current)) = (base, adoption.current()) else {
+        return Vec::new();
+    };
+    let known: IndexSet<_> = base.sections.values().collect();
+    let digests = current.manifest.sections.values();
+    digests
+        .filter(|digest| !known.contains(digest))
+        .cloned()
+        .collect()
+}
+
+fn changes_since(adoption: &Adoption, held: Option<&Identity>, takes_deflated: bool) -> Answer {
     let Some(current) = adoption.current() else {
         return Answer::Nothing;
     };
@@ -211,25 +303,44 @@
         .map(|(name, digest)| (name.clone(), digest.clone()))
         .collect();
     let gone = |name: &&SectionName| !manifest.sections.contains_key(*name);
-    let in_base = |digest: &&Digest| base.sections.values().any(|held| held == *digest);
-    let new = set.values().filter(|digest| !in_base(digest));
-    let contents = new.map(|digest| (digest.clone(), current.contents[digest].clone()));
+    let new = new_sections(adoption, held);
+    let (contents, deflated) = match takes_deflated {
+        true => (Contents::new(), deflated_of(adoption, &new)),
+        false => (contents_of(adoption, &new), Deflated::new()),
+    };
     Answer::Changes(Changes {
         ancestors: manifest.ancestors.clone(),
         author: manifest.author.clone(),
         base: base.identity.clone(),
-        contents: contents.collect(),
+        contents,
+        deflated,
         identity: manifest.identity.clone(),
         removed: base.sections.keys().filter(gone).cloned().collect(),
         set,
     })
 }
 
-fn sections(adoption: &Adoption, digests: &[Digest]) -> Answer {
+fn sections(adoption: &Adoption, digests: &[Digest], takes_deflated: bool) -> Answer {
+    match takes_deflated {
+        true => Answer::Deflated(deflated_of(adoption, digests)),
+        false => Answer::Sections(contents_of(adoption, digests)),
+    }
+}
+
+/// Contents of these sections, as far as they are held.
+fn contents_of(adoption: &Adoption, digests: &[Digest]) -> Contents {
     let current = adoption.current();
     let held = |digest| current.as_ref().and_then(|held| held.contents.get(digest));
-    let found = digests
+    digests
+        .iter()
+        .filter_map(|digest| Some((digest.clone(), held(digest)?.clone())))
+        .collect()
+}
+
+/// The same, deflated.
+fn deflated_of(adoption: &Adoption, digests: &[Digest]) -> Deflated {
+    digests
         .iter()
-        .filter_map(|digest| Some((digest.clone(), held(digest)?.clone())));
-    Answer::Sections(found.collect())
+        .filter_map(|digest| Some((digest.clone(), adoption.deflated(digest)?)))
+        .collect()
 }
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -18,6 +18,8 @@
 mod configuration_adoption;
 #[path = "suite/configuration_bench.rs"]
 mod configuration_bench;
+#[path = "suite/configuration_deflated.rs"]
+mod configuration_deflated;
 #[path = "suite/configuration_model.rs"]
 mod configuration_model;
 #[path = "suite/configuration_publish.rs"]
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -209,7 +209,10 @@
         PeerRequest::Announcement(announcement) => {
             configuration::handle_announcement(&daemon, announcement).into()
         }
-        PeerRequest::Configuration(ask) => exchange::answer(&daemon.adoption, &ask).into(),
+        PeerRequest::Configuration(ask) => {
+            exchange::prepare(&daemon.adoption, &ask).await;
+            exchange::answer(&daemon.adoption, &ask).into()
+        }
         PeerRequest::Held(HeldConfigurationRequest) => HeldConfiguration {
             identity: daemon.adoption.identity(),
         }
--- a/crates/lilaccrankd/tests/suite/pulls.rs
+++ b/crates/lilaccrankd/tests/suite/pulls.rs
@@ -158,7 +158,10 @@
         let holder = Holder::start(7, false);
         let (peers, vm) = (daemon.peers.clone(), holder.vm.clone());
         monoio::spawn(async move {
-            let ask = Ask::Changes { held: None };
+            let ask = Ask::Changes {
+                held: None,
+                takes_deflated: true,
+            };
             let _: Result<Answer> = peers.call(&vm, ask).await;
         });
         while holder.asked.get() == 0 {
