Lab: a body that stalls is answered 408

Cause: the new error kind of a body that makes no progress was not matched in the lab's stand-ins, which did not compile. Change: it is answered 408, as the stand-ins have a status for each kind.

--- a/crates/lilaccrank-lab/src/reply.rs
+++ b/crates/lilaccrank-lab/src/reply.rs
@@ -111,6 +111,7 @@
     body::read(req.into_body(), limit).await.map_err(|e| {
         let status = match e {
             body::Error::Broken(_) => StatusCode::BAD_REQUEST,
+            body::Error::Stalled { .. } => StatusCode::REQUEST_TIMEOUT,
             body::Error::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
         };
         Box::new(error(status, &e.to_string()))
