Configuration: sending it takes half of the link

Cause: nothing bounded how many copies a daemon sends at a time. Ruled out: a bound on the asker's side alone; many askers, each of them with one load, meet at one watcher. Change: a daemon answers questions about configurations with half of its link. An answer waits 250 ms at most; whoever would wait longer is told that there is nothing, and asks another daemon that has announced the change, or again with its next poll. Without a known link nothing is bounded, as before. Conclusion: a change spreads through those that hold it, and leaves half of each link.

--- a/crates/lilaccrank/src/configuration/exchange.rs
+++ b/crates/lilaccrank/src/configuration/exchange.rs
@@ -7,6 +7,7 @@
 use std::future;
 use std::task::Poll;
 
+use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -21,6 +22,9 @@
 /// Result of an exchange.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+/// Size of a section's name and digest in a manifest, roughly.
+const ENTRY_BYTES: usize = 90;
+
 /// Why an exchange did not end with the peer's configuration in force here.
 #[derive(Clone, Debug, Error, PartialEq)]
 pub enum Error {
@@ -71,12 +75,31 @@
     Deflated(Deflated),
     /// The answerer does not know the asker's configuration: its own manifest in full.
     Manifest(Manifest),
-    /// The answerer holds nothing newer.
+    /// The answerer holds nothing newer, or can't send it now.
     Nothing,
     /// Contents of sections, as far as they are held.
     Sections(Contents),
 }
 
+impl Answer {
+    /// Size of what it holds in bytes, roughly.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        let plain = |contents: &Contents| contents.values().map(|c| c.len()).sum::<usize>();
+        let deflated = |contents: &Deflated| contents.values().map(Bytes::len).sum::<usize>();
+        match self {
+            Self::Changes(changes) => {
+                let entries = changes.set.len() * ENTRY_BYTES;
+                entries + deflated(&changes.deflated) + plain(&changes.contents)
+            }
+            Self::Deflated(contents) => deflated(contents),
+            Self::Manifest(manifest) => manifest.sections.len() * ENTRY_BYTES,
+            Self::Nothing => 0,
+            Self::Sections(contents) => plain(contents),
+        }
+    }
+}
+
 /// What changed from one configuration to another.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Changes {
--- a/crates/lilaccrankd/src/configuration.rs
+++ b/crates/lilaccrankd/src/configuration.rs
@@ -25,6 +25,7 @@
 pub mod platform_contact;
 pub mod pulls;
 pub mod source;
+pub mod transfers;
 
 /// Number of members that each daemon announces a new configuration to.
 const FANOUT: usize = 3;
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::configuration::in_force::InForce;
 use crate::configuration::platform_contact::PlatformContact;
 use crate::configuration::pulls::Pulls;
+use crate::configuration::transfers::Transfers;
 use crate::orders::manager::{self, OrderManager};
 use crate::peers::advisories::SharedAdvisories;
 use crate::peers::duties::Duties;
@@ -148,6 +149,8 @@
     pub timeline: Timeline<MonoioClock>,
     /// Counters of control traffic.
     pub traffic: Rc<Traffic>,
+    /// What configurations for other daemons may take of the link.
+    pub transfers: Transfers,
 }
 
 /// Guard that counts one request in progress until it is dropped.
@@ -241,6 +244,7 @@
             store,
             timeline,
             traffic,
+            transfers: Transfers::new(cfg.link_bytes_per_s),
             cfg,
         })
     }
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
-use lilaccrank::configuration::exchange;
 use lilaccrank::ids::Incarnation;
 use lilaccrank::membership;
 use lilaccrank::request_key::Ranking;
@@ -19,8 +18,7 @@
 
 use crate::admin;
 use crate::callers;
-use crate::configuration;
-use crate::configuration::feed;
+use crate::configuration::{self, feed, transfers};
 use crate::daemon::Daemon;
 use crate::orders::jobs;
 use crate::orders::manager;
@@ -209,10 +207,7 @@
         PeerRequest::Announcement(announcement) => {
             configuration::handle_announcement(&daemon, announcement).into()
         }
-        PeerRequest::Configuration(ask) => {
-            exchange::prepare(&daemon.adoption, &ask).await;
-            exchange::answer(&daemon.adoption, &ask).into()
-        }
+        PeerRequest::Configuration(ask) => transfers::answer(&daemon, &ask).await.into(),
         PeerRequest::Held(HeldConfigurationRequest) => HeldConfiguration {
             identity: daemon.adoption.identity(),
         }
