--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::configuration::in_force::InForce;
 use crate::configuration::platform_contact::PlatformContact;
 use crate::configuration::pulls::Pulls;
+use crate::configuration::transfers::Transfers;
 use crate::orders::manager::{self, OrderManager};
 use crate::peers::advisories::SharedAdvisories;
 use crate::peers::duties::Duties;
@@ -151,6 +152,8 @@
     pub traffic: Rc<Traffic>,
     /// Software versions that may have begun streams.
     pub version_record: VersionRecord,
+    /// What configurations for other daemons may take of the link.
+    pub transfers: Transfers,
 }
 
 /// Buffers that hold a request's body at a time: its own, and that of the connection on which it is sent.
@@ -265,6 +268,7 @@
             timeline,
             traffic,
             version_record: VersionRecord::default(),
+            transfers: Transfers::new(cfg.link_bytes_per_s),
             cfg,
         })
     }
