Test: a slow peer does not hold a change up

Guard for the single load of a change: a peer that takes 0.9 s for each of two answers has been asked for 1.05 s when another one announces the same change; that one is asked beside it.

--- a/crates/lilaccrankd/tests/suite/pulls.rs
+++ b/crates/lilaccrankd/tests/suite/pulls.rs
@@ -57,6 +57,11 @@
 impl Holder {
     /// Starts a peer that holds this generation; it fails to send it if it `is_broken`.
     fn start(generation: Generation, is_broken: bool) -> Self {
+        Self::start_slow(generation, is_broken, SLOW)
+    }
+
+    /// The same with the time that each answer about configurations takes.
+    fn start_slow(generation: Generation, is_broken: bool, time: Duration) -> Self {
         let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let holder = Self {
             adoption: Adoption::new(),
@@ -73,7 +78,7 @@
                 let message: PeerReply = match req.message {
                     PeerRequest::Configuration(ask) => {
                         asked.set(asked.get() + 1);
-                        monoio::time::sleep(SLOW).await;
+                        monoio::time::sleep(time).await;
                         match is_broken {
                             true => Answer::Nothing.into(),
                             false => exchange::answer(&adoption, &ask).into(),
@@ -149,6 +154,23 @@
     assert_eq!(held, Some(identity(8)));
 }
 
+// Guards against a change that one slow peer holds up, which never is silent for long.
+#[test]
+fn a_second_peer_is_asked_beside_one_that_takes_long() {
+    let held = runtime::block_on(async {
+        let daemon = fixtures::daemon();
+        let slow = Holder::start_slow(7, false, Duration::from_millis(900));
+        configuration::handle_announcement(&daemon, slow.announcement());
+        monoio::time::sleep(Duration::from_millis(1_050)).await;
+        let quick = Holder::start_slow(7, false, Duration::ZERO);
+        configuration::handle_announcement(&daemon, quick.announcement());
+        monoio::time::sleep(QUICK).await;
+        daemon.adoption.identity()
+    })
+    .unwrap();
+    assert_eq!(held, Some(identity(7)));
+}
+
 // Guards against polls that wait behind a configuration on its way: a daemon then takes the watchers for
 // silent and asks the platform for everything as well.
 #[test]
