The body of a request is not read ahead of hyper

Callers saw nothing of it; each connection held up to a head and a body more than was counted.

Cause: while a request is in progress, client_connection.rs reads what hyper does not, to see that the client hangs up behind a next request. While a body comes faster than it is taken, that is the body.

Change: nothing is read ahead while a body is read, as hyper reads the connection itself and sees its end; afterwards as before. The buffer is given back once it is empty.

Ruled out: a smaller limit of what is read ahead, which would hide the end of a connection behind a next request with a body.

--- a/crates/lilaccrank-http/src/client_connection.rs
+++ b/crates/lilaccrank-http/src/client_connection.rs
@@ -28,6 +28,8 @@
     /// Bytes that were read and that hyper hasn't taken.
     ahead: BytesMut,
     end: Option<End>,
+    /// Set while a request's body is read, so that hyper reads the transport itself.
+    is_in_body: bool,
     /// Largest number of bytes that are read ahead. The end of a connection behind more bytes is seen
     /// once the answer has been written.
     limit: usize,
@@ -52,6 +54,20 @@
 /// A transport that can be asked for its end from any task.
 trait Watched {
     fn is_closed(&self) -> bool;
+
+    fn set_in_body(&self, is_in_body: bool);
+}
+
+/// While it lives, nothing is read ahead of hyper, which reads the body of a request. A body that comes
+/// faster than it is taken would otherwise be held twice.
+pub struct BodyReading(Weak<dyn Watched>);
+
+impl Drop for BodyReading {
+    fn drop(&mut self) {
+        if let Some(transport) = self.0.upgrade() {
+            transport.set_in_body(false);
+        }
+    }
 }
 
 impl ClientConnection {
@@ -68,6 +84,15 @@
         is_closed
     }
 
+    /// Begins to read the body of a request, until what is returned is dropped.
+    #[must_use]
+    pub fn begin_body(&self) -> BodyReading {
+        if let Some(transport) = self.transport.upgrade() {
+            transport.set_in_body(true);
+        }
+        BodyReading(Weak::clone(&self.transport))
+    }
+
     /// Returns how long the connection has been known to be closed; `None` while it is open.
     #[must_use]
     pub fn closed_for(&self) -> Option<Duration> {
@@ -85,6 +110,7 @@
             io,
             ahead: BytesMut::new(),
             end: None,
+            is_in_body: false,
             limit,
             waker: None,
         };
@@ -125,12 +151,21 @@
         let waker = waker.as_ref().unwrap_or(Waker::noop());
         state.poll_ahead(&mut Context::from_waker(waker)).is_ready()
     }
+
+    fn set_in_body(&self, is_in_body: bool) {
+        let mut state = self.borrow_mut();
+        state.is_in_body = is_in_body;
+        // The task of the connection has to watch the transport again.
+        if let Some(waker) = &state.waker {
+            waker.wake_by_ref();
+        }
+    }
 }
 
 impl<T: Read + Unpin> State<T> {
     fn poll_ahead(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         self.set_waker(cx);
-        while self.end.is_none() && self.ahead.len() < self.limit {
+        while self.end.is_none() && !self.is_in_body && self.ahead.len() < self.limit {
             let mut bytes = [0; READ_SIZE];
             let mut buf = ReadBuf::new(&mut bytes);
             match Pin::new(&mut self.io).poll_read(cx, buf.unfilled()) {
@@ -167,6 +202,9 @@
             let length = self.ahead.len().min(buf.remaining());
             buf.put_slice(&self.ahead[..length]);
             self.ahead.advance(length);
+            if self.ahead.is_empty() {
+                self.ahead = BytesMut::new();
+            }
             return Poll::Ready(Ok(()));
         }
         match self.end {
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -73,7 +73,9 @@
     let (head, incoming) = req.into_parts();
     let customer = customer(daemon, &in_force, &head.headers)?;
     let limit = in_force.body_limit(&daemon.cfg);
+    let reading = client.begin_body();
     let body = read_request_body(daemon, incoming, limit, &in_progress).await?;
+    drop(reading);
     if client.is_closed() {
         let message = "the caller went away before its request was read";
         return Err(Refusal::new(ErrorKind::Cancelled, message).ran(Executed::No));
--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -225,7 +225,9 @@
     head.headers.remove(CONTENT_LENGTH);
     head.headers.remove(TRANSFER_ENCODING);
     let limit = daemon.cfg.body_limit;
+    let reading = client.begin_body();
     let body = entry::read_request_body(daemon, incoming, limit, &in_progress).await;
+    drop(reading);
     let body = body.map_err(|_| Failure::Unsent)?;
     let buffer = Rc::new(AnswerBuffer::new(&daemon.answer_memory));
     let reader = buffer.reader(client);
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -63,8 +63,8 @@
     /// Maximum size in bytes up to which an answer is kept for callers that repeat its key, and maximum size
     /// of an engine's answer; a longer one of an engine is aborted.
     pub answer_limit: usize,
-    /// Size of all bodies and answers in progress, in bytes, beyond which no request is taken, no answer is kept for
-    /// repeats and targets are read at the pace of the callers.
+    /// Size of all bodies and answers in progress, in bytes, beyond which no request is taken, no answer is
+    /// kept for repeats and targets are read at the pace of the callers.
     pub answers_total_limit: usize,
     /// Milliseconds for which a finished answer is cached for callers that repeat its key.
     pub answer_ttl_ms: u64,
