Forwarding: the rest of a stream is a stream

What callers saw: a stream that was resumed at another target ends in the body of an error answer, and looks whole.

Cause: an answer other than a success is forwarded as it is, also when the caller has a part of a stream.

Change: such an answer is a failure of the run, once events were delivered.

--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -152,6 +152,14 @@
                 self.client.release(connection);
                 Ok(())
             }
+            // The caller would take its body for a part of the stream.
+            AnswerKind::Answer if delivered.events() > 0 => {
+                let message = format!(
+                    "the target answered the rest of a stream with {}",
+                    head.status
+                );
+                Err(delivered.broken(&message))
+            }
             AnswerKind::Answer => self.forward_whole(head, body, connection).await,
         }
     }
