--- a/crates/lilaccrank/tests/suite/configuration_deflated.rs
+++ b/crates/lilaccrank/tests/suite/configuration_deflated.rs
@@ -13,13 +13,13 @@
 use lilaccrank::paused_clock::PausedClock;
 use lilaccrank::peers::{self, Peers};
 use lilaccrank::store::VALUE_LIMIT;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::configuration_bench::Holder;
 use super::configuration_store::run;
 
 /// A question of a daemon that knows nothing of deflated sections.
-#[derive(Serialize)]
+#[derive(Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 enum OldAsk {
     Changes { held: Option<Identity> },
@@ -82,6 +82,19 @@
     assert_eq!(answer, Answer::Sections(sections.contents));
 }
 
+// Guards against the same the other way round.
+#[test]
+fn a_daemon_that_knows_nothing_of_deflated_sections_reads_the_question() {
+    let ask = Ask::Changes {
+        held: Some(identity(1)),
+        takes_deflated: true,
+    };
+    let wire = rmp_serde::to_vec_named(&ask).unwrap();
+    let read: OldAsk = rmp_serde::from_slice(&wire).unwrap();
+    let held = Some(identity(1));
+    assert_eq!(read, OldAsk::Changes { held });
+}
+
 /// What comes of asking a peer.
 fn take_from(
     peer: impl Peers<Ask, Answer>,
