--- a/review/rig.py
+++ b/review/rig.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+import re
 import shutil
 import signal
 import socket
@@ -16,7 +17,6 @@
 import tempfile
 import threading
 import time
-import tomllib
 import urllib.parse
 
 TOP = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -390,11 +390,12 @@
 
     def start(self, number=0, bootstrap=True):
         ip = self.ips[number]
-        with open(os.path.join(TOP, "deploy", "system.toml"), "rb") as file:
-            role = next(iter(tomllib.load(file)["roles"].items()))
-        name, role = role
+        with open(os.path.join(TOP, "deploy", "system.toml")) as file:
+            deploy = file.read()
+        role = re.search(r"^\[roles\.([^\]]+)\]", deploy, re.M).group(1)
+        command = re.search(r'^run = "([^"]+)"', deploy, re.M).group(1)
         settings = {
-            "node_name": f"front-portmore-{number + 1}", "role": name, "machine_class": "front",
+            "node_name": f"front-portmore-{number + 1}", "role": role, "machine_class": "front",
             "serves": ["front", "control"], "ip": ip, "zone": "portmore", "region": "kingston",
             "internal_port_range": [7600, 7615], "seed_nodes": self.seeds,
             "bootstrap": bootstrap, "counts_toward_tolerance": False, "discovery": "platform",
@@ -422,7 +423,7 @@
                 print(f"[{table}]", file=file)
                 for field, value in fields.items():
                     print(field, "=", json.dumps(value), file=file)
-        words = role["run"].split(" ")
+        words = command.split(" ")
         if not os.path.exists(os.path.join(TOP, words[0])):
             unable(f"{words[0]} is not built")
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
