Configuration: an answer of the store that was not taken over confirms nothing

Cause: source.rs kept the generation of the version before (`held`), and confirmed it as the newest with each answer of the store, the one that had brought the unusable version included. confirm_configuration also took any generation that was not older than the one in force for a confirmation, so that a version that was read but not adopted confirmed the old one too. The lease, which bounds how long a key works that was taken away, never ran out.

Ruled out: the native source (watcher.rs confirms only after reconcile; a test of its own was green at once), polls of peers (feed.rs hands on the age of the confirmation, and takes none from a peer with a newer generation), a daemon that starts meanwhile (in the tests one does).

Only the same generation as the one in force confirms it.

--- a/crates/lilaccrank/tests/suite/configuration_adoption.rs
+++ b/crates/lilaccrank/tests/suite/configuration_adoption.rs
@@ -11,6 +11,7 @@
 use lilaccrank::configuration::sections::{self, Contents, Sections};
 use lilaccrank::configuration::watcher::{self, Timing};
 use lilaccrank::document::Customer;
+use lilaccrank::store::{Expect, Store};
 
 use crate::configuration_bench::{Bench, Holder, LIMIT, document, publication};
 use crate::configuration_store::{run, run_beside};
@@ -106,6 +107,42 @@
     assert_eq!(second.generation, 2);
 }
 
+// Guards against an answer of the store that confirms the configuration in force although the newer one
+// that it brought could not be adopted.
+#[test]
+fn a_publication_that_is_not_adopted_confirms_nothing() {
+    let bench = Bench::new();
+    bench.publish_next("p1", &["a"]);
+    let (store, clock, adoption) = (
+        bench.store.clone(),
+        bench.clock.clone(),
+        bench.adoption.clone(),
+    );
+    let watcher = watcher::run_watcher(
+        store.clone(),
+        clock.clone(),
+        adoption.clone(),
+        Timing::default(),
+    );
+    let ages = run_beside(&bench.clock, watcher, async move {
+        adoption.changed(None).await;
+        clock.sleep(Duration::from_secs(10)).await;
+        let before = adoption.age(clock.boot_time()).unwrap();
+        let mut next = store.manifest().unwrap();
+        next.identity.generation += 1;
+        next.sections = Sections::split(&document(&["a", "a"])).unwrap().index;
+        let next = serde_json::to_vec(&next).unwrap();
+        store
+            .put(manifest::KEY, next.into(), Expect::Any)
+            .await
+            .unwrap();
+        clock.sleep(Duration::from_secs(10)).await;
+        (before, adoption.age(clock.boot_time()).unwrap())
+    });
+    let time = Duration::from_secs(10);
+    assert!(ages.0 < time && ages.1 >= time, "{ages:?}");
+}
+
 #[test]
 fn a_peer_sends_only_the_sections_that_changed() {
     // A daemon is cut off from the store and hears from a peer: first everything, then only
--- a/crates/lilaccrankd/src/configuration/source.rs
+++ b/crates/lilaccrankd/src/configuration/source.rs
@@ -85,11 +85,12 @@
         }
     }
 
-    /// Records that the platform held the configuration of `generation` at `at`. One that is older than
-    /// the one in force, as after a restore of the platform's store, confirms nothing.
-    pub fn confirm_configuration(&self, generation: Generation, at: BootTime) {
+    /// Records that the platform held the configuration of `generation` at `at`, or none that can be
+    /// used. It confirms the one in force only if it is the same: an older one, as after a restore of the
+    /// platform's store, does not, nor does a newer one that was not adopted.
+    pub fn confirm_configuration(&self, generation: Option<Generation>, at: BootTime) {
         let in_force = self.daemon.adoption.identity();
-        if in_force.is_none_or(|identity| identity.generation <= generation) {
+        if in_force.is_some_and(|identity| Some(identity.generation) == generation) {
             self.daemon.adoption.confirm(at);
         }
         self.daemon
