--- a/crates/lilaccrank/src/document.rs
+++ b/crates/lilaccrank/src/document.rs
@@ -77,8 +77,8 @@
     /// Units per second.
     pub per_s: f64,
     /// Units that a request without a token count uses if the unit is tokens.
-    #[serde(default = "default_one")]
-    pub plain_tokens: u32,
+    #[serde(default = "default_plain_tokens")]
+    pub plain_tokens: u64,
     /// Unit in which usage is counted.
     pub unit: QuotaUnit,
 }
@@ -432,6 +432,10 @@
     1
 }
 
+fn default_plain_tokens() -> u64 {
+    1
+}
+
 fn default_slots() -> u32 {
     8
 }
--- a/crates/lilaccrank/src/ids.rs
+++ b/crates/lilaccrank/src/ids.rs
@@ -20,7 +20,7 @@
 /// whether the attempt succeeded.
 pub type PublicationId = String;
 /// Priority of a customer. Lower ranks go first, regardless of the tiers of the requests.
-pub type Rank = u8;
+pub type Rank = u64;
 /// Internal identifier of a request, unique across daemons and restarts.
 pub type RequestId = String;
 /// Idempotency key that the caller chose for a request (`Idempotency-Key` header).
--- a/crates/lilaccrank/src/quota.rs
+++ b/crates/lilaccrank/src/quota.rs
@@ -223,7 +223,7 @@
         self.recent.insert(customer.clone());
         let account = self.account(customer, now);
         account.quota_per_s = quota.per_s;
-        account.spent.asked += debit.units;
+        account.spent.asked = account.spent.asked.saturating_add(debit.units);
         account.mark_changed(now);
         account.refill(quota, share, now);
         let burst = quota.burst * share;
@@ -242,7 +242,7 @@
             });
         }
         account.balance -= debit.units as f64;
-        account.spent.passed += debit.units;
+        account.spent.passed = account.spent.passed.saturating_add(debit.units);
         Ok(account.balance < burst * LOW_BALANCE_FRACTION)
     }
 
@@ -250,7 +250,7 @@
     pub fn refund(&mut self, customer: &CustomerId, units: u64, now: Instant) {
         if let Some(account) = self.accounts.get_mut(customer) {
             account.balance += units as f64;
-            account.spent.returned += units;
+            account.spent.returned = account.spent.returned.saturating_add(units);
             account.mark_changed(now);
             self.recent.insert(customer.clone());
         }
--- a/crates/lilaccrank/src/rules/matching.rs
+++ b/crates/lilaccrank/src/rules/matching.rs
@@ -290,13 +290,17 @@
 
 /// The pool that `draw` falls on, each as often as its weight says.
 fn drawn(pools: &[WeightedPool], draw: u32) -> PoolId {
-    let sum: u32 = pools.iter().map(|share| share.weight).sum();
-    let mut left = draw % sum.max(1);
+    let sum: u64 = pools.iter().map(|share| u64::from(share.weight)).sum();
+    let mut left = match u32::try_from(sum) {
+        Ok(sum) => u64::from(draw % sum.max(1)),
+        Err(_) => ((u128::from(draw) * u128::from(sum)) >> u32::BITS) as u64,
+    };
     for share in pools {
-        if left < share.weight {
+        let weight = u64::from(share.weight);
+        if left < weight {
             return share.pool.clone();
         }
-        left -= share.weight;
+        left -= weight;
     }
     pools.first().map(|s| s.pool.clone()).unwrap_or_default()
 }
--- a/crates/lilaccrank/tests/suite/rules_terms.rs
+++ b/crates/lilaccrank/tests/suite/rules_terms.rs
@@ -91,6 +91,17 @@
 splits!(a_weight_of_nothing_gets_nothing, [0, 4], 0);
 splits!(equal_weights_halve, [1, 1], 50);
 
+// Guards against a sum of weights that is too large for the type that it is held in.
+#[test]
+fn the_largest_weights_halve() {
+    let document = document(split([u32::MAX, u32::MAX]));
+    let first = (0..100).filter(|draw| {
+        let decision = decide(&document, "hotel", (2 * draw + 1) * (u32::MAX / 200));
+        matches!(decision, Decision::Send(route) if route.pool == "old")
+    });
+    assert_eq!(first.count(), 50);
+}
+
 // A caller without a key reaches a rule that is for everybody, in the last tier; what it may do
 // there is the daemon's to check by the rule's terms.
 #[test]
--- a/crates/lilaccrankd/src/request/quotas.rs
+++ b/crates/lilaccrankd/src/request/quotas.rs
@@ -156,7 +156,7 @@
         QuotaUnit::Tokens => {
             let tokens = u64::from(facts.prompt_tokens) + u64::from(facts.max_tokens);
             match tokens {
-                0 => quota.plain_tokens.into(),
+                0 => quota.plain_tokens,
                 tokens => tokens,
             }
         }
