Numbers that are too large for a timer or a type end no process

What callers saw: with an `idle_timeout_ms` of 2^64 - 1, or a route's `timeout_ms` of 1e25 and a request without a deadline, the daemon ended by a panic at the first request, and again after each start.

Cause: the runtime's timers count milliseconds in 64 bits and panic beyond them. Numbers of the configuration went into them as they were. Kin of it, found by the tests of this commit in the debug build: the sum of two workers' slots of 2^32 - 1, and the tokens of a stream whose events hold 2^32 - 1 each, overflowed; the release build went on with a wrong sum.

Evidence: `Duration too far into the future` at monoio's time driver in four of the tests; `attempt to add with overflow` in cell_targets.rs and send_observer.rs.

Ruled out by tests that were green before: numbers in workers' answers (Keep-Alive, Server-Limit, Server-Brittle, Retry-After) and in callers' heads (deadline, token counts, last event, prompt parts, length hint), the other numbers of the configuration, `cold_remaining_ms`, `sequence` and `born` of workers, `grace_s`.

Change: clock::millis bounds every time that a number of another process or of an operator stands for, by a year: times of documents and settings, leases and roll-outs in the store, the cold time of targets. The two sums saturate.

--- a/crates/lilaccrank/src/clock.rs
+++ b/crates/lilaccrank/src/clock.rs
@@ -11,6 +11,16 @@
 /// arrived may have been waiting to be read.
 pub const MAX_STEP: Duration = Duration::from_millis(100);
 
+/// Longest time that a number of another process or of an operator stands for. The runtime's timers panic
+/// on instants outside of their range.
+pub const MAX_TIME: Duration = Duration::from_secs(365 * 24 * 60 * 60);
+
+/// Returns the time that a number of milliseconds stands for, at most [`MAX_TIME`].
+#[must_use]
+pub fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms).min(MAX_TIME)
+}
+
 /// Returns the part of the time between two turns of a periodic task in which the process was held up.
 #[must_use]
 pub fn held_up(gap: Duration) -> Duration {
--- a/crates/lilaccrank/src/document.rs
+++ b/crates/lilaccrank/src/document.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use crate::clock;
 use crate::ids::{
     CustomerId, DataCentre, ModelId, PoolId, Rank, RuleId, SoftwareVersion, StartTimeMs, TargetId,
     Tier, VmId,
@@ -410,13 +411,13 @@
     /// Latency objective until the answer or the first event of a stream.
     #[must_use]
     pub fn objective(&self) -> Option<Duration> {
-        self.objective_ms.map(Duration::from_millis)
+        self.objective_ms.map(clock::millis)
     }
 
     /// Timeout until the answer.
     #[must_use]
     pub fn timeout(&self) -> Option<Duration> {
-        self.timeout_ms.map(Duration::from_millis)
+        self.timeout_ms.map(clock::millis)
     }
 }
 
@@ -424,7 +425,7 @@
     /// Maximum wait in the queue.
     #[must_use]
     pub fn wait_at_most(&self) -> Option<Duration> {
-        self.wait_at_most_ms.map(Duration::from_millis)
+        self.wait_at_most_ms.map(clock::millis)
     }
 }
 
--- a/crates/lilaccrank/src/lease.rs
+++ b/crates/lilaccrank/src/lease.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::clock::Clock;
+use crate::clock::{self, Clock};
 use crate::store::Store;
 
 mod candidate;
@@ -131,7 +131,7 @@
 
 impl Record {
     fn duration(&self) -> Duration {
-        Duration::from_millis(self.duration_ms)
+        clock::millis(self.duration_ms)
     }
 }
 
--- a/crates/lilaccrank/tests/suite/rules_terms.rs
+++ b/crates/lilaccrank/tests/suite/rules_terms.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lilaccrank::clock::Clock;
+use lilaccrank::clock::{self, Clock};
 use lilaccrank::configuration::adoption::Adoption;
 use lilaccrank::configuration::manifest::{Identity, Manifest};
 use lilaccrank::configuration::sections::Sections;
@@ -102,6 +102,22 @@
     assert_eq!(first.count(), 50);
 }
 
+// Guards against times of a document that are beyond the range of the runtime's timers.
+#[test]
+fn the_longest_times_are_bounded() {
+    let terms = Terms {
+        objective_ms: Some(u64::MAX),
+        timeout_ms: Some(u64::MAX),
+        ..Terms::default()
+    };
+    let then = Then {
+        wait_at_most_ms: Some(u64::MAX),
+        ..Then::default()
+    };
+    let times = [terms.objective(), terms.timeout(), then.wait_at_most()];
+    assert_eq!(times, [Some(clock::MAX_TIME); 3]);
+}
+
 // A caller without a key reaches a rule that is for everybody, in the last tier; what it may do
 // there is the daemon's to check by the rule's terms.
 #[test]
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response};
-use lilaccrank::clock::Clock;
+use lilaccrank::clock::{self, Clock};
 use lilaccrank::document::Customer;
 use lilaccrank::error_kind::{ErrorKind, Executed};
 use lilaccrank::rules::matching::{Decision, Route};
@@ -199,7 +199,7 @@
     daemon: &Daemon,
     reading: impl Future<Output = body::Result<Bytes>>,
 ) -> Result<Bytes> {
-    let time = Duration::from_millis(daemon.cfg.body_timeout_ms);
+    let time = clock::millis(daemon.cfg.body_timeout_ms);
     match monoio::time::timeout(time, reading).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(e @ body::Error::NoMemory)) => {
@@ -264,7 +264,7 @@
     protocol: Option<Rc<dyn CallerProtocol>>,
 ) -> Result<Response<Body>> {
     let head = reader.head().await?;
-    let send_timeout = Duration::from_millis(daemon.cfg.body_timeout_ms);
+    let send_timeout = clock::millis(daemon.cfg.body_timeout_ms);
     let body = body::streamed(|tx| async move {
         relay(reader, tx, send_timeout, protocol).await;
         drop(in_progress);
--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -6,7 +6,7 @@
 
 use futures::future;
 use lilaccrank::backoff;
-use lilaccrank::clock::{BootTime, Clock};
+use lilaccrank::clock::{self, BootTime, Clock};
 use lilaccrank::configuration::manifest::Identity;
 use lilaccrank::ids::VmId;
 use lilaccrank::peers::Peers;
@@ -28,7 +28,7 @@
 
 /// Polls others for as long as the daemon runs.
 pub async fn follow(daemon: &Rc<Daemon>) {
-    let every = Duration::from_millis(daemon.cfg.feed_ms);
+    let every = clock::millis(daemon.cfg.feed_ms);
     let mut turn = 0;
     loop {
         monoio::time::sleep(every / 2 + backoff::full_jitter(every)).await;
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
-use lilaccrank::clock::Clock;
+use lilaccrank::clock::{self, Clock};
 use lilaccrank::configuration::adoption::{Adoption, Configuration};
 use lilaccrank::document::{CallerLimits, Target};
 use lilaccrank::error_kind::ErrorKind;
@@ -226,7 +226,7 @@
             advisories: SharedAdvisories::default(),
             answer_memory: Rc::new(AnswerMemory::new(cfg.answers_total_limit)),
             answer_cache: AnswerCache::new(
-                Duration::from_millis(cfg.answer_ttl_ms),
+                clock::millis(cfg.answer_ttl_ms),
                 cfg.answer_cache_bytes,
             ),
             claims,
@@ -329,7 +329,7 @@
     ///
     /// [`ErrorKind::NotReady`] once the lease has expired.
     pub fn check_lease(&self) -> Result<()> {
-        let lease = Duration::from_millis(self.cfg.configuration_lease_ms);
+        let lease = clock::millis(self.cfg.configuration_lease_ms);
         let age = self.adoption.age(MonoioClock.boot_time());
         if lease.is_zero() || age.is_some_and(|age| age + LEASE_MARGIN < lease) {
             return Ok(());
@@ -389,16 +389,16 @@
     /// Returns the timeouts for the first and the following tokens of a target.
     pub fn silence_timeouts(&self) -> SilenceTimeouts {
         SilenceTimeouts {
-            first: Duration::from_millis(self.cfg.first_token_ms),
-            next: Duration::from_millis(self.cfg.between_tokens_ms),
+            first: clock::millis(self.cfg.first_token_ms),
+            next: clock::millis(self.cfg.between_tokens_ms),
         }
     }
 
     /// Returns the timeouts of forwarded answers.
     pub fn bounds(&self) -> Bounds {
-        let silence = Duration::from_millis(self.cfg.first_token_ms);
+        let silence = clock::millis(self.cfg.first_token_ms);
         Bounds {
-            connect: Duration::from_millis(self.cfg.target_connect_ms),
+            connect: clock::millis(self.cfg.target_connect_ms),
             first: silence,
             next: silence,
         }
@@ -447,8 +447,8 @@
 fn head_limits(configured: Option<CallerLimits>) -> HeadLimits {
     configured.map_or_else(HeadLimits::default, |limits| HeadLimits {
         head_bytes: limits.head_bytes,
-        head_timeout: Duration::from_millis(limits.head_ms),
-        idle_timeout: Duration::from_millis(limits.idle_ms),
+        head_timeout: clock::millis(limits.head_ms),
+        idle_timeout: clock::millis(limits.idle_ms),
         // A whole next request.
         read_ahead_bytes: limits.head_bytes.saturating_add(limits.body_bytes),
     })
--- a/crates/lilaccrankd/src/orders/timeouts.rs
+++ b/crates/lilaccrankd/src/orders/timeouts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lilaccrank::{lease, orders};
+use lilaccrank::{clock, lease, orders};
 
 use crate::settings::Settings;
 
@@ -26,8 +26,8 @@
     #[must_use]
     pub fn new(cfg: &Settings) -> Self {
         Self {
-            in_flight: Duration::from_millis(cfg.order_in_flight_ms),
-            lease: Duration::from_millis(cfg.order_lease_ms),
+            in_flight: clock::millis(cfg.order_in_flight_ms),
+            lease: clock::millis(cfg.order_lease_ms),
         }
     }
 
--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, StatusCode};
+use lilaccrank::clock;
 use lilaccrank::document::Target;
 use lilaccrank::ids::{PoolId, Tier, VmId};
 use lilaccrank::software_version::VersionDigest;
@@ -313,7 +314,7 @@
             false => bounds.connect,
         },
         head: bounds.first,
-        max_idle: Duration::from_millis(daemon.cfg.unrepeatable_rest_ms),
+        max_idle: clock::millis(daemon.cfg.unrepeatable_rest_ms),
     };
     daemon.link.until_free(relayed.tier, &req).await;
     let client = &daemon.client;
--- a/crates/lilaccrankd/src/pools/server/cell_targets.rs
+++ b/crates/lilaccrankd/src/pools/server/cell_targets.rs
@@ -28,7 +28,8 @@
     let near = pool.targets.clone();
     pool.targets = cell_targets(daemon, &pool.id, pool.targets);
     let spare = cells::spare_targets(&near, &pool.targets, &daemon.cfg.vm);
-    overflow.set_cell_slots(pool.targets.iter().map(|target| target.slots).sum());
+    let slots = pool.targets.iter().map(|target| target.slots);
+    overflow.set_cell_slots(slots.fold(0, u32::saturating_add));
     if overflow.is_active() {
         pool.targets.extend(overflow::targets(daemon, &near, &pool));
     }
--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use lilaccrank::clock;
 use lilaccrank::dispatch::message::{PartialAnswer, Submission};
 use lilaccrank::error_kind::{ErrorKind, Executed};
 use lilaccrank::ids::{ContentDigest, RequestId, TargetId};
@@ -139,7 +140,7 @@
     match (result, key) {
         (Err(refusal), Some(key)) if refusal.ran == Executed::No => key.release().await,
         (_, Some(key)) => {
-            let ttl = Duration::from_millis(daemon.cfg.answer_ttl_ms);
+            let ttl = clock::millis(daemon.cfg.answer_ttl_ms);
             key.end(result, ttl).await;
         }
         (_, None) => {}
@@ -286,7 +287,7 @@
 
     fn cancellation(&self, daemon: &Rc<Daemon>, buffer: &Rc<AnswerBuffer>) -> Cancellation {
         let grace = match self.caller.facts.key {
-            Some(_) => Duration::from_millis(daemon.cfg.grace_ms),
+            Some(_) => clock::millis(daemon.cfg.grace_ms),
             None => Duration::ZERO,
         };
         Cancellation::new(daemon, buffer, self.deadline(), grace)
--- a/crates/lilaccrankd/src/request/send.rs
+++ b/crates/lilaccrankd/src/request/send.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lilaccrank::attempts::Failure;
+use lilaccrank::clock;
 use lilaccrank::dispatch::message::Outcome;
 use lilaccrank::document::Target;
 use lilaccrank::error_kind::{ErrorKind, Executed};
@@ -189,7 +190,7 @@
         if self.routed.is_retryable() {
             client::MAX_IDLE
         } else {
-            Duration::from_millis(self.daemon.cfg.unrepeatable_rest_ms)
+            clock::millis(self.daemon.cfg.unrepeatable_rest_ms)
         }
     }
 }
--- a/crates/lilaccrankd/src/request/send_observer.rs
+++ b/crates/lilaccrankd/src/request/send_observer.rs
@@ -220,8 +220,9 @@
     }
 
     fn event(&self, first: bool, since_sent: Duration) {
-        self.tokens.set(self.tokens.get() + self.tokens_in_event);
-        self.grant.record_decoded(self.tokens.get());
+        let tokens = self.tokens.get().saturating_add(self.tokens_in_event);
+        self.tokens.set(tokens);
+        self.grant.record_decoded(tokens);
         let now = Instant::now();
         let mut stream_progress = self.stream_progress.get();
         stream_progress.record_tokens(self.tokens_in_event, now);
--- a/crates/lilaccrankd/src/rollouts.rs
+++ b/crates/lilaccrankd/src/rollouts.rs
@@ -6,6 +6,7 @@
 
 use indexmap::map::Entry;
 use indexmap::{IndexMap, IndexSet};
+use lilaccrank::clock;
 use lilaccrank::document::{Target, TargetState};
 use lilaccrank::ids::PoolId;
 use lilaccrank::peers::Peers;
@@ -137,7 +138,7 @@
         cold_until.retain(|_, until| *until > now);
         let cold = listing.all().filter(|(_, target)| target.cold_ms > 0);
         for (_, target) in cold {
-            let until = now + Duration::from_millis(target.cold_ms);
+            let until = now + clock::millis(target.cold_ms);
             let instance = TargetInstance::of(target);
             cold_until.entry(instance).or_insert(until);
         }
--- a/crates/lilaccrankd/src/shutdown.rs
+++ b/crates/lilaccrankd/src/shutdown.rs
@@ -4,6 +4,7 @@
 
 use futures::future::{self, Either};
 use futures::pin_mut;
+use lilaccrank::clock;
 use lilaccrank::timeline::{EventKind, Subject};
 use lilaccrank_http::server::ShutdownHandle;
 
@@ -20,7 +21,7 @@
 /// The servers are closed one after the other, the one for callers first.
 pub async fn run(daemon: &Daemon, servers: [&ShutdownHandle; 2], signals: &Signals) {
     daemon.leaving.set(true);
-    let serving = Duration::from_millis(daemon.cfg.shutdown_serving_ms);
+    let serving = clock::millis(daemon.cfg.shutdown_serving_ms);
     daemon.refusing.set(serving.is_zero());
     log::info!("leaving with {} requests in progress", daemon.in_progress());
     daemon.membership.leave().await;
@@ -64,7 +65,7 @@
 
 /// Completes at the shutdown's time limit or a second signal.
 async fn until_abort(daemon: &Daemon, signals: &Signals) {
-    let timed_out = monoio::time::sleep(Duration::from_millis(daemon.cfg.shutdown_limit_ms));
+    let timed_out = monoio::time::sleep(clock::millis(daemon.cfg.shutdown_limit_ms));
     let second_signal = signals.wait_for_count(2);
     pin_mut!(timed_out, second_signal);
     future::select(timed_out, second_signal).await;
--- a/crates/lilaccrankd/src/targets/freshness.rs
+++ b/crates/lilaccrankd/src/targets/freshness.rs
@@ -154,7 +154,7 @@
 /// Returns `true` if requests may be sent by the list of targets now; asks for a newer one if not.
 #[must_use]
 pub fn is_usable(daemon: &Daemon) -> bool {
-    let lease = Duration::from_millis(daemon.cfg.listing_lease_ms);
+    let lease = clock::millis(daemon.cfg.listing_lease_ms);
     if lease.is_zero() {
         return true;
     }
@@ -170,7 +170,7 @@
 /// Waits while the list of targets is too old to send by it and the platform may still give a newer
 /// one.
 pub async fn until_usable(daemon: &Daemon) {
-    let lease = Duration::from_millis(daemon.cfg.listing_lease_ms);
+    let lease = clock::millis(daemon.cfg.listing_lease_ms);
     if lease.is_zero() {
         return;
     }
