Server: the limits in force when a head comes decide, also on open connections

Cause: hyper takes the size of its read buffer and its timeout when it begins to serve a connection, and the server handed it the limits at the accept. The time for a head and the bytes that are read ahead were taken there too.

Evidence: the same head is served on a new connection and refused on an old one, and on one that has not carried a request yet, so that it is the accept that decides and not the last request.

Ruled out: max_body_bytes, which is read from the configuration in force for each request.

Change: LiveLimits tells connections of a change. Between two requests, with the last answer flushed, a connection is taken from hyper and served anew under the limits in force, with the bytes of a next head that were read already. Until then its transport gives hyper no byte of a next head. Before it is taken hyper gets one more turn, in which it notices a request body that nobody reads to its end, and closes: the rest of such a body would be taken for a request. Weighed: closing old connections (loses requests that cross the close), and hyper with a large buffer and a check of our own (a caller could hold that much memory by each connection, and answers would be buffered as far).

server.rs is split: head_limits.rs has the limits, server/connection.rs serves one connection.

--- a/crates/lilaccrank-http/src/client_connection.rs
+++ b/crates/lilaccrank-http/src/client_connection.rs
@@ -104,14 +104,14 @@
 }
 
 impl<T: Read + Unpin + 'static> WatchedIo<T> {
-    /// Watches `io`, of which up to `limit` bytes are read ahead.
-    pub(crate) fn new(io: T, limit: usize) -> Self {
+    /// Watches `io`, of which nothing is read ahead at first.
+    pub(crate) fn new(io: T) -> Self {
         let state = State {
             io,
             ahead: BytesMut::new(),
             end: None,
             is_in_body: false,
-            limit,
+            limit: 0,
             waker: None,
         };
         Self {
@@ -138,6 +138,19 @@
 pub(crate) struct Watch<T>(Rc<RefCell<State<T>>>);
 
 impl<T: Read + Unpin> Watch<T> {
+    /// Sets how many bytes are read ahead at most.
+    pub(crate) fn set_read_ahead(&self, limit: usize) {
+        self.0.borrow_mut().limit = limit;
+    }
+
+    /// Gives bytes back that hyper has read, and that are to be read anew.
+    pub(crate) fn unread(&self, bytes: &[u8]) {
+        let mut state = self.0.borrow_mut();
+        let mut ahead = BytesMut::from(bytes);
+        ahead.extend_from_slice(&state.ahead);
+        state.ahead = ahead;
+    }
+
     /// Reads ahead; ready once the client has hung up.
     pub(crate) fn poll_closed(&self, cx: &mut Context<'_>) -> Poll<()> {
         self.0.borrow_mut().poll_ahead(cx)
--- /dev/null
+++ b/crates/lilaccrank-http/src/head_limits.rs
@@ -0,0 +1,79 @@
+//! Limits on request heads and connections, which may change while connections are open.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use event_listener::Event;
+
+/// Limits on request heads and connections.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HeadLimits {
+    /// Maximum size of a head in bytes.
+    pub head_bytes: usize,
+    /// Maximum time from the first byte of a head to the last.
+    pub head_timeout: Duration,
+    /// Maximum time an open connection may stay without a request.
+    pub idle_timeout: Duration,
+    /// Maximum number of bytes of next requests that are read while one is in progress, to find out
+    /// whether the client hangs up behind them.
+    pub read_ahead_bytes: usize,
+}
+
+impl Default for HeadLimits {
+    /// 10 s is ample for a head over any network, and callers don't pause longer between related
+    /// requests. 64 KiB holds any head that common clients send.
+    fn default() -> Self {
+        Self {
+            head_bytes: 64 * 1024,
+            head_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(10),
+            read_ahead_bytes: 64 * 1024,
+        }
+    }
+}
+
+/// The limits in force; clones share them.
+#[derive(Clone, Default)]
+pub struct LiveLimits {
+    inner: Rc<State>,
+}
+
+#[derive(Default)]
+struct State {
+    changed: Event,
+    current: Cell<HeadLimits>,
+}
+
+impl LiveLimits {
+    /// Returns the limits in force.
+    #[must_use]
+    pub fn get(&self) -> HeadLimits {
+        self.inner.current.get()
+    }
+
+    /// Puts limits in force, for open connections as well.
+    pub fn set(&self, limits: HeadLimits) {
+        if self.inner.current.replace(limits) != limits {
+            self.inner.changed.notify(usize::MAX);
+        }
+    }
+
+    /// Completes once other limits than `limits` are in force.
+    pub(crate) async fn differ_from(&self, limits: HeadLimits) {
+        while self.get() == limits {
+            let listener = self.inner.changed.listen();
+            if self.get() == limits {
+                listener.await;
+            }
+        }
+    }
+}
+
+impl From<HeadLimits> for LiveLimits {
+    fn from(limits: HeadLimits) -> Self {
+        let live = Self::default();
+        live.set(limits);
+        live
+    }
+}
--- a/crates/lilaccrank-http/src/head_timer.rs
+++ b/crates/lilaccrank-http/src/head_timer.rs
@@ -14,12 +14,16 @@
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
 
+use crate::head_limits::{HeadLimits, LiveLimits};
+
 /// Progress of the current request on a connection.
 #[derive(Default)]
 struct State {
     started: Event,
     in_request: Cell<bool>,
     started_at: Cell<Option<Instant>>,
+    /// Set while bytes that were written wait to be flushed.
+    unflushed: Cell<bool>,
 }
 
 /// Measures the time to receive each request head on a connection; clones share the state.
@@ -31,10 +35,14 @@
 /// Marks a request as in progress until dropped.
 pub(crate) struct RequestGuard(HeadTimer);
 
-/// A transport that starts the timer at the first byte of each head.
+/// A transport that starts the timer at the first byte of each head. It gives no bytes of a head to a reader
+/// whose limits are no longer in force.
 pub(crate) struct TimedIo<T> {
     io: T,
     head_timer: HeadTimer,
+    /// Limits of the reader.
+    limits: HeadLimits,
+    live: LiveLimits,
 }
 
 /// A response body that holds the guard of its request.
@@ -56,6 +64,11 @@
         self.state.in_request.get()
     }
 
+    /// Returns `true` if no request is in progress and the last response has been sent.
+    pub(crate) fn is_between_requests(&self) -> bool {
+        !self.state.in_request.get() && !self.state.unflushed.get()
+    }
+
     /// Completes when a head takes longer than `limit`.
     pub(crate) async fn timed_out(&self, limit: Duration) {
         loop {
@@ -87,8 +100,18 @@
 }
 
 impl<T> TimedIo<T> {
-    pub(crate) fn new(io: T, head_timer: HeadTimer) -> Self {
-        Self { io, head_timer }
+    pub(crate) fn new(io: T, head_timer: HeadTimer, live: LiveLimits) -> Self {
+        Self {
+            io,
+            head_timer,
+            limits: live.get(),
+            live,
+        }
+    }
+
+    /// Sets the limits of the next reader.
+    pub(crate) fn set_limits(&mut self, limits: HeadLimits) {
+        self.limits = limits;
     }
 }
 
@@ -127,6 +150,9 @@
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<std::io::Result<()>> {
+        if !self.head_timer.is_in_request() && self.live.get() != self.limits {
+            return Poll::Pending;
+        }
         let polled = Pin::new(&mut self.io).poll_read(cx, buf);
         // End of stream also starts the timer, which is harmless because the connection ends.
         if polled.is_ready() {
@@ -142,11 +168,16 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
+        self.head_timer.state.unflushed.set(true);
         Pin::new(&mut self.io).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
+        let polled = Pin::new(&mut self.io).poll_flush(cx);
+        if polled.is_ready() {
+            self.head_timer.state.unflushed.set(false);
+        }
+        polled
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
--- a/crates/lilaccrank-http/src/lib.rs
+++ b/crates/lilaccrank-http/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client_connection;
 pub mod compression;
 pub mod events;
+pub mod head_limits;
 mod head_timer;
 pub mod monoio_clock;
 pub mod peer_link;
--- a/crates/lilaccrank-http/src/server.rs
+++ b/crates/lilaccrank-http/src/server.rs
@@ -1,64 +1,31 @@
 //! Serves HTTP/1.1 over hyper, with one task per connection.
 
 use std::cell::Cell;
-use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::Duration;
 
 use event_listener::Event;
 use futures::future::{self, Either};
 use futures::pin_mut;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service;
 use hyper::{Request, Response};
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
-use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 
 use crate::body::Body;
-use crate::client_connection::{ClientConnection, WatchedIo};
-use crate::head_timer::{GuardedBody, HeadTimer, TimedIo};
+use crate::client_connection::ClientConnection;
+use crate::head_limits::LiveLimits;
+
+mod connection;
 
 /// Result of binding a listener.
 pub type Result<T, E = io::Error> = std::result::Result<T, E>;
 
-/// Minimum read buffer that hyper accepts, in bytes.
-const MIN_HEAD_BUFFER: usize = 8 * 1024;
 /// Delay after a failed accept, which usually means that no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Limits on request heads and connections.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct HeadLimits {
-    /// Maximum size of a head in bytes.
-    pub head_bytes: usize,
-    /// Maximum time from the first byte of a head to the last.
-    pub head_timeout: Duration,
-    /// Maximum time an open connection may stay without a request.
-    pub idle_timeout: Duration,
-    /// Maximum number of bytes of next requests that are read while one is in progress, to find out
-    /// whether the client hangs up behind them.
-    pub read_ahead_bytes: usize,
-}
-
-impl Default for HeadLimits {
-    /// 10 s is ample for a head over any network, and callers don't pause longer between related
-    /// requests. 64 KiB holds any head that common clients send.
-    fn default() -> Self {
-        Self {
-            head_bytes: 64 * 1024,
-            head_timeout: Duration::from_secs(10),
-            idle_timeout: Duration::from_secs(10),
-            read_ahead_bytes: 64 * 1024,
-        }
-    }
-}
-
 /// Controls the graceful shutdown of a server and counts its open connections.
 #[derive(Clone, Default)]
 pub struct ShutdownHandle {
@@ -124,16 +91,16 @@
     H: Fn(Request<Incoming>, ClientConnection) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    let limits = Rc::new(Cell::new(HeadLimits::default()));
+    let limits = LiveLimits::default();
     serve_with_limits(listener, shutdown, limits, handler).await;
 }
 
-/// Like [`serve`], with limits that may change; each connection keeps those in effect when it was
-/// accepted.
+/// Like [`serve`], with limits that may change. Those in force when a request head comes decide, also on
+/// connections that were open before.
 pub async fn serve_with_limits<H, F>(
     listener: TcpListener,
     shutdown: ShutdownHandle,
-    limits: Rc<Cell<HeadLimits>>,
+    limits: LiveLimits,
     handler: H,
 ) where
     H: Fn(Request<Incoming>, ClientConnection) -> F + Clone + 'static,
@@ -150,7 +117,7 @@
                 monoio::spawn(serve_connection(
                     stream,
                     shutdown.clone(),
-                    limits.get(),
+                    limits.clone(),
                     handler,
                 ));
             }
@@ -166,7 +133,7 @@
 async fn serve_connection<H, F>(
     stream: TcpStream,
     shutdown: ShutdownHandle,
-    limits: HeadLimits,
+    limits: LiveLimits,
     handler: H,
 ) where
     H: Fn(Request<Incoming>, ClientConnection) -> F + 'static,
@@ -174,65 +141,8 @@
 {
     let count = &shutdown.inner.connections;
     count.set(count.get() + 1);
-    if let Err(e) = run_connection(stream, &shutdown, limits, handler).await {
+    if let Err(e) = connection::run(stream, &shutdown, &limits, handler).await {
         log::debug!("connection ended: {e}");
     }
     count.set(count.get() - 1);
 }
-
-async fn run_connection<H, F>(
-    stream: TcpStream,
-    shutdown: &ShutdownHandle,
-    limits: HeadLimits,
-    handler: H,
-) -> Result<(), crate::body::BoxError>
-where
-    H: Fn(Request<Incoming>, ClientConnection) -> F + 'static,
-    F: Future<Output = Response<Body>> + 'static,
-{
-    stream.set_nodelay(true)?;
-    let io = MonoioIo::new(monoio::io::IntoPollIo::into_poll_io(stream)?);
-    let io = WatchedIo::new(io, limits.read_ahead_bytes);
-    let (client, watch) = (io.client(), io.watch());
-    let head_timer = HeadTimer::default();
-    let io = TimedIo::new(io, head_timer.clone());
-    let service = service::service_fn(|req| {
-        let guard = head_timer.begin_request();
-        let answer = handler(req, client.clone());
-        async move {
-            let mut res = answer.await;
-            if shutdown.inner.draining.get() {
-                let close = HeaderValue::from_static("close");
-                res.headers_mut().insert(CONNECTION, close);
-            }
-            Ok::<_, Infallible>(res.map(|body| GuardedBody::new(body, guard)))
-        }
-    });
-    let connection = http1::Builder::new()
-        .timer(MonoioTimer)
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER))
-        .serve_connection(io, service);
-    // Dropping the connection drops the request in progress, with the body of its response.
-    let hung_up = future::poll_fn(|cx| match head_timer.is_in_request() {
-        true => watch.poll_closed(cx),
-        false => Poll::Pending,
-    });
-    let timed_out = head_timer.timed_out(limits.head_timeout);
-    let closed = shutdown.wait_for_close();
-    pin_mut!(connection, hung_up, closed, timed_out);
-    let running = future::select(connection.as_mut(), hung_up.as_mut());
-    let ending = future::select(closed, timed_out);
-    let ended = match future::select(running, ending).await {
-        Either::Left((ended, _)) => ended,
-        Either::Right((Either::Left(_), _)) => {
-            connection.as_mut().graceful_shutdown();
-            future::select(connection, hung_up).await
-        }
-        Either::Right((Either::Right(_), _)) => return Err("the request head took too long".into()),
-    };
-    match ended {
-        Either::Left((result, _)) => result.map_err(Into::into),
-        Either::Right(_) => Err("the client hung up during a request".into()),
-    }
-}
--- /dev/null
+++ b/crates/lilaccrank-http/src/server/connection.rs
@@ -0,0 +1,188 @@
+//! One connection of a client.
+//!
+//! hyper takes its limits when it begins to serve a connection. When they change, the connection is taken
+//! from it between two requests and served anew under the limits in force, with the bytes of a next request
+//! that were read already.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use futures::future::{self, Either};
+use futures::pin_mut;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::rt::Read;
+use hyper::server::conn::http1;
+use hyper::{Request, Response, service};
+use monoio::net::TcpStream;
+use monoio_compat::hyper::{MonoioIo, MonoioTimer};
+
+use super::ShutdownHandle;
+use crate::body::{Body, BoxError};
+use crate::client_connection::{ClientConnection, Watch, WatchedIo};
+use crate::head_limits::{HeadLimits, LiveLimits};
+use crate::head_timer::{GuardedBody, HeadTimer, TimedIo};
+
+/// Result of serving a connection.
+pub(super) type Result<T, E = BoxError> = std::result::Result<T, E>;
+
+/// Minimum read buffer that hyper accepts, in bytes.
+const MIN_HEAD_BUFFER: usize = 8 * 1024;
+
+/// What ends the serving of a connection under the same limits.
+enum Step {
+    /// The connection has ended.
+    Ended(hyper::Result<()>),
+    /// A request head did not come in time.
+    HeadTimedOut,
+    /// The client has hung up during a request.
+    HungUp,
+    /// No request is in progress, and other limits are in force.
+    LimitsChanged,
+    /// The server shuts down.
+    ShutDown,
+}
+
+/// Serves a connection until it ends.
+///
+/// # Errors
+///
+/// If it ends otherwise than by its client between two requests.
+pub(super) async fn run<H, F>(
+    stream: TcpStream,
+    shutdown: &ShutdownHandle,
+    live: &LiveLimits,
+    handler: H,
+) -> Result<()>
+where
+    H: Fn(Request<Incoming>, ClientConnection) -> F + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
+    stream.set_nodelay(true)?;
+    let io = MonoioIo::new(monoio::io::IntoPollIo::into_poll_io(stream)?);
+    let io = WatchedIo::new(io);
+    let (client, watch) = (io.client(), io.watch());
+    let head_timer = HeadTimer::default();
+    let mut io = TimedIo::new(io, head_timer.clone(), live.clone());
+    let mut service = service::service_fn(|req| {
+        let guard = head_timer.begin_request();
+        let answer = handler(req, client.clone());
+        async move {
+            let mut res = answer.await;
+            if shutdown.inner.draining.get() {
+                let close = HeaderValue::from_static("close");
+                res.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(res.map(|body| GuardedBody::new(body, guard)))
+        }
+    });
+    loop {
+        let limits = live.get();
+        watch.set_read_ahead(limits.read_ahead_bytes);
+        io.set_limits(limits);
+        let mut connection = http1::Builder::new()
+            .timer(MonoioTimer)
+            .header_read_timeout(limits.idle_timeout)
+            .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER))
+            .serve_connection(io, service);
+        let served = Served {
+            head_timer: &head_timer,
+            limits,
+            live,
+            shutdown,
+            watch: &watch,
+        };
+        match served.next_step(&mut connection).await {
+            Step::Ended(result) => return result.map_err(Into::into),
+            Step::HeadTimedOut => return Err("the request head took too long".into()),
+            Step::HungUp => return Err(hung_up()),
+            Step::LimitsChanged => {
+                let parts = connection.into_parts();
+                watch.unread(&parts.read_buf);
+                (io, service) = (parts.io, parts.service);
+            }
+            Step::ShutDown => {
+                Pin::new(&mut connection).graceful_shutdown();
+                return match future::select(connection, served.hung_up()).await {
+                    Either::Left((result, _)) => result.map_err(Into::into),
+                    Either::Right(_) => Err(hung_up()),
+                };
+            }
+        }
+    }
+}
+
+/// A connection that is served under one set of limits.
+struct Served<'a, T> {
+    head_timer: &'a HeadTimer,
+    limits: HeadLimits,
+    live: &'a LiveLimits,
+    shutdown: &'a ShutdownHandle,
+    watch: &'a Watch<T>,
+}
+
+impl<T: Read + Unpin> Served<'_, T> {
+    /// Serves requests until something else has to be done.
+    async fn next_step<C>(&self, connection: &mut C) -> Step
+    where
+        C: Future<Output = hyper::Result<()>> + Unpin,
+    {
+        let serving = self.until_ended_or_changed(connection);
+        let hung_up = self.hung_up();
+        let timed_out = self.head_timer.timed_out(self.limits.head_timeout);
+        let closed = self.shutdown.wait_for_close();
+        pin_mut!(serving, timed_out, closed);
+        let running = future::select(serving, hung_up);
+        let ending = future::select(closed, timed_out);
+        match future::select(running, ending).await {
+            Either::Left((Either::Left((step, _)), _)) => step,
+            // Dropping the connection drops the request in progress, with the body of its response.
+            Either::Left((Either::Right(_), _)) => Step::HungUp,
+            Either::Right((Either::Left(_), _)) => Step::ShutDown,
+            Either::Right((Either::Right(_), _)) => Step::HeadTimedOut,
+        }
+    }
+
+    async fn until_ended_or_changed<C>(&self, connection: &mut C) -> Step
+    where
+        C: Future<Output = hyper::Result<()>> + Unpin,
+    {
+        let changed = self.live.differ_from(self.limits);
+        pin_mut!(changed);
+        let mut has_changed = false;
+        future::poll_fn(|cx| {
+            loop {
+                let was_between = self.head_timer.is_between_requests();
+                if let Poll::Ready(result) = Pin::new(&mut *connection).poll(cx) {
+                    return Poll::Ready(Step::Ended(result));
+                }
+                has_changed = has_changed || changed.as_mut().poll(cx).is_ready();
+                if !has_changed || !self.head_timer.is_between_requests() {
+                    return Poll::Pending;
+                }
+                // hyper learns only in a turn of its own that the last request's body is not read to
+                // its end, and then closes the connection.
+                if was_between {
+                    return Poll::Ready(Step::LimitsChanged);
+                }
+            }
+        })
+        .await
+    }
+
+    /// Completes once the client has hung up during a request.
+    fn hung_up(&self) -> impl Future<Output = ()> + Unpin {
+        future::poll_fn(
+            |cx: &mut Context<'_>| match self.head_timer.is_in_request() {
+                true => self.watch.poll_closed(cx),
+                false => Poll::Pending,
+            },
+        )
+    }
+}
+
+fn hung_up() -> BoxError {
+    "the client hung up during a request".into()
+}
--- a/crates/lilaccrank-http/tests/suite/server.rs
+++ b/crates/lilaccrank-http/tests/suite/server.rs
@@ -1,17 +1,16 @@
 //! Tests the server's timeouts and how its connections end.
 
-use std::cell::Cell;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::rc::Rc;
 use std::sync::mpsc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use hyper::Response;
 use lilaccrank_http::body;
+use lilaccrank_http::head_limits::{HeadLimits, LiveLimits};
 use lilaccrank_http::runtime;
-use lilaccrank_http::server::{self, HeadLimits, ShutdownHandle};
+use lilaccrank_http::server::{self, ShutdownHandle};
 
 const HEAD: &str = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
 const LIMITS: HeadLimits = HeadLimits {
@@ -26,7 +25,7 @@
     runtime::block_on(async {
         let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let address = listener.local_addr().unwrap();
-        let limits = Rc::new(Cell::new(LIMITS));
+        let limits = LiveLimits::from(LIMITS);
         let serving = server::serve_with_limits(listener, shutdown.clone(), limits, |_, _| async {
             Response::new(body::full("whole"))
         });
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -16,8 +16,8 @@
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank::timeline::{EventKind, Subject, Timeline};
 use lilaccrank_http::client::Client;
+use lilaccrank_http::head_limits::{HeadLimits, LiveLimits};
 use lilaccrank_http::monoio_clock::MonoioClock;
-use lilaccrank_http::server::HeadLimits;
 use lilaccrank_http::store_client::StoreClient;
 
 use crate::admin::metrics::Metrics;
@@ -100,7 +100,7 @@
     /// Prometheus metrics.
     pub metrics: Metrics,
     /// Limits on request heads of callers.
-    pub head_limits: Rc<Cell<HeadLimits>>,
+    pub head_limits: LiveLimits,
     /// Last contact with the platform.
     pub platform_contact: PlatformContact,
     /// Load that the daemons report to each other.
@@ -239,7 +239,7 @@
             incarnation,
             key_owner,
             keys_settled: Cell::new(false),
-            head_limits: Rc::default(),
+            head_limits: LiveLimits::default(),
             platform_contact: PlatformContact::default(),
             leaving: Cell::new(false),
             link: Link::new(cfg.link_bytes_per_s),
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -136,7 +136,7 @@
     }
     let closing = ShutdownHandle::default();
     let shared = Rc::clone(&daemon);
-    let limits = Rc::clone(&daemon.head_limits);
+    let limits = daemon.head_limits.clone();
     monoio::spawn(server::serve_with_limits(
         caller_listener,
         closing.clone(),
