Callers: the configuration in force when a body has come decides, not the one before it

Cause: entry.rs looked the key up, and took the configuration, before it awaited the body, and checked the lease after it. By then the newer configuration had renewed the lease.

Evidence: the same with a route (a_route_that_changes_while_a_body_comes): the request ran at the old service after the daemon had answered 404 for its path, so that it is the configuration and not the key index that is old.

Change: customer and rules are looked up again behind the lease. newest_in_force puts an adopted configuration in force at once, as its task may run a turn later than the confirmation; put_in_force does nothing for the one in force.

Tests, seen failing before: configurations::a_key_that_is_taken_away_while_a_body_comes, a_route_that_changes_while_a_body_comes.

--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -71,7 +71,7 @@
     let in_force = daemon.in_force()?;
     let in_progress = Rc::new(daemon.admit()?);
     let (head, incoming) = req.into_parts();
-    let customer = customer(daemon, &in_force, &head.headers)?;
+    customer(daemon, &in_force, &head.headers)?;
     let limit = in_force.body_limit(&daemon.cfg);
     let reading = client.begin_body();
     let body = read_request_body(daemon, incoming, limit, &in_progress).await?;
@@ -80,9 +80,11 @@
         let message = "the caller went away before its request was read";
         return Err(Refusal::new(ErrorKind::Cancelled, message).ran(Executed::No));
     }
-    // Checked only after the body has arrived: a request that came while the machine was suspended
-    // is read late, and the customer's key may have been revoked in the meantime.
+    // Decided only after the body has arrived: a body may come slowly, and a request that came while the
+    // machine was suspended is read late. The customer's key may have been revoked in the meantime.
     daemon.check_lease()?;
+    let in_force = daemon.newest_in_force()?;
+    let customer = customer(daemon, &in_force, &head.headers)?;
     let cx = ReadContext {
         customer: customer.as_ref(),
         data_centre: &daemon.cfg.data_centre,
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -297,6 +297,19 @@
         in_force.ok_or_else(|| Refusal::new(ErrorKind::NotReady, "no configuration yet"))
     }
 
+    /// Returns the configuration that was adopted last. It is put in force at once: the task that does so
+    /// may not have run yet.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::NotReady`] before the first configuration is adopted.
+    pub fn newest_in_force(self: &Rc<Self>) -> Result<Rc<InForce>> {
+        if let Some(adopted) = self.adoption.current() {
+            self.put_in_force(&adopted);
+        }
+        self.in_force()
+    }
+
     /// Finds a target of a pool in the configuration or the platform's list.
     #[must_use]
     pub fn target(&self, pool: &str, life: &TargetInstance) -> Option<Target> {
@@ -420,8 +433,14 @@
         format!("{}-{:x}-{n}", self.cfg.vm, self.incarnation)
     }
 
-    /// Puts an adopted configuration in force and notifies the tasks that depend on it.
+    /// Puts an adopted configuration in force, unless it is already, and notifies the tasks that depend on
+    /// it.
     pub fn put_in_force(self: &Rc<Self>, configuration: &Configuration) {
+        let identity = &configuration.manifest.identity;
+        let known = self.in_force.borrow().clone();
+        if known.is_some_and(|known| known.identity == *identity) {
+            return;
+        }
         let in_force = InForce::new(configuration);
         let generation = in_force.identity.generation;
         *self.in_force.borrow_mut() = Some(Rc::new(in_force));
