--- a/crates/lilaccrank-lab/tests/faults/engines.rs
+++ b/crates/lilaccrank-lab/tests/faults/engines.rs
@@ -1,3 +1,5 @@
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use futures::future::{self, Either};
@@ -340,3 +342,22 @@
         .await;
     });
 }
+
+/// Guards against a list of models that is forwarded to a service, or refused: in the native interface the
+/// daemon answers it itself.
+#[test]
+fn models_are_listed_by_the_daemon() {
+    harness::run(async {
+        let cluster = Cluster::start(layout(1)).await.unwrap();
+        let mut stream = TcpStream::connect(cluster.daemons[0].callers).unwrap();
+        let key = Layout::customer_key("hospital");
+        let head = format!(
+            "GET /v1/models HTTP/1.1\r\nhost: lab\r\nauthorization: Bearer {key}\r\nconnection: close\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        assert!(answer.contains("200 OK"), "{answer}");
+        assert!(answer.contains(r#""id":"lab""#), "{answer}");
+    });
+}
--- a/crates/lilaccrankd/src/callers.rs
+++ b/crates/lilaccrankd/src/callers.rs
@@ -4,7 +4,7 @@
 
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{Method, Request, Response};
+use hyper::{Request, Response};
 use lilaccrank_http::body::{self, Body};
 use lilaccrank_http::client_connection::ClientConnection;
 use serde_json::json;
@@ -30,13 +30,11 @@
     req: Request<Incoming>,
     client: ClientConnection,
 ) -> Response<Body> {
-    match (req.method(), req.uri().path()) {
-        (&Method::GET, "/v1/models") => {
-            let listed = models(&daemon, &req);
-            listed.unwrap_or_else(|refusal| refusal.response())
-        }
-        _ => entry::answer(daemon, req, client).await,
+    if daemon.ports.callers.asks_for_models(&req) {
+        let listed = models(&daemon, &req);
+        return listed.unwrap_or_else(|refusal| refusal.response());
     }
+    entry::answer(daemon, req, client).await
 }
 
 fn models(daemon: &Daemon, req: &Request<Incoming>) -> Result<Response<Body>> {
--- a/crates/lilaccrankd/src/callers/native_protocol.rs
+++ b/crates/lilaccrankd/src/callers/native_protocol.rs
@@ -2,9 +2,10 @@
 //! engines use, and refusals as JSON.
 
 use bytes::Bytes;
+use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Response};
+use hyper::{HeaderMap, Method, Request, Response};
 use lilaccrank::error_kind::Executed;
 use lilaccrank_http::body::Body;
 
@@ -13,6 +14,9 @@
 use crate::callers::protocol::{CallerProtocol, ReadContext};
 use crate::callers::refusal::{Refusal, Result};
 
+/// Path of the list of models.
+const MODELS: &str = "/v1/models";
+
 /// The native protocol.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NativeProtocol;
@@ -27,6 +31,10 @@
         headers.get(caller_request::IDEMPOTENCY_KEY)?.to_str().ok()
     }
 
+    fn asks_for_models(&self, req: &Request<Incoming>) -> bool {
+        req.method() == Method::GET && req.uri().path() == MODELS
+    }
+
     fn read(&self, head: Parts, body: Bytes, cx: ReadContext<'_>) -> Result<CallerRequest> {
         CallerRequest::read(head, body, cx)
     }
--- a/crates/lilaccrankd/src/callers/protocol.rs
+++ b/crates/lilaccrankd/src/callers/protocol.rs
@@ -2,8 +2,9 @@
 //! and how a refusal is answered.
 
 use bytes::Bytes;
+use hyper::body::Incoming;
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Response};
+use hyper::{HeaderMap, Request, Response};
 use lilaccrank::document::{Customer, Document};
 use lilaccrank::ids::DataCentre;
 use lilaccrank_http::body::Body;
@@ -24,6 +25,11 @@
     /// Returns the caller's own id for the request, by which it can be found in the logs.
     fn log_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
 
+    /// Returns `true` if a request asks for the list of models, which the daemon answers itself.
+    fn asks_for_models(&self, _: &Request<Incoming>) -> bool {
+        false
+    }
+
     /// Parses a request whose body has arrived completely.
     ///
     /// # Errors
