--- a/crates/lilaccrank/tests/suite/configuration_adoption.rs
+++ b/crates/lilaccrank/tests/suite/configuration_adoption.rs
@@ -1,5 +1,6 @@
 //! Adoption: what is whole, what a watcher and a peer bring, and what becomes garbage.
 
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +17,12 @@
 use crate::configuration_bench::{Bench, Holder, LIMIT, document, publication};
 use crate::configuration_store::{run, run_beside};
 
+/// A daemon that follows the store.
+fn watch(bench: &Bench) -> impl Future<Output = Infallible> + use<> {
+    let (store, clock) = (bench.store.clone(), bench.clock.clone());
+    watcher::run_watcher(store, clock, bench.adoption.clone(), Timing::default())
+}
+
 #[test]
 fn nothing_is_adopted_unless_it_is_whole_and_sound() {
     // A section is missing, damaged, or makes up a bad document. The daemon says so and keeps
@@ -63,12 +70,8 @@
     let bench = Bench::new();
     bench.store.silence_next_watch();
     bench.publish_next("p1", &["a"]);
-    let (store, clock, adoption) = (
-        bench.store.clone(),
-        bench.clock.clone(),
-        bench.adoption.clone(),
-    );
-    let watcher = watcher::run_watcher(store, clock, adoption.clone(), Timing::default());
+    let adoption = bench.adoption.clone();
+    let watcher = watch(&bench);
     run_beside(&bench.clock, watcher, async move {
         adoption.changed(None).await;
     });
@@ -86,12 +89,7 @@
         bench.clock.clone(),
         bench.adoption.clone(),
     );
-    let watcher = watcher::run_watcher(
-        store.clone(),
-        clock.clone(),
-        adoption.clone(),
-        Timing::default(),
-    );
+    let watcher = watch(&bench);
     let second = run_beside(&bench.clock, watcher, async move {
         adoption.changed(None).await;
         store.set_out(true);
@@ -118,12 +116,7 @@
         bench.clock.clone(),
         bench.adoption.clone(),
     );
-    let watcher = watcher::run_watcher(
-        store.clone(),
-        clock.clone(),
-        adoption.clone(),
-        Timing::default(),
-    );
+    let watcher = watch(&bench);
     let ages = run_beside(&bench.clock, watcher, async move {
         adoption.changed(None).await;
         clock.sleep(Duration::from_secs(10)).await;
