Server: a connection is idle while no byte goes either way, and a head that has begun is not

What callers saw: a request that began shortly before the end of the idle time was cut within its head, without an answer and without a line in any log. Cause: hyper's one timer for heads stood in for the idle time; it starts when the last answer has been flushed and ends with the last byte of the next head, whatever has come of it. It also started anew at each change of the limits, and never while an answer waits for a caller that reads nothing, so that such a connection stayed without end.

Change: an idle timer of the server's own, from the last byte either way to the first byte of a head; from there the time for the head counts. Both timers grant a process that was held up the time to read what lies there, as the time-outs of calls do (timeout::sleep_until, which timeout::timeout uses too). They hold during a shutdown as well.

Ruled out: a request that lies in the kernel while the process stands still past the idle time is not lost (idle_times::a_request_that_lies_unread and the same beside a change of the limits pass before and after): the runtime learns of what can be read before it fires timers, and the connection is polled before its timers.

--- a/crates/lilaccrank-http/src/head_timer.rs
+++ b/crates/lilaccrank-http/src/head_timer.rs
@@ -1,8 +1,10 @@
-//! Limits how long a caller may take to send a request head.
+//! Limits how long a connection may be idle between two requests, and how long a caller may take to send a
+//! request head.
 //!
 //! hyper's header timeout starts at the end of the previous response, so it can't distinguish a
-//! connection that is idle between requests from a caller that sends its head byte by byte. This
-//! timer runs from the first byte of a head to the last.
+//! connection that is idle between requests from a caller that sends its head byte by byte. Here one
+//! timer runs from the first byte of a head to the last, and the other from the last byte either way to the
+//! first byte of a head.
 
 use std::cell::Cell;
 use std::pin::Pin;
@@ -15,12 +17,14 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 
 use crate::head_limits::{HeadLimits, LiveLimits};
+use crate::timeout;
 
 /// Progress of the current request on a connection.
-#[derive(Default)]
 struct State {
     started: Event,
     in_request: Cell<bool>,
+    /// When the last byte came or went, outside of requests.
+    active_at: Cell<Instant>,
     /// Heads that were read.
     requests: Cell<u64>,
     started_at: Cell<Option<Instant>>,
@@ -28,8 +32,9 @@
     unflushed: Cell<bool>,
 }
 
-/// Measures the time to receive each request head on a connection; clones share the state.
-#[derive(Clone, Default)]
+/// Measures the time between requests, and to receive each request head, on a connection; clones share the
+/// state.
+#[derive(Clone)]
 pub(crate) struct HeadTimer {
     state: Rc<State>,
 }
@@ -54,6 +59,21 @@
 }
 
 impl HeadTimer {
+    /// Creates a timer for a connection that was accepted now.
+    pub(crate) fn new() -> Self {
+        let state = State {
+            started: Event::new(),
+            in_request: Cell::default(),
+            active_at: Cell::new(Instant::now()),
+            requests: Cell::default(),
+            started_at: Cell::default(),
+            unflushed: Cell::default(),
+        };
+        Self {
+            state: Rc::new(state),
+        }
+    }
+
     /// Stops the timer after a complete head and marks the request as in progress.
     pub(crate) fn begin_request(&self) -> RequestGuard {
         self.state.in_request.set(true);
@@ -90,13 +110,33 @@
                 listener.await;
                 continue;
             };
-            monoio::time::sleep_until((started_at + limit).into()).await;
+            timeout::sleep_until(started_at + limit, limit).await;
             if self.state.started_at.get() == Some(started_at) {
                 return;
             }
         }
     }
 
+    /// Completes once no request is in progress, none has begun and no byte of a response has been taken by
+    /// the transport for longer than `limit`.
+    pub(crate) async fn idle_for(&self, limit: Duration) {
+        loop {
+            let idle_until = self.idle_until(limit);
+            let due = idle_until.unwrap_or_else(|| Instant::now() + limit);
+            timeout::sleep_until(due, limit).await;
+            if self.idle_until(limit).is_some_and(|until| until <= due) {
+                return;
+            }
+        }
+    }
+
+    /// End of the time for which the connection may go on being idle; `None` if it is not idle.
+    fn idle_until(&self, limit: Duration) -> Option<Instant> {
+        let state = &self.state;
+        let is_idle = !state.in_request.get() && state.started_at.get().is_none();
+        is_idle.then(|| state.active_at.get() + limit)
+    }
+
     fn on_read(&self) {
         let is_first_read = !self.state.in_request.get() && self.state.started_at.get().is_none();
         if is_first_read {
@@ -108,7 +148,9 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.0.state.in_request.set(false);
+        let state = &self.0.state;
+        state.in_request.set(false);
+        state.active_at.set(Instant::now());
     }
 }
 
@@ -181,8 +223,13 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        self.head_timer.state.unflushed.set(true);
-        Pin::new(&mut self.io).poll_write(cx, buf)
+        let state = Rc::clone(&self.head_timer.state);
+        state.unflushed.set(true);
+        let polled = Pin::new(&mut self.io).poll_write(cx, buf);
+        if polled.is_ready() && !state.in_request.get() {
+            state.active_at.set(Instant::now());
+        }
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
--- a/crates/lilaccrank-http/src/server.rs
+++ b/crates/lilaccrank-http/src/server.rs
@@ -142,7 +142,7 @@
 {
     let count = &shutdown.inner.connections;
     count.set(count.get() + 1);
-    let head_timer = HeadTimer::default();
+    let head_timer = HeadTimer::new();
     let ended = connection::run(stream, &shutdown, &limits, &head_timer, handler).await;
     match (ended, head_timer.head_time()) {
         (Ok(()), _) => {}
--- a/crates/lilaccrank-http/src/server/connection.rs
+++ b/crates/lilaccrank-http/src/server/connection.rs
@@ -17,7 +17,7 @@
 use hyper::server::conn::http1;
 use hyper::{Request, Response, service};
 use monoio::net::TcpStream;
-use monoio_compat::hyper::{MonoioIo, MonoioTimer};
+use monoio_compat::hyper::MonoioIo;
 
 use super::ShutdownHandle;
 use crate::body::{Body, BoxError};
@@ -39,6 +39,8 @@
     HeadTimedOut,
     /// The client has hung up during a request.
     HungUp,
+    /// The connection was idle for too long.
+    Idle,
     /// No request is in progress, and other limits are in force.
     LimitsChanged,
     /// The server shuts down.
@@ -83,8 +85,7 @@
         watch.set_read_ahead(limits.read_ahead_bytes);
         io.set_limits(limits);
         let mut connection = http1::Builder::new()
-            .timer(MonoioTimer)
-            .header_read_timeout(limits.idle_timeout)
+            .header_read_timeout(None)
             .max_headers(MAX_HEADER_LINES)
             .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER))
             .serve_connection(io, service);
@@ -97,8 +98,9 @@
         };
         match served.next_step(&mut connection).await {
             Step::Ended(result) => return result.map_err(Into::into),
-            Step::HeadTimedOut => return Err("the request head took too long".into()),
+            Step::HeadTimedOut => return Err(head_timed_out()),
             Step::HungUp => return Err(hung_up()),
+            Step::Idle => return Ok(()),
             Step::LimitsChanged => {
                 let parts = connection.into_parts();
                 watch.unread(&parts.read_buf);
@@ -106,9 +108,11 @@
             }
             Step::ShutDown => {
                 Pin::new(&mut connection).graceful_shutdown();
-                return match future::select(connection, served.hung_up()).await {
-                    Either::Left((result, _)) => result.map_err(Into::into),
-                    Either::Right(_) => Err(hung_up()),
+                return match served.until_gone(connection).await {
+                    Step::Ended(result) => result.map_err(Into::into),
+                    Step::HeadTimedOut => Err(head_timed_out()),
+                    Step::Idle => Ok(()),
+                    _ => Err(hung_up()),
                 };
             }
         }
@@ -132,7 +136,7 @@
     {
         let serving = self.until_ended_or_changed(connection);
         let hung_up = self.hung_up();
-        let timed_out = self.head_timer.timed_out(self.limits.head_timeout);
+        let timed_out = self.until_timed_out();
         let closed = self.shutdown.wait_for_close();
         pin_mut!(serving, timed_out, closed);
         let running = future::select(serving, hung_up);
@@ -142,7 +146,32 @@
             // Dropping the connection drops the request in progress, with the body of its response.
             Either::Left((Either::Right(_), _)) => Step::HungUp,
             Either::Right((Either::Left(_), _)) => Step::ShutDown,
-            Either::Right((Either::Right(_), _)) => Step::HeadTimedOut,
+            Either::Right((Either::Right((step, _)), _)) => step,
+        }
+    }
+
+    /// Serves what is in progress as the server shuts down.
+    async fn until_gone<C>(&self, connection: C) -> Step
+    where
+        C: Future<Output = hyper::Result<()>> + Unpin,
+    {
+        let timed_out = self.until_timed_out();
+        pin_mut!(timed_out);
+        let ending = future::select(self.hung_up(), timed_out);
+        match future::select(connection, ending).await {
+            Either::Left((result, _)) => Step::Ended(result),
+            Either::Right((Either::Left(_), _)) => Step::HungUp,
+            Either::Right((Either::Right((step, _)), _)) => step,
+        }
+    }
+
+    async fn until_timed_out(&self) -> Step {
+        let head = self.head_timer.timed_out(self.limits.head_timeout);
+        let idle = self.head_timer.idle_for(self.limits.idle_timeout);
+        pin_mut!(head, idle);
+        match future::select(head, idle).await {
+            Either::Left(_) => Step::HeadTimedOut,
+            Either::Right(_) => Step::Idle,
         }
     }
 
@@ -184,6 +213,10 @@
     }
 }
 
+fn head_timed_out() -> BoxError {
+    "the request head took too long".into()
+}
+
 fn hung_up() -> BoxError {
     "the client hung up during a request".into()
 }
--- a/crates/lilaccrank-http/src/timeout.rs
+++ b/crates/lilaccrank-http/src/timeout.rs
@@ -32,21 +32,24 @@
 ///
 /// [`Elapsed`] once the time is over.
 pub async fn timeout<F: Future>(limit: Duration, fut: F) -> Result<F::Output> {
-    pin_mut!(fut);
-    let mut due = Instant::now() + limit;
+    let elapsed = sleep_until(Instant::now() + limit, limit);
+    pin_mut!(fut, elapsed);
+    match future::select(fut, elapsed).await {
+        Either::Left((output, _)) => Ok(output),
+        Either::Right(_) => Err(Elapsed),
+    }
+}
+
+/// Completes at `due`, or later if this process was held up then: by as long as it was late, but no longer
+/// than `limit`.
+pub(crate) async fn sleep_until(mut due: Instant, limit: Duration) {
     for extensions in 0.. {
-        let sleep = monoio::time::sleep_until(due.into());
-        pin_mut!(sleep);
-        match future::select(fut.as_mut(), sleep).await {
-            Either::Left((output, _)) => return Ok(output),
-            Either::Right(_) => {}
-        }
+        monoio::time::sleep_until(due.into()).await;
         let now = Instant::now();
         let late = now.saturating_duration_since(due);
         if late < HELD_UP || extensions == EXTENSIONS_LIMIT {
-            break;
+            return;
         }
         due = now + late.min(limit).min(MAX_EXTENSION);
     }
-    Err(Elapsed)
 }
--- a/crates/lilaccrank-http/tests/suite.rs
+++ b/crates/lilaccrank-http/tests/suite.rs
@@ -8,6 +8,8 @@
 mod compression;
 #[path = "suite/events.rs"]
 mod events;
+#[path = "suite/idle_times.rs"]
+mod idle_times;
 #[path = "suite/live_limits.rs"]
 mod live_limits;
 #[path = "suite/peer_link.rs"]
