Server: a shorter idle time holds after the next request

What callers saw: connections that they had left idle were closed as soon as a shorter limit was in force, although the configuration that they knew allowed them to come back; the next request on it was cut without an answer. Cause: since the limits in force decide on open connections too, the new idle time was taken over in the middle of an idle period.

Change: while a connection is idle, the longest limit that was in force since its last request counts. A longer one holds at once, as before (kept_connections::longer_idle_times).

Failed before: idle_times::a_shorter_limit.

--- a/crates/lilaccrank-http/src/head_timer.rs
+++ b/crates/lilaccrank-http/src/head_timer.rs
@@ -25,6 +25,10 @@
     in_request: Cell<bool>,
     /// When the last byte came or went, outside of requests.
     active_at: Cell<Instant>,
+    /// Idle time that is in force.
+    idle_limit: Cell<Duration>,
+    /// The longest one that was in force since the last request.
+    longest_idle_limit: Cell<Duration>,
     /// Heads that were read.
     requests: Cell<u64>,
     started_at: Cell<Option<Instant>>,
@@ -65,6 +69,8 @@
             started: Event::new(),
             in_request: Cell::default(),
             active_at: Cell::new(Instant::now()),
+            idle_limit: Cell::default(),
+            longest_idle_limit: Cell::default(),
             requests: Cell::default(),
             started_at: Cell::default(),
             unflushed: Cell::default(),
@@ -117,24 +123,32 @@
         }
     }
 
+    /// Sets how long the connection may be idle. A shorter time than before holds after the next request: the
+    /// client left the connection idle under the longer one.
+    pub(crate) fn set_idle_limit(&self, limit: Duration) {
+        let longest = &self.state.longest_idle_limit;
+        longest.set(longest.get().max(limit));
+        self.state.idle_limit.set(limit);
+    }
+
     /// Completes once no request is in progress, none has begun and no byte of a response has been taken by
-    /// the transport for longer than `limit`.
-    pub(crate) async fn idle_for(&self, limit: Duration) {
+    /// the transport for longer than the connection may be idle.
+    pub(crate) async fn idle_for_too_long(&self) {
         loop {
-            let idle_until = self.idle_until(limit);
-            let due = idle_until.unwrap_or_else(|| Instant::now() + limit);
+            let limit = self.state.longest_idle_limit.get();
+            let due = self.idle_until().unwrap_or_else(|| Instant::now() + limit);
             timeout::sleep_until(due, limit).await;
-            if self.idle_until(limit).is_some_and(|until| until <= due) {
+            if self.idle_until().is_some_and(|until| until <= due) {
                 return;
             }
         }
     }
 
     /// End of the time for which the connection may go on being idle; `None` if it is not idle.
-    fn idle_until(&self, limit: Duration) -> Option<Instant> {
+    fn idle_until(&self) -> Option<Instant> {
         let state = &self.state;
         let is_idle = !state.in_request.get() && state.started_at.get().is_none();
-        is_idle.then(|| state.active_at.get() + limit)
+        is_idle.then(|| state.active_at.get() + state.longest_idle_limit.get())
     }
 
     fn on_read(&self) {
@@ -150,6 +164,7 @@
     fn drop(&mut self) {
         let state = &self.0.state;
         state.in_request.set(false);
+        state.longest_idle_limit.set(state.idle_limit.get());
         state.active_at.set(Instant::now());
     }
 }
--- a/crates/lilaccrank-http/src/server/connection.rs
+++ b/crates/lilaccrank-http/src/server/connection.rs
@@ -84,6 +84,7 @@
         let limits = live.get();
         watch.set_read_ahead(limits.read_ahead_bytes);
         io.set_limits(limits);
+        head_timer.set_idle_limit(limits.idle_timeout);
         let mut connection = http1::Builder::new()
             .header_read_timeout(None)
             .max_headers(MAX_HEADER_LINES)
@@ -167,7 +168,7 @@
 
     async fn until_timed_out(&self) -> Step {
         let head = self.head_timer.timed_out(self.limits.head_timeout);
-        let idle = self.head_timer.idle_for(self.limits.idle_timeout);
+        let idle = self.head_timer.idle_for_too_long();
         pin_mut!(head, idle);
         match future::select(head, idle).await {
             Either::Left(_) => Step::HeadTimedOut,
--- a/crates/lilaccrank-http/tests/suite/idle_times.rs
+++ b/crates/lilaccrank-http/tests/suite/idle_times.rs
@@ -1,4 +1,5 @@
-//! Idle times of kept connections: what counts is the time without a byte either way.
+//! Idle times of kept connections: what counts is the time without a byte either way, under the longest
+//! limit that was in force meanwhile.
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -19,6 +20,7 @@
 const IDLE: Duration = Duration::from_millis(1_000);
 /// What callers may use of it.
 const USED: Duration = Duration::from_millis(800);
+const LONGER: Duration = Duration::from_millis(3_000);
 /// An answer that no buffers of a connection hold.
 const LONG_ANSWER: usize = 24 << 20;
 
@@ -144,6 +146,26 @@
     });
 }
 
+// Guards against connections that are closed by a shorter limit which callers did not know when they left
+// them idle.
+#[test]
+fn a_shorter_limit() {
+    serve(5, |address, events| {
+        events.unbounded_send(Event::Idle(LONGER)).unwrap();
+        thread::sleep(USED / 4);
+        let stream = connect(address);
+        assert_eq!(call(&stream), Some(5));
+        thread::sleep(USED / 4);
+        events.unbounded_send(Event::Idle(IDLE)).unwrap();
+        thread::sleep(LONGER * 4 / 5 - USED / 4);
+        assert_eq!(call(&stream), Some(5));
+        // The shorter one holds from now on.
+        let idle_since = Instant::now();
+        assert_eq!((&stream).read(&mut [0]).unwrap(), 0);
+        assert!(idle_since.elapsed() < LONGER);
+    });
+}
+
 // Guards against the time that a connection has been idle starting anew at each change of its limits.
 #[test]
 fn a_limit_that_changes_again_and_again() {
