Server: an idle time allows for bytes that are under way

What callers saw: a request on a kept connection that came within the idle time, counted from the end of the answer at the caller, was cut without an answer where the answer had been under way for long, as on a link that is full for a second. Cause: the server counts from the moment at which the kernel has taken the last byte.

Change: a second more for what is under way either way or lies in the kernel; connections are closed that much later. How much is under way could be read from the kernel per connection, which needs unsafe calls; not done.

Failed before: idle_times::an_answer_that_is_long_under_way.

--- a/crates/lilaccrank-http/src/head_timer.rs
+++ b/crates/lilaccrank-http/src/head_timer.rs
@@ -19,6 +19,10 @@
 use crate::head_limits::{HeadLimits, LiveLimits};
 use crate::timeout;
 
+/// Time for which the last bytes of a response, and the first of a request, may be under way or lie in the
+/// kernel. The client counts its idle time from the end of the response there.
+const TRANSIT_ALLOWANCE: Duration = Duration::from_secs(1);
+
 /// Progress of the current request on a connection.
 struct State {
     started: Event,
@@ -148,7 +152,8 @@
     fn idle_until(&self) -> Option<Instant> {
         let state = &self.state;
         let is_idle = !state.in_request.get() && state.started_at.get().is_none();
-        is_idle.then(|| state.active_at.get() + state.longest_idle_limit.get())
+        let limit = state.longest_idle_limit.get() + TRANSIT_ALLOWANCE;
+        is_idle.then(|| state.active_at.get() + limit)
     }
 
     fn on_read(&self) {
--- a/crates/lilaccrank-http/tests/suite/idle_times.rs
+++ b/crates/lilaccrank-http/tests/suite/idle_times.rs
@@ -21,7 +21,9 @@
 /// What callers may use of it.
 const USED: Duration = Duration::from_millis(800);
 const LONGER: Duration = Duration::from_millis(3_000);
-/// An answer that no buffers of a connection hold.
+/// An answer that the buffers of a connection hold.
+const ANSWER: usize = 64 << 10;
+/// One that they don't hold.
 const LONG_ANSWER: usize = 24 << 20;
 
 /// What happens to the server during a test.
@@ -146,6 +148,20 @@
     });
 }
 
+// Guards against a connection that is closed by the time that its last answer was under way.
+#[test]
+fn an_answer_that_is_long_under_way() {
+    serve(ANSWER, |address, _| {
+        let stream = connect(address);
+        send(&stream, 0);
+        send(&stream, 1);
+        thread::sleep(USED);
+        assert_eq!(read(&stream), Some(ANSWER));
+        thread::sleep(USED);
+        assert_eq!(call(&stream), Some(ANSWER));
+    });
+}
+
 // Guards against connections that are closed by a shorter limit which callers did not know when they left
 // them idle.
 #[test]
