--- a/crates/lilaccrank/src/dispatch.rs
+++ b/crates/lilaccrank/src/dispatch.rs
@@ -30,6 +30,7 @@
 pub mod health;
 mod held_up;
 mod inflight;
+mod length_ratio;
 pub mod limits;
 pub mod message;
 mod overload;
--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -66,6 +66,8 @@
     pub data_centre: &'a DataCentre,
     /// Tokens per block of the prefix.
     pub block_tokens: u32,
+    /// How far the expected length of the answer rests on evidence, from 0 to 1.
+    pub certainty: f64,
     /// Time within which the target must finish the answer, for a resumed answer.
     pub finish_within: Option<Duration>,
     /// Targets that must not be chosen.
@@ -96,6 +98,12 @@
     pub fn has_objective(&self) -> bool {
         self.objective.is_some()
     }
+
+    /// Tokens of the answer that there is evidence for. Without evidence no deadline counts as missed
+    /// because of the answer's length.
+    fn certain_decode(&self) -> f64 {
+        self.work.decode as f64 * self.certainty
+    }
 }
 
 /// Target selected for a submission.
@@ -308,8 +316,7 @@
     };
     let (_, saved, target) = tied.min_by_key(|(_, _, target)| tie_break(target))?;
     Some(Choice {
-        earliest_completion: earliest_completion(target, needs, saved, now)
-            .max(likely_completion(target, needs, saved, now) * MIN_TIME_RATIO),
+        earliest_completion: needed_time(target, needs, saved, now),
         prefill: needs.work.prefill - saved,
         target: target.instance.clone(),
     })
@@ -325,18 +332,35 @@
     now: Instant,
 ) -> f64 {
     let estimate = &target.estimate;
-    let decode = needs.work.decode as f64 * OPTIMISTIC_LENGTH_RATIO;
+    let decode = needs.certain_decode() * OPTIMISTIC_LENGTH_RATIO;
     let prefill = (needs.work.prefill - saved) as f64 / estimate.prefill_rate(now);
     prefill + decode * estimate.step(1, now)
 }
 
 /// Likely completion time in seconds, behind the work already on the target.
 fn likely_completion(target: &Target, needs: &Requirements<'_>, saved: u64, now: Instant) -> f64 {
+    let decode = needs.work.decode as f64;
+    completion(target, needs, decode, saved, now)
+}
+
+/// The same as far as it rests on evidence. It must remain until the deadline when a submission is granted.
+fn needed_time(target: &Target, needs: &Requirements<'_>, saved: u64, now: Instant) -> f64 {
+    let likely = completion(target, needs, needs.certain_decode(), saved, now);
+    earliest_completion(target, needs, saved, now).max(likely * MIN_TIME_RATIO)
+}
+
+fn completion(
+    target: &Target,
+    needs: &Requirements<'_>,
+    decode: f64,
+    saved: u64,
+    now: Instant,
+) -> f64 {
     let estimate = &target.estimate;
     let own_prefill = needs.work.prefill.saturating_sub(saved);
     let prefill = estimate.outstanding().prefill.saturating_add(own_prefill);
     let step = estimate.step(estimate.batch(now).saturating_add(1), now);
-    prefill as f64 / estimate.prefill_rate(now) + needs.work.decode as f64 * step
+    prefill as f64 / estimate.prefill_rate(now) + decode * step
 }
 
 /// Expected completion time plus penalties, in seconds. Prefill is counted again for the share of
--- a/crates/lilaccrank/src/dispatch/deadline.rs
+++ b/crates/lilaccrank/src/dispatch/deadline.rs
@@ -61,7 +61,7 @@
     /// and decode overlap, so the longer of the two counts.
     pub(super) fn min_drain_time(&self, work: Work) -> f64 {
         let prefill = work.prefill as f64 * self.cache_miss_ratio / self.capacity.prefill.max(1.0);
-        let decode = work.decode as f64 * self.length_ratio / self.capacity.decode.max(1.0);
+        let decode = work.decode as f64 * self.length_ratio.mean() / self.capacity.decode.max(1.0);
         prefill.max(decode)
     }
 
--- a/crates/lilaccrank/src/dispatch/reports.rs
+++ b/crates/lilaccrank/src/dispatch/reports.rs
@@ -12,11 +12,6 @@
 use crate::software_version::VersionDigest;
 use crate::target_instance::TargetInstance;
 
-/// EWMA weight of a new sample in the length ratio of answers.
-const LENGTH_RATIO_GAIN: f64 = 0.05;
-/// Lower bound of the length ratio.
-const MIN_LENGTH_RATIO: f64 = 0.01;
-
 impl State {
     /// Applies a report of an entry daemon; a report on an earlier submission is ignored.
     pub(super) fn report(&mut self, report: &Report, now: Instant) {
@@ -219,13 +214,8 @@
         };
         if outcome == Outcome::Complete {
             self.drain.record_end(active_grant.tokens, now);
-            if active_grant.max_tokens > 0 {
-                let whole = decoded.saturating_add(active_grant.partial_tokens);
-                let sample = f64::from(whole) / f64::from(active_grant.max_tokens);
-                let length_ratio =
-                    self.length_ratio + LENGTH_RATIO_GAIN * (sample - self.length_ratio);
-                self.length_ratio = length_ratio.clamp(MIN_LENGTH_RATIO, 1.0);
-            }
+            let whole = decoded.saturating_add(active_grant.partial_tokens);
+            self.length_ratio.observe(whole, active_grant.max_tokens);
         }
     }
 }
--- a/crates/lilaccrank/src/dispatch/state.rs
+++ b/crates/lilaccrank/src/dispatch/state.rs
@@ -15,6 +15,7 @@
 use super::drain_rate::DrainRate;
 use super::ended::EndedSubmissions;
 use super::inflight::InflightPrefixes;
+use super::length_ratio::LengthRatio;
 use super::limits::{CounterKey, Limits};
 use super::message::{Entry, Grant, Refuse, Submission, SubmissionNumber, Unmeetable, Verdict};
 use super::queue::{Item, Queue, RequestClass};
@@ -35,8 +36,6 @@
 /// the new one. A migration repeats the prefill of the prompt and of the partial answer, so it must
 /// be clearly faster.
 const MIGRATION_TIME_RATIO: f64 = 0.6;
-/// Initial value of the average fraction of `max_tokens` that answers use.
-const INITIAL_LENGTH_RATIO: f64 = 0.5;
 
 /// Identifies one waiting call, so that a call that ends late doesn't cancel the submission of its
 /// successor.
@@ -127,7 +126,7 @@
     pub(super) ended: EndedSubmissions,
     pub(super) handover: Option<Handover>,
     /// Average fraction of `max_tokens` that answers use.
-    pub(super) length_ratio: f64,
+    pub(super) length_ratio: LengthRatio,
     pub(super) limits: Limits,
     pub(super) next_waiter: WaiterId,
     /// When the dispatcher was last known to be running; `None` until its checks run.
@@ -159,7 +158,7 @@
             cfg,
             ended: EndedSubmissions::default(),
             handover: None,
-            length_ratio: INITIAL_LENGTH_RATIO,
+            length_ratio: LengthRatio::default(),
             limits: Limits::default(),
             next_waiter: 0,
             observed_at: None,
@@ -252,6 +251,7 @@
         let whole = work(submission);
         Requirements {
             block_tokens: self.cfg.block_tokens,
+            certainty: self.length_ratio.certainty(),
             data_centre: &self.cfg.data_centre,
             finish_within: finish_within(submission, left),
             exclusions: &submission.exclusions,
@@ -289,7 +289,7 @@
 
     /// Expected number of tokens that a target generates for the submission.
     fn expected_decode(&self, submission: &Submission) -> u64 {
-        let typical = f64::from(submission.max_tokens) * self.length_ratio;
+        let typical = f64::from(submission.max_tokens) * self.length_ratio.mean();
         match submission.partial {
             None => typical as u64,
             Some(partial) => {
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -42,6 +42,8 @@
 mod dispatch_harness;
 #[path = "suite/dispatch_inputs.rs"]
 mod dispatch_inputs;
+#[path = "suite/dispatch_lengths.rs"]
+mod dispatch_lengths;
 #[path = "suite/dispatch_locality.rs"]
 mod dispatch_locality;
 #[path = "suite/dispatch_order.rs"]
