Store calls: a store is not silent while this process is held up

What callers saw: nothing directly; a daemon that stood still while an object came took the store for silent, counted a failure towards the circuit breaker and read the object once more over the same link. Cause: the time for a body (store_client.rs) and that for a whole call (guarded_store.rs, clock::timeout) were judged as soon as the process ran again, while what had come had to pass through several turns of other tasks.

Change: clock::timeout allows for the lateness of the process, for every clock; lilaccrank_http::timeout stands on it instead of having the same rule of its own. Waits that others rely on use clock::hard_timeout and are as before: calls and renewals of leases, orders, operations on the configuration (within their deadline), probes of members.

Failed before: clock::an_answer_that_another_task_reads_after_a_pause; standstill::an_object_that_lies_unread (http; the store was asked twice).

--- a/crates/lilaccrank-http/src/store_client.rs
+++ b/crates/lilaccrank-http/src/store_client.rs
@@ -18,6 +18,7 @@
 use crate::body;
 use crate::client::{self, Client, Limits};
 use crate::tally::Tally;
+use crate::timeout;
 
 /// Header with the version of an object.
 pub const VERSION_HEADER: &str = "version";
@@ -91,7 +92,7 @@
         })?;
         let (parts, incoming): (_, Incoming) = res.into_parts();
         let reading = body::read(incoming, store::VALUE_LIMIT);
-        let bytes = monoio::time::timeout(HEAD_TIMEOUT, reading)
+        let bytes = timeout::timeout(HEAD_TIMEOUT, reading)
             .await
             .map_err(|_| store::Error::Unknown)?
             .map_err(|_| store::Error::Unknown)?;
--- a/crates/lilaccrank-http/src/timeout.rs
+++ b/crates/lilaccrank-http/src/timeout.rs
@@ -1,25 +1,16 @@
-//! Timeouts that don't blame a peer for the time in which this process got no processor time.
-//!
-//! What a peer sent meanwhile lies in the kernel, and tasks that have to read it run only after the
-//! timer has fired.
+//! Timeouts on the runtime's clock that don't blame a peer for the time in which this process got no
+//! processor time; see [`clock::timeout`].
 
 use std::time::{Duration, Instant};
 
-use futures::future::{self, Either};
-use futures::pin_mut;
+use lilaccrank::clock;
 use thiserror::Error;
 
+use crate::monoio_clock::MonoioClock;
+
 /// Result of waiting.
 pub type Result<T, E = Elapsed> = std::result::Result<T, E>;
 
-/// Lateness of a timer from which this process counts as held up. Timers of a process that runs are late
-/// by a few milliseconds at most.
-const HELD_UP: Duration = Duration::from_millis(20);
-/// Longest extension for one hold-up. Tasks that have something to read need less.
-const MAX_EXTENSION: Duration = Duration::from_secs(1);
-/// Maximum number of extensions, for a process that is held up again and again.
-const EXTENSIONS_LIMIT: u32 = 3;
-
 /// The time is over.
 #[derive(Clone, Copy, Debug, Error, Eq, PartialEq)]
 #[error("timed out")]
@@ -32,24 +23,12 @@
 ///
 /// [`Elapsed`] once the time is over.
 pub async fn timeout<F: Future>(limit: Duration, fut: F) -> Result<F::Output> {
-    let elapsed = sleep_until(Instant::now() + limit, limit);
-    pin_mut!(fut, elapsed);
-    match future::select(fut, elapsed).await {
-        Either::Left((output, _)) => Ok(output),
-        Either::Right(_) => Err(Elapsed),
-    }
+    let output = clock::timeout(&MonoioClock, limit, fut).await;
+    output.ok_or(Elapsed)
 }
 
 /// Completes at `due`, or later if this process was held up then: by as long as it was late, but no longer
 /// than `limit`.
-pub(crate) async fn sleep_until(mut due: Instant, limit: Duration) {
-    for extensions in 0.. {
-        monoio::time::sleep_until(due.into()).await;
-        let now = Instant::now();
-        let late = now.saturating_duration_since(due);
-        if late < HELD_UP || extensions == EXTENSIONS_LIMIT {
-            return;
-        }
-        due = now + late.min(limit).min(MAX_EXTENSION);
-    }
+pub(crate) async fn sleep_until(due: Instant, limit: Duration) {
+    clock::sleep_until(&MonoioClock, due, limit).await;
 }
--- a/crates/lilaccrank-http/tests/suite/standstill.rs
+++ b/crates/lilaccrank-http/tests/suite/standstill.rs
@@ -2,15 +2,21 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use futures::channel::oneshot;
 use futures::future;
 use hyper::Request;
+use lilaccrank::guarded_store::{self, GuardedStore};
+use lilaccrank::store::Store;
 use lilaccrank_http::body;
 use lilaccrank_http::client::{Client, Limits};
+use lilaccrank_http::monoio_clock::MonoioClock;
 use lilaccrank_http::runtime;
+use lilaccrank_http::store_client::StoreClient;
 use lilaccrank_http::timeout;
 
 /// Time for the head of an answer.
@@ -20,6 +26,10 @@
 /// When this thread stands still, and for how long.
 const RUNS: Duration = Duration::from_millis(50);
 const STANDS_STILL: Duration = Duration::from_millis(500);
+/// Size of an object of the store, which takes many reads.
+const OBJECT_BYTES: usize = 400_000;
+/// Standstill that is longer than the store may take for an object.
+const STANDS_STILL_AT_STORE: Duration = Duration::from_millis(2_300);
 
 /// A server that answers one request.
 fn server(after: Duration) -> SocketAddr {
@@ -104,3 +114,40 @@
     assert_eq!(waited.unwrap(), Err(timeout::Elapsed));
     assert!(began.elapsed() < 5 * HEAD, "{:?}", began.elapsed());
 }
+
+/// A store that sends the start of an object at once and the rest while its client stands still.
+fn store(asked: Arc<AtomicUsize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let _ = stream.read(&mut [0; 1024]).unwrap();
+            asked.fetch_add(1, Ordering::Relaxed);
+            let head =
+                format!("HTTP/1.1 200 OK\r\nversion: 1\r\ncontent-length: {OBJECT_BYTES}\r\n\r\n");
+            let _ = stream.write_all(head.as_bytes());
+            thread::sleep(2 * RUNS);
+            let _ = stream.write_all(&vec![b'x'; OBJECT_BYTES]);
+        }
+    });
+    address
+}
+
+/// Guards against a store that is taken for silent, and asked again, although its object lies unread.
+#[test]
+fn an_object_that_lies_unread() {
+    let asked = Arc::new(AtomicUsize::new(0));
+    let client = StoreClient::new(store(Arc::clone(&asked)).to_string());
+    let found = runtime::block_on(async {
+        monoio::spawn(async {
+            monoio::time::sleep(RUNS).await;
+            thread::sleep(STANDS_STILL_AT_STORE);
+        });
+        let settings = guarded_store::Settings::default();
+        let store = GuardedStore::new(settings, client, MonoioClock);
+        store.get("key").await
+    });
+    let found = found.unwrap().unwrap().unwrap();
+    assert_eq!(found.value.len(), OBJECT_BYTES);
+    assert_eq!(asked.load(Ordering::Relaxed), 1);
+}
--- a/crates/lilaccrank/src/clock.rs
+++ b/crates/lilaccrank/src/clock.rs
@@ -3,6 +3,10 @@
 use std::future::Future;
 use std::time::{Duration, Instant, SystemTime};
 
+mod timeouts;
+
+pub use timeouts::{hard_timeout, sleep_until, timeout};
+
 /// Time since the machine booted. Unlike [`Instant`] it includes time spent in suspend, so that
 /// information from before a suspend is known to be stale afterwards.
 pub type BootTime = Duration;
@@ -41,13 +45,3 @@
     /// Returns the wall-clock time, for records that other processes read.
     fn wall_time(&self) -> SystemTime;
 }
-
-/// Runs `fut` for at most `limit`; returns `None` if it did not complete in time.
-pub async fn timeout<C: Clock, F: Future>(clock: &C, limit: Duration, fut: F) -> Option<F::Output> {
-    let fut = std::pin::pin!(fut);
-    let sleep = std::pin::pin!(clock.sleep(limit));
-    match futures::future::select(fut, sleep).await {
-        futures::future::Either::Left((output, _)) => Some(output),
-        futures::future::Either::Right(((), _)) => None,
-    }
-}
--- a/crates/lilaccrank/src/configuration/retry.rs
+++ b/crates/lilaccrank/src/configuration/retry.rs
@@ -49,7 +49,7 @@
         call: impl Future<Output = store::Result<T>>,
     ) -> store::Result<T> {
         let left = self.deadline.saturating_duration_since(self.clock.now());
-        let outcome = clock::timeout(&self.clock, left, call).await;
+        let outcome = clock::hard_timeout(&self.clock, left, call).await;
         outcome.unwrap_or(Err(store::Error::Unknown))
     }
 
--- a/crates/lilaccrank/src/lease/context.rs
+++ b/crates/lilaccrank/src/lease/context.rs
@@ -53,7 +53,7 @@
 
     pub(super) async fn read(&mut self) -> store::Result<Option<Found>> {
         let call = self.store.get(&self.key);
-        let answer = clock::timeout(&self.clock, self.cfg.call_timeout, call).await;
+        let answer = clock::hard_timeout(&self.clock, self.cfg.call_timeout, call).await;
         let Some(object) = answer.unwrap_or(Err(store::Error::Unknown))? else {
             return Ok(None);
         };
@@ -98,7 +98,7 @@
             attempt: self.last_attempt,
         };
         let call = self.store.put(&self.key, Bytes::from(value), expect);
-        let answer = clock::timeout(&self.clock, self.cfg.call_timeout, call).await;
+        let answer = clock::hard_timeout(&self.clock, self.cfg.call_timeout, call).await;
         (sent, answer.unwrap_or(Err(store::Error::Unknown)))
     }
 }
--- a/crates/lilaccrank/src/lease/keeper.rs
+++ b/crates/lilaccrank/src/lease/keeper.rs
@@ -126,7 +126,9 @@
     if stop.is_terminated() {
         return true;
     }
-    clock::timeout(clock, wait, stop.as_mut()).await.is_some()
+    clock::hard_timeout(clock, wait, stop.as_mut())
+        .await
+        .is_some()
 }
 
 impl<C: Clock> GuardSource for LeaseHandle<C> {
--- a/crates/lilaccrank/src/membership/probe.rs
+++ b/crates/lilaccrank/src/membership/probe.rs
@@ -89,7 +89,7 @@
         let body = Body::Ping { seq, target };
         self.send(member.gossip, body.clone(), &records_to_refute(&member))
             .await;
-        if let Some(answer) = clock::timeout(&self.clock, limit, &mut rx).await {
+        if let Some(answer) = clock::hard_timeout(&self.clock, limit, &mut rx).await {
             return answer.is_ok();
         }
         // Also pings directly again, since with two or three members there are few helpers.
@@ -103,7 +103,7 @@
             };
             self.send(helper, body, &[]).await;
         }
-        let answer = clock::timeout(&self.clock, limit, &mut rx).await;
+        let answer = clock::hard_timeout(&self.clock, limit, &mut rx).await;
         self.probes.borrow_mut().finish(seq);
         matches!(answer, Some(Ok(())))
     }
--- a/crates/lilaccrank/src/orders.rs
+++ b/crates/lilaccrank/src/orders.rs
@@ -236,7 +236,7 @@
         // Set before sending, because this future may be dropped at any await point.
         *blocked_until = Some(self.clock.now() + self.cfg.in_flight);
         let call = self.targets.issue(target, order);
-        let answer = clock::timeout(&self.clock, self.cfg.timeout, call).await;
+        let answer = clock::hard_timeout(&self.clock, self.cfg.timeout, call).await;
         let outcome = answer.unwrap_or_else(|| Err(Error::Unknown(target.clone())));
         if !matches!(outcome, Err(Error::Unknown(_))) {
             *blocked_until = None;
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -12,6 +12,8 @@
 mod cells;
 #[path = "suite/circuit_breaker.rs"]
 mod circuit_breaker;
+#[path = "suite/clock.rs"]
+mod clock;
 #[path = "suite/cluster.rs"]
 mod cluster;
 #[path = "suite/configuration_adoption.rs"]
