Peer calls: the time in which this process stood still is no silence of a peer

What callers saw: a call to a peer whose answer came shortly after a standstill of the caller's daemon failed as unanswered, and the peer was probed as suspect. Cause: the time without a byte (progress.rs) and that for the connection went on while the process did not run; an answer that lies in the kernel already was read before the timer was judged.

Change: both times allow for the lateness of the process by timeout::sleep_until and timeout::timeout.

Failed before: standstill::a_peer_that_answers_after_the_standstill (the peer answers 100 ms after the standstill).

--- a/crates/lilaccrank-http/src/peer_link.rs
+++ b/crates/lilaccrank-http/src/peer_link.rs
@@ -24,6 +24,7 @@
 use crate::compression::{self, EncodedBody};
 use crate::progress::{Progress, Watched};
 use crate::tally::{Counted, Tally};
+use crate::timeout;
 
 /// Path that peers post batches to.
 pub const PATH: &str = "/peer";
@@ -184,7 +185,7 @@
 }
 
 async fn connect(address: &str, tally: &Tally) -> Option<Connection> {
-    let stream = monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+    let stream = timeout::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .ok()?
         .ok()?;
--- a/crates/lilaccrank-http/src/progress.rs
+++ b/crates/lilaccrank-http/src/progress.rs
@@ -11,6 +11,8 @@
 use monoio::buf::{IoBuf, IoBufMut, IoVecBuf, IoVecBufMut};
 use monoio::io::{AsyncReadRent, AsyncWriteRent};
 
+use crate::timeout;
+
 /// Time of the last byte of a connection; clones share it.
 #[derive(Clone, Debug)]
 pub(crate) struct Progress {
@@ -29,7 +31,7 @@
     }
 
     /// Returns what `exchange` does, or `None` if no byte came or left for `stall`, or it took longer than
-    /// `total`.
+    /// `total`. The time for which this process was held up does not count.
     pub(crate) async fn bound<F: Future>(
         &self,
         exchange: F,
@@ -46,15 +48,14 @@
     }
 
     async fn until_stalled(&self, stall: Duration, total: Duration) {
-        let began = Instant::now();
+        let end = Instant::now() + total;
+        let due = || end.min(self.last.get() + stall);
         loop {
-            let stalled_in = stall.saturating_sub(self.last.get().elapsed());
-            let left = total.saturating_sub(began.elapsed());
-            let wait = stalled_in.min(left);
-            if wait.is_zero() {
+            let waited_until = due();
+            timeout::sleep_until(waited_until, stall).await;
+            if due() <= waited_until {
                 return;
             }
-            monoio::time::sleep(wait).await;
         }
     }
 }
--- a/crates/lilaccrank-http/tests/suite/standstill.rs
+++ b/crates/lilaccrank-http/tests/suite/standstill.rs
@@ -15,8 +15,10 @@
 use lilaccrank_http::body;
 use lilaccrank_http::client::{Client, Limits};
 use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::peer_link::PeerLink;
 use lilaccrank_http::runtime;
 use lilaccrank_http::store_client::StoreClient;
+use lilaccrank_http::tally::Tally;
 use lilaccrank_http::timeout;
 
 /// Time for the head of an answer.
@@ -30,6 +32,9 @@
 const OBJECT_BYTES: usize = 400_000;
 /// Standstill that is longer than the store may take for an object.
 const STANDS_STILL_AT_STORE: Duration = Duration::from_millis(2_300);
+/// Standstill that ends after a peer's answer is due, and the time of the answer.
+const STANDS_STILL_AT_PEER: Duration = Duration::from_millis(1_200);
+const PEER_ANSWERS: Duration = Duration::from_millis(1_300);
 
 /// A server that answers one request.
 fn server(after: Duration) -> SocketAddr {
@@ -151,3 +156,28 @@
     assert_eq!(found.value.len(), OBJECT_BYTES);
     assert_eq!(asked.load(Ordering::Relaxed), 1);
 }
+
+/// Guards against a peer that is taken for dead since this process had stood still while it answered.
+#[test]
+fn a_peer_that_answers_after_the_standstill() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 1024]).unwrap();
+        thread::sleep(PEER_ANSWERS);
+        let body = rmp_serde::to_vec_named(&[7_u8]).unwrap();
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        let _ = stream.write_all(&[head.as_bytes(), &body].concat());
+        let _ = stream.read(&mut [0; 1024]);
+    });
+    let reply = runtime::block_on(async move {
+        monoio::spawn(async {
+            monoio::time::sleep(RUNS).await;
+            thread::sleep(STANDS_STILL_AT_PEER);
+        });
+        let link = PeerLink::<u8, u8>::start("vm".to_owned(), address, Tally::default());
+        link.call(1).await
+    });
+    assert_eq!(reply.unwrap(), Ok(7));
+}
