Callers: a body that lies unread is not late

What callers saw: a request whose body came in time was refused as bad, with the time for bodies as the reason, if its daemon stood still until that time was over. Cause: the wait for the whole body ended at once, while the rest of it had to be read in several turns; the time for a part of an answer (relay) was judged likewise before the connection's task could pass the part on.

Change: both use timeout::timeout, which allows for the lateness of the process; the deadline of a request is as before.

Failed before: standstill::a_body_that_lies_unread (lilaccrankd). The time for a part of an answer was found by reading and has no test.

--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -14,6 +14,7 @@
 use lilaccrank_http::body::{self, Body, BodySender};
 use lilaccrank_http::client_connection::ClientConnection;
 use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::timeout;
 
 use crate::admin::metrics::EndStats;
 use crate::callers::attach;
@@ -243,7 +244,7 @@
     reading: impl Future<Output = body::Result<Bytes>>,
 ) -> Result<Bytes> {
     let time = clock::millis(daemon.cfg.body_timeout_ms);
-    match monoio::time::timeout(time, reading).await {
+    match timeout::timeout(time, reading).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(e @ body::Error::NoMemory)) => {
             Err(Refusal::new(ErrorKind::Overloaded, e.to_string()))
@@ -329,7 +330,7 @@
             Ok(Some(chunk)) => {
                 // A caller whose connection is dead without notice never reads again. Its answer
                 // would stay in memory until TCP gives up after many minutes.
-                match monoio::time::timeout(send_timeout, tx.send_data(chunk)).await {
+                match timeout::timeout(send_timeout, tx.send_data(chunk)).await {
                     Ok(Ok(())) => {}
                     Ok(Err(_)) => return,
                     Err(_) => return tx.abort("the caller stopped reading the answer".into()),
--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -36,3 +36,5 @@
 mod retry_permit;
 #[path = "suite/sendable.rs"]
 mod sendable;
+#[path = "suite/standstill.rs"]
+mod standstill;
--- a/crates/lilaccrankd/tests/suite/fixtures.rs
+++ b/crates/lilaccrankd/tests/suite/fixtures.rs
@@ -13,7 +13,11 @@
 
 /// A daemon with default settings, without peers.
 pub fn daemon() -> Rc<Daemon> {
-    let cfg = Settings::default();
+    daemon_with(Settings::default())
+}
+
+/// A daemon without peers.
+pub fn daemon_with(cfg: Settings) -> Rc<Daemon> {
     let member = Daemon::member(&cfg, 1);
     let socket = Network::default().socket(cfg.gossip);
     let settings = membership::Settings::default();
