Callers: a caller that comes back during a standstill keeps its run

What callers saw: a repeat of a keyed request came within the grace, found its first run cancelled and lost its answer. Cause: after a standstill of the daemon the grace was over before the connection of the repeat was accepted and read.

Change: the grace allows for the lateness of the process (timeout::timeout).

Failed before: cancellation::a_caller_that_comes_back_during_a_standstill_keeps_the_work.

--- a/crates/lilaccrankd/src/request/cancellation.rs
+++ b/crates/lilaccrankd/src/request/cancellation.rs
@@ -10,6 +10,7 @@
 use futures::future::{self, Either};
 use futures::pin_mut;
 use lilaccrank::error_kind::{ErrorKind, Executed};
+use lilaccrank_http::timeout;
 
 use crate::callers::refusal::{Refusal, Result};
 use crate::daemon::Daemon;
@@ -97,10 +98,8 @@
             if self.grace.is_zero() {
                 return;
             }
-            let wait_for_reader = self.buffer.wait_for_reader();
-            let grace_over = monoio::time::sleep(self.grace);
-            pin_mut!(wait_for_reader, grace_over);
-            if let Either::Right(_) = future::select(wait_for_reader, grace_over).await {
+            let returned = timeout::timeout(self.grace, self.buffer.wait_for_reader()).await;
+            if returned.is_err() {
                 return;
             }
         }
--- a/crates/lilaccrankd/tests/suite/cancellation.rs
+++ b/crates/lilaccrankd/tests/suite/cancellation.rs
@@ -4,10 +4,11 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::thread;
 use std::time::{Duration, Instant};
 
 use futures::channel::mpsc;
-use futures::{StreamExt, future};
+use futures::{FutureExt, StreamExt, future, pin_mut};
 use hyper::Response;
 use lilaccrank::error_kind::{ErrorKind, Executed};
 use lilaccrank_http::body::{self, Body};
@@ -152,6 +153,33 @@
     .unwrap();
 }
 
+/// Guards against a caller that comes back within the grace and loses its answer, since its request lies unread.
+#[test]
+fn a_caller_that_comes_back_during_a_standstill_keeps_the_work() {
+    runtime::block_on(async {
+        let mut rig = Rig::start();
+        rig.call().await;
+        let cancellation = rig.cancellation(None, GRACE);
+        rig.callers.clear();
+        let (refusal, after) = cancelled(cancellation, async {
+            monoio::time::sleep(GRACE / 2).await;
+            {
+                let served = rig.call();
+                pin_mut!(served);
+                assert!(served.as_mut().now_or_never().is_none());
+                thread::sleep(GRACE);
+                served.await;
+            }
+            monoio::time::sleep(2 * GRACE).await;
+            rig.callers.clear();
+        })
+        .await;
+        assert_eq!(refusal.kind, ErrorKind::Cancelled);
+        assert!((GRACE..GRACE + AIM).contains(&after), "{after:?}");
+    })
+    .unwrap();
+}
+
 #[test]
 fn work_ends_at_its_deadline() {
     runtime::block_on(async {
