Dispatch: a new dispatcher that was held up still waits for the entries

What callers saw: after a change of the dispatcher beside a pause of the new one, requests were granted slots of targets at which others ran already. Cause: the end of the handover passed during the pause, so that grants were made before the resyncs that had arrived were read. Other times of the dispatcher are moved by State::observe_running already.

Change: the time in which the dispatcher was held up does not count for the handover.

Failed before: dispatch_faults::a_pause_of_a_new_dispatcher_is_no_silence_of_the_entries.

--- a/crates/lilaccrank/src/dispatch/held_up.rs
+++ b/crates/lilaccrank/src/dispatch/held_up.rs
@@ -25,5 +25,6 @@
             target.unanswered.move_signs(later);
         }
         self.sharing.move_digests(later);
+        self.move_handover(held_up);
     }
 }
--- a/crates/lilaccrank/src/dispatch/recovery.rs
+++ b/crates/lilaccrank/src/dispatch/recovery.rs
@@ -34,6 +34,13 @@
         self.check_handover(now);
     }
 
+    /// Puts the end of a handover off.
+    pub(super) fn move_handover(&mut self, by: Duration) {
+        if let Some(handover) = &mut self.handover {
+            handover.until += by;
+        }
+    }
+
     /// Ends a handover that is complete or has timed out.
     pub(super) fn check_handover(&mut self, now: Instant) {
         let is_over = |handover: &Handover| handover.expected.is_empty() || now >= handover.until;
--- a/crates/lilaccrank/tests/suite/dispatch_faults.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_faults.rs
@@ -435,6 +435,24 @@
     assert_eq!(harness.grants(), granted("r", "t0"));
 }
 
+// Guards against a new dispatcher that was held up, and grants before it reads the resyncs that have arrived.
+#[test]
+fn a_pause_of_a_new_dispatcher_is_no_silence_of_the_entries() {
+    let mut harness = harness(&[1]);
+    harness.advance(Duration::from_millis(50));
+    harness
+        .dispatcher
+        .begin_handover(vec![entry("vm2")], MIN_HANG_TIMEOUT);
+    harness.submit(Submission {
+        objective: Some(Duration::from_secs(10)),
+        ..submission("r", 0)
+    });
+    harness.pause(2 * MIN_HANG_TIMEOUT);
+    assert_eq!(harness.verdicts(), []);
+    harness.advance(MIN_HANG_TIMEOUT);
+    assert_eq!(harness.grants(), granted("r", "t0"));
+}
+
 // Guards against running a request twice: it was granted by the previous dispatcher, and its
 // submission is in the queue of the new one. Once resynced as running, it is not granted again.
 #[test]
