Slot leases: a new arbiter that was held up still waits for registrations

What callers saw: a brittle target got more requests than it has slots, right after a change of its arbiter beside a pause of the new one. Cause: the time in which holders register (SETTLE_TIME) passed during the pause, so that the first requests read were granted slots whose registrations lay unread.

Change: the time in which the arbiter was held up does not count, for a request that is read before the periodic checks as well. Terms of leases are as before.

Failed before: slot_arbiter::a_standstill_is_no_time_to_register (granted at once).

--- a/crates/lilaccrankd/src/pools/slot_leases/arbiter.rs
+++ b/crates/lilaccrankd/src/pools/slot_leases/arbiter.rs
@@ -1,9 +1,10 @@
 //! The arbiter's side of slot leases: one daemon for each brittle target.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use lilaccrank::clock;
 use lilaccrank::ids::VmId;
 use lilaccrank::membership::State;
 use lilaccrank::rendezvous;
@@ -28,20 +29,34 @@
     /// Earlier members with the time at which each list was replaced, for [`SETTLE_TIME`].
     earlier_members: RefCell<Vec<(Instant, Vec<VmId>)>>,
     members: RefCell<Vec<VmId>>,
+    /// Last time at which this daemon was known to run.
+    observed_at: Cell<Instant>,
 }
 
 impl Default for ArbiterState {
     /// No members: a daemon that has just started does not know what others hold.
     fn default() -> Self {
+        let now = Instant::now();
         Self {
             arbiter: RefCell::default(),
-            earlier_members: RefCell::new(vec![(Instant::now(), Vec::new())]),
+            earlier_members: RefCell::new(vec![(now, Vec::new())]),
             members: RefCell::default(),
+            observed_at: Cell::new(now),
         }
     }
 }
 
 impl ArbiterState {
+    /// Records that this daemon is running. Leases that holders registered while it was held up may not have
+    /// been read yet.
+    fn observe_running(&self, now: Instant) {
+        let gap = now.saturating_duration_since(self.observed_at.replace(now));
+        let held_up = clock::held_up(gap);
+        for (replaced_at, _) in &mut *self.earlier_members.borrow_mut() {
+            *replaced_at = (*replaced_at + held_up).min(now);
+        }
+    }
+
     /// Time until which the arbiter of a target may not know all leases; `None` if it has long been the
     /// arbiter.
     fn settled_at(&self, target: InstanceDigest, me: &VmId, now: Instant) -> Option<Instant> {
@@ -92,6 +107,7 @@
         return Decision::Declined(NOT_ARBITER_RETRY);
     }
     let now = Instant::now();
+    daemon.arbiter.observe_running(now);
     let settled_at = daemon.arbiter.settled_at(req.target, me, now);
     let mut arbiter = daemon.arbiter.arbiter.borrow_mut();
     arbiter.acquire(req, settled_at, now)
@@ -141,10 +157,11 @@
 pub async fn run(daemon: Rc<Daemon>) {
     loop {
         monoio::time::sleep(TICK).await;
+        let now = Instant::now();
+        daemon.arbiter.observe_running(now);
         if daemon.arbiter.arbiter.borrow().is_empty() {
             continue;
         }
-        let now = Instant::now();
         daemon.arbiter.arbiter.borrow_mut().expire(now);
         grant_waiting(&daemon, now);
     }
--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -36,5 +36,7 @@
 mod retry_permit;
 #[path = "suite/sendable.rs"]
 mod sendable;
+#[path = "suite/slot_arbiter.rs"]
+mod slot_arbiter;
 #[path = "suite/standstill.rs"]
 mod standstill;
