Daemon: remaining waits for peers and the store allow for its own lateness

Found by reading, no test of their own: the same cause as of the body that lies unread, an answer that a task of a connection has to pass on after the waiting task's timer has fired. The conclusions: "the peers and the store don't know where a stream began" (stream_origins: a resume is refused, and a miss is counted against the customer), "the arbiter is silent" (slot_leases: a slot of one's own is taken, or the target left for 100 ms), "the platform was not away" (lapsed: targets are dropped), and a load report that is skipped (poller).

Change: timeout::timeout instead of the runtime's.

--- a/crates/lilaccrankd/src/peers/stream_origins.rs
+++ b/crates/lilaccrankd/src/peers/stream_origins.rs
@@ -17,6 +17,7 @@
 use lilaccrank::stream_origins::{
     COPIES, MissLimit, Outbox, Record, RecordedOrigin, StreamId, StreamOrigins,
 };
+use lilaccrank_http::timeout;
 use monoio::net::udp::UdpSocket;
 use serde::{Deserialize, Serialize};
 
@@ -227,7 +228,7 @@
     if found.is_some() {
         return found.map(Found::Record);
     }
-    let found = monoio::time::timeout(STORE_TIMEOUT, find_in_store(daemon, pool, id)).await;
+    let found = timeout::timeout(STORE_TIMEOUT, find_in_store(daemon, pool, id)).await;
     let found = found.unwrap_or_else(|_| {
         log::info!("the store did not say within {STORE_TIMEOUT:?} where a stream began");
         None
@@ -280,7 +281,7 @@
 
 async fn ask(daemon: &Daemon, vm: &VmId, id: StreamId) -> Option<OriginReply> {
     let asked = daemon.peers.call(vm, OriginRequest { id });
-    let why = match monoio::time::timeout(QUERY_TIMEOUT, asked).await {
+    let why = match timeout::timeout(QUERY_TIMEOUT, asked).await {
         Ok(Ok(reply)) => return Some(reply),
         Ok(Err(e)) => e.to_string(),
         Err(_) => format!("no reply within {QUERY_TIMEOUT:?}"),
--- a/crates/lilaccrankd/src/pools/poller.rs
+++ b/crates/lilaccrankd/src/pools/poller.rs
@@ -15,6 +15,7 @@
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::body;
 use lilaccrank_http::client::{self, Limits};
+use lilaccrank_http::timeout;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
@@ -140,10 +141,7 @@
             .record_leaving(&instance, &daemon.load_exchange);
     }
     let reading = body::read(res.into_body(), REPORT_LIMIT);
-    let bytes = monoio::time::timeout(LIMITS.head, reading)
-        .await
-        .ok()?
-        .ok()?;
+    let bytes = timeout::timeout(LIMITS.head, reading).await.ok()?.ok()?;
     daemon.report_client.release(connection);
     serde_json::from_slice(&bytes).ok()
 }
--- a/crates/lilaccrankd/src/pools/slot_leases.rs
+++ b/crates/lilaccrankd/src/pools/slot_leases.rs
@@ -13,6 +13,7 @@
 use lilaccrank::request_key::{MemberRef, Ranking};
 use lilaccrank::slot_leases::{Decision, LeaseId, LeaseRequest, Release};
 use lilaccrank::target_instance::{InstanceDigest, TargetInstance};
+use lilaccrank_http::timeout;
 use xxhash_rust::xxh3;
 
 use crate::daemon::Daemon;
@@ -150,14 +151,14 @@
         .borrow_mut()
         .insert(request, lease);
     let deciding = request_lease(daemon, &arbiter, req);
-    let decision = monoio::time::timeout(DECISION_TIMEOUT, deciding).await;
+    let decision = timeout::timeout(DECISION_TIMEOUT, deciding).await;
     let decision = decision.ok().flatten();
     let retry_after = match decision {
         Some(Decision::Granted) => {
             daemon.slot_leases.grant(id);
             return Ok(());
         }
-        Some(Decision::Queued) => match monoio::time::timeout(QUEUE_TIMEOUT, rx).await {
+        Some(Decision::Queued) => match timeout::timeout(QUEUE_TIMEOUT, rx).await {
             Ok(Ok(())) => return Ok(()),
             _ => FULL_TARGET_RETRY,
         },
--- a/crates/lilaccrankd/src/targets/lapsed.rs
+++ b/crates/lilaccrankd/src/targets/lapsed.rs
@@ -15,6 +15,7 @@
 use lilaccrank::ids::{PoolId, TargetId};
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::timeout;
 
 use crate::configuration::feed;
 use crate::daemon::Daemon;
@@ -159,7 +160,7 @@
 
 async fn run(daemon: Rc<Daemon>) {
     let lapsed = &daemon.live_list.lapsed;
-    let _ = monoio::time::timeout(VERIFY_TIMEOUT, feed::poll_several(&daemon)).await;
+    let _ = timeout::timeout(VERIFY_TIMEOUT, feed::poll_several(&daemon)).await;
     while daemon.platform_contact.may_lapse(MonoioClock.boot_time()) {
         lapsed.end_verifying();
         monoio::time::sleep(POLL_INTERVAL).await;
