Quotas: what is owed follows the figures of the configuration

What callers saw: 429 for as long as a wrong charge took to pay, also after the next version had corrected `plain_tokens` (7.03 s for eight times the rate; hours for more). Of the same cause: a debt in tokens was paid as one in requests after the unit was corrected (5.08 s); 400,000 tokens that ran under 100,000 a second were owed for 40,000 s once the limit was 10 a second; and what a daemon that heard later of a lower limit still let pass in one second was owed for 1,008.6 s at the others.

Cause: a bucket keeps a debt as units, whatever becomes of the figures by which they were reckoned, and so do the reports of the other daemons.

Change: a debt is paid at the highest rate in force since it was made; its part of requests without a token count is kept apart and reckoned anew when they count as less; another unit drops it. Reports name these units and a digest of the figures; what is reported under other figures uses up what is left and makes no debt. A change of figures that did not make the debt leaves it as it is, and so does changing them to and fro (other_figures!, and a model of seven daemons whose figures change at different times under load).

Ruled out: dropping each debt at each change refunds what ran under figures that stand; a floor of one window puts a correction in force eight seconds late; reckoning the last window by the new figures owes under a low limit what ran under a high one.

--- a/crates/lilaccrank/src/quota.rs
+++ b/crates/lilaccrank/src/quota.rs
@@ -30,8 +30,10 @@
 use crate::document::Quota;
 use crate::ids::{CustomerId, Incarnation, Tier, VmId};
 
+mod account;
 mod demand;
 
+use account::Account;
 pub use demand::CellDemand;
 use demand::Demand;
 
@@ -87,6 +89,8 @@
 /// The units that a request takes out of a quota.
 #[derive(Clone, Copy, Debug)]
 pub struct Debit {
+    /// Whether the request has no token count, so that the quota's figures decide its size.
+    pub is_plain: bool,
     /// Tier of the request among those of its customer; 0 is the most urgent.
     pub tier: Tier,
     /// Size of the request in units of the quota: requests or tokens.
@@ -114,8 +118,17 @@
     pub passed: u64,
     /// Units that passed and were given back because their requests did not run.
     pub returned: u64,
+    /// Those of the units that passed which are due to requests without a token count.
+    pub plain: u64,
+    /// The quota's figures at the last request.
+    pub figures: Figures,
 }
 
+/// Digest of the figures of a quota by which units are reckoned; those of a burst make no difference.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct Figures(u32);
+
 impl Spent {
     /// Merges two reports of one incarnation into the later counters.
     fn merged(self, other: Self) -> Self {
@@ -123,6 +136,11 @@
             asked: self.asked.max(other.asked),
             passed: self.passed.max(other.passed),
             returned: self.returned.max(other.returned),
+            plain: self.plain.max(other.plain),
+            figures: match other.asked >= self.asked {
+                true => other.figures,
+                false => self.figures,
+            },
         }
     }
 
@@ -151,19 +169,15 @@
     last_full_report: Option<Instant>,
 }
 
-/// Token bucket and counters of one customer.
-#[derive(Debug)]
-struct Account {
-    changed_at: Instant,
-    filled_at: Instant,
-    /// Number of times the current counters were reported to the cell.
-    times_reported: u8,
-    /// Units that the daemons which hear from each other may still spend; negative if they
-    /// overspent.
-    balance: f64,
-    /// Rate of the quota in units per second.
-    quota_per_s: f64,
-    spent: Spent,
+/// What another daemon has spent between two reports.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    /// Net units.
+    units: f64,
+    /// Units due to requests without a token count.
+    plain_units: f64,
+    /// The figures of both reports.
+    figures: [Figures; 2],
 }
 
 /// Another daemon of the cell.
@@ -175,6 +189,21 @@
     spent: IndexMap<CustomerId, Spent>,
 }
 
+impl Peer {
+    /// Merges reported counters, and returns what is new.
+    fn merge(&mut self, customer: &CustomerId, spent: Spent) -> Report {
+        // The first report about a customer may include units spent long ago.
+        let known = self.spent.entry(customer.clone()).or_insert(spent);
+        let merged = known.merged(spent);
+        let before = std::mem::replace(known, merged);
+        Report {
+            units: merged.units_since(before),
+            plain_units: (merged.plain - before.plain) as f64,
+            figures: [before.figures, merged.figures],
+        }
+    }
+}
+
 impl Quotas {
     /// Creates an empty state. Until as many peers are heard from, `assumed_peers` are assumed to
     /// be there and spending their shares.
@@ -221,19 +250,19 @@
         };
         let started = self.started;
         self.recent.insert(customer.clone());
-        let account = self.account(customer, now);
-        account.quota_per_s = quota.per_s;
+        let account = self.account(customer, quota, now);
+        account.adopt(quota);
         account.spent.asked = account.spent.asked.saturating_add(debit.units);
         account.mark_changed(now);
-        account.refill(quota, share, now);
+        account.refill(share, now);
         let burst = quota.burst * share;
         let since_start = now.saturating_duration_since(started).as_secs_f64();
         let filled = burst.min(since_start * quota.per_s * share);
         // A request larger than the whole burst passes when the bucket is full.
         let required = (debit.units as f64 + debit.headroom(filled)).min(burst);
         if account.balance < required {
-            let missing = (required - account.balance) / (quota.per_s * share);
-            let retry_after = Duration::try_from_secs_f64(missing).unwrap_or(Duration::MAX);
+            let missing_s = account.seconds_until(required) / share;
+            let retry_after = Duration::try_from_secs_f64(missing_s).unwrap_or(Duration::MAX);
             return Err(Error {
                 balance: account.balance,
                 share,
@@ -241,15 +270,14 @@
                 required,
             });
         }
-        account.balance -= debit.units as f64;
-        account.spent.passed = account.spent.passed.saturating_add(debit.units);
+        account.withdraw(debit);
         Ok(account.balance < burst * LOW_BALANCE_FRACTION)
     }
 
     /// Gives back units that passed but whose request did not run.
     pub fn refund(&mut self, customer: &CustomerId, units: u64, now: Instant) {
         if let Some(account) = self.accounts.get_mut(customer) {
-            account.balance += units as f64;
+            account.charge(-(units as f64), 0.0);
             account.spent.returned = account.spent.returned.saturating_add(units);
             account.mark_changed(now);
             self.recent.insert(customer.clone());
@@ -300,7 +328,7 @@
         let recent = self.recent.iter();
         let quotas = recent.filter_map(|customer| {
             let account = self.accounts.get(customer)?;
-            Some((customer.clone(), account.quota_per_s))
+            Some((customer.clone(), account.quota.per_s))
         });
         self.demand.report_own(quotas, now)
     }
@@ -376,15 +404,28 @@
         }
         peer.last_heard = now;
         peer.incarnation = incarnation;
-        for (customer, spent) in spent {
-            // The first report about a customer may include units spent long ago.
-            let known = peer.spent.entry(customer.clone()).or_insert(*spent);
-            let merged = known.merged(*spent);
-            let new = merged.units_since(*known);
-            *known = merged;
-            if let Some(account) = self.accounts.get_mut(customer) {
-                account.balance -= new;
-            }
+        let reports: Vec<Report> = spent
+            .iter()
+            .map(|(customer, spent)| peer.merge(customer, *spent))
+            .collect();
+        for ((customer, _), report) in spent.iter().zip(reports) {
+            self.withdraw_reported(customer, report, now);
+        }
+    }
+
+    /// Withdraws what another daemon has spent since its report before.
+    fn withdraw_reported(&mut self, customer: &CustomerId, report: Report, now: Instant) {
+        let Some(account) = self.accounts.get_mut(customer) else {
+            return;
+        };
+        if report.figures == [account.spent.figures; 2] {
+            return account.charge(report.units, report.plain_units);
+        }
+        let per_s = account.quota.per_s;
+        let share = self.demand.cell_share(customer, per_s, now) * self.share(now);
+        if let Some(account) = self.accounts.get_mut(customer) {
+            account.refill(share, now);
+            account.use_up(report.units);
         }
     }
 
@@ -408,35 +449,13 @@
     }
 
     /// Returns the account of a customer, which is created empty as of this daemon's start.
-    fn account(&mut self, customer: &CustomerId, now: Instant) -> &mut Account {
+    fn account(&mut self, customer: &CustomerId, quota: Quota, now: Instant) -> &mut Account {
         if self.accounts.len() >= ACCOUNTS_LIMIT {
             self.accounts
                 .retain(|_, account| now - account.changed_at < SHARE_RETENTION);
         }
         let started = self.started;
         let account = self.accounts.entry(customer.clone());
-        account.or_insert_with(|| Account {
-            changed_at: now,
-            filled_at: started,
-            times_reported: 0,
-            balance: 0.0,
-            quota_per_s: 0.0,
-            spent: Spent::default(),
-        })
-    }
-}
-
-impl Account {
-    fn mark_changed(&mut self, now: Instant) {
-        self.changed_at = now;
-        self.times_reported = 0;
-    }
-
-    /// Refills the bucket for the time since the last refill, at `share` of the quota.
-    fn refill(&mut self, quota: Quota, share: f64, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.filled_at);
-        self.filled_at = now;
-        let filled = self.balance + elapsed.as_secs_f64() * quota.per_s * share;
-        self.balance = filled.min(quota.burst * share);
+        account.or_insert_with(|| Account::new(quota, started, now))
     }
 }
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -100,6 +100,8 @@
 mod quota;
 #[path = "suite/quota_cells.rs"]
 mod quota_cells;
+#[path = "suite/quota_figures.rs"]
+mod quota_figures;
 #[path = "suite/quota_fleet.rs"]
 mod quota_fleet;
 #[path = "suite/quota_harness.rs"]
--- a/crates/lilaccrank/tests/suite/quota_fleet.rs
+++ b/crates/lilaccrank/tests/suite/quota_fleet.rs
@@ -103,6 +103,7 @@
             for _ in 0..each_step as usize {
                 let at = self.random_below(DAEMONS);
                 let debit = Debit {
+                    is_plain: false,
                     tier: 0,
                     units: REQUEST_TOKENS,
                 };
--- a/crates/lilaccrank/tests/suite/quota_harness.rs
+++ b/crates/lilaccrank/tests/suite/quota_harness.rs
@@ -42,7 +42,11 @@
 
     /// A request of this tier and size.
     pub fn debit(tier: u8, units: u64) -> Debit {
-        Debit { tier, units }
+        Debit {
+            is_plain: false,
+            tier,
+            units,
+        }
     }
 
     /// Refunds the last request that passed, at the daemon that let it pass.
@@ -53,7 +57,12 @@
 
     /// Sends a request to the daemon at this index. Returns `true` if it passes.
     pub fn spend(&mut self, at: usize, debit: Debit) -> bool {
-        let spent = self.daemons[at].spend(&CUSTOMER.to_owned(), QUOTA, debit, self.now);
+        self.spend_of(QUOTA, at, debit)
+    }
+
+    /// The same under other figures.
+    pub fn spend_of(&mut self, quota: Quota, at: usize, debit: Debit) -> bool {
+        let spent = self.daemons[at].spend(&CUSTOMER.to_owned(), quota, debit, self.now);
         if spent.is_ok() {
             self.passed.push((self.now, debit.units));
         }
--- a/crates/lilaccrankd/src/request/quotas.rs
+++ b/crates/lilaccrankd/src/request/quotas.rs
@@ -66,9 +66,9 @@
             return Ok(None);
         };
         let tier = req.tier;
-        let units = units(&quota, req.facts);
+        let debit = debit(&quota, req);
+        let units = debit.units;
         let mut inner = self.inner.borrow_mut();
-        let debit = Debit { tier, units };
         let spent = inner.spend(&customer.id, quota, debit, Instant::now());
         let is_nearly_exhausted = spent.map_err(|e| {
             log::info!(
@@ -149,16 +149,19 @@
     }
 }
 
-/// Cost of a request in units of the quota.
-fn units(quota: &Quota, facts: &Facts) -> u64 {
-    match quota.unit {
+/// What a request takes from the quota.
+fn debit(quota: &Quota, req: QuotaRequest<'_>) -> Debit {
+    let facts = req.facts;
+    let tokens = u64::from(facts.prompt_tokens) + u64::from(facts.max_tokens);
+    let is_plain = quota.unit == QuotaUnit::Tokens && tokens == 0;
+    let units = match quota.unit {
         QuotaUnit::Requests => 1,
-        QuotaUnit::Tokens => {
-            let tokens = u64::from(facts.prompt_tokens) + u64::from(facts.max_tokens);
-            match tokens {
-                0 => quota.plain_tokens,
-                tokens => tokens,
-            }
-        }
+        QuotaUnit::Tokens if is_plain => quota.plain_tokens,
+        QuotaUnit::Tokens => tokens,
+    };
+    Debit {
+        is_plain,
+        tier: req.tier,
+        units,
     }
 }
