Quotas: a request that no window has room for is refused

What callers saw: with `plain_tokens` 2^33 beside a limit of a million a second one request was let through, and all others were refused for hours (Retry-After 16,744 s). A request larger than the burst passes once the bucket is full, which small quotas need; nothing bounded it.

Change: a request that by itself exceeds rate x window + burst, the reserve included, is refused as over the quota at once, with the window as the time to wait, and isn't counted as demand, as its figure would take the parts of other cells. So no request is owed for longer than a window at the whole rate.

--- a/crates/lilaccrank/src/quota.rs
+++ b/crates/lilaccrank/src/quota.rs
@@ -40,6 +40,9 @@
 /// Result of spending.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+/// Time over which a quota is judged, unless told otherwise.
+pub const DEFAULT_WINDOW: Duration = Duration::from_secs(8);
+
 /// Time after its last report from which a peer is stale, and its share is left to it. Peers report
 /// four times per second.
 const PEER_STALE_AFTER: Duration = Duration::from_millis(1_000);
@@ -84,6 +87,8 @@
     pub retry_after: Duration,
     /// Balance that the request requires, headroom for higher tiers included.
     pub required: f64,
+    /// Whether the request alone exceeds the quota in any window.
+    pub is_too_large: bool,
 }
 
 /// The units that a request takes out of a quota.
@@ -165,6 +170,8 @@
     /// Units that all daemons together may let pass at once beyond a customer's burst.
     reserve: f64,
     started: Instant,
+    /// Time over which the quotas are judged.
+    window: Duration,
     /// Time of the last full report to the cell.
     last_full_report: Option<Instant>,
 }
@@ -218,6 +225,7 @@
             recent: IndexSet::new(),
             reserve: 0.0,
             started: now,
+            window: DEFAULT_WINDOW,
             last_full_report: None,
         }
     }
@@ -228,6 +236,13 @@
         Self { reserve, ..self }
     }
 
+    /// Sets the time over which the quotas are judged. A request that exceeds its quota over that time
+    /// by itself is refused.
+    #[must_use]
+    pub fn with_window(self, window: Duration) -> Self {
+        Self { window, ..self }
+    }
+
     /// Withdraws `debit` from a customer's quota. Returns `true` if the balance is low afterwards,
     /// and other daemons have to be told at once.
     ///
@@ -248,6 +263,9 @@
             burst: quota.burst + self.reserve,
             ..quota
         };
+        if debit.units as f64 > quota.burst + quota.per_s * self.window.as_secs_f64() {
+            return Err(self.too_large(customer, debit, share));
+        }
         let started = self.started;
         self.recent.insert(customer.clone());
         let account = self.account(customer, quota, now);
@@ -268,12 +286,25 @@
                 share,
                 retry_after,
                 required,
+                is_too_large: false,
             });
         }
         account.withdraw(debit);
         Ok(account.balance < burst * LOW_BALANCE_FRACTION)
     }
 
+    /// Refuses a request that no window has room for. The next one may be judged by other figures.
+    fn too_large(&self, customer: &CustomerId, debit: Debit, share: f64) -> Error {
+        let account = self.accounts.get(customer);
+        Error {
+            balance: account.map_or(0.0, |account| account.balance),
+            share,
+            retry_after: self.window,
+            required: debit.units as f64,
+            is_too_large: true,
+        }
+    }
+
     /// Gives back units that passed but whose request did not run.
     pub fn refund(&mut self, customer: &CustomerId, units: u64, now: Instant) {
         if let Some(account) = self.accounts.get_mut(customer) {
--- a/crates/lilaccrank/tests/suite/quota_figures.rs
+++ b/crates/lilaccrank/tests/suite/quota_figures.rs
@@ -85,6 +85,19 @@
     }
 }
 
+// Guards against a request that is beyond the quota in any window, passes and is owed for hours.
+#[test]
+fn a_request_beyond_any_window_is_refused() {
+    let mut daemon = Daemon::new();
+    let quota = Quota {
+        plain_tokens: 1 << 33,
+        ..QUOTA
+    };
+    let refused = daemon.spend(quota, plain(quota)).unwrap_err();
+    assert!(refused.retry_after <= WINDOW, "{:?}", refused.retry_after);
+    assert!(daemon.spend(quota, Fleet::debit(0, REQUEST_TOKENS)).is_ok());
+}
+
 // Guards against a debt by mistaken tokens of plain requests that outlasts their correction.
 #[test]
 fn corrected_plain_tokens_are_in_force_at_once() {
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -258,7 +258,11 @@
             pool_client: PoolClient::default(),
             pool_server: PoolServer::default(),
             report_client,
-            quotas: Quotas::new(cfg.seeds.len(), cfg.quota_reserve),
+            quotas: Quotas::new(
+                cfg.seeds.len(),
+                cfg.quota_reserve,
+                Duration::from_millis(cfg.quota_window_ms),
+            ),
             refusing: Cell::new(false),
             requests: Cell::new(0),
             retry_budgets: PoolRetryBudgets::new(&cfg.retries),
--- a/crates/lilaccrankd/src/request/quotas.rs
+++ b/crates/lilaccrankd/src/request/quotas.rs
@@ -46,12 +46,13 @@
 
 impl Quotas {
     /// Creates empty quotas. `assumed_peers` other daemons are assumed until reports arrive;
-    /// `reserve` is added to each burst, see [`quota::Quotas::with_reserve`].
+    /// `reserve` is added to each burst, see [`quota::Quotas::with_reserve`]; `window` is the time over
+    /// which quotas are judged.
     #[must_use]
-    pub fn new(assumed_peers: usize, reserve: f64) -> Self {
+    pub fn new(assumed_peers: usize, reserve: f64, window: Duration) -> Self {
         let inner = quota::Quotas::new(assumed_peers, Instant::now());
         Self {
-            inner: RefCell::new(inner.with_reserve(reserve)),
+            inner: RefCell::new(inner.with_reserve(reserve).with_window(window)),
         }
     }
 
@@ -87,7 +88,11 @@
             // The jitter keeps requests that were refused together from returning together.
             let after = e.retry_after.max(MIN_RETRY_AFTER);
             let after = after + backoff::full_jitter(after);
-            Refusal::new(ErrorKind::RateLimited, "your quota is used up").retry_after(after)
+            let message = match e.is_too_large {
+                true => "the request is larger than your quota",
+                false => "your quota is used up",
+            };
+            Refusal::new(ErrorKind::RateLimited, message).retry_after(after)
         })?;
         Ok(Some(Charge {
             is_nearly_exhausted,
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -7,6 +7,7 @@
 
 use indexmap::IndexMap;
 use lilaccrank::ids::{DataCentre, VmId};
+use lilaccrank::quota;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -112,6 +113,9 @@
     /// Units of a quota (requests or tokens) that all daemons together may admit at once beyond its
     /// burst. With many daemons each has a small share of a quota, and requests come in bursts.
     pub quota_reserve: f64,
+    /// Time in milliseconds over which a quota is judged. A request that exceeds its quota over that time
+    /// by itself is refused.
+    pub quota_window_ms: u64,
     /// Additional listen address of the readiness check for load balancers.
     pub readiness: Option<SocketAddr>,
     /// Enables request keys, with which a repeated request gets the answer of the first.
@@ -228,6 +232,7 @@
             peer: port(7402),
             platform: port(7300),
             quota_reserve: 0.0,
+            quota_window_ms: quota::DEFAULT_WINDOW.as_millis() as u64,
             readiness: None,
             relay: None,
             request_keys: true,
