Versions in use: daemons tell each other what is recorded

Cause: the targets of the version that began them get nothing at a daemon that doesn't know that the version is recorded, and only the store told it.

Change: a daemon whose targets wait for that asks with its next poll, and the daemon polled tells what it has read, or written, there within the last two minutes and what its own list needs. An earlier era of the store is not believed. Reads for a stream of which no daemon has a record go to the store as before.

--- a/crates/lilaccrank/src/versions_in_use.rs
+++ b/crates/lilaccrank/src/versions_in_use.rs
@@ -164,6 +164,15 @@
         true
     }
 
+    /// Takes over what another daemon knows to be recorded. Returns `false` if that is of an earlier era, or too
+    /// much.
+    pub fn learn(&mut self, told: &Self) -> bool {
+        if told.era > self.era {
+            *self = told.clone();
+        }
+        told.era == self.era && self.add(told)
+    }
+
     /// Returns the version that began every stream of a pool; `None` if there may be several.
     #[must_use]
     pub fn only_version(&self, pool: &str, routes: &StreamRoutes, era: Era) -> RecordedVersion {
@@ -254,6 +263,15 @@
         since.is_some_and(|since| is_doubtful(*since, now))
     }
 
+    /// Returns what is recorded and needed. Of the rest, a daemon that counts from an earlier list may have
+    /// removed some.
+    #[must_use]
+    pub fn needed(&self, recorded: &VersionsInUse) -> VersionsInUse {
+        let mut needed = recorded.clone();
+        self.since.keys().for_each(|entry| needed.remove(entry));
+        needed
+    }
+
     /// Returns `true` if something has not been needed for [`RETENTION`].
     #[must_use]
     pub fn has_expired(&self, now: Instant) -> bool {
--- a/crates/lilaccrank/tests/suite/versions_in_use.rs
+++ b/crates/lilaccrank/tests/suite/versions_in_use.rs
@@ -137,6 +137,8 @@
     Synchronise(usize, bool),
     /// A stream begins at a daemon, at one of the versions of its list that it knows to be recorded.
     Begin(usize, bool),
+    /// A daemon learns from another one that has just read it what is recorded.
+    Learn(usize, usize),
     /// Time passes, in tenths of the retention; streams that began before it end.
     Wait(u8),
     /// A daemon is killed and starts again.
@@ -150,13 +152,14 @@
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
         let daemon = usize::arbitrary(g) % DAEMONS;
-        match u8::arbitrary(g) % 16 {
+        match u8::arbitrary(g) % 18 {
             0..4 => Self::List(daemon, u8::arbitrary(g) % 4, 1 + u8::arbitrary(g) % 3),
             4..8 => Self::Synchronise(daemon, u8::arbitrary(g) % 4 > 0),
             8..12 => Self::Begin(daemon, bool::arbitrary(g)),
             12 => Self::Wait(u8::arbitrary(g) % 16),
             13 => Self::Kill(daemon),
             14 => Self::KillAll,
+            15..17 => Self::Learn(daemon, usize::arbitrary(g) % DAEMONS),
             _ => Self::Restore(u8::arbitrary(g)),
         }
     }
@@ -166,6 +169,7 @@
 struct Daemon {
     known: VersionsInUse,
     listed: Vec<u8>,
+    read_at: Option<Instant>,
     unneeded: Unneeded,
 }
 
@@ -225,6 +229,7 @@
                 self.streams.retain(|_, until| now < *until);
             }
             Step::Kill(daemon) => self.daemons[daemon] = Daemon::default(),
+            Step::Learn(from, to) => self.learn(from, to),
             Step::KillAll => self.daemons.iter_mut().for_each(|d| *d = Daemon::default()),
             Step::Restore(age) if !self.copies.is_empty() => {
                 let at = usize::from(age) % self.copies.len();
@@ -263,6 +268,17 @@
             .drain(..self.copies.len().saturating_sub(COPIES));
         self.store = Some(record.clone());
         self.daemons[daemon].known = record;
+        self.daemons[daemon].read_at = Some(self.now);
+    }
+
+    fn learn(&mut self, from: usize, to: usize) {
+        let teller = &self.daemons[from];
+        let is_recent = |at: Instant| self.now - at < RETENTION / 5;
+        if from != to && teller.read_at.is_some_and(is_recent) {
+            let told = teller.unneeded.needed(&teller.known);
+            self.daemons[to].known.learn(&told);
+            self.note(to);
+        }
     }
 
     fn begin(&mut self, daemon: usize, is_first: bool) {
@@ -270,6 +286,7 @@
             known,
             listed,
             unneeded,
+            ..
         } = &self.daemons[daemon];
         let number = if is_first {
             listed.first()
@@ -374,3 +391,26 @@
     assert!(!unneeded.has_expired(now + RETENTION));
     assert!(unneeded.has_expired(now + RETENTION * 3 / 2));
 }
+
+/// Guards against a version that is told as recorded although another daemon may have removed it.
+#[test]
+fn only_what_is_needed_is_told() {
+    let routes = routes(vec![rule("/a", POOL)]);
+    let mut record = recorded(&routes, &[1, 2]);
+    let needed = VersionsInUse::needed(&routes, [(POOL.to_owned(), version(2))]);
+    let mut unneeded = Unneeded::default();
+    unneeded.note(&mut record, &needed, Instant::now());
+    let mut learned = VersionsInUse::default();
+    assert!(learned.learn(&unneeded.needed(&record)));
+    assert!(learned.contains(POOL, version(2)));
+    assert!(!learned.contains(POOL, version(1)));
+}
+
+/// Guards against a daemon that takes a record of an earlier era for one of the present.
+#[test]
+fn nothing_is_learned_of_an_earlier_era() {
+    let routes = routes(vec![rule("/a", POOL)]);
+    let mut known = VersionsInUse::read(None, 1, true);
+    assert!(!known.learn(&recorded(&routes, &[1])));
+    assert!(!known.contains(POOL, version(1)));
+}
--- a/crates/lilaccrankd/src/configuration/feed.rs
+++ b/crates/lilaccrankd/src/configuration/feed.rs
@@ -101,6 +101,11 @@
             .platform_contact
             .steady_for(now)
             .filter(|_| has_list_of_era),
+        versions: request
+            .lacks_versions
+            .then(|| daemon.version_record.read_lately(daemon))
+            .flatten()
+            .map(Box::new),
     }
 }
 
@@ -147,6 +152,7 @@
         revision: known.revision,
         orders_revision: daemon.rollouts.revision(),
         takes_changes: true,
+        lacks_versions: daemon.version_record.lacks_versions(),
     };
     let mut reply: Feed = match daemon.peers.call(vm, req).await {
         Ok(reply) => reply,
@@ -168,6 +174,9 @@
     if let Some(listing) = newer_listing(daemon, &mut reply) {
         live_list::apply_listing(daemon, listing);
     }
+    if let Some(versions) = &reply.versions {
+        daemon.version_record.learn(daemon, versions);
+    }
     if is_current {
         live_list::drop_removed(daemon, &reply.removed);
     }
--- a/crates/lilaccrankd/src/peers/message.rs
+++ b/crates/lilaccrankd/src/peers/message.rs
@@ -15,6 +15,7 @@
 use lilaccrank::store_revision::{Era, StoreRevision};
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank::timeline::Stamp;
+use lilaccrank::versions_in_use::VersionsInUse;
 use serde::{Deserialize, Serialize};
 
 use crate::orders::message::{OrderReply, OrderRequest};
@@ -119,6 +120,9 @@
     /// Set if the requester reads [`Feed::changes`].
     #[serde(default)]
     pub takes_changes: bool,
+    /// Set if the requester does not know the software versions of its list to be recorded.
+    #[serde(default)]
+    pub lacks_versions: bool,
 }
 
 /// Reply to a [`FeedRequest`]: what a daemon knows of the platform, and how old that is.
@@ -159,6 +163,9 @@
     /// Orders of roll-outs, if newer than the requester's.
     #[serde(default)]
     pub orders: Option<Box<KnownOrders>>,
+    /// Software versions that it knows to be recorded, if the requester lacks some.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub versions: Option<Box<VersionsInUse>>,
 }
 
 /// Asks for the configuration that a daemon holds.
--- a/crates/lilaccrankd/src/peers/version_record.rs
+++ b/crates/lilaccrankd/src/peers/version_record.rs
@@ -36,6 +36,9 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which the record is read without a reason.
 const REREAD_INTERVAL: Duration = Duration::from_secs(60);
+/// Time since a read for which other daemons are told what is recorded: far shorter than what is not needed
+/// stays there.
+const TOLD_LIMIT: Duration = REREAD_INTERVAL.saturating_mul(2);
 /// Shortest pause between two reads for requests.
 const MIN_READ_PAUSE: Duration = Duration::from_millis(20);
 /// Reads for requests a second of all daemons.
@@ -62,6 +65,8 @@
     known: RefCell<VersionsInUse>,
     /// Result of the last read for requests; `None` if it failed.
     last_read: RefCell<Option<VersionsInUse>>,
+    /// When what is known was last read, or written.
+    read_at: Cell<Option<Instant>>,
     reads: FreshReads,
     /// Notified when the record is known or has changed.
     recorded: Event,
@@ -170,6 +175,33 @@
         (is_of_era && is_only).then_some(version)
     }
 
+    /// Returns `true` if targets get nothing since their versions are not known to be recorded.
+    #[must_use]
+    pub fn lacks_versions(&self) -> bool {
+        !self.withheld.borrow().is_empty()
+    }
+
+    /// Returns what this daemon needs and has lately read to be recorded, in the present era of the store.
+    #[must_use]
+    pub fn read_lately(&self, daemon: &Daemon) -> Option<VersionsInUse> {
+        let read_at = self.read_at.get()?;
+        let known = self.known.borrow();
+        let is_present = known.era() == daemon.platform_contact.latest_era.get();
+        (is_present && read_at.elapsed() < TOLD_LIMIT)
+            .then(|| self.unneeded.borrow().needed(&known))
+    }
+
+    /// Takes over what another daemon has read to be recorded. The store may not answer this one.
+    pub fn learn(&self, daemon: &Rc<Daemon>, recorded: &VersionsInUse) {
+        if recorded.era() != daemon.platform_contact.latest_era.get() {
+            return;
+        }
+        let mut known = self.known.borrow().clone();
+        if known.learn(recorded) {
+            self.adopt(daemon, known);
+        }
+    }
+
     /// Notes which versions are recorded and not needed. Returns `true` if one of them may be removed.
     fn note_unneeded(&self, daemon: &Daemon, needed: &VersionsInUse, now: Instant) -> bool {
         let mut unneeded = self.unneeded.borrow_mut();
@@ -243,7 +275,6 @@
 async fn follow(daemon: &Rc<Daemon>) {
     let record = &daemon.version_record;
     let mut backoff = Backoff::new(BASE_BACKOFF, MAX_BACKOFF);
-    let mut read_at: Option<Instant> = None;
     loop {
         // A timeout only means that nothing has changed.
         let _ = monoio::time::timeout(CHECK_INTERVAL, record.changed.changed()).await;
@@ -256,7 +287,10 @@
         let is_recorded = record.known.borrow().contains_all(&needed);
         let era = daemon.platform_contact.latest_era.get();
         let is_present = record.known.borrow().era() == era;
-        let is_recent = read_at.is_some_and(|at| at.elapsed() < REREAD_INTERVAL);
+        let is_recent = record
+            .read_at
+            .get()
+            .is_some_and(|at| at.elapsed() < REREAD_INTERVAL);
         if is_recorded && is_present && is_recent && !has_expired {
             continue;
         }
@@ -266,7 +300,7 @@
         match synchronise(daemon, &needed, has_expired).await {
             Ok(recorded) => {
                 backoff.reset();
-                read_at = Some(Instant::now());
+                record.read_at.set(Some(Instant::now()));
                 record.adopt(daemon, recorded);
             }
             Err(e) => {
--- a/crates/lilaccrankd/tests/suite/feed.rs
+++ b/crates/lilaccrankd/tests/suite/feed.rs
@@ -44,6 +44,7 @@
         orders_revision: StoreRevision::default(),
         revision,
         takes_changes: true,
+        lacks_versions: false,
     }
 }
 
--- a/crates/lilaccrankd/tests/suite/pulls.rs
+++ b/crates/lilaccrankd/tests/suite/pulls.rs
@@ -195,6 +195,7 @@
             orders_revision: StoreRevision::default(),
             revision: StoreRevision::default(),
             takes_changes: true,
+            lacks_versions: false,
         };
         let _: Feed = daemon.peers.call(&holder.vm, req).await.unwrap();
         began.elapsed()
