Configuration: timers fire while a daemon deflates sections for others

What callers saw: not shown by itself; the daemons that give configurations to most others judge deadlines, heartbeats and checks late by the time that all sections of an answer take to deflate. Cause: the task yielded after each section by waking itself. The runtime then polls for what can be read (driver.submit), but fires timers only in park, which it reaches once no task is ready.

Change: a pause of 1 ms on the clock instead, after which the runtime has waited and has fired what is due. The same holds for any other work in steps: it has to wait on the clock, not to wake itself.

Failed before: transfers::timers_fire_while_sections_are_deflated (20,000 customers: 0 timers of 1 ms in 129 sections).

--- a/crates/lilaccrank/src/configuration/exchange.rs
+++ b/crates/lilaccrank/src/configuration/exchange.rs
@@ -4,8 +4,7 @@
 //! only sections that differ, as the manifest of a large configuration alone is larger than
 //! what a daemon may spend on control in a second.
 
-use std::future;
-use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
@@ -16,6 +15,7 @@
 use super::deflated::{self, Deflated};
 use super::manifest::{Identity, Manifest, Standing};
 use super::sections::{Contents, Digest, SectionName};
+use crate::clock::Clock;
 use crate::ids::{Generation, VmId};
 use crate::peers::{self, Peers};
 
@@ -24,6 +24,8 @@
 
 /// Size of a section's name and digest in a manifest, roughly.
 const ENTRY_BYTES: usize = 90;
+/// Pause between two sections that are deflated. The runtime fires timers only while all tasks wait.
+const PAUSE: Duration = Duration::from_millis(1);
 
 /// Why an exchange did not end with the peer's configuration in force here.
 #[derive(Clone, Debug, Error, PartialEq)]
@@ -174,7 +176,7 @@
 }
 
 /// Deflates what the answer to `ask` will hold, and lets other tasks run after each section.
-pub async fn prepare(adoption: &Adoption, ask: &Ask) {
+pub async fn prepare<C: Clock>(clock: &C, adoption: &Adoption, ask: &Ask) {
     let digests = match ask {
         Ask::Changes {
             held,
@@ -188,23 +190,11 @@
     };
     for digest in digests {
         if adoption.lacks_deflated(&digest) && adoption.deflated(&digest).is_some() {
-            yield_now().await;
+            clock.sleep(PAUSE).await;
         }
     }
 }
 
-async fn yield_now() {
-    let mut has_yielded = false;
-    future::poll_fn(|cx| {
-        if std::mem::replace(&mut has_yielded, true) {
-            return Poll::Ready(());
-        }
-        cx.waker().wake_by_ref();
-        Poll::Pending
-    })
-    .await;
-}
-
 /// Takes over what the daemon on `vm` holds, if it is newer. Returns what is in force then.
 ///
 /// # Errors
--- a/crates/lilaccrankd/src/configuration/transfers.rs
+++ b/crates/lilaccrankd/src/configuration/transfers.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use lilaccrank::configuration::exchange::{self, Answer, Ask};
+use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::daemon::Daemon;
 
@@ -59,7 +60,7 @@
     if !daemon.transfers.has_room() {
         return Answer::Nothing;
     }
-    exchange::prepare(&daemon.adoption, ask).await;
+    exchange::prepare(&MonoioClock, &daemon.adoption, ask).await;
     let answer = exchange::answer(&daemon.adoption, ask);
     match daemon.transfers.reserve(answer.size()) {
         Some(wait) => {
--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -40,3 +40,5 @@
 mod slot_arbiter;
 #[path = "suite/standstill.rs"]
 mod standstill;
+#[path = "suite/transfers.rs"]
+mod transfers;
