--- a/crates/lilaccrank/tests/suite/membership.rs
+++ b/crates/lilaccrank/tests/suite/membership.rs
@@ -118,6 +118,23 @@
     }
 }
 
+// Guards against a daemon that runs in short turns, and takes what it has not read yet for silence of the others.
+#[test]
+fn daemon_that_runs_in_short_turns_declares_nobody_dead() {
+    let mut cluster = Cluster::new(9);
+    for pause in 0..100 {
+        cluster.freeze(3);
+        cluster.advance(110 + 10 * (pause % 20));
+        cluster.thaw(3);
+        cluster.advance(10);
+    }
+    let others = (0..9).filter(|index| *index != 3);
+    for index in others {
+        let count = cluster.daemons[index].membership.declared_dead_count();
+        assert_eq!(count, 0, "daemon {index} was declared dead");
+    }
+}
+
 // Daemon 5 learns that daemon 4 is suspect and is frozen before daemon 4 refutes the suspicion.
 // When daemon 5 resumes, its wait is over and it still has the suspicion. If the elapsed time alone
 // counted, it would declare a healthy daemon dead.
