Targets: an answer of another transfer coding is no answer

What callers saw: a 200 with a short body, framed as whole, where an answer with another transfer coding than that of chunks was cut. Cause: such an answer ends with its connection, also beside a length; the coding wasn't looked at. Change: it is a broken answer, as one with a content coding is.

Failed before: cut_heads::length_of_another_coding and another_coding, two of two runs each. Of the others, with the break of an answer taken for its end (a build of forward.rs broken so on purpose), in_chunks, in_chunks_with_extensions, in_chunks_with_trailers, bare_line_feeds, length_twice, two_interim_answers, old_protocol_with_a_length, length_in_a_list, length_and_chunks, chunks_and_length and interim_answer_with_a_length fail; folded_lines and two_lengths are never whole, and the rest were not tried on it.

--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -132,6 +132,13 @@
             // Callers ask for unencoded bodies, so an encoded one comes from an intermediary.
             return Err(failed(ErrorKind::BrokenAnswer, "the answer is coded"));
         }
+        if !is_delimited_as_sent(&head) {
+            // Its end can't be told from a break, or its body is coded.
+            return Err(failed(
+                ErrorKind::BrokenAnswer,
+                "the answer has a coding of its transfer",
+            ));
+        }
         delivered.ended_with_connection = ends_with_connection(&head);
         let kind = self.protocol.classify(&head, outgoing);
         if kind != AnswerKind::Mismatched {
@@ -365,3 +372,9 @@
     let framed = [CONTENT_LENGTH, TRANSFER_ENCODING];
     !framed.iter().any(|name| head.headers.contains_key(name))
 }
+
+/// Returns `true` unless an answer has another transfer coding than that of chunks.
+fn is_delimited_as_sent(head: &Parts) -> bool {
+    let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter();
+    codings.all(|coding| coding.as_bytes().eq_ignore_ascii_case(b"chunked"))
+}
