Configuration: a version is adopted in steps, and from the sections that changed

What callers saw: answers that stood still while their daemon built a version of some thousand routes, half a second at 0.12 of a core, for a change of one limit as well.

Cause: a document was split, written, read again, joined, checked and compiled in one piece, whether its sections had changed or not. The yield between two deflated sections woke itself, so that other tasks ran but no timer fired (monoio's loop polls timers only when no task is ready).

Reproduced first, on the parent of this commit: timers fired 0 times in configuration_steps::timers_fire_while_a_large_configuration_is_adopted and in adopting::timers_fire_while_sections_are_deflated.

One configuration is built at a time; whether it is still wanted is checked again without a pause before it is put in force. A decision waits until what was read is built (newest_in_force), as it did when the thread stood still. What was split is not read again; rules that make up a section in force are not written, checked or compiled anew as long as the names they may refer to are the same. The line "is in force" tells build_ms and longest_step_ms.

A version that was split may differ from what is read by the last digit of a fraction, which only a quota has there.

--- a/crates/lilaccrank/src/configuration.rs
+++ b/crates/lilaccrank/src/configuration.rs
@@ -19,6 +19,7 @@
 pub mod sections;
 pub mod watcher;
 
+mod building;
 mod commit;
 mod garbage;
 mod retry;
--- a/crates/lilaccrank/src/configuration/adoption.rs
+++ b/crates/lilaccrank/src/configuration/adoption.rs
@@ -8,16 +8,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::lock::Mutex;
+use indexmap::IndexMap;
 use thiserror::Error;
 
+use super::building::{self, Material};
 use super::deflated::{self, Deflated};
 use super::manifest::{Identity, Manifest, Standing};
-use super::sections::{self, Contents, Digest, Parts};
+use super::sections::{self, Contents, Digest, Parts, Sections};
 use crate::clock::BootTime;
 use crate::document::Document;
-use crate::rules::check;
-use crate::rules::matching::{self, RuleSet};
+use crate::rules::matching::{self, Block, RuleSet};
 use crate::rules::problem::Problem;
+use crate::steps::{self, AtOnce, Cost, Pace};
 
 /// Result of adopting a configuration.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -45,8 +48,12 @@
 /// A configuration that was checked as a whole.
 #[derive(Debug)]
 pub struct Configuration {
+    /// The compiled rules of each section that has any.
+    pub blocks: IndexMap<Digest, Rc<Block>>,
     /// Contents of the sections.
     pub contents: Contents,
+    /// Time that it took to build.
+    pub cost: Cost,
     /// The document.
     pub document: Rc<Document>,
     /// The manifest.
@@ -60,6 +67,8 @@
 /// Holds the configuration in force; clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct Adoption {
+    /// Held while a configuration is built: one at a time.
+    building: Rc<Mutex<()>>,
     inner: Rc<RefCell<Inner>>,
 }
 
@@ -73,31 +82,6 @@
     wakers: Vec<Waker>,
 }
 
-impl Configuration {
-    /// Checks and compiles what a manifest names; `read` are sections that were read before.
-    ///
-    /// # Errors
-    /// A section is missing or damaged, or the document has problems.
-    pub fn new(manifest: Manifest, known: &Contents, read: &Parts) -> Result<Self> {
-        let parts = sections::read(&manifest.sections, known, read)?;
-        let document = sections::join(&manifest.sections, &parts);
-        let problems = check::errors(&document);
-        if !problems.is_empty() {
-            return Err(Error::Invalid(problems));
-        }
-        let rules = RuleSet::compile(&document)?;
-        let digests = manifest.sections.values();
-        let contents = digests.map(|digest| (digest.clone(), Rc::clone(&known[digest])));
-        Ok(Self {
-            contents: contents.collect(),
-            document: Rc::new(document),
-            manifest,
-            parts,
-            rules: Rc::new(rules),
-        })
-    }
-}
-
 impl Adoption {
     /// Nothing is in force yet: the daemon is not ready.
     #[must_use]
@@ -135,16 +119,83 @@
     /// # Errors
     /// It was not adopted, see [`enum@Error`].
     pub fn adopt(&self, manifest: Manifest, received: &Contents) -> Result<Rc<Configuration>> {
-        if let Some(held) = self.identity()
-            && !self.wants(&manifest.identity)
-        {
-            return Err(Error::NotNewer(held));
-        }
-        let known = self.known(&manifest, received);
+        steps::at_once(self.build(manifest, received, &Parts::new(), &AtOnce))
+    }
+
+    /// Like [`adopt`](Self::adopt), with pauses, in which no other configuration is built.
+    ///
+    /// # Errors
+    /// Those of [`adopt`](Self::adopt).
+    pub async fn adopt_in_steps(
+        &self,
+        manifest: Manifest,
+        received: &Contents,
+        pace: &impl Pace,
+    ) -> Result<Rc<Configuration>> {
+        let _building = self.building.lock().await;
+        let read = Parts::new();
+        self.build(manifest, received, &read, pace).await
+    }
+
+    /// Splits a document and puts it in force like [`adopt_in_steps`](Self::adopt_in_steps).
+    ///
+    /// # Errors
+    /// Those of [`adopt`](Self::adopt), or a section is too large.
+    pub async fn adopt_document(
+        &self,
+        manifest: Manifest,
+        document: &Document,
+        pace: &impl Pace,
+    ) -> Result<Rc<Configuration>> {
+        let _building = self.building.lock().await;
+        self.check_newer(&manifest.identity)?;
         let held = self.current();
-        let nothing = Parts::new();
-        let read = held.as_ref().map_or(&nothing, |held| &held.parts);
-        let configuration = Rc::new(Configuration::new(manifest, &known, read)?);
+        let nothing = (Contents::new(), Parts::new());
+        let (contents, parts) = held.as_ref().map_or((&nothing.0, &nothing.1), |held| {
+            (&held.contents, &held.parts)
+        });
+        let split = Sections::split_in_steps(document, contents, parts, pace).await?;
+        let manifest = Manifest {
+            sections: split.index,
+            ..manifest
+        };
+        self.build(manifest, &split.contents, &split.parts, pace)
+            .await
+    }
+
+    /// Completes once no configuration is being built.
+    pub async fn settled(&self) {
+        drop(self.building.lock().await);
+    }
+
+    async fn build(
+        &self,
+        manifest: Manifest,
+        received: &Contents,
+        read: &Parts,
+        pace: &impl Pace,
+    ) -> Result<Rc<Configuration>> {
+        self.check_newer(&manifest.identity)?;
+        let material = Material {
+            contents: self.known(&manifest, received),
+            held: self.current(),
+            manifest,
+            read,
+        };
+        let configuration = building::build(material, pace).await?;
+        self.replace(Rc::new(configuration))
+    }
+
+    fn check_newer(&self, identity: &Identity) -> Result<()> {
+        match self.identity() {
+            Some(held) if !self.wants(identity) => Err(Error::NotNewer(held)),
+            _ => Ok(()),
+        }
+    }
+
+    /// Puts a configuration in force unless one that is as new is by now.
+    fn replace(&self, configuration: Rc<Configuration>) -> Result<Rc<Configuration>> {
+        self.check_newer(&configuration.manifest.identity)?;
         let wakers = {
             let mut inner = self.inner.borrow_mut();
             inner.current = Some(Rc::clone(&configuration));
@@ -232,9 +283,14 @@
         self.inner.borrow_mut().deflated.extend(kept);
     }
 
-    /// Whether this section would have to be deflated before it can be sent.
-    pub(super) fn lacks_deflated(&self, digest: &Digest) -> bool {
-        !self.inner.borrow().deflated.contains_key(digest)
+    /// Deflates a section in force; returns the bytes that this took.
+    pub(super) fn deflate(&self, digest: &Digest) -> usize {
+        if self.inner.borrow().deflated.contains_key(digest) || self.deflated(digest).is_none() {
+            return 0;
+        }
+        let current = self.current();
+        let content = current.as_ref().and_then(|held| held.contents.get(digest));
+        content.map_or(0, |content| content.len())
     }
 
     /// The manifest of a configuration that was lately in force here.
--- a/crates/lilaccrank/src/configuration/deflated.rs
+++ b/crates/lilaccrank/src/configuration/deflated.rs
@@ -11,6 +11,7 @@
 use indexmap::IndexMap;
 
 use super::sections::{Contents, Digest};
+use crate::steps::{self, AtOnce, Pace};
 use crate::store::VALUE_LIMIT;
 
 /// Most bytes that one answer may inflate to: a few bytes can stand for megabytes.
@@ -31,13 +32,24 @@
 /// [`TOTAL_LIMIT`] in all.
 #[must_use]
 pub fn inflate(deflated: &Deflated, is_wanted: impl Fn(&Digest) -> bool) -> Contents {
+    steps::at_once(inflate_in_steps(deflated, is_wanted, &AtOnce))
+}
+
+/// Like [`inflate`], with pauses.
+pub async fn inflate_in_steps(
+    deflated: &Deflated,
+    is_wanted: impl Fn(&Digest) -> bool,
+    pace: &impl Pace,
+) -> Contents {
     let mut contents = Contents::new();
     let mut left = TOTAL_LIMIT;
     for (digest, bytes) in deflated.iter().filter(|(digest, _)| is_wanted(digest)) {
         let limit = left.min(VALUE_LIMIT);
         if let Some(content) = inflate_one(bytes, limit) {
-            left -= content.len();
+            let size = content.len();
+            left -= size;
             contents.insert(digest.clone(), content.into());
+            pace.handled(size).await;
         }
     }
     contents
--- a/crates/lilaccrank/src/configuration/exchange.rs
+++ b/crates/lilaccrank/src/configuration/exchange.rs
@@ -4,8 +4,6 @@
 //! only sections that differ, as the manifest of a large configuration alone is larger than
 //! what a daemon may spend on control in a second.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
@@ -18,14 +16,13 @@
 use crate::clock::Clock;
 use crate::ids::{Generation, VmId};
 use crate::peers::{self, Peers};
+use crate::steps::{Pace, Steps};
 
 /// Result of an exchange.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// Size of a section's name and digest in a manifest, roughly.
 const ENTRY_BYTES: usize = 90;
-/// Pause between two sections that are deflated. The runtime fires timers only while all tasks wait.
-const PAUSE: Duration = Duration::from_millis(1);
 
 /// Why an exchange did not end with the peer's configuration in force here.
 #[derive(Clone, Debug, Error, PartialEq)]
@@ -137,10 +134,11 @@
 ///
 /// # Errors
 /// The holder failed, or the newest ones differ.
-pub async fn take_newest<P: Peers<Ask, Answer>>(
+pub async fn take_newest<P: Peers<Ask, Answer>, C: Clock>(
     peers: &P,
     reports: &[Report],
     adoption: &Adoption,
+    clock: &C,
 ) -> Result<()> {
     let here = adoption.identity();
     let reported = reports.iter().filter_map(|report| report.held.as_ref());
@@ -155,7 +153,7 @@
     let mut reports = reports.iter();
     let holder = reports.find(|report| report.held.as_ref() == Some(*newest));
     if let Some(holder) = holder.filter(|_| adoption.wants(newest)) {
-        take_from(peers, &holder.vm, adoption).await?;
+        take_from(peers, &holder.vm, adoption, clock).await?;
     }
     Ok(())
 }
@@ -175,8 +173,8 @@
     }
 }
 
-/// Deflates what the answer to `ask` will hold, and lets other tasks run after each section.
-pub async fn prepare<C: Clock>(clock: &C, adoption: &Adoption, ask: &Ask) {
+/// Deflates what the answer to `ask` will hold, with pauses.
+pub async fn prepare<C: Clock>(adoption: &Adoption, ask: &Ask, clock: &C) {
     let digests = match ask {
         Ask::Changes {
             held,
@@ -188,10 +186,9 @@
         } => digests.clone(),
         _ => return,
     };
+    let pace = Steps::new(clock.clone());
     for digest in digests {
-        if adoption.lacks_deflated(&digest) && adoption.deflated(&digest).is_some() {
-            clock.sleep(PAUSE).await;
-        }
+        pace.handled(adoption.deflate(&digest)).await;
     }
 }
 
@@ -199,10 +196,11 @@
 ///
 /// # Errors
 /// The peer failed, or its configuration was not adopted.
-pub async fn take_from<P: Peers<Ask, Answer>>(
+pub async fn take_from<P: Peers<Ask, Answer>, C: Clock>(
     peers: &P,
     vm: &VmId,
     adoption: &Adoption,
+    clock: &C,
 ) -> Result<Option<Identity>> {
     let held = adoption.identity();
     let ask = Ask::Changes {
@@ -211,14 +209,16 @@
     };
     match peers.call(vm, ask).await? {
         Answer::Nothing => (),
-        Answer::Changes(changes) => take_changes(adoption, changes)?,
-        Answer::Manifest(manifest) => take_manifest(peers, vm, adoption, manifest).await?,
+        Answer::Changes(changes) => take_changes(adoption, changes, clock).await?,
+        Answer::Manifest(manifest) => {
+            take_manifest(peers, vm, adoption, manifest, clock).await?;
+        }
         Answer::Deflated(_) | Answer::Sections(_) => return Err(Error::Unexpected),
     }
     Ok(adoption.identity())
 }
 
-fn take_changes(adoption: &Adoption, changes: Changes) -> Result<()> {
+async fn take_changes<C: Clock>(adoption: &Adoption, changes: Changes, clock: &C) -> Result<()> {
     let base = adoption.recent(&changes.base).ok_or(Error::Unexpected)?;
     let mut sections = base.sections;
     for name in &changes.removed {
@@ -232,51 +232,60 @@
         identity: changes.identity,
         sections,
     };
+    let pace = Steps::new(clock.clone());
     let contents = match changes.deflated.is_empty() {
         true => changes.contents,
-        false => inflate(&manifest, &changes.deflated),
+        false => inflate(&manifest, &changes.deflated, &pace).await,
     };
-    adopt(adoption, manifest, &contents)?;
+    adopt(adoption, manifest, &contents, &pace).await?;
     adoption.keep_deflated(changes.deflated);
     Ok(())
 }
 
 /// Inflates the sections that belong to a configuration.
-fn inflate(manifest: &Manifest, deflated: &Deflated) -> Contents {
+async fn inflate(manifest: &Manifest, deflated: &Deflated, pace: &impl Pace) -> Contents {
     let named: IndexSet<_> = manifest.sections.values().collect();
-    deflated::inflate(deflated, |digest| named.contains(digest))
+    deflated::inflate_in_steps(deflated, |digest| named.contains(digest), pace).await
 }
 
-async fn take_manifest<P: Peers<Ask, Answer>>(
+async fn take_manifest<P: Peers<Ask, Answer>, C: Clock>(
     peers: &P,
     vm: &VmId,
     adoption: &Adoption,
     manifest: Manifest,
+    clock: &C,
 ) -> Result<()> {
     let known = adoption.known(&manifest, &Contents::new());
     let digests = super::sections::missing(&manifest.sections, &known);
     if digests.is_empty() {
-        return adopt(adoption, manifest, &known);
+        return adopt(adoption, manifest, &known, &Steps::new(clock.clone())).await;
     }
     let ask = Ask::Sections {
         digests,
         takes_deflated: true,
     };
-    match peers.call(vm, ask).await? {
+    let answer = peers.call(vm, ask).await?;
+    let pace = Steps::new(clock.clone());
+    match answer {
         Answer::Deflated(deflated) => {
-            let contents = inflate(&manifest, &deflated);
-            adopt(adoption, manifest, &contents)?;
+            let contents = inflate(&manifest, &deflated, &pace).await;
+            adopt(adoption, manifest, &contents, &pace).await?;
             adoption.keep_deflated(deflated);
             Ok(())
         }
-        Answer::Sections(contents) => adopt(adoption, manifest, &contents),
+        Answer::Sections(contents) => adopt(adoption, manifest, &contents, &pace).await,
         _ => Err(Error::Unexpected),
     }
 }
 
 /// Another task may have adopted the same in the meantime, which is no failure.
-fn adopt(adoption: &Adoption, manifest: Manifest, contents: &Contents) -> Result<()> {
-    match adoption.adopt(manifest, contents) {
+async fn adopt(
+    adoption: &Adoption,
+    manifest: Manifest,
+    contents: &Contents,
+    pace: &impl Pace,
+) -> Result<()> {
+    match adoption.adopt_in_steps(manifest, contents, pace).await {
         Ok(_) | Err(adoption::Error::NotNewer(_)) => Ok(()),
         Err(e) => Err(e.into()),
     }
--- a/crates/lilaccrank/src/configuration/publish.rs
+++ b/crates/lilaccrank/src/configuration/publish.rs
@@ -18,6 +18,7 @@
 use crate::rules::check;
 use crate::rules::difference::Difference;
 use crate::rules::problem::Problem;
+use crate::steps::Steps;
 use crate::store::{self, Store};
 
 /// Result of publishing.
@@ -192,7 +193,7 @@
         Ok(match replace.await? {
             Outcome::Done => {
                 garbage.delete(self.store).await;
-                self.adopt(&next);
+                self.adopt(&next).await;
                 Attempt::Published(next.identity)
             }
             Outcome::Overtaken => Attempt::Overtaken,
@@ -226,9 +227,13 @@
         Ok(Some(found.clone()))
     }
 
-    fn adopt(&self, manifest: &Manifest) {
+    async fn adopt(&self, manifest: &Manifest) {
         let contents = &self.sections.contents;
-        if let Err(e) = self.adoption.adopt(manifest.clone(), contents) {
+        let pace = Steps::new(self.clock.clone());
+        let adopted = self
+            .adoption
+            .adopt_in_steps(manifest.clone(), contents, &pace);
+        if let Err(e) = adopted.await {
             log::warn!("{} was published and not adopted: {e}", manifest.identity);
         }
     }
--- a/crates/lilaccrank/src/configuration/sections.rs
+++ b/crates/lilaccrank/src/configuration/sections.rs
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3;
 
 use crate::document::{Document, Rule};
+use crate::steps::{self, AtOnce, Pace};
 use crate::store::VALUE_LIMIT;
 
 /// SHA-256 of a section's content, in hexadecimal.
@@ -57,12 +58,14 @@
 }
 
 /// A document in sections.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Sections {
     /// The content of each digest.
     pub contents: Contents,
     /// The digest of each section, sorted by name.
     pub index: IndexMap<SectionName, Digest>,
+    /// The sections as they would be read.
+    pub parts: Parts,
 }
 
 impl Sections {
@@ -71,16 +74,37 @@
     /// # Errors
     /// A section is over the store's limit.
     pub fn split(document: &Document) -> Result<Self> {
+        let known = Self::default();
+        steps::at_once(Self::split_in_steps(
+            document,
+            &known.contents,
+            &known.parts,
+            &AtOnce,
+        ))
+    }
+
+    /// Like [`split`](Self::split), with pauses. Rules that make up a section of `known_parts`, whose contents
+    /// are in `known`, are not written anew.
+    ///
+    /// # Errors
+    /// A section is over the store's limit.
+    pub async fn split_in_steps(
+        document: &Document,
+        known: &Contents,
+        known_parts: &Parts,
+        pace: &impl Pace,
+    ) -> Result<Self> {
         let mut sections = Self::default();
+        let known_rules = by_first_rule(known_parts);
         let general = Document {
             caller_limits: document.caller_limits,
             operators: document.operators.clone(),
             tiers: document.tiers.clone(),
             ..Document::default()
         };
-        sections.add("general".to_owned(), &general)?;
+        sections.add("general".to_owned(), general, pace).await?;
         for (name, part) in customer_shards(document) {
-            sections.add(name, &part)?;
+            sections.add(name, part, pace).await?;
         }
         for pool in &document.pools {
             let pools = vec![pool.clone()];
@@ -88,29 +112,53 @@
                 pools,
                 ..Document::default()
             };
-            sections.add(format!("pools/{}", pool.id), &part)?;
+            let name = format!("pools/{}", pool.id);
+            sections.add(name, part, pace).await?;
         }
         for (position, rules) in rule_cuts(&document.rules).into_iter().enumerate() {
+            let name = format!("rules/{position:06}");
+            let first = rules.first().map(|rule| rule.id.as_str());
+            let found = first.and_then(|first| known_rules.get(first));
+            let found = found.filter(|digest| holds_only(&known_parts[**digest], rules));
+            if let Some((digest, content)) = found.and_then(|digest| known.get_key_value(*digest)) {
+                sections.add_known(name, digest, content, &known_parts[digest]);
+                pace.handled(content.len()).await;
+                continue;
+            }
             let rules = rules.to_vec();
             let part = Document {
                 rules,
                 ..Document::default()
             };
-            sections.add(format!("rules/{position:06}"), &part)?;
+            sections.add(name, part, pace).await?;
         }
         sections.index.sort_unstable_keys();
         Ok(sections)
     }
 
-    fn add(&mut self, name: SectionName, part: &Document) -> Result<()> {
-        let content = serde_json::to_string(part).map_err(|e| unreadable(&name, &e))?;
+    fn add_known(
+        &mut self,
+        name: SectionName,
+        digest: &Digest,
+        content: &Rc<str>,
+        part: &Rc<Document>,
+    ) {
+        self.contents.insert(digest.clone(), Rc::clone(content));
+        self.parts.insert(digest.clone(), Rc::clone(part));
+        self.index.insert(name, digest.clone());
+    }
+
+    async fn add(&mut self, name: SectionName, part: Document, pace: &impl Pace) -> Result<()> {
+        let content = serde_json::to_string(&part).map_err(|e| unreadable(&name, &e))?;
         let size = content.len();
         if size > VALUE_LIMIT {
             return Err(Error::TooLarge { name, size });
         }
         let digest = digest(&content);
         self.contents.insert(digest.clone(), content.into());
+        self.parts.insert(digest.clone(), Rc::new(part));
         self.index.insert(name, digest);
+        pace.handled(size).await;
         Ok(())
     }
 }
@@ -123,6 +171,19 @@
     index: &IndexMap<SectionName, Digest>,
     contents: &Contents,
     known: &Parts,
+) -> Result<Parts> {
+    steps::at_once(read_in_steps(index, contents, &[known], &AtOnce))
+}
+
+/// Like [`read`], with pauses, and with several maps of known sections.
+///
+/// # Errors
+/// A section is missing, corrupt or unreadable.
+pub async fn read_in_steps(
+    index: &IndexMap<SectionName, Digest>,
+    contents: &Contents,
+    known: &[&Parts],
+    pace: &impl Pace,
 ) -> Result<Parts> {
     let missing = missing(index, contents);
     if !missing.is_empty() {
@@ -130,9 +191,14 @@
     }
     let mut parts = Parts::with_capacity(index.len());
     for (name, expected) in index {
-        let part = match known.get(expected) {
+        let part = match known.iter().find_map(|known| known.get(expected)) {
             Some(part) => Rc::clone(part),
-            None => Rc::new(read_part(name, expected, &contents[expected])?),
+            None => {
+                let content = &contents[expected];
+                let part = Rc::new(read_part(name, expected, content)?);
+                pace.handled(content.len()).await;
+                part
+            }
         };
         parts.insert(expected.clone(), part);
     }
@@ -162,14 +228,27 @@
 /// If `parts` lacks a section; [`read`] returns all of them.
 #[must_use]
 pub fn join(index: &IndexMap<SectionName, Digest>, parts: &Parts) -> Document {
+    steps::at_once(join_in_steps(index, parts, &Contents::new(), &AtOnce))
+}
+
+/// Like [`join`], with pauses; `contents` tell the sizes of the sections.
+pub async fn join_in_steps(
+    index: &IndexMap<SectionName, Digest>,
+    parts: &Parts,
+    contents: &Contents,
+    pace: &impl Pace,
+) -> Document {
     let mut document = Document::default();
-    for part in index.values().map(|digest| &parts[digest]) {
+    for digest in index.values() {
+        let part = &parts[digest];
         document.caller_limits = document.caller_limits.or(part.caller_limits);
         document.customers.extend_from_slice(&part.customers);
         document.operators.extend_from_slice(&part.operators);
         document.pools.extend_from_slice(&part.pools);
         document.rules.extend_from_slice(&part.rules);
         document.tiers.extend_from_slice(&part.tiers);
+        pace.handled(contents.get(digest).map_or(0, |content| content.len()))
+            .await;
     }
     document
 }
@@ -206,6 +285,32 @@
     shards
 }
 
+/// Digests of the sections with rules, by the id of the first one.
+fn by_first_rule(parts: &Parts) -> IndexMap<&str, &Digest> {
+    parts
+        .iter()
+        .filter_map(|(digest, part)| Some((part.rules.first()?.id.as_str(), digest)))
+        .collect()
+}
+
+/// Returns `true` if a section consists of these rules.
+fn holds_only(part: &Document, rules: &[Rule]) -> bool {
+    let Document {
+        caller_limits,
+        customers,
+        operators,
+        pools,
+        rules: held,
+        tiers,
+    } = part;
+    let has_others = caller_limits.is_some()
+        || !customers.is_empty()
+        || !operators.is_empty()
+        || !pools.is_empty()
+        || !tiers.is_empty();
+    held == rules && !has_others
+}
+
 fn rule_cuts(rules: &[Rule]) -> Vec<&[Rule]> {
     let mut cuts = Vec::new();
     let mut from = 0;
--- a/crates/lilaccrank/src/configuration/watcher.rs
+++ b/crates/lilaccrank/src/configuration/watcher.rs
@@ -13,6 +13,7 @@
 use super::sections::Contents;
 use crate::backoff::{self, Backoff};
 use crate::clock::{self, Clock};
+use crate::steps::Steps;
 use crate::store::{self, Store, Version};
 
 /// Result of one look at the store.
@@ -149,12 +150,12 @@
     let held = adoption.current();
     match (held, current) {
         (None, None) => Ok(Look::Same),
-        (None, Some(current)) => adopt(&archive, adoption, &current.manifest).await,
+        (None, Some(current)) => adopt(&archive, clock, adoption, &current.manifest).await,
         (Some(held), None) => heal(store, clock, timing, &held, None).await,
         (Some(held), Some(current)) => {
             let found = &current.manifest.identity;
             match found.standing(&held.manifest.identity) {
-                Standing::Newer => adopt(&archive, adoption, &current.manifest).await,
+                Standing::Newer => adopt(&archive, clock, adoption, &current.manifest).await,
                 Standing::Same => Ok(Look::Same),
                 Standing::Older | Standing::Sibling => {
                     heal(store, clock, timing, &held, Some(current)).await
@@ -166,12 +167,15 @@
 
 async fn adopt<S: Store, C: Clock>(
     archive: &Archive<S, C>,
+    clock: &C,
     adoption: &Adoption,
     manifest: &Manifest,
 ) -> Result<Look> {
     let known = adoption.known(manifest, &Contents::new());
     let contents = archive.contents(manifest, &known).await?;
-    match adoption.adopt(manifest.clone(), &contents) {
+    let pace = Steps::new(clock.clone());
+    let adopted = adoption.adopt_in_steps(manifest.clone(), &contents, &pace);
+    match adopted.await {
         Ok(_) | Err(adoption::Error::NotNewer(_)) => Ok(Look::Adopted),
         Err(e) => Err(e.into()),
     }
--- a/crates/lilaccrank/src/lib.rs
+++ b/crates/lilaccrank/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod rules;
 pub mod slot_leases;
 pub mod software_version;
+pub mod steps;
 pub mod store;
 pub mod store_revision;
 pub mod stream_origins;
--- a/crates/lilaccrank/src/rules/check.rs
+++ b/crates/lilaccrank/src/rules/check.rs
@@ -8,12 +8,13 @@
 use super::check_rule;
 use super::coverage;
 use super::problem::{Problem, Severity};
-use crate::document::{Customer, Document, Operator, Pool, Quota, Target};
+use crate::document::{Customer, Document, Operator, Pool, Quota, Rule, Target};
 use crate::ids::Tier;
 
 const KEY_DIGEST_LENGTH: usize = 64;
 
 /// The names that rules and customers may refer to.
+#[derive(PartialEq)]
 pub(super) struct Names<'a> {
     pub(super) customers: IndexSet<&'a str>,
     pub(super) data_centres: IndexSet<&'a str>,
@@ -32,20 +33,60 @@
 /// The problems that prevent publishing, found without comparing rules with each other.
 #[must_use]
 pub fn errors(document: &Document) -> Vec<Problem> {
-    let mut problems = check_parts(document);
-    problems.retain(|problem| problem.severity == Severity::Error);
-    problems
+    let mut checker = Checker::new(document);
+    checker.check_rules(0, &document.rules);
+    checker.into_errors()
 }
 
 fn check_parts(document: &Document) -> Vec<Problem> {
-    let names = Names::new(document);
-    let mut problems = Vec::new();
-    check_tiers(document, &mut problems);
-    check_customers(document, &names, &mut problems);
-    check_operators(document, &mut problems);
-    check_pools(document, &mut problems);
-    check_rules(document, &names, &mut problems);
-    problems
+    let mut checker = Checker::new(document);
+    checker.check_rules(0, &document.rules);
+    checker.problems
+}
+
+/// Checks a document, its rules some at a time.
+pub struct Checker<'a> {
+    names: Names<'a>,
+    problems: Vec<Problem>,
+}
+
+impl<'a> Checker<'a> {
+    /// Checks all but the rules one by one.
+    #[must_use]
+    pub fn new(document: &'a Document) -> Self {
+        let names = Names::new(document);
+        let mut problems = Vec::new();
+        check_tiers(document, &mut problems);
+        check_customers(document, &names, &mut problems);
+        check_operators(document, &mut problems);
+        check_pools(document, &mut problems);
+        let ids = document.rules.iter().map(|rule| &rule.id);
+        check_ids(ids, "/rules", "/id", &mut problems);
+        Self { names, problems }
+    }
+
+    /// Checks some rules, the first of which is at this position of the document.
+    pub fn check_rules(&mut self, first: usize, rules: &[Rule]) {
+        for (position, rule) in (first..).zip(rules) {
+            let spot = format!("/rules/{position}");
+            check_rule::check_rule(rule, &self.names, &spot, &mut self.problems);
+        }
+    }
+
+    /// Returns the problems that prevent publishing.
+    #[must_use]
+    pub fn into_errors(mut self) -> Vec<Problem> {
+        let is_error = |problem: &Problem| problem.severity == Severity::Error;
+        self.problems.retain(is_error);
+        self.problems
+    }
+}
+
+/// Returns `true` if the same names can be referred to in both documents, so that a rule that is sound and
+/// compiled in one of them is so in the other.
+#[must_use]
+pub fn have_same_names(a: &Document, b: &Document) -> bool {
+    a.tiers == b.tiers && Names::new(a) == Names::new(b)
 }
 
 /// Whether a list of problems holds one that prevents publishing.
@@ -261,18 +302,6 @@
     }
 }
 
-fn check_rules(document: &Document, names: &Names<'_>, problems: &mut Vec<Problem>) {
-    check_ids(
-        document.rules.iter().map(|rule| &rule.id),
-        "/rules",
-        "/id",
-        problems,
-    );
-    for (position, rule) in document.rules.iter().enumerate() {
-        check_rule::check_rule(rule, names, &format!("/rules/{position}"), problems);
-    }
-}
-
 fn check_reachable(document: &Document, problems: &mut Vec<Problem>) {
     for unreachable in coverage::unreachable(document) {
         let earlier = &document.rules[unreachable.covered_by].id;
--- a/crates/lilaccrank/src/rules/matching.rs
+++ b/crates/lilaccrank/src/rules/matching.rs
@@ -1,5 +1,6 @@
 //! Matching: a document compiled once, asked for each request.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
@@ -90,17 +91,21 @@
     pub wait_at_most: Option<Duration>,
 }
 
+/// Compiled rules, in order.
+pub type Block = Vec<Rc<Compiled>>;
+
 /// A compiled document.
 #[derive(Clone, Debug, Default)]
 pub struct RuleSet {
     candidates: Candidates,
     customers: IndexMap<CustomerId, Vec<Tier>>,
-    rules: Vec<Compiled>,
+    rules: Block,
     tiers: IndexSet<String>,
 }
 
+/// A compiled rule.
 #[derive(Clone, Debug)]
-struct Compiled {
+pub struct Compiled {
     action: Action,
     id: RuleId,
     remainder: When,
@@ -130,32 +135,10 @@
     /// # Errors
     /// The document refers to what it does not contain, or a rule has no single outcome.
     pub fn compile(document: &Document) -> Result<Self> {
-        let tiers: IndexSet<String> = document.tiers.iter().cloned().collect();
-        let pools: IndexSet<&str> = document.pools.iter().map(|pool| pool.id.as_str()).collect();
-        let mut customers = IndexMap::with_capacity(document.customers.len());
-        for customer in &document.customers {
-            let allowed = customer
-                .tiers
-                .iter()
-                .map(|tier| resolve(&tiers, tier, &customer.id))
-                .collect::<Result<Vec<_>>>()?;
-            if allowed.is_empty() {
-                let customer = customer.id.clone();
-                return Err(Error::NoTier { customer });
-            }
-            customers.insert(customer.id.clone(), allowed);
-        }
-        let rules = document
-            .rules
-            .iter()
-            .map(|rule| Compiled::new(rule, &tiers, &pools))
-            .collect::<Result<Vec<_>>>()?;
-        Ok(Self {
-            candidates: Candidates::new(&document.rules),
-            customers,
-            rules,
-            tiers,
-        })
+        let mut compiler = Compiler::new(document)?;
+        let rules = compiler.compile(&document.rules)?;
+        compiler.add(&rules);
+        Ok(compiler.finish())
     }
 
     /// The decision of the first rule that matches.
@@ -207,6 +190,71 @@
     }
 }
 
+/// Compiles a document, its rules some at a time.
+pub struct Compiler<'a> {
+    customers: IndexMap<CustomerId, Vec<Tier>>,
+    document: &'a Document,
+    pools: IndexSet<&'a str>,
+    rules: Block,
+    tiers: IndexSet<String>,
+}
+
+impl<'a> Compiler<'a> {
+    /// Resolves the names of all but the rules.
+    ///
+    /// # Errors
+    /// A customer refers to what the document does not contain.
+    pub fn new(document: &'a Document) -> Result<Self> {
+        let tiers: IndexSet<String> = document.tiers.iter().cloned().collect();
+        let mut customers = IndexMap::with_capacity(document.customers.len());
+        for customer in &document.customers {
+            let allowed = customer
+                .tiers
+                .iter()
+                .map(|tier| resolve(&tiers, tier, &customer.id))
+                .collect::<Result<Vec<_>>>()?;
+            if allowed.is_empty() {
+                let customer = customer.id.clone();
+                return Err(Error::NoTier { customer });
+            }
+            customers.insert(customer.id.clone(), allowed);
+        }
+        Ok(Self {
+            customers,
+            document,
+            pools: document.pools.iter().map(|pool| pool.id.as_str()).collect(),
+            rules: Block::with_capacity(document.rules.len()),
+            tiers,
+        })
+    }
+
+    /// Compiles rules of the document.
+    ///
+    /// # Errors
+    /// A rule refers to what the document does not contain, or has no single outcome.
+    pub fn compile(&self, rules: &[Rule]) -> Result<Block> {
+        let compile = |rule| Compiled::new(rule, &self.tiers, &self.pools).map(Rc::new);
+        rules.iter().map(compile).collect()
+    }
+
+    /// Adds compiled rules behind those added before. They may be of another document with the same names,
+    /// see [`have_same_names`](super::check::have_same_names).
+    pub fn add(&mut self, rules: &Block) {
+        self.rules.extend_from_slice(rules);
+    }
+
+    /// Indexes the rules by customer and model, once all of the document were added.
+    #[must_use]
+    pub fn finish(self) -> RuleSet {
+        RuleSet {
+            candidates: Candidates::new(&self.document.rules),
+            customers: self.customers,
+            rules: self.rules,
+            tiers: self.tiers,
+        }
+    }
+}
+
 impl Compiled {
     fn new(rule: &Rule, tiers: &IndexSet<String>, pools: &IndexSet<&str>) -> Result<Self> {
         for tier in rule.when.tier.iter().flatten() {
--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -32,6 +32,8 @@
 mod configuration_sections;
 #[path = "suite/configuration_spec.rs"]
 mod configuration_spec;
+#[path = "suite/configuration_steps.rs"]
+mod configuration_steps;
 #[path = "suite/configuration_store.rs"]
 mod configuration_store;
 #[path = "suite/dispatch_affinity.rs"]
--- a/crates/lilaccrank/tests/suite/configuration_adoption.rs
+++ b/crates/lilaccrank/tests/suite/configuration_adoption.rs
@@ -160,9 +160,9 @@
     };
     let cut_off = Adoption::new();
     let hear = |peer: Holder| {
-        let cut_off = cut_off.clone();
+        let (cut_off, clock) = (cut_off.clone(), bench.clock.clone());
         run(&bench.clock, async move {
-            exchange::take_from(&peer, &"vm".to_owned(), &cut_off).await
+            exchange::take_from(&peer, &"vm".to_owned(), &cut_off, &clock).await
         })
     };
     assert_eq!(hear(peer.clone()), Ok(Some(base.clone())));
--- a/crates/lilaccrank/tests/suite/configuration_deflated.rs
+++ b/crates/lilaccrank/tests/suite/configuration_deflated.rs
@@ -101,8 +101,9 @@
     adoption: &Adoption,
 ) -> exchange::Result<Option<Identity>> {
     let adoption = adoption.clone();
-    run(&PausedClock::new(), async move {
-        exchange::take_from(&peer, &"vm".to_owned(), &adoption).await
+    let clock = PausedClock::new();
+    run(&clock.clone(), async move {
+        exchange::take_from(&peer, &"vm".to_owned(), &adoption, &clock).await
     })
 }
 
--- a/crates/lilaccrank/tests/suite/configuration_replay.rs
+++ b/crates/lilaccrank/tests/suite/configuration_replay.rs
@@ -89,8 +89,9 @@
 
     fn take_over(&self, daemon: usize, from: usize) {
         let (peer, adoption) = (self.peer(from), self.daemons[daemon].clone());
+        let clock = self.clock.clone();
         run(&self.clock, async move {
-            let taken = exchange::take_from(&peer, &from.to_string(), &adoption).await;
+            let taken = exchange::take_from(&peer, &from.to_string(), &adoption, &clock).await;
             taken.unwrap();
         });
     }
@@ -105,8 +106,9 @@
         let reports: Vec<_> = reports.collect();
         let other = others.next_back().unwrap();
         let (peer, adoption) = (self.peer(other), self.daemons[host].clone());
+        let clock = self.clock.clone();
         run(&self.clock, async move {
-            exchange::take_newest(&peer, &reports, &adoption).await
+            exchange::take_newest(&peer, &reports, &adoption, &clock).await
         })
     }
 
--- a/crates/lilaccrank/tests/suite/rules_matching.rs
+++ b/crates/lilaccrank/tests/suite/rules_matching.rs
@@ -55,11 +55,12 @@
     }
 }
 
+/// A document and a request.
 #[derive(Clone, Debug)]
-struct Case {
-    document: Document,
-    environment: Environment,
-    facts: Facts,
+pub struct Case {
+    pub document: Document,
+    pub environment: Environment,
+    pub facts: Facts,
 }
 
 impl Arbitrary for Case {
--- a/crates/lilaccrankd/src/admin/publication.rs
+++ b/crates/lilaccrankd/src/admin/publication.rs
@@ -73,7 +73,13 @@
     let until = MonoioClock.now() + SETTLE_LIMIT;
     loop {
         let reports = Reports::gather(daemon).await;
-        let taken = exchange::take_newest(&daemon.peers, &reports.received, &daemon.adoption).await;
+        let taken = exchange::take_newest(
+            &daemon.peers,
+            &reports.received,
+            &daemon.adoption,
+            &MonoioClock,
+        )
+        .await;
         let Err(e) = taken else { return Ok(()) };
         if is_past(until) {
             let message = e.to_string();
--- a/crates/lilaccrankd/src/configuration/pulls.rs
+++ b/crates/lilaccrankd/src/configuration/pulls.rs
@@ -8,6 +8,7 @@
 use lilaccrank::configuration::exchange;
 use lilaccrank::configuration::manifest::{Identity, Standing};
 use lilaccrank::ids::VmId;
+use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::daemon::Daemon;
 
@@ -108,7 +109,7 @@
 async fn pull(daemon: &Daemon, vm: &VmId) {
     daemon.pulls.began.set(Some(Instant::now()));
     let before = daemon.adoption.identity();
-    match exchange::take_from(&daemon.peers, vm, &daemon.adoption).await {
+    match exchange::take_from(&daemon.peers, vm, &daemon.adoption, &MonoioClock).await {
         Ok(now) if standing(before.as_ref(), now.as_ref()) == Some(Standing::Newer) => {
             log::info!("adopted a newer configuration from {vm}");
         }
--- a/crates/lilaccrankd/src/configuration/source.rs
+++ b/crates/lilaccrankd/src/configuration/source.rs
@@ -4,13 +4,14 @@
 use std::time::{Duration, Instant};
 
 use futures::future::LocalBoxFuture;
+use indexmap::IndexMap;
 use lilaccrank::clock::{BootTime, Clock};
 use lilaccrank::configuration::adoption;
 use lilaccrank::configuration::manifest::{Identity, Manifest};
-use lilaccrank::configuration::sections::Sections;
 use lilaccrank::document::Document;
 use lilaccrank::ids::Generation;
 use lilaccrank::rollout::order::Orders;
+use lilaccrank::steps::Pace;
 use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::configuration;
@@ -58,28 +59,29 @@
         configuration::watch_pause(quiet, is_watching, self.began_at.elapsed())
     }
 
-    /// Adopts a whole configuration if it is newer than the one in force.
+    /// Adopts a whole configuration if it is newer than the one in force. Other tasks run meanwhile.
     ///
     /// # Errors
     ///
     /// If the configuration is invalid; the one in force stays.
-    pub fn adopt_configuration(
+    pub async fn adopt_configuration(
         &self,
         identity: Identity,
         author: &str,
         document: &Document,
+        pace: &impl Pace,
     ) -> adoption::Result<()> {
-        if !self.daemon.adoption.wants(&identity) {
-            return Ok(());
-        }
-        let sections = Sections::split(document)?;
         let manifest = Manifest {
             ancestors: Vec::new(),
             author: author.to_owned(),
             identity,
-            sections: sections.index,
+            sections: IndexMap::new(),
         };
-        match self.daemon.adoption.adopt(manifest, &sections.contents) {
+        let adopted = self
+            .daemon
+            .adoption
+            .adopt_document(manifest, document, pace);
+        match adopted.await {
             Ok(_) | Err(adoption::Error::NotNewer(_)) => Ok(()),
             Err(e) => Err(e),
         }
--- a/crates/lilaccrankd/src/configuration/transfers.rs
+++ b/crates/lilaccrankd/src/configuration/transfers.rs
@@ -60,7 +60,7 @@
     if !daemon.transfers.has_room() {
         return Answer::Nothing;
     }
-    exchange::prepare(&MonoioClock, &daemon.adoption, ask).await;
+    exchange::prepare(&daemon.adoption, ask, &MonoioClock).await;
     let answer = exchange::answer(&daemon.adoption, ask);
     match daemon.transfers.reserve(answer.size()) {
         Some(wait) => {
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -301,13 +301,14 @@
         in_force.ok_or_else(|| Refusal::new(ErrorKind::NotReady, "no configuration yet"))
     }
 
-    /// Returns the configuration that was adopted last. It is put in force at once: the task that does so
-    /// may not have run yet.
+    /// Returns the newest configuration that was read: waits until it is built, and puts it in force at once,
+    /// as the task that does so may not have run yet.
     ///
     /// # Errors
     ///
     /// [`ErrorKind::NotReady`] before the first configuration is adopted.
-    pub fn newest_in_force(self: &Rc<Self>) -> Result<Rc<InForce>> {
+    pub async fn newest_in_force(self: &Rc<Self>) -> Result<Rc<InForce>> {
+        self.adoption.settled().await;
         if let Some(adopted) = self.adoption.current() {
             self.put_in_force(&adopted);
         }
@@ -454,10 +455,12 @@
         self.head_limits.set(limits);
         let detail = configuration.manifest.identity.to_string();
         log::info!(
+            build_ms = configuration.cost.total.as_millis() as u64,
             head_bytes = limits.head_bytes,
             head_ms = limits.head_timeout.as_millis() as u64,
             idle_ms = limits.idle_timeout.as_millis() as u64,
             index_ms = began.elapsed().as_millis() as u64,
+            longest_step_ms = configuration.cost.longest_step.as_millis() as u64,
             rules = configuration.document.rules.len();
             "{detail} is in force"
         );
--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -1,5 +1,7 @@
 //! Tests of parts of the daemon that need no running process.
 
+#[path = "suite/adopting.rs"]
+mod adopting;
 #[path = "suite/answer_memory.rs"]
 mod answer_memory;
 #[path = "suite/cancellation.rs"]
