Platform: a configuration's routes are read in steps, and only if it is newer

The object of 4,200 routes was read in one piece, also when the store told of a version that is in force. Now its routes stay text until the version is found to be wanted, and are read with pauses; decisions wait from then on until it is adopted, as the building of it begins there.

--- a/crates/lilaccrank/src/configuration/adoption.rs
+++ b/crates/lilaccrank/src/configuration/adoption.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::lock::Mutex;
+use futures::lock::{Mutex, MutexGuard};
 use indexmap::IndexMap;
 use thiserror::Error;
 
@@ -82,6 +82,41 @@
     wakers: Vec<Waker>,
 }
 
+/// The right to build a configuration; others wait until it is dropped.
+pub struct Building<'a> {
+    adoption: &'a Adoption,
+    _guard: MutexGuard<'a, ()>,
+}
+
+impl Building<'_> {
+    /// Splits a document and puts it in force like [`adopt_in_steps`](Adoption::adopt_in_steps).
+    ///
+    /// # Errors
+    /// Those of [`adopt`](Adoption::adopt), or a section is too large.
+    pub async fn adopt_document(
+        &self,
+        manifest: Manifest,
+        document: &Document,
+        pace: &impl Pace,
+    ) -> Result<Rc<Configuration>> {
+        let adoption = self.adoption;
+        adoption.check_newer(&manifest.identity)?;
+        let held = adoption.current();
+        let nothing = (Contents::new(), Parts::new());
+        let (contents, parts) = held.as_ref().map_or((&nothing.0, &nothing.1), |held| {
+            (&held.contents, &held.parts)
+        });
+        let split = Sections::split_in_steps(document, contents, parts, pace).await?;
+        let manifest = Manifest {
+            sections: split.index,
+            ..manifest
+        };
+        adoption
+            .build(manifest, &split.contents, &split.parts, pace)
+            .await
+    }
+}
+
 impl Adoption {
     /// Nothing is in force yet: the daemon is not ready.
     #[must_use]
@@ -132,40 +167,22 @@
         received: &Contents,
         pace: &impl Pace,
     ) -> Result<Rc<Configuration>> {
-        let _building = self.building.lock().await;
+        let _building = self.begin().await;
         let read = Parts::new();
         self.build(manifest, received, &read, pace).await
     }
 
-    /// Splits a document and puts it in force like [`adopt_in_steps`](Self::adopt_in_steps).
-    ///
-    /// # Errors
-    /// Those of [`adopt`](Self::adopt), or a section is too large.
-    pub async fn adopt_document(
-        &self,
-        manifest: Manifest,
-        document: &Document,
-        pace: &impl Pace,
-    ) -> Result<Rc<Configuration>> {
-        let _building = self.building.lock().await;
-        self.check_newer(&manifest.identity)?;
-        let held = self.current();
-        let nothing = (Contents::new(), Parts::new());
-        let (contents, parts) = held.as_ref().map_or((&nothing.0, &nothing.1), |held| {
-            (&held.contents, &held.parts)
-        });
-        let split = Sections::split_in_steps(document, contents, parts, pace).await?;
-        let manifest = Manifest {
-            sections: split.index,
-            ..manifest
-        };
-        self.build(manifest, &split.contents, &split.parts, pace)
-            .await
+    /// Begins to build a configuration, once no other one is being built.
+    pub async fn begin(&self) -> Building<'_> {
+        Building {
+            adoption: self,
+            _guard: self.building.lock().await,
+        }
     }
 
     /// Completes once no configuration is being built.
     pub async fn settled(&self) {
-        drop(self.building.lock().await);
+        drop(self.begin().await);
     }
 
     async fn build(
--- a/crates/lilaccrank/tests/suite/configuration_steps.rs
+++ b/crates/lilaccrank/tests/suite/configuration_steps.rs
@@ -86,7 +86,8 @@
     async move {
         let manifest = manifest(generation, &Sections::default());
         let pace = Steps::new(clock);
-        adoption.adopt_document(manifest, &document, &pace).await
+        let building = adoption.begin().await;
+        building.adopt_document(manifest, &document, &pace).await
     }
 }
 
--- a/crates/lilaccrankd/src/configuration/source.rs
+++ b/crates/lilaccrankd/src/configuration/source.rs
@@ -6,7 +6,7 @@
 use futures::future::LocalBoxFuture;
 use indexmap::IndexMap;
 use lilaccrank::clock::{BootTime, Clock};
-use lilaccrank::configuration::adoption;
+use lilaccrank::configuration::adoption::{self, Building};
 use lilaccrank::configuration::manifest::{Identity, Manifest};
 use lilaccrank::document::Document;
 use lilaccrank::ids::Generation;
@@ -59,6 +59,17 @@
         configuration::watch_pause(quiet, is_watching, self.began_at.elapsed())
     }
 
+    /// Returns `true` if a configuration is newer than the one in force.
+    #[must_use]
+    pub fn wants(&self, identity: &Identity) -> bool {
+        self.daemon.adoption.wants(identity)
+    }
+
+    /// Begins to read a configuration: requests are decided once it was adopted or the result is dropped.
+    pub async fn begin(&self) -> Building<'_> {
+        self.daemon.adoption.begin().await
+    }
+
     /// Adopts a whole configuration if it is newer than the one in force. Other tasks run meanwhile.
     ///
     /// # Errors
@@ -66,6 +77,7 @@
     /// If the configuration is invalid; the one in force stays.
     pub async fn adopt_configuration(
         &self,
+        building: &Building<'_>,
         identity: Identity,
         author: &str,
         document: &Document,
@@ -77,10 +89,7 @@
             identity,
             sections: IndexMap::new(),
         };
-        let adopted = self
-            .daemon
-            .adoption
-            .adopt_document(manifest, document, pace);
+        let adopted = building.adopt_document(manifest, document, pace);
         match adopted.await {
             Ok(_) | Err(adoption::Error::NotNewer(_)) => Ok(()),
             Err(e) => Err(e),
--- a/crates/lilaccrankd/tests/suite/adopting.rs
+++ b/crates/lilaccrankd/tests/suite/adopting.rs
@@ -105,7 +105,9 @@
             monoio::spawn(async move {
                 let pace = Steps::new(MonoioClock);
                 let document = document();
-                let adopted = handler.adopt_configuration(identity, "ana", &document, &pace);
+                let building = handler.begin().await;
+                let adopted =
+                    handler.adopt_configuration(&building, identity, "ana", &document, &pace);
                 adopted.await.unwrap();
             });
         }
