--- a/crates/lilaccrank/src/steps.rs
+++ b/crates/lilaccrank/src/steps.rs
@@ -9,7 +9,7 @@
 use crate::clock::Clock;
 
 /// Bytes that are handled in one step, unless a single piece is larger.
-const STEP_BYTES: usize = 64 << 10;
+const STEP_BYTES: usize = 192 << 10;
 /// Pause between two steps. The runtime fires no timers while a task wakes itself.
 const PAUSE: Duration = Duration::from_millis(1);
 
