Quotas: a new configuration's quotas are in force where they are not used, too

An account took new figures over at its own next request; until then what other daemons spent by them counted as spent under other figures, beside a bucket that went on filling at the old rate.

Change: as a configuration is put in force, the accounts are filled up to now at the former figures and take the new ones.

--- a/crates/lilaccrank/src/quota.rs
+++ b/crates/lilaccrank/src/quota.rs
@@ -243,6 +243,37 @@
         Self { window, ..self }
     }
 
+    /// Puts the quota of a new configuration in force for a customer. What other daemons spend by it counts from
+    /// now on, whether or not the customer sends requests here.
+    pub fn adopt(&mut self, customer: &CustomerId, quota: Quota, now: Instant) {
+        let quota = self.with_reserved(quota);
+        let Some(former) = self.accounts.get(customer).map(|account| account.quota) else {
+            return;
+        };
+        if former == quota {
+            return;
+        }
+        let share = self.share_of(customer, former.per_s, now);
+        let new_share = self.share_of(customer, quota.per_s, now);
+        if let Some(account) = self.accounts.get_mut(customer) {
+            account.refill(share, now);
+            account.adopt(quota);
+            account.refill(new_share, now);
+        }
+    }
+
+    fn with_reserved(&self, quota: Quota) -> Quota {
+        Quota {
+            burst: quota.burst + self.reserve,
+            ..quota
+        }
+    }
+
+    /// Part of a customer's quota that the daemons which hear from each other may spend.
+    fn share_of(&mut self, customer: &CustomerId, per_s: f64, now: Instant) -> f64 {
+        self.demand.cell_share(customer, per_s, now) * self.share(now)
+    }
+
     /// Withdraws `debit` from a customer's quota. Returns `true` if the balance is low afterwards,
     /// and other daemons have to be told at once.
     ///
@@ -257,12 +288,8 @@
         now: Instant,
     ) -> Result<bool> {
         self.tick(now);
-        let cell_share = self.demand.cell_share(customer, quota.per_s, now);
-        let share = self.share(now) * cell_share;
-        let quota = Quota {
-            burst: quota.burst + self.reserve,
-            ..quota
-        };
+        let share = self.share_of(customer, quota.per_s, now);
+        let quota = self.with_reserved(quota);
         if debit.units as f64 > quota.burst + quota.per_s * self.window.as_secs_f64() {
             return Err(self.too_large(customer, debit, share));
         }
@@ -453,7 +480,7 @@
             return account.charge(report.units, report.plain_units);
         }
         let per_s = account.quota.per_s;
-        let share = self.demand.cell_share(customer, per_s, now) * self.share(now);
+        let share = self.share_of(customer, per_s, now);
         if let Some(account) = self.accounts.get_mut(customer) {
             account.refill(share, now);
             account.use_up(report.units);
--- a/crates/lilaccrank/tests/suite/quota_figures.rs
+++ b/crates/lilaccrank/tests/suite/quota_figures.rs
@@ -179,6 +179,29 @@
     assert!(wait <= WINDOW, "{wait:?}");
 }
 
+// Guards against a lowered limit that each daemon grants anew which the customer has not used since.
+#[test]
+fn a_lower_limit_holds_where_it_was_not_used_since() {
+    let (mut daemon, mut other) = (Daemon::new(), Daemon::new());
+    let (low, high) = (in_requests(10.0), in_requests(1_000.0));
+    let customer = CUSTOMER.to_owned();
+    daemon.spend(high, Fleet::debit(0, 1)).unwrap();
+    other.spend(high, Fleet::debit(0, 1)).unwrap();
+    daemon.hear(&other);
+    for daemon in [&mut daemon, &mut other] {
+        daemon.quotas.adopt(&customer, low, daemon.now);
+    }
+    for _ in 0..100 {
+        while other.spend(low, Fleet::debit(0, 1)).is_ok() {}
+        daemon.hear(&other);
+        daemon.pass(REPORT_INTERVAL);
+        other.pass(REPORT_INTERVAL);
+    }
+    daemon.hear(&other);
+    let passed = (0..100).filter(|_| daemon.spend(low, Fleet::debit(0, 1)).is_ok());
+    assert!(passed.count() <= 5);
+}
+
 // Guards against a debt of what another daemon has let pass under a limit that was lowered here before.
 #[test]
 fn a_lower_limit_is_served_while_another_daemon_is_late() {
--- a/crates/lilaccrankd/src/configuration/source.rs
+++ b/crates/lilaccrankd/src/configuration/source.rs
@@ -65,7 +65,7 @@
         self.daemon.adoption.wants(identity)
     }
 
-    /// Begins to read a configuration: requests are decided once it was adopted or the result is dropped.
+    /// Begins to read a configuration, once no other one is being built. Until the result is dropped no other one is.
     pub async fn begin(&self) -> Building<'_> {
         self.daemon.adoption.begin().await
     }
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -471,6 +471,7 @@
                 ..Subject::default()
             },
         );
+        self.quotas.adopt(&configuration.document.customers);
         server::configuration_changed(self);
         client::resync_dispatchers(self);
         manager::reconcile(self);
--- a/crates/lilaccrankd/src/request/quotas.rs
+++ b/crates/lilaccrankd/src/request/quotas.rs
@@ -56,6 +56,17 @@
         }
     }
 
+    /// Puts the quotas of a new configuration in force.
+    pub fn adopt(&self, customers: &[Customer]) {
+        let mut inner = self.inner.borrow_mut();
+        let now = Instant::now();
+        for customer in customers {
+            if let Some(quota) = customer.quota {
+                inner.adopt(&customer.id, quota, now);
+            }
+        }
+    }
+
     /// Charges a request to its customer's quota; `None` if the customer has no quota.
     ///
     /// # Errors
