--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -66,7 +66,7 @@
     pub data_centre: &'a DataCentre,
     /// Tokens per block of the prefix.
     pub block_tokens: u32,
-    /// How far the expected length of the answer rests on evidence, from 0 to 1.
+    /// How far the expected length of the answer rests on evidence, up to 1.
     pub certainty: f64,
     /// Time within which the target must finish the answer, for a resumed answer.
     pub finish_within: Option<Duration>,
@@ -99,7 +99,7 @@
         self.objective.is_some()
     }
 
-    /// Tokens of the answer that there is evidence for. Without evidence no deadline counts as missed
+    /// Tokens of the answer that there is evidence for. With little evidence few deadlines count as missed
     /// because of the answer's length.
     fn certain_decode(&self) -> f64 {
         self.work.decode as f64 * self.certainty
--- a/crates/lilaccrank/src/dispatch/length_ratio.rs
+++ b/crates/lilaccrank/src/dispatch/length_ratio.rs
@@ -8,6 +8,9 @@
 const MIN: f64 = 0.01;
 /// Samples from which on the average counts as known.
 const ENOUGH_SAMPLES: u32 = 16;
+/// Certainty of the average without evidence: a few answers are as short as that, so that only a deadline
+/// which most answers miss counts as missed.
+const MIN_CERTAINTY: f64 = 0.25;
 
 /// The average length of answers, as a part of the longest that is allowed.
 #[derive(Clone, Copy, Debug)]
@@ -42,8 +45,9 @@
         self.mean
     }
 
-    /// How far the expected part rests on evidence, from 0 to 1.
+    /// How far the expected part rests on evidence, up to 1.
     pub(super) fn certainty(self) -> f64 {
-        f64::from(self.samples.min(ENOUGH_SAMPLES)) / f64::from(ENOUGH_SAMPLES)
+        let known = f64::from(self.samples.min(ENOUGH_SAMPLES)) / f64::from(ENOUGH_SAMPLES);
+        known.max(MIN_CERTAINTY)
     }
 }
