--- a/crates/lilaccrank-http/src/timeout.rs
+++ b/crates/lilaccrank-http/src/timeout.rs
@@ -23,7 +23,7 @@
 ///
 /// [`Elapsed`] once the time is over.
 pub async fn timeout<F: Future>(limit: Duration, fut: F) -> Result<F::Output> {
-    let output = clock::timeout(&MonoioClock, limit, fut).await;
+    let output = clock::timeout(&MonoioClock, limit, Box::pin(fut)).await;
     output.ok_or(Elapsed)
 }
 
--- a/crates/lilaccrank/src/clock/timeouts.rs
+++ b/crates/lilaccrank/src/clock/timeouts.rs
@@ -22,7 +22,8 @@
 /// it was late, but no longer than the limit. Returns `None` if it did not complete in time.
 pub async fn timeout<C: Clock, F: Future>(clock: &C, limit: Duration, fut: F) -> Option<F::Output> {
     let due = clock.now() + limit;
-    until(fut, sleep_until(clock, due, limit)).await
+    // Boxed, as each layer of futures holds what it is given twice.
+    until(Box::pin(fut), sleep_until(clock, due, limit)).await
 }
 
 /// Waits for `fut` for `limit` and no longer, whether or not this process was held up: for waits that others
@@ -32,7 +33,7 @@
     limit: Duration,
     fut: F,
 ) -> Option<F::Output> {
-    until(fut, clock.sleep(limit)).await
+    until(Box::pin(fut), clock.sleep(limit)).await
 }
 
 /// Completes at `due`, or later if this process was held up then: by as long as it was late, but no longer
