Runtime: tasks are measured, and a late timer names what ran instead

A line said that tasks had not run, and they had: the timer of the task that writes it had not fired. It now says how often tasks were polled meanwhile, which function's tasks took longest and which single poll did. That tells a process that did not run (few polls) from one long poll, and from tasks that are always ready (many polls). The same times stand in the metric lilaccrank_task_seconds_total by function. No logic changes.

--- a/crates/lilaccrank-http/src/body.rs
+++ b/crates/lilaccrank-http/src/body.rs
@@ -15,6 +15,7 @@
 use hyper::body::{Frame, Incoming, SizeHint};
 use thiserror::Error;
 
+use crate::runtime;
 use crate::timeout;
 
 /// Any error of a body.
@@ -77,7 +78,7 @@
     let (tx, channel) = Channel::new(CHANNEL_FRAMES);
     let (open, dropped) = oneshot::channel();
     let writing = write(tx);
-    monoio::spawn(async move {
+    runtime::spawn(async move {
         pin_mut!(writing);
         future::select(writing, dropped).await;
     });
--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 
 use crate::body::Body;
+use crate::runtime;
 use crate::tally::Tally;
 use crate::timeout;
 use crate::unproductive::Meter;
@@ -320,7 +321,7 @@
             });
         }
         if !self.sweeping.replace(true) {
-            monoio::spawn(self.clone().sweep());
+            runtime::spawn(self.clone().sweep());
         }
     }
 
--- a/crates/lilaccrank-http/src/client/sender.rs
+++ b/crates/lilaccrank-http/src/client/sender.rs
@@ -16,6 +16,7 @@
 use super::{Error, IsWanted, Result};
 use crate::body::Body;
 use crate::head_limits::MAX_HEADER_LINES;
+use crate::runtime;
 use crate::socket;
 use crate::tally::{Counted, Tally};
 use crate::timeout;
@@ -92,7 +93,7 @@
             ended => ended,
         }
     });
-    monoio::spawn(async move {
+    runtime::spawn(async move {
         if let Err(e) = driving.await {
             log::debug!("client connection failed: {e}");
         }
--- a/crates/lilaccrank-http/src/peer_link.rs
+++ b/crates/lilaccrank-http/src/peer_link.rs
@@ -23,6 +23,7 @@
 
 use crate::compression::{self, EncodedBody};
 use crate::progress::{Progress, Watched};
+use crate::runtime;
 use crate::tally::{Counted, Tally};
 use crate::timeout;
 
@@ -77,7 +78,7 @@
             tally,
             vm: vm.clone(),
         };
-        monoio::spawn(task.run(rx));
+        runtime::spawn(task.run(rx));
         Self { tx, vm }
     }
 
--- a/crates/lilaccrank-http/src/peer_server.rs
+++ b/crates/lilaccrank-http/src/peer_server.rs
@@ -19,6 +19,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::compression::{self, EncodedBody};
+use crate::runtime;
 use crate::tally::{Counted, Tally};
 
 /// Accepts connections from peers as long as the daemon runs and counts the traffic in `tally`.
@@ -32,7 +33,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                monoio::spawn(serve_connection(stream, tally.clone(), handler.clone()));
+                runtime::spawn(serve_connection(stream, tally.clone(), handler.clone()));
             }
             Err(e) => log::warn!("accept of a peer connection failed: {e}"),
         }
--- a/crates/lilaccrank-http/src/server.rs
+++ b/crates/lilaccrank-http/src/server.rs
@@ -18,6 +18,7 @@
 use crate::client_connection::ClientConnection;
 use crate::head_limits::LiveLimits;
 use crate::head_timer::HeadTimer;
+use crate::runtime;
 
 mod connection;
 
@@ -115,7 +116,7 @@
         match future::select(accept, closed).await {
             Either::Left((Ok((stream, _)), _)) => {
                 let handler = handler.clone();
-                monoio::spawn(serve_connection(
+                runtime::spawn(serve_connection(
                     stream,
                     shutdown.clone(),
                     limits.clone(),
--- a/crates/lilaccrankd/src/admin/metrics.rs
+++ b/crates/lilaccrankd/src/admin/metrics.rs
@@ -5,9 +5,10 @@
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::Tier;
 use lilaccrank::rollout::message::Stage;
+use lilaccrank_http::runtime::usage;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    CounterVec, Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::peers::traffic::Traffic;
@@ -56,6 +57,7 @@
     rollout_stages: IntCounterVec,
     /// Retries that the retry budget denied.
     pub second_sends_denied: IntCounter,
+    task_seconds: CounterVec,
     traffic: Rc<Traffic>,
     /// Targets that this daemon reaches neither directly nor through another daemon.
     pub unreachable_targets: IntGauge,
@@ -141,6 +143,13 @@
             ),
             &["stage"],
         )?;
+        let task_seconds = CounterVec::new(
+            Opts::new(
+                "lilaccrank_task_seconds_total",
+                "Time for which the tasks of a function ran",
+            ),
+            &["task"],
+        )?;
         let registry = Registry::new();
         registry.register(Box::new(answered.clone()))?;
         registry.register(Box::new(control_bytes.clone()))?;
@@ -155,6 +164,7 @@
         registry.register(Box::new(unreachable_targets.clone()))?;
         registry.register(Box::new(rollout_stages.clone()))?;
         registry.register(Box::new(second_sends_denied.clone()))?;
+        registry.register(Box::new(task_seconds.clone()))?;
         registry.register(Box::new(unusable_entries.clone()))?;
         Ok(Self {
             answered,
@@ -170,6 +180,7 @@
             registry,
             rollout_stages,
             second_sends_denied,
+            task_seconds,
             traffic,
             unreachable_targets,
             unusable_entries,
@@ -212,6 +223,7 @@
     #[must_use]
     pub fn text(&self) -> String {
         self.read_traffic();
+        self.read_task_times();
         let mut buf = Vec::new();
         if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
             log::warn!("failed to encode the metrics: {e}");
@@ -219,6 +231,13 @@
         String::from_utf8(buf).unwrap_or_default()
     }
 
+    fn read_task_times(&self) {
+        for share in usage::totals() {
+            let counter = self.task_seconds.with_label_values(&[share.task]);
+            counter.inc_by((share.time.as_secs_f64() - counter.get()).max(0.0));
+        }
+    }
+
     fn read_traffic(&self) {
         for (channel, tally) in self.traffic.channels() {
             for (direction, passed) in [("received", tally.received()), ("sent", tally.sent())] {
--- a/crates/lilaccrankd/src/callers/attach.rs
+++ b/crates/lilaccrankd/src/callers/attach.rs
@@ -10,6 +10,7 @@
 use lilaccrank::timeline::{EventKind, Subject};
 use lilaccrank_http::body::{self, Body};
 use lilaccrank_http::client_connection::ClientConnection;
+use lilaccrank_http::runtime;
 
 use crate::callers::caller_request::CallerRequest;
 use crate::callers::entry;
@@ -107,7 +108,7 @@
     let reader = buffer.reader(client.clone());
     let client = daemon.client.clone();
     let daemon = Rc::clone(daemon);
-    monoio::spawn(async move {
+    runtime::spawn(async move {
         let cancellation = Cancellation::new(&daemon, &buffer, None, Duration::ZERO);
         let copying = relay::copy(&client, res, connection, bounds, &buffer, || {});
         let ended = cancellation.run(copying).await.flatten();
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -14,6 +14,7 @@
 use lilaccrank_http::body::{self, Body, BodySender};
 use lilaccrank_http::client_connection::ClientConnection;
 use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::runtime;
 use lilaccrank_http::timeout;
 
 use crate::admin::metrics::EndStats;
@@ -191,7 +192,7 @@
         id,
         route,
     };
-    monoio::spawn(lifecycle::drive(
+    runtime::spawn(lifecycle::drive(
         Rc::clone(daemon),
         routed,
         key,
--- a/crates/lilaccrankd/src/configuration.rs
+++ b/crates/lilaccrankd/src/configuration.rs
@@ -13,6 +13,7 @@
 use lilaccrank::peers::Peers;
 use lilaccrank::request_key::Ranking;
 use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::runtime;
 use rand::seq::{IndexedRandom, IteratorRandom};
 
 use crate::configuration::source::UpdateHandler;
@@ -219,7 +220,7 @@
             vm: me.vm.clone(),
         };
         let (peers, vm) = (daemon.peers.clone(), member.vm.clone());
-        monoio::spawn(async move {
+        runtime::spawn(async move {
             let result: lilaccrank::peers::Result<Done> = peers.call(&vm, announcement).await;
             if let Err(e) = result {
                 log::debug!("failed to announce a new configuration: {e}");
--- a/crates/lilaccrankd/src/configuration/pulls.rs
+++ b/crates/lilaccrankd/src/configuration/pulls.rs
@@ -9,6 +9,7 @@
 use lilaccrank::configuration::manifest::{Identity, Standing};
 use lilaccrank::ids::VmId;
 use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::runtime;
 
 use crate::daemon::Daemon;
 
@@ -85,7 +86,7 @@
     }
     daemon.pulls.add(vm, identity);
     let daemon = Rc::clone(daemon);
-    monoio::spawn(async move {
+    runtime::spawn(async move {
         if let Some(_running) = daemon.pulls.begin() {
             pull_from_holders(&daemon).await;
         }
--- a/crates/lilaccrankd/src/orders/drain_reconciler.rs
+++ b/crates/lilaccrankd/src/orders/drain_reconciler.rs
@@ -18,6 +18,7 @@
 use lilaccrank::ids::TargetId;
 use lilaccrank::orders::{Command, Effect};
 use lilaccrank::timeline::{EventKind, Subject};
+use lilaccrank_http::runtime;
 
 use crate::daemon::Daemon;
 use crate::orders::pool_orders::{PoolOrders, Term};
@@ -78,7 +79,7 @@
         self.applied.borrow_mut().retain(|id, _| ids.contains(id));
         for id in ids {
             if self.pending(&id).is_some() && self.in_progress.borrow_mut().insert(id.clone()) {
-                monoio::spawn(Rc::clone(self).reconcile(id));
+                runtime::spawn(Rc::clone(self).reconcile(id));
             }
         }
     }
--- a/crates/lilaccrankd/src/orders/jobs.rs
+++ b/crates/lilaccrankd/src/orders/jobs.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 use lilaccrank::operators::OrderOutcome;
 use lilaccrank::timeline::{EventKind, Subject};
+use lilaccrank_http::runtime;
 
 use crate::daemon::Daemon;
 use crate::orders::message::{OrderReply, OrderRequest};
@@ -66,7 +67,7 @@
     if let Some(job) = all.get_mut(&req.id) {
         if job.is_confirmed_by(&req) {
             job.state = State::Running;
-            monoio::spawn(run(Rc::clone(daemon), req));
+            runtime::spawn(run(Rc::clone(daemon), req));
             return OrderReply::UnderWay;
         }
         if let Some(reply) = job.reply_to(&req) {
--- a/crates/lilaccrankd/src/orders/manager.rs
+++ b/crates/lilaccrankd/src/orders/manager.rs
@@ -8,6 +8,7 @@
 use lilaccrank::document::{Pool, PoolKind, Target};
 use lilaccrank::ids::{Incarnation, PoolId};
 use lilaccrank::request_key::Ranking;
+use lilaccrank_http::runtime;
 
 use crate::daemon::{Daemon, PlatformStore};
 use crate::orders::drain_reconciler;
@@ -85,7 +86,7 @@
             Some(pool_orders) => pool_orders,
             None if is_active => {
                 let pool_orders = manager.start(&pool.id);
-                monoio::spawn(drain_reconciler::run(
+                runtime::spawn(drain_reconciler::run(
                     Rc::clone(daemon),
                     Rc::clone(&pool_orders),
                 ));
--- a/crates/lilaccrankd/src/orders/pool_orders.rs
+++ b/crates/lilaccrankd/src/orders/pool_orders.rs
@@ -13,6 +13,7 @@
 use lilaccrank::lease::{self, GuardSource, Keeper, Lease, LeaseHandle};
 use lilaccrank::orders::{Command, Effect, Error, OrderTarget, Orders, Result};
 use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::runtime;
 
 use crate::daemon::PlatformStore;
 use crate::orders::target_orders::TargetOrders;
@@ -94,7 +95,7 @@
             timeouts,
             pending_orders: Cell::new(0),
         });
-        monoio::spawn(Rc::clone(&pool_orders).maintain_lease(keeper));
+        runtime::spawn(Rc::clone(&pool_orders).maintain_lease(keeper));
         pool_orders
     }
 
--- a/crates/lilaccrankd/src/peers/load_exchange.rs
+++ b/crates/lilaccrankd/src/peers/load_exchange.rs
@@ -19,6 +19,7 @@
 use lilaccrank::membership::{Member, Membership};
 use lilaccrank::quota::{CellDemand, Spent};
 use lilaccrank::request_key::Ranking;
+use lilaccrank_http::runtime;
 use lilaccrank_http::tally::Tally;
 use monoio::net::udp::UdpSocket;
 
@@ -132,9 +133,9 @@
 /// Sends and receives load updates until the daemon ends.
 pub async fn run(daemon: Rc<Daemon>, socket: UdpSocket) {
     let socket = Rc::new(socket);
-    monoio::spawn(receive(Rc::clone(&daemon), Rc::clone(&socket)));
-    monoio::spawn(stream_origins::run(Rc::clone(&daemon), Rc::clone(&socket)));
-    monoio::spawn(report_cell_demand(Rc::clone(&daemon), Rc::clone(&socket)));
+    runtime::spawn(receive(Rc::clone(&daemon), Rc::clone(&socket)));
+    runtime::spawn(stream_origins::run(Rc::clone(&daemon), Rc::clone(&socket)));
+    runtime::spawn(report_cell_demand(Rc::clone(&daemon), Rc::clone(&socket)));
     loop {
         let changed = daemon.load_exchange.changed();
         let _ = monoio::time::timeout(HEARTBEAT, changed).await;
--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -19,6 +19,7 @@
 use lilaccrank_http::body::{self, Body};
 use lilaccrank_http::client::{self, Connection, IsWanted, Limits};
 use lilaccrank_http::client_connection::ClientConnection;
+use lilaccrank_http::runtime;
 
 use crate::callers::end_to_end;
 use crate::callers::entry;
@@ -263,7 +264,7 @@
     }
     let is_unframed = !res.headers().contains_key(CONTENT_LENGTH)
         && !res.headers().contains_key(TRANSFER_ENCODING);
-    monoio::spawn(copy(
+    runtime::spawn(copy(
         Rc::clone(daemon),
         Rc::clone(&buffer),
         cancellation,
--- a/crates/lilaccrankd/src/pools/client.rs
+++ b/crates/lilaccrankd/src/pools/client.rs
@@ -11,6 +11,7 @@
 use lilaccrank::ids::{PoolId, RequestId};
 use lilaccrank::peers::Peers;
 use lilaccrank::request_key::{MemberRef, Ranking};
+use lilaccrank_http::runtime;
 
 use crate::daemon::Daemon;
 use crate::peers::message::{PoolMessage, PoolReply, PoolRequest};
@@ -158,7 +159,7 @@
     };
     let daemon = Rc::clone(daemon);
     let pool = pool.clone();
-    monoio::spawn(async move {
+    runtime::spawn(async move {
         send(&daemon, &dispatcher, &pool, message).await;
     });
 }
@@ -185,7 +186,7 @@
         let known = dispatchers.insert(pool.id.clone(), dispatcher.clone());
         drop(dispatchers);
         if known.as_ref() != Some(&dispatcher) || is_new_incarnation {
-            monoio::spawn(resync(Rc::clone(daemon), pool.id.clone(), dispatcher));
+            runtime::spawn(resync(Rc::clone(daemon), pool.id.clone(), dispatcher));
         }
     }
 }
--- a/crates/lilaccrankd/src/pools/server.rs
+++ b/crates/lilaccrankd/src/pools/server.rs
@@ -21,6 +21,7 @@
 use lilaccrank::target_instance::InstanceDigest;
 use lilaccrank::timeline::{EventKind, Subject};
 use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::runtime;
 
 use crate::daemon::Daemon;
 use crate::peers::message::{PoolMessage, PoolReply, PoolRequest};
@@ -195,13 +196,13 @@
         },
     );
     let ticking = Rc::clone(&served);
-    monoio::spawn(async move {
+    runtime::spawn(async move {
         let run = ticking.dispatcher.run();
         let retired = ticking.retired();
         pin_mut!(run, retired);
         future::select(run, retired).await;
     });
-    monoio::spawn(poller::run(
+    runtime::spawn(poller::run(
         Rc::clone(daemon),
         Rc::clone(&served),
         pool.clone(),
--- a/crates/lilaccrankd/src/pools/server/verdicts.rs
+++ b/crates/lilaccrankd/src/pools/server/verdicts.rs
@@ -9,6 +9,7 @@
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::peers::Peers;
 use lilaccrank::timeline::{EventKind, Subject};
+use lilaccrank_http::runtime;
 
 use crate::daemon::Daemon;
 use crate::peers::message::{PoolMessage, PoolReply, PoolRequest};
@@ -32,7 +33,7 @@
 
 /// Decides on a submission and delivers the verdict.
 pub(super) fn spawn_decide(daemon: &Rc<Daemon>, served: &Rc<ServedPool>, submission: Submission) {
-    monoio::spawn(decide(Rc::clone(daemon), Rc::clone(served), submission));
+    runtime::spawn(decide(Rc::clone(daemon), Rc::clone(served), submission));
 }
 
 async fn decide(daemon: Rc<Daemon>, served: Rc<ServedPool>, submission: Submission) {
--- a/crates/lilaccrankd/src/pools/slot_leases.rs
+++ b/crates/lilaccrankd/src/pools/slot_leases.rs
@@ -13,6 +13,7 @@
 use lilaccrank::request_key::{MemberRef, Ranking};
 use lilaccrank::slot_leases::{Decision, LeaseId, LeaseRequest, Release};
 use lilaccrank::target_instance::{InstanceDigest, TargetInstance};
+use lilaccrank_http::runtime;
 use lilaccrank_http::timeout;
 use xxhash_rust::xxh3;
 
@@ -206,7 +207,7 @@
             target: lease.target,
         };
         let daemon = Rc::clone(daemon);
-        monoio::spawn(async move {
+        runtime::spawn(async move {
             if outcome == Outcome::Cancelled {
                 monoio::time::sleep(CANCELLATION_TIME).await;
             }
@@ -251,7 +252,7 @@
         leases.insert(claimant.request.clone(), lease);
         drop(leases);
         let daemon = Rc::clone(daemon);
-        monoio::spawn(async move { request_lease(&daemon, &arbiter, req).await });
+        runtime::spawn(async move { request_lease(&daemon, &arbiter, req).await });
     }
 }
 
--- a/crates/lilaccrankd/src/pools/slot_leases/arbiter.rs
+++ b/crates/lilaccrankd/src/pools/slot_leases/arbiter.rs
@@ -10,6 +10,7 @@
 use lilaccrank::rendezvous;
 use lilaccrank::slot_leases::{Arbiter, Decision, Granted, LeaseRequest, Release};
 use lilaccrank::target_instance::InstanceDigest;
+use lilaccrank_http::runtime;
 
 use crate::daemon::Daemon;
 use crate::peers::duties;
@@ -116,7 +117,7 @@
 fn grant_waiting(daemon: &Rc<Daemon>, now: Instant) {
     let granted = daemon.arbiter.arbiter.borrow_mut().grant_waiting(now);
     for granted in granted {
-        monoio::spawn(deliver(Rc::clone(daemon), granted));
+        runtime::spawn(deliver(Rc::clone(daemon), granted));
     }
 }
 
--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -10,6 +10,7 @@
 use lilaccrank::ids::{ContentDigest, RequestId, TargetId};
 use lilaccrank::rules::matching::Route;
 use lilaccrank::timeline::{EventKind, Subject};
+use lilaccrank_http::runtime;
 
 use crate::admin::metrics::EndStats;
 use crate::callers::caller_request::{CallerRequest, Continuation, Operation};
@@ -68,7 +69,7 @@
     let ended_by = execution.history.ended_by;
     let ended_by = ended_by.map_or(String::new(), |by| by.to_string());
     let key = execution.key;
-    let settling = monoio::spawn({
+    let settling = runtime::spawn({
         let (daemon, routed, buffer) = (Rc::clone(&daemon), Rc::clone(&routed), Rc::clone(&buffer));
         let result = result.clone();
         async move { settle(&daemon, &routed, &result, key, &buffer).await }
--- a/crates/lilaccrankd/src/request/quarantine.rs
+++ b/crates/lilaccrankd/src/request/quarantine.rs
@@ -5,6 +5,7 @@
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::{ContentDigest, PoolId};
 use lilaccrank::target_instance::TargetInstance;
+use lilaccrank_http::runtime;
 
 use crate::callers::refusal::{Refusal, Result};
 use crate::daemon::Daemon;
@@ -102,7 +103,7 @@
         }
         let in_flight = self.in_flight(delivered);
         let (daemon, pool, target) = (Rc::clone(daemon), self.route.pool.clone(), target.clone());
-        monoio::spawn(async move {
+        runtime::spawn(async move {
             let Some(listed) = daemon.target(&pool, &target) else {
                 return;
             };
@@ -147,7 +148,7 @@
     in_flight: InFlight,
 ) {
     let (daemon, pool, target) = (Rc::clone(daemon), pool.clone(), target.clone());
-    monoio::spawn(async move {
+    runtime::spawn(async move {
         if !paths::is_reached_by_peer(&daemon, &pool, &target).await {
             in_flight.record_crash(&daemon, &target);
         }
--- a/crates/lilaccrankd/src/rollouts/exchange.rs
+++ b/crates/lilaccrankd/src/rollouts/exchange.rs
@@ -8,6 +8,7 @@
 use lilaccrank::peers::Peers;
 use lilaccrank::request_key::Ranking;
 use lilaccrank::rollout::message::{Directives, Report, Reports};
+use lilaccrank_http::runtime;
 
 use super::{apply, judge};
 use crate::daemon::Daemon;
@@ -41,7 +42,7 @@
         let interval = report_interval(&daemon);
         if reported_at.is_none_or(|at| at.elapsed() >= interval) {
             reported_at = Some(Instant::now());
-            monoio::spawn(report(Rc::clone(&daemon), interval));
+            runtime::spawn(report(Rc::clone(&daemon), interval));
         }
         let next = monoio::time::sleep(REVIEW_INTERVAL);
         let urgent = rollouts.wake.changed();
--- a/crates/lilaccrankd/src/rollouts/orders.rs
+++ b/crates/lilaccrankd/src/rollouts/orders.rs
@@ -11,6 +11,7 @@
 use lilaccrank::rollout::order::{Order, OrderId, Orders};
 use lilaccrank::rollout::participant::Participant;
 use lilaccrank::store_revision::StoreRevision;
+use lilaccrank_http::runtime;
 use serde::{Deserialize, Serialize};
 
 use super::{Rollouts, apply};
@@ -66,7 +67,7 @@
     let is_first = before == StoreRevision::default();
     if !is_first && before.era < known.orders.revision.era {
         rollouts.restored_at.set(Some(Instant::now()));
-        monoio::spawn(end_recovery(Rc::clone(daemon)));
+        runtime::spawn(end_recovery(Rc::clone(daemon)));
     }
     update_participants(daemon, &known);
     update_controllers(rollouts, &known.orders);
--- a/crates/lilaccrankd/src/rollouts/recorder.rs
+++ b/crates/lilaccrankd/src/rollouts/recorder.rs
@@ -8,6 +8,7 @@
 use lilaccrank::backoff::Backoff;
 use lilaccrank::rollout::order::{OrderId, State};
 use lilaccrank::store::Result;
+use lilaccrank_http::runtime;
 
 use crate::daemon::Daemon;
 
@@ -49,7 +50,7 @@
     }
     let mut recording = daemon.rollouts.recording.borrow_mut();
     if recording.insert((order.clone(), state)) {
-        monoio::spawn(write(Rc::clone(daemon), order, state));
+        runtime::spawn(write(Rc::clone(daemon), order, state));
     }
 }
 
--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -107,28 +107,28 @@
         Rc::clone(&traffic),
         ports,
     )?);
-    monoio::spawn(gossip.run());
-    monoio::spawn(configuration::run(Rc::clone(&daemon)));
-    monoio::spawn(follow_members(Rc::clone(&daemon)));
-    monoio::spawn(expire(Rc::clone(&daemon)));
+    runtime::spawn(gossip.run());
+    runtime::spawn(configuration::run(Rc::clone(&daemon)));
+    runtime::spawn(follow_members(Rc::clone(&daemon)));
+    runtime::spawn(expire(Rc::clone(&daemon)));
     if daemon.cfg.request_keys {
         start_key_owner(&daemon);
     }
     let shared = Rc::clone(&daemon);
     let tally = traffic.peer_served.clone();
-    monoio::spawn(peer_server::serve(peer_listener, tally, move |req| {
+    runtime::spawn(peer_server::serve(peer_listener, tally, move |req| {
         answer_peer(Rc::clone(&shared), req)
     }));
     let admin_closing = ShutdownHandle::default();
     let (shared, admin_signals) = (Rc::clone(&daemon), signals.clone());
-    monoio::spawn(server::serve(
+    runtime::spawn(server::serve(
         admin_listener,
         admin_closing.clone(),
         move |req, client| admin::handle(Rc::clone(&shared), admin_signals.clone(), req, client),
     ));
     if let Some(listener) = readiness_listener {
         let shared = Rc::clone(&daemon);
-        monoio::spawn(server::serve(
+        runtime::spawn(server::serve(
             listener,
             ShutdownHandle::default(),
             move |_, _| future::ready(admin::readiness(&shared)),
@@ -137,7 +137,7 @@
     let closing = ShutdownHandle::default();
     let shared = Rc::clone(&daemon);
     let limits = daemon.head_limits.clone();
-    monoio::spawn(server::serve_with_limits(
+    runtime::spawn(server::serve_with_limits(
         caller_listener,
         closing.clone(),
         limits,
@@ -146,17 +146,17 @@
     if let Some(listener) = relay_listener {
         let daemon = Rc::clone(&daemon);
         let handler = move |req, client| path_relay::handle(Rc::clone(&daemon), req, client);
-        monoio::spawn(server::serve(listener, ShutdownHandle::default(), handler));
+        runtime::spawn(server::serve(listener, ShutdownHandle::default(), handler));
     }
-    monoio::spawn(paths::run(Rc::clone(&daemon)));
-    monoio::spawn(freshness::run(Rc::clone(&daemon)));
-    monoio::spawn(load_exchange::run(Rc::clone(&daemon), load_socket));
-    monoio::spawn(pools::slot_leases::run(Rc::clone(&daemon)));
-    monoio::spawn(quarantine_record::run(Rc::clone(&daemon)));
-    monoio::spawn(stored_origins::run(Rc::clone(&daemon)));
-    monoio::spawn(version_record::run(Rc::clone(&daemon)));
-    monoio::spawn(rollouts::run(Rc::clone(&daemon)));
-    monoio::spawn(reload::run(Rc::clone(&daemon), signals.clone()));
+    runtime::spawn(paths::run(Rc::clone(&daemon)));
+    runtime::spawn(freshness::run(Rc::clone(&daemon)));
+    runtime::spawn(load_exchange::run(Rc::clone(&daemon), load_socket));
+    runtime::spawn(pools::slot_leases::run(Rc::clone(&daemon)));
+    runtime::spawn(quarantine_record::run(Rc::clone(&daemon)));
+    runtime::spawn(stored_origins::run(Rc::clone(&daemon)));
+    runtime::spawn(version_record::run(Rc::clone(&daemon)));
+    runtime::spawn(rollouts::run(Rc::clone(&daemon)));
+    runtime::spawn(reload::run(Rc::clone(&daemon), signals.clone()));
     log::info!(
         data_centre = daemon.cfg.data_centre,
         incarnation = incarnation,
@@ -170,9 +170,9 @@
 
 fn start_key_owner(daemon: &Rc<Daemon>) {
     let key_owner = daemon.key_owner.clone();
-    monoio::spawn(async move { key_owner.run(KEY_OWNER_TICK).await });
+    runtime::spawn(async move { key_owner.run(KEY_OWNER_TICK).await });
     let claims = daemon.claims.clone();
-    monoio::spawn(async move { claims.sweep_every(EXPIRE_EVERY).await });
+    runtime::spawn(async move { claims.sweep_every(EXPIRE_EVERY).await });
 }
 
 /// Updates pools, retry budgets and orders on each membership change.
--- a/crates/lilaccrankd/src/targets/engine_run.rs
+++ b/crates/lilaccrankd/src/targets/engine_run.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use lilaccrank::error_kind::{ErrorKind, Executed};
+use lilaccrank_http::runtime;
 
 use crate::callers::answer_builder::{AnswerBuilder, EngineEvent};
 use crate::callers::caller_request::AnswerFormat;
@@ -136,13 +137,13 @@
         if let Some(engine) = self.engine.take() {
             // The observer holds the slot, which must not be granted before the engine has freed it.
             let observer = Rc::clone(&self.observer);
-            monoio::spawn(async move { cancel(engine, &*observer).await });
+            runtime::spawn(async move { cancel(engine, &*observer).await });
         }
     }
 }
 
 async fn cancel(engine: EngineStream, observer: &impl Observer) {
-    let cancelling = monoio::spawn(engine.cancel());
+    let cancelling = runtime::spawn(engine.cancel());
     let cancelled = monoio::time::timeout(CANCEL_TIMEOUT, cancelling).await;
     pass_on(cancelled.unwrap_or_default(), observer);
 }
--- a/crates/lilaccrankd/src/targets/freshness.rs
+++ b/crates/lilaccrankd/src/targets/freshness.rs
@@ -11,6 +11,7 @@
 use event_listener::{Event, EventListener};
 use lilaccrank::clock::{self, BootTime, Clock};
 use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::runtime::usage;
 
 use crate::daemon::Daemon;
 
@@ -101,8 +102,17 @@
     pub fn observe(&self, now: BootTime) {
         let since = self.observed_at.replace(Some(now));
         let gap = since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
+        let period = usage::take_period();
         if gap > LOGGED_GAP {
-            log::warn!(for_ms = gap.as_millis() as u64; "tasks of this process did not run");
+            log::warn!(
+                busiest_ms = period.busiest.time.as_millis() as u64,
+                busiest_task = period.busiest.task,
+                for_ms = gap.as_millis() as u64,
+                longest_poll_ms = period.longest_poll.time.as_millis() as u64,
+                longest_poll_task = period.longest_poll.task,
+                polls = period.polls;
+                "a timer of this process was late"
+            );
         }
         let held_up = clock::held_up(gap);
         for wait in [&self.due_at, &self.needed_at] {
--- a/crates/lilaccrankd/src/targets/lapsed.rs
+++ b/crates/lilaccrankd/src/targets/lapsed.rs
@@ -15,6 +15,7 @@
 use lilaccrank::ids::{PoolId, TargetId};
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::runtime;
 use lilaccrank_http::timeout;
 
 use crate::configuration::feed;
@@ -155,7 +156,7 @@
         return;
     }
     lapsed.verifying.set(true);
-    monoio::spawn(run(Rc::clone(daemon)));
+    runtime::spawn(run(Rc::clone(daemon)));
 }
 
 async fn run(daemon: Rc<Daemon>) {
--- a/crates/lilaccrankd/src/targets/live_list.rs
+++ b/crates/lilaccrankd/src/targets/live_list.rs
@@ -21,6 +21,7 @@
 use lilaccrank::stream_origins::RecordedOrigin;
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::runtime;
 use serde::{Deserialize, Serialize};
 
 use crate::daemon::Daemon;
@@ -337,7 +338,7 @@
     log::warn!(era = daemon.live_list.listing().revision.era; "the store has come back from an older copy");
     daemon.advisories.crashes().notify();
     let daemon = Rc::clone(daemon);
-    monoio::spawn(async move {
+    runtime::spawn(async move {
         monoio::time::sleep(departed::RECOVERY_TIME).await;
         changed(&daemon);
     });
--- a/crates/lilaccrankd/src/targets/paths/probes.rs
+++ b/crates/lilaccrankd/src/targets/paths/probes.rs
@@ -6,6 +6,7 @@
 use lilaccrank::document::Target;
 use lilaccrank::ids::PoolId;
 use lilaccrank::target_instance::TargetInstance;
+use lilaccrank_http::runtime;
 
 use crate::daemon::Daemon;
 use crate::pools::server;
@@ -63,7 +64,7 @@
         return;
     }
     let daemon = Rc::clone(daemon);
-    monoio::spawn(async move {
+    runtime::spawn(async move {
         probe(&daemon, &pool, &target).await;
         daemon.paths.probing.borrow_mut().swap_remove(&instance);
     });
--- a/crates/lilaccrankd/src/targets/paths/search.rs
+++ b/crates/lilaccrankd/src/targets/paths/search.rs
@@ -10,6 +10,7 @@
 use lilaccrank::ids::{PoolId, VmId};
 use lilaccrank::peers::Peers;
 use lilaccrank::target_instance::TargetInstance;
+use lilaccrank_http::runtime;
 use lilaccrank_http::timeout;
 use rand::seq::IteratorRandom;
 
@@ -98,7 +99,7 @@
         return;
     };
     let (daemon, target) = (Rc::clone(daemon), target.clone());
-    monoio::spawn(async move {
+    runtime::spawn(async move {
         ask(&daemon, &peer, &pool, &target, super::RECENT).await;
         daemon.paths.apply(&daemon);
     });
@@ -109,7 +110,7 @@
         return;
     }
     let (daemon, pool, target) = (Rc::clone(daemon), pool.clone(), target.clone());
-    monoio::spawn(async move {
+    runtime::spawn(async move {
         search(&daemon, &pool, &target).await;
         let paths = &daemon.paths;
         paths.searching.borrow_mut().swap_remove(&target);
