--- a/crates/lilaccrank-http/tests/suite.rs
+++ b/crates/lilaccrank-http/tests/suite.rs
@@ -1,5 +1,7 @@
 //! Tests of the HTTP adapters, in one module per subject.
 
+#[path = "suite/busy_tasks.rs"]
+mod busy_tasks;
 #[path = "suite/client.rs"]
 mod client;
 #[path = "suite/client_connection.rs"]
--- /dev/null
+++ b/crates/lilaccrank-http/tests/suite/busy_tasks.rs
@@ -0,0 +1,151 @@
+//! Timers on a thread that always has a ready task.
+
+use std::future::{self, Future};
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::task::Poll;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use futures::StreamExt;
+use futures::channel::{mpsc, oneshot};
+use hyper::{Request, Response};
+use lilaccrank_http::body;
+use lilaccrank_http::client::{Client, Limits};
+use lilaccrank_http::head_limits::{HeadLimits, LiveLimits};
+use lilaccrank_http::runtime;
+use lilaccrank_http::server::{self, ShutdownHandle};
+use lilaccrank_http::timeout;
+
+/// Maximum lateness of a timer.
+const LATE: Duration = Duration::from_millis(100);
+/// How long a thread is kept busy.
+const BUSY: Duration = Duration::from_secs(5);
+/// Time of the timers.
+const WAIT: Duration = Duration::from_millis(300);
+/// Time that the server adds to an idle time.
+const TRANSIT: Duration = Duration::from_secs(1);
+/// Work of one task that is always ready.
+const WORK: Duration = Duration::from_micros(200);
+/// Number of tasks that wake each other.
+const RING: usize = 50;
+
+fn work() {
+    let began = Instant::now();
+    while began.elapsed() < WORK {
+        std::hint::spin_loop();
+    }
+}
+
+/// Keeps the thread busy with a task that wakes itself.
+fn a_task_that_wakes_itself() {
+    let began = Instant::now();
+    runtime::spawn(future::poll_fn(move |cx| {
+        if began.elapsed() > BUSY {
+            return Poll::Ready(());
+        }
+        work();
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }));
+}
+
+/// Keeps the thread busy with tasks that wake each other.
+fn tasks_that_wake_each_other() {
+    let began = Instant::now();
+    let (senders, receivers): (Vec<_>, Vec<_>) = (0..RING).map(|_| mpsc::unbounded()).unzip();
+    for (i, mut rx) in receivers.into_iter().enumerate() {
+        let tx: mpsc::UnboundedSender<()> = senders[(i + 1) % RING].clone();
+        runtime::spawn(async move {
+            while rx.next().await.is_some() && began.elapsed() < BUSY {
+                work();
+                // The next task may have ended.
+                let _ = tx.unbounded_send(());
+            }
+        });
+    }
+    for tx in senders {
+        tx.unbounded_send(()).unwrap();
+    }
+}
+
+/// Runs `timer` while the thread is kept busy, and returns for how long it ran.
+fn run_busy<F: Future>(busy: fn(), timer: fn() -> F) -> Duration {
+    let time = runtime::block_on(async {
+        busy();
+        let began = Instant::now();
+        timer().await;
+        began.elapsed()
+    });
+    time.unwrap()
+}
+
+async fn sleep() {
+    monoio::time::sleep(WAIT).await;
+}
+
+/// Waits for an answer that does not come.
+async fn silent_send() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let limits = Limits {
+        connect: BUSY,
+        max_idle: Duration::ZERO,
+        head: WAIT,
+    };
+    let client = Client::default();
+    let sent = client.send(&address, Request::new(body::empty()), limits);
+    assert!(sent.await.is_err());
+    drop(listener);
+}
+
+/// Waits for something that does not come.
+async fn time_limit() {
+    let waited = timeout::timeout(WAIT, future::pending::<()>()).await;
+    assert!(waited.is_err());
+}
+
+/// Waits until the server has closed an idle connection.
+async fn idle_connection() {
+    let listener = server::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address: SocketAddr = listener.local_addr().unwrap();
+    let limits = LiveLimits::from(HeadLimits {
+        idle_timeout: WAIT,
+        ..HeadLimits::default()
+    });
+    runtime::spawn(server::serve_with_limits(
+        listener,
+        ShutdownHandle::default(),
+        limits,
+        |_, _| async { Response::new(body::empty()) },
+    ));
+    let (closed_tx, closed) = oneshot::channel();
+    thread::spawn(move || {
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(2 * BUSY)).unwrap();
+        let _ = closed_tx.send(stream.read(&mut [0]).is_ok_and(|read| read == 0));
+    });
+    assert!(closed.await.unwrap());
+}
+
+macro_rules! timers {
+    ($($name:ident: $busy:ident, $timer:ident, $wait:expr;)*) => {$(
+        /// Guards against a timer that starves while tasks are ready.
+        #[test]
+        fn $name() {
+            let time = run_busy($busy, $timer);
+            assert!(time >= $wait && time < $wait + LATE, "{time:?}");
+        }
+    )*};
+}
+
+timers! {
+    sleep_beside_one_task: a_task_that_wakes_itself, sleep, WAIT;
+    sleep_beside_many_tasks: tasks_that_wake_each_other, sleep, WAIT;
+    limit_beside_one_task: a_task_that_wakes_itself, time_limit, WAIT;
+    limit_beside_many_tasks: tasks_that_wake_each_other, time_limit, WAIT;
+    silent_send_beside_one_task: a_task_that_wakes_itself, silent_send, WAIT;
+    silent_send_beside_many_tasks: tasks_that_wake_each_other, silent_send, WAIT;
+    idle_connection_beside_one_task: a_task_that_wakes_itself, idle_connection, WAIT + TRANSIT;
+    idle_connection_beside_many_tasks: tasks_that_wake_each_other, idle_connection, WAIT + TRANSIT;
+}
