Runtime: timers fire while tasks are ready

Callers saw answers late by seconds, and connections and runs ended all at once, at daemons with more work than their processor share bears. Cause: monoio fires timers only once no task is ready, and polls a task that has woken itself before all others. A thread that always has a ready task has no clock: deadlines, time limits, idle times, leases, gossip and readiness stop together.

Each task passes a gate now. When timers have not been looked at for 5 ms (a new timer that is due by then would have fired at once), tasks that become ready are held back, the queue runs empty, timers fire, and each task held back goes on with one poll, in order. The task that had the thread to itself goes last. The metric lilaccrank_timers_overdue_total counts how often tasks were held back.

--- a/crates/lilaccrank-http/src/runtime/usage.rs
+++ b/crates/lilaccrank-http/src/runtime/usage.rs
@@ -1,16 +1,20 @@
-//! Measures for how long tasks run, by the function that a task executes.
+//! Measures for how long tasks run, by the function that a task executes. Each poll passes the gate of
+//! the timers first.
 
 use std::any;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::pin::Pin;
+use std::ptr;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use pin_project_lite::pin_project;
 
+use super::timer_gate;
+
 /// Path of the function that a task executes, without its type parameters.
 pub type TaskName = &'static str;
 
@@ -84,7 +88,7 @@
 }
 
 pin_project! {
-    /// A task whose polls are measured.
+    /// A task whose polls pass the gate and are measured.
     pub(super) struct Metered<F> {
         #[pin]
         fut: F,
@@ -108,8 +112,10 @@
     type Output = F::Output;
 
     fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<F::Output> {
+        let id = ptr::from_ref(&*self).addr();
         let metered = self.project();
         let began = Instant::now();
+        ready!(timer_gate::poll_open(id, began, cx));
         let polled = metered.fut.poll(cx);
         let time = began.elapsed();
         let Times { total, in_period } = &**metered.times;
--- a/crates/lilaccrankd/src/admin/metrics.rs
+++ b/crates/lilaccrankd/src/admin/metrics.rs
@@ -5,6 +5,7 @@
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::ids::Tier;
 use lilaccrank::rollout::message::Stage;
+use lilaccrank_http::runtime;
 use lilaccrank_http::runtime::usage;
 use prometheus::{
     CounterVec, Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
@@ -58,6 +59,7 @@
     /// Retries that the retry budget denied.
     pub second_sends_denied: IntCounter,
     task_seconds: CounterVec,
+    timers_overdue: IntCounter,
     traffic: Rc<Traffic>,
     /// Targets that this daemon reaches neither directly nor through another daemon.
     pub unreachable_targets: IntGauge,
@@ -150,6 +152,10 @@
             ),
             &["task"],
         )?;
+        let timers_overdue = IntCounter::new(
+            "lilaccrank_timers_overdue_total",
+            "Times that tasks were held back until timers had fired",
+        )?;
         let registry = Registry::new();
         registry.register(Box::new(answered.clone()))?;
         registry.register(Box::new(control_bytes.clone()))?;
@@ -165,6 +171,7 @@
         registry.register(Box::new(rollout_stages.clone()))?;
         registry.register(Box::new(second_sends_denied.clone()))?;
         registry.register(Box::new(task_seconds.clone()))?;
+        registry.register(Box::new(timers_overdue.clone()))?;
         registry.register(Box::new(unusable_entries.clone()))?;
         Ok(Self {
             answered,
@@ -181,6 +188,7 @@
             rollout_stages,
             second_sends_denied,
             task_seconds,
+            timers_overdue,
             traffic,
             unreachable_targets,
             unusable_entries,
@@ -224,6 +232,9 @@
     pub fn text(&self) -> String {
         self.read_traffic();
         self.read_task_times();
+        let overdue = runtime::times_closed();
+        self.timers_overdue
+            .inc_by(overdue - self.timers_overdue.get());
         let mut buf = Vec::new();
         if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
             log::warn!("failed to encode the metrics: {e}");
