Peers: loops over datagrams and new connections let timers fire

By reading: a loop that always finds something to receive never returns to the runtime, so that the gate of its task is not passed again.

--- a/crates/lilaccrank-http/src/peer_server.rs
+++ b/crates/lilaccrank-http/src/peer_server.rs
@@ -31,6 +31,7 @@
     F: Future<Output = Rep> + 'static,
 {
     loop {
+        runtime::checkpoint().await;
         match listener.accept().await {
             Ok((stream, _)) => {
                 runtime::spawn(serve_connection(stream, tally.clone(), handler.clone()));
--- a/crates/lilaccrank-http/src/server.rs
+++ b/crates/lilaccrank-http/src/server.rs
@@ -109,6 +109,7 @@
     F: Future<Output = Response<Body>> + 'static,
 {
     loop {
+        runtime::checkpoint().await;
         let closed = shutdown.wait_for_close();
         pin_mut!(closed);
         let accept = listener.accept();
--- a/crates/lilaccrankd/src/peers/load_exchange.rs
+++ b/crates/lilaccrankd/src/peers/load_exchange.rs
@@ -281,6 +281,7 @@
 
 async fn receive(daemon: Rc<Daemon>, socket: Rc<UdpSocket>) {
     loop {
+        runtime::checkpoint().await;
         let (received, mut buf) = socket.recv_from(vec![0; MAX_DATAGRAM_BYTES]).await;
         let (len, from) = match received {
             Ok(received) => received,
--- a/crates/lilaccrankd/src/peers/udp_gossip.rs
+++ b/crates/lilaccrankd/src/peers/udp_gossip.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use lilaccrank::membership::datagrams::{self, Datagram, Datagrams};
+use lilaccrank_http::runtime;
 use lilaccrank_http::tally::Tally;
 use monoio::net::udp::UdpSocket;
 
@@ -30,6 +31,7 @@
 
 impl Datagrams for UdpGossip {
     async fn recv(&self) -> datagrams::Result<Datagram> {
+        runtime::checkpoint().await;
         let (received, mut bytes) = self.socket.recv_from(vec![0; BUFFER_BYTES]).await;
         let (len, from) = received?;
         bytes.truncate(len);
--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -12,6 +12,8 @@
 mod feed;
 #[path = "suite/fixtures.rs"]
 mod fixtures;
+#[path = "suite/floods.rs"]
+mod floods;
 #[path = "suite/following.rs"]
 mod following;
 #[path = "suite/freshness.rs"]
