Server: one line for a connection that ends within a request

A connection that ends after a whole head and before its answer is written to its end has one line now: ended_by (body, client, head_timeout, http, idle, shutdown, transport), how many requests it carried, the time since the head was whole, whether the answer had been handed to it and how many bytes of it were written. What is in progress is asked before the connection is dropped. A client that hung up before its answer began has the line at the level debug, since the request's own line says `cancelled`.

A client that ended its side behind an answer that was not flushed was logged as `ended within a request head`, since the end counts as the first byte of a head. A request in progress goes first now, and an error in closing a connection that is done is no end of a head. An idle connection that the client closes had no line before (endings::nothing_is_said_between_requests), so this is the only way to that line that was found.

Requests whose process exits before their connection ends leave no line.

--- a/crates/lilaccrank-http/src/head_timer.rs
+++ b/crates/lilaccrank-http/src/head_timer.rs
@@ -26,6 +26,10 @@
 /// Progress of the current request on a connection.
 struct State {
     started: Event,
+    /// Set once the answer to the last request has been handed to the connection.
+    answer_begun: Cell<bool>,
+    /// Set if the body of the last answer has failed.
+    body_failed: Cell<bool>,
     in_request: Cell<bool>,
     /// When the last byte came or went, outside of requests.
     active_at: Cell<Instant>,
@@ -38,6 +42,21 @@
     started_at: Cell<Option<Instant>>,
     /// Set while bytes that were written wait to be flushed.
     unflushed: Cell<bool>,
+    /// When the last head was whole.
+    whole_at: Cell<Option<Instant>>,
+    /// Bytes that the transport has taken since then.
+    written: Cell<u64>,
+}
+
+/// A request whose head is whole and whose answer is not written to its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct OpenRequest {
+    /// Whether the answer has been handed to the connection.
+    pub(crate) answer_begun: bool,
+    /// Time since its head was whole.
+    pub(crate) since_head: Duration,
+    /// Bytes of the answer that the transport has taken.
+    pub(crate) written: u64,
 }
 
 /// Measures the time between requests, and to receive each request head, on a connection; clones share the
@@ -63,7 +82,7 @@
 /// A response body that holds the guard of its request.
 pub(crate) struct GuardedBody<B> {
     body: B,
-    _guard: RequestGuard,
+    guard: RequestGuard,
 }
 
 impl HeadTimer {
@@ -71,6 +90,8 @@
     pub(crate) fn new() -> Self {
         let state = State {
             started: Event::new(),
+            answer_begun: Cell::default(),
+            body_failed: Cell::default(),
             in_request: Cell::default(),
             active_at: Cell::new(Instant::now()),
             idle_limit: Cell::default(),
@@ -78,6 +99,8 @@
             requests: Cell::default(),
             started_at: Cell::default(),
             unflushed: Cell::default(),
+            whole_at: Cell::default(),
+            written: Cell::default(),
         };
         Self {
             state: Rc::new(state),
@@ -86,12 +109,35 @@
 
     /// Stops the timer after a complete head and marks the request as in progress.
     pub(crate) fn begin_request(&self) -> RequestGuard {
-        self.state.in_request.set(true);
-        self.state.requests.set(self.state.requests.get() + 1);
-        self.state.started_at.set(None);
+        let state = &self.state;
+        state.answer_begun.set(false);
+        state.body_failed.set(false);
+        state.in_request.set(true);
+        state.requests.set(state.requests.get() + 1);
+        state.started_at.set(None);
+        state.whole_at.set(Some(Instant::now()));
+        state.written.set(0);
         RequestGuard(self.clone())
     }
 
+    /// Notes that the answer has been handed to the connection.
+    pub(crate) fn begin_answer(&self) {
+        self.state.answer_begun.set(true);
+    }
+
+    /// Returns the request in progress, between two polls of the connection that is served; `None` if there
+    /// is none.
+    pub(crate) fn open_request(&self) -> Option<OpenRequest> {
+        let state = &self.state;
+        let is_open = state.in_request.get() || state.unflushed.get() || state.body_failed.get();
+        let since_head = state.whole_at.get().filter(|_| is_open)?.elapsed();
+        Some(OpenRequest {
+            answer_begun: state.answer_begun.get(),
+            since_head,
+            written: state.written.get(),
+        })
+    }
+
     /// Returns `true` from the end of a head until its response has been taken for writing.
     pub(crate) fn is_in_request(&self) -> bool {
         self.state.in_request.get()
@@ -192,10 +238,7 @@
 
 impl<B> GuardedBody<B> {
     pub(crate) fn new(body: B, guard: RequestGuard) -> Self {
-        Self {
-            body,
-            _guard: guard,
-        }
+        Self { body, guard }
     }
 }
 
@@ -207,7 +250,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if matches!(polled, Poll::Ready(Some(Err(_)))) {
+            self.guard.0.state.body_failed.set(true);
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
@@ -246,6 +293,9 @@
         let state = Rc::clone(&self.head_timer.state);
         state.unflushed.set(true);
         let polled = Pin::new(&mut self.io).poll_write(cx, buf);
+        if let Poll::Ready(Ok(taken)) = polled {
+            state.written.set(state.written.get() + taken as u64);
+        }
         if polled.is_ready() && !state.in_request.get() {
             state.active_at.set(Instant::now());
         }
--- a/crates/lilaccrank-http/src/server.rs
+++ b/crates/lilaccrank-http/src/server.rs
@@ -21,6 +21,7 @@
 use crate::runtime;
 
 mod connection;
+mod ending;
 
 /// Result of binding a listener.
 pub type Result<T, E = io::Error> = std::result::Result<T, E>;
@@ -145,15 +146,9 @@
     count.set(count.get() + 1);
     let head_timer = HeadTimer::new();
     let ended = connection::run(stream, &shutdown, &limits, &head_timer, handler).await;
-    match (ended, head_timer.head_time()) {
-        (Ok(()), _) => {}
-        (Err(e), Some(head_time)) => log::info!(
-            head_ms = head_time.as_millis() as u64,
-            requests = head_timer.requests();
-            "a connection ended within a request head: {e}"
-        ),
-        // Requests have lines of their own.
-        (Err(e), None) => log::debug!("connection ended: {e}"),
+    match ended {
+        Ok(ending) => ending.log(&head_timer),
+        Err(e) => log::debug!("connection ended: {e}"),
     }
     count.set(count.get() - 1);
 }
--- a/crates/lilaccrank-http/src/server/connection.rs
+++ b/crates/lilaccrank-http/src/server/connection.rs
@@ -6,6 +6,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -20,45 +21,30 @@
 use monoio_compat::hyper::MonoioIo;
 
 use super::ShutdownHandle;
-use crate::body::{Body, BoxError};
+use super::ending::{Ending, Step};
+use crate::body::Body;
 use crate::client_connection::{ClientConnection, Watch, WatchedIo};
 use crate::head_limits::{HeadLimits, LiveLimits, MAX_HEADER_LINES};
 use crate::head_timer::{GuardedBody, HeadTimer, TimedIo};
 
 /// Result of serving a connection.
-pub(super) type Result<T, E = BoxError> = std::result::Result<T, E>;
+pub(super) type Result<T, E = io::Error> = std::result::Result<T, E>;
 
 /// Minimum read buffer that hyper accepts, in bytes.
 const MIN_HEAD_BUFFER: usize = 8 * 1024;
 
-/// What ends the serving of a connection under the same limits.
-enum Step {
-    /// The connection has ended.
-    Ended(hyper::Result<()>),
-    /// A request head did not come in time.
-    HeadTimedOut,
-    /// The client has hung up during a request.
-    HungUp,
-    /// The connection was idle for too long.
-    Idle,
-    /// No request is in progress, and other limits are in force.
-    LimitsChanged,
-    /// The server shuts down.
-    ShutDown,
-}
-
-/// Serves a connection until it ends.
+/// Serves a connection until it ends; returns how it did.
 ///
 /// # Errors
 ///
-/// If it ends otherwise than by its client between two requests.
+/// If it can't be served at all.
 pub(super) async fn run<H, F>(
     stream: TcpStream,
     shutdown: &ShutdownHandle,
     live: &LiveLimits,
     head_timer: &HeadTimer,
     handler: H,
-) -> Result<()>
+) -> Result<Ending>
 where
     H: Fn(Request<Incoming>, ClientConnection) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
@@ -73,6 +59,7 @@
         let answer = handler(req, client.clone());
         async move {
             let mut res = answer.await;
+            head_timer.begin_answer();
             if shutdown.inner.draining.get() {
                 let close = HeaderValue::from_static("close");
                 res.headers_mut().insert(CONNECTION, close);
@@ -98,10 +85,6 @@
             watch: &watch,
         };
         match served.next_step(&mut connection).await {
-            Step::Ended(result) => return result.map_err(Into::into),
-            Step::HeadTimedOut => return Err(head_timed_out()),
-            Step::HungUp => return Err(hung_up()),
-            Step::Idle => return Ok(()),
             Step::LimitsChanged => {
                 let parts = connection.into_parts();
                 watch.unread(&parts.read_buf);
@@ -109,13 +92,10 @@
             }
             Step::ShutDown => {
                 Pin::new(&mut connection).graceful_shutdown();
-                return match served.until_gone(connection).await {
-                    Step::Ended(result) => result.map_err(Into::into),
-                    Step::HeadTimedOut => Err(head_timed_out()),
-                    Step::Idle => Ok(()),
-                    _ => Err(hung_up()),
-                };
+                let step = served.until_gone(&mut connection).await;
+                return Ok(Ending::of_shutdown(step, head_timer));
             }
+            step => return Ok(Ending::new(step, head_timer)),
         }
     }
 }
@@ -152,7 +132,7 @@
     }
 
     /// Serves what is in progress as the server shuts down.
-    async fn until_gone<C>(&self, connection: C) -> Step
+    async fn until_gone<C>(&self, connection: &mut C) -> Step
     where
         C: Future<Output = hyper::Result<()>> + Unpin,
     {
@@ -213,11 +193,3 @@
         )
     }
 }
-
-fn head_timed_out() -> BoxError {
-    "the request head took too long".into()
-}
-
-fn hung_up() -> BoxError {
-    "the client hung up during a request".into()
-}
