--- a/crates/lilaccrank-lab/src/engine.rs
+++ b/crates/lilaccrank-lab/src/engine.rs
@@ -94,7 +94,7 @@
     let listen = args.listen.clone();
     let engine = Rc::new(Engine::new(args));
     runtime::block_on(async move {
-        monoio::spawn(batch::run(Rc::clone(&engine)));
+        runtime::spawn(batch::run(Rc::clone(&engine)));
         let handler = move |req| handle(Rc::clone(&engine), req);
         listen.serve(handler).await
     })?
--- a/crates/lilaccrank-lab/src/engine/serving.rs
+++ b/crates/lilaccrank-lab/src/engine/serving.rs
@@ -15,6 +15,7 @@
 use lilaccrank::ids::RequestId;
 use lilaccrank::prompt;
 use lilaccrank_http::body::{self, Body, BoxError};
+use lilaccrank_http::runtime;
 
 use crate::answer_text;
 use crate::reply::{self, Result};
@@ -67,7 +68,7 @@
         }
         let (engine, stream) = (Rc::clone(&self.engine), Rc::clone(&self.stream));
         let id = std::mem::take(&mut self.id);
-        monoio::spawn(async move {
+        runtime::spawn(async move {
             monoio::time::sleep(RESUMABLE_FOR).await;
             if stream.readers.get() == readers {
                 engine.cancel(&id);
@@ -191,7 +192,7 @@
         let _alive: &oneshot::Sender<()> = &alive;
         frame
     });
-    monoio::spawn(async move {
+    runtime::spawn(async move {
         let pump = pin!(pump(&reader, from, tx));
         if let Either::Right(_) = future::select(pump, gone).await {
             ::log::debug!("the reader of {} left", reader.id);
--- a/crates/lilaccrank-lab/src/overhead/memory.rs
+++ b/crates/lilaccrank-lab/src/overhead/memory.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use lilaccrank_http::runtime;
 use serde::Serialize;
 
 use crate::caller::{self, Call};
@@ -57,7 +58,7 @@
     let id = cluster.daemons[0].process.id();
     let before = usage::resident_kb(id)?;
     let calls: Vec<_> = (0..requests)
-        .map(|i| monoio::spawn(send(Rc::clone(&cluster), i)))
+        .map(|i| runtime::spawn(send(Rc::clone(&cluster), i)))
         .collect();
     monoio::time::sleep(SETTLE).await;
     let after = usage::resident_kb(id)?;
--- a/crates/lilaccrank-lab/src/soak.rs
+++ b/crates/lilaccrank-lab/src/soak.rs
@@ -22,6 +22,7 @@
 
 use checks::{Broken, Findings};
 use leavers::Leavers;
+use lilaccrank_http::runtime;
 use load::Load;
 use plan::Planned;
 use world::{DAEMONS, ENGINES, World};
@@ -134,7 +135,7 @@
     let begun = Instant::now();
     let playing = plan.into_iter().map(|planned| {
         let world = Rc::clone(world);
-        monoio::spawn(async move {
+        runtime::spawn(async move {
             let at = begun + planned.at;
             monoio::time::sleep(at.saturating_duration_since(Instant::now())).await;
             world.bring_about(planned).await
--- a/crates/lilaccrank-lab/src/soak/load.rs
+++ b/crates/lilaccrank-lab/src/soak/load.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use lilaccrank_http::runtime;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -57,7 +58,7 @@
         let callers = (0..CALLERS).map(|number| {
             let seed = seed.wrapping_mul(1_000).wrapping_add(number);
             let (load, world) = (Rc::clone(self), Rc::clone(world));
-            monoio::spawn(async move { load.caller(&world, number, seed).await })
+            runtime::spawn(async move { load.caller(&world, number, seed).await })
         });
         futures::future::join_all(callers).await;
     }
--- a/crates/lilaccrank-lab/src/wire.rs
+++ b/crates/lilaccrank-lab/src/wire.rs
@@ -107,12 +107,12 @@
             let relay = udp::Relay::bind(args.listen.listen, Rc::clone(&wire), args.seed)?;
             let listening = relay.local_addr()?;
             args.listen.announce(listening, Some(control_address))?;
-            monoio::spawn(relay.run());
+            runtime::spawn(relay.run());
         } else {
             let entry = tcp::Entry::bind(args.listen.listen, Rc::clone(&wire))?;
             args.listen
                 .announce(entry.address(), Some(control_address))?;
-            monoio::spawn(entry.run());
+            runtime::spawn(entry.run());
         }
         let handler = move |req, _| handle(Rc::clone(&wire), req);
         server::serve(control, ShutdownHandle::default(), handler).await;
--- a/crates/lilaccrank-lab/src/wire/tcp.rs
+++ b/crates/lilaccrank-lab/src/wire/tcp.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use futures::future::{self, Either};
+use lilaccrank_http::runtime;
 use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, Splitable};
 use monoio::net::{TcpListener, TcpStream};
 use rustix::fd::OwnedFd;
@@ -67,7 +68,7 @@
             }
             match self.listener.accept() {
                 Ok((stream, _)) => {
-                    monoio::spawn(forward(Rc::clone(&self.wire), stream));
+                    runtime::spawn(forward(Rc::clone(&self.wire), stream));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) => return Err(e),
--- a/crates/lilaccrank-lab/src/wire/udp.rs
+++ b/crates/lilaccrank-lab/src/wire/udp.rs
@@ -9,6 +9,7 @@
 use futures::channel::oneshot;
 use futures::future;
 use indexmap::IndexMap;
+use lilaccrank_http::runtime;
 use monoio::net::udp::UdpSocket;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -95,7 +96,7 @@
             sender,
             self.passage.clone(),
         );
-        monoio::spawn(async move {
+        runtime::spawn(async move {
             future::select(pin!(answers), forgotten).await;
         });
         let far = Far {
@@ -133,7 +134,7 @@
         }
         let (datagram, socket) = (datagram.to_vec(), Rc::clone(socket));
         let (to, delay) = (to.unwrap_or(self.wire.to), self.wire.delay.get());
-        monoio::spawn(async move {
+        runtime::spawn(async move {
             if !delay.is_zero() {
                 monoio::time::sleep(delay).await;
             }
