Tests: kept connections on which much happens at once

What is asked: no request that the handler began is left without its answer, and no connection ends on the client.

--- a/crates/lilaccrank-http/tests/suite.rs
+++ b/crates/lilaccrank-http/tests/suite.rs
@@ -14,6 +14,8 @@
 mod events;
 #[path = "suite/idle_times.rs"]
 mod idle_times;
+#[path = "suite/kept.rs"]
+mod kept;
 #[path = "suite/live_limits.rs"]
 mod live_limits;
 #[path = "suite/peer_link.rs"]
