--- a/crates/lilaccrank-http/tests/suite.rs
+++ b/crates/lilaccrank-http/tests/suite.rs
@@ -8,6 +8,8 @@
 mod client_connection;
 #[path = "suite/compression.rs"]
 mod compression;
+#[path = "suite/early_answers.rs"]
+mod early_answers;
 #[path = "suite/endings.rs"]
 mod endings;
 #[path = "suite/events.rs"]
