Server: an answer that comes before the body of its request says whether the connection goes on

Callers that send heads and bodies in two pieces had the next request on a kept connection cut without an answer, if the one before was answered before its body was read, such as a refusal for a key or for memory.

hyper learns only in the turn after the handler's end that nobody reads the rest of the body. It then reads the rest, if it lies there, or gives the connection up. By then the head of the answer was written without `Connection: close`. Where the rest lay there, its bytes were read after the request had ended and counted as the first of a next head, so that the connection was closed by the time for a head instead of the idle time.

The answer to a request with a body is now handed over one turn later: hyper names the closing itself, and the rest is read while the request is in progress. Requests without a body go as before.

--- a/crates/lilaccrank-http/src/server/connection.rs
+++ b/crates/lilaccrank-http/src/server/connection.rs
@@ -7,12 +7,13 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
+use std::mem;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
 use futures::future::{self, Either};
 use futures::pin_mut;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::rt::Read;
 use hyper::server::conn::http1;
@@ -54,11 +55,17 @@
     let io = WatchedIo::new(io);
     let (client, watch) = (io.client(), io.watch());
     let mut io = TimedIo::new(io, head_timer.clone(), live.clone());
-    let mut service = service::service_fn(|req| {
+    let mut service = service::service_fn(|req: Request<Incoming>| {
         let guard = head_timer.begin_request();
+        let has_body = !req.body().is_end_stream();
         let answer = handler(req, client.clone());
         async move {
             let mut res = answer.await;
+            if has_body {
+                // hyper learns in a turn of its own that nobody reads the rest of the body. Only then does
+                // it know whether the connection goes on, which the head of the answer has to tell.
+                next_turn().await;
+            }
             head_timer.begin_answer();
             if shutdown.inner.draining.get() {
                 let close = HeaderValue::from_static("close");
@@ -100,6 +107,19 @@
     }
 }
 
+/// Completes in the next turn of the task.
+async fn next_turn() {
+    let mut is_next = false;
+    future::poll_fn(|cx| match mem::replace(&mut is_next, true) {
+        true => Poll::Ready(()),
+        false => {
+            cx.waker().wake_by_ref();
+            Poll::Pending
+        }
+    })
+    .await;
+}
+
 /// A connection that is served under one set of limits.
 struct Served<'a, T> {
     head_timer: &'a HeadTimer,
