--- a/crates/lilaccrank-http/tests/suite.rs
+++ b/crates/lilaccrank-http/tests/suite.rs
@@ -8,12 +8,16 @@
 mod client_connection;
 #[path = "suite/compression.rs"]
 mod compression;
+#[path = "suite/early_answers.rs"]
+mod early_answers;
 #[path = "suite/endings.rs"]
 mod endings;
 #[path = "suite/events.rs"]
 mod events;
 #[path = "suite/idle_times.rs"]
 mod idle_times;
+#[path = "suite/kept.rs"]
+mod kept;
 #[path = "suite/live_limits.rs"]
 mod live_limits;
 #[path = "suite/peer_link.rs"]
