--- a/crates/lilaccrank-http/src/runtime.rs
+++ b/crates/lilaccrank-http/src/runtime.rs
@@ -1,7 +1,9 @@
 //! Builds the monoio runtime, always on epoll and never on io_uring, and spawns its tasks.
 
-use std::future::Future;
+use std::future::{self, Future};
 use std::io;
+use std::mem;
+use std::task::Poll;
 
 use monoio::task::JoinHandle;
 
@@ -35,3 +37,16 @@
 {
     monoio::spawn(Metered::new(fut))
 }
+
+/// Completes in the next poll of the task, which the runtime may make before those of other tasks.
+pub(crate) async fn yield_now() {
+    let mut has_yielded = false;
+    future::poll_fn(|cx| {
+        if mem::replace(&mut has_yielded, true) {
+            return Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
--- a/crates/lilaccrank-http/src/runtime/timer_gate.rs
+++ b/crates/lilaccrank-http/src/runtime/timer_gate.rs
@@ -157,19 +157,7 @@
         let due = Instant::now().checked_sub(CHECK_INTERVAL);
         monoio::time::sleep_until(due.unwrap_or_else(Instant::now).into()).await;
         // Tasks whose timers fired with this one are behind it in the queue, and are held back as well.
-        yield_now().await;
+        super::yield_now().await;
         GATE.with(Gate::open);
     }
 }
-
-async fn yield_now() {
-    let mut has_yielded = false;
-    future::poll_fn(|cx| {
-        if mem::replace(&mut has_yielded, true) {
-            return Poll::Ready(());
-        }
-        cx.waker().wake_by_ref();
-        Poll::Pending
-    })
-    .await;
-}
--- a/crates/lilaccrank-http/src/server/connection.rs
+++ b/crates/lilaccrank-http/src/server/connection.rs
@@ -7,7 +7,6 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
-use std::mem;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -27,6 +26,7 @@
 use crate::client_connection::{ClientConnection, Watch, WatchedIo};
 use crate::head_limits::{HeadLimits, LiveLimits, MAX_HEADER_LINES};
 use crate::head_timer::{GuardedBody, HeadTimer, TimedIo};
+use crate::runtime;
 
 /// Result of serving a connection.
 pub(super) type Result<T, E = io::Error> = std::result::Result<T, E>;
@@ -64,7 +64,7 @@
             if has_body {
                 // hyper learns in a turn of its own that nobody reads the rest of the body. Only then does
                 // it know whether the connection goes on, which the head of the answer has to tell.
-                next_turn().await;
+                runtime::yield_now().await;
             }
             head_timer.begin_answer();
             if shutdown.inner.draining.get() {
@@ -107,19 +107,6 @@
     }
 }
 
-/// Completes in the next turn of the task.
-async fn next_turn() {
-    let mut is_next = false;
-    future::poll_fn(|cx| match mem::replace(&mut is_next, true) {
-        true => Poll::Ready(()),
-        false => {
-            cx.waker().wake_by_ref();
-            Poll::Pending
-        }
-    })
-    .await;
-}
-
 /// A connection that is served under one set of limits.
 struct Served<'a, T> {
     head_timer: &'a HeadTimer,
