Runtime: tasks that were ready go before the timers that fired behind them

Cause: the task that opens the gate yielded by waking itself, and the runtime polls such a task before all others. So it opened the gate before the tasks of timers that had fired with its own were held back, and these went before tasks that had been ready for longer: a time limit could be judged before what had arrived in time was read.

--- a/crates/lilaccrank-http/src/runtime/timer_gate.rs
+++ b/crates/lilaccrank-http/src/runtime/timer_gate.rs
@@ -156,8 +156,9 @@
         }
         let due = Instant::now().checked_sub(CHECK_INTERVAL);
         monoio::time::sleep_until(due.unwrap_or_else(Instant::now).into()).await;
-        // Tasks whose timers fired with this one are behind it in the queue, and are held back as well.
-        super::yield_now().await;
+        // Tasks whose timers fired with this one may be behind it in the queue. They are held back as well,
+        // before a new task is polled.
+        monoio::spawn(future::ready(())).await;
         GATE.with(Gate::open);
     }
 }
--- a/crates/lilaccrank-http/tests/suite/busy_tasks.rs
+++ b/crates/lilaccrank-http/tests/suite/busy_tasks.rs
@@ -1,8 +1,10 @@
 //! Timers on a thread that always has a ready task.
 
+use std::cell::RefCell;
 use std::future::{self, Future};
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::task::Poll;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -29,6 +31,10 @@
 const TRANSIT: Duration = Duration::from_secs(1);
 /// Work of one task that is always ready.
 const WORK: Duration = Duration::from_micros(200);
+/// Time for which one poll holds the thread up.
+const HOLD_UP: Duration = Duration::from_millis(40);
+/// Time from a timer to the end of that poll.
+const JUST_BEFORE: Duration = Duration::from_millis(2);
 /// Number of pairs of tasks that wake each other.
 const PAIRS: usize = 20;
 
@@ -160,3 +166,31 @@
     idle_connection_beside_one_task: a_task_that_wakes_itself, idle_connection, WAIT + TRANSIT;
     idle_connection_beside_many_tasks: tasks_that_wake_each_other, idle_connection, WAIT + TRANSIT;
 }
+
+/// Guards against a timer that goes before a task that was ready first: a time limit would be judged before
+/// what arrived in time has been read.
+#[test]
+fn tasks_that_were_ready_go_before_timers() {
+    let order = runtime::block_on(async {
+        let order = Rc::new(RefCell::new(Vec::new()));
+        let (tx, rx) = oneshot::channel();
+        let ready = Rc::clone(&order);
+        let ready = runtime::spawn(async move {
+            rx.await.unwrap();
+            ready.borrow_mut().push("ready");
+        });
+        let timer = Rc::clone(&order);
+        let timer = runtime::spawn(async move {
+            monoio::time::sleep(HOLD_UP - JUST_BEFORE).await;
+            timer.borrow_mut().push("timer");
+        });
+        runtime::spawn(async move {
+            tx.send(()).unwrap();
+            thread::sleep(HOLD_UP);
+        });
+        ready.await;
+        timer.await;
+        order.take()
+    });
+    assert_eq!(order.unwrap(), ["ready", "timer"]);
+}
