--- a/crates/lilaccrank/tests/suite.rs
+++ b/crates/lilaccrank/tests/suite.rs
@@ -2,6 +2,8 @@
 
 #[path = "suite/advisories.rs"]
 mod advisories;
+#[path = "suite/advisory_traffic.rs"]
+mod advisory_traffic;
 #[path = "suite/attempts.rs"]
 mod attempts;
 #[path = "suite/blame.rs"]
