Advisories: merging a fact takes as long in a full set as in a small one

Cause: for each single fact, known or not, the set was searched for expired ones, and for crashes of its content; each one beyond the capacity built a map of all facts to find the oldest; each poll sorted all facts. Ruled out: a change of what is learned. Change: facts are indexed by content, revision, end and order of eviction (advisories/facts.rs). A fact's class in the order of eviction changes with the facts of its content alone. Conclusion: a watcher's work for one fact no longer grows with all facts. That it receives each one from every follower remains.

--- a/crates/lilaccrank/src/advisories.rs
+++ b/crates/lilaccrank/src/advisories.rs
@@ -8,13 +8,12 @@
 use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
-use indexmap::{IndexMap, IndexSet};
-
 use crate::ids::ContentDigest;
 use crate::target_instance::InstanceDigest;
 
 mod blame;
 mod fact;
+mod facts;
 pub mod recent;
 pub mod record;
 pub mod sync;
@@ -22,6 +21,7 @@
 pub use fact::{Advisory, FORMAT, Fact, LIFETIME, RATE_LIMIT_LIFETIME};
 
 use fact::Key;
+use facts::{Facts, Rank};
 
 /// Number of targets that must crash while serving a content before it is quarantined. Unrelated
 /// requests are also in flight on a target that crashes, but rarely on three of them.
@@ -46,7 +46,7 @@
 /// The set of facts that one daemon knows.
 #[derive(Debug, Default)]
 pub struct Advisories {
-    facts: IndexMap<Key, Record>,
+    facts: Facts,
     revision: Revision,
 }
 
@@ -67,6 +67,8 @@
     /// Set on a crash that a later completion has cleared. The record is kept, so that the same
     /// crash, heard again from another daemon, is not taken for a new one.
     is_cleared: bool,
+    /// Set if a quarantine depends on the facts about the same content.
+    is_held: bool,
     revision: Revision,
     observed_at: Instant,
     /// Number of load updates that have carried the fact.
@@ -115,6 +117,15 @@
         now.saturating_duration_since(self.observed_at) < self.fact.lifetime()
     }
 
+    /// Position in the order of expiry.
+    fn end(&self) -> (Instant, Revision) {
+        (self.observed_at + self.fact.lifetime(), self.revision)
+    }
+
+    fn rank(&self) -> Rank {
+        (self.is_held, self.observed_at, self.revision)
+    }
+
     /// Returns `true` if `fact`, which has the same key, replaces this record. Of two rate limits
     /// that other daemons heard at about the same time, the lower one is kept: if either replaced
     /// the other, they would be exchanged without end.
@@ -184,16 +195,11 @@
     /// Quarantined contents, with the time since each quarantine began.
     #[must_use]
     pub fn quarantined(&self, now: Instant) -> Vec<(ContentDigest, Duration)> {
-        let contents = self
-            .facts
-            .values()
-            .filter_map(|record| record.fact.content());
-        let contents: IndexSet<_> = contents.collect();
         let remaining = |content: ContentDigest| {
             let remaining = self.quarantine_remaining(content, now)?;
             Some((content, LIFETIME.saturating_sub(remaining)))
         };
-        contents.into_iter().filter_map(remaining).collect()
+        self.facts.contents().filter_map(remaining).collect()
     }
 
     /// Adds a quarantine of the given age that was read from the platform's store. Returns `true`
@@ -286,9 +292,7 @@
         limit: usize,
         now: Instant,
     ) -> (Vec<Advisory>, Revision) {
-        let later = self.facts.values();
-        let mut later: Vec<_> = later.filter(|record| record.revision > revision).collect();
-        later.sort_unstable_by_key(|record| record.revision);
+        let later: Vec<_> = self.facts.after(revision).take(limit + 1).collect();
         let up_to = match later.get(limit) {
             Some(_) => later[limit - 1].revision,
             None => self.revision,
@@ -300,6 +304,9 @@
 
     /// Returns `true` if a daemon of this format can't read some of the facts.
     fn has_facts_beyond(&self, format: u8, now: Instant) -> bool {
+        if format >= FORMAT {
+            return false;
+        }
         let mut sendable = self.facts.values().filter(|record| record.is_sendable(now));
         sendable.any(|record| record.fact.format() > format)
     }
@@ -319,7 +326,7 @@
     }
 
     fn insert(&mut self, fact: Fact, observed_at: Instant, origin: Origin, now: Instant) -> bool {
-        self.facts.retain(|_, record| record.is_current(now));
+        self.facts.expire(now);
         if !self.is_new(fact, observed_at, origin, now) {
             return false;
         }
@@ -330,26 +337,25 @@
         let record = Record {
             fact,
             is_cleared: false,
+            is_held: false,
             revision: self.revision,
             observed_at,
             transmissions: origin.transmissions(),
         };
-        self.facts.insert(fact.key(), record);
+        self.facts.insert(record);
         if self.facts.len() > CAPACITY {
-            self.evict();
+            self.facts.evict();
         }
         true
     }
 
     /// Clears the crashes and the stored quarantine of a content that was completed.
     fn clear(&mut self, content: ContentDigest, completed_at: Instant) {
-        for record in self.facts.values_mut() {
-            record.is_cleared |= record.is_crash_before(content, completed_at);
-        }
+        self.facts.clear(content, completed_at);
         let quarantined = Key::Quarantined(content);
         let stored = self.facts.get(&quarantined);
         if stored.is_some_and(|record| record.observed_at <= completed_at) {
-            self.facts.swap_remove(&quarantined);
+            self.facts.remove(&quarantined);
         }
     }
 
@@ -382,7 +388,7 @@
         let Fact::Completed { content } = fact else {
             return false;
         };
-        let mut records = self.facts.values();
+        let mut records = self.facts.about(content);
         records.any(|record| record.is_crash_before(content, observed_at))
     }
 
@@ -393,33 +399,9 @@
 
     /// Times at which targets crashed while serving this content or part.
     fn crashes(&self, content: ContentDigest, now: Instant) -> impl Iterator<Item = Instant> {
-        let crashes = self.facts.values().filter(move |record| {
+        let crashes = self.facts.about(content).filter(move |record| {
             record.fact.crashed() == Some(content) && !record.is_cleared && record.is_current(now)
         });
         crashes.map(|record| record.observed_at)
     }
-
-    /// Drops the oldest fact that no quarantine depends on, or else the oldest of all.
-    fn evict(&mut self) {
-        let mut crashes: IndexMap<ContentDigest, usize> = IndexMap::new();
-        for record in self.facts.values() {
-            let weight = match record.fact {
-                Fact::Quarantined { .. } => QUARANTINE_CRASHES,
-                _ => usize::from(!record.is_cleared),
-            };
-            if let Some(content) = record.fact.content() {
-                *crashes.entry(content).or_default() += weight;
-            }
-        }
-        let is_quarantined = |fact: Fact| {
-            let content = fact.content();
-            content.is_some_and(|content| crashes[&content] >= QUARANTINE_CRASHES)
-        };
-        let records = self.facts.values().enumerate();
-        let oldest =
-            records.min_by_key(|(_, record)| (is_quarantined(record.fact), record.observed_at));
-        if let Some((index, _)) = oldest {
-            self.facts.swap_remove_index(index);
-        }
-    }
 }
--- /dev/null
+++ b/crates/lilaccrank/src/advisories/facts.rs
@@ -0,0 +1,151 @@
+//! The facts that a daemon holds, in the orders in which they are looked up, so that no look-up takes longer
+//! the more facts there are.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::fact::Key;
+use super::{Fact, QUARANTINE_CRASHES, Record, Revision};
+use crate::ids::ContentDigest;
+
+/// Position in the order of eviction: facts that no quarantine depends on go first, older ones before later
+/// ones.
+pub(super) type Rank = (bool, Instant, Revision);
+
+/// Facts by their keys.
+#[derive(Debug, Default)]
+pub(super) struct Facts {
+    by_content: IndexMap<ContentDigest, IndexSet<Key>>,
+    by_end: BTreeSet<(Instant, Revision)>,
+    by_rank: BTreeSet<Rank>,
+    by_revision: BTreeMap<Revision, Key>,
+    records: IndexMap<Key, Record>,
+}
+
+impl Facts {
+    pub(super) fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    pub(super) fn get(&self, key: &Key) -> Option<&Record> {
+        self.records.get(key)
+    }
+
+    pub(super) fn values(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
+    pub(super) fn values_mut(&mut self) -> impl Iterator<Item = &mut Record> {
+        self.records.values_mut()
+    }
+
+    /// Contents and parts that facts are about.
+    pub(super) fn contents(&self) -> impl Iterator<Item = ContentDigest> {
+        self.by_content.keys().copied()
+    }
+
+    /// Facts about a content or part.
+    pub(super) fn about(&self, content: ContentDigest) -> impl Iterator<Item = &Record> {
+        let keys = self.by_content.get(&content).into_iter().flatten();
+        keys.filter_map(|key| self.records.get(key))
+    }
+
+    /// Facts received after `revision`, in order.
+    pub(super) fn after(&self, revision: Revision) -> impl Iterator<Item = &Record> {
+        let later = self.by_revision.range(revision.saturating_add(1)..);
+        later.filter_map(|(_, key)| self.records.get(key))
+    }
+
+    /// Adds a fact or replaces the one with its key.
+    pub(super) fn insert(&mut self, record: Record) {
+        let key = record.fact.key();
+        self.remove(&key);
+        self.by_end.insert(record.end());
+        self.by_rank.insert(record.rank());
+        self.by_revision.insert(record.revision, key);
+        self.records.insert(key, record);
+        if let Some(content) = record.fact.content() {
+            self.by_content.entry(content).or_default().insert(key);
+            self.rank(content);
+        }
+    }
+
+    /// Drops the fact with this key.
+    pub(super) fn remove(&mut self, key: &Key) {
+        let Some(record) = self.records.swap_remove(key) else {
+            return;
+        };
+        self.by_end.remove(&record.end());
+        self.by_rank.remove(&record.rank());
+        self.by_revision.remove(&record.revision);
+        if let Some(content) = record.fact.content() {
+            if let Some(keys) = self.by_content.get_mut(&content) {
+                keys.swap_remove(key);
+                if keys.is_empty() {
+                    self.by_content.swap_remove(&content);
+                }
+            }
+            self.rank(content);
+        }
+    }
+
+    /// Drops the facts that have reached their end.
+    pub(super) fn expire(&mut self, now: Instant) {
+        while let Some((end, revision)) = self.by_end.first().copied()
+            && end <= now
+        {
+            self.remove_revision(revision);
+        }
+    }
+
+    /// Drops the first fact in the order of eviction.
+    pub(super) fn evict(&mut self) {
+        if let Some((.., revision)) = self.by_rank.first().copied() {
+            self.remove_revision(revision);
+        }
+    }
+
+    /// Marks the crashes of a content that a completion at this time clears.
+    pub(super) fn clear(&mut self, content: ContentDigest, completed_at: Instant) {
+        for key in self.by_content.get(&content).into_iter().flatten() {
+            if let Some(record) = self.records.get_mut(key) {
+                record.is_cleared |= record.is_crash_before(content, completed_at);
+            }
+        }
+        self.rank(content);
+    }
+
+    fn remove_revision(&mut self, revision: Revision) {
+        if let Some(key) = self.by_revision.get(&revision).copied() {
+            self.remove(&key);
+        }
+    }
+
+    /// Brings the order of eviction up to date after a change of the facts about a content.
+    fn rank(&mut self, content: ContentDigest) {
+        let is_held = self.about(content).map(weight).sum::<usize>() >= QUARANTINE_CRASHES;
+        for key in self.by_content.get(&content).into_iter().flatten() {
+            if let Some(record) = self.records.get_mut(key)
+                && record.is_held != is_held
+            {
+                self.by_rank.remove(&record.rank());
+                record.is_held = is_held;
+                self.by_rank.insert(record.rank());
+            }
+        }
+    }
+}
+
+/// How much a fact adds to a quarantine of its content.
+fn weight(record: &Record) -> usize {
+    match record.fact {
+        Fact::Quarantined { .. } => QUARANTINE_CRASHES,
+        _ => usize::from(!record.is_cleared),
+    }
+}
