Runtime: a task that was held back goes on, even if the gate is closed again

A task now notes in which closing it was held, and goes on once that one is over.

Also from the review: time in which tasks are ready without a pause counts as held up for the age of the list of targets, since an answer of the platform may lie unread although timers fire (freshness::a_backlog_of_the_process); a failing accept of peers' connections pauses as that of callers does; floods:: asks that datagrams are received at all; a counter can't underflow.

--- a/crates/lilaccrank-http/src/peer_server.rs
+++ b/crates/lilaccrank-http/src/peer_server.rs
@@ -20,6 +20,7 @@
 
 use crate::compression::{self, EncodedBody};
 use crate::runtime;
+use crate::server::ACCEPT_RETRY_DELAY;
 use crate::tally::{Counted, Tally};
 
 /// Accepts connections from peers as long as the daemon runs and counts the traffic in `tally`.
@@ -36,7 +37,10 @@
             Ok((stream, _)) => {
                 runtime::spawn(serve_connection(stream, tally.clone(), handler.clone()));
             }
-            Err(e) => log::warn!("accept of a peer connection failed: {e}"),
+            Err(e) => {
+                log::warn!("accept of a peer connection failed: {e}");
+                monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
         }
     }
 }
--- a/crates/lilaccrank-http/src/runtime.rs
+++ b/crates/lilaccrank-http/src/runtime.rs
@@ -12,7 +12,7 @@
 
 use usage::Metered;
 
-pub use timer_gate::{checkpoint, times_closed};
+pub use timer_gate::{checkpoint, take_time_behind, times_closed};
 
 /// Runs `fut` to completion on a single-threaded runtime.
 ///
--- a/crates/lilaccrank-http/src/runtime/timer_gate.rs
+++ b/crates/lilaccrank-http/src/runtime/timer_gate.rs
@@ -7,9 +7,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::future::{self, Future};
-use std::mem;
 use std::pin::pin;
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant};
 
 /// Time after which it is checked whether timers have been looked at, and how long ago that may be. A
@@ -24,6 +23,10 @@
 struct Gate {
     /// Waker of the task that opens the gate.
     attendant: RefCell<Option<Waker>>,
+    /// Time for which tasks were ready without a pause, before `behind_since`.
+    behind: Cell<Duration>,
+    /// When the gate was closed first since the runtime had no task that was ready.
+    behind_since: Cell<Option<Instant>>,
     /// When it was last seen that timers had been looked at.
     checked_at: Cell<Option<Instant>>,
     /// Tasks that are held back, in the order in which they became ready.
@@ -53,8 +56,8 @@
 /// The way of one task, or of one loop in it, through the gate.
 #[derive(Debug, Default)]
 pub(super) struct Pass {
-    /// Set while the task is held back, and until it has gone on.
-    is_held: bool,
+    /// Number of the closing in which it was held back, until it has gone on.
+    held_in: Option<u64>,
 }
 
 impl Pass {
@@ -62,47 +65,59 @@
     pub(super) fn poll(&mut self, task: TaskId, now: Instant, cx: &mut Context<'_>) -> Poll<()> {
         GATE.with(|gate| {
             let is_repeated = gate.polled.replace(task) == task;
-            if gate.state.get() == State::Open && !self.is_held && gate.are_timers_overdue(now) {
-                gate.close();
-                return self.wait(|waker| gate.hold(waker, is_repeated), cx);
-            }
-            self.poll_unchecked(gate, now, cx)
+            let is_overdue = || gate.are_timers_overdue(now);
+            ready!(self.poll_unless(gate, is_overdue, is_repeated, now, cx));
+            gate.poll_began.set(Some(now));
+            Poll::Ready(())
         })
     }
 
     /// Ready if the poll in progress has not taken long; otherwise the task is woken once timers have fired.
     fn poll_within(&mut self, now: Instant, cx: &mut Context<'_>) -> Poll<()> {
         GATE.with(|gate| {
-            let took = gate.poll_began.get().map(|began| now - began);
-            let is_long = took.is_some_and(|took| took > CHECK_INTERVAL);
-            if gate.state.get() == State::Open && !self.is_held && is_long {
-                gate.close();
-                return self.wait(|waker| gate.hold(waker, true), cx);
-            }
-            self.poll_unchecked(gate, now, cx)
+            let is_long = || {
+                let began = gate.poll_began.get();
+                began.is_some_and(|began| now.saturating_duration_since(began) > CHECK_INTERVAL)
+            };
+            self.poll_unless(gate, is_long, true, now, cx)
         })
     }
 
-    fn poll_unchecked(&mut self, gate: &Gate, now: Instant, cx: &mut Context<'_>) -> Poll<()> {
-        if gate.state.get() == State::Closed {
-            return self.wait(|waker| gate.hold(waker, false), cx);
+    /// Holds the task back while the gate is closed, and closes it if `closes` says so. A task that was held
+    /// back before goes on in any case.
+    fn poll_unless(
+        &mut self,
+        gate: &Gate,
+        closes: impl FnOnce() -> bool,
+        goes_last: bool,
+        now: Instant,
+        cx: &mut Context<'_>,
+    ) -> Poll<()> {
+        let is_closed = gate.state.get() == State::Closed;
+        if let Some(held_in) = self.held_in {
+            if is_closed && held_in == gate.times_closed.get() {
+                return Poll::Pending;
+            }
+            self.held_in = None;
+            return Poll::Ready(());
         }
-        self.is_held = false;
-        gate.poll_began.set(Some(now));
-        Poll::Ready(())
-    }
-
-    fn wait(&mut self, hold: impl FnOnce(Waker), cx: &mut Context<'_>) -> Poll<()> {
-        if !mem::replace(&mut self.is_held, true) {
-            hold(cx.waker().clone());
+        let closes = gate.state.get() == State::Open && closes();
+        if !is_closed && !closes {
+            return Poll::Ready(());
+        }
+        if closes {
+            gate.close(now);
         }
+        self.held_in = Some(gate.times_closed.get());
+        gate.hold(cx.waker().clone(), closes && goes_last);
         Poll::Pending
     }
 }
 
 impl Gate {
-    fn close(&self) {
+    fn close(&self, now: Instant) {
         self.state.set(State::Closed);
+        self.behind_since.set(self.behind_since.get().or(Some(now)));
         self.times_closed.set(self.times_closed.get() + 1);
         if let Some(attendant) = self.attendant.take() {
             attendant.wake();
@@ -126,10 +141,19 @@
         let are_fired = have_timers_fired_since(now);
         if are_fired {
             self.checked_at.set(Some(now));
+            self.count_behind(now);
+            self.behind_since.take();
         }
         !are_fired
     }
 
+    fn count_behind(&self, now: Instant) {
+        if let Some(since) = self.behind_since.replace(Some(now)) {
+            let time = now.saturating_duration_since(since);
+            self.behind.set(self.behind.get() + time);
+        }
+    }
+
     fn open(&self) {
         self.state.set(State::Open);
         self.checked_at.set(Some(Instant::now()));
@@ -156,6 +180,18 @@
     future::poll_fn(|cx| pass.poll_within(Instant::now(), cx)).await;
 }
 
+/// Returns for how long since the last call this thread had more to do than it did: what arrived meanwhile
+/// may not have been handled, although timers fired.
+#[must_use]
+pub fn take_time_behind() -> Duration {
+    GATE.with(|gate| {
+        if gate.behind_since.get().is_some() {
+            gate.count_behind(Instant::now());
+        }
+        gate.behind.take()
+    })
+}
+
 /// Number of times that tasks of this thread were held back.
 #[must_use]
 pub fn times_closed() -> u64 {
@@ -177,6 +213,8 @@
     fn drop(&mut self) {
         GATE.with(|gate| {
             gate.state.take();
+            gate.behind.take();
+            gate.behind_since.take();
             gate.checked_at.take();
             gate.poll_began.take();
             let held = gate.held.take();
--- a/crates/lilaccrank-http/src/server.rs
+++ b/crates/lilaccrank-http/src/server.rs
@@ -27,7 +27,7 @@
 pub type Result<T, E = io::Error> = std::result::Result<T, E>;
 
 /// Delay after a failed accept, which usually means that no file descriptor is free.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Controls the graceful shutdown of a server and counts its open connections.
 #[derive(Clone, Default)]
--- a/crates/lilaccrank-http/tests/suite/timer_gate.rs
+++ b/crates/lilaccrank-http/tests/suite/timer_gate.rs
@@ -179,3 +179,37 @@
     played.unwrap();
     assert_eq!(Rc::strong_count(&held), 1);
 }
+
+/// Guards against a task that is never woken again, as timers were overdue once more before it went on.
+#[test]
+fn no_wake_up_is_lost() {
+    const TASKS: usize = 40;
+    const MESSAGES: usize = 200;
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || {
+        let played = runtime::block_on(async {
+            let tasks = (0..TASKS).map(|i| {
+                let (sender, mut messages) = async_mpsc::unbounded();
+                thread::spawn(move || {
+                    for _ in 0..MESSAGES {
+                        thread::sleep(Duration::from_millis(5));
+                        // The task may have ended.
+                        let _ = sender.unbounded_send(());
+                    }
+                });
+                runtime::spawn(async move {
+                    while messages.next().await.is_some() {
+                        work(Duration::from_micros(100 + 7 * i as u64));
+                    }
+                })
+            });
+            for task in tasks.collect::<Vec<_>>() {
+                task.await;
+            }
+        });
+        played.unwrap();
+        tx.send(()).unwrap();
+    });
+    let ended = rx.recv_timeout(Duration::from_secs(20));
+    assert!(ended.is_ok(), "a task waits for ever");
+}
--- a/crates/lilaccrankd/src/admin/metrics.rs
+++ b/crates/lilaccrankd/src/admin/metrics.rs
@@ -234,7 +234,7 @@
         self.read_task_times();
         let overdue = runtime::times_closed();
         self.timers_overdue
-            .inc_by(overdue - self.timers_overdue.get());
+            .inc_by(overdue.saturating_sub(self.timers_overdue.get()));
         let mut buf = Vec::new();
         if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
             log::warn!("failed to encode the metrics: {e}");
--- a/crates/lilaccrankd/src/targets/freshness.rs
+++ b/crates/lilaccrankd/src/targets/freshness.rs
@@ -11,6 +11,7 @@
 use event_listener::{Event, EventListener};
 use lilaccrank::clock::{self, BootTime, Clock};
 use lilaccrank_http::monoio_clock::MonoioClock;
+use lilaccrank_http::runtime;
 use lilaccrank_http::runtime::usage;
 
 use crate::daemon::Daemon;
@@ -98,8 +99,9 @@
         self.needed.notify(usize::MAX);
     }
 
-    /// Notes that the process is running, and has read what had arrived before.
-    pub fn observe(&self, now: BootTime) {
+    /// Notes that the process is running, and has read what had arrived before, unless it has been `behind`
+    /// with its tasks for a part of the time since the last call.
+    pub fn observe(&self, now: BootTime, behind: Duration) {
         let since = self.observed_at.replace(Some(now));
         let gap = since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
         let period = usage::take_period();
@@ -114,7 +116,7 @@
                 "a timer of this process was late"
             );
         }
-        let held_up = clock::held_up(gap);
+        let held_up = clock::held_up(gap).max(behind.min(gap));
         for wait in [&self.due_at, &self.needed_at] {
             let passed = wait.get().filter(|at| *at < now);
             if let Some(at) = passed {
@@ -207,7 +209,8 @@
 pub async fn run(daemon: Rc<Daemon>) {
     loop {
         let now = MonoioClock.boot_time();
-        daemon.live_list.freshness.observe(now);
+        let behind = runtime::take_time_behind();
+        daemon.live_list.freshness.observe(now, behind);
         monoio::time::sleep(TICK).await;
     }
 }
--- a/crates/lilaccrankd/tests/suite/floods.rs
+++ b/crates/lilaccrankd/tests/suite/floods.rs
@@ -18,6 +18,8 @@
 const WAIT: Duration = Duration::from_millis(300);
 /// For how long datagrams come.
 const FLOOD: Duration = Duration::from_secs(3);
+/// Datagrams that are received meanwhile, at least.
+const RECEIVED: u64 = 100;
 /// Number of threads that send them.
 const SENDERS: usize = 4;
 
@@ -40,29 +42,36 @@
     socket.local_addr().unwrap()
 }
 
-fn receive_load(address: SocketAddr) {
+fn receive_load(address: SocketAddr) -> Tally {
     let socket = load_exchange::bind(address).unwrap();
-    runtime::spawn(load_exchange::run(fixtures::daemon(), socket));
+    let daemon = fixtures::daemon();
+    let tally = daemon.traffic.load_exchange.clone();
+    runtime::spawn(load_exchange::run(daemon, socket));
+    tally
 }
 
-fn receive_gossip(address: SocketAddr) {
-    let gossip = UdpGossip::bind(address, Tally::default()).unwrap();
+fn receive_gossip(address: SocketAddr) -> Tally {
+    let tally = Tally::default();
+    let gossip = UdpGossip::bind(address, tally.clone()).unwrap();
     runtime::spawn(async move {
         loop {
             gossip.recv().await.unwrap();
         }
     });
+    tally
 }
 
 /// Returns how late a timer is while a receiver gets datagrams without end.
-fn lateness(receive: fn(SocketAddr)) -> Duration {
+fn lateness(receive: fn(SocketAddr) -> Tally) -> Duration {
     let late = runtime::block_on(async {
         let address = free_address();
-        receive(address);
+        let tally = receive(address);
         flood(address);
         let began = Instant::now();
         monoio::time::sleep(WAIT).await;
-        began.elapsed() - WAIT
+        let late = began.elapsed() - WAIT;
+        assert!(tally.received().messages > RECEIVED);
+        late
     });
     late.unwrap()
 }
--- a/crates/lilaccrankd/tests/suite/freshness.rs
+++ b/crates/lilaccrankd/tests/suite/freshness.rs
@@ -22,7 +22,7 @@
     let freshness = Freshness::default();
     freshness.confirm(ms(1_000));
     for at in (1_000..=running).step_by(100) {
-        freshness.observe(ms(at));
+        freshness.observe(ms(at), Duration::ZERO);
     }
     freshness
 }
@@ -67,16 +67,28 @@
     assert_eq!(usability, Usability::BestAvailable);
 }
 
+// Guards against a daemon with more work than it does, which takes the platform for unreachable although the
+// answer lies unread.
+#[test]
+fn a_backlog_of_the_process_is_no_silence_of_the_platform() {
+    let freshness = confirmed(1_500);
+    freshness.expect_answer(ms(1_800));
+    for at in (1_550..=4_000).step_by(50) {
+        freshness.observe(ms(at), ms(50));
+    }
+    assert_eq!(freshness.usability(LEASE, ms(4_000)), Usability::Outdated);
+}
+
 // Guards against a daemon that was frozen and takes the platform for unreachable, as the answer that
 // waits to be read was due long ago.
 #[test]
 fn a_pause_of_the_process_is_no_silence_of_the_platform() {
     let freshness = confirmed(1_500);
     freshness.expect_answer(ms(1_800));
-    freshness.observe(ms(5_000));
+    freshness.observe(ms(5_000), Duration::ZERO);
     assert_eq!(freshness.usability(LEASE, ms(5_000)), Usability::Outdated);
     for at in (5_050..=5_250).step_by(50) {
-        freshness.observe(ms(at));
+        freshness.observe(ms(at), Duration::ZERO);
     }
     assert_eq!(
         freshness.usability(LEASE, ms(5_250)),
@@ -90,7 +102,7 @@
 fn one_long_turn_is_no_silence_of_the_platform() {
     let freshness = confirmed(2_500);
     freshness.expect_answer(ms(2_500));
-    freshness.observe(ms(2_900));
+    freshness.observe(ms(2_900), Duration::ZERO);
     assert_eq!(freshness.usability(LEASE, ms(2_900)), Usability::Outdated);
 }
 
@@ -136,10 +148,10 @@
 fn a_pause_of_the_process_is_no_time_to_ask() {
     let freshness = confirmed(3_000);
     freshness.need(ms(3_000));
-    freshness.observe(ms(6_000));
+    freshness.observe(ms(6_000), Duration::ZERO);
     assert_eq!(freshness.usability(LEASE, ms(6_000)), Usability::Outdated);
     for at in (6_050..=6_500).step_by(50) {
-        freshness.observe(ms(at));
+        freshness.observe(ms(at), Duration::ZERO);
     }
     assert_eq!(freshness.usability(LEASE, ms(6_500)), Usability::NotAsked);
 }
@@ -151,7 +163,7 @@
     freshness.need(ms(3_000));
     freshness.confirm(ms(3_100));
     for at in (3_050..=5_000).step_by(50) {
-        freshness.observe(ms(at));
+        freshness.observe(ms(at), Duration::ZERO);
     }
     freshness.need(ms(5_000));
     assert_eq!(freshness.usability(LEASE, ms(5_000)), Usability::Outdated);
@@ -165,7 +177,7 @@
     freshness.need(ms(3_000));
     freshness.expect_answer(ms(3_400));
     for at in (3_050..=3_550).step_by(50) {
-        freshness.observe(ms(at));
+        freshness.observe(ms(at), Duration::ZERO);
     }
     assert_eq!(freshness.usability(LEASE, ms(3_550)), Usability::Outdated);
 }
@@ -178,7 +190,7 @@
     freshness.expect_rest(ms(2_900));
     assert_eq!(freshness.usability(LEASE, ms(3_000)), Usability::Outdated);
     for at in (3_050..=3_150).step_by(50) {
-        freshness.observe(ms(at));
+        freshness.observe(ms(at), Duration::ZERO);
     }
     let usability = freshness.usability(LEASE, ms(3_150));
     assert_eq!(usability, Usability::BestAvailable);
