Advisories: a fact that a full set has evicted is not new again

What callers saw: nothing by itself; each such fact was logged, signalled and passed on as new, and evicted another. Cause: a set of 1,024 facts took in any fact that it didn't hold, also one older than all others, and evicted it, or the next oldest, at once. As it came back from a peer it was new again. Change: a full set takes a fact from another daemon only if it is surely later (by the tolerance for transit) than the one that is next to be evicted, in the order of eviction. Facts that begin or hold a quarantine, completions that clear a crash or lift a quarantine, and what the daemon observes itself are taken as before; a set that is not full takes all, so that daemons that start learn all. Conclusion: an evicted fact stays away while the set is full. In a set whose 1,024 facts span less than the tolerance of a second, facts of other daemons wait until the set has aged; before, each of them evicted another.

--- a/crates/lilaccrank/src/advisories.rs
+++ b/crates/lilaccrank/src/advisories.rs
@@ -327,7 +327,9 @@
 
     fn insert(&mut self, fact: Fact, observed_at: Instant, origin: Origin, now: Instant) -> bool {
         self.facts.expire(now);
-        if !self.is_new(fact, observed_at, origin, now) {
+        if !self.is_new(fact, observed_at, origin, now)
+            || self.is_next_to_go(fact, observed_at, origin)
+        {
             return false;
         }
         if let Fact::Completed { content } = fact {
@@ -383,6 +385,31 @@
         }
     }
 
+    /// Returns `true` if the set is full and a fact from another daemon would be among the first to be evicted.
+    /// It may have been evicted here before: if it were new again, it would be passed on again, and daemons
+    /// whose sets are full would exchange it without end.
+    fn is_next_to_go(&self, fact: Fact, observed_at: Instant, origin: Origin) -> bool {
+        let is_added = self.facts.get(&fact.key()).is_none();
+        if !is_added || self.facts.len() < CAPACITY || self.lifts(fact, observed_at) {
+            return false;
+        }
+        let (is_held, oldest) = match (origin, self.facts.first_to_go()) {
+            (Origin::Local, _) | (_, None) => return false,
+            (_, Some(record)) => (record.is_held, record.observed_at),
+        };
+        (self.facts.would_be_held(fact), observed_at) <= (is_held, oldest + origin.tolerance())
+    }
+
+    /// Returns `true` if `fact` is a completion of a content after a known crash or stored quarantine.
+    fn lifts(&self, fact: Fact, observed_at: Instant) -> bool {
+        let Fact::Completed { content } = fact else {
+            return false;
+        };
+        let stored = self.facts.get(&Key::Quarantined(content));
+        stored.is_some_and(|record| record.observed_at <= observed_at)
+            || self.clears_crash(fact, observed_at)
+    }
+
     /// Returns `true` if `fact` is a completion of a content after a known crash.
     fn clears_crash(&self, fact: Fact, observed_at: Instant) -> bool {
         let Fact::Completed { content } = fact else {
--- a/crates/lilaccrank/src/advisories/facts.rs
+++ b/crates/lilaccrank/src/advisories/facts.rs
@@ -104,6 +104,12 @@
         }
     }
 
+    /// The first fact in the order of eviction.
+    pub(super) fn first_to_go(&self) -> Option<&Record> {
+        let (.., revision) = self.by_rank.first()?;
+        self.records.get(self.by_revision.get(revision)?)
+    }
+
     /// Drops the first fact in the order of eviction.
     pub(super) fn evict(&mut self) {
         if let Some((.., revision)) = self.by_rank.first().copied() {
@@ -111,6 +117,13 @@
         }
     }
 
+    /// Returns `true` if a quarantine would depend on `fact`, once added.
+    pub(super) fn would_be_held(&self, fact: Fact) -> bool {
+        let known = |content| self.about(content).map(weight).sum::<usize>();
+        let content = fact.content();
+        content.is_some_and(|content| known(content) + weight_of(fact) >= QUARANTINE_CRASHES)
+    }
+
     /// Marks the crashes of a content that a completion at this time clears.
     pub(super) fn clear(&mut self, content: ContentDigest, completed_at: Instant) {
         for key in self.by_content.get(&content).into_iter().flatten() {
@@ -144,8 +157,15 @@
 
 /// How much a fact adds to a quarantine of its content.
 fn weight(record: &Record) -> usize {
-    match record.fact {
+    match record.is_cleared {
+        true => 0,
+        false => weight_of(record.fact),
+    }
+}
+
+fn weight_of(fact: Fact) -> usize {
+    match fact {
         Fact::Quarantined { .. } => QUARANTINE_CRASHES,
-        _ => usize::from(!record.is_cleared),
+        _ => 1,
     }
 }
--- a/crates/lilaccrank/tests/suite/advisory_traffic.rs
+++ b/crates/lilaccrank/tests/suite/advisory_traffic.rs
@@ -318,3 +318,82 @@
         assert_eq!(known.merge(&evicted, now), []);
     }
 }
+
+/// A full set, and the time two seconds after its last fact.
+fn full() -> (Advisories, Instant) {
+    let start = Instant::now();
+    (
+        filled(CAPACITY + FEW, start),
+        start + Duration::from_secs(3),
+    )
+}
+
+/// Content of which the full sets hold no fact.
+const OTHER: u64 = 1 << 40;
+
+fn aged(age_ms: u32, fact: Fact) -> Advisory {
+    Advisory { age_ms, fact }
+}
+
+// Guards against a full set that hears of nothing new from other daemons.
+#[test]
+fn a_full_set_learns_later_facts() {
+    let (mut known, now) = full();
+    for target in 0..3 {
+        let content = OTHER;
+        let fact = Fact::Crash { content, target };
+        assert_eq!(known.merge(&[aged(100, fact)], now), [fact]);
+    }
+    assert!(known.quarantine_remaining(OTHER, now).is_some());
+}
+
+// Guards against a quarantine that a full set holds on to after the request was completed.
+#[test]
+fn a_full_set_learns_of_a_completion_that_lifts_a_quarantine() {
+    let (mut known, now) = full();
+    let began = now - Duration::from_secs(60);
+    let content = OTHER;
+    for target in 0..3 {
+        known.note(Fact::Crash { content, target }, began);
+        known.note(nth(2 * CAPACITY), now);
+    }
+    known.note_stored_quarantine(OTHER, Duration::from_secs(60), now);
+    assert!(known.quarantine_remaining(OTHER, now).is_some());
+    let completed = Fact::Completed { content };
+    assert_eq!(known.merge(&[aged(50_000, completed)], now), [completed]);
+    assert_eq!(known.quarantine_remaining(OTHER, now), None);
+}
+
+// Guards against a full set that takes no stored quarantine from other daemons, however old.
+#[test]
+fn a_full_set_learns_of_a_stored_quarantine() {
+    let (mut known, now) = full();
+    let quarantined = Fact::Quarantined { content: OTHER };
+    assert_eq!(
+        known.merge(&[aged(300_000, quarantined)], now),
+        [quarantined]
+    );
+    assert!(known.quarantine_remaining(OTHER, now).is_some());
+}
+
+// Guards against an old quarantine that a daemon doesn't hear of when it starts.
+#[test]
+fn a_daemon_that_starts_learns_an_old_quarantine_from_a_full_set() {
+    let (mut known, now) = full();
+    for target in 0..3 {
+        let content = OTHER;
+        known.merge(&[aged(100, Fact::Crash { content, target })], now);
+    }
+    let now = now + Duration::from_secs(60);
+    for at in 0..CAPACITY {
+        known.note(nth(2 * CAPACITY + at), now);
+    }
+    let (mut started, mut cursors) = (Advisories::default(), Cursors::default());
+    let name = "vm".to_owned();
+    for _ in 0..2 * CAPACITY / sync::PAGE {
+        let pull = cursors.pull(&name, &started, now);
+        let (page, _) = sync::answer(&pull, &mut known, 1, now);
+        cursors.merge_page(&name, &page, &mut started, now);
+    }
+    assert!(started.quarantine_remaining(OTHER, now).is_some());
+}
