--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -2,6 +2,8 @@
 
 #[path = "suite/adopting.rs"]
 mod adopting;
+#[path = "suite/advisory_log.rs"]
+mod advisory_log;
 #[path = "suite/answer_memory.rs"]
 mod answer_memory;
 #[path = "suite/cancellation.rs"]
