Advisories: the daemon that observes a fact logs it, and others what it changes for them

Cause: each daemon wrote the line of each fact that it merged, and one of a quarantine for each of its crashes. Change: completions, rate limits, brittle targets and targets that leave are logged by the daemon whose target completed, said or did it. A daemon that hears of a completion writes a line only if that lifts a quarantine which it held, and one line as a quarantine begins by several crashes that come together. Conclusion: lines about facts grow with the facts and no longer with facts times daemons, but for quarantines, which each daemon decides on.

--- a/crates/lilaccrank/src/advisories.rs
+++ b/crates/lilaccrank/src/advisories.rs
@@ -8,6 +8,8 @@
 use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
+use indexmap::IndexSet;
+
 use crate::ids::ContentDigest;
 use crate::target_instance::InstanceDigest;
 
@@ -47,6 +49,8 @@
 #[derive(Debug, Default)]
 pub struct Advisories {
     facts: Facts,
+    /// Contents and parts whose quarantine a completion has lifted here since they were last taken.
+    lifted: IndexSet<ContentDigest>,
     revision: Revision,
 }
 
@@ -219,6 +223,11 @@
         )
     }
 
+    /// Takes the contents and parts whose quarantine a completion has lifted since the last call.
+    pub fn take_lifted(&mut self) -> IndexSet<ContentDigest> {
+        std::mem::take(&mut self.lifted)
+    }
+
     /// Returns `true` if any crash is known.
     #[must_use]
     pub fn has_crashes(&self) -> bool {
@@ -333,7 +342,7 @@
             return false;
         }
         if let Fact::Completed { content } = fact {
-            self.clear(content, observed_at);
+            self.complete(content, observed_at, now);
         }
         self.revision += 1;
         let record = Record {
@@ -351,6 +360,15 @@
         true
     }
 
+    /// Clears what a completion of a content clears, and keeps in mind whether that lifts its quarantine.
+    fn complete(&mut self, content: ContentDigest, completed_at: Instant, now: Instant) {
+        let was_quarantined = self.quarantine_remaining(content, now).is_some();
+        self.clear(content, completed_at);
+        if was_quarantined && self.quarantine_remaining(content, now).is_none() {
+            self.lifted.insert(content);
+        }
+    }
+
     /// Clears the crashes and the stored quarantine of a content that was completed.
     fn clear(&mut self, content: ContentDigest, completed_at: Instant) {
         self.facts.clear(content, completed_at);
--- a/crates/lilaccrankd/src/peers/advisories.rs
+++ b/crates/lilaccrankd/src/peers/advisories.rs
@@ -274,6 +274,9 @@
 
     fn record(&self, fact: Fact, exchange: &LoadExchange) {
         if self.known.borrow_mut().note(fact, Instant::now()) {
+            log_observed(fact);
+            // Its line says that the request was completed, which is what lifts a quarantine.
+            self.known.borrow_mut().take_lifted();
             self.propagate(&[fact], exchange);
         }
     }
@@ -285,42 +288,60 @@
         }
     }
 
-    /// Logs new facts and signals crashes.
+    /// Signals new crashes, and logs the quarantines that new facts begin or lift here.
     fn publish(&self, new: &[Fact]) {
-        for fact in new {
-            match *fact {
-                Fact::Crash { content, .. }
-                | Fact::PartCrash { part: content, .. }
-                | Fact::Quarantined { content } => {
-                    self.crashes.notify();
-                    if let Some(remaining) = self.quarantine_remaining(|| content) {
-                        log::warn!(
-                            content:% = format_args!("{content:016x}"),
-                            left_ms = remaining.as_millis() as u64;
-                            "request quarantined: targets crashed while it was in flight"
-                        );
-                    }
-                }
-                Fact::Brittle { limit, target } => log::info!(
-                    limit = limit.map_or(-1, i64::from),
-                    target_digest = target;
-                    "a target says how many requests it can turn away"
-                ),
-                Fact::Leaving { target } => log::info!(
-                    target_digest = target;
-                    "a target says that it leaves"
-                ),
-                Fact::RateLimit { per_1000_s, target } => log::info!(
-                    per_s:% = per_1000_s.map_or(-1.0, |rate| f64::from(rate) / 1_000.0),
-                    target_digest = target;
-                    "a target advertises a rate limit"
-                ),
-                Fact::Completed { content } => log::info!(
-                    content:% = format_args!("{content:016x}");
-                    "a suspected request was completed"
-                ),
+        let contents = new.iter().copied().filter_map(crashed_or_quarantined);
+        for content in contents.collect::<IndexSet<_>>() {
+            self.crashes.notify();
+            if let Some(remaining) = self.quarantine_remaining(|| content) {
+                log::warn!(
+                    content:% = format_args!("{content:016x}"),
+                    left_ms = remaining.as_millis() as u64;
+                    "request quarantined: targets crashed while it was in flight"
+                );
             }
         }
+        let lifted = self.known.borrow_mut().take_lifted();
+        for content in lifted {
+            log::info!(
+                content:% = format_args!("{content:016x}");
+                "a quarantine is lifted: another daemon's target completed the request"
+            );
+        }
+    }
+}
+
+fn crashed_or_quarantined(fact: Fact) -> Option<ContentDigest> {
+    match fact {
+        Fact::Crash { content, .. }
+        | Fact::PartCrash { part: content, .. }
+        | Fact::Quarantined { content } => Some(content),
+        _ => None,
+    }
+}
+
+/// Logs what a target of this daemon did or said. Daemons that hear of it from others don't log it.
+fn log_observed(fact: Fact) {
+    match fact {
+        Fact::Crash { .. } | Fact::PartCrash { .. } | Fact::Quarantined { .. } => (),
+        Fact::Brittle { limit, target } => log::info!(
+            limit = limit.map_or(-1, i64::from),
+            target_digest = target;
+            "a target says how many requests it can turn away"
+        ),
+        Fact::Leaving { target } => log::info!(
+            target_digest = target;
+            "a target says that it leaves"
+        ),
+        Fact::RateLimit { per_1000_s, target } => log::info!(
+            per_s:% = per_1000_s.map_or(-1.0, |rate| f64::from(rate) / 1_000.0),
+            target_digest = target;
+            "a target advertises a rate limit"
+        ),
+        Fact::Completed { content } => log::info!(
+            content:% = format_args!("{content:016x}");
+            "a suspected request was completed"
+        ),
     }
 }
 
