--- a/crates/lilaccrank/tests/suite/advisory_traffic.rs
+++ b/crates/lilaccrank/tests/suite/advisory_traffic.rs
@@ -301,6 +301,32 @@
 // Guards against work for each new fact that grows with all facts.
 independent_of_the_size!(new_facts, FEW..2 * FEW, CAPACITY..CAPACITY + FEW);
 
+/// Time of a load update without new facts, in a set of this size.
+fn time_of_update(len: usize) -> Duration {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(2);
+    let mut known = filled(len, start);
+    while !known.take_updates(UPDATE_LIMIT, now).is_empty() {}
+    let once = |_| {
+        let began = Instant::now();
+        for _ in 0..FEW {
+            known.take_updates(UPDATE_LIMIT, now);
+        }
+        began.elapsed()
+    };
+    (0..TRIES).map(once).min().unwrap()
+}
+
+// Guards against work for each load update that grows with the facts that were told long ago.
+#[test]
+fn updates_without_news() {
+    let (few, many) = (time_of_update(FEW), time_of_update(CAPACITY));
+    assert!(
+        many < few * 4,
+        "{few:?} in a small set, {many:?} in a full one"
+    );
+}
+
 // Guards against a fact that was evicted, counts as new whenever a peer sends it, and is passed on again.
 #[test]
 fn an_evicted_fact_is_not_new_again() {
