Advisories: a load update looks only at facts that it has yet to tell

What callers saw: nothing by itself; each daemon builds up to 40 load updates a second, and each looked at all facts. Cause: facts that load updates have yet to carry were searched among all facts. Change: they stand in an order of their own, by revision; a fact leaves it once it has been carried three times, is cleared or has expired. Conclusion: no step of merging, telling and polling looks at all facts any more. Look-ups of rate limits, brittle and leaving targets and of the part to blame still do.

--- a/crates/lilaccrank/src/advisories.rs
+++ b/crates/lilaccrank/src/advisories.rs
@@ -121,6 +121,11 @@
         now.saturating_duration_since(self.observed_at) < self.fact.lifetime()
     }
 
+    /// Returns `true` if load updates have yet to carry the fact.
+    fn is_untold(&self) -> bool {
+        self.transmissions < TRANSMIT_LIMIT
+    }
+
     /// Position in the order of expiry.
     fn end(&self) -> (Instant, Revision) {
         (self.observed_at + self.fact.lifetime(), self.revision)
@@ -282,14 +287,7 @@
 
     /// Facts for the next load update, at most `limit`.
     pub fn take_updates(&mut self, limit: usize, now: Instant) -> Vec<Advisory> {
-        let new = self.facts.values_mut();
-        let new =
-            new.filter(|record| record.transmissions < TRANSMIT_LIMIT && record.is_sendable(now));
-        let taken = new.take(limit).map(|record| {
-            record.transmissions += 1;
-            record.advisory(now)
-        });
-        taken.collect()
+        self.facts.take_untold(limit, now)
     }
 
     /// Facts received after `revision` that a daemon of this format reads, at most `limit`, and the
--- a/crates/lilaccrank/src/advisories/facts.rs
+++ b/crates/lilaccrank/src/advisories/facts.rs
@@ -7,7 +7,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::fact::Key;
-use super::{Fact, QUARANTINE_CRASHES, Record, Revision};
+use super::{Advisory, Fact, QUARANTINE_CRASHES, Record, Revision};
 use crate::ids::ContentDigest;
 
 /// Position in the order of eviction: facts that no quarantine depends on go first, older ones before later
@@ -22,6 +22,8 @@
     by_rank: BTreeSet<Rank>,
     by_revision: BTreeMap<Revision, Key>,
     records: IndexMap<Key, Record>,
+    /// Revisions of the facts that load updates have yet to carry.
+    untold: BTreeSet<Revision>,
 }
 
 impl Facts {
@@ -41,10 +43,6 @@
         self.records.values()
     }
 
-    pub(super) fn values_mut(&mut self) -> impl Iterator<Item = &mut Record> {
-        self.records.values_mut()
-    }
-
     /// Contents and parts that facts are about.
     pub(super) fn contents(&self) -> impl Iterator<Item = ContentDigest> {
         self.by_content.keys().copied()
@@ -62,6 +60,34 @@
         later.filter_map(|(_, key)| self.records.get(key))
     }
 
+    /// Takes at most `limit` facts for a load update, those that were received first before the others.
+    pub(super) fn take_untold(&mut self, limit: usize, now: Instant) -> Vec<Advisory> {
+        let mut taken = Vec::new();
+        let mut told = Vec::new();
+        for revision in &self.untold {
+            if taken.len() == limit {
+                break;
+            }
+            let key = self.by_revision.get(revision);
+            let Some(record) = key.and_then(|key| self.records.get_mut(key)) else {
+                continue;
+            };
+            let is_sendable = record.is_sendable(now);
+            if is_sendable {
+                record.transmissions += 1;
+                taken.push(record.advisory(now));
+            }
+            // A fact that is not sendable now is cleared or at its end, and stays so.
+            if !is_sendable || !record.is_untold() {
+                told.push(*revision);
+            }
+        }
+        for revision in told {
+            self.untold.remove(&revision);
+        }
+        taken
+    }
+
     /// Adds a fact or replaces the one with its key.
     pub(super) fn insert(&mut self, record: Record) {
         let key = record.fact.key();
@@ -69,6 +95,9 @@
         self.by_end.insert(record.end());
         self.by_rank.insert(record.rank());
         self.by_revision.insert(record.revision, key);
+        if record.is_untold() {
+            self.untold.insert(record.revision);
+        }
         self.records.insert(key, record);
         if let Some(content) = record.fact.content() {
             self.by_content.entry(content).or_default().insert(key);
@@ -84,6 +113,7 @@
         self.by_end.remove(&record.end());
         self.by_rank.remove(&record.rank());
         self.by_revision.remove(&record.revision);
+        self.untold.remove(&record.revision);
         if let Some(content) = record.fact.content() {
             if let Some(keys) = self.by_content.get_mut(&content) {
                 keys.swap_remove(key);
