--- a/crates/lilaccrank/src/advisories.rs
+++ b/crates/lilaccrank/src/advisories.rs
@@ -8,6 +8,8 @@
 use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
+use indexmap::IndexSet;
+
 use crate::ids::ContentDigest;
 use crate::target_instance::InstanceDigest;
 
@@ -47,6 +49,8 @@
 #[derive(Debug, Default)]
 pub struct Advisories {
     facts: Facts,
+    /// Contents and parts whose quarantine a completion has lifted here since they were last taken.
+    lifted: IndexSet<ContentDigest>,
     revision: Revision,
 }
 
@@ -117,6 +121,11 @@
         now.saturating_duration_since(self.observed_at) < self.fact.lifetime()
     }
 
+    /// Returns `true` if load updates have yet to carry the fact.
+    fn is_untold(&self) -> bool {
+        self.transmissions < TRANSMIT_LIMIT
+    }
+
     /// Position in the order of expiry.
     fn end(&self) -> (Instant, Revision) {
         (self.observed_at + self.fact.lifetime(), self.revision)
@@ -219,6 +228,11 @@
         )
     }
 
+    /// Takes the contents and parts whose quarantine a completion has lifted since the last call.
+    pub fn take_lifted(&mut self) -> IndexSet<ContentDigest> {
+        std::mem::take(&mut self.lifted)
+    }
+
     /// Returns `true` if any crash is known.
     #[must_use]
     pub fn has_crashes(&self) -> bool {
@@ -273,14 +287,7 @@
 
     /// Facts for the next load update, at most `limit`.
     pub fn take_updates(&mut self, limit: usize, now: Instant) -> Vec<Advisory> {
-        let new = self.facts.values_mut();
-        let new =
-            new.filter(|record| record.transmissions < TRANSMIT_LIMIT && record.is_sendable(now));
-        let taken = new.take(limit).map(|record| {
-            record.transmissions += 1;
-            record.advisory(now)
-        });
-        taken.collect()
+        self.facts.take_untold(limit, now)
     }
 
     /// Facts received after `revision` that a daemon of this format reads, at most `limit`, and the
@@ -327,11 +334,13 @@
 
     fn insert(&mut self, fact: Fact, observed_at: Instant, origin: Origin, now: Instant) -> bool {
         self.facts.expire(now);
-        if !self.is_new(fact, observed_at, origin, now) {
+        if !self.is_new(fact, observed_at, origin, now)
+            || self.is_next_to_go(fact, observed_at, origin)
+        {
             return false;
         }
         if let Fact::Completed { content } = fact {
-            self.clear(content, observed_at);
+            self.complete(content, observed_at, now);
         }
         self.revision += 1;
         let record = Record {
@@ -349,6 +358,15 @@
         true
     }
 
+    /// Clears what a completion of a content clears, and keeps in mind whether that lifts its quarantine.
+    fn complete(&mut self, content: ContentDigest, completed_at: Instant, now: Instant) {
+        let was_quarantined = self.quarantine_remaining(content, now).is_some();
+        self.clear(content, completed_at);
+        if was_quarantined && self.quarantine_remaining(content, now).is_none() {
+            self.lifted.insert(content);
+        }
+    }
+
     /// Clears the crashes and the stored quarantine of a content that was completed.
     fn clear(&mut self, content: ContentDigest, completed_at: Instant) {
         self.facts.clear(content, completed_at);
@@ -383,6 +401,31 @@
         }
     }
 
+    /// Returns `true` if the set is full and a fact from another daemon would be among the first to be evicted.
+    /// It may have been evicted here before: if it were new again, it would be passed on again, and daemons
+    /// whose sets are full would exchange it without end.
+    fn is_next_to_go(&self, fact: Fact, observed_at: Instant, origin: Origin) -> bool {
+        let is_added = self.facts.get(&fact.key()).is_none();
+        if !is_added || self.facts.len() < CAPACITY || self.lifts(fact, observed_at) {
+            return false;
+        }
+        let (is_held, oldest) = match (origin, self.facts.first_to_go()) {
+            (Origin::Local, _) | (_, None) => return false,
+            (_, Some(record)) => (record.is_held, record.observed_at),
+        };
+        (self.facts.would_be_held(fact), observed_at) <= (is_held, oldest + origin.tolerance())
+    }
+
+    /// Returns `true` if `fact` is a completion of a content after a known crash or stored quarantine.
+    fn lifts(&self, fact: Fact, observed_at: Instant) -> bool {
+        let Fact::Completed { content } = fact else {
+            return false;
+        };
+        let stored = self.facts.get(&Key::Quarantined(content));
+        stored.is_some_and(|record| record.observed_at <= observed_at)
+            || self.clears_crash(fact, observed_at)
+    }
+
     /// Returns `true` if `fact` is a completion of a content after a known crash.
     fn clears_crash(&self, fact: Fact, observed_at: Instant) -> bool {
         let Fact::Completed { content } = fact else {
