Tests: late answers beside a target that was listed after a slow one; known red

versions::migration::both_serve is red at times since the free worker, listed after the slow one has reported steps, starts with the median speed of the others. Two tests of the library show that without processes: a target without steps of its own beside one with steps of 30 ms gets no late answer; and of two late answers it gets one.

--- a/crates/lilaccrank/tests/suite/dispatch_resumed.rs
+++ b/crates/lilaccrank/tests/suite/dispatch_resumed.rs
@@ -3,11 +3,12 @@
 use std::time::{Duration, Instant};
 
 use lilaccrank::dispatch::message::{PartialAnswer, Submission};
+use lilaccrank::document::Target;
 use lilaccrank::error_kind::ErrorKind;
 use lilaccrank::stream_progress::StreamProgress;
 
 use crate::dispatch_fixtures::{granted, harness, refused, submission};
-use crate::dispatch_harness::Harness;
+use crate::dispatch_harness::{DATA_CENTRE, Harness};
 
 /// First-token objective of the submissions.
 const OBJECTIVE: Duration = Duration::from_secs(1);
@@ -104,6 +105,41 @@
     assert_eq!(harness.refusals(), refused("long", kind));
 }
 
+/// Lets `t0` show steps of 30 ms, and then lists `t1`.
+fn list_behind_a_slow_target() -> Harness {
+    let mut harness = harness(&[8]);
+    teach_step_time(&mut harness, "t0", 30);
+    harness.pool.targets.push(Target {
+        id: "t1".to_owned(),
+        ..harness.pool.targets[0].clone()
+    });
+    harness.dispatcher.set_targets(&harness.pool, DATA_CENTRE);
+    harness.prove_targets();
+    harness
+}
+
+// Guards against a late answer that stays at its slow target, since a free one that was listed afterwards is
+// taken for as slow.
+#[test]
+fn resumed_answer_goes_to_a_target_without_steps() {
+    let mut harness = list_behind_a_slow_target();
+    harness.submit(submission_to_resume("long", 0, Some(12)));
+    assert_eq!(harness.grants(), granted("long", "t1"));
+}
+
+// Guards against moving all late answers to a target of which nothing is known.
+#[test]
+fn one_resumed_answer_at_a_time_goes_to_a_target_without_steps() {
+    let mut harness = list_behind_a_slow_target();
+    harness.submit(submission_to_resume("first", 0, Some(12)));
+    harness.submit(submission_to_resume("second", 0, Some(12)));
+    assert_eq!(harness.grants(), granted("first", "t1"));
+    harness.report_steps("first", "t1", 30, 60);
+    harness.end("first", "t1");
+    harness.advance(OBJECTIVE);
+    assert_eq!(harness.verdicts(), []);
+}
+
 // Guards against detecting a long answer on a slow target only at its deadline.
 #[test]
 fn an_overrun_is_projected() {
