Dispatch: an idle target without own steps gets the initial speed for a resumed answer

What callers saw: a stream that is late at a slow worker is not moved to a free one, and runs into its deadline (versions::migration::both_serve, red at times).

Cause: a target that is listed after others have reported steps starts with the speed of their median. Where the only other one is the slow target, the free one counts as equally slow, no migration is worth its prefill, and as the free target gets no answer, nothing corrects the estimate.

Ruled out: the initial speed for all requests, which would send floods to a target of which nothing is known, and estimates of the pool's capacity that jump with each new target.

Change: the step model knows that its history is inherited, until the first own step. For what is resumed, the better of the inherited and the initial step time counts, and only while nothing runs at the target: one answer measures it. All else is as before. The prefill rate stays inherited, and own steps replace the inherited history as slowly as before (a hundredth with each step); neither was needed here.

--- a/crates/lilaccrank/src/dispatch/choice.rs
+++ b/crates/lilaccrank/src/dispatch/choice.rs
@@ -334,7 +334,7 @@
     let estimate = &target.estimate;
     let decode = needs.certain_decode() * OPTIMISTIC_LENGTH_RATIO;
     let prefill = (needs.work.prefill - saved) as f64 / estimate.prefill_rate(now);
-    prefill + decode * estimate.step(1, now)
+    prefill + decode * step(target, needs, 0, now)
 }
 
 /// Likely completion time in seconds, behind the work already on the target.
@@ -359,10 +359,20 @@
     let estimate = &target.estimate;
     let own_prefill = needs.work.prefill.saturating_sub(saved);
     let prefill = estimate.outstanding().prefill.saturating_add(own_prefill);
-    let step = estimate.step(estimate.batch(now).saturating_add(1), now);
+    let step = step(target, needs, estimate.batch(now), now);
     prefill as f64 / estimate.prefill_rate(now) + decode * step
 }
 
+/// Expected step time in seconds, beside `running` requests.
+fn step(target: &Target, needs: &Requirements<'_>, running: u32, now: Instant) -> f64 {
+    match needs.request_class {
+        RequestClass::Resumed => target.estimate.resumed_step(running, now),
+        RequestClass::Short | RequestClass::Long | RequestClass::Excluding => {
+            target.estimate.step(running.saturating_add(1), now)
+        }
+    }
+}
+
 /// Expected completion time plus penalties, in seconds. Prefill is counted again for the share of
 /// the batch that it delays and, unless the submission is urgent, for the submissions that wait
 /// behind it.
--- a/crates/lilaccrank/src/dispatch/estimate.rs
+++ b/crates/lilaccrank/src/dispatch/estimate.rs
@@ -80,7 +80,7 @@
         Self {
             overhead: median.overhead,
             prefill_rate: median.prefill_rate,
-            step_model: median.step_model.without_slowness(now),
+            step_model: median.step_model.inherited(now),
             ..Self::new(now)
         }
     }
@@ -212,6 +212,21 @@
         self.step_model.expected(batch, now)
     }
 
+    /// Expected step time of a resumed answer beside `running` requests, in seconds.
+    ///
+    /// An answer is resumed because another target is slow, so the speed of the others says little about
+    /// an idle target without own steps. The initial speed counts for one answer, which measures it.
+    #[must_use]
+    pub fn resumed_step(&self, running: u32, now: Instant) -> f64 {
+        let batch = running.saturating_add(1);
+        let expected = self.step(batch, now);
+        if running == 0 && self.step_model.is_inherited() {
+            expected.min(StepModel::new(now).expected(batch, now))
+        } else {
+            expected
+        }
+    }
+
     /// Time without output after which a target with this load counts as unresponsive.
     #[must_use]
     pub fn hang_timeout(&self, now: Instant) -> Duration {
--- a/crates/lilaccrank/src/dispatch/step_model.rs
+++ b/crates/lilaccrank/src/dispatch/step_model.rs
@@ -26,6 +26,8 @@
     batch: f64,
     batch_step: f64,
     batch_square: f64,
+    /// Set until the first own step of a target that started with the history of another.
+    is_inherited: bool,
     samples: u32,
     updated: Instant,
     slowness: f64,
@@ -41,6 +43,7 @@
             batch: 0.0,
             batch_step: 0.0,
             batch_square: 0.0,
+            is_inherited: false,
             samples: 0,
             updated: now,
             slowness: 1.0,
@@ -53,18 +56,26 @@
         step_model
     }
 
-    /// Returns a model with the same history and without any slowdown.
+    /// Returns the model of a new target that starts with this history, without any slowdown.
     #[must_use]
-    pub fn without_slowness(&self, now: Instant) -> Self {
+    pub fn inherited(&self, now: Instant) -> Self {
         Self {
+            is_inherited: true,
             updated: now,
             slowness: 1.0,
             ..self.clone()
         }
     }
 
+    /// Returns `true` if the history is that of another target.
+    #[must_use]
+    pub fn is_inherited(&self) -> bool {
+        self.is_inherited
+    }
+
     /// Adds an observed step.
     pub fn observe(&mut self, batch: u32, step: Duration, now: Instant) {
+        self.is_inherited = false;
         let (batch, step) = (f64::from(batch), step.as_secs_f64().max(MIN_STEP_S));
         let ratio = step / self.baseline(batch);
         if self.samples < MIN_SAMPLES {
