Advisories: crashes that a full set has not evicted begin a quarantine

Found by the second review with a test: at a set of 1,024 crashes of one second, three crashes of one content at three targets were all refused, as each seemed to be next to be evicted within the tolerance for transit, and the request was not quarantined. A mass of crashes is just when such a request shows. The tolerance keeps a fact away that was evicted here and seems later on its way back.

--- a/crates/lilaccrank/src/advisories.rs
+++ b/crates/lilaccrank/src/advisories.rs
@@ -413,7 +413,12 @@
             (Origin::Local, _) | (_, None) => return false,
             (_, Some(record)) => (record.is_held, record.observed_at),
         };
-        (self.facts.would_be_held(fact), observed_at) <= (is_held, oldest + origin.tolerance())
+        // A fact that was not evicted here may be the first of several that begin a quarantine.
+        let tolerance = match self.facts.was_evicted(&fact.key()) {
+            true => origin.tolerance(),
+            false => Duration::ZERO,
+        };
+        (self.facts.would_be_held(fact), observed_at) <= (is_held, oldest + tolerance)
     }
 
     /// Returns `true` if `fact` is a completion of a content after a known crash or stored quarantine.
--- a/crates/lilaccrank/src/advisories/facts.rs
+++ b/crates/lilaccrank/src/advisories/facts.rs
@@ -2,12 +2,13 @@
 //! the more facts there are.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::mem;
 use std::time::Instant;
 
 use indexmap::{IndexMap, IndexSet};
 
 use super::fact::Key;
-use super::{Advisory, Fact, QUARANTINE_CRASHES, Record, Revision};
+use super::{Advisory, CAPACITY, Fact, QUARANTINE_CRASHES, Record, Revision};
 use crate::ids::ContentDigest;
 
 /// Position in the order of eviction: facts that no quarantine depends on go first, older ones before later
@@ -21,11 +22,32 @@
     by_end: BTreeSet<(Instant, Revision)>,
     by_rank: BTreeSet<Rank>,
     by_revision: BTreeMap<Revision, Key>,
+    evicted: Evicted,
     records: IndexMap<Key, Record>,
     /// Revisions of the facts that load updates have yet to carry.
     untold: BTreeSet<Revision>,
 }
 
+/// Keys that were evicted lately: the last [`CAPACITY`] of them, and at most as many before.
+#[derive(Debug, Default)]
+struct Evicted {
+    before: IndexSet<Key>,
+    lately: IndexSet<Key>,
+}
+
+impl Evicted {
+    fn insert(&mut self, key: Key) {
+        if self.lately.len() == CAPACITY {
+            self.before = mem::take(&mut self.lately);
+        }
+        self.lately.insert(key);
+    }
+
+    fn contains(&self, key: &Key) -> bool {
+        self.lately.contains(key) || self.before.contains(key)
+    }
+}
+
 impl Facts {
     pub(super) fn is_empty(&self) -> bool {
         self.records.is_empty()
@@ -142,11 +164,19 @@
 
     /// Drops the first fact in the order of eviction.
     pub(super) fn evict(&mut self) {
-        if let Some((.., revision)) = self.by_rank.first().copied() {
-            self.remove_revision(revision);
+        let first = self.by_rank.first();
+        let key = first.and_then(|(.., revision)| self.by_revision.get(revision));
+        if let Some(key) = key.copied() {
+            self.remove(&key);
+            self.evicted.insert(key);
         }
     }
 
+    /// Returns `true` if a fact with this key was evicted lately.
+    pub(super) fn was_evicted(&self, key: &Key) -> bool {
+        self.evicted.contains(key)
+    }
+
     /// Returns `true` if a quarantine would depend on `fact`, once added.
     pub(super) fn would_be_held(&self, fact: Fact) -> bool {
         let known = |content| self.about(content).map(weight).sum::<usize>();
--- a/crates/lilaccrank/tests/suite/advisory_traffic.rs
+++ b/crates/lilaccrank/tests/suite/advisory_traffic.rs
@@ -327,6 +327,26 @@
     );
 }
 
+// Guards against a quarantine that is missed at a full set whose facts are hardly older than its crashes.
+#[test]
+fn crashes_just_after_those_of_a_full_set_quarantine() {
+    const CONTENT: u64 = u64::MAX;
+    let start = Instant::now();
+    let mut known = Advisories::default();
+    for content in 0..CAPACITY as u64 {
+        known.note(Fact::Crash { content, target: 1 }, start);
+    }
+    let now = start + Duration::from_millis(900);
+    for target in 2..5 {
+        let fact = Fact::Crash {
+            content: CONTENT,
+            target,
+        };
+        known.merge(&[Advisory { age_ms: 50, fact }], now);
+    }
+    assert!(known.quarantine_remaining(CONTENT, now).is_some());
+}
+
 // Guards against a fact that was evicted, counts as new whenever a peer sends it, and is passed on again.
 #[test]
 fn an_evicted_fact_is_not_new_again() {
