List of targets: a daemon that is always behind notices that the platform is gone

A half of the time counts at most: under a backlog the platform gets twice its time. freshness::a_backlog_does_not_hide_that_the_platform_is_gone: red before, green.

--- a/crates/lilaccrankd/src/targets/freshness.rs
+++ b/crates/lilaccrankd/src/targets/freshness.rs
@@ -99,8 +99,8 @@
         self.needed.notify(usize::MAX);
     }
 
-    /// Notes that the process is running, and has read what had arrived before, unless it has been `behind`
-    /// with its tasks for a part of the time since the last call.
+    /// Notes that the process is running, and has read what had arrived before. Of the time since the last
+    /// call for which it was `behind` with its tasks, a half counts at most, so that each wait ends.
     pub fn observe(&self, now: BootTime, behind: Duration) {
         let since = self.observed_at.replace(Some(now));
         let gap = since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
@@ -116,7 +116,7 @@
                 "a timer of this process was late"
             );
         }
-        let held_up = clock::held_up(gap).max(behind.min(gap));
+        let held_up = clock::held_up(gap).max(behind.min(gap / 2));
         for wait in [&self.due_at, &self.needed_at] {
             let passed = wait.get().filter(|at| *at < now);
             if let Some(at) = passed {
