Log: a failed send names its connection, and how soon its answer came

A copy lies in the socket before the request is written, or comes in less than a round trip, on a connection that has carried requests before.

`a send failed` has the number of the connection, how many requests it had carried, and the time from the write of the request's last byte to the head. The client keeps them for each exchange; the time is taken where bytes are written, in the transport that counts what the server sends.

--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -123,6 +123,19 @@
     }
 }
 
+/// What was observed of one exchange. It tells an answer from a copy of an earlier one, which arrives sooner
+/// than a round trip takes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ExchangeRecord {
+    /// Number of the connection in this process.
+    pub connection: u64,
+    /// Number of requests that the connection had carried before.
+    pub earlier_requests: u32,
+    /// Time from the write of the last byte of the request to the head of the answer; `None` if the head came
+    /// before the request was written.
+    pub head_after: Option<Duration>,
+}
+
 /// A connection checked out of the client's pool.
 ///
 /// Return it with [`Client::release`] after reading the whole response body. Dropping it resets the
@@ -148,6 +161,16 @@
         })
     }
 
+    /// What was observed of the last exchange on the connection.
+    #[must_use]
+    pub fn last_exchange(&self) -> ExchangeRecord {
+        ExchangeRecord {
+            connection: self.sender.number,
+            earlier_requests: self.sender.request_count.saturating_sub(1),
+            head_after: self.sender.head_after,
+        }
+    }
+
     /// Meter of what the server sends beside answers.
     #[must_use]
     pub fn meter(&self) -> Meter {
@@ -172,9 +195,11 @@
         is_wanted: Option<&IsWanted>,
     ) -> Result<Response<Incoming>, (Error, Option<Request<Body>>)> {
         self.sender.is_wanted.replace(is_wanted.cloned());
+        self.sender.request_count += 1;
         self.sender.meter.start();
         let answer = timeout::timeout(head, self.sender.inner.try_send_request(req)).await;
         self.sender.meter.stop();
+        self.sender.head_after = self.sender.meter.since_write();
         let address = || self.address.clone();
         let Ok(answer) = answer else {
             let timed_out = Error::Silent {
--- a/crates/lilaccrank-http/src/client/sender.rs
+++ b/crates/lilaccrank-http/src/client/sender.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::Poll;
 use std::time::Duration;
 
@@ -32,8 +33,17 @@
 /// Number of unanswered probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 4;
 
+/// Number of connections opened by this process.
+static OPENED: AtomicU64 = AtomicU64::new(0);
+
 /// Sends requests on one connection; dropping it ends the connection.
 pub(super) struct Sender {
+    /// Time from the write of the last request to the head of its answer.
+    pub(super) head_after: Option<Duration>,
+    /// Number of the connection in this process, from 1.
+    pub(super) number: u64,
+    /// Number of requests that the connection has carried.
+    pub(super) request_count: u32,
     /// Ends the task of the connection, which may be blocked on a request that was given up.
     _open: oneshot::Sender<()>,
     pub(super) inner: SendRequest<Body>,
@@ -100,6 +110,9 @@
     });
     Ok(Sender {
         _open: open,
+        head_after: None,
+        number: OPENED.fetch_add(1, Ordering::Relaxed) + 1,
+        request_count: 0,
         inner,
         meter,
         is_wanted,
--- a/crates/lilaccrank-http/src/unproductive.rs
+++ b/crates/lilaccrank-http/src/unproductive.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 
@@ -25,6 +26,8 @@
 struct State {
     bytes: Cell<usize>,
     is_limited: Cell<bool>,
+    /// When the last byte was written since the count began.
+    written_at: Cell<Option<Instant>>,
 }
 
 impl Meter {
@@ -32,6 +35,7 @@
     pub fn start(&self) {
         self.state.bytes.set(0);
         self.state.is_limited.set(true);
+        self.state.written_at.set(None);
     }
 
     /// Stops counting.
@@ -44,6 +48,11 @@
         self.state.bytes.set(0);
     }
 
+    /// Time since the last byte was written; `None` if none was since the count began.
+    pub(crate) fn since_write(&self) -> Option<Duration> {
+        self.state.written_at.get().map(|at| at.elapsed())
+    }
+
     fn count(&self, bytes: usize) -> io::Result<()> {
         let bytes = self.state.bytes.get().saturating_add(bytes);
         self.state.bytes.set(bytes);
@@ -106,7 +115,11 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, buf)
+        let written = Pin::new(&mut self.io).poll_write(cx, buf);
+        if matches!(written, Poll::Ready(Ok(_))) {
+            self.meter.state.written_at.set(Some(Instant::now()));
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -301,3 +301,10 @@
         i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
     })
 }
+
+/// A time in microseconds for the log; -1 if there is none.
+pub(super) fn log_us(time: Option<Duration>) -> i64 {
+    time.map_or(-1, |time| {
+        i64::try_from(time.as_micros()).unwrap_or(i64::MAX)
+    })
+}
--- a/crates/lilaccrankd/src/request/send_history.rs
+++ b/crates/lilaccrankd/src/request/send_history.rs
@@ -270,12 +270,16 @@
     began_at: Option<Instant>,
     buffer: &AnswerBuffer,
 ) {
+    let exchange = failed.exchange.unwrap_or_default();
     log::info!(
         abandoned_ms = lifecycle::log_ms(buffer.abandoned_for()),
         again = repeat == Repeat::Made,
         begun_ms = lifecycle::log_ms(began_at.map(|at| at.elapsed())),
+        connection = exchange.connection,
         connection_lost = failed.refusal.connection_lost,
+        earlier_requests = exchange.earlier_requests,
         ended_by:% = failed.ended_by,
+        head_after_us = lifecycle::log_us(exchange.head_after),
         content:% = format_args!("{:016x}", routed.content_digest()),
         how:? = failed.failure,
         kind:% = failed.refusal.kind,
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -122,6 +122,23 @@
     ) -> Result<()> {
         let sent_at = Instant::now();
         let (head, body, connection) = self.exchange(outgoing).await?;
+        let exchange = connection.last_exchange();
+        let answer = (head, body, connection);
+        let forwarded = self.forward(outgoing, answer, delivered, sent_at).await;
+        forwarded.map_err(|mut failed| {
+            failed.exchange = Some(exchange);
+            failed
+        })
+    }
+
+    /// Forwards an answer whose head has arrived.
+    async fn forward(
+        &self,
+        outgoing: &OutgoingRequest<'_>,
+        (head, body, connection): (Parts, Incoming, Connection),
+        delivered: &mut Delivered,
+        sent_at: Instant,
+    ) -> Result<()> {
         if self.protocol.says_leaving(&head, outgoing) {
             self.observer.leaving();
         }
--- a/crates/lilaccrankd/src/targets/forward/failure.rs
+++ b/crates/lilaccrankd/src/targets/forward/failure.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use lilaccrank::attempts::Failure;
 use lilaccrank::error_kind::{ErrorKind, Executed};
+use lilaccrank_http::client::ExchangeRecord;
 
 use crate::callers::refusal::Refusal;
 use crate::request::answer_buffer::Head;
@@ -15,6 +16,8 @@
     pub answer: Option<(Head, Bytes)>,
     /// Who ended the run.
     pub ended_by: EndedBy,
+    /// The exchange whose answer made the send fail; `None` without an answer.
+    pub exchange: Option<ExchangeRecord>,
     /// How the send failed.
     pub failure: Failure,
     /// Set if another target answered at the address.
@@ -36,6 +39,7 @@
         Self {
             answer: None,
             ended_by: EndedBy::of(&refusal),
+            exchange: None,
             failure,
             is_misdirected: false,
             is_path_fault: false,
