Client: a connection carries a request id once

Cause: a worker may send a refusal a second time, where the next answer on the connection is due. The id tells it from the answer to another request, but not from one to the same request. Connections are pooled by address, targets are excluded by instance: a second entry of the same address, a later instance, a send that does not exclude its target or a relay brings a request back to the connection on which it was refused. The daemon believed 'not run' of the run in progress.

Class: an answer is attributed by an id that the connection has carried more than once.

Ruled out: exclusion by address instead of instance, which leaves relays, and entries that differ in address and share a connection through the same peer. Giving up each connection on which a request was refused costs a connection a refusal, and leaves copies of failures.

Change: a connection remembers the digests of the ids that it has carried, and is not handed out for one of them, whoever sends it: own sends, relays at both daemons, cancels of the native protocol. A request without an id, which nothing tells from others, uses a new connection. After 256 ids a connection is replaced, so that memory is bounded: 2 KB a connection, one new connection in 256 requests at most.

--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -31,6 +31,8 @@
 pub const MAX_IDLE: Duration = Duration::from_secs(1);
 /// Maximum number of idle connections per address.
 const IDLE_LIMIT: usize = 64;
+/// Number of remembered ids after which a connection is not used again.
+const CARRIED_LIMIT: usize = 256;
 
 /// Reasons why a request got no response head.
 #[derive(Debug, Error)]
@@ -89,6 +91,20 @@
 /// Tells right before a request is written whether it is still wanted.
 pub type IsWanted = Rc<dyn Fn() -> bool>;
 
+/// Digest of the id that a request has and that its answer repeats.
+pub type RequestDigest = u64;
+
+/// Conditions under which a request is written to a connection.
+#[derive(Clone)]
+pub struct Conditions {
+    /// Checked right before the request is written.
+    pub is_wanted: IsWanted,
+    /// Id of the request. Only a connection that has not carried it before is used, since an answer with the
+    /// same id there could be a second copy of an earlier one. A request without an id, whose answer nothing
+    /// tells from others, always uses a new connection.
+    pub request: Option<RequestDigest>,
+}
+
 /// Time limits of one request.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -192,10 +208,13 @@
         &mut self,
         req: Request<Body>,
         head: Duration,
-        is_wanted: Option<&IsWanted>,
+        conditions: Option<&Conditions>,
     ) -> Result<Response<Incoming>, (Error, Option<Request<Body>>)> {
-        self.sender.is_wanted.replace(is_wanted.cloned());
+        let is_wanted = conditions.map(|conditions| Rc::clone(&conditions.is_wanted));
+        self.sender.is_wanted.replace(is_wanted);
         self.sender.request_count += 1;
+        let carried = conditions.and_then(|conditions| conditions.request);
+        self.sender.carried.extend(carried);
         self.sender.meter.start();
         let answer = timeout::timeout(head, self.sender.inner.try_send_request(req)).await;
         self.sender.meter.stop();
@@ -245,8 +264,7 @@
         self.send_where(address, req, limits, None).await
     }
 
-    /// Like [`send`](Self::send), but writes nothing unless `is_wanted` says so once the connection is
-    /// there.
+    /// Like [`send`](Self::send), but writes nothing unless `conditions` hold once the connection is there.
     ///
     /// # Errors
     ///
@@ -256,11 +274,13 @@
         address: &str,
         req: Request<Body>,
         limits: Limits,
-        is_wanted: &IsWanted,
+        conditions: &Conditions,
     ) -> Result<(Response<Incoming>, Connection)> {
-        let sent = self.send_where(address, req, limits, Some(is_wanted)).await;
+        let sent = self
+            .send_where(address, req, limits, Some(conditions))
+            .await;
         match sent {
-            Err(e) if e.is_unsent() && !is_wanted() => Err(Error::Withdrawn {
+            Err(e) if e.is_unsent() && !(conditions.is_wanted)() => Err(Error::Withdrawn {
                 address: address.to_owned(),
             }),
             sent => sent,
@@ -272,19 +292,20 @@
         address: &str,
         req: Request<Body>,
         limits: Limits,
-        is_wanted: Option<&IsWanted>,
+        conditions: Option<&Conditions>,
     ) -> Result<(Response<Incoming>, Connection)> {
         let mut req = req;
-        while let Some(sender) = self.take(address, limits.max_idle) {
+        let is_wanted = || conditions.is_none_or(|conditions| (conditions.is_wanted)());
+        while let Some(sender) = self.take(address, limits.max_idle, conditions) {
             let connection = Connection {
                 address: address.to_owned(),
                 generation: self.generation(address),
                 sender,
             };
-            let exchange = self.exchange(connection, req, limits.head, is_wanted);
+            let exchange = self.exchange(connection, req, limits.head, conditions);
             match exchange.await {
                 Ok(answered) => return Ok(answered),
-                Err((e, _)) if is_wanted.is_some_and(|is_wanted| !is_wanted()) => return Err(e),
+                Err((e, _)) if !is_wanted() => return Err(e),
                 // The server closed the connection while it was idle, so nothing was sent.
                 Err((_, Some(unsent))) => req = unsent,
                 Err((e, None)) => return Err(e),
@@ -295,7 +316,9 @@
             generation: self.generation(address),
             sender: connect(address, limits.connect, self.tally.as_ref()).await?,
         };
-        let answered = self.exchange(connection, req, limits.head, is_wanted).await;
+        let answered = self
+            .exchange(connection, req, limits.head, conditions)
+            .await;
         answered.map_err(|(e, _)| e)
     }
 
@@ -304,12 +327,12 @@
         mut connection: Connection,
         req: Request<Body>,
         head: Duration,
-        is_wanted: Option<&IsWanted>,
+        conditions: Option<&Conditions>,
     ) -> Result<(Response<Incoming>, Connection), (Error, Option<Request<Body>>)> {
         if let Some(tally) = &self.tally {
             tally.count_sent_messages(1);
         }
-        let res = connection.try_send(req, head, is_wanted).await?;
+        let res = connection.try_send(req, head, conditions).await?;
         if let Some(tally) = &self.tally {
             tally.count_received_messages(1);
         }
@@ -337,6 +360,9 @@
         if connection.generation != self.generation(&connection.address) {
             return;
         }
+        if connection.sender.carried.len() >= CARRIED_LIMIT {
+            return;
+        }
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(connection.address).or_default();
         if list.len() < IDLE_LIMIT {
@@ -383,14 +409,27 @@
         }
     }
 
-    /// Takes the most recently used connection that has been idle for less than `max_idle`.
-    fn take(&self, address: &str, max_idle: Duration) -> Option<Sender> {
+    /// Takes the most recently used connection that has been idle for less than `max_idle` and that meets
+    /// `conditions`.
+    fn take(
+        &self,
+        address: &str,
+        max_idle: Duration,
+        conditions: Option<&Conditions>,
+    ) -> Option<Sender> {
+        let can_carry = |sender: &Sender| match conditions.map(|conditions| conditions.request) {
+            Some(Some(id)) => !sender.carried.contains(&id),
+            Some(None) => false,
+            None => true,
+        };
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(address)?;
         list.retain(Idle::is_usable);
         let is_fresh =
             |idle: &Idle| idle.since.elapsed() < max_idle && idle.sender.inner.is_ready();
-        let at = list.iter().rposition(is_fresh)?;
+        let at = list
+            .iter()
+            .rposition(|idle| is_fresh(idle) && can_carry(&idle.sender))?;
         Some(list.swap_remove(at).sender)
     }
 }
--- a/crates/lilaccrank-http/src/client/sender.rs
+++ b/crates/lilaccrank-http/src/client/sender.rs
@@ -14,7 +14,7 @@
 use lilaccrank::backoff;
 use monoio_compat::hyper::MonoioIo;
 
-use super::{Error, IsWanted, Result};
+use super::{Error, IsWanted, RequestDigest, Result};
 use crate::body::Body;
 use crate::head_limits::MAX_HEADER_LINES;
 use crate::runtime;
@@ -38,6 +38,8 @@
 
 /// Sends requests on one connection; dropping it ends the connection.
 pub(super) struct Sender {
+    /// Ids of the requests that the connection has carried.
+    pub(super) carried: Vec<RequestDigest>,
     /// Time from the write of the last request to the head of its answer.
     pub(super) head_after: Option<Duration>,
     /// Number of the connection in this process, from 1.
@@ -109,6 +111,7 @@
         }
     });
     Ok(Sender {
+        carried: Vec::new(),
         _open: open,
         head_after: None,
         number: OPENED.fetch_add(1, Ordering::Relaxed) + 1,
--- a/crates/lilaccrank-http/tests/suite/client.rs
+++ b/crates/lilaccrank-http/tests/suite/client.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use hyper::{Request, Response};
+use indexmap::IndexSet;
 use lilaccrank_http::body;
-use lilaccrank_http::client::{Client, Error, IsWanted, Limits};
+use lilaccrank_http::client::{Client, Conditions, Error, Limits, RequestDigest};
 use lilaccrank_http::runtime;
 use lilaccrank_http::server::{self, ShutdownHandle};
 
@@ -78,6 +79,61 @@
     };
 }
 
+/// Counts the connections that requests with these ids use, one after the other.
+fn connections_for(ids: &[Option<RequestDigest>]) -> usize {
+    let used = runtime::block_on(async {
+        let (address, _) = serve();
+        let client = Client::default();
+        let limits = Limits {
+            connect: IDLE,
+            max_idle: IDLE,
+            head: IDLE,
+        };
+        let mut used = IndexSet::new();
+        for id in ids {
+            let conditions = Conditions {
+                is_wanted: Rc::new(|| true),
+                request: *id,
+            };
+            let req = Request::new(body::empty());
+            let sent = client.send_if(&address, req, limits, &conditions);
+            let (_, connection) = sent.await.unwrap();
+            used.insert(connection.last_exchange().connection);
+            client.release(connection);
+            monoio::time::sleep(Duration::from_millis(1)).await;
+        }
+        used.len()
+    });
+    used.unwrap()
+}
+
+/// Guards against an answer that could be a copy of an earlier one: a connection carries an id once, and
+/// requests that can't be told from others use connections of their own.
+macro_rules! connections_for {
+    ($($name:ident: $ids:expr => $connections:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_eq!(connections_for(&$ids), $connections);
+            }
+        )*
+    };
+}
+
+connections_for! {
+    other_ids_share_a_connection: [Some(1), Some(2), Some(3)] => 1;
+    an_id_that_comes_again_opens_a_connection: [Some(1), Some(1)] => 2;
+    an_earlier_id_opens_a_connection: [Some(1), Some(2), Some(1)] => 2;
+    requests_without_ids_open_connections: [None, None] => 2;
+}
+
+// Guards against memory that grows with the age of a connection.
+#[test]
+fn a_connection_that_has_carried_many_ids_is_replaced() {
+    let ids: Vec<_> = (0..300).map(Some).collect();
+    assert_eq!(connections_for(&ids), 2);
+}
+
 // Guards against sending a request that is not safe to retry on a stale connection. A middlebox may
 // have dropped the idle connection; the request then gets no response, and whether it ran is
 // unknown. The sender limits the idle time of a reused connection.
@@ -136,9 +192,12 @@
             head: IDLE,
         };
         let req = Request::new(body::full(vec![0; 1 << 10]));
-        let is_wanted: IsWanted = Rc::new(|| false);
+        let conditions = Conditions {
+            is_wanted: Rc::new(|| false),
+            request: Some(1),
+        };
         let client = Client::default();
-        let sent = client.send_if(&address, req, limits, &is_wanted).await;
+        let sent = client.send_if(&address, req, limits, &conditions).await;
         assert!(matches!(sent, Err(Error::Withdrawn { .. })));
         while !server.is_finished() {
             monoio::time::sleep(Duration::from_millis(10)).await;
--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -17,7 +17,7 @@
 use lilaccrank::software_version::VersionDigest;
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::body::{self, Body};
-use lilaccrank_http::client::{self, Connection, IsWanted, Limits};
+use lilaccrank_http::client::{self, Conditions, Connection, IsWanted, Limits};
 use lilaccrank_http::client_connection::ClientConnection;
 use lilaccrank_http::runtime;
 
@@ -28,6 +28,7 @@
 use crate::request::answer_buffer::{AnswerBuffer, End};
 use crate::request::cancellation::Cancellation;
 use crate::targets::paths::{self, ActiveSend};
+use crate::targets::protocol;
 use crate::targets::relay;
 use crate::targets::sendable;
 
@@ -250,15 +251,15 @@
     }
     let req = Request::from_parts(head, body::full(body));
     let active = ActiveSend::new(daemon, &relayed.target);
-    let is_wanted = is_wanted(daemon, relayed, &cancellation);
-    let sending = cancellation.run(send(daemon, relayed, &target, req, &is_wanted));
+    let targets = &daemon.ports.targets;
+    let conditions = Conditions {
+        is_wanted: is_wanted(daemon, relayed, &cancellation),
+        request: protocol::request_digest(&**targets, req.headers()),
+    };
+    let sending = cancellation.run(send(daemon, relayed, &target, req, &conditions));
     let (res, connection) = sending.await.map_err(|_| Failure::Silent)??;
     active.record_heard();
-    if let Some(pause) = daemon
-        .ports
-        .targets
-        .requested_pause(res.status(), res.headers())
-    {
+    if let Some(pause) = targets.requested_pause(res.status(), res.headers()) {
         daemon.pauses.record(&relayed.target, pause, Instant::now());
         server::push_back(daemon, &relayed.pool, &relayed.target, pause);
     }
@@ -305,7 +306,7 @@
     relayed: &Relayed,
     target: &Target,
     req: Request<Body>,
-    is_wanted: &IsWanted,
+    conditions: &Conditions,
 ) -> Result<(Response<Incoming>, Connection)> {
     let bounds = daemon.bounds();
     let is_down = daemon.paths.is_down(&relayed.target);
@@ -320,7 +321,7 @@
     daemon.link.until_free(relayed.tier, &req).await;
     let client = &daemon.client;
     let sent = client
-        .send_if(&target.address, req, limits, is_wanted)
+        .send_if(&target.address, req, limits, conditions)
         .await;
     sent.map_err(|e| {
         if matches!(e, client::Error::Connect { .. }) && !is_down {
--- a/crates/lilaccrankd/src/targets/native_protocol.rs
+++ b/crates/lilaccrankd/src/targets/native_protocol.rs
@@ -54,6 +54,10 @@
         req
     }
 
+    fn request_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str> {
+        headers.get(REQUEST_ID)?.to_str().ok()
+    }
+
     fn says_leaving(&self, head: &Parts, _: &OutgoingRequest<'_>) -> bool {
         says_leaving(&head.headers)
     }
--- a/crates/lilaccrankd/src/targets/protocol.rs
+++ b/crates/lilaccrankd/src/targets/protocol.rs
@@ -8,6 +8,8 @@
 use lilaccrank::document::Target;
 use lilaccrank::ids::RequestId;
 use lilaccrank_http::body::Body;
+use lilaccrank_http::client::RequestDigest;
+use xxhash_rust::xxh3;
 
 use crate::callers::caller_request::CallerRequest;
 use crate::targets::pauses;
@@ -18,6 +20,9 @@
     /// Builds the request to a target.
     fn request(&self, outgoing: &OutgoingRequest<'_>) -> Request<Body>;
 
+    /// Returns the id that a request or an answer has in its headers.
+    fn request_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
+
     /// Classifies an answer by its head.
     fn classify(&self, head: &Parts, outgoing: &OutgoingRequest<'_>) -> AnswerKind;
 
@@ -76,6 +81,13 @@
     Unlimited,
 }
 
+/// Digest of a request's id, by which connections that have carried the request are told.
+#[must_use]
+pub fn request_digest(protocol: &dyn TargetProtocol, headers: &HeaderMap) -> Option<RequestDigest> {
+    let id = protocol.request_id(headers)?;
+    Some(xxh3::xxh3_64(id.as_bytes()))
+}
+
 /// Meaning of a target's answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerKind {
--- a/crates/lilaccrankd/src/targets/transport.rs
+++ b/crates/lilaccrankd/src/targets/transport.rs
@@ -18,7 +18,7 @@
 use lilaccrank::software_version::VersionDigest;
 use lilaccrank::target_instance::TargetInstance;
 use lilaccrank_http::body::Body;
-use lilaccrank_http::client::{self, Connection, IsWanted, Limits};
+use lilaccrank_http::client::{self, Conditions, Connection, IsWanted, Limits};
 use thiserror::Error;
 
 use crate::callers::refusal::Refusal;
@@ -28,6 +28,7 @@
 use crate::request::execution::Execution;
 use crate::targets::call;
 use crate::targets::paths::{self, ActiveSend};
+use crate::targets::protocol;
 use crate::targets::sendable;
 
 /// Result of one send.
@@ -202,7 +203,15 @@
         self.relay(&check, build, limits, unconnected).await
     }
 
-    /// Check by the task that writes the request. Logs a long wait, which the grant does not show.
+    /// Conditions of the write, of which those of `check` are checked by the task that writes the request.
+    /// Logs a long wait, which the grant does not show.
+    fn conditions(&self, check: &Check, req: &Request<Body>) -> Conditions {
+        Conditions {
+            is_wanted: self.is_wanted(check),
+            request: protocol::request_digest(&*self.daemon.ports.targets, req.headers()),
+        }
+    }
+
     fn is_wanted(&self, check: &Check) -> IsWanted {
         let (check, created_at) = (Rc::clone(check), self.created_at);
         let (request, target) = (self.log_id.clone(), self.instance.id.clone());
@@ -254,10 +263,11 @@
     ) -> client::Result<(Response<Incoming>, Connection)> {
         let active = Rc::new(ActiveSend::new(&self.daemon, &self.instance));
         self.active.replace(Some(Rc::clone(&active)));
+        let conditions = self.conditions(check, &req);
         let sent = self
             .daemon
             .client
-            .send_if(&self.target.address, req, limits, &self.is_wanted(check))
+            .send_if(&self.target.address, req, limits, &conditions)
             .await;
         match &sent {
             Ok(_) => active.record_heard(),
@@ -298,10 +308,11 @@
             log::info!(request = self.log_id, target = self.instance.id, via = vm; "relayed");
             self.daemon.metrics.relayed_sent.inc();
             self.relay.replace(Some(vm.clone()));
+            let conditions = self.conditions(check, &req);
             let sent = self
                 .daemon
                 .client
-                .send_if(&address.to_string(), req, limits, &self.is_wanted(check))
+                .send_if(&address.to_string(), req, limits, &conditions)
                 .await;
             let failure = match sent {
                 Ok((res, connection)) => match path_relay::failure(&res) {
