Answers: what is not surely an answer to the request is not believed, at a relay neither

The relay judged no answer at all: it took a pause from any, passed any on, and kept the connection, which stayed one answer behind.

Change: the protocol attributes an answer by the headers of request and answer, before anything of it is read: status, leaving, pause, limits. One without an id is the request's own only as the first answer on its connection; a relay does not tell that of its connection, so that there it never is. The relay judges by the same function, gives up the connection and names the failure; older daemons take the new name for silent, which leaves open whether it ran.

--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -69,6 +69,9 @@
     /// The connection to the target ended before the head of the answer.
     #[display("the target closed the connection")]
     Lost,
+    /// The answer on the connection to the target belongs to another request.
+    #[display("the target sent the answer to another request")]
+    Mismatched,
     /// No head of an answer arrived in time.
     #[display("the target did not answer in time")]
     Silent,
@@ -81,6 +84,7 @@
     fn name(self) -> &'static str {
         match self {
             Self::Lost => "lost",
+            Self::Mismatched => "mismatched",
             Self::Silent => "silent",
             Self::Unsent => "unsent",
         }
@@ -146,7 +150,12 @@
 #[must_use]
 pub fn failure(res: &Response<Incoming>) -> Option<Failure> {
     let name = res.headers().get(FAILURE)?;
-    let failures = [Failure::Lost, Failure::Silent, Failure::Unsent];
+    let failures = [
+        Failure::Lost,
+        Failure::Mismatched,
+        Failure::Silent,
+        Failure::Unsent,
+    ];
     let known = failures.into_iter().find(|failure| name == failure.name());
     // Of a reason that is not known, the target may have run the request.
     Some(known.unwrap_or(Failure::Silent))
@@ -256,9 +265,14 @@
         is_wanted: is_wanted(daemon, relayed, &cancellation),
         request: protocol::request_digest(&**targets, req.headers()),
     };
+    let sent = req.headers().clone();
     let sending = cancellation.run(send(daemon, relayed, &target, req, &conditions));
     let (res, connection) = sending.await.map_err(|_| Failure::Silent)??;
     active.record_heard();
+    let is_first = connection.last_exchange().earlier_requests == 0;
+    if !targets.attribution(&sent, res.headers()).is_own(is_first) {
+        return Err(Failure::Mismatched);
+    }
     if let Some(pause) = targets.requested_pause(res.status(), res.headers()) {
         daemon.pauses.record(&relayed.target, pause, Instant::now());
         server::push_back(daemon, &relayed.pool, &relayed.target, pause);
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -139,6 +139,10 @@
         delivered: &mut Delivered,
         sent_at: Instant,
     ) -> Result<()> {
+        if !self.is_own_answer(&head, outgoing, &connection) {
+            let message = "the target sent the answer to another request";
+            return Err(failed(ErrorKind::BrokenAnswer, message));
+        }
         if self.protocol.says_leaving(&head, outgoing) {
             self.observer.leaving();
         }
@@ -164,7 +168,7 @@
         }
         match kind {
             AnswerKind::Mismatched => {
-                let message = "the target sent the answer to another request";
+                let message = "the target sent no valid answer to the request";
                 Err(failed(ErrorKind::BrokenAnswer, message))
             }
             AnswerKind::Misdirected => {
@@ -194,6 +198,20 @@
         }
     }
 
+    /// A relay does not tell how many requests its connection to the target has carried.
+    fn is_own_answer(
+        &self,
+        head: &Parts,
+        outgoing: &OutgoingRequest<'_>,
+        connection: &Connection,
+    ) -> bool {
+        let sent = &outgoing.proxied.headers;
+        let attribution = self.protocol.attribution(sent, &head.headers);
+        let is_first =
+            connection.last_exchange().earlier_requests == 0 && !self.transport.is_relayed();
+        attribution.is_own(is_first)
+    }
+
     async fn exchange(
         &self,
         outgoing: &OutgoingRequest<'_>,
--- a/crates/lilaccrankd/src/targets/native_protocol.rs
+++ b/crates/lilaccrankd/src/targets/native_protocol.rs
@@ -9,7 +9,7 @@
 
 use crate::targets::engine_stream::{REQUEST_ID, REQUEST_KEY};
 use crate::targets::pauses;
-use crate::targets::protocol::{AnswerKind, OutgoingRequest, TargetProtocol};
+use crate::targets::protocol::{AnswerKind, Attribution, OutgoingRequest, TargetProtocol};
 
 /// Header of all answers of a target that is about to end, with the value 1.
 const LEAVING: HeaderName = HeaderName::from_static("leaving");
@@ -58,6 +58,11 @@
         headers.get(REQUEST_ID)?.to_str().ok()
     }
 
+    /// Native answers have no id.
+    fn attribution(&self, _: &HeaderMap, _: &HeaderMap) -> Attribution {
+        Attribution::Own
+    }
+
     fn says_leaving(&self, head: &Parts, _: &OutgoingRequest<'_>) -> bool {
         says_leaving(&head.headers)
     }
--- a/crates/lilaccrankd/src/targets/protocol.rs
+++ b/crates/lilaccrankd/src/targets/protocol.rs
@@ -23,11 +23,20 @@
     /// Returns the id that a request or an answer has in its headers.
     fn request_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
 
-    /// Classifies an answer by its head.
+    /// Tells which request an answer belongs to, by the headers of the request and of the answer.
+    fn attribution(&self, sent: &HeaderMap, answer: &HeaderMap) -> Attribution {
+        match self.request_id(answer) {
+            None => Attribution::Unnamed,
+            answered if answered == self.request_id(sent) => Attribution::Own,
+            Some(_) => Attribution::Other,
+        }
+    }
+
+    /// Classifies an answer to the request by its head.
     fn classify(&self, head: &Parts, outgoing: &OutgoingRequest<'_>) -> AnswerKind;
 
-    /// Returns `true` if the head of an answer, whatever its status, says that the target leaves. An
-    /// answer to another request or of another target says nothing.
+    /// Returns `true` if the head of an answer to the request, whatever its status, says that the target
+    /// leaves. An answer of another target says nothing.
     fn says_leaving(&self, head: &Parts, outgoing: &OutgoingRequest<'_>) -> bool;
 
     /// Returns the pause that the target asks this daemon for with an answer that turns a request
@@ -81,6 +90,30 @@
     Unlimited,
 }
 
+/// The request that an answer belongs to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Attribution {
+    /// The request that it arrived for.
+    Own,
+    /// Another request.
+    Other,
+    /// The answer has no id. Only on a connection that has carried nothing else it is surely an answer to the
+    /// request.
+    Unnamed,
+}
+
+impl Attribution {
+    /// Returns `true` if the answer is one to the request that it arrived for.
+    #[must_use]
+    pub fn is_own(self, is_first_on_connection: bool) -> bool {
+        match self {
+            Self::Own => true,
+            Self::Other => false,
+            Self::Unnamed => is_first_on_connection,
+        }
+    }
+}
+
 /// Digest of a request's id, by which connections that have carried the request are told.
 #[must_use]
 pub fn request_digest(protocol: &dyn TargetProtocol, headers: &HeaderMap) -> Option<RequestDigest> {
@@ -99,6 +132,6 @@
     Misdirected,
     /// The target did not run the request and will not.
     NotRun,
-    /// The answer belongs to another request, or is not a valid answer.
+    /// The answer is not a valid answer to the request.
     Mismatched,
 }
--- a/crates/lilaccrankd/src/targets/transport.rs
+++ b/crates/lilaccrankd/src/targets/transport.rs
@@ -83,6 +83,7 @@
                 path_relay::Failure::Lost => {
                     Refusal::new(ErrorKind::TargetFailed, message).connection_lost()
                 }
+                path_relay::Failure::Mismatched => Refusal::new(ErrorKind::BrokenAnswer, message),
                 path_relay::Failure::Silent => Refusal::new(ErrorKind::TargetSilent, message),
                 path_relay::Failure::Unsent => Refusal::new(ErrorKind::NoTarget, message),
             },
@@ -231,6 +232,12 @@
         })
     }
 
+    /// Returns `true` if a peer has the request.
+    #[must_use]
+    pub fn is_relayed(&self) -> bool {
+        self.relay.borrow().is_some()
+    }
+
     /// Records that a part of the answer arrived.
     pub fn record_heard(&self) {
         if let Some(active) = &*self.active.borrow() {
