Planned stops: what is whole after the daemon ceased to take requests is refused

What callers saw: in a planned stop in calm, requests that came late in the grace were passed on and cut at its end, some of which may run once.

Cause: a daemon that shuts down decides whether it takes a request when its head comes (callers/entry.rs, accept; peers/path_relay.rs, admit). A body that comes slowly is whole much later: 6.9 s after SIGTERM it was passed on within 3 ms, and cut at 7.7 s, when the limit of the shutdown aborts all that is in progress (shutdown.rs, until_abort).

Ruled out: requests whose head comes late are refused from 2.7 s on, also on open connections and behind requests in progress (planned_stop::kept_connections, long_work). Those that wait for a slot are refused as not run (a_queue_that_outlasts_the_grace).

Change: a request is new until its body has arrived, and is refused then if the daemon takes no new ones. The relay says that nothing was sent. The check is one function now.

The body's check by the relay has no test of its own.

--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -102,12 +102,7 @@
     client: ClientConnection,
     arrival: &Arrival,
 ) -> Result<Response<Body>> {
-    if daemon.refusing.get() {
-        return Err(Refusal::new(
-            ErrorKind::Leaving,
-            "this daemon is shutting down",
-        ));
-    }
+    daemon.check_accepting()?;
     let in_force = daemon.in_force()?;
     let in_progress = Rc::new(daemon.admit()?);
     let (head, incoming) = req.into_parts();
@@ -122,7 +117,9 @@
         return Err(Refusal::new(ErrorKind::Cancelled, message).ran(Executed::No));
     }
     // Decided only after the body has arrived: a body may come slowly, and a request that came while the
-    // machine was suspended is read late. The customer's key may have been revoked in the meantime.
+    // machine was suspended is read late. The customer's key may have been revoked in the meantime, and what
+    // a shutdown leaves no time for would be cut.
+    daemon.check_accepting()?;
     daemon.check_lease()?;
     let in_force = daemon.newest_in_force()?;
     let customer = customer(daemon, &in_force, &head.headers)?;
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -356,6 +356,21 @@
         Err(Refusal::new(ErrorKind::NotReady, message))
     }
 
+    /// Checks that this daemon takes new requests. A request is new until its body has arrived.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Leaving`] late in a shutdown.
+    pub fn check_accepting(&self) -> Result<()> {
+        match self.refusing.get() {
+            true => Err(Refusal::new(
+                ErrorKind::Leaving,
+                "this daemon is shutting down",
+            )),
+            false => Ok(()),
+        }
+    }
+
     /// Returns `true` once the records of request keys have been settled since the start. Later
     /// membership changes unsettle them briefly; readiness ignores that.
     pub fn keys_settled(&self) -> bool {
--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -231,6 +231,7 @@
     let body = entry::read_request_body(daemon, incoming, limit, &in_progress).await;
     drop(reading);
     let body = body.map_err(|_| Failure::Unsent)?;
+    daemon.check_accepting().map_err(|_| Failure::Unsent)?;
     let buffer = Rc::new(AnswerBuffer::new(&daemon.answer_memory));
     let reader = buffer.reader(client);
     let cancellation = Cancellation::new(daemon, &buffer, relayed.deadline, Duration::ZERO);
@@ -291,7 +292,8 @@
 
 fn admit(daemon: &Rc<Daemon>) -> Result<Rc<InProgress>> {
     let limit = daemon.cfg.request_limit / SHARE_DIVISOR;
-    if daemon.refusing.get() || daemon.in_progress() >= limit {
+    daemon.check_accepting().map_err(|_| Failure::Unsent)?;
+    if daemon.in_progress() >= limit {
         return Err(Failure::Unsent);
     }
     let admitted = daemon.admit().map_err(|_| Failure::Unsent)?;
