Planned stops: a second SIGTERM cuts nothing on the users' platform

What callers saw: with two SIGTERM 0.5 s apart, all requests in progress were cut 2.7 s after the first, streams in the middle, others with 502; the process is killed after 8 s.

Cause: shutdown.rs, until_abort: a second signal aborts what is in progress as soon as no new requests are taken. That is meant for operators at a terminal. The platform ends a process by SIGKILL when its grace is over and has no need for it.

Ruled out: the limit of the shutdown, which ends at 7.7 s; with one signal all of the same work is served.

--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -135,6 +135,9 @@
     pub link_bytes_per_s: u64,
     /// Gossip addresses of the members to join through.
     pub seeds: Vec<SocketAddr>,
+    /// Whether a second signal aborts the requests that are left of a graceful shutdown. Unset it where
+    /// signals may be sent again and the process is killed at the end of its grace.
+    pub shutdown_cut_by_signal: bool,
     /// Milliseconds after which a graceful shutdown aborts the remaining requests.
     pub shutdown_limit_ms: u64,
     /// Milliseconds at the start of a graceful shutdown in which new requests are still served. Set
@@ -240,6 +243,7 @@
             retries: Retries::default(),
             rollouts: false,
             seeds: Vec::new(),
+            shutdown_cut_by_signal: true,
             shutdown_limit_ms: 60_000,
             shutdown_serving_ms: 0,
             store_claims_per_s: 10,
--- a/crates/lilaccrankd/src/shutdown.rs
+++ b/crates/lilaccrankd/src/shutdown.rs
@@ -17,7 +17,8 @@
 /// Time to tell callers that their requests are aborted.
 const ABORT_GRACE: Duration = Duration::from_secs(2);
 
-/// Refuses new requests and waits for those in progress, until the time limit or a second signal.
+/// Refuses new requests and waits for those in progress, until the time limit or a second signal, if that
+/// may cut them.
 /// The servers are closed one after the other, the one for callers first.
 pub async fn run(daemon: &Daemon, servers: [&ShutdownHandle; 2], signals: &Signals) {
     daemon.leaving.set(true);
@@ -63,10 +64,15 @@
     }
 }
 
-/// Completes at the shutdown's time limit or a second signal.
+/// Completes at the shutdown's time limit, or at a second signal if that may cut requests.
 async fn until_abort(daemon: &Daemon, signals: &Signals) {
     let timed_out = monoio::time::sleep(clock::millis(daemon.cfg.shutdown_limit_ms));
-    let second_signal = signals.wait_for_count(2);
+    let second_signal = async {
+        match daemon.cfg.shutdown_cut_by_signal {
+            true => signals.wait_for_count(2).await,
+            false => future::pending().await,
+        }
+    };
     pin_mut!(timed_out, second_signal);
     future::select(timed_out, second_signal).await;
 }
--- a/crates/lilaccrankd/src/signals.rs
+++ b/crates/lilaccrankd/src/signals.rs
@@ -1,6 +1,6 @@
 //! Shutdown and reload requests. The first SIGTERM or SIGINT, or an operator's request, starts a
-//! graceful shutdown; a second signal ends it at once. SIGHUP reloads the settings: its default
-//! action would end the process and break every request.
+//! graceful shutdown; a second one ends it at once, if the settings say so. SIGHUP reloads the
+//! settings: its default action would end the process and break every request.
 
 use std::io;
 use std::sync::Arc;
