A takeover that brings no event in 300 ms ends one of its two runs

What callers saw: nothing; two workers worked on one request.

Cause: request/takeover.rs let both runs go on until the first event of the next one, with no limit. A next worker with a long prompt, a busy one, or one that sends a head alone or nothing kept both at work, for as long as the timeout of the first event.

Ruled out: a further takeover that begins beside an undecided one (carry() waits for race() before it asks for the next), and a slot that stays taken (the grant is given back when the withdrawn run is dropped; a_withdrawn_run_gives_its_slot_back). Ending the run before instead (B to D of docs/design/2026-12-takeover-handover.md) gives up sound runs.

Change: request/handover.rs completes 300 ms after the next run's request was written, which the transport records at the write, while the worker of the current run is reached. Then the next run is withdrawn and the current one goes on. If the list says that the current run's process is gone and nothing of its answer came since the takeover began, that one ends. While its path is cut there is no limit; it begins once the path is back. `the run goes on, and none takes over` has `why` and `since_write_ms`, `the run ends, and the next one goes on` is new, `migrates to another target` has `first_event_ms`, and lilaccrank_takeovers_undecided_total counts by cause and by the run that was ended.

A run that was heard since the last takeover came to nothing isn't ended for that any more.

Conclusion: 400 ms after the next worker was sent a request, one of the two works on it, as far as these tests show it. A late answer whose next worker needs over 300 ms to its first event stays late; the withdrawn run's prefill is wasted, and counts as an attempt.

--- a/crates/lilaccrankd/src/admin/metrics.rs
+++ b/crates/lilaccrankd/src/admin/metrics.rs
@@ -13,6 +13,8 @@
 };
 
 use crate::peers::traffic::Traffic;
+use crate::request::race::Side;
+use crate::request::takeover::Cause;
 
 /// Result of registering metrics.
 pub type Result<T, E = prometheus::Error> = std::result::Result<T, E>;
@@ -58,6 +60,7 @@
     rollout_stages: IntCounterVec,
     /// Retries that the retry budget denied.
     pub second_sends_denied: IntCounter,
+    takeovers_undecided: IntCounterVec,
     task_seconds: CounterVec,
     timers_overdue: IntCounter,
     traffic: Rc<Traffic>,
@@ -145,6 +148,13 @@
             ),
             &["stage"],
         )?;
+        let takeovers_undecided = IntCounterVec::new(
+            Opts::new(
+                "lilaccrank_takeovers_undecided_total",
+                "Takeovers whose next run brought no event in time, by the run that was ended",
+            ),
+            &["cause", "ended"],
+        )?;
         let task_seconds = CounterVec::new(
             Opts::new(
                 "lilaccrank_task_seconds_total",
@@ -170,6 +180,7 @@
         registry.register(Box::new(unreachable_targets.clone()))?;
         registry.register(Box::new(rollout_stages.clone()))?;
         registry.register(Box::new(second_sends_denied.clone()))?;
+        registry.register(Box::new(takeovers_undecided.clone()))?;
         registry.register(Box::new(task_seconds.clone()))?;
         registry.register(Box::new(timers_overdue.clone()))?;
         registry.register(Box::new(unusable_entries.clone()))?;
@@ -187,6 +198,7 @@
             registry,
             rollout_stages,
             second_sends_denied,
+            takeovers_undecided,
             task_seconds,
             timers_overdue,
             traffic,
@@ -206,6 +218,12 @@
         self.rollout_stages.with_label_values(&[&stage]).inc();
     }
 
+    /// Counts a takeover whose next run brought no event in time.
+    pub fn record_undecided_takeover(&self, cause: Cause, ended: Side) {
+        let labels = [&*cause.to_string(), &*ended.to_string()];
+        self.takeovers_undecided.with_label_values(&labels).inc();
+    }
+
     /// Counts a request that ended without a complete answer.
     pub fn record_refusal(&self, kind: ErrorKind) {
         self.refused.with_label_values(&[&kind.to_string()]).inc();
--- a/crates/lilaccrankd/src/request.rs
+++ b/crates/lilaccrankd/src/request.rs
@@ -7,6 +7,7 @@
 pub mod dispatch_refusal;
 pub mod ended_by;
 pub mod execution;
+pub mod handover;
 pub mod key_state;
 pub mod lifecycle;
 pub mod migration;
--- a/crates/lilaccrankd/src/request/migration.rs
+++ b/crates/lilaccrankd/src/request/migration.rs
@@ -24,6 +24,7 @@
     pub fn log_migration(&self, before: &SendObserver, next: &Sent, remaining: Duration) {
         let daemon = &before.daemon;
         log::info!(
+            first_event_ms = lifecycle::log_ms(next.time_since_write()),
             from = before.grant.target.id,
             left_ms = lifecycle::log_ms(self.time_left()),
             remaining_ms = lifecycle::log_ms(Some(remaining)),
--- a/crates/lilaccrankd/src/request/race.rs
+++ b/crates/lilaccrankd/src/request/race.rs
@@ -6,14 +6,17 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use derive_more::Display;
 use event_listener::Event;
 
 /// One of two runs of a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum Side {
     /// The run that delivers the answer so far.
+    #[display("current")]
     Current,
     /// The run that is to take over.
+    #[display("next")]
     Next,
 }
 
--- a/crates/lilaccrankd/src/request/run.rs
+++ b/crates/lilaccrankd/src/request/run.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use lilaccrank::document::Target;
 use lilaccrank::target_instance::TargetInstance;
@@ -41,6 +42,13 @@
     pub fn instance(&self) -> &TargetInstance {
         &self.observer.grant.target
     }
+
+    /// Time since the request was written; `None` if it wasn't yet.
+    #[must_use]
+    pub fn time_since_write(&self) -> Option<Duration> {
+        let written_at = self.transport.write_time.get();
+        written_at.map(|at| at.elapsed())
+    }
 }
 
 impl<'a> Execution<'a> {
--- a/crates/lilaccrankd/src/request/takeover.rs
+++ b/crates/lilaccrankd/src/request/takeover.rs
@@ -2,7 +2,7 @@
 //!
 //! A run whose path is lost, whose target has started again, or which is too slow goes on until the run
 //! that takes over has brought its first part of the answer. The next run may be refused or fail; nothing
-//! is lost then.
+//! is lost then. If that part doesn't come in time, one of the two runs ends without it.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -17,6 +17,7 @@
 
 use crate::callers::refusal::{self, Refusal};
 use crate::request::execution::Execution;
+use crate::request::handover;
 use crate::request::lifecycle;
 use crate::request::migration;
 use crate::request::pool_retry_budgets::RetryPermit;
@@ -28,6 +29,10 @@
 
 /// Time between two attempts to have a run taken over.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Why no other target takes over from a run that is heard.
+const ANSWER_GOES_ON: &str = "the answer goes on at its target";
+/// Why a run is withdrawn that was to take over.
+const NO_EVENT: &str = "the next target brought no event in time";
 
 /// Why another target is to take over.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
@@ -53,12 +58,28 @@
     }
 }
 
+/// An attempt to have a run taken over.
+#[derive(Clone, Copy, Debug)]
+struct Takeover {
+    began_at: Instant,
+    cause: Cause,
+}
+
+impl Takeover {
+    /// Returns `true` if it is the current run that ends once both have been in progress for too long: its
+    /// process is gone by the list, and nothing of its answer has come since.
+    fn ends_current(&self, current: &Sent) -> bool {
+        let is_heard = current.transport.is_heard_since(self.began_at);
+        self.cause == Cause::Restarted && !is_heard
+    }
+}
+
 /// What follows on a run in progress.
 enum Following<'a> {
     /// It ends, since its target is gone and its caller has nothing of the answer.
     End(SendFailure),
     /// Another run may take over.
-    Next(Cause, Run<'a>),
+    Next(Takeover, Run<'a>),
 }
 
 /// What happened first while two runs were in progress.
@@ -66,6 +87,8 @@
     CurrentEnded(Exchanged),
     Decided,
     NextEnded(Exchanged),
+    /// The next run has brought no part of the answer in time.
+    Overdue,
 }
 
 /// What is left of two runs.
@@ -84,29 +107,26 @@
         proxied: &'a ProxiedRequest,
     ) -> (Rc<Sent>, forward::Result<()>) {
         let mut current = run;
-        let mut pause = Duration::ZERO;
+        let mut went_on_at = None;
         loop {
             let sent = Rc::clone(&current.sent);
             let following = {
-                let following = self.following(&sent, proxied, pause);
+                let following = self.following(&sent, proxied, went_on_at);
                 pin_mut!(following);
                 match future::select(&mut current.exchange, following).await {
                     Either::Left((exchanged, _)) => Either::Left(exchanged),
                     Either::Right((following, _)) => Either::Right(following),
                 }
             };
-            let (cause, next) = match following {
+            let (takeover, next) = match following {
                 Either::Left(exchanged) => return self.ended(sent, exchanged),
                 Either::Right(Following::End(failed)) => return (sent, Err(failed)),
-                Either::Right(Following::Next(cause, next)) => (cause, next),
+                Either::Right(Following::Next(takeover, next)) => (takeover, next),
             };
-            match self.race(cause, current, next).await {
+            match self.race(takeover, current, next).await {
                 Left::Ended(sent, exchanged) => return self.ended(sent, *exchanged),
                 Left::One(run) => {
-                    pause = match Rc::ptr_eq(&run.sent, &sent) {
-                        true => RETRY_INTERVAL,
-                        false => Duration::ZERO,
-                    };
+                    went_on_at = Rc::ptr_eq(&run.sent, &sent).then(Instant::now);
                     current = run;
                 }
             }
@@ -119,29 +139,38 @@
         (sent, ended)
     }
 
-    /// Completes with what follows on a run in progress, after `pause`; never if nothing may.
+    /// Completes with what follows on a run in progress; never if nothing may. `went_on_at` is when the last
+    /// attempt to have it taken over came to nothing.
     async fn following(
         &mut self,
         current: &Sent,
         proxied: &'a ProxiedRequest,
-        pause: Duration,
+        went_on_at: Option<Instant>,
     ) -> Following<'a> {
-        let mut pause = pause;
+        let mut went_on_at = went_on_at;
         loop {
-            monoio::time::sleep(pause).await;
-            pause = RETRY_INTERVAL;
+            if went_on_at.is_some() {
+                monoio::time::sleep(RETRY_INTERVAL).await;
+            }
             let cause = self.cause(current).await;
             let may_take_over = self.history.may_take_over(self.buffer)
                 && self
                     .daemon
                     .retry_budgets
                     .has_budget(&self.routed.route.pool);
-            if !may_take_over && cause == Cause::Restarted && !self.buffer.has_head() {
+            let is_heard = went_on_at.is_some_and(|at| current.transport.is_heard_since(at));
+            let is_gone = cause == Cause::Restarted && !is_heard;
+            if !may_take_over && is_gone && !self.buffer.has_head() {
                 return Following::End(send::target_restarted(self.buffer));
             }
-            if may_take_over && let Some(next) = self.try_next(cause, current, proxied).await {
-                return Following::Next(cause, next);
+            let takeover = Takeover {
+                began_at: Instant::now(),
+                cause,
+            };
+            if may_take_over && let Some(next) = self.try_next(takeover, current, proxied).await {
+                return Following::Next(takeover, next);
             }
+            went_on_at = Some(Instant::now());
         }
     }
 
@@ -174,12 +203,12 @@
     /// Begins a run at another target; `None` if there is none, or if the current one goes on.
     async fn try_next(
         &mut self,
-        cause: Cause,
+        takeover: Takeover,
         current: &Sent,
         proxied: &'a ProxiedRequest,
     ) -> Option<Run<'a>> {
         let request = self.routed.log_id();
-        let began_at = Instant::now();
+        let Takeover { began_at, cause } = takeover;
         log::info!(
             cause:% = cause,
             from = current.instance().id,
@@ -199,7 +228,7 @@
             pin_mut!(heard, next);
             match future::select(next, heard).await {
                 Either::Left((next, _)) => next,
-                Either::Right(_) => Err(own_stop("the answer goes on at its target")),
+                Either::Right(_) => Err(own_stop(ANSWER_GOES_ON)),
             }
         };
         if let Err(refusal) = &next {
@@ -252,8 +281,9 @@
         Ok(self.begin_run(grant, target, proxied))
     }
 
-    /// Lets two runs go on until one of them delivers the answer.
-    async fn race(&mut self, cause: Cause, current: Run<'a>, next: Run<'a>) -> Left<'a> {
+    /// Lets two runs go on until one of them delivers the answer, or both have been in progress for too long.
+    async fn race(&mut self, takeover: Takeover, current: Run<'a>, next: Run<'a>) -> Left<'a> {
+        let cause = takeover.cause;
         let (mut current, mut next) = (current, next);
         // A run that has delivered nothing is not resumed: either of them delivers all of the answer.
         let can_current_win = cause == Cause::PathLost || !self.buffer.has_head();
@@ -261,13 +291,16 @@
         current.sent.observer.enter(&race, Side::Current);
         next.sent.observer.enter(&race, Side::Next);
         let happened = {
+            let overdue = handover::overdue(cause, &current.sent, &next.sent);
             let current = (&mut current.exchange).map(Happened::CurrentEnded);
             let next = (&mut next.exchange).map(Happened::NextEnded);
             let decided = race.decided().map(|()| Happened::Decided);
+            let overdue = overdue.map(|()| Happened::Overdue);
             let happened = [
                 current.boxed_local(),
                 next.boxed_local(),
                 decided.boxed_local(),
+                overdue.boxed_local(),
             ];
             future::select_all(happened).await.0
         };
@@ -287,7 +320,7 @@
                 Left::One(next)
             }
             (_, Happened::CurrentEnded(exchanged)) => {
-                self.withdrawn(cause, &next.sent, &current.sent);
+                self.withdrawn(cause, &next.sent, &current.sent, ANSWER_GOES_ON);
                 Left::Ended(current.sent, Box::new(exchanged))
             }
             (None, Happened::NextEnded((ended, _))) => {
@@ -296,13 +329,39 @@
                 }
                 Left::One(current)
             }
+            (None, Happened::Overdue) if takeover.ends_current(&current.sent) => {
+                self.log_replaced(cause, &current.sent, &next.sent);
+                self.taken_over(cause, &current.sent, &next.sent);
+                Left::One(next)
+            }
+            (None, Happened::Overdue) => {
+                let metrics = &self.daemon.metrics;
+                metrics.record_undecided_takeover(cause, Side::Next);
+                self.withdrawn(cause, &next.sent, &current.sent, NO_EVENT);
+                Left::One(current)
+            }
             _ => {
-                self.withdrawn(cause, &next.sent, &current.sent);
+                self.withdrawn(cause, &next.sent, &current.sent, ANSWER_GOES_ON);
                 Left::One(current)
             }
         }
     }
 
+    /// Logs and counts that a run ends for the next one, which has brought nothing yet.
+    fn log_replaced(&self, cause: Cause, current: &Sent, next: &Sent) {
+        log::info!(
+            cause:% = cause,
+            from = current.instance().id,
+            request = self.routed.log_id(),
+            since_write_ms = lifecycle::log_ms(next.time_since_write()),
+            target = next.instance().id,
+            why = cause.why();
+            "the run ends, and the next one goes on"
+        );
+        let metrics = &self.daemon.metrics;
+        metrics.record_undecided_takeover(cause, Side::Current);
+    }
+
     /// Ends a run that another one has taken over.
     fn taken_over(&mut self, cause: Cause, before: &Sent, next: &Sent) {
         let failed = match cause {
@@ -343,12 +402,14 @@
     }
 
     /// Records that a run was to take over and is not needed.
-    fn withdrawn(&mut self, cause: Cause, next: &Sent, current: &Sent) {
+    fn withdrawn(&mut self, cause: Cause, next: &Sent, current: &Sent, why: &str) {
         log::info!(
             cause:% = cause,
             from = current.instance().id,
             request = self.routed.log_id(),
-            target = next.instance().id;
+            since_write_ms = lifecycle::log_ms(next.time_since_write()),
+            target = next.instance().id,
+            why = why;
             "the run goes on, and none takes over"
         );
         self.history
--- a/crates/lilaccrankd/src/targets.rs
+++ b/crates/lilaccrankd/src/targets.rs
@@ -19,3 +19,4 @@
 pub mod relay;
 pub mod sendable;
 pub mod transport;
+pub mod write_time;
--- a/crates/lilaccrankd/src/targets/transport.rs
+++ b/crates/lilaccrankd/src/targets/transport.rs
@@ -4,7 +4,7 @@
 //! A request is handed to a peer only if nothing of it was sent, and to the next peer only if the
 //! first says so.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -29,6 +29,7 @@
 use crate::targets::call;
 use crate::targets::paths::{self, ActiveSend};
 use crate::targets::sendable;
+use crate::targets::write_time::WriteTime;
 
 /// Result of one send.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -98,6 +99,8 @@
     created_at: Instant,
     daemon: Rc<Daemon>,
     deadline: Option<Instant>,
+    /// Last time that something of the answer arrived.
+    heard_at: Cell<Option<Instant>>,
     instance: TargetInstance,
     log_id: String,
     pool: PoolId,
@@ -106,6 +109,8 @@
     active: RefCell<Option<Rc<ActiveSend>>>,
     target: Target,
     tier: Tier,
+    /// When the request was written, to the target or to the peer that relays it.
+    pub write_time: Rc<WriteTime>,
 }
 
 impl Transport {
@@ -118,6 +123,7 @@
             created_at: Instant::now(),
             daemon: Rc::clone(execution.daemon),
             deadline: routed.deadline(),
+            heard_at: Cell::default(),
             instance: TargetInstance::of(target),
             log_id: routed.log_id().to_owned(),
             pool: routed.route.pool.clone(),
@@ -125,6 +131,7 @@
             active: RefCell::default(),
             target: target.clone(),
             tier: routed.route.tier,
+            write_time: Rc::default(),
         }
     }
 
@@ -206,8 +213,12 @@
     fn is_wanted(&self, check: &Check) -> IsWanted {
         let (check, created_at) = (Rc::clone(check), self.created_at);
         let (request, target) = (self.log_id.clone(), self.instance.id.clone());
+        let write_time = Rc::clone(&self.write_time);
         Rc::new(move || {
             let is_written = check().is_ok();
+            if is_written {
+                write_time.record();
+            }
             let waited = created_at.elapsed();
             if waited >= LOGGED_WAIT {
                 log::info!(
@@ -224,11 +235,33 @@
 
     /// Records that a part of the answer arrived.
     pub fn record_heard(&self) {
+        self.heard_at.set(Some(Instant::now()));
         if let Some(active) = &*self.active.borrow() {
             active.record_heard();
         }
     }
 
+    /// Returns `true` if something of the answer arrived after `since`.
+    #[must_use]
+    pub fn is_heard_since(&self, since: Instant) -> bool {
+        self.heard_at.get() > Some(since)
+    }
+
+    /// Completes when the target is reached again over a path that was cut.
+    pub async fn reached(&self) {
+        while !self.is_reached() {
+            self.daemon.paths.changed().await;
+        }
+    }
+
+    fn is_reached(&self) -> bool {
+        let paths = &self.daemon.paths;
+        match self.relay.borrow().is_some() {
+            true => !self.is_cut(),
+            false => !paths.is_down(&self.instance) || paths.keeps_working(&self.instance),
+        }
+    }
+
     /// Completes when the answer can't arrive: the own path is down and the target is well, or the
     /// daemon that relays the request has died.
     pub async fn cut(&self) {
@@ -260,7 +293,7 @@
             .send_if(&self.target.address, req, limits, &self.is_wanted(check))
             .await;
         match &sent {
-            Ok(_) => active.record_heard(),
+            Ok(_) => self.record_heard(),
             Err(_) => {
                 self.active.take();
             }
@@ -306,6 +339,7 @@
             let failure = match sent {
                 Ok((res, connection)) => match path_relay::failure(&res) {
                     None => {
+                        self.record_heard();
                         paths.record_relay(&self.daemon, &self.instance, &vm, true);
                         return Ok((unwrap(res), connection));
                     }
