Planned stops: the times of a shutdown count from the signal

Cause: shutdown.rs, run: the time in which callers are served began when the daemon's word to the others had gone out (0.2 s and more, as it is said twice), and the limit of the shutdown when that time had been slept. Each wait of a busy daemon came on top, and ate the half second that is left of the grace.

Ruled out: the telling itself, which takes what it took before: 0.2 s of the time at this share.

Change: the signal's thread notes when the first request of a shutdown came, and both times count from it.

--- a/crates/lilaccrankd/src/serve.rs
+++ b/crates/lilaccrankd/src/serve.rs
@@ -163,8 +163,9 @@
         version = env!("CARGO_PKG_VERSION");
         "started"
     );
-    signals.wait_for_shutdown().await;
-    shutdown::run(&daemon, [&closing, &admin_closing], &signals).await;
+    let requested_at = signals.wait_for_shutdown().await;
+    let servers = [&closing, &admin_closing];
+    shutdown::run(&daemon, servers, &signals, requested_at).await;
     Ok(())
 }
 
--- a/crates/lilaccrankd/src/signals.rs
+++ b/crates/lilaccrankd/src/signals.rs
@@ -3,9 +3,10 @@
 //! settings: its default action would end the process and break every request.
 
 use std::io;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::thread;
+use std::time::Instant;
 
 use event_listener::Event;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -21,7 +22,8 @@
 struct Shared {
     changed: Event,
     count: AtomicUsize,
-    shutdown_requested: AtomicBool,
+    /// When a graceful shutdown was requested first.
+    requested_at: OnceLock<Instant>,
     reloads: AtomicUsize,
 }
 
@@ -37,12 +39,16 @@
         let counter = Arc::clone(&shared);
         thread::spawn(move || {
             for signal in signals.forever() {
-                let counted = match signal {
-                    SIGHUP => &counter.reloads,
-                    _ => &counter.count,
-                };
-                counted.fetch_add(1, Ordering::SeqCst);
-                counter.changed.notify(usize::MAX);
+                match signal {
+                    SIGHUP => {
+                        counter.reloads.fetch_add(1, Ordering::SeqCst);
+                        counter.changed.notify(usize::MAX);
+                    }
+                    _ => {
+                        counter.count.fetch_add(1, Ordering::SeqCst);
+                        counter.request_shutdown();
+                    }
+                }
             }
         });
         Ok(Self { shared })
@@ -54,15 +60,14 @@
     /// the platform's SIGTERM that follows would otherwise be the second signal and abort the
     /// requests in progress.
     pub fn request_shutdown(&self) {
-        self.shared.shutdown_requested.store(true, Ordering::SeqCst);
-        self.shared.changed.notify(usize::MAX);
+        self.shared.request_shutdown();
     }
 
-    /// Completes once a graceful shutdown is requested.
-    pub async fn wait_for_shutdown(&self) {
-        let shared = &self.shared;
-        self.wait_until(|| shared.shutdown_requested.load(Ordering::SeqCst) || shared.count() > 0)
-            .await;
+    /// Completes once a graceful shutdown is requested; returns when it was.
+    pub async fn wait_for_shutdown(&self) -> Instant {
+        let requested_at = &self.shared.requested_at;
+        self.wait_until(|| requested_at.get().is_some()).await;
+        *requested_at.get_or_init(Instant::now)
     }
 
     /// Completes once more than `seen` reloads were requested; returns their number.
@@ -90,6 +95,11 @@
 }
 
 impl Shared {
+    fn request_shutdown(&self) {
+        self.requested_at.get_or_init(Instant::now);
+        self.changed.notify(usize::MAX);
+    }
+
     fn count(&self) -> usize {
         self.count.load(Ordering::SeqCst)
     }
