Bound an event of a stream in bytes on the wire and in time

What callers saw: 3 of 24 callers of streams got 504 after their 3 s, since one worker of four began an event and never ended it: in chunks of one byte, by 16 bytes each 50 ms, or with nothing more behind its beginning. Three sound workers stood idle.

Cause: forward_events recorded progress for every frame, so that the meter of unproductive bytes never held in an event, and the only bound of time was the one between two frames (30 s).

Ruled out: the retry budget (the log has no `no_budget` for these) and the target chosen again (each request names another target for its second send; the faulty one got none of 24 later requests).

Change: a reader of events records progress for whole events only, so that the bytes on the wire between two events are bounded with their framing, and gives up an event that is not whole one second after its first bytes. Clients leave after a gap of two seconds (PROTOCOL.md), so half of it is left to another worker. The send then fails as broken: repeated where nothing was delivered, resumed where the route allows it.

Blank lines and comments without end are events by this reader and are passed on to the caller: not bounded by this.

--- a/crates/lilaccrank-http/src/events.rs
+++ b/crates/lilaccrank-http/src/events.rs
@@ -65,6 +65,12 @@
     pub fn is_in_event(&self) -> bool {
         !self.buf.is_empty()
     }
+
+    /// Number of bytes that were pushed and not returned as events.
+    #[must_use]
+    pub fn buffered_len(&self) -> usize {
+        self.buf.len()
+    }
 }
 
 /// Returns the length of the first event, including the empty line that ends it.
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -14,7 +14,6 @@
 use lilaccrank::error_kind::{ErrorKind, Executed};
 use lilaccrank_http::body;
 use lilaccrank_http::client::{Client, Connection, Limits};
-use lilaccrank_http::events::EventSplitter;
 use lilaccrank_http::timeout;
 use lilaccrank_http::unproductive::Meter;
 
@@ -25,12 +24,14 @@
 use crate::targets::transport::Transport;
 
 mod delivered;
+mod event_reader;
 mod failure;
 mod held_back;
 
 pub use delivered::Delivered;
 pub use failure::SendFailure;
 
+use event_reader::EventReader;
 use failure::{broken, failed, lost, overtaken};
 use held_back::HeldBack;
 
@@ -160,7 +161,7 @@
             AnswerKind::Answer if self.stream && head.status.is_success() => {
                 self.observer.head();
                 let meter = connection.meter();
-                self.forward_events(head, body, delivered, sent_at, &meter)
+                self.forward_events(head, body, delivered, sent_at, meter)
                     .await?;
                 self.client.release(connection);
                 Ok(())
@@ -297,13 +298,12 @@
     async fn forward_events(
         &self,
         head: Parts,
-        mut body: Incoming,
+        body: Incoming,
         delivered: &mut Delivered,
         sent_at: Instant,
-        meter: &Meter,
+        meter: Meter,
     ) -> Result<()> {
-        let mut cutter = EventSplitter::default();
-        meter.start();
+        let mut events = EventReader::new(body, meter, self.transport);
         let mut event_count = 0;
         let mut paused = Duration::ZERO;
         loop {
@@ -314,37 +314,24 @@
             } else {
                 self.bounds.next
             };
-            let frame = timeout::timeout(limit, body.frame()).await;
-            let frame = frame.map_err(|_| delivered.silent())?;
-            let Some(frame) = frame else {
+            let event = events.next(limit).await;
+            let Some(event) = event.map_err(|e| delivered.failed(&e))? else {
                 break;
             };
-            let frame = frame.map_err(|_| delivered.lost("the target broke off its stream"))?;
-            meter.record_progress();
-            self.transport.record_heard();
-            let Ok(data) = frame.into_data() else {
+            if !self.observer.claim() {
+                return Err(overtaken());
+            }
+            if !delivered.is_next(event.id.as_deref()) {
                 continue;
-            };
-            cutter.push(&data);
-            while let Some(event) = cutter
-                .next_event()
-                .map_err(|e| delivered.broken(&e.to_string()))?
-            {
-                if !self.observer.claim() {
-                    return Err(overtaken());
-                }
-                if !delivered.is_next(event.id.as_deref()) {
-                    continue;
-                }
-                self.buffer.set_head(forwarded_head(&head));
-                self.observer.event(event_count == 0, sent_at.elapsed());
-                event_count += 1;
-                delivered.record(event.id);
-                self.buffer.push(event.bytes);
             }
+            self.buffer.set_head(forwarded_head(&head));
+            self.observer.event(event_count == 0, sent_at.elapsed());
+            event_count += 1;
+            delivered.record(event.id);
+            self.buffer.push(event.bytes);
         }
-        meter.stop();
-        if cutter.is_in_event() {
+        events.finish();
+        if events.is_in_event() {
             let mut truncated = delivered.broken("the stream ended inside an event");
             truncated.refusal.connection_lost = ends_with_connection(&head);
             return Err(truncated);
--- a/crates/lilaccrankd/src/targets/forward/delivered.rs
+++ b/crates/lilaccrankd/src/targets/forward/delivered.rs
@@ -7,6 +7,7 @@
 use lilaccrank::error_kind::ErrorKind;
 
 use super::BEGINNING;
+use super::event_reader;
 use super::failure::{self, SendFailure};
 
 /// The part of the answer that was delivered to the caller.
@@ -83,11 +84,17 @@
         failure::lost(message, self.events() > 0)
     }
 
-    pub(super) fn silent(&self) -> SendFailure {
-        let mut silent = self.broken("the target went silent in its stream");
-        if self.events() == 0 {
-            silent.refusal.kind = ErrorKind::TargetSilent;
+    /// Failure of a send whose next event did not come.
+    pub(super) fn failed(&self, e: &event_reader::Error) -> SendFailure {
+        let message = e.to_string();
+        match e {
+            event_reader::Error::Lost(_) => self.lost(&message),
+            event_reader::Error::Silent(_) if self.events() == 0 => {
+                let mut silent = self.broken(&message);
+                silent.refusal.kind = ErrorKind::TargetSilent;
+                silent
+            }
+            _ => self.broken(&message),
         }
-        silent
     }
 }
