Tests: an event without end from an engine

What callers saw: nothing. A caller of a daemon whose engine sends an event without end has no answer after 5 s, though the daemon may wait 3 s for the first token.

Cause, suspected: engine_stream.rs reads events by eventsource-stream, which holds all bytes of an event and parses them anew with each piece; neither the bytes nor the connection have a bound. One poll goes on for as long as bytes come, so that no timer fires.

--- a/crates/lilaccrank-lab/tests/faults/engines.rs
+++ b/crates/lilaccrank-lab/tests/faults/engines.rs
@@ -1,5 +1,6 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use futures::future::{self, Either};
@@ -361,3 +362,47 @@
         assert!(answer.contains(r#""id":"lab""#), "{answer}");
     });
 }
+
+/// Bytes that a daemon may take of an event without end, with what the kernels hold.
+const BYTES_OF_EVENT: usize = 16 << 20;
+
+fn endless_event(line: &'static str) {
+    harness::run(async {
+        let (address, written) = stub::endless_event(line);
+        let mut layout = layout(1);
+        // A daemon that waits for long has only the bytes to go by.
+        layout
+            .settings
+            .insert("first_token_ms".to_owned(), json!(3_000));
+        let cluster = Cluster::start_with(layout, |document| {
+            document.pools[0].targets[0].address = address;
+        });
+        let cluster = cluster.await.unwrap();
+        let entry = cluster.daemons[0].callers.to_string();
+        let req = json!({
+            "messages": [{"role": "user", "content": "set tripped"}], "model": "lab", "stream": true,
+        });
+        let answer = stub::post(&entry, "/v1/chat/completions", "", &req.to_string());
+        let written = written.load(Ordering::SeqCst);
+        println!("{written} bytes");
+        assert!(answer.contains("broken_answer"), "{answer}");
+        assert!(written < BYTES_OF_EVENT, "{written} bytes");
+    });
+}
+
+/// Guards against an engine's event that is held in memory for as long as it goes on.
+macro_rules! endless_event {
+    ($($name:ident: $line:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                endless_event($line);
+            }
+        )*
+    };
+}
+
+endless_event! {
+    event_of_one_line_without_end: "xxxxxxxxxxxxxxxx";
+    event_of_lines_without_end: "data: xxxxxxxxx\n";
+}
--- a/crates/lilaccrank-lab/tests/faults/stub.rs
+++ b/crates/lilaccrank-lab/tests/faults/stub.rs
@@ -11,6 +11,8 @@
 
 /// Time for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Size of a part of an event without end.
+const ENDLESS_PART: usize = 1 << 14;
 
 /// A target that answers each post with a status, which further header lines may follow, and a
 /// body; its address, and the count of posts begun.
@@ -23,6 +25,34 @@
     serve(|post| ("200 OK", post)).0
 }
 
+/// A target that answers each post with an event that has this line again and again, until its connection
+/// ends; its address, and the bytes that it could write.
+pub fn endless_event(line: &'static str) -> (String, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let written = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&written);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut buf = [0; 4096];
+            // A daemon may reset a connection that it has opened to see whether the target is there.
+            let read = stream.read(&mut buf).unwrap_or(0);
+            if !buf[..read].starts_with(b"POST") {
+                continue;
+            }
+            let part = line.repeat(ENDLESS_PART / line.len());
+            let head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+            let mut written = stream.write_all(head.as_bytes());
+            while written.is_ok() {
+                count.fetch_add(part.len(), Ordering::SeqCst);
+                written = stream.write_all(part.as_bytes());
+            }
+        }
+    });
+    (address, written)
+}
+
 fn serve(
     answer: impl Fn(String) -> (&'static str, String) + Send + 'static,
 ) -> (String, Arc<AtomicUsize>) {
