Bound an event of an engine in bytes

What callers saw: no answer after 5 s from a daemon whose engine sends an event without end, where 3 s are allowed to the first token.

Change: the meter of the connection counts the bytes since the last event and ends the connection at its limit. The stream is then resumed twice and refused as broken. The time of an event is bounded by the timeout of the next token, as before.

--- a/crates/lilaccrankd/src/targets/engine_stream.rs
+++ b/crates/lilaccrankd/src/targets/engine_stream.rs
@@ -142,6 +142,9 @@
             match timeout::timeout(limit, events.next()).await {
                 Ok(Some(Ok(event))) => {
                     self.transport.record_heard();
+                    if let Some(connection) = &self.connection {
+                        connection.meter().record_progress();
+                    }
                     self.received += 1;
                     return Ok(Some(event.data));
                 }
@@ -155,6 +158,7 @@
     pub fn finish(mut self) {
         self.events = None;
         if let Some(connection) = self.connection.take() {
+            connection.meter().stop();
             self.client.release(connection);
         }
     }
@@ -200,6 +204,8 @@
             let message = format!("the target answered with status {}", res.status());
             return Err(Refusal::new(ErrorKind::TargetFailed, message));
         }
+        // An event without end would be held for as long as it goes on.
+        connection.meter().start();
         let stream = BodyDataStream::new(res.into_body());
         let events = stream
             .eventsource()
