Bound the body of a failure in time and framing

What callers saw: 504 after their 3 s at safe requests whose worker answered 500 with a body without end, while three sound workers stood idle.

Cause: target_failed waited 30 s for the whole body, and the bytes of framing were not counted.

Change: one second for the body of a failure, and the meter of the connection counts while it is read. Without the body the failure stays a failure: the request is repeated where it may be, or answered 502.

The same in not_run (refusal_that_trickles) is open.

--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -40,6 +40,9 @@
 
 /// Time from the first event of an answer in which a target may crash under its prompt.
 pub const BEGINNING: Duration = Duration::from_secs(1);
+/// Timeout of the body of a failure. The head has told the failure, and the request may have to go on at
+/// another target before its caller leaves, after a gap of two seconds.
+const FAILURE_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Size limit of the answer of a target that did not run the request. The answer is read so that
 /// the connection can be used again.
 const NOT_RUN_BODY_LIMIT: usize = 64 << 10;
@@ -223,10 +226,19 @@
     ) -> SendFailure {
         let message = format!("the target failed with status {}", head.status);
         let mut failed = failed(ErrorKind::TargetFailed, message);
+        let meter = connection.meter();
+        meter.start();
         let reading = body::read(body, held_back::LIMIT);
-        if let Ok(Ok(bytes)) = timeout::timeout(self.bounds.next, reading).await {
-            self.client.release(connection);
-            failed.answer = Some((forwarded_head(&head), bytes));
+        match timeout::timeout(FAILURE_BODY_TIMEOUT, reading).await {
+            Ok(Ok(bytes)) => {
+                meter.stop();
+                self.client.release(connection);
+                failed.answer = Some((forwarded_head(&head), bytes));
+            }
+            Ok(Err(e)) => log::debug!("the body of a failure could not be read: {e}"),
+            Err(_) => {
+                log::debug!("the body of a failure was not whole after {FAILURE_BODY_TIMEOUT:?}");
+            }
         }
         failed
     }
