Do not count bytes that are no answer as a crash of the target

A content, or a part of a prompt, that was at three targets while they sent garbage is quarantined as one that crashes them, and refused 503 at once beside idle sound workers.

Cause: each failed exchange was a lost connection: client::Error::is_connection_lost and the frames of a body did not tell what the server sent from a connection that ended.

Change: an exchange that failed by bytes that are no HTTP, or by the limit of unproductive ones, is a broken answer of a target that lives. Who may run the request again and what callers are told stays the same.

Open: a relay still tells such a failure as a lost connection, and so does an engine whose stream could not be resumed.

--- a/crates/lilaccrank-http/src/client.rs
+++ b/crates/lilaccrank-http/src/client.rs
@@ -14,7 +14,7 @@
 use crate::runtime;
 use crate::tally::Tally;
 use crate::timeout;
-use crate::unproductive::Meter;
+use crate::unproductive::{self, Meter};
 
 mod sender;
 
@@ -70,10 +70,14 @@
 }
 
 impl Error {
-    /// Returns `true` if the connection failed after the request was sent, at least in part.
+    /// Returns `true` if the connection failed after the request was sent, at least in part, and not by
+    /// what the server sent.
     #[must_use]
     pub fn is_connection_lost(&self) -> bool {
-        matches!(self, Self::Exchange { unsent: false, .. })
+        match self {
+            Self::Exchange { source, unsent, .. } => !unsent && !unproductive::is_malformed(source),
+            Self::Connect { .. } | Self::Silent { .. } | Self::Withdrawn { .. } => false,
+        }
     }
 
     /// Returns `true` if the server certainly received nothing.
--- a/crates/lilaccrank-http/src/unproductive.rs
+++ b/crates/lilaccrank-http/src/unproductive.rs
@@ -1,6 +1,7 @@
 //! Bounds what a server may send that is no part of an answer: interim answers, framing, filling.
 
 use std::cell::Cell;
+use std::error::Error;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -55,6 +56,24 @@
     }
 }
 
+/// Returns `true` if an exchange failed by what the server sent: bytes that are no HTTP, or too many that are
+/// no part of an answer. The server is alive then, unlike one that crashes, which cuts its answer off.
+#[must_use]
+pub fn is_malformed(e: &hyper::Error) -> bool {
+    let mut source = e.source();
+    while let Some(e) = source {
+        let kind = e.downcast_ref::<io::Error>().map(io::Error::kind);
+        if matches!(
+            kind,
+            Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput)
+        ) {
+            return true;
+        }
+        source = e.source();
+    }
+    e.is_parse()
+}
+
 /// A transport that is ended if it goes on without a part of an answer.
 pub(crate) struct Metered<T> {
     io: T,
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -15,7 +15,7 @@
 use lilaccrank_http::body;
 use lilaccrank_http::client::{Client, Connection, Limits};
 use lilaccrank_http::timeout;
-use lilaccrank_http::unproductive::Meter;
+use lilaccrank_http::unproductive::{self, Meter};
 
 use crate::callers::end_to_end;
 use crate::callers::refusal::{REFUSAL, Refusal};
@@ -275,7 +275,10 @@
             let Some(frame) = frame else {
                 break;
             };
-            let frame = frame.map_err(|_| lost("the target broke off its answer", has_begun))?;
+            let frame = frame.map_err(|e| match unproductive::is_malformed(&e) {
+                true => broken("the target sent what is no part of its answer", has_begun),
+                false => lost("the target broke off its answer", has_begun),
+            })?;
             meter.record_progress();
             self.transport.record_heard();
             let Ok(data) = frame.into_data() else {
--- a/crates/lilaccrankd/src/targets/forward/event_reader.rs
+++ b/crates/lilaccrankd/src/targets/forward/event_reader.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use lilaccrank_http::events::{self, Event, EventSplitter};
 use lilaccrank_http::timeout;
-use lilaccrank_http::unproductive::Meter;
+use lilaccrank_http::unproductive::{self, Meter};
 use thiserror::Error;
 
 use crate::targets::transport::Transport;
@@ -23,7 +23,7 @@
 pub(super) enum Error {
     /// The connection failed.
     #[error("the target broke off its stream: {0}")]
-    Lost(#[from] hyper::Error),
+    Lost(hyper::Error),
     /// An event was begun and not ended in time.
     #[error(
         "an event of the target was not whole after {EVENT_TIMEOUT:?}, {received} bytes of it came"
@@ -35,11 +35,23 @@
     /// No event was begun in time.
     #[error("the target began no event for {0:?}")]
     Silent(Duration),
+    /// The bytes are no body, or too many came without an event.
+    #[error("the target sent what is no part of its stream: {0:?}")]
+    Garbage(hyper::Error),
     /// The bytes are no events.
     #[error(transparent)]
     Malformed(#[from] events::Error),
 }
 
+impl From<hyper::Error> for Error {
+    fn from(e: hyper::Error) -> Self {
+        match unproductive::is_malformed(&e) {
+            true => Self::Garbage(e),
+            false => Self::Lost(e),
+        }
+    }
+}
+
 /// Reader of the events of one answer.
 pub(super) struct EventReader<'a> {
     body: Incoming,
