--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -14,9 +14,8 @@
 use lilaccrank::error_kind::{ErrorKind, Executed};
 use lilaccrank_http::body;
 use lilaccrank_http::client::{Client, Connection, Limits};
-use lilaccrank_http::events::EventSplitter;
 use lilaccrank_http::timeout;
-use lilaccrank_http::unproductive::Meter;
+use lilaccrank_http::unproductive::{self, Meter};
 
 use crate::callers::end_to_end;
 use crate::callers::refusal::{REFUSAL, Refusal};
@@ -25,12 +24,14 @@
 use crate::targets::transport::Transport;
 
 mod delivered;
+mod event_reader;
 mod failure;
 mod held_back;
 
 pub use delivered::Delivered;
 pub use failure::SendFailure;
 
+use event_reader::EventReader;
 use failure::{broken, failed, lost, overtaken};
 use held_back::HeldBack;
 
@@ -39,6 +40,9 @@
 
 /// Time from the first event of an answer in which a target may crash under its prompt.
 pub const BEGINNING: Duration = Duration::from_secs(1);
+/// Timeout of the body of a failure. The head has told the failure, and the request may have to go on at
+/// another target before its caller leaves, after a gap of two seconds.
+const FAILURE_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Size limit of the answer of a target that did not run the request. The answer is read so that
 /// the connection can be used again.
 const NOT_RUN_BODY_LIMIT: usize = 64 << 10;
@@ -181,7 +185,7 @@
             AnswerKind::Answer if self.stream && head.status.is_success() => {
                 self.observer.head();
                 let meter = connection.meter();
-                self.forward_events(head, body, delivered, sent_at, &meter)
+                self.forward_events(head, body, delivered, sent_at, meter)
                     .await?;
                 self.client.release(connection);
                 Ok(())
@@ -257,10 +261,19 @@
     ) -> SendFailure {
         let message = format!("the target failed with status {}", head.status);
         let mut failed = failed(ErrorKind::TargetFailed, message);
+        let meter = connection.meter();
+        meter.start();
         let reading = body::read(body, held_back::LIMIT);
-        if let Ok(Ok(bytes)) = timeout::timeout(self.bounds.next, reading).await {
-            self.client.release(connection);
-            failed.answer = Some((forwarded_head(&head), bytes));
+        match timeout::timeout(FAILURE_BODY_TIMEOUT, reading).await {
+            Ok(Ok(bytes)) => {
+                meter.stop();
+                self.client.release(connection);
+                failed.answer = Some((forwarded_head(&head), bytes));
+            }
+            Ok(Err(e)) => log::debug!("the body of a failure could not be read: {e}"),
+            Err(_) => {
+                log::debug!("the body of a failure was not whole after {FAILURE_BODY_TIMEOUT:?}");
+            }
         }
         failed
     }
@@ -297,7 +310,10 @@
             let Some(frame) = frame else {
                 break;
             };
-            let frame = frame.map_err(|_| lost("the target broke off its answer", has_begun))?;
+            let frame = frame.map_err(|e| match unproductive::is_malformed(&e) {
+                true => broken("the target sent what is no part of its answer", has_begun),
+                false => lost("the target broke off its answer", has_begun),
+            })?;
             meter.record_progress();
             self.transport.record_heard();
             let Ok(data) = frame.into_data() else {
@@ -332,13 +348,12 @@
     async fn forward_events(
         &self,
         head: Parts,
-        mut body: Incoming,
+        body: Incoming,
         delivered: &mut Delivered,
         sent_at: Instant,
-        meter: &Meter,
+        meter: Meter,
     ) -> Result<()> {
-        let mut cutter = EventSplitter::default();
-        meter.start();
+        let mut events = EventReader::new(body, meter, self.transport);
         let mut event_count = 0;
         let mut paused = Duration::ZERO;
         loop {
@@ -349,37 +364,24 @@
             } else {
                 self.bounds.next
             };
-            let frame = timeout::timeout(limit, body.frame()).await;
-            let frame = frame.map_err(|_| delivered.silent())?;
-            let Some(frame) = frame else {
+            let event = events.next(limit).await;
+            let Some(event) = event.map_err(|e| delivered.failed(&e))? else {
                 break;
             };
-            let frame = frame.map_err(|_| delivered.lost("the target broke off its stream"))?;
-            meter.record_progress();
-            self.transport.record_heard();
-            let Ok(data) = frame.into_data() else {
+            if !self.observer.claim() {
+                return Err(overtaken());
+            }
+            if !delivered.is_next(event.id.as_deref()) {
                 continue;
-            };
-            cutter.push(&data);
-            while let Some(event) = cutter
-                .next_event()
-                .map_err(|e| delivered.broken(&e.to_string()))?
-            {
-                if !self.observer.claim() {
-                    return Err(overtaken());
-                }
-                if !delivered.is_next(event.id.as_deref()) {
-                    continue;
-                }
-                self.buffer.set_head(forwarded_head(&head));
-                self.observer.event(event_count == 0, sent_at.elapsed());
-                event_count += 1;
-                delivered.record(event.id);
-                self.buffer.push(event.bytes);
             }
+            self.buffer.set_head(forwarded_head(&head));
+            self.observer.event(event_count == 0, sent_at.elapsed());
+            event_count += 1;
+            delivered.record(event.id);
+            self.buffer.push(event.bytes);
         }
-        meter.stop();
-        if cutter.is_in_event() {
+        events.finish();
+        if events.is_in_event() {
             let mut truncated = delivered.broken("the stream ended inside an event");
             truncated.refusal.connection_lost = ends_with_connection(&head);
             return Err(truncated);
