Streams: an event that is not whole ends only a run that another target can go on with; refusals' bodies are bounded

The limit of a second gives another target its time; where none can go on it only gives up the run. It holds for runs of resumable streams with attempts left, and the limit of silence for all others. The bound in bytes holds for all.

Failures and refusals read their rest by one function now, within a second.

--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -432,6 +432,7 @@
         let silence = clock::millis(self.cfg.first_token_ms);
         Bounds {
             connect: clock::millis(self.cfg.target_connect_ms),
+            event: silence,
             first: silence,
             next: silence,
         }
--- a/crates/lilaccrankd/src/request/run.rs
+++ b/crates/lilaccrankd/src/request/run.rs
@@ -10,7 +10,7 @@
 use crate::pools::client::HeldGrant;
 use crate::request::execution::Execution;
 use crate::request::send_observer::SendObserver;
-use crate::targets::forward::{self, Delivered, Forwarder};
+use crate::targets::forward::{self, Bounds, Delivered, Forwarder};
 use crate::targets::protocol::OutgoingRequest;
 use crate::targets::proxied_request::ProxiedRequest;
 use crate::targets::transport::Transport;
@@ -67,6 +67,7 @@
             target,
         });
         let rest = self.max_idle();
+        let bounds = self.bounds();
         let mut delivered = self.history.delivered.for_run();
         let exchange = {
             let sent = Rc::clone(&sent);
@@ -81,7 +82,7 @@
                     target: &sent.target,
                 };
                 let forwarder = Forwarder {
-                    bounds: daemon.bounds(),
+                    bounds,
                     client: &daemon.client,
                     observer: &*sent.observer,
                     protocol: &*daemon.ports.targets,
@@ -99,4 +100,16 @@
             sent,
         }
     }
+
+    /// Limits of the next send. Only a stream that another target can go on with is given up within an event.
+    fn bounds(&self) -> Bounds {
+        let bounds = self.daemon.bounds();
+        match self.history.can_resume() {
+            true => Bounds {
+                event: forward::REPEATABLE_EVENT_TIMEOUT,
+                ..bounds
+            },
+            false => bounds,
+        }
+    }
 }
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -6,6 +6,7 @@
 
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -40,9 +41,12 @@
 
 /// Time from the first event of an answer in which a target may crash under its prompt.
 pub const BEGINNING: Duration = Duration::from_secs(1);
-/// Timeout of the body of a failure. The head has told the failure, and the request may have to go on at
+/// Timeout of an event that another target could bring. Targets write an event as a whole, and callers leave a
+/// stream after a gap of two seconds: half of that is left to the other target.
+pub const REPEATABLE_EVENT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout of the body of a failure or refusal. The head has told it, and the request may have to go on at
 /// another target before its caller leaves, after a gap of two seconds.
-const FAILURE_BODY_TIMEOUT: Duration = Duration::from_secs(1);
+const REST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Size limit of the answer of a target that did not run the request. The answer is read so that
 /// the connection can be used again.
 const NOT_RUN_BODY_LIMIT: usize = 64 << 10;
@@ -55,6 +59,8 @@
 pub struct Bounds {
     /// Timeout of connecting.
     pub connect: Duration,
+    /// Timeout of an event, from its first bytes to its last.
+    pub event: Duration,
     /// Timeout of the first part of the answer.
     pub first: Duration,
     /// Timeout between two parts.
@@ -242,10 +248,7 @@
     }
 
     async fn not_run(&self, head: &Parts, body: Incoming, connection: Connection) -> SendFailure {
-        let reading = body::read(body, NOT_RUN_BODY_LIMIT);
-        if let Ok(Ok(_)) = timeout::timeout(self.bounds.next, reading).await {
-            self.client.release(connection);
-        }
+        self.read_rest(body, connection, NOT_RUN_BODY_LIMIT).await;
         let message = format!("the target did not run it, status {}", head.status);
         let refusal = Refusal::new(ErrorKind::TargetRefused, message).ran(Executed::No);
         let mut not_run = SendFailure::new(refusal);
@@ -261,21 +264,31 @@
     ) -> SendFailure {
         let message = format!("the target failed with status {}", head.status);
         let mut failed = failed(ErrorKind::TargetFailed, message);
+        let body = self.read_rest(body, connection, held_back::LIMIT).await;
+        failed.answer = body.map(|body| (forwarded_head(&head), body));
+        failed
+    }
+
+    /// Reads the body of an answer whose head has told the outcome, so that the connection can be used again.
+    /// Returns `None` if it is too long or takes too long.
+    async fn read_rest(
+        &self,
+        body: Incoming,
+        connection: Connection,
+        limit: usize,
+    ) -> Option<Bytes> {
         let meter = connection.meter();
         meter.start();
-        let reading = body::read(body, held_back::LIMIT);
-        match timeout::timeout(FAILURE_BODY_TIMEOUT, reading).await {
-            Ok(Ok(bytes)) => {
+        match timeout::timeout(REST_TIMEOUT, body::read(body, limit)).await {
+            Ok(Ok(body)) => {
                 meter.stop();
                 self.client.release(connection);
-                failed.answer = Some((forwarded_head(&head), bytes));
-            }
-            Ok(Err(e)) => log::debug!("the body of a failure could not be read: {e}"),
-            Err(_) => {
-                log::debug!("the body of a failure was not whole after {FAILURE_BODY_TIMEOUT:?}");
+                return Some(body);
             }
+            Ok(Err(e)) => log::debug!("the rest of an answer could not be read: {e}"),
+            Err(_) => log::debug!("the rest of an answer was not whole after {REST_TIMEOUT:?}"),
         }
-        failed
+        None
     }
 
     /// Waits until the caller needs more of the answer. Returns the time that took.
@@ -353,7 +366,7 @@
         sent_at: Instant,
         meter: Meter,
     ) -> Result<()> {
-        let mut events = EventReader::new(body, meter, self.transport);
+        let mut events = EventReader::new(body, meter, self.bounds.event, self.transport);
         let mut event_count = 0;
         let mut paused = Duration::ZERO;
         loop {
--- a/crates/lilaccrankd/src/targets/forward/event_reader.rs
+++ b/crates/lilaccrankd/src/targets/forward/event_reader.rs
@@ -14,10 +14,6 @@
 /// Result of reading an event.
 pub(super) type Result<T, E = Error> = std::result::Result<T, E>;
 
-/// Maximum time from the first bytes of an event to its last. Targets write an event as a whole, and callers
-/// leave a stream after a gap of two seconds: half of that is left to another target.
-const EVENT_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Reasons why there is no next event.
 #[derive(Debug, Error)]
 pub(super) enum Error {
@@ -25,10 +21,10 @@
     #[error("the target broke off its stream: {0}")]
     Lost(hyper::Error),
     /// An event was begun and not ended in time.
-    #[error(
-        "an event of the target was not whole after {EVENT_TIMEOUT:?}, {received} bytes of it came"
-    )]
+    #[error("an event of the target was not whole after {limit:?}, {received} bytes of it came")]
     Incomplete {
+        /// Time limit that was exceeded.
+        limit: Duration,
         /// Bytes of the event that came.
         received: usize,
     },
@@ -55,6 +51,8 @@
 /// Reader of the events of one answer.
 pub(super) struct EventReader<'a> {
     body: Incoming,
+    /// Maximum time from the first bytes of an event to its last.
+    event_limit: Duration,
     meter: Meter,
     splitter: EventSplitter,
     transport: &'a Transport,
@@ -62,10 +60,16 @@
 
 impl<'a> EventReader<'a> {
     /// Begins to read. `meter` is that of the connection; only whole events count as progress.
-    pub(super) fn new(body: Incoming, meter: Meter, transport: &'a Transport) -> Self {
+    pub(super) fn new(
+        body: Incoming,
+        meter: Meter,
+        event_limit: Duration,
+        transport: &'a Transport,
+    ) -> Self {
         meter.start();
         Self {
             body,
+            event_limit,
             meter,
             splitter: EventSplitter::default(),
             transport,
@@ -87,8 +91,9 @@
                 return Ok(Some(event));
             }
         }
-        let whole = timeout::timeout(EVENT_TIMEOUT, self.complete()).await;
+        let whole = timeout::timeout(self.event_limit, self.complete()).await;
         whole.map_err(|_| Error::Incomplete {
+            limit: self.event_limit,
             received: self.splitter.buffered_len(),
         })?
     }
