Takeovers: a run that is silent, or not reached, is not kept for one that is slow to its first event

What callers would have seen: a stream whose worker hangs stays there until its deadline.

Cause: the limit asked only whether the path to the current worker is cut, which needs a relay that reaches it, and never whether the current run is still heard.

Change: a late run from which nothing has come for 1.5 s is the one that ends; callers leave after two seconds.

Not shown by a test: the path that is down for all, and a connection that is half open after its path is back, where the next run is still withdrawn (open).

--- a/crates/lilaccrankd/src/request/takeover.rs
+++ b/crates/lilaccrankd/src/request/takeover.rs
@@ -29,6 +29,9 @@
 
 /// Time between two attempts to have a run taken over.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without a byte after which a late run counts as silent. Callers leave a stream after a gap of two
+/// seconds.
+const SILENCE: Duration = Duration::from_millis(1_500);
 /// Why no other target takes over from a run that is heard.
 const ANSWER_GOES_ON: &str = "the answer goes on at its target";
 /// Why a run is withdrawn that was to take over.
@@ -67,10 +70,15 @@
 
 impl Takeover {
     /// Returns `true` if it is the current run that ends once both have been in progress for too long: its
-    /// process is gone by the list, and nothing of its answer has come since.
+    /// process is gone by the list and nothing of its answer has come since, or it has been silent for so long
+    /// that its caller is about to leave.
     fn ends_current(&self, current: &Sent) -> bool {
-        let is_heard = current.transport.is_heard_since(self.began_at);
-        self.cause == Cause::Restarted && !is_heard
+        let silent_since = match self.cause {
+            Cause::Late(_) => Instant::now().checked_sub(SILENCE),
+            Cause::PathLost => None,
+            Cause::Restarted => Some(self.began_at),
+        };
+        silent_since.is_some_and(|since| !current.transport.is_heard_since(since))
     }
 }
 
@@ -291,7 +299,7 @@
         current.sent.observer.enter(&race, Side::Current);
         next.sent.observer.enter(&race, Side::Next);
         let happened = {
-            let overdue = handover::overdue(cause, &current.sent, &next.sent);
+            let overdue = handover::overdue(&current.sent, &next.sent);
             let current = (&mut current.exchange).map(Happened::CurrentEnded);
             let next = (&mut next.exchange).map(Happened::NextEnded);
             let decided = race.decided().map(|()| Happened::Decided);
--- a/crates/lilaccrankd/src/targets/transport.rs
+++ b/crates/lilaccrankd/src/targets/transport.rs
@@ -270,7 +270,16 @@
         }
     }
 
-    fn is_reached(&self) -> bool {
+    /// Completes once the target is not reached.
+    pub async fn unreached(&self) {
+        while self.is_reached() {
+            self.daemon.paths.changed().await;
+        }
+    }
+
+    /// Returns `true` unless the path to the target, or to the relay, is cut or down.
+    #[must_use]
+    pub fn is_reached(&self) -> bool {
         let paths = &self.daemon.paths;
         match self.relay.borrow().is_some() {
             true => !self.is_cut(),
