--- a/crates/lilaccrankd/src/request/handover.rs
+++ b/crates/lilaccrankd/src/request/handover.rs
@@ -15,7 +15,7 @@
 /// for 400 ms; the rest is left for the cancel to reach one of them, through a relay or from a busy daemon.
 const LIMIT: Duration = Duration::from_millis(300);
 
-/// Completes once both runs have been in progress for [`LIMIT`] while the target of the current one was
+/// Completes once both runs have been in progress for `LIMIT` while the target of the current one was
 /// reached.
 pub async fn overdue(current: &Sent, next: &Sent) {
     let write_time = &next.transport.write_time;
