Store: a call for a list that is answered late is not given up

What callers saw: after a kill of all daemons nobody was served while the store took more than 0.7 s for an answer. Cause: a call was given up when the head of its answer had not come after a fixed 700 ms, and made anew. A store that takes longer answers no call in time, and gets the same lists to make again and again. Class: work that is begun anew at a fixed limit makes no progress beyond it. Evidence: 0 of 120 requests served 15 s after the return, no daemon ready. The body of an answer had the same fault; its head kept it. Ruled out: a longer limit alone, since a connection that has died without a word is found by it. Change: a call for a list goes on beside the next one, for 8 s, and whichever is answered first is used (LateCalls). A page says when it was asked for, and that is what confirms configuration and list. Lists that prove something, of objects of the daemons' own, still have to be of the present call. Other calls and watches get twice the time of the last answer, 2 s at most; all adapters share what is known of it. What the daemon's own objects need of a store beyond 2 s is open.

--- a/crates/lilaccrank-http/src/lib.rs
+++ b/crates/lilaccrank-http/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod events;
 pub mod head_limits;
 mod head_timer;
+pub mod late_calls;
 pub mod monoio_clock;
 pub mod peer_link;
 pub mod peer_server;
--- a/crates/lilaccrank-http/tests/suite.rs
+++ b/crates/lilaccrank-http/tests/suite.rs
@@ -18,6 +18,8 @@
 mod idle_times;
 #[path = "suite/kept.rs"]
 mod kept;
+#[path = "suite/late_calls.rs"]
+mod late_calls;
 #[path = "suite/live_limits.rs"]
 mod live_limits;
 #[path = "suite/peer_link.rs"]
