Retry budgets: a kill of all daemons does not grant the reserve anew

Cause: each daemon started with its whole part of the shared reserve. A kill of all forgets what has been spent of it, so that the reserve was there twice within one window; and a daemon that knew nobody yet took a tenth of the reserve for its part. Class: what a limit has spent is forgotten at a kill of all. Change: a daemon starts with its share of what is not divided among the members, halved, so that two kills in a window stay within the reserve: .11 retries of 76 daemons, the whole part of up to three. What a request earns is there at once. The grant shrinks as members become known. Price: after a start, a daemon of a large fleet needs five requests for its first retry.

--- a/crates/lilaccrank/src/retry_budget.rs
+++ b/crates/lilaccrank/src/retry_budget.rs
@@ -12,6 +12,8 @@
 pub struct Settings {
     /// Maximum number of retries that accumulate.
     pub capacity: f64,
+    /// Retries that a new budget grants before any call has earned one.
+    pub initial: f64,
     /// Retries per second in addition to `ratio`, so that infrequent calls can be retried too.
     pub per_second: f64,
     /// Retries per call.
@@ -22,6 +24,7 @@
     fn default() -> Self {
         Self {
             capacity: 5.0,
+            initial: 5.0,
             per_second: 0.1,
             ratio: 0.1,
         }
@@ -31,19 +34,23 @@
 /// Retry budget of one destination.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
+    /// Retries that calls have earned.
     balance: f64,
     cfg: Settings,
     filled_at: Instant,
+    /// What is left of the retries granted at the start.
+    grant: f64,
 }
 
 impl RetryBudget {
-    /// Creates a full budget.
+    /// Creates a budget with the initial retries.
     #[must_use]
     pub fn new(cfg: Settings, now: Instant) -> Self {
         Self {
-            balance: cfg.capacity,
-            cfg,
+            balance: 0.0,
             filled_at: now,
+            grant: cfg.initial.min(cfg.capacity),
+            cfg,
         }
     }
 
@@ -57,14 +64,16 @@
         let passed = now.saturating_duration_since(self.filled_at);
         self.filled_at = now;
         self.deposit(passed.as_secs_f64() * self.cfg.per_second);
-        self.balance >= 1.0
+        self.balance + self.grant >= 1.0
     }
 
     /// Takes one retry from the budget. Returns `false` if there is none.
     pub fn try_retry(&mut self, now: Instant) -> bool {
         let allowed = self.has_retry(now);
         if allowed {
-            self.balance -= 1.0;
+            let granted = self.grant.min(1.0);
+            self.grant -= granted;
+            self.balance -= 1.0 - granted;
         }
         allowed
     }
@@ -75,7 +84,14 @@
     }
 
     fn deposit(&mut self, retries: f64) {
-        self.balance = (self.balance + retries).min(self.cfg.capacity);
+        self.balance = (self.balance + retries).min(self.cfg.capacity - self.grant);
+    }
+
+    fn set_limits(&mut self, capacity: f64, initial: f64) {
+        self.cfg.capacity = capacity;
+        self.cfg.initial = initial;
+        self.grant = self.grant.min(initial);
+        self.balance = self.balance.min(capacity - self.grant);
     }
 
     fn idle_since(&self, now: Instant) -> Duration {
@@ -103,12 +119,12 @@
         }
     }
 
-    /// Changes the capacity of all budgets and drops accumulated retries above it.
-    pub fn set_capacity(&mut self, capacity: f64) {
+    /// Changes the capacity and the initial retries of all budgets, and drops what budgets have above them.
+    pub fn set_limits(&mut self, capacity: f64, initial: f64) {
         self.cfg.capacity = capacity;
+        self.cfg.initial = initial;
         for budget in self.budgets.values_mut() {
-            budget.cfg.capacity = capacity;
-            budget.balance = budget.balance.min(capacity);
+            budget.set_limits(capacity, initial.min(capacity));
         }
     }
 
--- a/crates/lilaccrank/tests/suite/retry_budget.rs
+++ b/crates/lilaccrank/tests/suite/retry_budget.rs
@@ -47,7 +47,7 @@
     let now = Instant::now();
     let mut budgets = RetryBudgets::new(Settings::default());
     assert!(budgets.get("engines", now).try_retry(now));
-    budgets.set_capacity(2.0);
+    budgets.set_limits(2.0, 2.0);
     let retries = (0..10).filter(|_| budgets.get("engines", now).try_retry(now));
     assert_eq!(retries.count(), 2);
 }
--- a/crates/lilaccrankd/src/request/pool_retry_budgets.rs
+++ b/crates/lilaccrankd/src/request/pool_retry_budgets.rs
@@ -16,9 +16,10 @@
 use crate::daemon::Daemon;
 use crate::settings::Retries;
 
-/// Parts of the reserve for each member. A restarted daemon starts with a full part again; the
-/// spare tenth covers the restart of one daemon in ten.
+/// Parts of the reserve for each member. What is not divided is what restarted daemons start with.
 const PARTS_PER_MEMBER: f64 = 1.1;
+/// Number of kills of all daemons, within the time over which retries are judged, that the reserve covers.
+const KILLS: f64 = 2.0;
 
 /// Retry budgets of this daemon, by pool.
 pub struct PoolRetryBudgets {
@@ -33,23 +34,31 @@
     /// Creates budgets from the settings.
     #[must_use]
     pub fn new(cfg: &Retries) -> Self {
-        let min_parts = f64::from(cfg.daemons.max(1));
         let settings = Settings {
             per_second: 0.0,
-            capacity: cfg.reserve / min_parts,
+            capacity: 0.0,
+            initial: 0.0,
             ratio: cfg.share,
         };
-        Self {
+        let budgets = Self {
             budgets: RefCell::new(RetryBudgets::new(settings)),
-            min_parts,
+            min_parts: f64::from(cfg.daemons.max(1)),
             reserve: cfg.reserve,
-        }
+        };
+        budgets.set_member_count(1);
+        budgets
     }
 
     /// Divides the reserve for `members` members.
+    ///
+    /// A kill of all forgets what each has spent of its part. So that all lives together stay within the reserve, a
+    /// daemon starts with its share of what is not divided.
     pub fn set_member_count(&self, members: usize) {
-        let parts = (members as f64 * PARTS_PER_MEMBER).max(self.min_parts);
-        self.budgets.borrow_mut().set_capacity(self.reserve / parts);
+        let members = members.max(1) as f64;
+        let capacity = self.reserve / (members * PARTS_PER_MEMBER).max(self.min_parts);
+        let undivided = self.reserve - members * capacity;
+        let initial = (undivided / members / KILLS).min(capacity);
+        self.budgets.borrow_mut().set_limits(capacity, initial);
     }
 
     /// Counts a first send, which earns a share of a retry.
@@ -64,6 +73,13 @@
         self.budgets.borrow_mut().get(pool, now).has_retry(now)
     }
 
+    /// Takes one retry from the budget of the pool. Returns `false` if there is none.
+    #[must_use]
+    pub fn try_retry(&self, pool: &PoolId) -> bool {
+        let now = Instant::now();
+        self.budgets.borrow_mut().get(pool, now).try_retry(now)
+    }
+
     fn give_back(&self, pool: &PoolId) {
         let mut budgets = self.budgets.borrow_mut();
         budgets.get(pool, Instant::now()).give_back();
@@ -83,9 +99,7 @@
     /// none.
     #[must_use]
     pub fn take(daemon: &Rc<Daemon>, pool: &PoolId) -> Option<Self> {
-        let now = Instant::now();
-        let budgets = &daemon.retry_budgets.budgets;
-        if !budgets.borrow_mut().get(pool, now).try_retry(now) {
+        if !daemon.retry_budgets.try_retry(pool) {
             daemon.metrics.second_sends_denied.inc();
             return None;
         }
--- a/crates/lilaccrankd/tests/suite.rs
+++ b/crates/lilaccrankd/tests/suite.rs
@@ -38,6 +38,8 @@
 mod pulls;
 #[path = "suite/race.rs"]
 mod race;
+#[path = "suite/retry_fleet.rs"]
+mod retry_fleet;
 #[path = "suite/retry_permit.rs"]
 mod retry_permit;
 #[path = "suite/sendable.rs"]
