Retry budgets: a daemon that knows nobody yet takes no part of the reserve

Cause: a daemon that starts is the only member it knows, and took the part of a lone one, 19 retries of 192, until it heard of others. Change: a daemon that has seeds starts with nothing until it knows another member; what its requests earn is there at once.

--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -265,7 +265,7 @@
             ),
             refusing: Cell::new(false),
             requests: Cell::new(0),
-            retry_budgets: PoolRetryBudgets::new(&cfg.retries),
+            retry_budgets: PoolRetryBudgets::new(&cfg.retries, !cfg.seeds.is_empty()),
             rollouts: Rollouts::new(cfg.rollouts),
             slot_leases: SlotLeases::default(),
             store,
--- a/crates/lilaccrankd/tests/suite/retry_fleet.rs
+++ b/crates/lilaccrankd/tests/suite/retry_fleet.rs
@@ -34,7 +34,7 @@
         }
         retries
     };
-    let fleet = (0..daemons).map(|_| PoolRetryBudgets::new(&RETRIES));
+    let fleet = (0..daemons).map(|_| PoolRetryBudgets::new(&RETRIES, true));
     fleet.map(spend).sum()
 }
 
@@ -68,3 +68,15 @@
     let sent = live(76, 0);
     assert!(sent >= 76, "{sent} retries");
 }
+
+/// Guards against a fleet whose daemons take themselves for the only ones just after a start.
+#[test]
+fn a_daemon_that_knows_nobody_has_earned_its_retries() {
+    let pool = POOL.to_owned();
+    let budgets = PoolRetryBudgets::new(&RETRIES, true);
+    budgets.set_member_count(1);
+    budgets.record_request(&pool);
+    assert!(!budgets.try_retry(&pool));
+    let lone = PoolRetryBudgets::new(&RETRIES, false);
+    assert!(lone.try_retry(&pool));
+}
