Log: when a daemon was first ready and first served, and how long it ran at each refusal

The log could not tell the hypotheses of the incident apart for a daemon that had just started: each refused request now says how long the daemon has run, and one line each tells when the readiness check first passed and when the first request was served, with the members and targets known, the age of the list and the requests refused before.

--- a/crates/lilaccrankd/src/admin.rs
+++ b/crates/lilaccrankd/src/admin.rs
@@ -20,6 +20,7 @@
 use crate::pools::server;
 use crate::rollouts;
 use crate::signals::Signals;
+use crate::startup;
 
 mod configuration;
 mod error;
@@ -59,7 +60,10 @@
 /// Answers a load balancer's readiness check.
 pub fn readiness(daemon: &Daemon) -> Response<Body> {
     match ready(daemon) {
-        Ok(()) => text("ready\n".to_owned()),
+        Ok(()) => {
+            startup::record_ready(daemon);
+            text("ready\n".to_owned())
+        }
         Err(refusal) => refusal.response(),
     }
 }
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -29,6 +29,7 @@
 use crate::request::key_state::{self, ClaimOutcome};
 use crate::request::lifecycle::{self, RoutedRequest};
 use crate::request::quotas::QuotaRequest;
+use crate::startup;
 
 /// A request that is neither routed nor refused yet. If it is dropped so, as its connection ends, no other
 /// line tells of it.
@@ -83,11 +84,13 @@
         Ok(res) => res,
         Err(refusal) => {
             daemon.metrics.record_refusal(refusal.kind);
+            startup::record_refused(&daemon);
             log::info!(
                 age_ms = log_config_age(&daemon),
                 generation = log_generation(&daemon),
                 kind:% = refusal.kind,
                 request = arrival.log_id,
+                up_ms = daemon.startup.age().as_millis() as u64,
                 why = refusal.message;
                 "request refused on arrival"
             );
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -46,6 +46,7 @@
 use crate::request::quotas::Quotas;
 use crate::rollouts::Rollouts;
 use crate::settings::Settings;
+use crate::startup::Startup;
 use crate::targets::engine_stream::SilenceTimeouts;
 use crate::targets::forward::Bounds;
 use crate::targets::link::Link;
@@ -144,6 +145,8 @@
     pub rollouts: Rollouts,
     /// Leases on slots of brittle targets.
     pub slot_leases: SlotLeases,
+    /// Steps since the start, for the log.
+    pub startup: Startup,
     /// The platform's store.
     pub store: PlatformStore,
     /// Timeline of events.
@@ -268,6 +271,7 @@
             retry_budgets: PoolRetryBudgets::new(&cfg.retries, !cfg.seeds.is_empty()),
             rollouts: Rollouts::new(cfg.rollouts),
             slot_leases: SlotLeases::default(),
+            startup: Startup::default(),
             store,
             timeline,
             traffic,
--- a/crates/lilaccrankd/src/lib.rs
+++ b/crates/lilaccrankd/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod settings;
 mod shutdown;
 pub mod signals;
+pub mod startup;
 pub mod targets;
--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -22,6 +22,7 @@
 use crate::request::key_state::KeyState;
 use crate::request::quotas::Charge;
 use crate::request::send_history::{PriorSends, SendHistory};
+use crate::startup;
 
 /// Longest time for which the end of a request waits until its key is settled.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(200);
@@ -93,6 +94,7 @@
                 "answered"
             );
             daemon.metrics.record_answer(routed.route.tier);
+            startup::record_served(&daemon);
             buffer.finish(End::Complete);
         }
         Err(refusal) => {
@@ -106,10 +108,12 @@
                 request = routed.log_id(),
                 retry_after_ms = refusal.retry_after.map_or(0, |after| after.as_millis() as u64),
                 total_ms = total_ms,
+                up_ms = daemon.startup.age().as_millis() as u64,
                 why = refusal.message;
                 "ended without a whole answer"
             );
             daemon.metrics.record_refusal(refusal.kind);
+            startup::record_refused(&daemon);
             buffer.finish(End::Failed(refusal));
         }
     }
