Retry budgets: a daemon without seeds does not leave the reserve to others

Cause: a daemon took a tenth of the shared reserve at most, since members may not be known yet. One that has no seeds has none to wait for. Change: without seeds the reserve has three parts: one for each of two kills, and one for the present life.

--- a/crates/lilaccrankd/src/request/pool_retry_budgets.rs
+++ b/crates/lilaccrankd/src/request/pool_retry_budgets.rs
@@ -45,7 +45,10 @@
         let budgets = Self {
             budgets: RefCell::new(RetryBudgets::new(settings)),
             expects_others,
-            min_parts: f64::from(cfg.daemons.max(1)),
+            min_parts: match expects_others {
+                true => f64::from(cfg.daemons.max(1)),
+                false => 1.0 + KILLS,
+            },
             reserve: cfg.reserve,
         };
         budgets.set_member_count(1);
--- a/crates/lilaccrankd/tests/suite/retry_fleet.rs
+++ b/crates/lilaccrankd/tests/suite/retry_fleet.rs
@@ -69,6 +69,25 @@
     assert!(sent >= 76, "{sent} retries");
 }
 
+/// Guards against a lone daemon that leaves most of the reserve to others that don't exist.
+#[test]
+fn a_lone_daemon_has_the_reserve_to_itself() {
+    let pool = POOL.to_owned();
+    let life = || {
+        let lone = PoolRetryBudgets::new(&RETRIES, false);
+        lone.record_request(&pool);
+        std::iter::from_fn(|| lone.try_retry(&pool).then_some(())).count() as f64
+    };
+    let retries = life();
+    println!("{retries} retries");
+    assert!(retries >= RETRIES.reserve / 4.0, "{retries} retries");
+    let twice_killed = retries + life() + life();
+    assert!(
+        twice_killed <= RETRIES.reserve + 3.0 * RETRIES.share,
+        "{twice_killed} retries"
+    );
+}
+
 /// Guards against a fleet whose daemons take themselves for the only ones just after a start.
 #[test]
 fn a_daemon_that_knows_nobody_has_earned_its_retries() {
