Relays: tell that an answer without an id is the one to the request

Cause: an answer without an id counts only as the first one on its connection, and a daemon can't know what the relay's connection to the target has carried. It took every such answer through a relay for one to another request. Evidence: the log of the failed test has `relays a request` without a failure at the relay, which had judged the answer by the same function, and `the target sent the answer to another request` at the daemon in front. Change: a relay marks the answers that it has attributed, and removes such a mark from what targets send. Without the mark, as from an earlier release, the answer is refused as before.

--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -55,6 +55,8 @@
 const VERSION: HeaderName = HeaderName::from_static("lilaccrank-relay-version");
 /// Set if the answer has no length and ends with its connection.
 const UNFRAMED: HeaderName = HeaderName::from_static("lilaccrank-relay-unframed");
+/// Marks an answer that the relay has found to be the one to the request.
+const ATTRIBUTED: HeaderName = HeaderName::from_static("lilaccrank-relay-attributed");
 /// Headers that are for the relay.
 const OWN: [HeaderName; 8] = [BORN, FROM, LOG_ID, LEFT_MS, POOL, TARGET, TIER, VERSION];
 /// Longest time until a request is due; timers can't count to any number.
@@ -166,6 +168,12 @@
     headers.remove(UNFRAMED).is_some()
 }
 
+/// Removes the mark of an answer that the relay has found to be the one to the request. Returns `true` if it was there;
+/// an earlier release sets none.
+pub fn take_attributed(headers: &mut HeaderMap) -> bool {
+    headers.remove(ATTRIBUTED).is_some()
+}
+
 /// A relayed request, as read from its headers.
 struct Relayed {
     deadline: Option<Instant>,
@@ -289,8 +297,9 @@
     ));
     let answered = entry::respond_verbatim(daemon, reader, Some(in_progress)).await;
     let mut res = answered.map_err(|_| Failure::Silent)?;
+    let mark = HeaderValue::from_static("1");
+    res.headers_mut().insert(ATTRIBUTED, mark.clone());
     if is_unframed {
-        let mark = HeaderValue::from_static("1");
         res.headers_mut().insert(UNFRAMED, mark);
     }
     Ok(res)
@@ -362,7 +371,7 @@
     let headers = res.headers_mut();
     *headers = end_to_end::headers(headers);
     // The daemon in front would take them for the relay's own.
-    for name in [FAILURE, UNFRAMED] {
+    for name in [ATTRIBUTED, FAILURE, UNFRAMED] {
         headers.remove(name);
     }
     let on_data = || active.record_heard();
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -208,7 +208,7 @@
         }
     }
 
-    /// A relay does not tell how many requests its connection to the target has carried.
+    /// Of an answer without an id, a relay knows whether its connection to the target has carried anything else.
     fn is_own_answer(
         &self,
         head: &Parts,
@@ -218,7 +218,7 @@
         let sent = &outgoing.proxied.headers;
         let attribution = self.protocol.attribution(sent, &head.headers);
         let is_first =
-            connection.last_exchange().earlier_requests == 0 && !self.transport.is_relayed();
+            connection.last_exchange().earlier_requests == 0 && !self.transport.lacks_attribution();
         attribution.is_own(is_first)
     }
 
--- a/crates/lilaccrankd/src/targets/transport.rs
+++ b/crates/lilaccrankd/src/targets/transport.rs
@@ -104,6 +104,8 @@
     /// Last time that something of the answer arrived.
     heard_at: Cell<Option<Instant>>,
     instance: TargetInstance,
+    /// Whether the peer that relays the request has found the answer to be the one to it.
+    is_attributed: Cell<bool>,
     log_id: String,
     pool: PoolId,
     /// The peer that has the request.
@@ -127,6 +129,7 @@
             deadline: routed.deadline(),
             heard_at: Cell::default(),
             instance: TargetInstance::of(target),
+            is_attributed: Cell::default(),
             log_id: routed.log_id().to_owned(),
             pool: routed.route.pool.clone(),
             relay: RefCell::default(),
@@ -249,6 +252,12 @@
         self.relay.borrow().is_some()
     }
 
+    /// Returns `true` if a peer has the request, and has not told that the answer is the one to it.
+    #[must_use]
+    pub fn lacks_attribution(&self) -> bool {
+        self.is_relayed() && !self.is_attributed.get()
+    }
+
     /// Records that a part of the answer arrived.
     pub fn record_heard(&self) {
         self.heard_at.set(Some(Instant::now()));
@@ -364,9 +373,11 @@
                 .send_if(&address.to_string(), req, limits, &conditions)
                 .await;
             let failure = match sent {
-                Ok((res, connection)) => match path_relay::failure(&res) {
+                Ok((mut res, connection)) => match path_relay::failure(&res) {
                     None => {
                         self.record_heard();
+                        let is_attributed = path_relay::take_attributed(res.headers_mut());
+                        self.is_attributed.set(is_attributed);
                         paths.record_relay(&self.daemon, &self.instance, &vm, true);
                         return Ok((unwrap(res), connection));
                     }
