--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -268,7 +268,7 @@
             ),
             refusing: Cell::new(false),
             requests: Cell::new(0),
-            retry_budgets: PoolRetryBudgets::new(&cfg.retries, !cfg.seeds.is_empty()),
+            retry_budgets: PoolRetryBudgets::new(&cfg.retries),
             rollouts: Rollouts::new(cfg.rollouts),
             slot_leases: SlotLeases::default(),
             startup: Startup::default(),
--- a/crates/lilaccrankd/src/request/pool_retry_budgets.rs
+++ b/crates/lilaccrankd/src/request/pool_retry_budgets.rs
@@ -24,8 +24,6 @@
 /// Retry budgets of this daemon, by pool.
 pub struct PoolRetryBudgets {
     budgets: RefCell<RetryBudgets>,
-    /// Whether there are other members, known or not.
-    expects_others: bool,
     /// Least number of parts, since some members may not be known yet.
     min_parts: f64,
     /// Reserve of all daemons together.
@@ -33,9 +31,9 @@
 }
 
 impl PoolRetryBudgets {
-    /// Creates budgets from the settings, of a daemon that has seeds if it `expects_others`.
+    /// Creates budgets from the settings.
     #[must_use]
-    pub fn new(cfg: &Retries, expects_others: bool) -> Self {
+    pub fn new(cfg: &Retries) -> Self {
         let settings = Settings {
             per_second: 0.0,
             capacity: 0.0,
@@ -44,11 +42,7 @@
         };
         let budgets = Self {
             budgets: RefCell::new(RetryBudgets::new(settings)),
-            expects_others,
-            min_parts: match expects_others {
-                true => f64::from(cfg.daemons.max(1)),
-                false => 1.0 + KILLS,
-            },
+            min_parts: f64::from(cfg.daemons.max(1)),
             reserve: cfg.reserve,
         };
         budgets.set_member_count(1);
@@ -58,16 +52,12 @@
     /// Divides the reserve for `members` members.
     ///
     /// A kill of all forgets what each has spent of its part. So that all lives together stay within the reserve, a
-    /// daemon starts with its share of what is not divided, and with nothing while it knows none of the others.
+    /// daemon starts with its share of what is not divided.
     pub fn set_member_count(&self, members: usize) {
-        let is_unsettled = members <= 1 && self.expects_others;
         let members = members.max(1) as f64;
         let capacity = self.reserve / (members * PARTS_PER_MEMBER).max(self.min_parts);
         let undivided = self.reserve - members * capacity;
-        let initial = match is_unsettled {
-            true => 0.0,
-            false => (undivided / members / KILLS).min(capacity),
-        };
+        let initial = (undivided / members / KILLS).min(capacity);
         self.budgets.borrow_mut().set_limits(capacity, initial);
     }
 
