Quotas: what an older peer has spent is no debt of a daemon that has just started

What callers saw: 429 from a daemon that had just started, though their customer was far within its quota. Cause: since a first report counts if the peer can have spent it since this daemon's start, judged by the amount alone. A peer that has spent less in all its life than the rate brings in some hundred milliseconds was taken to have spent it just now. Change: a first report counts only from a peer that started with this daemon or after it, by the incarnations of both.

--- a/crates/lilaccrank/src/quota.rs
+++ b/crates/lilaccrank/src/quota.rs
@@ -57,8 +57,8 @@
 const REPORT_WINDOW: Duration = Duration::from_millis(1_000);
 /// Time without a change after which a customer is skipped when reports are built.
 const IDLE_AFTER: Duration = Duration::from_secs(5);
-/// Time from its start in which a daemon counts what others spent before it heard of them, if they can have spent it
-/// since then. A kill of all daemons forgets all accounts, and none has spent anything in its new life then.
+/// Time from its start in which a daemon counts what others spent before it heard of them, if they started with it and
+/// can have spent it since then. A kill of all daemons forgets all accounts, and all start at once.
 const FIRST_REPORT_TIME: Duration = Duration::from_secs(2);
 /// Fraction of the burst that a tier leaves for each tier above it. With three tiers, the last one
 /// may use a third of the burst and leaves two thirds.
@@ -171,6 +171,8 @@
     assumed_peers: usize,
     /// Demand on this cell and the others.
     demand: Demand,
+    /// Incarnation of this daemon: its start time in milliseconds.
+    incarnation: Incarnation,
     last_tick: Instant,
     peers: IndexMap<VmId, Peer>,
     /// Customers whose counters changed recently; only these are scanned for each report.
@@ -235,6 +237,7 @@
             accounts: IndexMap::new(),
             assumed_peers,
             demand: Demand::new(now),
+            incarnation: 0,
             last_tick: now,
             peers: IndexMap::new(),
             recent: IndexSet::new(),
@@ -251,6 +254,15 @@
         Self { reserve, ..self }
     }
 
+    /// Sets the incarnation of this daemon, by which peers that started before it are told.
+    #[must_use]
+    pub fn with_incarnation(self, incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            ..self
+        }
+    }
+
     /// Sets the time over which the quotas are judged. A request that exceeds its quota over that time
     /// by itself is refused.
     #[must_use]
@@ -478,9 +490,10 @@
         peer.last_heard = now;
         peer.incarnation = incarnation;
         let age = now.saturating_duration_since(self.started);
+        let is_new = started_with(self.incarnation, incarnation);
         let accounts = &self.accounts;
         let recent = |customer| {
-            let account = accounts.get(customer);
+            let account = accounts.get(customer).filter(|_| is_new);
             account.map_or(0.0, |account| units_since_start(account.quota, age))
         };
         let reports: Vec<Report> = spent
@@ -534,12 +547,14 @@
             self.accounts
                 .retain(|_, account| now - account.changed_at < SHARE_RETENTION);
         }
-        let (peers, started) = (&self.peers, self.started);
+        let (incarnation, peers, started) = (self.incarnation, &self.peers, self.started);
         let account = self.accounts.entry(customer.clone());
         account.or_insert_with(|| {
             let mut account = Account::new(quota, started, now);
             let recent = units_since_start(quota, now.saturating_duration_since(started));
-            let spent = peers.values().filter_map(|peer| peer.spent.get(customer));
+            let peers = peers.values();
+            let new = peers.filter(|peer| started_with(incarnation, peer.incarnation));
+            let spent = new.filter_map(|peer| peer.spent.get(customer));
             for spent in spent.filter(|spent| spent.units() <= recent) {
                 account.charge(spent.units(), spent.plain as f64);
             }
@@ -548,6 +563,12 @@
     }
 }
 
+/// Returns `true` if a peer started with the daemon `own` or after it, as far as their times of day agree.
+fn started_with(own: Incarnation, peer: Incarnation) -> bool {
+    let first_report_ms = FIRST_REPORT_TIME.as_millis() as Incarnation;
+    peer.saturating_add(first_report_ms) >= own
+}
+
 /// Units that one daemon can have spent of a quota since another one started, `age` ago; none once that is long ago.
 fn units_since_start(quota: Quota, age: Duration) -> f64 {
     match age < FIRST_REPORT_TIME {
--- a/crates/lilaccrank/tests/suite/quota.rs
+++ b/crates/lilaccrank/tests/suite/quota.rs
@@ -236,6 +236,26 @@
     );
 }
 
+/// Guards against a customer that is refused at a daemon that has just started, since older daemons let it pass a little
+/// in all their life.
+#[test]
+fn what_an_older_peer_spent_is_no_debt_of_a_new_daemon() {
+    let start = Instant::now();
+    let now = start + Duration::from_millis(100);
+    let customer = CUSTOMER.to_owned();
+    let mut older = Quotas::new(1, start - Duration::from_secs(60));
+    older
+        .spend(&customer, QUOTA, Fleet::debit(0, 5_000), start)
+        .unwrap();
+    let mut new = Quotas::new(1, start).with_incarnation(60_000);
+    new.merge_spent(&"vm0".to_owned(), 1, &older.spent(now), now);
+    let spent = new.spend(&customer, QUOTA, Fleet::debit(0, 9_000), now);
+    assert!(spent.is_ok(), "{spent:?}");
+    new.merge_spent(&"vm0".to_owned(), 1, &older.spent(now), now);
+    let spent = new.spend(&customer, QUOTA, Fleet::debit(0, 900), now);
+    assert!(spent.is_ok(), "{spent:?}");
+}
+
 // The reserve does not raise the rate: a surge spends it once, and only the rate passes after that.
 #[test]
 fn reserve_is_spent_once() {
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -262,6 +262,7 @@
             pool_server: PoolServer::default(),
             report_client,
             quotas: Quotas::new(
+                incarnation,
                 cfg.seeds.len(),
                 cfg.quota_reserve,
                 Duration::from_millis(cfg.quota_window_ms),
--- a/crates/lilaccrankd/src/request/quotas.rs
+++ b/crates/lilaccrankd/src/request/quotas.rs
@@ -45,12 +45,18 @@
 }
 
 impl Quotas {
-    /// Creates empty quotas. `assumed_peers` other daemons are assumed until reports arrive;
+    /// Creates empty quotas of the daemon `incarnation`. `assumed_peers` other daemons are assumed until reports arrive;
     /// `reserve` is added to each burst, see [`quota::Quotas::with_reserve`]; `window` is the time over
     /// which quotas are judged.
     #[must_use]
-    pub fn new(assumed_peers: usize, reserve: f64, window: Duration) -> Self {
+    pub fn new(
+        incarnation: Incarnation,
+        assumed_peers: usize,
+        reserve: f64,
+        window: Duration,
+    ) -> Self {
         let inner = quota::Quotas::new(assumed_peers, Instant::now());
+        let inner = inner.with_incarnation(incarnation);
         Self {
             inner: RefCell::new(inner.with_reserve(reserve).with_window(window)),
         }
