Quotas: a cell's demand is reported also where its representative serves none of it

What callers saw: 429 for a customer within its quota, where most requests came to one daemon. Cause: the daemon that represents a cell reported the demand of those customers only that it had itself served in the last five seconds. After a kill of all daemons with callers at one daemon, it has served few or none of them; all cells then assume half of an even part for that cell, whatever its demand. Change: the report covers all customers that any daemon of the cell has sampled; the quotas of those that the representative has no account of come from the configuration. Ruled out: the size of the report does not grow beyond what representatives with traffic sent before. Conclusion: mended; that shares leave too little for one cell, and follow late, are faults of their own.

--- a/crates/lilaccrank/src/quota.rs
+++ b/crates/lilaccrank/src/quota.rs
@@ -169,6 +169,8 @@
     accounts: IndexMap<CustomerId, Account>,
     /// Minimum number of peers assumed while fewer are known.
     assumed_peers: usize,
+    /// Units per second of each customer's quota in the configuration in force.
+    configured: IndexMap<CustomerId, f64>,
     /// Demand on this cell and the others.
     demand: Demand,
     /// Incarnation of this daemon: its start time in milliseconds.
@@ -236,6 +238,7 @@
         Self {
             accounts: IndexMap::new(),
             assumed_peers,
+            configured: IndexMap::new(),
             demand: Demand::new(now),
             incarnation: 0,
             last_tick: now,
@@ -270,8 +273,21 @@
         Self { window, ..self }
     }
 
-    /// Puts the quota of a new configuration in force for a customer. What other daemons spend by it counts from
-    /// now on, whether or not the customer sends requests here.
+    /// Puts the quotas of a new configuration in force, which replace all earlier ones. What other daemons spend by them counts from
+    /// now on, whether or not a customer sends requests here.
+    pub fn adopt_all<'a>(
+        &mut self,
+        quotas: impl Iterator<Item = (&'a CustomerId, Quota)>,
+        now: Instant,
+    ) {
+        self.configured.clear();
+        for (customer, quota) in quotas {
+            self.configured.insert(customer.clone(), quota.per_s);
+            self.adopt(customer, quota, now);
+        }
+    }
+
+    /// Puts the quota of a new configuration in force for one customer.
     pub fn adopt(&mut self, customer: &CustomerId, quota: Quota, now: Instant) {
         let quota = self.with_reserved(quota);
         let Some(former) = self.accounts.get(customer).map(|account| account.quota) else {
@@ -410,12 +426,16 @@
 
     /// Builds the report of this cell's demand for all daemons. One daemon of the cell sends it.
     pub fn cell_demand(&mut self, now: Instant) -> CellDemand<CustomerId> {
-        let recent = self.recent.iter();
-        let quotas = recent.filter_map(|customer| {
-            let account = self.accounts.get(customer)?;
-            Some((customer.clone(), account.quota.per_s))
-        });
-        self.demand.report_own(quotas, now)
+        let (accounts, configured) = (&self.accounts, &self.configured);
+        // The daemon that reports may have served none of these customers itself.
+        self.demand.report_own(
+            |customer| {
+                let account = accounts.get(customer);
+                let per_s = account.map(|account| account.quota.per_s);
+                per_s.or_else(|| configured.get(customer).copied())
+            },
+            now,
+        )
     }
 
     /// Merges the demand report of a cell.
--- a/crates/lilaccrank/src/quota/demand.rs
+++ b/crates/lilaccrank/src/quota/demand.rs
@@ -171,18 +171,18 @@
         }
     }
 
-    /// Builds the report of this cell, and merges it like those of other cells. `quotas` are the
-    /// customers' quotas in units per second.
+    /// Builds the report of this cell, and merges it like those of other cells. `quota` returns a
+    /// customer's quota in units per second.
     pub(super) fn report_own(
         &mut self,
-        quotas: impl Iterator<Item = (CustomerId, f64)>,
+        quota: impl Fn(&CustomerId) -> Option<f64>,
         now: Instant,
     ) -> CellDemand<CustomerId> {
         let even_share = self.even_share();
-        let rates = quotas.filter_map(|(customer, per_s)| {
-            let cell_rate = self.cell_per_s(&customer);
-            let is_reported = cell_rate > REPORT_THRESHOLD * even_share * per_s;
-            is_reported.then(|| (customer, cell_rate.min(u32::MAX.into()) as u32))
+        let rates = self.customers().into_iter().filter_map(|customer| {
+            let cell_rate = self.cell_per_s(customer);
+            let is_reported = cell_rate > REPORT_THRESHOLD * even_share * quota(customer)?;
+            is_reported.then(|| (customer.clone(), cell_rate.min(u32::MAX.into()) as u32))
         });
         let demand = CellDemand {
             cell: self.cell,
@@ -264,6 +264,12 @@
             < self.report_interval.mul_f64(STALE_AFTER_INTERVALS)
     }
 
+    /// Customers that any daemon of this cell has sampled.
+    fn customers(&self) -> IndexSet<&CustomerId> {
+        let daemons = self.rates_by_daemon.values();
+        daemons.flat_map(IndexMap::keys).collect()
+    }
+
     /// Units per second that a customer requests from this cell.
     fn cell_per_s(&self, customer: &CustomerId) -> f64 {
         let rates = self
--- a/crates/lilaccrank/tests/suite/quota_cells.rs
+++ b/crates/lilaccrank/tests/suite/quota_cells.rs
@@ -184,3 +184,72 @@
     let passed = (0..3).filter(|_| quotas.spend(&customer, QUOTA, debit, now).is_ok());
     assert_eq!(passed.count(), 3);
 }
+
+/// A customer near its quota whose requests come to one daemon of 72, in eight cells.
+struct OneBusyDaemon {
+    daemons: Vec<Quotas>,
+    now: Instant,
+    /// Units that passed, with their times.
+    passed: Vec<(Instant, u64)>,
+}
+
+/// Part of the quota that the customer uses.
+const USED: f64 = 0.55;
+
+impl OneBusyDaemon {
+    fn new() -> Self {
+        let now = Instant::now();
+        let mut daemons = new_in_cells(72, 9, || Quotas::new(3, now), now);
+        for daemon in &mut daemons {
+            daemon.adopt_all([(&CUSTOMER.to_owned(), QUOTA)].into_iter(), now);
+        }
+        Self {
+            daemons,
+            now,
+            passed: Vec::new(),
+        }
+    }
+
+    /// Sends the requests of this time to one daemon. Returns the share that passes.
+    fn send(&mut self, to: usize, time: Duration) -> f64 {
+        let until = self.now + time;
+        let per_step = QUOTA.per_s * USED * REPORT_INTERVAL.as_secs_f64() / REQUEST_TOKENS as f64;
+        let (mut due, mut sent, mut passed) = (0.0, 0_u32, 0_u32);
+        for step in 0_usize.. {
+            if self.now >= until {
+                break;
+            }
+            due += per_step;
+            while due >= 1.0 {
+                due -= 1.0;
+                let debit = Fleet::debit(0, REQUEST_TOKENS);
+                let spent = self.daemons[to].spend(&CUSTOMER.to_owned(), QUOTA, debit, self.now);
+                sent += 1;
+                if spent.is_ok() {
+                    passed += 1;
+                    self.passed.push((self.now, REQUEST_TOKENS));
+                }
+            }
+            exchange_cell_reports(&mut self.daemons, 9, self.now, |cell| {
+                (step + cell).is_multiple_of(25)
+            });
+            for daemon in &mut self.daemons {
+                daemon.tick(self.now);
+            }
+            self.now += REPORT_INTERVAL;
+        }
+        f64::from(passed) / f64::from(sent)
+    }
+}
+
+// Guards against a cell whose demand nobody reports, since the daemon that represents it has served none of the
+// customer's requests.
+#[test]
+fn demand_on_a_daemon_that_does_not_represent_its_cell() {
+    let mut fleet = OneBusyDaemon::new();
+    fleet.send(10, Duration::from_secs(8));
+    let demand = fleet.daemons[9].cell_demand(fleet.now);
+    let rate = demand.rates.iter().find(|(id, _)| id == CUSTOMER);
+    let rate = rate.map_or(0.0, |(_, per_s)| f64::from(*per_s));
+    assert!(rate > 0.9 * QUOTA.per_s * USED, "{demand:?}");
+}
--- a/crates/lilaccrankd/src/request/quotas.rs
+++ b/crates/lilaccrankd/src/request/quotas.rs
@@ -64,13 +64,10 @@
 
     /// Puts the quotas of a new configuration in force.
     pub fn adopt(&self, customers: &[Customer]) {
+        let quotas = customers.iter();
+        let quotas = quotas.filter_map(|customer| Some((&customer.id, customer.quota?)));
         let mut inner = self.inner.borrow_mut();
-        let now = Instant::now();
-        for customer in customers {
-            if let Some(quota) = customer.quota {
-                inner.adopt(&customer.id, quota, now);
-            }
-        }
+        inner.adopt_all(quotas, Instant::now());
     }
 
     /// Charges a request to its customer's quota; `None` if the customer has no quota.
