Quotas: a cell's share follows callers that move to another daemon at once

What callers saw: 429 for a customer within its quota whose callers come to one daemon, and to another one every four seconds. Cause: demand is sampled each second, averaged over two samples and reported by one daemon of the cell every half second and more; the share of the cell that callers move to follows after two to three seconds, and that of the one they left falls as late. Change: a daemon at which a customer's requests run short reports its cell's demand itself, at once, if its last half second brought more than a quarter more than was reported; the rest of its cell keeps that for two seconds. A falling demand is averaged over a shorter time. Four requests are needed to infer a demand, so that bursts of small customers change nothing.

--- a/crates/lilaccrank/src/quota.rs
+++ b/crates/lilaccrank/src/quota.rs
@@ -9,7 +9,8 @@
 //! against the burst need no headroom, since refusing them would free too little for any other.
 //!
 //! Only daemons of the same cell report to each other at once; those of other cells are heard from
-//! seldom. Each cell therefore has its own share of the quota, which depends on its demand.
+//! seldom. Each cell therefore has its own share of the quota, which depends on its demand. Where the callers move
+//! to another cell, its daemons report the demand at once.
 //!
 //! Requests of one customer arrive in bursts, and a cell's share of a small quota can be less than
 //! one long request. A reserve on top of each burst lets such requests pass as long as the customer
@@ -32,6 +33,7 @@
 
 mod account;
 mod demand;
+mod recent_demand;
 
 use account::Account;
 pub use demand::CellDemand;
@@ -341,6 +343,7 @@
         let account = self.account(customer, quota, now);
         account.adopt(quota);
         account.spent.asked = account.spent.asked.saturating_add(debit.units);
+        account.recent_demand.add(debit.units, now);
         account.mark_changed(now);
         account.refill(share, now);
         let burst = quota.burst * share;
@@ -348,19 +351,27 @@
         let filled = burst.min(since_start * quota.per_s * share);
         // A request larger than the whole burst passes when the bucket is full.
         let required = (debit.units as f64 + debit.headroom(filled)).min(burst);
-        if account.balance < required {
-            let missing_s = account.seconds_until(required) / share;
-            let retry_after = Duration::try_from_secs_f64(missing_s).unwrap_or(Duration::MAX);
-            return Err(Error {
-                balance: account.balance,
-                share,
-                retry_after,
-                required,
-                is_too_large: false,
-            });
+        let spent = match account.balance < required {
+            true => {
+                let missing_s = account.seconds_until(required) / share;
+                Err(Error {
+                    balance: account.balance,
+                    share,
+                    retry_after: Duration::try_from_secs_f64(missing_s).unwrap_or(Duration::MAX),
+                    required,
+                    is_too_large: false,
+                })
+            }
+            false => {
+                account.withdraw(debit);
+                Ok(account.balance < burst * LOW_BALANCE_FRACTION)
+            }
+        };
+        let is_short = *spent.as_ref().unwrap_or(&true);
+        if let Some(per_s) = account.recent_demand.per_s(now).filter(|_| is_short) {
+            self.demand.note_demand(customer, per_s, now);
         }
-        account.withdraw(debit);
-        Ok(account.balance < burst * LOW_BALANCE_FRACTION)
+        spent
     }
 
     /// Refuses a request that no window has room for. The next one may be judged by other figures.
@@ -438,6 +449,18 @@
         )
     }
 
+    /// Builds the same report if a customer's demand on this daemon has risen faster than its cell's share follows.
+    /// The daemon sends it itself, at once.
+    pub fn surge_demand(&mut self, now: Instant) -> Option<CellDemand<CustomerId>> {
+        self.demand.take_surge(now).then(|| self.cell_demand(now))
+    }
+
+    /// Returns `true` if [`Self::surge_demand`] has a report, at the latest after a moment.
+    #[must_use]
+    pub fn has_surge(&self) -> bool {
+        self.demand.has_new_surge()
+    }
+
     /// Merges the demand report of a cell.
     pub fn merge_cell_demand(&mut self, demand: CellDemand<CustomerId>, now: Instant) {
         self.demand.merge(demand, now);
--- a/crates/lilaccrank/src/quota/account.rs
+++ b/crates/lilaccrank/src/quota/account.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use crate::document::{Quota, QuotaUnit};
+use crate::quota::recent_demand::RecentDemand;
 use crate::quota::{Debit, Figures, Spent};
 
 /// Token bucket and counters of one customer.
@@ -31,6 +32,7 @@
     debt_per_s: f64,
     /// The quota in force at the last request, with the reserve in its burst.
     pub(super) quota: Quota,
+    pub(super) recent_demand: RecentDemand,
     pub(super) spent: Spent,
 }
 
@@ -45,6 +47,7 @@
             plain_debt: 0.0,
             debt_per_s: 0.0,
             quota,
+            recent_demand: RecentDemand::new(now),
             spent: Spent::default(),
         }
     }
--- a/crates/lilaccrank/src/quota/demand.rs
+++ b/crates/lilaccrank/src/quota/demand.rs
@@ -25,6 +25,9 @@
 const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
 /// Weight of the newest sample in the exponential moving average of the demand.
 const EWMA_WEIGHT: f64 = 0.5;
+/// The same for a sample below the average: callers that have left to another cell need the share there, and a
+/// demand that rises again is reported at once.
+const FALLING_EWMA_WEIGHT: f64 = 0.75;
 /// Fraction of a quota that is divided evenly by number of daemons, so that a cell without demand
 /// so far has a share to start with.
 const EVEN_FRACTION: f64 = 0.2;
@@ -41,6 +44,12 @@
 const SHARE_RETENTION: Duration = Duration::from_secs(20);
 /// Number of report intervals without a report after which a cell's last report is stale.
 const STALE_AFTER_INTERVALS: f64 = 2.5;
+/// Factor by which a customer's demand on a daemon has to exceed the reported one of its cell for a report at once.
+const SURGE_FACTOR: f64 = 1.25;
+/// Time for which the demand of a surge counts. By then the average has followed.
+const SURGE_TIME: Duration = Duration::from_secs(2);
+/// Shortest time between two reports of surges.
+const SURGE_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Fraction of a cell's even share of a quota from which the demand of that customer is reported.
 /// Of customers that are not reported, cells assume a demand of this fraction.
 const REPORT_THRESHOLD: f64 = 0.25;
@@ -73,6 +82,11 @@
     /// Time between two demand reports of a cell.
     report_interval: Duration,
     last_sample: Instant,
+    /// Demand on this cell that rose faster than its average, with the time at which it was noticed.
+    surges: IndexMap<CustomerId, (f64, Instant)>,
+    /// Set while a surge at this daemon is to be reported.
+    has_new_surge: bool,
+    last_surge_report: Option<Instant>,
     /// Time at which this daemon started or its cell last changed.
     cell_changed: Instant,
 }
@@ -97,7 +111,11 @@
 impl Rate {
     fn add_sample(&mut self, asked: u64, elapsed: Duration) {
         let new = asked.saturating_sub(self.asked) as f64 / elapsed.as_secs_f64();
-        self.per_s += EWMA_WEIGHT * (new - self.per_s);
+        let weight = match new < self.per_s {
+            true => FALLING_EWMA_WEIGHT,
+            false => EWMA_WEIGHT,
+        };
+        self.per_s += weight * (new - self.per_s);
         self.asked = self.asked.max(asked);
     }
 }
@@ -113,6 +131,9 @@
             rates_by_daemon: IndexMap::new(),
             report_interval: SAMPLE_INTERVAL,
             last_sample: now,
+            surges: IndexMap::new(),
+            has_new_surge: false,
+            last_surge_report: None,
             cell_changed: now,
         }
     }
@@ -181,9 +202,11 @@
         quota: impl Fn(&CustomerId) -> Option<f64>,
         now: Instant,
     ) -> CellDemand<CustomerId> {
+        self.surges
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < SURGE_TIME);
         let even_share = self.even_share();
         let rates = self.customers().into_iter().filter_map(|customer| {
-            let cell_rate = self.cell_per_s(customer);
+            let cell_rate = self.cell_per_s(customer).max(self.surge_per_s(customer));
             let is_reported = cell_rate > REPORT_THRESHOLD * even_share * quota(customer)?;
             is_reported.then(|| (customer.clone(), cell_rate.min(u32::MAX.into()) as u32))
         });
@@ -192,12 +215,53 @@
             members: u32::try_from(1 + self.cell_peers).unwrap_or(u32::MAX),
             rates: rates.collect(),
         };
-        self.merge(demand.clone(), now);
+        self.store(demand.clone(), now);
         demand
     }
 
+    /// Records the units per second that a customer requests from this daemon, where its quota runs short. A surge
+    /// is reported at once: the share of this cell would follow it only after seconds.
+    pub(super) fn note_demand(&mut self, customer: &CustomerId, per_s: f64, now: Instant) {
+        if self.cell.count < 2 || per_s <= SURGE_FACTOR * self.reported_per_s(customer) {
+            return;
+        }
+        self.surges.insert(customer.clone(), (per_s, now));
+        self.has_new_surge = true;
+    }
+
+    /// Returns `true` while a surge is to be reported.
+    pub(super) fn has_new_surge(&self) -> bool {
+        self.has_new_surge
+    }
+
+    /// Returns `true` once for each surge that is to be reported.
+    pub(super) fn take_surge(&mut self, now: Instant) -> bool {
+        let last = self.last_surge_report;
+        let is_due =
+            last.is_none_or(|at| now.saturating_duration_since(at) >= SURGE_REPORT_INTERVAL);
+        if !self.has_new_surge || !is_due {
+            return false;
+        }
+        self.has_new_surge = false;
+        self.last_surge_report = Some(now);
+        true
+    }
+
     /// Merges the report of a cell. Reports for a different number of cells are out of date.
     pub(super) fn merge(&mut self, demand: CellDemand<CustomerId>, now: Instant) {
+        if demand.cell == self.cell {
+            // The next report of this daemon must not take back what another one of the cell has noticed.
+            for (customer, per_s) in &demand.rates {
+                let per_s = f64::from(*per_s);
+                if per_s > SURGE_FACTOR * self.cell_per_s(customer) {
+                    self.surges.insert(customer.clone(), (per_s, now));
+                }
+            }
+        }
+        self.store(demand, now);
+    }
+
+    fn store(&mut self, demand: CellDemand<CustomerId>, now: Instant) {
         if demand.cell.count != self.cell.count {
             return;
         }
@@ -268,10 +332,23 @@
             < self.report_interval.mul_f64(STALE_AFTER_INTERVALS)
     }
 
-    /// Customers that any daemon of this cell has sampled.
+    /// Customers with demand on this cell.
     fn customers(&self) -> IndexSet<&CustomerId> {
         let daemons = self.rates_by_daemon.values();
-        daemons.flat_map(IndexMap::keys).collect()
+        let sampled = daemons.flat_map(IndexMap::keys);
+        sampled.chain(self.surges.keys()).collect()
+    }
+
+    /// Units per second of a customer in the last report of this cell.
+    fn reported_per_s(&self, customer: &CustomerId) -> f64 {
+        let own = self.cells.get(&self.cell.index);
+        let rate = own.and_then(|report| report.rates.get(customer));
+        rate.copied().unwrap_or_default()
+    }
+
+    /// Units per second of a surge on this cell; 0 without one.
+    fn surge_per_s(&self, customer: &CustomerId) -> f64 {
+        self.surges.get(customer).map_or(0.0, |(per_s, _)| *per_s)
     }
 
     /// Units per second that a customer requests from this cell.
--- a/crates/lilaccrank/tests/suite/quota_cells.rs
+++ b/crates/lilaccrank/tests/suite/quota_cells.rs
@@ -233,6 +233,11 @@
             exchange_cell_reports(&mut self.daemons, 9, self.now, |cell| {
                 (step + cell).is_multiple_of(25)
             });
+            if let Some(demand) = self.daemons[to].surge_demand(self.now) {
+                for daemon in &mut self.daemons {
+                    daemon.merge_cell_demand(demand.clone(), self.now);
+                }
+            }
             for daemon in &mut self.daemons {
                 daemon.tick(self.now);
             }
@@ -263,3 +268,29 @@
     let passed = fleet.send(10, Duration::from_secs(4));
     assert!(passed > 0.99, "{passed:.2} passed");
 }
+
+// Guards against refusals of a customer within its quota whose callers are sent to another daemon every few seconds:
+// the share of a cell has to follow sooner.
+#[test]
+fn callers_that_move_to_another_cell() {
+    let mut fleet = OneBusyDaemon::new();
+    fleet.send(10, Duration::from_secs(8));
+    let turns = [20, 30, 40, 50, 60, 70, 5];
+    let passed = turns.map(|to| fleet.send(to, Duration::from_secs(4)));
+    let mean = passed.iter().sum::<f64>() / turns.len() as f64;
+    assert!(mean > 0.9, "{mean:.2} passed, {passed:.2?}");
+    let most = max_in_window(&fleet.passed);
+    assert!(most <= allowed(WINDOW) * 1.05, "{most}");
+}
+
+/// Most units that passed in any window.
+fn max_in_window(passed: &[(Instant, u64)]) -> f64 {
+    let in_window = |from: Instant| {
+        let passed = passed
+            .iter()
+            .filter(|(at, _)| *at >= from && *at < from + WINDOW);
+        passed.map(|(_, units)| units).sum::<u64>()
+    };
+    let sums = passed.iter().map(|(at, _)| in_window(*at));
+    sums.max().unwrap_or_default() as f64
+}
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -147,7 +147,11 @@
         request: caller.log_id(&id),
         tier: route.tier,
     };
-    let charge = match daemon.quotas.charge(quota_req) {
+    let charged = daemon.quotas.charge(quota_req);
+    if daemon.quotas.has_surge() {
+        daemon.load_exchange.note_change(true);
+    }
+    let charge = match charged {
         Ok(charge) => charge,
         Err(refusal) => {
             daemon.metrics.record_end(EndStats {
--- a/crates/lilaccrankd/src/peers/load_exchange.rs
+++ b/crates/lilaccrankd/src/peers/load_exchange.rs
@@ -3,7 +3,7 @@
 //! Daemons of one cell send each other what has changed: at once if it affects where the others
 //! send requests, otherwise batched for a short time. All other daemons only need the demand of
 //! customers on the cell. One daemon of each cell reports it, at an interval that grows with the
-//! number of cells. A lost datagram is made up for by the next one.
+//! number of cells; a daemon at which it rises fast does so at once. A lost datagram is made up for by the next one.
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -154,6 +154,9 @@
         };
         let spent = daemon.quotas.report();
         send_update(&daemon, &socket, pools, spent, &cell_peers).await;
+        if let Some(demand) = daemon.quotas.surge_demand() {
+            send_cell_demand(&daemon, &socket, demand).await;
+        }
         monoio::time::sleep(MIN_SEND_INTERVAL + INTERVAL_PER_PEER * count(&cell_peers)).await;
     }
 }
@@ -175,22 +178,26 @@
         if cell.id().count < 2 || cell.representative(me) != me || !is_needed(&daemon) {
             continue;
         }
-        let demand = daemon.quotas.cell_demand();
-        let (cell_peers, others) = peers(&daemon);
-        let rates = demand.rates.into_iter();
-        let rates = rates.map(|(id, per_s)| (load_message::customer_digest(&id), per_s));
-        let message = LoadMessage {
-            cell_demand: Some(CellDemand {
-                cell: demand.cell,
-                members: demand.members,
-                rates: rates.collect(),
-            }),
-            ..empty_message(&daemon)
-        };
-        send(&daemon, &socket, &message, cell_peers.iter().chain(&others)).await;
+        send_cell_demand(&daemon, &socket, daemon.quotas.cell_demand()).await;
     }
 }
 
+/// Sends the demand on this cell to all daemons.
+async fn send_cell_demand(daemon: &Daemon, socket: &UdpSocket, demand: CellDemand<CustomerId>) {
+    let (cell_peers, others) = peers(daemon);
+    let rates = demand.rates.into_iter();
+    let rates = rates.map(|(id, per_s)| (load_message::customer_digest(&id), per_s));
+    let message = LoadMessage {
+        cell_demand: Some(CellDemand {
+            cell: demand.cell,
+            members: demand.members,
+            rates: rates.collect(),
+        }),
+        ..empty_message(daemon)
+    };
+    send(daemon, socket, &message, cell_peers.iter().chain(&others)).await;
+}
+
 fn count(peers: &[SocketAddr]) -> u32 {
     u32::try_from(peers.len()).unwrap_or(u32::MAX)
 }
--- a/crates/lilaccrankd/src/request/quotas.rs
+++ b/crates/lilaccrankd/src/request/quotas.rs
@@ -149,6 +149,18 @@
         self.inner.borrow_mut().cell_demand(Instant::now())
     }
 
+    /// Returns `true` while the demand on this daemon is to be reported at once.
+    #[must_use]
+    pub fn has_surge(&self) -> bool {
+        self.inner.borrow().has_surge()
+    }
+
+    /// Returns the demand of this cell if it is to be reported at once, for all daemons.
+    #[must_use]
+    pub fn surge_demand(&self) -> Option<CellDemand<CustomerId>> {
+        self.inner.borrow_mut().surge_demand(Instant::now())
+    }
+
     /// Merges the reported demand of a cell.
     pub fn merge_cell_demand(&self, demand: CellDemand<CustomerId>) {
         self.inner
