Limit of requests: a request counts what it takes, and bodies and answers what they do

Cause: request_limit was a quarter of the memory over 128 KB for each request, as if each had a large body: 167 at 88 MB. Bodies and answers are counted in bytes besides. Streams that wait or flow take 60 to 85 KB (CAPACITY.md). Ruled out: handing requests on to other daemons costs the same connection and buffers here. Conclusion: mended; processor time of a daemon with 0.12 of a core is not tested.

--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -159,6 +159,9 @@
     pub transfers: Transfers,
 }
 
+/// Bytes that a request takes besides its body and its answer, mostly for its two connections: what an open
+/// stream was measured to take, see `docs/CAPACITY.md`.
+pub const REQUEST_BYTES: usize = 85 << 10;
 /// Buffers that hold a request's body at a time: its own, and that of the connection on which it is sent.
 const BODY_COPIES: usize = 2;
 
@@ -393,14 +396,20 @@
     }
 
     /// Admits a request unless the limit of requests in progress or that of the memory for answers is
-    /// reached. It is called before the request is read.
+    /// reached. Bodies and answers count as the requests that their memory would hold. It is called before the
+    /// request is read.
     ///
     /// # Errors
     ///
     /// [`ErrorKind::Overloaded`] at a limit.
     pub fn admit(self: &Rc<Self>) -> Result<InProgress> {
-        if self.in_progress.get() >= self.cfg.request_limit {
-            let message = "this daemon has as many requests as it can hold";
+        let bytes = self.answer_memory.bytes();
+        if self.in_progress.get() + bytes / REQUEST_BYTES >= self.cfg.request_limit {
+            let message = format!(
+                "this daemon has as many requests as it can hold: {} with {bytes} bytes of bodies and answers, its limit is {}",
+                self.in_progress.get(),
+                self.cfg.request_limit
+            );
             return Err(Refusal::new(ErrorKind::Overloaded, message));
         }
         if self.answer_memory.is_short() {
