Read-ahead: what all connections read ahead is bounded, and requests sent ahead take turns

What callers saw: a process that ran out of memory under clients that send many requests ahead, or large bodies after a refusal, and no answer in 10 s for an ordinary caller beside them. Cause: while a request is in progress, or a refusal is written, up to a head and a body of the configuration is read ahead on each connection, to see that its client hangs up. It counted in no limit: memory grew with the connections. hyper answers what it has read until a request waits, so that 300 clients with 6,000 heads each left others no turn. A request that was sent ahead waits for one turn of the runtime.

--- a/crates/lilaccrank-http/src/client_connection.rs
+++ b/crates/lilaccrank-http/src/client_connection.rs
@@ -14,6 +14,8 @@
 use bytes::{Buf, BytesMut};
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 
+use crate::head_limits::ReadAhead;
+
 /// Size of one read.
 const READ_SIZE: usize = 4 * 1024;
 
@@ -27,6 +29,10 @@
     io: T,
     /// Bytes that were read and that hyper hasn't taken.
     ahead: BytesMut,
+    /// Memory of `ahead`, as it counts in `total`.
+    held: usize,
+    /// What all connections have read ahead.
+    total: ReadAhead,
     end: Option<End>,
     /// Set while a request's body is read, so that hyper reads the transport itself.
     is_in_body: bool,
@@ -104,11 +110,13 @@
 }
 
 impl<T: Read + Unpin + 'static> WatchedIo<T> {
-    /// Watches `io`, of which nothing is read ahead at first.
-    pub(crate) fn new(io: T) -> Self {
+    /// Watches `io`, of which nothing is read ahead at first. What is read ahead counts in `total`.
+    pub(crate) fn new(io: T, total: ReadAhead) -> Self {
         let state = State {
             io,
             ahead: BytesMut::new(),
+            held: 0,
+            total,
             end: None,
             is_in_body: false,
             limit: 0,
@@ -149,6 +157,7 @@
         let mut ahead = BytesMut::from(bytes);
         ahead.extend_from_slice(&state.ahead);
         state.ahead = ahead;
+        state.count();
     }
 
     /// Reads ahead; ready once the client has hung up.
@@ -175,10 +184,20 @@
     }
 }
 
+impl<T> Drop for State<T> {
+    fn drop(&mut self) {
+        self.total.replace(self.held, 0);
+    }
+}
+
 impl<T: Read + Unpin> State<T> {
     fn poll_ahead(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         self.set_waker(cx);
-        while self.end.is_none() && !self.is_in_body && self.ahead.len() < self.limit {
+        while self.end.is_none()
+            && !self.is_in_body
+            && self.ahead.len() < self.limit
+            && self.total.has_room()
+        {
             let mut bytes = [0; READ_SIZE];
             let mut buf = ReadBuf::new(&mut bytes);
             match Pin::new(&mut self.io).poll_read(cx, buf.unfilled()) {
@@ -186,6 +205,7 @@
                 Poll::Ready(Ok(())) if buf.filled().is_empty() => self.end = Some(End::Eof),
                 Poll::Ready(Ok(())) => {
                     self.ahead.extend_from_slice(buf.filled());
+                    self.count();
                     // hyper may be waiting for these bytes, and its read was woken in vain.
                     cx.waker().wake_by_ref();
                 }
@@ -198,6 +218,16 @@
         }
     }
 
+    /// Counts the memory of what was read ahead. Bytes that were taken keep theirs until all are.
+    fn count(&mut self) {
+        let now = match self.ahead.is_empty() {
+            true => 0,
+            false => self.ahead.capacity().max(self.held),
+        };
+        self.total.replace(self.held, now);
+        self.held = now;
+    }
+
     fn set_waker(&mut self, cx: &Context<'_>) {
         match &mut self.waker {
             Some(waker) => waker.clone_from(cx.waker()),
@@ -217,6 +247,7 @@
             self.ahead.advance(length);
             if self.ahead.is_empty() {
                 self.ahead = BytesMut::new();
+                self.count();
             }
             return Poll::Ready(Ok(()));
         }
--- a/crates/lilaccrank-http/src/head_limits.rs
+++ b/crates/lilaccrank-http/src/head_limits.rs
@@ -41,6 +41,7 @@
 #[derive(Clone, Default)]
 pub struct LiveLimits {
     inner: Rc<State>,
+    read_ahead: ReadAhead,
 }
 
 #[derive(Default)]
@@ -49,7 +50,53 @@
     current: Cell<HeadLimits>,
 }
 
+/// Bytes that all connections have read ahead, and the limit of them; clones share both.
+#[derive(Clone, Debug)]
+pub(crate) struct ReadAhead {
+    bytes: Rc<Cell<usize>>,
+    limit: usize,
+}
+
+impl Default for ReadAhead {
+    fn default() -> Self {
+        Self {
+            bytes: Rc::default(),
+            limit: usize::MAX,
+        }
+    }
+}
+
+impl ReadAhead {
+    /// Returns `true` while more may be read ahead.
+    pub(crate) fn has_room(&self) -> bool {
+        self.bytes.get() < self.limit
+    }
+
+    /// Replaces what a connection holds: `before` bytes by `now` bytes.
+    pub(crate) fn replace(&self, before: usize, now: usize) {
+        self.bytes.set(self.bytes.get() - before + now);
+    }
+}
+
 impl LiveLimits {
+    /// Creates default limits, with a limit in bytes of what all connections together read ahead. Beyond it, the
+    /// bytes of next requests wait in the kernel.
+    #[must_use]
+    pub fn with_read_ahead(limit: usize) -> Self {
+        let read_ahead = ReadAhead {
+            bytes: Rc::default(),
+            limit,
+        };
+        Self {
+            read_ahead,
+            ..Self::default()
+        }
+    }
+
+    pub(crate) fn read_ahead(&self) -> ReadAhead {
+        self.read_ahead.clone()
+    }
+
     /// Returns the limits in force.
     #[must_use]
     pub fn get(&self) -> HeadLimits {
--- a/crates/lilaccrank-http/src/head_timer.rs
+++ b/crates/lilaccrank-http/src/head_timer.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Returns `true` before [`Self::begin_request`] if all of the head was read along with an earlier request.
+    pub(crate) fn is_head_read(&self) -> bool {
+        self.state.started_at.get().is_none()
+    }
+
     /// Stops the timer after a complete head and marks the request as in progress.
     pub(crate) fn begin_request(&self) -> RequestGuard {
         let state = &self.state;
--- a/crates/lilaccrank-http/src/server/connection.rs
+++ b/crates/lilaccrank-http/src/server/connection.rs
@@ -52,14 +52,19 @@
 {
     stream.set_nodelay(true)?;
     let io = MonoioIo::new(monoio::io::IntoPollIo::into_poll_io(stream)?);
-    let io = WatchedIo::new(io);
+    let io = WatchedIo::new(io, live.read_ahead());
     let (client, watch) = (io.client(), io.watch());
     let mut io = TimedIo::new(io, head_timer.clone(), live.clone());
     let mut service = service::service_fn(|req: Request<Incoming>| {
+        let was_sent_ahead = head_timer.is_head_read();
         let guard = head_timer.begin_request();
         let has_body = !req.body().is_end_stream();
         let answer = handler(req, client.clone());
         async move {
+            if was_sent_ahead {
+                // hyper goes on with requests that it has read until one waits. Others would get no turn.
+                runtime::yield_now().await;
+            }
             let mut res = answer.await;
             if has_body {
                 // hyper learns in a turn of its own that nobody reads the rest of the body. Only then does
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -245,7 +245,7 @@
             incarnation,
             key_owner,
             keys_settled: Cell::new(false),
-            head_limits: LiveLimits::default(),
+            head_limits: LiveLimits::with_read_ahead(cfg.read_ahead_limit),
             platform_contact: PlatformContact::default(),
             leaving: Cell::new(false),
             link: Link::new(cfg.link_bytes_per_s),
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -107,6 +107,9 @@
     pub peer: SocketAddr,
     /// Address of the platform's store.
     pub platform: SocketAddr,
+    /// Bytes of next requests that are read while one is in progress, over all connections of callers. More
+    /// waits in the kernel, and that a caller hangs up behind it is seen only after the answer.
+    pub read_ahead_limit: usize,
     /// Listen address for requests of other daemons to targets that they can't reach; `None` to relay
     /// none.
     pub relay: Option<SocketAddr>,
@@ -237,6 +240,7 @@
             platform: port(7300),
             quota_reserve: 0.0,
             quota_window_ms: quota::DEFAULT_WINDOW.as_millis() as u64,
+            read_ahead_limit: 32 << 20,
             readiness: None,
             relay: None,
             request_keys: true,
