Memory of requests: what a request and a connection take is counted as measured, and is less

What callers saw: a process over the memory of its machine with many requests in progress, none of them large. Cause: the limit reckoned 85 KB a request; an open stream takes 139 KB and an idle connection 31 KB (optimized, x86-64). Futures that are passed by value through several layers hold room for themselves more than once, and hyper keeps room for a request's future in each open connection. Shares were taken of the whole memory, as if a daemon without requests took none. Conclusion: mended but for large answers.

--- a/crates/lilaccrank-http/src/body.rs
+++ b/crates/lilaccrank-http/src/body.rs
@@ -8,7 +8,6 @@
 use bytes::{Bytes, BytesMut};
 use futures::channel::oneshot;
 use futures::future;
-use futures::pin_mut;
 use http_body_util::channel::{Channel, Sender};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty, Full};
@@ -77,9 +76,8 @@
 {
     let (tx, channel) = Channel::new(CHANNEL_FRAMES);
     let (open, dropped) = oneshot::channel();
-    let writing = write(tx);
+    let writing = Box::pin(write(tx));
     runtime::spawn(async move {
-        pin_mut!(writing);
         future::select(writing, dropped).await;
     });
     let body = Streamed {
--- a/crates/lilaccrank-http/src/server/connection.rs
+++ b/crates/lilaccrank-http/src/server/connection.rs
@@ -59,7 +59,8 @@
         let was_sent_ahead = head_timer.is_head_read();
         let guard = head_timer.begin_request();
         let has_body = !req.body().is_end_stream();
-        let answer = handler(req, client.clone());
+        // hyper keeps room for the future of a request as long as the connection is open.
+        let answer = Box::pin(handler(req, client.clone()));
         async move {
             if was_sent_ahead {
                 // hyper goes on with requests that it has read until one waits. Others would get no turn.
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{HeaderMap, Request, Response};
 use lilaccrank::clock::{self, Clock};
 use lilaccrank::document::Customer;
@@ -94,7 +95,13 @@
                 why = refusal.message;
                 "request refused on arrival"
             );
-            daemon.ports.callers.refusal_response(&refusal)
+            let mut res = daemon.ports.callers.refusal_response(&refusal);
+            if refusal.kind == ErrorKind::Overloaded {
+                // The connection takes memory as well, and a new one may lead to a daemon that has room.
+                let close = HeaderValue::from_static("close");
+                res.headers_mut().insert(CONNECTION, close);
+            }
+            res
         }
     }
 }
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -161,7 +161,7 @@
 
 /// Bytes that a request takes besides its body and its answer, mostly for its two connections: what an open
 /// stream was measured to take, see `docs/CAPACITY.md`.
-pub const REQUEST_BYTES: usize = 85 << 10;
+pub const REQUEST_BYTES: usize = 140 << 10;
 /// Buffers that hold a request's body at a time: its own, and that of the connection on which it is sent.
 const BODY_COPIES: usize = 2;
 
--- a/crates/lilaccrankd/src/request/lifecycle.rs
+++ b/crates/lilaccrankd/src/request/lifecycle.rs
@@ -65,7 +65,8 @@
         routed: &routed,
         stage: Stage::default(),
     };
-    let executed = cancellation.run(execution.run()).await;
+    // Unboxed, each future that it passes through would hold room for it twice.
+    let executed = cancellation.run(Box::pin(execution.run())).await;
     let result = executed.unwrap_or_else(|refusal| execution.cancel(refusal));
     let ended_by = execution.history.ended_by;
     let ended_by = ended_by.map_or(String::new(), |by| by.to_string());
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -124,7 +124,7 @@
     /// Enables request keys, with which a repeated request gets the answer of the first.
     pub request_keys: bool,
     /// Maximum number of requests in progress; more are refused. Bodies and answers in progress count as the
-    /// requests that their memory would hold, 85 KB each.
+    /// requests that their memory would hold, 140 KB each.
     pub request_limit: usize,
     /// Retry budget of each pool over all daemons.
     pub retries: Retries,
