Admission: a body that does not come on gives its place to a request that needs one

What callers saw: 503 for up to ten seconds at a daemon where clients had stopped short of the end of their bodies; each new body renews it. Cause: a request took a place, and memory for its announced length twice, from its head on until its body was whole or given up after body_timeout_ms. Places were held by whoever came first. Evidence: foreign_clients::bodies_that_stop_hold_no_place_that_others_need, 300 clients, 48 MB: before, the ordinary caller was served while 0 bodies were waited for, that is after all were given up; after, while 83 are. Change: request/admission.rs holds the requests in progress (out of daemon.rs) and those whose bodies are coming. At a limit, the one without data for longest, half a second at least, is refused as not run and its place and memory are free at once. Ruled out: a shorter timeout, which slow callers in calm would meet. A body that comes a byte at a time keeps its place: open. Conclusion: mended for bodies that stop.

--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -5,6 +5,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures::future::{self, Either};
+use futures::pin_mut;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{HeaderMap, Request, Response};
@@ -25,7 +27,8 @@
 use crate::callers::protocol::{CallerProtocol, ReadContext};
 use crate::callers::refusal::{Refusal, Result};
 use crate::configuration::in_force::InForce;
-use crate::daemon::{Daemon, InProgress};
+use crate::daemon::Daemon;
+use crate::request::admission::InProgress;
 use crate::request::answer_buffer::{AnswerBuffer, Reader};
 use crate::request::key_state::{self, ClaimOutcome};
 use crate::request::lifecycle::{self, RoutedRequest};
@@ -240,15 +243,24 @@
 ///
 /// # Errors
 ///
-/// Also [`ErrorKind::Overloaded`] if there is no memory for it.
+/// Also [`ErrorKind::Overloaded`] if there is no memory for it, or if it does not come on while other requests
+/// need its place.
 pub async fn read_request_body(
     daemon: &Daemon,
     incoming: Incoming,
     limit: usize,
     in_progress: &InProgress,
 ) -> Result<Bytes> {
-    let reading = body::read_within(incoming, limit, |bytes| in_progress.take(bytes));
-    within_time(daemon, reading).await
+    let arriving = in_progress.begin_body();
+    let take = |bytes| arriving.take(bytes);
+    let reading = body::read_within(incoming, limit, take, || arriving.record_data());
+    let reading = within_time(daemon, reading);
+    let lost = arriving.lost();
+    pin_mut!(reading, lost);
+    match future::select(reading, lost).await {
+        Either::Left((body, _)) => body,
+        Either::Right((refusal, _)) => Err(refusal),
+    }
 }
 
 async fn within_time(
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -40,7 +40,8 @@
 use crate::pools::slot_leases::{ArbiterState, SlotLeases};
 use crate::ports::Ports;
 use crate::request::abort_signal::AbortSignal;
-use crate::request::answer_memory::{AnswerMemory, Held};
+use crate::request::admission::Admission;
+use crate::request::answer_memory::AnswerMemory;
 use crate::request::key_state::KeyClaims;
 use crate::request::pool_retry_budgets::PoolRetryBudgets;
 use crate::request::quotas::Quotas;
@@ -70,6 +71,8 @@
 
 /// Shared state of a daemon's tasks.
 pub struct Daemon {
+    /// Requests in progress and their places.
+    pub admission: Admission,
     /// The adopted configuration, from the store or from peers.
     pub adoption: Adoption,
     /// Crash and rate limit advisories shared between daemons.
@@ -91,7 +94,6 @@
     /// Assigns pools and watches to members.
     pub duties: Duties,
     in_force: RefCell<Option<Rc<InForce>>>,
-    in_progress: Cell<usize>,
     incarnation: Incarnation,
     /// Records of the request keys that this daemon owns.
     pub key_owner: KeyOwner<MonoioClock, PeerNetwork, Duties>,
@@ -159,39 +161,6 @@
     pub transfers: Transfers,
 }
 
-/// Bytes that a request takes besides its body and its answer, mostly for its two connections: what an open
-/// stream was measured to take, see `docs/CAPACITY.md`.
-pub const REQUEST_BYTES: usize = 140 << 10;
-/// Buffers that hold a request's body at a time: its own, and that of the connection on which it is sent.
-const BODY_COPIES: usize = 2;
-
-/// Guard that counts one request in progress, with the memory of its body, until it is dropped.
-pub struct InProgress {
-    body: Held,
-    daemon: Rc<Daemon>,
-}
-
-impl InProgress {
-    /// Takes memory for a part of the request's body. If there is none, the body gives back all it has.
-    #[must_use]
-    pub fn take(&self, bytes: usize) -> bool {
-        self.body.add(bytes.saturating_mul(BODY_COPIES));
-        let is_short = self.body.memory().is_short();
-        if is_short {
-            self.body.release();
-        }
-        !is_short
-    }
-}
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        let daemon = &self.daemon;
-        daemon.in_progress.set(daemon.in_progress.get() - 1);
-        daemon.metrics.in_progress.dec();
-    }
-}
-
 impl Daemon {
     /// Creates a daemon; no task runs yet.
     ///
@@ -228,6 +197,7 @@
         let claims = Claims::new(key_owner.clone(), store.clone(), budget, KEY_OWNER_TIMEOUT);
         let order_manager = OrderManager::new(&cfg, incarnation, store.clone());
         Ok(Self {
+            admission: Admission::default(),
             adoption: Adoption::new(),
             advisories: SharedAdvisories::default(),
             answer_memory: Rc::new(AnswerMemory::new(cfg.answers_total_limit)),
@@ -241,7 +211,6 @@
             arbiter: ArbiterState::default(),
             duties,
             in_force: RefCell::default(),
-            in_progress: Cell::new(0),
             incarnation,
             key_owner,
             keys_settled: Cell::new(false),
@@ -390,44 +359,6 @@
         settled
     }
 
-    /// Returns the number of requests in progress.
-    pub fn in_progress(&self) -> usize {
-        self.in_progress.get()
-    }
-
-    /// Admits a request unless the limit of requests in progress or that of the memory for answers is
-    /// reached. Bodies and answers count as the requests that their memory would hold. It is called before the
-    /// request is read.
-    ///
-    /// # Errors
-    ///
-    /// [`ErrorKind::Overloaded`] at a limit.
-    pub fn admit(self: &Rc<Self>) -> Result<InProgress> {
-        let bytes = self.answer_memory.bytes();
-        if self.in_progress.get() + bytes / REQUEST_BYTES >= self.cfg.request_limit {
-            let message = format!(
-                "this daemon has as many requests as it can hold: {} with {bytes} bytes of bodies and answers, its limit is {}",
-                self.in_progress.get(),
-                self.cfg.request_limit
-            );
-            return Err(Refusal::new(ErrorKind::Overloaded, message));
-        }
-        if self.answer_memory.is_short() {
-            let message = format!(
-                "bodies and answers in progress take {} bytes, {} may be used",
-                self.answer_memory.bytes(),
-                self.cfg.answers_total_limit
-            );
-            return Err(Refusal::new(ErrorKind::Overloaded, message));
-        }
-        self.in_progress.set(self.in_progress.get() + 1);
-        self.metrics.in_progress.inc();
-        Ok(InProgress {
-            body: Held::new(Rc::clone(&self.answer_memory)),
-            daemon: Rc::clone(self),
-        })
-    }
-
     /// Records an event on the timeline.
     pub fn record(&self, kind: EventKind, subject: Subject) {
         self.timeline.record(kind, subject);
--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -23,8 +23,9 @@
 
 use crate::callers::end_to_end;
 use crate::callers::entry;
-use crate::daemon::{Daemon, InProgress};
+use crate::daemon::Daemon;
 use crate::pools::server;
+use crate::request::admission::InProgress;
 use crate::request::answer_buffer::{AnswerBuffer, End};
 use crate::request::cancellation::Cancellation;
 use crate::targets::paths::{self, ActiveSend};
--- a/crates/lilaccrankd/src/request.rs
+++ b/crates/lilaccrankd/src/request.rs
@@ -1,6 +1,7 @@
 //! Lifecycle of one request, from its routing to its end.
 
 pub mod abort_signal;
+pub mod admission;
 pub mod answer_buffer;
 pub mod answer_memory;
 pub mod cancellation;
--- a/crates/lilaccrankd/src/request/execution.rs
+++ b/crates/lilaccrankd/src/request/execution.rs
@@ -15,8 +15,9 @@
 use lilaccrank_http::monoio_clock::MonoioClock;
 
 use crate::callers::refusal::{Refusal, Result};
-use crate::daemon::{Daemon, InProgress};
+use crate::daemon::Daemon;
 use crate::pools::client::{self, HeldGrant};
+use crate::request::admission::InProgress;
 use crate::request::answer_buffer::AnswerBuffer;
 use crate::request::cancellation::Cancellation;
 use crate::request::dispatch_refusal;
--- a/crates/lilaccrankd/src/request/send_observer.rs
+++ b/crates/lilaccrankd/src/request/send_observer.rs
@@ -12,8 +12,9 @@
 use lilaccrank::stream_origins::Record;
 use lilaccrank::stream_progress::StreamProgress;
 
-use crate::daemon::{Daemon, InProgress};
+use crate::daemon::Daemon;
 use crate::pools::client::HeldGrant;
+use crate::request::admission::InProgress;
 use crate::request::execution::Execution;
 use crate::request::lifecycle;
 use crate::request::race::{Race, Side};
