Callers of HTTP/1.0: an answer without a length is sent once it is whole

Cause: HTTP/1.0 knows no chunks, so that hyper ends such an answer with the connection, and closes it alike for a whole answer and for a broken one. Evidence: unframed::a_plain_answer_that_is_broken_off (700,126 bytes, ended by None) and unframed::a_stream_that_is_broken_off (189 bytes, ended by None) failed before; both pass after, and unframed::a_whole_answer on both. Events reach a caller of HTTP/1.0 only with the last one. Ruled out: a reset at the end of the connection needs the descriptor of the runtime's stream, which can't be had without unsafe code, and a process that is killed would still end it well. Callers of HTTP/1.1 get chunks, whose missing end tells; the peers' ports speak HTTP/1.1 only. Conclusion: mended.

--- a/crates/lilaccrankd/src/callers.rs
+++ b/crates/lilaccrankd/src/callers.rs
@@ -23,6 +23,7 @@
 pub mod native_protocol;
 pub mod protocol;
 pub mod refusal;
+pub mod whole_answer;
 
 /// Answers one HTTP request of a caller.
 pub async fn handle(
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -26,6 +26,7 @@
 use crate::callers::caller_request::CallerRequest;
 use crate::callers::protocol::{CallerProtocol, ReadContext};
 use crate::callers::refusal::{Refusal, Result};
+use crate::callers::whole_answer;
 use crate::configuration::in_force::InForce;
 use crate::daemon::Daemon;
 use crate::request::admission::InProgress;
@@ -82,10 +83,17 @@
 ) -> Response<Body> {
     let log_id = daemon.ports.callers.log_id(req.headers());
     let arrival = Arrival::new(log_id);
+    let version = req.version();
     let accepted = accept(&daemon, req, client, &arrival).await;
     arrival.settle();
     match accepted {
-        Ok(res) => res,
+        Ok(res) => {
+            let res = whole_answer::with_length(&daemon, version, res).await;
+            res.unwrap_or_else(|refusal| {
+                log::info!(request = arrival.log_id, why = refusal.message; "no whole answer for HTTP/1.0");
+                daemon.ports.callers.refusal_response(&refusal)
+            })
+        }
         Err(refusal) => {
             daemon.metrics.record_refusal(refusal.kind);
             startup::record_refused(&daemon);
