Answers: a status that ends no exchange of HTTP is no answer

Cause: the status was not looked at before the answer was classed. Change: what is not 200 to 599 is a broken answer, 502, at the daemon that sends and at a relay. Ruled out: that the platform means such a status by "unchanged": HTTP gives numbers beyond 599 no meaning and has them treated as a failure of the server.

--- a/crates/lilaccrankd/src/peers/path_relay.rs
+++ b/crates/lilaccrankd/src/peers/path_relay.rs
@@ -279,6 +279,10 @@
     let sending = cancellation.run(send(daemon, relayed, &target, req, &conditions));
     let (res, connection) = sending.await.map_err(|_| Failure::Silent)??;
     active.record_heard();
+    if !protocol::is_final(res.status()) {
+        log::info!(request = relayed.log_id, status = res.status().as_u16(); "the target sent no final answer");
+        return Err(Failure::Lost);
+    }
     let is_first = connection.last_exchange().earlier_requests == 0;
     if !targets.attribution(&sent, res.headers()).is_own(is_first) {
         return Err(Failure::Mismatched);
--- a/crates/lilaccrankd/src/targets/forward.rs
+++ b/crates/lilaccrankd/src/targets/forward.rs
@@ -21,7 +21,7 @@
 use crate::callers::end_to_end;
 use crate::callers::refusal::{REFUSAL, Refusal};
 use crate::request::answer_buffer::{AnswerBuffer, Head};
-use crate::targets::protocol::{AnswerKind, OutgoingRequest, RateLimit, TargetProtocol};
+use crate::targets::protocol::{self, AnswerKind, OutgoingRequest, RateLimit, TargetProtocol};
 use crate::targets::transport::Transport;
 
 mod delivered;
@@ -149,6 +149,10 @@
         delivered: &mut Delivered,
         sent_at: Instant,
     ) -> Result<()> {
+        if !protocol::is_final(head.status) {
+            let message = format!("the target answered with status {}", head.status.as_u16());
+            return Err(failed(ErrorKind::BrokenAnswer, message));
+        }
         if !self.is_own_answer(&head, outgoing, &connection) {
             let message = "the target sent the answer to another request";
             return Err(failed(ErrorKind::BrokenAnswer, message));
--- a/crates/lilaccrankd/src/targets/protocol.rs
+++ b/crates/lilaccrankd/src/targets/protocol.rs
@@ -114,6 +114,13 @@
     }
 }
 
+/// Returns `true` if a status ends an exchange of HTTP. Others are no answer: an interim one, a change of protocol
+/// that no caller asked for, or a number that has no meaning.
+#[must_use]
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Digest of a request's id, by which connections that have carried the request are told.
 #[must_use]
 pub fn request_digest(protocol: &dyn TargetProtocol, headers: &HeaderMap) -> Option<RequestDigest> {
