Connections: beyond a limit the one that has been idle for longest is closed for a new one

Cause: the class of the incident: memory that grows with connections and is counted nowhere. None is closed within a request. Ruled out: refusing new connections, which would shut ordinary callers out. Conclusion: mended.

--- a/crates/lilaccrank-http/src/head_limits.rs
+++ b/crates/lilaccrank-http/src/head_limits.rs
@@ -42,6 +42,7 @@
 pub struct LiveLimits {
     inner: Rc<State>,
     read_ahead: ReadAhead,
+    connections: Connections,
 }
 
 #[derive(Default)]
@@ -50,6 +51,16 @@
     current: Cell<HeadLimits>,
 }
 
+/// Limit on open connections.
+#[derive(Clone, Copy)]
+struct Connections(usize);
+
+impl Default for Connections {
+    fn default() -> Self {
+        Self(usize::MAX)
+    }
+}
+
 /// Bytes that all connections have read ahead, and the limit of them; clones share both.
 #[derive(Clone, Debug)]
 pub(crate) struct ReadAhead {
@@ -93,6 +104,19 @@
         }
     }
 
+    /// Sets how many connections may be open before idle ones are closed for new ones.
+    #[must_use]
+    pub fn with_connections(self, limit: usize) -> Self {
+        Self {
+            connections: Connections(limit),
+            ..self
+        }
+    }
+
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.0
+    }
+
     pub(crate) fn read_ahead(&self) -> ReadAhead {
         self.read_ahead.clone()
     }
--- a/crates/lilaccrank-http/src/head_timer.rs
+++ b/crates/lilaccrank-http/src/head_timer.rs
@@ -158,6 +158,11 @@
         self.state.started_at.get().map(|at| at.elapsed())
     }
 
+    /// Returns when the connection began to be idle, if it is.
+    pub(crate) fn active_at(&self) -> Instant {
+        self.state.active_at.get()
+    }
+
     /// Returns the number of heads that were read.
     pub(crate) fn requests(&self) -> u64 {
         self.state.requests.get()
--- a/crates/lilaccrank-http/src/server.rs
+++ b/crates/lilaccrank-http/src/server.rs
@@ -22,6 +22,9 @@
 
 mod connection;
 mod ending;
+mod open_connections;
+
+use open_connections::OpenConnections;
 
 /// Result of binding a listener.
 pub type Result<T, E = io::Error> = std::result::Result<T, E>;
@@ -40,6 +43,7 @@
     changed: Event,
     closing: Cell<bool>,
     connections: Cell<usize>,
+    open: OpenConnections,
     draining: Cell<bool>,
 }
 
@@ -146,7 +150,9 @@
     let count = &shutdown.inner.connections;
     count.set(count.get() + 1);
     let head_timer = HeadTimer::new();
-    let ended = connection::run(stream, &shutdown, &limits, &head_timer, handler).await;
+    let open = shutdown.inner.open.add(&head_timer, limits.connections());
+    let ended = connection::run(stream, &shutdown, &limits, &head_timer, &open, handler).await;
+    drop(open);
     match ended {
         Ok(ending) => ending.log(&head_timer),
         Err(e) => log::debug!("connection ended: {e}"),
--- a/crates/lilaccrank-http/src/server/connection.rs
+++ b/crates/lilaccrank-http/src/server/connection.rs
@@ -22,6 +22,7 @@
 
 use super::ShutdownHandle;
 use super::ending::{Ending, Step};
+use super::open_connections::OpenConnection;
 use crate::body::Body;
 use crate::client_connection::{ClientConnection, Watch, WatchedIo};
 use crate::head_limits::{HeadLimits, LiveLimits, MAX_HEADER_LINES};
@@ -44,6 +45,7 @@
     shutdown: &ShutdownHandle,
     live: &LiveLimits,
     head_timer: &HeadTimer,
+    open: &OpenConnection,
     handler: H,
 ) -> Result<Ending>
 where
@@ -94,6 +96,7 @@
             head_timer,
             limits,
             live,
+            open,
             shutdown,
             watch: &watch,
         };
@@ -118,6 +121,7 @@
     head_timer: &'a HeadTimer,
     limits: HeadLimits,
     live: &'a LiveLimits,
+    open: &'a OpenConnection,
     shutdown: &'a ShutdownHandle,
     watch: &'a Watch<T>,
 }
@@ -162,13 +166,26 @@
     async fn until_timed_out(&self) -> Step {
         let head = self.head_timer.timed_out(self.limits.head_timeout);
         let idle = self.head_timer.idle_for_too_long();
-        pin_mut!(head, idle);
-        match future::select(head, idle).await {
+        let displaced = self.displaced();
+        pin_mut!(head, idle, displaced);
+        match future::select(head, future::select(idle, displaced)).await {
             Either::Left(_) => Step::HeadTimedOut,
             Either::Right(_) => Step::Idle,
         }
     }
 
+    /// Completes when the connection is idle and another one needs its place.
+    async fn displaced(&self) {
+        loop {
+            self.open.displaced().await;
+            if self.head_timer.is_between_requests() {
+                return;
+            }
+            // A request came meanwhile, and is served.
+            self.open.keep();
+        }
+    }
+
     async fn until_ended_or_changed<C>(&self, connection: &mut C) -> Step
     where
         C: Future<Output = hyper::Result<()>> + Unpin,
--- a/crates/lilaccrankd/src/daemon.rs
+++ b/crates/lilaccrankd/src/daemon.rs
@@ -214,7 +214,8 @@
             incarnation,
             key_owner,
             keys_settled: Cell::new(false),
-            head_limits: LiveLimits::with_read_ahead(cfg.read_ahead_limit),
+            head_limits: LiveLimits::with_read_ahead(cfg.read_ahead_limit)
+                .with_connections(cfg.connection_limit),
             platform_contact: PlatformContact::default(),
             leaving: Cell::new(false),
             link: Link::new(cfg.link_bytes_per_s),
--- a/crates/lilaccrankd/src/settings.rs
+++ b/crates/lilaccrankd/src/settings.rs
@@ -80,6 +80,9 @@
     /// Milliseconds for which a configuration is used without confirmation that it is the newest;
     /// 0 for no limit. It bounds how long a revoked key still works at a daemon that is cut off.
     pub configuration_lease_ms: u64,
+    /// Open connections of callers beyond which the one that has been idle for longest is closed for each new
+    /// one.
+    pub connection_limit: usize,
     /// Name of the data centre.
     pub data_centre: DataCentre,
     /// Which daemon grants targets to the requests of a pool.
@@ -223,6 +226,7 @@
             body_timeout_ms: 10_000,
             callers: port(7400),
             configuration_lease_ms: 0,
+            connection_limit: 20_000,
             data_centre: "local".to_owned(),
             dispatch: Dispatch::default(),
             feed_ms: 1_000,
@@ -312,6 +316,7 @@
             ("between_tokens_ms", self.between_tokens_ms),
             ("body_limit", self.body_limit as u64),
             ("body_timeout_ms", self.body_timeout_ms),
+            ("connection_limit", self.connection_limit as u64),
             ("feed_ms", self.feed_ms),
             ("first_token_ms", self.first_token_ms),
             ("order_in_flight_ms", self.order_in_flight_ms),
