Quotas: seeds that are in other cells are no peers that were not heard from

What callers saw: 429 at every daemon for a customer within its quota, where daemons start with the addresses of more others than a cell has. Cause: until as many peers report as there are seeds, the rest are assumed to spend their shares. In cells, only those of the cell report. Change: once more daemons are known than were assumed, no more are assumed than the cell has. Ruled out on the users' platform, which gives three seeds at most: a kin found on the way, not the users' case. Conclusion: mended.

--- a/crates/lilaccrank/src/quota.rs
+++ b/crates/lilaccrank/src/quota.rs
@@ -171,6 +171,8 @@
     accounts: IndexMap<CustomerId, Account>,
     /// Minimum number of peers assumed while fewer are known.
     assumed_peers: usize,
+    /// Set once more daemons are known than were assumed. Those of other cells are no peers.
+    knows_fleet: bool,
     /// Units per second of each customer's quota in the configuration in force.
     configured: IndexMap<CustomerId, f64>,
     /// Demand on this cell and the others.
@@ -243,6 +245,7 @@
             configured: IndexMap::new(),
             demand: Demand::new(now),
             incarnation: 0,
+            knows_fleet: false,
             last_tick: now,
             peers: IndexMap::new(),
             recent: IndexSet::new(),
@@ -427,6 +430,7 @@
         now: Instant,
     ) {
         self.peers.retain(|vm, _| cell_peers.contains(vm));
+        self.knows_fleet = live.len() > self.assumed_peers;
         self.demand.set_cell(cell, cell_peers.len(), live, now);
     }
 
@@ -579,7 +583,11 @@
             .values()
             .filter(|peer| age(peer) < PEER_STALE_AFTER)
             .count();
-        let all = self.peers.len().max(self.assumed_peers);
+        let assumed = match self.knows_fleet {
+            true => self.assumed_peers.min(self.demand.cell_peers()),
+            false => self.assumed_peers,
+        };
+        let all = self.peers.len().max(assumed);
         (1 + fresh) as f64 / (1 + all) as f64
     }
 
--- a/crates/lilaccrank/src/quota/demand.rs
+++ b/crates/lilaccrank/src/quota/demand.rs
@@ -317,6 +317,11 @@
         even_share * (1.0 - demand_weight) + demand_weight * rate(own) / total
     }
 
+    /// Number of other daemons in the cell.
+    pub(super) fn cell_peers(&self) -> usize {
+        self.cell_peers
+    }
+
     /// This cell's share by number of daemons.
     fn even_share(&self) -> f64 {
         (1 + self.cell_peers) as f64 / self.daemon_count() as f64
--- a/crates/lilaccrank/tests/suite/quota_cells.rs
+++ b/crates/lilaccrank/tests/suite/quota_cells.rs
@@ -198,8 +198,13 @@
 
 impl OneBusyDaemon {
     fn new() -> Self {
+        Self::with_seeds(3)
+    }
+
+    /// Daemons that start with the addresses of so many others.
+    fn with_seeds(seeds: usize) -> Self {
         let now = Instant::now();
-        let mut daemons = new_in_cells(72, 9, || Quotas::new(3, now), now);
+        let mut daemons = new_in_cells(72, 9, || Quotas::new(seeds, now), now);
         for daemon in &mut daemons {
             daemon.adopt_all([(&CUSTOMER.to_owned(), QUOTA)].into_iter(), now);
         }
@@ -294,3 +299,12 @@
     let sums = passed.iter().map(|(at, _)| in_window(*at));
     sums.max().unwrap_or_default() as f64
 }
+
+// Guards against a share that is kept for seeds that are in other cells, and never report here.
+#[test]
+fn more_seeds_than_peers_in_the_cell() {
+    let mut fleet = OneBusyDaemon::with_seeds(71);
+    fleet.send(10, Duration::from_secs(8));
+    let passed = fleet.send(10, Duration::from_secs(4));
+    assert!(passed > 0.99, "{passed:.2} passed");
+}
