Admission: a body that drips, or holds the memory that another needs, gives its place as well

What callers saw: 503 for up to ten seconds beside bodies that come a byte at a time, and "there is no memory for the body" beside bodies that stopped, once places were free and their memory was not. Cause: a body lost its place only after half a second without data, and only for a request that was not admitted; the body of one that was admitted found the memory full. Evidence: foreign_clients::bodies_that_drip_hold_no_place_that_others_need failed before (served while 0 bodies were waited for) and, with the pace alone, in three of ten runs: each try of the ordinary caller is refused in its log with "there is no memory for the body", 84 requests and 6,000,000 bytes beside it. Ten of ten runs pass after, 82 or 83 bodies waited for; so do ten of ten of bodies_that_stop. Change: a body that has come at less than 16 KB a second for a second may lose its place too; a body that finds no memory takes it from one that holds some and does not come on. Ruled out: load; the failing runs are told from the others by the log alone. Conclusion: mended.

--- a/crates/lilaccrank-http/src/body.rs
+++ b/crates/lilaccrank-http/src/body.rs
@@ -149,12 +149,12 @@
 ///
 /// Returns an error if the connection fails before the end or the body exceeds `limit`.
 pub async fn read(body: Incoming, limit: usize) -> Result<Bytes> {
-    read_within(body, limit, |_| true, || {}).await
+    read_within(body, limit, |_| true, |_| {}).await
 }
 
 /// Like [`read`], if there is memory for the body. `take` is asked for the length that the sender
 /// announces, and for each piece beyond it, and tells whether there is memory for so many bytes. `on_data` is
-/// called for each piece.
+/// called with the length of each piece.
 ///
 /// # Errors
 ///
@@ -164,7 +164,7 @@
     mut body: Incoming,
     limit: usize,
     mut take: impl FnMut(usize) -> bool,
-    mut on_data: impl FnMut(),
+    mut on_data: impl FnMut(usize),
 ) -> Result<Bytes> {
     let announced = hyper::body::Body::size_hint(&body).exact().unwrap_or(0);
     let mut taken = usize::try_from(announced).map_or(limit, |announced| announced.min(limit));
@@ -175,7 +175,7 @@
         let Ok(data) = frame?.into_data() else {
             continue;
         };
-        on_data();
+        on_data(data.len());
         size += data.len();
         if size > limit {
             return Err(Error::TooLarge { limit });
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -261,7 +261,7 @@
 ) -> Result<Bytes> {
     let arriving = in_progress.begin_body();
     let take = |bytes| arriving.take(bytes);
-    let reading = body::read_within(incoming, limit, take, || arriving.record_data());
+    let reading = body::read_within(incoming, limit, take, |bytes| arriving.record_data(bytes));
     let reading = within_time(daemon, reading);
     let lost = arriving.lost();
     pin_mut!(reading, lost);
--- a/crates/lilaccrankd/src/request/admission.rs
+++ b/crates/lilaccrankd/src/request/admission.rs
@@ -20,6 +20,9 @@
 const BODY_COPIES: usize = 2;
 /// Time without data after which a body may lose its place.
 const STALL: Duration = Duration::from_millis(500);
+/// Age from which a body may lose its place if it comes too slowly, and bytes a second that are too few.
+const SLOW_AFTER: Duration = Duration::from_secs(1);
+const MIN_BYTES_PER_S: f64 = 16.0 * 1024.0;
 
 /// Number of a place since the start of the daemon.
 type PlaceId = u64;
@@ -40,6 +43,27 @@
     is_counted: Cell<bool>,
     last_data: Cell<Instant>,
     lost: Event,
+    /// Bytes of the body that have come.
+    received: Cell<usize>,
+    /// When the body began to come.
+    since: Cell<Instant>,
+}
+
+impl Place {
+    /// Returns `true` if the body does not come on, or too slowly for a daemon that is full.
+    fn is_stalled(&self) -> bool {
+        let age = self.since.get().elapsed();
+        let least = age.as_secs_f64() * MIN_BYTES_PER_S;
+        let is_slow = age >= SLOW_AFTER && (self.received.get() as f64) < least;
+        is_slow || self.last_data.get().elapsed() >= STALL
+    }
+}
+
+/// Whether a body that is to lose its place must hold memory.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum HasMemory {
+    Needed,
+    Optional,
 }
 
 /// Guard that counts one request in progress, with the memory of its body, until it is dropped.
@@ -55,7 +79,9 @@
     /// Marks the body as coming, until what is returned is dropped.
     #[must_use]
     pub fn begin_body(&self) -> Arriving<'_> {
-        self.place.last_data.set(Instant::now());
+        let now = Instant::now();
+        self.place.since.set(now);
+        self.place.last_data.set(now);
         let mut arriving = self.daemon.admission.arriving.borrow_mut();
         arriving.insert(self.place.id, Rc::clone(&self.place));
         Arriving(self)
@@ -63,11 +89,13 @@
 }
 
 impl Arriving<'_> {
-    /// Takes memory for a part of the body. If there is none, the body gives back all it has.
+    /// Takes memory for a part of the body, at need that of one that does not come on. If there is none, the body
+    /// gives back all it has.
     #[must_use]
     pub fn take(&self, bytes: usize) -> bool {
         let body = &self.0.place.body;
         body.add(bytes.saturating_mul(BODY_COPIES));
+        while body.memory().is_short() && self.0.daemon.displace_stalled(HasMemory::Needed) {}
         let is_short = body.memory().is_short();
         if is_short {
             body.release();
@@ -76,8 +104,12 @@
     }
 
     /// Notes that a part of the body has come.
-    pub fn record_data(&self) {
-        self.0.place.last_data.set(Instant::now());
+    pub fn record_data(&self, bytes: usize) {
+        let place = &self.0.place;
+        place.last_data.set(Instant::now());
+        place
+            .received
+            .set(place.received.get().saturating_add(bytes));
     }
 
     /// Completes with a refusal once the request has lost its place.
@@ -90,7 +122,9 @@
             }
         }
         let message = format!(
-            "nothing of the body came for {:?} while other requests needed its place",
+            "{} bytes of the body came in {:?}, the last {:?} ago, while other requests needed its place",
+            place.received.get(),
+            place.since.get().elapsed(),
             place.last_data.get().elapsed()
         );
         Refusal::new(ErrorKind::Overloaded, message).ran(Executed::No)
@@ -112,10 +146,12 @@
 
 impl Admission {
     /// Takes the body that has been without data for longest out of those that are coming.
-    fn take_stalled(&self) -> Option<Rc<Place>> {
+    fn take_stalled(&self, memory: HasMemory) -> Option<Rc<Place>> {
         let mut arriving = self.arriving.borrow_mut();
         let places = arriving.values();
-        let stalled = places.filter(|place| place.last_data.get().elapsed() >= STALL);
+        let fitting =
+            places.filter(|place| memory == HasMemory::Optional || place.body.bytes() > 0);
+        let stalled = fitting.filter(|place| place.is_stalled());
         let id = stalled.min_by_key(|place| place.last_data.get())?.id;
         arriving.swap_remove(&id)
     }
@@ -136,11 +172,13 @@
     /// [`ErrorKind::Overloaded`] at a limit.
     pub fn admit(self: &Rc<Self>) -> Result<InProgress> {
         while let Err(refusal) = self.check_room() {
-            let Some(stalled) = self.admission.take_stalled() else {
-                return Err(refusal);
+            let memory = match self.answer_memory.is_short() {
+                true => HasMemory::Needed,
+                false => HasMemory::Optional,
             };
-            stalled.body.release();
-            self.give_back(&stalled);
+            if !self.displace_stalled(memory) {
+                return Err(refusal);
+            }
         }
         let admission = &self.admission;
         let id = admission.next_id.get();
@@ -153,6 +191,8 @@
             is_counted: Cell::new(true),
             last_data: Cell::new(Instant::now()),
             lost: Event::new(),
+            received: Cell::default(),
+            since: Cell::new(Instant::now()),
         };
         Ok(InProgress {
             daemon: Rc::clone(self),
@@ -160,6 +200,16 @@
         })
     }
 
+    /// Takes its place and its memory from a body that does not come on. Returns `false` if there is none.
+    fn displace_stalled(&self, memory: HasMemory) -> bool {
+        let Some(stalled) = self.admission.take_stalled(memory) else {
+            return false;
+        };
+        stalled.body.release();
+        self.give_back(&stalled);
+        true
+    }
+
     fn check_room(&self) -> Result<()> {
         let (requests, bytes) = (self.in_progress(), self.answer_memory.bytes());
         if requests + bytes / REQUEST_BYTES >= self.cfg.request_limit {
--- a/crates/lilaccrankd/src/request/answer_memory.rs
+++ b/crates/lilaccrankd/src/request/answer_memory.rs
@@ -57,6 +57,12 @@
         }
     }
 
+    /// Bytes that it takes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes.get()
+    }
+
     /// Takes more.
     pub fn add(&self, bytes: usize) {
         self.bytes.set(self.bytes.get() + bytes);
