Review of the diff: a lost place is final, and surges below what is assumed are not reported

Found by reading, no caller saw it: a body that became whole as its request lost its place would go on uncounted, so that a shutdown did not wait for it; a customer with an empty bucket and little demand would be reported up to ten times a second without effect; surges were kept until the next report.

--- a/crates/lilaccrank/src/quota.rs
+++ b/crates/lilaccrank/src/quota.rs
@@ -278,8 +278,8 @@
         Self { window, ..self }
     }
 
-    /// Puts the quotas of a new configuration in force, which replace all earlier ones. What other daemons spend by them counts from
-    /// now on, whether or not a customer sends requests here.
+    /// Puts the quotas of a new configuration in force, which replace all earlier ones. What other daemons spend by
+    /// them counts from now on, whether or not a customer sends requests here.
     pub fn adopt_all<'a>(
         &mut self,
         quotas: impl Iterator<Item = (&'a CustomerId, Quota)>,
@@ -372,7 +372,7 @@
         };
         let is_short = *spent.as_ref().unwrap_or(&true);
         if let Some(per_s) = account.recent_demand.per_s(now).filter(|_| is_short) {
-            self.demand.note_demand(customer, per_s, now);
+            self.demand.note_demand(customer, quota.per_s, per_s, now);
         }
         spent
     }
--- a/crates/lilaccrank/src/quota/demand.rs
+++ b/crates/lilaccrank/src/quota/demand.rs
@@ -178,6 +178,8 @@
             return;
         }
         self.last_sample = now;
+        self.surges
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < SURGE_TIME);
         self.lost
             .retain(|_, at| now.saturating_duration_since(*at) < SHARE_RETENTION);
         let own = own.map(|(customer, asked)| (None, customer, asked));
@@ -221,8 +223,18 @@
 
     /// Records the units per second that a customer requests from this daemon, where its quota runs short. A surge
     /// is reported at once: the share of this cell would follow it only after seconds.
-    pub(super) fn note_demand(&mut self, customer: &CustomerId, per_s: f64, now: Instant) {
-        if self.cell.count < 2 || per_s <= SURGE_FACTOR * self.reported_per_s(customer) {
+    ///
+    /// Nothing is reported of a demand that is below what other cells assume of a customer with this quota.
+    pub(super) fn note_demand(
+        &mut self,
+        customer: &CustomerId,
+        quota_per_s: f64,
+        per_s: f64,
+        now: Instant,
+    ) {
+        let assumed = REPORT_THRESHOLD * self.even_share() * quota_per_s;
+        let known = SURGE_FACTOR * self.reported_per_s(customer);
+        if self.cell.count < 2 || per_s <= known.max(assumed) {
             return;
         }
         self.surges.insert(customer.clone(), (per_s, now));
--- a/crates/lilaccrankd/src/callers/entry.rs
+++ b/crates/lilaccrankd/src/callers/entry.rs
@@ -265,9 +265,10 @@
     let reading = within_time(daemon, reading);
     let lost = arriving.lost();
     pin_mut!(reading, lost);
-    match future::select(reading, lost).await {
-        Either::Left((body, _)) => body,
-        Either::Right((refusal, _)) => Err(refusal),
+    // A request that has lost its place counts nowhere, so that it is refused even if its body is whole by now.
+    match future::select(lost, reading).await {
+        Either::Left((refusal, _)) => Err(refusal),
+        Either::Right((body, _)) => body,
     }
 }
 
