Intake: open connections end after their answer while new ones are closed unread

What callers saw: nothing yet; found by looking for kin of the cause before. Requests on connections that were open before pass by the pacing of new ones, so that they alone can take a server's whole time, and their callers never come to another daemon.

Change: for a second after a connection was closed unread, answers carry Connection: close, as in a drain.

--- a/crates/lilaccrank-http/src/server.rs
+++ b/crates/lilaccrank-http/src/server.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::task::Poll;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use event_listener::Event;
 use futures::future::{self, Either};
@@ -35,6 +35,10 @@
 /// Delay after a failed accept, which usually means that no file descriptor is free.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time after a connection was closed unread in which open ones end after their answer. Requests on them would
+/// otherwise go before those on new connections.
+const RELIEF: Duration = Duration::from_secs(1);
+
 /// Controls the graceful shutdown of a server and counts its open connections.
 #[derive(Clone, Default)]
 pub struct ShutdownHandle {
@@ -48,6 +52,8 @@
     connections: Cell<usize>,
     open: OpenConnections,
     draining: Cell<bool>,
+    /// When a connection was closed unread last.
+    unread_at: Cell<Option<Instant>>,
 }
 
 impl ShutdownHandle {
@@ -71,6 +77,12 @@
         self.inner.connections.get()
     }
 
+    /// Returns `true` if connections are to end after the answer in progress.
+    fn closes_after_answer(&self) -> bool {
+        let unread_at = self.inner.unread_at.get();
+        self.inner.draining.get() || unread_at.is_some_and(|at| at.elapsed() < RELIEF)
+    }
+
     async fn wait_for_close(&self) {
         while !self.inner.closing.get() {
             let listener = self.inner.changed.listen();
@@ -152,7 +164,10 @@
                     handler,
                 ));
             }
-            Ok((stream, Next::CloseUnread)) => drop(stream),
+            Ok((stream, Next::CloseUnread)) => {
+                shutdown.inner.unread_at.set(Some(Instant::now()));
+                drop(stream);
+            }
             Err(e) => {
                 log::warn!("accept failed: {e}");
                 monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
--- a/crates/lilaccrank-http/src/server/connection.rs
+++ b/crates/lilaccrank-http/src/server/connection.rs
@@ -75,7 +75,7 @@
                 runtime::yield_now().await;
             }
             head_timer.begin_answer();
-            if shutdown.inner.draining.get() {
+            if shutdown.closes_after_answer() {
                 let close = HeaderValue::from_static("close");
                 res.headers_mut().insert(CONNECTION, close);
             }
